--- /dev/null
+++ b/daemon/back.c
@@ -0,0 +1,579 @@
+/* back.c - dispatches to backend servers, and the answers that come back.
+ *
+ * Dispatch. Before anything is sent a connection is tried: a refused one is not a dispatch, and
+ * the call may be granted elsewhere. Then the call is marked dispatched, and from there on only
+ * two things can happen: its answer, from that server, or an unknown outcome.
+ *
+ * Streams. One connection at a time carries the answer. When it ends early or goes silent, another
+ * one resumes the stream at the next piece that is missing; bytes that the old connection still
+ * brings are dropped by its attempt number, and pieces by their offset. The engine that dispatches
+ * the request never changes, so a resumed stream is the same dispatch.
+ */
+#include "back.h"
+#include "body.h"
+#include "dlog.h"
+#include "span.h"
+#include "sse.h"
+#include "stat.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#define WATCH_EVERY   (100 * FT_MS)
+#define TELL_EVERY    (250 * FT_MS) /* progress reports of one stream; windows adapt in a second */
+#define RESUME_WAIT   (100 * FT_MS) /* between two connections that ended early */
+#define RESUME_MOST   200           /* connections for one answer */
+#define LATE_SILENCES 3             /* past the deadline, silent this many bounds: given up */
+#define ANSWER_MOST   (16u << 20)
+
+struct Back
+{
+  Core *core;
+  Plat *plat;
+  Book *book;
+  GThreadPool *workers;
+  char *instance;
+};
+
+typedef enum
+{
+  WORK_SEND,
+  WORK_RESUME,
+  WORK_PAUSE
+} WorkKind;
+
+typedef struct
+{
+  WorkKind kind;
+  Call *call;
+  unsigned attempt;
+} Work;
+
+/* One connection's reading state. */
+typedef struct
+{
+  Back *back;
+  Call *call;
+  unsigned attempt;
+  Sse sse;
+  GString *plain; /* services */
+} Reader;
+
+Book *
+back_book (Back *back)
+{
+  return back->book;
+}
+
+static void
+queue_work (Back *back, WorkKind kind, Call *call, unsigned attempt)
+{
+  Work *work = g_new (Work, 1);
+
+  *work = (Work){ kind, call_ref (call), attempt };
+  g_thread_pool_push (back->workers, work, NULL);
+}
+
+/* ---- Ends ---- */
+
+static void
+count_end (const Call *call, bool whole)
+{
+  if (!whole)
+    stat_tier (STAT_UNKNOWN, call->tier);
+  else
+    {
+      stat_tier (STAT_ANSWERED, call->tier);
+      if (call->last_at > call->due)
+        stat_tier (STAT_LATE, call->tier);
+    }
+}
+
+/* Ends the call once; failure FT_REASON_NONE: its answer is whole. */
+static void
+finish (Back *back, Call *call, FtReason failure)
+{
+  bool whole = failure == FT_REASON_NONE;
+  int64_t now = core_now (back->core);
+
+  g_mutex_lock (&call->lock);
+  if (call->finished)
+    {
+      g_mutex_unlock (&call->lock);
+      return;
+    }
+  call->finished = true;
+  call->failure = failure;
+  call->attempt++;
+  ft_req_move (call->req, whole ? FT_REQ_ANSWERED : FT_REQ_UNKNOWN);
+  unsigned tokens = ft_req_next (call->req);
+  g_cond_broadcast (&call->cond);
+  g_mutex_unlock (&call->lock);
+  core_claim_end (back->core, call, whole ? FT_CLAIM_ANSWERED : FT_CLAIM_UNKNOWN);
+  core_done (back->core, call, whole ? FT_DONE_WHOLE : FT_DONE_FAILED, tokens);
+  count_end (call, whole);
+  span_end (call, "backend", call->decided, now, call->server);
+  span_end (call, "request", call->started, now, ft_reason_info (failure)->code);
+  dlog (whole ? DLOG_DEBUG : DLOG_WARN, call->id, whole ? "answered" : "unknown",
+        "server %s, %u pieces, %u reconnects", call->server, tokens, call->reconnects);
+  book_finished (back->book, call, now);
+}
+
+/* ---- Reading ---- */
+
+static void
+note_piece (Reader *reader, int64_t now)
+{
+  Call *call = reader->call;
+  unsigned tokens = ft_req_next (call->req);
+
+  if (call->first_at == 0)
+    {
+      call->first_at = now;
+      ft_req_move (call->req, FT_REQ_STREAMING);
+      stat_sample (STAT_FIRST_TOKEN, call->tier, now - call->started);
+    }
+  else
+    stat_sample (STAT_INTER_TOKEN, call->tier, now - call->last_at);
+  call->last_at = now;
+  if (now - call->told_at >= TELL_EVERY || tokens == 1)
+    {
+      call->told_at = now;
+      core_progress (reader->back->core, call, tokens);
+    }
+}
+
+static bool
+on_event (void *user, gint64 id, const char *event, const char *data)
+{
+  Reader *reader = user;
+  Call *call = reader->call;
+  bool current, whole = false;
+
+  if (event != NULL && strcmp (event, "error") == 0)
+    return false;
+  g_mutex_lock (&call->lock);
+  current = reader->attempt == call->attempt && !call->finished;
+  if (current && strcmp (data, "[DONE]") == 0)
+    {
+      if (id >= 0 && id <= G_MAXINT)
+        ft_req_end (call->req, (unsigned)id);
+      whole = ft_req_whole (call->req);
+      current = false;
+    }
+  else if (current && id >= 0 && id <= G_MAXINT)
+    {
+      char *line = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %s\n\n", id, data);
+      unsigned before = ft_req_next (call->req);
+      if (ft_req_piece (call->req, (unsigned)id, line, strlen (line)) == FT_OK)
+        {
+          if (ft_req_next (call->req) == before + 1) /* engines send in order on one connection */
+            body_append_delta (data, call->content);
+          note_piece (reader, core_now (reader->back->core));
+          g_cond_broadcast (&call->cond);
+        }
+      g_free (line);
+    }
+  g_mutex_unlock (&call->lock);
+  if (whole)
+    finish (reader->back, call, FT_REASON_NONE);
+  return current;
+}
+
+static size_t
+on_stream_bytes (void *contents, size_t size, size_t count, void *user)
+{
+  Reader *reader = user;
+
+  return sse_feed (&reader->sse, contents, size * count, on_event, reader) ? size * count : 0;
+}
+
+static size_t
+on_plain_bytes (void *contents, size_t size, size_t count, void *user)
+{
+  Reader *reader = user;
+
+  if (reader->plain->len + size * count > ANSWER_MOST)
+    return 0;
+  g_string_append_len (reader->plain, contents, (gssize)(size * count));
+  return size * count;
+}
+
+/* ---- Sending ---- */
+
+static void
+set_headers (Back *back, const Call *call, struct _u_request *request)
+{
+  char traceparent[56];
+
+  (void)back;
+  span_header (call, traceparent);
+  u_map_put (request->map_header, "X-Request-Id", call->id);
+  u_map_put (request->map_header, "traceparent", traceparent);
+  if (call->type)
+    u_map_put (request->map_header, "Content-Type", call->type);
+}
+
+static unsigned long
+seconds_left (Back *back, const Call *call)
+{
+  int64_t left = call->due - core_now (back->core);
+
+  return (unsigned long)(MAX (0, left) / FT_SECOND + 60);
+}
+
+static bool
+server_url (Back *back, const Call *call, const char *path, char **url)
+{
+  char address[64];
+
+  if (!plat_address (back->plat, call->pool, call->server, address, sizeof address))
+    return false;
+  *url = g_strdup_printf ("http://%s%s", address, path);
+  return true;
+}
+
+/* HTTP status of the exchange; 0: it did not come to its end. */
+static int
+exchange (Back *back, const Call *call, const char *method, char *url, const char *body,
+          size_t size, Reader *reader, char **type)
+{
+  struct _u_request request;
+  struct _u_response response;
+  int status = 0;
+
+  ulfius_init_request (&request);
+  ulfius_init_response (&response);
+  request.http_verb = o_strdup (method);
+  request.http_url = o_strdup (url);
+  request.timeout = seconds_left (back, call);
+  set_headers (back, call, &request);
+  if (size > 0)
+    ulfius_set_binary_body_request (&request, body, size);
+  int done = ulfius_send_http_streaming_request (
+      &request, &response, reader->plain ? on_plain_bytes : on_stream_bytes, reader);
+  if (done == U_OK)
+    status = (int)response.status;
+  if (done == U_OK && type)
+    *type = g_strdup (u_map_get_case (response.map_header, "Content-Type"));
+  ulfius_clean_request (&request);
+  ulfius_clean_response (&response);
+  g_free (url);
+  return status;
+}
+
+static void
+resume_later (Back *back, Call *call, unsigned attempt)
+{
+  bool again = false, give_up = false;
+
+  g_usleep (RESUME_WAIT);
+  g_mutex_lock (&call->lock);
+  if (!call->finished && !call->paused && call->attempt == attempt)
+    {
+      give_up = ++call->reconnects > RESUME_MOST;
+      again = !give_up;
+      attempt = ++call->attempt;
+    }
+  g_mutex_unlock (&call->lock);
+  if (again)
+    {
+      stat_plain (STAT_STREAM_RECONNECTS, 1);
+      queue_work (back, WORK_RESUME, call, attempt);
+    }
+  if (give_up)
+    finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+}
+
+static void
+run_stream (Back *back, Call *call, const Work *work)
+{
+  Reader reader = { back, call, work->attempt, { 0 }, NULL };
+  char *url = NULL, *body = NULL, *path;
+  int status = 0;
+
+  sse_init (&reader.sse);
+  g_mutex_lock (&call->lock);
+  unsigned next = ft_req_next (call->req);
+  g_mutex_unlock (&call->lock);
+  if (work->kind == WORK_SEND)
+    {
+      path = g_strdup ("/v1/chat/completions");
+      body = body_as_stream (call->body);
+    }
+  else
+    path = g_strdup_printf ("/v1/streams/%s?offset=%u", call->id, next);
+  if (server_url (back, call, path, &url))
+    status = exchange (back, call, work->kind == WORK_SEND ? "POST" : "GET", url, body,
+                       body ? strlen (body) : 0, &reader, NULL);
+  sse_clear (&reader.sse);
+  g_free (path);
+  g_free (body);
+  /* 404: the engine restarted and knows nothing of the stream; others: it refused the request. */
+  if (status >= 400 && status < 600)
+    finish (back, call,
+            work->kind == WORK_SEND ? FT_REASON_BACKEND_FAILED : FT_REASON_OUTCOME_UNKNOWN);
+  else
+    resume_later (back, call, work->attempt);
+}
+
+static void
+run_service (Back *back, Call *call, const Work *work)
+{
+  Reader reader = { back, call, work->attempt, { 0 }, g_string_new (NULL) };
+  char *url = NULL, *type = NULL;
+  int status = 0;
+
+  if (server_url (back, call, call->path, &url))
+    status = exchange (back, call, call->method, url, call->body, call->body_size, &reader, &type);
+  if (status == 0)
+    finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+  else
+    {
+      int64_t now = core_now (back->core);
+      g_mutex_lock (&call->lock);
+      call->answer_status = status;
+      call->answer_type = g_steal_pointer (&type);
+      ft_req_piece (call->req, 0, reader.plain->str, reader.plain->len);
+      ft_req_end (call->req, 1);
+      note_piece (&reader, now);
+      g_mutex_unlock (&call->lock);
+      finish (back, call, FT_REASON_NONE);
+    }
+  g_free (type);
+  g_string_free (reader.plain, TRUE);
+}
+
+static void
+run_pause (Back *back, Call *call)
+{
+  struct _u_request request;
+  struct _u_response response;
+  char *url = NULL, *path = g_strdup_printf ("/v1/streams/%s/pause", call->id);
+
+  if (server_url (back, call, path, &url))
+    {
+      ulfius_init_request (&request);
+      ulfius_init_response (&response);
+      request.http_verb = o_strdup ("POST");
+      request.http_url = o_strdup (url);
+      request.timeout = 2;
+      ulfius_send_http_request (&request, &response); /* lost: it goes on, and we drop its bytes */
+      ulfius_clean_request (&request);
+      ulfius_clean_response (&response);
+    }
+  g_free (url);
+  g_free (path);
+}
+
+static void
+run_work (void *data, void *user)
+{
+  Work *work = data;
+  Back *back = user;
+
+  if (work->kind == WORK_PAUSE)
+    run_pause (back, work->call);
+  else if (work->call->service)
+    run_service (back, work->call, work);
+  else
+    run_stream (back, work->call, work);
+  call_unref (work->call);
+  g_free (work);
+}
+
+/* ---- Dispatch ---- */
+
+static bool
+can_connect (const char *text, int64_t wait_ms)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int failed = 0;
+  socklen_t size = sizeof failed;
+  bool connected = false;
+  const char *colon = strrchr (text, ':');
+  char *host = colon ? g_strndup (text, (gsize)(colon - text)) : NULL;
+  int probe = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (host == NULL || probe < 0 || inet_pton (AF_INET, host, &address.sin_addr) != 1)
+    goto out;
+  address.sin_port = htons ((uint16_t)atoi (colon + 1));
+  if (connect (probe, (struct sockaddr *)&address, sizeof address) == 0)
+    connected = true;
+  else if (errno == EINPROGRESS)
+    {
+      struct pollfd poller = { probe, POLLOUT, 0 };
+      connected = poll (&poller, 1, (int)wait_ms) == 1
+                  && getsockopt (probe, SOL_SOCKET, SO_ERROR, &failed, &size) == 0 && failed == 0;
+    }
+out:
+  if (probe >= 0)
+    close (probe);
+  g_free (host);
+  return connected;
+}
+
+FtStatus
+back_dispatch (Back *back, Call *call)
+{
+  char address[64];
+
+  if (!plat_address (back->plat, call->pool, call->server, address, sizeof address)
+      || !can_connect (address, core_conf (back->core)->connect_ms))
+    {
+      stat_plain (STAT_CONNECT_REFUSED, 1);
+      return FT_NOT_FOUND;
+    }
+  g_mutex_lock (&call->lock);
+  FtStatus status = ft_req_move (call->req, FT_REQ_DISPATCHED);
+  call->back = back;
+  call->last_at = core_now (back->core);
+  unsigned attempt = ++call->attempt;
+  g_mutex_unlock (&call->lock);
+  if (status != FT_OK)
+    return status;
+  stat_plain (STAT_DISPATCHES, 1);
+  queue_work (back, WORK_SEND, call, attempt);
+  return FT_OK;
+}
+
+/* ---- Pausing ---- */
+
+void
+back_pause (void *data, Call *call)
+{
+  Back *back = data;
+
+  if (back == NULL)
+    return;
+  g_mutex_lock (&call->lock);
+  bool stop = !call->finished && !call->paused;
+  call->paused = true;
+  if (stop)
+    call->attempt++;
+  g_mutex_unlock (&call->lock);
+  if (!stop)
+    return;
+  stat_tier (STAT_PAUSED, call->tier);
+  queue_work (back, WORK_PAUSE, call, 0);
+}
+
+void
+back_resume (void *data, Call *call)
+{
+  Back *back = data;
+
+  if (back == NULL)
+    return;
+  g_mutex_lock (&call->lock);
+  bool go = !call->finished && call->paused;
+  call->paused = false;
+  call->last_at = core_now (back->core);
+  unsigned attempt = ++call->attempt;
+  g_mutex_unlock (&call->lock);
+  if (!go)
+    return;
+  stat_tier (STAT_RESUMED, call->tier);
+  queue_work (back, WORK_RESUME, call, attempt);
+}
+
+/* ---- Silence ---- */
+
+static void
+watch_call (Back *back, Call *call, int64_t now)
+{
+  int64_t silence = core_conf (back->core)->silence_ms * FT_MS;
+  bool resume = false, give_up = false;
+  unsigned attempt = 0;
+
+  g_mutex_lock (&call->lock);
+  bool open = ft_req_was_dispatched (call->req) && !call->finished && !call->paused;
+  /* Counted from the last connection too, so that each gets its time. */
+  int64_t quiet = now - MAX (call->last_at, call->told_at);
+  if (open && now > call->due && now - call->last_at > LATE_SILENCES * silence)
+    give_up = true;
+  else if (open && !call->service && quiet > silence)
+    {
+      resume = true;
+      call->told_at = now;
+      call->reconnects++;
+      attempt = ++call->attempt;
+    }
+  g_mutex_unlock (&call->lock);
+  if (resume)
+    {
+      stat_plain (STAT_STREAM_RECONNECTS, 1);
+      queue_work (back, WORK_RESUME, call, attempt);
+    }
+  if (give_up)
+    finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+}
+
+static void *
+watch (void *data)
+{
+  Back *back = data;
+
+  for (;;)
+    {
+      GPtrArray *calls = book_unfinished (back->book);
+      for (unsigned i = 0; i < calls->len; i++)
+        watch_call (back, calls->pdata[i], core_now (back->core));
+      g_ptr_array_unref (calls);
+      g_usleep (WATCH_EVERY);
+    }
+  return NULL;
+}
+
+FtStatus
+back_kept_answer (Back *back, const char *id, GBytes **body)
+{
+  Call *call = back ? book_find (back->book, id) : NULL;
+  FtStatus status = FT_NOT_FOUND;
+
+  if (call == NULL)
+    return FT_NOT_FOUND;
+  g_mutex_lock (&call->lock);
+  if (!call->finished)
+    status = FT_CONFLICT; /* still running there */
+  else if (call->failure != FT_REASON_NONE)
+    status = FT_STALE; /* its outcome is unknown */
+  else if (call->service)
+    {
+      size_t size;
+      const char *bytes = ft_req_bytes (call->req, &size);
+      *body = body_pack_answer (call->answer_status, call->answer_type ? call->answer_type : "",
+                                call->org, bytes, size);
+      status = FT_OK;
+    }
+  else
+    {
+      char *whole = body_whole (call->id, call->pool, call->content->str, ft_req_next (call->req));
+      *body = body_pack_answer (200, "application/json", call->org, whole, strlen (whole));
+      g_free (whole);
+      status = FT_OK;
+    }
+  g_mutex_unlock (&call->lock);
+  call_unref (call);
+  return status;
+}
+
+Back *
+back_new (Core *core, Plat *plat)
+{
+  Back *back = g_new0 (Back, 1);
+  const Conf *conf = core_conf (core);
+
+  back->core = core;
+  back->plat = plat;
+  back->book = book_new (conf->answer_keep_s * FT_SECOND, conf->answer_keep_bytes);
+  back->workers = g_thread_pool_new (run_work, back, -1, FALSE, NULL);
+  g_thread_unref (g_thread_new ("watch", watch, back));
+  core_attach (core, back);
+  return back;
+}
--- /dev/null
+++ b/daemon/disk.c
@@ -0,0 +1,186 @@
+/* disk.c - files of the data folder. Nothing is taken to last before fsync returned. */
+#include "disk.h"
+#include "stat.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+typedef struct
+{
+  FtDisk base;
+  int folder, lock;
+  char *open_name; /* the file that is appended to */
+  int open_file;
+} Disk;
+
+static FtStatus
+write_all (int file, const void *data, size_t size)
+{
+  const char *at = data;
+
+  while (size > 0)
+    {
+      ssize_t done = write (file, at, size);
+      if (done < 0 && errno == EINTR)
+        continue;
+      if (done <= 0)
+        return FT_IO;
+      at += done;
+      size -= (size_t)done;
+    }
+  return FT_OK;
+}
+
+static FtStatus
+disk_read (FtDisk *base, const char *name, GByteArray *out)
+{
+  Disk *disk = (Disk *)base;
+  char buffer[65536];
+  ssize_t got;
+  int file = openat (disk->folder, name, O_RDONLY | O_CLOEXEC);
+
+  if (file < 0)
+    return errno == ENOENT ? FT_NOT_FOUND : FT_IO;
+  while ((got = read (file, buffer, sizeof buffer)) > 0)
+    g_byte_array_append (out, (const guint8 *)buffer, (guint)got);
+  close (file);
+  return got < 0 ? FT_IO : FT_OK;
+}
+
+static void
+close_open (Disk *disk)
+{
+  if (disk->open_file >= 0)
+    close (disk->open_file);
+  disk->open_file = -1;
+  g_clear_pointer (&disk->open_name, g_free);
+}
+
+static FtStatus
+use_file (Disk *disk, const char *name)
+{
+  if (disk->open_name && strcmp (disk->open_name, name) == 0)
+    return FT_OK;
+  close_open (disk);
+  disk->open_file = openat (disk->folder, name, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
+  if (disk->open_file < 0)
+    return FT_IO;
+  disk->open_name = g_strdup (name);
+  return fsync (disk->folder) == 0 ? FT_OK : FT_IO; /* the name itself must last too */
+}
+
+static FtStatus
+disk_append (FtDisk *base, const char *name, const void *data, size_t size)
+{
+  Disk *disk = (Disk *)base;
+  FtStatus status = use_file (disk, name);
+
+  return status == FT_OK ? write_all (disk->open_file, data, size) : status;
+}
+
+static FtStatus
+disk_sync (FtDisk *base, const char *name)
+{
+  Disk *disk = (Disk *)base;
+  FtStatus status = use_file (disk, name);
+
+  stat_plain (STAT_DISK_SYNCS, 1);
+  if (status != FT_OK)
+    return status;
+  return fdatasync (disk->open_file) == 0 ? FT_OK : FT_IO;
+}
+
+static FtStatus
+disk_replace (FtDisk *base, const char *name, const void *data, size_t size)
+{
+  Disk *disk = (Disk *)base;
+  char *fresh = g_strconcat (name, ".new", NULL);
+  FtStatus status = FT_IO;
+  int file = openat (disk->folder, fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+  if (file < 0)
+    goto out;
+  status = write_all (file, data, size);
+  if (status == FT_OK && fsync (file) != 0)
+    status = FT_IO;
+  close (file);
+  if (status == FT_OK && renameat (disk->folder, fresh, disk->folder, name) != 0)
+    status = FT_IO;
+  if (status == FT_OK && fsync (disk->folder) != 0)
+    status = FT_IO;
+  if (disk->open_name && strcmp (disk->open_name, name) == 0)
+    close_open (disk); /* the old file has no name any more */
+out:
+  g_free (fresh);
+  return status;
+}
+
+static FtStatus
+disk_truncate (FtDisk *base, const char *name, size_t size)
+{
+  Disk *disk = (Disk *)base;
+  int file = openat (disk->folder, name, O_WRONLY | O_CLOEXEC);
+
+  if (file < 0)
+    return FT_IO;
+  bool done = ftruncate (file, (off_t)size) == 0 && fsync (file) == 0;
+  close (file);
+  return done ? FT_OK : FT_IO;
+}
+
+static const FtDiskOps ops = { disk_read, disk_append, disk_sync, disk_replace, disk_truncate };
+
+FtStatus
+disk_new (const char *folder, FtDisk **out, FtError *error)
+{
+  Disk *disk = g_new0 (Disk, 1);
+  FtStatus status = FT_OK;
+
+  disk->base.ops = &ops;
+  disk->folder = disk->lock = disk->open_file = -1;
+  *out = NULL;
+  if (g_mkdir_with_parents (folder, 0700) != 0)
+    {
+      status = ft_error_set (error, FT_IO, 0, "data_folder", "%s: %s", folder, g_strerror (errno));
+      goto fail;
+    }
+  disk->folder = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  disk->lock
+      = disk->folder < 0 ? -1 : openat (disk->folder, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (disk->lock < 0)
+    {
+      status = ft_error_set (error, FT_IO, 0, "data_folder", "%s: %s", folder, g_strerror (errno));
+      goto fail;
+    }
+  if (flock (disk->lock, LOCK_EX | LOCK_NB) != 0)
+    {
+      status = ft_error_set (error, FT_CONFLICT, 0, "data_folder",
+                             "%s is in use by another process", folder);
+      goto fail;
+    }
+  *out = &disk->base;
+  return FT_OK;
+fail:
+  disk_free (&disk->base);
+  return status;
+}
+
+void
+disk_free (FtDisk *base)
+{
+  Disk *disk = (Disk *)base;
+
+  if (disk == NULL)
+    return;
+  close_open (disk);
+  if (disk->lock >= 0)
+    close (disk->lock);
+  if (disk->folder >= 0)
+    close (disk->folder);
+  g_free (disk);
+}
--- /dev/null
+++ b/daemon/edge.c
@@ -0,0 +1,702 @@
+/* edge.c - the callers' port: from an HTTP request to a call, and from its end to an answer.
+ *
+ *   POST /v1/chat/completions   a model's answer, streamed or whole
+ *   GET  /v1/requests/ID        an answer again, from any instance
+ *   GET  /healthz, /readyz
+ *   any other path              a plain service of the catalogue
+ */
+#include "edge.h"
+#include "body.h"
+#include "dlog.h"
+#include "http.h"
+#include "span.h"
+#include "stat.h"
+
+#include <string.h>
+
+#define CONNECT_TRIES 4     /* servers tried while connections are refused; nothing ran yet */
+#define BLOCK         16384 /* bytes handed to the HTTP server at once */
+
+struct Edge
+{
+  Core *core;
+  Back *back;
+  struct _u_instance http;
+  gint closing;
+  gint busy;
+};
+
+/* ---- Refusals ---- */
+
+static void
+refuse_call (Edge *edge, Call *call, FtReason reason, const char *rule, int64_t retry_ms,
+             struct _u_response *response)
+{
+  Problem problem = { reason, call->id, rule, call->tier, call->revision, retry_ms };
+
+  call->refusal.reason = reason;
+  call->refusal.retry_after_ms = retry_ms;
+  if (rule != call->refusal.rule)
+    g_strlcpy (call->refusal.rule, rule, sizeof call->refusal.rule);
+  stat_refused (reason, call->tier);
+  dlog (DLOG_INFO, call->id, "refused", "%s: %s", ft_reason_info (reason)->code, rule);
+  span_end (call, "request", call->started, core_now (edge->core), ft_reason_info (reason)->code);
+  core_note_refusal (edge->core, call);
+  http_problem (response, &problem);
+}
+
+/* Whether this instance may take a request now; if not, refuses it. */
+static bool
+may_take (Edge *edge, Call *call, struct _u_response *response)
+{
+  if (g_atomic_int_get (&edge->closing))
+    {
+      refuse_call (edge, call, FT_REASON_SHUTTING_DOWN, "this instance leaves; use another", 1000,
+                   response);
+      return false;
+    }
+  if (!core_fresh (edge->core))
+    {
+      refuse_call (edge, call, FT_REASON_STALE_CATALOGUE,
+                   "no voter in charge has been heard for 3 s", 2000, response);
+      return false;
+    }
+  return true;
+}
+
+/* ---- From request to call ---- */
+
+static bool
+id_is_valid (const char *id)
+{
+  size_t length = strlen (id);
+
+  if (length < 1 || length > 63)
+    return false;
+  for (; *id; id++)
+    if (!g_ascii_isalnum (*id) && !strchr ("._-", *id))
+      return false;
+  return true;
+}
+
+static Call *
+begin_call (Edge *edge, const struct _u_request *request)
+{
+  const char *given = u_map_get_case (request->map_header, "X-Request-Id");
+  char id[64];
+
+  if (given && id_is_valid (given))
+    g_strlcpy (id, given, sizeof id);
+  else
+    g_snprintf (id, sizeof id, "r%d-%016" G_GINT64_MODIFIER "x", (int)core_conf (edge->core)->id,
+                core_random (edge->core));
+  Call *call = call_new (id);
+  call->started = core_now (edge->core);
+  call->req = ft_req_new (id, NULL, NULL);
+  span_begin (call, u_map_get_case (request->map_header, "traceparent"));
+  return call;
+}
+
+/* The organisation of the request's key. */
+static const FtOrg *
+authenticate (Edge *edge, FtCat *cat, const struct _u_request *request)
+{
+  char digest[65];
+  const FtOrg *org = http_key_digest (request, digest) ? ft_cat_org_by_key (cat, digest) : NULL;
+
+  (void)edge;
+  if (org == NULL)
+    stat_plain (STAT_AUTH_FAILED, 1);
+  return org;
+}
+
+/* Class, tier, deadlines. False: refused. */
+static bool
+classify (Edge *edge, Call *call, FtCat *cat, const FtOrg *org, const FtPoolEntry *pool,
+          const struct _u_request *request, struct _u_response *response)
+{
+  const char *wanted = u_map_get_case (request->map_header, "X-Class");
+  const char *deadline = u_map_get_case (request->map_header, "X-Deadline-Ms");
+  const char *name = wanted             ? wanted
+                     : call->service    ? pool->class_name
+                     : *org->class_name ? org->class_name
+                                        : pool->class_name;
+  const FtClass *class = ft_cat_class (cat, name);
+  int64_t most;
+
+  if (class == NULL)
+    {
+      refuse_call (edge, call, FT_REASON_NO_SUCH_CLASS, "X-Class", 0, response);
+      return false;
+    }
+  most = class->deadline_ms;
+  if (deadline)
+    {
+      char *end;
+      int64_t asked = g_ascii_strtoll (deadline, &end, 10);
+      if (*end || asked < 1)
+        {
+          refuse_call (edge, call, FT_REASON_BAD_REQUEST,
+                       "X-Deadline-Ms must be a whole number of milliseconds", 0, response);
+          return false;
+        }
+      most = MIN (most, asked);
+    }
+  call->org = g_strdup (org->name);
+  call->pool = g_strdup (pool->name);
+  call->class_name = g_strdup (class->name);
+  call->tier = (unsigned)class->tier;
+  call->first_by = call->started + class->first_token_ms * FT_MS;
+  call->due = call->started + most * FT_MS;
+  return true;
+}
+
+/* ---- Idempotency ---- */
+
+static char *
+request_digest (const Call *call)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+
+  g_checksum_update (sum, (const guchar *)call->method, -1);
+  g_checksum_update (sum, (const guchar *)" ", 1);
+  g_checksum_update (sum, (const guchar *)call->path, -1);
+  g_checksum_update (sum, (const guchar *)"\n", 1);
+  if (call->body_size)
+    g_checksum_update (sum, (const guchar *)call->body, (gssize)call->body_size);
+  char *digest = g_strdup (g_checksum_get_string (sum));
+  g_checksum_free (sum);
+  return digest;
+}
+
+static void answer_by_id (Edge *edge, const char *id, const char *org, Call *asker,
+                          struct _u_response *response);
+
+/* True: the claim is this call's and it may go on. */
+static bool
+claim (Edge *edge, Call *call, struct _u_response *response)
+{
+  char owner[64], rule[128];
+  char *digest = request_digest (call);
+  FtStatus status = core_claim (edge->core, call, digest, owner);
+
+  g_free (digest);
+  switch (status)
+    {
+    case FT_OK:
+      return true;
+    case FT_REPEAT:
+      answer_by_id (edge, owner, call->org, call, response);
+      return false;
+    case FT_CONFLICT:
+      g_snprintf (rule, sizeof rule, "request %s has the key", owner);
+      refuse_call (edge, call, FT_REASON_CLAIM_ELSEWHERE, rule, 1000, response);
+      return false;
+    case FT_INVALID:
+      g_snprintf (rule, sizeof rule, "request %s had the key with other content", owner);
+      refuse_call (edge, call, FT_REASON_CLAIM_MISMATCH, rule, 0, response);
+      return false;
+    case FT_STALE:
+      g_snprintf (rule, sizeof rule, "request %s had the key and was dispatched", owner);
+      refuse_call (edge, call, FT_REASON_OUTCOME_UNKNOWN, rule, 0, response);
+      return false;
+    default:
+      /* It may have become durable after all; this call has not run, so the key is free. */
+      core_claim_end (edge->core, call, FT_CLAIM_RELEASED);
+      refuse_call (edge, call, FT_REASON_CLAIM_UNAVAILABLE, "no majority of voters answered", 2000,
+                   response);
+      return false;
+    }
+}
+
+static bool
+set_key (Edge *edge, Call *call, const FtPoolEntry *pool, const struct _u_request *request,
+         struct _u_response *response)
+{
+  const char *key = u_map_get_case (request->map_header, "Idempotency-Key");
+  const char *mark = u_map_get_case (request->map_header, "X-Idempotent");
+  bool required = (!pool->idempotent && strcmp (call->method, "GET") != 0)
+                  || (mark && strcmp (mark, "false") == 0);
+
+  if (key == NULL && required)
+    {
+      refuse_call (edge, call, FT_REASON_BAD_REQUEST,
+                   "calls that may not run twice need an Idempotency-Key", 0, response);
+      return false;
+    }
+  if (key && !id_is_valid (key))
+    {
+      refuse_call (edge, call, FT_REASON_BAD_REQUEST,
+                   "Idempotency-Key must be 1 to 63 letters, digits, '.', '_' or '-'", 0, response);
+      return false;
+    }
+  if (key)
+    call->claim_key = g_strdup_printf ("%s/%s", call->org, key);
+  return true;
+}
+
+/* ---- Grant and dispatch ---- */
+
+/* Blocks until the call is dispatched; false: refused, the answer is set. */
+static bool
+schedule (Edge *edge, Call *call, struct _u_response *response)
+{
+  int64_t asked = core_now (edge->core);
+
+  ft_req_move (call->req, FT_REQ_ASKED);
+  stat_tier (STAT_OFFERED, call->tier);
+  core_ask (edge->core, call);
+  for (unsigned tries = 1;; tries++)
+    {
+      CallDecision decision = call_wait_decision (call);
+      stat_sample (STAT_WAIT, call->tier, call->decided - asked);
+      span_end (call, "schedule", asked, call->decided, call->server);
+      if (decision == CALL_REFUSED)
+        {
+          core_claim_end (edge->core, call, FT_CLAIM_RELEASED);
+          refuse_call (edge, call, call->refusal.reason, call->refusal.rule,
+                       call->refusal.retry_after_ms, response);
+          return false;
+        }
+      if (back_dispatch (edge->back, call) == FT_OK)
+        return true;
+      if (tries == CONNECT_TRIES || core_now (edge->core) > call->due)
+        break;
+      core_ask_again (edge->core, call);
+    }
+  core_done (edge->core, call, FT_DONE_REFUSED, 0);
+  core_claim_end (edge->core, call, FT_CLAIM_RELEASED);
+  g_mutex_lock (&call->lock);
+  ft_req_move (call->req, FT_REQ_REFUSED);
+  g_mutex_unlock (&call->lock);
+  refuse_call (edge, call, FT_REASON_NO_SERVER, "connections were refused", 1000, response);
+  return false;
+}
+
+/* ---- Answers ---- */
+
+typedef struct
+{
+  Edge *edge;
+  Call *call;
+  size_t sent;
+  char *tail; /* what follows the last piece */
+  size_t tail_sent;
+} Cursor;
+
+static char *
+make_tail (Call *call)
+{
+  if (call->failure == FT_REASON_NONE)
+    return g_strdup_printf ("id: %u\ndata: [DONE]\n\n", ft_req_next (call->req));
+  Problem problem = { call->failure, call->id, "the stream broke", call->tier, call->revision, 0 };
+  char *text = http_problem_text (&problem);
+  char *tail = g_strdup_printf ("event: error\ndata: %s\n\n", text);
+  g_free (text);
+  return tail;
+}
+
+static ssize_t
+send_tail (Cursor *cursor, char *out, size_t most)
+{
+  size_t left = strlen (cursor->tail) - cursor->tail_sent;
+  size_t count = MIN (left, most);
+
+  if (count == 0)
+    return U_STREAM_END;
+  memcpy (out, cursor->tail + cursor->tail_sent, count);
+  cursor->tail_sent += count;
+  return (ssize_t)count;
+}
+
+static ssize_t
+on_stream (void *user, uint64_t offset, char *out, size_t most)
+{
+  Cursor *cursor = user;
+  Call *call = cursor->call;
+  size_t size, count = 0;
+
+  (void)offset;
+  if (cursor->tail)
+    return send_tail (cursor, out, most);
+  g_mutex_lock (&call->lock);
+  for (;;)
+    {
+      const char *bytes = ft_req_bytes (call->req, &size);
+      count = MIN (size - cursor->sent, most);
+      memcpy (out, bytes + cursor->sent, count);
+      cursor->sent += count;
+      if (count > 0 || call->finished)
+        break;
+      g_cond_wait (&call->cond, &call->lock);
+    }
+  if (count == 0)
+    cursor->tail = make_tail (call);
+  g_mutex_unlock (&call->lock);
+  return count ? (ssize_t)count : send_tail (cursor, out, most);
+}
+
+static void
+on_stream_free (void *user)
+{
+  Cursor *cursor = user;
+
+  g_atomic_int_add (&cursor->edge->busy, -1);
+  call_unref (cursor->call);
+  g_free (cursor->tail);
+  g_free (cursor);
+}
+
+static void
+answer_stream (Edge *edge, Call *call, struct _u_response *response)
+{
+  Cursor *cursor = g_new0 (Cursor, 1);
+
+  cursor->edge = edge;
+  cursor->call = call_ref (call);
+  g_atomic_int_inc (&edge->busy);
+  u_map_put (response->map_header, "Content-Type", "text/event-stream");
+  u_map_put (response->map_header, "Cache-Control", "no-store");
+  u_map_put (response->map_header, "X-Request-Id", call->id);
+  ulfius_set_stream_response (response, 200, on_stream, on_stream_free, U_STREAM_SIZE_UNKNOWN,
+                              BLOCK, cursor);
+}
+
+static void
+answer_failure (Call *call, struct _u_response *response)
+{
+  Problem problem = { call->failure, call->id,       "the backend server did not complete it",
+                      call->tier,    call->revision, 0 };
+
+  stat_refused (call->failure, call->tier);
+  http_problem (response, &problem);
+}
+
+/* The whole answer of a finished call. */
+static void
+answer_whole (Call *call, struct _u_response *response)
+{
+  size_t size;
+
+  g_mutex_lock (&call->lock);
+  if (call->failure != FT_REASON_NONE)
+    answer_failure (call, response);
+  else if (call->service)
+    {
+      const char *bytes = ft_req_bytes (call->req, &size);
+      ulfius_set_binary_body_response (response, (unsigned)call->answer_status, bytes, size);
+      if (call->answer_type)
+        u_map_put (response->map_header, "Content-Type", call->answer_type);
+      u_map_put (response->map_header, "X-Request-Id", call->id);
+    }
+  else
+    {
+      char *text = body_whole (call->id, call->pool, call->content->str, ft_req_next (call->req));
+      http_json (response, 200, text);
+      u_map_put (response->map_header, "X-Request-Id", call->id);
+      g_free (text);
+    }
+  g_mutex_unlock (&call->lock);
+}
+
+static void
+wait_finished (Call *call)
+{
+  g_mutex_lock (&call->lock);
+  while (!call->finished)
+    g_cond_wait (&call->cond, &call->lock);
+  g_mutex_unlock (&call->lock);
+}
+
+/* Until the first piece or the end, so that a failure before it can have its own HTTP status. */
+static bool
+wait_first (Call *call)
+{
+  size_t size = 0;
+
+  g_mutex_lock (&call->lock);
+  while (!call->finished)
+    {
+      ft_req_bytes (call->req, &size);
+      if (size > 0)
+        break;
+      g_cond_wait (&call->cond, &call->lock);
+    }
+  bool started = size > 0 || call->failure == FT_REASON_NONE;
+  g_mutex_unlock (&call->lock);
+  return started;
+}
+
+/* An answer kept here or at another instance. asker: the call that repeats a key, or NULL. */
+static void
+answer_by_id (Edge *edge, const char *id, const char *org, Call *asker,
+              struct _u_response *response)
+{
+  GBytes *body = NULL;
+  int http_status = 0;
+  char *type = NULL, *owner = NULL, *text = NULL;
+  gsize size = 0;
+  FtStatus status = back_kept_answer (edge->back, id, &body);
+
+  if (status == FT_NOT_FOUND)
+    status = core_find (edge->core, FT_FIND_ANSWER, id, &body);
+  Problem problem = { FT_REASON_OUTCOME_UNKNOWN,   id, "", asker ? asker->tier : 0,
+                      asker ? asker->revision : 0, 0 };
+  if (status == FT_OK && body
+      && body_unpack_answer (body, &http_status, &type, &owner, &text, &size)
+      && strcmp (owner, org) == 0)
+    {
+      ulfius_set_binary_body_response (response, (unsigned)http_status, text, size);
+      u_map_put (response->map_header, "Content-Type", type);
+      u_map_put (response->map_header, "X-Request-Id", id);
+    }
+  else if (status == FT_CONFLICT)
+    {
+      problem.reason = FT_REASON_CLAIM_ELSEWHERE;
+      problem.retry_after_ms = 1000;
+      http_problem (response, &problem);
+    }
+  else if (status == FT_STALE)
+    http_problem (response, &problem);
+  else if (asker)
+    {
+      problem.rule = "it was answered, and the answer is not kept any more";
+      http_problem (response, &problem);
+    }
+  else
+    http_json (response, 404, "{\"title\":\"no answer with this id is kept\",\"status\":404}");
+  g_free (type);
+  g_free (owner);
+  g_free (text);
+  if (body)
+    g_bytes_unref (body);
+}
+
+/* ---- Endpoints ---- */
+
+/* From a call that is complete but for its claim to its answer. */
+static void
+serve (Edge *edge, Call *call, struct _u_response *response)
+{
+  if (book_add (back_book (edge->back), call) != FT_OK)
+    {
+      refuse_call (edge, call, FT_REASON_DUPLICATE_ID, "GET /v1/requests/ID tells its answer", 0,
+                   response);
+      return;
+    }
+  if ((call->claim_key && !claim (edge, call, response)) || !schedule (edge, call, response))
+    {
+      book_remove (back_book (edge->back), call);
+      return;
+    }
+  if (call->stream && !call->service && wait_first (call))
+    {
+      answer_stream (edge, call, response);
+      return;
+    }
+  wait_finished (call);
+  answer_whole (call, response);
+}
+
+static bool
+body_fits (Edge *edge, Call *call, const struct _u_request *request, struct _u_response *response)
+{
+  if ((int64_t)request->binary_body_length <= core_conf (edge->core)->body_bytes)
+    return true;
+  refuse_call (edge, call, FT_REASON_TOO_LARGE, "body_bytes of the settings", 0, response);
+  return false;
+}
+
+static void
+prepare_chat (Edge *edge, Call *call, FtCat *cat, const FtOrg *org,
+              const struct _u_request *request, struct _u_response *response)
+{
+  BodyChat chat = { 0 };
+  FtError error;
+  char rule[128];
+  char *text = g_strndup (request->binary_body, request->binary_body_length);
+  const FtPoolEntry *pool = NULL;
+
+  if (strlen (text) != request->binary_body_length || body_read_chat (text, &chat, &error) != FT_OK)
+    {
+      g_snprintf (rule, sizeof rule, "%s %s", error.field, error.text);
+      refuse_call (edge, call, FT_REASON_BAD_REQUEST,
+                   strlen (text) != request->binary_body_length ? "body holds a zero byte" : rule,
+                   0, response);
+      goto out;
+    }
+  pool = ft_cat_pool_for_model (cat, chat.model);
+  if (pool == NULL || strcmp (pool->kind, "model") != 0)
+    {
+      refuse_call (edge, call, FT_REASON_NO_SUCH_POOL, "model", 0, response);
+      goto out;
+    }
+  call->method = g_strdup ("POST");
+  call->path = g_strdup ("/v1/chat/completions");
+  call->type = g_strdup ("application/json");
+  call->stream = chat.stream;
+  call->most_tokens = chat.most_tokens;
+  call->prompt_tokens = (unsigned)(chat.prompt->len / 4 + 1);
+  call->block_count
+      = ft_prefix_hash (chat.prompt->str, chat.prompt->len, 0, call->blocks, FT_BLOCKS_MOST);
+  call->body = g_steal_pointer (&text);
+  call->body_size = request->binary_body_length;
+  if (classify (edge, call, cat, org, pool, request, response)
+      && set_key (edge, call, pool, request, response))
+    serve (edge, call, response);
+out:
+  body_clear_chat (&chat);
+  g_free (text);
+}
+
+static void
+prepare_service (Edge *edge, Call *call, FtCat *cat, const FtOrg *org,
+                 const struct _u_request *request, struct _u_response *response)
+{
+  const char *type = u_map_get_case (request->map_header, "Content-Type");
+  const FtPoolEntry *pool = ft_cat_pool_for_path (cat, request->http_url);
+
+  if (pool == NULL)
+    {
+      refuse_call (edge, call, FT_REASON_NO_SUCH_POOL, "path", 0, response);
+      return;
+    }
+  call->service = true;
+  call->method = g_strdup (request->http_verb);
+  call->path = g_strdup (request->http_url);
+  call->type = g_strdup (type ? type : "application/octet-stream");
+  call->body = g_memdup2 (request->binary_body, request->binary_body_length);
+  call->body_size = request->binary_body_length;
+  if (classify (edge, call, cat, org, pool, request, response)
+      && set_key (edge, call, pool, request, response))
+    serve (edge, call, response);
+}
+
+typedef void (*Prepare) (Edge *, Call *, FtCat *, const FtOrg *, const struct _u_request *,
+                         struct _u_response *);
+
+static int
+take_request (Edge *edge, const struct _u_request *request, struct _u_response *response,
+              Prepare prepare)
+{
+  Call *call = begin_call (edge, request);
+  FtCat *cat = core_catalogue (edge->core);
+
+  g_atomic_int_inc (&edge->busy);
+  if (cat)
+    call->revision = ft_cat_revision (cat);
+  if (may_take (edge, call, response) && body_fits (edge, call, request, response))
+    {
+      const FtOrg *org = authenticate (edge, cat, request);
+      if (org)
+        prepare (edge, call, cat, org, request, response);
+      else
+        refuse_call (edge, call, FT_REASON_NO_KEY, "Authorization: Bearer KEY", 0, response);
+    }
+  ft_cat_unref (cat);
+  call_unref (call);
+  g_atomic_int_add (&edge->busy, -1);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_chat (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  return take_request (user, request, response, prepare_chat);
+}
+
+static int
+on_service (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  return take_request (user, request, response, prepare_service);
+}
+
+static int
+on_again (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  Edge *edge = user;
+  const char *id = http_url_value (request, "id");
+  FtCat *cat = core_catalogue (edge->core);
+  const FtOrg *org = cat ? authenticate (edge, cat, request) : NULL;
+  Problem no_key = { FT_REASON_NO_KEY, id, "Authorization: Bearer KEY", 0, 0, 0 };
+  Call *call = org ? book_find (back_book (edge->back), id) : NULL;
+
+  g_atomic_int_inc (&edge->busy);
+  if (org == NULL)
+    http_problem (response, &no_key);
+  else if (call && strcmp (call->org, org->name) == 0 && call->stream && !call->service)
+    answer_stream (edge, call, response); /* from the first piece on, also while it runs */
+  else if (call && strcmp (call->org, org->name) == 0)
+    {
+      wait_finished (call);
+      answer_whole (call, response);
+    }
+  else
+    answer_by_id (edge, id, org->name, NULL, response);
+  call_unref (call);
+  ft_cat_unref (cat);
+  g_atomic_int_add (&edge->busy, -1);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_health (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  (void)request;
+  (void)user;
+  http_json (response, 200, "{\"status\":\"alive\"}");
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_ready (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  Edge *edge = user;
+
+  (void)request;
+  if (g_atomic_int_get (&edge->closing))
+    http_json (response, 503, "{\"status\":\"shutting down\"}");
+  else if (!core_fresh (edge->core))
+    http_json (response, 503, "{\"status\":\"catalogue not proved to be in force\"}");
+  else
+    http_json (response, 200, "{\"status\":\"ready\"}");
+  return U_CALLBACK_COMPLETE;
+}
+
+FtStatus
+edge_new (Core *core, Back *back, Edge **out, FtError *error)
+{
+  Edge *edge = g_new0 (Edge, 1);
+  const Conf *conf = core_conf (core);
+
+  edge->core = core;
+  edge->back = back;
+  *out = edge;
+  FtStatus status = http_init (&edge->http, conf, conf->caller_port, error);
+  if (status != FT_OK)
+    return status;
+  ulfius_add_endpoint_by_val (&edge->http, "POST", "/v1/chat/completions", NULL, 0, on_chat, edge);
+  ulfius_add_endpoint_by_val (&edge->http, "GET", "/v1/requests", "/:id", 0, on_again, edge);
+  ulfius_add_endpoint_by_val (&edge->http, "GET", "/healthz", NULL, 0, on_health, edge);
+  ulfius_add_endpoint_by_val (&edge->http, "GET", "/readyz", NULL, 0, on_ready, edge);
+  ulfius_set_default_endpoint (&edge->http, on_service, edge);
+  return http_start (&edge->http, conf, error);
+}
+
+void
+edge_close (Edge *edge)
+{
+  g_atomic_int_set (&edge->closing, 1);
+}
+
+unsigned
+edge_busy (Edge *edge)
+{
+  return (unsigned)g_atomic_int_get (&edge->busy) + book_running (back_book (edge->back));
+}
+
+void
+edge_stop (Edge *edge)
+{
+  http_stop (&edge->http);
+}
--- /dev/null
+++ b/daemon/plat.c
@@ -0,0 +1,352 @@
+/* plat.c - polls the platform's list and the load and cache events of servers whose pool is
+ * scheduled here.
+ *
+ * The list lags and may miss a server that is there. A server that is absent counts as leaving: it
+ * gets no new work, what runs on it ends. A list that cannot be fetched changes nothing.
+ */
+#include "plat.h"
+#include "dlog.h"
+
+#include <json-c/json.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+/* json-c and jansson, which ulfius brings, name the same things: only one in a file. */
+#define U_DISABLE_JANSSON
+#include <ulfius.h>
+
+#define POLL_EVERY   (500 * FT_MS) /* leaving servers get no work within 2 s of the list's news */
+#define REPORT_EVERY 2             /* polls between two rounds of load reports */
+#define FETCH_S      1
+
+typedef struct
+{
+  char *pool, *name, *address;
+  uint64_t incarnation;
+  FtServerState state;
+} Server;
+
+struct Plat
+{
+  Core *core;
+  GHashTable *directory; /* "pool/name" -> Server; RCU, replaced whole */
+  GHashTable *events;    /* "pool/name" -> number of the last cache event */
+  GThreadPool *fetchers;
+};
+
+static void
+server_free (void *data)
+{
+  Server *server = data;
+
+  g_free (server->pool);
+  g_free (server->name);
+  g_free (server->address);
+  g_free (server);
+}
+
+static char *
+fetch (const char *url)
+{
+  struct _u_request request;
+  struct _u_response response;
+  char *text = NULL;
+
+  ulfius_init_request (&request);
+  ulfius_init_response (&response);
+  request.http_verb = o_strdup ("GET");
+  request.http_url = o_strdup (url);
+  request.timeout = FETCH_S;
+  if (ulfius_send_http_request (&request, &response) == U_OK && response.status == 200)
+    text = g_strndup (response.binary_body, response.binary_body_length);
+  ulfius_clean_request (&request);
+  ulfius_clean_response (&response);
+  return text;
+}
+
+static const char *
+text_of (struct json_object *object, const char *key)
+{
+  struct json_object *value = json_object_object_get (object, key);
+
+  return json_object_is_type (value, json_type_string) ? json_object_get_string (value) : NULL;
+}
+
+static Server *
+read_server (struct json_object *item)
+{
+  const char *pool = text_of (item, "pool"), *name = text_of (item, "name");
+  const char *address = text_of (item, "address"), *state = text_of (item, "state");
+
+  if (pool == NULL || name == NULL || address == NULL || state == NULL || strlen (name) > 63)
+    return NULL;
+  Server *server = g_new0 (Server, 1);
+  server->pool = g_strdup (pool);
+  server->name = g_strdup (name);
+  server->address = g_strdup (address);
+  server->incarnation
+      = (uint64_t)json_object_get_int64 (json_object_object_get (item, "incarnation"));
+  server->state = strcmp (state, "live") == 0 ? FT_SERVER_LIVE : FT_SERVER_LEAVING;
+  return server;
+}
+
+static GHashTable *
+read_list (const char *text)
+{
+  struct json_object *array, *root = json_tokener_parse (text);
+  GHashTable *list = NULL;
+
+  if (json_object_is_type (root, json_type_object)
+      && json_object_object_get_ex (root, "instances", &array)
+      && json_object_is_type (array, json_type_array))
+    {
+      list = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
+      for (size_t i = 0; i < json_object_array_length (array); i++)
+        {
+          Server *server = read_server (json_object_array_get_idx (array, i));
+          if (server)
+            g_hash_table_replace (list, g_strdup_printf ("%s/%s", server->pool, server->name),
+                                  server);
+        }
+    }
+  json_object_put (root);
+  return list;
+}
+
+typedef struct
+{
+  char *pool, *name;
+  uint64_t incarnation;
+  FtServerState state;
+} Change;
+
+static void
+do_change (FtNode *node, void *data)
+{
+  Change *change = data;
+
+  ft_node_server (node, change->pool, change->name, change->incarnation, change->state);
+  g_free (change->pool);
+  g_free (change->name);
+  g_free (change);
+}
+
+static void
+tell_node (Plat *plat, const Server *server, FtServerState state)
+{
+  Change *change = g_new (Change, 1);
+
+  *change
+      = (Change){ g_strdup (server->pool), g_strdup (server->name), server->incarnation, state };
+  core_post (plat->core, do_change, change);
+}
+
+/* Servers that vanished from the list stay in the directory as leaving: their streams may still
+ * need the address. */
+static void
+keep_absent (Plat *plat, GHashTable *fresh)
+{
+  GHashTableIter iter;
+  void *key, *data;
+
+  g_hash_table_iter_init (&iter, plat->directory);
+  while (g_hash_table_iter_next (&iter, &key, &data))
+    {
+      const Server *old = data;
+      if (g_hash_table_contains (fresh, key))
+        continue;
+      Server *copy = g_new0 (Server, 1);
+      copy->pool = g_strdup (old->pool);
+      copy->name = g_strdup (old->name);
+      copy->address = g_strdup (old->address);
+      copy->incarnation = old->incarnation;
+      copy->state = FT_SERVER_LEAVING;
+      g_hash_table_insert (fresh, g_strdup (key), copy);
+    }
+}
+
+static void
+poll_list (Plat *plat)
+{
+  char *text = fetch (core_conf (plat->core)->platform_address);
+  GHashTable *fresh = text ? read_list (text) : NULL;
+  GHashTableIter iter;
+  void *data;
+
+  g_free (text);
+  if (fresh == NULL)
+    return;
+  keep_absent (plat, fresh);
+  GHashTable *old = plat->directory;
+  rcu_assign_pointer (plat->directory, fresh);
+  synchronize_rcu ();
+  g_hash_table_unref (old);
+  g_hash_table_iter_init (&iter, fresh);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    tell_node (plat, data, ((Server *)data)->state);
+}
+
+bool
+plat_address (Plat *plat, const char *pool, const char *name, char *out, size_t size)
+{
+  char key[160];
+
+  g_snprintf (key, sizeof key, "%s/%s", pool, name);
+  rcu_read_lock ();
+  const Server *server = g_hash_table_lookup (rcu_dereference (plat->directory), key);
+  if (server)
+    g_strlcpy (out, server->address, size);
+  rcu_read_unlock ();
+  return server != NULL;
+}
+
+/* ---- Reports ---- */
+
+typedef struct
+{
+  Plat *plat;
+  char *pool, *name, *address;
+  uint64_t after; /* cache events wanted from here on */
+  unsigned running, waiting;
+  int64_t age;
+  GArray *events; /* Event */
+} Report;
+
+typedef struct
+{
+  uint64_t number, block;
+  bool stored;
+} Event;
+
+static void
+report_free (Report *report)
+{
+  g_free (report->pool);
+  g_free (report->name);
+  g_free (report->address);
+  g_array_unref (report->events);
+  g_free (report);
+}
+
+static void
+do_report (FtNode *node, void *data)
+{
+  Report *report = data;
+  Plat *plat = report->plat;
+  char *key = g_strdup_printf ("%s/%s", report->pool, report->name);
+
+  ft_node_report (node, report->pool, report->name, report->running, report->waiting, report->age);
+  for (unsigned i = 0; i < report->events->len; i++)
+    {
+      const Event *event = &g_array_index (report->events, Event, i);
+      uint64_t *last = g_hash_table_lookup (plat->events, key);
+      if (last && event->number <= *last)
+        continue;
+      ft_node_cache_event (node, report->pool, report->name, event->number, event->stored,
+                           event->block);
+      g_hash_table_replace (plat->events, g_strdup (key),
+                            g_memdup2 (&event->number, sizeof event->number));
+    }
+  g_free (key);
+  report_free (report);
+}
+
+static void
+read_events (struct json_object *array, GArray *events)
+{
+  if (!json_object_is_type (array, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (array); i++)
+    {
+      struct json_object *item = json_object_array_get_idx (array, i);
+      const char *block = text_of (item, "block");
+      Event event = { 0 };
+      if (block == NULL)
+        continue;
+      event.number = (uint64_t)json_object_get_int64 (json_object_object_get (item, "number"));
+      event.block = g_ascii_strtoull (block, NULL, 16);
+      event.stored = json_object_get_boolean (json_object_object_get (item, "stored"));
+      g_array_append_val (events, event);
+    }
+}
+
+static void
+fetch_report (void *data, void *user)
+{
+  Report *report = data;
+  Plat *plat = user;
+  char *url
+      = g_strdup_printf ("http://%s/load?after=%" G_GUINT64_FORMAT, report->address, report->after);
+  char *text = fetch (url);
+  struct json_object *root = text ? json_tokener_parse (text) : NULL;
+
+  g_free (url);
+  g_free (text);
+  if (json_object_is_type (root, json_type_object))
+    {
+      report->running = (unsigned)json_object_get_int (json_object_object_get (root, "running"));
+      report->waiting = (unsigned)json_object_get_int (json_object_object_get (root, "waiting"));
+      report->age = json_object_get_int64 (json_object_object_get (root, "age_ms")) * FT_MS;
+      read_events (json_object_object_get (root, "events"), report->events);
+      core_post (plat->core, do_report, report);
+    }
+  else
+    report_free (report);
+  json_object_put (root);
+}
+
+/* On the loop thread: which servers are to be asked, and from which event on. */
+static void
+do_wanted (FtNode *node, void *data)
+{
+  Plat *plat = data;
+  GHashTableIter iter;
+  void *key, *value;
+
+  rcu_read_lock ();
+  g_hash_table_iter_init (&iter, rcu_dereference (plat->directory));
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Server *server = value;
+      const uint64_t *last = g_hash_table_lookup (plat->events, key);
+      if (server->state != FT_SERVER_LIVE || ft_node_pool (node, server->pool) == NULL)
+        continue;
+      Report *report = g_new0 (Report, 1);
+      report->plat = plat;
+      report->pool = g_strdup (server->pool);
+      report->name = g_strdup (server->name);
+      report->address = g_strdup (server->address);
+      report->after = last ? *last : 0;
+      report->events = g_array_new (FALSE, FALSE, sizeof (Event));
+      g_thread_pool_push (plat->fetchers, report, NULL);
+    }
+  rcu_read_unlock ();
+}
+
+static void *
+run (void *data)
+{
+  Plat *plat = data;
+
+  for (unsigned round = 0;; round++)
+    {
+      poll_list (plat);
+      if (round % REPORT_EVERY == 0 && g_thread_pool_unprocessed (plat->fetchers) == 0)
+        core_post (plat->core, do_wanted, plat);
+      g_usleep (POLL_EVERY);
+    }
+  return NULL;
+}
+
+Plat *
+plat_new (Core *core)
+{
+  Plat *plat = g_new0 (Plat, 1);
+
+  plat->core = core;
+  plat->directory = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
+  plat->events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  plat->fetchers = g_thread_pool_new (fetch_report, plat, 4, FALSE, NULL);
+  g_thread_unref (g_thread_new ("platform", run, plat));
+  return plat;
+}
--- /dev/null
+++ b/daemon/stat.c
@@ -0,0 +1,125 @@
+/* stat.c - counters of our own. Distributions are histograms with fixed bounds, doubling from
+ * 0.5 ms, so that instances can be added up. */
+#include "stat.h"
+
+#include <math.h>
+
+#define BUCKETS 18 /* 0.5 ms to 65 s, then infinity */
+
+static uint64_t tier_counters[STAT_TIER_COUNTERS][FT_TIERS + 1];
+static uint64_t plain_counters[STAT_PLAIN_COUNTERS];
+static uint64_t refused[FT_REASONS][FT_TIERS + 1];
+static uint64_t buckets[STAT_DISTRIBUTIONS][FT_TIERS + 1][BUCKETS + 1];
+static uint64_t sums_us[STAT_DISTRIBUTIONS][FT_TIERS + 1];
+
+static const char *const tier_names[]
+    = { "offered", "answered", "late", "unknown", "paused", "resumed" };
+static const char *const plain_names[] = {
+  "dispatches",     "connects_refused", "stream_reconnects", "link_messages_out",
+  "link_bytes_out", "link_reconnects",  "link_rejected",     "disk_syncs",
+  "claims",         "auth_failed",
+};
+static const char *const distribution_names[] = { "first_token", "inter_token", "wait" };
+
+static void
+add (uint64_t *counter, uint64_t by)
+{
+  __atomic_fetch_add (counter, by, __ATOMIC_RELAXED);
+}
+
+static uint64_t
+get (const uint64_t *counter)
+{
+  return __atomic_load_n (counter, __ATOMIC_RELAXED);
+}
+
+void
+stat_tier (StatTier counter, unsigned tier)
+{
+  add (&tier_counters[counter][MIN (tier, FT_TIERS)], 1);
+}
+
+void
+stat_plain (StatPlain counter, uint64_t by)
+{
+  add (&plain_counters[counter], by);
+}
+
+void
+stat_refused (FtReason reason, unsigned tier)
+{
+  add (&refused[reason][MIN (tier, FT_TIERS)], 1);
+}
+
+void
+stat_sample (StatDistribution distribution, unsigned tier, int64_t us)
+{
+  unsigned bucket = 0;
+
+  for (int64_t bound = 500; bucket < BUCKETS && us > bound; bound *= 2)
+    bucket++;
+  tier = MIN (tier, FT_TIERS);
+  add (&buckets[distribution][tier][bucket], 1);
+  add (&sums_us[distribution][tier], (uint64_t)MAX (0, us));
+}
+
+static void
+print_distribution (GString *out, unsigned which, unsigned tier)
+{
+  const char *name = distribution_names[which];
+  uint64_t total = 0;
+  double bound = 0.0005;
+
+  for (unsigned i = 0; i <= BUCKETS; i++, bound *= 2)
+    {
+      total += get (&buckets[which][tier][i]);
+      if (i < BUCKETS)
+        g_string_append_printf (
+            out, "foxtail_%s_seconds_bucket{tier=\"%u\",le=\"%g\"} %" G_GUINT64_FORMAT "\n", name,
+            tier, bound, total);
+      else
+        g_string_append_printf (
+            out, "foxtail_%s_seconds_bucket{tier=\"%u\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", name,
+            tier, total);
+    }
+  g_string_append_printf (out,
+                          "foxtail_%s_seconds_sum{tier=\"%u\"} %g\n"
+                          "foxtail_%s_seconds_count{tier=\"%u\"} %" G_GUINT64_FORMAT "\n",
+                          name, tier, (double)get (&sums_us[which][tier]) / 1e6, name, tier, total);
+}
+
+char *
+stat_text (const char *extra)
+{
+  GString *out = g_string_new (NULL);
+
+  for (unsigned i = 0; i < STAT_TIER_COUNTERS; i++)
+    {
+      g_string_append_printf (out, "# TYPE foxtail_requests_%s_total counter\n", tier_names[i]);
+      for (unsigned t = 1; t <= FT_TIERS; t++)
+        g_string_append_printf (out,
+                                "foxtail_requests_%s_total{tier=\"%u\"} %" G_GUINT64_FORMAT "\n",
+                                tier_names[i], t, get (&tier_counters[i][t]));
+    }
+  g_string_append (out, "# TYPE foxtail_requests_refused_total counter\n");
+  for (unsigned i = 1; i < FT_REASONS; i++)
+    for (unsigned t = 0; t <= FT_TIERS; t++)
+      if (get (&refused[i][t]))
+        g_string_append_printf (
+            out,
+            "foxtail_requests_refused_total{tier=\"%u\",reason=\"%s\"} %" G_GUINT64_FORMAT "\n", t,
+            ft_reason_info (i)->code, get (&refused[i][t]));
+  for (unsigned i = 0; i < STAT_PLAIN_COUNTERS; i++)
+    g_string_append_printf (
+        out, "# TYPE foxtail_%s_total counter\nfoxtail_%s_total %" G_GUINT64_FORMAT "\n",
+        plain_names[i], plain_names[i], get (&plain_counters[i]));
+  for (unsigned i = 0; i < STAT_DISTRIBUTIONS; i++)
+    {
+      g_string_append_printf (out, "# TYPE foxtail_%s_seconds histogram\n", distribution_names[i]);
+      for (unsigned t = 1; t <= FT_TIERS; t++)
+        print_distribution (out, i, t);
+    }
+  if (extra)
+    g_string_append (out, extra);
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,121 @@
+# cluster.sh - functions for scripts that run instances and stand-ins on loopback; sourced.
+#
+# cluster_start DIR INSTANCES VOTERS PORT_BASE starts stand-ins and instances whose files are under
+# DIR; cluster_stop ends what was started, by process number. Ports are PORT_BASE and on.
+
+BUILD=${BUILD:-build}
+CLUSTER_PIDS=()
+
+cluster_wait_http () { # URL SECONDS
+  local until=$((SECONDS + $2))
+  until curl -sf -o /dev/null --max-time 1 "$1"; do
+    [ $SECONDS -lt $until ] || { echo "no answer from $1" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+cluster_instances_json () { # INSTANCES VOTERS
+  local i
+  for i in $(seq 1 "$1"); do
+    printf '%s    { "id": %d, "address": "127.0.0.1", "link_port": %d, "failure_domain": "fd%d", "voter": %s }' \
+      "$([ "$i" -gt 1 ] && printf ',\n')" "$i" $((BASE + 200 + i)) $(((i - 1) % 3 + 1)) \
+      "$([ "$i" -le "$2" ] && echo true || echo false)"
+  done
+}
+
+cluster_settings () { # ID
+  cat <<JSON
+// Settings of instance $1; foxtailgraded --help-settings lists all fields.
+{
+  "id": $1, "region": "here", "failure_domain": "fd$((($1 - 1) % 3 + 1))", "address": "127.0.0.1",
+  "caller_port": $((BASE + $1)), "operator_port": $((BASE + 100 + $1)), "link_port": $((BASE + 200 + $1)),
+  "link_key_file": "$DIR/link.key",
+  "operator_key_sha256": "$(printf operator-key | sha256sum | cut -c1-64)",
+  "platform_address": "http://127.0.0.1:$((BASE + 50))/instances",
+  "data_folder": "$DIR/data$1", "span_file": "$DIR/spans$1.jsonl",
+  "instances": [
+$(cluster_instances_json "$INSTANCES" "$VOTERS")
+  ]
+}
+JSON
+}
+
+cluster_spawn () { # LOG COMMAND...
+  local log=$1
+  shift
+  "$@" >>"$log" 2>&1 &
+  CLUSTER_PIDS+=($!)
+  disown $!
+  SPAWNED=$!
+}
+
+cluster_instance () { # ID: starts it, its process number goes to INSTANCE_PID[ID]
+  cluster_spawn "$DIR/instance$1.log" "$BUILD/foxtailgraded" "$DIR/settings$1.json"
+  INSTANCE_PID[$1]=$SPAWNED
+}
+
+cluster_start () { # DIR INSTANCES VOTERS PORT_BASE
+  DIR=$1 INSTANCES=$2 VOTERS=$3 BASE=$4
+  INSTANCE_PID=()
+  mkdir -p "$DIR"
+  printf 'link key of a loopback cluster' >"$DIR/link.key"
+  printf 'operator-key' >"$DIR/operator.key"
+  cat >"$DIR/platform.json" <<JSON
+{ "instances": [
+  { "pool": "chat", "name": "fast", "address": "127.0.0.1:$((BASE + 51))", "state": "live", "incarnation": 1, "failure_domain": "fd1" },
+  { "pool": "chat", "name": "slow", "address": "127.0.0.1:$((BASE + 52))", "state": "live", "incarnation": 1, "failure_domain": "fd2" },
+  { "pool": "booking", "name": "desk", "address": "127.0.0.1:$((BASE + 53))", "state": "live", "incarnation": 1, "failure_domain": "fd3" }
+] }
+JSON
+  cluster_spawn "$DIR/platform.log" "$BUILD/foxtailstandin" platform --port $((BASE + 50)) --file "$DIR/platform.json"
+  cluster_spawn "$DIR/fast.log" "$BUILD/foxtailstandin" engine --port $((BASE + 51)) --name fast --step-ms 8 --stream-ms 0.3 --prefill 8 --fencing
+  FAST_PID=$SPAWNED
+  cluster_spawn "$DIR/slow.log" "$BUILD/foxtailstandin" engine --port $((BASE + 52)) --name slow --step-ms 16 --stream-ms 0.6 --prefill 3 --gap-every 7
+  SLOW_PID=$SPAWNED
+  cluster_spawn "$DIR/desk.log" "$BUILD/foxtailstandin" service --port $((BASE + 53)) --delay-ms 5
+  local i
+  for i in $(seq 1 "$INSTANCES"); do
+    cluster_settings "$i" >"$DIR/settings$i.json"
+    cluster_instance "$i"
+  done
+  for i in $(seq 1 "$INSTANCES"); do
+    cluster_wait_http "http://127.0.0.1:$((BASE + i))/healthz" 20
+  done
+}
+
+cluster_cli () { # INSTANCE ARGUMENTS...
+  local id=$1
+  shift
+  "$BUILD/foxtailgrade" -s "http://127.0.0.1:$((BASE + 100 + id))" -k "$DIR/operator.key" "$@"
+}
+
+cluster_ready () { # SECONDS
+  local i
+  for i in $(seq 1 "$INSTANCES"); do
+    cluster_wait_http "http://127.0.0.1:$((BASE + i))/readyz" "$1"
+  done
+}
+
+cluster_entries () {
+  local i
+  for i in $(seq 1 "$INSTANCES"); do printf -- '-e http://127.0.0.1:%d ' $((BASE + i)); done
+}
+
+cluster_standins () {
+  local i
+  for i in 1 2 3; do printf -- '--standin http://127.0.0.1:%d ' $((BASE + 50 + i)); done
+}
+
+cluster_alive () { # PID
+  kill -0 "$1" 2>/dev/null
+}
+
+cluster_stop () {
+  local pid
+  for pid in "${CLUSTER_PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -TERM "$pid" 2>/dev/null; done
+  for pid in "${CLUSTER_PIDS[@]}"; do
+    for _ in $(seq 1 100); do cluster_alive "$pid" || break; sleep 0.1; done
+    kill -KILL "$pid" 2>/dev/null
+  done
+  CLUSTER_PIDS=()
+}
--- /dev/null
+++ b/scripts/deps.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# deps.sh - installs the Debian packages that building, testing and linting need, if one is missing.
+set -eu
+packages="gcc make cmake pkg-config curl perl clang-format clang-tidy cppcheck libc6-dev
+  libulfius-dev libtirpc-dev libargtable2-dev libjson-c-dev liblog4c-dev libglib2.0-dev liburcu-dev
+  libxxhash-dev liblua5.4-dev libgnutls28-dev"
+missing=""
+for package in $packages; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing="$missing $package"
+done
+[ -n "$missing" ] || exit 0
+echo "installing:$missing"
+sudo=""
+[ "$(id -u)" = 0 ] || sudo=sudo
+export DEBIAN_FRONTEND=noninteractive
+$sudo apt-get update -qq
+# shellcheck disable=SC2086
+$sudo apt-get install -y -qq --no-install-recommends $missing >/dev/null
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,847 @@
+/* node.c - one instance's part in everything: messages, freshness, proposals and questions.
+ *
+ * Freshness is proved by asking, not by being told: a hello carries a number, the answer repeats
+ * it, and what is proved is the time at which the hello was sent. An answer that was delayed on
+ * the way therefore proves nothing about now.
+ */
+#include "node.h"
+
+#include <string.h>
+
+typedef struct
+{
+  uint64_t number;
+  GByteArray *op;
+  int64_t send_at, until;
+  bool silent; /* of the node itself: no verdict is reported */
+} Proposal;
+
+typedef struct
+{
+  uint64_t number;
+  FtFindKind kind;
+  char *id;
+  int64_t send_at, until;
+  unsigned unanswered; /* FT_FIND_ANSWER: instances that have not replied */
+} Find;
+
+static void
+proposal_free (void *data)
+{
+  Proposal *proposal = data;
+
+  g_byte_array_unref (proposal->op);
+  g_free (proposal);
+}
+
+static void
+find_free (void *data)
+{
+  Find *find = data;
+
+  g_free (find->id);
+  g_free (find);
+}
+
+static void
+server_free (void *data)
+{
+  NodeServer *server = data;
+
+  g_free (server->pool);
+  g_free (server->name);
+  g_free (server);
+}
+
+/* ---- Messages ---- */
+
+static void receive (FtNode *node, uint32_t from, const Msg *msg);
+
+void
+node_send (FtNode *node, uint32_t to, const Msg *msg)
+{
+  if (to == node->conf.id)
+    {
+      receive (node, to, msg);
+      return;
+    }
+  GByteArray *bytes = codec_pack (CODEC (Msg), msg);
+  if (bytes)
+    node->ops->send (node->host, to, bytes);
+}
+
+static void
+raft_send (void *host, uint32_t to, GByteArray *msg)
+{
+  FtNode *node = host;
+
+  node->ops->send (node->host, to, msg);
+}
+
+static void
+raft_applied (void *host, uint64_t index, const MsgOp *op, const StateVerdict *verdict)
+{
+  FtNode *node = host;
+
+  (void)op;
+  lead_applied (node->lead, index, verdict);
+}
+
+static const RaftOps raft_ops = { raft_send, raft_applied };
+
+/* ---- Life ---- */
+
+static GArray *
+copy_ids (const uint32_t *ids, unsigned count)
+{
+  GArray *copy = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+
+  g_array_append_vals (copy, ids, count);
+  return copy;
+}
+
+static bool
+is_voter (const FtNode *node)
+{
+  for (unsigned i = 0; i < node->voters->len; i++)
+    if (g_array_index (node->voters, uint32_t, i) == node->conf.id)
+      return true;
+  return false;
+}
+
+static FtStatus
+start_voter (FtNode *node, FtDisk *disk, FtError *error)
+{
+  RaftConf conf
+      = { node->conf.id, (const uint32_t *)(void *)node->voters->data, node->voters->len, 0 };
+
+  if (disk == NULL)
+    return ft_error_set (error, FT_INVALID, 0, "data_folder", "a voter needs a data folder");
+  node->state = state_new ();
+  node->lead = lead_new (node);
+  return raft_new (&conf, node->clock, node->random, disk, node->state, &raft_ops, node,
+                   &node->raft, error);
+}
+
+FtStatus
+ft_node_new (const FtNodeConf *conf, FtClock *clock, FtRandom *random, FtDisk *disk,
+             const FtNodeOps *ops, void *host, FtNode **out, FtError *error)
+{
+  FtNode *node = g_new0 (FtNode, 1);
+  FtStatus status = FT_OK;
+
+  node->conf = *conf;
+  node->conf.region = g_strdup (conf->region ? conf->region : "");
+  node->conf.failure_domain = g_strdup (conf->failure_domain ? conf->failure_domain : "");
+  node->instances = copy_ids (conf->instances, conf->instance_count);
+  node->voters = copy_ids (conf->voters, conf->voter_count);
+  node->live = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  node->clock = clock;
+  node->random = random;
+  node->ops = ops;
+  node->host = host;
+  node->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
+  node->peer_incarnations = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  node->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, proposal_free);
+  node->finds = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, find_free);
+  node->records = g_array_new (FALSE, FALSE, sizeof (MsgRecord));
+  node->guess = conf->voters[0];
+  node->fresh_at = ft_clock_now (clock) - FRESH_LIMIT;
+  node->next_number = 1;
+  node->ent = ent_new (node);
+  node->hold = hold_new (node);
+  if (is_voter (node))
+    status = start_voter (node, disk, error);
+  *out = node;
+  if (status != FT_OK)
+    {
+      ft_node_free (node);
+      *out = NULL;
+    }
+  return status;
+}
+
+void
+ft_node_free (FtNode *node)
+{
+  if (node == NULL)
+    return;
+  raft_free (node->raft);
+  lead_free (node->lead);
+  state_free (node->state);
+  hold_free (node->hold);
+  ent_free (node->ent);
+  for (unsigned i = 0; i < node->records->len; i++)
+    codec_clear (CODEC (MsgRecord), &g_array_index (node->records, MsgRecord, i));
+  g_array_unref (node->records);
+  g_hash_table_unref (node->finds);
+  g_hash_table_unref (node->proposals);
+  g_hash_table_unref (node->peer_incarnations);
+  g_hash_table_unref (node->servers);
+  g_array_unref (node->live);
+  g_array_unref (node->voters);
+  g_array_unref (node->instances);
+  ft_cat_unref (node->cat);
+  g_free ((char *)node->conf.region);
+  g_free ((char *)node->conf.failure_domain);
+  g_free (node);
+}
+
+/* ---- Freshness ---- */
+
+bool
+node_lease_valid (FtNode *node, int64_t now)
+{
+  return now - node->fresh_at < HOLD_LIMIT;
+}
+
+bool
+ft_node_fresh (FtNode *node)
+{
+  return node->cat && !node->leaving && ft_clock_now (node->clock) - node->fresh_at < FRESH_LIMIT;
+}
+
+int64_t
+ft_node_fresh_until (FtNode *node)
+{
+  return node->cat && !node->leaving ? node->fresh_at + FRESH_LIMIT : 0;
+}
+
+FtCat *
+ft_node_catalogue (FtNode *node)
+{
+  return node->cat;
+}
+
+static void
+next_guess (FtNode *node)
+{
+  unsigned at = 0;
+
+  for (unsigned i = 0; i < node->voters->len; i++)
+    if (g_array_index (node->voters, uint32_t, i) == node->guess)
+      at = (i + 1) % node->voters->len;
+  node->guess = g_array_index (node->voters, uint32_t, at);
+}
+
+static void
+say_hello (FtNode *node, int64_t now)
+{
+  Msg msg = { .kind = MSG_HELLO };
+  MsgHello *out = &msg.Msg_u.hello;
+
+  if (node->raft && raft_leading (node->raft))
+    node->guess = node->conf.id;
+  else if (now - node->heard_at > HELLO_LOST)
+    next_guess (node);
+  node->hello_at = now + HELLO_EVERY;
+  out->number = ++node->hello_number;
+  node->hello_sent[node->hello_number % G_N_ELEMENTS (node->hello_sent)] = now;
+  out->revision = node->cat ? ft_cat_revision (node->cat) : 0;
+  out->lease_epoch = node->lease_epoch;
+  out->incarnation = node->conf.incarnation;
+  out->leaving = node->leaving;
+  out->region = (char *)node->conf.region;
+  out->failure_domain = (char *)node->conf.failure_domain;
+  node_send (node, node->guess, &msg);
+}
+
+void
+node_take_catalogue (FtNode *node, const char *text, uint64_t revision)
+{
+  FtCat *cat = NULL;
+
+  if (node->cat && ft_cat_revision (node->cat) >= revision)
+    return; /* nothing ever reverts */
+  if (ft_cat_new (text, revision, &cat, NULL) != FT_OK)
+    return; /* the leader checked it: an older release runs here, and it stays unfresh */
+  ft_cat_unref (node->cat);
+  node->cat = cat;
+  node->ops->catalogue (node->host, cat);
+  ent_catalogue (node->ent);
+  hold_catalogue (node->hold);
+}
+
+void
+node_leases (FtNode *node, const MsgLease *leases, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      const MsgLease *lease = &leases[i];
+      if (!ent_holder (node->ent, lease->pool, lease->holder, lease->epoch))
+        continue;
+      if (lease->holder == node->conf.id)
+        hold_take (node->hold, lease->pool, lease->epoch);
+      else
+        hold_drop (node->hold, lease->pool);
+    }
+}
+
+static void
+note_live (FtNode *node, const MsgFresh *fresh)
+{
+  GArray *live = copy_ids (fresh->live.live_val, fresh->live.live_len);
+
+  for (unsigned i = 0; i < node->live->len; i++)
+    {
+      uint32_t id = g_array_index (node->live, uint32_t, i);
+      bool still = id == node->conf.id;
+      for (unsigned j = 0; j < live->len; j++)
+        still |= g_array_index (live, uint32_t, j) == id;
+      if (!still)
+        hold_entry_gone (node->hold, id);
+    }
+  g_array_unref (node->live);
+  node->live = live;
+}
+
+static void
+on_fresh (FtNode *node, uint32_t from, const MsgFresh *fresh)
+{
+  unsigned slots = G_N_ELEMENTS (node->hello_sent);
+
+  if (fresh->number + slots <= node->hello_number || fresh->number > node->hello_number)
+    return;
+  node->guess = from;
+  node->heard_at = ft_clock_now (node->clock);
+  if (fresh->has_catalogue)
+    node_take_catalogue (node, fresh->catalogue, fresh->revision);
+  if (!node->cat || ft_cat_revision (node->cat) < fresh->revision)
+    return; /* nothing is proved without the catalogue itself */
+  note_live (node, fresh);
+  if (fresh->has_leases)
+    node_leases (node, fresh->leases.leases_val, fresh->leases.leases_len);
+  node->lease_epoch = MAX (node->lease_epoch, fresh->lease_epoch);
+  node->fresh_at = MAX (node->fresh_at, node->hello_sent[fresh->number % slots]);
+  if (fresh->has_catalogue)
+    say_hello (node, node->heard_at); /* the change is in force once the leader knows */
+}
+
+/* ---- Proposals ---- */
+
+static void
+send_proposal (FtNode *node, Proposal *proposal, int64_t now)
+{
+  Msg msg = { .kind = MSG_PROPOSE };
+
+  proposal->send_at = now + PROPOSE_EVERY;
+  msg.Msg_u.propose.number = proposal->number;
+  msg.Msg_u.propose.op.op_len = proposal->op->len;
+  msg.Msg_u.propose.op.op_val = (char *)proposal->op->data;
+  node_send (node, node->guess, &msg);
+}
+
+static uint64_t
+propose (FtNode *node, const MsgOp *op, bool silent)
+{
+  int64_t now = ft_clock_now (node->clock);
+  Proposal *proposal = g_new0 (Proposal, 1);
+  GByteArray *bytes = codec_pack (CODEC (MsgOp), op);
+
+  proposal->number = node->next_number++;
+  proposal->op = bytes ? bytes : g_byte_array_new (); /* too long: the leader says invalid */
+  proposal->until = now + PROPOSE_MOST;
+  proposal->silent = silent;
+  uint64_t number = proposal->number;
+  g_hash_table_insert (node->proposals, &proposal->number, proposal);
+  /* Sent by the next flush: the caller must have the number before a verdict can come. */
+  proposal->send_at = 0;
+  return number;
+}
+
+uint64_t
+node_propose (FtNode *node, const MsgOp *op)
+{
+  return propose (node, op, true);
+}
+
+static void
+end_proposal (FtNode *node, Proposal *proposal, FtStatus status, uint64_t revision,
+              const char *text)
+{
+  bool silent = proposal->silent;
+  uint64_t number = proposal->number;
+
+  g_hash_table_remove (node->proposals, &number);
+  if (!silent)
+    node->ops->verdict (node->host, number, status, revision, text);
+}
+
+static void
+on_verdict (FtNode *node, uint32_t from, const MsgVerdict *verdict)
+{
+  uint64_t number = verdict->number;
+  Proposal *proposal = g_hash_table_lookup (node->proposals, &number);
+
+  if (verdict->status == FT_NOT_LEADER)
+    {
+      /* Failure: the voter asked names the leader, and the next hello, unanswered so far, moves on
+       * to another voter. Symptom: with three voters the leader is never asked. A hint counts as
+       * an answer, so that the one it names is asked next. */
+      if (verdict->leader && from == node->guess && verdict->leader != from)
+        {
+          node->guess = verdict->leader;
+          node->heard_at = ft_clock_now (node->clock);
+          node->hello_at = 0;
+        }
+      return; /* sent again by the tick */
+    }
+  node->guess = from;
+  if (proposal == NULL || verdict->status == FT_FULL || verdict->status == FT_IO)
+    return; /* a leader that is full or loses its disk is asked again */
+  end_proposal (node, proposal, verdict->status, verdict->revision, verdict->text);
+}
+
+static void
+tick_proposals (FtNode *node, int64_t now)
+{
+  GHashTableIter iter;
+  void *data;
+  GPtrArray *due = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, node->proposals);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    if (now >= ((Proposal *)data)->send_at)
+      g_ptr_array_add (due, data);
+  for (unsigned i = 0; i < due->len; i++)
+    {
+      Proposal *proposal = due->pdata[i];
+      if (now >= proposal->until)
+        end_proposal (
+            node, proposal, FT_NOT_LEADER, 0,
+            "no majority of voters answered; the outcome is unknown, send the same again");
+      else
+        send_proposal (node, proposal, now);
+    }
+  g_ptr_array_unref (due);
+}
+
+uint64_t
+ft_node_change (FtNode *node, const char *change_id, const char *author, uint64_t base,
+                const char *text, int64_t wall_ms)
+{
+  MsgOp op = { .kind = MSG_OP_CHANGE };
+  MsgChange *change = &op.MsgOp_u.change;
+
+  change->change_id = (char *)change_id;
+  change->author = (char *)author;
+  change->base = base;
+  change->wall_ms = wall_ms;
+  change->catalogue = (char *)text;
+  return propose (node, &op, false);
+}
+
+uint64_t
+ft_node_claim (FtNode *node, const char *key, const char *digest, const char *request_id,
+               int64_t wall_ms)
+{
+  MsgOp op = { .kind = MSG_OP_CLAIM };
+  MsgClaim *claim = &op.MsgOp_u.claim;
+
+  claim->key = (char *)key;
+  claim->digest = (char *)digest;
+  claim->entry = node->conf.id;
+  claim->incarnation = node->conf.incarnation;
+  claim->request_id = (char *)request_id;
+  claim->wall_ms = wall_ms;
+  return propose (node, &op, false);
+}
+
+uint64_t
+ft_node_claim_end (FtNode *node, const char *key, const char *request_id, FtClaimEnd end,
+                   int64_t wall_ms)
+{
+  MsgOp op = { .kind = MSG_OP_CLAIM_END };
+  MsgClaimDone *done = &op.MsgOp_u.claim_done;
+
+  done->key = (char *)key;
+  done->entry = node->conf.id;
+  done->incarnation = node->conf.incarnation;
+  done->request_id = (char *)request_id;
+  done->end = (MsgClaimEnd)end;
+  done->wall_ms = wall_ms;
+  return propose (node, &op, false);
+}
+
+void
+ft_node_note_refusal (FtNode *node, const char *id, const char *org, FtReason reason, unsigned tier,
+                      int64_t retry_after_ms, const char *rule, int64_t wall_ms)
+{
+  MsgRecord record = { 0 };
+
+  record.id = strdup (id);
+  record.org = strdup (org);
+  record.reason = reason;
+  record.tier = tier;
+  record.revision = node->cat ? ft_cat_revision (node->cat) : 0;
+  record.retry_after_ms = retry_after_ms;
+  record.wall_ms = wall_ms;
+  record.rule = strdup (rule);
+  g_array_append_val (node->records, record);
+}
+
+static void
+tick_records (FtNode *node, int64_t now)
+{
+  MsgOp op = { .kind = MSG_OP_REFUSALS };
+  unsigned count = MIN (node->records->len, RECORDS_MOST);
+
+  if (count == 0 || (now < node->records_at && count < RECORDS_MOST))
+    return;
+  node->records_at = now + RECORDS_EVERY;
+  op.MsgOp_u.refusals.records.records_len = count;
+  op.MsgOp_u.refusals.records.records_val = (MsgRecord *)(void *)node->records->data;
+  node_propose (node, &op);
+  for (unsigned i = 0; i < count; i++)
+    codec_clear (CODEC (MsgRecord), &g_array_index (node->records, MsgRecord, i));
+  g_array_remove_range (node->records, 0, count);
+}
+
+/* ---- Questions ---- */
+
+static void
+send_find (FtNode *node, Find *find, int64_t now)
+{
+  Msg msg = { .kind = MSG_FIND };
+
+  msg.Msg_u.find.number = find->number;
+  msg.Msg_u.find.kind = (MsgFindKind)find->kind;
+  msg.Msg_u.find.id = find->id;
+  if (find->kind != FT_FIND_ANSWER)
+    {
+      find->send_at = now + PROPOSE_EVERY;
+      node_send (node, node->guess, &msg);
+      return;
+    }
+  find->send_at = find->until;
+  for (unsigned i = 0; i < node->instances->len; i++)
+    {
+      uint32_t id = g_array_index (node->instances, uint32_t, i);
+      if (id == node->conf.id)
+        continue;
+      find->unanswered++;
+      node_send (node, id, &msg);
+    }
+}
+
+uint64_t
+ft_node_find (FtNode *node, FtFindKind kind, const char *id)
+{
+  Find *find = g_new0 (Find, 1);
+
+  find->number = node->next_number++;
+  find->kind = kind;
+  find->id = g_strdup (id);
+  find->until = ft_clock_now (node->clock) + FIND_MOST;
+  uint64_t number = find->number;
+  g_hash_table_insert (node->finds, &find->number, find);
+  return number;
+}
+
+void
+ft_node_answer (FtNode *node, uint32_t to, uint64_t number, FtStatus status, const void *body,
+                size_t size)
+{
+  Msg msg = { .kind = MSG_FOUND };
+
+  msg.Msg_u.found.number = number;
+  msg.Msg_u.found.status = status;
+  msg.Msg_u.found.body.body_len = (u_int)size;
+  msg.Msg_u.found.body.body_val = (char *)(uintptr_t)body;
+  node_send (node, to, &msg);
+}
+
+static void
+on_find (FtNode *node, uint32_t from, const MsgFind *find)
+{
+  if (find->kind == MSG_FIND_ANSWER)
+    node->ops->question (node->host, from, find->number, find->id);
+  else if (node->lead)
+    lead_find (node->lead, from, find);
+}
+
+static void
+end_find (FtNode *node, Find *find, FtStatus status, const void *body, size_t size)
+{
+  uint64_t number = find->number;
+
+  g_hash_table_remove (node->finds, &number);
+  node->ops->found (node->host, number, status, body, size);
+}
+
+static void
+on_found (FtNode *node, const MsgFound *found)
+{
+  uint64_t number = found->number;
+  Find *find = g_hash_table_lookup (node->finds, &number);
+
+  if (find == NULL || found->status == FT_NOT_LEADER)
+    return;
+  if (find->kind == FT_FIND_ANSWER && found->status != FT_OK && --find->unanswered > 0)
+    return;
+  end_find (node, find, found->status, found->body.body_val, found->body.body_len);
+}
+
+static void
+tick_finds (FtNode *node, int64_t now)
+{
+  GHashTableIter iter;
+  void *data;
+  GPtrArray *due = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, node->finds);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    if (now >= ((Find *)data)->send_at)
+      g_ptr_array_add (due, data);
+  for (unsigned i = 0; i < due->len; i++)
+    {
+      Find *find = due->pdata[i];
+      if (now >= find->until)
+        end_find (node, find, FT_NOT_FOUND, "", 0);
+      else
+        send_find (node, find, now);
+    }
+  g_ptr_array_unref (due);
+}
+
+/* ---- Servers ---- */
+
+NodeServer *
+node_server (FtNode *node, const char *pool, const char *name)
+{
+  char *key = g_strdup_printf ("%s/%s", pool, name);
+  NodeServer *server = g_hash_table_lookup (node->servers, key);
+
+  g_free (key);
+  return server;
+}
+
+void
+ft_node_server (FtNode *node, const char *pool, const char *name, uint64_t incarnation,
+                FtServerState state)
+{
+  NodeServer *server = node_server (node, pool, name);
+
+  if (server == NULL)
+    {
+      server = g_new0 (NodeServer, 1);
+      server->pool = g_strdup (pool);
+      server->name = g_strdup (name);
+      g_hash_table_insert (node->servers, g_strdup_printf ("%s/%s", pool, name), server);
+    }
+  else if (server->state == state && server->incarnation == incarnation)
+    return;
+  server->incarnation = incarnation;
+  server->state = state;
+  hold_server (node->hold, server);
+}
+
+void
+ft_node_report (FtNode *node, const char *pool, const char *name, unsigned running,
+                unsigned waiting, int64_t age)
+{
+  FtPool *held = hold_pool (node->hold, pool);
+
+  if (held)
+    ft_pool_report (held, name, running, waiting, age);
+}
+
+void
+ft_node_cache_event (FtNode *node, const char *pool, const char *name, uint64_t number, bool stored,
+                     uint64_t block)
+{
+  FtPool *held = hold_pool (node->hold, pool);
+
+  if (held)
+    ft_pool_cache_event (held, name, number, stored, block);
+}
+
+/* ---- Receiving ---- */
+
+/* Messages to or from the peer were lost, or its process is another one. What it had in our pools
+ * is forgotten, and what we have in its pools it is told again. */
+static void
+peer_reset (FtNode *node, uint32_t peer)
+{
+  hold_entry_gone (node->hold, peer);
+  ent_peer_reset (node->ent, peer);
+}
+
+void
+ft_node_link_reset (FtNode *node, uint32_t peer)
+{
+  peer_reset (node, peer);
+}
+
+static void
+note_incarnation (FtNode *node, uint32_t from, uint64_t incarnation)
+{
+  uint64_t *known = g_hash_table_lookup (node->peer_incarnations, GUINT_TO_POINTER (from));
+
+  if (known && *known == incarnation)
+    return;
+  if (known)
+    peer_reset (node, from);
+  g_hash_table_insert (node->peer_incarnations, GUINT_TO_POINTER (from),
+                       g_memdup2 (&incarnation, sizeof incarnation));
+}
+
+static void
+on_tell (FtNode *node, uint32_t from, const MsgTell *tell)
+{
+  if (!ent_holder (node->ent, tell->pool, from, tell->epoch))
+    return;
+  if (from != node->conf.id)
+    hold_drop (node->hold, tell->pool);
+  ent_tell (node->ent, tell->pool, from, tell->epoch);
+}
+
+static void
+receive_control (FtNode *node, uint32_t from, const Msg *msg)
+{
+  switch (msg->kind)
+    {
+    case MSG_HELLO:
+      if (node->lead)
+        lead_hello (node->lead, from, &msg->Msg_u.hello);
+      break;
+    case MSG_FRESH:
+      on_fresh (node, from, &msg->Msg_u.fresh);
+      break;
+    case MSG_PROPOSE:
+      if (node->lead)
+        lead_propose (node->lead, from, &msg->Msg_u.propose);
+      break;
+    case MSG_VERDICT:
+      on_verdict (node, from, &msg->Msg_u.verdict);
+      break;
+    case MSG_FIND:
+      on_find (node, from, &msg->Msg_u.find);
+      break;
+    case MSG_FOUND:
+      on_found (node, &msg->Msg_u.found);
+      break;
+    default:
+      if (node->raft)
+        raft_receive (node->raft, from, msg);
+    }
+}
+
+static void
+receive (FtNode *node, uint32_t from, const Msg *msg)
+{
+  switch (msg->kind)
+    {
+    case MSG_ASK:
+      hold_ask (node->hold, from, &msg->Msg_u.ask);
+      break;
+    case MSG_GRANT:
+      ent_granted (node->ent, from, &msg->Msg_u.grant);
+      break;
+    case MSG_REFUSE:
+      ent_refused (node->ent, from, &msg->Msg_u.refuse);
+      break;
+    case MSG_PROGRESS:
+      hold_progress (node->hold, from, &msg->Msg_u.progress);
+      break;
+    case MSG_DONE:
+      hold_done (node->hold, from, &msg->Msg_u.done);
+      break;
+    case MSG_PAUSE:
+      ent_paused (node->ent, from, &msg->Msg_u.pause, true);
+      break;
+    case MSG_RESUME:
+      ent_paused (node->ent, from, &msg->Msg_u.resume, false);
+      break;
+    case MSG_TELL:
+      on_tell (node, from, &msg->Msg_u.tell);
+      break;
+    case MSG_TOLD:
+      hold_told (node->hold, from, &msg->Msg_u.told);
+      break;
+    default:
+      receive_control (node, from, msg);
+    }
+}
+
+FtStatus
+ft_node_receive (FtNode *node, uint32_t from, uint64_t incarnation, const void *data, size_t size)
+{
+  Msg msg;
+
+  memset (&msg, 0, sizeof msg);
+  FtStatus status = codec_unpack (CODEC (Msg), data, size, &msg, NULL);
+  if (status == FT_OK)
+    {
+      note_incarnation (node, from, incarnation);
+      receive (node, from, &msg);
+    }
+  codec_clear (CODEC (Msg), &msg);
+  return status;
+}
+
+/* ---- Time ---- */
+
+void
+ft_node_tick (FtNode *node)
+{
+  int64_t now = ft_clock_now (node->clock);
+
+  if (node->raft)
+    raft_tick (node->raft);
+  if (node->lead)
+    lead_tick (node->lead, now);
+  if (now >= node->hello_at)
+    say_hello (node, now);
+  tick_records (node, now);
+  hold_tick (node->hold, now);
+  ent_tick (node->ent, now);
+}
+
+void
+ft_node_flush (FtNode *node)
+{
+  int64_t now = ft_clock_now (node->clock);
+
+  tick_proposals (node, now);
+  tick_finds (node, now);
+  if (node->raft)
+    raft_flush (node->raft);
+}
+
+bool
+ft_node_leave (FtNode *node)
+{
+  if (!node->leaving)
+    {
+      node->leaving = true;
+      say_hello (node, ft_clock_now (node->clock));
+    }
+  return hold_count (node->hold) == 0;
+}
+
+void
+ft_node_status (FtNode *node, FtNodeStatus *status)
+{
+  memset (status, 0, sizeof *status);
+  status->voter = node->raft != NULL;
+  status->leader = node->guess;
+  status->revision = node->cat ? ft_cat_revision (node->cat) : 0;
+  status->fresh = ft_node_fresh (node);
+  status->pools_held = hold_count (node->hold);
+  status->requests = ent_count (node->ent);
+  status->live = node->live->len;
+  if (node->raft == NULL)
+    return;
+  status->leader = raft_leader (node->raft);
+  status->term = raft_term (node->raft);
+  status->commit = raft_commit (node->raft);
+  status->member = raft_is_member (node->raft);
+  status->broken = raft_broken (node->raft);
+}
+
+FtPool *
+ft_node_pool (FtNode *node, const char *pool)
+{
+  return hold_pool (node->hold, pool);
+}
--- /dev/null
+++ b/src/raft.c
@@ -0,0 +1,987 @@
+/* raft.c - one voter of the replicated log: Raft (Ongaro and Ousterhout 2014) with pre-vote, check
+ * of the quorum, leases for reads, batched syncs and snapshots.
+ *
+ * What differs from the paper:
+ *
+ * Incarnations. Each data folder has a random number. Voter sets name pairs of id and incarnation,
+ * and votes and acknowledgements carry the incarnation and count only for the pair. So an instance
+ * whose disk was replaced cannot vote as if it remembered: it is another voter. The leader copies
+ * the log to it first, then removes the old pair, then adds the new one, one change at a time. A
+ * replacement in one step would be unsafe: {A, B1, C} and {A, B2, C} have majorities {B1, C} and
+ * {A, B2} without a common member.
+ *
+ * Forming. Blank voters ask each other. Only the lowest id may form the voter set, and only when
+ * every other configured voter says that it is blank too; the others adopt it when it names their
+ * incarnation. A voter that lost its disk meets voters that are formed and becomes a learner.
+ *
+ * Order of disk and network. Messages wait in an outbox until what they promise is synced. When a
+ * write or a sync fails the outbox is dropped and the voter stops taking part.
+ */
+#include "raft.h"
+#include "rlog.h"
+#include "wal.h"
+
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define HEARTBEAT        (100 * FT_MS)  /* six in the shortest election timeout: five may be lost */
+#define ELECTION_LEAST   (600 * FT_MS)  /* a new leader within about 1.5 s, of 6 s for a change */
+#define ELECTION_SPREAD  (600 * FT_MS)  /* voters rarely stand together */
+#define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
+#define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
+#define BLANK_EVERY      (300 * FT_MS)
+#define BLANK_VALID      (1000 * FT_MS) /* an answer older than this may be of an older life */
+#define ENTRIES_MOST     256            /* bound of msg.x */
+#define BYTES_MOST       (1u << 20)     /* one message must not delay heartbeats */
+#define UNCOMMITTED_MOST 4096           /* beyond, proposers are told to come back */
+#define ROUNDS           128            /* heartbeats whose sending time is remembered: 12 s */
+#define KEEP_TAIL        256            /* entries kept behind a snapshot for those just behind */
+
+typedef enum
+{
+  ROLE_FOLLOWER,
+  ROLE_PRECANDIDATE,
+  ROLE_CANDIDATE,
+  ROLE_LEADER
+} Role;
+
+typedef struct
+{
+  uint32_t id;
+  uint64_t incarnation; /* as it last said; 0: unknown */
+  uint64_t next, match;
+  int64_t acked_sent; /* when the newest round that it acknowledged was sent */
+  bool granted;
+  bool blank_known; /* said that it is blank */
+  int64_t blank_at;
+  uint64_t blank_incarnation;
+} Peer;
+
+typedef struct
+{
+  uint32_t to;
+  GByteArray *bytes;
+} Outgoing;
+
+struct Raft
+{
+  RaftConf conf;
+  uint32_t voters[FT_VOTERS_MOST];
+  FtClock *clock;
+  FtRandom *random;
+  State *state;
+  const RaftOps *ops;
+  void *host;
+  Wal *wal;
+  Rlog log;
+  uint64_t incarnation;
+  bool broken;
+  Role role;
+  uint64_t term;
+  uint32_t voted_for, leader;
+  uint64_t commit, applied, synced;
+  uint64_t term_start; /* index of the leader's first entry */
+  uint64_t round;
+  int64_t round_sent[ROUNDS];
+  int64_t election_at, leader_heard, heartbeat_at, blank_at, led_since;
+  bool must_send; /* new entries wait to be sent */
+  Peer peers[FT_VOTERS_MOST];
+  unsigned peer_count;
+  GArray *outbox; /* Outgoing */
+};
+
+/* ---- Small helpers ---- */
+
+static Peer *
+find_peer (Raft *raft, uint32_t id)
+{
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    if (raft->peers[i].id == id)
+      return &raft->peers[i];
+  return NULL;
+}
+
+static void
+post (Raft *raft, uint32_t to, const Msg *msg)
+{
+  Outgoing out = { to, codec_pack (CODEC (Msg), msg) };
+
+  if (out.bytes)
+    g_array_append_val (raft->outbox, out);
+}
+
+static void
+drop_outbox (Raft *raft)
+{
+  for (unsigned i = 0; i < raft->outbox->len; i++)
+    g_byte_array_unref (g_array_index (raft->outbox, Outgoing, i).bytes);
+  g_array_set_size (raft->outbox, 0);
+}
+
+static void
+check_disk (Raft *raft, FtStatus status)
+{
+  if (status == FT_OK || raft->broken)
+    return;
+  raft->broken = true;
+  raft->role = ROLE_FOLLOWER;
+  raft->leader = 0;
+  drop_outbox (raft);
+}
+
+static void
+restart_election_timer (Raft *raft, int64_t now)
+{
+  raft->election_at
+      = now + ELECTION_LEAST + (int64_t)(ft_random_next (raft->random) % (uint64_t)ELECTION_SPREAD);
+}
+
+static bool
+in_config (const Raft *raft)
+{
+  return rlog_config_has (rlog_config (&raft->log), raft->conf.self, raft->incarnation);
+}
+
+static unsigned
+majority (const RlogConfig *config)
+{
+  return config->count / 2 + 1;
+}
+
+static void
+enter_term (Raft *raft, uint64_t term, uint32_t voted_for)
+{
+  raft->term = term;
+  raft->voted_for = voted_for;
+  check_disk (raft, wal_vote (raft->wal, term, voted_for));
+}
+
+static void
+follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now)
+{
+  if (term > raft->term)
+    enter_term (raft, term, 0);
+  raft->role = ROLE_FOLLOWER;
+  raft->leader = leader;
+  restart_election_timer (raft, now);
+}
+
+static void
+append_entry (Raft *raft, MsgEntry *entry)
+{
+  check_disk (raft, wal_entry (raft->wal, entry));
+  rlog_append (&raft->log, entry);
+}
+
+static FtStatus
+append_op (Raft *raft, uint64_t term, const MsgOp *op)
+{
+  GByteArray *bytes = codec_pack (CODEC (MsgOp), op);
+
+  if (bytes == NULL)
+    return FT_INVALID;
+  MsgEntry *entry = g_new0 (MsgEntry, 1);
+  entry->index = rlog_last (&raft->log) + 1;
+  entry->term = term;
+  entry->op.op_len = bytes->len;
+  entry->op.op_val = malloc (bytes->len);
+  memcpy (entry->op.op_val, bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+  append_entry (raft, entry);
+  raft->must_send = true;
+  return FT_OK;
+}
+
+/* ---- Applying and snapshots ---- */
+
+static void
+take_snapshot (Raft *raft)
+{
+  uint64_t most = raft->conf.log_most ? raft->conf.log_most : RAFT_LOG_MOST;
+
+  if (raft->applied - raft->log.base < most + KEEP_TAIL || raft->broken)
+    return;
+  GByteArray *state = state_capture (raft->state);
+  if (state == NULL)
+    return;
+  uint64_t term = rlog_term (&raft->log, raft->applied);
+  unsigned first = (unsigned)(raft->applied - raft->log.base);
+  check_disk (raft,
+              wal_snapshot (raft->wal, raft->applied, term, state, raft->term, raft->voted_for,
+                            (MsgEntry *const *)raft->log.entries->pdata + first,
+                            raft->log.entries->len - first));
+  g_byte_array_unref (state);
+  raft->synced = rlog_last (&raft->log);
+  if (first > KEEP_TAIL)
+    rlog_cut (&raft->log, raft->applied - KEEP_TAIL);
+}
+
+static void
+apply_committed (Raft *raft)
+{
+  while (raft->applied < raft->commit)
+    {
+      MsgEntry *entry = rlog_entry (&raft->log, raft->applied + 1);
+      MsgOp op = { 0 };
+      StateVerdict verdict;
+
+      if (entry == NULL)
+        return;
+      raft->applied++;
+      if (codec_unpack (CODEC (MsgOp), entry->op.op_val, entry->op.op_len, &op, NULL) == FT_OK)
+        {
+          state_apply (raft->state, entry->index, &op, &verdict);
+          raft->ops->apply (raft->host, entry->index, &op, &verdict);
+        }
+      codec_clear (CODEC (MsgOp), &op);
+    }
+  take_snapshot (raft);
+}
+
+/* ---- Leading ---- */
+
+static void
+send_snapshot (Raft *raft, Peer *peer)
+{
+  Msg msg = { .kind = MSG_SNAPSHOT };
+  MsgSnapshot *out = &msg.Msg_u.snapshot;
+  GByteArray *state = state_capture (raft->state);
+
+  if (state == NULL)
+    return;
+  out->term = raft->term;
+  out->round = raft->round;
+  out->index = raft->applied;
+  out->index_term = rlog_term (&raft->log, raft->applied);
+  out->state.state_len = state->len;
+  out->state.state_val = (char *)state->data;
+  post (raft, peer->id, &msg);
+  g_byte_array_unref (state);
+  peer->next = raft->applied + 1;
+}
+
+static void
+send_append (Raft *raft, Peer *peer)
+{
+  Msg msg = { .kind = MSG_APPEND };
+  MsgAppend *out = &msg.Msg_u.append;
+  MsgEntry entries[ENTRIES_MOST];
+  unsigned count = 0;
+  size_t bytes = 0;
+
+  if (peer->next <= raft->log.base)
+    {
+      send_snapshot (raft, peer);
+      return;
+    }
+  out->term = raft->term;
+  out->round = raft->round;
+  out->prev_index = peer->next - 1;
+  out->prev_term = rlog_term (&raft->log, out->prev_index);
+  out->commit = raft->commit;
+  for (uint64_t i = peer->next; i <= rlog_last (&raft->log) && count < ENTRIES_MOST; i++)
+    {
+      const MsgEntry *entry = rlog_entry (&raft->log, i);
+      if (count > 0 && bytes + entry->op.op_len > BYTES_MOST)
+        break;
+      entries[count++] = *entry;
+      bytes += entry->op.op_len;
+    }
+  out->entries.entries_len = count;
+  out->entries.entries_val = entries;
+  post (raft, peer->id, &msg);
+  peer->next += count; /* taken back when the peer says that it missed something */
+}
+
+static void
+broadcast (Raft *raft, int64_t now)
+{
+  raft->round++;
+  raft->round_sent[raft->round % ROUNDS] = now;
+  raft->must_send = false;
+  raft->heartbeat_at = now + HEARTBEAT;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    send_append (raft, &raft->peers[i]);
+}
+
+static int
+compare_u64 (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* The value that a majority of the config has reached: own for this voter, of() for the others. */
+static uint64_t
+majority_of (Raft *raft, uint64_t own, uint64_t (*of) (const Peer *))
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+  uint64_t values[FT_VOTERS_MOST] = { 0 };
+
+  if (config->count == 0)
+    return 0;
+  for (unsigned i = 0; i < config->count; i++)
+    {
+      const MsgVoter *voter = &config->voters[i];
+      const Peer *peer = find_peer (raft, voter->id);
+      if (voter->id == raft->conf.self)
+        values[i] = voter->incarnation == raft->incarnation ? own : 0;
+      else if (peer && peer->incarnation == voter->incarnation)
+        values[i] = of (peer);
+    }
+  qsort (values, config->count, sizeof values[0], compare_u64);
+  return values[config->count - majority (config)];
+}
+
+static uint64_t
+peer_match (const Peer *peer)
+{
+  return peer->match;
+}
+
+static uint64_t
+peer_acked (const Peer *peer)
+{
+  return (uint64_t)peer->acked_sent;
+}
+
+static void
+advance_commit (Raft *raft)
+{
+  if (raft->role != ROLE_LEADER)
+    return;
+  uint64_t index = majority_of (raft, raft->synced, peer_match);
+  /* Only entries of the own term are committed by counting (Raft, figure 8). */
+  if (index > raft->commit && rlog_term (&raft->log, index) == raft->term)
+    raft->commit = index;
+  apply_committed (raft);
+}
+
+static void
+lead (Raft *raft, int64_t now)
+{
+  MsgOp noop = { .kind = MSG_OP_NOOP };
+
+  raft->role = ROLE_LEADER;
+  raft->leader = raft->conf.self;
+  raft->led_since = now;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      raft->peers[i].next = rlog_last (&raft->log) + 1;
+      raft->peers[i].match = 0;
+      raft->peers[i].acked_sent = now; /* they have just voted */
+    }
+  append_op (raft, raft->term, &noop);
+  raft->term_start = rlog_last (&raft->log);
+}
+
+static void
+propose_voters (Raft *raft, const RlogConfig *config)
+{
+  MsgOp op = { .kind = MSG_OP_VOTERS };
+
+  op.MsgOp_u.voters.voters.voters_len = config->count;
+  op.MsgOp_u.voters.voters.voters_val = (MsgVoter *)config->voters;
+  append_op (raft, raft->term, &op);
+}
+
+/* One step towards naming the incarnations that are really there; at most one change is open. */
+static void
+adjust_voters (Raft *raft, int64_t now)
+{
+  RlogConfig config = *rlog_config (&raft->log);
+
+  if (config.index > raft->commit || raft->commit < raft->term_start)
+    return;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      const Peer *peer = &raft->peers[i];
+      uint64_t named = rlog_config_incarnation (&config, peer->id);
+      bool caught_up = peer->match > 0 && peer->match >= raft->commit
+                       && now - peer->acked_sent < ELECTION_LEAST;
+      if (peer->incarnation == 0 || named == peer->incarnation || !caught_up)
+        continue;
+      if (named == 0 && config.count < FT_VOTERS_MOST)
+        config.voters[config.count++] = (MsgVoter){ peer->id, peer->incarnation };
+      else
+        for (unsigned j = 0; j < config.count; j++)
+          if (config.voters[j].id == peer->id)
+            config.voters[j] = config.voters[--config.count];
+      propose_voters (raft, &config);
+      return;
+    }
+}
+
+/* ---- Elections ---- */
+
+static void
+ask_votes (Raft *raft, bool pre)
+{
+  Msg msg = { .kind = MSG_VOTE };
+  MsgVote *out = &msg.Msg_u.vote;
+
+  out->pre = pre;
+  out->term = pre ? raft->term + 1 : raft->term;
+  out->incarnation = raft->incarnation;
+  out->last_index = rlog_last (&raft->log);
+  out->last_term = rlog_last_term (&raft->log);
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      raft->peers[i].granted = false;
+      post (raft, raft->peers[i].id, &msg);
+    }
+}
+
+static unsigned
+votes_granted (Raft *raft)
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+  unsigned granted = 0;
+
+  for (unsigned i = 0; i < config->count; i++)
+    {
+      const Peer *peer = find_peer (raft, config->voters[i].id);
+      if (config->voters[i].id == raft->conf.self)
+        granted += config->voters[i].incarnation == raft->incarnation;
+      else
+        granted += peer && peer->granted && peer->incarnation == config->voters[i].incarnation;
+    }
+  return granted;
+}
+
+static void count_votes (Raft *raft, int64_t now);
+
+static void
+stand (Raft *raft, bool pre, int64_t now)
+{
+  restart_election_timer (raft, now);
+  raft->leader = 0;
+  raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
+  if (!pre)
+    enter_term (raft, raft->term + 1, raft->conf.self);
+  ask_votes (raft, pre);
+  count_votes (raft, now);
+}
+
+static void
+count_votes (Raft *raft, int64_t now)
+{
+  if (votes_granted (raft) < majority (rlog_config (&raft->log)))
+    return;
+  if (raft->role == ROLE_PRECANDIDATE)
+    stand (raft, false, now);
+  else if (raft->role == ROLE_CANDIDATE)
+    lead (raft, now);
+}
+
+static bool
+log_is_current (const Raft *raft, const MsgVote *vote)
+{
+  uint64_t last_term = rlog_last_term (&raft->log);
+
+  return vote->last_term > last_term
+         || (vote->last_term == last_term && vote->last_index >= rlog_last (&raft->log));
+}
+
+static void
+on_vote (Raft *raft, uint32_t from, const MsgVote *vote, int64_t now)
+{
+  Msg msg = { .kind = MSG_VOTED };
+  MsgVoted *out = &msg.Msg_u.voted;
+  bool granted = false;
+
+  /* Failure: a voter that was cut off returns and stands. Symptom: it would depose a leader that
+   * serves everyone else. While the leader is heard nobody votes, which also makes the leader's
+   * lease hold; a voter that has just started may have heard one, so it waits as long. */
+  bool led = now - raft->leader_heard < ELECTION_LEAST
+             || (raft->role == ROLE_LEADER && raft_leading (raft));
+  if (!led && vote->term > raft->term && !vote->pre)
+    follow (raft, vote->term, 0, now);
+  if (led)
+    granted = false;
+  else if (vote->pre)
+    granted = vote->term > raft->term && log_is_current (raft, vote);
+  else if (vote->term == raft->term && raft->role == ROLE_FOLLOWER
+           && (raft->voted_for == 0 || raft->voted_for == from) && log_is_current (raft, vote))
+    {
+      granted = true;
+      enter_term (raft, raft->term, from);
+      restart_election_timer (raft, now);
+    }
+  out->pre = vote->pre;
+  out->term = granted && vote->pre ? vote->term : raft->term;
+  out->incarnation = raft->incarnation;
+  out->granted = granted;
+  post (raft, from, &msg);
+}
+
+static void
+on_voted (Raft *raft, Peer *peer, const MsgVoted *voted, int64_t now)
+{
+  uint64_t wanted = voted->pre ? raft->term + 1 : raft->term;
+
+  peer->incarnation = voted->incarnation;
+  if (!voted->granted && voted->term > raft->term)
+    {
+      follow (raft, voted->term, 0, now);
+      return;
+    }
+  if (!voted->granted || voted->term != wanted
+      || raft->role != (voted->pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE))
+    return;
+  peer->granted = true;
+  count_votes (raft, now);
+}
+
+/* ---- Following ---- */
+
+static void
+answer_append (Raft *raft, uint32_t to, uint64_t round, bool ok, uint64_t match)
+{
+  Msg msg = { .kind = MSG_APPENDED };
+  MsgAppended *out = &msg.Msg_u.appended;
+
+  out->term = raft->term;
+  out->round = round;
+  out->incarnation = raft->incarnation;
+  out->ok = ok;
+  out->match = match;
+  post (raft, to, &msg);
+}
+
+static void
+take_entries (Raft *raft, const MsgAppend *append)
+{
+  for (unsigned i = 0; i < append->entries.entries_len; i++)
+    {
+      const MsgEntry *entry = &append->entries.entries_val[i];
+      uint64_t last = rlog_last (&raft->log);
+
+      if (entry->index <= raft->log.base)
+        continue;
+      if (entry->index <= last && rlog_term (&raft->log, entry->index) == entry->term)
+        continue;
+      if (entry->index <= raft->commit || entry->index > last + 1)
+        return; /* breaks the protocol: never overwrite what is committed, never leave a hole */
+      if (entry->index <= last)
+        {
+          check_disk (raft, wal_truncate (raft->wal, entry->index));
+          rlog_truncate (&raft->log, entry->index);
+          raft->synced = MIN (raft->synced, entry->index - 1);
+        }
+      append_entry (raft, wal_entry_copy (entry));
+    }
+}
+
+static void
+on_append (Raft *raft, uint32_t from, const MsgAppend *append, int64_t now)
+{
+  if (append->term < raft->term)
+    {
+      answer_append (raft, from, append->round, false, 0);
+      return;
+    }
+  follow (raft, append->term, from, now);
+  raft->leader_heard = now;
+  uint64_t prev = append->prev_index;
+  bool fits
+      = prev <= raft->log.base
+        || (prev <= rlog_last (&raft->log) && rlog_term (&raft->log, prev) == append->prev_term);
+  if (!fits)
+    {
+      uint64_t hint = MIN (prev - 1, rlog_last (&raft->log));
+      answer_append (raft, from, append->round, false, MAX (hint, raft->commit));
+      return;
+    }
+  take_entries (raft, append);
+  uint64_t match = MIN (prev + append->entries.entries_len, rlog_last (&raft->log));
+  uint64_t known = MIN (append->commit, match);
+  if (known > raft->commit)
+    raft->commit = known;
+  answer_append (raft, from, append->round, true, match);
+  apply_committed (raft);
+}
+
+static void
+on_snapshot (Raft *raft, uint32_t from, const MsgSnapshot *snapshot, int64_t now)
+{
+  GByteArray bytes = { (guint8 *)snapshot->state.state_val, snapshot->state.state_len };
+
+  if (snapshot->term < raft->term)
+    {
+      answer_append (raft, from, snapshot->round, false, 0);
+      return;
+    }
+  follow (raft, snapshot->term, from, now);
+  raft->leader_heard = now;
+  /* Failure: a late snapshot replaces a log that holds more. Symptom: entries that this voter has
+   * acknowledged are gone and a majority no longer holds them. A log that has the snapshot's last
+   * entry holds all of it, so it is kept. */
+  bool held = rlog_term (&raft->log, snapshot->index) == snapshot->index_term;
+  if (held && snapshot->index > raft->commit)
+    {
+      raft->commit = snapshot->index;
+      apply_committed (raft);
+    }
+  else if (snapshot->index > raft->commit)
+    {
+      if (state_restore (raft->state, bytes.data, bytes.len) != FT_OK)
+        return;
+      rlog_reset (&raft->log, snapshot->index, snapshot->index_term, state_voters (raft->state));
+      raft->commit = raft->applied = raft->synced = snapshot->index;
+      check_disk (raft, wal_snapshot (raft->wal, snapshot->index, snapshot->index_term, &bytes,
+                                      raft->term, raft->voted_for, NULL, 0));
+    }
+  answer_append (raft, from, snapshot->round, true, snapshot->index);
+}
+
+static void
+on_appended (Raft *raft, Peer *peer, const MsgAppended *appended, int64_t now)
+{
+  if (appended->term > raft->term)
+    {
+      follow (raft, appended->term, 0, now);
+      return;
+    }
+  if (raft->role != ROLE_LEADER || appended->term != raft->term)
+    return;
+  if (peer->incarnation != appended->incarnation)
+    {
+      peer->incarnation = appended->incarnation;
+      peer->match = 0;
+    }
+  if (appended->round <= raft->round && raft->round - appended->round < ROUNDS)
+    peer->acked_sent = MAX (peer->acked_sent, raft->round_sent[appended->round % ROUNDS]);
+  if (appended->ok)
+    {
+      peer->match = MAX (peer->match, appended->match);
+      peer->next = MAX (peer->next, peer->match + 1);
+      if (peer->next <= rlog_last (&raft->log))
+        raft->must_send = true;
+      advance_commit (raft);
+      return;
+    }
+  peer->next = CLAMP (appended->match + 1, peer->match + 1, rlog_last (&raft->log) + 1);
+  raft->must_send = true;
+}
+
+/* ---- Forming ---- */
+
+static void
+send_blank (Raft *raft, uint32_t to, bool answer)
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+  Msg msg = { .kind = MSG_BLANK };
+  MsgBlank *out = &msg.Msg_u.blank;
+
+  out->incarnation = raft->incarnation;
+  out->answer = answer;
+  out->formed = rlog_last (&raft->log) > 0;
+  out->voters.voters_len = config->index == 1 ? config->count : 0; /* as formed, or none */
+  out->voters.voters_val = (MsgVoter *)config->voters;
+  post (raft, to, &msg);
+}
+
+static void
+form (Raft *raft, const MsgVoter *voters, unsigned count)
+{
+  RlogConfig config = { .count = count };
+
+  memcpy (config.voters, voters, count * sizeof *voters);
+  enter_term (raft, MAX (raft->term, 1), raft->voted_for);
+  MsgOp op = { .kind = MSG_OP_VOTERS };
+  op.MsgOp_u.voters.voters.voters_len = config.count;
+  op.MsgOp_u.voters.voters.voters_val = config.voters;
+  append_op (raft, 1, &op);
+}
+
+static void
+try_to_form (Raft *raft, int64_t now)
+{
+  MsgVoter voters[FT_VOTERS_MOST] = { { raft->conf.self, raft->incarnation } };
+
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      const Peer *peer = &raft->peers[i];
+      if (peer->id < raft->conf.self || !peer->blank_known || now - peer->blank_at > BLANK_VALID)
+        return;
+      voters[i + 1] = (MsgVoter){ peer->id, peer->blank_incarnation };
+    }
+  form (raft, voters, raft->peer_count + 1);
+}
+
+static void
+on_blank (Raft *raft, Peer *peer, const MsgBlank *blank, int64_t now)
+{
+  bool self_blank = rlog_last (&raft->log) == 0;
+
+  if (!blank->answer)
+    send_blank (raft, peer->id, true);
+  peer->blank_known = !blank->formed;
+  peer->blank_at = now;
+  peer->blank_incarnation = blank->incarnation;
+  if (raft->role == ROLE_LEADER && !blank->formed && peer->incarnation != blank->incarnation)
+    {
+      peer->incarnation = blank->incarnation;
+      peer->match = 0;
+      peer->next = rlog_last (&raft->log) + 1;
+    }
+  if (!self_blank || !blank->formed)
+    return;
+  for (unsigned i = 0; i < blank->voters.voters_len; i++)
+    {
+      const MsgVoter *voter = &blank->voters.voters_val[i];
+      /* Adopting is for the first forming only, when the log is just that one entry. A learner of
+       * a log that has grown gets it from the leader and is not named until it has caught up. */
+      if (voter->id == raft->conf.self && voter->incarnation == raft->incarnation)
+        {
+          form (raft, blank->voters.voters_val, blank->voters.voters_len);
+          return;
+        }
+    }
+}
+
+/* ---- Interface ---- */
+
+static void
+load (Raft *raft, WalState *from, FtError *error, FtStatus *status)
+{
+  raft->term = from->term;
+  raft->voted_for = from->voted_for;
+  raft->incarnation = from->incarnation;
+  if (from->snapshot)
+    {
+      *status = state_restore (raft->state, from->snapshot->data, from->snapshot->len);
+      if (*status != FT_OK)
+        {
+          ft_error_set (error, *status, 0, "snap", "does not hold a valid state");
+          return;
+        }
+      rlog_reset (&raft->log, from->snapshot_index, from->snapshot_term,
+                  state_voters (raft->state));
+      raft->commit = raft->applied = from->snapshot_index;
+    }
+  for (unsigned i = 0; i < from->entries->len; i++)
+    rlog_append (&raft->log, wal_entry_copy (from->entries->pdata[i]));
+  raft->synced = rlog_last (&raft->log);
+}
+
+FtStatus
+raft_new (const RaftConf *conf, FtClock *clock, FtRandom *random, FtDisk *disk, State *state,
+          const RaftOps *ops, void *host, Raft **out, FtError *error)
+{
+  Raft *raft = g_new0 (Raft, 1);
+  WalState from;
+  int64_t now = ft_clock_now (clock);
+
+  raft->conf = *conf;
+  memcpy (raft->voters, conf->voters, conf->count * sizeof conf->voters[0]);
+  raft->conf.voters = raft->voters;
+  raft->clock = clock;
+  raft->random = random;
+  raft->state = state;
+  raft->ops = ops;
+  raft->host = host;
+  raft->outbox = g_array_new (FALSE, FALSE, sizeof (Outgoing));
+  rlog_init (&raft->log);
+  for (unsigned i = 0; i < conf->count; i++)
+    if (conf->voters[i] != conf->self)
+      raft->peers[raft->peer_count++] = (Peer){ .id = conf->voters[i], .next = 1 };
+  FtStatus status = wal_open (disk, &raft->wal, &from, error);
+  if (status == FT_OK)
+    load (raft, &from, error, &status);
+  wal_state_clear (&from);
+  if (status == FT_OK && raft->incarnation == 0)
+    {
+      raft->incarnation = ft_random_next (random) | 1;
+      status = wal_identify (raft->wal, raft->incarnation);
+      if (status != FT_OK)
+        ft_error_set (error, status, 0, "ident", "cannot be written");
+    }
+  raft->leader_heard = now; /* may have heard one just before it stopped */
+  restart_election_timer (raft, now);
+  *out = raft;
+  if (status != FT_OK)
+    {
+      raft_free (raft);
+      *out = NULL;
+    }
+  return status;
+}
+
+void
+raft_free (Raft *raft)
+{
+  if (raft == NULL)
+    return;
+  drop_outbox (raft);
+  g_array_unref (raft->outbox);
+  rlog_clear (&raft->log);
+  wal_free (raft->wal);
+  g_free (raft);
+}
+
+void
+raft_receive (Raft *raft, uint32_t from, const Msg *msg)
+{
+  int64_t now = ft_clock_now (raft->clock);
+  Peer *peer = find_peer (raft, from);
+
+  if (peer == NULL || raft->broken)
+    return;
+  switch (msg->kind)
+    {
+    case MSG_VOTE:
+      on_vote (raft, from, &msg->Msg_u.vote, now);
+      break;
+    case MSG_VOTED:
+      on_voted (raft, peer, &msg->Msg_u.voted, now);
+      break;
+    case MSG_APPEND:
+      on_append (raft, from, &msg->Msg_u.append, now);
+      break;
+    case MSG_APPENDED:
+      on_appended (raft, peer, &msg->Msg_u.appended, now);
+      break;
+    case MSG_SNAPSHOT:
+      on_snapshot (raft, from, &msg->Msg_u.snapshot, now);
+      break;
+    case MSG_BLANK:
+      on_blank (raft, peer, &msg->Msg_u.blank, now);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+tick_blank (Raft *raft, int64_t now)
+{
+  if (now < raft->blank_at)
+    return;
+  raft->blank_at = now + BLANK_EVERY;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    send_blank (raft, raft->peers[i].id, false);
+  try_to_form (raft, now);
+}
+
+static void
+tick_leader (Raft *raft, int64_t now)
+{
+  int64_t quorum = (int64_t)majority_of (raft, (uint64_t)now, peer_acked);
+
+  if (now - quorum > QUORUM_LOST || !in_config (raft))
+    {
+      follow (raft, raft->term, 0, now);
+      return;
+    }
+  adjust_voters (raft, now);
+  if (now >= raft->heartbeat_at)
+    raft->must_send = true;
+}
+
+void
+raft_tick (Raft *raft)
+{
+  int64_t now = ft_clock_now (raft->clock);
+
+  if (raft->broken)
+    return;
+  if (rlog_last (&raft->log) == 0)
+    tick_blank (raft, now);
+  else if (raft->role == ROLE_LEADER)
+    tick_leader (raft, now);
+  else if (now >= raft->election_at && in_config (raft))
+    stand (raft, true, now);
+  else if (now >= raft->election_at)
+    tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
+}
+
+FtStatus
+raft_propose (Raft *raft, const MsgOp *op, uint64_t *index)
+{
+  if (!raft_leading (raft))
+    return FT_NOT_LEADER;
+  if (rlog_last (&raft->log) - raft->commit > UNCOMMITTED_MOST)
+    return FT_FULL;
+  FtStatus status = append_op (raft, raft->term, op);
+  *index = rlog_last (&raft->log);
+  return raft->broken ? FT_IO : status;
+}
+
+void
+raft_flush (Raft *raft)
+{
+  if (raft->broken)
+    return;
+  if (raft->role == ROLE_LEADER && raft->must_send)
+    broadcast (raft, ft_clock_now (raft->clock));
+  check_disk (raft, wal_sync (raft->wal));
+  if (raft->broken)
+    return;
+  raft->synced = rlog_last (&raft->log);
+  advance_commit (raft); /* counts the own copy, alone enough when there is one voter */
+  if (raft->broken)
+    return;
+  GArray *out = raft->outbox;
+  raft->outbox = g_array_new (FALSE, FALSE, sizeof (Outgoing));
+  for (unsigned i = 0; i < out->len; i++)
+    {
+      Outgoing *one = &g_array_index (out, Outgoing, i);
+      raft->ops->send (raft->host, one->to, one->bytes);
+    }
+  g_array_unref (out);
+}
+
+bool
+raft_leading (Raft *raft)
+{
+  if (raft->role != ROLE_LEADER || raft->broken || raft->commit < raft->term_start)
+    return false;
+  int64_t now = ft_clock_now (raft->clock);
+  int64_t quorum = (int64_t)majority_of (raft, (uint64_t)now, peer_acked);
+  return now - quorum < LEASE;
+}
+
+int64_t
+raft_leading_since (const Raft *raft)
+{
+  return raft->led_since;
+}
+
+uint32_t
+raft_leader (const Raft *raft)
+{
+  return raft->leader;
+}
+
+uint64_t
+raft_term (const Raft *raft)
+{
+  return raft->term;
+}
+
+uint64_t
+raft_commit (const Raft *raft)
+{
+  return raft->commit;
+}
+
+uint64_t
+raft_incarnation (const Raft *raft)
+{
+  return raft->incarnation;
+}
+
+bool
+raft_broken (const Raft *raft)
+{
+  return raft->broken;
+}
+
+bool
+raft_is_member (const Raft *raft)
+{
+  return in_config (raft);
+}
--- /dev/null
+++ b/src/state.c
@@ -0,0 +1,572 @@
+/* state.c - the state that every voter derives from the replicated log.
+ *
+ * Catalogue changes: a change names the revision it was made against. If that is still the current
+ * one and the text passes every check, it becomes the next revision; otherwise it is refused and
+ * told which change took the place. Accepted and refused verdicts are kept by change id, so that a
+ * change that is sent again gets its first verdict, from any voter and after any restart.
+ *
+ * Claims: the first claim of a key wins. It ends as released (it provably did not run; the key is
+ * free again), answered, or unknown. Ended claims are kept for CLAIM_KEPT_MS and running ones for
+ * CLAIM_LOST_MS, by the wall times that the operations carry, so that all voters agree on them.
+ */
+#include "state.h"
+
+#include <string.h>
+
+#define HISTORY_MOST  20000                          /* verdicts; 13 days at 1,500 changes a day */
+#define REFUSALS_MOST 20000                          /* records; 40 bytes to 400 bytes each */
+#define CLAIM_KEPT_MS (G_GINT64_CONSTANT (86400000)) /* a day: longer than any caller retries */
+#define CLAIM_LOST_MS (7 * CLAIM_KEPT_MS)
+
+struct State
+{
+  uint64_t revision, epoch;
+  char *catalogue;
+  FtCat *cat;
+  GPtrArray *history;    /* MsgRevision * */
+  GHashTable *by_change; /* change id -> MsgRevision * */
+  GHashTable *leases;    /* pool -> MsgLease * */
+  GHashTable *claims;    /* key -> MsgClaimState * */
+  GQueue ended;          /* MsgClaimState *, in the order of their ends */
+  GQueue refusals;       /* MsgRecord *, oldest first */
+  GHashTable *by_refusal;
+  MsgVoters voters;
+};
+
+#define FREE_FUNC(type, name)                                                                      \
+  static void name (void *data)                                                                    \
+  {                                                                                                \
+    codec_clear (CODEC (type), data);                                                              \
+    g_free (data);                                                                                 \
+  }
+FREE_FUNC (MsgRevision, revision_free)
+FREE_FUNC (MsgLease, lease_free)
+FREE_FUNC (MsgClaimState, claim_free)
+FREE_FUNC (MsgRecord, record_free)
+
+static void
+clear (State *state)
+{
+  state->revision = state->epoch = 0;
+  g_clear_pointer (&state->catalogue, g_free);
+  g_clear_pointer (&state->cat, ft_cat_unref);
+  g_hash_table_remove_all (state->by_change);
+  g_ptr_array_set_size (state->history, 0);
+  g_hash_table_remove_all (state->leases);
+  g_queue_clear (&state->ended);
+  g_hash_table_remove_all (state->claims);
+  g_hash_table_remove_all (state->by_refusal);
+  g_queue_clear_full (&state->refusals, record_free);
+  codec_clear (CODEC (MsgVoters), &state->voters);
+  memset (&state->voters, 0, sizeof state->voters);
+}
+
+State *
+state_new (void)
+{
+  State *state = g_new0 (State, 1);
+
+  state->history = g_ptr_array_new_with_free_func (revision_free);
+  state->by_change = g_hash_table_new (g_str_hash, g_str_equal);
+  state->leases = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, lease_free);
+  state->claims = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, claim_free);
+  state->by_refusal = g_hash_table_new (g_str_hash, g_str_equal);
+  g_queue_init (&state->ended);
+  g_queue_init (&state->refusals);
+  return state;
+}
+
+void
+state_free (State *state)
+{
+  if (state == NULL)
+    return;
+  clear (state);
+  g_ptr_array_unref (state->history);
+  g_hash_table_unref (state->by_change);
+  g_hash_table_unref (state->leases);
+  g_hash_table_unref (state->claims);
+  g_hash_table_unref (state->by_refusal);
+  g_free (state);
+}
+
+/* Copies through XDR, so that no bound or pointer of a decoded message is shared. */
+static void *
+copy_of (xdrproc_t proc, const void *value, size_t size)
+{
+  void *copy = g_malloc0 (size);
+  GByteArray *bytes = codec_pack (proc, value);
+
+  if (bytes == NULL || codec_unpack (proc, bytes->data, bytes->len, copy, NULL) != FT_OK)
+    g_error ("a value that was decoded cannot be encoded");
+  g_byte_array_unref (bytes);
+  return copy;
+}
+
+static char *
+change_digest (const MsgChange *change)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+
+  g_checksum_update (sum, (const guchar *)&change->base, sizeof change->base);
+  g_checksum_update (sum, (const guchar *)change->catalogue, -1);
+  char *digest = g_strdup (g_checksum_get_string (sum));
+  g_checksum_free (sum);
+  return digest;
+}
+
+static void say (StateVerdict *verdict, FtStatus status, uint64_t revision, const char *format, ...)
+    G_GNUC_PRINTF (4, 5);
+
+static void
+say (StateVerdict *verdict, FtStatus status, uint64_t revision, const char *format, ...)
+{
+  va_list args;
+
+  verdict->status = status;
+  verdict->revision = revision;
+  va_start (args, format);
+  g_vsnprintf (verdict->text, sizeof verdict->text, format, args);
+  va_end (args);
+}
+
+static const MsgRevision *
+accepted_after (const State *state, uint64_t base)
+{
+  for (unsigned i = 0; i < state->history->len; i++)
+    {
+      const MsgRevision *one = state->history->pdata[i];
+      if (one->status == FT_OK && one->revision == base + 1)
+        return one;
+    }
+  return NULL;
+}
+
+static void
+judge_change (State *state, const MsgChange *change, StateVerdict *verdict)
+{
+  FtError error;
+  FtCat *cat = NULL;
+
+  if (change->base != state->revision)
+    {
+      const MsgRevision *winner = accepted_after (state, change->base);
+      say (verdict, FT_CONFLICT, state->revision,
+           "made against revision %" G_GUINT64_FORMAT ", but revision %" G_GUINT64_FORMAT
+           " is in its place, by change %s of %s; make the change again against it",
+           (uint64_t)change->base, state->revision, winner ? winner->change_id : "unknown",
+           winner ? winner->author : "unknown");
+      return;
+    }
+  if (ft_cat_new (change->catalogue, state->revision + 1, &cat, &error) != FT_OK)
+    {
+      say (verdict, FT_INVALID, state->revision, "line %u, %s: %s", error.line,
+           *error.field ? error.field : "document", error.text);
+      return;
+    }
+  char *diff = ft_cat_diff (state->cat, cat);
+  ft_cat_unref (state->cat);
+  state->cat = cat;
+  g_free (state->catalogue);
+  state->catalogue = g_strdup (change->catalogue);
+  state->revision++;
+  say (verdict, FT_OK, state->revision, "%s", diff);
+  g_free (diff);
+}
+
+static void
+apply_change (State *state, const MsgChange *change, StateVerdict *verdict)
+{
+  char *digest = change_digest (change);
+  MsgRevision *known = g_hash_table_lookup (state->by_change, change->change_id);
+
+  if (known)
+    {
+      if (strcmp (known->digest, digest) == 0)
+        say (verdict, known->status, known->revision, "%s", known->text);
+      else
+        say (verdict, FT_CONFLICT, state->revision,
+             "change id %s was used before, with another text or revision", change->change_id);
+      g_free (digest);
+      return;
+    }
+  judge_change (state, change, verdict);
+  known = g_new0 (MsgRevision, 1);
+  known->revision = verdict->revision;
+  known->change_id = strdup (change->change_id);
+  known->author = strdup (change->author);
+  known->wall_ms = change->wall_ms;
+  known->digest = strdup (digest);
+  known->status = verdict->status;
+  known->text = strdup (verdict->text);
+  g_free (digest);
+  g_ptr_array_add (state->history, known);
+  g_hash_table_insert (state->by_change, known->change_id, known);
+  if (state->history->len > HISTORY_MOST)
+    {
+      g_hash_table_remove (state->by_change, ((MsgRevision *)state->history->pdata[0])->change_id);
+      g_ptr_array_remove_index (state->history, 0);
+    }
+}
+
+static void
+expire_claims (State *state, int64_t wall_ms)
+{
+  MsgClaimState *claim;
+
+  while ((claim = g_queue_peek_head (&state->ended)) != NULL
+         && claim->ended_ms + CLAIM_KEPT_MS < wall_ms)
+    {
+      g_queue_pop_head (&state->ended);
+      g_hash_table_remove (state->claims, claim->claim.key);
+    }
+}
+
+static bool
+same_owner (const MsgClaim *a, const MsgClaim *b)
+{
+  return a->entry == b->entry && a->incarnation == b->incarnation
+         && strcmp (a->request_id, b->request_id) == 0;
+}
+
+static void
+apply_claim (State *state, const MsgClaim *claim, StateVerdict *verdict)
+{
+  expire_claims (state, claim->wall_ms);
+  MsgClaimState *known = g_hash_table_lookup (state->claims, claim->key);
+  if (known && !known->ended && known->claim.wall_ms + CLAIM_LOST_MS < claim->wall_ms)
+    {
+      g_hash_table_remove (state->claims, claim->key);
+      known = NULL;
+    }
+  if (known == NULL)
+    {
+      known = g_new0 (MsgClaimState, 1);
+      void *copy = copy_of (CODEC (MsgClaim), claim, sizeof *claim);
+      memcpy (&known->claim, copy, sizeof known->claim);
+      g_free (copy);
+      g_hash_table_insert (state->claims, known->claim.key, known);
+      say (verdict, FT_OK, state->revision, "%s", claim->request_id);
+    }
+  else if (strcmp (known->claim.digest, claim->digest) != 0)
+    say (verdict, FT_INVALID, state->revision, "%s", known->claim.request_id);
+  else if (!known->ended)
+    say (verdict, same_owner (&known->claim, claim) ? FT_OK : FT_CONFLICT, state->revision, "%s",
+         known->claim.request_id);
+  else
+    say (verdict, known->end == MSG_CLAIM_ANSWERED ? FT_REPEAT : FT_STALE, state->revision, "%s",
+         known->claim.request_id);
+}
+
+static void
+end_claim (State *state, MsgClaimState *claim, MsgClaimEnd end, int64_t wall_ms)
+{
+  if (claim->ended)
+    g_queue_remove (&state->ended, claim);
+  claim->ended = true;
+  claim->end = end;
+  claim->ended_ms = wall_ms;
+  g_queue_push_tail (&state->ended, claim);
+}
+
+/* All running claims of an incarnation that has died: nobody can tell whether they ran. */
+static void
+end_claims_of (State *state, const MsgClaimDone *done)
+{
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, state->claims);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      MsgClaimState *claim = data;
+      if (!claim->ended && claim->claim.entry == done->entry
+          && claim->claim.incarnation == done->incarnation)
+        end_claim (state, claim, MSG_CLAIM_UNKNOWN, done->wall_ms);
+    }
+}
+
+static void
+apply_claim_done (State *state, const MsgClaimDone *done, StateVerdict *verdict)
+{
+  say (verdict, FT_OK, state->revision, "%s", done->key);
+  if (done->key[0] == '\0')
+    {
+      end_claims_of (state, done);
+      return;
+    }
+  MsgClaimState *claim = g_hash_table_lookup (state->claims, done->key);
+  if (claim == NULL || claim->claim.entry != done->entry
+      || claim->claim.incarnation != done->incarnation
+      || strcmp (claim->claim.request_id, done->request_id) != 0)
+    {
+      say (verdict, FT_NOT_FOUND, state->revision, "%s", done->key);
+      return;
+    }
+  if (done->end != MSG_CLAIM_RELEASED)
+    end_claim (state, claim, done->end, done->wall_ms);
+  else
+    {
+      if (claim->ended)
+        g_queue_remove (&state->ended, claim);
+      g_hash_table_remove (state->claims, done->key);
+    }
+}
+
+static void
+apply_lease (State *state, uint64_t index, const MsgLease *lease, StateVerdict *verdict)
+{
+  MsgLease *copy = copy_of (CODEC (MsgLease), lease, sizeof *lease);
+
+  copy->epoch = index;
+  state->epoch = index;
+  g_hash_table_replace (state->leases, copy->pool, copy);
+  say (verdict, FT_OK, state->revision, "%s", lease->pool);
+}
+
+static void
+keep_refusal (State *state, const MsgRecord *record)
+{
+  if (g_hash_table_contains (state->by_refusal, record->id))
+    return;
+  MsgRecord *copy = copy_of (CODEC (MsgRecord), record, sizeof *record);
+  g_queue_push_tail (&state->refusals, copy);
+  g_hash_table_insert (state->by_refusal, copy->id, copy);
+  if (g_queue_get_length (&state->refusals) <= REFUSALS_MOST)
+    return;
+  MsgRecord *oldest = g_queue_pop_head (&state->refusals);
+  g_hash_table_remove (state->by_refusal, oldest->id);
+  record_free (oldest);
+}
+
+void
+state_apply (State *state, uint64_t index, const MsgOp *op, StateVerdict *verdict)
+{
+  say (verdict, FT_OK, state->revision, "%s", "");
+  switch (op->kind)
+    {
+    case MSG_OP_CHANGE:
+      apply_change (state, &op->MsgOp_u.change, verdict);
+      break;
+    case MSG_OP_LEASE:
+      apply_lease (state, index, &op->MsgOp_u.lease, verdict);
+      break;
+    case MSG_OP_CLAIM:
+      apply_claim (state, &op->MsgOp_u.claim, verdict);
+      break;
+    case MSG_OP_CLAIM_END:
+      apply_claim_done (state, &op->MsgOp_u.claim_done, verdict);
+      break;
+    case MSG_OP_VOTERS:
+      {
+        void *copy = copy_of (CODEC (MsgVoters), &op->MsgOp_u.voters, sizeof state->voters);
+        codec_clear (CODEC (MsgVoters), &state->voters);
+        memcpy (&state->voters, copy, sizeof state->voters);
+        g_free (copy);
+        break;
+      }
+    case MSG_OP_REFUSALS:
+      for (unsigned i = 0; i < op->MsgOp_u.refusals.records.records_len; i++)
+        keep_refusal (state, &op->MsgOp_u.refusals.records.records_val[i]);
+      break;
+    default:
+      break;
+    }
+}
+
+GByteArray *
+state_capture (const State *state)
+{
+  MsgState out = { 0 };
+  GArray *history = g_array_new (FALSE, FALSE, sizeof (MsgRevision));
+  GArray *leases = g_array_new (FALSE, FALSE, sizeof (MsgLease));
+  GArray *claims = g_array_new (FALSE, FALSE, sizeof (MsgClaimState));
+  GArray *refusals = g_array_new (FALSE, FALSE, sizeof (MsgRecord));
+  GHashTableIter iter;
+  void *data;
+
+  for (unsigned i = 0; i < state->history->len; i++)
+    g_array_append_vals (history, state->history->pdata[i], 1);
+  g_hash_table_iter_init (&iter, state->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    g_array_append_vals (leases, data, 1);
+  g_hash_table_iter_init (&iter, state->claims);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    if (!((MsgClaimState *)data)->ended)
+      g_array_append_vals (claims, data, 1);
+  for (GList *item = state->ended.head; item; item = item->next)
+    g_array_append_vals (claims, item->data, 1); /* in the order of their ends */
+  for (GList *item = state->refusals.head; item; item = item->next)
+    g_array_append_vals (refusals, item->data, 1);
+  out.revision = state->revision;
+  out.epoch = state->epoch;
+  out.catalogue = state->catalogue ? state->catalogue : (char *)"";
+  out.history.history_len = history->len;
+  out.history.history_val = (MsgRevision *)(void *)history->data;
+  out.leases.leases_len = leases->len;
+  out.leases.leases_val = (MsgLease *)(void *)leases->data;
+  out.claims.claims_len = claims->len;
+  out.claims.claims_val = (MsgClaimState *)(void *)claims->data;
+  out.refusals.refusals_len = refusals->len;
+  out.refusals.refusals_val = (MsgRecord *)(void *)refusals->data;
+  out.voters.voters_len = state->voters.voters.voters_len;
+  out.voters.voters_val = state->voters.voters.voters_val;
+  GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
+  g_array_unref (history);
+  g_array_unref (leases);
+  g_array_unref (claims);
+  g_array_unref (refusals);
+  return bytes;
+}
+
+#define TAKE(type, source) g_memdup2 (source, sizeof (type)) /* moves the record's pointers */
+
+static void
+take_parts (State *state, MsgState *in)
+{
+  for (unsigned i = 0; i < in->history.history_len; i++)
+    {
+      MsgRevision *one = TAKE (MsgRevision, &in->history.history_val[i]);
+      g_ptr_array_add (state->history, one);
+      g_hash_table_insert (state->by_change, one->change_id, one);
+    }
+  for (unsigned i = 0; i < in->leases.leases_len; i++)
+    {
+      MsgLease *one = TAKE (MsgLease, &in->leases.leases_val[i]);
+      g_hash_table_replace (state->leases, one->pool, one);
+    }
+  for (unsigned i = 0; i < in->claims.claims_len; i++)
+    {
+      MsgClaimState *one = TAKE (MsgClaimState, &in->claims.claims_val[i]);
+      g_hash_table_replace (state->claims, one->claim.key, one);
+      if (one->ended)
+        g_queue_push_tail (&state->ended, one);
+    }
+  for (unsigned i = 0; i < in->refusals.refusals_len; i++)
+    {
+      MsgRecord *one = TAKE (MsgRecord, &in->refusals.refusals_val[i]);
+      g_queue_push_tail (&state->refusals, one);
+      g_hash_table_insert (state->by_refusal, one->id, one);
+    }
+  state->voters.voters.voters_len = in->voters.voters_len;
+  state->voters.voters.voters_val = in->voters.voters_val;
+}
+
+FtStatus
+state_restore (State *state, const void *data, size_t size)
+{
+  MsgState in = { 0 };
+  FtCat *cat = NULL;
+  FtStatus status = codec_unpack (CODEC (MsgState), data, size, &in, NULL);
+
+  if (status == FT_OK && in.revision > 0)
+    status = ft_cat_new (in.catalogue, in.revision, &cat, NULL);
+  if (status != FT_OK)
+    {
+      codec_clear (CODEC (MsgState), &in);
+      return FT_CORRUPT;
+    }
+  clear (state);
+  state->revision = in.revision;
+  state->epoch = in.epoch;
+  state->catalogue = g_strdup (in.catalogue);
+  state->cat = cat;
+  take_parts (state, &in);
+  free (in.catalogue);
+  free (in.history.history_val);
+  free (in.leases.leases_val);
+  free (in.claims.claims_val);
+  free (in.refusals.refusals_val);
+  return FT_OK;
+}
+
+uint64_t
+state_revision (const State *state)
+{
+  return state->revision;
+}
+
+const char *
+state_catalogue (const State *state)
+{
+  return state->catalogue ? state->catalogue : "";
+}
+
+FtCat *
+state_cat (const State *state)
+{
+  return state->cat;
+}
+
+uint64_t
+state_epoch (const State *state)
+{
+  return state->epoch;
+}
+
+const MsgLease *
+state_lease (const State *state, const char *pool)
+{
+  return g_hash_table_lookup (state->leases, pool);
+}
+
+GPtrArray *
+state_leases (const State *state)
+{
+  GPtrArray *all = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, state->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    g_ptr_array_add (all, data);
+  return all;
+}
+
+const MsgVoters *
+state_voters (const State *state)
+{
+  return &state->voters;
+}
+
+const MsgClaimState *
+state_claim (const State *state, const char *key)
+{
+  return g_hash_table_lookup (state->claims, key);
+}
+
+unsigned
+state_claim_count (const State *state)
+{
+  return g_hash_table_size (state->claims);
+}
+
+bool
+state_claim_of_older (const State *state, uint32_t entry, uint64_t incarnation, uint64_t *older)
+{
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, state->claims);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      const MsgClaimState *claim = data;
+      if (claim->ended || claim->claim.entry != entry || claim->claim.incarnation == incarnation)
+        continue;
+      *older = claim->claim.incarnation;
+      return true;
+    }
+  return false;
+}
+
+const MsgRecord *
+state_refusal (const State *state, const char *id)
+{
+  return g_hash_table_lookup (state->by_refusal, id);
+}
+
+const GPtrArray *
+state_history (const State *state)
+{
+  return state->history;
+}
--- /dev/null
+++ b/src/wal.c
@@ -0,0 +1,418 @@
+/* wal.c - the voter's write-ahead log, after the usual rules (Mohan et al., ARIES 1992; Ongaro,
+ * 2014, chapter 3).
+ *
+ * A record is: magic, length, type, checksum (XXH3 over type and payload), payload; numbers
+ * little-endian. Files: "ident" (the folder's incarnation), "snap" (one record), "log" (records).
+ * "ident" and "snap" are replaced whole by rename, "log" is appended to.
+ *
+ * A crash can leave the log's last record short or unwritten in parts: nothing valid follows it, it
+ * was never synced, so nothing was promised on it and it is cut. A bad record with a valid one
+ * behind it lies in the middle of what was promised: the voter must not go on, since it would
+ * forget a vote or an entry that others count on.
+ */
+#include "wal.h"
+
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define MAGIC       0x4c415746u
+#define HEADER_SIZE 20u
+#define RECORD_MOST (64u << 20)
+
+enum
+{
+  RECORD_ENTRY = 1,
+  RECORD_TRUNCATE = 2,
+  RECORD_VOTE = 3,
+  RECORD_SNAPSHOT = 4,
+  RECORD_IDENT = 5
+};
+
+struct Wal
+{
+  FtDisk *disk;
+  GByteArray *pending; /* records not yet handed to the disk */
+  bool dirty, broken;
+};
+
+static void
+put_u32 (GByteArray *out, uint32_t value)
+{
+  uint32_t le = GUINT32_TO_LE (value);
+  g_byte_array_append (out, (const guint8 *)&le, 4);
+}
+
+static void
+put_u64 (GByteArray *out, uint64_t value)
+{
+  uint64_t le = GUINT64_TO_LE (value);
+  g_byte_array_append (out, (const guint8 *)&le, 8);
+}
+
+static uint32_t
+get_u32 (const guint8 *data)
+{
+  uint32_t le;
+  memcpy (&le, data, 4);
+  return GUINT32_FROM_LE (le);
+}
+
+static uint64_t
+get_u64 (const guint8 *data)
+{
+  uint64_t le;
+  memcpy (&le, data, 8);
+  return GUINT64_FROM_LE (le);
+}
+
+static void
+put_record (GByteArray *out, uint32_t type, const void *payload, size_t size)
+{
+  put_u32 (out, MAGIC);
+  put_u32 (out, (uint32_t)size);
+  put_u32 (out, type);
+  put_u64 (out, XXH3_64bits_withSeed (payload, size, type));
+  g_byte_array_append (out, payload, (guint)size);
+}
+
+/* Size of the valid record at offset, header included; 0: there is none. */
+static size_t
+record_at (const GByteArray *file, size_t offset, uint32_t *type, const guint8 **payload,
+           size_t *size)
+{
+  if (offset + HEADER_SIZE > file->len)
+    return 0;
+  const guint8 *head = file->data + offset;
+  uint32_t length = get_u32 (head + 4);
+  if (get_u32 (head) != MAGIC || length > RECORD_MOST || offset + HEADER_SIZE + length > file->len)
+    return 0;
+  *type = get_u32 (head + 8);
+  *payload = head + HEADER_SIZE;
+  *size = length;
+  if (XXH3_64bits_withSeed (*payload, length, *type) != get_u64 (head + 12))
+    return 0;
+  return HEADER_SIZE + length;
+}
+
+static bool
+valid_record_behind (const GByteArray *file, size_t offset)
+{
+  uint32_t type;
+  const guint8 *payload;
+  size_t size;
+
+  for (size_t at = offset + 1; at + HEADER_SIZE <= file->len; at++)
+    if (record_at (file, at, &type, &payload, &size))
+      return true;
+  return false;
+}
+
+void
+wal_entry_free (void *entry)
+{
+  codec_clear (CODEC (MsgEntry), entry);
+  g_free (entry);
+}
+
+MsgEntry *
+wal_entry_copy (const MsgEntry *entry)
+{
+  MsgEntry *copy = g_new0 (MsgEntry, 1);
+
+  *copy = *entry;
+  copy->op.op_val = malloc (entry->op.op_len ? entry->op.op_len : 1);
+  memcpy (copy->op.op_val, entry->op.op_val, entry->op.op_len);
+  return copy;
+}
+
+static void
+drop_from (GPtrArray *entries, uint64_t from)
+{
+  while (entries->len > 0 && ((MsgEntry *)entries->pdata[entries->len - 1])->index >= from)
+    g_ptr_array_set_size (entries, (int)entries->len - 1);
+}
+
+static FtStatus
+replay (WalState *state, uint32_t type, const guint8 *payload, size_t size)
+{
+  if (type == RECORD_VOTE && size == 12)
+    {
+      state->term = get_u64 (payload);
+      state->voted_for = get_u32 (payload + 8);
+      return FT_OK;
+    }
+  if (type == RECORD_TRUNCATE && size == 8)
+    {
+      drop_from (state->entries, get_u64 (payload));
+      return FT_OK;
+    }
+  if (type != RECORD_ENTRY)
+    return FT_CORRUPT;
+  MsgEntry *entry = g_new0 (MsgEntry, 1);
+  if (codec_unpack (CODEC (MsgEntry), payload, size, entry, NULL) != FT_OK)
+    {
+      wal_entry_free (entry);
+      return FT_CORRUPT;
+    }
+  uint64_t last = state->entries->len
+                      ? ((MsgEntry *)state->entries->pdata[state->entries->len - 1])->index
+                      : state->snapshot_index;
+  if (entry->index <= state->snapshot_index) /* the crash came between snapshot and new log */
+    wal_entry_free (entry);
+  else if (entry->index != last + 1)
+    {
+      wal_entry_free (entry);
+      return FT_CORRUPT;
+    }
+  else
+    g_ptr_array_add (state->entries, entry);
+  return FT_OK;
+}
+
+static FtStatus
+read_log (FtDisk *disk, WalState *state, FtError *error)
+{
+  GByteArray *file = g_byte_array_new ();
+  FtStatus status = disk->ops->read (disk, "log", file);
+  size_t offset = 0;
+
+  while (status == FT_OK && offset < file->len)
+    {
+      uint32_t type;
+      const guint8 *payload;
+      size_t size, step = record_at (file, offset, &type, &payload, &size);
+      if (step == 0 && valid_record_behind (file, offset))
+        {
+          status = ft_error_set (error, FT_CORRUPT, 0, "log",
+                                 "damaged record at offset %zu with valid ones behind it; replace "
+                                 "this voter's data folder with an empty one",
+                                 offset);
+          break;
+        }
+      if (step == 0)
+        {
+          state->cut = file->len - offset;
+          status = disk->ops->truncate (disk, "log", offset);
+          break;
+        }
+      status = replay (state, type, payload, size);
+      if (status != FT_OK)
+        ft_error_set (error, status, 0, "log", "record at offset %zu does not fit the ones before",
+                      offset);
+      offset += step;
+    }
+  if (status == FT_NOT_FOUND)
+    status = FT_OK;
+  g_byte_array_unref (file);
+  return status;
+}
+
+/* Reads a file that holds exactly one record. FT_NOT_FOUND: there is none. */
+static FtStatus
+read_single (FtDisk *disk, const char *name, uint32_t wanted, size_t least, GByteArray **out,
+             FtError *error)
+{
+  GByteArray *file = g_byte_array_new ();
+  uint32_t type;
+  const guint8 *payload;
+  size_t size;
+  FtStatus status = disk->ops->read (disk, name, file);
+
+  if (status == FT_OK
+      && (record_at (file, 0, &type, &payload, &size) != file->len || type != wanted
+          || size < least))
+    status = ft_error_set (error, FT_CORRUPT, 0, name, "damaged at offset 0");
+  if (status == FT_OK)
+    {
+      *out = g_byte_array_new ();
+      g_byte_array_append (*out, payload, (guint)size);
+    }
+  g_byte_array_unref (file);
+  return status;
+}
+
+static FtStatus
+read_snapshot (FtDisk *disk, WalState *state, FtError *error)
+{
+  GByteArray *body = NULL;
+  FtStatus status = read_single (disk, "snap", RECORD_SNAPSHOT, 16, &body, error);
+
+  if (status == FT_NOT_FOUND)
+    return FT_OK;
+  if (status != FT_OK)
+    return status;
+  state->snapshot_index = get_u64 (body->data);
+  state->snapshot_term = get_u64 (body->data + 8);
+  g_byte_array_remove_range (body, 0, 16);
+  state->snapshot = body;
+  return FT_OK;
+}
+
+static FtStatus
+read_ident (FtDisk *disk, WalState *state, FtError *error)
+{
+  GByteArray *body = NULL;
+  FtStatus status = read_single (disk, "ident", RECORD_IDENT, 8, &body, error);
+
+  if (status == FT_NOT_FOUND)
+    return FT_OK;
+  if (status != FT_OK)
+    return status;
+  state->incarnation = get_u64 (body->data);
+  g_byte_array_unref (body);
+  return FT_OK;
+}
+
+FtStatus
+wal_open (FtDisk *disk, Wal **out, WalState *state, FtError *error)
+{
+  memset (state, 0, sizeof *state);
+  state->entries = g_ptr_array_new_with_free_func (wal_entry_free);
+  *out = NULL;
+  FtStatus status = read_ident (disk, state, error);
+  if (status == FT_OK)
+    status = read_snapshot (disk, state, error);
+  if (status == FT_OK)
+    status = read_log (disk, state, error);
+  if (status != FT_OK)
+    return status;
+  *out = g_new0 (Wal, 1);
+  (*out)->disk = disk;
+  (*out)->pending = g_byte_array_new ();
+  return FT_OK;
+}
+
+void
+wal_state_clear (WalState *state)
+{
+  g_clear_pointer (&state->entries, g_ptr_array_unref);
+  g_clear_pointer (&state->snapshot, g_byte_array_unref);
+}
+
+void
+wal_free (Wal *wal)
+{
+  if (wal == NULL)
+    return;
+  g_byte_array_unref (wal->pending);
+  g_free (wal);
+}
+
+static FtStatus
+remember (Wal *wal, FtStatus status)
+{
+  /* Failure: a write or sync failed. Symptom: pages may be marked clean though they never reached
+   * the disk, so a later sync that succeeds proves nothing. Refusing every later write suffices:
+   * the voter neither votes nor acknowledges until a restart has read back what is there. */
+  if (status != FT_OK)
+    wal->broken = true;
+  return status;
+}
+
+FtStatus
+wal_identify (Wal *wal, uint64_t incarnation)
+{
+  GByteArray *payload = g_byte_array_new (), *file = g_byte_array_new ();
+
+  put_u64 (payload, incarnation);
+  put_record (file, RECORD_IDENT, payload->data, payload->len);
+  FtStatus status = wal->disk->ops->replace (wal->disk, "ident", file->data, file->len);
+  g_byte_array_unref (payload);
+  g_byte_array_unref (file);
+  return remember (wal, status);
+}
+
+static void
+put_vote (GByteArray *out, uint64_t term, uint32_t voted_for)
+{
+  GByteArray *payload = g_byte_array_new ();
+
+  put_u64 (payload, term);
+  put_u32 (payload, voted_for);
+  put_record (out, RECORD_VOTE, payload->data, payload->len);
+  g_byte_array_unref (payload);
+}
+
+static FtStatus
+put_entry (GByteArray *out, const MsgEntry *entry)
+{
+  GByteArray *payload = codec_pack (CODEC (MsgEntry), entry);
+
+  if (payload == NULL)
+    return FT_INVALID;
+  put_record (out, RECORD_ENTRY, payload->data, payload->len);
+  g_byte_array_unref (payload);
+  return FT_OK;
+}
+
+FtStatus
+wal_vote (Wal *wal, uint64_t term, uint32_t voted_for)
+{
+  put_vote (wal->pending, term, voted_for);
+  wal->dirty = true;
+  return wal->broken ? FT_IO : FT_OK;
+}
+
+FtStatus
+wal_entry (Wal *wal, const MsgEntry *entry)
+{
+  wal->dirty = true;
+  return wal->broken ? FT_IO : put_entry (wal->pending, entry);
+}
+
+FtStatus
+wal_truncate (Wal *wal, uint64_t from)
+{
+  GByteArray *payload = g_byte_array_new ();
+
+  put_u64 (payload, from);
+  put_record (wal->pending, RECORD_TRUNCATE, payload->data, payload->len);
+  g_byte_array_unref (payload);
+  wal->dirty = true;
+  return wal->broken ? FT_IO : FT_OK;
+}
+
+FtStatus
+wal_sync (Wal *wal)
+{
+  FtStatus status = FT_OK;
+
+  if (wal->broken)
+    return FT_IO;
+  if (!wal->dirty)
+    return FT_OK;
+  if (wal->pending->len)
+    status = wal->disk->ops->append (wal->disk, "log", wal->pending->data, wal->pending->len);
+  if (status == FT_OK)
+    status = wal->disk->ops->sync (wal->disk, "log");
+  g_byte_array_set_size (wal->pending, 0);
+  wal->dirty = false;
+  return remember (wal, status);
+}
+
+FtStatus
+wal_snapshot (Wal *wal, uint64_t index, uint64_t term, const GByteArray *state, uint64_t vote_term,
+              uint32_t voted_for, MsgEntry *const *entries, unsigned count)
+{
+  GByteArray *payload = g_byte_array_new (), *file = g_byte_array_new ();
+  FtStatus status = wal->broken ? FT_IO : FT_OK;
+
+  put_u64 (payload, index);
+  put_u64 (payload, term);
+  g_byte_array_append (payload, state->data, state->len);
+  put_record (file, RECORD_SNAPSHOT, payload->data, payload->len);
+  if (status == FT_OK)
+    status = wal->disk->ops->replace (wal->disk, "snap", file->data, file->len);
+  g_byte_array_set_size (file, 0);
+  put_vote (file, vote_term, voted_for);
+  for (unsigned i = 0; i < count && status == FT_OK; i++)
+    status = put_entry (file, entries[i]);
+  if (status == FT_OK)
+    status = wal->disk->ops->replace (wal->disk, "log", file->data, file->len);
+  g_byte_array_set_size (wal->pending, 0); /* all of it is in the new log */
+  wal->dirty = false;
+  g_byte_array_unref (payload);
+  g_byte_array_unref (file);
+  return remember (wal, status);
+}
--- /dev/null
+++ b/standin/engine.c
@@ -0,0 +1,427 @@
+/* engine.c - a small engine: chat completions with server-sent events.
+ *
+ *   POST /v1/chat/completions           starts stream X-Request-Id; counts a second start
+ *   GET  /v1/streams/ID?offset=N        goes on at piece N; a paused stream runs again
+ *   POST /v1/streams/ID/pause           stops it, keeps its place
+ *   GET  /load?after=N                  running, waiting, age_ms, cache events behind number N
+ *   POST /v1/orders?order=O&fencing=N   load or role; an old number is refused with --fencing
+ *   GET  /stats                         dispatches, doubled, finished
+ *   POST /control?slow=F&mute=0|1&gray=0|1   faults: slower, old connections silent, no answers
+ *
+ * Batching is continuous: one thread makes steps; a step takes step_ms, stream_ms for each stream
+ * and the time of a chunk of prompt work, and gives each stream past its prompt one token. Token i
+ * of a stream is the text "wI ", so that whoever reads an answer can tell whether it is whole. The
+ * number of tokens is max_tokens of the request.
+ */
+#include "standin.h"
+#include "body.h"
+
+#include <string.h>
+
+#define CHUNK          64 /* prompt tokens of one step */
+#define DEFAULT_TOKENS 32
+#define EVENTS_KEPT    4096
+
+typedef struct
+{
+  char *id;
+  double prefill_left;
+  unsigned produced, total;
+  bool paused;
+  gint64 changed;
+} Stream;
+
+typedef struct
+{
+  guint64 number, block;
+  bool stored;
+  gint64 at;
+} CacheEvent;
+
+static struct
+{
+  StandinConf conf;
+  GMutex lock;
+  GCond cond;
+  GHashTable *streams; /* id -> Stream */
+  GQueue cache;        /* guint64 *, newest first */
+  GHashTable *cached;  /* guint64 * -> GList */
+  GArray *events;
+  guint64 next_event;
+  unsigned dispatches, doubled, finished, running, waiting;
+  unsigned old_running, old_waiting;
+  gint64 reported_at;
+  gint64 fencing;
+  double slow;
+  unsigned mute_before; /* connections older than this number are silent */
+  unsigned connections;
+  bool gray;
+} engine;
+
+/* ---- Prefix cache ---- */
+
+static void
+add_event (guint64 block, bool stored)
+{
+  CacheEvent event = { ++engine.next_event, block, stored, g_get_monotonic_time () };
+
+  if (engine.conf.gap_every && event.number % (guint64)engine.conf.gap_every == 0)
+    return;
+  if (engine.events->len == EVENTS_KEPT)
+    g_array_remove_index (engine.events, 0);
+  g_array_append_val (engine.events, event);
+}
+
+static void
+cache_block (guint64 block)
+{
+  GList *known = g_hash_table_lookup (engine.cached, &block);
+
+  if (known)
+    {
+      g_queue_unlink (&engine.cache, known);
+      g_queue_push_head_link (&engine.cache, known);
+      return;
+    }
+  guint64 *copy = g_memdup2 (&block, sizeof block);
+  g_queue_push_head (&engine.cache, copy);
+  g_hash_table_insert (engine.cached, copy, engine.cache.head);
+  add_event (block, true);
+  if (engine.cache.length <= (guint)engine.conf.cache_blocks)
+    return;
+  guint64 *oldest = g_queue_pop_tail (&engine.cache);
+  g_hash_table_remove (engine.cached, oldest);
+  add_event (*oldest, false);
+  g_free (oldest);
+}
+
+/* Tokens of the prompt that are not cached; caches it. */
+static double
+prompt_work (const char *prompt, gsize size)
+{
+  guint64 blocks[FT_BLOCKS_MOST];
+  unsigned held = 0;
+  unsigned count = ft_prefix_hash (prompt, size, 0, (uint64_t *)blocks, FT_BLOCKS_MOST);
+
+  while (held < count && g_hash_table_contains (engine.cached, &blocks[held]))
+    held++;
+  for (unsigned i = count; i > 0; i--)
+    cache_block (blocks[i - 1]);
+  return (double)(size / 4 + 1) - held * FT_BLOCK_TOKENS;
+}
+
+/* ---- Steps ---- */
+
+static gint64
+step (void)
+{
+  double ms = engine.conf.step_ms;
+  GHashTableIter iter;
+  void *data;
+  Stream *first = NULL;
+
+  engine.running = engine.waiting = 0;
+  g_hash_table_iter_init (&iter, engine.streams);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      Stream *stream = data;
+      if (stream->paused || stream->produced == stream->total)
+        continue;
+      if (stream->prefill_left > 0)
+        {
+          engine.waiting++;
+          if (first == NULL || stream->changed < first->changed)
+            first = stream;
+          continue;
+        }
+      engine.running++;
+      ms += engine.conf.stream_ms;
+      if (++stream->produced == stream->total)
+        engine.finished++;
+    }
+  if (first)
+    {
+      double chunk = MIN (CHUNK, first->prefill_left);
+      first->prefill_left -= chunk;
+      ms += chunk / engine.conf.prefill_rate;
+    }
+  return (gint64)(ms * 1000 * engine.slow);
+}
+
+static void *
+run_steps (void *data)
+{
+  (void)data;
+  for (;;)
+    {
+      g_mutex_lock (&engine.lock);
+      gint64 us = step ();
+      gint64 now = g_get_monotonic_time ();
+      if (now - engine.reported_at > (gint64)engine.conf.load_lag_ms * 1000)
+        {
+          engine.old_running = engine.running;
+          engine.old_waiting = engine.waiting;
+          engine.reported_at = now;
+        }
+      bool idle = engine.running + engine.waiting == 0;
+      g_cond_broadcast (&engine.cond);
+      g_mutex_unlock (&engine.lock);
+      g_usleep (idle ? 1000 : (gulong)us);
+    }
+  return NULL;
+}
+
+/* ---- Streams to connections ---- */
+
+typedef struct
+{
+  Stream *stream;
+  unsigned at, connection;
+  GString *out;
+  gsize sent;
+  bool ended;
+} Reader;
+
+static bool
+is_mute (const Reader *reader)
+{
+  return engine.gray || reader->connection < engine.mute_before;
+}
+
+/* Puts what is ready into out; false: the connection is over. */
+static bool
+fill (Reader *reader)
+{
+  Stream *stream = reader->stream;
+
+  g_string_truncate (reader->out, 0);
+  reader->sent = 0;
+  g_mutex_lock (&engine.lock);
+  while (is_mute (reader)
+         || (reader->at >= stream->produced && stream->produced < stream->total && !stream->paused))
+    g_cond_wait (&engine.cond, &engine.lock);
+  bool paused = stream->paused;
+  while (!paused && reader->at < stream->produced)
+    {
+      g_string_append_printf (reader->out,
+                              "id: %u\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":"
+                              "\"w%u \"}}]}\n\n",
+                              reader->at, reader->at);
+      reader->at++;
+    }
+  if (!paused && reader->at == stream->total && !reader->ended)
+    {
+      g_string_append_printf (reader->out, "id: %u\ndata: [DONE]\n\n", stream->total);
+      reader->ended = true;
+    }
+  g_mutex_unlock (&engine.lock);
+  return reader->out->len > 0;
+}
+
+static ssize_t
+on_read (void *user, uint64_t offset, char *out, size_t most)
+{
+  Reader *reader = user;
+
+  (void)offset;
+  if (reader->sent == reader->out->len && (reader->ended || !fill (reader)))
+    return U_STREAM_END;
+  size_t count = MIN (most, reader->out->len - reader->sent);
+  memcpy (out, reader->out->str + reader->sent, count);
+  reader->sent += count;
+  return (ssize_t)count;
+}
+
+static void
+on_read_free (void *user)
+{
+  Reader *reader = user;
+
+  g_string_free (reader->out, TRUE);
+  g_free (reader);
+}
+
+static void
+answer (Stream *stream, unsigned at, struct _u_response *response)
+{
+  Reader *reader = g_new0 (Reader, 1);
+
+  reader->stream = stream;
+  reader->at = at;
+  reader->connection = ++engine.connections;
+  reader->out = g_string_new (NULL);
+  u_map_put (response->map_header, "Content-Type", "text/event-stream");
+  ulfius_set_stream_response (response, 200, on_read, on_read_free, U_STREAM_SIZE_UNKNOWN, 4096,
+                              reader);
+}
+
+/* ---- Endpoints ---- */
+
+static int
+on_chat (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  const char *id = u_map_get_case (request->map_header, "X-Request-Id");
+  char *text = g_strndup (request->binary_body, request->binary_body_length);
+  BodyChat chat;
+  FtError error;
+
+  (void)user;
+  if (id == NULL || body_read_chat (text, &chat, &error) != FT_OK)
+    {
+      g_free (text);
+      http_json (response, 400, "{\"error\":\"bad request\"}");
+      return U_CALLBACK_COMPLETE;
+    }
+  g_mutex_lock (&engine.lock);
+  engine.dispatches++;
+  if (g_hash_table_contains (engine.streams, id))
+    engine.doubled++;
+  Stream *stream = g_new0 (Stream, 1); /* kept to the end: the stand-in is short-lived */
+  stream->id = g_strdup (id);
+  stream->prefill_left = prompt_work (chat.prompt->str, chat.prompt->len);
+  stream->total = chat.most_tokens ? chat.most_tokens : DEFAULT_TOKENS;
+  stream->changed = g_get_monotonic_time ();
+  g_hash_table_replace (engine.streams, stream->id, stream);
+  answer (stream, 0, response);
+  g_mutex_unlock (&engine.lock);
+  body_clear_chat (&chat);
+  g_free (text);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_resume (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  const char *offset = u_map_get (request->map_url, "offset");
+
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  Stream *stream = g_hash_table_lookup (engine.streams, http_url_value (request, "id"));
+  if (stream)
+    {
+      stream->paused = false;
+      answer (stream, offset ? (unsigned)atoi (offset) : 0, response);
+    }
+  else
+    http_json (response, 404, "{\"error\":\"no such stream\"}");
+  g_mutex_unlock (&engine.lock);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_pause (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  Stream *stream = g_hash_table_lookup (engine.streams, http_url_value (request, "id"));
+  if (stream && stream->produced < stream->total)
+    stream->paused = true;
+  g_cond_broadcast (&engine.cond);
+  g_mutex_unlock (&engine.lock);
+  http_json (response, stream ? 200 : 404, "{}");
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_load (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  const char *after = u_map_get (request->map_url, "after");
+  guint64 from = after ? g_ascii_strtoull (after, NULL, 10) : 0;
+  gint64 now = g_get_monotonic_time ();
+  GString *out = g_string_new (NULL);
+  bool first = true;
+
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  g_string_append_printf (out, "{\"running\":%u,\"waiting\":%u,\"age_ms\":%d,\"events\":[",
+                          engine.old_running, engine.old_waiting,
+                          (int)((now - engine.reported_at) / 1000));
+  for (guint i = 0; i < engine.events->len; i++)
+    {
+      const CacheEvent *event = &g_array_index (engine.events, CacheEvent, i);
+      if (event->number <= from || now - event->at < (gint64)engine.conf.load_lag_ms * 1000)
+        continue;
+      g_string_append_printf (out,
+                              "%s{\"number\":%" G_GUINT64_FORMAT ",\"block\":\"%" G_GINT64_MODIFIER
+                              "x\",\"stored\":%s}",
+                              first ? "" : ",", event->number, event->block,
+                              event->stored ? "true" : "false");
+      first = false;
+    }
+  g_mutex_unlock (&engine.lock);
+  g_string_append (out, "]}");
+  http_json (response, 200, out->str);
+  g_string_free (out, TRUE);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_order (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  const char *number = u_map_get (request->map_url, "fencing");
+  gint64 fencing = number ? g_ascii_strtoll (number, NULL, 10) : 0;
+
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  bool old = engine.conf.fencing && fencing < engine.fencing;
+  engine.fencing = MAX (engine.fencing, fencing);
+  g_mutex_unlock (&engine.lock);
+  http_json (response, old ? 409 : 200, old ? "{\"error\":\"old fencing number\"}" : "{}");
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_stats (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  char text[160];
+
+  (void)request;
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  g_snprintf (text, sizeof text, "{\"dispatches\":%u,\"doubled\":%u,\"finished\":%u}",
+              engine.dispatches, engine.doubled, engine.finished);
+  g_mutex_unlock (&engine.lock);
+  http_json (response, 200, text);
+  return U_CALLBACK_COMPLETE;
+}
+
+static int
+on_control (const struct _u_request *request, struct _u_response *response, void *user)
+{
+  const char *slow = u_map_get (request->map_url, "slow");
+  const char *mute = u_map_get (request->map_url, "mute");
+  const char *gray = u_map_get (request->map_url, "gray");
+
+  (void)user;
+  g_mutex_lock (&engine.lock);
+  if (slow)
+    engine.slow = MAX (0.1, g_ascii_strtod (slow, NULL));
+  if (mute)
+    engine.mute_before = *mute == '1' ? engine.connections + 1 : 0;
+  if (gray)
+    engine.gray = *gray == '1';
+  g_cond_broadcast (&engine.cond);
+  g_mutex_unlock (&engine.lock);
+  http_json (response, 200, "{}");
+  return U_CALLBACK_COMPLETE;
+}
+
+bool
+engine_run (const StandinConf *conf, struct _u_instance *http)
+{
+  engine.conf = *conf;
+  engine.slow = 1;
+  engine.streams = g_hash_table_new (g_str_hash, g_str_equal);
+  engine.cached = g_hash_table_new (g_int64_hash, g_int64_equal);
+  engine.events = g_array_new (FALSE, FALSE, sizeof (CacheEvent));
+  g_queue_init (&engine.cache);
+  ulfius_add_endpoint_by_val (http, "POST", "/v1/chat/completions", NULL, 0, on_chat, NULL);
+  ulfius_add_endpoint_by_val (http, "GET", "/v1/streams", "/:id", 0, on_resume, NULL);
+  ulfius_add_endpoint_by_val (http, "POST", "/v1/streams", "/:id/pause", 0, on_pause, NULL);
+  ulfius_add_endpoint_by_val (http, "GET", "/load", NULL, 0, on_load, NULL);
+  ulfius_add_endpoint_by_val (http, "POST", "/v1/orders", NULL, 0, on_order, NULL);
+  ulfius_add_endpoint_by_val (http, "GET", "/stats", NULL, 0, on_stats, NULL);
+  ulfius_add_endpoint_by_val (http, "POST", "/control", NULL, 0, on_control, NULL);
+  g_thread_unref (g_thread_new ("engine", run_steps, NULL));
+  return true;
+}
