--- /dev/null
+++ b/bench/policies.c
@@ -0,0 +1,410 @@
+/* policies.c - the scheduler under test behind the bench's interface, and baselines.
+ *
+ * Baselines are what a load balancer without knowledge of engines does: one FIFO, a fixed number of
+ * requests at once on each server, a choice of server by name; a waiting request whose deadline has
+ * passed is dropped. "tiers" is the same with one FIFO a tier and least in flight.
+ */
+#include "world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define BASELINE_WINDOW 24 /* the middle generation's batch at its target */
+
+/* ---- foxtail ---- */
+
+static Engine *
+find_engine (World *world, const char *name)
+{
+  unsigned index = (unsigned)atoi (name + 1);
+
+  return index < world->engine_count ? world->engines[index] : NULL;
+}
+
+static Job *
+job_of (World *world, uint64_t number)
+{
+  return number >= 1 && number <= world->jobs->len ? world->jobs->pdata[number - 1] : NULL;
+}
+
+static bool
+entry_alive (World *world, const Job *job)
+{
+  return sim_node (world->sim, job->entry) && sim_life (world->sim, job->entry) == job->entry_life;
+}
+
+static void
+on_grant (Sim *sim, unsigned instance, uint64_t request, const char *server)
+{
+  World *world = sim_user (sim);
+
+  (void)instance;
+  world_dispatch (world, job_of (world, request), find_engine (world, server));
+}
+
+static void
+on_refuse (Sim *sim, unsigned instance, const FtRefusal *refusal)
+{
+  World *world = sim_user (sim);
+
+  (void)instance;
+  world_refuse (world, job_of (world, refusal->request),
+                ft_reason_info (refusal->reason)->shortage);
+}
+
+static void
+on_pause (Sim *sim, unsigned instance, uint64_t request)
+{
+  World *world = sim_user (sim);
+  Job *job = job_of (world, request);
+
+  (void)instance;
+  if (job->state != JOB_RUNNING)
+    return;
+  job->state = JOB_PAUSED;
+  engine_stop (job->engine, job, false);
+}
+
+static void
+on_resume (Sim *sim, unsigned instance, uint64_t request)
+{
+  World *world = sim_user (sim);
+  Job *job = job_of (world, request);
+
+  (void)instance;
+  if (job->state != JOB_PAUSED)
+    return;
+  job->state = JOB_RUNNING;
+  engine_resume (job->engine, job);
+}
+
+/* The callers of an entry that dies lose their connections; its streams go on to nobody. */
+static void
+on_killed (Sim *sim, unsigned instance)
+{
+  World *world = sim_user (sim);
+
+  for (unsigned i = 0; i < world->jobs->len; i++)
+    {
+      Job *job = world->jobs->pdata[i];
+      if (job->entry != instance || job->state >= JOB_WHOLE)
+        continue;
+      if (job->state == JOB_RUNNING)
+        engine_stop (job->engine, job, true);
+      job->state = JOB_LOST;
+      world->tiers[job->tier].lost++;
+    }
+}
+
+const SimOps foxtail_sim_ops = { .grant = on_grant,
+                                 .refuse = on_refuse,
+                                 .pause = on_pause,
+                                 .resume = on_resume,
+                                 .killed = on_killed };
+
+static char *
+make_catalogue (const World *world)
+{
+  GString *text = g_string_new ("{\"organisations\":[");
+
+  for (unsigned i = 1; i <= world->profile->orgs; i++)
+    g_string_append_printf (text,
+                            "%s{\"name\":\"o%u\",\"owner\":\"bench\",\"class\":\"%s\","
+                            "\"key_sha256\":\"%064x\",\"limits\":{}}",
+                            i > 1 ? "," : "", i, world->profile->classes[0].name, i);
+  g_string_append (text, "],\"classes\":[");
+  for (unsigned i = 0; i < world->profile->class_count; i++)
+    {
+      const ClassModel *class = &world->profile->classes[i];
+      g_string_append_printf (text,
+                              "%s{\"name\":\"%s\",\"owner\":\"bench\",\"tier\":%u,"
+                              "\"first_token_ms\":%d,\"deadline_ms\":%d,\"limits\":{}}",
+                              i ? "," : "", class->name, class->tier, (int)class->first_ms,
+                              (int)class->due_ms);
+    }
+  g_string_append (text, "],\"pools\":[");
+  for (unsigned i = 0; i < world->profile->pools; i++)
+    g_string_append_printf (text,
+                            "%s{\"name\":\"p%u\",\"owner\":\"bench\",\"class\":\"%s\",\"kind\":"
+                            "\"model\",\"model\":\"m%u\",\"limits\":{}}",
+                            i ? "," : "", i, world->profile->classes[0].name, i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+static void
+foxtail_server (World *world, Engine *engine)
+{
+  FtServerState state = engine->leaving || engine->dead ? FT_SERVER_LEAVING : FT_SERVER_LIVE;
+
+  for (unsigned i = 1; i <= world->profile->instances; i++)
+    if (sim_node (world->sim, i))
+      ft_node_server (sim_node (world->sim, i), engine->pool, engine->name, 1, state);
+}
+
+static void
+foxtail_start (World *world)
+{
+  char *text = make_catalogue (world);
+
+  sim_run (world->sim, 3 * FT_SECOND);
+  ft_node_change (sim_node (world->sim, 1), "first", "bench", 0, text, 1);
+  sim_flush (world->sim, 1);
+  g_free (text);
+  for (unsigned i = 0; i < world->engine_count; i++)
+    foxtail_server (world, world->engines[i]);
+  sim_run (world->sim, 10 * FT_SECOND + world->profile->pools * 100 * FT_MS);
+}
+
+/* The balancer sends to instances that are ready. */
+static unsigned
+choose_entry (World *world, uint64_t number)
+{
+  unsigned count = world->profile->instances;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      unsigned at = 1 + (unsigned)((number + i) % count);
+      FtNode *node = sim_node (world->sim, at);
+      if (node && !sim_frozen (world->sim, at) && ft_node_fresh (node))
+        return at;
+    }
+  return 0;
+}
+
+static void
+foxtail_arrive (World *world, Job *job)
+{
+  char org[16], pool[32];
+
+  job->entry = choose_entry (world, job->number);
+  if (job->entry == 0)
+    {
+      world_refuse (world, job, false);
+      return;
+    }
+  job->entry_life = sim_life (world->sim, job->entry);
+  g_snprintf (org, sizeof org, "o%u", job->org);
+  g_snprintf (pool, sizeof pool, "p%u", (unsigned)(job->number % world->profile->pools));
+  FtNodeAsk ask = { .request = job->number,
+                    .pool = pool,
+                    .org = org,
+                    .class_name = job->class_name,
+                    .prompt_tokens = job->prompt,
+                    .first_in = job->first_by - job->arrived,
+                    .due_in = job->due - job->arrived,
+                    .blocks = job->blocks,
+                    .block_count = job->block_count };
+  int64_t begun = sim_cpu_begin ();
+  ft_node_ask (sim_node (world->sim, job->entry), &ask);
+  sim_flush (world->sim, job->entry);
+  sim_cpu_end (world->sim, begun);
+}
+
+static void
+foxtail_progress (World *world, Job *job)
+{
+  if (!entry_alive (world, job) || sim_frozen (world->sim, job->entry))
+    return;
+  int64_t begun = sim_cpu_begin ();
+  ft_node_progress (sim_node (world->sim, job->entry), job->number, job->produced);
+  sim_cpu_end (world->sim, begun);
+}
+
+static void
+foxtail_ended (World *world, Job *job)
+{
+  if (!entry_alive (world, job))
+    return;
+  int64_t begun = sim_cpu_begin ();
+  ft_node_done (sim_node (world->sim, job->entry), job->number,
+                job->state == JOB_WHOLE ? FT_DONE_WHOLE : FT_DONE_FAILED, job->produced);
+  sim_cpu_end (world->sim, begun);
+}
+
+const PolicyOps policy_foxtail
+    = { "foxtail", foxtail_start, foxtail_arrive, foxtail_progress, foxtail_ended, foxtail_server };
+
+/* ---- Baselines ---- */
+
+typedef Engine *(*Choose) (World *world);
+
+typedef struct
+{
+  struct cds_list_head queue[FT_TIERS + 1]; /* Job.link; without tiers only [0] */
+  unsigned turn;
+} Fifo;
+
+static bool
+has_place (const Engine *engine)
+{
+  return !engine->dead && !engine->leaving && engine->running < BASELINE_WINDOW;
+}
+
+static Engine *
+round_robin (World *world)
+{
+  Fifo *fifo = world->policy_data;
+
+  for (unsigned i = 0; i < world->engine_count; i++)
+    {
+      Engine *engine = world->engines[fifo->turn++ % world->engine_count];
+      if (has_place (engine))
+        return engine;
+    }
+  return NULL;
+}
+
+static Engine *
+random_one (World *world)
+{
+  unsigned start = (unsigned)(sim_random (world->sim) % world->engine_count);
+
+  for (unsigned i = 0; i < world->engine_count; i++)
+    if (has_place (world->engines[(start + i) % world->engine_count]))
+      return world->engines[(start + i) % world->engine_count];
+  return NULL;
+}
+
+static Engine *
+two_choices (World *world)
+{
+  Engine *a = random_one (world), *b = random_one (world);
+
+  return a && b && b->running < a->running ? b : a;
+}
+
+static Engine *
+least_by (World *world, bool reported)
+{
+  Engine *best = NULL;
+  unsigned least = G_MAXUINT;
+
+  for (unsigned i = 0; i < world->engine_count; i++)
+    {
+      Engine *engine = world->engines[i];
+      unsigned load = reported ? engine->reported : engine->running;
+      if (!has_place (engine) || load >= least)
+        continue;
+      best = engine;
+      least = load;
+    }
+  return best;
+}
+
+static Engine *
+least_in_flight (World *world)
+{
+  return least_by (world, false);
+}
+
+static Engine *
+least_reported (World *world)
+{
+  return least_by (world, true);
+}
+
+static Choose
+choose_of (const World *world)
+{
+  static const struct
+  {
+    const char *name;
+    Choose choose;
+  } table[] = { { "round-robin", round_robin },       { "random", random_one },
+                { "two-choices", two_choices },       { "least-in-flight", least_in_flight },
+                { "least-reported", least_reported }, { "tiers", least_in_flight } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (table); i++)
+    if (strcmp (table[i].name, world->policy.ops->name) == 0)
+      return table[i].choose;
+  return round_robin;
+}
+
+static bool
+lower_runs (World *world, unsigned tier)
+{
+  for (unsigned i = 0; i < world->engine_count; i++)
+    {
+      Job *job;
+      cds_list_for_each_entry (job, &world->engines[i]->decoding,
+                               link) if (job->tier > tier) return true;
+    }
+  return false;
+}
+
+static void
+pump (World *world)
+{
+  Fifo *fifo = world->policy_data;
+  Choose choose = choose_of (world);
+
+  for (unsigned t = 0; t <= FT_TIERS; t++)
+    while (!cds_list_empty (&fifo->queue[t]))
+      {
+        Job *job = cds_list_entry (fifo->queue[t].next, Job, link);
+        if (sim_now (world->sim) > job->due)
+          {
+            cds_list_del (&job->link);
+            world->violations += lower_runs (world, job->tier);
+            world_refuse (world, job, true);
+            continue;
+          }
+        Engine *engine = choose (world);
+        if (engine == NULL)
+          return;
+        cds_list_del (&job->link);
+        world_dispatch (world, job, engine);
+      }
+}
+
+static void
+fifo_start (World *world)
+{
+  Fifo *fifo = g_new0 (Fifo, 1);
+
+  for (unsigned t = 0; t <= FT_TIERS; t++)
+    CDS_INIT_LIST_HEAD (&fifo->queue[t]);
+  world->policy_data = fifo;
+  sim_run (world->sim, 10 * FT_SECOND + world->profile->pools * 100 * FT_MS);
+}
+
+static void
+fifo_arrive (World *world, Job *job)
+{
+  Fifo *fifo = world->policy_data;
+  bool tiers = strcmp (world->policy.ops->name, "tiers") == 0;
+
+  cds_list_add_tail (&job->link, &fifo->queue[tiers ? job->tier : 0]);
+  pump (world);
+}
+
+static void
+fifo_progress (World *world, Job *job)
+{
+  (void)world;
+  (void)job;
+}
+
+static void
+fifo_ended (World *world, Job *job)
+{
+  (void)job;
+  pump (world);
+}
+
+static void
+fifo_server (World *world, Engine *engine)
+{
+  (void)engine;
+  pump (world);
+}
+
+#define BASELINE(name)                                                                             \
+  {                                                                                                \
+    name, fifo_start, fifo_arrive, fifo_progress, fifo_ended, fifo_server                          \
+  }
+const PolicyOps policy_baselines[]
+    = { BASELINE ("round-robin"),     BASELINE ("random"),         BASELINE ("two-choices"),
+        BASELINE ("least-in-flight"), BASELINE ("least-reported"), BASELINE ("tiers") };
+const unsigned policy_baseline_count = G_N_ELEMENTS (policy_baselines);
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -8,6 +8,7 @@
 #include "msg.h"
 
 #include <string.h>
+#include <time.h>
 
 #define TICK        (20 * FT_MS)
 #define RESET_AFTER (4 * FT_SECOND)
@@ -78,6 +79,7 @@
   SimRandom random;
   Instance *instances; /* by id - 1 */
   Pipe *pipes;         /* [from - 1][to - 1] */
+  uint64_t cpu_ns;
 };
 
 typedef struct
@@ -231,6 +233,29 @@
     }
 }
 
+/* ---- Processor time of the nodes ---- */
+
+int64_t
+sim_cpu_begin (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * 1000000000 + now.tv_nsec;
+}
+
+void
+sim_cpu_end (Sim *sim, int64_t begun)
+{
+  sim->cpu_ns += (uint64_t)(sim_cpu_begin () - begun);
+}
+
+uint64_t
+sim_cpu_ns (const Sim *sim)
+{
+  return sim->cpu_ns;
+}
+
 /* ---- Events ---- */
 
 void
@@ -295,9 +320,11 @@
     g_queue_push_tail (&pipe->held, flight->bytes);
   else
     {
+      int64_t begun = sim_cpu_begin ();
       ft_node_receive (to->node, flight->from, flight->incarnation, flight->bytes->data,
                        flight->bytes->len);
       ft_node_flush (to->node);
+      sim_cpu_end (sim, begun);
       g_byte_array_unref (flight->bytes);
     }
   g_free (flight);
@@ -476,9 +503,11 @@
 
   if (self->node && !self->frozen)
     {
+      int64_t begun = sim_cpu_begin ();
       check_reset (sim, self);
       ft_node_tick (self->node);
       ft_node_flush (self->node);
+      sim_cpu_end (sim, begun);
     }
   sim_at (sim, sim->now + TICK, tick, self);
 }
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -73,4 +73,9 @@
 /* Sent by the instance since its last start. */
 SimTraffic sim_traffic (const Sim *sim, unsigned instance);
 
+/* Real time spent in nodes, nanoseconds; a caller that uses a node itself adds its part. */
+int64_t sim_cpu_begin (void);
+void sim_cpu_end (Sim *sim, int64_t begun);
+uint64_t sim_cpu_ns (const Sim *sim);
+
 #endif
--- a/daemon/core.c
+++ b/daemon/core.c
@@ -688,9 +688,11 @@
                               "foxtail_pool_servers_usable{pool=\"%s\"} %u\n"
                               "foxtail_pool_window{pool=\"%s\"} %.0f\n"
                               "foxtail_pool_state_bytes{pool=\"%s\"} %zu\n"
-                              "foxtail_pool_decisions_total{pool=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              "foxtail_pool_decisions_total{pool=\"%s\"} %" G_GUINT64_FORMAT "\n"
+                              "foxtail_pool_tier_violations_total{pool=\"%s\"} %" G_GUINT64_FORMAT
+                              "\n",
                               name, stats.servers, name, stats.usable, name, stats.window, name,
-                              stats.bytes, name, stats.decisions);
+                              stats.bytes, name, stats.decisions, name, stats.tier_violations);
       for (unsigned t = 1; t <= FT_TIERS; t++)
         g_string_append_printf (out,
                                 "foxtail_pool_waiting{pool=\"%s\",tier=\"%u\"} %u\n"
--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -429,6 +429,7 @@
   double window; /* sum over usable servers */
   size_t bytes;  /* memory of the state, estimated from the records held */
   uint64_t decisions;
+  uint64_t tier_violations; /* decisions that broke a rule of the tiers; must stay 0 */
 } FtPoolStats;
 void ft_pool_stats (const FtPool *pool, FtPoolStats *stats);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -78,7 +78,7 @@
   FtHeap expiry;
   Tier tiers[FT_TIERS + 1];
   bool held;
-  uint64_t decisions;
+  uint64_t decisions, violations;
 };
 
 static guint
@@ -252,12 +252,41 @@
   pool->tiers[job->tier].running--;
 }
 
+/* Both rules of the tiers, checked on every single decision from counts that the decision itself
+ * does not use; an operator's alarm and the bench read the result. */
+static void
+audit_grant (FtPool *pool, unsigned tier)
+{
+  for (unsigned t = 1; t < tier; t++)
+    if (pool->tiers[t].waiting)
+      pool->violations++;
+}
+
+static void
+audit_shortage (FtPool *pool, unsigned tier)
+{
+  for (unsigned t = tier + 1; t <= FT_TIERS; t++)
+    {
+      const Job *job;
+      if (pool->tiers[t].waiting)
+        pool->violations++;
+      if (pool->conf.service)
+        continue; /* a service's calls cannot be paused */
+      cds_list_for_each_entry (job, &pool->tiers[t].run_list, tier_link) if (srv_usable (job->srv))
+      {
+        pool->violations++;
+        break;
+      }
+    }
+}
+
 static void
 grant (FtPool *pool, Job *job, Srv *srv, double cached, int64_t now)
 {
   FtGrant out = { job->key.entry, job->key.request, srv->name };
 
   dequeue (pool, job);
+  audit_grant (pool, job->tier);
   charge (pool, job);
   run (pool, job, srv, cached, now);
   pool->decisions++;
@@ -412,6 +441,8 @@
   unsigned tier = job->tier;
 
   dequeue (pool, job);
+  if (ft_reason_info (reason)->shortage)
+    audit_shortage (pool, tier);
   if (job->org->limits.tokens_per_minute) /* it used nothing of its allowance */
     org_settle (job->org, -(job->prompt + job->expected));
   forget (pool, job);
@@ -589,19 +620,6 @@
   send_refusal (pool, &key, tier, reason, retry_ms, rule);
 }
 
-static void
-displace (FtPool *pool, unsigned tier, int64_t now)
-{
-  for (unsigned t = FT_TIERS; t > tier; t--)
-    if (pool->tiers[t].waiting)
-      {
-        Job *job = next_job (&pool->tiers[t]);
-        refuse_waiting (pool, job, FT_REASON_SHED_FOR_HIGHER_TIER, retry_after_ms (pool, job, now),
-                        "the queue is full");
-        return;
-      }
-}
-
 static unsigned
 waiting_in_all (const FtPool *pool)
 {
@@ -612,6 +630,31 @@
   return sum;
 }
 
+/* More wait than the queue's limit allows: a lower running stream is paused for the first that
+ * waits, or the last of the lowest tier leaves. */
+static void
+shrink_queue (FtPool *pool, const JobKey *newest, int64_t now)
+{
+  while (waiting_in_all (pool) > pool->conf.queue)
+    {
+      unsigned t = FT_TIERS;
+      while (pool->tiers[t].waiting == 0)
+        t--;
+      Job *victim = find_victim (pool, t), *last = next_job (&pool->tiers[t]);
+      if (victim)
+        {
+          Srv *srv = victim->srv;
+          pause_job (pool, victim);
+          grant (pool, best_waiting (pool), srv, 0, now);
+          continue;
+        }
+      last = cds_list_entry (last->org->queue[t].waiting.prev, Job, link);
+      bool own = job_equal (&last->key, newest);
+      refuse_waiting (pool, last, own ? FT_REASON_QUEUE_FULL : FT_REASON_SHED_FOR_HIGHER_TIER,
+                      retry_after_ms (pool, last, now), "the queue's limit of the catalogue");
+    }
+}
+
 FtStatus
 ft_pool_ask (FtPool *pool, const FtAsk *ask)
 {
@@ -642,14 +685,11 @@
   pump (pool, now);
   if (!g_hash_table_contains (pool->jobs, &key) || job->state != JOB_WAITING || pool->held)
     return FT_OK;
-  if (pool->conf.queue && waiting_in_all (pool) > pool->conf.queue)
+  if (pool->conf.queue)
     {
-      displace (pool, job->tier, now);
-      if (waiting_in_all (pool) > pool->conf.queue)
-        {
-          handle_shortage (pool, job, FT_REASON_QUEUE_FULL, true, now);
-          return FT_OK;
-        }
+      shrink_queue (pool, &key, now);
+      if (g_hash_table_lookup (pool->jobs, &key) != job || job->state != JOB_WAITING)
+        return FT_OK;
     }
   if (!starts_in_time (pool, job, now) && pool->servers.usable > 0)
     handle_shortage (pool, job, FT_REASON_SHORTAGE, false, now);
@@ -872,6 +912,7 @@
   stats->usable = pool->servers.usable;
   stats->window = pool->servers.slots;
   stats->decisions = pool->decisions;
+  stats->tier_violations = pool->violations;
   stats->bytes = sizeof *pool + g_hash_table_size (pool->jobs) * (sizeof (Job) + 48)
                  + g_hash_table_size (pool->orgs) * (sizeof (Org) + 160)
                  + pool->servers.all->len * (sizeof (Srv) + 64);
