Let lower tiers wait while a higher one is refused for shortage

Change: running lower streams are still paused before a refusal; waiting ones stay and are granted only when nothing above them waits.

--- a/src/pool.c
+++ b/src/pool.c
@@ -3,10 +3,12 @@
  * Tiers. Waiting requests of a higher tier are granted before any of a lower one. A request is
  * refused for shortage only when it could not start in time, and only after everything that a
  * lower tier holds was freed for it: lower running streams are paused one by one (their engines
- * resume them later at the same offset; that is the same dispatch), then lower waiting requests
- * are refused. So at each refusal for shortage of tier t, nothing below t runs on a usable server
- * and nothing below t waits. Requests that were admitted and started are never given up by the
- * scheduler: a paused stream is late, but whole.
+ * resume them later at the same offset; that is the same dispatch). So at each refusal for shortage
+ * of tier t, nothing below t runs on a usable server. Lower requests may go on waiting: they hold
+ * nothing that t could use, and are granted only when nothing above them waits; docs/DESIGN.md has
+ * the figures of refusing them too. A limited queue gives its places to higher tiers. Requests that
+ * were admitted and started are never given up by the scheduler: a paused stream is late, but
+ * whole.
  *
  * Within a tier, organisations share by start-time fair queueing (Goyal, Vin, Cheng 1996) over
  * expected work in milliseconds of one stream's place, corrected with the true work at the end.
@@ -268,8 +270,6 @@
   for (unsigned t = tier + 1; t <= FT_TIERS; t++)
     {
       const Job *job;
-      if (pool->tiers[t].waiting)
-        pool->violations++;
       if (pool->conf.service)
         continue; /* a service's calls cannot be paused */
       cds_list_for_each_entry (job, &pool->tiers[t].run_list, tier_link) if (srv_usable (job->srv))
@@ -482,19 +482,19 @@
   return NULL;
 }
 
-static void
-shed_below (FtPool *pool, unsigned tier, int64_t now)
+/* A place for a request of tier that cannot wait for one with little prompt work ahead: any place
+ * that is free, else one that a lower stream is paused for. NULL: there is none. */
+static Srv *
+find_place (FtPool *pool, unsigned tier, const Job *job)
 {
-  char rule[128];
+  Srv *srv = NULL;
+  Job *victim = srv ? NULL : find_victim (pool, tier);
 
-  g_snprintf (rule, sizeof rule, "tier %u is refused for shortage, lower tiers leave first", tier);
-  for (unsigned t = FT_TIERS; t > tier; t--)
-    while (pool->tiers[t].waiting)
-      {
-        Job *job = next_job (&pool->tiers[t]);
-        refuse_waiting (pool, job, FT_REASON_SHED_FOR_HIGHER_TIER, retry_after_ms (pool, job, now),
-                        rule);
-      }
+  if (victim == NULL)
+    return srv;
+  srv = victim->srv;
+  pause_job (pool, victim);
+  return srv;
 }
 
 /* A waiting request cannot start in time. Frees what lower tiers hold; refuses only if that is not
@@ -503,17 +503,16 @@
 handle_shortage (FtPool *pool, Job *job, FtReason reason, bool expired, int64_t now)
 {
   char rule[128];
-  JobKey key = job->key;
   unsigned tier = job->tier;
-  Job *victim;
 
-  while ((victim = find_victim (pool, tier)) != NULL)
+  for (;;)
     {
       Job *head = best_waiting (pool);
-      Srv *srv = victim->srv;
+      Srv *srv = find_place (pool, tier, head);
       double cached = 0;
 
-      pause_job (pool, victim);
+      if (srv == NULL)
+        break;
       if (pool->servers.prefix)
         cached = ft_prefix_match (pool->servers.prefix, srv->index, head->blocks, head->block_count)
                  * FT_BLOCK_TOKENS;
@@ -521,8 +520,6 @@
       if (head == job || (!expired && starts_in_time (pool, job, now)))
         return;
     }
-  shed_below (pool, tier, now);
-  job = g_hash_table_lookup (pool->jobs, &key);
   if (pool->servers.usable == 0)
     g_snprintf (rule, sizeof rule, "no usable backend server among %u", pool->servers.all->len);
   else
--- a/src/srv.c
+++ b/src/srv.c
@@ -31,8 +31,9 @@
 #define DECREASE_MOST    0.5           /* a stall of one sample must not empty a window at once */
 #define RATE_START       2.0           /* prompt tokens a ms of the slowest generation */
 #define RATE_WEIGHT      0.2
-#define BACKLOG_MS       700.0 /* prompt work ahead; a third of the 2 s first-token target */
-#define SILENCE_MS       2500  /* longest stall of a healthy engine is a prompt of about 2 s */
+#define BACKLOG_MS       700.0  /* prompt work ahead; a third of the 2 s first-token target */
+#define URGENT_MS        1500.0 /* for a request that cannot wait: what two seconds still bear */
+#define SILENCE_MS       2500   /* longest stall of a healthy engine is a prompt of about 2 s */
 #define PROBE_FIRST      (2 * FT_SECOND)
 #define PROBE_MOST       (30 * FT_SECOND)
 #define SERVERS_MOST     2048  /* 1,300 replicas in one pool, with room to replace each once */
@@ -220,6 +221,25 @@
   return best;
 }
 
+Srv *
+srv_any_place (const SrvSet *set, unsigned prompt, double out)
+{
+  Srv *best = NULL;
+  double best_cost = 0;
+
+  for (unsigned i = 0; i < set->all->len; i++)
+    {
+      Srv *srv = set->all->pdata[i];
+      double cost = srv_cost_ms (set, srv, prompt, out);
+      if (!srv_usable (srv) || srv->running + 1 > srv->window + 1e-9 || (best && cost >= best_cost)
+          || (!set->service && backlog_ms (srv) > URGENT_MS))
+        continue;
+      best = srv;
+      best_cost = cost;
+    }
+  return best;
+}
+
 void
 srv_start (SrvSet *set, Srv *srv, double prefill, int64_t now)
 {
--- a/src/srv.h
+++ b/src/srv.h
@@ -54,6 +54,8 @@
  * receives the expected number of prompt tokens that it holds. */
 Srv *srv_route (SrvSet *set, unsigned prompt, double out, const uint64_t *blocks, unsigned count,
                 double *cached);
+/* The cheapest server with a free place, however much prompt work is ahead on it; looks at all. */
+Srv *srv_any_place (const SrvSet *set, unsigned prompt, double out);
 /* A stream started with prefill tokens to compute; ended or went away before or after its first
  * token. */
 void srv_start (SrvSet *set, Srv *srv, double prefill, int64_t now);
