Use a free place before pausing a stream for a request that cannot wait

Cause: engines with more than 0.7 s of prompt work ahead count as full; when a request could not wait a lower stream was paused although places were free, and resuming it computed its prompt again.

--- a/src/pool.c
+++ b/src/pool.c
@@ -487,7 +487,7 @@
 static Srv *
 find_place (FtPool *pool, unsigned tier, const Job *job)
 {
-  Srv *srv = NULL;
+  Srv *srv = pool->held ? NULL : srv_any_place (&pool->servers, job->prompt, job->expected);
   Job *victim = srv ? NULL : find_victim (pool, tier);
 
   if (victim == NULL)
