Keep a caller's connection open while its answer is under way

Cause: the HTTP server's idle timeout, meant for slow senders, also ran while a stream was silent: with idle_s 2 a stream whose pieces are 2.4 s apart ended after the first one. With the default of 30 s a paused report would have been cut. Ruled out: the watch for silent backend connections (its reconnects are invisible to the caller). Change: no idle timeout once a request is complete, and a comment event every third of it, which also keeps balancers from closing the connection.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -16,6 +16,8 @@
 
 #define CONNECT_TRIES 4     /* servers tried while connections are refused; nothing ran yet */
 #define BLOCK         16384 /* bytes handed to the HTTP server at once */
+#define ANSWER_WAIT_S 86400 /* of a connection whose request is complete: no answer takes longer   \
+                             */
 
 struct Edge
 {
@@ -310,6 +312,29 @@
   return (ssize_t) count;
 }
 
+/* False: nothing came for a third of the time after which silence ends a connection. */
+static bool
+wait_a_while (Edge *edge, Call *call)
+{
+  int64_t until = g_get_monotonic_time () + core_conf (edge->core)->idle_s * FT_SECOND / 3;
+  struct timespec at = { until / FT_SECOND, (until % FT_SECOND) * 1000 };
+
+  return pthread_cond_clockwait (&call->cond, &call->lock, CLOCK_MONOTONIC, &at) == 0;
+}
+
+/* Failure: a stream is paused, or its engine slow, for longer than idle timeouts of this server, of
+ * a balancer or of the caller. Symptom: the connection is closed in the middle of an answer. A
+ * comment, which readers of events skip, keeps all three from seeing an idle connection. */
+static ssize_t
+send_comment (char *out, size_t most)
+{
+  static const char comment[] = ": waiting\n\n";
+  size_t size = MIN (sizeof comment - 1, most);
+
+  memcpy (out, comment, size);
+  return (ssize_t) size;
+}
+
 static ssize_t
 on_stream (void *user, uint64_t offset, char *out, size_t most)
 {
@@ -329,7 +354,11 @@
       cursor->sent += count;
       if (count > 0 || call->finished)
         break;
-      pthread_cond_wait (&call->cond, &call->lock);
+      if (!wait_a_while (cursor->edge, call))
+        {
+          pthread_mutex_unlock (&call->lock);
+          return send_comment (out, most);
+        }
     }
   if (count == 0)
     cursor->tail = make_tail (call);
@@ -586,6 +615,9 @@
   Call *call = begin_call (edge, request);
   FtCat *cat = core_catalogue (edge->core);
 
+  /* The idle timeout is for slow senders; while we work the caller has nothing to send. */
+  response->timeout = ANSWER_WAIT_S;
+
   g_atomic_int_inc (&edge->busy);
   if (cat)
     call->revision = ft_cat_revision (cat);
@@ -621,6 +653,8 @@
   Edge *edge = user;
   const char *id = http_url_value (request, "id");
   FtCat *cat = core_catalogue (edge->core);
+
+  response->timeout = ANSWER_WAIT_S;
   const FtOrg *org = cat ? authenticate (edge, cat, request) : NULL;
   Problem no_key = { FT_REASON_NO_KEY, id, "Authorization: Bearer KEY", 0, 0, 0 };
   Call *call = org ? book_find (back_book (edge->back), id) : NULL;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -32,7 +32,7 @@
   "link_key_file": "$DIR/link.key",
   "operator_key_sha256": "$(printf operator-key | sha256sum | cut -c1-64)",
   "platform_address": "http://127.0.0.1:$((BASE + 50))/instances",
-  "data_folder": "$DIR/data$1", "span_file": "$DIR/spans$1.jsonl",
+  "idle_s": ${IDLE_S:-30}, "data_folder": "$DIR/data$1", "span_file": "$DIR/spans$1.jsonl",
   "instances": [
 $(cluster_instances_json "$INSTANCES" "$VOTERS")
   ]
--- a/test/system.sh
+++ b/test/system.sh
@@ -9,6 +9,7 @@
 dir=$(mktemp -d)
 trap 'cluster_stop; rm -rf "$dir"' EXIT
 trap 'exit 1' TERM INT
+IDLE_S=2
 count=0
 failed=0
 
@@ -37,7 +38,7 @@
   sed -n 's/.* \([0-9]*\) answered whole.*/\1/p' "$dir/$1.out"
 }
 
-echo "1..9"
+echo "1..11"
 cluster_start "$dir" 3 3 "${PORT_BASE:-19000}" || exit 1
 cluster_wait_http "http://127.0.0.1:$((BASE + 1))/healthz" 20
 for _ in $(seq 1 100); do
@@ -107,6 +108,20 @@
 verdict term "SIGTERM to each instance in turn cuts nothing" "[0-9] unknown,"
 ok $exits "each instance ended by itself"
 
+# A caller waits longer between two pieces, and for a whole answer, than idle connections live
+# (idle_s is 2 here): neither connection is closed while the answer is under way.
+for engine in 1 2; do curl -s -X POST -o /dev/null "http://127.0.0.1:$((BASE + 50 + engine))/control?slow=300"; done
+ask () { # STREAM
+  curl -sN -H 'Authorization: Bearer kalkhaus-key' -H 'X-Class: report' \
+    -d "{\"model\":\"standin\",\"stream\":$1,\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}" \
+    "http://127.0.0.1:$((BASE + 1))/v1/chat/completions"
+}
+ask true | tail -2 | grep -q '^data: \[DONE\]$'
+ok $? "a stream with long silences ends whole"
+ask false | grep -q '"content":"w0 w1 "'
+ok $? "an answer that takes long comes whole"
+for engine in 1 2; do curl -s -X POST -o /dev/null "http://127.0.0.1:$((BASE + 50 + engine))/control?slow=1"; done
+
 # The same booking twice, at two instances: one call, the same answer.
 one=$(curl -s -X POST -H 'Authorization: Bearer kalkhaus-key' -H 'Idempotency-Key: van-1' -d visit "http://127.0.0.1:$((BASE + 1))/booking/x")
 two=$(curl -s -X POST -H 'Authorization: Bearer kalkhaus-key' -H 'Idempotency-Key: van-1' -d visit "http://127.0.0.1:$((BASE + 2))/booking/x")
