Send the set of live instances only when it has changed

Cause: the slopes showed the leader's traffic at rest growing with the square of the nodes: each of 320 answers, twice a second, listed 320 instances. Change: the set has a version, unlike any other leader's; an answer carries the set only when the asker has another version.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -3,6 +3,7 @@
  * A run is one experiment, profile, policy and seed; the same seed gives the same arrivals for
  * every policy as long as the policy draws no random numbers of its own. */
 #include "cost.h"
+#include "slopes.h"
 #include "world.h"
 
 #include <argtable2.h>
@@ -611,8 +612,7 @@
 int
 main (int argc, char **argv)
 {
-  struct arg_str *command
-      = arg_str1 (NULL, NULL, "list|run|report|cost|slopes|fullsize", "what to do");
+  struct arg_str *command = arg_str1 (NULL, NULL, "list|run|report|cost|slopes", "what to do");
   struct arg_str *name = arg_str0 (NULL, NULL, "EXPERIMENT", "run: which, or all");
   struct arg_str *policy = arg_str0 (NULL, "policy", "NAME", "one policy, else all");
   struct arg_str *profile = arg_str0 (NULL, "profile", "NAME", "one profile, else both users'");
@@ -648,8 +648,11 @@
     }
   else if (strcmp (command->sval[0], "cost") == 0)
     result = cost_report (stdout);
+  else if (strcmp (command->sval[0], "slopes") == 0)
+    result = slopes_report (wanted.csv ? wanted.csv : stdout);
   else
-    fprintf (stderr, "foxtailbench: run needs an EXPERIMENT; commands: list, run, report, cost\n");
+    fprintf (stderr,
+             "foxtailbench: run needs an EXPERIMENT; commands: list, run, report, cost, slopes\n");
   if (wanted.csv)
     fclose (wanted.csv);
   arg_freetable (table, G_N_ELEMENTS (table));
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -64,7 +64,8 @@
 { "instances": [
   { "pool": "chat", "name": "fast", "address": "127.0.0.1:$((BASE + 51))", "state": "live", "incarnation": 1, "failure_domain": "fd1" },
   { "pool": "chat", "name": "slow", "address": "127.0.0.1:$((BASE + 52))", "state": "live", "incarnation": 1, "failure_domain": "fd2" },
-  { "pool": "booking", "name": "desk", "address": "127.0.0.1:$((BASE + 53))", "state": "live", "incarnation": 1, "failure_domain": "fd3" }
+  { "pool": "booking", "name": "desk", "address": "127.0.0.1:$((BASE + 53))", "state": "live", "incarnation": 1, "failure_domain": "fd3" },
+  { "pool": "records", "name": "files", "address": "127.0.0.1:$((BASE + 54))", "state": "live", "incarnation": 1, "failure_domain": "fd3" }
 ] }
 JSON
   cluster_spawn "$DIR/platform.log" "$BUILD/foxtailstandin" platform --port $((BASE + 50)) --file "$DIR/platform.json"
@@ -73,6 +74,7 @@
   cluster_spawn "$DIR/slow.log" "$BUILD/foxtailstandin" engine --port $((BASE + 52)) --name slow --step-ms 16 --stream-ms 0.6 --prefill 3 --gap-every 7
   SLOW_PID=$SPAWNED
   cluster_spawn "$DIR/desk.log" "$BUILD/foxtailstandin" service --port $((BASE + 53)) --delay-ms 5
+  cluster_spawn "$DIR/files.log" "$BUILD/foxtailstandin" service --port $((BASE + 54)) --delay-ms 0
   local i
   for i in $(seq 1 "$INSTANCES"); do
     cluster_settings "$i" >"$DIR/settings$i.json"
@@ -103,7 +105,7 @@
 
 cluster_standins () {
   local i
-  for i in 1 2 3; do printf -- '--standin http://127.0.0.1:%d ' $((BASE + 50 + i)); done
+  for i in 1 2 3 4; do printf -- '--standin http://127.0.0.1:%d ' $((BASE + 50 + i)); done
 }
 
 cluster_alive () { # PID
--- a/src/lead.c
+++ b/src/lead.c
@@ -32,8 +32,11 @@
   GHashTable *instances; /* id -> Instance */
   GHashTable *waiting;   /* &index -> Waiting */
   uint64_t term;         /* that the soft state above belongs to */
-  uint64_t placing;      /* index of the last lease proposed */
-  uint32_t moving_from;  /* its holder until then, 0: none */
+  GArray *live;          /* uint32_t, sorted, as of the last look */
+  uint64_t live_version; /* unlike any other leader's */
+  int64_t live_at;
+  uint64_t placing;     /* index of the last lease proposed */
+  uint32_t moving_from; /* its holder until then, 0: none */
   int64_t claims_at;
 };
 
@@ -52,6 +55,7 @@
   Lead *lead = g_new0 (Lead, 1);
 
   lead->node = node;
+  lead->live = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   lead->instances = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, instance_free);
   lead->waiting = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return lead;
@@ -62,6 +66,7 @@
 {
   if (lead == NULL)
     return;
+  g_array_unref (lead->live);
   g_hash_table_unref (lead->instances);
   g_hash_table_unref (lead->waiting);
   g_free (lead);
@@ -79,6 +84,8 @@
     {
       lead->term = raft_term (node->raft);
       lead->placing = 0;
+      lead->live_version = lead->term << 32;
+      lead->live_at = 0;
       g_hash_table_remove_all (lead->instances);
       g_hash_table_remove_all (lead->waiting);
     }
@@ -129,6 +136,41 @@
   return one;
 }
 
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  uint32_t x = *(const uint32_t *) a, y = *(const uint32_t *) b;
+
+  return (x > y) - (x < y);
+}
+
+/* The set of live instances changes a few hundred times a day and is asked for twice a second by
+ * each of them, so it is sent only to those that have another version of it. */
+static void
+refresh_live (Lead *lead, int64_t now)
+{
+  GArray *live = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  GHashTableIter iter;
+  void *data;
+
+  if (lead->live_at && now - lead->live_at < LIVE_EVERY)
+    {
+      g_array_unref (live);
+      return;
+    }
+  lead->live_at = now;
+  g_hash_table_iter_init (&iter, lead->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    if (is_live (data, now))
+      g_array_append_val (live, ((Instance *) data)->id);
+  g_array_sort (live, compare_ids);
+  if (live->len != lead->live->len
+      || memcmp (live->data, lead->live->data, live->len * sizeof (uint32_t)) != 0)
+    lead->live_version++;
+  g_array_unref (lead->live);
+  lead->live = live;
+}
+
 void
 lead_hello (Lead *lead, uint32_t from, const MsgHello *hello)
 {
@@ -150,9 +192,6 @@
     return;
   GPtrArray *leases = state_leases (node->state);
   GArray *packed = g_array_new (FALSE, FALSE, sizeof (MsgLease));
-  GArray *live = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  GHashTableIter iter;
-  void *data;
 
   out->number = hello->number;
   out->revision = state_revision (node->state);
@@ -164,16 +203,14 @@
     g_array_append_vals (packed, leases->pdata[i], 1);
   out->leases.leases_len = packed->len;
   out->leases.leases_val = (MsgLease *) (void *) packed->data;
-  g_hash_table_iter_init (&iter, lead->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &data))
-    if (is_live (data, now))
-      g_array_append_val (live, ((Instance *) data)->id);
-  out->live.live_len = live->len;
-  out->live.live_val = (u_int *) (void *) live->data;
+  refresh_live (lead, now);
+  out->live_version = lead->live_version;
+  out->has_live = hello->live_version != lead->live_version;
+  out->live.live_len = out->has_live ? lead->live->len : 0;
+  out->live.live_val = (u_int *) (void *) lead->live->data;
   node_send (node, from, &msg);
   g_ptr_array_unref (leases);
   g_array_unref (packed);
-  g_array_unref (live);
 }
 
 unsigned
--- a/src/msg.h
+++ b/src/msg.h
@@ -96,6 +96,7 @@
 	u_quad_t revision;
 	u_quad_t lease_epoch;
 	u_quad_t incarnation;
+	u_quad_t live_version;
 	bool_t leaving;
 	char *region;
 	char *failure_domain;
@@ -120,6 +121,8 @@
 		u_int leases_len;
 		MsgLease *leases_val;
 	} leases;
+	u_quad_t live_version;
+	bool_t has_live;
 	struct {
 		u_int live_len;
 		u_int *live_val;
--- a/src/msg.x
+++ b/src/msg.x
@@ -75,6 +75,7 @@
   unsigned hyper revision;    /* catalogue in force at the sender */
   unsigned hyper lease_epoch; /* newest lease known at the sender */
   unsigned hyper incarnation; /* of the sender's process */
+  unsigned hyper live_version; /* of the live instances known at the sender */
   bool leaving;
   string region<FT_NAME_MOST>;
   string failure_domain<FT_NAME_MOST>;
@@ -94,6 +95,8 @@
   string catalogue<FT_TEXT_MOST>;
   bool has_leases;
   MsgLease leases<4096>;
+  unsigned hyper live_version;
+  bool has_live;           /* sent when the asker's version differs */
   unsigned int live<1024>; /* instances that said hello lately */
 };
 
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -153,6 +153,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->live_version))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->region, FT_NAME_MOST))
@@ -196,6 +198,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leases.leases_val, (u_int *) &objp->leases.leases_len, 4096,
 		sizeof (MsgLease), (xdrproc_t) xdr_MsgLease))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->live_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_live))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 1024,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/src/node.c
+++ b/src/node.c
@@ -240,6 +240,7 @@
   out->revision = node->cat ? ft_cat_revision (node->cat) : 0;
   out->lease_epoch = node->lease_epoch;
   out->incarnation = node->conf.incarnation;
+  out->live_version = node->live_version;
   out->leaving = node->leaving;
   out->region = (char *) node->conf.region;
   out->failure_domain = (char *) node->conf.failure_domain;
@@ -293,6 +294,7 @@
     }
   g_array_unref (node->live);
   node->live = live;
+  node->live_version = fresh->live_version;
 }
 
 static void
@@ -308,7 +310,8 @@
     node_take_catalogue (node, fresh->catalogue, fresh->revision);
   if (!node->cat || ft_cat_revision (node->cat) < fresh->revision)
     return; /* nothing is proved without the catalogue itself */
-  note_live (node, fresh);
+  if (fresh->has_live)
+    note_live (node, fresh);
   if (fresh->has_leases)
     node_leases (node, fresh->leases.leases_val, fresh->leases.leases_len);
   node->lease_epoch = MAX (node->lease_epoch, fresh->lease_epoch);
--- a/src/node.h
+++ b/src/node.h
@@ -19,6 +19,7 @@
 #define OUT_AFTER                                                                                  \
   (3600 * FT_MS)                    /* an instance not heard for this long takes none: FRESH_LIMIT \
                                        with the same margins */
+#define LIVE_EVERY    (100 * FT_MS) /* how old the leader's view of who lives may be */
 #define TELL_WAIT     (600 * FT_MS) /* the longest wait for entries that may be dead */
 #define PROPOSE_EVERY (400 * FT_MS)
 #define PROPOSE_MOST  (8 * FT_SECOND)
@@ -55,7 +56,8 @@
   GHashTable *servers;           /* "pool/name" -> NodeServer */
   GHashTable *peer_incarnations; /* id -> uint64_t * */
   GArray *live;                  /* uint32_t, as the leader last said */
-  uint32_t guess;                /* voter that is asked */
+  uint64_t live_version;
+  uint32_t guess; /* voter that is asked */
   uint64_t hello_number;
   int64_t hello_sent[16];
   int64_t hello_at, heard_at, fresh_at; /* fresh_at: when the answered hello was sent */
--- a/src/srv.h
+++ b/src/srv.h
@@ -32,7 +32,7 @@
   GHashTable *by_name;
   FtHeap room;
   FtPrefix *prefix;
-  double slots; /* sum of the windows of usable servers */
+  double slots;               /* sum of the windows of usable servers */
   double mean_gap, mean_rate; /* over usable servers, 0: none seen */
   unsigned usable;
   int64_t target_ms, window_most;
