Keep what entries asked when the voter in charge changes

Cause: a new leader has heard only some instances when it first says who lives; schedulers took the others for dead and forgot what waited and ran at them. Such a request waited until the lease moved or nobody decided in time. Change: a new leader calls nobody dead before TAKEOVER is over; an entry that was thought dead and is not is asked to tell again; a holder that does not know yet who lives waits for all instances. Servers are kept free of long prompts only within 5 s of a request of a higher tier.

--- a/src/hold.c
+++ b/src/hold.c
@@ -156,9 +156,11 @@
   msg.Msg_u.tell.pool = held->name;
   msg.Msg_u.tell.epoch = held->epoch;
   held->tell_until = now + TELL_WAIT;
-  for (unsigned i = 0; i < node->live->len; i++)
+  /* A process that has just started, or a leader, may not know yet who lives: then all count. */
+  const GArray *expected = node->live->len ? node->live : node->instances;
+  for (unsigned i = 0; i < expected->len; i++)
     {
-      uint32_t id = g_array_index (node->live, uint32_t, i);
+      uint32_t id = g_array_index (expected, uint32_t, i);
       g_hash_table_add (held->untold, GUINT_TO_POINTER (id));
     }
   g_hash_table_add (held->untold, GUINT_TO_POINTER (node->conf.id));
@@ -313,6 +315,23 @@
     }
 }
 
+void
+hold_entry_back (Hold *hold, uint32_t entry)
+{
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, hold->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      HoldPool *held = data;
+      Msg msg = { .kind = MSG_TELL };
+      msg.Msg_u.tell.pool = held->name;
+      msg.Msg_u.tell.epoch = held->epoch;
+      node_send (hold->node, entry, &msg);
+    }
+}
+
 void
 hold_server (Hold *hold, const NodeServer *server)
 {
--- a/src/lead.c
+++ b/src/lead.c
@@ -205,7 +205,11 @@
   out->leases.leases_val = (MsgLease *) (void *) packed->data;
   refresh_live (lead, now);
   out->live_version = lead->live_version;
-  out->has_live = hello->live_version != lead->live_version;
+  /* Failure: a new leader has heard only some instances and calls the rest dead. Symptom:
+   * schedulers forget what waits and runs at them. Until every live one must have said hello, it
+   * calls none. */
+  out->has_live = hello->live_version != lead->live_version
+                  && now - raft_leading_since (node->raft) > TAKEOVER;
   out->live.live_len = out->has_live ? lead->live->len : 0;
   out->live.live_val = (u_int *) (void *) lead->live->data;
   node_send (node, from, &msg);
--- a/src/node.c
+++ b/src/node.c
@@ -257,6 +257,15 @@
       if (!still)
         hold_entry_gone (node->hold, id);
     }
+  for (unsigned i = 0; i < live->len; i++)
+    {
+      uint32_t id = g_array_index (live, uint32_t, i);
+      bool new = id != node->conf.id;
+      for (unsigned j = 0; j < node->live->len; j++)
+        new &= g_array_index (node->live, uint32_t, j) != id;
+      if (new)
+        hold_entry_back (node->hold, id);
+    }
   g_array_unref (node->live);
   node->live = live;
   node->live_version = fresh->live_version;
--- a/src/node.h
+++ b/src/node.h
@@ -119,6 +119,8 @@
 void hold_progress (Hold *hold, uint32_t from, const MsgProgress *progress);
 void hold_done (Hold *hold, uint32_t from, const MsgDone *done);
 void hold_entry_gone (Hold *hold, uint32_t entry);
+/* An entry that was thought dead is not: it is asked to tell what it has. */
+void hold_entry_back (Hold *hold, uint32_t entry);
 void hold_server (Hold *hold, const NodeServer *server);
 void hold_catalogue (Hold *hold);
 void hold_tick (Hold *hold, int64_t now);
--- a/src/pool.c
+++ b/src/pool.c
@@ -29,7 +29,8 @@
 #define LATE_WORK_SHARE 0.5    /* share of the expected answer that must fit when nothing waits */
 #define LONG_PROMPT_MS  1000.0 /* a prompt that fills a server for half the first-token target */
 #define SPARE_SHARE     0.2 /* of servers with room; 0.1 helps half as much, 0.33 costs goodput */
-#define SAMPLE_LEAST    (40 * FT_MS) /* shorter gaps measure batching of messages, not engines */
+#define SPARE_FOR       (5 * FT_SECOND) /* after the last request of a higher tier */
+#define SAMPLE_LEAST    (40 * FT_MS)    /* shorter gaps measure batching of messages, not engines */
 
 typedef enum
 {
@@ -67,6 +68,7 @@
   FtHeap active; /* OrgQueue with waiting requests, by finish */
   double virtual_time, work, weight;
   unsigned waiting, running, paused;
+  int64_t asked_at;              /* when a request of this tier last came */
   struct cds_list_head run_list; /* Job.tier_link, newest first */
 } Tier;
 
@@ -362,9 +364,13 @@
  * first tier waits for seconds behind one of them, or a stream is paused for nothing. A long prompt
  * leaves a fifth of the servers to others; it waits no longer than its own latest start. */
 static bool
-holds_back (const FtPool *pool, const Job *job)
+holds_back (const FtPool *pool, const Job *job, int64_t now)
 {
-  if (pool->conf.service || job->tier == 1)
+  bool expected = false; /* a request that the spare servers are for */
+
+  for (unsigned t = 1; t < job->tier; t++)
+    expected |= pool->tiers[t].asked_at && now - pool->tiers[t].asked_at < SPARE_FOR;
+  if (pool->conf.service || !expected)
     return false;
   double ms = job->prompt / srv_mean_rate (&pool->servers);
   return ms > LONG_PROMPT_MS && pool->servers.roomy > 0
@@ -389,7 +395,7 @@
               continue;
             break;
           }
-        if (holds_back (pool, job))
+        if (holds_back (pool, job, now))
           return;
         Srv *srv = srv_route (&pool->servers, job->prompt, job->expected, job->blocks,
                               job->block_count, &cached);
@@ -696,6 +702,7 @@
     }
   g_hash_table_insert (pool->jobs, &job->key, job);
   org->active++;
+  pool->tiers[job->tier].asked_at = now;
   enqueue (pool, job);
   pump (pool, now);
   if (!g_hash_table_contains (pool->jobs, &key) || job->state != JOB_WAITING || pool->held)
