Mend format and lint of the last changes

clang-format wrapped an overlong definition, and clang-tidy refused integer divisions in the slopes.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -8,7 +8,8 @@
 #include <string.h>
 
 #define POINTS 4
-#define REST   (20 * FT_SECOND)
+#define REST_S 20.0 /* seconds of rest that traffic is counted over */
+#define REST   ((int64_t) REST_S * FT_SECOND)
 
 typedef struct
 {
@@ -108,11 +109,11 @@
       entry.x[i] = leader.x[i] = messages.x[i] = cpu.x[i] = force.x[i] = counts[i];
       uint64_t ns = sim_cpu_ns (sim);
       SimTraffic sent = sent_at_rest (sim, leader_of (sim));
-      cpu.y[i] = (double) (sim_cpu_ns (sim) - ns) / (REST / FT_SECOND);
-      leader.y[i] = (double) sent.bytes / (REST / FT_SECOND);
-      messages.y[i] = (double) sent.messages / (REST / FT_SECOND);
+      cpu.y[i] = (double) (sim_cpu_ns (sim) - ns) / REST_S;
+      leader.y[i] = (double) sent.bytes / REST_S;
+      messages.y[i] = (double) sent.messages / REST_S;
       sent = sent_at_rest (sim, counts[i]);
-      entry.y[i] = (double) sent.bytes / (REST / FT_SECOND);
+      entry.y[i] = (double) sent.bytes / REST_S;
       char *text = catalogue_of (5, 1);
       ft_node_change (sim_node (sim, 1), "second", "bench", 1, text, 1);
       sim_flush (sim, 1);
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -16,8 +16,7 @@
 
 #define CONNECT_TRIES 4     /* servers tried while connections are refused; nothing ran yet */
 #define BLOCK         16384 /* bytes handed to the HTTP server at once */
-#define ANSWER_WAIT_S 86400 /* of a connection whose request is complete: no answer takes longer   \
-                             */
+#define ANSWER_WAIT_S 86400 /* connections whose request is complete: no answer takes longer */
 
 struct Edge
 {
