--- a/bench/load.c
+++ b/bench/load.c
@@ -68,7 +68,7 @@
 {
   const char **entries;
   unsigned entry_count;
-  const char *key, *ca_file, *service_path;
+  const char *key, *ca_folder, *service_path;
   GMutex lock;
   Row rows[6];
   unsigned done, offered;
@@ -153,8 +153,8 @@
   request.http_verb = o_strdup (method);
   request.http_url = msprintf ("%s%s", entry, path);
   request.timeout = seconds;
-  if (load.ca_file)
-    request.ca_path = o_strdup (load.ca_file);
+  if (load.ca_folder)
+    request.ca_path = o_strdup (load.ca_folder);
   u_map_put (request.map_header, "Authorization", bearer);
   if (body)
     {
@@ -565,7 +565,8 @@
 {
   struct arg_str *entries = arg_strn ("e", "entry", "URL", 1, 64, "callers' port of an instance");
   struct arg_str *key = arg_str1 ("k", "key", "KEY", "the organisation's key");
-  struct arg_str *ca = arg_str0 (NULL, "ca-file", "FILE", "certificate to trust with https");
+  struct arg_str *ca
+      = arg_str0 (NULL, "ca-folder", "FOLDER", "with certificates to trust with https");
   struct arg_str *class = arg_strn ("c", "class", "NAME:TIER:SHARE:PROMPT:TOKENS[:service]", 1,
                                     CLASSES_MOST,
                                     "a class of the catalogue, its share and mean lengths");
@@ -600,7 +601,7 @@
   load.entries = entries->sval;
   load.entry_count = (unsigned) entries->count;
   load.key = key->sval[0];
-  load.ca_file = ca->count ? ca->sval[0] : NULL;
+  load.ca_folder = ca->count ? ca->sval[0] : NULL;
   load.service_path = path->count ? path->sval[0] : "/";
   for (unsigned i = 0; i < 6; i++)
     {
--- a/cli/main.c
+++ b/cli/main.c
@@ -14,7 +14,7 @@
 
 typedef struct
 {
-  const char *server, *key, *ca_file;
+  const char *server, *key, *ca_folder;
 } Access;
 
 typedef struct
@@ -26,7 +26,7 @@
 
 typedef struct
 {
-  struct arg_str *command, *server, *key_file, *ca_file, *change_id, *author, *arguments;
+  struct arg_str *command, *server, *key_file, *ca_folder, *change_id, *author, *arguments;
   struct arg_int *base;
   struct arg_lit *wait, *help, *version;
   struct arg_end *end;
@@ -46,8 +46,8 @@
   request.http_verb = o_strdup (method);
   request.http_url = msprintf ("%s%s", access->server, path);
   request.timeout = TIMEOUT_S;
-  if (access->ca_file)
-    request.ca_path = o_strdup (access->ca_file);
+  if (access->ca_folder)
+    request.ca_path = o_strdup (access->ca_folder);
   u_map_put (request.map_header, "Authorization", bearer);
   if (author)
     u_map_put (request.map_header, "X-Author", author);
@@ -357,7 +357,7 @@
   Args args = { arg_str0 (NULL, NULL, "COMMAND", "what to do"),
                 arg_str0 ("s", "server", "URL", "operators' port, else FOXTAILGRADE_SERVER"),
                 arg_str0 ("k", "key-file", "FILE", "operators' key, else FOXTAILGRADE_KEY_FILE"),
-                arg_str0 (NULL, "ca-file", "FILE", "certificate to trust with https"),
+                arg_str0 (NULL, "ca-folder", "FOLDER", "with certificates to trust with https"),
                 arg_str0 (NULL, "id", "ID", "apply: the change's id"),
                 arg_str0 (NULL, "author", "NAME", "apply: who makes the change"),
                 arg_strn (NULL, NULL, "ARGUMENT", 0, 1, "file, id or key"),
@@ -390,7 +390,7 @@
           = args.server->count ? args.server->sval[0] : g_getenv ("FOXTAILGRADE_SERVER");
       char *key = read_key (&args);
       Access access = { server ? server : "http://127.0.0.1:8090", key,
-                        args.ca_file->count ? args.ca_file->sval[0] : NULL };
+                        args.ca_folder->count ? args.ca_folder->sval[0] : NULL };
       ulfius_global_init ();
       result = run (&args, &access);
       g_free (key);
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -81,6 +81,14 @@
   return true;
 }
 
+static void
+on_transition (void *user, const FtReq *req, FtReqState from, FtReqState to)
+{
+  (void) user;
+  dlog (DLOG_DEBUG, ft_req_id (req), "state", "%s to %s", ft_req_state_name (from),
+        ft_req_state_name (to));
+}
+
 static Call *
 begin_call (Edge *edge, const struct _u_request *request)
 {
@@ -94,7 +102,7 @@
                 core_random (edge->core));
   Call *call = call_new (id);
   call->started = core_now (edge->core);
-  call->req = ft_req_new (id, NULL, NULL);
+  call->req = ft_req_new (id, on_transition, NULL);
   span_begin (call, u_map_get_case (request->map_header, "traceparent"));
   return call;
 }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,10 +5,12 @@
 
 BUILD=${BUILD:-build}
 CLUSTER_PIDS=()
+SCHEME=${SCHEME:-http}     # of the instances' two HTTP ports
+EXTRA_SETTINGS=            # further fields, each with its comma
 
 cluster_wait_http () { # URL SECONDS
   local until=$((SECONDS + $2))
-  until curl -sf -o /dev/null --max-time 1 "$1"; do
+  until curl -skf -o /dev/null --max-time 1 "$1"; do
     [ $SECONDS -lt $until ] || { echo "no answer from $1" >&2; return 1; }
     sleep 0.1
   done
@@ -32,7 +34,7 @@
   "link_key_file": "$DIR/link.key",
   "operator_key_sha256": "$(printf operator-key | sha256sum | cut -c1-64)",
   "platform_address": "http://127.0.0.1:$((BASE + 50))/instances",
-  "idle_s": ${IDLE_S:-30}, "data_folder": "$DIR/data$1", "span_file": "$DIR/spans$1.jsonl",
+  $EXTRA_SETTINGS "idle_s": ${IDLE_S:-30}, "data_folder": "$DIR/data$1", "span_file": "$DIR/spans$1.jsonl",
   "instances": [
 $(cluster_instances_json "$INSTANCES" "$VOTERS")
   ]
@@ -81,26 +83,26 @@
     cluster_instance "$i"
   done
   for i in $(seq 1 "$INSTANCES"); do
-    cluster_wait_http "http://127.0.0.1:$((BASE + i))/healthz" 20
+    cluster_wait_http "$SCHEME://127.0.0.1:$((BASE + i))/healthz" 20
   done
 }
 
 cluster_cli () { # INSTANCE ARGUMENTS...
   local id=$1
   shift
-  "$BUILD/foxtailgrade" -s "http://127.0.0.1:$((BASE + 100 + id))" -k "$DIR/operator.key" "$@"
+  "$BUILD/foxtailgrade" -s "$SCHEME://127.0.0.1:$((BASE + 100 + id))" -k "$DIR/operator.key" "$@"
 }
 
 cluster_ready () { # SECONDS
   local i
   for i in $(seq 1 "$INSTANCES"); do
-    cluster_wait_http "http://127.0.0.1:$((BASE + i))/readyz" "$1"
+    cluster_wait_http "$SCHEME://127.0.0.1:$((BASE + i))/readyz" "$1"
   done
 }
 
 cluster_entries () {
   local i
-  for i in $(seq 1 "$INSTANCES"); do printf -- '-e http://127.0.0.1:%d ' $((BASE + i)); done
+  for i in $(seq 1 "$INSTANCES"); do printf -- '-e %s://127.0.0.1:%d ' "$SCHEME" $((BASE + i)); done
 }
 
 cluster_standins () {
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # deps.sh - installs the Debian packages that building, testing and linting need, if one is missing.
 set -eu
-packages="gcc make cmake pkg-config curl perl clang-format clang-tidy cppcheck libc6-dev
+packages="gcc make cmake pkg-config curl openssl perl clang-format clang-tidy cppcheck libc6-dev
   libulfius-dev libtirpc-dev libargtable2-dev libjson-c-dev liblog4c-dev libglib2.0-dev liburcu-dev
   libxxhash-dev liblua5.4-dev libgnutls28-dev"
 missing=""
--- a/src/lead.c
+++ b/src/lead.c
@@ -217,12 +217,6 @@
   g_array_unref (packed);
 }
 
-unsigned
-lead_live (Lead *lead)
-{
-  return in_charge (lead) ? g_hash_table_size (lead->instances) : 0;
-}
-
 /* ---- Proposals ---- */
 
 void
--- a/src/node.h
+++ b/src/node.h
@@ -133,6 +133,5 @@
 void lead_applied (Lead *lead, uint64_t index, const StateVerdict *verdict);
 void lead_find (Lead *lead, uint32_t from, const MsgFind *find);
 void lead_tick (Lead *lead, int64_t now);
-unsigned lead_live (Lead *lead);
 
 #endif
--- a/src/pool.c
+++ b/src/pool.c
@@ -56,7 +56,9 @@
   Org *org;
   char *class_name;
   unsigned prompt, tokens;
-  double expected, charged, prefill, work_ahead;
+  double expected; /* tokens of the answer */
+  double charged;  /* work that its organisation is charged with, ms */
+  double prefill, work_ahead;
   int64_t asked_at, first_by, due, granted_at, last_progress, latest_start;
   Srv *srv;
   unsigned block_count;
@@ -154,12 +156,6 @@
 
 /* ---- Queues ---- */
 
-static double
-job_work (const Job *job)
-{
-  return job->charged;
-}
-
 static void
 enqueue (FtPool *pool, Job *job)
 {
@@ -174,8 +170,8 @@
       ft_heap_push (&tier->active, &queue->heap, queue->finish);
       tier->weight += job->org->weight;
     }
-  queue->work += job_work (job);
-  tier->work += job_work (job);
+  queue->work += job->charged;
+  tier->work += job->charged;
   tier->waiting++;
   ft_heap_push (&pool->expiry, &job->expiry, (double) job->latest_start);
 }
@@ -187,8 +183,8 @@
   OrgQueue *queue = &job->org->queue[job->tier];
 
   cds_list_del (&job->link);
-  queue->work -= job_work (job);
-  tier->work -= job_work (job);
+  queue->work -= job->charged;
+  tier->work -= job->charged;
   tier->waiting--;
   if (--queue->count == 0)
     {
@@ -216,7 +212,7 @@
   OrgQueue *queue = &job->org->queue[job->tier];
 
   tier->virtual_time = MAX (tier->virtual_time, queue->finish);
-  queue->finish += job_work (job) / job->org->weight;
+  queue->finish += job->charged / job->org->weight;
   if (queue->count == 0)
     return;
   ft_heap_remove (&tier->active, &queue->heap);
@@ -424,7 +420,7 @@
   for (unsigned t = 1; t < job->tier; t++)
     ahead += pool->tiers[t].work;
   double fair = queue->work * (tier->weight / job->org->weight);
-  ahead += MIN (tier->work, fair) - job_work (job);
+  ahead += MIN (tier->work, fair) - job->charged;
   return (int64_t) (MAX (0, ahead) / slots * FT_MS);
 }
 
