Free the scenario runner's names

Cause: with GLib's slices off the address sanitizer sees the runner's own array of names, 3,456 bytes that were never freed; with slices they were hidden. Ruled out: the library, whose tests leak nothing either way. Change: names and paths are freed.

--- a/test/scenario.c
+++ b/test/scenario.c
@@ -686,7 +686,7 @@
 int
 main (int argc, char **argv)
 {
-  GPtrArray *names = g_ptr_array_new ();
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
   const char *name;
 
   g_test_init (&argc, &argv, NULL);
@@ -701,9 +701,10 @@
     {
       char *test = g_strdup_printf ("/scenario/%.*s", (int) strlen (names->pdata[i]) - 4,
                                     (char *) names->pdata[i]);
-      g_test_add_data_func (test, g_build_filename (SCENARIOS, names->pdata[i], NULL),
-                            run_scenario);
+      g_test_add_data_func_full (test, g_build_filename (SCENARIOS, names->pdata[i], NULL),
+                                 run_scenario, g_free);
       g_free (test);
     }
+  g_ptr_array_unref (names);
   return g_test_run ();
 }
