--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Each goal installs what is missing first; see README.md.
 BUILD ?= build
-SOURCES = $(filter-out src/msg.h src/msg_xdr.c,$(wildcard src/*.[ch] daemon/*.[ch] cli/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
+SOURCES = $(filter-out src/msg.h src/msg_xdr.c src/meshmsg.h src/meshmsg_xdr.c,$(wildcard src/*.[ch] net/*.[ch] node/*.[ch] platform/*.[ch] daemon/*.[ch] cli/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
 
 all: deps
 	@cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
@@ -30,6 +30,7 @@
 
 generate: deps
 	cd src && rm -f msg.h msg_xdr.c && rpcgen -N -h -o msg.h msg.x && rpcgen -N -c -o msg_xdr.c msg.x
+	cd src && rm -f meshmsg.h meshmsg_xdr.c && rpcgen -N -h -o meshmsg.h meshmsg.x && rpcgen -N -c -o meshmsg_xdr.c meshmsg.x
 
 clean:
 	rm -rf $(BUILD) build-address build-thread
--- /dev/null
+++ b/net/hcli.c
@@ -0,0 +1,462 @@
+/* hcli.c - kept connections by key, newest first.
+ *
+ * Why not the HTTP library's client: it sends a request again by itself when a kept connection ends
+ * before the first byte of the answer, and has no switch for that. A request that may run once only
+ * would run twice. Here the one place that writes a request is start_sending, called once a transfer.
+ */
+#include "hcli.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <urcu/list.h>
+
+/* Tuning; each row with its reason. */
+#define IDLE_UNSTATED (300 * FT_MS) /* a server that states no time-out may close within a second */
+#define IDLE_MARGIN   (400 * FT_MS) /* a request must arrive before the server's time-out ends */
+#define IDLE_SWEEP    (1 * FT_SECOND)
+#define IDLE_MOST     64 /* idle connections a key; above the places of any server seen so far */
+
+typedef struct Conn Conn;
+
+typedef struct
+{
+  char *key;
+  struct cds_list_head idle; /* newest first */
+  unsigned count;
+} Pool;
+
+struct HCli
+{
+  Loop *loop;
+  GHashTable *pools; /* key: Pool */
+  LoopTimer sweep;
+  struct cds_list_head conns;
+  uint64_t opened;
+};
+
+struct Conn
+{
+  struct cds_list_head link, idle_link;
+  HCli *cli;
+  Pool *pool; /* while idle */
+  char *key;
+  Sock *sock;
+  HRead *read;
+  HXfer *xfer; /* NULL while idle */
+  LoopTimer timer;
+  int64_t idle_since, idle_until, keep_us;
+  bool ended_message, skipping, spoilt, feeding, closed;
+};
+
+struct HXfer
+{
+  Conn *conn;
+  const HXferOps *ops;
+  void *user;
+  GString *request;
+  bool sent, no_body;
+};
+
+static void
+xfer_free (HXfer *xfer)
+{
+  if (xfer->request)
+    g_string_free (xfer->request, TRUE);
+  g_free (xfer);
+}
+
+static void
+leave_pool (Conn *conn)
+{
+  if (conn->pool == NULL)
+    return;
+  cds_list_del (&conn->idle_link);
+  conn->pool->count--;
+  conn->pool = NULL;
+}
+
+static void
+close_conn (Conn *conn, bool reset)
+{
+  leave_pool (conn);
+  loop_timer_stop (conn->cli->loop, &conn->timer);
+  sock_close (conn->sock, reset);
+  conn->closed = true;
+  if (!conn->feeding) /* else the reader is freed once it has returned */
+    hread_free (conn->read);
+  cds_list_del (&conn->link);
+  g_free (conn->key);
+  if (conn->xfer)
+    xfer_free (conn->xfer);
+  conn->xfer = NULL;
+  loop_free_later (conn->cli->loop, conn);
+}
+
+static void
+fail (Conn *conn, HXferFault fault)
+{
+  HXfer *xfer = conn->xfer;
+
+  conn->xfer = NULL;
+  close_conn (conn, true);
+  if (xfer == NULL)
+    return;
+  xfer->ops->failed (xfer->user, fault);
+  xfer_free (xfer);
+}
+
+/* ---- Reading answers ---- */
+
+static int64_t
+kept_for (const HMsg *msg)
+{
+  const char *value = hmsg_field (msg, "Keep-Alive");
+  const char *stated = value ? strstr (value, "timeout=") : NULL;
+
+  if (stated == NULL)
+    return IDLE_UNSTATED;
+  int64_t seconds = g_ascii_strtoll (stated + strlen ("timeout="), NULL, 10);
+  return MAX (IDLE_UNSTATED, seconds * FT_SECOND - IDLE_MARGIN);
+}
+
+static void
+on_head (void *user, HMsg *msg)
+{
+  Conn *conn = user;
+
+  conn->keep_us = kept_for (msg);
+  if (!hmsg_keeps_connection (msg))
+    conn->spoilt = true;
+  conn->skipping = conn->xfer == NULL || !conn->xfer->ops->head (conn->xfer->user, msg);
+  if (conn->skipping)
+    conn->spoilt = true; /* the two ends no longer agree on what is awaited */
+}
+
+static void
+on_body (void *user, const char *data, size_t size)
+{
+  Conn *conn = user;
+
+  if (!conn->skipping && conn->xfer)
+    conn->xfer->ops->body (conn->xfer->user, data, size);
+}
+
+static void
+on_end (void *user)
+{
+  Conn *conn = user;
+
+  conn->ended_message = true;
+}
+
+static const HReadOps read_ops = { on_head, on_body, on_end };
+
+static Pool *
+pool_of (HCli *cli, const char *key)
+{
+  Pool *pool = g_hash_table_lookup (cli->pools, key);
+
+  if (pool == NULL)
+    {
+      pool = g_new0 (Pool, 1);
+      pool->key = g_strdup (key);
+      CDS_INIT_LIST_HEAD (&pool->idle);
+      g_hash_table_insert (cli->pools, pool->key, pool);
+    }
+  return pool;
+}
+
+static void
+become_idle (Conn *conn)
+{
+  int64_t now = loop_now (conn->cli->loop);
+  Pool *pool = pool_of (conn->cli, conn->key);
+
+  if (pool->count >= IDLE_MOST)
+    {
+      close_conn (conn, false);
+      return;
+    }
+  conn->idle_since = now;
+  conn->idle_until = now + conn->keep_us;
+  conn->pool = pool;
+  cds_list_add (&conn->idle_link, &pool->idle);
+  pool->count++;
+}
+
+static void
+complete (Conn *conn)
+{
+  HXfer *xfer = conn->xfer;
+  size_t left;
+
+  sock_peek (conn->sock, &left);
+  conn->xfer = NULL;
+  /* Bytes behind a complete answer belong to no request; part of the request may be unsent. */
+  if (conn->spoilt || left > 0 || sock_unsent (conn->sock) > 0)
+    close_conn (conn, left > 0 || sock_unsent (conn->sock) > 0);
+  else
+    become_idle (conn);
+  xfer->ops->end (xfer->user);
+  xfer_free (xfer);
+}
+
+static void
+on_data (Sock *sock)
+{
+  Conn *conn = sock->owner;
+  HReadFault fault;
+  size_t size;
+
+  if (conn->xfer == NULL)
+    {
+      close_conn (conn, true); /* bytes that nobody asked for */
+      return;
+    }
+  for (;;)
+    {
+      const uint8_t *data = sock_peek (sock, &size);
+      if (size == 0)
+        return;
+      conn->ended_message = false;
+      conn->feeding = true;
+      size_t used = hread_feed (conn->read, data, size, &fault);
+      conn->feeding = false;
+      if (conn->closed)
+        {
+          hread_free (conn->read);
+          return;
+        }
+      sock_consume (sock, used);
+      if (fault)
+        {
+          fail (conn, HXFER_GARBLED);
+          return;
+        }
+      if (!conn->ended_message)
+        return;
+      if (!conn->skipping)
+        {
+          complete (conn);
+          return;
+        }
+    }
+}
+
+static void
+on_ended (Sock *sock, SockEnd how)
+{
+  Conn *conn = sock->owner;
+
+  if (conn->xfer == NULL)
+    {
+      close_conn (conn, false);
+      return;
+    }
+  if (how == SOCK_END_EOF && !conn->skipping && hread_eof (conn->read) && conn->ended_message)
+    {
+      conn->spoilt = true;
+      complete (conn);
+      return;
+    }
+  fail (conn, how == SOCK_END_CONNECT ? HXFER_UNREACHED : HXFER_BROKEN);
+}
+
+/* ---- Sending ---- */
+
+static void
+start_sending (Conn *conn)
+{
+  HXfer *xfer = conn->xfer;
+
+  loop_timer_stop (conn->cli->loop, &conn->timer);
+  xfer->sent = true;
+  hread_expect_no_body (conn->read, xfer->no_body);
+  sock_write (conn->sock, xfer->request->str, xfer->request->len);
+  g_string_free (xfer->request, TRUE);
+  xfer->request = NULL;
+}
+
+static void
+on_connected (Sock *sock)
+{
+  start_sending (sock->owner);
+}
+
+static const SockOps sock_ops = { on_connected, on_data, NULL, on_ended };
+
+static void
+on_connect_timer (LoopTimer *timer)
+{
+  fail ((Conn *) ((char *) timer - offsetof (Conn, timer)), HXFER_UNREACHED);
+}
+
+/* Has the other end closed, or sent what nobody asked for, since the last turn? */
+static bool
+looks_sound (const Conn *conn)
+{
+  char byte;
+
+  return recv (conn->sock->fd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
+static Conn *
+take_idle (HCli *cli, const HCliTarget *target)
+{
+  Pool *pool = g_hash_table_lookup (cli->pools, target->key);
+  int64_t now = loop_now (cli->loop);
+
+  while (pool && !cds_list_empty (&pool->idle))
+    {
+      Conn *conn = cds_list_first_entry (&pool->idle, Conn, idle_link);
+      if (now - conn->idle_since > target->idle_most)
+        return NULL; /* the others are older still */
+      if (now < conn->idle_until && looks_sound (conn))
+        {
+          leave_pool (conn);
+          return conn;
+        }
+      close_conn (conn, false);
+    }
+  return NULL;
+}
+
+static Conn *
+open_conn (HCli *cli, const HCliTarget *target)
+{
+  Conn *conn = g_new0 (Conn, 1);
+
+  conn->cli = cli;
+  conn->sock = sock_connect (cli->loop, target->addr, &sock_ops, conn);
+  if (conn->sock == NULL)
+    {
+      g_free (conn);
+      return NULL;
+    }
+  conn->key = g_strdup (target->key);
+  conn->read = hread_new (false, &read_ops, conn);
+  conn->timer.fire = on_connect_timer;
+  cds_list_add_tail (&conn->link, &cli->conns);
+  loop_timer_set (cli->loop, &conn->timer, loop_now (cli->loop) + target->connect_us);
+  cli->opened++;
+  return conn;
+}
+
+HXfer *
+hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
+           void *user)
+{
+  Conn *conn = take_idle (cli, target);
+  bool kept = conn != NULL;
+
+  if (conn == NULL)
+    conn = open_conn (cli, target);
+  if (conn == NULL)
+    return NULL;
+  HXfer *xfer = g_new0 (HXfer, 1);
+  *xfer = (HXfer){ conn, ops, user, g_string_new_len (request->str, (gssize) request->len), false,
+                   target->no_body };
+  conn->xfer = xfer;
+  conn->skipping = conn->spoilt = conn->ended_message = false;
+  if (kept)
+    start_sending (conn);
+  return xfer;
+}
+
+void
+hxfer_cancel (HXfer *xfer)
+{
+  close_conn (xfer->conn, true);
+}
+
+bool
+hxfer_sent (const HXfer *xfer)
+{
+  return xfer->sent;
+}
+
+/* ---- The client ---- */
+
+static void
+drop_pool (Pool *pool)
+{
+  Conn *conn, *next;
+
+  cds_list_for_each_entry_safe (conn, next, &pool->idle, idle_link) close_conn (conn, false);
+}
+
+static void
+pool_free (void *data)
+{
+  Pool *pool = data;
+
+  drop_pool (pool);
+  g_free (pool->key);
+  g_free (pool);
+}
+
+static gboolean
+sweep_pool (gpointer key, gpointer value, gpointer data)
+{
+  int64_t now = loop_now (data);
+  Pool *pool = value;
+  Conn *conn, *next;
+
+  (void) key;
+  cds_list_for_each_entry_safe (conn, next, &pool->idle, idle_link)
+  {
+    if (now >= conn->idle_until)
+      close_conn (conn, false);
+  }
+  return pool->count == 0;
+}
+
+static void
+on_sweep (LoopTimer *timer)
+{
+  HCli *cli = (HCli *) ((char *) timer - offsetof (HCli, sweep));
+
+  g_hash_table_foreach_remove (cli->pools, sweep_pool, cli->loop);
+  loop_timer_set (cli->loop, timer, loop_now (cli->loop) + IDLE_SWEEP);
+}
+
+HCli *
+hcli_new (Loop *loop)
+{
+  HCli *cli = g_new0 (HCli, 1);
+
+  cli->loop = loop;
+  cli->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
+  cli->sweep.fire = on_sweep;
+  CDS_INIT_LIST_HEAD (&cli->conns);
+  loop_timer_set (loop, &cli->sweep, loop_now (loop) + IDLE_SWEEP);
+  return cli;
+}
+
+void
+hcli_free (HCli *cli)
+{
+  Conn *conn, *next;
+
+  if (cli == NULL)
+    return;
+  cds_list_for_each_entry_safe (conn, next, &cli->conns, link) close_conn (conn, true);
+  g_hash_table_unref (cli->pools);
+  loop_timer_stop (cli->loop, &cli->sweep);
+  g_free (cli);
+}
+
+void
+hcli_drop (HCli *cli, const char *key)
+{
+  Pool *pool = g_hash_table_lookup (cli->pools, key);
+
+  if (pool)
+    drop_pool (pool);
+}
+
+uint64_t
+hcli_opened (const HCli *cli)
+{
+  return cli->opened;
+}
--- /dev/null
+++ b/net/hcli.h
@@ -0,0 +1,55 @@
+/* hcli.h - an HTTP/1.1 client on a loop, with kept connections.
+ *
+ * A request is sent once: nothing here ever sends one again. Whoever asks learns whether a byte was
+ * handed to a connection, and decides.
+ */
+#ifndef HCLI_H
+#define HCLI_H
+
+#include "hmsg.h"
+#include "sock.h"
+
+typedef struct HCli HCli;
+typedef struct HXfer HXfer; /* one request and its answer; ends with end, failed or a cancel */
+
+typedef enum
+{
+  HXFER_UNREACHED, /* no connection was established: no byte was sent */
+  HXFER_BROKEN,    /* the connection ended before the answer did; the request may have run */
+  HXFER_GARBLED    /* what came is no HTTP answer; the request may have run */
+} HXferFault;
+
+typedef struct
+{
+  /* False: the answer is somebody else's, late on this connection; the next one is awaited. */
+  bool (*head) (void *user, const HMsg *msg);
+  void (*body) (void *user, const char *data, size_t size);
+  void (*end) (void *user); /* the answer is complete */
+  void (*failed) (void *user, HXferFault fault);
+} HXferOps;
+
+typedef struct
+{
+  SockAddr addr;
+  const char *key;    /* connections are reused only for the same key: the server's incarnation */
+  int64_t connect_us; /* longest wait for a connection */
+  int64_t idle_most;  /* an idle connection that is older is not used; microseconds */
+  bool no_body;       /* a HEAD request */
+} HCliTarget;
+
+HCli *hcli_new (Loop *loop);
+void hcli_free (HCli *cli);
+/* Sends request, a whole message. NULL: no descriptor or no path; nothing was sent and nothing
+ * will be called. */
+HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request,
+                  const HXferOps *ops, void *user);
+/* Gives the transfer up and closes its connection; nothing more is called. */
+void hxfer_cancel (HXfer *xfer);
+/* Has a byte of the request been handed to a connection? */
+bool hxfer_sent (const HXfer *xfer);
+/* Closes the idle connections of a key. */
+void hcli_drop (HCli *cli, const char *key);
+/* Connections opened and requests sent so far. */
+uint64_t hcli_opened (const HCli *cli);
+
+#endif
--- /dev/null
+++ b/net/mesh.c
@@ -0,0 +1,374 @@
+/* mesh.c - links between instances.
+ *
+ * An instance dials those that it needs and accepts whoever dials it; a link carries messages both
+ * ways in order while it lasts, and nothing is repeated on the next one: whoever needs it says again
+ * what matters when a link comes up. Both ends speak at least every HELLO_EVERY, so an end that is
+ * silent for SILENT is taken for lost and dialled again, also when nothing was reset.
+ */
+#include "mesh.h"
+#include "codec.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <urcu/list.h>
+
+/* Tuning; each row with its reason. */
+#define TICK        (100 * FT_MS)
+#define HELLO_EVERY (400 * FT_MS)  /* three in SILENT: two may be late */
+#define SILENT      (1300 * FT_MS) /* below the 2 s in which a dead link shall be noticed */
+#define REDIAL      (250 * FT_MS)
+#define DIAL_MOST   (600 * FT_MS) /* a connection takes two one-way delays */
+#define FRAME_MOST  (16u << 20)
+#define UNSENT_MOST (32u << 20) /* a peer that reads nothing does not fill the memory */
+#define LAST_MARK   0x80000000u
+
+typedef struct
+{
+  MeshPeer base;
+  struct cds_list_head link;
+  bool up;
+  int64_t dialled_at;
+} Peer;
+
+typedef struct
+{
+  uint32_t ip;
+  Peer *peer; /* NULL: not connected */
+  int64_t next_try;
+} Dial;
+
+struct Mesh
+{
+  Loop *loop;
+  SockAddr self;
+  SockListener *listener;
+  MeshHello hello;
+  char *domain;
+  const MeshOps *ops;
+  void *host;
+  GHashTable *dials; /* ip: Dial */
+  struct cds_list_head peers;
+  LoopTimer tick;
+  int64_t hello_at;
+};
+
+static void
+close_peer (Peer *peer)
+{
+  Mesh *mesh = peer->base.mesh;
+  Dial *dial = g_hash_table_lookup (mesh->dials, GUINT_TO_POINTER (peer->base.ip));
+
+  if (peer->base.dialled && dial && dial->peer == peer)
+    {
+      dial->peer = NULL;
+      dial->next_try = loop_now (mesh->loop) + REDIAL;
+    }
+  cds_list_del (&peer->link);
+  sock_close (peer->base.sock, true);
+  peer->base.sock = NULL;
+  if (peer->up)
+    mesh->ops->down (mesh->host, &peer->base);
+  loop_free_later (mesh->loop, peer);
+}
+
+bool
+mesh_send (MeshPeer *base, const MeshMsg *msg)
+{
+  if (base->sock == NULL || sock_unsent (base->sock) > UNSENT_MOST)
+    return false;
+  GByteArray *bytes = codec_pack (CODEC (MeshMsg), msg);
+  if (bytes == NULL)
+    return false;
+  uint32_t mark = htonl (LAST_MARK | bytes->len);
+  g_byte_array_prepend (bytes, (const guint8 *) &mark, sizeof mark);
+  sock_write (base->sock, bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+  return true;
+}
+
+static void
+send_hello (Peer *peer)
+{
+  MeshMsg msg = { .kind = MESH_HELLO, .MeshMsg_u.hello = peer->base.mesh->hello };
+
+  mesh_send (&peer->base, &msg);
+}
+
+/* An instance that was started anew dials again before its old connection is known to be dead. */
+static void
+replace_older (Peer *fresh)
+{
+  Mesh *mesh = fresh->base.mesh;
+  Peer *peer, *next;
+
+  cds_list_for_each_entry_safe (peer, next, &mesh->peers, link)
+  {
+    if (peer != fresh && !peer->base.dialled && !fresh->base.dialled
+        && peer->base.ip == fresh->base.ip)
+      close_peer (peer);
+  }
+}
+
+static void
+on_hello (Peer *peer, const MeshHello *hello)
+{
+  Mesh *mesh = peer->base.mesh;
+
+  if (peer->base.dialled && hello->address != peer->base.ip)
+    {
+      close_peer (peer);
+      return;
+    }
+  peer->base.ip = hello->address;
+  peer->base.lifetime = hello->lifetime;
+  peer->base.role = hello->role;
+  peer->base.leaving = hello->leaving;
+  peer->base.document = hello->document;
+  g_strlcpy (peer->base.domain, hello->domain, sizeof peer->base.domain);
+  if (peer->up)
+    return;
+  if (!peer->base.dialled)
+    {
+      replace_older (peer);
+      send_hello (peer);
+    }
+  peer->up = true;
+  mesh->ops->up (mesh->host, &peer->base);
+}
+
+static void
+take_message (Peer *peer, const void *data, size_t size)
+{
+  MeshMsg msg = { 0 };
+
+  if (codec_unpack (CODEC (MeshMsg), data, size, &msg, NULL) != FT_OK)
+    close_peer (peer);
+  else if (msg.kind == MESH_HELLO)
+    on_hello (peer, &msg.MeshMsg_u.hello);
+  else if (peer->up)
+    peer->base.mesh->ops->message (peer->base.mesh->host, &peer->base, &msg);
+  codec_clear (CODEC (MeshMsg), &msg);
+}
+
+static void
+on_data (Sock *sock)
+{
+  Peer *peer = sock->owner;
+  size_t size;
+
+  peer->base.heard = loop_now (peer->base.mesh->loop);
+  while (!sock->ended)
+    {
+      const uint8_t *data = sock_peek (sock, &size);
+      uint32_t mark;
+      if (size < sizeof mark)
+        return;
+      memcpy (&mark, data, sizeof mark);
+      mark = ntohl (mark);
+      uint32_t length = mark & ~LAST_MARK;
+      if (!(mark & LAST_MARK) || length > FRAME_MOST)
+        {
+          close_peer (peer);
+          return;
+        }
+      if (size < sizeof mark + length)
+        return;
+      take_message (peer, data + sizeof mark, length);
+      if (!sock->ended)
+        sock_consume (sock, sizeof mark + length);
+    }
+}
+
+static void
+on_connected (Sock *sock)
+{
+  Peer *peer = sock->owner;
+
+  peer->base.heard = loop_now (peer->base.mesh->loop);
+  send_hello (peer);
+}
+
+static void
+on_ended (Sock *sock, SockEnd how)
+{
+  (void) how;
+  close_peer (sock->owner);
+}
+
+static const SockOps sock_ops = { on_connected, on_data, NULL, on_ended };
+
+static Peer *
+peer_new (Mesh *mesh, bool dialled)
+{
+  Peer *peer = g_new0 (Peer, 1);
+
+  peer->base.mesh = mesh;
+  peer->base.dialled = dialled;
+  peer->base.heard = peer->dialled_at = loop_now (mesh->loop);
+  return peer;
+}
+
+static void
+on_accept (void *owner, int fd, SockAddr from)
+{
+  Mesh *mesh = owner;
+  Peer *peer = peer_new (mesh, false);
+
+  peer->base.sock = sock_accepted (mesh->loop, fd, from, &sock_ops, peer);
+  if (peer->base.sock == NULL)
+    {
+      g_free (peer);
+      return;
+    }
+  cds_list_add_tail (&peer->link, &mesh->peers);
+}
+
+static void
+try_dial (Mesh *mesh, Dial *dial)
+{
+  SockAddr addr = { dial->ip, mesh->self.port };
+  Peer *peer = peer_new (mesh, true);
+
+  dial->next_try = loop_now (mesh->loop) + REDIAL;
+  peer->base.ip = dial->ip;
+  peer->base.sock = sock_connect (mesh->loop, addr, &sock_ops, peer);
+  if (peer->base.sock == NULL)
+    {
+      g_free (peer);
+      return;
+    }
+  dial->peer = peer;
+  cds_list_add_tail (&peer->link, &mesh->peers);
+}
+
+static void
+tick_dials (Mesh *mesh, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, mesh->dials);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Dial *dial = value;
+      if (dial->peer == NULL && now >= dial->next_try)
+        try_dial (mesh, dial);
+    }
+}
+
+static void
+on_tick (LoopTimer *timer)
+{
+  Mesh *mesh = (Mesh *) ((char *) timer - offsetof (Mesh, tick));
+  int64_t now = loop_now (mesh->loop);
+  Peer *peer, *next;
+  bool hello = now >= mesh->hello_at;
+
+  cds_list_for_each_entry_safe (peer, next, &mesh->peers, link)
+  {
+    int64_t most = peer->up ? SILENT : DIAL_MOST;
+    if (now - peer->base.heard > most)
+      close_peer (peer);
+    else if (hello && peer->up && peer->base.dialled)
+      send_hello (peer);
+  }
+  if (hello)
+    mesh->hello_at = now + HELLO_EVERY;
+  tick_dials (mesh, now);
+  loop_timer_set (mesh->loop, timer, now + TICK);
+}
+
+Mesh *
+mesh_new (Loop *loop, SockAddr listen, const MeshHello *hello, const MeshOps *ops, void *host)
+{
+  Mesh *mesh = g_new0 (Mesh, 1);
+
+  mesh->loop = loop;
+  mesh->self = listen;
+  mesh->hello = *hello;
+  mesh->domain = g_strdup (hello->domain);
+  mesh->hello.domain = mesh->domain;
+  mesh->ops = ops;
+  mesh->host = host;
+  mesh->dials = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  CDS_INIT_LIST_HEAD (&mesh->peers);
+  mesh->listener = sock_listen (loop, listen, on_accept, mesh);
+  if (mesh->listener == NULL)
+    {
+      mesh_free (mesh);
+      return NULL;
+    }
+  mesh->tick.fire = on_tick;
+  loop_timer_set (loop, &mesh->tick, loop_now (loop) + TICK);
+  return mesh;
+}
+
+void
+mesh_free (Mesh *mesh)
+{
+  Peer *peer, *next;
+
+  if (mesh == NULL)
+    return;
+  sock_listener_free (mesh->listener);
+  cds_list_for_each_entry_safe (peer, next, &mesh->peers, link) close_peer (peer);
+  loop_timer_stop (mesh->loop, &mesh->tick);
+  g_hash_table_unref (mesh->dials);
+  g_free (mesh->domain);
+  g_free (mesh);
+}
+
+void
+mesh_say (Mesh *mesh, bool leaving, uint64_t document)
+{
+  bool changed = mesh->hello.leaving != leaving || mesh->hello.document != document;
+
+  mesh->hello.leaving = leaving;
+  mesh->hello.document = document;
+  if (changed)
+    mesh->hello_at = 0; /* with the next tick */
+}
+
+void
+mesh_dial (Mesh *mesh, uint32_t ip)
+{
+  if (ip == 0 || ip == mesh->self.ip || g_hash_table_contains (mesh->dials, GUINT_TO_POINTER (ip)))
+    return;
+  Dial *dial = g_new0 (Dial, 1);
+  dial->ip = ip;
+  g_hash_table_insert (mesh->dials, GUINT_TO_POINTER (ip), dial);
+  try_dial (mesh, dial);
+}
+
+void
+mesh_undial (Mesh *mesh, uint32_t ip)
+{
+  Dial *dial = g_hash_table_lookup (mesh->dials, GUINT_TO_POINTER (ip));
+
+  if (dial == NULL)
+    return;
+  Peer *peer = dial->peer;
+  g_hash_table_remove (mesh->dials, GUINT_TO_POINTER (ip));
+  if (peer)
+    close_peer (peer);
+}
+
+void
+mesh_each (Mesh *mesh, void (*fn) (MeshPeer *peer, void *data), void *data)
+{
+  Peer *peer, *next;
+
+  cds_list_for_each_entry_safe (peer, next, &mesh->peers, link)
+  {
+    if (peer->up)
+      fn (&peer->base, data);
+  }
+}
+
+MeshPeer *
+mesh_dialled (Mesh *mesh, uint32_t ip)
+{
+  Dial *dial = g_hash_table_lookup (mesh->dials, GUINT_TO_POINTER (ip));
+
+  return dial && dial->peer && dial->peer->up ? &dial->peer->base : NULL;
+}
--- /dev/null
+++ b/net/sock.c
@@ -0,0 +1,440 @@
+/* sock.c - non-blocking TCP with buffers.
+ *
+ * Failure: a connection goes silent for good without a reset, when a machine loses power or
+ * something on the path forgets it. Symptom: a caller, a stream or a link hangs. Every socket has
+ * keep-alive probes and a bound on unacknowledged bytes, so the kernel reports it within
+ * KEEP_IDLE_S + KEEP_COUNT * KEEP_EVERY_S seconds.
+ */
+#include "sock.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Tuning; each row with its reason. */
+#define KEEP_IDLE_S     1    /* silence before the first probe: half of the 2 s aimed at */
+#define KEEP_EVERY_S    1    /* the option's smallest step */
+#define KEEP_COUNT      2    /* one lost probe is not taken for a dead peer */
+#define USER_TIMEOUT_MS 2500 /* unacknowledged bytes; above two retransmissions on a lossy link */
+#define READ_SIZE       16384
+#define KEEP_MOST       4096 /* an emptied buffer of an idle connection holds no more, bytes */
+#define BACKLOG         512 /* connections of a burst that arrive within one turn */
+
+bool
+sock_addr_parse (const char *text, SockAddr *addr)
+{
+  char ip[INET_ADDRSTRLEN];
+  const char *colon = text ? strrchr (text, ':') : NULL;
+  struct in_addr parsed;
+  char *end;
+
+  if (colon == NULL || (size_t) (colon - text) >= sizeof ip)
+    return false;
+  memcpy (ip, text, (size_t) (colon - text));
+  ip[colon - text] = '\0';
+  unsigned long port = strtoul (colon + 1, &end, 10);
+  if (inet_pton (AF_INET, ip, &parsed) != 1 || *end || end == colon + 1 || port > 65535)
+    return false;
+  addr->ip = ntohl (parsed.s_addr);
+  addr->port = (uint16_t) port;
+  return true;
+}
+
+const char *
+sock_addr_text (SockAddr addr, char *buffer)
+{
+  snprintf (buffer, SOCK_ADDR_TEXT, "%u.%u.%u.%u:%u", addr.ip >> 24, addr.ip >> 16 & 255,
+            addr.ip >> 8 & 255, addr.ip & 255, addr.port);
+  return buffer;
+}
+
+static struct sockaddr_in
+native (SockAddr addr)
+{
+  return (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_addr.s_addr = htonl (addr.ip),
+                               .sin_port = htons (addr.port) };
+}
+
+static void
+set_options (int fd)
+{
+  static const struct
+  {
+    int level, name, value;
+  } options[] = {
+    { SOL_SOCKET, SO_KEEPALIVE, 1 },
+    { IPPROTO_TCP, TCP_NODELAY, 1 },
+    { IPPROTO_TCP, TCP_KEEPIDLE, KEEP_IDLE_S },
+    { IPPROTO_TCP, TCP_KEEPINTVL, KEEP_EVERY_S },
+    { IPPROTO_TCP, TCP_KEEPCNT, KEEP_COUNT },
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (options); i++)
+    setsockopt (fd, options[i].level, options[i].name, &options[i].value, sizeof (int));
+}
+
+static void
+wait_for (Sock *sock)
+{
+  uint32_t events = EPOLLRDHUP;
+
+  if (sock->connecting || sock->out->len > sock->out_at)
+    events |= EPOLLOUT;
+  if (!sock->paused && !sock->connecting)
+    events |= EPOLLIN;
+  loop_change (sock->loop, &sock->fd, events);
+}
+
+static void
+end (Sock *sock, SockEnd how)
+{
+  if (sock->ended)
+    return;
+  sock->ended = true;
+  loop_remove (sock->loop, &sock->fd);
+  if (sock->closing)
+    sock_close (sock, false);
+  else
+    sock->ops->ended (sock, how);
+}
+
+/* False: the connection has ended. */
+static bool
+flush (Sock *sock)
+{
+  while (sock->out->len > sock->out_at)
+    {
+      ssize_t done = send (sock->fd.fd, sock->out->data + sock->out_at,
+                           sock->out->len - sock->out_at, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (done < 0 && errno == EINTR)
+        continue;
+      if (done < 0 && errno == EAGAIN)
+        return true;
+      if (done < 0)
+        return false;
+      sock->out_at += (size_t) done;
+    }
+  g_byte_array_set_size (sock->out, 0);
+  sock->out_at = 0;
+  return true;
+}
+
+static void
+finish_connect (Sock *sock)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  getsockopt (sock->fd.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error)
+    {
+      end (sock, SOCK_END_CONNECT);
+      return;
+    }
+  sock->connecting = false;
+  wait_for (sock);
+  if (sock->ops->connected)
+    sock->ops->connected (sock);
+}
+
+/* Reads until the kernel has no more. Returns 1: go on, 0: end of file, -1: failure. */
+static int
+fill (Sock *sock, bool *got)
+{
+  static __thread uint8_t buffer[READ_SIZE]; /* idle connections hold no memory for reading */
+
+  for (;;)
+    {
+      ssize_t done = recv (sock->fd.fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (done == 0)
+        return 0;
+      if (done < 0 && errno == EINTR)
+        continue;
+      if (done < 0)
+        return errno == EAGAIN ? 1 : -1;
+      g_byte_array_append (sock->in, buffer, (guint) done);
+      *got = true;
+      if (done < READ_SIZE)
+        return 1;
+    }
+}
+
+static void
+read_some (Sock *sock)
+{
+  bool got = false;
+  int state = fill (sock, &got);
+
+  if (got)
+    {
+      /* The owner may close the socket; memory stays until the turn's end. */
+      sock->ops->data (sock);
+      if (sock->ended)
+        return;
+    }
+  if (state == 0)
+    end (sock, SOCK_END_EOF);
+  else if (state < 0)
+    end (sock, SOCK_END_RESET);
+}
+
+static void
+on_ready (LoopFd *fd, uint32_t bits)
+{
+  Sock *sock = (Sock *) ((char *) fd - offsetof (Sock, fd));
+
+  if (sock->connecting)
+    {
+      if (bits & (EPOLLERR | EPOLLHUP))
+        end (sock, SOCK_END_CONNECT);
+      else if (bits & EPOLLOUT)
+        finish_connect (sock);
+      return;
+    }
+  if (bits & EPOLLOUT)
+    {
+      bool waited = sock->out->len > sock->out_at;
+      if (!flush (sock))
+        {
+          end (sock, SOCK_END_RESET);
+          return;
+        }
+      if (waited && sock->out->len == 0)
+        {
+          if (sock->closing)
+            {
+              sock_close (sock, false);
+              return;
+            }
+          if (sock->ops->drained)
+            sock->ops->drained (sock);
+          if (sock->ended)
+            return;
+        }
+      wait_for (sock);
+    }
+  if (bits & EPOLLERR)
+    {
+      if (!sock->paused && !sock->closing)
+        read_some (sock); /* what came before the failure */
+      end (sock, SOCK_END_RESET);
+    }
+  else if (bits & EPOLLIN && !sock->closing)
+    read_some (sock);
+  else if (bits & (EPOLLRDHUP | EPOLLHUP))
+    end (sock, SOCK_END_EOF);
+}
+
+static Sock *
+make (Loop *loop, int fd, SockAddr peer, const SockOps *ops, void *owner)
+{
+  Sock *sock = g_new0 (Sock, 1);
+
+  set_options (fd);
+  sock->ops = ops;
+  sock->loop = loop;
+  sock->owner = owner;
+  sock->peer = peer;
+  sock->fd = (LoopFd){ .fd = fd, .ready = on_ready };
+  sock->in = g_byte_array_new ();
+  sock->out = g_byte_array_new ();
+  return sock;
+}
+
+Sock *
+sock_connect (Loop *loop, SockAddr addr, const SockOps *ops, void *owner)
+{
+  struct sockaddr_in to = native (addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return NULL;
+  if (connect (fd, (struct sockaddr *) &to, sizeof to) != 0 && errno != EINPROGRESS)
+    {
+      int error = errno;
+      close (fd);
+      errno = error;
+      return NULL;
+    }
+  Sock *sock = make (loop, fd, addr, ops, owner);
+  sock->connecting = true;
+  if (!loop_add (loop, &sock->fd, EPOLLOUT | EPOLLRDHUP))
+    {
+      sock->ended = true;
+      sock_close (sock, false);
+      return NULL;
+    }
+  return sock;
+}
+
+Sock *
+sock_accepted (Loop *loop, int fd, SockAddr peer, const SockOps *ops, void *owner)
+{
+  Sock *sock = make (loop, fd, peer, ops, owner);
+
+  if (!loop_add (loop, &sock->fd, EPOLLIN | EPOLLRDHUP))
+    {
+      sock->ended = true;
+      sock_close (sock, false);
+      return NULL;
+    }
+  return sock;
+}
+
+void
+sock_write (Sock *sock, const void *data, size_t size)
+{
+  if (sock->ended || size == 0)
+    return;
+  bool empty = sock->out->len == sock->out_at;
+  if (empty && !sock->connecting)
+    {
+      /* Most writes fit the kernel's buffer: no copy and no wait for EPOLLOUT. */
+      ssize_t done = send (sock->fd.fd, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (done == (ssize_t) size)
+        return;
+      if (done > 0)
+        {
+          data = (const char *) data + done;
+          size -= (size_t) done;
+        }
+      /* A failure is reported by the next read or EPOLLOUT, never from within a write. */
+    }
+  g_byte_array_append (sock->out, data, (guint) size);
+  wait_for (sock);
+}
+
+size_t
+sock_unsent (const Sock *sock)
+{
+  return sock->out->len - sock->out_at;
+}
+
+const uint8_t *
+sock_peek (const Sock *sock, size_t *size)
+{
+  *size = sock->in->len - sock->in_at;
+  return sock->in->data + sock->in_at;
+}
+
+void
+sock_consume (Sock *sock, size_t size)
+{
+  sock->in_at += size;
+  if (sock->in_at < sock->in->len)
+    return;
+  if (sock->in_at > KEEP_MOST)
+    {
+      g_byte_array_unref (sock->in);
+      sock->in = g_byte_array_new ();
+    }
+  g_byte_array_set_size (sock->in, 0);
+  sock->in_at = 0;
+}
+
+void
+sock_pause (Sock *sock, bool paused)
+{
+  sock->paused = paused;
+  if (!sock->ended)
+    wait_for (sock);
+}
+
+void
+sock_close (Sock *sock, bool reset)
+{
+  struct linger linger = { 1, 0 };
+
+  if (!sock->ended)
+    loop_remove (sock->loop, &sock->fd);
+  sock->ended = true;
+  if (reset)
+    setsockopt (sock->fd.fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (sock->fd.fd);
+  sock->fd.fd = -1;
+  g_byte_array_unref (sock->in);
+  g_byte_array_unref (sock->out);
+  sock->in = sock->out = NULL;
+  loop_free_later (sock->loop, sock);
+}
+
+void
+sock_close_when_sent (Sock *sock)
+{
+  if (sock->ended || sock_unsent (sock) == 0)
+    {
+      sock_close (sock, false);
+      return;
+    }
+  sock->closing = true;
+  sock->paused = true;
+  wait_for (sock);
+}
+
+/* ---- Listening ---- */
+
+struct SockListener
+{
+  LoopFd fd;
+  Loop *loop;
+  SockAccept accept;
+  void *owner;
+};
+
+static void
+on_accept (LoopFd *base, uint32_t bits)
+{
+  SockListener *listener = (SockListener *) base;
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  int fd;
+
+  (void) bits;
+  while ((fd = accept4 (base->fd, (struct sockaddr *) &from, &size, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      SockAddr peer = { ntohl (from.sin_addr.s_addr), ntohs (from.sin_port) };
+      listener->accept (listener->owner, fd, peer);
+      size = sizeof from;
+    }
+}
+
+SockListener *
+sock_listen (Loop *loop, SockAddr addr, SockAccept accept, void *owner)
+{
+  struct sockaddr_in at = native (addr);
+  int one = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return NULL;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  SockListener *listener = g_new0 (SockListener, 1);
+  *listener = (SockListener){ { .fd = fd, .ready = on_accept }, loop, accept, owner };
+  if (bind (fd, (struct sockaddr *) &at, sizeof at) != 0 || listen (fd, BACKLOG) != 0
+      || !loop_add (loop, &listener->fd, EPOLLIN))
+    {
+      int error = errno;
+      close (fd);
+      g_free (listener);
+      errno = error;
+      return NULL;
+    }
+  return listener;
+}
+
+void
+sock_listener_free (SockListener *listener)
+{
+  if (listener == NULL)
+    return;
+  loop_remove (listener->loop, &listener->fd);
+  close (listener->fd.fd);
+  g_free (listener);
+}
--- /dev/null
+++ b/node/control.c
@@ -0,0 +1,844 @@
+/* control.c - an instance that keeps the replicated log, and what the voter in charge does beside:
+ * it answers operators, reads the platform's list for all, and schedules.
+ *
+ * What really needs agreement, the catalogue and who votes, is in the log. Scheduling is not: it
+ * moves with the charge, and a successor learns from the entries what runs. A voter that hears of
+ * nobody in charge reads the list itself, so that during a cut the entries that it reaches still
+ * hear which servers leave.
+ */
+#include "count.h"
+#include "hsrv.h"
+#include "instance.h"
+#include "jlog.h"
+#include "mesh.h"
+#include "quota.h"
+#include "reader.h"
+#include "scheduler.h"
+#include "servers.h"
+#include "voter.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define TICK          (20 * FT_MS)
+#define VIEW_EVERY    (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
+#define VIEW_WAITING  (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
+#define LIST_EVERY    (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
+#define LIST_ALONE    (1200 * FT_MS)
+#define ALONE_AFTER   (900 * FT_MS) /* longer than a usual election */
+#define PUSH_AGAIN    (500 * FT_MS) /* a document is repaired, if its push was lost, within 1 s */
+#define CHANGE_MOST   (2500 * FT_MS) /* operators ask another voter after a second */
+#define LEAVE_LEAST   (400 * FT_MS) /* the successor is elected */
+#define LEAVE_MOST    (2 * FT_SECOND)
+
+typedef struct
+{
+  MeshPeer *peer;
+  int64_t viewed_at, pushed_at;
+  guint list_digest; /* of the list that it was sent last */
+  unsigned waiting;
+} Contact;
+
+typedef struct
+{
+  uint64_t ticket, number;
+  HCall *call;
+  int64_t until;
+} Change;
+
+typedef struct
+{
+  Instance base;
+  const Settings *settings;
+  const Seam *seam;
+  Loop *loop;
+  Mesh *mesh;
+  HCli *cli;
+  HSrv *operators;
+  Voter *voter;
+  Servers *servers;
+  Reader *reader;
+  Sched *sched;
+  Quota *quota;
+  RtCat *cat;
+  GPtrArray *contacts; /* Contact of each accepted link */
+  GArray *changes;     /* Change */
+  GHashTable *owners;  /* lifetime of an entry: Contact */
+  LoopTimer tick;
+  uint64_t next_ticket;
+  VoterStatus status;
+  int64_t list_at, led_at, leaving_since;
+} Control;
+
+/* ---- Telling entries ---- */
+
+static unsigned
+count_entries (const Control *control)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < control->contacts->len; i++)
+    {
+      const Contact *contact = control->contacts->pdata[i];
+      count += contact->peer->role == MESH_ENTRY && !contact->peer->leaving;
+    }
+  return count;
+}
+
+static uint64_t
+newest (Control *control)
+{
+  uint64_t number;
+  GBytes *document = voter_document (control->voter, &number);
+
+  if (document)
+    g_bytes_unref (document);
+  return number;
+}
+
+static void
+send_view (Control *control, Contact *contact, int64_t now)
+{
+  MeshMsg msg = { .kind = MESH_VIEW };
+  MeshView *view = &msg.MeshMsg_u.view;
+  VoterStatus *status = &control->status;
+
+  voter_status (control->voter, status);
+  view->term = status->term;
+  view->leader = status->leader;
+  view->proved = status->proved && control->leaving_since == 0;
+  view->document = newest (control);
+  view->voters.voters_len = status->count;
+  view->voters.voters_val = status->voters;
+  view->entries = count_entries (control);
+  mesh_send (contact->peer, &msg);
+  contact->viewed_at = now;
+}
+
+static void
+send_document (Control *control, Contact *contact, int64_t now)
+{
+  MeshMsg msg = { .kind = MESH_DOCUMENT };
+  uint64_t number;
+  GBytes *document = voter_document (control->voter, &number);
+  gsize size;
+
+  if (document == NULL)
+    return;
+  msg.MeshMsg_u.document.number = number;
+  msg.MeshMsg_u.document.text.text_val = (char *) g_bytes_get_data (document, &size);
+  msg.MeshMsg_u.document.text.text_len = (u_int) size;
+  mesh_send (contact->peer, &msg);
+  contact->pushed_at = now;
+  g_bytes_unref (document);
+}
+
+static void
+send_list (Control *control, Contact *contact, int64_t now)
+{
+  MeshMsg msg = { .kind = MESH_LIST };
+  MeshList *list = &msg.MeshMsg_u.list;
+  guint digest = servers_digest (control->servers);
+
+  if (servers_asked_at (control->servers) == 0)
+    return;
+  servers_message (control->servers, now, contact->list_digest != digest, list);
+  mesh_send (contact->peer, &msg);
+  contact->list_digest = digest;
+  g_free (list->servers.servers_val);
+}
+
+static void
+push_all (Control *control, void (*send) (Control *, Contact *, int64_t))
+{
+  for (unsigned i = 0; i < control->contacts->len; i++)
+    send (control, control->contacts->pdata[i], loop_now (control->loop));
+}
+
+/* ---- Scheduling ---- */
+
+static void
+on_sched_grant (void *host, uint64_t owner, uint64_t request, const char *server)
+{
+  Control *control = host;
+  Contact *contact = g_hash_table_lookup (control->owners, &owner);
+  MeshMsg msg = { .kind = MESH_GRANT };
+
+  count_up (COUNT_GRANTS);
+  if (contact == NULL)
+    return;
+  contact->waiting -= contact->waiting > 0;
+  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server };
+  mesh_send (contact->peer, &msg);
+}
+
+static void
+on_sched_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+{
+  Control *control = host;
+  Contact *contact = g_hash_table_lookup (control->owners, &owner);
+  MeshMsg msg = { .kind = MESH_REFUSE };
+
+  count_up (COUNT_REFUSED);
+  if (contact == NULL)
+    return;
+  contact->waiting -= contact->waiting > 0;
+  msg.MeshMsg_u.refuse = (MeshRefuse){ request, refusal->reason,
+                                       (u_int) (refusal->retry_after_us / FT_MS),
+                                       (char *) refusal->rule };
+  mesh_send (contact->peer, &msg);
+}
+
+static void
+on_sched_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
+{
+  (void) host;
+  jlog (JLOG_INFO, out ? "server-out" : "server-back", NULL, JL_TEXT ("server", server),
+        JL_TEXT ("why", why), JL_MS ("for_ms", for_us), JL_TEXT ("by", "voter"));
+}
+
+static const SchedOps sched_ops = { on_sched_grant, on_sched_refuse, on_sched_believes };
+
+static SchedAsk
+ask_of (const MeshAsk *from, uint64_t owner, int64_t now)
+{
+  return (SchedAsk){ .owner = owner,
+                     .request = from->request,
+                     .service = from->service,
+                     .org = from->org,
+                     .tier = from->tier,
+                     .stream = from->stream,
+                     .repeatable = from->repeatable,
+                     .prompt_tokens = from->prompt_tokens,
+                     .output_tokens = from->output_tokens,
+                     .shared_part = from->shared_part,
+                     .gap_us = from->gap_ms * FT_MS,
+                     .aim_at = now + from->aim_in_us,
+                     .limit_at = now + from->limit_in_us,
+                     .end_at = now + from->end_in_us,
+                     .avoid = from->avoid };
+}
+
+static void
+on_ask (Control *control, Contact *contact, const MeshAsk *from)
+{
+  int64_t now = loop_now (control->loop), wait = 0;
+  SchedAsk ask = ask_of (from, contact->peer->lifetime, now);
+
+  if (!control->status.proved || control->leaving_since)
+    {
+      send_view (control, contact, now); /* says so, and the entry helps itself */
+      return;
+    }
+  if (from->running)
+    {
+      sched_adopt (control->sched, &ask, from->server);
+      return;
+    }
+  if (from->cost_tokens > 0 && !quota_take (control->quota, from->org, from->cost_tokens, &wait))
+    {
+      SchedRefusal refusal = { FT_REASON_LIMIT_TOKENS, wait, "the organisation's limit" };
+      contact->waiting++;
+      on_sched_refuse (control, ask.owner, ask.request, &refusal);
+      return;
+    }
+  contact->waiting++;
+  sched_ask (control->sched, &ask);
+}
+
+static void
+on_done (Control *control, const Contact *contact, const MeshDone *done)
+{
+  SchedResult result = { done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome : SCHED_LEFT,
+                         done->event_us, done->answer_us };
+
+  sched_done (control->sched, contact->peer->lifetime, done->request, &result);
+}
+
+/* ---- Links ---- */
+
+static void
+on_up (void *host, MeshPeer *peer)
+{
+  Control *control = host;
+
+  jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_INT ("entry", peer->role == MESH_ENTRY),
+        JL_INT ("dialled", peer->dialled));
+  if (peer->role == MESH_VOTER)
+    voter_meet (control->voter, peer->ip);
+  if (peer->dialled)
+    return;
+  Contact *contact = g_new0 (Contact, 1);
+  contact->peer = peer;
+  peer->user = contact;
+  g_ptr_array_add (control->contacts, contact);
+  g_hash_table_insert (control->owners, &peer->lifetime, contact);
+  send_view (control, contact, loop_now (control->loop));
+  send_list (control, contact, loop_now (control->loop));
+}
+
+static void
+on_down (void *host, MeshPeer *peer)
+{
+  Control *control = host;
+  Contact *contact = peer->user;
+
+  jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_INT ("dialled", peer->dialled),
+        JL_MS ("silent_ms", loop_now (control->loop) - peer->heard));
+  if (contact == NULL)
+    return;
+  if (g_hash_table_lookup (control->owners, &peer->lifetime) == contact)
+    {
+      g_hash_table_remove (control->owners, &peer->lifetime);
+      sched_owner_gone (control->sched, peer->lifetime);
+    }
+  g_ptr_array_remove_fast (control->contacts, contact);
+  g_free (contact);
+}
+
+static void
+take_list (Control *control, const MeshList *list)
+{
+  if (servers_take_message (control->servers, list, loop_now (control->loop)))
+    servers_give (control->servers, control->sched);
+}
+
+static void
+on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  Control *control = host;
+  Contact *contact = peer->user;
+  const MeshView *view = &msg->MeshMsg_u.view;
+  GByteArray *bytes;
+
+  switch (msg->kind)
+    {
+    case MESH_RAFT:
+      bytes = g_byte_array_new ();
+      g_byte_array_append (bytes, (const guint8 *) msg->MeshMsg_u.raft.raft_val,
+                           msg->MeshMsg_u.raft.raft_len);
+      voter_receive (control->voter, peer->ip, bytes);
+      break;
+    case MESH_VIEW:
+      for (unsigned i = 0; i < view->voters.voters_len; i++)
+        mesh_dial (control->mesh, view->voters.voters_val[i]);
+      break;
+    case MESH_LIST:
+      take_list (control, &msg->MeshMsg_u.list);
+      break;
+    case MESH_ASK:
+      if (contact)
+        on_ask (control, contact, &msg->MeshMsg_u.ask);
+      break;
+    case MESH_FIRST:
+      sched_first (control->sched, peer->lifetime, msg->MeshMsg_u.first.request,
+                   msg->MeshMsg_u.first.after_us);
+      break;
+    case MESH_SILENT:
+      sched_silent (control->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
+      break;
+    case MESH_DONE:
+      if (contact)
+        on_done (control, contact, &msg->MeshMsg_u.done);
+      break;
+    default:
+      break;
+    }
+}
+
+static const MeshOps mesh_ops = { on_up, on_message, on_down };
+
+/* ---- The log ---- */
+
+static void
+on_send (void *host, uint32_t to, GByteArray *bytes)
+{
+  Control *control = host;
+  MeshPeer *peer = mesh_dialled (control->mesh, to);
+  MeshMsg msg = { .kind = MESH_RAFT };
+
+  if (peer)
+    {
+      msg.MeshMsg_u.raft.raft_val = (char *) bytes->data;
+      msg.MeshMsg_u.raft.raft_len = bytes->len;
+      mesh_send (peer, &msg);
+    }
+  else
+    mesh_dial (control->mesh, to);
+  g_byte_array_unref (bytes);
+}
+
+static void
+on_committed (void *host)
+{
+  Control *control = host;
+  FtError error = { 0 };
+  uint64_t number;
+  gsize size;
+  GBytes *document = voter_document (control->voter, &number);
+  RtCat *cat = NULL;
+
+  if (document == NULL || (control->cat && rt_cat_version (control->cat) >= number))
+    goto out;
+  const char *text = g_bytes_get_data (document, &size);
+  if (control->seam->read_catalogue (text, size, &cat, &error) != FT_OK)
+    {
+      jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", number),
+            JL_TEXT ("why", error.text));
+      goto out;
+    }
+  rt_cat_unref (control->cat);
+  control->cat = cat;
+  count_up (COUNT_CATALOGUES);
+  voter_status (control->voter, &control->status);
+  jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", number),
+        JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("proved", control->status.proved),
+        JL_INT ("term", control->status.term));
+  for (unsigned i = 0; i < rt_cat_service_count (cat); i++)
+    {
+      const RtService *service = rt_cat_service_at (cat, i);
+      SchedServiceConf conf = { service->engine, service->stride, service->memory };
+      sched_service (control->sched, service->name, &conf);
+    }
+  for (unsigned i = 0; i < rt_cat_org_count (cat); i++)
+    {
+      const RtOrg *org = rt_cat_org_at (cat, i);
+      quota_limit (control->quota, org->name, org->rate, org->burst);
+    }
+  if (control->status.proved)
+    push_all (control, send_document);
+out:
+  if (document)
+    g_bytes_unref (document);
+}
+
+/* ---- Operators ---- */
+
+static void
+reply_text (HCall *call, unsigned status, GString *fields, const char *text, size_t size)
+{
+  hwrite_field (fields, "Content-Type", "application/json");
+  hcall_reply (call, status, fields, text, size);
+  g_string_free (fields, TRUE);
+}
+
+static void
+reply_error (HCall *call, unsigned status, const char *field, const char *why)
+{
+  char *safe_field = g_strescape (field, NULL), *safe_why = g_strescape (why, NULL);
+  char *body = g_strdup_printf ("{\"error\":\"%s%s%s\"}\n", safe_field, *field ? ": " : "",
+                                safe_why);
+
+  reply_text (call, status, g_string_new (NULL), body, strlen (body));
+  g_free (body);
+  g_free (safe_field);
+  g_free (safe_why);
+}
+
+/* Sends the operator on to the voter in charge, or says that none is known. */
+static void
+pass_on (Control *control, HCall *call)
+{
+  GString *fields;
+  SockAddr to = { control->status.leader, control->settings->control.port };
+
+  if (control->status.leader == 0 || control->status.leader == control->settings->ip)
+    {
+      reply_error (call, 503, "", "no voter is known to be in charge");
+      return;
+    }
+  fields = g_string_new (NULL);
+  control->seam->write_redirect (fields, to, hmsg_target (hcall_msg (call)));
+  reply_text (call, 307, fields, "{}\n", 3);
+}
+
+static bool
+in_charge (Control *control)
+{
+  voter_status (control->voter, &control->status);
+  return control->status.proved && control->leaving_since == 0;
+}
+
+static void
+put_catalogue (Control *control, HCall *call)
+{
+  const GByteArray *body = hcall_body (call);
+  FtError error = { 0 };
+  RtCat *cat = NULL;
+  Change change = { 0 };
+
+  if (control->seam->read_catalogue ((const char *) body->data, body->len, &cat, &error) != FT_OK)
+    {
+      jlog (JLOG_WARN, "change-invalid", NULL, JL_TEXT ("field", error.field),
+            JL_TEXT ("why", error.text), JL_INT ("bytes", body->len));
+      reply_error (call, 400, error.field, error.text);
+      return;
+    }
+  change.number = rt_cat_version (cat);
+  rt_cat_unref (cat);
+  if (!in_charge (control))
+    {
+      pass_on (control, call);
+      return;
+    }
+  if (change.number <= newest (control))
+    {
+      jlog (JLOG_INFO, "change-known", NULL, JL_INT ("version", change.number),
+            JL_INT ("newest", newest (control)));
+      reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
+      return;
+    }
+  change.ticket = ++control->next_ticket;
+  change.call = call;
+  change.until = loop_now (control->loop) + CHANGE_MOST;
+  g_array_append_val (control->changes, change);
+  voter_propose (control->voter, change.ticket, change.number, body->data, body->len);
+}
+
+static void
+get_catalogue (Control *control, HCall *call)
+{
+  uint64_t number;
+  gsize size;
+
+  if (!in_charge (control))
+    {
+      pass_on (control, call);
+      return;
+    }
+  GBytes *document = voter_document (control->voter, &number);
+  if (document == NULL)
+    {
+      reply_error (call, 503, "", "no catalogue has been accepted yet");
+      return;
+    }
+  const char *text = g_bytes_get_data (document, &size);
+  reply_text (call, 200, g_string_new (NULL), text, size);
+  g_bytes_unref (document);
+}
+
+static void
+on_operator (void *owner, HCall *call)
+{
+  Control *control = owner;
+  const HMsg *msg = hcall_msg (call);
+
+  switch (control->seam->call (hmsg_method (msg), hmsg_target (msg)))
+    {
+    case SEAM_CALL_PUT:
+      put_catalogue (control, call);
+      break;
+    case SEAM_CALL_GET:
+      get_catalogue (control, call);
+      break;
+    case SEAM_CALL_READY:
+      hcall_reply (call, control->leaving_since ? 503 : 200, NULL, "", 0);
+      break;
+    default:
+      reply_error (call, 404, "", "there is no such call");
+      break;
+    }
+}
+
+static void
+drop_change (Control *control, unsigned index)
+{
+  g_array_remove_index_fast (control->changes, index);
+}
+
+static void
+on_operator_gone (void *owner, HCall *call)
+{
+  Control *control = owner;
+
+  for (unsigned i = 0; i < control->changes->len; i++)
+    if (g_array_index (control->changes, Change, i).call == call)
+      {
+        drop_change (control, i);
+        return;
+      }
+}
+
+static const HSrvOps operator_ops = { on_operator, on_operator_gone };
+
+static void
+on_verdict (void *host, uint64_t ticket, FtStatus status)
+{
+  Control *control = host;
+
+  for (unsigned i = 0; i < control->changes->len; i++)
+    {
+      Change change = g_array_index (control->changes, Change, i);
+      if (change.ticket != ticket)
+        continue;
+      drop_change (control, i);
+      jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
+            JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
+            JL_INT ("term", control->status.term));
+      if (status == FT_OK)
+        reply_text (change.call, 200, g_string_new (NULL), "{}\n", 3);
+      else
+        reply_error (change.call, 503, "", "it is not known whether the change was accepted");
+      return;
+    }
+}
+
+static const VoterOps voter_ops = { on_send, on_committed, on_verdict };
+
+/* ---- Time ---- */
+
+static void
+expire_changes (Control *control, int64_t now)
+{
+  for (unsigned i = control->changes->len; i-- > 0;)
+    {
+      Change change = g_array_index (control->changes, Change, i);
+      if (now < change.until)
+        continue;
+      drop_change (control, i);
+      reply_error (change.call, 503, "", "it is not known whether the change was accepted");
+    }
+}
+
+static void
+on_list_read (void *host, const GArray *list, int64_t asked_at, const char *why)
+{
+  Control *control = host;
+  int64_t now = loop_now (control->loop);
+
+  if (list == NULL)
+    {
+      count_up (COUNT_LIST_FAILURES);
+      jlog (JLOG_WARN, "list-failed", NULL, JL_TEXT ("why", why),
+            JL_MS ("held_age_ms", now - servers_asked_at (control->servers)));
+      return;
+    }
+  if (!servers_take_read (control->servers, list, asked_at))
+    return;
+  count_up (COUNT_LISTS);
+  servers_give (control->servers, control->sched);
+  if (servers_changed (control->servers))
+    jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (control->servers)),
+          JL_MS ("took_ms", now - asked_at));
+  push_all (control, send_list);
+}
+
+static void
+read_list (Control *control, int64_t now)
+{
+  const VoterStatus *status = &control->status;
+  int64_t every = status->proved ? LIST_EVERY : LIST_ALONE;
+
+  if (status->proved || status->leader != 0)
+    control->led_at = now;
+  bool alone = now - control->led_at > ALONE_AFTER;
+  if (now < control->list_at || (!status->proved && !alone))
+    return;
+  control->list_at = now + every;
+  reader_start (control->reader);
+}
+
+static void
+note_charge (Control *control)
+{
+  VoterStatus before = control->status;
+
+  voter_status (control->voter, &control->status);
+  if (control->status.proved == before.proved && control->status.leader == before.leader
+      && control->status.count == before.count && control->status.broken == before.broken)
+    return;
+  jlog (JLOG_INFO, "charge", NULL, JL_INT ("term", control->status.term),
+        JL_INT ("leader", control->status.leader), JL_INT ("proved", control->status.proved),
+        JL_INT ("voters", control->status.count), JL_INT ("broken", control->status.broken));
+  if (control->status.proved != before.proved)
+    {
+      if (control->status.proved)
+        control->list_at = 0;
+      push_all (control, send_view);
+    }
+}
+
+static void
+tick_contacts (Control *control, int64_t now)
+{
+  uint64_t number = newest (control);
+
+  for (unsigned i = 0; i < control->contacts->len; i++)
+    {
+      Contact *contact = control->contacts->pdata[i];
+      int64_t every = contact->waiting > 0 ? VIEW_WAITING : VIEW_EVERY;
+      if (now - contact->viewed_at >= every)
+        send_view (control, contact, now);
+      if (contact->peer->role == MESH_ENTRY && contact->peer->document < number
+          && now - contact->pushed_at > PUSH_AGAIN)
+        send_document (control, contact, now);
+    }
+}
+
+static void
+on_tick (LoopTimer *timer)
+{
+  Control *control = (Control *) ((char *) timer - offsetof (Control, tick));
+  int64_t now = loop_now (control->loop);
+
+  note_charge (control);
+  tick_contacts (control, now);
+  read_list (control, now);
+  expire_changes (control, now);
+  if (control->status.proved)
+    sched_tick (control->sched);
+  if (control->leaving_since
+      && ((now - control->leaving_since > LEAVE_LEAST && control->changes->len == 0
+           && !control->status.proved)
+          || now - control->leaving_since > LEAVE_MOST))
+    {
+      jlog (JLOG_INFO, "stop", NULL, JL_MS ("after_ms", now - control->leaving_since));
+      loop_stop (control->loop);
+    }
+  loop_timer_set (control->loop, timer, now + TICK);
+}
+
+/* ---- The instance ---- */
+
+static void
+leave (Instance *base)
+{
+  Control *control = (Control *) base;
+
+  if (control->leaving_since)
+    return;
+  control->leaving_since = loop_now (control->loop);
+  jlog (JLOG_INFO, "leave", NULL, JL_INT ("proved", control->status.proved),
+        JL_INT ("changes", control->changes->len));
+  voter_hand_over (control->voter);
+  push_all (control, send_view);
+}
+
+static void
+new_settings (Instance *base, const Settings *settings)
+{
+  Control *control = (Control *) base;
+
+  for (unsigned i = 0; i < settings->seeds->len; i++)
+    mesh_dial (control->mesh, g_array_index (settings->seeds, SockAddr, i).ip);
+}
+
+static char *
+describe (Instance *base)
+{
+  Control *control = (Control *) base;
+  SchedStats stats;
+  char *servers = sched_describe (control->sched);
+  GString *out = g_string_new (NULL);
+
+  sched_stats (control->sched, &stats);
+  voter_status (control->voter, &control->status);
+  g_string_append_printf (
+      out,
+      "foxtail_term %" G_GUINT64_FORMAT "\nfoxtail_in_charge %d\nfoxtail_voters %u\n"
+      "foxtail_catalogue_version %" G_GUINT64_FORMAT
+      "\nfoxtail_entries %u\nfoxtail_waiting %u\nfoxtail_running %u\nfoxtail_servers %u\n"
+      "foxtail_servers_out %u\nfoxtail_places %u\nfoxtail_list_age_seconds %g\n",
+      control->status.term, control->status.proved, control->status.count, newest (control),
+      count_entries (control), stats.waiting, stats.running, stats.servers, stats.out, stats.slots,
+      (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
+  g_string_append (out, "# servers as this voter sees them\n");
+  for (char *line = strtok (servers, "\n"); line; line = strtok (NULL, "\n"))
+    g_string_append_printf (out, "# %s\n", line);
+  g_free (servers);
+  return g_string_free (out, FALSE);
+}
+
+static void
+destroy (Instance *base)
+{
+  Control *control = (Control *) base;
+
+  loop_timer_stop (control->loop, &control->tick);
+  voter_free (control->voter);
+  hsrv_free (control->operators);
+  mesh_free (control->mesh);
+  reader_free (control->reader);
+  hcli_free (control->cli);
+  servers_free (control->servers);
+  sched_free (control->sched);
+  quota_free (control->quota);
+  rt_cat_unref (control->cat);
+  g_hash_table_unref (control->owners);
+  g_ptr_array_unref (control->contacts);
+  g_array_unref (control->changes);
+  g_free (control);
+}
+
+static const InstanceOps ops = { leave, new_settings, describe, destroy };
+
+static FtStatus
+open_voter (Control *control, FtError *error)
+{
+  const Settings *s = control->settings;
+  uint32_t seeds[FT_VOTERS_MOST];
+  VoterConf conf = { .self = s->ip, .seeds = seeds, .may_form = s->first_start,
+                     .losses = (unsigned) s->losses, .folder = s->data_folder };
+
+  for (; conf.seed_count < s->seeds->len && conf.seed_count < FT_VOTERS_MOST; conf.seed_count++)
+    seeds[conf.seed_count] = g_array_index (s->seeds, SockAddr, conf.seed_count).ip;
+  return voter_new (&conf, control->loop, &voter_ops, control, &control->voter, error);
+}
+
+static FtStatus
+open_addresses (Control *control, FtError *error)
+{
+  const Settings *s = control->settings;
+  SockAddr links = { s->ip, (uint16_t) s->link_port };
+  MeshHello hello = { .address = s->ip,
+                      .lifetime = instance_random (),
+                      .role = MESH_VOTER,
+                      .domain = s->domain };
+  HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
+
+  control->mesh = mesh_new (control->loop, links, &hello, &mesh_ops, control);
+  if (control->mesh == NULL)
+    return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+  control->operators = hsrv_new (control->loop, s->control, &operator_ops, control);
+  if (control->operators == NULL)
+    return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text,
+                         g_strerror (errno));
+  hsrv_limits (control->operators, &limits);
+  return FT_OK;
+}
+
+FtStatus
+control_new (const Settings *settings, const Seam *seam, Loop *loop, Instance **out,
+             FtError *error)
+{
+  Control *control = g_new0 (Control, 1);
+
+  control->base.ops = &ops;
+  control->settings = settings;
+  control->seam = seam;
+  control->loop = loop;
+  control->cli = hcli_new (loop);
+  control->servers = servers_new ();
+  control->sched = sched_new (loop_clock (loop), &sched_ops, control);
+  control->quota = quota_new (loop_clock (loop));
+  control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
+  control->contacts = g_ptr_array_new ();
+  control->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  control->owners = g_hash_table_new (g_int64_hash, g_int64_equal);
+  control->tick.fire = on_tick;
+  control->led_at = loop_now (loop);
+  FtStatus status = open_voter (control, error);
+  if (status == FT_OK)
+    status = open_addresses (control, error);
+  if (status != FT_OK)
+    {
+      destroy (&control->base);
+      return status;
+    }
+  on_committed (control); /* what the disk held */
+  new_settings (&control->base, settings);
+  loop_timer_set (loop, &control->tick, loop_now (loop) + TICK);
+  *out = &control->base;
+  return FT_OK;
+}
--- /dev/null
+++ b/node/count.h
@@ -0,0 +1,42 @@
+/* count.h - counters and histograms of one instance, as text for metrics. */
+#ifndef COUNT_H
+#define COUNT_H
+
+#include "foxtail.h"
+
+typedef enum
+{
+  COUNT_REQUESTS,
+  COUNT_ANSWERED,
+  COUNT_REFUSED,
+  COUNT_UNKNOWN,    /* ended with 502 or 504 */
+  COUNT_BROKEN_OFF, /* an answer that had begun was broken off */
+  COUNT_LEFT,       /* callers that left before the end */
+  COUNT_SENDS,
+  COUNT_REPEATS,
+  COUNT_RESUMES,
+  COUNT_UNREACHED,
+  COUNT_SILENT,
+  COUNT_FALL_BACKS, /* times that the voter in charge was given up as scheduler */
+  COUNT_CATALOGUES,
+  COUNT_LISTS,
+  COUNT_LIST_FAILURES,
+  COUNT_GRANTS,
+  COUNTERS
+} Counter;
+
+typedef enum
+{
+  TIMED_WAIT,   /* from a request's arrival to its place */
+  TIMED_FIRST,  /* from sending to the first of the answer */
+  TIMED_WHOLE,  /* from arrival to the end of the answer */
+  TIMED
+} Timed;
+
+void count_up (Counter counter);
+uint64_t count_of (Counter counter);
+void count_time (Timed timed, int64_t us);
+/* All of them in the usual text format, and extra behind; g_free. */
+char *count_text (const char *extra);
+
+#endif
--- /dev/null
+++ b/node/entry.c
@@ -0,0 +1,414 @@
+/* entry.c - an instance that takes callers.
+ *
+ * It holds no state that must survive: the catalogue, the list of servers and the place of each
+ * request come from voters. When these cannot be reached it serves on with what it holds; it never
+ * goes back to an older catalogue, and after a start it is ready only once a voter in charge has
+ * said that its catalogue is the newest, or none could be heard for CONFIRM_MOST.
+ */
+#include "count.h"
+#include "instance.h"
+#include "jlog.h"
+#include "reader.h"
+#include "requests.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define TICK         (50 * FT_MS)
+#define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
+#define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
+#define LIST_EVERY   (1500 * FT_MS)
+#define LIST_PART    0.3 /* of the platform's rate that entries together use when voters are silent */
+#define LEAVE_LEAST  (2600 * FT_MS)  /* the balancer asks every second and wants two misses */
+#define LEAVE_MARGIN (700 * FT_MS)   /* before the process would be killed */
+
+typedef struct
+{
+  Instance base;
+  const Settings *settings;
+  const Seam *seam;
+  Loop *loop;
+  Mesh *mesh;
+  HCli *cli;
+  HSrv *callers, *ready;
+  Place *place;
+  Budget *budget;
+  Servers *servers;
+  Reader *reader;
+  Requests *requests;
+  RtCat *cat;
+  LoopTimer tick;
+  int64_t started, leaving_since, list_at;
+  unsigned entries;
+  bool confirmed, was_ready;
+} Entry;
+
+/* ---- Catalogue and list ---- */
+
+static void
+apply_limits (Entry *entry, const RtCat *cat)
+{
+  const RtLimits *from = rt_cat_limits (cat);
+  HSrvLimits limits = { from->head_bytes, from->body_bytes, from->head_us, from->idle_us };
+
+  hsrv_limits (entry->callers, &limits);
+}
+
+static void
+take_catalogue (Entry *entry, const MeshDocument *document, const MeshPeer *peer)
+{
+  FtError error = { 0 };
+  RtCat *cat = NULL;
+
+  if (entry->cat && document->number <= rt_cat_version (entry->cat))
+    return;
+  if (entry->seam->read_catalogue (document->text.text_val, document->text.text_len, &cat, &error)
+      != FT_OK)
+    {
+      jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", document->number),
+            JL_TEXT ("field", error.field), JL_TEXT ("why", error.text));
+      return;
+    }
+  jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", document->number),
+        JL_INT ("before", entry->cat ? rt_cat_version (entry->cat) : 0),
+        JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("from_voter", peer->ip));
+  count_up (COUNT_CATALOGUES);
+  rt_cat_unref (entry->cat);
+  entry->cat = cat;
+  apply_limits (entry, cat);
+  requests_catalogue (entry->requests, cat);
+  place_services (entry->place, cat);
+  mesh_say (entry->mesh, entry->leaving_since != 0, rt_cat_version (cat));
+}
+
+static void
+list_changed (Entry *entry, const char *from)
+{
+  count_up (COUNT_LISTS);
+  place_servers (entry->place, entry->servers);
+  if (servers_changed (entry->servers))
+    jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (entry->servers)),
+          JL_TEXT ("from", from),
+          JL_MS ("age_ms", loop_now (entry->loop) - servers_asked_at (entry->servers)));
+}
+
+static void
+on_list_read (void *host, const GArray *list, int64_t asked_at, const char *why)
+{
+  Entry *entry = host;
+
+  if (list && servers_take_read (entry->servers, list, asked_at))
+    list_changed (entry, "own reading");
+  else if (list == NULL)
+    {
+      count_up (COUNT_LIST_FAILURES);
+      jlog (JLOG_WARN, "list-failed", NULL, JL_TEXT ("why", why));
+    }
+}
+
+/* Failure: the voters cannot be reached, and servers leave meanwhile. Symptom: a leaving server gets
+ * new work. The entry reads the list itself, so rarely that all entries together stay within a part
+ * of the platform's rate. */
+static void
+read_list_if_old (Entry *entry, int64_t now)
+{
+  double rate = entry->settings->list_rate * LIST_PART / MAX (entry->entries, 4);
+  int64_t every = MAX (LIST_EVERY, (int64_t) (1e6 / MAX (rate, 0.01)));
+
+  if (now - servers_asked_at (entry->servers) < LIST_OLD || now < entry->list_at)
+    return;
+  entry->list_at = now + every / 2 + (int64_t) (instance_random () % (uint64_t) every);
+  reader_start (entry->reader);
+}
+
+/* ---- Voters ---- */
+
+static void
+on_view (Entry *entry, MeshPeer *peer, const MeshView *view)
+{
+  for (unsigned i = 0; i < view->voters.voters_len; i++)
+    mesh_dial (entry->mesh, view->voters.voters_val[i]);
+  if (view->proved && entry->cat && rt_cat_version (entry->cat) >= view->document
+      && !entry->confirmed)
+    {
+      entry->confirmed = true;
+      jlog (JLOG_INFO, "confirmed", NULL, JL_INT ("version", rt_cat_version (entry->cat)),
+            JL_INT ("term", view->term));
+    }
+  if (view->proved && view->entries > 0)
+    {
+      entry->entries = view->entries;
+      place_entries (entry->place, view->entries);
+      budget_share (entry->budget, 1.0 / view->entries);
+    }
+  place_view (entry->place, peer, view);
+}
+
+static void
+on_up (void *host, MeshPeer *peer)
+{
+  (void) host;
+  jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain));
+}
+
+static void
+on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  Entry *entry = host;
+
+  switch (msg->kind)
+    {
+    case MESH_VIEW:
+      on_view (entry, peer, &msg->MeshMsg_u.view);
+      break;
+    case MESH_DOCUMENT:
+      take_catalogue (entry, &msg->MeshMsg_u.document, peer);
+      break;
+    case MESH_LIST:
+      if (servers_take_message (entry->servers, &msg->MeshMsg_u.list, loop_now (entry->loop)))
+        list_changed (entry, "voter");
+      break;
+    default:
+      place_message (entry->place, peer, msg);
+      break;
+    }
+}
+
+static void
+on_down (void *host, MeshPeer *peer)
+{
+  Entry *entry = host;
+
+  jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain),
+        JL_MS ("silent_ms", loop_now (entry->loop) - peer->heard));
+  place_down (entry->place, peer);
+}
+
+static const MeshOps mesh_ops = { on_up, on_message, on_down };
+
+/* ---- Callers and the balancer ---- */
+
+static void
+on_grant (void *host, uint64_t request, const char *server)
+{
+  requests_grant (((Entry *) host)->requests, request, server);
+}
+
+static void
+on_refuse (void *host, uint64_t request, const SchedRefusal *refusal)
+{
+  requests_refuse (((Entry *) host)->requests, request, refusal);
+}
+
+static const PlaceOps place_ops = { on_grant, on_refuse };
+
+static void
+on_request (void *owner, HCall *call)
+{
+  requests_take (((Entry *) owner)->requests, call);
+}
+
+static void
+on_gone (void *owner, HCall *call)
+{
+  requests_gone (((Entry *) owner)->requests, call);
+}
+
+static const HSrvOps callers_ops = { on_request, on_gone };
+
+static bool
+is_ready (const Entry *entry)
+{
+  bool waited = loop_now (entry->loop) - entry->started > CONFIRM_MOST;
+
+  return entry->leaving_since == 0 && entry->cat && servers_asked_at (entry->servers) > 0
+         && (entry->confirmed || waited);
+}
+
+static void
+on_ready_call (void *owner, HCall *call)
+{
+  Entry *entry = owner;
+  const HMsg *msg = hcall_msg (call);
+  unsigned status = 404;
+
+  if (entry->seam->call (hmsg_method (msg), hmsg_target (msg)) == SEAM_CALL_READY)
+    status = is_ready (entry) ? 200 : 503;
+  hcall_reply (call, status, NULL, "", 0);
+}
+
+static void
+ready_gone (void *owner, HCall *call)
+{
+  (void) owner;
+  (void) call;
+}
+
+static const HSrvOps ready_ops = { on_ready_call, ready_gone };
+
+/* ---- Time and the end ---- */
+
+/* The balancer has noticed and everything open is done, or the process would be killed. */
+static bool
+may_end (const Entry *entry, int64_t now)
+{
+  int64_t since = now - entry->leaving_since;
+  int64_t most = entry->settings->grace_s * FT_SECOND - LEAVE_MARGIN;
+
+  return since > most
+         || (since > LEAVE_LEAST && requests_open (entry->requests) == 0
+             && hsrv_busy (entry->callers) == 0);
+}
+
+static void
+on_tick (LoopTimer *timer)
+{
+  Entry *entry = (Entry *) ((char *) timer - offsetof (Entry, tick));
+  int64_t now = loop_now (entry->loop);
+  bool ready = is_ready (entry);
+
+  if (ready != entry->was_ready)
+    jlog (JLOG_INFO, ready ? "ready" : "not-ready", NULL,
+          JL_INT ("version", entry->cat ? rt_cat_version (entry->cat) : 0),
+          JL_INT ("confirmed", entry->confirmed),
+          JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
+  entry->was_ready = ready;
+  read_list_if_old (entry, now);
+  if (entry->leaving_since && may_end (entry, now))
+    {
+      jlog (JLOG_INFO, "stop", NULL, JL_INT ("open", requests_open (entry->requests)),
+            JL_MS ("after_ms", now - entry->leaving_since));
+      loop_stop (entry->loop);
+    }
+  loop_timer_set (entry->loop, timer, now + TICK);
+}
+
+static void
+leave (Instance *base)
+{
+  Entry *entry = (Entry *) base;
+
+  if (entry->leaving_since)
+    return;
+  entry->leaving_since = loop_now (entry->loop);
+  hsrv_last_answers (entry->callers);
+  mesh_say (entry->mesh, true, entry->cat ? rt_cat_version (entry->cat) : 0);
+  jlog (JLOG_INFO, "leave", NULL, JL_INT ("open", requests_open (entry->requests)),
+        JL_INT ("connections", hsrv_connections (entry->callers)));
+}
+
+static void
+dial_seeds (Entry *entry, const Settings *settings)
+{
+  for (unsigned i = 0; i < settings->seeds->len; i++)
+    mesh_dial (entry->mesh, g_array_index (settings->seeds, SockAddr, i).ip);
+}
+
+static void
+new_settings (Instance *base, const Settings *settings)
+{
+  dial_seeds ((Entry *) base, settings);
+}
+
+static char *
+describe (Instance *base)
+{
+  Entry *entry = (Entry *) base;
+  char *servers = place_describe (entry->place);
+  GString *out = g_string_new (NULL);
+
+  g_string_append_printf (
+      out,
+      "foxtail_ready %d\nfoxtail_catalogue_version %" G_GUINT64_FORMAT
+      "\nfoxtail_requests_open %u\nfoxtail_requests_waiting %u\nfoxtail_caller_connections %u\n"
+      "foxtail_server_connections_opened_total %" G_GUINT64_FORMAT
+      "\nfoxtail_scheduler_central %d\nfoxtail_list_age_seconds %g\n",
+      is_ready (entry), entry->cat ? rt_cat_version (entry->cat) : 0,
+      requests_open (entry->requests), place_waiting (entry->place),
+      hsrv_connections (entry->callers), hcli_opened (entry->cli), place_is_central (entry->place),
+      (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
+  g_string_append (out, "# servers as this entry sees them\n");
+  for (char *line = strtok (servers, "\n"); line; line = strtok (NULL, "\n"))
+    g_string_append_printf (out, "# %s\n", line);
+  g_free (servers);
+  return g_string_free (out, FALSE);
+}
+
+static void
+destroy (Instance *base)
+{
+  Entry *entry = (Entry *) base;
+
+  loop_timer_stop (entry->loop, &entry->tick);
+  hsrv_free (entry->callers);
+  hsrv_free (entry->ready);
+  mesh_free (entry->mesh);
+  reader_free (entry->reader);
+  requests_free (entry->requests);
+  place_free (entry->place);
+  hcli_free (entry->cli);
+  budget_free (entry->budget);
+  servers_free (entry->servers);
+  rt_cat_unref (entry->cat);
+  g_free (entry);
+}
+
+static const InstanceOps ops = { leave, new_settings, describe, destroy };
+
+static FtStatus
+open_addresses (Entry *entry, FtError *error)
+{
+  const Settings *s = entry->settings;
+  SockAddr links = { s->ip, (uint16_t) s->link_port };
+  MeshHello hello = { .address = s->ip,
+                      .lifetime = instance_random (),
+                      .role = MESH_ENTRY,
+                      .domain = s->domain };
+
+  entry->mesh = mesh_new (entry->loop, links, &hello, &mesh_ops, entry);
+  if (entry->mesh == NULL)
+    return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+  entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
+  if (entry->callers == NULL)
+    return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text,
+                         g_strerror (errno));
+  entry->ready = hsrv_new (entry->loop, s->ready, &ready_ops, entry);
+  if (entry->ready == NULL)
+    return ft_error_set (error, FT_IO, 0, "ready", "%s: %s", s->ready_text, g_strerror (errno));
+  return FT_OK;
+}
+
+FtStatus
+entry_new (const Settings *settings, const Seam *seam, Loop *loop, Instance **out, FtError *error)
+{
+  Entry *entry = g_new0 (Entry, 1);
+  BudgetConf budget = { settings->budget_ratio, (double) settings->budget_slack,
+                        settings->budget_window_s * FT_SECOND };
+
+  entry->base.ops = &ops;
+  entry->settings = settings;
+  entry->seam = seam;
+  entry->loop = loop;
+  entry->started = loop_now (loop);
+  entry->cli = hcli_new (loop);
+  entry->servers = servers_new ();
+  entry->budget = budget_new (loop_clock (loop), &budget);
+  entry->place = place_new (loop, settings->ip, &place_ops, entry);
+  entry->reader = reader_new (loop, entry->cli, seam, settings->list, on_list_read, entry);
+  RequestsConf conf = { loop,          seam,           entry->cli, entry->place, entry->budget,
+                        entry->servers };
+  entry->requests = requests_new (&conf);
+  entry->tick.fire = on_tick;
+  FtStatus status = open_addresses (entry, error);
+  if (status != FT_OK)
+    {
+      destroy (&entry->base);
+      return status;
+    }
+  entry->list_at = entry->started + LIST_OLD;
+  loop_timer_set (loop, &entry->tick, entry->started + TICK);
+  dial_seeds (entry, settings);
+  *out = &entry->base;
+  return FT_OK;
+}
--- /dev/null
+++ b/node/main.c
@@ -0,0 +1,263 @@
+/* main.c - foxtailnode: one instance of a deployment whose members are found, not configured. */
+#include "count.h"
+#include "hsrv.h"
+#include "instance.h"
+#include "jlog.h"
+#include "platform.h"
+
+#include <argtable2.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define SETTINGS_VARIABLE "FOXTAILGRADE_CONFIG"
+#define SETTINGS_EVERY    (1 * FT_SECOND) /* a file that changes without a signal is noticed then */
+
+typedef struct
+{
+  const char *file;
+  Settings *settings;
+  Loop *loop;
+  Instance *instance;
+  HSrv *metrics;
+  LoopFd signals;
+  LoopTimer watch;
+  struct timespec changed;
+} Process;
+
+uint64_t
+instance_random (void)
+{
+  uint64_t bits = 0;
+
+  if (getrandom (&bits, sizeof bits, 0) != sizeof bits)
+    bits = ((uint64_t) g_random_int () << 32) | g_random_int ();
+  return bits | 1;
+}
+
+static void
+print_error (const char *file, const FtError *error)
+{
+  fprintf (stderr, "foxtailnode: %s", file);
+  if (error->line)
+    fprintf (stderr, ":%u", error->line);
+  if (*error->field)
+    fprintf (stderr, ": %s", error->field);
+  fprintf (stderr, ": %s\n", error->text);
+}
+
+/* ---- Settings that change ---- */
+
+static struct timespec
+changed_at (const char *file)
+{
+  struct stat found = { 0 };
+
+  if (stat (file, &found) != 0)
+    return (struct timespec){ 0 };
+  return found.st_mtim;
+}
+
+static void
+reload (Process *process, const char *why)
+{
+  FtError error = { 0 };
+  Settings *settings = NULL;
+
+  process->changed = changed_at (process->file);
+  if (settings_read (process->file, &settings, &error) != FT_OK)
+    {
+      jlog (JLOG_ERROR, "reload-failed", NULL, JL_TEXT ("field", error.field),
+            JL_INT ("line", error.line), JL_TEXT ("why", error.text));
+      return;
+    }
+  jlog (JLOG_INFO, "reload", NULL, JL_TEXT ("why", why), JL_INT ("seeds", settings->seeds->len));
+  process->instance->ops->settings (process->instance, settings);
+  settings_free (settings);
+}
+
+static void
+on_watch (LoopTimer *timer)
+{
+  Process *process = (Process *) ((char *) timer - offsetof (Process, watch));
+  struct timespec now = changed_at (process->file);
+
+  if (now.tv_sec != process->changed.tv_sec || now.tv_nsec != process->changed.tv_nsec)
+    reload (process, "the file has changed");
+  loop_timer_set (process->loop, timer, loop_now (process->loop) + SETTINGS_EVERY);
+}
+
+static void
+on_signal (LoopFd *fd, uint32_t bits)
+{
+  Process *process = (Process *) ((char *) fd - offsetof (Process, signals));
+  struct signalfd_siginfo info;
+
+  (void) bits;
+  while (read (fd->fd, &info, sizeof info) == sizeof info)
+    {
+      if (info.ssi_signo == SIGHUP)
+        reload (process, "signal");
+      else
+        process->instance->ops->leave (process->instance);
+    }
+}
+
+/* ---- Metrics ---- */
+
+static void
+on_metrics (void *owner, HCall *call)
+{
+  Process *process = owner;
+  char *extra = process->instance->ops->describe (process->instance);
+  char *text = count_text (extra);
+  GString *fields = g_string_new (NULL);
+
+  hwrite_field (fields, "Content-Type", "text/plain; version=0.0.4");
+  hcall_reply (call, 200, fields, text, strlen (text));
+  g_string_free (fields, TRUE);
+  g_free (text);
+  g_free (extra);
+}
+
+static void
+metrics_gone (void *owner, HCall *call)
+{
+  (void) owner;
+  (void) call;
+}
+
+static const HSrvOps metrics_ops = { on_metrics, metrics_gone };
+
+/* ---- Start and end ---- */
+
+static void
+each_turn (void *data)
+{
+  (void) data;
+  jlog_flush (false);
+}
+
+static bool
+open_signals (Process *process)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  process->signals
+      = (LoopFd){ .fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), .ready = on_signal };
+  return process->signals.fd >= 0 && loop_add (process->loop, &process->signals, EPOLLIN);
+}
+
+static FtStatus
+open_all (Process *process, FtError *error)
+{
+  const Settings *s = process->settings;
+  SockAddr metrics = { s->ip, (uint16_t) s->metrics_port };
+
+  process->loop = loop_new ();
+  if (process->loop == NULL || !open_signals (process))
+    return ft_error_set (error, FT_IO, 0, "", "%s", g_strerror (errno));
+  jlog_open (s->name, s->log_level, loop_clock (process->loop));
+  jlog (JLOG_INFO, "start", NULL, JL_TEXT ("version", ft_version ()), JL_TEXT ("role", s->role_text),
+        JL_TEXT ("ip", s->ip_text), JL_TEXT ("domain", s->domain),
+        JL_INT ("first_start", s->first_start), JL_INT ("seeds", s->seeds->len),
+        JL_INT ("pid", getpid ()));
+  FtStatus status
+      = (s->role == ROLE_ENTRY ? entry_new : control_new) (s, platform_seam (), process->loop,
+                                                           &process->instance, error);
+  if (status == FT_OK && s->metrics_port)
+    {
+      process->metrics = hsrv_new (process->loop, metrics, &metrics_ops, process);
+      if (process->metrics == NULL)
+        jlog (JLOG_WARN, "no-metrics", NULL, JL_INT ("port", s->metrics_port),
+              JL_TEXT ("why", g_strerror (errno)));
+    }
+  return status;
+}
+
+static int
+run (const char *file, bool check_only)
+{
+  Process process = { .file = file };
+  FtError error = { 0 };
+  int result = 1;
+
+  if (settings_read (file, &process.settings, &error) != FT_OK)
+    goto out;
+  if (check_only)
+    {
+      printf ("%s: the settings are valid\n", file);
+      result = 0;
+      goto out;
+    }
+  if (open_all (&process, &error) != FT_OK)
+    goto out;
+  process.changed = changed_at (file);
+  process.watch.fire = on_watch;
+  loop_timer_set (process.loop, &process.watch, loop_now (process.loop) + SETTINGS_EVERY);
+  loop_each_turn (process.loop, each_turn, NULL);
+  loop_run (process.loop);
+  jlog (JLOG_INFO, "stopped", NULL, JL_INT ("lines", jlog_written ()),
+        JL_INT ("lines_dropped", jlog_dropped ()));
+  result = 0;
+out:
+  if (result != 0)
+    {
+      jlog (JLOG_ERROR, "start-failed", NULL, JL_TEXT ("field", error.field),
+            JL_TEXT ("why", error.text));
+      print_error (file, &error);
+    }
+  jlog_flush (true);
+  if (process.metrics)
+    hsrv_free (process.metrics);
+  if (process.instance)
+    process.instance->ops->destroy (process.instance);
+  settings_free (process.settings);
+  loop_free (process.loop);
+  return result;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_lit *check = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_lit *list = arg_lit0 (NULL, "help-settings", "list all settings");
+  struct arg_file *settings
+      = arg_file0 (NULL, NULL, "SETTINGS", "settings file; default: $" SETTINGS_VARIABLE);
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, check, list, settings, end };
+  int errors = arg_parse (argc, argv, table);
+  const char *file
+      = settings->count ? settings->filename[0] : g_getenv (SETTINGS_VARIABLE);
+  int result = 2;
+
+  if (help->count || list->count)
+    {
+      printf ("Usage: foxtailnode");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      if (list->count)
+        settings_help ();
+      result = 0;
+    }
+  else if (errors)
+    arg_print_errors (stderr, end, "foxtailnode");
+  else if (file == NULL)
+    fprintf (stderr, "foxtailnode: no settings file; try --help\n");
+  else
+    result = run (file, check->count > 0);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return result;
+}
--- /dev/null
+++ b/node/reader.c
@@ -0,0 +1,162 @@
+/* reader.c - one pass over the list at a time; a pass that takes too long is given up. */
+#include "reader.h"
+
+/* Tuning; each row with its reason. */
+#define PASS_MOST    (900 * FT_MS) /* a pass is started every second or so */
+#define CONNECT_MOST (300 * FT_MS)
+#define IDLE_MOST    (5 * FT_SECOND)
+#define PAGES_MOST   64 /* a list that never ends is not followed */
+
+struct Reader
+{
+  Loop *loop;
+  HCli *cli;
+  const Seam *seam;
+  SockAddr addr;
+  ReaderDone done;
+  void *host;
+  HXfer *xfer;
+  LoopTimer timer;
+  GArray *servers; /* SeamServer */
+  GString *body;
+  unsigned status, pages;
+  int64_t asked_at;
+};
+
+void
+seam_server_clear (void *data)
+{
+  SeamServer *server = data;
+
+  g_free (server->id);
+  g_free (server->service);
+  g_free (server->domain);
+}
+
+static void
+finish (Reader *reader, const char *why)
+{
+  loop_timer_stop (reader->loop, &reader->timer);
+  reader->xfer = NULL;
+  reader->done (reader->host, why ? NULL : reader->servers, reader->asked_at, why);
+  g_array_set_size (reader->servers, 0);
+}
+
+static bool
+on_head (void *user, const HMsg *msg)
+{
+  ((Reader *) user)->status = hmsg_status (msg);
+  return true;
+}
+
+static void
+on_body (void *user, const char *data, size_t size)
+{
+  g_string_append_len (((Reader *) user)->body, data, (gssize) size);
+}
+
+static void ask (Reader *reader, const char *page);
+
+static void
+on_end (void *user)
+{
+  Reader *reader = user;
+  FtError error = { 0 };
+  char *next = NULL;
+
+  reader->xfer = NULL;
+  if (reader->status != 200)
+    {
+      finish (reader, reader->status == 429 ? "too many calls" : "refused");
+      return;
+    }
+  if (reader->seam->read_list (reader->body->str, reader->body->len, reader->servers, &next, &error)
+      != FT_OK)
+    finish (reader, error.text);
+  else if (next && reader->pages < PAGES_MOST)
+    ask (reader, next);
+  else
+    finish (reader, NULL);
+  g_free (next);
+}
+
+static void
+on_failed (void *user, HXferFault fault)
+{
+  finish (user, fault == HXFER_UNREACHED ? "not reached" : "the connection broke");
+}
+
+static const HXferOps ops = { on_head, on_body, on_end, on_failed };
+
+static void
+ask (Reader *reader, const char *page)
+{
+  HCliTarget target = { reader->addr, "list", CONNECT_MOST, IDLE_MOST, false };
+  GString *request = g_string_new (NULL);
+
+  reader->pages++;
+  g_string_truncate (reader->body, 0);
+  reader->seam->write_list_request (request, reader->addr, page);
+  reader->xfer = hcli_send (reader->cli, &target, request, &ops, reader);
+  g_string_free (request, TRUE);
+  if (reader->xfer == NULL)
+    finish (reader, "no connection");
+}
+
+static void
+on_timer (LoopTimer *timer)
+{
+  Reader *reader = (Reader *) ((char *) timer - offsetof (Reader, timer));
+
+  if (reader->xfer)
+    hxfer_cancel (reader->xfer);
+  finish (reader, "no answer in time");
+}
+
+Reader *
+reader_new (Loop *loop, HCli *cli, const Seam *seam, SockAddr list, ReaderDone done, void *host)
+{
+  Reader *reader = g_new0 (Reader, 1);
+
+  reader->loop = loop;
+  reader->cli = cli;
+  reader->seam = seam;
+  reader->addr = list;
+  reader->done = done;
+  reader->host = host;
+  reader->timer.fire = on_timer;
+  reader->body = g_string_new (NULL);
+  reader->servers = g_array_new (FALSE, TRUE, sizeof (SeamServer));
+  g_array_set_clear_func (reader->servers, seam_server_clear);
+  return reader;
+}
+
+void
+reader_free (Reader *reader)
+{
+  if (reader == NULL)
+    return;
+  if (reader->xfer)
+    hxfer_cancel (reader->xfer);
+  loop_timer_stop (reader->loop, &reader->timer);
+  g_array_unref (reader->servers);
+  g_string_free (reader->body, TRUE);
+  g_free (reader);
+}
+
+bool
+reader_busy (const Reader *reader)
+{
+  return reader->xfer != NULL;
+}
+
+void
+reader_start (Reader *reader)
+{
+  if (reader_busy (reader))
+    return;
+  reader->pages = 0;
+  reader->asked_at = loop_now (reader->loop);
+  loop_timer_set (reader->loop, &reader->timer, reader->asked_at + PASS_MOST);
+  ask (reader, NULL);
+}
--- /dev/null
+++ b/node/requests.h
@@ -0,0 +1,37 @@
+/* requests.h - the life of callers' requests at an entry, from the whole request to the last byte of
+ * its answer. */
+#ifndef REQUESTS_H
+#define REQUESTS_H
+
+#include "budget.h"
+#include "hcli.h"
+#include "hsrv.h"
+#include "place.h"
+#include "servers.h"
+
+typedef struct Requests Requests;
+
+typedef struct
+{
+  Loop *loop;
+  const Seam *seam;
+  HCli *cli;
+  Place *place;
+  Budget *budget;
+  const Servers *servers;
+} RequestsConf;
+
+Requests *requests_new (const RequestsConf *conf);
+void requests_free (Requests *requests);
+/* Requests that come from now on are handled by cat; those under way keep theirs. */
+void requests_catalogue (Requests *requests, RtCat *cat);
+/* A whole request of a caller; answered from within or later. */
+void requests_take (Requests *requests, HCall *call);
+/* Its caller has left. */
+void requests_gone (Requests *requests, HCall *call);
+/* The scheduler's verdicts. */
+void requests_grant (Requests *requests, uint64_t number, const char *server);
+void requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal);
+unsigned requests_open (const Requests *requests);
+
+#endif
--- /dev/null
+++ b/node/settings.c
@@ -0,0 +1,183 @@
+/* settings.c - one table says what there is, checks it and prints the help. */
+#include "settings.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define AT(field) offsetof (Settings, field)
+
+static const FtField fields[] = {
+  { "name", FT_FIELD_STRING, true, 1, 63, NULL, AT (name), "name of this instance, for its logs" },
+  { "role", FT_FIELD_STRING, true, 5, 5, NULL, AT (role_text),
+    "entry: takes callers; voter: keeps the log, schedules, answers operators" },
+  { "ip", FT_FIELD_STRING, true, 7, 15, NULL, AT (ip_text), "IPv4 of this instance" },
+  { "domain", FT_FIELD_STRING, true, 1, 63, NULL, AT (domain), "its failure domain" },
+  { "region", FT_FIELD_STRING, false, 0, 63, "", AT (region), "its region" },
+  { "log_level", FT_FIELD_STRING, false, 4, 5, "info", AT (log_level),
+    "error, warn, info or debug" },
+  { "callers", FT_FIELD_STRING, false, 0, 21, "", AT (callers_text),
+    "address for callers, IP:PORT; needed by an entry" },
+  { "ready", FT_FIELD_STRING, false, 0, 21, "", AT (ready_text),
+    "address for the balancer's question, IP:PORT; needed by an entry" },
+  { "control", FT_FIELD_STRING, false, 0, 21, "", AT (control_text),
+    "address for operators, IP:PORT; needed by a voter" },
+  { "list", FT_FIELD_STRING, true, 9, 21, NULL, AT (list_text),
+    "address of the platform's list of backend servers, IP:PORT" },
+  { "data_folder", FT_FIELD_STRING, false, 0, 4095, "", AT (data_folder),
+    "folder for a voter's state; needed by a voter" },
+  { "seeds", FT_FIELD_STRINGS, true, 0, 64, NULL, AT (seed_texts),
+    "addresses of some voters, IP:PORT" },
+  { "link_port", FT_FIELD_INTEGER, true, 1, 65535, NULL, AT (link_port),
+    "port for other instances, the same on all" },
+  { "metrics_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (metrics_port),
+    "port for metrics; 0: none" },
+  { "first_start", FT_FIELD_BOOL, false, 0, 0, "false", AT (first_start),
+    "the whole deployment starts for the first time: the seeds may form the first set of voters" },
+  { "memory_mb", FT_FIELD_INTEGER, false, 16, 1048576, "256", AT (memory_mb),
+    "memory that the process may use, MB" },
+  { "descriptors", FT_FIELD_INTEGER, false, 64, 1048576, "4096", AT (descriptors),
+    "descriptors that the process may use" },
+  { "losses", FT_FIELD_INTEGER, false, 0, 3, "1", AT (losses),
+    "voters that may be lost at once" },
+  { "list_lag_ms", FT_FIELD_INTEGER, false, 0, 600000, "1000", AT (list_lag_ms),
+    "how far the platform's list lags, ms" },
+  { "list_rate", FT_FIELD_STRING, false, 0, 20, "10", AT (list_rate_text),
+    "calls a second that the list takes from all instances together" },
+  { "drain_ms", FT_FIELD_INTEGER, false, 100, 600000, "3000", AT (drain_ms),
+    "a leaving backend server gets nothing new after this long, ms" },
+  { "grace_s", FT_FIELD_INTEGER, false, 1, 86400, "8", AT (grace_s),
+    "a process is killed so long after it was asked to end, seconds" },
+  { "apply_ms", FT_FIELD_INTEGER, false, 100, 600000, "2000", AT (apply_ms),
+    "an accepted catalogue is in force everywhere after this long, ms" },
+  { "touch_ms", FT_FIELD_INTEGER, false, 100, 600000, "3000", AT (touch_ms),
+    "calm after which bounds hold again, ms" },
+  { "catch_up_s", FT_FIELD_INTEGER, false, 1, 86400, "4", AT (catch_up_s),
+    "time for a new voter to take its place, seconds" },
+  { "budget_ratio", FT_FIELD_STRING, false, 0, 20, "0.2", AT (budget_ratio_text),
+    "repeats allowed, as a part of a service's requests" },
+  { "budget_slack", FT_FIELD_INTEGER, false, 0, 1000000, "20", AT (budget_slack),
+    "repeats allowed beside, over all instances" },
+  { "budget_window_s", FT_FIELD_INTEGER, false, 1, 3600, "10", AT (budget_window_s),
+    "span over which repeats are counted, seconds" },
+  { 0 },
+};
+
+void
+settings_help (void)
+{
+  static const char *const types[] = { "text", "number", "true/false", "texts" };
+
+  for (const FtField *field = fields; field->name; field++)
+    printf ("  %-16s %-10s %s%s%s%s\n", field->name, types[field->type], field->help,
+            field->required ? " (needed)" : " (default ",
+            field->required ? "" : field->fallback ? field->fallback : "",
+            field->required ? "" : ")");
+}
+
+void
+settings_free (Settings *settings)
+{
+  if (settings == NULL)
+    return;
+  ft_json_fields_clear (fields, settings);
+  if (settings->seeds)
+    g_array_unref (settings->seeds);
+  g_free (settings);
+}
+
+static FtStatus
+address (const char *field, const char *text, bool needed, SockAddr *out, FtError *error)
+{
+  if (*text == '\0' && !needed)
+    return FT_OK;
+  if (sock_addr_parse (text, out))
+    return FT_OK;
+  return ft_error_set (error, FT_INVALID, 0, field, "\"%s\" is not IP:PORT", text);
+}
+
+static FtStatus
+real (const char *field, const char *text, double *out, FtError *error)
+{
+  char *end;
+
+  *out = g_ascii_strtod (text, &end);
+  if (end != text && *end == '\0' && *out >= 0)
+    return FT_OK;
+  return ft_error_set (error, FT_INVALID, 0, field, "\"%s\" is not a number from 0", text);
+}
+
+static FtStatus
+work_out (Settings *s, FtError *error)
+{
+  SockAddr self;
+  char *with_port = g_strconcat (s->ip_text, ":0", NULL);
+  bool ip = sock_addr_parse (with_port, &self);
+
+  g_free (with_port);
+  if (!ip)
+    return ft_error_set (error, FT_INVALID, 0, "ip", "\"%s\" is not an IPv4 number", s->ip_text);
+  s->ip = self.ip;
+  if (strcmp (s->role_text, "entry") == 0)
+    s->role = ROLE_ENTRY;
+  else if (strcmp (s->role_text, "voter") == 0)
+    s->role = ROLE_VOTER;
+  else
+    return ft_error_set (error, FT_INVALID, 0, "role", "must be entry or voter");
+  if (s->role == ROLE_VOTER && *s->data_folder == '\0')
+    return ft_error_set (error, FT_INVALID, 0, "data_folder", "a voter needs one");
+  s->seeds = g_array_new (FALSE, FALSE, sizeof (SockAddr));
+  for (unsigned i = 0; i < s->seed_texts->len; i++)
+    {
+      SockAddr seed;
+      if (address ("seeds", s->seed_texts->pdata[i], true, &seed, error) != FT_OK)
+        return FT_INVALID;
+      g_array_append_val (s->seeds, seed);
+    }
+  bool entry = s->role == ROLE_ENTRY;
+  if (address ("callers", s->callers_text, entry, &s->callers, error) != FT_OK
+      || address ("ready", s->ready_text, entry, &s->ready, error) != FT_OK
+      || address ("control", s->control_text, !entry, &s->control, error) != FT_OK
+      || address ("list", s->list_text, true, &s->list, error) != FT_OK
+      || real ("list_rate", s->list_rate_text, &s->list_rate, error) != FT_OK
+      || real ("budget_ratio", s->budget_ratio_text, &s->budget_ratio, error) != FT_OK)
+    return FT_INVALID;
+  return FT_OK;
+}
+
+FtStatus
+settings_parse (const char *text, Settings **out, FtError *error)
+{
+  FtJson *doc = NULL;
+  Settings *settings = g_new0 (Settings, 1);
+  FtStatus status = ft_json_parse (text, &doc, error);
+
+  *out = NULL;
+  if (status == FT_OK)
+    status = ft_json_fields (doc, ft_json_root (doc), "", fields, NULL, settings, error);
+  if (status == FT_OK)
+    status = work_out (settings, error);
+  if (status == FT_OK)
+    *out = settings;
+  else
+    settings_free (settings);
+  ft_json_free (doc);
+  return status;
+}
+
+FtStatus
+settings_read (const char *path, Settings **out, FtError *error)
+{
+  char *text = NULL;
+  GError *failure = NULL;
+
+  *out = NULL;
+  if (!g_file_get_contents (path, &text, NULL, &failure))
+    {
+      ft_error_set (error, FT_IO, 0, "", "%s", failure->message);
+      g_error_free (failure);
+      return FT_IO;
+    }
+  FtStatus status = settings_parse (text, out, error);
+  g_free (text);
+  return status;
+}
--- /dev/null
+++ b/node/settings.h
@@ -0,0 +1,39 @@
+/* settings.h - settings of an instance whose members are found, not configured. */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "sock.h"
+
+typedef enum
+{
+  ROLE_ENTRY, /* takes callers */
+  ROLE_VOTER  /* keeps the replicated log, schedules, answers operators */
+} SettingsRole;
+
+typedef struct
+{
+  char *name, *role_text, *ip_text, *domain, *region, *log_level;
+  char *callers_text, *ready_text, *control_text, *list_text, *data_folder;
+  GPtrArray *seed_texts;
+  int64_t link_port, metrics_port;
+  bool first_start;
+  int64_t memory_mb, descriptors, losses;
+  int64_t list_lag_ms, drain_ms, grace_s, apply_ms, touch_ms, catch_up_s;
+  int64_t budget_window_s, budget_slack;
+  char *list_rate_text, *budget_ratio_text;
+  /* Worked out from the texts above. */
+  SettingsRole role;
+  uint32_t ip;
+  SockAddr callers, ready, control, list;
+  GArray *seeds; /* SockAddr */
+  double list_rate, budget_ratio;
+} Settings;
+
+/* Reads and checks a settings file (JSON with comments). Errors name line and field. */
+FtStatus settings_read (const char *path, Settings **out, FtError *error);
+FtStatus settings_parse (const char *text, Settings **out, FtError *error);
+void settings_free (Settings *settings);
+/* Prints every field with type, range, default and meaning. */
+void settings_help (void);
+
+#endif
--- /dev/null
+++ b/node/voter.c
@@ -0,0 +1,455 @@
+/* voter.c - runs raft.c in a thread of its own, since a sync waits for the disk.
+ *
+ * Failure: a disk stalls for seconds. Symptom: with the log in the loop's thread nothing would be
+ * scheduled meanwhile, and operators would hang. Here only the log's thread waits; a leader that
+ * waits sends no heartbeats, so the others elect another, and voter_status says that this one is no
+ * longer proved, because its lease has ended by the clock.
+ */
+#include "voter.h"
+#include "disk.h"
+#include "raft.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+
+/* Tuning; each row with its reason. */
+#define TICK_US  (20 * 1000) /* a fifth of the log's heartbeat */
+#define REOPEN   (500 * FT_MS) /* a full disk is tried again: space may have been freed */
+#define LOG_MOST 48          /* documents of a few 100 KB each: the log stays below 40 MB */
+
+typedef enum
+{
+  WORK_NONE,
+  WORK_MESSAGE,
+  WORK_MEET,
+  WORK_PROPOSE,
+  WORK_HAND_OVER
+} WorkKind;
+
+typedef struct
+{
+  WorkKind kind;
+  uint32_t from;
+  uint64_t ticket, number;
+  GByteArray *bytes;
+} Work;
+
+typedef struct
+{
+  Voter *voter;
+  bool is_verdict, is_commit;
+  uint32_t to;
+  uint64_t ticket;
+  FtStatus status;
+  GByteArray *bytes;
+} Report;
+
+typedef struct
+{
+  uint64_t ticket, index, term;
+} Pending;
+
+struct Voter
+{
+  FtClock clock;
+  FtRandom random;
+  Loop *loop;
+  const VoterOps *ops;
+  void *host;
+  FtDisk *disk;
+  State *state;
+  Raft *raft;
+  GArray *pending; /* Pending, in order of index */
+  RaftConf conf;
+  uint32_t seeds[FT_VOTERS_MOST];
+  int64_t reopen_at;
+  pthread_t thread;
+  pthread_mutex_t lock;
+  pthread_cond_t wake;
+  GQueue queue; /* Work; under lock */
+  bool stopped;
+  VoterStatus status;  /* under lock */
+  int64_t proved_until; /* under lock */
+  GBytes *document;    /* under lock */
+  uint64_t number;     /* under lock */
+};
+
+static int64_t
+now_us (FtClock *clock)
+{
+  struct timespec at;
+
+  (void) clock;
+  clock_gettime (CLOCK_BOOTTIME, &at);
+  return (int64_t) at.tv_sec * FT_SECOND + at.tv_nsec / 1000;
+}
+
+static uint64_t
+random_next (FtRandom *random)
+{
+  uint64_t bits = 0;
+
+  (void) random;
+  if (getrandom (&bits, sizeof bits, 0) != sizeof bits)
+    bits = (uint64_t) now_us (NULL) * 0x9e3779b97f4a7c15u;
+  return bits;
+}
+
+static const FtClockOps clock_ops = { now_us };
+static const FtRandomOps random_ops = { random_next };
+
+/* ---- Reports to the loop ---- */
+
+static void
+deliver (void *data)
+{
+  Report *report = data;
+  Voter *voter = report->voter;
+
+  if (report->is_commit)
+    voter->ops->committed (voter->host);
+  else if (report->is_verdict)
+    voter->ops->verdict (voter->host, report->ticket, report->status);
+  else
+    voter->ops->send (voter->host, report->to, report->bytes);
+  g_free (report);
+}
+
+static void
+report (Voter *voter, Report from)
+{
+  from.voter = voter;
+  loop_post (voter->loop, deliver, g_memdup2 (&from, sizeof from));
+}
+
+static void
+on_send (void *host, uint32_t to, GByteArray *bytes)
+{
+  report (host, (Report){ .to = to, .bytes = bytes });
+}
+
+static void
+settle (Voter *voter, uint64_t index)
+{
+  while (voter->pending->len > 0)
+    {
+      const Pending *first = &g_array_index (voter->pending, Pending, 0);
+      if (first->index > index)
+        return;
+      /* The entry at that index is ours only if nobody else led in between. */
+      bool ours = first->index == index && first->term == raft_term (voter->raft);
+      report (voter, (Report){ .is_verdict = true, .ticket = first->ticket,
+                               .status = ours ? FT_OK : FT_NOT_LEADER });
+      g_array_remove_index (voter->pending, 0);
+    }
+}
+
+/* Failure: an operator is told that a change is committed and reads it back here before the loop
+ * has heard of it. Symptom: the older one is shown. So the document is in its place first. */
+static void
+keep_document (Voter *voter)
+{
+  const MsgDocument *document = state_document (voter->state);
+
+  if (document == NULL || document->number <= voter->number)
+    return;
+  GBytes *bytes = g_bytes_new (document->text.text_val, document->text.text_len);
+  pthread_mutex_lock (&voter->lock);
+  GBytes *old = voter->document;
+  voter->document = bytes;
+  voter->number = document->number;
+  pthread_mutex_unlock (&voter->lock);
+  if (old)
+    g_bytes_unref (old);
+  report (voter, (Report){ .is_commit = true });
+}
+
+static void
+on_apply (void *host, uint64_t index, const MsgOp *op, const StateVerdict *verdict)
+{
+  Voter *voter = host;
+
+  (void) verdict;
+  if (op->kind == MSG_OP_DOCUMENT)
+    keep_document (voter);
+  settle (voter, index);
+}
+
+static const RaftOps raft_ops = { on_send, on_apply };
+
+/* ---- The thread ---- */
+
+static void
+propose (Voter *voter, const Work *work)
+{
+  MsgOp op = { .kind = MSG_OP_DOCUMENT };
+  Pending pending = { .ticket = work->ticket };
+
+  op.MsgOp_u.document.number = work->number;
+  op.MsgOp_u.document.text.text_val = (char *) work->bytes->data;
+  op.MsgOp_u.document.text.text_len = work->bytes->len;
+  FtStatus status = raft_propose (voter->raft, &op, &pending.index);
+  if (status != FT_OK)
+    {
+      report (voter, (Report){ .is_verdict = true, .ticket = work->ticket, .status = status });
+      return;
+    }
+  pending.term = raft_term (voter->raft);
+  g_array_append_val (voter->pending, pending);
+}
+
+static void
+do_work (Voter *voter, Work *work)
+{
+  Msg msg = { 0 };
+
+  if (voter->raft == NULL && work->kind == WORK_PROPOSE)
+    report (voter, (Report){ .is_verdict = true, .ticket = work->ticket, .status = FT_IO });
+  switch (voter->raft ? work->kind : WORK_NONE)
+    {
+    case WORK_NONE:
+      break;
+    case WORK_MESSAGE:
+      if (codec_unpack (CODEC (Msg), work->bytes->data, work->bytes->len, &msg, NULL) == FT_OK)
+        raft_receive (voter->raft, work->from, &msg);
+      codec_clear (CODEC (Msg), &msg);
+      break;
+    case WORK_MEET:
+      raft_meet (voter->raft, work->from);
+      break;
+    case WORK_PROPOSE:
+      propose (voter, work);
+      break;
+    case WORK_HAND_OVER:
+      raft_hand_over (voter->raft);
+      break;
+    }
+  if (work->bytes)
+    g_byte_array_unref (work->bytes);
+  g_free (work);
+}
+
+static void
+publish_status (Voter *voter)
+{
+  VoterStatus status = { 0 };
+
+  status.term = raft_term (voter->raft);
+  status.leader = raft_leader (voter->raft);
+  status.broken = raft_broken (voter->raft);
+  status.member = raft_is_member (voter->raft);
+  status.count = raft_voters (voter->raft, status.voters);
+  int64_t until = raft_leads_until (voter->raft);
+  pthread_mutex_lock (&voter->lock);
+  voter->status = status;
+  voter->proved_until = until;
+  pthread_mutex_unlock (&voter->lock);
+}
+
+static FtStatus
+open_log (Voter *voter, FtError *error)
+{
+  voter->state = state_new ();
+  FtStatus status = raft_new (&voter->conf, &voter->clock, &voter->random, voter->disk,
+                              voter->state, &raft_ops, voter, &voter->raft, error);
+
+  if (status == FT_OK)
+    return FT_OK;
+  state_free (voter->state);
+  voter->state = NULL;
+  return status;
+}
+
+/* Failure: a disk refuses writes for a while and takes them again. Symptom: the voter stays out
+ * until somebody starts it anew, and a second loss stops the log. It reads its files again, after a
+ * sync has shown that what they hold lasts. */
+static void
+reopen (Voter *voter)
+{
+  if (voter->raft && !raft_broken (voter->raft))
+    return;
+  int64_t now = now_us (NULL);
+  if (now < voter->reopen_at)
+    return;
+  voter->reopen_at = now + REOPEN;
+  if (voter->disk->ops->sync (voter->disk, "log") != FT_OK)
+    return;
+  raft_free (voter->raft);
+  state_free (voter->state);
+  voter->raft = NULL;
+  voter->state = NULL;
+  g_array_set_size (voter->pending, 0);
+  open_log (voter, NULL);
+}
+
+/* A snapshot from the leader changes the state without an entry of its own. */
+static void
+turn (Voter *voter, GQueue *work)
+{
+  Work *one;
+
+  reopen (voter);
+  while ((one = g_queue_pop_head (work)) != NULL)
+    do_work (voter, one);
+  if (voter->raft == NULL)
+    return;
+  raft_tick (voter->raft);
+  raft_flush (voter->raft);
+  keep_document (voter);
+  publish_status (voter);
+}
+
+static void *
+run (void *data)
+{
+  Voter *voter = data;
+
+  pthread_mutex_lock (&voter->lock);
+  while (!voter->stopped)
+    {
+      struct timespec until;
+      clock_gettime (CLOCK_MONOTONIC, &until);
+      until.tv_nsec += TICK_US * 1000;
+      until.tv_sec += until.tv_nsec / 1000000000;
+      until.tv_nsec %= 1000000000;
+      while (!voter->stopped && g_queue_is_empty (&voter->queue)
+             && pthread_cond_timedwait (&voter->wake, &voter->lock, &until) != ETIMEDOUT)
+        ;
+      GQueue work = voter->queue;
+      g_queue_init (&voter->queue);
+      pthread_mutex_unlock (&voter->lock);
+      turn (voter, &work);
+      pthread_mutex_lock (&voter->lock);
+    }
+  pthread_mutex_unlock (&voter->lock);
+  return NULL;
+}
+
+static void
+push (Voter *voter, Work from)
+{
+  Work *work = g_memdup2 (&from, sizeof from);
+
+  pthread_mutex_lock (&voter->lock);
+  g_queue_push_tail (&voter->queue, work);
+  pthread_cond_signal (&voter->wake);
+  pthread_mutex_unlock (&voter->lock);
+}
+
+/* ---- Interface ---- */
+
+FtStatus
+voter_new (const VoterConf *conf, Loop *loop, const VoterOps *ops, void *host, Voter **out,
+           FtError *error)
+{
+  Voter *voter = g_new0 (Voter, 1);
+  pthread_condattr_t attributes;
+
+  voter->clock.ops = &clock_ops;
+  voter->random.ops = &random_ops;
+  voter->loop = loop;
+  voter->ops = ops;
+  voter->host = host;
+  voter->pending = g_array_new (FALSE, FALSE, sizeof (Pending));
+  g_queue_init (&voter->queue);
+  pthread_mutex_init (&voter->lock, NULL);
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&voter->wake, &attributes);
+  memcpy (voter->seeds, conf->seeds, conf->seed_count * sizeof *conf->seeds);
+  voter->conf = (RaftConf){ .self = conf->self, .voters = voter->seeds,
+                            .count = conf->seed_count, .log_most = LOG_MOST, .found = true,
+                            .may_form = conf->may_form, .least = 2 * conf->losses + 1 };
+  FtStatus status = disk_new (conf->folder, &voter->disk, error);
+  if (status == FT_OK)
+    status = open_log (voter, error);
+  if (status == FT_OK)
+    {
+      keep_document (voter);
+      publish_status (voter);
+      if (pthread_create (&voter->thread, NULL, run, voter) == 0)
+        {
+          *out = voter;
+          return FT_OK;
+        }
+      status = ft_error_set (error, FT_IO, 0, "", "no thread can be started");
+    }
+  raft_free (voter->raft);
+  state_free (voter->state);
+  if (voter->disk)
+    disk_free (voter->disk);
+  g_array_unref (voter->pending);
+  g_free (voter);
+  *out = NULL;
+  return status;
+}
+
+void
+voter_free (Voter *voter)
+{
+  if (voter == NULL)
+    return;
+  pthread_mutex_lock (&voter->lock);
+  voter->stopped = true;
+  pthread_cond_signal (&voter->wake);
+  pthread_mutex_unlock (&voter->lock);
+  pthread_join (voter->thread, NULL);
+  raft_free (voter->raft);
+  state_free (voter->state);
+  disk_free (voter->disk);
+  g_array_unref (voter->pending);
+  if (voter->document)
+    g_bytes_unref (voter->document);
+  pthread_mutex_destroy (&voter->lock);
+  pthread_cond_destroy (&voter->wake);
+  g_free (voter);
+}
+
+void
+voter_receive (Voter *voter, uint32_t from, GByteArray *bytes)
+{
+  push (voter, (Work){ .kind = WORK_MESSAGE, .from = from, .bytes = bytes });
+}
+
+void
+voter_meet (Voter *voter, uint32_t id)
+{
+  push (voter, (Work){ .kind = WORK_MEET, .from = id });
+}
+
+void
+voter_propose (Voter *voter, uint64_t ticket, uint64_t number, const void *text, size_t size)
+{
+  GByteArray *bytes = g_byte_array_sized_new ((guint) size);
+
+  g_byte_array_append (bytes, text, (guint) size);
+  push (voter,
+        (Work){ .kind = WORK_PROPOSE, .ticket = ticket, .number = number, .bytes = bytes });
+}
+
+void
+voter_hand_over (Voter *voter)
+{
+  push (voter, (Work){ .kind = WORK_HAND_OVER });
+}
+
+void
+voter_status (Voter *voter, VoterStatus *status)
+{
+  pthread_mutex_lock (&voter->lock);
+  *status = voter->status;
+  status->proved = now_us (NULL) < voter->proved_until;
+  pthread_mutex_unlock (&voter->lock);
+}
+
+GBytes *
+voter_document (Voter *voter, uint64_t *number)
+{
+  pthread_mutex_lock (&voter->lock);
+  GBytes *document = voter->document ? g_bytes_ref (voter->document) : NULL;
+  *number = voter->number;
+  pthread_mutex_unlock (&voter->lock);
+  return document;
+}
--- /dev/null
+++ b/node/voter.h
@@ -0,0 +1,62 @@
+/* voter.h - a voter's thread: the replicated log with its disk. */
+#ifndef VOTER_H
+#define VOTER_H
+
+#include "loop.h"
+
+#include "msg.h"
+
+typedef struct Voter Voter;
+
+/* Called in the loop's thread. */
+typedef struct
+{
+  /* bytes: a packed Msg for the voter; the receiver's to unref. */
+  void (*send) (void *host, uint32_t to, GByteArray *bytes);
+  /* A newer document is committed; read it with voter_document. */
+  void (*committed) (void *host);
+  /* The end of voter_propose. FT_OK: committed. */
+  void (*verdict) (void *host, uint64_t ticket, FtStatus status);
+} VoterOps;
+
+typedef struct
+{
+  uint32_t self;      /* IPv4 of this instance */
+  const uint32_t *seeds; /* of the voters that form the first set; copied */
+  unsigned seed_count;
+  bool may_form;
+  unsigned losses; /* voters that may be lost at once */
+  const char *folder;
+} VoterConf;
+
+/* Reads the folder and starts the thread. Errors name the file. */
+FtStatus voter_new (const VoterConf *conf, Loop *loop, const VoterOps *ops, void *host,
+                    Voter **out, FtError *error);
+/* Ends the thread; a leader hands over first. */
+void voter_free (Voter *voter);
+/* A message of another voter; bytes are taken over. */
+void voter_receive (Voter *voter, uint32_t from, GByteArray *bytes);
+/* Another instance is, or wants to be, a voter. */
+void voter_meet (Voter *voter, uint32_t id);
+/* Asks for number to become the newest document. verdict follows with the ticket. */
+void voter_propose (Voter *voter, uint64_t ticket, uint64_t number, const void *text, size_t size);
+void voter_hand_over (Voter *voter);
+
+typedef struct
+{
+  uint64_t term;
+  uint32_t leader;  /* 0: unknown */
+  bool proved;      /* this voter leads, and nobody else can at this moment */
+  bool broken;      /* its storage failed: it takes no part until it is started again */
+  bool member;      /* the log names it */
+  unsigned count;   /* voters that the log names */
+  uint32_t voters[FT_VOTERS_MOST];
+} VoterStatus;
+
+/* May be called from the loop's thread at any time; never waits for the disk. */
+void voter_status (Voter *voter, VoterStatus *status);
+/* The newest committed document that this voter knows; *number 0 and NULL: none. The reference is
+ * the caller's. */
+GBytes *voter_document (Voter *voter, uint64_t *number);
+
+#endif
--- /dev/null
+++ b/src/meshmsg.x
@@ -0,0 +1,137 @@
+/* meshmsg.x - messages between the instances of a deployment whose members are found, not configured
+ * (RFC 4506). Generated files meshmsg.h and meshmsg_xdr.c are committed; `make generate` makes them
+ * anew. They travel over TCP under the record marks of ONC RPC (RFC 5531, section 11), one way. */
+
+const MESH_NAME_MOST = 127;
+const MESH_TEXT_MOST = 8388608; /* a voter's snapshot */
+const MESH_NAMES_MOST = 16;
+const MESH_VOTERS_MOST = 16;
+const MESH_SERVERS_MOST = 8192;
+const MESH_ORGS_MOST = 8192;
+
+enum MeshRole { MESH_ENTRY = 1, MESH_VOTER = 2 };
+
+/* First on each connection, both ways, and whenever something in it has changed. */
+struct MeshHello {
+  unsigned int address;     /* IPv4 of the sender: its identity */
+  unsigned hyper lifetime;  /* random number of the sender's process */
+  MeshRole role;
+  string domain<MESH_NAME_MOST>;
+  bool leaving;
+  unsigned hyper document;  /* version of the catalogue in force at the sender; 0: none */
+};
+
+/* From a voter, several times a second: who is in charge and what is newest. */
+struct MeshView {
+  unsigned hyper term;
+  unsigned int leader;      /* IPv4; 0: unknown */
+  bool proved;              /* the sender leads and a majority has confirmed it lately */
+  unsigned hyper document;  /* newest version that the sender knows to be committed */
+  unsigned int voters<MESH_VOTERS_MOST>;
+  unsigned int entries;     /* entries that the sender hears */
+};
+
+/* A committed catalogue. */
+struct MeshDocument {
+  unsigned hyper number;
+  opaque text<MESH_TEXT_MOST>;
+};
+
+enum MeshServerState { MESH_SERVER_LIVE = 0, MESH_SERVER_LEAVING = 1 };
+
+struct MeshServer {
+  string id<MESH_NAME_MOST>; /* of the server's incarnation */
+  string service<MESH_NAME_MOST>;
+  string domain<MESH_NAME_MOST>;
+  unsigned int ip;
+  unsigned int port;
+  unsigned int slots;
+  MeshServerState state;
+  unsigned int cold_ms;      /* stays slow for this long after its start */
+};
+
+/* The platform's whole list as one voter has read it. */
+struct MeshList {
+  hyper age_us;              /* since it was asked for */
+  unsigned int digest;       /* of the servers */
+  bool whole;                /* false: the servers that have this digest, not said again */
+  MeshServer servers<MESH_SERVERS_MOST>;
+};
+
+/* ---- An entry and the scheduler ---- */
+
+struct MeshAsk {
+  unsigned hyper request;    /* number, never used twice in one lifetime of the entry */
+  string service<MESH_NAME_MOST>;
+  string org<MESH_NAME_MOST>;
+  unsigned int tier;         /* 0 is the highest */
+  bool stream;
+  bool repeatable;
+  unsigned int prompt_tokens;
+  unsigned int output_tokens; /* expected */
+  unsigned int cost_tokens;   /* counted against the organisation's limit; 0: was counted before */
+  unsigned hyper shared_part; /* identity of the prompt's first part; 0: none */
+  unsigned int gap_ms;        /* longest pause between two events that is still on time; 0: none */
+  hyper aim_in_us;            /* the first event, or the answer, is on time until then */
+  hyper limit_in_us;          /* the caller leaves unless it hears the first of the answer by then */
+  hyper end_in_us;           /* the caller's own time limit */
+  string avoid<MESH_NAME_MOST>; /* server that failed this request; "": none */
+  bool running;               /* placed before, by another scheduler: told for the ledger only */
+  string server<MESH_NAME_MOST>; /* where it runs */
+};
+
+struct MeshGrant {
+  unsigned hyper request;
+  string server<MESH_NAME_MOST>;
+};
+
+struct MeshRefuse {
+  unsigned hyper request;
+  unsigned int reason;       /* FtReason */
+  unsigned int retry_after_ms;
+  string rule<MESH_NAME_MOST>;
+};
+
+/* The request has been queued; nothing further may be heard of it for a while. */
+struct MeshQueued {
+  unsigned hyper request;
+};
+
+/* The first event has come. */
+struct MeshFirst {
+  unsigned hyper request;
+  hyper after_us; /* since the request was sent */
+};
+
+/* Nothing of the answer has come for longer than it should take; it is still waited for. */
+struct MeshSilent {
+  unsigned hyper request;
+};
+
+/* The request has ended, or was given up while it waited. */
+struct MeshDone {
+  unsigned hyper request;
+  unsigned int outcome;      /* SchedOutcome */
+  hyper event_us;            /* mean time between events; 0: unknown */
+  hyper answer_us;           /* from sending to the end; 0: unknown */
+};
+
+enum MeshKind {
+  MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
+  MESH_QUEUED, MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT
+};
+
+union MeshMsg switch (MeshKind kind) {
+case MESH_HELLO: MeshHello hello;
+case MESH_VIEW: MeshView view;
+case MESH_DOCUMENT: MeshDocument document;
+case MESH_LIST: MeshList list;
+case MESH_ASK: MeshAsk ask;
+case MESH_GRANT: MeshGrant grant;
+case MESH_REFUSE: MeshRefuse refuse;
+case MESH_QUEUED: MeshQueued queued;
+case MESH_FIRST: MeshFirst first;
+case MESH_SILENT: MeshSilent silent;
+case MESH_DONE: MeshDone done;
+case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
+};
--- a/src/msg.h
+++ b/src/msg.h
@@ -138,6 +138,7 @@
 	MSG_OP_CLAIM_END = 4,
 	MSG_OP_VOTERS = 5,
 	MSG_OP_REFUSALS = 6,
+	MSG_OP_DOCUMENT = 7,
 };
 typedef enum MsgOpKind MsgOpKind;
 
@@ -211,6 +212,15 @@
 };
 typedef struct MsgRecords MsgRecords;
 
+struct MsgDocument {
+	u_quad_t number;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct MsgDocument MsgDocument;
+
 struct MsgOp {
 	MsgOpKind kind;
 	union {
@@ -220,6 +230,7 @@
 		MsgClaimDone claim_done;
 		MsgVoters voters;
 		MsgRecords refusals;
+		MsgDocument document;
 	} MsgOp_u;
 };
 typedef struct MsgOp MsgOp;
@@ -240,6 +251,7 @@
 	u_quad_t incarnation;
 	u_quad_t last_index;
 	u_quad_t last_term;
+	bool_t handed_over;
 };
 typedef struct MsgVote MsgVote;
 
@@ -357,6 +369,7 @@
 		u_int voters_len;
 		MsgVoter *voters_val;
 	} voters;
+	MsgDocument document;
 };
 typedef struct MsgState MsgState;
 
@@ -409,6 +422,7 @@
 	MSG_VERDICT = 1 + 18,
 	MSG_FIND = 1 + 19,
 	MSG_FOUND = 1 + 20,
+	MSG_STAND = 1 + 21,
 };
 typedef enum MsgKind MsgKind;
 
@@ -506,6 +520,7 @@
 extern  bool_t xdr_MsgVoters (XDR *, MsgVoters*);
 extern  bool_t xdr_MsgRecord (XDR *, MsgRecord*);
 extern  bool_t xdr_MsgRecords (XDR *, MsgRecords*);
+extern  bool_t xdr_MsgDocument (XDR *, MsgDocument*);
 extern  bool_t xdr_MsgOp (XDR *, MsgOp*);
 extern  bool_t xdr_MsgEntry (XDR *, MsgEntry*);
 extern  bool_t xdr_MsgVote (XDR *, MsgVote*);
@@ -548,6 +563,7 @@
 extern bool_t xdr_MsgVoters ();
 extern bool_t xdr_MsgRecord ();
 extern bool_t xdr_MsgRecords ();
+extern bool_t xdr_MsgDocument ();
 extern bool_t xdr_MsgOp ();
 extern bool_t xdr_MsgEntry ();
 extern bool_t xdr_MsgVote ();
--- a/src/msg.x
+++ b/src/msg.x
@@ -109,7 +109,8 @@
   MSG_OP_CLAIM = 3,
   MSG_OP_CLAIM_END = 4,
   MSG_OP_VOTERS = 5,
-  MSG_OP_REFUSALS = 6
+  MSG_OP_REFUSALS = 6,
+  MSG_OP_DOCUMENT = 7
 };
 
 struct MsgChange {
@@ -164,6 +165,12 @@
   MsgRecord records<4096>;
 };
 
+/* A document kept for whoever reads it; the highest number wins, whatever came first. */
+struct MsgDocument {
+  unsigned hyper number;
+  opaque text<FT_TEXT_MOST>;
+};
+
 union MsgOp switch (MsgOpKind kind) {
 case MSG_OP_NOOP: void;
 case MSG_OP_CHANGE: MsgChange change;
@@ -172,6 +179,7 @@
 case MSG_OP_CLAIM_END: MsgClaimDone claim_done;
 case MSG_OP_VOTERS: MsgVoters voters;
 case MSG_OP_REFUSALS: MsgRecords refusals;
+case MSG_OP_DOCUMENT: MsgDocument document;
 };
 
 struct MsgEntry {
@@ -186,6 +194,7 @@
   unsigned hyper incarnation;
   unsigned hyper last_index;
   unsigned hyper last_term;
+  bool handed_over; /* the leader has stepped down in favour of the sender */
 };
 
 struct MsgVoted {
@@ -269,6 +278,7 @@
   MsgClaimState claims<1048576>;
   MsgRecord refusals<65536>;
   MsgVoter voters<FT_VOTERS_MOST>;
+  MsgDocument document;
 };
 
 /* ---- Questions answered by any instance ---- */
@@ -291,7 +301,7 @@
 enum MsgKind {
   MSG_ASK = 1, MSG_GRANT, MSG_REFUSE, MSG_PROGRESS, MSG_DONE, MSG_PAUSE, MSG_RESUME, MSG_TELL,
   MSG_TOLD, MSG_HELLO, MSG_FRESH, MSG_VOTE, MSG_VOTED, MSG_APPEND, MSG_APPENDED, MSG_SNAPSHOT,
-  MSG_BLANK, MSG_PROPOSE, MSG_VERDICT, MSG_FIND, MSG_FOUND
+  MSG_BLANK, MSG_PROPOSE, MSG_VERDICT, MSG_FIND, MSG_FOUND, MSG_STAND
 };
 
 union Msg switch (MsgKind kind) {
@@ -316,6 +326,7 @@
 case MSG_VERDICT: MsgVerdict verdict;
 case MSG_FIND: MsgFind find;
 case MSG_FOUND: MsgFound found;
+case MSG_STAND: void; /* the leader hands over to the receiver */
 };
 
 /* ---- Links ---- */
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -344,6 +344,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgDocument (XDR *xdrs, MsgDocument *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, FT_TEXT_MOST))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgOp (XDR *xdrs, MsgOp *objp)
 {
@@ -378,6 +390,10 @@
 		 if (!xdr_MsgRecords (xdrs, &objp->MsgOp_u.refusals))
 			 return FALSE;
 		break;
+	case MSG_OP_DOCUMENT:
+		 if (!xdr_MsgDocument (xdrs, &objp->MsgOp_u.document))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -413,6 +429,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->last_term))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->handed_over))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -600,6 +618,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->voters.voters_val, (u_int *) &objp->voters.voters_len, FT_VOTERS_MOST,
 		sizeof (MsgVoter), (xdrproc_t) xdr_MsgVoter))
 		 return FALSE;
+	 if (!xdr_MsgDocument (xdrs, &objp->document))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -743,6 +763,8 @@
 		 if (!xdr_MsgFound (xdrs, &objp->Msg_u.found))
 			 return FALSE;
 		break;
+	case MSG_STAND:
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/node.c
+++ b/src/node.c
@@ -77,8 +77,9 @@
 static FtStatus
 start_voter (FtNode *node, FtDisk *disk, FtError *error)
 {
-  RaftConf conf
-      = { node->conf.id, (const uint32_t *) (void *) node->voters->data, node->voters->len, 0 };
+  RaftConf conf = { .self = node->conf.id,
+                    .voters = (const uint32_t *) (void *) node->voters->data,
+                    .count = node->voters->len };
 
   if (disk == NULL)
     return ft_error_set (error, FT_INVALID, 0, "data_folder", "a voter needs a data folder");
--- /dev/null
+++ b/src/quota.c
@@ -0,0 +1,108 @@
+/* quota.c - one token bucket an organisation.
+ *
+ * Failure: an accountant dies and another, which knows nothing of what was used, takes its place.
+ * Symptom: the organisation gets its burst twice in one window. A bucket therefore starts with
+ * START_LEVEL of its burst, which is less than what the limits leave free for such errors, and
+ * fills at the rate, so that an organisation within its rate is not refused.
+ */
+#include "quota.h"
+
+/* Tuning; each row with its reason. */
+#define START_LEVEL 0.35 /* of a burst; a second's worth at today's limits, of a window of 8 s */
+#define LENIENCE    1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
+
+typedef struct
+{
+  double rate, burst, level;
+  int64_t at;
+} Bucket;
+
+struct Quota
+{
+  FtClock *clock;
+  double share;
+  GHashTable *buckets; /* organisation: Bucket */
+};
+
+Quota *
+quota_new (FtClock *clock)
+{
+  Quota *quota = g_new0 (Quota, 1);
+
+  quota->clock = clock;
+  quota->share = 1;
+  quota->buckets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return quota;
+}
+
+void
+quota_free (Quota *quota)
+{
+  if (quota == NULL)
+    return;
+  g_hash_table_unref (quota->buckets);
+  g_free (quota);
+}
+
+void
+quota_share (Quota *quota, double share)
+{
+  quota->share = share;
+}
+
+static void
+fill (const Quota *quota, Bucket *bucket)
+{
+  int64_t now = ft_clock_now (quota->clock);
+  double most = bucket->burst * LENIENCE * quota->share;
+
+  bucket->level += (double) (now - bucket->at) / 1e6 * bucket->rate * LENIENCE * quota->share;
+  bucket->level = MIN (bucket->level, most);
+  bucket->at = now;
+}
+
+void
+quota_limit (Quota *quota, const char *org, double rate, double burst)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  if (bucket == NULL)
+    {
+      bucket = g_new0 (Bucket, 1);
+      bucket->at = ft_clock_now (quota->clock);
+      bucket->level = burst * START_LEVEL * quota->share;
+      g_hash_table_insert (quota->buckets, g_strdup (org), bucket);
+    }
+  fill (quota, bucket);
+  bucket->rate = rate;
+  bucket->burst = MAX (burst, rate > 0 ? 1 : 0);
+}
+
+bool
+quota_take (Quota *quota, const char *org, double cost, int64_t *wait_us)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  *wait_us = 0;
+  if (bucket == NULL || bucket->rate <= 0)
+    return true;
+  fill (quota, bucket);
+  /* A request larger than the burst could never pass; a full bucket is enough for it. */
+  double need = MIN (cost, bucket->burst * quota->share);
+  if (bucket->level < need)
+    {
+      *wait_us = (int64_t) ((need - bucket->level) / (bucket->rate * quota->share) * 1e6);
+      return false;
+    }
+  bucket->level -= cost;
+  return true;
+}
+
+void
+quota_give_back (Quota *quota, const char *org, double cost)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  if (bucket)
+    bucket->level += cost;
+}
--- a/src/raft.c
+++ b/src/raft.c
@@ -36,6 +36,9 @@
 #define UNCOMMITTED_MOST 4096           /* beyond, proposers are told to come back */
 #define ROUNDS           128            /* heartbeats whose sending time is remembered: 12 s */
 #define KEEP_TAIL        256            /* entries kept behind a snapshot for those just behind */
+#define GONE             (2500 * FT_MS) /* silence after which a replaced voter is dropped: two
+                                           elections, and before a second loss may follow (4 s) */
+#define PEERS_MOST       16             /* voters, and as many that come in their place */
 
 typedef enum
 {
@@ -50,6 +53,7 @@
   uint32_t id;
   uint64_t incarnation; /* as it last said; 0: unknown */
   uint64_t next, match;
+  int64_t heard;      /* when its last message came */
   int64_t acked_sent; /* when the newest round that it acknowledged was sent */
   bool granted;
   bool blank_known; /* said that it is blank */
@@ -85,7 +89,7 @@
   int64_t round_sent[ROUNDS];
   int64_t election_at, leader_heard, heartbeat_at, blank_at, led_since;
   bool must_send; /* new entries wait to be sent */
-  Peer peers[FT_VOTERS_MOST];
+  Peer peers[PEERS_MOST];
   unsigned peer_count;
   GArray *outbox; /* Outgoing */
 };
@@ -101,6 +105,41 @@
   return NULL;
 }
 
+static bool
+configured (const Raft *raft, uint32_t id)
+{
+  return rlog_config_incarnation (rlog_config (&raft->log), id) != 0;
+}
+
+static Peer *
+meet (Raft *raft, uint32_t id)
+{
+  Peer *peer = find_peer (raft, id);
+  int64_t now = ft_clock_now (raft->clock);
+
+  if (peer || id == raft->conf.self || id == 0)
+    return peer;
+  if (raft->peer_count < PEERS_MOST)
+    peer = &raft->peers[raft->peer_count++];
+  for (unsigned i = 0; peer == NULL && i < raft->peer_count; i++)
+    if (!configured (raft, raft->peers[i].id) && now - raft->peers[i].heard > GONE)
+      peer = &raft->peers[i]; /* one that never came back makes room */
+  if (peer)
+    *peer = (Peer){ .id = id, .next = rlog_last (&raft->log) + 1, .heard = now };
+  return peer;
+}
+
+/* Failure: the log names voters that nobody has told this one of, after a restart with other
+ * contacts. Symptom: it stands for election and asks nobody. */
+static void
+meet_voters (Raft *raft)
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+
+  for (unsigned i = 0; raft->conf.found && i < config->count; i++)
+    meet (raft, config->voters[i].id);
+}
+
 static void
 post (Raft *raft, uint32_t to, const Msg *msg)
 {
@@ -199,7 +238,9 @@
 {
   uint64_t most = raft->conf.log_most ? raft->conf.log_most : RAFT_LOG_MOST;
 
-  if (raft->applied - raft->log.base < most + KEEP_TAIL || raft->broken)
+  uint64_t tail = MIN (KEEP_TAIL, most);
+
+  if (raft->applied - raft->log.base < most + tail || raft->broken)
     return;
   GByteArray *state = state_capture (raft->state);
   if (state == NULL)
@@ -212,8 +253,8 @@
                             raft->log.entries->len - first));
   g_byte_array_unref (state);
   raft->synced = rlog_last (&raft->log);
-  if (first > KEEP_TAIL)
-    rlog_cut (&raft->log, raft->applied - KEEP_TAIL);
+  if (first > tail)
+    rlog_cut (&raft->log, raft->applied - tail);
 }
 
 static void
@@ -413,10 +454,37 @@
     }
 }
 
+/* Failure: a voter is gone for good and another has come in its place. Symptom: with one of four
+ * dead a second loss stops the log. So the dead one is dropped, once the others that are heard
+ * number at least conf.least: no majority needs it then. */
+static void
+drop_gone (Raft *raft, int64_t now)
+{
+  RlogConfig config = *rlog_config (&raft->log);
+  unsigned heard = 0, gone = config.count;
+
+  if (raft->conf.least == 0 || config.count <= raft->conf.least || config.index > raft->commit
+      || raft->commit < raft->term_start)
+    return;
+  for (unsigned i = 0; i < config.count; i++)
+    {
+      const Peer *peer = find_peer (raft, config.voters[i].id);
+      if (config.voters[i].id == raft->conf.self
+          || (peer && now - peer->acked_sent < ELECTION_LEAST))
+        heard++;
+      else if (peer == NULL || now - peer->acked_sent > GONE)
+        gone = i;
+    }
+  if (gone == config.count || heard < raft->conf.least)
+    return;
+  config.voters[gone] = config.voters[--config.count];
+  propose_voters (raft, &config);
+}
+
 /* ---- Elections ---- */
 
 static void
-ask_votes (Raft *raft, bool pre)
+ask_votes (Raft *raft, bool pre, bool handed_over)
 {
   Msg msg = { .kind = MSG_VOTE };
   MsgVote *out = &msg.Msg_u.vote;
@@ -426,6 +494,7 @@
   out->incarnation = raft->incarnation;
   out->last_index = rlog_last (&raft->log);
   out->last_term = rlog_last_term (&raft->log);
+  out->handed_over = handed_over;
   for (unsigned i = 0; i < raft->peer_count; i++)
     {
       raft->peers[i].granted = false;
@@ -453,14 +522,14 @@
 static void count_votes (Raft *raft, int64_t now);
 
 static void
-stand (Raft *raft, bool pre, int64_t now)
+stand (Raft *raft, bool pre, bool handed_over, int64_t now)
 {
   restart_election_timer (raft, now);
   raft->leader = 0;
   raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
   if (!pre)
     enter_term (raft, raft->term + 1, raft->conf.self);
-  ask_votes (raft, pre);
+  ask_votes (raft, pre, handed_over);
   count_votes (raft, now);
 }
 
@@ -470,7 +539,7 @@
   if (votes_granted (raft) < majority (rlog_config (&raft->log)))
     return;
   if (raft->role == ROLE_PRECANDIDATE)
-    stand (raft, false, now);
+    stand (raft, false, false, now);
   else if (raft->role == ROLE_CANDIDATE)
     lead (raft, now);
 }
@@ -494,8 +563,9 @@
   /* Failure: a voter that was cut off returns and stands. Symptom: it would depose a leader that
    * serves everyone else. While the leader is heard nobody votes, which also makes the leader's
    * lease hold; a voter that has just started may have heard one, so it waits as long. */
-  bool led = now - raft->leader_heard < ELECTION_LEAST
-             || (raft->role == ROLE_LEADER && raft_leading (raft));
+  bool led = !vote->handed_over
+             && (now - raft->leader_heard < ELECTION_LEAST
+                 || (raft->role == ROLE_LEADER && raft_leading (raft)));
   if (!led && vote->term > raft->term && !vote->pre)
     follow (raft, vote->term, 0, now);
   if (led)
@@ -702,15 +772,25 @@
 try_to_form (Raft *raft, int64_t now)
 {
   MsgVoter voters[FT_VOTERS_MOST] = { { raft->conf.self, raft->incarnation } };
+  unsigned count = 1;
+  bool named = false;
 
-  for (unsigned i = 0; i < raft->peer_count; i++)
+  if (raft->conf.found && !raft->conf.may_form)
+    return;
+  for (unsigned i = 0; i < raft->conf.count; i++)
     {
-      const Peer *peer = &raft->peers[i];
-      if (peer->id < raft->conf.self || !peer->blank_known || now - peer->blank_at > BLANK_VALID)
+      uint32_t id = raft->conf.voters[i];
+      const Peer *peer = find_peer (raft, id);
+      named = named || id == raft->conf.self;
+      if (id == raft->conf.self)
+        continue;
+      if (id < raft->conf.self || peer == NULL || !peer->blank_known
+          || now - peer->blank_at > BLANK_VALID)
         return;
-      voters[i + 1] = (MsgVoter){ peer->id, peer->blank_incarnation };
+      voters[count++] = (MsgVoter){ id, peer->blank_incarnation };
     }
-  form (raft, voters, raft->peer_count + 1);
+  if (named)
+    form (raft, voters, count);
 }
 
 static void
@@ -788,8 +868,7 @@
   raft->outbox = g_array_new (FALSE, FALSE, sizeof (Outgoing));
   rlog_init (&raft->log);
   for (unsigned i = 0; i < conf->count; i++)
-    if (conf->voters[i] != conf->self)
-      raft->peers[raft->peer_count++] = (Peer){ .id = conf->voters[i], .next = 1 };
+    meet (raft, conf->voters[i]);
   FtStatus status = wal_open (disk, &raft->wal, &from, error);
   if (status == FT_OK)
     load (raft, &from, error, &status);
@@ -801,6 +880,7 @@
       if (status != FT_OK)
         ft_error_set (error, status, 0, "ident", "cannot be written");
     }
+  meet_voters (raft);
   raft->leader_heard = now; /* may have heard one just before it stopped */
   restart_election_timer (raft, now);
   *out = raft;
@@ -828,10 +908,11 @@
 raft_receive (Raft *raft, uint32_t from, const Msg *msg)
 {
   int64_t now = ft_clock_now (raft->clock);
-  Peer *peer = find_peer (raft, from);
+  Peer *peer = raft->conf.found ? meet (raft, from) : find_peer (raft, from);
 
   if (peer == NULL || raft->broken)
     return;
+  peer->heard = now;
   switch (msg->kind)
     {
     case MSG_VOTE:
@@ -852,6 +933,10 @@
     case MSG_BLANK:
       on_blank (raft, peer, &msg->Msg_u.blank, now);
       break;
+    case MSG_STAND:
+      if (in_config (raft) && raft->role == ROLE_FOLLOWER && from == raft->leader)
+        stand (raft, false, true, now);
+      break;
     default:
       break;
     }
@@ -879,6 +964,7 @@
       return;
     }
   adjust_voters (raft, now);
+  drop_gone (raft, now);
   if (now >= raft->heartbeat_at)
     raft->must_send = true;
 }
@@ -890,12 +976,13 @@
 
   if (raft->broken)
     return;
+  meet_voters (raft);
   if (rlog_last (&raft->log) == 0)
     tick_blank (raft, now);
   else if (raft->role == ROLE_LEADER)
     tick_leader (raft, now);
   else if (now >= raft->election_at && in_config (raft))
-    stand (raft, true, now);
+    stand (raft, true, false, now);
   else if (now >= raft->election_at)
     tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
 }
@@ -946,6 +1033,55 @@
   return now - quorum < LEASE;
 }
 
+int64_t
+raft_leads_until (Raft *raft)
+{
+  if (!raft_leading (raft))
+    return 0;
+  int64_t now = ft_clock_now (raft->clock);
+  return (int64_t) majority_of (raft, (uint64_t) now, peer_acked) + LEASE;
+}
+
+void
+raft_meet (Raft *raft, uint32_t id)
+{
+  if (raft->conf.found)
+    meet (raft, id);
+}
+
+unsigned
+raft_voters (const Raft *raft, uint32_t *ids)
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+
+  for (unsigned i = 0; i < config->count; i++)
+    ids[i] = config->voters[i].id;
+  return config->count;
+}
+
+void
+raft_hand_over (Raft *raft)
+{
+  Msg msg = { .kind = MSG_STAND };
+  Peer *best = NULL;
+  int64_t now = ft_clock_now (raft->clock);
+
+  if (raft->role != ROLE_LEADER)
+    return;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      Peer *peer = &raft->peers[i];
+      bool heard = now - peer->acked_sent < ELECTION_LEAST;
+      if (configured (raft, peer->id) && heard && (best == NULL || peer->match > best->match))
+        best = peer;
+    }
+  if (best == NULL)
+    return;
+  /* It stops leading before it lets another stand: two never lead at once. */
+  follow (raft, raft->term, 0, now);
+  post (raft, best->id, &msg);
+}
+
 int64_t
 raft_leading_since (const Raft *raft)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -20,6 +20,11 @@
   const uint32_t *voters; /* ids of all voters, self among them; copied */
   unsigned count;         /* 1 to FT_VOTERS_MOST */
   uint64_t log_most;      /* entries applied before a snapshot is taken; 0: RAFT_LOG_MOST */
+  bool found;             /* members are found while running: voters names only those that form
+                             the first set, and any instance that asks may join */
+  bool may_form;          /* with found: the whole deployment starts for the first time */
+  unsigned least;         /* with found: a voter that is gone is dropped while more than so many are
+                             left; 0: never */
 } RaftConf;
 
 #define RAFT_LOG_MOST 8192
@@ -32,6 +37,14 @@
 void raft_receive (Raft *raft, uint32_t from, const Msg *msg);
 /* Call every 20 ms or so. */
 void raft_tick (Raft *raft);
+/* With found: id takes part, or wants to. */
+void raft_meet (Raft *raft, uint32_t id);
+/* A leader steps down in favour of the voter that holds most; others do nothing. */
+void raft_hand_over (Raft *raft);
+/* Until when raft_leading stays true if nothing more is heard; 0: not leading. */
+int64_t raft_leads_until (Raft *raft);
+/* Ids of the voters that the log names, at most FT_VOTERS_MOST. Returns how many. */
+unsigned raft_voters (const Raft *raft, uint32_t *ids);
 /* FT_NOT_LEADER, FT_FULL while too much is uncommitted, or FT_OK with the operation's index. */
 FtStatus raft_propose (Raft *raft, const MsgOp *op, uint64_t *index);
 /* Syncs what was written and only then sends what promises it. Call after each batch of events. */
--- /dev/null
+++ b/src/scheduler.h
@@ -0,0 +1,120 @@
+/* scheduler.h - which waiting request runs next, on which backend server, and which is refused; private
+ * to the library and its shells.
+ *
+ * For backend servers that know no priorities and cannot pause a stream: all order lies in what
+ * waits here. A scheduler does no I/O; whoever sends a request asks it first and tells it what came
+ * of it. Two schedulers for the same servers are safe, since only the sender of a request sends it;
+ * they cost overcommitment.
+ */
+#ifndef SCHEDULER_H
+#define SCHEDULER_H
+
+#include "foxtail.h"
+
+typedef struct Sched Sched;
+
+typedef enum
+{
+  SCHED_OK,        /* a whole answer */
+  SCHED_FAILED,    /* an answer that says failure, a broken or a garbled one */
+  SCHED_UNREACHED, /* no connection: nothing was sent */
+  SCHED_REJECTED,  /* the server said that it did not run it */
+  SCHED_SILENT,    /* no answer within the time that it should take */
+  SCHED_LEFT       /* the caller left, or its time was over; says nothing of the server */
+} SchedOutcome;
+
+typedef struct
+{
+  uint64_t owner;   /* whose request it is */
+  uint64_t request; /* the owner's number for it */
+  const char *service, *org;
+  unsigned tier; /* 0 is the highest */
+  bool stream;
+  bool repeatable;        /* may be sent to another server if this one fails it */
+  unsigned prompt_tokens; /* engines; 0 elsewhere */
+  unsigned output_tokens; /* engines: expected */
+  uint64_t shared_part;   /* identity of the prompt's first part; 0: none */
+  int64_t gap_us;         /* longest pause between events that is on time; 0: none */
+  int64_t aim_at;         /* on time until then, scheduler's clock */
+  int64_t limit_at;       /* the first of the answer is of no use after */
+  int64_t end_at;         /* the caller's own limit, bound of what it is told to wait */
+  const char *avoid;      /* server that has failed this request; NULL or "": none */
+} SchedAsk;
+
+typedef struct
+{
+  FtReason reason;
+  int64_t retry_after_us;
+  char rule[120]; /* the estimate that decided, with its figures */
+} SchedRefusal;
+
+/* Decisions, called from within the functions below; must not call back. */
+typedef struct
+{
+  void (*grant) (void *host, uint64_t owner, uint64_t request, const char *server);
+  void (*refuse) (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal);
+  /* What is believed of a server has changed: out is true while it gets no work. */
+  void (*believes) (void *host, const char *server, bool out, const char *why, int64_t for_us);
+} SchedOps;
+
+typedef struct
+{
+  bool engine;
+  unsigned stride; /* engines: tokens in one event; 0: taken as 1 */
+  uint64_t memory; /* engines: tokens that a server holds; 0: not stated */
+} SchedServiceConf;
+
+Sched *sched_new (FtClock *clock, const SchedOps *ops, void *host);
+void sched_free (Sched *sched);
+/* Makes the service known or changes what is known of it. */
+void sched_service (Sched *sched, const char *service, const SchedServiceConf *conf);
+/* The part of each server's places that may be used, and a number that spreads the remainder
+ * differently over the schedulers that share them. 1 and 0 at first. */
+void sched_share (Sched *sched, double share, uint64_t salt);
+
+typedef struct
+{
+  const char *id, *service, *domain;
+  unsigned slots; /* requests that it runs at once */
+  bool leaving;   /* gets nothing new */
+  int64_t cold_us; /* stays slow for this long */
+} SchedServer;
+
+/* The whole list of servers: those that it lacks are gone. */
+void sched_list (Sched *sched, const SchedServer *servers, unsigned count);
+
+/* Places, queues or refuses the request. An ask that is known already changes nothing. Returns true
+ * when it is queued. */
+bool sched_ask (Sched *sched, const SchedAsk *ask);
+/* The request runs on server by another scheduler's grant. */
+void sched_adopt (Sched *sched, const SchedAsk *ask, const char *server);
+/* The first of the answer came, after_us after the request was sent. */
+void sched_first (Sched *sched, uint64_t owner, uint64_t request, int64_t after_us);
+
+/* Nothing of the answer has come for longer than it should take: the server gets nothing new until
+ * it answers something. */
+void sched_silent (Sched *sched, uint64_t owner, uint64_t request);
+
+typedef struct
+{
+  SchedOutcome outcome;
+  int64_t event_us;  /* mean time between events; 0: unknown */
+  int64_t answer_us; /* from sending to the end; 0: unknown */
+} SchedResult;
+
+/* The request has ended on its server, or is given up while it waits. */
+void sched_done (Sched *sched, uint64_t owner, uint64_t request, const SchedResult *result);
+/* Everything of an owner is forgotten. */
+void sched_owner_gone (Sched *sched, uint64_t owner);
+/* Refuses what can no longer be served in time, places what can. Call every 20 ms or so. */
+void sched_tick (Sched *sched);
+
+typedef struct
+{
+  unsigned waiting, running, servers, out, slots;
+} SchedStats;
+void sched_stats (const Sched *sched, SchedStats *stats);
+/* One line of text a server for operators: what is believed and why; g_free. */
+char *sched_describe (const Sched *sched);
+
+#endif
--- a/src/state.c
+++ b/src/state.c
@@ -31,6 +31,7 @@
   GQueue refusals;       /* MsgRecord *, oldest first */
   GHashTable *by_refusal;
   MsgVoters voters;
+  MsgDocument document;
 };
 
 #define FREE_FUNC(type, name)                                                                      \
@@ -59,6 +60,8 @@
   g_queue_clear_full (&state->refusals, record_free);
   codec_clear (CODEC (MsgVoters), &state->voters);
   memset (&state->voters, 0, sizeof state->voters);
+  codec_clear (CODEC (MsgDocument), &state->document);
+  memset (&state->document, 0, sizeof state->document);
 }
 
 State *
@@ -339,6 +342,21 @@
   record_free (oldest);
 }
 
+/* Failure: a lower number arrives late, sent again or by another operator. Symptom: what is in force
+ * reverts. The highest number wins, in whatever order they come. */
+static void
+apply_document (State *state, const MsgDocument *document, StateVerdict *verdict)
+{
+  if (document->number > state->document.number)
+    {
+      MsgDocument *copy = copy_of (CODEC (MsgDocument), document, sizeof *document);
+      codec_clear (CODEC (MsgDocument), &state->document);
+      state->document = *copy;
+      g_free (copy);
+    }
+  say (verdict, FT_OK, state->document.number, "%s", "");
+}
+
 void
 state_apply (State *state, uint64_t index, const MsgOp *op, StateVerdict *verdict)
 {
@@ -365,6 +383,9 @@
         g_free (copy);
         break;
       }
+    case MSG_OP_DOCUMENT:
+      apply_document (state, &op->MsgOp_u.document, verdict);
+      break;
     case MSG_OP_REFUSALS:
       for (unsigned i = 0; i < op->MsgOp_u.refusals.records.records_len; i++)
         keep_refusal (state, &op->MsgOp_u.refusals.records.records_val[i]);
@@ -411,6 +432,7 @@
   out.refusals.refusals_val = (MsgRecord *) (void *) refusals->data;
   out.voters.voters_len = state->voters.voters.voters_len;
   out.voters.voters_val = state->voters.voters.voters_val;
+  out.document = state->document;
   GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
   g_array_unref (history);
   g_array_unref (leases);
@@ -450,6 +472,7 @@
     }
   state->voters.voters.voters_len = in->voters.voters_len;
   state->voters.voters.voters_val = in->voters.voters_val;
+  state->document = in->document;
 }
 
 FtStatus
@@ -523,6 +546,12 @@
   return all;
 }
 
+const MsgDocument *
+state_document (const State *state)
+{
+  return state->document.number ? &state->document : NULL;
+}
+
 const MsgVoters *
 state_voters (const State *state)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -30,6 +30,8 @@
 /* Borrowed; NULL: nobody has held it. */
 const MsgLease *state_lease (const State *state, const char *pool);
 GPtrArray *state_leases (const State *state); /* new array of borrowed const MsgLease * */
+/* The newest document, borrowed; NULL: none yet. */
+const MsgDocument *state_document (const State *state);
 const MsgVoters *state_voters (const State *state);
 const MsgClaimState *state_claim (const State *state, const char *key);
 unsigned state_claim_count (const State *state);
