Keep organisations' limits across cuts and failovers; rank goes before order of arrival in them

Two entries were cut off and gave away their parts of the limit beside the whole limit of the voter in charge; and each entry's own bucket was full whenever it fell back. Ruled out: the new accountant's start level (23k tokens). Now an entry's bucket is charged with what others grant it, the voter keeps only the part of the entries that it hears, and a limit is not overcommitted. Organisation's tier goes before the route's, and within a limit lower ranks leave 12 % of the burst per rank to higher ones.

--- a/node/control.c
+++ b/node/control.c
@@ -28,6 +28,8 @@
 #define LIST_ALONE    (1200 * FT_MS)
 #define ALONE_AFTER   (900 * FT_MS) /* longer than a usual election */
 #define PUSH_AGAIN    (500 * FT_MS) /* a document is repaired, if its push was lost, within 1 s */
+#define LOST_KEPT     (12 * FT_SECOND) /* an entry that is cut off gives its part away by itself;
+                                          above the span of the limits, 8 s */
 #define CHANGE_MOST   (2500 * FT_MS) /* operators ask another voter after a second */
 #define LEAVE_LEAST   (400 * FT_MS) /* the successor is elected */
 #define LEAVE_MOST    (2 * FT_SECOND)
@@ -64,6 +66,7 @@
   RtCat *cat;
   GPtrArray *contacts; /* Contact of each accepted link */
   GArray *changes;     /* Change */
+  GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
   GHashTable *owners;  /* lifetime of an entry: Contact */
   LoopTimer tick;
   uint64_t next_ticket;
@@ -74,7 +77,7 @@
 /* ---- Telling entries ---- */
 
 static unsigned
-count_entries (const Control *control)
+count_heard (const Control *control)
 {
   unsigned count = 0;
 
@@ -86,6 +89,31 @@
   return count;
 }
 
+static gboolean
+is_over (gpointer ip, gpointer second, gpointer now)
+{
+  (void) ip;
+  return GPOINTER_TO_INT (second) < GPOINTER_TO_INT (now);
+}
+
+/* Entries that share the places and limits: those heard and those lost lately. */
+static unsigned
+count_entries (const Control *control)
+{
+  return count_heard (control) + g_hash_table_size (control->lost);
+}
+
+/* Failure: entries are cut off and give away their part of a limit themselves. Symptom: with the
+ * whole limit given away here too an organisation passes it. So this accountant keeps the part of
+ * the entries that it hears. */
+static void
+share_limits (Control *control, int64_t now)
+{
+  g_hash_table_foreach_remove (control->lost, is_over, GINT_TO_POINTER ((int) (now / FT_SECOND)));
+  unsigned heard = count_heard (control), lost = g_hash_table_size (control->lost);
+  quota_share (control->quota, heard ? (double) heard / (heard + lost) : 1);
+}
+
 static uint64_t
 newest (Control *control)
 {
@@ -236,9 +264,12 @@
       sched_adopt (control->sched, &ask, from->server);
       return;
     }
-  if (from->cost_tokens > 0 && !quota_take (control->quota, from->org, from->cost_tokens, &wait))
+  if (from->cost_tokens > 0 && !quota_take (control->quota, from->org, from->cost_tokens,
+                                               rt_order_rank (from->tier), &wait))
     {
-      SchedRefusal refusal = { FT_REASON_LIMIT_TOKENS, wait, "the organisation's limit" };
+      SchedRefusal refusal = { .reason = FT_REASON_LIMIT_TOKENS, .retry_after_us = wait };
+      quota_explain (control->quota, from->org, from->cost_tokens, refusal.rule,
+                     sizeof refusal.rule);
       contact->waiting++;
       on_sched_refuse (control, ask.owner, ask.request, &refusal);
       return;
@@ -267,6 +298,7 @@
         JL_INT ("dialled", peer->dialled));
   if (peer->role == MESH_VOTER)
     voter_meet (control->voter, peer->ip);
+  g_hash_table_remove (control->lost, GUINT_TO_POINTER (peer->ip));
   if (peer->dialled)
     return;
   Contact *contact = g_new0 (Contact, 1);
@@ -288,6 +320,10 @@
         JL_MS ("silent_ms", loop_now (control->loop) - peer->heard));
   if (contact == NULL)
     return;
+  if (peer->role == MESH_ENTRY && !peer->leaving)
+    g_hash_table_insert (control->lost, GUINT_TO_POINTER (peer->ip),
+                         GINT_TO_POINTER ((int) ((loop_now (control->loop) + LOST_KEPT)
+                                                 / FT_SECOND)));
   if (g_hash_table_lookup (control->owners, &peer->lifetime) == contact)
     {
       g_hash_table_remove (control->owners, &peer->lifetime);
@@ -683,6 +719,7 @@
   int64_t now = loop_now (control->loop);
 
   note_charge (control);
+  share_limits (control, now);
   tick_contacts (control, now);
   read_list (control, now);
   expire_changes (control, now);
@@ -766,6 +803,7 @@
   quota_free (control->quota);
   rt_cat_unref (control->cat);
   g_hash_table_unref (control->owners);
+  g_hash_table_unref (control->lost);
   g_ptr_array_unref (control->contacts);
   g_array_unref (control->changes);
   g_free (control);
@@ -825,6 +863,7 @@
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
   control->contacts = g_ptr_array_new ();
   control->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  control->lost = g_hash_table_new (NULL, NULL);
   control->owners = g_hash_table_new (g_int64_hash, g_int64_equal);
   control->tick.fire = on_tick;
   control->led_at = loop_now (loop);
--- a/node/place.c
+++ b/node/place.c
@@ -157,13 +157,14 @@
   int64_t wait = 0;
 
   item->remote = false;
-  if (item->cost > 0 && !quota_take (place->quota, item->org, item->cost, &wait))
+  if (item->cost > 0 && !quota_take (place->quota, item->org, item->cost,
+                                      rt_order_rank (item->ask.tier), &wait))
     {
       Verdict verdict = { .number = item->number };
       verdict.refusal.reason = FT_REASON_LIMIT_TOKENS;
       verdict.refusal.retry_after_us = wait;
-      g_strlcpy (verdict.refusal.rule, "the organisation's limit, own part",
-                 sizeof verdict.refusal.rule);
+      quota_explain (place->quota, item->org, item->cost, verdict.refusal.rule,
+                     sizeof verdict.refusal.rule);
       later (place, verdict);
       return;
     }
@@ -298,6 +299,8 @@
   if (!item->remote)
     sched_done (place->own, 0, item->number, &left); /* no longer waits in the own queue */
   run (place, item, grant->server);
+  if (item->remote && item->cost > 0)
+    quota_used (place->quota, item->org, item->cost);
   sched_adopt (place->own, &item->ask, grant->server);
   place->ops->grant (place->host, grant->request, grant->server);
 }
@@ -424,7 +427,7 @@
     return;
   place->entries = entries;
   sched_share (place->own, share, place->salt);
-  quota_share (place->quota, share);
+  quota_share (place->quota, 1.0 / MAX (entries, 1)); /* a limit is not overcommitted */
 }
 
 void
--- a/node/requests.c
+++ b/node/requests.c
@@ -215,7 +215,7 @@
   out.request = req->number;
   out.service = req->service;
   out.org = req->org ? req->org->name : "";
-  out.tier = req->org && req->org->has_tier ? req->org->tier : req->route->tier;
+  out.tier = rt_order (req->route, req->org);
   out.stream = req->route->kind == RT_STREAM;
   out.repeatable = rt_route_repeatable (req->route);
   out.prompt_tokens = req->facts.prompt_tokens;
--- a/src/quota.c
+++ b/src/quota.c
@@ -4,11 +4,18 @@
  * Symptom: the organisation gets its burst twice in one window. A bucket therefore starts with
  * START_LEVEL of its burst, which is less than what the limits leave free for such errors, and
  * fills at the rate, so that an organisation within its rate is not refused.
+ *
+ * Within one organisation's limit too, requests of a higher rank go first: lower ones leave a part
+ * of the burst untouched.
  */
 #include "quota.h"
 
+#include <stdio.h>
+
 /* Tuning; each row with its reason. */
 #define START_LEVEL 0.35 /* of a burst; a second's worth at today's limits, of a window of 8 s */
+#define RANK_PART   0.12 /* of a burst, kept for each higher rank: one or two of its requests */
+#define RANKS_MOST  3
 #define LENIENCE    1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
 
 typedef struct
@@ -79,7 +86,7 @@
 }
 
 bool
-quota_take (Quota *quota, const char *org, double cost, int64_t *wait_us)
+quota_take (Quota *quota, const char *org, double cost, unsigned rank, int64_t *wait_us)
 {
   Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
 
@@ -88,7 +95,8 @@
     return true;
   fill (quota, bucket);
   /* A request larger than the burst could never pass; a full bucket is enough for it. */
-  double need = MIN (cost, bucket->burst * quota->share);
+  double kept = RANK_PART * MIN (rank, RANKS_MOST) * bucket->burst * quota->share;
+  double need = MIN (cost + kept, bucket->burst * quota->share);
   if (bucket->level < need)
     {
       *wait_us = (int64_t) ((need - bucket->level) / (bucket->rate * quota->share) * 1e6);
@@ -98,6 +106,27 @@
   return true;
 }
 
+void
+quota_used (Quota *quota, const char *org, double cost)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  if (bucket == NULL)
+    return;
+  fill (quota, bucket);
+  bucket->level = MAX (0, bucket->level - cost);
+}
+
+void
+quota_explain (const Quota *quota, const char *org, double cost, char *out, size_t size)
+{
+  const Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  snprintf (out, size, "limit of %s: %.0f/s, at once %.0f, part %.2f; asked %.0f, left %.0f", org,
+            bucket ? bucket->rate : 0, bucket ? bucket->burst : 0, quota->share, cost,
+            bucket ? bucket->level : 0);
+}
+
 void
 quota_give_back (Quota *quota, const char *org, double cost)
 {
--- a/src/quota.h
+++ b/src/quota.h
@@ -12,9 +12,14 @@
 void quota_share (Quota *quota, double share);
 /* rate a second, burst at once, in the caller's unit; rate 0: no limit. */
 void quota_limit (Quota *quota, const char *org, double rate, double burst);
-/* Takes cost from what the organisation may use now. False: it would pass its limit; *wait_us is
- * the time until it would not, if nothing else is used. */
-bool quota_take (Quota *quota, const char *org, double cost, int64_t *wait_us);
+/* Takes cost from what the organisation may use now, leaving a part of its burst to requests of
+ * higher rank: 0 is the highest. False: it would pass its limit; *wait_us is the time until it
+ * would not, if nothing else is used. */
+bool quota_take (Quota *quota, const char *org, double cost, unsigned rank, int64_t *wait_us);
+/* Another accountant gave cost away to requests of this instance: it is gone from here too. */
+void quota_used (Quota *quota, const char *org, double cost);
+/* The organisation's limit and what is left of it, for a refusal's explanation; size bytes. */
+void quota_explain (const Quota *quota, const char *org, double cost, char *out, size_t size);
 /* A request that was counted did not run. */
 void quota_give_back (Quota *quota, const char *org, double cost);
 
--- a/src/route.c
+++ b/src/route.c
@@ -320,6 +320,22 @@
     }
 }
 
+#define RANKS 16 /* tiers of routes that are told apart within one organisation's tier */
+
+unsigned
+rt_order (const RtRoute *route, const RtOrg *org)
+{
+  unsigned first = org && org->has_tier ? org->tier : 0;
+
+  return first * RANKS + MIN (route->tier, RANKS - 1);
+}
+
+unsigned
+rt_order_rank (unsigned order)
+{
+  return order % RANKS;
+}
+
 bool
 rt_route_repeatable (const RtRoute *route)
 {
--- a/src/route.h
+++ b/src/route.h
@@ -87,6 +87,10 @@
 const RtOrg *rt_cat_org_by_key (const RtCat *cat, const char *key);
 /* One of the route's services, by weight; draw: random bits. */
 const char *rt_route_target (const RtRoute *route, uint64_t draw);
+/* Order of a request among all: the organisation's tier goes before the route's. 0 is the first. */
+unsigned rt_order (const RtRoute *route, const RtOrg *org);
+/* The route's own part of an order. */
+unsigned rt_order_rank (unsigned order);
 /* May a request of the route run again at another server once one may have run it? */
 bool rt_route_repeatable (const RtRoute *route);
 
