Serve within a second of a start of everything: committed state known from the disk, parked requests

Ruled out: start time of the processes (30 ms). Now the committed index is noted in the log's file, a voter sends catalogue and list as soon as an entry says hello, pre-votes are asked again within 0.3 s, links are dialled every 50 ms after a start, and requests wait up to 1.2 s for the first catalogue instead of being refused. Log records come in batches, so that a power loss that keeps the end of the last batch without its start is told from damage.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -13,10 +13,12 @@
 #include <urcu/list.h>
 
 /* Tuning; each row with its reason. */
-#define TICK        (100 * FT_MS)
+#define TICK        (50 * FT_MS)
 #define HELLO_EVERY (400 * FT_MS)  /* three in SILENT: two may be late */
 #define SILENT      (1300 * FT_MS) /* below the 2 s in which a dead link shall be noticed */
 #define REDIAL      (250 * FT_MS)
+#define REDIAL_NEW  (50 * FT_MS) /* while all instances may be starting together ... */
+#define NEW_FOR     (3 * FT_SECOND) /* ... that is for so long */
 #define DIAL_MOST   (600 * FT_MS) /* a connection takes two one-way delays */
 #define FRAME_MOST  (16u << 20)
 #define UNSENT_MOST (32u << 20) /* a peer that reads nothing does not fill the memory */
@@ -49,9 +51,15 @@
   GHashTable *dials; /* ip: Dial */
   struct cds_list_head peers;
   LoopTimer tick;
-  int64_t hello_at;
+  int64_t hello_at, started;
 };
 
+static int64_t
+redial_after (const Mesh *mesh)
+{
+  return loop_now (mesh->loop) - mesh->started < NEW_FOR ? REDIAL_NEW : REDIAL;
+}
+
 static void
 close_peer (Peer *peer)
 {
@@ -61,7 +69,7 @@
   if (peer->base.dialled && dial && dial->peer == peer)
     {
       dial->peer = NULL;
-      dial->next_try = loop_now (mesh->loop) + REDIAL;
+      dial->next_try = loop_now (mesh->loop) + redial_after (mesh);
     }
   cds_list_del (&peer->link);
   sock_close (peer->base.sock, true);
@@ -229,7 +237,7 @@
   SockAddr addr = { dial->ip, mesh->self.port };
   Peer *peer = peer_new (mesh, true);
 
-  dial->next_try = loop_now (mesh->loop) + REDIAL;
+  dial->next_try = loop_now (mesh->loop) + redial_after (mesh);
   peer->base.ip = dial->ip;
   peer->base.sock = sock_connect (mesh->loop, addr, &sock_ops, peer);
   if (peer->base.sock == NULL)
@@ -298,6 +306,7 @@
       mesh_free (mesh);
       return NULL;
     }
+  mesh->started = loop_now (loop);
   mesh->tick.fire = on_tick;
   loop_timer_set (loop, &mesh->tick, loop_now (loop) + TICK);
   return mesh;
--- a/node/control.c
+++ b/node/control.c
@@ -308,6 +308,8 @@
   g_hash_table_insert (control->owners, &peer->lifetime, contact);
   send_view (control, contact, loop_now (control->loop));
   send_list (control, contact, loop_now (control->loop));
+  if (peer->role == MESH_ENTRY && peer->document < newest (control))
+    send_document (control, contact, loop_now (control->loop));
 }
 
 static void
@@ -668,7 +670,7 @@
 
   if (status->proved || status->leader != 0)
     control->led_at = now;
-  bool alone = now - control->led_at > ALONE_AFTER;
+  bool alone = now - control->led_at > ALONE_AFTER || servers_asked_at (control->servers) == 0;
   if (now < control->list_at || (!status->proved && !alone))
     return;
   control->list_at = now + every;
--- a/node/entry.c
+++ b/node/entry.c
@@ -18,6 +18,7 @@
 #define TICK         (50 * FT_MS)
 #define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
+#define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
 #define LIST_EVERY   (1500 * FT_MS)
 #define LIST_PART    0.3 /* of the platform's rate that entries together use when voters are silent */
 #define LEAVE_LEAST  (2600 * FT_MS)  /* the balancer asks every second and wants two misses */
@@ -406,7 +407,7 @@
       destroy (&entry->base);
       return status;
     }
-  entry->list_at = entry->started + LIST_OLD;
+  entry->list_at = entry->started + FIRST_LIST + (int64_t) (instance_random () % FIRST_LIST);
   loop_timer_set (loop, &entry->tick, entry->started + TICK);
   dial_seeds (entry, settings);
   *out = &entry->base;
--- a/node/requests.c
+++ b/node/requests.c
@@ -31,6 +31,8 @@
 #define SILENT_EVENT    (1200 * FT_MS) /* between events: above a long prompt's stall of neighbours */
 #define GUESS_PART      2          /* of the caller's bound, when it gives no estimate */
 #define ADVICE_STARTING (500 * FT_MS) /* until a catalogue is here */
+#define PARK_MOST       (1200 * FT_MS) /* a request waits so long for the first catalogue: an election */
+#define PARK_PART       3              /* and for a third of its caller's patience at most */
 
 typedef struct
 {
@@ -65,6 +67,7 @@
   RequestsConf conf;
   RtCat *cat;
   GHashTable *by_number; /* number: Req */
+  GPtrArray *parked;     /* Req that wait for the first catalogue */
   uint64_t next_number;
   unsigned open;
 };
@@ -85,6 +88,7 @@
   Loop *loop = req->all->conf.loop;
 
   forget_number (req);
+  g_ptr_array_remove_fast (req->all->parked, req);
   loop_timer_stop (loop, &req->limit);
   loop_timer_stop (loop, &req->silence);
   req->all->open--;
@@ -596,7 +600,9 @@
   Req *req = (Req *) ((char *) timer - offsetof (Req, limit));
 
   end_try (req, SCHED_LEFT);
-  if (req->begun)
+  if (req->route == NULL)
+    answer_own (req, 503, ADVICE_STARTING, "no-catalogue");
+  else if (req->begun)
     break_off (req, "time-limit");
   else if (req->may_have_run)
     answer_own (req, 504, 0, "time-limit");
@@ -633,11 +639,6 @@
   const HMsg *msg = hcall_msg (req->call);
   const char *host = hmsg_field (msg, "Host");
 
-  if (req->cat == NULL)
-    {
-      answer_own (req, 503, ADVICE_STARTING, "no-catalogue");
-      return false;
-    }
   req->route = rt_cat_route (req->cat, host ? host : "", hmsg_target (msg));
   if (req->route == NULL)
     {
@@ -653,16 +654,16 @@
   return true;
 }
 
-void
-requests_take (Requests *all, HCall *call)
+static void
+proceed (Req *req)
 {
-  Req *req = req_new (all, call);
-  int64_t patience;
+  Requests *all = req->all;
 
   if (!admit (req))
     return;
-  patience = req->facts.patience_us ? MIN (req->facts.patience_us, req->route->timeout_us)
-                                    : req->route->timeout_us;
+  int64_t patience = req->facts.patience_us
+                         ? MIN (req->facts.patience_us, req->route->timeout_us)
+                         : req->route->timeout_us;
   req->end_at = req->arrived + patience;
   req->first_by = req->end_at;
   if (req->route->kind == RT_STREAM)
@@ -676,6 +677,30 @@
   ask (req, true);
 }
 
+/* Failure: all instances start anew, and callers come before the catalogue does. Symptom: each is
+ * refused and uses up its retries within the second that it takes. It waits a moment instead. */
+static void
+park (Req *req)
+{
+  int64_t most = PARK_MOST;
+
+  if (req->facts.patience_us)
+    most = MIN (most, req->facts.patience_us / PARK_PART);
+  g_ptr_array_add (req->all->parked, req);
+  loop_timer_set (req->all->conf.loop, &req->limit, req->arrived + most);
+}
+
+void
+requests_take (Requests *all, HCall *call)
+{
+  Req *req = req_new (all, call);
+
+  if (req->cat)
+    proceed (req);
+  else
+    park (req);
+}
+
 void
 requests_gone (Requests *all, HCall *call)
 {
@@ -699,6 +724,7 @@
 
   all->conf = *conf;
   all->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
+  all->parked = g_ptr_array_new ();
   return all;
 }
 
@@ -708,6 +734,7 @@
   if (all == NULL)
     return;
   g_hash_table_unref (all->by_number);
+  g_ptr_array_unref (all->parked);
   rt_cat_unref (all->cat);
   g_free (all);
 }
@@ -717,6 +744,13 @@
 {
   rt_cat_unref (all->cat);
   all->cat = rt_cat_ref (cat);
+  while (all->parked->len > 0)
+    {
+      Req *req = g_ptr_array_remove_index (all->parked, 0);
+      loop_timer_stop (all->conf.loop, &req->limit);
+      req->cat = rt_cat_ref (cat);
+      proceed (req);
+    }
 }
 
 unsigned
--- a/src/raft.c
+++ b/src/raft.c
@@ -26,7 +26,9 @@
 /* Tuning; each row with its reason. */
 #define HEARTBEAT        (100 * FT_MS)  /* six in the shortest election timeout: five may be lost */
 #define ELECTION_LEAST   (600 * FT_MS)  /* a new leader within about 1.5 s, of 6 s for a change */
-#define ELECTION_SPREAD  (600 * FT_MS)  /* voters rarely stand together */
+#define ELECTION_SPREAD  (400 * FT_MS)  /* voters rarely stand together */
+#define PREVOTE_LEAST    (150 * FT_MS)  /* asking again costs messages only, no term */
+#define PREVOTE_SPREAD   (150 * FT_MS)
 #define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
 #define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
 #define BLANK_EVERY      (300 * FT_MS)
@@ -84,6 +86,7 @@
   uint64_t term;
   uint32_t voted_for, leader;
   uint64_t commit, applied, synced;
+  uint64_t noted; /* commit index in the log's file */
   uint64_t term_start; /* index of the leader's first entry */
   uint64_t round;
   int64_t round_sent[ROUNDS];
@@ -525,6 +528,9 @@
 stand (Raft *raft, bool pre, bool handed_over, int64_t now)
 {
   restart_election_timer (raft, now);
+  if (pre)
+    raft->election_at = now + PREVOTE_LEAST
+                        + (int64_t) (ft_random_next (raft->random) % (uint64_t) PREVOTE_SPREAD);
   raft->leader = 0;
   raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
   if (!pre)
@@ -847,6 +853,9 @@
   for (unsigned i = 0; i < from->entries->len; i++)
     rlog_append (&raft->log, wal_entry_copy (from->entries->pdata[i]));
   raft->synced = rlog_last (&raft->log);
+  raft->commit = raft->noted
+      = MAX (raft->commit, MIN (from->commit, rlog_last (&raft->log)));
+  apply_committed (raft);
 }
 
 FtStatus
@@ -881,8 +890,11 @@
         ft_error_set (error, status, 0, "ident", "cannot be written");
     }
   meet_voters (raft);
-  raft->leader_heard = now; /* may have heard one just before it stopped */
-  restart_election_timer (raft, now);
+  /* It may have heard a leader just before it stopped, whose lease counts from the sending of what
+   * was heard: it is over LEASE from now at the latest. */
+  raft->leader_heard = now - (ELECTION_LEAST - LEASE);
+  raft->election_at = now + LEASE
+                      + (int64_t) (ft_random_next (random) % (uint64_t) PREVOTE_SPREAD);
   *out = raft;
   if (status != FT_OK)
     {
@@ -1006,6 +1018,13 @@
     return;
   if (raft->role == ROLE_LEADER && raft->must_send)
     broadcast (raft, ft_clock_now (raft->clock));
+  /* Failure: all voters start anew. Symptom: what is committed is known only after an election, a
+   * second later. The index of it, synced with whatever comes next, tells it at once. */
+  if (raft->conf.found && raft->commit > raft->noted)
+    {
+      raft->noted = raft->commit;
+      check_disk (raft, wal_commit (raft->wal, raft->commit));
+    }
   check_disk (raft, wal_sync (raft->wal));
   if (raft->broken)
     return;
--- a/src/wal.c
+++ b/src/wal.c
@@ -26,13 +26,16 @@
   RECORD_TRUNCATE = 2,
   RECORD_VOTE = 3,
   RECORD_SNAPSHOT = 4,
-  RECORD_IDENT = 5
+  RECORD_IDENT = 5,
+  RECORD_BATCH = 6, /* starts a batch; the number of the batch */
+  RECORD_COMMIT = 7 /* entries up to this index are known to be committed */
 };
 
 struct Wal
 {
   FtDisk *disk;
   GByteArray *pending; /* records not yet handed to the disk */
+  uint64_t batch;      /* number of the next one */
   bool dirty, broken;
 };
 
@@ -96,14 +99,14 @@
 }
 
 static bool
-valid_record_behind (const GByteArray *file, size_t offset)
+valid_batch_behind (const GByteArray *file, size_t offset)
 {
   uint32_t type;
   const guint8 *payload;
   size_t size;
 
   for (size_t at = offset + 1; at + HEADER_SIZE <= file->len; at++)
-    if (record_at (file, at, &type, &payload, &size))
+    if (record_at (file, at, &type, &payload, &size) && type == RECORD_BATCH)
       return true;
   return false;
 }
@@ -147,6 +150,16 @@
       drop_from (state->entries, get_u64 (payload));
       return FT_OK;
     }
+  if (type == RECORD_BATCH && size == 8)
+    {
+      state->batch = get_u64 (payload);
+      return FT_OK;
+    }
+  if (type == RECORD_COMMIT && size == 8)
+    {
+      state->commit = MAX (state->commit, get_u64 (payload));
+      return FT_OK;
+    }
   if (type != RECORD_ENTRY)
     return FT_CORRUPT;
   MsgEntry *entry = g_new0 (MsgEntry, 1);
@@ -182,7 +195,7 @@
       uint32_t type;
       const guint8 *payload;
       size_t size, step = record_at (file, offset, &type, &payload, &size);
-      if (step == 0 && valid_record_behind (file, offset))
+      if (step == 0 && valid_batch_behind (file, offset))
         {
           status = ft_error_set (error, FT_CORRUPT, 0, "log",
                                  "damaged record at offset %zu with valid ones behind it; replace "
@@ -280,6 +293,7 @@
   *out = g_new0 (Wal, 1);
   (*out)->disk = disk;
   (*out)->pending = g_byte_array_new ();
+  (*out)->batch = state->batch + 1;
   return FT_OK;
 }
 
@@ -361,18 +375,44 @@
   return wal->broken ? FT_IO : put_entry (wal->pending, entry);
 }
 
-FtStatus
-wal_truncate (Wal *wal, uint64_t from)
+static void
+put_number (GByteArray *out, uint32_t type, uint64_t number)
 {
   GByteArray *payload = g_byte_array_new ();
 
-  put_u64 (payload, from);
-  put_record (wal->pending, RECORD_TRUNCATE, payload->data, payload->len);
+  put_u64 (payload, number);
+  put_record (out, type, payload->data, payload->len);
   g_byte_array_unref (payload);
+}
+
+FtStatus
+wal_truncate (Wal *wal, uint64_t from)
+{
+  put_number (wal->pending, RECORD_TRUNCATE, from);
+  wal->dirty = true;
+  return wal->broken ? FT_IO : FT_OK;
+}
+
+FtStatus
+wal_commit (Wal *wal, uint64_t index)
+{
+  put_number (wal->pending, RECORD_COMMIT, index);
   wal->dirty = true;
   return wal->broken ? FT_IO : FT_OK;
 }
 
+static FtStatus
+append_batch (Wal *wal)
+{
+  GByteArray *batch = g_byte_array_sized_new (wal->pending->len + 64);
+
+  put_number (batch, RECORD_BATCH, wal->batch++);
+  g_byte_array_append (batch, wal->pending->data, wal->pending->len);
+  FtStatus status = wal->disk->ops->append (wal->disk, "log", batch->data, batch->len);
+  g_byte_array_unref (batch);
+  return status;
+}
+
 FtStatus
 wal_sync (Wal *wal)
 {
@@ -383,7 +423,7 @@
   if (!wal->dirty)
     return FT_OK;
   if (wal->pending->len)
-    status = wal->disk->ops->append (wal->disk, "log", wal->pending->data, wal->pending->len);
+    status = append_batch (wal);
   if (status == FT_OK)
     status = wal->disk->ops->sync (wal->disk, "log");
   g_byte_array_set_size (wal->pending, 0);
--- a/src/wal.h
+++ b/src/wal.h
@@ -14,6 +14,8 @@
   GByteArray *snapshot; /* MsgState, NULL: none */
   GPtrArray *entries;   /* MsgEntry *, in order, after the snapshot */
   uint64_t incarnation; /* of the data folder; 0: the folder is empty */
+  uint64_t commit;      /* highest index known to be committed; 0: none was noted */
+  uint64_t batch;       /* number of the last batch read */
   size_t cut;           /* bytes of a torn tail that were cut off */
 } WalState;
 
@@ -29,6 +31,8 @@
 FtStatus wal_vote (Wal *wal, uint64_t term, uint32_t voted_for);
 FtStatus wal_entry (Wal *wal, const MsgEntry *entry);
 FtStatus wal_truncate (Wal *wal, uint64_t from);
+/* Entries up to index are committed: after a restart they need no leader to be known as such. */
+FtStatus wal_commit (Wal *wal, uint64_t index);
 FtStatus wal_sync (Wal *wal);
 /* Durable when it returns: the snapshot, and a log that holds only the vote and entries. */
 FtStatus wal_snapshot (Wal *wal, uint64_t index, uint64_t term, const GByteArray *state,
