--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -334,6 +334,21 @@
   srv->last_answers = true;
 }
 
+void
+hsrv_close_idle (HSrv *srv)
+{
+  Conn *conn, *next;
+
+  srv->last_answers = true;
+  sock_listener_free (srv->listener);
+  srv->listener = NULL;
+  cds_list_for_each_entry_safe (conn, next, &srv->conns, link)
+  {
+    if (conn->state == CONN_READING && conn->call == NULL)
+      close_conn (conn, false);
+  }
+}
+
 unsigned
 hsrv_busy (const HSrv *srv)
 {
--- a/node/entry.c
+++ b/node/entry.c
@@ -42,7 +42,7 @@
   LoopTimer tick;
   int64_t started, leaving_since, list_at;
   unsigned entries;
-  bool confirmed, was_ready;
+  bool confirmed, was_ready, closed;
 } Entry;
 
 /* ---- Catalogue and list ---- */
@@ -250,6 +250,20 @@
 
 /* ---- Time and the end ---- */
 
+/* Failure: callers go on sending on the connections that they keep, until the process is killed.
+ * Symptom: a long answer that was asked for late is cut. Once the balancer has noticed, connections
+ * without a request are closed, so that what is open can end in the time that is left. */
+static void
+close_when_noticed (Entry *entry, int64_t now)
+{
+  if (entry->leaving_since == 0 || entry->closed || now - entry->leaving_since < LEAVE_LEAST)
+    return;
+  entry->closed = true;
+  jlog (JLOG_INFO, "close", NULL, JL_INT ("open", requests_open (entry->requests)),
+        JL_INT ("connections", hsrv_connections (entry->callers)));
+  hsrv_close_idle (entry->callers);
+}
+
 /* The balancer has noticed and everything open is done, or the process would be killed. */
 static bool
 may_end (const Entry *entry, int64_t now)
@@ -276,6 +290,7 @@
           JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
   entry->was_ready = ready;
   read_list_if_old (entry, now);
+  close_when_noticed (entry, now);
   if (entry->leaving_since && may_end (entry, now))
     {
       jlog (JLOG_INFO, "stop", NULL, JL_INT ("open", requests_open (entry->requests)),
