--- /dev/null
+++ b/node/broker.c
@@ -0,0 +1,360 @@
+/* broker.c - one scheduler and one account of the limits, asked by links and by its own instance.
+ *
+ * A request keeps its place in the ledger until the instance that sent it says that it has ended or
+ * its link goes down; on a new link that instance says again what it runs.
+ */
+#include "broker.h"
+#include "count.h"
+#include "jlog.h"
+
+#include <string.h>
+
+#define ASKED_LATELY (3 * FT_SECOND) /* an instance that asked then is taken for a user of this one */
+#define SELF         0               /* owner of the own instance's requests */
+
+typedef struct
+{
+  MeshPeer *peer;
+  uint64_t owner; /* the peer's lifetime */
+  unsigned waiting;
+  int64_t asked_at;
+} Asker;
+
+typedef struct
+{
+  uint64_t request;
+  char *server; /* NULL: refused */
+  SchedRefusal refusal;
+} Verdict;
+
+struct Broker
+{
+  Loop *loop;
+  char *name;
+  const BrokerOps *ops;
+  void *host;
+  Sched *sched;
+  Quota *quota;
+  GHashTable *askers; /* owner: Asker */
+  GArray *verdicts;   /* Verdict on own requests, delivered by soon */
+  LoopTimer soon;
+};
+
+/* ---- Verdicts ---- */
+
+static void
+deliver_soon (Broker *broker, Verdict verdict)
+{
+  g_array_append_val (broker->verdicts, verdict);
+  loop_timer_set (broker->loop, &broker->soon, loop_now (broker->loop));
+}
+
+static void
+on_soon (LoopTimer *timer)
+{
+  Broker *broker = (Broker *) ((char *) timer - offsetof (Broker, soon));
+  GArray *verdicts = broker->verdicts;
+
+  broker->verdicts = g_array_new (FALSE, FALSE, sizeof (Verdict));
+  for (unsigned i = 0; i < verdicts->len; i++)
+    {
+      Verdict *verdict = &g_array_index (verdicts, Verdict, i);
+      if (verdict->server)
+        broker->ops->grant (broker->host, verdict->request, verdict->server);
+      else
+        broker->ops->refuse (broker->host, verdict->request, &verdict->refusal);
+      g_free (verdict->server);
+    }
+  g_array_unref (verdicts);
+}
+
+static void
+on_grant (void *host, uint64_t owner, uint64_t request, const char *server)
+{
+  Broker *broker = host;
+  Asker *asker = g_hash_table_lookup (broker->askers, &owner);
+  MeshMsg msg = { .kind = MESH_GRANT };
+
+  count_up (COUNT_GRANTS);
+  if (owner == SELF)
+    deliver_soon (broker, (Verdict){ .request = request, .server = g_strdup (server) });
+  if (asker == NULL)
+    return;
+  asker->waiting -= asker->waiting > 0;
+  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server };
+  mesh_send (asker->peer, &msg);
+}
+
+static void
+on_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+{
+  Broker *broker = host;
+  Asker *asker = g_hash_table_lookup (broker->askers, &owner);
+  MeshMsg msg = { .kind = MESH_REFUSE };
+
+  if (owner == SELF)
+    deliver_soon (broker, (Verdict){ .request = request, .refusal = *refusal });
+  if (asker == NULL)
+    return;
+  asker->waiting -= asker->waiting > 0;
+  msg.MeshMsg_u.refuse
+      = (MeshRefuse){ request, refusal->reason, (u_int) (refusal->retry_after_us / FT_MS),
+                      (char *) refusal->rule };
+  mesh_send (asker->peer, &msg);
+}
+
+static void
+on_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
+{
+  const Broker *broker = host;
+
+  jlog (JLOG_INFO, out ? "server-out" : "server-back", NULL, JL_TEXT ("server", server),
+        JL_TEXT ("why", why), JL_MS ("for_ms", for_us), JL_TEXT ("by", broker->name));
+}
+
+static const SchedOps sched_ops = { on_grant, on_refuse, on_believes };
+
+/* ---- Asking ---- */
+
+static bool
+within_limit (Broker *broker, const SchedAsk *ask, double cost)
+{
+  SchedRefusal refusal = { .reason = FT_REASON_LIMIT_TOKENS };
+
+  if (cost <= 0
+      || quota_take (broker->quota, ask->org, cost, rt_order_rank (ask->tier),
+                     &refusal.retry_after_us))
+    return true;
+  quota_explain (broker->quota, ask->org, cost, refusal.rule, sizeof refusal.rule);
+  on_refuse (broker, ask->owner, ask->request, &refusal);
+  return false;
+}
+
+void
+broker_ask (Broker *broker, const SchedAsk *from, double cost)
+{
+  SchedAsk ask = *from;
+
+  ask.owner = SELF;
+  if (within_limit (broker, &ask, cost))
+    sched_ask (broker->sched, &ask);
+}
+
+void
+broker_adopt (Broker *broker, const SchedAsk *from, const char *server, double cost)
+{
+  SchedAsk ask = *from;
+
+  ask.owner = SELF;
+  if (cost > 0)
+    quota_used (broker->quota, ask.org, cost);
+  sched_adopt (broker->sched, &ask, server);
+}
+
+void
+broker_first (Broker *broker, uint64_t request, int64_t after_us)
+{
+  sched_first (broker->sched, SELF, request, after_us);
+}
+
+void
+broker_silent (Broker *broker, uint64_t request)
+{
+  sched_silent (broker->sched, SELF, request);
+}
+
+void
+broker_done (Broker *broker, uint64_t request, const SchedResult *result)
+{
+  sched_done (broker->sched, SELF, request, result);
+}
+
+/* ---- Links ---- */
+
+void
+broker_up (Broker *broker, MeshPeer *peer)
+{
+  Asker *asker = g_new0 (Asker, 1);
+
+  asker->peer = peer;
+  asker->owner = peer->lifetime;
+  asker->asked_at = -ASKED_LATELY;
+  g_hash_table_replace (broker->askers, &asker->owner, asker);
+}
+
+void
+broker_down (Broker *broker, MeshPeer *peer)
+{
+  Asker *asker = g_hash_table_lookup (broker->askers, &peer->lifetime);
+
+  if (asker == NULL || asker->peer != peer)
+    return;
+  sched_owner_gone (broker->sched, asker->owner);
+  g_hash_table_remove (broker->askers, &asker->owner);
+}
+
+static void
+take_ask (Broker *broker, Asker *asker, const MeshAsk *from)
+{
+  int64_t now = loop_now (broker->loop);
+  SchedAsk ask = { .owner = asker->owner,
+                   .request = from->request,
+                   .service = from->service,
+                   .org = from->org,
+                   .tier = from->tier,
+                   .stream = from->stream,
+                   .repeatable = from->repeatable,
+                   .prompt_tokens = from->prompt_tokens,
+                   .output_tokens = from->output_tokens,
+                   .shared_part = from->shared_part,
+                   .gap_us = from->gap_ms * FT_MS,
+                   .aim_at = now + from->aim_in_us,
+                   .limit_at = now + from->limit_in_us,
+                   .end_at = now + from->end_in_us,
+                   .avoid = from->avoid };
+
+  asker->asked_at = now;
+  if (from->running)
+    {
+      sched_adopt (broker->sched, &ask, from->server);
+      return;
+    }
+  asker->waiting++;
+  if (within_limit (broker, &ask, from->cost_tokens))
+    sched_ask (broker->sched, &ask);
+}
+
+bool
+broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg)
+{
+  Asker *asker = g_hash_table_lookup (broker->askers, &peer->lifetime);
+  const MeshDone *done = &msg->MeshMsg_u.done;
+  SchedResult result;
+
+  switch (msg->kind)
+    {
+    case MESH_ASK:
+      if (asker)
+        take_ask (broker, asker, &msg->MeshMsg_u.ask);
+      return true;
+    case MESH_FIRST:
+      sched_first (broker->sched, peer->lifetime, msg->MeshMsg_u.first.request,
+                   msg->MeshMsg_u.first.after_us);
+      return true;
+    case MESH_SILENT:
+      sched_silent (broker->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
+      return true;
+    case MESH_DONE:
+      result = (SchedResult){ done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome
+                                                          : SCHED_LEFT,
+                              done->event_us, done->answer_us };
+      sched_done (broker->sched, peer->lifetime, done->request, &result);
+      return true;
+    default:
+      return false;
+    }
+}
+
+bool
+broker_waits (const Broker *broker, const MeshPeer *peer)
+{
+  const Asker *asker = g_hash_table_lookup (broker->askers, &peer->lifetime);
+
+  return asker && asker->waiting > 0;
+}
+
+unsigned
+broker_askers (const Broker *broker)
+{
+  int64_t since = loop_now (broker->loop) - ASKED_LATELY;
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, broker->askers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((Asker *) value)->asked_at > since;
+  return count;
+}
+
+/* ---- What it works with ---- */
+
+void
+broker_catalogue (Broker *broker, const RtCat *cat)
+{
+  for (unsigned i = 0; i < rt_cat_service_count (cat); i++)
+    {
+      const RtService *service = rt_cat_service_at (cat, i);
+      SchedServiceConf conf = { service->engine, service->stride, service->memory };
+      sched_service (broker->sched, service->name, &conf);
+    }
+  for (unsigned i = 0; i < rt_cat_org_count (cat); i++)
+    {
+      const RtOrg *org = rt_cat_org_at (cat, i);
+      quota_limit (broker->quota, org->name, org->rate, org->burst);
+    }
+}
+
+void
+broker_servers (Broker *broker, const Servers *servers)
+{
+  servers_give (servers, broker->sched);
+}
+
+void
+broker_share (Broker *broker, double places, double limits, uint64_t salt)
+{
+  sched_share (broker->sched, places, salt);
+  quota_share (broker->quota, limits);
+}
+
+void
+broker_tick (Broker *broker)
+{
+  sched_tick (broker->sched);
+}
+
+void
+broker_stats (const Broker *broker, SchedStats *stats)
+{
+  sched_stats (broker->sched, stats);
+}
+
+char *
+broker_describe (const Broker *broker)
+{
+  return sched_describe (broker->sched);
+}
+
+Broker *
+broker_new (Loop *loop, const char *name, const BrokerOps *ops, void *host)
+{
+  Broker *broker = g_new0 (Broker, 1);
+
+  broker->loop = loop;
+  broker->name = g_strdup (name);
+  broker->ops = ops;
+  broker->host = host;
+  broker->sched = sched_new (loop_clock (loop), &sched_ops, broker);
+  broker->quota = quota_new (loop_clock (loop));
+  broker->askers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  broker->verdicts = g_array_new (FALSE, FALSE, sizeof (Verdict));
+  broker->soon.fire = on_soon;
+  return broker;
+}
+
+void
+broker_free (Broker *broker)
+{
+  if (broker == NULL)
+    return;
+  loop_timer_stop (broker->loop, &broker->soon);
+  for (unsigned i = 0; i < broker->verdicts->len; i++)
+    g_free (g_array_index (broker->verdicts, Verdict, i).server);
+  g_array_unref (broker->verdicts);
+  sched_free (broker->sched);
+  quota_free (broker->quota);
+  g_hash_table_unref (broker->askers);
+  g_free (broker->name);
+  g_free (broker);
+}
--- /dev/null
+++ b/node/broker.h
@@ -0,0 +1,52 @@
+/* broker.h - a scheduler that other instances ask over their links, and its own instance beside. */
+#ifndef BROKER_H
+#define BROKER_H
+
+#include "mesh.h"
+#include "quota.h"
+#include "route.h"
+#include "scheduler.h"
+#include "servers.h"
+
+typedef struct Broker Broker;
+
+/* Verdicts on requests of the own instance. Never called from within broker_ask. */
+typedef struct
+{
+  void (*grant) (void *host, uint64_t request, const char *server);
+  void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
+} BrokerOps;
+
+/* ops may be NULL: the own instance asks nothing. name: for the log. */
+Broker *broker_new (Loop *loop, const char *name, const BrokerOps *ops, void *host);
+void broker_free (Broker *broker);
+void broker_catalogue (Broker *broker, const RtCat *cat);
+void broker_servers (Broker *broker, const Servers *servers);
+/* Parts of the places and of the limits that it may give away; salt as in sched_share. */
+void broker_share (Broker *broker, double places, double limits, uint64_t salt);
+/* Refuses and places what time has decided. Call every 20 ms or so. */
+void broker_tick (Broker *broker);
+
+/* ---- Requests of the own instance; the ask's owner is set here. ---- */
+void broker_ask (Broker *broker, const SchedAsk *ask, double cost);
+void broker_adopt (Broker *broker, const SchedAsk *ask, const char *server, double cost);
+void broker_first (Broker *broker, uint64_t request, int64_t after_us);
+void broker_silent (Broker *broker, uint64_t request);
+void broker_done (Broker *broker, uint64_t request, const SchedResult *result);
+
+/* ---- Requests of other instances ---- */
+/* A link over which it may be asked has come up or gone down. */
+void broker_up (Broker *broker, MeshPeer *peer);
+void broker_down (Broker *broker, MeshPeer *peer);
+/* True: the message concerned scheduling. */
+bool broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg);
+/* Has the peer a request that waits here? */
+bool broker_waits (const Broker *broker, const MeshPeer *peer);
+/* Instances that have asked within the last seconds. */
+unsigned broker_askers (const Broker *broker);
+
+void broker_stats (const Broker *broker, SchedStats *stats);
+/* Lines about each server, for operators; g_free. */
+char *broker_describe (const Broker *broker);
+
+#endif
--- a/node/control.c
+++ b/node/control.c
@@ -8,12 +8,10 @@
  */
 #include "count.h"
 #include "hsrv.h"
+#include "broker.h"
 #include "instance.h"
 #include "jlog.h"
-#include "mesh.h"
-#include "quota.h"
 #include "reader.h"
-#include "scheduler.h"
 #include "servers.h"
 #include "voter.h"
 
@@ -30,6 +28,7 @@
 #define PUSH_AGAIN    (500 * FT_MS) /* a document is repaired, if its push was lost, within 1 s */
 #define LOST_KEPT     (12 * FT_SECOND) /* an entry that is cut off gives its part away by itself;
                                           above the span of the limits, 8 s */
+#define DEPUTIES      3 /* entries that schedule when no voter does: three may not all be lost */
 #define CHANGE_MOST   (2500 * FT_MS) /* operators ask another voter after a second */
 #define LEAVE_LEAST   (400 * FT_MS) /* the successor is elected */
 #define LEAVE_MOST    (2 * FT_SECOND)
@@ -39,7 +38,6 @@
   MeshPeer *peer;
   int64_t viewed_at, pushed_at;
   guint list_digest; /* of the list that it was sent last */
-  unsigned waiting;
 } Contact;
 
 typedef struct
@@ -61,16 +59,16 @@
   Voter *voter;
   Servers *servers;
   Reader *reader;
-  Sched *sched;
-  Quota *quota;
+  Broker *broker;
   RtCat *cat;
   GPtrArray *contacts; /* Contact of each accepted link */
   GArray *changes;     /* Change */
   GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
-  GHashTable *owners;  /* lifetime of an entry: Contact */
   LoopTimer tick;
   uint64_t next_ticket;
   VoterStatus status;
+  uint32_t deputies[DEPUTIES];
+  unsigned deputy_count;
   int64_t list_at, led_at, leaving_since;
 } Control;
 
@@ -111,7 +109,55 @@
 {
   g_hash_table_foreach_remove (control->lost, is_over, GINT_TO_POINTER ((int) (now / FT_SECOND)));
   unsigned heard = count_heard (control), lost = g_hash_table_size (control->lost);
-  quota_share (control->quota, heard ? (double) heard / (heard + lost) : 1);
+  broker_share (control->broker, 1, heard ? (double) heard / (heard + lost) : 1, 0);
+}
+
+static bool
+is_entry (const Control *control, uint32_t ip)
+{
+  for (unsigned i = 0; i < control->contacts->len; i++)
+    {
+      const MeshPeer *peer = ((Contact *) control->contacts->pdata[i])->peer;
+      if (peer->ip == ip && peer->role == MESH_ENTRY && !peer->leaving)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_deputy (const Control *control, uint32_t ip)
+{
+  for (unsigned i = 0; i < control->deputy_count; i++)
+    if (control->deputies[i] == ip)
+      return true;
+  return false;
+}
+
+/* Keeps those that are still there, so that entries agree on them, and fills up with the lowest
+ * addresses, so that successive voters in charge choose alike. */
+static void
+choose_deputies (Control *control)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < control->deputy_count; i++)
+    if (is_entry (control, control->deputies[i]))
+      control->deputies[kept++] = control->deputies[i];
+  control->deputy_count = kept;
+  while (control->deputy_count < DEPUTIES)
+    {
+      uint32_t lowest = 0;
+      for (unsigned i = 0; i < control->contacts->len; i++)
+        {
+          const MeshPeer *peer = ((Contact *) control->contacts->pdata[i])->peer;
+          if (peer->role == MESH_ENTRY && !peer->leaving && !is_deputy (control, peer->ip)
+              && (lowest == 0 || peer->ip < lowest))
+            lowest = peer->ip;
+        }
+      if (lowest == 0)
+        return;
+      control->deputies[control->deputy_count++] = lowest;
+    }
 }
 
 static uint64_t
@@ -140,6 +186,8 @@
   view->voters.voters_len = status->count;
   view->voters.voters_val = status->voters;
   view->entries = count_entries (control);
+  view->deputies.deputies_len = control->deputy_count;
+  view->deputies.deputies_val = control->deputies;
   mesh_send (contact->peer, &msg);
   contact->viewed_at = now;
 }
@@ -184,109 +232,6 @@
     send (control, control->contacts->pdata[i], loop_now (control->loop));
 }
 
-/* ---- Scheduling ---- */
-
-static void
-on_sched_grant (void *host, uint64_t owner, uint64_t request, const char *server)
-{
-  Control *control = host;
-  Contact *contact = g_hash_table_lookup (control->owners, &owner);
-  MeshMsg msg = { .kind = MESH_GRANT };
-
-  count_up (COUNT_GRANTS);
-  if (contact == NULL)
-    return;
-  contact->waiting -= contact->waiting > 0;
-  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server };
-  mesh_send (contact->peer, &msg);
-}
-
-static void
-on_sched_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
-{
-  Control *control = host;
-  Contact *contact = g_hash_table_lookup (control->owners, &owner);
-  MeshMsg msg = { .kind = MESH_REFUSE };
-
-  count_up (COUNT_REFUSED);
-  if (contact == NULL)
-    return;
-  contact->waiting -= contact->waiting > 0;
-  msg.MeshMsg_u.refuse = (MeshRefuse){ request, refusal->reason,
-                                       (u_int) (refusal->retry_after_us / FT_MS),
-                                       (char *) refusal->rule };
-  mesh_send (contact->peer, &msg);
-}
-
-static void
-on_sched_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
-{
-  (void) host;
-  jlog (JLOG_INFO, out ? "server-out" : "server-back", NULL, JL_TEXT ("server", server),
-        JL_TEXT ("why", why), JL_MS ("for_ms", for_us), JL_TEXT ("by", "voter"));
-}
-
-static const SchedOps sched_ops = { on_sched_grant, on_sched_refuse, on_sched_believes };
-
-static SchedAsk
-ask_of (const MeshAsk *from, uint64_t owner, int64_t now)
-{
-  return (SchedAsk){ .owner = owner,
-                     .request = from->request,
-                     .service = from->service,
-                     .org = from->org,
-                     .tier = from->tier,
-                     .stream = from->stream,
-                     .repeatable = from->repeatable,
-                     .prompt_tokens = from->prompt_tokens,
-                     .output_tokens = from->output_tokens,
-                     .shared_part = from->shared_part,
-                     .gap_us = from->gap_ms * FT_MS,
-                     .aim_at = now + from->aim_in_us,
-                     .limit_at = now + from->limit_in_us,
-                     .end_at = now + from->end_in_us,
-                     .avoid = from->avoid };
-}
-
-static void
-on_ask (Control *control, Contact *contact, const MeshAsk *from)
-{
-  int64_t now = loop_now (control->loop), wait = 0;
-  SchedAsk ask = ask_of (from, contact->peer->lifetime, now);
-
-  if (!control->status.proved || control->leaving_since)
-    {
-      send_view (control, contact, now); /* says so, and the entry helps itself */
-      return;
-    }
-  if (from->running)
-    {
-      sched_adopt (control->sched, &ask, from->server);
-      return;
-    }
-  if (from->cost_tokens > 0 && !quota_take (control->quota, from->org, from->cost_tokens,
-                                               rt_order_rank (from->tier), &wait))
-    {
-      SchedRefusal refusal = { .reason = FT_REASON_LIMIT_TOKENS, .retry_after_us = wait };
-      quota_explain (control->quota, from->org, from->cost_tokens, refusal.rule,
-                     sizeof refusal.rule);
-      contact->waiting++;
-      on_sched_refuse (control, ask.owner, ask.request, &refusal);
-      return;
-    }
-  contact->waiting++;
-  sched_ask (control->sched, &ask);
-}
-
-static void
-on_done (Control *control, const Contact *contact, const MeshDone *done)
-{
-  SchedResult result = { done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome : SCHED_LEFT,
-                         done->event_us, done->answer_us };
-
-  sched_done (control->sched, contact->peer->lifetime, done->request, &result);
-}
-
 /* ---- Links ---- */
 
 static void
@@ -305,7 +250,7 @@
   contact->peer = peer;
   peer->user = contact;
   g_ptr_array_add (control->contacts, contact);
-  g_hash_table_insert (control->owners, &peer->lifetime, contact);
+  broker_up (control->broker, peer);
   send_view (control, contact, loop_now (control->loop));
   send_list (control, contact, loop_now (control->loop));
   if (peer->role == MESH_ENTRY && peer->document < newest (control))
@@ -326,11 +271,7 @@
     g_hash_table_insert (control->lost, GUINT_TO_POINTER (peer->ip),
                          GINT_TO_POINTER ((int) ((loop_now (control->loop) + LOST_KEPT)
                                                  / FT_SECOND)));
-  if (g_hash_table_lookup (control->owners, &peer->lifetime) == contact)
-    {
-      g_hash_table_remove (control->owners, &peer->lifetime);
-      sched_owner_gone (control->sched, peer->lifetime);
-    }
+  broker_down (control->broker, peer);
   g_ptr_array_remove_fast (control->contacts, contact);
   g_free (contact);
 }
@@ -339,7 +280,7 @@
 take_list (Control *control, const MeshList *list)
 {
   if (servers_take_message (control->servers, list, loop_now (control->loop)))
-    servers_give (control->servers, control->sched);
+    broker_servers (control->broker, control->servers);
 }
 
 static void
@@ -366,21 +307,16 @@
       take_list (control, &msg->MeshMsg_u.list);
       break;
     case MESH_ASK:
-      if (contact)
-        on_ask (control, contact, &msg->MeshMsg_u.ask);
-      break;
-    case MESH_FIRST:
-      sched_first (control->sched, peer->lifetime, msg->MeshMsg_u.first.request,
-                   msg->MeshMsg_u.first.after_us);
-      break;
-    case MESH_SILENT:
-      sched_silent (control->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
-      break;
-    case MESH_DONE:
-      if (contact)
-        on_done (control, contact, &msg->MeshMsg_u.done);
+      if (!control->status.proved || control->leaving_since)
+        {
+          if (contact) /* says so, and the entry asks another */
+            send_view (control, contact, loop_now (control->loop));
+          break;
+        }
+      broker_message (control->broker, peer, msg);
       break;
     default:
+      broker_message (control->broker, peer, msg);
       break;
     }
 }
@@ -433,17 +369,7 @@
   jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", number),
         JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("proved", control->status.proved),
         JL_INT ("term", control->status.term));
-  for (unsigned i = 0; i < rt_cat_service_count (cat); i++)
-    {
-      const RtService *service = rt_cat_service_at (cat, i);
-      SchedServiceConf conf = { service->engine, service->stride, service->memory };
-      sched_service (control->sched, service->name, &conf);
-    }
-  for (unsigned i = 0; i < rt_cat_org_count (cat); i++)
-    {
-      const RtOrg *org = rt_cat_org_at (cat, i);
-      quota_limit (control->quota, org->name, org->rate, org->burst);
-    }
+  broker_catalogue (control->broker, cat);
   if (control->status.proved)
     push_all (control, send_document);
 out:
@@ -655,7 +581,7 @@
   if (!servers_take_read (control->servers, list, asked_at))
     return;
   count_up (COUNT_LISTS);
-  servers_give (control->servers, control->sched);
+  broker_servers (control->broker, control->servers);
   if (servers_changed (control->servers))
     jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (control->servers)),
           JL_MS ("took_ms", now - asked_at));
@@ -705,7 +631,7 @@
   for (unsigned i = 0; i < control->contacts->len; i++)
     {
       Contact *contact = control->contacts->pdata[i];
-      int64_t every = contact->waiting > 0 ? VIEW_WAITING : VIEW_EVERY;
+      int64_t every = broker_waits (control->broker, contact->peer) ? VIEW_WAITING : VIEW_EVERY;
       if (now - contact->viewed_at >= every)
         send_view (control, contact, now);
       if (contact->peer->role == MESH_ENTRY && contact->peer->document < number
@@ -722,11 +648,12 @@
 
   note_charge (control);
   share_limits (control, now);
+  choose_deputies (control);
   tick_contacts (control, now);
   read_list (control, now);
   expire_changes (control, now);
   if (control->status.proved)
-    sched_tick (control->sched);
+    broker_tick (control->broker);
   if (control->leaving_since
       && ((now - control->leaving_since > LEAVE_LEAST && control->changes->len == 0
            && !control->status.proved)
@@ -768,10 +695,10 @@
 {
   Control *control = (Control *) base;
   SchedStats stats;
-  char *servers = sched_describe (control->sched);
+  char *servers = broker_describe (control->broker);
   GString *out = g_string_new (NULL);
 
-  sched_stats (control->sched, &stats);
+  broker_stats (control->broker, &stats);
   voter_status (control->voter, &control->status);
   g_string_append_printf (
       out,
@@ -801,10 +728,8 @@
   reader_free (control->reader);
   hcli_free (control->cli);
   servers_free (control->servers);
-  sched_free (control->sched);
-  quota_free (control->quota);
+  broker_free (control->broker);
   rt_cat_unref (control->cat);
-  g_hash_table_unref (control->owners);
   g_hash_table_unref (control->lost);
   g_ptr_array_unref (control->contacts);
   g_array_unref (control->changes);
@@ -860,13 +785,11 @@
   control->loop = loop;
   control->cli = hcli_new (loop);
   control->servers = servers_new ();
-  control->sched = sched_new (loop_clock (loop), &sched_ops, control);
-  control->quota = quota_new (loop_clock (loop));
+  control->broker = broker_new (loop, "voter", NULL, NULL);
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
   control->contacts = g_ptr_array_new ();
   control->changes = g_array_new (FALSE, FALSE, sizeof (Change));
   control->lost = g_hash_table_new (NULL, NULL);
-  control->owners = g_hash_table_new (g_int64_hash, g_int64_equal);
   control->tick.fire = on_tick;
   control->led_at = loop_now (loop);
   FtStatus status = open_voter (control, error);
--- a/node/entry.c
+++ b/node/entry.c
@@ -15,7 +15,8 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TICK         (50 * FT_MS)
+#define TICK         (40 * FT_MS)  /* a third of the silence after which a deputy is passed over */
+#define SPEAK_EVERY  (200 * FT_MS) /* three in the 700 ms after which it is not fresh */
 #define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
 #define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
@@ -40,7 +41,7 @@
   Requests *requests;
   RtCat *cat;
   LoopTimer tick;
-  int64_t started, leaving_since, list_at;
+  int64_t started, leaving_since, list_at, speak_at;
   unsigned entries;
   bool confirmed, was_ready, closed;
 } Entry;
@@ -79,7 +80,7 @@
   entry->cat = cat;
   apply_limits (entry, cat);
   requests_catalogue (entry->requests, cat);
-  place_services (entry->place, cat);
+  broker_catalogue (place_broker (entry->place), cat);
   mesh_say (entry->mesh, entry->leaving_since != 0, rt_cat_version (cat));
 }
 
@@ -87,7 +88,7 @@
 list_changed (Entry *entry, const char *from)
 {
   count_up (COUNT_LISTS);
-  place_servers (entry->place, entry->servers);
+  broker_servers (place_broker (entry->place), entry->servers);
   if (servers_changed (entry->servers))
     jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (entry->servers)),
           JL_TEXT ("from", from),
@@ -140,7 +141,6 @@
   if (view->proved && view->entries > 0)
     {
       entry->entries = view->entries;
-      place_entries (entry->place, view->entries);
       budget_share (entry->budget, 1.0 / view->entries);
     }
   place_view (entry->place, peer, view);
@@ -149,7 +149,7 @@
 static void
 on_up (void *host, MeshPeer *peer)
 {
-  (void) host;
+  place_up (((Entry *) host)->place, peer);
   jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain));
 }
 
@@ -276,6 +276,28 @@
              && hsrv_busy (entry->callers) == 0);
 }
 
+/* A deputy speaks to the entries that have dialled it, often to those that wait for a verdict. */
+static void
+speak (MeshPeer *peer, void *data)
+{
+  Entry *entry = data;
+  int64_t now = loop_now (entry->loop);
+  MeshMsg msg = { .kind = MESH_VIEW };
+  bool waits = broker_waits (place_broker (entry->place), peer);
+
+  if (peer->dialled || (!waits && now < entry->speak_at))
+    return;
+  mesh_send (peer, &msg);
+}
+
+static void
+speak_to_askers (Entry *entry, int64_t now)
+{
+  mesh_each (entry->mesh, speak, entry);
+  if (now >= entry->speak_at)
+    entry->speak_at = now + SPEAK_EVERY;
+}
+
 static void
 on_tick (LoopTimer *timer)
 {
@@ -290,6 +312,7 @@
           JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
   entry->was_ready = ready;
   read_list_if_old (entry, now);
+  speak_to_askers (entry, now);
   close_when_noticed (entry, now);
   if (entry->leaving_since && may_end (entry, now))
     {
@@ -331,7 +354,7 @@
 describe (Instance *base)
 {
   Entry *entry = (Entry *) base;
-  char *servers = place_describe (entry->place);
+  char *servers = broker_describe (place_broker (entry->place));
   GString *out = g_string_new (NULL);
 
   g_string_append_printf (
@@ -339,10 +362,10 @@
       "foxtail_ready %d\nfoxtail_catalogue_version %" G_GUINT64_FORMAT
       "\nfoxtail_requests_open %u\nfoxtail_requests_waiting %u\nfoxtail_caller_connections %u\n"
       "foxtail_server_connections_opened_total %" G_GUINT64_FORMAT
-      "\nfoxtail_scheduler_central %d\nfoxtail_list_age_seconds %g\n",
+      "\nfoxtail_scheduler{by=\"%s\"} 1\nfoxtail_list_age_seconds %g\n",
       is_ready (entry), entry->cat ? rt_cat_version (entry->cat) : 0,
       requests_open (entry->requests), place_waiting (entry->place),
-      hsrv_connections (entry->callers), hcli_opened (entry->cli), place_is_central (entry->place),
+      hsrv_connections (entry->callers), hcli_opened (entry->cli), place_by (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
   g_string_append (out, "# servers as this entry sees them\n");
   for (char *line = strtok (servers, "\n"); line; line = strtok (NULL, "\n"))
@@ -385,6 +408,10 @@
   entry->mesh = mesh_new (entry->loop, links, &hello, &mesh_ops, entry);
   if (entry->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+  entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
+  RequestsConf conf = { entry->loop,  entry->seam,   entry->cli,
+                        entry->place, entry->budget, entry->servers };
+  entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
     return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text,
@@ -410,11 +437,7 @@
   entry->cli = hcli_new (loop);
   entry->servers = servers_new ();
   entry->budget = budget_new (loop_clock (loop), &budget);
-  entry->place = place_new (loop, settings->ip, &place_ops, entry);
   entry->reader = reader_new (loop, entry->cli, seam, settings->list, on_list_read, entry);
-  RequestsConf conf = { loop,          seam,           entry->cli, entry->place, entry->budget,
-                        entry->servers };
-  entry->requests = requests_new (&conf);
   entry->tick.fire = on_tick;
   FtStatus status = open_addresses (entry, error);
   if (status != FT_OK)
--- a/node/place.c
+++ b/node/place.c
@@ -1,24 +1,30 @@
-/* place.c - one scheduler for all entries while it answers, one each while it does not.
+/* place.c - who schedules for this entry.
  *
  * The voter in charge of the log schedules for everybody: one ledger of the places, one queue by
  * tier, one account of the limits, at the price of one round trip. It needs no lease, since only an
  * entry sends its own requests: two schedulers at once overcommit a little, nothing runs twice.
  *
  * Failure: that voter dies, freezes or is cut off. Symptom: every request waits for an election, a
- * second or more. So an entry that has heard nothing for SILENT while a request waits there places by
- * itself, with its part of the places and of the limits, until a voter in charge speaks again. Its
- * own scheduler has followed all along what its requests run on and how fast, so it starts with a
- * ledger of its own traffic and learned speeds.
+ * second or more, and if all voters are gone, for good. So a scheduler that has said nothing for
+ * SILENT while a request waits there is passed over, and the next one is asked:
+ *     the voter in charge; deputies, entries that the voter in charge has named beforehand, in their
+ *     order; the entry's own scheduler, with its part of the places and limits.
+ * All entries have the same deputies in the same order, so they usually meet at the same one, which
+ * then has the whole queue and ledger. As soon as a better one speaks again it is asked instead.
+ * The own scheduler follows all along what the entry's requests run on and how fast.
  */
 #include "place.h"
+#include "count.h"
 #include "jlog.h"
 
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define SILENT     (120 * FT_MS) /* three of the 40 ms in which a voter speaks to who waits there */
+#define SILENT     (120 * FT_MS) /* three of the 40 ms in which a scheduler speaks to who waits there */
+#define FRESH      (700 * FT_MS) /* a scheduler that nobody waits for speaks every 200 ms */
 #define TICK       (20 * FT_MS)
 #define OVERCOMMIT 1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
+#define DEPUTIES   4
 
 typedef struct
 {
@@ -26,32 +32,28 @@
   SchedAsk ask;
   char *service, *org, *avoid, *server;
   double cost;
-  bool remote;  /* waits at the voter in charge; else in the own scheduler */
+  MeshPeer *at; /* waits at that scheduler; NULL: at the own one */
   bool running;
   int64_t asked_at;
 } Item;
 
-typedef struct
-{
-  uint64_t number;
-  char *server; /* NULL: refused */
-  SchedRefusal refusal;
-} Verdict;
-
 struct Place
 {
   Loop *loop;
+  Mesh *mesh;
+  uint32_t self;
   const PlaceOps *ops;
   void *host;
   GHashTable *items; /* number: Item */
-  Sched *own;
-  Quota *quota;
-  MeshPeer *scheduler; /* NULL: none is trusted */
-  uint64_t term;       /* the highest in which a voter proved to be in charge */
-  LoopTimer tick, soon;
-  GArray *verdicts; /* Verdict of the own scheduler, delivered by soon */
+  Broker *own;
+  MeshPeer *voter;   /* proved to be in charge; NULL: none */
+  uint64_t term;     /* the highest in which a voter proved that */
+  uint32_t deputies[DEPUTIES];
+  unsigned deputy_count;
+  MeshPeer *current; /* who is asked now; NULL: the own scheduler */
+  GHashTable *passed_over; /* MeshPeer: pointer to int64_t, when it was last heard then */
+  LoopTimer tick;
   unsigned entries, waiting;
-  uint64_t salt;
 };
 
 /* ---- Items ---- */
@@ -91,228 +93,295 @@
   g_hash_table_remove (place->items, &item->number);
 }
 
-/* ---- The own scheduler ---- */
+/* ---- Messages to a scheduler ---- */
 
 static void
-later (Place *place, Verdict verdict)
+send_ask (Place *place, MeshPeer *peer, const Item *item)
 {
-  g_array_append_val (place->verdicts, verdict);
-  loop_timer_set (place->loop, &place->soon, loop_now (place->loop));
+  int64_t now = loop_now (place->loop);
+  MeshMsg msg = { .kind = MESH_ASK };
+  const SchedAsk *ask = &item->ask;
+  char none[] = "";
+
+  msg.MeshMsg_u.ask = (MeshAsk){ .request = item->number,
+                                 .service = item->service,
+                                 .org = item->org,
+                                 .tier = ask->tier,
+                                 .stream = ask->stream,
+                                 .repeatable = ask->repeatable,
+                                 .prompt_tokens = ask->prompt_tokens,
+                                 .output_tokens = ask->output_tokens,
+                                 .cost_tokens = (unsigned) item->cost,
+                                 .shared_part = ask->shared_part,
+                                 .gap_ms = (unsigned) (ask->gap_us / FT_MS),
+                                 .aim_in_us = ask->aim_at - now,
+                                 .limit_in_us = ask->limit_at - now,
+                                 .end_in_us = ask->end_at - now,
+                                 .avoid = item->avoid ? item->avoid : none,
+                                 .running = item->running,
+                                 .server = item->server ? item->server : none };
+  mesh_send (peer, &msg);
 }
 
 static void
-on_own_grant (void *host, uint64_t owner, uint64_t request, const char *server)
+send_done (MeshPeer *peer, uint64_t number, const SchedResult *result)
 {
-  (void) owner;
-  later (host, (Verdict){ .number = request, .server = g_strdup (server) });
+  MeshMsg msg = { .kind = MESH_DONE };
+
+  msg.MeshMsg_u.done
+      = (MeshDone){ number, result->outcome, result->event_us, result->answer_us };
+  mesh_send (peer, &msg);
 }
 
+/* ---- Asking whoever is current ---- */
+
+static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
+
 static void
-on_own_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+ask_current (Place *place, Item *item)
 {
-  (void) owner;
-  later (host, (Verdict){ .number = request, .refusal = *refusal });
+  item->at = place->current;
+  item->asked_at = loop_now (place->loop);
+  if (item->at)
+    {
+      send_ask (place, item->at, item);
+      return;
+    }
+  double cost = item->cost;
+  item->cost = 0;
+  broker_ask (place->own, &item->ask, cost);
 }
 
 static void
-on_own_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
+withdraw (Place *place, const Item *item)
 {
-  (void) host;
-  jlog (JLOG_INFO, out ? "server-out" : "server-back", NULL, JL_TEXT ("server", server),
-        JL_TEXT ("why", why), JL_MS ("for_ms", for_us), JL_TEXT ("by", "own"));
+  if (item->at)
+    send_done (item->at, item->number, &withdrawn);
+  else
+    broker_done (place->own, item->number, &withdrawn);
 }
 
-static const SchedOps own_ops = { on_own_grant, on_own_refuse, on_own_believes };
-
+/* Everything that waits goes to the new one, and it learns what runs. */
 static void
-on_soon (LoopTimer *timer)
+change_to (Place *place, MeshPeer *next, const char *why)
 {
-  Place *place = (Place *) ((char *) timer - offsetof (Place, soon));
-  GArray *verdicts = place->verdicts;
+  GHashTableIter iter;
+  gpointer value;
 
-  place->verdicts = g_array_new (FALSE, FALSE, sizeof (Verdict));
-  for (unsigned i = 0; i < verdicts->len; i++)
+  place->current = next;
+  jlog (JLOG_INFO, "scheduler", NULL, JL_TEXT ("by", place_by (place)), JL_TEXT ("why", why),
+        JL_INT ("peer", next ? next->ip : 0), JL_INT ("term", place->term),
+        JL_INT ("waiting", place->waiting));
+  if (next == NULL || next->role == MESH_ENTRY)
+    count_up (COUNT_FALL_BACKS);
+  g_hash_table_iter_init (&iter, place->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Verdict *verdict = &g_array_index (verdicts, Verdict, i);
-      Item *item = item_of (place, verdict->number);
-      bool wanted = item && !item->running && !item->remote;
-      if (wanted && verdict->server)
-        {
-          run (place, item, verdict->server);
-          place->ops->grant (place->host, verdict->number, verdict->server);
-        }
-      else if (wanted)
+      Item *item = value;
+      if (item->running)
         {
-          drop (place, item);
-          place->ops->refuse (place->host, verdict->number, &verdict->refusal);
+          if (next)
+            send_ask (place, next, item);
+          continue;
         }
-      g_free (verdict->server);
+      withdraw (place, item);
+      item->cost = 0; /* it has been counted where it waited */
+      ask_current (place, item);
     }
-  g_array_unref (verdicts);
 }
 
-static void
-ask_own (Place *place, Item *item)
+/* ---- Who is to be asked ---- */
+
+static bool
+is_passed_over (Place *place, const MeshPeer *peer)
 {
-  int64_t wait = 0;
+  const int64_t *heard = g_hash_table_lookup (place->passed_over, peer);
 
-  item->remote = false;
-  if (item->cost > 0 && !quota_take (place->quota, item->org, item->cost,
-                                      rt_order_rank (item->ask.tier), &wait))
+  if (heard == NULL)
+    return false;
+  if (peer->heard <= *heard)
+    return true;
+  g_hash_table_remove (place->passed_over, peer);
+  return false;
+}
+
+static bool
+is_usable (Place *place, const MeshPeer *peer)
+{
+  return !peer->leaving && loop_now (place->loop) - peer->heard < FRESH
+         && !is_passed_over (place, peer);
+}
+
+static MeshPeer *
+best (Place *place)
+{
+  if (place->voter && is_usable (place, place->voter))
+    return place->voter;
+  for (unsigned i = 0; i < place->deputy_count; i++)
     {
-      Verdict verdict = { .number = item->number };
-      verdict.refusal.reason = FT_REASON_LIMIT_TOKENS;
-      verdict.refusal.retry_after_us = wait;
-      quota_explain (place->quota, item->org, item->cost, verdict.refusal.rule,
-                     sizeof verdict.refusal.rule);
-      later (place, verdict);
-      return;
+      if (place->deputies[i] == place->self)
+        return NULL;
+      MeshPeer *peer = mesh_dialled (place->mesh, place->deputies[i]);
+      if (peer && is_usable (place, peer))
+        return peer;
     }
-  item->cost = 0;
-  sched_ask (place->own, &item->ask);
+  return NULL;
 }
 
-/* ---- The voter in charge ---- */
-
 static void
-send_ask (Place *place, Item *item)
+decide (Place *place, const char *why)
 {
-  int64_t now = loop_now (place->loop);
-  MeshMsg msg = { .kind = MESH_ASK };
-  MeshAsk *out = &msg.MeshMsg_u.ask;
-  const SchedAsk *ask = &item->ask;
-  char none[] = "";
+  MeshPeer *next = best (place);
 
-  *out = (MeshAsk){ .request = item->number,
-                    .service = item->service,
-                    .org = item->org,
-                    .tier = ask->tier,
-                    .stream = ask->stream,
-                    .repeatable = ask->repeatable,
-                    .prompt_tokens = ask->prompt_tokens,
-                    .output_tokens = ask->output_tokens,
-                    .cost_tokens = (unsigned) item->cost,
-                    .shared_part = ask->shared_part,
-                    .gap_ms = (unsigned) (ask->gap_us / FT_MS),
-                    .aim_in_us = ask->aim_at - now,
-                    .limit_in_us = ask->limit_at - now,
-                    .end_in_us = ask->end_at - now,
-                    .avoid = item->avoid ? item->avoid : none,
-                    .running = item->running,
-                    .server = item->server ? item->server : none };
-  mesh_send (place->scheduler, &msg);
+  if (next != place->current)
+    change_to (place, next, why);
 }
 
+/* The own scheduler's part: alone its part of all, more when other entries ask it too. */
 static void
-ask_remote (Place *place, Item *item)
+share (Place *place)
 {
-  item->remote = true;
-  item->asked_at = loop_now (place->loop);
-  send_ask (place, item);
+  double part = (1.0 + broker_askers (place->own)) / MAX (place->entries, 1);
+
+  broker_share (place->own, MIN (1, part * OVERCOMMIT), MIN (1, part), place->self);
 }
 
-static void
-send_done (MeshPeer *peer, uint64_t number, const SchedResult *result)
+void
+place_view (Place *place, MeshPeer *peer, const MeshView *view)
 {
-  MeshMsg msg = { .kind = MESH_DONE };
+  if (peer->role != MESH_VOTER)
+    return;
+  if (view->proved && view->term >= place->term)
+    {
+      place->voter = peer;
+      place->term = view->term;
+      if (view->entries > 0)
+        place->entries = view->entries;
+      place->deputy_count = 0;
+      for (unsigned i = 0; i < view->deputies.deputies_len && i < DEPUTIES; i++)
+        {
+          place->deputies[place->deputy_count++] = view->deputies.deputies_val[i];
+          mesh_dial (place->mesh, view->deputies.deputies_val[i]);
+        }
+    }
+  else if (place->voter == peer)
+    place->voter = NULL;
+  decide (place, "a voter's word");
+}
 
-  msg.MeshMsg_u.done
-      = (MeshDone){ number, result->outcome, result->event_us, result->answer_us };
-  mesh_send (peer, &msg);
+void
+place_up (Place *place, MeshPeer *peer)
+{
+  if (!peer->dialled && peer->role == MESH_ENTRY)
+    broker_up (place->own, peer);
 }
 
-static void
-fall_back (Place *place, const char *why)
+void
+place_down (Place *place, MeshPeer *peer)
 {
   GHashTableIter iter;
   gpointer value;
 
-  place->scheduler = NULL;
-  jlog (JLOG_WARN, "scheduler-lost", NULL, JL_TEXT ("why", why), JL_INT ("term", place->term),
-        JL_INT ("waiting", place->waiting));
+  if (!peer->dialled)
+    broker_down (place->own, peer);
+  g_hash_table_remove (place->passed_over, peer);
+  if (place->voter == peer)
+    place->voter = NULL;
+  if (place->current == peer)
+    decide (place, "its link is down");
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Item *item = value;
-      if (item->running || !item->remote)
-        continue;
-      item->cost = 0; /* it may have been counted there */
-      ask_own (place, item);
-    }
+    if (((Item *) value)->at == peer)
+      ((Item *) value)->at = NULL;
 }
 
-/* The new one learns what runs and what is still undecided here. */
-static void
-follow (Place *place, MeshPeer *peer, uint64_t term)
+static bool
+anyone_waits_at (const Place *place, const MeshPeer *peer, int64_t since)
 {
   GHashTableIter iter;
   gpointer value;
 
-  place->scheduler = peer;
-  place->term = term;
-  jlog (JLOG_INFO, "scheduler-found", NULL, JL_INT ("term", term),
-        JL_TEXT ("domain", peer->domain), JL_INT ("waiting", place->waiting));
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Item *item = value;
-      if (item->running)
-        send_ask (place, item);
-      else if (item->remote)
-        {
-          item->cost = 0;
-          ask_remote (place, item);
-        }
+      const Item *item = value;
+      if (!item->running && item->at == peer && item->asked_at < since)
+        return true;
     }
+  return false;
 }
 
-void
-place_view (Place *place, MeshPeer *peer, const MeshView *view)
+static void
+on_tick (LoopTimer *timer)
 {
-  if (place->scheduler == peer && !view->proved)
-    fall_back (place, "it is no longer in charge");
-  if (!view->proved || view->term < place->term || place->scheduler == peer)
+  Place *place = (Place *) ((char *) timer - offsetof (Place, tick));
+  int64_t now = loop_now (place->loop);
+  MeshPeer *current = place->current;
+
+  if (current && place->waiting > 0 && now - current->heard > SILENT
+      && anyone_waits_at (place, current, now - SILENT))
+    g_hash_table_insert (place->passed_over, current,
+                         g_memdup2 (&current->heard, sizeof current->heard));
+  decide (place, "time");
+  share (place);
+  broker_tick (place->own);
+  loop_timer_set (place->loop, timer, now + TICK);
+}
+
+/* ---- Verdicts ---- */
+
+static void
+on_own_grant (void *host, uint64_t number, const char *server)
+{
+  Place *place = host;
+  Item *item = item_of (place, number);
+
+  if (item == NULL || item->running || item->at)
     return;
-  if (view->term > place->term || place->scheduler == NULL)
-    follow (place, peer, view->term);
+  run (place, item, server);
+  place->ops->grant (place->host, number, server);
 }
 
-void
-place_down (Place *place, const MeshPeer *peer)
+static void
+on_own_refuse (void *host, uint64_t number, const SchedRefusal *refusal)
 {
-  if (place->scheduler == peer)
-    fall_back (place, "its link is down");
+  Place *place = host;
+  Item *item = item_of (place, number);
+
+  if (item == NULL || item->running || item->at)
+    return;
+  drop (place, item);
+  place->ops->refuse (place->host, number, refusal);
 }
 
+static const BrokerOps own_ops = { on_own_grant, on_own_refuse };
+
 static void
 on_grant (Place *place, MeshPeer *peer, const MeshGrant *grant)
 {
   Item *item = item_of (place, grant->request);
-  SchedResult left = { .outcome = SCHED_LEFT };
 
   if (item == NULL || item->running)
     {
       if (item == NULL || strcmp (item->server, grant->server) != 0)
-        send_done (peer, grant->request, &left);
+        send_done (peer, grant->request, &withdrawn);
       return;
     }
-  if (!item->remote)
-    sched_done (place->own, 0, item->number, &left); /* no longer waits in the own queue */
+  if (item->at != peer)
+    withdraw (place, item);
   run (place, item, grant->server);
-  if (item->remote && item->cost > 0)
-    quota_used (place->quota, item->org, item->cost);
-  sched_adopt (place->own, &item->ask, grant->server);
+  broker_adopt (place->own, &item->ask, grant->server, item->cost);
   place->ops->grant (place->host, grant->request, grant->server);
 }
 
 static void
-on_refuse (Place *place, const MeshRefuse *from)
+on_refuse (Place *place, const MeshPeer *peer, const MeshRefuse *from)
 {
   Item *item = item_of (place, from->request);
   SchedRefusal refusal = { .reason = from->reason < FT_REASONS ? from->reason
                                                                : FT_REASON_SHORTAGE };
 
-  if (item == NULL || item->running || !item->remote)
+  if (item == NULL || item->running || item->at != peer)
     return;
   refusal.retry_after_us = from->retry_after_ms * FT_MS;
   g_strlcpy (refusal.rule, from->rule, sizeof refusal.rule);
@@ -326,56 +395,28 @@
   if (msg->kind == MESH_GRANT)
     on_grant (place, peer, &msg->MeshMsg_u.grant);
   else if (msg->kind == MESH_REFUSE)
-    on_refuse (place, &msg->MeshMsg_u.refuse);
-}
-
-static bool
-anyone_waits_there (const Place *place, int64_t since)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, place->items);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Item *item = value;
-      if (!item->running && item->remote && item->asked_at < since)
-        return true;
-    }
-  return false;
-}
-
-static void
-on_tick (LoopTimer *timer)
-{
-  Place *place = (Place *) ((char *) timer - offsetof (Place, tick));
-  int64_t now = loop_now (place->loop);
-
-  if (place->scheduler && place->waiting > 0 && now - place->scheduler->heard > SILENT
-      && anyone_waits_there (place, now - SILENT))
-    fall_back (place, "it is silent");
-  sched_tick (place->own);
-  loop_timer_set (place->loop, timer, now + TICK);
+    on_refuse (place, peer, &msg->MeshMsg_u.refuse);
+  else if (!peer->dialled)
+    broker_message (place->own, peer, msg);
 }
 
 /* ---- Interface ---- */
 
 Place *
-place_new (Loop *loop, uint64_t salt, const PlaceOps *ops, void *host)
+place_new (Loop *loop, Mesh *mesh, uint32_t self, const PlaceOps *ops, void *host)
 {
   Place *place = g_new0 (Place, 1);
 
   place->loop = loop;
-  place->salt = salt;
+  place->mesh = mesh;
+  place->self = self;
   place->ops = ops;
   place->host = host;
+  place->entries = 1;
   place->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, item_free);
-  place->own = sched_new (loop_clock (loop), &own_ops, place);
-  place->quota = quota_new (loop_clock (loop));
-  place->verdicts = g_array_new (FALSE, FALSE, sizeof (Verdict));
+  place->passed_over = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  place->own = broker_new (loop, "entry", &own_ops, place);
   place->tick.fire = on_tick;
-  place->soon.fire = on_soon;
-  place_entries (place, 1);
   loop_timer_set (loop, &place->tick, loop_now (loop) + TICK);
   return place;
 }
@@ -386,48 +427,16 @@
   if (place == NULL)
     return;
   loop_timer_stop (place->loop, &place->tick);
-  loop_timer_stop (place->loop, &place->soon);
-  for (unsigned i = 0; i < place->verdicts->len; i++)
-    g_free (g_array_index (place->verdicts, Verdict, i).server);
-  g_array_unref (place->verdicts);
   g_hash_table_unref (place->items);
-  sched_free (place->own);
-  quota_free (place->quota);
+  g_hash_table_unref (place->passed_over);
+  broker_free (place->own);
   g_free (place);
 }
 
-void
-place_services (Place *place, const RtCat *cat)
-{
-  for (unsigned i = 0; i < rt_cat_service_count (cat); i++)
-    {
-      const RtService *service = rt_cat_service_at (cat, i);
-      SchedServiceConf conf = { service->engine, service->stride, service->memory };
-      sched_service (place->own, service->name, &conf);
-    }
-  for (unsigned i = 0; i < rt_cat_org_count (cat); i++)
-    {
-      const RtOrg *org = rt_cat_org_at (cat, i);
-      quota_limit (place->quota, org->name, org->rate, org->burst);
-    }
-}
-
-void
-place_servers (Place *place, const Servers *servers)
-{
-  servers_give (servers, place->own);
-}
-
-void
-place_entries (Place *place, unsigned entries)
+Broker *
+place_broker (Place *place)
 {
-  double share = MIN (1, OVERCOMMIT / MAX (entries, 1));
-
-  if (place->entries == entries)
-    return;
-  place->entries = entries;
-  sched_share (place->own, share, place->salt);
-  quota_share (place->quota, 1.0 / MAX (entries, 1)); /* a limit is not overcommitted */
+  return place->own;
 }
 
 void
@@ -444,10 +453,7 @@
   item->cost = cost;
   g_hash_table_insert (place->items, &item->number, item);
   place->waiting++;
-  if (place->scheduler)
-    ask_remote (place, item);
-  else
-    ask_own (place, item);
+  ask_current (place, item);
 }
 
 void
@@ -455,11 +461,11 @@
 {
   MeshMsg msg = { .kind = MESH_FIRST };
 
-  sched_first (place->own, 0, request, after_us);
-  if (place->scheduler == NULL)
+  broker_first (place->own, request, after_us);
+  if (place->current == NULL)
     return;
   msg.MeshMsg_u.first = (MeshFirst){ request, after_us };
-  mesh_send (place->scheduler, &msg);
+  mesh_send (place->current, &msg);
 }
 
 void
@@ -467,11 +473,11 @@
 {
   MeshMsg msg = { .kind = MESH_SILENT };
 
-  sched_silent (place->own, 0, request);
-  if (place->scheduler == NULL)
+  broker_silent (place->own, request);
+  if (place->current == NULL)
     return;
   msg.MeshMsg_u.silent.request = request;
-  mesh_send (place->scheduler, &msg);
+  mesh_send (place->current, &msg);
 }
 
 void
@@ -481,16 +487,22 @@
 
   if (item == NULL)
     return;
+  MeshPeer *at = item->at;
+  bool running = item->running;
   drop (place, item);
-  sched_done (place->own, 0, request, result);
-  if (place->scheduler)
-    send_done (place->scheduler, request, result);
+  broker_done (place->own, request, result);
+  if (place->current)
+    send_done (place->current, request, result);
+  if (!running && at && at != place->current)
+    send_done (at, request, &withdrawn);
 }
 
-bool
-place_is_central (const Place *place)
+const char *
+place_by (const Place *place)
 {
-  return place->scheduler != NULL;
+  if (place->current == NULL)
+    return "own";
+  return place->current->role == MESH_VOTER ? "voter" : "deputy";
 }
 
 unsigned
@@ -498,9 +510,3 @@
 {
   return place->waiting;
 }
-
-char *
-place_describe (const Place *place)
-{
-  return sched_describe (place->own);
-}
--- a/node/place.h
+++ b/node/place.h
@@ -1,12 +1,9 @@
-/* place.h - an entry's way to a place for its requests: the pool's scheduler at the voter in charge,
- * or, while that is silent, a scheduler of its own with a part of the places. */
+/* place.h - an entry's way to a place for its requests: a scheduler for all entries while one
+ * answers, and its own with a part of the places while none does. */
 #ifndef PLACE_H
 #define PLACE_H
 
-#include "mesh.h"
-#include "quota.h"
-#include "scheduler.h"
-#include "servers.h"
+#include "broker.h"
 
 typedef struct Place Place;
 
@@ -17,29 +14,25 @@
   void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
 } PlaceOps;
 
-/* salt: differs between entries, so that the parts that they round up differ. */
-Place *place_new (Loop *loop, uint64_t salt, const PlaceOps *ops, void *host);
+/* self: IPv4 of this entry. */
+Place *place_new (Loop *loop, Mesh *mesh, uint32_t self, const PlaceOps *ops, void *host);
 void place_free (Place *place);
-/* Messages from voters that concern placing; others are ignored. */
+/* A voter's or a deputy's word on who schedules. */
 void place_view (Place *place, MeshPeer *peer, const MeshView *view);
+/* Verdicts from schedulers; other messages are ignored. */
 void place_message (Place *place, MeshPeer *peer, const MeshMsg *msg);
-void place_down (Place *place, const MeshPeer *peer);
-/* What the entry's own scheduler works with. */
-void place_services (Place *place, const RtCat *cat);
-void place_servers (Place *place, const Servers *servers);
-/* Entries that share the places while nobody schedules for all. */
-void place_entries (Place *place, unsigned entries);
+void place_up (Place *place, MeshPeer *peer);
+void place_down (Place *place, MeshPeer *peer);
+/* What the entry's own scheduler works with, and other entries may ask. */
+Broker *place_broker (Place *place);
 
-/* ask->owner is set here. cost: tokens or requests counted against the organisation's limit; 0:
- * none, or counted before. */
+/* cost: tokens or requests counted against the organisation's limit; 0: none, or counted before. */
 void place_ask (Place *place, const SchedAsk *ask, double cost);
 void place_first (Place *place, uint64_t request, int64_t after_us);
 void place_silent (Place *place, uint64_t request);
 void place_done (Place *place, uint64_t request, const SchedResult *result);
-/* Is placing done by the voter in charge at the moment? */
-bool place_is_central (const Place *place);
+/* Who schedules for this entry: "voter", "deputy" or "own". */
+const char *place_by (const Place *place);
 unsigned place_waiting (const Place *place);
-/* What the entry's own scheduler believes; g_free. */
-char *place_describe (const Place *place);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -557,7 +557,7 @@
   req->server = g_strdup (id);
   jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", id),
         JL_MS ("waited_ms", now_of (req) - req->arrived),
-        JL_INT ("central", place_is_central (all->conf.place)),
+        JL_TEXT ("by", place_by (all->conf.place)),
         JL_MS ("list_age_ms", now_of (req) - servers_asked_at (all->conf.servers)));
   if (server == NULL || server->leaving)
     {
@@ -583,7 +583,7 @@
   forget_number (req);
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
-        JL_INT ("central", place_is_central (all->conf.place)));
+        JL_TEXT ("by", place_by (all->conf.place)));
   if (req->begun)
     break_off (req, info->code);
   else if (req->may_have_run)
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -46,6 +46,10 @@
 		u_int *voters_val;
 	} voters;
 	u_int entries;
+	struct {
+		u_int deputies_len;
+		u_int *deputies_val;
+	} deputies;
 };
 typedef struct MeshView MeshView;
 
@@ -122,11 +126,6 @@
 };
 typedef struct MeshRefuse MeshRefuse;
 
-struct MeshQueued {
-	u_quad_t request;
-};
-typedef struct MeshQueued MeshQueued;
-
 struct MeshFirst {
 	u_quad_t request;
 	quad_t after_us;
@@ -154,11 +153,10 @@
 	MESH_ASK = 1 + 4,
 	MESH_GRANT = 1 + 5,
 	MESH_REFUSE = 1 + 6,
-	MESH_QUEUED = 1 + 7,
-	MESH_FIRST = 1 + 8,
-	MESH_SILENT = 1 + 9,
-	MESH_DONE = 1 + 10,
-	MESH_RAFT = 1 + 11,
+	MESH_FIRST = 1 + 7,
+	MESH_SILENT = 1 + 8,
+	MESH_DONE = 1 + 9,
+	MESH_RAFT = 1 + 10,
 };
 typedef enum MeshKind MeshKind;
 
@@ -172,7 +170,6 @@
 		MeshAsk ask;
 		MeshGrant grant;
 		MeshRefuse refuse;
-		MeshQueued queued;
 		MeshFirst first;
 		MeshSilent silent;
 		MeshDone done;
@@ -197,7 +194,6 @@
 extern  bool_t xdr_MeshAsk (XDR *, MeshAsk*);
 extern  bool_t xdr_MeshGrant (XDR *, MeshGrant*);
 extern  bool_t xdr_MeshRefuse (XDR *, MeshRefuse*);
-extern  bool_t xdr_MeshQueued (XDR *, MeshQueued*);
 extern  bool_t xdr_MeshFirst (XDR *, MeshFirst*);
 extern  bool_t xdr_MeshSilent (XDR *, MeshSilent*);
 extern  bool_t xdr_MeshDone (XDR *, MeshDone*);
@@ -215,7 +211,6 @@
 extern bool_t xdr_MeshAsk ();
 extern bool_t xdr_MeshGrant ();
 extern bool_t xdr_MeshRefuse ();
-extern bool_t xdr_MeshQueued ();
 extern bool_t xdr_MeshFirst ();
 extern bool_t xdr_MeshSilent ();
 extern bool_t xdr_MeshDone ();
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -29,6 +29,7 @@
   unsigned hyper document;  /* newest version that the sender knows to be committed */
   unsigned int voters<MESH_VOTERS_MOST>;
   unsigned int entries;     /* entries that the sender hears */
+  unsigned int deputies<MESH_NAMES_MOST>; /* entries that schedule when no voter does, in order */
 };
 
 /* A committed catalogue. */
@@ -92,11 +93,6 @@
   string rule<MESH_NAME_MOST>;
 };
 
-/* The request has been queued; nothing further may be heard of it for a while. */
-struct MeshQueued {
-  unsigned hyper request;
-};
-
 /* The first event has come. */
 struct MeshFirst {
   unsigned hyper request;
@@ -118,7 +114,7 @@
 
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
-  MESH_QUEUED, MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT
+  MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -129,7 +125,6 @@
 case MESH_ASK: MeshAsk ask;
 case MESH_GRANT: MeshGrant grant;
 case MESH_REFUSE: MeshRefuse refuse;
-case MESH_QUEUED: MeshQueued queued;
 case MESH_FIRST: MeshFirst first;
 case MESH_SILENT: MeshSilent silent;
 case MESH_DONE: MeshDone done;
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -53,6 +53,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->deputies.deputies_val, (u_int *) &objp->deputies.deputies_len, MESH_NAMES_MOST,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -341,16 +344,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_MeshQueued (XDR *xdrs, MeshQueued *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->request))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_MeshFirst (XDR *xdrs, MeshFirst *objp)
 {
@@ -435,10 +428,6 @@
 		 if (!xdr_MeshRefuse (xdrs, &objp->MeshMsg_u.refuse))
 			 return FALSE;
 		break;
-	case MESH_QUEUED:
-		 if (!xdr_MeshQueued (xdrs, &objp->MeshMsg_u.queued))
-			 return FALSE;
-		break;
 	case MESH_FIRST:
 		 if (!xdr_MeshFirst (xdrs, &objp->MeshMsg_u.first))
 			 return FALSE;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -48,6 +48,8 @@
 #define SCAN_MOST       48     /* waiting requests of a tier looked at in one decision */
 #define INFLOW_US       2e6    /* span over which the arrivals of a tier are averaged */
 #define HOPELESS        1.3    /* a queued request is given up when its estimate is so far off */
+#define SUMMARY_FOR     (10 * FT_MS) /* speeds change more slowly than that */
+#define SLOW_TIMES      1.6    /* times the best server's token: waiting for another may pay */
 #define ADVICE_LEAST    (100 * FT_MS)
 #define ADVICE_PART     3      /* callers wait for a third of the time that they have left */
 
@@ -101,6 +103,18 @@
   int64_t inflow_at;
 } Tier;
 
+/* What a decision needs of all servers, worked out again after SUMMARY_FOR: a queue of hundreds
+ * before a hundred servers must not look at all pairs of them. */
+typedef struct
+{
+  int64_t until;
+  double best_token, mean_token; /* time of a token: of the best server, and on average */
+  double least_prompt;           /* least time of a prompt's token on a usable server */
+  double least_answer;           /* of a plain service */
+  double places;                 /* of usable servers, in units of the best one's speed */
+  bool any_usable;
+} Summary;
+
 struct Service
 {
   char *name;
@@ -108,6 +122,8 @@
   struct cds_list_head servers;
   GPtrArray *tiers;    /* Tier, highest first */
   double prompt_ratio; /* learned: a prompt token's time in output tokens' times */
+  Summary summary;
+  unsigned open; /* servers with a free place, as of the last count */
 };
 
 struct Sched
@@ -256,50 +272,76 @@
 
 /* ---- Speeds ---- */
 
+static bool usable (const Server *server, int64_t now);
+static unsigned places (const Sched *sched, const Server *server);
+
 static double
-best_token_us (const Service *service)
+own_prompt_us (const Server *server, double token)
 {
+  return server->prompt_us > 0 ? server->prompt_us : token * server->service->prompt_ratio;
+}
+
+static void
+summarize_speeds (Service *service)
+{
+  Summary *sum = &service->summary;
   const Server *server;
-  double best = 0;
+  double total = 0, best = 0;
+  unsigned count = 0;
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->token_us > 0 && (best == 0 || server->token_us < best))
+    if (server->token_us <= 0)
+      continue;
+    total += server->token_us;
+    count++;
+    if (best == 0 || server->token_us < best)
       best = server->token_us;
   }
-  return best > 0 ? best : TOKEN_US;
+  sum->best_token = count ? best : TOKEN_US;
+  sum->mean_token = count ? total / count : TOKEN_US;
 }
 
-static double
-mean_token_us (const Service *service)
+static const Summary *
+summary (const Sched *sched, Service *service)
 {
+  Summary *sum = &service->summary;
+  int64_t now = ft_clock_now (sched->clock);
   const Server *server;
-  double sum = 0;
-  unsigned count = 0;
 
+  if (now < sum->until)
+    return sum;
+  sum->until = now + SUMMARY_FOR;
+  summarize_speeds (service);
+  sum->least_prompt = sum->least_answer = sum->places = 0;
+  sum->any_usable = false;
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->token_us > 0)
-      {
-        sum += server->token_us;
-        count++;
-      }
+    if (!usable (server, now))
+      continue;
+    double token = server->token_us > 0 ? server->token_us : sum->mean_token;
+    double prompt = own_prompt_us (server, token);
+    double answer = server->answer_us > 0 ? server->answer_us : ANSWER_US;
+    if (!sum->any_usable || prompt < sum->least_prompt)
+      sum->least_prompt = prompt;
+    if (!sum->any_usable || answer < sum->least_answer)
+      sum->least_answer = answer;
+    sum->any_usable = true;
+    sum->places += places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
   }
-  return count ? sum / count : TOKEN_US;
+  return sum;
 }
 
 static double
 token_us (const Server *server)
 {
-  return server->token_us > 0 ? server->token_us : mean_token_us (server->service);
+  return server->token_us > 0 ? server->token_us : server->service->summary.mean_token;
 }
 
 static double
 prompt_token_us (const Server *server)
 {
-  if (server->prompt_us > 0)
-    return server->prompt_us;
-  return token_us (server) * server->service->prompt_ratio;
+  return own_prompt_us (server, token_us (server));
 }
 
 static double
@@ -315,11 +357,11 @@
 }
 
 static double
-job_work_us (const Service *service, const SchedAsk *ask)
+job_work_us (const Sched *sched, Service *service, const SchedAsk *ask)
 {
   if (!service->conf.engine)
-    return ANSWER_US;
-  double token = best_token_us (service);
+    return summary (sched, service)->least_answer;
+  double token = summary (sched, service)->best_token;
   return ask->prompt_tokens * token * service->prompt_ratio + ask->output_tokens * token;
 }
 
@@ -351,21 +393,6 @@
   return usable (server, now) && server->running < most;
 }
 
-/* Places of the service in units of its best server's speed. */
-static double
-effective_places (const Sched *sched, const Service *service, int64_t now)
-{
-  const Server *server;
-  double best = best_token_us (service), sum = 0;
-
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    if (usable (server, now))
-      sum += places (sched, server) * (service->conf.engine ? best / token_us (server) : 1);
-  }
-  return sum;
-}
-
 /* ---- Estimates ---- */
 
 typedef struct
@@ -432,64 +459,65 @@
          || server->tokens + ask->prompt_tokens + ask->output_tokens < most;
 }
 
-/* The best server with a place; *better is set when a busy one would be worth waiting for. */
+/* Would a server that is busy now be on time without harm to others, so that it is worth waiting? */
+static bool
+better_if_free (const Sched *sched, const Job *job, double most, int64_t now)
+{
+  const Server *server;
+
+  cds_list_for_each_entry (server, &job->service->servers, link)
+  {
+    if (!usable (server, now) || server->trial || has_place (sched, server, now)
+        || (job->avoid && strcmp (job->avoid, server->id) == 0))
+      continue;
+    Estimate here = estimate (server, &job->ask, now);
+    if (!here.late && here.harm_us == 0 && total (&here) < most
+        && (double) now + total (&here) < (double) job->ask.aim_at)
+      return true;
+  }
+  return false;
+}
+
+/* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
 static Server *
-choose (const Sched *sched, const Job *job, int64_t now, bool *better)
+choose (const Sched *sched, const Job *job, int64_t now)
 {
-  Server *server, *best = NULL, *trial = NULL;
-  double best_total = 0, busy_total = 0;
+  Server *server, *best = NULL;
+  double best_total = 0;
   Estimate chosen = { 0 };
-  bool busy = false;
 
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!usable (server, now) || (job->avoid && strcmp (job->avoid, server->id) == 0))
+    if (!has_place (sched, server, now) || !fits_memory (server, &job->ask)
+        || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
+    if (server->trial && job->ask.repeatable)
+      return server;
     Estimate here = estimate (server, &job->ask, now);
-    double cost = total (&here);
-    if (!has_place (sched, server, now) || !fits_memory (server, &job->ask))
-      {
-        if (!here.late && here.harm_us == 0 && !server->trial && (!busy || cost < busy_total))
-          {
-            busy = true;
-            busy_total = cost;
-          }
-      }
-    else if (server->trial && server->running == 0 && job->ask.repeatable)
-      trial = server;
-    else if (best == NULL || cost < best_total)
+    if (best == NULL || total (&here) < best_total)
       {
         best = server;
-        best_total = cost;
+        best_total = total (&here);
         chosen = here;
       }
   }
-  if (trial)
-    return trial;
-  /* Worth waiting: late or harmful here, neither there, and there is time left for it. */
-  *better = best && busy && (chosen.late || chosen.harm_us > 0)
-            && (double) now + busy_total < (double) MAX (job->ask.aim_at, now);
-  return *better ? NULL : best;
+  if (best == NULL || (!chosen.late && chosen.harm_us == 0) || now >= job->ask.aim_at)
+    return best;
+  bool slow = job->service->conf.engine
+              && token_us (best) > SLOW_TIMES * job->service->summary.best_token;
+  return (slow || chosen.harm_us > 0) && better_if_free (sched, job, best_total, now) ? NULL
+                                                                                      : best;
 }
 
 /* Least time until the first of the answer on any usable server. */
 static double
-least_first_us (const Service *service, const SchedAsk *ask, int64_t now)
+least_first_us (const Sched *sched, Service *service, const SchedAsk *ask)
 {
-  const Server *server;
-  double least = -1;
+  const Summary *sum = summary (sched, service);
 
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    if (!usable (server, now))
-      continue;
-    double first = service->conf.engine
-                       ? HOP_US + ask->prompt_tokens * prompt_token_us (server) + token_us (server)
-                       : HOP_US + answer_us (server);
-    if (least < 0 || first < least)
-      least = first;
-  }
-  return MAX (least, 0);
+  if (!service->conf.engine)
+    return HOP_US + sum->least_answer;
+  return HOP_US + ask->prompt_tokens * sum->least_prompt + sum->best_token;
 }
 
 static void
@@ -503,10 +531,9 @@
 
 /* Time until a request of the tier that comes last would start. */
 static double
-wait_us (const Sched *sched, const Service *service, unsigned number, double work_ahead,
-         int64_t now)
+wait_us (const Sched *sched, Service *service, unsigned number, double work_ahead, int64_t now)
 {
-  double all = effective_places (sched, service, now), taken = 0;
+  double all = summary (sched, service)->places, taken = 0;
 
   for (unsigned i = 0; i < service->tiers->len; i++)
     {
@@ -630,28 +657,35 @@
 static bool
 place (Sched *sched, Job *job, int64_t now)
 {
-  bool better = false;
-  Server *server = choose (sched, job, now, &better);
+  Server *server = choose (sched, job, now);
 
   if (server == NULL)
     return false;
   dequeue (job);
   start (job, server, now);
+  if (!has_place (sched, server, now) && job->service->open > 0)
+    job->service->open--;
   sched->ops->grant (sched->host, job->key.owner, job->key.request, server->id);
   return true;
 }
 
-static bool
-any_place (const Sched *sched, const Service *service, int64_t now)
+static void
+count_open (const Sched *sched, Service *service, int64_t now)
 {
   const Server *server;
 
+  service->open = 0;
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (has_place (sched, server, now))
-      return true;
+    service->open += has_place (sched, server, now);
   }
-  return false;
+}
+
+static bool
+any_place (const Sched *sched, Service *service, int64_t now)
+{
+  count_open (sched, service, now);
+  return service->open > 0;
 }
 
 /* On time first, then the others: a late answer is worth a part of one on time. */
@@ -664,12 +698,12 @@
       unsigned scanned = 0;
       cds_list_for_each_entry_safe (job, next, &tier->waiting, link)
       {
-        bool in_time = (double) now + least_first_us (service, &job->ask, now)
+        if (scanned++ >= SCAN_MOST || service->open == 0)
+          break;
+        bool in_time = (double) now + least_first_us (sched, service, &job->ask)
                        <= (double) job->ask.aim_at;
         if (in_time != (pass == 0))
           continue;
-        if (scanned++ >= SCAN_MOST || !any_place (sched, service, now))
-          break;
         place (sched, job, now);
       }
     }
@@ -678,10 +712,18 @@
 static void
 dispatch (Sched *sched, Service *service, int64_t now)
 {
+  bool anyone = false;
+
+  for (unsigned i = 0; i < service->tiers->len; i++)
+    anyone = anyone || ((Tier *) service->tiers->pdata[i])->count > 0;
+  if (!anyone)
+    return;
+  summary (sched, service);
+  count_open (sched, service, now);
   for (unsigned i = 0; i < service->tiers->len; i++)
     {
       Tier *tier = service->tiers->pdata[i];
-      if (tier->count > 0 && any_place (sched, service, now))
+      if (tier->count > 0 && service->open > 0)
         dispatch_tier (sched, service, tier, now);
     }
 }
@@ -698,7 +740,7 @@
   job->ask = *ask;
   job->ask.service = job->ask.org = job->ask.avoid = NULL;
   job->avoid = ask->avoid && *ask->avoid ? g_strdup (ask->avoid) : NULL;
-  job->work_us = job_work_us (job->service, ask);
+  job->work_us = job_work_us (sched, job->service, ask);
   g_hash_table_insert (sched->jobs, &job->key, job);
   return job;
 }
@@ -747,7 +789,7 @@
       return false;
     }
   double wait = wait_us (sched, service, ask->tier, ahead, now);
-  double first = least_first_us (service, ask, now);
+  double first = least_first_us (sched, service, ask);
   if ((double) now + wait + first > (double) ask->limit_at && !any_place (sched, service, now))
     {
       refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
@@ -1005,11 +1047,11 @@
 
   cds_list_for_each_entry_safe (job, next, &tier->waiting, link)
   {
-    double first = least_first_us (service, &job->ask, now);
+    double first = least_first_us (sched, service, &job->ask);
     double wait = wait_us (sched, service, tier->tier, *ahead, now);
     bool over = (double) now + first > (double) job->ask.limit_at;
     bool hopeless = (double) now + wait > (double) job->ask.limit_at + (HOPELESS - 1) * wait;
-    if (over || (hopeless && !any_place (sched, service, now)))
+    if (over || (hopeless && service->open == 0))
       refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
     else
       *ahead += job->work_us;
@@ -1029,6 +1071,7 @@
       Service *service = value;
       double ahead = 0;
       dispatch (sched, service, now);
+      count_open (sched, service, now);
       for (unsigned i = 0; i < service->tiers->len; i++)
         refuse_hopeless (sched, service, service->tiers->pdata[i], &ahead, now);
     }
