--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -1,6 +1,10 @@
-/* hmsg.c - a thin layer over libhttp-parser, which checks the syntax strictly: two lengths, a length
- * together with chunks, or a space before a field's colon are refused, so that no other program on
- * the path can see another end of the body than this one.
+/* hmsg.c - a thin layer over libhttp-parser, which refuses two lengths and a length together with
+ * chunks.
+ *
+ * Failure: the parser takes a field's name with a space before its colon, and control characters.
+ * Symptom: another program on the path sees another end of the body, and runs a request that was
+ * hidden in it. So names must be tokens (RFC 9110, 5.6.2) and values must be printable, else the
+ * message is refused.
  */
 #include "hmsg.h"
 
@@ -227,12 +231,43 @@
   return count_head (read, size);
 }
 
+static bool
+is_token (const char *name)
+{
+  if (*name == '\0')
+    return false;
+  for (; *name; name++)
+    if (!g_ascii_isalnum (*name) && strchr ("!#$%&'*+-.^_`|~", *name) == NULL)
+      return false;
+  return true;
+}
+
+static bool
+is_printable (const char *text)
+{
+  for (; *text; text++)
+    if (((unsigned char) *text < 0x20 && *text != '\t') || *text == 0x7f)
+      return false;
+  return true;
+}
+
+static bool
+fields_are_sound (const HMsg *msg)
+{
+  for (unsigned i = 0; i < msg->fields->len; i++)
+    if (!is_token (hmsg_field_name (msg, i)) || !is_printable (hmsg_field_value (msg, i)))
+      return false;
+  return is_printable (msg->target->str);
+}
+
 static int
 on_head (http_parser *parser)
 {
   HRead *read = parser->data;
   HMsg *msg = read->msg;
 
+  if (!fields_are_sound (msg))
+    return stop (read, HREAD_BAD_SYNTAX);
   read->head_done = true;
   msg->status = parser->status_code;
   msg->method = read->requests ? http_method_str ((enum http_method) parser->method) : "";
--- a/src/quota.c
+++ b/src/quota.c
@@ -13,7 +13,7 @@
 #include <stdio.h>
 
 /* Tuning; each row with its reason. */
-#define START_LEVEL 0.35 /* of a burst; a second's worth at today's limits, of a window of 8 s */
+#define START_LEVEL 0.15 /* of a burst: two or three requests; a fiftieth of a window of 8 s */
 #define RANK_PART   0.12 /* of a burst, kept for each higher rank: one or two of its requests */
 #define RANKS_MOST  3
 #define LENIENCE    1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
@@ -77,6 +77,7 @@
     {
       bucket = g_new0 (Bucket, 1);
       bucket->at = ft_clock_now (quota->clock);
+      bucket->burst = burst;
       bucket->level = burst * START_LEVEL * quota->share;
       g_hash_table_insert (quota->buckets, g_strdup (org), bucket);
     }
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -861,7 +861,7 @@
 }
 
 static unsigned
-count_out (const Service *service, int64_t now, unsigned *all)
+count_out (const Service *service, unsigned *all)
 {
   const Server *server;
   unsigned out = 0;
@@ -872,7 +872,7 @@
     if (!server->listed || server->leaving)
       continue;
     (*all)++;
-    out += now < server->out_until;
+    out += server->trial; /* out, or tried by one request at a time */
   }
   return out;
 }
@@ -891,7 +891,7 @@
 static void
 judge_failure (Sched *sched, Server *server, int64_t now)
 {
-  unsigned all, out = count_out (server->service, now, &all);
+  unsigned all, out = count_out (server->service, &all);
 
   server->failures += FAIL_LEARN * (1 - server->failures);
   if (server->trial)
--- /dev/null
+++ b/test/adapter.c
@@ -0,0 +1,310 @@
+/* adapter.c - the platform's adapter: declarations, requests, answers and the list. */
+#include "platform.h"
+#include "squeeze.h"
+
+#include <string.h>
+
+/* ---- Reading a message from text ---- */
+
+static HMsg *kept;
+
+static void
+on_head (void *user, HMsg *msg)
+{
+  (void) user;
+  kept = msg;
+}
+
+static void
+on_body (void *user, const char *data, size_t size)
+{
+  g_string_append_len (user, data, (gssize) size);
+}
+
+static void
+on_end (void *user)
+{
+  (void) user;
+}
+
+static const HReadOps read_ops = { on_head, on_body, on_end };
+
+static HRead *
+read_message (bool request, const char *text, GString *body)
+{
+  HRead *read = hread_new (request, &read_ops, body);
+  HReadFault fault;
+
+  hread_feed (read, text, strlen (text), &fault);
+  g_assert_cmpint (fault, ==, 0);
+  return read;
+}
+
+/* ---- Declarations ---- */
+
+#define SERVICES "\"Services\":[{\"Name\":\"s\",\"HealthPath\":\"/h\"},{\"Name\":\"t\"}]"
+#define ROUTE                                                                                      \
+  "{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\",\"RouteType\":\"safe\",\"TimeoutMs\":10," \
+  "\"Service\":\"s\"}"
+
+static FtStatus
+parse (const char *text, RtCat **cat, FtError *error)
+{
+  memset (error, 0, sizeof *error);
+  return platform_read_catalogue (text, strlen (text), cat, error);
+}
+
+/* Each declaration that is invalid in one way is refused, and the message says where. */
+static void
+invalid_declarations (void)
+{
+  static const struct
+  {
+    const char *text, *says;
+  } cases[] = {
+    { "{\"Version\":1,\"Routes\":[" ROUTE "]," SERVICES, "ends too early" },
+    { "not json", "not JSON" },
+    { "{\"Routes\":[" ROUTE "]," SERVICES "}", "above 0" },
+    { "{\"Version\":0,\"Routes\":[" ROUTE "]," SERVICES "}", "above 0" },
+    { "{\"Version\":1," SERVICES "}", "must be a list" },
+    { "{\"Version\":1,\"Routes\":[" ROUTE "]}", "must be a list" },
+    { "{\"Version\":1,\"Routes\":[" ROUTE "," ROUTE "]," SERVICES "}", "same host and prefix" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":10,\"Service\":\"u\"}]," SERVICES "}",
+      "no service u" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":0,\"Service\":\"s\"}]," SERVICES "}",
+      "time-out" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\","
+      "\"RouteType\":\"odd\",\"TimeoutMs\":9,\"Service\":\"s\"}]," SERVICES "}",
+      "RouteType" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"x\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":9,\"Service\":\"s\"}]," SERVICES "}",
+      "slash" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":9,\"Backends\":[{\"Service\":\"s\",\"Weight\":0},"
+      "{\"Service\":\"t\",\"Weight\":0}]}]," SERVICES "}",
+      "add up to 0" },
+    { "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":9}]," SERVICES "}",
+      "names no service" },
+    { "{\"Version\":1,\"Routes\":[" ROUTE "]," SERVICES
+      ",\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"k\"]},{\"Name\":\"b\",\"ApiKeys\":[\"k\"]}]}",
+      "share a key" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      RtCat *cat = (RtCat *) 1;
+      FtError error;
+      g_assert_cmpint (parse (cases[i].text, &cat, &error), ==, FT_INVALID);
+      g_assert_null (cat);
+      if (strstr (error.text, cases[i].says) == NULL)
+        g_error ("case %u says \"%s\", not \"%s\"", i, error.text, cases[i].says);
+    }
+}
+
+/* Every truncation of a good declaration is refused, and none ends the process. */
+static void
+truncated_declarations (void)
+{
+  const char *good = "{\"Version\":1,\"Routes\":[" ROUTE "]," SERVICES "}";
+  FtError error;
+  RtCat *cat;
+
+  for (size_t size = 0; size < strlen (good); size++)
+    {
+      g_assert_cmpint (platform_read_catalogue (good, size, &cat, &error), ==, FT_INVALID);
+      g_assert_null (cat);
+    }
+  g_assert_cmpint (parse (good, &cat, &error), ==, FT_OK);
+  rt_cat_unref (cat);
+}
+
+static void
+good_declaration (void)
+{
+  const char *text
+      = "{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h.example\",\"PathPrefix\":\"/x/\","
+        "\"RouteType\":\"streaming\",\"TimeoutMs\":5000,\"TargetLatencyMs\":500,\"Priority\":2,"
+        "\"Backends\":[{\"Service\":\"s\",\"Weight\":90},{\"Service\":\"t\",\"Weight\":10}],"
+        "\"MaxAttempts\":2,\"Public\":true,\"Resumable\":true,\"GapAimMs\":300}],"
+        "\"Services\":[{\"Name\":\"s\",\"Engine\":{\"Stride\":4,\"KvCapacityTokens\":99}},"
+        "{\"Name\":\"t\"}],\"Limits\":{\"MaxHeaderBytes\":100,\"MaxBodyBytes\":200,"
+        "\"HeaderTimeoutMs\":300,\"IdleTimeoutMs\":400},\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":"
+        "[\"k\",\"l\"],\"Priority\":1,\"Unit\":\"tokens\",\"PlainTokens\":200,\"RatePerS\":1000,"
+        "\"Burst\":2000}],\"Unknown\":1}";
+  FtError error;
+  RtCat *cat;
+
+  g_assert_cmpint (parse (text, &cat, &error), ==, FT_OK);
+  g_assert_cmpuint (rt_cat_version (cat), ==, 7);
+  const RtRoute *route = rt_cat_route (cat, "h.example", "/x/y");
+  g_assert_cmpint (route->kind, ==, RT_STREAM);
+  g_assert_cmpint (route->timeout_us, ==, 5 * FT_SECOND);
+  g_assert_cmpint (route->gap_us, ==, 300 * FT_MS);
+  g_assert_cmpuint (route->attempts, ==, 2);
+  g_assert_true (route->open && route->resumable);
+  g_assert_true (rt_cat_service (cat, "s")->engine);
+  g_assert_cmpuint (rt_cat_service (cat, "s")->stride, ==, 4);
+  g_assert_false (rt_cat_service (cat, "t")->engine);
+  g_assert_cmpint (rt_cat_limits (cat)->idle_us, ==, 400 * FT_MS);
+  const RtOrg *org = rt_cat_org_by_key (cat, "l");
+  g_assert_true (org->by_tokens && org->has_tier);
+  g_assert_cmpfloat (org->rate, ==, 1000);
+  unsigned first = 0;
+  for (uint64_t draw = 0; draw < 100000; draw++)
+    first += strcmp (rt_route_target (route, draw), "s") == 0;
+  g_assert_cmpuint (first, ==, 90000);
+  rt_cat_unref (cat);
+}
+
+/* ---- Requests ---- */
+
+/* A caller sets what only the system may say, and names fields of one connection. None of it reaches
+ * the server, nor does the key; the system's own values do. */
+static void
+forwarded_head (void)
+{
+  static const char *const hidden[]
+      = { "secret", "X-Foxtailgrade-Hold", "X-Foxtailgrade-Pin-Ms", "X-Foxtailgrade-Kv-Backup",
+          "Kv-From", "Kv-Fetch", "evil", "Transfer-Encoding", "Keep-Alive", "X-Local", "99999",
+          "X-Foxtailgrade-Expect-Version", "Upgrade" };
+  GString *body = g_string_new (NULL), *out = g_string_new (NULL);
+  HRead *read = read_message (
+      true,
+      "POST /x/y?q=1 HTTP/1.1\r\nHost: h\r\nAuthorization: Token secret\r\n"
+      "X-Foxtailgrade-Request-Id: id1\r\nX-Foxtailgrade-Tenant: evil\r\n"
+      "X-Foxtailgrade-Expect-Instance: evil\r\nX-Foxtailgrade-Hold: h\r\n"
+      "X-Foxtailgrade-Pin-Ms: 1\r\nX-Foxtailgrade-Kv-Backup: b\r\nKv-From: f\r\nKv-Fetch: g\r\n"
+      "X-Foxtailgrade-Expect-Version: 3\r\nX-Foxtailgrade-Deadline-Ms: 99999\r\n"
+      "X-Foxtailgrade-Token-Usage: 1460,80\r\nX-Foxtailgrade-Length-Hint: 33\r\n"
+      "X-Foxtailgrade-Prefix-Hash: 5c1e07a2:800,91bd3f06:410\r\n"
+      "Connection: keep-alive, X-Local\r\nX-Local: 1\r\nKeep-Alive: timeout=3\r\nX-Other: kept\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      body);
+  const Seam *seam = platform_seam ();
+  SeamRequest facts;
+  SeamForward forward = { .server = "i-1", .org = "org1", .left_us = 1500 * FT_MS,
+                          .body = body->str, .body_size = body->len };
+
+  seam->read_request (kept, &facts);
+  g_assert_cmpstr (facts.id, ==, "id1");
+  g_assert_cmpstr (facts.key, ==, "secret");
+  g_assert_cmpint (facts.patience_us, ==, 99999 * FT_MS);
+  g_assert_true (facts.has_tokens);
+  g_assert_cmpuint (facts.prompt_tokens, ==, 1460);
+  g_assert_cmpuint (facts.output_most, ==, 80);
+  g_assert_cmpuint (facts.output_guess, ==, 33);
+  g_assert_cmpuint (facts.shared_part, ==, 0x5c1e07a2);
+  seam->write_request (out, kept, &forward);
+  for (unsigned i = 0; i < G_N_ELEMENTS (hidden); i++)
+    if (strstr (out->str, hidden[i]))
+      g_error ("%s reaches the server: %s", hidden[i], out->str);
+  for (const char **sent
+       = (const char *[]){ "POST /x/y?q=1 HTTP/1.1\r\n", "X-Foxtailgrade-Request-Id: id1\r\n",
+                           "X-Foxtailgrade-Tenant: org1\r\n", "X-Other: kept\r\n",
+                           "X-Foxtailgrade-Expect-Instance: i-1\r\n", "Content-Length: 3\r\n",
+                           "X-Foxtailgrade-Deadline-Ms: 1500\r\n",
+                           "X-Foxtailgrade-Token-Usage: 1460,80\r\n", "\r\n\r\nabc", NULL };
+       *sent; sent++)
+    if (strstr (out->str, *sent) == NULL)
+      g_error ("%s does not reach the server: %s", *sent, out->str);
+  hread_free (read);
+  g_string_free (body, TRUE);
+  g_string_free (out, TRUE);
+}
+
+static void
+answers (void)
+{
+  GString *body = g_string_new (NULL), *out = g_string_new (NULL);
+  HRead *read = read_message (false,
+                              "HTTP/1.1 503 Busy\r\nX-Foxtailgrade-Request-Id: id1\r\n"
+                              "X-Foxtailgrade-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                              "X-Foxtailgrade-Server-Signature: sig\r\nKeep-Alive: timeout=3\r\n"
+                              "X-Foxtailgrade-Instance-Load: 3,1,8\r\n\r\n",
+                              body);
+  SeamAnswer answer;
+
+  platform_seam ()->read_answer (kept, &answer);
+  g_assert_true (answer.not_run && answer.has_load);
+  g_assert_cmpstr (answer.id, ==, "id1");
+  g_assert_cmpuint (answer.running, ==, 3);
+  g_assert_cmpuint (answer.slots, ==, 8);
+  platform_seam ()->write_answer (out, kept);
+  g_assert_nonnull (strstr (out->str, "X-Foxtailgrade-Server-Signature: sig\r\n"));
+  g_assert_null (strstr (out->str, "Keep-Alive"));
+  g_assert_null (strstr (out->str, "Content-Length"));
+  hread_free (read);
+  read = read_message (false, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", body);
+  platform_seam ()->read_answer (kept, &answer);
+  g_assert_true (answer.not_run);
+  hread_free (read);
+  g_string_free (body, TRUE);
+  g_string_free (out, TRUE);
+}
+
+/* ---- The list ---- */
+
+static void
+list_pages (void)
+{
+  const char *text = "{\"Instances\":[{\"Service\":\"s\",\"Address\":\"10.0.0.9:8080\",\"Zone\":"
+                     "\"z\",\"Slots\":5,\"State\":\"draining\",\"ColdRemainingMs\":20,\"Id\":"
+                     "\"i-1\"}],\"Next\":\"p-50\"}";
+  const char *bad = "{\"Instances\":[{\"Service\":\"s\",\"Address\":\"nowhere\",\"Id\":\"i\"}]}";
+  GArray *servers = g_array_new (FALSE, TRUE, sizeof (SeamServer));
+  GString *request = g_string_new (NULL);
+  char *next;
+  FtError error;
+
+  g_array_set_clear_func (servers, seam_server_clear);
+  g_assert_cmpint (platform_read_list (text, strlen (text), servers, &next, &error), ==, FT_OK);
+  const SeamServer *server = &g_array_index (servers, SeamServer, 0);
+  g_assert_true (server->leaving);
+  g_assert_cmpuint (server->addr.port, ==, 8080);
+  g_assert_cmpint (server->cold_us, ==, 20 * FT_MS);
+  platform_write_list_request (request, server->addr, next);
+  g_assert_nonnull (strstr (request->str, "GET /instances?PageToken=p-50 HTTP/1.1\r\n"));
+  g_free (next);
+  g_assert_cmpint (platform_read_list (bad, strlen (bad), servers, &next, &error), ==, FT_INVALID);
+  g_assert_cmpint (platform_read_list ("{", 1, servers, &next, &error), ==, FT_INVALID);
+  g_array_unref (servers);
+  g_string_free (request, TRUE);
+}
+
+/* ---- Packed documents ---- */
+
+static void
+packed_documents (void)
+{
+  GString *text = g_string_new (NULL);
+
+  for (int i = 0; i < 2000; i++)
+    g_string_append_printf (text, "{\"Name\":\"route-%d\",\"Host\":\"a.example\"},", i);
+  GBytes *packed = squeeze_pack (text->str, text->len);
+  gsize size = g_bytes_get_size (packed);
+  g_assert_cmpuint (size * 4, <, text->len);
+  GBytes *back = squeeze_unpack (g_bytes_get_data (packed, NULL), size);
+  g_assert_cmpmem (g_bytes_get_data (back, NULL), g_bytes_get_size (back), text->str, text->len);
+  for (gsize cut = 0; cut < size; cut += 7)
+    g_assert_null (squeeze_unpack (g_bytes_get_data (packed, NULL), cut));
+  g_bytes_unref (packed);
+  g_bytes_unref (back);
+  g_string_free (text, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/adapter/invalid", invalid_declarations);
+  g_test_add_func ("/adapter/truncated", truncated_declarations);
+  g_test_add_func ("/adapter/good", good_declaration);
+  g_test_add_func ("/adapter/forward", forwarded_head);
+  g_test_add_func ("/adapter/answers", answers);
+  g_test_add_func ("/adapter/list", list_pages);
+  g_test_add_func ("/adapter/packed", packed_documents);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/decide.c
@@ -0,0 +1,304 @@
+/* decide.c - decisions about one request: repeats, events, limits, budgets, routes. */
+#include "budget.h"
+#include "clock.h"
+#include "events.h"
+#include "quota.h"
+#include "retry.h"
+
+#include <string.h>
+
+/* ---- Repeats ---- */
+
+static RetryFacts
+facts (RtKind kind)
+{
+  return (RetryFacts){ .kind = kind, .sends = 1, .most_sends = 2, .left_us = FT_SECOND,
+                       .budget = true, .may_have_run = true };
+}
+
+/* The caller's booking is confirmed twice. It was sent, the connection broke before an answer, and
+ * the entry sent it to another server. A request that may run once is never sent again after a byte
+ * of it was handed to a connection, and it is not called "not run" either. */
+static void
+once_is_once (void)
+{
+  RetryFacts f = facts (RT_ONCE);
+
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
+  g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
+  g_assert_cmpint (retry_next (RETRY_FAILURE, &f), ==, RETRY_DELIVER);
+  f.kind = RT_STREAM;
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
+  f.begun = true;
+  g_assert_cmpint (retry_next (RETRY_CUT, &f), ==, RETRY_BREAK_OFF);
+}
+
+/* A server says that it did not run the request, or takes no connection: then it may go elsewhere,
+ * whatever its kind, and "not run" is true. */
+static void
+not_run_may_go_elsewhere (void)
+{
+  RetryFacts f = facts (RT_ONCE);
+
+  f.may_have_run = false;
+  g_assert_cmpint (retry_next (RETRY_REJECTED, &f), ==, RETRY_AGAIN);
+  g_assert_cmpint (retry_next (RETRY_UNREACHED, &f), ==, RETRY_AGAIN);
+  f.sends = f.most_sends;
+  g_assert_cmpint (retry_next (RETRY_REJECTED, &f), ==, RETRY_SAY_NOT_RUN);
+  f.unreached = 10;
+  g_assert_cmpint (retry_next (RETRY_UNREACHED, &f), ==, RETRY_SAY_NOT_RUN);
+  /* An earlier try may have run: the later one's word does not cover it. */
+  f.may_have_run = true;
+  g_assert_cmpint (retry_next (RETRY_REJECTED, &f), ==, RETRY_SAY_UNKNOWN);
+}
+
+static void
+idempotent_is_repeated_within_bounds (void)
+{
+  RetryFacts f = facts (RT_IDEMPOTENT);
+
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_AGAIN);
+  g_assert_cmpint (retry_next (RETRY_FAILURE, &f), ==, RETRY_AGAIN);
+  g_assert_true (retry_draws (RETRY_BROKEN, RETRY_AGAIN));
+  g_assert_false (retry_draws (RETRY_UNREACHED, RETRY_AGAIN));
+  f.budget = false;
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
+  g_assert_cmpint (retry_next (RETRY_FAILURE, &f), ==, RETRY_DELIVER);
+  f.budget = true;
+  f.left_us = FT_MS;
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
+}
+
+static void
+resumable_stream_goes_on (void)
+{
+  RetryFacts f = facts (RT_STREAM);
+
+  f.resumable = f.begun = true;
+  g_assert_cmpint (retry_next (RETRY_CUT, &f), ==, RETRY_RESUME);
+  f.sends = 2;
+  g_assert_cmpint (retry_next (RETRY_CUT, &f), ==, RETRY_BREAK_OFF);
+}
+
+/* ---- Events ---- */
+
+static void
+take (Events *events, const char *text, unsigned count, const char *passed)
+{
+  GString *out = g_string_new (NULL);
+
+  g_assert_cmpuint (events_take (events, text, strlen (text), out), ==, count);
+  g_assert_cmpstr (out->str, ==, passed);
+  g_string_free (out, TRUE);
+}
+
+/* The caller gets half an event joined to another. A server dies in the middle of event 3, another
+ * goes on behind event 2 and says 2 again. The half is dropped and the double too. */
+static void
+half_event_is_dropped (void)
+{
+  Events *events = events_new ();
+
+  take (events, "id: 1\ndata: a\n\nid: 2\ndata", 1, "id: 1\ndata: a\n\n");
+  take (events, ": b\n\nid: 3\nda", 1, "id: 2\ndata: b\n\n");
+  g_assert_true (events_within (events));
+  g_assert_cmpstr (events_last_id (events), ==, "2");
+  events_restart (events);
+  g_assert_false (events_within (events));
+  take (events, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", 1, "id: 3\ndata: c\n\n");
+  take (events, ": ping\r\n\r\n", 1, ": ping\r\n\r\n");
+  g_assert_cmpstr (events_last_id (events), ==, "3");
+  events_free (events);
+}
+
+/* ---- Limits ---- */
+
+static double
+use_for (Quota *quota, TestClock *clock, double seconds, double each, unsigned rank)
+{
+  double used = 0;
+  int64_t wait;
+
+  for (int i = 0; i < seconds * 100; i++)
+    {
+      clock->now += 10 * FT_MS;
+      if (quota_take (quota, "org", each, rank, &wait))
+        used += each;
+    }
+  return used;
+}
+
+/* One organisation sends many times its limit for the span of the limit: what passes is at most the
+ * rate times the span and the burst, with the small lenience of the bucket. */
+static void
+limit_holds_in_a_window (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+
+  quota_limit (quota, "org", 1000, 4000);
+  clock.now += 60 * FT_SECOND;
+  double used = use_for (quota, &clock, 8, 100, 0);
+  g_assert_cmpfloat (used, <=, (1000 * 8 + 4000) * 1.03);
+  g_assert_cmpfloat (used, >=, (1000 * 8 + 4000) * 0.97);
+  quota_free (quota);
+}
+
+/* The organisation passes its limit when its accountant dies: the next one starts with a full
+ * bucket. It must start with little, and yet not refuse who keeps to the rate. */
+static void
+new_accountant_gives_no_second_burst (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+
+  quota_limit (quota, "org", 1000, 4000);
+  g_assert_cmpfloat (use_for (quota, &clock, 1, 100, 0), <=, 1000 + 4000 * 0.4);
+  quota_free (quota);
+  quota = quota_new (&clock.base);
+  quota_limit (quota, "org", 1000, 4000);
+  g_assert_cmpfloat (use_for (quota, &clock, 4, 9, 0), ==, 9 * 400);
+  quota_free (quota);
+}
+
+/* An organisation at its limit sends reports and summaries. The summaries are as many and use the
+ * limit up before the reports come. Under the limit too the higher rank goes first. */
+static void
+higher_rank_goes_first_under_a_limit (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+  double high = 0, low = 0;
+  int64_t wait;
+
+  quota_limit (quota, "org", 1000, 4000);
+  for (int i = 0; i < 2000; i++)
+    {
+      clock.now += 10 * FT_MS;
+      if (quota_take (quota, "org", 20, 2, &wait))
+        low += 20;
+      if (i % 2 == 0 && quota_take (quota, "org", 20, 0, &wait))
+        high += 20;
+    }
+  g_assert_cmpfloat (high, ==, 20 * 1000); /* all of them: 1,000 a second */
+  g_assert_cmpfloat (low, <, 6000);        /* what the start and the burst left */
+  quota_free (quota);
+}
+
+static void
+unused_is_given_back (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+  int64_t wait;
+
+  quota_limit (quota, "org", 10, 1000);
+  clock.now += 200 * FT_SECOND;
+  g_assert_true (quota_take (quota, "org", 1000, 0, &wait));
+  g_assert_false (quota_take (quota, "org", 900, 0, &wait));
+  g_assert_cmpint (wait, >, 80 * FT_SECOND);
+  quota_give_back (quota, "org", 1000);
+  g_assert_true (quota_take (quota, "org", 900, 0, &wait));
+  quota_used (quota, "org", 5000);
+  g_assert_false (quota_take (quota, "org", 100, 0, &wait));
+  g_assert_true (quota_take (quota, "unlimited", 1e9, 0, &wait));
+  quota_free (quota);
+}
+
+/* ---- Budgets ---- */
+
+/* A service loses every answer and each request is repeated. The repeats of an instance stay within
+ * the ratio of its own traffic and its part of the slack, in any window. */
+static void
+budget_bounds_repeats (void)
+{
+  TestClock clock = test_clock ();
+  BudgetConf conf = { 0.2, 50, 10 * FT_SECOND };
+  Budget *budget = budget_new (&clock.base, &conf);
+  unsigned repeats = 0;
+
+  budget_share (budget, 0.1);
+  for (int i = 0; i < 1000; i++)
+    {
+      clock.now += 10 * FT_MS;
+      budget_note (budget, "s");
+      repeats += budget_take (budget, "s");
+    }
+  g_assert_cmpuint (repeats, <=, 1000 * 0.2 + 50 * 0.1);
+  g_assert_cmpuint (repeats, >=, 150);
+  clock.now += 20 * FT_SECOND;
+  repeats = 0;
+  for (int i = 0; i < 100; i++)
+    repeats += budget_take (budget, "s");
+  g_assert_cmpuint (repeats, <=, 5);
+  budget_free (budget);
+}
+
+/* ---- Routes ---- */
+
+static RtCat *
+small_cat (void)
+{
+  RtLimits limits = { 1, 1, 1, 1 };
+  RtCat *cat = rt_cat_new (7, &limits);
+  RtService service = { .name = (char *) "s" };
+  RtTarget target = { (char *) "s", 1 };
+  RtRoute route = { .name = (char *) "r", .host = (char *) "A.example", .timeout_us = 1 };
+  RtOrg org = { .name = (char *) "o", .has_tier = true, .tier = 1 };
+
+  g_assert_cmpint (rt_cat_add_service (cat, &service, NULL), ==, FT_OK);
+  route.targets = g_array_new (FALSE, FALSE, sizeof (RtTarget));
+  g_array_append_val (route.targets, target);
+  for (const char **prefix = (const char *[]){ "/a/", "/a/b/", "/c/", NULL }; *prefix; prefix++)
+    {
+      route.prefix = (char *) *prefix;
+      g_assert_cmpint (rt_cat_add_route (cat, &route, NULL), ==, FT_OK);
+    }
+  org.keys = g_ptr_array_new ();
+  g_ptr_array_add (org.keys, (char *) "key");
+  g_assert_cmpint (rt_cat_add_org (cat, &org, NULL), ==, FT_OK);
+  g_assert_cmpint (rt_cat_seal (cat, NULL), ==, FT_OK);
+  g_ptr_array_unref (org.keys);
+  g_array_unref (route.targets);
+  return cat;
+}
+
+static void
+longest_prefix_wins (void)
+{
+  RtCat *cat = small_cat ();
+
+  g_assert_cmpstr (rt_cat_route (cat, "a.EXAMPLE:80", "/a/b/c?x=/c/")->prefix, ==, "/a/b/");
+  g_assert_cmpstr (rt_cat_route (cat, "a.example", "/a/bc")->prefix, ==, "/a/");
+  g_assert_null (rt_cat_route (cat, "a.example", "/a"));
+  g_assert_null (rt_cat_route (cat, "b.example", "/a/"));
+  g_assert_null (rt_cat_route (cat, "a.example", "/x?/a/"));
+  const RtOrg *org = rt_cat_org_by_key (cat, "key");
+  g_assert_nonnull (org);
+  g_assert_null (rt_cat_org_by_key (cat, "kex"));
+  g_assert_null (rt_cat_org_by_key (cat, NULL));
+  RtRoute low = { .tier = 2 }, high = { .tier = 0 };
+  RtOrg first = { .has_tier = true, .tier = 0 };
+  g_assert_cmpuint (rt_order (&low, &first), <, rt_order (&high, org));
+  g_assert_cmpuint (rt_order (&high, org), <, rt_order (&low, org));
+  g_assert_cmpuint (rt_order_rank (rt_order (&low, org)), ==, 2);
+  rt_cat_unref (cat);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/retry/once", once_is_once);
+  g_test_add_func ("/retry/not_run", not_run_may_go_elsewhere);
+  g_test_add_func ("/retry/idempotent", idempotent_is_repeated_within_bounds);
+  g_test_add_func ("/retry/resume", resumable_stream_goes_on);
+  g_test_add_func ("/events/half", half_event_is_dropped);
+  g_test_add_func ("/quota/window", limit_holds_in_a_window);
+  g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
+  g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
+  g_test_add_func ("/quota/give_back", unused_is_given_back);
+  g_test_add_func ("/budget/bounds", budget_bounds_repeats);
+  g_test_add_func ("/route/prefix", longest_prefix_wins);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/sched.c
@@ -0,0 +1,478 @@
+/* sched.c - the scheduler at its worst load, on a clock of the test's own: each test replays a load
+ * against a small model of engines and fails without the mechanism that answers it. */
+#include "clock.h"
+#include "scheduler.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+/* ---- A model of engines: places, prompts one after another, tokens at one speed ---- */
+
+#define SERVERS 12
+#define JOBS    20000
+
+typedef struct
+{
+  char id[16];
+  double speed; /* times the normal duration */
+  bool dark;    /* takes no connection */
+  bool failing; /* answers with failure */
+  unsigned running;
+  int64_t prompts_until;
+} Server;
+
+typedef struct
+{
+  int64_t arrived, first_at, end_at; /* 0: not yet */
+  unsigned tier, prompt, output;
+  int server;                        /* -1: waits */
+  bool first_told, refused, done, failed;
+  int64_t refused_after, advice;
+} Work;
+
+typedef struct
+{
+  TestClock clock;
+  Sched *sched;
+  Server servers[SERVERS];
+  unsigned count, slots;
+  Work *work;
+  unsigned works;
+  int64_t aim, patience;
+  uint64_t seed;
+} World;
+
+static World *world;
+
+static double
+draw (void)
+{
+  world->seed = world->seed * 6364136223846793005u + 1442695040888963407u;
+  return (double) (world->seed >> 11) / 9007199254740992.0;
+}
+
+static void
+on_grant (void *host, uint64_t owner, uint64_t request, const char *id)
+{
+  Work *work = &world->work[request];
+
+  (void) host;
+  (void) owner;
+  work->server = atoi (id + 1);
+  Server *server = &world->servers[work->server];
+  server->running++;
+  g_assert_cmpuint (server->running, <=, world->slots); /* never beyond the places */
+  if (server->dark)
+    {
+      work->end_at = world->clock.now + 1 * FT_MS;
+      work->failed = true;
+      return;
+    }
+  int64_t start = MAX (world->clock.now, server->prompts_until);
+  server->prompts_until = start + (int64_t) (work->prompt * 20 * server->speed);
+  work->first_at = server->prompts_until + (int64_t) (18000 * server->speed);
+  work->end_at = work->first_at + (int64_t) (work->output * 6000 * server->speed);
+  if (server->failing)
+    {
+      work->end_at = world->clock.now + 20 * FT_MS;
+      work->failed = true;
+    }
+}
+
+static void
+on_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+{
+  Work *work = &world->work[request];
+
+  (void) host;
+  (void) owner;
+  work->refused = work->done = true;
+  work->refused_after = world->clock.now - work->arrived;
+  work->advice = refusal->retry_after_us;
+  g_assert_true (*refusal->rule);
+}
+
+static void
+on_unused (void *host, const char *org, double cost)
+{
+  (void) host;
+  (void) org;
+  (void) cost;
+}
+
+static void
+on_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
+{
+  (void) host;
+  (void) server;
+  (void) out;
+  (void) why;
+  (void) for_us;
+}
+
+static const SchedOps ops = { on_grant, on_refuse, on_unused, on_believes };
+
+static void
+give_list (void)
+{
+  SchedServer list[SERVERS];
+
+  for (unsigned i = 0; i < world->count; i++)
+    list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, false, 0 };
+  sched_list (world->sched, list, world->count);
+}
+
+/* One in three servers is more than four times slower, as on today's sites. */
+static void
+begin (unsigned servers, unsigned slots, bool unlike)
+{
+  SchedServiceConf conf = { true, 3, 0 };
+
+  world = g_new0 (World, 1);
+  world->clock = test_clock ();
+  world->seed = 7;
+  world->count = servers;
+  world->slots = slots;
+  world->aim = 800 * FT_MS;
+  world->patience = 3200 * FT_MS;
+  world->work = g_new0 (Work, JOBS);
+  world->sched = sched_new (&world->clock.base, &ops, NULL);
+  for (unsigned i = 0; i < servers; i++)
+    {
+      snprintf (world->servers[i].id, sizeof world->servers[i].id, "s%u", i);
+      world->servers[i].speed = unlike && i % 3 == 2 ? 3.0 : 0.68;
+    }
+  sched_service (world->sched, "s", &conf);
+  give_list ();
+}
+
+static void
+end (void)
+{
+  sched_free (world->sched);
+  g_free (world->work);
+  g_free (world);
+}
+
+static unsigned
+ask (unsigned tier, unsigned prompt, unsigned output)
+{
+  unsigned number = world->works++;
+  Work *work = &world->work[number];
+  int64_t now = world->clock.now;
+
+  *work = (Work){ .arrived = now, .tier = tier, .prompt = prompt, .output = output, .server = -1 };
+  SchedAsk ask = { .owner = 1,
+                   .request = number,
+                   .service = "s",
+                   .org = "o",
+                   .tier = tier,
+                   .stream = true,
+                   .repeatable = true,
+                   .prompt_tokens = prompt,
+                   .output_tokens = output,
+                   .gap_us = 300 * FT_MS,
+                   .aim_at = now + world->aim,
+                   .limit_at = now + world->patience,
+                   .end_at = now + 12 * FT_SECOND };
+  sched_ask (world->sched, &ask);
+  return number;
+}
+
+static void
+finish (unsigned number, Work *work)
+{
+  SchedResult result = { .outcome = SCHED_OK };
+  Server *server = &world->servers[work->server];
+
+  work->done = true;
+  server->running--;
+  if (work->failed)
+    result.outcome = server->dark ? SCHED_UNREACHED : SCHED_FAILED;
+  else
+    result.event_us = (int64_t) (18000 * server->speed);
+  sched_done (world->sched, 1, number, &result);
+}
+
+static void
+step (void)
+{
+  world->clock.now += 2 * FT_MS;
+  for (unsigned i = 0; i < world->works; i++)
+    {
+      Work *work = &world->work[i];
+      if (work->server < 0 || work->done)
+        continue;
+      if (!work->first_told && work->first_at && work->first_at <= world->clock.now)
+        {
+          work->first_told = true;
+          sched_first (world->sched, 1, i, work->first_at - work->arrived);
+        }
+      if (work->end_at <= world->clock.now)
+        finish (i, work);
+    }
+  if (world->clock.now % (20 * FT_MS) == 0)
+    sched_tick (world->sched);
+}
+
+/* Sends per_s requests a second of three tiers for seconds. */
+static void
+load (double seconds, double per_s, const double *parts)
+{
+  double due = 0;
+
+  for (int i = 0; i < seconds * 500; i++)
+    {
+      for (due += per_s / 500; due >= 1; due--)
+        {
+          double which = draw (), size = 0.4 + 1.2 * draw ();
+          if (which < parts[0])
+            ask (0, (unsigned) (3700 * size), (unsigned) (120 * size));
+          else if (which < parts[0] + parts[1])
+            ask (1, (unsigned) (2900 * size), (unsigned) (50 * size));
+          else
+            ask (2, (unsigned) (1100 * size), (unsigned) (170 * size));
+        }
+      step ();
+    }
+}
+
+static void
+settle (void)
+{
+  for (int i = 0; i < 10000; i++)
+    step ();
+}
+
+typedef struct
+{
+  unsigned asked, in_time, refused, failed;
+  int64_t late_refusal; /* the longest that one was held */
+} Tally;
+
+static Tally
+tally (unsigned tier, unsigned from)
+{
+  Tally out = { 0 };
+
+  for (unsigned i = from; i < world->works; i++)
+    {
+      const Work *work = &world->work[i];
+      if (work->tier != tier)
+        continue;
+      g_assert_true (work->done); /* each request gets a verdict and an end */
+      out.asked++;
+      out.refused += work->refused;
+      out.failed += work->failed;
+      out.in_time += !work->refused && !work->failed && work->first_at - work->arrived <= world->aim;
+      out.late_refusal = MAX (out.late_refusal, work->refused ? work->refused_after : 0);
+    }
+  return out;
+}
+
+static const double usual[] = { 0.32, 0.24, 0.44 };
+
+/* ---- Loads ---- */
+
+static void
+calm_is_on_time (void)
+{
+  begin (SERVERS, 6, true);
+  load (10, 30, usual);
+  settle ();
+  for (unsigned t = 0; t < 3; t++)
+    {
+      Tally got = tally (t, 0);
+      g_assert_cmpuint (got.refused, ==, 0);
+      g_assert_cmpuint (got.in_time * 100, >=, got.asked * 97);
+    }
+  end ();
+}
+
+/* Twice as many requests come as the servers can take, for ten seconds. Callers of the highest tier
+ * see refusals although lower ones are served: whatever came first has the places. Order by tier
+ * keeps the highest on time; it loses most of them if the queue is in order of arrival. */
+static void
+overload_keeps_the_highest_tier (void)
+{
+  begin (SERVERS, 6, true);
+  load (4, 30, usual); /* speeds are learned */
+  unsigned from = world->works;
+  load (10, 150, usual);
+  settle ();
+  Tally high = tally (0, from), low = tally (2, from);
+  g_assert_cmpuint (high.in_time * 100, >=, high.asked * 95);
+  g_assert_cmpuint (low.refused, >, low.asked / 4);
+  end ();
+}
+
+/* A request that cannot be served in time is held until its caller's patience is over, and then
+ * refused, too late to come back. It must be refused as soon as that is known, with advice that
+ * leaves it the time to come back. */
+static void
+refusals_are_early_and_advise (void)
+{
+  begin (SERVERS, 6, true);
+  load (4, 30, usual);
+  unsigned from = world->works;
+  load (10, 150, usual);
+  settle ();
+  unsigned late = 0, refused = 0;
+  for (unsigned i = from; i < world->works; i++)
+    if (world->work[i].refused)
+      {
+        refused++;
+        late += world->work[i].refused_after > 400 * FT_MS;
+        g_assert_cmpint (world->work[i].advice, >=, 100 * FT_MS);
+        g_assert_cmpint (world->work[i].advice, <=, 4 * FT_SECOND);
+      }
+  g_assert_cmpuint (refused, >, 100);
+  g_assert_cmpuint (late * 10, <=, refused);
+  end ();
+}
+
+/* Nothing is refused while a place is free, whatever the estimates say. */
+static void
+no_refusal_before_free_places (void)
+{
+  begin (SERVERS, 6, false);
+  world->patience = 5 * FT_MS; /* shorter than any answer */
+  unsigned number = ask (0, 3000, 100);
+  g_assert_false (world->work[number].refused);
+  g_assert_cmpint (world->work[number].server, >=, 0);
+  settle ();
+  end ();
+}
+
+/* One in three servers is four times slower. Long prompts of the highest tier are late where they
+ * land by turns; learned speeds send them to fast servers. */
+static void
+long_prompts_go_to_fast_servers (void)
+{
+  unsigned slow = 0, all = 0;
+
+  begin (SERVERS, 6, true);
+  load (5, 30, usual);
+  unsigned from = world->works;
+  for (int i = 0; i < 40; i++)
+    {
+      ask (0, 20000, 100);
+      for (int j = 0; j < 100; j++)
+        step ();
+    }
+  settle ();
+  for (unsigned i = from; i < world->works; i++)
+    {
+      all++;
+      slow += world->work[i].server % 3 == 2;
+    }
+  g_assert_cmpuint (slow * 10, <=, all);
+  end ();
+}
+
+/* A third of the servers goes dark at once while the list still shows them. Each request that meets
+ * one is lost or late until they are taken out; connections that fail take them out at once. */
+static void
+dark_servers_are_found (void)
+{
+  begin (SERVERS, 6, false);
+  load (4, 40, usual);
+  for (unsigned i = 0; i < 4; i++)
+    world->servers[i].dark = true;
+  unsigned from = world->works;
+  load (4, 40, usual);
+  settle ();
+  unsigned failed = 0;
+  for (unsigned t = 0; t < 3; t++)
+    failed += tally (t, from).failed;
+  g_assert_cmpuint (failed, <=, 4 * 6); /* a few each: the first, and the trials */
+  for (unsigned i = 0; i < 4; i++)
+    world->servers[i].dark = false;
+  from = world->works;
+  load (6, 40, usual);
+  settle ();
+  unsigned back = 0;
+  for (unsigned i = from; i < world->works; i++)
+    back += world->work[i].server >= 0 && world->work[i].server < 4;
+  g_assert_cmpuint (back, >, 0); /* they are tried and come back */
+  end ();
+}
+
+/* Every server fails a part of its requests. Taking out all that fail leaves nothing; those that are
+ * no worse than the others stay. */
+static void
+common_failures_take_out_few (void)
+{
+  SchedStats stats;
+
+  begin (SERVERS, 6, false);
+  load (4, 40, usual);
+  for (unsigned i = 0; i < SERVERS; i++)
+    world->servers[i].failing = true;
+  for (int i = 0; i < 2000; i++)
+    {
+      if (i % 10 == 0)
+        ask (0, 1000, 50);
+      step ();
+      sched_stats (world->sched, &stats);
+      g_assert_cmpuint (stats.out * 2, <=, stats.servers);
+    }
+  settle ();
+  end ();
+}
+
+/* The sender of requests dies. Its requests stay in the ledger for ever, and their places are lost. */
+static void
+places_of_a_dead_owner_are_free (void)
+{
+  SchedStats stats;
+
+  begin (2, 4, false);
+  for (int i = 0; i < 30; i++)
+    ask (0, 1000, 1000);
+  sched_stats (world->sched, &stats);
+  g_assert_cmpuint (stats.running, ==, 8);
+  sched_owner_gone (world->sched, 1);
+  sched_stats (world->sched, &stats);
+  g_assert_cmpuint (stats.running, ==, 0);
+  g_assert_cmpuint (stats.waiting, ==, 0);
+  sched_free (world->sched);
+  g_free (world->work);
+  g_free (world);
+}
+
+/* A server leaves while requests wait: it gets none of them. */
+static void
+leaving_server_gets_nothing (void)
+{
+  SchedServer list[2] = { { "s0", "s", "d", 4, true, 0 }, { "s1", "s", "d", 4, false, 0 } };
+
+  begin (2, 4, false);
+  sched_list (world->sched, list, 2);
+  for (int i = 0; i < 200; i++)
+    {
+      unsigned number = ask (0, 500, 10);
+      for (int j = 0; j < 20; j++)
+        step ();
+      g_assert_cmpint (world->work[number].server, !=, 0);
+    }
+  settle ();
+  end ();
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/sched/calm", calm_is_on_time);
+  g_test_add_func ("/sched/overload", overload_keeps_the_highest_tier);
+  g_test_add_func ("/sched/refusals", refusals_are_early_and_advise);
+  g_test_add_func ("/sched/free_places", no_refusal_before_free_places);
+  g_test_add_func ("/sched/long_prompts", long_prompts_go_to_fast_servers);
+  g_test_add_func ("/sched/dark", dark_servers_are_found);
+  g_test_add_func ("/sched/common_failures", common_failures_take_out_few);
+  g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
+  g_test_add_func ("/sched/leaving", leaving_server_gets_nothing);
+  return g_test_run ();
+}
