--- a/net/hcli.c
+++ b/net/hcli.c
@@ -2,7 +2,8 @@
  *
  * Why not the HTTP library's client: it sends a request again by itself when a kept connection ends
  * before the first byte of the answer, and has no switch for that. A request that may run once only
- * would run twice. Here the one place that writes a request is start_sending, called once a transfer.
+ * would run twice. Here the one place that writes a request is start_sending, called once a
+ * transfer.
  */
 #include "hcli.h"
 
@@ -11,10 +12,12 @@
 #include <urcu/list.h>
 
 /* Tuning; each row with its reason. */
-#define IDLE_UNSTATED (300 * FT_MS) /* a server that states no time-out may close within a second */
-#define IDLE_MARGIN   (400 * FT_MS) /* a request must arrive before the server's time-out ends */
-#define IDLE_SWEEP    (1 * FT_SECOND)
-#define IDLE_MOST     64 /* idle connections a key; above the places of any server seen so far */
+#define IDLE_UNSTATED                                                                              \
+  (300 * FT_MS)                   /* a server that states no time-out may close within a second    \
+                                   */
+#define IDLE_MARGIN (400 * FT_MS) /* a request must arrive before the server's time-out ends */
+#define IDLE_SWEEP  (1 * FT_SECOND)
+#define IDLE_MOST   64 /* idle connections a key; above the places of any server seen so far */
 
 typedef struct Conn Conn;
 
@@ -354,8 +357,9 @@
   if (conn == NULL)
     return NULL;
   HXfer *xfer = g_new0 (HXfer, 1);
-  *xfer = (HXfer){ conn, ops, user, g_string_new_len (request->str, (gssize) request->len), false,
-                   target->no_body };
+  *xfer = (HXfer){ conn,  ops,
+                   user,  g_string_new_len (request->str, (gssize) request->len),
+                   false, target->no_body };
   conn->xfer = xfer;
   conn->skipping = conn->spoilt = conn->ended_message = false;
   if (kept)
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -41,8 +41,8 @@
 void hcli_free (HCli *cli);
 /* Sends request, a whole message. NULL: no descriptor or no path; nothing was sent and nothing
  * will be called. */
-HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request,
-                  const HXferOps *ops, void *user);
+HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
+                  void *user);
 /* Gives the transfer up and closes its connection; nothing more is called. */
 void hxfer_cancel (HXfer *xfer);
 /* Has a byte of the request been handed to a connection? */
--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -126,10 +126,17 @@
 bool
 hmsg_field_is_local (const HMsg *msg, unsigned index)
 {
-  static const char *const names[]
-      = { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-          "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-          "Content-Length", "Expect" };
+  static const char *const names[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization",
+                                       "TE",
+                                       "Trailer",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Content-Length",
+                                       "Expect" };
   const char *name = hmsg_field_name (msg, index);
 
   for (unsigned i = 0; i < G_N_ELEMENTS (names); i++)
@@ -272,8 +279,8 @@
   msg->status = parser->status_code;
   msg->method = read->requests ? http_method_str ((enum http_method) parser->method) : "";
   msg->keeps = http_should_keep_alive (parser);
-  bool bodiless = read->no_body || msg->status / 100 == 1 || msg->status == 204
-                  || msg->status == 304;
+  bool bodiless
+      = read->no_body || msg->status / 100 == 1 || msg->status == 204 || msg->status == 304;
   msg->ends_with_connection = !read->requests && !bodiless && !(parser->flags & F_CHUNKED)
                               && parser->content_length == ULLONG_MAX;
   if (read->body_most && parser->content_length != ULLONG_MAX
@@ -311,10 +318,13 @@
   return 0;
 }
 
-static const http_parser_settings settings
-    = { .on_message_begin = on_begin, .on_url = on_target, .on_header_field = on_name,
-        .on_header_value = on_value, .on_headers_complete = on_head, .on_body = on_body,
-        .on_message_complete = on_end };
+static const http_parser_settings settings = { .on_message_begin = on_begin,
+                                               .on_url = on_target,
+                                               .on_header_field = on_name,
+                                               .on_header_value = on_value,
+                                               .on_headers_complete = on_head,
+                                               .on_body = on_body,
+                                               .on_message_complete = on_end };
 
 HRead *
 hread_new (bool requests, const HReadOps *ops, void *user)
@@ -362,7 +372,7 @@
   if (error == HPE_PAUSED)
     return used;
   if (error != HPE_OK)
-    *fault = read->fault ? read->fault
+    *fault = read->fault                    ? read->fault
              : error == HPE_HEADER_OVERFLOW ? HREAD_HEAD_TOO_LARGE
                                             : HREAD_BAD_SYNTAX;
   else if (read->parser.upgrade)
@@ -398,8 +408,8 @@
 {
   switch (status)
     {
-#define XX(number, name, text)                                                                    \
-  case number:                                                                                    \
+#define XX(number, name, text)                                                                     \
+  case number:                                                                                     \
     return #text;
       HTTP_STATUS_MAP (XX)
 #undef XX
--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -119,9 +119,7 @@
 static void
 refuse_syntax (Conn *conn, HReadFault fault)
 {
-  unsigned status = fault == HREAD_HEAD_TOO_LARGE   ? 431
-                    : fault == HREAD_BODY_TOO_LARGE ? 413
-                                                    : 400;
+  unsigned status = fault == HREAD_HEAD_TOO_LARGE ? 431 : fault == HREAD_BODY_TOO_LARGE ? 413 : 400;
   GString *out = g_string_sized_new (FIELDS_GUESS);
 
   hwrite_status_line (out, status);
--- a/net/hsrv.h
+++ b/net/hsrv.h
@@ -32,7 +32,8 @@
 void hsrv_limits (HSrv *srv, const HSrvLimits *limits);
 /* From now on each answer is the last on its connection. */
 void hsrv_last_answers (HSrv *srv);
-/* Takes no more connections and closes those without a request; the others end with their answer. */
+/* Takes no more connections and closes those without a request; the others end with their answer.
+ */
 void hsrv_close_idle (HSrv *srv);
 unsigned hsrv_busy (const HSrv *srv); /* requests being read or answered */
 unsigned hsrv_connections (const HSrv *srv);
--- a/net/loop.c
+++ b/net/loop.c
@@ -227,6 +227,7 @@
 void
 loop_run (Loop *loop)
 {
+  loop->stopped = false;
   while (!loop->stopped)
     {
       run_calls (loop->turn_calls);
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -1,9 +1,9 @@
 /* mesh.c - links between instances.
  *
  * An instance dials those that it needs and accepts whoever dials it; a link carries messages both
- * ways in order while it lasts, and nothing is repeated on the next one: whoever needs it says again
- * what matters when a link comes up. Both ends speak at least every HELLO_EVERY, so an end that is
- * silent for SILENT is taken for lost and dialled again, also when nothing was reset.
+ * ways in order while it lasts, and nothing is repeated on the next one: whoever needs it says
+ * again what matters when a link comes up. Both ends speak at least every HELLO_EVERY, so an end
+ * that is silent for SILENT is taken for lost and dialled again, also when nothing was reset.
  */
 #include "mesh.h"
 #include "codec.h"
@@ -17,9 +17,9 @@
 #define HELLO_EVERY (400 * FT_MS)  /* three in SILENT: two may be late */
 #define SILENT      (1300 * FT_MS) /* below the 2 s in which a dead link shall be noticed */
 #define REDIAL      (250 * FT_MS)
-#define REDIAL_NEW  (50 * FT_MS) /* while all instances may be starting together ... */
+#define REDIAL_NEW  (50 * FT_MS)    /* while all instances may be starting together ... */
 #define NEW_FOR     (3 * FT_SECOND) /* ... that is for so long */
-#define DIAL_MOST   (600 * FT_MS) /* a connection takes two one-way delays */
+#define DIAL_MOST   (600 * FT_MS)   /* a connection takes two one-way delays */
 #define FRAME_MOST  (16u << 20)
 #define UNSENT_MOST (32u << 20) /* a peer that reads nothing does not fill the memory */
 #define LAST_MARK   0x80000000u
--- a/net/sock.c
+++ b/net/sock.c
@@ -22,7 +22,7 @@
 #define USER_TIMEOUT_MS 2500 /* unacknowledged bytes; above two retransmissions on a lossy link */
 #define READ_SIZE       16384
 #define KEEP_MOST       4096 /* an emptied buffer of an idle connection holds no more, bytes */
-#define BACKLOG         512 /* connections of a burst that arrive within one turn */
+#define BACKLOG         512  /* connections of a burst that arrive within one turn */
 
 bool
 sock_addr_parse (const char *text, SockAddr *addr)
@@ -391,7 +391,7 @@
 on_accept (LoopFd *base, uint32_t bits)
 {
   SockListener *listener = (SockListener *) base;
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t size = sizeof from;
   int fd;
 
--- a/node/broker.c
+++ b/node/broker.c
@@ -9,8 +9,9 @@
 
 #include <string.h>
 
-#define ASKED_LATELY (3 * FT_SECOND) /* an instance that asked then is taken for a user of this one */
-#define SELF         0               /* owner of the own instance's requests */
+#define ASKED_LATELY                                                                               \
+  (3 * FT_SECOND) /* an instance that asked then is taken for a user of this one */
+#define SELF 0    /* owner of the own instance's requests */
 
 typedef struct
 {
@@ -255,9 +256,9 @@
       sched_silent (broker->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
       return true;
     case MESH_DONE:
-      result = (SchedResult){ done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome
-                                                          : SCHED_LEFT,
-                              done->event_us, done->answer_us };
+      result
+          = (SchedResult){ done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome : SCHED_LEFT,
+                           done->event_us, done->answer_us };
       sched_done (broker->sched, peer->lifetime, done->request, &result);
       return true;
     default:
--- a/node/control.c
+++ b/node/control.c
@@ -20,21 +20,22 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TICK          (20 * FT_MS)
-#define VIEW_EVERY    (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
-#define VIEW_WAITING  (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
-#define LIST_EVERY    (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
-#define LIST_ALONE    (1200 * FT_MS)
-#define ALONE_AFTER   (900 * FT_MS) /* longer than a usual election */
-#define PUSH_AGAIN    (1500 * FT_MS) /* a push that its entry has not confirmed is repeated */
-#define FOLLOWER_WAITS (600 * FT_MS) /* before a voter that is not in charge sends one */
-#define UNSENT_SMALL  16384 /* bytes under way to an entry beyond which nothing large is added */
-#define LOST_KEPT     (12 * FT_SECOND) /* an entry that is cut off gives its part away by itself;
-                                          above the span of the limits, 8 s */
-#define DEPUTIES      3 /* entries that schedule when no voter does: three may not all be lost */
-#define CHANGE_MOST   (2500 * FT_MS) /* operators ask another voter after a second */
-#define LEAVE_LEAST   (400 * FT_MS) /* the successor is elected */
-#define LEAVE_MOST    (2 * FT_SECOND)
+#define TICK           (20 * FT_MS)
+#define VIEW_EVERY     (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
+#define VIEW_WAITING   (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
+#define LIST_EVERY     (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
+#define LIST_ALONE     (1200 * FT_MS)
+#define ALONE_AFTER    (900 * FT_MS)  /* longer than a usual election */
+#define PUSH_AGAIN     (1500 * FT_MS) /* a push that its entry has not confirmed is repeated */
+#define FOLLOWER_WAITS (600 * FT_MS)  /* before a voter that is not in charge sends one */
+#define UNSENT_SMALL   16384 /* bytes under way to an entry beyond which nothing large is added */
+#define LOST_KEPT                                                                                  \
+  (12 * FT_SECOND)    /* an entry that is cut off gives its part away by itself;                   \
+                         above the span of the limits, 8 s */
+#define DEPUTIES    3 /* entries that schedule when no voter does: three may not all be lost */
+#define CHANGE_MOST (2500 * FT_MS) /* operators ask another voter after a second */
+#define LEAVE_LEAST (400 * FT_MS)  /* the successor is elected */
+#define LEAVE_MOST  (2 * FT_SECOND)
 
 typedef struct
 {
@@ -260,8 +261,8 @@
 {
   Control *control = host;
 
-  jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_INT ("entry", peer->role == MESH_ENTRY),
-        JL_INT ("dialled", peer->dialled));
+  jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip),
+        JL_INT ("entry", peer->role == MESH_ENTRY), JL_INT ("dialled", peer->dialled));
   if (peer->role == MESH_VOTER)
     voter_meet (control->voter, peer->ip);
   g_hash_table_remove (control->lost, GUINT_TO_POINTER (peer->ip));
@@ -289,9 +290,9 @@
   if (contact == NULL)
     return;
   if (peer->role == MESH_ENTRY && !peer->leaving)
-    g_hash_table_insert (control->lost, GUINT_TO_POINTER (peer->ip),
-                         GINT_TO_POINTER ((int) ((loop_now (control->loop) + LOST_KEPT)
-                                                 / FT_SECOND)));
+    g_hash_table_insert (
+        control->lost, GUINT_TO_POINTER (peer->ip),
+        GINT_TO_POINTER ((int) ((loop_now (control->loop) + LOST_KEPT) / FT_SECOND)));
   broker_down (control->broker, peer);
   g_ptr_array_remove_fast (control->contacts, contact);
   g_free (contact);
@@ -425,8 +426,8 @@
 reply_error (HCall *call, unsigned status, const char *field, const char *why)
 {
   char *safe_field = g_strescape (field, NULL), *safe_why = g_strescape (why, NULL);
-  char *body = g_strdup_printf ("{\"error\":\"%s%s%s\"}\n", safe_field, *field ? ": " : "",
-                                safe_why);
+  char *body
+      = g_strdup_printf ("{\"error\":\"%s%s%s\"}\n", safe_field, *field ? ": " : "", safe_why);
 
   reply_text (call, status, g_string_new (NULL), body, strlen (body));
   g_free (body);
@@ -793,8 +794,11 @@
 {
   const Settings *s = control->settings;
   uint32_t seeds[FT_VOTERS_MOST];
-  VoterConf conf = { .self = s->ip, .seeds = seeds, .may_form = s->first_start,
-                     .losses = (unsigned) s->losses, .folder = s->data_folder };
+  VoterConf conf = { .self = s->ip,
+                     .seeds = seeds,
+                     .may_form = s->first_start,
+                     .losses = (unsigned) s->losses,
+                     .folder = s->data_folder };
 
   for (; conf.seed_count < s->seeds->len && conf.seed_count < FT_VOTERS_MOST; conf.seed_count++)
     seeds[conf.seed_count] = g_array_index (s->seeds, SockAddr, conf.seed_count).ip;
@@ -806,10 +810,9 @@
 {
   const Settings *s = control->settings;
   SockAddr links = { s->ip, (uint16_t) s->link_port };
-  MeshHello hello = { .address = s->ip,
-                      .lifetime = instance_random (),
-                      .role = MESH_VOTER,
-                      .domain = s->domain };
+  MeshHello hello = {
+    .address = s->ip, .lifetime = instance_random (), .role = MESH_VOTER, .domain = s->domain
+  };
   HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
 
   control->mesh = mesh_new (control->loop, links, &hello, &mesh_ops, control);
@@ -817,15 +820,13 @@
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
   control->operators = hsrv_new (control->loop, s->control, &operator_ops, control);
   if (control->operators == NULL)
-    return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text,
-                         g_strerror (errno));
+    return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text, g_strerror (errno));
   hsrv_limits (control->operators, &limits);
   return FT_OK;
 }
 
 FtStatus
-control_new (const Settings *settings, const Seam *seam, Loop *loop, Instance **out,
-             FtError *error)
+control_new (const Settings *settings, const Seam *seam, Loop *loop, Instance **out, FtError *error)
 {
   Control *control = g_new0 (Control, 1);
 
--- a/node/count.c
+++ b/node/count.c
@@ -1,5 +1,5 @@
-/* count.c - plain numbers: one thread writes them. Histograms have fixed bounds, doubling from 1 ms,
- * so that instances can be added up. */
+/* count.c - plain numbers: one thread writes them. Histograms have fixed bounds, doubling from 1
+ * ms, so that instances can be added up. */
 #include "count.h"
 
 #define BUCKETS 15 /* 1 ms to 16 s, then infinity */
@@ -9,8 +9,8 @@
 static int64_t sums[TIMED];
 
 static const char *const counter_names[COUNTERS]
-    = { "requests",  "answered",  "refused",    "unknown",       "broken_off", "left",
-        "sends",     "repeats",   "resumes",    "unreached",     "silent",     "fall_backs",
+    = { "requests",   "answered", "refused",       "unknown",   "broken_off", "left",
+        "sends",      "repeats",  "resumes",       "unreached", "silent",     "fall_backs",
         "catalogues", "lists",    "list_failures", "grants" };
 static const char *const timed_names[TIMED] = { "wait", "first", "whole" };
 
@@ -55,8 +55,8 @@
                           "foxtail_%s_seconds_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
                           "foxtail_%s_seconds_sum %g\nfoxtail_%s_seconds_count %" G_GUINT64_FORMAT
                           "\n",
-                          timed_names[which], total, timed_names[which],
-                          (double) sums[which] / 1e6, timed_names[which], total);
+                          timed_names[which], total, timed_names[which], (double) sums[which] / 1e6,
+                          timed_names[which], total);
 }
 
 char *
--- a/node/count.h
+++ b/node/count.h
@@ -27,9 +27,9 @@
 
 typedef enum
 {
-  TIMED_WAIT,   /* from a request's arrival to its place */
-  TIMED_FIRST,  /* from sending to the first of the answer */
-  TIMED_WHOLE,  /* from arrival to the end of the answer */
+  TIMED_WAIT,  /* from a request's arrival to its place */
+  TIMED_FIRST, /* from sending to the first of the answer */
+  TIMED_WHOLE, /* from arrival to the end of the answer */
   TIMED
 } Timed;
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -22,9 +22,11 @@
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
 #define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
 #define LIST_EVERY   (1500 * FT_MS)
-#define LIST_PART    0.3 /* of the platform's rate that entries together use when voters are silent */
-#define LEAVE_LEAST  (2600 * FT_MS)  /* the balancer asks every second and wants two misses */
-#define LEAVE_MARGIN (700 * FT_MS)   /* before the process would be killed */
+#define LIST_PART                                                                                  \
+  0.3 /* of the platform's rate that entries together use when voters are silent                   \
+       */
+#define LEAVE_LEAST  (2600 * FT_MS) /* the balancer asks every second and wants two misses */
+#define LEAVE_MARGIN (700 * FT_MS)  /* before the process would be killed */
 
 typedef struct
 {
@@ -68,8 +70,8 @@
     return;
   GBytes *text = squeeze_unpack (document->text.text_val, document->text.text_len);
   if (text == NULL
-      || entry->seam->read_catalogue (g_bytes_get_data (text, NULL), g_bytes_get_size (text),
-                                      &cat, &error)
+      || entry->seam->read_catalogue (g_bytes_get_data (text, NULL), g_bytes_get_size (text), &cat,
+                                      &error)
              != FT_OK)
     jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", document->number),
           JL_TEXT ("field", error.field),
@@ -115,9 +117,9 @@
     }
 }
 
-/* Failure: the voters cannot be reached, and servers leave meanwhile. Symptom: a leaving server gets
- * new work. The entry reads the list itself, so rarely that all entries together stay within a part
- * of the platform's rate. */
+/* Failure: the voters cannot be reached, and servers leave meanwhile. Symptom: a leaving server
+ * gets new work. The entry reads the list itself, so rarely that all entries together stay within a
+ * part of the platform's rate. */
 static void
 read_list_if_old (Entry *entry, int64_t now)
 {
@@ -406,22 +408,20 @@
 {
   const Settings *s = entry->settings;
   SockAddr links = { s->ip, (uint16_t) s->link_port };
-  MeshHello hello = { .address = s->ip,
-                      .lifetime = instance_random (),
-                      .role = MESH_ENTRY,
-                      .domain = s->domain };
+  MeshHello hello = {
+    .address = s->ip, .lifetime = instance_random (), .role = MESH_ENTRY, .domain = s->domain
+  };
 
   entry->mesh = mesh_new (entry->loop, links, &hello, &mesh_ops, entry);
   if (entry->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
-  RequestsConf conf = { entry->loop,  entry->seam,   entry->cli,
-                        entry->place, entry->budget, entry->servers };
+  RequestsConf conf
+      = { entry->loop, entry->seam, entry->cli, entry->place, entry->budget, entry->servers };
   entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
-    return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text,
-                         g_strerror (errno));
+    return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text, g_strerror (errno));
   entry->ready = hsrv_new (entry->loop, s->ready, &ready_ops, entry);
   if (entry->ready == NULL)
     return ft_error_set (error, FT_IO, 0, "ready", "%s: %s", s->ready_text, g_strerror (errno));
--- a/node/jlog.c
+++ b/node/jlog.c
@@ -82,8 +82,9 @@
   struct timespec wall;
 
   clock_gettime (CLOCK_REALTIME, &wall);
-  g_string_append_printf (buffer, "{\"at\":%lld.%03ld,\"up_ms\":%lld,\"node\":\"%s\",\"level\":\"%s\","
-                                  "\"event\":\"%s\"",
+  g_string_append_printf (buffer,
+                          "{\"at\":%lld.%03ld,\"up_ms\":%lld,\"node\":\"%s\",\"level\":\"%s\","
+                          "\"event\":\"%s\"",
                           (long long) wall.tv_sec, wall.tv_nsec / 1000000,
                           (long long) (ft_clock_now (log_clock) / 1000), node_name, names[level],
                           event);
--- a/node/place.c
+++ b/node/place.c
@@ -7,11 +7,11 @@
  * Failure: that voter dies, freezes or is cut off. Symptom: every request waits for an election, a
  * second or more, and if all voters are gone, for good. So a scheduler that has said nothing for
  * SILENT while a request waits there is passed over, and the next one is asked:
- *     the voter in charge; deputies, entries that the voter in charge has named beforehand, in their
- *     order; the entry's own scheduler, with its part of the places and limits.
- * All entries have the same deputies in the same order, so they usually meet at the same one, which
- * then has the whole queue and ledger. As soon as a better one speaks again it is asked instead.
- * The own scheduler follows all along what the entry's requests run on and how fast.
+ *     the voter in charge; deputies, entries that the voter in charge has named beforehand, in
+ * their order; the entry's own scheduler, with its part of the places and limits. All entries have
+ * the same deputies in the same order, so they usually meet at the same one, which then has the
+ * whole queue and ledger. As soon as a better one speaks again it is asked instead. The own
+ * scheduler follows all along what the entry's requests run on and how fast.
  */
 #include "place.h"
 #include "count.h"
@@ -20,15 +20,18 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define SILENT     (120 * FT_MS) /* three of the 40 ms in which a scheduler speaks to who waits there */
-#define FRESH      (700 * FT_MS) /* a scheduler that nobody waits for speaks every 200 ms */
+#define SILENT                                                                                     \
+  (120 * FT_MS) /* three of the 40 ms in which a scheduler speaks to who waits there               \
+                 */
+#define FRESH         (700 * FT_MS) /* a scheduler that nobody waits for speaks every 200 ms */
 #define BACKOFF_LEAST (200 * FT_MS) /* a lost packet is sent again within that */
 #define BACKOFF_MOST  (2 * FT_SECOND)
 #define CALM          (4 * FT_SECOND) /* without a silence, after which the time starts anew */
-#define TICK       (20 * FT_MS)
-#define OVERCOMMIT 1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
-#define DEPUTIES   4
-#define TOLD_MOST  (DEPUTIES + 2) /* and the voters in charge before and after an election */
+#define TICK          (20 * FT_MS)
+#define OVERCOMMIT                                                                                 \
+  1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
+#define DEPUTIES  4
+#define TOLD_MOST (DEPUTIES + 2) /* and the voters in charge before and after an election */
 
 typedef struct
 {
@@ -36,7 +39,7 @@
   SchedAsk ask;
   char *service, *org, *avoid, *server;
   double cost;
-  MeshPeer *at; /* waits at that scheduler; NULL: at the own one */
+  MeshPeer *at;              /* waits at that scheduler; NULL: at the own one */
   MeshPeer *told[TOLD_MOST]; /* schedulers that have it in their ledgers */
   bool running;
   int64_t asked_at;
@@ -57,11 +60,11 @@
   void *host;
   GHashTable *items; /* number: Item */
   Broker *own;
-  MeshPeer *voter;   /* proved to be in charge; NULL: none */
-  uint64_t term;     /* the highest in which a voter proved that */
+  MeshPeer *voter; /* proved to be in charge; NULL: none */
+  uint64_t term;   /* the highest in which a voter proved that */
   uint32_t deputies[DEPUTIES];
   unsigned deputy_count;
-  MeshPeer *current; /* who is asked now; NULL: the own scheduler */
+  MeshPeer *current;       /* who is asked now; NULL: the own scheduler */
   GHashTable *passed_over; /* MeshPeer: PassedOver */
   LoopTimer tick;
   unsigned entries, waiting;
@@ -122,9 +125,9 @@
     item->told[free_at] = peer;
 }
 
-/* Failure: a request is granted by one scheduler and ends while another is asked. Symptom: the first
- * one's ledger holds its place for ever, and requests are refused before idle servers. So whoever
- * was told of it is told of its end. */
+/* Failure: a request is granted by one scheduler and ends while another is asked. Symptom: the
+ * first one's ledger holds its place for ever, and requests are refused before idle servers. So
+ * whoever was told of it is told of its end. */
 static void
 tell_all (const Item *item, const MeshMsg *msg)
 {
@@ -167,8 +170,7 @@
 {
   MeshMsg msg = { .kind = MESH_DONE };
 
-  msg.MeshMsg_u.done
-      = (MeshDone){ number, result->outcome, result->event_us, result->answer_us };
+  msg.MeshMsg_u.done = (MeshDone){ number, result->outcome, result->event_us, result->answer_us };
   mesh_send (peer, &msg);
 }
 
@@ -228,8 +230,9 @@
 
 /* ---- Who is to be asked ---- */
 
-/* Failure: packets are lost, so a scheduler falls silent again and again for a moment. Symptom: every
- * request that waits goes back and forth. It is asked again only after a time that doubles. */
+/* Failure: packets are lost, so a scheduler falls silent again and again for a moment. Symptom:
+ * every request that waits goes back and forth. It is asked again only after a time that doubles.
+ */
 static void
 pass_over (Place *place, MeshPeer *peer)
 {
@@ -437,8 +440,8 @@
 on_refuse (Place *place, const MeshPeer *peer, const MeshRefuse *from)
 {
   Item *item = item_of (place, from->request);
-  SchedRefusal refusal = { .reason = from->reason < FT_REASONS ? from->reason
-                                                               : FT_REASON_SHORTAGE };
+  SchedRefusal refusal
+      = { .reason = from->reason < FT_REASONS ? from->reason : FT_REASON_SHORTAGE };
 
   if (item == NULL || item->running || item->at != peer)
     return;
@@ -547,8 +550,7 @@
 
   if (item == NULL)
     return;
-  msg.MeshMsg_u.done
-      = (MeshDone){ request, result->outcome, result->event_us, result->answer_us };
+  msg.MeshMsg_u.done = (MeshDone){ request, result->outcome, result->event_us, result->answer_us };
   tell_all (item, &msg);
   drop (place, item);
   broker_done (place->own, request, result);
--- a/node/requests.c
+++ b/node/requests.c
@@ -5,11 +5,11 @@
  *                                      +--- again -------+   as retry.c decides
  *
  * The entry alone sends its callers' requests, so "once at most" is decided here and nowhere else:
- * may_have_run is set before the first byte of a try can leave, and only a server's own word that it
- * did not run the request takes it back.
+ * may_have_run is set before the first byte of a try can leave, and only a server's own word that
+ * it did not run the request takes it back.
  *
- * A plain answer is held until it is whole, so that a broken one can still become a clear failure or
- * another try. A stream's head waits for its first event, and only whole events pass.
+ * A plain answer is held until it is whole, so that a broken one can still become a clear failure
+ * or another try. A stream's head waits for its first event, and only whole events pass.
  */
 #include "requests.h"
 #include "count.h"
@@ -23,16 +23,20 @@
 #define CONNECT_MOST    (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
 #define IDLE_MOST       (8 * FT_SECOND)
 #define IDLE_MOST_ONCE  (2 * FT_SECOND) /* what runs once is not risked on an old connection */
-#define HELD_MOST       (1u << 20) /* a longer plain answer is passed on as it comes, bytes */
-#define SILENT_PLAIN    2.0        /* times the aim without a plain answer */
-#define SILENT_STREAM   2.0        /* times the aim without a first event ... */
-#define SILENT_TOKEN_US 60         /* ... and so long for each token of the prompt: the slowest seen */
+#define HELD_MOST       (1u << 20)      /* a longer plain answer is passed on as it comes, bytes */
+#define SILENT_PLAIN    2.0             /* times the aim without a plain answer */
+#define SILENT_STREAM   2.0             /* times the aim without a first event ... */
+#define SILENT_TOKEN_US 60 /* ... and so long for each token of the prompt: the slowest seen */
 #define SILENT_LEAST    (600 * FT_MS)
-#define SILENT_EVENT    (1200 * FT_MS) /* between events: above a long prompt's stall of neighbours */
-#define GUESS_PART      2          /* of the caller's bound, when it gives no estimate */
+#define SILENT_EVENT                                                                               \
+  (1200 * FT_MS)                      /* between events: above a long prompt's stall of neighbours \
+                                       */
+#define GUESS_PART      2             /* of the caller's bound, when it gives no estimate */
 #define ADVICE_STARTING (500 * FT_MS) /* until a catalogue is here */
-#define PARK_MOST       (1200 * FT_MS) /* a request waits so long for the first catalogue: an election */
-#define PARK_PART       3              /* and for a third of its caller's patience at most */
+#define PARK_MOST                                                                                  \
+  (1200 * FT_MS)    /* a request waits so long for the first catalogue: an election                \
+                     */
+#define PARK_PART 3 /* and for a third of its caller's patience at most */
 
 typedef struct
 {
@@ -361,8 +365,8 @@
       req->rejected = true;
       return true;
     }
-  bool promises = req->status == 503 || req->status == 429 || req->status == 408
-                  || req->status == 421;
+  bool promises
+      = req->status == 503 || req->status == 429 || req->status == 408 || req->status == 421;
   if (promises || (answer.id == NULL && *req->id))
     {
       /* Not the word of the server that holds our request: it proves nothing. */
@@ -506,8 +510,7 @@
   Requests *all = req->all;
   const GByteArray *body = hcall_body (req->call);
   bool once = !rt_route_repeatable (req->route);
-  HCliTarget target = { server->addr, server->id, CONNECT_MOST,
-                        once ? IDLE_MOST_ONCE : IDLE_MOST,
+  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? IDLE_MOST_ONCE : IDLE_MOST,
                         strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
   SeamForward forward = { .server = server->id,
                           .org = req->org ? req->org->name : NULL,
@@ -661,16 +664,14 @@
 
   if (!admit (req))
     return;
-  int64_t patience = req->facts.patience_us
-                         ? MIN (req->facts.patience_us, req->route->timeout_us)
-                         : req->route->timeout_us;
+  int64_t patience = req->facts.patience_us ? MIN (req->facts.patience_us, req->route->timeout_us)
+                                            : req->route->timeout_us;
   req->end_at = req->arrived + patience;
   req->first_by = req->end_at;
   if (req->route->kind == RT_STREAM)
-    req->first_by = MIN (req->end_at,
-                         req->arrived
-                             + all->conf.seam->first_patience (req->route->aim_us,
-                                                               req->route->gap_us));
+    req->first_by = MIN (
+        req->end_at,
+        req->arrived + all->conf.seam->first_patience (req->route->aim_us, req->route->gap_us));
   req->service = rt_route_target (req->route, g_random_int ());
   budget_note (all->conf.budget, req->service);
   loop_timer_set (all->conf.loop, &req->limit, req->end_at);
--- a/node/requests.h
+++ b/node/requests.h
@@ -1,5 +1,5 @@
-/* requests.h - the life of callers' requests at an entry, from the whole request to the last byte of
- * its answer. */
+/* requests.h - the life of callers' requests at an entry, from the whole request to the last byte
+ * of its answer. */
 #ifndef REQUESTS_H
 #define REQUESTS_H
 
--- a/node/seam.h
+++ b/node/seam.h
@@ -28,10 +28,10 @@
 /* What the instance adds to a request that it passes on. */
 typedef struct
 {
-  const char *server;      /* the incarnation that alone may run it */
-  const char *org;         /* the caller's organisation; NULL: none */
-  int64_t left_us;         /* the server need not work for longer */
-  const char *last_event;  /* go on behind this event; NULL: from the start */
+  const char *server;     /* the incarnation that alone may run it */
+  const char *org;        /* the caller's organisation; NULL: none */
+  int64_t left_us;        /* the server need not work for longer */
+  const char *last_event; /* go on behind this event; NULL: from the start */
   const void *body;
   size_t body_size;
 } SeamForward;
@@ -39,8 +39,8 @@
 /* What a server's answer says beside its status. */
 typedef struct
 {
-  const char *id;      /* of the request that it answers; NULL: none */
-  bool not_run;        /* the server states that it did not run the request */
+  const char *id; /* of the request that it answers; NULL: none */
+  bool not_run;   /* the server states that it did not run the request */
   bool event_stream;
   bool has_load;
   unsigned running, waiting, slots;
@@ -58,9 +58,9 @@
 typedef enum
 {
   SEAM_CALL_UNKNOWN,
-  SEAM_CALL_READY,  /* the balancer asks whether this instance takes callers */
-  SEAM_CALL_PUT,    /* an operator hands in a catalogue */
-  SEAM_CALL_GET     /* an operator reads the catalogue in force */
+  SEAM_CALL_READY, /* the balancer asks whether this instance takes callers */
+  SEAM_CALL_PUT,   /* an operator hands in a catalogue */
+  SEAM_CALL_GET    /* an operator reads the catalogue in force */
 } SeamCall;
 
 typedef struct
--- a/node/servers.c
+++ b/node/servers.c
@@ -148,15 +148,15 @@
   for (unsigned i = 0; i < count; i++)
     {
       const SeamServer *from = &g_array_index (servers->list, SeamServer, i);
-      msg->servers.servers_val[i] = (MeshServer){ .id = from->id,
-                                                  .service = from->service,
-                                                  .domain = from->domain,
-                                                  .ip = from->addr.ip,
-                                                  .port = from->addr.port,
-                                                  .slots = from->slots,
-                                                  .state = from->leaving ? MESH_SERVER_LEAVING
-                                                                         : MESH_SERVER_LIVE,
-                                                  .cold_ms = (unsigned) (from->cold_us / FT_MS) };
+      msg->servers.servers_val[i]
+          = (MeshServer){ .id = from->id,
+                          .service = from->service,
+                          .domain = from->domain,
+                          .ip = from->addr.ip,
+                          .port = from->addr.port,
+                          .slots = from->slots,
+                          .state = from->leaving ? MESH_SERVER_LEAVING : MESH_SERVER_LIVE,
+                          .cold_ms = (unsigned) (from->cold_us / FT_MS) };
     }
 }
 
--- a/node/settings.c
+++ b/node/settings.c
@@ -37,8 +37,7 @@
     "memory that the process may use, MB" },
   { "descriptors", FT_FIELD_INTEGER, false, 64, 1048576, "4096", AT (descriptors),
     "descriptors that the process may use" },
-  { "losses", FT_FIELD_INTEGER, false, 0, 3, "1", AT (losses),
-    "voters that may be lost at once" },
+  { "losses", FT_FIELD_INTEGER, false, 0, 3, "1", AT (losses), "voters that may be lost at once" },
   { "list_lag_ms", FT_FIELD_INTEGER, false, 0, 600000, "1000", AT (list_lag_ms),
     "how far the platform's list lags, ms" },
   { "list_rate", FT_FIELD_STRING, false, 0, 20, "10", AT (list_rate_text),
@@ -70,7 +69,9 @@
   for (const FtField *field = fields; field->name; field++)
     printf ("  %-16s %-10s %s%s%s%s\n", field->name, types[field->type], field->help,
             field->required ? " (needed)" : " (default ",
-            field->required ? "" : field->fallback ? field->fallback : "",
+            field->required   ? ""
+            : field->fallback ? field->fallback
+                              : "",
             field->required ? "" : ")");
 }
 
--- a/node/voter.c
+++ b/node/voter.c
@@ -15,9 +15,9 @@
 #include <time.h>
 
 /* Tuning; each row with its reason. */
-#define TICK_US  (20 * 1000) /* a fifth of the log's heartbeat */
+#define TICK_US  (20 * 1000)   /* a fifth of the log's heartbeat */
 #define REOPEN   (500 * FT_MS) /* a full disk is tried again: space may have been freed */
-#define LOG_MOST 48          /* packed documents of 10 to 100 KB each: the log stays below 10 MB */
+#define LOG_MOST 48 /* packed documents of 10 to 100 KB each: the log stays below 10 MB */
 
 typedef enum
 {
@@ -70,10 +70,10 @@
   pthread_cond_t wake;
   GQueue queue; /* Work; under lock */
   bool stopped;
-  VoterStatus status;  /* under lock */
+  VoterStatus status;   /* under lock */
   int64_t proved_until; /* under lock */
-  GBytes *document;    /* under lock */
-  uint64_t number;     /* under lock */
+  GBytes *document;     /* under lock */
+  uint64_t number;      /* under lock */
 };
 
 static int64_t
@@ -140,7 +140,8 @@
         return;
       /* The entry at that index is ours only if nobody else led in between. */
       bool ours = first->index == index && first->term == raft_term (voter->raft);
-      report (voter, (Report){ .is_verdict = true, .ticket = first->ticket,
+      report (voter, (Report){ .is_verdict = true,
+                               .ticket = first->ticket,
                                .status = ours ? FT_OK : FT_NOT_LEADER });
       g_array_remove_index (voter->pending, 0);
     }
@@ -359,9 +360,13 @@
   pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
   pthread_cond_init (&voter->wake, &attributes);
   memcpy (voter->seeds, conf->seeds, conf->seed_count * sizeof *conf->seeds);
-  voter->conf = (RaftConf){ .self = conf->self, .voters = voter->seeds,
-                            .count = conf->seed_count, .log_most = LOG_MOST, .found = true,
-                            .may_form = conf->may_form, .least = 2 * conf->losses + 1 };
+  voter->conf = (RaftConf){ .self = conf->self,
+                            .voters = voter->seeds,
+                            .count = conf->seed_count,
+                            .log_most = LOG_MOST,
+                            .found = true,
+                            .may_form = conf->may_form,
+                            .least = 2 * conf->losses + 1 };
   FtStatus status = disk_new (conf->folder, &voter->disk, error);
   if (status == FT_OK)
     status = open_log (voter, error);
@@ -426,8 +431,7 @@
 
   g_byte_array_append (bytes, g_bytes_get_data (document, NULL),
                        (guint) g_bytes_get_size (document));
-  push (voter,
-        (Work){ .kind = WORK_PROPOSE, .ticket = ticket, .number = number, .bytes = bytes });
+  push (voter, (Work){ .kind = WORK_PROPOSE, .ticket = ticket, .number = number, .bytes = bytes });
 }
 
 void
--- a/node/voter.h
+++ b/node/voter.h
@@ -21,7 +21,7 @@
 
 typedef struct
 {
-  uint32_t self;      /* IPv4 of this instance */
+  uint32_t self;         /* IPv4 of this instance */
   const uint32_t *seeds; /* of the voters that form the first set; copied */
   unsigned seed_count;
   bool may_form;
@@ -30,8 +30,8 @@
 } VoterConf;
 
 /* Reads the folder and starts the thread. Errors name the file. */
-FtStatus voter_new (const VoterConf *conf, Loop *loop, const VoterOps *ops, void *host,
-                    Voter **out, FtError *error);
+FtStatus voter_new (const VoterConf *conf, Loop *loop, const VoterOps *ops, void *host, Voter **out,
+                    FtError *error);
 /* Ends the thread; a leader hands over first. */
 void voter_free (Voter *voter);
 /* A message of another voter; bytes are taken over. */
@@ -45,11 +45,11 @@
 typedef struct
 {
   uint64_t term;
-  uint32_t leader;  /* 0: unknown */
-  bool proved;      /* this voter leads, and nobody else can at this moment */
-  bool broken;      /* its storage failed: it takes no part until it is started again */
-  bool member;      /* the log names it */
-  unsigned count;   /* voters that the log names */
+  uint32_t leader; /* 0: unknown */
+  bool proved;     /* this voter leads, and nobody else can at this moment */
+  bool broken;     /* its storage failed: it takes no part until it is started again */
+  bool member;     /* the log names it */
+  unsigned count;  /* voters that the log names */
   uint32_t voters[FT_VOTERS_MOST];
 } VoterStatus;
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # lint.sh BUILD - clang-tidy and cppcheck over our own sources; any finding fails.
 set -u
 build=${1:-build}
-sources=$(ls src/*.c daemon/*.c cli/*.c standin/*.c bench/*.c test/*.c | grep -v src/msg_xdr.c)
+sources=$(ls src/*.c net/*.c node/*.c platform/*.c daemon/*.c cli/*.c standin/*.c bench/*.c test/*.c | grep -v '_xdr.c')
 status=0
 echo "$sources" | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build" --warnings-as-errors='*' 2>/dev/null || status=1
 # cppcheck knows neither liburcu's list macros nor GLib's test assertions.
@@ -12,5 +12,5 @@
   --suppress=missingIncludeSystem -j "$(nproc)" -D_GNU_SOURCE \
   '-Dcds_list_for_each_entry(p,h,m)=for((p)=list_first(h);(p);)' \
   '-Dcds_list_for_each_entry_safe(p,n,h,m)=for((p)=list_first(h),(n)=(p);(p);)' \
-  '-Dcds_list_entry(p,t,m)=((t*)list_item(p))' -Isrc -Idaemon -Ibench $checked || status=1
+  '-Dcds_list_entry(p,t,m)=((t*)list_item(p))' -Isrc -Inet -Inode -Iplatform -Idaemon -Ibench $checked || status=1
 exit $status
--- a/src/budget.c
+++ b/src/budget.c
@@ -96,8 +96,8 @@
         asked += counts->asked[i];
         repeated += counts->repeated[i];
       }
-  double most = budget->conf.ratio * RATIO_USED * asked
-                + budget->conf.slack * SLACK_USED * budget->share;
+  double most
+      = budget->conf.ratio * RATIO_USED * asked + budget->conf.slack * SLACK_USED * budget->share;
   if (repeated + 1 > most)
     return false;
   counts->repeated[slot]++;
--- a/src/events.c
+++ b/src/events.c
@@ -1,9 +1,9 @@
 /* events.c - only whole events pass, each once.
  *
  * Failure: a server stops in the middle of an event, and another goes on behind the last whole one.
- * Symptom: the caller would get the first half of one event joined to another, or an event twice. The
- * half is held back until its end comes, and dropped when the stream goes on elsewhere; an event
- * whose number is not above the last one's is dropped too.
+ * Symptom: the caller would get the first half of one event joined to another, or an event twice.
+ * The half is held back until its end comes, and dropped when the stream goes on elsewhere; an
+ * event whose number is not above the last one's is dropped too.
  */
 #include "events.h"
 
--- a/src/raft.c
+++ b/src/raft.c
@@ -24,10 +24,10 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define HEARTBEAT        (100 * FT_MS)  /* six in the shortest election timeout: five may be lost */
-#define ELECTION_LEAST   (600 * FT_MS)  /* a new leader within about 1.5 s, of 6 s for a change */
-#define ELECTION_SPREAD  (400 * FT_MS)  /* voters rarely stand together */
-#define PREVOTE_LEAST    (150 * FT_MS)  /* asking again costs messages only, no term */
+#define HEARTBEAT        (100 * FT_MS) /* six in the shortest election timeout: five may be lost */
+#define ELECTION_LEAST   (600 * FT_MS) /* a new leader within about 1.5 s, of 6 s for a change */
+#define ELECTION_SPREAD  (400 * FT_MS) /* voters rarely stand together */
+#define PREVOTE_LEAST    (150 * FT_MS) /* asking again costs messages only, no term */
 #define PREVOTE_SPREAD   (150 * FT_MS)
 #define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
 #define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
@@ -38,9 +38,10 @@
 #define UNCOMMITTED_MOST 4096           /* beyond, proposers are told to come back */
 #define ROUNDS           128            /* heartbeats whose sending time is remembered: 12 s */
 #define KEEP_TAIL        256            /* entries kept behind a snapshot for those just behind */
-#define GONE             (2500 * FT_MS) /* silence after which a replaced voter is dropped: two
-                                           elections, and before a second loss may follow (4 s) */
-#define PEERS_MOST       16             /* voters, and as many that come in their place */
+#define GONE                                                                                       \
+  (2500 * FT_MS)      /* silence after which a replaced voter is dropped: two                      \
+                         elections, and before a second loss may follow (4 s) */
+#define PEERS_MOST 16 /* voters, and as many that come in their place */
 
 typedef enum
 {
@@ -86,7 +87,7 @@
   uint64_t term;
   uint32_t voted_for, leader;
   uint64_t commit, applied, synced;
-  uint64_t noted; /* commit index in the log's file */
+  uint64_t noted;      /* commit index in the log's file */
   uint64_t term_start; /* index of the leader's first entry */
   uint64_t round;
   int64_t round_sent[ROUNDS];
@@ -853,8 +854,7 @@
   for (unsigned i = 0; i < from->entries->len; i++)
     rlog_append (&raft->log, wal_entry_copy (from->entries->pdata[i]));
   raft->synced = rlog_last (&raft->log);
-  raft->commit = raft->noted
-      = MAX (raft->commit, MIN (from->commit, rlog_last (&raft->log)));
+  raft->commit = raft->noted = MAX (raft->commit, MIN (from->commit, rlog_last (&raft->log)));
   apply_committed (raft);
 }
 
@@ -893,8 +893,7 @@
   /* It may have heard a leader just before it stopped, whose lease counts from the sending of what
    * was heard: it is over LEASE from now at the latest. */
   raft->leader_heard = now - (ELECTION_LEAST - LEASE);
-  raft->election_at = now + LEASE
-                      + (int64_t) (ft_random_next (random) % (uint64_t) PREVOTE_SPREAD);
+  raft->election_at = now + LEASE + (int64_t) (ft_random_next (random) % (uint64_t) PREVOTE_SPREAD);
   *out = raft;
   if (status != FT_OK)
     {
--- a/src/retry.c
+++ b/src/retry.c
@@ -1,14 +1,14 @@
 /* retry.c - the one place that decides whether a request is sent once more.
  *
- * The promise: a request that is not idempotent runs once at most, and "not run" is said only when it
- * is true. From the first byte handed to a connection a request may have run, whatever the
+ * The promise: a request that is not idempotent runs once at most, and "not run" is said only when
+ * it is true. From the first byte handed to a connection a request may have run, whatever the
  * connection does; only its server's word takes that back.
  */
 #include "retry.h"
 
 /* Tuning; each row with its reason. */
 #define LEFT_LEAST     (30 * FT_MS) /* less is not enough for a connection and an answer */
-#define UNREACHED_MOST 4            /* servers without a connection; then the caller may do better */
+#define UNREACHED_MOST 4 /* servers without a connection; then the caller may do better */
 
 static bool
 repeatable (const RetryFacts *facts)
--- a/src/route.c
+++ b/src/route.c
@@ -213,8 +213,8 @@
         {
           const RtRoute *a = list->pdata[i - 1], *b = list->pdata[i];
           if (strcmp (a->prefix, b->prefix) == 0)
-            return ft_error_set (error, FT_CONFLICT, 0, b->name,
-                                 "%s has the same host and prefix", a->name);
+            return ft_error_set (error, FT_CONFLICT, 0, b->name, "%s has the same host and prefix",
+                                 a->name);
         }
     }
   return FT_OK;
@@ -310,6 +310,8 @@
 
   for (unsigned i = 0; i < route->targets->len; i++)
     sum += g_array_index (route->targets, RtTarget, i).weight;
+  if (sum == 0)
+    return NULL; /* rt_cat_add_route lets none such in */
   draw %= sum;
   for (unsigned i = 0;; i++)
     {
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -9,14 +9,14 @@
  *     first  = prompts ahead of ours there + our own prompt, at the server's speed
  *     finish = first + expected tokens at the server's time per token
  * Speeds are learned from the time of first events and between events, since they differ more than
- * fourfold inside one pool. A prompt is computed in chunks between the tokens of its neighbours; when
- * these chunks would stretch a neighbour's pause beyond its bound, each neighbour counts as HARM. A
- * request that would be late on every free server, while a busy one could still serve it on time,
- * waits for that one as long as it can.
+ * fourfold inside one pool. A prompt is computed in chunks between the tokens of its neighbours;
+ * when these chunks would stretch a neighbour's pause beyond its bound, each neighbour counts as
+ * HARM. A request that would be late on every free server, while a busy one could still serve it on
+ * time, waits for that one as long as it can.
  *
- * Refusing. The queue ahead in slot time, divided by the places left over by higher tiers, says when
- * a request would start. If that is too late it is refused at once, with that time as the advice
- * when to come back. Nothing is refused while a usable place is free.
+ * Refusing. The queue ahead in slot time, divided by the places left over by higher tiers, says
+ * when a request would start. If that is too late it is refused at once, with that time as the
+ * advice when to come back. Nothing is refused while a usable place is free.
  *
  * Servers that fail. Connections refused, failures and silence take a server out for a while that
  * doubles; then one request, repeatable if there is such, tries it. Only servers clearly worse than
@@ -30,28 +30,28 @@
 #include <urcu/list.h>
 
 /* Tuning; each row with its reason. */
-#define TOKEN_US        6000.0 /* time of a token before any was seen: the size of today's engines */
-#define PROMPT_RATIO    0.0033 /* time of a prompt's token in times of an output's, likewise */
-#define ANSWER_US       40000.0 /* a plain service's answer before any was seen */
-#define CHUNK           2048   /* tokens of a prompt that engines compute at once */
-#define LEARN           0.25   /* weight of a new sample: four samples replace most of the past */
-#define HARM_US         400000.0 /* cost of making one neighbour late, as much as finishing later */
-#define LATE_US         1500000.0 /* cost of being late where another server would not be */
-#define HOP_US          1500.0 /* sending and the first bytes back, between failure domains */
-#define GAP_USED        0.85   /* of a neighbour's bound that a pause may reach by our estimate */
-#define OUT_FIRST       (300 * FT_MS) /* first time out: a restart or a lost packet */
-#define OUT_MOST        (2400 * FT_MS) /* tried every few seconds at least */
-#define REJECTED_OUT    (40 * FT_MS) /* a full server: until one of its places is free */
-#define FAIL_LEARN      0.2    /* weight of a new outcome in the share of failures */
-#define FAIL_OUT        0.45   /* share of failures that takes a server out */
-#define FAIL_TIMES      1.8    /* and so many times its service's mean */
-#define SCAN_MOST       48     /* waiting requests of a tier looked at in one decision */
-#define INFLOW_US       2e6    /* span over which the arrivals of a tier are averaged */
-#define HOPELESS        1.3    /* a queued request is given up when its estimate is so far off */
-#define SUMMARY_FOR     (10 * FT_MS) /* speeds change more slowly than that */
-#define SLOW_TIMES      1.6    /* times the best server's token: waiting for another may pay */
-#define ADVICE_LEAST    (100 * FT_MS)
-#define ADVICE_PART     3      /* callers wait for a third of the time that they have left */
+#define TOKEN_US     6000.0   /* time of a token before any was seen: the size of today's engines */
+#define PROMPT_RATIO 0.0033   /* time of a prompt's token in times of an output's, likewise */
+#define ANSWER_US    40000.0  /* a plain service's answer before any was seen */
+#define CHUNK        2048     /* tokens of a prompt that engines compute at once */
+#define LEARN        0.25     /* weight of a new sample: four samples replace most of the past */
+#define HARM_US      400000.0 /* cost of making one neighbour late, as much as finishing later */
+#define LATE_US      1500000.0 /* cost of being late where another server would not be */
+#define HOP_US       1500.0    /* sending and the first bytes back, between failure domains */
+#define GAP_USED     0.85      /* of a neighbour's bound that a pause may reach by our estimate */
+#define OUT_FIRST    (300 * FT_MS)  /* first time out: a restart or a lost packet */
+#define OUT_MOST     (2400 * FT_MS) /* tried every few seconds at least */
+#define REJECTED_OUT (40 * FT_MS)   /* a full server: until one of its places is free */
+#define FAIL_LEARN   0.2            /* weight of a new outcome in the share of failures */
+#define FAIL_OUT     0.45           /* share of failures that takes a server out */
+#define FAIL_TIMES   1.8            /* and so many times its service's mean */
+#define SCAN_MOST    48             /* waiting requests of a tier looked at in one decision */
+#define INFLOW_US    2e6            /* span over which the arrivals of a tier are averaged */
+#define HOPELESS     1.3          /* a queued request is given up when its estimate is so far off */
+#define SUMMARY_FOR  (10 * FT_MS) /* speeds change more slowly than that */
+#define SLOW_TIMES   1.6          /* times the best server's token: waiting for another may pay */
+#define ADVICE_LEAST (100 * FT_MS)
+#define ADVICE_PART  3 /* callers wait for a third of the time that they have left */
 
 typedef struct Service Service;
 typedef struct Server Server;
@@ -89,7 +89,7 @@
   double answer_us;
   double failures; /* share, averaged */
   int64_t out_until, out_for, cold_until;
-  bool trial; /* was out: one request at a time until one succeeds */
+  bool trial;      /* was out: one request at a time until one succeeds */
   uint64_t tokens; /* memory of its runs */
 };
 
@@ -98,8 +98,8 @@
   unsigned tier;
   struct cds_list_head waiting;
   unsigned count;
-  double work_us;   /* of those that wait */
-  double inflow;    /* slot time arriving per time, averaged */
+  double work_us; /* of those that wait */
+  double inflow;  /* slot time arriving per time, averaged */
   int64_t inflow_at;
 } Tier;
 
@@ -460,7 +460,8 @@
          || server->tokens + ask->prompt_tokens + ask->output_tokens < most;
 }
 
-/* Would a server that is busy now be on time without harm to others, so that it is worth waiting? */
+/* Would a server that is busy now be on time without harm to others, so that it is worth waiting?
+ */
 static bool
 better_if_free (const Sched *sched, const Job *job, double most, int64_t now)
 {
@@ -506,8 +507,7 @@
     return best;
   bool slow = job->service->conf.engine
               && token_us (best) > SLOW_TIMES * job->service->summary.best_token;
-  return (slow || chosen.harm_us > 0) && better_if_free (sched, job, best_total, now) ? NULL
-                                                                                      : best;
+  return (slow || chosen.harm_us > 0) && better_if_free (sched, job, best_total, now) ? NULL : best;
 }
 
 /* Least time until the first of the answer on any usable server. */
@@ -705,8 +705,8 @@
       {
         if (scanned++ >= SCAN_MOST || service->open == 0)
           break;
-        bool in_time = (double) now + least_first_us (sched, service, &job->ask)
-                       <= (double) job->ask.aim_at;
+        bool in_time
+            = (double) now + least_first_us (sched, service, &job->ask) <= (double) job->ask.aim_at;
         if (in_time != (pass == 0))
           continue;
         place (sched, job, now);
@@ -1122,7 +1122,9 @@
           "%s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_us=%.1f "
           "answer_ms=%.1f failures=%.2f\n",
           server->id, server->service->name, server->domain, server->running, server->slots,
-          server->leaving ? "leaving" : server->listed ? "live" : "gone",
+          server->leaving  ? "leaving"
+          : server->listed ? "live"
+                           : "gone",
           now < server->out_until ? " out" : "", server->trial ? " trial" : "",
           server->token_us / 1e3, server->prompt_us, server->answer_us / 1e3, server->failures);
     }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -1,5 +1,5 @@
-/* scheduler.h - which waiting request runs next, on which backend server, and which is refused; private
- * to the library and its shells.
+/* scheduler.h - which waiting request runs next, on which backend server, and which is refused;
+ * private to the library and its shells.
  *
  * For backend servers that know no priorities and cannot pause a stream: all order lies in what
  * waits here. A scheduler does no I/O; whoever sends a request asks it first and tells it what came
@@ -78,8 +78,8 @@
 typedef struct
 {
   const char *id, *service, *domain;
-  unsigned slots; /* requests that it runs at once */
-  bool leaving;   /* gets nothing new */
+  unsigned slots;  /* requests that it runs at once */
+  bool leaving;    /* gets nothing new */
   int64_t cold_us; /* stays slow for this long */
 } SchedServer;
 
--- a/src/state.c
+++ b/src/state.c
@@ -342,8 +342,8 @@
   record_free (oldest);
 }
 
-/* Failure: a lower number arrives late, sent again or by another operator. Symptom: what is in force
- * reverts. The highest number wins, in whatever order they come. */
+/* Failure: a lower number arrives late, sent again or by another operator. Symptom: what is in
+ * force reverts. The highest number wins, in whatever order they come. */
 static void
 apply_document (State *state, const MsgDocument *document, StateVerdict *verdict)
 {
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -161,15 +161,24 @@
 
 /* ---- Requests ---- */
 
-/* A caller sets what only the system may say, and names fields of one connection. None of it reaches
- * the server, nor does the key; the system's own values do. */
+/* A caller sets what only the system may say, and names fields of one connection. None of it
+ * reaches the server, nor does the key; the system's own values do. */
 static void
 forwarded_head (void)
 {
-  static const char *const hidden[]
-      = { "secret", "X-Foxtailgrade-Hold", "X-Foxtailgrade-Pin-Ms", "X-Foxtailgrade-Kv-Backup",
-          "Kv-From", "Kv-Fetch", "evil", "Transfer-Encoding", "Keep-Alive", "X-Local", "99999",
-          "X-Foxtailgrade-Expect-Version", "Upgrade" };
+  static const char *const hidden[] = { "secret",
+                                        "X-Foxtailgrade-Hold",
+                                        "X-Foxtailgrade-Pin-Ms",
+                                        "X-Foxtailgrade-Kv-Backup",
+                                        "Kv-From",
+                                        "Kv-Fetch",
+                                        "evil",
+                                        "Transfer-Encoding",
+                                        "Keep-Alive",
+                                        "X-Local",
+                                        "99999",
+                                        "X-Foxtailgrade-Expect-Version",
+                                        "Upgrade" };
   GString *body = g_string_new (NULL), *out = g_string_new (NULL);
   HRead *read = read_message (
       true,
@@ -185,8 +194,11 @@
       body);
   const Seam *seam = platform_seam ();
   SeamRequest facts;
-  SeamForward forward = { .server = "i-1", .org = "org1", .left_us = 1500 * FT_MS,
-                          .body = body->str, .body_size = body->len };
+  SeamForward forward = { .server = "i-1",
+                          .org = "org1",
+                          .left_us = 1500 * FT_MS,
+                          .body = body->str,
+                          .body_size = body->len };
 
   seam->read_request (kept, &facts);
   g_assert_cmpstr (facts.id, ==, "id1");
--- a/test/decide.c
+++ b/test/decide.c
@@ -12,8 +12,12 @@
 static RetryFacts
 facts (RtKind kind)
 {
-  return (RetryFacts){ .kind = kind, .sends = 1, .most_sends = 2, .left_us = FT_SECOND,
-                       .budget = true, .may_have_run = true };
+  return (RetryFacts){ .kind = kind,
+                       .sends = 1,
+                       .most_sends = 2,
+                       .left_us = FT_SECOND,
+                       .budget = true,
+                       .may_have_run = true };
 }
 
 /* The caller's booking is confirmed twice. It was sent, the connection broke before an answer, and
--- /dev/null
+++ b/test/fleet.c
@@ -0,0 +1,614 @@
+/* fleet.c - starts real processes, by fork and exec, and plays the platform around them. */
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CALLERS 18080
+#define READY   18081
+#define CONTROL 18082
+#define LINKS   18083
+#define SERVERS 18090
+#define LIST    18099
+#define GUARD   (60 * FT_SECOND) /* a test that hangs fails; none depends on how long it takes */
+#define EVENTS  8                /* of a stand-in's stream */
+
+/* ---- Stand-in of a backend server ---- */
+
+typedef struct
+{
+  LoopTimer timer;
+  Fleet *fleet;
+  HCall *call;
+  FleetServer *server;
+  unsigned next;
+} Stream;
+
+static const char *
+request_id (HCall *call)
+{
+  const char *id = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Request-Id");
+
+  return id ? id : "";
+}
+
+static void
+on_stream_timer (LoopTimer *timer)
+{
+  Stream *stream = (Stream *) timer;
+  char event[96];
+
+  if (stream->next > EVENTS)
+    {
+      hcall_end (stream->call);
+      g_free (stream);
+      return;
+    }
+  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", stream->next, stream->next);
+  if (stream->server->mode == SERVER_CUT && stream->next == 3)
+    {
+      hcall_data (stream->call, event, 9);
+      hcall_abort (stream->call);
+      g_free (stream);
+      return;
+    }
+  hcall_data (stream->call, event, strlen (event));
+  stream->next++;
+  loop_timer_set (stream->fleet->loop, timer,
+                  loop_now (stream->fleet->loop) + stream->fleet->event_ms * FT_MS);
+}
+
+static void
+start_stream (Fleet *fleet, FleetServer *server, HCall *call, GString *fields)
+{
+  Stream *stream = g_new0 (Stream, 1);
+  const char *last = hmsg_field (hcall_msg (call), "Last-Event-Id");
+
+  stream->timer.fire = on_stream_timer;
+  stream->fleet = fleet;
+  stream->call = call;
+  stream->server = server;
+  stream->next = last ? (unsigned) atoi (last) + 1 : 1;
+  hcall_set_user (call, stream);
+  hwrite_field (fields, "Content-Type", "text/event-stream");
+  hcall_begin (call, 200, fields);
+  loop_timer_set (fleet->loop, &stream->timer, loop_now (fleet->loop));
+}
+
+typedef struct
+{
+  Fleet *fleet;
+  FleetServer *server;
+} ServerOf;
+
+static void
+on_server_request (void *owner, HCall *call)
+{
+  ServerOf *of = owner;
+  FleetServer *server = of->server;
+  const HMsg *msg = hcall_msg (call);
+  const char *wanted = hmsg_field (msg, "X-Foxtailgrade-Expect-Instance");
+  char *id = g_strdup (request_id (call));
+  GString *fields = g_string_new (NULL);
+  gpointer runs = g_hash_table_lookup (of->fleet->runs, id);
+
+  server->arrived++;
+  hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
+  if (wanted == NULL || strcmp (wanted, server->id) != 0)
+    hcall_reply (call, 421, fields, "", 0);
+  else if (server->mode == SERVER_FULL)
+    {
+      hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
+      hcall_reply (call, 503, fields, "", 0);
+    }
+  else
+    {
+      g_hash_table_replace (of->fleet->runs, g_strdup (id),
+                            GINT_TO_POINTER (GPOINTER_TO_INT (runs) + 1));
+      hwrite_field (fields, "X-Foxtailgrade-Server-Signature", server->id);
+      if (server->mode == SERVER_RESET)
+        hcall_abort (call);
+      else if (server->mode == SERVER_MUTE)
+        hcall_set_user (call, NULL);
+      else if (g_str_has_prefix (hmsg_target (msg), "/stream/"))
+        start_stream (of->fleet, server, call, fields);
+      else
+        hcall_reply (call, 200, fields, id, strlen (id));
+    }
+  g_string_free (fields, TRUE);
+  g_free (id);
+}
+
+static void
+on_server_gone (void *owner, HCall *call)
+{
+  ServerOf *of = owner;
+  Stream *stream = hcall_user (call);
+
+  if (stream)
+    loop_timer_stop (of->fleet->loop, &stream->timer);
+  g_free (stream);
+}
+
+static const HSrvOps server_ops = { on_server_request, on_server_gone };
+
+/* ---- Stand-in of the list ---- */
+
+static void
+on_list (void *owner, HCall *call)
+{
+  Fleet *fleet = owner;
+  GString *body = g_string_new ("{\"Instances\":[");
+  char addr[SOCK_ADDR_TEXT];
+  bool any = false;
+
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      const FleetServer *server = &fleet->servers[i];
+      if (!server->listed)
+        continue;
+      g_string_append_printf (body,
+                              "%s{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":4,"
+                              "\"State\":\"%s\",\"Id\":\"%s\"}",
+                              any ? "," : "", sock_addr_text (server->addr, addr),
+                              server->leaving ? "draining" : "ready", server->id);
+      any = true;
+    }
+  g_string_append (body, "],\"Next\":null}");
+  hcall_reply (call, 200, NULL, body->str, body->len);
+  g_string_free (body, TRUE);
+}
+
+static void
+nobody_minds (void *owner, HCall *call)
+{
+  (void) owner;
+  (void) call;
+}
+
+static const HSrvOps list_ops = { on_list, nobody_minds };
+
+/* ---- Processes ---- */
+
+static const char *
+ip_text (uint32_t ip, char *text)
+{
+  sock_addr_text ((SockAddr){ ip, 0 }, text);
+  *strrchr (text, ':') = '\0';
+  return text;
+}
+
+static void
+write_settings (const Fleet *fleet, const FleetNode *node, bool first_start)
+{
+  char ip[SOCK_ADDR_TEXT], seed[SOCK_ADDR_TEXT], list[SOCK_ADDR_TEXT];
+  GString *out = g_string_new ("// written by a test\n{");
+
+  ip_text (node->ip, ip);
+  sock_addr_text ((SockAddr){ fleet->voters[0].ip - 1, LIST }, list);
+  g_string_append_printf (out,
+                          "\"name\":\"%s\",\"role\":\"%s\",\"ip\":\"%s\",\"domain\":\"z\","
+                          "\"link_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
+                          "\"first_start\":%s,\"grace_s\":8,",
+                          node->name, node->voter ? "voter" : "entry", ip, LINKS, list,
+                          first_start ? "true" : "false");
+  if (node->voter)
+    g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL,
+                            node->folder);
+  else
+    g_string_append_printf (out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",", ip, CALLERS, ip,
+                            READY);
+  g_string_append (out, "\"seeds\":[");
+  for (unsigned i = 0; i < 3; i++)
+    g_string_append_printf (out, "%s\"%s:%d\"", i ? "," : "", ip_text (fleet->voters[i].ip, seed),
+                            CONTROL);
+  g_string_append (out, "]}\n");
+  g_assert_true (g_file_set_contents (node->settings, out->str, (gssize) out->len, NULL));
+  g_string_free (out, TRUE);
+}
+
+void
+fleet_start (Fleet *fleet, FleetNode *node, bool first_start)
+{
+  const char *program = g_getenv ("FOXTAILNODE");
+
+  g_assert_cmpint (node->pid, ==, 0);
+  write_settings (fleet, node, first_start);
+  node->pid = fork ();
+  g_assert_cmpint (node->pid, >=, 0);
+  if (node->pid > 0)
+    return;
+  int out = open (node->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2 (out, STDOUT_FILENO);
+  dup2 (out, STDERR_FILENO);
+  sigset_t none;
+  sigemptyset (&none);
+  sigprocmask (SIG_SETMASK, &none, NULL);
+  for (int fd = 3; fd < 1024; fd++)
+    close (fd);
+  execl (program ? program : FOXTAILNODE, "foxtailnode", node->settings, NULL);
+  _exit (127);
+}
+
+void
+fleet_signal (FleetNode *node, int number)
+{
+  if (node->pid > 0)
+    kill (node->pid, number);
+}
+
+void
+fleet_kill (FleetNode *node)
+{
+  if (node->pid == 0)
+    return;
+  kill (node->pid, SIGKILL);
+  waitpid (node->pid, NULL, 0);
+  node->pid = 0;
+}
+
+bool
+fleet_ended (FleetNode *node)
+{
+  if (node->pid == 0)
+    return true;
+  if (waitpid (node->pid, NULL, WNOHANG) != node->pid)
+    return false;
+  node->pid = 0;
+  return true;
+}
+
+void
+fleet_wipe (FleetNode *node)
+{
+  GDir *dir = g_dir_open (node->folder, 0, NULL);
+  const char *name;
+
+  while (dir && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *path = g_build_filename (node->folder, name, NULL);
+      unlink (path);
+      g_free (path);
+    }
+  if (dir)
+    g_dir_close (dir);
+}
+
+char *
+fleet_log (const FleetNode *node)
+{
+  char *text = NULL;
+
+  g_file_get_contents (node->log, &text, NULL, NULL);
+  return text ? text : g_strdup ("");
+}
+
+static void
+name_node (Fleet *fleet, FleetNode *node, const char *name, uint32_t ip, bool voter)
+{
+  g_strlcpy (node->name, name, sizeof node->name);
+  node->ip = ip;
+  node->voter = voter;
+  g_snprintf (node->folder, sizeof node->folder, "%s/%s", fleet->base, name);
+  g_snprintf (node->settings, sizeof node->settings, "%s/%s.json", fleet->base, name);
+  g_snprintf (node->log, sizeof node->log, "%s/%s.log", fleet->base, name);
+}
+
+Fleet *
+fleet_new (void)
+{
+  static unsigned made;
+  Fleet *fleet = g_new0 (Fleet, 1);
+  /* Numbers of the loopback range that no other test of this machine uses at the same time. */
+  uint32_t net = 0x7f000000u | ((unsigned) getpid () % 250 + 2) << 16 | (made++ % 250) << 8;
+  char name[16];
+
+  fleet->loop = loop_new ();
+  fleet->cli = hcli_new (fleet->loop);
+  fleet->event_ms = 20;
+  fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_strlcpy (fleet->base, "/tmp/fleet-XXXXXX", sizeof fleet->base);
+  g_assert_nonnull (mkdtemp (fleet->base));
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    {
+      g_snprintf (name, sizeof name, "voter%u", i + 1);
+      name_node (fleet, &fleet->voters[i], name, net + 11 + i, true);
+    }
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    {
+      g_snprintf (name, sizeof name, "entry%u", i + 1);
+      name_node (fleet, &fleet->entries[i], name, net + 31 + i, false);
+    }
+  fleet->list = hsrv_new (fleet->loop, (SockAddr){ net + 10, LIST }, &list_ops, fleet);
+  g_assert_nonnull (fleet->list);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      FleetServer *server = &fleet->servers[i];
+      ServerOf *of = g_new (ServerOf, 1);
+      *of = (ServerOf){ fleet, server };
+      g_snprintf (server->id, sizeof server->id, "i-%u", i + 1);
+      server->addr = (SockAddr){ net + 51 + i, SERVERS };
+      server->listed = true;
+      server->srv = hsrv_new (fleet->loop, server->addr, &server_ops, of);
+      g_assert_nonnull (server->srv);
+    }
+  return fleet;
+}
+
+void
+fleet_free (Fleet *fleet)
+{
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_kill (&fleet->entries[i]);
+  g_hash_table_unref (fleet->runs);
+  hcli_free (fleet->cli);
+  g_free (fleet); /* the loop and its servers end with the process */
+}
+
+/* ---- Waiting ---- */
+
+typedef struct
+{
+  LoopTimer timer;
+  Fleet *fleet;
+  bool (*done) (void *data);
+  void *data;
+  const char *what;
+  int64_t until;
+} Wait;
+
+static void
+on_wait (LoopTimer *timer)
+{
+  Wait *wait = (Wait *) timer;
+  Loop *loop = wait->fleet->loop;
+
+  if (wait->done (wait->data))
+    loop_stop (loop);
+  else if (loop_now (loop) > wait->until)
+    g_error ("never: %s (logs in %s)", wait->what, wait->fleet->base);
+  else
+    loop_timer_set (loop, timer, loop_now (loop) + 10 * FT_MS);
+}
+
+void
+fleet_until (Fleet *fleet, bool (*done) (void *data), void *data, const char *what)
+{
+  Wait wait = { { .fire = on_wait }, fleet, done, data, what, loop_now (fleet->loop) + GUARD };
+
+  loop_timer_set (fleet->loop, &wait.timer, loop_now (fleet->loop));
+  loop_run (fleet->loop);
+}
+
+static bool
+is_past (void *data)
+{
+  Wait *wait = data;
+
+  return loop_now (wait->fleet->loop) >= wait->until;
+}
+
+void
+fleet_run_for (Fleet *fleet, int64_t us)
+{
+  Wait wait = { .fleet = fleet, .until = loop_now (fleet->loop) + us };
+
+  fleet_until (fleet, is_past, &wait, "time passes");
+}
+
+/* ---- Callers and operators ---- */
+
+static bool
+on_head (void *user, const HMsg *msg)
+{
+  Answer *answer = user;
+  const char *location = hmsg_field (msg, "Location");
+  const char *connection = hmsg_field (msg, "Connection");
+
+  answer->status = hmsg_status (msg);
+  answer->signature = hmsg_field (msg, "X-Foxtailgrade-Server-Signature") != NULL;
+  g_strlcpy (answer->location, location ? location : "", sizeof answer->location);
+  g_strlcpy (answer->connection, connection ? connection : "", sizeof answer->connection);
+  return true;
+}
+
+static void
+on_body (void *user, const char *data, size_t size)
+{
+  g_string_append_len (((Answer *) user)->body, data, (gssize) size);
+}
+
+static void
+on_end (void *user)
+{
+  ((Answer *) user)->done = true;
+}
+
+static void
+on_failed (void *user, HXferFault fault)
+{
+  Answer *answer = user;
+
+  (void) fault;
+  answer->done = answer->broken = true;
+}
+
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+
+static void
+send_to (Fleet *fleet, SockAddr addr, const GString *request, Answer *answer)
+{
+  char key[SOCK_ADDR_TEXT];
+  HCliTarget target = { addr, sock_addr_text (addr, key), FT_SECOND, 5 * FT_SECOND, false };
+
+  memset (answer, 0, sizeof *answer);
+  answer->body = g_string_new (NULL);
+  answer->xfer = hcli_send (fleet->cli, &target, request, &xfer_ops, answer);
+  if (answer->xfer == NULL)
+    answer->done = answer->broken = true;
+}
+
+void
+fleet_answer_clear (Answer *answer)
+{
+  if (answer->body)
+    g_string_free (answer->body, TRUE);
+  answer->body = NULL;
+}
+
+void
+fleet_send (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
+{
+  GString *request = g_string_new (NULL);
+
+  g_string_append_printf (request,
+                          "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key\r\n"
+                          "X-Foxtailgrade-Request-Id: %s\r\nX-Foxtailgrade-Deadline-Ms: 8000\r\n"
+                          "X-Foxtailgrade-Token-Usage: 100,30\r\nContent-Length: 4\r\n\r\nbody",
+                          path, id);
+  send_to (fleet, (SockAddr){ entry->ip, CALLERS }, request, answer);
+  g_string_free (request, TRUE);
+}
+
+static bool
+is_done (void *data)
+{
+  return ((Answer *) data)->done;
+}
+
+void
+fleet_call (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
+{
+  fleet_send (fleet, entry, path, id, answer);
+  fleet_until (fleet, is_done, answer, path);
+}
+
+static void
+ask_voter (Fleet *fleet, const FleetNode *voter, const char *method, const char *path,
+           const char *body, Answer *answer)
+{
+  GString *request = g_string_new (NULL);
+
+  g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: v\r\nContent-Length: %zu\r\n\r\n%s",
+                          method, path, strlen (body), body);
+  send_to (fleet, (SockAddr){ voter->ip, CONTROL }, request, answer);
+  g_string_free (request, TRUE);
+  fleet_until (fleet, is_done, answer, path);
+}
+
+static char *
+catalogue_text (uint64_t version)
+{
+  return g_strdup_printf (
+      "{\"Version\":%" G_GUINT64_FORMAT
+      ",\"Routes\":[{\"Name\":\"plain\",\"Host\":\"h.example\",\"PathPrefix\":\"/plain/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":8000,\"TargetLatencyMs\":1000,\"Service\":\"s\","
+      "\"MaxAttempts\":2},"
+      "{\"Name\":\"once\",\"Host\":\"h.example\",\"PathPrefix\":\"/once/\",\"RouteType\":"
+      "\"unsafe\",\"TimeoutMs\":8000,\"TargetLatencyMs\":1000,\"Service\":\"s\",\"MaxAttempts\":2},"
+      "{\"Name\":\"stream\",\"Host\":\"h.example\",\"PathPrefix\":\"/stream/\",\"RouteType\":"
+      "\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,\"Service\":\"s\","
+      "\"MaxAttempts\":2,\"Resumable\":true,\"GapAimMs\":500}],"
+      "\"Services\":[{\"Name\":\"s\"}],\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]}",
+      version);
+}
+
+void
+fleet_put (Fleet *fleet)
+{
+  char *text = catalogue_text (++fleet->version);
+  bool accepted = false;
+
+  for (unsigned i = 0; !accepted; i++)
+    {
+      const FleetNode *voter = &fleet->voters[i % FLEET_VOTERS];
+      Answer answer;
+      if (voter->pid == 0)
+        continue;
+      ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
+      accepted = answer.status == 200;
+      fleet_answer_clear (&answer);
+      if (!accepted)
+        fleet_run_for (fleet, 50 * FT_MS);
+      g_assert_cmpuint (i, <, 1000);
+    }
+  g_free (text);
+}
+
+FleetNode *
+fleet_leader (Fleet *fleet)
+{
+  FleetNode *leader = NULL;
+
+  for (unsigned i = 0; i < FLEET_VOTERS && leader == NULL; i++)
+    {
+      Answer answer;
+      if (fleet->voters[i].pid == 0)
+        continue;
+      ask_voter (fleet, &fleet->voters[i], "GET", "/api/Config.Get", "", &answer);
+      if (answer.status == 200)
+        leader = &fleet->voters[i];
+      fleet_answer_clear (&answer);
+    }
+  return leader;
+}
+
+uint64_t
+fleet_get (Fleet *fleet)
+{
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      const FleetNode *voter = &fleet->voters[i % FLEET_VOTERS];
+      Answer answer;
+      uint64_t version = 0;
+      if (voter->pid == 0)
+        continue;
+      ask_voter (fleet, voter, "GET", "/api/Config.Get", "", &answer);
+      const char *at = answer.status == 200 ? strstr (answer.body->str, "\"Version\":") : NULL;
+      if (at)
+        version = g_ascii_strtoull (at + strlen ("\"Version\":"), NULL, 10);
+      fleet_answer_clear (&answer);
+      if (version)
+        return version;
+      fleet_run_for (fleet, 50 * FT_MS);
+    }
+  g_error ("no voter shows the catalogue (logs in %s)", fleet->base);
+}
+
+bool
+fleet_ready (Fleet *fleet, const FleetNode *entry)
+{
+  GString *request = g_string_new ("GET /api/readyz HTTP/1.1\r\nHost: e\r\n\r\n");
+  Answer answer;
+
+  send_to (fleet, (SockAddr){ entry->ip, READY }, request, &answer);
+  fleet_until (fleet, is_done, &answer, "an answer on readiness");
+  bool ready = !answer.broken && answer.status == 200;
+  fleet_answer_clear (&answer);
+  g_string_free (request, TRUE);
+  return ready;
+}
+
+unsigned
+fleet_runs (const Fleet *fleet, const char *id)
+{
+  return (unsigned) GPOINTER_TO_INT (g_hash_table_lookup (fleet->runs, id));
+}
+
+void
+fleet_begin (Fleet *fleet)
+{
+  for (unsigned i = 0; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], true);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_start (fleet, &fleet->entries[i], false);
+  fleet_put (fleet);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    while (!fleet_ready (fleet, &fleet->entries[i]))
+      fleet_run_for (fleet, 20 * FT_MS);
+}
--- /dev/null
+++ b/test/fleet.h
@@ -0,0 +1,103 @@
+/* fleet.h - real processes of a small deployment on loopback, with stand-ins of the platform: its
+ * list, backend servers, operators and callers, all on one loop of the test's. */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include "hcli.h"
+#include "hsrv.h"
+
+#include <sys/types.h>
+
+#define FLEET_VOTERS  4 /* the first three form; the fourth may come in another's place */
+#define FLEET_ENTRIES 2
+#define FLEET_SERVERS 4
+
+typedef enum
+{
+  SERVER_SOUND,
+  SERVER_RESET, /* reads the request and resets the connection */
+  SERVER_CUT,   /* ends a stream in the middle of its third event */
+  SERVER_FULL,  /* says that it did not run the request */
+  SERVER_MUTE   /* answers nothing */
+} ServerMode;
+
+typedef struct
+{
+  char id[32];
+  SockAddr addr;
+  HSrv *srv;
+  ServerMode mode;
+  bool leaving, listed;
+  unsigned arrived;
+} FleetServer;
+
+typedef struct
+{
+  char name[16], folder[256], settings[256];
+  uint32_t ip;
+  bool voter;
+  pid_t pid; /* 0: does not run */
+  char log[256];
+} FleetNode;
+
+typedef struct
+{
+  Loop *loop;
+  HCli *cli;
+  char base[128];
+  FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
+  FleetServer servers[FLEET_SERVERS];
+  HSrv *list;
+  uint64_t version;  /* of the newest catalogue that was acknowledged */
+  GHashTable *runs;  /* request id: GINT of times that a server began to run it */
+  unsigned event_ms; /* time between a stream's events */
+  uint64_t next_id;
+} Fleet;
+
+/* An answer to a caller or operator. */
+typedef struct
+{
+  bool done, broken; /* broken: the connection ended before the answer did */
+  unsigned status;
+  GString *body;
+  char location[128], connection[32];
+  bool signature;
+  HXfer *xfer;
+} Answer;
+
+/* seeds: how many of the first voters form the set. Nothing is started. */
+Fleet *fleet_new (void);
+void fleet_free (Fleet *fleet); /* ends what it started, by process id */
+void fleet_start (Fleet *fleet, FleetNode *node, bool first_start);
+void fleet_signal (FleetNode *node, int number);
+/* Ends the process at once and waits for it. */
+void fleet_kill (FleetNode *node);
+void fleet_wipe (FleetNode *node);
+/* Has the process ended by itself? */
+bool fleet_ended (FleetNode *node);
+/* Three voters and the entries, a first catalogue, and entries that are ready. */
+void fleet_begin (Fleet *fleet);
+
+/* Runs the loop until done (data) is true; fails the test after a minute. what: for the message. */
+void fleet_until (Fleet *fleet, bool (*done) (void *data), void *data, const char *what);
+void fleet_run_for (Fleet *fleet, int64_t us);
+
+/* Sends without waiting. path: "/plain/..", "/once/.." or "/stream/..". id: as the caller's. */
+void fleet_send (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                 Answer *answer);
+/* The same and waits for the end. */
+void fleet_call (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                 Answer *answer);
+void fleet_answer_clear (Answer *answer);
+/* Hands a catalogue of the next version to any voter, as operators do, until it is accepted. */
+void fleet_put (Fleet *fleet);
+/* The version that operators read, from any voter that answers. */
+uint64_t fleet_get (Fleet *fleet);
+/* The voter that answers operators itself; NULL: none does at the moment. */
+FleetNode *fleet_leader (Fleet *fleet);
+bool fleet_ready (Fleet *fleet, const FleetNode *entry);
+unsigned fleet_runs (const Fleet *fleet, const char *id);
+/* All that a node has logged so far; g_free. */
+char *fleet_log (const FleetNode *node);
+
+#endif
--- a/test/sched.c
+++ b/test/sched.c
@@ -26,7 +26,7 @@
 {
   int64_t arrived, first_at, end_at; /* 0: not yet */
   unsigned tier, prompt, output;
-  int server;                        /* -1: waits */
+  int server; /* -1: waits */
   bool first_told, refused, done, failed;
   int64_t refused_after, advice;
 } Work;
@@ -224,8 +224,10 @@
 
   for (int i = 0; i < seconds * 500; i++)
     {
-      for (due += per_s / 500; due >= 1; due--)
+      due += per_s / 500;
+      while (due >= 1)
         {
+          due -= 1;
           double which = draw (), size = 0.4 + 1.2 * draw ();
           if (which < parts[0])
             ask (0, (unsigned) (3700 * size), (unsigned) (120 * size));
@@ -265,7 +267,8 @@
       out.asked++;
       out.refused += work->refused;
       out.failed += work->failed;
-      out.in_time += !work->refused && !work->failed && work->first_at - work->arrived <= world->aim;
+      out.in_time
+          += !work->refused && !work->failed && work->first_at - work->arrived <= world->aim;
       out.late_refusal = MAX (out.late_refusal, work->refused ? work->refused_after : 0);
     }
   return out;
@@ -399,8 +402,8 @@
   end ();
 }
 
-/* Every server fails a part of its requests. Taking out all that fail leaves nothing; those that are
- * no worse than the others stay. */
+/* Every server fails a part of its requests. Taking out all that fail leaves nothing; those that
+ * are no worse than the others stay. */
 static void
 common_failures_take_out_few (void)
 {
@@ -422,7 +425,8 @@
   end ();
 }
 
-/* The sender of requests dies. Its requests stay in the ledger for ever, and their places are lost. */
+/* The sender of requests dies. Its requests stay in the ledger for ever, and their places are lost.
+ */
 static void
 places_of_a_dead_owner_are_free (void)
 {
--- a/test/wire.c
+++ b/test/wire.c
@@ -104,11 +104,11 @@
 typedef struct
 {
   HCli *cli;
-  unsigned left;      /* transfers still to start */
+  unsigned left; /* transfers still to start */
   unsigned ends, failures, heads;
   HXferFault fault;
   GString *body;
-  const char *mine;   /* value of X-Id that is ours; NULL: any */
+  const char *mine; /* value of X-Id that is ours; NULL: any */
 } Caller;
 
 static void start_one (Caller *caller);
@@ -193,7 +193,8 @@
 #define OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok"
 
 /* The caller's order is placed twice. The server reads the second request on a kept connection and
- * resets it; a client that sends again by itself reaches it three times. It must be told instead. */
+ * resets it; a client that sends again by itself reaches it three times. It must be told instead.
+ */
 static void
 reset_after_reading_is_not_sent_again (void)
 {
@@ -237,8 +238,8 @@
 
   begin ();
   raw_listen (&server);
-  Caller caller = { .cli = hcli_new (loop), .left = 1, .body = g_string_new (NULL),
-                    .mine = "mine" };
+  Caller caller
+      = { .cli = hcli_new (loop), .left = 1, .body = g_string_new (NULL), .mine = "mine" };
   start_one (&caller);
   loop_run (loop);
   g_assert_cmpstr (caller.body->str, ==, "good");
@@ -298,8 +299,8 @@
   HSrv *srv;
   SockAddr addr;
   unsigned requests, gone;
-  bool hold;         /* answer nothing */
-  GString *got;      /* what the raw caller was sent */
+  bool hold;    /* answer nothing */
+  GString *got; /* what the raw caller was sent */
   GString *bodies;
   const char *until; /* stop once the raw caller has got this */
   bool ended;
@@ -383,9 +384,9 @@
   end ();
 }
 
-/* A caller hides a request in another's body, by two lengths or a length with chunks. Programs on the
- * path see different ends of the body, and the server runs a request that nobody sent. Each such
- * message is refused whole. */
+/* A caller hides a request in another's body, by two lengths or a length with chunks. Programs on
+ * the path see different ends of the body, and the server runs a request that nobody sent. Each
+ * such message is refused whole. */
 static void
 smuggled_requests_are_refused (void)
 {
