--- a/node/control.c
+++ b/node/control.c
@@ -329,7 +329,7 @@
       take_list (control, &msg->MeshMsg_u.list);
       break;
     case MESH_ASK:
-      if (!control->status.proved || control->leaving_since)
+      if (control->leaving_since)
         {
           if (contact) /* says so, and the entry asks another */
             send_view (control, contact, loop_now (control->loop));
@@ -701,8 +701,7 @@
   tick_contacts (control, now);
   read_list (control, now);
   expire_changes (control, now);
-  if (control->status.proved)
-    broker_tick (control->broker);
+  broker_tick (control->broker);
   if (control->leaving_since
       && ((now - control->leaving_since > LEAVE_LEAST && control->changes->len == 0
            && !control->status.proved)
--- a/node/place.c
+++ b/node/place.c
@@ -266,9 +266,27 @@
          && !is_passed_over (place, peer);
 }
 
+typedef struct
+{
+  Place *place;
+  MeshPeer *found;
+} Search;
+
+static void
+lowest_voter (MeshPeer *peer, void *data)
+{
+  Search *search = data;
+
+  if (peer->dialled && peer->role == MESH_VOTER && is_usable (search->place, peer)
+      && (search->found == NULL || peer->ip < search->found->ip))
+    search->found = peer;
+}
+
 static MeshPeer *
 best (Place *place)
 {
+  Search search = { place, NULL };
+
   if (place->voter && is_usable (place, place->voter))
     return place->voter;
   for (unsigned i = 0; i < place->deputy_count; i++)
@@ -279,7 +297,8 @@
       if (peer && is_usable (place, peer))
         return peer;
     }
-  return NULL;
+  mesh_each (place->mesh, lowest_voter, &search);
+  return search.found;
 }
 
 static void
@@ -320,6 +339,8 @@
     }
   else if (place->voter == peer)
     place->voter = NULL;
+  if (!view->proved)
+    place->entries = MAX (place->entries, view->entries); /* after a start nobody knows better */
   decide (place, "a voter's word");
 }
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -48,6 +48,9 @@
 #define SCAN_MOST    48             /* waiting requests of a tier looked at in one decision */
 #define INFLOW_US    2e6            /* span over which the arrivals of a tier are averaged */
 #define HOPELESS     1.3          /* a queued request is given up when its estimate is so far off */
+#define CONTACTS        16     /* owners remembered a server; more than its places */
+#define CONTACT_FOR     (2500 * FT_MS) /* connections are kept a little longer than that */
+#define OPEN_US         12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
 #define SUMMARY_FOR  (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES   1.6          /* times the best server's token: waiting for another may pay */
 #define ADVICE_LEAST (100 * FT_MS)
@@ -61,6 +64,13 @@
   uint64_t owner, request;
 } Key;
 
+/* When an owner last had an answer from a server: it has a connection there that it can use again. */
+typedef struct
+{
+  uint64_t owner;
+  int64_t at;
+} Contact;
+
 typedef struct
 {
   struct cds_list_head link; /* of a tier's queue or of a server's runs */
@@ -91,6 +101,7 @@
   int64_t out_until, out_for, cold_until;
   bool trial;      /* was out: one request at a time until one succeeds */
   uint64_t tokens; /* memory of its runs */
+  Contact contacts[CONTACTS]; /* the latest owners */
 };
 
 typedef struct
@@ -445,6 +456,36 @@
   return out;
 }
 
+static Contact *
+contact_of (Server *server, uint64_t owner)
+{
+  for (unsigned i = 0; i < CONTACTS; i++)
+    if (server->contacts[i].owner == owner && server->contacts[i].at)
+      return &server->contacts[i];
+  return NULL;
+}
+
+static void
+note_contact (Server *server, uint64_t owner, int64_t now)
+{
+  Contact *contact = contact_of (server, owner);
+
+  for (unsigned i = 0; contact == NULL && i < CONTACTS; i++)
+    if (now - server->contacts[i].at > CONTACT_FOR)
+      contact = &server->contacts[i];
+  if (contact == NULL)
+    contact = &server->contacts[now / 1000 % CONTACTS];
+  *contact = (Contact){ owner, now };
+}
+
+static double
+open_us (Server *server, uint64_t owner, int64_t now)
+{
+  const Contact *contact = contact_of (server, owner);
+
+  return contact && now - contact->at < CONTACT_FOR ? 0 : OPEN_US;
+}
+
 static double
 total (const Estimate *estimate)
 {
@@ -496,10 +537,11 @@
     if (server->trial && job->ask.repeatable)
       return server;
     Estimate here = estimate (server, &job->ask, now);
-    if (best == NULL || total (&here) < best_total)
+    double cost = total (&here) + open_us (server, job->key.owner, now);
+    if (best == NULL || cost < best_total)
       {
         best = server;
-        best_total = total (&here);
+        best_total = cost;
         chosen = here;
       }
   }
@@ -969,6 +1011,8 @@
   Service *service = job->service;
   Server *server = job->server;
   forget (sched, job, now);
+  if (server && result->outcome == SCHED_OK)
+    note_contact (server, owner, now);
   if (server)
     judge (sched, server, result, now);
   dispatch (sched, service, now);
