Estimate the wait with caution; tests free what they open

Cause: preferring open connections changed the order of placing a little, and 10.5 % instead of 10 % of those refused in the test of an overload had been held over 0.4 s (430 of 4,110). Requests just inside their estimate were queued and overtaken by higher tiers. At arrival the estimate counts 1.15 times; the test passes as strict as before. The leak check found the tests' own sockets.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -19,7 +19,7 @@
 #define REDIAL      (250 * FT_MS)
 #define REDIAL_NEW  (50 * FT_MS)    /* while all instances may be starting together ... */
 #define NEW_FOR     (3 * FT_SECOND) /* ... that is for so long */
-#define DIAL_MOST   (200 * FT_MS)  /* the kernel sends a lost opening packet again after 1 s only */
+#define DIAL_MOST   (200 * FT_MS) /* the kernel sends a lost opening packet again after 1 s only */
 #define FRAME_MOST  (16u << 20)
 #define UNSENT_MOST (32u << 20) /* a peer that reads nothing does not fill the memory */
 #define LAST_MARK   0x80000000u
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -47,10 +47,13 @@
 #define FAIL_TIMES   1.8            /* and so many times its service's mean */
 #define SCAN_MOST    48             /* waiting requests of a tier looked at in one decision */
 #define INFLOW_US    2e6            /* span over which the arrivals of a tier are averaged */
-#define HOPELESS     1.3          /* a queued request is given up when its estimate is so far off */
-#define CONTACTS        16     /* owners remembered a server; more than its places */
-#define CONTACT_FOR     (2500 * FT_MS) /* connections are kept a little longer than that */
-#define OPEN_US         12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
+#define CAUTION                                                                                    \
+  1.15                   /* of an estimate at arrival: at 1.0, 10.5 % of those refused in an       \
+                            overload of twice the places had been held over 0.4 s */
+#define HOPELESS     1.3 /* a queued request is given up when its estimate is so far off */
+#define CONTACTS     16  /* owners remembered a server; more than its places */
+#define CONTACT_FOR  (2500 * FT_MS) /* connections are kept a little longer than that */
+#define OPEN_US      12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
 #define SUMMARY_FOR  (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES   1.6          /* times the best server's token: waiting for another may pay */
 #define ADVICE_LEAST (100 * FT_MS)
@@ -64,7 +67,8 @@
   uint64_t owner, request;
 } Key;
 
-/* When an owner last had an answer from a server: it has a connection there that it can use again. */
+/* When an owner last had an answer from a server: it has a connection there that it can use again.
+ */
 typedef struct
 {
   uint64_t owner;
@@ -99,8 +103,8 @@
   double answer_us;
   double failures; /* share, averaged */
   int64_t out_until, out_for, cold_until;
-  bool trial;      /* was out: one request at a time until one succeeds */
-  uint64_t tokens; /* memory of its runs */
+  bool trial;                 /* was out: one request at a time until one succeeds */
+  uint64_t tokens;            /* memory of its runs */
   Contact contacts[CONTACTS]; /* the latest owners */
 };
 
@@ -838,7 +842,8 @@
     }
   double wait = wait_us (sched, service, ask->tier, ahead, now);
   double first = least_first_us (sched, service, ask);
-  if ((double) now + wait + first > (double) ask->limit_at && !any_place (sched, service, now))
+  if ((double) now + CAUTION * wait + first > (double) ask->limit_at
+      && !any_place (sched, service, now))
     {
       refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
       return false;
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -332,6 +332,7 @@
       g_snprintf (server->id, sizeof server->id, "i-%u", i + 1);
       server->addr = (SockAddr){ net + 51 + i, SERVERS };
       server->listed = true;
+      server->owner = of;
       server->srv = hsrv_new (fleet->loop, server->addr, &server_ops, of);
       g_assert_nonnull (server->srv);
     }
@@ -345,9 +346,17 @@
     fleet_kill (&fleet->voters[i]);
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     fleet_kill (&fleet->entries[i]);
-  g_hash_table_unref (fleet->runs);
+  fleet_run_for (fleet, 100 * FT_MS); /* the ends of their connections are noticed */
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      hsrv_free (fleet->servers[i].srv);
+      g_free (fleet->servers[i].owner);
+    }
+  hsrv_free (fleet->list);
   hcli_free (fleet->cli);
-  g_free (fleet); /* the loop and its servers end with the process */
+  loop_free (fleet->loop);
+  g_hash_table_unref (fleet->runs);
+  g_free (fleet);
 }
 
 /* ---- Waiting ---- */
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -26,6 +26,7 @@
   char id[32];
   SockAddr addr;
   HSrv *srv;
+  void *owner; /* of srv's callbacks */
   ServerMode mode;
   bool leaving, listed;
   unsigned arrived;
--- a/test/wire.c
+++ b/test/wire.c
@@ -9,6 +9,7 @@
 
 static Loop *loop;
 static LoopTimer guard;
+static GPtrArray *open_socks; /* of the raw peers, closed at the test's end */
 
 static void
 on_guard (LoopTimer *timer)
@@ -22,13 +23,24 @@
 {
   loop = loop_new ();
   g_assert_nonnull (loop);
+  open_socks = g_ptr_array_new ();
   guard.fire = on_guard;
   loop_timer_set (loop, &guard, loop_now (loop) + GIVE_UP);
 }
 
+static void
+close_raw (Sock *sock, bool reset)
+{
+  if (g_ptr_array_remove_fast (open_socks, sock))
+    sock_close (sock, reset);
+}
+
 static void
 end (void)
 {
+  while (open_socks->len > 0)
+    close_raw (open_socks->pdata[0], false);
+  g_ptr_array_unref (open_socks);
   loop_timer_stop (loop, &guard);
   loop_free (loop);
 }
@@ -61,7 +73,7 @@
   raw->on_this++;
   if (raw->reset_second && raw->on_this == 2)
     {
-      sock_close (sock, true);
+      close_raw (sock, true);
       return;
     }
   const char *answer = raw->on_this == 1 && raw->first ? raw->first : raw->answer;
@@ -73,7 +85,7 @@
 raw_ended (Sock *sock, SockEnd how)
 {
   (void) how;
-  sock_close (sock, false);
+  close_raw (sock, false);
 }
 
 static const SockOps raw_ops = { NULL, raw_data, NULL, raw_ended };
@@ -84,7 +96,7 @@
   (void) owner;
   raw->connections++;
   raw->on_this = 0;
-  sock_accepted (loop, fd, peer, &raw_ops, NULL);
+  g_ptr_array_add (open_socks, sock_accepted (loop, fd, peer, &raw_ops, NULL));
 }
 
 static void
@@ -349,7 +361,7 @@
 
   (void) how;
   front->ended = true;
-  sock_close (sock, false);
+  close_raw (sock, false);
   loop_stop (loop);
 }
 
@@ -371,6 +383,7 @@
   front->got = g_string_new (NULL);
   front->bodies = g_string_new (NULL);
   Sock *sock = sock_connect (loop, front->addr, &caller_ops, front);
+  g_ptr_array_add (open_socks, sock);
   sock_write (sock, bytes, strlen (bytes));
   return sock;
 }
@@ -451,7 +464,7 @@
   if (front->requests == 1 && front->hold)
     {
       front->hold = false;
-      sock_close (front->until ? (Sock *) (uintptr_t) front->until : NULL, false);
+      close_raw ((Sock *) (uintptr_t) front->until, false);
     }
 }
 
