--- a/node/control.c
+++ b/node/control.c
@@ -7,10 +7,10 @@
  * hear which servers leave.
  */
 #include "count.h"
-#include "hsrv.h"
 #include "broker.h"
 #include "instance.h"
 #include "jlog.h"
+#include "operators.h"
 #include "reader.h"
 #include "servers.h"
 #include "squeeze.h"
@@ -33,8 +33,7 @@
   (12 * FT_SECOND)    /* an entry that is cut off gives its part away by itself;                   \
                          above the span of the limits, 8 s */
 #define DEPUTIES    3 /* entries that schedule when no voter does: three may not all be lost */
-#define CHANGE_MOST (2500 * FT_MS) /* operators ask another voter after a second */
-#define LEAVE_LEAST (400 * FT_MS)  /* the successor is elected */
+#define LEAVE_LEAST (400 * FT_MS) /* the successor is elected */
 #define LEAVE_MOST  (2 * FT_SECOND)
 
 typedef struct
@@ -45,13 +44,6 @@
   guint list_digest; /* of the list that it was sent last */
 } Contact;
 
-typedef struct
-{
-  uint64_t ticket, number;
-  HCall *call;
-  int64_t until;
-} Change;
-
 typedef struct
 {
   Instance base;
@@ -60,17 +52,15 @@
   Loop *loop;
   Mesh *mesh;
   HCli *cli;
-  HSrv *operators;
+  Operators *operators;
   Voter *voter;
   Servers *servers;
   Reader *reader;
   Broker *broker;
   RtCat *cat;
   GPtrArray *contacts; /* Contact of each accepted link */
-  GArray *changes;     /* Change */
   GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
   LoopTimer tick;
-  uint64_t next_ticket;
   GBytes *packed; /* the newest document's message, for all entries */
   uint64_t packed_number;
   VoterStatus status;
@@ -365,15 +355,6 @@
   g_byte_array_unref (bytes);
 }
 
-static GBytes *
-open_document (GBytes *document)
-{
-  gsize size;
-  const void *packed = g_bytes_get_data (document, &size);
-
-  return squeeze_unpack (packed, size);
-}
-
 static void
 on_committed (void *host)
 {
@@ -385,7 +366,9 @@
 
   if (document == NULL || (control->cat && rt_cat_version (control->cat) >= number))
     goto out;
-  text = open_document (document);
+  gsize size;
+  const void *packed = g_bytes_get_data (document, &size);
+  text = squeeze_unpack (packed, size);
   if (text == NULL
       || control->seam->read_catalogue (g_bytes_get_data (text, NULL), g_bytes_get_size (text),
                                         &cat, &error)
@@ -412,206 +395,16 @@
     g_bytes_unref (document);
 }
 
-/* ---- Operators ---- */
-
-static void
-reply_text (HCall *call, unsigned status, GString *fields, const char *text, size_t size)
-{
-  hwrite_field (fields, "Content-Type", "application/json");
-  hcall_reply (call, status, fields, text, size);
-  g_string_free (fields, TRUE);
-}
-
-static void
-reply_error (HCall *call, unsigned status, const char *field, const char *why)
-{
-  char *safe_field = g_strescape (field, NULL), *safe_why = g_strescape (why, NULL);
-  char *body
-      = g_strdup_printf ("{\"error\":\"%s%s%s\"}\n", safe_field, *field ? ": " : "", safe_why);
-
-  reply_text (call, status, g_string_new (NULL), body, strlen (body));
-  g_free (body);
-  g_free (safe_field);
-  g_free (safe_why);
-}
-
-/* Sends the operator on to the voter in charge, or says that none is known. */
-static void
-pass_on (Control *control, HCall *call)
-{
-  GString *fields;
-  SockAddr to = { control->status.leader, control->settings->control.port };
-
-  if (control->status.leader == 0 || control->status.leader == control->settings->ip)
-    {
-      reply_error (call, 503, "", "no voter is known to be in charge");
-      return;
-    }
-  fields = g_string_new (NULL);
-  control->seam->write_redirect (fields, to, hmsg_target (hcall_msg (call)));
-  reply_text (call, 307, fields, "{}\n", 3);
-}
-
-static bool
-in_charge (Control *control)
-{
-  voter_status (control->voter, &control->status);
-  return control->status.proved && control->leaving_since == 0;
-}
-
-static void
-put_catalogue (Control *control, HCall *call)
-{
-  const GByteArray *body = hcall_body (call);
-  FtError error = { 0 };
-  RtCat *cat = NULL;
-  Change change = { 0 };
-
-  if (control->seam->read_catalogue ((const char *) body->data, body->len, &cat, &error) != FT_OK)
-    {
-      jlog (JLOG_WARN, "change-invalid", NULL, JL_TEXT ("field", error.field),
-            JL_TEXT ("why", error.text), JL_INT ("bytes", body->len));
-      reply_error (call, 400, error.field, error.text);
-      return;
-    }
-  change.number = rt_cat_version (cat);
-  rt_cat_unref (cat);
-  if (!in_charge (control))
-    {
-      pass_on (control, call);
-      return;
-    }
-  if (change.number <= newest (control))
-    {
-      jlog (JLOG_INFO, "change-known", NULL, JL_INT ("version", change.number),
-            JL_INT ("newest", newest (control)));
-      reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
-      return;
-    }
-  change.ticket = ++control->next_ticket;
-  change.call = call;
-  change.until = loop_now (control->loop) + CHANGE_MOST;
-  GBytes *packed = squeeze_pack (body->data, body->len);
-  if (packed == NULL)
-    {
-      reply_error (call, 503, "", "there is no memory for the change");
-      return;
-    }
-  g_array_append_val (control->changes, change);
-  voter_propose (control->voter, change.ticket, change.number, packed);
-  g_bytes_unref (packed);
-}
-
-static void
-get_catalogue (Control *control, HCall *call)
-{
-  uint64_t number;
-
-  if (!in_charge (control))
-    {
-      pass_on (control, call);
-      return;
-    }
-  GBytes *document = voter_document (control->voter, &number);
-  if (document == NULL)
-    {
-      reply_error (call, 503, "", "no catalogue has been accepted yet");
-      return;
-    }
-  GBytes *text = open_document (document);
-  if (text)
-    reply_text (call, 200, g_string_new (NULL), g_bytes_get_data (text, NULL),
-                g_bytes_get_size (text));
-  else
-    reply_error (call, 503, "", "the catalogue cannot be unpacked");
-  if (text)
-    g_bytes_unref (text);
-  g_bytes_unref (document);
-}
-
-static void
-on_operator (void *owner, HCall *call)
-{
-  Control *control = owner;
-  const HMsg *msg = hcall_msg (call);
-
-  switch (control->seam->call (hmsg_method (msg), hmsg_target (msg)))
-    {
-    case SEAM_CALL_PUT:
-      put_catalogue (control, call);
-      break;
-    case SEAM_CALL_GET:
-      get_catalogue (control, call);
-      break;
-    case SEAM_CALL_READY:
-      hcall_reply (call, control->leaving_since ? 503 : 200, NULL, "", 0);
-      break;
-    default:
-      reply_error (call, 404, "", "there is no such call");
-      break;
-    }
-}
-
-static void
-drop_change (Control *control, unsigned index)
-{
-  g_array_remove_index_fast (control->changes, index);
-}
-
-static void
-on_operator_gone (void *owner, HCall *call)
-{
-  Control *control = owner;
-
-  for (unsigned i = 0; i < control->changes->len; i++)
-    if (g_array_index (control->changes, Change, i).call == call)
-      {
-        drop_change (control, i);
-        return;
-      }
-}
-
-static const HSrvOps operator_ops = { on_operator, on_operator_gone };
-
 static void
 on_verdict (void *host, uint64_t ticket, FtStatus status)
 {
-  Control *control = host;
-
-  for (unsigned i = 0; i < control->changes->len; i++)
-    {
-      Change change = g_array_index (control->changes, Change, i);
-      if (change.ticket != ticket)
-        continue;
-      drop_change (control, i);
-      jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
-            JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
-            JL_INT ("term", control->status.term));
-      if (status == FT_OK)
-        reply_text (change.call, 200, g_string_new (NULL), "{}\n", 3);
-      else
-        reply_error (change.call, 503, "", "it is not known whether the change was accepted");
-      return;
-    }
+  operators_verdict (((Control *) host)->operators, ticket, status);
 }
 
 static const VoterOps voter_ops = { on_send, on_committed, on_verdict };
 
 /* ---- Time ---- */
 
-static void
-expire_changes (Control *control, int64_t now)
-{
-  for (unsigned i = control->changes->len; i-- > 0;)
-    {
-      Change change = g_array_index (control->changes, Change, i);
-      if (now < change.until)
-        continue;
-      drop_change (control, i);
-      reply_error (change.call, 503, "", "it is not known whether the change was accepted");
-    }
-}
-
 static void
 on_list_read (void *host, const GArray *list, int64_t asked_at, const char *why)
 {
@@ -700,10 +493,10 @@
   choose_deputies (control);
   tick_contacts (control, now);
   read_list (control, now);
-  expire_changes (control, now);
+  operators_tick (control->operators);
   broker_tick (control->broker);
   if (control->leaving_since
-      && ((now - control->leaving_since > LEAVE_LEAST && control->changes->len == 0
+      && ((now - control->leaving_since > LEAVE_LEAST && operators_open (control->operators) == 0
            && !control->status.proved)
           || now - control->leaving_since > LEAVE_MOST))
     {
@@ -724,7 +517,8 @@
     return;
   control->leaving_since = loop_now (control->loop);
   jlog (JLOG_INFO, "leave", NULL, JL_INT ("proved", control->status.proved),
-        JL_INT ("changes", control->changes->len));
+        JL_INT ("changes", operators_open (control->operators)));
+  operators_leave (control->operators);
   voter_hand_over (control->voter);
   push_all (control, send_view);
 }
@@ -771,7 +565,7 @@
 
   loop_timer_stop (control->loop, &control->tick);
   voter_free (control->voter);
-  hsrv_free (control->operators);
+  operators_free (control->operators);
   mesh_free (control->mesh);
   reader_free (control->reader);
   hcli_free (control->cli);
@@ -782,7 +576,6 @@
     g_bytes_unref (control->packed);
   g_hash_table_unref (control->lost);
   g_ptr_array_unref (control->contacts);
-  g_array_unref (control->changes);
   g_free (control);
 }
 
@@ -812,15 +605,13 @@
   MeshHello hello = {
     .address = s->ip, .lifetime = instance_random (), .role = MESH_VOTER, .domain = s->domain
   };
-  HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
 
   control->mesh = mesh_new (control->loop, links, &hello, &mesh_ops, control);
   if (control->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
-  control->operators = hsrv_new (control->loop, s->control, &operator_ops, control);
+  control->operators = operators_new (control->loop, control->seam, control->voter, s->control);
   if (control->operators == NULL)
     return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text, g_strerror (errno));
-  hsrv_limits (control->operators, &limits);
   return FT_OK;
 }
 
@@ -838,7 +629,6 @@
   control->broker = broker_new (loop, "voter", NULL, NULL);
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
   control->contacts = g_ptr_array_new ();
-  control->changes = g_array_new (FALSE, FALSE, sizeof (Change));
   control->lost = g_hash_table_new (NULL, NULL);
   control->tick.fire = on_tick;
   control->led_at = loop_now (loop);
--- /dev/null
+++ b/node/operators.c
@@ -0,0 +1,289 @@
+/* operators.c - what operators hand in is checked, proposed to the log and acknowledged once it is
+ * committed; what they read is proved to be the newest. Both are the voter's in charge; another
+ * voter sends the operator on to it.
+ *
+ * A change whose number is not above the newest changes nothing and is acknowledged: it is in
+ * force, or something newer is. So a change that is sent again, to whatever voter, is never
+ * refused.
+ */
+#include "operators.h"
+#include "jlog.h"
+#include "squeeze.h"
+
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define CHANGE_MOST (2500 * FT_MS) /* operators ask another voter after a second */
+
+typedef struct
+{
+  uint64_t ticket, number;
+  HCall *call;
+  int64_t until;
+} Change;
+
+struct Operators
+{
+  Loop *loop;
+  const Seam *seam;
+  Voter *voter;
+  SockAddr address;
+  HSrv *srv;
+  GArray *changes; /* Change */
+  uint64_t next_ticket;
+  VoterStatus status;
+  bool leaving;
+};
+
+static uint64_t
+newest (Operators *operators)
+{
+  uint64_t number;
+  GBytes *document = voter_document (operators->voter, &number);
+
+  if (document)
+    g_bytes_unref (document);
+  return number;
+}
+
+static void
+reply_text (HCall *call, unsigned status, GString *fields, const char *text, size_t size)
+{
+  hwrite_field (fields, "Content-Type", "application/json");
+  hcall_reply (call, status, fields, text, size);
+  g_string_free (fields, TRUE);
+}
+
+static void
+reply_error (HCall *call, unsigned status, const char *field, const char *why)
+{
+  char *safe_field = g_strescape (field, NULL), *safe_why = g_strescape (why, NULL);
+  char *body
+      = g_strdup_printf ("{\"error\":\"%s%s%s\"}\n", safe_field, *field ? ": " : "", safe_why);
+
+  reply_text (call, status, g_string_new (NULL), body, strlen (body));
+  g_free (body);
+  g_free (safe_field);
+  g_free (safe_why);
+}
+
+/* Sends the operator on to the voter in charge, or says that none is known. */
+static void
+pass_on (Operators *operators, HCall *call)
+{
+  GString *fields;
+  SockAddr to = { operators->status.leader, operators->address.port };
+
+  if (operators->status.leader == 0 || operators->status.leader == operators->address.ip)
+    {
+      reply_error (call, 503, "", "no voter is known to be in charge");
+      return;
+    }
+  fields = g_string_new (NULL);
+  operators->seam->write_redirect (fields, to, hmsg_target (hcall_msg (call)));
+  reply_text (call, 307, fields, "{}\n", 3);
+}
+
+static bool
+in_charge (Operators *operators)
+{
+  voter_status (operators->voter, &operators->status);
+  return operators->status.proved && !operators->leaving;
+}
+
+static void
+put_catalogue (Operators *operators, HCall *call)
+{
+  const GByteArray *body = hcall_body (call);
+  FtError error = { 0 };
+  RtCat *cat = NULL;
+  Change change = { 0 };
+
+  if (operators->seam->read_catalogue ((const char *) body->data, body->len, &cat, &error) != FT_OK)
+    {
+      jlog (JLOG_WARN, "change-invalid", NULL, JL_TEXT ("field", error.field),
+            JL_TEXT ("why", error.text), JL_INT ("bytes", body->len));
+      reply_error (call, 400, error.field, error.text);
+      return;
+    }
+  change.number = rt_cat_version (cat);
+  rt_cat_unref (cat);
+  if (!in_charge (operators))
+    {
+      pass_on (operators, call);
+      return;
+    }
+  if (change.number <= newest (operators))
+    {
+      jlog (JLOG_INFO, "change-known", NULL, JL_INT ("version", change.number),
+            JL_INT ("newest", newest (operators)));
+      reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
+      return;
+    }
+  change.ticket = ++operators->next_ticket;
+  change.call = call;
+  change.until = loop_now (operators->loop) + CHANGE_MOST;
+  GBytes *packed = squeeze_pack (body->data, body->len);
+  if (packed == NULL)
+    {
+      reply_error (call, 503, "", "there is no memory for the change");
+      return;
+    }
+  g_array_append_val (operators->changes, change);
+  voter_propose (operators->voter, change.ticket, change.number, packed);
+  g_bytes_unref (packed);
+}
+
+static void
+get_catalogue (Operators *operators, HCall *call)
+{
+  uint64_t number;
+
+  if (!in_charge (operators))
+    {
+      pass_on (operators, call);
+      return;
+    }
+  GBytes *document = voter_document (operators->voter, &number);
+  if (document == NULL)
+    {
+      reply_error (call, 503, "", "no catalogue has been accepted yet");
+      return;
+    }
+  gsize size;
+  const void *packed = g_bytes_get_data (document, &size);
+  GBytes *text = squeeze_unpack (packed, size);
+  if (text)
+    reply_text (call, 200, g_string_new (NULL), g_bytes_get_data (text, NULL),
+                g_bytes_get_size (text));
+  else
+    reply_error (call, 503, "", "the catalogue cannot be unpacked");
+  if (text)
+    g_bytes_unref (text);
+  g_bytes_unref (document);
+}
+
+static void
+on_operator (void *owner, HCall *call)
+{
+  Operators *operators = owner;
+  const HMsg *msg = hcall_msg (call);
+
+  switch (operators->seam->call (hmsg_method (msg), hmsg_target (msg)))
+    {
+    case SEAM_CALL_PUT:
+      put_catalogue (operators, call);
+      break;
+    case SEAM_CALL_GET:
+      get_catalogue (operators, call);
+      break;
+    case SEAM_CALL_READY:
+      hcall_reply (call, operators->leaving ? 503 : 200, NULL, "", 0);
+      break;
+    default:
+      reply_error (call, 404, "", "there is no such call");
+      break;
+    }
+}
+
+static void
+drop_change (Operators *operators, unsigned index)
+{
+  g_array_remove_index_fast (operators->changes, index);
+}
+
+static void
+on_operator_gone (void *owner, HCall *call)
+{
+  Operators *operators = owner;
+
+  for (unsigned i = 0; i < operators->changes->len; i++)
+    if (g_array_index (operators->changes, Change, i).call == call)
+      {
+        drop_change (operators, i);
+        return;
+      }
+}
+
+static const HSrvOps operator_ops = { on_operator, on_operator_gone };
+
+void
+operators_verdict (Operators *operators, uint64_t ticket, FtStatus status)
+{
+  for (unsigned i = 0; i < operators->changes->len; i++)
+    {
+      Change change = g_array_index (operators->changes, Change, i);
+      if (change.ticket != ticket)
+        continue;
+      drop_change (operators, i);
+      jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
+            JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
+            JL_INT ("term", operators->status.term));
+      if (status == FT_OK)
+        reply_text (change.call, 200, g_string_new (NULL), "{}\n", 3);
+      else
+        reply_error (change.call, 503, "", "it is not known whether the change was accepted");
+      return;
+    }
+}
+
+void
+operators_tick (Operators *operators)
+{
+  int64_t now = loop_now (operators->loop);
+
+  for (unsigned i = operators->changes->len; i-- > 0;)
+    {
+      Change change = g_array_index (operators->changes, Change, i);
+      if (now < change.until)
+        continue;
+      drop_change (operators, i);
+      reply_error (change.call, 503, "", "it is not known whether the change was accepted");
+    }
+}
+
+/* ---- Interface ---- */
+
+Operators *
+operators_new (Loop *loop, const Seam *seam, Voter *voter, SockAddr address)
+{
+  Operators *operators = g_new0 (Operators, 1);
+  HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
+
+  operators->loop = loop;
+  operators->seam = seam;
+  operators->voter = voter;
+  operators->address = address;
+  operators->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  operators->srv = hsrv_new (loop, address, &operator_ops, operators);
+  if (operators->srv == NULL)
+    {
+      g_array_unref (operators->changes);
+      g_free (operators);
+      return NULL;
+    }
+  hsrv_limits (operators->srv, &limits);
+  return operators;
+}
+
+void
+operators_free (Operators *operators)
+{
+  if (operators == NULL)
+    return;
+  hsrv_free (operators->srv);
+  g_array_unref (operators->changes);
+  g_free (operators);
+}
+
+void
+operators_leave (Operators *operators)
+{
+  operators->leaving = true;
+}
+
+unsigned
+operators_open (const Operators *operators)
+{
+  return operators->changes->len;
+}
--- /dev/null
+++ b/node/operators.h
@@ -0,0 +1,23 @@
+/* operators.h - a voter's answers to operators: catalogues handed in and read back. */
+#ifndef OPERATORS_H
+#define OPERATORS_H
+
+#include "hsrv.h"
+#include "seam.h"
+#include "voter.h"
+
+typedef struct Operators Operators;
+
+/* address: for operators; the same port on all voters. NULL: it cannot be bound, errno says why. */
+Operators *operators_new (Loop *loop, const Seam *seam, Voter *voter, SockAddr address);
+void operators_free (Operators *operators);
+/* The end of a proposal, as VoterOps.verdict tells it. */
+void operators_verdict (Operators *operators, uint64_t ticket, FtStatus status);
+/* Answers changes that wait for too long. Call every 20 ms or so. */
+void operators_tick (Operators *operators);
+/* From now on this voter accepts nothing itself. */
+void operators_leave (Operators *operators);
+/* Changes that wait for their verdict. */
+unsigned operators_open (const Operators *operators);
+
+#endif
--- /dev/null
+++ b/node/reqint.h
@@ -0,0 +1,64 @@
+/* reqint.h - the record of a request, shared by requests.c and try.c only. */
+#ifndef REQINT_H
+#define REQINT_H
+
+#include "events.h"
+#include "requests.h"
+#include "retry.h"
+
+#define SILENT_EVENT                                                                               \
+  (1200 * FT_MS) /* between events: above a long prompt's stall of neighbours                      \
+                  */
+
+typedef struct
+{
+  Requests *all;
+  uint64_t number; /* of the ask that is open; another one for each try */
+  HCall *call;
+  RtCat *cat;
+  const RtRoute *route;
+  const RtOrg *org;
+  SeamRequest facts;
+  char id[SEAM_ID_MOST];
+  const char *service;
+  int64_t arrived, end_at, first_by;
+  LoopTimer limit, silence;
+  /* The tries. */
+  unsigned sends, unreached;
+  bool may_have_run, may_have_run_before; /* before: by an earlier try */
+  char *avoid, *server;
+  HXfer *xfer;
+  /* The answer of the try. */
+  int64_t sent_at, first_at, event_at, event_sum;
+  unsigned events, status;
+  bool head_seen, is_stream, rejected;
+  GString *fields, *held;
+  /* The answer to the caller. */
+  Events *stream;
+  bool begun;
+} Req;
+
+struct Requests
+{
+  RequestsConf conf;
+  RtCat *cat;
+  GHashTable *by_number; /* number: Req */
+  GPtrArray *parked;     /* Req that wait for the first catalogue */
+  uint64_t next_number;
+  unsigned open;
+};
+
+/* ---- Life of a request (requests.c) ---- */
+
+int64_t req_now (const Req *req);
+/* The try has come to this; what follows is decided and done. req may be gone after. */
+void req_after_try (Req *req, RetryEvent event);
+
+/* ---- One try at a server (try.c) ---- */
+
+/* Sends the request; req_after_try follows. */
+void try_send (Req *req, const SeamServer *server);
+/* When the server of a try has been silent for too long. */
+void try_on_silence (LoopTimer *timer);
+
+#endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -11,26 +11,13 @@
  * A plain answer is held until it is whole, so that a broken one can still become a clear failure
  * or another try. A stream's head waits for its first event, and only whole events pass.
  */
-#include "requests.h"
+#include "reqint.h"
 #include "count.h"
-#include "events.h"
 #include "jlog.h"
-#include "retry.h"
 
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define CONNECT_MOST    (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
-#define IDLE_MOST       (8 * FT_SECOND)
-#define IDLE_MOST_ONCE  (2 * FT_SECOND) /* what runs once is not risked on an old connection */
-#define HELD_MOST       (1u << 20)      /* a longer plain answer is passed on as it comes, bytes */
-#define SILENT_PLAIN    2.0             /* times the aim without a plain answer */
-#define SILENT_STREAM   2.0             /* times the aim without a first event ... */
-#define SILENT_TOKEN_US 60 /* ... and so long for each token of the prompt: the slowest seen */
-#define SILENT_LEAST    (600 * FT_MS)
-#define SILENT_EVENT                                                                               \
-  (1200 * FT_MS)                      /* between events: above a long prompt's stall of neighbours \
-                                       */
 #define GUESS_PART      2             /* of the caller's bound, when it gives no estimate */
 #define ADVICE_STARTING (500 * FT_MS) /* until a catalogue is here */
 #define PARK_MOST                                                                                  \
@@ -38,44 +25,6 @@
                      */
 #define PARK_PART 3 /* and for a third of its caller's patience at most */
 
-typedef struct
-{
-  Requests *all;
-  uint64_t number; /* of the ask that is open; another one for each try */
-  HCall *call;
-  RtCat *cat;
-  const RtRoute *route;
-  const RtOrg *org;
-  SeamRequest facts;
-  char id[SEAM_ID_MOST];
-  const char *service;
-  int64_t arrived, end_at, first_by;
-  LoopTimer limit, silence;
-  /* The tries. */
-  unsigned sends, unreached;
-  bool may_have_run, may_have_run_before; /* before: by an earlier try */
-  char *avoid, *server;
-  HXfer *xfer;
-  /* The answer of the try. */
-  int64_t sent_at, first_at, event_at, event_sum;
-  unsigned events, status;
-  bool head_seen, is_stream, rejected;
-  GString *fields, *held;
-  /* The answer to the caller. */
-  Events *stream;
-  bool begun;
-} Req;
-
-struct Requests
-{
-  RequestsConf conf;
-  RtCat *cat;
-  GHashTable *by_number; /* number: Req */
-  GPtrArray *parked;     /* Req that wait for the first catalogue */
-  uint64_t next_number;
-  unsigned open;
-};
-
 /* ---- Ends ---- */
 
 static void
@@ -105,8 +54,8 @@
   loop_free_later (loop, req);
 }
 
-static int64_t
-now_of (const Req *req)
+int64_t
+req_now (const Req *req)
 {
   return loop_now (req->all->conf.loop);
 }
@@ -120,8 +69,8 @@
         JL_INT ("catalogue", req->cat ? rt_cat_version (req->cat) : 0),
         JL_TEXT ("server", req->server), JL_INT ("sends", req->sends),
         JL_INT ("may_have_run", req->may_have_run), JL_INT ("events", req->events),
-        JL_MS ("took_ms", now_of (req) - req->arrived),
-        JL_MS ("left_ms", req->end_at - now_of (req)));
+        JL_MS ("took_ms", req_now (req) - req->arrived),
+        JL_MS ("left_ms", req->end_at - req_now (req)));
 }
 
 /* Ends the try that is open, if one is, and tells the scheduler what came of it. */
@@ -129,7 +78,7 @@
 end_try (Req *req, SchedOutcome outcome)
 {
   SchedResult result = { .outcome = outcome };
-  int64_t now = now_of (req);
+  int64_t now = req_now (req);
   HXfer *xfer = req->xfer;
 
   loop_timer_stop (req->all->conf.loop, &req->silence);
@@ -178,7 +127,7 @@
 finish_answer (Req *req)
 {
   count_up (COUNT_ANSWERED);
-  count_time (TIMED_WHOLE, now_of (req) - req->arrived);
+  count_time (TIMED_WHOLE, req_now (req) - req->arrived);
   log_end (req, "answer", req->status, "");
   if (req->begun)
     hcall_end (req->call);
@@ -231,7 +180,7 @@
   out.shared_part = req->facts.shared_part;
   out.gap_us = req->route->gap_us;
   out.aim_at = req->arrived + req->route->aim_us;
-  out.limit_at = req->begun ? now_of (req) + SILENT_EVENT : req->first_by;
+  out.limit_at = req->begun ? req_now (req) + SILENT_EVENT : req->first_by;
   out.end_at = req->end_at;
   out.avoid = req->avoid;
   place_ask (req->all->conf.place, &out, first ? cost_of (req) : 0);
@@ -242,7 +191,7 @@
 static int64_t
 advice (const Req *req)
 {
-  return MAX (50 * FT_MS, MIN (300 * FT_MS, (req->end_at - now_of (req)) / 3));
+  return MAX (50 * FT_MS, MIN (300 * FT_MS, (req->end_at - req_now (req)) / 3));
 }
 
 static SchedOutcome
@@ -263,8 +212,8 @@
     }
 }
 
-static void
-after_try (Req *req, RetryEvent event)
+void
+req_after_try (Req *req, RetryEvent event)
 {
   Requests *all = req->all;
   RetryFacts facts = { .kind = req->route->kind,
@@ -274,7 +223,7 @@
                        .sends = req->sends,
                        .most_sends = req->route->attempts,
                        .unreached = req->unreached,
-                       .left_us = req->end_at - now_of (req),
+                       .left_us = req->end_at - req_now (req),
                        .budget = true };
   RetryStep step = retry_next (event, &facts);
 
@@ -288,7 +237,7 @@
           JL_TEXT ("came", retry_event_name (event)), JL_TEXT ("next", retry_step_name (step)),
           JL_INT ("status", req->head_seen ? req->status : 0), JL_INT ("sends", req->sends),
           JL_INT ("most", req->route->attempts), JL_INT ("budget", facts.budget),
-          JL_MS ("after_ms", req->sent_at ? now_of (req) - req->sent_at : 0));
+          JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0));
   if (step == RETRY_WAIT)
     {
       place_silent (all->conf.place, req->number);
@@ -322,228 +271,6 @@
     }
 }
 
-/* ---- A try ---- */
-
-/* Does the answer speak of our request? */
-static bool
-is_ours (const Req *req, const SeamAnswer *answer)
-{
-  return answer->id == NULL || strcmp (answer->id, req->id) == 0;
-}
-
-static void
-note_first (Req *req)
-{
-  int64_t now = now_of (req);
-
-  if (req->first_at)
-    return;
-  req->first_at = now;
-  count_time (TIMED_FIRST, now - req->sent_at);
-  place_first (req->all->conf.place, req->number, now - req->sent_at);
-}
-
-static bool
-on_head (void *user, const HMsg *msg)
-{
-  Req *req = user;
-  SeamAnswer answer;
-
-  req->all->conf.seam->read_answer (msg, &answer);
-  if (!is_ours (req, &answer))
-    {
-      jlog (JLOG_WARN, "foreign-answer", req->id, JL_TEXT ("server", req->server),
-            JL_TEXT ("other", answer.id));
-      return false;
-    }
-  req->head_seen = true;
-  req->status = hmsg_status (msg);
-  if (answer.not_run && (answer.id || req->status == 400))
-    {
-      /* Its own word that this try did not run; earlier tries stand. */
-      req->may_have_run = req->may_have_run_before;
-      req->rejected = true;
-      return true;
-    }
-  bool promises
-      = req->status == 503 || req->status == 429 || req->status == 408 || req->status == 421;
-  if (promises || (answer.id == NULL && *req->id))
-    {
-      /* Not the word of the server that holds our request: it proves nothing. */
-      after_try (req, RETRY_BROKEN);
-      return true;
-    }
-  req->is_stream = answer.event_stream && req->status / 100 == 2;
-  if (req->begun && !req->is_stream)
-    {
-      after_try (req, RETRY_CUT); /* it cannot go on behind what the caller has */
-      return true;
-    }
-  if (!req->begun)
-    {
-      g_string_truncate (req->fields, 0);
-      req->all->conf.seam->write_answer (req->fields, msg);
-    }
-  if (req->is_stream && req->stream == NULL)
-    req->stream = events_new ();
-  return true;
-}
-
-static void
-begin (Req *req)
-{
-  req->begun = true;
-  hcall_begin (req->call, req->status, req->fields);
-}
-
-static void
-arm_silence (Req *req, int64_t in)
-{
-  loop_timer_set (req->all->conf.loop, &req->silence, now_of (req) + in);
-}
-
-static void
-relay_events (Req *req, const char *data, size_t size)
-{
-  GString *out = g_string_sized_new (size);
-  unsigned count = events_take (req->stream, data, size, out);
-  int64_t now = now_of (req);
-
-  if (count > 0)
-    {
-      note_first (req);
-      if (req->event_at)
-        req->event_sum += now - req->event_at;
-      req->event_at = now;
-      req->events += count;
-      if (!req->begun)
-        begin (req);
-      arm_silence (req, MAX (SILENT_EVENT, 4 * req->route->gap_us));
-      hcall_data (req->call, out->str, out->len);
-    }
-  g_string_free (out, TRUE);
-}
-
-static void
-on_body (void *user, const char *data, size_t size)
-{
-  Req *req = user;
-
-  if (req->xfer == NULL || req->rejected)
-    return; /* the try was ended by its head */
-  if (req->is_stream)
-    {
-      relay_events (req, data, size);
-      return;
-    }
-  note_first (req);
-  if (req->begun)
-    hcall_data (req->call, data, size);
-  else
-    g_string_append_len (req->held, data, (gssize) size);
-  if (!req->begun && req->held->len > HELD_MOST)
-    {
-      begin (req);
-      hcall_data (req->call, req->held->str, req->held->len);
-      g_string_truncate (req->held, 0);
-    }
-}
-
-static void
-on_end (void *user)
-{
-  Req *req = user;
-
-  req->xfer = NULL;
-  if (req->rejected)
-    {
-      after_try (req, RETRY_REJECTED);
-      return;
-    }
-  note_first (req);
-  if (req->is_stream && events_within (req->stream))
-    after_try (req, RETRY_CUT);
-  else if (req->is_stream)
-    {
-      if (!req->begun)
-        begin (req);
-      after_try (req, RETRY_ANSWERED);
-    }
-  else
-    after_try (req, req->status >= 500 ? RETRY_FAILURE : RETRY_ANSWERED);
-}
-
-static void
-on_failed (void *user, HXferFault fault)
-{
-  Req *req = user;
-
-  req->xfer = NULL;
-  if (fault == HXFER_UNREACHED)
-    {
-      req->unreached++;
-      req->sends--;
-      req->may_have_run = req->may_have_run_before;
-      count_up (COUNT_UNREACHED);
-      after_try (req, RETRY_UNREACHED);
-      return;
-    }
-  after_try (req, req->rejected ? RETRY_REJECTED : req->begun ? RETRY_CUT : RETRY_BROKEN);
-}
-
-static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
-
-static int64_t
-silence_bound (const Req *req)
-{
-  double aim = (double) req->route->aim_us;
-
-  if (req->route->kind != RT_STREAM)
-    return MAX (SILENT_LEAST / 2, (int64_t) (aim * SILENT_PLAIN));
-  return MAX (SILENT_LEAST, (int64_t) (aim * SILENT_STREAM)
-                                + (int64_t) req->facts.prompt_tokens * SILENT_TOKEN_US);
-}
-
-static void
-send_to (Req *req, const SeamServer *server)
-{
-  Requests *all = req->all;
-  const GByteArray *body = hcall_body (req->call);
-  bool once = !rt_route_repeatable (req->route);
-  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? IDLE_MOST_ONCE : IDLE_MOST,
-                        strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
-  SeamForward forward = { .server = server->id,
-                          .org = req->org ? req->org->name : NULL,
-                          .left_us = req->end_at - now_of (req),
-                          .last_event = req->begun ? events_last_id (req->stream) : NULL,
-                          .body = body->data,
-                          .body_size = body->len };
-  GString *message = g_string_sized_new (1024 + body->len);
-
-  all->conf.seam->write_request (message, hcall_msg (req->call), &forward);
-  req->sends++;
-  req->may_have_run_before = req->may_have_run;
-  req->may_have_run = true; /* from here on only a server's word, or no connection, denies it */
-  req->sent_at = now_of (req);
-  count_up (COUNT_SENDS);
-  arm_silence (req, silence_bound (req));
-  req->xfer = hcli_send (all->conf.cli, &target, message, &xfer_ops, req);
-  g_string_free (message, TRUE);
-  if (req->xfer == NULL)
-    on_failed (req, HXFER_UNREACHED);
-}
-
-static void
-on_silence (LoopTimer *timer)
-{
-  Req *req = (Req *) ((char *) timer - offsetof (Req, silence));
-
-  if (req->xfer == NULL)
-    return;
-  count_up (COUNT_SILENT);
-  after_try (req, RETRY_SILENT);
-}
-
 /* ---- Verdicts of the scheduler ---- */
 
 void
@@ -555,13 +282,13 @@
   if (req == NULL)
     return;
   const SeamServer *server = servers_find (all->conf.servers, id);
-  count_time (TIMED_WAIT, now_of (req) - req->arrived);
+  count_time (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
   req->server = g_strdup (id);
   jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", id),
-        JL_MS ("waited_ms", now_of (req) - req->arrived),
+        JL_MS ("waited_ms", req_now (req) - req->arrived),
         JL_TEXT ("by", place_by (all->conf.place)),
-        JL_MS ("list_age_ms", now_of (req) - servers_asked_at (all->conf.servers)));
+        JL_MS ("list_age_ms", req_now (req) - servers_asked_at (all->conf.servers)));
   if (server == NULL || server->leaving)
     {
       /* The scheduler decided by an older list than the one held here. */
@@ -572,7 +299,7 @@
       ask (req, false);
       return;
     }
-  send_to (req, server);
+  try_send (req, server);
 }
 
 void
@@ -624,7 +351,7 @@
   req->fields = g_string_new (NULL);
   req->held = g_string_new (NULL);
   req->limit.fire = on_limit;
-  req->silence.fire = on_silence;
+  req->silence.fire = try_on_silence;
   req->arrived = req->end_at = hcall_arrived (call);
   all->conf.seam->read_request (hcall_msg (call), &req->facts);
   if (req->facts.id)
--- /dev/null
+++ b/node/try.c
@@ -0,0 +1,243 @@
+/* try.c - one try of a request at one server, from the first byte sent to the end of the answer.
+ *
+ * may_have_run is set before the first byte can leave, and taken back only by the server's own word
+ * that it did not run the request, or when no connection was established.
+ *
+ * A plain answer is held until it is whole, so that a broken one can still become a clear failure
+ * or another try. A stream's head waits for its first event, and only whole events pass.
+ */
+#include "reqint.h"
+#include "count.h"
+#include "jlog.h"
+
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define CONNECT_MOST    (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
+#define IDLE_MOST       (8 * FT_SECOND)
+#define IDLE_MOST_ONCE  (2 * FT_SECOND) /* what runs once is not risked on an old connection */
+#define HELD_MOST       (1u << 20)      /* a longer plain answer is passed on as it comes, bytes */
+#define SILENT_PLAIN    2.0             /* times the aim without a plain answer */
+#define SILENT_STREAM   2.0             /* times the aim without a first event ... */
+#define SILENT_TOKEN_US 60 /* ... and so long for each token of the prompt: the slowest seen */
+#define SILENT_LEAST    (600 * FT_MS)
+
+/* Does the answer speak of our request? */
+static bool
+is_ours (const Req *req, const SeamAnswer *answer)
+{
+  return answer->id == NULL || strcmp (answer->id, req->id) == 0;
+}
+
+static void
+note_first (Req *req)
+{
+  int64_t now = req_now (req);
+
+  if (req->first_at)
+    return;
+  req->first_at = now;
+  count_time (TIMED_FIRST, now - req->sent_at);
+  place_first (req->all->conf.place, req->number, now - req->sent_at);
+}
+
+static bool
+on_head (void *user, const HMsg *msg)
+{
+  Req *req = user;
+  SeamAnswer answer;
+
+  req->all->conf.seam->read_answer (msg, &answer);
+  if (!is_ours (req, &answer))
+    {
+      jlog (JLOG_WARN, "foreign-answer", req->id, JL_TEXT ("server", req->server),
+            JL_TEXT ("other", answer.id));
+      return false;
+    }
+  req->head_seen = true;
+  req->status = hmsg_status (msg);
+  if (answer.not_run && (answer.id || req->status == 400))
+    {
+      /* Its own word that this try did not run; earlier tries stand. */
+      req->may_have_run = req->may_have_run_before;
+      req->rejected = true;
+      return true;
+    }
+  bool promises
+      = req->status == 503 || req->status == 429 || req->status == 408 || req->status == 421;
+  if (promises || (answer.id == NULL && *req->id))
+    {
+      /* Not the word of the server that holds our request: it proves nothing. */
+      req_after_try (req, RETRY_BROKEN);
+      return true;
+    }
+  req->is_stream = answer.event_stream && req->status / 100 == 2;
+  if (req->begun && !req->is_stream)
+    {
+      req_after_try (req, RETRY_CUT); /* it cannot go on behind what the caller has */
+      return true;
+    }
+  if (!req->begun)
+    {
+      g_string_truncate (req->fields, 0);
+      req->all->conf.seam->write_answer (req->fields, msg);
+    }
+  if (req->is_stream && req->stream == NULL)
+    req->stream = events_new ();
+  return true;
+}
+
+static void
+begin (Req *req)
+{
+  req->begun = true;
+  hcall_begin (req->call, req->status, req->fields);
+}
+
+static void
+arm_silence (Req *req, int64_t in)
+{
+  loop_timer_set (req->all->conf.loop, &req->silence, req_now (req) + in);
+}
+
+static void
+relay_events (Req *req, const char *data, size_t size)
+{
+  GString *out = g_string_sized_new (size);
+  unsigned count = events_take (req->stream, data, size, out);
+  int64_t now = req_now (req);
+
+  if (count > 0)
+    {
+      note_first (req);
+      if (req->event_at)
+        req->event_sum += now - req->event_at;
+      req->event_at = now;
+      req->events += count;
+      if (!req->begun)
+        begin (req);
+      arm_silence (req, MAX (SILENT_EVENT, 4 * req->route->gap_us));
+      hcall_data (req->call, out->str, out->len);
+    }
+  g_string_free (out, TRUE);
+}
+
+static void
+on_body (void *user, const char *data, size_t size)
+{
+  Req *req = user;
+
+  if (req->xfer == NULL || req->rejected)
+    return; /* the try was ended by its head */
+  if (req->is_stream)
+    {
+      relay_events (req, data, size);
+      return;
+    }
+  note_first (req);
+  if (req->begun)
+    hcall_data (req->call, data, size);
+  else
+    g_string_append_len (req->held, data, (gssize) size);
+  if (!req->begun && req->held->len > HELD_MOST)
+    {
+      begin (req);
+      hcall_data (req->call, req->held->str, req->held->len);
+      g_string_truncate (req->held, 0);
+    }
+}
+
+static void
+on_end (void *user)
+{
+  Req *req = user;
+
+  req->xfer = NULL;
+  if (req->rejected)
+    {
+      req_after_try (req, RETRY_REJECTED);
+      return;
+    }
+  note_first (req);
+  if (req->is_stream && events_within (req->stream))
+    req_after_try (req, RETRY_CUT);
+  else if (req->is_stream)
+    {
+      if (!req->begun)
+        begin (req);
+      req_after_try (req, RETRY_ANSWERED);
+    }
+  else
+    req_after_try (req, req->status >= 500 ? RETRY_FAILURE : RETRY_ANSWERED);
+}
+
+static void
+on_failed (void *user, HXferFault fault)
+{
+  Req *req = user;
+
+  req->xfer = NULL;
+  if (fault == HXFER_UNREACHED)
+    {
+      req->unreached++;
+      req->sends--;
+      req->may_have_run = req->may_have_run_before;
+      count_up (COUNT_UNREACHED);
+      req_after_try (req, RETRY_UNREACHED);
+      return;
+    }
+  req_after_try (req, req->rejected ? RETRY_REJECTED : req->begun ? RETRY_CUT : RETRY_BROKEN);
+}
+
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+
+static int64_t
+silence_bound (const Req *req)
+{
+  double aim = (double) req->route->aim_us;
+
+  if (req->route->kind != RT_STREAM)
+    return MAX (SILENT_LEAST / 2, (int64_t) (aim * SILENT_PLAIN));
+  return MAX (SILENT_LEAST, (int64_t) (aim * SILENT_STREAM)
+                                + (int64_t) req->facts.prompt_tokens * SILENT_TOKEN_US);
+}
+
+void
+try_send (Req *req, const SeamServer *server)
+{
+  Requests *all = req->all;
+  const GByteArray *body = hcall_body (req->call);
+  bool once = !rt_route_repeatable (req->route);
+  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? IDLE_MOST_ONCE : IDLE_MOST,
+                        strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
+  SeamForward forward = { .server = server->id,
+                          .org = req->org ? req->org->name : NULL,
+                          .left_us = req->end_at - req_now (req),
+                          .last_event = req->begun ? events_last_id (req->stream) : NULL,
+                          .body = body->data,
+                          .body_size = body->len };
+  GString *message = g_string_sized_new (1024 + body->len);
+
+  all->conf.seam->write_request (message, hcall_msg (req->call), &forward);
+  req->sends++;
+  req->may_have_run_before = req->may_have_run;
+  req->may_have_run = true; /* from here on only a server's word, or no connection, denies it */
+  req->sent_at = req_now (req);
+  count_up (COUNT_SENDS);
+  arm_silence (req, silence_bound (req));
+  req->xfer = hcli_send (all->conf.cli, &target, message, &xfer_ops, req);
+  g_string_free (message, TRUE);
+  if (req->xfer == NULL)
+    on_failed (req, HXFER_UNREACHED);
+}
+
+void
+try_on_silence (LoopTimer *timer)
+{
+  Req *req = (Req *) ((char *) timer - offsetof (Req, silence));
+
+  if (req->xfer == NULL)
+    return;
+  count_up (COUNT_SILENT);
+  req_after_try (req, RETRY_SILENT);
+}
--- /dev/null
+++ b/src/estimate.c
@@ -0,0 +1,323 @@
+/* estimate.c - how long a request would take on each server, and which server to choose.
+ *
+ * All figures are one formula in microseconds. For each server with a free place:
+ *     first  = prompts ahead of ours there + our own prompt, at the server's speed
+ *     finish = first + expected tokens at the server's time per token
+ * Speeds are learned from the time of first events and between events, since they differ more than
+ * fourfold inside one pool. A prompt is computed in chunks between the tokens of its neighbours;
+ * when these chunks would stretch a neighbour's pause beyond its bound, each neighbour counts as
+ * HARM_US. A request that would be late on every free server, while a busy one could still serve it
+ * on time, waits for that one as long as it can.
+ */
+#include "schedint.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define TOKEN_US    6000.0    /* time of a token before any was seen: the size of today's engines */
+#define ANSWER_US   40000.0   /* a plain service's answer before any was seen */
+#define CHUNK       2048      /* tokens of a prompt that engines compute at once */
+#define LEARN       0.25      /* weight of a new sample: four samples replace most of the past */
+#define HARM_US     400000.0  /* cost of making one neighbour late, as much as finishing later */
+#define LATE_US     1500000.0 /* cost of being late where another server would not be */
+#define GAP_USED    0.85      /* of a neighbour's bound that a pause may reach by our estimate */
+#define CONTACT_FOR (2500 * FT_MS) /* connections are kept a little longer than that */
+#define OPEN_US     12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
+#define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
+#define SLOW_TIMES  1.6          /* times the best server's token: waiting for another may pay */
+
+static unsigned places (const Sched *sched, const Server *server);
+
+static double
+own_prompt_us (const Server *server, double token)
+{
+  return server->prompt_us > 0 ? server->prompt_us : token * server->service->prompt_ratio;
+}
+
+static void
+summarize_speeds (Service *service)
+{
+  Summary *sum = &service->summary;
+  const Server *server;
+  double total = 0, best = 0;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (server->token_us <= 0)
+      continue;
+    total += server->token_us;
+    count++;
+    if (best == 0 || server->token_us < best)
+      best = server->token_us;
+  }
+  sum->best_token = count ? best : TOKEN_US;
+  sum->mean_token = count ? total / count : TOKEN_US;
+}
+
+const Summary *
+est_summary (const Sched *sched, Service *service)
+{
+  Summary *sum = &service->summary;
+  int64_t now = ft_clock_now (sched->clock);
+  const Server *server;
+
+  if (now < sum->until)
+    return sum;
+  sum->until = now + SUMMARY_FOR;
+  summarize_speeds (service);
+  sum->least_prompt = sum->least_answer = sum->places = 0;
+  sum->any_usable = false;
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (!est_usable (server, now))
+      continue;
+    double token = server->token_us > 0 ? server->token_us : sum->mean_token;
+    double prompt = own_prompt_us (server, token);
+    double answer = server->answer_us > 0 ? server->answer_us : ANSWER_US;
+    if (!sum->any_usable || prompt < sum->least_prompt)
+      sum->least_prompt = prompt;
+    if (!sum->any_usable || answer < sum->least_answer)
+      sum->least_answer = answer;
+    sum->any_usable = true;
+    sum->places += places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
+  }
+  return sum;
+}
+
+double
+est_token_us (const Server *server)
+{
+  return server->token_us > 0 ? server->token_us : server->service->summary.mean_token;
+}
+
+double
+est_prompt_token_us (const Server *server)
+{
+  return own_prompt_us (server, est_token_us (server));
+}
+
+static double
+answer_us (const Server *server)
+{
+  return server->answer_us > 0 ? server->answer_us : ANSWER_US;
+}
+
+void
+est_learn (double *value, double sample)
+{
+  *value = *value > 0 ? *value + LEARN * (sample - *value) : sample;
+}
+
+double
+est_work_us (const Sched *sched, Service *service, const SchedAsk *ask)
+{
+  if (!service->conf.engine)
+    return est_summary (sched, service)->least_answer;
+  double token = est_summary (sched, service)->best_token;
+  return ask->prompt_tokens * token * service->prompt_ratio + ask->output_tokens * token;
+}
+
+/* ---- Places ---- */
+
+/* How many requests this scheduler may run on the server at once. */
+static unsigned
+places (const Sched *sched, const Server *server)
+{
+  if (sched->share >= 1)
+    return server->slots;
+  double exact = server->slots * sched->share;
+  uint64_t draw = (g_str_hash (server->id) ^ sched->salt) * 0x9e3779b97f4a7c15u;
+  double fraction = (double) (draw >> 11) / 9007199254740992.0;
+  return (unsigned) (exact + fraction);
+}
+
+bool
+est_usable (const Server *server, int64_t now)
+{
+  return server->listed && !server->leaving && now >= server->out_until;
+}
+
+bool
+est_has_place (const Sched *sched, const Server *server, int64_t now)
+{
+  unsigned most = server->trial ? 1 : places (sched, server);
+
+  return est_usable (server, now) && server->running < most;
+}
+
+/* ---- Estimates ---- */
+
+typedef struct
+{
+  double first_us, finish_us; /* from now */
+  double harm_us;             /* to neighbours */
+  bool late;
+} Estimate;
+
+static double
+harm_us (const Server *server, const SchedAsk *ask)
+{
+  const Service *service = server->service;
+  double chunk = CHUNK * est_prompt_token_us (server);
+  double chunks = ceil ((double) (ask->prompt_tokens + server->pending_tokens) / CHUNK);
+  unsigned stride = service->conf.stride;
+  double pause = stride * est_token_us (server) + MIN (chunks, stride) * chunk;
+  double harm = 0;
+  const Job *job;
+
+  cds_list_for_each_entry (job, &server->runs, link)
+  {
+    if (job->first_seen && job->ask.gap_us > 0 && pause > GAP_USED * (double) job->ask.gap_us)
+      harm += HARM_US;
+  }
+  return harm;
+}
+
+static Estimate
+estimate (const Server *server, const SchedAsk *ask, int64_t now)
+{
+  Estimate out = { 0 };
+
+  if (!server->service->conf.engine)
+    {
+      double over = server->running >= server->slots ? 1 : 0;
+      out.first_us = HOP_US + answer_us (server) * (1 + over);
+      out.finish_us = out.first_us + answer_us (server) * server->running / MAX (server->slots, 1);
+    }
+  else
+    {
+      double ahead = (double) MAX (0, server->prompts_until - now);
+      double own = ask->prompt_tokens * est_prompt_token_us (server);
+      out.first_us = HOP_US + ahead + own + server->service->conf.stride * est_token_us (server);
+      out.finish_us = out.first_us + ask->output_tokens * est_token_us (server);
+      out.harm_us = harm_us (server, ask);
+    }
+  out.late = (double) now + out.first_us > (double) ask->aim_at;
+  return out;
+}
+
+static Contact *
+contact_of (Server *server, uint64_t owner)
+{
+  for (unsigned i = 0; i < CONTACTS; i++)
+    if (server->contacts[i].owner == owner && server->contacts[i].at)
+      return &server->contacts[i];
+  return NULL;
+}
+
+void
+est_note_contact (Server *server, uint64_t owner, int64_t now)
+{
+  Contact *contact = contact_of (server, owner);
+
+  for (unsigned i = 0; contact == NULL && i < CONTACTS; i++)
+    if (now - server->contacts[i].at > CONTACT_FOR)
+      contact = &server->contacts[i];
+  if (contact == NULL)
+    contact = &server->contacts[now / 1000 % CONTACTS];
+  *contact = (Contact){ owner, now };
+}
+
+static double
+open_us (Server *server, uint64_t owner, int64_t now)
+{
+  const Contact *contact = contact_of (server, owner);
+
+  return contact && now - contact->at < CONTACT_FOR ? 0 : OPEN_US;
+}
+
+static double
+total (const Estimate *estimate)
+{
+  return estimate->finish_us + estimate->harm_us + (estimate->late ? LATE_US : 0);
+}
+
+static bool
+fits_memory (const Server *server, const SchedAsk *ask)
+{
+  uint64_t most = server->service->conf.memory;
+
+  return most == 0 || server->running == 0
+         || server->tokens + ask->prompt_tokens + ask->output_tokens < most;
+}
+
+/* Would a server that is busy now be on time without harm to others, so that it is worth waiting?
+ */
+static bool
+better_if_free (const Sched *sched, const Job *job, double most, int64_t now)
+{
+  const Server *server;
+
+  cds_list_for_each_entry (server, &job->service->servers, link)
+  {
+    if (!est_usable (server, now) || server->trial || est_has_place (sched, server, now)
+        || (job->avoid && strcmp (job->avoid, server->id) == 0))
+      continue;
+    Estimate here = estimate (server, &job->ask, now);
+    if (!here.late && here.harm_us == 0 && total (&here) < most
+        && (double) now + total (&here) < (double) job->ask.aim_at)
+      return true;
+  }
+  return false;
+}
+
+/* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
+Server *
+est_choose (const Sched *sched, const Job *job, int64_t now)
+{
+  Server *server, *best = NULL;
+  double best_total = 0;
+  Estimate chosen = { 0 };
+
+  cds_list_for_each_entry (server, &job->service->servers, link)
+  {
+    if (!est_has_place (sched, server, now) || !fits_memory (server, &job->ask)
+        || (job->avoid && strcmp (job->avoid, server->id) == 0))
+      continue;
+    if (server->trial && job->ask.repeatable)
+      return server;
+    Estimate here = estimate (server, &job->ask, now);
+    double cost = total (&here) + open_us (server, job->key.owner, now);
+    if (best == NULL || cost < best_total)
+      {
+        best = server;
+        best_total = cost;
+        chosen = here;
+      }
+  }
+  if (best == NULL || (!chosen.late && chosen.harm_us == 0) || now >= job->ask.aim_at)
+    return best;
+  bool slow = job->service->conf.engine
+              && est_token_us (best) > SLOW_TIMES * job->service->summary.best_token;
+  return (slow || chosen.harm_us > 0) && better_if_free (sched, job, best_total, now) ? NULL : best;
+}
+
+/* Least time until the first of the answer on any usable server. */
+double
+est_first_us (const Sched *sched, Service *service, const SchedAsk *ask)
+{
+  const Summary *sum = est_summary (sched, service);
+
+  if (!service->conf.engine)
+    return HOP_US + sum->least_answer;
+  return HOP_US + ask->prompt_tokens * sum->least_prompt + sum->best_token;
+}
+
+/* Time until a request of the tier that comes last would start. */
+double
+est_wait_us (const Sched *sched, Service *service, unsigned number, double work_ahead, int64_t now)
+{
+  double all = est_summary (sched, service)->places, taken = 0;
+
+  for (unsigned i = 0; i < service->tiers->len; i++)
+    {
+      const Tier *tier = service->tiers->pdata[i];
+      if (tier->tier >= number)
+        break;
+      taken += tier->inflow * exp (-(double) (now - tier->inflow_at) / INFLOW_US);
+    }
+  double left = MAX (all - taken, all * 0.05);
+  return left > 0 ? work_ahead / left : 1e12;
+}
--- /dev/null
+++ b/src/health.c
@@ -0,0 +1,117 @@
+/* health.c - which servers are taken out, for how long, and what brings them back.
+ *
+ * Connections refused, failures and silence take a server out for a while that doubles; then one
+ * request, repeatable if there is such, tries it. Only servers clearly worse than their service's
+ * mean are taken out for failing, and no more than half of them: a fault that all share is not
+ * cured by sending everything to the rest.
+ */
+#include "schedint.h"
+
+/* Tuning; each row with its reason. */
+#define OUT_FIRST    (300 * FT_MS) /* first time out: a restart or a lost packet */
+#define REJECTED_OUT (40 * FT_MS)  /* a full server: until one of its places is free */
+#define FAIL_LEARN   0.2           /* weight of a new outcome in the share of failures */
+#define FAIL_OUT     0.45          /* share of failures that takes a server out */
+#define FAIL_TIMES   1.8           /* and so many times its service's mean */
+
+static double
+mean_failures (const Service *service)
+{
+  const Server *server;
+  double sum = 0;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    sum += server->failures;
+    count++;
+  }
+  return count ? sum / count : 0;
+}
+
+static unsigned
+count_out (const Service *service, unsigned *all)
+{
+  const Server *server;
+  unsigned out = 0;
+
+  *all = 0;
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (!server->listed || server->leaving)
+      continue;
+    (*all)++;
+    out += server->trial; /* out, or tried by one request at a time */
+  }
+  return out;
+}
+
+void
+health_take_out (Sched *sched, Server *server, const char *why, int64_t now)
+{
+  if (now < server->out_until)
+    return;
+  server->out_for = CLAMP (server->out_for * 2, OUT_FIRST, OUT_MOST);
+  server->out_until = now + server->out_for;
+  server->trial = true;
+  sched->ops->believes (sched->host, server->id, true, why, server->out_for);
+}
+
+static void
+judge_failure (Sched *sched, Server *server, int64_t now)
+{
+  unsigned all, out = count_out (server->service, &all);
+
+  server->failures += FAIL_LEARN * (1 - server->failures);
+  if (server->trial)
+    health_take_out (sched, server, "failed its trial", now);
+  else if (server->failures > FAIL_OUT
+           && server->failures > FAIL_TIMES * mean_failures (server->service)
+           && (out + 1) * 2 <= all)
+    health_take_out (sched, server, "fails more than the others", now);
+}
+
+static void
+judge_success (Sched *sched, Server *server)
+{
+  server->failures -= FAIL_LEARN * server->failures;
+  server->out_until = 0;
+  if (!server->trial)
+    {
+      if (server->failures < FAIL_OUT / 4)
+        server->out_for = 0;
+      return;
+    }
+  server->trial = false;
+  sched->ops->believes (sched->host, server->id, false, "answered", 0);
+}
+
+void
+health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t now)
+{
+  switch (result->outcome)
+    {
+    case SCHED_OK:
+      judge_success (sched, server);
+      break;
+    case SCHED_FAILED:
+      judge_failure (sched, server, now);
+      break;
+    case SCHED_UNREACHED:
+      health_take_out (sched, server, "takes no connection", now);
+      break;
+    case SCHED_SILENT:
+      server->failures += FAIL_LEARN * (1 - server->failures);
+      health_take_out (sched, server, "does not answer", now);
+      break;
+    case SCHED_REJECTED:
+      server->out_until = MAX (server->out_until, now + REJECTED_OUT);
+      break;
+    case SCHED_LEFT:
+      break;
+    }
+  if (result->event_us > 0)
+    est_learn (&server->token_us, (double) result->event_us / server->service->conf.stride);
+  if (result->answer_us > 0 && result->outcome == SCHED_OK && !server->service->conf.engine)
+    est_learn (&server->answer_us, (double) result->answer_us);
+}
--- /dev/null
+++ b/src/schedint.h
@@ -0,0 +1,139 @@
+/* schedint.h - what the scheduler's own files share: its records, estimates of servers, and what is
+ * believed of them; private to scheduler.c, estimate.c and health.c. */
+#ifndef SCHEDINT_H
+#define SCHEDINT_H
+
+#include "scheduler.h"
+
+#include <urcu/list.h>
+
+/* Tuning that several files share; each row with its reason. */
+#define INFLOW_US 2e6            /* span over which the arrivals of a tier are averaged */
+#define HOP_US    1500.0         /* sending and the first bytes back, between failure domains */
+#define OUT_MOST  (2400 * FT_MS) /* tried every few seconds at least */
+#define CONTACTS  16             /* owners remembered a server; more than its places */
+
+typedef struct Service Service;
+typedef struct Server Server;
+
+typedef struct
+{
+  uint64_t owner, request;
+} Key;
+
+/* When an owner last had an answer from a server: it has a connection there that it can use again.
+ */
+typedef struct
+{
+  uint64_t owner;
+  int64_t at;
+} Contact;
+
+typedef struct
+{
+  struct cds_list_head link; /* of a tier's queue or of a server's runs */
+  Key key;
+  Service *service;
+  Server *server; /* NULL: waits */
+  SchedAsk ask;   /* its strings are not used, but these */
+  char *avoid, *org;
+  int64_t granted_at;
+  double prompt_us; /* predicted on its server */
+  double work_us;   /* slot time on the service's best server */
+  bool first_seen;
+} Job;
+
+struct Server
+{
+  struct cds_list_head link;
+  Service *service;
+  char *id, *domain;
+  unsigned slots, running, pending; /* pending: runs without their first event */
+  bool leaving, listed;
+  struct cds_list_head runs;
+  int64_t prompts_until; /* when the prompts handed over so far are computed */
+  uint64_t pending_tokens;
+  double token_us, prompt_us; /* learned, of one token; 0: nothing seen yet */
+  double answer_us;
+  double failures; /* share, averaged */
+  int64_t out_until, out_for, cold_until;
+  bool trial;                 /* was out: one request at a time until one succeeds */
+  uint64_t tokens;            /* memory of its runs */
+  Contact contacts[CONTACTS]; /* the latest owners */
+};
+
+typedef struct
+{
+  unsigned tier;
+  struct cds_list_head waiting;
+  unsigned count;
+  double work_us; /* of those that wait */
+  double inflow;  /* slot time arriving per time, averaged */
+  int64_t inflow_at;
+} Tier;
+
+/* What a decision needs of all servers, worked out again after SUMMARY_FOR: a queue of hundreds
+ * before a hundred servers must not look at all pairs of them. */
+typedef struct
+{
+  int64_t until;
+  double best_token, mean_token; /* time of a token: of the best server, and on average */
+  double least_prompt;           /* least time of a prompt's token on a usable server */
+  double least_answer;           /* of a plain service */
+  double places;                 /* of usable servers, in units of the best one's speed */
+  bool any_usable;
+} Summary;
+
+struct Service
+{
+  char *name;
+  SchedServiceConf conf;
+  struct cds_list_head servers;
+  GPtrArray *tiers;    /* Tier, highest first */
+  double prompt_ratio; /* learned: a prompt token's time in output tokens' times */
+  Summary summary;
+  unsigned open; /* servers with a free place, as of the last count */
+};
+
+struct Sched
+{
+  FtClock *clock;
+  const SchedOps *ops;
+  void *host;
+  GHashTable *services, *servers; /* by name, by id */
+  GHashTable *jobs;               /* Key: Job */
+  double share;
+  uint64_t salt;
+};
+
+/* ---- Estimates (estimate.c) ---- */
+
+/* What is known of all servers, at most 10 ms old. */
+const Summary *est_summary (const Sched *sched, Service *service);
+/* Expected time of one output token and of one prompt token, microseconds. */
+double est_token_us (const Server *server);
+double est_prompt_token_us (const Server *server);
+/* Slot time that the ask takes on the service's best server, microseconds. */
+double est_work_us (const Sched *sched, Service *service, const SchedAsk *ask);
+/* Least time until the first of the answer on any usable server, microseconds. */
+double est_first_us (const Sched *sched, Service *service, const SchedAsk *ask);
+/* Time until a request of the tier would start behind work_ahead of slot time, microseconds. */
+double est_wait_us (const Sched *sched, Service *service, unsigned tier, double work_ahead,
+                    int64_t now);
+/* Moves a learned value towards a sample. */
+void est_learn (double *value, double sample);
+bool est_usable (const Server *server, int64_t now);
+bool est_has_place (const Sched *sched, const Server *server, int64_t now);
+/* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
+Server *est_choose (const Sched *sched, const Job *job, int64_t now);
+/* The owner has had an answer from the server, so it has a connection there. */
+void est_note_contact (Server *server, uint64_t owner, int64_t now);
+
+/* ---- What is believed of servers (health.c) ---- */
+
+/* Learns from the end of a request on the server. */
+void health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t now);
+/* The server gets nothing for a while that doubles, and then one request that tries it. */
+void health_take_out (Sched *sched, Server *server, const char *why, int64_t now);
+
+#endif
