--- a/src/health.c
+++ b/src/health.c
@@ -72,9 +72,10 @@
 }
 
 static void
-judge_success (Sched *sched, Server *server)
+judge_success (Sched *sched, Server *server, int64_t now)
 {
   server->failures -= FAIL_LEARN * server->failures;
+  server->answered_at = now;
   server->out_until = 0;
   if (!server->trial)
     {
@@ -86,13 +87,25 @@
   sched->ops->believes (sched->host, server->id, false, "answered", 0);
 }
 
+/* Failure: one request takes long at a server that answers others. Symptom: the server is taken out
+ * as if it were dark, and a third of a service's places are lost at worst load. Only a server that
+ * has answered nothing since is taken out. */
 void
-health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t now)
+health_silent (Sched *sched, Server *server, int64_t granted_at, int64_t now)
+{
+  server->failures += FAIL_LEARN * (1 - server->failures);
+  if (server->answered_at <= granted_at)
+    health_take_out (sched, server, "does not answer", now);
+}
+
+void
+health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t granted_at,
+              int64_t now)
 {
   switch (result->outcome)
     {
     case SCHED_OK:
-      judge_success (sched, server);
+      judge_success (sched, server, now);
       break;
     case SCHED_FAILED:
       judge_failure (sched, server, now);
@@ -101,8 +114,7 @@
       health_take_out (sched, server, "takes no connection", now);
       break;
     case SCHED_SILENT:
-      server->failures += FAIL_LEARN * (1 - server->failures);
-      health_take_out (sched, server, "does not answer", now);
+      health_silent (sched, server, granted_at, now);
       break;
     case SCHED_REJECTED:
       server->out_until = MAX (server->out_until, now + REJECTED_OUT);
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -55,7 +55,8 @@
   uint64_t pending_tokens;
   double token_us, prompt_us; /* learned, of one token; 0: nothing seen yet */
   double answer_us;
-  double failures; /* share, averaged */
+  double failures;     /* share, averaged */
+  int64_t answered_at; /* when it last answered anything */
   int64_t out_until, out_for, cold_until;
   bool trial;                 /* was out: one request at a time until one succeeds */
   uint64_t tokens;            /* memory of its runs */
@@ -132,7 +133,10 @@
 /* ---- What is believed of servers (health.c) ---- */
 
 /* Learns from the end of a request on the server. */
-void health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t now);
+void health_judge (Sched *sched, Server *server, const SchedResult *result, int64_t granted_at,
+                   int64_t now);
+/* A request that was granted at granted_at has no answer for longer than it should take. */
+void health_silent (Sched *sched, Server *server, int64_t granted_at, int64_t now);
 /* The server gets nothing for a while that doubles, and then one request that tries it. */
 void health_take_out (Sched *sched, Server *server, const char *why, int64_t now);
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -459,6 +459,7 @@
     return;
   Server *server = job->server;
   bool alone = server->pending == 1;
+  server->answered_at = now;
   first_seen (job, now);
   if (!job->service->conf.engine || !alone || job->ask.prompt_tokens < 500)
     return;
@@ -476,7 +477,7 @@
   Job *job = g_hash_table_lookup (sched->jobs, &key);
 
   if (job && job->server)
-    health_take_out (sched, job->server, "does not answer", ft_clock_now (sched->clock));
+    health_silent (sched, job->server, job->granted_at, ft_clock_now (sched->clock));
 }
 
 void
@@ -490,11 +491,12 @@
     return;
   Service *service = job->service;
   Server *server = job->server;
+  int64_t granted_at = job->granted_at;
   forget (sched, job, now);
   if (server && result->outcome == SCHED_OK)
     est_note_contact (server, owner, now);
   if (server)
-    health_judge (sched, server, result, now);
+    health_judge (sched, server, result, granted_at, now);
   dispatch (sched, service, now);
 }
 
--- a/test/sched.c
+++ b/test/sched.c
@@ -402,6 +402,32 @@
   end ();
 }
 
+/* One answer takes long at a server that answers others meanwhile. Taken for dark, the server is
+ * lost for the worst of a burst. It stays; a server that answers nothing at all is taken out. */
+static void
+slow_answer_is_not_darkness (void)
+{
+  SchedStats stats;
+
+  begin (3, 4, false);
+  unsigned slow = ask (0, 1000, 100000);
+  for (int i = 0; i < 400; i++)
+    {
+      if (i % 20 == 0)
+        ask (0, 500, 10);
+      step ();
+    }
+  sched_silent (world->sched, 1, slow);
+  sched_stats (world->sched, &stats);
+  g_assert_cmpuint (stats.out, ==, 0);
+  unsigned dark = ask (0, 1000, 100000);
+  sched_silent (world->sched, 1, dark);
+  sched_stats (world->sched, &stats);
+  g_assert_cmpuint (stats.out, ==, 1);
+  sched_owner_gone (world->sched, 1);
+  end ();
+}
+
 /* Every server fails a part of its requests. Taking out all that fail leaves nothing; those that
  * are no worse than the others stay. */
 static void
@@ -475,6 +501,7 @@
   g_test_add_func ("/sched/free_places", no_refusal_before_free_places);
   g_test_add_func ("/sched/long_prompts", long_prompts_go_to_fast_servers);
   g_test_add_func ("/sched/dark", dark_servers_are_found);
+  g_test_add_func ("/sched/slow_answer", slow_answer_is_not_darkness);
   g_test_add_func ("/sched/common_failures", common_failures_take_out_few);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
   g_test_add_func ("/sched/leaving", leaving_server_gets_nothing);
