--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -52,7 +52,7 @@
   HSrvLimits limits;
   struct cds_list_head conns;
   unsigned count, busy;
-  bool last_answers;
+  bool last_answers, closed;
 };
 
 static void take_requests (Conn *conn);
@@ -98,7 +98,9 @@
 static void
 finish (Conn *conn)
 {
-  bool keep = conn->call->keep;
+  /* Failure: an answer began before the server was closed, and promised to keep the connection.
+   * Symptom: its caller sends another request, which is cut when the process ends. */
+  bool keep = conn->call->keep && !conn->srv->closed;
 
   free_call (conn);
   conn->state = CONN_READING;
@@ -337,7 +339,7 @@
 {
   Conn *conn, *next;
 
-  srv->last_answers = true;
+  srv->last_answers = srv->closed = true;
   sock_listener_free (srv->listener);
   srv->listener = NULL;
   cds_list_for_each_entry_safe (conn, next, &srv->conns, link)
--- a/test/wire.c
+++ b/test/wire.c
@@ -311,7 +311,9 @@
   HSrv *srv;
   SockAddr addr;
   unsigned requests, gone;
-  bool hold;    /* answer nothing */
+  bool hold;  /* answer nothing */
+  bool begin; /* begin an answer, and end it once the server has been closed */
+  HCall *begun;
   GString *got; /* what the raw caller was sent */
   GString *bodies;
   const char *until; /* stop once the raw caller has got this */
@@ -327,7 +329,13 @@
   g_string_append_len (front->bodies, (const char *) hcall_body (call)->data,
                        hcall_body (call)->len);
   g_string_append_c (front->bodies, '|');
-  if (!front->hold)
+  if (front->begin)
+    {
+      front->begun = call;
+      hcall_begin (call, 200, NULL);
+      hcall_data (call, "part", 4);
+    }
+  else if (!front->hold)
     hcall_reply (call, 200, NULL, "fine", 4);
 }
 
@@ -484,6 +492,35 @@
   talk_end (&front);
 }
 
+static void
+close_when_begun (void *data)
+{
+  Front *front = data;
+  HCall *call = front->begun;
+
+  if (call == NULL || strstr (front->got->str, "part") == NULL)
+    return;
+  front->begun = NULL;
+  hsrv_close_idle (front->srv);
+  hcall_end (call);
+}
+
+/* A caller's request is cut when an entry ends. The entry was closed while an answer was under way
+ * that had promised to keep the connection, and the caller sent another request on it. The
+ * connection is closed behind that answer. */
+static void
+closed_server_keeps_no_connection (void)
+{
+  Front front = { .begin = true };
+
+  talk (&front, "GET / HTTP/1.1\r\n\r\n");
+  loop_each_turn (loop, close_when_begun, &front);
+  loop_run (loop);
+  g_assert_true (front.ended);
+  g_assert_true (g_str_has_suffix (front.got->str, "part\r\n0\r\n\r\n"));
+  talk_end (&front);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -498,5 +535,6 @@
   g_test_add_func ("/wire/server/large", large_requests_are_refused);
   g_test_add_func ("/wire/server/pipelined", requests_follow_on_one_connection);
   g_test_add_func ("/wire/server/leaves", caller_that_leaves_is_noticed);
+  g_test_add_func ("/wire/server/closed", closed_server_keeps_no_connection);
   return g_test_run ();
 }
