Soak real processes under faults from outside

test-soak: voters and entries as processes behind forwarders that delay, hold one way, silence or refuse connections; kills, pauses, ends and restarts; servers that reset, cut, are full, mute or leave; callers, operators and backend servers check the promises all the while, and recovery at the end. New setting link_listen_port, so that a forwarder can stand before an instance.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -314,12 +314,13 @@
 }
 
 Mesh *
-mesh_new (Loop *loop, SockAddr listen, const MeshHello *hello, const MeshOps *ops, void *host)
+mesh_new (Loop *loop, SockAddr listen, uint16_t port, const MeshHello *hello, const MeshOps *ops,
+          void *host)
 {
   Mesh *mesh = g_new0 (Mesh, 1);
 
   mesh->loop = loop;
-  mesh->self = listen;
+  mesh->self = (SockAddr){ listen.ip, port };
   mesh->hello = *hello;
   mesh->domain = g_strdup (hello->domain);
   mesh->hello.domain = mesh->domain;
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -30,10 +30,10 @@
   void (*down) (void *host, MeshPeer *peer); /* after up only */
 } MeshOps;
 
-/* listen: address of this instance. The hello is copied and sent to each peer. NULL: the address
- * cannot be bound, errno says why. */
-Mesh *mesh_new (Loop *loop, SockAddr listen, const MeshHello *hello, const MeshOps *ops,
-                void *host);
+/* listen: address of this instance; port: where the others are dialled. The hello is copied and
+ * sent to each peer. NULL: the address cannot be bound, errno says why. */
+Mesh *mesh_new (Loop *loop, SockAddr listen, uint16_t port, const MeshHello *hello,
+                const MeshOps *ops, void *host);
 void mesh_free (Mesh *mesh);
 /* What this instance says of itself from now on. */
 void mesh_say (Mesh *mesh, bool leaving, uint64_t document);
--- a/node/control.c
+++ b/node/control.c
@@ -601,12 +601,13 @@
 open_addresses (Control *control, FtError *error)
 {
   const Settings *s = control->settings;
-  SockAddr links = { s->ip, (uint16_t) s->link_port };
+  SockAddr links = { s->ip, (uint16_t) (s->link_listen_port ? s->link_listen_port : s->link_port) };
   MeshHello hello = {
     .address = s->ip, .lifetime = instance_random (), .role = MESH_VOTER, .domain = s->domain
   };
 
-  control->mesh = mesh_new (control->loop, links, &hello, &mesh_ops, control);
+  control->mesh
+      = mesh_new (control->loop, links, (uint16_t) s->link_port, &hello, &mesh_ops, control);
   if (control->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
   control->operators = operators_new (control->loop, control->seam, control->voter, s->control);
--- a/node/entry.c
+++ b/node/entry.c
@@ -407,12 +407,12 @@
 open_addresses (Entry *entry, FtError *error)
 {
   const Settings *s = entry->settings;
-  SockAddr links = { s->ip, (uint16_t) s->link_port };
+  SockAddr links = { s->ip, (uint16_t) (s->link_listen_port ? s->link_listen_port : s->link_port) };
   MeshHello hello = {
     .address = s->ip, .lifetime = instance_random (), .role = MESH_ENTRY, .domain = s->domain
   };
 
-  entry->mesh = mesh_new (entry->loop, links, &hello, &mesh_ops, entry);
+  entry->mesh = mesh_new (entry->loop, links, (uint16_t) s->link_port, &hello, &mesh_ops, entry);
   if (entry->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
--- a/node/settings.c
+++ b/node/settings.c
@@ -29,6 +29,8 @@
     "addresses of some voters, IP:PORT" },
   { "link_port", FT_FIELD_INTEGER, true, 1, 65535, NULL, AT (link_port),
     "port for other instances, the same on all" },
+  { "link_listen_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (link_listen_port),
+    "port to listen on for other instances when something forwards link_port to it; 0: link_port" },
   { "metrics_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (metrics_port),
     "port for metrics; 0: none" },
   { "first_start", FT_FIELD_BOOL, false, 0, 0, "false", AT (first_start),
--- a/node/settings.h
+++ b/node/settings.h
@@ -15,7 +15,7 @@
   char *name, *role_text, *ip_text, *domain, *region, *log_level;
   char *callers_text, *ready_text, *control_text, *list_text, *data_folder;
   GPtrArray *seed_texts;
-  int64_t link_port, metrics_port;
+  int64_t link_port, link_listen_port, metrics_port;
   bool first_start;
   int64_t memory_mb, descriptors, losses;
   int64_t list_lag_ms, drain_ms, grace_s, apply_ms, touch_ms, catch_up_s;
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -7,14 +7,17 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define CALLERS 18080
-#define READY   18081
-#define CONTROL 18082
-#define LINKS   18083
-#define SERVERS 18090
-#define LIST    18099
-#define GUARD   (60 * FT_SECOND) /* a test that hangs fails; none depends on how long it takes */
-#define EVENTS  8                /* of a stand-in's stream */
+#define CALLERS  18080
+#define READY    18081
+#define CONTROL  18082
+#define LINKS    18083
+#define SERVERS  18090
+#define LIST     18099
+#define LISTENS  18073            /* for other instances, behind a proxy */
+#define BEHIND   18095            /* proxies before servers */
+#define OPERATOR (1500 * FT_MS)   /* operators move on to another voter then */
+#define GUARD    (60 * FT_SECOND) /* a test that hangs fails; none depends on how long it takes */
+#define EVENTS   8                /* of a stand-in's stream */
 
 /* ---- Stand-in of a backend server ---- */
 
@@ -189,12 +192,13 @@
 
   ip_text (node->ip, ip);
   sock_addr_text ((SockAddr){ fleet->voters[0].ip - 1, LIST }, list);
-  g_string_append_printf (out,
-                          "\"name\":\"%s\",\"role\":\"%s\",\"ip\":\"%s\",\"domain\":\"z\","
-                          "\"link_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
-                          "\"first_start\":%s,\"grace_s\":8,",
-                          node->name, node->voter ? "voter" : "entry", ip, LINKS, list,
-                          first_start ? "true" : "false");
+  g_string_append_printf (
+      out,
+      "\"name\":\"%s\",\"role\":\"%s\",\"ip\":\"%s\",\"domain\":\"z\","
+      "\"link_port\":%d,\"link_listen_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
+      "\"first_start\":%s,\"grace_s\":8,",
+      node->name, node->voter ? "voter" : "entry", ip, LINKS, node->proxy ? LISTENS : 0, list,
+      first_start ? "true" : "false");
   if (node->voter)
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL,
                             node->folder);
@@ -339,6 +343,8 @@
   return fleet;
 }
 
+static void free_proxies (Fleet *fleet);
+
 void
 fleet_free (Fleet *fleet)
 {
@@ -347,6 +353,7 @@
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     fleet_kill (&fleet->entries[i]);
   fleet_run_for (fleet, 100 * FT_MS); /* the ends of their connections are noticed */
+  free_proxies (fleet);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
       hsrv_free (fleet->servers[i].srv);
@@ -359,6 +366,43 @@
   g_free (fleet);
 }
 
+static void
+proxy_node (Fleet *fleet, FleetNode *node)
+{
+  node->proxy
+      = proxy_new (fleet->loop, (SockAddr){ node->ip, LINKS }, (SockAddr){ node->ip, LISTENS });
+}
+
+void
+fleet_proxies (Fleet *fleet)
+{
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    proxy_node (fleet, &fleet->voters[i]);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    proxy_node (fleet, &fleet->entries[i]);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      FleetServer *server = &fleet->servers[i];
+      SockAddr back = server->addr;
+      server->addr.port = BEHIND;
+      server->proxy = proxy_new (fleet->loop, server->addr, back);
+    }
+}
+
+static void
+free_proxies (Fleet *fleet)
+{
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    if (fleet->voters[i].proxy)
+      proxy_free (fleet->voters[i].proxy);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    if (fleet->entries[i].proxy)
+      proxy_free (fleet->entries[i].proxy);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    if (fleet->servers[i].proxy)
+      proxy_free (fleet->servers[i].proxy);
+}
+
 /* ---- Waiting ---- */
 
 typedef struct
@@ -497,17 +541,39 @@
   fleet_until (fleet, is_done, answer, path);
 }
 
+typedef struct
+{
+  Fleet *fleet;
+  Answer *answer;
+  int64_t until;
+} Patience;
+
+static bool
+is_done_or_late (void *data)
+{
+  const Patience *patience = data;
+
+  return patience->answer->done || loop_now (patience->fleet->loop) > patience->until;
+}
+
+/* Like operators, gives a voter that does not answer up; status 0 then. */
 static void
 ask_voter (Fleet *fleet, const FleetNode *voter, const char *method, const char *path,
            const char *body, Answer *answer)
 {
   GString *request = g_string_new (NULL);
+  Patience patience = { fleet, answer, loop_now (fleet->loop) + OPERATOR };
 
   g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: v\r\nContent-Length: %zu\r\n\r\n%s",
                           method, path, strlen (body), body);
   send_to (fleet, (SockAddr){ voter->ip, CONTROL }, request, answer);
   g_string_free (request, TRUE);
-  fleet_until (fleet, is_done, answer, path);
+  fleet_until (fleet, is_done_or_late, &patience, path);
+  if (answer->done)
+    return;
+  hxfer_cancel (answer->xfer);
+  answer->done = answer->broken = true;
+  answer->status = 0;
 }
 
 static char *
@@ -527,26 +593,50 @@
       version);
 }
 
+bool
+fleet_try_put (Fleet *fleet, const FleetNode *voter)
+{
+  char *text = catalogue_text (fleet->version + 1);
+  Answer answer;
+
+  ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
+  bool accepted = answer.status == 200;
+  if (answer.status / 100 == 4)
+    g_error ("a proper change was refused with %u (logs in %s)", answer.status, fleet->base);
+  fleet_answer_clear (&answer);
+  g_free (text);
+  if (accepted)
+    fleet->version++;
+  return accepted;
+}
+
 void
 fleet_put (Fleet *fleet)
 {
-  char *text = catalogue_text (++fleet->version);
-  bool accepted = false;
-
-  for (unsigned i = 0; !accepted; i++)
+  for (unsigned i = 0; i < 1000; i++)
     {
       const FleetNode *voter = &fleet->voters[i % FLEET_VOTERS];
-      Answer answer;
       if (voter->pid == 0)
         continue;
-      ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
-      accepted = answer.status == 200;
-      fleet_answer_clear (&answer);
-      if (!accepted)
-        fleet_run_for (fleet, 50 * FT_MS);
-      g_assert_cmpuint (i, <, 1000);
+      if (fleet_try_put (fleet, voter))
+        return;
+      fleet_run_for (fleet, 50 * FT_MS);
     }
-  g_free (text);
+  g_error ("no voter accepts a change (logs in %s)", fleet->base);
+}
+
+uint64_t
+fleet_try_get (Fleet *fleet, const FleetNode *voter)
+{
+  Answer answer;
+  uint64_t version = 0;
+
+  ask_voter (fleet, voter, "GET", "/api/Config.Get", "", &answer);
+  const char *at = answer.status == 200 ? strstr (answer.body->str, "\"Version\":") : NULL;
+  if (at)
+    version = g_ascii_strtoull (at + strlen ("\"Version\":"), NULL, 10);
+  fleet_answer_clear (&answer);
+  return version;
 }
 
 FleetNode *
@@ -573,18 +663,11 @@
   for (unsigned i = 0; i < 1000; i++)
     {
       const FleetNode *voter = &fleet->voters[i % FLEET_VOTERS];
-      Answer answer;
-      uint64_t version = 0;
-      if (voter->pid == 0)
-        continue;
-      ask_voter (fleet, voter, "GET", "/api/Config.Get", "", &answer);
-      const char *at = answer.status == 200 ? strstr (answer.body->str, "\"Version\":") : NULL;
-      if (at)
-        version = g_ascii_strtoull (at + strlen ("\"Version\":"), NULL, 10);
-      fleet_answer_clear (&answer);
+      uint64_t version = voter->pid ? fleet_try_get (fleet, voter) : 0;
       if (version)
         return version;
-      fleet_run_for (fleet, 50 * FT_MS);
+      if (voter->pid)
+        fleet_run_for (fleet, 50 * FT_MS);
     }
   g_error ("no voter shows the catalogue (logs in %s)", fleet->base);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -5,6 +5,7 @@
 
 #include "hcli.h"
 #include "hsrv.h"
+#include "proxy.h"
 
 #include <sys/types.h>
 
@@ -26,7 +27,8 @@
   char id[32];
   SockAddr addr;
   HSrv *srv;
-  void *owner; /* of srv's callbacks */
+  void *owner;  /* of srv's callbacks */
+  Proxy *proxy; /* before it; NULL: none */
   ServerMode mode;
   bool leaving, listed;
   unsigned arrived;
@@ -37,7 +39,8 @@
   char name[16], folder[256], settings[256];
   uint32_t ip;
   bool voter;
-  pid_t pid; /* 0: does not run */
+  pid_t pid;    /* 0: does not run */
+  Proxy *proxy; /* before its port for other instances; NULL: none */
   char log[256];
 } FleetNode;
 
@@ -76,6 +79,8 @@
 void fleet_wipe (FleetNode *node);
 /* Has the process ended by itself? */
 bool fleet_ended (FleetNode *node);
+/* From now on links and servers are reached through proxies. Before any node is started. */
+void fleet_proxies (Fleet *fleet);
 /* Three voters and the entries, a first catalogue, and entries that are ready. */
 void fleet_begin (Fleet *fleet);
 
@@ -92,6 +97,10 @@
 void fleet_answer_clear (Answer *answer);
 /* Hands a catalogue of the next version to any voter, as operators do, until it is accepted. */
 void fleet_put (Fleet *fleet);
+/* One try to hand in the next version, at one voter. True: it was acknowledged. */
+bool fleet_try_put (Fleet *fleet, const FleetNode *voter);
+/* The version that one voter shows; 0: it shows none. */
+uint64_t fleet_try_get (Fleet *fleet, const FleetNode *voter);
 /* The version that operators read, from any voter that answers. */
 uint64_t fleet_get (Fleet *fleet);
 /* The voter that answers operators itself; NULL: none does at the moment. */
--- /dev/null
+++ b/test/soak.c
@@ -0,0 +1,403 @@
+/* soak.c - a randomized soak of real processes: faults from outside, several at once, and the
+ * promises checked from what callers, operators and backend servers see.
+ *
+ *     test-soak SECONDS SEED...
+ *
+ * The seed draws the faults and the load; what happens when depends on the machine too, so a seed
+ * that failed once is run again many times, and its logs are kept (their folder is printed). Seeds
+ * that ever failed stand in test/soak-seeds.txt with a line on the cause.
+ */
+#include "fleet.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALLERS     6
+#define FAULTS_MOST 3
+#define CALM        (25 * FT_SECOND) /* all promises that need calm hold by then */
+#define STREAM_END  "id: 8\ndata: event 8\n\n"
+
+typedef struct
+{
+  Answer answer;
+  char id[24];
+  unsigned kind; /* 0 plain, 1 once, 2 stream */
+  bool open;
+} Caller;
+
+typedef struct
+{
+  char id[24];
+  unsigned status;
+  bool broken;
+} Once; /* the outcome of a request that may run once */
+
+typedef enum
+{
+  FAULT_KILL,
+  FAULT_PAUSE,
+  FAULT_TERM,
+  FAULT_LINK,
+  FAULT_SERVER_PATH,
+  FAULT_SERVER_MODE,
+  FAULT_LEAVING,
+  FAULT_KINDS
+} FaultKind;
+
+typedef struct
+{
+  bool active;
+  FaultKind kind;
+  FleetNode *node;
+  FleetServer *server;
+  int64_t until;
+} Fault;
+
+static Fleet *fleet;
+static Caller callers[CALLERS];
+static GArray *once; /* Once */
+static Fault faults[FAULTS_MOST];
+static GRand *rand_source;
+static unsigned sent, answered, refused, unknown, broken;
+
+static unsigned
+draw (unsigned most)
+{
+  return (unsigned) g_rand_int_range (rand_source, 0, (gint32) most);
+}
+
+static void
+fail (const char *what, const char *id)
+{
+  g_error ("%s: %s (logs in %s)", what, id, fleet->base);
+}
+
+/* ---- Callers ---- */
+
+static void
+check_answer (const Caller *caller)
+{
+  const Answer *answer = &caller->answer;
+
+  if (answer->status == 200 && !answer->broken)
+    {
+      answered++;
+      if (!answer->signature)
+        fail ("a success that no server signed", caller->id);
+      if (caller->kind < 2 && strcmp (answer->body->str, caller->id) != 0)
+        fail ("another request's answer", caller->id);
+      if (caller->kind == 2 && !g_str_has_suffix (answer->body->str, STREAM_END))
+        fail ("a stream that looks complete and is not", caller->id);
+    }
+  else if (answer->broken)
+    broken++;
+  else if (answer->status == 503 || answer->status == 429)
+    refused++;
+  else
+    unknown++;
+  if (answer->status == 404 || answer->status == 401)
+    fail ("refused though its route and key are there", caller->id);
+}
+
+/* Whatever part of a stream came: its events are whole, in order and none twice. */
+static void
+check_stream (const Caller *caller)
+{
+  unsigned wanted = 1, number;
+  const char *at = caller->answer.body->str;
+
+  if (caller->kind != 2 || caller->answer.status != 200)
+    return;
+  while (sscanf (at, "id: %u", &number) == 1)
+    {
+      if (number != wanted++)
+        fail ("events missing, doubled or out of order", caller->id);
+      at = strstr (at, "\n\n");
+      if (at == NULL)
+        return;
+      at += 2;
+    }
+}
+
+static void
+finish (Caller *caller)
+{
+  check_answer (caller);
+  check_stream (caller);
+  if (caller->kind == 1)
+    {
+      Once outcome = { .status = caller->answer.status, .broken = caller->answer.broken };
+      g_strlcpy (outcome.id, caller->id, sizeof outcome.id);
+      g_array_append_val (once, outcome);
+    }
+  fleet_answer_clear (&caller->answer);
+  caller->open = false;
+}
+
+static void
+start (Caller *caller)
+{
+  static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a" };
+  FleetNode *entry = &fleet->entries[draw (FLEET_ENTRIES)];
+
+  if (entry->pid == 0)
+    return;
+  caller->kind = draw (3);
+  g_snprintf (caller->id, sizeof caller->id, "r%u", ++sent);
+  fleet_send (fleet, entry, paths[caller->kind], caller->id, &caller->answer);
+  caller->open = true;
+}
+
+static void
+turn_callers (bool more)
+{
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      Caller *caller = &callers[i];
+      if (caller->open && caller->answer.done)
+        finish (caller);
+      if (!caller->open && more)
+        start (caller);
+    }
+}
+
+/* "Not run" is true also for what ran later; nothing that may run once ran twice. */
+static void
+check_once (void)
+{
+  for (unsigned i = 0; i < once->len; i++)
+    {
+      const Once *outcome = &g_array_index (once, Once, i);
+      unsigned runs = fleet_runs (fleet, outcome->id);
+      bool said_not = !outcome->broken && (outcome->status == 503 || outcome->status == 429);
+      if (runs > 1)
+        fail ("ran twice", outcome->id);
+      if (said_not && runs > 0)
+        fail ("said not to have run, and ran", outcome->id);
+    }
+}
+
+/* ---- Operators ---- */
+
+static FleetNode *
+any_voter (void)
+{
+  FleetNode *voter = &fleet->voters[draw (3)];
+
+  return voter->pid ? voter : NULL;
+}
+
+static void
+turn_operators (void)
+{
+  FleetNode *voter = any_voter ();
+  uint64_t acknowledged = fleet->version;
+
+  if (voter == NULL)
+    return;
+  if (draw (2))
+    {
+      fleet_try_put (fleet, voter);
+      return;
+    }
+  uint64_t shown = fleet_try_get (fleet, voter);
+  if (shown && shown < acknowledged)
+    fail ("an older catalogue was shown than the one acknowledged", voter->name);
+}
+
+/* ---- Faults ---- */
+
+static FleetNode *
+any_node (void)
+{
+  unsigned number = draw (3 + FLEET_ENTRIES);
+
+  return number < 3 ? &fleet->voters[number] : &fleet->entries[number - 3];
+}
+
+static bool
+is_hit (const FleetNode *node)
+{
+  for (unsigned i = 0; i < FAULTS_MOST; i++)
+    if (faults[i].active && faults[i].node == node)
+      return true;
+  return false;
+}
+
+static void
+begin_fault (Fault *fault)
+{
+  fault->kind = (FaultKind) draw (FAULT_KINDS);
+  fault->node = NULL;
+  fault->server = &fleet->servers[draw (FLEET_SERVERS)];
+  FleetNode *node = any_node ();
+  if (fault->kind <= FAULT_LINK && (is_hit (node) || node->pid == 0))
+    return;
+  fault->active = true;
+  fault->until = loop_now (fleet->loop) + (300 + draw (2500)) * FT_MS;
+  if (fault->kind <= FAULT_LINK)
+    fault->node = node;
+  if (fault->kind == FAULT_KILL)
+    fleet_kill (node);
+  else if (fault->kind == FAULT_PAUSE)
+    fleet_signal (node, SIGSTOP);
+  else if (fault->kind == FAULT_TERM)
+    fleet_signal (node, SIGTERM);
+  else if (fault->kind == FAULT_LINK)
+    proxy_mode (node->proxy, 1 + draw (PROXY_MODES - 1));
+  else if (fault->kind == FAULT_SERVER_PATH)
+    proxy_mode (fault->server->proxy, 1 + draw (PROXY_MODES - 1));
+  else if (fault->kind == FAULT_SERVER_MODE)
+    fault->server->mode = 1 + draw (SERVER_MUTE);
+  else
+    fault->server->leaving = true;
+}
+
+/* A process that was asked to end is waited for and started again; false: it still runs. */
+static bool
+back_after_term (FleetNode *node)
+{
+  if (!fleet_ended (node))
+    return false;
+  fleet_start (fleet, node, false);
+  return true;
+}
+
+static void
+end_fault (Fault *fault)
+{
+  if (fault->kind == FAULT_TERM && !back_after_term (fault->node))
+    return;
+  fault->active = false;
+  if (fault->kind == FAULT_KILL)
+    fleet_start (fleet, fault->node, false);
+  else if (fault->kind == FAULT_PAUSE)
+    fleet_signal (fault->node, SIGCONT);
+  else if (fault->kind == FAULT_LINK)
+    proxy_mode (fault->node->proxy, PROXY_PASS);
+  else if (fault->kind == FAULT_SERVER_PATH)
+    proxy_mode (fault->server->proxy, PROXY_PASS);
+  else if (fault->kind == FAULT_SERVER_MODE)
+    fault->server->mode = SERVER_SOUND;
+  else if (fault->kind == FAULT_LEAVING)
+    fault->server->leaving = false;
+}
+
+static void
+turn_faults (bool more)
+{
+  for (unsigned i = 0; i < FAULTS_MOST; i++)
+    {
+      if (faults[i].active && loop_now (fleet->loop) >= faults[i].until)
+        end_fault (&faults[i]);
+      else if (!faults[i].active && more && draw (40) == 0)
+        begin_fault (&faults[i]);
+    }
+  for (unsigned i = 0; i < 3 + FLEET_ENTRIES; i++)
+    {
+      FleetNode *node = i < 3 ? &fleet->voters[i] : &fleet->entries[i - 3];
+      if (!is_hit (node) && node->pid && fleet_ended (node))
+        fail ("a process ended by itself", node->name);
+    }
+}
+
+static bool
+any_left (void)
+{
+  for (unsigned i = 0; i < FAULTS_MOST; i++)
+    if (faults[i].active)
+      return true;
+  for (unsigned i = 0; i < CALLERS; i++)
+    if (callers[i].open)
+      return true;
+  return false;
+}
+
+/* ---- One seed ---- */
+
+static void
+calm_down (void)
+{
+  int64_t until = loop_now (fleet->loop) + CALM;
+
+  while (any_left ())
+    {
+      turn_faults (false);
+      turn_callers (false);
+      fleet_run_for (fleet, 20 * FT_MS);
+      if (loop_now (fleet->loop) > until)
+        fail ("no end to what was open", "faults or requests");
+    }
+}
+
+/* After the faults everything serves again and shows what was acknowledged. */
+static void
+check_recovery (void)
+{
+  if (fleet_get (fleet) < fleet->version)
+    fail ("what was acknowledged is gone", "catalogue");
+  fleet_put (fleet);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    {
+      unsigned served = 0;
+      for (unsigned j = 0; j < 200 && served < 10; j++)
+        {
+          Answer answer;
+          char id[24];
+          g_snprintf (id, sizeof id, "c%u-%u", i, j);
+          fleet_call (fleet, &fleet->entries[i], "/plain/a", id, &answer);
+          served += answer.status == 200;
+          fleet_answer_clear (&answer);
+          fleet_run_for (fleet, 20 * FT_MS);
+        }
+      if (served < 10)
+        fail ("does not serve again", fleet->entries[i].name);
+    }
+}
+
+static void
+soak (unsigned seconds, unsigned seed)
+{
+  rand_source = g_rand_new_with_seed (seed);
+  once = g_array_new (FALSE, FALSE, sizeof (Once));
+  memset (callers, 0, sizeof callers);
+  memset (faults, 0, sizeof faults);
+  sent = answered = refused = unknown = broken = 0;
+  fleet = fleet_new ();
+  fleet_proxies (fleet);
+  fleet_begin (fleet);
+  int64_t until = loop_now (fleet->loop) + seconds * FT_SECOND;
+  while (loop_now (fleet->loop) < until)
+    {
+      turn_faults (true);
+      turn_callers (true);
+      if (draw (10) == 0)
+        turn_operators ();
+      fleet_run_for (fleet, 15 * FT_MS);
+    }
+  calm_down ();
+  check_once ();
+  check_recovery ();
+  printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u\n",
+          seed, sent, answered, refused, unknown, broken, (unsigned) fleet->version);
+  fleet_free (fleet);
+  g_array_unref (once);
+  g_rand_free (rand_source);
+}
+
+int
+main (int argc, char **argv)
+{
+  unsigned seconds = argc > 1 ? (unsigned) atoi (argv[1]) : 6;
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  printf ("1..%d\n", MAX (argc - 2, 1));
+  for (int i = 2; i < MAX (argc, 3); i++)
+    {
+      unsigned seed = i < argc ? (unsigned) strtoul (argv[i], NULL, 10) : 1;
+      soak (seconds, seed);
+      printf ("ok %d - seed %u keeps the promises\n", i - 1, seed);
+    }
+  return 0;
+}
