--- a/node/broker.c
+++ b/node/broker.c
@@ -225,6 +225,8 @@
                    .cost = from->cost_tokens };
 
   asker->asked_at = now;
+  if (from->spent_tokens > 0)
+    quota_used (broker->quota, from->org, from->spent_tokens);
   if (from->running)
     {
       sched_adopt (broker->sched, &ask, from->server);
--- a/node/place.c
+++ b/node/place.c
@@ -51,6 +51,12 @@
   int64_t until, at, backoff;
 } PassedOver;
 
+/* What a scheduler has been told of the entry's use of limits. */
+typedef struct
+{
+  GHashTable *told; /* organisation: double, of Place.used */
+} Account;
+
 struct Place
 {
   Loop *loop;
@@ -66,6 +72,8 @@
   unsigned deputy_count;
   MeshPeer *current;       /* who is asked now; NULL: the own scheduler */
   GHashTable *passed_over; /* MeshPeer: PassedOver */
+  GHashTable *used;        /* organisation: double, all that was ever granted to this entry */
+  GHashTable *accounts;    /* MeshPeer: Account */
   LoopTimer tick;
   unsigned entries, waiting;
 };
@@ -136,6 +144,66 @@
       mesh_send (item->told[i], msg);
 }
 
+static double
+value_of (GHashTable *table, const char *org)
+{
+  const double *value = g_hash_table_lookup (table, org);
+
+  return value ? *value : 0;
+}
+
+static void
+add_to (GHashTable *table, const char *org, double by)
+{
+  double *value = g_hash_table_lookup (table, org);
+
+  if (value == NULL)
+    {
+      value = g_new0 (double, 1);
+      g_hash_table_insert (table, g_strdup (org), value);
+    }
+  *value += by;
+}
+
+static void
+account_free (void *data)
+{
+  g_hash_table_unref (((Account *) data)->told);
+  g_free (data);
+}
+
+/* A scheduler that is new to this entry counts from now on. */
+static Account *
+account_of (Place *place, MeshPeer *peer)
+{
+  Account *account = g_hash_table_lookup (place->accounts, peer);
+  GHashTableIter iter;
+  gpointer org, value;
+
+  if (account)
+    return account;
+  account = g_new0 (Account, 1);
+  account->told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_iter_init (&iter, place->used);
+  while (g_hash_table_iter_next (&iter, &org, &value))
+    add_to (account->told, org, *(double *) value);
+  g_hash_table_insert (place->accounts, peer, account);
+  return account;
+}
+
+/* Failure: an entry goes from scheduler to scheduler, on a lossy link several times a second.
+ * Symptom: each gives it a part of a limit, and the organisation passes it. Each is told what the
+ * others gave since it was asked last. */
+static double
+spent_elsewhere (Place *place, MeshPeer *peer, const char *org)
+{
+  Account *account = account_of (place, peer);
+  double spent = value_of (place->used, org) - value_of (account->told, org);
+
+  add_to (account->told, org, spent);
+  return spent;
+}
+
 static void
 send_ask (Place *place, MeshPeer *peer, Item *item)
 {
@@ -144,23 +212,25 @@
   const SchedAsk *ask = &item->ask;
   char none[] = "";
 
-  msg.MeshMsg_u.ask = (MeshAsk){ .request = item->number,
-                                 .service = item->service,
-                                 .org = item->org,
-                                 .tier = ask->tier,
-                                 .stream = ask->stream,
-                                 .repeatable = ask->repeatable,
-                                 .prompt_tokens = ask->prompt_tokens,
-                                 .output_tokens = ask->output_tokens,
-                                 .cost_tokens = (unsigned) item->cost,
-                                 .shared_part = ask->shared_part,
-                                 .gap_ms = (unsigned) (ask->gap_us / FT_MS),
-                                 .aim_in_us = ask->aim_at - now,
-                                 .limit_in_us = ask->limit_at - now,
-                                 .end_in_us = ask->end_at - now,
-                                 .avoid = item->avoid ? item->avoid : none,
-                                 .running = item->running,
-                                 .server = item->server ? item->server : none };
+  msg.MeshMsg_u.ask
+      = (MeshAsk){ .request = item->number,
+                   .service = item->service,
+                   .org = item->org,
+                   .tier = ask->tier,
+                   .stream = ask->stream,
+                   .repeatable = ask->repeatable,
+                   .prompt_tokens = ask->prompt_tokens,
+                   .output_tokens = ask->output_tokens,
+                   .spent_tokens = (unsigned) spent_elsewhere (place, peer, item->org),
+                   .cost_tokens = (unsigned) item->cost,
+                   .shared_part = ask->shared_part,
+                   .gap_ms = (unsigned) (ask->gap_us / FT_MS),
+                   .aim_in_us = ask->aim_at - now,
+                   .limit_in_us = ask->limit_at - now,
+                   .end_in_us = ask->end_at - now,
+                   .avoid = item->avoid ? item->avoid : none,
+                   .running = item->running,
+                   .server = item->server ? item->server : none };
   mesh_send (peer, &msg);
   note_told (item, peer);
 }
@@ -314,9 +384,11 @@
 static void
 share (Place *place)
 {
-  double part = (1.0 + broker_askers (place->own)) / MAX (place->entries, 1);
+  unsigned askers = broker_askers (place->own), all = MAX (place->entries, 1);
+  double places = (1.0 + askers) / all;
+  double limits = (double) (askers + (place->current == NULL)) / all;
 
-  broker_share (place->own, MIN (1, part * OVERCOMMIT), MIN (1, part), place->self);
+  broker_share (place->own, MIN (1, places * OVERCOMMIT), MIN (1, limits), place->self);
 }
 
 void
@@ -370,6 +442,7 @@
   if (!peer->dialled)
     broker_down (place->own, peer);
   g_hash_table_remove (place->passed_over, peer);
+  g_hash_table_remove (place->accounts, peer);
   if (place->voter == peer)
     place->voter = NULL;
   if (place->current == peer)
@@ -422,6 +495,7 @@
   if (item == NULL || item->running || item->at)
     return;
   run (place, item, server);
+  add_to (place->used, item->org, item->cost);
   place->ops->grant (place->host, number, server);
 }
 
@@ -453,6 +527,8 @@
   if (item->at != peer)
     withdraw (place, item);
   run (place, item, grant->server);
+  add_to (place->used, item->org, item->cost);
+  add_to (account_of (place, peer)->told, item->org, item->cost);
   broker_adopt (place->own, &item->ask, grant->server, item->cost);
   place->ops->grant (place->host, grant->request, grant->server);
 }
@@ -498,6 +574,8 @@
   place->entries = 1;
   place->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, item_free);
   place->passed_over = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  place->accounts = g_hash_table_new_full (NULL, NULL, NULL, account_free);
+  place->used = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   place->own = broker_new (loop, "entry", &own_ops, place);
   place->tick.fire = on_tick;
   loop_timer_set (loop, &place->tick, loop_now (loop) + TICK);
@@ -512,6 +590,8 @@
   loop_timer_stop (place->loop, &place->tick);
   g_hash_table_unref (place->items);
   g_hash_table_unref (place->passed_over);
+  g_hash_table_unref (place->accounts);
+  g_hash_table_unref (place->used);
   broker_free (place->own);
   g_free (place);
 }
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -100,6 +100,7 @@
 	bool_t repeatable;
 	u_int prompt_tokens;
 	u_int output_tokens;
+	u_int spent_tokens;
 	u_int cost_tokens;
 	u_quad_t shared_part;
 	u_int gap_ms;
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -70,6 +70,8 @@
   bool repeatable;
   unsigned int prompt_tokens;
   unsigned int output_tokens; /* expected */
+  unsigned int spent_tokens; /* of the organisation's limit, given to this entry by other schedulers
+                                since it last asked this one */
   unsigned int cost_tokens;   /* counted against the organisation's limit; 0: was counted before */
   unsigned hyper shared_part; /* identity of the prompt's first part; 0: none */
   unsigned int gap_ms;        /* longest pause between two events that is still on time; 0: none */
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -190,7 +190,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -202,6 +202,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->output_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
 
@@ -211,6 +213,7 @@
 		IXDR_PUT_BOOL(buf, objp->repeatable);
 		IXDR_PUT_U_LONG(buf, objp->prompt_tokens);
 		IXDR_PUT_U_LONG(buf, objp->output_tokens);
+		IXDR_PUT_U_LONG(buf, objp->spent_tokens);
 		IXDR_PUT_U_LONG(buf, objp->cost_tokens);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
@@ -237,7 +240,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -249,6 +252,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->output_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
 
@@ -258,6 +263,7 @@
 		objp->repeatable = IXDR_GET_BOOL(buf);
 		objp->prompt_tokens = IXDR_GET_U_LONG(buf);
 		objp->output_tokens = IXDR_GET_U_LONG(buf);
+		objp->spent_tokens = IXDR_GET_U_LONG(buf);
 		objp->cost_tokens = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
@@ -295,6 +301,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->output_tokens))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spent_tokens))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -306,14 +306,22 @@
 {
   static unsigned made;
   Fleet *fleet = g_new0 (Fleet, 1);
-  /* Numbers of the loopback range that no other test of this machine uses at the same time. */
-  uint32_t net = 0x7f000000u | ((unsigned) getpid () % 250 + 2) << 16 | (made++ % 250) << 8;
+  uint32_t net = 0;
   char name[16];
 
   fleet->loop = loop_new ();
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  /* Numbers of the loopback range that no other test of this machine uses at the same time: whoever
+   * has the list's address has the range. */
+  for (unsigned i = 0; fleet->list == NULL && i < 1000; i++)
+    {
+      unsigned number = (unsigned) getpid () * 7 + made++ + i * 131;
+      net = 0x7f000000u | (number / 250 % 250 + 2) << 16 | (number % 250) << 8;
+      fleet->list = hsrv_new (fleet->loop, (SockAddr){ net + 10, LIST }, &list_ops, fleet);
+    }
+  g_assert_nonnull (fleet->list);
   g_strlcpy (fleet->base, "/tmp/fleet-XXXXXX", sizeof fleet->base);
   g_assert_nonnull (mkdtemp (fleet->base));
   for (unsigned i = 0; i < FLEET_VOTERS; i++)
@@ -326,8 +334,6 @@
       g_snprintf (name, sizeof name, "entry%u", i + 1);
       name_node (fleet, &fleet->entries[i], name, net + 31 + i, false);
     }
-  fleet->list = hsrv_new (fleet->loop, (SockAddr){ net + 10, LIST }, &list_ops, fleet);
-  g_assert_nonnull (fleet->list);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
       FleetServer *server = &fleet->servers[i];
--- /dev/null
+++ b/test/place.c
@@ -0,0 +1,336 @@
+/* place.c - whom an entry asks for a place, and what it tells whom. Schedulers are played by the
+ * test at the other end of a socket pair; the loop is real, nothing depends on how long it takes.
+ */
+#include "place.h"
+#include "codec.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define GUARD (20 * FT_SECOND)
+
+typedef struct
+{
+  MeshPeer peer;
+  int far; /* our end */
+  GByteArray *got;
+} Scheduler;
+
+static Loop *loop;
+static Mesh *mesh;
+static Place *place;
+static LoopTimer guard;
+static unsigned grants, refusals;
+static bool (*wanted) (void);
+
+static void
+on_guard (LoopTimer *timer)
+{
+  (void) timer;
+  g_error ("nothing happened for too long");
+}
+
+static void
+on_grant (void *host, uint64_t request, const char *server)
+{
+  (void) host;
+  (void) request;
+  (void) server;
+  grants++;
+}
+
+static void
+on_refuse (void *host, uint64_t request, const SchedRefusal *refusal)
+{
+  (void) host;
+  (void) request;
+  (void) refusal;
+  refusals++;
+}
+
+static const PlaceOps place_ops = { on_grant, on_refuse };
+
+static void
+nothing (Sock *sock)
+{
+  (void) sock;
+}
+
+static void
+nothing_ended (Sock *sock, SockEnd how)
+{
+  (void) sock;
+  (void) how;
+}
+
+static const SockOps sock_ops = { NULL, nothing, NULL, nothing_ended };
+
+static void
+no_link (void *host, MeshPeer *peer)
+{
+  (void) host;
+  (void) peer;
+}
+
+static void
+no_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  (void) host;
+  (void) peer;
+  (void) msg;
+}
+
+static const MeshOps mesh_ops = { no_link, no_message, no_link };
+
+static void
+check_wanted (void *data)
+{
+  (void) data;
+  if (wanted && wanted ())
+    {
+      wanted = NULL;
+      loop_stop (loop);
+    }
+}
+
+static void
+run_until (bool (*condition) (void))
+{
+  wanted = condition;
+  loop_run (loop);
+}
+
+static Scheduler
+scheduler (uint32_t ip)
+{
+  Scheduler out = { .peer = { .ip = ip, .lifetime = ip, .role = MESH_VOTER, .dialled = true } };
+  int pair[2];
+
+  g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), ==, 0);
+  out.far = pair[1];
+  out.got = g_byte_array_new ();
+  out.peer.sock = sock_accepted (loop, pair[0], (SockAddr){ 0 }, &sock_ops, NULL);
+  out.peer.heard = loop_now (loop);
+  return out;
+}
+
+static void
+scheduler_end (Scheduler *one)
+{
+  sock_close (one->peer.sock, false);
+  close (one->far);
+  g_byte_array_unref (one->got);
+}
+
+/* The next message that the scheduler got; false: none. */
+static bool
+next_message (Scheduler *one, MeshMsg *msg)
+{
+  uint8_t buffer[4096];
+  ssize_t size;
+  uint32_t mark;
+
+  while ((size = read (one->far, buffer, sizeof buffer)) > 0)
+    g_byte_array_append (one->got, buffer, (guint) size);
+  memset (msg, 0, sizeof *msg);
+  if (one->got->len < sizeof mark)
+    return false;
+  memcpy (&mark, one->got->data, sizeof mark);
+  guint length = ntohl (mark) & 0x7fffffff;
+  g_assert_cmpint (codec_unpack (CODEC (MeshMsg), one->got->data + sizeof mark, length, msg, NULL),
+                   ==, FT_OK);
+  g_byte_array_remove_range (one->got, 0, sizeof mark + length);
+  return true;
+}
+
+static unsigned
+count_kind (Scheduler *one, MeshKind kind, uint64_t request)
+{
+  MeshMsg msg;
+  unsigned count = 0;
+
+  while (next_message (one, &msg))
+    {
+      if (msg.kind == kind && kind == MESH_DONE)
+        count += msg.MeshMsg_u.done.request == request;
+      else if (msg.kind == kind && kind == MESH_ASK)
+        count += msg.MeshMsg_u.ask.request == request;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  return count;
+}
+
+static void
+begin (void)
+{
+  MeshHello hello
+      = { .address = 0x7f000001, .lifetime = 1, .role = MESH_ENTRY, .domain = (char *) "z" };
+  RtLimits limits = { 1, 1, 1, 1 };
+  RtCat *cat = rt_cat_new (1, &limits);
+  RtService service = { .name = (char *) "s" };
+  RtOrg org = { .name = (char *) "o", .rate = 1000, .burst = 1000, .keys = g_ptr_array_new () };
+  SeamServer server = { (char *) "i", (char *) "s", (char *) "z", { 1, 1 }, 4, false, 0 };
+  GArray *list = g_array_new (FALSE, FALSE, sizeof server);
+  Servers *servers = servers_new ();
+
+  grants = refusals = 0;
+  loop = loop_new ();
+  guard.fire = on_guard;
+  loop_timer_set (loop, &guard, loop_now (loop) + GUARD);
+  loop_each_turn (loop, check_wanted, NULL);
+  for (uint16_t port = 22000; mesh == NULL && port < 22400; port++)
+    mesh = mesh_new (loop, (SockAddr){ 0x7f000001, port }, port, &hello, &mesh_ops, NULL);
+  place = place_new (loop, mesh, 0x7f000001, &place_ops, NULL);
+  rt_cat_add_service (cat, &service, NULL);
+  rt_cat_add_org (cat, &org, NULL);
+  broker_catalogue (place_broker (place), cat);
+  g_array_append_val (list, server);
+  servers_take_read (servers, list, loop_now (loop));
+  broker_servers (place_broker (place), servers);
+  servers_free (servers);
+  g_array_unref (list);
+  g_ptr_array_unref (org.keys);
+  rt_cat_unref (cat);
+}
+
+static void
+end (void)
+{
+  place_free (place);
+  mesh_free (mesh);
+  mesh = NULL;
+  loop_timer_stop (loop, &guard);
+  loop_free (loop);
+}
+
+static void
+in_charge (Scheduler *one, uint64_t term)
+{
+  MeshView view = { .term = term, .leader = one->peer.ip, .proved = true, .entries = 1 };
+
+  one->peer.heard = loop_now (loop);
+  place_view (place, &one->peer, &view);
+}
+
+static void
+ask (uint64_t number, double cost)
+{
+  SchedAsk out = { .request = number,
+                   .service = "s",
+                   .org = "o",
+                   .aim_at = loop_now (loop) + FT_SECOND,
+                   .limit_at = loop_now (loop) + 10 * FT_SECOND,
+                   .end_at = loop_now (loop) + 10 * FT_SECOND };
+
+  place_ask (place, &out, cost);
+}
+
+static void
+grant (Scheduler *one, uint64_t number)
+{
+  MeshMsg msg = { .kind = MESH_GRANT };
+
+  msg.MeshMsg_u.grant = (MeshGrant){ number, (char *) "i" };
+  place_message (place, &one->peer, &msg);
+}
+
+/* An organisation passes its limit while an entry goes from one scheduler to another: each gives it
+ * a part. The second one is told what the first one gave since, and only that. */
+static unsigned
+spent_told (Scheduler *one)
+{
+  MeshMsg msg;
+  unsigned spent = 0;
+
+  while (next_message (one, &msg))
+    {
+      if (msg.kind == MESH_ASK)
+        spent += msg.MeshMsg_u.ask.spent_tokens;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  return spent;
+}
+
+static void
+use_elsewhere_is_told (void)
+{
+  begin ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  in_charge (&a, 1);
+  ask (1, 100);
+  grant (&a, 1);
+  in_charge (&b, 2);
+  ask (2, 50);
+  g_assert_cmpuint (spent_told (&b), ==, 0); /* b is new: it counts from now */
+  grant (&b, 2);
+  ask (3, 70);
+  grant (&b, 3);
+  g_assert_cmpuint (spent_told (&b), ==, 0); /* its own grants it knows */
+  in_charge (&a, 3);
+  ask (4, 10);
+  g_assert_cmpuint (spent_told (&a), ==, 120);
+  ask (5, 10);
+  g_assert_cmpuint (spent_told (&a), ==, 0); /* said once */
+  scheduler_end (&a);
+  scheduler_end (&b);
+  end ();
+}
+
+/* Requests are refused before idle servers: a request granted by one scheduler ended while another
+ * was asked, and the first one's ledger kept its place for ever. Both are told of the end. */
+static void
+all_are_told_of_the_end (void)
+{
+  SchedResult ok = { .outcome = SCHED_OK };
+
+  begin ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  in_charge (&a, 1);
+  ask (1, 0);
+  grant (&a, 1);
+  in_charge (&b, 2);
+  place_done (place, 1, &ok);
+  g_assert_cmpuint (count_kind (&a, MESH_DONE, 1), ==, 1);
+  g_assert_cmpuint (count_kind (&b, MESH_DONE, 1), ==, 1);
+  scheduler_end (&a);
+  scheduler_end (&b);
+  end ();
+}
+
+static bool
+is_granted (void)
+{
+  return grants == 1;
+}
+
+/* The scheduler falls silent while a request waits there: the request is placed without it. Its
+ * late verdict is answered by a withdrawal, so that it does not hold the place. */
+static void
+silent_scheduler_is_passed_over (void)
+{
+  begin ();
+  Scheduler a = scheduler (11);
+  in_charge (&a, 1);
+  g_assert_cmpstr (place_by (place), ==, "voter");
+  ask (1, 0);
+  run_until (is_granted);
+  g_assert_cmpstr (place_by (place), ==, "own");
+  count_kind (&a, MESH_DONE, 1);
+  grant (&a, 1);
+  g_assert_cmpuint (grants, ==, 1);
+  g_assert_cmpuint (refusals, ==, 0);
+  scheduler_end (&a);
+  end ();
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/place/use_elsewhere", use_elsewhere_is_told);
+  g_test_add_func ("/place/end", all_are_told_of_the_end);
+  g_test_add_func ("/place/silent", silent_scheduler_is_passed_over);
+  return g_test_run ();
+}
