--- a/src/schedint.h
+++ b/src/schedint.h
@@ -105,6 +105,7 @@
   GHashTable *jobs;               /* Key: Job */
   double share;
   uint64_t salt;
+  bool listed; /* a list of servers has come */
 };
 
 /* ---- Estimates (estimate.c) ---- */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -412,6 +412,10 @@
       if (place (sched, job, now))
         return false;
     }
+  /* Failure: after a start of everything requests come before the list of servers does. Symptom:
+   * they are refused for want of a server a moment before the servers are known. */
+  if (!sched->listed)
+    return true;
   if (!any_usable (service, now, NULL))
     {
       refuse (sched, job, FT_REASON_NO_SERVER, 1e6, now);
@@ -564,6 +568,7 @@
       server->cold_until = now + servers[i].cold_us;
     }
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, NULL);
+  sched->listed = true;
   sched_tick (sched);
 }
 
@@ -583,7 +588,7 @@
     double wait = est_wait_us (sched, service, tier->tier, *ahead, now);
     bool over = (double) now + first > (double) job->ask.limit_at;
     bool hopeless = (double) now + wait > (double) job->ask.limit_at + (HOPELESS - 1) * wait;
-    if (over || (hopeless && service->open == 0))
+    if (over || (hopeless && sched->listed && service->open == 0))
       refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
     else
       *ahead += job->work_us;
--- a/test/sched.c
+++ b/test/sched.c
@@ -472,6 +472,32 @@
   g_free (world);
 }
 
+/* Requests come before the list of servers does, after a start of everything. They wait for it
+ * instead of being refused for want of a server. */
+static void
+requests_wait_for_the_list (void)
+{
+  begin (2, 4, false);
+  sched_free (world->sched);
+  world->sched = sched_new (&world->clock.base, &ops, NULL);
+  unsigned number = ask (0, 1000, 10);
+  for (int i = 0; i < 100; i++)
+    step ();
+  g_assert_false (world->work[number].refused);
+  give_list ();
+  g_assert_cmpint (world->work[number].server, >=, 0);
+  settle ();
+  number = ask (0, 1000, 10);
+  sched_list (world->sched, NULL, 0);
+  settle ();
+  sched_free (world->sched);
+  world->sched = sched_new (&world->clock.base, &ops, NULL);
+  sched_list (world->sched, NULL, 0);
+  number = ask (0, 1000, 10);
+  g_assert_true (world->work[number].refused); /* a list that names none is another matter */
+  end ();
+}
+
 /* A server leaves while requests wait: it gets none of them. */
 static void
 leaving_server_gets_nothing (void)
@@ -504,6 +530,7 @@
   g_test_add_func ("/sched/slow_answer", slow_answer_is_not_darkness);
   g_test_add_func ("/sched/common_failures", common_failures_take_out_few);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
+  g_test_add_func ("/sched/list", requests_wait_for_the_list);
   g_test_add_func ("/sched/leaving", leaving_server_gets_nothing);
   return g_test_run ();
 }
