Show members and what is believed of servers from the command line

foxtailgrade members URLS and servers URL read the instances' metrics: role, version in force, term, who is in charge, readiness, who schedules; for each backend server speed, failures, whether it is out. Test: /node/metrics.

--- a/cli/main.c
+++ b/cli/main.c
@@ -2,6 +2,7 @@
  * change of the catalogue; the other commands only read. */
 #include "body.h"
 #include "http.h"
+#include "members.h"
 
 #include <argtable2.h>
 #include <json-c/json.h>
@@ -275,6 +276,22 @@
   return reply.status == 200 ? 0 : 1;
 }
 
+/* For members.c: another instance's metrics, without a key. */
+static char *
+fetch_metrics (const void *data, const char *url)
+{
+  Access access = *(const Access *) data;
+  Reply reply;
+
+  access.server = url;
+  if (!call (&access, "GET", "/metrics", NULL, NULL, &reply))
+    return NULL;
+  if (reply.status == 200)
+    return reply.text;
+  g_free (reply.text);
+  return NULL;
+}
+
 static int
 show_one (const Access *access, const char *prefix, const char *id)
 {
@@ -314,6 +331,10 @@
     return apply (access, args, argument);
   if (strcmp (command, "explain") == 0)
     return show_one (access, "/v1/refusals/", argument);
+  if (strcmp (command, "members") == 0)
+    return members_print (argument, fetch_metrics, access);
+  if (strcmp (command, "servers") == 0)
+    return members_servers (argument, fetch_metrics, access);
   if (strcmp (command, "digest") == 0)
     return print_digest (argument);
   fprintf (stderr, "foxtailgrade: no command %s; try --help\n", command);
@@ -346,6 +367,8 @@
           "  status        the instance that was asked\n"
           "  top           its counters that are not zero\n"
           "  explain ID    why a request was refused\n"
+          "  members URLS  foxtailnode: the instances at these metrics addresses, by commas\n"
+          "  servers URL   foxtailnode: what the instance believes of backend servers\n"
           "  digest KEY    the SHA-256 of a key as the catalogue wants it\n"
           "Options:\n");
   arg_print_glossary (stdout, (void **) args, "  %-22s %s\n");
@@ -360,7 +383,7 @@
                 arg_str0 (NULL, "ca-folder", "FOLDER", "with certificates to trust with https"),
                 arg_str0 (NULL, "id", "ID", "apply: the change's id"),
                 arg_str0 (NULL, "author", "NAME", "apply: who makes the change"),
-                arg_strn (NULL, NULL, "ARGUMENT", 0, 1, "file, id or key"),
+                arg_strn (NULL, NULL, "ARGUMENT", 0, 1, "file, id, key or address"),
                 arg_int0 (NULL, "base", "N", "apply: the revision it was made against"),
                 arg_lit0 (NULL, "wait", "apply: return when in force everywhere"),
                 arg_lit0 ("h", "help", "print this help"),
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -13,6 +13,7 @@
 #define LINKS    18083
 #define SERVERS  18090
 #define LIST     18099
+#define METRICS  18084
 #define LISTENS  18073            /* for other instances, behind a proxy */
 #define BEHIND   18095            /* proxies before servers */
 #define OPERATOR (1500 * FT_MS)   /* operators move on to another voter then */
@@ -196,9 +197,9 @@
       out,
       "\"name\":\"%s\",\"role\":\"%s\",\"ip\":\"%s\",\"domain\":\"z\","
       "\"link_port\":%d,\"link_listen_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
-      "\"first_start\":%s,\"grace_s\":8,",
+      "\"first_start\":%s,\"grace_s\":8,\"metrics_port\":%d,",
       node->name, node->voter ? "voter" : "entry", ip, LINKS, node->proxy ? LISTENS : 0, list,
-      first_start ? "true" : "false");
+      first_start ? "true" : "false", METRICS);
   if (node->voter)
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL,
                             node->folder);
@@ -678,6 +679,16 @@
   g_error ("no voter shows the catalogue (logs in %s)", fleet->base);
 }
 
+void
+fleet_metrics (Fleet *fleet, const FleetNode *node, Answer *answer)
+{
+  GString *request = g_string_new ("GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
+
+  send_to (fleet, (SockAddr){ node->ip, METRICS }, request, answer);
+  fleet_until (fleet, is_done, answer, "metrics");
+  g_string_free (request, TRUE);
+}
+
 bool
 fleet_ready (Fleet *fleet, const FleetNode *entry)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -105,6 +105,7 @@
 uint64_t fleet_get (Fleet *fleet);
 /* The voter that answers operators itself; NULL: none does at the moment. */
 FleetNode *fleet_leader (Fleet *fleet);
+void fleet_metrics (Fleet *fleet, const FleetNode *node, Answer *answer);
 bool fleet_ready (Fleet *fleet, const FleetNode *entry);
 unsigned fleet_runs (const Fleet *fleet, const char *id);
 /* All that a node has logged so far; g_free. */
--- a/test/node.c
+++ b/test/node.c
@@ -340,6 +340,34 @@
   fleet_free (fleet);
 }
 
+/* Metrics tell who is in charge, what is in force where and what is believed of servers. */
+static void
+metrics_tell (void)
+{
+  Fleet *fleet = fleet_new ();
+  Answer answer;
+  unsigned charged = 0;
+
+  fleet_begin (fleet);
+  call_ok (fleet, &fleet->entries[0], "/plain/a", "p1");
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fleet_metrics (fleet, &fleet->voters[i], &answer);
+      charged += strstr (answer.body->str, "\nfoxtail_in_charge 1\n") != NULL;
+      g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_catalogue_version 1\n"));
+      g_assert_nonnull (strstr (answer.body->str, "\n# i-1 service=s "));
+      fleet_answer_clear (&answer);
+    }
+  g_assert_cmpuint (charged, ==, 1);
+  fleet_metrics (fleet, &fleet->entries[0], &answer);
+  g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_ready 1\n"));
+  g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_answered_total 1\n"));
+  g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_scheduler{by=\"voter\"} 1\n"));
+  g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_whole_seconds_count 1\n"));
+  fleet_answer_clear (&answer);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -356,5 +384,6 @@
   g_test_add_func ("/node/graceful_end", graceful_end);
   g_test_add_func ("/node/leaving_server", leaving_server);
   g_test_add_func ("/node/trace", id_is_found_in_the_logs);
+  g_test_add_func ("/node/metrics", metrics_tell);
   return g_test_run ();
 }
