--- a/node/control.c
+++ b/node/control.c
@@ -157,17 +157,6 @@
     }
 }
 
-static uint64_t
-newest (Control *control)
-{
-  uint64_t number;
-  GBytes *document = voter_document (control->voter, &number);
-
-  if (document)
-    g_bytes_unref (document);
-  return number;
-}
-
 static void
 send_view (Control *control, Contact *contact, int64_t now)
 {
@@ -179,7 +168,7 @@
   view->term = status->term;
   view->leader = status->leader;
   view->proved = status->proved && control->leaving_since == 0;
-  view->document = newest (control);
+  view->document = voter_newest (control->voter);
   view->voters.voters_len = status->count;
   view->voters.voters_val = status->voters;
   view->entries = count_entries (control);
@@ -265,7 +254,7 @@
   broker_up (control->broker, peer);
   send_view (control, contact, loop_now (control->loop));
   send_list (control, contact, loop_now (control->loop));
-  if (peer->role == MESH_ENTRY && peer->document < newest (control))
+  if (peer->role == MESH_ENTRY && peer->document < voter_newest (control->voter))
     send_document (control, contact, loop_now (control->loop));
 }
 
@@ -466,7 +455,7 @@
 static void
 tick_contacts (Control *control, int64_t now)
 {
-  uint64_t number = newest (control);
+  uint64_t number = voter_newest (control->voter);
 
   for (unsigned i = 0; i < control->contacts->len; i++)
     {
@@ -548,12 +537,12 @@
       "foxtail_catalogue_version %" G_GUINT64_FORMAT
       "\nfoxtail_entries %u\nfoxtail_waiting %u\nfoxtail_running %u\nfoxtail_servers %u\n"
       "foxtail_servers_out %u\nfoxtail_places %u\nfoxtail_list_age_seconds %g\n",
-      control->status.term, control->status.proved, control->status.count, newest (control),
-      count_entries (control), stats.waiting, stats.running, stats.servers, stats.out, stats.slots,
+      control->status.term, control->status.proved, control->status.count,
+      voter_newest (control->voter), count_entries (control), stats.waiting, stats.running,
+      stats.servers, stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
   g_string_append (out, "# servers as this voter sees them\n");
-  for (char *line = strtok (servers, "\n"); line; line = strtok (NULL, "\n"))
-    g_string_append_printf (out, "# %s\n", line);
+  g_string_append (out, servers);
   g_free (servers);
   return g_string_free (out, FALSE);
 }
--- a/node/entry.c
+++ b/node/entry.c
@@ -376,8 +376,7 @@
       hsrv_connections (entry->callers), hcli_opened (entry->cli), place_by (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
   g_string_append (out, "# servers as this entry sees them\n");
-  for (char *line = strtok (servers, "\n"); line; line = strtok (NULL, "\n"))
-    g_string_append_printf (out, "# %s\n", line);
+  g_string_append (out, servers);
   g_free (servers);
   return g_string_free (out, FALSE);
 }
--- a/node/operators.c
+++ b/node/operators.c
@@ -35,17 +35,6 @@
   bool leaving;
 };
 
-static uint64_t
-newest (Operators *operators)
-{
-  uint64_t number;
-  GBytes *document = voter_document (operators->voter, &number);
-
-  if (document)
-    g_bytes_unref (document);
-  return number;
-}
-
 static void
 reply_text (HCall *call, unsigned status, GString *fields, const char *text, size_t size)
 {
@@ -113,10 +102,10 @@
       pass_on (operators, call);
       return;
     }
-  if (change.number <= newest (operators))
+  if (change.number <= voter_newest (operators->voter))
     {
       jlog (JLOG_INFO, "change-known", NULL, JL_INT ("version", change.number),
-            JL_INT ("newest", newest (operators)));
+            JL_INT ("newest", voter_newest (operators->voter)));
       reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
       return;
     }
--- a/node/voter.c
+++ b/node/voter.c
@@ -458,3 +458,12 @@
   pthread_mutex_unlock (&voter->lock);
   return document;
 }
+
+uint64_t
+voter_newest (Voter *voter)
+{
+  pthread_mutex_lock (&voter->lock);
+  uint64_t number = voter->number;
+  pthread_mutex_unlock (&voter->lock);
+  return number;
+}
--- a/node/voter.h
+++ b/node/voter.h
@@ -58,5 +58,7 @@
 /* The newest committed document that this voter knows; *number 0 and NULL: none. The reference is
  * the caller's. */
 GBytes *voter_document (Voter *voter, uint64_t *number);
+/* Its number alone; 0: none. */
+uint64_t voter_newest (Voter *voter);
 
 #endif
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -650,7 +650,7 @@
       const Server *server = value;
       g_string_append_printf (
           out,
-          "%s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_us=%.1f "
+          "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_us=%.1f "
           "answer_ms=%.1f failures=%.2f\n",
           server->id, server->service->name, server->domain, server->running, server->slots,
           server->leaving  ? "leaving"
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -117,7 +117,7 @@
   unsigned waiting, running, servers, out, slots;
 } SchedStats;
 void sched_stats (const Sched *sched, SchedStats *stats);
-/* One line of text a server for operators: what is believed and why; g_free. */
+/* A line for each server, a comment of the metrics' format: what is believed and why; g_free. */
 char *sched_describe (const Sched *sched);
 
 #endif
