Let a deputy read the list for the entries that ask it

Cause: without voters 74 entries each read the list every 6 s, longer than a drain. A deputy reads it every second and passes it on. Test: /node/leaving_server_without_voters.

--- a/node/entry.c
+++ b/node/entry.c
@@ -22,6 +22,7 @@
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
 #define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
 #define LIST_EVERY   (1500 * FT_MS)
+#define LIST_DEPUTY  (1 * FT_SECOND) /* of one that reads for others: as often as a voter alone */
 #define LIST_PART                                                                                  \
   0.3 /* of the platform's rate that entries together use when voters are silent                   \
        */
@@ -93,9 +94,27 @@
 }
 
 static void
-list_changed (Entry *entry, const char *from)
+push_list (MeshPeer *peer, void *data)
+{
+  Entry *entry = data;
+  MeshMsg msg = { .kind = MESH_LIST };
+
+  if (peer->dialled || peer->role != MESH_ENTRY)
+    return;
+  servers_message (entry->servers, loop_now (entry->loop), true, &msg.MeshMsg_u.list);
+  mesh_send (peer, &msg);
+  g_free (msg.MeshMsg_u.list.servers.servers_val);
+}
+
+/* Failure: entries that cannot reach a voter each read the list, and together they may do so
+ * rarely. Symptom: a leaving server gets new work for seconds. A deputy reads for those that ask
+ * it. */
+static void
+list_changed (Entry *entry, const char *from, bool pass_on)
 {
   count_up (COUNT_LISTS);
+  if (pass_on && broker_askers (place_broker (entry->place)) > 0)
+    mesh_each (entry->mesh, push_list, entry);
   broker_servers (place_broker (entry->place), entry->servers);
   if (servers_changed (entry->servers))
     jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (entry->servers)),
@@ -109,7 +128,7 @@
   Entry *entry = host;
 
   if (list && servers_take_read (entry->servers, list, asked_at))
-    list_changed (entry, "own reading");
+    list_changed (entry, "own reading", true);
   else if (list == NULL)
     {
       count_up (COUNT_LIST_FAILURES);
@@ -123,10 +142,14 @@
 static void
 read_list_if_old (Entry *entry, int64_t now)
 {
+  bool for_others = broker_askers (place_broker (entry->place)) > 0;
   double rate = entry->settings->list_rate * LIST_PART / MAX (entry->entries, 4);
   int64_t every = MAX (LIST_EVERY, (int64_t) (1e6 / MAX (rate, 0.01)));
+  int64_t old = for_others ? LIST_DEPUTY : LIST_OLD;
 
-  if (now - servers_asked_at (entry->servers) < LIST_OLD || now < entry->list_at)
+  if (for_others)
+    every = LIST_DEPUTY;
+  if (now - servers_asked_at (entry->servers) < old || now < entry->list_at)
     return;
   entry->list_at = now + every / 2 + (int64_t) (instance_random () % (uint64_t) every);
   reader_start (entry->reader);
@@ -176,7 +199,8 @@
       break;
     case MESH_LIST:
       if (servers_take_message (entry->servers, &msg->MeshMsg_u.list, loop_now (entry->loop)))
-        list_changed (entry, "voter");
+        list_changed (entry, peer->role == MESH_VOTER ? "voter" : "deputy",
+                      peer->role == MESH_VOTER);
       break;
     default:
       place_message (entry->place, peer, msg);
--- a/test/node.c
+++ b/test/node.c
@@ -318,6 +318,33 @@
   fleet_free (fleet);
 }
 
+/* The same while no voter is left: the deputy reads the list for those that ask it. */
+static void
+leaving_server_without_voters (void)
+{
+  Fleet *fleet = fleet_new ();
+  char id[16];
+
+  fleet_begin (fleet);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      g_snprintf (id, sizeof id, "v%u", i);
+      call_ok (fleet, &fleet->entries[i % 2], "/plain/a", id);
+    }
+  fleet->servers[0].leaving = true;
+  fleet_run_for (fleet, 6 * FT_SECOND); /* first the entries must miss the voters' lists */
+  unsigned before = fleet->servers[0].arrived;
+  for (unsigned i = 0; i < 40; i++)
+    {
+      g_snprintf (id, sizeof id, "w%u", i);
+      call_ok (fleet, &fleet->entries[i % 2], "/plain/a", id);
+    }
+  g_assert_cmpuint (fleet->servers[0].arrived, ==, before);
+  fleet_free (fleet);
+}
+
 /* One request's id leads through the logs of its entry to what became of it. */
 static void
 id_is_found_in_the_logs (void)
@@ -383,6 +410,7 @@
   g_test_add_func ("/node/all_killed", all_killed);
   g_test_add_func ("/node/graceful_end", graceful_end);
   g_test_add_func ("/node/leaving_server", leaving_server);
+  g_test_add_func ("/node/leaving_server_without_voters", leaving_server_without_voters);
   g_test_add_func ("/node/trace", id_is_found_in_the_logs);
   g_test_add_func ("/node/metrics", metrics_tell);
   return g_test_run ();
