Use a part of the limits' margin while entries are gone

The margin that the limits leave for errors of accounting covers a part of it (0.6 of it used). Test: /quota/margin, which also holds the sum of both sides of a cut within limit and margin.

--- a/node/broker.c
+++ b/node/broker.c
@@ -321,6 +321,12 @@
   quota_share (broker->quota, limits);
 }
 
+void
+broker_margin (Broker *broker, double overage, double slack, double window_s)
+{
+  quota_margin (broker->quota, overage, slack, window_s);
+}
+
 void
 broker_tick (Broker *broker)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -24,6 +24,8 @@
 void broker_servers (Broker *broker, const Servers *servers);
 /* Parts of the places and of the limits that it may give away; salt as in sched_share. */
 void broker_share (Broker *broker, double places, double limits, uint64_t salt);
+/* See quota_margin. */
+void broker_margin (Broker *broker, double overage, double slack, double window_s);
 /* Refuses and places what time has decided. Call every 20 ms or so. */
 void broker_tick (Broker *broker);
 
--- a/node/settings.c
+++ b/node/settings.c
@@ -60,6 +60,12 @@
     "repeats allowed beside, over all instances" },
   { "budget_window_s", FT_FIELD_INTEGER, false, 1, 3600, "10", AT (budget_window_s),
     "span over which repeats are counted, seconds" },
+  { "limit_window_s", FT_FIELD_INTEGER, false, 0, 3600, "0", AT (limit_window_s),
+    "span in which organisations' limits are judged, seconds; 0: no margin is known" },
+  { "limit_overage", FT_FIELD_STRING, false, 0, 20, "0", AT (limit_overage_text),
+    "margin of the limits in that span, as a part of them" },
+  { "limit_slack", FT_FIELD_INTEGER, false, 0, G_GINT64_CONSTANT (1000000000000), "0",
+    AT (limit_slack), "margin of the limits beside, in their unit" },
   { 0 },
 };
 
@@ -142,6 +148,7 @@
       || address ("control", s->control_text, !entry, &s->control, error) != FT_OK
       || address ("list", s->list_text, true, &s->list, error) != FT_OK
       || real ("list_rate", s->list_rate_text, &s->list_rate, error) != FT_OK
+      || real ("limit_overage", s->limit_overage_text, &s->limit_overage, error) != FT_OK
       || real ("budget_ratio", s->budget_ratio_text, &s->budget_ratio, error) != FT_OK)
     return FT_INVALID;
   return FT_OK;
--- a/node/settings.h
+++ b/node/settings.h
@@ -19,14 +19,14 @@
   bool first_start;
   int64_t memory_mb, descriptors, losses;
   int64_t list_lag_ms, drain_ms, grace_s, apply_ms, touch_ms, catch_up_s;
-  int64_t budget_window_s, budget_slack;
-  char *list_rate_text, *budget_ratio_text;
+  int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
+  char *list_rate_text, *budget_ratio_text, *limit_overage_text;
   /* Worked out from the texts above. */
   SettingsRole role;
   uint32_t ip;
   SockAddr callers, ready, control, list;
   GArray *seeds; /* SockAddr */
-  double list_rate, budget_ratio;
+  double list_rate, budget_ratio, limit_overage;
 } Settings;
 
 /* Reads and checks a settings file (JSON with comments). Errors name line and field. */
--- a/src/quota.c
+++ b/src/quota.c
@@ -14,8 +14,10 @@
 
 /* Tuning; each row with its reason. */
 #define START_LEVEL 0.15 /* of a burst: two or three requests; a fiftieth of a window of 8 s */
-#define RANK_PART   0.12 /* of a burst, kept for each higher rank: one or two of its requests */
-#define RANKS_MOST  3
+#define MARGIN_USED 0.6  /* of the margin; the rest covers errors that the share does not know of  \
+                          */
+#define RANK_PART  0.12  /* of a burst, kept for each higher rank: one or two of its requests */
+#define RANKS_MOST 3
 #define LENIENCE                                                                                   \
   1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
 
@@ -29,7 +31,8 @@
 {
   FtClock *clock;
   double share;
-  GHashTable *buckets; /* organisation: Bucket */
+  double overage, slack, window_s; /* margin; window 0: none */
+  GHashTable *buckets;             /* organisation: Bucket */
 };
 
 Quota *
@@ -58,13 +61,36 @@
   quota->share = share;
 }
 
+void
+quota_margin (Quota *quota, double overage, double slack, double window_s)
+{
+  quota->overage = overage;
+  quota->slack = slack;
+  quota->window_s = window_s;
+}
+
+/* Failure: half of the entries lose power, and their parts of the limits are held back for those
+ * that may be cut off. Symptom: organisations are refused far below their limits. The margin covers
+ * a part. */
+static double
+part_of (const Quota *quota, const Bucket *bucket)
+{
+  double allowed = bucket->rate * quota->window_s + bucket->burst;
+
+  if (quota->share >= 1 || quota->window_s <= 0 || allowed <= 0)
+    return quota->share;
+  double margin = quota->overage + quota->slack / allowed;
+  return MIN (1, quota->share + MARGIN_USED * margin);
+}
+
 static void
 fill (const Quota *quota, Bucket *bucket)
 {
   int64_t now = ft_clock_now (quota->clock);
-  double most = bucket->burst * LENIENCE * quota->share;
+  double part = part_of (quota, bucket);
+  double most = bucket->burst * LENIENCE * part;
 
-  bucket->level += (double) (now - bucket->at) / 1e6 * bucket->rate * LENIENCE * quota->share;
+  bucket->level += (double) (now - bucket->at) / 1e6 * bucket->rate * LENIENCE * part;
   bucket->level = MIN (bucket->level, most);
   bucket->at = now;
 }
@@ -96,12 +122,13 @@
   if (bucket == NULL || bucket->rate <= 0)
     return true;
   fill (quota, bucket);
+  double part = part_of (quota, bucket);
   /* A request larger than the burst could never pass; a full bucket is enough for it. */
-  double kept = RANK_PART * MIN (rank, RANKS_MOST) * bucket->burst * quota->share;
-  double need = MIN (cost + kept, bucket->burst * quota->share);
+  double kept = RANK_PART * MIN (rank, RANKS_MOST) * bucket->burst * part;
+  double need = MIN (cost + kept, bucket->burst * part);
   if (bucket->level < need)
     {
-      *wait_us = (int64_t) ((need - bucket->level) / (bucket->rate * quota->share) * 1e6);
+      *wait_us = (int64_t) ((need - bucket->level) / (bucket->rate * part) * 1e6);
       return false;
     }
   bucket->level -= cost;
--- a/src/quota.h
+++ b/src/quota.h
@@ -10,6 +10,10 @@
 void quota_free (Quota *quota);
 /* The part of every limit that this accountant may give away, 0 to 1; 1 at first. */
 void quota_share (Quota *quota, double share);
+/* What the limits leave free for errors of accounting, in any window: a part of what they allow in
+ * it, and slack beside. Where the share is below 1, a part of that is used: those who may give the
+ * rest away may also be gone. Not for accountants of which there are many. */
+void quota_margin (Quota *quota, double overage, double slack, double window_s);
 /* rate a second, burst at once, in the caller's unit; rate 0: no limit. */
 void quota_limit (Quota *quota, const char *org, double rate, double burst);
 /* Takes cost from what the organisation may use now, leaving a part of its burst to requests of
--- a/test/decide.c
+++ b/test/decide.c
@@ -189,6 +189,29 @@
   quota_free (quota);
 }
 
+/* Half of the entries lose power. Their parts of a limit are held back, since they may only be cut
+ * off, and an organisation that keeps to its limit is refused. The margin of the limits covers a
+ * part, and what is given away here and might be given there together stays within limit and
+ * margin. */
+static void
+margin_covers_entries_that_are_gone (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+  double allowed = 1000 * 8 + 4000, margin = 0.1 * allowed + 3000;
+
+  quota_limit (quota, "org", 1000, 4000);
+  quota_share (quota, 0.5);
+  clock.now += 60 * FT_SECOND;
+  double bare = use_for (quota, &clock, 8, 100, 0);
+  quota_margin (quota, 0.1, 3000, 8);
+  clock.now += 60 * FT_SECOND;
+  double used = use_for (quota, &clock, 8, 100, 0);
+  g_assert_cmpfloat (used, >, bare * 1.3);
+  g_assert_cmpfloat (used + 0.5 * allowed, <, allowed + margin);
+  quota_free (quota);
+}
+
 static void
 unused_is_given_back (void)
 {
@@ -301,6 +324,7 @@
   g_test_add_func ("/quota/window", limit_holds_in_a_window);
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
   g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
+  g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
   g_test_add_func ("/quota/give_back", unused_is_given_back);
   g_test_add_func ("/budget/bounds", budget_bounds_repeats);
   g_test_add_func ("/route/prefix", longest_prefix_wins);
