Move who votes out of raft.c

No line of logic changed. The random test, the 27 scenarios and the tests of replaced voters, lost disks and a start of everything pass.

--- a/src/raft.c
+++ b/src/raft.c
@@ -3,149 +3,31 @@
  *
  * What differs from the paper:
  *
- * Incarnations. Each data folder has a random number. Voter sets name pairs of id and incarnation,
- * and votes and acknowledgements carry the incarnation and count only for the pair. So an instance
- * whose disk was replaced cannot vote as if it remembered: it is another voter. The leader copies
- * the log to it first, then removes the old pair, then adds the new one, one change at a time. A
- * replacement in one step would be unsafe: {A, B1, C} and {A, B2, C} have majorities {B1, C} and
- * {A, B2} without a common member.
- *
- * Forming. Blank voters ask each other. Only the lowest id may form the voter set, and only when
- * every other configured voter says that it is blank too; the others adopt it when it names their
- * incarnation. A voter that lost its disk meets voters that are formed and becomes a learner.
+ * Who votes, and how the first set forms, is in raftset.c.
  *
  * Order of disk and network. Messages wait in an outbox until what they promise is synced. When a
  * write or a sync fails the outbox is dropped and the voter stops taking part.
  */
-#include "raft.h"
-#include "rlog.h"
-#include "wal.h"
+#include "raftint.h"
 
 #include <string.h>
 
 /* Tuning; each row with its reason. */
 #define HEARTBEAT        (100 * FT_MS) /* six in the shortest election timeout: five may be lost */
-#define ELECTION_LEAST   (600 * FT_MS) /* a new leader within about 1.5 s, of 6 s for a change */
 #define ELECTION_SPREAD  (400 * FT_MS) /* voters rarely stand together */
 #define PREVOTE_LEAST    (150 * FT_MS) /* asking again costs messages only, no term */
 #define PREVOTE_SPREAD   (150 * FT_MS)
 #define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
 #define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
-#define BLANK_EVERY      (300 * FT_MS)
-#define BLANK_VALID      (1000 * FT_MS) /* an answer older than this may be of an older life */
 #define ENTRIES_MOST     256            /* bound of msg.x */
 #define BYTES_MOST       (1u << 20)     /* one message must not delay heartbeats */
 #define UNCOMMITTED_MOST 4096           /* beyond, proposers are told to come back */
-#define ROUNDS           128            /* heartbeats whose sending time is remembered: 12 s */
 #define KEEP_TAIL        256            /* entries kept behind a snapshot for those just behind */
-#define GONE                                                                                       \
-  (2500 * FT_MS)      /* silence after which a replaced voter is dropped: two                      \
-                         elections, and before a second loss may follow (4 s) */
-#define PEERS_MOST 16 /* voters, and as many that come in their place */
-
-typedef enum
-{
-  ROLE_FOLLOWER,
-  ROLE_PRECANDIDATE,
-  ROLE_CANDIDATE,
-  ROLE_LEADER
-} Role;
-
-typedef struct
-{
-  uint32_t id;
-  uint64_t incarnation; /* as it last said; 0: unknown */
-  uint64_t next, match;
-  int64_t heard;      /* when its last message came */
-  int64_t acked_sent; /* when the newest round that it acknowledged was sent */
-  bool granted;
-  bool blank_known; /* said that it is blank */
-  int64_t blank_at;
-  uint64_t blank_incarnation;
-} Peer;
-
-typedef struct
-{
-  uint32_t to;
-  GByteArray *bytes;
-} Outgoing;
-
-struct Raft
-{
-  RaftConf conf;
-  uint32_t voters[FT_VOTERS_MOST];
-  FtClock *clock;
-  FtRandom *random;
-  State *state;
-  const RaftOps *ops;
-  void *host;
-  Wal *wal;
-  Rlog log;
-  uint64_t incarnation;
-  bool broken;
-  Role role;
-  uint64_t term;
-  uint32_t voted_for, leader;
-  uint64_t commit, applied, synced;
-  uint64_t noted;      /* commit index in the log's file */
-  uint64_t term_start; /* index of the leader's first entry */
-  uint64_t round;
-  int64_t round_sent[ROUNDS];
-  int64_t election_at, leader_heard, heartbeat_at, blank_at, led_since;
-  bool must_send; /* new entries wait to be sent */
-  Peer peers[PEERS_MOST];
-  unsigned peer_count;
-  GArray *outbox; /* Outgoing */
-};
 
 /* ---- Small helpers ---- */
 
-static Peer *
-find_peer (Raft *raft, uint32_t id)
-{
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    if (raft->peers[i].id == id)
-      return &raft->peers[i];
-  return NULL;
-}
-
-static bool
-configured (const Raft *raft, uint32_t id)
-{
-  return rlog_config_incarnation (rlog_config (&raft->log), id) != 0;
-}
-
-static Peer *
-meet (Raft *raft, uint32_t id)
-{
-  Peer *peer = find_peer (raft, id);
-  int64_t now = ft_clock_now (raft->clock);
-
-  if (peer || id == raft->conf.self || id == 0)
-    return peer;
-  if (raft->peer_count < PEERS_MOST)
-    peer = &raft->peers[raft->peer_count++];
-  for (unsigned i = 0; peer == NULL && i < raft->peer_count; i++)
-    if (!configured (raft, raft->peers[i].id) && now - raft->peers[i].heard > GONE)
-      peer = &raft->peers[i]; /* one that never came back makes room */
-  if (peer)
-    *peer = (Peer){ .id = id, .next = rlog_last (&raft->log) + 1, .heard = now };
-  return peer;
-}
-
-/* Failure: the log names voters that nobody has told this one of, after a restart with other
- * contacts. Symptom: it stands for election and asks nobody. */
-static void
-meet_voters (Raft *raft)
-{
-  const RlogConfig *config = rlog_config (&raft->log);
-
-  for (unsigned i = 0; raft->conf.found && i < config->count; i++)
-    meet (raft, config->voters[i].id);
-}
-
-static void
-post (Raft *raft, uint32_t to, const Msg *msg)
+void
+raft_post (Raft *raft, uint32_t to, const Msg *msg)
 {
   Outgoing out = { to, codec_pack (CODEC (Msg), msg) };
 
@@ -191,8 +73,8 @@
   return config->count / 2 + 1;
 }
 
-static void
-enter_term (Raft *raft, uint64_t term, uint32_t voted_for)
+void
+raft_enter_term (Raft *raft, uint64_t term, uint32_t voted_for)
 {
   raft->term = term;
   raft->voted_for = voted_for;
@@ -203,7 +85,7 @@
 follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now)
 {
   if (term > raft->term)
-    enter_term (raft, term, 0);
+    raft_enter_term (raft, term, 0);
   raft->role = ROLE_FOLLOWER;
   raft->leader = leader;
   restart_election_timer (raft, now);
@@ -216,8 +98,8 @@
   rlog_append (&raft->log, entry);
 }
 
-static FtStatus
-append_op (Raft *raft, uint64_t term, const MsgOp *op)
+FtStatus
+raft_append_op (Raft *raft, uint64_t term, const MsgOp *op)
 {
   GByteArray *bytes = codec_pack (CODEC (MsgOp), op);
 
@@ -300,7 +182,7 @@
   out->index_term = rlog_term (&raft->log, raft->applied);
   out->state.state_len = state->len;
   out->state.state_val = (char *) state->data;
-  post (raft, peer->id, &msg);
+  raft_post (raft, peer->id, &msg);
   g_byte_array_unref (state);
   peer->next = raft->applied + 1;
 }
@@ -334,7 +216,7 @@
     }
   out->entries.entries_len = count;
   out->entries.entries_val = entries;
-  post (raft, peer->id, &msg);
+  raft_post (raft, peer->id, &msg);
   peer->next += count; /* taken back when the peer says that it missed something */
 }
 
@@ -369,7 +251,7 @@
   for (unsigned i = 0; i < config->count; i++)
     {
       const MsgVoter *voter = &config->voters[i];
-      const Peer *peer = find_peer (raft, voter->id);
+      const Peer *peer = raftset_find (raft, voter->id);
       if (voter->id == raft->conf.self)
         values[i] = voter->incarnation == raft->incarnation ? own : 0;
       else if (peer && peer->incarnation == voter->incarnation)
@@ -417,74 +299,10 @@
       raft->peers[i].match = 0;
       raft->peers[i].acked_sent = now; /* they have just voted */
     }
-  append_op (raft, raft->term, &noop);
+  raft_append_op (raft, raft->term, &noop);
   raft->term_start = rlog_last (&raft->log);
 }
 
-static void
-propose_voters (Raft *raft, const RlogConfig *config)
-{
-  MsgOp op = { .kind = MSG_OP_VOTERS };
-
-  op.MsgOp_u.voters.voters.voters_len = config->count;
-  op.MsgOp_u.voters.voters.voters_val = (MsgVoter *) config->voters;
-  append_op (raft, raft->term, &op);
-}
-
-/* One step towards naming the incarnations that are really there; at most one change is open. */
-static void
-adjust_voters (Raft *raft, int64_t now)
-{
-  RlogConfig config = *rlog_config (&raft->log);
-
-  if (config.index > raft->commit || raft->commit < raft->term_start)
-    return;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    {
-      const Peer *peer = &raft->peers[i];
-      uint64_t named = rlog_config_incarnation (&config, peer->id);
-      bool caught_up = peer->match > 0 && peer->match >= raft->commit
-                       && now - peer->acked_sent < ELECTION_LEAST;
-      if (peer->incarnation == 0 || named == peer->incarnation || !caught_up)
-        continue;
-      if (named == 0 && config.count < FT_VOTERS_MOST)
-        config.voters[config.count++] = (MsgVoter){ peer->id, peer->incarnation };
-      else
-        for (unsigned j = 0; j < config.count; j++)
-          if (config.voters[j].id == peer->id)
-            config.voters[j] = config.voters[--config.count];
-      propose_voters (raft, &config);
-      return;
-    }
-}
-
-/* Failure: a voter is gone for good and another has come in its place. Symptom: with one of four
- * dead a second loss stops the log. So the dead one is dropped, once the others that are heard
- * number at least conf.least: no majority needs it then. */
-static void
-drop_gone (Raft *raft, int64_t now)
-{
-  RlogConfig config = *rlog_config (&raft->log);
-  unsigned heard = 0, gone = config.count;
-
-  if (raft->conf.least == 0 || config.count <= raft->conf.least || config.index > raft->commit
-      || raft->commit < raft->term_start)
-    return;
-  for (unsigned i = 0; i < config.count; i++)
-    {
-      const Peer *peer = find_peer (raft, config.voters[i].id);
-      if (config.voters[i].id == raft->conf.self
-          || (peer && now - peer->acked_sent < ELECTION_LEAST))
-        heard++;
-      else if (peer == NULL || now - peer->acked_sent > GONE)
-        gone = i;
-    }
-  if (gone == config.count || heard < raft->conf.least)
-    return;
-  config.voters[gone] = config.voters[--config.count];
-  propose_voters (raft, &config);
-}
-
 /* ---- Elections ---- */
 
 static void
@@ -502,7 +320,7 @@
   for (unsigned i = 0; i < raft->peer_count; i++)
     {
       raft->peers[i].granted = false;
-      post (raft, raft->peers[i].id, &msg);
+      raft_post (raft, raft->peers[i].id, &msg);
     }
 }
 
@@ -514,7 +332,7 @@
 
   for (unsigned i = 0; i < config->count; i++)
     {
-      const Peer *peer = find_peer (raft, config->voters[i].id);
+      const Peer *peer = raftset_find (raft, config->voters[i].id);
       if (config->voters[i].id == raft->conf.self)
         granted += config->voters[i].incarnation == raft->incarnation;
       else
@@ -535,7 +353,7 @@
   raft->leader = 0;
   raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
   if (!pre)
-    enter_term (raft, raft->term + 1, raft->conf.self);
+    raft_enter_term (raft, raft->term + 1, raft->conf.self);
   ask_votes (raft, pre, handed_over);
   count_votes (raft, now);
 }
@@ -583,14 +401,14 @@
            && (raft->voted_for == 0 || raft->voted_for == from) && log_is_current (raft, vote))
     {
       granted = true;
-      enter_term (raft, raft->term, from);
+      raft_enter_term (raft, raft->term, from);
       restart_election_timer (raft, now);
     }
   out->pre = vote->pre;
   out->term = granted && vote->pre ? vote->term : raft->term;
   out->incarnation = raft->incarnation;
   out->granted = granted;
-  post (raft, from, &msg);
+  raft_post (raft, from, &msg);
 }
 
 static void
@@ -624,7 +442,7 @@
   out->incarnation = raft->incarnation;
   out->ok = ok;
   out->match = match;
-  post (raft, to, &msg);
+  raft_post (raft, to, &msg);
 }
 
 static void
@@ -745,92 +563,6 @@
   send_append (raft, peer);
 }
 
-/* ---- Forming ---- */
-
-static void
-send_blank (Raft *raft, uint32_t to, bool answer)
-{
-  const RlogConfig *config = rlog_config (&raft->log);
-  Msg msg = { .kind = MSG_BLANK };
-  MsgBlank *out = &msg.Msg_u.blank;
-
-  out->incarnation = raft->incarnation;
-  out->answer = answer;
-  out->formed = rlog_last (&raft->log) > 0;
-  out->voters.voters_len = config->index == 1 ? config->count : 0; /* as formed, or none */
-  out->voters.voters_val = (MsgVoter *) config->voters;
-  post (raft, to, &msg);
-}
-
-static void
-form (Raft *raft, const MsgVoter *voters, unsigned count)
-{
-  RlogConfig config = { .count = count };
-
-  memcpy (config.voters, voters, count * sizeof *voters);
-  enter_term (raft, MAX (raft->term, 1), raft->voted_for);
-  MsgOp op = { .kind = MSG_OP_VOTERS };
-  op.MsgOp_u.voters.voters.voters_len = config.count;
-  op.MsgOp_u.voters.voters.voters_val = config.voters;
-  append_op (raft, 1, &op);
-}
-
-static void
-try_to_form (Raft *raft, int64_t now)
-{
-  MsgVoter voters[FT_VOTERS_MOST] = { { raft->conf.self, raft->incarnation } };
-  unsigned count = 1;
-  bool named = false;
-
-  if (raft->conf.found && !raft->conf.may_form)
-    return;
-  for (unsigned i = 0; i < raft->conf.count; i++)
-    {
-      uint32_t id = raft->conf.voters[i];
-      const Peer *peer = find_peer (raft, id);
-      named = named || id == raft->conf.self;
-      if (id == raft->conf.self)
-        continue;
-      if (id < raft->conf.self || peer == NULL || !peer->blank_known
-          || now - peer->blank_at > BLANK_VALID)
-        return;
-      voters[count++] = (MsgVoter){ id, peer->blank_incarnation };
-    }
-  if (named)
-    form (raft, voters, count);
-}
-
-static void
-on_blank (Raft *raft, Peer *peer, const MsgBlank *blank, int64_t now)
-{
-  bool self_blank = rlog_last (&raft->log) == 0;
-
-  if (!blank->answer)
-    send_blank (raft, peer->id, true);
-  peer->blank_known = !blank->formed;
-  peer->blank_at = now;
-  peer->blank_incarnation = blank->incarnation;
-  if (raft->role == ROLE_LEADER && !blank->formed && peer->incarnation != blank->incarnation)
-    {
-      peer->incarnation = blank->incarnation;
-      peer->match = 0;
-      peer->next = rlog_last (&raft->log) + 1;
-    }
-  if (!self_blank || !blank->formed)
-    return;
-  for (unsigned i = 0; i < blank->voters.voters_len; i++)
-    {
-      const MsgVoter *voter = &blank->voters.voters_val[i];
-      /* Adopting is for the first forming only, when the log is just that one entry. A learner of
-       * a log that has grown gets it from the leader and is not named until it has caught up. */
-      if (voter->id == raft->conf.self && voter->incarnation == raft->incarnation)
-        {
-          form (raft, blank->voters.voters_val, blank->voters.voters_len);
-          return;
-        }
-    }
-}
-
 /* ---- Interface ---- */
 
 static void
@@ -877,7 +609,7 @@
   raft->outbox = g_array_new (FALSE, FALSE, sizeof (Outgoing));
   rlog_init (&raft->log);
   for (unsigned i = 0; i < conf->count; i++)
-    meet (raft, conf->voters[i]);
+    raftset_meet (raft, conf->voters[i]);
   FtStatus status = wal_open (disk, &raft->wal, &from, error);
   if (status == FT_OK)
     load (raft, &from, error, &status);
@@ -889,7 +621,7 @@
       if (status != FT_OK)
         ft_error_set (error, status, 0, "ident", "cannot be written");
     }
-  meet_voters (raft);
+  raftset_meet_voters (raft);
   /* It may have heard a leader just before it stopped, whose lease counts from the sending of what
    * was heard: it is over LEASE from now at the latest. */
   raft->leader_heard = now - (ELECTION_LEAST - LEASE);
@@ -919,7 +651,7 @@
 raft_receive (Raft *raft, uint32_t from, const Msg *msg)
 {
   int64_t now = ft_clock_now (raft->clock);
-  Peer *peer = raft->conf.found ? meet (raft, from) : find_peer (raft, from);
+  Peer *peer = raft->conf.found ? raftset_meet (raft, from) : raftset_find (raft, from);
 
   if (peer == NULL || raft->broken)
     return;
@@ -942,7 +674,7 @@
       on_snapshot (raft, from, &msg->Msg_u.snapshot, now);
       break;
     case MSG_BLANK:
-      on_blank (raft, peer, &msg->Msg_u.blank, now);
+      raftset_on_blank (raft, peer, &msg->Msg_u.blank, now);
       break;
     case MSG_STAND:
       if (in_config (raft) && raft->role == ROLE_FOLLOWER && from == raft->leader)
@@ -953,17 +685,6 @@
     }
 }
 
-static void
-tick_blank (Raft *raft, int64_t now)
-{
-  if (now < raft->blank_at)
-    return;
-  raft->blank_at = now + BLANK_EVERY;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    send_blank (raft, raft->peers[i].id, false);
-  try_to_form (raft, now);
-}
-
 static void
 tick_leader (Raft *raft, int64_t now)
 {
@@ -974,8 +695,8 @@
       follow (raft, raft->term, 0, now);
       return;
     }
-  adjust_voters (raft, now);
-  drop_gone (raft, now);
+  raftset_adjust (raft, now);
+  raftset_drop_gone (raft, now);
   if (now >= raft->heartbeat_at)
     raft->must_send = true;
 }
@@ -987,15 +708,15 @@
 
   if (raft->broken)
     return;
-  meet_voters (raft);
+  raftset_meet_voters (raft);
   if (rlog_last (&raft->log) == 0)
-    tick_blank (raft, now);
+    raftset_tick_blank (raft, now);
   else if (raft->role == ROLE_LEADER)
     tick_leader (raft, now);
   else if (now >= raft->election_at && in_config (raft))
     stand (raft, true, false, now);
   else if (now >= raft->election_at)
-    tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
+    raftset_tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
 }
 
 FtStatus
@@ -1005,7 +726,7 @@
     return FT_NOT_LEADER;
   if (rlog_last (&raft->log) - raft->commit > UNCOMMITTED_MOST)
     return FT_FULL;
-  FtStatus status = append_op (raft, raft->term, op);
+  FtStatus status = raft_append_op (raft, raft->term, op);
   *index = rlog_last (&raft->log);
   return raft->broken ? FT_IO : status;
 }
@@ -1064,7 +785,7 @@
 raft_meet (Raft *raft, uint32_t id)
 {
   if (raft->conf.found)
-    meet (raft, id);
+    raftset_meet (raft, id);
 }
 
 unsigned
@@ -1090,14 +811,14 @@
     {
       Peer *peer = &raft->peers[i];
       bool heard = now - peer->acked_sent < ELECTION_LEAST;
-      if (configured (raft, peer->id) && heard && (best == NULL || peer->match > best->match))
+      if (raftset_names (raft, peer->id) && heard && (best == NULL || peer->match > best->match))
         best = peer;
     }
   if (best == NULL)
     return;
   /* It stops leading before it lets another stand: two never lead at once. */
   follow (raft, raft->term, 0, now);
-  post (raft, best->id, &msg);
+  raft_post (raft, best->id, &msg);
 }
 
 int64_t
--- /dev/null
+++ b/src/raftint.h
@@ -0,0 +1,95 @@
+/* raftint.h - one voter's record, shared by raft.c (the log, elections) and raftset.c (who votes)
+ * only. */
+#ifndef RAFTINT_H
+#define RAFTINT_H
+
+#include "raft.h"
+#include "rlog.h"
+#include "wal.h"
+
+/* Tuning that both files share; each row with its reason. */
+#define ELECTION_LEAST (600 * FT_MS) /* a new leader within about 1.5 s, of 6 s for a change */
+#define ROUNDS         128           /* heartbeats whose sending time is remembered: 12 s */
+#define PEERS_MOST     16            /* voters, and as many that come in their place */
+
+typedef enum
+{
+  ROLE_FOLLOWER,
+  ROLE_PRECANDIDATE,
+  ROLE_CANDIDATE,
+  ROLE_LEADER
+} Role;
+
+typedef struct
+{
+  uint32_t id;
+  uint64_t incarnation; /* as it last said; 0: unknown */
+  uint64_t next, match;
+  int64_t heard;      /* when its last message came */
+  int64_t acked_sent; /* when the newest round that it acknowledged was sent */
+  bool granted;
+  bool blank_known; /* said that it is blank */
+  int64_t blank_at;
+  uint64_t blank_incarnation;
+} Peer;
+
+typedef struct
+{
+  uint32_t to;
+  GByteArray *bytes;
+} Outgoing;
+
+struct Raft
+{
+  RaftConf conf;
+  uint32_t voters[FT_VOTERS_MOST];
+  FtClock *clock;
+  FtRandom *random;
+  State *state;
+  const RaftOps *ops;
+  void *host;
+  Wal *wal;
+  Rlog log;
+  uint64_t incarnation;
+  bool broken;
+  Role role;
+  uint64_t term;
+  uint32_t voted_for, leader;
+  uint64_t commit, applied, synced;
+  uint64_t noted;      /* commit index in the log's file */
+  uint64_t term_start; /* index of the leader's first entry */
+  uint64_t round;
+  int64_t round_sent[ROUNDS];
+  int64_t election_at, leader_heard, heartbeat_at, blank_at, led_since;
+  bool must_send; /* new entries wait to be sent */
+  Peer peers[PEERS_MOST];
+  unsigned peer_count;
+  GArray *outbox; /* Outgoing */
+};
+
+/* ---- raft.c ---- */
+
+/* Puts a message behind what the next sync makes lasting. */
+void raft_post (Raft *raft, uint32_t to, const Msg *msg);
+FtStatus raft_append_op (Raft *raft, uint64_t term, const MsgOp *op);
+void raft_enter_term (Raft *raft, uint64_t term, uint32_t voted_for);
+
+/* ---- Who votes (raftset.c) ---- */
+
+/* NULL: unknown. */
+Peer *raftset_find (Raft *raft, uint32_t id);
+/* Does the newest set of voters name id? */
+bool raftset_names (const Raft *raft, uint32_t id);
+/* The peer of that id, made if there is room; NULL: this voter itself, or no room. */
+Peer *raftset_meet (Raft *raft, uint32_t id);
+/* Meets all voters that the log names. */
+void raftset_meet_voters (Raft *raft);
+/* A leader's steps, at most one open at a time: the incarnations that are there are named, ... */
+void raftset_adjust (Raft *raft, int64_t now);
+/* ... and one that is gone is dropped when enough others are heard. */
+void raftset_drop_gone (Raft *raft, int64_t now);
+void raftset_on_blank (Raft *raft, Peer *peer, const MsgBlank *blank, int64_t now);
+/* A voter without a log makes itself known, and forms the first set when it may. */
+void raftset_tick_blank (Raft *raft, int64_t now);
+
+#endif
