--- a/node/broker.c
+++ b/node/broker.c
@@ -276,6 +276,14 @@
   return asker && asker->waiting > 0;
 }
 
+bool
+broker_asked (const Broker *broker, const MeshPeer *peer)
+{
+  const Asker *asker = g_hash_table_lookup (broker->askers, &peer->lifetime);
+
+  return asker && asker->asked_at > loop_now (broker->loop) - ASKED_LATELY;
+}
+
 unsigned
 broker_askers (const Broker *broker)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -44,6 +44,8 @@
 bool broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg);
 /* Has the peer a request that waits here? */
 bool broker_waits (const Broker *broker, const MeshPeer *peer);
+/* Has the peer asked within the last seconds? */
+bool broker_asked (const Broker *broker, const MeshPeer *peer);
 /* Instances that have asked within the last seconds. */
 unsigned broker_askers (const Broker *broker);
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -21,6 +21,7 @@
 #define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
 #define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
+#define UNSENT_SMALL 16384           /* bytes under way to an entry beyond which no list is added */
 #define LIST_EVERY   (1500 * FT_MS)
 #define LIST_DEPUTY  (1 * FT_SECOND) /* of one that reads for others: as often as a voter alone */
 #define LIST_PART                                                                                  \
@@ -93,17 +94,24 @@
   mesh_say (entry->mesh, entry->leaving_since != 0, rt_cat_version (cat));
 }
 
+/* Failure: a deputy sends the whole list to all entries at each reading. Symptom: at 3,000 servers
+ * and 299 instances it passes its memory limit (260 MB wait for slow links). Only who asks it gets
+ * the list, only what has changed, and nothing while what was sent before is not taken. peer->user
+ * holds the digest of the list that the peer was sent last. */
 static void
 push_list (MeshPeer *peer, void *data)
 {
   Entry *entry = data;
   MeshMsg msg = { .kind = MESH_LIST };
 
-  if (peer->dialled || peer->role != MESH_ENTRY)
+  if (peer->dialled || peer->role != MESH_ENTRY || mesh_unsent (peer) > UNSENT_SMALL
+      || !broker_asked (place_broker (entry->place), peer))
     return;
-  servers_message (entry->servers, loop_now (entry->loop), 0, &msg.MeshMsg_u.list);
+  servers_message (entry->servers, loop_now (entry->loop), GPOINTER_TO_UINT (peer->user),
+                   &msg.MeshMsg_u.list);
   mesh_send (peer, &msg);
   servers_message_clear (&msg.MeshMsg_u.list);
+  peer->user = GUINT_TO_POINTER (servers_digest (entry->servers));
 }
 
 /* Failure: entries that cannot reach a voter each read the list, and together they may do so
@@ -211,6 +219,9 @@
     case MESH_DOCUMENT:
       take_catalogue (entry, &msg->MeshMsg_u.document, peer);
       break;
+    case MESH_WANT_LIST:
+      peer->user = NULL; /* with the next reading it is sent whole */
+      break;
     case MESH_LIST:
       take_list (entry, peer, &msg->MeshMsg_u.list);
       break;
