Take out settings and functions that nothing uses

Seven settings of foxtailnode had no effect, five functions no caller: a reader would look for what they do. platform/*.settings fill in what is read.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -373,12 +373,6 @@
   close_conn (xfer->conn, true);
 }
 
-bool
-hxfer_sent (const HXfer *xfer)
-{
-  return xfer->sent;
-}
-
 /* ---- The client ---- */
 
 static void
@@ -450,15 +444,6 @@
   g_free (cli);
 }
 
-void
-hcli_drop (HCli *cli, const char *key)
-{
-  Pool *pool = g_hash_table_lookup (cli->pools, key);
-
-  if (pool)
-    drop_pool (pool);
-}
-
 uint64_t
 hcli_opened (const HCli *cli)
 {
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -45,10 +45,6 @@
                   void *user);
 /* Gives the transfer up and closes its connection; nothing more is called. */
 void hxfer_cancel (HXfer *xfer);
-/* Has a byte of the request been handed to a connection? */
-bool hxfer_sent (const HXfer *xfer);
-/* Closes the idle connections of a key. */
-void hcli_drop (HCli *cli, const char *key);
 /* Connections opened and requests sent so far. */
 uint64_t hcli_opened (const HCli *cli);
 
--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -389,18 +389,6 @@
   return read->ended;
 }
 
-bool
-hread_within (const HRead *read)
-{
-  return read->within;
-}
-
-bool
-hread_has_head (const HRead *read)
-{
-  return read->within && read->head_done;
-}
-
 /* ---- Writing ---- */
 
 const char *
--- a/net/hmsg.h
+++ b/net/hmsg.h
@@ -54,10 +54,6 @@
 size_t hread_feed (HRead *read, const void *data, size_t size, HReadFault *fault);
 /* The connection has ended. True: a message that ends so is complete; its end was reported. */
 bool hread_eof (HRead *read);
-/* Has part of a message been read? */
-bool hread_within (const HRead *read);
-/* Has the head of the message that is being read been reported? */
-bool hread_has_head (const HRead *read);
 
 /* Writing: appends to out. */
 void hwrite_request_line (GString *out, const char *method, const char *target);
--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -393,12 +393,6 @@
   return call->user;
 }
 
-bool
-hcall_begun (const HCall *call)
-{
-  return call->conn->state == CONN_ANSWERING;
-}
-
 static GString *
 start_head (HCall *call, unsigned status, const GString *fields)
 {
--- a/net/hsrv.h
+++ b/net/hsrv.h
@@ -52,6 +52,5 @@
 void hcall_end (HCall *call);
 /* Breaks the connection off, so that the caller cannot take the answer for complete. */
 void hcall_abort (HCall *call);
-bool hcall_begun (const HCall *call);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -95,7 +95,7 @@
   forget_number (req);
 }
 
-/* An answer of our own. body explains it; it is told apart from a server's by having no receipt. */
+/* An answer of our own. body explains it; no server has signed it. */
 static void
 answer_own (Req *req, unsigned status, int64_t retry_us, const char *why)
 {
--- a/node/settings.h
+++ b/node/settings.h
@@ -17,8 +17,7 @@
   GPtrArray *seed_texts;
   int64_t link_port, link_listen_port, metrics_port;
   bool first_start;
-  int64_t memory_mb, descriptors, losses;
-  int64_t list_lag_ms, drain_ms, grace_s, apply_ms, touch_ms, catch_up_s;
+  int64_t losses, grace_s;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
   char *list_rate_text, *budget_ratio_text, *limit_overage_text;
   /* Worked out from the texts above. */
