--- a/test/fleet.c
+++ b/test/fleet.c
@@ -472,6 +472,7 @@
 
   answer->status = hmsg_status (msg);
   answer->signature = hmsg_field (msg, "X-Foxtailgrade-Server-Signature") != NULL;
+  answer->advice = hmsg_field (msg, "Retry-After") != NULL;
   g_strlcpy (answer->location, location ? location : "", sizeof answer->location);
   g_strlcpy (answer->connection, connection ? connection : "", sizeof answer->connection);
   return true;
@@ -617,6 +618,18 @@
   return accepted;
 }
 
+unsigned
+fleet_resend (Fleet *fleet, const FleetNode *voter)
+{
+  char *text = catalogue_text (fleet->version);
+  Answer answer;
+
+  ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
+  fleet_answer_clear (&answer);
+  g_free (text);
+  return answer.status;
+}
+
 void
 fleet_put (Fleet *fleet)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -65,7 +65,7 @@
   unsigned status;
   GString *body;
   char location[128], connection[32];
-  bool signature;
+  bool signature, advice; /* advice: it says when to come back */
   HXfer *xfer;
 } Answer;
 
@@ -99,6 +99,8 @@
 void fleet_put (Fleet *fleet);
 /* One try to hand in the next version, at one voter. True: it was acknowledged. */
 bool fleet_try_put (Fleet *fleet, const FleetNode *voter);
+/* Sends the newest acknowledged catalogue again to one voter. Returns its status; 0: no answer. */
+unsigned fleet_resend (Fleet *fleet, const FleetNode *voter);
 /* The version that one voter shows; 0: it shows none. */
 uint64_t fleet_try_get (Fleet *fleet, const FleetNode *voter);
 /* The version that operators read, from any voter that answers. */
--- a/test/node.c
+++ b/test/node.c
@@ -298,6 +298,66 @@
   fleet_free (fleet);
 }
 
+/* An entry starts and reaches no voter. It cannot know what is allowed: its caller is told when to
+ * come back, never that its route or key is unknown, and the log says why. It is not ready. */
+static void
+entry_alone (void)
+{
+  Fleet *fleet = fleet_new ();
+  Answer answer;
+
+  fleet_start (fleet, &fleet->entries[0], false);
+  do
+    {
+      fleet_run_for (fleet, 20 * FT_MS);
+      fleet_call (fleet, &fleet->entries[0], "/plain/a", "a1", &answer);
+      if (answer.broken)
+        fleet_answer_clear (&answer);
+    }
+  while (answer.broken);
+  g_assert_cmpuint (answer.status, ==, 503);
+  g_assert_true (answer.advice);
+  fleet_answer_clear (&answer);
+  g_assert_false (fleet_ready (fleet, &fleet->entries[0]));
+  fleet_run_for (fleet, 500 * FT_MS); /* the log's buffer is written */
+  char *log = fleet_log (&fleet->entries[0]);
+  g_assert_nonnull (strstr (log, "\"why\":\"no-catalogue\""));
+  g_free (log);
+  fleet_free (fleet);
+}
+
+/* An operator's answer is lost; it sends the same change again to other voters, also after the one
+ * that accepted it was killed. It is acknowledged again or sent on, never refused, and read back.
+ */
+static void
+change_sent_again (void)
+{
+  Fleet *fleet = fleet_new ();
+  unsigned acknowledged = 0;
+
+  fleet_begin (fleet);
+  fleet_put (fleet);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      unsigned status = fleet_resend (fleet, &fleet->voters[i]);
+      g_assert_true (status == 200 || status == 307 || status == 503);
+    }
+  FleetNode *leader = fleet_leader (fleet);
+  g_assert_nonnull (leader);
+  fleet_kill (leader);
+  for (unsigned i = 0; i < 600 && acknowledged == 0; i++)
+    {
+      FleetNode *voter = &fleet->voters[i % 3];
+      unsigned status = voter->pid ? fleet_resend (fleet, voter) : 0;
+      g_assert_true (status / 100 != 4);
+      acknowledged += status == 200;
+      fleet_run_for (fleet, 50 * FT_MS);
+    }
+  g_assert_cmpuint (acknowledged, ==, 1);
+  g_assert_cmpuint (fleet_get (fleet), ==, fleet->version);
+  fleet_free (fleet);
+}
+
 /* A server is shown as leaving: soon nothing new reaches it. */
 static void
 leaving_server (void)
@@ -426,6 +486,8 @@
   g_test_add_func ("/node/voter_replaced", voter_replaced);
   g_test_add_func ("/node/disk_lost", disk_lost);
   g_test_add_func ("/node/all_killed", all_killed);
+  g_test_add_func ("/node/entry_alone", entry_alone);
+  g_test_add_func ("/node/change_sent_again", change_sent_again);
   g_test_add_func ("/node/graceful_end", graceful_end);
   g_test_add_func ("/node/leaving_server", leaving_server);
   g_test_add_func ("/node/leaving_server_without_voters", leaving_server_without_voters);
