Let a limit's account go on where another scheduler takes over

Ruled out: use beyond the limits (5 requests not owed in those seconds). Change: each verdict says how full the account is; who asks another scheduler passes the newest word on; a part that arrives is as full as the word says; what was spent before an account began here is not charged again; a deputy's part grows with the ask; advice ends with the caller's own limit. Without any word an account starts with a part of the limits' margin. Tests, failing before: /quota/goes_on, /quota/no_part, /place/word, /place/first_asker.

--- a/node/broker.c
+++ b/node/broker.c
@@ -19,6 +19,7 @@
   uint64_t owner; /* the peer's lifetime */
   unsigned waiting;
   int64_t asked_at;
+  int64_t told_at; /* when it last told what others gave it */
 } Asker;
 
 typedef struct
@@ -69,8 +70,15 @@
   g_array_unref (verdicts);
 }
 
+/* How full the organisation's account is, as messages say it. */
+static u_int
+fill_of (const Broker *broker, const char *org)
+{
+  return (u_int) (1000 * quota_full (broker->quota, org));
+}
+
 static void
-on_grant (void *host, uint64_t owner, uint64_t request, const char *server)
+on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server)
 {
   Broker *broker = host;
   Asker *asker = g_hash_table_lookup (broker->askers, &owner);
@@ -82,14 +90,14 @@
   if (asker == NULL)
     return;
   asker->waiting -= asker->waiting > 0;
-  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server };
+  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server, fill_of (broker, org) };
   mesh_send (asker->peer, &msg);
 }
 
 static void
-on_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+send_refusal (Broker *broker, uint64_t owner, uint64_t request, const SchedRefusal *refusal,
+              u_int fill)
 {
-  Broker *broker = host;
   Asker *asker = g_hash_table_lookup (broker->askers, &owner);
   MeshMsg msg = { .kind = MESH_REFUSE };
 
@@ -100,10 +108,16 @@
   asker->waiting -= asker->waiting > 0;
   msg.MeshMsg_u.refuse
       = (MeshRefuse){ request, refusal->reason, (u_int) (refusal->retry_after_us / FT_MS),
-                      (char *) refusal->rule };
+                      (char *) refusal->rule, fill };
   mesh_send (asker->peer, &msg);
 }
 
+static void
+on_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+{
+  send_refusal (host, owner, request, refusal, MESH_FILL_UNKNOWN);
+}
+
 static void
 on_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
 {
@@ -134,8 +148,11 @@
       || quota_take (broker->quota, ask->org, cost, rt_order_rank (ask->tier),
                      &refusal.retry_after_us))
     return true;
+  /* Advice beyond the caller's own limit is of no use to it. */
+  refusal.retry_after_us
+      = MIN (refusal.retry_after_us, MAX (0, ask->end_at - loop_now (broker->loop)));
   quota_explain (broker->quota, ask->org, cost, refusal.rule, sizeof refusal.rule);
-  on_refuse (broker, ask->owner, ask->request, &refusal);
+  send_refusal (broker, ask->owner, ask->request, &refusal, fill_of (broker, ask->org));
   return false;
 }
 
@@ -157,7 +174,7 @@
 
   ask.owner = SELF;
   if (cost > 0)
-    quota_used (broker->quota, ask.org, cost);
+    quota_used (broker->quota, ask.org, cost, loop_now (broker->loop));
   sched_adopt (broker->sched, &ask, server);
 }
 
@@ -224,9 +241,11 @@
                    .avoid = from->avoid,
                    .cost = from->cost_tokens };
 
-  asker->asked_at = now;
+  if (from->org_fill_ms != MESH_FILL_UNKNOWN)
+    quota_heard (broker->quota, from->org, from->org_fill / 1e3, now - from->org_fill_ms * FT_MS);
   if (from->spent_tokens > 0)
-    quota_used (broker->quota, from->org, from->spent_tokens);
+    quota_used (broker->quota, from->org, from->spent_tokens, asker->told_at);
+  asker->asked_at = asker->told_at = now;
   if (from->running)
     {
       sched_adopt (broker->sched, &ask, from->server);
@@ -237,6 +256,15 @@
     sched_ask (broker->sched, &ask);
 }
 
+void
+broker_expect (Broker *broker, MeshPeer *peer)
+{
+  Asker *asker = g_hash_table_lookup (broker->askers, &peer->lifetime);
+
+  if (asker)
+    asker->asked_at = loop_now (broker->loop);
+}
+
 bool
 broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -330,9 +358,9 @@
 }
 
 void
-broker_margin (Broker *broker, double overage, double slack, double window_s)
+broker_margin (Broker *broker, double overage, double slack, double window_s, bool alone)
 {
-  quota_margin (broker->quota, overage, slack, window_s);
+  quota_margin (broker->quota, overage, slack, window_s, alone);
 }
 
 void
--- a/node/broker.h
+++ b/node/broker.h
@@ -22,10 +22,11 @@
 void broker_free (Broker *broker);
 void broker_catalogue (Broker *broker, const RtCat *cat);
 void broker_servers (Broker *broker, const Servers *servers);
-/* Parts of the places and of the limits that it may give away; salt as in sched_share. */
+/* Parts of the places and of the limits that it may give away; salt as in sched_share. Both follow
+ * who asks: set them after broker_expect. */
 void broker_share (Broker *broker, double places, double limits, uint64_t salt);
 /* See quota_margin. */
-void broker_margin (Broker *broker, double overage, double slack, double window_s);
+void broker_margin (Broker *broker, double overage, double slack, double window_s, bool alone);
 /* Refuses and places what time has decided. Call every 20 ms or so. */
 void broker_tick (Broker *broker);
 
@@ -40,6 +41,8 @@
 /* A link over which it may be asked has come up or gone down. */
 void broker_up (Broker *broker, MeshPeer *peer);
 void broker_down (Broker *broker, MeshPeer *peer);
+/* The peer's first ask for a while has come: it counts as one that asks. */
+void broker_expect (Broker *broker, MeshPeer *peer);
 /* True: the message concerned scheduling. */
 bool broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg);
 /* Has the peer a request that waits here? */
--- a/node/control.c
+++ b/node/control.c
@@ -663,7 +663,7 @@
   control->servers = servers_new ();
   control->broker = broker_new (loop, "voter", NULL, NULL);
   broker_margin (control->broker, settings->limit_overage, (double) settings->limit_slack,
-                 (double) settings->limit_window_s);
+                 (double) settings->limit_window_s, true);
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
   control->contacts = g_ptr_array_new ();
   control->lost = g_hash_table_new (NULL, NULL);
--- a/node/entry.c
+++ b/node/entry.c
@@ -463,6 +463,9 @@
   if (entry->mesh == NULL)
     return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
+  broker_margin (place_broker (entry->place), entry->settings->limit_overage,
+                 (double) entry->settings->limit_slack, (double) entry->settings->limit_window_s,
+                 false);
   RequestsConf conf
       = { entry->loop, entry->seam, entry->cli, entry->place, entry->budget, entry->servers };
   entry->requests = requests_new (&conf);
--- a/node/place.c
+++ b/node/place.c
@@ -28,6 +28,7 @@
 #define BACKOFF_MOST  (2 * FT_SECOND)
 #define CALM          (4 * FT_SECOND) /* without a silence, after which the time starts anew */
 #define TICK          (20 * FT_MS)
+#define WORD_MOST     (2 * FT_SECOND) /* older words of an account are not passed on */
 #define OVERCOMMIT                                                                                 \
   1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
 #define DEPUTIES  4
@@ -57,6 +58,14 @@
   GHashTable *told; /* organisation: double, of Place.used */
 } Account;
 
+/* What a scheduler last said of an organisation's account. */
+typedef struct
+{
+  double full; /* 0 to 1 */
+  int64_t at;
+  const MeshPeer *from; /* NULL: its link is down */
+} Word;
+
 struct Place
 {
   Loop *loop;
@@ -74,6 +83,7 @@
   GHashTable *passed_over; /* MeshPeer: PassedOver */
   GHashTable *used;        /* organisation: double, all that was ever granted to this entry */
   GHashTable *accounts;    /* MeshPeer: Account */
+  GHashTable *words;       /* organisation: Word */
   LoopTimer tick;
   unsigned entries, waiting;
 };
@@ -204,6 +214,35 @@
   return spent;
 }
 
+static void
+note_word (Place *place, const char *org, const MeshPeer *from, u_int fill)
+{
+  Word *word = g_hash_table_lookup (place->words, org);
+
+  if (fill == MESH_FILL_UNKNOWN)
+    return;
+  if (word == NULL)
+    {
+      word = g_new0 (Word, 1);
+      g_hash_table_insert (place->words, g_strdup (org), word);
+    }
+  *word = (Word){ fill / 1e3, loop_now (place->loop), from };
+}
+
+/* Tells the scheduler what another said of the organisation's account. */
+static void
+put_word (const Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
+{
+  const Word *word = g_hash_table_lookup (place->words, org);
+  int64_t age = word ? loop_now (place->loop) - word->at : 0;
+
+  ask->org_fill_ms = MESH_FILL_UNKNOWN;
+  if (word == NULL || word->from == peer || age > WORD_MOST)
+    return;
+  ask->org_fill = (u_int) (word->full * 1e3);
+  ask->org_fill_ms = (u_int) (age / FT_MS);
+}
+
 static void
 send_ask (Place *place, MeshPeer *peer, Item *item)
 {
@@ -231,6 +270,7 @@
                    .avoid = item->avoid ? item->avoid : none,
                    .running = item->running,
                    .server = item->server ? item->server : none };
+  put_word (place, peer, item->org, &msg.MeshMsg_u.ask);
   mesh_send (peer, &msg);
   note_told (item, peer);
 }
@@ -450,6 +490,10 @@
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     forget_peer (value, peer);
+  g_hash_table_iter_init (&iter, place->words);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Word *) value)->from == peer)
+      ((Word *) value)->from = NULL;
 }
 
 static bool
@@ -529,6 +573,7 @@
   run (place, item, grant->server);
   add_to (place->used, item->org, item->cost);
   add_to (account_of (place, peer)->told, item->org, item->cost);
+  note_word (place, item->org, peer, grant->org_fill);
   broker_adopt (place->own, &item->ask, grant->server, item->cost);
   place->ops->grant (place->host, grant->request, grant->server);
 }
@@ -544,10 +589,25 @@
     return;
   refusal.retry_after_us = from->retry_after_ms * FT_MS;
   g_strlcpy (refusal.rule, from->rule, sizeof refusal.rule);
+  note_word (place, item->org, peer, from->org_fill);
   drop (place, item);
   place->ops->refuse (place->host, from->request, &refusal);
 }
 
+/* Failure: a deputy that nobody has asked yet holds next to nothing of the limits until its next
+ * tick. Symptom: the first that turn to it when the voters die are refused below their limits. Its
+ * part grows with the ask. */
+static void
+take_message (Place *place, MeshPeer *peer, const MeshMsg *msg)
+{
+  if (msg->kind == MESH_ASK && !broker_asked (place->own, peer))
+    {
+      broker_expect (place->own, peer);
+      share (place);
+    }
+  broker_message (place->own, peer, msg);
+}
+
 void
 place_message (Place *place, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -556,7 +616,7 @@
   else if (msg->kind == MESH_REFUSE)
     on_refuse (place, peer, &msg->MeshMsg_u.refuse);
   else if (!peer->dialled)
-    broker_message (place->own, peer, msg);
+    take_message (place, peer, msg);
 }
 
 /* ---- Interface ---- */
@@ -575,6 +635,7 @@
   place->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, item_free);
   place->passed_over = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   place->accounts = g_hash_table_new_full (NULL, NULL, NULL, account_free);
+  place->words = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   place->used = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   place->own = broker_new (loop, "entry", &own_ops, place);
   place->tick.fire = on_tick;
@@ -591,6 +652,7 @@
   g_hash_table_unref (place->items);
   g_hash_table_unref (place->passed_over);
   g_hash_table_unref (place->accounts);
+  g_hash_table_unref (place->words);
   g_hash_table_unref (place->used);
   broker_free (place->own);
   g_free (place);
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -19,6 +19,7 @@
 #define MESH_VOTERS_MOST 16
 #define MESH_SERVERS_MOST 8192
 #define MESH_ORGS_MOST 8192
+#define MESH_FILL_UNKNOWN 4294967295
 
 enum MeshRole {
 	MESH_ENTRY = 1,
@@ -115,6 +116,8 @@
 	u_int prompt_tokens;
 	u_int output_tokens;
 	u_int spent_tokens;
+	u_int org_fill;
+	u_int org_fill_ms;
 	u_int cost_tokens;
 	u_quad_t shared_part;
 	u_int gap_ms;
@@ -130,6 +133,7 @@
 struct MeshGrant {
 	u_quad_t request;
 	char *server;
+	u_int org_fill;
 };
 typedef struct MeshGrant MeshGrant;
 
@@ -138,6 +142,7 @@
 	u_int reason;
 	u_int retry_after_ms;
 	char *rule;
+	u_int org_fill;
 };
 typedef struct MeshRefuse MeshRefuse;
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -8,6 +8,7 @@
 const MESH_VOTERS_MOST = 16;
 const MESH_SERVERS_MOST = 8192;
 const MESH_ORGS_MOST = 8192;
+const MESH_FILL_UNKNOWN = 4294967295;
 
 enum MeshRole { MESH_ENTRY = 1, MESH_VOTER = 2 };
 
@@ -82,6 +83,9 @@
   unsigned int output_tokens; /* expected */
   unsigned int spent_tokens; /* of the organisation's limit, given to this entry by other schedulers
                                 since it last asked this one */
+  unsigned int org_fill;     /* per mille of the organisation's limit that another scheduler had left
+                                at once, when it last decided for this entry ... */
+  unsigned int org_fill_ms;  /* ... so long ago; MESH_FILL_UNKNOWN: none has */
   unsigned int cost_tokens;   /* counted against the organisation's limit; 0: was counted before */
   unsigned hyper shared_part; /* identity of the prompt's first part; 0: none */
   unsigned int gap_ms;        /* longest pause between two events that is still on time; 0: none */
@@ -96,6 +100,7 @@
 struct MeshGrant {
   unsigned hyper request;
   string server<MESH_NAME_MOST>;
+  unsigned int org_fill;     /* per mille of the organisation's limit that is left at once */
 };
 
 struct MeshRefuse {
@@ -103,6 +108,7 @@
   unsigned int reason;       /* FtReason */
   unsigned int retry_after_ms;
   string rule<MESH_NAME_MOST>;
+  unsigned int org_fill;     /* as in MeshGrant */
 };
 
 /* The first event has come. */
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -215,7 +215,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -229,6 +229,10 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
 
@@ -239,6 +243,8 @@
 		IXDR_PUT_U_LONG(buf, objp->prompt_tokens);
 		IXDR_PUT_U_LONG(buf, objp->output_tokens);
 		IXDR_PUT_U_LONG(buf, objp->spent_tokens);
+		IXDR_PUT_U_LONG(buf, objp->org_fill);
+		IXDR_PUT_U_LONG(buf, objp->org_fill_ms);
 		IXDR_PUT_U_LONG(buf, objp->cost_tokens);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
@@ -265,7 +271,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -279,6 +285,10 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
 
@@ -289,6 +299,8 @@
 		objp->prompt_tokens = IXDR_GET_U_LONG(buf);
 		objp->output_tokens = IXDR_GET_U_LONG(buf);
 		objp->spent_tokens = IXDR_GET_U_LONG(buf);
+		objp->org_fill = IXDR_GET_U_LONG(buf);
+		objp->org_fill_ms = IXDR_GET_U_LONG(buf);
 		objp->cost_tokens = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
@@ -328,6 +340,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->org_fill))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
@@ -358,6 +374,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->org_fill))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -374,6 +392,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->rule, MESH_NAME_MOST))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->org_fill))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -1,9 +1,15 @@
 /* quota.c - one token bucket an organisation.
  *
  * Failure: an accountant dies and another, which knows nothing of what was used, takes its place.
- * Symptom: the organisation gets its burst twice in one window. A bucket therefore starts with
- * START_LEVEL of its burst, which is less than what the limits leave free for such errors, and
- * fills at the rate, so that an organisation within its rate is not refused.
+ * Symptom: the organisation gets its burst twice in one window, or, if the new one starts empty, is
+ * refused below its limit until that has filled. Each decision therefore tells the one who asked
+ * how full the account is, and who asks another accountant says what it heard last and when. One
+ * that has not given anything away of late takes the newest of these words for its own. Where there
+ * is no word, after a start of everything, it starts with a part of what the limits leave free for
+ * errors of accounting.
+ *
+ * An accountant may hold a part of each limit only. What is spent is counted against the part; a
+ * part that comes from elsewhere is as full as the account was said to be there.
  *
  * Within one organisation's limit too, requests of a higher rank go first: lower ones leave a part
  * of the burst untouched.
@@ -13,7 +19,10 @@
 #include <stdio.h>
 
 /* Tuning; each row with its reason. */
-#define START_LEVEL 0.15 /* of a burst: two or three requests; a fiftieth of a window of 8 s */
+#define START_LEAST 0.15 /* of a burst: two or three requests; a fiftieth of a window of 8 s */
+#define START_MARGIN                                                                               \
+  0.35 /* of the margin: two starts without a word in one window leave it what MARGIN_USED needs   \
+          when a part is missing */
 #define MARGIN_USED                                                                                \
   0.6                   /* of the margin; the rest covers errors that the share does not know of   \
                          */
@@ -21,11 +30,21 @@
 #define RANKS_MOST 3
 #define LENIENCE                                                                                   \
   1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
+#define IDLE (1 * FT_SECOND) /* without a decision, after which others know the account better */
+#define NEWS                                                                                       \
+  (2 * FT_SECOND) /* a word older than that says nothing: bursts fill within a second or two */
+#define PART_LEAST 1e-4 /* one of 10,000 entries: no division by nothing */
 
 typedef struct
 {
-  double rate, burst, level;
+  double rate, burst;
+  double part;  /* of the limit, as it was at `at` */
+  double spent; /* of the part's burst */
   int64_t at;
+  double heard;     /* how full the account was elsewhere, 0 to 1 ... */
+  int64_t heard_at; /* ... then; 0: no word */
+  int64_t taken_at; /* when it was last decided on here */
+  int64_t began;    /* since when it is decided on here without a pause */
 } Bucket;
 
 struct Quota
@@ -33,6 +52,7 @@
   FtClock *clock;
   double share;
   double overage, slack, window_s; /* margin; window 0: none */
+  bool alone;                      /* may use the margin where its share is below 1 */
   GHashTable *buckets;             /* organisation: Bucket */
 };
 
@@ -63,11 +83,18 @@
 }
 
 void
-quota_margin (Quota *quota, double overage, double slack, double window_s)
+quota_margin (Quota *quota, double overage, double slack, double window_s, bool alone)
 {
   quota->overage = overage;
   quota->slack = slack;
   quota->window_s = window_s;
+  quota->alone = alone;
+}
+
+static double
+margin_of (const Quota *quota, const Bucket *bucket)
+{
+  return quota->overage * (bucket->rate * quota->window_s + bucket->burst) + quota->slack;
 }
 
 /* Failure: half of the entries lose power, and their parts of the limits are held back for those
@@ -77,23 +104,47 @@
 part_of (const Quota *quota, const Bucket *bucket)
 {
   double allowed = bucket->rate * quota->window_s + bucket->burst;
+  double part = MAX (quota->share, PART_LEAST);
+
+  if (part >= 1 || !quota->alone || quota->window_s <= 0 || allowed <= 0)
+    return part;
+  return MIN (1, part + MARGIN_USED * margin_of (quota, bucket) / allowed);
+}
+
+static double
+capacity (const Bucket *bucket)
+{
+  return bucket->burst * LENIENCE * bucket->part;
+}
+
+/* How full a part is that comes to this accountant, 0 to 1. */
+static double
+arriving (const Quota *quota, const Bucket *bucket, int64_t now)
+{
+  double since = (double) (now - bucket->heard_at) / 1e6;
 
-  if (quota->share >= 1 || quota->window_s <= 0 || allowed <= 0)
-    return quota->share;
-  double margin = quota->overage + quota->slack / allowed;
-  return MIN (1, quota->share + MARGIN_USED * margin);
+  if (bucket->heard_at && now - bucket->heard_at < NEWS)
+    return MIN (1, bucket->heard + since * bucket->rate / MAX (bucket->burst, 1));
+  if (quota->window_s <= 0 || bucket->burst <= 0)
+    return START_LEAST;
+  return CLAMP (START_MARGIN * margin_of (quota, bucket) / bucket->burst, START_LEAST, 1);
 }
 
 static void
 fill (const Quota *quota, Bucket *bucket)
 {
   int64_t now = ft_clock_now (quota->clock);
+  double refilled = (double) (now - bucket->at) / 1e6 * bucket->rate * LENIENCE * bucket->part;
   double part = part_of (quota, bucket);
-  double most = bucket->burst * LENIENCE * part;
 
-  bucket->level += (double) (now - bucket->at) / 1e6 * bucket->rate * LENIENCE * part;
-  bucket->level = MIN (bucket->level, most);
+  bucket->spent = MAX (0, bucket->spent - refilled);
   bucket->at = now;
+  if (part < bucket->part)
+    bucket->spent *= part / bucket->part;
+  else if (part > bucket->part)
+    bucket->spent
+        += (1 - arriving (quota, bucket, now)) * bucket->burst * LENIENCE * (part - bucket->part);
+  bucket->part = part;
 }
 
 void
@@ -105,13 +156,40 @@
     {
       bucket = g_new0 (Bucket, 1);
       bucket->at = ft_clock_now (quota->clock);
+      bucket->rate = rate;
       bucket->burst = burst;
-      bucket->level = burst * START_LEVEL * quota->share;
       g_hash_table_insert (quota->buckets, g_strdup (org), bucket);
     }
   fill (quota, bucket);
   bucket->rate = rate;
   bucket->burst = MAX (burst, rate > 0 ? 1 : 0);
+  bucket->spent = MIN (bucket->spent, capacity (bucket));
+}
+
+void
+quota_heard (Quota *quota, const char *org, double full, int64_t at)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+  bool idle = bucket && at - bucket->taken_at > IDLE;
+
+  if (bucket == NULL || at <= bucket->heard_at)
+    return;
+  fill (quota, bucket);
+  bucket->heard = CLAMP (full, 0, 1);
+  bucket->heard_at = at;
+  if (idle)
+    bucket->spent = (1 - arriving (quota, bucket, bucket->at)) * capacity (bucket);
+}
+
+double
+quota_full (Quota *quota, const char *org)
+{
+  Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+
+  if (bucket == NULL || bucket->rate <= 0)
+    return 1;
+  fill (quota, bucket);
+  return CLAMP (1 - bucket->spent / MAX (capacity (bucket), 1e-9), 0, 1);
 }
 
 bool
@@ -123,28 +201,36 @@
   if (bucket == NULL || bucket->rate <= 0)
     return true;
   fill (quota, bucket);
-  double part = part_of (quota, bucket);
+  if (bucket->at - bucket->taken_at > IDLE)
+    bucket->began = bucket->at;
+  bucket->taken_at = bucket->at;
   /* A request larger than the burst could never pass; a full bucket is enough for it. */
-  double kept = RANK_PART * MIN (rank, RANKS_MOST) * bucket->burst * part;
-  double need = MIN (cost + kept, bucket->burst * part);
-  if (bucket->level < need)
+  double burst = bucket->burst * bucket->part;
+  double need = MIN (cost + RANK_PART * MIN (rank, RANKS_MOST) * burst, burst);
+  double left = capacity (bucket) - bucket->spent;
+  if (left < need)
     {
-      *wait_us = (int64_t) ((need - bucket->level) / (bucket->rate * part) * 1e6);
+      *wait_us = (int64_t) ((need - left) / (bucket->rate * bucket->part) * 1e6);
       return false;
     }
-  bucket->level -= cost;
+  bucket->spent += cost;
   return true;
 }
 
 void
-quota_used (Quota *quota, const char *org, double cost)
+quota_used (Quota *quota, const char *org, double cost, int64_t since)
 {
   Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
+  int64_t now = ft_clock_now (quota->clock);
 
   if (bucket == NULL)
     return;
+  bool idle = now - bucket->taken_at > IDLE;
+  /* What the account was said to be when it came here includes that. */
+  if (now - bucket->heard_at < NEWS && (idle || since < bucket->began))
+    return;
   fill (quota, bucket);
-  bucket->level = MAX (0, bucket->level - cost);
+  bucket->spent = MIN (bucket->spent + cost, MAX (bucket->spent, capacity (bucket)));
 }
 
 void
@@ -154,7 +240,7 @@
 
   snprintf (out, size, "limit of %s: %.0f/s, at once %.0f, part %.2f; asked %.0f, left %.0f", org,
             bucket ? bucket->rate : 0, bucket ? bucket->burst : 0, quota->share, cost,
-            bucket ? bucket->level : 0);
+            bucket ? capacity (bucket) - bucket->spent : 0);
 }
 
 void
@@ -163,5 +249,5 @@
   Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
 
   if (bucket)
-    bucket->level += cost;
+    bucket->spent = MAX (0, bucket->spent - cost);
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -11,17 +11,24 @@
 /* The part of every limit that this accountant may give away, 0 to 1; 1 at first. */
 void quota_share (Quota *quota, double share);
 /* What the limits leave free for errors of accounting, in any window: a part of what they allow in
- * it, and slack beside. Where the share is below 1, a part of that is used: those who may give the
- * rest away may also be gone. Not for accountants of which there are many. */
-void quota_margin (Quota *quota, double overage, double slack, double window_s);
+ * it, and slack beside. An accountant without a word of the account starts with a part of it.
+ * alone: where the share is below 1 it uses some of it too, since those who may give the rest away
+ * may also be gone; not for accountants of which there are many. */
+void quota_margin (Quota *quota, double overage, double slack, double window_s, bool alone);
 /* rate a second, burst at once, in the caller's unit; rate 0: no limit. */
 void quota_limit (Quota *quota, const char *org, double rate, double burst);
 /* Takes cost from what the organisation may use now, leaving a part of its burst to requests of
  * higher rank: 0 is the highest. False: it would pass its limit; *wait_us is the time until it
  * would not, if nothing else is used. */
 bool quota_take (Quota *quota, const char *org, double cost, unsigned rank, int64_t *wait_us);
-/* Another accountant gave cost away to requests of this instance: it is gone from here too. */
-void quota_used (Quota *quota, const char *org, double cost);
+/* Another accountant's account of the organisation was full to that part, 0 to 1, at that time of
+ * this one's clock. */
+void quota_heard (Quota *quota, const char *org, double full, int64_t at);
+/* How full the account is, 0 to 1; 1 without a limit. */
+double quota_full (Quota *quota, const char *org);
+/* Another accountant has given cost away since then: it is gone from here too, unless it was before
+ * this one began and quota_heard has told what was left. */
+void quota_used (Quota *quota, const char *org, double cost, int64_t since);
 /* The organisation's limit and what is left of it, for a refusal's explanation; size bytes. */
 void quota_explain (const Quota *quota, const char *org, double cost, char *out, size_t size);
 /* A request that was counted did not run. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -223,7 +223,7 @@
   start (job, server, now);
   if (!est_has_place (sched, server, now) && job->service->open > 0)
     job->service->open--;
-  sched->ops->grant (sched->host, job->key.owner, job->key.request, server->id);
+  sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id);
   return true;
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -52,7 +52,7 @@
 /* Decisions, called from within the functions below; must not call back. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t owner, uint64_t request, const char *server);
+  void (*grant) (void *host, uint64_t owner, uint64_t request, const char *org, const char *server);
   void (*refuse) (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal);
   /* A request that waited here never ran by this scheduler's grant; cost is its ask's. */
   void (*unused) (void *host, const char *org, double cost);
--- a/test/decide.c
+++ b/test/decide.c
@@ -204,7 +204,7 @@
   quota_share (quota, 0.5);
   clock.now += 60 * FT_SECOND;
   double bare = use_for (quota, &clock, 8, 100, 0);
-  quota_margin (quota, 0.1, 3000, 8);
+  quota_margin (quota, 0.1, 3000, 8, true);
   clock.now += 60 * FT_SECOND;
   double used = use_for (quota, &clock, 8, 100, 0);
   g_assert_cmpfloat (used, >, bare * 1.3);
@@ -212,6 +212,61 @@
   quota_free (quota);
 }
 
+/* The voters die, and a deputy that gave nothing away before decides about everybody's limits. It
+ * starts as if each account were nearly empty, and organisations well within their limits are
+ * refused for a second. The word of the one before, passed on by who asks, makes it go on where
+ * that one was: neither a second burst nor a refusal. What the one before gave away is not charged
+ * again.
+ */
+static void
+account_goes_on_elsewhere (void)
+{
+  TestClock clock = test_clock ();
+  Quota *before = quota_new (&clock.base), *after = quota_new (&clock.base);
+  int64_t wait;
+
+  quota_limit (before, "org", 1000, 4000);
+  quota_limit (after, "org", 1000, 4000);
+  quota_share (after, 1.0 / 64);
+  clock.now += 60 * FT_SECOND;
+  g_assert_true (quota_take (before, "org", 1000, 0, &wait));
+  double full = quota_full (before, "org");
+  g_assert_cmpfloat (full, >, 0.7);
+  g_assert_cmpfloat (full, <, 0.8);
+  int64_t told = clock.now;
+  clock.now += 150 * FT_MS;
+  quota_heard (after, "org", full, told);
+  quota_share (after, 1);
+  quota_used (after, "org", 3000, told - 10 * FT_SECOND);
+  g_assert_true (quota_take (after, "org", 2500, 0, &wait));
+  g_assert_false (quota_take (after, "org", 2500, 0, &wait));
+  quota_free (before);
+  quota_free (after);
+}
+
+/* A deputy that nobody has asked yet holds no part of a limit. The first to ask is refused, and
+ * told to come back in days. Without a part nothing is given away, and the advice stays sane. */
+static void
+no_part_of_a_limit (void)
+{
+  TestClock clock = test_clock ();
+  Quota *quota = quota_new (&clock.base);
+  int64_t wait;
+
+  quota_limit (quota, "org", 1000, 1000);
+  clock.now += 60 * FT_SECOND;
+  quota_share (quota, 0);
+  unsigned given = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      clock.now += 10 * FT_MS;
+      given += quota_take (quota, "org", 100, 0, &wait);
+    }
+  g_assert_cmpuint (given, <=, 1);
+  g_assert_cmpint (wait, <, 2000 * FT_SECOND);
+  quota_free (quota);
+}
+
 static void
 unused_is_given_back (void)
 {
@@ -226,7 +281,7 @@
   g_assert_cmpint (wait, >, 80 * FT_SECOND);
   quota_give_back (quota, "org", 1000);
   g_assert_true (quota_take (quota, "org", 900, 0, &wait));
-  quota_used (quota, "org", 5000);
+  quota_used (quota, "org", 5000, clock.now);
   g_assert_false (quota_take (quota, "org", 100, 0, &wait));
   g_assert_true (quota_take (quota, "unlimited", 1e9, 0, &wait));
   quota_free (quota);
@@ -325,6 +380,8 @@
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
   g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
   g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
+  g_test_add_func ("/quota/goes_on", account_goes_on_elsewhere);
+  g_test_add_func ("/quota/no_part", no_part_of_a_limit);
   g_test_add_func ("/quota/give_back", unused_is_given_back);
   g_test_add_func ("/budget/bounds", budget_bounds_repeats);
   g_test_add_func ("/route/prefix", longest_prefix_wins);
--- a/test/place.c
+++ b/test/place.c
@@ -232,7 +232,7 @@
 {
   MeshMsg msg = { .kind = MESH_GRANT };
 
-  msg.MeshMsg_u.grant = (MeshGrant){ number, (char *) "i" };
+  msg.MeshMsg_u.grant = (MeshGrant){ number, (char *) "i", 600 };
   place_message (place, &one->peer, &msg);
 }
 
@@ -278,6 +278,78 @@
   end ();
 }
 
+/* The scheduler dies, and the next one knows nothing of the limits' accounts. Whoever asks it
+ * passes on what the one before said last; a scheduler is not told its own words. */
+static void
+word_of_account_is_passed_on (void)
+{
+  MeshMsg msg;
+
+  begin ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  in_charge (&a, 1);
+  ask (1, 100);
+  grant (&a, 1);
+  ask (2, 100);
+  while (next_message (&a, &msg))
+    {
+      g_assert_cmpuint (msg.MeshMsg_u.ask.org_fill_ms, ==, MESH_FILL_UNKNOWN);
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  in_charge (&b, 2);
+  ask (3, 50);
+  unsigned told = 0;
+  while (next_message (&b, &msg))
+    {
+      told += msg.MeshMsg_u.ask.org_fill == 600 && msg.MeshMsg_u.ask.org_fill_ms < 1000;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  g_assert_cmpuint (told, >=, 1);
+  scheduler_end (&a);
+  scheduler_end (&b);
+  end ();
+}
+
+/* All voters die, and an entry turns to a deputy that nobody has asked yet: with a part of nothing
+ * of each limit until its next tick, it refuses an organisation that has used a tenth of its. The
+ * deputy's part grows with the ask, and the word that comes with it says how full the account is.
+ */
+static void
+first_asker_of_a_deputy_is_served (void)
+{
+  char none[] = "", service[] = "s", org[] = "o";
+  MeshMsg msg = { .kind = MESH_ASK };
+  unsigned granted = 0;
+
+  begin ();
+  Scheduler a = scheduler (11), entry = scheduler (13);
+  in_charge (&a, 1);
+  entry.peer.role = MESH_ENTRY;
+  entry.peer.dialled = false;
+  place_up (place, &entry.peer);
+  msg.MeshMsg_u.ask = (MeshAsk){ .request = 1,
+                                 .service = service,
+                                 .org = org,
+                                 .cost_tokens = 100,
+                                 .org_fill = 900,
+                                 .aim_in_us = FT_SECOND,
+                                 .limit_in_us = FT_SECOND,
+                                 .end_in_us = FT_SECOND,
+                                 .avoid = none,
+                                 .server = none };
+  place_message (place, &entry.peer, &msg);
+  while (next_message (&entry, &msg))
+    {
+      granted += msg.kind == MESH_GRANT;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  g_assert_cmpuint (granted, ==, 1);
+  place_down (place, &entry.peer);
+  scheduler_end (&a);
+  scheduler_end (&entry);
+  end ();
+}
+
 /* Requests are refused before idle servers: a request granted by one scheduler ended while another
  * was asked, and the first one's ledger kept its place for ever. Both are told of the end. */
 static void
@@ -330,6 +402,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/use_elsewhere", use_elsewhere_is_told);
+  g_test_add_func ("/place/word", word_of_account_is_passed_on);
+  g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
   g_test_add_func ("/place/end", all_are_told_of_the_end);
   g_test_add_func ("/place/silent", silent_scheduler_is_passed_over);
   return g_test_run ();
--- a/test/sched.c
+++ b/test/sched.c
@@ -53,12 +53,13 @@
 }
 
 static void
-on_grant (void *host, uint64_t owner, uint64_t request, const char *id)
+on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *id)
 {
   Work *work = &world->work[request];
 
   (void) host;
   (void) owner;
+  (void) org;
   work->server = atoi (id + 1);
   Server *server = &world->servers[work->server];
   server->running++;
