Tell callers that came back from newcomers, and refuse earlier what newcomers will overtake

Cause: at worst load half of the requests are ones that were refused before. They took places of newcomers that could be on time, although on time was over for them. And what waited late was estimated as if those on time, which go before it, did not come: it was held and refused late. Change: patience.c learns a route's usual patience; who says clearly less has waited the difference. A late request's wait counts 0.7 of its own tier's arrivals. Test /patience/back.

--- a/node/reqint.h
+++ b/node/reqint.h
@@ -3,6 +3,7 @@
 #define REQINT_H
 
 #include "events.h"
+#include "patience.h"
 #include "requests.h"
 #include "retry.h"
 
@@ -22,6 +23,7 @@
   char id[SEAM_ID_MOST];
   const char *service;
   int64_t arrived, end_at, first_by;
+  int64_t waited_before; /* by its caller, before it came back */
   LoopTimer limit, silence;
   /* The tries. */
   unsigned sends, unreached;
@@ -42,6 +44,7 @@
 {
   RequestsConf conf;
   RtCat *cat;
+  Patience *patience;
   GHashTable *by_number; /* number: Req */
   GPtrArray *parked;     /* Req that wait for the first catalogue */
   uint64_t next_number;
--- a/node/requests.c
+++ b/node/requests.c
@@ -179,7 +179,7 @@
   out.output_tokens = expected_tokens (&req->facts);
   out.shared_part = req->facts.shared_part;
   out.gap_us = req->route->gap_us;
-  out.aim_at = req->arrived + req->route->aim_us;
+  out.aim_at = req->arrived + req->route->aim_us - req->waited_before;
   out.limit_at = req->begun ? req_now (req) + SILENT_EVENT : req->first_by;
   out.end_at = req->end_at;
   out.avoid = req->avoid;
@@ -394,6 +394,8 @@
   int64_t patience = req->facts.patience_us ? MIN (req->facts.patience_us, req->route->timeout_us)
                                             : req->route->timeout_us;
   req->end_at = req->arrived + patience;
+  if (req->facts.patience_us)
+    req->waited_before = patience_note (all->patience, req->route->name, req->facts.patience_us);
   req->first_by = req->end_at;
   if (req->route->kind == RT_STREAM)
     req->first_by = MIN (
@@ -451,6 +453,7 @@
   Requests *all = g_new0 (Requests, 1);
 
   all->conf = *conf;
+  all->patience = patience_new (loop_clock (conf->loop));
   all->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
   all->parked = g_ptr_array_new ();
   return all;
@@ -464,6 +467,7 @@
   g_hash_table_unref (all->by_number);
   g_ptr_array_unref (all->parked);
   rt_cat_unref (all->cat);
+  patience_free (all->patience);
   g_free (all);
 }
 
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -24,7 +24,9 @@
 #define GAP_USED    0.85      /* of a neighbour's bound that a pause may reach by our estimate */
 #define CONTACT_FOR (2500 * FT_MS) /* connections are kept a little longer than that */
 #define OPEN_US     12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
-#define OWN_TIER    0.0     /* of the arrivals of a late request's tier that go before it */
+#define OWN_TIER                                                                                   \
+  0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 a third   \
+         more of the lowest tier is held until its time is over */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES  1.6          /* times the best server's token: waiting for another may pay */
 
--- a/test/decide.c
+++ b/test/decide.c
@@ -2,6 +2,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "events.h"
+#include "patience.h"
 #include "quota.h"
 #include "retry.h"
 
@@ -287,6 +288,32 @@
   quota_free (quota);
 }
 
+/* ---- Callers that come back ---- */
+
+/* At worst load every other request is one that was refused and came back. It has waited longer
+ * than is on time, and yet takes the place of a newcomer that could be on time. It is told from
+ * that one by the patience that it has left, whatever the route allows. */
+static void
+callers_that_come_back (void)
+{
+  TestClock clock = test_clock ();
+  Patience *patience = patience_new (&clock.base);
+
+  for (int i = 0; i < 100; i++)
+    {
+      clock.now += 50 * FT_MS;
+      int64_t newcomer = (850 + i * 37 % 151) * 10 * FT_MS;
+      g_assert_cmpint (patience_note (patience, "r", newcomer), ==, 0);
+    }
+  int64_t waited = patience_note (patience, "r", 6 * FT_SECOND);
+  g_assert_cmpint (waited, >=, 3900 * FT_MS);
+  g_assert_cmpint (waited, <=, 4 * FT_SECOND);
+  g_assert_cmpint (patience_note (patience, "other", 6 * FT_SECOND), ==, 0);
+  clock.now += 30 * FT_SECOND; /* callers of today have less patience: that is the usual one now */
+  g_assert_cmpint (patience_note (patience, "r", 6 * FT_SECOND), ==, 0);
+  patience_free (patience);
+}
+
 /* ---- Budgets ---- */
 
 /* A service loses every answer and each request is repeated. The repeats of an instance stay within
@@ -380,6 +407,7 @@
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
   g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
   g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
+  g_test_add_func ("/patience/back", callers_that_come_back);
   g_test_add_func ("/quota/goes_on", account_goes_on_elsewhere);
   g_test_add_func ("/quota/no_part", no_part_of_a_limit);
   g_test_add_func ("/quota/give_back", unused_is_given_back);
