--- a/test/decide.c
+++ b/test/decide.c
@@ -124,7 +124,7 @@
   double used = 0;
   int64_t wait;
 
-  for (int i = 0; i < seconds * 100; i++)
+  for (int i = 0; i < (int) (seconds * 100); i++)
     {
       clock->now += 10 * FT_MS;
       if (quota_take (quota, "org", each, rank, &wait))
@@ -166,6 +166,30 @@
   quota_free (quota);
 }
 
+/* Everything loses power and starts anew; nobody knows what was used. An account that starts nearly
+ * empty refuses lower ranks of organisations within their limits for a second. It starts with half
+ * of the limits' margin, and two such starts in one window stay within limit and margin. */
+static void
+start_without_a_word (void)
+{
+  TestClock clock = test_clock ();
+  double rate = 1000000, allowed = rate * 8 + rate, margin = 0.1 * allowed + 190000, used = 0;
+  int64_t wait;
+
+  for (unsigned start = 0; start < 3; start++)
+    {
+      Quota *quota = quota_new (&clock.base);
+      quota_margin (quota, 0.1, 190000, 8, true);
+      quota_limit (quota, "org", rate, rate);
+      clock.now += start == 0 ? 60 * FT_SECOND : 10 * FT_MS;
+      if (start > 0)
+        g_assert_true (quota_take (quota, "org", 3000, 3, &wait));
+      used += use_for (quota, &clock, 8.0 / 3, 30000, 0);
+      quota_free (quota);
+    }
+  g_assert_cmpfloat (used, <, allowed + margin);
+}
+
 /* An organisation at its limit sends reports and summaries. The summaries are as many and use the
  * limit up before the reports come. Under the limit too the higher rank goes first. */
 static void
@@ -405,6 +429,7 @@
   g_test_add_func ("/events/half", half_event_is_dropped);
   g_test_add_func ("/quota/window", limit_holds_in_a_window);
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
+  g_test_add_func ("/quota/start", start_without_a_word);
   g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
   g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
   g_test_add_func ("/patience/back", callers_that_come_back);
