--- a/test/decide.c
+++ b/test/decide.c
@@ -167,8 +167,8 @@
 }
 
 /* Everything loses power and starts anew; nobody knows what was used. An account that starts nearly
- * empty refuses lower ranks of organisations within their limits for a second. It starts with half
- * of the limits' margin, and two such starts in one window stay within limit and margin. */
+ * empty refuses lower ranks of organisations within their limits for a second. It starts with a
+ * part of the limits' margin, and two such starts in one window stay within limit and margin. */
 static void
 start_without_a_word (void)
 {
