--- a/node/place.c
+++ b/node/place.c
@@ -16,6 +16,7 @@
 #include "place.h"
 #include "count.h"
 #include "jlog.h"
+#include "spent.h"
 
 #include <string.h>
 
@@ -28,7 +29,6 @@
 #define BACKOFF_MOST  (2 * FT_SECOND)
 #define CALM          (4 * FT_SECOND) /* without a silence, after which the time starts anew */
 #define TICK          (20 * FT_MS)
-#define WORD_MOST     (2 * FT_SECOND) /* older words of an account are not passed on */
 #define OVERCOMMIT                                                                                 \
   1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
 #define DEPUTIES  4
@@ -52,20 +52,6 @@
   int64_t until, at, backoff;
 } PassedOver;
 
-/* What a scheduler has been told of the entry's use of limits. */
-typedef struct
-{
-  GHashTable *told; /* organisation: double, of Place.used */
-} Account;
-
-/* What a scheduler last said of an organisation's account. */
-typedef struct
-{
-  double full; /* 0 to 1 */
-  int64_t at;
-  const MeshPeer *from; /* NULL: its link is down */
-} Word;
-
 struct Place
 {
   Loop *loop;
@@ -81,9 +67,7 @@
   unsigned deputy_count;
   MeshPeer *current;       /* who is asked now; NULL: the own scheduler */
   GHashTable *passed_over; /* MeshPeer: PassedOver */
-  GHashTable *used;        /* organisation: double, all that was ever granted to this entry */
-  GHashTable *accounts;    /* MeshPeer: Account */
-  GHashTable *words;       /* organisation: Word */
+  Spent *spent;
   LoopTimer tick;
   unsigned entries, waiting;
 };
@@ -154,93 +138,26 @@
       mesh_send (item->told[i], msg);
 }
 
-static double
-value_of (GHashTable *table, const char *org)
-{
-  const double *value = g_hash_table_lookup (table, org);
-
-  return value ? *value : 0;
-}
-
+/* Tells the scheduler what others gave of the limit, and what another said of the account. */
 static void
-add_to (GHashTable *table, const char *org, double by)
+put_spent (Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
 {
-  double *value = g_hash_table_lookup (table, org);
+  double full;
+  int64_t age;
 
-  if (value == NULL)
-    {
-      value = g_new0 (double, 1);
-      g_hash_table_insert (table, g_strdup (org), value);
-    }
-  *value += by;
-}
-
-static void
-account_free (void *data)
-{
-  g_hash_table_unref (((Account *) data)->told);
-  g_free (data);
-}
-
-/* A scheduler that is new to this entry counts from now on. */
-static Account *
-account_of (Place *place, MeshPeer *peer)
-{
-  Account *account = g_hash_table_lookup (place->accounts, peer);
-  GHashTableIter iter;
-  gpointer org, value;
-
-  if (account)
-    return account;
-  account = g_new0 (Account, 1);
-  account->told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_hash_table_iter_init (&iter, place->used);
-  while (g_hash_table_iter_next (&iter, &org, &value))
-    add_to (account->told, org, *(double *) value);
-  g_hash_table_insert (place->accounts, peer, account);
-  return account;
-}
-
-/* Failure: an entry goes from scheduler to scheduler, on a lossy link several times a second.
- * Symptom: each gives it a part of a limit, and the organisation passes it. Each is told what the
- * others gave since it was asked last. */
-static double
-spent_elsewhere (Place *place, MeshPeer *peer, const char *org)
-{
-  Account *account = account_of (place, peer);
-  double spent = value_of (place->used, org) - value_of (account->told, org);
-
-  add_to (account->told, org, spent);
-  return spent;
-}
-
-static void
-note_word (Place *place, const char *org, const MeshPeer *from, u_int fill)
-{
-  Word *word = g_hash_table_lookup (place->words, org);
-
-  if (fill == MESH_FILL_UNKNOWN)
+  ask->spent_tokens = (unsigned) spent_elsewhere (place->spent, peer, org);
+  ask->org_fill_ms = MESH_FILL_UNKNOWN;
+  if (!spent_word (place->spent, peer, org, &full, &age))
     return;
-  if (word == NULL)
-    {
-      word = g_new0 (Word, 1);
-      g_hash_table_insert (place->words, g_strdup (org), word);
-    }
-  *word = (Word){ fill / 1e3, loop_now (place->loop), from };
+  ask->org_fill = (u_int) (full * 1e3);
+  ask->org_fill_ms = (u_int) (age / FT_MS);
 }
 
-/* Tells the scheduler what another said of the organisation's account. */
 static void
-put_word (const Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
+note_word (Place *place, const MeshPeer *peer, const char *org, u_int fill)
 {
-  const Word *word = g_hash_table_lookup (place->words, org);
-  int64_t age = word ? loop_now (place->loop) - word->at : 0;
-
-  ask->org_fill_ms = MESH_FILL_UNKNOWN;
-  if (word == NULL || word->from == peer || age > WORD_MOST)
-    return;
-  ask->org_fill = (u_int) (word->full * 1e3);
-  ask->org_fill_ms = (u_int) (age / FT_MS);
+  if (fill != MESH_FILL_UNKNOWN)
+    spent_heard (place->spent, peer, org, fill / 1e3);
 }
 
 static void
@@ -251,26 +168,24 @@
   const SchedAsk *ask = &item->ask;
   char none[] = "";
 
-  msg.MeshMsg_u.ask
-      = (MeshAsk){ .request = item->number,
-                   .service = item->service,
-                   .org = item->org,
-                   .tier = ask->tier,
-                   .stream = ask->stream,
-                   .repeatable = ask->repeatable,
-                   .prompt_tokens = ask->prompt_tokens,
-                   .output_tokens = ask->output_tokens,
-                   .spent_tokens = (unsigned) spent_elsewhere (place, peer, item->org),
-                   .cost_tokens = (unsigned) item->cost,
-                   .shared_part = ask->shared_part,
-                   .gap_ms = (unsigned) (ask->gap_us / FT_MS),
-                   .aim_in_us = ask->aim_at - now,
-                   .limit_in_us = ask->limit_at - now,
-                   .end_in_us = ask->end_at - now,
-                   .avoid = item->avoid ? item->avoid : none,
-                   .running = item->running,
-                   .server = item->server ? item->server : none };
-  put_word (place, peer, item->org, &msg.MeshMsg_u.ask);
+  msg.MeshMsg_u.ask = (MeshAsk){ .request = item->number,
+                                 .service = item->service,
+                                 .org = item->org,
+                                 .tier = ask->tier,
+                                 .stream = ask->stream,
+                                 .repeatable = ask->repeatable,
+                                 .prompt_tokens = ask->prompt_tokens,
+                                 .output_tokens = ask->output_tokens,
+                                 .cost_tokens = (unsigned) item->cost,
+                                 .shared_part = ask->shared_part,
+                                 .gap_ms = (unsigned) (ask->gap_us / FT_MS),
+                                 .aim_in_us = ask->aim_at - now,
+                                 .limit_in_us = ask->limit_at - now,
+                                 .end_in_us = ask->end_at - now,
+                                 .avoid = item->avoid ? item->avoid : none,
+                                 .running = item->running,
+                                 .server = item->server ? item->server : none };
+  put_spent (place, peer, item->org, &msg.MeshMsg_u.ask);
   mesh_send (peer, &msg);
   note_told (item, peer);
 }
@@ -482,7 +397,7 @@
   if (!peer->dialled)
     broker_down (place->own, peer);
   g_hash_table_remove (place->passed_over, peer);
-  g_hash_table_remove (place->accounts, peer);
+  spent_forget (place->spent, peer);
   if (place->voter == peer)
     place->voter = NULL;
   if (place->current == peer)
@@ -490,10 +405,6 @@
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     forget_peer (value, peer);
-  g_hash_table_iter_init (&iter, place->words);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Word *) value)->from == peer)
-      ((Word *) value)->from = NULL;
 }
 
 static bool
@@ -539,7 +450,7 @@
   if (item == NULL || item->running || item->at)
     return;
   run (place, item, server);
-  add_to (place->used, item->org, item->cost);
+  spent_granted (place->spent, NULL, item->org, item->cost);
   place->ops->grant (place->host, number, server);
 }
 
@@ -571,9 +482,8 @@
   if (item->at != peer)
     withdraw (place, item);
   run (place, item, grant->server);
-  add_to (place->used, item->org, item->cost);
-  add_to (account_of (place, peer)->told, item->org, item->cost);
-  note_word (place, item->org, peer, grant->org_fill);
+  spent_granted (place->spent, peer, item->org, item->cost);
+  note_word (place, peer, item->org, grant->org_fill);
   broker_adopt (place->own, &item->ask, grant->server, item->cost);
   place->ops->grant (place->host, grant->request, grant->server);
 }
@@ -589,7 +499,7 @@
     return;
   refusal.retry_after_us = from->retry_after_ms * FT_MS;
   g_strlcpy (refusal.rule, from->rule, sizeof refusal.rule);
-  note_word (place, item->org, peer, from->org_fill);
+  note_word (place, peer, item->org, from->org_fill);
   drop (place, item);
   place->ops->refuse (place->host, from->request, &refusal);
 }
@@ -634,9 +544,7 @@
   place->entries = 1;
   place->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, item_free);
   place->passed_over = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  place->accounts = g_hash_table_new_full (NULL, NULL, NULL, account_free);
-  place->words = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  place->used = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  place->spent = spent_new (loop_clock (loop));
   place->own = broker_new (loop, "entry", &own_ops, place);
   place->tick.fire = on_tick;
   loop_timer_set (loop, &place->tick, loop_now (loop) + TICK);
@@ -651,9 +559,7 @@
   loop_timer_stop (place->loop, &place->tick);
   g_hash_table_unref (place->items);
   g_hash_table_unref (place->passed_over);
-  g_hash_table_unref (place->accounts);
-  g_hash_table_unref (place->words);
-  g_hash_table_unref (place->used);
+  spent_free (place->spent);
   broker_free (place->own);
   g_free (place);
 }
--- /dev/null
+++ b/node/spent.h
@@ -0,0 +1,28 @@
+/* spent.h - what schedulers gave this entry of organisations' limits, and what each must be told.
+ *
+ * A scheduler is known by its peer's address; NULL is the entry's own. No I/O.
+ */
+#ifndef SPENT_H
+#define SPENT_H
+
+#include "foxtail.h"
+
+typedef struct Spent Spent;
+
+Spent *spent_new (FtClock *clock);
+void spent_free (Spent *spent);
+/* The scheduler gave this entry so much of the organisation's limit. */
+void spent_granted (Spent *spent, const void *scheduler, const char *org, double cost);
+/* What others gave since the scheduler was asked last; 0 when it is asked for the first time. It
+ * counts as told from now on. */
+double spent_elsewhere (Spent *spent, const void *scheduler, const char *org);
+/* The scheduler said how full the organisation's account is, 0 to 1. */
+void spent_heard (Spent *spent, const void *scheduler, const char *org, double full);
+/* The newest word of another scheduler than this one on the account: how full it was, and how long
+ * ago, microseconds. False: there is none that still says something. */
+bool spent_word (const Spent *spent, const void *scheduler, const char *org, double *full,
+                 int64_t *age_us);
+/* The scheduler's link is down: on a new one it counts as another. */
+void spent_forget (Spent *spent, const void *scheduler);
+
+#endif
