--- a/src/raft.c
+++ b/src/raft.c
@@ -1,9 +1,7 @@
 /* raft.c - one voter of the replicated log: Raft (Ongaro and Ousterhout 2014) with pre-vote, check
  * of the quorum, leases for reads, batched syncs and snapshots.
  *
- * What differs from the paper:
- *
- * Who votes, and how the first set forms, is in raftset.c.
+ * Elections are in raftvote.c; who votes, and how the first set forms, in raftset.c.
  *
  * Order of disk and network. Messages wait in an outbox until what they promise is synced. When a
  * write or a sync fails the outbox is dropped and the voter stops taking part.
@@ -13,10 +11,7 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define HEARTBEAT        (100 * FT_MS) /* six in the shortest election timeout: five may be lost */
-#define ELECTION_SPREAD  (400 * FT_MS) /* voters rarely stand together */
-#define PREVOTE_LEAST    (150 * FT_MS) /* asking again costs messages only, no term */
-#define PREVOTE_SPREAD   (150 * FT_MS)
+#define HEARTBEAT        (100 * FT_MS)  /* six in the shortest election timeout: five may be lost */
 #define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
 #define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
 #define ENTRIES_MOST     256            /* bound of msg.x */
@@ -54,21 +49,14 @@
   drop_outbox (raft);
 }
 
-static void
-restart_election_timer (Raft *raft, int64_t now)
-{
-  raft->election_at = now + ELECTION_LEAST
-                      + (int64_t) (ft_random_next (raft->random) % (uint64_t) ELECTION_SPREAD);
-}
-
 static bool
 in_config (const Raft *raft)
 {
   return rlog_config_has (rlog_config (&raft->log), raft->conf.self, raft->incarnation);
 }
 
-static unsigned
-majority (const RlogConfig *config)
+unsigned
+raft_majority (const RlogConfig *config)
 {
   return config->count / 2 + 1;
 }
@@ -81,14 +69,14 @@
   check_disk (raft, wal_vote (raft->wal, term, voted_for));
 }
 
-static void
-follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now)
+void
+raft_follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now)
 {
   if (term > raft->term)
     raft_enter_term (raft, term, 0);
   raft->role = ROLE_FOLLOWER;
   raft->leader = leader;
-  restart_election_timer (raft, now);
+  raftvote_restart_timer (raft, now);
 }
 
 static void
@@ -258,7 +246,7 @@
         values[i] = of (peer);
     }
   qsort (values, config->count, sizeof values[0], compare_u64);
-  return values[config->count - majority (config)];
+  return values[config->count - raft_majority (config)];
 }
 
 static uint64_t
@@ -285,8 +273,8 @@
   apply_committed (raft);
 }
 
-static void
-lead (Raft *raft, int64_t now)
+void
+raft_lead (Raft *raft, int64_t now)
 {
   MsgOp noop = { .kind = MSG_OP_NOOP };
 
@@ -303,132 +291,6 @@
   raft->term_start = rlog_last (&raft->log);
 }
 
-/* ---- Elections ---- */
-
-static void
-ask_votes (Raft *raft, bool pre, bool handed_over)
-{
-  Msg msg = { .kind = MSG_VOTE };
-  MsgVote *out = &msg.Msg_u.vote;
-
-  out->pre = pre;
-  out->term = pre ? raft->term + 1 : raft->term;
-  out->incarnation = raft->incarnation;
-  out->last_index = rlog_last (&raft->log);
-  out->last_term = rlog_last_term (&raft->log);
-  out->handed_over = handed_over;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    {
-      raft->peers[i].granted = false;
-      raft_post (raft, raft->peers[i].id, &msg);
-    }
-}
-
-static unsigned
-votes_granted (Raft *raft)
-{
-  const RlogConfig *config = rlog_config (&raft->log);
-  unsigned granted = 0;
-
-  for (unsigned i = 0; i < config->count; i++)
-    {
-      const Peer *peer = raftset_find (raft, config->voters[i].id);
-      if (config->voters[i].id == raft->conf.self)
-        granted += config->voters[i].incarnation == raft->incarnation;
-      else
-        granted += peer && peer->granted && peer->incarnation == config->voters[i].incarnation;
-    }
-  return granted;
-}
-
-static void count_votes (Raft *raft, int64_t now);
-
-static void
-stand (Raft *raft, bool pre, bool handed_over, int64_t now)
-{
-  restart_election_timer (raft, now);
-  if (pre)
-    raft->election_at = now + PREVOTE_LEAST
-                        + (int64_t) (ft_random_next (raft->random) % (uint64_t) PREVOTE_SPREAD);
-  raft->leader = 0;
-  raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
-  if (!pre)
-    raft_enter_term (raft, raft->term + 1, raft->conf.self);
-  ask_votes (raft, pre, handed_over);
-  count_votes (raft, now);
-}
-
-static void
-count_votes (Raft *raft, int64_t now)
-{
-  if (votes_granted (raft) < majority (rlog_config (&raft->log)))
-    return;
-  if (raft->role == ROLE_PRECANDIDATE)
-    stand (raft, false, false, now);
-  else if (raft->role == ROLE_CANDIDATE)
-    lead (raft, now);
-}
-
-static bool
-log_is_current (const Raft *raft, const MsgVote *vote)
-{
-  uint64_t last_term = rlog_last_term (&raft->log);
-
-  return vote->last_term > last_term
-         || (vote->last_term == last_term && vote->last_index >= rlog_last (&raft->log));
-}
-
-static void
-on_vote (Raft *raft, uint32_t from, const MsgVote *vote, int64_t now)
-{
-  Msg msg = { .kind = MSG_VOTED };
-  MsgVoted *out = &msg.Msg_u.voted;
-  bool granted = false;
-
-  /* Failure: a voter that was cut off returns and stands. Symptom: it would depose a leader that
-   * serves everyone else. While the leader is heard nobody votes, which also makes the leader's
-   * lease hold; a voter that has just started may have heard one, so it waits as long. */
-  bool led = !vote->handed_over
-             && (now - raft->leader_heard < ELECTION_LEAST
-                 || (raft->role == ROLE_LEADER && raft_leading (raft)));
-  if (!led && vote->term > raft->term && !vote->pre)
-    follow (raft, vote->term, 0, now);
-  if (led)
-    granted = false;
-  else if (vote->pre)
-    granted = vote->term > raft->term && log_is_current (raft, vote);
-  else if (vote->term == raft->term && raft->role == ROLE_FOLLOWER
-           && (raft->voted_for == 0 || raft->voted_for == from) && log_is_current (raft, vote))
-    {
-      granted = true;
-      raft_enter_term (raft, raft->term, from);
-      restart_election_timer (raft, now);
-    }
-  out->pre = vote->pre;
-  out->term = granted && vote->pre ? vote->term : raft->term;
-  out->incarnation = raft->incarnation;
-  out->granted = granted;
-  raft_post (raft, from, &msg);
-}
-
-static void
-on_voted (Raft *raft, Peer *peer, const MsgVoted *voted, int64_t now)
-{
-  uint64_t wanted = voted->pre ? raft->term + 1 : raft->term;
-
-  peer->incarnation = voted->incarnation;
-  if (!voted->granted && voted->term > raft->term)
-    {
-      follow (raft, voted->term, 0, now);
-      return;
-    }
-  if (!voted->granted || voted->term != wanted
-      || raft->role != (voted->pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE))
-    return;
-  peer->granted = true;
-  count_votes (raft, now);
-}
-
 /* ---- Following ---- */
 
 static void
@@ -477,7 +339,7 @@
       answer_append (raft, from, append->round, false, 0);
       return;
     }
-  follow (raft, append->term, from, now);
+  raft_follow (raft, append->term, from, now);
   raft->leader_heard = now;
   uint64_t prev = append->prev_index;
   bool fits
@@ -508,7 +370,7 @@
       answer_append (raft, from, snapshot->round, false, 0);
       return;
     }
-  follow (raft, snapshot->term, from, now);
+  raft_follow (raft, snapshot->term, from, now);
   raft->leader_heard = now;
   /* Failure: a late snapshot replaces a log that holds more. Symptom: entries that this voter has
    * acknowledged are gone and a majority no longer holds them. A log that has the snapshot's last
@@ -536,7 +398,7 @@
 {
   if (appended->term > raft->term)
     {
-      follow (raft, appended->term, 0, now);
+      raft_follow (raft, appended->term, 0, now);
       return;
     }
   if (raft->role != ROLE_LEADER || appended->term != raft->term)
@@ -659,10 +521,10 @@
   switch (msg->kind)
     {
     case MSG_VOTE:
-      on_vote (raft, from, &msg->Msg_u.vote, now);
+      raftvote_on_vote (raft, from, &msg->Msg_u.vote, now);
       break;
     case MSG_VOTED:
-      on_voted (raft, peer, &msg->Msg_u.voted, now);
+      raftvote_on_voted (raft, peer, &msg->Msg_u.voted, now);
       break;
     case MSG_APPEND:
       on_append (raft, from, &msg->Msg_u.append, now);
@@ -678,7 +540,7 @@
       break;
     case MSG_STAND:
       if (in_config (raft) && raft->role == ROLE_FOLLOWER && from == raft->leader)
-        stand (raft, false, true, now);
+        raftvote_stand (raft, false, true, now);
       break;
     default:
       break;
@@ -692,7 +554,7 @@
 
   if (now - quorum > QUORUM_LOST || !in_config (raft))
     {
-      follow (raft, raft->term, 0, now);
+      raft_follow (raft, raft->term, 0, now);
       return;
     }
   raftset_adjust (raft, now);
@@ -714,7 +576,7 @@
   else if (raft->role == ROLE_LEADER)
     tick_leader (raft, now);
   else if (now >= raft->election_at && in_config (raft))
-    stand (raft, true, false, now);
+    raftvote_stand (raft, true, false, now);
   else if (now >= raft->election_at)
     raftset_tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
 }
@@ -817,7 +679,7 @@
   if (best == NULL)
     return;
   /* It stops leading before it lets another stand: two never lead at once. */
-  follow (raft, raft->term, 0, now);
+  raft_follow (raft, raft->term, 0, now);
   raft_post (raft, best->id, &msg);
 }
 
--- a/src/raftint.h
+++ b/src/raftint.h
@@ -1,5 +1,5 @@
-/* raftint.h - one voter's record, shared by raft.c (the log, elections) and raftset.c (who votes)
- * only. */
+/* raftint.h - one voter's record, shared by raft.c (the log), raftvote.c (elections) and raftset.c
+ * (who votes) only. */
 #ifndef RAFTINT_H
 #define RAFTINT_H
 
@@ -7,8 +7,9 @@
 #include "rlog.h"
 #include "wal.h"
 
-/* Tuning that both files share; each row with its reason. */
+/* Tuning that these files share; each row with its reason. */
 #define ELECTION_LEAST (600 * FT_MS) /* a new leader within about 1.5 s, of 6 s for a change */
+#define PREVOTE_SPREAD (150 * FT_MS) /* voters ask at different times */
 #define ROUNDS         128           /* heartbeats whose sending time is remembered: 12 s */
 #define PEERS_MOST     16            /* voters, and as many that come in their place */
 
@@ -72,7 +73,21 @@
 /* Puts a message behind what the next sync makes lasting. */
 void raft_post (Raft *raft, uint32_t to, const Msg *msg);
 FtStatus raft_append_op (Raft *raft, uint64_t term, const MsgOp *op);
+/* Writes the term and the vote down. */
 void raft_enter_term (Raft *raft, uint64_t term, uint32_t voted_for);
+/* leader 0: unknown. */
+void raft_follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now);
+/* The election is won. */
+void raft_lead (Raft *raft, int64_t now);
+unsigned raft_majority (const RlogConfig *config);
+
+/* ---- Elections (raftvote.c) ---- */
+
+void raftvote_restart_timer (Raft *raft, int64_t now);
+/* pre: asks whether it would win, without a new term. handed_over: the leader asked it to stand. */
+void raftvote_stand (Raft *raft, bool pre, bool handed_over, int64_t now);
+void raftvote_on_vote (Raft *raft, uint32_t from, const MsgVote *vote, int64_t now);
+void raftvote_on_voted (Raft *raft, Peer *peer, const MsgVoted *voted, int64_t now);
 
 /* ---- Who votes (raftset.c) ---- */
 
--- /dev/null
+++ b/src/raftvote.c
@@ -0,0 +1,142 @@
+/* raftvote.c - elections of a voter: asking for votes, first without a new term (pre-vote), and
+ * giving them.
+ *
+ * A vote is written down before it is said (raft_enter_term), and given only to a log that is no
+ * older than the own one; votes count for a pair of voter and incarnation of its data folder.
+ */
+#include "raftint.h"
+
+/* Tuning; each row with its reason. */
+#define ELECTION_SPREAD (400 * FT_MS) /* voters rarely stand together */
+#define PREVOTE_LEAST   (150 * FT_MS) /* asking again costs messages only, no term */
+
+void
+raftvote_restart_timer (Raft *raft, int64_t now)
+{
+  raft->election_at = now + ELECTION_LEAST
+                      + (int64_t) (ft_random_next (raft->random) % (uint64_t) ELECTION_SPREAD);
+}
+
+static void
+ask_votes (Raft *raft, bool pre, bool handed_over)
+{
+  Msg msg = { .kind = MSG_VOTE };
+  MsgVote *out = &msg.Msg_u.vote;
+
+  out->pre = pre;
+  out->term = pre ? raft->term + 1 : raft->term;
+  out->incarnation = raft->incarnation;
+  out->last_index = rlog_last (&raft->log);
+  out->last_term = rlog_last_term (&raft->log);
+  out->handed_over = handed_over;
+  for (unsigned i = 0; i < raft->peer_count; i++)
+    {
+      raft->peers[i].granted = false;
+      raft_post (raft, raft->peers[i].id, &msg);
+    }
+}
+
+static unsigned
+votes_granted (Raft *raft)
+{
+  const RlogConfig *config = rlog_config (&raft->log);
+  unsigned granted = 0;
+
+  for (unsigned i = 0; i < config->count; i++)
+    {
+      const Peer *peer = raftset_find (raft, config->voters[i].id);
+      if (config->voters[i].id == raft->conf.self)
+        granted += config->voters[i].incarnation == raft->incarnation;
+      else
+        granted += peer && peer->granted && peer->incarnation == config->voters[i].incarnation;
+    }
+  return granted;
+}
+
+static void count_votes (Raft *raft, int64_t now);
+
+void
+raftvote_stand (Raft *raft, bool pre, bool handed_over, int64_t now)
+{
+  raftvote_restart_timer (raft, now);
+  if (pre)
+    raft->election_at = now + PREVOTE_LEAST
+                        + (int64_t) (ft_random_next (raft->random) % (uint64_t) PREVOTE_SPREAD);
+  raft->leader = 0;
+  raft->role = pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE;
+  if (!pre)
+    raft_enter_term (raft, raft->term + 1, raft->conf.self);
+  ask_votes (raft, pre, handed_over);
+  count_votes (raft, now);
+}
+
+static void
+count_votes (Raft *raft, int64_t now)
+{
+  if (votes_granted (raft) < raft_majority (rlog_config (&raft->log)))
+    return;
+  if (raft->role == ROLE_PRECANDIDATE)
+    raftvote_stand (raft, false, false, now);
+  else if (raft->role == ROLE_CANDIDATE)
+    raft_lead (raft, now);
+}
+
+static bool
+log_is_current (const Raft *raft, const MsgVote *vote)
+{
+  uint64_t last_term = rlog_last_term (&raft->log);
+
+  return vote->last_term > last_term
+         || (vote->last_term == last_term && vote->last_index >= rlog_last (&raft->log));
+}
+
+void
+raftvote_on_vote (Raft *raft, uint32_t from, const MsgVote *vote, int64_t now)
+{
+  Msg msg = { .kind = MSG_VOTED };
+  MsgVoted *out = &msg.Msg_u.voted;
+  bool granted = false;
+
+  /* Failure: a voter that was cut off returns and stands. Symptom: it would depose a leader that
+   * serves everyone else. While the leader is heard nobody votes, which also makes the leader's
+   * lease hold; a voter that has just started may have heard one, so it waits as long. */
+  bool led = !vote->handed_over
+             && (now - raft->leader_heard < ELECTION_LEAST
+                 || (raft->role == ROLE_LEADER && raft_leading (raft)));
+  if (!led && vote->term > raft->term && !vote->pre)
+    raft_follow (raft, vote->term, 0, now);
+  if (led)
+    granted = false;
+  else if (vote->pre)
+    granted = vote->term > raft->term && log_is_current (raft, vote);
+  else if (vote->term == raft->term && raft->role == ROLE_FOLLOWER
+           && (raft->voted_for == 0 || raft->voted_for == from) && log_is_current (raft, vote))
+    {
+      granted = true;
+      raft_enter_term (raft, raft->term, from);
+      raftvote_restart_timer (raft, now);
+    }
+  out->pre = vote->pre;
+  out->term = granted && vote->pre ? vote->term : raft->term;
+  out->incarnation = raft->incarnation;
+  out->granted = granted;
+  raft_post (raft, from, &msg);
+}
+
+void
+raftvote_on_voted (Raft *raft, Peer *peer, const MsgVoted *voted, int64_t now)
+{
+  uint64_t wanted = voted->pre ? raft->term + 1 : raft->term;
+
+  peer->incarnation = voted->incarnation;
+  if (!voted->granted && voted->term > raft->term)
+    {
+      raft_follow (raft, voted->term, 0, now);
+      return;
+    }
+  if (!voted->granted || voted->term != wanted
+      || raft->role != (voted->pre ? ROLE_PRECANDIDATE : ROLE_CANDIDATE))
+    return;
+  peer->granted = true;
+  count_votes (raft, now);
+}
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -7,12 +7,14 @@
 trap 'rm -rf "$copy"' EXIT
 missed=0
 
-try () { # NAME FILE SED-EXPRESSION
-  local mine
+try () { # NAME FILES SED-EXPRESSION
+  local mine file
   mine=$(mktemp -d -p "$copy")
-  cp -r CMakeLists.txt src daemon cli standin bench test "$mine"
-  sed -i -E "$3" "$mine/$2"
-  if cmp -s "$2" "$mine/$2"; then echo "$1: the safeguard was not found in $2"; return 1; fi
+  cp -r CMakeLists.txt src net node platform daemon cli standin bench test "$mine"
+  for file in $2; do
+    sed -i -E "$3" "$mine/$file"
+    if cmp -s "$file" "$mine/$file"; then echo "$1: the safeguard was not found in $file"; return 1; fi
+  done
   cmake -S "$mine" -B "$mine/build" >/dev/null && make -C "$mine/build" torture >/dev/null 2>&1 \
     || { echo "$1: does not build"; return 1; }
   if result=$(ulimit -v 4000000; timeout 200 "$mine/build/torture" "${SCHEDULES:-3000}" 1 2>&1); then
@@ -25,8 +27,8 @@
 
 try "votes are not written down" src/raft.c 's/check_disk \(raft, wal_vote \(raft->wal, term, voted_for\)\);//' &
 try "messages leave before the sync" src/raft.c 's/check_disk \(raft, wal_sync \(raft->wal\)\);//' &
-try "a voter counts under any incarnation" src/raft.c 's/peer->granted && peer->incarnation == config->voters\[i\].incarnation/peer->granted/; s/peer && peer->incarnation == voter->incarnation/peer != NULL/' &
-try "an old log may lead" src/raft.c 's/^  return vote->last_term > last_term/  return true || vote->last_term > last_term/' &
+try "a voter counts under any incarnation" "src/raft.c src/raftvote.c" 's/peer->granted && peer->incarnation == config->voters\[i\].incarnation/peer->granted/; s/peer && peer->incarnation == voter->incarnation/peer != NULL/' &
+try "an old log may lead" src/raftvote.c 's/^  return vote->last_term > last_term/  return true || vote->last_term > last_term/' &
 try "a lease moves at once" src/lead.c 's/bool waited = .*TAKEOVER;/bool waited = true;/; s/now - one->heard_at < TAKEOVER/now - one->heard_at < TAKEOVER \/ 4/' &
 try "freshness counts from the answer" src/node.c 's/node->fresh_at = MAX \(node->fresh_at, node->hello_sent\[fresh->number % slots\]\);/node->fresh_at = node->heard_at;/' &
 try "a resent change is judged again" src/state.c 's/^  if \(known\)$/  if (known \&\& known->revision == 0)/' &
