--- a/bench/cost.c
+++ b/bench/cost.c
@@ -1,7 +1,8 @@
-/* cost.c - nanoseconds and bytes per decision of the pool scheduler alone. Each request asks, is
+/* cost.c - nanoseconds and bytes per decision of the two schedulers alone. Each request asks, is
  * granted, has a first token and some progress, and ends: one decision. */
 #include "cost.h"
 #include "foxtail.h"
+#include "scheduler.h"
 
 #include <time.h>
 
@@ -122,6 +123,117 @@
   ft_pool_free (pool);
 }
 
+/* ---- The scheduler for engines that know no priorities ---- */
+
+static void
+on_sched_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server)
+{
+  (void) host;
+  (void) owner;
+  (void) org;
+  (void) server;
+  granted[granted_head++ & (G_N_ELEMENTS (granted) - 1)] = request;
+}
+
+static void
+on_sched_refuse (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal)
+{
+  (void) host;
+  (void) owner;
+  (void) request;
+  (void) refusal;
+}
+
+static void
+on_sched_unused (void *host, const char *org, double cost)
+{
+  (void) host;
+  (void) org;
+  (void) cost;
+}
+
+static void
+on_sched_believes (void *host, const char *server, bool out, const char *why, int64_t for_us)
+{
+  (void) host;
+  (void) server;
+  (void) out;
+  (void) why;
+  (void) for_us;
+}
+
+static const SchedOps sched_ops
+    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_believes };
+
+static void
+sched_ask_one (Sched *sched, const StepClock *clock, uint64_t number)
+{
+  SchedAsk ask = { .owner = 1 + number % 64,
+                   .request = number,
+                   .service = "s",
+                   .org = "o",
+                   .tier = (unsigned) (number % 3),
+                   .stream = true,
+                   .prompt_tokens = 2000,
+                   .output_tokens = 100,
+                   .gap_us = 300 * FT_MS,
+                   .aim_at = clock->now + 3600 * FT_SECOND,
+                   .limit_at = clock->now + 3600 * FT_SECOND,
+                   .end_at = clock->now + 7200 * FT_SECOND };
+  sched_ask (sched, &ask);
+}
+
+/* All places are taken and waiting requests wait; each end of one starts another. */
+static void
+measure_sched (FILE *out, unsigned servers, unsigned waiting)
+{
+  StepClock clock = { { &step_ops }, FT_SECOND };
+  SchedServiceConf conf = { true, 4, 0 };
+  SchedServer *list = g_new0 (SchedServer, servers);
+  Sched *sched = sched_new (&clock.base, &sched_ops, NULL);
+  uint64_t number = 1, done = 0;
+  unsigned rounds = REQUESTS / 10;
+
+  granted_head = granted_tail = 0;
+  sched_service (sched, "s", &conf);
+  for (unsigned i = 0; i < servers; i++)
+    list[i] = (SchedServer){ g_strdup_printf ("s%u", i), "s", "d", 4, false, 0 };
+  sched_list (sched, list, servers);
+  while (number <= servers * 4 + waiting)
+    sched_ask_one (sched, &clock, number++);
+  double started = now_ns ();
+  for (unsigned i = 0; i < rounds && granted_tail != granted_head; i++)
+    {
+      SchedResult result = { SCHED_OK, 24 * FT_MS, 600 * FT_MS };
+      uint64_t request = granted[granted_tail++ & (G_N_ELEMENTS (granted) - 1)];
+      clock.now += FT_SECOND / 760;
+      sched_first (sched, 1 + request % 64, request, 100 * FT_MS);
+      sched_done (sched, 1 + request % 64, request, &result);
+      sched_ask_one (sched, &clock, number++);
+      if (i % 15 == 0)
+        sched_tick (sched);
+      done++;
+    }
+  fprintf (out, "%9u %9u %12.0f\n", servers, waiting,
+           (now_ns () - started) / (double) MAX (done, 1));
+  sched_free (sched);
+  for (unsigned i = 0; i < servers; i++)
+    g_free ((char *) list[i].id);
+  g_free (list);
+}
+
+static void
+sched_report (FILE *out)
+{
+  static const unsigned servers[] = { 12, 140, 1300 }, waiting[] = { 0, 100, 1000 };
+
+  fprintf (out, "\nscheduler for engines without priorities, all places taken, 760 requests/s\n"
+                "  servers   waiting  ns/decision\n");
+  for (unsigned i = 0; i < G_N_ELEMENTS (servers); i++)
+    for (unsigned j = 0; j < G_N_ELEMENTS (waiting); j++)
+      measure_sched (out, servers[i], waiting[j]);
+}
+
 int
 cost_report (FILE *out)
 {
@@ -134,5 +246,6 @@
     for (unsigned j = 0; j < G_N_ELEMENTS (queued); j++)
       for (unsigned k = 0; k < G_N_ELEMENTS (orgs); k++)
         measure (out, servers[i], queued[j], orgs[k]);
+  sched_report (out);
   return 0;
 }
--- a/test/sched.c
+++ b/test/sched.c
@@ -497,6 +497,69 @@
   end ();
 }
 
+/* In an overload a third of the callers leave before they are served, some while they wait, some
+ * while their request runs. What they leave behind takes neither places nor a turn, so those who
+ * stay are served as well as if the others had never come. */
+static void
+callers_that_leave_make_room (void)
+{
+  static const SchedResult left = { .outcome = SCHED_LEFT };
+  SchedStats stats;
+
+  begin (SERVERS, 6, true);
+  load (4, 30, usual);
+  unsigned from = world->works;
+  for (int i = 0; i < 40; i++)
+    {
+      unsigned first = world->works;
+      load (0.25, 110, usual);
+      for (unsigned j = first; j < world->works; j += 3)
+        {
+          Work *work = &world->work[j];
+          if (work->done)
+            continue;
+          if (work->server >= 0)
+            world->servers[work->server].running--;
+          work->done = work->failed = true;
+          sched_done (world->sched, 1, j, &left);
+        }
+    }
+  settle ();
+  sched_stats (world->sched, &stats);
+  g_assert_cmpuint (stats.running + stats.waiting, ==, 0);
+  Tally high = tally (0, from);
+  g_assert_cmpuint (high.in_time * 100, >=, (high.asked - high.failed) * 97);
+  end ();
+}
+
+/* The servers of a pool are replaced one after the other while load is two thirds of what they can
+ * do: each shows as leaving, ends what it runs, and comes back as another. Nothing new goes to one
+ * that leaves, nobody of the highest tier is refused, and nearly all are on time. */
+static void
+rolling_release_is_hardly_seen (void)
+{
+  SchedServer list[SERVERS];
+
+  begin (SERVERS, 6, false);
+  load (4, 40, usual);
+  unsigned from = world->works;
+  for (unsigned gone = 0; gone < SERVERS; gone++)
+    {
+      for (unsigned i = 0; i < SERVERS; i++)
+        list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, i == gone, 0 };
+      sched_list (world->sched, list, SERVERS);
+      unsigned first = world->works;
+      load (1, 55, usual);
+      for (unsigned i = first; i < world->works; i++)
+        g_assert_cmpint (world->work[i].server, !=, (int) gone);
+    }
+  settle ();
+  Tally high = tally (0, from);
+  g_assert_cmpuint (high.refused, ==, 0);
+  g_assert_cmpuint (high.in_time * 100, >=, high.asked * 97);
+  end ();
+}
+
 /* The sender of requests dies. Its requests stay in the ledger for ever, and their places are lost.
  */
 static void
@@ -573,6 +636,8 @@
   g_test_add_func ("/sched/dark", dark_servers_are_found);
   g_test_add_func ("/sched/slow_answer", slow_answer_is_not_darkness);
   g_test_add_func ("/sched/common_failures", common_failures_take_out_few);
+  g_test_add_func ("/sched/leave", callers_that_leave_make_room);
+  g_test_add_func ("/sched/release", rolling_release_is_hardly_seen);
   g_test_add_func ("/sched/gray", gray_servers_get_less);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
   g_test_add_func ("/sched/list", requests_wait_for_the_list);
