--- a/node/broker.c
+++ b/node/broker.c
@@ -242,7 +242,7 @@
                    .cost = from->cost_tokens };
 
   if (from->org_fill_ms != MESH_FILL_UNKNOWN)
-    quota_heard (broker->quota, from->org, from->org_fill / 1e3, now - from->org_fill_ms * FT_MS);
+    quota_report (broker->quota, from->org, from->org_fill / 1e3, now - from->org_fill_ms * FT_MS);
   if (from->spent_tokens > 0)
     quota_used (broker->quota, from->org, from->spent_tokens, asker->told_at);
   asker->asked_at = asker->told_at = now;
--- a/node/place.c
+++ b/node/place.c
@@ -138,7 +138,7 @@
       mesh_send (item->told[i], msg);
 }
 
-/* Tells the scheduler what others gave of the limit, and what another said of the account. */
+/* Tells the scheduler what others gave of the limit, and how full the last of them reported it. */
 static void
 put_spent (Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
 {
@@ -147,17 +147,17 @@
 
   ask->spent_tokens = (unsigned) spent_elsewhere (place->spent, peer, org);
   ask->org_fill_ms = MESH_FILL_UNKNOWN;
-  if (!spent_word (place->spent, peer, org, &full, &age))
+  if (!spent_reported (place->spent, peer, org, &full, &age))
     return;
   ask->org_fill = (u_int) (full * 1e3);
   ask->org_fill_ms = (u_int) (age / FT_MS);
 }
 
 static void
-note_word (Place *place, const MeshPeer *peer, const char *org, u_int fill)
+note_report (Place *place, const MeshPeer *peer, const char *org, u_int fill)
 {
   if (fill != MESH_FILL_UNKNOWN)
-    spent_heard (place->spent, peer, org, fill / 1e3);
+    spent_report (place->spent, peer, org, fill / 1e3);
 }
 
 static void
@@ -483,7 +483,7 @@
     withdraw (place, item);
   run (place, item, grant->server);
   spent_granted (place->spent, peer, item->org, item->cost);
-  note_word (place, peer, item->org, grant->org_fill);
+  note_report (place, peer, item->org, grant->org_fill);
   broker_adopt (place->own, &item->ask, grant->server, item->cost);
   place->ops->grant (place->host, grant->request, grant->server);
 }
@@ -499,7 +499,7 @@
     return;
   refusal.retry_after_us = from->retry_after_ms * FT_MS;
   g_strlcpy (refusal.rule, from->rule, sizeof refusal.rule);
-  note_word (place, peer, item->org, from->org_fill);
+  note_report (place, peer, item->org, from->org_fill);
   drop (place, item);
   place->ops->refuse (place->host, from->request, &refusal);
 }
--- a/node/spent.c
+++ b/node/spent.c
@@ -2,25 +2,27 @@
  *
  * Failure: an entry goes from scheduler to scheduler, on a lossy link several times a second.
  * Symptom: each gives it a part of a limit, and the organisation passes it. So each is told what
- * the others gave since it was asked last, and what the last of them said of the account.
+ * the others gave since it was asked last, and how full the last of them reported the account.
  */
 #include "spent.h"
 
-#define WORD_MOST (2 * FT_SECOND) /* older words are not passed on: bursts fill within that */
+#define REPORT_MOST                                                                                \
+  (2 * FT_SECOND) /* older reports are not passed on: bursts refill within that                    \
+                   */
 
 typedef struct
 {
   double full; /* 0 to 1 */
   int64_t at;
   const void *from; /* NULL: the own scheduler, or one whose link is down */
-} Word;
+} Report;
 
 struct Spent
 {
   FtClock *clock;
-  GHashTable *given; /* organisation: double, all that this entry was ever given */
-  GHashTable *told;  /* scheduler: table like given, as much of it as it knows of */
-  GHashTable *words; /* organisation: Word */
+  GHashTable *given;   /* organisation: double, all that this entry was ever given */
+  GHashTable *told;    /* scheduler: table like given, as much of it as it knows of */
+  GHashTable *reports; /* organisation: Report */
 };
 
 static GHashTable *
@@ -64,7 +66,7 @@
   spent->clock = clock;
   spent->given = amounts_new ();
   spent->told = g_hash_table_new_full (NULL, NULL, NULL, amounts_free);
-  spent->words = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  spent->reports = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return spent;
 }
 
@@ -75,7 +77,7 @@
     return;
   g_hash_table_unref (spent->given);
   g_hash_table_unref (spent->told);
-  g_hash_table_unref (spent->words);
+  g_hash_table_unref (spent->reports);
   g_free (spent);
 }
 
@@ -116,29 +118,29 @@
 }
 
 void
-spent_heard (Spent *spent, const void *scheduler, const char *org, double full)
+spent_report (Spent *spent, const void *scheduler, const char *org, double full)
 {
-  Word *word = g_hash_table_lookup (spent->words, org);
+  Report *report = g_hash_table_lookup (spent->reports, org);
 
-  if (word == NULL)
+  if (report == NULL)
     {
-      word = g_new0 (Word, 1);
-      g_hash_table_insert (spent->words, g_strdup (org), word);
+      report = g_new0 (Report, 1);
+      g_hash_table_insert (spent->reports, g_strdup (org), report);
     }
-  *word = (Word){ full, ft_clock_now (spent->clock), scheduler };
+  *report = (Report){ full, ft_clock_now (spent->clock), scheduler };
 }
 
 bool
-spent_word (const Spent *spent, const void *scheduler, const char *org, double *full,
-            int64_t *age_us)
+spent_reported (const Spent *spent, const void *scheduler, const char *org, double *full,
+                int64_t *age_us)
 {
-  const Word *word = g_hash_table_lookup (spent->words, org);
+  const Report *report = g_hash_table_lookup (spent->reports, org);
 
-  if (word == NULL || word->from == scheduler)
+  if (report == NULL || report->from == scheduler)
     return false;
-  *full = word->full;
-  *age_us = ft_clock_now (spent->clock) - word->at;
-  return *age_us <= WORD_MOST;
+  *full = report->full;
+  *age_us = ft_clock_now (spent->clock) - report->at;
+  return *age_us <= REPORT_MOST;
 }
 
 void
@@ -148,8 +150,8 @@
   gpointer value;
 
   g_hash_table_remove (spent->told, scheduler);
-  g_hash_table_iter_init (&iter, spent->words);
+  g_hash_table_iter_init (&iter, spent->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Word *) value)->from == scheduler)
-      ((Word *) value)->from = NULL;
+    if (((Report *) value)->from == scheduler)
+      ((Report *) value)->from = NULL;
 }
--- a/node/spent.h
+++ b/node/spent.h
@@ -16,12 +16,12 @@
 /* What others gave since the scheduler was asked last; 0 when it is asked for the first time. It
  * counts as told from now on. */
 double spent_elsewhere (Spent *spent, const void *scheduler, const char *org);
-/* The scheduler said how full the organisation's account is, 0 to 1. */
-void spent_heard (Spent *spent, const void *scheduler, const char *org, double full);
-/* The newest word of another scheduler than this one on the account: how full it was, and how long
- * ago, microseconds. False: there is none that still says something. */
-bool spent_word (const Spent *spent, const void *scheduler, const char *org, double *full,
-                 int64_t *age_us);
+/* The scheduler has reported how full the organisation's account is, 0 to 1. */
+void spent_report (Spent *spent, const void *scheduler, const char *org, double full);
+/* The newest report of another scheduler than this one: how full the account was, and how long ago,
+ * microseconds. False: there is none recent enough. */
+bool spent_reported (const Spent *spent, const void *scheduler, const char *org, double *full,
+                     int64_t *age_us);
 /* The scheduler's link is down: on a new one it counts as another. */
 void spent_forget (Spent *spent, const void *scheduler);
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -2,14 +2,14 @@
  *
  * Failure: an accountant dies and another, which knows nothing of what was used, takes its place.
  * Symptom: the organisation gets its burst twice in one window, or, if the new one starts empty, is
- * refused below its limit until that has filled. Each decision therefore tells the one who asked
- * how full the account is, and who asks another accountant says what it heard last and when. One
- * that has not given anything away of late takes the newest of these words for its own. Where there
- * is no word, after a start of everything, it starts with a part of what the limits leave free for
- * errors of accounting.
+ * refused below its limit until that has filled. Each decision therefore reports to the one who
+ * asked how full the account is, and who asks another accountant passes the newest report on. One
+ * that has not given anything away of late goes on from there. Where there is no report, after a
+ * start of everything, it starts with a part of what the limits leave free for errors of
+ * accounting.
  *
  * An accountant may hold a part of each limit only. What is spent is counted against the part; a
- * part that comes from elsewhere is as full as the account was said to be there.
+ * part that comes from elsewhere is as full as the account was reported to be there.
  *
  * Within one organisation's limit too, requests of a higher rank go first: lower ones leave a part
  * of the burst untouched.
@@ -31,8 +31,8 @@
 #define LENIENCE                                                                                   \
   1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
 #define IDLE (1 * FT_SECOND) /* without a decision, after which others know the account better */
-#define NEWS                                                                                       \
-  (2 * FT_SECOND) /* a word older than that says nothing: bursts fill within a second or two */
+#define REPORT_MOST                                                                                \
+  (2 * FT_SECOND)       /* older reports say nothing: bursts fill within a second or two */
 #define PART_LEAST 1e-4 /* one of 10,000 entries: no division by nothing */
 
 typedef struct
@@ -41,10 +41,10 @@
   double part;  /* of the limit, as it was at `at` */
   double spent; /* of the part's burst */
   int64_t at;
-  double heard;     /* how full the account was elsewhere, 0 to 1 ... */
-  int64_t heard_at; /* ... then; 0: no word */
-  int64_t taken_at; /* when it was last decided on here */
-  int64_t began;    /* since when it is decided on here without a pause */
+  double heard;        /* how full the account was elsewhere, 0 to 1 ... */
+  int64_t reported_at; /* ... then; 0: no report */
+  int64_t taken_at;    /* when it was last decided on here */
+  int64_t began;       /* since when it is decided on here without a pause */
 } Bucket;
 
 struct Quota
@@ -121,10 +121,10 @@
 static double
 arriving (const Quota *quota, const Bucket *bucket, int64_t now)
 {
-  double since = (double) (now - bucket->heard_at) / 1e6;
+  double since = (double) (now - bucket->reported_at) / 1e6;
 
-  if (bucket->heard_at && now - bucket->heard_at < NEWS)
-    return MIN (1, bucket->heard + since * bucket->rate / MAX (bucket->burst, 1));
+  if (bucket->reported_at && now - bucket->reported_at < REPORT_MOST)
+    return MIN (1, bucket->reported + since * bucket->rate / MAX (bucket->burst, 1));
   if (quota->window_s <= 0 || bucket->burst <= 0)
     return START_LEAST;
   return CLAMP (START_MARGIN * margin_of (quota, bucket) / bucket->burst, START_LEAST, 1);
@@ -167,16 +167,16 @@
 }
 
 void
-quota_heard (Quota *quota, const char *org, double full, int64_t at)
+quota_report (Quota *quota, const char *org, double full, int64_t at)
 {
   Bucket *bucket = g_hash_table_lookup (quota->buckets, org);
   bool idle = bucket && at - bucket->taken_at > IDLE;
 
-  if (bucket == NULL || at <= bucket->heard_at)
+  if (bucket == NULL || at <= bucket->reported_at)
     return;
   fill (quota, bucket);
-  bucket->heard = CLAMP (full, 0, 1);
-  bucket->heard_at = at;
+  bucket->reported = CLAMP (full, 0, 1);
+  bucket->reported_at = at;
   if (idle)
     bucket->spent = (1 - arriving (quota, bucket, bucket->at)) * capacity (bucket);
 }
@@ -226,8 +226,8 @@
   if (bucket == NULL)
     return;
   bool idle = now - bucket->taken_at > IDLE;
-  /* What the account was said to be when it came here includes that. */
-  if (now - bucket->heard_at < NEWS && (idle || since < bucket->began))
+  /* The report from which the account goes on here includes that. */
+  if (now - bucket->reported_at < REPORT_MOST && (idle || since < bucket->began))
     return;
   fill (quota, bucket);
   bucket->spent = MIN (bucket->spent + cost, MAX (bucket->spent, capacity (bucket)));
--- a/src/quota.h
+++ b/src/quota.h
@@ -11,7 +11,7 @@
 /* The part of every limit that this accountant may give away, 0 to 1; 1 at first. */
 void quota_share (Quota *quota, double share);
 /* What the limits leave free for errors of accounting, in any window: a part of what they allow in
- * it, and slack beside. An accountant without a word of the account starts with a part of it.
+ * it, and slack beside. An accountant without a report of the account starts with a part of it.
  * alone: where the share is below 1 it uses some of it too, since those who may give the rest away
  * may also be gone; not for accountants of which there are many. */
 void quota_margin (Quota *quota, double overage, double slack, double window_s, bool alone);
@@ -23,11 +23,11 @@
 bool quota_take (Quota *quota, const char *org, double cost, unsigned rank, int64_t *wait_us);
 /* Another accountant's account of the organisation was full to that part, 0 to 1, at that time of
  * this one's clock. */
-void quota_heard (Quota *quota, const char *org, double full, int64_t at);
+void quota_report (Quota *quota, const char *org, double full, int64_t at);
 /* How full the account is, 0 to 1; 1 without a limit. */
 double quota_full (Quota *quota, const char *org);
 /* Another accountant has given cost away since then: it is gone from here too, unless it was before
- * this one began and quota_heard has told what was left. */
+ * this one began and quota_report has told what was left. */
 void quota_used (Quota *quota, const char *org, double cost, int64_t since);
 /* The organisation's limit and what is left of it, for a refusal's explanation; size bytes. */
 void quota_explain (const Quota *quota, const char *org, double cost, char *out, size_t size);
--- a/test/decide.c
+++ b/test/decide.c
@@ -170,7 +170,7 @@
  * empty refuses lower ranks of organisations within their limits for a second. It starts with a
  * part of the limits' margin, and two such starts in one window stay within limit and margin. */
 static void
-start_without_a_word (void)
+start_without_a_report (void)
 {
   TestClock clock = test_clock ();
   double rate = 1000000, allowed = rate * 8 + rate, margin = 0.1 * allowed + 190000, used = 0;
@@ -239,7 +239,7 @@
 
 /* The voters die, and a deputy that gave nothing away before decides about everybody's limits. It
  * starts as if each account were nearly empty, and organisations well within their limits are
- * refused for a second. The word of the one before, passed on by who asks, makes it go on where
+ * refused for a second. The report of the one before, passed on by who asks, makes it go on where
  * that one was: neither a second burst nor a refusal. What the one before gave away is not charged
  * again.
  */
@@ -260,7 +260,7 @@
   g_assert_cmpfloat (full, <, 0.8);
   int64_t told = clock.now;
   clock.now += 150 * FT_MS;
-  quota_heard (after, "org", full, told);
+  quota_report (after, "org", full, told);
   quota_share (after, 1);
   quota_used (after, "org", 3000, told - 10 * FT_SECOND);
   g_assert_true (quota_take (after, "org", 2500, 0, &wait));
@@ -429,7 +429,7 @@
   g_test_add_func ("/events/half", half_event_is_dropped);
   g_test_add_func ("/quota/window", limit_holds_in_a_window);
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
-  g_test_add_func ("/quota/start", start_without_a_word);
+  g_test_add_func ("/quota/start", start_without_a_report);
   g_test_add_func ("/quota/rank", higher_rank_goes_first_under_a_limit);
   g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
   g_test_add_func ("/patience/back", callers_that_come_back);
--- a/test/place.c
+++ b/test/place.c
@@ -279,9 +279,9 @@
 }
 
 /* The scheduler dies, and the next one knows nothing of the limits' accounts. Whoever asks it
- * passes on what the one before said last; a scheduler is not told its own words. */
+ * passes on what the one before reported last; a scheduler is not told its own reports. */
 static void
-word_of_account_is_passed_on (void)
+report_of_account_is_passed_on (void)
 {
   MeshMsg msg;
 
@@ -312,7 +312,7 @@
 
 /* All voters die, and an entry turns to a deputy that nobody has asked yet: with a part of nothing
  * of each limit until its next tick, it refuses an organisation that has used a tenth of its. The
- * deputy's part grows with the ask, and the word that comes with it says how full the account is.
+ * deputy's part grows with the ask, and the report that comes with it says how full the account is.
  */
 static void
 first_asker_of_a_deputy_is_served (void)
@@ -402,7 +402,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/use_elsewhere", use_elsewhere_is_told);
-  g_test_add_func ("/place/word", word_of_account_is_passed_on);
+  g_test_add_func ("/place/report", report_of_account_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
   g_test_add_func ("/place/end", all_are_told_of_the_end);
   g_test_add_func ("/place/silent", silent_scheduler_is_passed_over);
