--- a/src/quota.c
+++ b/src/quota.c
@@ -41,7 +41,7 @@
   double part;  /* of the limit, as it was at `at` */
   double spent; /* of the part's burst */
   int64_t at;
-  double heard;        /* how full the account was elsewhere, 0 to 1 ... */
+  double reported;     /* how full the account was elsewhere, 0 to 1 ... */
   int64_t reported_at; /* ... then; 0: no report */
   int64_t taken_at;    /* when it was last decided on here */
   int64_t began;       /* since when it is decided on here without a pause */
