Let an empty account go into debt for what other schedulers gave

Cause: entries on the lossy path go between voter and deputy; each account is charged with what the other gave, but one that is empty already took no charge, and the use was forgotten. Change: an account goes into debt, at most a burst deep.

--- a/src/quota.c
+++ b/src/quota.c
@@ -29,7 +29,8 @@
 #define RANK_PART  0.12 /* of a burst, kept for each higher rank: one or two of its requests */
 #define RANKS_MOST 3
 #define LENIENCE                                                                                   \
-  1.02 /* own and the caller's clock may differ: nothing within the limit is refused */
+  1.02           /* own and the caller's clock may differ: nothing within the limit is refused */
+#define DEBT 1.0 /* of a burst: what a takeover or two may have given away beside */
 #define IDLE (1 * FT_SECOND) /* without a decision, after which others know the account better */
 #define REPORT_MOST                                                                                \
   (2 * FT_SECOND)       /* older reports say nothing: bursts fill within a second or two */
@@ -230,7 +231,11 @@
   if (now - bucket->reported_at < REPORT_MOST && (idle || since < bucket->began))
     return;
   fill (quota, bucket);
-  bucket->spent = MIN (bucket->spent + cost, MAX (bucket->spent, capacity (bucket)));
+  /* Failure: an organisation sends many times its limit, and entries on a lossy path go between two
+   * schedulers. Symptom: what one gave is charged to an account that is empty already, and is lost;
+   * the organisation passes its limit. The account goes into debt, no deeper than it refills in the
+   * time of a burst. */
+  bucket->spent = MIN (bucket->spent + cost, MAX (bucket->spent, (1 + DEBT) * capacity (bucket)));
 }
 
 void
--- a/test/decide.c
+++ b/test/decide.c
@@ -269,6 +269,45 @@
   quota_free (after);
 }
 
+/* An organisation sends many times its limit through entries that go between two schedulers. Each
+ * tells the other what it was given, but the account there is empty already. Charged to nothing,
+ * that use is forgotten and the limit is passed; both together must give what one would have given.
+ */
+static void
+empty_account_is_charged (void)
+{
+  TestClock clock = test_clock ();
+  Quota *voter = quota_new (&clock.base), *deputy = quota_new (&clock.base);
+  double used = 0, from_voter = 0, from_deputy = 0;
+  int64_t wait;
+
+  quota_limit (voter, "org", 10000, 10000);
+  quota_limit (deputy, "org", 10000, 10000);
+  quota_share (deputy, 2.0 / 7);
+  clock.now += 60 * FT_SECOND;
+  for (int i = 0; i < 800; i++)
+    {
+      clock.now += 10 * FT_MS;
+      bool apart = i / 40 % 2 == 1; /* two entries of seven, every 0.4 s */
+      if (i % 40 == 0)
+        {
+          quota_used (apart ? deputy : voter, "org", apart ? from_voter * 2 / 7 : from_deputy,
+                      clock.now - 400 * FT_MS);
+          from_voter = from_deputy = 0;
+        }
+      for (int j = 0; j < 10; j++)
+        if (quota_take (voter, "org", 50, 0, &wait))
+          from_voter += 50, used += 50;
+      for (int j = 0; apart && j < 10; j++)
+        if (quota_take (deputy, "org", 50, 0, &wait))
+          from_deputy += 50, used += 50;
+    }
+  g_test_message ("used %.0f of %.0f", used, 8 * 10000 + 10000.0);
+  g_assert_cmpfloat (used, <, 1.07 * (8 * 10000 + 10000));
+  quota_free (voter);
+  quota_free (deputy);
+}
+
 /* A deputy that nobody has asked yet holds no part of a limit. The first to ask is refused, and
  * told to come back in days. Without a part nothing is given away, and the advice stays sane. */
 static void
@@ -434,6 +473,7 @@
   g_test_add_func ("/quota/margin", margin_covers_entries_that_are_gone);
   g_test_add_func ("/patience/back", callers_that_come_back);
   g_test_add_func ("/quota/goes_on", account_goes_on_elsewhere);
+  g_test_add_func ("/quota/debt", empty_account_is_charged);
   g_test_add_func ("/quota/no_part", no_part_of_a_limit);
   g_test_add_func ("/quota/give_back", unused_is_given_back);
   g_test_add_func ("/budget/bounds", budget_bounds_repeats);
