--- a/src/estimate.c
+++ b/src/estimate.c
@@ -30,8 +30,8 @@
 #define OWN_TIER                                                                                   \
   0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 a third   \
          more of the lowest tier is held until its time is over */
-#define FAILED_US   2000000.0    /* cost of a lost answer, as much as finishing later by so much */
-#define FAILED_FOR  5e6          /* span over which failures are forgotten: servers are restarted */
+#define FAILED_US   2000000.0 /* cost of a lost answer, as much as finishing later by so much */
+#define FAILED_FOR  5e6       /* microseconds over which failures are forgotten: servers restart */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES  1.6          /* times the best server's token: waiting for another may pay */
 
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -10,6 +10,7 @@
 
 #include <math.h>
 
+/* Tuning; each row with its reason. */
 #define SORT_MOST 64 /* requests looked at in one decision; the rest follow in the next */
 
 static Tier *
