--- a/src/estimate.c
+++ b/src/estimate.c
@@ -28,8 +28,8 @@
              engines a tenth fewer connections are opened, times to first events unchanged */
 #define OPEN_US 12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
 #define OWN_TIER                                                                                   \
-  0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 a third   \
-         more of the lowest tier is held until its time is over */
+  0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 one and   \
+         a half to five times as much worth is given up late */
 #define FAILED_US   2000000.0 /* cost of a lost answer, as much as finishing later by so much */
 #define FAILED_FOR  5e6       /* microseconds over which failures are forgotten: servers restart */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
