Log and tell each change of charge, also when a view went out just before

Its log has no charge line at all, although it led and took a voter out and in. Cause: send_view, on_committed and the metrics refresh the same record that note_charge compares with; if one of them comes first, the change looks old. It is then neither logged nor told to the entries at once (up to 200 ms later).

--- a/node/control.c
+++ b/node/control.c
@@ -68,6 +68,7 @@
   guint list_packed_digest;
   int64_t list_packed_until;
   VoterStatus status;
+  VoterStatus noted; /* by note_charge */
   uint32_t deputies[DEPUTIES];
   unsigned deputy_count;
   int64_t list_at, led_at, leaving_since;
@@ -475,12 +476,16 @@
   reader_start (control->reader);
 }
 
+/* Failure: a view or a catalogue goes out just before this looks, and has taken the newest status
+ * over. Symptom: compared with that, nothing has changed; the change of charge is neither logged
+ * nor told at once. What was noted last is kept apart. */
 static void
 note_charge (Control *control)
 {
-  VoterStatus before = control->status;
+  VoterStatus before = control->noted;
 
   voter_status (control->voter, &control->status);
+  control->noted = control->status;
   if (control->status.proved == before.proved && control->status.leader == before.leader
       && control->status.count == before.count && control->status.broken == before.broken)
     return;
