Learn the time of a prompt as latency, unit a server and growth

Cause: one figure a token and server. Short prompts' first events are mostly a latency of 60 ms, so each token seemed to cost five times as much, and tokens of long prompts cost half more than those of short ones. Prompts of 50,000 tokens went to servers where they were late by their own length, and short ones behind them. The queue at arrival is counted twice as long (CAUTION) since estimates no longer err to the safe side. Conclusion: kept; test /sched/prompt_time, 52 of 60 long prompts late before, 8 after.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -17,7 +17,7 @@
 /* Tuning; each row with its reason. */
 #define TOKEN_US    6000.0    /* time of a token before any was seen: the size of today's engines */
 #define ANSWER_US   40000.0   /* a plain service's answer before any was seen */
-#define CHUNK       2048      /* tokens of a prompt that engines compute at once */
+#define CHUNK       1024      /* tokens of a prompt that engines compute at once */
 #define LEARN       0.25      /* weight of a new sample: four samples replace most of the past */
 #define HARM_US     400000.0  /* cost of making one neighbour late, as much as finishing later */
 #define LATE_US     1500000.0 /* cost of being late where another server would not be */
@@ -38,9 +38,9 @@
 static unsigned places (const Sched *sched, const Server *server);
 
 static double
-own_prompt_us (const Server *server, double token)
+prompt_unit (const Server *server, double token)
 {
-  return server->prompt_us > 0 ? server->prompt_us : token * server->service->prompt_ratio;
+  return server->prompt_unit > 0 ? server->prompt_unit : token * server->service->curve.each;
 }
 
 static void
@@ -75,17 +75,17 @@
     return sum;
   sum->until = now + SUMMARY_FOR;
   summarize_speeds (service);
-  sum->least_prompt = sum->least_answer = sum->places = 0;
+  sum->least_unit = sum->least_answer = sum->places = 0;
   sum->any_usable = false;
   cds_list_for_each_entry (server, &service->servers, link)
   {
     if (!est_usable (server, now))
       continue;
     double token = server->token_us > 0 ? server->token_us : sum->mean_token;
-    double prompt = own_prompt_us (server, token);
+    double unit = prompt_unit (server, token);
     double answer = server->answer_us > 0 ? server->answer_us : ANSWER_US;
-    if (!sum->any_usable || prompt < sum->least_prompt)
-      sum->least_prompt = prompt;
+    if (!sum->any_usable || unit < sum->least_unit)
+      sum->least_unit = unit;
     if (!sum->any_usable || answer < sum->least_answer)
       sum->least_answer = answer;
     sum->any_usable = true;
@@ -101,9 +101,10 @@
 }
 
 double
-est_prompt_token_us (const Server *server)
+est_prompt_us (const Server *server, unsigned tokens)
 {
-  return own_prompt_us (server, est_token_us (server));
+  return curve_units (&server->service->curve, tokens)
+         * prompt_unit (server, est_token_us (server));
 }
 
 static double
@@ -124,7 +125,8 @@
   if (!service->conf.engine)
     return est_summary (sched, service)->least_answer;
   double token = est_summary (sched, service)->best_token;
-  return ask->prompt_tokens * token * service->prompt_ratio + ask->output_tokens * token;
+  double prompt = curve_units (&service->curve, ask->prompt_tokens) * service->curve.each;
+  return (prompt + ask->output_tokens) * token;
 }
 
 /* ---- Places ---- */
@@ -168,7 +170,8 @@
 harm_us (const Server *server, const SchedAsk *ask)
 {
   const Service *service = server->service;
-  double chunk = CHUNK * est_prompt_token_us (server);
+  double chunk = CHUNK * curve_last (&service->curve, ask->prompt_tokens)
+                 * prompt_unit (server, est_token_us (server));
   double chunks = ceil ((double) (ask->prompt_tokens + server->pending_tokens) / CHUNK);
   unsigned stride = service->conf.stride;
   double pause = stride * est_token_us (server) + MIN (chunks, stride) * chunk;
@@ -197,8 +200,9 @@
   else
     {
       double ahead = (double) MAX (0, server->prompts_until - now);
-      double own = ask->prompt_tokens * est_prompt_token_us (server);
-      out.first_us = HOP_US + ahead + own + server->service->conf.stride * est_token_us (server);
+      double own = est_prompt_us (server, ask->prompt_tokens);
+      out.first_us
+          = HOP_US + server->service->curve.latency_us + ahead + own + est_token_us (server);
       out.finish_us = out.first_us + ask->output_tokens * est_token_us (server);
       out.harm_us = harm_us (server, ask);
     }
@@ -323,7 +327,8 @@
 
   if (!service->conf.engine)
     return HOP_US + sum->least_answer;
-  return HOP_US + ask->prompt_tokens * sum->least_prompt + sum->best_token;
+  return HOP_US + service->curve.latency_us
+         + curve_units (&service->curve, ask->prompt_tokens) * sum->least_unit + sum->best_token;
 }
 
 double
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -3,6 +3,7 @@
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
 
+#include "curve.h"
 #include "scheduler.h"
 
 #include <urcu/list.h>
@@ -40,6 +41,7 @@
   int64_t granted_at;
   double prompt_us; /* predicted on its server */
   double work_us;   /* slot time on the service's best server */
+  bool alone;       /* nothing else was pending on its server when it was granted */
   bool first_seen;
   bool late; /* waits, and can no longer be on time */
 } Job;
@@ -52,9 +54,11 @@
   unsigned slots, running, pending; /* pending: runs without their first event */
   bool leaving, listed;
   struct cds_list_head runs;
-  int64_t prompts_until; /* when the prompts handed over so far are computed */
+  int64_t prompts_until; /* when the prompts handed over so far are computed ... */
+  double pending_us;     /* ... and their time in sum */
   uint64_t pending_tokens;
-  double token_us, prompt_us; /* learned, of one token; 0: nothing seen yet */
+  double token_us;    /* learned, of an output token; 0: nothing seen yet */
+  double prompt_unit; /* learned, of the service's curve, microseconds; 0 likewise */
   double answer_us;
   double failures;     /* share, averaged */
   int64_t failed_at;   /* when it last failed one */
@@ -82,7 +86,7 @@
 {
   int64_t until;
   double best_token, mean_token; /* time of a token: of the best server, and on average */
-  double least_prompt;           /* least time of a prompt's token on a usable server */
+  double least_unit;             /* least of prompt_unit on a usable server */
   double least_answer;           /* of a plain service */
   double places;                 /* of usable servers, in units of the best one's speed */
   bool any_usable;
@@ -93,8 +97,8 @@
   char *name;
   SchedServiceConf conf;
   struct cds_list_head servers;
-  GPtrArray *tiers;    /* Tier, highest first */
-  double prompt_ratio; /* learned: a prompt token's time in output tokens' times */
+  GPtrArray *tiers; /* Tier, highest first */
+  Curve curve;      /* of a prompt's time */
   Summary summary;
   unsigned open; /* servers with a free place, as of the last count */
 };
@@ -115,9 +119,9 @@
 
 /* What is known of all servers, at most 10 ms old. */
 const Summary *est_summary (const Sched *sched, Service *service);
-/* Expected time of one output token and of one prompt token, microseconds. */
+/* Expected time of one output token, and how long a prompt keeps the server busy, microseconds. */
 double est_token_us (const Server *server);
-double est_prompt_token_us (const Server *server);
+double est_prompt_us (const Server *server, unsigned tokens);
 /* Slot time that the ask takes on the service's best server, microseconds. */
 double est_work_us (const Sched *sched, Service *service, const SchedAsk *ask);
 /* Least time until the first of the answer on any usable server, microseconds. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -17,11 +17,11 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define PROMPT_RATIO 0.0033 /* time of a prompt's token in times of an output's, likewise */
-#define SCAN_MOST    48     /* waiting requests of a queue looked at in one decision */
+#define SCAN_MOST     48  /* waiting requests of a queue looked at in one decision */
+#define TEACHES_LEAST 500 /* tokens: shorter prompts are lost in the noise of sending */
 #define CAUTION                                                                                    \
-  1.15                   /* of an estimate at arrival: at 1.0, 10.5 % of those refused in an       \
-                            overload of twice the places had been held over 0.4 s */
+  2.0 /* of an estimate at arrival: with 1.3 one in five of those refused in an overload of twice  \
+         the places had been held over 0.4 s, with 2.0 less than one in ten */
 #define HOPELESS     1.3 /* a queued request is given up when its estimate is so far off */
 #define ADVICE_LEAST (100 * FT_MS)
 #define ADVICE_PART  3 /* callers wait for a third of the time that they have left */
@@ -110,7 +110,7 @@
     return service;
   service = g_new0 (Service, 1);
   service->name = g_strdup (name);
-  service->prompt_ratio = PROMPT_RATIO;
+  curve_init (&service->curve);
   service->tiers = g_ptr_array_new_with_free_func (wait_tier_free);
   CDS_INIT_LIST_HEAD (&service->servers);
   g_hash_table_insert (sched->services, service->name, service);
@@ -141,10 +141,12 @@
 {
   job->server = server;
   job->granted_at = now;
-  job->prompt_us = job->ask.prompt_tokens * est_prompt_token_us (server);
+  job->prompt_us = est_prompt_us (server, job->ask.prompt_tokens);
+  job->alone = server->pending == 0;
   cds_list_add_tail (&job->link, &server->runs);
   server->running++;
   server->pending++;
+  server->pending_us += job->prompt_us;
   server->pending_tokens += job->ask.prompt_tokens;
   server->tokens += job->ask.prompt_tokens + job->ask.output_tokens;
   server->prompts_until = MAX (server->prompts_until, now) + (int64_t) job->prompt_us;
@@ -160,11 +162,10 @@
   job->first_seen = true;
   server->pending--;
   server->pending_tokens -= MIN (server->pending_tokens, job->ask.prompt_tokens);
+  server->pending_us = server->pending > 0 ? MAX (0, server->pending_us - job->prompt_us) : 0;
+  server->prompts_until = now + (int64_t) server->pending_us;
   if (server->pending == 0)
-    {
-      server->prompts_until = now;
-      server->pending_tokens = 0;
-    }
+    server->pending_tokens = 0;
 }
 
 static void
@@ -399,16 +400,13 @@
   if (job == NULL || job->server == NULL || job->first_seen)
     return;
   Server *server = job->server;
-  bool alone = server->pending == 1;
   server->answered_at = now;
   first_seen (job, now);
-  if (!job->service->conf.engine || !alone || job->ask.prompt_tokens < 500)
+  if (!job->service->conf.engine || !job->alone || job->ask.prompt_tokens < TEACHES_LEAST)
     return;
-  double own = (double) after_us - HOP_US - job->service->conf.stride * est_token_us (server);
-  double each = MAX (own, 0.2 * (double) after_us) / job->ask.prompt_tokens;
-  est_learn (&server->prompt_us, each);
-  if (server->token_us > 0)
-    est_learn (&job->service->prompt_ratio, server->prompt_us / server->token_us);
+  double token = est_token_us (server);
+  double own = MAX ((double) after_us - HOP_US - token, 0.2 * (double) after_us);
+  curve_learn (&job->service->curve, &server->prompt_unit, job->ask.prompt_tokens, token, own);
 }
 
 void
@@ -592,14 +590,15 @@
       const Server *server = value;
       g_string_append_printf (
           out,
-          "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_us=%.1f "
+          "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_unit_ms=%.2f "
           "answer_ms=%.1f failures=%.2f\n",
           server->id, server->service->name, server->domain, server->running, server->slots,
           server->leaving  ? "leaving"
           : server->listed ? "live"
                            : "gone",
           now < server->out_until ? " out" : "", server->trial ? " trial" : "",
-          server->token_us / 1e3, server->prompt_us, server->answer_us / 1e3, server->failures);
+          server->token_us / 1e3, server->prompt_unit / 1e3, server->answer_us / 1e3,
+          server->failures);
     }
   return g_string_free (out, FALSE);
 }
