Tell a server's lifetimes apart; leave out spoilt entries of the list, not its page

Cause: the list was read by members that may be missing or of another type. One entry without a usable address made the whole page fail, so that all servers' news were lost until it was gone; an unknown state counted as live; a text or a fraction passed for a number. A server that starts again under its name was taken for the one before. Ruled out: checking the service against the catalogue while reading (the list is read before a catalogue is there, and a service that no route names gets nothing anyway). Change: each field is checked by type and range; an entry that fails one is counted and logged, the others hold. A server's id inside is its name and start; the newest start wins, also against a list that lags.

--- a/node/reader.c
+++ b/node/reader.c
@@ -1,5 +1,6 @@
 /* reader.c - one pass over the list at a time; a pass that takes too long is given up. */
 #include "reader.h"
+#include "jlog.h"
 
 /* Tuning; each row with its reason. */
 #define PASS_MOST    (900 * FT_MS) /* a pass is started every second or so */
@@ -20,6 +21,7 @@
   GArray *servers; /* SeamServer */
   GString *body;
   unsigned status, pages;
+  unsigned spoilt, spoilt_before; /* entries that named no server in this pass; in the last one */
   int64_t asked_at;
 };
 
@@ -29,6 +31,7 @@
   SeamServer *server = data;
 
   g_free (server->id);
+  g_free (server->name);
   g_free (server->service);
   g_free (server->domain);
 }
@@ -38,6 +41,7 @@
 {
   loop_timer_stop (reader->loop, &reader->timer);
   reader->xfer = NULL;
+  reader->spoilt_before = reader->spoilt;
   reader->done (reader->host, why ? NULL : reader->servers, reader->asked_at, why);
   g_array_set_size (reader->servers, 0);
 }
@@ -55,6 +59,15 @@
   g_string_append_len (((Reader *) user)->body, data, (gssize) size);
 }
 
+/* Said once for each time that their number grows: the list is read every second. */
+static void
+note_spoilt (const Reader *reader, const char *first)
+{
+  if (reader->spoilt > reader->spoilt_before)
+    jlog (JLOG_WARN, "list-entry", NULL, JL_INT ("spoilt", reader->spoilt),
+          JL_INT ("page", reader->pages), JL_TEXT ("first", first));
+}
+
 static void ask (Reader *reader, const char *page);
 
 static void
@@ -70,8 +83,12 @@
       finish (reader, reader->status == 429 ? "too many calls" : "refused");
       return;
     }
-  if (reader->seam->read_list (reader->body->str, reader->body->len, reader->servers, &next, &error)
-      != FT_OK)
+  unsigned spoilt = reader->spoilt;
+  FtStatus status = reader->seam->read_list (reader->body->str, reader->body->len, reader->servers,
+                                             &next, &reader->spoilt, &error);
+  if (reader->spoilt > spoilt)
+    note_spoilt (reader, error.text);
+  if (status != FT_OK)
     finish (reader, error.text);
   else if (next && reader->pages < PAGES_MOST)
     ask (reader, next);
@@ -156,6 +173,7 @@
   if (reader_busy (reader))
     return;
   reader->pages = 0;
+  reader->spoilt = 0;
   reader->asked_at = loop_now (reader->loop);
   loop_timer_set (reader->loop, &reader->timer, reader->asked_at + PASS_MOST);
   ask (reader, NULL);
--- a/node/seam.h
+++ b/node/seam.h
@@ -28,7 +28,7 @@
 /* What the instance adds to a request that it passes on. */
 typedef struct
 {
-  const char *server;     /* the incarnation that alone may run it */
+  const char *server;     /* name of the server that alone may run it */
   const char *org;        /* the caller's organisation; NULL: none */
   int64_t left_us;        /* the server need not work for longer */
   const char *last_event; /* go on behind this event; NULL: from the start */
@@ -48,7 +48,10 @@
 
 typedef struct
 {
-  char *id, *service, *domain;
+  char *id;        /* of one lifetime, from its start to its end */
+  char *name;      /* what it calls itself; another lifetime may have the same */
+  int64_t born_ms; /* when the lifetime began, Unix time; 0: not said */
+  char *service, *domain;
   SockAddr addr;
   unsigned slots;
   bool leaving;
@@ -86,9 +89,11 @@
   FtStatus (*read_catalogue) (const char *text, size_t size, RtCat **out, FtError *error);
   /* The request for one page of the list of servers; page NULL: the first. */
   void (*write_list_request) (GString *out, SockAddr host, const char *page);
-  /* Appends SeamServer to servers; *next is the following page, g_free, NULL: none. */
+  /* Appends SeamServer to servers; *next is the following page, g_free, NULL: none. An entry that
+   * names no server is left out and counted in *spoilt, and error tells of the first one; what
+   * fails is a page that cannot be read at all. */
   FtStatus (*read_list) (const char *text, size_t size, GArray *servers, char **next,
-                         FtError *error);
+                         unsigned *spoilt, FtError *error);
 } Seam;
 
 void seam_server_clear (void *server);
--- a/node/servers.c
+++ b/node/servers.c
@@ -80,6 +80,7 @@
   SeamServer out = *from;
 
   out.id = g_strdup (from->id);
+  out.name = g_strdup (from->name);
   out.service = g_strdup (from->service);
   out.domain = g_strdup (from->domain);
   return out;
@@ -131,18 +132,50 @@
   return list;
 }
 
+/* Failure: a server starts again under the name that it had, and a list that lags shows its earlier
+ * lifetime once more. Symptom: the new one is forgotten, and what was learned of the old one, its
+ * connections and its places are taken for the new one's. A lifetime is (name, start): of two the
+ * later counts, whichever was heard last, and of two words on one the one that it is leaving. */
+static void
+note_lifetime (GHashTable *newest, const SeamServer *server)
+{
+  const SeamServer *known = g_hash_table_lookup (newest, server->name);
+
+  if (known == NULL || server->born_ms > known->born_ms
+      || (server->born_ms == known->born_ms && server->leaving && !known->leaving))
+    g_hash_table_insert (newest, server->name, (gpointer) server);
+}
+
 bool
 servers_take_read (Servers *servers, const GArray *from, int64_t asked_at)
 {
+  GHashTable *newest, *put;
+
   if (asked_at <= servers->asked_at)
     return false;
+  newest = g_hash_table_new (g_str_hash, g_str_equal);
+  put = g_hash_table_new (g_str_hash, g_str_equal);
   GArray *list = new_list ();
+  for (unsigned i = 0; i < from->len; i++)
+    note_lifetime (newest, &g_array_index (from, SeamServer, i));
+  for (unsigned i = 0; i < servers->list->len; i++)
+    {
+      const SeamServer *held = &g_array_index (servers->list, SeamServer, i);
+      const SeamServer *listed = g_hash_table_lookup (newest, held->name);
+      if (listed && listed->born_ms < held->born_ms)
+        note_lifetime (newest, held);
+    }
   for (unsigned i = 0; i < from->len; i++)
     {
-      SeamServer server = copy_of (&g_array_index (from, SeamServer, i));
+      const char *name = g_array_index (from, SeamServer, i).name;
+      if (!g_hash_table_add (put, (gpointer) name))
+        continue;
+      SeamServer server = copy_of (g_hash_table_lookup (newest, name));
       g_array_append_val (list, server);
     }
   replace (servers, list, asked_at);
+  g_hash_table_unref (newest);
+  g_hash_table_unref (put);
   return true;
 }
 
@@ -150,6 +183,8 @@
 from_message (const MeshServer *from)
 {
   return (SeamServer){ .id = g_strdup (from->id),
+                       .name = g_strdup (from->name),
+                       .born_ms = from->born_ms,
                        .service = g_strdup (from->service),
                        .domain = g_strdup (from->domain),
                        .addr = { from->ip, (uint16_t) from->port },
@@ -242,6 +277,8 @@
 to_message (const SeamServer *from)
 {
   return (MeshServer){ .id = from->id,
+                       .name = from->name,
+                       .born_ms = from->born_ms,
                        .service = from->service,
                        .domain = from->domain,
                        .ip = from->addr.ip,
--- a/node/try.c
+++ b/node/try.c
@@ -213,7 +213,7 @@
   bool once = !rt_route_repeatable (req->route);
   HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? IDLE_MOST_ONCE : IDLE_MOST,
                         strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
-  SeamForward forward = { .server = server->id,
+  SeamForward forward = { .server = server->name,
                           .org = req->org ? req->org->name : NULL,
                           .left_us = req->end_at - req_now (req),
                           .last_event = req->begun ? events_last_id (req->stream) : NULL,
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -71,6 +71,8 @@
 
 struct MeshServer {
 	char *id;
+	char *name;
+	quad_t born_ms;
 	char *service;
 	char *domain;
 	u_int ip;
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -42,7 +42,9 @@
 enum MeshServerState { MESH_SERVER_LIVE = 0, MESH_SERVER_LEAVING = 1 };
 
 struct MeshServer {
-  string id<MESH_NAME_MOST>; /* of the server's incarnation */
+  string id<MESH_NAME_MOST>;   /* of the server's lifetime */
+  string name<MESH_NAME_MOST>; /* what it calls itself */
+  hyper born_ms;               /* Unix time of the lifetime's start; 0: not said */
   string service<MESH_NAME_MOST>;
   string domain<MESH_NAME_MOST>;
   unsigned int ip;
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -90,6 +90,10 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->id, MESH_NAME_MOST))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MOST))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->domain, MESH_NAME_MOST))
@@ -116,6 +120,10 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, MESH_NAME_MOST))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MOST))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->domain, MESH_NAME_MOST))
@@ -143,6 +151,10 @@
 
 	 if (!xdr_string (xdrs, &objp->id, MESH_NAME_MOST))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MOST))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->domain, MESH_NAME_MOST))
