Hand an account of a limit over once, with the time in which it was spent

Cause: an entry tells each scheduler what others gave it since that one was told last. A voter that led 20 s before is told all that was given meanwhile, long refilled; the guard against this kept one time an entry, so that only the first organisation asked for was safe. Ruled out: the depth of the debt (it bounds the loss, it does not cause it). Change: node/spent.c keeps what is untold by eighths of two seconds for each scheduler and organisation, and says in which time it was given; quota.c lets the newest report from before a take-over replace the guess it began with.

--- a/node/broker.c
+++ b/node/broker.c
@@ -19,7 +19,6 @@
   uint64_t owner; /* the peer's lifetime */
   unsigned waiting;
   int64_t asked_at;
-  int64_t told_at; /* when it last told what others gave it */
 } Asker;
 
 typedef struct
@@ -244,8 +243,8 @@
   if (from->org_fill_ms != MESH_FILL_UNKNOWN)
     quota_report (broker->quota, from->org, from->org_fill / 1e3, now - from->org_fill_ms * FT_MS);
   if (from->spent_tokens > 0)
-    quota_used (broker->quota, from->org, from->spent_tokens, asker->told_at);
-  asker->asked_at = asker->told_at = now;
+    quota_used (broker->quota, from->org, from->spent_tokens, now - from->spent_ms * FT_MS);
+  asker->asked_at = now;
   if (from->running)
     {
       sched_adopt (broker->sched, &ask, from->server);
--- a/node/place.c
+++ b/node/place.c
@@ -143,9 +143,10 @@
 put_spent (Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
 {
   double full;
-  int64_t age;
+  int64_t age, given_for;
 
-  ask->spent_tokens = (unsigned) spent_elsewhere (place->spent, peer, org);
+  ask->spent_tokens = (unsigned) spent_elsewhere (place->spent, peer, org, &given_for);
+  ask->spent_ms = (u_int) (given_for / FT_MS);
   ask->org_fill_ms = MESH_FILL_UNKNOWN;
   if (!spent_reported (place->spent, peer, org, &full, &age))
     return;
--- a/node/spent.c
+++ b/node/spent.c
@@ -3,12 +3,19 @@
  * Failure: an entry goes from scheduler to scheduler, on a lossy link several times a second.
  * Symptom: each gives it a part of a limit, and the organisation passes it. So each is told what
  * the others gave since it was asked last, and how full the last of them reported the account.
+ *
+ * Failure: a scheduler takes over that was asked last a minute ago. Symptom: it is told what others
+ * gave in that minute, which has long been refilled, and refuses organisations well within their
+ * limits for seconds. So what was given is forgotten after the time in which a burst refills, and
+ * each amount comes with the time since which it was given.
  */
 #include "spent.h"
 
 #define REPORT_MOST                                                                                \
-  (2 * FT_SECOND) /* older reports are not passed on: bursts refill within that                    \
-                   */
+  (2 * FT_SECOND) /* older reports are not passed on, nor what was given before: bursts refill     \
+                     within that */
+#define SPANS 8   /* in that time, counted apart: an eighth of it is told too long or too short */
+#define SPAN  (REPORT_MOST / SPANS)
 
 typedef struct
 {
@@ -17,45 +24,25 @@
   const void *from; /* NULL: the own scheduler, or one whose link is down */
 } Report;
 
+/* What others gave of one organisation's limit and one scheduler was not told yet. */
+typedef struct
+{
+  double amounts[SPANS];
+  int64_t span; /* number of the newest; those before it lie before it, around the end */
+  int64_t told_at;
+} Untold;
+
 struct Spent
 {
   FtClock *clock;
-  GHashTable *given;   /* organisation: double, all that this entry was ever given */
-  GHashTable *told;    /* scheduler: table like given, as much of it as it knows of */
+  GHashTable *untold;  /* scheduler: table of organisation: Untold */
   GHashTable *reports; /* organisation: Report */
 };
 
-static GHashTable *
-amounts_new (void)
-{
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-}
-
 static void
-amounts_free (void *amounts)
-{
-  g_hash_table_unref (amounts);
-}
-
-static double
-amount_of (GHashTable *amounts, const char *org)
+table_free (void *table)
 {
-  const double *value = g_hash_table_lookup (amounts, org);
-
-  return value ? *value : 0;
-}
-
-static void
-amount_add (GHashTable *amounts, const char *org, double by)
-{
-  double *value = g_hash_table_lookup (amounts, org);
-
-  if (value == NULL)
-    {
-      value = g_new0 (double, 1);
-      g_hash_table_insert (amounts, g_strdup (org), value);
-    }
-  *value += by;
+  g_hash_table_unref (table);
 }
 
 Spent *
@@ -64,8 +51,7 @@
   Spent *spent = g_new0 (Spent, 1);
 
   spent->clock = clock;
-  spent->given = amounts_new ();
-  spent->told = g_hash_table_new_full (NULL, NULL, NULL, amounts_free);
+  spent->untold = g_hash_table_new_full (NULL, NULL, NULL, table_free);
   spent->reports = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return spent;
 }
@@ -75,46 +61,82 @@
 {
   if (spent == NULL)
     return;
-  g_hash_table_unref (spent->given);
-  g_hash_table_unref (spent->told);
+  g_hash_table_unref (spent->untold);
   g_hash_table_unref (spent->reports);
   g_free (spent);
 }
 
 /* A scheduler that is new to this entry counts from now on. */
 static GHashTable *
-told_to (Spent *spent, const void *scheduler)
+untold_to (Spent *spent, const void *scheduler)
 {
-  GHashTable *told = g_hash_table_lookup (spent->told, scheduler);
-  GHashTableIter iter;
-  gpointer org, value;
-
-  if (told)
-    return told;
-  told = amounts_new ();
-  g_hash_table_iter_init (&iter, spent->given);
-  while (g_hash_table_iter_next (&iter, &org, &value))
-    amount_add (told, org, *(double *) value);
-  g_hash_table_insert (spent->told, (gpointer) scheduler, told);
-  return told;
+  GHashTable *table = g_hash_table_lookup (spent->untold, scheduler);
+
+  if (table)
+    return table;
+  table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_insert (spent->untold, (gpointer) scheduler, table);
+  return table;
+}
+
+static void
+forget_old_spans (Untold *untold, int64_t span)
+{
+  if (span - untold->span >= SPANS)
+    untold->span = span - SPANS;
+  while (untold->span < span)
+    untold->amounts[++untold->span % SPANS] = 0;
+}
+
+static Untold *
+untold_of (Spent *spent, GHashTable *table, const char *org)
+{
+  Untold *untold = g_hash_table_lookup (table, org);
+  int64_t now = ft_clock_now (spent->clock);
+
+  if (untold == NULL)
+    {
+      untold = g_new0 (Untold, 1);
+      untold->span = now / SPAN;
+      untold->told_at = now;
+      g_hash_table_insert (table, g_strdup (org), untold);
+    }
+  forget_old_spans (untold, now / SPAN);
+  return untold;
 }
 
 void
 spent_granted (Spent *spent, const void *scheduler, const char *org, double cost)
 {
+  GHashTableIter iter;
+  gpointer other, table;
+
   if (scheduler)
-    amount_add (told_to (spent, scheduler), org, cost);
-  amount_add (spent->given, org, cost);
+    untold_to (spent, scheduler);
+  g_hash_table_iter_init (&iter, spent->untold);
+  while (g_hash_table_iter_next (&iter, &other, &table))
+    if (other != scheduler)
+      {
+        Untold *untold = untold_of (spent, table, org);
+        untold->amounts[untold->span % SPANS] += cost;
+      }
 }
 
 double
-spent_elsewhere (Spent *spent, const void *scheduler, const char *org)
+spent_elsewhere (Spent *spent, const void *scheduler, const char *org, int64_t *for_us)
 {
-  GHashTable *told = told_to (spent, scheduler);
-  double others = amount_of (spent->given, org) - amount_of (told, org);
+  Untold *untold = untold_of (spent, untold_to (spent, scheduler), org);
+  int64_t now = ft_clock_now (spent->clock);
+  double sum = 0;
 
-  amount_add (told, org, others);
-  return others;
+  for (unsigned i = 0; i < SPANS; i++)
+    {
+      sum += untold->amounts[i];
+      untold->amounts[i] = 0;
+    }
+  *for_us = MIN (now - untold->told_at, REPORT_MOST);
+  untold->told_at = now;
+  return sum;
 }
 
 void
@@ -149,7 +171,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_remove (spent->told, scheduler);
+  g_hash_table_remove (spent->untold, scheduler);
   g_hash_table_iter_init (&iter, spent->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((Report *) value)->from == scheduler)
--- a/node/spent.h
+++ b/node/spent.h
@@ -13,9 +13,9 @@
 void spent_free (Spent *spent);
 /* The scheduler gave this entry so much of the organisation's limit. */
 void spent_granted (Spent *spent, const void *scheduler, const char *org, double cost);
-/* What others gave since the scheduler was asked last; 0 when it is asked for the first time. It
- * counts as told from now on. */
-double spent_elsewhere (Spent *spent, const void *scheduler, const char *org);
+/* What others gave since the scheduler was last told, in the latest seconds; 0 when it is asked for
+ * the first time. It counts as told from now on. *for_us: the time in which that was given. */
+double spent_elsewhere (Spent *spent, const void *scheduler, const char *org, int64_t *for_us);
 /* The scheduler has reported how full the organisation's account is, 0 to 1. */
 void spent_report (Spent *spent, const void *scheduler, const char *org, double full);
 /* The newest report of another scheduler than this one: how full the account was, and how long ago,
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -118,6 +118,7 @@
 	u_int prompt_tokens;
 	u_int output_tokens;
 	u_int spent_tokens;
+	u_int spent_ms;
 	u_int org_fill;
 	u_int org_fill_ms;
 	u_int cost_tokens;
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -84,7 +84,8 @@
   unsigned int prompt_tokens;
   unsigned int output_tokens; /* expected */
   unsigned int spent_tokens; /* of the organisation's limit, given to this entry by other schedulers
-                                since it last asked this one */
+                                since it last told this one ... */
+  unsigned int spent_ms;     /* ... in so long a time until now */
   unsigned int org_fill;     /* per mille of the organisation's limit that another scheduler had left
                                 at once, when it last decided for this entry ... */
   unsigned int org_fill_ms;  /* ... so long ago; MESH_FILL_UNKNOWN: none has */
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -227,7 +227,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -241,6 +241,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spent_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
@@ -255,6 +257,7 @@
 		IXDR_PUT_U_LONG(buf, objp->prompt_tokens);
 		IXDR_PUT_U_LONG(buf, objp->output_tokens);
 		IXDR_PUT_U_LONG(buf, objp->spent_tokens);
+		IXDR_PUT_U_LONG(buf, objp->spent_ms);
 		IXDR_PUT_U_LONG(buf, objp->org_fill);
 		IXDR_PUT_U_LONG(buf, objp->org_fill_ms);
 		IXDR_PUT_U_LONG(buf, objp->cost_tokens);
@@ -283,7 +286,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -297,6 +300,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spent_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
@@ -311,6 +316,7 @@
 		objp->prompt_tokens = IXDR_GET_U_LONG(buf);
 		objp->output_tokens = IXDR_GET_U_LONG(buf);
 		objp->spent_tokens = IXDR_GET_U_LONG(buf);
+		objp->spent_ms = IXDR_GET_U_LONG(buf);
 		objp->org_fill = IXDR_GET_U_LONG(buf);
 		objp->org_fill_ms = IXDR_GET_U_LONG(buf);
 		objp->cost_tokens = IXDR_GET_U_LONG(buf);
@@ -352,6 +358,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->spent_tokens))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spent_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->org_fill))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->org_fill_ms))
--- a/src/quota.c
+++ b/src/quota.c
@@ -45,7 +45,8 @@
   double reported;     /* how full the account was elsewhere, 0 to 1 ... */
   int64_t reported_at; /* ... then; 0: no report */
   int64_t taken_at;    /* when it was last decided on here */
-  int64_t began;       /* since when it is decided on here without a pause */
+  int64_t began;       /* since when it is decided on here without a pause ... */
+  double assumed;      /* ... and how much was taken to be spent then */
 } Bucket;
 
 struct Quota
@@ -167,6 +168,20 @@
   bucket->spent = MIN (bucket->spent, capacity (bucket));
 }
 
+/* Failure: an account is taken over, and the first who asks knows nothing of it, or little: it
+ * starts from a guess. Symptom: the organisation is refused within its limit, or gets a burst
+ * twice, although the next to ask brings what the one before had told it last. The newest word from
+ * before the start replaces what was taken to be spent then; what was given here since stays. */
+static void
+begin_anew_from (const Quota *quota, Bucket *bucket)
+{
+  double spent = (1 - arriving (quota, bucket, bucket->began)) * capacity (bucket);
+
+  bucket->spent
+      = CLAMP (bucket->spent + spent - bucket->assumed, 0, (1 + DEBT) * capacity (bucket));
+  bucket->assumed = spent;
+}
+
 void
 quota_report (Quota *quota, const char *org, double full, int64_t at)
 {
@@ -180,6 +195,8 @@
   bucket->reported_at = at;
   if (idle)
     bucket->spent = (1 - arriving (quota, bucket, bucket->at)) * capacity (bucket);
+  else if (at < bucket->began)
+    begin_anew_from (quota, bucket);
 }
 
 double
@@ -203,7 +220,10 @@
     return true;
   fill (quota, bucket);
   if (bucket->at - bucket->taken_at > IDLE)
-    bucket->began = bucket->at;
+    {
+      bucket->began = bucket->at;
+      bucket->assumed = bucket->spent;
+    }
   bucket->taken_at = bucket->at;
   /* A request larger than the burst could never pass; a full bucket is enough for it. */
   double burst = bucket->burst * bucket->part;
--- a/test/place.c
+++ b/test/place.c
@@ -2,6 +2,9 @@
  * test at the other end of a socket pair; the loop is real, nothing depends on how long it takes.
  */
 #include "place.h"
+#include "quota.h"
+#include "spent.h"
+#include "clock.h"
 #include "codec.h"
 
 #include <arpa/inet.h>
@@ -355,6 +358,137 @@
   end ();
 }
 
+/* ---- An account that goes from scheduler to scheduler, on a clock of the test's own ---- */
+
+#define ENTRIES 56
+#define ORGS    3 /* at half of its limit, at six times, at a quarter */
+#define STEP_MS 2
+#define LIMIT   300000.0 /* tokens a second, and at once */
+#define WINDOW  (8000 / STEP_MS)
+#define TOTAL   (24000 / STEP_MS)
+#define COST    3000.0
+
+typedef struct
+{
+  TestClock clock;
+  Quota *schedulers[3];
+  Spent *entries[ENTRIES];
+  char names[ORGS][8];
+  double given[ORGS][TOTAL];
+  unsigned refused[ORGS];
+  uint64_t seed;
+} Handover;
+
+static double
+handover_draw (Handover *all)
+{
+  all->seed = all->seed * 6364136223846793005u + 1442695040888963407u;
+  return (double) (all->seed >> 11) / 9007199254740992.0;
+}
+
+/* What an ask carries and what comes back, as place.c and broker.c do it. */
+static void
+handover_ask (Handover *all, unsigned entry, unsigned at, unsigned org, unsigned step)
+{
+  Quota *quota = all->schedulers[at];
+  Spent *spent = all->entries[entry];
+  const char *name = all->names[org];
+  int64_t now = all->clock.now, age, given_for, wait;
+  double full, elsewhere = spent_elsewhere (spent, quota, name, &given_for);
+
+  if (spent_reported (spent, quota, name, &full, &age))
+    quota_report (quota, name, full, now - age);
+  if (elsewhere > 0)
+    quota_used (quota, name, elsewhere, now - given_for);
+  bool granted = quota_take (quota, name, COST, 0, &wait);
+  if (granted)
+    {
+      spent_granted (spent, quota, name, COST);
+      all->given[org][step] += COST;
+    }
+  else
+    all->refused[org]++;
+  spent_report (spent, quota, name, quota_full (quota, name));
+}
+
+/* The first voter leads for three seconds, the second until it dies after fifteen; within 0.2 s the
+ * entries turn to a deputy, and half a second later to the first voter again. */
+static unsigned
+handover_leader (unsigned entry, unsigned ms)
+{
+  unsigned turn = entry * 200 / ENTRIES;
+
+  if (ms < 3000)
+    return 0;
+  if (ms < 15000 + turn)
+    return 1;
+  return ms < 15600 + turn ? 2 : 0;
+}
+
+static double
+handover_most (const Handover *all, unsigned org)
+{
+  double sum = 0, most = 0;
+
+  for (unsigned i = 0; i < TOTAL; i++)
+    {
+      sum += all->given[org][i] - (i >= WINDOW ? all->given[org][i - WINDOW] : 0);
+      most = MAX (most, sum);
+    }
+  return most;
+}
+
+/* The scheduler dies, a deputy takes over, then a voter that led before. Organisations within their
+ * limits are refused for seconds: the voter is told what others gave since it led, which has long
+ * been refilled, and of all but the first organisation an entry asks for it takes that for news.
+ * What was given is counted once: nobody within its limit is refused, and who sends six times its
+ * limit gets no more than it. */
+static void
+account_is_handed_over (void)
+{
+  static const double rates[ORGS] = { 0.5, 6, 0.25 };
+  Handover *all = g_new0 (Handover, 1);
+
+  all->clock = test_clock ();
+  all->seed = 11;
+  for (unsigned i = 0; i < ENTRIES; i++)
+    all->entries[i] = spent_new (&all->clock.base);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      all->schedulers[i] = quota_new (&all->clock.base);
+      quota_margin (all->schedulers[i], 0.1, 140000, 8, true);
+    }
+  for (unsigned org = 0; org < ORGS; org++)
+    {
+      g_snprintf (all->names[org], sizeof all->names[org], "o%u", org);
+      for (unsigned i = 0; i < 3; i++)
+        quota_limit (all->schedulers[i], all->names[org], LIMIT, LIMIT);
+    }
+  all->clock.now += 60 * FT_SECOND;
+  for (unsigned step = 0; step < TOTAL; step++)
+    {
+      all->clock.now += STEP_MS * FT_MS;
+      for (unsigned org = 0; org < ORGS; org++)
+        for (double due = rates[org] * LIMIT * STEP_MS / 1e3 / COST; due > 0; due--)
+          if (due >= 1 || handover_draw (all) < due)
+            {
+              unsigned entry = (unsigned) (handover_draw (all) * ENTRIES);
+              handover_ask (all, entry, handover_leader (entry, step * STEP_MS), org, step);
+            }
+    }
+  for (unsigned org = 0; org < ORGS; org++)
+    g_test_message ("%s: refused %u, most in a window %.0f of %.0f", all->names[org],
+                    all->refused[org], handover_most (all, org), 9 * LIMIT);
+  g_assert_cmpuint (all->refused[0], ==, 0);
+  g_assert_cmpuint (all->refused[2], ==, 0);
+  g_assert_cmpfloat (handover_most (all, 1), <, 9 * LIMIT * 1.1);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    spent_free (all->entries[i]);
+  for (unsigned i = 0; i < 3; i++)
+    quota_free (all->schedulers[i]);
+  g_free (all);
+}
+
 /* Requests are refused before idle servers: a request granted by one scheduler ended while another
  * was asked, and the first one's ledger kept its place for ever. Both are told of the end. */
 static void
@@ -407,6 +541,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/use_elsewhere", use_elsewhere_is_told);
+  g_test_add_func ("/place/handover", account_is_handed_over);
   g_test_add_func ("/place/report", report_of_account_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
   g_test_add_func ("/place/end", all_are_told_of_the_end);
