Log what a lost request was: size, estimate, tier, wait, aim

Cause: a request's last line did not say how large it was, what was expected of it, how long it waited for a place and what on time meant, so that lost worth could not be told apart by cause. No change in decisions.

--- a/node/requests.c
+++ b/node/requests.c
@@ -70,7 +70,13 @@
         JL_TEXT ("server", req->server), JL_INT ("sends", req->sends),
         JL_INT ("may_have_run", req->may_have_run), JL_INT ("events", req->events),
         JL_MS ("first_ms", req->first_at ? req->first_at - req->arrived : -1),
-        JL_MS ("pause_ms", req->pause_most), JL_MS ("took_ms", req_now (req) - req->arrived),
+        JL_MS ("aim_ms", req->route ? req->route->aim_us : 0),
+        JL_MS ("sent_ms", req->sent_at ? req->sent_at - req->arrived : -1),
+        JL_MS ("back_ms", req->waited_before),
+        JL_INT ("tier", req->route ? rt_order (req->route, req->org) : 0),
+        JL_INT ("prompt", req->facts.prompt_tokens), JL_INT ("most", req->facts.output_most),
+        JL_INT ("guess", req->facts.output_guess), JL_MS ("pause_ms", req->pause_most),
+        JL_MS ("took_ms", req_now (req) - req->arrived),
         JL_MS ("left_ms", req->end_at - req_now (req)));
 }
 
