Wait for a better server by its first event, not by the end of its answer

Cause: whether a busy server could still be on time was decided by comparing the end of the answer with the time by which its first event is due. Test: /sched/prompt_time, 8 of 60 long prompts late before, 2 after; its bound is 5 now.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -281,8 +281,7 @@
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
     Estimate here = estimate (server, &job->ask, now);
-    if (!here.late && here.harm_us == 0 && total (&here) < most
-        && (double) now + total (&here) < (double) job->ask.aim_at)
+    if (!here.late && here.harm_us == 0 && total (&here) < most)
       return true;
   }
   return false;
--- a/test/sched.c
+++ b/test/sched.c
@@ -453,7 +453,8 @@
       *(work->prompt == 50000 ? &late : &late_shorts) += is_late;
     }
   g_test_message ("long: %u of %u late; others: %u of %u", late, longs, late_shorts, shorts);
-  g_assert_cmpuint (late * 6, <=, longs); /* 52 of 60 in proportion to their length */
+  g_assert_cmpuint (late * 12, <=,
+                    longs); /* 52 of 60 in proportion to their length, 8 if not waited for */
   g_assert_cmpuint (late_shorts * 50, <=, shorts);
   end ();
 }
