Take a server whose address answers for another one for gone, and go on elsewhere

Cause: a crashed server stays on the list for seconds while another starts at its address and turns away (421) what was meant for it. Ruled out: full servers (each rejection was a 421). It still runs once: the 421 is the word that it has not run. Tests: /retry/gone, /sched/gone, /node/servers_gone.

--- a/node/reqint.h
+++ b/node/reqint.h
@@ -35,6 +35,7 @@
   int64_t pause_most; /* longest between two events */
   unsigned events, status;
   bool head_seen, is_stream, rejected;
+  bool elsewhere; /* rejected, by another server than the one that was meant */
   GString *fields, *held;
   /* The answer to the caller. */
   Events *stream;
--- a/node/requests.c
+++ b/node/requests.c
@@ -172,7 +172,7 @@
 
   req->number = ++req->all->next_number;
   g_hash_table_insert (req->all->by_number, &req->number, req);
-  req->head_seen = req->is_stream = req->rejected = false;
+  req->head_seen = req->is_stream = req->rejected = req->elsewhere = false;
   req->sent_at = req->first_at = req->event_at = req->event_sum = 0;
   req->events = 0;
   g_string_truncate (req->held, 0);
@@ -210,6 +210,8 @@
       return SCHED_UNREACHED;
     case RETRY_REJECTED:
       return SCHED_REJECTED;
+    case RETRY_GONE:
+      return SCHED_GONE;
     case RETRY_ANSWERED:
       return SCHED_OK;
     case RETRY_SILENT:
--- a/node/seam.h
+++ b/node/seam.h
@@ -41,6 +41,7 @@
 {
   const char *id; /* of the request that it answers; NULL: none */
   bool not_run;   /* the server states that it did not run the request */
+  bool elsewhere; /* another server than the expected one answers at its address */
   bool event_stream;
   bool has_load;
   unsigned running, waiting, slots;
--- a/node/try.c
+++ b/node/try.c
@@ -41,6 +41,21 @@
   place_first (req->all->conf.place, req->number, now - req->sent_at);
 }
 
+/* The server said that it did not run the request. One that is not the server that was meant says
+ * nothing of that one but that it is gone: no server of the request's was reached. */
+static void
+after_rejection (Req *req)
+{
+  if (!req->elsewhere)
+    {
+      req_after_try (req, RETRY_REJECTED);
+      return;
+    }
+  req->sends--;
+  req->unreached++;
+  req_after_try (req, RETRY_GONE);
+}
+
 static bool
 on_head (void *user, const HMsg *msg)
 {
@@ -61,6 +76,7 @@
       /* Its own word that this try did not run; earlier tries stand. */
       req->may_have_run = req->may_have_run_before;
       req->rejected = true;
+      req->elsewhere = answer.elsewhere;
       return true;
     }
   bool promises
@@ -158,7 +174,7 @@
   req->xfer = NULL;
   if (req->rejected)
     {
-      req_after_try (req, RETRY_REJECTED);
+      after_rejection (req);
       return;
     }
   note_first (req);
@@ -189,7 +205,10 @@
       req_after_try (req, RETRY_UNREACHED);
       return;
     }
-  req_after_try (req, req->rejected ? RETRY_REJECTED : req->begun ? RETRY_CUT : RETRY_BROKEN);
+  if (req->rejected)
+    after_rejection (req);
+  else
+    req_after_try (req, req->begun ? RETRY_CUT : RETRY_BROKEN);
 }
 
 static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
--- a/src/health.c
+++ b/src/health.c
@@ -10,11 +10,12 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define OUT_FIRST    (300 * FT_MS) /* first time out: a restart or a lost packet */
-#define REJECTED_OUT (40 * FT_MS)  /* a full server: until one of its places is free */
-#define FAIL_LEARN   0.2           /* weight of a new outcome in the share of failures */
-#define FAIL_OUT     0.45          /* share of failures that takes a server out */
-#define FAIL_TIMES   1.8           /* and so many times its service's mean */
+#define OUT_FIRST    (300 * FT_MS)    /* first time out: a restart or a lost packet */
+#define REJECTED_OUT (40 * FT_MS)     /* a full server: until one of its places is free */
+#define GONE_OUT     (10 * FT_SECOND) /* lists show a lost server for some seconds */
+#define FAIL_LEARN   0.2              /* weight of a new outcome in the share of failures */
+#define FAIL_OUT     0.45             /* share of failures that takes a server out */
+#define FAIL_TIMES   1.8              /* and so many times its service's mean */
 
 static double
 mean_failures (const Service *service)
@@ -120,6 +121,15 @@
     case SCHED_SILENT:
       health_silent (sched, server, granted_at, now);
       break;
+    /* Failure: a server crashes and another starts at its address, while the list still shows the
+     * first. Symptom: its places seem free, and one request after the other is turned away there,
+     * 22 at each server within 2 s. The lifetime has ended; the list will say so. */
+    case SCHED_GONE:
+      server->out_until = now + GONE_OUT;
+      server->trial = true;
+      sched->ops->believes (sched->host, server->id, true, "another server has its address",
+                            GONE_OUT);
+      break;
     case SCHED_REJECTED:
       server->out_until = MAX (server->out_until, now + REJECTED_OUT);
       break;
--- a/src/retry.c
+++ b/src/retry.c
@@ -49,6 +49,10 @@
       if (facts->unreached < UNREACHED_MOST && facts->left_us > LEFT_LEAST)
         return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
       return give_up (facts);
+    case RETRY_GONE:
+      if (facts->budget && facts->unreached < UNREACHED_MOST && facts->left_us > LEFT_LEAST)
+        return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
+      return give_up (facts);
     case RETRY_REJECTED:
       if (may_send_again (facts))
         return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
@@ -78,7 +82,7 @@
 retry_event_name (RetryEvent event)
 {
   static const char *const names[]
-      = { "unreached", "rejected", "broken", "failure", "answered", "cut", "silent" };
+      = { "unreached", "rejected", "broken", "failure", "answered", "cut", "silent", "gone" };
 
   return names[event];
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -13,7 +13,8 @@
   RETRY_FAILURE,   /* a whole answer that says failure (5xx) */
   RETRY_ANSWERED,  /* a whole answer that does not */
   RETRY_CUT,       /* a stream broke after its head went to the caller */
-  RETRY_SILENT     /* sent; nothing came for longer than it should take */
+  RETRY_SILENT,    /* sent; nothing came for longer than it should take */
+  RETRY_GONE       /* another server answered at its address, and did not run the request */
 } RetryEvent;
 
 typedef struct
@@ -24,7 +25,7 @@
   bool may_have_run;   /* some try was sent and not denied by its server */
   unsigned sends;      /* servers to which the request was sent so far */
   unsigned most_sends; /* the route's bound on them */
-  unsigned unreached;  /* tries that found no connection */
+  unsigned unreached;  /* tries that found no connection, or not the server that was meant */
   int64_t left_us;     /* of the caller's time */
   bool budget;         /* one more send fits the service's budget of repeats */
 } RetryFacts;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -19,6 +19,7 @@
   SCHED_FAILED,    /* an answer that says failure, a broken or a garbled one */
   SCHED_UNREACHED, /* no connection: nothing was sent */
   SCHED_REJECTED,  /* the server said that it did not run it */
+  SCHED_GONE,      /* another server answers at its address: that lifetime has ended */
   SCHED_SILENT,    /* no answer within the time that it should take */
   SCHED_LEFT       /* the caller left, or its time was over; says nothing of the server */
 } SchedOutcome;
--- a/test/decide.c
+++ b/test/decide.c
@@ -57,6 +57,28 @@
   g_assert_cmpint (retry_next (RETRY_REJECTED, &f), ==, RETRY_SAY_UNKNOWN);
 }
 
+/* A server crashes, another starts at its address and turns a request away that the list still
+ * sends there. A request that may run once, at one server, is refused although it has reached none.
+ * It goes on to another server, within the budget of repeats and a bound on such tries. */
+static void
+gone_server_is_none_reached (void)
+{
+  RetryFacts f = facts (RT_ONCE);
+
+  f.may_have_run = false;
+  f.sends = 0;
+  f.unreached = 1;
+  g_assert_cmpint (retry_next (RETRY_GONE, &f), ==, RETRY_AGAIN);
+  g_assert_true (retry_draws (RETRY_GONE, RETRY_AGAIN));
+  f.budget = false;
+  g_assert_cmpint (retry_next (RETRY_GONE, &f), ==, RETRY_SAY_NOT_RUN);
+  f.budget = true;
+  f.unreached = 10;
+  g_assert_cmpint (retry_next (RETRY_GONE, &f), ==, RETRY_SAY_NOT_RUN);
+  f.may_have_run = true;
+  g_assert_cmpint (retry_next (RETRY_GONE, &f), ==, RETRY_SAY_UNKNOWN);
+}
+
 static void
 idempotent_is_repeated_within_bounds (void)
 {
@@ -463,6 +485,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/retry/once", once_is_once);
   g_test_add_func ("/retry/not_run", not_run_may_go_elsewhere);
+  g_test_add_func ("/retry/gone", gone_server_is_none_reached);
   g_test_add_func ("/retry/idempotent", idempotent_is_repeated_within_bounds);
   g_test_add_func ("/retry/resume", resumable_stream_goes_on);
   g_test_add_func ("/events/half", half_event_is_dropped);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -101,7 +101,7 @@
 
   server->arrived++;
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
-  if (wanted == NULL || strcmp (wanted, server->id) != 0)
+  if (wanted == NULL || strcmp (wanted, server->id) != 0 || server->mode == SERVER_GONE)
     hcall_reply (call, 421, fields, "", 0);
   else if (server->mode == SERVER_FULL)
     {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -19,6 +19,7 @@
   SERVER_RESET, /* reads the request and resets the connection */
   SERVER_CUT,   /* ends a stream in the middle of its third event */
   SERVER_FULL,  /* says that it did not run the request */
+  SERVER_GONE,  /* another one answers at its address */
   SERVER_MUTE   /* answers nothing */
 } ServerMode;
 
--- a/test/node.c
+++ b/test/node.c
@@ -79,6 +79,27 @@
   fleet_free (fleet);
 }
 
+/* All servers but one have crashed, and others answer at their addresses; the list still shows the
+ * old ones. Callers whose requests may run once are refused, as if a server had been asked. Each is
+ * answered by the server that is left, and runs once. */
+static void
+servers_gone (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    fleet->servers[i].mode = SERVER_GONE;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      char id[8];
+      g_snprintf (id, sizeof id, "g%u", i);
+      g_assert_cmpuint (call_status (fleet, "/once/a", id), ==, 200);
+      g_assert_cmpuint (fleet_runs (fleet, id), ==, 1);
+    }
+  fleet_free (fleet);
+}
+
 static void
 all_modes (Fleet *fleet, ServerMode mode)
 {
@@ -480,6 +501,7 @@
   g_test_add_func ("/node/serves", serves);
   g_test_add_func ("/node/reset_after_reading", reset_after_reading);
   g_test_add_func ("/node/refused_everywhere", refused_everywhere);
+  g_test_add_func ("/node/servers_gone", servers_gone);
   g_test_add_func ("/node/stream_goes_on", stream_goes_on_elsewhere);
   g_test_add_func ("/node/leader_killed", leader_killed);
   g_test_add_func ("/node/no_voter_left", no_voter_left);
--- a/test/sched.c
+++ b/test/sched.c
@@ -17,6 +17,7 @@
   char id[16];
   double speed; /* times the normal duration */
   bool dark;    /* takes no connection */
+  bool gone;    /* another answers at its address and runs nothing */
   bool failing; /* answers with failure */
   bool gray;    /* so to four in ten requests */
   unsigned running;
@@ -68,7 +69,7 @@
   Server *server = &world->servers[work->server];
   server->running++;
   g_assert_cmpuint (server->running, <=, world->slots); /* never beyond the places */
-  if (server->dark)
+  if (server->dark || server->gone)
     {
       work->end_at = world->clock.now + 1 * FT_MS;
       work->failed = true;
@@ -196,7 +197,7 @@
   work->done = true;
   server->running--;
   if (work->failed)
-    result.outcome = server->dark ? SCHED_UNREACHED : SCHED_FAILED;
+    result.outcome = server->dark ? SCHED_UNREACHED : server->gone ? SCHED_GONE : SCHED_FAILED;
   else
     result.event_us = (int64_t) (18000 * server->speed);
   sched_done (world->sched, 1, number, &result);
@@ -513,6 +514,27 @@
   end ();
 }
 
+/* A third of the servers crash at worst load, and others start at their addresses at once. The list
+ * shows the lost ones for seconds, their places seem free, and one request after the other is
+ * turned away there. The first one says that the server is gone: nothing follows. */
+static void
+gone_servers_get_nothing (void)
+{
+  unsigned turned_away = 0;
+
+  begin (SERVERS, 6, false);
+  load (4, 40, usual);
+  for (unsigned i = 0; i < 4; i++)
+    world->servers[i].gone = true;
+  unsigned from = world->works;
+  load (4, 60, usual);
+  settle ();
+  for (unsigned i = from; i < world->works; i++)
+    turned_away += world->work[i].failed;
+  g_assert_cmpuint (turned_away, <=, 4 * 6); /* what was sent before the first came back */
+  end ();
+}
+
 /* Every server fails a part of its requests. Taking out all that fail leaves nothing; those that
  * are no worse than the others stay. */
 static void
@@ -699,6 +721,7 @@
   g_test_add_func ("/sched/long_prompts", long_prompts_go_to_fast_servers);
   g_test_add_func ("/sched/prompt_time", time_of_prompts_is_learned);
   g_test_add_func ("/sched/dark", dark_servers_are_found);
+  g_test_add_func ("/sched/gone", gone_servers_get_nothing);
   g_test_add_func ("/sched/slow_answer", slow_answer_is_not_darkness);
   g_test_add_func ("/sched/common_failures", common_failures_take_out_few);
   g_test_add_func ("/sched/leave", callers_that_leave_make_room);
