Count the wait before a request with a margin for what higher tiers take, not for all alike

Ruled out: free places at that moment (the tier alone exceeds them during the burst), the estimate of places. Change: 1.15 where no higher tier takes places, 2.5 where they take three tenths of them.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -330,20 +330,45 @@
          + curve_units (&service->curve, ask->prompt_tokens) * sum->least_unit + sum->best_token;
 }
 
-double
-est_wait_us (const Sched *sched, Service *service, unsigned number, bool behind, double work_ahead,
-             int64_t now)
+/* Places that the arrivals of one tier take, and of all tiers above it. */
+static double
+taken_by (const Tier *tier, int64_t now)
+{
+  return tier->inflow * exp (-(double) (now - tier->inflow_at) / INFLOW_US);
+}
+
+static double
+taken_above (const Service *service, unsigned number, int64_t now)
 {
-  double all = est_summary (sched, service)->places, taken = 0;
+  double taken = 0;
 
   for (unsigned i = 0; i < service->tiers->len; i++)
     {
       const Tier *tier = service->tiers->pdata[i];
-      if (tier->tier > number || (tier->tier == number && !behind))
+      if (tier->tier >= number)
         break;
-      double part = tier->tier == number ? OWN_TIER : 1;
-      taken += part * tier->inflow * exp (-(double) (now - tier->inflow_at) / INFLOW_US);
+      taken += taken_by (tier, now);
     }
+  return taken;
+}
+
+double
+est_part_above (const Sched *sched, Service *service, unsigned number, int64_t now)
+{
+  double all = est_summary (sched, service)->places;
+
+  return all > 0 ? MIN (1, taken_above (service, number, now) / all) : 1;
+}
+
+double
+est_wait_us (const Sched *sched, Service *service, unsigned number, bool behind, double work_ahead,
+             int64_t now)
+{
+  double all = est_summary (sched, service)->places;
+  double taken = taken_above (service, number, now);
+
+  if (behind)
+    taken += OWN_TIER * taken_by (wait_tier (service, number), now);
   double left = MAX (all - taken, all * 0.05);
   return left > 0 ? work_ahead / left : 1e12;
 }
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -128,6 +128,8 @@
 double est_work_us (const Sched *sched, Service *service, const SchedAsk *ask);
 /* Least time until the first of the answer on any usable server, microseconds. */
 double est_first_us (const Sched *sched, Service *service, const SchedAsk *ask);
+/* The part of the places that arrivals of higher tiers take, 0 to 1. */
+double est_part_above (const Sched *sched, Service *service, unsigned tier, int64_t now);
 /* Time until a request of the tier would start behind work_ahead of slot time, microseconds.
  * behind: it is late, so those of its own tier that come meanwhile go before it. */
 double est_wait_us (const Sched *sched, Service *service, unsigned tier, bool behind,
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -19,9 +19,14 @@
 /* Tuning; each row with its reason. */
 #define SCAN_MOST     48  /* waiting requests of a queue looked at in one decision */
 #define TEACHES_LEAST 500 /* tokens: shorter prompts are lost in the noise of sending */
+#define CAUTION_LEAST                                                                              \
+  1.15 /* of an estimate at arrival where no higher tier takes places: at 1.0, 10.5 % of those     \
+          refused in an overload of twice the places had been held over 0.4 s */
 #define CAUTION                                                                                    \
-  2.5 /* of an estimate at arrival: with 1.3 one in five of those refused in an overload of twice  \
-         the places had been held over 0.4 s, with 2.5 less than one in ten */
+  2.5 /* the same where higher tiers take CAUTION_PART of them, and more of them may come:         \
+         with 1.3 one in five of those refused had been held over 0.4 s, with 2.5 less than one in                  \
+         ten */
+#define CAUTION_PART 0.3
 #define HOPELESS     1.3 /* a queued request is given up when its estimate is so far off */
 #define ADVICE_LEAST (100 * FT_MS)
 #define ADVICE_PART  3 /* callers wait for a third of the time that they have left */
@@ -328,8 +333,10 @@
 {
   double wait = est_wait_us (sched, job->service, job->ask.tier, false, ahead_us, now);
   double first = est_first_us (sched, job->service, &job->ask);
+  double above = est_part_above (sched, job->service, job->ask.tier, now) / CAUTION_PART;
+  double caution = CAUTION_LEAST + (CAUTION - CAUTION_LEAST) * MIN (1, above);
 
-  return (double) now + CAUTION * wait_caution (job) * wait + first <= (double) job->ask.aim_at;
+  return (double) now + caution * wait_caution (job) * wait + first <= (double) job->ask.aim_at;
 }
 
 /* Refuses the request if it cannot be served while it is of use. Returns true when it is queued. */
