Give refusal and the operators' view modules of their own; one reader of settings files, one opening of links

Settings files are read in one place (ft_text_read), both kinds of instances open their links by one function (instance_links), and instance_random no longer stands in main.c for files below it.

--- a/daemon/conf.c
+++ b/daemon/conf.c
@@ -214,16 +214,11 @@
 conf_read (const char *path, Conf **conf, FtError *error)
 {
   char *text = NULL;
-  GError *failure = NULL;
 
   *conf = NULL;
-  if (!g_file_get_contents (path, &text, NULL, &failure))
-    {
-      ft_error_set (error, FT_IO, 0, "", "%s", failure->message);
-      g_error_free (failure);
-      return FT_IO;
-    }
-  FtStatus status = conf_parse (text, conf, error);
+  FtStatus status = ft_text_read (path, &text, error);
+  if (status == FT_OK)
+    status = conf_parse (text, conf, error);
   g_free (text);
   return status;
 }
--- a/node/control.c
+++ b/node/control.c
@@ -640,15 +640,10 @@
 open_addresses (Control *control, FtError *error)
 {
   const Settings *s = control->settings;
-  SockAddr links = { s->ip, (uint16_t) (s->link_listen_port ? s->link_listen_port : s->link_port) };
-  MeshHello hello = {
-    .address = s->ip, .lifetime = instance_random (), .role = MESH_VOTER, .domain = s->domain
-  };
 
-  control->mesh
-      = mesh_new (control->loop, links, (uint16_t) s->link_port, &hello, &mesh_ops, control);
+  control->mesh = instance_links (s, MESH_VOTER, control->loop, &mesh_ops, control, error);
   if (control->mesh == NULL)
-    return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+    return FT_IO;
   control->operators = operators_new (control->loop, control->seam, control->voter, s->control);
   if (control->operators == NULL)
     return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text, g_strerror (errno));
--- a/node/entry.c
+++ b/node/entry.c
@@ -454,14 +454,10 @@
 open_addresses (Entry *entry, FtError *error)
 {
   const Settings *s = entry->settings;
-  SockAddr links = { s->ip, (uint16_t) (s->link_listen_port ? s->link_listen_port : s->link_port) };
-  MeshHello hello = {
-    .address = s->ip, .lifetime = instance_random (), .role = MESH_ENTRY, .domain = s->domain
-  };
 
-  entry->mesh = mesh_new (entry->loop, links, (uint16_t) s->link_port, &hello, &mesh_ops, entry);
+  entry->mesh = instance_links (s, MESH_ENTRY, entry->loop, &mesh_ops, entry, error);
   if (entry->mesh == NULL)
-    return ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+    return FT_IO;
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
   broker_margin (place_broker (entry->place), entry->settings->limit_overage,
                  (double) entry->settings->limit_slack, (double) entry->settings->limit_window_s,
--- /dev/null
+++ b/node/instance.c
@@ -0,0 +1,32 @@
+/* instance.c - what both kinds of instances do alike at their start. */
+#include "instance.h"
+
+#include <errno.h>
+#include <sys/random.h>
+
+uint64_t
+instance_random (void)
+{
+  uint64_t bits = 0;
+
+  if (getrandom (&bits, sizeof bits, 0) != sizeof bits)
+    bits = ((uint64_t) g_random_int () << 32) | g_random_int ();
+  return bits | 1;
+}
+
+Mesh *
+instance_links (const Settings *settings, MeshRole role, Loop *loop, const MeshOps *ops, void *host,
+                FtError *error)
+{
+  int64_t port = settings->link_listen_port ? settings->link_listen_port : settings->link_port;
+  SockAddr listen = { settings->ip, (uint16_t) port };
+  MeshHello hello = { .address = settings->ip,
+                      .lifetime = instance_random (),
+                      .role = role,
+                      .domain = settings->domain };
+  Mesh *mesh = mesh_new (loop, listen, (uint16_t) settings->link_port, &hello, ops, host);
+
+  if (mesh == NULL)
+    ft_error_set (error, FT_IO, 0, "link_port", "%s", g_strerror (errno));
+  return mesh;
+}
--- a/node/instance.h
+++ b/node/instance.h
@@ -3,6 +3,7 @@
 #define INSTANCE_H
 
 #include "loop.h"
+#include "mesh.h"
 #include "seam.h"
 #include "settings.h"
 
@@ -29,6 +30,10 @@
                     FtError *error);
 FtStatus control_new (const Settings *settings, const Seam *seam, Loop *loop, Instance **out,
                       FtError *error);
+/* Listens for other instances where the settings say, under a lifetime of its own. NULL: error
+ * names the field. */
+Mesh *instance_links (const Settings *settings, MeshRole role, Loop *loop, const MeshOps *ops,
+                      void *host, FtError *error);
 /* A random number that is not 0. */
 uint64_t instance_random (void);
 
--- a/node/main.c
+++ b/node/main.c
@@ -30,16 +30,6 @@
   struct timespec changed;
 } Process;
 
-uint64_t
-instance_random (void)
-{
-  uint64_t bits = 0;
-
-  if (getrandom (&bits, sizeof bits, 0) != sizeof bits)
-    bits = ((uint64_t) g_random_int () << 32) | g_random_int ();
-  return bits | 1;
-}
-
 static void
 print_error (const char *file, const FtError *error)
 {
--- a/node/settings.c
+++ b/node/settings.c
@@ -164,16 +164,11 @@
 settings_read (const char *path, Settings **out, FtError *error)
 {
   char *text = NULL;
-  GError *failure = NULL;
 
   *out = NULL;
-  if (!g_file_get_contents (path, &text, NULL, &failure))
-    {
-      ft_error_set (error, FT_IO, 0, "", "%s", failure->message);
-      g_error_free (failure);
-      return FT_IO;
-    }
-  FtStatus status = settings_parse (text, out, error);
+  FtStatus status = ft_text_read (path, &text, error);
+  if (status == FT_OK)
+    status = settings_parse (text, out, error);
   g_free (text);
   return status;
 }
--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -171,6 +171,8 @@
 
 typedef struct FtJson FtJson;
 
+/* Reads the file of settings at path; *text is freed with g_free. FT_IO names what failed. */
+FtStatus ft_text_read (const char *path, char **text, FtError *error);
 /* Parses text (JSON with // and C comments). Refuses duplicate keys. Errors name line and field.
  * *doc is freed with ft_json_free. */
 FtStatus ft_json_parse (const char *text, FtJson **doc, FtError *error);
--- a/src/jsrc.c
+++ b/src/jsrc.c
@@ -161,6 +161,18 @@
   return line;
 }
 
+FtStatus
+ft_text_read (const char *path, char **text, FtError *error)
+{
+  GError *failure = NULL;
+
+  if (g_file_get_contents (path, text, NULL, &failure))
+    return FT_OK;
+  ft_error_set (error, FT_IO, 0, "", "%s", failure->message);
+  g_error_free (failure);
+  return FT_IO;
+}
+
 FtStatus
 ft_json_parse (const char *text, FtJson **out, FtError *error)
 {
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -1,5 +1,6 @@
 /* schedint.h - what the scheduler's own files share: its records, estimates of servers, and what is
- * believed of them; private to scheduler.c, estimate.c and health.c. */
+ * believed of them; private to scheduler.c, waiting.c, admit.c, estimate.c, health.c and
+ * schedview.c. */
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
 
@@ -164,6 +165,23 @@
  * itself. */
 double wait_ahead_us (const Service *service, unsigned number, bool late);
 
+/* ---- Records (scheduler.c) ---- */
+
+/* The job is gone, from its server or from its queue. */
+void sched_forget (Sched *sched, Job *job, int64_t now);
+/* Is a place of the service free? Counts them anew. */
+bool sched_any_place (const Sched *sched, Service *service, int64_t now);
+
+/* ---- Refusal (admit.c) ---- */
+
+/* Refuses the job, which waits; wait_us: until it would start, for the advice. */
+void admit_refuse (Sched *sched, Job *job, FtReason reason, double wait_us, int64_t now);
+/* Decides on a job that found no place, with so much slot time before it, without late ones and
+ * with them. Returns true when it is queued; else it is refused and gone. */
+bool admit_new (Sched *sched, Job *job, double ahead_timely_us, double ahead_us, int64_t now);
+/* Refuses what can no longer be served in time. */
+void admit_review (Sched *sched, Service *service, int64_t now);
+
 /* ---- What is believed of servers (health.c) ---- */
 
 /* Learns from the end of a request on the server. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -5,32 +5,18 @@
  * places; all waiting happens here, by tier, and within a tier those that can still be on time go
  * before those that cannot.
  *
- * Refusing. The queue ahead in slot time, divided by the places left over by higher tiers, says
- * when a request would start. If that is too late it is refused at once, with that time as the
- * advice when to come back. Nothing is refused while a usable place is free.
- *
- * How long a request takes where is in estimate.c, which servers are taken out in health.c.
+ * Here are the records and what happens to them: a request is asked for, placed, told of and done.
+ * In which order requests wait is in waiting.c, which are refused in admit.c, how long one takes
+ * where and which server is chosen in estimate.c, which servers are taken out in health.c, and what
+ * operators see in schedview.c.
  */
 #include "schedint.h"
 
-#include <stdio.h>
 #include <string.h>
 
 /* Tuning; each row with its reason. */
 #define SCAN_MOST     48  /* waiting requests of a queue looked at in one decision */
 #define TEACHES_LEAST 500 /* tokens: shorter prompts are lost in the noise of sending */
-#define CAUTION_LEAST                                                                              \
-  1.15 /* of an estimate at arrival where no higher tier takes places: at 1.0, 10.5 % of those     \
-          refused in an overload of twice the places had been held over 0.4 s */
-#define CAUTION                                                                                    \
-  2.5 /* the same where higher tiers take CAUTION_PART of them, and more of them may come:         \
-         with 1.3 one in five of those refused had been held over 0.4 s, with 2.5 less than one in                  \
-         ten */
-#define CAUTION_PART 0.3
-#define HOPELESS     1.3 /* a queued request is given up when its estimate is so far off */
-#define ADVICE_LEAST (100 * FT_MS)
-#define ADVICE_PART  3 /* callers wait for a third of the time that they have left */
-
 /* ---- Records ---- */
 
 static guint
@@ -185,8 +171,8 @@
   job->server = NULL;
 }
 
-static void
-forget (Sched *sched, Job *job, int64_t now)
+void
+sched_forget (Sched *sched, Job *job, int64_t now)
 {
   if (job->server)
     leave_server (job, now);
@@ -199,23 +185,6 @@
   g_hash_table_remove (sched->jobs, &job->key);
 }
 
-static void
-refuse (Sched *sched, Job *job, FtReason reason, double wait, int64_t now)
-{
-  SchedRefusal refusal = { .reason = reason };
-  int64_t left = MAX (0, job->ask.end_at - now);
-  Key key = job->key;
-
-  refusal.retry_after_us = MIN ((int64_t) MIN (wait, 1e9), left / ADVICE_PART);
-  refusal.retry_after_us = MAX (refusal.retry_after_us, ADVICE_LEAST);
-  snprintf (refusal.rule, sizeof refusal.rule,
-            "tier %u: %u waiting, start in %.0f ms, of use for %.0f ms", job->ask.tier,
-            wait_tier (job->service, job->ask.tier)->count, MIN (wait, 1e9) / 1e3,
-            (double) (job->ask.limit_at - now) / 1e3);
-  forget (sched, job, now);
-  sched->ops->refuse (sched->host, key.owner, key.request, &refusal);
-}
-
 /* ---- Dispatch ---- */
 
 static bool
@@ -245,8 +214,8 @@
   }
 }
 
-static bool
-any_place (const Sched *sched, Service *service, int64_t now)
+bool
+sched_any_place (const Sched *sched, Service *service, int64_t now)
 {
   count_open (sched, service, now);
   return service->open > 0;
@@ -326,33 +295,6 @@
   return false;
 }
 
-/* Can a request that finds ahead_us of slot time before it be on time? A backlog of late ones does
- * not stand before it. */
-static bool
-can_be_timely (const Sched *sched, const Job *job, double ahead_us, int64_t now)
-{
-  double wait = est_wait_us (sched, job->service, job->ask.tier, false, ahead_us, now);
-  double first = est_first_us (sched, job->service, &job->ask);
-  double above = est_part_above (sched, job->service, job->ask.tier, now) / CAUTION_PART;
-  double caution = CAUTION_LEAST + (CAUTION - CAUTION_LEAST) * MIN (1, above);
-
-  return (double) now + caution * wait_caution (job) * wait + first <= (double) job->ask.aim_at;
-}
-
-/* Refuses the request if it cannot be served while it is of use. Returns true when it is queued. */
-static bool
-queue_or_refuse (Sched *sched, Job *job, double ahead_us, int64_t now)
-{
-  double wait = est_wait_us (sched, job->service, job->ask.tier, true, ahead_us, now);
-  double first = est_first_us (sched, job->service, &job->ask);
-
-  if ((double) now + CAUTION * wait + first <= (double) job->ask.limit_at
-      || any_place (sched, job->service, now))
-    return true;
-  refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
-  return false;
-}
-
 bool
 sched_ask (Sched *sched, const SchedAsk *ask)
 {
@@ -386,12 +328,10 @@
     return true;
   if (!any_usable (service, now, NULL))
     {
-      refuse (sched, job, FT_REASON_NO_SERVER, 1e6, now);
+      admit_refuse (sched, job, FT_REASON_NO_SERVER, 1e6, now);
       return false;
     }
-  bool timely = can_be_timely (sched, job, ahead_timely, now);
-  wait_note_verdict (job, timely);
-  return timely || queue_or_refuse (sched, job, ahead, now);
+  return admit_new (sched, job, ahead_timely, ahead, now);
 }
 
 void
@@ -455,7 +395,7 @@
   Service *service = job->service;
   Server *server = job->server;
   int64_t granted_at = job->granted_at;
-  forget (sched, job, now);
+  sched_forget (sched, job, now);
   if (server && result->outcome == SCHED_OK)
     est_note_contact (server, owner, now);
   if (server)
@@ -476,7 +416,7 @@
     if (((Job *) value)->key.owner == owner)
       g_ptr_array_add (gone, value);
   for (unsigned i = 0; i < gone->len; i++)
-    forget (sched, gone->pdata[i], now);
+    sched_forget (sched, gone->pdata[i], now);
   g_ptr_array_unref (gone);
 }
 
@@ -533,28 +473,6 @@
 
 /* ---- Time ---- */
 
-/* Failure: the queue grows while a request waits, by higher tiers or lost servers. Symptom: it is
- * held until its time is over and then refused, too late to come back. So what cannot start in time
- * any more is refused as soon as that is known. */
-static void
-refuse_hopeless (Sched *sched, Service *service, const Tier *tier, struct cds_list_head *queue,
-                 double *ahead, int64_t now)
-{
-  Job *job, *next;
-
-  cds_list_for_each_entry_safe (job, next, queue, link)
-  {
-    double first = est_first_us (sched, service, &job->ask);
-    double wait = est_wait_us (sched, service, tier->tier, job->late, *ahead, now);
-    bool over = (double) now + first > (double) job->ask.limit_at;
-    bool hopeless = (double) now + wait > (double) job->ask.limit_at + (HOPELESS - 1) * wait;
-    if (over || (hopeless && sched->listed && service->open == 0))
-      refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
-    else
-      *ahead += job->work_us;
-  }
-}
-
 void
 sched_tick (Sched *sched)
 {
@@ -566,63 +484,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Service *service = value;
-      double ahead = 0;
       dispatch (sched, service, now);
       count_open (sched, service, now);
-      for (unsigned i = 0; i < service->tiers->len; i++)
-        {
-          Tier *tier = service->tiers->pdata[i];
-          refuse_hopeless (sched, service, tier, &tier->timely, &ahead, now);
-          refuse_hopeless (sched, service, tier, &tier->late, &ahead, now);
-        }
-    }
-}
-
-/* ---- For operators ---- */
-
-void
-sched_stats (const Sched *sched, SchedStats *stats)
-{
-  GHashTableIter iter;
-  gpointer value;
-  int64_t now = ft_clock_now (sched->clock);
-
-  memset (stats, 0, sizeof *stats);
-  g_hash_table_iter_init (&iter, sched->servers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Server *server = value;
-      stats->servers++;
-      stats->running += server->running;
-      stats->out += now < server->out_until;
-      stats->slots += server->slots;
-    }
-  stats->waiting = g_hash_table_size (sched->jobs) - stats->running;
-}
-
-char *
-sched_describe (const Sched *sched)
-{
-  GString *out = g_string_new (NULL);
-  GHashTableIter iter;
-  gpointer value;
-  int64_t now = ft_clock_now (sched->clock);
-
-  g_hash_table_iter_init (&iter, sched->servers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Server *server = value;
-      g_string_append_printf (
-          out,
-          "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_unit_ms=%.2f "
-          "answer_ms=%.1f failures=%.2f\n",
-          server->id, server->service->name, server->domain, server->running, server->slots,
-          server->leaving  ? "leaving"
-          : server->listed ? "live"
-                           : "gone",
-          now < server->out_until ? " out" : "", server->trial ? " trial" : "",
-          server->token_us / 1e3, server->prompt_unit / 1e3, server->answer_us / 1e3,
-          server->failures);
+      admit_review (sched, service, now);
     }
-  return g_string_free (out, FALSE);
 }
--- /dev/null
+++ b/src/schedview.c
@@ -0,0 +1,51 @@
+/* schedview.c - what operators see of a scheduler. */
+#include "schedint.h"
+
+#include <string.h>
+
+void
+sched_stats (const Sched *sched, SchedStats *stats)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t now = ft_clock_now (sched->clock);
+
+  memset (stats, 0, sizeof *stats);
+  g_hash_table_iter_init (&iter, sched->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Server *server = value;
+      stats->servers++;
+      stats->running += server->running;
+      stats->out += now < server->out_until;
+      stats->slots += server->slots;
+    }
+  stats->waiting = g_hash_table_size (sched->jobs) - stats->running;
+}
+
+char *
+sched_describe (const Sched *sched)
+{
+  GString *out = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer value;
+  int64_t now = ft_clock_now (sched->clock);
+
+  g_hash_table_iter_init (&iter, sched->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Server *server = value;
+      g_string_append_printf (
+          out,
+          "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_unit_ms=%.2f "
+          "answer_ms=%.1f failures=%.2f\n",
+          server->id, server->service->name, server->domain, server->running, server->slots,
+          server->leaving  ? "leaving"
+          : server->listed ? "live"
+                           : "gone",
+          now < server->out_until ? " out" : "", server->trial ? " trial" : "",
+          server->token_us / 1e3, server->prompt_unit / 1e3, server->answer_us / 1e3,
+          server->failures);
+    }
+  return g_string_free (out, FALSE);
+}
--- a/test/place.c
+++ b/test/place.c
@@ -469,12 +469,15 @@
     {
       all->clock.now += STEP_MS * FT_MS;
       for (unsigned org = 0; org < ORGS; org++)
-        for (double due = rates[org] * LIMIT * STEP_MS / 1e3 / COST; due > 0; due--)
-          if (due >= 1 || handover_draw (all) < due)
+        {
+          double due = rates[org] * LIMIT * STEP_MS / 1e3 / COST;
+          unsigned asks = (unsigned) due + (handover_draw (all) < due - (unsigned) due);
+          for (unsigned i = 0; i < asks; i++)
             {
               unsigned entry = (unsigned) (handover_draw (all) * ENTRIES);
               handover_ask (all, entry, handover_leader (entry, step * STEP_MS), org, step);
             }
+        }
     }
   for (unsigned org = 0; org < ORGS; org++)
     g_test_message ("%s: refused %u, most in a window %.0f of %.0f", all->names[org],
