--- a/src/estimate.c
+++ b/src/estimate.c
@@ -1,13 +1,13 @@
 /* estimate.c - how long a request would take on each server, and which server to choose.
  *
  * All figures are one formula in microseconds. For each server with a free place:
- *     first  = prompts ahead of ours there + our own prompt, at the server's speed
+ *     first  = latency + prompts ahead of ours there + our own prompt + one token
  *     finish = first + expected tokens at the server's time per token
- * Speeds are learned from the time of first events and between events, since they differ more than
- * fourfold inside one pool. A prompt is computed in chunks between the tokens of its neighbours;
- * when these chunks would stretch a neighbour's pause beyond its bound, each neighbour counts as
- * HARM_US. A request that would be late on every free server, while a busy one could still serve it
- * on time, waits for that one as long as it can.
+ * Speeds are learned from the time of first events (curve.c) and between events, since they differ
+ * more than fourfold inside one pool. A prompt is computed in chunks between the tokens of its
+ * neighbours; when these chunks would stretch a neighbour's pause beyond its bound, each neighbour
+ * counts as HARM_US. A request that would be late on every free server, while a busy one could
+ * still serve it on time, waits for that one as long as it can.
  */
 #include "schedint.h"
 
@@ -15,11 +15,11 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TOKEN_US    6000.0    /* time of a token before any was seen: the size of today's engines */
-#define ANSWER_US   40000.0   /* a plain service's answer before any was seen */
-#define CHUNK       1024      /* tokens of a prompt that engines compute at once */
-#define LEARN       0.25      /* weight of a new sample: four samples replace most of the past */
-#define HARM_US     400000.0  /* cost of making one neighbour late, as much as finishing later */
+#define TOKEN_US    6000.0   /* time of a token before any was seen; large models take 2 to 30 ms */
+#define ANSWER_US   40000.0  /* a plain service's answer before any was seen */
+#define CHUNK       1024     /* tokens of a prompt that engines compute at once, a usual setting */
+#define LEARN       0.25     /* weight of a new sample: four samples replace most of the past */
+#define HARM_US     400000.0 /* cost of making one neighbour late, as much as finishing later */
 #define LATE_US     1500000.0 /* cost of being late where another server would not be */
 #define GAP_USED    0.85      /* of a neighbour's bound that a pause may reach by our estimate */
 #define CONTACT_FOR (2500 * FT_MS) /* connections are kept a little longer than that */
--- a/test/decide.c
+++ b/test/decide.c
@@ -394,7 +394,7 @@
   g_assert_cmpint (waited, >=, 3900 * FT_MS);
   g_assert_cmpint (waited, <=, 4 * FT_SECOND);
   g_assert_cmpint (patience_note (patience, "other", 6 * FT_SECOND), ==, 0);
-  clock.now += 30 * FT_SECOND; /* callers of today have less patience: that is the usual one now */
+  clock.now += 30 * FT_SECOND; /* by then callers have less patience: that is the usual one now */
   g_assert_cmpint (patience_note (patience, "r", 6 * FT_SECOND), ==, 0);
   patience_free (patience);
 }
--- a/test/sched.c
+++ b/test/sched.c
@@ -130,7 +130,7 @@
   sched_list (world->sched, list, world->count);
 }
 
-/* One in three servers is more than four times slower, as on today's sites. */
+/* One in three servers is more than four times slower, as in pools of several generations. */
 static void
 begin (unsigned servers, unsigned slots, bool unlike)
 {
