Keep the curve of prompts' times away from 0 and from samples without a token's time; test it by itself

Found in reading: a sample before any token's time is known divided by 0 and would have made the prior unit no number; latency and growth move by parts of themselves and could not come back from 0. Change: such a sample teaches nothing; both have a least value. Test /curve/learned: two servers, 600 noisy samples, one frozen server, five kinds of nonsense; each length within 15 %.

--- a/src/curve.c
+++ b/src/curve.c
@@ -20,6 +20,8 @@
 /* Tuning; each row with its reason. */
 #define LATENCY_FIRST 10000.0 /* microseconds, before anything was seen */
 #define GROWTH_FIRST  5e-6    /* a token: 50,000 of them take a quarter more than in proportion */
+#define LATENCY_LEAST 500.0   /* both move by a part of themselves, and do not come back from 0 */
+#define GROWTH_LEAST  2e-7    /* likewise: 50,000 tokens take a hundredth more */
 #define EACH_FIRST    0.003   /* of an output token's time */
 #define STEP          0.25    /* of a sample's error: four samples replace most of the past */
 #define STEP_COMMON   0.1     /* the same for what all servers teach */
@@ -46,7 +48,7 @@
 void
 curve_learn (Curve *curve, double *unit_us, unsigned tokens, double token_us, double took_us)
 {
-  if (tokens == 0 || !(took_us > 0) || !isfinite (took_us))
+  if (tokens == 0 || !(token_us > 0) || !(took_us > 0) || !isfinite (took_us))
     return;
   if (!(*unit_us > 0))
     *unit_us = curve->each * token_us;
@@ -58,8 +60,9 @@
   double of_growth = grown / expected;
   double norm = of_latency * of_latency + of_unit * of_unit + of_growth * of_growth;
 
-  curve->latency_us *= exp (STEP_COMMON * error * of_latency / norm);
-  curve->growth *= exp (STEP_COMMON * error * of_growth / norm);
+  curve->latency_us
+      = MAX (LATENCY_LEAST, curve->latency_us * exp (STEP_COMMON * error * of_latency / norm));
+  curve->growth = MAX (GROWTH_LEAST, curve->growth * exp (STEP_COMMON * error * of_growth / norm));
   *unit_us *= exp (STEP * error * of_unit / norm);
   curve->each += STEP_COMMON * of_unit * (*unit_us / token_us - curve->each);
 }
--- a/test/decide.c
+++ b/test/decide.c
@@ -1,11 +1,14 @@
-/* decide.c - decisions about one request: repeats, events, limits, budgets, routes. */
+/* decide.c - decisions about one request: repeats, events, limits, budgets, routes; and how long
+ * prompts take. */
 #include "budget.h"
 #include "clock.h"
+#include "curve.h"
 #include "events.h"
 #include "patience.h"
 #include "quota.h"
 #include "retry.h"
 
+#include <math.h>
 #include <string.h>
 
 /* ---- Repeats ---- */
@@ -373,6 +376,53 @@
   quota_free (quota);
 }
 
+/* ---- The time of prompts ---- */
+
+static double
+prompt_takes (double unit_us, unsigned tokens)
+{
+  return 60000 + unit_us * tokens * (1 + 6e-6 * tokens);
+}
+
+/* Prompts of 500 to 50,000 tokens reach two servers, one five times as fast, with a latency that is
+ * the same on both. Taken in proportion to its length a long prompt seems to take half as long as
+ * it does, and callers are late. After some hundred samples each length is known to a seventh; what
+ * is no time, and a server that was frozen for a while, spoil nothing for good. */
+static void
+time_of_prompts (void)
+{
+  static const double units[] = { 8, 40 }, tokens_us[] = { 2600, 13000 };
+  double learned[2] = { 0 };
+  Curve curve;
+
+  curve_init (&curve);
+  for (int i = 0; i < 600; i++)
+    {
+      unsigned length = 500 + (unsigned) (i * 7919 % 100 * i * 104729 % 49500);
+      unsigned server = i % 2;
+      double noise = 0.9 + 0.2 * (i * 31 % 17) / 17;
+      curve_learn (&curve, &learned[server], length, tokens_us[server],
+                   noise * prompt_takes (units[server], length));
+      if (i == 300)
+        curve_learn (&curve, &learned[1], 900, tokens_us[1], 20e6);
+    }
+  Curve before = curve;
+  curve_learn (&curve, &learned[0], 0, 2600, 1000);
+  curve_learn (&curve, &learned[0], 1000, 0, 1000);
+  curve_learn (&curve, &learned[0], 1000, 2600, 0);
+  curve_learn (&curve, &learned[0], 1000, 2600, INFINITY);
+  curve_learn (&curve, &learned[0], 1000, 2600, NAN);
+  g_assert_cmpmem (&before, sizeof before, &curve, sizeof curve);
+  for (unsigned server = 0; server < 2; server++)
+    for (unsigned length = 1000; length <= 50000; length += 7000)
+      {
+        double expected = curve.latency_us + learned[server] * curve_units (&curve, length);
+        double real = prompt_takes (units[server], length);
+        g_test_message ("%u tokens: %.0f of %.0f us", length, expected, real);
+        g_assert_cmpfloat (fabs (expected / real - 1), <, 0.15);
+      }
+}
+
 /* ---- Callers that come back ---- */
 
 /* At worst load every other request is one that was refused and came back. It has waited longer
@@ -499,6 +549,7 @@
   g_test_add_func ("/quota/debt", empty_account_is_charged);
   g_test_add_func ("/quota/no_part", no_part_of_a_limit);
   g_test_add_func ("/quota/give_back", unused_is_given_back);
+  g_test_add_func ("/curve/learned", time_of_prompts);
   g_test_add_func ("/budget/bounds", budget_bounds_repeats);
   g_test_add_func ("/route/prefix", longest_prefix_wins);
   return g_test_run ();
