--- a/test/decide.c
+++ b/test/decide.c
@@ -398,7 +398,7 @@
   curve_init (&curve);
   for (int i = 0; i < 600; i++)
     {
-      unsigned length = 500 + (unsigned) (i * 7919 % 100 * i * 104729 % 49500);
+      unsigned length = 500 + (unsigned) ((uint64_t) i * i * 104729 % 49500);
       unsigned server = i % 2;
       double noise = 0.9 + 0.2 * (i * 31 % 17) / 17;
       curve_learn (&curve, &learned[server], length, tokens_us[server],
