Count messages and bytes between instances by kind and way

At hundreds of instances a voter sends megabytes a second, and nothing said of what. foxtail_link_messages_total and foxtail_link_bytes_total, by kind and way, on the metrics page of entries and voters.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -41,6 +41,13 @@
   int64_t next_try;
 } Dial;
 
+#define KINDS (MESH_WANT_LIST + 1)
+
+typedef struct
+{
+  uint64_t messages, bytes;
+} Traffic;
+
 struct Mesh
 {
   Loop *loop;
@@ -54,6 +61,7 @@
   struct cds_list_head peers;
   LoopTimer tick;
   int64_t hello_at, started;
+  Traffic sent[KINDS], received[KINDS];
 };
 
 /* Failure: power comes back, and instances start within half a second of each other. Symptom: an
@@ -99,6 +107,25 @@
   loop_free_later (mesh->loop, peer);
 }
 
+static void
+count_message (Traffic *traffic, MeshKind kind, size_t size)
+{
+  if ((unsigned) kind >= KINDS)
+    return;
+  traffic[kind].messages++;
+  traffic[kind].bytes += size;
+}
+
+/* The kind of a packed message, which stands behind its record mark. */
+static MeshKind
+packed_kind (const void *data)
+{
+  uint32_t kind;
+
+  memcpy (&kind, (const uint8_t *) data + sizeof kind, sizeof kind);
+  return (MeshKind) ntohl (kind);
+}
+
 GBytes *
 mesh_pack (const MeshMsg *msg)
 {
@@ -119,6 +146,7 @@
   if (base->sock == NULL || sock_unsent (base->sock) > UNSENT_MOST)
     return false;
   const void *data = g_bytes_get_data (packed, &size);
+  count_message (base->mesh->sent, packed_kind (data), size);
   sock_write (base->sock, data, size);
   return true;
 }
@@ -196,7 +224,10 @@
 {
   MeshMsg msg = { 0 };
 
-  if (codec_unpack (CODEC (MeshMsg), data, size, &msg, NULL) != FT_OK)
+  bool sound = codec_unpack (CODEC (MeshMsg), data, size, &msg, NULL) == FT_OK;
+  if (sound)
+    count_message (peer->base.mesh->received, msg.kind, size + sizeof (uint32_t));
+  if (!sound)
     close_peer (peer);
   else if (msg.kind == MESH_HELLO)
     on_hello (peer, &msg.MeshMsg_u.hello);
@@ -409,6 +440,30 @@
     close_peer (peer);
 }
 
+static void
+describe_way (const Traffic *traffic, const char *way, GString *out)
+{
+  static const char *const names[KINDS]
+      = { [MESH_HELLO] = "hello",   [MESH_VIEW] = "view",   [MESH_DOCUMENT] = "document",
+          [MESH_LIST] = "list",     [MESH_ASK] = "ask",     [MESH_GRANT] = "grant",
+          [MESH_REFUSE] = "refuse", [MESH_FIRST] = "first", [MESH_SILENT] = "silent",
+          [MESH_DONE] = "done",     [MESH_RAFT] = "log",    [MESH_WANT_LIST] = "want-list" };
+
+  for (unsigned i = MESH_HELLO; i < KINDS; i++)
+    g_string_append_printf (out,
+                            "foxtail_link_messages_total{kind=\"%s\",way=\"%s\"} %" G_GUINT64_FORMAT
+                            "\nfoxtail_link_bytes_total{kind=\"%s\",way=\"%s\"} %" G_GUINT64_FORMAT
+                            "\n",
+                            names[i], way, traffic[i].messages, names[i], way, traffic[i].bytes);
+}
+
+void
+mesh_describe (const Mesh *mesh, GString *out)
+{
+  describe_way (mesh->sent, "sent", out);
+  describe_way (mesh->received, "received", out);
+}
+
 void
 mesh_each (Mesh *mesh, void (*fn) (MeshPeer *peer, void *data), void *data)
 {
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -50,6 +50,9 @@
 size_t mesh_unsent (const MeshPeer *peer);
 /* Calls fn for each peer that has said hello. */
 void mesh_each (Mesh *mesh, void (*fn) (MeshPeer *peer, void *data), void *data);
+/* Messages and bytes, record marks included, by kind and way since the start, in the text format of
+ * metrics. */
+void mesh_describe (const Mesh *mesh, GString *out);
 /* The dialled connection to ip when it is up; NULL: none. */
 MeshPeer *mesh_dialled (Mesh *mesh, uint32_t ip);
 
--- a/node/control.c
+++ b/node/control.c
@@ -589,6 +589,7 @@
       voter_newest (control->voter), count_entries (control), stats.waiting, stats.running,
       stats.servers, stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
+  mesh_describe (control->mesh, out);
   g_string_append (out, "# servers as this voter sees them\n");
   g_string_append (out, servers);
   g_free (servers);
--- a/node/entry.c
+++ b/node/entry.c
@@ -423,6 +423,7 @@
       requests_open (entry->requests), place_waiting (entry->place),
       hsrv_connections (entry->callers), hcli_opened (entry->cli), place_by (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
+  mesh_describe (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
   g_string_append (out, servers);
   g_free (servers);
