--- a/net/mesh.c
+++ b/net/mesh.c
@@ -2,7 +2,7 @@
  *
  * An instance dials those that it needs and accepts whoever dials it; a link carries messages both
  * ways in order while it lasts, and nothing is repeated on the next one: whoever needs it says
- * again what matters when a link comes up. Both ends speak at least every HELLO_EVERY, so an end
+ * again what matters when a link comes up. Both ends speak at least every SPEAK_EVERY, so an end
  * that is silent for SILENT is taken for lost and dialled again, also when nothing was reset.
  */
 #include "mesh.h"
@@ -14,7 +14,7 @@
 
 /* Tuning; each row with its reason. */
 #define TICK        (50 * FT_MS)
-#define HELLO_EVERY (400 * FT_MS)  /* three in SILENT: two may be late */
+#define SPEAK_EVERY (400 * FT_MS)  /* three in SILENT: two may be late */
 #define SILENT      (1300 * FT_MS) /* below the 2 s in which a dead link shall be noticed */
 #define REDIAL      (250 * FT_MS)
 #define NEW_FOR     (3 * FT_SECOND) /* all instances may be starting together for so long: */
@@ -32,6 +32,7 @@
   struct cds_list_head link;
   bool up;
   int64_t dialled_at;
+  unsigned told; /* number of the hello that it was sent last */
 } Peer;
 
 typedef struct
@@ -41,7 +42,7 @@
   int64_t next_try;
 } Dial;
 
-#define KINDS (MESH_WANT_LIST + 1)
+#define KINDS (MESH_ALIVE + 1)
 
 typedef struct
 {
@@ -60,7 +61,8 @@
   GHashTable *dials; /* ip: Dial */
   struct cds_list_head peers;
   LoopTimer tick;
-  int64_t hello_at, started;
+  unsigned hello_number; /* of what this instance says of itself; grows with each change */
+  int64_t started;
   Traffic sent[KINDS], received[KINDS];
 };
 
@@ -147,6 +149,7 @@
     return false;
   const void *data = g_bytes_get_data (packed, &size);
   count_message (base->mesh->sent, packed_kind (data), size);
+  base->spoke = loop_now (base->mesh->loop);
   sock_write (base->sock, data, size);
   return true;
 }
@@ -169,11 +172,24 @@
   return base->sock ? sock_unsent (base->sock) : 0;
 }
 
+/* Failure: hundreds of instances say every 0.4 s to each voter who they are, and voters answer with
+ * all they know. Symptom: most of the bytes between failure domains repeat what has not changed.
+ * Eight bytes say as much where nothing else is sent. */
+void
+mesh_keep_alive (MeshPeer *peer, int64_t every)
+{
+  MeshMsg msg = { .kind = MESH_ALIVE };
+
+  if (loop_now (peer->mesh->loop) - peer->spoke >= every)
+    mesh_send (peer, &msg);
+}
+
 static void
 send_hello (Peer *peer)
 {
   MeshMsg msg = { .kind = MESH_HELLO, .MeshMsg_u.hello = peer->base.mesh->hello };
 
+  peer->told = peer->base.mesh->hello_number;
   mesh_send (&peer->base, &msg);
 }
 
@@ -231,7 +247,7 @@
     close_peer (peer);
   else if (msg.kind == MESH_HELLO)
     on_hello (peer, &msg.MeshMsg_u.hello);
-  else if (peer->up)
+  else if (peer->up && msg.kind != MESH_ALIVE)
     peer->base.mesh->ops->message (peer->base.mesh->host, &peer->base, &msg);
   codec_clear (CODEC (MeshMsg), &msg);
 }
@@ -342,23 +358,29 @@
     }
 }
 
+static void
+speak (Peer *peer)
+{
+  if (peer->told != peer->base.mesh->hello_number)
+    send_hello (peer);
+  else
+    mesh_keep_alive (&peer->base, SPEAK_EVERY);
+}
+
 static void
 on_tick (LoopTimer *timer)
 {
   Mesh *mesh = (Mesh *) ((char *) timer - offsetof (Mesh, tick));
   int64_t now = loop_now (mesh->loop);
   Peer *peer, *next;
-  bool hello = now >= mesh->hello_at;
 
   cds_list_for_each_entry_safe (peer, next, &mesh->peers, link)
   {
     if (now - peer->base.heard > silence_most (peer))
       close_peer (peer);
-    else if (hello && peer->up && peer->base.dialled)
-      send_hello (peer);
+    else if (peer->up && peer->base.dialled)
+      speak (peer);
   }
-  if (hello)
-    mesh->hello_at = now + HELLO_EVERY;
   tick_dials (mesh, now);
   loop_timer_set (mesh->loop, timer, now + (is_new (mesh) ? TICK_NEW : TICK));
 }
@@ -413,7 +435,7 @@
   mesh->hello.leaving = leaving;
   mesh->hello.document = document;
   if (changed)
-    mesh->hello_at = 0; /* with the next tick */
+    mesh->hello_number++; /* said with the next tick */
 }
 
 void
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -19,13 +19,14 @@
   bool leaving, dialled;
   uint64_t document; /* version of the catalogue in force there */
   int64_t heard;     /* when the last message came */
+  int64_t spoke;     /* when the last one was sent */
   void *user;
 } MeshPeer;
 
 typedef struct
 {
   void (*up) (void *host, MeshPeer *peer); /* it has said hello */
-  /* msg is the caller's; kinds other than hello. */
+  /* msg is the caller's; kinds other than hello and alive. */
   void (*message) (void *host, MeshPeer *peer, const MeshMsg *msg);
   void (*down) (void *host, MeshPeer *peer); /* after up only */
 } MeshOps;
@@ -43,6 +44,9 @@
 /* Sends at once or as soon as the connection takes it. False: a bound of the message is exceeded
  * or the connection is gone. */
 bool mesh_send (MeshPeer *peer, const MeshMsg *msg);
+/* Says that this instance lives, in the fewest bytes, unless the peer was sent anything within the
+ * last every. */
+void mesh_keep_alive (MeshPeer *peer, int64_t every);
 /* A message packed once for several peers; NULL: a bound of it is exceeded. */
 GBytes *mesh_pack (const MeshMsg *msg);
 bool mesh_send_packed (MeshPeer *peer, GBytes *packed);
--- a/node/broker.c
+++ b/node/broker.c
@@ -36,8 +36,9 @@
   void *host;
   Sched *sched;
   Quota *quota;
-  GHashTable *askers; /* owner: Asker */
-  GArray *verdicts;   /* Verdict on own requests, delivered by soon */
+  const Servers *servers; /* NULL: no list yet */
+  GHashTable *askers;     /* owner: Asker */
+  GArray *verdicts;       /* Verdict on own requests, delivered by soon */
   LoopTimer soon;
 };
 
@@ -50,6 +51,12 @@
   loop_timer_set (broker->loop, &broker->soon, loop_now (broker->loop));
 }
 
+static const SeamServer *
+find (const Broker *broker, const char *id)
+{
+  return broker->servers ? servers_find (broker->servers, id) : NULL;
+}
+
 static void
 on_soon (LoopTimer *timer)
 {
@@ -60,8 +67,10 @@
   for (unsigned i = 0; i < verdicts->len; i++)
     {
       Verdict *verdict = &g_array_index (verdicts, Verdict, i);
+      SeamServer lost = { .id = verdict->server, .name = verdict->server, .leaving = true };
+      const SeamServer *server = verdict->server ? find (broker, verdict->server) : NULL;
       if (verdict->server)
-        broker->ops->grant (broker->host, verdict->request, verdict->server);
+        broker->ops->grant (broker->host, verdict->request, server ? server : &lost);
       else
         broker->ops->refuse (broker->host, verdict->request, &verdict->refusal);
       g_free (verdict->server);
@@ -76,6 +85,25 @@
   return (u_int) (1000 * quota_full (broker->quota, org));
 }
 
+/* Failure: everything has started, and hundreds of entries have no list yet. Symptom: they can send
+ * nothing until each has it, seconds after the scheduler has. A grant says where its server is. */
+static void
+put_grant (const Broker *broker, uint64_t request, const char *id, MeshGrant *grant)
+{
+  static char none[] = "";
+  const SeamServer *server = find (broker, id);
+
+  *grant = (MeshGrant){ .request = request, .server = (char *) id, .name = none };
+  if (server == NULL)
+    return;
+  if (strcmp (server->name, id) != 0)
+    grant->name = server->name;
+  grant->ip = server->addr.ip;
+  grant->port = server->addr.port;
+  grant->list_age_ms
+      = (u_int) ((loop_now (broker->loop) - servers_asked_at (broker->servers)) / FT_MS);
+}
+
 static void
 on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server)
 {
@@ -89,7 +117,8 @@
   if (asker == NULL)
     return;
   asker->waiting -= asker->waiting > 0;
-  msg.MeshMsg_u.grant = (MeshGrant){ request, (char *) server, fill_of (broker, org) };
+  put_grant (broker, request, server, &msg.MeshMsg_u.grant);
+  msg.MeshMsg_u.grant.org_fill = fill_of (broker, org);
   mesh_send (asker->peer, &msg);
 }
 
@@ -346,6 +375,7 @@
 void
 broker_servers (Broker *broker, const Servers *servers)
 {
+  broker->servers = servers;
   servers_give (servers, broker->sched);
 }
 
--- a/node/broker.h
+++ b/node/broker.h
@@ -10,10 +10,11 @@
 
 typedef struct Broker Broker;
 
-/* Verdicts on requests of the own instance. Never called from within broker_ask. */
+/* Verdicts on requests of the own instance. Never called from within broker_ask. server is
+ * borrowed; it is one that leaves if the list has lost it meanwhile. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t request, const char *server);
+  void (*grant) (void *host, uint64_t request, const SeamServer *server);
   void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
 } BrokerOps;
 
@@ -21,6 +22,7 @@
 Broker *broker_new (Loop *loop, const char *name, const BrokerOps *ops, void *host);
 void broker_free (Broker *broker);
 void broker_catalogue (Broker *broker, const RtCat *cat);
+/* The list has changed. servers must outlive the broker. */
 void broker_servers (Broker *broker, const Servers *servers);
 /* Parts of the places and of the limits that it may give away; salt as in sched_share. Both follow
  * who asks: set them after broker_expect. */
--- a/node/control.c
+++ b/node/control.c
@@ -20,12 +20,16 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TICK           (20 * FT_MS)
-#define VIEW_EVERY     (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
-#define VIEW_WAITING   (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
-#define LIST_EVERY     (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
-#define LIST_PACKED    (150 * FT_MS) /* well below the 700 ms between two readings */
+#define TICK          (20 * FT_MS)
+#define VIEW_EVERY    (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
+#define VIEW_FOLLOWER (400 * FT_MS) /* of a voter that is asked only when all others are silent */
+#define VIEW_WAITING  (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
+#define LIST_EVERY    (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
+#define LISTS_A_TICK                                                                               \
+  12 /* whole lists sent at once: 300 instances that start together have them within 0.5 s, and a  \
+        grant waits for no more than these on a voter's link */
 #define LIST_ALONE     (1200 * FT_MS)
+#define LIST_PART      0.5            /* of the platform's rate that the voter in charge uses */
 #define ALONE_AFTER    (900 * FT_MS)  /* longer than a usual election */
 #define PUSH_AGAIN     (1500 * FT_MS) /* a push that its entry has not confirmed is repeated */
 #define FOLLOWER_WAITS (600 * FT_MS)  /* before a voter that is not in charge sends one */
@@ -41,8 +45,10 @@
 {
   MeshPeer *peer;
   int64_t viewed_at, pushed_at, behind_since;
-  uint64_t pushed;   /* number of the document that it was sent last */
-  guint list_digest; /* of the list that it was sent last */
+  unsigned viewed, urgent; /* numbers of the view that it was sent last */
+  uint64_t pushed;         /* number of the document that it was sent last */
+  guint list_digest;       /* of the list that it was told of last */
+  bool wants_list;
 } Contact;
 
 typedef struct
@@ -61,14 +67,18 @@
   RtCat *cat;
   GPtrArray *contacts; /* Contact of each accepted link */
   GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
+  GHashTable *readers; /* ip of the other voters that hold the list of servers or read it */
   LoopTimer tick;
-  GBytes *packed; /* the newest document's message, for all entries */
+  GBytes *view;         /* the newest view's message, for all */
+  unsigned view_number; /* grows with each change of the view ... */
+  unsigned view_urgent; /* ... and with each that decides whom entries ask */
+  GBytes *packed;       /* the newest document's message, for all entries */
   uint64_t packed_number;
-  GBytes *list_packed; /* the whole list's message */
-  guint list_packed_digest;
-  int64_t list_packed_until;
+  unsigned list_next; /* contact that is sent a whole list next, if it wants one */
   VoterStatus status;
   VoterStatus noted; /* by note_charge */
+  MeshView shown;    /* by note_view; its lists are not used */
+  guint shown_deputies;
   uint32_t deputies[DEPUTIES];
   unsigned deputy_count;
   int64_t list_at, led_at, leaving_since;
@@ -162,8 +172,41 @@
     }
 }
 
+static guint
+deputies_digest (const Control *control)
+{
+  guint digest = control->deputy_count;
+
+  for (unsigned i = 0; i < control->deputy_count; i++)
+    digest = digest * 31 + control->deputies[i];
+  return digest;
+}
+
+static bool
+is_urgent (const Control *control, const MeshView *view)
+{
+  const MeshView *shown = &control->shown;
+
+  return view->term != shown->term || view->leader != shown->leader || view->proved != shown->proved
+         || view->document != shown->document || view->reading != shown->reading
+         || deputies_digest (control) != control->shown_deputies;
+}
+
+/* Failure: a hundred entries are restarted in turn, so that their number changes many times a
+ * second. Symptom: each change is a view to every entry, as many bytes as all asks together. What
+ * they do by it, sharing limits out while no voter schedules, bears a sixteenth. */
+static unsigned
+steady_entries (const Control *control)
+{
+  unsigned now = count_entries (control), shown = control->shown.entries;
+  unsigned moved = now > shown ? now - shown : shown - now;
+
+  return moved * 16 <= shown ? shown : now;
+}
+
+/* Packs what entries are to know of this voter, and notes whether that has changed. */
 static void
-send_view (Control *control, Contact *contact, int64_t now)
+note_view (Control *control)
 {
   MeshMsg msg = { .kind = MESH_VIEW };
   MeshView *view = &msg.MeshMsg_u.view;
@@ -176,13 +219,49 @@
   view->document = voter_newest (control->voter);
   view->voters.voters_len = status->count;
   view->voters.voters_val = status->voters;
-  view->entries = count_entries (control);
+  view->entries = steady_entries (control);
+  view->reading = servers_asked_at (control->servers) > 0 || reader_busy (control->reader);
   view->deputies.deputies_len = control->deputy_count;
   view->deputies.deputies_val = control->deputies;
-  mesh_send (contact->peer, &msg);
+  GBytes *packed = mesh_pack (&msg);
+  if (control->view && g_bytes_equal (packed, control->view))
+    {
+      g_bytes_unref (packed);
+      return;
+    }
+  g_clear_pointer (&control->view, g_bytes_unref);
+  control->view = packed;
+  control->view_number++;
+  control->view_urgent += is_urgent (control, view);
+  control->shown = *view;
+  control->shown_deputies = deputies_digest (control);
+}
+
+static void
+send_view (Control *control, Contact *contact, int64_t now)
+{
+  note_view (control);
+  mesh_send_packed (contact->peer, control->view);
+  contact->viewed = control->view_number;
+  contact->urgent = control->view_urgent;
   contact->viewed_at = now;
 }
 
+/* How many entries share the limits changes with each link; who is in charge is said at once. */
+static void
+show_view (Control *control, Contact *contact, int64_t now)
+{
+  int64_t every = control->status.proved ? VIEW_EVERY : VIEW_FOLLOWER;
+
+  if (contact->urgent != control->view_urgent
+      || (contact->viewed != control->view_number && now - contact->viewed_at >= every))
+    send_view (control, contact, now);
+  else if (broker_waits (control->broker, contact->peer))
+    mesh_keep_alive (contact->peer, VIEW_WAITING);
+  else
+    mesh_keep_alive (contact->peer, every);
+}
+
 /* Failure: versions follow each other faster than a slow link takes them. Symptom: hundreds of them
  * wait in memory for each entry, and the newest comes last. One at a time is under way to an entry,
  * and what follows is the newest by then. */
@@ -216,28 +295,6 @@
   g_bytes_unref (document);
 }
 
-/* Failure: after a start of everything hundreds of entries want the whole list at once. Symptom:
- * packing it for each takes a voter's processor for seconds (6 ms each at 3,000 servers), and
- * nobody is scheduled. It is packed once, with an age that still holds when it is sent within
- * LIST_PACKED. */
-static GBytes *
-packed_list (Control *control, int64_t now)
-{
-  MeshMsg msg = { .kind = MESH_LIST };
-  guint digest = servers_digest (control->servers);
-
-  if (control->list_packed && control->list_packed_digest == digest
-      && now < control->list_packed_until)
-    return control->list_packed;
-  servers_message (control->servers, now + LIST_PACKED, SERVERS_HELD_NONE, &msg.MeshMsg_u.list);
-  g_clear_pointer (&control->list_packed, g_bytes_unref);
-  control->list_packed = mesh_pack (&msg);
-  control->list_packed_digest = digest;
-  control->list_packed_until = now + LIST_PACKED;
-  servers_message_clear (&msg.MeshMsg_u.list);
-  return control->list_packed;
-}
-
 static void
 send_list (Control *control, Contact *contact, int64_t now)
 {
@@ -247,15 +304,40 @@
   if (servers_asked_at (control->servers) == 0 || mesh_unsent (contact->peer) > UNSENT_SMALL)
     return;
   servers_message (control->servers, now, contact->list_digest, list);
-  bool whole = list->kind == MESH_LIST_WHOLE;
-  if (!whole)
-    mesh_send (contact->peer, &msg);
+  mesh_send (contact->peer, &msg);
   servers_message_clear (list);
-  if (whole && packed_list (control, now))
-    mesh_send_packed (contact->peer, control->list_packed);
   contact->list_digest = servers_digest (control->servers);
 }
 
+static bool
+send_whole_list (Control *control, Contact *contact, int64_t now)
+{
+  MeshMsg msg = { .kind = MESH_WHOLE_LIST };
+
+  if (!contact->wants_list || mesh_unsent (contact->peer) > UNSENT_SMALL
+      || !servers_whole (control->servers, now, &msg.MeshMsg_u.whole))
+    return false;
+  mesh_send (contact->peer, &msg);
+  contact->wants_list = false;
+  contact->list_digest = servers_digest (control->servers);
+  return true;
+}
+
+/* Failure: after a start of everything hundreds of entries want the whole list at once. Symptom:
+ * a voter sends nothing but lists for seconds, and nobody is scheduled. Some are sent in each tick,
+ * by turns; entries can serve before, since a grant says where its server is. */
+static void
+send_whole_lists (Control *control, int64_t now)
+{
+  unsigned sent = 0, all = control->contacts->len;
+
+  for (unsigned i = 0; i < all && sent < LISTS_A_TICK; i++)
+    {
+      control->list_next = (control->list_next + 1) % all;
+      sent += send_whole_list (control, control->contacts->pdata[control->list_next], now);
+    }
+}
+
 static void
 push_all (Control *control, void (*send) (Control *, Contact *, int64_t))
 {
@@ -296,6 +378,8 @@
 
   jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_INT ("dialled", peer->dialled),
         JL_MS ("silent_ms", loop_now (control->loop) - peer->heard));
+  if (peer->dialled)
+    g_hash_table_remove (control->readers, GUINT_TO_POINTER (peer->ip));
   if (contact == NULL)
     return;
   if (peer->role == MESH_ENTRY && !peer->leaving)
@@ -315,10 +399,31 @@
 
   if (taken == SERVERS_TAKEN && servers_changed (control->servers))
     broker_servers (control->broker, control->servers);
-  else if (taken == SERVERS_FOREIGN)
+  else if (taken == SERVERS_FOREIGN
+           && servers_may_want (control->servers, loop_now (control->loop)))
     mesh_send (peer, &want);
 }
 
+static void
+take_whole_list (Control *control, const MeshWholeList *whole)
+{
+  ServersTaken taken = servers_take_whole (control->servers, whole, loop_now (control->loop));
+
+  if (taken == SERVERS_TAKEN && servers_changed (control->servers))
+    broker_servers (control->broker, control->servers);
+}
+
+static void
+take_view (Control *control, const MeshPeer *peer, const MeshView *view)
+{
+  for (unsigned i = 0; i < view->voters.voters_len; i++)
+    mesh_dial (control->mesh, view->voters.voters_val[i]);
+  if (view->reading)
+    g_hash_table_add (control->readers, GUINT_TO_POINTER (peer->ip));
+  else
+    g_hash_table_remove (control->readers, GUINT_TO_POINTER (peer->ip));
+}
+
 static void
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -336,18 +441,17 @@
       voter_receive (control->voter, peer->ip, bytes);
       break;
     case MESH_VIEW:
-      for (unsigned i = 0; i < view->voters.voters_len; i++)
-        mesh_dial (control->mesh, view->voters.voters_val[i]);
+      take_view (control, peer, view);
       break;
     case MESH_LIST:
       take_list (control, peer, &msg->MeshMsg_u.list);
       break;
     case MESH_WANT_LIST:
       if (contact)
-        {
-          contact->list_digest = SERVERS_HELD_NONE;
-          send_list (control, contact, loop_now (control->loop));
-        }
+        contact->wants_list = true;
+      break;
+    case MESH_WHOLE_LIST:
+      take_whole_list (control, &msg->MeshMsg_u.whole);
       break;
     case MESH_ASK:
       if (control->leaving_since)
@@ -461,15 +565,35 @@
   push_all (control, send_list);
 }
 
+/* Failure: all voters start at once and each reads the list before one of them is in charge.
+ * Symptom: at thousands of servers their pages and the entries' together pass the platform's rate,
+ * no pass ends, and nothing is served for 30 s. The first one to start reads for all; another does
+ * when that one has not made itself heard until a voter is in charge. */
+static bool
+reads_first (const Control *control)
+{
+  return servers_asked_at (control->servers) == 0 && g_hash_table_size (control->readers) == 0;
+}
+
+/* A long list is read so rarely that half of the platform's rate is left to others. */
+static int64_t
+list_every (const Control *control)
+{
+  int64_t every = control->status.proved ? LIST_EVERY : LIST_ALONE;
+  double rate = MAX (control->settings->list_rate * LIST_PART, 1);
+
+  return MAX (every, (int64_t) (reader_pages (control->reader) / rate * 1e6));
+}
+
 static void
 read_list (Control *control, int64_t now)
 {
   const VoterStatus *status = &control->status;
-  int64_t every = status->proved ? LIST_EVERY : LIST_ALONE;
+  int64_t every = list_every (control);
 
   if (status->proved || status->leader != 0)
     control->led_at = now;
-  bool alone = now - control->led_at > ALONE_AFTER || servers_asked_at (control->servers) == 0;
+  bool alone = now - control->led_at > ALONE_AFTER || reads_first (control);
   if (now < control->list_at || (!status->proved && !alone))
     return;
   control->list_at = now + every;
@@ -505,12 +629,11 @@
 {
   uint64_t number = voter_newest (control->voter);
 
+  note_view (control);
   for (unsigned i = 0; i < control->contacts->len; i++)
     {
       Contact *contact = control->contacts->pdata[i];
-      int64_t every = broker_waits (control->broker, contact->peer) ? VIEW_WAITING : VIEW_EVERY;
-      if (now - contact->viewed_at >= every)
-        send_view (control, contact, now);
+      show_view (control, contact, now);
       if (contact->peer->document >= number)
         contact->behind_since = now;
       if (contact->peer->role == MESH_ENTRY && contact->peer->document < number
@@ -529,6 +652,7 @@
   share_limits (control, now);
   choose_deputies (control);
   tick_contacts (control, now);
+  send_whole_lists (control, now);
   read_list (control, now);
   operators_tick (control->operators);
   broker_tick (control->broker);
@@ -612,9 +736,10 @@
   rt_cat_unref (control->cat);
   if (control->packed)
     g_bytes_unref (control->packed);
-  if (control->list_packed)
-    g_bytes_unref (control->list_packed);
+  if (control->view)
+    g_bytes_unref (control->view);
   g_hash_table_unref (control->lost);
+  g_hash_table_unref (control->readers);
   g_ptr_array_unref (control->contacts);
   g_free (control);
 }
@@ -668,6 +793,7 @@
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
   control->contacts = g_ptr_array_new ();
   control->lost = g_hash_table_new (NULL, NULL);
+  control->readers = g_hash_table_new (NULL, NULL);
   control->tick.fire = on_tick;
   control->led_at = loop_now (loop);
   FtStatus status = open_voter (control, error);
--- a/node/entry.c
+++ b/node/entry.c
@@ -20,7 +20,6 @@
 #define SPEAK_EVERY  (200 * FT_MS) /* three in the 700 ms after which it is not fresh */
 #define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
 #define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
-#define FIRST_LIST   (500 * FT_MS)   /* after a start, if no voter has sent one by then */
 #define UNSENT_SMALL 16384           /* bytes under way to an entry beyond which no list is added */
 #define LIST_EVERY   (1500 * FT_MS)
 #define LIST_DEPUTY  (1 * FT_SECOND) /* of one that reads for others: as often as a voter alone */
@@ -46,8 +45,10 @@
   Requests *requests;
   RtCat *cat;
   LoopTimer tick;
-  int64_t started, leaving_since, list_at, speak_at;
+  int64_t started, leaving_since, list_at;
   unsigned entries;
+  uint64_t newest;             /* version that the voter in charge has shown; 0: none has */
+  const MeshPeer *newest_from; /* that voter */
   bool confirmed, was_ready, closed;
 } Entry;
 
@@ -62,6 +63,18 @@
   hsrv_limits (entry->callers, &limits);
 }
 
+/* The voter in charge has said what is newest, and this entry has it. */
+static void
+confirm (Entry *entry)
+{
+  if (entry->confirmed || entry->newest == 0 || entry->cat == NULL
+      || rt_cat_version (entry->cat) < entry->newest)
+    return;
+  entry->confirmed = true;
+  jlog (JLOG_INFO, "confirmed", NULL, JL_INT ("version", rt_cat_version (entry->cat)),
+        JL_INT ("newest", entry->newest));
+}
+
 static void
 take_catalogue (Entry *entry, const MeshDocument *document, const MeshPeer *peer)
 {
@@ -92,6 +105,7 @@
   requests_catalogue (entry->requests, cat);
   broker_catalogue (place_broker (entry->place), cat);
   mesh_say (entry->mesh, entry->leaving_since != 0, rt_cat_version (cat));
+  confirm (entry);
 }
 
 /* Failure: a deputy sends the whole list to all entries at each reading. Symptom: at 3,000 servers
@@ -153,12 +167,15 @@
 {
   bool for_others = broker_askers (place_broker (entry->place)) > 0;
   double rate = entry->settings->list_rate * LIST_PART / MAX (entry->entries, 4);
-  int64_t every = MAX (LIST_EVERY, (int64_t) (1e6 / MAX (rate, 0.01)));
+  double calls = reader_pages (entry->reader);
+  int64_t every = MAX (LIST_EVERY, (int64_t) (1e6 * calls / MAX (rate, 0.01)));
   int64_t old = for_others ? LIST_DEPUTY : LIST_OLD;
+  int64_t newest = MAX (servers_asked_at (entry->servers), entry->started);
 
   if (for_others)
     every = LIST_DEPUTY;
-  if (now - servers_asked_at (entry->servers) < old || now < entry->list_at)
+  /* Without a catalogue nothing can be sent, and voters that have one have the list. */
+  if (entry->cat == NULL || now - newest < old || now < entry->list_at)
     return;
   entry->list_at = now + every / 2 + (int64_t) (instance_random () % (uint64_t) every);
   reader_start (entry->reader);
@@ -171,13 +188,14 @@
 {
   for (unsigned i = 0; i < view->voters.voters_len; i++)
     mesh_dial (entry->mesh, view->voters.voters_val[i]);
-  if (view->proved && entry->cat && rt_cat_version (entry->cat) >= view->document
-      && !entry->confirmed)
+  if (view->proved)
     {
-      entry->confirmed = true;
-      jlog (JLOG_INFO, "confirmed", NULL, JL_INT ("version", rt_cat_version (entry->cat)),
-            JL_INT ("term", view->term));
+      entry->newest = view->document;
+      entry->newest_from = peer;
+      confirm (entry);
     }
+  else if (entry->newest_from == peer)
+    entry->newest = 0;
   if (view->proved && view->entries > 0)
     {
       entry->entries = view->entries;
@@ -202,10 +220,30 @@
 
   if (taken == SERVERS_TAKEN)
     list_changed (entry, from_voter ? "voter" : "deputy", from_voter);
-  else if (taken == SERVERS_FOREIGN)
+  else if (taken == SERVERS_FOREIGN && servers_may_want (entry->servers, loop_now (entry->loop)))
     mesh_send (peer, &want);
 }
 
+static void
+take_whole_list (Entry *entry, const MeshPeer *peer, const MeshWholeList *whole)
+{
+  bool from_voter = peer->role == MESH_VOTER;
+
+  if (servers_take_whole (entry->servers, whole, loop_now (entry->loop)) == SERVERS_TAKEN)
+    list_changed (entry, from_voter ? "voter" : "deputy", from_voter);
+}
+
+static void
+send_whole_list (Entry *entry, MeshPeer *peer)
+{
+  MeshMsg msg = { .kind = MESH_WHOLE_LIST };
+
+  if (mesh_unsent (peer) <= UNSENT_SMALL
+      && servers_whole (entry->servers, loop_now (entry->loop), &msg.MeshMsg_u.whole))
+    mesh_send (peer, &msg);
+  peer->user = GUINT_TO_POINTER (servers_digest (entry->servers));
+}
+
 static void
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -220,8 +258,11 @@
       take_catalogue (entry, &msg->MeshMsg_u.document, peer);
       break;
     case MESH_WANT_LIST:
-      peer->user = GUINT_TO_POINTER (SERVERS_HELD_NONE);
-      push_list (peer, entry);
+      if (!peer->dialled)
+        send_whole_list (entry, peer);
+      break;
+    case MESH_WHOLE_LIST:
+      take_whole_list (entry, peer, &msg->MeshMsg_u.whole);
       break;
     case MESH_LIST:
       take_list (entry, peer, &msg->MeshMsg_u.list);
@@ -239,6 +280,8 @@
 
   jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain),
         JL_MS ("silent_ms", loop_now (entry->loop) - peer->heard));
+  if (entry->newest_from == peer)
+    entry->newest = 0;
   place_down (entry->place, peer);
 }
 
@@ -247,9 +290,9 @@
 /* ---- Callers and the balancer ---- */
 
 static void
-on_grant (void *host, uint64_t request, const char *server)
+on_grant (void *host, uint64_t request, const SeamServer *server, int64_t asked_at)
 {
-  requests_grant (((Entry *) host)->requests, request, server);
+  requests_grant (((Entry *) host)->requests, request, server, asked_at);
 }
 
 static void
@@ -279,8 +322,9 @@
 {
   bool waited = loop_now (entry->loop) - entry->started > CONFIRM_MOST;
 
-  return entry->leaving_since == 0 && entry->cat && servers_asked_at (entry->servers) > 0
-         && (entry->confirmed || waited);
+  bool placed = servers_asked_at (entry->servers) > 0 || place_by_voter (entry->place);
+
+  return entry->leaving_since == 0 && entry->cat && placed && (entry->confirmed || waited);
 }
 
 static void
@@ -337,21 +381,10 @@
 speak (MeshPeer *peer, void *data)
 {
   Entry *entry = data;
-  int64_t now = loop_now (entry->loop);
-  MeshMsg msg = { .kind = MESH_VIEW };
   bool waits = broker_waits (place_broker (entry->place), peer);
 
-  if (peer->dialled || (!waits && now < entry->speak_at))
-    return;
-  mesh_send (peer, &msg);
-}
-
-static void
-speak_to_askers (Entry *entry, int64_t now)
-{
-  mesh_each (entry->mesh, speak, entry);
-  if (now >= entry->speak_at)
-    entry->speak_at = now + SPEAK_EVERY;
+  if (!peer->dialled)
+    mesh_keep_alive (peer, waits ? TICK : SPEAK_EVERY);
 }
 
 static void
@@ -368,7 +401,7 @@
           JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
   entry->was_ready = ready;
   read_list_if_old (entry, now);
-  speak_to_askers (entry, now);
+  mesh_each (entry->mesh, speak, entry);
   close_when_noticed (entry, now);
   if (entry->leaving_since && may_end (entry, now))
     {
@@ -498,7 +531,6 @@
       destroy (&entry->base);
       return status;
     }
-  entry->list_at = entry->started + FIRST_LIST + (int64_t) (instance_random () % FIRST_LIST);
   loop_timer_set (loop, &entry->tick, entry->started + TICK);
   dial_seeds (entry, settings);
   *out = &entry->base;
--- a/node/place.c
+++ b/node/place.c
@@ -443,16 +443,16 @@
 /* ---- Verdicts ---- */
 
 static void
-on_own_grant (void *host, uint64_t number, const char *server)
+on_own_grant (void *host, uint64_t number, const SeamServer *server)
 {
   Place *place = host;
   Item *item = item_of (place, number);
 
   if (item == NULL || item->running || item->at)
     return;
-  run (place, item, server);
+  run (place, item, server->id);
   spent_granted (place->spent, NULL, item->org, item->cost);
-  place->ops->grant (place->host, number, server);
+  place->ops->grant (place->host, number, server, loop_now (place->loop));
 }
 
 static void
@@ -486,7 +486,12 @@
   spent_granted (place->spent, peer, item->org, item->cost);
   note_report (place, peer, item->org, grant->org_fill);
   broker_adopt (place->own, &item->ask, grant->server, item->cost);
-  place->ops->grant (place->host, grant->request, grant->server);
+  SeamServer server = { .id = grant->server,
+                        .name = *grant->name ? grant->name : grant->server,
+                        .addr = { grant->ip, (uint16_t) grant->port },
+                        .leaving = grant->ip == 0 };
+  place->ops->grant (place->host, grant->request, &server,
+                     loop_now (place->loop) - grant->list_age_ms * FT_MS);
 }
 
 static void
@@ -626,12 +631,18 @@
   broker_done (place->own, request, result);
 }
 
+bool
+place_by_voter (const Place *place)
+{
+  return place->current && place->current->role == MESH_VOTER;
+}
+
 const char *
 place_by (const Place *place)
 {
   if (place->current == NULL)
     return "own";
-  return place->current->role == MESH_VOTER ? "voter" : "deputy";
+  return place_by_voter (place) ? "voter" : "deputy";
 }
 
 unsigned
--- a/node/place.h
+++ b/node/place.h
@@ -7,10 +7,11 @@
 
 typedef struct Place Place;
 
-/* Never called from within place_ask. */
+/* Never called from within place_ask. server: id, name, address and whether it leaves, borrowed, by
+ * a list that was asked for at asked_at. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t request, const char *server);
+  void (*grant) (void *host, uint64_t request, const SeamServer *server, int64_t asked_at);
   void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
 } PlaceOps;
 
@@ -33,6 +34,7 @@
 void place_done (Place *place, uint64_t request, const SchedResult *result);
 /* Who schedules for this entry: "voter", "deputy" or "own". */
 const char *place_by (const Place *place);
+bool place_by_voter (const Place *place);
 unsigned place_waiting (const Place *place);
 
 #endif
--- a/node/reader.c
+++ b/node/reader.c
@@ -3,7 +3,10 @@
 #include "jlog.h"
 
 /* Tuning; each row with its reason. */
-#define PASS_MOST    (900 * FT_MS) /* a pass is started every second or so */
+#define PASS_MOST                                                                                  \
+  (2200 * FT_MS) /* 60 pages at 40 calls a second; what it yields is older than its start, so a    \
+                    longer one would say too late who leaves */
+#define PAGE_AGAIN   (80 * FT_MS) /* a page refused for the rate of calls: a few calls later */
 #define CONNECT_MOST (300 * FT_MS)
 #define IDLE_MOST    (5 * FT_SECOND)
 #define PAGES_MOST   64 /* a list that never ends is not followed */
@@ -17,12 +20,14 @@
   ReaderDone done;
   void *host;
   HXfer *xfer;
-  LoopTimer timer;
+  LoopTimer timer, again;
+  char *page;      /* asked for last; NULL: the first */
   GArray *servers; /* SeamServer */
   GString *body;
-  unsigned status, pages;
+  unsigned status, pages, pages_before; /* of this pass; of the last whole one */
   unsigned spoilt, spoilt_before; /* entries that named no server in this pass; in the last one */
   int64_t asked_at;
+  bool busy;
 };
 
 void
@@ -40,7 +45,11 @@
 finish (Reader *reader, const char *why)
 {
   loop_timer_stop (reader->loop, &reader->timer);
+  loop_timer_stop (reader->loop, &reader->again);
   reader->xfer = NULL;
+  reader->busy = false;
+  if (why == NULL)
+    reader->pages_before = reader->pages;
   reader->spoilt_before = reader->spoilt;
   reader->done (reader->host, why ? NULL : reader->servers, reader->asked_at, why);
   g_array_set_size (reader->servers, 0);
@@ -68,7 +77,7 @@
           JL_INT ("page", reader->pages), JL_TEXT ("first", first));
 }
 
-static void ask (Reader *reader, const char *page);
+static void ask (Reader *reader);
 
 static void
 on_end (void *user)
@@ -78,9 +87,17 @@
   char *next = NULL;
 
   reader->xfer = NULL;
+  /* Failure: others read the list too, and one call in a pass of many is over the rate. Symptom:
+   * the whole pass is thrown away and begun anew, with all its calls. Only that page is asked for
+   * again, until the pass takes too long. */
+  if (reader->status == 429)
+    {
+      loop_timer_set (reader->loop, &reader->again, loop_now (reader->loop) + PAGE_AGAIN);
+      return;
+    }
   if (reader->status != 200)
     {
-      finish (reader, reader->status == 429 ? "too many calls" : "refused");
+      finish (reader, "refused");
       return;
     }
   unsigned spoilt = reader->spoilt;
@@ -91,7 +108,12 @@
   if (status != FT_OK)
     finish (reader, error.text);
   else if (next && reader->pages < PAGES_MOST)
-    ask (reader, next);
+    {
+      g_free (reader->page);
+      reader->page = g_steal_pointer (&next);
+      reader->pages++;
+      ask (reader);
+    }
   else
     finish (reader, NULL);
   g_free (next);
@@ -106,20 +128,25 @@
 static const HXferOps ops = { on_head, on_body, on_end, on_failed };
 
 static void
-ask (Reader *reader, const char *page)
+ask (Reader *reader)
 {
   HCliTarget target = { reader->addr, "list", CONNECT_MOST, IDLE_MOST, false };
   GString *request = g_string_new (NULL);
 
-  reader->pages++;
   g_string_truncate (reader->body, 0);
-  reader->seam->write_list_request (request, reader->addr, page);
+  reader->seam->write_list_request (request, reader->addr, reader->page);
   reader->xfer = hcli_send (reader->cli, &target, request, &ops, reader);
   g_string_free (request, TRUE);
   if (reader->xfer == NULL)
     finish (reader, "no connection");
 }
 
+static void
+on_again (LoopTimer *timer)
+{
+  ask ((Reader *) ((char *) timer - offsetof (Reader, again)));
+}
+
 static void
 on_timer (LoopTimer *timer)
 {
@@ -127,7 +154,7 @@
 
   if (reader->xfer)
     hxfer_cancel (reader->xfer);
-  finish (reader, "no answer in time");
+  finish (reader, reader->status == 429 ? "too many calls" : "no answer in time");
 }
 
 Reader *
@@ -142,6 +169,7 @@
   reader->done = done;
   reader->host = host;
   reader->timer.fire = on_timer;
+  reader->again.fire = on_again;
   reader->body = g_string_new (NULL);
   reader->servers = g_array_new (FALSE, TRUE, sizeof (SeamServer));
   g_array_set_clear_func (reader->servers, seam_server_clear);
@@ -156,6 +184,8 @@
   if (reader->xfer)
     hxfer_cancel (reader->xfer);
   loop_timer_stop (reader->loop, &reader->timer);
+  loop_timer_stop (reader->loop, &reader->again);
+  g_free (reader->page);
   g_array_unref (reader->servers);
   g_string_free (reader->body, TRUE);
   g_free (reader);
@@ -164,7 +194,13 @@
 bool
 reader_busy (const Reader *reader)
 {
-  return reader->xfer != NULL;
+  return reader->busy;
+}
+
+unsigned
+reader_pages (const Reader *reader)
+{
+  return MAX (reader->pages_before, 1);
 }
 
 void
@@ -172,9 +208,12 @@
 {
   if (reader_busy (reader))
     return;
-  reader->pages = 0;
+  reader->busy = true;
+  g_clear_pointer (&reader->page, g_free);
+  reader->pages = 1;
+  reader->status = 0;
   reader->spoilt = 0;
   reader->asked_at = loop_now (reader->loop);
   loop_timer_set (reader->loop, &reader->timer, reader->asked_at + PASS_MOST);
-  ask (reader, NULL);
+  ask (reader);
 }
--- a/node/reader.h
+++ b/node/reader.h
@@ -17,5 +17,7 @@
 /* Starts to read unless it is being read. */
 void reader_start (Reader *reader);
 bool reader_busy (const Reader *reader);
+/* Calls that the last whole pass took; 1 before the first. */
+unsigned reader_pages (const Reader *reader);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -282,29 +282,39 @@
 
 /* ---- Verdicts of the scheduler ---- */
 
+/* Does the list held here say that the server leaves, or, if it is newer than the one by which it
+ * was granted, no longer name it? */
+static bool
+is_known_gone (const Requests *all, const char *id, int64_t asked_at)
+{
+  const SeamServer *held = servers_find (all->conf.servers, id);
+
+  if (held)
+    return held->leaving;
+  return servers_asked_at (all->conf.servers) > asked_at;
+}
+
 void
-requests_grant (Requests *all, uint64_t number, const char *id)
+requests_grant (Requests *all, uint64_t number, const SeamServer *server, int64_t asked_at)
 {
   Req *req = g_hash_table_lookup (all->by_number, &number);
   SchedResult rejected = { .outcome = SCHED_LEFT };
 
   if (req == NULL)
     return;
-  const SeamServer *server = servers_find (all->conf.servers, id);
   count_time (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
-  req->server = g_strdup (id);
-  jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", id),
+  req->server = g_strdup (server->id);
+  jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", server->id),
         JL_MS ("waited_ms", req_now (req) - req->arrived),
         JL_TEXT ("by", place_by (all->conf.place)),
-        JL_MS ("list_age_ms", req_now (req) - servers_asked_at (all->conf.servers)));
-  if (server == NULL || server->leaving)
+        JL_MS ("list_age_ms", req_now (req) - asked_at));
+  if (server->leaving || is_known_gone (all, server->id, asked_at))
     {
-      /* The scheduler decided by an older list than the one held here. */
       place_done (all->conf.place, number, &rejected);
       forget_number (req);
       g_free (req->avoid);
-      req->avoid = g_strdup (id);
+      req->avoid = g_strdup (server->id);
       ask (req, false);
       return;
     }
--- a/node/servers.c
+++ b/node/servers.c
@@ -2,29 +2,49 @@
  *
  * With thousands of servers before hundreds of instances the list is megabytes a second if it is
  * sent whole at each change (measured: 10 MB/s from a voter at 3,000 servers and 299 instances).
- * What a new list changes against the one before is kept, and only that is sent to who holds the
- * one before.
+ * So each change of the list is a step; of the latest steps it is known which servers they changed,
+ * and whoever holds the list of one of them is sent what has changed since. Who holds another one
+ * hears the digest and asks for the whole, in compressed form.
  */
 #include "servers.h"
+#include "codec.h"
+#include "squeeze.h"
 
 #include <string.h>
 
+/* Tuning; each row with its reason. */
+#define STEPS_KEPT                                                                                 \
+  32 /* 20 s of a list that changes with each reading: longer than a start takes                   \
+      */
+#define WANT_AGAIN                                                                                 \
+  (600 * FT_MS) /* a whole list of 3,000 servers, 60 KB, takes 50 ms on 10 Mbit/s; hundreds that   \
+                   ask at once are served within half a second */
+
 typedef struct
 {
-  guint base;         /* digest of the list before; 0: no changes are known */
-  GArray *changed;    /* index in list */
-  GPtrArray *removed; /* char * */
-} Changes;
+  char *id;
+  unsigned step; /* in which it left the list */
+} Removed;
 
 struct Servers
 {
   GArray *list;      /* SeamServer */
   GHashTable *by_id; /* id: index + 1 */
-  int64_t asked_at;
+  int64_t asked_at, wanted_at;
   guint digest, digest_seen;
-  Changes changes;
+  unsigned step;             /* of the list held; 0: none yet */
+  guint digests[STEPS_KEPT]; /* of the lists of the latest steps, by step modulo their number */
+  GHashTable *changed_in;    /* id of a server of the list: step in which it came or changed last */
+  GArray *removed;           /* Removed, in the latest steps */
+  GBytes *whole;             /* packed; NULL: not yet since the list changed */
 };
 
+static void
+removed_clear (void *data)
+{
+  g_free (((Removed *) data)->id);
+}
+
 Servers *
 servers_new (void)
 {
@@ -33,8 +53,9 @@
   servers->list = g_array_new (FALSE, TRUE, sizeof (SeamServer));
   g_array_set_clear_func (servers->list, seam_server_clear);
   servers->by_id = g_hash_table_new (g_str_hash, g_str_equal);
-  servers->changes.changed = g_array_new (FALSE, FALSE, sizeof (unsigned));
-  servers->changes.removed = g_ptr_array_new_with_free_func (g_free);
+  servers->changed_in = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  servers->removed = g_array_new (FALSE, FALSE, sizeof (Removed));
+  g_array_set_clear_func (servers->removed, removed_clear);
   return servers;
 }
 
@@ -45,8 +66,10 @@
     return;
   g_hash_table_unref (servers->by_id);
   g_array_unref (servers->list);
-  g_array_unref (servers->changes.changed);
-  g_ptr_array_unref (servers->changes.removed);
+  g_hash_table_unref (servers->changed_in);
+  g_array_unref (servers->removed);
+  if (servers->whole)
+    g_bytes_unref (servers->whole);
   g_free (servers);
 }
 
@@ -86,39 +109,60 @@
   return out;
 }
 
-/* Puts list, whose servers are taken over, in the place of the one held and notes what has changed.
- */
+static void
+forget_old_steps (Servers *servers)
+{
+  unsigned old = 0;
+
+  while (old < servers->removed->len
+         && g_array_index (servers->removed, Removed, old).step + STEPS_KEPT <= servers->step)
+    old++;
+  if (old > 0)
+    g_array_remove_range (servers->removed, 0, old);
+}
+
+/* Notes what the list held changes against the one before. */
+static void
+note_step (Servers *servers, const GArray *old, GHashTable *old_by_id)
+{
+  servers->step++;
+  servers->digests[servers->step % STEPS_KEPT] = servers->digest;
+  g_clear_pointer (&servers->whole, g_bytes_unref);
+  for (unsigned i = 0; i < servers->list->len; i++)
+    {
+      const SeamServer *now = &g_array_index (servers->list, SeamServer, i);
+      unsigned at = GPOINTER_TO_UINT (g_hash_table_lookup (old_by_id, now->id));
+      if (at == 0
+          || server_digest (now) != server_digest (&g_array_index (old, SeamServer, at - 1)))
+        g_hash_table_replace (servers->changed_in, g_strdup (now->id),
+                              GUINT_TO_POINTER (servers->step));
+    }
+  for (unsigned i = 0; i < old->len; i++)
+    {
+      const char *id = g_array_index (old, SeamServer, i).id;
+      if (servers_find (servers, id))
+        continue;
+      Removed removed = { g_strdup (id), servers->step };
+      g_array_append_val (servers->removed, removed);
+      g_hash_table_remove (servers->changed_in, id);
+    }
+  forget_old_steps (servers);
+}
+
+/* Puts list, whose servers are taken over, in the place of the one held. */
 static void
 replace (Servers *servers, GArray *list, int64_t asked_at)
 {
   GArray *old = servers->list;
   GHashTable *old_by_id = servers->by_id;
-  guint base = servers->digest;
+  guint before = servers->digest;
 
   servers->list = list;
   servers->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   servers->asked_at = asked_at;
   index_list (servers);
-  if (servers->digest != base)
-    {
-      g_array_set_size (servers->changes.changed, 0);
-      g_ptr_array_set_size (servers->changes.removed, 0);
-      servers->changes.base = base;
-      for (unsigned i = 0; i < list->len; i++)
-        {
-          const SeamServer *now = &g_array_index (list, SeamServer, i);
-          unsigned at = GPOINTER_TO_UINT (g_hash_table_lookup (old_by_id, now->id));
-          if (at == 0
-              || server_digest (now) != server_digest (&g_array_index (old, SeamServer, at - 1)))
-            g_array_append_val (servers->changes.changed, i);
-        }
-      for (unsigned i = 0; i < old->len; i++)
-        {
-          const SeamServer *before = &g_array_index (old, SeamServer, i);
-          if (servers_find (servers, before->id) == NULL)
-            g_ptr_array_add (servers->changes.removed, g_strdup (before->id));
-        }
-    }
+  if (servers->digest != before)
+    note_step (servers, old, old_by_id);
   g_hash_table_unref (old_by_id);
   g_array_unref (old);
 }
@@ -193,16 +237,17 @@
                        .cold_us = from->cold_ms * FT_MS };
 }
 
-static bool
-is_among (const MeshList *list, const char *id)
+/* The ids that the message speaks of. */
+static GHashTable *
+named_in (const MeshList *list)
 {
+  GHashTable *named = g_hash_table_new (g_str_hash, g_str_equal);
+
   for (unsigned i = 0; i < list->servers.servers_len; i++)
-    if (strcmp (list->servers.servers_val[i].id, id) == 0)
-      return true;
+    g_hash_table_add (named, list->servers.servers_val[i].id);
   for (unsigned i = 0; i < list->removed.removed_len; i++)
-    if (strcmp (list->removed.removed_val[i], id) == 0)
-      return true;
-  return false;
+    g_hash_table_add (named, list->removed.removed_val[i]);
+  return named;
 }
 
 ServersTaken
@@ -221,10 +266,11 @@
       || (from->kind == MESH_LIST_CHANGES && from->base != servers->digest))
     return SERVERS_FOREIGN;
   GArray *list = new_list ();
+  GHashTable *named = named_in (from);
   for (unsigned i = 0; from->kind == MESH_LIST_CHANGES && i < servers->list->len; i++)
     {
       const SeamServer *held = &g_array_index (servers->list, SeamServer, i);
-      if (is_among (from, held->id))
+      if (g_hash_table_contains (named, held->id))
         continue;
       SeamServer server = copy_of (held);
       g_array_append_val (list, server);
@@ -234,10 +280,45 @@
       SeamServer server = from_message (&from->servers.servers_val[i]);
       g_array_append_val (list, server);
     }
+  g_hash_table_unref (named);
   replace (servers, list, asked_at);
   return SERVERS_TAKEN;
 }
 
+ServersTaken
+servers_take_whole (Servers *servers, const MeshWholeList *whole, int64_t now)
+{
+  GBytes *bytes = squeeze_unpack (whole->list.list_val, whole->list.list_len);
+  ServersTaken taken = SERVERS_FOREIGN;
+  MeshList list = { 0 };
+  gsize size = 0;
+
+  servers->wanted_at = 0;
+  if (bytes == NULL)
+    return SERVERS_FOREIGN;
+  const void *data = g_bytes_get_data (bytes, &size);
+  if (codec_unpack (CODEC (MeshList), data, size, &list, NULL) == FT_OK)
+    {
+      list.age_us = whole->age_us;
+      taken = servers_take_message (servers, &list, now);
+    }
+  codec_clear (CODEC (MeshList), &list);
+  g_bytes_unref (bytes);
+  return taken;
+}
+
+/* Failure: hundreds of instances start at once and hear of a list from each voter. Symptom: each is
+ * sent it by all of them, and grants wait behind these megabytes on every link. One is asked; the
+ * others only when it has not answered in time. */
+bool
+servers_may_want (Servers *servers, int64_t now)
+{
+  if (servers->wanted_at && now - servers->wanted_at < WANT_AGAIN)
+    return false;
+  servers->wanted_at = now;
+  return true;
+}
+
 int64_t
 servers_asked_at (const Servers *servers)
 {
@@ -288,54 +369,99 @@
                        .cold_ms = (unsigned) (from->cold_us / FT_MS) };
 }
 
+static unsigned
+step_of (const Servers *servers, guint digest)
+{
+  unsigned least = servers->step > STEPS_KEPT ? servers->step - STEPS_KEPT + 1 : 1;
+
+  for (unsigned step = servers->step; step >= least; step--)
+    if (servers->digests[step % STEPS_KEPT] == digest)
+      return step;
+  return 0;
+}
+
 static void
-put_changes (const Servers *servers, MeshList *msg)
+put_changes (const Servers *servers, unsigned since, guint held, MeshList *msg)
 {
-  const Changes *changes = &servers->changes;
+  unsigned count = 0;
 
   msg->kind = MESH_LIST_CHANGES;
-  msg->base = changes->base;
-  msg->servers.servers_len = changes->changed->len;
-  msg->servers.servers_val = g_new0 (MeshServer, changes->changed->len + 1);
-  for (unsigned i = 0; i < changes->changed->len; i++)
+  msg->base = held;
+  msg->servers.servers_val = g_new0 (MeshServer, servers->list->len + 1);
+  for (unsigned i = 0; i < servers->list->len; i++)
     {
-      unsigned at = g_array_index (changes->changed, unsigned, i);
-      msg->servers.servers_val[i] = to_message (&g_array_index (servers->list, SeamServer, at));
+      const SeamServer *server = &g_array_index (servers->list, SeamServer, i);
+      gpointer changed_in = g_hash_table_lookup (servers->changed_in, server->id);
+      if (GPOINTER_TO_UINT (changed_in) > since)
+        msg->servers.servers_val[count++] = to_message (server);
+    }
+  msg->servers.servers_len = count;
+  msg->removed.removed_val = g_new0 (MeshName, servers->removed->len + 1);
+  for (unsigned i = 0; i < servers->removed->len; i++)
+    {
+      const Removed *removed = &g_array_index (servers->removed, Removed, i);
+      if (removed->step > since)
+        msg->removed.removed_val[msg->removed.removed_len++] = removed->id;
     }
-  msg->removed.removed_len = changes->removed->len;
-  msg->removed.removed_val = (MeshName *) changes->removed->pdata;
 }
 
 void
 servers_message (const Servers *servers, int64_t now, guint held, MeshList *msg)
 {
+  unsigned since = held > SERVERS_HELD_NONE ? step_of (servers, held) : 0;
+
   memset (msg, 0, sizeof *msg);
   msg->age_us = now - servers->asked_at;
   msg->digest = servers->digest;
-  if (held == servers->digest)
-    msg->kind = MESH_LIST_SAME;
+  msg->kind = MESH_LIST_SAME;
   /* Failure: a scheduler dies and all entries turn to one deputy, which does not know what list
    * they hold. Symptom: it sends 17 KB to each of 64 entries over a link of 10 Mbit/s, says nothing
    * else for a second, and is passed over in its turn. Nearly all hold the same list already; one
    * that does not says so and gets it whole. */
-  else if (held == SERVERS_HELD_UNKNOWN)
-    msg->kind = MESH_LIST_SAME;
-  else if (held != SERVERS_HELD_NONE && held == servers->changes.base)
-    put_changes (servers, msg);
-  else
+  if (since > 0 && since < servers->step)
+    put_changes (servers, since, held, msg);
+}
+
+static GBytes *
+pack_whole (const Servers *servers)
+{
+  MeshList list = { .digest = servers->digest, .kind = MESH_LIST_WHOLE };
+  GBytes *out = NULL;
+
+  list.servers.servers_len = MIN (servers->list->len, MESH_SERVERS_MOST);
+  list.servers.servers_val = g_new0 (MeshServer, servers->list->len + 1);
+  for (unsigned i = 0; i < list.servers.servers_len; i++)
+    list.servers.servers_val[i] = to_message (&g_array_index (servers->list, SeamServer, i));
+  GByteArray *plain = codec_pack (CODEC (MeshList), &list);
+  if (plain)
     {
-      msg->kind = MESH_LIST_WHOLE;
-      msg->servers.servers_len = MIN (servers->list->len, MESH_SERVERS_MOST);
-      msg->servers.servers_val = g_new0 (MeshServer, servers->list->len + 1);
-      for (unsigned i = 0; i < msg->servers.servers_len; i++)
-        msg->servers.servers_val[i] = to_message (&g_array_index (servers->list, SeamServer, i));
+      out = squeeze_pack (plain->data, plain->len);
+      g_byte_array_unref (plain);
     }
+  g_free (list.servers.servers_val);
+  return out;
+}
+
+bool
+servers_whole (Servers *servers, int64_t now, MeshWholeList *msg)
+{
+  gsize size;
+
+  if (servers->whole == NULL)
+    servers->whole = pack_whole (servers);
+  if (servers->whole == NULL)
+    return false;
+  msg->age_us = now - servers->asked_at;
+  msg->list.list_val = (char *) g_bytes_get_data (servers->whole, &size);
+  msg->list.list_len = (u_int) size;
+  return true;
 }
 
 void
 servers_message_clear (MeshList *msg)
 {
   g_free (msg->servers.servers_val);
+  g_free (msg->removed.removed_val);
 }
 
 guint
--- a/node/servers.h
+++ b/node/servers.h
@@ -22,6 +22,10 @@
 } ServersTaken;
 
 ServersTaken servers_take_message (Servers *servers, const MeshList *list, int64_t now);
+/* The same for a whole list. One that cannot be read is SERVERS_FOREIGN. */
+ServersTaken servers_take_whole (Servers *servers, const MeshWholeList *whole, int64_t now);
+/* May the list be asked for whole at now? Not while an earlier question may still be answered. */
+bool servers_may_want (Servers *servers, int64_t now);
 /* When the list held was asked for; 0: none yet. */
 int64_t servers_asked_at (const Servers *servers);
 /* NULL: not on the list. */
@@ -32,12 +36,14 @@
 
 /* Digests of lists that somebody may hold, beside those of real lists. */
 #define SERVERS_HELD_UNKNOWN 0
-#define SERVERS_HELD_NONE    1 /* also that of a list without servers */
+#define SERVERS_HELD_NONE    1 /* that of a list without servers */
 
-/* The list as a message to somebody who holds the one with digest held: whole, its changes, or only
- * its digest. It borrows from servers; free it with servers_message_clear. */
+/* The list as a message to somebody who holds the one with digest held: its changes since then, or
+ * only its digest. It borrows from servers; free it with servers_message_clear. */
 void servers_message (const Servers *servers, int64_t now, guint held, MeshList *msg);
 void servers_message_clear (MeshList *msg);
+/* All of it, borrowed from servers until they change. False: it cannot be packed. */
+bool servers_whole (Servers *servers, int64_t now, MeshWholeList *msg);
 guint servers_digest (const Servers *servers);
 /* Does the list differ, in more than its age, from what servers_changed saw last? */
 bool servers_changed (Servers *servers);
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -51,6 +51,7 @@
 		u_int deputies_len;
 		u_int *deputies_val;
 	} deputies;
+	bool_t reading;
 };
 typedef struct MeshView MeshView;
 
@@ -108,6 +109,15 @@
 };
 typedef struct MeshList MeshList;
 
+struct MeshWholeList {
+	quad_t age_us;
+	struct {
+		u_int list_len;
+		char *list_val;
+	} list;
+};
+typedef struct MeshWholeList MeshWholeList;
+
 struct MeshAsk {
 	u_quad_t request;
 	char *service;
@@ -136,6 +146,10 @@
 struct MeshGrant {
 	u_quad_t request;
 	char *server;
+	char *name;
+	u_int ip;
+	u_int port;
+	u_int list_age_ms;
 	u_int org_fill;
 };
 typedef struct MeshGrant MeshGrant;
@@ -181,6 +195,8 @@
 	MESH_DONE = 1 + 9,
 	MESH_RAFT = 1 + 10,
 	MESH_WANT_LIST = 1 + 11,
+	MESH_WHOLE_LIST = 1 + 12,
+	MESH_ALIVE = 1 + 13,
 };
 typedef enum MeshKind MeshKind;
 
@@ -197,6 +213,7 @@
 		MeshFirst first;
 		MeshSilent silent;
 		MeshDone done;
+		MeshWholeList whole;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -217,6 +234,7 @@
 extern  bool_t xdr_MeshName (XDR *, MeshName*);
 extern  bool_t xdr_MeshListKind (XDR *, MeshListKind*);
 extern  bool_t xdr_MeshList (XDR *, MeshList*);
+extern  bool_t xdr_MeshWholeList (XDR *, MeshWholeList*);
 extern  bool_t xdr_MeshAsk (XDR *, MeshAsk*);
 extern  bool_t xdr_MeshGrant (XDR *, MeshGrant*);
 extern  bool_t xdr_MeshRefuse (XDR *, MeshRefuse*);
@@ -236,6 +254,7 @@
 extern bool_t xdr_MeshName ();
 extern bool_t xdr_MeshListKind ();
 extern bool_t xdr_MeshList ();
+extern bool_t xdr_MeshWholeList ();
 extern bool_t xdr_MeshAsk ();
 extern bool_t xdr_MeshGrant ();
 extern bool_t xdr_MeshRefuse ();
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -31,6 +31,7 @@
   unsigned int voters<MESH_VOTERS_MOST>;
   unsigned int entries;     /* entries that the sender hears */
   unsigned int deputies<MESH_NAMES_MOST>; /* entries that schedule when no voter does, in order */
+  bool reading;             /* the sender holds the list of servers or reads it */
 };
 
 /* A committed catalogue. */
@@ -58,7 +59,7 @@
 
 enum MeshListKind {
   MESH_LIST_SAME = 0,   /* the servers that have this digest, not said again */
-  MESH_LIST_WHOLE = 1,
+  MESH_LIST_WHOLE = 1,  /* in a MeshWholeList only */
   MESH_LIST_CHANGES = 2 /* against the list that has the digest base */
 };
 
@@ -72,6 +73,12 @@
   MeshName removed<MESH_SERVERS_MOST>;   /* changes: their ids */
 };
 
+/* All servers of a list, to somebody who has asked for it. */
+struct MeshWholeList {
+  hyper age_us;                  /* since it was asked for */
+  opaque list<MESH_TEXT_MOST>;   /* a MeshList in compressed form, whose age says nothing */
+};
+
 /* ---- An entry and the scheduler ---- */
 
 struct MeshAsk {
@@ -103,6 +110,11 @@
 struct MeshGrant {
   unsigned hyper request;
   string server<MESH_NAME_MOST>;
+  string name<MESH_NAME_MOST>; /* what it calls itself; "": as server */
+  unsigned int ip;             /* with port where it is, so that who lacks the list can send; 0:
+                                  the scheduler's list no longer names it */
+  unsigned int port;
+  unsigned int list_age_ms;    /* of the list by which this was decided, since it was asked for */
   unsigned int org_fill;     /* per mille of the organisation's limit that is left at once */
 };
 
@@ -136,7 +148,7 @@
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT,
-  MESH_WANT_LIST
+  MESH_WANT_LIST, MESH_WHOLE_LIST, MESH_ALIVE
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -151,5 +163,7 @@
 case MESH_SILENT: MeshSilent silent;
 case MESH_DONE: MeshDone done;
 case MESH_WANT_LIST: void; /* the sender cannot apply changes: send it whole */
+case MESH_WHOLE_LIST: MeshWholeList whole;
+case MESH_ALIVE: void; /* nothing has changed since the last hello or view */
 case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -56,6 +56,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->deputies.deputies_val, (u_int *) &objp->deputies.deputies_len, MESH_NAMES_MOST,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reading))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -214,6 +216,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshWholeList (XDR *xdrs, MeshWholeList *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, MESH_TEXT_MOST))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshAsk (XDR *xdrs, MeshAsk *objp)
 {
@@ -390,10 +404,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->ip);
+			IXDR_PUT_U_LONG(buf, objp->port);
+			IXDR_PUT_U_LONG(buf, objp->list_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->org_fill);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->org_fill))
+				 return FALSE;
+		} else {
+			objp->ip = IXDR_GET_U_LONG(buf);
+			objp->port = IXDR_GET_U_LONG(buf);
+			objp->list_age_ms = IXDR_GET_U_LONG(buf);
+			objp->org_fill = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->request))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->org_fill))
 		 return FALSE;
 	return TRUE;
@@ -515,6 +588,12 @@
 		break;
 	case MESH_WANT_LIST:
 		break;
+	case MESH_WHOLE_LIST:
+		 if (!xdr_MeshWholeList (xdrs, &objp->MeshMsg_u.whole))
+			 return FALSE;
+		break;
+	case MESH_ALIVE:
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MOST))
 			 return FALSE;
--- /dev/null
+++ b/test/list.c
@@ -0,0 +1,342 @@
+/* list.c - the list of servers: how it is read, and how it goes from one instance to the others. */
+#include "hsrv.h"
+#include "platform.h"
+#include "reader.h"
+#include "servers.h"
+
+#include <string.h>
+
+static void
+read_servers (Servers *servers, unsigned from, unsigned to, int leaving, int64_t at)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (SeamServer));
+
+  for (unsigned i = from; i < to; i++)
+    {
+      char *id = g_strdup_printf ("i-%u", i);
+      SeamServer server = { .id = id,
+                            .name = id,
+                            .service = (char *) "s",
+                            .domain = (char *) "z",
+                            .addr = { i, 1 },
+                            .slots = 4,
+                            .leaving = (int) i == leaving };
+      g_array_append_val (list, server);
+    }
+  g_assert_true (servers_take_read (servers, list, at));
+  for (unsigned i = 0; i < list->len; i++)
+    g_free (g_array_index (list, SeamServer, i).id);
+  g_array_unref (list);
+}
+
+static ServersTaken
+pass (const Servers *from, Servers *to, guint held, MeshListKind kind, int64_t now)
+{
+  MeshList msg;
+
+  servers_message (from, now, held, &msg);
+  g_assert_cmpint (msg.kind, ==, kind);
+  ServersTaken taken = servers_take_message (to, &msg, now);
+  servers_message_clear (&msg);
+  return taken;
+}
+
+/* Sends all of it, as to somebody who has asked for it. Returns how many bytes it took. */
+static gsize
+pass_whole (Servers *from, Servers *to, int64_t now)
+{
+  MeshWholeList whole;
+
+  g_assert_true (servers_whole (from, now, &whole));
+  g_assert_cmpint (servers_take_whole (to, &whole, now), ==, SERVERS_TAKEN);
+  g_assert_cmpuint (servers_digest (to), ==, servers_digest (from));
+  g_assert_cmpint (servers_asked_at (to), ==, servers_asked_at (from));
+  return whole.list.list_len;
+}
+
+/* A server that leaves among thousands: only what has changed is sent, and the other instance holds
+ * the same list after. One that holds another list says so, and gets it whole. */
+static void
+list_changes (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new (), *other = servers_new ();
+
+  read_servers (voter, 0, 3000, -1, 100);
+  g_assert_cmpint (pass (voter, entry, SERVERS_HELD_NONE, MESH_LIST_SAME, 200), ==,
+                   SERVERS_FOREIGN);
+  pass_whole (voter, entry, 200);
+  g_assert_cmpint (servers_asked_at (entry), ==, 100);
+  guint before = servers_digest (voter);
+  read_servers (voter, 10, 3005, 50, 300);
+  g_assert_cmpint (pass (voter, entry, before, MESH_LIST_CHANGES, 400), ==, SERVERS_TAKEN);
+  g_assert_cmpuint (servers_digest (entry), ==, servers_digest (voter));
+  g_assert_cmpuint (servers_count (entry), ==, 2995);
+  g_assert_true (servers_find (entry, "i-50")->leaving);
+  g_assert_null (servers_find (entry, "i-9"));
+  g_assert_nonnull (servers_find (entry, "i-3004"));
+  read_servers (other, 0, 7, -1, 150);
+  g_assert_cmpint (pass (voter, other, before, MESH_LIST_CHANGES, 400), ==, SERVERS_FOREIGN);
+  g_assert_cmpuint (servers_count (other), ==, 7);
+  pass_whole (voter, other, 400);
+  read_servers (voter, 10, 3005, 50, 500);
+  g_assert_cmpint (pass (voter, other, servers_digest (other), MESH_LIST_SAME, 600), ==,
+                   SERVERS_TAKEN);
+  g_assert_cmpint (servers_asked_at (other), ==, 500);
+  g_assert_cmpint (pass (voter, other, servers_digest (other), MESH_LIST_SAME, 600), ==,
+                   SERVERS_OLD);
+  servers_free (voter);
+  servers_free (entry);
+  servers_free (other);
+}
+
+static void
+read_lifetime (Servers *servers, int64_t born_ms, int64_t other_born_ms, int64_t at)
+{
+  GArray *list = g_array_new (FALSE, TRUE, sizeof (SeamServer));
+
+  g_array_set_clear_func (list, seam_server_clear);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      int64_t born = i ? other_born_ms : born_ms;
+      SeamServer server = { .id = g_strdup_printf ("i-1@%d", (int) born),
+                            .name = g_strdup ("i-1"),
+                            .born_ms = born,
+                            .service = g_strdup ("s"),
+                            .domain = g_strdup ("z"),
+                            .slots = 4 };
+      g_array_append_val (list, server);
+      if (other_born_ms == 0)
+        break;
+    }
+  g_assert_true (servers_take_read (servers, list, at));
+  g_array_unref (list);
+}
+
+/* A server starts again under its name. Its new lifetime is another server: what runs, what was
+ * learned and the connections of the old one are not its own. A list that lags and names the old
+ * one once more changes nothing, and of two entries for one name the later start counts. */
+static void
+list_lifetimes (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new ();
+
+  read_lifetime (voter, 1000, 0, 100);
+  guint before = servers_digest (voter);
+  g_assert_nonnull (servers_find (voter, "i-1@1000"));
+  read_lifetime (voter, 2000, 0, 200);
+  g_assert_null (servers_find (voter, "i-1@1000"));
+  g_assert_cmpstr (servers_find (voter, "i-1@2000")->name, ==, "i-1");
+  g_assert_cmpuint (servers_digest (voter), !=, before);
+  read_lifetime (voter, 1000, 0, 300);
+  g_assert_null (servers_find (voter, "i-1@1000"));
+  g_assert_nonnull (servers_find (voter, "i-1@2000"));
+  read_lifetime (voter, 3000, 2000, 400);
+  g_assert_cmpuint (servers_count (voter), ==, 1);
+  g_assert_nonnull (servers_find (voter, "i-1@3000"));
+  pass_whole (voter, entry, 500);
+  g_assert_cmpstr (servers_find (entry, "i-1@3000")->name, ==, "i-1");
+  g_assert_cmpint (servers_find (entry, "i-1@3000")->born_ms, ==, 3000);
+  servers_free (voter);
+  servers_free (entry);
+}
+
+/* All entries turn to one deputy at once, and it does not know what lists they hold. Each gets the
+ * digest alone, in place of 17 KB that fill the deputy's link for a second; one that holds another
+ * list, or none, says so and gets it whole. */
+static void
+list_of_unknown_holder (void)
+{
+  Servers *deputy = servers_new (), *same = servers_new (), *none = servers_new ();
+
+  read_servers (deputy, 0, 200, -1, 100);
+  read_servers (same, 0, 200, -1, 90);
+  g_assert_cmpint (pass (deputy, same, SERVERS_HELD_UNKNOWN, MESH_LIST_SAME, 200), ==,
+                   SERVERS_TAKEN);
+  g_assert_cmpint (servers_asked_at (same), ==, 100);
+  g_assert_cmpint (pass (deputy, none, SERVERS_HELD_UNKNOWN, MESH_LIST_SAME, 200), ==,
+                   SERVERS_FOREIGN);
+  pass_whole (deputy, none, 200);
+  g_assert_cmpuint (servers_count (none), ==, 200);
+  servers_free (deputy);
+  servers_free (same);
+  servers_free (none);
+}
+
+/* Servers come and go with each reading, and an entry misses some of the changes, since its link
+ * was full. Sent the whole of 3,000 servers it would miss the next ones meanwhile, and never catch
+ * up. It is sent what has changed since the list that it holds, however many changes ago that was.
+ */
+static void
+list_steps (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new ();
+  MeshList msg;
+
+  read_servers (voter, 0, 3000, -1, 100);
+  pass_whole (voter, entry, 150);
+  for (int i = 1; i <= 20; i++)
+    read_servers (voter, (unsigned) i, (unsigned) (3000 + i), 100 + i, 100 + 100 * i);
+  servers_message (voter, 2200, servers_digest (entry), &msg);
+  g_assert_cmpint (msg.kind, ==, MESH_LIST_CHANGES);
+  g_assert_cmpuint (msg.servers.servers_len + msg.removed.removed_len, <, 70);
+  g_assert_cmpint (servers_take_message (entry, &msg, 2200), ==, SERVERS_TAKEN);
+  servers_message_clear (&msg);
+  g_assert_cmpuint (servers_digest (entry), ==, servers_digest (voter));
+  g_assert_cmpuint (servers_count (entry), ==, 3000);
+  g_assert_false (servers_find (entry, "i-119")->leaving);
+  g_assert_true (servers_find (entry, "i-120")->leaving);
+  servers_free (voter);
+  servers_free (entry);
+}
+
+/* Hundreds of instances start at once and each is linked to five voters that all hold the list of
+ * 3,000 servers. Sent by each of them it is 1.7 MB on a link of 10 Mbit/s, and grants wait behind
+ * it for more than a second. One of them is asked, another only when that one has not answered, and
+ * the list goes in a quarter of its size. */
+static void
+list_is_fetched_once (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new ();
+  MeshList msg;
+  unsigned asked = 0;
+  int64_t now = 1 * FT_SECOND;
+
+  read_servers (voter, 0, 3000, -1, 100);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      servers_message (voter, now, SERVERS_HELD_UNKNOWN, &msg);
+      g_assert_cmpint (servers_take_message (entry, &msg, now), ==, SERVERS_FOREIGN);
+      asked += servers_may_want (entry, now);
+      servers_message_clear (&msg);
+    }
+  g_assert_cmpuint (asked, ==, 1);
+  g_assert_true (servers_may_want (entry, now + FT_SECOND));
+  g_assert_cmpuint (pass_whole (voter, entry, now), <, 3000 * 25);
+  servers_free (voter);
+  servers_free (entry);
+}
+
+static void
+list_that_is_spoilt (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new ();
+  MeshWholeList whole;
+
+  read_servers (voter, 0, 50, -1, 100);
+  g_assert_true (servers_whole (voter, 200, &whole));
+  for (u_int cut = 0; cut < whole.list.list_len; cut++)
+    {
+      MeshWholeList part = { whole.age_us, { cut, whole.list.list_val } };
+      g_assert_cmpint (servers_take_whole (entry, &part, 200), ==, SERVERS_FOREIGN);
+    }
+  g_assert_cmpuint (servers_count (entry), ==, 0);
+  servers_free (voter);
+  servers_free (entry);
+}
+
+/* ---- Reading it ---- */
+
+#define PORT    18199
+#define PAGES   8
+#define GIVE_UP (20 * FT_SECOND)
+
+static Loop *loop;
+static unsigned calls, refusals, read_count;
+static bool failed;
+
+/* The platform's list, which refuses every third call for the rate of calls. */
+static void
+on_call (void *owner, HCall *call)
+{
+  const char *target = hmsg_target (hcall_msg (call));
+  const char *token = strstr (target, "PageToken=p");
+  unsigned page = token ? (unsigned) atoi (token + strlen ("PageToken=p")) : 0;
+
+  (void) owner;
+  if (++calls % 3 == 0)
+    {
+      refusals++;
+      hcall_reply (call, 429, NULL, "", 0);
+      return;
+    }
+  char *next = page + 1 < PAGES ? g_strdup_printf ("\"p%u\"", page + 1) : g_strdup ("null");
+  char *body = g_strdup_printf (
+      "{\"Instances\":[{\"Service\":\"s\",\"Address\":\"10.0.0.%u:80\",\"Zone\":\"z\",\"Version\":"
+      "\"v\","
+      "\"Slots\":4,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Id\":\"i-%u\"}],\"Next\":%s}",
+      page + 1, page, next);
+  hcall_reply (call, 200, NULL, body, strlen (body));
+  g_free (body);
+  g_free (next);
+}
+
+static void
+on_gone (void *owner, HCall *call)
+{
+  (void) owner;
+  (void) call;
+}
+
+static const HSrvOps list_ops = { on_call, on_gone };
+
+static void
+on_read (void *host, const GArray *list, int64_t asked_at, const char *why)
+{
+  (void) host;
+  (void) asked_at;
+  (void) why;
+  failed = list == NULL;
+  read_count = list ? list->len : 0;
+  loop_stop (loop);
+}
+
+static void
+on_guard (LoopTimer *timer)
+{
+  (void) timer;
+  g_error ("nothing happened for too long");
+}
+
+/* Others read the list as well, so that a call now and then is over the platform's rate. A pass of
+ * many calls that is thrown away for one of them never ends, and no server is known. Only the call
+ * that was refused is made again. */
+static void
+read_over_the_rate (void)
+{
+  LoopTimer guard = { .fire = on_guard };
+
+  loop = loop_new ();
+  HCli *cli = hcli_new (loop);
+  SockAddr addr = { 0x7f000001, PORT };
+  HSrv *list = hsrv_new (loop, addr, &list_ops, NULL);
+  g_assert_nonnull (list);
+  Reader *reader = reader_new (loop, cli, platform_seam (), addr, on_read, NULL);
+  loop_timer_set (loop, &guard, loop_now (loop) + GIVE_UP);
+  reader_start (reader);
+  g_assert_true (reader_busy (reader));
+  loop_run (loop);
+  g_assert_false (failed);
+  g_assert_cmpuint (refusals, >, 0);
+  g_assert_cmpuint (read_count, ==, PAGES);
+  g_assert_cmpuint (reader_pages (reader), ==, PAGES);
+  g_assert_false (reader_busy (reader));
+  loop_timer_stop (loop, &guard);
+  reader_free (reader);
+  hsrv_free (list);
+  hcli_free (cli);
+  loop_free (loop);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/list/changes", list_changes);
+  g_test_add_func ("/list/unknown_holder", list_of_unknown_holder);
+  g_test_add_func ("/list/lifetimes", list_lifetimes);
+  g_test_add_func ("/list/steps", list_steps);
+  g_test_add_func ("/list/fetched_once", list_is_fetched_once);
+  g_test_add_func ("/list/spoilt", list_that_is_spoilt);
+  g_test_add_func ("/list/over_the_rate", read_over_the_rate);
+  return g_test_run ();
+}
--- a/test/place.c
+++ b/test/place.c
@@ -24,8 +24,13 @@
 static Loop *loop;
 static Mesh *mesh;
 static Place *place;
+static Servers *servers;
 static LoopTimer guard;
 static unsigned grants, refusals;
+static SockAddr granted_at; /* what the last grant said of its server */
+static bool granted_leaving;
+static char granted_name[32];
+static int64_t granted_list_age;
 static bool (*wanted) (void);
 
 static void
@@ -36,11 +41,14 @@
 }
 
 static void
-on_grant (void *host, uint64_t request, const char *server)
+on_grant (void *host, uint64_t request, const SeamServer *server, int64_t asked_at)
 {
   (void) host;
   (void) request;
-  (void) server;
+  granted_at = server->addr;
+  granted_leaving = server->leaving;
+  g_strlcpy (granted_name, server->name, sizeof granted_name);
+  granted_list_age = loop_now (loop) - asked_at;
   grants++;
 }
 
@@ -108,7 +116,8 @@
 static Scheduler
 scheduler (uint32_t ip)
 {
-  Scheduler out = { .peer = { .ip = ip, .lifetime = ip, .role = MESH_VOTER, .dialled = true } };
+  Scheduler out
+      = { .peer = { .mesh = mesh, .ip = ip, .lifetime = ip, .role = MESH_VOTER, .dialled = true } };
   int pair[2];
 
   g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), ==, 0);
@@ -181,8 +190,8 @@
                         .addr = { 1, 1 },
                         .slots = 4 };
   GArray *list = g_array_new (FALSE, FALSE, sizeof server);
-  Servers *servers = servers_new ();
 
+  servers = servers_new ();
   grants = refusals = 0;
   loop = loop_new ();
   guard.fire = on_guard;
@@ -197,7 +206,6 @@
   g_array_append_val (list, server);
   servers_take_read (servers, list, loop_now (loop));
   broker_servers (place_broker (place), servers);
-  servers_free (servers);
   g_array_unref (list);
   g_ptr_array_unref (org.keys);
   rt_cat_unref (cat);
@@ -207,6 +215,7 @@
 end (void)
 {
   place_free (place);
+  servers_free (servers);
   mesh_free (mesh);
   mesh = NULL;
   loop_timer_stop (loop, &guard);
@@ -239,8 +248,15 @@
 grant (Scheduler *one, uint64_t number)
 {
   MeshMsg msg = { .kind = MESH_GRANT };
-
-  msg.MeshMsg_u.grant = (MeshGrant){ number, (char *) "i", 600 };
+  char none[] = "";
+
+  msg.MeshMsg_u.grant = (MeshGrant){ .request = number,
+                                     .server = (char *) "i",
+                                     .name = none,
+                                     .ip = 0x0a000001,
+                                     .port = 80,
+                                     .list_age_ms = 300,
+                                     .org_fill = 600 };
   place_message (place, &one->peer, &msg);
 }
 
@@ -513,6 +529,34 @@
   end ();
 }
 
+/* After a start of everything hundreds of entries have no list of servers yet, and their callers
+ * wait for it. The grant itself says where the server is and how old the list is that names it. One
+ * whose server the scheduler's list has lost says that it leaves. */
+static void
+grant_says_where (void)
+{
+  MeshMsg lost = { .kind = MESH_GRANT };
+  char none[] = "", id[] = "gone";
+
+  begin ();
+  Scheduler a = scheduler (11);
+  in_charge (&a, 1);
+  ask (1, 0);
+  grant (&a, 1);
+  g_assert_cmpuint (granted_at.ip, ==, 0x0a000001);
+  g_assert_cmpuint (granted_at.port, ==, 80);
+  g_assert_cmpstr (granted_name, ==, "i");
+  g_assert_cmpint (granted_list_age, >=, 300 * FT_MS);
+  g_assert_false (granted_leaving);
+  ask (2, 0);
+  lost.MeshMsg_u.grant = (MeshGrant){ .request = 2, .server = id, .name = none };
+  place_message (place, &a.peer, &lost);
+  g_assert_cmpuint (grants, ==, 2);
+  g_assert_true (granted_leaving);
+  scheduler_end (&a);
+  end ();
+}
+
 static bool
 is_granted (void)
 {
@@ -547,6 +591,7 @@
   g_test_add_func ("/place/handover", account_is_handed_over);
   g_test_add_func ("/place/report", report_of_account_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
+  g_test_add_func ("/place/grant", grant_says_where);
   g_test_add_func ("/place/end", all_are_told_of_the_end);
   g_test_add_func ("/place/silent", silent_scheduler_is_passed_over);
   return g_test_run ();
