Requests that wait for the first list are not refused as it comes

Cause, by the decisions of a start of everything at 291 entries: 110 refusals in half a second with "start in 1000000 ms". What a decision needs of all servers is worked out every 10 ms; when the list came, what had been worked out just before, no place at all, still held, and whoever did not start at once was hopeless. Ruled out: limits (another reason), and the wait itself (others of the tier were placed in the same tick). Change: the list's coming makes it be worked out anew. Test: /sched/list_comes, before: 4 of 12 refused with 8 places; after: none, all on time.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -446,6 +446,17 @@
   return !server->listed && server->running == 0;
 }
 
+static void
+forget_summaries (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Service *) value)->summary.until = 0;
+}
+
 void
 sched_list (Sched *sched, const SchedServer *servers, unsigned count)
 {
@@ -467,6 +478,7 @@
       server->cold_until = now + servers[i].cold_us;
     }
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, NULL);
+  forget_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
 }
--- a/test/sched.c
+++ b/test/sched.c
@@ -756,6 +756,29 @@
   end ();
 }
 
+/* After a start of everything more requests wait for the list than there are places. When it comes,
+ * what was known a moment before, no place at all, is still believed: all that do not start at once
+ * are refused as hopeless, with a start in 1000 s. They wait for the places that there are. */
+static void
+list_ends_the_wait_for_places (void)
+{
+  unsigned refused = 0;
+
+  begin (2, 4, false);
+  sched_free (world->sched);
+  world->sched = sched_new (&world->clock.base, &ops, NULL);
+  for (int i = 0; i < 12; i++)
+    ask (0, 500, 5);
+  sched_tick (world->sched);
+  give_list ();
+  for (unsigned i = 0; i < world->works; i++)
+    refused += world->work[i].refused;
+  g_assert_cmpuint (refused, ==, 0);
+  settle ();
+  g_assert_cmpuint (tally (0, 0).in_time, ==, 12);
+  end ();
+}
+
 /* A server leaves while requests wait: it gets none of them. */
 static void
 leaving_server_gets_nothing (void)
@@ -798,6 +821,7 @@
   g_test_add_func ("/sched/stays_out", older_answers_bring_nothing_back);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
   g_test_add_func ("/sched/list", requests_wait_for_the_list);
+  g_test_add_func ("/sched/list_comes", list_ends_the_wait_for_places);
   g_test_add_func ("/sched/leaving", leaving_server_gets_nothing);
   return g_test_run ();
 }
