Log: an allowance for each event, and entries' links by number

Change: each event has an allowance of its own (100 a second, 300 at once), so that a burst of one drops no other; a voter logs links to other voters singly and those to entries as numbers, once a second (event entries). Ruled out: more lines for all, which costs processor time when it is short.

--- a/node/control.c
+++ b/node/control.c
@@ -68,6 +68,8 @@
   GPtrArray *contacts; /* Contact of each accepted link */
   GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
   GHashTable *readers; /* ip of the other voters that hold the list of servers or read it */
+  unsigned entries_up, entries_down; /* links to entries since they were logged last */
+  int64_t entries_logged_at;
   LoopTimer tick;
   GBytes *view;         /* the newest view's message, for all */
   unsigned view_number; /* grows with each change of the view ... */
@@ -347,13 +349,40 @@
 
 /* ---- Links ---- */
 
+/* Entries come and go by the hundred, and each logs its own links; of those here only their number
+ * is logged, once a second. Other voters are what this one depends on. */
+static void
+log_link (Control *control, const MeshPeer *peer, bool up)
+{
+  if (peer->role == MESH_ENTRY)
+    *(up ? &control->entries_up : &control->entries_down) += 1;
+  else if (up)
+    jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_INT ("dialled", peer->dialled));
+  else
+    jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip),
+          JL_INT ("dialled", peer->dialled),
+          JL_MS ("silent_ms", loop_now (control->loop) - peer->heard));
+}
+
+static void
+log_entries (Control *control, int64_t now)
+{
+  if (now < control->entries_logged_at + FT_SECOND
+      || control->entries_up + control->entries_down == 0)
+    return;
+  jlog (JLOG_INFO, "entries", NULL, JL_INT ("up", control->entries_up),
+        JL_INT ("down", control->entries_down), JL_INT ("linked", count_heard (control)),
+        JL_INT ("lost_lately", g_hash_table_size (control->lost)));
+  control->entries_up = control->entries_down = 0;
+  control->entries_logged_at = now;
+}
+
 static void
 on_up (void *host, MeshPeer *peer)
 {
   Control *control = host;
 
-  jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip),
-        JL_INT ("entry", peer->role == MESH_ENTRY), JL_INT ("dialled", peer->dialled));
+  log_link (control, peer, true);
   if (peer->role == MESH_VOTER)
     voter_meet (control->voter, peer->ip);
   g_hash_table_remove (control->lost, GUINT_TO_POINTER (peer->ip));
@@ -376,8 +405,7 @@
   Control *control = host;
   Contact *contact = peer->user;
 
-  jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_INT ("dialled", peer->dialled),
-        JL_MS ("silent_ms", loop_now (control->loop) - peer->heard));
+  log_link (control, peer, false);
   if (peer->dialled)
     g_hash_table_remove (control->readers, GUINT_TO_POINTER (peer->ip));
   if (contact == NULL)
@@ -654,6 +682,7 @@
   tick_contacts (control, now);
   send_whole_lists (control, now);
   read_list (control, now);
+  log_entries (control, now);
   operators_tick (control->operators);
   broker_tick (control->broker);
   if (control->leaving_since
--- a/node/jlog.c
+++ b/node/jlog.c
@@ -3,6 +3,10 @@
  * Failure: whoever reads the log is slow, or a fault makes a line for every request. Symptom: the
  * process blocks on its own log, or spends its processor share on it. Lines beyond LINES_PER_S, and
  * lines for which the buffer has no room, are dropped and counted; the count is logged itself.
+ *
+ * Failure: hundreds of links go down at once, and each makes a line. Symptom: the one line that
+ * says why, who is in charge or that a server was taken out, is dropped for them. Each event has
+ * its own allowance, so that a frequent one drops no other.
  */
 #include "jlog.h"
 
@@ -14,8 +18,8 @@
 #include <unistd.h>
 
 /* Tuning; each row with its reason. */
-#define LINES_PER_S 300          /* four lines a request at 75 requests a second on one instance */
-#define BURST       600          /* a start, a failover or a list that changes as a whole */
+#define LINES_PER_S 100 /* of one event: requests end at 75 a second on one instance */
+#define BURST       300 /* the same at once: a failover, or a list that changes as a whole */
 #define BUFFER_MOST (256u << 10) /* bytes that wait for a slow reader */
 #define FLUSH_SIZE  4096         /* fewer system calls than a line each */
 #define FLUSH_EVERY (200 * FT_MS)
@@ -24,10 +28,16 @@
 static JlogLevel most_level = JLOG_INFO;
 static FtClock *log_clock;
 static GString *buffer;
-static double allowance = BURST;
-static int64_t allowance_at, flush_at;
+static GHashTable *allowances; /* event: Allowance */
+static int64_t flush_at;
 static uint64_t written, dropped, dropped_told;
 
+typedef struct
+{
+  double lines; /* that may follow at once */
+  int64_t at;
+} Allowance;
+
 void
 jlog_open (const char *node, const char *level, FtClock *clock)
 {
@@ -39,7 +49,8 @@
     if (strcmp (level, names[i]) == 0)
       most_level = (JlogLevel) i;
   log_clock = clock;
-  allowance_at = ft_clock_now (clock);
+  if (allowances == NULL)
+    allowances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   if (buffer == NULL)
     buffer = g_string_sized_new (FLUSH_SIZE * 2);
   if (flags >= 0)
@@ -63,16 +74,24 @@
 }
 
 static bool
-allowed (JlogLevel level)
+allowed (const char *event)
 {
   int64_t now = ft_clock_now (log_clock);
+  Allowance *allowance = g_hash_table_lookup (allowances, event);
 
-  allowance = MIN (BURST, allowance + (double) (now - allowance_at) / 1e6 * LINES_PER_S);
-  allowance_at = now;
-  if (allowance < 1 && level > JLOG_WARN)
+  if (allowance == NULL)
+    {
+      allowance = g_new0 (Allowance, 1);
+      *allowance = (Allowance){ BURST, now };
+      g_hash_table_insert (allowances, (gpointer) event, allowance);
+    }
+  allowance->lines
+      = MIN (BURST, allowance->lines + (double) (now - allowance->at) / 1e6 * LINES_PER_S);
+  allowance->at = now;
+  if (allowance->lines < 1 || buffer->len >= BUFFER_MOST)
     return false;
-  allowance = MAX (0, allowance - 1);
-  return buffer->len < BUFFER_MOST;
+  allowance->lines -= 1;
+  return true;
 }
 
 static void
@@ -109,7 +128,7 @@
 {
   if (buffer == NULL || level > most_level)
     return;
-  if (!allowed (level))
+  if (!allowed (event))
     {
       dropped++;
       return;
