--- a/bench/cost.c
+++ b/bench/cost.c
@@ -126,8 +126,10 @@
 /* ---- The scheduler for engines that know no priorities ---- */
 
 static void
-on_sched_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server)
+on_sched_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server,
+                int64_t rest_most)
 {
+  (void) rest_most;
   (void) host;
   (void) owner;
   (void) org;
@@ -204,7 +206,8 @@
   double started = now_ns ();
   for (unsigned i = 0; i < rounds && granted_tail != granted_head; i++)
     {
-      SchedResult result = { SCHED_OK, 24 * FT_MS, 600 * FT_MS };
+      SchedResult result
+          = { .outcome = SCHED_OK, .event_us = 24 * FT_MS, .answer_us = 600 * FT_MS };
       uint64_t request = granted[granted_tail++ & (G_N_ELEMENTS (granted) - 1)];
       clock.now += FT_SECOND / 760;
       sched_first (sched, 1 + request % 64, request, 100 * FT_MS);
--- a/net/hcli.c
+++ b/net/hcli.c
@@ -58,6 +58,7 @@
   void *user;
   GString *request;
   bool sent, no_body;
+  int64_t rested;
 };
 
 static void
@@ -357,9 +358,12 @@
   if (conn == NULL)
     return NULL;
   HXfer *xfer = g_new0 (HXfer, 1);
-  *xfer = (HXfer){ conn,  ops,
-                   user,  g_string_new_len (request->str, (gssize) request->len),
-                   false, target->no_body };
+  *xfer = (HXfer){ .conn = conn,
+                   .ops = ops,
+                   .user = user,
+                   .request = g_string_new_len (request->str, (gssize) request->len),
+                   .no_body = target->no_body,
+                   .rested = kept ? MAX (1, loop_now (cli->loop) - conn->idle_since) : 0 };
   conn->xfer = xfer;
   conn->skipping = conn->spoilt = conn->ended_message = false;
   if (kept)
@@ -367,6 +371,31 @@
   return xfer;
 }
 
+int64_t
+hxfer_rested (const HXfer *xfer)
+{
+  return xfer->rested;
+}
+
+unsigned
+hcli_idle_keys (HCli *cli, const char **keys, unsigned most)
+{
+  int64_t now = loop_now (cli->loop);
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, cli->pools);
+  while (count < most && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Pool *pool = value;
+      if (!cds_list_empty (&pool->idle)
+          && now < cds_list_first_entry (&pool->idle, Conn, idle_link)->idle_until)
+        keys[count++] = pool->key;
+    }
+  return count;
+}
+
 void
 hxfer_cancel (HXfer *xfer)
 {
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -43,6 +43,11 @@
  * will be called. */
 HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
                   void *user);
+/* How long the connection that the transfer was given had rested; 0: it was opened for it. */
+int64_t hxfer_rested (const HXfer *xfer);
+/* Keys to which there are idle connections that may still be used, up to most of them. Returns how
+ * many; they are borrowed until the next turn of the loop. */
+unsigned hcli_idle_keys (HCli *cli, const char **keys, unsigned most);
 /* Gives the transfer up and closes its connection; nothing more is called. */
 void hxfer_cancel (HXfer *xfer);
 /* Connections opened and requests sent so far. */
--- a/node/broker.c
+++ b/node/broker.c
@@ -25,6 +25,7 @@
 {
   uint64_t request;
   char *server; /* NULL: refused */
+  int64_t rest_most;
   SchedRefusal refusal;
 } Verdict;
 
@@ -57,6 +58,19 @@
   return broker->servers ? servers_find (broker->servers, id) : NULL;
 }
 
+static void
+deliver_grant (const Broker *broker, const Verdict *verdict)
+{
+  Grant grant = { .server = { .id = verdict->server, .name = verdict->server, .leaving = true },
+                  .listed_at = loop_now (broker->loop),
+                  .rest_most = verdict->rest_most };
+  const SeamServer *server = find (broker, verdict->server);
+
+  if (server)
+    grant.server = *server;
+  broker->ops->grant (broker->host, verdict->request, &grant);
+}
+
 static void
 on_soon (LoopTimer *timer)
 {
@@ -67,10 +81,8 @@
   for (unsigned i = 0; i < verdicts->len; i++)
     {
       Verdict *verdict = &g_array_index (verdicts, Verdict, i);
-      SeamServer lost = { .id = verdict->server, .name = verdict->server, .leaving = true };
-      const SeamServer *server = verdict->server ? find (broker, verdict->server) : NULL;
       if (verdict->server)
-        broker->ops->grant (broker->host, verdict->request, server ? server : &lost);
+        deliver_grant (broker, verdict);
       else
         broker->ops->refuse (broker->host, verdict->request, &verdict->refusal);
       g_free (verdict->server);
@@ -105,7 +117,8 @@
 }
 
 static void
-on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server)
+on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *server,
+          int64_t rest_most)
 {
   Broker *broker = host;
   Asker *asker = g_hash_table_lookup (broker->askers, &owner);
@@ -113,11 +126,14 @@
 
   count_up (COUNT_GRANTS);
   if (owner == SELF)
-    deliver_soon (broker, (Verdict){ .request = request, .server = g_strdup (server) });
+    deliver_soon (
+        broker,
+        (Verdict){ .request = request, .server = g_strdup (server), .rest_most = rest_most });
   if (asker == NULL)
     return;
   asker->waiting -= asker->waiting > 0;
   put_grant (broker, request, server, &msg.MeshMsg_u.grant);
+  msg.MeshMsg_u.grant.rest_most_ms = (u_int) (rest_most / FT_MS);
   msg.MeshMsg_u.grant.org_fill = fill_of (broker, org);
   mesh_send (asker->peer, &msg);
 }
@@ -266,6 +282,8 @@
                    .aim_at = now + from->aim_in_us,
                    .limit_at = now + from->limit_in_us,
                    .end_at = now + from->end_in_us,
+                   .kept = from->kept.kept_val,
+                   .kept_count = from->kept.kept_len,
                    .avoid = from->avoid,
                    .cost = from->cost_tokens };
 
@@ -316,7 +334,7 @@
     case MESH_DONE:
       result
           = (SchedResult){ done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome : SCHED_LEFT,
-                           done->event_us, done->answer_us };
+                           done->event_us, done->answer_us, done->broke, done->rested_ms * FT_MS };
       sched_done (broker->sched, peer->lifetime, done->request, &result);
       return true;
     default:
--- a/node/broker.h
+++ b/node/broker.h
@@ -10,11 +10,19 @@
 
 typedef struct Broker Broker;
 
-/* Verdicts on requests of the own instance. Never called from within broker_ask. server is
- * borrowed; it is one that leaves if the list has lost it meanwhile. */
+/* A place for a request, by one scheduler's list. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t request, const SeamServer *server);
+  SeamServer server; /* id, name, address and whether it leaves, borrowed; one that the list has
+                        lost leaves */
+  int64_t listed_at; /* when that list was asked for */
+  int64_t rest_most; /* connections that rested longer are not used for what may run once only */
+} Grant;
+
+/* Verdicts on requests of the own instance. Never called from within broker_ask. */
+typedef struct
+{
+  void (*grant) (void *host, uint64_t request, const Grant *grant);
   void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
 } BrokerOps;
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -290,9 +290,9 @@
 /* ---- Callers and the balancer ---- */
 
 static void
-on_grant (void *host, uint64_t request, const SeamServer *server, int64_t asked_at)
+on_grant (void *host, uint64_t request, const Grant *grant)
 {
-  requests_grant (((Entry *) host)->requests, request, server, asked_at);
+  requests_grant (((Entry *) host)->requests, request, grant);
 }
 
 static void
--- a/node/place.c
+++ b/node/place.c
@@ -39,6 +39,7 @@
   uint64_t number;
   SchedAsk ask;
   char *service, *org, *avoid, *server;
+  uint32_t *kept;
   double cost;
   MeshPeer *at;              /* waits at that scheduler; NULL: at the own one */
   MeshPeer *told[TOLD_MOST]; /* schedulers that have it in their ledgers */
@@ -83,6 +84,7 @@
   g_free (item->org);
   g_free (item->avoid);
   g_free (item->server);
+  g_free (item->kept);
   g_free (item);
 }
 
@@ -183,6 +185,7 @@
                                  .aim_in_us = ask->aim_at - now,
                                  .limit_in_us = ask->limit_at - now,
                                  .end_in_us = ask->end_at - now,
+                                 .kept = { ask->kept_count, item->kept },
                                  .avoid = item->avoid ? item->avoid : none,
                                  .running = item->running,
                                  .server = item->server ? item->server : none };
@@ -191,12 +194,23 @@
   note_told (item, peer);
 }
 
+static MeshDone
+done_message (uint64_t number, const SchedResult *result)
+{
+  return (MeshDone){ .request = number,
+                     .outcome = result->outcome,
+                     .event_us = result->event_us,
+                     .answer_us = result->answer_us,
+                     .broke = result->broke,
+                     .rested_ms = (u_int) ((result->rested_us + FT_MS - 1) / FT_MS) };
+}
+
 static void
 send_done (MeshPeer *peer, uint64_t number, const SchedResult *result)
 {
   MeshMsg msg = { .kind = MESH_DONE };
 
-  msg.MeshMsg_u.done = (MeshDone){ number, result->outcome, result->event_us, result->answer_us };
+  msg.MeshMsg_u.done = done_message (number, result);
   mesh_send (peer, &msg);
 }
 
@@ -443,16 +457,16 @@
 /* ---- Verdicts ---- */
 
 static void
-on_own_grant (void *host, uint64_t number, const SeamServer *server)
+on_own_grant (void *host, uint64_t number, const Grant *grant)
 {
   Place *place = host;
   Item *item = item_of (place, number);
 
   if (item == NULL || item->running || item->at)
     return;
-  run (place, item, server->id);
+  run (place, item, grant->server.id);
   spent_granted (place->spent, NULL, item->org, item->cost);
-  place->ops->grant (place->host, number, server, loop_now (place->loop));
+  place->ops->grant (place->host, number, grant);
 }
 
 static void
@@ -470,28 +484,29 @@
 static const BrokerOps own_ops = { on_own_grant, on_own_refuse };
 
 static void
-on_grant (Place *place, MeshPeer *peer, const MeshGrant *grant)
+on_grant (Place *place, MeshPeer *peer, const MeshGrant *from)
 {
-  Item *item = item_of (place, grant->request);
+  Item *item = item_of (place, from->request);
 
   if (item == NULL || item->running)
     {
-      if (item == NULL || strcmp (item->server, grant->server) != 0)
-        send_done (peer, grant->request, &withdrawn);
+      if (item == NULL || strcmp (item->server, from->server) != 0)
+        send_done (peer, from->request, &withdrawn);
       return;
     }
   if (item->at != peer)
     withdraw (place, item);
-  run (place, item, grant->server);
+  run (place, item, from->server);
   spent_granted (place->spent, peer, item->org, item->cost);
-  note_report (place, peer, item->org, grant->org_fill);
-  broker_adopt (place->own, &item->ask, grant->server, item->cost);
-  SeamServer server = { .id = grant->server,
-                        .name = *grant->name ? grant->name : grant->server,
-                        .addr = { grant->ip, (uint16_t) grant->port },
-                        .leaving = grant->ip == 0 };
-  place->ops->grant (place->host, grant->request, &server,
-                     loop_now (place->loop) - grant->list_age_ms * FT_MS);
+  note_report (place, peer, item->org, from->org_fill);
+  broker_adopt (place->own, &item->ask, from->server, item->cost);
+  Grant grant = { .server = { .id = from->server,
+                              .name = *from->name ? from->name : from->server,
+                              .addr = { from->ip, (uint16_t) from->port },
+                              .leaving = from->ip == 0 },
+                  .listed_at = loop_now (place->loop) - from->list_age_ms * FT_MS,
+                  .rest_most = from->rest_most_ms * FT_MS };
+  place->ops->grant (place->host, from->request, &grant);
 }
 
 static void
@@ -587,6 +602,8 @@
   item->ask.service = item->service = g_strdup (ask->service);
   item->ask.org = item->org = g_strdup (ask->org ? ask->org : "");
   item->ask.avoid = item->avoid = g_strdup (ask->avoid);
+  item->ask.kept_count = MIN (ask->kept_count, MESH_KEPT_MOST);
+  item->ask.kept = item->kept = g_memdup2 (ask->kept, item->ask.kept_count * sizeof *ask->kept);
   item->cost = cost;
   g_hash_table_insert (place->items, &item->number, item);
   place->waiting++;
@@ -625,7 +642,7 @@
 
   if (item == NULL)
     return;
-  msg.MeshMsg_u.done = (MeshDone){ request, result->outcome, result->event_us, result->answer_us };
+  msg.MeshMsg_u.done = done_message (request, result);
   tell_all (item, &msg);
   drop (place, item);
   broker_done (place->own, request, result);
--- a/node/place.h
+++ b/node/place.h
@@ -7,11 +7,10 @@
 
 typedef struct Place Place;
 
-/* Never called from within place_ask. server: id, name, address and whether it leaves, borrowed, by
- * a list that was asked for at asked_at. */
+/* Never called from within place_ask. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t request, const SeamServer *server, int64_t asked_at);
+  void (*grant) (void *host, uint64_t request, const Grant *grant);
   void (*refuse) (void *host, uint64_t request, const SchedRefusal *refusal);
 } PlaceOps;
 
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -32,6 +32,8 @@
   HXfer *xfer;
   /* The answer of the try. */
   int64_t sent_at, first_at, event_at, event_sum;
+  int64_t rested;     /* how long the connection had; 0: a new one */
+  bool broke;         /* it did so as the request was sent */
   int64_t pause_most; /* longest between two events */
   unsigned events, status;
   bool head_seen, is_stream, rejected;
@@ -62,7 +64,7 @@
 /* ---- One try at a server (try.c) ---- */
 
 /* Sends the request; req_after_try follows. */
-void try_send (Req *req, const SeamServer *server);
+void try_send (Req *req, const Grant *grant);
 /* When the server of a try has been silent for too long. */
 void try_on_silence (LoopTimer *timer);
 
--- a/node/requests.c
+++ b/node/requests.c
@@ -98,6 +98,8 @@
     result.event_us = req->event_sum / (req->events - 1);
   if (req->sent_at)
     result.answer_us = now - req->sent_at;
+  result.broke = req->broke;
+  result.rested_us = req->rested;
   place_done (req->all->conf.place, req->number, &result);
   forget_number (req);
 }
@@ -165,16 +167,33 @@
   return facts->output_most ? MIN (guess, facts->output_most) : guess;
 }
 
+/* Failure: hundreds of entries send a few requests a second each to hundreds of servers, placed
+ * without a word on whom they are connected to. Symptom: four in five requests to engines wait for
+ * a new connection, although the entry has 23 idle ones to others. An ask names these. */
+static unsigned
+name_kept (HCli *cli, uint32_t *kept)
+{
+  const char *keys[SCHED_KEPT_MOST];
+  unsigned count = hcli_idle_keys (cli, keys, SCHED_KEPT_MOST);
+
+  for (unsigned i = 0; i < count; i++)
+    kept[i] = sched_server_digest (keys[i]);
+  return count;
+}
+
 static void
 ask (Req *req, bool first)
 {
   SchedAsk out = { 0 };
+  uint32_t kept[SCHED_KEPT_MOST];
 
   req->number = ++req->all->next_number;
   g_hash_table_insert (req->all->by_number, &req->number, req);
   req->head_seen = req->is_stream = req->rejected = req->elsewhere = false;
   req->sent_at = req->first_at = req->event_at = req->event_sum = 0;
   req->events = 0;
+  req->rested = 0;
+  req->broke = false;
   g_string_truncate (req->held, 0);
   out.request = req->number;
   out.service = req->service;
@@ -190,6 +209,8 @@
   out.limit_at = req->begun ? req_now (req) + SILENT_EVENT : req->first_by;
   out.end_at = req->end_at;
   out.avoid = req->avoid;
+  out.kept = kept;
+  out.kept_count = name_kept (req->all->conf.cli, kept);
   place_ask (req->all->conf.place, &out, first ? cost_of (req) : 0);
 }
 
@@ -285,18 +306,19 @@
 /* Does the list held here say that the server leaves, or, if it is newer than the one by which it
  * was granted, no longer name it? */
 static bool
-is_known_gone (const Requests *all, const char *id, int64_t asked_at)
+is_known_gone (const Requests *all, const char *id, int64_t listed_at)
 {
   const SeamServer *held = servers_find (all->conf.servers, id);
 
   if (held)
     return held->leaving;
-  return servers_asked_at (all->conf.servers) > asked_at;
+  return servers_asked_at (all->conf.servers) > listed_at;
 }
 
 void
-requests_grant (Requests *all, uint64_t number, const SeamServer *server, int64_t asked_at)
+requests_grant (Requests *all, uint64_t number, const Grant *grant)
 {
+  const SeamServer *server = &grant->server;
   Req *req = g_hash_table_lookup (all->by_number, &number);
   SchedResult rejected = { .outcome = SCHED_LEFT };
 
@@ -308,8 +330,8 @@
   jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", server->id),
         JL_MS ("waited_ms", req_now (req) - req->arrived),
         JL_TEXT ("by", place_by (all->conf.place)),
-        JL_MS ("list_age_ms", req_now (req) - asked_at));
-  if (server->leaving || is_known_gone (all, server->id, asked_at))
+        JL_MS ("list_age_ms", req_now (req) - grant->listed_at));
+  if (server->leaving || is_known_gone (all, server->id, grant->listed_at))
     {
       place_done (all->conf.place, number, &rejected);
       forget_number (req);
@@ -318,7 +340,7 @@
       ask (req, false);
       return;
     }
-  try_send (req, server);
+  try_send (req, grant);
 }
 
 void
--- a/node/requests.h
+++ b/node/requests.h
@@ -30,9 +30,7 @@
 /* Its caller has left. */
 void requests_gone (Requests *requests, HCall *call);
 /* The scheduler's verdicts. */
-/* server as a list that was asked for at asked_at names it; see PlaceOps. */
-void requests_grant (Requests *requests, uint64_t number, const SeamServer *server,
-                     int64_t asked_at);
+void requests_grant (Requests *requests, uint64_t number, const Grant *grant);
 void requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal);
 unsigned requests_open (const Requests *requests);
 
--- a/node/try.c
+++ b/node/try.c
@@ -13,12 +13,14 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define CONNECT_MOST    (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
-#define IDLE_MOST       (8 * FT_SECOND)
-#define IDLE_MOST_ONCE  (2 * FT_SECOND) /* what runs once is not risked on an old connection */
-#define HELD_MOST       (1u << 20)      /* a longer plain answer is passed on as it comes, bytes */
-#define SILENT_PLAIN    2.0             /* times the aim without a plain answer */
-#define SILENT_STREAM   2.0             /* times the aim without a first event ... */
+#define CONNECT_MOST (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
+#define IDLE_MOST    (8 * FT_SECOND)
+#define BREAKS_AT_ONCE                                                                             \
+  (25 * FT_MS) /* the reset of a connection that the other end has forgotten is back within a      \
+                  round trip, some 2 ms between failure domains; answers take longer */
+#define HELD_MOST       (1u << 20) /* a longer plain answer is passed on as it comes, bytes */
+#define SILENT_PLAIN    2.0        /* times the aim without a plain answer */
+#define SILENT_STREAM   2.0        /* times the aim without a first event ... */
 #define SILENT_TOKEN_US 60 /* ... and so long for each token of the prompt: the slowest seen */
 #define SILENT_LEAST    (600 * FT_MS)
 
@@ -205,6 +207,7 @@
       req_after_try (req, RETRY_UNREACHED);
       return;
     }
+  req->broke = !req->head_seen && req_now (req) - req->sent_at < BREAKS_AT_ONCE;
   if (req->rejected)
     after_rejection (req);
   else
@@ -225,12 +228,13 @@
 }
 
 void
-try_send (Req *req, const SeamServer *server)
+try_send (Req *req, const Grant *grant)
 {
+  const SeamServer *server = &grant->server;
   Requests *all = req->all;
   const GByteArray *body = hcall_body (req->call);
   bool once = !rt_route_repeatable (req->route);
-  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? IDLE_MOST_ONCE : IDLE_MOST,
+  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? grant->rest_most : IDLE_MOST,
                         strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
   SeamForward forward = { .server = server->name,
                           .org = req->org ? req->org->name : NULL,
@@ -249,7 +253,9 @@
   arm_silence (req, silence_bound (req));
   req->xfer = hcli_send (all->conf.cli, &target, message, &xfer_ops, req);
   g_string_free (message, TRUE);
-  if (req->xfer == NULL)
+  if (req->xfer)
+    req->rested = hxfer_rested (req->xfer);
+  else
     on_failed (req, HXFER_UNREACHED);
 }
 
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -15,18 +15,29 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TOKEN_US    6000.0   /* time of a token before any was seen; large models take 2 to 30 ms */
-#define ANSWER_US   40000.0  /* a plain service's answer before any was seen */
-#define CHUNK       1024     /* tokens of a prompt that engines compute at once, a usual setting */
-#define LEARN       0.25     /* weight of a new sample: four samples replace most of the past */
-#define HARM_US     400000.0 /* cost of making one neighbour late, as much as finishing later */
-#define LATE_US     1500000.0 /* cost of being late where another server would not be */
-#define GAP_USED    0.85      /* of a neighbour's bound that a pause may reach by our estimate */
-#define CONTACT_FOR (2500 * FT_MS) /* connections are kept a little longer than that */
+#define TOKEN_US           6000.0 /* time of a token before any was seen; large models take 2 to 30 ms */
+#define ANSWER_US          40000.0 /* a plain service's answer before any was seen */
+#define CHUNK              1024 /* tokens of a prompt that engines compute at once, a usual setting */
+#define LEARN              0.25 /* weight of a new sample: four samples replace most of the past */
+#define HARM_US            400000.0 /* cost of making one neighbour late, as much as finishing later */
+#define LATE_US            1500000.0 /* cost of being late where another server would not be */
+#define GAP_USED           0.85 /* of a neighbour's bound that a pause may reach by our estimate */
+#define REST_ANY           (3600 * FT_SECOND) /* as long as the server says that it keeps it */
+#define REST_FEARED        (200.0 * FT_MS) /* shorter than what a server forgets in a burst of load */
+#define REST_TOGETHER      (2 * FT_SECOND) /* breaks at several servers that have one cause */
+#define REST_SERVERS       4 /* of a large service: fewer may be faults of their own */
+#define REST_SERVERS_LEAST 2 /* of a small one */
+#define NEW_BROKE_FOR      (5 * FT_SECOND) /* a fault that breaks new connections may last so long */
+#define REST_DOUBLES                                                                               \
+  2.5e6 /* microseconds: a fault of seconds is met once or twice more, and 15 s                    \
+           after it connections are kept as before */
 #define OPEN_ENGINE_US                                                                             \
-  30000.0 /* the same for an engine, whose answers take a second: with 64 entries before 140       \
-             engines a tenth fewer connections are opened, times to first events unchanged */
-#define OPEN_US 12000.0 /* worth of a connection: its set-up, and it holds a place meanwhile */
+  100e3 /* worth of a connection that is there, to an engine, whose answers take a second: with    \
+           291 entries before 160 engines 14,400 instead of 20,300 connections were opened for     \
+           34,300 requests, and as many were on time */
+#define OPEN_US                                                                                    \
+  30e3 /* the same to a plain service, as long as an answer takes: its set-up, and it holds a      \
+          place meanwhile */
 #define OWN_TIER                                                                                   \
   0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 one and   \
          a half to five times as much worth is given up late */
@@ -210,38 +221,89 @@
   return out;
 }
 
-static Contact *
-contact_of (Server *server, uint64_t owner)
+/* Marks the servers to which the job's owner has connections. */
+static void
+mark_kept (Sched *sched, const Job *job)
 {
-  for (unsigned i = 0; i < CONTACTS; i++)
-    if (server->contacts[i].owner == owner && server->contacts[i].at)
-      return &server->contacts[i];
-  return NULL;
+  sched->choices++;
+  for (unsigned i = 0; i < job->ask.kept_count; i++)
+    {
+      Server *server = g_hash_table_lookup (sched->by_digest, GUINT_TO_POINTER (job->kept[i]));
+      if (server)
+        server->kept_by = sched->choices;
+    }
 }
 
-void
-est_note_contact (Server *server, uint64_t owner, int64_t now)
+bool
+est_kept_place (const Sched *sched, const Job *job, int64_t now)
 {
-  Contact *contact = contact_of (server, owner);
-
-  for (unsigned i = 0; contact == NULL && i < CONTACTS; i++)
-    if (now - server->contacts[i].at > CONTACT_FOR)
-      contact = &server->contacts[i];
-  if (contact == NULL)
-    contact = &server->contacts[now / 1000 % CONTACTS];
-  *contact = (Contact){ owner, now };
+  for (unsigned i = 0; i < job->ask.kept_count; i++)
+    {
+      const Server *server
+          = g_hash_table_lookup (sched->by_digest, GUINT_TO_POINTER (job->kept[i]));
+      if (server && server->service == job->service && est_has_place (sched, server, now))
+        return true;
+    }
+  return false;
 }
 
 static double
-open_us (Server *server, uint64_t owner, int64_t now)
+open_us (const Sched *sched, const Server *server)
 {
-  const Contact *contact = contact_of (server, owner);
-
-  if (contact && now - contact->at < CONTACT_FOR)
+  if (server->kept_by == sched->choices)
     return 0;
   return server->service->conf.engine ? OPEN_ENGINE_US : OPEN_US;
 }
 
+/* Failure: servers, or what is between, forget connections that rest for a moment, without a word.
+ * Symptom: what is sent there is reset, and what may run once only is lost to its caller. From the
+ * first one on only connections that have hardly rested are used for such at that server, and once
+ * some servers do it at all of the service; that bound doubles while nothing breaks. */
+int64_t
+est_rest_most (const Server *server, int64_t now)
+{
+  int64_t broke_at = MAX (server->rest_broke_at, server->service->rest_broke_at);
+
+  if (broke_at == 0)
+    return REST_ANY;
+  double times = exp2 ((double) (now - broke_at) / REST_DOUBLES);
+  return (int64_t) MIN ((double) REST_ANY, REST_FEARED * times);
+}
+
+/* Where new connections break as well the rest is not the cause, and new ones are no cure. */
+static void
+forget_rests (Service *service, int64_t now)
+{
+  Server *server;
+
+  service->new_broke_at = now;
+  service->rest_broke_at = 0;
+  cds_list_for_each_entry (server, &service->servers, link) server->rest_broke_at = 0;
+}
+
+void
+est_broke (Server *server, bool rested, int64_t now)
+{
+  Service *service = server->service;
+  unsigned all = 0, lately = 0;
+
+  if (!rested)
+    {
+      forget_rests (service, now);
+      return;
+    }
+  if (service->new_broke_at && now - service->new_broke_at < NEW_BROKE_FOR)
+    return;
+  server->rest_broke_at = now;
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    all++;
+    lately += server->rest_broke_at > 0 && now - server->rest_broke_at < REST_TOGETHER;
+  }
+  if (lately >= CLAMP (all / 4, REST_SERVERS_LEAST, REST_SERVERS))
+    service->rest_broke_at = now;
+}
+
 /* Failure: many servers fail a part of what they get, and fail it fast, so their places are free
  * first. Symptom: they get more than their part, and callers lose answers that others would have
  * given. What a server fails makes it dearer, for a while. */
@@ -289,12 +351,13 @@
 
 /* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
 Server *
-est_choose (const Sched *sched, const Job *job, int64_t now)
+est_choose (Sched *sched, const Job *job, int64_t now)
 {
   Server *server, *best = NULL;
   double best_total = 0;
   Estimate chosen = { 0 };
 
+  mark_kept (sched, job);
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
     if (!est_has_place (sched, server, now) || !fits_memory (server, &job->ask)
@@ -303,7 +366,7 @@
     if (server->trial && job->ask.repeatable)
       return server;
     Estimate here = estimate (server, &job->ask, now);
-    double cost = total (&here) + open_us (server, job->key.owner, now) + failing_us (server, now);
+    double cost = total (&here) + open_us (sched, server) + failing_us (server, now);
     if (best == NULL || cost < best_total)
       {
         best = server;
--- a/src/health.c
+++ b/src/health.c
@@ -7,15 +7,13 @@
  */
 #include "schedint.h"
 
-#include <string.h>
-
 /* Tuning; each row with its reason. */
 #define OUT_FIRST    (300 * FT_MS)    /* first time out: a restart or a lost packet */
 #define REJECTED_OUT (40 * FT_MS)     /* a full server: until one of its places is free */
 #define GONE_OUT     (10 * FT_SECOND) /* lists show a lost server for some seconds */
 #define FAIL_LEARN   0.2              /* weight of a new outcome in the share of failures */
 #define FAIL_OUT     0.45             /* share of failures that takes a server out */
-#define FAIL_TIMES   1.8              /* and so many times its service's mean */
+#define FAIL_TIMES 1.8 /* and so many times its service's mean */
 
 static double
 mean_failures (const Service *service)
@@ -58,7 +56,6 @@
   server->out_at = now;
   server->out_until = now + server->out_for;
   server->trial = true;
-  memset (server->contacts, 0, sizeof server->contacts); /* connections there are lost */
   sched->ops->believes (sched->host, server->id, true, why, server->out_for);
 }
 
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -19,6 +19,7 @@
 #define MESH_VOTERS_MOST 16
 #define MESH_SERVERS_MOST 8192
 #define MESH_ORGS_MOST 8192
+#define MESH_KEPT_MOST 32
 #define MESH_FILL_UNKNOWN 4294967295
 
 enum MeshRole {
@@ -137,6 +138,10 @@
 	quad_t aim_in_us;
 	quad_t limit_in_us;
 	quad_t end_in_us;
+	struct {
+		u_int kept_len;
+		u_int *kept_val;
+	} kept;
 	char *avoid;
 	bool_t running;
 	char *server;
@@ -149,6 +154,7 @@
 	char *name;
 	u_int ip;
 	u_int port;
+	u_int rest_most_ms;
 	u_int list_age_ms;
 	u_int org_fill;
 };
@@ -179,6 +185,8 @@
 	u_int outcome;
 	quad_t event_us;
 	quad_t answer_us;
+	bool_t broke;
+	u_int rested_ms;
 };
 typedef struct MeshDone MeshDone;
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -8,6 +8,7 @@
 const MESH_VOTERS_MOST = 16;
 const MESH_SERVERS_MOST = 8192;
 const MESH_ORGS_MOST = 8192;
+const MESH_KEPT_MOST = 32;
 const MESH_FILL_UNKNOWN = 4294967295;
 
 enum MeshRole { MESH_ENTRY = 1, MESH_VOTER = 2 };
@@ -102,6 +103,8 @@
   hyper aim_in_us;            /* the first event, or the answer, is on time until then */
   hyper limit_in_us;          /* the caller leaves unless it hears the first of the answer by then */
   hyper end_in_us;           /* the caller's own time limit */
+  unsigned int kept<MESH_KEPT_MOST>; /* digests of the ids of servers to which the sender has
+                                        idle connections */
   string avoid<MESH_NAME_MOST>; /* server that failed this request; "": none */
   bool running;               /* placed before, by another scheduler: told for the ledger only */
   string server<MESH_NAME_MOST>; /* where it runs */
@@ -114,6 +117,8 @@
   unsigned int ip;             /* with port where it is, so that who lacks the list can send; 0:
                                   the scheduler's list no longer names it */
   unsigned int port;
+  unsigned int rest_most_ms;   /* connections to it that rested longer are not used for what may
+                                  run once only */
   unsigned int list_age_ms;    /* of the list by which this was decided, since it was asked for */
   unsigned int org_fill;     /* per mille of the organisation's limit that is left at once */
 };
@@ -143,6 +148,8 @@
   unsigned int outcome;      /* SchedOutcome */
   hyper event_us;            /* mean time between events; 0: unknown */
   hyper answer_us;           /* from sending to the end; 0: unknown */
+  bool broke;                /* the connection broke as the request was sent ... */
+  unsigned int rested_ms;    /* ... after it had rested for so long; 0: it was a new one */
 };
 
 enum MeshKind {
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -286,6 +286,9 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, MESH_KEPT_MOST,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->avoid, MESH_NAME_MOST))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->running))
@@ -345,6 +348,9 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, MESH_KEPT_MOST,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->avoid, MESH_NAME_MOST))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->running))
@@ -390,6 +396,9 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->end_in_us))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, MESH_KEPT_MOST,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->avoid, MESH_NAME_MOST))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->running))
@@ -412,12 +421,14 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->port))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rest_most_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
@@ -425,6 +436,7 @@
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->ip);
 			IXDR_PUT_U_LONG(buf, objp->port);
+			IXDR_PUT_U_LONG(buf, objp->rest_most_ms);
 			IXDR_PUT_U_LONG(buf, objp->list_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->org_fill);
 		}
@@ -436,12 +448,14 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->port))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rest_most_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
@@ -449,6 +463,7 @@
 		} else {
 			objp->ip = IXDR_GET_U_LONG(buf);
 			objp->port = IXDR_GET_U_LONG(buf);
+			objp->rest_most_ms = IXDR_GET_U_LONG(buf);
 			objp->list_age_ms = IXDR_GET_U_LONG(buf);
 			objp->org_fill = IXDR_GET_U_LONG(buf);
 		}
@@ -465,6 +480,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->port))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rest_most_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->list_age_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->org_fill))
@@ -525,6 +542,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->answer_us))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->broke))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rested_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -13,7 +13,6 @@
 #define INFLOW_US 2e6            /* span over which the arrivals of a tier are averaged */
 #define HOP_US    1500.0         /* sending and the first bytes back, between failure domains */
 #define OUT_MOST  (2400 * FT_MS) /* tried every few seconds at least */
-#define CONTACTS  16             /* owners remembered a server; more than its places */
 
 typedef struct Service Service;
 typedef struct Server Server;
@@ -23,28 +22,22 @@
   uint64_t owner, request;
 } Key;
 
-/* When an owner last had an answer from a server: it has a connection there that it can use again.
- */
-typedef struct
-{
-  uint64_t owner;
-  int64_t at;
-} Contact;
-
 typedef struct
 {
   struct cds_list_head link; /* of one of a tier's queues or of a server's runs */
   Key key;
   Service *service;
   Server *server; /* NULL: waits */
-  SchedAsk ask;   /* its strings are not used, but these */
+  SchedAsk ask;   /* its strings and kept are not used, but these */
   char *avoid, *org;
+  uint32_t *kept;
   int64_t granted_at;
   double prompt_us; /* predicted on its server */
   double work_us;   /* slot time on the service's best server */
   bool alone;       /* nothing else was pending on its server when it was granted */
   bool first_seen;
-  bool late; /* waits, and can no longer be on time */
+  unsigned passed; /* by connected ones of its queue that were due later */
+  bool late;       /* waits, and can no longer be on time */
 } Job;
 
 struct Server
@@ -65,10 +58,11 @@
   int64_t failed_at;   /* when it last failed one */
   int64_t answered_at; /* when it last answered anything */
   int64_t out_at, out_until, out_for, cold_until;
-  bool trial;                 /* was out: one request at a time until one succeeds */
-  bool out_failing;           /* it answered, but failed too much */
-  uint64_t tokens;            /* memory of its runs */
-  Contact contacts[CONTACTS]; /* the latest owners */
+  bool trial;            /* was out: one request at a time until one succeeds */
+  bool out_failing;      /* it answered, but failed too much */
+  uint64_t tokens;       /* memory of its runs */
+  int64_t rest_broke_at; /* when a connection that had rested last broke as it was used */
+  uint64_t kept_by;      /* number of the latest choice whose owner has a connection there */
 };
 
 typedef struct
@@ -104,7 +98,9 @@
   GPtrArray *tiers; /* Tier, highest first */
   Curve curve;      /* of a prompt's time */
   Summary summary;
-  unsigned open; /* servers with a free place, as of the last count */
+  int64_t rest_broke_at; /* when such last broke at several servers; 0: never */
+  int64_t new_broke_at;  /* when a new connection last did; 0 likewise */
+  unsigned open;         /* servers with a free place, as of the last count */
 };
 
 struct Sched
@@ -113,7 +109,9 @@
   const SchedOps *ops;
   void *host;
   GHashTable *services, *servers; /* by name, by id */
+  GHashTable *by_digest;          /* sched_server_digest of the id: Server */
   GHashTable *jobs;               /* Key: Job */
+  uint64_t choices;
   double share;
   uint64_t salt;
   bool listed; /* a list of servers has come */
@@ -141,9 +139,13 @@
 bool est_usable (const Server *server, int64_t now);
 bool est_has_place (const Sched *sched, const Server *server, int64_t now);
 /* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
-Server *est_choose (const Sched *sched, const Job *job, int64_t now);
-/* The owner has had an answer from the server, so it has a connection there. */
-void est_note_contact (Server *server, uint64_t owner, int64_t now);
+Server *est_choose (Sched *sched, const Job *job, int64_t now);
+/* Has a server to which the job's owner is connected a free place? */
+bool est_kept_place (const Sched *sched, const Job *job, int64_t now);
+/* How long a connection to the server may have rested to be used for what may run once only. */
+int64_t est_rest_most (const Server *server, int64_t now);
+/* A connection to the server broke as it was used, a new one or one that had rested. */
+void est_broke (Server *server, bool rested, int64_t now);
 
 /* ---- What waits (waiting.c) ---- */
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -15,7 +15,10 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define SCAN_MOST     48  /* waiting requests of a queue looked at in one decision */
+#define SCAN_MOST 48 /* waiting requests of a queue looked at in one decision */
+#define PASSED_MOST                                                                                \
+  8 /* connected requests that may go before one that is due earlier: a few ms at the load that    \
+       makes requests wait */
 #define TEACHES_LEAST 500 /* tokens: shorter prompts are lost in the noise of sending */
 /* ---- Records ---- */
 
@@ -63,6 +66,7 @@
 
   g_free (job->avoid);
   g_free (job->org);
+  g_free (job->kept);
   g_free (job);
 }
 
@@ -77,6 +81,7 @@
   sched->share = 1;
   sched->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   sched->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_free);
+  sched->by_digest = g_hash_table_new (NULL, NULL);
   sched->jobs = g_hash_table_new_full (key_hash, key_equal, NULL, job_free);
   return sched;
 }
@@ -87,6 +92,7 @@
   if (sched == NULL)
     return;
   g_hash_table_unref (sched->jobs);
+  g_hash_table_unref (sched->by_digest);
   g_hash_table_unref (sched->servers);
   g_hash_table_unref (sched->services);
   g_free (sched);
@@ -187,19 +193,25 @@
 
 /* ---- Dispatch ---- */
 
-static bool
-place (Sched *sched, Job *job, int64_t now)
+static void
+grant (Sched *sched, Job *job, Server *server, int64_t now)
 {
-  Server *server = est_choose (sched, job, now);
-
-  if (server == NULL)
-    return false;
   wait_remove (job);
   start (job, server, now);
   if (!est_has_place (sched, server, now) && job->service->open > 0)
     job->service->open--;
-  sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id);
-  return true;
+  sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id,
+                     est_rest_most (server, now));
+}
+
+static bool
+place (Sched *sched, Job *job, int64_t now)
+{
+  Server *server = est_choose (sched, job, now);
+
+  if (server)
+    grant (sched, job, server, now);
+  return server != NULL;
 }
 
 static void
@@ -221,12 +233,51 @@
   return service->open > 0;
 }
 
+static void
+note_passed (struct cds_list_head *queue, const Job *by)
+{
+  Job *job;
+
+  cds_list_for_each_entry (job, queue, link)
+  {
+    if (job == by)
+      return;
+    job->passed++;
+  }
+}
+
+/* Failure: places are short, and each that becomes free goes to whoever is due first, hardly ever
+ * to one whose owner is connected there. Symptom: most requests wait for a new connection, which
+ * holds the place meanwhile. Among those that wait one that is connected goes first; nobody is
+ * passed by more than PASSED_MOST of them, and on the whole nobody waits longer, since the place is
+ * taken. */
+static void
+dispatch_connected (Sched *sched, Service *service, struct cds_list_head *queue, int64_t now)
+{
+  Job *job, *next;
+  unsigned scanned = 0;
+
+  cds_list_for_each_entry_safe (job, next, queue, link)
+  {
+    if (scanned++ >= SCAN_MOST || service->open == 0 || job->passed >= PASSED_MOST)
+      return;
+    if (!est_kept_place (sched, job, now))
+      continue;
+    Server *server = est_choose (sched, job, now);
+    if (server == NULL || server->kept_by != sched->choices)
+      continue;
+    note_passed (queue, job);
+    grant (sched, job, server, now);
+  }
+}
+
 static void
 dispatch_queue (Sched *sched, Service *service, struct cds_list_head *queue, int64_t now)
 {
   Job *job, *next;
   unsigned scanned = 0;
 
+  dispatch_connected (sched, service, queue, now);
   cds_list_for_each_entry_safe (job, next, queue, link)
   {
     if (scanned++ >= SCAN_MOST || service->open == 0)
@@ -274,6 +325,9 @@
   job->service = service_of (sched, ask->service);
   job->ask = *ask;
   job->ask.service = job->ask.org = job->ask.avoid = NULL;
+  job->ask.kept = NULL;
+  job->ask.kept_count = MIN (ask->kept_count, SCHED_KEPT_MOST);
+  job->kept = g_memdup2 (ask->kept, job->ask.kept_count * sizeof *ask->kept);
   job->org = g_strdup (ask->org);
   job->avoid = ask->avoid && *ask->avoid ? g_strdup (ask->avoid) : NULL;
   job->work_us = est_work_us (sched, job->service, ask);
@@ -396,8 +450,8 @@
   Server *server = job->server;
   int64_t granted_at = job->granted_at;
   sched_forget (sched, job, now);
-  if (server && result->outcome == SCHED_OK)
-    est_note_contact (server, owner, now);
+  if (server && result->broke)
+    est_broke (server, result->rested_us > 0, now);
   if (server)
     health_judge (sched, server, result, granted_at, now);
   dispatch (sched, service, now);
@@ -422,6 +476,12 @@
 
 /* ---- The list of servers ---- */
 
+uint32_t
+sched_server_digest (const char *id)
+{
+  return g_str_hash (id);
+}
+
 static Server *
 server_new (Sched *sched, const SchedServer *from)
 {
@@ -433,17 +493,24 @@
   CDS_INIT_LIST_HEAD (&server->runs);
   cds_list_add_tail (&server->link, &server->service->servers);
   g_hash_table_insert (sched->servers, server->id, server);
+  g_hash_table_replace (sched->by_digest, GUINT_TO_POINTER (sched_server_digest (server->id)),
+                        server);
   return server;
 }
 
 static gboolean
 drop_unlisted (gpointer key, gpointer value, gpointer data)
 {
+  Sched *sched = data;
   const Server *server = value;
+  gpointer digest = GUINT_TO_POINTER (sched_server_digest (server->id));
 
   (void) key;
-  (void) data;
-  return !server->listed && server->running == 0;
+  if (server->listed || server->running > 0)
+    return FALSE;
+  if (g_hash_table_lookup (sched->by_digest, digest) == server)
+    g_hash_table_remove (sched->by_digest, digest);
+  return TRUE;
 }
 
 static void
@@ -477,7 +544,7 @@
       server->slots = MAX (servers[i].slots, 1);
       server->cold_until = now + servers[i].cold_us;
     }
-  g_hash_table_foreach_remove (sched->servers, drop_unlisted, NULL);
+  g_hash_table_foreach_remove (sched->servers, drop_unlisted, sched);
   forget_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -13,6 +13,8 @@
 
 typedef struct Sched Sched;
 
+#define SCHED_KEPT_MOST 32 /* servers that an ask names as connected */
+
 typedef enum
 {
   SCHED_OK,        /* a whole answer */
@@ -39,8 +41,10 @@
   int64_t aim_at;         /* on time until then, scheduler's clock */
   int64_t limit_at;       /* the first of the answer is of no use after */
   int64_t end_at;         /* the caller's own limit, bound of what it is told to wait */
-  const char *avoid;      /* server that has failed this request; NULL or "": none */
-  double cost;            /* what it was counted with against a limit; see SchedOps.unused */
+  const uint32_t *kept;   /* sched_server_digest of servers to which the owner has connections */
+  unsigned kept_count;
+  const char *avoid; /* server that has failed this request; NULL or "": none */
+  double cost;       /* what it was counted with against a limit; see SchedOps.unused */
 } SchedAsk;
 
 typedef struct
@@ -53,7 +57,9 @@
 /* Decisions, called from within the functions below; must not call back. */
 typedef struct
 {
-  void (*grant) (void *host, uint64_t owner, uint64_t request, const char *org, const char *server);
+  /* rest_most: see sched_rest_most. */
+  void (*grant) (void *host, uint64_t owner, uint64_t request, const char *org, const char *server,
+                 int64_t rest_most);
   void (*refuse) (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal);
   /* A request that waited here never ran by this scheduler's grant; cost is its ask's. */
   void (*unused) (void *host, const char *org, double cost);
@@ -84,6 +90,9 @@
   int64_t cold_us; /* stays slow for this long */
 } SchedServer;
 
+/* Stands for a server's id in SchedAsk.kept. */
+uint32_t sched_server_digest (const char *id);
+
 /* The whole list of servers: those that it lacks are gone. */
 void sched_list (Sched *sched, const SchedServer *servers, unsigned count);
 
@@ -104,6 +113,8 @@
   SchedOutcome outcome;
   int64_t event_us;  /* mean time between events; 0: unknown */
   int64_t answer_us; /* from sending to the end; 0: unknown */
+  bool broke;        /* its connection broke as the request was sent ... */
+  int64_t rested_us; /* ... after it had rested for so long; 0: it was a new one */
 } SchedResult;
 
 /* The request has ended on its server, or is given up while it waits. */
--- a/test/place.c
+++ b/test/place.c
@@ -41,14 +41,16 @@
 }
 
 static void
-on_grant (void *host, uint64_t request, const SeamServer *server, int64_t asked_at)
+on_grant (void *host, uint64_t request, const Grant *grant)
 {
+  const SeamServer *server = &grant->server;
+
   (void) host;
   (void) request;
   granted_at = server->addr;
   granted_leaving = server->leaving;
   g_strlcpy (granted_name, server->name, sizeof granted_name);
-  granted_list_age = loop_now (loop) - asked_at;
+  granted_list_age = loop_now (loop) - grant->listed_at;
   grants++;
 }
 
--- a/test/sched.c
+++ b/test/sched.c
@@ -37,6 +37,7 @@
 {
   TestClock clock;
   Sched *sched;
+  int64_t rest_most;    /* of the last grant */
   int64_t out_at;       /* when the first server was last taken out */
   unsigned outs;        /* how often */
   int64_t least_out_us; /* the shortest time from there until it was back */
@@ -60,13 +61,15 @@
 }
 
 static void
-on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *id)
+on_grant (void *host, uint64_t owner, uint64_t request, const char *org, const char *id,
+          int64_t rest_most)
 {
   Work *work = &world->work[request];
 
   (void) host;
   (void) owner;
   (void) org;
+  world->rest_most = rest_most;
   work->server = atoi (id + 1);
   work->sent_at = world->clock.now;
   Server *server = &world->servers[work->server];
@@ -175,7 +178,7 @@
 }
 
 static unsigned
-ask (unsigned tier, unsigned prompt, unsigned output)
+ask_kept (unsigned tier, unsigned prompt, unsigned output, const uint32_t *kept, unsigned count)
 {
   unsigned number = world->works++;
   Work *work = &world->work[number];
@@ -194,11 +197,19 @@
                    .gap_us = 300 * FT_MS,
                    .aim_at = now + world->aim,
                    .limit_at = now + world->patience,
-                   .end_at = now + 12 * FT_SECOND };
+                   .end_at = now + 12 * FT_SECOND,
+                   .kept = kept,
+                   .kept_count = count };
   sched_ask (world->sched, &ask);
   return number;
 }
 
+static unsigned
+ask (unsigned tier, unsigned prompt, unsigned output)
+{
+  return ask_kept (tier, prompt, output, NULL, 0);
+}
+
 static void
 finish (unsigned number, Work *work)
 {
@@ -649,6 +660,105 @@
   end ();
 }
 
+#define OWNERS   40
+#define IDLE_FOR (9 * FT_SECOND) /* a server that keeps connections for ten seconds */
+
+/* The servers to which an owner has connections, as it would name them in an ask. */
+static unsigned
+kept_of (int64_t last[SERVERS], uint32_t *kept)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < SERVERS; i++)
+    if (last[i] && world->clock.now - last[i] < IDLE_FOR)
+      kept[count++] = sched_server_digest (world->servers[i].id);
+  return count;
+}
+
+/* Forty entries send a few requests a second each to twelve servers. The scheduler sends each where
+ * it ends soonest by a hair, hardly ever where its entry is connected, and nearly every caller
+ * waits for a new connection. An ask names the servers to which its entry has connections, and one
+ * of them is chosen as long as it is about as good. */
+static void
+kept_connections_are_preferred (void)
+{
+  static int64_t last[OWNERS][SERVERS];
+  unsigned opened = 0, asked = 0;
+
+  begin (SERVERS, 6, true);
+  load (4, 30, usual);
+  memset (last, 0, sizeof last);
+  for (int i = 0; i < 10000; i++)
+    {
+      if (draw () < 0.1)
+        {
+          uint32_t kept[SERVERS];
+          unsigned owner = (unsigned) (draw () * OWNERS);
+          unsigned count = kept_of (last[owner], kept);
+          unsigned number = ask_kept (2, 1100, 60, kept, count);
+          int server = world->work[number].server;
+          if (server >= 0)
+            {
+              asked++;
+              opened
+                  += last[owner][server] == 0 || world->clock.now - last[owner][server] > IDLE_FOR;
+              last[owner][server] = world->clock.now;
+            }
+        }
+      step ();
+    }
+  settle ();
+  Tally got = tally (2, 0);
+  g_test_message ("%u opened for %u, %u of %u in time", opened, asked, got.in_time, got.asked);
+  g_assert_cmpuint (opened * 100, <, asked * 25);
+  g_assert_cmpuint (got.in_time * 100, >=, got.asked * 99);
+  end ();
+}
+
+/* Servers forget connections that rest for a moment, without a word. Each request that is sent on
+ * one is reset, and what may run once only is lost to its caller. After the first only connections
+ * that have just been used are taken for such; a while after the last one all are again. */
+static void
+forgotten_connections_are_feared (void)
+{
+  SchedResult broke = { .outcome = SCHED_FAILED, .broke = true, .rested_us = 3 * FT_SECOND };
+  SchedResult new_broke = { .outcome = SCHED_FAILED, .broke = true };
+
+  begin (4, 6, false);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      ask (0, 1000, 10);
+      g_assert_cmpint (world->rest_most, >, 60 * FT_SECOND);
+    }
+  for (unsigned i = 0; i < 2; i++)
+    {
+      sched_done (world->sched, 1, i, &broke);
+      world->servers[world->work[i].server].running--;
+      world->work[i].done = true;
+    }
+  for (unsigned i = 0; i < 8; i++)
+    {
+      ask (0, 1000, 10); /* at servers where none has broken, too */
+      g_assert_cmpint (world->rest_most, <, 300 * FT_MS);
+    }
+  settle ();
+  ask (0, 1000, 10);
+  g_assert_cmpint (world->rest_most, >, 10 * FT_SECOND);
+  settle ();
+  /* Where new ones break as well, resting is not the cause. */
+  for (unsigned i = 0; i < 3; i++)
+    {
+      unsigned number = ask (0, 1000, 10);
+      sched_done (world->sched, 1, number, i == 0 ? &new_broke : &broke);
+      world->servers[world->work[number].server].running--;
+      world->work[number].done = true;
+    }
+  ask (0, 1000, 10);
+  g_assert_cmpint (world->rest_most, >, 60 * FT_SECOND);
+  settle ();
+  end ();
+}
+
 /* In an overload a third of the callers leave before they are served, some while they wait, some
  * while their request runs. What they leave behind takes neither places nor a turn, so those who
  * stay are served as well as if the others had never come. */
@@ -819,6 +929,8 @@
   g_test_add_func ("/sched/release", rolling_release_is_hardly_seen);
   g_test_add_func ("/sched/gray", gray_servers_get_less);
   g_test_add_func ("/sched/stays_out", older_answers_bring_nothing_back);
+  g_test_add_func ("/sched/kept", kept_connections_are_preferred);
+  g_test_add_func ("/sched/forgotten", forgotten_connections_are_feared);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
   g_test_add_func ("/sched/list", requests_wait_for_the_list);
   g_test_add_func ("/sched/list_comes", list_ends_the_wait_for_places);
--- a/test/wire.c
+++ b/test/wire.c
@@ -304,6 +304,38 @@
   end ();
 }
 
+static void
+stop_later (LoopTimer *timer)
+{
+  (void) timer;
+  loop_stop (loop);
+}
+
+/* A scheduler that does not know to whom an entry is connected sends it to others, and a new
+ * connection is opened for nearly each request. The client names the servers to which it has idle
+ * connections, and no longer once the server has closed them. */
+static void
+idle_connections_are_named (void)
+{
+  Raw server = { .answer = OK };
+  const char *keys[4];
+
+  begin ();
+  raw_listen (&server);
+  Caller caller = call (2);
+  g_assert_cmpuint (hcli_idle_keys (caller.cli, keys, G_N_ELEMENTS (keys)), ==, 1);
+  g_assert_cmpstr (keys[0], ==, "k");
+  g_assert_cmpuint (hcli_idle_keys (caller.cli, keys, 0), ==, 0);
+  while (open_socks->len > 0)
+    close_raw (open_socks->pdata[0], false);
+  LoopTimer later = { .fire = stop_later };
+  loop_timer_set (loop, &later, loop_now (loop) + 20 * FT_MS);
+  loop_run (loop);
+  g_assert_cmpuint (hcli_idle_keys (caller.cli, keys, G_N_ELEMENTS (keys)), ==, 0);
+  call_end (&caller);
+  end ();
+}
+
 /* ---- The server ---- */
 
 typedef struct
@@ -531,6 +563,7 @@
   g_test_add_func ("/wire/client/garbage", garbage_is_a_failure);
   g_test_add_func ("/wire/client/nobody", nobody_listens);
   g_test_add_func ("/wire/client/kept", kept_connections_are_used);
+  g_test_add_func ("/wire/client/idle_keys", idle_connections_are_named);
   g_test_add_func ("/wire/server/smuggled", smuggled_requests_are_refused);
   g_test_add_func ("/wire/server/large", large_requests_are_refused);
   g_test_add_func ("/wire/server/pipelined", requests_follow_on_one_connection);
