Take a server out at seven failures in ten, not at three in a row

Ruled out: connections (late with and without), one slow server (all five alike). Change: the share that takes a server out is 0.7 (six in a row) instead of 0.45; what fails less is dearer, as before, and of use when others are full. Test: /sched/partly_failing, taken out 7 times before, once after.

--- a/src/health.c
+++ b/src/health.c
@@ -12,7 +12,10 @@
 #define REJECTED_OUT (40 * FT_MS)     /* a full server: until one of its places is free */
 #define GONE_OUT     (10 * FT_SECOND) /* lists show a lost server for some seconds */
 #define FAIL_LEARN   0.2              /* weight of a new outcome in the share of failures */
-#define FAIL_OUT     0.45             /* share of failures that takes a server out */
+#define FAIL_OUT                                                                                   \
+  0.7 /* share of failures that takes a server out: six in a row. One that fails four in ten is    \
+         dearer than others, and of use when they are full: taken out after three, 157 instead of  \
+         26 of 5,562 requests to a service of five such servers were late in a burst */
 #define FAIL_TIMES 1.8 /* and so many times its service's mean */
 
 static double
--- a/test/sched.c
+++ b/test/sched.c
@@ -759,6 +759,28 @@
   end ();
 }
 
+/* One server of a busy pool fails four in ten requests, as do others now and then. Taken out for
+ * three failures in a row its places are missing at worst load, and callers wait who would have had
+ * an answer from it more often than not. It only gets what no other has a place for. */
+static void
+partly_failing_server_stays (void)
+{
+  unsigned failed = 0;
+
+  begin (SERVERS, 6, false);
+  load (4, 110, usual);
+  world->servers[0].gray = true;
+  unsigned from = world->works;
+  load (20, 110, usual);
+  settle ();
+  for (unsigned t = 0; t < 3; t++)
+    failed += tally (t, from).failed;
+  g_test_message ("%u failed, taken out %u times", failed, world->outs);
+  g_assert_cmpuint (world->outs, <=, 2); /* 7 at three in a row */
+  g_assert_cmpuint (failed, <=, 20);
+  end ();
+}
+
 /* In an overload a third of the callers leave before they are served, some while they wait, some
  * while their request runs. What they leave behind takes neither places nor a turn, so those who
  * stay are served as well as if the others had never come. */
@@ -931,6 +953,7 @@
   g_test_add_func ("/sched/stays_out", older_answers_bring_nothing_back);
   g_test_add_func ("/sched/kept", kept_connections_are_preferred);
   g_test_add_func ("/sched/forgotten", forgotten_connections_are_feared);
+  g_test_add_func ("/sched/partly_failing", partly_failing_server_stays);
   g_test_add_func ("/sched/dead_owner", places_of_a_dead_owner_are_free);
   g_test_add_func ("/sched/list", requests_wait_for_the_list);
   g_test_add_func ("/sched/list_comes", list_ends_the_wait_for_places);
