Give what a voter tells others a module of its own

What two tests had in common, the far end of a link over a socket pair, is in test/peer.h. New tests: /publish/whole_lists (at most 12 in a tick, each entry once), /publish/entries (no view while one entry in thirty comes and goes; 600 before the bound of a sixteenth).

--- a/node/control.c
+++ b/node/control.c
@@ -11,6 +11,7 @@
 #include "instance.h"
 #include "jlog.h"
 #include "operators.h"
+#include "publish.h"
 #include "reader.h"
 #include "servers.h"
 #include "squeeze.h"
@@ -20,37 +21,14 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TICK          (20 * FT_MS)
-#define VIEW_EVERY    (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
-#define VIEW_FOLLOWER (400 * FT_MS) /* of a voter that is asked only when all others are silent */
-#define VIEW_WAITING  (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
-#define LIST_EVERY    (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
-#define LISTS_A_TICK                                                                               \
-  12 /* whole lists sent at once: 300 instances that start together have them within 0.5 s, and a  \
-        grant waits for no more than these on a voter's link */
-#define LIST_ALONE     (1200 * FT_MS)
-#define LIST_PART      0.5            /* of the platform's rate that the voter in charge uses */
-#define ALONE_AFTER    (900 * FT_MS)  /* longer than a usual election */
-#define PUSH_AGAIN     (1500 * FT_MS) /* a push that its entry has not confirmed is repeated */
-#define FOLLOWER_WAITS (600 * FT_MS)  /* before a voter that is not in charge sends one */
-#define UNSENT_SMALL   16384 /* bytes under way to an entry beyond which nothing large is added */
-#define LOST_KEPT                                                                                  \
-  (12 * FT_SECOND)    /* an entry that is cut off gives its part away by itself;                   \
-                         above the span of the limits, 8 s */
-#define DEPUTIES    3 /* entries that schedule when no voter does: three may not all be lost */
+#define TICK        (20 * FT_MS)
+#define LIST_EVERY  (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
+#define LIST_ALONE  (1200 * FT_MS)
+#define LIST_PART   0.5           /* of the platform's rate that the voter in charge uses */
+#define ALONE_AFTER (900 * FT_MS) /* longer than a usual election */
 #define LEAVE_LEAST (400 * FT_MS) /* the successor is elected */
 #define LEAVE_MOST  (2 * FT_SECOND)
 
-typedef struct
-{
-  MeshPeer *peer;
-  int64_t viewed_at, pushed_at, behind_since;
-  unsigned viewed, urgent; /* numbers of the view that it was sent last */
-  uint64_t pushed;         /* number of the document that it was sent last */
-  guint list_digest;       /* of the list that it was told of last */
-  bool wants_list;
-} Contact;
-
 typedef struct
 {
   Instance base;
@@ -65,286 +43,27 @@
   Reader *reader;
   Broker *broker;
   RtCat *cat;
-  GPtrArray *contacts; /* Contact of each accepted link */
-  GHashTable *lost;    /* ip of an entry whose link is down: GINT of the second until it counts */
+  Publish *publish;
   GHashTable *readers; /* ip of the other voters that hold the list of servers or read it */
   unsigned entries_up, entries_down; /* links to entries since they were logged last */
   int64_t entries_logged_at;
   LoopTimer tick;
-  GBytes *view;         /* the newest view's message, for all */
-  unsigned view_number; /* grows with each change of the view ... */
-  unsigned view_urgent; /* ... and with each that decides whom entries ask */
-  GBytes *packed;       /* the newest document's message, for all entries */
-  uint64_t packed_number;
-  unsigned list_next; /* contact that is sent a whole list next, if it wants one */
   VoterStatus status;
   VoterStatus noted; /* by note_charge */
-  MeshView shown;    /* by note_view; its lists are not used */
-  guint shown_deputies;
-  uint32_t deputies[DEPUTIES];
-  unsigned deputy_count;
   int64_t list_at, led_at, leaving_since;
 } Control;
 
 /* ---- Telling entries ---- */
 
-static unsigned
-count_heard (const Control *control)
-{
-  unsigned count = 0;
-
-  for (unsigned i = 0; i < control->contacts->len; i++)
-    {
-      const Contact *contact = control->contacts->pdata[i];
-      count += contact->peer->role == MESH_ENTRY && !contact->peer->leaving;
-    }
-  return count;
-}
-
-static gboolean
-is_over (gpointer ip, gpointer second, gpointer now)
-{
-  (void) ip;
-  return GPOINTER_TO_INT (second) < GPOINTER_TO_INT (now);
-}
-
-/* Entries that share the places and limits: those heard and those lost lately. */
-static unsigned
-count_entries (const Control *control)
-{
-  return count_heard (control) + g_hash_table_size (control->lost);
-}
-
 /* Failure: entries are cut off and give away their part of a limit themselves. Symptom: with the
  * whole limit given away here too an organisation passes it. So this accountant keeps the part of
  * the entries that it hears. */
 static void
-share_limits (Control *control, int64_t now)
-{
-  g_hash_table_foreach_remove (control->lost, is_over, GINT_TO_POINTER ((int) (now / FT_SECOND)));
-  unsigned heard = count_heard (control), lost = g_hash_table_size (control->lost);
-  broker_share (control->broker, 1, heard ? (double) heard / (heard + lost) : 1, 0);
-}
-
-static bool
-is_entry (const Control *control, uint32_t ip)
-{
-  for (unsigned i = 0; i < control->contacts->len; i++)
-    {
-      const MeshPeer *peer = ((Contact *) control->contacts->pdata[i])->peer;
-      if (peer->ip == ip && peer->role == MESH_ENTRY && !peer->leaving)
-        return true;
-    }
-  return false;
-}
-
-static bool
-is_deputy (const Control *control, uint32_t ip)
-{
-  for (unsigned i = 0; i < control->deputy_count; i++)
-    if (control->deputies[i] == ip)
-      return true;
-  return false;
-}
-
-/* Keeps those that are still there, so that entries agree on them, and fills up with the lowest
- * addresses, so that successive voters in charge choose alike. */
-static void
-choose_deputies (Control *control)
-{
-  unsigned kept = 0;
-
-  for (unsigned i = 0; i < control->deputy_count; i++)
-    if (is_entry (control, control->deputies[i]))
-      control->deputies[kept++] = control->deputies[i];
-  control->deputy_count = kept;
-  while (control->deputy_count < DEPUTIES)
-    {
-      uint32_t lowest = 0;
-      for (unsigned i = 0; i < control->contacts->len; i++)
-        {
-          const MeshPeer *peer = ((Contact *) control->contacts->pdata[i])->peer;
-          if (peer->role == MESH_ENTRY && !peer->leaving && !is_deputy (control, peer->ip)
-              && (lowest == 0 || peer->ip < lowest))
-            lowest = peer->ip;
-        }
-      if (lowest == 0)
-        return;
-      control->deputies[control->deputy_count++] = lowest;
-    }
-}
-
-static guint
-deputies_digest (const Control *control)
-{
-  guint digest = control->deputy_count;
-
-  for (unsigned i = 0; i < control->deputy_count; i++)
-    digest = digest * 31 + control->deputies[i];
-  return digest;
-}
-
-static bool
-is_urgent (const Control *control, const MeshView *view)
-{
-  const MeshView *shown = &control->shown;
-
-  return view->term != shown->term || view->leader != shown->leader || view->proved != shown->proved
-         || view->document != shown->document || view->reading != shown->reading
-         || deputies_digest (control) != control->shown_deputies;
-}
-
-/* Failure: a hundred entries are restarted in turn, so that their number changes many times a
- * second. Symptom: each change is a view to every entry, as many bytes as all asks together. What
- * they do by it, sharing limits out while no voter schedules, bears a sixteenth. */
-static unsigned
-steady_entries (const Control *control)
-{
-  unsigned now = count_entries (control), shown = control->shown.entries;
-  unsigned moved = now > shown ? now - shown : shown - now;
-
-  return moved * 16 <= shown ? shown : now;
-}
-
-/* Packs what entries are to know of this voter, and notes whether that has changed. */
-static void
-note_view (Control *control)
-{
-  MeshMsg msg = { .kind = MESH_VIEW };
-  MeshView *view = &msg.MeshMsg_u.view;
-  VoterStatus *status = &control->status;
-
-  voter_status (control->voter, status);
-  view->term = status->term;
-  view->leader = status->leader;
-  view->proved = status->proved && control->leaving_since == 0;
-  view->document = voter_newest (control->voter);
-  view->voters.voters_len = status->count;
-  view->voters.voters_val = status->voters;
-  view->entries = steady_entries (control);
-  view->reading = servers_asked_at (control->servers) > 0 || reader_busy (control->reader);
-  view->deputies.deputies_len = control->deputy_count;
-  view->deputies.deputies_val = control->deputies;
-  GBytes *packed = mesh_pack (&msg);
-  if (control->view && g_bytes_equal (packed, control->view))
-    {
-      g_bytes_unref (packed);
-      return;
-    }
-  g_clear_pointer (&control->view, g_bytes_unref);
-  control->view = packed;
-  control->view_number++;
-  control->view_urgent += is_urgent (control, view);
-  control->shown = *view;
-  control->shown_deputies = deputies_digest (control);
-}
-
-static void
-send_view (Control *control, Contact *contact, int64_t now)
-{
-  note_view (control);
-  mesh_send_packed (contact->peer, control->view);
-  contact->viewed = control->view_number;
-  contact->urgent = control->view_urgent;
-  contact->viewed_at = now;
-}
-
-/* How many entries share the limits changes with each link; who is in charge is said at once. */
-static void
-show_view (Control *control, Contact *contact, int64_t now)
-{
-  int64_t every = control->status.proved ? VIEW_EVERY : VIEW_FOLLOWER;
-
-  if (contact->urgent != control->view_urgent
-      || (contact->viewed != control->view_number && now - contact->viewed_at >= every))
-    send_view (control, contact, now);
-  else if (broker_waits (control->broker, contact->peer))
-    mesh_keep_alive (contact->peer, VIEW_WAITING);
-  else
-    mesh_keep_alive (contact->peer, every);
-}
-
-/* Failure: versions follow each other faster than a slow link takes them. Symptom: hundreds of them
- * wait in memory for each entry, and the newest comes last. One at a time is under way to an entry,
- * and what follows is the newest by then. */
-static void
-send_document (Control *control, Contact *contact, int64_t now)
-{
-  MeshMsg msg = { .kind = MESH_DOCUMENT };
-  uint64_t number;
-  GBytes *document = voter_document (control->voter, &number);
-  gsize size;
-
-  if (document == NULL)
-    return;
-  if (mesh_unsent (contact->peer) > UNSENT_SMALL
-      || (contact->pushed == number && now - contact->pushed_at < PUSH_AGAIN))
-    goto out;
-  if (control->packed_number != number)
-    {
-      msg.MeshMsg_u.document.number = number;
-      msg.MeshMsg_u.document.text.text_val = (char *) g_bytes_get_data (document, &size);
-      msg.MeshMsg_u.document.text.text_len = (u_int) size;
-      g_clear_pointer (&control->packed, g_bytes_unref);
-      control->packed = mesh_pack (&msg);
-      control->packed_number = number;
-    }
-  if (control->packed)
-    mesh_send_packed (contact->peer, control->packed);
-  contact->pushed = number;
-  contact->pushed_at = now;
-out:
-  g_bytes_unref (document);
-}
-
-static void
-send_list (Control *control, Contact *contact, int64_t now)
-{
-  MeshMsg msg = { .kind = MESH_LIST };
-  MeshList *list = &msg.MeshMsg_u.list;
-
-  if (servers_asked_at (control->servers) == 0 || mesh_unsent (contact->peer) > UNSENT_SMALL)
-    return;
-  servers_message (control->servers, now, contact->list_digest, list);
-  mesh_send (contact->peer, &msg);
-  servers_message_clear (list);
-  contact->list_digest = servers_digest (control->servers);
-}
-
-static bool
-send_whole_list (Control *control, Contact *contact, int64_t now)
-{
-  MeshMsg msg = { .kind = MESH_WHOLE_LIST };
-
-  if (!contact->wants_list || mesh_unsent (contact->peer) > UNSENT_SMALL
-      || !servers_whole (control->servers, now, &msg.MeshMsg_u.whole))
-    return false;
-  mesh_send (contact->peer, &msg);
-  contact->wants_list = false;
-  contact->list_digest = servers_digest (control->servers);
-  return true;
-}
-
-/* Failure: after a start of everything hundreds of entries want the whole list at once. Symptom:
- * a voter sends nothing but lists for seconds, and nobody is scheduled. Some are sent in each tick,
- * by turns; entries can serve before, since a grant says where its server is. */
-static void
-send_whole_lists (Control *control, int64_t now)
+share_limits (Control *control)
 {
-  unsigned sent = 0, all = control->contacts->len;
+  unsigned lost, heard = publish_entries (control->publish, &lost);
 
-  for (unsigned i = 0; i < all && sent < LISTS_A_TICK; i++)
-    {
-      control->list_next = (control->list_next + 1) % all;
-      sent += send_whole_list (control, control->contacts->pdata[control->list_next], now);
-    }
-}
-
-static void
-push_all (Control *control, void (*send) (Control *, Contact *, int64_t))
-{
-  for (unsigned i = 0; i < control->contacts->len; i++)
-    send (control, control->contacts->pdata[i], loop_now (control->loop));
+  broker_share (control->broker, 1, heard ? (double) heard / (heard + lost) : 1, 0);
 }
 
 /* ---- Links ---- */
@@ -367,12 +86,15 @@
 static void
 log_entries (Control *control, int64_t now)
 {
+  unsigned lost, linked;
+
   if (now < control->entries_logged_at + FT_SECOND
       || control->entries_up + control->entries_down == 0)
     return;
+  linked = publish_entries (control->publish, &lost);
   jlog (JLOG_INFO, "entries", NULL, JL_INT ("up", control->entries_up),
-        JL_INT ("down", control->entries_down), JL_INT ("linked", count_heard (control)),
-        JL_INT ("lost_lately", g_hash_table_size (control->lost)));
+        JL_INT ("down", control->entries_down), JL_INT ("linked", linked),
+        JL_INT ("lost_lately", lost));
   control->entries_up = control->entries_down = 0;
   control->entries_logged_at = now;
 }
@@ -385,38 +107,22 @@
   log_link (control, peer, true);
   if (peer->role == MESH_VOTER)
     voter_meet (control->voter, peer->ip);
-  g_hash_table_remove (control->lost, GUINT_TO_POINTER (peer->ip));
-  if (peer->dialled)
-    return;
-  Contact *contact = g_new0 (Contact, 1);
-  contact->peer = peer;
-  peer->user = contact;
-  g_ptr_array_add (control->contacts, contact);
-  broker_up (control->broker, peer);
-  send_view (control, contact, loop_now (control->loop));
-  send_list (control, contact, loop_now (control->loop));
-  if (peer->role == MESH_ENTRY && peer->document < voter_newest (control->voter))
-    send_document (control, contact, loop_now (control->loop));
+  if (!peer->dialled)
+    broker_up (control->broker, peer);
+  publish_up (control->publish, peer);
 }
 
 static void
 on_down (void *host, MeshPeer *peer)
 {
   Control *control = host;
-  Contact *contact = peer->user;
 
   log_link (control, peer, false);
   if (peer->dialled)
     g_hash_table_remove (control->readers, GUINT_TO_POINTER (peer->ip));
-  if (contact == NULL)
-    return;
-  if (peer->role == MESH_ENTRY && !peer->leaving)
-    g_hash_table_insert (
-        control->lost, GUINT_TO_POINTER (peer->ip),
-        GINT_TO_POINTER ((int) ((loop_now (control->loop) + LOST_KEPT) / FT_SECOND)));
-  broker_down (control->broker, peer);
-  g_ptr_array_remove_fast (control->contacts, contact);
-  g_free (contact);
+  else
+    broker_down (control->broker, peer);
+  publish_down (control->publish, peer);
 }
 
 static void
@@ -456,7 +162,6 @@
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
   Control *control = host;
-  Contact *contact = peer->user;
   const MeshView *view = &msg->MeshMsg_u.view;
   GByteArray *bytes;
 
@@ -475,8 +180,7 @@
       take_list (control, peer, &msg->MeshMsg_u.list);
       break;
     case MESH_WANT_LIST:
-      if (contact)
-        contact->wants_list = true;
+      publish_wants_list (peer);
       break;
     case MESH_WHOLE_LIST:
       take_whole_list (control, &msg->MeshMsg_u.whole);
@@ -484,8 +188,7 @@
     case MESH_ASK:
       if (control->leaving_since)
         {
-          if (contact) /* says so, and the entry asks another */
-            send_view (control, contact, loop_now (control->loop));
+          publish_view (control->publish, peer); /* says so, and the entry asks another */
           break;
         }
       broker_message (control->broker, peer, msg);
@@ -550,7 +253,7 @@
         JL_INT ("term", control->status.term));
   broker_catalogue (control->broker, cat);
   if (control->status.proved)
-    push_all (control, send_document);
+    publish_documents (control->publish);
 out:
   if (text)
     g_bytes_unref (text);
@@ -590,7 +293,7 @@
       jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (control->servers)),
             JL_MS ("took_ms", now - asked_at));
     }
-  push_all (control, send_list);
+  publish_lists (control->publish);
 }
 
 /* Failure: all voters start at once and each reads the list before one of them is in charge.
@@ -648,25 +351,7 @@
     {
       if (control->status.proved)
         control->list_at = 0;
-      push_all (control, send_view);
-    }
-}
-
-static void
-tick_contacts (Control *control, int64_t now)
-{
-  uint64_t number = voter_newest (control->voter);
-
-  note_view (control);
-  for (unsigned i = 0; i < control->contacts->len; i++)
-    {
-      Contact *contact = control->contacts->pdata[i];
-      show_view (control, contact, now);
-      if (contact->peer->document >= number)
-        contact->behind_since = now;
-      if (contact->peer->role == MESH_ENTRY && contact->peer->document < number
-          && (control->status.proved || now - contact->behind_since > FOLLOWER_WAITS))
-        send_document (control, contact, now);
+      publish_views (control->publish);
     }
 }
 
@@ -677,10 +362,9 @@
   int64_t now = loop_now (control->loop);
 
   note_charge (control);
-  share_limits (control, now);
-  choose_deputies (control);
-  tick_contacts (control, now);
-  send_whole_lists (control, now);
+  share_limits (control);
+  publish_state (control->publish, control->leaving_since != 0, reader_busy (control->reader));
+  publish_tick (control->publish);
   read_list (control, now);
   log_entries (control, now);
   operators_tick (control->operators);
@@ -710,7 +394,8 @@
         JL_INT ("changes", operators_open (control->operators)));
   operators_leave (control->operators);
   voter_hand_over (control->voter);
-  push_all (control, send_view);
+  publish_state (control->publish, true, reader_busy (control->reader));
+  publish_views (control->publish);
 }
 
 static void
@@ -729,6 +414,7 @@
   SchedStats stats;
   char *servers = broker_describe (control->broker);
   GString *out = g_string_new (NULL);
+  unsigned lost, linked = publish_entries (control->publish, &lost);
 
   broker_stats (control->broker, &stats);
   voter_status (control->voter, &control->status);
@@ -739,8 +425,8 @@
       "\nfoxtail_entries %u\nfoxtail_waiting %u\nfoxtail_running %u\nfoxtail_servers %u\n"
       "foxtail_servers_out %u\nfoxtail_places %u\nfoxtail_list_age_seconds %g\n",
       control->status.term, control->status.proved, control->status.count,
-      voter_newest (control->voter), count_entries (control), stats.waiting, stats.running,
-      stats.servers, stats.out, stats.slots,
+      voter_newest (control->voter), linked + lost, stats.waiting, stats.running, stats.servers,
+      stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
   mesh_describe (control->mesh, out);
   g_string_append (out, "# servers as this voter sees them\n");
@@ -758,18 +444,13 @@
   voter_free (control->voter);
   operators_free (control->operators);
   mesh_free (control->mesh);
+  publish_free (control->publish);
   reader_free (control->reader);
   hcli_free (control->cli);
   servers_free (control->servers);
   broker_free (control->broker);
   rt_cat_unref (control->cat);
-  if (control->packed)
-    g_bytes_unref (control->packed);
-  if (control->view)
-    g_bytes_unref (control->view);
-  g_hash_table_unref (control->lost);
   g_hash_table_unref (control->readers);
-  g_ptr_array_unref (control->contacts);
   g_free (control);
 }
 
@@ -820,14 +501,15 @@
   broker_margin (control->broker, settings->limit_overage, (double) settings->limit_slack,
                  (double) settings->limit_window_s, true);
   control->reader = reader_new (loop, control->cli, seam, settings->list, on_list_read, control);
-  control->contacts = g_ptr_array_new ();
-  control->lost = g_hash_table_new (NULL, NULL);
   control->readers = g_hash_table_new (NULL, NULL);
   control->tick.fire = on_tick;
   control->led_at = loop_now (loop);
   FtStatus status = open_voter (control, error);
   if (status == FT_OK)
-    status = open_addresses (control, error);
+    {
+      control->publish = publish_new (loop, control->voter, control->servers, control->broker);
+      status = open_addresses (control, error);
+    }
   if (status != FT_OK)
     {
       destroy (&control->base);
--- a/test/place.c
+++ b/test/place.c
@@ -5,21 +5,13 @@
 #include "quota.h"
 #include "spent.h"
 #include "clock.h"
-#include "codec.h"
+#include "peer.h"
 
-#include <arpa/inet.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define GUARD (20 * FT_SECOND)
 
-typedef struct
-{
-  MeshPeer peer;
-  int far; /* our end */
-  GByteArray *got;
-} Scheduler;
+typedef TestPeer Scheduler;
 
 static Loop *loop;
 static Mesh *mesh;
@@ -65,21 +57,6 @@
 
 static const PlaceOps place_ops = { on_grant, on_refuse };
 
-static void
-nothing (Sock *sock)
-{
-  (void) sock;
-}
-
-static void
-nothing_ended (Sock *sock, SockEnd how)
-{
-  (void) sock;
-  (void) how;
-}
-
-static const SockOps sock_ops = { NULL, nothing, NULL, nothing_ended };
-
 static void
 no_link (void *host, MeshPeer *peer)
 {
@@ -118,45 +95,7 @@
 static Scheduler
 scheduler (uint32_t ip)
 {
-  Scheduler out
-      = { .peer = { .mesh = mesh, .ip = ip, .lifetime = ip, .role = MESH_VOTER, .dialled = true } };
-  int pair[2];
-
-  g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), ==, 0);
-  out.far = pair[1];
-  out.got = g_byte_array_new ();
-  out.peer.sock = sock_accepted (loop, pair[0], (SockAddr){ 0 }, &sock_ops, NULL);
-  out.peer.heard = loop_now (loop);
-  return out;
-}
-
-static void
-scheduler_end (Scheduler *one)
-{
-  sock_close (one->peer.sock, false);
-  close (one->far);
-  g_byte_array_unref (one->got);
-}
-
-/* The next message that the scheduler got; false: none. */
-static bool
-next_message (Scheduler *one, MeshMsg *msg)
-{
-  uint8_t buffer[4096];
-  ssize_t size;
-  uint32_t mark;
-
-  while ((size = read (one->far, buffer, sizeof buffer)) > 0)
-    g_byte_array_append (one->got, buffer, (guint) size);
-  memset (msg, 0, sizeof *msg);
-  if (one->got->len < sizeof mark)
-    return false;
-  memcpy (&mark, one->got->data, sizeof mark);
-  guint length = ntohl (mark) & 0x7fffffff;
-  g_assert_cmpint (codec_unpack (CODEC (MeshMsg), one->got->data + sizeof mark, length, msg, NULL),
-                   ==, FT_OK);
-  g_byte_array_remove_range (one->got, 0, sizeof mark + length);
-  return true;
+  return test_peer (loop, mesh, ip, MESH_VOTER, true);
 }
 
 static unsigned
@@ -165,7 +104,7 @@
   MeshMsg msg;
   unsigned count = 0;
 
-  while (next_message (one, &msg))
+  while (test_peer_next (one, &msg))
     {
       if (msg.kind == kind && kind == MESH_DONE)
         count += msg.MeshMsg_u.done.request == request;
@@ -270,7 +209,7 @@
   MeshMsg msg;
   unsigned spent = 0;
 
-  while (next_message (one, &msg))
+  while (test_peer_next (one, &msg))
     {
       if (msg.kind == MESH_ASK)
         spent += msg.MeshMsg_u.ask.spent_tokens;
@@ -299,8 +238,8 @@
   g_assert_cmpuint (spent_told (&a), ==, 120);
   ask (5, 10);
   g_assert_cmpuint (spent_told (&a), ==, 0); /* said once */
-  scheduler_end (&a);
-  scheduler_end (&b);
+  test_peer_end (&a);
+  test_peer_end (&b);
   end ();
 }
 
@@ -317,7 +256,7 @@
   ask (1, 100);
   grant (&a, 1);
   ask (2, 100);
-  while (next_message (&a, &msg))
+  while (test_peer_next (&a, &msg))
     {
       g_assert_cmpuint (msg.MeshMsg_u.ask.org_fill_ms, ==, MESH_FILL_UNKNOWN);
       codec_clear (CODEC (MeshMsg), &msg);
@@ -325,14 +264,14 @@
   in_charge (&b, 2);
   ask (3, 50);
   unsigned told = 0;
-  while (next_message (&b, &msg))
+  while (test_peer_next (&b, &msg))
     {
       told += msg.MeshMsg_u.ask.org_fill == 600 && msg.MeshMsg_u.ask.org_fill_ms < 1000;
       codec_clear (CODEC (MeshMsg), &msg);
     }
   g_assert_cmpuint (told, >=, 1);
-  scheduler_end (&a);
-  scheduler_end (&b);
+  test_peer_end (&a);
+  test_peer_end (&b);
   end ();
 }
 
@@ -364,15 +303,15 @@
                                  .avoid = none,
                                  .server = none };
   place_message (place, &entry.peer, &msg);
-  while (next_message (&entry, &msg))
+  while (test_peer_next (&entry, &msg))
     {
       granted += msg.kind == MESH_GRANT;
       codec_clear (CODEC (MeshMsg), &msg);
     }
   g_assert_cmpuint (granted, ==, 1);
   place_down (place, &entry.peer);
-  scheduler_end (&a);
-  scheduler_end (&entry);
+  test_peer_end (&a);
+  test_peer_end (&entry);
   end ();
 }
 
@@ -526,8 +465,8 @@
   place_done (place, 1, &ok);
   g_assert_cmpuint (count_kind (&a, MESH_DONE, 1), ==, 1);
   g_assert_cmpuint (count_kind (&b, MESH_DONE, 1), ==, 1);
-  scheduler_end (&a);
-  scheduler_end (&b);
+  test_peer_end (&a);
+  test_peer_end (&b);
   end ();
 }
 
@@ -555,7 +494,7 @@
   place_message (place, &a.peer, &lost);
   g_assert_cmpuint (grants, ==, 2);
   g_assert_true (granted_leaving);
-  scheduler_end (&a);
+  test_peer_end (&a);
   end ();
 }
 
@@ -581,7 +520,7 @@
   grant (&a, 1);
   g_assert_cmpuint (grants, ==, 1);
   g_assert_cmpuint (refusals, ==, 0);
-  scheduler_end (&a);
+  test_peer_end (&a);
   end ();
 }
 
--- /dev/null
+++ b/test/publish.c
@@ -0,0 +1,206 @@
+/* publish.c - what a voter tells hundreds of entries, and how much of it at once. The log is a real
+ * one without other voters; entries are played over socket pairs. */
+#include "publish.h"
+#include "peer.h"
+
+#include <glib/gstdio.h>
+
+#define ENTRIES 30
+
+static Loop *loop;
+static Mesh *mesh;
+static Voter *voter;
+static Servers *servers;
+static Broker *broker;
+static Publish *publish;
+static TestPeer entries[ENTRIES];
+static char *folder;
+
+static void
+no_link (void *host, MeshPeer *peer)
+{
+  (void) host;
+  (void) peer;
+}
+
+static void
+no_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  (void) host;
+  (void) peer;
+  (void) msg;
+}
+
+static void
+no_send (void *host, uint32_t to, GByteArray *bytes)
+{
+  (void) host;
+  (void) to;
+  g_byte_array_unref (bytes);
+}
+
+static void
+no_commit (void *host)
+{
+  (void) host;
+}
+
+static void
+no_verdict (void *host, uint64_t ticket, FtStatus status)
+{
+  (void) host;
+  (void) ticket;
+  (void) status;
+}
+
+static const MeshOps mesh_ops = { no_link, no_message, no_link };
+static const VoterOps voter_ops = { no_send, no_commit, no_verdict };
+
+static void
+read_list (void)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (SeamServer));
+  SeamServer server = { .id = (char *) "i",
+                        .name = (char *) "i",
+                        .service = (char *) "s",
+                        .domain = (char *) "z",
+                        .addr = { 1, 1 },
+                        .slots = 4 };
+
+  g_array_append_val (list, server);
+  g_assert_true (servers_take_read (servers, list, loop_now (loop)));
+  g_array_unref (list);
+}
+
+static void
+begin (void)
+{
+  uint32_t self = 0x7f000001;
+  MeshHello hello = { .address = self, .lifetime = 1, .role = MESH_VOTER, .domain = (char *) "z" };
+  VoterConf conf = { .self = self, .seeds = &self, .seed_count = 1 };
+
+  loop = loop_new ();
+  folder = g_dir_make_tmp ("publish-XXXXXX", NULL);
+  conf.folder = folder;
+  for (uint16_t port = 22400; mesh == NULL && port < 22800; port++)
+    mesh = mesh_new (loop, (SockAddr){ self, port }, port, &hello, &mesh_ops, NULL);
+  g_assert_cmpint (voter_new (&conf, loop, &voter_ops, NULL, &voter, NULL), ==, FT_OK);
+  servers = servers_new ();
+  broker = broker_new (loop, "voter", NULL, NULL);
+  publish = publish_new (loop, voter, servers, broker);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    entries[i] = test_peer (loop, mesh, i + 1, MESH_ENTRY, false);
+}
+
+static void
+end (void)
+{
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      publish_down (publish, &entries[i].peer);
+      test_peer_end (&entries[i]);
+    }
+  publish_free (publish);
+  mesh_free (mesh);
+  mesh = NULL;
+  voter_free (voter);
+  broker_free (broker);
+  servers_free (servers);
+  loop_free (loop);
+  GDir *dir = g_dir_open (folder, 0, NULL);
+  for (const char *name; (name = g_dir_read_name (dir)) != NULL;)
+    {
+      char *path = g_build_filename (folder, name, NULL);
+      g_remove (path);
+      g_free (path);
+    }
+  g_dir_close (dir);
+  g_rmdir (folder);
+  g_free (folder);
+}
+
+/* Messages of a kind that the entry has got since it was asked last. */
+static unsigned
+got (TestPeer *entry, MeshKind kind)
+{
+  unsigned count = 0;
+  MeshMsg msg;
+
+  while (test_peer_next (entry, &msg))
+    {
+      count += msg.kind == kind;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  return count;
+}
+
+/* Hundreds of entries that start together all want the whole list. Sent to all at once it fills a
+ * voter's link for seconds, and grants wait behind it. Some are sent it with each tick, each entry
+ * once. */
+static void
+whole_lists_are_paced (void)
+{
+  unsigned sent[ENTRIES] = { 0 }, ticks = 0, total = 0;
+
+  begin ();
+  read_list ();
+  for (unsigned i = 0; i < ENTRIES; i++)
+    {
+      publish_up (publish, &entries[i].peer);
+      publish_wants_list (&entries[i].peer);
+      g_assert_cmpuint (got (&entries[i], MESH_WHOLE_LIST), ==, 0);
+    }
+  for (; total < ENTRIES && ticks < 10; ticks++)
+    {
+      unsigned before = total;
+      publish_tick (publish);
+      for (unsigned i = 0; i < ENTRIES; i++)
+        {
+          sent[i] += got (&entries[i], MESH_WHOLE_LIST);
+          g_assert_cmpuint (sent[i], <=, 1);
+        }
+      total = 0;
+      for (unsigned i = 0; i < ENTRIES; i++)
+        total += sent[i];
+      g_assert_cmpuint (total - before, <=, 12);
+    }
+  g_assert_cmpuint (total, ==, ENTRIES);
+  g_assert_cmpuint (ticks, ==, 3);
+  end ();
+}
+
+/* Entries are restarted in turn, so that their number changes with every tick. Shown each time it
+ * is as many bytes as all asks together. It is shown again only when it has moved by a sixteenth.
+ */
+static void
+number_of_entries_is_steady (void)
+{
+  unsigned views = 0;
+
+  begin ();
+  for (unsigned i = 0; i < ENTRIES; i++)
+    publish_up (publish, &entries[i].peer);
+  publish_tick (publish); /* chooses deputies */
+  publish_views (publish);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    got (&entries[i], MESH_VIEW);
+  for (unsigned turn = 0; turn < 20; turn++)
+    {
+      entries[ENTRIES - 1].peer.leaving = turn % 2 == 0;
+      publish_tick (publish);
+      for (unsigned i = 0; i < ENTRIES; i++)
+        views += got (&entries[i], MESH_VIEW);
+    }
+  g_assert_cmpuint (views, ==, 0);
+  entries[ENTRIES - 1].peer.leaving = false;
+  end ();
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/publish/whole_lists", whole_lists_are_paced);
+  g_test_add_func ("/publish/entries", number_of_entries_is_steady);
+  return g_test_run ();
+}
