Instances that read a long list themselves do it as rarely as it is long

The voter's pass over 60 pages takes 0.9 s and comes every 0.9 to 1.6 s, so the list is older than the 2.5 s that entries bore when it comes; 291 of them read it as if it had one page, their calls and the voter's were over the platform's rate, and no pass ended. Ruled out: the voters' passes at the start (four side by side, 0.77 to 0.9 s, none over the rate), links and elections (0.7 and 1.1 s after the kill). Tests: /list/read_rarely, /list/many_changes.

--- a/node/entry.c
+++ b/node/entry.c
@@ -19,15 +19,9 @@
 #define TICK         (40 * FT_MS)  /* a third of the silence after which a deputy is passed over */
 #define SPEAK_EVERY  (200 * FT_MS) /* three in the 700 ms after which it is not fresh */
 #define CONFIRM_MOST (4 * FT_SECOND) /* longer than an election: the voters are not coming soon */
-#define LIST_OLD     (2500 * FT_MS)  /* two passes of the voters' reader are missing */
 #define UNSENT_SMALL 16384           /* bytes under way to an entry beyond which no list is added */
-#define LIST_EVERY   (1500 * FT_MS)
-#define LIST_DEPUTY  (1 * FT_SECOND) /* of one that reads for others: as often as a voter alone */
-#define LIST_PART                                                                                  \
-  0.3 /* of the platform's rate that entries together use when voters are silent                   \
-       */
-#define LEAVE_LEAST  (2600 * FT_MS) /* the balancer asks every second and wants two misses */
-#define LEAVE_MARGIN (700 * FT_MS)  /* before the process would be killed */
+#define LEAVE_LEAST  (2600 * FT_MS)  /* the balancer asks every second and wants two misses */
+#define LEAVE_MARGIN (700 * FT_MS)   /* before the process would be killed */
 
 typedef struct
 {
@@ -165,17 +159,15 @@
 static void
 read_list_if_old (Entry *entry, int64_t now)
 {
-  bool for_others = broker_askers (place_broker (entry->place)) > 0;
-  double rate = entry->settings->list_rate * LIST_PART / MAX (entry->entries, 4);
-  double calls = reader_pages (entry->reader);
-  int64_t every = MAX (LIST_EVERY, (int64_t) (1e6 * calls / MAX (rate, 0.01)));
-  int64_t old = for_others ? LIST_DEPUTY : LIST_OLD;
+  ReaderNeed need = { .calls = reader_calls (entry->reader, servers_count (entry->servers)),
+                      .readers = MAX (entry->entries, 4),
+                      .rate = entry->settings->list_rate,
+                      .for_others = broker_askers (place_broker (entry->place)) > 0 };
+  int64_t every = reader_interval (&need);
   int64_t newest = MAX (servers_asked_at (entry->servers), entry->started);
 
-  if (for_others)
-    every = LIST_DEPUTY;
   /* Without a catalogue nothing can be sent, and voters that have one have the list. */
-  if (entry->cat == NULL || now - newest < old || now < entry->list_at)
+  if (entry->cat == NULL || now - newest < reader_age_borne (&need) || now < entry->list_at)
     return;
   entry->list_at = now + every / 2 + (int64_t) (instance_random () % (uint64_t) every);
   reader_start (entry->reader);
--- a/node/publish.c
+++ b/node/publish.c
@@ -12,8 +12,9 @@
 #define VIEW_EVERY    (200 * FT_MS) /* six in the 1.3 s after which a link counts as lost */
 #define VIEW_FOLLOWER (400 * FT_MS) /* of a voter that is asked only when all others are silent */
 #define VIEW_WAITING  (40 * FT_MS)  /* a third of the silence after which an entry helps itself */
-#define ENTRIES_MOVED 16 /* part by which the number of entries must have moved to be shown again  \
-                          */
+#define ENTRIES_MOVED                                                                              \
+  16 /* part by which the number of entries must have moved to be shown again                      \
+      */
 #define LISTS_A_TICK                                                                               \
   12 /* whole lists sent at once: 300 instances that start together have them within 0.5 s, and a  \
         grant waits for no more than these on a voter's link */
--- a/node/reader.c
+++ b/node/reader.c
@@ -11,6 +11,15 @@
 #define IDLE_MOST    (5 * FT_SECOND)
 #define PAGES_MOST   64 /* a list that never ends is not followed */
 
+/* The same for instances that read when the one that should is silent. */
+#define AGE_BORNE   (2500 * FT_MS)  /* two passes of the voter that reads for all are missing */
+#define AGE_FOR_ALL (1 * FT_SECOND) /* as often as a voter alone */
+#define AGE_CALL                                                                                   \
+  (60 * FT_MS) /* more for each call: a pass takes that long, and the next is later */
+#define EVERY_LEAST  (1500 * FT_MS)
+#define RATE_PART    0.3 /* of the platform's rate that they use together */
+#define PAGE_SERVERS 50  /* on a page, as far as seen */
+
 struct Reader
 {
   Loop *loop;
@@ -203,6 +212,33 @@
   return MAX (reader->pages_before, 1);
 }
 
+unsigned
+reader_calls (const Reader *reader, unsigned servers)
+{
+  return MAX (reader_pages (reader), servers / PAGE_SERVERS);
+}
+
+/* Failure: a list of 60 pages is read by a voter for a second, and is older than the entries bear
+ * when it comes. Symptom: 291 entries read it too, 36,000 calls in 20 s; each is over the rate, so
+ * are the voter's, and nobody knows of a change any more. What is borne, and how often each reads,
+ * follow the number of calls. */
+int64_t
+reader_age_borne (const ReaderNeed *need)
+{
+  return (need->for_others ? AGE_FOR_ALL : AGE_BORNE) + need->calls * AGE_CALL;
+}
+
+int64_t
+reader_interval (const ReaderNeed *need)
+{
+  double rate = MAX (need->rate * RATE_PART, 0.01);
+  double shared = 1e6 * need->calls * need->readers / rate;
+
+  if (need->for_others)
+    return MAX (AGE_FOR_ALL, (int64_t) (1e6 * need->calls / rate));
+  return MAX (EVERY_LEAST, (int64_t) shared);
+}
+
 void
 reader_start (Reader *reader)
 {
--- a/node/reader.h
+++ b/node/reader.h
@@ -19,5 +19,20 @@
 bool reader_busy (const Reader *reader);
 /* Calls that the last whole pass took; 1 before the first. */
 unsigned reader_pages (const Reader *reader);
+/* Calls that a pass takes, as far as known from earlier ones and from a list of so many servers. */
+unsigned reader_calls (const Reader *reader, unsigned servers);
+
+/* An instance that reads the list when those that should do it for all are silent. */
+typedef struct
+{
+  unsigned calls;   /* of a pass */
+  unsigned readers; /* instances that may read it at the same time */
+  double rate;      /* calls a second that the platform allows all of them together */
+  bool for_others;  /* this one reads for others that cannot hear of a better one */
+} ReaderNeed;
+
+/* How old the list may become before the instance reads it, and how often it does, microseconds. */
+int64_t reader_age_borne (const ReaderNeed *need);
+int64_t reader_interval (const ReaderNeed *need);
 
 #endif
--- a/node/servers.c
+++ b/node/servers.c
@@ -16,6 +16,9 @@
 #define STEPS_KEPT                                                                                 \
   32 /* 20 s of a list that changes with each reading: longer than a start takes                   \
       */
+#define CHANGES_MOST                                                                               \
+  256 /* servers told of one by one, 100 bytes each: the whole list of 3,000 is twice that,        \
+         compressed */
 #define WANT_AGAIN                                                                                 \
   (600 * FT_MS) /* a whole list of 3,000 servers, 60 KB, takes 50 ms on 10 Mbit/s; hundreds that   \
                    ask at once are served within half a second */
@@ -420,6 +423,12 @@
    * that does not says so and gets it whole. */
   if (since > 0 && since < servers->step)
     put_changes (servers, since, held, msg);
+  /* As many bytes as the whole, which goes in compressed form to who asks for it. */
+  if (msg->servers.servers_len > CHANGES_MOST)
+    {
+      servers_message_clear (msg);
+      *msg = (MeshList){ .age_us = msg->age_us, .digest = msg->digest, .kind = MESH_LIST_SAME };
+    }
 }
 
 static GBytes *
--- a/test/list.c
+++ b/test/list.c
@@ -216,6 +216,27 @@
   servers_free (entry);
 }
 
+/* Servers come by the hundred as the deployment starts. Told of one by one they are more bytes than
+ * the whole list in compressed form, for each of hundreds of entries; these hear the digest and
+ * ask. */
+static void
+list_of_many_changes (void)
+{
+  Servers *voter = servers_new (), *entry = servers_new ();
+
+  read_servers (voter, 0, 1000, -1, 100);
+  pass_whole (voter, entry, 150);
+  read_servers (voter, 0, 1900, -1, 300);
+  g_assert_cmpint (pass (voter, entry, servers_digest (entry), MESH_LIST_SAME, 400), ==,
+                   SERVERS_FOREIGN);
+  pass_whole (voter, entry, 400);
+  read_servers (voter, 0, 2000, -1, 500);
+  g_assert_cmpint (pass (voter, entry, servers_digest (entry), MESH_LIST_CHANGES, 600), ==,
+                   SERVERS_TAKEN);
+  servers_free (voter);
+  servers_free (entry);
+}
+
 static void
 list_that_is_spoilt (void)
 {
@@ -327,6 +348,27 @@
   loop_free (loop);
 }
 
+/* Hundreds of entries find that the list of 60 pages is older than they bear, since the voter's
+ * pass over it takes a second, and read it themselves. Their calls are over the platform's rate,
+ * and so are the voter's: nobody hears of a change any more. Together they stay within a part of
+ * the rate, and bear a list as old as two slow passes make it; a few entries before a short list
+ * read it soon enough that a leaving server gets nothing new for long. */
+static void
+long_list_is_read_rarely (void)
+{
+  ReaderNeed large = { .calls = 60, .readers = 291, .rate = 40 };
+  ReaderNeed small = { .calls = 1, .readers = 7, .rate = 40 };
+  ReaderNeed deputy = { .calls = 1, .readers = 7, .rate = 40, .for_others = true };
+  double calls_per_s = 291 * 60 / ((double) reader_interval (&large) / 1e6);
+
+  g_assert_cmpfloat (calls_per_s, <=, 40 * 0.31);
+  g_assert_cmpint (reader_age_borne (&large), >=, 3500 * FT_MS);
+  g_assert_cmpint (reader_age_borne (&small), <=, 2600 * FT_MS);
+  g_assert_cmpint (reader_interval (&small), <=, 1500 * FT_MS);
+  g_assert_cmpint (reader_interval (&deputy), <=, 1 * FT_SECOND);
+  g_assert_cmpint (reader_age_borne (&deputy), <=, 1100 * FT_MS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -336,7 +378,9 @@
   g_test_add_func ("/list/lifetimes", list_lifetimes);
   g_test_add_func ("/list/steps", list_steps);
   g_test_add_func ("/list/fetched_once", list_is_fetched_once);
+  g_test_add_func ("/list/many_changes", list_of_many_changes);
   g_test_add_func ("/list/spoilt", list_that_is_spoilt);
+  g_test_add_func ("/list/read_rarely", long_list_is_read_rarely);
   g_test_add_func ("/list/over_the_rate", read_over_the_rate);
   return g_test_run ();
 }
