--- a/test/peer.h
+++ b/test/peer.h
@@ -30,6 +30,35 @@
   (void) how;
 }
 
+static inline void
+test_no_link (void *host, MeshPeer *peer)
+{
+  (void) host;
+  (void) peer;
+}
+
+static inline void
+test_no_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  (void) host;
+  (void) peer;
+  (void) msg;
+}
+
+/* The links of an instance to which nobody comes, on the first free port from that one on. */
+static inline Mesh *
+test_mesh (Loop *loop, MeshRole role, uint16_t from)
+{
+  static const MeshOps ops = { test_no_link, test_no_message, test_no_link };
+  uint32_t self = 0x7f000001;
+  MeshHello hello = { .address = self, .lifetime = 1, .role = role, .domain = (char *) "z" };
+  Mesh *mesh = NULL;
+
+  for (uint16_t port = from; mesh == NULL && port < from + 400; port++)
+    mesh = mesh_new (loop, (SockAddr){ self, port }, port, &hello, &ops, NULL);
+  return mesh;
+}
+
 static inline TestPeer
 test_peer (Loop *loop, Mesh *mesh, uint32_t ip, MeshRole role, bool dialled)
 {
--- a/test/place.c
+++ b/test/place.c
@@ -57,23 +57,6 @@
 
 static const PlaceOps place_ops = { on_grant, on_refuse };
 
-static void
-no_link (void *host, MeshPeer *peer)
-{
-  (void) host;
-  (void) peer;
-}
-
-static void
-no_message (void *host, MeshPeer *peer, const MeshMsg *msg)
-{
-  (void) host;
-  (void) peer;
-  (void) msg;
-}
-
-static const MeshOps mesh_ops = { no_link, no_message, no_link };
-
 static void
 check_wanted (void *data)
 {
@@ -118,8 +101,6 @@
 static void
 begin (void)
 {
-  MeshHello hello
-      = { .address = 0x7f000001, .lifetime = 1, .role = MESH_ENTRY, .domain = (char *) "z" };
   RtLimits limits = { 1, 1, 1, 1 };
   RtCat *cat = rt_cat_new (1, &limits);
   RtService service = { .name = (char *) "s" };
@@ -138,8 +119,7 @@
   guard.fire = on_guard;
   loop_timer_set (loop, &guard, loop_now (loop) + GUARD);
   loop_each_turn (loop, check_wanted, NULL);
-  for (uint16_t port = 22000; mesh == NULL && port < 22400; port++)
-    mesh = mesh_new (loop, (SockAddr){ 0x7f000001, port }, port, &hello, &mesh_ops, NULL);
+  mesh = test_mesh (loop, MESH_ENTRY, 22000);
   place = place_new (loop, mesh, 0x7f000001, &place_ops, NULL);
   rt_cat_add_service (cat, &service, NULL);
   rt_cat_add_org (cat, &org, NULL);
--- a/test/publish.c
+++ b/test/publish.c
@@ -16,21 +16,6 @@
 static TestPeer entries[ENTRIES];
 static char *folder;
 
-static void
-no_link (void *host, MeshPeer *peer)
-{
-  (void) host;
-  (void) peer;
-}
-
-static void
-no_message (void *host, MeshPeer *peer, const MeshMsg *msg)
-{
-  (void) host;
-  (void) peer;
-  (void) msg;
-}
-
 static void
 no_send (void *host, uint32_t to, GByteArray *bytes)
 {
@@ -53,7 +38,6 @@
   (void) status;
 }
 
-static const MeshOps mesh_ops = { no_link, no_message, no_link };
 static const VoterOps voter_ops = { no_send, no_commit, no_verdict };
 
 static void
@@ -76,14 +60,12 @@
 begin (void)
 {
   uint32_t self = 0x7f000001;
-  MeshHello hello = { .address = self, .lifetime = 1, .role = MESH_VOTER, .domain = (char *) "z" };
   VoterConf conf = { .self = self, .seeds = &self, .seed_count = 1 };
 
   loop = loop_new ();
   folder = g_dir_make_tmp ("publish-XXXXXX", NULL);
   conf.folder = folder;
-  for (uint16_t port = 22400; mesh == NULL && port < 22800; port++)
-    mesh = mesh_new (loop, (SockAddr){ self, port }, port, &hello, &mesh_ops, NULL);
+  mesh = test_mesh (loop, MESH_VOTER, 22400);
   g_assert_cmpint (voter_new (&conf, loop, &voter_ops, NULL, &voter, NULL), ==, FT_OK);
   servers = servers_new ();
   broker = broker_new (loop, "voter", NULL, NULL);
