Many changes of the list go packed, once for all who hold the same one

Change: more than 16 changes are compressed, once for all who hold the same list; one message carries a packed list, whole or changes; one function sends either.

--- a/node/control.c
+++ b/node/control.c
@@ -130,10 +130,9 @@
 }
 
 static void
-take_list (Control *control, MeshPeer *peer, const MeshList *list)
+took_list (Control *control, MeshPeer *peer, ServersTaken taken)
 {
   MeshMsg want = { .kind = MESH_WANT_LIST };
-  ServersTaken taken = servers_take_message (control->servers, list, loop_now (control->loop));
 
   if (taken == SERVERS_TAKEN && servers_changed (control->servers))
     broker_servers (control->broker, control->servers);
@@ -142,15 +141,6 @@
     mesh_send (peer, &want);
 }
 
-static void
-take_whole_list (Control *control, const MeshWholeList *whole)
-{
-  ServersTaken taken = servers_take_whole (control->servers, whole, loop_now (control->loop));
-
-  if (taken == SERVERS_TAKEN && servers_changed (control->servers))
-    broker_servers (control->broker, control->servers);
-}
-
 static void
 take_view (Control *control, const MeshPeer *peer, const MeshView *view)
 {
@@ -166,6 +156,7 @@
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
   Control *control = host;
+  int64_t now = loop_now (control->loop);
   const MeshView *view = &msg->MeshMsg_u.view;
   GByteArray *bytes;
 
@@ -181,13 +172,14 @@
       take_view (control, peer, view);
       break;
     case MESH_LIST:
-      take_list (control, peer, &msg->MeshMsg_u.list);
+      took_list (control, peer, servers_take_message (control->servers, &msg->MeshMsg_u.list, now));
       break;
     case MESH_WANT_LIST:
       publish_wants_list (peer);
       break;
-    case MESH_WHOLE_LIST:
-      take_whole_list (control, &msg->MeshMsg_u.whole);
+    case MESH_PACKED_LIST:
+      took_list (control, peer,
+                 servers_take_packed (control->servers, &msg->MeshMsg_u.packed, now));
       break;
     case MESH_ASK:
       if (control->leaving_since)
--- a/node/entry.c
+++ b/node/entry.c
@@ -110,15 +110,11 @@
 push_list (MeshPeer *peer, void *data)
 {
   Entry *entry = data;
-  MeshMsg msg = { .kind = MESH_LIST };
 
   if (peer->dialled || peer->role != MESH_ENTRY || mesh_unsent (peer) > UNSENT_SMALL
       || !broker_asked (place_broker (entry->place), peer))
     return;
-  servers_message (entry->servers, loop_now (entry->loop), GPOINTER_TO_UINT (peer->user),
-                   &msg.MeshMsg_u.list);
-  mesh_send (peer, &msg);
-  servers_message_clear (&msg.MeshMsg_u.list);
+  servers_send (entry->servers, peer, loop_now (entry->loop), GPOINTER_TO_UINT (peer->user));
   peer->user = GUINT_TO_POINTER (servers_digest (entry->servers));
 }
 
@@ -204,11 +200,10 @@
 }
 
 static void
-take_list (Entry *entry, MeshPeer *peer, const MeshList *list)
+took_list (Entry *entry, MeshPeer *peer, ServersTaken taken)
 {
   bool from_voter = peer->role == MESH_VOTER;
   MeshMsg want = { .kind = MESH_WANT_LIST };
-  ServersTaken taken = servers_take_message (entry->servers, list, loop_now (entry->loop));
 
   if (taken == SERVERS_TAKEN)
     list_changed (entry, from_voter ? "voter" : "deputy", from_voter);
@@ -216,23 +211,11 @@
     mesh_send (peer, &want);
 }
 
-static void
-take_whole_list (Entry *entry, const MeshPeer *peer, const MeshWholeList *whole)
-{
-  bool from_voter = peer->role == MESH_VOTER;
-
-  if (servers_take_whole (entry->servers, whole, loop_now (entry->loop)) == SERVERS_TAKEN)
-    list_changed (entry, from_voter ? "voter" : "deputy", from_voter);
-}
-
 static void
 send_whole_list (Entry *entry, MeshPeer *peer)
 {
-  MeshMsg msg = { .kind = MESH_WHOLE_LIST };
-
-  if (mesh_unsent (peer) <= UNSENT_SMALL
-      && servers_whole (entry->servers, loop_now (entry->loop), &msg.MeshMsg_u.whole))
-    mesh_send (peer, &msg);
+  if (mesh_unsent (peer) <= UNSENT_SMALL)
+    servers_send_whole (entry->servers, peer, loop_now (entry->loop));
   peer->user = GUINT_TO_POINTER (servers_digest (entry->servers));
 }
 
@@ -240,6 +223,7 @@
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
   Entry *entry = host;
+  int64_t now = loop_now (entry->loop);
 
   switch (msg->kind)
     {
@@ -253,11 +237,11 @@
       if (!peer->dialled)
         send_whole_list (entry, peer);
       break;
-    case MESH_WHOLE_LIST:
-      take_whole_list (entry, peer, &msg->MeshMsg_u.whole);
+    case MESH_PACKED_LIST:
+      took_list (entry, peer, servers_take_packed (entry->servers, &msg->MeshMsg_u.packed, now));
       break;
     case MESH_LIST:
-      take_list (entry, peer, &msg->MeshMsg_u.list);
+      took_list (entry, peer, servers_take_message (entry->servers, &msg->MeshMsg_u.list, now));
       break;
     default:
       place_message (entry->place, peer, msg);
--- a/node/publish.c
+++ b/node/publish.c
@@ -259,26 +259,18 @@
 static void
 send_list (Publish *pub, Contact *contact, int64_t now)
 {
-  MeshMsg msg = { .kind = MESH_LIST };
-  MeshList *list = &msg.MeshMsg_u.list;
-
   if (servers_asked_at (pub->servers) == 0 || mesh_unsent (contact->peer) > UNSENT_SMALL)
     return;
-  servers_message (pub->servers, now, contact->list_digest, list);
-  mesh_send (contact->peer, &msg);
-  servers_message_clear (list);
+  servers_send (pub->servers, contact->peer, now, contact->list_digest);
   contact->list_digest = servers_digest (pub->servers);
 }
 
 static bool
 send_whole_list (Publish *pub, Contact *contact, int64_t now)
 {
-  MeshMsg msg = { .kind = MESH_WHOLE_LIST };
-
   if (!contact->wants_list || mesh_unsent (contact->peer) > UNSENT_SMALL
-      || !servers_whole (pub->servers, now, &msg.MeshMsg_u.whole))
+      || !servers_send_whole (pub->servers, contact->peer, now))
     return false;
-  mesh_send (contact->peer, &msg);
   contact->wants_list = false;
   contact->list_digest = servers_digest (pub->servers);
   return true;
--- a/node/servers.c
+++ b/node/servers.c
@@ -16,9 +16,8 @@
 #define STEPS_KEPT                                                                                 \
   32 /* 20 s of a list that changes with each reading: longer than a start takes                   \
       */
-#define CHANGES_MOST                                                                               \
-  256 /* servers told of one by one, 100 bytes each: the whole list of 3,000 is twice that,        \
-         compressed */
+#define CHANGES_PLAIN                                                                              \
+  16 /* changes that are sent as they are; more are a fifth of the bytes packed */
 #define WANT_AGAIN                                                                                 \
   (600 * FT_MS) /* a whole list of 3,000 servers, 60 KB, takes 50 ms on 10 Mbit/s; hundreds that   \
                    ask at once are served within half a second */
@@ -39,7 +38,8 @@
   guint digests[STEPS_KEPT]; /* of the lists of the latest steps, by step modulo their number */
   GHashTable *changed_in;    /* id of a server of the list: step in which it came or changed last */
   GArray *removed;           /* Removed, in the latest steps */
-  GBytes *whole;             /* packed; NULL: not yet since the list changed */
+  GBytes *packed[2];         /* changes and the whole; NULL: not since the list changed */
+  guint packed_for;          /* digest of the list that the changes are against */
 };
 
 static void
@@ -48,6 +48,13 @@
   g_free (((Removed *) data)->id);
 }
 
+static void
+forget_packed (Servers *servers)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (servers->packed); i++)
+    g_clear_pointer (&servers->packed[i], g_bytes_unref);
+}
+
 Servers *
 servers_new (void)
 {
@@ -71,8 +78,7 @@
   g_array_unref (servers->list);
   g_hash_table_unref (servers->changed_in);
   g_array_unref (servers->removed);
-  if (servers->whole)
-    g_bytes_unref (servers->whole);
+  forget_packed (servers);
   g_free (servers);
 }
 
@@ -130,7 +136,7 @@
 {
   servers->step++;
   servers->digests[servers->step % STEPS_KEPT] = servers->digest;
-  g_clear_pointer (&servers->whole, g_bytes_unref);
+  forget_packed (servers);
   for (unsigned i = 0; i < servers->list->len; i++)
     {
       const SeamServer *now = &g_array_index (servers->list, SeamServer, i);
@@ -289,9 +295,9 @@
 }
 
 ServersTaken
-servers_take_whole (Servers *servers, const MeshWholeList *whole, int64_t now)
+servers_take_packed (Servers *servers, const MeshPackedList *packed, int64_t now)
 {
-  GBytes *bytes = squeeze_unpack (whole->list.list_val, whole->list.list_len);
+  GBytes *bytes = squeeze_unpack (packed->list.list_val, packed->list.list_len);
   ServersTaken taken = SERVERS_FOREIGN;
   MeshList list = { 0 };
   gsize size = 0;
@@ -302,7 +308,7 @@
   const void *data = g_bytes_get_data (bytes, &size);
   if (codec_unpack (CODEC (MeshList), data, size, &list, NULL) == FT_OK)
     {
-      list.age_us = whole->age_us;
+      list.age_us = packed->age_us;
       taken = servers_take_message (servers, &list, now);
     }
   codec_clear (CODEC (MeshList), &list);
@@ -423,49 +429,86 @@
    * that does not says so and gets it whole. */
   if (since > 0 && since < servers->step)
     put_changes (servers, since, held, msg);
-  /* As many bytes as the whole, which goes in compressed form to who asks for it. */
-  if (msg->servers.servers_len > CHANGES_MOST)
-    {
-      servers_message_clear (msg);
-      *msg = (MeshList){ .age_us = msg->age_us, .digest = msg->digest, .kind = MESH_LIST_SAME };
-    }
+}
+
+static void
+put_whole (const Servers *servers, MeshList *msg)
+{
+  *msg = (MeshList){ .digest = servers->digest, .kind = MESH_LIST_WHOLE };
+  msg->servers.servers_len = MIN (servers->list->len, MESH_SERVERS_MOST);
+  msg->servers.servers_val = g_new0 (MeshServer, servers->list->len + 1);
+  for (unsigned i = 0; i < msg->servers.servers_len; i++)
+    msg->servers.servers_val[i] = to_message (&g_array_index (servers->list, SeamServer, i));
 }
 
 static GBytes *
-pack_whole (const Servers *servers)
+pack (const MeshList *list)
 {
-  MeshList list = { .digest = servers->digest, .kind = MESH_LIST_WHOLE };
-  GBytes *out = NULL;
+  GByteArray *plain = codec_pack (CODEC (MeshList), list);
 
-  list.servers.servers_len = MIN (servers->list->len, MESH_SERVERS_MOST);
-  list.servers.servers_val = g_new0 (MeshServer, servers->list->len + 1);
-  for (unsigned i = 0; i < list.servers.servers_len; i++)
-    list.servers.servers_val[i] = to_message (&g_array_index (servers->list, SeamServer, i));
-  GByteArray *plain = codec_pack (CODEC (MeshList), &list);
-  if (plain)
-    {
-      out = squeeze_pack (plain->data, plain->len);
-      g_byte_array_unref (plain);
-    }
-  g_free (list.servers.servers_val);
+  if (plain == NULL)
+    return NULL;
+  GBytes *out = squeeze_pack (plain->data, plain->len);
+  g_byte_array_unref (plain);
   return out;
 }
 
 bool
-servers_whole (Servers *servers, int64_t now, MeshWholeList *msg)
+servers_pack (Servers *servers, int64_t now, guint held, MeshPackedList *msg)
 {
+  GBytes **packed = &servers->packed[held == SERVERS_HELD_NONE];
+  MeshList list;
   gsize size;
 
-  if (servers->whole == NULL)
-    servers->whole = pack_whole (servers);
-  if (servers->whole == NULL)
+  if (held != SERVERS_HELD_NONE && held != servers->packed_for)
+    {
+      g_clear_pointer (packed, g_bytes_unref);
+      servers->packed_for = held;
+    }
+  if (*packed == NULL)
+    {
+      if (held == SERVERS_HELD_NONE)
+        put_whole (servers, &list);
+      else
+        servers_message (servers, now, held, &list);
+      *packed = pack (&list);
+      servers_message_clear (&list);
+    }
+  if (*packed == NULL)
     return false;
   msg->age_us = now - servers->asked_at;
-  msg->list.list_val = (char *) g_bytes_get_data (servers->whole, &size);
+  msg->list.list_val = (char *) g_bytes_get_data (*packed, &size);
   msg->list.list_len = (u_int) size;
   return true;
 }
 
+static bool
+send_packed (Servers *servers, MeshPeer *peer, int64_t now, guint held)
+{
+  MeshMsg msg = { .kind = MESH_PACKED_LIST };
+
+  return servers_pack (servers, now, held, &msg.MeshMsg_u.packed) && mesh_send (peer, &msg);
+}
+
+bool
+servers_send (Servers *servers, MeshPeer *peer, int64_t now, guint held)
+{
+  MeshMsg msg = { .kind = MESH_LIST };
+  MeshList *list = &msg.MeshMsg_u.list;
+
+  servers_message (servers, now, held, list);
+  bool many = list->servers.servers_len + list->removed.removed_len > CHANGES_PLAIN;
+  bool sent = many ? send_packed (servers, peer, now, held) : mesh_send (peer, &msg);
+  servers_message_clear (list);
+  return sent;
+}
+
+bool
+servers_send_whole (Servers *servers, MeshPeer *peer, int64_t now)
+{
+  return send_packed (servers, peer, now, SERVERS_HELD_NONE);
+}
+
 void
 servers_message_clear (MeshList *msg)
 {
--- a/node/servers.h
+++ b/node/servers.h
@@ -2,7 +2,7 @@
 #ifndef SERVERS_H
 #define SERVERS_H
 
-#include "meshmsg.h"
+#include "mesh.h"
 #include "scheduler.h"
 #include "seam.h"
 
@@ -22,8 +22,8 @@
 } ServersTaken;
 
 ServersTaken servers_take_message (Servers *servers, const MeshList *list, int64_t now);
-/* The same for a whole list. One that cannot be read is SERVERS_FOREIGN. */
-ServersTaken servers_take_whole (Servers *servers, const MeshWholeList *whole, int64_t now);
+/* The same for a packed list. One that cannot be read is SERVERS_FOREIGN. */
+ServersTaken servers_take_packed (Servers *servers, const MeshPackedList *packed, int64_t now);
 /* May the list be asked for whole at now? Not while an earlier question may still be answered. */
 bool servers_may_want (Servers *servers, int64_t now);
 /* When the list held was asked for; 0: none yet. */
@@ -42,8 +42,13 @@
  * only its digest. It borrows from servers; free it with servers_message_clear. */
 void servers_message (const Servers *servers, int64_t now, guint held, MeshList *msg);
 void servers_message_clear (MeshList *msg);
-/* All of it, borrowed from servers until they change. False: it cannot be packed. */
-bool servers_whole (Servers *servers, int64_t now, MeshWholeList *msg);
+/* The same in compressed form, or with held SERVERS_HELD_NONE all of it; borrowed from servers
+ * until the next call. False: it cannot be packed. */
+bool servers_pack (Servers *servers, int64_t now, guint held, MeshPackedList *msg);
+/* Sends the peer, which holds the list with digest held, what servers_message says, in the form
+ * that takes fewer bytes; or all of it. False: it cannot be sent. */
+bool servers_send (Servers *servers, MeshPeer *peer, int64_t now, guint held);
+bool servers_send_whole (Servers *servers, MeshPeer *peer, int64_t now);
 guint servers_digest (const Servers *servers);
 /* Does the list differ, in more than its age, from what servers_changed saw last? */
 bool servers_changed (Servers *servers);
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -110,14 +110,14 @@
 };
 typedef struct MeshList MeshList;
 
-struct MeshWholeList {
+struct MeshPackedList {
 	quad_t age_us;
 	struct {
 		u_int list_len;
 		char *list_val;
 	} list;
 };
-typedef struct MeshWholeList MeshWholeList;
+typedef struct MeshPackedList MeshPackedList;
 
 struct MeshAsk {
 	u_quad_t request;
@@ -203,7 +203,7 @@
 	MESH_DONE = 1 + 9,
 	MESH_RAFT = 1 + 10,
 	MESH_WANT_LIST = 1 + 11,
-	MESH_WHOLE_LIST = 1 + 12,
+	MESH_PACKED_LIST = 1 + 12,
 	MESH_ALIVE = 1 + 13,
 };
 typedef enum MeshKind MeshKind;
@@ -221,7 +221,7 @@
 		MeshFirst first;
 		MeshSilent silent;
 		MeshDone done;
-		MeshWholeList whole;
+		MeshPackedList packed;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -242,7 +242,7 @@
 extern  bool_t xdr_MeshName (XDR *, MeshName*);
 extern  bool_t xdr_MeshListKind (XDR *, MeshListKind*);
 extern  bool_t xdr_MeshList (XDR *, MeshList*);
-extern  bool_t xdr_MeshWholeList (XDR *, MeshWholeList*);
+extern  bool_t xdr_MeshPackedList (XDR *, MeshPackedList*);
 extern  bool_t xdr_MeshAsk (XDR *, MeshAsk*);
 extern  bool_t xdr_MeshGrant (XDR *, MeshGrant*);
 extern  bool_t xdr_MeshRefuse (XDR *, MeshRefuse*);
@@ -262,7 +262,7 @@
 extern bool_t xdr_MeshName ();
 extern bool_t xdr_MeshListKind ();
 extern bool_t xdr_MeshList ();
-extern bool_t xdr_MeshWholeList ();
+extern bool_t xdr_MeshPackedList ();
 extern bool_t xdr_MeshAsk ();
 extern bool_t xdr_MeshGrant ();
 extern bool_t xdr_MeshRefuse ();
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -60,7 +60,7 @@
 
 enum MeshListKind {
   MESH_LIST_SAME = 0,   /* the servers that have this digest, not said again */
-  MESH_LIST_WHOLE = 1,  /* in a MeshWholeList only */
+  MESH_LIST_WHOLE = 1,  /* in a MeshPackedList only */
   MESH_LIST_CHANGES = 2 /* against the list that has the digest base */
 };
 
@@ -74,10 +74,10 @@
   MeshName removed<MESH_SERVERS_MOST>;   /* changes: their ids */
 };
 
-/* All servers of a list, to somebody who has asked for it. */
-struct MeshWholeList {
+/* A list in compressed form: all servers, to somebody who has asked for them, or many changes. */
+struct MeshPackedList {
   hyper age_us;                  /* since it was asked for */
-  opaque list<MESH_TEXT_MOST>;   /* a MeshList in compressed form, whose age says nothing */
+  opaque list<MESH_TEXT_MOST>;   /* a MeshList, whose age says nothing */
 };
 
 /* ---- An entry and the scheduler ---- */
@@ -155,7 +155,7 @@
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT,
-  MESH_WANT_LIST, MESH_WHOLE_LIST, MESH_ALIVE
+  MESH_WANT_LIST, MESH_PACKED_LIST, MESH_ALIVE
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -170,7 +170,7 @@
 case MESH_SILENT: MeshSilent silent;
 case MESH_DONE: MeshDone done;
 case MESH_WANT_LIST: void; /* the sender cannot apply changes: send it whole */
-case MESH_WHOLE_LIST: MeshWholeList whole;
+case MESH_PACKED_LIST: MeshPackedList packed;
 case MESH_ALIVE: void; /* nothing has changed since the last hello or view */
 case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -217,7 +217,7 @@
 }
 
 bool_t
-xdr_MeshWholeList (XDR *xdrs, MeshWholeList *objp)
+xdr_MeshPackedList (XDR *xdrs, MeshPackedList *objp)
 {
 	register int32_t *buf;
 
@@ -609,8 +609,8 @@
 		break;
 	case MESH_WANT_LIST:
 		break;
-	case MESH_WHOLE_LIST:
-		 if (!xdr_MeshWholeList (xdrs, &objp->MeshMsg_u.whole))
+	case MESH_PACKED_LIST:
+		 if (!xdr_MeshPackedList (xdrs, &objp->MeshMsg_u.packed))
 			 return FALSE;
 		break;
 	case MESH_ALIVE:
