Name the two new kinds of messages on the metrics page

Cause: the table of names in net/mesh.c lacked the packed list and the keep-alive, so their lines said kind="(null)". Found by reading the diff. /node/metrics now looks for each: fails before, passes after.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -465,11 +465,20 @@
 static void
 describe_way (const Traffic *traffic, const char *way, GString *out)
 {
-  static const char *const names[KINDS]
-      = { [MESH_HELLO] = "hello",   [MESH_VIEW] = "view",   [MESH_DOCUMENT] = "document",
-          [MESH_LIST] = "list",     [MESH_ASK] = "ask",     [MESH_GRANT] = "grant",
-          [MESH_REFUSE] = "refuse", [MESH_FIRST] = "first", [MESH_SILENT] = "silent",
-          [MESH_DONE] = "done",     [MESH_RAFT] = "log",    [MESH_WANT_LIST] = "want-list" };
+  static const char *const names[KINDS] = { [MESH_HELLO] = "hello",
+                                            [MESH_VIEW] = "view",
+                                            [MESH_DOCUMENT] = "document",
+                                            [MESH_LIST] = "list",
+                                            [MESH_ASK] = "ask",
+                                            [MESH_GRANT] = "grant",
+                                            [MESH_REFUSE] = "refuse",
+                                            [MESH_FIRST] = "first",
+                                            [MESH_SILENT] = "silent",
+                                            [MESH_DONE] = "done",
+                                            [MESH_RAFT] = "log",
+                                            [MESH_WANT_LIST] = "want-list",
+                                            [MESH_PACKED_LIST] = "packed-list",
+                                            [MESH_ALIVE] = "alive" };
 
   for (unsigned i = MESH_HELLO; i < KINDS; i++)
     g_string_append_printf (out,
--- a/node/servers.c
+++ b/node/servers.c
@@ -13,9 +13,7 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define STEPS_KEPT                                                                                 \
-  32 /* 20 s of a list that changes with each reading: longer than a start takes                   \
-      */
+#define STEPS_KEPT 32 /* 20 s of a list that changes with each reading, longer than a start */
 #define CHANGES_PLAIN                                                                              \
   16 /* changes that are sent as they are; more are a fifth of the bytes packed */
 #define WANT_AGAIN                                                                                 \
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -36,7 +36,7 @@
   double work_us;   /* slot time on the service's best server */
   bool alone;       /* nothing else was pending on its server when it was granted */
   bool first_seen;
-  unsigned passed; /* by connected ones of its queue that were due later */
+  unsigned passed; /* by how many connected ones of its queue that were due later */
   bool late;       /* waits, and can no longer be on time */
 } Job;
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -57,7 +57,8 @@
 /* Decisions, called from within the functions below; must not call back. */
 typedef struct
 {
-  /* rest_most: see sched_rest_most. */
+  /* rest_most: how long a connection to the server may have rested to be used for a request that
+   * may run once only, microseconds. */
   void (*grant) (void *host, uint64_t owner, uint64_t request, const char *org, const char *server,
                  int64_t rest_most);
   void (*refuse) (void *host, uint64_t owner, uint64_t request, const SchedRefusal *refusal);
--- a/test/node.c
+++ b/test/node.c
@@ -490,6 +490,12 @@
   g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_answered_total 1\n"));
   g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_scheduler{by=\"voter\"} 1\n"));
   g_assert_nonnull (strstr (answer.body->str, "\nfoxtail_whole_seconds_count 1\n"));
+  /* Each kind of message between instances has its name. */
+  g_assert_nonnull (
+      strstr (answer.body->str, "\nfoxtail_link_messages_total{kind=\"ask\",way=\"sent\"} 1\n"));
+  g_assert_nonnull (
+      strstr (answer.body->str, "\nfoxtail_link_bytes_total{kind=\"alive\",way=\"sent\"} "));
+  g_assert_null (strstr (answer.body->str, "null"));
   fleet_answer_clear (&answer);
   fleet_free (fleet);
 }
