--- /dev/null
+++ b/test/backend.c
@@ -0,0 +1,222 @@
+/* backend.c - answers as its mode says, and ends when it begins to run a marked body. */
+#include "backend.h"
+
+#include <string.h>
+
+#define EVENTS    8            /* of a stream */
+#define ENDS_IN   (20 * FT_MS) /* from the beginning of a marked run to the end of its server */
+#define TRY_AGAIN (20 * FT_MS) /* its port is not free yet */
+
+typedef struct
+{
+  LoopTimer timer;
+  HCall *call;
+  FleetServer *server;
+  unsigned next;
+} Stream;
+
+static const char *
+request_id (HCall *call)
+{
+  const char *id = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Request-Id");
+
+  return id ? id : "";
+}
+
+static void
+stream_free (Stream *stream)
+{
+  loop_timer_stop (stream->server->fleet->loop, &stream->timer);
+  g_ptr_array_remove_fast (stream->server->streams, stream);
+  g_free (stream);
+}
+
+static void
+on_stream_timer (LoopTimer *timer)
+{
+  Stream *stream = (Stream *) timer;
+  Fleet *fleet = stream->server->fleet;
+  char event[96];
+
+  if (stream->next > EVENTS)
+    {
+      hcall_end (stream->call);
+      stream_free (stream);
+      return;
+    }
+  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", stream->next, stream->next);
+  if (stream->server->mode == SERVER_CUT && stream->next == 3)
+    {
+      hcall_data (stream->call, event, 9);
+      hcall_abort (stream->call);
+      stream_free (stream);
+      return;
+    }
+  hcall_data (stream->call, event, strlen (event));
+  stream->next++;
+  loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + fleet->event_ms * FT_MS);
+}
+
+static void
+start_stream (FleetServer *server, HCall *call, GString *fields)
+{
+  Stream *stream = g_new0 (Stream, 1);
+  const char *last = hmsg_field (hcall_msg (call), "Last-Event-Id");
+
+  stream->timer.fire = on_stream_timer;
+  stream->call = call;
+  stream->server = server;
+  stream->next = last ? (unsigned) atoi (last) + 1 : 1;
+  g_ptr_array_add (server->streams, stream);
+  hcall_set_user (call, stream);
+  hwrite_field (fields, "Content-Type", "text/event-stream");
+  hcall_begin (call, 200, fields);
+  loop_timer_set (server->fleet->loop, &stream->timer, loop_now (server->fleet->loop));
+}
+
+static void
+count_in (GHashTable *table, const char *key)
+{
+  int before = GPOINTER_TO_INT (g_hash_table_lookup (table, key));
+
+  g_hash_table_replace (table, g_strdup (key), GINT_TO_POINTER (before + 1));
+}
+
+/* True: the body is marked; the server ends soon, and this is never answered. */
+static bool
+runs_marked (FleetServer *server, const HCall *call)
+{
+  const GByteArray *bytes = hcall_body (call);
+  char *body = g_strndup ((const char *) bytes->data, bytes->len);
+  bool marked = g_str_has_prefix (body, FLEET_MARK);
+  Loop *loop = server->fleet->loop;
+
+  if (marked)
+    {
+      count_in (server->fleet->marked, body);
+      if (!server->ending.armed)
+        loop_timer_set (loop, &server->ending, loop_now (loop) + ENDS_IN);
+    }
+  g_free (body);
+  return marked;
+}
+
+static void
+run (FleetServer *server, HCall *call, const char *id, GString *fields)
+{
+  count_in (server->fleet->runs, id);
+  hwrite_field (fields, "X-Foxtailgrade-Server-Signature", server->id);
+  if (runs_marked (server, call))
+    hcall_set_user (call, NULL);
+  else if (server->mode == SERVER_RESET)
+    hcall_abort (call);
+  else if (server->mode == SERVER_MUTE)
+    hcall_set_user (call, NULL);
+  else if (g_str_has_prefix (hmsg_target (hcall_msg (call)), "/stream/"))
+    start_stream (server, call, fields);
+  else
+    hcall_reply (call, 200, fields, id, strlen (id));
+}
+
+static void
+on_server_request (void *owner, HCall *call)
+{
+  FleetServer *server = owner;
+  const char *wanted = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Expect-Instance");
+  char *id = g_strdup (request_id (call));
+  GString *fields = g_string_new (NULL);
+
+  server->arrived++;
+  hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
+  if (wanted == NULL || strcmp (wanted, server->id) != 0 || server->mode == SERVER_GONE)
+    hcall_reply (call, 421, fields, "", 0);
+  else if (server->mode == SERVER_FULL)
+    {
+      hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
+      hcall_reply (call, 503, fields, "", 0);
+    }
+  else
+    run (server, call, id, fields);
+  g_string_free (fields, TRUE);
+  g_free (id);
+}
+
+static void
+on_server_gone (void *owner, HCall *call)
+{
+  Stream *stream = hcall_user (call);
+
+  (void) owner;
+  if (stream)
+    stream_free (stream);
+}
+
+static const HSrvOps server_ops = { on_server_request, on_server_gone };
+
+/* ---- Lifetimes ---- */
+
+static void
+close_all (FleetServer *server)
+{
+  while (server->streams->len > 0)
+    stream_free (server->streams->pdata[0]);
+  hsrv_free (server->srv);
+  server->srv = NULL;
+  if (server->proxy)
+    proxy_free (server->proxy);
+  server->proxy = NULL;
+}
+
+static void
+on_coming (LoopTimer *timer)
+{
+  FleetServer *server = (FleetServer *) ((char *) timer - offsetof (FleetServer, coming));
+  Loop *loop = server->fleet->loop;
+
+  server->srv = hsrv_new (loop, server->listens, &server_ops, server);
+  if (server->srv == NULL)
+    {
+      loop_timer_set (loop, timer, loop_now (loop) + TRY_AGAIN);
+      return;
+    }
+  if (server->addr.port != server->listens.port)
+    server->proxy = proxy_new (loop, server->addr, server->listens);
+  server->lives++;
+  g_snprintf (server->id, sizeof server->id, "i-%u.%u", server->number + 1, server->lives);
+}
+
+static void
+on_ending (LoopTimer *timer)
+{
+  FleetServer *server = (FleetServer *) ((char *) timer - offsetof (FleetServer, ending));
+  Fleet *fleet = server->fleet;
+
+  close_all (server);
+  loop_timer_set (fleet->loop, &server->coming, loop_now (fleet->loop) + fleet->back_ms * FT_MS);
+}
+
+void
+backend_create (Fleet *fleet, unsigned number, SockAddr addr)
+{
+  FleetServer *server = &fleet->servers[number];
+
+  server->fleet = fleet;
+  server->number = number;
+  g_snprintf (server->id, sizeof server->id, "i-%u", number + 1);
+  server->addr = server->listens = addr;
+  server->listed = true;
+  server->streams = g_ptr_array_new ();
+  server->ending.fire = on_ending;
+  server->coming.fire = on_coming;
+  server->srv = hsrv_new (fleet->loop, addr, &server_ops, server);
+  g_assert_nonnull (server->srv);
+}
+
+void
+backend_destroy (FleetServer *server)
+{
+  loop_timer_stop (server->fleet->loop, &server->ending);
+  loop_timer_stop (server->fleet->loop, &server->coming);
+  close_all (server);
+  g_ptr_array_unref (server->streams);
+}
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -1,5 +1,5 @@
 /* fleet.c - starts real processes, by fork and exec, and plays the platform around them. */
-#include "fleet.h"
+#include "backend.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -18,126 +18,6 @@
 #define BEHIND   18095            /* proxies before servers */
 #define OPERATOR (1500 * FT_MS)   /* operators move on to another voter then */
 #define GUARD    (60 * FT_SECOND) /* a test that hangs fails; none depends on how long it takes */
-#define EVENTS   8                /* of a stand-in's stream */
-
-/* ---- Stand-in of a backend server ---- */
-
-typedef struct
-{
-  LoopTimer timer;
-  Fleet *fleet;
-  HCall *call;
-  FleetServer *server;
-  unsigned next;
-} Stream;
-
-static const char *
-request_id (HCall *call)
-{
-  const char *id = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Request-Id");
-
-  return id ? id : "";
-}
-
-static void
-on_stream_timer (LoopTimer *timer)
-{
-  Stream *stream = (Stream *) timer;
-  char event[96];
-
-  if (stream->next > EVENTS)
-    {
-      hcall_end (stream->call);
-      g_free (stream);
-      return;
-    }
-  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", stream->next, stream->next);
-  if (stream->server->mode == SERVER_CUT && stream->next == 3)
-    {
-      hcall_data (stream->call, event, 9);
-      hcall_abort (stream->call);
-      g_free (stream);
-      return;
-    }
-  hcall_data (stream->call, event, strlen (event));
-  stream->next++;
-  loop_timer_set (stream->fleet->loop, timer,
-                  loop_now (stream->fleet->loop) + stream->fleet->event_ms * FT_MS);
-}
-
-static void
-start_stream (Fleet *fleet, FleetServer *server, HCall *call, GString *fields)
-{
-  Stream *stream = g_new0 (Stream, 1);
-  const char *last = hmsg_field (hcall_msg (call), "Last-Event-Id");
-
-  stream->timer.fire = on_stream_timer;
-  stream->fleet = fleet;
-  stream->call = call;
-  stream->server = server;
-  stream->next = last ? (unsigned) atoi (last) + 1 : 1;
-  hcall_set_user (call, stream);
-  hwrite_field (fields, "Content-Type", "text/event-stream");
-  hcall_begin (call, 200, fields);
-  loop_timer_set (fleet->loop, &stream->timer, loop_now (fleet->loop));
-}
-
-typedef struct
-{
-  Fleet *fleet;
-  FleetServer *server;
-} ServerOf;
-
-static void
-on_server_request (void *owner, HCall *call)
-{
-  ServerOf *of = owner;
-  FleetServer *server = of->server;
-  const HMsg *msg = hcall_msg (call);
-  const char *wanted = hmsg_field (msg, "X-Foxtailgrade-Expect-Instance");
-  char *id = g_strdup (request_id (call));
-  GString *fields = g_string_new (NULL);
-  gpointer runs = g_hash_table_lookup (of->fleet->runs, id);
-
-  server->arrived++;
-  hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
-  if (wanted == NULL || strcmp (wanted, server->id) != 0 || server->mode == SERVER_GONE)
-    hcall_reply (call, 421, fields, "", 0);
-  else if (server->mode == SERVER_FULL)
-    {
-      hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
-      hcall_reply (call, 503, fields, "", 0);
-    }
-  else
-    {
-      g_hash_table_replace (of->fleet->runs, g_strdup (id),
-                            GINT_TO_POINTER (GPOINTER_TO_INT (runs) + 1));
-      hwrite_field (fields, "X-Foxtailgrade-Server-Signature", server->id);
-      if (server->mode == SERVER_RESET)
-        hcall_abort (call);
-      else if (server->mode == SERVER_MUTE)
-        hcall_set_user (call, NULL);
-      else if (g_str_has_prefix (hmsg_target (msg), "/stream/"))
-        start_stream (of->fleet, server, call, fields);
-      else
-        hcall_reply (call, 200, fields, id, strlen (id));
-    }
-  g_string_free (fields, TRUE);
-  g_free (id);
-}
-
-static void
-on_server_gone (void *owner, HCall *call)
-{
-  ServerOf *of = owner;
-  Stream *stream = hcall_user (call);
-
-  if (stream)
-    loop_timer_stop (of->fleet->loop, &stream->timer);
-  g_free (stream);
-}
-
-static const HSrvOps server_ops = { on_server_request, on_server_gone };
 
 /* ---- Stand-in of the list ---- */
 
@@ -315,6 +195,8 @@
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->marked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->back_ms = 300;
   /* Numbers of the loopback range that no other test of this machine uses at the same time: whoever
    * has the list's address has the range. */
   for (unsigned i = 0; fleet->list == NULL && i < 1000; i++)
@@ -337,17 +219,7 @@
       name_node (fleet, &fleet->entries[i], name, net + 31 + i, false);
     }
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    {
-      FleetServer *server = &fleet->servers[i];
-      ServerOf *of = g_new (ServerOf, 1);
-      *of = (ServerOf){ fleet, server };
-      g_snprintf (server->id, sizeof server->id, "i-%u", i + 1);
-      server->addr = (SockAddr){ net + 51 + i, SERVERS };
-      server->listed = true;
-      server->owner = of;
-      server->srv = hsrv_new (fleet->loop, server->addr, &server_ops, of);
-      g_assert_nonnull (server->srv);
-    }
+    backend_create (fleet, i, (SockAddr){ net + 51 + i, SERVERS });
   return fleet;
 }
 
@@ -363,14 +235,12 @@
   fleet_run_for (fleet, 100 * FT_MS); /* the ends of their connections are noticed */
   free_proxies (fleet);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    {
-      hsrv_free (fleet->servers[i].srv);
-      g_free (fleet->servers[i].owner);
-    }
+    backend_destroy (&fleet->servers[i]);
   hsrv_free (fleet->list);
   hcli_free (fleet->cli);
   loop_free (fleet->loop);
   g_hash_table_unref (fleet->runs);
+  g_hash_table_unref (fleet->marked);
   g_free (fleet);
 }
 
@@ -391,9 +261,8 @@
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
       FleetServer *server = &fleet->servers[i];
-      SockAddr back = server->addr;
       server->addr.port = BEHIND;
-      server->proxy = proxy_new (fleet->loop, server->addr, back);
+      server->proxy = proxy_new (fleet->loop, server->addr, server->listens);
     }
 }
 
@@ -406,9 +275,6 @@
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     if (fleet->entries[i].proxy)
       proxy_free (fleet->entries[i].proxy);
-  for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    if (fleet->servers[i].proxy)
-      proxy_free (fleet->servers[i].proxy);
 }
 
 /* ---- Waiting ---- */
@@ -524,19 +390,26 @@
 }
 
 void
-fleet_send (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
+fleet_send_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                 const char *body, Answer *answer)
 {
   GString *request = g_string_new (NULL);
 
   g_string_append_printf (request,
                           "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key\r\n"
                           "X-Foxtailgrade-Request-Id: %s\r\nX-Foxtailgrade-Deadline-Ms: 8000\r\n"
-                          "X-Foxtailgrade-Token-Usage: 100,30\r\nContent-Length: 4\r\n\r\nbody",
-                          path, id);
+                          "X-Foxtailgrade-Token-Usage: 100,30\r\nContent-Length: %zu\r\n\r\n%s",
+                          path, id, strlen (body), body);
   send_to (fleet, (SockAddr){ entry->ip, CALLERS }, request, answer);
   g_string_free (request, TRUE);
 }
 
+void
+fleet_send (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
+{
+  fleet_send_body (fleet, entry, path, id, "body", answer);
+}
+
 static bool
 is_done (void *data)
 {
@@ -546,7 +419,14 @@
 void
 fleet_call (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
 {
-  fleet_send (fleet, entry, path, id, answer);
+  fleet_call_body (fleet, entry, path, id, "body", answer);
+}
+
+void
+fleet_call_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                 const char *body, Answer *answer)
+{
+  fleet_send_body (fleet, entry, path, id, body, answer);
   fleet_until (fleet, is_done, answer, path);
 }
 
@@ -717,6 +597,12 @@
   return ready;
 }
 
+unsigned
+fleet_marked (const Fleet *fleet, const char *body)
+{
+  return (unsigned) GPOINTER_TO_INT (g_hash_table_lookup (fleet->marked, body));
+}
+
 unsigned
 fleet_runs (const Fleet *fleet, const char *id)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -12,6 +12,7 @@
 #define FLEET_VOTERS  4 /* the first three form; the fourth may come in another's place */
 #define FLEET_ENTRIES 3
 #define FLEET_SERVERS 4
+#define FLEET_MARK    "ends-servers" /* a body that begins so ends the server that runs it */
 
 typedef enum
 {
@@ -23,16 +24,23 @@
   SERVER_MUTE   /* answers nothing */
 } ServerMode;
 
+typedef struct Fleet Fleet;
+
+/* A stand-in of a backend server (backend.c). It ends when it begins to run a marked body, cutting
+ * whatever else it runs, and is back after Fleet.back_ms, as another lifetime at its address. */
 typedef struct
 {
-  char id[32];
-  SockAddr addr;
-  HSrv *srv;
-  void *owner;  /* of srv's callbacks */
-  Proxy *proxy; /* before it; NULL: none */
+  Fleet *fleet;
+  unsigned number, lives;
+  char id[32];            /* of its lifetime */
+  SockAddr addr, listens; /* where the list says that it is, and where it is */
+  HSrv *srv;              /* NULL: it has ended and is not back yet */
+  Proxy *proxy;           /* before it; NULL: none */
   ServerMode mode;
   bool leaving, listed;
   unsigned arrived;
+  GPtrArray *streams; /* that it runs */
+  LoopTimer ending, coming;
 } FleetServer;
 
 typedef struct
@@ -45,7 +53,7 @@
   char log[256];
 } FleetNode;
 
-typedef struct
+struct Fleet
 {
   Loop *loop;
   HCli *cli;
@@ -53,11 +61,13 @@
   FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
   FleetServer servers[FLEET_SERVERS];
   HSrv *list;
-  uint64_t version;  /* of the newest catalogue that was acknowledged */
-  GHashTable *runs;  /* request id: GINT of times that a server began to run it */
-  unsigned event_ms; /* time between a stream's events */
+  uint64_t version;   /* of the newest catalogue that was acknowledged */
+  GHashTable *runs;   /* request id: GINT of times that a server began to run it */
+  GHashTable *marked; /* body that ends servers: GINT of times that one began to run it */
+  unsigned event_ms;  /* time between a stream's events */
+  unsigned back_ms;   /* from a server's end to its next lifetime */
   uint64_t next_id;
-} Fleet;
+};
 
 /* An answer to a caller or operator. */
 typedef struct
@@ -95,6 +105,11 @@
 /* The same and waits for the end. */
 void fleet_call (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
                  Answer *answer);
+/* The same with a body of the caller's own. */
+void fleet_send_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                      const char *body, Answer *answer);
+void fleet_call_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                      const char *body, Answer *answer);
 void fleet_answer_clear (Answer *answer);
 /* Hands a catalogue of the next version to any voter, as operators do, until it is accepted. */
 void fleet_put (Fleet *fleet);
@@ -111,6 +126,8 @@
 void fleet_metrics (Fleet *fleet, const FleetNode *node, Answer *answer);
 bool fleet_ready (Fleet *fleet, const FleetNode *entry);
 unsigned fleet_runs (const Fleet *fleet, const char *id);
+/* How often a server began to run the marked body, and ended. */
+unsigned fleet_marked (const Fleet *fleet, const char *body);
 /* All that a node has logged so far; g_free. */
 char *fleet_log (const FleetNode *node);
 
