--- a/net/hcli.c
+++ b/net/hcli.c
@@ -7,6 +7,7 @@
  */
 #include "hcli.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <urcu/list.h>
@@ -45,7 +46,9 @@
   char *key;
   Sock *sock;
   HRead *read;
-  HXfer *xfer; /* NULL while idle */
+  HXfer *xfer;       /* NULL while idle */
+  HCliProbed probed; /* of a probe that has not ended */
+  void *probe_user;
   LoopTimer timer;
   int64_t idle_since, idle_until, keep_us;
   bool ended_message, skipping, spoilt, feeding, closed;
@@ -96,6 +99,16 @@
   loop_free_later (conn->cli->loop, conn);
 }
 
+static void
+end_probe (Conn *conn, bool connected, HXferFault fault)
+{
+  HCliProbed probed = conn->probed;
+
+  conn->probed = NULL;
+  if (probed)
+    probed (conn->probe_user, connected, fault);
+}
+
 static void
 fail (Conn *conn, HXferFault fault)
 {
@@ -103,6 +116,7 @@
 
   conn->xfer = NULL;
   close_conn (conn, true);
+  end_probe (conn, false, fault); /* its memory stays until the turn's end */
   if (xfer == NULL)
     return;
   xfer->ops->failed (xfer->user, fault);
@@ -276,12 +290,13 @@
 {
   Conn *conn = sock->owner;
 
-  if (conn->xfer == NULL)
+  if (conn->xfer == NULL && conn->probed == NULL)
     {
       close_conn (conn, false);
       return;
     }
-  if (how == SOCK_END_EOF && !conn->skipping && hread_eof (conn->read) && conn->ended_message)
+  if (conn->xfer && how == SOCK_END_EOF && !conn->skipping && hread_eof (conn->read)
+      && conn->ended_message)
     {
       conn->spoilt = true;
       complete (conn);
@@ -308,7 +323,17 @@
 static void
 on_connected (Sock *sock)
 {
-  start_sending (sock->owner);
+  Conn *conn = sock->owner;
+
+  if (conn->probed == NULL)
+    {
+      start_sending (conn);
+      return;
+    }
+  loop_timer_stop (conn->cli->loop, &conn->timer);
+  conn->keep_us = IDLE_UNSTATED;
+  become_idle (conn);
+  end_probe (conn, true, HXFER_UNREACHED);
 }
 
 static const SockOps sock_ops = { on_connected, on_data, NULL, on_ended };
@@ -319,13 +344,23 @@
   fail ((Conn *) ((char *) timer - offsetof (Conn, timer)), HXFER_UNREACHED);
 }
 
-/* Has the other end closed, or sent what nobody asked for, since the last turn? */
-static bool
-looks_sound (const Conn *conn)
+typedef enum
+{
+  PEEK_ENDED, /* the other end has closed or reset it */
+  PEEK_DATA,
+  PEEK_NOTHING
+} Peek;
+
+/* What has come since the last turn. */
+static Peek
+peek (const Conn *conn)
 {
   char byte;
+  ssize_t got = recv (conn->sock->fd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-  return recv (conn->sock->fd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+  if (got > 0)
+    return PEEK_DATA;
+  return got < 0 && errno == EAGAIN ? PEEK_NOTHING : PEEK_ENDED;
 }
 
 static Conn *
@@ -339,7 +374,7 @@
       Conn *conn = cds_list_first_entry (&pool->idle, Conn, idle_link);
       if (now - conn->idle_since > target->idle_most)
         return NULL; /* the others are older still */
-      if (now < conn->idle_until && looks_sound (conn))
+      if (now < conn->idle_until && peek (conn) == PEEK_NOTHING)
         {
           leave_pool (conn);
           return conn;
@@ -370,6 +405,31 @@
   return conn;
 }
 
+bool
+hcli_probe (HCli *cli, const HCliTarget *target, HCliProbed probed, void *user)
+{
+  Conn *conn = open_conn (cli, target);
+
+  if (conn == NULL)
+    return false;
+  conn->probed = probed;
+  conn->probe_user = user;
+  return true;
+}
+
+bool
+hcli_is_connected (HCli *cli, const char *key)
+{
+  const Conn *conn;
+
+  cds_list_for_each_entry (conn, &cli->conns, link)
+  {
+    if (!conn->sock->connecting && strcmp (conn->key, key) == 0 && peek (conn) != PEEK_ENDED)
+      return true;
+  }
+  return false;
+}
+
 HXfer *
 hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
            void *user)
@@ -491,7 +551,11 @@
 
   if (cli == NULL)
     return;
-  cds_list_for_each_entry_safe (conn, next, &cli->conns, link) close_conn (conn, true);
+  cds_list_for_each_entry_safe (conn, next, &cli->conns, link)
+  {
+    end_probe (conn, false, HXFER_UNREACHED);
+    close_conn (conn, true);
+  }
   g_hash_table_unref (cli->pools);
   loop_timer_stop (cli->loop, &cli->sweep);
   g_free (cli);
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -48,6 +48,13 @@
  * will be called. */
 HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
                   void *user);
+/* Opens a connection to target, which is kept idle when it is there. probed: once, unless the
+ * client is freed before; fault counts when connected is false. False: no descriptor or no path,
+ * and it is not called. */
+typedef void (*HCliProbed) (void *user, bool connected, HXferFault fault);
+bool hcli_probe (HCli *cli, const HCliTarget *target, HCliProbed probed, void *user);
+/* Is there a connection for key, idle or not, that the other end has not closed? */
+bool hcli_is_connected (HCli *cli, const char *key);
 /* How long the connection that the transfer was given had rested; 0: it was opened for it. */
 int64_t hxfer_rested (const HXfer *xfer);
 /* Keys to which there are idle connections that may still be used, up to most of them. Returns how
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -42,7 +42,7 @@
   int64_t next_try;
 } Dial;
 
-#define KINDS (MESH_ALIVE + 1)
+#define KINDS (MESH_BLAMED + 1)
 
 typedef struct
 {
@@ -478,7 +478,12 @@
                                             [MESH_RAFT] = "log",
                                             [MESH_WANT_LIST] = "want-list",
                                             [MESH_PACKED_LIST] = "packed-list",
-                                            [MESH_ALIVE] = "alive" };
+                                            [MESH_ALIVE] = "alive",
+                                            [MESH_ENDED] = "ended",
+                                            [MESH_ENDED_KNOWN] = "ended-known",
+                                            [MESH_ANSWERED] = "answered",
+                                            [MESH_SURVIVED] = "survived",
+                                            [MESH_BLAMED] = "blamed" };
 
   for (unsigned i = MESH_HELLO; i < KINDS; i++)
     g_string_append_printf (out,
--- a/node/control.c
+++ b/node/control.c
@@ -15,6 +15,7 @@
 #include "reader.h"
 #include "servers.h"
 #include "squeeze.h"
+#include "suspects.h"
 #include "voter.h"
 
 #include <errno.h>
@@ -48,6 +49,7 @@
   Broker *broker;
   RtCat *cat;
   Publish *publish;
+  Suspects *suspects;
   GHashTable *readers; /* ip of the other voters that hold the list of servers or read it */
   unsigned entries_up, entries_down; /* links to entries since they were logged last */
   int64_t entries_logged_at;
@@ -113,6 +115,7 @@
     voter_meet (control->voter, peer->ip);
   if (!peer->dialled)
     broker_up (control->broker, peer);
+  suspects_up (control->suspects, peer); /* before the catalogue, which lets an entry send */
   publish_up (control->publish, peer);
 }
 
@@ -126,6 +129,7 @@
     g_hash_table_remove (control->readers, GUINT_TO_POINTER (peer->ip));
   else
     broker_down (control->broker, peer);
+  suspects_down (control->suspects, peer);
   publish_down (control->publish, peer);
 }
 
@@ -190,7 +194,8 @@
       broker_message (control->broker, peer, msg);
       break;
     default:
-      broker_message (control->broker, peer, msg);
+      if (!suspects_message (control->suspects, peer, msg))
+        broker_message (control->broker, peer, msg);
       break;
     }
 }
@@ -257,13 +262,22 @@
     g_bytes_unref (document);
 }
 
+static void
+on_blamed (void *host)
+{
+  suspects_committed (((Control *) host)->suspects);
+}
+
 static void
 on_verdict (void *host, uint64_t ticket, FtStatus status)
 {
-  operators_verdict (((Control *) host)->operators, ticket, status);
+  Control *control = host;
+
+  operators_verdict (control->operators, ticket, status);
+  suspects_verdict (control->suspects, ticket, status);
 }
 
-static const VoterOps voter_ops = { on_send, on_committed, on_verdict };
+static const VoterOps voter_ops = { on_send, on_committed, on_blamed, on_verdict };
 
 /* ---- Time ---- */
 
@@ -362,6 +376,7 @@
   share_limits (control);
   publish_state (control->publish, control->leaving_since != 0, reader_busy (control->reader));
   publish_tick (control->publish);
+  suspects_tick (control->suspects);
   read_list (control, now);
   log_entries (control, now);
   operators_tick (control->operators);
@@ -425,6 +440,7 @@
       voter_newest (control->voter), linked + lost, stats.waiting, stats.running, stats.servers,
       stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
+  suspects_describe (control->suspects, out);
   mesh_describe (control->mesh, out);
   g_string_append (out, "# servers as this voter sees them\n");
   g_string_append (out, servers);
@@ -439,6 +455,7 @@
 
   loop_timer_stop (control->loop, &control->tick);
   voter_free (control->voter);
+  suspects_free (control->suspects);
   operators_free (control->operators);
   mesh_free (control->mesh);
   publish_free (control->publish);
@@ -477,7 +494,8 @@
   control->mesh = instance_links (s, MESH_VOTER, control->loop, &mesh_ops, control, error);
   if (control->mesh == NULL)
     return FT_IO;
-  control->operators = operators_new (control->loop, control->seam, control->voter, s->control);
+  control->operators
+      = operators_new (control->loop, control->seam, control->voter, control->suspects, s->control);
   if (control->operators == NULL)
     return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text, g_strerror (errno));
   return FT_OK;
@@ -504,6 +522,7 @@
   FtStatus status = open_voter (control, error);
   if (status == FT_OK)
     {
+      control->suspects = suspects_new (loop, control->voter);
       control->publish = publish_new (loop, control->voter, control->servers, control->broker);
       status = open_addresses (control, error);
     }
@@ -513,6 +532,7 @@
       return status;
     }
   on_committed (control); /* what the disk held */
+  suspects_committed (control->suspects);
   new_settings (&control->base, settings);
   loop_timer_set (loop, &control->tick, loop_now (loop) + TICK);
   *out = &control->base;
--- a/node/count.h
+++ b/node/count.h
@@ -22,6 +22,8 @@
   COUNT_LISTS,
   COUNT_LIST_FAILURES,
   COUNT_GRANTS,
+  COUNT_SERVER_ENDS, /* servers that ended while they ran requests of this instance */
+  COUNT_QUARANTINED, /* requests ended since servers end under their content */
   COUNTERS
 } Counter;
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -37,6 +37,7 @@
   Servers *servers;
   Reader *reader;
   Requests *requests;
+  Witness *witness;
   RtCat *cat;
   LoopTimer tick;
   int64_t started, leaving_since, list_at;
@@ -184,6 +185,8 @@
     }
   else if (entry->newest_from == peer)
     entry->newest = 0;
+  if (view->proved || entry->newest == 0)
+    witness_voter (entry->witness, view->proved ? peer : NULL);
   if (view->proved && view->entries > 0)
     {
       entry->entries = view->entries;
@@ -244,7 +247,8 @@
       took_list (entry, peer, servers_take_message (entry->servers, &msg->MeshMsg_u.list, now));
       break;
     default:
-      place_message (entry->place, peer, msg);
+      if (!witness_message (entry->witness, peer, msg))
+        place_message (entry->place, peer, msg);
       break;
     }
 }
@@ -258,6 +262,7 @@
         JL_MS ("silent_ms", loop_now (entry->loop) - peer->heard));
   if (entry->newest_from == peer)
     entry->newest = 0;
+  witness_down (entry->witness, peer);
   place_down (entry->place, peer);
 }
 
@@ -279,6 +284,12 @@
 
 static const PlaceOps place_ops = { on_grant, on_refuse };
 
+static void
+on_verdicts_changed (void *host)
+{
+  requests_review (((Entry *) host)->requests);
+}
+
 static void
 on_request (void *owner, HCall *call)
 {
@@ -377,6 +388,7 @@
           JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
   entry->was_ready = ready;
   read_list_if_old (entry, now);
+  witness_tick (entry->witness);
   mesh_each (entry->mesh, speak, entry);
   close_when_noticed (entry, now);
   if (entry->leaving_since && may_end (entry, now))
@@ -432,6 +444,7 @@
       requests_open (entry->requests), place_waiting (entry->place),
       hsrv_connections (entry->callers), hcli_opened (entry->cli), place_by (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
+  witness_describe (entry->witness, out);
   mesh_describe (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
   g_string_append (out, servers);
@@ -450,6 +463,7 @@
   mesh_free (entry->mesh);
   reader_free (entry->reader);
   requests_free (entry->requests);
+  witness_free (entry->witness);
   place_free (entry->place);
   hcli_free (entry->cli);
   budget_free (entry->budget);
@@ -472,8 +486,9 @@
   broker_margin (place_broker (entry->place), entry->settings->limit_overage,
                  (double) entry->settings->limit_slack, (double) entry->settings->limit_window_s,
                  false);
-  RequestsConf conf
-      = { entry->loop, entry->seam, entry->cli, entry->place, entry->budget, entry->servers };
+  entry->witness = witness_new (entry->loop, entry->mesh, entry->cli, on_verdicts_changed, entry);
+  RequestsConf conf = { entry->loop,   entry->seam,    entry->cli,    entry->place,
+                        entry->budget, entry->servers, entry->witness };
   entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
--- a/node/operators.c
+++ b/node/operators.c
@@ -7,6 +7,7 @@
  * refused.
  */
 #include "operators.h"
+#include "content.h"
 #include "jlog.h"
 #include "squeeze.h"
 
@@ -15,9 +16,12 @@
 /* Tuning; each row with its reason. */
 #define CHANGE_MOST (2500 * FT_MS) /* operators ask another voter after a second */
 
+#define SUSPECTS_PATH "/suspects" /* GET: all; DELETE with /CONTENT behind it: lets that one go */
+
 typedef struct
 {
-  uint64_t ticket, number;
+  uint64_t ticket;
+  uint64_t number; /* of a catalogue; 0: a content is let go */
   HCall *call;
   int64_t until;
 } Change;
@@ -27,10 +31,10 @@
   Loop *loop;
   const Seam *seam;
   Voter *voter;
+  Suspects *suspects;
   SockAddr address;
   HSrv *srv;
   GArray *changes; /* Change */
-  uint64_t next_ticket;
   VoterStatus status;
   bool leaving;
 };
@@ -109,7 +113,6 @@
       reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
       return;
     }
-  change.ticket = ++operators->next_ticket;
   change.call = call;
   change.until = loop_now (operators->loop) + CHANGE_MOST;
   GBytes *packed = squeeze_pack (body->data, body->len);
@@ -118,8 +121,8 @@
       reply_error (call, 503, "", "there is no memory for the change");
       return;
     }
+  change.ticket = voter_propose (operators->voter, change.number, packed);
   g_array_append_val (operators->changes, change);
-  voter_propose (operators->voter, change.ticket, change.number, packed);
   g_bytes_unref (packed);
 }
 
@@ -152,12 +155,62 @@
   g_bytes_unref (document);
 }
 
+/* ---- Contents that end servers: calls of the product's own ---- */
+
+static void
+list_suspects (Operators *operators, HCall *call)
+{
+  char *text = suspects_list (operators->suspects);
+
+  reply_text (call, 200, g_string_new (NULL), text, strlen (text));
+  g_free (text);
+}
+
+static void
+release_suspect (Operators *operators, HCall *call, const char *text)
+{
+  Change change = { .call = call, .until = loop_now (operators->loop) + CHANGE_MOST };
+  uint64_t content;
+
+  if (!content_parse (text, &content))
+    {
+      reply_error (call, 400, "content", "16 hexadecimal digits are wanted");
+      return;
+    }
+  change.ticket = suspects_release (operators->suspects, content);
+  if (change.ticket == 0)
+    reply_error (call, 404, "content", "nothing is said against it");
+  else
+    g_array_append_val (operators->changes, change);
+}
+
+/* False: it is no such call. */
+static bool
+take_suspects_call (Operators *operators, HCall *call)
+{
+  const char *method = hmsg_method (hcall_msg (call)), *target = hmsg_target (hcall_msg (call));
+  bool lists = strcmp (method, "GET") == 0 && strcmp (target, SUSPECTS_PATH) == 0;
+  bool releases = strcmp (method, "DELETE") == 0 && g_str_has_prefix (target, SUSPECTS_PATH "/");
+
+  if (!lists && !releases)
+    return false;
+  if (!in_charge (operators))
+    pass_on (operators, call);
+  else if (lists)
+    list_suspects (operators, call);
+  else
+    release_suspect (operators, call, target + strlen (SUSPECTS_PATH "/"));
+  return true;
+}
+
 static void
 on_operator (void *owner, HCall *call)
 {
   Operators *operators = owner;
   const HMsg *msg = hcall_msg (call);
 
+  if (take_suspects_call (operators, call))
+    return;
   switch (operators->seam->call (hmsg_method (msg), hmsg_target (msg)))
     {
     case SEAM_CALL_PUT:
@@ -205,9 +258,10 @@
       if (change.ticket != ticket)
         continue;
       drop_change (operators, i);
-      jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
-            JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
-            JL_INT ("term", operators->status.term));
+      if (change.number)
+        jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
+              JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
+              JL_INT ("term", operators->status.term));
       if (status == FT_OK)
         reply_text (change.call, 200, g_string_new (NULL), "{}\n", 3);
       else
@@ -234,7 +288,7 @@
 /* ---- Interface ---- */
 
 Operators *
-operators_new (Loop *loop, const Seam *seam, Voter *voter, SockAddr address)
+operators_new (Loop *loop, const Seam *seam, Voter *voter, Suspects *suspects, SockAddr address)
 {
   Operators *operators = g_new0 (Operators, 1);
   HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
@@ -242,6 +296,7 @@
   operators->loop = loop;
   operators->seam = seam;
   operators->voter = voter;
+  operators->suspects = suspects;
   operators->address = address;
   operators->changes = g_array_new (FALSE, FALSE, sizeof (Change));
   operators->srv = hsrv_new (loop, address, &operator_ops, operators);
--- a/node/operators.h
+++ b/node/operators.h
@@ -4,12 +4,14 @@
 
 #include "hsrv.h"
 #include "seam.h"
+#include "suspects.h"
 #include "voter.h"
 
 typedef struct Operators Operators;
 
 /* address: for operators; the same port on all voters. NULL: it cannot be bound, errno says why. */
-Operators *operators_new (Loop *loop, const Seam *seam, Voter *voter, SockAddr address);
+Operators *operators_new (Loop *loop, const Seam *seam, Voter *voter, Suspects *suspects,
+                          SockAddr address);
 void operators_free (Operators *operators);
 /* The end of a proposal, as VoterOps.verdict tells it. */
 void operators_verdict (Operators *operators, uint64_t ticket, FtStatus status);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -7,6 +7,7 @@
 #include "patience.h"
 #include "requests.h"
 #include "retry.h"
+#include "witness.h"
 
 #define SILENT_EVENT                                                                               \
   (1200 * FT_MS) /* between events: above a long prompt's stall of neighbours                      \
@@ -27,10 +28,13 @@
   int64_t arrived, end_at, first_by;
   int64_t waited_before; /* by its caller, before it came back */
   LoopTimer limit, silence;
+  LoopTimer settle; /* armed: it waits for what others say of its content */
+  bool placed;      /* a place was granted once: it is counted against its limit */
   /* The tries. */
   unsigned sends, unreached;
   bool may_have_run, may_have_run_before; /* before: by an earlier try */
   char *avoid, *server;
+  SockAddr addr; /* of server */
   HXfer *xfer;
   /* The answer of the try. */
   int64_t sent_at, first_at, event_at, event_sum;
@@ -42,6 +46,7 @@
   bool faulty;      /* one did */
   bool head_seen, is_stream, rejected;
   bool elsewhere; /* rejected, by another server than the one that was meant */
+  bool unframed;  /* the answer ends with its connection, so a broken one looks whole */
   GString *fields, *held;
   /* The answer to the caller. */
   Events *stream;
--- a/node/requests.c
+++ b/node/requests.c
@@ -44,6 +44,7 @@
   g_ptr_array_remove_fast (req->all->parked, req);
   loop_timer_stop (loop, &req->limit);
   loop_timer_stop (loop, &req->silence);
+  loop_timer_stop (loop, &req->settle);
   req->all->open--;
   events_free (req->stream);
   g_string_free (req->fields, TRUE);
@@ -93,7 +94,10 @@
   loop_timer_stop (req->all->conf.loop, &req->silence);
   req->xfer = NULL;
   if (xfer)
-    hxfer_cancel (xfer);
+    {
+      witness_left (req->all->conf.witness, req->server, req->content, req->id);
+      hxfer_cancel (xfer);
+    }
   if (req->number == 0)
     return;
   if (req->events > 4)
@@ -184,7 +188,7 @@
 }
 
 static void
-ask (Req *req, bool first)
+ask (Req *req)
 {
   SchedAsk out = { 0 };
   uint32_t kept[SCHED_KEPT_MOST];
@@ -192,6 +196,7 @@
   req->number = ++req->all->next_number;
   g_hash_table_insert (req->all->by_number, &req->number, req);
   req->head_seen = req->is_stream = req->rejected = req->elsewhere = req->faulty = false;
+  req->unframed = false;
   req->sent_at = req->first_at = req->event_at = req->event_sum = 0;
   req->events = 0;
   req->rested = 0;
@@ -213,7 +218,80 @@
   out.avoid = req->avoid;
   out.kept = kept;
   out.kept_count = name_kept (req->all->conf.cli, kept);
-  place_ask (req->all->conf.place, &out, first ? cost_of (req) : 0);
+  place_ask (req->all->conf.place, &out, req->placed ? 0 : cost_of (req));
+}
+
+/* ---- Contents under which servers ended ---- */
+
+static void
+end_quarantined (Req *req, const QuarVerdict *verdict)
+{
+  char content[CONTENT_TEXT];
+  const char *why = ft_reason_info (FT_REASON_QUARANTINED)->code;
+
+  count_up (COUNT_QUARANTINED);
+  jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", why),
+        JL_TEXT ("content", content_text (req->content, content)), JL_INT ("ends", verdict->ends),
+        JL_MS ("known_ms", verdict->known_us), JL_TEXT ("by", "entry"));
+  if (req->begun)
+    break_off (req, why);
+  else if (req->may_have_run)
+    answer_own (req, 502, 0, why);
+  else /* as late as a caller heeds: nothing lets the content go within its time */
+    answer_own (req, 503, MAX (50 * FT_MS, (req->end_at - req_now (req)) / 3), why);
+}
+
+/* Asks for a place, unless servers have ended under the content. */
+static void
+ask_if_allowed (Req *req)
+{
+  QuarVerdict verdict = witness_judge (req->all->conf.witness, req->content);
+
+  if (verdict.state == QUAR_HELD)
+    end_quarantined (req, &verdict);
+  else if (verdict.state == QUAR_SETTLES)
+    loop_timer_set (req->all->conf.loop, &req->settle, verdict.settles_at);
+  else
+    ask (req);
+}
+
+static void
+on_settled (LoopTimer *timer)
+{
+  ask_if_allowed ((Req *) ((char *) timer - offsetof (Req, settle)));
+}
+
+static bool
+is_stopped (const Req *req)
+{
+  return witness_judge (req->all->conf.witness, req->content).state >= QUAR_SETTLES;
+}
+
+/* Gives back the place that was granted or is waited for, and asks again. */
+static void
+ask_anew (Req *req)
+{
+  static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
+
+  place_done (req->all->conf.place, req->number, &withdrawn);
+  forget_number (req);
+  ask_if_allowed (req);
+}
+
+void
+requests_review (Requests *all)
+{
+  GPtrArray *stopped = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, all->by_number);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Req *) value)->xfer == NULL && is_stopped (value))
+      g_ptr_array_add (stopped, value);
+  for (unsigned i = 0; i < stopped->len; i++)
+    ask_anew (stopped->pdata[i]);
+  g_ptr_array_unref (stopped);
 }
 
 /* ---- After a try ---- */
@@ -256,6 +334,7 @@
                        .most_sends = req->route->attempts,
                        .unreached = req->unreached,
                        .left_us = req->end_at - req_now (req),
+                       .suspect = witness_judge (all->conf.witness, req->content).ends > 0,
                        .budget = true };
   RetryStep step = retry_next (event, &facts);
 
@@ -287,7 +366,7 @@
         events_restart (req->stream);
       if (event != RETRY_UNREACHED)
         count_up (step == RETRY_RESUME ? COUNT_RESUMES : COUNT_REPEATS);
-      ask (req, false);
+      ask_if_allowed (req);
       break;
     case RETRY_DELIVER:
       finish_answer (req);
@@ -323,10 +402,10 @@
 {
   const SeamServer *server = &grant->server;
   Req *req = g_hash_table_lookup (all->by_number, &number);
-  SchedResult rejected = { .outcome = SCHED_LEFT };
 
   if (req == NULL)
     return;
+  req->placed = true;
   count_time (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
   req->server = g_strdup (server->id);
@@ -336,14 +415,14 @@
         JL_MS ("list_age_ms", req_now (req) - grant->listed_at));
   if (server->leaving || is_known_gone (all, server->id, grant->listed_at))
     {
-      place_done (all->conf.place, number, &rejected);
-      forget_number (req);
       g_free (req->avoid);
       req->avoid = g_strdup (server->id);
-      ask (req, false);
-      return;
+      ask_anew (req);
     }
-  try_send (req, grant);
+  else if (is_stopped (req))
+    ask_anew (req);
+  else
+    try_send (req, grant);
 }
 
 void
@@ -396,6 +475,7 @@
   req->held = g_string_new (NULL);
   req->limit.fire = on_limit;
   req->silence.fire = try_on_silence;
+  req->settle.fire = on_settled;
   req->arrived = req->end_at = hcall_arrived (call);
   all->conf.seam->read_request (hcall_msg (call), &req->facts);
   if (req->facts.id)
@@ -463,7 +543,7 @@
   req->service = rt_route_target (req->route, g_random_int ());
   budget_note (all->conf.budget, req->service);
   loop_timer_set (all->conf.loop, &req->limit, req->end_at);
-  ask (req, true);
+  ask_if_allowed (req);
 }
 
 /* Failure: all instances start anew, and callers come before the catalogue does. Symptom: each is
--- a/node/requests.h
+++ b/node/requests.h
@@ -8,6 +8,7 @@
 #include "hsrv.h"
 #include "place.h"
 #include "servers.h"
+#include "witness.h"
 
 typedef struct Requests Requests;
 
@@ -19,6 +20,7 @@
   Place *place;
   Budget *budget;
   const Servers *servers;
+  Witness *witness;
 } RequestsConf;
 
 Requests *requests_new (const RequestsConf *conf);
@@ -32,6 +34,8 @@
 /* The scheduler's verdicts. */
 void requests_grant (Requests *requests, uint64_t number, const Grant *grant);
 void requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal);
+/* The witness's verdicts may have changed: looks again at requests that wait for a place. */
+void requests_review (Requests *requests);
 unsigned requests_open (const Requests *requests);
 
 #endif
--- a/node/try.c
+++ b/node/try.c
@@ -65,6 +65,7 @@
   SeamAnswer answer;
 
   req->all->conf.seam->read_answer (msg, &answer);
+  req->unframed = hmsg_ends_with_connection (msg);
   if (!is_ours (req, &answer))
     {
       jlog (JLOG_WARN, "foreign-answer", req->id, JL_TEXT ("server", req->server),
@@ -168,6 +169,21 @@
     }
 }
 
+/* Does its end show that the server has outlived the request? */
+static bool
+is_proof (const Req *req)
+{
+  return !req->unframed && req->status < 500 && (!req->is_stream || req->events > 0);
+}
+
+/* The server may be gone; what it ran is found out by the witness. */
+static void
+note_break (const Req *req)
+{
+  if (!req->rejected)
+    witness_broke (req->all->conf.witness, req->server, req->addr, req->content, req->id);
+}
+
 static void
 on_end (void *user)
 {
@@ -180,6 +196,10 @@
       return;
     }
   note_first (req);
+  if (req->unframed)
+    note_break (req);
+  else if (is_proof (req))
+    witness_answered (req->all->conf.witness, req->server, req->content, req->sent_at);
   if (req->is_stream && events_within (req->stream))
     req_after_try (req, RETRY_CUT);
   else if (req->is_stream)
@@ -200,12 +220,16 @@
   req->xfer = NULL;
   req->fault = fault;
   req->faulty = true;
+  if (fault == HXFER_BROKEN)
+    note_break (req);
   if (fault == HXFER_UNREACHED || fault == HXFER_REFUSED)
     {
       req->unreached++;
       req->sends--;
       req->may_have_run = req->may_have_run_before;
       count_up (COUNT_UNREACHED);
+      if (fault == HXFER_REFUSED)
+        witness_refused (req->all->conf.witness, req->server);
       req_after_try (req, RETRY_UNREACHED);
       return;
     }
@@ -248,6 +272,7 @@
 
   all->conf.seam->write_request (message, hcall_msg (req->call), &forward);
   req->sends++;
+  req->addr = server->addr;
   req->may_have_run_before = req->may_have_run;
   req->may_have_run = true; /* from here on only a server's word, or no connection, denies it */
   req->sent_at = req_now (req);
--- a/node/voter.c
+++ b/node/voter.c
@@ -25,6 +25,7 @@
   WORK_MESSAGE,
   WORK_MEET,
   WORK_PROPOSE,
+  WORK_PROPOSE_OP,
   WORK_HAND_OVER
 } WorkKind;
 
@@ -39,7 +40,7 @@
 typedef struct
 {
   Voter *voter;
-  bool is_verdict, is_commit;
+  bool is_verdict, is_commit, is_blame;
   uint32_t to;
   uint64_t ticket;
   FtStatus status;
@@ -74,6 +75,9 @@
   int64_t proved_until; /* under lock */
   GBytes *document;     /* under lock */
   uint64_t number;      /* under lock */
+  GBytes *blame;        /* under lock; packed */
+  uint64_t blame_index; /* of what blame holds; the log's thread's */
+  uint64_t next_ticket; /* the loop's thread's */
 };
 
 static int64_t
@@ -110,6 +114,8 @@
 
   if (report->is_commit)
     voter->ops->committed (voter->host);
+  else if (report->is_blame)
+    voter->ops->blamed (voter->host);
   else if (report->is_verdict)
     voter->ops->verdict (voter->host, report->ticket, report->status);
   else
@@ -167,6 +173,31 @@
   report (voter, (Report){ .is_commit = true });
 }
 
+/* In its place before whoever proposed the change hears that it is committed, for the same reason.
+ */
+static void
+keep_blame (Voter *voter)
+{
+  const Blame *account = state_blame (voter->state);
+  MsgBlame captured = { 0 };
+
+  if (blame_index (account) == voter->blame_index)
+    return;
+  voter->blame_index = blame_index (account);
+  blame_capture (account, &captured);
+  GByteArray *bytes = codec_pack (CODEC (MsgBlame), &captured);
+  g_free (captured.suspects.suspects_val);
+  if (bytes == NULL)
+    g_error ("the account of ended servers cannot be packed");
+  pthread_mutex_lock (&voter->lock);
+  GBytes *old = voter->blame;
+  voter->blame = g_byte_array_free_to_bytes (bytes);
+  pthread_mutex_unlock (&voter->lock);
+  if (old)
+    g_bytes_unref (old);
+  report (voter, (Report){ .is_blame = true });
+}
+
 static void
 on_apply (void *host, uint64_t index, const MsgOp *op, const StateVerdict *verdict)
 {
@@ -175,6 +206,7 @@
   (void) verdict;
   if (op->kind == MSG_OP_DOCUMENT)
     keep_document (voter);
+  keep_blame (voter);
   settle (voter, index);
 }
 
@@ -183,30 +215,47 @@
 /* ---- The thread ---- */
 
 static void
-propose (Voter *voter, const Work *work)
+propose (Voter *voter, uint64_t ticket, const MsgOp *op)
 {
-  MsgOp op = { .kind = MSG_OP_DOCUMENT };
-  Pending pending = { .ticket = work->ticket };
+  Pending pending = { .ticket = ticket };
+  FtStatus status = raft_propose (voter->raft, op, &pending.index);
 
-  op.MsgOp_u.document.number = work->number;
-  op.MsgOp_u.document.text.text_val = (char *) work->bytes->data;
-  op.MsgOp_u.document.text.text_len = work->bytes->len;
-  FtStatus status = raft_propose (voter->raft, &op, &pending.index);
   if (status != FT_OK)
     {
-      report (voter, (Report){ .is_verdict = true, .ticket = work->ticket, .status = status });
+      report (voter, (Report){ .is_verdict = true, .ticket = ticket, .status = status });
       return;
     }
   pending.term = raft_term (voter->raft);
   g_array_append_val (voter->pending, pending);
 }
 
+static void
+propose_document (Voter *voter, const Work *work)
+{
+  MsgOp op = { .kind = MSG_OP_DOCUMENT };
+
+  op.MsgOp_u.document.number = work->number;
+  op.MsgOp_u.document.text.text_val = (char *) work->bytes->data;
+  op.MsgOp_u.document.text.text_len = work->bytes->len;
+  propose (voter, work->ticket, &op);
+}
+
+static void
+propose_op (Voter *voter, const Work *work)
+{
+  MsgOp op = { 0 };
+
+  if (codec_unpack (CODEC (MsgOp), work->bytes->data, work->bytes->len, &op, NULL) == FT_OK)
+    propose (voter, work->ticket, &op);
+  codec_clear (CODEC (MsgOp), &op);
+}
+
 static void
 do_work (Voter *voter, Work *work)
 {
   Msg msg = { 0 };
 
-  if (voter->raft == NULL && work->kind == WORK_PROPOSE)
+  if (voter->raft == NULL && (work->kind == WORK_PROPOSE || work->kind == WORK_PROPOSE_OP))
     report (voter, (Report){ .is_verdict = true, .ticket = work->ticket, .status = FT_IO });
   switch (voter->raft ? work->kind : WORK_NONE)
     {
@@ -221,7 +270,10 @@
       raft_meet (voter->raft, work->from);
       break;
     case WORK_PROPOSE:
-      propose (voter, work);
+      propose_document (voter, work);
+      break;
+    case WORK_PROPOSE_OP:
+      propose_op (voter, work);
       break;
     case WORK_HAND_OVER:
       raft_hand_over (voter->raft);
@@ -299,6 +351,7 @@
   raft_tick (voter->raft);
   raft_flush (voter->raft);
   keep_document (voter);
+  keep_blame (voter);
   publish_status (voter);
 }
 
@@ -373,6 +426,7 @@
   if (status == FT_OK)
     {
       keep_document (voter);
+      keep_blame (voter);
       publish_status (voter);
       if (pthread_create (&voter->thread, NULL, run, voter) == 0)
         {
@@ -407,6 +461,8 @@
   g_array_unref (voter->pending);
   if (voter->document)
     g_bytes_unref (voter->document);
+  if (voter->blame)
+    g_bytes_unref (voter->blame);
   pthread_mutex_destroy (&voter->lock);
   pthread_cond_destroy (&voter->wake);
   g_free (voter);
@@ -424,14 +480,28 @@
   push (voter, (Work){ .kind = WORK_MEET, .from = id });
 }
 
-void
-voter_propose (Voter *voter, uint64_t ticket, uint64_t number, GBytes *document)
+uint64_t
+voter_propose (Voter *voter, uint64_t number, GBytes *document)
 {
   GByteArray *bytes = g_byte_array_new ();
+  uint64_t ticket = ++voter->next_ticket;
 
   g_byte_array_append (bytes, g_bytes_get_data (document, NULL),
                        (guint) g_bytes_get_size (document));
   push (voter, (Work){ .kind = WORK_PROPOSE, .ticket = ticket, .number = number, .bytes = bytes });
+  return ticket;
+}
+
+uint64_t
+voter_propose_op (Voter *voter, const MsgOp *op)
+{
+  GByteArray *bytes = codec_pack (CODEC (MsgOp), op);
+  uint64_t ticket = ++voter->next_ticket;
+
+  if (bytes == NULL)
+    g_error ("an operation of this instance's own cannot be packed");
+  push (voter, (Work){ .kind = WORK_PROPOSE_OP, .ticket = ticket, .bytes = bytes });
+  return ticket;
 }
 
 void
@@ -459,6 +529,15 @@
   return document;
 }
 
+GBytes *
+voter_blame (Voter *voter)
+{
+  pthread_mutex_lock (&voter->lock);
+  GBytes *blame = voter->blame ? g_bytes_ref (voter->blame) : NULL;
+  pthread_mutex_unlock (&voter->lock);
+  return blame;
+}
+
 uint64_t
 voter_newest (Voter *voter)
 {
--- a/node/voter.h
+++ b/node/voter.h
@@ -15,7 +15,9 @@
   void (*send) (void *host, uint32_t to, GByteArray *bytes);
   /* A newer document is committed; read it with voter_document. */
   void (*committed) (void *host);
-  /* The end of voter_propose. FT_OK: committed. */
+  /* The account of ended servers has changed; read it with voter_blame. */
+  void (*blamed) (void *host);
+  /* The end of a proposal. FT_OK: committed. */
   void (*verdict) (void *host, uint64_t ticket, FtStatus status);
 } VoterOps;
 
@@ -38,8 +40,10 @@
 void voter_receive (Voter *voter, uint32_t from, GByteArray *bytes);
 /* Another instance is, or wants to be, a voter. */
 void voter_meet (Voter *voter, uint32_t id);
-/* Asks for number to become the newest document. verdict follows with the ticket. */
-void voter_propose (Voter *voter, uint64_t ticket, uint64_t number, GBytes *document);
+/* Asks for number to become the newest document, or for op to be applied, which is one on ended
+ * servers. Returns a ticket, with which the verdict follows. */
+uint64_t voter_propose (Voter *voter, uint64_t number, GBytes *document);
+uint64_t voter_propose_op (Voter *voter, const MsgOp *op);
 void voter_hand_over (Voter *voter);
 
 typedef struct
@@ -60,5 +64,8 @@
 GBytes *voter_document (Voter *voter, uint64_t *number);
 /* Its number alone; 0: none. */
 uint64_t voter_newest (Voter *voter);
+/* The committed account of ended servers that this voter knows, a packed MsgBlame; NULL: none yet.
+ * The reference is the caller's. */
+GBytes *voter_blame (Voter *voter);
 
 #endif
--- /dev/null
+++ b/src/blame.c
@@ -0,0 +1,290 @@
+/* blame.c - which contents were running on servers that ended.
+ *
+ * Failure: one request ends each server that begins to run it, and its caller sends it again, under
+ * another id, to another instance. Symptom: server after server ends, each taking other callers'
+ * requests with it; no instance sees more than one or two of the ends. So ends are counted by
+ * content, in the replicated log: whoever sees an end adds it, all know the sum, and it outlives
+ * every instance.
+ *
+ * Each content on a server that ended is a suspect; one of them did it. An innocent one is told
+ * apart by what it does elsewhere: once it is answered whole it is cleared. A server that answers
+ * after it was said to have ended had only been cut off, and its end is struck.
+ *
+ * The account is bounded. When it is full the suspect with the fewest ends goes, the oldest of
+ * these first: a flood of contents that met one end each cannot push out those that met more.
+ */
+#include "blame.h"
+
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define AGAIN_MS                                                                                   \
+  2000 /* instances see one end within a second of each other; no server starts again and ends in  \
+          less */
+
+struct Blame
+{
+  uint64_t index;
+  GHashTable *suspects; /* content: MsgSuspect */
+};
+
+static void
+suspect_free (void *data)
+{
+  codec_clear (CODEC (MsgSuspect), data);
+  g_free (data);
+}
+
+Blame *
+blame_new (void)
+{
+  Blame *blame = g_new0 (Blame, 1);
+
+  blame->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, suspect_free);
+  return blame;
+}
+
+void
+blame_free (Blame *blame)
+{
+  if (blame == NULL)
+    return;
+  g_hash_table_unref (blame->suspects);
+  g_free (blame);
+}
+
+/* Goes before the other when the account is full. */
+static bool
+weighs_less (const MsgSuspect *one, const MsgSuspect *other)
+{
+  if (one->ends != other->ends)
+    return one->ends < other->ends;
+  if (one->index != other->index)
+    return one->index < other->index;
+  return one->content < other->content;
+}
+
+static void
+make_room (Blame *blame)
+{
+  GHashTableIter iter;
+  gpointer value;
+  const MsgSuspect *least = NULL;
+
+  if (g_hash_table_size (blame->suspects) < BLAME_MOST)
+    return;
+  g_hash_table_iter_init (&iter, blame->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (least == NULL || weighs_less (value, least))
+      least = value;
+  if (least)
+    g_hash_table_remove (blame->suspects, &least->content);
+}
+
+static void
+insert (Blame *blame, MsgSuspect *suspect)
+{
+  g_hash_table_insert (blame->suspects, &suspect->content, suspect);
+}
+
+static MsgSuspect *
+suspect_of (Blame *blame, uint64_t content, int64_t wall_ms)
+{
+  MsgSuspect *suspect = g_hash_table_lookup (blame->suspects, &content);
+
+  if (suspect)
+    return suspect;
+  make_room (blame);
+  suspect = g_new0 (MsgSuspect, 1);
+  suspect->content = content;
+  suspect->first_ms = wall_ms;
+  suspect->latest.latest_val = calloc (FT_SUSPECT_SERVERS, sizeof (MsgServerEnd));
+  insert (blame, suspect);
+  return suspect;
+}
+
+/* The place of the latest end of the server on the record; -1: none. */
+static int
+place_of (const MsgSuspect *suspect, const char *server)
+{
+  for (unsigned i = suspect->latest.latest_len; i-- > 0;)
+    if (strcmp (suspect->latest.latest_val[i].server, server) == 0)
+      return (int) i;
+  return -1;
+}
+
+/* Takes the end at that place off the record. */
+static void
+drop_end (MsgSuspect *suspect, unsigned place)
+{
+  MsgServerEnd *ends = suspect->latest.latest_val;
+
+  free (ends[place].server);
+  suspect->latest.latest_len--;
+  memmove (ends + place, ends + place + 1, (suspect->latest.latest_len - place) * sizeof *ends);
+  ends[suspect->latest.latest_len].server = NULL;
+}
+
+/* An end is one however many instances tell of it; a server that has started again under its name
+ * may end again. */
+static bool
+is_known (const MsgSuspect *suspect, const MsgEnded *ended)
+{
+  int place = place_of (suspect, ended->server);
+
+  return place >= 0 && ended->wall_ms - suspect->latest.latest_val[place].wall_ms < AGAIN_MS;
+}
+
+static bool
+add_end (Blame *blame, uint64_t index, uint64_t content, const MsgEnded *ended)
+{
+  MsgSuspect *suspect = suspect_of (blame, content, ended->wall_ms);
+
+  if (is_known (suspect, ended))
+    return false;
+  if (suspect->latest.latest_len == FT_SUSPECT_SERVERS)
+    drop_end (suspect, 0);
+  suspect->latest.latest_val[suspect->latest.latest_len++]
+      = (MsgServerEnd){ strdup (ended->server), ended->wall_ms };
+  suspect->ends++;
+  suspect->index = index;
+  return true;
+}
+
+static bool
+note_change (Blame *blame, uint64_t index, bool changed)
+{
+  if (changed)
+    blame->index = index;
+  return changed;
+}
+
+bool
+blame_ended (Blame *blame, uint64_t index, const MsgEnded *ended)
+{
+  bool changed = false;
+
+  for (unsigned i = 0; i < ended->contents.contents_len; i++)
+    if (add_end (blame, index, ended->contents.contents_val[i], ended))
+      changed = true;
+  return note_change (blame, index, changed);
+}
+
+/* True: nothing is left against it. */
+static bool
+strike_end (MsgSuspect *suspect, const char *server, bool *struck)
+{
+  int place = place_of (suspect, server);
+
+  if (place < 0)
+    return false;
+  drop_end (suspect, (unsigned) place);
+  suspect->ends--;
+  *struck = true;
+  return suspect->ends == 0;
+}
+
+bool
+blame_survived (Blame *blame, uint64_t index, const MsgSurvived *survived)
+{
+  GHashTableIter iter;
+  gpointer value;
+  bool struck = false;
+
+  g_hash_table_iter_init (&iter, blame->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strike_end (value, survived->server, &struck))
+      g_hash_table_iter_remove (&iter);
+  return note_change (blame, index, struck);
+}
+
+bool
+blame_cleared (Blame *blame, uint64_t index, const MsgCleared *cleared)
+{
+  bool changed = false;
+
+  for (unsigned i = 0; i < cleared->contents.contents_len; i++)
+    if (g_hash_table_remove (blame->suspects, &cleared->contents.contents_val[i]))
+      changed = true;
+  return note_change (blame, index, changed);
+}
+
+const MsgSuspect *
+blame_find (const Blame *blame, uint64_t content)
+{
+  return g_hash_table_lookup (blame->suspects, &content);
+}
+
+bool
+blame_knows (const Blame *blame, const MsgEnded *ended)
+{
+  for (unsigned i = 0; i < ended->contents.contents_len; i++)
+    {
+      const MsgSuspect *suspect = blame_find (blame, ended->contents.contents_val[i]);
+      if (suspect == NULL || !is_known (suspect, ended))
+        return false;
+    }
+  return true;
+}
+
+uint64_t
+blame_index (const Blame *blame)
+{
+  return blame->index;
+}
+
+unsigned
+blame_count (const Blame *blame, unsigned *quarantined)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  *quarantined = 0;
+  g_hash_table_iter_init (&iter, blame->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    *quarantined += ((const MsgSuspect *) value)->ends >= BLAME_ENDS;
+  return g_hash_table_size (blame->suspects);
+}
+
+static int
+by_weight (const void *a, const void *b)
+{
+  return weighs_less (a, b) ? 1 : -1;
+}
+
+void
+blame_capture (const Blame *blame, MsgBlame *out)
+{
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (MsgSuspect));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, blame->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (all, value, 1);
+  g_array_sort (all, by_weight); /* the same bytes from the same account */
+  out->index = blame->index;
+  out->suspects.suspects_len = all->len;
+  out->suspects.suspects_val = (MsgSuspect *) (void *) g_array_free (all, FALSE);
+}
+
+static MsgSuspect *
+copy_suspect (const MsgSuspect *from)
+{
+  MsgSuspect *copy = g_memdup2 (from, sizeof *from);
+
+  copy->latest.latest_val = calloc (FT_SUSPECT_SERVERS, sizeof (MsgServerEnd));
+  for (unsigned i = 0; i < from->latest.latest_len; i++)
+    copy->latest.latest_val[i] = (MsgServerEnd){ strdup (from->latest.latest_val[i].server),
+                                                 from->latest.latest_val[i].wall_ms };
+  return copy;
+}
+
+void
+blame_restore (Blame *blame, const MsgBlame *in)
+{
+  g_hash_table_remove_all (blame->suspects);
+  blame->index = in->index;
+  for (unsigned i = 0; i < in->suspects.suspects_len; i++)
+    insert (blame, copy_suspect (&in->suspects.suspects_val[i]));
+}
--- /dev/null
+++ b/src/blame.h
@@ -0,0 +1,36 @@
+/* blame.h - the account of which contents were running on servers that ended; private to the
+ * library and its shells. */
+#ifndef BLAME_H
+#define BLAME_H
+
+#include "codec.h"
+
+/* A content under which so many servers have ended is sent to none any more. Two ends can be
+ * chance: in a failure domain that loses power every content there is hit, and its caller's next
+ * try may meet the next failure. A third one costs a server more and settles it. */
+#define BLAME_ENDS 3
+#define BLAME_MOST 1024 /* suspects kept, some 150 bytes each */
+
+typedef struct Blame Blame;
+
+Blame *blame_new (void);
+void blame_free (Blame *blame);
+/* Operations at their index in the log. True: the account has changed. Deterministic. */
+bool blame_ended (Blame *blame, uint64_t index, const MsgEnded *ended);
+bool blame_survived (Blame *blame, uint64_t index, const MsgSurvived *survived);
+bool blame_cleared (Blame *blame, uint64_t index, const MsgCleared *cleared);
+/* Would blame_ended change nothing? */
+bool blame_knows (const Blame *blame, const MsgEnded *ended);
+/* Borrowed; NULL: nothing is said against the content. */
+const MsgSuspect *blame_find (const Blame *blame, uint64_t content);
+/* Index of the latest change; 0: there was none. */
+uint64_t blame_index (const Blame *blame);
+/* How many are kept, and how many of them are sent to no server. */
+unsigned blame_count (const Blame *blame, unsigned *quarantined);
+/* The whole account. suspects_val is an array of the caller's (g_free); what its records point to
+ * is borrowed. */
+void blame_capture (const Blame *blame, MsgBlame *out);
+/* Takes a captured account over in place of this one; in is copied. */
+void blame_restore (Blame *blame, const MsgBlame *in);
+
+#endif
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -189,6 +189,57 @@
 	u_int rested_ms;
 };
 typedef struct MeshDone MeshDone;
+#define MESH_CONTENTS_MOST 64
+#define MESH_ENDS_MOST 8
+#define MESH_SUSPECTS_MOST 1024
+
+struct MeshEnded {
+	u_quad_t number;
+	char *server;
+	u_int age_ms;
+	struct {
+		u_int contents_len;
+		u_quad_t *contents_val;
+	} contents;
+};
+typedef struct MeshEnded MeshEnded;
+
+struct MeshEndedKnown {
+	u_quad_t number;
+};
+typedef struct MeshEndedKnown MeshEndedKnown;
+
+struct MeshAnswered {
+	struct {
+		u_int contents_len;
+		u_quad_t *contents_val;
+	} contents;
+};
+typedef struct MeshAnswered MeshAnswered;
+
+struct MeshSurvived {
+	char *server;
+};
+typedef struct MeshSurvived MeshSurvived;
+
+struct MeshSuspect {
+	u_quad_t content;
+	u_int ends;
+	struct {
+		u_int servers_len;
+		u_int *servers_val;
+	} servers;
+};
+typedef struct MeshSuspect MeshSuspect;
+
+struct MeshBlamed {
+	u_quad_t index;
+	struct {
+		u_int suspects_len;
+		MeshSuspect *suspects_val;
+	} suspects;
+};
+typedef struct MeshBlamed MeshBlamed;
 
 enum MeshKind {
 	MESH_HELLO = 1,
@@ -205,6 +256,11 @@
 	MESH_WANT_LIST = 1 + 11,
 	MESH_PACKED_LIST = 1 + 12,
 	MESH_ALIVE = 1 + 13,
+	MESH_ENDED = 1 + 14,
+	MESH_ENDED_KNOWN = 1 + 15,
+	MESH_ANSWERED = 1 + 16,
+	MESH_SURVIVED = 1 + 17,
+	MESH_BLAMED = 1 + 18,
 };
 typedef enum MeshKind MeshKind;
 
@@ -222,6 +278,11 @@
 		MeshSilent silent;
 		MeshDone done;
 		MeshPackedList packed;
+		MeshEnded ended;
+		MeshEndedKnown known;
+		MeshAnswered answered;
+		MeshSurvived survived;
+		MeshBlamed blamed;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -249,6 +310,12 @@
 extern  bool_t xdr_MeshFirst (XDR *, MeshFirst*);
 extern  bool_t xdr_MeshSilent (XDR *, MeshSilent*);
 extern  bool_t xdr_MeshDone (XDR *, MeshDone*);
+extern  bool_t xdr_MeshEnded (XDR *, MeshEnded*);
+extern  bool_t xdr_MeshEndedKnown (XDR *, MeshEndedKnown*);
+extern  bool_t xdr_MeshAnswered (XDR *, MeshAnswered*);
+extern  bool_t xdr_MeshSurvived (XDR *, MeshSurvived*);
+extern  bool_t xdr_MeshSuspect (XDR *, MeshSuspect*);
+extern  bool_t xdr_MeshBlamed (XDR *, MeshBlamed*);
 extern  bool_t xdr_MeshKind (XDR *, MeshKind*);
 extern  bool_t xdr_MeshMsg (XDR *, MeshMsg*);
 
@@ -269,6 +336,12 @@
 extern bool_t xdr_MeshFirst ();
 extern bool_t xdr_MeshSilent ();
 extern bool_t xdr_MeshDone ();
+extern bool_t xdr_MeshEnded ();
+extern bool_t xdr_MeshEndedKnown ();
+extern bool_t xdr_MeshAnswered ();
+extern bool_t xdr_MeshSurvived ();
+extern bool_t xdr_MeshSuspect ();
+extern bool_t xdr_MeshBlamed ();
 extern bool_t xdr_MeshKind ();
 extern bool_t xdr_MeshMsg ();
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -152,10 +152,52 @@
   unsigned int rested_ms;    /* ... after it had rested for so long; 0: it was a new one */
 };
 
+/* ---- Contents under which servers ended ---- */
+
+const MESH_CONTENTS_MOST = 64;
+const MESH_ENDS_MOST = 8;
+const MESH_SUSPECTS_MOST = 1024;
+
+/* From an entry: a server has ended while it ran these. Told again until it is known. */
+struct MeshEnded {
+  unsigned hyper number; /* the sender's own */
+  string server<MESH_NAME_MOST>;
+  unsigned int age_ms;   /* since the end was seen */
+  unsigned hyper contents<MESH_CONTENTS_MOST>;
+};
+
+/* From the voter in charge: the account of ends, which lasts, has it. */
+struct MeshEndedKnown {
+  unsigned hyper number;
+};
+
+/* From an entry: it has answered these whole, so they end no server. */
+struct MeshAnswered {
+  unsigned hyper contents<MESH_CONTENTS_MOST>;
+};
+
+/* From an entry: the server, which is said to have ended, has answered since. */
+struct MeshSurvived {
+  string server<MESH_NAME_MOST>;
+};
+
+struct MeshSuspect {
+  unsigned hyper content;
+  unsigned int ends;
+  unsigned int servers<MESH_ENDS_MOST>; /* digests of the ids of the latest of them */
+};
+
+/* From a voter: all contents with two or more ends. */
+struct MeshBlamed {
+  unsigned hyper index; /* in the log, of the account */
+  MeshSuspect suspects<MESH_SUSPECTS_MOST>;
+};
+
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT,
-  MESH_WANT_LIST, MESH_PACKED_LIST, MESH_ALIVE
+  MESH_WANT_LIST, MESH_PACKED_LIST, MESH_ALIVE,
+  MESH_ENDED, MESH_ENDED_KNOWN, MESH_ANSWERED, MESH_SURVIVED, MESH_BLAMED
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -172,5 +214,10 @@
 case MESH_WANT_LIST: void; /* the sender cannot apply changes: send it whole */
 case MESH_PACKED_LIST: MeshPackedList packed;
 case MESH_ALIVE: void; /* nothing has changed since the last hello or view */
+case MESH_ENDED: MeshEnded ended;
+case MESH_ENDED_KNOWN: MeshEndedKnown known;
+case MESH_ANSWERED: MeshAnswered answered;
+case MESH_SURVIVED: MeshSurvived survived;
+case MESH_BLAMED: MeshBlamed blamed;
 case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -549,6 +549,82 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshEnded (XDR *xdrs, MeshEnded *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, MESH_CONTENTS_MOST,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshEndedKnown (XDR *xdrs, MeshEndedKnown *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshAnswered (XDR *xdrs, MeshAnswered *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, MESH_CONTENTS_MOST,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshSurvived (XDR *xdrs, MeshSurvived *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshSuspect (XDR *xdrs, MeshSuspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->content))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, MESH_ENDS_MOST,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshBlamed (XDR *xdrs, MeshBlamed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, MESH_SUSPECTS_MOST,
+		sizeof (MeshSuspect), (xdrproc_t) xdr_MeshSuspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshKind (XDR *xdrs, MeshKind *objp)
 {
@@ -615,6 +691,26 @@
 		break;
 	case MESH_ALIVE:
 		break;
+	case MESH_ENDED:
+		 if (!xdr_MeshEnded (xdrs, &objp->MeshMsg_u.ended))
+			 return FALSE;
+		break;
+	case MESH_ENDED_KNOWN:
+		 if (!xdr_MeshEndedKnown (xdrs, &objp->MeshMsg_u.known))
+			 return FALSE;
+		break;
+	case MESH_ANSWERED:
+		 if (!xdr_MeshAnswered (xdrs, &objp->MeshMsg_u.answered))
+			 return FALSE;
+		break;
+	case MESH_SURVIVED:
+		 if (!xdr_MeshSurvived (xdrs, &objp->MeshMsg_u.survived))
+			 return FALSE;
+		break;
+	case MESH_BLAMED:
+		 if (!xdr_MeshBlamed (xdrs, &objp->MeshMsg_u.blamed))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MOST))
 			 return FALSE;
--- a/src/msg.h
+++ b/src/msg.h
@@ -139,6 +139,9 @@
 	MSG_OP_VOTERS = 5,
 	MSG_OP_REFUSALS = 6,
 	MSG_OP_DOCUMENT = 7,
+	MSG_OP_ENDED = 8,
+	MSG_OP_SURVIVED = 9,
+	MSG_OP_CLEARED = 10,
 };
 typedef enum MsgOpKind MsgOpKind;
 
@@ -220,6 +223,33 @@
 	} text;
 };
 typedef struct MsgDocument MsgDocument;
+#define FT_CONTENTS_MOST 64
+#define FT_SUSPECT_SERVERS 8
+
+typedef char *MsgServerName;
+
+struct MsgEnded {
+	MsgServerName server;
+	quad_t wall_ms;
+	struct {
+		u_int contents_len;
+		u_quad_t *contents_val;
+	} contents;
+};
+typedef struct MsgEnded MsgEnded;
+
+struct MsgSurvived {
+	MsgServerName server;
+};
+typedef struct MsgSurvived MsgSurvived;
+
+struct MsgCleared {
+	struct {
+		u_int contents_len;
+		u_quad_t *contents_val;
+	} contents;
+};
+typedef struct MsgCleared MsgCleared;
 
 struct MsgOp {
 	MsgOpKind kind;
@@ -231,6 +261,9 @@
 		MsgVoters voters;
 		MsgRecords refusals;
 		MsgDocument document;
+		MsgEnded ended;
+		MsgSurvived survived;
+		MsgCleared cleared;
 	} MsgOp_u;
 };
 typedef struct MsgOp MsgOp;
@@ -345,6 +378,33 @@
 };
 typedef struct MsgClaimState MsgClaimState;
 
+struct MsgServerEnd {
+	MsgServerName server;
+	quad_t wall_ms;
+};
+typedef struct MsgServerEnd MsgServerEnd;
+
+struct MsgSuspect {
+	u_quad_t content;
+	u_int ends;
+	u_quad_t index;
+	quad_t first_ms;
+	struct {
+		u_int latest_len;
+		MsgServerEnd *latest_val;
+	} latest;
+};
+typedef struct MsgSuspect MsgSuspect;
+
+struct MsgBlame {
+	u_quad_t index;
+	struct {
+		u_int suspects_len;
+		MsgSuspect *suspects_val;
+	} suspects;
+};
+typedef struct MsgBlame MsgBlame;
+
 struct MsgState {
 	u_quad_t revision;
 	char *catalogue;
@@ -370,6 +430,7 @@
 		MsgVoter *voters_val;
 	} voters;
 	MsgDocument document;
+	MsgBlame blame;
 };
 typedef struct MsgState MsgState;
 
@@ -521,6 +582,10 @@
 extern  bool_t xdr_MsgRecord (XDR *, MsgRecord*);
 extern  bool_t xdr_MsgRecords (XDR *, MsgRecords*);
 extern  bool_t xdr_MsgDocument (XDR *, MsgDocument*);
+extern  bool_t xdr_MsgServerName (XDR *, MsgServerName*);
+extern  bool_t xdr_MsgEnded (XDR *, MsgEnded*);
+extern  bool_t xdr_MsgSurvived (XDR *, MsgSurvived*);
+extern  bool_t xdr_MsgCleared (XDR *, MsgCleared*);
 extern  bool_t xdr_MsgOp (XDR *, MsgOp*);
 extern  bool_t xdr_MsgEntry (XDR *, MsgEntry*);
 extern  bool_t xdr_MsgVote (XDR *, MsgVote*);
@@ -533,6 +598,9 @@
 extern  bool_t xdr_MsgVerdict (XDR *, MsgVerdict*);
 extern  bool_t xdr_MsgRevision (XDR *, MsgRevision*);
 extern  bool_t xdr_MsgClaimState (XDR *, MsgClaimState*);
+extern  bool_t xdr_MsgServerEnd (XDR *, MsgServerEnd*);
+extern  bool_t xdr_MsgSuspect (XDR *, MsgSuspect*);
+extern  bool_t xdr_MsgBlame (XDR *, MsgBlame*);
 extern  bool_t xdr_MsgState (XDR *, MsgState*);
 extern  bool_t xdr_MsgFindKind (XDR *, MsgFindKind*);
 extern  bool_t xdr_MsgFind (XDR *, MsgFind*);
@@ -564,6 +632,10 @@
 extern bool_t xdr_MsgRecord ();
 extern bool_t xdr_MsgRecords ();
 extern bool_t xdr_MsgDocument ();
+extern bool_t xdr_MsgServerName ();
+extern bool_t xdr_MsgEnded ();
+extern bool_t xdr_MsgSurvived ();
+extern bool_t xdr_MsgCleared ();
 extern bool_t xdr_MsgOp ();
 extern bool_t xdr_MsgEntry ();
 extern bool_t xdr_MsgVote ();
@@ -576,6 +648,9 @@
 extern bool_t xdr_MsgVerdict ();
 extern bool_t xdr_MsgRevision ();
 extern bool_t xdr_MsgClaimState ();
+extern bool_t xdr_MsgServerEnd ();
+extern bool_t xdr_MsgSuspect ();
+extern bool_t xdr_MsgBlame ();
 extern bool_t xdr_MsgState ();
 extern bool_t xdr_MsgFindKind ();
 extern bool_t xdr_MsgFind ();
--- a/src/msg.x
+++ b/src/msg.x
@@ -110,7 +110,10 @@
   MSG_OP_CLAIM_END = 4,
   MSG_OP_VOTERS = 5,
   MSG_OP_REFUSALS = 6,
-  MSG_OP_DOCUMENT = 7
+  MSG_OP_DOCUMENT = 7,
+  MSG_OP_ENDED = 8,
+  MSG_OP_SURVIVED = 9,
+  MSG_OP_CLEARED = 10
 };
 
 struct MsgChange {
@@ -171,6 +174,28 @@
   opaque text<FT_TEXT_MOST>;
 };
 
+const FT_CONTENTS_MOST = 64;
+const FT_SUSPECT_SERVERS = 8;
+
+typedef string MsgServerName<127>;
+
+/* The process of a backend server has ended while it ran these contents. */
+struct MsgEnded {
+  MsgServerName server; /* of its lifetime */
+  hyper wall_ms;        /* when it was noticed, by the proposer's time of day; for operators only */
+  unsigned hyper contents<FT_CONTENTS_MOST>;
+};
+
+/* A backend server that was said to have ended has answered since. */
+struct MsgSurvived {
+  MsgServerName server;
+};
+
+/* What was said against these contents no longer counts. */
+struct MsgCleared {
+  unsigned hyper contents<FT_CONTENTS_MOST>;
+};
+
 union MsgOp switch (MsgOpKind kind) {
 case MSG_OP_NOOP: void;
 case MSG_OP_CHANGE: MsgChange change;
@@ -180,6 +205,9 @@
 case MSG_OP_VOTERS: MsgVoters voters;
 case MSG_OP_REFUSALS: MsgRecords refusals;
 case MSG_OP_DOCUMENT: MsgDocument document;
+case MSG_OP_ENDED: MsgEnded ended;
+case MSG_OP_SURVIVED: MsgSurvived survived;
+case MSG_OP_CLEARED: MsgCleared cleared;
 };
 
 struct MsgEntry {
@@ -269,6 +297,25 @@
   hyper ended_ms;
 };
 
+struct MsgServerEnd {
+  MsgServerName server;
+  hyper wall_ms;
+};
+
+/* A content that was running on servers when they ended. */
+struct MsgSuspect {
+  unsigned hyper content;
+  unsigned int ends;    /* of servers, under it */
+  unsigned hyper index; /* in the log, of the latest of these */
+  hyper first_ms;
+  MsgServerEnd latest<FT_SUSPECT_SERVERS>; /* the latest of them, oldest first */
+};
+
+struct MsgBlame {
+  unsigned hyper index; /* in the log, of the latest change */
+  MsgSuspect suspects<4096>;
+};
+
 struct MsgState {
   unsigned hyper revision;
   string catalogue<FT_TEXT_MOST>;
@@ -279,6 +326,7 @@
   MsgRecord refusals<65536>;
   MsgVoter voters<FT_VOTERS_MOST>;
   MsgDocument document;
+  MsgBlame blame;
 };
 
 /* ---- Questions answered by any instance ---- */
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -356,6 +356,52 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgServerName (XDR *xdrs, MsgServerName *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, 127))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgEnded (XDR *xdrs, MsgEnded *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, FT_CONTENTS_MOST,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgSurvived (XDR *xdrs, MsgSurvived *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->server))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgCleared (XDR *xdrs, MsgCleared *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, FT_CONTENTS_MOST,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgOp (XDR *xdrs, MsgOp *objp)
 {
@@ -394,6 +440,18 @@
 		 if (!xdr_MsgDocument (xdrs, &objp->MsgOp_u.document))
 			 return FALSE;
 		break;
+	case MSG_OP_ENDED:
+		 if (!xdr_MsgEnded (xdrs, &objp->MsgOp_u.ended))
+			 return FALSE;
+		break;
+	case MSG_OP_SURVIVED:
+		 if (!xdr_MsgSurvived (xdrs, &objp->MsgOp_u.survived))
+			 return FALSE;
+		break;
+	case MSG_OP_CLEARED:
+		 if (!xdr_MsgCleared (xdrs, &objp->MsgOp_u.cleared))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -592,6 +650,50 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgServerEnd (XDR *xdrs, MsgServerEnd *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgSuspect (XDR *xdrs, MsgSuspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->content))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->first_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->latest.latest_val, (u_int *) &objp->latest.latest_len, FT_SUSPECT_SERVERS,
+		sizeof (MsgServerEnd), (xdrproc_t) xdr_MsgServerEnd))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgBlame (XDR *xdrs, MsgBlame *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, 4096,
+		sizeof (MsgSuspect), (xdrproc_t) xdr_MsgSuspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgState (XDR *xdrs, MsgState *objp)
 {
@@ -620,6 +722,8 @@
 		 return FALSE;
 	 if (!xdr_MsgDocument (xdrs, &objp->document))
 		 return FALSE;
+	 if (!xdr_MsgBlame (xdrs, &objp->blame))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/reason.c
+++ b/src/reason.c
@@ -66,6 +66,9 @@
   [FT_REASON_NO_SUCH_REQUEST]
   = { "no-such-request", "No live instance has it; if it was sent, its instance may have died.",
       404, FT_RAN_UNKNOWN, false },
+  [FT_REASON_QUARANTINED]
+  = { "quarantined", "Backend servers end when they run this request; it is sent to none.", 503,
+      FT_RAN_NO, false },
 };
 
 const FtReasonInfo *
--- a/src/retry.c
+++ b/src/retry.c
@@ -30,10 +30,12 @@
   return facts->may_have_run ? RETRY_SAY_UNKNOWN : RETRY_SAY_NOT_RUN;
 }
 
+/* Failure: a request ends the servers that run it. Symptom: each coming ends as many as its route
+ * allows tries. One under which a server ended before is not sent on once more. */
 static RetryStep
 after_break (const RetryFacts *facts)
 {
-  if (!repeatable (facts) || !may_send_again (facts))
+  if (!repeatable (facts) || !may_send_again (facts) || facts->suspect)
     return give_up (facts);
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -27,6 +27,7 @@
   unsigned most_sends; /* the route's bound on them */
   unsigned unreached;  /* tries that found no connection, or not the server that was meant */
   int64_t left_us;     /* of the caller's time */
+  bool suspect;        /* servers have ended under its content before */
   bool budget;         /* one more send fits the service's budget of repeats */
 } RetryFacts;
 
--- a/src/state.c
+++ b/src/state.c
@@ -8,6 +8,8 @@
  * Claims: the first claim of a key wins. It ends as released (it provably did not run; the key is
  * free again), answered, or unknown. Ended claims are kept for CLAIM_KEPT_MS and running ones for
  * CLAIM_LOST_MS, by the wall times that the operations carry, so that all voters agree on them.
+ *
+ * Blame: which contents ran on servers that ended (blame.c).
  */
 #include "state.h"
 
@@ -32,6 +34,7 @@
   GHashTable *by_refusal;
   MsgVoters voters;
   MsgDocument document;
+  Blame *blame;
 };
 
 #define FREE_FUNC(type, name)                                                                      \
@@ -62,6 +65,7 @@
   memset (&state->voters, 0, sizeof state->voters);
   codec_clear (CODEC (MsgDocument), &state->document);
   memset (&state->document, 0, sizeof state->document);
+  blame_restore (state->blame, &(MsgBlame){ 0 });
 }
 
 State *
@@ -76,6 +80,7 @@
   state->by_refusal = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&state->ended);
   g_queue_init (&state->refusals);
+  state->blame = blame_new ();
   return state;
 }
 
@@ -90,6 +95,7 @@
   g_hash_table_unref (state->leases);
   g_hash_table_unref (state->claims);
   g_hash_table_unref (state->by_refusal);
+  blame_free (state->blame);
   g_free (state);
 }
 
@@ -390,6 +396,15 @@
       for (unsigned i = 0; i < op->MsgOp_u.refusals.records.records_len; i++)
         keep_refusal (state, &op->MsgOp_u.refusals.records.records_val[i]);
       break;
+    case MSG_OP_ENDED:
+      blame_ended (state->blame, index, &op->MsgOp_u.ended);
+      break;
+    case MSG_OP_SURVIVED:
+      blame_survived (state->blame, index, &op->MsgOp_u.survived);
+      break;
+    case MSG_OP_CLEARED:
+      blame_cleared (state->blame, index, &op->MsgOp_u.cleared);
+      break;
     default:
       break;
     }
@@ -433,7 +448,9 @@
   out.voters.voters_len = state->voters.voters.voters_len;
   out.voters.voters_val = state->voters.voters.voters_val;
   out.document = state->document;
+  blame_capture (state->blame, &out.blame);
   GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
+  g_free (out.blame.suspects.suspects_val);
   g_array_unref (history);
   g_array_unref (leases);
   g_array_unref (claims);
@@ -473,6 +490,33 @@
   state->voters.voters.voters_len = in->voters.voters_len;
   state->voters.voters.voters_val = in->voters.voters_val;
   state->document = in->document;
+  blame_restore (state->blame, &in->blame);
+}
+
+/* A snapshot written before blame was kept ends without it. Zeros behind it read as none. */
+static FtStatus
+unpack_older (const void *data, size_t size, MsgState *in)
+{
+  static const guint8 no_blame[12]; /* its index and the number of suspects */
+  GByteArray *bytes = g_byte_array_sized_new ((guint) (size + sizeof no_blame));
+
+  g_byte_array_append (bytes, data, (guint) size);
+  g_byte_array_append (bytes, no_blame, sizeof no_blame);
+  FtStatus status = codec_unpack (CODEC (MsgState), bytes->data, bytes->len, in, NULL);
+  g_byte_array_unref (bytes);
+  return status;
+}
+
+static FtStatus
+unpack (const void *data, size_t size, MsgState *in)
+{
+  FtStatus status = codec_unpack (CODEC (MsgState), data, size, in, NULL);
+
+  if (status == FT_OK)
+    return FT_OK;
+  codec_clear (CODEC (MsgState), in);
+  memset (in, 0, sizeof *in);
+  return unpack_older (data, size, in);
 }
 
 FtStatus
@@ -480,7 +524,7 @@
 {
   MsgState in = { 0 };
   FtCat *cat = NULL;
-  FtStatus status = codec_unpack (CODEC (MsgState), data, size, &in, NULL);
+  FtStatus status = unpack (data, size, &in);
 
   if (status == FT_OK && in.revision > 0)
     status = ft_cat_new (in.catalogue, in.revision, &cat, NULL);
@@ -500,6 +544,7 @@
   free (in.leases.leases_val);
   free (in.claims.claims_val);
   free (in.refusals.refusals_val);
+  codec_clear (CODEC (MsgBlame), &in.blame);
   return FT_OK;
 }
 
@@ -552,6 +597,12 @@
   return state->document.number ? &state->document : NULL;
 }
 
+const Blame *
+state_blame (const State *state)
+{
+  return state->blame;
+}
+
 const MsgVoters *
 state_voters (const State *state)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -1,8 +1,9 @@
-/* state.h - the replicated state: catalogue, leases, claims, refusals; private to the library. */
+/* state.h - the replicated state: catalogue, leases, claims, refusals, blame; private to the
+ * library. */
 #ifndef STATE_H
 #define STATE_H
 
-#include "codec.h"
+#include "blame.h"
 
 typedef struct State State;
 
@@ -32,6 +33,8 @@
 GPtrArray *state_leases (const State *state); /* new array of borrowed const MsgLease * */
 /* The newest document, borrowed; NULL: none yet. */
 const MsgDocument *state_document (const State *state);
+/* Which contents ran on servers that ended; borrowed. */
+const Blame *state_blame (const State *state);
 const MsgVoters *state_voters (const State *state);
 const MsgClaimState *state_claim (const State *state, const char *key);
 unsigned state_claim_count (const State *state);
--- a/test/backend.c
+++ b/test/backend.c
@@ -24,11 +24,10 @@
 }
 
 static void
-stream_free (Stream *stream)
+drop_stream (Stream *stream)
 {
   loop_timer_stop (stream->server->fleet->loop, &stream->timer);
   g_ptr_array_remove_fast (stream->server->streams, stream);
-  g_free (stream);
 }
 
 static void
@@ -41,7 +40,7 @@
   if (stream->next > EVENTS)
     {
       hcall_end (stream->call);
-      stream_free (stream);
+      drop_stream (stream);
       return;
     }
   g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", stream->next, stream->next);
@@ -49,7 +48,7 @@
     {
       hcall_data (stream->call, event, 9);
       hcall_abort (stream->call);
-      stream_free (stream);
+      drop_stream (stream);
       return;
     }
   hcall_data (stream->call, event, strlen (event));
@@ -148,7 +147,7 @@
 
   (void) owner;
   if (stream)
-    stream_free (stream);
+    drop_stream (stream);
 }
 
 static const HSrvOps server_ops = { on_server_request, on_server_gone };
@@ -158,8 +157,9 @@
 static void
 close_all (FleetServer *server)
 {
-  while (server->streams->len > 0)
-    stream_free (server->streams->pdata[0]);
+  for (unsigned i = 0; i < server->streams->len; i++)
+    loop_timer_stop (server->fleet->loop, &((Stream *) server->streams->pdata[i])->timer);
+  g_ptr_array_set_size (server->streams, 0);
   hsrv_free (server->srv);
   server->srv = NULL;
   if (server->proxy)
@@ -191,10 +191,19 @@
   FleetServer *server = (FleetServer *) ((char *) timer - offsetof (FleetServer, ending));
   Fleet *fleet = server->fleet;
 
+  fleet->ends++;
   close_all (server);
   loop_timer_set (fleet->loop, &server->coming, loop_now (fleet->loop) + fleet->back_ms * FT_MS);
 }
 
+void
+fleet_end_server (FleetServer *server)
+{
+  loop_timer_stop (server->fleet->loop, &server->ending);
+  if (server->srv)
+    on_ending (&server->ending);
+}
+
 void
 backend_create (Fleet *fleet, unsigned number, SockAddr addr)
 {
@@ -205,7 +214,7 @@
   g_snprintf (server->id, sizeof server->id, "i-%u", number + 1);
   server->addr = server->listens = addr;
   server->listed = true;
-  server->streams = g_ptr_array_new ();
+  server->streams = g_ptr_array_new_with_free_func (g_free);
   server->ending.fire = on_ending;
   server->coming.fire = on_coming;
   server->srv = hsrv_new (fleet->loop, addr, &server_ops, server);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -573,6 +573,23 @@
   g_error ("no voter shows the catalogue (logs in %s)", fleet->base);
 }
 
+void
+fleet_operate (Fleet *fleet, const char *method, const char *path, Answer *answer)
+{
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      const FleetNode *leader = fleet_leader (fleet);
+      if (leader)
+        ask_voter (fleet, leader, method, path, "", answer);
+      if (leader && answer->status != 0 && answer->status != 307 && answer->status != 503)
+        return;
+      if (leader)
+        fleet_answer_clear (answer);
+      fleet_run_for (fleet, 50 * FT_MS);
+    }
+  g_error ("no voter in charge answers (logs in %s)", fleet->base);
+}
+
 void
 fleet_metrics (Fleet *fleet, const FleetNode *node, Answer *answer)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -64,6 +64,7 @@
   uint64_t version;   /* of the newest catalogue that was acknowledged */
   GHashTable *runs;   /* request id: GINT of times that a server began to run it */
   GHashTable *marked; /* body that ends servers: GINT of times that one began to run it */
+  unsigned ends;      /* of servers so far */
   unsigned event_ms;  /* time between a stream's events */
   unsigned back_ms;   /* from a server's end to its next lifetime */
   uint64_t next_id;
@@ -88,6 +89,10 @@
 /* Ends the process at once and waits for it. */
 void fleet_kill (FleetNode *node);
 void fleet_wipe (FleetNode *node);
+/* The process of a backend server ends now, as if it had run a marked body. */
+void fleet_end_server (FleetServer *server);
+/* A call of the product's own at whatever voter is in charge; waits for one that answers. */
+void fleet_operate (Fleet *fleet, const char *method, const char *path, Answer *answer);
 /* Has the process ended by itself? */
 bool fleet_ended (FleetNode *node);
 /* From now on links and servers are reached through proxies. Before any node is started. */
