Soak: marked requests end servers, beside all other faults

Cause under test: the promise must hold with the scheduler and entries killed, paused and cut at the same time, so the soak marks one request in twelve and ends servers by itself too. Checked from what servers saw: a marked body reaches servers at most three times later than 3 s after the third end under it, by entries that were undisturbed for so long, as all voters were; in the storm, and in the calm after it.

--- a/test/backend.c
+++ b/test/backend.c
@@ -81,9 +81,45 @@
   g_hash_table_replace (table, g_strdup (key), GINT_TO_POINTER (before + 1));
 }
 
+static void
+note_mark (const FleetServer *server, const char *body, const char *request, bool ended)
+{
+  FleetMarked mark = { .server = server, .ended = ended, .at = loop_now (server->fleet->loop) };
+
+  g_strlcpy (mark.body, body, sizeof mark.body);
+  g_strlcpy (mark.request, request, sizeof mark.request);
+  g_array_append_val (server->fleet->marks, mark);
+}
+
+/* The server ends: each marked body that it has run in this lifetime has ended it. */
+static void
+note_end (const FleetServer *server)
+{
+  const GArray *marks = server->fleet->marks;
+  GHashTable *bodies = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer body;
+
+  for (unsigned i = marks->len; i-- > 0;)
+    {
+      const FleetMarked *mark = &g_array_index (marks, FleetMarked, i);
+      if (mark->server == server && mark->ended)
+        break; /* of the lifetime before */
+      if (mark->server == server)
+        g_hash_table_add (bodies, g_strdup (mark->body));
+    }
+  g_hash_table_iter_init (&iter, bodies);
+  while (g_hash_table_iter_next (&iter, &body, NULL))
+    {
+      note_mark (server, body, "", true);
+      g_free (body);
+    }
+  g_hash_table_unref (bodies);
+}
+
 /* True: the body is marked; the server ends soon, and this is never answered. */
 static bool
-runs_marked (FleetServer *server, const HCall *call)
+runs_marked (FleetServer *server, HCall *call)
 {
   const GByteArray *bytes = hcall_body (call);
   char *body = g_strndup ((const char *) bytes->data, bytes->len);
@@ -93,6 +129,7 @@
   if (marked)
     {
       count_in (server->fleet->marked, body);
+      note_mark (server, body, request_id (call), false);
       if (!server->ending.armed)
         loop_timer_set (loop, &server->ending, loop_now (loop) + ENDS_IN);
     }
@@ -192,6 +229,7 @@
   Fleet *fleet = server->fleet;
 
   fleet->ends++;
+  note_end (server);
   close_all (server);
   loop_timer_set (fleet->loop, &server->coming, loop_now (fleet->loop) + fleet->back_ms * FT_MS);
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -195,6 +195,7 @@
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->marks = g_array_new (FALSE, FALSE, sizeof (FleetMarked));
   fleet->marked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->back_ms = 300;
   /* Numbers of the loopback range that no other test of this machine uses at the same time: whoever
@@ -241,6 +242,7 @@
   loop_free (fleet->loop);
   g_hash_table_unref (fleet->runs);
   g_hash_table_unref (fleet->marked);
+  g_array_unref (fleet->marks);
   g_free (fleet);
 }
 
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -43,6 +43,15 @@
   LoopTimer ending, coming;
 } FleetServer;
 
+/* A server began to run a marked body, or ended under it. */
+typedef struct
+{
+  char body[32], request[32];
+  const FleetServer *server;
+  bool ended;
+  int64_t at;
+} FleetMarked;
+
 typedef struct
 {
   char name[16], folder[256], settings[256];
@@ -64,6 +73,7 @@
   uint64_t version;   /* of the newest catalogue that was acknowledged */
   GHashTable *runs;   /* request id: GINT of times that a server began to run it */
   GHashTable *marked; /* body that ends servers: GINT of times that one began to run it */
+  GArray *marks;      /* FleetMarked, in order */
   unsigned ends;      /* of servers so far */
   unsigned event_ms;  /* time between a stream's events */
   unsigned back_ms;   /* from a server's end to its next lifetime */
--- a/test/soak.c
+++ b/test/soak.c
@@ -6,6 +6,10 @@
  * The seed draws the faults and the load; what happens when depends on the machine too, so a seed
  * that failed once is run again many times, and its logs are kept (their folder is printed). Seeds
  * that ever failed stand in test/soak-seeds.txt with a line on the cause.
+ *
+ * Some requests are marked: a server that begins to run one ends. By what servers saw, a marked
+ * body reaches servers no more than FURTHER_MOST times later than IN_TOUCH after the third end
+ * under it, as far as the entry that sent it and all voters were undisturbed for that long.
  */
 #include "fleet.h"
 
@@ -13,16 +17,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#define CALLERS     6
-#define FAULTS_MOST 3
-#define CALM        (25 * FT_SECOND) /* all promises that need calm hold by then */
-#define STREAM_END  "id: 8\ndata: event 8\n\n"
+#define CALLERS       6
+#define FAULTS_MOST   3
+#define MARKED_ONE_IN 12 /* requests */
+#define KILLERS       2  /* marked bodies */
+#define ENDS_KNOWN    3  /* servers that a marked body may end until it is known */
+#define FURTHER_MOST  3  /* and how often it may reach one in its life after that */
+#define IN_TOUCH      (3 * FT_SECOND)
+#define CALM          (25 * FT_SECOND) /* all promises that need calm hold by then */
+#define STREAM_END    "id: 8\ndata: event 8\n\n"
 
 typedef struct
 {
   Answer answer;
   char id[24];
-  unsigned kind; /* 0 plain, 1 once, 2 stream */
+  unsigned kind; /* 0 plain, 1 once, 2 stream, 3 once and marked */
   bool open;
 } Caller;
 
@@ -42,6 +51,7 @@
   FAULT_SERVER_PATH,
   FAULT_SERVER_MODE,
   FAULT_LEAVING,
+  FAULT_SERVER_END,
   FAULT_KINDS
 } FaultKind;
 
@@ -58,6 +68,11 @@
 static Caller callers[CALLERS];
 static GArray *once; /* Once */
 static Fault faults[FAULTS_MOST];
+static int64_t
+    disturbed[3 + FLEET_ENTRIES]; /* voters, then entries: when a fault last touched it */
+static unsigned further[KILLERS];
+static unsigned checked;    /* marks looked at */
+static GHashTable *sent_by; /* request id: number of its entry */
 static GRand *rand_source;
 static unsigned sent, answered, refused, unknown, broken;
 
@@ -125,7 +140,7 @@
 {
   check_answer (caller);
   check_stream (caller);
-  if (caller->kind == 1)
+  if (caller->kind == 1 || caller->kind == 3)
     {
       Once outcome = { .status = caller->answer.status, .broken = caller->answer.broken };
       g_strlcpy (outcome.id, caller->id, sizeof outcome.id);
@@ -138,14 +153,18 @@
 static void
 start (Caller *caller)
 {
-  static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a" };
-  FleetNode *entry = &fleet->entries[draw (FLEET_ENTRIES)];
+  static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a", "/once/a" };
+  unsigned number = draw (FLEET_ENTRIES);
+  FleetNode *entry = &fleet->entries[number];
+  char body[32];
 
   if (entry->pid == 0)
     return;
-  caller->kind = draw (3);
+  caller->kind = draw (MARKED_ONE_IN) == 0 ? 3 : draw (3);
   g_snprintf (caller->id, sizeof caller->id, "r%u", ++sent);
-  fleet_send (fleet, entry, paths[caller->kind], caller->id, &caller->answer);
+  g_snprintf (body, sizeof body, caller->kind == 3 ? FLEET_MARK " %u" : "body", draw (KILLERS));
+  g_hash_table_insert (sent_by, g_strdup (caller->id), GUINT_TO_POINTER (number));
+  fleet_send_body (fleet, entry, paths[caller->kind], caller->id, body, &caller->answer);
   caller->open = true;
 }
 
@@ -178,6 +197,48 @@
     }
 }
 
+/* ---- What ends servers ---- */
+
+static bool
+in_touch (unsigned entry, int64_t at)
+{
+  for (unsigned i = 0; i < 3; i++)
+    if (at - disturbed[i] < IN_TOUCH)
+      return false;
+  return at - disturbed[3 + entry] >= IN_TOUCH;
+}
+
+/* When the third server ended under the body; 0: not yet. */
+static int64_t
+third_end (const char *body)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < fleet->marks->len; i++)
+    {
+      const FleetMarked *mark = &g_array_index (fleet->marks, FleetMarked, i);
+      if (mark->ended && strcmp (mark->body, body) == 0 && ++count == ENDS_KNOWN)
+        return mark->at;
+    }
+  return 0;
+}
+
+static void
+check_marks (void)
+{
+  for (; checked < fleet->marks->len; checked++)
+    {
+      const FleetMarked *mark = &g_array_index (fleet->marks, FleetMarked, checked);
+      unsigned killer = (unsigned) atoi (mark->body + strlen (FLEET_MARK));
+      unsigned entry = GPOINTER_TO_UINT (g_hash_table_lookup (sent_by, mark->request));
+      int64_t third = third_end (mark->body);
+      if (mark->ended || third == 0 || mark->at - third < IN_TOUCH || !in_touch (entry, mark->at))
+        continue;
+      if (++further[killer] > FURTHER_MOST)
+        fail ("sent on although servers ended under it", mark->request);
+    }
+}
+
 /* ---- Operators ---- */
 
 static FleetNode *
@@ -216,6 +277,14 @@
   return number < 3 ? &fleet->voters[number] : &fleet->entries[number - 3];
 }
 
+static void
+note_disturbed (const FleetNode *node)
+{
+  unsigned number = (unsigned) (node->voter ? node - fleet->voters : 3 + (node - fleet->entries));
+
+  disturbed[number] = loop_now (fleet->loop);
+}
+
 static bool
 is_hit (const FleetNode *node)
 {
@@ -246,11 +315,13 @@
     fleet_signal (node, SIGTERM);
   else if (fault->kind == FAULT_LINK)
     proxy_mode (node->proxy, 1 + draw (PROXY_MODES - 1));
-  else if (fault->kind == FAULT_SERVER_PATH)
+  else if (fault->kind == FAULT_SERVER_PATH && fault->server->proxy)
     proxy_mode (fault->server->proxy, 1 + draw (PROXY_MODES - 1));
+  else if (fault->kind == FAULT_SERVER_END)
+    fleet_end_server (fault->server);
   else if (fault->kind == FAULT_SERVER_MODE)
     fault->server->mode = 1 + draw (SERVER_MUTE);
-  else
+  else if (fault->kind == FAULT_LEAVING)
     fault->server->leaving = true;
 }
 
@@ -276,7 +347,7 @@
     fleet_signal (fault->node, SIGCONT);
   else if (fault->kind == FAULT_LINK)
     proxy_mode (fault->node->proxy, PROXY_PASS);
-  else if (fault->kind == FAULT_SERVER_PATH)
+  else if (fault->kind == FAULT_SERVER_PATH && fault->server->proxy)
     proxy_mode (fault->server->proxy, PROXY_PASS);
   else if (fault->kind == FAULT_SERVER_MODE)
     fault->server->mode = SERVER_SOUND;
@@ -289,6 +360,8 @@
 {
   for (unsigned i = 0; i < FAULTS_MOST; i++)
     {
+      if (faults[i].active && faults[i].node)
+        note_disturbed (faults[i].node);
       if (faults[i].active && loop_now (fleet->loop) >= faults[i].until)
         end_fault (&faults[i]);
       else if (!faults[i].active && more && draw (40) == 0)
@@ -331,6 +404,25 @@
     }
 }
 
+/* The marked bodies come on while nothing else happens. */
+static void
+come_after_calm (void)
+{
+  fleet_run_for (fleet, IN_TOUCH);
+  for (unsigned i = 0; i < 8 * KILLERS; i++)
+    {
+      char id[24], body[32];
+      Answer answer;
+      g_snprintf (id, sizeof id, "m%u", i);
+      g_snprintf (body, sizeof body, FLEET_MARK " %u", i % KILLERS);
+      g_hash_table_insert (sent_by, g_strdup (id), GUINT_TO_POINTER (i % FLEET_ENTRIES));
+      fleet_call_body (fleet, &fleet->entries[i % FLEET_ENTRIES], "/once/a", id, body, &answer);
+      fleet_answer_clear (&answer);
+      fleet_run_for (fleet, 100 * FT_MS);
+      check_marks ();
+    }
+}
+
 /* After the faults everything serves again and shows what was acknowledged. */
 static void
 check_recovery (void)
@@ -338,6 +430,7 @@
   if (fleet_get (fleet) < fleet->version)
     fail ("what was acknowledged is gone", "catalogue");
   fleet_put (fleet);
+  come_after_calm ();
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     {
       unsigned served = 0;
@@ -363,6 +456,10 @@
   once = g_array_new (FALSE, FALSE, sizeof (Once));
   memset (callers, 0, sizeof callers);
   memset (faults, 0, sizeof faults);
+  memset (disturbed, 0, sizeof disturbed);
+  memset (further, 0, sizeof further);
+  checked = 0;
+  sent_by = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sent = answered = refused = unknown = broken = 0;
   fleet = fleet_new ();
   fleet_proxies (fleet);
@@ -372,6 +469,7 @@
     {
       turn_faults (true);
       turn_callers (true);
+      check_marks ();
       if (draw (10) == 0)
         turn_operators ();
       fleet_run_for (fleet, 15 * FT_MS);
@@ -379,9 +477,12 @@
   calm_down ();
   check_once ();
   check_recovery ();
-  printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u\n",
-          seed, sent, answered, refused, unknown, broken, (unsigned) fleet->version);
+  printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u, "
+          "%u servers ended, marked bodies sent on %u and %u times\n",
+          seed, sent, answered, refused, unknown, broken, (unsigned) fleet->version, fleet->ends,
+          further[0], further[1]);
   fleet_free (fleet);
+  g_hash_table_unref (sent_by);
   g_array_unref (once);
   g_rand_free (rand_source);
 }
