--- a/cli/main.c
+++ b/cli/main.c
@@ -1,5 +1,5 @@
 /* main.c - foxtailgrade: the operators' command line. Everything that changes the system is a
- * change of the catalogue; the other commands only read. */
+ * change of the catalogue, or lets a content go that was held; the other commands only read. */
 #include "body.h"
 #include "http.h"
 #include "members.h"
@@ -47,6 +47,7 @@
   request.http_verb = o_strdup (method);
   request.http_url = msprintf ("%s%s", access->server, path);
   request.timeout = TIMEOUT_S;
+  request.follow_redirect = 1; /* a voter that is not in charge names the one that is */
   if (access->ca_folder)
     request.ca_path = o_strdup (access->ca_folder);
   u_map_put (request.map_header, "Authorization", bearer);
@@ -304,6 +305,17 @@
   return result;
 }
 
+static int
+release (const Access *access, const char *content)
+{
+  char *path = g_strconcat ("/v1/suspects/", content, NULL);
+  Reply reply;
+  int result = call (access, "DELETE", path, NULL, NULL, &reply) ? print_reply (&reply) : 1;
+
+  g_free (path);
+  return result;
+}
+
 static int
 run (const Args *args, const Access *access)
 {
@@ -318,6 +330,8 @@
     return show (access, "/v1/catalogue");
   if (strcmp (command, "top") == 0)
     return top (access);
+  if (strcmp (command, "suspects") == 0)
+    return show (access, "/v1/suspects");
   if (argument == NULL)
     {
       fprintf (stderr, "foxtailgrade: %s needs an argument; try --help\n", command);
@@ -331,6 +345,8 @@
     return apply (access, args, argument);
   if (strcmp (command, "explain") == 0)
     return show_one (access, "/v1/refusals/", argument);
+  if (strcmp (command, "release") == 0)
+    return release (access, argument);
   if (strcmp (command, "members") == 0)
     return members_print (argument, fetch_metrics, access);
   if (strcmp (command, "servers") == 0)
@@ -367,6 +383,9 @@
           "  status        the instance that was asked\n"
           "  top           its counters that are not zero\n"
           "  explain ID    why a request was refused\n"
+          "  suspects      contents that ran on servers as these ended; also of a foxtailnode's\n"
+          "                voter (--server http://IP:CONTROL-PORT)\n"
+          "  release C     lets the content C go: it is sent again\n"
           "  members URLS  foxtailnode: the instances at these metrics addresses, by commas\n"
           "  servers URL   foxtailnode: what the instance believes of backend servers\n"
           "  digest KEY    the SHA-256 of a key as the catalogue wants it\n"
--- a/daemon/back.c
+++ b/daemon/back.c
@@ -267,6 +267,75 @@
   return status;
 }
 
+typedef enum
+{
+  PROBE_MADE,
+  PROBE_REFUSED, /* the machine is there, and nobody listens */
+  PROBE_NONE     /* no answer, or no such address */
+} Probe;
+
+/* Tries a connection and closes it. */
+static Probe
+probe_server (const char *text, int64_t wait_ms)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int failed = ETIMEDOUT;
+  socklen_t size = sizeof failed;
+  const char *colon = strrchr (text, ':');
+  char *host = colon ? g_strndup (text, (gsize) (colon - text)) : NULL;
+  int probe = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (host == NULL || probe < 0 || inet_pton (AF_INET, host, &address.sin_addr) != 1)
+    goto out;
+  address.sin_port = htons ((uint16_t) atoi (colon + 1));
+  if (connect (probe, (struct sockaddr *) &address, sizeof address) == 0)
+    failed = 0;
+  else if (errno != EINPROGRESS)
+    failed = errno;
+  else
+    {
+      struct pollfd poller = { probe, POLLOUT, 0 };
+      if (poll (&poller, 1, (int) wait_ms) == 1
+          && getsockopt (probe, SOL_SOCKET, SO_ERROR, &failed, &size) != 0)
+        failed = errno;
+    }
+out:
+  if (probe >= 0)
+    close (probe);
+  g_free (host);
+  if (failed == 0)
+    return PROBE_MADE;
+  return failed == ECONNREFUSED ? PROBE_REFUSED : PROBE_NONE;
+}
+
+/* Failure: a call ends the server that runs it, and its caller sends it again. Symptom: server
+ * after server ends. A process that is gone listens no more: then its end is charged to the call's
+ * content, once. known: the server says itself that it has started anew. */
+static void
+note_end (Back *back, Call *call, unsigned attempt, bool known)
+{
+  char address[64];
+
+  pthread_mutex_lock (&call->lock);
+  bool current = !call->finished && !call->paused && !call->end_told && call->attempt == attempt;
+  pthread_mutex_unlock (&call->lock);
+  if (!current
+      || (!known
+          && (!plat_address (back->plat, call->pool, call->server, address, sizeof address)
+              || probe_server (address, core_conf (back->core)->connect_ms) != PROBE_REFUSED)))
+    return;
+  pthread_mutex_lock (&call->lock);
+  bool first = !call->end_told;
+  call->end_told = true;
+  pthread_mutex_unlock (&call->lock);
+  if (!first)
+    return;
+  dlog (DLOG_WARN, call->id, "server-ended", "server %s of %s, %s", call->server, call->pool,
+        known ? "which has started anew" : "where nobody listens");
+  stat_plain (STAT_SERVER_ENDS, 1);
+  core_server_ended (back->core, call);
+}
+
 static void
 resume_later (Back *back, Call *call, unsigned attempt)
 {
@@ -314,6 +383,9 @@
   sse_clear (&reader.sse);
   g_free (path);
   g_free (body);
+  bool restarted = status == 404 && work->kind == WORK_RESUME;
+  if (status == 0 || restarted)
+    note_end (back, call, work->attempt, restarted);
   /* 404: the engine restarted and knows nothing of the stream; others: it refused the request. */
   if (status >= 400 && status < 600)
     finish (back, call,
@@ -332,7 +404,10 @@
   if (server_url (back, call, call->path, &url))
     status = exchange (back, call, call->method, url, call->body, call->body_size, &reader, &type);
   if (status == 0)
-    finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+    {
+      note_end (back, call, work->attempt, false);
+      finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+    }
   else
     {
       int64_t now = core_now (back->core);
@@ -389,42 +464,13 @@
 
 /* ---- Dispatch ---- */
 
-static bool
-can_connect (const char *text, int64_t wait_ms)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  int failed = 0;
-  socklen_t size = sizeof failed;
-  bool connected = false;
-  const char *colon = strrchr (text, ':');
-  char *host = colon ? g_strndup (text, (gsize) (colon - text)) : NULL;
-  int probe = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-  if (host == NULL || probe < 0 || inet_pton (AF_INET, host, &address.sin_addr) != 1)
-    goto out;
-  address.sin_port = htons ((uint16_t) atoi (colon + 1));
-  if (connect (probe, (struct sockaddr *) &address, sizeof address) == 0)
-    connected = true;
-  else if (errno == EINPROGRESS)
-    {
-      struct pollfd poller = { probe, POLLOUT, 0 };
-      connected = poll (&poller, 1, (int) wait_ms) == 1
-                  && getsockopt (probe, SOL_SOCKET, SO_ERROR, &failed, &size) == 0 && failed == 0;
-    }
-out:
-  if (probe >= 0)
-    close (probe);
-  g_free (host);
-  return connected;
-}
-
 FtStatus
 back_dispatch (Back *back, Call *call)
 {
   char address[64];
 
   if (!plat_address (back->plat, call->pool, call->server, address, sizeof address)
-      || !can_connect (address, core_conf (back->core)->connect_ms))
+      || probe_server (address, core_conf (back->core)->connect_ms) != PROBE_MADE)
     {
       stat_plain (STAT_CONNECT_REFUSED, 1);
       return FT_NOT_FOUND;
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -42,6 +42,7 @@
   unsigned attempt; /* connection in use; bytes of older ones are dropped */
   unsigned reconnects;
   bool paused, finished;
+  bool end_told;     /* that its server has ended */
   FtReason failure;  /* finished without a whole answer */
   int answer_status; /* services: HTTP status of the backend server */
   char *answer_type;
--- a/daemon/core.c
+++ b/daemon/core.c
@@ -3,6 +3,7 @@
  * fresh) is published for them through RCU and atomics, so that reading never waits for the loop.
  */
 #include "core.h"
+#include "content.h"
 #include "back.h"
 #include "disk.h"
 #include "dlog.h"
@@ -381,6 +382,18 @@
   g_free (event);
 }
 
+static uint64_t
+content_of (const Call *call)
+{
+  Content content = { .method = call->method,
+                      .target = call->path,
+                      .org = call->org,
+                      .body = call->body,
+                      .size = call->body ? call->body_size : 0 };
+
+  return content_id (&content);
+}
+
 static void
 do_ask (FtNode *node, void *data)
 {
@@ -396,7 +409,8 @@
                     .first_in = call->first_by - now,
                     .due_in = call->due - now,
                     .blocks = call->blocks,
-                    .block_count = call->block_count };
+                    .block_count = call->block_count,
+                    .content = content_of (call) };
 
   g_hash_table_insert (event->core->calls, &call->number, call_ref (call));
   ft_node_ask (node, &ask);
@@ -462,6 +476,21 @@
   post_call (core, do_done, call, how, tokens);
 }
 
+static void
+do_server_ended (FtNode *node, void *data)
+{
+  CallEvent *event = data;
+
+  ft_node_server_ended (node, event->call->number, core_wall_ms ());
+  free_event (event);
+}
+
+void
+core_server_ended (Core *core, Call *call)
+{
+  post_call (core, do_server_ended, call, 0, 0);
+}
+
 static void
 do_note_refusal (FtNode *node, void *data)
 {
@@ -553,6 +582,25 @@
   return waiter.status;
 }
 
+static void
+do_release (FtNode *node, void *data)
+{
+  Request *request = data;
+
+  begin_wait (request, ft_node_release (node, request->base));
+}
+
+FtStatus
+core_release (Core *core, uint64_t content)
+{
+  Request *request = g_new0 (Request, 1);
+  Waiter waiter;
+
+  request->base = content;
+  wait_for (core, do_release, request, &waiter);
+  return waiter.status;
+}
+
 static void
 do_claim (FtNode *node, void *data)
 {
--- a/daemon/core.h
+++ b/daemon/core.h
@@ -32,12 +32,16 @@
 void core_ask_again (Core *core, Call *call);
 void core_progress (Core *core, Call *call, unsigned tokens);
 void core_done (Core *core, Call *call, FtDone how, unsigned tokens);
+/* The process of the call's backend server has ended while it ran the call. Before core_done. */
+void core_server_ended (Core *core, Call *call);
 void core_note_refusal (Core *core, const Call *call);
 
 /* These block until the verdict; text (1024 bytes) may be NULL. */
 FtStatus core_change (Core *core, const char *change_id, const char *author, uint64_t base,
                       const char *catalogue, uint64_t *revision, char *text);
 FtStatus core_claim (Core *core, const Call *call, const char *digest, char *owner_id);
+/* Lets a content under which servers ended go. */
+FtStatus core_release (Core *core, uint64_t content);
 /* Does not block. */
 void core_claim_end (Core *core, const Call *call, FtClaimEnd end);
 /* *body is the caller's to unref. */
--- a/daemon/oper.c
+++ b/daemon/oper.c
@@ -1,13 +1,17 @@
-/* oper.c - the operators' port. Operators change nothing but the catalogue.
+/* oper.c - the operators' port. Operators change nothing but the catalogue, and what is held for
+ * ending servers.
  *
  *   GET  /v1/catalogue            its text; the revision in X-Revision
  *   POST /v1/changes/ID?base=N    a change; ID is the operator's own, sent again it gets the same
  *                                 verdict; author from X-Author
  *   GET  /v1/in_force/REVISION    which instances lack it
  *   GET  /v1/history?most=N, /v1/refusals/ID, /v1/status, /metrics
+ *   GET  /v1/suspects             contents that ran on servers as these ended
+ *   DELETE /v1/suspects/CONTENT   lets one go
  */
 #include "oper.h"
 #include "body.h"
+#include "content.h"
 #include "dlog.h"
 #include "http.h"
 #include "stat.h"
@@ -134,6 +138,32 @@
   find (oper, response, FT_FIND_REFUSAL, http_url_value (request, "id"));
 }
 
+static void
+suspects (Oper *oper, const struct _u_request *request, struct _u_response *response)
+{
+  char now[32];
+
+  (void) request;
+  g_snprintf (now, sizeof now, "%" G_GINT64_FORMAT, core_wall_ms ());
+  find (oper, response, FT_FIND_SUSPECTS, now);
+}
+
+static void
+release (Oper *oper, const struct _u_request *request, struct _u_response *response)
+{
+  const char *text = http_url_value (request, "content");
+  uint64_t content;
+
+  if (!content_parse (text, &content))
+    {
+      answer_status (response, 400, FT_INVALID, 0, "content: 16 hexadecimal digits are wanted");
+      return;
+    }
+  FtStatus status = core_release (oper->core, content);
+  dlog (DLOG_INFO, NULL, "released", "content %s: %s", text, ft_strerror (status));
+  answer_status (response, status == FT_OK ? 200 : 503, status, 0, text);
+}
+
 static void
 in_force (Oper *oper, const struct _u_request *request, struct _u_response *response)
 {
@@ -195,6 +225,8 @@
 ENDPOINT (history)
 ENDPOINT (refusal)
 ENDPOINT (in_force)
+ENDPOINT (suspects)
+ENDPOINT (release)
 ENDPOINT (catalogue)
 ENDPOINT (status)
 ENDPOINT (metrics)
@@ -216,6 +248,8 @@
   ulfius_add_endpoint_by_val (http, "GET", "/v1/in_force", "/:revision", 0, on_in_force, oper);
   ulfius_add_endpoint_by_val (http, "GET", "/v1/history", NULL, 0, on_history, oper);
   ulfius_add_endpoint_by_val (http, "GET", "/v1/refusals", "/:id", 0, on_refusal, oper);
+  ulfius_add_endpoint_by_val (http, "GET", "/v1/suspects", NULL, 0, on_suspects, oper);
+  ulfius_add_endpoint_by_val (http, "DELETE", "/v1/suspects", "/:content", 0, on_release, oper);
   ulfius_add_endpoint_by_val (http, "GET", "/v1/status", NULL, 0, on_status, oper);
   ulfius_add_endpoint_by_val (http, "GET", "/metrics", NULL, 0, on_metrics, oper);
   return http_start (http, conf, error);
--- a/daemon/stat.c
+++ b/daemon/stat.c
@@ -17,7 +17,7 @@
 static const char *const plain_names[] = {
   "dispatches",     "connects_refused", "stream_reconnects", "link_messages_out",
   "link_bytes_out", "link_reconnects",  "link_rejected",     "disk_syncs",
-  "claims",         "auth_failed",
+  "claims",         "auth_failed",      "server_ends",
 };
 static const char *const distribution_names[] = { "first_token", "inter_token", "wait" };
 
--- a/node/operators.c
+++ b/node/operators.c
@@ -16,7 +16,8 @@
 /* Tuning; each row with its reason. */
 #define CHANGE_MOST (2500 * FT_MS) /* operators ask another voter after a second */
 
-#define SUSPECTS_PATH "/suspects" /* GET: all; DELETE with /CONTENT behind it: lets that one go */
+#define SUSPECTS_PATH                                                                              \
+  "/v1/suspects" /* GET: all; DELETE with /CONTENT behind it: lets that one go */
 
 typedef struct
 {
--- a/node/suspects.c
+++ b/node/suspects.c
@@ -5,8 +5,7 @@
  * entries with each change, and whenever a link comes up, before the catalogue that lets an entry
  * take callers. So an instance that is new, was frozen or cut off knows them before it sends.
  *
- * A content with one end is told to nobody: each end of a server makes some, nearly all innocent,
- * and hundreds of entries would hear of each.
+ * A content with one end is told to nobody (BLAME_TOLD).
  */
 #include "suspects.h"
 #include "content.h"
@@ -86,13 +85,12 @@
   MeshBlamed *blamed = &msg.MeshMsg_u.blamed;
   MsgBlame all;
 
-  blame_capture (suspects->account, &all);
+  blame_capture (suspects->account, BLAME_TOLD, &all);
   blamed->index = index;
   blamed->suspects.suspects_val = g_new0 (MeshSuspect, all.suspects.suspects_len);
   for (unsigned i = 0; i < all.suspects.suspects_len; i++)
-    if (all.suspects.suspects_val[i].ends >= TOLD_LEAST)
-      put_suspect (&blamed->suspects.suspects_val[blamed->suspects.suspects_len++],
-                   &all.suspects.suspects_val[i]);
+    put_suspect (&blamed->suspects.suspects_val[blamed->suspects.suspects_len++],
+                 &all.suspects.suspects_val[i]);
   GBytes *packed = mesh_pack (&msg);
   for (unsigned i = 0; i < blamed->suspects.suspects_len; i++)
     g_free (blamed->suspects.suspects_val[i].servers.servers_val);
@@ -164,12 +162,12 @@
   MsgBlame all;
   char content[CONTENT_TEXT];
 
-  blame_capture (now, &all);
+  blame_capture (now, 0, &all);
   for (unsigned i = 0; i < all.suspects.suspects_len; i++)
     log_suspect (&all.suspects.suspects_val[i],
                  blame_find (before, all.suspects.suspects_val[i].content));
   g_free (all.suspects.suspects_val);
-  blame_capture (before, &all);
+  blame_capture (before, 0, &all);
   for (unsigned i = 0; i < all.suspects.suspects_len; i++)
     if (blame_find (now, all.suspects.suspects_val[i].content) == NULL)
       jlog (JLOG_INFO, "suspect-cleared", NULL,
@@ -418,44 +416,13 @@
   return clear (suspects, content);
 }
 
-static void
-list_one (GString *out, const MsgSuspect *suspect, int64_t wall_ms)
-{
-  const MsgServerEnd *ends = suspect->latest.latest_val;
-  unsigned count = suspect->latest.latest_len;
-  char content[CONTENT_TEXT];
-
-  g_string_append_printf (out,
-                          "{\"content\":\"%s\",\"quarantined\":%s,\"ends\":%u,"
-                          "\"first_s_ago\":%.1f,\"last_s_ago\":%.1f,\"servers\":[",
-                          content_text (suspect->content, content),
-                          suspect->ends >= BLAME_ENDS ? "true" : "false", suspect->ends,
-                          (double) (wall_ms - suspect->first_ms) / 1e3,
-                          count ? (double) (wall_ms - ends[count - 1].wall_ms) / 1e3 : 0);
-  for (unsigned i = 0; i < count; i++)
-    {
-      char *server = g_strescape (ends[i].server, NULL);
-      g_string_append_printf (out, "%s\"%s\"", i ? "," : "", server);
-      g_free (server);
-    }
-  g_string_append (out, "]}");
-}
-
 char *
 suspects_list (const Suspects *suspects)
 {
-  GString *out = g_string_new ("{\"suspects\":[");
-  int64_t now = g_get_real_time () / 1000;
-  MsgBlame all;
+  GString *out = g_string_new ("{\"suspects\":");
 
-  blame_capture (suspects->account, &all);
-  for (unsigned i = 0; i < all.suspects.suspects_len; i++)
-    {
-      g_string_append (out, i ? ",\n" : "\n");
-      list_one (out, &all.suspects.suspects_val[i], now);
-    }
-  g_free (all.suspects.suspects_val);
-  g_string_append (out, "]}\n");
+  blame_list (suspects->account, g_get_real_time () / 1000, out);
+  g_string_append (out, "}\n");
   return g_string_free (out, FALSE);
 }
 
--- a/node/voter.c
+++ b/node/voter.c
@@ -184,7 +184,7 @@
   if (blame_index (account) == voter->blame_index)
     return;
   voter->blame_index = blame_index (account);
-  blame_capture (account, &captured);
+  blame_capture (account, 0, &captured);
   GByteArray *bytes = codec_pack (CODEC (MsgBlame), &captured);
   g_free (captured.suspects.suspects_val);
   if (bytes == NULL)
--- a/src/blame.c
+++ b/src/blame.c
@@ -14,6 +14,7 @@
  * these first: a flood of contents that met one end each cannot push out those that met more.
  */
 #include "blame.h"
+#include "content.h"
 
 #include <string.h>
 
@@ -253,7 +254,7 @@
 }
 
 void
-blame_capture (const Blame *blame, MsgBlame *out)
+blame_capture (const Blame *blame, unsigned least, MsgBlame *out)
 {
   GArray *all = g_array_new (FALSE, FALSE, sizeof (MsgSuspect));
   GHashTableIter iter;
@@ -261,13 +262,54 @@
 
   g_hash_table_iter_init (&iter, blame->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_append_vals (all, value, 1);
+    if (((const MsgSuspect *) value)->ends >= least)
+      g_array_append_vals (all, value, 1);
   g_array_sort (all, by_weight); /* the same bytes from the same account */
   out->index = blame->index;
   out->suspects.suspects_len = all->len;
   out->suspects.suspects_val = (MsgSuspect *) (void *) g_array_free (all, FALSE);
 }
 
+static void
+list_one (const MsgSuspect *suspect, int64_t wall_ms, GString *out)
+{
+  const MsgServerEnd *ends = suspect->latest.latest_val;
+  unsigned count = suspect->latest.latest_len;
+  int64_t last_ms = count ? ends[count - 1].wall_ms : suspect->first_ms;
+  char content[CONTENT_TEXT];
+
+  g_string_append_printf (out,
+                          "{\"content\":\"%s\",\"quarantined\":%s,\"ends\":%u,"
+                          "\"first_s_ago\":%.1f,\"last_s_ago\":%.1f,\"servers\":[",
+                          content_text (suspect->content, content),
+                          suspect->ends >= BLAME_ENDS ? "true" : "false", suspect->ends,
+                          (double) (wall_ms - suspect->first_ms) / 1e3,
+                          (double) (wall_ms - last_ms) / 1e3);
+  for (unsigned i = 0; i < count; i++)
+    {
+      char *server = g_strescape (ends[i].server, NULL);
+      g_string_append_printf (out, "%s\"%s\"", i ? "," : "", server);
+      g_free (server);
+    }
+  g_string_append (out, "]}");
+}
+
+void
+blame_list (const Blame *blame, int64_t wall_ms, GString *out)
+{
+  MsgBlame all;
+
+  blame_capture (blame, 0, &all);
+  g_string_append_c (out, '[');
+  for (unsigned i = 0; i < all.suspects.suspects_len; i++)
+    {
+      g_string_append (out, i ? ",\n" : "\n");
+      list_one (&all.suspects.suspects_val[i], wall_ms, out);
+    }
+  g_string_append_c (out, ']');
+  g_free (all.suspects.suspects_val);
+}
+
 static MsgSuspect *
 copy_suspect (const MsgSuspect *from)
 {
--- a/src/blame.h
+++ b/src/blame.h
@@ -10,6 +10,9 @@
  * try may meet the next failure. A third one costs a server more and settles it. */
 #define BLAME_ENDS 3
 #define BLAME_MOST 1024 /* suspects kept, some 150 bytes each */
+/* Instances are told of contents with so many ends: the next one may be the last that it takes.
+ * Those with fewer are nearly all innocent, and each end of a server makes some. */
+#define BLAME_TOLD 2
 
 typedef struct Blame Blame;
 
@@ -27,9 +30,12 @@
 uint64_t blame_index (const Blame *blame);
 /* How many are kept, and how many of them are sent to no server. */
 unsigned blame_count (const Blame *blame, unsigned *quarantined);
-/* The whole account. suspects_val is an array of the caller's (g_free); what its records point to
- * is borrowed. */
-void blame_capture (const Blame *blame, MsgBlame *out);
+/* The account of contents with at least so many ends. suspects_val is an array of the caller's
+ * (g_free); what its records point to is borrowed. */
+void blame_capture (const Blame *blame, unsigned least, MsgBlame *out);
+/* Appends the whole account as a JSON array, the one with most ends first; wall_ms: now, for ages.
+ */
+void blame_list (const Blame *blame, int64_t wall_ms, GString *out);
 /* Takes a captured account over in place of this one; in is copied. */
 void blame_restore (Blame *blame, const MsgBlame *in);
 
--- a/src/ent.c
+++ b/src/ent.c
@@ -25,6 +25,8 @@
   unsigned prompt_tokens, most_tokens, tokens;
   int64_t first_by, due;
   MsgAskState state;
+  uint64_t content; /* 0: not known */
+  bool stopped;     /* not asked for while it is not known whether its content may be sent */
   unsigned block_count;
   uint64_t blocks[];
 } EntReq;
@@ -107,7 +109,7 @@
 }
 
 static void
-send_ask (Ent *ent, EntReq *req, uint32_t to)
+tell_ask (Ent *ent, EntReq *req, uint32_t to)
 {
   int64_t now = ft_clock_now (ent->node->clock);
   Msg msg = { .kind = MSG_ASK };
@@ -132,6 +134,24 @@
     node_send (ent->node, to, &msg);
 }
 
+static bool
+is_stopped (const Ent *ent, const EntReq *req)
+{
+  return req->content && quar_judge (ent->node->quar, req->content).state >= QUAR_SETTLES;
+}
+
+/* Failure: a request ends each server that runs it, and its caller sends it again. Symptom: server
+ * after server ends, with the streams of others. A content under which enough have ended is not
+ * asked for; ent_tick decides what becomes of it. */
+static void
+send_ask (Ent *ent, EntReq *req, uint32_t to)
+{
+  if (req->state == MSG_ASK_WAITING && is_stopped (ent, req))
+    req->stopped = true;
+  if (!req->stopped)
+    tell_ask (ent, req, to);
+}
+
 bool
 ent_holder (Ent *ent, const char *name, uint32_t holder, uint64_t epoch)
 {
@@ -181,6 +201,7 @@
   req->class_name = g_strdup (ask->class_name);
   req->prompt_tokens = ask->prompt_tokens;
   req->most_tokens = ask->most_tokens;
+  req->content = ask->content;
   req->first_by = now + ask->first_in;
   req->due = now + ask->due_in;
   req->block_count = blocks;
@@ -246,10 +267,21 @@
   /* Out of the list first: telling may bring other requests' decisions at once. */
   g_hash_table_remove (node->ent->requests, &req->request);
   cds_list_del (&req->link);
+  if (how == FT_DONE_WHOLE && req->content)
+    susp_answered (node, req->content);
   tell_done (node, req, how, tokens);
   request_free (req);
 }
 
+void
+ft_node_server_ended (FtNode *node, uint64_t request, int64_t wall_ms)
+{
+  const EntReq *req = find_request (node->ent, request);
+
+  if (req && req->server && req->content)
+    susp_ended (node, req->pool->name, req->server, req->content, wall_ms);
+}
+
 static void
 ask_once_more (FtNode *node, EntReq *req, FtDone how)
 {
@@ -293,7 +325,7 @@
   const NodeServer *server = node_server (node, grant->pool, grant->server);
   /* Failure: the scheduler's copy of the platform's list is older than ours. Symptom: new work
    * goes to a server that is leaving. The entry has the last look before the dispatch. */
-  if (server && server->state != FT_SERVER_LIVE)
+  if ((server && server->state != FT_SERVER_LIVE) || is_stopped (ent, req))
     ask_once_more (node, req, FT_DONE_CANCELLED);
   else
     node->ops->grant (node->host, req->request, req->server);
@@ -368,6 +400,42 @@
   }
 }
 
+/* A stopped request is asked for once its content is cleared, and refused once it is held. One that
+ * waits already is withdrawn when its content is held. */
+static void
+review (Ent *ent, EntReq *req)
+{
+  QuarVerdict verdict = quar_judge (ent->node->quar, req->content);
+  char rule[128];
+
+  if (verdict.state == QUAR_HELD)
+    {
+      g_snprintf (rule, sizeof rule, "%u servers ended under content %016" G_GINT64_MODIFIER "x",
+                  verdict.ends, req->content);
+      if (!req->stopped)
+        tell_done (ent->node, req, FT_DONE_CANCELLED, 0);
+      refuse (ent, req, FT_REASON_QUARANTINED, 0, 0, rule);
+    }
+  else if (req->stopped && verdict.state != QUAR_SETTLES)
+    {
+      req->stopped = false;
+      if (req->pool->holder)
+        send_ask (ent, req, req->pool->holder);
+    }
+}
+
+static void
+review_all (Ent *ent, EntPool *pool)
+{
+  EntReq *req, *next;
+
+  cds_list_for_each_entry_safe (req, next, &pool->requests, link)
+  {
+    if (req->state == MSG_ASK_WAITING && req->content)
+      review (ent, req);
+  }
+}
+
 void
 ent_tick (Ent *ent, int64_t now)
 {
@@ -376,7 +444,10 @@
 
   g_hash_table_iter_init (&iter, ent->pools);
   while (g_hash_table_iter_next (&iter, NULL, &pool))
-    refuse_overdue (ent, pool, now);
+    {
+      review_all (ent, pool);
+      refuse_overdue (ent, pool, now);
+    }
 }
 
 void
--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -483,12 +483,13 @@
 
 typedef enum
 {
-  FT_FIND_ANSWER,   /* id: a request's; asked of every instance's shell */
-  FT_FIND_REFUSAL,  /* id: a request's; JSON of the record */
-  FT_FIND_CLAIM,    /* id: an idempotency key with its organisation; JSON */
-  FT_FIND_HISTORY,  /* id: "" or how many; JSON array of verdicts, newest first */
-  FT_FIND_IN_FORCE, /* id: a revision; JSON with the instances that lack it */
-  FT_FIND_CATALOGUE /* text of the catalogue */
+  FT_FIND_ANSWER,    /* id: a request's; asked of every instance's shell */
+  FT_FIND_REFUSAL,   /* id: a request's; JSON of the record */
+  FT_FIND_CLAIM,     /* id: an idempotency key with its organisation; JSON */
+  FT_FIND_HISTORY,   /* id: "" or how many; JSON array of verdicts, newest first */
+  FT_FIND_IN_FORCE,  /* id: a revision; JSON with the instances that lack it */
+  FT_FIND_CATALOGUE, /* text of the catalogue */
+  FT_FIND_SUSPECTS   /* id: Unix time now, ms; JSON array of contents that ran on ended servers */
 } FtFindKind;
 
 /* What a node wants done. Called from within the ft_node functions; must not call back. */
@@ -501,7 +502,7 @@
   void (*refuse) (void *host, const FtRefusal *refusal);
   void (*pause) (void *host, uint64_t request);
   void (*resume) (void *host, uint64_t request);
-  /* The end of ft_node_change, ft_node_claim or ft_node_claim_end. */
+  /* The end of ft_node_change, ft_node_claim, ft_node_claim_end or ft_node_release. */
   void (*verdict) (void *host, uint64_t number, FtStatus status, uint64_t revision,
                    const char *text);
   /* A catalogue came in force here. */
@@ -553,12 +554,15 @@
   int64_t first_in, due_in;
   const uint64_t *blocks;
   unsigned block_count;
+  uint64_t content; /* identity of what is asked, the same for each repeat; 0: not known */
 } FtNodeAsk;
 
 /* Asks the pool's scheduler, wherever it is; ops->grant or ops->refuse follow. */
 FtStatus ft_node_ask (FtNode *node, const FtNodeAsk *ask);
 void ft_node_progress (FtNode *node, uint64_t request, unsigned tokens);
 void ft_node_done (FtNode *node, uint64_t request, FtDone how, unsigned tokens);
+/* The process of the backend server has ended while it ran the request. Before ft_node_done. */
+void ft_node_server_ended (FtNode *node, uint64_t request, int64_t wall_ms);
 /* The grant met a refused connection: asks again, elsewhere. */
 void ft_node_ask_again (FtNode *node, uint64_t request);
 
@@ -582,6 +586,8 @@
 } FtClaimEnd;
 uint64_t ft_node_claim_end (FtNode *node, const char *key, const char *request_id, FtClaimEnd end,
                             int64_t wall_ms);
+/* Lets a content under which servers ended go: it is sent again, and its ends count from 0. */
+uint64_t ft_node_release (FtNode *node, uint64_t content);
 uint64_t ft_node_find (FtNode *node, FtFindKind kind, const char *id);
 void ft_node_answer (FtNode *node, uint32_t to, uint64_t number, FtStatus status, const void *body,
                      size_t size);
--- a/src/lead.c
+++ b/src/lead.c
@@ -212,7 +212,15 @@
                   && now - raft_leading_since (node->raft) > TAKEOVER;
   out->live.live_len = out->has_live ? lead->live->len : 0;
   out->live.live_val = (u_int *) (void *) lead->live->data;
+  MsgBlame blame = { 0 };
+  if (hello->blame_index != blame_index (state_blame (node->state)))
+    {
+      blame_capture (state_blame (node->state), BLAME_TOLD, &blame);
+      out->blame.blame_len = 1;
+      out->blame.blame_val = &blame;
+    }
   node_send (node, from, &msg);
+  g_free (blame.suspects.suspects_val);
   g_ptr_array_unref (leases);
   g_array_unref (packed);
 }
@@ -233,7 +241,8 @@
     }
   FtStatus status = codec_unpack (CODEC (MsgOp), propose->op.op_val, propose->op.op_len, &op, NULL);
   bool allowed = op.kind == MSG_OP_CHANGE || op.kind == MSG_OP_CLAIM || op.kind == MSG_OP_CLAIM_END
-                 || op.kind == MSG_OP_REFUSALS;
+                 || op.kind == MSG_OP_REFUSALS || op.kind == MSG_OP_ENDED
+                 || op.kind == MSG_OP_CLEARED;
   if (status == FT_OK && allowed)
     status = raft_propose (node->raft, &op, &index);
   else
@@ -507,6 +516,13 @@
   return state_revision (lead->node->state) ? FT_OK : FT_NOT_FOUND;
 }
 
+static FtStatus
+tell_suspects (Lead *lead, const char *id, GString *out)
+{
+  blame_list (state_blame (lead->node->state), g_ascii_strtoll (id, NULL, 10), out);
+  return FT_OK;
+}
+
 void
 lead_find (Lead *lead, uint32_t from, const MsgFind *find)
 {
@@ -532,6 +548,9 @@
       case MSG_FIND_CATALOGUE:
         status = tell_catalogue (lead, out);
         break;
+      case MSG_FIND_SUSPECTS:
+        status = tell_suspects (lead, find->id, out);
+        break;
       default:
         status = FT_INVALID;
       }
--- a/src/msg.h
+++ b/src/msg.h
@@ -90,6 +90,37 @@
 	u_quad_t epoch;
 };
 typedef struct MsgTold MsgTold;
+#define FT_CONTENTS_MOST 64
+#define FT_SUSPECT_SERVERS 8
+
+typedef char *MsgServerName;
+
+struct MsgServerEnd {
+	MsgServerName server;
+	quad_t wall_ms;
+};
+typedef struct MsgServerEnd MsgServerEnd;
+
+struct MsgSuspect {
+	u_quad_t content;
+	u_int ends;
+	u_quad_t index;
+	quad_t first_ms;
+	struct {
+		u_int latest_len;
+		MsgServerEnd *latest_val;
+	} latest;
+};
+typedef struct MsgSuspect MsgSuspect;
+
+struct MsgBlame {
+	u_quad_t index;
+	struct {
+		u_int suspects_len;
+		MsgSuspect *suspects_val;
+	} suspects;
+};
+typedef struct MsgBlame MsgBlame;
 
 struct MsgHello {
 	u_quad_t number;
@@ -97,6 +128,7 @@
 	u_quad_t lease_epoch;
 	u_quad_t incarnation;
 	u_quad_t live_version;
+	u_quad_t blame_index;
 	bool_t leaving;
 	char *region;
 	char *failure_domain;
@@ -127,6 +159,10 @@
 		u_int live_len;
 		u_int *live_val;
 	} live;
+	struct {
+		u_int blame_len;
+		MsgBlame *blame_val;
+	} blame;
 };
 typedef struct MsgFresh MsgFresh;
 
@@ -223,10 +259,6 @@
 	} text;
 };
 typedef struct MsgDocument MsgDocument;
-#define FT_CONTENTS_MOST 64
-#define FT_SUSPECT_SERVERS 8
-
-typedef char *MsgServerName;
 
 struct MsgEnded {
 	MsgServerName server;
@@ -378,33 +410,6 @@
 };
 typedef struct MsgClaimState MsgClaimState;
 
-struct MsgServerEnd {
-	MsgServerName server;
-	quad_t wall_ms;
-};
-typedef struct MsgServerEnd MsgServerEnd;
-
-struct MsgSuspect {
-	u_quad_t content;
-	u_int ends;
-	u_quad_t index;
-	quad_t first_ms;
-	struct {
-		u_int latest_len;
-		MsgServerEnd *latest_val;
-	} latest;
-};
-typedef struct MsgSuspect MsgSuspect;
-
-struct MsgBlame {
-	u_quad_t index;
-	struct {
-		u_int suspects_len;
-		MsgSuspect *suspects_val;
-	} suspects;
-};
-typedef struct MsgBlame MsgBlame;
-
 struct MsgState {
 	u_quad_t revision;
 	char *catalogue;
@@ -441,6 +446,7 @@
 	MSG_FIND_HISTORY = 3,
 	MSG_FIND_IN_FORCE = 4,
 	MSG_FIND_CATALOGUE = 5,
+	MSG_FIND_SUSPECTS = 6,
 };
 typedef enum MsgFindKind MsgFindKind;
 
@@ -569,6 +575,10 @@
 extern  bool_t xdr_MsgDone (XDR *, MsgDone*);
 extern  bool_t xdr_MsgTell (XDR *, MsgTell*);
 extern  bool_t xdr_MsgTold (XDR *, MsgTold*);
+extern  bool_t xdr_MsgServerName (XDR *, MsgServerName*);
+extern  bool_t xdr_MsgServerEnd (XDR *, MsgServerEnd*);
+extern  bool_t xdr_MsgSuspect (XDR *, MsgSuspect*);
+extern  bool_t xdr_MsgBlame (XDR *, MsgBlame*);
 extern  bool_t xdr_MsgHello (XDR *, MsgHello*);
 extern  bool_t xdr_MsgLease (XDR *, MsgLease*);
 extern  bool_t xdr_MsgFresh (XDR *, MsgFresh*);
@@ -582,7 +592,6 @@
 extern  bool_t xdr_MsgRecord (XDR *, MsgRecord*);
 extern  bool_t xdr_MsgRecords (XDR *, MsgRecords*);
 extern  bool_t xdr_MsgDocument (XDR *, MsgDocument*);
-extern  bool_t xdr_MsgServerName (XDR *, MsgServerName*);
 extern  bool_t xdr_MsgEnded (XDR *, MsgEnded*);
 extern  bool_t xdr_MsgSurvived (XDR *, MsgSurvived*);
 extern  bool_t xdr_MsgCleared (XDR *, MsgCleared*);
@@ -598,9 +607,6 @@
 extern  bool_t xdr_MsgVerdict (XDR *, MsgVerdict*);
 extern  bool_t xdr_MsgRevision (XDR *, MsgRevision*);
 extern  bool_t xdr_MsgClaimState (XDR *, MsgClaimState*);
-extern  bool_t xdr_MsgServerEnd (XDR *, MsgServerEnd*);
-extern  bool_t xdr_MsgSuspect (XDR *, MsgSuspect*);
-extern  bool_t xdr_MsgBlame (XDR *, MsgBlame*);
 extern  bool_t xdr_MsgState (XDR *, MsgState*);
 extern  bool_t xdr_MsgFindKind (XDR *, MsgFindKind*);
 extern  bool_t xdr_MsgFind (XDR *, MsgFind*);
@@ -619,6 +625,10 @@
 extern bool_t xdr_MsgDone ();
 extern bool_t xdr_MsgTell ();
 extern bool_t xdr_MsgTold ();
+extern bool_t xdr_MsgServerName ();
+extern bool_t xdr_MsgServerEnd ();
+extern bool_t xdr_MsgSuspect ();
+extern bool_t xdr_MsgBlame ();
 extern bool_t xdr_MsgHello ();
 extern bool_t xdr_MsgLease ();
 extern bool_t xdr_MsgFresh ();
@@ -632,7 +642,6 @@
 extern bool_t xdr_MsgRecord ();
 extern bool_t xdr_MsgRecords ();
 extern bool_t xdr_MsgDocument ();
-extern bool_t xdr_MsgServerName ();
 extern bool_t xdr_MsgEnded ();
 extern bool_t xdr_MsgSurvived ();
 extern bool_t xdr_MsgCleared ();
@@ -648,9 +657,6 @@
 extern bool_t xdr_MsgVerdict ();
 extern bool_t xdr_MsgRevision ();
 extern bool_t xdr_MsgClaimState ();
-extern bool_t xdr_MsgServerEnd ();
-extern bool_t xdr_MsgSuspect ();
-extern bool_t xdr_MsgBlame ();
 extern bool_t xdr_MsgState ();
 extern bool_t xdr_MsgFindKind ();
 extern bool_t xdr_MsgFind ();
--- a/src/msg.x
+++ b/src/msg.x
@@ -68,6 +68,32 @@
   unsigned hyper epoch;
 };
 
+/* ---- Contents that were running on backend servers as these ended ---- */
+
+const FT_CONTENTS_MOST = 64;
+const FT_SUSPECT_SERVERS = 8;
+
+typedef string MsgServerName<127>;
+
+struct MsgServerEnd {
+  MsgServerName server;
+  hyper wall_ms;
+};
+
+/* A content that was running on servers when they ended. */
+struct MsgSuspect {
+  unsigned hyper content;
+  unsigned int ends;    /* of servers, under it */
+  unsigned hyper index; /* in the log, of the latest of these */
+  hyper first_ms;
+  MsgServerEnd latest<FT_SUSPECT_SERVERS>; /* the latest of them, oldest first */
+};
+
+struct MsgBlame {
+  unsigned hyper index; /* in the log, of the latest change */
+  MsgSuspect suspects<4096>;
+};
+
 /* ---- Freshness, membership and leases ---- */
 
 struct MsgHello {
@@ -76,6 +102,7 @@
   unsigned hyper lease_epoch; /* newest lease known at the sender */
   unsigned hyper incarnation; /* of the sender's process */
   unsigned hyper live_version; /* of the live instances known at the sender */
+  unsigned hyper blame_index;  /* of the account of ended servers known at the sender */
   bool leaving;
   string region<FT_NAME_MOST>;
   string failure_domain<FT_NAME_MOST>;
@@ -98,6 +125,7 @@
   unsigned hyper live_version;
   bool has_live;           /* sent when the asker's version differs */
   unsigned int live<1024>; /* instances that said hello lately */
+  MsgBlame blame<1>;       /* contents with two ends or more; none: the asker has it */
 };
 
 /* ---- Replicated log ---- */
@@ -174,11 +202,6 @@
   opaque text<FT_TEXT_MOST>;
 };
 
-const FT_CONTENTS_MOST = 64;
-const FT_SUSPECT_SERVERS = 8;
-
-typedef string MsgServerName<127>;
-
 /* The process of a backend server has ended while it ran these contents. */
 struct MsgEnded {
   MsgServerName server; /* of its lifetime */
@@ -297,25 +320,6 @@
   hyper ended_ms;
 };
 
-struct MsgServerEnd {
-  MsgServerName server;
-  hyper wall_ms;
-};
-
-/* A content that was running on servers when they ended. */
-struct MsgSuspect {
-  unsigned hyper content;
-  unsigned int ends;    /* of servers, under it */
-  unsigned hyper index; /* in the log, of the latest of these */
-  hyper first_ms;
-  MsgServerEnd latest<FT_SUSPECT_SERVERS>; /* the latest of them, oldest first */
-};
-
-struct MsgBlame {
-  unsigned hyper index; /* in the log, of the latest change */
-  MsgSuspect suspects<4096>;
-};
-
 struct MsgState {
   unsigned hyper revision;
   string catalogue<FT_TEXT_MOST>;
@@ -332,7 +336,7 @@
 /* ---- Questions answered by any instance ---- */
 
 enum MsgFindKind { MSG_FIND_ANSWER = 0, MSG_FIND_REFUSAL = 1, MSG_FIND_CLAIM = 2, MSG_FIND_HISTORY = 3,
-                   MSG_FIND_IN_FORCE = 4, MSG_FIND_CATALOGUE = 5 };
+                   MSG_FIND_IN_FORCE = 4, MSG_FIND_CATALOGUE = 5, MSG_FIND_SUSPECTS = 6 };
 
 struct MsgFind {
   unsigned hyper number;
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -140,6 +140,60 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgServerName (XDR *xdrs, MsgServerName *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, 127))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgServerEnd (XDR *xdrs, MsgServerEnd *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgSuspect (XDR *xdrs, MsgSuspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->content))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->first_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->latest.latest_val, (u_int *) &objp->latest.latest_len, FT_SUSPECT_SERVERS,
+		sizeof (MsgServerEnd), (xdrproc_t) xdr_MsgServerEnd))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgBlame (XDR *xdrs, MsgBlame *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, 4096,
+		sizeof (MsgSuspect), (xdrproc_t) xdr_MsgSuspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgHello (XDR *xdrs, MsgHello *objp)
 {
@@ -155,6 +209,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->live_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->blame_index))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->region, FT_NAME_MOST))
@@ -205,6 +261,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 1024,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->blame.blame_val, (u_int *) &objp->blame.blame_len, 1,
+		sizeof (MsgBlame), (xdrproc_t) xdr_MsgBlame))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -356,16 +415,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_MsgServerName (XDR *xdrs, MsgServerName *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_string (xdrs, objp, 127))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_MsgEnded (XDR *xdrs, MsgEnded *objp)
 {
@@ -650,50 +699,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_MsgServerEnd (XDR *xdrs, MsgServerEnd *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_MsgServerName (xdrs, &objp->server))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_MsgSuspect (XDR *xdrs, MsgSuspect *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->content))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->ends))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->first_ms))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->latest.latest_val, (u_int *) &objp->latest.latest_len, FT_SUSPECT_SERVERS,
-		sizeof (MsgServerEnd), (xdrproc_t) xdr_MsgServerEnd))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_MsgBlame (XDR *xdrs, MsgBlame *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->index))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, 4096,
-		sizeof (MsgSuspect), (xdrproc_t) xdr_MsgSuspect))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_MsgState (XDR *xdrs, MsgState *objp)
 {
--- a/src/node.c
+++ b/src/node.c
@@ -114,6 +114,7 @@
   node->guess = conf->voters[0];
   node->fresh_at = ft_clock_now (clock) - FRESH_LIMIT;
   node->next_number = 1;
+  node->quar = quar_new (clock);
   node->ent = ent_new (node);
   node->hold = hold_new (node);
   if (is_voter (node))
@@ -140,6 +141,7 @@
   for (unsigned i = 0; i < node->records->len; i++)
     codec_clear (CODEC (MsgRecord), &g_array_index (node->records, MsgRecord, i));
   g_array_unref (node->records);
+  quar_free (node->quar);
   g_hash_table_unref (node->finds);
   g_hash_table_unref (node->proposals);
   g_hash_table_unref (node->peer_incarnations);
@@ -207,6 +209,7 @@
   out->lease_epoch = node->lease_epoch;
   out->incarnation = node->conf.incarnation;
   out->live_version = node->live_version;
+  out->blame_index = node->blame_index;
   out->leaving = node->leaving;
   out->region = (char *) node->conf.region;
   out->failure_domain = (char *) node->conf.failure_domain;
@@ -281,6 +284,8 @@
     return;
   node->guess = from;
   node->heard_at = ft_clock_now (node->clock);
+  if (fresh->blame.blame_len > 0)
+    susp_account (node, &fresh->blame.blame_val[0]);
   if (fresh->has_catalogue)
     node_take_catalogue (node, fresh->catalogue, fresh->revision);
   if (!node->cat || ft_cat_revision (node->cat) < fresh->revision)
@@ -486,6 +491,7 @@
     say_hello (node, now);
   prop_tick_records (node, now);
   hold_tick (node->hold, now);
+  quar_tick (node->quar, node->fresh_at + FRESH_LIMIT > now);
   ent_tick (node->ent, now);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -1,5 +1,5 @@
-/* node.h - what the parts of a node share: node.c, prop.c, find.c, ent.c, hold.c and lead.c;
- * private to them.
+/* node.h - what the parts of a node share: node.c, prop.c, find.c, ent.c, hold.c, lead.c and
+ * susp.c; private to them.
  *
  *   node.c  messages in and out, freshness, servers
  *   prop.c  proposals to the replicated log
@@ -7,10 +7,12 @@
  *   ent.c   requests that this instance owns
  *   hold.c  pools whose lease it holds
  *   lead.c  duties of the voter in charge
+ *   susp.c  contents that end servers
  */
 #ifndef NODE_H
 #define NODE_H
 
+#include "quarantine.h"
 #include "raft.h"
 
 /* Tuning; each row with its reason. */
@@ -68,7 +70,9 @@
   uint64_t next_number;
   GHashTable *proposals; /* number -> Proposal */
   GHashTable *finds;     /* number -> Find */
-  GArray *records;       /* MsgRecord not yet proposed */
+  Quarantine *quar;
+  uint64_t blame_index; /* of the voters' account in quar */
+  GArray *records;      /* MsgRecord not yet proposed */
   int64_t records_at;
 };
 
@@ -81,6 +85,8 @@
 
 /* prop.c */
 void prop_verdict (FtNode *node, uint32_t from, const MsgVerdict *verdict);
+/* silent: the shell hears no verdict. Returns the proposal's number. */
+uint64_t prop_propose (FtNode *node, const MsgOp *op, bool silent);
 void prop_tick (FtNode *node, int64_t now);
 void prop_tick_records (FtNode *node, int64_t now);
 void prop_free (void *proposal);
@@ -125,6 +131,16 @@
 void hold_catalogue (Hold *hold);
 void hold_tick (Hold *hold, int64_t now);
 
+/* susp.c */
+/* The voters' account has come. */
+void susp_account (FtNode *node, const MsgBlame *blame);
+/* The server has ended while it ran the content for this instance. */
+void susp_ended (FtNode *node, const char *pool, const char *server, uint64_t content,
+                 int64_t wall_ms);
+/* The content was answered whole here. */
+void susp_answered (FtNode *node, uint64_t content);
+uint64_t susp_propose_cleared (FtNode *node, const uint64_t *contents, unsigned count, bool silent);
+
 /* lead.c */
 Lead *lead_new (FtNode *node);
 void lead_free (Lead *lead);
--- a/src/prop.c
+++ b/src/prop.c
@@ -2,7 +2,7 @@
  *
  * A proposal is sent to the voter that is believed to lead, again and again until there is a
  * verdict or PROPOSE_MOST is over. Sending it twice does no harm: changes are known by their id,
- * claims by key and request, refusal records by request.
+ * claims by key and request, refusal records by request, ends of servers by server and time.
  */
 #include "node.h"
 
@@ -14,6 +14,7 @@
   GByteArray *op;
   int64_t send_at, until;
   bool silent; /* of the node itself: no verdict is reported */
+  char *ended; /* it tells that this server has ended; NULL: something else */
 } Proposal;
 
 void
@@ -22,6 +23,7 @@
   Proposal *proposal = data;
 
   g_byte_array_unref (proposal->op);
+  g_free (proposal->ended);
   g_free (proposal);
 }
 
@@ -37,8 +39,8 @@
   node_send (node, node->guess, &msg);
 }
 
-static uint64_t
-propose (FtNode *node, const MsgOp *op, bool silent)
+uint64_t
+prop_propose (FtNode *node, const MsgOp *op, bool silent)
 {
   int64_t now = ft_clock_now (node->clock);
   Proposal *proposal = g_new0 (Proposal, 1);
@@ -48,6 +50,8 @@
   proposal->op = bytes ? bytes : g_byte_array_new (); /* too long: the leader says invalid */
   proposal->until = now + PROPOSE_MOST;
   proposal->silent = silent;
+  if (op->kind == MSG_OP_ENDED)
+    proposal->ended = g_strdup (op->MsgOp_u.ended.server);
   uint64_t number = proposal->number;
   g_hash_table_insert (node->proposals, &proposal->number, proposal);
   /* Sent by the next flush: the caller must have the number before a verdict can come. */
@@ -62,6 +66,9 @@
   bool silent = proposal->silent;
   uint64_t number = proposal->number;
 
+  /* Given up counts as told too: evidence that nobody else has would hold a content for good. */
+  if (proposal->ended)
+    quar_acknowledged (node->quar, proposal->ended);
   g_hash_table_remove (node->proposals, &number);
   if (!silent)
     node->ops->verdict (node->host, number, status, revision, text);
@@ -128,7 +135,7 @@
   change->base = base;
   change->wall_ms = wall_ms;
   change->catalogue = (char *) text;
-  return propose (node, &op, false);
+  return prop_propose (node, &op, false);
 }
 
 uint64_t
@@ -144,7 +151,7 @@
   claim->incarnation = node->conf.incarnation;
   claim->request_id = (char *) request_id;
   claim->wall_ms = wall_ms;
-  return propose (node, &op, false);
+  return prop_propose (node, &op, false);
 }
 
 uint64_t
@@ -160,7 +167,7 @@
   done->request_id = (char *) request_id;
   done->end = (MsgClaimEnd) end;
   done->wall_ms = wall_ms;
-  return propose (node, &op, false);
+  return prop_propose (node, &op, false);
 }
 
 void
@@ -191,7 +198,7 @@
   node->records_at = now + RECORDS_EVERY;
   op.MsgOp_u.refusals.records.records_len = count;
   op.MsgOp_u.refusals.records.records_val = (MsgRecord *) (void *) node->records->data;
-  propose (node, &op, true);
+  prop_propose (node, &op, true);
   for (unsigned i = 0; i < count; i++)
     codec_clear (CODEC (MsgRecord), &g_array_index (node->records, MsgRecord, i));
   g_array_remove_range (node->records, 0, count);
--- a/src/state.c
+++ b/src/state.c
@@ -448,7 +448,7 @@
   out.voters.voters_len = state->voters.voters.voters_len;
   out.voters.voters_val = state->voters.voters.voters_val;
   out.document = state->document;
-  blame_capture (state->blame, &out.blame);
+  blame_capture (state->blame, 0, &out.blame);
   GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
   g_free (out.blame.suspects.suspects_val);
   g_array_unref (history);
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -17,6 +17,7 @@
 #include "body.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #define CHUNK          64 /* prompt tokens of one step */
 #define DEFAULT_TOKENS 32
@@ -279,6 +280,8 @@
     engine.doubled++;
   Stream *stream = g_new0 (Stream, 1); /* kept to the end: the stand-in is short-lived */
   stream->id = g_strdup (id);
+  if (engine.conf.ends_on && strstr (chat.prompt->str, engine.conf.ends_on))
+    _exit (1);
   stream->prefill_left = prompt_work (chat.prompt->str, chat.prompt->len);
   stream->total = chat.most_tokens ? chat.most_tokens : DEFAULT_TOKENS;
   stream->changed = g_get_monotonic_time ();
--- a/standin/main.c
+++ b/standin/main.c
@@ -57,10 +57,11 @@
   struct arg_int *gaps = arg_int0 (NULL, "gap-every", "N", "engine: lose every Nth cache event");
   struct arg_lit *fencing = arg_lit0 (NULL, "fencing", "engine: check fencing numbers");
   struct arg_int *delay = arg_int0 (NULL, "delay-ms", "MS", "service: time of a call, 5");
+  struct arg_str *ends = arg_str0 (NULL, "ends-on", "TEXT", "engine: ends at such a prompt");
   struct arg_file *file = arg_file0 (NULL, "file", "FILE", "platform: the list");
   struct arg_end *end = arg_end (8);
-  void *table[]
-      = { part, port, name, step, stream, prefill, cache, lag, gaps, fencing, delay, file, end };
+  void *table[] = { part, port, name,    step,  stream, prefill, cache,
+                    lag,  gaps, fencing, delay, ends,   file,    end };
   int result = 2;
 
   step->dval[0] = 8;
@@ -89,6 +90,7 @@
                            .gap_every = gaps->ival[0],
                            .fencing = fencing->count > 0,
                            .delay_ms = delay->ival[0],
+                           .ends_on = ends->count ? ends->sval[0] : NULL,
                            .file = file->count ? file->filename[0] : NULL };
       result = serve (part->sval[0], &conf);
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -16,6 +16,7 @@
   int gap_every;       /* every so many cache events one is lost; 0: none */
   bool fencing;        /* refuse orders with an old fencing number */
   int delay_ms;        /* services: time of one call */
+  const char *ends_on; /* engine: a prompt that holds this text ends the process; NULL: none */
   const char *file;    /* platform: the list that is served, read at each request */
 } StandinConf;
 
--- a/test/backend.c
+++ b/test/backend.c
@@ -96,7 +96,7 @@
 note_end (const FleetServer *server)
 {
   const GArray *marks = server->fleet->marks;
-  GHashTable *bodies = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *bodies = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   GHashTableIter iter;
   gpointer body;
 
@@ -110,10 +110,7 @@
     }
   g_hash_table_iter_init (&iter, bodies);
   while (g_hash_table_iter_next (&iter, &body, NULL))
-    {
-      note_mark (server, body, "", true);
-      g_free (body);
-    }
+    note_mark (server, body, "", true);
   g_hash_table_unref (bodies);
 }
 
--- a/test/ends.c
+++ b/test/ends.c
@@ -234,7 +234,7 @@
   Fleet *fleet = data;
   Answer answer;
 
-  fleet_operate (fleet, "GET", "/suspects", &answer);
+  fleet_operate (fleet, "GET", "/v1/suspects", &answer);
   bool there = strstr (answer.body->str, "\"quarantined\":true") != NULL;
   fleet_answer_clear (&answer);
   return there;
@@ -335,16 +335,16 @@
 
   fleet_begin (fleet);
   until_held (fleet, &fleet->entries[0], "/once/a");
-  fleet_operate (fleet, "GET", "/suspects", &answer);
+  fleet_operate (fleet, "GET", "/v1/suspects", &answer);
   const char *at = strstr (answer.body->str, "\"content\":\"");
   g_assert_nonnull (at);
   g_assert_nonnull (strstr (answer.body->str, "\"quarantined\":true,\"ends\":3"));
-  g_snprintf (path, sizeof path, "/suspects/%.16s", at + strlen ("\"content\":\""));
+  g_snprintf (path, sizeof path, "/v1/suspects/%.16s", at + strlen ("\"content\":\""));
   fleet_answer_clear (&answer);
-  fleet_operate (fleet, "DELETE", "/suspects/x", &answer);
+  fleet_operate (fleet, "DELETE", "/v1/suspects/x", &answer);
   g_assert_cmpuint (answer.status, ==, 400);
   fleet_answer_clear (&answer);
-  fleet_operate (fleet, "DELETE", "/suspects/0123456789abcdef", &answer);
+  fleet_operate (fleet, "DELETE", "/v1/suspects/0123456789abcdef", &answer);
   g_assert_cmpuint (answer.status, ==, 404);
   fleet_answer_clear (&answer);
   fleet_operate (fleet, "DELETE", path, &answer);
--- /dev/null
+++ b/test/ends.sh
@@ -0,0 +1,93 @@
+#!/usr/bin/env bash
+# ends.sh - the product's own daemon before engines that end at a marked prompt. TAP.
+#
+# One caller's request ends each engine that begins to run it, taking other streams with it. The
+# caller is told that its outcome is unknown, and sends it again, to another instance, under another
+# id. Each instance saw one end and took it for the engine's own fault.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/cluster.sh
+dir=$(mktemp -d)
+trap 'touch "$dir/over"; cluster_stop; rm -rf "$dir"' EXIT
+trap 'exit 1' TERM INT
+COMINGS=12
+ENDS_MOST=6 # three until it is known, three more in its whole life
+count=0
+failed=0
+
+ok () { # STATUS NAME
+  count=$((count + 1))
+  if [ "$1" = 0 ]; then echo "ok $count - $2"; else echo "not ok $count - $2"; failed=1; fi
+}
+
+engine () { # NAME PORT: runs it again whenever it ends, and writes a line for each start
+  while [ ! -e "$dir/over" ]; do
+    echo started >>"$dir/$1.starts"
+    "$BUILD/foxtailstandin" engine --port "$2" --name "$1" --ends-on marked >/dev/null 2>&1 &
+    echo $! >"$dir/$1.pid"
+    wait $!
+    sleep 0.3
+  done
+}
+
+starts () {
+  cat "$dir"/*.starts | wc -l
+}
+
+ask () { # INSTANCE PROMPT
+  curl -s -m 20 -w ' %{http_code}' -H 'Authorization: Bearer kalkhaus-key' -H 'X-Class: dealer-question' \
+    -d "{\"model\":\"standin\",\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"$2\"}]}" \
+    "http://127.0.0.1:$((BASE + $1))/v1/chat/completions"
+}
+
+echo "1..5"
+cluster_start "$dir" 3 3 "${PORT_BASE:-19700}" || exit 1
+kill -KILL "$FAST_PID" "$SLOW_PID"
+sleep 0.2
+for name in fast slow; do
+  engine $name $((BASE + 51 + $([ $name = slow ] && echo 1 || echo 0))) &
+  CLUSTER_PIDS+=($!)
+done
+for _ in $(seq 1 100); do
+  cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
+  sleep 0.2
+done
+cluster_ready 30
+cluster_wait_http "http://127.0.0.1:$((BASE + 51))/stats" 10
+cluster_wait_http "http://127.0.0.1:$((BASE + 52))/stats" 10
+before=$(starts)
+held=0
+for i in $(seq 1 $COMINGS); do
+  ask $(((i - 1) % 3 + 1)) "marked one" >"$dir/answer"
+  if grep -q '"quarantined"' "$dir/answer"; then held=$((held + 1)); fi
+  sleep 1.2
+done
+ends=$(($(starts) - before))
+echo "# $ends engines ended, $held of $COMINGS comings were refused"
+[ "$ends" -ge 3 ] && [ "$ends" -le $ENDS_MOST ]
+ok $? "a request ends no more than $ENDS_MOST engines"
+grep -q ' 503$' "$dir/answer" && grep -q '"ran": *"no"' "$dir/answer"
+ok $? "then it is refused, as not run"
+cluster_cli 2 suspects >"$dir/suspects" 2>&1
+grep -q '"quarantined":true' <(tr -d ' \n' <"$dir/suspects")
+ok $? "operators see it"
+for _ in $(seq 1 50); do
+  ask 2 "another" >"$dir/answer"
+  grep -q ' 200$' "$dir/answer" && break
+  sleep 0.2
+done
+grep -q ' 200$' "$dir/answer"
+ok $? "others are answered"
+content=$(tr -d ' \n' <"$dir/suspects" | grep -o '"content":"[0-9a-f]*","quarantined":true' | cut -d'"' -f4)
+cluster_cli 3 release "$content" >"$dir/release" 2>&1
+before=$(starts)
+for _ in $(seq 1 50); do
+  ask 1 "marked one" >"$dir/answer"
+  [ "$(starts)" -gt "$before" ] && break
+  sleep 0.3
+done
+[ "$(starts)" -gt "$before" ]
+ok $? "once it is let go it is sent again"
+touch "$dir/over"
+kill -KILL $(cat "$dir"/*.pid) 2>/dev/null
+exit $failed
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -377,7 +377,7 @@
 do_find (lua_State *lua)
 {
   static const char *const kinds[]
-      = { "answer", "refusal", "claim", "history", "in_force", "catalogue", NULL };
+      = { "answer", "refusal", "claim", "history", "in_force", "catalogue", "suspects", NULL };
   FtNode *node = node_arg (lua, 1);
   FtFindKind kind = (FtFindKind) luaL_checkoption (lua, 2, NULL, kinds);
 
@@ -525,7 +525,8 @@
                     .prompt_tokens = (unsigned) field_integer (lua, 2, "prompt", 100),
                     .most_tokens = (unsigned) field_integer (lua, 2, "out", 100),
                     .first_in = field_integer (lua, 2, "first_ms", 2000) * FT_MS,
-                    .due_in = field_integer (lua, 2, "due_ms", 60000) * FT_MS };
+                    .due_in = field_integer (lua, 2, "due_ms", 60000) * FT_MS,
+                    .content = (uint64_t) field_integer (lua, 2, "content", 0) };
   ft_node_ask (node, &ask);
   sim_flush (world.sim, request.instance);
   lua_pushinteger (lua, world.requests->len);
@@ -577,6 +578,29 @@
   return 0;
 }
 
+static int
+do_server_ended (lua_State *lua)
+{
+  FtNode *node;
+  const Request *request = request_arg (lua, &node);
+
+  if (node)
+    {
+      ft_node_server_ended (node, (uint64_t) lua_tointeger (lua, 1),
+                            (int64_t) sim_now (world.sim) / FT_MS);
+      sim_flush (world.sim, request->instance);
+    }
+  return 0;
+}
+
+static int
+do_release (lua_State *lua)
+{
+  ft_node_release (node_arg (lua, 1), (uint64_t) luaL_checkinteger (lua, 2));
+  sim_flush (world.sim, instance_arg (lua, 1));
+  return 0;
+}
+
 static int
 do_ask_again (lua_State *lua)
 {
@@ -646,6 +670,8 @@
   { "progress", do_progress },
   { "done", do_done },
   { "ask_again", do_ask_again },
+  { "server_ended", do_server_ended },
+  { "release", do_release },
   { "state", do_state },
   { "note", do_note },
   { NULL, NULL },
