Split the life of a request into its way to a place and its ends

A test that fails takes the processes that it started with it: 53 of earlier failures were found running beside later measurements.

--- /dev/null
+++ b/node/reqend.c
@@ -0,0 +1,129 @@
+/* reqend.c - the ends of a request and of its tries: what its caller is told, what is logged and
+ * what the scheduler hears. */
+#include "reqint.h"
+#include "count.h"
+#include "jlog.h"
+
+#include <string.h>
+
+void
+req_forget_number (Req *req)
+{
+  if (req->number)
+    g_hash_table_remove (req->all->by_number, &req->number);
+  req->number = 0;
+}
+
+void
+req_free (Req *req)
+{
+  Loop *loop = req->all->conf.loop;
+
+  req_forget_number (req);
+  g_ptr_array_remove_fast (req->all->parked, req);
+  loop_timer_stop (loop, &req->limit);
+  loop_timer_stop (loop, &req->silence);
+  loop_timer_stop (loop, &req->settle);
+  req->all->open--;
+  events_free (req->stream);
+  g_string_free (req->fields, TRUE);
+  g_string_free (req->held, TRUE);
+  g_free (req->avoid);
+  g_free (req->server);
+  rt_cat_unref (req->cat);
+  loop_free_later (loop, req);
+}
+
+int64_t
+req_now (const Req *req)
+{
+  return loop_now (req->all->conf.loop);
+}
+
+void
+req_log_end (const Req *req, const char *event, unsigned status, const char *why)
+{
+  char buffer[CONTENT_TEXT];
+  const char *content = req->content ? content_text (req->content, buffer) : "";
+  jlog (JLOG_INFO, event, req->id, JL_INT ("status", status), JL_TEXT ("why", why),
+        JL_TEXT ("route", req->route ? req->route->name : ""),
+        JL_TEXT ("org", req->org ? req->org->name : ""), JL_TEXT ("content", content),
+        JL_INT ("catalogue", req->cat ? rt_cat_version (req->cat) : 0),
+        JL_TEXT ("server", req->server), JL_INT ("sends", req->sends),
+        JL_INT ("may_have_run", req->may_have_run), JL_INT ("events", req->events),
+        JL_MS ("first_ms", req->first_at ? req->first_at - req->arrived : -1),
+        JL_MS ("aim_ms", req->route ? req->route->aim_us : 0),
+        JL_MS ("sent_ms", req->sent_at ? req->sent_at - req->arrived : -1),
+        JL_MS ("back_ms", req->waited_before),
+        JL_INT ("tier", req->route ? rt_order (req->route, req->org) : 0),
+        JL_INT ("prompt", req->facts.prompt_tokens), JL_INT ("most", req->facts.output_most),
+        JL_INT ("guess", req->facts.output_guess), JL_MS ("pause_ms", req->pause_most),
+        JL_MS ("took_ms", req_now (req) - req->arrived),
+        JL_MS ("left_ms", req->end_at - req_now (req)));
+}
+
+void
+req_end_try (Req *req, SchedOutcome outcome)
+{
+  SchedResult result = { .outcome = outcome };
+  int64_t now = req_now (req);
+  HXfer *xfer = req->xfer;
+
+  loop_timer_stop (req->all->conf.loop, &req->silence);
+  req->xfer = NULL;
+  if (xfer)
+    {
+      witness_left (req->all->conf.witness, req->server, req->content, req->id);
+      hxfer_cancel (xfer);
+    }
+  if (req->number == 0)
+    return;
+  if (req->events > 4)
+    result.event_us = req->event_sum / (req->events - 1);
+  if (req->sent_at)
+    result.answer_us = now - req->sent_at;
+  result.broke = req->broke;
+  result.rested_us = req->rested;
+  place_done (req->all->conf.place, req->number, &result);
+  req_forget_number (req);
+}
+
+void
+req_answer_own (Req *req, unsigned status, int64_t retry_us, const char *why)
+{
+  GString *fields = g_string_new (NULL);
+  bool refused = status == 503 || status == 429;
+  char *body = g_strdup_printf ("{\"reason\":\"%s\",\"ran\":\"%s\",\"retry_after_ms\":%d}\n", why,
+                                req->may_have_run ? "unknown" : "no", (int) (retry_us / FT_MS));
+
+  count_up (refused ? COUNT_REFUSED : COUNT_UNKNOWN);
+  req_log_end (req, refused ? "refuse" : "fail", status, why);
+  hwrite_field (fields, "Content-Type", "application/json");
+  req->all->conf.seam->write_own (fields, *req->id ? req->id : NULL, retry_us);
+  hcall_reply (req->call, status, fields, body, strlen (body));
+  g_string_free (fields, TRUE);
+  g_free (body);
+  req_free (req);
+}
+
+void
+req_break_off (Req *req, const char *why)
+{
+  count_up (COUNT_BROKEN_OFF);
+  req_log_end (req, "break-off", req->status, why);
+  hcall_abort (req->call);
+  req_free (req);
+}
+
+void
+req_finish (Req *req)
+{
+  count_up (COUNT_ANSWERED);
+  count_time (TIMED_WHOLE, req_now (req) - req->arrived);
+  req_log_end (req, "answer", req->status, "");
+  if (req->begun)
+    hcall_end (req->call);
+  else
+    hcall_reply (req->call, req->status, req->fields, req->held->str, req->held->len);
+  req_free (req);
+}
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -1,4 +1,4 @@
-/* reqint.h - the record of a request, shared by requests.c and try.c only. */
+/* reqint.h - the record of a request, shared by requests.c, reqask.c, try.c and reqend.c only. */
 #ifndef REQINT_H
 #define REQINT_H
 
@@ -66,10 +66,35 @@
 
 /* ---- Life of a request (requests.c) ---- */
 
-int64_t req_now (const Req *req);
 /* The try has come to this; what follows is decided and done. req may be gone after. */
 void req_after_try (Req *req, RetryEvent event);
 
+/* ---- Its way to a place (reqask.c) ---- */
+
+/* Asks for a place, unless servers have ended under the content: then it is held back for a moment
+ * or ended. */
+void req_ask (Req *req);
+/* When it has been held back for long enough. */
+void req_on_settled (LoopTimer *timer);
+
+/* ---- Ends (reqend.c) ---- */
+
+int64_t req_now (const Req *req);
+/* Verdicts on the ask that was open are no longer for this request. */
+void req_forget_number (Req *req);
+/* The line of the request's end, with all that decided it. */
+void req_log_end (const Req *req, const char *event, unsigned status, const char *why);
+/* Ends the try that is open, if one is, and tells the scheduler what came of it. */
+void req_end_try (Req *req, SchedOutcome outcome);
+/* The three ends of a request; req is gone after. An answer of this instance's own, which no server
+ * has signed; retry_us: advice when to come back, 0: none. */
+void req_answer_own (Req *req, unsigned status, int64_t retry_us, const char *why);
+/* The caller's connection is broken off, so that what it has cannot be taken for whole. */
+void req_break_off (Req *req, const char *why);
+/* The server's answer is whole. */
+void req_finish (Req *req);
+void req_free (Req *req);
+
 /* ---- One try at a server (try.c) ---- */
 
 /* Sends the request; req_after_try follows. */
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -107,6 +108,7 @@
   g_assert_cmpint (node->pid, >=, 0);
   if (node->pid > 0)
     return;
+  prctl (PR_SET_PDEATHSIG, SIGKILL); /* a test that fails leaves no process behind */
   int out = open (node->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2 (out, STDOUT_FILENO);
   dup2 (out, STDERR_FILENO);
