Test what entries and voters tell each other of servers that ended

A link on which nothing was ever said of any content is sent no empty account. Ruled out as worth it: striking ends from a held content's neighbours.

--- a/node/suspects.c
+++ b/node/suspects.c
@@ -376,6 +376,7 @@
     return;
   Contact *contact = g_new0 (Contact, 1);
   contact->peer = peer;
+  contact->told = suspects->number; /* nothing was ever said against any content */
   g_ptr_array_add (suspects->contacts, contact);
   if (blame_index (suspects->account) > 0)
     send_account (suspects, contact);
--- a/test/decide.c
+++ b/test/decide.c
@@ -144,6 +144,22 @@
   g_assert_cmpint (retry_next (RETRY_CUT, &f), ==, RETRY_BREAK_OFF);
 }
 
+/* A stream's server ends under it, and so had another one before. It is not resumed: it may be what
+ * ends them. A failure that a server answers itself says nothing of that. */
+static void
+suspect_is_not_sent_on (void)
+{
+  RetryFacts f = facts (RT_IDEMPOTENT);
+
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_AGAIN);
+  f.suspect = true;
+  g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
+  g_assert_cmpint (retry_next (RETRY_FAILURE, &f), ==, RETRY_AGAIN);
+  f.kind = RT_STREAM;
+  f.resumable = f.begun = true;
+  g_assert_cmpint (retry_next (RETRY_CUT, &f), ==, RETRY_BREAK_OFF);
+}
+
 /* ---- Events ---- */
 
 static void
@@ -573,6 +589,7 @@
   g_test_add_func ("/retry/gone", gone_server_is_none_reached);
   g_test_add_func ("/retry/idempotent", idempotent_is_repeated_within_bounds);
   g_test_add_func ("/retry/resume", resumable_stream_goes_on);
+  g_test_add_func ("/retry/suspect", suspect_is_not_sent_on);
   g_test_add_func ("/events/half", half_event_is_dropped);
   g_test_add_func ("/quota/window", limit_holds_in_a_window);
   g_test_add_func ("/quota/new_accountant", new_accountant_gives_no_second_burst);
--- a/test/ends.c
+++ b/test/ends.c
@@ -248,11 +248,18 @@
   Fleet *fleet = fleet_new ();
 
   fleet_begin (fleet);
+  fleet_start (fleet, &fleet->spare, false);
+  while (!fleet_ready (fleet, &fleet->spare))
+    fleet_run_for (fleet, 20 * FT_MS);
   for (unsigned i = 0; i < 3; i++)
     fleet_kill (&fleet->voters[i]);
   come_often (fleet, "/once/a");
-  g_assert_cmpuint (fleet_marked (fleet, KILLER), <=, ENDS_MOST);
   unsigned before = fleet_marked (fleet, KILLER);
+  g_assert_cmpuint (before, <=, ENDS_MOST);
+  /* An entry that is no deputy has seen no end, and needs none; one may be on its way. */
+  until_held (fleet, &fleet->spare, "/once/a");
+  g_assert_cmpuint (fleet_marked (fleet, KILLER), <=, before + 1);
+  before = fleet_marked (fleet, KILLER);
   for (unsigned i = 0; i < 3; i++)
     fleet_start (fleet, &fleet->voters[i], false);
   while (!is_in_account (fleet))
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -221,6 +221,7 @@
       g_snprintf (name, sizeof name, "entry%u", i + 1);
       name_node (fleet, &fleet->entries[i], name, net + 31 + i, false);
     }
+  name_node (fleet, &fleet->spare, "spare", net + 31 + FLEET_ENTRIES, false);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     backend_create (fleet, i, (SockAddr){ net + 51 + i, SERVERS });
   return fleet;
@@ -235,6 +236,7 @@
     fleet_kill (&fleet->voters[i]);
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     fleet_kill (&fleet->entries[i]);
+  fleet_kill (&fleet->spare);
   fleet_run_for (fleet, 100 * FT_MS); /* the ends of their connections are noticed */
   free_proxies (fleet);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -68,6 +68,7 @@
   HCli *cli;
   char base[128];
   FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
+  FleetNode spare; /* an entry that no deputy's place is left for; fleet_begin does not start it */
   FleetServer servers[FLEET_SERVERS];
   HSrv *list;
   uint64_t version;   /* of the newest catalogue that was acknowledged */
