Test, failing: a connection breaks after its server's end is known

Cause under test, found by reading the change: a break that is seen late is told to the witness within the break itself, whose word makes the entry look again at all requests without a transfer, the broken one among them. Its content is held by then, so it is ended and freed, and the break goes on with it. /ends/late_break: two copies on one server, whose listener and first connection end 0.6 s before the second connection. Seen: the entry dies, address sanitizer says use after free.

--- a/test/backend.c
+++ b/test/backend.c
@@ -3,9 +3,10 @@
 
 #include <string.h>
 
-#define EVENTS    8            /* of a stream */
-#define ENDS_IN   (20 * FT_MS) /* from the beginning of a marked run to the end of its server */
-#define TRY_AGAIN (20 * FT_MS) /* its port is not free yet */
+#define EVENTS    8             /* of a stream */
+#define ENDS_IN   (20 * FT_MS)  /* from the beginning of a marked run to the end of its server */
+#define TRY_AGAIN (20 * FT_MS)  /* its port is not free yet */
+#define SLOW_END  (600 * FT_MS) /* longer than entries wait for news of a content */
 
 typedef struct
 {
@@ -140,7 +141,10 @@
   count_in (server->fleet->runs, id);
   hwrite_field (fields, "X-Foxtailgrade-Server-Signature", server->id);
   if (runs_marked (server, call))
-    hcall_set_user (call, NULL);
+    {
+      hcall_set_user (call, NULL);
+      server->marked = call;
+    }
   else if (server->mode == SERVER_RESET)
     hcall_abort (call);
   else if (server->mode == SERVER_MUTE)
@@ -177,9 +181,11 @@
 static void
 on_server_gone (void *owner, HCall *call)
 {
+  FleetServer *server = owner;
   Stream *stream = hcall_user (call);
 
-  (void) owner;
+  if (server->marked == call)
+    server->marked = NULL;
   if (stream)
     drop_stream (stream);
 }
@@ -196,6 +202,7 @@
   g_ptr_array_set_size (server->streams, 0);
   hsrv_free (server->srv);
   server->srv = NULL;
+  server->marked = NULL;
   if (server->proxy)
     proxy_free (server->proxy);
   server->proxy = NULL;
@@ -225,6 +232,14 @@
   FleetServer *server = (FleetServer *) ((char *) timer - offsetof (FleetServer, ending));
   Fleet *fleet = server->fleet;
 
+  if (server->mode == SERVER_SLOW_END && server->marked)
+    {
+      hsrv_close_idle (server->srv);
+      hcall_abort (server->marked);
+      server->marked = NULL;
+      loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + SLOW_END);
+      return;
+    }
   fleet->ends++;
   note_end (server);
   close_all (server);
--- a/test/ends.c
+++ b/test/ends.c
@@ -271,6 +271,46 @@
   fleet_free (fleet);
 }
 
+/* A caller sends two copies to one entry, which sends both to one server. As that ends, the
+ * connection of one copy breaks a moment after the other's: the end is known by then, and is the
+ * third. The second copy was looked at as if it waited for a place, in the middle of its own break:
+ * the entry used it after it was freed. Both callers hear that the outcome is unknown. */
+static void
+break_after_the_end_is_known (void)
+{
+  Fleet *fleet = fleet_new ();
+  Answer copies[2];
+
+  fleet_begin (fleet);
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    fleet->servers[i].listed = false;
+  while (fleet->ends < 2)
+    {
+      come (fleet, 0, "/once/a");
+      fleet_run_for (fleet, 300 * FT_MS);
+    }
+  fleet->servers[0].mode = SERVER_SLOW_END;
+  while (fleet->ends < 3)
+    {
+      for (unsigned i = 0; i < G_N_ELEMENTS (copies); i++)
+        {
+          char id[24];
+          g_snprintf (id, sizeof id, "b%" G_GUINT64_FORMAT, ++fleet->next_id);
+          fleet_send_body (fleet, &fleet->entries[0], "/once/a", id, KILLER, &copies[i]);
+        }
+      fleet_run_for (fleet, FT_SECOND);
+      for (unsigned i = 0; i < G_N_ELEMENTS (copies); i++)
+        {
+          g_assert_true (copies[i].done && !copies[i].broken);
+          g_assert_true (copies[i].status == 502 || copies[i].status == 503);
+          fleet_answer_clear (&copies[i]);
+        }
+    }
+  g_assert_false (fleet_ended (&fleet->entries[0]));
+  until_held (fleet, &fleet->entries[0], "/once/a");
+  fleet_free (fleet);
+}
+
 /* Three of four servers lose power at once, all running a content that many callers ask for. No
  * caller is refused for that: it was answered whole a moment before. */
 static void
@@ -378,6 +418,7 @@
   g_test_add_func ("/ends/restarted", everything_restarted);
   g_test_add_func ("/ends/new_and_frozen", new_and_frozen_entries);
   g_test_add_func ("/ends/without_voters", without_voters);
+  g_test_add_func ("/ends/late_break", break_after_the_end_is_known);
   g_test_add_func ("/ends/popular", popular_content_under_a_power_cut);
   g_test_add_func ("/ends/resets", resets_are_no_ends);
   g_test_add_func ("/ends/released", released_by_hand);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -17,11 +17,12 @@
 typedef enum
 {
   SERVER_SOUND,
-  SERVER_RESET, /* reads the request and resets the connection */
-  SERVER_CUT,   /* ends a stream in the middle of its third event */
-  SERVER_FULL,  /* says that it did not run the request */
-  SERVER_GONE,  /* another one answers at its address */
-  SERVER_MUTE   /* answers nothing */
+  SERVER_RESET,   /* reads the request and resets the connection */
+  SERVER_CUT,     /* ends a stream in the middle of its third event */
+  SERVER_FULL,    /* says that it did not run the request */
+  SERVER_GONE,    /* another one answers at its address */
+  SERVER_MUTE,    /* answers nothing */
+  SERVER_SLOW_END /* as SOUND, but its listener and one call end before its other connections */
 } ServerMode;
 
 typedef struct Fleet Fleet;
@@ -40,6 +41,7 @@
   bool leaving, listed;
   unsigned arrived;
   GPtrArray *streams; /* that it runs */
+  HCall *marked;      /* a marked call that it runs; NULL: none */
   LoopTimer ending, coming;
 } FleetServer;
 
