Look at requests again in the loop's next turn; go through lists by number

A connection that is refused at once counts as refused. After: /ends/late_break passes, by address sanitizer too; scenarios 29, torture. Ruled out: that a release of memory at the end of the turn is enough (the request ends twice).

--- a/node/ends.c
+++ b/node/ends.c
@@ -13,6 +13,7 @@
 #include "ends.h"
 #include "jlog.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* Tuning; each row with its reason. */
@@ -173,7 +174,11 @@
 
   one->looks++;
   one->probing = hcli_probe (one->ends->cli, &target, on_probed, one);
-  if (!one->probing)
+  if (one->probing)
+    return;
+  if (errno == ECONNREFUSED) /* on one machine it is known at once */
+    has_ended (one, "nobody listens at its address");
+  else
     lives_on (one, "no connection can be opened here");
 }
 
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -134,8 +134,9 @@
 }
 
 void
-requests_review (Requests *all)
+req_on_review (LoopTimer *timer)
 {
+  Requests *all = (Requests *) ((char *) timer - offsetof (Requests, review));
   GPtrArray *stopped = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
@@ -149,6 +150,15 @@
   g_ptr_array_unref (stopped);
 }
 
+/* Failure: a connection breaks late, and the end of its server, which that tells of, is known.
+ * Symptom: its request, looked at in the middle of its own break, is ended twice, and the entry
+ * dies. In the loop's next turn each request without a transfer waits for a place. */
+void
+requests_review (Requests *all)
+{
+  loop_timer_set (all->conf.loop, &all->review, loop_now (all->conf.loop));
+}
+
 /* ---- Verdicts of the scheduler ---- */
 
 /* Does the list held here say that the server leaves, or, if it is newer than the one by which it
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -60,6 +60,7 @@
   Patience *patience;
   GHashTable *by_number; /* number: Req */
   GPtrArray *parked;     /* Req that wait for the first catalogue */
+  LoopTimer review;      /* armed: verdicts on contents have changed */
   uint64_t next_number;
   unsigned open;
 };
@@ -76,6 +77,8 @@
 void req_ask (Req *req);
 /* When it has been held back for long enough. */
 void req_on_settled (LoopTimer *timer);
+/* When verdicts on contents have changed. */
+void req_on_review (LoopTimer *timer);
 
 /* ---- Ends (reqend.c) ---- */
 
--- a/node/requests.c
+++ b/node/requests.c
@@ -261,6 +261,7 @@
 
   all->conf = *conf;
   all->patience = patience_new (loop_clock (conf->loop));
+  all->review.fire = req_on_review;
   all->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
   all->parked = g_ptr_array_new ();
   return all;
@@ -271,6 +272,7 @@
 {
   if (all == NULL)
     return;
+  loop_timer_stop (all->conf.loop, &all->review);
   g_hash_table_unref (all->by_number);
   g_ptr_array_unref (all->parked);
   rt_cat_unref (all->cat);
--- a/src/ent.c
+++ b/src/ent.c
@@ -385,19 +385,13 @@
 
 /* Requests that no scheduler decided in time: the caller gets its answer at once. */
 static void
-refuse_overdue (Ent *ent, EntPool *pool, int64_t now)
+refuse_overdue (Ent *ent, EntReq *req, int64_t now)
 {
-  EntReq *req, *next;
-
-  cds_list_for_each_entry_safe (req, next, &pool->requests, link)
-  {
-    bool grace = now <= MIN (req->first_by, req->due) + FT_SECOND;
-    if (req->state != MSG_ASK_WAITING || grace)
-      continue;
-    tell_done (ent->node, req, FT_DONE_CANCELLED, 0);
-    refuse (ent, req, FT_REASON_NO_SCHEDULER, 0, 2000,
-            "no decision came before the first token was due");
-  }
+  if (now <= MIN (req->first_by, req->due) + FT_SECOND)
+    return;
+  tell_done (ent->node, req, FT_DONE_CANCELLED, 0);
+  refuse (ent, req, FT_REASON_NO_SCHEDULER, 0, 2000,
+          "no decision came before the first token was due");
 }
 
 /* A stopped request is asked for once its content is cleared, and refused once it is held. One that
@@ -424,16 +418,47 @@
     }
 }
 
-static void
-review_all (Ent *ent, EntPool *pool)
+/* Failure: telling of one request's end brings others' decisions at once, here too if the scheduler
+ * is this instance. Symptom: the next one in the list is gone. So each is looked up by its number
+ * when its turn comes. */
+static GArray *
+numbers_waiting (const EntPool *pool)
 {
-  EntReq *req, *next;
+  GArray *numbers = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  const EntReq *req;
 
-  cds_list_for_each_entry_safe (req, next, &pool->requests, link)
+  cds_list_for_each_entry (req, &pool->requests, link)
   {
-    if (req->state == MSG_ASK_WAITING && req->content)
-      review (ent, req);
+    if (req->state == MSG_ASK_WAITING)
+      g_array_append_val (numbers, req->request);
   }
+  return numbers;
+}
+
+static EntReq *
+find_waiting (Ent *ent, uint64_t number)
+{
+  EntReq *req = find_request (ent, number);
+
+  return req && req->state == MSG_ASK_WAITING ? req : NULL;
+}
+
+static void
+tick_pool (Ent *ent, EntPool *pool, int64_t now)
+{
+  GArray *numbers = numbers_waiting (pool);
+
+  for (unsigned i = 0; i < numbers->len; i++)
+    {
+      uint64_t number = g_array_index (numbers, uint64_t, i);
+      EntReq *req = find_waiting (ent, number);
+      if (req && req->content)
+        review (ent, req);
+      req = find_waiting (ent, number);
+      if (req)
+        refuse_overdue (ent, req, now);
+    }
+  g_array_unref (numbers);
 }
 
 void
@@ -444,10 +469,7 @@
 
   g_hash_table_iter_init (&iter, ent->pools);
   while (g_hash_table_iter_next (&iter, NULL, &pool))
-    {
-      review_all (ent, pool);
-      refuse_overdue (ent, pool, now);
-    }
+    tick_pool (ent, pool, now);
 }
 
 void
