--- a/net/hcli.h
+++ b/net/hcli.h
@@ -50,7 +50,7 @@
                   void *user);
 /* Opens a connection to target, which is kept idle when it is there. probed: once, unless the
  * client is freed before; fault counts when connected is false. False: no descriptor or no path,
- * and it is not called. */
+ * errno says which, and it is not called. */
 typedef void (*HCliProbed) (void *user, bool connected, HXferFault fault);
 bool hcli_probe (HCli *cli, const HCliTarget *target, HCliProbed probed, void *user);
 /* Is there a connection for key, idle or not, that the other end has not closed? */
