--- a/bench/bench.c
+++ b/bench/bench.c
@@ -3,12 +3,15 @@
  * A run is one experiment, profile, policy and seed; the same seed gives the same arrivals for
  * every policy as long as the policy draws no random numbers of its own. */
 #include "cost.h"
+#include "curves.h"
 #include "slopes.h"
 #include "world.h"
 
 #include <argtable2.h>
 #include <stdio.h>
 #include <stdlib.h>
+
+#define JUDGE_SEEDS 1000 /* of each operating curve */
 #include <string.h>
 
 #define WARM   (12 * FT_SECOND)  /* the first catalogue is in force */
@@ -612,7 +615,8 @@
 int
 main (int argc, char **argv)
 {
-  struct arg_str *command = arg_str1 (NULL, NULL, "list|run|report|cost|slopes", "what to do");
+  struct arg_str *command
+      = arg_str1 (NULL, NULL, "list|run|report|cost|slopes|judge", "what to do");
   struct arg_str *name = arg_str0 (NULL, NULL, "EXPERIMENT", "run: which, or all");
   struct arg_str *policy = arg_str0 (NULL, "policy", "NAME", "one policy, else all");
   struct arg_str *profile = arg_str0 (NULL, "profile", "NAME", "one profile, else both users'");
@@ -648,11 +652,14 @@
     }
   else if (strcmp (command->sval[0], "cost") == 0)
     result = cost_report (stdout);
+  else if (strcmp (command->sval[0], "judge") == 0)
+    result = curves_report (JUDGE_SEEDS);
   else if (strcmp (command->sval[0], "slopes") == 0)
     result = slopes_report (wanted.csv ? wanted.csv : stdout);
   else
     fprintf (stderr,
-             "foxtailbench: run needs an EXPERIMENT; commands: list, run, report, cost, slopes\n");
+             "foxtailbench: run needs an EXPERIMENT; commands: list, run, report, cost, slopes, "
+             "judge\n");
   if (wanted.csv)
     fclose (wanted.csv);
   arg_freetable (table, G_N_ELEMENTS (table));
--- a/bench/cost.c
+++ b/bench/cost.c
@@ -165,7 +165,7 @@
 }
 
 static const SchedOps sched_ops
-    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_believes };
+    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_believes, NULL };
 
 static void
 sched_ask_one (Sched *sched, const StepClock *clock, uint64_t number)
@@ -199,7 +199,7 @@
   granted_head = granted_tail = 0;
   sched_service (sched, "s", &conf);
   for (unsigned i = 0; i < servers; i++)
-    list[i] = (SchedServer){ g_strdup_printf ("s%u", i), "s", "d", 4, false, 0 };
+    list[i] = (SchedServer){ g_strdup_printf ("s%u", i), "s", "d", 4, false, 0, NULL };
   sched_list (sched, list, servers);
   while (number <= servers * 4 + waiting)
     sched_ask_one (sched, &clock, number++);
--- a/node/broker.c
+++ b/node/broker.c
@@ -41,6 +41,8 @@
   GHashTable *askers;     /* owner: Asker */
   GArray *verdicts;       /* Verdict on own requests, delivered by soon */
   LoopTimer soon;
+  void (*judged) (void *host, const SchedJudged *judged); /* NULL: nobody watches */
+  void *watcher;
 };
 
 /* ---- Verdicts ---- */
@@ -179,7 +181,16 @@
   quota_give_back (((Broker *) host)->quota, org, cost);
 }
 
-static const SchedOps sched_ops = { on_grant, on_refuse, on_unused, on_believes };
+static void
+on_judged (void *host, const SchedJudged *judged)
+{
+  const Broker *broker = host;
+
+  if (broker->judged)
+    broker->judged (broker->watcher, judged);
+}
+
+static const SchedOps sched_ops = { on_grant, on_refuse, on_unused, on_believes, on_judged };
 
 /* ---- Asking ---- */
 
@@ -278,6 +289,7 @@
                    .prompt_tokens = from->prompt_tokens,
                    .output_tokens = from->output_tokens,
                    .shared_part = from->shared_part,
+                   .route = from->route,
                    .gap_us = from->gap_ms * FT_MS,
                    .aim_at = now + from->aim_in_us,
                    .limit_at = now + from->limit_in_us,
@@ -416,6 +428,25 @@
   sched_tick (broker->sched);
 }
 
+void
+broker_versions (Broker *broker, const char *service, const SchedVersions *versions)
+{
+  sched_versions (broker->sched, service, versions);
+}
+
+void
+broker_watch (Broker *broker, void (*judged) (void *host, const SchedJudged *judged), void *host)
+{
+  broker->judged = judged;
+  broker->watcher = host;
+}
+
+void
+broker_service_stats (const Broker *broker, const char *service, SchedServiceStats *stats)
+{
+  sched_service_stats (broker->sched, service, stats);
+}
+
 void
 broker_stats (const Broker *broker, SchedStats *stats)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -62,6 +62,12 @@
 /* Instances that have asked within the last seconds. */
 unsigned broker_askers (const Broker *broker);
 
+/* See sched_versions and SchedOps.judged. */
+void broker_versions (Broker *broker, const char *service, const SchedVersions *versions);
+void broker_watch (Broker *broker, void (*judged) (void *host, const SchedJudged *judged),
+                   void *host);
+void broker_service_stats (const Broker *broker, const char *service, SchedServiceStats *stats);
+
 void broker_stats (const Broker *broker, SchedStats *stats);
 /* Lines about each server, for operators; g_free. */
 char *broker_describe (const Broker *broker);
--- a/node/control.c
+++ b/node/control.c
@@ -13,6 +13,7 @@
 #include "operators.h"
 #include "publish.h"
 #include "reader.h"
+#include "rollouts.h"
 #include "servers.h"
 #include "squeeze.h"
 #include "suspects.h"
@@ -50,6 +51,7 @@
   RtCat *cat;
   Publish *publish;
   Suspects *suspects;
+  Rollouts *rollouts;
   GHashTable *readers; /* ip of the other voters that hold the list of servers or read it */
   unsigned entries_up, entries_down; /* links to entries since they were logged last */
   int64_t entries_logged_at;
@@ -116,6 +118,7 @@
   if (!peer->dialled)
     broker_up (control->broker, peer);
   suspects_up (control->suspects, peer); /* before the catalogue, which lets an entry send */
+  rollouts_up (control->rollouts, peer); /* likewise */
   publish_up (control->publish, peer);
 }
 
@@ -130,6 +133,7 @@
   else
     broker_down (control->broker, peer);
   suspects_down (control->suspects, peer);
+  rollouts_down (control->rollouts, peer);
   publish_down (control->publish, peer);
 }
 
@@ -253,6 +257,8 @@
         JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("proved", control->status.proved),
         JL_INT ("term", control->status.term));
   broker_catalogue (control->broker, cat);
+  if (control->operators)
+    operators_catalogue (control->operators, cat);
   if (control->status.proved)
     publish_documents (control->publish);
 out:
@@ -268,16 +274,23 @@
   suspects_committed (((Control *) host)->suspects);
 }
 
+static void
+on_rolled (void *host)
+{
+  rollouts_committed (((Control *) host)->rollouts);
+}
+
 static void
 on_verdict (void *host, uint64_t ticket, FtStatus status)
 {
   Control *control = host;
 
+  rollouts_verdict (control->rollouts, ticket, status);
   operators_verdict (control->operators, ticket, status);
   suspects_verdict (control->suspects, ticket, status);
 }
 
-static const VoterOps voter_ops = { on_send, on_committed, on_blamed, on_verdict };
+static const VoterOps voter_ops = { on_send, on_committed, on_blamed, on_rolled, on_verdict };
 
 /* ---- Time ---- */
 
@@ -377,6 +390,7 @@
   publish_state (control->publish, control->leaving_since != 0, reader_busy (control->reader));
   publish_tick (control->publish);
   suspects_tick (control->suspects);
+  rollouts_tick (control->rollouts);
   read_list (control, now);
   log_entries (control, now);
   operators_tick (control->operators);
@@ -441,6 +455,7 @@
       stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
   suspects_describe (control->suspects, out);
+  rollouts_describe (control->rollouts, out);
   mesh_describe (control->mesh, out);
   g_string_append (out, "# servers as this voter sees them\n");
   g_string_append (out, servers);
@@ -456,6 +471,7 @@
   loop_timer_stop (control->loop, &control->tick);
   voter_free (control->voter);
   suspects_free (control->suspects);
+  rollouts_free (control->rollouts);
   operators_free (control->operators);
   mesh_free (control->mesh);
   publish_free (control->publish);
@@ -494,8 +510,9 @@
   control->mesh = instance_links (s, MESH_VOTER, control->loop, &mesh_ops, control, error);
   if (control->mesh == NULL)
     return FT_IO;
-  control->operators
-      = operators_new (control->loop, control->seam, control->voter, control->suspects, s->control);
+  OperatorsConf conf = { control->loop,     control->seam,     control->voter,
+                         control->suspects, control->rollouts, s->control };
+  control->operators = operators_new (&conf);
   if (control->operators == NULL)
     return ft_error_set (error, FT_IO, 0, "control", "%s: %s", s->control_text, g_strerror (errno));
   return FT_OK;
@@ -522,7 +539,10 @@
   FtStatus status = open_voter (control, error);
   if (status == FT_OK)
     {
+      RolloutsConf rollouts = { { settings->rollout_share, (unsigned) settings->rollout_slack },
+                                settings->order_repeat_ms * FT_MS };
       control->suspects = suspects_new (loop, control->voter);
+      control->rollouts = rollouts_new (loop, control->voter, control->broker, &rollouts);
       control->publish = publish_new (loop, control->voter, control->servers, control->broker);
       status = open_addresses (control, error);
     }
@@ -533,6 +553,7 @@
     }
   on_committed (control); /* what the disk held */
   suspects_committed (control->suspects);
+  rollouts_committed (control->rollouts);
   new_settings (&control->base, settings);
   loop_timer_set (loop, &control->tick, loop_now (loop) + TICK);
   *out = &control->base;
--- a/node/entry.c
+++ b/node/entry.c
@@ -35,6 +35,7 @@
   Place *place;
   Budget *budget;
   Servers *servers;
+  RouteVersions *versions;
   Reader *reader;
   Requests *requests;
   Witness *witness;
@@ -246,6 +247,9 @@
     case MESH_LIST:
       took_list (entry, peer, servers_take_message (entry->servers, &msg->MeshMsg_u.list, now));
       break;
+    case MESH_ROLLOUTS:
+      versions_take (entry->versions, &msg->MeshMsg_u.rollouts);
+      break;
     default:
       if (!witness_message (entry->witness, peer, msg))
         place_message (entry->place, peer, msg);
@@ -464,6 +468,7 @@
   reader_free (entry->reader);
   requests_free (entry->requests);
   witness_free (entry->witness);
+  versions_free (entry->versions);
   place_free (entry->place);
   hcli_free (entry->cli);
   budget_free (entry->budget);
@@ -487,8 +492,9 @@
                  (double) entry->settings->limit_slack, (double) entry->settings->limit_window_s,
                  false);
   entry->witness = witness_new (entry->loop, entry->mesh, entry->cli, on_verdicts_changed, entry);
-  RequestsConf conf = { entry->loop,   entry->seam,    entry->cli,    entry->place,
-                        entry->budget, entry->servers, entry->witness };
+  entry->versions = versions_new (place_broker (entry->place));
+  RequestsConf conf = { entry->loop,   entry->seam,    entry->cli,     entry->place,
+                        entry->budget, entry->servers, entry->witness, entry->versions };
   entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
--- a/node/operators.c
+++ b/node/operators.c
@@ -9,6 +9,7 @@
 #include "operators.h"
 #include "content.h"
 #include "jlog.h"
+#include "rollcalls.h"
 #include "squeeze.h"
 
 #include <string.h>
@@ -22,7 +23,8 @@
 typedef struct
 {
   uint64_t ticket;
-  uint64_t number; /* of a catalogue; 0: a content is let go */
+  uint64_t number;   /* of a catalogue; 0: it is none */
+  RollReply rollout; /* its service NULL: it is none */
   HCall *call;
   int64_t until;
 } Change;
@@ -33,6 +35,8 @@
   const Seam *seam;
   Voter *voter;
   Suspects *suspects;
+  Rollouts *rollouts;
+  const RtCat *cat; /* in force; NULL: none */
   SockAddr address;
   HSrv *srv;
   GArray *changes; /* Change */
@@ -204,13 +208,52 @@
   return true;
 }
 
+/* ---- Roll-outs ---- */
+
+static void
+reply_rollout (HCall *call, RollReply *reply)
+{
+  const char *text = reply->body ? reply->body->str : "{}\n";
+
+  if (reply->status == 200)
+    reply_text (call, 200, g_string_new (NULL), text, strlen (text));
+  else
+    reply_error (call, reply->status, reply->field, reply->why);
+  rollcall_clear (reply);
+}
+
+/* False: it is no such call. */
+static bool
+take_rollout_call (Operators *operators, HCall *call)
+{
+  const HMsg *msg = hcall_msg (call);
+  RollCall kind = rollcall_of (operators->seam, hmsg_method (msg), hmsg_target (msg));
+  Change change = { .call = call, .until = loop_now (operators->loop) + CHANGE_MOST };
+
+  if (kind == ROLLCALL_NONE)
+    return false;
+  if (!in_charge (operators))
+    {
+      pass_on (operators, call);
+      return true;
+    }
+  rollcall_answer (operators->seam, operators->rollouts, operators->cat, kind, msg,
+                   hcall_body (call), &change.rollout);
+  change.ticket = change.rollout.ticket;
+  if (change.rollout.status)
+    reply_rollout (call, &change.rollout);
+  else
+    g_array_append_val (operators->changes, change);
+  return true;
+}
+
 static void
 on_operator (void *owner, HCall *call)
 {
   Operators *operators = owner;
   const HMsg *msg = hcall_msg (call);
 
-  if (take_suspects_call (operators, call))
+  if (take_suspects_call (operators, call) || take_rollout_call (operators, call))
     return;
   switch (operators->seam->call (hmsg_method (msg), hmsg_target (msg)))
     {
@@ -243,6 +286,7 @@
   for (unsigned i = 0; i < operators->changes->len; i++)
     if (g_array_index (operators->changes, Change, i).call == call)
       {
+        rollcall_clear (&g_array_index (operators->changes, Change, i).rollout);
         drop_change (operators, i);
         return;
       }
@@ -263,6 +307,13 @@
         jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
               JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
               JL_INT ("term", operators->status.term));
+      if (status == FT_OK && change.rollout.service)
+        {
+          rollcall_committed (operators->rollouts, &change.rollout);
+          reply_rollout (change.call, &change.rollout);
+          return;
+        }
+      rollcall_clear (&change.rollout);
       if (status == FT_OK)
         reply_text (change.call, 200, g_string_new (NULL), "{}\n", 3);
       else
@@ -281,6 +332,7 @@
       Change change = g_array_index (operators->changes, Change, i);
       if (now < change.until)
         continue;
+      rollcall_clear (&change.rollout);
       drop_change (operators, i);
       reply_error (change.call, 503, "", "it is not known whether the change was accepted");
     }
@@ -289,18 +341,19 @@
 /* ---- Interface ---- */
 
 Operators *
-operators_new (Loop *loop, const Seam *seam, Voter *voter, Suspects *suspects, SockAddr address)
+operators_new (const OperatorsConf *conf)
 {
   Operators *operators = g_new0 (Operators, 1);
   HSrvLimits limits = { 65536, FT_TEXT_MOST, 10 * FT_SECOND, 30 * FT_SECOND };
 
-  operators->loop = loop;
-  operators->seam = seam;
-  operators->voter = voter;
-  operators->suspects = suspects;
-  operators->address = address;
+  operators->loop = conf->loop;
+  operators->seam = conf->seam;
+  operators->voter = conf->voter;
+  operators->suspects = conf->suspects;
+  operators->rollouts = conf->rollouts;
+  operators->address = conf->address;
   operators->changes = g_array_new (FALSE, FALSE, sizeof (Change));
-  operators->srv = hsrv_new (loop, address, &operator_ops, operators);
+  operators->srv = hsrv_new (conf->loop, conf->address, &operator_ops, operators);
   if (operators->srv == NULL)
     {
       g_array_unref (operators->changes);
@@ -317,10 +370,18 @@
   if (operators == NULL)
     return;
   hsrv_free (operators->srv);
+  for (unsigned i = 0; i < operators->changes->len; i++)
+    rollcall_clear (&g_array_index (operators->changes, Change, i).rollout);
   g_array_unref (operators->changes);
   g_free (operators);
 }
 
+void
+operators_catalogue (Operators *operators, const RtCat *cat)
+{
+  operators->cat = cat;
+}
+
 void
 operators_leave (Operators *operators)
 {
--- a/node/operators.h
+++ b/node/operators.h
@@ -3,15 +3,28 @@
 #define OPERATORS_H
 
 #include "hsrv.h"
+#include "rollouts.h"
 #include "seam.h"
 #include "suspects.h"
 #include "voter.h"
 
 typedef struct Operators Operators;
 
-/* address: for operators; the same port on all voters. NULL: it cannot be bound, errno says why. */
-Operators *operators_new (Loop *loop, const Seam *seam, Voter *voter, Suspects *suspects,
-                          SockAddr address);
+/* All must outlive it. */
+typedef struct
+{
+  Loop *loop;
+  const Seam *seam;
+  Voter *voter;
+  Suspects *suspects;
+  Rollouts *rollouts;
+  SockAddr address; /* for operators; the same port on all voters */
+} OperatorsConf;
+
+/* NULL: the address cannot be bound, errno says why. */
+Operators *operators_new (const OperatorsConf *conf);
+/* The catalogue in force, borrowed until the next call. */
+void operators_catalogue (Operators *operators, const RtCat *cat);
 void operators_free (Operators *operators);
 /* The end of a proposal, as VoterOps.verdict tells it. */
 void operators_verdict (Operators *operators, uint64_t ticket, FtStatus status);
--- a/node/place.c
+++ b/node/place.c
@@ -180,6 +180,7 @@
                                  .prompt_tokens = ask->prompt_tokens,
                                  .output_tokens = ask->output_tokens,
                                  .cost_tokens = (unsigned) item->cost,
+                                 .route = ask->route,
                                  .shared_part = ask->shared_part,
                                  .gap_ms = (unsigned) (ask->gap_us / FT_MS),
                                  .aim_in_us = ask->aim_at - now,
--- a/node/reader.c
+++ b/node/reader.c
@@ -39,17 +39,6 @@
   bool busy;
 };
 
-void
-seam_server_clear (void *data)
-{
-  SeamServer *server = data;
-
-  g_free (server->id);
-  g_free (server->name);
-  g_free (server->service);
-  g_free (server->domain);
-}
-
 static void
 finish (Reader *reader, const char *why)
 {
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -67,6 +67,7 @@
   out.prompt_tokens = req->facts.prompt_tokens;
   out.output_tokens = expected_tokens (&req->facts);
   out.shared_part = req->facts.shared_part;
+  out.route = g_str_hash (req->route->name);
   out.gap_us = req->route->gap_us;
   out.aim_at = req->arrived + req->route->aim_us - req->waited_before;
   out.limit_at = req->begun ? req_now (req) + SILENT_EVENT : req->first_by;
@@ -161,15 +162,15 @@
 
 /* ---- Verdicts of the scheduler ---- */
 
-/* Does the list held here say that the server leaves, or, if it is newer than the one by which it
- * was granted, no longer name it? */
+/* Does the list held here say that the server leaves or has a version that gets nothing, or, if it
+ * is newer than the one by which it was granted, no longer name it? */
 static bool
 is_known_gone (const Requests *all, const char *id, int64_t listed_at)
 {
   const SeamServer *held = servers_find (all->conf.servers, id);
 
   if (held)
-    return held->leaving;
+    return held->leaving || versions_bar (all->conf.versions, held->service, held->version);
   return servers_asked_at (all->conf.servers) > listed_at;
 }
 
--- a/node/requests.h
+++ b/node/requests.h
@@ -8,6 +8,7 @@
 #include "hsrv.h"
 #include "place.h"
 #include "servers.h"
+#include "versions.h"
 #include "witness.h"
 
 typedef struct Requests Requests;
@@ -21,6 +22,7 @@
   Budget *budget;
   const Servers *servers;
   Witness *witness;
+  const RouteVersions *versions;
 } RequestsConf;
 
 Requests *requests_new (const RequestsConf *conf);
--- a/node/seam.h
+++ b/node/seam.h
@@ -53,6 +53,7 @@
   char *name;      /* what it calls itself; another lifetime may have the same */
   int64_t born_ms; /* when the lifetime began, Unix time; 0: not said */
   char *service, *domain;
+  char *version; /* of its software */
   SockAddr addr;
   unsigned slots;
   bool leaving;
@@ -62,11 +63,27 @@
 typedef enum
 {
   SEAM_CALL_UNKNOWN,
-  SEAM_CALL_READY, /* the balancer asks whether this instance takes callers */
-  SEAM_CALL_PUT,   /* an operator hands in a catalogue */
-  SEAM_CALL_GET    /* an operator reads the catalogue in force */
+  SEAM_CALL_READY,         /* the balancer asks whether this instance takes callers */
+  SEAM_CALL_PUT,           /* an operator hands in a catalogue */
+  SEAM_CALL_GET,           /* an operator reads the catalogue in force */
+  SEAM_CALL_ROLLOUT_START, /* an operator orders a version of a service's servers */
+  SEAM_CALL_ROLLOUT_STATE  /* an operator asks how far that is */
 } SeamCall;
 
+/* An order to move a service's requests to servers of another version. */
+typedef struct
+{
+  char *service, *target; /* g_free */
+  int64_t limit_us;       /* within which it is to end */
+} SeamRollout;
+
+typedef enum
+{
+  SEAM_ROLLOUT_ACTIVE,
+  SEAM_ROLLOUT_COMPLETED,
+  SEAM_ROLLOUT_ROLLED_BACK
+} SeamRolloutState;
+
 typedef struct
 {
   /* ---- callers and servers ---- */
@@ -85,6 +102,12 @@
   SeamCall (*call) (const char *method, const char *target);
   /* Appends the field that sends an operator on to the same call at another instance. */
   void (*write_redirect) (GString *out, SockAddr to, const char *target);
+  /* Reads an order; its texts are the caller's on FT_OK only. Errors name the field. */
+  FtStatus (*read_rollout) (const char *text, size_t size, SeamRollout *out, FtError *error);
+  /* The service that a SEAM_CALL_ROLLOUT_STATE asks for; g_free. */
+  char *(*rollout_service) (const char *target);
+  /* Appends the answer to one. */
+  void (*write_rollout) (GString *out, SeamRolloutState state, const char *target);
   /* ---- documents ---- */
   /* Parses and checks a catalogue as a whole; *out is the caller's. Errors name the field. */
   FtStatus (*read_catalogue) (const char *text, size_t size, RtCat **out, FtError *error);
@@ -98,5 +121,6 @@
 } Seam;
 
 void seam_server_clear (void *server);
+void seam_rollout_clear (SeamRollout *rollout);
 
 #endif
--- a/node/servers.c
+++ b/node/servers.c
@@ -87,6 +87,7 @@
 {
   guint hash = g_str_hash (server->id) * 31 + g_str_hash (server->service);
 
+  hash = hash * 31 + g_str_hash (server->version ? server->version : "");
   hash = hash * 31 + server->addr.ip * 7 + server->addr.port;
   return (hash * 2 + server->leaving) * 2654435761u + server->slots;
 }
@@ -113,6 +114,7 @@
   out.name = g_strdup (from->name);
   out.service = g_strdup (from->service);
   out.domain = g_strdup (from->domain);
+  out.version = g_strdup (from->version);
   return out;
 }
 
@@ -238,6 +240,7 @@
                        .born_ms = from->born_ms,
                        .service = g_strdup (from->service),
                        .domain = g_strdup (from->domain),
+                       .version = g_strdup (from->software),
                        .addr = { from->ip, (uint16_t) from->port },
                        .slots = from->slots,
                        .leaving = from->state == MESH_SERVER_LEAVING,
@@ -354,8 +357,8 @@
   for (unsigned i = 0; i < servers->list->len; i++)
     {
       const SeamServer *from = &g_array_index (servers->list, SeamServer, i);
-      list[i] = (SchedServer){ from->id,    from->service, from->domain,
-                               from->slots, from->leaving, from->cold_us };
+      list[i] = (SchedServer){ from->id,      from->service, from->domain, from->slots,
+                               from->leaving, from->cold_us, from->version };
     }
   sched_list (sched, list, servers->list->len);
   g_free (list);
@@ -364,11 +367,14 @@
 static MeshServer
 to_message (const SeamServer *from)
 {
+  static char none[] = "";
+
   return (MeshServer){ .id = from->id,
                        .name = from->name,
                        .born_ms = from->born_ms,
                        .service = from->service,
                        .domain = from->domain,
+                       .software = from->version ? from->version : none,
                        .ip = from->addr.ip,
                        .port = from->addr.port,
                        .slots = from->slots,
--- a/node/settings.c
+++ b/node/settings.c
@@ -52,6 +52,12 @@
     "margin of the limits in that span, as a part of them" },
   { "limit_slack", FT_FIELD_INTEGER, false, 0, G_GINT64_CONSTANT (1000000000000), "0",
     AT (limit_slack), "margin of the limits beside, in their unit" },
+  { "rollout_share", FT_FIELD_STRING, false, 0, 20, "0.1", AT (rollout_share_text),
+    "part of a service's requests that a bad version may get while it is tried" },
+  { "rollout_slack", FT_FIELD_INTEGER, false, 0, 1000000, "20", AT (rollout_slack),
+    "requests that it may get beside" },
+  { "order_repeat_ms", FT_FIELD_INTEGER, false, 100, 3600000, "5000", AT (order_repeat_ms),
+    "the same order to move to a version, within so long, is the first one sent again" },
   { 0 },
 };
 
@@ -135,6 +141,7 @@
       || address ("list", s->list_text, true, &s->list, error) != FT_OK
       || real ("list_rate", s->list_rate_text, &s->list_rate, error) != FT_OK
       || real ("limit_overage", s->limit_overage_text, &s->limit_overage, error) != FT_OK
+      || real ("rollout_share", s->rollout_share_text, &s->rollout_share, error) != FT_OK
       || real ("budget_ratio", s->budget_ratio_text, &s->budget_ratio, error) != FT_OK)
     return FT_INVALID;
   return FT_OK;
--- a/node/settings.h
+++ b/node/settings.h
@@ -19,13 +19,14 @@
   bool first_start;
   int64_t losses, grace_s;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
-  char *list_rate_text, *budget_ratio_text, *limit_overage_text;
+  int64_t rollout_slack, order_repeat_ms;
+  char *list_rate_text, *budget_ratio_text, *limit_overage_text, *rollout_share_text;
   /* Worked out from the texts above. */
   SettingsRole role;
   uint32_t ip;
   SockAddr callers, ready, control, list;
   GArray *seeds; /* SockAddr */
-  double list_rate, budget_ratio, limit_overage;
+  double list_rate, budget_ratio, limit_overage, rollout_share;
 } Settings;
 
 /* Reads and checks a settings file (JSON with comments). Errors name line and field. */
--- a/node/suspects.c
+++ b/node/suspects.c
@@ -12,21 +12,15 @@
 #include "count.h"
 #include "jlog.h"
 #include "quarantine.h"
+#include "tell.h"
 
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TOLD_LEAST   2     /* ends: the next one may be the last that it takes */
-#define UNSENT_SMALL 16384 /* bytes under way to an entry beyond which nothing is added */
-#define PENDING_MOST 1024  /* proposals under way; entries tell again what finds no room */
+#define TOLD_LEAST   2    /* ends: the next one may be the last that it takes */
+#define PENDING_MOST 1024 /* proposals under way; entries tell again what finds no room */
 #define VERDICT_MOST (3 * FT_SECOND) /* a proposal that was lost with a charge has no verdict */
 
-typedef struct
-{
-  MeshPeer *peer;
-  unsigned told; /* number of the account that it was sent last */
-} Contact;
-
 /* A proposal under way. */
 typedef struct
 {
@@ -40,11 +34,10 @@
 {
   Loop *loop;
   Voter *voter;
-  Blame *account;      /* as committed */
-  GPtrArray *contacts; /* Contact of each accepted link to an entry */
+  Blame *account; /* as committed */
+  Tell *tell;
   GPtrArray *proposals;
-  GBytes *packed;  /* the account's message */
-  unsigned number; /* grows whenever what entries are told has changed */
+  GBytes *packed; /* the account's message, but for its index */
 };
 
 static void
@@ -108,7 +101,7 @@
 
   if (changed)
     {
-      suspects->number++;
+      tell_changed (suspects->tell);
       suspects->packed = plain;
       plain = before;
     }
@@ -116,27 +109,19 @@
     g_bytes_unref (plain);
 }
 
-static void
-send_account (const Suspects *suspects, Contact *contact)
+static GBytes *
+pack_newest (void *host)
 {
-  GBytes *packed = pack_account (suspects, blame_index (suspects->account));
+  const Suspects *suspects = host;
 
-  mesh_send_packed (contact->peer, packed);
-  g_bytes_unref (packed);
-  contact->told = suspects->number;
+  return pack_account (suspects, blame_index (suspects->account));
 }
 
 static void
-tell_all (Suspects *suspects)
+tell_entries (Suspects *suspects)
 {
-  if (!in_charge (suspects))
-    return;
-  for (unsigned i = 0; i < suspects->contacts->len; i++)
-    {
-      Contact *contact = suspects->contacts->pdata[i];
-      if (contact->told != suspects->number && mesh_unsent (contact->peer) <= UNSENT_SMALL)
-        send_account (suspects, contact);
-    }
+  if (in_charge (suspects))
+    tell_all (suspects->tell);
 }
 
 /* ---- What the log says ---- */
@@ -198,7 +183,7 @@
   blame_free (suspects->account);
   suspects->account = account;
   note_account (suspects);
-  tell_all (suspects);
+  tell_entries (suspects);
 }
 
 /* ---- Proposals ---- */
@@ -222,12 +207,9 @@
   MeshMsg msg = { .kind = MESH_ENDED_KNOWN };
 
   msg.MeshMsg_u.known.number = number;
-  for (unsigned i = 0; i < suspects->contacts->len; i++)
-    {
-      const Contact *contact = suspects->contacts->pdata[i];
-      if (contact->peer->lifetime == asker)
-        mesh_send (contact->peer, &msg);
-    }
+  MeshPeer *peer = tell_find (suspects->tell, asker);
+  if (peer)
+    mesh_send (peer, &msg);
 }
 
 static bool
@@ -372,25 +354,13 @@
 void
 suspects_up (Suspects *suspects, MeshPeer *peer)
 {
-  if (peer->dialled || peer->role != MESH_ENTRY)
-    return;
-  Contact *contact = g_new0 (Contact, 1);
-  contact->peer = peer;
-  contact->told = suspects->number; /* nothing was ever said against any content */
-  g_ptr_array_add (suspects->contacts, contact);
-  if (blame_index (suspects->account) > 0)
-    send_account (suspects, contact);
+  tell_up (suspects->tell, peer, blame_index (suspects->account) > 0);
 }
 
 void
 suspects_down (Suspects *suspects, const MeshPeer *peer)
 {
-  for (unsigned i = 0; i < suspects->contacts->len; i++)
-    if (((Contact *) suspects->contacts->pdata[i])->peer == peer)
-      {
-        g_ptr_array_remove_index_fast (suspects->contacts, i);
-        return;
-      }
+  tell_down (suspects->tell, peer);
 }
 
 void
@@ -401,7 +371,7 @@
   while (suspects->proposals->len > 0
          && ((const Proposal *) suspects->proposals->pdata[0])->at < since)
     g_ptr_array_remove_index (suspects->proposals, 0);
-  tell_all (suspects);
+  tell_entries (suspects);
 }
 
 /* ---- Operators ---- */
@@ -445,7 +415,7 @@
   suspects->loop = loop;
   suspects->voter = voter;
   suspects->account = blame_new ();
-  suspects->contacts = g_ptr_array_new_with_free_func (g_free);
+  suspects->tell = tell_new (pack_newest, suspects);
   suspects->proposals = g_ptr_array_new_with_free_func (proposal_free);
   note_account (suspects);
   return suspects;
@@ -456,7 +426,7 @@
 {
   if (suspects == NULL)
     return;
-  g_ptr_array_unref (suspects->contacts);
+  tell_free (suspects->tell);
   g_ptr_array_unref (suspects->proposals);
   g_bytes_unref (suspects->packed);
   blame_free (suspects->account);
--- /dev/null
+++ b/node/tell.c
@@ -0,0 +1,102 @@
+/* tell.c - who was sent which form of a message. */
+#include "tell.h"
+
+/* Tuning; each row with its reason. */
+#define UNSENT_SMALL 16384 /* bytes under way to an entry beyond which nothing is added */
+
+typedef struct
+{
+  MeshPeer *peer;
+  unsigned told; /* number of the form that it was sent last */
+} Contact;
+
+struct Tell
+{
+  GBytes *(*pack) (void *host);
+  void *host;
+  GPtrArray *contacts; /* Contact of each accepted link to an entry */
+  unsigned number;     /* of the newest form */
+};
+
+Tell *
+tell_new (GBytes *(*pack) (void *host), void *host)
+{
+  Tell *tell = g_new0 (Tell, 1);
+
+  tell->pack = pack;
+  tell->host = host;
+  tell->contacts = g_ptr_array_new_with_free_func (g_free);
+  return tell;
+}
+
+void
+tell_free (Tell *tell)
+{
+  if (tell == NULL)
+    return;
+  g_ptr_array_unref (tell->contacts);
+  g_free (tell);
+}
+
+void
+tell_changed (Tell *tell)
+{
+  tell->number++;
+}
+
+static void
+send_to (const Tell *tell, Contact *contact)
+{
+  GBytes *packed = tell->pack (tell->host);
+
+  mesh_send_packed (contact->peer, packed);
+  g_bytes_unref (packed);
+  contact->told = tell->number;
+}
+
+void
+tell_up (Tell *tell, MeshPeer *peer, bool at_once)
+{
+  if (peer->dialled || peer->role != MESH_ENTRY)
+    return;
+  Contact *contact = g_new0 (Contact, 1);
+  contact->peer = peer;
+  contact->told = tell->number; /* nothing was ever said, unless at_once */
+  g_ptr_array_add (tell->contacts, contact);
+  if (at_once)
+    send_to (tell, contact);
+}
+
+void
+tell_down (Tell *tell, const MeshPeer *peer)
+{
+  for (unsigned i = 0; i < tell->contacts->len; i++)
+    if (((Contact *) tell->contacts->pdata[i])->peer == peer)
+      {
+        g_ptr_array_remove_index_fast (tell->contacts, i);
+        return;
+      }
+}
+
+void
+tell_all (Tell *tell)
+{
+  for (unsigned i = 0; i < tell->contacts->len; i++)
+    {
+      Contact *contact = tell->contacts->pdata[i];
+      if (contact->told != tell->number && mesh_unsent (contact->peer) <= UNSENT_SMALL)
+        send_to (tell, contact);
+    }
+}
+
+MeshPeer *
+tell_find (const Tell *tell, uint64_t lifetime)
+{
+  for (unsigned i = 0; i < tell->contacts->len; i++)
+    {
+      const Contact *contact = tell->contacts->pdata[i];
+      if (contact->peer->lifetime == lifetime)
+        return contact->peer;
+    }
+  return NULL;
+}
--- a/node/voter.c
+++ b/node/voter.c
@@ -37,10 +37,19 @@
   GByteArray *bytes;
 } Work;
 
+typedef enum
+{
+  REPORT_SEND,
+  REPORT_VERDICT,
+  REPORT_DOCUMENT,
+  REPORT_BLAME,
+  REPORT_ROLLOUTS
+} ReportKind;
+
 typedef struct
 {
   Voter *voter;
-  bool is_verdict, is_commit, is_blame;
+  ReportKind kind;
   uint32_t to;
   uint64_t ticket;
   FtStatus status;
@@ -52,6 +61,13 @@
   uint64_t ticket, index, term;
 } Pending;
 
+/* A part of the replicated state, as the loop may read it. */
+typedef struct
+{
+  GBytes *packed; /* under lock */
+  uint64_t index; /* of what packed holds; the log's thread's */
+} Account;
+
 struct Voter
 {
   FtClock clock;
@@ -75,8 +91,7 @@
   int64_t proved_until; /* under lock */
   GBytes *document;     /* under lock */
   uint64_t number;      /* under lock */
-  GBytes *blame;        /* under lock; packed */
-  uint64_t blame_index; /* of what blame holds; the log's thread's */
+  Account blame, rollouts;
   uint64_t next_ticket; /* the loop's thread's */
 };
 
@@ -112,14 +127,24 @@
   Report *report = data;
   Voter *voter = report->voter;
 
-  if (report->is_commit)
-    voter->ops->committed (voter->host);
-  else if (report->is_blame)
-    voter->ops->blamed (voter->host);
-  else if (report->is_verdict)
-    voter->ops->verdict (voter->host, report->ticket, report->status);
-  else
-    voter->ops->send (voter->host, report->to, report->bytes);
+  switch (report->kind)
+    {
+    case REPORT_SEND:
+      voter->ops->send (voter->host, report->to, report->bytes);
+      break;
+    case REPORT_VERDICT:
+      voter->ops->verdict (voter->host, report->ticket, report->status);
+      break;
+    case REPORT_DOCUMENT:
+      voter->ops->committed (voter->host);
+      break;
+    case REPORT_BLAME:
+      voter->ops->blamed (voter->host);
+      break;
+    case REPORT_ROLLOUTS:
+      voter->ops->rolled (voter->host);
+      break;
+    }
   g_free (report);
 }
 
@@ -146,7 +171,7 @@
         return;
       /* The entry at that index is ours only if nobody else led in between. */
       bool ours = first->index == index && first->term == raft_term (voter->raft);
-      report (voter, (Report){ .is_verdict = true,
+      report (voter, (Report){ .kind = REPORT_VERDICT,
                                .ticket = first->ticket,
                                .status = ours ? FT_OK : FT_NOT_LEADER });
       g_array_remove_index (voter->pending, 0);
@@ -170,32 +195,61 @@
   pthread_mutex_unlock (&voter->lock);
   if (old)
     g_bytes_unref (old);
-  report (voter, (Report){ .is_commit = true });
+  report (voter, (Report){ .kind = REPORT_DOCUMENT });
 }
 
 /* In its place before whoever proposed the change hears that it is committed, for the same reason.
- */
+ * bytes are taken over. */
 static void
-keep_blame (Voter *voter)
+keep_account (Voter *voter, Account *account, uint64_t index, GByteArray *bytes, ReportKind kind)
 {
-  const Blame *account = state_blame (voter->state);
-  MsgBlame captured = { 0 };
-
-  if (blame_index (account) == voter->blame_index)
-    return;
-  voter->blame_index = blame_index (account);
-  blame_capture (account, 0, &captured);
-  GByteArray *bytes = codec_pack (CODEC (MsgBlame), &captured);
-  g_free (captured.suspects.suspects_val);
   if (bytes == NULL)
-    g_error ("the account of ended servers cannot be packed");
+    g_error ("a part of the replicated state cannot be packed");
+  account->index = index;
   pthread_mutex_lock (&voter->lock);
-  GBytes *old = voter->blame;
-  voter->blame = g_byte_array_free_to_bytes (bytes);
+  GBytes *old = account->packed;
+  account->packed = g_byte_array_free_to_bytes (bytes);
   pthread_mutex_unlock (&voter->lock);
   if (old)
     g_bytes_unref (old);
-  report (voter, (Report){ .is_blame = true });
+  report (voter, (Report){ .kind = kind });
+}
+
+static void
+keep_blame (Voter *voter)
+{
+  const Blame *blame = state_blame (voter->state);
+  MsgBlame captured = { 0 };
+
+  if (blame_index (blame) == voter->blame.index)
+    return;
+  blame_capture (blame, 0, &captured);
+  keep_account (voter, &voter->blame, blame_index (blame), codec_pack (CODEC (MsgBlame), &captured),
+                REPORT_BLAME);
+  g_free (captured.suspects.suspects_val);
+}
+
+static void
+keep_rollouts (Voter *voter)
+{
+  const RollAccount *account = state_rollouts (voter->state);
+  MsgRollouts captured = { 0 };
+
+  if (roll_index (account) == voter->rollouts.index)
+    return;
+  roll_capture (account, &captured);
+  keep_account (voter, &voter->rollouts, roll_index (account),
+                codec_pack (CODEC (MsgRollouts), &captured), REPORT_ROLLOUTS);
+  g_free (captured.rollouts.rollouts_val);
+}
+
+/* What the loop may read is the state's. */
+static void
+keep_all (Voter *voter)
+{
+  keep_document (voter);
+  keep_blame (voter);
+  keep_rollouts (voter);
 }
 
 static void
@@ -204,9 +258,8 @@
   Voter *voter = host;
 
   (void) verdict;
-  if (op->kind == MSG_OP_DOCUMENT)
-    keep_document (voter);
-  keep_blame (voter);
+  (void) op;
+  keep_all (voter);
   settle (voter, index);
 }
 
@@ -222,7 +275,7 @@
 
   if (status != FT_OK)
     {
-      report (voter, (Report){ .is_verdict = true, .ticket = ticket, .status = status });
+      report (voter, (Report){ .kind = REPORT_VERDICT, .ticket = ticket, .status = status });
       return;
     }
   pending.term = raft_term (voter->raft);
@@ -256,7 +309,7 @@
   Msg msg = { 0 };
 
   if (voter->raft == NULL && (work->kind == WORK_PROPOSE || work->kind == WORK_PROPOSE_OP))
-    report (voter, (Report){ .is_verdict = true, .ticket = work->ticket, .status = FT_IO });
+    report (voter, (Report){ .kind = REPORT_VERDICT, .ticket = work->ticket, .status = FT_IO });
   switch (voter->raft ? work->kind : WORK_NONE)
     {
     case WORK_NONE:
@@ -350,8 +403,7 @@
     return;
   raft_tick (voter->raft);
   raft_flush (voter->raft);
-  keep_document (voter);
-  keep_blame (voter);
+  keep_all (voter);
   publish_status (voter);
 }
 
@@ -425,8 +477,7 @@
     status = open_log (voter, error);
   if (status == FT_OK)
     {
-      keep_document (voter);
-      keep_blame (voter);
+      keep_all (voter);
       publish_status (voter);
       if (pthread_create (&voter->thread, NULL, run, voter) == 0)
         {
@@ -461,8 +512,10 @@
   g_array_unref (voter->pending);
   if (voter->document)
     g_bytes_unref (voter->document);
-  if (voter->blame)
-    g_bytes_unref (voter->blame);
+  if (voter->blame.packed)
+    g_bytes_unref (voter->blame.packed);
+  if (voter->rollouts.packed)
+    g_bytes_unref (voter->rollouts.packed);
   pthread_mutex_destroy (&voter->lock);
   pthread_cond_destroy (&voter->wake);
   g_free (voter);
@@ -529,13 +582,25 @@
   return document;
 }
 
-GBytes *
-voter_blame (Voter *voter)
+static GBytes *
+account_of (Voter *voter, const Account *account)
 {
   pthread_mutex_lock (&voter->lock);
-  GBytes *blame = voter->blame ? g_bytes_ref (voter->blame) : NULL;
+  GBytes *packed = account->packed ? g_bytes_ref (account->packed) : NULL;
   pthread_mutex_unlock (&voter->lock);
-  return blame;
+  return packed;
+}
+
+GBytes *
+voter_blame (Voter *voter)
+{
+  return account_of (voter, &voter->blame);
+}
+
+GBytes *
+voter_rollouts (Voter *voter)
+{
+  return account_of (voter, &voter->rollouts);
 }
 
 uint64_t
--- a/node/voter.h
+++ b/node/voter.h
@@ -17,6 +17,8 @@
   void (*committed) (void *host);
   /* The account of ended servers has changed; read it with voter_blame. */
   void (*blamed) (void *host);
+  /* The account of roll-outs has changed; read it with voter_rollouts. */
+  void (*rolled) (void *host);
   /* The end of a proposal. FT_OK: committed. */
   void (*verdict) (void *host, uint64_t ticket, FtStatus status);
 } VoterOps;
@@ -41,7 +43,7 @@
 /* Another instance is, or wants to be, a voter. */
 void voter_meet (Voter *voter, uint32_t id);
 /* Asks for number to become the newest document, or for op to be applied, which is one on ended
- * servers. Returns a ticket, with which the verdict follows. */
+ * servers or roll-outs. Returns a ticket, with which the verdict follows. */
 uint64_t voter_propose (Voter *voter, uint64_t number, GBytes *document);
 uint64_t voter_propose_op (Voter *voter, const MsgOp *op);
 void voter_hand_over (Voter *voter);
@@ -67,5 +69,7 @@
 /* The committed account of ended servers that this voter knows, a packed MsgBlame; NULL: none yet.
  * The reference is the caller's. */
 GBytes *voter_blame (Voter *voter);
+/* The same of roll-outs, a packed MsgRollouts. */
+GBytes *voter_rollouts (Voter *voter);
 
 #endif
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -46,8 +46,6 @@
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES  1.6          /* times the best server's token: waiting for another may pay */
 
-static unsigned places (const Sched *sched, const Server *server);
-
 static double
 prompt_unit (const Server *server, double token)
 {
@@ -64,7 +62,7 @@
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->token_us <= 0)
+    if (server->token_us <= 0 || server->use == USE_TRIED)
       continue;
     total += server->token_us;
     count++;
@@ -100,7 +98,8 @@
     if (!sum->any_usable || answer < sum->least_answer)
       sum->least_answer = answer;
     sum->any_usable = true;
-    sum->places += places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
+    sum->places
+        += est_places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
   }
   return sum;
 }
@@ -142,9 +141,8 @@
 
 /* ---- Places ---- */
 
-/* How many requests this scheduler may run on the server at once. */
-static unsigned
-places (const Sched *sched, const Server *server)
+unsigned
+est_places (const Sched *sched, const Server *server)
 {
   if (sched->share >= 1)
     return server->slots;
@@ -157,13 +155,13 @@
 bool
 est_usable (const Server *server, int64_t now)
 {
-  return server->listed && !server->leaving && now >= server->out_until;
+  return server->listed && !server->leaving && server->use == USE_YES && now >= server->out_until;
 }
 
 bool
 est_has_place (const Sched *sched, const Server *server, int64_t now)
 {
-  unsigned most = server->trial ? 1 : places (sched, server);
+  unsigned most = server->trial ? 1 : est_places (sched, server);
 
   return est_usable (server, now) && server->running < most;
 }
@@ -321,8 +319,8 @@
   return estimate->finish_us + estimate->harm_us + (estimate->late ? LATE_US : 0);
 }
 
-static bool
-fits_memory (const Server *server, const SchedAsk *ask)
+bool
+est_fits_memory (const Server *server, const SchedAsk *ask)
 {
   uint64_t most = server->service->conf.memory;
 
@@ -360,7 +358,7 @@
   mark_kept (sched, job);
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!est_has_place (sched, server, now) || !fits_memory (server, &job->ask)
+    if (!est_has_place (sched, server, now) || !est_fits_memory (server, &job->ask)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
     if (server->trial && job->ask.repeatable)
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -82,6 +82,7 @@
 	u_int slots;
 	MeshServerState state;
 	u_int cold_ms;
+	char *software;
 };
 typedef struct MeshServer MeshServer;
 
@@ -133,6 +134,7 @@
 	u_int org_fill;
 	u_int org_fill_ms;
 	u_int cost_tokens;
+	u_int route;
 	u_quad_t shared_part;
 	u_int gap_ms;
 	quad_t aim_in_us;
@@ -240,6 +242,31 @@
 	} suspects;
 };
 typedef struct MeshBlamed MeshBlamed;
+#define MESH_VERSIONS_MOST 256
+
+enum MeshVersionsPhase {
+	MESH_VERSIONS_TRYING = 0,
+	MESH_VERSIONS_MOVED = 1,
+	MESH_VERSIONS_BACK = 2,
+};
+typedef enum MeshVersionsPhase MeshVersionsPhase;
+
+struct MeshVersions {
+	char *service;
+	char *target;
+	char *before;
+	MeshVersionsPhase phase;
+};
+typedef struct MeshVersions MeshVersions;
+
+struct MeshRollouts {
+	u_quad_t index;
+	struct {
+		u_int services_len;
+		MeshVersions *services_val;
+	} services;
+};
+typedef struct MeshRollouts MeshRollouts;
 
 enum MeshKind {
 	MESH_HELLO = 1,
@@ -261,6 +288,7 @@
 	MESH_ANSWERED = 1 + 16,
 	MESH_SURVIVED = 1 + 17,
 	MESH_BLAMED = 1 + 18,
+	MESH_ROLLOUTS = 1 + 19,
 };
 typedef enum MeshKind MeshKind;
 
@@ -283,6 +311,7 @@
 		MeshAnswered answered;
 		MeshSurvived survived;
 		MeshBlamed blamed;
+		MeshRollouts rollouts;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -316,6 +345,9 @@
 extern  bool_t xdr_MeshSurvived (XDR *, MeshSurvived*);
 extern  bool_t xdr_MeshSuspect (XDR *, MeshSuspect*);
 extern  bool_t xdr_MeshBlamed (XDR *, MeshBlamed*);
+extern  bool_t xdr_MeshVersionsPhase (XDR *, MeshVersionsPhase*);
+extern  bool_t xdr_MeshVersions (XDR *, MeshVersions*);
+extern  bool_t xdr_MeshRollouts (XDR *, MeshRollouts*);
 extern  bool_t xdr_MeshKind (XDR *, MeshKind*);
 extern  bool_t xdr_MeshMsg (XDR *, MeshMsg*);
 
@@ -342,6 +374,9 @@
 extern bool_t xdr_MeshSurvived ();
 extern bool_t xdr_MeshSuspect ();
 extern bool_t xdr_MeshBlamed ();
+extern bool_t xdr_MeshVersionsPhase ();
+extern bool_t xdr_MeshVersions ();
+extern bool_t xdr_MeshRollouts ();
 extern bool_t xdr_MeshKind ();
 extern bool_t xdr_MeshMsg ();
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -54,6 +54,7 @@
   unsigned int slots;
   MeshServerState state;
   unsigned int cold_ms;      /* stays slow for this long after its start */
+  string software<MESH_NAME_MOST>; /* its version */
 };
 
 typedef string MeshName<MESH_NAME_MOST>;
@@ -98,6 +99,7 @@
                                 at once, when it last decided for this entry ... */
   unsigned int org_fill_ms;  /* ... so long ago; MESH_FILL_UNKNOWN: none has */
   unsigned int cost_tokens;   /* counted against the organisation's limit; 0: was counted before */
+  unsigned int route;         /* digest of the route's name */
   unsigned hyper shared_part; /* identity of the prompt's first part; 0: none */
   unsigned int gap_ms;        /* longest pause between two events that is still on time; 0: none */
   hyper aim_in_us;            /* the first event, or the answer, is on time until then */
@@ -193,11 +195,36 @@
   MeshSuspect suspects<MESH_SUSPECTS_MOST>;
 };
 
+/* ---- Versions of servers ---- */
+
+const MESH_VERSIONS_MOST = 256;
+
+enum MeshVersionsPhase {
+  MESH_VERSIONS_TRYING = 0, /* only the voter in charge places requests on servers of the target */
+  MESH_VERSIONS_MOVED = 1,  /* only servers of the target get requests */
+  MESH_VERSIONS_BACK = 2    /* servers of the target get none */
+};
+
+/* Of a service for which a version was ordered. */
+struct MeshVersions {
+  string service<MESH_NAME_MOST>;
+  string target<MESH_NAME_MOST>;
+  string before<MESH_NAME_MOST>;
+  MeshVersionsPhase phase;
+};
+
+/* From a voter: all services for which one was ever ordered. */
+struct MeshRollouts {
+  unsigned hyper index; /* in the log, of the latest order or phase */
+  MeshVersions services<MESH_VERSIONS_MOST>;
+};
+
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT,
   MESH_WANT_LIST, MESH_PACKED_LIST, MESH_ALIVE,
-  MESH_ENDED, MESH_ENDED_KNOWN, MESH_ANSWERED, MESH_SURVIVED, MESH_BLAMED
+  MESH_ENDED, MESH_ENDED_KNOWN, MESH_ANSWERED, MESH_SURVIVED, MESH_BLAMED,
+  MESH_ROLLOUTS
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -219,5 +246,6 @@
 case MESH_ANSWERED: MeshAnswered answered;
 case MESH_SURVIVED: MeshSurvived survived;
 case MESH_BLAMED: MeshBlamed blamed;
+case MESH_ROLLOUTS: MeshRollouts rollouts;
 case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -118,6 +118,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->cold_ms))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MOST))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, MESH_NAME_MOST))
@@ -148,6 +150,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->cold_ms))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MOST))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -171,6 +175,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cold_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MOST))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -241,7 +247,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -263,6 +269,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->route))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->tier);
@@ -275,6 +283,7 @@
 		IXDR_PUT_U_LONG(buf, objp->org_fill);
 		IXDR_PUT_U_LONG(buf, objp->org_fill_ms);
 		IXDR_PUT_U_LONG(buf, objp->cost_tokens);
+		IXDR_PUT_U_LONG(buf, objp->route);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
 			 return FALSE;
@@ -303,7 +312,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->org, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tier))
 				 return FALSE;
@@ -325,6 +334,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->route))
+				 return FALSE;
 
 		} else {
 		objp->tier = IXDR_GET_U_LONG(buf);
@@ -337,6 +348,7 @@
 		objp->org_fill = IXDR_GET_U_LONG(buf);
 		objp->org_fill_ms = IXDR_GET_U_LONG(buf);
 		objp->cost_tokens = IXDR_GET_U_LONG(buf);
+		objp->route = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
 			 return FALSE;
@@ -386,6 +398,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cost_tokens))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->route))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->shared_part))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->gap_ms))
@@ -625,6 +639,45 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshVersionsPhase (XDR *xdrs, MeshVersionsPhase *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshVersions (XDR *xdrs, MeshVersions *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->before, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_MeshVersionsPhase (xdrs, &objp->phase))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshRollouts (XDR *xdrs, MeshRollouts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, MESH_VERSIONS_MOST,
+		sizeof (MeshVersions), (xdrproc_t) xdr_MeshVersions))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshKind (XDR *xdrs, MeshKind *objp)
 {
@@ -711,6 +764,10 @@
 		 if (!xdr_MeshBlamed (xdrs, &objp->MeshMsg_u.blamed))
 			 return FALSE;
 		break;
+	case MESH_ROLLOUTS:
+		 if (!xdr_MeshRollouts (xdrs, &objp->MeshMsg_u.rollouts))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MOST))
 			 return FALSE;
--- a/src/msg.h
+++ b/src/msg.h
@@ -121,6 +121,46 @@
 	} suspects;
 };
 typedef struct MsgBlame MsgBlame;
+#define FT_ROLLOUTS_MOST 256
+
+enum MsgRolloutPhase {
+	MSG_ROLLOUT_TRYING = 0,
+	MSG_ROLLOUT_MOVING = 1,
+	MSG_ROLLOUT_COMPLETED = 2,
+	MSG_ROLLOUT_ROLLED_BACK = 3,
+};
+typedef enum MsgRolloutPhase MsgRolloutPhase;
+
+struct MsgTrial {
+	quad_t elapsed_ms;
+	u_int requests;
+	u_int reserved;
+	u_int answers;
+	u_int bad;
+	u_int suspicion;
+};
+typedef struct MsgTrial MsgTrial;
+
+struct MsgRollout {
+	MsgServerName service;
+	MsgServerName target;
+	MsgServerName before;
+	u_quad_t number;
+	quad_t limit_ms;
+	MsgRolloutPhase phase;
+	MsgTrial trial;
+	char *why;
+};
+typedef struct MsgRollout MsgRollout;
+
+struct MsgRollouts {
+	u_quad_t index;
+	struct {
+		u_int rollouts_len;
+		MsgRollout *rollouts_val;
+	} rollouts;
+};
+typedef struct MsgRollouts MsgRollouts;
 
 struct MsgHello {
 	u_quad_t number;
@@ -178,6 +218,8 @@
 	MSG_OP_ENDED = 8,
 	MSG_OP_SURVIVED = 9,
 	MSG_OP_CLEARED = 10,
+	MSG_OP_ROLLOUT_START = 11,
+	MSG_OP_ROLLOUT_STEP = 12,
 };
 typedef enum MsgOpKind MsgOpKind;
 
@@ -283,6 +325,24 @@
 };
 typedef struct MsgCleared MsgCleared;
 
+struct MsgRolloutStart {
+	MsgServerName service;
+	MsgServerName target;
+	MsgServerName before;
+	quad_t limit_ms;
+	u_quad_t after;
+};
+typedef struct MsgRolloutStart MsgRolloutStart;
+
+struct MsgRolloutStep {
+	MsgServerName service;
+	u_quad_t number;
+	MsgRolloutPhase phase;
+	MsgTrial trial;
+	char *why;
+};
+typedef struct MsgRolloutStep MsgRolloutStep;
+
 struct MsgOp {
 	MsgOpKind kind;
 	union {
@@ -296,6 +356,8 @@
 		MsgEnded ended;
 		MsgSurvived survived;
 		MsgCleared cleared;
+		MsgRolloutStart rollout_start;
+		MsgRolloutStep rollout_step;
 	} MsgOp_u;
 };
 typedef struct MsgOp MsgOp;
@@ -436,6 +498,7 @@
 	} voters;
 	MsgDocument document;
 	MsgBlame blame;
+	MsgRollouts rollouts;
 };
 typedef struct MsgState MsgState;
 
@@ -579,6 +642,10 @@
 extern  bool_t xdr_MsgServerEnd (XDR *, MsgServerEnd*);
 extern  bool_t xdr_MsgSuspect (XDR *, MsgSuspect*);
 extern  bool_t xdr_MsgBlame (XDR *, MsgBlame*);
+extern  bool_t xdr_MsgRolloutPhase (XDR *, MsgRolloutPhase*);
+extern  bool_t xdr_MsgTrial (XDR *, MsgTrial*);
+extern  bool_t xdr_MsgRollout (XDR *, MsgRollout*);
+extern  bool_t xdr_MsgRollouts (XDR *, MsgRollouts*);
 extern  bool_t xdr_MsgHello (XDR *, MsgHello*);
 extern  bool_t xdr_MsgLease (XDR *, MsgLease*);
 extern  bool_t xdr_MsgFresh (XDR *, MsgFresh*);
@@ -595,6 +662,8 @@
 extern  bool_t xdr_MsgEnded (XDR *, MsgEnded*);
 extern  bool_t xdr_MsgSurvived (XDR *, MsgSurvived*);
 extern  bool_t xdr_MsgCleared (XDR *, MsgCleared*);
+extern  bool_t xdr_MsgRolloutStart (XDR *, MsgRolloutStart*);
+extern  bool_t xdr_MsgRolloutStep (XDR *, MsgRolloutStep*);
 extern  bool_t xdr_MsgOp (XDR *, MsgOp*);
 extern  bool_t xdr_MsgEntry (XDR *, MsgEntry*);
 extern  bool_t xdr_MsgVote (XDR *, MsgVote*);
@@ -629,6 +698,10 @@
 extern bool_t xdr_MsgServerEnd ();
 extern bool_t xdr_MsgSuspect ();
 extern bool_t xdr_MsgBlame ();
+extern bool_t xdr_MsgRolloutPhase ();
+extern bool_t xdr_MsgTrial ();
+extern bool_t xdr_MsgRollout ();
+extern bool_t xdr_MsgRollouts ();
 extern bool_t xdr_MsgHello ();
 extern bool_t xdr_MsgLease ();
 extern bool_t xdr_MsgFresh ();
@@ -645,6 +718,8 @@
 extern bool_t xdr_MsgEnded ();
 extern bool_t xdr_MsgSurvived ();
 extern bool_t xdr_MsgCleared ();
+extern bool_t xdr_MsgRolloutStart ();
+extern bool_t xdr_MsgRolloutStep ();
 extern bool_t xdr_MsgOp ();
 extern bool_t xdr_MsgEntry ();
 extern bool_t xdr_MsgVote ();
--- a/src/msg.x
+++ b/src/msg.x
@@ -94,6 +94,44 @@
   MsgSuspect suspects<4096>;
 };
 
+/* ---- Roll-outs: a service's requests move to servers of another version ---- */
+
+const FT_ROLLOUTS_MOST = 256;
+
+enum MsgRolloutPhase {
+  MSG_ROLLOUT_TRYING = 0,     /* servers of the target get a small part */
+  MSG_ROLLOUT_MOVING = 1,     /* they get everything; the others finish what they run */
+  MSG_ROLLOUT_COMPLETED = 2,  /* the others get nothing, for good */
+  MSG_ROLLOUT_ROLLED_BACK = 3 /* the target gets nothing, for good */
+};
+
+/* What is known of the target so far. */
+struct MsgTrial {
+  hyper elapsed_ms;       /* since the order was accepted */
+  unsigned int requests;  /* for the service since then */
+  unsigned int reserved;  /* of these, the most that the target's servers may have had */
+  unsigned int answers;   /* of the target's that were judged */
+  unsigned int bad;       /* of these */
+  unsigned int suspicion; /* the evidence against it, thousandths of what rolls it back */
+};
+
+struct MsgRollout {
+  MsgServerName service;
+  MsgServerName target;  /* version */
+  MsgServerName before;  /* version that served when the order was accepted; "": none known */
+  unsigned hyper number; /* index of the order in the log */
+  hyper limit_ms;        /* within which it is to end */
+  MsgRolloutPhase phase;
+  MsgTrial trial;
+  string why<255>;       /* of the phase */
+};
+
+/* The newest of each service. */
+struct MsgRollouts {
+  unsigned hyper index; /* in the log, of the latest change */
+  MsgRollout rollouts<FT_ROLLOUTS_MOST>;
+};
+
 /* ---- Freshness, membership and leases ---- */
 
 struct MsgHello {
@@ -141,7 +179,9 @@
   MSG_OP_DOCUMENT = 7,
   MSG_OP_ENDED = 8,
   MSG_OP_SURVIVED = 9,
-  MSG_OP_CLEARED = 10
+  MSG_OP_CLEARED = 10,
+  MSG_OP_ROLLOUT_START = 11,
+  MSG_OP_ROLLOUT_STEP = 12
 };
 
 struct MsgChange {
@@ -219,6 +259,24 @@
   unsigned hyper contents<FT_CONTENTS_MOST>;
 };
 
+/* An operator's order. */
+struct MsgRolloutStart {
+  MsgServerName service;
+  MsgServerName target;
+  MsgServerName before;
+  hyper limit_ms;
+  unsigned hyper after; /* number of the service's newest roll-out as the order was taken; 0: none */
+};
+
+/* A roll-out has come so far. */
+struct MsgRolloutStep {
+  MsgServerName service;
+  unsigned hyper number;
+  MsgRolloutPhase phase;
+  MsgTrial trial;
+  string why<255>;
+};
+
 union MsgOp switch (MsgOpKind kind) {
 case MSG_OP_NOOP: void;
 case MSG_OP_CHANGE: MsgChange change;
@@ -231,6 +289,8 @@
 case MSG_OP_ENDED: MsgEnded ended;
 case MSG_OP_SURVIVED: MsgSurvived survived;
 case MSG_OP_CLEARED: MsgCleared cleared;
+case MSG_OP_ROLLOUT_START: MsgRolloutStart rollout_start;
+case MSG_OP_ROLLOUT_STEP: MsgRolloutStep rollout_step;
 };
 
 struct MsgEntry {
@@ -331,6 +391,7 @@
   MsgVoter voters<FT_VOTERS_MOST>;
   MsgDocument document;
   MsgBlame blame;
+  MsgRollouts rollouts;
 };
 
 /* ---- Questions answered by any instance ---- */
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -194,6 +194,122 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgRolloutPhase (XDR *xdrs, MsgRolloutPhase *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgTrial (XDR *xdrs, MsgTrial *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_quad_t (xdrs, &objp->elapsed_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->requests))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reserved))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bad))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->requests);
+			IXDR_PUT_U_LONG(buf, objp->reserved);
+			IXDR_PUT_U_LONG(buf, objp->answers);
+			IXDR_PUT_U_LONG(buf, objp->bad);
+			IXDR_PUT_U_LONG(buf, objp->suspicion);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_quad_t (xdrs, &objp->elapsed_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->requests))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reserved))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bad))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			objp->requests = IXDR_GET_U_LONG(buf);
+			objp->reserved = IXDR_GET_U_LONG(buf);
+			objp->answers = IXDR_GET_U_LONG(buf);
+			objp->bad = IXDR_GET_U_LONG(buf);
+			objp->suspicion = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_quad_t (xdrs, &objp->elapsed_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reserved))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bad))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suspicion))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgRollout (XDR *xdrs, MsgRollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_MsgServerName (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_MsgServerName (xdrs, &objp->before))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->limit_ms))
+		 return FALSE;
+	 if (!xdr_MsgRolloutPhase (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_MsgTrial (xdrs, &objp->trial))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->why, 255))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgRollouts (XDR *xdrs, MsgRollouts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, FT_ROLLOUTS_MOST,
+		sizeof (MsgRollout), (xdrproc_t) xdr_MsgRollout))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgHello (XDR *xdrs, MsgHello *objp)
 {
@@ -451,6 +567,42 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgRolloutStart (XDR *xdrs, MsgRolloutStart *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_MsgServerName (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_MsgServerName (xdrs, &objp->before))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->limit_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgRolloutStep (XDR *xdrs, MsgRolloutStep *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_MsgRolloutPhase (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_MsgTrial (xdrs, &objp->trial))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->why, 255))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgOp (XDR *xdrs, MsgOp *objp)
 {
@@ -501,6 +653,14 @@
 		 if (!xdr_MsgCleared (xdrs, &objp->MsgOp_u.cleared))
 			 return FALSE;
 		break;
+	case MSG_OP_ROLLOUT_START:
+		 if (!xdr_MsgRolloutStart (xdrs, &objp->MsgOp_u.rollout_start))
+			 return FALSE;
+		break;
+	case MSG_OP_ROLLOUT_STEP:
+		 if (!xdr_MsgRolloutStep (xdrs, &objp->MsgOp_u.rollout_step))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -729,6 +889,8 @@
 		 return FALSE;
 	 if (!xdr_MsgBlame (xdrs, &objp->blame))
 		 return FALSE;
+	 if (!xdr_MsgRollouts (xdrs, &objp->rollouts))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -1,6 +1,6 @@
 /* schedint.h - what the scheduler's own files share: its records, estimates of servers, and what is
- * believed of them; private to scheduler.c, waiting.c, admit.c, estimate.c, health.c and
- * schedview.c. */
+ * believed of them; private to scheduler.c, waiting.c, admit.c, estimate.c, health.c,
+ * versions.c and schedview.c. */
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
 
@@ -36,15 +36,27 @@
   double work_us;   /* slot time on the service's best server */
   bool alone;       /* nothing else was pending on its server when it was granted */
   bool first_seen;
-  unsigned passed; /* by how many connected ones of its queue that were due later */
-  bool late;       /* waits, and can no longer be on time */
+  unsigned passed;  /* by how many connected ones of its queue that were due later */
+  bool late;        /* waits, and can no longer be on time */
+  bool tried;       /* is to be placed on a server of the version that is tried */
+  bool judged;      /* what its answer says of the version has been told */
+  double expect_us; /* until the first of the answer, by the version before */
 } Job;
 
+/* Whether a server's version gets requests. */
+typedef enum
+{
+  USE_YES,
+  USE_TRIED, /* those requests that are marked for it */
+  USE_NO
+} VersionUse;
+
 struct Server
 {
   struct cds_list_head link;
   Service *service;
-  char *id, *domain;
+  char *id, *domain, *version;
+  VersionUse use;
   unsigned slots, running, pending; /* pending: runs without their first event */
   bool leaving, listed;
   struct cds_list_head runs;
@@ -90,9 +102,24 @@
   bool any_usable;
 } Summary;
 
+/* Versions of a service's servers (versions.c). */
+typedef struct
+{
+  char *in_use, *other, *ordered;
+  double share;
+  unsigned left;
+  bool follows, watched;
+  GHashTable *credit;       /* route: how much of a request of it is due to the other version */
+  unsigned placed, granted; /* requests, and those of them on servers of the ordered version */
+  double token_us, unit, answer_us; /* speeds of the version before */
+  int64_t longest_us[2];            /* longest answer in the span that runs and in the one before */
+  int64_t span_at;
+} Versions;
+
 struct Service
 {
   char *name;
+  Versions versions;
   SchedServiceConf conf;
   struct cds_list_head servers;
   GPtrArray *tiers; /* Tier, highest first */
@@ -136,8 +163,13 @@
                     double work_ahead, int64_t now);
 /* Moves a learned value towards a sample. */
 void est_learn (double *value, double sample);
+/* How many requests this scheduler may run on the server at once. */
+unsigned est_places (const Sched *sched, const Server *server);
+/* Gets requests, as far as it has places. */
 bool est_usable (const Server *server, int64_t now);
 bool est_has_place (const Sched *sched, const Server *server, int64_t now);
+/* Has the server the memory for it? */
+bool est_fits_memory (const Server *server, const SchedAsk *ask);
 /* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
 Server *est_choose (Sched *sched, const Job *job, int64_t now);
 /* Has a server to which the job's owner is connected a free place? */
@@ -185,6 +217,23 @@
 /* Refuses what can no longer be served in time. */
 void admit_review (Sched *sched, Service *service, int64_t now);
 
+/* ---- Versions of servers (versions.c) ---- */
+
+void ver_init (Versions *versions);
+void ver_clear (Versions *versions);
+/* The list or what is known of the versions has changed: which servers get requests? */
+void ver_assign (Service *service);
+/* A request was asked for; marks it if it is due to the version that is tried. */
+void ver_note_ask (Job *job);
+/* A server of that version for a marked job; NULL: none has a place. */
+Server *ver_choose (const Sched *sched, const Job *job, int64_t now);
+/* The job is placed on the server, and not counted there yet. */
+void ver_note_grant (Job *job, const Server *server, int64_t now);
+/* The first of its answer came; its answer ended; time passes. */
+void ver_note_first (const Sched *sched, Job *job, int64_t after_us);
+void ver_note_end (const Sched *sched, Job *job, const SchedResult *result, int64_t now);
+void ver_note_time (const Sched *sched, Service *service, int64_t now);
+
 /* ---- What is believed of servers (health.c) ---- */
 
 /* Learns from the end of a request on the server. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -44,6 +44,7 @@
   Service *service = data;
 
   g_ptr_array_unref (service->tiers);
+  ver_clear (&service->versions);
   g_free (service->name);
   g_free (service);
 }
@@ -56,6 +57,7 @@
   cds_list_del (&server->link);
   g_free (server->id);
   g_free (server->domain);
+  g_free (server->version);
   g_free (server);
 }
 
@@ -108,6 +110,7 @@
   service = g_new0 (Service, 1);
   service->name = g_strdup (name);
   curve_init (&service->curve);
+  ver_init (&service->versions);
   service->tiers = g_ptr_array_new_with_free_func (wait_tier_free);
   CDS_INIT_LIST_HEAD (&service->servers);
   g_hash_table_insert (sched->services, service->name, service);
@@ -124,6 +127,30 @@
     service->conf.stride = 1;
 }
 
+void
+sched_versions (Sched *sched, const char *name, const SchedVersions *from)
+{
+  Service *service = service_of (sched, name);
+  Versions *versions = &service->versions;
+
+  if (*from->in_use)
+    g_free (g_steal_pointer (&versions->in_use));
+  if (*from->in_use)
+    versions->in_use = g_strdup (from->in_use);
+  g_free (versions->other);
+  versions->other = g_strdup (from->other);
+  if (strcmp (versions->ordered, from->ordered) != 0)
+    versions->placed = versions->granted = 0;
+  g_free (versions->ordered);
+  versions->ordered = g_strdup (from->ordered);
+  versions->share = from->share;
+  versions->left = from->left;
+  versions->follows = from->follows;
+  versions->watched = from->watched;
+  ver_assign (service);
+  service->summary.until = 0;
+}
+
 void
 sched_share (Sched *sched, double share, uint64_t salt)
 {
@@ -136,6 +163,7 @@
 static void
 start (Job *job, Server *server, int64_t now)
 {
+  ver_note_grant (job, server, now);
   job->server = server;
   job->granted_at = now;
   job->prompt_us = est_prompt_us (server, job->ask.prompt_tokens);
@@ -207,8 +235,11 @@
 static bool
 place (Sched *sched, Job *job, int64_t now)
 {
-  Server *server = est_choose (sched, job, now);
+  Server *server = job->tried ? ver_choose (sched, job, now) : NULL;
 
+  job->tried = false; /* it waits for none of those */
+  if (server == NULL)
+    server = est_choose (sched, job, now);
   if (server)
     grant (sched, job, server, now);
   return server != NULL;
@@ -342,8 +373,8 @@
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->listed && !server->leaving && now + OUT_MOST > server->out_until
-        && (avoid == NULL || strcmp (avoid, server->id) != 0))
+    if (server->listed && !server->leaving && server->use == USE_YES
+        && now + OUT_MOST > server->out_until && (avoid == NULL || strcmp (avoid, server->id) != 0))
       return true;
   }
   return false;
@@ -363,7 +394,9 @@
   double ahead = wait_ahead_us (service, ask->tier, true);
   wait_note_arrival (job, now);
   wait_add (job);
-  dispatch (sched, service, now);
+  ver_note_ask (job);
+  if (!job->tried || !place (sched, job, now))
+    dispatch (sched, service, now);
   if (job->server)
     {
       wait_note_verdict (job, true);
@@ -419,6 +452,7 @@
     return;
   Server *server = job->server;
   server->answered_at = now;
+  ver_note_first (sched, job, after_us);
   first_seen (job, now);
   if (!job->service->conf.engine || !job->alone || job->ask.prompt_tokens < TEACHES_LEAST)
     return;
@@ -449,6 +483,8 @@
   Service *service = job->service;
   Server *server = job->server;
   int64_t granted_at = job->granted_at;
+  if (server)
+    ver_note_end (sched, job, result, now);
   sched_forget (sched, job, now);
   if (server && result->broke)
     est_broke (server, result->rested_us > 0, now);
@@ -489,6 +525,7 @@
 
   server->id = g_strdup (from->id);
   server->domain = g_strdup (from->domain);
+  server->version = g_strdup (from->version ? from->version : "");
   server->service = service_of (sched, from->service);
   CDS_INIT_LIST_HEAD (&server->runs);
   cds_list_add_tail (&server->link, &server->service->servers);
@@ -545,6 +582,9 @@
       server->cold_until = now + servers[i].cold_us;
     }
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, sched);
+  g_hash_table_iter_init (&iter, sched->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ver_assign (value);
   forget_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
@@ -563,6 +603,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Service *service = value;
+      ver_note_time (sched, service, now);
       dispatch (sched, service, now);
       count_open (sched, service, now);
       admit_review (sched, service, now);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -37,6 +37,7 @@
   unsigned prompt_tokens; /* engines; 0 elsewhere */
   unsigned output_tokens; /* engines: expected */
   uint64_t shared_part;   /* identity of the prompt's first part; 0: none */
+  unsigned route;         /* digest of its route's name */
   int64_t gap_us;         /* longest pause between events that is on time; 0: none */
   int64_t aim_at;         /* on time until then, scheduler's clock */
   int64_t limit_at;       /* the first of the answer is of no use after */
@@ -54,6 +55,15 @@
   char rule[120]; /* the estimate that decided, with its figures */
 } SchedRefusal;
 
+/* What an answer says of its server's version. */
+typedef struct
+{
+  const char *service, *server;
+  unsigned route;
+  bool ordered; /* its server has the version that was ordered */
+  bool bad;     /* a failure, or several times slower than the version before would have been */
+} SchedJudged;
+
 /* Decisions, called from within the functions below; must not call back. */
 typedef struct
 {
@@ -66,6 +76,8 @@
   void (*unused) (void *host, const char *org, double cost);
   /* What is believed of a server has changed: out is true while it gets no work. */
   void (*believes) (void *host, const char *server, bool out, const char *why, int64_t for_us);
+  /* Once for each answer of a service whose versions are watched; may be NULL. */
+  void (*judged) (void *host, const SchedJudged *judged);
 } SchedOps;
 
 typedef struct
@@ -86,9 +98,10 @@
 typedef struct
 {
   const char *id, *service, *domain;
-  unsigned slots;  /* requests that it runs at once */
-  bool leaving;    /* gets nothing new */
-  int64_t cold_us; /* stays slow for this long */
+  unsigned slots;      /* requests that it runs at once */
+  bool leaving;        /* gets nothing new */
+  int64_t cold_us;     /* stays slow for this long */
+  const char *version; /* of its software; NULL: as "" */
 } SchedServer;
 
 /* Stands for a server's id in SchedAsk.kept. */
@@ -97,6 +110,37 @@
 /* The whole list of servers: those that it lacks are gone. */
 void sched_list (Sched *sched, const SchedServer *servers, unsigned count);
 
+/* Which versions of a service's servers get requests. Without it one version is in use, and others
+ * that the list shows get nothing, as long as servers of that one are listed. */
+typedef struct
+{
+  const char *in_use;  /* "": the one that most servers have, but not the other */
+  const char *other;   /* gets nothing but its share; "": none */
+  const char *ordered; /* one of both */
+  double share;        /* part of each route's requests that is placed on the other's servers ... */
+  unsigned left;       /* ... but no more than so many from now on */
+  bool follows;        /* the other's servers serve when none of the version in use is listed */
+  bool watched;        /* answers are judged; see SchedOps */
+} SchedVersions;
+
+void sched_versions (Sched *sched, const char *service, const SchedVersions *versions);
+
+typedef struct
+{
+  unsigned servers, places, running; /* live servers, their places, and what runs on all of them */
+} SchedVersionStats;
+
+typedef struct
+{
+  char in_use[128];                /* "": no server was ever listed */
+  unsigned placed, granted;        /* requests so far, and of them on the ordered version */
+  SchedVersionStats used, ordered; /* of the version in use, and of the ordered one */
+  unsigned running_before;         /* on servers of any version but the ordered one */
+  int64_t longest_us;              /* the longest answer of the last seconds */
+} SchedServiceStats;
+
+void sched_service_stats (Sched *sched, const char *service, SchedServiceStats *stats);
+
 /* Places, queues or refuses the request. An ask that is known already changes nothing. Returns true
  * when it is queued. */
 bool sched_ask (Sched *sched, const SchedAsk *ask);
--- a/src/state.c
+++ b/src/state.c
@@ -10,6 +10,7 @@
  * CLAIM_LOST_MS, by the wall times that the operations carry, so that all voters agree on them.
  *
  * Blame: which contents ran on servers that ended (blame.c).
+ * Roll-outs: which versions of servers were ordered (rollout.c).
  */
 #include "state.h"
 
@@ -19,6 +20,8 @@
 #define REFUSALS_MOST 20000                          /* records; 40 bytes to 400 bytes each */
 #define CLAIM_KEPT_MS (G_GINT64_CONSTANT (86400000)) /* a day: longer than any caller retries */
 #define CLAIM_LOST_MS (7 * CLAIM_KEPT_MS)
+#define ACCOUNT_BYTES                                                                              \
+  12 /* of an empty account in a snapshot: its index and the number of records */
 
 struct State
 {
@@ -35,6 +38,7 @@
   MsgVoters voters;
   MsgDocument document;
   Blame *blame;
+  RollAccount *rollouts;
 };
 
 #define FREE_FUNC(type, name)                                                                      \
@@ -66,6 +70,7 @@
   codec_clear (CODEC (MsgDocument), &state->document);
   memset (&state->document, 0, sizeof state->document);
   blame_restore (state->blame, &(MsgBlame){ 0 });
+  roll_restore (state->rollouts, &(MsgRollouts){ 0 });
 }
 
 State *
@@ -81,6 +86,7 @@
   g_queue_init (&state->ended);
   g_queue_init (&state->refusals);
   state->blame = blame_new ();
+  state->rollouts = roll_new ();
   return state;
 }
 
@@ -96,6 +102,7 @@
   g_hash_table_unref (state->claims);
   g_hash_table_unref (state->by_refusal);
   blame_free (state->blame);
+  roll_free (state->rollouts);
   g_free (state);
 }
 
@@ -405,6 +412,12 @@
     case MSG_OP_CLEARED:
       blame_cleared (state->blame, index, &op->MsgOp_u.cleared);
       break;
+    case MSG_OP_ROLLOUT_START:
+      roll_start (state->rollouts, index, &op->MsgOp_u.rollout_start);
+      break;
+    case MSG_OP_ROLLOUT_STEP:
+      roll_step (state->rollouts, index, &op->MsgOp_u.rollout_step);
+      break;
     default:
       break;
     }
@@ -449,8 +462,10 @@
   out.voters.voters_val = state->voters.voters.voters_val;
   out.document = state->document;
   blame_capture (state->blame, 0, &out.blame);
+  roll_capture (state->rollouts, &out.rollouts);
   GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
   g_free (out.blame.suspects.suspects_val);
+  g_free (out.rollouts.rollouts.rollouts_val);
   g_array_unref (history);
   g_array_unref (leases);
   g_array_unref (claims);
@@ -491,20 +506,22 @@
   state->voters.voters.voters_val = in->voters.voters_val;
   state->document = in->document;
   blame_restore (state->blame, &in->blame);
+  roll_restore (state->rollouts, &in->rollouts);
 }
 
-/* A snapshot written before blame was kept ends without it. Zeros behind it read as none. */
+/* A snapshot written before an account was kept ends without it. Zeros behind it read as none. */
 static FtStatus
-unpack_older (const void *data, size_t size, MsgState *in)
+unpack_older (const void *data, size_t size, unsigned accounts, MsgState *in)
 {
-  static const guint8 no_blame[12]; /* its index and the number of suspects */
-  GByteArray *bytes = g_byte_array_sized_new ((guint) (size + sizeof no_blame));
+  static const guint8 none[2 * ACCOUNT_BYTES];
+  GByteArray *bytes = g_byte_array_sized_new ((guint) (size + sizeof none));
 
   g_byte_array_append (bytes, data, (guint) size);
-  g_byte_array_append (bytes, no_blame, sizeof no_blame);
-  FtStatus status = codec_unpack (CODEC (MsgState), bytes->data, bytes->len, in, NULL);
+  g_byte_array_append (bytes, none, accounts * ACCOUNT_BYTES);
+  size_t all = size + accounts * ACCOUNT_BYTES, used = 0;
+  FtStatus status = codec_unpack (CODEC (MsgState), bytes->data, all, in, &used);
   g_byte_array_unref (bytes);
-  return status;
+  return status == FT_OK && used != all ? FT_CORRUPT : status;
 }
 
 static FtStatus
@@ -512,11 +529,13 @@
 {
   FtStatus status = codec_unpack (CODEC (MsgState), data, size, in, NULL);
 
-  if (status == FT_OK)
-    return FT_OK;
-  codec_clear (CODEC (MsgState), in);
-  memset (in, 0, sizeof *in);
-  return unpack_older (data, size, in);
+  for (unsigned accounts = 1; status != FT_OK && accounts <= 2; accounts++)
+    {
+      codec_clear (CODEC (MsgState), in);
+      memset (in, 0, sizeof *in);
+      status = unpack_older (data, size, accounts, in);
+    }
+  return status;
 }
 
 FtStatus
@@ -545,6 +564,7 @@
   free (in.claims.claims_val);
   free (in.refusals.refusals_val);
   codec_clear (CODEC (MsgBlame), &in.blame);
+  codec_clear (CODEC (MsgRollouts), &in.rollouts);
   return FT_OK;
 }
 
@@ -603,6 +623,12 @@
   return state->blame;
 }
 
+const RollAccount *
+state_rollouts (const State *state)
+{
+  return state->rollouts;
+}
+
 const MsgVoters *
 state_voters (const State *state)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -4,6 +4,7 @@
 #define STATE_H
 
 #include "blame.h"
+#include "rollout.h"
 
 typedef struct State State;
 
@@ -35,6 +36,8 @@
 const MsgDocument *state_document (const State *state);
 /* Which contents ran on servers that ended; borrowed. */
 const Blame *state_blame (const State *state);
+/* Which versions of servers were ordered; borrowed. */
+const RollAccount *state_rollouts (const State *state);
 const MsgVoters *state_voters (const State *state);
 const MsgClaimState *state_claim (const State *state, const char *key);
 unsigned state_claim_count (const State *state);
--- /dev/null
+++ b/src/versions.c
@@ -0,0 +1,330 @@
+/* versions.c - which version of a service's servers gets requests, and what answers say of it.
+ *
+ * One version is in use. Another one gets nothing, although its servers are listed, until it is
+ * ordered and given a share; then every so many requests of each route go there, so that each route
+ * is tried in proportion. They are packed on as few servers as hold them, so that these are loaded
+ * as all will be later: a version that fails under load shows it while few callers meet it.
+ *
+ * Each answer is judged once, on both versions alike: it is bad if it is a failure or takes
+ * SLOW_TIMES as long as the version before would, by the mean of its servers, with the prompt's
+ * length and the work ahead on the server taken out. An answer that is overdue is bad at once.
+ */
+#include "schedint.h"
+
+#include <string.h>
+
+/* Tuning; each row with its reason. */
+#define SLOW_TIMES  2.5     /* servers of one version differ by twice their mean, seldom by more */
+#define SLOW_LEAST  30000.0 /* microseconds beyond that: short answers vary by lost packets */
+#define CREDIT_MOST 1.5     /* requests of a route that are due at once: no burst after a gap */
+#define SPAN        (6 * FT_SECOND) /* over which the longest answer is kept, twice at most */
+
+void
+ver_init (Versions *versions)
+{
+  versions->in_use = g_strdup ("");
+  versions->other = g_strdup ("");
+  versions->ordered = g_strdup ("");
+  versions->credit = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+}
+
+void
+ver_clear (Versions *versions)
+{
+  g_free (versions->in_use);
+  g_free (versions->other);
+  g_free (versions->ordered);
+  g_hash_table_unref (versions->credit);
+}
+
+/* ---- Who gets requests ---- */
+
+static bool
+is_other (const Versions *versions, const char *version)
+{
+  return *versions->other && strcmp (versions->other, version) == 0;
+}
+
+static unsigned
+count_listed (const Service *service, const char *version)
+{
+  const Server *server;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    count += server->listed && strcmp (server->version, version) == 0;
+  }
+  return count;
+}
+
+/* The version of most listed servers, the other one left out; of two alike the lesser name, which
+ * is the older one where names count up. */
+static const char *
+commonest (const Service *service)
+{
+  const char *best = NULL;
+  unsigned most = 0;
+  const Server *server;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (!server->listed || is_other (&service->versions, server->version))
+      continue;
+    unsigned count = count_listed (service, server->version);
+    if (best == NULL || count > most || (count == most && strcmp (server->version, best) < 0))
+      {
+        best = server->version;
+        most = count;
+      }
+  }
+  return best;
+}
+
+/* Failure: servers of a version that nobody ordered stand in the list, or an order's own before the
+ * order has come. Symptom: they get requests, and a bad version meets callers by the hundred. The
+ * version that is in use stays so while a server of it is listed. */
+static void
+choose_in_use (Service *service)
+{
+  Versions *versions = &service->versions;
+
+  if (*versions->in_use && count_listed (service, versions->in_use) > 0)
+    return;
+  const char *next = commonest (service);
+  if (next == NULL && versions->follows && count_listed (service, versions->other) > 0)
+    next = versions->other;
+  if (next == NULL)
+    return;
+  char *copy = g_strdup (next);
+  g_free (versions->in_use);
+  versions->in_use = copy;
+}
+
+void
+ver_assign (Service *service)
+{
+  Versions *versions = &service->versions;
+  bool tried = versions->share > 0;
+  Server *server;
+
+  choose_in_use (service);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (strcmp (server->version, versions->in_use) == 0)
+      server->use = USE_YES;
+    else
+      server->use = tried && is_other (versions, server->version) ? USE_TRIED : USE_NO;
+  }
+}
+
+/* ---- Requests that are due to the version that is tried ---- */
+
+void
+ver_note_ask (Job *job)
+{
+  Versions *versions = &job->service->versions;
+  gpointer route = GUINT_TO_POINTER (job->ask.route);
+
+  if (versions->share <= 0 || versions->left == 0 || job->avoid)
+    return;
+  double *credit = g_hash_table_lookup (versions->credit, route);
+  if (credit == NULL)
+    {
+      credit = g_new0 (double, 1);
+      g_hash_table_insert (versions->credit, route, credit);
+    }
+  *credit = MIN (*credit + versions->share, CREDIT_MOST);
+  job->tried = *credit >= 1;
+}
+
+Server *
+ver_choose (const Sched *sched, const Job *job, int64_t now)
+{
+  Versions *versions = &job->service->versions;
+  Server *server, *best = NULL;
+
+  cds_list_for_each_entry (server, &job->service->servers, link)
+  {
+    unsigned most = server->trial ? 1 : est_places (sched, server);
+    if (server->use != USE_TRIED || !server->listed || server->leaving || now < server->out_until
+        || server->running >= most || !est_fits_memory (server, &job->ask))
+      continue;
+    if (best == NULL || server->running > best->running)
+      best = server;
+  }
+  double *credit = g_hash_table_lookup (versions->credit, GUINT_TO_POINTER (job->ask.route));
+  if (best == NULL || credit == NULL)
+    return NULL;
+  *credit -= 1;
+  versions->left--;
+  return best;
+}
+
+/* ---- What answers say ---- */
+
+static bool
+is_ordered (const Versions *versions, const Server *server)
+{
+  return *versions->ordered && strcmp (versions->ordered, server->version) == 0;
+}
+
+/* Speeds of the version before: of all servers but the ordered ones. When these have the requests
+ * alone, what was learned until then stays. */
+static void
+learn_speeds (const Sched *sched, Service *service)
+{
+  Versions *versions = &service->versions;
+  const Server *server;
+  double token = 0, unit = 0, answer = 0;
+  unsigned tokens = 0, units = 0, answers = 0;
+
+  if (versions->token_us > 0 && strcmp (versions->in_use, versions->ordered) == 0)
+    return;
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (is_ordered (versions, server))
+      continue;
+    token += server->token_us;
+    tokens += server->token_us > 0;
+    unit += server->prompt_unit;
+    units += server->prompt_unit > 0;
+    answer += server->answer_us;
+    answers += server->answer_us > 0;
+  }
+  versions->token_us = tokens ? token / tokens : est_summary (sched, service)->mean_token;
+  versions->unit = units ? unit / units : versions->token_us * service->curve.each;
+  versions->answer_us = answers ? answer / answers : est_summary (sched, service)->least_answer;
+}
+
+void
+ver_note_grant (Job *job, const Server *server, int64_t now)
+{
+  Versions *versions = &job->service->versions;
+
+  versions->placed++;
+  versions->granted += is_ordered (versions, server);
+  if (!job->service->conf.engine)
+    {
+      job->expect_us = HOP_US + versions->answer_us;
+      return;
+    }
+  double ahead = (double) MAX (0, server->prompts_until - now);
+  double own = curve_units (&job->service->curve, job->ask.prompt_tokens) * versions->unit;
+  job->expect_us = HOP_US + job->service->curve.latency_us + ahead + own + versions->token_us;
+}
+
+static void
+judge (const Sched *sched, Job *job, bool bad)
+{
+  const Versions *versions = &job->service->versions;
+  SchedJudged judged = { .service = job->service->name,
+                         .server = job->server->id,
+                         .route = job->ask.route,
+                         .ordered = is_ordered (versions, job->server),
+                         .bad = bad };
+
+  if (job->judged || !versions->watched || sched->ops->judged == NULL)
+    return;
+  job->judged = true;
+  sched->ops->judged (sched->host, &judged);
+}
+
+static bool
+is_slow (const Job *job, int64_t after_us)
+{
+  return job->service->versions.token_us > 0
+         && (double) after_us > SLOW_TIMES * job->expect_us + SLOW_LEAST;
+}
+
+void
+ver_note_first (const Sched *sched, Job *job, int64_t after_us)
+{
+  if (is_slow (job, after_us))
+    judge (sched, job, true);
+}
+
+static void
+note_longest (Versions *versions, int64_t took_us, int64_t now)
+{
+  if (now - versions->span_at > SPAN)
+    {
+      versions->longest_us[1] = versions->longest_us[0];
+      versions->longest_us[0] = 0;
+      versions->span_at = now;
+    }
+  versions->longest_us[0] = MAX (versions->longest_us[0], took_us);
+}
+
+void
+ver_note_end (const Sched *sched, Job *job, const SchedResult *result, int64_t now)
+{
+  const Service *service = job->service;
+  const Versions *versions = &service->versions;
+  double event = versions->token_us * service->conf.stride;
+
+  if (result->outcome == SCHED_OK)
+    note_longest (&job->service->versions, now - job->granted_at, now);
+  if (result->outcome == SCHED_FAILED)
+    judge (sched, job, true);
+  else if (result->outcome == SCHED_OK)
+    judge (sched, job,
+           service->conf.engine ? event > 0 && (double) result->event_us > SLOW_TIMES * event
+                                : is_slow (job, result->answer_us));
+}
+
+void
+ver_note_time (const Sched *sched, Service *service, int64_t now)
+{
+  Server *server;
+  Job *job;
+
+  if (!service->versions.watched)
+    return;
+  learn_speeds (sched, service);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    cds_list_for_each_entry (job, &server->runs, link)
+    {
+      if (!job->first_seen && is_slow (job, now - job->granted_at))
+        judge (sched, job, true);
+    }
+  }
+}
+
+/* ---- What others ask ---- */
+
+static void
+count_server (const Server *server, SchedVersionStats *stats)
+{
+  stats->running += server->running;
+  if (!server->listed || server->leaving)
+    return;
+  stats->servers++;
+  stats->places += server->slots;
+}
+
+void
+sched_service_stats (Sched *sched, const char *name, SchedServiceStats *stats)
+{
+  const Service *service = g_hash_table_lookup (sched->services, name);
+  const Server *server;
+
+  memset (stats, 0, sizeof *stats);
+  if (service == NULL)
+    return;
+  const Versions *versions = &service->versions;
+  g_strlcpy (stats->in_use, versions->in_use, sizeof stats->in_use);
+  stats->placed = versions->placed;
+  stats->granted = versions->granted;
+  stats->longest_us = MAX (versions->longest_us[0], versions->longest_us[1]);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (server->use == USE_YES)
+      count_server (server, &stats->used);
+    if (is_ordered (versions, server))
+      count_server (server, &stats->ordered);
+    else
+      stats->running_before += server->running;
+  }
+}
--- a/test/blame.c
+++ b/test/blame.c
@@ -185,7 +185,7 @@
   op.MsgOp_u.document.text.text_len = 4;
   state_apply (state, 1, &op, &verdict);
   GByteArray *bytes = state_capture (state);
-  g_byte_array_set_size (bytes, bytes->len - 12); /* what the older program did not write */
+  g_byte_array_set_size (bytes, bytes->len - 24); /* what the older program did not write */
   g_assert_cmpint (state_restore (later, bytes->data, bytes->len), ==, FT_OK);
   g_assert_cmpuint (state_document (later)->number, ==, 3);
   g_assert_cmpuint (blame_count (state_blame (later), &held), ==, 0);
--- a/test/engines.h
+++ b/test/engines.h
@@ -136,7 +136,7 @@
   world->outs++;
 }
 
-static const SchedOps ops = { on_grant, on_refuse, on_unused, on_believes };
+static const SchedOps ops = { on_grant, on_refuse, on_unused, on_believes, NULL };
 
 static inline void
 give_list (void)
@@ -144,7 +144,7 @@
   SchedServer list[SERVERS];
 
   for (unsigned i = 0; i < world->count; i++)
-    list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, false, 0 };
+    list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, false, 0, NULL };
   sched_list (world->sched, list, world->count);
 }
 
--- a/test/publish.c
+++ b/test/publish.c
@@ -38,7 +38,7 @@
   (void) status;
 }
 
-static const VoterOps voter_ops = { no_send, no_commit, no_commit, no_verdict };
+static const VoterOps voter_ops = { no_send, no_commit, no_commit, no_commit, no_verdict };
 
 static void
 read_list (void)
--- a/test/sched.c
+++ b/test/sched.c
@@ -260,7 +260,7 @@
   for (unsigned gone = 0; gone < SERVERS; gone++)
     {
       for (unsigned i = 0; i < SERVERS; i++)
-        list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, i == gone, 0 };
+        list[i] = (SchedServer){ world->servers[i].id, "s", "d", world->slots, i == gone, 0, NULL };
       sched_list (world->sched, list, SERVERS);
       unsigned first = world->works;
       load (1, 55, usual);
@@ -345,7 +345,8 @@
 static void
 leaving_server_gets_nothing (void)
 {
-  SchedServer list[2] = { { "s0", "s", "d", 4, true, 0 }, { "s1", "s", "d", 4, false, 0 } };
+  SchedServer list[2]
+      = { { "s0", "s", "d", 4, true, 0, NULL }, { "s1", "s", "d", 4, false, 0, NULL } };
 
   begin (2, 4, false);
   sched_list (world->sched, list, 2);
