--- a/src/schedint.h
+++ b/src/schedint.h
@@ -75,6 +75,7 @@
   uint64_t tokens;       /* memory of its runs */
   int64_t rest_broke_at; /* when a connection that had rested last broke as it was used */
   uint64_t kept_by;      /* number of the latest choice whose owner has a connection there */
+  unsigned tried;        /* requests that it got as a server of a version that is tried */
 };
 
 typedef struct
--- a/src/versions.c
+++ b/src/versions.c
@@ -2,8 +2,9 @@
  *
  * One version is in use. Another one gets nothing, although its servers are listed, until it is
  * ordered and given a share; then every so many requests of each route go there, so that each route
- * is tried in proportion. They are packed on as few servers as hold them, so that these are loaded
- * as all will be later: a version that fails under load shows it while few callers meet it.
+ * is tried in proportion. They are packed on as few servers as hold them, but more than one, so
+ * that these are loaded as all will be later: a version that fails under load shows it while few
+ * callers meet it.
  *
  * Each answer is judged once, on both versions alike: it is bad if it is a failure or takes
  * SLOW_TIMES as long as the version before would, by the mean of its servers, with the prompt's
@@ -138,10 +139,38 @@
   job->tried = *credit >= 1;
 }
 
+/* Failure: all of a trial fits one server, and it goes there. Symptom: what that server shows may
+ * be its own fault, so a bad version is never told from a bad server. As long as one would hold all
+ * that runs, servers take turns. */
+static bool
+goes_before (const Server *one, const Server *other, bool in_turn)
+{
+  if (other == NULL)
+    return true;
+  return in_turn ? one->tried < other->tried : one->running > other->running;
+}
+
+static bool
+fits_one (const Service *service)
+{
+  const Server *server;
+  unsigned running = 0, least = G_MAXUINT;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (server->use != USE_TRIED)
+      continue;
+    running += server->running;
+    least = MIN (least, server->slots);
+  }
+  return running < least;
+}
+
 Server *
 ver_choose (const Sched *sched, const Job *job, int64_t now)
 {
   Versions *versions = &job->service->versions;
+  bool in_turn = fits_one (job->service);
   Server *server, *best = NULL;
 
   cds_list_for_each_entry (server, &job->service->servers, link)
@@ -150,7 +179,7 @@
     if (server->use != USE_TRIED || !server->listed || server->leaving || now < server->out_until
         || server->running >= most || !est_fits_memory (server, &job->ask))
       continue;
-    if (best == NULL || server->running > best->running)
+    if (goes_before (server, best, in_turn))
       best = server;
   }
   double *credit = g_hash_table_lookup (versions->credit, GUINT_TO_POINTER (job->ask.route));
@@ -158,6 +187,7 @@
     return NULL;
   *credit -= 1;
   versions->left--;
+  best->tried++;
   return best;
 }
 
--- a/test/backend.c
+++ b/test/backend.c
@@ -24,6 +24,65 @@
   return id ? id : "";
 }
 
+/* ---- Plain calls that take a while ---- */
+
+typedef struct
+{
+  LoopTimer timer;
+  HCall *call;
+  FleetServer *server;
+  GString *fields;
+  char id[64];
+} Later;
+
+static void
+later_free (void *data)
+{
+  Later *later = data;
+
+  loop_timer_stop (later->server->fleet->loop, &later->timer);
+  g_string_free (later->fields, TRUE);
+  g_free (later);
+}
+
+static void
+on_later (LoopTimer *timer)
+{
+  Later *later = (Later *) timer;
+
+  hcall_set_user (later->call, NULL);
+  hcall_reply (later->call, 200, later->fields, later->id, strlen (later->id));
+  g_ptr_array_remove_fast (later->server->later, later);
+}
+
+static void
+answer_later (FleetServer *server, HCall *call, const char *id, const GString *fields, unsigned ms)
+{
+  Later *later = g_new0 (Later, 1);
+
+  later->timer.fire = on_later;
+  later->call = call;
+  later->server = server;
+  later->fields = g_string_new (fields->str);
+  g_strlcpy (later->id, id, sizeof later->id);
+  hcall_set_user (call, NULL);
+  g_ptr_array_add (server->later, later);
+  loop_timer_set (server->fleet->loop, &later->timer, loop_now (server->fleet->loop) + ms * FT_MS);
+}
+
+static void
+forget_later (FleetServer *server, const HCall *call)
+{
+  for (unsigned i = 0; i < server->later->len; i++)
+    if (((const Later *) server->later->pdata[i])->call == call)
+      {
+        g_ptr_array_remove_index_fast (server->later, i);
+        return;
+      }
+}
+
+/* ---- Streams ---- */
+
 static void
 drop_stream (Stream *stream)
 {
@@ -135,6 +194,13 @@
   return marked;
 }
 
+/* Four in ten, in an order that meets each kind of call. */
+static bool
+fails_this (const FleetServer *server)
+{
+  return server->mode == SERVER_POOR && server->arrived * 7 % 10 < 4;
+}
+
 static void
 run (FleetServer *server, HCall *call, const char *id, GString *fields)
 {
@@ -149,8 +215,14 @@
     hcall_abort (call);
   else if (server->mode == SERVER_MUTE)
     hcall_set_user (call, NULL);
+  else if (fails_this (server))
+    hcall_reply (call, 500, fields, "poor", 4);
   else if (g_str_has_prefix (hmsg_target (hcall_msg (call)), "/stream/"))
     start_stream (server, call, fields);
+  else if (server->mode == SERVER_SLOW)
+    answer_later (server, call, id, fields, server->fleet->slow_ms);
+  else if (server->fleet->plain_ms)
+    answer_later (server, call, id, fields, server->fleet->plain_ms);
   else
     hcall_reply (call, 200, fields, id, strlen (id));
 }
@@ -186,6 +258,7 @@
 
   if (server->marked == call)
     server->marked = NULL;
+  forget_later (server, call);
   if (stream)
     drop_stream (stream);
 }
@@ -200,6 +273,7 @@
   for (unsigned i = 0; i < server->streams->len; i++)
     loop_timer_stop (server->fleet->loop, &((Stream *) server->streams->pdata[i])->timer);
   g_ptr_array_set_size (server->streams, 0);
+  g_ptr_array_set_size (server->later, 0);
   hsrv_free (server->srv);
   server->srv = NULL;
   server->marked = NULL;
@@ -265,6 +339,8 @@
   server->addr = server->listens = addr;
   server->listed = true;
   server->streams = g_ptr_array_new_with_free_func (g_free);
+  server->later = g_ptr_array_new_with_free_func (later_free);
+  g_strlcpy (server->version, "v1", sizeof server->version);
   server->ending.fire = on_ending;
   server->coming.fire = on_coming;
   server->srv = hsrv_new (fleet->loop, addr, &server_ops, server);
@@ -278,4 +354,5 @@
   loop_timer_stop (server->fleet->loop, &server->coming);
   close_all (server);
   g_ptr_array_unref (server->streams);
+  g_ptr_array_unref (server->later);
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -37,9 +37,9 @@
         continue;
       g_string_append_printf (body,
                               "%s{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":4,"
-                              "\"Version\":\"v1\",\"ColdRemainingMs\":0,\"State\":\"%s\","
+                              "\"Version\":\"%s\",\"ColdRemainingMs\":0,\"State\":\"%s\","
                               "\"Id\":\"%s\"}",
-                              any ? "," : "", sock_addr_text (server->addr, addr),
+                              any ? "," : "", sock_addr_text (server->addr, addr), server->version,
                               server->leaving ? "draining" : "ready", server->id);
       any = true;
     }
@@ -196,6 +196,8 @@
   fleet->loop = loop_new ();
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
+  fleet->plain_ms = 0;
+  fleet->slow_ms = 300;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->marks = g_array_new (FALSE, FALSE, sizeof (FleetMarked));
   fleet->marked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -579,14 +581,28 @@
   g_error ("no voter shows the catalogue (logs in %s)", fleet->base);
 }
 
+void
+fleet_try_operate (Fleet *fleet, const FleetNode *voter, const char *method, const char *path,
+                   const char *body, Answer *answer)
+{
+  ask_voter (fleet, voter, method, path, body, answer);
+}
+
 void
 fleet_operate (Fleet *fleet, const char *method, const char *path, Answer *answer)
+{
+  fleet_operate_with (fleet, method, path, "", answer);
+}
+
+void
+fleet_operate_with (Fleet *fleet, const char *method, const char *path, const char *body,
+                    Answer *answer)
 {
   for (unsigned i = 0; i < 1000; i++)
     {
       const FleetNode *leader = fleet_leader (fleet);
       if (leader)
-        ask_voter (fleet, leader, method, path, "", answer);
+        ask_voter (fleet, leader, method, path, body, answer);
       if (leader && answer->status != 0 && answer->status != 307 && answer->status != 503)
         return;
       if (leader)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -17,12 +17,14 @@
 typedef enum
 {
   SERVER_SOUND,
-  SERVER_RESET,   /* reads the request and resets the connection */
-  SERVER_CUT,     /* ends a stream in the middle of its third event */
-  SERVER_FULL,    /* says that it did not run the request */
-  SERVER_GONE,    /* another one answers at its address */
-  SERVER_MUTE,    /* answers nothing */
-  SERVER_SLOW_END /* as SOUND, but its listener and one call end before its other connections */
+  SERVER_RESET,    /* reads the request and resets the connection */
+  SERVER_CUT,      /* ends a stream in the middle of its third event */
+  SERVER_FULL,     /* says that it did not run the request */
+  SERVER_GONE,     /* another one answers at its address */
+  SERVER_MUTE,     /* answers nothing */
+  SERVER_SLOW_END, /* as SOUND, but its listener and one call end before its other connections */
+  SERVER_POOR,     /* fails four in ten of what it runs */
+  SERVER_SLOW      /* answers plain calls late: after Fleet.slow_ms */
 } ServerMode;
 
 typedef struct Fleet Fleet;
@@ -34,6 +36,7 @@
   Fleet *fleet;
   unsigned number, lives;
   char id[32];            /* of its lifetime */
+  char version[8];        /* of its software */
   SockAddr addr, listens; /* where the list says that it is, and where it is */
   HSrv *srv;              /* NULL: it has ended and is not back yet */
   Proxy *proxy;           /* before it; NULL: none */
@@ -41,6 +44,7 @@
   bool leaving, listed;
   unsigned arrived;
   GPtrArray *streams; /* that it runs */
+  GPtrArray *later;   /* plain calls that it runs */
   HCall *marked;      /* a marked call that it runs; NULL: none */
   LoopTimer ending, coming;
 } FleetServer;
@@ -79,6 +83,8 @@
   GArray *marks;      /* FleetMarked, in order */
   unsigned ends;      /* of servers so far */
   unsigned event_ms;  /* time between a stream's events */
+  unsigned plain_ms;  /* time of a plain call */
+  unsigned slow_ms;   /* the same at a slow server */
   unsigned back_ms;   /* from a server's end to its next lifetime */
   uint64_t next_id;
 };
@@ -106,6 +112,12 @@
 void fleet_end_server (FleetServer *server);
 /* A call of the product's own at whatever voter is in charge; waits for one that answers. */
 void fleet_operate (Fleet *fleet, const char *method, const char *path, Answer *answer);
+/* The same with a body. */
+void fleet_operate_with (Fleet *fleet, const char *method, const char *path, const char *body,
+                         Answer *answer);
+/* One try of a call at one voter; status 0: it did not answer. */
+void fleet_try_operate (Fleet *fleet, const FleetNode *voter, const char *method, const char *path,
+                        const char *body, Answer *answer);
 /* Has the process ended by itself? */
 bool fleet_ended (FleetNode *node);
 /* From now on links and servers are reached through proxies. Before any node is started. */
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -529,8 +529,9 @@
   pool_free (pool);
 }
 
-/* A trial: a tenth of each route's requests goes to the version, packed on one server, and no more
- * than are left. */
+/* A trial: a tenth of each route's requests goes to the version, and no more than are left. They
+ * are so few that one server would hold them all; both get some, so that one that fails by itself
+ * can be told from a bad version. */
 static void
 trial_gets_its_share (void)
 {
@@ -541,6 +542,8 @@
   run_many (pool, 400, 20 * FT_MS);
   g_assert_cmpuint (granted_new (pool), >=, 38);
   g_assert_cmpuint (granted_new (pool), <=, 40);
+  g_assert_cmpuint (pool->granted[2], >=, 15);
+  g_assert_cmpuint (pool->granted[3], >=, 15);
   trial.left = 3;
   sched_versions (pool->sched, "s", &trial);
   run_many (pool, 400, 20 * FT_MS);
