Nothing moves while many answers of either version are bad; the soak orders roll-outs

Cause: two of four servers of the version before failed by a fault of their own, so the target's failures looked usual (11 of 20 bad, suspicion 0.37), it was moved to, and the share of the version before stayed as bad as it was.

--- a/node/control.c
+++ b/node/control.c
@@ -384,13 +384,15 @@
 {
   Control *control = (Control *) ((char *) timer - offsetof (Control, tick));
   int64_t now = loop_now (control->loop);
+  unsigned unheard;
 
   note_charge (control);
   share_limits (control);
   publish_state (control->publish, control->leaving_since != 0, reader_busy (control->reader));
   publish_tick (control->publish);
   suspects_tick (control->suspects);
-  rollouts_tick (control->rollouts);
+  publish_entries (control->publish, &unheard);
+  rollouts_tick (control->rollouts, unheard);
   read_list (control, now);
   log_entries (control, now);
   operators_tick (control->operators);
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -59,6 +59,7 @@
   RollAccount *account; /* as committed */
   GHashTable *seen;     /* service: Seen */
   GPtrArray *led;       /* Led */
+  unsigned unheard;     /* entries lost lately */
   Tell *tell;
   uint64_t told; /* digest of the phases that schedulers and entries have */
 };
@@ -353,10 +354,13 @@
                         .places = stats.ordered.places,
                         .places_before = stats.used.places,
                         .running_before = stats.running_before,
+                        .unheard = rollouts->unheard,
                         .longest_us = stats.longest_us,
                         .answers = judged->answers,
                         .in_use = strcmp (rollout->before, rollout->target) == 0,
-                        .suspicion = judged->suspicion };
+                        .suspicion = judged->suspicion,
+                        .before = judged->before_all,
+                        .after = judged->after_all };
 }
 
 static void
@@ -444,8 +448,9 @@
 }
 
 void
-rollouts_tick (Rollouts *rollouts)
+rollouts_tick (Rollouts *rollouts, unsigned unheard)
 {
+  rollouts->unheard = unheard;
   if (roll_index (rollouts->account) == 0)
     return;
   if (!in_charge (rollouts))
--- a/node/rollouts.h
+++ b/node/rollouts.h
@@ -25,8 +25,8 @@
 void rollouts_committed (Rollouts *rollouts);
 /* The end of a proposal, as VoterOps.verdict tells it. */
 void rollouts_verdict (Rollouts *rollouts, uint64_t ticket, FtStatus status);
-/* Call every 20 ms or so. */
-void rollouts_tick (Rollouts *rollouts);
+/* Call every 20 ms or so. unheard: entries that were lost lately. */
+void rollouts_tick (Rollouts *rollouts, unsigned unheard);
 
 /* ---- Operators; of the voter in charge ---- */
 
--- a/src/judge.c
+++ b/src/judge.c
@@ -29,6 +29,7 @@
 #define SPAN_US    2.5e6 /* over which the share of the version before is averaged ... */
 #define SPAN_SHORT                                                                                 \
   0.4e6 /* ... or over this one, if it is worse there: a fault of all servers begins */
+#define STALE        (1 * FT_SECOND) /* without answers of the version before that share says nothing */
 #define PRIOR        8.0 /* answers like those of all routes that a route's own are added to */
 #define WINDOW       (4 * FT_SECOND) /* of the other way */
 #define WINDOW_LEAST 20              /* answers of the ordered version in it */
@@ -90,13 +91,15 @@
 /* The share of the version before on the route, filled up with that of all routes where the route
  * has few answers. Once everything has moved it has none, and the share stays what it was. */
 static double
-expected (const Judge *judge, const Group *group)
+expected (const Judge *judge, const Group *group, int64_t now)
 {
   const Share *all = &judge->all.before, *own = &group->before;
   double usual = (own->bad + PRIOR * share_of (all)) / (own->answers + PRIOR);
   double all_lately = all->bad_lately / MAX (all->lately, 1);
   double lately = (own->bad_lately + PRIOR * all_lately) / (own->lately + PRIOR);
 
+  if (now - all->at > STALE)
+    lately = 0;
   return CLAMP (MAX (usual, lately), LEAST_BAD, MOST_BAD);
 }
 
@@ -108,9 +111,9 @@
 }
 
 static void
-add_evidence (const Judge *judge, Group *group, const JudgeAnswer *answer)
+add_evidence (const Judge *judge, Group *group, const JudgeAnswer *answer, int64_t now)
 {
-  double sound = expected (judge, group), worse = sound + WORSE * (1 - sound);
+  double sound = expected (judge, group, now), worse = sound + WORSE * (1 - sound);
   double step = answer->bad ? log (worse / sound) : log ((1 - worse) / (1 - sound));
   gpointer key = GUINT_TO_POINTER (answer->server);
 
@@ -181,7 +184,7 @@
 take (Judge *judge, Group *group, const JudgeAnswer *answer, int64_t now)
 {
   if (answer->ordered)
-    add_evidence (judge, group, answer);
+    add_evidence (judge, group, answer, now);
   share_add (answer->ordered ? &group->after : &group->before, answer->bad, now);
 }
 
@@ -305,7 +308,10 @@
 void
 judge_facts (Judge *judge, JudgeFacts *facts)
 {
-  *facts = (JudgeFacts){ .answers = judge->answers, .bad = judge->bad };
+  *facts = (JudgeFacts){ .answers = judge->answers,
+                         .bad = judge->bad,
+                         .before_all = share_of (&judge->all.before),
+                         .after_all = share_of (&judge->all.after) };
   if (judge->way == JUDGE_SEQUENTIAL)
     note_group (judge, &judge->all, facts);
   else
--- a/src/judge.h
+++ b/src/judge.h
@@ -15,10 +15,11 @@
 
 typedef struct
 {
-  unsigned answers, bad; /* of the ordered version */
-  double suspicion;      /* evidence against it: from 1 on it is bad */
-  unsigned route;        /* by which answers; 0: by all */
-  double before, after;  /* share of bad answers of both versions there, of late */
+  unsigned answers, bad;        /* of the ordered version */
+  double suspicion;             /* evidence against it: from 1 on it is bad */
+  unsigned route;               /* by which answers; 0: by all */
+  double before, after;         /* share of bad answers of both versions there, of late ... */
+  double before_all, after_all; /* ... and over all routes */
 } JudgeFacts;
 
 typedef struct Judge Judge;
--- a/src/rollplan.c
+++ b/src/rollplan.c
@@ -35,9 +35,10 @@
 #define DRAIN_PART    0.45 /* of the limit that the move may take: the trial comes first */
 #define ANSWERS_LEAST 20   /* judged, before everything moves ... */
 #define ANSWERS_WANTED                                                                             \
-  40.0                /* ... and meant to be by then: a service with few requests tries more */
-#define SUSPECTED 0.5 /* evidence with which nothing moves on */
-#define CARRIES   0.7 /* of the places before that the target must have */
+  40.0                 /* ... and meant to be by then: a service with few requests tries more */
+#define SUSPECTED 0.5  /* evidence with which nothing moves on */
+#define BAD_MOST  0.15 /* share of bad answers, of either version, with which nothing moves */
+#define CARRIES   0.7  /* of the places before that the target must have */
 #define SETTLE    (400 * FT_MS) /* entries hear of the move, and of what they sent before */
 
 static int64_t
@@ -91,6 +92,15 @@
   return facts->servers > 0 && facts->places >= CARRIES * facts->places_before;
 }
 
+/* Failure: the servers of the version before fail a part themselves, for a fault of their own.
+ * Symptom: the target's failures look usual beside them, and a bad version gets everything. As long
+ * as many answers of either are bad, nothing can be told, and nothing moves. */
+static bool
+looks_sound (const PlanFacts *facts)
+{
+  return facts->suspicion < SUSPECTED && facts->before <= BAD_MOST && facts->after <= BAD_MOST;
+}
+
 static const char *
 why_not_moved (const PlanFacts *facts)
 {
@@ -105,7 +115,7 @@
 plan_trial (const PlanLimits *limits, const PlanFacts *facts, PlanStep *step)
 {
   int64_t move = move_at (facts);
-  bool sound = facts->suspicion < SUSPECTED && facts->answers >= ANSWERS_LEAST;
+  bool sound = facts->answers >= ANSWERS_LEAST && looks_sound (facts);
   bool already = facts->in_use && facts->servers > 0;
   bool idle = facts->placed < ANSWERS_LEAST; /* nobody asks, so nobody can meet it */
 
@@ -126,10 +136,12 @@
     }
 }
 
+/* An entry that was lost lately may still run requests on the version before. It is waited for, but
+ * not beyond the limit: it may have been killed with what it ran. */
 static void
 plan_move (const PlanFacts *facts, PlanStep *step)
 {
-  bool over = facts->elapsed_us >= facts->limit_us;
+  bool over = facts->elapsed_us >= facts->limit_us - margin (facts) / 2;
 
   if (facts->servers == 0)
     {
@@ -137,7 +149,7 @@
       step->why = "all servers of the version are gone";
     }
   else if (facts->running_before == 0 && facts->phase_us >= SETTLE
-           && (facts->suspicion < SUSPECTED || over))
+           && ((facts->suspicion < SUSPECTED && facts->unheard == 0) || over))
     {
       step->phase = MSG_ROLLOUT_COMPLETED;
       step->why = "nothing runs on other versions any more";
--- a/src/rollplan.h
+++ b/src/rollplan.h
@@ -19,11 +19,13 @@
   unsigned placed, granted;     /* requests since the order, and of them on the target's servers */
   unsigned servers, places;     /* of the target, live */
   unsigned places_before;       /* of the version before, live */
-  unsigned running_before;      /* requests on servers of any other version */
+  unsigned running_before;      /* requests on servers of any other version ... */
+  unsigned unheard;             /* ... as far as is known: entries that were lost lately */
   int64_t longest_us;           /* the longest answer of late */
   unsigned answers;             /* of the target's that were judged */
   double suspicion;             /* from 1 on the target is bad */
-  bool in_use;                  /* the target was the version in use as it was ordered */
+  double before, after; /* share of bad answers of late: of the version before, the target's */
+  bool in_use;          /* the target was the version in use as it was ordered */
 } PlanFacts;
 
 typedef struct
--- a/src/versions.c
+++ b/src/versions.c
@@ -260,10 +260,11 @@
   sched->ops->judged (sched->host, &judged);
 }
 
+/* A server that has just started may be slow for a while, and says so. */
 static bool
 is_slow (const Job *job, int64_t after_us)
 {
-  return job->service->versions.token_us > 0
+  return job->service->versions.token_us > 0 && job->granted_at >= job->server->cold_until
          && (double) after_us > SLOW_TIMES * job->expect_us + SLOW_LEAST;
 }
 
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -197,6 +197,11 @@
   plan_next (&limits, &facts, &step);
   g_assert_cmpint (step.phase, ==, MSG_ROLLOUT_COMPLETED);
   facts.elapsed_us = 9 * FT_SECOND;
+  facts.unheard = 1; /* what it runs is not known */
+  plan_next (&limits, &facts, &step);
+  g_assert_cmpint (step.phase, ==, MSG_ROLLOUT_MOVING);
+  facts.unheard = 0;
+  facts.elapsed_us = 9 * FT_SECOND;
   facts.suspicion = 0.7; /* there is time to know better */
   plan_next (&limits, &facts, &step);
   g_assert_cmpint (step.phase, ==, MSG_ROLLOUT_MOVING);
@@ -223,6 +228,10 @@
   facts.servers = 0;
   plan_next (&limits, &facts, &step);
   g_assert_cmpstr (step.why, ==, "no server of the version was there in time");
+  facts = facts_at (8 * FT_SECOND);
+  facts.after = facts.before = 0.4; /* nothing can be told while both fail */
+  plan_next (&limits, &facts, &step);
+  g_assert_cmpint (step.phase, ==, MSG_ROLLOUT_TRYING);
   facts = facts_at (12 * FT_SECOND);
   facts.answers = 3;
   plan_next (&limits, &facts, &step);
--- a/test/soak.c
+++ b/test/soak.c
@@ -11,7 +11,7 @@
  * body reaches servers no more than FURTHER_MOST times later than IN_TOUCH after the third end
  * under it, as far as the entry that sent it and all voters were undisturbed for that long.
  */
-#include "fleet.h"
+#include "soakroll.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -350,7 +350,7 @@
   else if (fault->kind == FAULT_SERVER_PATH && fault->server->proxy)
     proxy_mode (fault->server->proxy, PROXY_PASS);
   else if (fault->kind == FAULT_SERVER_MODE)
-    fault->server->mode = SERVER_SOUND;
+    fault->server->mode = soakroll_usual (fault->server);
   else if (fault->kind == FAULT_LEAVING)
     fault->server->leaving = false;
 }
@@ -463,8 +463,10 @@
   sent = answered = refused = unknown = broken = 0;
   fleet = fleet_new ();
   fleet_proxies (fleet);
+  soakroll_begin (fleet, seed);
   fleet_begin (fleet);
   int64_t until = loop_now (fleet->loop) + seconds * FT_SECOND;
+  unsigned turn = 0;
   while (loop_now (fleet->loop) < until)
     {
       turn_faults (true);
@@ -472,10 +474,12 @@
       check_marks ();
       if (draw (10) == 0)
         turn_operators ();
+      soakroll_turn (&fleet->voters[turn++ % 3]);
       fleet_run_for (fleet, 15 * FT_MS);
     }
   calm_down ();
   check_once ();
+  soakroll_end ();
   check_recovery ();
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u, "
           "%u servers ended, marked bodies sent on %u and %u times\n",
