--- a/cli/main.c
+++ b/cli/main.c
@@ -2,29 +2,18 @@
  * change of the catalogue, or lets a content go that was held; the other commands only read. */
 #include "body.h"
 #include "http.h"
+#include "access.h"
 #include "members.h"
+#include "rollout.h"
 
 #include <argtable2.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
 
-#define TIMEOUT_S 15
 #define WAIT_POLL (200 * FT_MS)
 #define WAIT_MOST (30 * FT_SECOND)
 
-typedef struct
-{
-  const char *server, *key, *ca_folder;
-} Access;
-
-typedef struct
-{
-  long status; /* HTTP; 0: the server was not reached */
-  char *text;
-  uint64_t revision; /* X-Revision */
-} Reply;
-
 typedef struct
 {
   struct arg_str *command, *server, *key_file, *ca_folder, *change_id, *author, *arguments;
@@ -33,68 +22,6 @@
   struct arg_end *end;
 } Args;
 
-static bool
-call (const Access *access, const char *method, const char *path, const char *author,
-      const char *body, Reply *reply)
-{
-  struct _u_request request;
-  struct _u_response response;
-  char *bearer = g_strdup_printf ("Bearer %s", access->key);
-
-  memset (reply, 0, sizeof *reply);
-  ulfius_init_request (&request);
-  ulfius_init_response (&response);
-  request.http_verb = o_strdup (method);
-  request.http_url = msprintf ("%s%s", access->server, path);
-  request.timeout = TIMEOUT_S;
-  request.follow_redirect = 1; /* a voter that is not in charge names the one that is */
-  if (access->ca_folder)
-    request.ca_path = o_strdup (access->ca_folder);
-  u_map_put (request.map_header, "Authorization", bearer);
-  if (author)
-    u_map_put (request.map_header, "X-Author", author);
-  if (body)
-    ulfius_set_binary_body_request (&request, body, strlen (body));
-  if (ulfius_send_http_request (&request, &response) == U_OK)
-    {
-      const char *revision = u_map_get_case (response.map_header, "X-Revision");
-      reply->status = response.status;
-      reply->text = g_strndup (response.binary_body, response.binary_body_length);
-      reply->revision = revision ? g_ascii_strtoull (revision, NULL, 10) : 0;
-    }
-  else
-    fprintf (stderr, "foxtailgrade: %s cannot be reached\n", access->server);
-  ulfius_clean_request (&request);
-  ulfius_clean_response (&response);
-  g_free (bearer);
-  return reply->status != 0;
-}
-
-/* Prints a JSON reply in readable form; the exit code follows its HTTP status. */
-static int
-print_reply (Reply *reply)
-{
-  struct json_object *root = reply->text ? json_tokener_parse (reply->text) : NULL;
-
-  if (root)
-    printf ("%s\n",
-            json_object_to_json_string_ext (root, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED
-                                                      | JSON_C_TO_STRING_NOSLASHESCAPE));
-  else if (reply->text)
-    printf ("%s", reply->text);
-  json_object_put (root);
-  g_free (reply->text);
-  return reply->status == 200 ? 0 : 1;
-}
-
-static int
-show (const Access *access, const char *path)
-{
-  Reply reply;
-
-  return call (access, "GET", path, NULL, NULL, &reply) ? print_reply (&reply) : 1;
-}
-
 static bool
 read_catalogue (const char *file, char **text, FtCat **cat)
 {
@@ -121,14 +48,14 @@
   Reply reply;
 
   *cat = NULL;
-  if (!call (access, "GET", "/v1/catalogue", NULL, NULL, &reply))
+  if (!access_call (access, "GET", "/v1/catalogue", NULL, NULL, &reply))
     return false;
   bool fine = reply.status == 200;
   *revision = reply.revision;
   if (fine && reply.revision > 0)
     fine = ft_cat_new (reply.text, reply.revision, cat, NULL) == FT_OK;
   if (!fine)
-    print_reply (&reply);
+    access_print (&reply);
   else
     g_free (reply.text);
   return fine;
@@ -167,7 +94,7 @@
   while (!in_force && g_get_monotonic_time () < until)
     {
       Reply reply;
-      if (call (access, "GET", path, NULL, NULL, &reply) && reply.status == 200)
+      if (access_call (access, "GET", path, NULL, NULL, &reply) && reply.status == 200)
         {
           struct json_object *root = json_tokener_parse (reply.text);
           in_force = json_object_get_boolean (json_object_object_get (root, "in_force"));
@@ -205,8 +132,8 @@
   id = args->change_id->count ? g_strdup (args->change_id->sval[0])
                               : g_compute_checksum_for_string (G_CHECKSUM_SHA1, text, -1);
   path = g_strdup_printf ("/v1/changes/%s?base=%" G_GUINT64_FORMAT, id, revision);
-  if (!call (access, "POST", path, args->author->count ? args->author->sval[0] : g_get_user_name (),
-             text, &reply))
+  if (!access_call (access, "POST", path,
+                    args->author->count ? args->author->sval[0] : g_get_user_name (), text, &reply))
     {
       fprintf (stderr,
                "foxtailgrade: the outcome of change %s is unknown; apply it again with "
@@ -265,7 +192,7 @@
 {
   Reply reply;
 
-  if (!call (access, "GET", "/metrics", NULL, NULL, &reply))
+  if (!access_call (access, "GET", "/metrics", NULL, NULL, &reply))
     return 1;
   char **lines = g_strsplit (reply.text, "\n", -1);
   for (char **line = lines; *line; line++)
@@ -285,7 +212,7 @@
   Reply reply;
 
   access.server = url;
-  if (!call (&access, "GET", "/metrics", NULL, NULL, &reply))
+  if (!access_call (&access, "GET", "/metrics", NULL, NULL, &reply))
     return NULL;
   if (reply.status == 200)
     return reply.text;
@@ -298,7 +225,7 @@
 {
   char *escaped = g_uri_escape_string (id, NULL, FALSE);
   char *path = g_strconcat (prefix, escaped, NULL);
-  int result = show (access, path);
+  int result = access_show (access, path);
 
   g_free (escaped);
   g_free (path);
@@ -310,7 +237,7 @@
 {
   char *path = g_strconcat ("/v1/suspects/", content, NULL);
   Reply reply;
-  int result = call (access, "DELETE", path, NULL, NULL, &reply) ? print_reply (&reply) : 1;
+  int result = access_call (access, "DELETE", path, NULL, NULL, &reply) ? access_print (&reply) : 1;
 
   g_free (path);
   return result;
@@ -323,20 +250,23 @@
   const char *argument = args->arguments->count ? args->arguments->sval[0] : NULL;
 
   if (strcmp (command, "status") == 0)
-    return show (access, "/v1/status");
+    return access_show (access, "/v1/status");
   if (strcmp (command, "history") == 0)
-    return show (access, "/v1/history");
+    return access_show (access, "/v1/history");
   if (strcmp (command, "catalogue") == 0)
-    return show (access, "/v1/catalogue");
+    return access_show (access, "/v1/catalogue");
   if (strcmp (command, "top") == 0)
     return top (access);
   if (strcmp (command, "suspects") == 0)
-    return show (access, "/v1/suspects");
+    return access_show (access, "/v1/suspects");
   if (argument == NULL)
     {
       fprintf (stderr, "foxtailgrade: %s needs an argument; try --help\n", command);
       return 2;
     }
+  if (strcmp (command, "rollout") == 0)
+    return rollout_command (access, args->arguments->sval, args->arguments->count,
+                            args->wait->count > 0);
   if (strcmp (command, "check") == 0)
     return check (argument);
   if (strcmp (command, "plan") == 0)
@@ -374,40 +304,46 @@
 {
   printf ("Usage: foxtailgrade");
   arg_print_syntax (stdout, (void **) args, "\n");
-  printf ("Commands:\n"
-          "  check FILE    check a catalogue without sending it\n"
-          "  plan FILE     what a change to FILE would change\n"
-          "  apply FILE    make the change; --wait: until it is in force everywhere\n"
-          "  history       verdicts on changes, newest first\n"
-          "  catalogue     the catalogue in force\n"
-          "  status        the instance that was asked\n"
-          "  top           its counters that are not zero\n"
-          "  explain ID    why a request was refused\n"
-          "  suspects      contents that ran on servers as these ended; also of a foxtailnode's\n"
-          "                voter (--server http://IP:CONTROL-PORT)\n"
-          "  release C     lets the content C go: it is sent again\n"
-          "  members URLS  foxtailnode: the instances at these metrics addresses, by commas\n"
-          "  servers URL   foxtailnode: what the instance believes of backend servers\n"
-          "  digest KEY    the SHA-256 of a key as the catalogue wants it\n"
-          "Options:\n");
+  printf (
+      "Commands:\n"
+      "  check FILE    check a catalogue without sending it\n"
+      "  plan FILE     what a change to FILE would change\n"
+      "  apply FILE    make the change; --wait: until it is in force everywhere\n"
+      "  history       verdicts on changes, newest first\n"
+      "  catalogue     the catalogue in force\n"
+      "  status        the instance that was asked\n"
+      "  top           its counters that are not zero\n"
+      "  explain ID    why a request was refused\n"
+      "  suspects      contents that ran on servers as these ended; also of a foxtailnode's\n"
+      "                voter (--server http://IP:CONTROL-PORT)\n"
+      "  release C     lets the content C go: it is sent again\n"
+      "  rollout start SERVICE VERSION SECONDS | status SERVICE | abort SERVICE\n"
+      "                a foxtailnode's voter: moves the service to servers of another version;\n"
+      "                --wait: until it has ended\n"
+      "  members URLS  foxtailnode: the instances at these metrics addresses, by commas\n"
+      "  servers URL   foxtailnode: what the instance believes of backend servers\n"
+      "  digest KEY    the SHA-256 of a key as the catalogue wants it\n"
+      "Options:\n");
   arg_print_glossary (stdout, (void **) args, "  %-22s %s\n");
 }
 
 int
 main (int argc, char **argv)
 {
-  Args args = { arg_str0 (NULL, NULL, "COMMAND", "what to do"),
-                arg_str0 ("s", "server", "URL", "operators' port, else FOXTAILGRADE_SERVER"),
-                arg_str0 ("k", "key-file", "FILE", "operators' key, else FOXTAILGRADE_KEY_FILE"),
-                arg_str0 (NULL, "ca-folder", "FOLDER", "with certificates to trust with https"),
-                arg_str0 (NULL, "id", "ID", "apply: the change's id"),
-                arg_str0 (NULL, "author", "NAME", "apply: who makes the change"),
-                arg_strn (NULL, NULL, "ARGUMENT", 0, 1, "file, id, key or address"),
-                arg_int0 (NULL, "base", "N", "apply: the revision it was made against"),
-                arg_lit0 (NULL, "wait", "apply: return when in force everywhere"),
-                arg_lit0 ("h", "help", "print this help"),
-                arg_lit0 (NULL, "version", "print the version"),
-                arg_end (8) };
+  Args args
+      = { arg_str0 (NULL, NULL, "COMMAND", "what to do"),
+          arg_str0 ("s", "server", "URL", "operators' port, else FOXTAILGRADE_SERVER"),
+          arg_str0 ("k", "key-file", "FILE", "operators' key, else FOXTAILGRADE_KEY_FILE"),
+          arg_str0 (NULL, "ca-folder", "FOLDER", "with certificates to trust with https"),
+          arg_str0 (NULL, "id", "ID", "apply: the change's id"),
+          arg_str0 (NULL, "author", "NAME", "apply: who makes the change"),
+          arg_strn (NULL, NULL, "ARGUMENT", 0, 4, "file, id, key, address or words"),
+          arg_int0 (NULL, "base", "N", "apply: the revision it was made against"),
+          arg_lit0 (NULL, "wait",
+                    "apply: return when in force everywhere; rollout start: when it has ended"),
+          arg_lit0 ("h", "help", "print this help"),
+          arg_lit0 (NULL, "version", "print the version"),
+          arg_end (8) };
   int result = 2;
   int errors = arg_parse (argc, argv, (void **) &args);
 
--- /dev/null
+++ b/cli/rollout.c
@@ -0,0 +1,107 @@
+/* rollout.c - orders a version at a voter, and waits for what becomes of it. */
+#include "rollout.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WAIT_POLL (500 * FT_MS)
+#define PATH      "/v1/rollouts"
+
+static char *
+path_of (const char *service)
+{
+  char *name = g_uri_escape_string (service, NULL, FALSE);
+  char *path = g_strconcat (PATH "/", name, NULL);
+
+  g_free (name);
+  return path;
+}
+
+/* Its phase is final; *moved: it was completed. */
+static bool
+has_ended (const char *text, bool *moved)
+{
+  struct json_object *root = text ? json_tokener_parse (text) : NULL, *phase = NULL;
+
+  json_object_object_get_ex (root, "phase", &phase);
+  const char *name = phase ? json_object_get_string (phase) : "";
+  *moved = strcmp (name, "completed") == 0;
+  bool ended = *moved || strcmp (name, "rolled back") == 0;
+  json_object_put (root);
+  return ended;
+}
+
+/* A voter may be lost meanwhile: whatever fails is asked again. */
+static int
+wait_for_end (const Access *access, const char *path)
+{
+  bool moved = false;
+
+  while (true)
+    {
+      Reply reply;
+      bool reached = access_call (access, "GET", path, NULL, NULL, &reply);
+      if (reached && reply.status == 200 && has_ended (reply.text, &moved))
+        {
+          access_print (&reply);
+          return moved ? 0 : 1;
+        }
+      if (reached)
+        g_free (reply.text);
+      g_usleep (WAIT_POLL);
+    }
+}
+
+static int
+start (const Access *access, const char *const *words, bool wait)
+{
+  struct json_object *order = json_object_new_object ();
+  char *path = path_of (words[1]);
+  int result = 1;
+  Reply reply;
+
+  json_object_object_add (order, "service", json_object_new_string (words[1]));
+  json_object_object_add (order, "target", json_object_new_string (words[2]));
+  json_object_object_add (order, "limit_s",
+                          json_object_new_int64 (g_ascii_strtoll (words[3], NULL, 10)));
+  if (access_call (access, "POST", PATH, NULL, json_object_to_json_string (order), &reply))
+    {
+      bool taken = reply.status == 200;
+      result = access_print (&reply);
+      if (taken && wait)
+        result = wait_for_end (access, path);
+    }
+  json_object_put (order);
+  g_free (path);
+  return result;
+}
+
+static int
+abort_it (const Access *access, const char *path)
+{
+  Reply reply;
+
+  return access_call (access, "DELETE", path, NULL, NULL, &reply) ? access_print (&reply) : 1;
+}
+
+int
+rollout_command (const Access *access, const char *const *words, int count, bool wait)
+{
+  bool starts = count == 4 && strcmp (words[0], "start") == 0;
+  bool asks = count == 2 && strcmp (words[0], "status") == 0;
+  bool aborts = count == 2 && strcmp (words[0], "abort") == 0;
+
+  if (starts)
+    return start (access, words, wait);
+  if (!asks && !aborts)
+    {
+      fprintf (stderr, "foxtailgrade: rollout wants start SERVICE VERSION SECONDS, status SERVICE "
+                       "or abort SERVICE\n");
+      return 2;
+    }
+  char *path = path_of (words[1]);
+  int result = asks ? access_show (access, path) : abort_it (access, path);
+  g_free (path);
+  return result;
+}
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -127,6 +127,15 @@
     service->conf.stride = 1;
 }
 
+static void
+set_text (char **field, const char *text)
+{
+  char *copy = g_strdup (text);
+
+  g_free (*field);
+  *field = copy;
+}
+
 void
 sched_versions (Sched *sched, const char *name, const SchedVersions *from)
 {
@@ -134,15 +143,11 @@
   Versions *versions = &service->versions;
 
   if (*from->in_use)
-    g_free (g_steal_pointer (&versions->in_use));
-  if (*from->in_use)
-    versions->in_use = g_strdup (from->in_use);
-  g_free (versions->other);
-  versions->other = g_strdup (from->other);
+    set_text (&versions->in_use, from->in_use);
+  set_text (&versions->other, from->other);
   if (strcmp (versions->ordered, from->ordered) != 0)
     versions->placed = versions->granted = 0;
-  g_free (versions->ordered);
-  versions->ordered = g_strdup (from->ordered);
+  set_text (&versions->ordered, from->ordered);
   versions->share = from->share;
   versions->left = from->left;
   versions->follows = from->follows;
--- a/src/versions.c
+++ b/src/versions.c
@@ -64,22 +64,36 @@
 static const char *
 commonest (const Service *service)
 {
-  const char *best = NULL;
+  const Server *server, *best = NULL;
   unsigned most = 0;
-  const Server *server;
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
     if (!server->listed || is_other (&service->versions, server->version))
       continue;
     unsigned count = count_listed (service, server->version);
-    if (best == NULL || count > most || (count == most && strcmp (server->version, best) < 0))
+    if (best == NULL || count > most
+        || (count == most && strcmp (server->version, best->version) < 0))
       {
-        best = server->version;
+        best = server;
         most = count;
       }
   }
-  return best;
+  return best ? best->version : NULL;
+}
+
+/* The other version, if a server of it is listed. */
+static const char *
+listed_other (const Service *service)
+{
+  const Server *server;
+
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (server->listed && is_other (&service->versions, server->version))
+      return server->version;
+  }
+  return NULL;
 }
 
 /* Failure: servers of a version that nobody ordered stand in the list, or an order's own before the
@@ -93,8 +107,8 @@
   if (*versions->in_use && count_listed (service, versions->in_use) > 0)
     return;
   const char *next = commonest (service);
-  if (next == NULL && versions->follows && count_listed (service, versions->other) > 0)
-    next = versions->other;
+  if (next == NULL && versions->follows)
+    next = listed_other (service);
   if (next == NULL)
     return;
   char *copy = g_strdup (next);
