--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -14,73 +14,18 @@
  * version gets its part once more with each. The target gets no more than the log says is reserved
  * for it; whoever takes charge counts what is reserved as spent.
  */
-#include "rollouts.h"
 #include "jlog.h"
-#include "judge.h"
-#include "tell.h"
+#include "rollint.h"
 
 #include <string.h>
 
-/* Tuning; each row with its reason. */
-#define STEP_EVERY    (400 * FT_MS)  /* between two notes in the log: what is lost with a charge */
-#define STEP_LOST     (1500 * FT_MS) /* a proposal without a verdict was lost with a charge */
-#define RESERVE_LEAST 10  /* requests: a trial goes on between two notes of a service with few */
-#define RESERVE_AHEAD 2.0 /* times what the target gets between two notes at the present rate */
-
-/* What this voter has seen of a roll-out's committed steps, in charge or not. */
-typedef struct
-{
-  uint64_t number;
-  MsgRolloutPhase phase;
-  int64_t elapsed_us, at; /* elapsed_us had passed at that time */
-  int64_t phase_at;
-} Seen;
-
-/* A roll-out that this voter, being in charge, leads. */
-typedef struct
-{
-  char *service;
-  uint64_t number;
-  Judge *judge;
-  int64_t started_at;                 /* when the order was accepted */
-  unsigned placed, granted;           /* before this voter took charge ... */
-  unsigned placed_from, granted_from; /* ... and the scheduler's counts then */
-  bool is_bad;                        /* it was found here; the log does not say so yet */
-  uint64_t ticket;                    /* of the step under way; 0: none */
-  int64_t proposed_at;
-} Led;
-
-struct Rollouts
-{
-  Loop *loop;
-  Voter *voter;
-  Broker *broker;
-  RolloutsConf conf;
-  RollAccount *account; /* as committed */
-  GHashTable *seen;     /* service: Seen */
-  GPtrArray *led;       /* Led */
-  unsigned unheard;     /* entries lost lately */
-  Tell *tell;
-  uint64_t told; /* digest of the phases that schedulers and entries have */
-};
-
 static const char *const phases[] = { [MSG_ROLLOUT_TRYING] = "trying",
                                       [MSG_ROLLOUT_MOVING] = "moving",
                                       [MSG_ROLLOUT_COMPLETED] = "completed",
                                       [MSG_ROLLOUT_ROLLED_BACK] = "rolled back" };
 
-static void
-led_free (void *data)
-{
-  Led *led = data;
-
-  judge_free (led->judge);
-  g_free (led->service);
-  g_free (led);
-}
-
-static bool
-in_charge (const Rollouts *rollouts)
+bool
+rollouts_in_charge (const Rollouts *rollouts)
 {
   VoterStatus status;
 
@@ -88,18 +33,6 @@
   return status.proved;
 }
 
-static Led *
-find_led (const Rollouts *rollouts, const char *service)
-{
-  for (unsigned i = 0; i < rollouts->led->len; i++)
-    {
-      Led *led = rollouts->led->pdata[i];
-      if (strcmp (led->service, service) == 0)
-        return led;
-    }
-  return NULL;
-}
-
 const MsgRollout *
 rollouts_find (const Rollouts *rollouts, const char *service)
 {
@@ -109,8 +42,8 @@
 /* ---- Which versions get requests ---- */
 
 /* What the scheduler is to do in a phase; the trial's share is added by whoever is in charge. */
-static SchedVersions
-versions_in (const MsgRollout *rollout, MsgRolloutPhase phase)
+SchedVersions
+rollouts_versions_in (const MsgRollout *rollout, MsgRolloutPhase phase)
 {
   bool back = phase == MSG_ROLLOUT_TRYING || phase == MSG_ROLLOUT_ROLLED_BACK;
   SchedVersions versions = { .in_use = back ? rollout->before : rollout->target,
@@ -123,10 +56,10 @@
   return versions;
 }
 
-static void
-apply (const Rollouts *rollouts, const MsgRollout *rollout)
+void
+rollouts_apply (Rollouts *rollouts, const MsgRollout *rollout)
 {
-  SchedVersions versions = versions_in (rollout, rollout->phase);
+  SchedVersions versions = rollouts_versions_in (rollout, rollout->phase);
 
   broker_versions (rollouts->broker, rollout->service, &versions);
 }
@@ -214,16 +147,16 @@
   seen->phase = rollout->phase;
 }
 
-static int64_t
-elapsed_of (const Rollouts *rollouts, const char *service)
+int64_t
+rollouts_elapsed (const Rollouts *rollouts, const char *service)
 {
   const Seen *seen = g_hash_table_lookup (rollouts->seen, service);
 
   return seen ? seen->elapsed_us + loop_now (rollouts->loop) - seen->at : 0;
 }
 
-static void
-each_rollout (Rollouts *rollouts, void (*call) (Rollouts *, const MsgRollout *))
+void
+rollouts_each (Rollouts *rollouts, void (*call) (Rollouts *, const MsgRollout *))
 {
   MsgRollouts all;
 
@@ -233,12 +166,6 @@
   g_free (all.rollouts.rollouts_val);
 }
 
-static void
-apply_one (Rollouts *rollouts, const MsgRollout *rollout)
-{
-  apply (rollouts, rollout);
-}
-
 /* The trial's own notes change nothing for schedulers and entries. */
 static uint64_t
 digest_of_phases (const Rollouts *rollouts)
@@ -269,214 +196,17 @@
   roll_restore (rollouts->account, &captured);
   codec_clear (CODEC (MsgRollouts), &captured);
   g_bytes_unref (bytes);
-  each_rollout (rollouts, note_seen);
+  rollouts_each (rollouts, note_seen);
   uint64_t digest = digest_of_phases (rollouts);
   if (digest == rollouts->told)
     return;
   rollouts->told = digest;
-  each_rollout (rollouts, apply_one);
+  rollouts_each (rollouts, rollouts_apply);
   tell_changed (rollouts->tell);
-  if (in_charge (rollouts))
+  if (rollouts_in_charge (rollouts))
     tell_all (rollouts->tell);
 }
 
-/* ---- Steps ---- */
-
-static void
-propose_step (Rollouts *rollouts, Led *led, const MsgRolloutStep *step)
-{
-  MsgOp op = { .kind = MSG_OP_ROLLOUT_STEP };
-
-  op.MsgOp_u.rollout_step = *step;
-  led->ticket = voter_propose_op (rollouts->voter, &op);
-  led->proposed_at = loop_now (rollouts->loop);
-}
-
-static void
-fill_trial (const PlanFacts *facts, const JudgeFacts *judged, unsigned ahead, MsgTrial *trial)
-{
-  *trial = (MsgTrial){ .elapsed_ms = facts->elapsed_us / FT_MS,
-                       .requests = facts->placed,
-                       .reserved = facts->granted + ahead,
-                       .answers = judged->answers,
-                       .bad = judged->bad,
-                       .suspicion = (u_int) MIN (judged->suspicion * 1000, 1e6) };
-}
-
-/* How much is reserved beyond what the target has had. */
-static unsigned
-ahead_of (const PlanFacts *facts, const PlanStep *step)
-{
-  double seconds = MAX ((double) facts->elapsed_us / 1e6, 0.1);
-  double rate = facts->placed / seconds * step->share;
-  double wanted = MAX (RESERVE_LEAST, RESERVE_AHEAD * rate * (double) STEP_EVERY / 1e6);
-
-  return (unsigned) MIN (wanted, step->left);
-}
-
-static void
-stop_target (Rollouts *rollouts, const MsgRollout *rollout, Led *led, const PlanStep *step,
-             const JudgeFacts *judged)
-{
-  SchedVersions versions = versions_in (rollout, MSG_ROLLOUT_ROLLED_BACK);
-
-  versions.watched = true;
-  broker_versions (rollouts->broker, rollout->service, &versions);
-  if (led->is_bad)
-    return;
-  led->is_bad = true;
-  jlog (JLOG_WARN, "rollout-stopped", NULL, JL_TEXT ("service", rollout->service),
-        JL_TEXT ("target", rollout->target), JL_TEXT ("why", step->why),
-        JL_INT ("answers", judged->answers), JL_INT ("bad", judged->bad),
-        JL_INT ("suspicion", judged->suspicion * 1000), JL_INT ("route", judged->route),
-        JL_INT ("before_permille", judged->before * 1000),
-        JL_INT ("after_permille", judged->after * 1000));
-}
-
-static void
-gather (Rollouts *rollouts, const MsgRollout *rollout, const Led *led, JudgeFacts *judged,
-        PlanFacts *facts)
-{
-  const Seen *seen = g_hash_table_lookup (rollouts->seen, rollout->service);
-  int64_t now = loop_now (rollouts->loop);
-  SchedServiceStats stats;
-
-  broker_service_stats (rollouts->broker, rollout->service, &stats);
-  judge_servers (led->judge, stats.ordered.servers);
-  judge_facts (led->judge, judged);
-  *facts = (PlanFacts){ .phase = rollout->phase,
-                        .elapsed_us = now - led->started_at,
-                        .limit_us = rollout->limit_ms * FT_MS,
-                        .phase_us = now - seen->phase_at,
-                        .placed = led->placed + stats.placed - led->placed_from,
-                        .granted = led->granted + stats.granted - led->granted_from,
-                        .servers = stats.ordered.servers,
-                        .places = stats.ordered.places,
-                        .places_before = stats.used.places,
-                        .running_before = stats.running_before,
-                        .unheard = rollouts->unheard,
-                        .longest_us = stats.longest_us,
-                        .answers = judged->answers,
-                        .in_use = strcmp (rollout->before, rollout->target) == 0,
-                        .suspicion = judged->suspicion,
-                        .before = judged->before_all,
-                        .after = judged->after_all };
-}
-
-static void
-lead (Rollouts *rollouts, const MsgRollout *rollout, Led *led)
-{
-  int64_t now = loop_now (rollouts->loop);
-  JudgeFacts judged;
-  PlanFacts facts;
-  PlanStep step;
-
-  gather (rollouts, rollout, led, &judged, &facts);
-  plan_next (&rollouts->conf.limits, &facts, &step);
-  if (step.phase == MSG_ROLLOUT_ROLLED_BACK)
-    stop_target (rollouts, rollout, led, &step, &judged);
-  else if (step.phase == MSG_ROLLOUT_TRYING)
-    {
-      SchedVersions versions = versions_in (rollout, rollout->phase);
-      unsigned reserved = rollout->trial.reserved;
-      versions.share = step.share;
-      versions.left = MIN (step.left, reserved > facts.granted ? reserved - facts.granted : 0);
-      broker_versions (rollouts->broker, rollout->service, &versions);
-    }
-  if (led->ticket && now - led->proposed_at < STEP_LOST)
-    return;
-  if (step.phase == rollout->phase && now - led->proposed_at < STEP_EVERY)
-    return;
-  MsgRolloutStep next = { .service = rollout->service,
-                          .number = rollout->number,
-                          .phase = step.phase,
-                          .why = (char *) (step.why ? step.why : "") };
-  fill_trial (&facts, &judged, ahead_of (&facts, &step), &next.trial);
-  propose_step (rollouts, led, &next);
-}
-
-/* ---- Being in charge ---- */
-
-static void
-begin_to_lead (Rollouts *rollouts, const MsgRollout *rollout)
-{
-  Led *led = g_new0 (Led, 1);
-  const MsgTrial *trial = &rollout->trial;
-  SchedServiceStats stats;
-
-  apply (rollouts, rollout);
-  broker_service_stats (rollouts->broker, rollout->service, &stats);
-  led->service = g_strdup (rollout->service);
-  led->number = rollout->number;
-  led->judge = judge_new (loop_clock (rollouts->loop), JUDGE_SEQUENTIAL);
-  judge_resume (led->judge, trial->answers, trial->bad, trial->suspicion / 1e3);
-  led->started_at = loop_now (rollouts->loop) - elapsed_of (rollouts, rollout->service);
-  led->placed = trial->requests;
-  led->granted = trial->reserved;
-  led->placed_from = stats.placed;
-  led->granted_from = stats.granted;
-  g_ptr_array_add (rollouts->led, led);
-}
-
-static void
-lead_one (Rollouts *rollouts, const MsgRollout *rollout)
-{
-  Led *led = find_led (rollouts, rollout->service);
-
-  if (led && (led->number != rollout->number || !roll_is_active (rollout)))
-    {
-      g_ptr_array_remove_fast (rollouts->led, led);
-      led = NULL;
-    }
-  if (!roll_is_active (rollout))
-    return;
-  if (led == NULL)
-    begin_to_lead (rollouts, rollout);
-  lead (rollouts, rollout, find_led (rollouts, rollout->service));
-}
-
-static void
-on_judged (void *host, const SchedJudged *judged)
-{
-  const Rollouts *rollouts = host;
-  const Led *led = find_led (rollouts, judged->service);
-  JudgeAnswer answer
-      = { judged->route, sched_server_digest (judged->server), judged->ordered, judged->bad };
-
-  if (led)
-    judge_answer (led->judge, &answer);
-}
-
-void
-rollouts_tick (Rollouts *rollouts, unsigned unheard)
-{
-  rollouts->unheard = unheard;
-  if (roll_index (rollouts->account) == 0)
-    return;
-  if (!in_charge (rollouts))
-    {
-      /* What was stopped here only is the next one's to find. */
-      if (rollouts->led->len > 0)
-        each_rollout (rollouts, apply_one);
-      g_ptr_array_set_size (rollouts->led, 0);
-      return;
-    }
-  each_rollout (rollouts, lead_one);
-  tell_all (rollouts->tell);
-}
-
-void
-rollouts_verdict (Rollouts *rollouts, uint64_t ticket, FtStatus status)
-{
-  (void) status; /* what was not committed is proposed again */
-  for (unsigned i = 0; i < rollouts->led->len; i++)
-    {
-      Led *led = rollouts->led->pdata[i];
-      if (led->ticket == ticket)
-        led->ticket = 0;
-    }
-}
-
 /* ---- Links ---- */
 
 void
@@ -497,7 +227,7 @@
 rollouts_order (Rollouts *rollouts, const SeamRollout *order, uint64_t *ticket)
 {
   const MsgRollout *known = rollouts_find (rollouts, order->service);
-  bool lately = elapsed_of (rollouts, order->service) < rollouts->conf.repeat_us;
+  bool lately = rollouts_elapsed (rollouts, order->service) < rollouts->conf.repeat_us;
   RollOrder verdict = roll_check (rollouts->account, order->service, order->target, lately);
   MsgOp op = { .kind = MSG_OP_ROLLOUT_START };
   SchedServiceStats stats;
@@ -588,9 +318,9 @@
   rollouts->conf = *conf;
   rollouts->account = roll_new ();
   rollouts->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  rollouts->led = g_ptr_array_new_with_free_func (led_free);
+  rollouts->led = g_ptr_array_new_with_free_func (rollead_free);
   rollouts->tell = tell_new (pack_for_entries, rollouts);
-  broker_watch (broker, on_judged, rollouts);
+  broker_watch (broker, rollead_judged, rollouts);
   return rollouts;
 }
 
