--- a/node/servers.c
+++ b/node/servers.c
@@ -1,7 +1,7 @@
 /* servers.c - of two lists the one that was asked for later counts, whoever read it.
  *
  * With thousands of servers before hundreds of instances the list is megabytes a second if it is
- * sent whole at each change (measured: 10 MB/s from a voter at 3,000 servers and 299 instances).
+ * sent whole at each change.
  * So each change of the list is a step; of the latest steps it is known which servers they changed,
  * and whoever holds the list of one of them is sent what has changed since. Who holds another one
  * hears the digest and asks for the whole, in compressed form.
--- a/src/admit.c
+++ b/src/admit.c
@@ -12,17 +12,12 @@
 #include <stdio.h>
 
 /* Tuning; each row with its reason. */
-#define CAUTION_LEAST                                                                              \
-  1.15 /* of an estimate at arrival where no higher tier takes places: at 1.0, 10.5 % of those     \
-          refused in an overload of twice the places had been held over 0.4 s */
-#define CAUTION                                                                                    \
-  2.5 /* the same where higher tiers take CAUTION_PART of them, and more of them may come:         \
-         with 1.3 one in five of those refused had been held over 0.4 s, with 2.5 less than one in \
-         ten */
-#define CAUTION_PART 0.3
-#define HOPELESS     1.3 /* a queued request is given up when its estimate is so far off */
-#define ADVICE_LEAST (100 * FT_MS)
-#define ADVICE_PART  3 /* callers wait for a third of the time that they have left */
+#define CAUTION_LEAST 1.15 /* times an estimate at arrival where no higher tier takes places */
+#define CAUTION       2.5 /* the same where higher tiers take CAUTION_PART of them, and more may come */
+#define CAUTION_PART  0.3
+#define HOPELESS      1.3 /* a queued request is given up when its estimate is so far off */
+#define ADVICE_LEAST  (100 * FT_MS)
+#define ADVICE_PART   3 /* callers wait for a third of the time that they have left */
 
 void
 admit_refuse (Sched *sched, Job *job, FtReason reason, double wait, int64_t now)
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -32,15 +32,10 @@
   2.5e6 /* microseconds: a fault of seconds is met once or twice more, and 15 s                    \
            after it connections are kept as before */
 #define OPEN_ENGINE_US                                                                             \
-  100e3 /* worth of a connection that is there, to an engine, whose answers take a second: with    \
-           291 entries before 160 engines 14,400 instead of 20,300 connections were opened for     \
-           34,300 requests, and as many were on time */
-#define OPEN_US                                                                                    \
-  30e3 /* the same to a plain service, as long as an answer takes: its set-up, and it holds a      \
-          place meanwhile */
-#define OWN_TIER                                                                                   \
-  0.7 /* of the arrivals of a late request's tier that go before it: those on time; at 0 one and   \
-         a half to five times as much worth is given up late */
+  100e3               /* worth of a connection that is there, to an engine: a tenth of an answer */
+#define OPEN_US  30e3 /* the same to a plain service: its set-up, and it holds a place meanwhile */
+#define OWN_TIER 0.7  /* of the arrivals of a late request's tier that go before it: those on time \
+                       */
 #define FAILED_US   2000000.0 /* cost of a lost answer, as much as finishing later by so much */
 #define FAILED_FOR  5e6       /* microseconds over which failures are forgotten: servers restart */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
--- a/src/health.c
+++ b/src/health.c
@@ -13,9 +13,8 @@
 #define GONE_OUT     (10 * FT_SECOND) /* lists show a lost server for some seconds */
 #define FAIL_LEARN   0.2              /* weight of a new outcome in the share of failures */
 #define FAIL_OUT                                                                                   \
-  0.7 /* share of failures that takes a server out: six in a row. One that fails four in ten is    \
-         dearer than others, and of use when they are full: taken out after three, 157 instead of  \
-         26 of 5,562 requests to a service of five such servers were late in a burst */
+  0.7 /* share of failures that takes a server out: six in a row; one that fails four in ten is of \
+         use when the others are full */
 #define FAIL_TIMES 1.8 /* and so many times its service's mean */
 
 static double
@@ -63,9 +62,9 @@
 }
 
 /* Failure: a server is taken out because it fails too much, while it still runs what it was given
- * before. Symptom: the next of these answers brings it back within milliseconds, 28 times in 44 in
- * one run of 160 servers, and it fails on. Of one that failed only what was sent after that
- * counts, either way; one that was unreachable or silent is back with whatever it answers. */
+ * before. Symptom: the next of these answers brings it back within milliseconds, and it fails on.
+ * Of one that failed only what was sent after that counts, either way; one that was unreachable or
+ * silent is back with whatever it answers. */
 static bool
 says_nothing_new (const Server *server, int64_t granted_at)
 {
@@ -140,8 +139,8 @@
       health_silent (sched, server, granted_at, now);
       break;
     /* Failure: a server crashes and another starts at its address, while the list still shows the
-     * first. Symptom: its places seem free, and one request after the other is turned away there,
-     * 22 at each server within 2 s. The lifetime has ended; the list will say so. */
+     * first. Symptom: its places seem free, and one request after the other is turned away there.
+     * The lifetime has ended; the list will say so. */
     case SCHED_GONE:
       server->out_until = now + GONE_OUT;
       server->trial = true;
--- a/src/patience.c
+++ b/src/patience.c
@@ -4,8 +4,6 @@
  * place of a newcomer that could be on time, although its caller has waited longer than is on time
  * already. Callers of one kind wait for about as long, so the longest patience seen of late on a
  * route is that of newcomers, and who says clearly less has used up the difference.
- * Measured in an overload, same load and seed: the lowest tier keeps 0.53 of its worth instead of
- * 0.46 (74 entries, 60 engines), 0.54 instead of 0.52 (64 entries, 140 engines).
  */
 #include "patience.h"
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -21,8 +21,8 @@
 /* Tuning; each row with its reason. */
 #define START_LEAST 0.15 /* of a burst: two or three requests; a fiftieth of a window of 8 s */
 #define START_MARGIN                                                                               \
-  0.4 /* of the margin: everything may start anew twice in one window, and LENIENCE takes a fifth; \
-         at 0.35 an organisation's lower ranks were refused for a second after such a start */
+  0.4 /* of the margin: everything may start anew twice in one window, and LENIENCE takes a fifth  \
+       */
 #define MARGIN_USED                                                                                \
   0.6                   /* of the margin; the rest covers errors that the share does not know of   \
                          */
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -78,8 +78,7 @@
  * a tenth of the requests, with answers of ten times the usual length, hold half of the places, and
  * the rest is refused. So a large one is refused at a shorter queue and a small one at a longer
  * one, unless large ones have been served much less often than the others of late: nobody is
- * starved. In an overload of half again as much as the servers can do, 0.98 instead of 0.74 of the
- * usual ones are on time without that floor, and 0.37 instead of 0.64 of the large ones. */
+ * starved. */
 double
 wait_caution (const Job *job)
 {
