--- a/node/rollead.c
+++ b/node/rollead.c
@@ -107,6 +107,7 @@
                         .places = stats.ordered.places,
                         .places_before = stats.used.places,
                         .running_before = stats.running_before,
+                        .once_before = stats.once_before,
                         .unheard = rollouts->unheard,
                         .longest_us = stats.longest_us,
                         .answers = judged->answers,
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -32,10 +32,11 @@
   2.5e6 /* microseconds: a fault of seconds is met once or twice more, and 15 s                    \
            after it connections are kept as before */
 #define OPEN_ENGINE_US                                                                             \
-  100e3               /* worth of a connection that is there, to an engine: a tenth of an answer */
-#define OPEN_US  30e3 /* the same to a plain service: its set-up, and it holds a place meanwhile */
-#define OWN_TIER 0.7  /* of the arrivals of a late request's tier that go before it: those on time \
-                       */
+  100e3              /* worth of a connection that is there, to an engine: a tenth of an answer */
+#define OPEN_US 30e3 /* the same to a plain service: its set-up, and it holds a place meanwhile */
+#define OWN_TIER                                                                                   \
+  0.7 /* of the arrivals of a late request's tier that go before it: those on time                 \
+       */
 #define FAILED_US   2000000.0 /* cost of a lost answer, as much as finishing later by so much */
 #define FAILED_FOR  5e6       /* microseconds over which failures are forgotten: servers restart */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
--- a/src/rollplan.c
+++ b/src/rollplan.c
@@ -15,8 +15,8 @@
  *
  * When the time cannot hold all this (a short limit, servers that start late), the trial is what is
  * cut: an order says that the move is wanted within its time, and a version that shows itself bad
- * is rolled back in the move as well. What is never cut is the end of answers under way: rather
- * the limit is passed. A target that has hardly been tried, or cannot carry the load, is not
+ * is rolled back in the move as well. Answers under way that may run once only are never cut:
+ * rather the limit is passed. A target that has hardly been tried, or cannot carry the load, is not
  * moved to at all; it is rolled back at the limit.
  */
 #include "rollplan.h"
@@ -136,8 +136,18 @@
     }
 }
 
-/* An entry that was lost lately may still run requests on the version before. It is waited for, but
- * not beyond the limit: it may have been killed with what it ran. */
+/* May the servers of the version before stop? An entry that was lost lately may still run requests
+ * there. It is waited for, but not beyond the limit: it may have been killed with what it ran. Nor
+ * does one long stream hold the move up beyond its limit if it can go on at another server, behind
+ * its last event; what may run once only is waited for to its end. */
+static bool
+may_stop_others (const PlanFacts *facts, bool over)
+{
+  if (over)
+    return facts->once_before == 0;
+  return facts->running_before == 0 && facts->unheard == 0 && facts->suspicion < SUSPECTED;
+}
+
 static void
 plan_move (const PlanFacts *facts, PlanStep *step)
 {
@@ -148,11 +158,11 @@
       step->phase = MSG_ROLLOUT_ROLLED_BACK;
       step->why = "all servers of the version are gone";
     }
-  else if (facts->running_before == 0 && facts->phase_us >= SETTLE
-           && ((facts->suspicion < SUSPECTED && facts->unheard == 0) || over))
+  else if (facts->phase_us >= SETTLE && may_stop_others (facts, over))
     {
       step->phase = MSG_ROLLOUT_COMPLETED;
-      step->why = "nothing runs on other versions any more";
+      step->why = facts->running_before ? "its time is over, and what runs elsewhere can go on"
+                                        : "nothing runs on other versions any more";
     }
 }
 
--- a/src/rollplan.h
+++ b/src/rollplan.h
@@ -20,6 +20,7 @@
   unsigned servers, places;     /* of the target, live */
   unsigned places_before;       /* of the version before, live */
   unsigned running_before;      /* requests on servers of any other version ... */
+  unsigned once_before;         /* ... of these, what may run once only ... */
   unsigned unheard;             /* ... as far as is known: entries that were lost lately */
   int64_t longest_us;           /* the longest answer of late */
   unsigned answers;             /* of the target's that were judged */
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -135,7 +135,8 @@
   char in_use[128];                /* "": no server was ever listed */
   unsigned placed, granted;        /* requests so far, and of them on the ordered version */
   SchedVersionStats used, ordered; /* of the version in use, and of the ordered one */
-  unsigned running_before;         /* on servers of any version but the ordered one */
+  unsigned running_before;         /* on servers of any version but the ordered one ... */
+  unsigned once_before;            /* ... and of these, what may run once only */
   int64_t longest_us;              /* the longest answer of the last seconds */
 } SchedServiceStats;
 
--- a/src/versions.c
+++ b/src/versions.c
@@ -349,6 +349,15 @@
   stats->places += server->slots;
 }
 
+static void
+count_before (const Server *server, SchedServiceStats *stats)
+{
+  const Job *job;
+
+  stats->running_before += server->running;
+  cds_list_for_each_entry (job, &server->runs, link) { stats->once_before += !job->ask.repeatable; }
+}
+
 void
 sched_service_stats (Sched *sched, const char *name, SchedServiceStats *stats)
 {
@@ -370,6 +379,6 @@
     if (is_ordered (versions, server))
       count_server (server, &stats->ordered);
     else
-      stats->running_before += server->running;
+      count_before (server, stats);
   }
 }
