--- a/src/versions.c
+++ b/src/versions.c
@@ -46,24 +46,25 @@
   return *versions->other && strcmp (versions->other, version) == 0;
 }
 
-static unsigned
-count_listed (const Service *service, const char *version)
+static bool
+is_listed (const Service *service, const char *version)
 {
   const Server *server;
-  unsigned count = 0;
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    count += server->listed && strcmp (server->version, version) == 0;
+    if (server->listed && strcmp (server->version, version) == 0)
+      return true;
   }
-  return count;
+  return false;
 }
 
 /* The version of most listed servers, the other one left out; of two alike the lesser name, which
- * is the older one where names count up. */
+ * is the older one where names count up. In one pass: a list may hold thousands. */
 static const char *
 commonest (const Service *service)
 {
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
   const Server *server, *best = NULL;
   unsigned most = 0;
 
@@ -71,7 +72,8 @@
   {
     if (!server->listed || is_other (&service->versions, server->version))
       continue;
-    unsigned count = count_listed (service, server->version);
+    unsigned count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, server->version)) + 1;
+    g_hash_table_insert (counts, server->version, GUINT_TO_POINTER (count));
     if (best == NULL || count > most
         || (count == most && strcmp (server->version, best->version) < 0))
       {
@@ -79,6 +81,7 @@
         most = count;
       }
   }
+  g_hash_table_unref (counts);
   return best ? best->version : NULL;
 }
 
@@ -104,7 +107,7 @@
 {
   Versions *versions = &service->versions;
 
-  if (*versions->in_use && count_listed (service, versions->in_use) > 0)
+  if (*versions->in_use && is_listed (service, versions->in_use))
     return;
   const char *next = commonest (service);
   if (next == NULL && versions->follows)
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -545,6 +545,36 @@
   pool_free (pool);
 }
 
+/* A service starts with a list of thousands of servers, a few of them of a version that nobody has
+ * ordered, named first. An instance with a part of a processor that compares each with each takes
+ * half a second before it serves anybody; one pass finds the version of most. */
+static void
+version_of_most_is_used (void)
+{
+  enum
+  {
+    MANY = 20000,
+    ODD = 3
+  };
+  Pool *pool = pool_new (0);
+  SchedServer *list = g_new0 (SchedServer, MANY);
+  char (*ids)[16] = g_malloc0 (MANY * sizeof *ids);
+
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      g_snprintf (ids[i], sizeof ids[i], "%c0-%u", i < ODD ? 's' : 't', i);
+      list[i] = (SchedServer){ ids[i], "s", "d", 4, false, 0, i < ODD ? "v0" : "v1" };
+    }
+  sched_list (pool->sched, list, MANY);
+  SchedServiceStats stats;
+  sched_service_stats (pool->sched, "s", &stats);
+  g_assert_cmpstr (stats.in_use, ==, "v1");
+  g_assert_cmpuint (stats.used.servers, ==, MANY - ODD);
+  g_free (ids);
+  g_free (list);
+  pool_free (pool);
+}
+
 /* A trial: a tenth of each route's requests goes to the version, and no more than are left. They
  * are so few that one server would hold them all; both get some, so that one that fails by itself
  * can be told from a bad version. */
@@ -641,6 +671,7 @@
   g_test_add_func ("/judge/sound", sound_versions_are_not);
   g_test_add_func ("/judge/taken_over", evidence_is_taken_over);
   g_test_add_func ("/versions/unordered", unordered_version_gets_nothing);
+  g_test_add_func ("/versions/most", version_of_most_is_used);
   g_test_add_func ("/versions/trial", trial_gets_its_share);
   g_test_add_func ("/versions/after", after_the_verdict);
   g_test_add_func ("/versions/cut_off", cut_off_entry_follows);
