--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -239,12 +239,22 @@
 
 static bool
 place (Sched *sched, Job *job, int64_t now)
+{
+  Server *server = est_choose (sched, job, now);
+
+  if (server)
+    grant (sched, job, server, now);
+  return server != NULL;
+}
+
+/* A request that is due to a version that is tried goes there at once or, like any other, to the
+ * version in use: it waits for no place of the first, and goes before nobody at the other. */
+static bool
+place_tried (Sched *sched, Job *job, int64_t now)
 {
   Server *server = job->tried ? ver_choose (sched, job, now) : NULL;
 
-  job->tried = false; /* it waits for none of those */
-  if (server == NULL)
-    server = est_choose (sched, job, now);
+  job->tried = false;
   if (server)
     grant (sched, job, server, now);
   return server != NULL;
@@ -400,7 +410,7 @@
   wait_note_arrival (job, now);
   wait_add (job);
   ver_note_ask (job);
-  if (!job->tried || !place (sched, job, now))
+  if (!place_tried (sched, job, now))
     dispatch (sched, service, now);
   if (job->server)
     {
