--- a/node/broker.c
+++ b/node/broker.c
@@ -19,6 +19,7 @@
   uint64_t owner; /* the peer's lifetime */
   unsigned waiting;
   int64_t asked_at;
+  bool away; /* it asks another now */
 } Asker;
 
 typedef struct
@@ -304,6 +305,7 @@
   if (from->spent_tokens > 0)
     quota_used (broker->quota, from->org, from->spent_tokens, now - from->spent_ms * FT_MS);
   asker->asked_at = now;
+  asker->away = false;
   if (from->running)
     {
       sched_adopt (broker->sched, &ask, from->server);
@@ -323,6 +325,15 @@
     asker->asked_at = loop_now (broker->loop);
 }
 
+static void
+turn_away (Asker *asker)
+{
+  if (asker == NULL)
+    return;
+  asker->away = true;
+  asker->asked_at = -ASKED_LATELY;
+}
+
 bool
 broker_message (Broker *broker, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -344,6 +355,11 @@
       sched_silent (broker->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
       return true;
     case MESH_DONE:
+      if (done->request == MESH_TURNED_AWAY)
+        {
+          turn_away (asker);
+          return true;
+        }
       result
           = (SchedResult){ done->outcome <= SCHED_LEFT ? (SchedOutcome) done->outcome : SCHED_LEFT,
                            done->event_us, done->answer_us, done->broke, done->rested_ms * FT_MS };
@@ -384,6 +400,19 @@
   return count;
 }
 
+unsigned
+broker_away (const Broker *broker)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, broker->askers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((Asker *) value)->away;
+  return count;
+}
+
 /* ---- What it works with ---- */
 
 void
--- a/node/broker.h
+++ b/node/broker.h
@@ -61,6 +61,8 @@
 bool broker_asked (const Broker *broker, const MeshPeer *peer);
 /* Instances that have asked within the last seconds. */
 unsigned broker_askers (const Broker *broker);
+/* Linked instances that have said that they ask another now. */
+unsigned broker_away (const Broker *broker);
 
 /* See sched_versions and SchedOps.judged. */
 void broker_versions (Broker *broker, const char *service, const SchedVersions *versions);
--- a/node/control.c
+++ b/node/control.c
@@ -70,8 +70,9 @@
 share_limits (Control *control)
 {
   unsigned lost, heard = publish_entries (control->publish, &lost);
+  unsigned away = MIN (broker_away (control->broker), heard);
 
-  broker_share (control->broker, 1, heard ? (double) heard / (heard + lost) : 1, 0);
+  broker_share (control->broker, 1, heard ? (double) (heard - away) / (heard + lost) : 1, 0);
 }
 
 /* ---- Links ---- */
--- a/node/place.c
+++ b/node/place.c
@@ -241,14 +241,29 @@
     broker_done (place->own, item->number, &withdrawn);
 }
 
+/* Failure: an entry behind a lossy path goes between schedulers several times a second, and each
+ * counts it as its own for a while. Symptom: each gives away this entry's part of the limits, and
+ * an organisation passes its own. Who is left is told so. */
+static void
+say_turned_away (MeshPeer *peer)
+{
+  MeshMsg msg = { .kind = MESH_DONE };
+
+  msg.MeshMsg_u.done = (MeshDone){ .request = MESH_TURNED_AWAY, .outcome = SCHED_LEFT };
+  mesh_send (peer, &msg);
+}
+
 /* Everything that waits goes to the new one, and it learns what runs. */
 static void
 change_to (Place *place, MeshPeer *next, const char *why)
 {
+  MeshPeer *before = place->current;
   GHashTableIter iter;
   gpointer value;
 
   place->current = next;
+  if (before)
+    say_turned_away (before);
   jlog (JLOG_INFO, "scheduler", NULL, JL_TEXT ("by", place_by (place)), JL_TEXT ("why", why),
         JL_INT ("peer", next ? next->ip : 0), JL_INT ("term", place->term),
         JL_INT ("waiting", place->waiting));
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -21,6 +21,7 @@
 #define MESH_ORGS_MOST 8192
 #define MESH_KEPT_MOST 32
 #define MESH_FILL_UNKNOWN 4294967295
+#define MESH_TURNED_AWAY 0
 
 enum MeshRole {
 	MESH_ENTRY = 1,
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -10,6 +10,7 @@
 const MESH_ORGS_MOST = 8192;
 const MESH_KEPT_MOST = 32;
 const MESH_FILL_UNKNOWN = 4294967295;
+const MESH_TURNED_AWAY = 0; /* for a request: the sender asks another from now on */
 
 enum MeshRole { MESH_ENTRY = 1, MESH_VOTER = 2 };
 
--- a/test/place.c
+++ b/test/place.c
@@ -223,6 +223,77 @@
   end ();
 }
 
+/* Packets are lost, and an entry goes from the voter in charge to a deputy and back, several times
+ * a second. Each takes it for its own for seconds and gives away its part of the limits: together
+ * they gave 1.7 times an organisation's limit, and callers beyond it were served. Who is left is
+ * told. */
+static unsigned
+turns_told (Scheduler *one)
+{
+  unsigned turns = 0;
+  MeshMsg msg;
+
+  while (test_peer_next (one, &msg))
+    {
+      turns += msg.kind == MESH_DONE && msg.MeshMsg_u.done.request == 0;
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  return turns;
+}
+
+static void
+left_scheduler_is_told (void)
+{
+  begin ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  in_charge (&a, 1);
+  ask (1, 100);
+  grant (&a, 1);
+  g_assert_cmpuint (turns_told (&a), ==, 0);
+  in_charge (&b, 2);
+  g_assert_cmpuint (turns_told (&a), ==, 1);
+  g_assert_cmpuint (turns_told (&b), ==, 0);
+  in_charge (&a, 3);
+  g_assert_cmpuint (turns_told (&b), ==, 1);
+  g_assert_cmpuint (turns_told (&a), ==, 0);
+  test_peer_end (&a);
+  test_peer_end (&b);
+  end ();
+}
+
+/* The same from the other side: an entry that has turned away is no longer counted, neither as one
+ * that asks here nor as one for which this scheduler keeps a part, until it asks again. */
+static void
+turned_away_is_not_counted (void)
+{
+  MeshMsg asks = { .kind = MESH_ASK }, turns = { .kind = MESH_DONE };
+  char none[] = "", service[] = "s";
+
+  begin ();
+  Broker *broker = place_broker (place);
+  Scheduler entry = scheduler (31);
+  asks.MeshMsg_u.ask = (MeshAsk){ .request = 1,
+                                  .service = service,
+                                  .org = none,
+                                  .avoid = none,
+                                  .server = none,
+                                  .org_fill_ms = MESH_FILL_UNKNOWN,
+                                  .end_in_us = FT_SECOND };
+  broker_up (broker, &entry.peer);
+  broker_message (broker, &entry.peer, &asks);
+  g_assert_cmpuint (broker_askers (broker), ==, 1);
+  broker_message (broker, &entry.peer, &turns);
+  g_assert_cmpuint (broker_askers (broker), ==, 0);
+  g_assert_cmpuint (broker_away (broker), ==, 1);
+  asks.MeshMsg_u.ask.request = 2;
+  broker_message (broker, &entry.peer, &asks);
+  g_assert_cmpuint (broker_askers (broker), ==, 1);
+  g_assert_cmpuint (broker_away (broker), ==, 0);
+  broker_down (broker, &entry.peer);
+  test_peer_end (&entry);
+  end ();
+}
+
 /* The scheduler dies, and the next one knows nothing of the limits' accounts. Whoever asks it
  * passes on what the one before reported last; a scheduler is not told its own reports. */
 static void
@@ -509,6 +580,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/place/use_elsewhere", use_elsewhere_is_told);
+  g_test_add_func ("/place/left", left_scheduler_is_told);
+  g_test_add_func ("/place/turned_away", turned_away_is_not_counted);
   g_test_add_func ("/place/handover", account_is_handed_over);
   g_test_add_func ("/place/report", report_of_account_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
