--- a/test/rolls.c
+++ b/test/rolls.c
@@ -368,8 +368,9 @@
   fleet_free (fleet);
 }
 
-/* Two voters lose their disks right after they acknowledged an order; three are there, and the
- * third has it too. The order is not gone. */
+/* The voter that acknowledged an order loses its disk right after, and comes back empty. Its
+ * operator asks for the order's state and is told that there is none. It is on the other voters'
+ * disks, so it is still there. */
 static void
 disk_lost_after_order (void)
 {
