--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -18,7 +18,7 @@
 for log in "$@"; do
   [ -r "$log" ] || { echo "regression.sh: $log cannot be read" >&2; exit 2; }
   awk '/^score on the standard days of/ { site = $7 }
-       /^(quiet|trouble|scale)-[0-9]+ / { print site "," $1 "," $4 }' "$log" | sed 's/:,/,/'
+       /^(quiet|trouble|scale)-[0-9]+ / && $2 ~ /\// { print site "," $1 "," $4 }' "$log" | sed 's/:,/,/'
 done >"$now"
 [ -s "$now" ] || { echo "regression.sh: no scores in these logs" >&2; exit 2; }
 awk -F, -v known="$known" '
