What a server says of itself in an answer is read and logged

The adapter now reads the three fields (bounded, one reader each), and the entry logs a server-notice line with server, status, values and who schedules, and counts foxtail_server_notices_total. Nothing acts on them yet: sends are as before. Values that are none leave what was known of a rate or a leaving as it is, and a rest that cannot be read counts as 1 s. Test: /adapter/notices, 21 values; /adapter/advice_for_callers.

--- a/node/count.h
+++ b/node/count.h
@@ -24,6 +24,7 @@
   COUNT_GRANTS,
   COUNT_SERVER_ENDS, /* servers that ended while they ran requests of this instance */
   COUNT_QUARANTINED, /* requests ended since servers end under their content */
+  COUNT_NOTICES,     /* answers in which a server said something of itself */
   COUNTERS
 } Counter;
 
--- a/node/seam.h
+++ b/node/seam.h
@@ -7,6 +7,7 @@
 #define SEAM_H
 
 #include "hmsg.h"
+#include "notice.h"
 #include "route.h"
 #include "sock.h"
 
@@ -45,6 +46,8 @@
   bool event_stream;
   bool has_load;
   unsigned running, waiting, slots;
+  Notice notice;
+  const char *unread; /* the value of a notice's field that cannot be read; NULL: none */
 } SeamAnswer;
 
 typedef struct
--- a/node/try.c
+++ b/node/try.c
@@ -58,6 +58,23 @@
   req_after_try (req, RETRY_GONE);
 }
 
+/* What the server says of itself counts if the answer is its own, to this request. */
+static void
+take_notice (const Req *req, const SeamAnswer *answer)
+{
+  const Notice *notice = &answer->notice;
+
+  if (answer->elsewhere || (answer->id == NULL && *req->id))
+    return;
+  if (notice_is_empty (notice) && answer->unread == NULL)
+    return;
+  count_up (COUNT_NOTICES);
+  jlog (JLOG_INFO, "server-notice", req->id, JL_TEXT ("server", req->server),
+        JL_INT ("status", req->status), JL_INT ("rate_milli", notice->rate * 1e3),
+        JL_INT ("leaving", notice->leaving), JL_MS ("backoff_ms", notice->backoff_us),
+        JL_TEXT ("unread", answer->unread), JL_TEXT ("by", place_by (req->all->conf.place)));
+}
+
 static bool
 on_head (void *user, const HMsg *msg)
 {
@@ -74,6 +91,7 @@
     }
   req->head_seen = true;
   req->status = hmsg_status (msg);
+  take_notice (req, &answer);
   if (answer.not_run && (answer.id || req->status == 400))
     {
       /* Its own word that this try did not run; earlier tries stand. */
--- /dev/null
+++ b/src/notice.c
@@ -0,0 +1,48 @@
+/* notice.c - reads the values of a server's notices. */
+#include "notice.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Digits with at most one point: no sign, no exponent, no name of a number. */
+static bool
+read_number (const char *text, double *out)
+{
+  char *end;
+
+  if (text[strspn (text, "0123456789.")] != '\0')
+    return false;
+  *out = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0' && isfinite (*out);
+}
+
+bool
+notice_read_rate (const char *text, double *rate)
+{
+  double value;
+
+  if (!read_number (text, &value))
+    return false;
+  *rate = CLAMP (value, NOTICE_RATE_LEAST, NOTICE_RATE_MOST);
+  return true;
+}
+
+bool
+notice_read_backoff (const char *text, int64_t *us)
+{
+  double value;
+
+  if (!read_number (text, &value))
+    {
+      *us = NOTICE_BACKOFF_UNREAD;
+      return false;
+    }
+  *us = (int64_t) MIN (value * (double) FT_SECOND, (double) NOTICE_BACKOFF_MOST);
+  return true;
+}
+
+bool
+notice_is_empty (const Notice *notice)
+{
+  return notice->rate <= 0 && !notice->leaving && notice->backoff_us == 0;
+}
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -258,6 +258,76 @@
   g_string_free (out, TRUE);
 }
 
+/* Values that are none, or beyond what can be kept, are read in the safe way, and said to be. */
+static void
+notices (void)
+{
+  static const struct
+  {
+    const char *fields;
+    double rate;
+    bool leaving;
+    int64_t backoff_us;
+    const char *unread;
+  } cases[] = {
+    { "", 0, false, 0, NULL },
+    { "Server-Limit: 1.6\r\n", 1.6, false, 0, NULL },
+    { "server-limit: 20\r\nServer-Limit: 3\r\n", 3, false, 0, NULL },
+    { "Server-Limit: 0\r\n", NOTICE_RATE_LEAST, false, 0, NULL },
+    { "Server-Limit: 99999999999999999999\r\n", NOTICE_RATE_MOST, false, 0, NULL },
+    { "Server-Limit: \r\n", 0, false, 0, "" },
+    { "Server-Limit: -2\r\n", 0, false, 0, "-2" },
+    { "Server-Limit: nan\r\n", 0, false, 0, "nan" },
+    { "Server-Limit: 0x10\r\n", 0, false, 0, "0x10" },
+    { "Server-Limit: 2, 3\r\n", 0, false, 0, "2, 3" },
+    { "Server-Limit: many\r\nServer-Limit: 4\r\n", 4, false, 0, "many" },
+    { "Server-Leaving: 1\r\n", 0, true, 0, NULL },
+    { "Server-Leaving: 0\r\n", 0, false, 0, NULL },
+    { "Server-Leaving: soon\r\n", 0, false, 0, "soon" },
+    { "Retry-After: 3\r\n", 0, false, 3 * FT_SECOND, NULL },
+    { "Retry-After: 0.25\r\n", 0, false, 250 * FT_MS, NULL },
+    { "Retry-After: 1\r\nRetry-After: 2\r\n", 0, false, 2 * FT_SECOND, NULL },
+    { "Retry-After: 0\r\n", 0, false, 0, NULL },
+    { "Retry-After: 9999999999\r\n", 0, false, NOTICE_BACKOFF_MOST, NULL },
+    { "Retry-After: -1\r\n", 0, false, NOTICE_BACKOFF_UNREAD, "-1" },
+    { "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT\r\n", 0, false, NOTICE_BACKOFF_UNREAD,
+      "Fri, 31 Dec 1999 23:59:59 GMT" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *body = g_string_new (NULL);
+      char *text
+          = g_strdup_printf ("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n%s\r\n", cases[i].fields);
+      HRead *read = read_message (false, text, body);
+      SeamAnswer answer;
+
+      platform_seam ()->read_answer (kept, &answer);
+      g_assert_cmpfloat_with_epsilon (answer.notice.rate, cases[i].rate, 1e-9);
+      g_assert_cmpint (answer.notice.leaving, ==, cases[i].leaving);
+      g_assert_cmpint (answer.notice.backoff_us, ==, cases[i].backoff_us);
+      g_assert_cmpstr (answer.unread, ==, cases[i].unread);
+      hread_free (read);
+      g_string_free (body, TRUE);
+      g_free (text);
+    }
+}
+
+/* Advice when to come back in an answer that is no refusal is the caller's to obey. */
+static void
+advice_for_callers (void)
+{
+  GString *body = g_string_new (NULL);
+  HRead *read = read_message (
+      false, "HTTP/1.1 301 Moved\r\nContent-Length: 0\r\nRetry-After: 9\r\n\r\n", body);
+  SeamAnswer answer;
+
+  platform_seam ()->read_answer (kept, &answer);
+  g_assert_true (notice_is_empty (&answer.notice));
+  hread_free (read);
+  g_string_free (body, TRUE);
+}
+
 /* ---- The list ---- */
 
 /* A page with this entry between two whole ones holds these two and says what is wrong. */
@@ -401,6 +471,8 @@
   g_test_add_func ("/adapter/good", good_declaration);
   g_test_add_func ("/adapter/forward", forwarded_head);
   g_test_add_func ("/adapter/answers", answers);
+  g_test_add_func ("/adapter/notices", notices);
+  g_test_add_func ("/adapter/advice_for_callers", advice_for_callers);
   g_test_add_func ("/adapter/list", list_pages);
   g_test_add_func ("/adapter/list_spoilt", list_spoilt_entries);
   g_test_add_func ("/adapter/packed", packed_documents);
