Failing test: a server that names a rate gets as much as before

Three entries, four servers, one of which names one request a second in all its answers: it gets 387 in 4 s, 11 are allowed. The checker (test/rules.c) counts as the rule says from what servers recorded: sliding 4 s from 3 s after the first naming, instances that were told half a second before, 1.5 times the rate and 5. The stand-in names rates, leaving and rest from now on.

--- a/test/backend.c
+++ b/test/backend.c
@@ -227,6 +227,31 @@
     hcall_reply (call, 200, fields, id, strlen (id));
 }
 
+/* Writes what the server says of itself, and records what it said to whom. */
+static void
+put_notices (FleetServer *server, const char *id, bool turned_away, GString *fields)
+{
+  Fleet *fleet = server->fleet;
+  int64_t now = loop_now (fleet->loop);
+  unsigned sender = GPOINTER_TO_UINT (g_hash_table_lookup (fleet->senders, id));
+  double backoff_s = turned_away ? server->backoff_s : 0;
+  Arrival arrival = { .server = server->number * 1000 + server->lives,
+                      .instance = sender,
+                      .at = now,
+                      .answered_at = now,
+                      .rate = server->rate,
+                      .leaving = server->says_leaving,
+                      .backoff_us = (int64_t) (backoff_s * 1e6) };
+
+  if (server->rate > 0)
+    g_string_append_printf (fields, "Server-Limit: %g\r\n", server->rate);
+  if (server->says_leaving)
+    hwrite_field (fields, "Server-Leaving", "1");
+  if (backoff_s > 0)
+    g_string_append_printf (fields, "Retry-After: %g\r\n", backoff_s);
+  g_array_append_val (fleet->arrivals, arrival);
+}
+
 static void
 on_server_request (void *owner, HCall *call)
 {
@@ -237,7 +262,10 @@
 
   server->arrived++;
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
-  if (wanted == NULL || strcmp (wanted, server->id) != 0 || server->mode == SERVER_GONE)
+  bool meant = wanted && strcmp (wanted, server->id) == 0 && server->mode != SERVER_GONE;
+  if (meant)
+    put_notices (server, id, server->mode == SERVER_FULL, fields);
+  if (!meant)
     hcall_reply (call, 421, fields, "", 0);
   else if (server->mode == SERVER_FULL)
     {
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -199,6 +199,8 @@
   fleet->plain_ms = 0;
   fleet->slow_ms = 300;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->senders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->arrivals = g_array_new (FALSE, FALSE, sizeof (Arrival));
   fleet->marks = g_array_new (FALSE, FALSE, sizeof (FleetMarked));
   fleet->marked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->back_ms = 300;
@@ -249,6 +251,8 @@
   g_hash_table_unref (fleet->runs);
   g_hash_table_unref (fleet->marked);
   g_array_unref (fleet->marks);
+  g_hash_table_unref (fleet->senders);
+  g_array_unref (fleet->arrivals);
   g_free (fleet);
 }
 
@@ -408,6 +412,8 @@
                           "X-Foxtailgrade-Request-Id: %s\r\nX-Foxtailgrade-Deadline-Ms: 8000\r\n"
                           "X-Foxtailgrade-Token-Usage: 100,30\r\nContent-Length: %zu\r\n\r\n%s",
                           path, id, strlen (body), body);
+  g_hash_table_replace (fleet->senders, g_strdup (id),
+                        GUINT_TO_POINTER (entry->ip - fleet->entries[0].ip + 1));
   send_to (fleet, (SockAddr){ entry->ip, CALLERS }, request, answer);
   g_string_free (request, TRUE);
 }
--- /dev/null
+++ b/test/notices.c
@@ -0,0 +1,114 @@
+/* notices.c - what servers say of themselves in their answers, before real processes on loopback:
+ * a rate that they take, a time in which they want nothing, that they leave. */
+#include "fleet.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define CALLERS 12
+#define SETTLE  (3 * FT_SECOND) /* a rate binds so long after it was first named */
+
+/* Callers that send on and on, each one request at a time, to the entries in turn. */
+typedef struct
+{
+  Fleet *fleet;
+  const char *path;
+  Answer answers[CALLERS];
+  char ids[CALLERS][24];
+  bool open[CALLERS];
+  unsigned entries; /* how many of them get requests */
+  unsigned sent, served, refused;
+  int64_t until;
+} Load;
+
+static void
+take_answer (Load *load, unsigned i)
+{
+  Answer *answer = &load->answers[i];
+  unsigned ran = fleet_runs (load->fleet, load->ids[i]);
+
+  if (!answer->broken && answer->status == 200)
+    load->served++;
+  else if (!answer->broken && answer->status == 503 && answer->advice && ran == 0)
+    load->refused++;
+  else
+    g_error ("%s: status %u, broken %d, advice %d, ran %u (logs in %s)", load->ids[i],
+             answer->status, answer->broken, answer->advice, ran, load->fleet->base);
+  fleet_answer_clear (answer);
+  load->open[i] = false;
+}
+
+static void
+send_next (Load *load, unsigned i)
+{
+  Fleet *fleet = load->fleet;
+
+  g_snprintf (load->ids[i], sizeof load->ids[i], "n%" G_GUINT64_FORMAT, ++fleet->next_id);
+  fleet_send (fleet, &fleet->entries[load->sent++ % load->entries], load->path, load->ids[i],
+              &load->answers[i]);
+  load->open[i] = true;
+}
+
+static bool
+is_over (void *data)
+{
+  Load *load = data;
+  bool more = loop_now (load->fleet->loop) < load->until;
+  unsigned open = 0;
+
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      if (load->open[i] && load->answers[i].done)
+        take_answer (load, i);
+      if (!load->open[i] && more)
+        send_next (load, i);
+      open += load->open[i];
+    }
+  return !more && open == 0;
+}
+
+/* Sends for so long, and waits for the answers. */
+static Load
+load_for (Fleet *fleet, const char *path, unsigned entries, int64_t us)
+{
+  Load load
+      = { .fleet = fleet, .path = path, .entries = entries, .until = loop_now (fleet->loop) + us };
+
+  fleet_until (fleet, is_over, &load, "all requests are answered");
+  g_test_message ("%u sent, %u served, %u refused", load.sent, load.served, load.refused);
+  return load;
+}
+
+static void
+check_rate (Fleet *fleet)
+{
+  Rules rules = { .arrivals = fleet->arrivals, .settle_us = SETTLE };
+  unsigned over = rules_over_rate (&rules);
+
+  if (over > 0)
+    g_error ("%u requests over a named rate (logs in %s)", over, fleet->base);
+}
+
+/* A server that takes one request a second from all instances together gets no more from three. */
+static void
+rate_of_one (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  fleet->servers[0].rate = 1;
+  Load load = load_for (fleet, "/plain/a", FLEET_ENTRIES, 9 * FT_SECOND);
+  check_rate (fleet);
+  g_assert_cmpuint (load.refused, ==, 0);
+  g_assert_cmpuint (fleet->servers[0].arrived, >, 0);
+  fleet_free (fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/notices/rate_of_one", rate_of_one);
+  return g_test_run ();
+}
