Servers that name a rate are held to it, summed over all instances

What callers saw: nothing; servers in need were sent several times what they had said they take (32 in 4 s of 24 allowed, 31 of 11), until they would have turned callers away. Class: a limit that another side names while it runs, over the sum of all instances.

The scheduler holds a token bucket for each server that names a rate (src/pace.c), filled with its part of the rate as for organisations' limits, empty when it opens; a grant takes one. Entries tell whoever schedules for them what an answer's head said, and tell it again to each scheduler they turn to. A lower rate counts at once; a higher one, or none, only from an answer to a request that was granted after the latest word. A limited server's places count as what its rate keeps busy, so admission refuses as in any shortage, and nothing waits for one as for a busy server.

--- a/bench/cost.c
+++ b/bench/cost.c
@@ -165,7 +165,7 @@
 }
 
 static const SchedOps sched_ops
-    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_believes, NULL };
+    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_believes, NULL, NULL };
 
 static void
 sched_ask_one (Sched *sched, const StepClock *clock, uint64_t number)
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -42,7 +42,7 @@
   int64_t next_try;
 } Dial;
 
-#define KINDS (MESH_BLAMED + 1)
+#define KINDS (MESH_NOTICE + 1)
 
 typedef struct
 {
@@ -483,7 +483,9 @@
                                             [MESH_ENDED_KNOWN] = "ended-known",
                                             [MESH_ANSWERED] = "answered",
                                             [MESH_SURVIVED] = "survived",
-                                            [MESH_BLAMED] = "blamed" };
+                                            [MESH_BLAMED] = "blamed",
+                                            [MESH_ROLLOUTS] = "rollouts",
+                                            [MESH_NOTICE] = "notice" };
 
   for (unsigned i = MESH_HELLO; i < KINDS; i++)
     g_string_append_printf (out,
--- a/node/broker.c
+++ b/node/broker.c
@@ -138,6 +138,7 @@
   put_grant (broker, request, server, &msg.MeshMsg_u.grant);
   msg.MeshMsg_u.grant.rest_most_ms = (u_int) (rest_most / FT_MS);
   msg.MeshMsg_u.grant.org_fill = fill_of (broker, org);
+  msg.MeshMsg_u.grant.paced = sched_is_paced (broker->sched, server);
   mesh_send (asker->peer, &msg);
 }
 
@@ -191,7 +192,18 @@
     broker->judged (broker->watcher, judged);
 }
 
-static const SchedOps sched_ops = { on_grant, on_refuse, on_unused, on_believes, on_judged };
+static void
+on_paced (void *host, const char *server, double before, double rate)
+{
+  const Broker *broker = host;
+
+  jlog (JLOG_INFO, "server-rate", NULL, JL_TEXT ("server", server),
+        JL_INT ("before_milli", before * 1e3), JL_INT ("rate_milli", rate * 1e3),
+        JL_TEXT ("by", broker->name));
+}
+
+static const SchedOps sched_ops
+    = { on_grant, on_refuse, on_unused, on_believes, on_judged, on_paced };
 
 /* ---- Asking ---- */
 
@@ -246,6 +258,18 @@
   sched_silent (broker->sched, SELF, request);
 }
 
+void
+broker_notice (Broker *broker, uint64_t request, const char *server, const Notice *notice)
+{
+  sched_notice (broker->sched, SELF, request, server, notice);
+}
+
+void
+broker_notice_before (Broker *broker, const char *server, const Notice *notice, int64_t age)
+{
+  sched_notice_before (broker->sched, SELF, server, notice, age);
+}
+
 void
 broker_done (Broker *broker, uint64_t request, const SchedResult *result)
 {
@@ -325,6 +349,18 @@
     asker->asked_at = loop_now (broker->loop);
 }
 
+static void
+take_notice (Broker *broker, const MeshPeer *peer, const MeshNotice *from)
+{
+  Notice notice = { .rate = from->rate_milli / 1e3 };
+
+  if (from->request)
+    sched_notice (broker->sched, peer->lifetime, from->request, from->server, &notice);
+  else
+    sched_notice_before (broker->sched, peer->lifetime, from->server, &notice,
+                         from->age_ms * FT_MS);
+}
+
 static void
 turn_away (Asker *asker)
 {
@@ -351,6 +387,9 @@
       sched_first (broker->sched, peer->lifetime, msg->MeshMsg_u.first.request,
                    msg->MeshMsg_u.first.after_us);
       return true;
+    case MESH_NOTICE:
+      take_notice (broker, peer, &msg->MeshMsg_u.notice);
+      return true;
     case MESH_SILENT:
       sched_silent (broker->sched, peer->lifetime, msg->MeshMsg_u.silent.request);
       return true;
@@ -442,6 +481,7 @@
 broker_share (Broker *broker, double places, double limits, uint64_t salt)
 {
   sched_share (broker->sched, places, salt);
+  sched_rate_part (broker->sched, limits);
   quota_share (broker->quota, limits);
 }
 
--- a/node/broker.h
+++ b/node/broker.h
@@ -32,8 +32,8 @@
 void broker_catalogue (Broker *broker, const RtCat *cat);
 /* The list has changed. servers must outlive the broker. */
 void broker_servers (Broker *broker, const Servers *servers);
-/* Parts of the places and of the limits that it may give away; salt as in sched_share. Both follow
- * who asks: set them after broker_expect. */
+/* Parts of the places and of the limits, of organisations and servers, that it may give away; salt
+ * as in sched_share. Both follow who asks: set them after broker_expect. */
 void broker_share (Broker *broker, double places, double limits, uint64_t salt);
 /* See quota_margin. */
 void broker_margin (Broker *broker, double overage, double slack, double window_s, bool alone);
@@ -45,6 +45,9 @@
 void broker_adopt (Broker *broker, const SchedAsk *ask, const char *server, double cost);
 void broker_first (Broker *broker, uint64_t request, int64_t after_us);
 void broker_silent (Broker *broker, uint64_t request);
+/* See sched_notice. */
+void broker_notice (Broker *broker, uint64_t request, const char *server, const Notice *notice);
+void broker_notice_before (Broker *broker, const char *server, const Notice *notice, int64_t age);
 void broker_done (Broker *broker, uint64_t request, const SchedResult *result);
 
 /* ---- Requests of other instances ---- */
--- a/node/place.c
+++ b/node/place.c
@@ -16,6 +16,7 @@
 #include "place.h"
 #include "count.h"
 #include "jlog.h"
+#include "notices.h"
 #include "spent.h"
 
 #include <string.h>
@@ -44,6 +45,7 @@
   MeshPeer *at;              /* waits at that scheduler; NULL: at the own one */
   MeshPeer *told[TOLD_MOST]; /* schedulers that have it in their ledgers */
   bool running;
+  bool paced; /* who granted it holds its server to a rate */
   int64_t asked_at;
 } Item;
 
@@ -69,6 +71,7 @@
   MeshPeer *current;       /* who is asked now; NULL: the own scheduler */
   GHashTable *passed_over; /* MeshPeer: PassedOver */
   Spent *spent;
+  Notices *notices;
   LoopTimer tick;
   unsigned entries, waiting;
 };
@@ -215,6 +218,57 @@
   mesh_send (peer, &msg);
 }
 
+/* ---- What servers say of themselves ---- */
+
+static void
+send_notice (MeshPeer *peer, uint64_t request, const char *server, const Notice *notice,
+             int64_t age)
+{
+  MeshMsg msg = { .kind = MESH_NOTICE };
+
+  msg.MeshMsg_u.notice = (MeshNotice){ .request = request,
+                                       .age_ms = (u_int) MIN (age / FT_MS, G_MAXUINT32),
+                                       .server = (char *) server,
+                                       .rate_milli = (u_int) (notice->rate * 1e3) };
+  mesh_send (peer, &msg);
+}
+
+static void
+tell_current (void *data, const char *server, const Notice *notice, int64_t age)
+{
+  const Place *place = data;
+
+  if (place->current)
+    send_notice (place->current, 0, server, notice, age);
+  else
+    broker_notice_before (place->own, server, notice, age);
+}
+
+static bool
+was_told (const Item *item, const MeshPeer *peer)
+{
+  for (unsigned i = 0; i < TOLD_MOST; i++)
+    if (item->told[i] == peer)
+      return true;
+  return false;
+}
+
+void
+place_notice (Place *place, uint64_t request, const char *server, const Notice *notice)
+{
+  const Item *item = item_of (place, request);
+  bool told = notices_take (place->notices, server, notice);
+
+  broker_notice (place->own, request, server, notice);
+  if (item == NULL || (!told && !item->paced))
+    return;
+  for (unsigned i = 0; i < TOLD_MOST; i++)
+    if (item->told[i])
+      send_notice (item->told[i], request, server, notice, 0);
+  if (place->current && !was_told (item, place->current))
+    send_notice (place->current, 0, server, notice, 0);
+}
+
 /* ---- Asking whoever is current ---- */
 
 static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
@@ -269,6 +323,7 @@
         JL_INT ("waiting", place->waiting));
   if (next == NULL || next->role == MESH_ENTRY)
     count_up (COUNT_FALL_BACKS);
+  notices_each (place->notices, tell_current, place);
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -513,6 +568,7 @@
   if (item->at != peer)
     withdraw (place, item);
   run (place, item, from->server);
+  item->paced = from->paced;
   spent_granted (place->spent, peer, item->org, item->cost);
   note_report (place, peer, item->org, from->org_fill);
   broker_adopt (place->own, &item->ask, from->server, item->cost);
@@ -582,6 +638,7 @@
   place->items = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, item_free);
   place->passed_over = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   place->spent = spent_new (loop_clock (loop));
+  place->notices = notices_new (loop_clock (loop));
   place->own = broker_new (loop, "entry", &own_ops, place);
   place->tick.fire = on_tick;
   loop_timer_set (loop, &place->tick, loop_now (loop) + TICK);
@@ -597,6 +654,7 @@
   g_hash_table_unref (place->items);
   g_hash_table_unref (place->passed_over);
   spent_free (place->spent);
+  notices_free (place->notices);
   broker_free (place->own);
   g_free (place);
 }
--- a/node/place.h
+++ b/node/place.h
@@ -29,6 +29,8 @@
 /* cost: tokens or requests counted against the organisation's limit; 0: none, or counted before. */
 void place_ask (Place *place, const SchedAsk *ask, double cost);
 void place_first (Place *place, uint64_t request, int64_t after_us);
+/* The head of the answer to the request said this of its server; empty: nothing. */
+void place_notice (Place *place, uint64_t request, const char *server, const Notice *notice);
 void place_silent (Place *place, uint64_t request);
 void place_done (Place *place, uint64_t request, const SchedResult *result);
 /* Who schedules for this entry: "voter", "deputy" or "own". */
--- a/node/try.c
+++ b/node/try.c
@@ -66,6 +66,8 @@
 
   if (answer->elsewhere || (answer->id == NULL && *req->id))
     return;
+  if (answer->unread == NULL || !notice_is_empty (notice))
+    place_notice (req->all->conf.place, req->number, req->server, notice);
   if (notice_is_empty (notice) && answer->unread == NULL)
     return;
   count_up (COUNT_NOTICES);
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -94,8 +94,9 @@
     if (!sum->any_usable || answer < sum->least_answer)
       sum->least_answer = answer;
     sum->any_usable = true;
-    sum->places
-        += est_places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
+    double places
+        = est_places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
+    sum->places += pace_places (sched, server, places);
   }
   return sum;
 }
@@ -159,7 +160,7 @@
 {
   unsigned most = server->trial ? 1 : est_places (sched, server);
 
-  return est_usable (server, now) && server->running < most;
+  return est_usable (server, now) && server->running < most && pace_has_token (sched, server, now);
 }
 
 /* ---- Estimates ---- */
@@ -333,7 +334,8 @@
 
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!est_usable (server, now) || server->trial || est_has_place (sched, server, now)
+    if (!est_usable (server, now) || server->trial || server->pace.rate > 0
+        || est_has_place (sched, server, now)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
     Estimate here = estimate (server, &job->ask, now);
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -160,6 +160,7 @@
 	u_int rest_most_ms;
 	u_int list_age_ms;
 	u_int org_fill;
+	bool_t paced;
 };
 typedef struct MeshGrant MeshGrant;
 
@@ -192,6 +193,14 @@
 	u_int rested_ms;
 };
 typedef struct MeshDone MeshDone;
+
+struct MeshNotice {
+	u_quad_t request;
+	u_int age_ms;
+	char *server;
+	u_int rate_milli;
+};
+typedef struct MeshNotice MeshNotice;
 #define MESH_CONTENTS_MOST 64
 #define MESH_ENDS_MOST 8
 #define MESH_SUSPECTS_MOST 1024
@@ -290,6 +299,7 @@
 	MESH_SURVIVED = 1 + 17,
 	MESH_BLAMED = 1 + 18,
 	MESH_ROLLOUTS = 1 + 19,
+	MESH_NOTICE = 1 + 20,
 };
 typedef enum MeshKind MeshKind;
 
@@ -313,6 +323,7 @@
 		MeshSurvived survived;
 		MeshBlamed blamed;
 		MeshRollouts rollouts;
+		MeshNotice notice;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -340,6 +351,7 @@
 extern  bool_t xdr_MeshFirst (XDR *, MeshFirst*);
 extern  bool_t xdr_MeshSilent (XDR *, MeshSilent*);
 extern  bool_t xdr_MeshDone (XDR *, MeshDone*);
+extern  bool_t xdr_MeshNotice (XDR *, MeshNotice*);
 extern  bool_t xdr_MeshEnded (XDR *, MeshEnded*);
 extern  bool_t xdr_MeshEndedKnown (XDR *, MeshEndedKnown*);
 extern  bool_t xdr_MeshAnswered (XDR *, MeshAnswered*);
@@ -369,6 +381,7 @@
 extern bool_t xdr_MeshFirst ();
 extern bool_t xdr_MeshSilent ();
 extern bool_t xdr_MeshDone ();
+extern bool_t xdr_MeshNotice ();
 extern bool_t xdr_MeshEnded ();
 extern bool_t xdr_MeshEndedKnown ();
 extern bool_t xdr_MeshAnswered ();
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -124,6 +124,8 @@
                                   run once only */
   unsigned int list_age_ms;    /* of the list by which this was decided, since it was asked for */
   unsigned int org_fill;     /* per mille of the organisation's limit that is left at once */
+  bool paced;                /* the scheduler holds the server to a rate: say also if the answer
+                                names none */
 };
 
 struct MeshRefuse {
@@ -155,6 +157,14 @@
   unsigned int rested_ms;    /* ... after it had rested for so long; 0: it was a new one */
 };
 
+/* What a server said of itself in an answer to an entry. */
+struct MeshNotice {
+  unsigned hyper request;    /* 0: the answer was to a request that another scheduler had granted */
+  unsigned int age_ms;       /* of the answer, if request is 0 */
+  string server<MESH_NAME_MOST>;
+  unsigned int rate_milli;   /* thousandths of a request a second that it takes; 0: none was named */
+};
+
 /* ---- Contents under which servers ended ---- */
 
 const MESH_CONTENTS_MOST = 64;
@@ -225,7 +235,7 @@
   MESH_FIRST, MESH_SILENT, MESH_DONE, MESH_RAFT,
   MESH_WANT_LIST, MESH_PACKED_LIST, MESH_ALIVE,
   MESH_ENDED, MESH_ENDED_KNOWN, MESH_ANSWERED, MESH_SURVIVED, MESH_BLAMED,
-  MESH_ROLLOUTS
+  MESH_ROLLOUTS, MESH_NOTICE
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -248,5 +258,6 @@
 case MESH_SURVIVED: MeshSurvived survived;
 case MESH_BLAMED: MeshBlamed blamed;
 case MESH_ROLLOUTS: MeshRollouts rollouts;
+case MESH_NOTICE: MeshNotice notice;
 case MESH_RAFT: opaque raft<MESH_TEXT_MOST>; /* Msg of msg.x, between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -435,7 +435,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
@@ -447,12 +447,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->paced))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->ip);
 			IXDR_PUT_U_LONG(buf, objp->port);
 			IXDR_PUT_U_LONG(buf, objp->rest_most_ms);
 			IXDR_PUT_U_LONG(buf, objp->list_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->org_fill);
+			IXDR_PUT_BOOL(buf, objp->paced);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -462,7 +465,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->name, MESH_NAME_MOST))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
@@ -474,12 +477,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->org_fill))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->paced))
+				 return FALSE;
 		} else {
 			objp->ip = IXDR_GET_U_LONG(buf);
 			objp->port = IXDR_GET_U_LONG(buf);
 			objp->rest_most_ms = IXDR_GET_U_LONG(buf);
 			objp->list_age_ms = IXDR_GET_U_LONG(buf);
 			objp->org_fill = IXDR_GET_U_LONG(buf);
+			objp->paced = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -500,6 +506,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->org_fill))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->paced))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -563,6 +571,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshNotice (XDR *xdrs, MeshNotice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MOST))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_milli))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshEnded (XDR *xdrs, MeshEnded *objp)
 {
@@ -768,6 +792,10 @@
 		 if (!xdr_MeshRollouts (xdrs, &objp->MeshMsg_u.rollouts))
 			 return FALSE;
 		break;
+	case MESH_NOTICE:
+		 if (!xdr_MeshNotice (xdrs, &objp->MeshMsg_u.notice))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MOST))
 			 return FALSE;
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -1,5 +1,5 @@
 /* schedint.h - what the scheduler's own files share: its records, estimates of servers, and what is
- * believed of them; private to scheduler.c, waiting.c, admit.c, estimate.c, health.c,
+ * believed of them; private to scheduler.c, waiting.c, admit.c, estimate.c, health.c, pace.c,
  * versions.c and schedview.c. */
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
@@ -36,6 +36,7 @@
   double work_us;   /* slot time on the service's best server */
   bool alone;       /* nothing else was pending on its server when it was granted */
   bool first_seen;
+  bool adopted;     /* placed by another scheduler; granted_at is when this one heard of it */
   unsigned passed;  /* by how many connected ones of its queue that were due later */
   bool late;        /* waits, and can no longer be on time */
   bool tried;       /* is to be placed on a server of the version that is tried */
@@ -51,6 +52,15 @@
   USE_NO
 } VersionUse;
 
+/* The rate that a server takes. */
+typedef struct
+{
+  double rate;   /* requests a second; 0: any */
+  double tokens; /* requests that it may get at once, as of ... */
+  int64_t filled_at;
+  int64_t named_at; /* the latest word that counted was heard */
+} Pace;
+
 struct Server
 {
   struct cds_list_head link;
@@ -75,7 +85,8 @@
   uint64_t tokens;       /* memory of its runs */
   int64_t rest_broke_at; /* when a connection that had rested last broke as it was used */
   uint64_t kept_by;      /* number of the latest choice whose owner has a connection there */
-  unsigned tried;        /* requests that it got as a server of a version that is tried */
+  Pace pace;
+  unsigned tried; /* requests that it got as a server of a version that is tried */
 };
 
 typedef struct
@@ -129,6 +140,7 @@
   int64_t rest_broke_at; /* when such last broke at several servers; 0: never */
   int64_t new_broke_at;  /* when a new connection last did; 0 likewise */
   unsigned open;         /* servers with a free place, as of the last count */
+  double mean_us;        /* slot time of a request on the best server, averaged */
 };
 
 struct Sched
@@ -140,7 +152,7 @@
   GHashTable *by_digest;          /* sched_server_digest of the id: Server */
   GHashTable *jobs;               /* Key: Job */
   uint64_t choices;
-  double share;
+  double share, rate_part;
   uint64_t salt;
   bool listed; /* a list of servers has come */
 };
@@ -218,6 +230,18 @@
 /* Refuses what can no longer be served in time. */
 void admit_review (Sched *sched, Service *service, int64_t now);
 
+/* ---- Rates that servers take (pace.c) ---- */
+
+bool pace_has_token (const Sched *sched, const Server *server, int64_t now);
+/* A request is placed on the server. */
+void pace_take (const Sched *sched, Server *server, int64_t now);
+/* How many of its places the rate keeps busy. */
+double pace_places (const Sched *sched, const Server *server, double places);
+/* The answer to the job, NULL: it is no longer known, names the rate; 0: none. */
+void pace_named (const Sched *sched, Server *server, const Job *job, double rate, int64_t now);
+/* An instance heard of the rate age ago, when it asked another scheduler. */
+void pace_named_before (const Sched *sched, Server *server, double rate, int64_t age, int64_t now);
+
 /* ---- Versions of servers (versions.c) ---- */
 
 void ver_init (Versions *versions);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -80,7 +80,7 @@
   sched->clock = clock;
   sched->ops = ops;
   sched->host = host;
-  sched->share = 1;
+  sched->share = sched->rate_part = 1;
   sched->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   sched->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_free);
   sched->by_digest = g_hash_table_new (NULL, NULL);
@@ -231,6 +231,7 @@
 {
   wait_remove (job);
   start (job, server, now);
+  pace_take (sched, server, now);
   if (!est_has_place (sched, server, now) && job->service->open > 0)
     job->service->open--;
   sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id,
@@ -451,6 +452,7 @@
   else
     job = job_new (sched, ask);
   start (job, server, now);
+  job->adopted = true;
   first_seen (job, now);
 }
 
@@ -476,6 +478,32 @@
   curve_learn (&job->service->curve, &server->prompt_unit, job->ask.prompt_tokens, token, own);
 }
 
+void
+sched_notice (Sched *sched, uint64_t owner, uint64_t request, const char *id, const Notice *notice)
+{
+  Key key = { owner, request };
+  int64_t now = ft_clock_now (sched->clock);
+  Server *server = g_hash_table_lookup (sched->servers, id);
+  const Job *job = g_hash_table_lookup (sched->jobs, &key);
+
+  if (server == NULL)
+    return;
+  pace_named (sched, server, job, notice->rate, now);
+}
+
+void
+sched_notice_before (Sched *sched, uint64_t owner, const char *id, const Notice *notice,
+                     int64_t age)
+{
+  int64_t now = ft_clock_now (sched->clock);
+  Server *server = g_hash_table_lookup (sched->servers, id);
+
+  (void) owner;
+  if (server == NULL)
+    return;
+  pace_named_before (sched, server, notice->rate, age, now);
+}
+
 void
 sched_silent (Sched *sched, uint64_t owner, uint64_t request)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -9,7 +9,7 @@
 #ifndef SCHEDULER_H
 #define SCHEDULER_H
 
-#include "foxtail.h"
+#include "notice.h"
 
 typedef struct Sched Sched;
 
@@ -78,6 +78,8 @@
   void (*believes) (void *host, const char *server, bool out, const char *why, int64_t for_us);
   /* Once for each answer of a service whose versions are watched; may be NULL. */
   void (*judged) (void *host, const SchedJudged *judged);
+  /* The rate that the server takes has changed; 0: any. May be NULL. */
+  void (*paced) (void *host, const char *server, double before, double rate);
 } SchedOps;
 
 typedef struct
@@ -95,6 +97,9 @@
  * differently over the schedulers that share them. 1 and 0 at first. */
 void sched_share (Sched *sched, double share, uint64_t salt);
 
+/* The part of the rates that servers name which this scheduler may give away. 1 at first. */
+void sched_rate_part (Sched *sched, double part);
+
 typedef struct
 {
   const char *id, *service, *domain;
@@ -154,6 +159,14 @@
  * it answers something. */
 void sched_silent (Sched *sched, uint64_t owner, uint64_t request);
 
+/* The answer to the request, as far as its head, says this of its server; empty: nothing. */
+void sched_notice (Sched *sched, uint64_t owner, uint64_t request, const char *server,
+                   const Notice *notice);
+/* The owner was told this by the server age ago, by an answer to a request of another scheduler's.
+ */
+void sched_notice_before (Sched *sched, uint64_t owner, const char *server, const Notice *notice,
+                          int64_t age);
+
 typedef struct
 {
   SchedOutcome outcome;
@@ -175,6 +188,8 @@
   unsigned waiting, running, servers, out, slots;
 } SchedStats;
 void sched_stats (const Sched *sched, SchedStats *stats);
+/* Is the server held to a rate? */
+bool sched_is_paced (const Sched *sched, const char *server);
 /* A line for each server, a comment of the metrics' format: what is believed and why; g_free. */
 char *sched_describe (const Sched *sched);
 
--- a/src/schedview.c
+++ b/src/schedview.c
@@ -23,6 +23,14 @@
   stats->waiting = g_hash_table_size (sched->jobs) - stats->running;
 }
 
+bool
+sched_is_paced (const Sched *sched, const char *id)
+{
+  const Server *server = g_hash_table_lookup (sched->servers, id);
+
+  return server && server->pace.rate > 0;
+}
+
 char *
 sched_describe (const Sched *sched)
 {
@@ -38,14 +46,14 @@
       g_string_append_printf (
           out,
           "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_unit_ms=%.2f "
-          "answer_ms=%.1f failures=%.2f\n",
+          "answer_ms=%.1f failures=%.2f rate=%g\n",
           server->id, server->service->name, server->domain, server->running, server->slots,
           server->leaving  ? "leaving"
           : server->listed ? "live"
                            : "gone",
           now < server->out_until ? " out" : "", server->trial ? " trial" : "",
           server->token_us / 1e3, server->prompt_unit / 1e3, server->answer_us / 1e3,
-          server->failures);
+          server->failures, server->pace.rate);
     }
   return g_string_free (out, FALSE);
 }
--- a/src/waiting.c
+++ b/src/waiting.c
@@ -64,6 +64,10 @@
 
   tier->mean_us
       = tier->mean_us > 0 ? tier->mean_us + MEAN_LEARN * (work_us - tier->mean_us) : work_us;
+  job->service->mean_us
+      = job->service->mean_us > 0
+            ? job->service->mean_us + MEAN_LEARN * (work_us - job->service->mean_us)
+            : work_us;
   tier->inflow = tier->inflow * exp (-since / INFLOW_US) + work_us / INFLOW_US;
   tier->inflow_at = now;
 }
--- a/test/engines.h
+++ b/test/engines.h
@@ -23,6 +23,7 @@
   bool gone;    /* another answers at its address and runs nothing */
   bool failing; /* answers with failure */
   bool gray;    /* so to four in ten requests */
+  double rate;  /* its answers name it, requests a second; 0: none */
   unsigned running;
   int64_t prompts_until;
 } Server;
@@ -36,6 +37,7 @@
   unsigned owner; /* by ask_as_owners */
   bool counted;
   int64_t refused_after, advice;
+  double rate; /* its answer named it */
 } Work;
 
 typedef struct
@@ -136,7 +138,7 @@
   world->outs++;
 }
 
-static const SchedOps ops = { on_grant, on_refuse, on_unused, on_believes, NULL };
+static const SchedOps ops = { on_grant, on_refuse, on_unused, on_believes, NULL, NULL };
 
 static inline void
 give_list (void)
@@ -230,6 +232,17 @@
   sched_done (world->sched, 1, number, &result);
 }
 
+/* The head of the answer has come. */
+static inline void
+tell_notice (unsigned number)
+{
+  Work *work = &world->work[number];
+  Notice notice = { .rate = world->servers[work->server].rate };
+
+  work->rate = notice.rate;
+  sched_notice (world->sched, 1, number, world->servers[work->server].id, &notice);
+}
+
 static inline void
 step (void)
 {
@@ -242,6 +255,7 @@
       if (!work->first_told && work->first_at && work->first_at <= world->clock.now)
         {
           work->first_told = true;
+          tell_notice (i);
           sched_first (world->sched, 1, i, work->first_at - work->sent_at);
         }
       if (work->end_at <= world->clock.now)
--- a/test/notices.c
+++ b/test/notices.c
@@ -105,10 +105,72 @@
   fleet_free (fleet);
 }
 
+/* The rate is held while the voter in charge is lost, and when no voter is left. */
+static void
+rate_without_voters (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  fleet->servers[0].rate = 2;
+  fleet->servers[1].rate = 0.5;
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 4 * FT_SECOND);
+  fleet_kill (fleet_leader (fleet));
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 4 * FT_SECOND);
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    fleet_kill (&fleet->voters[i]);
+  load_for (fleet, "/stream/a", FLEET_ENTRIES, 5 * FT_SECOND);
+  check_rate (fleet);
+  fleet_free (fleet);
+}
+
+/* Requests that may run once, to servers that all take less than is asked for: no refusal of one
+ * that ran, and each says when to come back. */
+static void
+all_servers_limited (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    fleet->servers[i].rate = 2;
+  Load load = load_for (fleet, "/once/a", FLEET_ENTRIES, 8 * FT_SECOND);
+  check_rate (fleet);
+  g_assert_cmpuint (load.served, >=, 30);
+  fleet_free (fleet);
+}
+
+/* A server that comes back as another lifetime owes nothing of the rate that the one before named.
+ */
+static void
+next_lifetime (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetServer *server = &fleet->servers[0];
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  server->rate = 0.1;
+  fleet->servers[2].listed = fleet->servers[3].listed = false; /* so that both others are needed */
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 2 * FT_SECOND);
+  server->rate = 0;
+  fleet_end_server (server);
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 2 * FT_SECOND);
+  unsigned before = server->arrived;
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 2 * FT_SECOND);
+  g_assert_cmpuint (server->arrived, >, before + 20);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/notices/rate_of_one", rate_of_one);
+  g_test_add_func ("/notices/rate_without_voters", rate_without_voters);
+  g_test_add_func ("/notices/all_servers_limited", all_servers_limited);
+  g_test_add_func ("/notices/next_lifetime", next_lifetime);
   return g_test_run ();
 }
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -452,7 +452,7 @@
   g_assert_cmpint (judged->ordered, ==, judged->server[1] >= '2');
 }
 
-static const SchedOps sched_ops = { on_grant, on_refuse, on_unused, on_believes, on_judged };
+static const SchedOps sched_ops = { on_grant, on_refuse, on_unused, on_believes, on_judged, NULL };
 
 /* s0 and s1 have one version, s2 and s3 another; listed: a bit for each. */
 static void
--- a/test/rules.c
+++ b/test/rules.c
@@ -16,6 +16,14 @@
   return &g_array_index (rules->arrivals, Arrival, i);
 }
 
+int
+rules_by_arrival (const void *a, const void *b)
+{
+  int64_t x = ((const Arrival *) a)->at, y = ((const Arrival *) b)->at;
+
+  return (x > y) - (x < y);
+}
+
 static bool
 is_excused (const Rules *rules, unsigned instance, int64_t from, int64_t to)
 {
--- a/test/rules.h
+++ b/test/rules.h
@@ -30,6 +30,8 @@
   void *data;
 } Rules;
 
+/* Orders an array of Arrival. */
+int rules_by_arrival (const void *a, const void *b);
 /* Requests beyond what a named rate allows, in the worst span of some seconds; 0: none. */
 unsigned rules_over_rate (const Rules *rules);
 /* Requests beyond the two that may pass while a server wants nothing from an instance, in the worst
