Failing tests: servers that ask for rest or say that they leave get as much as before

/notices/backoff: a server answers 503 with 30 s of Retry-After; 13 more requests of one entry reach it within 3 s (two are allowed). /notices/leaving: a server says in its answers that it leaves while the list calls it ready; 195 requests reach it later than 3 s after.

--- a/test/notices.c
+++ b/test/notices.c
@@ -7,6 +7,7 @@
 
 #define CALLERS 12
 #define SETTLE  (3 * FT_SECOND) /* a rate binds so long after it was first named */
+#define DRAIN   (3 * FT_SECOND) /* and that a server leaves, so long after it said so */
 
 /* Callers that send on and on, each one request at a time, to the entries in turn. */
 typedef struct
@@ -164,6 +165,58 @@
   fleet_free (fleet);
 }
 
+static void
+check_backoff (Fleet *fleet)
+{
+  Rules rules = { .arrivals = fleet->arrivals };
+  unsigned over = rules_in_backoff (&rules);
+
+  if (over > 0)
+    g_error ("%u requests over two in a server's backoff (logs in %s)", over, fleet->base);
+}
+
+static void
+check_leaving (Fleet *fleet)
+{
+  Rules rules = { .arrivals = fleet->arrivals, .drain_us = DRAIN };
+  unsigned late = rules_after_leaving (&rules);
+
+  if (late > 0)
+    g_error ("%u requests after a server said that it leaves (logs in %s)", late, fleet->base);
+}
+
+/* A server turns entries away and wants nothing of them for a while; the others serve meanwhile. */
+static void
+backoff (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  fleet->servers[0].mode = SERVER_FULL;
+  fleet->servers[0].backoff_s = 30;
+  fleet->servers[3].listed = false; /* so that places are short */
+  Load load = load_for (fleet, "/plain/a", FLEET_ENTRIES, 3 * FT_SECOND);
+  check_backoff (fleet);
+  g_assert_cmpuint (load.refused, ==, 0);
+  fleet_free (fleet);
+}
+
+/* A server says in its answers that it leaves, and the list still calls it ready. */
+static void
+leaving (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 1 * FT_SECOND);
+  fleet->servers[0].says_leaving = true;
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, 5 * FT_SECOND);
+  check_leaving (fleet);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -172,5 +225,7 @@
   g_test_add_func ("/notices/rate_without_voters", rate_without_voters);
   g_test_add_func ("/notices/all_servers_limited", all_servers_limited);
   g_test_add_func ("/notices/next_lifetime", next_lifetime);
+  g_test_add_func ("/notices/backoff", backoff);
+  g_test_add_func ("/notices/leaving", leaving);
   return g_test_run ();
 }
