Own interface: an engine that asks for rest gets none of an instance's requests meanwhile

What callers saw: 30 of 60 requests failed (502), each sent to an engine that had answered the same instance 503 with Retry-After of 600 s.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -12,6 +12,7 @@
 #include "back.h"
 #include "body.h"
 #include "dlog.h"
+#include "notices.h"
 #include "span.h"
 #include "sse.h"
 #include "stat.h"
@@ -38,6 +39,8 @@
   Book *book;
   GThreadPool *workers;
   char *instance;
+  pthread_mutex_t notices_lock;
+  Notices *notices; /* servers that want nothing from this instance for a while */
 };
 
 typedef enum
@@ -238,6 +241,46 @@
   return true;
 }
 
+/* ---- Servers that ask to be left alone ---- */
+
+/* A server that turns a request away may say for how long it wants none from this instance. */
+static void
+note_backoff (Back *back, const Call *call, int status, const struct _u_map *fields)
+{
+  const char *text = u_map_get_case (fields, "Retry-After");
+  char lifetime[192];
+  Notice notice = { 0 };
+
+  if ((status != 503 && status != 429) || text == NULL
+      || !plat_lifetime (back->plat, call->pool, call->server, lifetime, sizeof lifetime))
+    return;
+  bool readable = notice_read_backoff (text, &notice.backoff_us);
+  pthread_mutex_lock (&back->notices_lock);
+  bool news = notices_take (back->notices, lifetime, &notice) == NOTICES_NEW;
+  pthread_mutex_unlock (&back->notices_lock);
+  if (news)
+    dlog (DLOG_INFO, call->id, "server-notice", "server %s of %s wants nothing for %d ms%s",
+          call->server, call->pool, (int) (notice.backoff_us / FT_MS),
+          readable ? "" : " (its Retry-After cannot be read)");
+}
+
+static bool
+wants_nothing (Back *back, const Call *call)
+{
+  char lifetime[192];
+  Notice notice;
+
+  if (!plat_lifetime (back->plat, call->pool, call->server, lifetime, sizeof lifetime))
+    return false;
+  pthread_mutex_lock (&back->notices_lock);
+  bool forbidden = notices_forbid (back->notices, lifetime, &notice) != NULL;
+  pthread_mutex_unlock (&back->notices_lock);
+  if (forbidden)
+    dlog (DLOG_INFO, call->id, "grant-returned", "server %s of %s wants nothing for %d ms",
+          call->server, call->pool, (int) (notice.backoff_us / FT_MS));
+  return forbidden;
+}
+
 /* HTTP status of the exchange; 0: it did not come to its end. */
 static int
 exchange (Back *back, const Call *call, const char *method, char *url, const char *body,
@@ -258,7 +301,10 @@
   int done = ulfius_send_http_streaming_request (
       &request, &response, reader->plain ? on_plain_bytes : on_stream_bytes, reader);
   if (done == U_OK)
-    status = (int) response.status;
+    {
+      status = (int) response.status;
+      note_backoff (back, call, status, response.map_header);
+    }
   if (done == U_OK && type)
     *type = g_strdup (u_map_get_case (response.map_header, "Content-Type"));
   ulfius_clean_request (&request);
@@ -469,6 +515,8 @@
 {
   char address[64];
 
+  if (wants_nothing (back, call))
+    return FT_NOT_FOUND;
   if (!plat_address (back->plat, call->pool, call->server, address, sizeof address)
       || probe_server (address, core_conf (back->core)->connect_ms) != PROBE_MADE)
     {
@@ -618,6 +666,8 @@
   back->core = core;
   back->plat = plat;
   back->book = book_new (conf->answer_keep_s * FT_SECOND, conf->answer_keep_bytes);
+  pthread_mutex_init (&back->notices_lock, NULL);
+  back->notices = notices_new (core_clock (core));
   back->workers = g_thread_pool_new (run_work, back, -1, FALSE, NULL);
   g_thread_unref (g_thread_new ("watch", watch, back));
   core_attach (core, back);
--- a/daemon/back.h
+++ b/daemon/back.h
@@ -10,7 +10,7 @@
 Back *back_new (Core *core, Plat *plat);
 Book *back_book (Back *back);
 /* Sends a granted call to its server: once, whatever happens. FT_NOT_FOUND: the connection was
- * refused or the server has no address, no byte was sent. */
+ * refused, the server has no address or wants nothing from this instance now; no byte was sent. */
 FtStatus back_dispatch (Back *back, Call *call);
 /* From the loop thread; do not block. back is call->back. */
 void back_pause (void *back, Call *call);
--- a/daemon/plat.c
+++ b/daemon/plat.c
@@ -200,6 +200,20 @@
   return server != NULL;
 }
 
+bool
+plat_lifetime (Plat *plat, const char *pool, const char *name, char *out, size_t size)
+{
+  char key[160];
+
+  g_snprintf (key, sizeof key, "%s/%s", pool, name);
+  rcu_read_lock ();
+  const Server *server = g_hash_table_lookup (rcu_dereference (plat->directory), key);
+  if (server)
+    g_snprintf (out, size, "%s/%" G_GUINT64_FORMAT, key, server->incarnation);
+  rcu_read_unlock ();
+  return server != NULL;
+}
+
 /* ---- Reports ---- */
 
 typedef struct
--- a/daemon/plat.h
+++ b/daemon/plat.h
@@ -10,5 +10,7 @@
 Plat *plat_new (Core *core);
 /* "IP:port" of a server, read through RCU; false: not in the list. */
 bool plat_address (Plat *plat, const char *pool, const char *server, char *out, size_t size);
+/* A name of the server's lifetime; false: not in the list. */
+bool plat_lifetime (Plat *plat, const char *pool, const char *server, char *out, size_t size);
 
 #endif
--- a/node/notices.h
+++ b/src/notices.h
@@ -1,4 +1,5 @@
-/* notices.h - what servers have told this instance of themselves, by their lifetimes. */
+/* notices.h - what servers have told this instance of themselves, by their lifetimes; private to
+ * the library and its shells. */
 #ifndef NOTICES_H
 #define NOTICES_H
 
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -5,7 +5,7 @@
  *   POST /v1/streams/ID/pause           stops it, keeps its place
  *   GET  /load?after=N                  running, waiting, age_ms, cache events behind number N
  *   POST /v1/orders?order=O&fencing=N   load or role; an old number is refused with --fencing
- *   GET  /stats                         dispatches, doubled, finished
+ *   GET  /stats                         dispatches, doubled, finished, turned_away
  *   POST /control?slow=F&mute=0|1&gray=0|1   faults: slower, old connections silent, no answers
  *
  * Batching is continuous: one thread makes steps; a step takes step_ms, stream_ms for each stream
@@ -50,6 +50,8 @@
   GArray *events;
   guint64 next_event;
   unsigned dispatches, doubled, finished, running, waiting;
+  unsigned backoff; /* turns all away and asks for so many seconds of rest; 0: none */
+  unsigned turned_away;
   unsigned old_running, old_waiting;
   gint64 reported_at;
   gint64 fencing;
@@ -276,6 +278,18 @@
     }
   g_mutex_lock (&engine.lock);
   engine.dispatches++;
+  if (engine.backoff)
+    {
+      char seconds[16];
+      g_snprintf (seconds, sizeof seconds, "%u", engine.backoff);
+      engine.turned_away++;
+      g_mutex_unlock (&engine.lock);
+      u_map_put (response->map_header, "Retry-After", seconds);
+      http_json (response, 503, "{\"error\":\"busy\"}");
+      body_clear_chat (&chat);
+      g_free (text);
+      return U_CALLBACK_COMPLETE;
+    }
   if (g_hash_table_contains (engine.streams, id))
     engine.doubled++;
   Stream *stream = g_new0 (Stream, 1); /* kept to the end: the stand-in is short-lived */
@@ -382,8 +396,10 @@
   (void) request;
   (void) user;
   g_mutex_lock (&engine.lock);
-  g_snprintf (text, sizeof text, "{\"dispatches\":%u,\"doubled\":%u,\"finished\":%u}",
-              engine.dispatches, engine.doubled, engine.finished);
+  g_snprintf (text, sizeof text,
+              "{\"dispatches\":%u,\"doubled\":%u,\"finished\":%u,"
+              "\"turned_away\":%u}",
+              engine.dispatches, engine.doubled, engine.finished, engine.turned_away);
   g_mutex_unlock (&engine.lock);
   http_json (response, 200, text);
   return U_CALLBACK_COMPLETE;
@@ -395,6 +411,7 @@
   const char *slow = u_map_get (request->map_url, "slow");
   const char *mute = u_map_get (request->map_url, "mute");
   const char *gray = u_map_get (request->map_url, "gray");
+  const char *backoff = u_map_get (request->map_url, "backoff"); /* seconds; 0: none */
 
   (void) user;
   g_mutex_lock (&engine.lock);
@@ -404,6 +421,8 @@
     engine.mute_before = *mute == '1' ? engine.connections + 1 : 0;
   if (gray)
     engine.gray = *gray == '1';
+  if (backoff)
+    engine.backoff = (unsigned) atoi (backoff);
   g_cond_broadcast (&engine.cond);
   g_mutex_unlock (&engine.lock);
   http_json (response, 200, "{}");
