Soak: servers that name rates, ask for rest and say that they leave, beside all other faults

A rate now counts for an instance from its latest undisturbed hearing (test/rules.c), not from its first.

--- a/test/rules.c
+++ b/test/rules.c
@@ -30,17 +30,16 @@
   return rules->excused && rules->excused (rules->data, instance, from, to);
 }
 
-/* When the server first named a rate to the instance, or to any if instance is NULL; 0: never. */
+/* When the server first named a rate to anyone; 0: never. */
 static int64_t
-first_named (const Rules *rules, unsigned server, const unsigned *instance)
+first_named (const Rules *rules, unsigned server)
 {
   int64_t first = 0;
 
   for (unsigned i = 0; i < rules->arrivals->len; i++)
     {
       const Arrival *a = arrival (rules, i);
-      if (a->server == server && a->rate > 0 && (instance == NULL || a->instance == *instance)
-          && (first == 0 || a->answered_at < first))
+      if (a->server == server && a->rate > 0 && (first == 0 || a->answered_at < first))
         first = a->answered_at;
     }
   return first;
@@ -64,12 +63,21 @@
   return rate > 0 ? RATE_TIMES * rate * RATE_SPAN / SECOND + RATE_SLACK : INFINITY;
 }
 
+/* Had its instance been told a rate by then, undisturbed since? */
 static bool
-counts_for_rate (const Rules *rules, const Arrival *a)
+counts_for_rate (const Rules *rules, const Arrival *late)
 {
-  int64_t told = first_named (rules, a->server, &a->instance);
-
-  return told > 0 && a->at >= told + HEARD_FOR && !is_excused (rules, a->instance, told, a->at);
+  for (unsigned i = 0; i < rules->arrivals->len; i++)
+    {
+      const Arrival *told = arrival (rules, i);
+      if (told->at > late->at)
+        return false;
+      if (told->server == late->server && told->instance == late->instance && told->rate > 0
+          && told->answered_at > 0 && late->at >= told->answered_at + HEARD_FOR
+          && !is_excused (rules, late->instance, told->answered_at, late->at))
+        return true;
+    }
+  return false;
 }
 
 unsigned
@@ -81,7 +89,7 @@
     {
       const Arrival *last = arrival (rules, i);
       int64_t from = last->at - RATE_SPAN;
-      int64_t first = first_named (rules, last->server, NULL);
+      int64_t first = first_named (rules, last->server);
       unsigned count = 0;
       if (first == 0 || from < first + rules->settle_us)
         continue;
--- a/test/soak.c
+++ b/test/soak.c
@@ -11,6 +11,7 @@
  * body reaches servers no more than FURTHER_MOST times later than IN_TOUCH after the third end
  * under it, as far as the entry that sent it and all voters were undisturbed for that long.
  */
+#include "soaknote.h"
 #include "soakroll.h"
 
 #include <signal.h>
@@ -283,6 +284,8 @@
   unsigned number = (unsigned) (node->voter ? node - fleet->voters : 3 + (node - fleet->entries));
 
   disturbed[number] = loop_now (fleet->loop);
+  if (number >= 3)
+    soaknote_disturbed (number - 3 + 1);
 }
 
 static bool
@@ -362,6 +365,8 @@
     {
       if (faults[i].active && faults[i].node)
         note_disturbed (faults[i].node);
+      if (faults[i].active && faults[i].kind == FAULT_SERVER_PATH)
+        soaknote_disturbed (0);
       if (faults[i].active && loop_now (fleet->loop) >= faults[i].until)
         end_fault (&faults[i]);
       else if (!faults[i].active && more && draw (40) == 0)
@@ -464,6 +469,7 @@
   fleet = fleet_new ();
   fleet_proxies (fleet);
   soakroll_begin (fleet, seed);
+  soaknote_begin (fleet, seed);
   fleet_begin (fleet);
   int64_t until = loop_now (fleet->loop) + seconds * FT_SECOND;
   unsigned turn = 0;
@@ -474,11 +480,13 @@
       check_marks ();
       if (draw (10) == 0)
         turn_operators ();
+      soaknote_turn ();
       soakroll_turn (&fleet->voters[turn++ % 3]);
       fleet_run_for (fleet, 15 * FT_MS);
     }
   calm_down ();
   check_once ();
+  soaknote_end ();
   soakroll_end ();
   check_recovery ();
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u, "
