An entry that is left alone has its part of the rates before its requests are looked at

Callers of an entry that lost all other schedulers were refused although places were free: its own scheduler had no part of the servers' rates until its next tick (20 ms), so a service whose servers all name rates seemed to have no places at all.

--- a/node/place.c
+++ b/node/place.c
@@ -331,6 +331,17 @@
   mesh_send (peer, &msg);
 }
 
+/* The own scheduler's part: alone its part of all, more when other entries ask it too. */
+static void
+share (Place *place)
+{
+  unsigned askers = broker_askers (place->own), all = MAX (place->entries, 1);
+  double places = (1.0 + askers) / all;
+  double limits = (double) (askers + (place->current == NULL)) / all;
+
+  broker_share (place->own, MIN (1, places * OVERCOMMIT), MIN (1, limits), place->self);
+}
+
 /* Everything that waits goes to the new one, and it learns what runs. */
 static void
 change_to (Place *place, MeshPeer *next, const char *why)
@@ -340,6 +351,7 @@
   gpointer value;
 
   place->current = next;
+  share (place);
   if (before)
     say_turned_away (before);
   jlog (JLOG_INFO, "scheduler", NULL, JL_TEXT ("by", place_by (place)), JL_TEXT ("why", why),
@@ -445,17 +457,6 @@
     change_to (place, next, why);
 }
 
-/* The own scheduler's part: alone its part of all, more when other entries ask it too. */
-static void
-share (Place *place)
-{
-  unsigned askers = broker_askers (place->own), all = MAX (place->entries, 1);
-  double places = (1.0 + askers) / all;
-  double limits = (double) (askers + (place->current == NULL)) / all;
-
-  broker_share (place->own, MIN (1, places * OVERCOMMIT), MIN (1, limits), place->self);
-}
-
 void
 place_view (Place *place, MeshPeer *peer, const MeshView *view)
 {
--- a/test/place.c
+++ b/test/place.c
@@ -575,6 +575,158 @@
   end ();
 }
 
+static bool
+one_more_granted (void)
+{
+  return grants >= 2 || refusals > 0;
+}
+
+static LoopTimer ticked;
+
+static void
+on_ticked (LoopTimer *timer)
+{
+  (void) timer;
+  loop_stop (loop);
+}
+
+/* Longer than a tick of the entry's. */
+static void
+run_until_ticked (void)
+{
+  ticked.fire = on_ticked;
+  loop_timer_set (loop, &ticked, loop_now (loop) + 50 * FT_MS);
+  loop_run (loop);
+}
+
+/* Reads what a scheduler was sent up to its first notice; false: none. asks: those before it. */
+static bool
+next_notice (Scheduler *one, MeshNotice *out, unsigned *asks)
+{
+  MeshMsg msg;
+  bool found = false;
+
+  *asks = 0;
+  while (!found && test_peer_next (one, &msg))
+    {
+      *asks += msg.kind == MESH_ASK;
+      found = msg.kind == MESH_NOTICE;
+      if (found)
+        *out = msg.MeshMsg_u.notice;
+      if (found)
+        g_assert_cmpstr (out->server, ==, "i");
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  return found;
+}
+
+/* A scheduler that takes over hears what servers said before it hears of any request. */
+static void
+notices_before_requests (void)
+{
+  Notice said = { .rate = 2, .backoff_us = 9 * FT_SECOND };
+  MeshNotice told;
+  unsigned asks;
+
+  begin ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  in_charge (&a, 1);
+  ask (1, 0);
+  grant (&a, 1);
+  ask (2, 0);
+  place_notice (place, 1, "i", &said);
+  g_assert_true (next_notice (&a, &told, &asks));
+  g_assert_cmpuint (told.request, ==, 1);
+  g_assert_cmpuint (told.rate_milli, ==, 2000);
+  in_charge (&b, 2);
+  g_assert_true (next_notice (&b, &told, &asks));
+  g_assert_cmpuint (asks, ==, 0);
+  g_assert_cmpuint (told.request, ==, 0);
+  g_assert_cmpuint (told.rate_milli, ==, 2000);
+  g_assert_cmpuint (told.backoff_ms, >, 8000);
+  test_peer_end (&a);
+  test_peer_end (&b);
+  end ();
+}
+
+/* An answer without a rate is told only to a scheduler that holds the server to one. */
+static void
+end_of_a_rate_is_told (void)
+{
+  Notice nothing = { 0 };
+  MeshMsg paced = { .kind = MESH_GRANT };
+  char none[] = "";
+  MeshNotice told;
+  unsigned asks;
+
+  begin ();
+  Scheduler a = scheduler (11);
+  in_charge (&a, 1);
+  ask (1, 0);
+  grant (&a, 1);
+  place_notice (place, 1, "i", &nothing);
+  g_assert_false (next_notice (&a, &told, &asks));
+  ask (2, 0);
+  paced.MeshMsg_u.grant
+      = (MeshGrant){ .request = 2, .server = (char *) "i", .name = none, .ip = 1, .paced = true };
+  place_message (place, &a.peer, &paced);
+  place_notice (place, 2, "i", &nothing);
+  g_assert_true (next_notice (&a, &told, &asks));
+  g_assert_cmpuint (told.rate_milli, ==, 0);
+  test_peer_end (&a);
+  end ();
+}
+
+/* A scheduler that grants a server which the entry may not use is told why, before it is asked
+ * again. */
+static void
+withheld_grant_is_explained (void)
+{
+  Notice said = { .leaving = true };
+  int64_t left;
+  MeshNotice told;
+  unsigned asks;
+
+  begin ();
+  Scheduler a = scheduler (11);
+  in_charge (&a, 1);
+  g_assert_null (place_withholds (place, "i", &left));
+  ask (1, 0);
+  grant (&a, 1);
+  place_notice (place, 1, "i", &said);
+  while (next_notice (&a, &told, &asks))
+    ;
+  g_assert_cmpstr (place_withholds (place, "i", &left), ==, "leaving");
+  g_assert_true (next_notice (&a, &told, &asks));
+  g_assert_true (told.leaving);
+  test_peer_end (&a);
+  end ();
+}
+
+/* The voters die, and all servers name rates: what waits is not refused while the entry's own
+ * scheduler has no part of the rates yet. */
+static void
+rate_of_an_entry_alone (void)
+{
+  Notice said = { .rate = 2 };
+
+  begin ();
+  Scheduler a = scheduler (11);
+  in_charge (&a, 1);
+  run_until_ticked ();
+  ask (1, 0);
+  grant (&a, 1);
+  place_notice (place, 1, "i", &said);
+  run_until_ticked ();
+  ask (2, 0);
+  place_down (place, &a.peer);
+  g_assert_cmpstr (place_by (place), ==, "own");
+  run_until (one_more_granted);
+  g_assert_cmpuint (refusals, ==, 0);
+  test_peer_end (&a);
+  end ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -588,5 +740,9 @@
   g_test_add_func ("/place/grant", grant_says_where);
   g_test_add_func ("/place/end", all_are_told_of_the_end);
   g_test_add_func ("/place/silent", silent_scheduler_is_passed_over);
+  g_test_add_func ("/place/notices_first", notices_before_requests);
+  g_test_add_func ("/place/rate_ends", end_of_a_rate_is_told);
+  g_test_add_func ("/place/withheld", withheld_grant_is_explained);
+  g_test_add_func ("/place/rate_alone", rate_of_an_entry_alone);
   return g_test_run ();
 }
