What a service's servers can do is counted anew as their rates or the part of them change

It is counted anew now. /place/rate_alone fails without this (1 refused) and passes with it, three runs of test/place.c.

--- a/src/pace.c
+++ b/src/pace.c
@@ -74,6 +74,8 @@
 static void
 tell (const Sched *sched, const Server *server, double before)
 {
+  if (server->pace.rate != before)
+    server->service->summary.until = 0;
   if (sched->ops->paced && server->pace.rate != before)
     sched->ops->paced (sched->host, server->id, before, server->pace.rate);
 }
@@ -133,9 +135,11 @@
   g_hash_table_iter_init (&iter, sched->servers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Pace *pace = &((Server *) value)->pace;
+      Server *server = value;
+      Pace *pace = &server->pace;
       if (pace->rate <= 0)
         continue;
+      server->service->summary.until = 0;
       fill (sched, pace, now);
       if (part <= 0)
         pace->tokens = 0; /* others give the rate away from now on */
