A limited server counts with all its places until a request's time is known

Its refusal's line (start in 1000000 ms) led to the cause: an entry's own scheduler that was never asked knows no mean slot time, so a server with a rate counted with no place at all. Until a first request it counts with its places.

--- a/src/pace.c
+++ b/src/pace.c
@@ -54,8 +54,8 @@
 {
   double rate = server->pace.rate * sched->rate_part;
 
-  if (server->pace.rate <= 0)
-    return places;
+  if (server->pace.rate <= 0 || server->service->mean_us <= 0)
+    return places; /* before the first request nothing is known of its time */
   return MIN (places, rate * server->service->mean_us / 1e6);
 }
 
--- a/test/place.c
+++ b/test/place.c
@@ -51,7 +51,7 @@
 {
   (void) host;
   (void) request;
-  (void) refusal;
+  g_test_message ("%s", refusal->rule);
   refusals++;
 }
 
@@ -575,6 +575,12 @@
   end ();
 }
 
+static bool
+one_granted (void)
+{
+  return grants >= 1;
+}
+
 static bool
 one_more_granted (void)
 {
@@ -704,13 +710,21 @@
 }
 
 /* The voters die, and all servers name rates: what waits is not refused while the entry's own
- * scheduler has no part of the rates yet. */
+ * scheduler has no part of the rates yet, whether or not it knows how long requests take. */
 static void
-rate_of_an_entry_alone (void)
+rate_of_an_entry_alone (gconstpointer asked_before)
 {
   Notice said = { .rate = 2 };
+  SchedResult result = { .outcome = SCHED_OK, .answer_us = 40 * FT_MS };
 
   begin ();
+  if (asked_before)
+    {
+      ask (9, 0);
+      run_until (one_granted);
+      place_done (place, 9, &result);
+      grants = 0;
+    }
   Scheduler a = scheduler (11);
   in_charge (&a, 1);
   run_until_ticked ();
@@ -743,6 +757,7 @@
   g_test_add_func ("/place/notices_first", notices_before_requests);
   g_test_add_func ("/place/rate_ends", end_of_a_rate_is_told);
   g_test_add_func ("/place/withheld", withheld_grant_is_explained);
-  g_test_add_func ("/place/rate_alone", rate_of_an_entry_alone);
+  g_test_add_data_func ("/place/rate_alone", NULL, rate_of_an_entry_alone);
+  g_test_add_data_func ("/place/rate_alone_again", "", rate_of_an_entry_alone);
   return g_test_run ();
 }
