--- a/test/pace.c
+++ b/test/pace.c
@@ -122,9 +122,16 @@
   Tally high = tally (0, from), low = tally (2, from);
   g_assert_cmpuint (high.in_time * 100, >=, high.asked * 75); /* 6.4 of the 8 a second */
   g_assert_cmpuint (low.refused * 2, >, low.asked);
+  unsigned refused = 0, at_once = 0;
   for (unsigned i = from; i < world->works; i++)
     if (world->work[i].refused)
-      g_assert_cmpint (world->work[i].advice, >, 0);
+      {
+        g_assert_cmpint (world->work[i].advice, >, 0);
+        refused++;
+        at_once += world->work[i].refused_after < 100 * FT_MS;
+      }
+  g_test_message ("%u refused, %u at once", refused, at_once);
+  g_assert_cmpuint (at_once * 2, >, refused); /* as early as it is known */
   g_assert_cmpint (low.late_refusal, <=, world->patience);
   end ();
 }
@@ -200,6 +207,18 @@
   end ();
 }
 
+/* It got what it got until it named the rate: nothing more goes there at once. */
+static void
+bucket_opens_empty (void)
+{
+  begin (1, 6, false);
+  unsigned told = granted_at_server ();
+  world->clock.now += 10 * FT_MS;
+  say (told, 2);
+  g_assert_cmpuint (granted_at_server (), ==, G_MAXUINT);
+  end ();
+}
+
 /* A successor learns a rate from those who heard it, and gives no more at once than they waited. */
 static void
 successor_of_a_scheduler (void)
@@ -271,6 +290,7 @@
   g_test_add_func ("/pace/all_limited", all_servers_limited);
   g_test_add_func ("/pace/not_failing", limited_is_not_failing);
   g_test_add_func ("/pace/overtaken", overtaken_words);
+  g_test_add_func ("/pace/opens_empty", bucket_opens_empty);
   g_test_add_func ("/pace/successor", successor_of_a_scheduler);
   g_test_add_func ("/pace/parts", parts_of_a_rate);
   return g_test_run ();
