place.c: messages to schedulers in a file of their own

place.c had grown to 768 lines by notices; what an entry tells schedulers (asks, ends, notices) is in placemsg.c (189), its records in placeint.h (66), who schedules stays in place.c (549). Unit tests pass as before.

--- a/node/place.c
+++ b/node/place.c
@@ -13,10 +13,9 @@
  * whole queue and ledger. As soon as a better one speaks again it is asked instead. The own
  * scheduler follows all along what the entry's requests run on and how fast.
  */
-#include "place.h"
+#include "placeint.h"
 #include "count.h"
 #include "jlog.h"
-#include "spent.h"
 
 #include <string.h>
 
@@ -31,22 +30,6 @@
 #define TICK          (20 * FT_MS)
 #define OVERCOMMIT                                                                                 \
   1.4 /* callers are spread unevenly over entries: a bare part leaves places idle */
-#define DEPUTIES  4
-#define TOLD_MOST (DEPUTIES + 2) /* and the voters in charge before and after an election */
-
-typedef struct
-{
-  uint64_t number;
-  SchedAsk ask;
-  char *service, *org, *avoid, *server;
-  uint32_t *kept;
-  double cost;
-  MeshPeer *at;              /* waits at that scheduler; NULL: at the own one */
-  MeshPeer *told[TOLD_MOST]; /* schedulers that have it in their ledgers */
-  bool running;
-  bool paced; /* who granted it holds its server to a rate */
-  int64_t asked_at;
-} Item;
 
 typedef struct
 {
@@ -54,27 +37,6 @@
   int64_t until, at, backoff;
 } PassedOver;
 
-struct Place
-{
-  Loop *loop;
-  Mesh *mesh;
-  uint32_t self;
-  const PlaceOps *ops;
-  void *host;
-  GHashTable *items; /* number: Item */
-  Broker *own;
-  MeshPeer *voter; /* proved to be in charge; NULL: none */
-  uint64_t term;   /* the highest in which a voter proved that */
-  uint32_t deputies[DEPUTIES];
-  unsigned deputy_count;
-  MeshPeer *current;       /* who is asked now; NULL: the own scheduler */
-  GHashTable *passed_over; /* MeshPeer: PassedOver */
-  Spent *spent;
-  Notices *notices;
-  LoopTimer tick;
-  unsigned entries, waiting;
-};
-
 /* ---- Items ---- */
 
 static void
@@ -90,12 +52,6 @@
   g_free (item);
 }
 
-static Item *
-item_of (const Place *place, uint64_t number)
-{
-  return g_hash_table_lookup (place->items, &number);
-}
-
 static void
 run (Place *place, Item *item, const char *server)
 {
@@ -113,186 +69,6 @@
   g_hash_table_remove (place->items, &item->number);
 }
 
-/* ---- Messages to a scheduler ---- */
-
-static void
-note_told (Item *item, MeshPeer *peer)
-{
-  unsigned free_at = TOLD_MOST;
-
-  for (unsigned i = 0; i < TOLD_MOST; i++)
-    {
-      if (item->told[i] == peer)
-        return;
-      if (item->told[i] == NULL && free_at == TOLD_MOST)
-        free_at = i;
-    }
-  if (free_at < TOLD_MOST)
-    item->told[free_at] = peer;
-}
-
-/* Failure: a request is granted by one scheduler and ends while another is asked. Symptom: the
- * first one's ledger holds its place for ever, and requests are refused before idle servers. So
- * whoever was told of it is told of its end. */
-static void
-tell_all (const Item *item, const MeshMsg *msg)
-{
-  for (unsigned i = 0; i < TOLD_MOST; i++)
-    if (item->told[i])
-      mesh_send (item->told[i], msg);
-}
-
-/* Tells the scheduler what others gave of the limit, and how full the last of them reported it. */
-static void
-put_spent (Place *place, const MeshPeer *peer, const char *org, MeshAsk *ask)
-{
-  double full;
-  int64_t age, given_for;
-
-  ask->spent_tokens = (unsigned) spent_elsewhere (place->spent, peer, org, &given_for);
-  ask->spent_ms = (u_int) (given_for / FT_MS);
-  ask->org_fill_ms = MESH_FILL_UNKNOWN;
-  if (!spent_reported (place->spent, peer, org, &full, &age))
-    return;
-  ask->org_fill = (u_int) (full * 1e3);
-  ask->org_fill_ms = (u_int) (age / FT_MS);
-}
-
-static void
-note_report (Place *place, const MeshPeer *peer, const char *org, u_int fill)
-{
-  if (fill != MESH_FILL_UNKNOWN)
-    spent_report (place->spent, peer, org, fill / 1e3);
-}
-
-static void
-send_ask (Place *place, MeshPeer *peer, Item *item)
-{
-  int64_t now = loop_now (place->loop);
-  MeshMsg msg = { .kind = MESH_ASK };
-  const SchedAsk *ask = &item->ask;
-  char none[] = "";
-
-  msg.MeshMsg_u.ask = (MeshAsk){ .request = item->number,
-                                 .service = item->service,
-                                 .org = item->org,
-                                 .tier = ask->tier,
-                                 .stream = ask->stream,
-                                 .repeatable = ask->repeatable,
-                                 .prompt_tokens = ask->prompt_tokens,
-                                 .output_tokens = ask->output_tokens,
-                                 .cost_tokens = (unsigned) item->cost,
-                                 .route = ask->route,
-                                 .shared_part = ask->shared_part,
-                                 .gap_ms = (unsigned) (ask->gap_us / FT_MS),
-                                 .aim_in_us = ask->aim_at - now,
-                                 .limit_in_us = ask->limit_at - now,
-                                 .end_in_us = ask->end_at - now,
-                                 .kept = { ask->kept_count, item->kept },
-                                 .avoid = item->avoid ? item->avoid : none,
-                                 .running = item->running,
-                                 .server = item->server ? item->server : none };
-  put_spent (place, peer, item->org, &msg.MeshMsg_u.ask);
-  mesh_send (peer, &msg);
-  note_told (item, peer);
-}
-
-static MeshDone
-done_message (uint64_t number, const SchedResult *result)
-{
-  return (MeshDone){ .request = number,
-                     .outcome = result->outcome,
-                     .event_us = result->event_us,
-                     .answer_us = result->answer_us,
-                     .broke = result->broke,
-                     .rested_ms = (u_int) ((result->rested_us + FT_MS - 1) / FT_MS) };
-}
-
-static void
-send_done (MeshPeer *peer, uint64_t number, const SchedResult *result)
-{
-  MeshMsg msg = { .kind = MESH_DONE };
-
-  msg.MeshMsg_u.done = done_message (number, result);
-  mesh_send (peer, &msg);
-}
-
-/* ---- What servers say of themselves ---- */
-
-static void
-send_notice (MeshPeer *peer, uint64_t request, const char *server, const Notice *notice,
-             int64_t age)
-{
-  MeshMsg msg = { .kind = MESH_NOTICE };
-
-  msg.MeshMsg_u.notice = (MeshNotice){ .request = request,
-                                       .age_ms = (u_int) MIN (age / FT_MS, G_MAXUINT32),
-                                       .server = (char *) server,
-                                       .rate_milli = (u_int) (notice->rate * 1e3),
-                                       .leaving = notice->leaving,
-                                       .backoff_ms = (u_int) (notice->backoff_us / FT_MS) };
-  mesh_send (peer, &msg);
-}
-
-static void
-tell_current (void *data, const char *server, const Notice *notice, int64_t age)
-{
-  const Place *place = data;
-
-  if (place->current)
-    send_notice (place->current, 0, server, notice, age);
-  else
-    broker_notice_before (place->own, server, notice, age);
-}
-
-static bool
-was_told (const Item *item, const MeshPeer *peer)
-{
-  for (unsigned i = 0; i < TOLD_MOST; i++)
-    if (item->told[i] == peer)
-      return true;
-  return false;
-}
-
-NoticesTaken
-place_notice (Place *place, uint64_t request, const char *server, const Notice *notice)
-{
-  const Item *item = item_of (place, request);
-  NoticesTaken taken = notices_take (place->notices, server, notice);
-
-  broker_notice (place->own, request, server, notice);
-  if (item == NULL || (taken == NOTICES_NONE && !item->paced))
-    return taken;
-  for (unsigned i = 0; i < TOLD_MOST; i++)
-    if (item->told[i])
-      send_notice (item->told[i], request, server, notice, 0);
-  if (place->current && !was_told (item, place->current))
-    send_notice (place->current, 0, server, notice, 0);
-  return taken;
-}
-
-bool
-place_unread (Place *place, const char *server)
-{
-  return notices_unread (place->notices, server);
-}
-
-const char *
-place_withholds (Place *place, const char *server, int64_t *for_us)
-{
-  Notice notice;
-  const char *why = notices_forbid (place->notices, server, &notice);
-
-  *for_us = notice.backoff_us;
-  if (why == NULL)
-    return NULL;
-  /* Whoever granted it has not heard, or has lost it with a list that lacked the server. */
-  broker_notice_before (place->own, server, &notice, 0);
-  if (place->current)
-    send_notice (place->current, 0, server, &notice, 0);
-  return why;
-}
-
 /* ---- Asking whoever is current ---- */
 
 static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
@@ -304,7 +80,7 @@
   item->asked_at = loop_now (place->loop);
   if (item->at)
     {
-      send_ask (place, item->at, item);
+      pmsg_ask (place, item->at, item);
       return;
     }
   broker_ask (place->own, &item->ask, item->cost);
@@ -314,7 +90,7 @@
 withdraw (Place *place, const Item *item)
 {
   if (item->at)
-    send_done (item->at, item->number, &withdrawn);
+    pmsg_done (item->at, item->number, &withdrawn);
   else
     broker_done (place->own, item->number, &withdrawn);
 }
@@ -359,7 +135,7 @@
         JL_INT ("waiting", place->waiting));
   if (next == NULL || next->role == MESH_ENTRY)
     count_up (COUNT_FALL_BACKS);
-  notices_each (place->notices, tell_current, place);
+  pmsg_notices (place);
   g_hash_table_iter_init (&iter, place->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -367,7 +143,7 @@
       if (item->running)
         {
           if (next)
-            send_ask (place, next, item);
+            pmsg_ask (place, next, item);
           continue;
         }
       withdraw (place, item); /* which gives back what it was counted with */
@@ -552,11 +328,18 @@
 
 /* ---- Verdicts ---- */
 
+static void
+note_report (Place *place, const MeshPeer *peer, const char *org, u_int fill)
+{
+  if (fill != MESH_FILL_UNKNOWN)
+    spent_report (place->spent, peer, org, fill / 1e3);
+}
+
 static void
 on_own_grant (void *host, uint64_t number, const Grant *grant)
 {
   Place *place = host;
-  Item *item = item_of (place, number);
+  Item *item = place_item (place, number);
 
   if (item == NULL || item->running || item->at)
     return;
@@ -569,7 +352,7 @@
 on_own_refuse (void *host, uint64_t number, const SchedRefusal *refusal)
 {
   Place *place = host;
-  Item *item = item_of (place, number);
+  Item *item = place_item (place, number);
 
   if (item == NULL || item->running || item->at)
     return;
@@ -582,12 +365,12 @@
 static void
 on_grant (Place *place, MeshPeer *peer, const MeshGrant *from)
 {
-  Item *item = item_of (place, from->request);
+  Item *item = place_item (place, from->request);
 
   if (item == NULL || item->running)
     {
       if (item == NULL || strcmp (item->server, from->server) != 0)
-        send_done (peer, from->request, &withdrawn);
+        pmsg_done (peer, from->request, &withdrawn);
       return;
     }
   if (item->at != peer)
@@ -609,7 +392,7 @@
 static void
 on_refuse (Place *place, const MeshPeer *peer, const MeshRefuse *from)
 {
-  Item *item = item_of (place, from->request);
+  Item *item = place_item (place, from->request);
   SchedRefusal refusal
       = { .reason = from->reason < FT_REASONS ? from->reason : FT_REASON_SHORTAGE };
 
@@ -712,37 +495,35 @@
 void
 place_first (Place *place, uint64_t request, int64_t after_us)
 {
-  const Item *item = item_of (place, request);
+  const Item *item = place_item (place, request);
   MeshMsg msg = { .kind = MESH_FIRST };
 
   broker_first (place->own, request, after_us);
   msg.MeshMsg_u.first = (MeshFirst){ request, after_us };
   if (item)
-    tell_all (item, &msg);
+    pmsg_tell_all (item, &msg);
 }
 
 void
 place_silent (Place *place, uint64_t request)
 {
-  const Item *item = item_of (place, request);
+  const Item *item = place_item (place, request);
   MeshMsg msg = { .kind = MESH_SILENT };
 
   broker_silent (place->own, request);
   msg.MeshMsg_u.silent.request = request;
   if (item)
-    tell_all (item, &msg);
+    pmsg_tell_all (item, &msg);
 }
 
 void
 place_done (Place *place, uint64_t request, const SchedResult *result)
 {
-  Item *item = item_of (place, request);
-  MeshMsg msg = { .kind = MESH_DONE };
+  Item *item = place_item (place, request);
 
   if (item == NULL)
     return;
-  msg.MeshMsg_u.done = done_message (request, result);
-  tell_all (item, &msg);
+  pmsg_done_all (item, result);
   drop (place, item);
   broker_done (place->own, request, result);
 }
--- a/src/backoff.c
+++ b/src/backoff.c
@@ -51,9 +51,9 @@
 }
 
 bool
-boff_may (const Server *server, uint64_t owner, int64_t now)
+boff_is_over (const Server *server, uint64_t owner, int64_t now)
 {
-  return server->backoffs == NULL || until (server, owner) <= now;
+  return until (server, owner) <= now;
 }
 
 void
--- a/src/pace.c
+++ b/src/pace.c
@@ -35,9 +35,9 @@
 }
 
 bool
-pace_has_token (const Sched *sched, const Server *server, int64_t now)
+pace_is_due (const Sched *sched, const Server *server, int64_t now)
 {
-  return server->pace.rate <= 0 || tokens (sched, &server->pace, now) >= 1;
+  return tokens (sched, &server->pace, now) >= 1;
 }
 
 void
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -236,7 +236,12 @@
 
 /* ---- Rates that servers take (pace.c) ---- */
 
-bool pace_has_token (const Sched *sched, const Server *server, int64_t now);
+bool pace_is_due (const Sched *sched, const Server *server, int64_t now);
+static inline bool
+pace_has_token (const Sched *sched, const Server *server, int64_t now)
+{
+  return server->pace.rate <= 0 || pace_is_due (sched, server, now);
+}
 /* A request is placed on the server. */
 void pace_take (const Sched *sched, Server *server, int64_t now);
 /* How many of its places the rate keeps busy. */
@@ -251,7 +256,12 @@
 /* The server wants nothing from the owner for so long from now on. */
 void boff_note (Server *server, uint64_t owner, int64_t us, int64_t now);
 /* May the server get a request of the owner's? */
-bool boff_may (const Server *server, uint64_t owner, int64_t now);
+bool boff_is_over (const Server *server, uint64_t owner, int64_t now);
+static inline bool
+boff_may (const Server *server, uint64_t owner, int64_t now)
+{
+  return server->backoffs == NULL || boff_is_over (server, owner, now);
+}
 void boff_forget (Sched *sched, uint64_t owner);
 /* When the first server takes the owner's requests again; now: one does. */
 int64_t boff_opens_at (const Service *service, uint64_t owner, int64_t now);
