--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -5,7 +5,7 @@
  *   GET  /healthz, /readyz
  *   any other path              a plain service of the catalogue
  */
-#include "edge.h"
+#include "edgeint.h"
 #include "body.h"
 #include "dlog.h"
 #include "http.h"
@@ -15,19 +15,8 @@
 #include <string.h>
 
 #define CONNECT_TRIES 4     /* servers tried while connections are refused; nothing ran yet */
-#define BLOCK         16384 /* bytes handed to the HTTP server at once */
 #define ANSWER_WAIT_S 86400 /* connections whose request is complete: no answer takes longer */
 
-struct Edge
-{
-  Core *core;
-  Back *back;
-  struct _u_instance http;
-  uint64_t incarnation; /* tells callers a restarted process from its predecessor */
-  gint closing;
-  gint busy;
-};
-
 /* ---- Refusals ---- */
 
 static void
@@ -179,9 +168,6 @@
   return digest;
 }
 
-static void answer_by_id (Edge *edge, const char *id, const char *org, Call *asker,
-                          struct _u_response *response);
-
 /* True: the claim is this call's and it may go on. */
 static bool
 claim (Edge *edge, Call *call, struct _u_response *response)
@@ -283,235 +269,6 @@
   return false;
 }
 
-/* ---- Answers ---- */
-
-typedef struct
-{
-  Edge *edge;
-  Call *call;
-  size_t sent;
-  char *tail; /* what follows the last piece */
-  size_t tail_sent;
-} Cursor;
-
-static char *
-make_tail (Call *call)
-{
-  if (call->failure == FT_REASON_NONE)
-    return g_strdup_printf ("id: %u\ndata: [DONE]\n\n", ft_req_next (call->req));
-  Problem problem = { call->failure, call->id, "the stream broke", call->tier, call->revision, 0 };
-  char *text = http_problem_text (&problem);
-  char *tail = g_strdup_printf ("event: error\ndata: %s\n\n", text);
-  g_free (text);
-  return tail;
-}
-
-static ssize_t
-send_tail (Cursor *cursor, char *out, size_t most)
-{
-  size_t left = strlen (cursor->tail) - cursor->tail_sent;
-  size_t count = MIN (left, most);
-
-  if (count == 0)
-    return U_STREAM_END;
-  memcpy (out, cursor->tail + cursor->tail_sent, count);
-  cursor->tail_sent += count;
-  return (ssize_t) count;
-}
-
-/* False: nothing came for a third of the time after which silence ends a connection. */
-static bool
-wait_a_while (Edge *edge, Call *call)
-{
-  int64_t until = g_get_monotonic_time () + core_conf (edge->core)->idle_s * FT_SECOND / 3;
-  struct timespec at = { until / FT_SECOND, (until % FT_SECOND) * 1000 };
-
-  return pthread_cond_clockwait (&call->cond, &call->lock, CLOCK_MONOTONIC, &at) == 0;
-}
-
-/* Failure: a stream is paused, or its engine slow, for longer than idle timeouts of this server, of
- * a balancer or of the caller. Symptom: the connection is closed in the middle of an answer. A
- * comment, which readers of events skip, keeps all three from seeing an idle connection. */
-static ssize_t
-send_comment (char *out, size_t most)
-{
-  static const char comment[] = ": waiting\n\n";
-  size_t size = MIN (sizeof comment - 1, most);
-
-  memcpy (out, comment, size);
-  return (ssize_t) size;
-}
-
-static ssize_t
-on_stream (void *user, uint64_t offset, char *out, size_t most)
-{
-  Cursor *cursor = user;
-  Call *call = cursor->call;
-  size_t size, count = 0;
-
-  (void) offset;
-  if (cursor->tail)
-    return send_tail (cursor, out, most);
-  pthread_mutex_lock (&call->lock);
-  for (;;)
-    {
-      const char *bytes = ft_req_bytes (call->req, &size);
-      count = MIN (size - cursor->sent, most);
-      memcpy (out, bytes + cursor->sent, count);
-      cursor->sent += count;
-      if (count > 0 || call->finished)
-        break;
-      if (!wait_a_while (cursor->edge, call))
-        {
-          pthread_mutex_unlock (&call->lock);
-          return send_comment (out, most);
-        }
-    }
-  if (count == 0)
-    cursor->tail = make_tail (call);
-  pthread_mutex_unlock (&call->lock);
-  return count ? (ssize_t) count : send_tail (cursor, out, most);
-}
-
-static void
-on_stream_free (void *user)
-{
-  Cursor *cursor = user;
-
-  g_atomic_int_add (&cursor->edge->busy, -1);
-  call_unref (cursor->call);
-  g_free (cursor->tail);
-  g_free (cursor);
-}
-
-static void
-answer_stream (Edge *edge, Call *call, struct _u_response *response)
-{
-  Cursor *cursor = g_new0 (Cursor, 1);
-
-  cursor->edge = edge;
-  cursor->call = call_ref (call);
-  g_atomic_int_inc (&edge->busy);
-  u_map_put (response->map_header, "Content-Type", "text/event-stream");
-  u_map_put (response->map_header, "Cache-Control", "no-store");
-  u_map_put (response->map_header, "X-Request-Id", call->id);
-  ulfius_set_stream_response (response, 200, on_stream, on_stream_free, U_STREAM_SIZE_UNKNOWN,
-                              BLOCK, cursor);
-}
-
-static void
-answer_failure (Call *call, struct _u_response *response)
-{
-  Problem problem = { call->failure, call->id,       "the backend server did not complete it",
-                      call->tier,    call->revision, 0 };
-
-  stat_refused (call->failure, call->tier);
-  http_problem (response, &problem);
-}
-
-/* The whole answer of a finished call. */
-static void
-answer_whole (Call *call, struct _u_response *response)
-{
-  size_t size;
-
-  pthread_mutex_lock (&call->lock);
-  if (call->failure != FT_REASON_NONE)
-    answer_failure (call, response);
-  else if (call->service)
-    {
-      const char *bytes = ft_req_bytes (call->req, &size);
-      ulfius_set_binary_body_response (response, (unsigned) call->answer_status, bytes, size);
-      if (call->answer_type)
-        u_map_put (response->map_header, "Content-Type", call->answer_type);
-      u_map_put (response->map_header, "X-Request-Id", call->id);
-    }
-  else
-    {
-      char *text = body_whole (call->id, call->pool, call->content->str, ft_req_next (call->req));
-      http_json (response, 200, text);
-      u_map_put (response->map_header, "X-Request-Id", call->id);
-      g_free (text);
-    }
-  pthread_mutex_unlock (&call->lock);
-}
-
-static void
-wait_finished (Call *call)
-{
-  pthread_mutex_lock (&call->lock);
-  while (!call->finished)
-    pthread_cond_wait (&call->cond, &call->lock);
-  pthread_mutex_unlock (&call->lock);
-}
-
-/* Until the first piece or the end, so that a failure before it can have its own HTTP status. */
-static bool
-wait_first (Call *call)
-{
-  size_t size = 0;
-
-  pthread_mutex_lock (&call->lock);
-  while (!call->finished)
-    {
-      ft_req_bytes (call->req, &size);
-      if (size > 0)
-        break;
-      pthread_cond_wait (&call->cond, &call->lock);
-    }
-  bool started = size > 0 || call->failure == FT_REASON_NONE;
-  pthread_mutex_unlock (&call->lock);
-  return started;
-}
-
-/* An answer kept here or at another instance. asker: the call that repeats a key, or NULL. */
-static void
-answer_by_id (Edge *edge, const char *id, const char *org, Call *asker,
-              struct _u_response *response)
-{
-  GBytes *body = NULL;
-  int http_status = 0;
-  char *type = NULL, *owner = NULL, *text = NULL;
-  gsize size = 0;
-  FtStatus status = back_kept_answer (edge->back, id, &body);
-
-  if (status == FT_NOT_FOUND)
-    status = core_find (edge->core, FT_FIND_ANSWER, id, &body);
-  Problem problem = { FT_REASON_OUTCOME_UNKNOWN,   id, "", asker ? asker->tier : 0,
-                      asker ? asker->revision : 0, 0 };
-  if (status == FT_OK && body
-      && body_unpack_answer (body, &http_status, &type, &owner, &text, &size)
-      && strcmp (owner, org) == 0)
-    {
-      ulfius_set_binary_body_response (response, (unsigned) http_status, text, size);
-      u_map_put (response->map_header, "Content-Type", type);
-      u_map_put (response->map_header, "X-Request-Id", id);
-    }
-  else if (status == FT_CONFLICT)
-    {
-      problem.reason = FT_REASON_CLAIM_ELSEWHERE;
-      problem.retry_after_ms = 1000;
-      http_problem (response, &problem);
-    }
-  else if (status == FT_STALE)
-    http_problem (response, &problem);
-  else if (asker)
-    {
-      problem.rule = "it was answered, and the answer is not kept any more";
-      http_problem (response, &problem);
-    }
-  else
-    {
-      problem.reason = FT_REASON_NO_SUCH_REQUEST;
-      http_problem (response, &problem);
-    }
-  g_free (type);
-  g_free (owner);
-  g_free (text);
-  if (body)
-    g_bytes_unref (body);
-}
-
 /* ---- Endpoints ---- */
 
 /* From a call that is complete but for its claim to its answer. */
@@ -529,12 +286,12 @@
       book_remove (back_book (edge->back), call);
       return;
     }
-  if (call->stream && !call->service && wait_first (call))
+  if (call->stream && !call->service && answer_wait_first (call))
     {
       answer_stream (edge, call, response);
       return;
     }
-  wait_finished (call);
+  answer_wait_end (call);
   answer_whole (call, response);
 }
 
@@ -673,7 +430,7 @@
     answer_stream (edge, call, response); /* from the first piece on, also while it runs */
   else if (call && strcmp (call->org, org->name) == 0)
     {
-      wait_finished (call);
+      answer_wait_end (call);
       answer_whole (call, response);
     }
   else
