Test: what another server at the address says is not held against the one meant

A 421 with Server-Leaving, from the server that has the address by now: /notices/other_server checks that no entry counts a notice of it. Found when the check is taken out (test/mutants.sh, 'another server's word counts').

--- a/test/backend.c
+++ b/test/backend.c
@@ -265,6 +265,9 @@
   bool meant = wanted && strcmp (wanted, server->id) == 0 && server->mode != SERVER_GONE;
   if (meant)
     put_notices (server, id, server->mode == SERVER_FULL, fields);
+  else if (server->says_leaving)
+    hwrite_field (fields, "Server-Leaving",
+                  "1"); /* whoever it is, it is not the one that was meant */
   if (!meant)
     hcall_reply (call, 421, fields, "", 0);
   else if (server->mode == SERVER_FULL)
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -52,5 +52,6 @@
 try "one kept away waits to its end" src/backoff.c 's/if \(service->backoff_until <= now\)/if (true)/' test-backoff &
 try "a list takes a leaving back" src/scheduler.c 's/ \|\| server->says_leaving//' test-backoff &
 try "an entry forgets what servers said" src/notices.c 's/^    return "leaving";/    return NULL;/; s/backoff_us > 0 \? "backoff" : NULL/backoff_us > 0 ? NULL : NULL/' test-place &
+try "another server's word counts" node/try.c 's/answer->elsewhere \|\| //' test-notices &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/notices.c
+++ b/test/notices.c
@@ -2,7 +2,7 @@
  * a rate that they take, a time in which they want nothing, that they leave. */
 #include "fleet.h"
 
-#include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 #define CALLERS 12
@@ -217,6 +217,37 @@
   fleet_free (fleet);
 }
 
+static unsigned
+notices_of (Fleet *fleet, const FleetNode *entry)
+{
+  Answer answer;
+  unsigned count = G_MAXUINT;
+
+  fleet_metrics (fleet, entry, &answer);
+  const char *at = strstr (answer.body->str, "\nfoxtail_server_notices_total ");
+  if (at)
+    sscanf (at, "\nfoxtail_server_notices_total %u", &count);
+  fleet_answer_clear (&answer);
+  return count;
+}
+
+/* Another server has the address and says that it leaves: nothing is held against the one meant. */
+static void
+word_of_another_server (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_begin (fleet);
+  fleet->plain_ms = 20;
+  fleet->servers[0].mode = SERVER_GONE;
+  fleet->servers[0].says_leaving = true;
+  load_for (fleet, "/plain/a", FLEET_ENTRIES, FT_SECOND);
+  g_assert_cmpuint (fleet->servers[0].arrived, >, 0);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    g_assert_cmpuint (notices_of (fleet, &fleet->entries[i]), ==, 0);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -227,5 +258,6 @@
   g_test_add_func ("/notices/next_lifetime", next_lifetime);
   g_test_add_func ("/notices/backoff", backoff);
   g_test_add_func ("/notices/leaving", leaving);
+  g_test_add_func ("/notices/other_server", word_of_another_server);
   return g_test_run ();
 }
