Soak: notices that last, so that a missing safeguard is found

Now rates last 9 s, servers turn all away by turns, and each seed ends with 9 s in which one server names a rate, one asks for rest and one leaves while nothing else happens.

--- a/test/backend.c
+++ b/test/backend.c
@@ -263,14 +263,15 @@
   server->arrived++;
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
   bool meant = wanted && strcmp (wanted, server->id) == 0 && server->mode != SERVER_GONE;
+  bool full = server->mode == SERVER_FULL || server->sheds;
   if (meant)
-    put_notices (server, id, server->mode == SERVER_FULL, fields);
+    put_notices (server, id, full, fields);
   else if (server->says_leaving)
     hwrite_field (fields, "Server-Leaving",
                   "1"); /* whoever it is, it is not the one that was meant */
   if (!meant)
     hcall_reply (call, 421, fields, "", 0);
-  else if (server->mode == SERVER_FULL)
+  else if (full)
     {
       hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
       hcall_reply (call, 503, fields, "", 0);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -45,7 +45,8 @@
   bool leaving, listed;
   double rate;       /* its answers name it as the requests a second that it takes; 0: none */
   bool says_leaving; /* its answers say that it leaves, whatever the list says */
-  double backoff_s;  /* SERVER_FULL: it wants nothing from whom it turned away for so long */
+  bool sheds;        /* turns all away, as SERVER_FULL does, whatever its mode */
+  double backoff_s;  /* when it does: it wants nothing from whom it turned away for so long */
   unsigned arrived;
   GPtrArray *streams; /* that it runs */
   GPtrArray *later;   /* plain calls that it runs */
--- a/test/soak.c
+++ b/test/soak.c
@@ -26,6 +26,7 @@
 #define FURTHER_MOST  3  /* and how often it may reach one in its life after that */
 #define IN_TOUCH      (3 * FT_SECOND)
 #define CALM          (25 * FT_SECOND) /* all promises that need calm hold by then */
+#define NOTICES       (9 * FT_SECOND)  /* a rate binds after 3 s, and is judged over 4 s */
 #define STREAM_END    "id: 8\ndata: event 8\n\n"
 
 typedef struct
@@ -409,6 +410,22 @@
     }
 }
 
+/* What servers say holds to the full where nothing else happens. */
+static void
+last_notices (void)
+{
+  int64_t until = loop_now (fleet->loop) + NOTICES;
+
+  soaknote_last ();
+  while (loop_now (fleet->loop) < until)
+    {
+      turn_callers (true);
+      fleet_run_for (fleet, 15 * FT_MS);
+    }
+  calm_down ();
+  soaknote_end ();
+}
+
 /* The marked bodies come on while nothing else happens. */
 static void
 come_after_calm (void)
@@ -485,8 +502,8 @@
       fleet_run_for (fleet, 15 * FT_MS);
     }
   calm_down ();
+  last_notices ();
   check_once ();
-  soaknote_end ();
   soakroll_end ();
   check_recovery ();
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u, "
--- a/test/soaknote.c
+++ b/test/soaknote.c
@@ -6,9 +6,10 @@
 
 #define SETTLE     (3 * FT_SECOND)
 #define DRAIN      (3 * FT_SECOND)
-#define TURN_MOST  3000 /* ms that a server says the same */
-#define LEAVES_IN  20   /* one in so many changes is that it leaves */
-#define ENDS_IN_MS 4000 /* after it has said so */
+#define TURN_MOST  1500 /* ms that a server says the same */
+#define RATE_MS    9000 /* and that it names one rate */
+#define LEAVES_IN  8    /* one in so many changes is that it leaves */
+#define ENDS_IN_MS 5000 /* after it has said so */
 #define RATE_MOST  6
 #define BACKOFF_S  2.0
 
@@ -52,7 +53,7 @@
 {
   server->rate = 0;
   server->backoff_s = 0;
-  server->says_leaving = false;
+  server->says_leaving = server->sheds = false;
 }
 
 static int64_t
@@ -67,10 +68,12 @@
       leaving_life[number] = server->lives;
       return ENDS_IN_MS * FT_MS;
     }
-  if (draw (2))
-    server->rate = 0.5 + draw (RATE_MOST * 2) / 2.0;
   server->backoff_s = draw (2) ? BACKOFF_S : 0;
-  return draw (TURN_MOST) * FT_MS;
+  server->sheds = draw (4) == 0;
+  if (draw (2))
+    return draw (TURN_MOST) * FT_MS;
+  server->rate = 0.5 + draw (RATE_MOST * 2) / 2.0;
+  return RATE_MS * FT_MS;
 }
 
 void
@@ -91,6 +94,28 @@
     }
 }
 
+/* Servers that leave end; the others say nothing more. */
+static void
+end_words (void)
+{
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      if (fleet->servers[i].says_leaving)
+        fleet_end_server (&fleet->servers[i]);
+      say_nothing (&fleet->servers[i]);
+    }
+}
+
+void
+soaknote_last (void)
+{
+  end_words ();
+  fleet->servers[0].rate = 1;
+  fleet->servers[1].sheds = true;
+  fleet->servers[1].backoff_s = 4 * BACKOFF_S;
+  fleet->servers[2].says_leaving = true;
+}
+
 static bool
 excused (void *data, unsigned instance, int64_t from, int64_t to)
 {
@@ -119,12 +144,7 @@
   check ("over a named rate", rules_over_rate (&rules));
   check ("over two in a server's backoff", rules_in_backoff (&rules));
   check ("after a server said that it leaves", rules_after_leaving (&rules));
-  for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    {
-      if (fleet->servers[i].says_leaving)
-        fleet_end_server (&fleet->servers[i]);
-      say_nothing (&fleet->servers[i]);
-    }
+  end_words ();
   g_array_unref (disturbed);
   g_rand_free (source);
 }
--- a/test/soaknote.h
+++ b/test/soaknote.h
@@ -9,6 +9,8 @@
 void soaknote_begin (Fleet *fleet, unsigned seed);
 /* Changes what servers say now and then. */
 void soaknote_turn (void);
+/* After the faults: a rate, a rest and a leaving that last, each at a server of its own. */
+void soaknote_last (void);
 /* A fault touches the entry, 1 for the first, or 0: the path to servers, which concerns all. */
 void soaknote_disturbed (unsigned entry);
 /* Checks all that was seen; servers say nothing of themselves from now on. */
