A voter that is asked to end no longer crashes as its links are closed

Seen: the kernel's log named 14 protection faults of foxtailnode in tell_down (node/tell.c) during soaks, all in voters that were asked to end; the soak took any end for the one it had asked for, so nobody saw it. Links go first now. The soak checks the status of each process that it asks to end.

--- a/node/control.c
+++ b/node/control.c
@@ -473,10 +473,10 @@
 
   loop_timer_stop (control->loop, &control->tick);
   voter_free (control->voter);
+  operators_free (control->operators);
+  mesh_free (control->mesh); /* each link goes down, which those below hear */
   suspects_free (control->suspects);
   rollouts_free (control->rollouts);
-  operators_free (control->operators);
-  mesh_free (control->mesh);
   publish_free (control->publish);
   reader_free (control->reader);
   hcli_free (control->cli);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -144,7 +144,7 @@
 {
   if (node->pid == 0)
     return true;
-  if (waitpid (node->pid, NULL, WNOHANG) != node->pid)
+  if (waitpid (node->pid, &node->status, WNOHANG) != node->pid)
     return false;
   node->pid = 0;
   return true;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -69,6 +69,7 @@
   uint32_t ip;
   bool voter;
   pid_t pid;    /* 0: does not run */
+  int status;   /* of its last end by itself or when asked to, as waitpid gives it */
   Proxy *proxy; /* before its port for other instances; NULL: none */
   char log[256];
 } FleetNode;
--- a/test/node.c
+++ b/test/node.c
@@ -319,6 +319,27 @@
   fleet_free (fleet);
 }
 
+/* A voter with links to entries crashed as it ended, when it was asked to. */
+static void
+clean_exit (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *const nodes[]
+      = { &fleet->voters[0], &fleet->voters[1], &fleet->voters[2], &fleet->entries[0] };
+
+  fleet_begin (fleet);
+  call_ok (fleet, &fleet->entries[0], "/plain/a", "served");
+  for (unsigned i = 0; i < G_N_ELEMENTS (nodes); i++)
+    {
+      fleet_signal (nodes[i], SIGTERM);
+      fleet_until (fleet, has_ended, nodes[i], "it ends");
+      if (nodes[i]->status != 0)
+        g_error ("%s ends with status %d (logs in %s)", nodes[i]->name, nodes[i]->status,
+                 fleet->base);
+    }
+  fleet_free (fleet);
+}
+
 /* An entry starts and reaches no voter. It cannot know what is allowed: its caller is told when to
  * come back, never that its route or key is unknown, and the log says why. It is not ready. */
 static void
@@ -517,6 +538,7 @@
   g_test_add_func ("/node/entry_alone", entry_alone);
   g_test_add_func ("/node/change_sent_again", change_sent_again);
   g_test_add_func ("/node/graceful_end", graceful_end);
+  g_test_add_func ("/node/clean_exit", clean_exit);
   g_test_add_func ("/node/leaving_server", leaving_server);
   g_test_add_func ("/node/leaving_server_without_voters", leaving_server_without_voters);
   g_test_add_func ("/node/trace", id_is_found_in_the_logs);
--- a/test/soak.c
+++ b/test/soak.c
@@ -335,6 +335,8 @@
 {
   if (!fleet_ended (node))
     return false;
+  if (node->status != 0)
+    fail ("it was asked to end, and crashed", node->name);
   fleet_start (fleet, node, false);
   return true;
 }
