--- a/daemon/back.c
+++ b/daemon/back.c
@@ -40,7 +40,7 @@
   GThreadPool *workers;
   char *instance;
   pthread_mutex_t notices_lock;
-  Notices *notices; /* servers that want nothing from this instance for a while */
+  Notices *notices; /* servers that asked this instance to back off */
 };
 
 typedef enum
@@ -241,9 +241,8 @@
   return true;
 }
 
-/* ---- Servers that ask to be left alone ---- */
+/* ---- Servers that ask for a backoff ---- */
 
-/* A server that turns a request away may say for how long it wants none from this instance. */
 static void
 note_backoff (Back *back, const Call *call, int status, const struct _u_map *fields)
 {
@@ -265,7 +264,7 @@
 }
 
 static bool
-wants_nothing (Back *back, const Call *call)
+in_backoff (Back *back, const Call *call)
 {
   char lifetime[192];
   Notice notice;
@@ -515,7 +514,7 @@
 {
   char address[64];
 
-  if (wants_nothing (back, call))
+  if (in_backoff (back, call))
     return FT_NOT_FOUND;
   if (!plat_address (back->plat, call->pool, call->server, address, sizeof address)
       || probe_server (address, core_conf (back->core)->connect_ms) != PROBE_MADE)
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -174,9 +174,7 @@
   return servers_asked_at (all->conf.servers) > listed_at;
 }
 
-/* Failure: grants are under way while a server says that it leaves or wants nothing from this
- * entry, or come from a scheduler that was not told. Symptom: it gets requests that it turns away,
- * and callers lose tries. So what the entry was told binds it before each send. */
+/* A grant may have been made before the scheduler learned of the server's notice. */
 static bool
 is_withheld (const Req *req)
 {
--- a/src/admit.c
+++ b/src/admit.c
@@ -73,7 +73,7 @@
 }
 
 bool
-admit_kept_away (Sched *sched, Job *job, int64_t opens_at, int64_t now)
+admit_in_backoff (Sched *sched, Job *job, int64_t opens_at, int64_t now)
 {
   double first = est_first_us (sched, job->service, &job->ask);
 
--- a/src/backoff.c
+++ b/src/backoff.c
@@ -1,8 +1,9 @@
-/* backoff.c - servers that want nothing from one owner of requests for a while.
+/* backoff.c - servers that asked one owner of requests to back off.
  *
- * A server that turns a request away may ask its sender alone to stay away, and serve others: it is
- * kept out of that owner's choices, and of nobody else's. An owner whom all servers keep away waits
- * for the first that ends it if that is in time, and is refused with that time otherwise.
+ * A server that rejects a request may ask its sender alone to back off while it serves others, so a
+ * backoff excludes the server for that owner only. When all servers of a service have asked an
+ * owner to back off, its request waits for the first backoff to end, or is refused at once with
+ * that time if it would come too late.
  */
 #include "schedint.h"
 
--- a/src/notice.h
+++ b/src/notice.h
@@ -1,8 +1,8 @@
-/* notice.h - what a backend server says of itself in an answer, beside the answer; private to the
+/* notice.h - what a backend server announces of itself in the head of an answer; private to the
  * library and its shells.
  *
- * A notice belongs to one lifetime of a server and comes from the answer to a request that was
- * meant for it.
+ * A notice belongs to one lifetime of a server, and counts only in an answer of that server to a
+ * request that was sent to it.
  */
 #ifndef NOTICE_H
 #define NOTICE_H
@@ -11,16 +11,15 @@
 
 typedef struct
 {
-  double rate;        /* requests a second that it takes from all instances together; 0: not said */
-  bool leaving;       /* it stops, and wants nothing new */
-  int64_t backoff_us; /* it wants nothing from the instance it answered for so long; 0: not said */
+  double rate;        /* rate limit, requests a second over all instances; 0: not announced */
+  bool leaving;       /* it is draining: no new requests */
+  int64_t backoff_us; /* no requests from the instance it answered for so long; 0: not announced */
 } Notice;
 
 /* A decimal number of requests a second, brought within what can be kept. False: it is none. */
 bool notice_read_rate (const char *text, double *rate);
-/* Seconds, whole or decimal, as microseconds, brought within what can be kept. An HTTP date, or
- * what cannot be read, gives NOTICE_BACKOFF_UNREAD and false: the server wants to be left alone,
- * for a time that is not known. */
+/* Seconds, whole or decimal, as microseconds, brought within what can be kept. An HTTP date, or a
+ * value that cannot be read, gives NOTICE_BACKOFF_UNREAD and false: a backoff of unknown length. */
 bool notice_read_backoff (const char *text, int64_t *us);
 /* Does the notice say anything? */
 bool notice_is_empty (const Notice *notice);
--- a/src/notices.c
+++ b/src/notices.c
@@ -1,4 +1,5 @@
-/* notices.c - a table, so that each scheduler that is asked anew can be told. */
+/* notices.c - a bounded table. It binds the instance itself, and is sent to each scheduler that the
+ * instance turns to. */
 #include "notices.h"
 
 #define SERVERS_MOST 4096 /* servers remembered; the one heard longest ago is forgotten first */
--- a/src/notices.h
+++ b/src/notices.h
@@ -1,5 +1,5 @@
-/* notices.h - what servers have told this instance of themselves, by their lifetimes; private to
- * the library and its shells. */
+/* notices.h - the notices that this instance has received from servers, by their lifetimes; private
+ * to the library and its shells. */
 #ifndef NOTICES_H
 #define NOTICES_H
 
--- a/src/pace.c
+++ b/src/pace.c
@@ -1,17 +1,17 @@
-/* pace.c - holds servers to the rate that they say they take.
+/* pace.c - rate limits that servers announce.
  *
- * The rate is for all instances together, so it is held where requests are placed: a token bucket a
- * server, from which each grant takes one. A scheduler that shares the servers with others fills it
- * with its part of the rate only, and a bucket that has just been opened is empty, since the server
- * got what it got until then.
+ * A limit covers all instances together, so it is enforced where requests are placed: one token
+ * bucket a server, and each grant takes a token. A scheduler that shares the servers with others
+ * fills its bucket with its part of the rate only. A new bucket is empty, since the server has just
+ * received requests without a limit.
  *
- * Words on the rate come from several instances and overtake each other. A lower one counts at
- * once. A higher one, or an answer that names none, counts if its request was granted after the
- * latest word was heard: only then is it surely the later one.
+ * Notices of a rate arrive from several instances and may be reordered. A lower rate is applied at
+ * once. A higher rate, or an answer without one, is applied only if its request was granted after
+ * the latest notice: only then is it known to be newer.
  */
 #include "schedint.h"
 
-#define BURST_S 0.1 /* seconds of a high rate that may go at once */
+#define BURST_S 0.1 /* seconds of the rate that may be used at once */
 
 static double
 capacity (const Pace *pace)
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -52,13 +52,13 @@
   USE_NO
 } VersionUse;
 
-/* The rate that a server takes. */
+/* Token bucket of a server's rate limit. */
 typedef struct
 {
   double rate;   /* requests a second; 0: any */
   double tokens; /* requests that it may get at once, as of ... */
   int64_t filled_at;
-  int64_t named_at; /* the latest word that counted was heard */
+  int64_t named_at; /* when the latest notice was applied */
 } Pace;
 
 struct Server
@@ -69,8 +69,8 @@
   VersionUse use;
   unsigned slots, running, pending; /* pending: runs without their first event */
   bool listed, leaving;
-  bool says_leaving;    /* by its own word, which no list takes back */
-  GHashTable *backoffs; /* owners that it keeps away (backoff.c); NULL: none yet */
+  bool says_leaving;    /* it announced that; a list does not revoke it */
+  GHashTable *backoffs; /* owners that it asked to back off; NULL: none yet */
   struct cds_list_head runs;
   int64_t prompts_until; /* when the prompts handed over so far are computed ... */
   double pending_us;     /* ... and their time in sum */
@@ -142,7 +142,7 @@
   int64_t rest_broke_at; /* when such last broke at several servers; 0: never */
   int64_t new_broke_at;  /* when a new connection last did; 0 likewise */
   unsigned open;         /* servers with a free place, as of the last count */
-  int64_t backoff_until; /* no server keeps anyone away for longer */
+  int64_t backoff_until; /* no backoff at its servers lasts longer */
   double mean_us;        /* slot time of a request on the best server, averaged */
 };
 
@@ -228,13 +228,13 @@
 /* Decides on a job that found no place, with so much slot time before it, without late ones and
  * with them. Returns true when it is queued; else it is refused and gone. */
 bool admit_new (Sched *sched, Job *job, double ahead_timely_us, double ahead_us, int64_t now);
-/* Decides on a job whose owner no server takes requests from until then. Returns true when it is
+/* Decides on a job whose owner is in backoff at all servers until then. Returns true when it is
  * queued; else it is refused and gone. */
-bool admit_kept_away (Sched *sched, Job *job, int64_t opens_at, int64_t now);
+bool admit_in_backoff (Sched *sched, Job *job, int64_t opens_at, int64_t now);
 /* Refuses what can no longer be served in time. */
 void admit_review (Sched *sched, Service *service, int64_t now);
 
-/* ---- Rates that servers take (pace.c) ---- */
+/* ---- Rate limits of servers (pace.c) ---- */
 
 bool pace_is_due (const Sched *sched, const Server *server, int64_t now);
 static inline bool
@@ -251,9 +251,9 @@
 /* An instance heard of the rate age ago, when it asked another scheduler. */
 void pace_named_before (const Sched *sched, Server *server, double rate, int64_t age, int64_t now);
 
-/* ---- Servers that keep an owner away (backoff.c) ---- */
+/* ---- Backoffs (backoff.c) ---- */
 
-/* The server wants nothing from the owner for so long from now on. */
+/* The server asked the owner to back off for so long from now on. */
 void boff_note (Server *server, uint64_t owner, int64_t us, int64_t now);
 /* May the server get a request of the owner's? */
 bool boff_is_over (const Server *server, uint64_t owner, int64_t now);
@@ -263,7 +263,7 @@
   return server->backoffs == NULL || boff_is_over (server, owner, now);
 }
 void boff_forget (Sched *sched, uint64_t owner);
-/* When the first server takes the owner's requests again; now: one does. */
+/* When the first server accepts the owner's requests again; now: one does. */
 int64_t boff_opens_at (const Service *service, uint64_t owner, int64_t now);
 /* Is a place free that the job's owner may have? */
 bool boff_any_place (const Sched *sched, const Job *job, int64_t now);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -426,7 +426,7 @@
     return true;
   int64_t opens_at = boff_opens_at (service, job->key.owner, now);
   if (opens_at > now)
-    return admit_kept_away (sched, job, opens_at, now);
+    return admit_in_backoff (sched, job, opens_at, now);
   if (!any_usable (service, now, NULL))
     {
       admit_refuse (sched, job, FT_REASON_NO_SERVER, 1e6, now);
