Test scripts take a free block of ports

A script now takes a block of 300 ports by a lock that it holds while it runs, if nobody listens in it.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,7 +1,8 @@
 # cluster.sh - functions for scripts that run instances and stand-ins on loopback; sourced.
 #
-# cluster_start DIR INSTANCES VOTERS PORT_BASE starts stand-ins and instances whose files are under
-# DIR; cluster_stop ends what was started, by process number. Ports are PORT_BASE and on.
+# cluster_start DIR INSTANCES VOTERS starts stand-ins and instances whose files are under DIR;
+# cluster_stop ends what was started, by process number. Ports are PORT_BASE and on, or those of a
+# free block when it is not set.
 
 BUILD=${BUILD:-build}
 CLUSTER_PIDS=()
@@ -25,6 +26,33 @@
   done
 }
 
+PORTS_FIRST=18000 # below the range from which the kernel takes ports for outgoing connections
+PORTS_LAST=31800
+PORTS_BLOCK=300
+
+cluster_block_unused () { # FIRST: does nobody listen in that block?
+  local port
+  while read -r port; do
+    port=$((16#$port))
+    [ "$port" -lt "$1" ] || [ "$port" -ge $(($1 + PORTS_BLOCK)) ] || return 1
+  done < <(awk '$4 == "0A" { sub(".*:", "", $2); print $2 }' /proc/net/tcp /proc/net/tcp6 2>/dev/null)
+}
+
+# Takes a block for as long as the script runs: a lock keeps others that start meanwhile off it.
+cluster_take_ports () {
+  local first
+  for first in $(seq $PORTS_FIRST $PORTS_BLOCK $PORTS_LAST); do
+    exec {PORTS_LOCK}>"/tmp/foxtailgrade-ports-$first.lock" || return 1
+    if flock -n "$PORTS_LOCK" && cluster_block_unused "$first"; then
+      BASE=$first
+      return 0
+    fi
+    exec {PORTS_LOCK}>&-
+  done
+  echo "no free block of $PORTS_BLOCK ports" >&2
+  return 1
+}
+
 cluster_settings () { # ID
   cat <<JSON
 // Settings of instance $1; foxtailgraded --help-settings lists all fields.
@@ -56,8 +84,9 @@
   INSTANCE_PID[$1]=$SPAWNED
 }
 
-cluster_start () { # DIR INSTANCES VOTERS PORT_BASE
-  DIR=$1 INSTANCES=$2 VOTERS=$3 BASE=$4
+cluster_start () { # DIR INSTANCES VOTERS
+  DIR=$1 INSTANCES=$2 VOTERS=$3 BASE=${PORT_BASE:-}
+  [ -n "$BASE" ] || cluster_take_ports || return 1
   INSTANCE_PID=()
   mkdir -p "$DIR"
   printf 'link key of a loopback cluster' >"$DIR/link.key"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,7 @@
 trap 'exit 1' TERM INT
 
 echo "starting three instances, two engines, one service"
-cluster_start "$dir" 3 3 "${PORT_BASE:-18000}" || exit 1
+cluster_start "$dir" 3 3 || exit 1
 cluster_cli 1 check etc/catalogue.json || exit 1
 for _ in $(seq 1 50); do
   cluster_cli 1 apply etc/catalogue.json --id first-catalogue --author demo --wait >"$dir/apply.log" 2>&1 && break
--- a/scripts/latency.sh
+++ b/scripts/latency.sh
@@ -7,7 +7,7 @@
 dir=$(mktemp -d)
 trap 'cluster_stop; rm -rf "$dir"' EXIT
 trap 'exit 1' TERM INT
-cluster_start "$dir" 1 1 "${PORT_BASE:-20000}" || exit 1
+cluster_start "$dir" 1 1 || exit 1
 taskset -acp 0,1 "${INSTANCE_PID[1]}" >/dev/null
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --wait >/dev/null 2>&1 && break
--- a/test/backoff.sh
+++ b/test/backoff.sh
@@ -27,7 +27,7 @@
 }
 
 echo "1..2"
-cluster_start "$dir" 3 3 "${PORT_BASE:-20700}" || exit 1
+cluster_start "$dir" 3 3 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
   sleep 0.2
--- a/test/ends.sh
+++ b/test/ends.sh
@@ -41,7 +41,7 @@
 }
 
 echo "1..5"
-cluster_start "$dir" 3 3 "${PORT_BASE:-19700}" || exit 1
+cluster_start "$dir" 3 3 || exit 1
 kill -KILL "$FAST_PID" "$SLOW_PID"
 sleep 0.2
 for name in fast slow; do
--- a/test/ports.sh
+++ b/test/ports.sh
@@ -17,7 +17,7 @@
 
 echo "1..5"
 IDLE_S=2
-cluster_start "$dir" 1 1 "${PORT_BASE:-19700}" || exit 1
+cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --wait >/dev/null 2>&1 && break
   sleep 0.2
--- a/test/system.sh
+++ b/test/system.sh
@@ -39,7 +39,7 @@
 }
 
 echo "1..11"
-cluster_start "$dir" 3 3 "${PORT_BASE:-19000}" || exit 1
+cluster_start "$dir" 3 3 || exit 1
 cluster_wait_http "http://127.0.0.1:$((BASE + 1))/healthz" 20
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
--- a/test/tls.sh
+++ b/test/tls.sh
@@ -18,7 +18,7 @@
   -subj /CN=127.0.0.1 -addext subjectAltName=IP:127.0.0.1 2>/dev/null
 SCHEME=https
 EXTRA_SETTINGS="\"tls_certificate_file\": \"$dir/ca/cert.pem\", \"tls_key_file\": \"$dir/key.pem\","
-cluster_start "$dir" 1 1 "${PORT_BASE:-19500}" || exit 1
+cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --ca-folder "$dir/ca" --wait >"$dir/apply.out" 2>&1 && break
   sleep 0.2
