--- a/test/fleet.c
+++ b/test/fleet.c
@@ -215,7 +215,7 @@
       fleet->list = hsrv_new (fleet->loop, (SockAddr){ net + 10, LIST }, &list_ops, fleet);
     }
   g_assert_nonnull (fleet->list);
-  g_strlcpy (fleet->base, "/tmp/fleet-XXXXXX", sizeof fleet->base);
+  g_snprintf (fleet->base, sizeof fleet->base, "%s/fleet-XXXXXX", g_get_tmp_dir ());
   g_assert_nonnull (mkdtemp (fleet->base));
   for (unsigned i = 0; i < FLEET_VOTERS; i++)
     {
