What is held for callers that read slowly is bounded, in all and for each

Bodies of requests had a bound each and none in all. A buffer once grown kept its memory while its connection lived.

Change: a call whose caller has 64 KB unread (4 KB while 8 MB are held for all) is full: its server is not read from until the caller has read on, and its silence says nothing meanwhile. A plain answer is held whole only up to 16 KB while so much is held. Beyond 16 MB of bodies a request that is still coming is refused 503 with Retry-After, unread by anybody. A read takes 32 KB a turn, the kernel's part of a caller's connection is 128 KB, emptied buffers give their memory back. An answer that is ready is delivered to who reads on, past the idle timeout and before the process ends. Metrics: foxtail_held_bytes, their peaks, foxtail_slow_callers_total, foxtail_bodies_refused_total.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -36,6 +36,7 @@
   LoopTimer sweep;
   struct cds_list_head conns;
   uint64_t opened;
+  size_t unsent; /* of requests, to servers that read slowly */
 };
 
 struct Conn
@@ -210,6 +211,7 @@
 
   sock_peek (conn->sock, &left);
   conn->xfer = NULL;
+  sock_hold (conn->sock, false);
   /* Bytes behind a complete answer belong to no request; part of the request may be unsent. */
   if (conn->spoilt || left > 0 || sock_unsent (conn->sock) > 0)
     close_conn (conn, left > 0 || sock_unsent (conn->sock) > 0);
@@ -396,6 +398,7 @@
       g_free (conn);
       return NULL;
     }
+  sock_count_unsent (conn->sock, &cli->unsent);
   conn->key = g_strdup (target->key);
   conn->read = hread_new (false, &read_ops, conn);
   conn->timer.fire = on_connect_timer;
@@ -455,6 +458,12 @@
   return xfer;
 }
 
+void
+hxfer_hold (HXfer *xfer, bool held)
+{
+  sock_hold (xfer->conn->sock, held);
+}
+
 int64_t
 hxfer_rested (const HXfer *xfer)
 {
@@ -561,6 +570,12 @@
   g_free (cli);
 }
 
+size_t
+hcli_unsent (const HCli *cli)
+{
+  return cli->unsent;
+}
+
 uint64_t
 hcli_opened (const HCli *cli)
 {
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -55,6 +55,8 @@
 bool hcli_probe (HCli *cli, const HCliTarget *target, HCliProbed probed, void *user);
 /* Is there a connection for key, idle or not, that the other end has not closed? */
 bool hcli_is_connected (HCli *cli, const char *key);
+/* While held the rest of the answer stays with the server. */
+void hxfer_hold (HXfer *xfer, bool held);
 /* How long the connection that the transfer was given had rested; 0: it was opened for it. */
 int64_t hxfer_rested (const HXfer *xfer);
 /* Keys to which there are idle connections that may still be used, up to most of them. Returns how
@@ -62,6 +64,8 @@
 unsigned hcli_idle_keys (HCli *cli, const char **keys, unsigned most);
 /* Gives the transfer up and closes its connection; nothing more is called. */
 void hxfer_cancel (HXfer *xfer);
+/* Bytes of requests that servers have not taken yet. */
+size_t hcli_unsent (const HCli *cli);
 /* Connections opened and requests sent so far. */
 uint64_t hcli_opened (const HCli *cli);
 
--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -10,9 +10,15 @@
 #include <urcu/list.h>
 
 /* Tuning; each row with its reason. */
-#define LINGER       (1 * FT_SECOND) /* a caller reads the last answer and closes within that */
-#define UNSENT_MOST  (4u << 20)      /* a caller that does not read its answer is given up */
-#define FIELDS_GUESS 512             /* bytes of a head, first allocation */
+#define LINGER        (1 * FT_SECOND) /* a caller reads the last answer and closes within that */
+#define UNSENT_MOST   (4u << 20)      /* a caller that does not read its answer is given up */
+#define FULL          (64u << 10)     /* unsent bytes of an answer from which on it is full ... */
+#define FULL_PRESSED  (4u << 10)      /* ... and while the server is pressed */
+#define PRESSED       (8u << 20)      /* bytes held for all callers */
+#define SEND_BUFFER   (128 << 10)     /* of the kernel, for each connection, bytes */
+#define BODIES_MOST   (16u << 20)     /* bytes of requests held; each may be held twice */
+#define FIELDS_GUESS  512             /* bytes of a head, first allocation */
+#define RETRY_AFTER_S 1               /* advice with a refusal for want of memory */
 
 typedef enum
 {
@@ -30,6 +36,7 @@
   HRead *read;
   ConnState state;
   LoopTimer timer;
+  size_t unsent_before; /* when the timer was set */
   HCall *call;
 } Conn;
 
@@ -39,7 +46,8 @@
   HMsg *msg; /* the reader's */
   GByteArray *body;
   int64_t arrived;
-  bool whole, keep, no_body;
+  size_t held; /* by the owner, of the answer */
+  bool whole, keep, no_body, full;
   void *user;
 };
 
@@ -52,6 +60,9 @@
   HSrvLimits limits;
   struct cds_list_head conns;
   unsigned count, busy;
+  size_t unsent; /* of all connections' answers */
+  size_t owners; /* held by owners of calls */
+  HSrvHeld held; /* bodies, peaks and counts */
   bool last_answers, closed;
 };
 
@@ -64,6 +75,8 @@
 {
   if (conn->call == NULL)
     return;
+  hcall_note_held (conn->call, 0);
+  conn->srv->held.bodies -= conn->call->body->len;
   g_byte_array_unref (conn->call->body);
   g_free (conn->call);
   conn->call = NULL;
@@ -95,6 +108,15 @@
   loop_timer_set (conn->srv->loop, &conn->timer, loop_now (conn->srv->loop) + LINGER);
 }
 
+/* Until the caller asks again, or has read the rest of its answer. */
+static void
+wait_idle (Conn *conn)
+{
+  conn->unsent_before = sock_unsent (conn->sock);
+  loop_timer_set (conn->srv->loop, &conn->timer,
+                  loop_now (conn->srv->loop) + conn->srv->limits.idle_us);
+}
+
 static void
 finish (Conn *conn)
 {
@@ -104,28 +126,31 @@
 
   free_call (conn);
   conn->state = CONN_READING;
+  if (!keep && sock_unsent (conn->sock) == 0)
+    {
+      linger (conn);
+      return;
+    }
+  wait_idle (conn);
   if (!keep)
     {
-      if (sock_unsent (conn->sock) == 0)
-        linger (conn);
-      else
-        conn->state = CONN_LINGERING; /* goes on when all is sent */
+      conn->state = CONN_LINGERING; /* goes on when all is sent */
       return;
     }
-  loop_timer_set (conn->srv->loop, &conn->timer,
-                  loop_now (conn->srv->loop) + conn->srv->limits.idle_us);
   sock_pause (conn->sock, false);
   take_requests (conn);
 }
 
+/* A request that is not handed over. */
 static void
-refuse_syntax (Conn *conn, HReadFault fault)
+refuse (Conn *conn, unsigned status)
 {
-  unsigned status = fault == HREAD_HEAD_TOO_LARGE ? 431 : fault == HREAD_BODY_TOO_LARGE ? 413 : 400;
   GString *out = g_string_sized_new (FIELDS_GUESS);
 
   hwrite_status_line (out, status);
   hwrite_field (out, "Connection", "close");
+  if (status == 503)
+    hwrite_number (out, "Retry-After", RETRY_AFTER_S);
   hwrite_number (out, "Content-Length", 0);
   hwrite_end (out);
   sock_write (conn->sock, out->str, out->len);
@@ -136,6 +161,20 @@
     linger (conn);
 }
 
+static unsigned
+status_of (HReadFault fault)
+{
+  switch (fault)
+    {
+    case HREAD_HEAD_TOO_LARGE:
+      return 431;
+    case HREAD_BODY_TOO_LARGE:
+      return 413;
+    default:
+      return 400;
+    }
+}
+
 /* ---- Reading ---- */
 
 static void
@@ -157,7 +196,19 @@
 {
   Conn *conn = user;
 
+  HSrvHeld *held = &conn->srv->held;
+
   g_byte_array_append (conn->call->body, (const guint8 *) data, (guint) size);
+  held->bodies += size;
+  held->bodies_peak = MAX (held->bodies_peak, held->bodies);
+}
+
+/* Failure: many callers send large requests slowly, or servers take them slowly. Symptom: their
+ * bodies fill the memory, and the process ends with all that it holds. */
+static bool
+bodies_are_full (const Conn *conn)
+{
+  return conn->srv->held.bodies > BODIES_MOST && conn->call->body->len > 0;
 }
 
 static void
@@ -201,9 +252,10 @@
         }
       size_t used = hread_feed (conn->read, data, size, &fault);
       sock_consume (conn->sock, used);
-      if (fault)
+      if (fault || bodies_are_full (conn))
         {
-          refuse_syntax (conn, fault);
+          conn->srv->held.refused += fault == 0;
+          refuse (conn, fault ? status_of (fault) : 503);
           return;
         }
       if (!conn->call->whole)
@@ -237,6 +289,11 @@
 
   if (conn->state == CONN_LINGERING)
     linger (conn);
+  else if (conn->call && conn->call->full)
+    {
+      conn->call->full = false;
+      conn->srv->ops->room (conn->srv->owner, conn->call);
+    }
 }
 
 static void
@@ -266,6 +323,12 @@
       linger (conn);
       return;
     }
+  /* A caller that reads slowly gets all of an answer that is ready, as long as it reads on. */
+  if (sock_unsent (conn->sock) > 0 && sock_unsent (conn->sock) < conn->unsent_before)
+    {
+      wait_idle (conn);
+      return;
+    }
   close_conn (conn, false);
 }
 
@@ -276,7 +339,9 @@
 {
   HSrv *srv = owner;
   Conn *conn = g_new0 (Conn, 1);
+  int buffer = SEND_BUFFER;
 
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
   conn->srv = srv;
   conn->sock = sock_accepted (srv->loop, fd, peer, &sock_ops, conn);
   if (conn->sock == NULL)
@@ -284,6 +349,7 @@
       g_free (conn);
       return;
     }
+  sock_count_unsent (conn->sock, &srv->unsent);
   conn->read = hread_new (true, &read_ops, conn);
   conn->timer.fire = on_timer;
   cds_list_add_tail (&conn->link, &srv->conns);
@@ -361,6 +427,19 @@
   return srv->count;
 }
 
+static size_t
+answers_held (const HSrv *srv)
+{
+  return srv->unsent + srv->owners;
+}
+
+void
+hsrv_held (const HSrv *srv, HSrvHeld *held)
+{
+  *held = srv->held;
+  held->answers = answers_held (srv);
+}
+
 /* ---- Answers ---- */
 
 const HMsg *
@@ -393,6 +472,41 @@
   return call->user;
 }
 
+static void
+note_peak (HSrv *srv)
+{
+  srv->held.answers_peak = MAX (srv->held.answers_peak, answers_held (srv));
+}
+
+void
+hcall_note_held (HCall *call, size_t size)
+{
+  HSrv *srv = call->conn->srv;
+
+  srv->owners += size - call->held;
+  call->held = size;
+  note_peak (srv);
+}
+
+bool
+hcall_is_pressed (const HCall *call)
+{
+  return answers_held (call->conn->srv) > PRESSED;
+}
+
+bool
+hcall_is_full (HCall *call)
+{
+  HSrv *srv = call->conn->srv;
+  size_t most = hcall_is_pressed (call) ? FULL_PRESSED : FULL;
+
+  if (srv->ops->room == NULL || call->full || sock_unsent (call->conn->sock) <= most)
+    return call->full;
+  srv->held.full++;
+  call->full = true;
+  return true;
+}
+
 static GString *
 start_head (HCall *call, unsigned status, const GString *fields)
 {
@@ -458,6 +572,7 @@
   hwrite_chunk (out, data, size);
   sock_write (conn->sock, out->str, out->len);
   g_string_free (out, TRUE);
+  note_peak (conn->srv);
 }
 
 void
--- a/net/sock.c
+++ b/net/sock.c
@@ -21,6 +21,7 @@
 #define KEEP_COUNT      2    /* one lost probe is not taken for a dead peer */
 #define USER_TIMEOUT_MS 2500 /* unacknowledged bytes; above two retransmissions on a lossy link */
 #define READ_SIZE       16384
+#define READ_TURN       (2 * READ_SIZE) /* bytes of one connection before the others have a turn */
 #define KEEP_MOST       4096 /* an emptied buffer of an idle connection holds no more, bytes */
 #define BACKLOG         512  /* connections of a burst that arrive within one turn */
 
@@ -82,15 +83,25 @@
 static void
 wait_for (Sock *sock)
 {
-  uint32_t events = EPOLLRDHUP;
+  uint32_t events = sock->held ? 0 : EPOLLRDHUP;
 
   if (sock->connecting || sock->out->len > sock->out_at)
     events |= EPOLLOUT;
-  if (!sock->paused && !sock->connecting)
+  if (!sock->paused && !sock->held && !sock->connecting)
     events |= EPOLLIN;
   loop_change (sock->loop, &sock->fd, events);
 }
 
+static void
+count_unsent (Sock *sock)
+{
+  size_t unsent = sock->out ? sock->out->len - sock->out_at : 0;
+
+  if (sock->account)
+    *sock->account += unsent - sock->counted;
+  sock->counted = unsent;
+}
+
 static void
 end (Sock *sock, SockEnd how)
 {
@@ -104,9 +115,22 @@
     sock->ops->ended (sock, how);
 }
 
+/* All of the buffer has been consumed. */
+static void
+empty (GByteArray **buffer, size_t *at)
+{
+  if (*at > KEEP_MOST)
+    {
+      g_byte_array_unref (*buffer);
+      *buffer = g_byte_array_new ();
+    }
+  g_byte_array_set_size (*buffer, 0);
+  *at = 0;
+}
+
 /* False: the connection has ended. */
 static bool
-flush (Sock *sock)
+write_out (Sock *sock)
 {
   while (sock->out->len > sock->out_at)
     {
@@ -120,11 +144,19 @@
         return false;
       sock->out_at += (size_t) done;
     }
-  g_byte_array_set_size (sock->out, 0);
-  sock->out_at = 0;
+  empty (&sock->out, &sock->out_at);
   return true;
 }
 
+static bool
+flush (Sock *sock)
+{
+  bool alive = write_out (sock);
+
+  count_unsent (sock);
+  return alive;
+}
+
 /* What the kernel has against the connection; 0: nothing. Asking takes it away. */
 static int
 pending_error (const Sock *sock)
@@ -158,13 +190,14 @@
     sock->ops->connected (sock);
 }
 
-/* Reads until the kernel has no more. Returns 1: go on, 0: end of file, -1: failure, by errno. */
+/* Reads until the kernel has no more, or most bytes. Returns 1: go on, 0: end of file, -1: failure,
+ * by errno. */
 static int
-fill (Sock *sock, bool *got)
+fill (Sock *sock, size_t most, bool *got)
 {
   static __thread uint8_t buffer[READ_SIZE]; /* idle connections hold no memory for reading */
 
-  for (;;)
+  for (size_t sum = 0; sum < most; sum += READ_SIZE)
     {
       ssize_t done = recv (sock->fd.fd, buffer, sizeof buffer, MSG_DONTWAIT);
       if (done == 0)
@@ -178,13 +211,14 @@
       if (done < READ_SIZE)
         return 1;
     }
+  return 1;
 }
 
 static void
-read_some (Sock *sock)
+read_some (Sock *sock, size_t most)
 {
   bool got = false;
-  int state = fill (sock, &got);
+  int state = fill (sock, most, &got);
   int error = errno;
 
   if (got)
@@ -236,11 +270,11 @@
   if (bits & EPOLLERR)
     {
       if (!sock->paused && !sock->closing)
-        read_some (sock); /* what came before the failure */
+        read_some (sock, SIZE_MAX); /* what came before the failure */
       end (sock, end_of_error (pending_error (sock)));
     }
   else if (bits & EPOLLIN && !sock->closing)
-    read_some (sock);
+    read_some (sock, READ_TURN);
   else if (bits & (EPOLLRDHUP | EPOLLHUP))
     end (sock, SOCK_END_EOF);
 }
@@ -321,6 +355,7 @@
       /* A failure is reported by the next read or EPOLLOUT, never from within a write. */
     }
   g_byte_array_append (sock->out, data, (guint) size);
+  count_unsent (sock);
   wait_for (sock);
 }
 
@@ -343,13 +378,7 @@
   sock->in_at += size;
   if (sock->in_at < sock->in->len)
     return;
-  if (sock->in_at > KEEP_MOST)
-    {
-      g_byte_array_unref (sock->in);
-      sock->in = g_byte_array_new ();
-    }
-  g_byte_array_set_size (sock->in, 0);
-  sock->in_at = 0;
+  empty (&sock->in, &sock->in_at);
 }
 
 void
@@ -360,6 +389,22 @@
     wait_for (sock);
 }
 
+void
+sock_hold (Sock *sock, bool held)
+{
+  sock->held = held;
+  if (!sock->ended)
+    wait_for (sock);
+}
+
+void
+sock_count_unsent (Sock *sock, size_t *account)
+{
+  sock->account = account;
+  sock->counted = 0;
+  count_unsent (sock);
+}
+
 void
 sock_close (Sock *sock, bool reset)
 {
@@ -375,6 +420,7 @@
   g_byte_array_unref (sock->in);
   g_byte_array_unref (sock->out);
   sock->in = sock->out = NULL;
+  count_unsent (sock);
   loop_free_later (sock->loop, sock);
 }
 
--- a/net/sock.h
+++ b/net/sock.h
@@ -48,7 +48,9 @@
   void *owner;
   GByteArray *in, *out;
   size_t in_at, out_at; /* consumed so far */
-  bool connecting, ended, paused, closing;
+  size_t *account;      /* unsent bytes of all sockets that share it; NULL: not counted */
+  size_t counted;       /* of this one in account */
+  bool connecting, ended, paused, held, closing;
   SockAddr peer;
 };
 
@@ -64,6 +66,10 @@
 void sock_consume (Sock *sock, size_t size);
 /* While paused no bytes are read, so the sender is held up; its close is still noticed. */
 void sock_pause (Sock *sock, bool paused);
+/* The same, but a close in good order is noticed only when what came before it has been read. */
+void sock_hold (Sock *sock, bool held);
+/* From now on *account counts this socket's unsent bytes as well, until it is closed. */
+void sock_count_unsent (Sock *sock, size_t *account);
 /* Closes at once. reset: the other end is told that it was broken off. sock is invalid after. */
 void sock_close (Sock *sock, bool reset);
 /* Closes in good order once all is sent; the owner hears nothing more. */
--- a/node/entry.c
+++ b/node/entry.c
@@ -306,7 +306,13 @@
   requests_gone (((Entry *) owner)->requests, call);
 }
 
-static const HSrvOps callers_ops = { on_request, on_gone };
+static void
+on_room (void *owner, HCall *call)
+{
+  requests_room (((Entry *) owner)->requests, call);
+}
+
+static const HSrvOps callers_ops = { on_request, on_gone, on_room };
 
 static bool
 is_ready (const Entry *entry)
@@ -337,7 +343,7 @@
   (void) call;
 }
 
-static const HSrvOps ready_ops = { on_ready_call, ready_gone };
+static const HSrvOps ready_ops = { on_ready_call, ready_gone, NULL };
 
 /* ---- Time and the end ---- */
 
@@ -361,10 +367,12 @@
 {
   int64_t since = now - entry->leaving_since;
   int64_t most = entry->settings->grace_s * FT_SECOND - LEAVE_MARGIN;
+  HSrvHeld held;
 
+  hsrv_held (entry->callers, &held);
   return since > most
          || (since > LEAVE_LEAST && requests_open (entry->requests) == 0
-             && hsrv_busy (entry->callers) == 0);
+             && hsrv_busy (entry->callers) == 0 && held.answers == 0);
 }
 
 /* A deputy speaks to the entries that have dialled it, often to those that wait for a verdict. */
@@ -431,6 +439,23 @@
   dial_seeds ((Entry *) base, settings);
 }
 
+static void
+describe_held (const Entry *entry, GString *out)
+{
+  HSrvHeld held;
+
+  hsrv_held (entry->callers, &held);
+  g_string_append_printf (
+      out,
+      "foxtail_held_bytes{for=\"callers\"} %zu\nfoxtail_held_bytes{for=\"servers\"} %zu\n"
+      "foxtail_held_bytes{for=\"bodies\"} %zu\nfoxtail_held_bytes_peak{for=\"callers\"} %zu\n"
+      "foxtail_held_bytes_peak{for=\"bodies\"} %zu\n"
+      "foxtail_slow_callers_total %" G_GUINT64_FORMAT
+      "\nfoxtail_bodies_refused_total %" G_GUINT64_FORMAT "\n",
+      held.answers, hcli_unsent (entry->cli), held.bodies, held.answers_peak, held.bodies_peak,
+      held.full, held.refused);
+}
+
 static char *
 describe (Instance *base)
 {
@@ -448,6 +473,7 @@
       requests_open (entry->requests), place_waiting (entry->place),
       hsrv_connections (entry->callers), hcli_opened (entry->cli), place_by (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
+  describe_held (entry, out);
   witness_describe (entry->witness, out);
   mesh_describe (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
--- a/node/main.c
+++ b/node/main.c
@@ -122,7 +122,7 @@
   (void) call;
 }
 
-static const HSrvOps metrics_ops = { on_metrics, metrics_gone };
+static const HSrvOps metrics_ops = { on_metrics, metrics_gone, NULL };
 
 /* ---- Start and end ---- */
 
--- a/node/operators.c
+++ b/node/operators.c
@@ -292,7 +292,7 @@
       }
 }
 
-static const HSrvOps operator_ops = { on_operator, on_operator_gone };
+static const HSrvOps operator_ops = { on_operator, on_operator_gone, NULL };
 
 void
 operators_verdict (Operators *operators, uint64_t ticket, FtStatus status)
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -47,6 +47,7 @@
   bool head_seen, is_stream, rejected;
   bool elsewhere; /* rejected, by another server than the one that was meant */
   bool unframed;  /* the answer ends with its connection, so a broken one looks whole */
+  bool slowed;    /* its caller reads too slowly, so the answer's rest stays with the server */
   GString *fields, *held;
   /* The answer to the caller. */
   Events *stream;
@@ -102,6 +103,8 @@
 
 /* Sends the request; req_after_try follows. */
 void try_send (Req *req, const Grant *grant);
+/* The caller has read on. */
+void try_room (Req *req);
 /* When the server of a try has been silent for too long. */
 void try_on_silence (LoopTimer *timer);
 
--- a/node/requests.c
+++ b/node/requests.c
@@ -252,6 +252,16 @@
   req_free (req);
 }
 
+void
+requests_room (Requests *all, HCall *call)
+{
+  Req *req = hcall_user (call);
+
+  (void) all;
+  if (req)
+    try_room (req);
+}
+
 /* ---- All of them ---- */
 
 Requests *
--- a/node/requests.h
+++ b/node/requests.h
@@ -33,6 +33,8 @@
 void requests_take (Requests *requests, HCall *call);
 /* Its caller has left. */
 void requests_gone (Requests *requests, HCall *call);
+/* Its caller, who read its answer too slowly, has read on. */
+void requests_room (Requests *requests, HCall *call);
 /* The scheduler's verdicts. */
 void requests_grant (Requests *requests, uint64_t number, const Grant *grant);
 void requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal);
--- a/node/try.c
+++ b/node/try.c
@@ -18,9 +18,10 @@
 #define BREAKS_AT_ONCE                                                                             \
   (25 * FT_MS) /* the reset of a connection that the other end has forgotten is back within a      \
                   round trip, some 2 ms between failure domains; answers take longer */
-#define HELD_MOST       (1u << 20) /* a longer plain answer is passed on as it comes, bytes */
-#define SILENT_PLAIN    2.0        /* times the aim without a plain answer */
-#define SILENT_STREAM   2.0        /* times the aim without a first event ... */
+#define HELD_MOST       (1u << 20)  /* a longer plain answer is passed on as it comes, bytes ... */
+#define HELD_PRESSED    (16u << 10) /* ... and a shorter one while callers read too slowly */
+#define SILENT_PLAIN    2.0         /* times the aim without a plain answer */
+#define SILENT_STREAM   2.0         /* times the aim without a first event ... */
 #define SILENT_TOKEN_US 60 /* ... and so long for each token of the prompt: the slowest seen */
 #define SILENT_LEAST    (600 * FT_MS)
 
@@ -144,6 +145,32 @@
   loop_timer_set (req->all->conf.loop, &req->silence, req_now (req) + in);
 }
 
+/* Failure: callers read more slowly than their streams come. Symptom: what they have not read fills
+ * the memory, and the process ends with all that it holds. A server whose caller does not keep up
+ * is no longer read from; its silence says nothing then. */
+static void
+hold_if_full (Req *req)
+{
+  if (req->xfer == NULL || req->slowed || !hcall_is_full (req->call))
+    return;
+  req->slowed = true;
+  hxfer_hold (req->xfer, true);
+  loop_timer_stop (req->all->conf.loop, &req->silence);
+}
+
+void
+try_room (Req *req)
+{
+  req->slowed = false;
+  if (req->xfer == NULL)
+    return;
+  hxfer_hold (req->xfer, false);
+  if (req->event_at)
+    req->event_at = req_now (req);
+  if (req->is_stream)
+    arm_silence (req, MAX (SILENT_EVENT, 4 * req->route->gap_us));
+}
+
 static void
 relay_events (Req *req, const char *data, size_t size)
 {
@@ -165,10 +192,33 @@
         begin (req);
       arm_silence (req, MAX (SILENT_EVENT, 4 * req->route->gap_us));
       hcall_data (req->call, out->str, out->len);
+      hold_if_full (req);
     }
   g_string_free (out, TRUE);
 }
 
+/* A plain answer is held until it is whole, unless it is too long for that. */
+static void
+take_plain (Req *req, const char *data, size_t size)
+{
+  size_t most = hcall_is_pressed (req->call) ? HELD_PRESSED : HELD_MOST;
+
+  if (!req->begun)
+    g_string_append_len (req->held, data, (gssize) size);
+  else
+    hcall_data (req->call, data, size);
+  if (!req->begun && req->held->len > most)
+    {
+      begin (req);
+      hcall_data (req->call, req->held->str, req->held->len);
+      g_string_free (req->held, TRUE); /* truncated it would keep its memory */
+      req->held = g_string_new (NULL);
+    }
+  hcall_note_held (req->call, req->held->len);
+  if (req->begun)
+    hold_if_full (req);
+}
+
 static void
 on_body (void *user, const char *data, size_t size)
 {
@@ -182,16 +232,7 @@
       return;
     }
   note_first (req);
-  if (req->begun)
-    hcall_data (req->call, data, size);
-  else
-    g_string_append_len (req->held, data, (gssize) size);
-  if (!req->begun && req->held->len > HELD_MOST)
-    {
-      begin (req);
-      hcall_data (req->call, req->held->str, req->held->len);
-      g_string_truncate (req->held, 0);
-    }
+  take_plain (req, data, size);
 }
 
 /* Does its end show that the server has outlived the request? */
@@ -297,6 +338,7 @@
 
   all->conf.seam->write_request (message, hcall_msg (req->call), &forward);
   req->sends++;
+  req->slowed = false;
   req->addr = server->addr;
   req->may_have_run_before = req->may_have_run;
   req->may_have_run = true; /* from here on only a server's word, or no connection, denies it */
--- a/test/backend.c
+++ b/test/backend.c
@@ -201,6 +201,17 @@
   return server->mode == SERVER_POOR && server->arrived * 7 % 10 < 4;
 }
 
+static void
+answer_long (const FleetServer *server, HCall *call, const GString *fields)
+{
+  unsigned size = server->fleet->plain_bytes;
+  char *body = g_malloc (size);
+
+  memset (body, 'x', size);
+  hcall_reply (call, 200, fields, body, size);
+  g_free (body);
+}
+
 static void
 run (FleetServer *server, HCall *call, const char *id, GString *fields)
 {
@@ -223,6 +234,8 @@
     answer_later (server, call, id, fields, server->fleet->slow_ms);
   else if (server->fleet->plain_ms)
     answer_later (server, call, id, fields, server->fleet->plain_ms);
+  else if (server->fleet->plain_bytes)
+    answer_long (server, call, fields);
   else
     hcall_reply (call, 200, fields, id, strlen (id));
 }
@@ -295,7 +308,7 @@
     drop_stream (stream);
 }
 
-static const HSrvOps server_ops = { on_server_request, on_server_gone };
+static const HSrvOps server_ops = { on_server_request, on_server_gone, NULL };
 
 /* ---- Lifetimes ---- */
 
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -8,7 +8,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define CALLERS  18080
 #define READY    18081
 #define CONTROL  18082
 #define LINKS    18083
@@ -36,11 +35,11 @@
       if (!server->listed)
         continue;
       g_string_append_printf (body,
-                              "%s{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":4,"
+                              "%s{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":%u,"
                               "\"Version\":\"%s\",\"ColdRemainingMs\":0,\"State\":\"%s\","
                               "\"Id\":\"%s\"}",
-                              any ? "," : "", sock_addr_text (server->addr, addr), server->version,
-                              server->leaving ? "draining" : "ready", server->id);
+                              any ? "," : "", sock_addr_text (server->addr, addr), fleet->slots,
+                              server->version, server->leaving ? "draining" : "ready", server->id);
       any = true;
     }
   g_string_append (body, "],\"Next\":null}");
@@ -55,7 +54,7 @@
   (void) call;
 }
 
-static const HSrvOps list_ops = { on_list, nobody_minds };
+static const HSrvOps list_ops = { on_list, nobody_minds, NULL };
 
 /* ---- Processes ---- */
 
@@ -87,8 +86,8 @@
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL,
                             node->folder);
   else
-    g_string_append_printf (out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",", ip, CALLERS, ip,
-                            READY);
+    g_string_append_printf (out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",", ip, FLEET_CALLERS,
+                            ip, READY);
   g_string_append (out, "\"seeds\":[");
   for (unsigned i = 0; i < 3; i++)
     g_string_append_printf (out, "%s\"%s:%d\"", i ? "," : "", ip_text (fleet->voters[i].ip, seed),
@@ -197,6 +196,7 @@
   fleet->loop = loop_new ();
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
+  fleet->slots = 4;
   fleet->plain_ms = 0;
   fleet->slow_ms = 300;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -416,7 +416,7 @@
                           path, id, strlen (body), body);
   g_hash_table_replace (fleet->senders, g_strdup (id),
                         GUINT_TO_POINTER (entry->ip - fleet->entries[0].ip + 1));
-  send_to (fleet, (SockAddr){ entry->ip, CALLERS }, request, answer);
+  send_to (fleet, (SockAddr){ entry->ip, FLEET_CALLERS }, request, answer);
   g_string_free (request, TRUE);
 }
 
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -10,7 +10,8 @@
 
 #include <sys/types.h>
 
-#define FLEET_VOTERS  4 /* the first three form; the fourth may come in another's place */
+#define FLEET_VOTERS  4     /* the first three form; the fourth may come in another's place */
+#define FLEET_CALLERS 18080 /* port of an entry */
 #define FLEET_ENTRIES 3
 #define FLEET_SERVERS 4
 #define FLEET_MARK    "ends-servers" /* a body that begins so ends the server that runs it */
@@ -92,6 +93,8 @@
   unsigned ends;         /* of servers so far */
   unsigned event_ms;     /* time between a stream's events */
   unsigned plain_ms;     /* time of a plain call */
+  unsigned slots;        /* of each server */
+  unsigned plain_bytes;  /* length of a plain answer; 0: the request's id alone */
   unsigned slow_ms;      /* the same at a slow server */
   unsigned budget_slack; /* the entries' setting */
   unsigned back_ms;      /* from a server's end to its next lifetime */
--- a/test/list.c
+++ b/test/list.c
@@ -309,7 +309,7 @@
   (void) call;
 }
 
-static const HSrvOps list_ops = { on_call, on_gone };
+static const HSrvOps list_ops = { on_call, on_gone, NULL };
 
 static void
 on_read (void *host, const GArray *list, int64_t asked_at, const char *why)
--- /dev/null
+++ b/test/slow.c
@@ -0,0 +1,238 @@
+/* slow.c - callers that do not read their answers, before real processes on loopback. */
+#include "fleet.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define SLOW        200
+#define FAST        20
+#define ANSWER      (1u << 20)
+#define HELD_MOST   ((8u << 20) + SLOW * (96u << 10)) /* by all, and by each, docs/CAPACITY.md */
+#define BODIES_MOST ((16u << 20) + SLOW * (32u << 10))
+#define WINDOW      4096
+#define STUCK_FOR   (1500 * FT_MS)
+
+/* A caller that sends a request and reads only when it is told to. */
+typedef struct
+{
+  int fd;
+  GString *got;
+  bool ended;
+} Slow;
+
+static Slow
+slow_open (const FleetNode *entry)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (FLEET_CALLERS),
+                            .sin_addr.s_addr = htonl (entry->ip) };
+  Slow slow = { .fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), .got = g_string_new (NULL) };
+  int window = WINDOW;
+
+  setsockopt (slow.fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  g_assert_cmpint (connect (slow.fd, (struct sockaddr *) &to, sizeof to), ==, 0);
+  return slow;
+}
+
+static void
+slow_send (const Slow *slow, unsigned number, size_t body, size_t sent)
+{
+  GString *request = g_string_new (NULL);
+
+  g_string_append_printf (request,
+                          "POST /plain/a HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token "
+                          "key\r\nX-Foxtailgrade-Request-Id: s%u\r\n"
+                          "X-Foxtailgrade-Deadline-Ms: 8000\r\nContent-Length: %zu\r\n\r\n",
+                          number, body);
+  for (size_t i = 0; i < sent; i++)
+    g_string_append_c (request, 'b');
+  for (size_t at = 0; at < request->len;)
+    {
+      ssize_t done = send (slow->fd, request->str + at, request->len - at, MSG_NOSIGNAL);
+      if (done <= 0)
+        break;
+      at += (size_t) done;
+    }
+  g_string_free (request, TRUE);
+  fcntl (slow->fd, F_SETFL, O_NONBLOCK);
+}
+
+static void
+slow_read (Slow *slow)
+{
+  char buffer[65536];
+  ssize_t got;
+
+  while (!slow->ended && (got = recv (slow->fd, buffer, sizeof buffer, 0)) != -1)
+    {
+      slow->ended = got == 0;
+      g_string_append_len (slow->got, buffer, got);
+    }
+  if (!slow->ended && errno != EAGAIN)
+    slow->ended = true;
+}
+
+static void
+slow_close (Slow *slow)
+{
+  close (slow->fd);
+  g_string_free (slow->got, TRUE);
+}
+
+static uint64_t
+metric (Fleet *fleet, const FleetNode *node, const char *name)
+{
+  Answer answer;
+
+  fleet_metrics (fleet, node, &answer);
+  const char *at = strstr (answer.body->str, name);
+  g_assert_nonnull (at);
+  uint64_t value = g_ascii_strtoull (at + strlen (name), NULL, 10);
+  fleet_answer_clear (&answer);
+  return value;
+}
+
+static void
+tell_peak (const FleetNode *node)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int) node->pid), *text = NULL;
+
+  if (g_file_get_contents (path, &text, NULL, NULL) && strstr (text, "VmHWM:"))
+    g_test_message ("the entry's memory at its peak: %.20s", strstr (text, "VmHWM:"));
+  g_free (text);
+  g_free (path);
+}
+
+/* An answer that claims to be whole is. */
+static bool
+is_whole (const Slow *slow)
+{
+  const char *body = strstr (slow->got->str, "\r\n\r\n");
+  bool chunked = strstr (slow->got->str, "Transfer-Encoding: chunked") != NULL;
+  unsigned filler = 0;
+
+  if (body == NULL || strstr (slow->got->str, " 200 ") == NULL)
+    return false;
+  for (const char *at = body; *at; at++)
+    filler += *at == 'x';
+  bool ends = chunked ? g_str_has_suffix (slow->got->str, "\r\n0\r\n\r\n") : filler == ANSWER;
+  if (ends)
+    g_assert_cmpuint (filler, ==, ANSWER);
+  return ends;
+}
+
+static bool
+all_answered (void *data)
+{
+  const Answer *answers = data;
+
+  for (unsigned i = 0; i < FAST; i++)
+    if (!answers[i].done)
+      return false;
+  return true;
+}
+
+/* Callers that read on after a while, and those that never do, filled the memory of their entry. */
+static void
+test_answers (void)
+{
+  Fleet *fleet = fleet_new ();
+  const FleetNode *entry = &fleet->entries[0];
+  static Slow slow[SLOW];
+  Answer fast[FAST];
+  char id[16];
+  unsigned whole = 0;
+
+  fleet->slots = SLOW;
+  fleet_begin (fleet);
+  fleet->plain_bytes = ANSWER;
+  for (unsigned i = 0; i < SLOW; i++)
+    {
+      slow[i] = slow_open (entry);
+      slow_send (&slow[i], i, 4, 4);
+      if (i % 20 == 19)
+        fleet_run_for (fleet, 20 * FT_MS);
+    }
+  fleet_run_for (fleet, STUCK_FOR);
+  fleet->plain_bytes = 0;
+  for (unsigned i = 0; i < FAST; i++)
+    {
+      g_snprintf (id, sizeof id, "f%u", i);
+      fleet_send (fleet, entry, "/plain/a", id, &fast[i]);
+    }
+  for (unsigned i = 0; i < SLOW / 2; i++)
+    slow_read (&slow[i]);
+  fleet_until (fleet, all_answered, fast, "callers that read are answered");
+  for (unsigned i = 0; i < FAST; i++)
+    {
+      g_assert_cmpuint (fast[i].status, ==, 200);
+      fleet_answer_clear (&fast[i]);
+    }
+  for (unsigned turn = 0; turn < 200; turn++)
+    {
+      for (unsigned i = 0; i < SLOW / 2; i++)
+        slow_read (&slow[i]);
+      fleet_run_for (fleet, 10 * FT_MS);
+    }
+  for (unsigned i = 0; i < SLOW / 2; i++)
+    whole += is_whole (&slow[i]);
+  tell_peak (entry);
+  g_assert_cmpuint (metric (fleet, entry, "foxtail_held_bytes_peak{for=\"callers\"} "), <=,
+                    HELD_MOST);
+  g_assert_cmpuint (metric (fleet, entry, "foxtail_slow_callers_total "), >, 0);
+  g_assert_cmpuint (whole, >, 0);
+  for (unsigned i = 0; i < SLOW; i++)
+    slow_close (&slow[i]);
+  fleet_free (fleet);
+}
+
+/* Callers that send large requests and never end them filled the memory of their entry. */
+static void
+test_bodies (void)
+{
+  Fleet *fleet = fleet_new ();
+  const FleetNode *entry = &fleet->entries[0];
+  static Slow slow[SLOW];
+  Answer answer;
+  unsigned refused = 0;
+
+  fleet_begin (fleet);
+  for (unsigned i = 0; i < SLOW; i++)
+    {
+      slow[i] = slow_open (entry);
+      slow_send (&slow[i], i, 500000, 200000);
+      fleet_run_for (fleet, 2 * FT_MS);
+    }
+  fleet_run_for (fleet, 500 * FT_MS);
+  tell_peak (entry);
+  g_assert_cmpuint (metric (fleet, entry, "foxtail_held_bytes_peak{for=\"bodies\"} "), <=,
+                    BODIES_MOST);
+  for (unsigned i = 0; i < SLOW; i++)
+    {
+      slow_read (&slow[i]);
+      refused += strstr (slow[i].got->str, " 503 ") != NULL
+                 && strstr (slow[i].got->str, "Retry-After:") != NULL;
+      g_assert_cmpuint (fleet_runs (fleet, "s0"), ==, 0);
+    }
+  g_assert_cmpuint (refused, >, 0);
+  for (unsigned i = 0; i < SLOW; i++)
+    slow_close (&slow[i]);
+  fleet_run_for (fleet, 200 * FT_MS);
+  fleet_call (fleet, entry, "/plain/a", "after", &answer);
+  g_assert_cmpuint (answer.status, ==, 200);
+  fleet_answer_clear (&answer);
+  fleet_free (fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/slow/answers", test_answers);
+  g_test_add_func ("/slow/bodies", test_bodies);
+  return g_test_run ();
+}
--- a/test/wire.c
+++ b/test/wire.c
@@ -379,7 +379,7 @@
   loop_stop (loop);
 }
 
-static const HSrvOps front_ops = { front_request, front_gone };
+static const HSrvOps front_ops = { front_request, front_gone, NULL };
 
 static void
 caller_data (Sock *sock)
