A scheduler's part of a server's memory goes with its part of the places

Cause: tokens held at a server were compared with its whole memory by every scheduler, also by one that has a part of the places (a deputy, an entry alone), so that several together could hold more than a server bears, which ends it; and a request larger than any server's memory passed the check wherever nothing ran, was sent and turned away as by a full server until its caller's time was over.

The wire names memory for engines only; a plain service's is not known.

Before: /sched/memory held 4,555 tokens of a part of 4,000, /sched/too_large was granted. After: both pass, with test-sched, -pace, -health, -place, -backoff and -rollout.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -318,12 +318,21 @@
 }
 
 bool
-est_fits_memory (const Server *server, const SchedAsk *ask)
+est_can_fit (const Service *service, const SchedAsk *ask)
 {
-  uint64_t most = server->service->conf.memory;
+  uint64_t tokens = (uint64_t) ask->prompt_tokens + ask->output_tokens;
 
-  return most == 0 || server->running == 0
-         || server->tokens + ask->prompt_tokens + ask->output_tokens < most;
+  return service->conf.memory == 0 || tokens <= service->conf.memory;
+}
+
+/* Of a part of the places this scheduler has the same part of the memory. */
+bool
+est_fits_memory (const Sched *sched, const Server *server, const SchedAsk *ask)
+{
+  double most = (double) server->service->conf.memory * MIN (1, sched->share);
+
+  return most <= 0 || server->running == 0
+         || (double) (server->tokens + ask->prompt_tokens + ask->output_tokens) < most;
 }
 
 /* Would a server that is busy now be on time without harm to others, so that it is worth waiting?
@@ -357,7 +366,7 @@
   mark_kept (sched, job);
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!est_has_place (sched, server, now) || !est_fits_memory (server, &job->ask)
+    if (!est_has_place (sched, server, now) || !est_fits_memory (sched, server, &job->ask)
         || !boff_may (server, job->key.owner, now)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -184,8 +184,10 @@
 /* Gets requests, as far as it has places. */
 bool est_usable (const Server *server, int64_t now);
 bool est_has_place (const Sched *sched, const Server *server, int64_t now);
-/* Has the server the memory for it? */
-bool est_fits_memory (const Server *server, const SchedAsk *ask);
+/* Has the server the memory for it, beside what it runs? */
+bool est_fits_memory (const Sched *sched, const Server *server, const SchedAsk *ask);
+/* Has a server of the service the memory for it when it runs nothing else? */
+bool est_can_fit (const Service *service, const SchedAsk *ask);
 /* The best server with a place; NULL: none, or it is worth waiting for a busy one. */
 Server *est_choose (Sched *sched, const Job *job, int64_t now);
 /* Has a server to which the job's owner is connected a free place? */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -12,6 +12,7 @@
  */
 #include "schedint.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Tuning; each row with its reason. */
@@ -405,6 +406,11 @@
   double ahead = wait_ahead_us (service, ask->tier, true);
   wait_note_arrival (job, now);
   wait_add (job);
+  if (!est_can_fit (service, ask))
+    {
+      admit_refuse (sched, job, FT_REASON_TOO_LARGE, INFINITY, now);
+      return false;
+    }
   ver_note_ask (job);
   if (!place_tried (sched, job, now))
     dispatch (sched, service, now);
--- a/src/versions.c
+++ b/src/versions.c
@@ -195,7 +195,7 @@
     unsigned most = server->trial ? 1 : est_places (sched, server);
     if (server->use != USE_TRIED || !server->listed || server->leaving || now < server->out_until
         || server->running >= most || !pace_has_token (sched, server, now)
-        || !boff_may (server, job->key.owner, now) || !est_fits_memory (server, &job->ask))
+        || !boff_may (server, job->key.owner, now) || !est_fits_memory (sched, server, &job->ask))
       continue;
     if (goes_before (server, best, in_turn))
       best = server;
--- a/test/sched.c
+++ b/test/sched.c
@@ -361,6 +361,66 @@
   end ();
 }
 
+static void
+limit_memory (uint64_t tokens)
+{
+  SchedServiceConf conf = { true, 3, tokens };
+
+  sched_service (world->sched, "s", &conf);
+}
+
+static uint64_t
+most_held (void)
+{
+  uint64_t held[SERVERS] = { 0 }, most = 0;
+
+  for (unsigned i = 0; i < world->works; i++)
+    if (world->work[i].server >= 0 && !world->work[i].done)
+      held[world->work[i].server] += world->work[i].prompt + world->work[i].output;
+  for (unsigned i = 0; i < SERVERS; i++)
+    most = MAX (most, held[i]);
+  return most;
+}
+
+/* A server that holds more tokens than its memory takes ends with all that it runs. */
+static void
+memory_is_not_passed (void)
+{
+  static const double parts[] = { 1, 0.5 }; /* of the memory is this scheduler's */
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      begin (3, 6, false);
+      limit_memory (8000);
+      sched_share (world->sched, parts[i], 1);
+      for (int j = 0; j < 3000; j++)
+        {
+          if (draw () < 0.1)
+            ask (0, 1500 + (unsigned) (1500 * draw ()), 50);
+          step ();
+          g_assert_cmpuint (most_held (), <=, (uint64_t) (8000 * parts[i]));
+        }
+      settle ();
+      g_assert_cmpuint (tally (0, 0).in_time, >, 0);
+      end ();
+    }
+}
+
+/* A request larger than any server's memory was held until its caller's time was over. */
+static void
+too_large_is_refused_at_once (void)
+{
+  begin (3, 6, false);
+  limit_memory (8000);
+  unsigned number = ask (0, 9000, 50);
+  g_assert_true (world->work[number].refused);
+  g_assert_cmpint (world->work[number].refused_after, ==, 0);
+  number = ask (0, 7000, 50);
+  g_assert_false (world->work[number].refused);
+  settle ();
+  end ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -380,5 +440,7 @@
   g_test_add_func ("/sched/list", requests_wait_for_the_list);
   g_test_add_func ("/sched/list_comes", list_ends_the_wait_for_places);
   g_test_add_func ("/sched/leaving", leaving_server_gets_nothing);
+  g_test_add_func ("/sched/memory", memory_is_not_passed);
+  g_test_add_func ("/sched/too_large", too_large_is_refused_at_once);
   return g_test_run ();
 }
