Catalogues go to entries as changes, and whole ones by turns

It grows with entries x size of the catalogue.

Ruled out: waiting at servers (the time is from arrival to the first send).

A push that is not confirmed in 1.5 s goes whole, as does the first. What goes to entries that already serve is bounded to 256 KB a tick of 20 ms; an entry that has none is sent one with its link, as before.

--- a/node/control.c
+++ b/node/control.c
@@ -260,8 +260,7 @@
   broker_catalogue (control->broker, cat);
   if (control->operators)
     operators_catalogue (control->operators, cat);
-  if (control->status.proved)
-    publish_documents (control->publish);
+  publish_documents (control->publish);
 out:
   if (text)
     g_bytes_unref (text);
--- a/node/entry.c
+++ b/node/entry.c
@@ -6,6 +6,7 @@
  * said that its catalogue is the newest, or none could be heard for CONFIRM_MOST.
  */
 #include "count.h"
+#include "delta.h"
 #include "instance.h"
 #include "jlog.h"
 #include "reader.h"
@@ -40,6 +41,7 @@
   Requests *requests;
   Witness *witness;
   RtCat *cat;
+  GBytes *text; /* that cat was read from, which changes are against */
   LoopTimer tick;
   int64_t started, leaving_since, list_at;
   unsigned entries;
@@ -71,6 +73,21 @@
         JL_INT ("newest", entry->newest));
 }
 
+/* NULL: it cannot be unpacked, or changes a version that is not held here; the voter sends the
+ * whole when it hears nothing of it. */
+static GBytes *
+read_text (const Entry *entry, const MeshDocument *document)
+{
+  const char *data = document->text.text_val;
+  size_t size = document->text.text_len;
+
+  if (document->base == 0)
+    return squeeze_unpack (data, size);
+  if (entry->cat == NULL || rt_cat_version (entry->cat) != document->base)
+    return NULL;
+  return delta_apply (entry->text, data, size, FT_DOCUMENT_MOST);
+}
+
 static void
 take_catalogue (Entry *entry, const MeshDocument *document, const MeshPeer *peer)
 {
@@ -79,7 +96,14 @@
 
   if (entry->cat && document->number <= rt_cat_version (entry->cat))
     return;
-  GBytes *text = squeeze_unpack (document->text.text_val, document->text.text_len);
+  GBytes *text = read_text (entry, document);
+  if (text == NULL && document->base != 0)
+    {
+      jlog (JLOG_INFO, "catalogue-base", NULL, JL_INT ("version", document->number),
+            JL_INT ("base", document->base),
+            JL_INT ("held", entry->cat ? rt_cat_version (entry->cat) : 0));
+      return;
+    }
   if (text == NULL
       || entry->seam->read_catalogue (g_bytes_get_data (text, NULL), g_bytes_get_size (text), &cat,
                                       &error)
@@ -87,16 +111,20 @@
     jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", document->number),
           JL_TEXT ("field", error.field),
           JL_TEXT ("why", text ? error.text : "it cannot be unpacked"));
-  if (text)
-    g_bytes_unref (text);
   if (cat == NULL)
-    return;
+    {
+      g_clear_pointer (&text, g_bytes_unref);
+      return;
+    }
   jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", document->number),
         JL_INT ("before", entry->cat ? rt_cat_version (entry->cat) : 0),
+        JL_INT ("bytes", document->text.text_len), JL_INT ("changes", document->base != 0),
         JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("from_voter", peer->ip));
   count_up (COUNT_CATALOGUES);
   rt_cat_unref (entry->cat);
   entry->cat = cat;
+  g_clear_pointer (&entry->text, g_bytes_unref);
+  entry->text = text;
   apply_limits (entry, cat);
   requests_catalogue (entry->requests, cat);
   broker_catalogue (place_broker (entry->place), cat);
@@ -500,6 +528,7 @@
   budget_free (entry->budget);
   servers_free (entry->servers);
   rt_cat_unref (entry->cat);
+  g_clear_pointer (&entry->text, g_bytes_unref);
   g_free (entry);
 }
 
--- a/node/publish.c
+++ b/node/publish.c
@@ -5,6 +5,7 @@
  * entries share the limits is counted here too, since it goes into the view.
  */
 #include "publish.h"
+#include "documents.h"
 
 #include <string.h>
 
@@ -18,6 +19,9 @@
 #define LISTS_A_TICK                                                                               \
   12 /* whole lists sent at once: 300 instances that start together have them within 0.5 s, and a  \
         grant waits for no more than these on a voter's link */
+#define PUSHED_A_TICK                                                                              \
+  (256u << 10) /* bytes of catalogues sent at once: grants wait 2 ms behind them on a link of 1    \
+                  Gbit/s, and a thousand whole ones of 20 KB are out within 2 s */
 #define PUSH_AGAIN     (1500 * FT_MS) /* a push that its entry has not confirmed is repeated */
 #define FOLLOWER_WAITS (600 * FT_MS)  /* before a voter that is not in charge sends one */
 #define UNSENT_SMALL   16384 /* bytes under way to an entry beyond which nothing large is added */
@@ -53,9 +57,9 @@
   guint shown_deputies;
   uint32_t deputies[DEPUTIES];
   unsigned deputy_count;
-  GBytes *packed; /* the newest document's message, for all entries */
-  uint64_t packed_number;
-  unsigned list_next; /* contact that is sent a whole list next, if it wants one */
+  Documents *documents;
+  unsigned document_next; /* contact that is sent the newest document next, if it lacks it */
+  unsigned list_next;     /* the same of a whole list, if it wants one */
 };
 
 static unsigned
@@ -223,37 +227,63 @@
     mesh_keep_alive (contact->peer, every);
 }
 
+/* The newest version that the entry has or will have, by what was sent on this link. A push that it
+ * has not confirmed for long may have been against a version that it does not hold. */
+static uint64_t
+held_by (const Contact *contact, uint64_t number)
+{
+  return contact->pushed == number ? 0 : MAX (contact->pushed, contact->peer->document);
+}
+
 /* Failure: versions follow each other faster than a slow link takes them. Symptom: hundreds of them
  * wait in memory for each entry, and the newest comes last. One at a time is under way to an entry,
- * and what follows is the newest by then. */
-static void
+ * and what follows is the newest by then. Returns how many bytes were sent. */
+static size_t
 send_document (Publish *pub, Contact *contact, int64_t now)
 {
-  MeshMsg msg = { .kind = MESH_DOCUMENT };
   uint64_t number;
-  GBytes *document = voter_document (pub->voter, &number);
-  gsize size;
+  GBytes *document = voter_document (pub->voter, &number), *message;
+  size_t sent = 0;
 
   if (document == NULL)
-    return;
+    return 0;
   if (mesh_unsent (contact->peer) > UNSENT_SMALL
       || (contact->pushed == number && now - contact->pushed_at < PUSH_AGAIN))
     goto out;
-  if (pub->packed_number != number)
-    {
-      msg.MeshMsg_u.document.number = number;
-      msg.MeshMsg_u.document.text.text_val = (char *) g_bytes_get_data (document, &size);
-      msg.MeshMsg_u.document.text.text_len = (u_int) size;
-      g_clear_pointer (&pub->packed, g_bytes_unref);
-      pub->packed = mesh_pack (&msg);
-      pub->packed_number = number;
-    }
-  if (pub->packed)
-    mesh_send_packed (contact->peer, pub->packed);
+  documents_take (pub->documents, number, document);
+  message = documents_message (pub->documents, held_by (contact, number));
+  if (message && mesh_send_packed (contact->peer, message))
+    sent = g_bytes_get_size (message);
   contact->pushed = number;
   contact->pushed_at = now;
 out:
   g_bytes_unref (document);
+  return sent;
+}
+
+static bool
+lacks_document (const Publish *pub, const Contact *contact, uint64_t number, int64_t now)
+{
+  return contact->peer->role == MESH_ENTRY && contact->peer->document < number
+         && (pub->status.proved || now - contact->behind_since > FOLLOWER_WAITS);
+}
+
+/* Failure: a change goes to a thousand entries in one turn. Symptom: the grants of that second wait
+ * behind it, on the voter's link and in its loop. Some are sent it in each tick, by turns. */
+static void
+send_documents (Publish *pub, int64_t now)
+{
+  uint64_t number = voter_newest (pub->voter);
+  unsigned all = pub->contacts->len;
+  size_t sent = 0;
+
+  for (unsigned i = 0; i < all && sent < PUSHED_A_TICK; i++)
+    {
+      pub->document_next = (pub->document_next + 1) % all;
+      Contact *contact = pub->contacts->pdata[pub->document_next];
+      if (lacks_document (pub, contact, number, now))
+        sent += send_document (pub, contact, now);
+    }
 }
 
 static void
@@ -310,9 +340,6 @@
       show_view (pub, contact, now);
       if (contact->peer->document >= number)
         contact->behind_since = now;
-      if (contact->peer->role == MESH_ENTRY && contact->peer->document < number
-          && (pub->status.proved || now - contact->behind_since > FOLLOWER_WAITS))
-        send_document (pub, contact, now);
     }
 }
 
@@ -327,6 +354,7 @@
   pub->voter = voter;
   pub->servers = servers;
   pub->broker = broker;
+  pub->documents = documents_new ();
   pub->contacts = g_ptr_array_new_with_free_func (g_free);
   pub->lost = g_hash_table_new (NULL, NULL);
   return pub;
@@ -337,8 +365,7 @@
 {
   if (pub == NULL)
     return;
-  if (pub->packed)
-    g_bytes_unref (pub->packed);
+  documents_free (pub->documents);
   if (pub->view)
     g_bytes_unref (pub->view);
   g_hash_table_unref (pub->lost);
@@ -410,7 +437,15 @@
 void
 publish_documents (Publish *pub)
 {
-  push_all (pub, send_document);
+  uint64_t number;
+  GBytes *document = voter_document (pub->voter, &number);
+
+  if (document == NULL)
+    return;
+  documents_take (pub->documents, number, document);
+  g_bytes_unref (document);
+  voter_status (pub->voter, &pub->status);
+  send_documents (pub, loop_now (pub->loop));
 }
 
 void
@@ -427,6 +462,7 @@
   g_hash_table_foreach_remove (pub->lost, is_over, GINT_TO_POINTER ((int) (now / FT_SECOND)));
   choose_deputies (pub);
   tick_contacts (pub, now);
+  send_documents (pub, now);
   send_whole_lists (pub, now);
 }
 
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -59,6 +59,7 @@
 
 struct MeshDocument {
 	u_quad_t number;
+	u_quad_t base;
 	struct {
 		u_int text_len;
 		char *text_val;
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -36,9 +36,10 @@
   bool reading;             /* the sender holds the list of servers or reads it */
 };
 
-/* A committed catalogue. */
+/* A committed catalogue: whole and packed, or as changes of an earlier one (delta.h). */
 struct MeshDocument {
   unsigned hyper number;
+  unsigned hyper base;      /* version that text changes; 0: text is the whole */
   opaque text<MESH_TEXT_MOST>;
 };
 
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -68,6 +68,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, MESH_TEXT_MOST))
 		 return FALSE;
 	return TRUE;
--- a/test/publish.c
+++ b/test/publish.c
@@ -2,10 +2,13 @@
  * one without other voters; entries are played over socket pairs. */
 #include "publish.h"
 #include "peer.h"
+#include "squeeze.h"
 
 #include <glib/gstdio.h>
 
-#define ENTRIES 30
+#define ENTRIES      30
+#define ENTRIES_MOST 300
+#define A_TICK       (256u << 10) /* bytes of catalogues, docs/CAPACITY.md */
 
 static Loop *loop;
 static Mesh *mesh;
@@ -13,7 +16,8 @@
 static Servers *servers;
 static Broker *broker;
 static Publish *publish;
-static TestPeer entries[ENTRIES];
+static TestPeer entries[ENTRIES_MOST];
+static unsigned entry_count;
 static char *folder;
 
 static void
@@ -57,10 +61,10 @@
 }
 
 static void
-begin (void)
+begin (unsigned count)
 {
   uint32_t self = 0x7f000001;
-  VoterConf conf = { .self = self, .seeds = &self, .seed_count = 1 };
+  VoterConf conf = { .self = self, .seeds = &self, .seed_count = 1, .may_form = true };
 
   loop = loop_new ();
   folder = g_dir_make_tmp ("publish-XXXXXX", NULL);
@@ -70,14 +74,15 @@
   servers = servers_new ();
   broker = broker_new (loop, "voter", NULL, NULL);
   publish = publish_new (loop, voter, servers, broker);
-  for (unsigned i = 0; i < ENTRIES; i++)
+  entry_count = count;
+  for (unsigned i = 0; i < entry_count; i++)
     entries[i] = test_peer (loop, mesh, i + 1, MESH_ENTRY, false);
 }
 
 static void
 end (void)
 {
-  for (unsigned i = 0; i < ENTRIES; i++)
+  for (unsigned i = 0; i < entry_count; i++)
     {
       publish_down (publish, &entries[i].peer);
       test_peer_end (&entries[i]);
@@ -124,7 +129,7 @@
 {
   unsigned sent[ENTRIES] = { 0 }, ticks = 0, total = 0;
 
-  begin ();
+  begin (ENTRIES);
   read_list ();
   for (unsigned i = 0; i < ENTRIES; i++)
     {
@@ -173,7 +178,7 @@
 static void
 number_of_entries_is_steady (void)
 {
-  begin ();
+  begin (ENTRIES);
   for (unsigned i = 0; i < ENTRIES; i++)
     publish_up (publish, &entries[i].peer);
   publish_tick (publish); /* chooses deputies */
@@ -192,11 +197,174 @@
   end ();
 }
 
+/* ---- Catalogues ---- */
+
+static void
+on_stop (LoopTimer *timer)
+{
+  (void) timer;
+  loop_stop (loop);
+}
+
+static void
+run_for (int64_t us)
+{
+  LoopTimer timer = { .fire = on_stop };
+
+  loop_timer_set (loop, &timer, loop_now (loop) + us);
+  loop_run (loop);
+}
+
+/* A catalogue of 1,000 parts with names that do not compress; changed: value of one of them. */
+static GBytes *
+catalogue (uint64_t number, unsigned changed)
+{
+  GString *text = g_string_new (NULL);
+  uint64_t state = 5;
+
+  g_string_append_printf (text, "{\"Version\":%" G_GUINT64_FORMAT ",", number);
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      state = state * 6364136223846793005u + 1442695040888963407u;
+      g_string_append_printf (text, "{\"Name\":\"%016" G_GINT64_MODIFIER "x\",\"Value\":%u},",
+                              state, i == 500 ? changed : 1);
+    }
+  GBytes *packed = squeeze_pack (text->str, text->len);
+  g_string_free (text, TRUE);
+  return packed;
+}
+
+static void
+commit (uint64_t number)
+{
+  GBytes *document = catalogue (number, (unsigned) number);
+
+  for (unsigned turn = 0; voter_newest (voter) < number && turn < 1000; turn++)
+    {
+      if (turn % 50 == 0)
+        voter_propose (voter, number, document);
+      run_for (20 * FT_MS);
+    }
+  g_assert_cmpuint (voter_newest (voter), ==, number);
+  g_bytes_unref (document);
+}
+
+/* Bytes of catalogues that all entries have got since they were asked last; each got at most one,
+ * which it then says that it has if confirms. */
+static size_t
+got_documents (uint64_t number, bool confirms)
+{
+  size_t bytes = 0;
+
+  for (unsigned i = 0; i < entry_count; i++)
+    {
+      unsigned count = 0;
+      MeshMsg msg;
+      while (test_peer_next (&entries[i], &msg))
+        {
+          if (msg.kind == MESH_DOCUMENT)
+            {
+              count++;
+              bytes += msg.MeshMsg_u.document.text.text_len;
+              g_assert_cmpuint (msg.MeshMsg_u.document.number, ==, number);
+            }
+          codec_clear (CODEC (MeshMsg), &msg);
+        }
+      g_assert_cmpuint (count, <=, 1);
+      if (count && confirms)
+        entries[i].peer.document = number;
+    }
+  return bytes;
+}
+
+static unsigned
+lacking (uint64_t number)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < entry_count; i++)
+    count += entries[i].peer.document < number;
+  return count;
+}
+
+static void
+all_up (uint64_t number)
+{
+  for (unsigned i = 0; i < entry_count; i++)
+    {
+      publish_up (publish, &entries[i].peer);
+      got_documents (number, true);
+    }
+}
+
+/* A change of one field went whole to each entry, and grants waited behind it on the link. */
+static void
+changes_are_told_as_such (void)
+{
+  static const unsigned counts[] = { 30, 300 };
+
+  for (unsigned c = 0; c < G_N_ELEMENTS (counts); c++)
+    {
+      begin (counts[c]);
+      commit (1);
+      publish_documents (publish);
+      all_up (1);
+      g_assert_cmpuint (lacking (1), ==, 0);
+      commit (2);
+      publish_documents (publish);
+      g_assert_cmpuint (got_documents (2, true), <=, 200 * counts[c]);
+      g_assert_cmpuint (lacking (2), ==, 0);
+      end ();
+    }
+}
+
+/* A catalogue that must go whole to all filled the link in one turn. */
+static void
+whole_catalogues_are_paced (void)
+{
+  GBytes *document = catalogue (10, 10);
+  size_t most = A_TICK + g_bytes_get_size (document);
+  unsigned ticks = 0;
+
+  g_bytes_unref (document);
+  begin (300);
+  commit (1);
+  publish_documents (publish);
+  all_up (1);
+  for (uint64_t number = 2; number <= 10; number++) /* more versions than are kept */
+    {
+      commit (number);
+      publish_documents (publish);
+      for (unsigned i = 0; i < entry_count; i++)
+        entries[i].peer.document = 1;
+      if (number < 10)
+        got_documents (number, false);
+    }
+  for (unsigned i = 0; i < entry_count; i++)
+    publish_down (publish, &entries[i].peer);
+  got_documents (10, false);
+  for (unsigned i = 0; i < entry_count; i++)
+    entries[i].peer.document = 10;
+  all_up (10);
+  for (unsigned i = 0; i < entry_count; i++)
+    entries[i].peer.document = 1;
+  for (; lacking (10) > 0 && ticks < 100; ticks++)
+    {
+      publish_tick (publish);
+      g_assert_cmpuint (got_documents (10, true), <=, most);
+    }
+  g_assert_cmpuint (lacking (10), ==, 0);
+  g_assert_cmpuint (ticks, >, 1);
+  end ();
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/publish/whole_lists", whole_lists_are_paced);
   g_test_add_func ("/publish/entries", number_of_entries_is_steady);
+  g_test_add_func ("/publish/changes", changes_are_told_as_such);
+  g_test_add_func ("/publish/paced", whole_catalogues_are_paced);
   return g_test_run ();
 }
