What has changed in the list is worked out once for all links; turns of the loop are timed

Change: the message for a list held is made once a turn and shared (servers_made counts them). The loop times its turns: histograms foxtail_turn_seconds and foxtail_timer_late_seconds, a line "slow-turn" with the longest piece of work from 50 ms on.

/list/many_links: 300 links, 1 message made (300 before).

--- a/net/loop.c
+++ b/net/loop.c
@@ -31,6 +31,10 @@
   int report_count;
   GPtrArray *garbage;
   GArray *turn_calls; /* Call */
+  LoopTurned turned;  /* NULL: nobody watches */
+  void *watcher;
+  LoopTurn turn;
+  int64_t piece_at; /* when the piece of work that is done now began */
   pthread_mutex_t lock;
   GArray *posted; /* Call; under lock */
 };
@@ -200,6 +204,44 @@
   g_array_append_val (loop->turn_calls, call);
 }
 
+void
+loop_watch (Loop *loop, LoopTurned fn, void *data)
+{
+  loop->turned = fn;
+  loop->watcher = data;
+}
+
+void
+loop_done (Loop *loop, const char *work)
+{
+  if (loop->turned == NULL)
+    return;
+  int64_t now = read_clock ();
+  if (now - loop->piece_at > loop->turn.longest_us)
+    {
+      loop->turn.longest_us = now - loop->piece_at;
+      loop->turn.longest = work;
+    }
+  loop->piece_at = now;
+}
+
+static void
+begin_turn (Loop *loop)
+{
+  loop->now = loop->piece_at = read_clock ();
+  loop->turn = (LoopTurn){ .late_us = -1, .longest = "" };
+}
+
+static void
+end_turn (Loop *loop)
+{
+  if (loop->turned == NULL)
+    return;
+  loop_done (loop, "timers");
+  loop->turn.took_us = loop->piece_at - loop->now;
+  loop->turned (loop->watcher, &loop->turn);
+}
+
 static void
 fire_timers (Loop *loop)
 {
@@ -208,6 +250,7 @@
   while ((top = ft_heap_top (&loop->timers)) != NULL && top->key <= (double) loop->now)
     {
       LoopTimer *timer = (LoopTimer *) top; /* node is the first member */
+      loop->turn.late_us = MAX (loop->turn.late_us, loop->now - (int64_t) top->key);
       loop_timer_stop (loop, timer);
       timer->fire (timer);
     }
@@ -233,7 +276,7 @@
       run_calls (loop->turn_calls);
       g_ptr_array_set_size (loop->garbage, 0);
       int count = epoll_wait (loop->epoll, loop->reports, EVENTS_MOST, wait_ms (loop));
-      loop->now = read_clock ();
+      begin_turn (loop);
       loop->report_count = MAX (count, 0);
       for (int i = 0; i < loop->report_count; i++)
         {
@@ -242,7 +285,9 @@
             fd->ready (fd, loop->reports[i].events);
         }
       loop->report_count = 0;
+      loop_done (loop, "reports");
       fire_timers (loop);
+      end_turn (loop);
     }
   g_ptr_array_set_size (loop->garbage, 0);
 }
--- a/net/loop.h
+++ b/net/loop.h
@@ -56,4 +56,17 @@
 /* Called at the end of each turn, before waiting. */
 void loop_each_turn (Loop *loop, LoopFn fn, void *data);
 
+/* How long a turn took, from its reports to its end, and what in it took longest. */
+typedef struct
+{
+  int64_t took_us, late_us; /* late: of the timer that fired latest after its time; -1: none did */
+  int64_t longest_us;       /* of one piece of work ... */
+  const char *longest;      /* ... by the name that loop_done gave it, or what reported it */
+} LoopTurn;
+typedef void (*LoopTurned) (void *data, const LoopTurn *turn);
+/* Calls fn (data, turn) after each turn. */
+void loop_watch (Loop *loop, LoopTurned fn, void *data);
+/* The piece of work that ends here, since the one before, was this. work: a literal. */
+void loop_done (Loop *loop, const char *work);
+
 #endif
--- a/node/count.c
+++ b/node/count.c
@@ -16,7 +16,7 @@
         "catalogues",     "lists",          "list_failures",
         "grants",         "server_ends",    "quarantined_requests",
         "server_notices", "grants_returned" };
-static const char *const timed_names[TIMED] = { "wait", "first", "whole" };
+static const char *const timed_names[TIMED] = { "wait", "first", "whole", "turn", "timer_late" };
 
 void
 count_up (Counter counter)
--- a/node/count.h
+++ b/node/count.h
@@ -34,6 +34,8 @@
   TIMED_WAIT,  /* from a request's arrival to its place */
   TIMED_FIRST, /* from sending to the first of the answer */
   TIMED_WHOLE, /* from arrival to the end of the answer */
+  TIMED_TURN,  /* one turn of the loop */
+  TIMED_LATE,  /* from a timer's time to its firing */
   TIMED
 } Timed;
 
--- a/node/main.c
+++ b/node/main.c
@@ -17,6 +17,7 @@
 
 #define SETTINGS_VARIABLE "FOXTAILGRADE_CONFIG"
 #define SETTINGS_EVERY    (1 * FT_SECOND) /* a file that changes without a signal is noticed then */
+#define SLOW_TURN         (50 * FT_MS) /* longer turns are logged: grants are awaited for 120 ms */
 
 typedef struct
 {
@@ -133,6 +134,20 @@
   jlog_flush (false);
 }
 
+/* What a turn does late, all that waits for this instance gets late. */
+static void
+on_turned (void *data, const LoopTurn *turn)
+{
+  (void) data;
+  count_time (TIMED_TURN, turn->took_us);
+  if (turn->late_us >= 0)
+    count_time (TIMED_LATE, turn->late_us);
+  if (turn->took_us >= SLOW_TURN)
+    jlog (JLOG_INFO, "slow-turn", NULL, JL_MS ("took_ms", turn->took_us),
+          JL_MS ("late_ms", turn->late_us), JL_TEXT ("longest", turn->longest),
+          JL_MS ("longest_ms", turn->longest_us));
+}
+
 static bool
 open_signals (Process *process)
 {
@@ -196,6 +211,7 @@
   process.watch.fire = on_watch;
   loop_timer_set (process.loop, &process.watch, loop_now (process.loop) + SETTINGS_EVERY);
   loop_each_turn (process.loop, each_turn, NULL);
+  loop_watch (process.loop, on_turned, NULL);
   loop_run (process.loop);
   jlog (JLOG_INFO, "stopped", NULL, JL_INT ("lines", jlog_written ()),
         JL_INT ("lines_dropped", jlog_dropped ()));
--- a/node/servers.c
+++ b/node/servers.c
@@ -38,6 +38,9 @@
   GArray *removed;           /* Removed, in the latest steps */
   GBytes *packed[2];         /* changes and the whole; NULL: not since the list changed */
   guint packed_for;          /* digest of the list that the changes are against */
+  GHashTable *messages;      /* digest of a list held: GBytes for links, as of ... */
+  int64_t messages_at;
+  uint64_t made; /* messages worked out so far */
 };
 
 static void
@@ -61,6 +64,7 @@
   servers->list = g_array_new (FALSE, TRUE, sizeof (SeamServer));
   g_array_set_clear_func (servers->list, seam_server_clear);
   servers->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  servers->messages = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify) g_bytes_unref);
   servers->changed_in = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   servers->removed = g_array_new (FALSE, FALSE, sizeof (Removed));
   g_array_set_clear_func (servers->removed, removed_clear);
@@ -74,12 +78,20 @@
     return;
   g_hash_table_unref (servers->by_id);
   g_array_unref (servers->list);
+  g_hash_table_unref (servers->messages);
   g_hash_table_unref (servers->changed_in);
   g_array_unref (servers->removed);
   forget_packed (servers);
   g_free (servers);
 }
 
+static void
+set_asked_at (Servers *servers, int64_t asked_at)
+{
+  servers->asked_at = asked_at;
+  g_hash_table_remove_all (servers->messages); /* which say how old the list is */
+}
+
 /* The digest does not depend on the order, so that a list made of changes has the one of the whole.
  */
 static guint
@@ -168,7 +180,7 @@
 
   servers->list = list;
   servers->by_id = g_hash_table_new (g_str_hash, g_str_equal);
-  servers->asked_at = asked_at;
+  set_asked_at (servers, asked_at);
   index_list (servers);
   if (servers->digest != before)
     note_step (servers, old, old_by_id);
@@ -269,7 +281,7 @@
     return SERVERS_OLD;
   if (from->digest == servers->digest)
     {
-      servers->asked_at = asked_at;
+      set_asked_at (servers, asked_at);
       return SERVERS_TAKEN;
     }
   if (from->kind == MESH_LIST_SAME
@@ -486,31 +498,63 @@
   return true;
 }
 
-static bool
-send_packed (Servers *servers, MeshPeer *peer, int64_t now, guint held)
+static GBytes *
+packed_message (Servers *servers, int64_t now, guint held)
 {
   MeshMsg msg = { .kind = MESH_PACKED_LIST };
 
-  return servers_pack (servers, now, held, &msg.MeshMsg_u.packed) && mesh_send (peer, &msg);
+  return servers_pack (servers, now, held, &msg.MeshMsg_u.packed) ? mesh_pack (&msg) : NULL;
 }
 
-bool
-servers_send (Servers *servers, MeshPeer *peer, int64_t now, guint held)
+static GBytes *
+make_message (Servers *servers, int64_t now, guint held)
 {
   MeshMsg msg = { .kind = MESH_LIST };
   MeshList *list = &msg.MeshMsg_u.list;
 
+  servers->made++;
   servers_message (servers, now, held, list);
   bool many = list->servers.servers_len + list->removed.removed_len > CHANGES_PLAIN;
-  bool sent = many ? send_packed (servers, peer, now, held) : mesh_send (peer, &msg);
+  GBytes *out = many ? packed_message (servers, now, held) : mesh_pack (&msg);
   servers_message_clear (list);
-  return sent;
+  return out;
+}
+
+/* Failure: what has changed is worked out anew for each link, by a look at all servers. Symptom:
+ * with 1,000 entries and 3,000 servers the voter in charge does nothing else for half a second at
+ * each change of the list, and is taken for lost. Links whose ends hold the same list share it. */
+bool
+servers_send (Servers *servers, MeshPeer *peer, int64_t now, guint held)
+{
+  if (servers->messages_at != now)
+    g_hash_table_remove_all (servers->messages);
+  servers->messages_at = now;
+  GBytes *message = g_hash_table_lookup (servers->messages, GUINT_TO_POINTER (held));
+  if (message == NULL)
+    {
+      message = make_message (servers, now, held);
+      if (message == NULL)
+        return false;
+      g_hash_table_insert (servers->messages, GUINT_TO_POINTER (held), message);
+    }
+  return mesh_send_packed (peer, message);
 }
 
 bool
 servers_send_whole (Servers *servers, MeshPeer *peer, int64_t now)
 {
-  return send_packed (servers, peer, now, SERVERS_HELD_NONE);
+  GBytes *message = packed_message (servers, now, SERVERS_HELD_NONE);
+  bool sent = message && mesh_send_packed (peer, message);
+
+  if (message)
+    g_bytes_unref (message);
+  return sent;
+}
+
+uint64_t
+servers_made (const Servers *servers)
+{
+  return servers->made;
 }
 
 void
--- a/node/servers.h
+++ b/node/servers.h
@@ -49,6 +49,8 @@
  * that takes fewer bytes; or all of it. False: it cannot be sent. */
 bool servers_send (Servers *servers, MeshPeer *peer, int64_t now, guint held);
 bool servers_send_whole (Servers *servers, MeshPeer *peer, int64_t now);
+/* Messages that servers_send has worked out so far; fewer than it has sent. */
+uint64_t servers_made (const Servers *servers);
 guint servers_digest (const Servers *servers);
 /* Does the list differ, in more than its age, from what servers_changed saw last? */
 bool servers_changed (Servers *servers);
--- a/test/list.c
+++ b/test/list.c
@@ -1,5 +1,6 @@
 /* list.c - the list of servers: how it is read, and how it goes from one instance to the others. */
 #include "hsrv.h"
+#include "peer.h"
 #include "platform.h"
 #include "reader.h"
 #include "servers.h"
@@ -248,6 +249,41 @@
   servers_free (other);
 }
 
+/* What had changed was worked out anew for each of a thousand links, by a look at all servers: the
+ * voter in charge did nothing else for half a second. */
+static void
+list_for_many_links (void)
+{
+  static const unsigned counts[] = { 30, 300 };
+
+  for (unsigned c = 0; c < G_N_ELEMENTS (counts); c++)
+    {
+      Loop *links = loop_new ();
+      Mesh *mesh = test_mesh (links, MESH_VOTER, 22800);
+      Servers *voter = servers_new ();
+      TestPeer *peers = g_new0 (TestPeer, counts[c]);
+      read_servers (voter, 0, 3000, -1, 100);
+      guint before = servers_digest (voter);
+      read_servers (voter, 0, 3000, 7, 300);
+      for (unsigned i = 0; i < counts[c]; i++)
+        {
+          MeshMsg msg;
+          peers[i] = test_peer (links, mesh, i + 1, MESH_ENTRY, false);
+          g_assert_true (servers_send (voter, &peers[i].peer, 400, before));
+          g_assert_true (test_peer_next (&peers[i], &msg));
+          g_assert_cmpint (msg.MeshMsg_u.list.kind, ==, MESH_LIST_CHANGES);
+          g_assert_cmpuint (msg.MeshMsg_u.list.servers.servers_len, ==, 1);
+          codec_clear (CODEC (MeshMsg), &msg);
+          test_peer_end (&peers[i]);
+        }
+      g_assert_cmpuint (servers_made (voter), ==, 1);
+      g_free (peers);
+      servers_free (voter);
+      mesh_free (mesh);
+      loop_free (links);
+    }
+}
+
 static void
 list_that_is_spoilt (void)
 {
@@ -339,7 +375,8 @@
 
   loop = loop_new ();
   HCli *cli = hcli_new (loop);
-  SockAddr addr = { 0x7f000001, PORT };
+  /* Another loopback address for each run. */
+  SockAddr addr = { 0x7f000001u + ((unsigned) getpid () % 60000 << 8), PORT };
   HSrv *list = hsrv_new (loop, addr, &list_ops, NULL);
   g_assert_nonnull (list);
   Reader *reader = reader_new (loop, cli, platform_seam (), addr, on_read, NULL);
@@ -390,6 +427,7 @@
   g_test_add_func ("/list/steps", list_steps);
   g_test_add_func ("/list/fetched_once", list_is_fetched_once);
   g_test_add_func ("/list/many_changes", list_of_many_changes);
+  g_test_add_func ("/list/many_links", list_for_many_links);
   g_test_add_func ("/list/spoilt", list_that_is_spoilt);
   g_test_add_func ("/list/read_rarely", long_list_is_read_rarely);
   g_test_add_func ("/list/over_the_rate", read_over_the_rate);
