A long list is read as rarely as the drain allows

Cause: a pass over 3,000 servers is 15 calls here, and the pause between two passes grew by 40 ms a call, which is below the least one up to 17 calls: a pass each 0.7 s, whatever it costs and whatever DrainMs allows.

Change: 110 ms a call, at most the drain less 1.4 s (for the push and a pass of a second), which is 1.6 s at a drain of 3 s as before and 3.6 s at 5 s; the drain is a setting (drain_ms). Lists of up to 6 calls are read as before. The policy is in reader.c, beside that of instances that are left alone.

/list/fewer_calls: from 1 to 60 calls and drains of 3, 4 and 5 s pause, pass and push fit the drain; the fleet's list costs at most 10 calls a second (21 before).

--- a/node/control.c
+++ b/node/control.c
@@ -23,14 +23,7 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define TICK       (20 * FT_MS)
-#define LIST_EVERY (700 * FT_MS) /* two passes and the push well within the 3 s of a drain */
-#define LIST_PAGE  (40 * FT_MS)  /* more for each call of a pass, since calls have a price ... */
-#define LIST_RARELY                                                                                \
-  (1600 * FT_MS) /* ... as long as a pass of a second and the push fit the 3 s                     \
-                  */
-#define LIST_ALONE  (1200 * FT_MS)
-#define LIST_PART   0.5           /* of the platform's rate that the voter in charge uses */
+#define TICK        (20 * FT_MS)
 #define ALONE_AFTER (900 * FT_MS) /* longer than a usual election */
 #define LEAVE_LEAST (400 * FT_MS) /* the successor is elected */
 #define LEAVE_MOST  (2 * FT_SECOND)
@@ -329,15 +322,15 @@
   return servers_asked_at (control->servers) == 0 && g_hash_table_size (control->readers) == 0;
 }
 
-/* A long list is read more rarely, and so that half of the platform's rate is left to others. */
 static int64_t
 list_every (const Control *control)
 {
-  unsigned pages = reader_pages (control->reader);
-  int64_t least = control->status.proved ? LIST_EVERY : LIST_ALONE;
-  double rate = MAX (control->settings->list_rate * LIST_PART, 1);
+  ReaderPlan plan = { .calls = reader_pages (control->reader),
+                      .rate = control->settings->list_rate,
+                      .in_charge = control->status.proved,
+                      .drain_us = control->settings->drain_ms * FT_MS };
 
-  return MAX (CLAMP (pages * LIST_PAGE, least, LIST_RARELY), (int64_t) (pages / rate * 1e6));
+  return reader_every (&plan);
 }
 
 static void
--- a/node/reader.c
+++ b/node/reader.c
@@ -20,6 +20,16 @@
 #define RATE_PART    0.3 /* of the platform's rate that they use together */
 #define PAGE_SERVERS 50  /* on a page, as far as seen */
 
+/* The same for a voter that reads for all. */
+#define LIST_EVERY (700 * FT_MS)  /* two passes and the push well within the shortest drain */
+#define LIST_ALONE (1200 * FT_MS) /* of a voter that is not in charge */
+#define LIST_CALL                                                                                  \
+  (110 * FT_MS) /* more for each call of a long pass, since calls have a price ... */
+#define LIST_PUSH                                                                                  \
+  (1400 * FT_MS)      /* ... as long as a pass of a second and the push fit the drain              \
+                       */
+#define LIST_PART 0.5 /* of the platform's rate */
+
 struct Reader
 {
   Loop *loop;
@@ -228,6 +238,16 @@
   return MAX (EVERY_LEAST, (int64_t) shared);
 }
 
+int64_t
+reader_every (const ReaderPlan *plan)
+{
+  int64_t least = plan->in_charge ? LIST_EVERY : LIST_ALONE;
+  int64_t most = MAX (least, plan->drain_us - LIST_PUSH);
+  double rate = MAX (plan->rate * LIST_PART, 1);
+
+  return MAX (CLAMP (plan->calls * LIST_CALL, least, most), (int64_t) (plan->calls / rate * 1e6));
+}
+
 void
 reader_start (Reader *reader)
 {
--- a/node/reader.h
+++ b/node/reader.h
@@ -22,6 +22,18 @@
 /* Calls that a pass takes, as far as known from earlier ones and from a list of so many servers. */
 unsigned reader_calls (const Reader *reader, unsigned servers);
 
+/* A voter that reads the list for all. */
+typedef struct
+{
+  unsigned calls;   /* of a pass */
+  double rate;      /* calls a second that the platform allows all instances together */
+  bool in_charge;   /* else nobody is, and it reads for the entries that reach it */
+  int64_t drain_us; /* a server that the list shows as leaving gets nothing new after so long */
+} ReaderPlan;
+
+/* From the start of one pass to the start of the next, microseconds. */
+int64_t reader_every (const ReaderPlan *plan);
+
 /* An instance that reads the list when those that should do it for all are silent. */
 typedef struct
 {
--- a/node/settings.c
+++ b/node/settings.c
@@ -38,6 +38,8 @@
   { "losses", FT_FIELD_INTEGER, false, 0, 3, "1", AT (losses), "voters that may be lost at once" },
   { "list_rate", FT_FIELD_STRING, false, 0, 20, "10", AT (list_rate_text),
     "calls a second that the list takes from all instances together" },
+  { "drain_ms", FT_FIELD_INTEGER, false, 100, 3600000, "3000", AT (drain_ms),
+    "a server that the list shows as leaving gets nothing new after so long, milliseconds" },
   { "grace_s", FT_FIELD_INTEGER, false, 1, 86400, "8", AT (grace_s),
     "a process is killed so long after it was asked to end, seconds" },
   { "budget_ratio", FT_FIELD_STRING, false, 0, 20, "0.2", AT (budget_ratio_text),
--- a/node/settings.h
+++ b/node/settings.h
@@ -17,7 +17,7 @@
   GPtrArray *seed_texts;
   int64_t link_port, link_listen_port, metrics_port;
   bool first_start;
-  int64_t losses, grace_s;
+  int64_t losses, grace_s, drain_ms;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
   int64_t rollout_slack, order_repeat_ms;
   char *list_rate_text, *budget_ratio_text, *limit_overage_text, *rollout_share_text;
--- a/test/list.c
+++ b/test/list.c
@@ -417,6 +417,26 @@
   g_assert_cmpint (reader_age_borne (&deputy), <=, 1100 * FT_MS);
 }
 
+/* A list of 15 pages was read as often as one of 2, which cost more calls than all else together;
+ * what is read more rarely is still known within the drain. */
+static void
+long_list_costs_fewer_calls (void)
+{
+  static const int64_t drains[] = { 3 * FT_SECOND, 4 * FT_SECOND, 5 * FT_SECOND };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (drains); i++)
+    for (unsigned pages = 1; pages <= 60; pages++)
+      {
+        ReaderPlan plan = { pages, 190, true, drains[i] };
+        int64_t every = reader_every (&plan), pass = (int64_t) (pages / 60.0 * FT_SECOND);
+        g_assert_cmpint (every + pass + 400 * FT_MS, <=, drains[i]);
+        if (pages <= 6)
+          g_assert_cmpint (every, ==, 700 * FT_MS);
+      }
+  ReaderPlan fleet = { 15, 190, true, 5 * FT_SECOND };
+  g_assert_cmpint (15 * FT_SECOND / reader_every (&fleet), <=, 10); /* calls a second */
+}
+
 int
 main (int argc, char **argv)
 {
@@ -430,6 +450,7 @@
   g_test_add_func ("/list/many_links", list_for_many_links);
   g_test_add_func ("/list/spoilt", list_that_is_spoilt);
   g_test_add_func ("/list/read_rarely", long_list_is_read_rarely);
+  g_test_add_func ("/list/fewer_calls", long_list_costs_fewer_calls);
   g_test_add_func ("/list/over_the_rate", read_over_the_rate);
   return g_test_run ();
 }
