Bounds of the settings may have a fraction

Cause: the small twin of the fleet scales its retry slack to a number with a fraction, and every instance ended at its start: "budget_slack: must be a whole number". The settings that hold bounds now take any number and use its whole part, which is the safe side of each; a port or a rate of the list stays what it was.

--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -187,6 +187,7 @@
 {
   FT_FIELD_STRING,
   FT_FIELD_INTEGER,
+  FT_FIELD_WHOLE, /* the whole part of a number that may have a fraction */
   FT_FIELD_BOOL,
   FT_FIELD_STRINGS /* an array of strings, a GPtrArray with g_free */
 } FtFieldType;
@@ -204,7 +205,7 @@
 
 /* Reads the object at path into record after the table's rows (ended by a NULL name). Keys outside
  * the table are refused unless listed in more (NULL-ended, may be NULL). Strings become char *
- * (g_free), integers int64_t, booleans bool. */
+ * (g_free), integers and whole parts int64_t, booleans bool. */
 FtStatus ft_json_fields (FtJson *doc, void *object, const char *path, const FtField *table,
                          const char *const *more, void *record, FtError *error);
 /* Frees the strings and arrays that ft_json_fields put into record. */
--- a/src/jsrc.c
+++ b/src/jsrc.c
@@ -325,6 +325,18 @@
         *(int64_t *) slot = number;
         return FT_OK;
       }
+    case FT_FIELD_WHOLE:
+      {
+        double number = json_object_get_double (value);
+        bool is_number = json_object_is_type (value, json_type_int)
+                         || json_object_is_type (value, json_type_double);
+        if (!is_number || !(number >= (double) field->low && number <= (double) field->high))
+          return ft_error_set (error, FT_INVALID, line, path,
+                               "must be a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                               field->low, field->high);
+        *(int64_t *) slot = (int64_t) number;
+        return FT_OK;
+      }
     case FT_FIELD_BOOL:
       if (!json_object_is_type (value, json_type_boolean))
         return ft_error_set (error, FT_INVALID, line, path, "must be true or false");
@@ -344,6 +356,7 @@
       *(char **) slot = g_strdup (field->fallback ? field->fallback : "");
       break;
     case FT_FIELD_INTEGER:
+    case FT_FIELD_WHOLE:
       *(int64_t *) slot = field->fallback ? g_ascii_strtoll (field->fallback, NULL, 10) : 0;
       break;
     case FT_FIELD_BOOL:
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -1,8 +1,10 @@
 /* adapter.c - the platform's adapter: declarations, requests, answers and the list. */
 #include "platform.h"
 #include "servers.h"
+#include "settings.h"
 #include "squeeze.h"
 
+#include <glib/gstdio.h>
 #include <string.h>
 
 /* ---- Reading a message from text ---- */
@@ -465,6 +467,36 @@
   g_string_free (text, TRUE);
 }
 
+/* A bound that is no whole number, as those of a scaled deployment, kept every instance from its
+ * start. */
+static void
+bounds_with_fractions (void)
+{
+  static const char text[]
+      = "{\"name\":\"n\",\"role\":\"entry\",\"ip\":\"10.0.0.1\",\"domain\":\"z\","
+        "\"callers\":\"10.0.0.1:80\",\"ready\":\"10.0.0.1:81\",\"link_port\":82,"
+        "\"seeds\":[],\"list\":\"10.0.0.2:80\",\"grace_s\":8.0,\"budget_slack\":%s}";
+  char *path = g_build_filename (g_get_tmp_dir (), "adapter-XXXXXX", NULL);
+  Settings *settings = NULL;
+  FtError error = { 0 };
+
+  close (g_mkstemp (path));
+  char *good = g_strdup_printf (text, "17.55"), *bad = g_strdup_printf (text, "\"many\"");
+  g_assert_true (g_file_set_contents (path, good, -1, NULL));
+  if (settings_read (path, &settings, &error) != FT_OK)
+    g_error ("%s: %s", error.field, error.text);
+  g_assert_cmpint (settings->budget_slack, ==, 17);
+  g_assert_cmpint (settings->grace_s, ==, 8);
+  settings_free (settings);
+  g_assert_true (g_file_set_contents (path, bad, -1, NULL));
+  g_assert_cmpint (settings_read (path, &settings, &error), ==, FT_INVALID);
+  g_assert_cmpstr (error.field, ==, "budget_slack");
+  g_unlink (path);
+  g_free (good);
+  g_free (bad);
+  g_free (path);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -478,6 +510,7 @@
   g_test_add_func ("/adapter/advice_for_callers", advice_for_callers);
   g_test_add_func ("/adapter/list", list_pages);
   g_test_add_func ("/adapter/list_spoilt", list_spoilt_entries);
+  g_test_add_func ("/adapter/fractions", bounds_with_fractions);
   g_test_add_func ("/adapter/packed", packed_documents);
   return g_test_run ();
 }
