--- a/node/reqend.c
+++ b/node/reqend.c
@@ -58,6 +58,7 @@
         JL_INT ("tier", req->route ? rt_order (req->route, req->org) : 0),
         JL_INT ("prompt", req->facts.prompt_tokens), JL_INT ("most", req->facts.output_most),
         JL_INT ("guess", req->facts.output_guess), JL_MS ("pause_ms", req->pause_most),
+        JL_INT ("slowness", req->slowness), JL_INT ("kept", req->rested > 0),
         JL_MS ("took_ms", req_now (req) - req->arrived),
         JL_MS ("left_ms", req->end_at - req_now (req)));
 }
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -41,6 +41,7 @@
   int64_t rested;     /* how long the connection had; 0: a new one */
   bool broke;         /* it did so as the request was sent */
   int64_t pause_most; /* longest between two events */
+  unsigned slowness;  /* that the answer's head told of its server's machine, percent; 0: nothing */
   unsigned events, status;
   HXferFault fault; /* what ended its connection, if one did */
   bool faulty;      /* one did */
--- a/node/seam.h
+++ b/node/seam.h
@@ -46,6 +46,8 @@
   bool event_stream;
   bool has_load;
   unsigned running, waiting, slots;
+  unsigned slowness; /* how long work takes on its machine at the moment, percent of what it takes
+                        as a rule; 0: not said. Servers share their machines with others. */
   Notice notice;
   const char *unread; /* the value of a notice's field that cannot be read; NULL: none */
 } SeamAnswer;
--- a/node/try.c
+++ b/node/try.c
@@ -99,6 +99,7 @@
     }
   req->head_seen = true;
   req->status = hmsg_status (msg);
+  req->slowness = answer.slowness;
   take_notice (req, &answer);
   if (answer.not_run && (answer.id || req->status == 400))
     {
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -247,6 +247,7 @@
   g_assert_cmpstr (answer.id, ==, "id1");
   g_assert_cmpuint (answer.running, ==, 3);
   g_assert_cmpuint (answer.slots, ==, 8);
+  g_assert_cmpuint (answer.slowness, ==, 0);
   platform_seam ()->write_answer (out, kept);
   g_assert_nonnull (strstr (out->str, "X-Foxtailgrade-Server-Signature: sig\r\n"));
   g_assert_null (strstr (out->str, "Keep-Alive"));
@@ -256,6 +257,15 @@
   platform_seam ()->read_answer (kept, &answer);
   g_assert_true (answer.not_run);
   hread_free (read);
+  read = read_message (false,
+                       "HTTP/1.1 200 OK\r\nX-Foxtailgrade-Request-Id: id1\r\nContent-Length: 0\r\n"
+                       "X-Foxtailgrade-Instance-Load: 3,1,8,140\r\n\r\n",
+                       body);
+  platform_seam ()->read_answer (kept, &answer);
+  g_assert_true (answer.has_load);
+  g_assert_cmpuint (answer.slots, ==, 8);
+  g_assert_cmpuint (answer.slowness, ==, 140);
+  hread_free (read);
   g_string_free (body, TRUE);
   g_string_free (out, TRUE);
 }
