A scheduler for which nobody waits does not look at all servers each tick

Cause: sched_tick counted the servers with a free place for each service 50 times a second, also at entries, whose own schedulers are asked by nobody while a voter schedules: entries x servers x 50.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -338,14 +338,19 @@
   dispatch_queue (sched, service, &tier->late, now);
 }
 
+static bool
+anyone_waits (const Service *service)
+{
+  for (unsigned i = 0; i < service->tiers->len; i++)
+    if (((Tier *) service->tiers->pdata[i])->count > 0)
+      return true;
+  return false;
+}
+
 static void
 dispatch (Sched *sched, Service *service, int64_t now)
 {
-  bool anyone = false;
-
-  for (unsigned i = 0; i < service->tiers->len; i++)
-    anyone = anyone || ((Tier *) service->tiers->pdata[i])->count > 0;
-  if (!anyone)
+  if (!anyone_waits (service))
     return;
   est_summary (sched, service);
   count_open (sched, service, now);
@@ -665,6 +670,8 @@
     {
       Service *service = value;
       ver_note_time (sched, service, now);
+      if (!anyone_waits (service)) /* else each tick looks at all servers */
+        continue;
       dispatch (sched, service, now);
       count_open (sched, service, now);
       admit_review (sched, service, now);
