A lone waiting request is placed in one look at the servers, not three

Cause: each ask counted the servers with a free place, chose once for the pass in which connected requests go first, and once more for itself. With one request waiting the count bounds nothing and there is nobody to go before. The choice itself is unchanged.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -300,6 +300,8 @@
   Job *job, *next;
   unsigned scanned = 0;
 
+  if (queue->next == queue->prev) /* nobody to go before */
+    return;
   cds_list_for_each_entry_safe (job, next, queue, link)
   {
     if (scanned++ >= SCAN_MOST || service->open == 0 || job->passed >= PASSED_MOST)
@@ -338,22 +340,28 @@
   dispatch_queue (sched, service, &tier->late, now);
 }
 
-static bool
-anyone_waits (const Service *service)
+static unsigned
+count_waiting (const Service *service)
 {
+  unsigned count = 0;
+
   for (unsigned i = 0; i < service->tiers->len; i++)
-    if (((Tier *) service->tiers->pdata[i])->count > 0)
-      return true;
-  return false;
+    count += ((Tier *) service->tiers->pdata[i])->count;
+  return count;
 }
 
 static void
 dispatch (Sched *sched, Service *service, int64_t now)
 {
-  if (!anyone_waits (service))
+  unsigned waiting = count_waiting (service);
+
+  if (waiting == 0)
     return;
   est_summary (sched, service);
-  count_open (sched, service, now);
+  if (waiting == 1)
+    service->open = 1; /* the choice itself shows whether there is one */
+  else
+    count_open (sched, service, now);
   for (unsigned i = 0; i < service->tiers->len; i++)
     {
       Tier *tier = service->tiers->pdata[i];
@@ -670,7 +678,7 @@
     {
       Service *service = value;
       ver_note_time (sched, service, now);
-      if (!anyone_waits (service)) /* else each tick looks at all servers */
+      if (count_waiting (service) == 0) /* else each tick looks at all servers */
         continue;
       dispatch (sched, service, now);
       count_open (sched, service, now);
