Kept connections rest as long as their server says, where rested ones do not break

Cause: a request that may be repeated used a kept connection only in the first 8 s of its rest, whatever the server promised.

Ruled out: that no connection was at rest (the youngest was below 1 s old in 95 of 100 cases), that servers close sooner. What remains is the choice of another server, which saves more than a connection's worth.

Change: the bound of 8 s holds only where rested connections have broken at that server or service lately (est_rest_most), as it does for requests that may run once.

--- a/node/try.c
+++ b/node/try.c
@@ -13,8 +13,8 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define CONNECT_MOST (250 * FT_MS) /* a connection takes two one-way delays and 1 ms */
-#define IDLE_MOST    (8 * FT_SECOND)
+#define CONNECT_MOST (250 * FT_MS)   /* a connection takes two one-way delays and 1 ms */
+#define IDLE_MOST    (8 * FT_SECOND) /* rest of a connection, where rested ones have broken lately */
 #define BREAKS_AT_ONCE                                                                             \
   (25 * FT_MS) /* the reset of a connection that the other end has forgotten is back within a      \
                   round trip, some 2 ms between failure domains; answers take longer */
@@ -327,7 +327,8 @@
   Requests *all = req->all;
   const GByteArray *body = hcall_body (req->call);
   bool once = !rt_route_repeatable (req->route);
-  HCliTarget target = { server->addr, server->id, CONNECT_MOST, once ? grant->rest_most : IDLE_MOST,
+  HCliTarget target = { server->addr, server->id, CONNECT_MOST,
+                        once ? grant->rest_most : MAX (IDLE_MOST, grant->rest_most),
                         strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
   SeamForward forward = { .server = server->name,
                           .org = req->org ? req->org->name : NULL,
