A single failure is laid to the request where many servers have met one

So most requests went to the few servers that had not met a failure lately, over new connections. It grows with requests a second: each server meets a failure every 5 s.

Change: where one in eight of the servers that answered in the last 5 s has failed something, and more than one has, the share of a single failure costs nothing.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -38,7 +38,11 @@
   0.7 /* of the arrivals of a late request's tier that go before it: those on time                 \
        */
 #define FAILED_US   2000000.0 /* cost of a lost answer, as much as finishing later by so much */
-#define FAILED_FOR  5e6       /* microseconds over which failures are forgotten: servers restart */
+#define FAILED_ONCE 0.2       /* share that one failure leaves ... */
+#define FAILED_SPREAD                                                                              \
+  8 /* ... which counts as the request's fault where one in so many of the servers that answered   \
+       in FAILED_FOR has met one, and more than one has */
+#define FAILED_FOR  5e6 /* microseconds over which failures are forgotten: servers restart */
 #define SUMMARY_FOR (10 * FT_MS) /* speeds change more slowly than that */
 #define SLOW_TIMES  1.6          /* times the best server's token: waiting for another may pay */
 
@@ -69,12 +73,19 @@
   sum->mean_token = count ? total / count : TOKEN_US;
 }
 
+static bool
+is_lately (int64_t at, int64_t now)
+{
+  return at > 0 && (double) (now - at) < FAILED_FOR;
+}
+
 const Summary *
 est_summary (const Sched *sched, Service *service)
 {
   Summary *sum = &service->summary;
   int64_t now = ft_clock_now (sched->clock);
   const Server *server;
+  unsigned used = 0, failed = 0;
 
   if (now < sum->until)
     return sum;
@@ -94,10 +105,14 @@
     if (!sum->any_usable || answer < sum->least_answer)
       sum->least_answer = answer;
     sum->any_usable = true;
+    bool fails = is_lately (server->failed_at, now);
+    used += fails || is_lately (server->answered_at, now);
+    failed += fails;
     double places
         = est_places (sched, server) * (service->conf.engine ? sum->best_token / token : 1);
     sum->places += pace_places (sched, server, places);
   }
+  sum->many_failed = failed > 1 && failed * FAILED_SPREAD >= used;
   return sum;
 }
 
@@ -302,13 +317,19 @@
 
 /* Failure: many servers fail a part of what they get, and fail it fast, so their places are free
  * first. Symptom: they get more than their part, and callers lose answers that others would have
- * given. What a server fails makes it dearer, for a while. */
+ * given. What a server fails makes it dearer, for a while; but not a single failure where many have
+ * met one. Some requests fail wherever they run, and if each counts the few servers that have not
+ * met one lately get nearly all, over new connections. */
 static double
 failing_us (const Server *server, int64_t now)
 {
-  if (server->failed_at == 0)
+  double share = server->failures;
+
+  if (server->service->summary.many_failed)
+    share -= FAILED_ONCE;
+  if (server->failed_at == 0 || share <= 0)
     return 0;
-  return FAILED_US * server->failures * exp ((double) (server->failed_at - now) / FAILED_FOR);
+  return FAILED_US * share * exp ((double) (server->failed_at - now) / FAILED_FOR);
 }
 
 static double
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -114,6 +114,7 @@
   double least_answer;           /* of a plain service */
   double places;                 /* of usable servers, in units of the best one's speed */
   bool any_usable;
+  bool many_failed; /* one in FAILED_SPREAD servers in use has failed something lately */
 } Summary;
 
 /* Versions of a service's servers (versions.c). */
