Entries that are left alone together begin to read the list one after another

Cause: an entry whose list is too old read it at once and only then spread its next readings over the time that all entries need. It grows with entries x pages.

Change: the first reading is drawn from the same span, less its least value, so that few entries (up to 1.5 s in all) read at once as before. An entry that others ask reads for them at once.

/list/left_alone: of 1,000 entries left alone at 15 calls a list at most 950 calls fall into the first 5 s (15,000 before).

--- a/node/entry.c
+++ b/node/entry.c
@@ -193,7 +193,14 @@
   int64_t newest = MAX (servers_asked_at (entry->servers), entry->started);
 
   /* Without a catalogue nothing can be sent, and voters that have one have the list. */
-  if (entry->cat == NULL || now - newest < reader_age_borne (&need) || now < entry->list_at)
+  if (entry->cat == NULL || now - newest < reader_age_borne (&need))
+    {
+      entry->list_at = 0;
+      return;
+    }
+  if (entry->list_at == 0)
+    entry->list_at = now + reader_first (&need, instance_random ());
+  if (now < entry->list_at)
     return;
   entry->list_at = now + every / 2 + (int64_t) (instance_random () % (uint64_t) every);
   reader_start (entry->reader);
--- a/node/reader.c
+++ b/node/reader.c
@@ -238,6 +238,17 @@
   return MAX (EVERY_LEAST, (int64_t) shared);
 }
 
+/* Failure: a part of a thousand entries is cut off and each reads the list, 15 calls, in the same
+ * moment. Symptom: thousands of calls in a second, far beyond the platform's rate. They begin at
+ * different moments of the time that all of them together need. */
+int64_t
+reader_first (const ReaderNeed *need, uint64_t draw)
+{
+  int64_t beyond = reader_interval (need) - EVERY_LEAST;
+
+  return need->for_others || beyond <= 0 ? 0 : (int64_t) (draw % (uint64_t) beyond);
+}
+
 int64_t
 reader_every (const ReaderPlan *plan)
 {
--- a/node/reader.h
+++ b/node/reader.h
@@ -46,5 +46,7 @@
 /* How old the list may become before the instance reads it, and how often it does, microseconds. */
 int64_t reader_age_borne (const ReaderNeed *need);
 int64_t reader_interval (const ReaderNeed *need);
+/* How long after the list has become too old it is first read; draw: a random number. */
+int64_t reader_first (const ReaderNeed *need, uint64_t draw);
 
 #endif
--- a/test/list.c
+++ b/test/list.c
@@ -437,6 +437,28 @@
   g_assert_cmpint (15 * FT_SECOND / reader_every (&fleet), <=, 10); /* calls a second */
 }
 
+/* A thousand entries that were left alone in one moment each read the list at once. */
+static void
+left_alone_together (void)
+{
+  static const unsigned counts[] = { 12, 100, 1000 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      ReaderNeed need = { .calls = 15, .readers = counts[i], .rate = 190 };
+      uint64_t state = 3;
+      double made = 0;
+      for (unsigned j = 0; j < counts[i]; j++)
+        {
+          state = state * 6364136223846793005u + 1442695040888963407u;
+          made += 15 * (reader_first (&need, state >> 20) < 5 * FT_SECOND);
+        }
+      g_assert_cmpfloat (made, <=, 5 * 190); /* calls in the first 5 s */
+    }
+  ReaderNeed small = { .calls = 1, .readers = 12, .rate = 40 };
+  g_assert_cmpint (reader_first (&small, 12345), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -450,6 +472,7 @@
   g_test_add_func ("/list/many_links", list_for_many_links);
   g_test_add_func ("/list/spoilt", list_that_is_spoilt);
   g_test_add_func ("/list/read_rarely", long_list_is_read_rarely);
+  g_test_add_func ("/list/left_alone", left_alone_together);
   g_test_add_func ("/list/fewer_calls", long_list_costs_fewer_calls);
   g_test_add_func ("/list/over_the_rate", read_over_the_rate);
   return g_test_run ();
