--- a/src/raft.c
+++ b/src/raft.c
@@ -1,7 +1,8 @@
 /* raft.c - one voter of the replicated log: Raft (Ongaro and Ousterhout 2014) with pre-vote, check
  * of the quorum, leases for reads, batched syncs and snapshots.
  *
- * Elections are in raftvote.c; who votes, and how the first set forms, in raftset.c.
+ * Leading is in raftlead.c, elections are in raftvote.c; who votes, and how the first set forms, in
+ * raftset.c.
  *
  * Order of disk and network. Messages wait in an outbox until what they promise is synced. When a
  * write or a sync fails the outbox is dropped and the voter stops taking part. A leader's entries
@@ -19,12 +20,7 @@
 #include <string.h>
 
 /* Tuning; each row with its reason. */
-#define HEARTBEAT        (100 * FT_MS)  /* six in the shortest election timeout: five may be lost */
-#define LEASE            (500 * FT_MS)  /* ELECTION_LEAST less clock-rate error and a tick */
-#define QUORUM_LOST      (1500 * FT_MS) /* a leader cut off steps down */
 #define WAIT_KEPT        (20 * FT_SECOND) /* how long the longest wait for a disk counts */
-#define ENTRIES_MOST     256              /* bound of msg.x */
-#define BYTES_MOST       (1u << 20)       /* one message must not delay heartbeats */
 #define UNCOMMITTED_MOST 4096             /* beyond, proposers are told to come back */
 #define KEEP_TAIL        256              /* entries kept behind a snapshot for those just behind */
 
@@ -95,8 +91,8 @@
   drop_box (raft->early);
 }
 
-static bool
-in_config (const Raft *raft)
+bool
+raft_in_config (const Raft *raft)
 {
   return rlog_config_has (rlog_config (&raft->log), raft->conf.self, raft->incarnation);
 }
@@ -178,8 +174,8 @@
     rlog_cut (&raft->log, raft->applied - tail);
 }
 
-static void
-apply_committed (Raft *raft)
+void
+raft_apply_committed (Raft *raft)
 {
   while (raft->applied < raft->commit)
     {
@@ -200,145 +196,6 @@
   take_snapshot (raft);
 }
 
-/* ---- Leading ---- */
-
-static void
-send_snapshot (Raft *raft, Peer *peer)
-{
-  Msg msg = { .kind = MSG_SNAPSHOT };
-  MsgSnapshot *out = &msg.Msg_u.snapshot;
-  GByteArray *state = state_capture (raft->state);
-
-  if (state == NULL)
-    return;
-  out->term = raft->term;
-  out->round = raft->round;
-  out->index = raft->applied;
-  out->index_term = rlog_term (&raft->log, raft->applied);
-  out->state.state_len = state->len;
-  out->state.state_val = (char *) state->data;
-  raft_post_early (raft, peer->id, &msg);
-  g_byte_array_unref (state);
-  peer->next = raft->applied + 1;
-}
-
-static void
-send_append (Raft *raft, Peer *peer)
-{
-  Msg msg = { .kind = MSG_APPEND };
-  MsgAppend *out = &msg.Msg_u.append;
-  MsgEntry entries[ENTRIES_MOST];
-  unsigned count = 0;
-  size_t bytes = 0;
-
-  if (peer->next <= raft->log.base)
-    {
-      send_snapshot (raft, peer);
-      return;
-    }
-  out->term = raft->term;
-  out->round = raft->round;
-  out->prev_index = peer->next - 1;
-  out->prev_term = rlog_term (&raft->log, out->prev_index);
-  out->commit = raft->commit;
-  for (uint64_t i = peer->next; i <= rlog_last (&raft->log) && count < ENTRIES_MOST; i++)
-    {
-      const MsgEntry *entry = rlog_entry (&raft->log, i);
-      if (count > 0 && bytes + entry->op.op_len > BYTES_MOST)
-        break;
-      entries[count++] = *entry;
-      bytes += entry->op.op_len;
-    }
-  out->entries.entries_len = count;
-  out->entries.entries_val = entries;
-  raft_post_early (raft, peer->id, &msg);
-  peer->next += count; /* taken back when the peer says that it missed something */
-}
-
-static void
-broadcast (Raft *raft, int64_t now)
-{
-  raft->round++;
-  raft->round_sent[raft->round % ROUNDS] = now;
-  raft->must_send = false;
-  raft->heartbeat_at = now + HEARTBEAT;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    send_append (raft, &raft->peers[i]);
-}
-
-static int
-compare_u64 (const void *a, const void *b)
-{
-  uint64_t x = *(const uint64_t *) a, y = *(const uint64_t *) b;
-
-  return (x > y) - (x < y);
-}
-
-/* The value that a majority of the config has reached: own for this voter, of() for the others. */
-static uint64_t
-majority_of (Raft *raft, uint64_t own, uint64_t (*of) (const Peer *))
-{
-  const RlogConfig *config = rlog_config (&raft->log);
-  uint64_t values[FT_VOTERS_MOST] = { 0 };
-
-  if (config->count == 0)
-    return 0;
-  for (unsigned i = 0; i < config->count; i++)
-    {
-      const MsgVoter *voter = &config->voters[i];
-      const Peer *peer = raftset_find (raft, voter->id);
-      if (voter->id == raft->conf.self)
-        values[i] = voter->incarnation == raft->incarnation ? own : 0;
-      else if (peer && peer->incarnation == voter->incarnation)
-        values[i] = of (peer);
-    }
-  qsort (values, config->count, sizeof values[0], compare_u64);
-  return values[config->count - raft_majority (config)];
-}
-
-static uint64_t
-peer_match (const Peer *peer)
-{
-  return peer->match;
-}
-
-static uint64_t
-peer_acked (const Peer *peer)
-{
-  return (uint64_t) peer->acked_sent;
-}
-
-static void
-advance_commit (Raft *raft)
-{
-  if (raft->role != ROLE_LEADER)
-    return;
-  uint64_t index = majority_of (raft, raft->synced, peer_match);
-  /* Only entries of the own term are committed by counting (Raft, figure 8). */
-  if (index > raft->commit && rlog_term (&raft->log, index) == raft->term)
-    raft->commit = index;
-  apply_committed (raft);
-}
-
-void
-raft_lead (Raft *raft, int64_t now)
-{
-  MsgOp noop = { .kind = MSG_OP_NOOP };
-
-  raft->role = ROLE_LEADER;
-  raft->leader = raft->conf.self;
-  raft->led_since = now;
-  raft->led_term = raft->term;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    {
-      raft->peers[i].next = rlog_last (&raft->log) + 1;
-      raft->peers[i].match = 0;
-      raft->peers[i].acked_sent = now; /* they have just voted */
-    }
-  raft_append_op (raft, raft->term, &noop);
-  raft->term_start = rlog_last (&raft->log);
-}
-
 /* ---- Following ---- */
 
 static void
@@ -405,7 +262,7 @@
   if (known > raft->commit)
     raft->commit = known;
   answer_append (raft, from, append->round, true, match);
-  apply_committed (raft);
+  raft_apply_committed (raft);
 }
 
 static void
@@ -427,7 +284,7 @@
   if (held && snapshot->index > raft->commit)
     {
       raft->commit = snapshot->index;
-      apply_committed (raft);
+      raft_apply_committed (raft);
     }
   else if (snapshot->index > raft->commit)
     {
@@ -441,42 +298,6 @@
   answer_append (raft, from, snapshot->round, true, snapshot->index);
 }
 
-static void
-on_appended (Raft *raft, Peer *peer, const MsgAppended *appended, int64_t now)
-{
-  if (appended->term > raft->term)
-    {
-      raft_follow (raft, appended->term, 0, now);
-      return;
-    }
-  if (raft->role != ROLE_LEADER || appended->term != raft->term)
-    return;
-  if (peer->incarnation != appended->incarnation)
-    {
-      peer->incarnation = appended->incarnation;
-      peer->match = 0;
-    }
-  if (appended->round <= raft->round && raft->round - appended->round < ROUNDS)
-    {
-      int64_t sent = raft->round_sent[appended->round % ROUNDS];
-      peer->acked_sent = MAX (peer->acked_sent, sent);
-      raft_wait_note (&raft->answers, now - sent, now);
-    }
-  if (appended->ok)
-    {
-      peer->match = MAX (peer->match, appended->match);
-      peer->next = MAX (peer->next, peer->match + 1);
-      if (peer->next <= rlog_last (&raft->log))
-        send_append (raft, peer);
-      advance_commit (raft);
-      return;
-    }
-  peer->next = CLAMP (appended->match + 1, peer->match + 1, rlog_last (&raft->log) + 1);
-  /* Failure: every refusal is answered by a message to all voters. Symptom: two voters that refuse
-   * double the messages with each round trip. One answer to one refusal keeps them level. */
-  send_append (raft, peer);
-}
-
 /* ---- Interface ---- */
 
 static void
@@ -501,7 +322,7 @@
     rlog_append (&raft->log, wal_entry_copy (from->entries->pdata[i]));
   raft->synced = rlog_last (&raft->log);
   raft->commit = raft->noted = MAX (raft->commit, MIN (from->commit, rlog_last (&raft->log)));
-  apply_committed (raft);
+  raft_apply_committed (raft);
 }
 
 FtStatus
@@ -586,7 +407,7 @@
       on_append (raft, from, &msg->Msg_u.append, now);
       break;
     case MSG_APPENDED:
-      on_appended (raft, peer, &msg->Msg_u.appended, now);
+      raftlead_on_appended (raft, peer, &msg->Msg_u.appended, now);
       break;
     case MSG_SNAPSHOT:
       on_snapshot (raft, from, &msg->Msg_u.snapshot, now);
@@ -595,7 +416,7 @@
       raftset_on_blank (raft, peer, &msg->Msg_u.blank, now);
       break;
     case MSG_STAND:
-      if (in_config (raft) && raft->role == ROLE_FOLLOWER && from == raft->leader)
+      if (raft_in_config (raft) && raft->role == ROLE_FOLLOWER && from == raft->leader)
         raftvote_stand (raft, false, true, now);
       break;
     default:
@@ -603,24 +424,6 @@
     }
 }
 
-static void
-tick_leader (Raft *raft, int64_t now)
-{
-  int64_t quorum = (int64_t) majority_of (raft, (uint64_t) now, peer_acked);
-  int64_t wait
-      = raft_wait_longest (&raft->own_syncs, now) + raft_wait_longest (&raft->answers, now);
-
-  if (now - quorum > QUORUM_LOST + wait || !in_config (raft))
-    {
-      raft_follow (raft, raft->term, 0, now);
-      return;
-    }
-  raftset_adjust (raft, now);
-  raftset_drop_gone (raft, now);
-  if (now >= raft->heartbeat_at)
-    raft->must_send = true;
-}
-
 void
 raft_tick (Raft *raft)
 {
@@ -632,8 +435,8 @@
   if (rlog_last (&raft->log) == 0)
     raftset_tick_blank (raft, now);
   else if (raft->role == ROLE_LEADER)
-    tick_leader (raft, now);
-  else if (now >= raft->election_at && in_config (raft))
+    raftlead_tick (raft, now);
+  else if (now >= raft->election_at && raft_in_config (raft))
     raftvote_stand (raft, true, false, now);
   else if (now >= raft->election_at)
     raftset_tick_blank (raft, now); /* a learner that nobody feeds makes itself known */
@@ -667,7 +470,7 @@
 flush_once (Raft *raft)
 {
   if (raft->role == ROLE_LEADER && raft->must_send)
-    broadcast (raft, ft_clock_now (raft->clock));
+    raftlead_broadcast (raft, ft_clock_now (raft->clock));
   /* Failure: all voters start anew. Symptom: what is committed is known only after an election, a
    * second later. The index of it, synced with whatever comes next, tells it at once. */
   if (raft->conf.found && raft->commit > raft->noted)
@@ -682,7 +485,7 @@
   raft->vote_synced = true;
   raft->synced = rlog_last (&raft->log);
   raftvote_on_synced (raft, ft_clock_now (raft->clock));
-  advance_commit (raft); /* counts the own copy, alone enough when there is one voter */
+  raftlead_advance (raft); /* counts the own copy, alone enough when there is one voter */
   if (raft->broken)
     return;
   send_box (raft, raft->outbox);
@@ -699,25 +502,6 @@
     flush_once (raft);
 }
 
-bool
-raft_leading (Raft *raft)
-{
-  if (raft->role != ROLE_LEADER || raft->broken || raft->commit < raft->term_start)
-    return false;
-  int64_t now = ft_clock_now (raft->clock);
-  int64_t quorum = (int64_t) majority_of (raft, (uint64_t) now, peer_acked);
-  return now - quorum < LEASE;
-}
-
-int64_t
-raft_leads_until (Raft *raft)
-{
-  if (!raft_leading (raft))
-    return 0;
-  int64_t now = ft_clock_now (raft->clock);
-  return (int64_t) majority_of (raft, (uint64_t) now, peer_acked) + LEASE;
-}
-
 void
 raft_meet (Raft *raft, uint32_t id)
 {
@@ -735,29 +519,6 @@
   return config->count;
 }
 
-void
-raft_hand_over (Raft *raft)
-{
-  Msg msg = { .kind = MSG_STAND };
-  Peer *best = NULL;
-  int64_t now = ft_clock_now (raft->clock);
-
-  if (raft->role != ROLE_LEADER)
-    return;
-  for (unsigned i = 0; i < raft->peer_count; i++)
-    {
-      Peer *peer = &raft->peers[i];
-      bool heard = now - peer->acked_sent < ELECTION_LEAST;
-      if (raftset_names (raft, peer->id) && heard && (best == NULL || peer->match > best->match))
-        best = peer;
-    }
-  if (best == NULL)
-    return;
-  /* It stops leading before it lets another stand: two never lead at once. */
-  raft_follow (raft, raft->term, 0, now);
-  raft_post (raft, best->id, &msg);
-}
-
 int64_t
 raft_leading_since (const Raft *raft)
 {
@@ -797,5 +558,5 @@
 bool
 raft_is_member (const Raft *raft)
 {
-  return in_config (raft);
+  return raft_in_config (raft);
 }
--- a/src/raftint.h
+++ b/src/raftint.h
@@ -1,5 +1,5 @@
-/* raftint.h - one voter's record, shared by raft.c (the log), raftvote.c (elections) and raftset.c
- * (who votes) only. */
+/* raftint.h - one voter's record, shared by raft.c (the log), raftlead.c (leading), raftvote.c
+ * (elections) and raftset.c (who votes) only. */
 #ifndef RAFTINT_H
 #define RAFTINT_H
 
@@ -10,6 +10,7 @@
 /* Tuning that these files share; each row with its reason. */
 #define ELECTION_LEAST (600 * FT_MS) /* a new leader within about 1.5 s, of 6 s for a change */
 #define PREVOTE_SPREAD (150 * FT_MS) /* voters ask at different times */
+#define LEASE          (500 * FT_MS) /* ELECTION_LEAST less clock-rate error and a tick */
 #define ROUNDS         128           /* heartbeats whose sending time is remembered: 12 s */
 #define PEERS_MOST     16            /* voters, and as many that come in their place */
 
@@ -94,9 +95,22 @@
 void raft_enter_term (Raft *raft, uint64_t term, uint32_t voted_for);
 /* leader 0: unknown. */
 void raft_follow (Raft *raft, uint64_t term, uint32_t leader, int64_t now);
-/* The election is won. */
-void raft_lead (Raft *raft, int64_t now);
 unsigned raft_majority (const RlogConfig *config);
+/* Is this voter, with the memory that it has, named in the newest set? */
+bool raft_in_config (const Raft *raft);
+/* Applies what is committed, and takes a snapshot when it is time. */
+void raft_apply_committed (Raft *raft);
+
+/* ---- Leading (raftlead.c) ---- */
+
+/* The election is won. */
+void raftlead_begin (Raft *raft, int64_t now);
+/* Entries and heartbeats to all. */
+void raftlead_broadcast (Raft *raft, int64_t now);
+/* Commits what a majority has synced. */
+void raftlead_advance (Raft *raft);
+void raftlead_on_appended (Raft *raft, Peer *peer, const MsgAppended *appended, int64_t now);
+void raftlead_tick (Raft *raft, int64_t now);
 
 /* ---- Elections (raftvote.c) ---- */
 
--- a/src/raftvote.c
+++ b/src/raftvote.c
@@ -91,7 +91,7 @@
   if (raft->role != ROLE_PRECANDIDATE && raft->role != ROLE_CANDIDATE)
     return;
   if (raft->led_term < raft->term && has_majority (raft, false))
-    raft_lead (raft, now);
+    raftlead_begin (raft, now);
   else if (raft->role == ROLE_PRECANDIDATE && has_majority (raft, true))
     raftvote_stand (raft, false, false, now);
 }
--- a/test/found.c
+++ b/test/found.c
@@ -10,6 +10,7 @@
  */
 #include "clock.h"
 #include "raft.h"
+#include "seeded.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -31,12 +32,6 @@
   bool lost; /* a sync did not return */
 } MemDisk;
 
-typedef struct
-{
-  FtRandom base;
-  uint64_t state;
-} Seeded;
-
 typedef struct
 {
   uint32_t id;
@@ -68,24 +63,10 @@
 
 /* ---- The world ---- */
 
-static uint64_t
-next_random (FtRandom *random)
-{
-  Seeded *seeded = (Seeded *) random;
-
-  seeded->state += 0x9e3779b97f4a7c15u;
-  uint64_t z = seeded->state;
-  z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9u;
-  z = (z ^ z >> 27) * 0x94d049bb133111ebu;
-  return z ^ z >> 31;
-}
-
-static const FtRandomOps random_ops = { next_random };
-
 static unsigned
 draw (unsigned most)
 {
-  return (unsigned) (next_random (&source.base) % most);
+  return (unsigned) (seeded_next (&source.base) % most);
 }
 
 static unsigned
@@ -135,7 +116,7 @@
   MemDisk *disk = (MemDisk *) base;
   unsigned file = file_of (name);
 
-  if (lose_in_syncs && next_random (&losses.base) % SYNCS == 0)
+  if (lose_in_syncs && seeded_next (&losses.base) % SYNCS == 0)
     {
       disk->lost = true;
       cut_short++;
@@ -424,7 +405,7 @@
 schedule (unsigned seed)
 {
   now = test_clock ();
-  source = losses = (Seeded){ { &random_ops }, seed };
+  source = losses = seeded (seed);
   mail = g_array_new (FALSE, FALSE, sizeof (Mail));
   acknowledged = proposed = cut_one = 0;
   apart_until = 0;
--- a/test/stall.c
+++ b/test/stall.c
@@ -5,6 +5,7 @@
  */
 #include "clock.h"
 #include "raft.h"
+#include "seeded.h"
 
 #include <string.h>
 
@@ -18,12 +19,6 @@
 #define EVERY       (8 * FT_SECOND) /* between two changes */
 #define REPEAT      FT_SECOND       /* an operator without an answer asks again */
 
-typedef struct
-{
-  FtRandom base;
-  uint64_t state;
-} Seeded;
-
 typedef struct
 {
   FtDisk base;
@@ -56,20 +51,6 @@
 static int64_t world;
 static uint64_t proposed;
 
-static uint64_t
-next_random (FtRandom *random)
-{
-  Seeded *seeded = (Seeded *) random;
-
-  seeded->state += 0x9e3779b97f4a7c15u;
-  uint64_t z = seeded->state;
-  z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9u;
-  z = (z ^ z >> 27) * 0x94d049bb133111ebu;
-  return z ^ z >> 31;
-}
-
-static const FtRandomOps random_ops = { next_random };
-
 /* ---- Disks ---- */
 
 static GByteArray **
@@ -287,7 +268,7 @@
 static void
 begin (unsigned seed, const int64_t (*syncs)[2])
 {
-  source = (Seeded){ { &random_ops }, seed };
+  source = seeded (seed);
   mail = g_array_new (FALSE, FALSE, sizeof (Mail));
   world = test_clock ().now;
   proposed = 0;
