A plain answer that breaks after its first part is broken off, not asked for again

Cause: a plain answer of more than 1 MB (or 16 KB while much is held for slow callers) is passed on as it comes; when it broke, retry_next took the request for one that goes on elsewhere, as a resumable stream does, and try_send asked a stream that was not there for its last event: the process ends, with all that it holds. There since long plain answers are passed on.

Change: once a plain answer has begun it is delivered, waited for or broken off. /retry/begun_plain failed before (RETRY_RESUME where RETRY_BREAK_OFF is due).

--- a/src/retry.c
+++ b/src/retry.c
@@ -40,9 +40,28 @@
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
 
+/* Failure: a long plain answer that its caller has the first part of breaks. Symptom: it is asked
+ * for again as if it were a stream, which has no place to go on from, and the process ends. Only a
+ * stream goes on behind what its caller has. */
+static RetryStep
+after_begun_plain (RetryEvent event)
+{
+  switch (event)
+    {
+    case RETRY_ANSWERED:
+      return RETRY_DELIVER;
+    case RETRY_SILENT:
+      return RETRY_WAIT;
+    default:
+      return RETRY_BREAK_OFF;
+    }
+}
+
 RetryStep
 retry_next (RetryEvent event, const RetryFacts *facts)
 {
+  if (facts->begun && facts->kind != RT_STREAM)
+    return after_begun_plain (event);
   switch (event)
     {
     case RETRY_ANSWERED:
--- a/test/decide.c
+++ b/test/decide.c
@@ -133,6 +133,31 @@
   g_assert_cmpint (retry_next (RETRY_BROKEN, &f), ==, RETRY_SAY_UNKNOWN);
 }
 
+/* A long plain answer that broke after its first part was asked for again, which ended the process.
+ */
+static void
+begun_plain_is_not_sent_again (void)
+{
+  static const RetryEvent events[]
+      = { RETRY_UNREACHED, RETRY_REJECTED, RETRY_BROKEN, RETRY_FAILURE, RETRY_CUT, RETRY_GONE };
+  static const RtKind kinds[] = { RT_IDEMPOTENT, RT_ONCE };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (events); i++)
+    for (unsigned j = 0; j < G_N_ELEMENTS (kinds); j++)
+      {
+        RetryFacts facts = { .kind = kinds[j],
+                             .begun = true,
+                             .may_have_run = true,
+                             .sends = 1,
+                             .most_sends = 3,
+                             .budget = true,
+                             .left_us = FT_SECOND };
+        g_assert_cmpint (retry_next (events[i], &facts), ==, RETRY_BREAK_OFF);
+        g_assert_cmpint (retry_next (RETRY_ANSWERED, &facts), ==, RETRY_DELIVER);
+        g_assert_cmpint (retry_next (RETRY_SILENT, &facts), ==, RETRY_WAIT);
+      }
+}
+
 static void
 resumable_stream_goes_on (void)
 {
@@ -607,6 +632,7 @@
   g_test_add_func ("/retry/not_run", not_run_may_go_elsewhere);
   g_test_add_func ("/retry/gone", gone_server_is_none_reached);
   g_test_add_func ("/retry/idempotent", idempotent_is_repeated_within_bounds);
+  g_test_add_func ("/retry/begun_plain", begun_plain_is_not_sent_again);
   g_test_add_func ("/retry/resume", resumable_stream_goes_on);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_repeated);
   g_test_add_func ("/retry/suspect", suspect_is_not_sent_on);
