--- a/node/reqask.c
+++ b/node/reqask.c
@@ -55,7 +55,7 @@
   g_hash_table_insert (req->requests->by_number, &req->number, req);
   req->head_seen = req->is_stream = req->rejected = req->wrong_server = req->has_fault = false;
   req->close_delimited = false;
-  req->sent_at = req->first_at = req->event_at = req->event_gap_sum = 0;
+  req->sent_at = req->first_at = req->event_at = req->event_gap_sum = req->received_at = 0;
   req->events = 0;
   req->conn_idle = 0;
   req->broke_on_send = false;
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -43,6 +43,8 @@
   HXfer *xfer;
   /* The answer to the current try. */
   int64_t sent_at, first_at, event_at, event_gap_sum;
+  int64_t received_at;   /* when the server last sent a part of the answer; 0: nothing yet */
+  int64_t silence_limit; /* for which the silence timer was last set */
   int64_t conn_idle;     /* how long the reused connection had been idle; 0: a new one */
   bool broke_on_send;    /* the connection broke right after the request was sent */
   int64_t longest_pause; /* longest between two events */
@@ -60,7 +62,8 @@
   GString *buffered;    /* body of a plain answer that is not complete yet */
   /* The answer to the caller. */
   Events *stream;
-  bool begun; /* its head has been sent */
+  bool begun;             /* its head has been sent */
+  const char *last_event; /* name of the event that ended the last try; NULL: no try has ended */
 } Req;
 
 struct Requests
--- a/node/requests.c
+++ b/node/requests.c
@@ -71,6 +71,7 @@
           .budget = true };
   RetryStep step = retry_next (event, &facts);
 
+  req->last_event = retry_event_name (event);
   if (retry_uses_budget (event, step) && !budget_take (requests->conf.budget, req->service))
     {
       facts.budget = false;
@@ -82,6 +83,8 @@
           JL_INT ("status", req->head_seen ? req->status : 0), JL_INT ("sends", req->sends),
           JL_INT ("most", req->route->attempts), JL_INT ("budget", facts.budget),
           JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0),
+          JL_MS ("silent_ms", req_now (req) - MAX (req->sent_at, req->received_at)),
+          JL_MS ("limit_ms", req->silence_limit), JL_INT ("begun", req->begun),
           JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""));
   if (step == RETRY_WAIT)
     {
--- a/node/try.c
+++ b/node/try.c
@@ -149,6 +149,7 @@
 static void
 arm_silence_timer (Req *req, int64_t in)
 {
+  req->silence_limit = in;
   loop_timer_set (req->requests->conf.loop, &req->silence, req_now (req) + in);
 }
 
@@ -233,6 +234,7 @@
 
   if (req->xfer == NULL || req->rejected)
     return; /* on_head has ended the try */
+  req->received_at = req_now (req);
   if (req->is_stream)
     {
       relay_events (req, data, size);
