--- a/test/backend.c
+++ b/test/backend.c
@@ -114,8 +114,10 @@
       return;
     }
   hcall_write (stream->call, event, strlen (event));
+  bool pauses = stream->server->mode == SERVER_PAUSING && stream->next == 2;
   stream->next++;
-  loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + fleet->event_ms * FT_MS);
+  loop_timer_set (fleet->loop, timer,
+                  loop_now (fleet->loop) + (pauses ? fleet->pause_ms : fleet->event_ms) * FT_MS);
 }
 
 static void
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -21,6 +21,7 @@
   SERVER_HEALTHY,
   SERVER_RESET,      /* reads the request, then resets the connection */
   SERVER_CUT_STREAM, /* aborts a stream in the middle of its third event */
+  SERVER_PAUSING,    /* sends nothing for Fleet.pause_ms after a stream's second event */
   SERVER_FULL,       /* answers 503 and states that it did not run the request */
   SERVER_REPLACED,   /* another server answers at its address */
   SERVER_NO_ANSWER,  /* never answers */
@@ -93,6 +94,7 @@
   GArray *arrivals;           /* Arrival at servers; its server is number x 1000 + restarts */
   unsigned crash_count;       /* of all servers so far */
   unsigned event_ms;          /* time between a stream's events */
+  unsigned pause_ms;          /* silence in a stream of a SERVER_PAUSING */
   unsigned plain_ms;          /* time that a plain call takes */
   unsigned slots;             /* of each server, as listed */
   unsigned plain_bytes;       /* length of a plain answer; 0: its body is the request's id */
