reqask, retry: a silence ends a try only when another server has a place

Callers saw a begun stream reset under planned work and at full load, though its server went on. Cause: the silence timer ended the try, the only copy of the answer, before a place elsewhere was asked for; none was free, so the answer was broken off. Evidence: lines of the failing tests (try: silent_ms 2000, limit_ms 2000; decision: shortage; break-off), and the users' record, where the run ends 1.602 s after it began on a route whose limit is 1.6 s.

Now RETRY_REPLACE reports the silence at once, asks for another place beside the current try, and ends that only with a place in hand; data from the server withdraws the ask. The retry budget is taken then, not before. Two mutants in test/mutants.sh.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -6,6 +6,8 @@
 
 #define OUTPUT_GUESS_DIVISOR                                                                       \
   2 /* expected output without an estimate: half of the caller's maximum */
+#define ASK_PAUSE_MIN (50 * FT_MS) /* between a refusal and the next ask of a begun answer */
+#define ASK_PAUSE_MAX (300 * FT_MS)
 
 /* ---- Asking for a place ---- */
 
@@ -45,23 +47,27 @@
   return count;
 }
 
+/* When the caller gives up unless it gets another part of the answer. */
+static int64_t
+caller_patience_end (const Req *req)
+{
+  if (!req->begun)
+    return req->first_deadline;
+  return MIN (req->deadline, req->delivered_at
+                                 + req->requests->conf.adapter_ops->first_event_timeout (
+                                     req->route->target_us, req->route->gap_us));
+}
+
+/* Opens an ask and stores its number, which must stay where it is until the ask is closed. */
 static void
-ask (Req *req)
+open_ask (Req *req, uint64_t *number, const char *avoid)
 {
   SchedAsk out = { 0 };
   uint32_t kept[SCHED_CONNECTED_MAX];
 
-  req->number = ++req->requests->next_number;
-  g_hash_table_insert (req->requests->by_number, &req->number, req);
-  req->head_seen = req->is_stream = req->rejected = req->wrong_server = req->has_fault = false;
-  req->close_delimited = false;
-  req->sent_at = req->first_at = req->event_at = req->event_gap_sum = req->received_at = 0;
-  req->events = 0;
-  req->conn_idle = 0;
-  req->broke_on_send = false;
-  g_string_truncate (req->buffered, 0);
-  hcall_set_buffered (req->call, 0);
-  out.request = req->number;
+  *number = ++req->requests->next_number;
+  g_hash_table_insert (req->requests->by_number, number, req);
+  out.request = *number;
   out.service = req->service;
   out.org = req->org ? req->org->name : "";
   out.tier = rt_priority (req->route, req->org);
@@ -76,12 +82,32 @@
   out.aim_at = req->arrived + req->route->target_us - req->waited_before;
   out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;
   out.end_at = req->deadline;
-  out.avoid = req->avoid_server;
+  out.avoid = avoid;
   out.kept = kept;
   out.kept_count = list_idle_connections (req->requests->conf.cli, kept);
   place_ask (req->requests->conf.place, &out, req->was_granted ? 0 : limit_cost (req));
 }
 
+static void
+reset_try (Req *req)
+{
+  req->head_seen = req->is_stream = req->rejected = req->wrong_server = req->has_fault = false;
+  req->close_delimited = false;
+  req->sent_at = req->first_at = req->event_at = req->event_gap_sum = req->received_at = 0;
+  req->events = 0;
+  req->conn_idle = 0;
+  req->broke_on_send = false;
+  g_string_truncate (req->buffered, 0);
+  hcall_set_buffered (req->call, 0);
+}
+
+static void
+ask (Req *req)
+{
+  reset_try (req);
+  open_ask (req, &req->number, req->avoid_server);
+}
+
 /* ---- Quarantined contents ---- */
 
 static void
@@ -107,6 +133,7 @@
 {
   QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
 
+  loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
   if (verdict.state == QUAR_BLOCKED)
     end_as_quarantined (req, &verdict);
   else if (verdict.state == QUAR_RECHECK)
@@ -115,6 +142,46 @@
     ask (req);
 }
 
+/* ---- Replacing the current try ---- */
+
+static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
+
+static void
+clear_next_number (Req *req)
+{
+  g_hash_table_remove (req->requests->by_number, &req->next_number);
+  req->next_number = 0;
+}
+
+void
+req_ask_replacement (Req *req)
+{
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
+
+  if (verdict.state < QUAR_RECHECK)
+    open_ask (req, &req->next_number, req->server);
+}
+
+void
+req_withdraw_replacement (Req *req)
+{
+  if (req->next_number == 0)
+    return;
+  place_end (req->requests->conf.place, req->next_number, &withdrawn);
+  clear_next_number (req);
+}
+
+void
+req_promote_replacement (Req *req)
+{
+  uint64_t number = req->next_number;
+
+  clear_next_number (req);
+  reset_try (req);
+  req->number = number;
+  g_hash_table_insert (req->requests->by_number, &req->number, req);
+}
+
 void
 req_on_verdict_wait_over (LoopTimer *timer)
 {
@@ -131,8 +198,6 @@
 static void
 ask_again (Req *req)
 {
-  static const SchedResult withdrawn = { .outcome = SCHED_LEFT };
-
   place_end (req->requests->conf.place, req->number, &withdrawn);
   req_clear_number (req);
   req_ask (req);
@@ -196,13 +261,64 @@
   return true;
 }
 
+void
+req_on_ask_pause_over (LoopTimer *timer)
+{
+  Req *req = (Req *) ((char *) timer - offsetof (Req, ask_pause));
+
+  if (req->xfer)
+    req_ask_replacement (req);
+  else
+    req_ask (req);
+}
+
+/* A caller that has a part of its answer is owed the rest, so the request asks again until that
+ * caller gives up; and so does one whose current try may still be answered. False: there is no time
+ * left for that. */
+static bool
+ask_again_later (Req *req, int64_t advice_us)
+{
+  int64_t at = req_now (req) + CLAMP (advice_us, ASK_PAUSE_MIN, ASK_PAUSE_MAX);
+
+  if (at >= caller_patience_end (req))
+    return false;
+  loop_timer_set (req->requests->conf.loop, &req->ask_pause, at);
+  return true;
+}
+
+/* Another server has a place for a request whose current try is silent. The try ends now, unless
+ * the place cannot be used or the retry budget is used up. */
+static bool
+end_silent_try (Req *req, const Grant *grant)
+{
+  Requests *requests = req->requests;
+  const AdapterServer *server = &grant->server;
+
+  if (server->leaving || is_known_unusable (requests, server->id, grant->listed_at)
+      || place_block_reason (requests->conf.place, server->id, &(int64_t){ 0 })
+      || is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
+    {
+      req_withdraw_replacement (req);
+      ask_again_later (req, ASK_PAUSE_MAX);
+      return false;
+    }
+  count_inc (req->begun ? COUNT_RESUMES : COUNT_REPEATS);
+  g_free (req->avoid_server);
+  req->avoid_server = g_strdup (req->server);
+  req_end_try (req, SCHED_LEFT); /* the silence was reported before */
+  if (req->stream)
+    events_drop_partial (req->stream);
+  req_promote_replacement (req);
+  return true;
+}
+
 void
 requests_grant (Requests *requests, uint64_t number, const Grant *grant)
 {
   const AdapterServer *server = &grant->server;
   Req *req = g_hash_table_lookup (requests->by_number, &number);
 
-  if (req == NULL)
+  if (req == NULL || (number == req->next_number && !end_silent_try (req, grant)))
     return;
   req->was_granted = true;
   count_observe (TIMED_WAIT, req_now (req) - req->arrived);
@@ -233,10 +349,18 @@
 
   if (req == NULL)
     return;
-  req_clear_number (req);
+  if (number == req->next_number)
+    clear_next_number (req);
+  else
+    req_clear_number (req);
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)));
+  if (req->xfer)
+    {
+      ask_again_later (req, refusal->retry_after_us);
+      return;
+    }
   if (req->begun)
     req_break_off (req, info->code);
   else if (req->may_have_run)
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -19,11 +19,13 @@
 {
   Loop *loop = req->requests->conf.loop;
 
+  req_withdraw_replacement (req);
   req_clear_number (req);
   g_ptr_array_remove_fast (req->requests->awaiting_catalogue, req);
   loop_timer_stop (loop, &req->deadline_timer);
   loop_timer_stop (loop, &req->silence);
   loop_timer_stop (loop, &req->verdict_wait);
+  loop_timer_stop (loop, &req->ask_pause);
   req->requests->open_count--;
   events_free (req->stream);
   g_string_free (req->fields, TRUE);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -16,7 +16,8 @@
 typedef struct
 {
   Requests *requests;
-  uint64_t number; /* of the open ask, a new one for each try; 0: none is open */
+  uint64_t number;      /* of the open ask, a new one for each try; 0: none is open */
+  uint64_t next_number; /* of an ask for another place while the current try goes on; 0: none */
   HCall *call;
   RtCat *cat;
   const RtRoute *route;
@@ -32,6 +33,7 @@
   LoopTimer deadline_timer; /* fires at the deadline */
   LoopTimer silence;        /* fires when the server has sent nothing for too long */
   LoopTimer verdict_wait;   /* armed while the quarantine verdict on its content is awaited */
+  LoopTimer ask_pause;      /* armed between a refusal and the next ask of a begun answer */
   bool was_granted; /* a place was granted before: the organisation's limit has been charged */
   /* The tries. */
   unsigned sends, unreached;
@@ -63,6 +65,7 @@
   /* The answer to the caller. */
   Events *stream;
   bool begun;             /* its head has been sent */
+  int64_t delivered_at;   /* when the caller was last sent a part of it */
   const char *last_event; /* name of the event that ended the last try; NULL: no try has ended */
 } Req;
 
@@ -88,6 +91,14 @@
 /* Asks for a place. A request whose content has ended servers is delayed until the quarantine
  * verdict is final, or ended. */
 void req_ask (Req *req);
+/* Asks for a place at another server while the current try goes on. */
+void req_ask_replacement (Req *req);
+/* Withdraws that ask, if there is one. */
+void req_withdraw_replacement (Req *req);
+/* Makes that ask the request's own, since its try has ended. */
+void req_promote_replacement (Req *req);
+/* Timer: a begun answer that was refused a place asks again. */
+void req_on_ask_pause_over (LoopTimer *timer);
 /* Timer: the request has waited long enough for the quarantine verdict. */
 void req_on_verdict_wait_over (LoopTimer *timer);
 /* Timer: quarantine verdicts have changed. */
@@ -115,6 +126,8 @@
 
 /* Sends the request to the granted server; req_after_try is called with the outcome. */
 void try_send (Req *req, const Grant *grant);
+/* Sets the timer for the next part of the answer. */
+void try_arm_silence_timer (Req *req, int64_t in);
 /* The caller has caught up: resumes reading from the server. */
 void try_caller_drained (Req *req);
 /* Timer: the server has sent nothing for too long. */
--- a/node/requests.c
+++ b/node/requests.c
@@ -47,8 +47,6 @@
       return SCHED_GONE;
     case RETRY_ANSWERED:
       return SCHED_OK;
-    case RETRY_SILENT:
-      return SCHED_SILENT;
     default:
       return SCHED_FAILED;
     }
@@ -86,9 +84,11 @@
           JL_MS ("silent_ms", req_now (req) - MAX (req->sent_at, req->received_at)),
           JL_MS ("limit_ms", req->silence_limit), JL_INT ("begun", req->begun),
           JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""));
-  if (step == RETRY_WAIT)
+  if (step == RETRY_WAIT || step == RETRY_REPLACE)
     {
       place_report_silence (requests->conf.place, req->number);
+      if (step == RETRY_REPLACE)
+        req_ask_replacement (req);
       return;
     }
   req_end_try (req, outcome_of (event));
@@ -102,7 +102,10 @@
         events_drop_partial (req->stream);
       if (event != RETRY_NOT_CONNECTED)
         count_inc (step == RETRY_RESUME ? COUNT_RESUMES : COUNT_REPEATS);
-      req_ask (req);
+      if (req->next_number)
+        req_promote_replacement (req);
+      else
+        req_ask (req);
       break;
     case RETRY_DELIVER:
       req_finish (req);
@@ -150,6 +153,7 @@
   req->deadline_timer.fire = on_deadline;
   req->silence.fire = try_on_silence;
   req->verdict_wait.fire = req_on_verdict_wait_over;
+  req->ask_pause.fire = req_on_ask_pause_over;
   req->arrived = req->deadline = hcall_arrival_time (call);
   requests->conf.adapter_ops->read_request (hcall_msg (call), &req->facts);
   if (req->facts.id)
--- a/node/try.c
+++ b/node/try.c
@@ -87,6 +87,25 @@
           JL_TEXT ("unread", answer->unread), JL_TEXT ("by", place_scheduler_name (place)));
 }
 
+void
+try_arm_silence_timer (Req *req, int64_t in)
+{
+  req->silence_limit = in;
+  loop_timer_set (req->requests->conf.loop, &req->silence, req_now (req) + in);
+}
+
+/* The server is not silent any more: its try goes on. */
+static void
+record_received (Req *req)
+{
+  req->received_at = req_now (req);
+  if (req->next_number == 0 && !req->ask_pause.armed)
+    return;
+  loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
+  req_withdraw_replacement (req);
+  try_arm_silence_timer (req, req->silence_limit);
+}
+
 static bool
 on_head (void *user, const HMsg *msg)
 {
@@ -101,6 +120,7 @@
             JL_TEXT ("other", answer.id));
       return false;
     }
+  record_received (req);
   req->head_seen = true;
   req->status = hmsg_status (msg);
   req->slowness = answer.slowness;
@@ -146,13 +166,6 @@
   hcall_begin (req->call, req->status, req->fields);
 }
 
-static void
-arm_silence_timer (Req *req, int64_t in)
-{
-  req->silence_limit = in;
-  loop_timer_set (req->requests->conf.loop, &req->silence, req_now (req) + in);
-}
-
 /* Stops reading from the server while the caller does not keep up: unread output of slow callers
  * would fill the memory until the process is killed. The silence timer stops too, since nothing
  * is received meanwhile. */
@@ -176,7 +189,7 @@
   if (req->event_at)
     req->event_at = req_now (req);
   if (req->is_stream)
-    arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
+    try_arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
 }
 
 static void
@@ -198,7 +211,8 @@
       req->events += count;
       if (!req->begun)
         begin_answer (req);
-      arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
+      req->delivered_at = now;
+      try_arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
       hcall_write (req->call, out->str, out->len);
       pause_if_full (req);
     }
@@ -234,7 +248,7 @@
 
   if (req->xfer == NULL || req->rejected)
     return; /* on_head has ended the try */
-  req->received_at = req_now (req);
+  record_received (req);
   if (req->is_stream)
     {
       relay_events (req, data, size);
@@ -356,7 +370,7 @@
   req->may_have_run = true; /* until the server denies it or no connection is established */
   req->sent_at = req_now (req);
   count_inc (COUNT_SENDS);
-  arm_silence_timer (req, silence_timeout (req));
+  try_arm_silence_timer (req, silence_timeout (req));
   req->xfer = hcli_send (requests->conf.cli, &target, message, &xfer_ops, req);
   g_string_free (message, TRUE);
   if (req->xfer)
--- a/src/retry.c
+++ b/src/retry.c
@@ -3,6 +3,9 @@
  * Guarantees: a request that is not idempotent runs at most once, and callers are told "not run"
  * only when that is true. Once the first byte is handed to a connection the request may have run,
  * whatever happens to the connection; only a statement of the server proves that it did not.
+ *
+ * A silence proves nothing: the server may go on, and its run may be the only copy of an answer of
+ * which the caller has a part. It ends a try only when another server has a place for the next one.
  */
 #include "retry.h"
 
@@ -86,9 +89,7 @@
     case RETRY_STREAM_CUT:
       return after_break (facts);
     case RETRY_SILENT:
-      if (!is_repeatable (facts) || !may_send_again (facts))
-        return RETRY_WAIT;
-      return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
+      return is_repeatable (facts) && may_send_again (facts) ? RETRY_REPLACE : RETRY_WAIT;
     }
   return give_up (facts);
 }
@@ -112,7 +113,7 @@
 retry_step_name (RetryStep step)
 {
   static const char *const names[]
-      = { "again", "resume", "deliver", "not-run", "unknown", "break-off", "wait" };
+      = { "again", "resume", "deliver", "not-run", "unknown", "break-off", "wait", "replace" };
 
   return names[step];
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -39,13 +39,14 @@
   RETRY_ANSWER_NOT_RUN, /* 503: the request has not run and will not */
   RETRY_ANSWER_UNKNOWN, /* 502: the request may have run */
   RETRY_ABORT,          /* the answer has begun: close the caller's connection */
-  RETRY_WAIT            /* keep waiting for the current try */
+  RETRY_WAIT,           /* keep waiting for the current try */
+  RETRY_REPLACE         /* the same, and end it for another server once that has a place */
 } RetryStep;
 
 /* Decides the next step. */
 RetryStep retry_next (RetryEvent event, const RetryFacts *facts);
 /* Whether this step after this event needs the retry budget. Whoever executes the step takes it
- * from the budget. */
+ * from the budget; for RETRY_REPLACE, when the other server has a place. */
 bool retry_uses_budget (RetryEvent event, RetryStep step);
 const char *retry_event_name (RetryEvent event);
 const char *retry_step_name (RetryStep step);
--- a/test/decide.c
+++ b/test/decide.c
@@ -160,6 +160,23 @@
       }
 }
 
+/* Guards against ending a try for a silence before another server has a place for the next one. */
+static void
+silence_ends_no_try (void)
+{
+  for (unsigned begun = 0; begun < 2; begun++)
+    {
+      RetryFacts f = facts (RT_STREAM);
+
+      f.resumable = true;
+      f.begun = begun;
+      g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_REPLACE);
+      g_assert_false (retry_uses_budget (RETRY_SILENT, RETRY_REPLACE));
+      f.sends = 2;
+      g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
+    }
+}
+
 static void
 resumable_stream_is_resumed (void)
 {
@@ -640,6 +657,7 @@
   g_test_add_func ("/retry/gone", replaced_server_counts_as_not_reached);
   g_test_add_func ("/retry/idempotent", idempotent_is_retried_within_bounds);
   g_test_add_func ("/retry/begun_plain", begun_plain_answer_is_not_retried);
+  g_test_add_func ("/retry/silence", silence_ends_no_try);
   g_test_add_func ("/retry/resume", resumable_stream_is_resumed);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -53,5 +53,8 @@
 try "a list takes a leaving back" src/scheduler.c 's/ \|\| server->announced_leaving//' test-backoff &
 try "an entry forgets what servers said" src/notices.c 's/^    return "leaving";/    return NULL;/; s/backoff_us > 0 \? "backoff" : NULL/backoff_us > 0 ? NULL : NULL/' test-place &
 try "another server's word counts" node/try.c 's/answer->elsewhere \|\| //' test-notices &
+# Answers that have begun.
+try "a silence ends a try" src/retry.c 's/RETRY_REPLACE : RETRY_WAIT/RETRY_RESUME : RETRY_WAIT/' test-silence &
+try "a server that goes on is replaced all the same" node/try.c 's/^  req_withdraw_replacement \(req\);//' test-silence &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
