reqask: a begun answer waits for a place until its caller gives up

A stream whose server had broken off was broken off too when the scheduler refused it a place, though places became free within the time that its caller waits for the next event. Cause: an ask for the rest of an answer had 1.2 s, came behind all requests that could still be on time (its aim is that of its first event, long past), and a refusal ended it. Now its aim is one gap from now, its limit is the caller's patience, and a refusal is followed by another ask 50 to 300 ms later until then. /silence/resumed_when_a_place_is_free failed before and passes; the other cases of test-silence pass.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -79,8 +79,11 @@
   out.content = req->content;
   out.route = g_str_hash (req->route->name);
   out.gap_us = req->route->gap_us;
-  out.aim_at = req->arrived + req->route->target_us - req->waited_before;
-  out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;
+  /* The next event of a begun answer is on time for one gap from now. With the aim of its first
+   * event it would queue behind all requests that can still be on time. */
+  out.aim_at = req->begun ? req_now (req) + req->route->gap_us
+                          : req->arrived + req->route->target_us - req->waited_before;
+  out.limit_at = caller_patience_end (req);
   out.end_at = req->deadline;
   out.avoid = avoid;
   out.kept = kept;
@@ -356,11 +359,10 @@
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)));
+  if ((req->begun || req->xfer) && ask_again_later (req, refusal->retry_after_us))
+    return;
   if (req->xfer)
-    {
-      ask_again_later (req, refusal->retry_after_us);
-      return;
-    }
+    return; /* the current try is all that is left */
   if (req->begun)
     req_break_off (req, info->code);
   else if (req->may_have_run)
