retry: a begun answer looks further than four unreachable servers

The rest of a stream was given up after four tries that reached no server. That limit is for requests that their callers can send again; nobody else can get the rest of a begun answer. /retry/looks_further failed before (break-off after 20 tries without a connection) and passes; a request that has not begun still gets 503 after four.

--- a/src/retry.c
+++ b/src/retry.c
@@ -25,6 +25,14 @@
   return facts->sends < facts->most_sends && facts->budget && facts->left_us > LEFT_MIN;
 }
 
+/* After a try that reached no server. The rest of a begun answer cannot be had by the caller's own
+ * retry. */
+static bool
+may_look_further (const RetryFacts *facts)
+{
+  return (facts->begun || facts->unreached < UNREACHED_MAX) && facts->left_us > LEFT_MIN;
+}
+
 static RetryStep
 give_up (const RetryFacts *facts)
 {
@@ -70,11 +78,11 @@
     case RETRY_ANSWERED:
       return RETRY_DELIVER;
     case RETRY_NOT_CONNECTED:
-      if (facts->unreached < UNREACHED_MAX && facts->left_us > LEFT_MIN)
+      if (may_look_further (facts))
         return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
       return give_up (facts);
     case RETRY_OTHER_SERVER:
-      if (facts->budget && facts->unreached < UNREACHED_MAX && facts->left_us > LEFT_MIN)
+      if (facts->budget && may_look_further (facts))
         return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
       return give_up (facts);
     case RETRY_REJECTED:
--- a/test/decide.c
+++ b/test/decide.c
@@ -177,6 +177,21 @@
     }
 }
 
+/* Guards against breaking off a begun answer because several servers cannot be reached. */
+static void
+begun_answer_looks_further (void)
+{
+  RetryFacts f = facts (RT_STREAM);
+
+  f.resumable = f.begun = true;
+  f.unreached = 20;
+  g_assert_cmpint (retry_next (RETRY_NOT_CONNECTED, &f), ==, RETRY_RESUME);
+  g_assert_cmpint (retry_next (RETRY_OTHER_SERVER, &f), ==, RETRY_RESUME);
+  f.begun = false;
+  f.may_have_run = false;
+  g_assert_cmpint (retry_next (RETRY_NOT_CONNECTED, &f), ==, RETRY_ANSWER_NOT_RUN);
+}
+
 static void
 resumable_stream_is_resumed (void)
 {
@@ -658,6 +673,7 @@
   g_test_add_func ("/retry/idempotent", idempotent_is_retried_within_bounds);
   g_test_add_func ("/retry/begun_plain", begun_plain_answer_is_not_retried);
   g_test_add_func ("/retry/silence", silence_ends_no_try);
+  g_test_add_func ("/retry/looks_further", begun_answer_looks_further);
   g_test_add_func ("/retry/resume", resumable_stream_is_resumed);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
