hsrv: the kernel does not end connections of callers that pause

A caller that read nothing for 2.5 s lost the rest of its answer: TCP_USER_TIMEOUT, set on every socket, also ends a connection whose peer leaves no room for data, and, since it is set, decides when keep-alive probes give up. Connections to servers and links between instances keep the time-out.

--- a/net/sock.c
+++ b/net/sock.c
@@ -2,8 +2,14 @@
  *
  * If a machine loses power or a device on the path drops its state, a connection goes silent
  * without a reset, and the caller, stream or link that uses it would hang. Every socket therefore
- * has TCP keep-alive and a user time-out for unacknowledged data, so that the kernel reports the
- * loss within KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S seconds.
+ * has TCP keep-alive, and all but those to callers a user time-out. The kernel ends a connection
+ *
+ *   with unacknowledged data, or data that the peer leaves no room for: after USER_TIMEOUT_MS;
+ *   with neither: when a probe is due and USER_TIMEOUT_MS have passed since the peer was last
+ *   heard, so after KEEPALIVE_IDLE_S + 2 * KEEPALIVE_INTERVAL_S; with a user time-out the number of
+ *   probes does not count;
+ *   without a user time-out: after KEEPALIVE_PROBES unanswered probes if nothing is unacknowledged,
+ *   and else not before its own retransmission limit of minutes.
  */
 #include "sock.h"
 
@@ -381,6 +387,14 @@
   reset_buffer (&sock->in, &sock->in_at);
 }
 
+void
+sock_disable_user_timeout (Sock *sock)
+{
+  int none = 0;
+
+  setsockopt (sock->fd.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &none, sizeof none);
+}
+
 void
 sock_pause (Sock *sock, bool paused)
 {
--- a/net/sock.h
+++ b/net/sock.h
@@ -72,6 +72,8 @@
 /* Like sock_pause, but an orderly close by the peer is reported only after reading has resumed and
  * all bytes before it have been read. */
 void sock_pause_all (Sock *sock, bool all_paused);
+/* The kernel does not end the connection because the peer leaves data unread or unacknowledged. */
+void sock_disable_user_timeout (Sock *sock);
 /* Adds this socket's unsent bytes to *unsent_total and keeps that sum up to date until the socket
  * is closed. */
 void sock_set_unsent_total (Sock *sock, size_t *unsent_total);
--- a/test/slow.c
+++ b/test/slow.c
@@ -21,6 +21,8 @@
 #define BODIES_MEMORY_MAX  ((16u << 20) + SLOW_COUNT * (32u << 10))
 #define SMALL_WINDOW       4096
 #define STALL_US           (1500 * FT_MS)
+#define PAUSED_COUNT       3 /* callers that read nothing for PAUSE_US */
+#define PAUSE_US           (4500 * FT_MS)
 
 /* A caller that reads only when the test calls slow_step or slow_read. */
 typedef struct
@@ -246,6 +248,40 @@
   fleet_free (fleet);
 }
 
+/* Guards against the kernel ending the connection of a caller that reads nothing for longer than a
+ * time-out that is meant for lost machines, with the rest of a begun answer. */
+static void
+test_paused_callers (void)
+{
+  Fleet *fleet = fleet_new ();
+  const FleetNode *entry = &fleet->entries[0];
+  SlowCaller paused[PAUSED_COUNT];
+  unsigned complete = 0;
+
+  fleet_start_all (fleet);
+  fleet->plain_bytes = ANSWER_SIZE;
+  for (unsigned i = 0; i < PAUSED_COUNT; i++)
+    {
+      paused[i] = slow_open (entry, SMALL_WINDOW);
+      slow_send (&paused[i], "/plain/a", i, 4, 4);
+    }
+  fleet_run_for (fleet, PAUSE_US);
+  for (unsigned turn = 0; turn < 300 && complete < PAUSED_COUNT; turn++)
+    {
+      complete = 0;
+      for (unsigned i = 0; i < PAUSED_COUNT; i++)
+        {
+          slow_read (&paused[i]);
+          complete += is_complete (&paused[i]);
+        }
+      fleet_run_for (fleet, STEP_US);
+    }
+  g_assert_cmpuint (complete, ==, PAUSED_COUNT);
+  for (unsigned i = 0; i < PAUSED_COUNT; i++)
+    slow_close (&paused[i]);
+  fleet_free (fleet);
+}
+
 /* Callers that start large requests and never finish them must not fill the memory of their entry:
  * some are refused with 503 and Retry-After. */
 static void
@@ -506,6 +542,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/slow/answers", test_answers);
+  g_test_add_func ("/slow/paused_callers", test_paused_callers);
   g_test_add_func ("/slow/bodies", test_bodies);
   g_test_add_func ("/slow/deaf_server", test_stalled_server);
   g_test_add_func ("/slow/requests", test_slow_requests);
