--- a/net/hcli.c
+++ b/net/hcli.c
@@ -6,6 +6,7 @@
  * transfer.
  */
 #include "hcli.h"
+#include "relay.h"
 
 #include <errno.h>
 #include <string.h>
@@ -36,6 +37,9 @@
   LoopTimer sweep;
   struct cds_list_head conns;
   uint64_t opened;
+  uint32_t source; /* local address of connections; 0: the system chooses it */
+  HCliConnectFunc connect_func;
+  void *connect_user;
   size_t unsent_total; /* request bytes not yet passed to the kernel, over all connections */
 };
 
@@ -48,6 +52,9 @@
   Sock *sock;
   HReader *reader;
   HXfer *xfer;              /* NULL while idle */
+  SockAddr server;          /* behind the relay; port 0: the connection is direct */
+  bool tunnel_requested;    /* the relay has not responded yet */
+  unsigned tunnel_status;   /* of its response; 0: none yet */
   HCliProbeFunc probe_func; /* callback of a probe in progress, else NULL */
   void *probe_user;
   LoopTimer timer;
@@ -218,7 +225,7 @@
   sock_pause_all (conn->sock, false);
   /* The connection is not reusable if bytes follow the complete response or if part of the
    * request is unsent. */
-  if (conn->not_reusable || left > 0 || sock_unsent (conn->sock) > 0)
+  if (conn->not_reusable || conn->server.port || left > 0 || sock_unsent (conn->sock) > 0)
     close_conn (conn, left > 0 || sock_unsent (conn->sock) > 0);
   else
     add_to_pool (conn);
@@ -226,6 +233,143 @@
   xfer_free (xfer);
 }
 
+/* ---- Connecting ---- */
+
+static void
+report_connect (const Conn *conn, bool established)
+{
+  HCli *cli = conn->cli;
+
+  if (cli->connect_func && conn->server.port == 0)
+    cli->connect_func (cli->connect_user, conn->key, established);
+}
+
+static void
+start_sending (Conn *conn)
+{
+  HXfer *xfer = conn->xfer;
+
+  loop_timer_stop (conn->cli->loop, &conn->timer);
+  xfer->sent = true;
+  hread_set_no_body (conn->reader, xfer->no_body);
+  sock_write (conn->sock, xfer->request->str, xfer->request->len);
+  g_string_free (xfer->request, TRUE);
+  xfer->request = NULL;
+}
+
+/* The connection reaches the server. */
+static void
+use_connection (Conn *conn)
+{
+  if (conn->probe_func == NULL)
+    {
+      start_sending (conn);
+      return;
+    }
+  loop_timer_stop (conn->cli->loop, &conn->timer);
+  conn->keep_alive_us = IDLE_DEFAULT_US;
+  if (conn->server.port)
+    close_conn (conn, false);
+  else
+    add_to_pool (conn);
+  end_probe (conn, true, HXFER_NOT_CONNECTED); /* conn is still valid: loop_free_later frees it */
+}
+
+static void
+on_tunnel_head (void *user, HMsg *msg)
+{
+  ((Conn *) user)->tunnel_status = hmsg_status (msg);
+}
+
+static void
+on_tunnel_body (void *user, const char *data, size_t size)
+{
+  (void) user;
+  (void) data;
+  (void) size;
+}
+
+static void
+on_tunnel_end (void *user)
+{
+  (void) user;
+}
+
+static const HReadOps tunnel_ops = { on_tunnel_head, on_tunnel_body, on_tunnel_end };
+
+static void
+request_tunnel (Conn *conn)
+{
+  GString *out = g_string_new (NULL);
+
+  hread_free (conn->reader);
+  conn->reader = hread_new (false, &tunnel_ops, conn);
+  hread_set_no_body (conn->reader, true);
+  conn->tunnel_requested = true;
+  relay_write_request (out, conn->server);
+  sock_write (conn->sock, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+/* Nothing has been sent to the server in any of these cases. */
+static HXferFault
+fault_from_tunnel_status (unsigned status)
+{
+  switch (status)
+    {
+    case 502:
+      return HXFER_REFUSED;
+    case 504:
+      return HXFER_NOT_CONNECTED;
+    default:
+      return HXFER_RELAY_FAILED;
+    }
+}
+
+static void
+read_tunnel_response (Conn *conn)
+{
+  HReadFault fault;
+  size_t size;
+  const uint8_t *data = sock_peek (conn->sock, &size);
+
+  sock_consume (conn->sock, hread_feed (conn->reader, data, size, &fault));
+  if (fault)
+    fail_conn (conn, HXFER_RELAY_FAILED);
+  else if (conn->tunnel_status == 200)
+    {
+      conn->tunnel_requested = false;
+      hread_free (conn->reader);
+      conn->reader = hread_new (false, &read_ops, conn);
+      use_connection (conn);
+    }
+  else if (conn->tunnel_status)
+    fail_conn (conn, fault_from_tunnel_status (conn->tunnel_status));
+}
+
+static void
+on_connected (Sock *sock)
+{
+  Conn *conn = sock->owner;
+
+  report_connect (conn, true);
+  if (conn->server.port)
+    request_tunnel (conn);
+  else
+    use_connection (conn);
+}
+
+static void
+on_connect_timeout (LoopTimer *timer)
+{
+  Conn *conn = (Conn *) ((char *) timer - offsetof (Conn, timer));
+
+  report_connect (conn, false);
+  fail_conn (conn, conn->server.port ? HXFER_RELAY_FAILED : HXFER_NOT_CONNECTED);
+}
+
+/* ---- Input ---- */
+
 static void
 on_data (Sock *sock)
 {
@@ -233,6 +377,11 @@
   HReadFault fault;
   size_t size;
 
+  if (conn->tunnel_requested)
+    {
+      read_tunnel_response (conn);
+      return;
+    }
   if (conn->xfer == NULL)
     {
       close_conn (conn, true); /* unsolicited data */
@@ -288,7 +437,8 @@
 hxfer_fault_name (HXferFault fault)
 {
   /* "lost": the kernel's timeout for the connection expired; "garbled": not valid HTTP */
-  static const char *const names[] = { "unreached", "refused", "broken", "lost", "garbled" };
+  static const char *const names[]
+      = { "unreached", "refused", "broken", "lost", "garbled", "relay" };
 
   return names[fault];
 }
@@ -303,6 +453,15 @@
       close_conn (conn, false);
       return;
     }
+  if (reason == SOCK_END_REFUSED || reason == SOCK_END_CONNECT_FAILED)
+    report_connect (conn, false);
+  if (conn->server.port
+      && (conn->tunnel_requested || reason == SOCK_END_REFUSED
+          || reason == SOCK_END_CONNECT_FAILED))
+    {
+      fail_conn (conn, HXFER_RELAY_FAILED);
+      return;
+    }
   if (conn->xfer && reason == SOCK_END_EOF && !conn->skipping && hread_finish (conn->reader)
       && conn->message_complete)
     {
@@ -315,43 +474,8 @@
 
 /* ---- Sending ---- */
 
-static void
-start_sending (Conn *conn)
-{
-  HXfer *xfer = conn->xfer;
-
-  loop_timer_stop (conn->cli->loop, &conn->timer);
-  xfer->sent = true;
-  hread_set_no_body (conn->reader, xfer->no_body);
-  sock_write (conn->sock, xfer->request->str, xfer->request->len);
-  g_string_free (xfer->request, TRUE);
-  xfer->request = NULL;
-}
-
-static void
-on_connected (Sock *sock)
-{
-  Conn *conn = sock->owner;
-
-  if (conn->probe_func == NULL)
-    {
-      start_sending (conn);
-      return;
-    }
-  loop_timer_stop (conn->cli->loop, &conn->timer);
-  conn->keep_alive_us = IDLE_DEFAULT_US;
-  add_to_pool (conn);
-  end_probe (conn, true, HXFER_NOT_CONNECTED);
-}
-
 static const SockOps sock_ops = { on_connected, on_data, NULL, on_ended };
 
-static void
-on_connect_timeout (LoopTimer *timer)
-{
-  fail_conn ((Conn *) ((char *) timer - offsetof (Conn, timer)), HXFER_NOT_CONNECTED);
-}
-
 typedef enum
 {
   CONN_ENDED, /* the server has closed or reset the connection */
@@ -398,13 +522,20 @@
   Conn *conn = g_new0 (Conn, 1);
 
   conn->cli = cli;
-  conn->sock = sock_connect (cli->loop, target->addr, &sock_ops, conn);
+  conn->sock = sock_connect_from (
+      cli->loop, cli->source, target->relay.port ? target->relay : target->addr, &sock_ops, conn);
   if (conn->sock == NULL)
     {
+      int error = errno;
       g_free (conn);
+      if (cli->connect_func && target->relay.port == 0)
+        cli->connect_func (cli->connect_user, target->key, false);
+      errno = error;
       return NULL;
     }
   sock_set_unsent_total (conn->sock, &cli->unsent_total);
+  if (target->relay.port)
+    conn->server = target->addr;
   conn->key = g_strdup (target->key);
   conn->reader = hread_new (false, &read_ops, conn);
   conn->timer.fire = on_connect_timeout;
@@ -443,7 +574,7 @@
 hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
            void *user)
 {
-  Conn *conn = take_idle_conn (cli, target);
+  Conn *conn = target->relay.port ? NULL : take_idle_conn (cli, target);
   bool reused = conn != NULL;
 
   if (conn == NULL)
@@ -576,6 +707,19 @@
   g_free (cli);
 }
 
+void
+hcli_set_source (HCli *cli, uint32_t source)
+{
+  cli->source = source;
+}
+
+void
+hcli_set_connect_func (HCli *cli, HCliConnectFunc func, void *user)
+{
+  cli->connect_func = func;
+  cli->connect_user = user;
+}
+
 size_t
 hcli_unsent (const HCli *cli)
 {
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -17,9 +17,10 @@
 {
   HXFER_NOT_CONNECTED, /* no connection was established, so no byte was sent */
   HXFER_REFUSED,       /* the same: the machine is up, but nothing listens on the port */
-  HXFER_BROKEN,      /* the connection closed before the response ended; the request may have run */
-  HXFER_TIMED_OUT,   /* the same: the kernel's time-out for the connection expired */
-  HXFER_BAD_RESPONSE /* the response is not valid HTTP; the request may have run */
+  HXFER_BROKEN,    /* the connection closed before the response ended; the request may have run */
+  HXFER_TIMED_OUT, /* the same: the kernel's time-out for the connection expired */
+  HXFER_BAD_RESPONSE, /* the response is not valid HTTP; the request may have run */
+  HXFER_RELAY_FAILED  /* the relay takes no connection, so no byte was sent to the server */
 } HXferFault;
 
 /* The name of fault for logs. */
@@ -42,10 +43,18 @@
   int64_t connect_us;  /* time limit of a connect */
   int64_t max_idle_us; /* connections that were idle for longer are not reused */
   bool no_body;        /* a HEAD request */
+  SockAddr relay;      /* opens a new connection through this relay (relay.h); port 0: directly */
 } HCliTarget;
 
+/* A connection that was opened directly was established, or failed. key: of its target. */
+typedef void (*HCliConnectFunc) (void *user, const char *key, bool established);
+
 HCli *hcli_new (Loop *loop);
 void hcli_free (HCli *cli);
+/* Sets the local address of connections; 0: the system chooses it. */
+void hcli_set_source (HCli *cli, uint32_t source);
+/* Calls func with the outcome of each direct connect that took its target's time limit or less. */
+void hcli_set_connect_func (HCli *cli, HCliConnectFunc func, void *user);
 /* Sends request, a complete message. Returns NULL if a connection cannot be started for lack of a
  * descriptor or a route; nothing was sent then, and no callback runs. */
 HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
--- a/net/sock.c
+++ b/net/sock.c
@@ -301,15 +301,36 @@
   return sock;
 }
 
+/* Binds the local address alone: the port is chosen on connect, so that connections to different
+ * peers can share one. */
+static bool
+bind_source (int fd, uint32_t source)
+{
+  struct sockaddr_in from = to_sockaddr ((SockAddr){ source, 0 });
+  int one = 1;
+
+  if (source == 0)
+    return true;
+  setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof one);
+  return bind (fd, (struct sockaddr *) &from, sizeof from) == 0;
+}
+
 Sock *
 sock_connect (Loop *loop, SockAddr addr, const SockOps *ops, void *owner)
+{
+  return sock_connect_from (loop, 0, addr, ops, owner);
+}
+
+Sock *
+sock_connect_from (Loop *loop, uint32_t source, SockAddr addr, const SockOps *ops, void *owner)
 {
   struct sockaddr_in to = to_sockaddr (addr);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   if (fd < 0)
     return NULL;
-  if (connect (fd, (struct sockaddr *) &to, sizeof to) != 0 && errno != EINPROGRESS)
+  if (!bind_source (fd, source)
+      || (connect (fd, (struct sockaddr *) &to, sizeof to) != 0 && errno != EINPROGRESS))
     {
       int error = errno;
       close (fd);
@@ -420,15 +441,21 @@
 }
 
 void
-sock_close (Sock *sock, bool reset)
+sock_set_reset_on_close (Sock *sock, bool reset)
 {
-  struct linger linger = { 1, 0 };
+  struct linger linger = { reset, 0 };
+
+  setsockopt (sock->fd.fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
 
+void
+sock_close (Sock *sock, bool reset)
+{
   if (!sock->ended)
     loop_remove (sock->loop, &sock->fd);
   sock->ended = true;
   if (reset)
-    setsockopt (sock->fd.fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+    sock_set_reset_on_close (sock, true);
   close (sock->fd.fd);
   sock->fd.fd = -1;
   g_byte_array_unref (sock->in);
--- a/net/sock.h
+++ b/net/sock.h
@@ -57,6 +57,9 @@
 /* Starts to connect. Returns NULL with errno set if that fails at once, for lack of a descriptor or
  * of a route. */
 Sock *sock_connect (Loop *loop, SockAddr addr, const SockOps *ops, void *owner);
+/* Like sock_connect, with the local address source; 0: the system chooses it. */
+Sock *sock_connect_from (Loop *loop, uint32_t source, SockAddr addr, const SockOps *ops,
+                         void *owner);
 /* Takes over fd, the descriptor of an accepted connection. Returns NULL, with fd closed, if the
  * loop cannot watch it. */
 Sock *sock_accepted (Loop *loop, int fd, SockAddr peer, const SockOps *ops, void *owner);
@@ -74,6 +77,8 @@
 void sock_pause_all (Sock *sock, bool all_paused);
 /* The kernel does not end the connection because the peer leaves data unread or unacknowledged. */
 void sock_disable_user_timeout (Sock *sock);
+/* Whether a close, also by the end of the process, resets the connection; at first it does not. */
+void sock_set_reset_on_close (Sock *sock, bool reset);
 /* Adds this socket's unsent bytes to *unsent_total and keeps that sum up to date until the socket
  * is closed. */
 void sock_set_unsent_total (Sock *sock, size_t *unsent_total);
--- a/node/ends.c
+++ b/node/ends.c
@@ -177,7 +177,7 @@
 static void
 probe (ServerCheck *check)
 {
-  HCliTarget target = { check->addr, check->server, PROBE_TIMEOUT, 0, false };
+  HCliTarget target = { .addr = check->addr, .key = check->server, .connect_us = PROBE_TIMEOUT };
 
   check->probes++;
   check->probing = hcli_probe (check->detector->cli, &target, on_probed, check);
--- a/node/reader.c
+++ b/node/reader.c
@@ -141,7 +141,9 @@
 static void
 request_page (Reader *reader)
 {
-  HCliTarget target = { reader->addr, "list", CONNECT_TIMEOUT, IDLE_MAX, false };
+  HCliTarget target = {
+    .addr = reader->addr, .key = "list", .connect_us = CONNECT_TIMEOUT, .max_idle_us = IDLE_MAX
+  };
   GString *request = g_string_new (NULL);
 
   g_string_truncate (reader->body, 0);
--- a/node/try.c
+++ b/node/try.c
@@ -351,9 +351,12 @@
   Requests *requests = req->requests;
   const GByteArray *body = hcall_body (req->call);
   bool once = !rt_route_is_repeatable (req->route);
-  HCliTarget target = { server->addr, server->id, CONNECT_TIMEOUT,
-                        once ? grant->max_idle_us : MAX (REUSE_IDLE_MIN, grant->max_idle_us),
-                        strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
+  HCliTarget target
+      = { .addr = server->addr,
+          .key = server->id,
+          .connect_us = CONNECT_TIMEOUT,
+          .max_idle_us = once ? grant->max_idle_us : MAX (REUSE_IDLE_MIN, grant->max_idle_us),
+          .no_body = strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
   AdapterForward forward = { .server = server->name,
                              .org = req->org ? req->org->name : NULL,
                              .left_us = req->deadline - req_now (req),
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -390,7 +390,10 @@
 send_to (Fleet *fleet, SockAddr addr, const GString *request, Answer *answer)
 {
   char key[SOCK_ADDR_TEXT_SIZE];
-  HCliTarget target = { addr, sock_addr_format (addr, key), FT_SECOND, 5 * FT_SECOND, false };
+  HCliTarget target = { .addr = addr,
+                        .key = sock_addr_format (addr, key),
+                        .connect_us = FT_SECOND,
+                        .max_idle_us = 5 * FT_SECOND };
 
   memset (answer, 0, sizeof *answer);
   answer->body = g_string_new (NULL);
--- a/test/wire.c
+++ b/test/wire.c
@@ -178,7 +178,9 @@
 static void
 start_transfer (Caller *caller)
 {
-  HCliTarget target = { raw_server->addr, "k", FT_SECOND, 10 * FT_SECOND, false };
+  HCliTarget target = {
+    .addr = raw_server->addr, .key = "k", .connect_us = FT_SECOND, .max_idle_us = 10 * FT_SECOND
+  };
   GString *request = g_string_new ("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
 
   caller->transfers_left--;
