egress, paths: log and count when an entry reaches no server

The list has a client of its own, so that its connects are not taken for servers'. New settings relay_port and source_ip. Nothing acts on it yet. /node/serves and /node/metrics pass.

--- a/node/entry.c
+++ b/node/entry.c
@@ -7,6 +7,7 @@
  */
 #include "count.h"
 #include "delta.h"
+#include "egress.h"
 #include "instance.h"
 #include "jlog.h"
 #include "reader.h"
@@ -32,7 +33,8 @@
   const AdapterOps *adapter_ops;
   Loop *loop;
   Mesh *mesh;
-  HCli *cli;
+  HCli *cli, *list_cli; /* for servers, for the platform's list */
+  Egress *egress;
   HSrv *callers, *ready;
   Place *place;
   RetryBudget *budget;
@@ -538,6 +540,7 @@
       place_scheduler_name (entry->place),
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
   describe_memory (entry, out);
+  egress_describe (entry->egress, out);
   crashrep_describe (entry->crash_reporter, out);
   mesh_append_metrics (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
@@ -560,7 +563,9 @@
   crashrep_free (entry->crash_reporter);
   versions_free (entry->versions);
   place_free (entry->place);
+  egress_free (entry->egress);
   hcli_free (entry->cli);
+  hcli_free (entry->list_cli);
   budget_free (entry->budget);
   servers_free (entry->servers);
   rt_cat_unref (entry->cat);
@@ -612,7 +617,10 @@
   entry->cli = hcli_new (loop);
   entry->servers = servers_new ();
   entry->budget = budget_new (loop_clock (loop), &budget);
-  entry->reader = reader_new (loop, entry->cli, adapter_ops, settings->list, on_list_read, entry);
+  entry->list_cli = hcli_new (loop);
+  entry->egress = egress_new (loop, entry->cli, settings);
+  entry->reader
+      = reader_new (loop, entry->list_cli, adapter_ops, settings->list, on_list_read, entry);
   entry->tick.fire = on_tick;
   FtStatus status = open_addresses (entry, error);
   if (status != FT_OK)
--- a/node/settings.c
+++ b/node/settings.c
@@ -31,6 +31,11 @@
     "port for other instances, the same on all" },
   { "link_listen_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (link_listen_port),
     "port to listen on for other instances if link_port is forwarded to it; 0: link_port" },
+  { "relay_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (relay_port),
+    "port on which entries relay each other's connections to servers, the same on all; 0: they "
+    "do not" },
+  { "source_ip", FT_FIELD_STRING, false, 0, 15, "", AT (source_text),
+    "local IPv4 of connections to servers; empty: the system chooses it" },
   { "metrics_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (metrics_port),
     "port for metrics; 0: none" },
   { "first_start", FT_FIELD_BOOL, false, 0, 0, "false", AT (first_start),
@@ -130,16 +135,27 @@
 }
 
 static FtStatus
-parse_values (Settings *s, FtError *error)
+parse_ip (const char *field, const char *text, bool needed, uint32_t *out, FtError *error)
 {
-  SockAddr self;
-  char *with_port = g_strconcat (s->ip_text, ":0", NULL);
-  bool ip = sock_addr_parse (with_port, &self);
+  SockAddr parsed;
+  char *with_port = g_strconcat (text, ":0", NULL);
+  bool valid = sock_addr_parse (with_port, &parsed);
 
   g_free (with_port);
-  if (!ip)
-    return ft_error_set (error, FT_INVALID, 0, "ip", "\"%s\" is not an IPv4 address", s->ip_text);
-  s->ip = self.ip;
+  if (*text == '\0' && !needed)
+    return FT_OK;
+  if (!valid)
+    return ft_error_set (error, FT_INVALID, 0, field, "\"%s\" is not an IPv4 address", text);
+  *out = parsed.ip;
+  return FT_OK;
+}
+
+static FtStatus
+parse_values (Settings *s, FtError *error)
+{
+  if (parse_ip ("ip", s->ip_text, true, &s->ip, error) != FT_OK
+      || parse_ip ("source_ip", s->source_text, false, &s->source, error) != FT_OK)
+    return FT_INVALID;
   if (strcmp (s->role_text, "entry") == 0)
     s->role = ROLE_ENTRY;
   else if (strcmp (s->role_text, "voter") == 0)
--- a/node/settings.h
+++ b/node/settings.h
@@ -13,9 +13,9 @@
 typedef struct
 {
   char *name, *role_text, *ip_text, *domain, *region, *log_level;
-  char *callers_text, *ready_text, *control_text, *list_text, *data_folder;
+  char *callers_text, *ready_text, *control_text, *list_text, *data_folder, *source_text;
   GPtrArray *seed_texts;
-  int64_t link_port, link_listen_port, metrics_port;
+  int64_t link_port, link_listen_port, relay_port, metrics_port;
   bool first_start;
   int64_t losses, grace_s, drain_ms;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
@@ -25,7 +25,7 @@
   char *return_part_text, *return_place_part_text;
   /* Parsed from the texts above. */
   SettingsRole role;
-  uint32_t ip;
+  uint32_t ip, source; /* source 0: the system chooses it */
   SockAddr callers, ready, control, list;
   GArray *seeds; /* SockAddr */
   double list_rate, budget_ratio, limit_overage, rollout_share, return_part, return_place_part;
