test: entries that are cut off from all servers (failing)

The loopback proxy before each server can cut client addresses off: silently (a socket filter drops their packets, so that nothing is acknowledged and connects hang), by resets, or new connections only.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -14,6 +14,7 @@
 #define SERVER_PORT       18090
 #define LIST_PORT         18099
 #define METRICS_PORT      18084
+#define RELAY_PORT        18085          /* on which entries relay for each other */
 #define LINK_LISTEN_PORT  18073          /* where a node behind a proxy accepts links */
 #define SERVER_PROXY_PORT 18095          /* of the proxies before servers */
 #define OPERATOR_TIMEOUT  (1500 * FT_MS) /* then operators try another voter */
@@ -88,8 +89,9 @@
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL_PORT,
                             node->folder);
   else
-    g_string_append_printf (out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",", ip,
-                            FLEET_CALLER_PORT, ip, READY_PORT);
+    g_string_append_printf (
+        out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",\"source_ip\":\"%s\",\"relay_port\":%d,",
+        ip, FLEET_CALLER_PORT, ip, READY_PORT, ip, RELAY_PORT);
   g_string_append (out, "\"seeds\":[");
   for (unsigned i = 0; i < (node->voter ? 3 : fleet->entry_seeds); i++)
     g_string_append_printf (out, "%s\"%s:%d\"", i ? "," : "", ip_text (fleet->voters[i].ip, seed),
@@ -283,6 +285,21 @@
     }
 }
 
+void
+fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how)
+{
+  entry->cut = how;
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    if (fleet->servers[i].proxy)
+      proxy_cut (fleet->servers[i].proxy, entry->ip, how);
+}
+
+void
+fleet_heal (Fleet *fleet, FleetNode *entry)
+{
+  fleet_cut_from_servers (fleet, entry, PROXY_CUT_NONE);
+}
+
 static void
 free_proxies (Fleet *fleet)
 {
