--- a/node/entry.c
+++ b/node/entry.c
@@ -638,8 +638,8 @@
     return FT_IO;
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
   instance_configure_broker (s, place_own_broker (entry->place), false);
-  entry->crash_reporter
-      = crashrep_new (entry->loop, entry->mesh, entry->cli, on_verdicts_changed, entry);
+  entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
+                                        on_verdicts_changed, entry);
   entry->versions = versions_new (place_own_broker (entry->place));
   RequestsConf conf
       = { entry->loop,    entry->adapter_ops,    entry->cli,      entry->place, entry->budget,
--- a/node/try.c
+++ b/node/try.c
@@ -360,8 +360,7 @@
     return;
   req->unreached++;
   count_inc (COUNT_UNREACHED);
-  /* A refusal at an entry that is cut off proves nothing; at a relay it does. */
-  if (fault == HXFER_REFUSED && !(direct && lost))
+  if (fault == HXFER_REFUSED)
     crashrep_refused (req->requests->conf.crash_reporter, req->server);
   req_after_try (req, RETRY_NOT_CONNECTED);
 }
