test: entries that are cut off from all servers (failing)

The loopback proxy before each server can cut client addresses off: silently (a socket filter drops their packets, so that nothing is acknowledged and connects hang), by resets, or new connections only. Entries bind their own address for connections to servers, so a server knows them apart; relay_port is set, and on this code only read.

--- a/test/backend.c
+++ b/test/backend.c
@@ -333,6 +333,18 @@
   server->proxy = NULL;
 }
 
+/* Entries that are cut off stay so. */
+static void
+restore_proxy (FleetServer *server)
+{
+  Fleet *fleet = server->fleet;
+
+  server->proxy = proxy_new (fleet->loop, server->addr, server->listen_addr);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    if (fleet->entries[i].cut != PROXY_CUT_NONE)
+      proxy_cut (server->proxy, fleet->entries[i].ip, fleet->entries[i].cut);
+}
+
 static void
 on_restart_timer (LoopTimer *timer)
 {
@@ -346,7 +358,7 @@
       return;
     }
   if (server->addr.port != server->listen_addr.port)
-    server->proxy = proxy_new (loop, server->addr, server->listen_addr);
+    restore_proxy (server);
   server->restarts++;
   g_snprintf (server->id, sizeof server->id, "i-%u.%u", server->number + 1, server->restarts);
 }
--- /dev/null
+++ b/test/connectwrap.c
@@ -0,0 +1,31 @@
+/* connectwrap.c - linked into the foxtailnode of the tests with --wrap=connect, so that a test can
+ * make connects hang or fail on the way, which a listener alone cannot do for some clients only.
+ *
+ * The file named by FOXTAILNODE_DETOUR holds a port, and the address and port (in decimal) to which
+ * connects to that port go instead. No file, or an empty one: none do. */
+#include <arpa/inet.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+int __real_connect (int fd, const struct sockaddr *addr, socklen_t size);
+int __wrap_connect (int fd, const struct sockaddr *addr, socklen_t size);
+
+int
+__wrap_connect (int fd, const struct sockaddr *addr, socklen_t size)
+{
+  const char *path = getenv ("FOXTAILNODE_DETOUR");
+  FILE *file = path ? fopen (path, "re") : NULL;
+  struct sockaddr_in to = *(const struct sockaddr_in *) (const void *) addr;
+  unsigned port, ip, to_port;
+  bool listed = file && fscanf (file, "%u %u %u", &port, &ip, &to_port) == 3;
+
+  if (file)
+    fclose (file);
+  if (!listed || addr->sa_family != AF_INET || ntohs (to.sin_port) != port)
+    return __real_connect (fd, addr, size);
+  to.sin_addr.s_addr = htonl (ip);
+  to.sin_port = htons ((uint16_t) to_port);
+  return __real_connect (fd, (const struct sockaddr *) &to, sizeof to);
+}
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -14,6 +14,9 @@
 #define SERVER_PORT       18090
 #define LIST_PORT         18099
 #define METRICS_PORT      18084
+#define RELAY_PORT        18085          /* on which entries relay for each other */
+#define SILENT_PORT       18071          /* where connects hang */
+#define CLOSED_PORT       18072          /* where connects are refused */
 #define LINK_LISTEN_PORT  18073          /* where a node behind a proxy accepts links */
 #define SERVER_PROXY_PORT 18095          /* of the proxies before servers */
 #define OPERATOR_TIMEOUT  (1500 * FT_MS) /* then operators try another voter */
@@ -88,8 +91,9 @@
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL_PORT,
                             node->folder);
   else
-    g_string_append_printf (out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",", ip,
-                            FLEET_CALLER_PORT, ip, READY_PORT);
+    g_string_append_printf (
+        out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",\"source_ip\":\"%s\",\"relay_port\":%d,",
+        ip, FLEET_CALLER_PORT, ip, READY_PORT, ip, RELAY_PORT);
   g_string_append (out, "\"seeds\":[");
   for (unsigned i = 0; i < (node->voter ? 3 : fleet->entry_seeds); i++)
     g_string_append_printf (out, "%s\"%s:%d\"", i ? "," : "", ip_text (fleet->voters[i].ip, seed),
@@ -119,6 +123,7 @@
   sigprocmask (SIG_SETMASK, &none, NULL);
   for (int fd = 3; fd < 1024; fd++)
     close (fd);
+  setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
   execl (program ? program : FOXTAILNODE, "foxtailnode", node->settings, NULL);
   _exit (127);
 }
@@ -185,6 +190,7 @@
   g_snprintf (node->folder, sizeof node->folder, "%s/%s", fleet->base, name);
   g_snprintf (node->settings, sizeof node->settings, "%s/%s.json", fleet->base, name);
   g_snprintf (node->log, sizeof node->log, "%s/%s.log", fleet->base, name);
+  g_snprintf (node->detour, sizeof node->detour, "%s/%s.detour", fleet->base, name);
 }
 
 Fleet *
@@ -281,6 +287,36 @@
       server->addr.port = SERVER_PROXY_PORT;
       server->proxy = proxy_new (fleet->loop, server->addr, server->listen_addr);
     }
+  fleet->silent_fd = proxy_listen_silently ((SockAddr){ fleet->voters[0].ip - 1, SILENT_PORT });
+}
+
+/* Also connects to a server that is down do not reach its machine. */
+static void
+write_detour (const Fleet *fleet, const FleetNode *entry)
+{
+  SockAddr to
+      = { fleet->voters[0].ip - 1, entry->cut == PROXY_CUT_REFUSE ? CLOSED_PORT : SILENT_PORT };
+  char text[32] = "";
+
+  if (entry->cut != PROXY_CUT_NONE && entry->cut != PROXY_CUT_RESET_ACCEPT)
+    g_snprintf (text, sizeof text, "%d %u %u\n", SERVER_PROXY_PORT, to.ip, to.port);
+  g_assert_true (g_file_set_contents (entry->detour, text, -1, NULL));
+}
+
+void
+fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how)
+{
+  entry->cut = how;
+  write_detour (fleet, entry);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    if (fleet->servers[i].proxy)
+      proxy_cut (fleet->servers[i].proxy, entry->ip, how);
+}
+
+void
+fleet_heal (Fleet *fleet, FleetNode *entry)
+{
+  fleet_cut_from_servers (fleet, entry, PROXY_CUT_NONE);
 }
 
 static void
@@ -292,6 +328,8 @@
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     if (fleet->entries[i].proxy)
       proxy_free (fleet->entries[i].proxy);
+  if (fleet->silent_fd)
+    close (fleet->silent_fd);
 }
 
 /* ---- Waiting ---- */
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -74,7 +74,9 @@
   pid_t pid;    /* 0: not running */
   int status;   /* wait status of its last exit that was no fleet_kill */
   Proxy *proxy; /* before its port for links to other instances; NULL: none */
+  ProxyCut cut; /* whether its connections to servers are cut off */
   char log[256];
+  char detour[256]; /* file that says where its connects to servers end up (connectwrap.c) */
 } FleetNode;
 
 struct Fleet
@@ -85,6 +87,7 @@
   FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
   FleetNode spare; /* no deputy; not started by fleet_start_all */
   FleetServer servers[FLEET_SERVERS];
+  int silent_fd;                /* listens where connects of cut entries hang; 0: none */
   HSrv *list;                   /* serves the platform's server list */
   uint64_t version;             /* of the newest acknowledged catalogue */
   GHashTable *run_counts;       /* request id: how often a server started to run it */
@@ -141,6 +144,10 @@
 bool fleet_has_exited (FleetNode *node);
 /* Puts a proxy before every link port and every server. Call it before any node is started. */
 void fleet_add_proxies (Fleet *fleet);
+/* Cuts the entry off from all servers, also those that restart meanwhile; its links and its callers
+ * are not concerned. Needs the proxies. */
+void fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how);
+void fleet_heal (Fleet *fleet, FleetNode *entry);
 /* Starts three voters and all entries, puts a first catalogue and waits until entries are ready. */
 void fleet_start_all (Fleet *fleet);
 
--- a/test/proxy.h
+++ b/test/proxy.h
@@ -14,6 +14,18 @@
   PROXY_MODE_COUNT
 } ProxyMode;
 
+/* What becomes of the connections that come from one client address. No mode tells the backend
+ * server anything but a reset of connections that are open. */
+typedef enum
+{
+  PROXY_CUT_NONE,
+  PROXY_CUT_SILENT, /* open connections carry nothing and acknowledge nothing; new ones hang */
+  PROXY_CUT_RESET,  /* resets open connections; new ones hang */
+  PROXY_CUT_RESET_ACCEPT, /* resets open connections, and new ones once they are accepted */
+  PROXY_CUT_REFUSE,       /* the same, where the client's connects are not refused on the way */
+  PROXY_CUT_NEW           /* open connections live on; new ones hang */
+} ProxyCut;
+
 typedef struct Proxy Proxy;
 
 /* Listens at front and forwards to back. front must be free. */
@@ -22,5 +34,10 @@
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
 /* Resets all open connections; the mode stays. */
 void proxy_reset (Proxy *proxy);
+/* Cuts the client address (IPv4, host order) off, or heals that. Beside a cut address the mode is
+ * PROXY_PASS for the others. */
+void proxy_cut (Proxy *proxy, uint32_t client, ProxyCut how);
+/* Returns a listening socket to which connects hang. */
+int proxy_listen_silently (SockAddr addr);
 
 #endif
