Merge the whole stand-in of entries cut off from servers

21 cases: also refused connects (foxtailnode-test, whose connects to servers can be redirected), cuts one after another, that come and go, all entries at once, callers who leave, crash bodies beside a cut, most servers lost.

--- a/test/cutoff.c
+++ b/test/cutoff.c
@@ -38,7 +38,7 @@
   GPtrArray *requests;
   bool used[FLEET_ENTRIES]; /* which entries get requests */
   unsigned burst[FLEET_ENTRIES];
-  unsigned sent, open;
+  unsigned steps, open;
   int64_t next_at, until;
 } Load;
 
@@ -120,7 +120,6 @@
   request->open = true;
   g_snprintf (request->id, sizeof request->id, "c%" G_GUINT64_FORMAT, ++fleet->next_id);
   g_ptr_array_add (load->requests, request);
-  load->sent++;
   load->open++;
   fleet_send (fleet, &fleet->entries[entry], paths[kind], request->id, &request->answer);
 }
@@ -130,7 +129,8 @@
 {
   for (unsigned i = 0; i < FLEET_ENTRIES; i++)
     for (unsigned j = 0; load->used[i] && j < load->burst[i]; j++)
-      send_request (load, i, load->sent % KIND_COUNT);
+      send_request (load, i, (load->steps + i + j) % KIND_COUNT);
+  load->steps++;
 }
 
 static void
@@ -230,8 +230,8 @@
   Share cut = count_share (load, true, since), others = count_share (load, false, since);
   unsigned failed = cut.sent - cut.served + others.sent - others.served;
 
-  g_test_message ("cut off: %u of %u served, others: %u of %u", cut.served, cut.sent, others.served,
-                  others.sent);
+  g_test_message ("cut off: %u of %u served, others: %u of %u (logs in %s)", cut.served, cut.sent,
+                  others.served, others.sent, load->fleet->base);
   print_failed (load, since);
   if (failed > 10 + (cut.sent + others.sent) / 50
       || (uint64_t) cut.served * others.sent * 3 < (uint64_t) others.served * cut.sent * 2)
@@ -319,6 +319,13 @@
   run_cut (PROXY_CUT_RESET_ACCEPT, 1);
 }
 
+/* The same where its connects are refused. */
+static void
+refused (void)
+{
+  run_cut (PROXY_CUT_REFUSE, 1);
+}
+
 /* Guards against entries that find no one to help them: most are cut off, and the voter in charge
  * dies at the same time. */
 static void
@@ -542,6 +549,229 @@
   run_no_crash_report (PROXY_CUT_RESET_ACCEPT);
 }
 
+/* The same where its connects are refused, as those to a server that ended are. */
+static void
+no_crash_report_refused (void)
+{
+  run_no_crash_report (PROXY_CUT_REFUSE);
+}
+
+#define CRASH_BODY  FLEET_CRASH_PREFIX " 1"
+#define ATTEMPTS    24 /* far more than the crashes that the body may cause */
+#define CRASHES_MAX 6  /* three until it is quarantined, and three more ever */
+
+/* Guards against a content that ends servers without a limit, since the entry that it comes to
+ * cannot see that they ended: it is cut off. */
+static void
+run_crash_body (ProxyCut how)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+  Answer answer;
+
+  fleet_cut_from_servers (fleet, &fleet->entries[0], how);
+  load_run (load, SETTLE);
+  load_finish (load);
+  unsigned lives = count_lines (&fleet->entries[0], "server-lives", "");
+  for (unsigned i = 0; i < ATTEMPTS; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "crash%u", i);
+      fleet_call_body (fleet, &fleet->entries[0], "/once/a", id, CRASH_BODY, &answer);
+      g_test_message ("%s: status %u, broken %d, %s", id, answer.status, answer.broken,
+                      answer.body->str);
+      fleet_answer_clear (&answer);
+      fleet_run_for (fleet, 150 * FT_MS);
+    }
+  fleet_run_for (fleet, 500 * FT_MS);
+  g_test_message ("%u runs of the crash body (logs in %s)",
+                  fleet_crash_run_count (fleet, CRASH_BODY), fleet->base);
+  g_assert_cmpuint (fleet_crash_run_count (fleet, CRASH_BODY), >=, 1);
+  g_assert_cmpuint (fleet_crash_run_count (fleet, CRASH_BODY), <=, CRASHES_MAX);
+  /* All servers that are checked from here on have ended. */
+  g_assert_cmpuint (count_lines (&fleet->entries[0], "server-lives", ""), ==, lives);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+static void
+crash_body_silent (void)
+{
+  run_crash_body (PROXY_CUT_SILENT);
+}
+
+/* The same where the connects of the entry are refused. */
+static void
+crash_body_refused (void)
+{
+  run_crash_body (PROXY_CUT_REFUSE);
+}
+
+typedef struct
+{
+  const Fleet *fleet;
+  int64_t until;
+} WorkWait;
+
+static bool
+no_stream_runs_or_late (void *data)
+{
+  const WorkWait *wait = data;
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    count += wait->fleet->servers[i].streams->len;
+  return count == 0 || loop_now (wait->fleet->loop) > wait->until;
+}
+
+/* Guards against servers that go on with streams whose callers have left: the entry that serves
+ * these is cut off. */
+static void
+callers_leave (void)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+  Answer answers[8];
+  unsigned running = 0, begun = 0;
+
+  fleet_cut_from_servers (fleet, &fleet->entries[0], PROXY_CUT_SILENT);
+  load_run (load, SETTLE);
+  load_finish (load);
+  fleet->event_ms = 1000; /* far longer than the wait below */
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "leave%u", i);
+      fleet_send (fleet, &fleet->entries[0], "/stream/a", id, &answers[i]);
+    }
+  fleet_run_for (fleet, FT_SECOND);
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      begun += answers[i].status == 200;
+      if (!answers[i].done)
+        hxfer_cancel (answers[i].xfer);
+      fleet_answer_clear (&answers[i]);
+    }
+  WorkWait wait = { fleet, loop_now (fleet->loop) + 2 * FT_SECOND };
+  fleet_run_until (fleet, no_stream_runs_or_late, &wait, "streams end");
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    running += fleet->servers[i].streams->len;
+  if (begun < G_N_ELEMENTS (answers) || running > 0)
+    g_error ("%u streams began, %u still run (logs in %s)", begun, running, fleet->base);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+/* Guards against an entry that takes its path for sound again and again since it reaches one of
+ * the servers: it is cut off from all the others. */
+static void
+one_server_left (void)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+
+  load_run (load, FT_SECOND);
+  int64_t cut_at = loop_now (fleet->loop);
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    proxy_cut (fleet->servers[i].proxy, fleet->entries[0].ip, PROXY_CUT_RESET);
+  fleet->entries[0].cut = PROXY_CUT_RESET; /* counts as cut off */
+  load_run (load, 6 * FT_SECOND);
+  load_finish (load);
+  check_served (load, cut_at + SETTLE);
+  check_no_server_out (fleet);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+/* Guards against an entry that depends on one helper: those that help it are cut off in turn. */
+static void
+one_after_another (void)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+
+  load_run (load, FT_SECOND);
+  fleet_cut_from_servers (fleet, &fleet->entries[0], PROXY_CUT_SILENT);
+  load_run (load, 3 * FT_SECOND);
+  int64_t cut_at = loop_now (fleet->loop);
+  fleet_cut_from_servers (fleet, &fleet->entries[1], PROXY_CUT_SILENT);
+  load_run (load, 6 * FT_SECOND);
+  load_finish (load);
+  check_served (load, cut_at + SETTLE);
+  check_no_server_out (fleet);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+/* Guards against an entry that is late each time: its path is lost and back again and again. */
+static void
+flaps (void)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+
+  load_run (load, FT_SECOND);
+  int64_t cut_at = loop_now (fleet->loop);
+  for (unsigned i = 0; i < 8; i++)
+    {
+      fleet_cut_from_servers (fleet, &fleet->entries[0], PROXY_CUT_RESET);
+      load_run (load, 700 * FT_MS);
+      fleet_heal (fleet, &fleet->entries[0]);
+      load_run (load, 700 * FT_MS);
+    }
+  fleet->entries[0].cut = PROXY_CUT_RESET; /* counts as cut off */
+  load_finish (load);
+  check_served (load, cut_at + SETTLE);
+  check_no_server_out (fleet);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+/* Guards against entries that do not recover: all were cut off at the same time. */
+static void
+all_cut_off (void)
+{
+  Fleet *fleet = new_fleet ();
+  Load *load = load_new (fleet);
+
+  load_run (load, FT_SECOND);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_cut_from_servers (fleet, &fleet->entries[i], PROXY_CUT_SILENT);
+  load_run (load, 4 * FT_SECOND);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_heal (fleet, &fleet->entries[i]);
+  int64_t healed_at = loop_now (fleet->loop);
+  load_run (load, 5 * FT_SECOND);
+  load_finish (load);
+  check_served (load, healed_at + SETTLE);
+  load_free (load);
+  fleet_free (fleet);
+}
+
+/* Guards against taking the loss of most servers for the loss of an entry's path, at all entries:
+ * three of four servers lose power. They have to be taken out. */
+static void
+most_servers_lost (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet->slots = 16;
+  fleet->plain_ms = 20;
+  fleet_add_proxies (fleet);
+  fleet_start_all (fleet);
+  Load *load = load_new (fleet);
+  load_run (load, FT_SECOND);
+  int64_t lost_at = loop_now (fleet->loop);
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    for (unsigned j = 0; j < FLEET_ENTRIES; j++)
+      proxy_cut (fleet->servers[i].proxy, fleet->entries[j].ip, PROXY_CUT_SILENT);
+  load_run (load, 7 * FT_SECOND);
+  load_finish (load);
+  check_served (load, lost_at + SETTLE);
+  load_free (load);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -549,6 +779,7 @@
   g_test_add_func ("/cutoff/silent", silent);
   g_test_add_func ("/cutoff/reset", reset);
   g_test_add_func ("/cutoff/reset_accepted", reset_accepted);
+  g_test_add_func ("/cutoff/refused", refused);
   g_test_add_func ("/cutoff/most_beside_takeover", most_beside_takeover);
   g_test_add_func ("/cutoff/new_only", new_only);
   g_test_add_func ("/cutoff/heals", heals);
@@ -557,5 +788,14 @@
   g_test_add_func ("/cutoff/starts_cut_off", starts_cut_off);
   g_test_add_func ("/cutoff/no_crash_report_hang", no_crash_report_hang);
   g_test_add_func ("/cutoff/no_crash_report_reset", no_crash_report_reset);
+  g_test_add_func ("/cutoff/no_crash_report_refused", no_crash_report_refused);
+  g_test_add_func ("/cutoff/crash_body_silent", crash_body_silent);
+  g_test_add_func ("/cutoff/crash_body_refused", crash_body_refused);
+  g_test_add_func ("/cutoff/callers_leave", callers_leave);
+  g_test_add_func ("/cutoff/one_server_left", one_server_left);
+  g_test_add_func ("/cutoff/one_after_another", one_after_another);
+  g_test_add_func ("/cutoff/flaps", flaps);
+  g_test_add_func ("/cutoff/all_cut_off", all_cut_off);
+  g_test_add_func ("/cutoff/most_servers_lost", most_servers_lost);
   return g_test_run ();
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -76,6 +76,7 @@
   Proxy *proxy; /* before its port for links to other instances; NULL: none */
   ProxyCut cut; /* whether its connections to servers are cut off */
   char log[256];
+  char detour[256]; /* file that says where its connects to servers end up (connectwrap.c) */
 } FleetNode;
 
 struct Fleet
@@ -86,6 +87,7 @@
   FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
   FleetNode spare; /* no deputy; not started by fleet_start_all */
   FleetServer servers[FLEET_SERVERS];
+  int silent_fd;                /* listens where connects of cut entries hang; 0: none */
   HSrv *list;                   /* serves the platform's server list */
   uint64_t version;             /* of the newest acknowledged catalogue */
   GHashTable *run_counts;       /* request id: how often a server started to run it */
--- a/test/proxy.c
+++ b/test/proxy.c
@@ -146,6 +146,12 @@
 
 /* ---- Client addresses that are cut off ---- */
 
+static bool
+resets_accepted (ProxyCut how)
+{
+  return how == PROXY_CUT_RESET_ACCEPT || how == PROXY_CUT_REFUSE;
+}
+
 static ProxyCut
 cut_of (const Proxy *proxy, uint32_t client)
 {
@@ -180,7 +186,7 @@
   unsigned count = 1;
 
   for (unsigned i = 0; i < proxy->cut_count; i++)
-    if (proxy->cuts[i].how != PROXY_CUT_RESET_ACCEPT)
+    if (!resets_accepted (proxy->cuts[i].how))
       {
         code[count++] = (struct sock_filter) BPF_JUMP (BPF_JMP | BPF_JEQ | BPF_K,
                                                        proxy->cuts[i].client, 0, 1);
@@ -253,7 +259,7 @@
   {
     if (pair->peer.ip != client)
       continue;
-    if (how == PROXY_CUT_RESET || how == PROXY_CUT_RESET_ACCEPT)
+    if (how == PROXY_CUT_RESET || resets_accepted (how))
       close_pair (pair, true);
     else if (how == PROXY_CUT_SILENT && !pair->held && pair->client.sock)
       hold (pair);
@@ -277,8 +283,7 @@
   pair->peer = peer;
   cds_list_add_tail (&pair->link, &proxy->pairs);
   pair->client.sock = sock_accepted (proxy->loop, fd, peer, &ops, &pair->client);
-  bool reset
-      = proxy->mode == PROXY_REFUSE || cut == PROXY_CUT_RESET || cut == PROXY_CUT_RESET_ACCEPT;
+  bool reset = proxy->mode == PROXY_REFUSE || cut == PROXY_CUT_RESET || resets_accepted (cut);
   if (!reset)
     pair->server.sock = sock_connect (proxy->loop, proxy->back, &ops, &pair->server);
   if (pair->client.sock == NULL || pair->server.sock == NULL)
@@ -319,6 +324,16 @@
   return fd;
 }
 
+int
+proxy_listen_silently (SockAddr addr)
+{
+  struct sock_filter drop = BPF_STMT (BPF_RET | BPF_K, 0);
+  int fd = listen_at (addr);
+
+  attach_filter (fd, &drop, 1);
+  return fd;
+}
+
 Proxy *
 proxy_new (Loop *loop, SockAddr front, SockAddr back)
 {
--- a/test/proxy.h
+++ b/test/proxy.h
@@ -22,6 +22,7 @@
   PROXY_CUT_SILENT, /* open connections carry nothing and acknowledge nothing; new ones hang */
   PROXY_CUT_RESET,  /* resets open connections; new ones hang */
   PROXY_CUT_RESET_ACCEPT, /* resets open connections, and new ones once they are accepted */
+  PROXY_CUT_REFUSE,       /* the same, where the client's connects are not refused on the way */
   PROXY_CUT_NEW           /* open connections live on; new ones hang */
 } ProxyCut;
 
@@ -36,5 +37,7 @@
 /* Cuts the client address (IPv4, host order) off, or heals that. Beside a cut address the mode is
  * PROXY_PASS for the others. */
 void proxy_cut (Proxy *proxy, uint32_t client, ProxyCut how);
+/* Returns a listening socket to which connects hang. */
+int proxy_listen_silently (SockAddr addr);
 
 #endif
