--- a/net/hcli.c
+++ b/net/hcli.c
@@ -38,8 +38,8 @@
   struct cds_list_head conns;
   uint64_t opened;
   uint32_t source; /* local address of connections; 0: the system chooses it */
-  HCliConnectFunc connect_func;
-  void *connect_user;
+  HCliPathFunc path_func;
+  void *path_user;
   size_t unsent_total; /* request bytes not yet passed to the kernel, over all connections */
 };
 
@@ -53,6 +53,7 @@
   HReader *reader;
   HXfer *xfer;              /* NULL while idle */
   SockAddr server;          /* behind the relay; port 0: the connection is direct */
+  bool path_reported;       /* path_func was called, or need not be */
   bool tunnel_requested;    /* the relay has not responded yet */
   unsigned tunnel_status;   /* of its response; 0: none yet */
   HCliProbeFunc probe_func; /* callback of a probe in progress, else NULL */
@@ -236,12 +237,15 @@
 /* ---- Connecting ---- */
 
 static void
-report_connect (const Conn *conn, bool established)
+report_path (Conn *conn, bool reached)
 {
   HCli *cli = conn->cli;
+  bool relayed = conn->server.port != 0;
 
-  if (cli->connect_func && conn->server.port == 0)
-    cli->connect_func (cli->connect_user, conn->key, established);
+  if (cli->path_func && !conn->path_reported && (reached || !relayed))
+    cli->path_func (cli->path_user, conn->key, relayed ? conn->server : conn->sock->peer, relayed,
+                    reached);
+  conn->path_reported = true;
 }
 
 static void
@@ -339,6 +343,7 @@
   else if (conn->tunnel_status == 200)
     {
       conn->tunnel_requested = false;
+      report_path (conn, true);
       hread_free (conn->reader);
       conn->reader = hread_new (false, &read_ops, conn);
       use_connection (conn);
@@ -352,7 +357,6 @@
 {
   Conn *conn = sock->owner;
 
-  report_connect (conn, true);
   if (conn->server.port)
     request_tunnel (conn);
   else
@@ -364,7 +368,7 @@
 {
   Conn *conn = (Conn *) ((char *) timer - offsetof (Conn, timer));
 
-  report_connect (conn, false);
+  report_path (conn, false);
   fail_conn (conn, conn->server.port ? HXFER_RELAY_FAILED : HXFER_NOT_CONNECTED);
 }
 
@@ -382,6 +386,7 @@
       read_tunnel_response (conn);
       return;
     }
+  report_path (conn, true);
   if (conn->xfer == NULL)
     {
       close_conn (conn, true); /* unsolicited data */
@@ -453,8 +458,7 @@
       close_conn (conn, false);
       return;
     }
-  if (reason == SOCK_END_REFUSED || reason == SOCK_END_CONNECT_FAILED)
-    report_connect (conn, false);
+  report_path (conn, false);
   if (conn->server.port
       && (conn->tunnel_requested || reason == SOCK_END_REFUSED
           || reason == SOCK_END_CONNECT_FAILED))
@@ -528,8 +532,8 @@
     {
       int error = errno;
       g_free (conn);
-      if (cli->connect_func && target->relay.port == 0)
-        cli->connect_func (cli->connect_user, target->key, false);
+      if (cli->path_func && target->relay.port == 0)
+        cli->path_func (cli->path_user, target->key, target->addr, false, false);
       errno = error;
       return NULL;
     }
@@ -714,10 +718,10 @@
 }
 
 void
-hcli_set_connect_func (HCli *cli, HCliConnectFunc func, void *user)
+hcli_set_path_func (HCli *cli, HCliPathFunc func, void *user)
 {
-  cli->connect_func = func;
-  cli->connect_user = user;
+  cli->path_func = func;
+  cli->path_user = user;
 }
 
 size_t
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -46,15 +46,19 @@
   SockAddr relay;      /* opens a new connection through this relay (relay.h); port 0: directly */
 } HCliTarget;
 
-/* A connection that was opened directly was established, or failed. key: of its target. */
-typedef void (*HCliConnectFunc) (void *user, const char *key, bool established);
+/* What a new connection shows of the path to the server at addr, whose target has this key.
+ * reached: the server has sent something on it, or a relay has connected to it; else the connect
+ * failed, or the connection ended before anything came. */
+typedef void (*HCliPathFunc) (void *user, const char *key, SockAddr addr, bool relayed,
+                              bool reached);
 
 HCli *hcli_new (Loop *loop);
 void hcli_free (HCli *cli);
 /* Sets the local address of connections; 0: the system chooses it. */
 void hcli_set_source (HCli *cli, uint32_t source);
-/* Calls func with the outcome of each direct connect that took its target's time limit or less. */
-void hcli_set_connect_func (HCli *cli, HCliConnectFunc func, void *user);
+/* Calls func once for each new connection that shows something of its path, and not for what a
+ * relay failed to do. A probe that connects shows nothing. */
+void hcli_set_path_func (HCli *cli, HCliPathFunc func, void *user);
 /* Sends request, a complete message. Returns NULL if a connection cannot be started for lack of a
  * descriptor or a route; nothing was sent then, and no callback runs. */
 HXfer *hcli_send (HCli *cli, const HCliTarget *target, const GString *request, const HXferOps *ops,
--- a/node/egress.c
+++ b/node/egress.c
@@ -12,8 +12,9 @@
 
 #include <string.h>
 
-#define PROBE_INTERVAL (250 * FT_MS)   /* while the path is lost */
-#define PROBE_TIMEOUT  (250 * FT_MS)   /* the same as for requests */
+#define PROBE_INTERVAL (250 * FT_MS) /* while the path is lost */
+#define PROBE_TIMEOUT  (200 * FT_MS) /* below the interval */
+#define PROBE_SETTLE   (40 * FT_MS)  /* a connection that lasts this long has reached its server */
 #define RELAY_SKIPPED  (1 * FT_SECOND) /* after a relay has failed */
 
 typedef struct
@@ -53,32 +54,63 @@
 }
 
 static void
-on_connect (void *user, const char *key, bool established)
+note_path (Egress *egress, const char *server, bool relayed, bool reached)
 {
-  Egress *egress = user;
   bool was_lost = paths_is_lost (egress->paths);
   unsigned before = paths_failed_count (egress->paths);
 
-  egress->failed_connects += !established;
-  paths_note (egress->paths, key, established);
+  if (relayed)
+    paths_note_relayed (egress->paths, server);
+  else
+    paths_note (egress->paths, server, reached);
   if (paths_is_lost (egress->paths) == was_lost)
     return;
-  log_change (egress, key, was_lost ? before : paths_failed_count (egress->paths));
+  log_change (egress, server, was_lost ? before : paths_failed_count (egress->paths));
   if (!was_lost)
     loop_timer_set (egress->loop, &egress->probe_timer, loop_now (egress->loop) + PROBE_INTERVAL);
   egress->changed (egress->host);
 }
 
+static void
+on_path (void *user, const char *key, SockAddr addr, bool relayed, bool reached)
+{
+  Egress *egress = user;
+
+  egress->failed_connects += !reached;
+  if (relayed)
+    {
+      egress->relayed++;
+      if (!egress->probing)
+        {
+          g_free (egress->probe_server);
+          egress->probe_server = g_strdup (key);
+          egress->probe_addr = addr;
+        }
+    }
+  note_path (egress, key, relayed, reached);
+}
+
 static void
 on_probed (void *user, bool connected, HXferFault fault)
 {
   Egress *egress = user;
 
-  (void) connected; /* on_connect has taken note of it */
-  (void) fault;
-  egress->probing = false;
+  (void) fault; /* on_path has taken note of it */
   if (egress->freed)
     g_free (egress);
+  else if (connected)
+    loop_timer_set (egress->loop, &egress->probe_timer, loop_now (egress->loop) + PROBE_SETTLE);
+  else
+    egress->probing = false;
+}
+
+/* The probe has connected. A path that is cut may accept connections and reset them at once. */
+static void
+finish_probe (Egress *egress)
+{
+  egress->probing = false;
+  note_path (egress, egress->probe_server, false,
+             hcli_is_connected (egress->cli, egress->probe_server));
 }
 
 static void
@@ -88,11 +120,12 @@
   HCliTarget target
       = { .addr = egress->probe_addr, .key = egress->probe_server, .connect_us = PROBE_TIMEOUT };
 
+  if (egress->probing)
+    finish_probe (egress);
   if (!paths_is_lost (egress->paths))
     return;
-  if (egress->probe_server && !egress->probing)
-    egress->probing = hcli_probe (egress->cli, &target, on_probed, egress);
   loop_timer_set (egress->loop, timer, loop_now (egress->loop) + PROBE_INTERVAL);
+  egress->probing = hcli_probe (egress->cli, &target, on_probed, egress);
 }
 
 bool
@@ -101,12 +134,24 @@
   return paths_is_lost (egress->paths);
 }
 
+bool
+egress_is_suspect (const Egress *egress)
+{
+  return paths_failed_count (egress->paths) > 1;
+}
+
 bool
 egress_is_doubtful (const Egress *egress, const char *server)
 {
   return paths_is_doubtful (egress->paths, server);
 }
 
+void
+egress_note_path (Egress *egress, const char *server, bool reached)
+{
+  note_path (egress, server, false, reached);
+}
+
 /* ---- Relays ---- */
 
 void
@@ -127,14 +172,14 @@
 }
 
 bool
-egress_pick_relay (Egress *egress, SockAddr *relay)
+egress_pick_relay (Egress *egress, uint32_t except, SockAddr *relay)
 {
   int64_t now = loop_now (egress->loop);
 
   for (unsigned i = 0; egress->relay_port && i < egress->candidate_count; i++)
     {
       const Candidate *candidate = &egress->candidates[egress->next++ % egress->candidate_count];
-      if (candidate->skipped_until > now)
+      if (candidate->skipped_until > now || candidate->ip == except)
         continue;
       *relay = (SockAddr){ candidate->ip, egress->relay_port };
       return true;
@@ -151,17 +196,6 @@
       egress->candidates[i].skipped_until = loop_now (egress->loop) + RELAY_SKIPPED;
 }
 
-void
-egress_note_relayed (Egress *egress, const char *server, SockAddr addr)
-{
-  egress->relayed++;
-  if (egress->probing)
-    return; /* the probe's key is in use */
-  g_free (egress->probe_server);
-  egress->probe_server = g_strdup (server);
-  egress->probe_addr = addr;
-}
-
 /* ---- The module ---- */
 
 Egress *
@@ -178,7 +212,7 @@
   egress->host = host;
   egress->probe_timer.fire = on_probe_timer;
   hcli_set_source (cli, settings->source);
-  hcli_set_connect_func (cli, on_connect, egress);
+  hcli_set_path_func (cli, on_path, egress);
   return egress;
 }
 
@@ -187,7 +221,7 @@
 {
   if (egress == NULL)
     return;
-  hcli_set_connect_func (egress->cli, NULL, NULL);
+  hcli_set_path_func (egress->cli, NULL, NULL);
   loop_timer_stop (egress->loop, &egress->probe_timer);
   paths_free (egress->paths);
   g_free (egress->probe_server);
--- a/node/egress.h
+++ b/node/egress.h
@@ -15,16 +15,18 @@
 void egress_free (Egress *egress);
 /* Whether this entry has lost its own path to the servers. */
 bool egress_is_lost (const Egress *egress);
-/* Whether a direct connect to the server is likely to fail. */
+/* Whether it may have: connections to several servers in a row have failed. */
+bool egress_is_suspect (const Egress *egress);
+/* A connection of this entry on behalf of another one has reached the server, or failed. */
+void egress_note_path (Egress *egress, const char *server, bool reached);
+/* Whether a direct connection to the server is likely to fail. */
 bool egress_is_doubtful (const Egress *egress, const char *server);
 /* The entries that relay for this one, as the voter in charge names them. */
 void egress_set_relays (Egress *egress, const MeshRelays *relays);
-/* Chooses a relay. Returns false if there is none, or all have failed lately. */
-bool egress_pick_relay (Egress *egress, SockAddr *relay);
+/* Chooses a relay other than except. Returns false if there is none, or all have failed lately. */
+bool egress_pick_relay (Egress *egress, uint32_t except, SockAddr *relay);
 /* The relay could not be reached, or took no connection. */
 void egress_note_relay_failed (Egress *egress, SockAddr relay);
-/* A relay has reached the server. */
-void egress_note_relayed (Egress *egress, const char *server, SockAddr addr);
 /* Appends the state in the metrics' text format. */
 void egress_describe (const Egress *egress, GString *out);
 
--- a/node/ends.c
+++ b/node/ends.c
@@ -46,7 +46,10 @@
   CheckState state;
   unsigned probes;
   int64_t crashed_at;
-  SockAddr relay;        /* through which the current probe goes; port 0: none */
+  SockAddr relay; /* through which the last probe went; port 0: none */
+  bool relayed;   /* the last probe went through it */
+  bool refused;   /* a direct probe was refused */
+  unsigned relayed_connects;
   bool probing, dropped; /* dropped: freed once the pending probe has ended */
   GArray *runs;          /* CrashRun, not reported yet */
 } ServerCheck;
@@ -173,32 +176,46 @@
   return check->probing;
 }
 
-/* The server's address refuses connections from here. */
-static void
-handle_refusal (ServerCheck *check)
+/* Probes through another entry. Returns false if there is none. */
+static bool
+start_relayed_probe (ServerCheck *check)
 {
   Egress *egress = check->detector->egress;
 
-  if (egress == NULL || !egress_pick_relay (egress, &check->relay) || !start_probe (check))
-    set_crashed (check, "its address refuses connections");
+  check->relayed
+      = egress && egress_pick_relay (egress, check->relay.ip, &check->relay) && start_probe (check);
+  return check->relayed;
+}
+
+static void
+probe_later (ServerCheck *check)
+{
+  Loop *loop = check->detector->loop;
+
+  loop_timer_set (loop, &check->timer, loop_now (loop) + SECOND_PROBE);
 }
 
 static void
 handle_relayed_probe (ServerCheck *check, bool connected, HXferFault fault)
 {
   Egress *egress = check->detector->egress;
-  SockAddr relay = check->relay;
 
-  check->relay = (SockAddr){ 0 };
-  if (connected)
+  if (connected && check->relayed_connects++ > 0)
     set_alive (check, "another entry reaches it");
-  else if (fault != HXFER_RELAY_FAILED)
-    set_crashed (check, "its address refuses connections, of another entry too");
-  else
+  else if (connected)
+    probe_later (check);
+  else if (fault == HXFER_REFUSED)
+    set_crashed (check, "its address refuses connections of another entry");
+  else if (fault == HXFER_RELAY_FAILED)
     {
-      egress_note_relay_failed (egress, relay);
-      handle_refusal (check);
+      egress_note_relay_failed (egress, check->relay);
+      if (!start_relayed_probe (check) && check->refused)
+        set_crashed (check, "its address refuses connections");
+      else if (!check->relayed)
+        probe_later (check);
     }
+  else
+    probe_later (check);
 }
 
 static void
@@ -211,24 +228,36 @@
     check_free (check);
   else if (check->state != STATE_PROBING)
     return;
-  else if (check->relay.port)
+  else if (check->relayed)
     handle_relayed_probe (check, connected, fault);
   else if (!connected && fault == HXFER_REFUSED)
-    handle_refusal (check);
+    {
+      check->refused = true;
+      if (!start_relayed_probe (check))
+        set_crashed (check, "its address refuses connections");
+    }
   else
-    loop_timer_set (check->detector->loop, &check->timer,
-                    loop_now (check->detector->loop) + SECOND_PROBE);
+    probe_later (check);
 }
 
 static void
 probe (ServerCheck *check)
 {
+  const Egress *egress = check->detector->egress;
+  bool doubtful = egress && (check->relayed || egress_is_doubtful (egress, check->server));
+
   check->probes++;
+  if (doubtful && start_relayed_probe (check))
+    return;
   check->relay = (SockAddr){ 0 };
+  check->relayed = false;
   if (start_probe (check))
     return;
-  if (errno == ECONNREFUSED) /* on the same machine the refusal is immediate */
-    handle_refusal (check);
+  check->refused = errno == ECONNREFUSED; /* on the same machine the refusal is immediate */
+  if (check->refused && start_relayed_probe (check))
+    return;
+  if (check->refused)
+    set_crashed (check, "its address refuses connections");
   else
     set_alive (check, "no connection can be opened from here");
 }
@@ -241,7 +270,7 @@
 
   if (check->state == STATE_CRASHED)
     g_hash_table_remove (detector->checks, check->server);
-  else if (hcli_is_connected (detector->cli, check->server))
+  else if (!check->relayed && hcli_is_connected (detector->cli, check->server))
     set_alive (check, "it accepts connections");
   else if (check->probes < PROBES_MAX)
     probe (check);
--- a/node/entry.c
+++ b/node/entry.c
@@ -612,6 +612,14 @@
   return !egress_is_lost (((Entry *) host)->egress);
 }
 
+static void
+on_relay_connect (void *host, SockAddr server, bool established)
+{
+  char key[SOCK_ADDR_TEXT_SIZE];
+
+  egress_note_path (((Entry *) host)->egress, sock_addr_format (server, key), established);
+}
+
 static bool
 open_relay (Entry *entry)
 {
@@ -620,6 +628,7 @@
                      .source = s->source,
                      .tunnels_max = RELAY_TUNNELS_MAX,
                      .is_usable = can_relay,
+                     .connected = on_relay_connect,
                      .user = entry };
 
   if (s->relay_port == 0)
--- a/node/try.c
+++ b/node/try.c
@@ -123,8 +123,6 @@
       return false;
     }
   record_received (req);
-  if (req->relay.port)
-    egress_note_relayed (req->requests->conf.egress, req->server, req->addr);
   req->head_seen = true;
   req->status = hmsg_status (msg);
   req->slowness = answer.slowness;
@@ -324,7 +322,7 @@
 send_through_relay (Req *req)
 {
   if (req->relays_tried >= RELAYS_MAX
-      || !egress_pick_relay (req->requests->conf.egress, &req->relay))
+      || !egress_pick_relay (req->requests->conf.egress, req->relay.ip, &req->relay))
     return false;
   req->relays_tried++;
   send_try (req);
@@ -352,11 +350,12 @@
 static void
 on_not_connected (Req *req, HXferFault fault)
 {
-  bool direct = req->relay.port == 0, lost = egress_is_lost (req->requests->conf.egress);
+  Egress *egress = req->requests->conf.egress;
+  bool direct = req->relay.port == 0;
 
   undo_send (req);
   /* The relay of an entry that is cut off may have been cut off with it a moment ago. */
-  if ((direct || lost) && send_through_relay (req))
+  if ((direct || egress_is_lost (egress) || egress_is_suspect (egress)) && send_through_relay (req))
     return;
   req->unreached++;
   count_inc (COUNT_UNREACHED);
@@ -457,7 +456,7 @@
   req->relay = (SockAddr){ 0 };
   req->relays_tried = 0;
   req->direct_tried = false;
-  if (egress_is_doubtful (egress, server->id) && egress_pick_relay (egress, &req->relay))
+  if (egress_is_doubtful (egress, server->id) && egress_pick_relay (egress, 0, &req->relay))
     req->relays_tried = 1;
   send_try (req);
 }
--- a/src/paths.c
+++ b/src/paths.c
@@ -1,13 +1,13 @@
 /* paths.c - tells the loss of this instance's own path from the failure of servers.
  *
- * A connect that fails says that the server is gone, or that the path is. One server that fails
- * says little; two different ones in a row, with no connect that succeeded between them, say that
- * what they have in common has failed, and that is this end. A success in between refutes it. Once
+ * A connection that fails says that the server is gone, or that the path is. Two different servers
+ * in a row, with no success between them, say that they have something in common: all of them are
+ * gone, or this end is cut off. If another instance reaches one of them, it is this end. Once
  * the path is lost it takes a row of successes to have it back: where a few servers can be reached,
  * a single one says no more than a single failure does. Answers on connections that were open
  * before prove nothing: they may live on while new ones fail.
  *
- * A wrong verdict costs a detour of one hop until the next connect succeeds, so little evidence is
+ * A wrong verdict costs a detour of one hop until connections succeed again, so little evidence is
  * enough. Whether a server is gone is never decided here.
  */
 #include "paths.h"
@@ -22,6 +22,7 @@
   FtClock *clock;
   GHashTable *failed; /* server -> int64_t: its last failure, removed by a success */
   int64_t row_began;  /* the first failure since a success; 0: there was none */
+  bool refuted;       /* another instance has reached a server of the row */
   int64_t lost_at;
   unsigned successes; /* in a row, while the path is lost */
   bool lost;
@@ -75,28 +76,54 @@
   if (paths->lost)
     g_hash_table_remove_all (paths->failed); /* the path had failed, not these servers */
   paths->row_began = 0;
-  paths->lost = false;
+  paths->refuted = paths->lost = false;
+}
+
+static void
+judge (Paths *paths, int64_t now)
+{
+  if (paths->lost || !paths->refuted || paths_failed_count (paths) < LOST_SERVERS)
+    return;
+  paths->lost = true;
+  paths->lost_at = now;
+  paths->successes = 0;
+}
+
+static void
+note_failure (Paths *paths, const char *server, int64_t now)
+{
+  int64_t oldest = now - MAX (ROW_MAX, DOUBT_TIME);
+
+  paths->successes = 0;
+  g_hash_table_foreach_remove (paths->failed, is_before, &oldest);
+  g_hash_table_replace (paths->failed, g_strdup (server), g_memdup2 (&now, sizeof now));
+  if (paths->row_began && (paths->lost || paths->row_began >= now - ROW_MAX))
+    return;
+  paths->row_began = now;
+  paths->refuted = false;
 }
 
 void
-paths_note (Paths *paths, const char *server, bool established)
+paths_note (Paths *paths, const char *server, bool reached)
 {
-  int64_t now = ft_clock_now (paths->clock), oldest = now - MAX (ROW_MAX, DOUBT_TIME);
+  int64_t now = ft_clock_now (paths->clock);
 
-  if (established)
+  if (reached)
     {
       note_success (paths, server);
       return;
     }
-  paths->successes = 0;
-  g_hash_table_foreach_remove (paths->failed, is_before, &oldest);
-  g_hash_table_replace (paths->failed, g_strdup (server), g_memdup2 (&now, sizeof now));
-  if (paths->row_began == 0 || (!paths->lost && paths->row_began < now - ROW_MAX))
-    paths->row_began = now;
-  if (paths->lost || paths_failed_count (paths) < LOST_SERVERS)
+  note_failure (paths, server, now);
+  judge (paths, now);
+}
+
+void
+paths_note_relayed (Paths *paths, const char *server)
+{
+  if (paths->row_began == 0 || !g_hash_table_contains (paths->failed, server))
     return;
-  paths->lost = true;
-  paths->lost_at = now;
+  paths->refuted = true;
+  judge (paths, ft_clock_now (paths->clock));
 }
 
 bool
