retry: a begun answer that is no event stream is not resumed

An entry ended itself when a server answered a streaming route with a long plain answer and broke it off: the route's kind alone was asked, the answer was resumed, and its last event's id was read from events that do not exist.

--- a/node/reqint.h
+++ b/node/reqint.h
@@ -70,6 +70,7 @@
   /* The answer to the caller. */
   Events *stream;
   bool begun;             /* its head has been sent */
+  bool begun_stream;      /* and it is a stream of events */
   int64_t delivered_at;   /* when the caller was last sent a part of it */
   const char *last_event; /* name of the event that ended the last try; NULL: no try has ended */
 } Req;
--- a/node/requests.c
+++ b/node/requests.c
@@ -64,6 +64,7 @@
       = { .kind = req->route->kind,
           .resumable = req->route->resumable,
           .begun = req->begun,
+          .is_stream = req->begun_stream,
           .may_have_run = req->may_have_run,
           .sends = req->sends,
           .most_sends = req->route->attempts,
--- a/node/try.c
+++ b/node/try.c
@@ -165,6 +165,7 @@
 begin_answer (Req *req)
 {
   req->begun = true;
+  req->begun_stream = req->is_stream;
   hcall_begin (req->call, req->status, req->fields);
 }
 
--- a/src/retry.c
+++ b/src/retry.c
@@ -71,7 +71,7 @@
 RetryStep
 retry_next (RetryEvent event, const RetryFacts *facts)
 {
-  if (facts->begun && facts->kind != RT_STREAM)
+  if (facts->begun && !facts->is_stream)
     return after_partial_answer (event);
   switch (event)
     {
--- a/test/decide.c
+++ b/test/decide.c
@@ -52,6 +52,7 @@
 facts (RtKind kind)
 {
   return (RetryFacts){ .kind = kind,
+                       .is_stream = kind == RT_STREAM,
                        .sends = 1,
                        .most_sends = 2,
                        .left_us = FT_SECOND,
@@ -192,6 +193,18 @@
   g_assert_cmpint (retry_next (RETRY_NOT_CONNECTED, &f), ==, RETRY_ANSWER_NOT_RUN);
 }
 
+/* Guards against resuming an answer that is no stream of events, though its route has streams. */
+static void
+begun_answer_without_events_is_not_resumed (void)
+{
+  RetryFacts f = facts (RT_STREAM);
+
+  f.resumable = f.begun = true;
+  f.is_stream = false;
+  g_assert_cmpint (retry_next (RETRY_STREAM_CUT, &f), ==, RETRY_ABORT);
+  g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
+}
+
 static void
 resumable_stream_is_resumed (void)
 {
@@ -674,6 +687,7 @@
   g_test_add_func ("/retry/begun_plain", begun_plain_answer_is_not_retried);
   g_test_add_func ("/retry/silence", silence_ends_no_try);
   g_test_add_func ("/retry/looks_further", begun_answer_looks_further);
+  g_test_add_func ("/retry/begun_without_events", begun_answer_without_events_is_not_resumed);
   g_test_add_func ("/retry/resume", resumable_stream_is_resumed);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
