reqask: a silent try is not ended for a place at the same server

Where no other server is usable the scheduler grants the one that is to be avoided; the only copy was ended and the request run a second time there. /begun/no_other_server: 2 runs before, 1 now.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -4,6 +4,8 @@
 #include "count.h"
 #include "jlog.h"
 
+#include <string.h>
+
 #define OUTPUT_GUESS_DIVISOR                                                                       \
   2 /* expected output without an estimate: half of the caller's maximum */
 #define ASK_PAUSE_MIN (50 * FT_MS) /* between a refusal and the next ask of a begun answer */
@@ -300,7 +302,8 @@
   Requests *requests = req->requests;
   const AdapterServer *server = &grant->server;
 
-  if (server->leaving || is_known_unusable (requests, server->id, grant->listed_at)
+  if (strcmp (server->id, req->server) == 0 || server->leaving
+      || is_known_unusable (requests, server->id, grant->listed_at)
       || place_block_reason (requests->conf.place, server->id, &(int64_t){ 0 })
       || is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
     {
