--- a/node/try.c
+++ b/node/try.c
@@ -469,6 +469,12 @@
 
   if (req->xfer == NULL)
     return;
+  int64_t left = MAX (req->sent_at, req->received_at) + req->silence_limit - req_now (req);
+  if (left > 0)
+    {
+      loop_timer_set (req->requests->conf.loop, timer, req_now (req) + left);
+      return;
+    }
   count_inc (COUNT_SILENT_TRIES);
   req_after_try (req, RETRY_SILENT);
 }
