hsrv: an answer that its caller has not read yet outlives SIGTERM

2.6 s after SIGTERM the entry closed connections on which nothing ran, also those with the rest of a complete answer in the buffer: of 1,048,576 bytes 192,512 arrived. Now these are closed when all is sent; the grace still ends them. /begun/unread_answer_at_sigterm failed and passes.

--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -412,8 +412,12 @@
   srv->listener = NULL;
   cds_list_for_each_entry_safe (conn, next, &srv->conns, link)
   {
-    if (conn->state == CONN_READING && conn->call == NULL)
+    if (conn->state != CONN_READING || conn->call)
+      continue;
+    if (sock_unsent (conn->sock) == 0)
       close_conn (conn, false);
+    else
+      conn->state = CONN_LINGERING; /* on_drained continues when the last response is sent */
   }
 }
 
