hcli: the kernel does not end the answer of a server that reads the request later

Such an answer was ended after 2.5 s by TCP_USER_TIMEOUT, which counts from the last byte that was taken (came cut, fault lost, after_ms 2715, silent_ms 313), and the request ran a second time.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -20,6 +20,8 @@
 #define SWEEP_INTERVAL_US (1 * FT_SECOND)
 /* for each key; more slots than any server has had so far */
 #define IDLE_CONNS_MAX 64
+/* bytes; a receiver has more room than this when a connection is new */
+#define LONG_REQUEST 8192
 
 typedef struct Conn Conn;
 
@@ -61,7 +63,8 @@
   LoopTimer timer;
   int64_t idle_since, idle_until, keep_alive_us;
   bool message_complete;
-  bool skipping; /* the response belongs to an earlier request */
+  bool long_request; /* may not fit into the buffers on the way */
+  bool skipping;     /* the response belongs to an earlier request */
   bool not_reusable;
   bool feeding; /* hread_feed runs, so the reader must not be freed */
   bool closed;  /* close_conn has run; the memory is freed at the end of the iteration */
@@ -156,6 +159,8 @@
   Conn *conn = user;
 
   conn->keep_alive_us = keep_alive_limit (msg);
+  if (conn->long_request) /* the server may answer before it reads the rest of it */
+    sock_set_user_timeout (conn->sock, false);
   if (!hmsg_keep_alive (msg))
     conn->not_reusable = true;
   conn->skipping = conn->xfer == NULL || !conn->xfer->ops->head (conn->xfer->user, msg);
@@ -255,6 +260,9 @@
 
   loop_timer_stop (conn->cli->loop, &conn->timer);
   xfer->sent = true;
+  if (conn->long_request)
+    sock_set_user_timeout (conn->sock, true);
+  conn->long_request = xfer->request->len > LONG_REQUEST;
   hread_set_no_body (conn->reader, xfer->no_body);
   sock_write (conn->sock, xfer->request->str, xfer->request->len);
   g_string_free (xfer->request, TRUE);
--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -350,7 +350,7 @@
     }
   /* A caller may stop reading for as long as its request lasts. Time limits on requests and on
    * unread answers end the connection of one that is lost. */
-  sock_disable_user_timeout (conn->sock);
+  sock_set_user_timeout (conn->sock, false);
   sock_set_unsent_total (conn->sock, &srv->unsent);
   conn->read = hread_new (true, &read_ops, conn);
   conn->timer.fire = on_timer;
--- a/net/sock.c
+++ b/net/sock.c
@@ -2,7 +2,8 @@
  *
  * If a machine loses power or a device on the path drops its state, a connection goes silent
  * without a reset, and the caller, stream or link that uses it would hang. Every socket therefore
- * has TCP keep-alive, and all but those to callers a user time-out. The kernel ends a connection
+ * has TCP keep-alive, and all but those to callers a user time-out, those to servers until a
+ * response begins. The kernel ends a connection
  *
  *   with unacknowledged data, or data that the peer leaves no room for: after USER_TIMEOUT_MS;
  *   with neither: when a probe is due and USER_TIMEOUT_MS have passed since the peer was last
@@ -409,11 +410,11 @@
 }
 
 void
-sock_disable_user_timeout (Sock *sock)
+sock_set_user_timeout (Sock *sock, bool on)
 {
-  int none = 0;
+  int ms = on ? USER_TIMEOUT_MS : 0;
 
-  setsockopt (sock->fd.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &none, sizeof none);
+  setsockopt (sock->fd.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
 void
--- a/net/sock.h
+++ b/net/sock.h
@@ -75,8 +75,9 @@
 /* Like sock_pause, but an orderly close by the peer is reported only after reading has resumed and
  * all bytes before it have been read. */
 void sock_pause_all (Sock *sock, bool all_paused);
-/* The kernel does not end the connection because the peer leaves data unread or unacknowledged. */
-void sock_disable_user_timeout (Sock *sock);
+/* Whether the kernel ends the connection when the peer leaves data unread or unacknowledged for
+ * 2.5 s; at first it does. */
+void sock_set_user_timeout (Sock *sock, bool on);
 /* Whether a close, also by the end of the process, resets the connection; at first it does not. */
 void sock_set_reset_on_close (Sock *sock, bool reset);
 /* Adds this socket's unsent bytes to *unsent_total and keeps that sum up to date until the socket
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -57,6 +57,6 @@
 try "a silence ends a try" src/retry.c 's/RETRY_REPLACE : RETRY_WAIT/RETRY_RESUME : RETRY_WAIT/' test-silence &
 try "a server that goes on is replaced all the same" node/try.c 's/^  req_withdraw_replacement \(req\);//' test-silence &
 try "a refusal ends a begun answer" node/reqask.c 's/^  if \(\(req->begun \|\| req->xfer\)/  if ((req->xfer)/; s/^  out.limit_at = .*/  out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;/' test-silence &
-try "the kernel ends paused callers" net/hsrv.c 's/^  sock_disable_user_timeout .*//' test-slow &
+try "the kernel ends paused callers" net/hsrv.c 's/^  sock_set_user_timeout .*//' test-slow &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
