retry: a begun answer waits out a full server, unreachable ones and an empty retry budget

A begun stream was given up in the same moment when the server to which it was to be resumed rejected it (its silent try had been ended for that place), and when the retry budget was used up; and with servers that cannot be reached it tried them without a pause, 8 times in the first second, each of which takes a server out. Now such a stream is resumed after a pause (50 to 300 ms), as long as its caller waits; a rejection is no run and no attempt of it; the budget is taken before the next ask.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -8,7 +8,8 @@
 
 #define OUTPUT_GUESS_DIVISOR                                                                       \
   2 /* expected output without an estimate: half of the caller's maximum */
-#define ASK_PAUSE_MIN (50 * FT_MS) /* between a refusal and the next ask of a begun answer */
+#define RESUME_AIM    (600 * FT_MS) /* for the next event; enough to read a usual prompt again */
+#define ASK_PAUSE_MIN (50 * FT_MS)  /* between a refusal and the next ask of a begun answer */
 #define ASK_PAUSE_MAX (300 * FT_MS)
 
 /* ---- Asking for a place ---- */
@@ -69,6 +70,7 @@
 {
   SchedAsk out = { 0 };
   uint32_t kept[SCHED_CONNECTED_MAX];
+  int64_t now = req_now (req);
 
   *number = ++req->requests->next_number;
   g_hash_table_insert (req->requests->by_number, number, req);
@@ -81,14 +83,14 @@
   out.prompt_tokens = req->facts.prompt_tokens;
   out.output_tokens = expected_tokens (&req->facts);
   out.shared_part = req->facts.shared_part;
-  out.content = req->content;
+  out.content = req->begun ? 0 : req->content; /* no caller has come back */
   out.route = g_str_hash (req->route->name);
   out.gap_us = req->route->gap_us;
-  /* The next event of a begun answer is on time for one gap from now. With the aim of its first
-   * event it would queue behind all requests that can still be on time. */
-  out.aim_at = req->begun ? req_now (req) + req->route->gap_us
-                          : req->arrived + req->route->target_us - req->waited_before;
   out.limit_at = caller_patience_end (req);
+  /* With the aim of its first event, which has passed, a begun answer would queue behind all
+   * requests that can still be on time. */
+  out.aim_at = req->begun ? now + MAX (req->route->gap_us, RESUME_AIM)
+                          : req->arrived + req->route->target_us - req->waited_before;
   out.end_at = req->deadline;
   out.avoid = avoid;
   out.kept = kept;
@@ -269,22 +271,10 @@
   return true;
 }
 
-void
-req_on_ask_pause_over (LoopTimer *timer)
-{
-  Req *req = (Req *) ((char *) timer - offsetof (Req, ask_pause));
-
-  if (req->xfer)
-    req_ask_replacement (req);
-  else
-    req_ask (req);
-}
-
 /* A caller that has a part of its answer is owed the rest, so the request asks again until that
- * caller gives up; and so does one whose current try may still be answered. False: there is no time
- * left for that. */
-static bool
-ask_again_later (Req *req, int64_t advice_us)
+ * caller gives up; and so does one whose current try may still be answered. */
+bool
+req_ask_later (Req *req, int64_t advice_us)
 {
   int64_t at = req_now (req) + CLAMP (advice_us, ASK_PAUSE_MIN, ASK_PAUSE_MAX);
 
@@ -294,6 +284,25 @@
   return true;
 }
 
+void
+req_on_ask_pause_over (LoopTimer *timer)
+{
+  Req *req = (Req *) ((char *) timer - offsetof (Req, ask_pause));
+
+  if (req->xfer)
+    req_ask_replacement (req);
+  else if (req->needs_budget && !budget_take (req->requests->conf.budget, req->service))
+    {
+      if (!req_ask_later (req, ASK_PAUSE_MAX))
+        req_break_off (req, "retry-budget");
+    }
+  else
+    {
+      req->needs_budget = false;
+      req_ask (req);
+    }
+}
+
 /* Another server has a place for a request whose current try is silent. The try ends now, unless
  * the place cannot be used or the retry budget is used up. */
 static bool
@@ -308,7 +317,7 @@
       || is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
     {
       req_withdraw_replacement (req);
-      ask_again_later (req, ASK_PAUSE_MAX);
+      req_ask_later (req, ASK_PAUSE_MAX);
       return false;
     }
   count_inc (req->begun ? COUNT_RESUMES : COUNT_REPEATS);
@@ -365,7 +374,7 @@
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)));
-  if ((req->begun || req->xfer) && ask_again_later (req, refusal->retry_after_us))
+  if ((req->begun || req->xfer) && req_ask_later (req, refusal->retry_after_us))
     return;
   if (req->xfer)
     return; /* the current try is all that is left */
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -34,6 +34,7 @@
   LoopTimer silence;        /* fires when the server has sent nothing for too long */
   LoopTimer verdict_wait;   /* armed while the quarantine verdict on its content is awaited */
   LoopTimer ask_pause;      /* armed between a refusal and the next ask of a begun answer */
+  bool needs_budget;        /* the next ask, after ask_pause, needs the retry budget */
   bool was_granted; /* a place was granted before: the organisation's limit has been charged */
   /* The tries. */
   unsigned sends, unreached;
@@ -103,7 +104,10 @@
 void req_withdraw_replacement (Req *req);
 /* Makes that ask the request's own, since its try has ended. */
 void req_promote_replacement (Req *req);
-/* Timer: a begun answer that was refused a place asks again. */
+/* Asks again after a pause, advice_us if that is not too short or long. False: the caller gives up
+ * before. */
+bool req_ask_later (Req *req, int64_t advice_us);
+/* Timer: that pause is over. */
 void req_on_ask_pause_over (LoopTimer *timer);
 /* Timer: the request has waited long enough for the quarantine verdict. */
 void req_on_verdict_wait_over (LoopTimer *timer);
--- a/node/requests.c
+++ b/node/requests.c
@@ -56,6 +56,15 @@
     }
 }
 
+static void
+avoid_last_server (Req *req)
+{
+  g_free (req->avoid_server);
+  req->avoid_server = g_strdup (req->server);
+  if (req->stream)
+    events_drop_partial (req->stream);
+}
+
 void
 req_after_try (Req *req, RetryEvent event)
 {
@@ -102,10 +111,7 @@
     {
     case RETRY_AGAIN:
     case RETRY_RESUME:
-      g_free (req->avoid_server);
-      req->avoid_server = g_strdup (req->server);
-      if (req->stream)
-        events_drop_partial (req->stream);
+      avoid_last_server (req);
       if (event != RETRY_NOT_CONNECTED)
         count_inc (step == RETRY_RESUME ? COUNT_RESUMES : COUNT_REPEATS);
       if (req->next_number)
@@ -113,6 +119,12 @@
       else
         req_ask (req);
       break;
+    case RETRY_RESUME_LATER:
+      avoid_last_server (req);
+      req->needs_budget = !facts.budget;
+      if (!req_ask_later (req, INT64_MAX))
+        req_break_off (req, retry_event_name (event));
+      break;
     case RETRY_DELIVER:
       req_finish (req);
       break;
--- a/node/try.c
+++ b/node/try.c
@@ -57,6 +57,8 @@
 {
   if (!req->wrong_server)
     {
+      if (req->begun)
+        req->sends--; /* it did not run, and nobody else can get the rest of the answer */
       req_after_try (req, RETRY_REJECTED);
       return;
     }
--- a/src/retry.c
+++ b/src/retry.c
@@ -20,17 +20,15 @@
 }
 
 static bool
-may_send_again (const RetryFacts *facts)
+has_attempts (const RetryFacts *facts)
 {
-  return facts->sends < facts->most_sends && facts->budget && facts->left_us > LEFT_MIN;
+  return facts->sends < facts->most_sends && facts->left_us > LEFT_MIN;
 }
 
-/* After a try that reached no server. The rest of a begun answer cannot be had by the caller's own
- * retry. */
 static bool
-may_look_further (const RetryFacts *facts)
+may_send_again (const RetryFacts *facts)
 {
-  return (facts->begun || facts->unreached < UNREACHED_MAX) && facts->left_us > LEFT_MIN;
+  return has_attempts (facts) && facts->budget;
 }
 
 static RetryStep
@@ -41,13 +39,27 @@
   return facts->may_have_run ? RETRY_ANSWER_UNKNOWN : RETRY_ANSWER_NOT_RUN;
 }
 
+/* After a try that reached no server. The rest of a begun answer cannot be had by the caller's own
+ * retry, so it is looked for as long as there is time. */
+static RetryStep
+after_unreached (const RetryFacts *facts, bool budget)
+{
+  if (facts->left_us <= LEFT_MIN)
+    return give_up (facts);
+  if (facts->begun)
+    return budget && facts->unreached < UNREACHED_MAX ? RETRY_RESUME : RETRY_RESUME_LATER;
+  return budget && facts->unreached < UNREACHED_MAX ? RETRY_AGAIN : give_up (facts);
+}
+
 /* A request that crashes servers would crash as many as its route allows tries, each time a caller
  * sends it. A request whose content crashed a server before is therefore not sent again. */
 static RetryStep
 after_break (const RetryFacts *facts)
 {
-  if (!is_repeatable (facts) || !may_send_again (facts) || facts->suspect)
+  if (!is_repeatable (facts) || !has_attempts (facts) || facts->suspect)
     return give_up (facts);
+  if (!facts->budget)
+    return facts->begun ? RETRY_RESUME_LATER : give_up (facts);
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
 
@@ -78,17 +90,13 @@
     case RETRY_ANSWERED:
       return RETRY_DELIVER;
     case RETRY_NOT_CONNECTED:
-      if (may_look_further (facts))
-        return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
-      return give_up (facts);
+      return after_unreached (facts, true);
     case RETRY_OTHER_SERVER:
-      if (facts->budget && may_look_further (facts))
-        return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
-      return give_up (facts);
+      return after_unreached (facts, facts->budget);
     case RETRY_REJECTED:
-      if (may_send_again (facts))
-        return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
-      return give_up (facts);
+      if (facts->begun && has_attempts (facts))
+        return RETRY_RESUME_LATER;
+      return may_send_again (facts) ? RETRY_AGAIN : give_up (facts);
     case RETRY_FAILURE:
       if (facts->begun)
         return after_break (facts);
@@ -105,7 +113,8 @@
 bool
 retry_uses_budget (RetryEvent event, RetryStep step)
 {
-  return event != RETRY_NOT_CONNECTED && (step == RETRY_AGAIN || step == RETRY_RESUME);
+  return event != RETRY_NOT_CONNECTED
+         && (step == RETRY_AGAIN || step == RETRY_RESUME || step == RETRY_RESUME_LATER);
 }
 
 const char *
@@ -120,8 +129,8 @@
 const char *
 retry_step_name (RetryStep step)
 {
-  static const char *const names[]
-      = { "again", "resume", "deliver", "not-run", "unknown", "break-off", "wait", "replace" };
+  static const char *const names[] = { "again",     "resume", "deliver",      "not-run", "unknown",
+                                       "break-off", "wait",   "resume-later", "replace" };
 
   return names[step];
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -41,7 +41,8 @@
   RETRY_ANSWER_UNKNOWN, /* 502: the request may have run */
   RETRY_ABORT,          /* the answer has begun: close the caller's connection */
   RETRY_WAIT,           /* keep waiting for the current try */
-  RETRY_REPLACE         /* the same, and end it for another server once that has a place */
+  RETRY_RESUME_LATER,   /* the same as RETRY_RESUME after a pause, and with the budget for it */
+  RETRY_REPLACE         /* keep waiting, and end the try for another server once that has a place */
 } RetryStep;
 
 /* Decides the next step. */
