reqask, try: one replacement at a time, and none is forgotten

Found by reading. A caller that catches up could arm the silence timer while a replacement was asked for; the second ask overwrote the number of the first one, which is a key of a table, and leaked its place. A replacement that met a quarantine check was not asked for again when that ended well.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -59,7 +59,8 @@
 {
   if (!req->begun)
     return req->first_deadline;
-  return MIN (req->deadline, req->delivered_at
+  int64_t waits_since = hcall_is_full (req->call) ? req_now (req) : req->delivered_at;
+  return MIN (req->deadline, waits_since
                                  + req->requests->conf.adapter_ops->first_event_timeout (
                                      req->route->target_us, req->route->gap_us));
 }
@@ -168,7 +169,11 @@
 {
   QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
 
-  if (verdict.state < QUAR_RECHECK)
+  if (req->next_number)
+    return;
+  if (verdict.state == QUAR_RECHECK)
+    loop_timer_set (req->requests->conf.loop, &req->ask_pause, verdict.recheck_at);
+  else if (verdict.state < QUAR_RECHECK)
     open_ask (req, &req->next_number, req->server);
 }
 
--- a/node/try.c
+++ b/node/try.c
@@ -193,7 +193,9 @@
   hxfer_pause (req->xfer, false);
   if (req->event_at)
     req->event_at = req_now (req);
-  if (req->is_stream)
+  req->delivered_at = req_now (req);
+  req->received_at = req_now (req);
+  if (req->is_stream && req->next_number == 0 && !req->ask_pause.armed)
     try_arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
 }
 
