--- a/test/backend.c
+++ b/test/backend.c
@@ -7,6 +7,7 @@
 #define STREAM_EVENTS    8             /* of a whole stream */
 #define CRASH_DELAY      (20 * FT_MS)  /* from the start of a crash body to the crash */
 #define BIND_RETRY       (20 * FT_MS)  /* until a restarted server tries again to bind its port */
+#define BRITTLE_WINDOW   FT_SECOND     /* in which a brittle server counts its rejections */
 #define SLOW_CRASH_DELAY (600 * FT_MS) /* more than an entry waits for a quarantine verdict */
 
 typedef struct
@@ -264,6 +265,8 @@
 
   if (server->rate > 0)
     g_string_append_printf (fields, "Server-Limit: %g\r\n", server->rate);
+  if (server->brittleness > 0)
+    g_string_append_printf (fields, "Server-Brittle: %u\r\n", server->brittleness);
   if (server->announces_leaving)
     hwrite_field (fields, "Server-Leaving", "1");
   if (backoff_s > 0)
@@ -271,6 +274,35 @@
   g_array_append_val (fleet->arrivals, arrival);
 }
 
+static bool
+has_room (const FleetServer *server)
+{
+  return server->capacity == 0 || server->streams->len + server->delayed->len < server->capacity;
+}
+
+/* Counts a rejection for want of room. A brittle server crashes if it has made too many. */
+static void
+count_rejection (FleetServer *server)
+{
+  int64_t now = loop_now (server->fleet->loop);
+  unsigned recent = 0;
+
+  g_array_append_val (server->rejected_at, now);
+  for (unsigned i = server->rejected_at->len; i-- > 0; recent++)
+    if (now - g_array_index (server->rejected_at, int64_t, i) >= BRITTLE_WINDOW)
+      break;
+  if (server->brittleness == 0 || recent <= server->brittleness || server->fall_timer.armed)
+    return;
+  server->falls++;
+  loop_timer_set (server->fleet->loop, &server->fall_timer, now); /* not within a call's handler */
+}
+
+static void
+on_fall_timer (LoopTimer *timer)
+{
+  fleet_crash_server ((FleetServer *) ((char *) timer - offsetof (FleetServer, fall_timer)));
+}
+
 static void
 on_server_request (void *owner, HCall *call)
 {
@@ -282,7 +314,7 @@
   server->arrived++;
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
   bool addressed = wanted && strcmp (wanted, server->id) == 0 && server->mode != SERVER_REPLACED;
-  bool full = server->mode == SERVER_FULL || server->refuses_all;
+  bool full = server->mode == SERVER_FULL || server->refuses_all || !has_room (server);
   if (addressed)
     add_notices (server, id, full, fields);
   else if (server->announces_leaving)
@@ -294,6 +326,7 @@
     {
       hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
       hcall_reply (call, 503, fields, "", 0);
+      count_rejection (server);
     }
   else
     run_request (server, call, id, fields);
@@ -325,6 +358,8 @@
     loop_timer_stop (server->fleet->loop, &((Stream *) server->streams->pdata[i])->timer);
   g_ptr_array_set_size (server->streams, 0);
   g_ptr_array_set_size (server->delayed, 0);
+  g_array_set_size (server->rejected_at, 0);
+  loop_timer_stop (server->fleet->loop, &server->fall_timer);
   hsrv_free (server->srv);
   server->srv = NULL;
   server->crash_call = NULL;
@@ -393,6 +428,8 @@
   server->streams = g_ptr_array_new_with_free_func (g_free);
   server->delayed = g_ptr_array_new_with_free_func (delayed_free);
   g_strlcpy (server->version, "v1", sizeof server->version);
+  server->rejected_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  server->fall_timer.fire = on_fall_timer;
   server->crash_timer.fire = on_crash_timer;
   server->restart_timer.fire = on_restart_timer;
   server->srv = hsrv_new (fleet->loop, addr, &server_ops, server);
@@ -407,4 +444,5 @@
   stop_server (server);
   g_ptr_array_unref (server->streams);
   g_ptr_array_unref (server->delayed);
+  g_array_unref (server->rejected_at);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -51,9 +51,15 @@
   bool refuses_all;       /* answers 503 to everything, as SERVER_FULL does, whatever its mode */
   double backoff_s;       /* the Retry-After of such an answer; 0: none */
   unsigned arrived;       /* requests received, of all incarnations */
-  GPtrArray *streams;     /* running streams */
-  GPtrArray *delayed;     /* plain calls to be answered later */
-  HCall *crash_call;      /* a running call with a crash body; NULL: none */
+  unsigned capacity;      /* requests that it runs at once; it rejects more; 0: no bound */
+  /* it announces this number of rejections a second, and crashes when it has made more; 0: none */
+  unsigned brittleness;
+  unsigned falls;      /* crashes for too many rejections, of all incarnations */
+  GArray *rejected_at; /* when it rejected requests for want of room, this incarnation */
+  LoopTimer fall_timer;
+  GPtrArray *streams; /* running streams */
+  GPtrArray *delayed; /* plain calls to be answered later */
+  HCall *crash_call;  /* a running call with a crash body; NULL: none */
   LoopTimer crash_timer, restart_timer;
 } FleetServer;
 
