notice: servers announce their brittleness, carried to the scheduler

Server-Brittle: N in an answer says that the server crashes when it rejects more than N requests in a second, from all instances. It is read by one bounded reader (the lowest of several fields; a value that cannot be read is logged and takes nothing back), kept per incarnation, logged in server-notice, told again to each scheduler that an entry turns to (MeshNotice.brittle_milli) and ended by the rule of the rate limit: an answer without it to a request granted after the latest notice. Nothing acts on it yet.

--- a/node/brokerlink.c
+++ b/node/brokerlink.c
@@ -165,7 +165,8 @@
 {
   Notice notice = { .rate = from->rate_milli / 1e3,
                     .leaving = from->leaving,
-                    .backoff_us = from->backoff_ms * FT_MS };
+                    .backoff_us = from->backoff_ms * FT_MS,
+                    .brittleness = from->brittle_milli / 1e3 };
 
   if (from->request)
     sched_notice (broker->sched, peer->lifetime, from->request, from->server, &notice);
--- a/node/placeint.h
+++ b/node/placeint.h
@@ -21,7 +21,7 @@
   MeshPeer *informed[INFORMED_MAX]; /* schedulers whose ledgers hold the request */
   bool running;
   bool charged; /* charged to its organisation's limit by a scheduler that was asked before */
-  bool paced;   /* the granting scheduler limits the rate of requests to its server */
+  bool paced;   /* the granting scheduler limits the rate of its server or takes it for brittle */
   int64_t asked_at;
 } PlaceReq;
 
--- a/node/placemsg.c
+++ b/node/placemsg.c
@@ -154,7 +154,8 @@
                                        .server = (char *) server,
                                        .rate_milli = (u_int) (notice->rate * 1e3),
                                        .leaving = notice->leaving,
-                                       .backoff_ms = (u_int) (notice->backoff_us / FT_MS) };
+                                       .backoff_ms = (u_int) (notice->backoff_us / FT_MS),
+                                       .brittle_milli = (u_int) (notice->brittleness * 1e3) };
   mesh_send (peer, &msg);
 }
 
--- a/node/try.c
+++ b/node/try.c
@@ -84,7 +84,8 @@
     jlog (JLOG_INFO, "server-notice", req->id, JL_TEXT ("server", req->server),
           JL_INT ("status", req->status), JL_INT ("rate_milli", notice->rate * 1e3),
           JL_INT ("leaving", notice->leaving), JL_MS ("backoff_ms", notice->backoff_us),
-          JL_TEXT ("unread", answer->unread), JL_TEXT ("by", place_scheduler_name (place)));
+          JL_INT ("brittle_milli", notice->brittleness * 1e3), JL_TEXT ("unread", answer->unread),
+          JL_TEXT ("by", place_scheduler_name (place)));
 }
 
 void
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -221,6 +221,7 @@
 	u_int rate_milli;
 	bool_t leaving;
 	u_int backoff_ms;
+	u_int brittle_milli;
 };
 typedef struct MeshNotice MeshNotice;
 #define MESH_CONTENTS_MAX 64
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -144,8 +144,8 @@
                                   that must not run twice */
   unsigned int list_age_ms;    /* of the scheduler's list, since the platform was queried */
   unsigned int org_fill;     /* per mille of the organisation's limit that can be used now */
-  bool paced;                /* the scheduler limits the server's rate: the entry reports by
-                                MeshNotice also that an answer names no rate */
+  bool paced;                /* the scheduler limits the server's rate or takes it for brittle: the
+                                entry reports by MeshNotice also that an answer names neither */
 };
 
 struct MeshRefuse {
@@ -185,6 +185,7 @@
   unsigned int rate_milli;   /* accepted rate, thousandths of a request a second; 0: none named */
   bool leaving;
   unsigned int backoff_ms;   /* it wants no requests from the entry for so long from now */
+  unsigned int brittle_milli; /* thousandths of a rejection a second that it bears; 0: none named */
 };
 
 /* ---- Contents that were running when servers crashed ---- */
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -658,6 +658,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->backoff_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->brittle_milli))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->rate_milli);
+			IXDR_PUT_BOOL(buf, objp->leaving);
+			IXDR_PUT_U_LONG(buf, objp->backoff_ms);
+			IXDR_PUT_U_LONG(buf, objp->brittle_milli);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->backoff_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->brittle_milli))
+				 return FALSE;
+		} else {
+			objp->rate_milli = IXDR_GET_U_LONG(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
+			objp->backoff_ms = IXDR_GET_U_LONG(buf);
+			objp->brittle_milli = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->request))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
@@ -670,6 +721,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->backoff_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->brittle_milli))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/notice.c
+++ b/src/notice.c
@@ -1,5 +1,5 @@
-/* notice.c - parses the response fields in which a backend server announces a rate limit or a
- * backoff. */
+/* notice.c - parses the response fields in which a backend server announces a rate limit, a
+ * backoff or its brittleness. */
 #include "notice.h"
 
 #include <math.h>
@@ -18,17 +18,29 @@
   return end != text && *end == '\0' && isfinite (*out);
 }
 
-bool
-notice_parse_rate (const char *text, double *rate)
+static bool
+parse_bounded (const char *text, double min, double max, double *out)
 {
   double value;
 
   if (!parse_number (text, &value))
     return false;
-  *rate = CLAMP (value, NOTICE_RATE_MIN, NOTICE_RATE_MAX);
+  *out = CLAMP (value, min, max);
   return true;
 }
 
+bool
+notice_parse_rate (const char *text, double *rate)
+{
+  return parse_bounded (text, NOTICE_RATE_MIN, NOTICE_RATE_MAX, rate);
+}
+
+bool
+notice_parse_brittleness (const char *text, double *brittleness)
+{
+  return parse_bounded (text, NOTICE_BRITTLENESS_MIN, NOTICE_BRITTLENESS_MAX, brittleness);
+}
+
 bool
 notice_parse_backoff (const char *text, int64_t *us)
 {
@@ -46,5 +58,6 @@
 bool
 notice_is_empty (const Notice *notice)
 {
-  return notice->rate <= 0 && !notice->leaving && notice->backoff_us == 0;
+  return notice->rate <= 0 && !notice->leaving && notice->backoff_us == 0
+         && notice->brittleness <= 0;
 }
--- a/src/notices.c
+++ b/src/notices.c
@@ -7,7 +7,7 @@
 
 typedef struct
 {
-  double rate;
+  double rate, brittleness;
   bool leaving;   /* until this incarnation ends */
   bool malformed; /* it has sent a malformed notice */
   int64_t backoff_until, updated_at;
@@ -76,19 +76,24 @@
   int64_t now = ft_clock_now (notices->clock);
   Record *record = g_hash_table_lookup (notices->by_server, server);
 
-  bool announced = record && (record->rate > 0 || record->leaving || record->backoff_until > now);
+  bool announced = record
+                   && (record->rate > 0 || record->brittleness > 0 || record->leaving
+                       || record->backoff_until > now);
   if (!announced && notice_is_empty (notice))
     return NOTICES_NONE;
   if (record == NULL)
     record = record_of (notices, server);
-  bool same = record->rate == notice->rate && record->leaving >= notice->leaving
+  bool same = record->rate == notice->rate && record->brittleness == notice->brittleness
+              && record->leaving >= notice->leaving
               && (notice->backoff_us == 0 || record->backoff_until > now);
   record->rate = notice->rate;
+  record->brittleness = notice->brittleness;
   record->leaving = record->leaving || notice->leaving;
   if (notice->backoff_us > 0)
     record->backoff_until = MAX (record->backoff_until, now + notice->backoff_us);
   record->updated_at = now;
-  if (record->rate <= 0 && !record->leaving && !record->malformed && record->backoff_until <= now)
+  if (record->rate <= 0 && record->brittleness <= 0 && !record->leaving && !record->malformed
+      && record->backoff_until <= now)
     g_hash_table_remove (notices->by_server, server);
   return same ? NOTICES_SAME : NOTICES_CHANGED;
 }
@@ -109,7 +114,10 @@
 {
   int64_t left = record->backoff_until - ft_clock_now (notices->clock);
 
-  return (Notice){ .rate = record->rate, .leaving = record->leaving, .backoff_us = MAX (0, left) };
+  return (Notice){ .rate = record->rate,
+                   .leaving = record->leaving,
+                   .backoff_us = MAX (0, left),
+                   .brittleness = record->brittleness };
 }
 
 const char *
--- a/src/notices.h
+++ b/src/notices.h
@@ -16,7 +16,8 @@
   NOTICES_CHANGED /* something else than before */
 } NoticesChange;
 
-/* Records the notice of an answer; an empty one withdraws an announced rate limit. */
+/* Records the notice of an answer; an empty one withdraws an announced rate limit and
+ * brittleness. */
 NoticesChange notices_record (Notices *notices, const char *server, const Notice *notice);
 /* Records that an answer contained a malformed notice. True: the first one of this server. */
 bool notices_record_unreadable (Notices *notices, const char *server);
--- a/src/pace.c
+++ b/src/pace.c
@@ -85,8 +85,7 @@
 static bool
 granted_after_last_notice (const Server *server, const Job *job)
 {
-  return job && job->server == server && !job->adopted
-         && job->granted_at > server->pace.announced_at;
+  return sched_granted_after (server, job, server->pace.announced_at);
 }
 
 void
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -1,5 +1,6 @@
 /* schedint.h - records and functions shared by the scheduler's files; private to scheduler.c,
- * waiting.c, admit.c, estimate.c, health.c, pace.c, backoff.c, versions.c and schedview.c. */
+ * waiting.c, admit.c, estimate.c, health.c, pace.c, backoff.c, brittle.c, versions.c and
+ * schedview.c. */
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
 
@@ -77,6 +78,13 @@
   int64_t announced_at; /* when the latest notice was applied */
 } Pace;
 
+/* A server that crashes if it rejects too many requests (brittle.c). */
+typedef struct
+{
+  double limit;         /* rejections a second that it bears; 0: it is not brittle */
+  int64_t announced_at; /* when the latest notice was applied */
+} Brittle;
+
 struct Server
 {
   struct cds_list_head link;
@@ -109,6 +117,7 @@
   /* value of Sched.choices at the latest choice whose owner had a connection to the server */
   uint64_t connected_choice;
   Pace pace;
+  Brittle brittle;
   unsigned trial_requests; /* requests it got while its version was on trial */
 };
 
@@ -302,6 +311,9 @@
 /* Removes the job from its server or its queue, and frees it. */
 void sched_remove_job (Sched *sched, Job *job, int64_t now);
 
+/* True if the job runs on the server and was granted, by this scheduler, after the given time. */
+bool sched_granted_after (const Server *server, const Job *job, int64_t at);
+
 /* ---- Refusal (admit.c) ---- */
 
 /* Refuses a waiting job; wait_us: estimated time until it would start, from which Retry-After
@@ -363,6 +375,14 @@
 /* True if a place is free at a server from which the job's owner need not back off. */
 bool boff_any_place (const Sched *sched, const Job *job, int64_t now);
 
+/* ---- Brittle servers (brittle.c) ---- */
+
+/* An answer announced how many rejections a second the server bears; 0: it is not brittle. job: the
+ * request that was answered, NULL if it is no longer known. */
+void brit_apply_notice (Server *server, const Job *job, double limit, int64_t now);
+/* An instance received the notice for a request that another scheduler had granted. */
+void brit_apply_older_notice (Server *server, double limit, int64_t now);
+
 /* ---- Versions of servers (versions.c) ---- */
 
 void ver_init (Versions *versions);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -556,6 +556,12 @@
   curve_learn (&job->service->curve, &server->prompt_unit, job->ask.prompt_tokens, token, prefill);
 }
 
+bool
+sched_granted_after (const Server *server, const Job *job, int64_t at)
+{
+  return job && job->server == server && !job->adopted && job->granted_at > at;
+}
+
 /* Applies the parts of a notice that do not depend on which request was answered. */
 static void
 apply_notice (Sched *sched, uint64_t owner, Server *server, const Notice *notice, int64_t now)
@@ -580,6 +586,7 @@
     return;
   apply_notice (sched, owner, server, notice, now);
   pace_apply_notice (sched, server, job, notice->rate, now);
+  brit_apply_notice (server, job, notice->brittleness, now);
 }
 
 void
@@ -592,6 +599,7 @@
     return;
   apply_notice (sched, owner, server, notice, now);
   pace_apply_older_notice (sched, server, notice->rate, age, now);
+  brit_apply_older_notice (server, notice->brittleness, now);
 }
 
 void
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -231,7 +231,8 @@
   unsigned waiting, running, servers, out, slots;
 } SchedStats;
 void sched_stats (const Sched *sched, SchedStats *stats);
-/* True if a rate limit applies to the server. */
+/* True if a rate limit applies to the server, or it is brittle: its answers must be reported also
+ * if they announce nothing. */
 bool sched_is_paced (const Sched *sched, const char *server);
 /* Describes the state in comment lines of the metrics format: one for each server with its state
  * and learned speeds, and one for each queue in fair order with its organisations, their waiting
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -331,6 +331,45 @@
     }
 }
 
+/* How many rejections a server bears: the lowest of several fields, bounded. */
+static void
+brittleness (void)
+{
+  static const struct
+  {
+    const char *fields;
+    double brittleness;
+    const char *unread;
+  } cases[] = {
+    { "", 0, NULL },
+    { "Server-Brittle: 4\r\n", 4, NULL },
+    { "Server-Brittle: 2.5\r\nServer-Limit: 3\r\n", 2.5, NULL },
+    { "Server-Brittle: 9\r\nServer-Brittle: 2\r\n", 2, NULL },
+    { "Server-Brittle: 0\r\n", NOTICE_BRITTLENESS_MIN, NULL },
+    { "Server-Brittle: 99999999999999999999\r\n", NOTICE_BRITTLENESS_MAX, NULL },
+    { "Server-Brittle: \r\n", 0, "" },
+    { "Server-Brittle: -2\r\n", 0, "-2" },
+    { "Server-Brittle: 1e3\r\n", 0, "1e3" },
+    { "Server-Brittle: yes\r\n", 0, "yes" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *body = g_string_new (NULL);
+      char *text
+          = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", cases[i].fields);
+      HReader *read = read_message (false, text, body);
+      AdapterAnswer answer;
+
+      platform_adapter_ops ()->read_answer (last_head, &answer);
+      g_assert_cmpfloat_with_epsilon (answer.notice.brittleness, cases[i].brittleness, 1e-9);
+      g_assert_cmpstr (answer.unread, ==, cases[i].unread);
+      hread_free (read);
+      g_string_free (body, TRUE);
+      g_free (text);
+    }
+}
+
 /* Retry-After in an answer that is no refusal is meant for the caller only. */
 static void
 advice_for_callers (void)
@@ -563,6 +602,7 @@
   g_test_add_func ("/adapter/forward", forwarded_request);
   g_test_add_func ("/adapter/answers", answers);
   g_test_add_func ("/adapter/notices", notices);
+  g_test_add_func ("/adapter/brittleness", brittleness);
   g_test_add_func ("/adapter/advice_for_callers", advice_for_callers);
   g_test_add_func ("/adapter/list", list_pages);
   g_test_add_func ("/adapter/list_spoilt", list_invalid_entries);
--- a/test/place.c
+++ b/test/place.c
@@ -846,7 +846,7 @@
 static void
 notices_before_requests (void)
 {
-  Notice notice = { .rate = 2, .backoff_us = 9 * FT_SECOND };
+  Notice notice = { .rate = 2, .backoff_us = 9 * FT_SECOND, .brittleness = 4 };
   MeshNotice reported;
   unsigned asks;
 
@@ -860,11 +860,13 @@
   g_assert_true (next_notice (&a, &reported, &asks));
   g_assert_cmpuint (reported.request, ==, 1);
   g_assert_cmpuint (reported.rate_milli, ==, 2000);
+  g_assert_cmpuint (reported.brittle_milli, ==, 4000);
   set_leader (&b, 2);
   g_assert_true (next_notice (&b, &reported, &asks));
   g_assert_cmpuint (asks, ==, 0);
   g_assert_cmpuint (reported.request, ==, 0);
   g_assert_cmpuint (reported.rate_milli, ==, 2000);
+  g_assert_cmpuint (reported.brittle_milli, ==, 4000);
   g_assert_cmpuint (reported.backoff_ms, >, 8000);
   test_peer_free (&a);
   test_peer_free (&b);
