brittle: keep brittle servers from rejecting too much

Servers that announce a brittleness (rejections a second that they bear) were treated like others: a rejecting server was left alone for 40 ms, then its listed places were filled again, so 4 servers fell 16 times in 10 s.

src/brittle.c keeps an estimate of each brittle server's room. A rejection lowers it to what runs there, so that the next request waits for an end and a pause; it grows by one after a calm time and on a success, later each time that it grew in vain. A successor starts with what runs, a new server of a service with brittle ones with one. Recent rejections and grants of unknown outcome together stay within half of what the server bears (one by one within three quarters), times this scheduler's share; with a share of the places a quarter stays free. Rejections stay no failures.

test-brittle now has its faults under load (it killed voters between two loads before), and also: entries that each schedule alone (all links refused), links of 15 ms, two crashed servers, N = 1.

A server of which this scheduler's share was no place never got a request again, as its room grew in ticks with waiting requests only (/brittle_sched/no_place).

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -129,7 +129,7 @@
     if (!sum->any_usable || answer < sum->min_answer_us)
       sum->min_answer_us = answer;
     sum->any_usable = true;
-    sum->slots += server->slots;
+    sum->slots += brit_room (server);
     bool fails = is_recent (server->failed_at, now);
     used += fails || is_recent (server->answered_at, now);
     failed += fails;
@@ -182,8 +182,8 @@
 places_of (const Sched *sched, const Server *server, double part)
 {
   if (part >= 1)
-    return server->slots;
-  double exact = server->slots * part;
+    return brit_room (server);
+  double exact = brit_shared_room (server) * part;
   uint64_t draw = (g_str_hash (server->id) ^ sched->salt) * 0x9e3779b97f4a7c15u;
   double fraction = (double) (draw >> 11) / 9007199254740992.0;
   return (unsigned) (exact + fraction);
@@ -225,7 +225,7 @@
   unsigned most = server->probing ? 1 : est_places (sched, server);
 
   return est_usable (server, now) && server->running < most && is_within_grant_share (sched, server)
-         && pace_has_token (sched, server, now);
+         && pace_has_token (sched, server, now) && brit_permits (sched, server, now);
 }
 
 /* ---- Estimates ---- */
@@ -418,7 +418,8 @@
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
     if (!est_usable (server, now) || server->probing || server->pace.rate > 0
-        || !boff_permits (server, job->key.owner, now) || est_has_place (sched, server, now)
+        || !brit_permits (sched, server, now) || !boff_permits (server, job->key.owner, now)
+        || est_has_place (sched, server, now)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
     Estimate here = estimate (server, &job->ask, now);
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -79,10 +79,21 @@
 } Pace;
 
 /* A server that crashes if it rejects too many requests (brittle.c). */
+#define BRIT_REJECTIONS_MAX                                                                        \
+  16 /* remembered; more are not risked, whatever the server announces                             \
+      */
+
 typedef struct
 {
   double limit;         /* rejections a second that it bears; 0: it is not brittle */
   int64_t announced_at; /* when the latest notice was applied */
+  unsigned room;        /* requests that it is believed to run at once; used while limit > 0 */
+  unsigned proven;      /* most requests that it ran at once since its room last shrank */
+  int64_t changed_at;   /* when room was last set */
+  int64_t calm_for;     /* time without a rejection until the room grows */
+  unsigned rejections;  /* so far */
+  int64_t last_rejected_at;
+  int64_t rejected_at[BRIT_REJECTIONS_MAX]; /* ring buffer of the latest */
 } Brittle;
 
 struct Server
@@ -203,6 +214,8 @@
   unsigned open_servers;     /* servers with a free place, as of the last count */
   int64_t backoff_until;     /* end of the latest backoff that any of its servers asked for */
   double mean_us;            /* average slot time of a request on the best server */
+  double brittleness;        /* as the latest notice of any of its servers announced; 0: none */
+  int64_t brittle_until;     /* until then its new servers are taken for brittle */
   const ShrWeights *weights; /* weights of the fair shares; NULL: fair order is off */
 };
 
@@ -382,6 +395,27 @@
 void brit_apply_notice (Server *server, const Job *job, double limit, int64_t now);
 /* An instance received the notice for a request that another scheduler had granted. */
 void brit_apply_older_notice (Server *server, double limit, int64_t now);
+/* A server that was not listed before. */
+void brit_init_server (Server *server, int64_t now);
+/* How many requests the server is believed to run at once, at most its listed places. */
+unsigned brit_room (const Server *server);
+/* The same, less a reserve for the errors of other schedulers that grant its places too. */
+double brit_shared_room (const Server *server);
+/* True if a brittle server bears it if the next request is rejected. */
+bool brit_is_calm (const Sched *sched, const Server *server, int64_t now);
+static inline bool
+brit_permits (const Sched *sched, const Server *server, int64_t now)
+{
+  return server->brittle.limit <= 0 || brit_is_calm (sched, server, now);
+}
+/* The server rejected a request, which server->running does not include any more. */
+void brit_note_rejection (const Sched *sched, Server *server, int64_t now);
+/* The server has begun to answer a request, which server->running includes. */
+void brit_note_success (const Sched *sched, Server *server, int64_t now);
+/* A request that another scheduler granted runs there. */
+void brit_note_adopted (Server *server, int64_t now);
+/* Lets the room grow where this scheduler's share of it is no place, so that nothing is learned. */
+void brit_tick (const Sched *sched, Service *service, int64_t now);
 
 /* ---- Versions of servers (versions.c) ---- */
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -532,6 +532,7 @@
   start_job (job, server, now);
   job->adopted = true;
   note_first_event (job, now);
+  brit_note_adopted (server, now);
 }
 
 /* ---- Progress and end of requests ---- */
@@ -549,6 +550,7 @@
   server->answered_at = now;
   ver_note_first (sched, job, after_us);
   note_first_event (job, now);
+  brit_note_success (sched, server, now);
   if (!job->service->conf.engine || !job->sole_prompt || job->ask.prompt_tokens < LEARN_TOKENS_MIN)
     return;
   double token = est_token_us (server);
@@ -626,11 +628,18 @@
   int64_t granted_at = job->granted_at;
   if (server)
     ver_note_end (sched, job, result, now);
+  if (server && result->outcome == SCHED_OK && !job->got_first_event)
+    {
+      note_first_event (job, now);
+      brit_note_success (sched, server, now);
+    }
   sched_remove_job (sched, job, now);
   if (server && result->broke)
     est_note_broken (server, result->conn_idle_us > 0, now);
   if (server)
     health_update (sched, server, result, granted_at, now);
+  if (server && result->outcome == SCHED_REJECTED)
+    brit_note_rejection (sched, server, now);
   dispatch (sched, service, now);
 }
 
@@ -717,7 +726,10 @@
     {
       Server *server = g_hash_table_lookup (sched->servers, servers[i].id);
       if (server == NULL)
-        server = server_new (sched, &servers[i]);
+        {
+          server = server_new (sched, &servers[i]);
+          brit_init_server (server, now);
+        }
       server->listed = true;
       server->leaving = servers[i].leaving || server->announced_leaving;
       server->slots = MAX (servers[i].slots, 1);
@@ -746,6 +758,7 @@
     {
       Service *service = value;
       ver_check_overdue (sched, service, now);
+      brit_tick (sched, service, now);
       if (count_waiting (service) == 0) /* spares idle services the count over all servers */
         continue;
       dispatch (sched, service, now);
--- a/src/schedview.c
+++ b/src/schedview.c
@@ -68,14 +68,14 @@
       g_string_append_printf (
           out,
           "# %s service=%s domain=%s running=%u/%u %s%s%s token_ms=%.2f prompt_unit_ms=%.2f "
-          "answer_ms=%.1f failures=%.2f rate=%g brittle=%g\n",
+          "answer_ms=%.1f failures=%.2f rate=%g brittle=%g room=%u\n",
           server->id, server->service->name, server->domain, server->running, server->slots,
           server->leaving  ? "leaving"
           : server->listed ? "live"
                            : "gone",
           now < server->out_until ? " out" : "", server->probing ? " trial" : "",
           server->token_us / 1e3, server->prompt_unit / 1e3, server->answer_us / 1e3,
-          server->failures, server->pace.rate, server->brittle.limit);
+          server->failures, server->pace.rate, server->brittle.limit, brit_room (server));
     }
   g_hash_table_iter_init (&iter, sched->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/test/brittle.c
+++ b/test/brittle.c
@@ -22,9 +22,14 @@
   unsigned sent, served, refused, broken_off;
   unsigned most; /* requests that the servers could have run */
   int64_t until;
+  /* a fault under load, at strike_at; NULL: none, or it has happened */
+  void (*strike) (Fleet *fleet, FleetNode *leader);
+  int64_t strike_at;
+  FleetNode *leader; /* the voter in charge until then */
 } Load;
 
 #define RETURN_AFTER (100 * FT_MS)
+#define STRIKE_AFTER (3 * FT_SECOND)
 
 static unsigned
 fall_count (const Fleet *fleet)
@@ -78,6 +83,11 @@
   int64_t now = loop_now (load->fleet->loop);
   unsigned open = 0;
 
+  if (load->strike && now >= load->strike_at)
+    {
+      load->strike (load->fleet, load->leader);
+      load->strike = NULL;
+    }
   for (unsigned i = 0; i < CALLER_COUNT; i++)
     {
       if (load->open[i] && load->answers[i].done)
@@ -89,11 +99,19 @@
   return now >= load->until && open == 0;
 }
 
-/* Sends requests for the given time, then waits for all answers. */
+/* Sends requests for the given time, then waits for all answers. strike: a fault after
+ * STRIKE_AFTER; NULL: none. */
 static void
-run_load (Fleet *fleet, int64_t us, Load *sum)
+run_load_with (Fleet *fleet, int64_t us, void (*strike) (Fleet *fleet, FleetNode *leader),
+               Load *sum)
 {
-  Load load = { .fleet = fleet, .until = loop_now (fleet->loop) + us };
+  FleetNode *leader = strike ? fleet_leader (fleet) : NULL;
+  int64_t now = loop_now (fleet->loop);
+  Load load = { .fleet = fleet,
+                .until = now + us,
+                .strike = strike,
+                .strike_at = now + STRIKE_AFTER,
+                .leader = leader };
 
   fleet_run_until (fleet, is_over, &load, "all requests are answered");
   g_test_message ("%u sent, %u served, %u refused, %u broken off, %u falls so far", load.sent,
@@ -104,22 +122,25 @@
   sum->broken_off += load.broken_off;
 }
 
-/* The servers run all listed slots for a while after their first notice. */
-static Fleet *
-new_brittle_fleet (void)
+static void
+run_load (Fleet *fleet, int64_t us, Load *sum)
 {
-  Fleet *fleet = fleet_new ();
+  run_load_with (fleet, us, NULL, sum);
+}
 
+/* The servers run all listed slots for a while after their first notice. */
+static void
+start_brittle_fleet (Fleet *fleet, unsigned brittleness)
+{
   fleet->slots = LISTED_SLOTS;
   fleet->plain_ms = PLAIN_MS;
   fleet->restart_ms = RESTART_MS;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
       fleet->servers[i].capacity = LISTED_SLOTS;
-      fleet->servers[i].brittleness = BRITTLENESS;
+      fleet->servers[i].brittleness = brittleness;
     }
   fleet_start_all (fleet);
-  return fleet;
 }
 
 static void
@@ -145,9 +166,10 @@
 static void
 full_load (void)
 {
-  Fleet *fleet = new_brittle_fleet ();
+  Fleet *fleet = fleet_new ();
   Load sum = { 0 };
 
+  start_brittle_fleet (fleet, BRITTLENESS);
   run_load (fleet, 3 * FT_SECOND, &sum);
   lower_capacity (fleet);
   run_load (fleet, 10 * FT_SECOND, &sum);
@@ -159,49 +181,126 @@
 static void
 small_from_the_start (void)
 {
-  Fleet *fleet = new_brittle_fleet ();
+  Fleet *fleet = fleet_new ();
   Load sum = { 0 };
 
+  start_brittle_fleet (fleet, BRITTLENESS);
   lower_capacity (fleet);
   run_load (fleet, 10 * FT_SECOND, &sum);
   check (fleet, &sum);
   fleet_free (fleet);
 }
 
-/* Guards against a successor that overfills them, since it knows neither their room nor what they
- * run. */
+/* Full load on servers whose room gets smaller, and a fault in the middle. */
 static void
-leader_killed (void)
+run_with_strike (Fleet *fleet, unsigned brittleness,
+                 void (*strike) (Fleet *fleet, FleetNode *leader))
 {
-  Fleet *fleet = new_brittle_fleet ();
   Load sum = { 0 };
 
+  start_brittle_fleet (fleet, brittleness);
   run_load (fleet, 3 * FT_SECOND, &sum);
   lower_capacity (fleet);
-  run_load (fleet, 4 * FT_SECOND, &sum);
-  fleet_kill (fleet_leader (fleet));
-  run_load (fleet, 8 * FT_SECOND, &sum);
+  run_load_with (fleet, 11 * FT_SECOND, strike, &sum);
   check (fleet, &sum);
   fleet_free (fleet);
 }
 
-/* Guards against entries that each overfill them when no voter is left. */
+static void
+kill_leader (Fleet *fleet, FleetNode *leader)
+{
+  (void) fleet;
+  g_assert_nonnull (leader);
+  fleet_kill (leader);
+}
+
+/* Guards against a successor that overfills them, since it knows neither their room nor what they
+ * run. */
+static void
+leader_killed (void)
+{
+  run_with_strike (fleet_new (), BRITTLENESS, kill_leader);
+}
+
+static void
+kill_voters (Fleet *fleet, FleetNode *leader)
+{
+  (void) leader;
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    fleet_kill (&fleet->voters[i]);
+}
+
+/* Guards against a deputy that overfills them when no voter is left. */
+static void
+no_voter_left (void)
+{
+  run_with_strike (fleet_new (), BRITTLENESS, kill_voters);
+}
+
+static void
+cut_links (Fleet *fleet, FleetNode *leader)
+{
+  (void) leader;
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    proxy_set_mode (fleet->voters[i].proxy, PROXY_REFUSE);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    proxy_set_mode (fleet->entries[i].proxy, PROXY_REFUSE);
+}
+
+/* Guards against entries that overfill them together when each schedules alone. */
 static void
 entries_alone (void)
 {
-  Fleet *fleet = new_brittle_fleet ();
+  Fleet *fleet = fleet_new ();
+
+  fleet_add_proxies (fleet);
+  run_with_strike (fleet, BRITTLENESS, cut_links);
+}
+
+/* Guards against more grants before the first rejection is known, over links that take 15 ms each
+ * way. */
+static void
+late_reports (void)
+{
+  Fleet *fleet = fleet_new ();
   Load sum = { 0 };
 
+  fleet_add_proxies (fleet);
+  start_brittle_fleet (fleet, BRITTLENESS);
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    proxy_set_mode (fleet->voters[i].proxy, PROXY_DELAY);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    proxy_set_mode (fleet->entries[i].proxy, PROXY_DELAY);
   run_load (fleet, 3 * FT_SECOND, &sum);
   lower_capacity (fleet);
-  run_load (fleet, 3 * FT_SECOND, &sum);
-  for (unsigned i = 0; i < FLEET_VOTERS; i++)
-    fleet_kill (&fleet->voters[i]);
-  run_load (fleet, 8 * FT_SECOND, &sum);
+  run_load (fleet, 10 * FT_SECOND, &sum);
   check (fleet, &sum);
   fleet_free (fleet);
 }
 
+static void
+crash_two (Fleet *fleet, FleetNode *leader)
+{
+  (void) leader;
+  fleet_crash_server (&fleet->servers[0]);
+  fleet_crash_server (&fleet->servers[1]);
+}
+
+/* Guards against sending too much to a server that has just restarted, or to its neighbours while
+ * it is gone. */
+static void
+crashed_servers (void)
+{
+  run_with_strike (fleet_new (), BRITTLENESS, crash_two);
+}
+
+/* Guards against a second rejection within a second by servers that bear only one. */
+static void
+one_rejection_a_second (void)
+{
+  run_with_strike (fleet_new (), 1, NULL);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -209,6 +308,10 @@
   g_test_add_func ("/brittle/full_load", full_load);
   g_test_add_func ("/brittle/small_from_start", small_from_the_start);
   g_test_add_func ("/brittle/leader_killed", leader_killed);
+  g_test_add_func ("/brittle/no_voter_left", no_voter_left);
   g_test_add_func ("/brittle/entries_alone", entries_alone);
+  g_test_add_func ("/brittle/late_reports", late_reports);
+  g_test_add_func ("/brittle/crashed_servers", crashed_servers);
+  g_test_add_func ("/brittle/one_rejection", one_rejection_a_second);
   return g_test_run ();
 }
