--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -53,6 +53,24 @@
 try "a list takes a leaving back" src/scheduler.c 's/ \|\| server->announced_leaving//' test-backoff &
 try "an entry forgets what servers said" src/notices.c 's/^    return "leaving";/    return NULL;/; s/backoff_us > 0 \? "backoff" : NULL/backoff_us > 0 ? NULL : NULL/' test-place &
 try "another server's word counts" node/try.c 's/answer->elsewhere \|\| //' test-notices &
+# Servers that crash if they reject too much.
+try "brittle: an overtaken word counts" src/brittle.c 's/^      && !sched_granted_after.*/      \&\& false)/' test-brittle-sched &
+try "brittle: all that it bears is risked at once" src/brittle.c 's/RISK_PART +0.5/RISK_PART 1.0/' test-brittle-sched &
+try "brittle: each scheduler risks it all" src/brittle.c 's/limit \* sched->rate_share/limit/' test-brittle-sched &
+try "brittle: grants of unknown outcome are no risk" src/brittle.c 's/count \+= !job->got_first_event/count += 0/' test-brittle-sched &
+try "brittle: rejections are not counted" src/brittle.c 's/^    count \+= now - brittle->rejected_at.*/    count += 0;/' test-brittle-sched &
+try "brittle: no pause after a rejection" src/brittle.c 's/REJECTION_PAUSE +\(100/REJECTION_PAUSE (0/' test-brittle-sched &
+try "brittle: a rejection leaves the room" src/brittle.c 's/^  set_room \(server, \(unsigned\) MIN \(running.*/  (void) running;/' test-brittle-sched &
+try "brittle: the room grows at once" src/brittle.c 's/brittle->rejections == 0 \|\|/true ||/' test-brittle-sched &
+try "brittle: growth in vain is repeated as soon" src/brittle.c 's/calm_for \* 2/calm_for/' test-brittle-sched &
+try "brittle: a successor takes the listed places" src/brittle.c 's/set_room \(server, server->running, now\);/set_room (server, server->slots, now);/' test-brittle-sched &
+try "brittle: adopted requests do not show the room" src/scheduler.c 's/^  brit_note_adopted .*//' test-brittle-sched &
+try "brittle: a share that is no place stays none" src/scheduler.c 's/^      brit_tick .*//' test-brittle-sched &
+try "brittle: a restarted server is filled" src/brittle.c 's/server->brittle.room = 1;/server->brittle.room = server->brittle.limit > 0 ? 1000 : 1;/' test-brittle-sched &
+try "brittle: no reserve beside other schedulers" src/brittle.c 's/RESERVE_PART 0.25/RESERVE_PART 0.0/' test-brittle-sched &
+try "brittle: load is admitted by listed places" src/estimate.c 's/^    return brit_room \(server\);/    return server->slots;/' test-brittle-sched &
+try "brittle: the word is not read" platform/platform.c 's/NAME_BRITTLE, /"x", /' test-brittle &
+try "brittle: the word is not told to a successor" node/placemsg.c 's/^.*brittle_milli = .*/ };/' test-place &
 # Answers that have begun.
 try "a silence ends a try" src/retry.c 's/RETRY_REPLACE : RETRY_WAIT/RETRY_RESUME : RETRY_WAIT/' test-silence &
 try "a server that goes on is replaced all the same" node/try.c 's/^  req_withdraw_replacement \(req\);//' test-silence &
