back: a begun answer ends only when its engine has lost the stream

Cause: run_stream took any status from 400 to 599 on a connection for the end of the call. A 503 with Retry-After to a resumption ended an answer of which the caller had a part; so did an error on a connection that another one or a pause had replaced; a 404 to a resumption that was opened after silence_ms while the engine had not read the request yet was taken for a restart, and reported as a crash.

Change: the end of a connection is judged first. An outdated one means nothing. 408, 429 and 5xx to a resumption are as a broken connection; the next one waits for Retry-After, for silence_ms at most. A 404 before the first piece while the request's own connection is open is asked again. An error to the request itself that comes after a resumption was opened is kept, and decides what a 404 to the resumption means.

The stand-in engine can hold requests unread, and its back-off covers resumptions.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -28,7 +28,8 @@
 #define WATCH_INTERVAL    (100 * FT_MS)
 #define PROGRESS_INTERVAL (250 * FT_MS) /* windows adapt within a second */
 #define RECONNECT_DELAY   (100 * FT_MS)
-#define RECONNECTS_MAX    200 /* for one answer */
+#define UNREAD_DELAY      (1 * FT_SECOND) /* until a server is asked again for an unread request */
+#define RECONNECTS_MAX    200             /* for one answer */
 /* A call past its deadline is given up after this many times silence_ms without data. */
 #define LATE_SILENCE_FACTOR 3
 #define ANSWER_MAX          (16u << 20)
@@ -65,7 +66,8 @@
   Call *call;
   unsigned attempt;
   Sse sse;
-  GString *plain; /* services: the body received so far; NULL for streams */
+  GString *plain;     /* services: the body received so far; NULL for streams */
+  int64_t backoff_us; /* Retry-After of the response; 0: none */
 } Reader;
 
 CallTable *
@@ -246,18 +248,20 @@
 
 /* ---- Servers that ask to back off ---- */
 
-/* Records the Retry-After of a 429 or 503 response. */
-static void
+/* Records the Retry-After of a 429 or 503 response and returns it in microseconds, 0 if there is
+ * none. */
+static int64_t
 record_backoff (Back *back, const Call *call, int status, const struct _u_map *fields)
 {
   const char *text = u_map_get_case (fields, "Retry-After");
   char lifetime[192];
   Notice notice = { 0 };
 
-  if ((status != 503 && status != 429) || text == NULL
-      || !plat_incarnation (back->plat, call->pool, call->server, lifetime, sizeof lifetime))
-    return;
+  if ((status != 503 && status != 429) || text == NULL)
+    return 0;
   bool readable = notice_parse_backoff (text, &notice.backoff_us);
+  if (!plat_incarnation (back->plat, call->pool, call->server, lifetime, sizeof lifetime))
+    return notice.backoff_us;
   pthread_mutex_lock (&back->notices_lock);
   bool is_new = notices_record (back->notices, lifetime, &notice) == NOTICES_CHANGED;
   pthread_mutex_unlock (&back->notices_lock);
@@ -265,6 +269,7 @@
     dlog (DLOG_INFO, call->id, "server-notice", "server %s of %s asked to back off for %d ms%s",
           call->server, call->pool, (int) (notice.backoff_us / FT_MS),
           readable ? "" : " (default, its Retry-After is not valid)");
+  return notice.backoff_us;
 }
 
 static bool
@@ -308,7 +313,7 @@
   if (done == U_OK)
     {
       status = (int) response.status;
-      record_backoff (back, call, status, response.map_header);
+      reader->backoff_us = record_backoff (back, call, status, response.map_header);
     }
   if (done == U_OK && type)
     *type = g_strdup (u_map_get_case (response.map_header, "Content-Type"));
@@ -390,11 +395,11 @@
 }
 
 static void
-reconnect_or_give_up (Back *back, Call *call, unsigned attempt)
+reconnect_or_give_up (Back *back, Call *call, unsigned attempt, int64_t delay)
 {
   bool again = false, give_up = false;
 
-  g_usleep (RECONNECT_DELAY);
+  g_usleep ((gulong) delay);
   pthread_mutex_lock (&call->lock);
   if (!call->finished && !call->paused && call->attempt == attempt)
     {
@@ -412,10 +417,86 @@
     finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
 }
 
+/* What the end of a connection means for the call that it carried. */
+typedef enum
+{
+  ENDED_OUTDATED,  /* nothing: another connection or a pause carries the call on */
+  ENDED_BROKEN,    /* the engine has the stream as far as is known */
+  ENDED_UNREAD,    /* the engine has not read the request yet */
+  ENDED_REJECTED,  /* the engine rejected the request */
+  ENDED_RESTARTED, /* the engine does not know the stream: it has restarted */
+  ENDED_LOST       /* the engine will not resume the stream */
+} StreamEnd;
+
+static bool
+is_transient (int status)
+{
+  return status >= 500 || status == 408 || status == 429;
+}
+
+/* status: of the HTTP response, 0 if it was not complete. */
+static StreamEnd
+judge_end (Call *call, const Work *work, int status)
+{
+  bool failed = status >= 400 && status < 600;
+  StreamEnd end = ENDED_BROKEN;
+
+  pthread_mutex_lock (&call->lock);
+  if (work->kind == WORK_SEND)
+    {
+      call->send_ended = true;
+      call->send_rejected = failed;
+    }
+  if (call->attempt != work->attempt || call->finished)
+    end = ENDED_OUTDATED;
+  else if (failed && work->kind == WORK_SEND)
+    end = ENDED_REJECTED;
+  else if (status == 404 && !call->send_ended && ft_req_next_piece (call->req) == 0)
+    end = ENDED_UNREAD;
+  else if (status == 404)
+    end = call->send_rejected ? ENDED_REJECTED : ENDED_RESTARTED;
+  else if (failed && !is_transient (status))
+    end = ENDED_LOST;
+  pthread_mutex_unlock (&call->lock);
+  return end;
+}
+
+static void
+end_connection (Back *back, Call *call, const Work *work, int status, int64_t backoff_us)
+{
+  int64_t silence = core_conf (back->core)->silence_ms * FT_MS;
+
+  switch (judge_end (call, work, status))
+    {
+    case ENDED_OUTDATED:
+      break;
+    case ENDED_BROKEN:
+      if (status == 0)
+        report_crash (back, call, work->attempt, false);
+      /* The watch thread opens a connection after silence_ms in any case. */
+      reconnect_or_give_up (back, call, work->attempt,
+                            MAX (RECONNECT_DELAY, MIN (backoff_us, silence)));
+      break;
+    case ENDED_UNREAD:
+      reconnect_or_give_up (back, call, work->attempt, MIN (UNREAD_DELAY, silence));
+      break;
+    case ENDED_REJECTED:
+      finish (back, call, FT_REASON_BACKEND_FAILED);
+      break;
+    case ENDED_RESTARTED:
+      report_crash (back, call, work->attempt, true);
+      finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+      break;
+    case ENDED_LOST:
+      finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+      break;
+    }
+}
+
 static void
 run_stream (Back *back, Call *call, const Work *work)
 {
-  Reader reader = { back, call, work->attempt, { 0 }, NULL };
+  Reader reader = { back, call, work->attempt, { 0 }, NULL, 0 };
   char *url = NULL, *body = NULL, *path;
   int status = 0;
 
@@ -436,22 +517,13 @@
   sse_clear (&reader.sse);
   g_free (path);
   g_free (body);
-  bool restarted = status == 404 && work->kind == WORK_RESUME;
-  if (status == 0 || restarted)
-    report_crash (back, call, work->attempt, restarted);
-  /* 404 to a resumption: the engine restarted and does not know the stream. Other errors: it
-   * rejected the request. */
-  if (status >= 400 && status < 600)
-    finish (back, call,
-            work->kind == WORK_SEND ? FT_REASON_BACKEND_FAILED : FT_REASON_OUTCOME_UNKNOWN);
-  else
-    reconnect_or_give_up (back, call, work->attempt);
+  end_connection (back, call, work, status, reader.backoff_us);
 }
 
 static void
 run_service (Back *back, Call *call, const Work *work)
 {
-  Reader reader = { back, call, work->attempt, { 0 }, g_string_new (NULL) };
+  Reader reader = { back, call, work->attempt, { 0 }, g_string_new (NULL), 0 };
   char *url = NULL, *type = NULL;
   int status = 0;
 
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -44,6 +44,8 @@
   unsigned attempt; /* number of the connection in use; data from older ones is dropped */
   unsigned reconnects;
   bool paused, finished;
+  bool send_ended;     /* streams: the connection of the first attempt has ended */
+  bool send_rejected;  /* streams: it ended with an HTTP error */
   bool crash_reported; /* the crash of its server was reported */
   FtReason failure;    /* finished without a complete answer */
   int answer_status;   /* services: HTTP status of the backend server */
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -5,13 +5,14 @@
  *   POST /v1/streams/ID/pause           pauses the stream and keeps its state
  *   GET  /load?after=N                  running, waiting, age_ms, cache events after number N
  *   POST /v1/orders?order=O&fencing=N   accepts an order; --fencing refuses old numbers
- *   GET  /stats                         dispatches, doubled, finished, turned_away
+ *   GET  /stats                         dispatches, doubled, finished, turned_away, held, unknown
  *   POST /control?FAULT=VALUE           injects a fault
  *
  * A stream that is started again under the same name counts as doubled. The faults are slow=F
  * (steps take F times as long), mute=0|1 (the connections open now send nothing), gray=0|1 (no
- * connection sends anything) and backoff=S (each new request gets 503 with Retry-After: S; 0 ends
- * it).
+ * connection sends anything), backoff=S (each new request and resumption gets 503 with
+ * Retry-After: S; 0 ends it) and hold=N (the next N requests and resumptions are not read; 0
+ * releases them: a request then starts, a resumption fails with 500).
  *
  * Batching is continuous. One thread runs the steps; a step takes step_ms, plus stream_ms for each
  * stream, plus the time of a chunk of prefill, and produces one token for each stream whose prefill
@@ -57,6 +58,10 @@
   unsigned dispatches, duplicates, finished, running, waiting;
   unsigned retry_after_s; /* refuse every request with 503 and this Retry-After; 0: off */
   unsigned turned_away;
+  unsigned hold_next; /* requests and resumptions still to be held */
+  unsigned held;      /* held ever */
+  unsigned unknown;   /* resumptions of unknown streams */
+  bool holding;
   unsigned reported_running, reported_waiting; /* load as of reported_at */
   gint64 reported_at;
   gint64 fencing;         /* highest fencing number seen */
@@ -267,6 +272,34 @@
 
 /* ---- Endpoints ---- */
 
+/* Under the lock. Returns true after the release if the request was held. */
+static bool
+hold_request (void)
+{
+  if (engine.hold_next == 0)
+    return false;
+  engine.hold_next--;
+  engine.held++;
+  while (engine.holding)
+    g_cond_wait (&engine.cond, &engine.lock);
+  return true;
+}
+
+/* Under the lock. Returns true if the engine backs off and the request was refused. */
+static bool
+turn_away (struct _u_response *response)
+{
+  char seconds[16];
+
+  if (engine.retry_after_s == 0)
+    return false;
+  g_snprintf (seconds, sizeof seconds, "%u", engine.retry_after_s);
+  engine.turned_away++;
+  u_map_put (response->map_header, "Retry-After", seconds);
+  http_set_json (response, 503, "{\"error\":\"busy\"}");
+  return true;
+}
+
 static int
 on_chat (const struct _u_request *request, struct _u_response *response, void *user)
 {
@@ -284,14 +317,10 @@
     }
   g_mutex_lock (&engine.lock);
   engine.dispatches++;
-  if (engine.retry_after_s)
+  hold_request ();
+  if (turn_away (response))
     {
-      char seconds[16];
-      g_snprintf (seconds, sizeof seconds, "%u", engine.retry_after_s);
-      engine.turned_away++;
       g_mutex_unlock (&engine.lock);
-      u_map_put (response->map_header, "Retry-After", seconds);
-      http_set_json (response, 503, "{\"error\":\"busy\"}");
       body_clear_chat (&chat);
       g_free (text);
       return U_CALLBACK_COMPLETE;
@@ -320,14 +349,22 @@
 
   (void) user;
   g_mutex_lock (&engine.lock);
+  bool was_held = hold_request ();
   Stream *stream = g_hash_table_lookup (engine.streams, http_url_value (request, "id"));
-  if (stream)
+  if (was_held)
+    http_set_json (response, 500, "{\"error\":\"held\"}");
+  else if (turn_away (response))
+    ;
+  else if (stream)
     {
       stream->paused = false;
       start_response (stream, offset ? (unsigned) atoi (offset) : 0, response);
     }
   else
-    http_set_json (response, 404, "{\"error\":\"no such stream\"}");
+    {
+      engine.unknown++;
+      http_set_json (response, 404, "{\"error\":\"no such stream\"}");
+    }
   g_mutex_unlock (&engine.lock);
   return U_CALLBACK_COMPLETE;
 }
@@ -398,15 +435,16 @@
 static int
 on_stats (const struct _u_request *request, struct _u_response *response, void *user)
 {
-  char text[160];
+  char text[256];
 
   (void) request;
   (void) user;
   g_mutex_lock (&engine.lock);
   g_snprintf (text, sizeof text,
               "{\"dispatches\":%u,\"doubled\":%u,\"finished\":%u,"
-              "\"turned_away\":%u}",
-              engine.dispatches, engine.duplicates, engine.finished, engine.turned_away);
+              "\"turned_away\":%u,\"held\":%u,\"unknown\":%u}",
+              engine.dispatches, engine.duplicates, engine.finished, engine.turned_away,
+              engine.held, engine.unknown);
   g_mutex_unlock (&engine.lock);
   http_set_json (response, 200, text);
   return U_CALLBACK_COMPLETE;
@@ -419,6 +457,7 @@
   const char *mute = u_map_get (request->map_url, "mute");
   const char *gray = u_map_get (request->map_url, "gray");
   const char *backoff = u_map_get (request->map_url, "backoff"); /* seconds; 0: off */
+  const char *hold = u_map_get (request->map_url, "hold");       /* requests; 0: release */
 
   (void) user;
   g_mutex_lock (&engine.lock);
@@ -430,6 +469,11 @@
     engine.gray = *gray == '1';
   if (backoff)
     engine.retry_after_s = (unsigned) atoi (backoff);
+  if (hold)
+    {
+      engine.hold_next = (unsigned) atoi (hold);
+      engine.holding = engine.hold_next > 0;
+    }
   g_cond_broadcast (&engine.cond);
   g_mutex_unlock (&engine.lock);
   http_set_json (response, 200, "{}");
