edge: a shutdown waits until complete answers have been sent

Cause: busy fell when the request handler returned, which is before the HTTP library sends a complete response. A shutdown then saw no open request, stopped the library and logged "all requests ended".

Change: a complete body is sent through the library's stream callback with its size known; its free function, which runs when the response is done or its connection is gone, lowers busy, as for streams. shutdown_s still bounds the wait.

--- a/daemon/answer.c
+++ b/daemon/answer.c
@@ -161,6 +161,50 @@
   pthread_mutex_unlock (&call->lock);
 }
 
+/* The body of a response that is already complete. */
+typedef struct
+{
+  Edge *edge;
+  void *bytes;
+  size_t size;
+} Body;
+
+static ssize_t
+on_body (void *user, uint64_t offset, char *out, size_t capacity)
+{
+  const Body *body = user;
+  size_t count = offset < body->size ? MIN (body->size - offset, capacity) : 0;
+
+  if (count == 0)
+    return U_STREAM_END;
+  memcpy (out, (const char *) body->bytes + offset, count);
+  return (ssize_t) count;
+}
+
+static void
+on_body_free (void *user)
+{
+  Body *body = user;
+
+  g_atomic_int_add (&body->edge->busy, -1);
+  o_free (body->bytes);
+  g_free (body);
+}
+
+void
+answer_count_until_sent (Edge *edge, struct _u_response *response)
+{
+  if (response->stream_callback || response->binary_body_length == 0)
+    return;
+  Body *body = g_new (Body, 1);
+  *body = (Body){ edge, response->binary_body, response->binary_body_length };
+  response->binary_body = NULL;
+  response->binary_body_length = 0;
+  g_atomic_int_inc (&edge->busy);
+  ulfius_set_stream_response (response, (unsigned) response->status, on_body, on_body_free,
+                              body->size, BLOCK, body);
+}
+
 void
 answer_wait_end (Call *call)
 {
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -402,6 +402,7 @@
     }
   ft_cat_unref (cat);
   call_unref (call);
+  answer_count_until_sent (edge, response);
   g_atomic_int_add (&edge->busy, -1);
   return U_CALLBACK_COMPLETE;
 }
@@ -444,6 +445,7 @@
     answer_by_id (edge, id, org->name, NULL, response);
   call_unref (call);
   ft_cat_unref (cat);
+  answer_count_until_sent (edge, response);
   g_atomic_int_add (&edge->busy, -1);
   return U_CALLBACK_COMPLETE;
 }
--- a/daemon/edgeint.h
+++ b/daemon/edgeint.h
@@ -19,6 +19,9 @@
 void answer_stream (Edge *edge, Call *call, struct _u_response *response);
 /* Answers with the complete answer of a finished call, or its failure. */
 void answer_complete (Call *call, struct _u_response *response);
+/* Counts a complete response as busy until the HTTP library has sent it; a stream is counted by
+ * answer_stream. Without this, a shutdown would cut off an answer that its caller reads slowly. */
+void answer_count_until_sent (Edge *edge, struct _u_response *response);
 /* Blocks until the call is finished. */
 void answer_wait_end (Call *call);
 /* Blocks until the first piece or the end. False: the call failed before its first piece, so its
--- a/standin/service.c
+++ b/standin/service.c
@@ -1,8 +1,9 @@
 /* service.c - plays a plain service whose calls must not be repeated, or the platform's server
  * list.
  *
- * The service answers any path with {"call":N,"id":"..."}. GET /stats returns the number of calls
- * and of duplicates, that is calls with an X-Request-Id that came before.
+ * The service answers any path with {"call":N,"id":"..."}, or with N bytes if the path contains
+ * "size=N". GET /stats returns the number of calls and of duplicates, that is calls with an
+ * X-Request-Id that came before.
  */
 #include "standin.h"
 
@@ -20,6 +21,7 @@
 on_call (const struct _u_request *request, struct _u_response *response, void *user)
 {
   const char *id = u_map_get_case (request->map_header, "X-Request-Id");
+  const char *size = strstr (request->http_url, "size=");
   char text[256];
 
   (void) user;
@@ -29,6 +31,15 @@
   if (id && !g_hash_table_add (service.seen, g_strdup (id)))
     service.duplicates++;
   g_mutex_unlock (&service.lock);
+  if (size)
+    {
+      gsize length = g_ascii_strtoull (size + strlen ("size="), NULL, 10);
+      char *bytes = g_malloc (length);
+      memset (bytes, 'x', length);
+      ulfius_set_binary_body_response (response, 200, bytes, length);
+      g_free (bytes);
+      return U_CALLBACK_COMPLETE;
+    }
   g_snprintf (text, sizeof text, "{\"call\":%u,\"id\":\"%s\"}", number, id ? id : "");
   http_set_json (response, 200, text);
   return U_CALLBACK_COMPLETE;
