back: only connections without a piece count towards giving up a stream

Cause: RECONNECTS_MAX bounded the connections of a whole answer, so that a long answer whose connection broke now and then ended with outcome-unknown, though each connection had carried it further.

Change: the count begins anew with each piece. The log line keeps the total.

test/resume.sh, a stream of 230 pieces whose connection ends after each of them: outcome-unknown before, complete after.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -29,7 +29,7 @@
 #define PROGRESS_INTERVAL (250 * FT_MS) /* windows adapt within a second */
 #define RECONNECT_DELAY   (100 * FT_MS)
 #define UNREAD_DELAY      (1 * FT_SECOND) /* until a server is asked again for an unread request */
-#define RECONNECTS_MAX    200             /* for one answer */
+#define RECONNECTS_MAX    200             /* one after another without a piece */
 /* A call past its deadline is given up after this many times silence_ms without data. */
 #define LATE_SILENCE_FACTOR 3
 #define ANSWER_MAX          (16u << 20)
@@ -147,6 +147,7 @@
   else
     stat_observe (STAT_INTER_TOKEN, call->tier, now - call->last_token_at);
   call->last_token_at = now;
+  call->failed_reconnects = 0;
   if (now - call->reported_at >= PROGRESS_INTERVAL || tokens == 1)
     {
       call->reported_at = now;
@@ -403,7 +404,8 @@
   pthread_mutex_lock (&call->lock);
   if (!call->finished && !call->paused && call->attempt == attempt)
     {
-      give_up = ++call->reconnects > RECONNECTS_MAX;
+      call->reconnects++;
+      give_up = ++call->failed_reconnects > RECONNECTS_MAX;
       again = !give_up;
       attempt = ++call->attempt;
     }
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -43,6 +43,7 @@
   GString *content; /* models: text of all pieces received in order */
   unsigned attempt; /* number of the connection in use; data from older ones is dropped */
   unsigned reconnects;
+  unsigned failed_reconnects; /* after broken connections, since the latest piece */
   bool paused, finished;
   bool send_ended;     /* streams: the connection of the first attempt has ended */
   bool send_rejected;  /* streams: it ended with an HTTP error */
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -10,9 +10,10 @@
  *
  * A stream that is started again under the same name counts as doubled. The faults are slow=F
  * (steps take F times as long), mute=0|1 (the connections open now send nothing), gray=0|1 (no
- * connection sends anything), backoff=S (each new request and resumption gets 503 with
- * Retry-After: S; 0 ends it) and hold=N (the next N requests and resumptions are not read; 0
- * releases them: a request then starts, a resumption fails with 500).
+ * connection sends anything), cut=0|1 (each connection ends after one token), backoff=S (each new
+ * request and resumption gets 503 with Retry-After: S; 0 ends it) and hold=N (the next N requests
+ * and resumptions are not read; 0 releases them: a request then starts, a resumption fails with
+ * 500).
  *
  * Batching is continuous. One thread runs the steps; a step takes step_ms, plus stream_ms for each
  * stream, plus the time of a chunk of prefill, and produces one token for each stream whose prefill
@@ -69,6 +70,7 @@
   unsigned silent_before; /* connections with a lower number send nothing */
   unsigned connections;   /* number of the latest one */
   bool gray;              /* no connection sends anything */
+  bool cut;               /* connections end after one token */
 } engine;
 
 /* ---- Prefix cache ---- */
@@ -194,7 +196,7 @@
   unsigned at, connection; /* at: next token to send */
   GString *buffer;
   gsize sent; /* of the buffer */
-  bool ended; /* [DONE] is in the buffer */
+  bool ended; /* the buffer holds the last bytes: [DONE], or a token if connections are cut */
 } StreamReader;
 
 static bool
@@ -223,6 +225,11 @@
                               "\"w%u \"}}]}\n\n",
                               reader->at, reader->at);
       reader->at++;
+      if (engine.cut && reader->at < stream->total)
+        {
+          reader->ended = true;
+          break;
+        }
     }
   if (!paused && reader->at == stream->total && !reader->ended)
     {
@@ -457,7 +464,8 @@
   const char *mute = u_map_get (request->map_url, "mute");
   const char *gray = u_map_get (request->map_url, "gray");
   const char *backoff = u_map_get (request->map_url, "backoff"); /* seconds; 0: off */
-  const char *hold = u_map_get (request->map_url, "hold");       /* requests; 0: release */
+  const char *cut = u_map_get (request->map_url, "cut");
+  const char *hold = u_map_get (request->map_url, "hold"); /* requests; 0: release */
 
   (void) user;
   g_mutex_lock (&engine.lock);
@@ -467,6 +475,8 @@
     engine.silent_before = *mute == '1' ? engine.connections + 1 : 0;
   if (gray)
     engine.gray = *gray == '1';
+  if (cut)
+    engine.cut = *cut == '1';
   if (backoff)
     engine.retry_after_s = (unsigned) atoi (backoff);
   if (hold)
--- a/test/resume.sh
+++ b/test/resume.sh
@@ -66,7 +66,7 @@
   return 1
 }
 
-echo "1..3"
+echo "1..4"
 cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
@@ -105,4 +105,10 @@
 control hold=0
 is_whole unread
 ok $? "an engine that has not read the request yet is not taken for restarted"
+# More connections in all than may fail one after another. Each brings a piece.
+control slow=1 cut=1
+PIECES=230
+ask broken
+is_whole broken
+ok $? "a stream whose connection breaks after each piece is completed"
 exit $failed
