ent: paused streams of a pool that is removed are resumed

Cause: a catalogue that removes a pool ends its scheduler (hold.c), which is the only one to resume the pool's paused streams. Entries refused what waited and left the paused streams as they were; their callers would have waited for ever.

Change: each entry resumes its own paused streams of a pool that its catalogue no longer has, and ignores a pause from a scheduler that has not learned of it yet. Done at the entry and not at the scheduler, since that may be cut off or gone, and a message from it may be lost.

Two scenarios, both failing before ("the stream is paused") and passing after: pool_removed_while_paused, pause_after_pool_removed.

Not changed: a paused stream is not given up at its deadline. docs/DESIGN.md promises that it is late, never cut, under lasting overload.

--- a/src/ent.c
+++ b/src/ent.c
@@ -355,6 +355,19 @@
     refuse (ent, req, refusal->reason, refusal->tier, refusal->retry_after_ms, refusal->rule);
 }
 
+static bool
+pool_in_catalogue (const EntTable *ent, const EntPool *pool)
+{
+  return ent->node->cat && ft_cat_pool (ent->node->cat, pool->name);
+}
+
+static void
+resume (EntTable *ent, EntReq *req)
+{
+  req->state = MSG_ASK_RUNNING;
+  ent->node->ops->resume (ent->node->host, req->request);
+}
+
 void
 ent_on_pause (EntTable *ent, uint32_t from, const MsgGrant *stream, bool paused)
 {
@@ -362,11 +375,16 @@
 
   if (req == NULL || req->state != (paused ? MSG_ASK_RUNNING : MSG_ASK_PAUSED))
     return;
-  req->state = paused ? MSG_ASK_PAUSED : MSG_ASK_RUNNING;
+  /* The scheduler of a removed pool ends as soon as it learns of it and would not resume it. */
+  if (paused && !pool_in_catalogue (ent, req->pool))
+    return;
   if (paused)
-    ent->node->ops->pause (ent->node->host, req->request);
+    {
+      req->state = MSG_ASK_PAUSED;
+      ent->node->ops->pause (ent->node->host, req->request);
+    }
   else
-    ent->node->ops->resume (ent->node->host, req->request);
+    resume (ent, req);
 }
 
 void
@@ -478,22 +496,29 @@
     tick_pool (ent, pool, now);
 }
 
+/* Refuses what waits for a removed pool and resumes its paused streams. */
+static void
+leave_pool (EntTable *ent, EntPool *pool)
+{
+  EntReq *req, *next;
+
+  cds_list_for_each_entry_safe (req, next, &pool->requests, link)
+  {
+    if (req->state == MSG_ASK_WAITING)
+      refuse (ent, req, FT_REASON_NO_SUCH_POOL, 0, 0, "the pool was removed from the catalogue");
+    else if (req->state == MSG_ASK_PAUSED)
+      resume (ent, req);
+  }
+}
+
 void
 ent_on_catalogue (EntTable *ent)
 {
   GHashTableIter iter;
-  void *data;
+  void *pool;
 
   g_hash_table_iter_init (&iter, ent->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &data))
-    {
-      EntPool *pool = data;
-      EntReq *req, *next;
-      if (ft_cat_pool (ent->node->cat, pool->name))
-        continue;
-      cds_list_for_each_entry_safe (req, next, &pool->requests,
-                                    link) if (req->state == MSG_ASK_WAITING)
-          refuse (ent, req, FT_REASON_NO_SUCH_POOL, 0, 0,
-                  "the pool was removed from the catalogue");
-    }
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    if (!pool_in_catalogue (ent, pool))
+      leave_pool (ent, pool);
 }
