sock: a failed write is not an orderly end, and sent bytes are freed

Found by tests of the relay. send () takes the kernel's report of a reset, so that the next recv () returned 0 and an answer that was cut short looked complete (/relay/middle/reset_while_sending). A buffer that is never empty kept all that had been sent of it: 2,144,000 bytes after 2 MiB with a small backlog (/relay/standing_backlog). A close that resets until all is sent stays so until then (/relay/middle/killed_after_end).

--- a/net/sock.c
+++ b/net/sock.c
@@ -115,6 +115,8 @@
     return;
   sock->ended = true;
   loop_remove (sock->loop, &sock->fd);
+  if (sock->failed && reason == SOCK_END_EOF)
+    reason = SOCK_END_RESET;
   if (sock->closing)
     sock_close (sock, false);
   else
@@ -134,6 +136,16 @@
   *at = 0;
 }
 
+/* Drops what is sent of a buffer that is not empty, once it is the larger part. */
+static void
+drop_sent (Sock *sock)
+{
+  if (sock->out_at <= KEPT_BUFFER_MAX || sock->out_at < sock->out->len / 2)
+    return;
+  g_byte_array_remove_range (sock->out, 0, (guint) sock->out_at);
+  sock->out_at = 0;
+}
+
 /* Sends buffered output. Returns false if the connection has failed. */
 static bool
 send_buffered (Sock *sock)
@@ -145,7 +157,10 @@
       if (done < 0 && errno == EINTR)
         continue;
       if (done < 0 && errno == EAGAIN)
-        return true;
+        {
+          drop_sent (sock);
+          return true;
+        }
       if (done < 0)
         return false;
       sock->out_at += (size_t) done;
@@ -241,6 +256,13 @@
     report_end (sock, end_reason (error));
 }
 
+static void
+close_in_order (Sock *sock)
+{
+  sock_set_reset_on_close (sock, false);
+  sock_close (sock, false);
+}
+
 static void
 on_ready (LoopFd *fd, uint32_t bits)
 {
@@ -264,7 +286,7 @@
         {
           if (sock->closing)
             {
-              sock_close (sock, false);
+              close_in_order (sock);
               return;
             }
           if (sock->ops->drained)
@@ -380,6 +402,8 @@
           data = (const char *) data + done;
           size -= (size_t) done;
         }
+      else if (done < 0 && errno != EAGAIN && errno != EINTR)
+        sock->failed = true;
       /* A failure is reported on the next read or EPOLLOUT, never from within sock_write. */
     }
   g_byte_array_append (sock->out, data, (guint) size);
@@ -471,7 +495,7 @@
 {
   if (sock->ended || sock_unsent (sock) == 0)
     {
-      sock_close (sock, false);
+      close_in_order (sock);
       return;
     }
   sock->closing = true;
--- a/net/sock.h
+++ b/net/sock.h
@@ -51,6 +51,7 @@
   size_t *unsent_total;  /* sum of the unsent bytes of all sockets that share it; may be NULL */
   size_t unsent_counted; /* unsent bytes of this socket that are included in *unsent_total */
   bool connecting, ended, paused, all_paused, closing;
+  bool failed; /* a write has failed, and has taken the kernel's report of the reason */
   SockAddr peer;
 };
 
@@ -85,7 +86,8 @@
 void sock_set_unsent_total (Sock *sock, size_t *unsent_total);
 /* Closes at once and invalidates sock. reset: sends a TCP reset instead of an orderly close. */
 void sock_close (Sock *sock, bool reset);
-/* Closes in an orderly way after all output is sent. No callback runs any more. */
+/* Closes in an orderly way after all output is sent, also if a close resets the connection until
+ * then. No callback runs any more. */
 void sock_close_when_sent (Sock *sock);
 
 typedef struct SockListener SockListener;
