relay: tunnels of paused callers, and until their last bytes are sent

A client that read nothing for 4.5 s lost its answer to the user time-out of the tunnel (/relay/paused_client); a leaving entry did not count a tunnel whose server had ended while bytes were unsent, and exited (/relay/counted_until_sent); a connect that failed at once was not reported (/relay/connects/no_route); a connection to a relay counted as one to the server (/relay/connects/pending).

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -576,7 +576,8 @@
 
   cds_list_for_each_entry (conn, &cli->conns, link)
   {
-    if (!conn->sock->connecting && strcmp (conn->key, key) == 0 && conn_state (conn) != CONN_ENDED)
+    if (!conn->sock->connecting && !conn->tunnel_requested && strcmp (conn->key, key) == 0
+        && conn_state (conn) != CONN_ENDED)
       return true;
   }
   return false;
--- a/net/relay.c
+++ b/net/relay.c
@@ -98,6 +98,11 @@
 
   if (size == 0)
     return;
+  if (to->sock == NULL) /* it has ended */
+    {
+      sock_consume (from->sock, size);
+      return;
+    }
   sock_write (to->sock, data, size);
   sock_consume (from->sock, size);
   if (sock_unsent (to->sock) > UNSENT_MAX)
@@ -123,6 +128,8 @@
   tunnel->open = true;
   sock_set_reset_on_close (tunnel->peer.sock, true);
   sock_set_reset_on_close (tunnel->server.sock, true);
+  /* The peer reads nothing while its caller reads nothing. */
+  sock_set_user_timeout (tunnel->peer.sock, false);
   sock_write (tunnel->peer.sock, established, sizeof established - 1);
   sock_pause (tunnel->peer.sock, false);
   forward (&tunnel->peer, &tunnel->server); /* bytes that followed the request at once */
@@ -157,13 +164,28 @@
     forward (side, other_side (side));
 }
 
+/* Closes the side that is left in order, once it has all that the other one sent. */
+static void
+close_if_sent (Side *last)
+{
+  if (sock_unsent (last->sock) > 0)
+    return;
+  sock_close_when_sent (last->sock);
+  last->sock = NULL;
+  close_tunnel (last->tunnel, true);
+}
+
 static void
 on_drained (Sock *sock)
 {
   Side *side = sock->owner, *other = other_side (side);
 
-  if (side->tunnel->open && other->sock)
+  if (!side->tunnel->open)
+    return;
+  if (other->sock)
     sock_pause_all (other->sock, false);
+  else
+    close_if_sent (side);
 }
 
 static void
@@ -171,14 +193,16 @@
 {
   Side *other = other_side (side);
 
-  if (how == SOCK_END_EOF)
+  if (how != SOCK_END_EOF || other->sock == NULL)
     {
-      forward (side, other);
-      sock_set_reset_on_close (other->sock, false);
-      sock_close_when_sent (other->sock);
-      other->sock = NULL;
+      close_tunnel (side->tunnel, true);
+      return;
     }
-  close_tunnel (side->tunnel, true);
+  forward (side, other);
+  sock_close (side->sock, true);
+  side->sock = NULL;
+  sock_pause (other->sock, true);
+  close_if_sent (other);
 }
 
 static void
@@ -214,7 +238,11 @@
       tunnel->server.sock = sock_connect_from (relay->loop, relay->conf.source, tunnel->addr,
                                                &server_ops, &tunnel->server);
       if (tunnel->server.sock == NULL)
-        refuse (tunnel, errno == ECONNREFUSED ? 502 : 503);
+        {
+          int error = errno;
+          report_connect (tunnel, false);
+          refuse (tunnel, error == ECONNREFUSED ? 502 : 503);
+        }
       else
         loop_timer_set (relay->loop, &tunnel->timer,
                         loop_now (relay->loop) + RELAY_CONNECT_TIMEOUT);
