paths: failures belong to rows, not to moments

Failures within one iteration of the loop have the same time: a failure before a success counted again after it (/paths/refuted_at_once), and a row that began anew after 3 s dropped failures of 100 ms ago (/paths/old_failure).

--- a/src/paths.c
+++ b/src/paths.c
@@ -14,14 +14,20 @@
 
 #define LOST_SERVERS  2               /* different servers in a row that make the path lost */
 #define BACK_CONNECTS 2               /* successes in a row after which a lost path is back */
-#define ROW_MAX       (3 * FT_SECOND) /* between the first failure of a row and the last one */
+#define ROW_MAX       (3 * FT_SECOND) /* between the failures of a row */
 #define DOUBT_TIME    (2 * FT_SECOND) /* after a failed connect to a server */
 
+typedef struct
+{
+  int64_t at;
+  unsigned row;
+} Failure;
+
 struct Paths
 {
   FtClock *clock;
-  GHashTable *failed; /* server -> int64_t: its last failure, removed by a success */
-  int64_t row_began;  /* the first failure since a success; 0: there was none */
+  GHashTable *failed; /* server -> Failure: its last one, removed by a success */
+  unsigned row;       /* number of the row of failures; a success that counts begins a new one */
   bool refuted;       /* another instance has reached a server of the row */
   int64_t lost_at;
   unsigned successes; /* in a row, while the path is lost */
@@ -51,20 +57,7 @@
 is_before (gpointer key, gpointer value, gpointer data)
 {
   (void) key;
-  return *(const int64_t *) value < *(const int64_t *) data;
-}
-
-static unsigned
-count_failed_since (const Paths *paths, int64_t since)
-{
-  GHashTableIter iter;
-  gpointer value;
-  unsigned count = 0;
-
-  g_hash_table_iter_init (&iter, paths->failed);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += *(const int64_t *) value >= since;
-  return count;
+  return ((const Failure *) value)->at < *(const int64_t *) data;
 }
 
 static void
@@ -75,7 +68,7 @@
     return;
   if (paths->lost)
     g_hash_table_remove_all (paths->failed); /* the path had failed, not these servers */
-  paths->row_began = 0;
+  paths->row++;
   paths->refuted = paths->lost = false;
 }
 
@@ -93,14 +86,13 @@
 note_failure (Paths *paths, const char *server, int64_t now)
 {
   int64_t oldest = now - MAX (ROW_MAX, DOUBT_TIME);
+  Failure failure = { now, paths->row };
 
   paths->successes = 0;
   g_hash_table_foreach_remove (paths->failed, is_before, &oldest);
-  g_hash_table_replace (paths->failed, g_strdup (server), g_memdup2 (&now, sizeof now));
-  if (paths->row_began && (paths->lost || paths->row_began >= now - ROW_MAX))
-    return;
-  paths->row_began = now;
-  paths->refuted = false;
+  g_hash_table_replace (paths->failed, g_strdup (server), g_memdup2 (&failure, sizeof failure));
+  if (!paths->lost && paths_failed_count (paths) == 1)
+    paths->refuted = false;
 }
 
 void
@@ -120,7 +112,9 @@
 void
 paths_note_relayed (Paths *paths, const char *server)
 {
-  if (paths->row_began == 0 || !g_hash_table_contains (paths->failed, server))
+  const Failure *failure = g_hash_table_lookup (paths->failed, server);
+
+  if (failure == NULL || failure->row != paths->row)
     return;
   paths->refuted = true;
   judge (paths, ft_clock_now (paths->clock));
@@ -135,7 +129,14 @@
 unsigned
 paths_failed_count (const Paths *paths)
 {
-  return paths->row_began ? count_failed_since (paths, paths->row_began) : 0;
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, paths->failed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const Failure *) value)->row == paths->row;
+  return count;
 }
 
 int64_t
@@ -147,7 +148,7 @@
 bool
 paths_is_doubtful (const Paths *paths, const char *server)
 {
-  const int64_t *failed_at = g_hash_table_lookup (paths->failed, server);
+  const Failure *failure = g_hash_table_lookup (paths->failed, server);
 
-  return paths->lost || (failed_at && *failed_at + DOUBT_TIME > ft_clock_now (paths->clock));
+  return paths->lost || (failure && failure->at + DOUBT_TIME > ft_clock_now (paths->clock));
 }
