--- a/node/relays.c
+++ b/node/relays.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define INTERVAL (200 * FT_MS)
+#define AWAY     (2 * INTERVAL) /* without a tick: another voter was in charge */
 
 typedef struct
 {
@@ -22,11 +23,12 @@
 {
   Loop *loop;
   Mesh *mesh;
-  GHashTable *assigned; /* MeshPeer -> Assignment */
-  GPtrArray *usable;    /* MeshPeer that may relay, during a tick */
-  GHashTable *usable_ips;
-  unsigned next; /* index in usable of the next one to be named */
-  int64_t due;
+  GHashTable *assigned;       /* MeshPeer -> Assignment */
+  GPtrArray *usable;          /* MeshPeer that may relay, during a tick */
+  GHashTable *usable_ips;     /* their addresses -> MeshPeer */
+  GHashTable *usable_domains; /* failure domain -> number of them */
+  unsigned next;              /* index in usable of the next one to be named */
+  int64_t due, ticked_at;
 };
 
 Relays *
@@ -39,6 +41,7 @@
   relays->assigned = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   relays->usable = g_ptr_array_new ();
   relays->usable_ips = g_hash_table_new (NULL, NULL);
+  relays->usable_domains = g_hash_table_new (g_str_hash, g_str_equal);
   return relays;
 }
 
@@ -49,6 +52,7 @@
     return;
   g_hash_table_unref (relays->assigned);
   g_hash_table_unref (relays->usable_ips);
+  g_hash_table_unref (relays->usable_domains);
   g_ptr_array_unref (relays->usable);
   g_free (relays);
 }
@@ -73,7 +77,9 @@
   if (!is_linked_entry (peer) || peer->leaving || peer->cut_off)
     return;
   g_ptr_array_add (relays->usable, peer);
-  g_hash_table_add (relays->usable_ips, GUINT_TO_POINTER (peer->ip));
+  g_hash_table_insert (relays->usable_ips, GUINT_TO_POINTER (peer->ip), peer);
+  guint before = GPOINTER_TO_UINT (g_hash_table_lookup (relays->usable_domains, peer->domain));
+  g_hash_table_insert (relays->usable_domains, peer->domain, GUINT_TO_POINTER (before + 1));
 }
 
 static bool
@@ -98,6 +104,33 @@
   return changed;
 }
 
+static bool
+is_elsewhere (const Relays *relays, const MeshPeer *peer, uint32_t ip)
+{
+  const MeshPeer *other = g_hash_table_lookup (relays->usable_ips, GUINT_TO_POINTER (ip));
+
+  return strcmp (other->domain, peer->domain) != 0;
+}
+
+/* Makes room for relays in other failure domains, if there are any that are not assigned. */
+static void
+drop_local (const Relays *relays, const MeshPeer *peer, Assignment *assignment)
+{
+  unsigned local = GPOINTER_TO_UINT (g_hash_table_lookup (relays->usable_domains, peer->domain));
+  unsigned wanted = MIN (relays->usable->len - local, MESH_RELAYS_MAX), have = 0;
+
+  for (unsigned i = 0; i < assignment->count; i++)
+    have += is_elsewhere (relays, peer, assignment->ips[i]);
+  for (unsigned i = assignment->count;
+       i-- > 0 && assignment->count + wanted - have > MESH_RELAYS_MAX;)
+    if (!is_elsewhere (relays, peer, assignment->ips[i]))
+      {
+        assignment->count--;
+        memmove (&assignment->ips[i], &assignment->ips[i + 1],
+                 (assignment->count - i) * sizeof assignment->ips[0]);
+      }
+}
+
 /* Adds up to MESH_RELAYS_MAX relays in turn; elsewhere: only from other failure domains. */
 static bool
 fill (Relays *relays, const MeshPeer *peer, Assignment *assignment, bool elsewhere)
@@ -129,6 +162,7 @@
       g_hash_table_insert (relays->assigned, peer, assignment);
     }
   bool changed = drop_unusable (relays, assignment);
+  drop_local (relays, peer, assignment);
   if (assignment->count < MESH_RELAYS_MAX)
     {
       changed |= fill (relays, peer, assignment, true);
@@ -138,7 +172,8 @@
     return;
   msg.MeshMsg_u.relays.relays.relays_len = assignment->count;
   msg.MeshMsg_u.relays.relays.relays_val = assignment->ips;
-  mesh_send (peer, &msg);
+  if (!mesh_send (peer, &msg))
+    g_hash_table_remove (relays->assigned, peer); /* try again in the next interval */
 }
 
 void
@@ -146,11 +181,16 @@
 {
   int64_t now = loop_now (relays->loop);
 
+  /* Another voter may have named other relays meanwhile. */
+  if (now - relays->ticked_at > AWAY)
+    g_hash_table_remove_all (relays->assigned);
+  relays->ticked_at = now;
   if (now < relays->due)
     return;
   relays->due = now + INTERVAL;
   g_ptr_array_set_size (relays->usable, 0);
   g_hash_table_remove_all (relays->usable_ips);
+  g_hash_table_remove_all (relays->usable_domains);
   mesh_for_each_peer (relays->mesh, collect, relays);
   mesh_for_each_peer (relays->mesh, assign, relays);
 }
