--- a/test/backend.c
+++ b/test/backend.c
@@ -14,6 +14,7 @@
   LoopTimer timer;
   HCall *call;
   FleetServer *server;
+  char id[64]; /* of the request */
   unsigned next;
 } Stream;
 
@@ -25,6 +26,14 @@
   return id ? id : "";
 }
 
+static void
+increment (GHashTable *table, const char *key)
+{
+  int before = GPOINTER_TO_INT (g_hash_table_lookup (table, key));
+
+  g_hash_table_replace (table, g_strdup (key), GINT_TO_POINTER (before + 1));
+}
+
 /* ---- Delayed answers to plain calls ---- */
 
 typedef struct
@@ -109,13 +118,20 @@
   if (stream->server->mode == SERVER_CUT_STREAM && stream->next == 3)
     {
       hcall_write (stream->call, event, 9);
+      increment (fleet->lost_counts, stream->id);
       hcall_abort (stream->call);
       remove_stream (stream);
       return;
     }
   hcall_write (stream->call, event, strlen (event));
   bool pauses = stream->server->mode == SERVER_PAUSING && stream->next == 2;
+  bool ends = stream->server->mode == SERVER_SILENT && stream->next == 2;
   stream->next++;
+  if (ends)
+    {
+      increment (fleet->lost_counts, stream->id);
+      return;
+    }
   loop_timer_set (fleet->loop, timer,
                   loop_now (fleet->loop) + (pauses ? fleet->pause_ms : fleet->event_ms) * FT_MS);
 }
@@ -129,6 +145,7 @@
   stream->timer.fire = on_stream_timer;
   stream->call = call;
   stream->server = server;
+  g_strlcpy (stream->id, request_id (call), sizeof stream->id);
   stream->next = last ? (unsigned) atoi (last) + 1 : 1;
   g_ptr_array_add (server->streams, stream);
   hcall_set_user (call, stream);
@@ -137,14 +154,6 @@
   loop_timer_set (server->fleet->loop, &stream->timer, loop_now (server->fleet->loop));
 }
 
-static void
-increment (GHashTable *table, const char *key)
-{
-  int before = GPOINTER_TO_INT (g_hash_table_lookup (table, key));
-
-  g_hash_table_replace (table, g_strdup (key), GINT_TO_POINTER (before + 1));
-}
-
 static void
 add_crash_event (const FleetServer *server, const char *body, const char *request, bool crashed)
 {
@@ -228,11 +237,20 @@
       server->crash_call = call;
     }
   else if (server->mode == SERVER_RESET)
-    hcall_abort (call);
+    {
+      increment (server->fleet->lost_counts, id);
+      hcall_abort (call);
+    }
   else if (server->mode == SERVER_NO_ANSWER)
-    hcall_set_user (call, NULL);
+    {
+      increment (server->fleet->lost_counts, id);
+      hcall_set_user (call, NULL);
+    }
   else if (should_fail (server))
-    hcall_reply (call, 500, fields, "poor", 4);
+    {
+      increment (server->fleet->lost_counts, id);
+      hcall_reply (call, 500, fields, "poor", 4);
+    }
   else if (g_str_has_prefix (hmsg_target (hcall_msg (call)), "/stream/"))
     start_stream (server, call, fields);
   else if (server->mode == SERVER_SLOW)
@@ -292,6 +310,7 @@
     hcall_reply (call, 421, fields, "", 0);
   else if (full)
     {
+      increment (server->fleet->lost_counts, id);
       hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
       hcall_reply (call, 503, fields, "", 0);
     }
@@ -322,7 +341,11 @@
 stop_server (FleetServer *server)
 {
   for (unsigned i = 0; i < server->streams->len; i++)
-    loop_timer_stop (server->fleet->loop, &((Stream *) server->streams->pdata[i])->timer);
+    {
+      Stream *stream = server->streams->pdata[i];
+      loop_timer_stop (server->fleet->loop, &stream->timer);
+      increment (server->fleet->lost_counts, stream->id);
+    }
   g_ptr_array_set_size (server->streams, 0);
   g_ptr_array_set_size (server->delayed, 0);
   hsrv_free (server->srv);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -79,11 +79,11 @@
       out,
       "\"name\":\"%s\",\"role\":\"%s\",\"ip\":\"%s\",\"domain\":\"z\","
       "\"link_port\":%d,\"link_listen_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
-      "\"first_start\":%s,\"grace_s\":8,\"metrics_port\":%d,"
+      "\"first_start\":%s,\"grace_s\":%u,\"metrics_port\":%d,"
       "\"budget_slack\":%u,",
       node->name, node->voter ? "voter" : "entry", ip, LINK_PORT,
-      node->proxy ? LINK_LISTEN_PORT : 0, list, first_start ? "true" : "false", METRICS_PORT,
-      fleet->budget_slack);
+      node->proxy ? LINK_LISTEN_PORT : 0, list, first_start ? "true" : "false", fleet->grace_s,
+      METRICS_PORT, fleet->budget_slack);
   if (node->voter)
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL_PORT,
                             node->folder);
@@ -130,6 +130,22 @@
     kill (node->pid, number);
 }
 
+bool
+fleet_handles_signals (const FleetNode *node)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int) node->pid), *text = NULL;
+  const char *blocked = NULL;
+
+  if (node->pid > 0 && g_file_get_contents (path, &text, NULL, NULL))
+    blocked = strstr (text, "SigBlk:");
+  bool handles = blocked
+                 && g_ascii_strtoull (blocked + strlen ("SigBlk:"), NULL, 16)
+                        & (UINT64_C (1) << (SIGTERM - 1));
+  g_free (text);
+  g_free (path);
+  return handles;
+}
+
 void
 fleet_kill (FleetNode *node)
 {
@@ -202,6 +218,7 @@
   fleet->plain_ms = 0;
   fleet->slow_ms = 300;
   fleet->run_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->lost_counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->senders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->arrivals = g_array_new (FALSE, FALSE, sizeof (Arrival));
   fleet->crash_events = g_array_new (FALSE, FALSE, sizeof (FleetCrashEvent));
@@ -209,6 +226,8 @@
   fleet->restart_ms = 300;
   fleet->budget_slack = 20;
   fleet->entry_seeds = 3;
+  fleet->grace_s = 8;
+  fleet->entry_count = FLEET_ENTRIES;
   /* Picks a loopback /24 that no other test of this machine uses at the same time: the test that
    * binds the list's address owns the range. */
   for (unsigned i = 0; fleet->list == NULL && i < 1000; i++)
@@ -225,12 +244,12 @@
       g_snprintf (name, sizeof name, "voter%u", i + 1);
       init_node (fleet, &fleet->voters[i], name, net + 11 + i, true);
     }
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < FLEET_ENTRIES_MAX; i++)
     {
       g_snprintf (name, sizeof name, "entry%u", i + 1);
       init_node (fleet, &fleet->entries[i], name, net + 31 + i, false);
     }
-  init_node (fleet, &fleet->spare, "spare", net + 31 + FLEET_ENTRIES, false);
+  init_node (fleet, &fleet->spare, "spare", net + 31 + FLEET_ENTRIES_MAX, false);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     backend_create (fleet, i, (SockAddr){ net + 51 + i, SERVER_PORT });
   return fleet;
@@ -243,7 +262,7 @@
 {
   for (unsigned i = 0; i < FLEET_VOTERS; i++)
     fleet_kill (&fleet->voters[i]);
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     fleet_kill (&fleet->entries[i]);
   fleet_kill (&fleet->spare);
   fleet_run_for (fleet, 100 * FT_MS); /* so that the closed connections are noticed */
@@ -254,6 +273,7 @@
   hcli_free (fleet->cli);
   loop_free (fleet->loop);
   g_hash_table_unref (fleet->run_counts);
+  g_hash_table_unref (fleet->lost_counts);
   g_hash_table_unref (fleet->crash_run_counts);
   g_array_unref (fleet->crash_events);
   g_hash_table_unref (fleet->senders);
@@ -273,7 +293,7 @@
 {
   for (unsigned i = 0; i < FLEET_VOTERS; i++)
     add_node_proxy (fleet, &fleet->voters[i]);
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     add_node_proxy (fleet, &fleet->entries[i]);
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
@@ -289,7 +309,7 @@
   for (unsigned i = 0; i < FLEET_VOTERS; i++)
     if (fleet->voters[i].proxy)
       proxy_free (fleet->voters[i].proxy);
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     if (fleet->entries[i].proxy)
       proxy_free (fleet->entries[i].proxy);
 }
@@ -369,19 +389,25 @@
   g_string_append_len (((Answer *) user)->body, data, (gssize) size);
 }
 
+static void
+set_done (Answer *answer, bool broken)
+{
+  answer->done = true;
+  answer->broken = broken;
+  answer->done_at = loop_now (answer->fleet->loop);
+}
+
 static void
 on_end (void *user)
 {
-  ((Answer *) user)->done = true;
+  set_done (user, false);
 }
 
 static void
 on_failed (void *user, HXferFault fault)
 {
-  Answer *answer = user;
-
   (void) fault;
-  answer->done = answer->broken = true;
+  set_done (user, true);
 }
 
 static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
@@ -393,10 +419,12 @@
   HCliTarget target = { addr, sock_addr_format (addr, key), FT_SECOND, 5 * FT_SECOND, false };
 
   memset (answer, 0, sizeof *answer);
+  answer->fleet = fleet;
+  answer->sent_at = loop_now (fleet->loop);
   answer->body = g_string_new (NULL);
   answer->xfer = hcli_send (fleet->cli, &target, request, &xfer_ops, answer);
   if (answer->xfer == NULL)
-    answer->done = answer->broken = true;
+    set_done (answer, true);
 }
 
 void
@@ -481,7 +509,7 @@
   if (answer->done)
     return;
   hxfer_cancel (answer->xfer);
-  answer->done = answer->broken = true;
+  set_done (answer, true);
   answer->status = 0;
 }
 
@@ -659,6 +687,12 @@
   return (unsigned) GPOINTER_TO_INT (g_hash_table_lookup (fleet->crash_run_counts, body));
 }
 
+unsigned
+fleet_lost_count (const Fleet *fleet, const char *id)
+{
+  return (unsigned) GPOINTER_TO_INT (g_hash_table_lookup (fleet->lost_counts, id));
+}
+
 unsigned
 fleet_run_count (const Fleet *fleet, const char *id)
 {
@@ -670,10 +704,10 @@
 {
   for (unsigned i = 0; i < 3; i++)
     fleet_start (fleet, &fleet->voters[i], true);
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     fleet_start (fleet, &fleet->entries[i], false);
   fleet_put_catalogue (fleet);
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     while (!fleet_is_ready (fleet, &fleet->entries[i]))
       fleet_run_for (fleet, 20 * FT_MS);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -12,7 +12,8 @@
 
 #define FLEET_VOTERS       4     /* three found the cluster; the fourth can replace one */
 #define FLEET_CALLER_PORT  18080 /* on which an entry serves callers */
-#define FLEET_ENTRIES      3
+#define FLEET_ENTRIES      3     /* usually */
+#define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
 #define FLEET_SERVERS      4
 #define FLEET_CRASH_PREFIX "ends-servers" /* a body with it crashes its server */
 
@@ -27,7 +28,8 @@
   SERVER_NO_ANSWER,  /* never answers */
   SERVER_SLOW_CRASH, /* crashes in two steps: listener and one call first, the rest later */
   SERVER_FAILING,    /* fails four in ten of the requests that it runs */
-  SERVER_SLOW        /* answers plain calls after Fleet.slow_ms */
+  SERVER_SLOW,       /* answers plain calls after Fleet.slow_ms */
+  SERVER_SILENT      /* sends nothing more after a stream's second event */
 } ServerMode;
 
 typedef struct Fleet Fleet;
@@ -82,12 +84,14 @@
   Loop *loop;
   HCli *cli;
   char base[128];
-  FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES];
-  FleetNode spare; /* no deputy; not started by fleet_start_all */
+  FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES_MAX];
+  unsigned entry_count; /* set it before fleet_add_proxies and fleet_start_all */
+  FleetNode spare;      /* no deputy; not started by fleet_start_all */
   FleetServer servers[FLEET_SERVERS];
   HSrv *list;                   /* serves the platform's server list */
   uint64_t version;             /* of the newest acknowledged catalogue */
   GHashTable *run_counts;       /* request id: how often a server started to run it */
+  GHashTable *lost_counts;      /* request id: how often a server lost it, see fleet_lost_count */
   GHashTable *crash_run_counts; /* crash body: how often a server started to run it */
   GArray *crash_events;         /* FleetCrashEvent, in order */
   GHashTable *senders;        /* request id: number of the entry it was sent to, 1 for the first */
@@ -102,6 +106,7 @@
   unsigned budget_slack;      /* the entries' setting of that name */
   unsigned entry_seeds;       /* how many of the first voters the entries have as seeds */
   unsigned header_timeout_ms; /* the catalogue's HeaderTimeoutMs; 0: not set */
+  unsigned grace_s;           /* the setting of that name */
   unsigned restart_ms;        /* from a server's crash to its restart */
   uint64_t next_id;
 };
@@ -115,6 +120,8 @@
   char location[128], connection[32];
   bool has_signature; /* it names the server that answered */
   bool retry_after;   /* it has a Retry-After field */
+  Fleet *fleet;
+  int64_t sent_at, done_at; /* done_at: valid if done */
   HXfer *xfer;
 } Answer;
 
@@ -123,6 +130,8 @@
 void fleet_free (Fleet *fleet); /* kills the processes that it started */
 void fleet_start (Fleet *fleet, FleetNode *node, bool first_start);
 void fleet_signal (FleetNode *node, int number);
+/* Whether the process handles SIGHUP and SIGTERM; until then, just started, they end it. */
+bool fleet_handles_signals (const FleetNode *node);
 /* Sends SIGKILL and waits for the process. */
 void fleet_kill (FleetNode *node);
 /* Deletes all files of the node's data folder. */
@@ -178,6 +187,9 @@
 bool fleet_is_ready (Fleet *fleet, const FleetNode *entry);
 /* How often a server started to run the request. */
 unsigned fleet_run_count (const Fleet *fleet, const char *id);
+/* How often a server that got the request refused it, failed it, reset it, broke it off or fell
+ * silent for good. */
+unsigned fleet_lost_count (const Fleet *fleet, const char *id);
 /* How often a server started to run the crash body. */
 unsigned fleet_crash_run_count (const Fleet *fleet, const char *body);
 /* Everything that a node has logged so far; free with g_free. */
--- a/test/soakroll.c
+++ b/test/soakroll.c
@@ -144,7 +144,7 @@
       char id[24];
       Answer answer;
       g_snprintf (id, sizeof id, "v%u", i);
-      fleet_call (fleet, &fleet->entries[i % FLEET_ENTRIES], "/plain/a", id, &answer);
+      fleet_call (fleet, &fleet->entries[i % fleet->entry_count], "/plain/a", id, &answer);
       fleet_answer_clear (&answer);
     }
   if (requests_received (losing) != received)
