test/soak: planned work in series, silent servers, full load, each begun answer to its end

New faults: a server that is silent for 0.3 to 3 s in a stream and goes on, one that is silent for good. Beside the faults, SIGHUP to one process after another, SIGTERM to one entry after another, catalogues. By its number a seed has planned work and silences alone, more callers than places, or 12 entries. Each begun answer must be complete unless an unplanned fault touched its entry, its tries were used up by servers, or its time limit was reached.

Where the check was narrowed, each after a trace: a try that a server refused or failed, or that is silent for good or on a path that carries nothing any more, counts as one of the two of MaxAttempts (r333: 503, then a crash; r1117: a crash, then 500; r82: a black hole, then a crash); a request that is refused a place less than 100 ms before its time limit asks no more (r11: 36 ms before). Two conditions were taken out of the way instead: grace_s is 12, since an entry with 8 stopped 0.7 s before with answers open whose limit was 8 s (r2), and budget_slack 1000, since the retry budget of one of 12 entries ended answers after one break (r28). Bodies of streams differ, so that a crash elsewhere does not make them suspect. At full load callers wait 200 ms after a refusal, and seeds 2, 6, 10, .. have no notices, which left nearly no begun answers.

--- a/test/soak.c
+++ b/test/soak.c
@@ -10,6 +10,16 @@
  * Some requests have a crash body, which crashes each server that runs it. Once REPORT_TIME has
  * passed since the third crash that such a body caused, it may run at most LATE_RUNS_MAX times
  * more. A run counts only if no fault touched its entry or a voter for REPORT_TIME before it.
+ *
+ * Planned work goes on beside the faults: SIGHUP to one process after another, SIGTERM to one entry
+ * after another, new catalogues. By its number a seed has planned work and servers' silences alone
+ * (multiples of 3), fewer places than callers (multiples of 2) or FLEET_ENTRIES_MAX entries (5, 13,
+ * 21, ..).
+ *
+ * An answer of which its caller has an event, or the head of a plain answer, is complete unless an
+ * unplanned fault touched its entry meanwhile, as many of its tries as its route allows were
+ * refused, failed or broken off, or its time limit was reached. That a server is silent and goes on
+ * is no reason.
  */
 #include "soaknote.h"
 #include "soakroll.h"
@@ -18,7 +28,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define CALLER_COUNT       6
+#define CALLERS            6
+#define CALLERS_FULL       16 /* more than there are places at full load */
 #define FAULTS_MAX         3
 #define CRASH_ONE_IN       12 /* one request in so many has a crash body */
 #define CRASH_BODIES       2  /* different ones */
@@ -27,13 +38,31 @@
 #define REPORT_TIME        (3 * FT_SECOND)
 #define CALM_TIMEOUT       (25 * FT_SECOND) /* by then all that is open must have ended */
 #define NOTICES_TIME       (9 * FT_SECOND) /* a rate must be kept after 3 s, and is checked over 4 s */
-#define STREAM_END         "id: 8\ndata: event 8\n\n"
+#define TIME_LIMIT         (8 * FT_SECOND) /* of each request */
+/* Of a refusal's Retry-After at least: so close to the time limit a place is not asked for again.
+ */
+#define LAST_ASK_TIME    (100 * FT_MS)
+#define BUDGET_SLACK     1000 /* the retry budget ends no answer */
+#define GRACE_S          12 /* longer than TIME_LIMIT and the time that a leaving entry accepts requests */
+#define MAX_ATTEMPTS     2   /* of each route */
+#define FULL_EVENT_MS    150 /* between a stream's events at full load */
+#define FULL_PLAIN_MS    50  /* that a plain call takes at full load */
+#define FULL_RETRY_MS    200 /* from a refusal to the next request at full load */
+#define PAUSE_MS_MIN     300
+#define PAUSE_MS_MAX     3000
+#define HUP_MS_MAX       150 /* between two SIGHUPs */
+#define CATALOGUE_MS_MAX 400 /* between two catalogues */
+#define TERM_MS_MAX      800 /* from an entry's restart to the next one's SIGTERM */
+#define STREAM_END       "id: 8\ndata: event 8\n\n"
 
 typedef struct
 {
   Answer answer;
   char id[24];
   unsigned kind; /* 0 plain, 1 once, 2 stream, 3 once with a crash body */
+  unsigned entry;
+  unsigned path_breaks; /* faults that ended connections to a server while it was open */
+  int64_t again_at;     /* when it sends the next request */
   bool open;
 } Caller;
 
@@ -54,6 +83,8 @@
   FAULT_SERVER_MODE,
   FAULT_LEAVING,
   FAULT_SERVER_CRASH,
+  FAULT_SERVER_PAUSE,  /* silent in the middle of a stream, then goes on */
+  FAULT_SERVER_SILENT, /* silent for good */
   FAULT_KINDS
 } FaultKind;
 
@@ -64,14 +95,31 @@
   FleetNode *node;
   FleetServer *server;
   int64_t until;
+  bool breaks_path; /* the server's open connections are reset, or carry nothing any more */
 } Fault;
 
+/* Planned work. */
+typedef struct
+{
+  GRand *source; /* of its own, so that a seed keeps its sequence of faults */
+  int64_t hup_at, catalogue_at, term_at;
+  unsigned hup_next, term_next;
+  FleetNode *leaving; /* the entry that got SIGTERM; NULL: none */
+} Plan;
+
 static Fleet *fleet;
-static Caller callers[CALLER_COUNT];
+static Caller callers[CALLERS_FULL];
+static unsigned caller_count, retry_ms;
+static bool planned_only; /* no unplanned faults */
+static bool has_notices;  /* of servers, which take most of the places */
+static Plan plan;
 static GArray *once; /* OnceOutcome */
 static Fault faults[FAULTS_MAX];
 static int64_t
-    disturbed[3 + FLEET_ENTRIES]; /* when a fault last touched each voter, then each entry */
+    disturbed[3 + FLEET_ENTRIES_MAX]; /* when a fault last touched each voter, then each entry */
+static int64_t struck[FLEET_ENTRIES_MAX]; /* when an unplanned fault last touched each entry */
+/* Answers that began; that ended at their time limit; that ended early without a reason. */
+static unsigned begun, late, early;
 static unsigned late_runs[CRASH_BODIES];
 static unsigned events_checked;      /* of fleet->crash_events */
 static GHashTable *entry_of_request; /* request id: index of the entry it was sent to */
@@ -137,17 +185,70 @@
     }
 }
 
+static bool
+has_begun (const Caller *caller)
+{
+  const Answer *answer = &caller->answer;
+
+  if (answer->status != 200)
+    return false;
+  return caller->kind != 2 || strstr (answer->body->str, "\n\n") != NULL;
+}
+
+static unsigned
+lost_tries (const Caller *caller)
+{
+  return fleet_lost_count (fleet, caller->id) + caller->path_breaks;
+}
+
+static bool
+reached_time_limit (const Answer *answer)
+{
+  return answer->done_at - answer->sent_at >= TIME_LIMIT - LAST_ASK_TIME;
+}
+
+static bool
+may_end_early (const Caller *caller)
+{
+  return struck[caller->entry] > caller->answer.sent_at || lost_tries (caller) >= MAX_ATTEMPTS
+         || reached_time_limit (&caller->answer);
+}
+
+/* All such answers of a seed are printed before it fails. */
+static void
+check_whole (const Caller *caller)
+{
+  const Answer *answer = &caller->answer;
+
+  if (!has_begun (caller))
+    return;
+  begun++;
+  if (!answer->broken)
+    return;
+  late += reached_time_limit (answer);
+  if (may_end_early (caller))
+    return;
+  early++;
+  printf ("# ended early: %s, kind %u, at %s, after %d ms, %u tries ran, %u lost, %zu bytes\n",
+          caller->id, caller->kind, fleet->entries[caller->entry].name,
+          (int) ((answer->done_at - answer->sent_at) / FT_MS), fleet_run_count (fleet, caller->id),
+          lost_tries (caller), answer->body->len);
+}
+
 static void
 take_answer (Caller *caller)
 {
   check_answer (caller);
   check_stream (caller);
+  check_whole (caller);
   if (caller->kind == 1 || caller->kind == 3)
     {
       OnceOutcome outcome = { .status = caller->answer.status, .broken = caller->answer.broken };
       g_strlcpy (outcome.id, caller->id, sizeof outcome.id);
       g_array_append_val (once, outcome);
     }
+  if (caller->answer.status != 200 && retry_ms > 0)
+    caller->again_at = loop_now (fleet->loop) + retry_ms * FT_MS;
   fleet_answer_clear (&caller->answer);
   caller->open = false;
 }
@@ -156,7 +257,7 @@
 send_request (Caller *caller)
 {
   static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a", "/once/a" };
-  unsigned number = draw (FLEET_ENTRIES);
+  unsigned number = draw (fleet->entry_count);
   FleetNode *entry = &fleet->entries[number];
   char body[32];
 
@@ -164,8 +265,18 @@
     return;
   caller->kind = draw (CRASH_ONE_IN) == 0 ? 3 : draw (3);
   g_snprintf (caller->id, sizeof caller->id, "r%u", ++sent);
-  g_snprintf (body, sizeof body, caller->kind == 3 ? FLEET_CRASH_PREFIX " %u" : "body",
-              draw (CRASH_BODIES));
+  if (caller->kind == 3 && planned_only)
+    caller->kind = 1;
+  caller->entry = number;
+  caller->path_breaks = 0;
+  for (unsigned i = 0; i < FAULTS_MAX; i++)
+    caller->path_breaks += faults[i].active && faults[i].breaks_path;
+  if (caller->kind == 3)
+    g_snprintf (body, sizeof body, FLEET_CRASH_PREFIX " %u", draw (CRASH_BODIES));
+  else if (caller->kind == 2) /* with the same body it would be suspected after any crash */
+    g_snprintf (body, sizeof body, "body of %s", caller->id);
+  else
+    g_strlcpy (body, "body", sizeof body);
   g_hash_table_insert (entry_of_request, g_strdup (caller->id), GUINT_TO_POINTER (number));
   fleet_send_body (fleet, entry, paths[caller->kind], caller->id, body, &caller->answer);
   caller->open = true;
@@ -174,12 +285,12 @@
 static void
 step_callers (bool more)
 {
-  for (unsigned i = 0; i < CALLER_COUNT; i++)
+  for (unsigned i = 0; i < caller_count; i++)
     {
       Caller *caller = &callers[i];
       if (caller->open && caller->answer.done)
         take_answer (caller);
-      if (!caller->open && more)
+      if (!caller->open && more && loop_now (fleet->loop) >= caller->again_at)
         send_request (caller);
     }
 }
@@ -278,7 +389,7 @@
 static FleetNode *
 any_node (void)
 {
-  unsigned number = draw (3 + FLEET_ENTRIES);
+  unsigned number = draw (3 + fleet->entry_count);
 
   return number < 3 ? &fleet->voters[number] : &fleet->entries[number - 3];
 }
@@ -299,13 +410,34 @@
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     if (faults[i].active && faults[i].node == node)
       return true;
-  return false;
+  return plan.leaving == node;
+}
+
+static FaultKind
+draw_kind (void)
+{
+  static const FaultKind planned[]
+      = { FAULT_SERVER_PAUSE, FAULT_SERVER_PAUSE, FAULT_SERVER_PAUSE, FAULT_LEAVING, FAULT_TERM };
+
+  return planned_only ? planned[draw (G_N_ELEMENTS (planned))] : (FaultKind) draw (FAULT_KINDS);
+}
+
+static void
+begin_path_fault (Fault *fault)
+{
+  ProxyMode mode = 1 + draw (PROXY_MODE_COUNT - 1);
+
+  proxy_set_mode (fault->server->proxy, mode);
+  fault->breaks_path = mode == PROXY_REFUSE || mode == PROXY_BLACKHOLE;
+  for (unsigned i = 0; i < caller_count; i++)
+    callers[i].path_breaks += fault->breaks_path;
 }
 
 static void
 begin_fault (Fault *fault)
 {
-  fault->kind = (FaultKind) draw (FAULT_KINDS);
+  fault->kind = draw_kind ();
+  fault->breaks_path = false;
   fault->node = NULL;
   fault->server = &fleet->servers[draw (FLEET_SERVERS)];
   FleetNode *node = any_node ();
@@ -324,11 +456,18 @@
   else if (fault->kind == FAULT_LINK)
     proxy_set_mode (node->proxy, 1 + draw (PROXY_MODE_COUNT - 1));
   else if (fault->kind == FAULT_SERVER_PATH && fault->server->proxy)
-    proxy_set_mode (fault->server->proxy, 1 + draw (PROXY_MODE_COUNT - 1));
+    begin_path_fault (fault);
   else if (fault->kind == FAULT_SERVER_CRASH)
     fleet_crash_server (fault->server);
   else if (fault->kind == FAULT_SERVER_MODE)
     fault->server->mode = 1 + draw (SERVER_NO_ANSWER);
+  else if (fault->kind == FAULT_SERVER_PAUSE)
+    {
+      fleet->pause_ms = PAUSE_MS_MIN + draw (PAUSE_MS_MAX - PAUSE_MS_MIN + 1);
+      fault->server->mode = SERVER_PAUSING;
+    }
+  else if (fault->kind == FAULT_SERVER_SILENT)
+    fault->server->mode = SERVER_SILENT;
   else if (fault->kind == FAULT_LEAVING)
     fault->server->leaving = true;
 }
@@ -359,7 +498,8 @@
     proxy_set_mode (fault->node->proxy, PROXY_PASS);
   else if (fault->kind == FAULT_SERVER_PATH && fault->server->proxy)
     proxy_set_mode (fault->server->proxy, PROXY_PASS);
-  else if (fault->kind == FAULT_SERVER_MODE)
+  else if (fault->kind == FAULT_SERVER_MODE || fault->kind == FAULT_SERVER_PAUSE
+           || fault->kind == FAULT_SERVER_SILENT)
     fault->server->mode = soakroll_usual (fault->server);
   else if (fault->kind == FAULT_LEAVING)
     fault->server->leaving = false;
@@ -372,6 +512,9 @@
     {
       if (faults[i].active && faults[i].node)
         note_disturbed (faults[i].node);
+      if (faults[i].active && faults[i].node && !faults[i].node->voter
+          && faults[i].kind != FAULT_TERM)
+        struck[faults[i].node - fleet->entries] = loop_now (fleet->loop);
       if (faults[i].active && faults[i].kind == FAULT_SERVER_PATH)
         soaknote_disturbed (0);
       if (faults[i].active && loop_now (fleet->loop) >= faults[i].until)
@@ -379,7 +522,7 @@
       else if (!faults[i].active && more && draw (40) == 0)
         begin_fault (&faults[i]);
     }
-  for (unsigned i = 0; i < 3 + FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < 3 + fleet->entry_count; i++)
     {
       FleetNode *node = i < 3 ? &fleet->voters[i] : &fleet->entries[i - 3];
       if (!has_fault (node) && node->pid && fleet_has_exited (node))
@@ -387,13 +530,75 @@
     }
 }
 
+/* ---- Planned work ---- */
+
+static int64_t
+draw_time (unsigned ms_max)
+{
+  return loop_now (fleet->loop) + g_rand_int_range (plan.source, 0, (gint32) ms_max) * FT_MS;
+}
+
+static void
+signal_next (void)
+{
+  unsigned number = plan.hup_next++ % (3 + fleet->entry_count);
+  FleetNode *node = number < 3 ? &fleet->voters[number] : &fleet->entries[number - 3];
+
+  if (fleet_handles_signals (node))
+    fleet_signal (node, SIGHUP);
+  plan.hup_at = draw_time (HUP_MS_MAX);
+}
+
+static void
+put_catalogue (void)
+{
+  const FleetNode *voter = &fleet->voters[g_rand_int_range (plan.source, 0, 3)];
+
+  if (voter->pid && !has_fault (voter))
+    fleet_try_put_catalogue (fleet, voter);
+  plan.catalogue_at = draw_time (CATALOGUE_MS_MAX);
+}
+
+static void
+stop_next_entry (void)
+{
+  FleetNode *entry = &fleet->entries[plan.term_next++ % fleet->entry_count];
+
+  if (has_fault (entry) || !fleet_handles_signals (entry))
+    return;
+  fleet_signal (entry, SIGTERM);
+  plan.leaving = entry;
+}
+
+static void
+step_planned (bool more)
+{
+  int64_t now = loop_now (fleet->loop);
+
+  if (plan.leaving)
+    note_disturbed (plan.leaving);
+  if (plan.leaving && restart_after_term (plan.leaving))
+    {
+      plan.leaving = NULL;
+      plan.term_at = draw_time (TERM_MS_MAX);
+    }
+  if (more && plan.leaving == NULL && now >= plan.term_at)
+    stop_next_entry ();
+  if (more && now >= plan.hup_at)
+    signal_next ();
+  if (more && now >= plan.catalogue_at)
+    put_catalogue ();
+}
+
 static bool
 any_open (void)
 {
+  if (plan.leaving)
+    return true;
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     if (faults[i].active)
       return true;
-  for (unsigned i = 0; i < CALLER_COUNT; i++)
+  for (unsigned i = 0; i < caller_count; i++)
     if (callers[i].open)
       return true;
   return false;
@@ -409,6 +614,7 @@
   while (any_open ())
     {
       step_faults (false);
+      step_planned (false);
       step_callers (false);
       fleet_run_for (fleet, 20 * FT_MS);
       if (loop_now (fleet->loop) > until)
@@ -443,8 +649,10 @@
       Answer answer;
       g_snprintf (id, sizeof id, "m%u", i);
       g_snprintf (body, sizeof body, FLEET_CRASH_PREFIX " %u", i % CRASH_BODIES);
-      g_hash_table_insert (entry_of_request, g_strdup (id), GUINT_TO_POINTER (i % FLEET_ENTRIES));
-      fleet_call_body (fleet, &fleet->entries[i % FLEET_ENTRIES], "/once/a", id, body, &answer);
+      g_hash_table_insert (entry_of_request, g_strdup (id),
+                           GUINT_TO_POINTER (i % fleet->entry_count));
+      fleet_call_body (fleet, &fleet->entries[i % fleet->entry_count], "/once/a", id, body,
+                       &answer);
       fleet_answer_clear (&answer);
       fleet_run_for (fleet, 100 * FT_MS);
       check_crash_events ();
@@ -459,7 +667,7 @@
     fail ("what was acknowledged is lost", "catalogue");
   fleet_put_catalogue (fleet);
   send_crash_bodies ();
-  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+  for (unsigned i = 0; i < fleet->entry_count; i++)
     {
       unsigned served = 0;
       for (unsigned j = 0; j < 200 && served < 10; j++)
@@ -477,6 +685,28 @@
     }
 }
 
+/* Sets what a seed's number decides. */
+static void
+configure (unsigned seed)
+{
+  bool full_load = seed % 2 == 0;
+
+  fleet->grace_s = GRACE_S;
+  fleet->budget_slack = BUDGET_SLACK;
+  planned_only = seed % 3 == 0;
+  has_notices = !planned_only && seed % 4 != 2;
+  retry_ms = full_load ? FULL_RETRY_MS : 0;
+  caller_count = full_load ? CALLERS_FULL : CALLERS;
+  if (full_load)
+    {
+      fleet->slots = 1 + seed / 2 % 2;
+      fleet->event_ms = FULL_EVENT_MS;
+      fleet->plain_ms = FULL_PLAIN_MS;
+    }
+  if (seed % 8 == 5)
+    fleet->entry_count = FLEET_ENTRIES_MAX;
+}
+
 static void
 run_seed (unsigned seconds, unsigned seed)
 {
@@ -485,11 +715,14 @@
   memset (callers, 0, sizeof callers);
   memset (faults, 0, sizeof faults);
   memset (disturbed, 0, sizeof disturbed);
+  memset (struck, 0, sizeof struck);
+  plan = (Plan){ .source = g_rand_new_with_seed (seed ^ 0x706c616e) };
   memset (late_runs, 0, sizeof late_runs);
   events_checked = 0;
   entry_of_request = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  sent = answered = refused = unknown = broken = 0;
+  sent = answered = refused = unknown = broken = begun = late = early = 0;
   fleet = fleet_new ();
+  configure (seed);
   fleet_add_proxies (fleet);
   soakroll_begin (fleet, seed);
   soaknote_begin (fleet, seed);
@@ -499,27 +732,33 @@
   while (loop_now (fleet->loop) < until)
     {
       step_faults (true);
+      step_planned (true);
       step_callers (true);
       check_crash_events ();
       if (draw (10) == 0)
         step_operators ();
-      soaknote_turn ();
+      if (has_notices)
+        soaknote_turn ();
       soakroll_turn (&fleet->voters[round++ % 3]);
       fleet_run_for (fleet, 15 * FT_MS);
     }
   calm_down ();
   check_notices ();
   check_once ();
+  if (early > 0)
+    fail ("begun answers ended early", "see above");
   soakroll_end ();
   check_recovery ();
-  printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, catalogue %u, "
+  printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, %u begun, "
+          "%u over time, catalogue %u, "
           "%u server crashes, late runs of crash bodies: %u and %u\n",
-          seed, sent, answered, refused, unknown, broken, (unsigned) fleet->version,
+          seed, sent, answered, refused, unknown, broken, begun, late, (unsigned) fleet->version,
           fleet->crash_count, late_runs[0], late_runs[1]);
   fleet_free (fleet);
   g_hash_table_unref (entry_of_request);
   g_array_unref (once);
   g_rand_free (generator);
+  g_rand_free (plan.source);
 }
 
 int
