--- a/node/reqask.c
+++ b/node/reqask.c
@@ -102,6 +102,7 @@
 static void
 reset_try (Req *req)
 {
+  req->silence_reported = false;
   req->head_seen = req->is_stream = req->rejected = req->wrong_server = req->has_fault = false;
   req->close_delimited = false;
   req->sent_at = req->first_at = req->event_at = req->event_gap_sum = req->received_at = 0;
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -52,6 +52,7 @@
   /* The answer to the current try. */
   int64_t sent_at, first_at, event_at, event_gap_sum;
   int64_t received_at;   /* when the server last sent a part of the answer; 0: nothing yet */
+  bool silence_reported; /* nothing has come since the scheduler was told of a silence */
   int64_t silence_limit; /* for which the silence timer was last set */
   int64_t conn_idle;     /* how long the reused connection had been idle; 0: a new one */
   bool broke_on_send;    /* the connection broke right after the request was sent */
--- a/node/requests.c
+++ b/node/requests.c
@@ -101,9 +101,13 @@
           JL_INT ("relay", req->relay.ip));
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
     {
-      place_report_silence (requests->conf.place, req->number);
-      if (step == RETRY_REPLACE)
+      if (!req->silence_reported)
+        place_report_silence (requests->conf.place, req->number);
+      if (step == RETRY_REPLACE && (!req->begun || req->silence_reported))
         req_ask_replacement (req);
+      else if (step == RETRY_REPLACE) /* its run may be needed: wait as long again */
+        loop_timer_set (requests->conf.loop, &req->silence, req_now (req) + req->silence_limit);
+      req->silence_reported = true;
       return;
     }
   req_end_try (req, outcome_of (req, event));
--- a/node/try.c
+++ b/node/try.c
@@ -104,6 +104,7 @@
 record_received (Req *req)
 {
   req->received_at = req_now (req);
+  req->silence_reported = false;
   if (req->next_number == 0 && !req->ask_pause.armed)
     return;
   loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
