--- a/test/begun.c
+++ b/test/begun.c
@@ -181,6 +181,7 @@
 } Odd;
 
 static unsigned odd_runs;
+static GPtrArray *odds; /* Odd */
 
 static void
 on_odd_timer (LoopTimer *timer)
@@ -206,9 +207,10 @@
 static Odd *
 odd_begin (Fleet *fleet, HCall *call, bool aborts)
 {
-  Odd *odd = g_new0 (Odd, 1); /* freed with the process */
+  Odd *odd = g_new0 (Odd, 1);
   GString *fields = g_string_new (NULL);
 
+  g_ptr_array_add (odds, odd);
   odd_runs++;
   *odd = (Odd){ .timer.fire = on_odd_timer, .fleet = fleet, .call = call, .aborts = aborts };
   hcall_set_user (call, odd);
@@ -417,5 +419,8 @@
   g_test_add_func ("/begun/plain_answer_in_parts", plain_answer_in_parts);
   g_test_add_func ("/begun/no_event_stream", no_event_stream);
   g_test_add_func ("/begun/body_is_read_later", body_is_read_later);
-  return g_test_run ();
+  odds = g_ptr_array_new_with_free_func (g_free);
+  int status = g_test_run ();
+  g_ptr_array_unref (odds);
+  return status;
 }
