test/silence: a replacement that is asked for is withdrawn when the server goes on

The mutant "a server that goes on is replaced all the same" was not found any more, since a begun answer is replaced after twice the limit only. With it the stream runs twice; without it once.

--- a/test/silence.c
+++ b/test/silence.c
@@ -98,8 +98,34 @@
   fleet_free (fleet);
 }
 
-/* The same while the entry reloads its settings again and again, another entry gets SIGTERM and the
- * catalogue changes. */
+/* Guards against ending a try that goes on for a place that was asked for while it was silent. */
+static void
+goes_on_while_a_place_is_asked_for (void)
+{
+  Fleet *fleet = new_fleet_of_one_place_each (200);
+  Answer stream, others[FLEET_SERVERS - 1];
+
+  fleet->pause_ms = 4600; /* more than twice the silence limit */
+  fleet->plain_ms = 5500;
+  fleet_start_all (fleet);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    fleet->servers[i].mode = SERVER_PAUSING;
+  start_streams (fleet, &stream, 1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "o%u", i);
+      fleet_send (fleet, &fleet->entries[0], "/once/a", id, &others[i]);
+    }
+  check_streams (fleet, &stream, 1);
+  g_assert_cmpuint (fleet_run_count (fleet, "s0"), ==, 1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    fleet_answer_clear (&others[i]);
+  fleet_free (fleet);
+}
+
+/* A stream goes on while the entry reloads its settings again and again, another entry gets SIGTERM
+ * and the catalogue changes. */
 static void
 goes_on_under_planned_work (void)
 {
@@ -180,6 +206,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/silence/goes_on_at_full_load", goes_on_at_full_load);
+  g_test_add_func ("/silence/goes_on_while_asked", goes_on_while_a_place_is_asked_for);
   g_test_add_func ("/silence/goes_on_under_planned_work", goes_on_under_planned_work);
   g_test_add_func ("/silence/resumed_when_a_place_is_free", resumed_when_a_place_is_free);
   g_test_add_func ("/silence/silent_for_good", silent_for_good);
