--- a/net/mesh.c
+++ b/net/mesh.c
@@ -43,7 +43,7 @@
   bool once; /* not dialled again when the connection is lost */
 } Dial;
 
-#define KIND_COUNT (MESH_NOTICE + 1)
+#define KIND_COUNT (MESH_RELAYS + 1)
 
 typedef struct
 {
@@ -226,6 +226,7 @@
   peer->base.lifetime = hello->lifetime;
   peer->base.role = hello->role;
   peer->base.leaving = hello->leaving;
+  peer->base.cut_off = hello->cut_off;
   peer->base.document = hello->document;
   g_strlcpy (peer->base.domain, hello->domain, sizeof peer->base.domain);
   if (peer->up)
@@ -434,11 +435,13 @@
 }
 
 void
-mesh_update_hello (Mesh *mesh, bool leaving, uint64_t document)
+mesh_update_hello (Mesh *mesh, bool leaving, bool cut_off, uint64_t document)
 {
-  bool changed = mesh->hello.leaving != leaving || mesh->hello.document != document;
+  bool changed = mesh->hello.leaving != leaving || mesh->hello.cut_off != cut_off
+                 || mesh->hello.document != document;
 
   mesh->hello.leaving = leaving;
+  mesh->hello.cut_off = cut_off;
   mesh->hello.document = document;
   if (changed)
     mesh->hello_number++; /* sent on the next tick */
@@ -525,7 +528,9 @@
                                                  [MESH_CRASH_RETRACTED] = "survived",
                                                  [MESH_CRASH_TABLE] = "blamed",
                                                  [MESH_ROLLOUTS] = "rollouts",
-                                                 [MESH_NOTICE] = "notice" };
+                                                 [MESH_NOTICE] = "notice",
+                                                 [MESH_REPORT_END] = "report_end",
+                                                 [MESH_RELAYS] = "relays" };
 
   for (unsigned i = MESH_HELLO; i < KIND_COUNT; i++)
     g_string_append_printf (
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -17,6 +17,7 @@
   MeshRole role;
   char domain[64];
   bool leaving;        /* the peer shuts down */
+  bool cut_off;        /* the peer reaches no backend server */
   bool dialled;        /* this instance opened the connection */
   uint64_t document;   /* version of the catalogue in force at the peer */
   int64_t received_at; /* when data was last received */
@@ -39,7 +40,7 @@
 void mesh_free (Mesh *mesh);
 /* Changes what this instance announces in its hello, and sends that to the dialled peers on the
  * next tick. */
-void mesh_update_hello (Mesh *mesh, bool leaving, uint64_t document);
+void mesh_update_hello (Mesh *mesh, bool leaving, bool cut_off, uint64_t document);
 /* Opens a connection to the instance and dials again whenever it is lost. */
 void mesh_dial (Mesh *mesh, uint32_t ip);
 void mesh_undial (Mesh *mesh, uint32_t ip);
--- a/node/control.c
+++ b/node/control.c
@@ -14,6 +14,7 @@
 #include "operators.h"
 #include "publish.h"
 #include "reader.h"
+#include "relays.h"
 #include "rollouts.h"
 #include "servers.h"
 #include "compress.h"
@@ -46,6 +47,7 @@
   Greet *greet;
   Suspects *suspects;
   Rollouts *rollouts;
+  Relays *relays;
   GHashTable *readers; /* set: ip of the other voters that hold or read the list of servers */
   unsigned entry_links_up, entry_links_down; /* changes since they were logged last */
   int64_t entries_logged_at;
@@ -134,6 +136,7 @@
   suspects_down (control->suspects, peer);
   rollouts_down (control->rollouts, peer);
   publish_link_down (control->publish, peer);
+  relays_link_down (control->relays, peer);
 }
 
 static void
@@ -408,6 +411,8 @@
   update_limit_shares (control);
   publish_set_state (control->publish, control->leaving_since != 0, reader_busy (control->reader));
   publish_tick (control->publish);
+  if (control->status.proved)
+    relays_tick (control->relays);
   suspects_tick (control->suspects);
   publish_count_entries (control->publish, &lost);
   rollouts_tick (control->rollouts, lost);
@@ -494,6 +499,7 @@
   operators_free (control->operators);
   mesh_free (control->mesh); /* calls on_down for each link, which uses the modules below */
   greet_free (control->greet);
+  relays_free (control->relays);
   suspects_free (control->suspects);
   rollouts_free (control->rollouts);
   publish_free (control->publish);
@@ -532,6 +538,7 @@
   control->mesh = instance_open_mesh (s, MESH_VOTER, control->loop, &mesh_ops, control, error);
   if (control->mesh == NULL)
     return FT_IO;
+  control->relays = relays_new (control->loop, control->mesh);
   control->greet = greet_new (control->loop, control->mesh, s->ip, s->data_folder);
   OperatorsConf conf = { control->loop,     control->adapter_ops, control->voter,
                          control->suspects, control->rollouts,    s->control };
--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -305,7 +305,8 @@
 }
 
 CrashReporter *
-crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, void (*changed) (void *host), void *host)
+crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, Egress *egress, void (*changed) (void *host),
+              void *host)
 {
   CrashReporter *reporter = g_new0 (CrashReporter, 1);
 
@@ -314,7 +315,7 @@
   reporter->changed = changed;
   reporter->host = host;
   reporter->quar = quar_new (loop_clock (loop));
-  reporter->detector = crashdet_new (loop, cli, on_crash, reporter);
+  reporter->detector = crashdet_new (loop, cli, egress, on_crash, reporter);
   reporter->reports = g_ptr_array_new_with_free_func (report_free);
   return reporter;
 }
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -11,8 +11,8 @@
 typedef struct CrashReporter CrashReporter;
 
 /* changed is called when the decision about some content may have changed. */
-CrashReporter *crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, void (*changed) (void *host),
-                             void *host);
+CrashReporter *crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, Egress *egress,
+                             void (*changed) (void *host), void *host);
 void crashrep_free (CrashReporter *reporter);
 
 /* Whether a request of this content may be sent. */
--- a/node/ends.c
+++ b/node/ends.c
@@ -6,7 +6,8 @@
  * during a request, another one is opened. If it is refused, the server has crashed. If it is
  * established, the server is alive, or its listening socket is just about to close, which a second
  * probe SECOND_PROBE later detects. If there is no reply at all, the network path has failed, and
- * no request is suspected.
+ * no request is suspected. A failed path may refuse connections, too, so a refusal counts only if
+ * another entry is refused as well (relay.h), or none can be asked.
  *
  * Requests that were abandoned shortly before, because the caller left or the server was silent,
  * are suspects as well: a server may crash a moment after it was told to stop.
@@ -45,6 +46,7 @@
   CheckState state;
   unsigned probes;
   int64_t crashed_at;
+  SockAddr relay;        /* through which the current probe goes; port 0: none */
   bool probing, dropped; /* dropped: freed once the pending probe has ended */
   GArray *runs;          /* CrashRun, not reported yet */
 } ServerCheck;
@@ -60,6 +62,7 @@
 {
   Loop *loop;
   HCli *cli;
+  Egress *egress;
   CrashFunc on_crash;
   void *user;
   GHashTable *checks; /* server -> ServerCheck */
@@ -157,6 +160,51 @@
 
 /* ---- Probes ---- */
 
+static void on_probed (void *user, bool connected, HXferFault fault);
+
+static bool
+start_probe (ServerCheck *check)
+{
+  HCliTarget target = {
+    .addr = check->addr, .key = check->server, .connect_us = PROBE_TIMEOUT, .relay = check->relay
+  };
+
+  check->probing = hcli_probe (check->detector->cli, &target, on_probed, check);
+  return check->probing;
+}
+
+/* The server's address refuses connections from here. */
+static void
+handle_refusal (ServerCheck *check)
+{
+  Egress *egress = check->detector->egress;
+
+  if (egress && egress_pick_relay (egress, &check->relay) && start_probe (check))
+    return;
+  if (egress && egress_is_lost (egress))
+    set_alive (check, "nothing can be reached from here");
+  else
+    set_crashed (check, "its address refuses connections");
+}
+
+static void
+handle_relayed_probe (ServerCheck *check, bool connected, HXferFault fault)
+{
+  Egress *egress = check->detector->egress;
+  SockAddr relay = check->relay;
+
+  check->relay = (SockAddr){ 0 };
+  if (connected)
+    set_alive (check, "another entry reaches it");
+  else if (fault != HXFER_RELAY_FAILED)
+    set_crashed (check, "its address refuses connections, of another entry too");
+  else
+    {
+      egress_note_relay_failed (egress, relay);
+      handle_refusal (check);
+    }
+}
+
 static void
 on_probed (void *user, bool connected, HXferFault fault)
 {
@@ -167,8 +215,10 @@
     check_free (check);
   else if (check->state != STATE_PROBING)
     return;
+  else if (check->relay.port)
+    handle_relayed_probe (check, connected, fault);
   else if (!connected && fault == HXFER_REFUSED)
-    set_crashed (check, "its address refuses connections");
+    handle_refusal (check);
   else
     loop_timer_set (check->detector->loop, &check->timer,
                     loop_now (check->detector->loop) + SECOND_PROBE);
@@ -177,14 +227,12 @@
 static void
 probe (ServerCheck *check)
 {
-  HCliTarget target = { .addr = check->addr, .key = check->server, .connect_us = PROBE_TIMEOUT };
-
   check->probes++;
-  check->probing = hcli_probe (check->detector->cli, &target, on_probed, check);
-  if (check->probing)
+  check->relay = (SockAddr){ 0 };
+  if (start_probe (check))
     return;
   if (errno == ECONNREFUSED) /* on the same machine the refusal is immediate */
-    set_crashed (check, "its address refuses connections");
+    handle_refusal (check);
   else
     set_alive (check, "no connection can be opened from here");
 }
@@ -225,12 +273,13 @@
 /* ---- Interface ---- */
 
 CrashDetector *
-crashdet_new (Loop *loop, HCli *cli, CrashFunc on_crash, void *user)
+crashdet_new (Loop *loop, HCli *cli, Egress *egress, CrashFunc on_crash, void *user)
 {
   CrashDetector *detector = g_new0 (CrashDetector, 1);
 
   detector->loop = loop;
   detector->cli = cli;
+  detector->egress = egress;
   detector->on_crash = on_crash;
   detector->user = user;
   detector->checks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, drop_check);
--- a/node/ends.h
+++ b/node/ends.h
@@ -3,6 +3,7 @@
 #ifndef ENDS_H
 #define ENDS_H
 
+#include "egress.h"
 #include "hcli.h"
 #include "adapter.h"
 
@@ -20,7 +21,8 @@
 typedef void (*CrashFunc) (void *user, const char *server, int64_t at, const CrashRun *runs,
                            unsigned count);
 
-CrashDetector *crashdet_new (Loop *loop, HCli *cli, CrashFunc on_crash, void *user);
+/* egress: finds another entry that checks a refusal; NULL: a refusal here is enough. */
+CrashDetector *crashdet_new (Loop *loop, HCli *cli, Egress *egress, CrashFunc on_crash, void *user);
 void crashdet_free (CrashDetector *detector);
 /* The connection on which the server at addr was running the request was lost. */
 void crashdet_connection_lost (CrashDetector *detector, const char *server, SockAddr addr,
--- a/node/entry.c
+++ b/node/entry.c
@@ -11,6 +11,7 @@
 #include "instance.h"
 #include "jlog.h"
 #include "reader.h"
+#include "relay.h"
 #include "requests.h"
 #include "compress.h"
 
@@ -24,7 +25,8 @@
 #define UNSENT_MAX  16384           /* bytes queued on a link above which no server list is added */
 #define LEAVE_MIN                                                                                  \
   (2600 * FT_MS) /* the balancer checks every second and removes an entry after two failures */
-#define LEAVE_MARGIN (700 * FT_MS) /* time left between stopping and the kill */
+#define RELAY_TUNNELS_MAX 256           /* two connections of up to 64 KB of buffers each */
+#define LEAVE_MARGIN      (700 * FT_MS) /* time left between stopping and the kill */
 
 typedef struct
 {
@@ -35,6 +37,7 @@
   Mesh *mesh;
   HCli *cli, *list_cli; /* for servers, for the platform's list */
   Egress *egress;
+  Relay *relay; /* carries other entries' connections; NULL: no relay_port is set */
   HSrv *callers, *ready;
   Place *place;
   RetryBudget *budget;
@@ -53,6 +56,19 @@
   bool confirmed, was_ready, closed;
 } Entry;
 
+static void
+update_hello (Entry *entry)
+{
+  mesh_update_hello (entry->mesh, entry->leaving_since != 0, egress_is_lost (entry->egress),
+                     entry->cat ? rt_cat_version (entry->cat) : 0);
+}
+
+static void
+on_path_changed (void *host)
+{
+  update_hello (host);
+}
+
 /* ---- Catalogue and server list ---- */
 
 static void
@@ -133,7 +149,7 @@
   apply_limits (entry, cat);
   requests_set_catalogue (entry->requests, cat);
   broker_set_catalogue (place_own_broker (entry->place), cat);
-  mesh_update_hello (entry->mesh, entry->leaving_since != 0, rt_cat_version (cat));
+  update_hello (entry);
   confirm_catalogue (entry);
 }
 
@@ -307,6 +323,10 @@
       handle_list_result (entry, peer,
                           servers_apply_message (entry->servers, &msg->MeshMsg_u.list, now));
       break;
+    case MESH_RELAYS:
+      if (peer->dialled)
+        egress_set_relays (entry->egress, &msg->MeshMsg_u.relays);
+      break;
     case MESH_ROLLOUTS:
       versions_update (entry->versions, &msg->MeshMsg_u.rollouts);
       break;
@@ -433,7 +453,8 @@
   hsrv_get_memory (entry->callers, &held);
   return since > limit
          || (since > LEAVE_MIN && requests_open_count (entry->requests) == 0
-             && hsrv_active_calls (entry->callers) == 0 && held.answers == 0);
+             && hsrv_active_calls (entry->callers) == 0 && held.answers == 0
+             && (entry->relay == NULL || relay_tunnel_count (entry->relay) == 0));
 }
 
 /* Sends keep-alives to the entries that have dialled this one, more often to those that wait for
@@ -486,7 +507,9 @@
     return;
   entry->leaving_since = loop_now (entry->loop);
   hsrv_disable_keep_alive (entry->callers);
-  mesh_update_hello (entry->mesh, true, entry->cat ? rt_cat_version (entry->cat) : 0);
+  if (entry->relay)
+    relay_stop (entry->relay);
+  update_hello (entry);
   jlog (JLOG_INFO, "leave", NULL, JL_INT ("open", requests_open_count (entry->requests)),
         JL_INT ("connections", hsrv_connection_count (entry->callers)));
 }
@@ -541,6 +564,13 @@
       (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
   describe_memory (entry, out);
   egress_describe (entry->egress, out);
+  if (entry->relay)
+    g_string_append_printf (out,
+                            "foxtail_relay_tunnels %u\n"
+                            "foxtail_relay_tunnels_opened_total %" G_GUINT64_FORMAT "\n"
+                            "foxtail_relay_tunnels_refused_total %" G_GUINT64_FORMAT "\n",
+                            relay_tunnel_count (entry->relay), relay_opened_count (entry->relay),
+                            relay_refused_count (entry->relay));
   crashrep_describe (entry->crash_reporter, out);
   mesh_append_metrics (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
@@ -557,6 +587,7 @@
   loop_timer_stop (entry->loop, &entry->tick);
   hsrv_free (entry->callers);
   hsrv_free (entry->ready);
+  relay_free (entry->relay);
   mesh_free (entry->mesh);
   reader_free (entry->reader);
   requests_free (entry->requests);
@@ -575,6 +606,28 @@
 
 static const InstanceOps ops = { leave, new_settings, describe, destroy };
 
+static bool
+can_relay (void *host)
+{
+  return !egress_is_lost (((Entry *) host)->egress);
+}
+
+static bool
+open_relay (Entry *entry)
+{
+  const Settings *s = entry->settings;
+  RelayConf conf = { .listen = { s->ip, (uint16_t) s->relay_port },
+                     .source = s->source,
+                     .tunnels_max = RELAY_TUNNELS_MAX,
+                     .is_usable = can_relay,
+                     .user = entry };
+
+  if (s->relay_port == 0)
+    return true;
+  entry->relay = relay_new (entry->loop, &conf);
+  return entry->relay != NULL;
+}
+
 static FtStatus
 open_addresses (Entry *entry, FtError *error)
 {
@@ -585,16 +638,18 @@
     return FT_IO;
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
   instance_configure_broker (s, place_own_broker (entry->place), false);
-  entry->crash_reporter
-      = crashrep_new (entry->loop, entry->mesh, entry->cli, on_verdicts_changed, entry);
+  entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
+                                        on_verdicts_changed, entry);
   entry->versions = versions_new (place_own_broker (entry->place));
   RequestsConf conf
-      = { entry->loop,    entry->adapter_ops,    entry->cli,     entry->place, entry->budget,
-          entry->servers, entry->crash_reporter, entry->versions };
+      = { entry->loop,    entry->adapter_ops,    entry->cli,      entry->place, entry->budget,
+          entry->servers, entry->crash_reporter, entry->versions, entry->egress };
   entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
     return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text, g_strerror (errno));
+  if (!open_relay (entry))
+    return ft_error_set (error, FT_IO, 0, "relay_port", "%s", g_strerror (errno));
   entry->ready = hsrv_new (entry->loop, s->ready, &ready_ops, entry);
   if (entry->ready == NULL)
     return ft_error_set (error, FT_IO, 0, "ready", "%s: %s", s->ready_text, g_strerror (errno));
@@ -618,7 +673,7 @@
   entry->servers = servers_new ();
   entry->budget = budget_new (loop_clock (loop), &budget);
   entry->list_cli = hcli_new (loop);
-  entry->egress = egress_new (loop, entry->cli, settings);
+  entry->egress = egress_new (loop, entry->cli, settings, on_path_changed, entry);
   entry->reader
       = reader_new (loop, entry->list_cli, adapter_ops, settings->list, on_list_read, entry);
   entry->tick.fire = on_tick;
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -37,10 +37,13 @@
  * servers, four in five requests to engines waited for a new connection, although the entry had 23
  * idle ones to other servers. */
 static unsigned
-list_idle_connections (HCli *cli, uint32_t *kept)
+list_idle_connections (const Requests *requests, uint32_t *kept)
 {
   const char *keys[SCHED_CONNECTED_MAX];
-  unsigned count = hcli_idle_keys (cli, keys, SCHED_CONNECTED_MAX);
+
+  if (egress_is_lost (requests->conf.egress))
+    return 0; /* they are not used */
+  unsigned count = hcli_idle_keys (requests->conf.cli, keys, SCHED_CONNECTED_MAX);
 
   for (unsigned i = 0; i < count; i++)
     kept[i] = sched_server_digest (keys[i]);
@@ -87,7 +90,7 @@
   out.end_at = req->deadline;
   out.avoid = avoid;
   out.kept = kept;
-  out.kept_count = list_idle_connections (req->requests->conf.cli, kept);
+  out.kept_count = list_idle_connections (req->requests, kept);
   place_ask (req->requests->conf.place, &out, req->was_granted ? 0 : limit_cost (req));
 }
 
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -32,6 +32,7 @@
   g_string_free (req->buffered, TRUE);
   g_free (req->avoid_server);
   g_free (req->server);
+  g_free (req->server_name);
   rt_cat_unref (req->cat);
   loop_free_later (loop, req);
 }
@@ -62,7 +63,7 @@
         JL_INT ("prompt", req->facts.prompt_tokens), JL_INT ("most", req->facts.output_max),
         JL_INT ("guess", req->facts.output_estimate), JL_MS ("pause_ms", req->longest_pause),
         JL_INT ("slowness", req->slowness), JL_INT ("kept", req->conn_idle > 0),
-        JL_MS ("took_ms", req_now (req) - req->arrived),
+        JL_INT ("relay", req->relay.ip), JL_MS ("took_ms", req_now (req) - req->arrived),
         JL_MS ("left_ms", req->deadline - req_now (req)));
 }
 
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -41,7 +41,12 @@
   bool may_have_run_before; /* in a try before the current one */
   char *avoid_server;       /* server of the last failed try; the next one goes to another */
   char *server;
-  SockAddr addr; /* of server */
+  SockAddr addr;         /* of server */
+  char *server_name;     /* the server's own name, by which it is addressed */
+  int64_t max_idle_us;   /* connections that were idle for longer are not used */
+  SockAddr relay;        /* through which the current try goes; port 0: none */
+  unsigned relays_tried; /* for the current place */
+  bool direct_tried;     /* for the current place */
   HXfer *xfer;
   /* The answer to the current try. */
   int64_t sent_at, first_at, event_at, event_gap_sum;
--- a/node/requests.c
+++ b/node/requests.c
@@ -34,13 +34,17 @@
   return MAX (50 * FT_MS, MIN (300 * FT_MS, (req->deadline - req_now (req)) / 3));
 }
 
+/* What the try says of its server. A connect that failed at an entry that has lost its path, and at
+ * no other one, says nothing. */
 static SchedOutcome
-outcome_of (RetryEvent event)
+outcome_of (const Req *req, RetryEvent event)
 {
+  bool own_path = req->relay.port == 0 || req->fault == HXFER_RELAY_FAILED;
+
   switch (event)
     {
     case RETRY_NOT_CONNECTED:
-      return SCHED_UNREACHED;
+      return own_path && egress_is_lost (req->requests->conf.egress) ? SCHED_LEFT : SCHED_UNREACHED;
     case RETRY_REJECTED:
       return SCHED_REJECTED;
     case RETRY_OTHER_SERVER:
@@ -83,7 +87,8 @@
           JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0),
           JL_MS ("silent_ms", req_now (req) - MAX (req->sent_at, req->received_at)),
           JL_MS ("limit_ms", req->silence_limit), JL_INT ("begun", req->begun),
-          JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""));
+          JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""),
+          JL_INT ("relay", req->relay.ip));
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
     {
       place_report_silence (requests->conf.place, req->number);
@@ -91,7 +96,7 @@
         req_ask_replacement (req);
       return;
     }
-  req_end_try (req, outcome_of (event));
+  req_end_try (req, outcome_of (req, event));
   switch (step)
     {
     case RETRY_AGAIN:
--- a/node/requests.h
+++ b/node/requests.h
@@ -4,6 +4,7 @@
 #define REQUESTS_H
 
 #include "budget.h"
+#include "egress.h"
 #include "hcli.h"
 #include "hsrv.h"
 #include "place.h"
@@ -23,6 +24,7 @@
   const Servers *servers;
   CrashReporter *crash_reporter;
   const EntryVersions *versions;
+  Egress *egress;
 } RequestsConf;
 
 Requests *requests_new (const RequestsConf *conf);
--- a/node/try.c
+++ b/node/try.c
@@ -10,10 +10,12 @@
 #include "reqint.h"
 #include "count.h"
 #include "jlog.h"
+#include "relay.h"
 
 #include <string.h>
 
 #define CONNECT_TIMEOUT (250 * FT_MS) /* connecting takes one round trip and 1 ms */
+#define RELAYS_MAX      2             /* tried for one place */
 #define REUSE_IDLE_MIN                                                                             \
   (8 * FT_SECOND) /* repeatable requests reuse connections idle this long even where idle ones     \
                      have broken lately */
@@ -121,6 +123,8 @@
       return false;
     }
   record_received (req);
+  if (req->relay.port)
+    egress_note_relayed (req->requests->conf.egress, req->server, req->addr);
   req->head_seen = true;
   req->status = hmsg_status (msg);
   req->slowness = answer.slowness;
@@ -302,6 +306,63 @@
     req_after_try (req, req->status >= 500 ? RETRY_FAILURE : RETRY_ANSWERED);
 }
 
+/* ---- Tries that reached no server ---- */
+
+static void send_try (Req *req);
+
+/* Withdraws the current sending: no byte of it has reached the server. */
+static void
+undo_send (Req *req)
+{
+  req->sends--;
+  req->may_have_run = req->may_have_run_before;
+}
+
+/* Sends the request to the same place in another way. Returns false if there is none left. */
+static bool
+send_another_way (Req *req)
+{
+  Egress *egress = req->requests->conf.egress;
+  bool relayed = req->relay.port != 0;
+
+  if (req->relays_tried < RELAYS_MAX && egress_pick_relay (egress, &req->relay))
+    req->relays_tried++;
+  else if (relayed && !req->direct_tried)
+    req->relay = (SockAddr){ 0 };
+  else
+    return false;
+  send_try (req);
+  return true;
+}
+
+/* The relay was not available, so nothing is known of the server. */
+static void
+on_relay_failed (Req *req)
+{
+  egress_note_relay_failed (req->requests->conf.egress, req->relay);
+  undo_send (req);
+  if (send_another_way (req))
+    return;
+  req->unreached++;
+  req_after_try (req, RETRY_NOT_CONNECTED);
+}
+
+static void
+on_not_connected (Req *req, HXferFault fault)
+{
+  bool direct = req->relay.port == 0;
+
+  undo_send (req);
+  if (direct && send_another_way (req))
+    return;
+  req->unreached++;
+  count_inc (COUNT_UNREACHED);
+  /* A refusal at an entry that is cut off proves nothing; at a relay it does. */
+  if (fault == HXFER_REFUSED && !(direct && egress_is_lost (req->requests->conf.egress)))
+    crashrep_refused (req->requests->conf.crash_reporter, req->server);
+  req_after_try (req, RETRY_NOT_CONNECTED);
+}
+
 static void
 on_failed (void *user, HXferFault fault)
 {
@@ -312,15 +373,14 @@
   req->has_fault = true;
   if (fault == HXFER_BROKEN)
     report_break (req);
+  if (fault == HXFER_RELAY_FAILED)
+    {
+      on_relay_failed (req);
+      return;
+    }
   if (fault == HXFER_NOT_CONNECTED || fault == HXFER_REFUSED)
     {
-      req->unreached++;
-      req->sends--;
-      req->may_have_run = req->may_have_run_before;
-      count_inc (COUNT_UNREACHED);
-      if (fault == HXFER_REFUSED)
-        crashrep_refused (req->requests->conf.crash_reporter, req->server);
-      req_after_try (req, RETRY_NOT_CONNECTED);
+      on_not_connected (req, fault);
       return;
     }
   req->broke_on_send = !req->head_seen && req_now (req) - req->sent_at < STALE_RESET_MAX;
@@ -344,20 +404,19 @@
                   + (int64_t) req->facts.prompt_tokens * PREFILL_TIMEOUT_TOKEN_US);
 }
 
-void
-try_send (Req *req, const Grant *grant)
+static void
+send_try (Req *req)
 {
-  const AdapterServer *server = &grant->server;
   Requests *requests = req->requests;
   const GByteArray *body = hcall_body (req->call);
-  bool once = !rt_route_is_repeatable (req->route);
-  HCliTarget target
-      = { .addr = server->addr,
-          .key = server->id,
-          .connect_us = CONNECT_TIMEOUT,
-          .max_idle_us = once ? grant->max_idle_us : MAX (REUSE_IDLE_MIN, grant->max_idle_us),
-          .no_body = strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0 };
-  AdapterForward forward = { .server = server->name,
+  bool relayed = req->relay.port != 0;
+  HCliTarget target = { .addr = req->addr,
+                        .key = req->server,
+                        .connect_us = CONNECT_TIMEOUT,
+                        .max_idle_us = req->max_idle_us,
+                        .no_body = strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0,
+                        .relay = req->relay };
+  AdapterForward forward = { .server = req->server_name,
                              .org = req->org ? req->org->name : NULL,
                              .left_us = req->deadline - req_now (req),
                              .last_event = req->begun ? events_last_id (req->stream) : NULL,
@@ -367,8 +426,8 @@
 
   requests->conf.adapter_ops->write_request (message, hcall_msg (req->call), &forward);
   req->sends++;
+  req->direct_tried |= !relayed;
   req->read_paused = false;
-  req->addr = server->addr;
   req->may_have_run_before = req->may_have_run;
   req->may_have_run = true; /* until the server denies it or no connection is established */
   req->sent_at = req_now (req);
@@ -379,7 +438,26 @@
   if (req->xfer)
     req->conn_idle = hxfer_conn_idle_us (req->xfer);
   else
-    on_failed (req, HXFER_NOT_CONNECTED);
+    on_failed (req, relayed ? HXFER_RELAY_FAILED : HXFER_NOT_CONNECTED);
+}
+
+void
+try_send (Req *req, const Grant *grant)
+{
+  const AdapterServer *server = &grant->server;
+  Egress *egress = req->requests->conf.egress;
+  bool once = !rt_route_is_repeatable (req->route);
+
+  req->addr = server->addr;
+  g_free (req->server_name);
+  req->server_name = g_strdup (server->name);
+  req->max_idle_us = once ? grant->max_idle_us : MAX (REUSE_IDLE_MIN, grant->max_idle_us);
+  req->relay = (SockAddr){ 0 };
+  req->relays_tried = 0;
+  req->direct_tried = false;
+  if (egress_is_doubtful (egress, server->id) && egress_pick_relay (egress, &req->relay))
+    req->relays_tried = 1;
+  send_try (req);
 }
 
 void
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -17,6 +17,7 @@
 #define MESH_TEXT_MAX 8388608
 #define MESH_DEPUTIES_MAX 16
 #define MESH_VOTERS_MAX 16
+#define MESH_RELAYS_MAX 4
 #define MESH_SERVERS_MAX 8192
 #define MESH_ORGS_MAX 8192
 #define MESH_CONNECTED_MAX 32
@@ -36,9 +37,18 @@
 	char *domain;
 	bool_t leaving;
 	u_quad_t document;
+	bool_t cut_off;
 };
 typedef struct MeshHello MeshHello;
 
+struct MeshRelays {
+	struct {
+		u_int relays_len;
+		u_int *relays_val;
+	} relays;
+};
+typedef struct MeshRelays MeshRelays;
+
 struct MeshView {
 	u_quad_t term;
 	u_int leader;
@@ -323,6 +333,7 @@
 	MESH_ROLLOUTS = 1 + 19,
 	MESH_NOTICE = 1 + 20,
 	MESH_REPORT_END = 1 + 21,
+	MESH_RELAYS = 1 + 22,
 };
 typedef enum MeshKind MeshKind;
 
@@ -348,6 +359,7 @@
 		MeshRollouts rollouts;
 		MeshNotice notice;
 		MeshReportEnd reported;
+		MeshRelays relays;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -361,6 +373,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_MeshRole (XDR *, MeshRole*);
 extern  bool_t xdr_MeshHello (XDR *, MeshHello*);
+extern  bool_t xdr_MeshRelays (XDR *, MeshRelays*);
 extern  bool_t xdr_MeshView (XDR *, MeshView*);
 extern  bool_t xdr_MeshDocument (XDR *, MeshDocument*);
 extern  bool_t xdr_MeshServerState (XDR *, MeshServerState*);
@@ -393,6 +406,7 @@
 #else /* K&R C */
 extern bool_t xdr_MeshRole ();
 extern bool_t xdr_MeshHello ();
+extern bool_t xdr_MeshRelays ();
 extern bool_t xdr_MeshView ();
 extern bool_t xdr_MeshDocument ();
 extern bool_t xdr_MeshServerState ();
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -7,6 +7,7 @@
 const MESH_TEXT_MAX = 8388608; /* enough for a voter's snapshot */
 const MESH_DEPUTIES_MAX = 16;
 const MESH_VOTERS_MAX = 16;
+const MESH_RELAYS_MAX = 4;
 const MESH_SERVERS_MAX = 8192;
 const MESH_ORGS_MAX = 8192;
 const MESH_CONNECTED_MAX = 32;
@@ -23,6 +24,13 @@
   string domain<MESH_NAME_MAX>;
   bool leaving;
   unsigned hyper document;  /* version of the catalogue in force at the sender; 0: none */
+  bool cut_off;             /* reaches no backend server, so it cannot relay for others */
+};
+
+/* From the voter in charge to an entry: other entries that relay its connections to servers that it
+ * cannot reach. Sent when they change. */
+struct MeshRelays {
+  unsigned int relays<MESH_RELAYS_MAX>; /* IPv4 addresses, in order of preference */
 };
 
 /* From a voter, several times a second: the leader and the newest versions. */
@@ -257,7 +265,7 @@
   MESH_FIRST_EVENT, MESH_SILENCE, MESH_DONE, MESH_RAFT,
   MESH_LIST_REQUEST, MESH_PACKED_LIST, MESH_ALIVE,
   MESH_CRASH, MESH_CRASH_ACK, MESH_ANSWERED, MESH_CRASH_RETRACTED, MESH_CRASH_TABLE,
-  MESH_ROLLOUTS, MESH_NOTICE, MESH_REPORT_END
+  MESH_ROLLOUTS, MESH_NOTICE, MESH_REPORT_END, MESH_RELAYS
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -282,5 +290,6 @@
 case MESH_ROLLOUTS: MeshRollouts rollouts;
 case MESH_NOTICE: MeshNotice notice;
 case MESH_REPORT_END: MeshReportEnd reported;
+case MESH_RELAYS: MeshRelays relays;
 case MESH_RAFT: opaque raft<MESH_TEXT_MAX>; /* a packed Msg (msg.x), between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -32,6 +32,19 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cut_off))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshRelays (XDR *xdrs, MeshRelays *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->relays.relays_val, (u_int *) &objp->relays.relays_len, MESH_RELAYS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -886,6 +899,10 @@
 		 if (!xdr_MeshReportEnd (xdrs, &objp->MeshMsg_u.reported))
 			 return FALSE;
 		break;
+	case MESH_RELAYS:
+		 if (!xdr_MeshRelays (xdrs, &objp->MeshMsg_u.relays))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MAX))
 			 return FALSE;
--- a/src/paths.c
+++ b/src/paths.c
@@ -2,17 +2,20 @@
  *
  * A connect that fails says that the server is gone, or that the path is. One server that fails
  * says little; two different ones in a row, with no connect that succeeded between them, say that
- * what they have in common has failed, and that is this end. A single success refutes it. Answers
- * on connections that were open before prove nothing: they may live on while new ones fail.
+ * what they have in common has failed, and that is this end. A success in between refutes it. Once
+ * the path is lost it takes a row of successes to have it back: where a few servers can be reached,
+ * a single one says no more than a single failure does. Answers on connections that were open
+ * before prove nothing: they may live on while new ones fail.
  *
  * A wrong verdict costs a detour of one hop until the next connect succeeds, so little evidence is
  * enough. Whether a server is gone is never decided here.
  */
 #include "paths.h"
 
-#define LOST_SERVERS 2               /* different servers in a row that make the path lost */
-#define ROW_MAX      (3 * FT_SECOND) /* between the first failure of a row and the last one */
-#define DOUBT_TIME   (2 * FT_SECOND) /* after a failed connect to a server */
+#define LOST_SERVERS  2               /* different servers in a row that make the path lost */
+#define BACK_CONNECTS 2               /* successes in a row after which a lost path is back */
+#define ROW_MAX       (3 * FT_SECOND) /* between the first failure of a row and the last one */
+#define DOUBT_TIME    (2 * FT_SECOND) /* after a failed connect to a server */
 
 struct Paths
 {
@@ -20,6 +23,7 @@
   GHashTable *failed; /* server -> int64_t: its last failure, removed by a success */
   int64_t row_began;  /* the first failure since a success; 0: there was none */
   int64_t lost_at;
+  unsigned successes; /* in a row, while the path is lost */
   bool lost;
 };
 
@@ -65,11 +69,12 @@
 static void
 note_success (Paths *paths, const char *server)
 {
-  paths->row_began = 0;
+  g_hash_table_remove (paths->failed, server);
+  if (paths->lost && ++paths->successes < BACK_CONNECTS)
+    return;
   if (paths->lost)
     g_hash_table_remove_all (paths->failed); /* the path had failed, not these servers */
-  else
-    g_hash_table_remove (paths->failed, server);
+  paths->row_began = 0;
   paths->lost = false;
 }
 
@@ -83,6 +88,7 @@
       note_success (paths, server);
       return;
     }
+  paths->successes = 0;
   g_hash_table_foreach_remove (paths->failed, is_before, &oldest);
   g_hash_table_replace (paths->failed, g_strdup (server), g_memdup2 (&now, sizeof now));
   if (paths->row_began == 0 || (!paths->lost && paths->row_began < now - ROW_MAX))
--- a/src/paths.h
+++ b/src/paths.h
@@ -11,8 +11,8 @@
 void paths_free (Paths *paths);
 /* A connect to the server succeeded or failed. */
 void paths_note (Paths *paths, const char *server, bool established);
-/* No server can be reached from here: connects to several have failed, and none has succeeded
- * since. */
+/* No server, or hardly any, can be reached from here: connects to several have failed, and none
+ * succeeded between them; since then not enough have succeeded in a row. */
 bool paths_is_lost (const Paths *paths);
 /* How many servers failed since the last connect that succeeded. */
 unsigned paths_failed_count (const Paths *paths);
--- a/test/witness.c
+++ b/test/witness.c
@@ -80,7 +80,7 @@
 {
   set_up_loop (MESH_ENTRY);
   cli = hcli_new (loop);
-  reporter = crashrep_new (loop, mesh, cli, on_changed, NULL);
+  reporter = crashrep_new (loop, mesh, cli, NULL, on_changed, NULL);
   voter_peer = test_peer_new (loop, mesh, 9, MESH_VOTER, true);
   changes = 0;
   tick_function = tick_reporter;
