--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -58,5 +58,27 @@
 try "a server that goes on is replaced all the same" node/try.c 's/^  req_withdraw_replacement \(req\);//' test-silence &
 try "a refusal ends a begun answer" node/reqask.c 's/^  if \(\(req->begun \|\| req->xfer\)/  if ((req->xfer)/; s/^  out.limit_at = .*/  out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;/' test-silence &
 try "the kernel ends paused callers" net/hsrv.c 's/^  sock_disable_user_timeout .*//' test-slow &
+# Entries that reach no server.
+try "path: one server is the path" src/paths.c 's/(LOST_SERVERS +)2/\11/' test-paths &
+try "path: one success brings it back" src/paths.c 's/(BACK_CONNECTS +)2/\11/' test-paths &
+try "path: a success refutes nothing" src/paths.c 's/^  paths->row(\+\+|_began = 0);//' test-paths &
+try "path: failures far apart add up" src/paths.c 's/(ROW_MAX +\(3)/\1000/' test-paths &
+try "path: doubt does not end" src/paths.c 's/(DOUBT_TIME +\(2)/\1000/' test-paths &
+try "path: old failures are kept" src/paths.c 's/^  g_hash_table_foreach_remove .*//' test-paths &
+try "relay: a slow reader does not stop the other side" net/relay.c 's/^    sock_pause_all \(from->sock, true\);/    (void) from;/' test-relay &
+try "relay: its end is that of an answer" net/relay.c 's/^  sock_set_reset_on_close \(tunnel->(peer|server).sock, true\);//' test-relay &
+try "relay: a reset is the end of an answer" net/relay.c 's/how == SOCK_END_EOF/how != SOCK_END_REFUSED/' test-relay &
+try "relay: a full one takes tunnels" net/relay.c 's/relay->count > relay->conf.tunnels_max/false/' test-relay &
+try "relay: a stopped one takes tunnels" net/relay.c 's/relay->stopped \|\| //' test-relay &
+try "relay: one that is cut off takes tunnels" net/relay.c 's/!relay->conf.is_usable \(relay->conf.user\)/false/' test-relay &
+try "relay: a request may take any time" net/relay.c 's/(loop_now \(relay->loop\) \+) REQUEST_TIMEOUT/\1 1000 * REQUEST_TIMEOUT/' test-relay &
+try "relay: its failure is the server's" net/hcli.c 's/return HXFER_RELAY_FAILED;/return HXFER_REFUSED;/' test-relay &
+try "relay: its connects are the client's" net/hcli.c 's/cli->connect_func && conn->server.port == 0/cli->connect_func/' test-relay &
+try "relay: a tunnel is used again" net/hcli.c 's/conn->not_reusable \|\| conn->server.port/conn->not_reusable/' test-relay &
+try "relays: of the same domain" node/relays.c 's/fill \(relays, peer, assignment, true\)/fill (relays, peer, assignment, false)/' test-relays &
+try "relays: the same for all" node/relays.c 's/relays->next\+\+ % count/i % count/' test-relays &
+try "relays: an entry for itself" node/relays.c 's/other->ip != peer->ip \&\& //' test-relays &
+try "relays: one that is cut off" node/relays.c 's/ \|\| peer->cut_off//' test-relays &
+try "relays: sent though unchanged" node/relays.c 's/^  if \(!changed\)/  if (false)/' test-relays &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/relay.c
+++ b/test/relay.c
@@ -1575,12 +1575,13 @@
   end ();
 }
 
-/* Guards against a tunnel that is used again for another request, after which the relay could not
- * leave in time. */
+/* Guards against a tunnel that is used again for another request, relayed or direct: the relay
+ * could not leave in time, and the client would take its own path for sound. */
 static void
 tunnels_are_not_reused (void)
 {
   GString *answer = g_string_new (OK);
+  const char *key;
 
   begin ();
   client_new ();
@@ -1592,6 +1593,7 @@
       run_request (server.addr, true);
       g_assert_cmpuint (client.completed, ==, 1);
       g_assert_cmpuint (server.connections, ==, i);
+      g_assert_cmpuint (hcli_idle_keys (client.cli, &key, 1), ==, 0);
       run_until (no_tunnels, NULL);
     }
   client_free ();
