--- a/test/relays.c
+++ b/test/relays.c
@@ -1,8 +1,6 @@
 /* relays.c - which relays the voter in charge names to entries, over links on loopback. */
 #include "relays.h"
 
-#include <string.h>
-
 #define TEST_TIMEOUT (60 * FT_SECOND) /* only ends a test that hangs */
 #define PORT         24200
 #define PORT_COUNT   400
@@ -88,8 +86,8 @@
     return;
   entry->messages++;
   entry->count = msg->MeshMsg_u.relays.relays.relays_len;
-  memcpy (entry->relays, msg->MeshMsg_u.relays.relays.relays_val,
-          entry->count * sizeof entry->relays[0]);
+  for (unsigned i = 0; i < entry->count; i++)
+    entry->relays[i] = msg->MeshMsg_u.relays.relays.relays_val[i];
 }
 
 static const MeshOps voter_ops = { on_voter_link_up, ignore_message, on_voter_link_down };
