--- a/test/relays.c
+++ b/test/relays.c
@@ -205,7 +205,7 @@
 {
   for (unsigned i = 0; i < entry_count; i++)
     mesh_free (entries[i].mesh);
-  for (unsigned i = 0; i < VOTERS; i++)
+  for (unsigned i = VOTERS; i-- > 0;) /* the address that keeps the port is freed last */
     {
       mesh_free (voters[i].mesh);
       relays_free (voters[i].relays);
