test: relay, a tunnel counts until its last bytes are sent

/relay/counted_until_sent fails: when the server has ended, the tunnel is no longer counted while up to 96 KiB for the client are still in the relay, so an entry that leaves exits before they are sent.

--- a/test/relay.c
+++ b/test/relay.c
@@ -1033,6 +1033,14 @@
   return size >= 0;
 }
 
+static bool
+has_ended_plain (const void *data)
+{
+  struct pollfd one = { .fd = *(const int *) data, .events = POLLIN };
+
+  return poll (&one, 1, 0) == 1;
+}
+
 static void
 reset_plain (int fd)
 {
@@ -1262,6 +1270,46 @@
   g_string_free (body, TRUE);
 }
 
+/* Guards against a relay that leaves while it holds the last bytes of an answer, because the tunnel
+ * whose server has ended does not count any more. */
+static void
+tunnel_counts_until_all_is_sent (void)
+{
+  GString *body = random_bytes (UNSENT_MAX - 1024, 7), *got = g_string_new (NULL);
+  SockAddr addr;
+  char buffer[4096];
+
+  begin ();
+  limit_buffer (relay_addr, SO_SNDBUF);
+  int listening = bind_plain (&addr);
+  g_assert_cmpint (listen (listening, 8), ==, 0);
+  int fd = connect_plain (relay_addr, 0, 1);
+  request_tunnel_plain (fd, addr);
+  run_until (has_tunnel_open, NULL);
+  int accepted = accept (listening, NULL, NULL);
+  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
+  g_string_truncate (got, 0);
+  send_plain (accepted, body->str, body->len);
+  shutdown (accepted, SHUT_WR);
+  run_until (has_ended_plain, &accepted); /* the relay has read that end */
+  g_assert_cmpuint (relay_tunnel_count (relay), ==, 1);
+  while (!no_tunnels (NULL))
+    {
+      ssize_t size = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (size > 0)
+        g_string_append_len (got, buffer, size);
+      run_for (FT_MS);
+    }
+  g_assert_true (read_plain (fd, got, NULL));
+  g_assert_cmpmem (got->str, got->len, body->str, body->len);
+  close (fd);
+  close (accepted);
+  close (listening);
+  end ();
+  g_string_free (got, TRUE);
+  g_string_free (body, TRUE);
+}
+
 /* ---- Requests for tunnels ---- */
 
 /* Sends text to the relay and returns what it answers until it closes. */
@@ -1327,14 +1375,6 @@
   g_free (name);
 }
 
-static bool
-has_ended_plain (const void *data)
-{
-  struct pollfd one = { .fd = *(const int *) data, .events = POLLIN };
-
-  return poll (&one, 1, 0) == 1;
-}
-
 /* Guards against connections without a whole request that are kept for ever and fill the relay. */
 static void
 unfinished_requests_are_closed (void)
@@ -1726,5 +1766,6 @@
   g_test_add_func ("/relay/standing_backlog", standing_backlog_bounds_memory);
   g_test_add_func ("/relay/middle/reset_while_sending", server_resets_while_client_sends);
   g_test_add_func ("/relay/middle/killed_after_end", relay_killed_after_servers_end);
+  g_test_add_func ("/relay/counted_until_sent", tunnel_counts_until_all_is_sent);
   return g_test_run ();
 }
