--- a/test/relay.c
+++ b/test/relay.c
@@ -31,6 +31,8 @@
 
 static Loop *loop;
 static LoopTimer watchdog;
+static GPtrArray *texts; /* GString, freed by end */
+static GArray *fds;      /* closed by end */
 
 static void
 on_watchdog (LoopTimer *timer)
@@ -56,33 +58,43 @@
   loop_timer_stop (loop, &timer);
 }
 
-/* Runs the loop until condition (data) is true. */
-static void
-run_until (bool (*condition) (const void *data), const void *data)
-{
-  while (!condition (data))
-    run_for (FT_MS);
-}
+#define RUN_UNTIL(condition)                                                                       \
+  while (!(condition))                                                                             \
+  run_for (FT_MS)
 
+/* head and random bytes. */
 static GString *
-random_bytes (size_t size, uint32_t seed)
+text_new (const char *head, size_t size, uint32_t seed)
 {
   GRand *rand = g_rand_new_with_seed (seed);
-  GString *out = g_string_sized_new (size);
+  GString *out = g_string_new (head);
 
-  g_string_set_size (out, size);
   for (size_t i = 0; i < size; i++)
-    out->str[i] = (char) g_rand_int (rand);
+    g_string_append_c (out, (char) g_rand_int (rand));
   g_rand_free (rand);
+  g_ptr_array_add (texts, out);
   return out;
 }
 
+static void
+free_text (gpointer text)
+{
+  g_string_free (text, TRUE);
+}
+
+static int
+keep_fd (int fd)
+{
+  g_array_append_val (fds, fd);
+  return fd;
+}
+
 /* ---- The relay ---- */
 
 static Relay *relay;
 static SockAddr relay_addr;
 static bool relay_is_usable;
-static unsigned connects_established, connects_failed; /* as the relay reported them */
+static unsigned relay_connects[2]; /* as the relay reported them; [1]: established */
 /* Largest output of the relay: not yet sent, and in a buffer with what is sent. */
 static size_t relay_unsent_max, relay_buffer_max;
 
@@ -98,10 +110,7 @@
 {
   (void) user;
   (void) addr;
-  if (established)
-    connects_established++;
-  else
-    connects_failed++;
+  relay_connects[established]++;
 }
 
 /* The linker replaces sock_write by these, see CMakeLists.txt. */
@@ -147,12 +156,6 @@
   return out;
 }
 
-static void
-start_relay (void)
-{
-  relay = open_relay (loop, &relay_addr, 0);
-}
-
 static void
 stop_relay (void)
 {
@@ -160,13 +163,6 @@
   relay = NULL;
 }
 
-static bool
-no_tunnels (const void *data)
-{
-  (void) data;
-  return relay_tunnel_count (relay) == 0;
-}
-
 /* ---- The server: sends an answer for each request, then what else is said ---- */
 
 typedef enum
@@ -185,10 +181,16 @@
   size_t request_size; /* bytes until the answer */
   const GString *answer;
   Then then;
-  bool slow; /* reads nothing before the test allows it */
-  unsigned connections, ended, reset;
+  bool slow;                          /* reads nothing before the test allows it */
+  unsigned connections, ended, reset; /* ended: by the other side */
 } server;
 
+static Sock *
+server_sock (void)
+{
+  return server.socks->pdata[0];
+}
+
 static void
 server_forget (Sock *sock)
 {
@@ -240,58 +242,22 @@
 }
 
 static void
-begin (void)
-{
-  loop = loop_new ();
-  g_assert_nonnull (loop);
-  watchdog.fire = on_watchdog;
-  loop_timer_set (loop, &watchdog, loop_now (loop) + TEST_TIMEOUT);
-  memset (&server, 0, sizeof server);
-  server.socks = g_ptr_array_new ();
-  server.received = g_string_new (NULL);
-  for (uint16_t port = SERVER_PORT; !server.listener && port < SERVER_PORT + PORT_COUNT; port++)
-    {
-      server.addr = (SockAddr){ LOCALHOST, port };
-      server.listener = sock_listen (loop, server.addr, server_on_accept, NULL);
-    }
-  g_assert_nonnull (server.listener);
-  relay_is_usable = true;
-  connects_established = connects_failed = 0;
-  relay_unsent_max = relay_buffer_max = 0;
-  start_relay ();
-}
-
-static void
-end (void)
+server_reset (void)
 {
-  stop_relay ();
-  while (server.socks->len > 0)
-    {
-      Sock *sock = server.socks->pdata[0];
-      server_forget (sock);
-      sock_close (sock, true);
-    }
-  g_ptr_array_unref (server.socks);
-  g_string_free (server.received, TRUE);
-  sock_listener_free (server.listener);
-  loop_timer_stop (loop, &watchdog);
-  loop_free (loop);
-}
+  Sock *sock = server_sock ();
 
-static bool
-server_is_connected (const void *data)
-{
-  (void) data;
-  return server.connections > 0;
+  server_forget (sock);
+  sock_close (sock, true);
 }
 
-static bool
-server_is_alone (const void *data)
+static void
+wait_until_over (void)
 {
-  return server_is_connected (data) && server.socks->len == 0;
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
+  RUN_UNTIL (server.connections > 0 && server.socks->len == 0);
 }
 
-/* ---- Addresses at which no server answers ---- */
+/* ---- Plain sockets ---- */
 
 static struct sockaddr_in
 to_sockaddr (SockAddr addr)
@@ -301,22 +267,31 @@
                                .sin_port = htons (addr.port) };
 }
 
-/* A plain socket with an address; the kernel refuses connections to it until it listens. */
-static int
-bind_plain (SockAddr *addr)
+/* Returns an address that refuses connections until fd listens. */
+static SockAddr
+bind_plain (int *fd)
 {
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
+  *fd = keep_fd (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   for (uint16_t port = SERVER_PORT; port < SERVER_PORT + PORT_COUNT; port++)
     {
-      *addr = (SockAddr){ LOCALHOST, port };
-      struct sockaddr_in at = to_sockaddr (*addr);
-      if (bind (fd, (struct sockaddr *) &at, sizeof at) == 0)
-        return fd;
+      SockAddr addr = { LOCALHOST, port };
+      struct sockaddr_in at = to_sockaddr (addr);
+      if (bind (*fd, (struct sockaddr *) &at, sizeof at) == 0)
+        return addr;
     }
   g_error ("no free port");
 }
 
+/* An address whose queue takes a number of connections. */
+static SockAddr
+listen_plain (int *fd, int queue)
+{
+  SockAddr addr = bind_plain (fd);
+
+  g_assert_cmpint (listen (*fd, queue), ==, 0);
+  return addr;
+}
+
 /* Gives the connections that are accepted at this address the smallest buffer; which: SO_SNDBUF or
  * SO_RCVBUF. */
 static void
@@ -353,31 +328,72 @@
   return fd;
 }
 
-typedef struct
+/* An address that accepts no connections, as its queue is full. */
+static SockAddr
+full_address (void)
 {
-  int listening, waiting[4];
-  SockAddr addr;
-} FullQueue;
+  int fd;
+  SockAddr addr = listen_plain (&fd, 0);
+
+  for (unsigned i = 0; i < 4; i++)
+    keep_fd (connect_plain (addr, SOCK_NONBLOCK, 0));
+  return addr;
+}
+
+/* Sends all of text on a plain socket. */
+static void
+send_plain (int fd, const char *text, size_t size)
+{
+  for (size_t at = 0; at < size;)
+    {
+      ssize_t done = send (fd, text + at, size - at, MSG_NOSIGNAL);
+      g_assert_cmpint (done, >, 0);
+      at += (size_t) done;
+    }
+}
 
-/* A server whose queue of connections is full, so that it accepts no other one. */
-static FullQueue
-full_queue_new (void)
+static void
+request_tunnel_plain (int fd, SockAddr addr)
 {
-  FullQueue out;
+  GString *request = g_string_new (NULL);
 
-  out.listening = bind_plain (&out.addr);
-  g_assert_cmpint (listen (out.listening, 0), ==, 0);
-  for (unsigned i = 0; i < G_N_ELEMENTS (out.waiting); i++)
-    out.waiting[i] = connect_plain (out.addr, SOCK_NONBLOCK, 0);
-  return out;
+  relay_write_request (request, addr);
+  send_plain (fd, request->str, request->len);
+  g_string_free (request, TRUE);
+}
+
+/* Reads from a plain socket until it ends or text has arrived; NULL: until it ends. Returns false
+ * if it failed. */
+static bool
+read_plain (int fd, GString *got, const char *text)
+{
+  char buffer[4096];
+  ssize_t size = 1;
+
+  while (size > 0 && !(text && strstr (got->str, text)))
+    {
+      size = recv (fd, buffer, sizeof buffer, 0);
+      if (size > 0)
+        g_string_append_len (got, buffer, size);
+    }
+  return size >= 0;
+}
+
+static bool
+has_ended_plain (int fd)
+{
+  struct pollfd one = { .fd = fd, .events = POLLIN };
+
+  return poll (&one, 1, 0) == 1;
 }
 
 static void
-full_queue_free (FullQueue *queue)
+reset_plain (int fd)
 {
-  for (unsigned i = 0; i < G_N_ELEMENTS (queue->waiting); i++)
-    close (queue->waiting[i]);
-  close (queue->listening);
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
 }
 
 /* ---- The client ---- */
@@ -389,10 +405,10 @@
   unsigned completed, failed;
   HXferFault fault;
   GString *body;
-  bool slow;                           /* pauses after each part of the body */
-  int64_t limit_us;                    /* of its connects */
-  unsigned established, unestablished; /* direct connects */
-  char *connect_key;
+  bool slow;            /* pauses after each part of the body */
+  int64_t limit_us;     /* of its connects */
+  SockAddr addr;        /* of the server it talks to */
+  unsigned paths[2][2]; /* as reported, [relayed][reached] */
 } client;
 
 static LoopTimer resume_timer;
@@ -448,42 +464,26 @@
 client_on_path (void *user, const char *key, SockAddr addr, bool relayed, bool reached)
 {
   (void) user;
-  (void) addr;
-  if (relayed)
-    return;
-  g_free (client.connect_key);
-  client.connect_key = g_strdup (key);
-  if (reached)
-    client.established++;
-  else
-    client.unestablished++;
-}
-
-static void
-client_new (void)
-{
-  memset (&client, 0, sizeof client);
-  client.cli = hcli_new (loop);
-  client.body = g_string_new (NULL);
-  client.limit_us = TEST_TIMEOUT;
-  resume_timer = (LoopTimer){ .fire = on_resume };
-  hcli_set_path_func (client.cli, client_on_path, NULL);
+  g_assert_cmpstr (key, ==, "k");
+  g_assert_cmpuint (addr.ip, ==, client.addr.ip);
+  g_assert_cmpuint (addr.port, ==, client.addr.port);
+  client.paths[relayed][reached]++;
 }
 
 static void
-client_free (void)
+assert_paths (unsigned reached, unsigned failed, unsigned relayed)
 {
-  loop_timer_stop (loop, &resume_timer);
-  if (client.xfer)
-    hxfer_cancel (client.xfer);
-  hcli_free (client.cli);
-  g_string_free (client.body, TRUE);
-  g_free (client.connect_key);
+  g_assert_cmpuint (client.paths[false][true], ==, reached);
+  g_assert_cmpuint (client.paths[false][false], ==, failed);
+  g_assert_cmpuint (client.paths[true][true], ==, relayed);
+  g_assert_cmpuint (client.paths[true][false], ==, 0);
 }
 
+/* What the client starts next is aimed at addr. */
 static HCliTarget
 target_at (SockAddr addr, bool relayed)
 {
+  client.addr = addr;
   return (HCliTarget){ .addr = addr,
                        .key = "k",
                        .connect_us = client.limit_us,
@@ -494,7 +494,7 @@
 static GString *
 post (const GString *body)
 {
-  GString *out = g_string_new (NULL);
+  GString *out = text_new (NULL, 0, 0);
 
   g_string_printf (out, "POST / HTTP/1.1\r\nContent-Length: %zu\r\n\r\n", body ? body->len : 0);
   if (body)
@@ -502,38 +502,48 @@
   return out;
 }
 
-/* Starts a request, of which the server answers when it has been received completely. */
+/* Starts a request, which the server answers when it has all of it. */
 static void
 client_start (SockAddr addr, bool relayed, const GString *body)
 {
   HCliTarget target = target_at (addr, relayed);
   GString *request = post (body);
 
+  g_string_truncate (server.received, 0);
   server.request_size = request->len;
+  client.completed = client.failed = 0;
   client.xfer = hcli_send (client.cli, &target, request, &client_ops, NULL);
-  g_string_free (request, TRUE);
 }
 
 static bool
-client_has_ended (const void *data)
+client_has_ended (void)
 {
-  (void) data;
   return client.completed + client.failed > 0;
 }
 
-static bool
-client_has_body (const void *data)
+static void
+run_request (SockAddr addr, bool relayed)
 {
-  (void) data;
-  return client.body->len > 0 || client_has_ended (NULL);
+  client_start (addr, relayed, NULL);
+  g_assert_nonnull (client.xfer);
+  RUN_UNTIL (client_has_ended ());
 }
 
+/* Starts a relayed request and waits for the first bytes of its answer. */
 static void
-run_request (SockAddr addr, bool relayed)
+begin_answer (const GString *answer)
 {
-  client_start (addr, relayed, NULL);
+  server.answer = answer;
+  client_start (server.addr, true, NULL);
+  RUN_UNTIL (client.body->len > 0 || client_has_ended ());
   g_assert_nonnull (client.xfer);
-  run_until (client_has_ended, NULL);
+}
+
+static void
+cancel (void)
+{
+  hxfer_cancel (client.xfer);
+  client.xfer = NULL;
 }
 
 static void
@@ -544,19 +554,77 @@
   g_assert_cmpstr (hxfer_fault_name (client.fault), ==, hxfer_fault_name (fault));
 }
 
+static void
+assert_completed (void)
+{
+  g_assert_cmpuint (client.completed, ==, 1);
+  g_assert_cmpuint (client.failed, ==, 0);
+}
+
 #define OK        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok"
 #define BY_LENGTH "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
 #define IN_CHUNKS "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
 #define UNTIL_END "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
-static GString *
-answer_new (const char *head, const GString *body)
+/* ---- Every case: between begin and end ---- */
+
+static void
+begin (void)
 {
-  GString *out = g_string_new (head);
+  loop = loop_new ();
+  g_assert_nonnull (loop);
+  watchdog.fire = on_watchdog;
+  loop_timer_set (loop, &watchdog, loop_now (loop) + TEST_TIMEOUT);
+  texts = g_ptr_array_new_with_free_func (free_text);
+  fds = g_array_new (FALSE, FALSE, sizeof (int));
+  memset (&server, 0, sizeof server);
+  server.socks = g_ptr_array_new ();
+  server.received = g_string_new (NULL);
+  for (uint16_t port = SERVER_PORT; !server.listener && port < SERVER_PORT + PORT_COUNT; port++)
+    {
+      server.addr = (SockAddr){ LOCALHOST, port };
+      server.listener = sock_listen (loop, server.addr, server_on_accept, NULL);
+    }
+  g_assert_nonnull (server.listener);
+  relay_is_usable = true;
+  relay_connects[false] = relay_connects[true] = 0;
+  relay_unsent_max = relay_buffer_max = 0;
+  relay = open_relay (loop, &relay_addr, 0);
+  memset (&client, 0, sizeof client);
+  client.cli = hcli_new (loop);
+  client.body = g_string_new (NULL);
+  client.limit_us = TEST_TIMEOUT;
+  resume_timer = (LoopTimer){ .fire = on_resume };
+  hcli_set_path_func (client.cli, client_on_path, NULL);
+}
 
-  if (body)
-    g_string_append_len (out, body->str, (gssize) body->len);
-  return out;
+static void
+end (void)
+{
+  loop_timer_stop (loop, &resume_timer);
+  if (client.xfer)
+    hxfer_cancel (client.xfer);
+  hcli_free (client.cli);
+  g_string_free (client.body, TRUE);
+  stop_relay ();
+  while (server.socks->len > 0)
+    server_reset ();
+  g_ptr_array_unref (server.socks);
+  g_string_free (server.received, TRUE);
+  sock_listener_free (server.listener);
+  for (unsigned i = 0; i < fds->len; i++)
+    close (g_array_index (fds, int, i));
+  g_array_unref (fds);
+  g_ptr_array_unref (texts);
+  loop_timer_stop (loop, &watchdog);
+  loop_free (loop);
+}
+
+static void
+restart (void)
+{
+  end ();
+  begin ();
 }
 
 /* ---- Requests and answers ---- */
@@ -564,106 +632,79 @@
 static void
 request_and_answer (void)
 {
-  GString *answer = g_string_new (OK);
-
-  begin ();
-  client_new ();
-  server.answer = answer;
+  server.answer = text_new (OK, 0, 0);
   run_request (server.addr, true);
-  g_assert_cmpuint (client.completed, ==, 1);
+  assert_completed ();
   g_assert_cmpstr (client.body->str, ==, "ok");
   g_assert_cmpstr (server.received->str, ==, "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
-  g_assert_cmpuint (connects_established, ==, 1);
-  g_assert_cmpuint (connects_failed, ==, 0);
+  g_assert_cmpuint (relay_connects[true], ==, 1);
+  g_assert_cmpuint (relay_connects[false], ==, 0);
   g_assert_cmpuint (relay_opened_count (relay), ==, 1);
   g_assert_cmpuint (relay_refused_count (relay), ==, 0);
-  run_until (no_tunnels, NULL);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
-}
-
-static bool
-relay_is_full (const void *data)
-{
-  (void) data;
-  return relay_unsent_max > UNSENT_MAX;
+  assert_paths (0, 0, 1);
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
 }
 
-static void
-check_large (bool slow_client, bool slow_server, Then then)
+typedef struct
 {
-  GString *body = random_bytes (LARGE_SIZE, 1), *sent_back = random_bytes (LARGE_SIZE, 2);
-  GString *answer = answer_new (UNTIL_END, sent_back), *request = post (body);
-
-  if (then == THEN_KEEP)
-    {
-      g_string_printf (answer, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", sent_back->len);
-      g_string_append_len (answer, sent_back->str, (gssize) sent_back->len);
-    }
-  begin ();
-  client_new ();
+  const char *path;
+  bool slow_client, slow_server;
+  Then then;
+} Large;
+
+static const Large larges[] = {
+  /* Guards against bytes that are lost, doubled or exchanged where one side's buffer is full. */
+  { "/relay/large", false, false, THEN_KEEP },
+  /* Guards against a relay whose memory grows with what the server sends faster than the client
+   * reads. */
+  { "/relay/slow_client", true, false, THEN_KEEP },
+  /* The same the other way. */
+  { "/relay/slow_server", false, true, THEN_KEEP },
+  /* Guards against an answer without a length that loses its end because the server closes while
+   * the relay still holds bytes for the client. */
+  { "/relay/until_end", true, false, THEN_CLOSE },
+};
+
+static void
+large_bodies (const Large *large)
+{
+  GString *body = text_new (NULL, LARGE_SIZE, 1), *request = post (body);
+  GString *sent_back = text_new (NULL, LARGE_SIZE, 2), *answer = text_new (UNTIL_END, 0, 0);
+
+  if (large->then == THEN_KEEP)
+    g_string_printf (answer, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", sent_back->len);
+  g_string_append_len (answer, sent_back->str, (gssize) sent_back->len);
   server.answer = answer;
-  server.then = then;
-  server.slow = slow_server;
-  client.slow = slow_client;
-  if (slow_client)
+  server.then = large->then;
+  server.slow = large->slow_server;
+  client.slow = large->slow_client;
+  if (large->slow_client)
     limit_buffer (relay_addr, SO_SNDBUF);
-  if (slow_server)
+  if (large->slow_server)
     limit_buffer (server.addr, SO_RCVBUF);
   client_start (server.addr, true, body);
-  if (slow_server)
+  if (large->slow_server)
     {
-      run_until (relay_is_full, NULL);
-      run_until (server_is_connected, NULL);
+      RUN_UNTIL (relay_unsent_max > UNSENT_MAX && server.connections > 0);
       g_assert_cmpuint (server.received->len, ==, 0);
-      sock_pause_all (server.socks->pdata[0], false);
+      sock_pause_all (server_sock (), false);
     }
-  run_until (client_has_ended, NULL);
-  g_assert_cmpuint (client.completed, ==, 1);
+  RUN_UNTIL (client_has_ended ());
+  assert_completed ();
   g_assert_cmpmem (server.received->str, server.received->len, request->str, request->len);
   g_assert_cmpmem (client.body->str, client.body->len, sent_back->str, sent_back->len);
-  if (slow_client || slow_server)
-    g_assert_true (relay_is_full (NULL));
+  if (large->slow_client || large->slow_server)
+    g_assert_cmpuint (relay_unsent_max, >, UNSENT_MAX);
   g_assert_cmpuint (relay_unsent_max, <=, UNSENT_MAX + READ_MAX);
-  run_until (no_tunnels, NULL);
-  client_free ();
-  end ();
-  g_string_free (request, TRUE);
-  g_string_free (answer, TRUE);
-  g_string_free (sent_back, TRUE);
-  g_string_free (body, TRUE);
-}
-
-/* Guards against bytes that are lost, doubled or exchanged where one side's buffer is full. */
-static void
-large_bodies_arrive_whole (void)
-{
-  check_large (false, false, THEN_KEEP);
-}
-
-/* Guards against a relay whose memory grows with what the server sends faster than the client
- * reads. */
-static void
-slow_client_bounds_memory (void)
-{
-  check_large (true, false, THEN_KEEP);
-}
-
-/* Guards against a relay whose memory grows with what the client sends faster than the server
- * reads. */
-static void
-slow_server_bounds_memory (void)
-{
-  check_large (false, true, THEN_KEEP);
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
 }
 
-/* Guards against an answer without a length that loses its end because the server closes while the
- * relay still holds bytes for the client. */
 static void
-end_of_answer_without_length_arrives (void)
+run_large (gconstpointer data)
 {
-  check_large (true, false, THEN_CLOSE);
+  begin ();
+  large_bodies (data);
+  end ();
 }
 
 /* Guards against a relay whose kernel ends a connection because the client reads nothing for some
@@ -671,102 +712,153 @@
 static void
 paused_client_keeps_its_answer (void)
 {
-  GString *body = random_bytes (LARGE_SIZE, 3), *answer = answer_new (UNTIL_END, body);
+  GString *answer = text_new (UNTIL_END, LARGE_SIZE, 3);
 
-  begin ();
-  client_new ();
-  server.answer = answer;
   server.then = THEN_CLOSE;
-  client_start (server.addr, true, NULL);
-  run_until (client_has_body, NULL);
-  g_assert_nonnull (client.xfer);
+  begin_answer (answer);
   hxfer_pause (client.xfer, true);
   run_for (PAUSE_US);
   g_assert_cmpuint (client.failed, ==, 0);
   hxfer_pause (client.xfer, false);
-  run_until (client_has_ended, NULL);
-  g_assert_cmpuint (client.completed, ==, 1);
-  g_assert_cmpmem (client.body->str, client.body->len, body->str, body->len);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
-  g_string_free (body, TRUE);
+  RUN_UNTIL (client_has_ended ());
+  assert_completed ();
+  g_assert_cmpmem (client.body->str, client.body->len, answer->str + strlen (UNTIL_END),
+                   LARGE_SIZE);
 }
 
-/* ---- Nothing was sent ---- */
-
+/* Guards against bytes that are lost because they follow the request before the relay answers. */
 static void
-assert_nothing_sent (HXferFault fault)
+early_bytes_are_passed_on (void)
 {
-  assert_fault (fault);
-  g_assert_cmpuint (server.received->len, ==, 0);
+  GString *request = text_new (NULL, 0, 0), *got = text_new (NULL, 0, 0);
+
+  server.answer = text_new (UNTIL_END "fine", 0, 0);
+  server.then = THEN_CLOSE;
+  server.request_size = strlen ("GET / HTTP/1.1\r\n\r\n");
+  int fd = keep_fd (connect_plain (relay_addr, 0, 0));
+  relay_write_request (request, server.addr);
+  g_string_append (request, "GET / HTTP/1.1\r\n\r\n");
+  send_plain (fd, request->str, request->len);
+  RUN_UNTIL (relay_opened_count (relay) == 1);
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
+  g_assert_true (read_plain (fd, got, NULL));
+  g_assert_cmpstr (server.received->str, ==, "GET / HTTP/1.1\r\n\r\n");
+  g_assert_true (g_str_has_prefix (got->str, "HTTP/1.1 200 "));
+  g_assert_true (g_str_has_suffix (got->str, "\r\n\r\n" UNTIL_END "fine"));
 }
 
-/* Guards against a server that is down and looks like a relay that is. */
+/* Guards against a tunnel that is used again for another request, relayed or direct: the relay
+ * could not leave in time, and the client would take its own path for sound. */
 static void
-refused_by_server (void)
+tunnels_are_not_reused (void)
 {
-  SockAddr addr;
+  const char *key;
 
-  begin ();
-  client_new ();
-  int fd = bind_plain (&addr);
-  run_request (addr, true);
-  assert_fault (HXFER_REFUSED);
-  g_assert_cmpuint (connects_established, ==, 0);
-  g_assert_cmpuint (connects_failed, ==, 1);
-  g_assert_cmpuint (relay_refused_count (relay), ==, 1);
-  g_assert_cmpuint (relay_tunnel_count (relay), ==, 0);
-  close (fd);
-  client_free ();
-  end ();
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      server.answer = text_new (OK, 0, 0);
+      run_request (server.addr, true);
+      assert_completed ();
+      g_assert_cmpuint (server.connections, ==, i);
+      g_assert_cmpuint (hcli_idle_keys (client.cli, &key, 1), ==, 0);
+      RUN_UNTIL (relay_tunnel_count (relay) == 0);
+    }
 }
 
-/* Guards against a server that does not accept and looks like one that refuses, or like a relay
- * that has failed. */
-static void
-not_accepted_by_server (void)
+/* ---- Nothing was sent ---- */
+
+typedef enum
 {
-  begin ();
-  client_new ();
-  FullQueue queue = full_queue_new ();
-  run_request (queue.addr, true);
-  assert_fault (HXFER_NOT_CONNECTED);
-  g_assert_cmpuint (connects_established, ==, 0);
-  g_assert_cmpuint (connects_failed, ==, 1);
-  g_assert_cmpuint (relay_tunnel_count (relay), ==, 0);
-  full_queue_free (&queue);
-  client_free ();
-  end ();
+  SERVER_REFUSES,
+  SERVER_FULL,
+  RELAY_WITHOUT_ROUTE,
+  RELAY_NOT_USABLE,
+  RELAY_ABSENT,
+  RELAY_FULL,
+  RELAY_MUTE
+} Obstacle;
+
+typedef struct
+{
+  const char *path;
+  Obstacle what;
+  HXferFault fault;
+  unsigned connects_failed, refused; /* as the relay counts them */
+} Unsent;
+
+static const Unsent unsents[] = {
+  /* Guards against a server that is down and looks like a relay that is. */
+  { "/relay/unsent/refused", SERVER_REFUSES, HXFER_REFUSED, 1, 1 },
+  /* Guards against a server that does not accept and looks like one that refuses, or like a relay
+   * that has failed. */
+  { "/relay/unsent/not_accepted", SERVER_FULL, HXFER_NOT_CONNECTED, 1, 1 },
+  /* Guards against a relay that has no route itself and takes the server for refusing or silent,
+   * or does not learn it from the connects of others. */
+  { "/relay/unsent/no_route", RELAY_WITHOUT_ROUTE, HXFER_RELAY_FAILED, 1, 1 },
+  /* Guards against a relay that is cut off as well and keeps clients waiting for its connects. */
+  { "/relay/unsent/not_usable", RELAY_NOT_USABLE, HXFER_RELAY_FAILED, 0, 1 },
+  /* Guards against a relay that is gone and looks like a server that is. */
+  { "/relay/unsent/absent", RELAY_ABSENT, HXFER_RELAY_FAILED, 0, 0 },
+  /* Guards against a relay that accepts no connection, or does not answer, and holds the request
+   * beyond the time limit of its connect. */
+  { "/relay/unsent/full_queue", RELAY_FULL, HXFER_RELAY_FAILED, 0, 0 },
+  { "/relay/unsent/silent", RELAY_MUTE, HXFER_RELAY_FAILED, 0, 0 },
+};
+
+/* Returns the address of the server. */
+static SockAddr
+put_up (Obstacle what)
+{
+  int fd;
+
+  if (what == RELAY_FULL || what == RELAY_MUTE)
+    client.limit_us = SHORT_LIMIT_US;
+  switch (what)
+    {
+    case SERVER_REFUSES:
+      return bind_plain (&fd);
+    case SERVER_FULL:
+      return full_address ();
+    case RELAY_WITHOUT_ROUTE:
+      stop_relay ();
+      relay = open_relay (loop, &relay_addr, FOREIGN_ADDRESS);
+      break;
+    case RELAY_NOT_USABLE:
+      relay_is_usable = false;
+      break;
+    case RELAY_ABSENT:
+      relay_addr = bind_plain (&fd);
+      break;
+    case RELAY_FULL:
+      relay_addr = full_address ();
+      break;
+    case RELAY_MUTE:
+      relay_addr = listen_plain (&fd, 8);
+      break;
+    }
+  return server.addr;
 }
 
-/* Guards against a relay that has no route itself and takes the server for refusing or silent. */
 static void
-relay_without_route (void)
+assert_nothing_sent (const Unsent *unsent)
 {
-  begin ();
-  client_new ();
-  stop_relay ();
-  relay = open_relay (loop, &relay_addr, FOREIGN_ADDRESS);
-  run_request (server.addr, true);
-  assert_nothing_sent (HXFER_RELAY_FAILED);
   g_assert_cmpuint (server.connections, ==, 0);
-  client_free ();
-  end ();
+  g_assert_cmpuint (relay_connects[true], ==, 0);
+  g_assert_cmpuint (relay_connects[false], ==, unsent->connects_failed);
+  g_assert_cmpuint (relay_refused_count (relay), ==, unsent->refused);
+  g_assert_cmpuint (relay_tunnel_count (relay), ==, 0);
+  assert_paths (0, 0, 0);
 }
 
-/* Guards against a relay that has no route and does not learn it from the connects of others. */
 static void
-relay_reports_missing_route (void)
+run_unsent (gconstpointer data)
 {
+  const Unsent *unsent = data;
+
   begin ();
-  client_new ();
-  stop_relay ();
-  relay = open_relay (loop, &relay_addr, FOREIGN_ADDRESS);
-  run_request (server.addr, true);
-  g_assert_cmpuint (connects_established, ==, 0);
-  g_assert_cmpuint (connects_failed, ==, 1);
-  client_free ();
+  run_request (put_up (unsent->what), true);
+  assert_fault (unsent->fault);
+  assert_nothing_sent (unsent);
   end ();
 }
 
@@ -774,49 +866,17 @@
 static void
 stopped_relay (void)
 {
-  GString *part = g_string_new (IN_CHUNKS);
-
-  begin ();
-  client_new ();
-  server.answer = part;
-  client_start (server.addr, true, NULL);
-  run_until (client_has_body, NULL);
+  begin_answer (text_new (IN_CHUNKS, 0, 0));
   relay_stop (relay);
-  HXfer *first = client.xfer;
-  g_assert_nonnull (first);
   run_request (server.addr, true);
   assert_fault (HXFER_RELAY_FAILED);
   g_assert_cmpuint (server.connections, ==, 1);
   g_assert_cmpuint (relay_tunnel_count (relay), ==, 1);
-  sock_write (server.socks->pdata[0], "0\r\n\r\n", 5);
+  sock_write (server_sock (), "0\r\n\r\n", 5);
   client.failed = 0;
-  run_until (client_has_ended, NULL);
-  g_assert_cmpuint (client.completed, ==, 1);
-  run_until (no_tunnels, NULL);
-  client_free ();
-  end ();
-  g_string_free (part, TRUE);
-}
-
-/* Guards against a relay that is cut off as well and keeps clients waiting for its connects. */
-static void
-relay_not_usable (void)
-{
-  begin ();
-  client_new ();
-  relay_is_usable = false;
-  run_request (server.addr, true);
-  assert_nothing_sent (HXFER_RELAY_FAILED);
-  g_assert_cmpuint (server.connections, ==, 0);
-  client_free ();
-  end ();
-}
-
-static bool
-all_tunnels_open (const void *data)
-{
-  (void) data;
-  return relay_opened_count (relay) == TUNNELS_MAX;
+  RUN_UNTIL (client_has_ended ());
+  assert_completed ();
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
 }
 
 /* Guards against a relay that takes more tunnels than it has room for, and against one whose room
@@ -824,68 +884,21 @@
 static void
 full_relay (void)
 {
-  GString *answer = g_string_new (OK), *request = post (NULL);
   HXfer *held[TUNNELS_MAX];
-
-  begin ();
-  client_new ();
   HCliTarget target = target_at (server.addr, true);
+
   for (unsigned i = 0; i < TUNNELS_MAX; i++)
-    held[i] = hcli_send (client.cli, &target, request, &client_ops, NULL);
-  run_until (all_tunnels_open, NULL);
+    held[i] = hcli_send (client.cli, &target, post (NULL), &client_ops, NULL);
+  RUN_UNTIL (relay_opened_count (relay) == TUNNELS_MAX);
   run_request (server.addr, true);
   assert_fault (HXFER_RELAY_FAILED);
   g_assert_cmpuint (server.connections, ==, TUNNELS_MAX);
   for (unsigned i = 0; i < TUNNELS_MAX; i++)
     hxfer_cancel (held[i]);
-  run_until (no_tunnels, NULL);
-  run_until (server_is_alone, NULL);
-  g_string_truncate (server.received, 0);
-  server.answer = answer;
-  client.failed = 0;
-  run_request (server.addr, true);
-  g_assert_cmpuint (client.completed, ==, 1);
-  client_free ();
-  end ();
-  g_string_free (request, TRUE);
-  g_string_free (answer, TRUE);
-}
-
-/* Guards against a relay that is gone and looks like a server that is. */
-static void
-absent_relay (void)
-{
-  begin ();
-  client_new ();
-  stop_relay ();
+  wait_until_over ();
+  server.answer = text_new (OK, 0, 0);
   run_request (server.addr, true);
-  assert_nothing_sent (HXFER_RELAY_FAILED);
-  g_assert_cmpuint (server.connections, ==, 0);
-  client_free ();
-  end ();
-}
-
-/* Guards against a relay that accepts no connection, or does not answer, and holds the request
- * beyond the time limit of its connect. */
-static void
-silent_relay (void)
-{
-  begin ();
-  client_new ();
-  FullQueue queue = full_queue_new ();
-  relay_addr = queue.addr;
-  client.limit_us = SHORT_LIMIT_US;
-  run_request (server.addr, true);
-  assert_nothing_sent (HXFER_RELAY_FAILED);
-  full_queue_free (&queue);
-  int fd = bind_plain (&relay_addr);
-  g_assert_cmpint (listen (fd, 8), ==, 0);
-  client.failed = 0;
-  run_request (server.addr, true);
-  assert_nothing_sent (HXFER_RELAY_FAILED);
-  close (fd);
-  client_free ();
-  end ();
+  assert_completed ();
 }
 
 /* Guards against an answer of something that is no relay and passes for a tunnel, or for a word
@@ -900,343 +913,195 @@
 
   for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
     {
-      GString *answer = g_string_new (answers[i]);
-      begin ();
-      client_new ();
+      restart ();
       relay_addr = server.addr; /* the server takes the relay's part */
-      server.answer = answer;
+      server.answer = text_new (answers[i], 0, 0);
       server.then = THEN_CLOSE;
       client_start ((SockAddr){ LOCALHOST, 1 }, true, NULL);
       server.request_size = strlen ("CONNECT 127.0.0.1:1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n");
-      run_until (client_has_ended, NULL);
+      RUN_UNTIL (client_has_ended ());
       assert_fault (HXFER_RELAY_FAILED);
+      assert_paths (0, 0, 0);
       g_assert_null (strstr (server.received->str, "POST"));
-      client_free ();
-      end ();
-      g_string_free (answer, TRUE);
     }
 }
 
 /* ---- What ends in the middle is not complete ---- */
 
-/* Heads of answers, and a part of the body. */
-static const char *const parts[]
-    = { BY_LENGTH "part", IN_CHUNKS, UNTIL_END "part", "HTTP/1.1 200 OK\r\n\r\npart" };
-
-/* Guards against an answer that passes for complete because the relay has stopped in the middle. */
-static void
-relay_freed_in_the_middle (void)
+/* Runs a relay in a child process until it is killed. */
+static pid_t
+fork_relay (SockAddr *addr)
 {
-  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (parts); i++)
-    {
-      GString *answer = g_string_new (parts[i / 2]);
-      bool paused = i % 2;
-      begin ();
-      client_new ();
-      server.answer = answer;
-      client_start (server.addr, true, NULL);
-      run_until (client_has_body, NULL);
-      g_assert_nonnull (client.xfer);
-      hxfer_pause (client.xfer, paused);
-      stop_relay ();
-      run_for (FT_MS);
-      if (client.xfer)
-        hxfer_pause (client.xfer, false);
-      run_until (client_has_ended, NULL);
-      assert_fault (HXFER_BROKEN);
-      g_assert_cmpstr (client.body->str, ==, "part");
-      run_until (server_is_alone, NULL);
-      g_assert_cmpuint (server.reset, ==, 1);
-      client_free ();
-      end ();
-      g_string_free (answer, TRUE);
-    }
-}
+  int ends[2];
 
-/* Guards against an answer without a length that passes for complete because the server has reset
- * its connection. */
-static void
-server_resets_in_the_middle (void)
-{
-  for (unsigned i = 0; i < G_N_ELEMENTS (parts); i++)
+  g_assert_cmpint (pipe (ends), ==, 0);
+  pid_t parent = getpid (), child = fork ();
+  g_assert_cmpint (child, >=, 0);
+  if (child == 0)
     {
-      GString *answer = g_string_new (parts[i]);
-      begin ();
-      client_new ();
-      server.answer = answer;
-      client_start (server.addr, true, NULL);
-      run_until (client_has_body, NULL);
-      Sock *sock = server.socks->pdata[0];
-      server_forget (sock);
-      sock_close (sock, true);
-      run_until (client_has_ended, NULL);
-      assert_fault (HXFER_BROKEN);
-      run_until (no_tunnels, NULL);
-      client_free ();
-      end ();
-      g_string_free (answer, TRUE);
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (getppid () != parent)
+        _exit (1);
+      Loop *own = loop_new ();
+      open_relay (own, addr, 0);
+      limit_buffer (*addr, SO_SNDBUF);
+      if (write (ends[1], addr, sizeof *addr) != sizeof *addr)
+        _exit (1);
+      loop_run (own);
+      _exit (1);
     }
+  g_assert_cmpint (read (ends[0], addr, sizeof *addr), ==, sizeof *addr);
+  close (ends[0]);
+  close (ends[1]);
+  return child;
 }
 
-/* Guards against a proper end of an answer without a length that passes for a failure. */
 static void
-server_ends_answer (void)
+kill_relay (pid_t child)
 {
-  GString *answer = g_string_new (UNTIL_END "all of it");
-
-  begin ();
-  client_new ();
-  server.answer = answer;
-  server.then = THEN_CLOSE;
-  run_request (server.addr, true);
-  g_assert_cmpuint (client.completed, ==, 1);
-  g_assert_cmpstr (client.body->str, ==, "all of it");
-  run_until (no_tunnels, NULL);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
+  kill (child, SIGKILL);
+  g_assert_cmpint (waitpid (child, NULL, 0), ==, child);
 }
 
-/* Sends all of text on a plain socket. */
-static void
-send_plain (int fd, const char *text, size_t size)
+typedef enum
 {
-  for (size_t at = 0; at < size;)
-    {
-      ssize_t done = send (fd, text + at, size - at, MSG_NOSIGNAL);
-      g_assert_cmpint (done, >, 0);
-      at += (size_t) done;
-    }
-}
+  RELAY_FREED,
+  RELAY_FREED_WHILE_PAUSED,
+  RELAY_KILLED,
+  SERVER_RESETS
+} Interruption;
 
-static void
-request_tunnel_plain (int fd, SockAddr addr)
+typedef struct
 {
-  GString *request = g_string_new (NULL);
+  const char *path;
+  Interruption what;
+} Middle;
 
-  relay_write_request (request, addr);
-  send_plain (fd, request->str, request->len);
-  g_string_free (request, TRUE);
-}
+/* Guards against an answer that passes for complete because the relay has stopped, its process was
+ * killed or the server has reset its connection in the middle. */
+static const Middle middles[] = {
+  { "/relay/middle/freed", RELAY_FREED },
+  { "/relay/middle/freed_paused", RELAY_FREED_WHILE_PAUSED },
+  { "/relay/middle/killed", RELAY_KILLED },
+  { "/relay/middle/server_resets", SERVER_RESETS },
+};
 
-/* Reads from a plain socket until it ends or text has arrived; NULL: until it ends. Returns false
- * if it failed. */
-static bool
-read_plain (int fd, GString *got, const char *text)
+static void
+interrupt (Interruption what, const char *answer)
 {
-  char buffer[4096];
-  ssize_t size = 1;
+  pid_t child = 0;
 
-  while (size > 0 && !(text && strstr (got->str, text)))
+  if (what == RELAY_KILLED)
     {
-      size = recv (fd, buffer, sizeof buffer, 0);
-      if (size > 0)
-        g_string_append_len (got, buffer, size);
+      stop_relay ();
+      child = fork_relay (&relay_addr);
     }
-  return size >= 0;
-}
-
-static bool
-has_ended_plain (const void *data)
-{
-  struct pollfd one = { .fd = *(const int *) data, .events = POLLIN };
-
-  return poll (&one, 1, 0) == 1;
-}
-
-static void
-reset_plain (int fd)
-{
-  struct linger linger = { 1, 0 };
-
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-  close (fd);
-}
-
-static bool
-has_tunnel_open (const void *data)
-{
-  (void) data;
-  return relay_opened_count (relay) == 1;
+  begin_answer (text_new (answer, 0, 0));
+  hxfer_pause (client.xfer, what == RELAY_FREED_WHILE_PAUSED);
+  if (what == RELAY_KILLED)
+    kill_relay (child);
+  else if (what == SERVER_RESETS)
+    server_reset ();
+  else
+    stop_relay ();
+  run_for (FT_MS);
+  if (client.xfer)
+    hxfer_pause (client.xfer, false);
+  RUN_UNTIL (client_has_ended ());
+  assert_fault (HXFER_BROKEN);
+  g_assert_cmpstr (client.body->str, ==, "part");
+  RUN_UNTIL (server.socks->len == 0);
+  g_assert_cmpuint (server.reset, ==, what != SERVER_RESETS);
+  if (what == SERVER_RESETS)
+    RUN_UNTIL (relay_tunnel_count (relay) == 0);
 }
 
-/* Guards against a relay's buffer that is never empty and so keeps all that went through it: the
- * client reads as fast as the server sends, but never catches up. */
 static void
-standing_backlog_bounds_memory (void)
+run_middle (gconstpointer data)
 {
-  GString *bytes = random_bytes (BACKLOG_SIZE, 6), *got = g_string_new (NULL);
-  char piece[PIECE_SIZE];
+  static const char *const answers[]
+      = { BY_LENGTH "part", IN_CHUNKS, UNTIL_END "part", "HTTP/1.1 200 OK\r\n\r\npart" };
 
-  begin ();
-  limit_buffer (relay_addr, SO_SNDBUF);
-  int fd = connect_plain (relay_addr, 0, 1);
-  request_tunnel_plain (fd, server.addr);
-  run_until (has_tunnel_open, NULL);
-  run_until (server_is_connected, NULL);
-  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
-  sock_write (server.socks->pdata[0], bytes->str, bytes->len);
-  for (unsigned i = 0; i < LARGE_SIZE / 16 / PIECE_SIZE; i++)
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
     {
-      sock_write (server.socks->pdata[0], bytes->str, sizeof piece);
-      for (size_t size = 0; size < sizeof piece;)
-        {
-          run_for (FT_MS / 10);
-          ssize_t done = recv (fd, piece, sizeof piece - size, MSG_DONTWAIT);
-          size += done > 0 ? (size_t) done : 0;
-        }
+      begin ();
+      interrupt (((const Middle *) data)->what, answers[i]);
+      end ();
     }
-  g_assert_cmpuint (relay_unsent_max, >, 0);
-  g_assert_cmpuint (relay_buffer_max, <=, 2 * (UNSENT_MAX + READ_MAX));
-  close (fd);
-  end ();
-  g_string_free (got, TRUE);
-  g_string_free (bytes, TRUE);
-}
-
-/* Guards against a reset of the server that passes for its proper end: the kernel reports it once,
- * and that may be to the attempt to pass bytes of the client on. */
-static void
-server_resets_while_client_sends (void)
-{
-  SockAddr addr;
-  GString *got = g_string_new (NULL);
-
-  begin ();
-  int listening = bind_plain (&addr);
-  g_assert_cmpint (listen (listening, 8), ==, 0);
-  int fd = connect_plain (relay_addr, 0, 0);
-  request_tunnel_plain (fd, addr);
-  run_until (has_tunnel_open, NULL);
-  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
-  int accepted = accept (listening, NULL, NULL);
-  send_plain (accepted, UNTIL_END "part", strlen (UNTIL_END "part"));
-  run_for (FT_MS);
-  /* Both have happened before the loop looks again, in this order. */
-  send_plain (fd, "more", 4);
-  reset_plain (accepted);
-  run_until (no_tunnels, NULL);
-  g_assert_false (read_plain (fd, got, NULL));
-  close (fd);
-  close (listening);
-  end ();
-  g_string_free (got, TRUE);
 }
 
-/* Guards against a server that works on for a client that has given up. */
+/* Guards against a server that works on for a client that has given up: while the server is silent,
+ * while it has not accepted, and while it sends faster than the client reads. */
 static void
 cancel_ends_server_connection (void)
 {
-  GString *answer = g_string_new (IN_CHUNKS);
-
-  begin ();
-  client_new ();
-  server.answer = answer;
-  client_start (server.addr, true, NULL);
-  run_until (client_has_body, NULL);
-  hxfer_cancel (client.xfer);
-  client.xfer = NULL;
-  run_until (no_tunnels, NULL);
-  run_until (server_is_alone, NULL);
+  begin_answer (text_new (IN_CHUNKS, 0, 0));
+  cancel ();
+  wait_until_over ();
   g_assert_cmpuint (server.ended, ==, 1);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
-}
-
-/* The same while the server has not accepted yet, and while it sends faster than the client reads.
- */
-static void
-cancel_under_load (void)
-{
-  GString *body = random_bytes (LARGE_SIZE, 4), *answer = answer_new (UNTIL_END, body);
-
-  begin ();
-  client_new ();
-  FullQueue queue = full_queue_new ();
-  client_start (queue.addr, true, NULL);
+  restart ();
+  client_start (full_address (), true, NULL);
   run_for (10 * FT_MS);
   if (client.xfer)
-    hxfer_cancel (client.xfer);
-  client.failed = 0;
-  run_until (no_tunnels, NULL);
-  full_queue_free (&queue);
-  server.answer = answer;
-  client_start (server.addr, true, NULL);
-  run_until (client_has_body, NULL);
+    cancel ();
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
+  restart ();
+  begin_answer (text_new (UNTIL_END, LARGE_SIZE, 4));
   hxfer_pause (client.xfer, true);
   run_for (QUIET_US);
   g_assert_cmpuint (relay_tunnel_count (relay), ==, 1);
-  hxfer_cancel (client.xfer);
-  client.xfer = NULL;
-  run_until (no_tunnels, NULL);
-  run_until (server_is_alone, NULL);
+  cancel ();
+  wait_until_over ();
   g_assert_cmpuint (server.ended, ==, 1);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
-  g_string_free (body, TRUE);
 }
 
-/* ---- A relay in a process of its own ---- */
+/* ---- Tunnels between plain sockets ---- */
 
-/* Runs a relay in a child process until it is killed. */
-static pid_t
-fork_relay (SockAddr *addr)
+typedef struct
 {
-  int ends[2];
+  int client, server;
+  pid_t child; /* the relay's process */
+  GString *got;
+} Tunnel;
 
-  g_assert_cmpint (pipe (ends), ==, 0);
-  pid_t parent = getpid (), child = fork ();
-  g_assert_cmpint (child, >=, 0);
-  if (child == 0)
+/* small: the client and the relay have the smallest buffers between them. */
+static Tunnel
+open_tunnel (bool forked, bool small)
+{
+  Tunnel out = { .got = text_new (NULL, 0, 0) };
+  int listening;
+  SockAddr addr = listen_plain (&listening, 8);
+
+  if (forked)
     {
-      prctl (PR_SET_PDEATHSIG, SIGKILL);
-      if (getppid () != parent)
-        _exit (1);
-      Loop *own = loop_new ();
-      open_relay (own, addr, 0);
-      limit_buffer (*addr, SO_SNDBUF);
-      if (write (ends[1], addr, sizeof *addr) != sizeof *addr)
-        _exit (1);
-      loop_run (own);
-      _exit (1);
+      stop_relay ();
+      out.child = fork_relay (&relay_addr);
     }
-  g_assert_cmpint (read (ends[0], addr, sizeof *addr), ==, sizeof *addr);
-  close (ends[0]);
-  close (ends[1]);
-  return child;
+  else if (small)
+    limit_buffer (relay_addr, SO_SNDBUF);
+  out.client = keep_fd (connect_plain (relay_addr, 0, small));
+  request_tunnel_plain (out.client, addr);
+  RUN_UNTIL (forked || relay_opened_count (relay) == 1);
+  out.server = accept (listening, NULL, NULL);
+  g_assert_true (read_plain (out.client, out.got, "\r\n\r\n"));
+  g_string_truncate (out.got, 0);
+  return out;
 }
 
+/* Guards against a reset of the server that passes for its proper end: the kernel reports it once,
+ * and that may be to the attempt to pass bytes of the client on. */
 static void
-kill_relay (pid_t child)
+server_resets_while_client_sends (void)
 {
-  kill (child, SIGKILL);
-  g_assert_cmpint (waitpid (child, NULL, 0), ==, child);
-}
+  Tunnel tunnel = open_tunnel (false, false);
 
-/* Guards against an answer that passes for complete because the relay's process was killed. */
-static void
-relay_killed_in_the_middle (void)
-{
-  for (unsigned i = 0; i < G_N_ELEMENTS (parts); i++)
-    {
-      GString *answer = g_string_new (parts[i]);
-      begin ();
-      client_new ();
-      stop_relay ();
-      pid_t child = fork_relay (&relay_addr);
-      server.answer = answer;
-      client_start (server.addr, true, NULL);
-      run_until (client_has_body, NULL);
-      g_assert_nonnull (client.xfer);
-      kill_relay (child);
-      run_until (client_has_ended, NULL);
-      assert_fault (HXFER_BROKEN);
-      client_free ();
-      end ();
-      g_string_free (answer, TRUE);
-    }
+  send_plain (tunnel.server, UNTIL_END "part", strlen (UNTIL_END "part"));
+  run_for (FT_MS);
+  /* Both have happened before the loop looks again, in this order. */
+  send_plain (tunnel.client, "more", 4);
+  reset_plain (tunnel.server);
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
+  g_assert_false (read_plain (tunnel.client, tunnel.got, NULL));
 }
 
 /* Guards against an answer without a length whose last bytes were in the relay when its process was
@@ -1244,33 +1109,18 @@
 static void
 relay_killed_after_servers_end (void)
 {
-  GString *body = random_bytes (UNSENT_MAX - 1024, 5), *got = g_string_new (NULL);
-  SockAddr addr;
+  GString *body = text_new (NULL, UNSENT_MAX - 1024, 5);
+  Tunnel tunnel = open_tunnel (true, true);
   char byte;
 
-  begin ();
-  stop_relay ();
-  int listening = bind_plain (&addr);
-  g_assert_cmpint (listen (listening, 8), ==, 0);
-  pid_t child = fork_relay (&relay_addr);
-  int fd = connect_plain (relay_addr, 0, 1);
-  request_tunnel_plain (fd, addr);
-  int accepted = accept (listening, NULL, NULL);
-  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
-  g_string_truncate (got, 0);
-  send_plain (accepted, body->str, body->len);
-  shutdown (accepted, SHUT_WR);
-  g_assert_cmpint (recv (accepted, &byte, 1, 0), <=, 0); /* the relay has read that end */
-  kill_relay (child);
-  bool ended = read_plain (fd, got, NULL);
-  g_assert_cmpuint (got->len, <, body->len);
+  send_plain (tunnel.server, body->str, body->len);
+  shutdown (tunnel.server, SHUT_WR);
+  g_assert_cmpint (recv (tunnel.server, &byte, 1, 0), <=, 0); /* the relay has read that end */
+  kill_relay (tunnel.child);
+  bool ended = read_plain (tunnel.client, tunnel.got, NULL);
+  g_assert_cmpuint (tunnel.got->len, <, body->len);
   g_assert_false (ended);
-  close (fd);
-  close (accepted);
-  close (listening);
-  end ();
-  g_string_free (got, TRUE);
-  g_string_free (body, TRUE);
+  close (tunnel.server);
 }
 
 /* Guards against a relay that leaves while it holds the last bytes of an answer, because the tunnel
@@ -1278,68 +1128,69 @@
 static void
 tunnel_counts_until_all_is_sent (void)
 {
-  GString *body = random_bytes (UNSENT_MAX - 1024, 7), *got = g_string_new (NULL);
-  SockAddr addr;
+  GString *body = text_new (NULL, UNSENT_MAX - 1024, 7);
+  Tunnel tunnel = open_tunnel (false, true);
   char buffer[4096];
 
-  begin ();
-  limit_buffer (relay_addr, SO_SNDBUF);
-  int listening = bind_plain (&addr);
-  g_assert_cmpint (listen (listening, 8), ==, 0);
-  int fd = connect_plain (relay_addr, 0, 1);
-  request_tunnel_plain (fd, addr);
-  run_until (has_tunnel_open, NULL);
-  int accepted = accept (listening, NULL, NULL);
-  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
-  g_string_truncate (got, 0);
-  send_plain (accepted, body->str, body->len);
-  shutdown (accepted, SHUT_WR);
-  run_until (has_ended_plain, &accepted); /* the relay has read that end */
+  send_plain (tunnel.server, body->str, body->len);
+  shutdown (tunnel.server, SHUT_WR);
+  RUN_UNTIL (has_ended_plain (tunnel.server)); /* the relay has read that end */
   g_assert_cmpuint (relay_tunnel_count (relay), ==, 1);
-  while (!no_tunnels (NULL))
+  while (relay_tunnel_count (relay) > 0)
     {
-      ssize_t size = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      ssize_t size = recv (tunnel.client, buffer, sizeof buffer, MSG_DONTWAIT);
       if (size > 0)
-        g_string_append_len (got, buffer, size);
+        g_string_append_len (tunnel.got, buffer, size);
       run_for (FT_MS);
     }
-  g_assert_true (read_plain (fd, got, NULL));
-  g_assert_cmpmem (got->str, got->len, body->str, body->len);
-  close (fd);
-  close (accepted);
-  close (listening);
-  end ();
-  g_string_free (got, TRUE);
-  g_string_free (body, TRUE);
+  g_assert_true (read_plain (tunnel.client, tunnel.got, NULL));
+  g_assert_cmpmem (tunnel.got->str, tunnel.got->len, body->str, body->len);
+  close (tunnel.server);
 }
 
-/* ---- Requests for tunnels ---- */
-
-/* Sends text to the relay and returns what it answers until it closes. */
-static GString *
-ask_relay (const char *text)
+/* Guards against a relay's buffer that is never empty and so keeps all that went through it: the
+ * client reads as fast as the server sends, but never catches up. */
+static void
+standing_backlog_bounds_memory (void)
 {
-  GString *got = g_string_new (NULL);
-  int fd = connect_plain (relay_addr, 0, 0);
-  uint64_t refused = relay_refused_count (relay);
+  GString *bytes = text_new (NULL, BACKLOG_SIZE, 6), *got = text_new (NULL, 0, 0);
+  char piece[PIECE_SIZE];
 
-  send_plain (fd, text, strlen (text));
-  while (relay_refused_count (relay) == refused)
-    run_for (FT_MS);
-  run_until (no_tunnels, NULL);
-  read_plain (fd, got, NULL);
-  close (fd);
-  return got;
+  limit_buffer (relay_addr, SO_SNDBUF);
+  int fd = keep_fd (connect_plain (relay_addr, 0, 1));
+  request_tunnel_plain (fd, server.addr);
+  RUN_UNTIL (relay_opened_count (relay) == 1 && server.connections > 0);
+  g_assert_true (read_plain (fd, got, "\r\n\r\n"));
+  sock_write (server_sock (), bytes->str, bytes->len);
+  for (unsigned i = 0; i < LARGE_SIZE / 16 / PIECE_SIZE; i++)
+    {
+      sock_write (server_sock (), bytes->str, sizeof piece);
+      for (size_t size = 0; size < sizeof piece;)
+        {
+          run_for (FT_MS / 10);
+          ssize_t done = recv (fd, piece, sizeof piece - size, MSG_DONTWAIT);
+          size += done > 0 ? (size_t) done : 0;
+        }
+    }
+  g_assert_cmpuint (relay_unsent_max, >, 0);
+  g_assert_cmpuint (relay_buffer_max, <=, 2 * (UNSENT_MAX + READ_MAX));
 }
 
+/* ---- Requests for tunnels ---- */
+
 /* Guards against a request that is no valid one for a tunnel, and opens one, leaks or is kept. */
 static void
 bad_requests_are_refused (void)
 {
-  char *name = g_strnfill (2000, 'a');
-  char *long_target = g_strconcat ("CONNECT ", name, ":80 HTTP/1.1\r\n\r\n", NULL);
-  char *long_field = g_strconcat ("CONNECT 127.0.0.1:80 HTTP/1.1\r\nX: ", name, NULL);
-  char *long_body = g_strconcat ("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", name, NULL);
+  GString *name = text_new (NULL, 0, 0), *long_target = text_new (NULL, 0, 0);
+  GString *long_field = text_new ("CONNECT 127.0.0.1:80 HTTP/1.1\r\nX: ", 0, 0);
+  GString *long_body = text_new ("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", 0, 0);
+
+  while (name->len < 2000)
+    g_string_append_c (name, 'a');
+  g_string_printf (long_target, "CONNECT %s:80 HTTP/1.1\r\n\r\n", name->str);
+  g_string_append (long_field, name->str);
+  g_string_append (long_body, name->str);
   const char *const bad[] = {
     "GET / HTTP/1.1\r\n\r\n",
     "GET http://127.0.0.1:80/ HTTP/1.1\r\nHost: a\r\n\r\n",
@@ -1355,27 +1206,23 @@
     "CONNECT 127.0.0.1000:80 HTTP/1.1\r\n\r\n",
     "CONNECT 127.0.0.1:80 HTTP/1.1\r\nBad Field: a\r\n\r\n",
     "CONNECT 127.0.0.1:80 HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
-    long_target,
-    long_field,
-    long_body,
+    long_target->str,
+    long_field->str,
+    long_body->str,
   };
 
-  begin ();
   for (unsigned i = 0; i < G_N_ELEMENTS (bad); i++)
     {
-      GString *got = ask_relay (bad[i]);
+      GString *got = text_new (NULL, 0, 0);
+      int fd = keep_fd (connect_plain (relay_addr, 0, 0));
       g_test_message ("%.40s", bad[i]);
+      send_plain (fd, bad[i], strlen (bad[i]));
+      RUN_UNTIL (relay_refused_count (relay) == i + 1 && relay_tunnel_count (relay) == 0);
+      read_plain (fd, got, NULL);
       g_assert_true (g_str_has_prefix (got->str, "HTTP/1.1 400 "));
-      g_string_free (got, TRUE);
     }
-  g_assert_cmpuint (connects_established + connects_failed, ==, 0);
+  g_assert_cmpuint (relay_connects[true] + relay_connects[false], ==, 0);
   g_assert_cmpuint (relay_opened_count (relay), ==, 0);
-  g_assert_cmpuint (relay_refused_count (relay), ==, G_N_ELEMENTS (bad));
-  end ();
-  g_free (long_body);
-  g_free (long_field);
-  g_free (long_target);
-  g_free (name);
 }
 
 /* Guards against connections without a whole request that are kept for ever and fill the relay. */
@@ -1385,32 +1232,27 @@
   static const char *const unfinished[]
       = { "", "C", "CONNECT 127.0.0.1:80 HTTP/1.1\r\nHost: a\r\n", "\r\n\r\n\r\n",
           "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab" };
-  int fds[G_N_ELEMENTS (unfinished)];
-  GString *got = g_string_new (NULL);
+  int open[G_N_ELEMENTS (unfinished)];
+  GString *got = text_new (NULL, 0, 0);
 
-  begin ();
-  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+  for (unsigned i = 0; i < G_N_ELEMENTS (open); i++)
     {
-      fds[i] = connect_plain (relay_addr, 0, 0);
-      send_plain (fds[i], unfinished[i], strlen (unfinished[i]));
+      open[i] = keep_fd (connect_plain (relay_addr, 0, 0));
+      send_plain (open[i], unfinished[i], strlen (unfinished[i]));
     }
-  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+  for (unsigned i = 0; i < G_N_ELEMENTS (open); i++)
     {
-      run_until (has_ended_plain, &fds[i]);
-      g_assert_false (read_plain (fds[i], got, NULL));
-      close (fds[i]);
+      RUN_UNTIL (has_ended_plain (open[i]));
+      g_assert_false (read_plain (open[i], got, NULL));
     }
   g_assert_cmpuint (got->len, ==, 0);
   g_assert_cmpuint (relay_tunnel_count (relay), ==, 0);
-  g_string_free (got, TRUE);
-  end ();
 }
 
 /* Guards against connections that end before their request does and leave their memory behind. */
 static void
 clients_that_leave_early (void)
 {
-  begin ();
   for (unsigned i = 0; i < 40; i++)
     {
       int fd = connect_plain (relay_addr, 0, 0);
@@ -1422,178 +1264,90 @@
         close (fd);
     }
   run_for (FT_MS);
-  run_until (no_tunnels, NULL);
+  RUN_UNTIL (relay_tunnel_count (relay) == 0);
   g_assert_cmpuint (relay_refused_count (relay) + relay_opened_count (relay), ==, 0);
-  end ();
 }
 
-/* Guards against bytes that are lost because they follow the request before the relay answers. */
-static void
-early_bytes_are_passed_on (void)
-{
-  GString *answer = g_string_new (UNTIL_END "fine"), *request = g_string_new (NULL);
-  GString *got = g_string_new (NULL);
+/* ---- What the client reports of its paths ---- */
 
-  begin ();
-  server.answer = answer;
-  server.then = THEN_CLOSE;
-  server.request_size = strlen ("GET / HTTP/1.1\r\n\r\n");
-  int fd = connect_plain (relay_addr, 0, 0);
-  relay_write_request (request, server.addr);
-  g_string_append (request, "GET / HTTP/1.1\r\n\r\n");
-  send_plain (fd, request->str, request->len);
-  run_until (has_tunnel_open, NULL);
-  run_until (no_tunnels, NULL);
-  g_assert_true (read_plain (fd, got, NULL));
-  g_assert_cmpstr (server.received->str, ==, "GET / HTTP/1.1\r\n\r\n");
-  g_assert_true (g_str_has_prefix (got->str, "HTTP/1.1 200 "));
-  g_assert_true (g_str_has_suffix (got->str, "\r\n\r\n" UNTIL_END "fine"));
-  close (fd);
-  end ();
-  g_string_free (got, TRUE);
-  g_string_free (request, TRUE);
-  g_string_free (answer, TRUE);
-}
-
-/* ---- What the client reports of its connects ---- */
-
-static void
-assert_connects (unsigned established, unsigned failed)
-{
-  g_assert_cmpuint (client.established, ==, established);
-  g_assert_cmpuint (client.unestablished, ==, failed);
-  if (established + failed)
-    g_assert_cmpstr (client.connect_key, ==, "k");
-}
-
-/* Guards against connects that are counted twice, requests on open connections that count as
- * connects, and connects whose failure is not counted. */
+/* Guards against connections that are reported twice, or before the server has sent anything, and
+ * against failures that are not reported. */
 static void
-direct_connects_are_reported (void)
+direct_connections_are_reported (void)
 {
-  GString *answer = g_string_new (OK);
-  SockAddr refusing;
+  int fd;
 
-  begin ();
-  client_new ();
+  client_start (server.addr, false, NULL);
+  RUN_UNTIL (server.received->len == server.request_size);
+  run_for (FT_MS);
+  assert_paths (0, 0, 0);
+  sock_write (server_sock (), OK, strlen (OK));
+  RUN_UNTIL (client_has_ended ());
   for (unsigned i = 0; i < 3; i++)
     {
-      server.answer = answer;
-      g_string_truncate (server.received, 0);
-      client.completed = 0;
+      server.answer = text_new (OK, 0, 0);
       run_request (server.addr, false);
-      g_assert_cmpuint (client.completed, ==, 1);
-      assert_connects (1, 0);
+      assert_completed ();
+      assert_paths (1, 0, 0);
     }
-  client_free ();
-  client_new ();
-  int fd = bind_plain (&refusing);
-  run_request (refusing, false);
+  g_assert_cmpuint (server.connections, ==, 1);
+  restart ();
+  run_request (bind_plain (&fd), false);
   assert_fault (HXFER_REFUSED);
-  assert_connects (0, 1);
-  close (fd);
-  client_free ();
-  client_new ();
+  assert_paths (0, 1, 0);
+  restart ();
   client.limit_us = SHORT_LIMIT_US;
-  FullQueue queue = full_queue_new ();
-  run_request (queue.addr, false);
+  run_request (full_address (), false);
   assert_fault (HXFER_NOT_CONNECTED);
-  assert_connects (0, 1);
-  full_queue_free (&queue);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
+  assert_paths (0, 1, 0);
 }
 
 /* Guards against a missing route that is not noticed, because the connect fails before it began. */
 static void
 immediate_failure_is_reported (void)
 {
-  begin ();
-  client_new ();
   hcli_set_source (client.cli, FOREIGN_ADDRESS);
-  client_start (server.addr, false, NULL);
-  g_assert_null (client.xfer);
-  g_assert_cmpint (errno, ==, EADDRNOTAVAIL);
-  assert_connects (0, 1);
-  client_start (server.addr, true, NULL);
-  g_assert_null (client.xfer);
-  assert_connects (0, 1);
-  client_free ();
-  end ();
+  for (unsigned relayed = 0; relayed < 2; relayed++)
+    {
+      client_start (server.addr, relayed, NULL);
+      g_assert_null (client.xfer);
+      g_assert_cmpint (errno, ==, EADDRNOTAVAIL);
+      assert_paths (0, 1, 0);
+    }
 }
 
-/* Guards against a break after the connect that counts as a failed connect. */
+/* Guards against a break after the first bytes that counts as a path that fails, and against one
+ * before them that does not. */
 static void
-broken_request_is_no_failed_connect (void)
+broken_connections_are_reported (void)
 {
-  GString *answer = g_string_new (UNTIL_END "part");
+  static const char *const answers[] = { UNTIL_END "part", "" };
 
-  begin ();
-  client_new ();
-  server.answer = answer;
-  server.then = THEN_RESET;
-  run_request (server.addr, false);
-  assert_fault (HXFER_BROKEN);
-  assert_connects (1, 0);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      restart ();
+      server.answer = text_new (answers[i], 0, 0);
+      server.then = THEN_RESET;
+      run_request (server.addr, false);
+      assert_fault (HXFER_BROKEN);
+      assert_paths (i == 0, i == 1, 0);
+    }
 }
 
-/* Guards against a connect that its user cancelled, and that counts as a failure of the path. */
+/* Guards against a request that its user cancelled, and that counts as a failure of the path. */
 static void
-cancelled_connect_is_not_reported (void)
+cancelled_requests_are_not_reported (void)
 {
-  begin ();
-  client_new ();
-  FullQueue queue = full_queue_new ();
   client.limit_us = SHORT_LIMIT_US;
-  client_start (queue.addr, false, NULL);
-  hxfer_cancel (client.xfer);
-  client.xfer = NULL;
+  client_start (full_address (), false, NULL);
+  cancel ();
   run_for (2 * SHORT_LIMIT_US);
-  assert_connects (0, 0);
-  full_queue_free (&queue);
-  client_free ();
-  end ();
-}
-
-/* Guards against connects of relays that count as the client's own: its path would come back while
- * it is still lost, or be lost because a relay is. */
-static void
-relayed_connects_are_not_reported (void)
-{
-  GString *answer = g_string_new (OK);
-  SockAddr refusing;
-
-  begin ();
-  client_new ();
-  server.answer = answer;
-  run_request (server.addr, true);
-  g_assert_cmpuint (client.completed, ==, 1);
-  int fd = bind_plain (&refusing);
-  client.completed = 0;
-  run_request (refusing, true);
-  assert_fault (HXFER_REFUSED);
-  close (fd);
-  FullQueue queue = full_queue_new ();
-  client.failed = 0;
-  run_request (queue.addr, true);
-  assert_fault (HXFER_NOT_CONNECTED);
-  relay_addr = queue.addr;
-  client.failed = 0;
-  client.limit_us = SHORT_LIMIT_US;
-  run_request (server.addr, true);
-  assert_fault (HXFER_RELAY_FAILED);
-  full_queue_free (&queue);
-  client.failed = 0;
-  run_request (server.addr, true);
-  assert_fault (HXFER_RELAY_FAILED);
-  assert_connects (0, 0);
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
+  assert_paths (0, 0, 0);
+  client_start (server.addr, false, NULL);
+  RUN_UNTIL (server.received->len == server.request_size);
+  cancel ();
+  RUN_UNTIL (server.socks->len == 0);
+  assert_paths (0, 0, 0);
 }
 
 /* Guards against a connection to a relay that passes for one to the server before there is one: a
@@ -1602,129 +1356,114 @@
 pending_tunnel_is_no_connection (void)
 {
   char byte;
+  int listening;
 
-  begin ();
-  client_new ();
-  int listening = bind_plain (&relay_addr);
-  g_assert_cmpint (listen (listening, 8), ==, 0);
+  relay_addr = listen_plain (&listening, 8);
   client_start (server.addr, true, NULL);
-  int fd = accept (listening, NULL, NULL);
-  while (recv (fd, &byte, 1, MSG_DONTWAIT) != 1)
-    run_for (FT_MS);
+  int fd = keep_fd (accept (listening, NULL, NULL));
+  RUN_UNTIL (recv (fd, &byte, 1, MSG_DONTWAIT) == 1);
   g_assert_false (hcli_is_connected (client.cli, "k"));
-  close (fd);
-  close (listening);
-  client_free ();
-  end ();
-}
-
-/* Guards against a tunnel that is used again for another request, relayed or direct: the relay
- * could not leave in time, and the client would take its own path for sound. */
-static void
-tunnels_are_not_reused (void)
-{
-  GString *answer = g_string_new (OK);
-  const char *key;
-
-  begin ();
-  client_new ();
-  for (unsigned i = 1; i <= 3; i++)
-    {
-      server.answer = answer;
-      g_string_truncate (server.received, 0);
-      client.completed = 0;
-      run_request (server.addr, true);
-      g_assert_cmpuint (client.completed, ==, 1);
-      g_assert_cmpuint (server.connections, ==, i);
-      g_assert_cmpuint (hcli_idle_keys (client.cli, &key, 1), ==, 0);
-      run_until (no_tunnels, NULL);
-    }
-  client_free ();
-  end ();
-  g_string_free (answer, TRUE);
+  assert_paths (0, 0, 0);
 }
 
 /* ---- Probes ---- */
 
-static unsigned probes_connected, probes_failed;
+static unsigned probes[2]; /* [1]: connected */
 static HXferFault probe_fault;
 
 static void
 on_probed (void *user, bool connected, HXferFault fault)
 {
   (void) user;
-  if (connected)
-    probes_connected++;
-  else
-    probes_failed++;
+  probes[connected]++;
   probe_fault = fault;
 }
 
-static bool
-probe_has_ended (const void *data)
-{
-  (void) data;
-  return probes_connected + probes_failed > 0;
-}
-
 static void
-run_probe (SockAddr addr)
+run_probe (SockAddr addr, bool relayed, bool connected)
 {
-  HCliTarget target = target_at (addr, true);
+  HCliTarget target = target_at (addr, relayed);
 
-  probes_connected = probes_failed = 0;
+  probes[false] = probes[true] = 0;
   g_assert_true (hcli_probe (client.cli, &target, on_probed, NULL));
-  run_until (probe_has_ended, NULL);
+  RUN_UNTIL (probes[false] + probes[true] > 0);
   run_for (FT_MS);
-  g_assert_cmpuint (probes_connected + probes_failed, ==, 1);
+  g_assert_cmpuint (probes[true], ==, connected);
+  g_assert_cmpuint (probes[false], ==, !connected);
 }
 
+/* Guards against a probe that takes the relay's outcome for the server's, or keeps a tunnel. */
 static void
-assert_probe_fault (HXferFault fault)
+probes_tell_relay_from_server (void)
 {
-  g_assert_cmpuint (probes_failed, ==, 1);
-  g_assert_cmpstr (hxfer_fault_name (probe_fault), ==, hxfer_fault_name (fault));
+  run_probe (server.addr, true, true);
+  wait_until_over ();
+  g_assert_cmpuint (server.ended, ==, 1);
+  g_assert_cmpuint (server.connections, ==, 1);
+  g_assert_cmpuint (server.received->len, ==, 0);
+  g_assert_false (hcli_is_connected (client.cli, "k"));
+  assert_paths (0, 0, 1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (unsents); i++)
+    {
+      restart ();
+      run_probe (put_up (unsents[i].what), true, false);
+      g_assert_cmpstr (hxfer_fault_name (probe_fault), ==, hxfer_fault_name (unsents[i].fault));
+      assert_nothing_sent (&unsents[i]);
+    }
 }
 
-/* Guards against a probe that takes the relay's outcome for the server's, or keeps a tunnel. */
+/* Guards against a probe that connects and counts as a path that works, as a kernel accepts for a
+ * server that hangs, and against one that fails and does not count. */
 static void
-probes_tell_relay_from_server (void)
+direct_probes_show_failures (void)
 {
-  SockAddr refusing, usable = { 0 };
+  int fd;
+
+  run_probe (server.addr, false, true);
+  assert_paths (0, 0, 0);
+  server_reset ();
+  run_for (FT_MS);
+  assert_paths (0, 0, 0);
+  run_probe (bind_plain (&fd), false, false);
+  assert_paths (0, 1, 0);
+}
 
+typedef struct
+{
+  const char *path;
+  void (*run) (void);
+} Case;
+
+static const Case cases[] = {
+  { "/relay/request", request_and_answer },
+  { "/relay/early_bytes", early_bytes_are_passed_on },
+  { "/relay/not_reused", tunnels_are_not_reused },
+  { "/relay/paused_client", paused_client_keeps_its_answer },
+  { "/relay/standing_backlog", standing_backlog_bounds_memory },
+  { "/relay/counted_until_sent", tunnel_counts_until_all_is_sent },
+  { "/relay/unsent/stopped", stopped_relay },
+  { "/relay/unsent/full", full_relay },
+  { "/relay/unsent/garbage", garbage_from_relay },
+  { "/relay/middle/cancelled", cancel_ends_server_connection },
+  { "/relay/middle/reset_while_sending", server_resets_while_client_sends },
+  { "/relay/middle/killed_after_end", relay_killed_after_servers_end },
+  { "/relay/bad/requests", bad_requests_are_refused },
+  { "/relay/bad/unfinished", unfinished_requests_are_closed },
+  { "/relay/bad/early_leavers", clients_that_leave_early },
+  { "/relay/paths/direct", direct_connections_are_reported },
+  { "/relay/paths/at_once", immediate_failure_is_reported },
+  { "/relay/paths/broken", broken_connections_are_reported },
+  { "/relay/paths/cancelled", cancelled_requests_are_not_reported },
+  { "/relay/paths/pending", pending_tunnel_is_no_connection },
+  { "/relay/probes/relayed", probes_tell_relay_from_server },
+  { "/relay/probes/direct", direct_probes_show_failures },
+};
+
+static void
+run_case (gconstpointer data)
+{
   begin ();
-  client_new ();
-  usable = relay_addr;
-  run_probe (server.addr);
-  g_assert_cmpuint (probes_connected, ==, 1);
-  run_until (no_tunnels, NULL);
-  run_until (server_is_alone, NULL);
-  g_assert_cmpuint (server.ended, ==, 1);
-  g_assert_false (hcli_is_connected (client.cli, "k"));
-  int fd = bind_plain (&refusing);
-  run_probe (refusing);
-  assert_probe_fault (HXFER_REFUSED);
-  FullQueue queue = full_queue_new ();
-  run_probe (queue.addr);
-  assert_probe_fault (HXFER_NOT_CONNECTED);
-  relay_addr = queue.addr;
-  client.limit_us = SHORT_LIMIT_US;
-  run_probe (server.addr);
-  assert_probe_fault (HXFER_RELAY_FAILED);
-  client.limit_us = TEST_TIMEOUT;
-  relay_addr = refusing;
-  run_probe (server.addr);
-  assert_probe_fault (HXFER_RELAY_FAILED);
-  relay_addr = usable;
-  relay_is_usable = false;
-  run_probe (server.addr);
-  assert_probe_fault (HXFER_RELAY_FAILED);
-  assert_connects (0, 0);
-  g_assert_cmpuint (server.received->len, ==, 0);
-  g_assert_cmpuint (server.connections, ==, 1);
-  full_queue_free (&queue);
-  close (fd);
-  client_free ();
+  ((const Case *) data)->run ();
   end ();
 }
 
@@ -1732,43 +1471,13 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_func ("/relay/request", request_and_answer);
-  g_test_add_func ("/relay/large", large_bodies_arrive_whole);
-  g_test_add_func ("/relay/slow_client", slow_client_bounds_memory);
-  g_test_add_func ("/relay/slow_server", slow_server_bounds_memory);
-  g_test_add_func ("/relay/until_end", end_of_answer_without_length_arrives);
-  g_test_add_func ("/relay/early_bytes", early_bytes_are_passed_on);
-  g_test_add_func ("/relay/not_reused", tunnels_are_not_reused);
-  g_test_add_func ("/relay/unsent/refused", refused_by_server);
-  g_test_add_func ("/relay/unsent/not_accepted", not_accepted_by_server);
-  g_test_add_func ("/relay/unsent/no_route", relay_without_route);
-  g_test_add_func ("/relay/unsent/stopped", stopped_relay);
-  g_test_add_func ("/relay/unsent/not_usable", relay_not_usable);
-  g_test_add_func ("/relay/unsent/full", full_relay);
-  g_test_add_func ("/relay/unsent/absent", absent_relay);
-  g_test_add_func ("/relay/unsent/silent", silent_relay);
-  g_test_add_func ("/relay/unsent/garbage", garbage_from_relay);
-  g_test_add_func ("/relay/middle/freed", relay_freed_in_the_middle);
-  g_test_add_func ("/relay/middle/killed", relay_killed_in_the_middle);
-  g_test_add_func ("/relay/middle/server_resets", server_resets_in_the_middle);
-  g_test_add_func ("/relay/middle/server_ends", server_ends_answer);
-  g_test_add_func ("/relay/middle/cancelled", cancel_ends_server_connection);
-  g_test_add_func ("/relay/middle/cancelled_under_load", cancel_under_load);
-  g_test_add_func ("/relay/bad/requests", bad_requests_are_refused);
-  g_test_add_func ("/relay/bad/unfinished", unfinished_requests_are_closed);
-  g_test_add_func ("/relay/bad/early_leavers", clients_that_leave_early);
-  g_test_add_func ("/relay/connects/direct", direct_connects_are_reported);
-  g_test_add_func ("/relay/connects/at_once", immediate_failure_is_reported);
-  g_test_add_func ("/relay/connects/broken", broken_request_is_no_failed_connect);
-  g_test_add_func ("/relay/connects/cancelled", cancelled_connect_is_not_reported);
-  g_test_add_func ("/relay/connects/relayed", relayed_connects_are_not_reported);
-  g_test_add_func ("/relay/connects/no_route", relay_reports_missing_route);
-  g_test_add_func ("/relay/connects/pending", pending_tunnel_is_no_connection);
-  g_test_add_func ("/relay/probes", probes_tell_relay_from_server);
-  g_test_add_func ("/relay/paused_client", paused_client_keeps_its_answer);
-  g_test_add_func ("/relay/standing_backlog", standing_backlog_bounds_memory);
-  g_test_add_func ("/relay/middle/reset_while_sending", server_resets_while_client_sends);
-  g_test_add_func ("/relay/middle/killed_after_end", relay_killed_after_servers_end);
-  g_test_add_func ("/relay/counted_until_sent", tunnel_counts_until_all_is_sent);
+  for (unsigned i = 0; i < G_N_ELEMENTS (larges); i++)
+    g_test_add_data_func (larges[i].path, &larges[i], run_large);
+  for (unsigned i = 0; i < G_N_ELEMENTS (unsents); i++)
+    g_test_add_data_func (unsents[i].path, &unsents[i], run_unsent);
+  for (unsigned i = 0; i < G_N_ELEMENTS (middles); i++)
+    g_test_add_data_func (middles[i].path, &middles[i], run_middle);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_test_add_data_func (cases[i].path, &cases[i], run_case);
   return g_test_run ();
 }
