--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -95,7 +95,8 @@
 try "relay: its connects are the client's" net/hcli.c 's/conn->sock->peer, relayed,/conn->sock->peer, false,/' test-relay &
 try "path: a connect alone is proof" net/hcli.c 's/^  if \(conn->server.port\)$/  report_path (conn, true);\n  if (conn->server.port)/' test-relay &
 try "path: no other instance needs to reach a server" src/paths.c 's/ \|\| !paths->refuted//' test-paths &
-try "path: any server reached elsewhere is proof" src/paths.c 's/ \|\| !g_hash_table_contains \(paths->failed, server\)//' test-paths &
+try "path: any server reached elsewhere is proof" src/paths.c 's/^  if \(failure == NULL \|\| failure->row.*/  if (failure \&\& false)/' test-paths &
+try "path: a server of an earlier row is proof" src/paths.c 's/failure == NULL \|\| failure->row != paths->row/failure == NULL/' test-paths &
 try "relay: a tunnel is used again" net/hcli.c 's/conn->not_reusable \|\| conn->server.port/conn->not_reusable/' test-relay &
 try "relays: of the same domain" node/relays.c 's/fill \(relays, peer, assignment, true\)/fill (relays, peer, assignment, false)/' test-relays &
 try "relays: the same for all" node/relays.c 's/relays->next\+\+ % count/i % count/' test-relays &
--- a/test/paths.c
+++ b/test/paths.c
@@ -98,6 +98,7 @@
   note ("b", false);
   note ("d", false);
   paths_note_relayed (paths, "c");
+  paths_note_relayed (paths, "a"); /* of the row before */
   g_assert_false (paths_is_lost (paths));
   paths_note_relayed (paths, "d");
   g_assert_true (paths_is_lost (paths));
