Logs: the server's software, what a caller resumes, the version in use

The record of a stream that went on at another version could not tell whether the caller's return, the scheduler of an entry that is alone, or a list without the version in use was the cause: no line named a version. The lines of a try and of a request's end have the software of its server now, and what the caller named in Resumes and Last-Event-Id; whoever schedules logs when another version of a service is in use.

--- a/bench/cost.c
+++ b/bench/cost.c
@@ -165,7 +165,7 @@
 }
 
 static const SchedOps sched_ops
-    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_server_state, NULL, NULL };
+    = { on_sched_grant, on_sched_refuse, on_sched_unused, on_sched_server_state, NULL, NULL, NULL };
 
 static void
 submit_sched (Sched *sched, const ManualClock *clock, uint64_t number)
--- a/node/adapter.h
+++ b/node/adapter.h
@@ -24,6 +24,8 @@
   unsigned output_max;      /* the caller's upper bound on the answer's tokens */
   unsigned output_estimate; /* its estimate of them; 0: not stated */
   uint64_t shared_part;     /* hash of the first part of the prompt; 0: none */
+  const char *last_event;   /* the stream goes on after this event; NULL: from its start */
+  const char *resumes; /* id of the attempt that brought the stream's first event; NULL: none */
 } AdapterRequest;
 
 /* What the instance adds to a request that it forwards. */
--- a/node/broker.c
+++ b/node/broker.c
@@ -174,8 +174,17 @@
         JL_TEXT ("by", broker->name));
 }
 
+static void
+on_version_changed (void *host, const char *service, const char *before, const char *version)
+{
+  const Broker *broker = host;
+
+  jlog (JLOG_INFO, "version-in-use", NULL, JL_TEXT ("service", service), JL_TEXT ("before", before),
+        JL_TEXT ("version", version), JL_TEXT ("by", broker->name));
+}
+
 static const SchedOps sched_ops
-    = { on_grant, on_refuse, on_unused, on_believes, on_judged, on_paced };
+    = { on_grant, on_refuse, on_unused, on_believes, on_judged, on_paced, on_version_changed };
 
 /* ---- Asking ---- */
 
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -336,6 +336,15 @@
   return true;
 }
 
+static void
+set_software (Req *req, const char *server)
+{
+  const AdapterServer *held = servers_find (req->requests->conf.servers, server);
+
+  g_free (req->software);
+  req->software = g_strdup (held ? held->version : NULL);
+}
+
 void
 requests_grant (Requests *requests, uint64_t number, const Grant *grant)
 {
@@ -348,8 +357,9 @@
   count_observe (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
   req->server = g_strdup (server->id);
+  set_software (req, server->id);
   jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", server->id),
-        JL_MS ("waited_ms", req_now (req) - req->arrived),
+        JL_TEXT ("software", req->software), JL_MS ("waited_ms", req_now (req) - req->arrived),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)),
         JL_MS ("list_age_ms", req_now (req) - grant->listed_at));
   if (server->leaving || is_known_unusable (requests, server->id, grant->listed_at)
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -32,6 +32,7 @@
   g_string_free (req->buffered, TRUE);
   g_free (req->avoid_server);
   g_free (req->server);
+  g_free (req->software);
   g_free (req->server_name);
   rt_cat_unref (req->cat);
   loop_free_later (loop, req);
@@ -52,9 +53,11 @@
         JL_TEXT ("route", req->route ? req->route->name : ""),
         JL_TEXT ("org", req->org ? req->org->name : ""), JL_TEXT ("content", content),
         JL_INT ("catalogue", req->cat ? rt_cat_version (req->cat) : 0),
-        JL_TEXT ("server", req->server), JL_INT ("sends", req->sends),
-        JL_TEXT ("last_try", req->last_event), JL_INT ("begun", req->begun),
-        JL_INT ("may_have_run", req->may_have_run), JL_INT ("events", req->events),
+        JL_TEXT ("server", req->server), JL_TEXT ("software", req->software),
+        JL_TEXT ("resumes", req->facts.resumes), JL_TEXT ("after_event", req->facts.last_event),
+        JL_INT ("sends", req->sends), JL_TEXT ("last_try", req->last_event),
+        JL_INT ("begun", req->begun), JL_INT ("may_have_run", req->may_have_run),
+        JL_INT ("events", req->events),
         JL_MS ("first_ms", req->first_at ? req->first_at - req->arrived : -1),
         JL_MS ("aim_ms", req->route ? req->route->target_us : 0),
         JL_MS ("sent_ms", req->sent_at ? req->sent_at - req->arrived : -1),
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -42,6 +42,7 @@
   bool may_have_run_before; /* in a try before the current one */
   char *avoid_server;       /* server of the last failed try; the next one goes to another */
   char *server;
+  char *software;        /* version of the server's software; NULL: unknown */
   SockAddr addr;         /* of server */
   char *server_name;     /* the server's own name, by which it is addressed */
   int64_t max_idle_us;   /* connections that were idle for longer are not used */
--- a/node/requests.c
+++ b/node/requests.c
@@ -91,7 +91,8 @@
     }
   if (event != RETRY_ANSWERED)
     jlog (JLOG_INFO, "try", req->id, JL_TEXT ("server", req->server),
-          JL_TEXT ("came", retry_event_name (event)), JL_TEXT ("next", retry_step_name (step)),
+          JL_TEXT ("software", req->software), JL_TEXT ("came", retry_event_name (event)),
+          JL_TEXT ("next", retry_step_name (step)),
           JL_INT ("status", req->head_seen ? req->status : 0), JL_INT ("sends", req->sends),
           JL_INT ("most", req->route->attempts), JL_INT ("budget", facts.budget),
           JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0),
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -422,7 +422,7 @@
 void ver_init (Versions *versions);
 void ver_clear (Versions *versions);
 /* Recomputes which servers get requests, after a change of the server list or of the versions. */
-void ver_assign (Service *service);
+void ver_assign (const Sched *sched, Service *service);
 /* Marks a new request if it is due to the version on trial. */
 void ver_mark_request (Job *job);
 /* Chooses a server of the version on trial for a marked job; NULL: none has a place. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -164,7 +164,7 @@
   versions->left = from->left;
   versions->follows = from->follows;
   versions->watched = from->watched;
-  ver_assign (service);
+  ver_assign (sched, service);
   service->summary.until = 0;
 }
 
@@ -738,7 +738,7 @@
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, sched);
   g_hash_table_iter_init (&iter, sched->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ver_assign (value);
+    ver_assign (sched, value);
   invalidate_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -84,6 +84,9 @@
   void (*judged) (void *host, const SchedVerdict *judged);
   /* The server's rate limit has changed; 0: none. May be NULL. */
   void (*rate_changed) (void *host, const char *server, double before, double rate);
+  /* Another version of the service is in use; before: "" at first. May be NULL. */
+  void (*version_changed) (void *host, const char *service, const char *before,
+                           const char *version);
 } SchedOps;
 
 typedef struct
--- a/src/versions.c
+++ b/src/versions.c
@@ -114,7 +114,7 @@
  * version that nobody ordered, or whose order has not arrived yet. If these got requests, a bad
  * version could reach hundreds of callers. */
 static void
-choose_in_use (Service *service)
+choose_in_use (const Sched *sched, Service *service)
 {
   Versions *versions = &service->versions;
 
@@ -126,18 +126,20 @@
   if (next == NULL)
     return;
   char *copy = g_strdup (next);
+  if (sched->ops->version_changed)
+    sched->ops->version_changed (sched->host, service->name, versions->in_use, copy);
   g_free (versions->in_use);
   versions->in_use = copy;
 }
 
 void
-ver_assign (Service *service)
+ver_assign (const Sched *sched, Service *service)
 {
   Versions *versions = &service->versions;
   bool trial = versions->share > 0;
   Server *server;
 
-  choose_in_use (service);
+  choose_in_use (sched, service);
   cds_list_for_each_entry (server, &service->servers, link)
   {
     if (strcmp (server->version, versions->in_use) == 0)
--- a/test/engines.h
+++ b/test/engines.h
@@ -142,7 +142,7 @@
   model->taken_out_count++;
 }
 
-static const SchedOps ops = { on_grant, on_refuse, on_unused, on_server_state, NULL, NULL };
+static const SchedOps ops = { on_grant, on_refuse, on_unused, on_server_state, NULL, NULL, NULL };
 
 static inline void
 set_server_list (void)
--- a/test/reuse.c
+++ b/test/reuse.c
@@ -79,7 +79,7 @@
   (void) for_us;
 }
 
-static const SchedOps ops = { on_grant, on_refuse, on_unused, on_server_state, NULL, NULL };
+static const SchedOps ops = { on_grant, on_refuse, on_unused, on_server_state, NULL, NULL, NULL };
 
 static Sched *
 new_scheduler (void)
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -467,7 +467,7 @@
 }
 
 static const SchedOps sched_ops
-    = { on_grant, on_refuse, on_unused, on_server_out, on_judged, NULL };
+    = { on_grant, on_refuse, on_unused, on_server_out, on_judged, NULL, NULL };
 
 #define ROUTES 3
 
