--- a/test/backend.c
+++ b/test/backend.c
@@ -15,7 +15,8 @@
   LoopTimer timer;
   HCall *call;
   FleetServer *server;
-  char id[64]; /* of the request */
+  char id[64];     /* of the request */
+  char version[8]; /* of the server when it began */
   unsigned next;
 } Stream;
 
@@ -115,7 +116,8 @@
       remove_stream (stream);
       return;
     }
-  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", stream->next, stream->next);
+  g_snprintf (event, sizeof event, "id: %u\ndata: event %u%s%s\n\n", stream->next, stream->next,
+              fleet->marks_events ? " of " : "", fleet->marks_events ? stream->version : "");
   if (stream->server->mode == SERVER_CUT_STREAM && stream->next == 3)
     {
       hcall_write (stream->call, event, 9);
@@ -147,6 +149,7 @@
   stream->call = call;
   stream->server = server;
   g_strlcpy (stream->id, request_id (call), sizeof stream->id);
+  g_strlcpy (stream->version, server->version, sizeof stream->version);
   stream->next = last ? (unsigned) atoi (last) + 1 : 1;
   g_ptr_array_add (server->streams, stream);
   hcall_set_user (call, stream);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -478,23 +478,43 @@
   answer->body = NULL;
 }
 
-void
-fleet_send_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
-                 const char *body, Answer *answer)
+/* fields: further header fields, each with its line end. */
+static void
+send_with_fields (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                  const char *fields, const char *body, Answer *answer)
 {
   GString *request = g_string_new (NULL);
 
   g_string_append_printf (request,
                           "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key\r\n"
                           "X-Foxtailgrade-Request-Id: %s\r\nX-Foxtailgrade-Deadline-Ms: 8000\r\n"
-                          "X-Foxtailgrade-Token-Usage: 100,30\r\nContent-Length: %zu\r\n\r\n%s",
-                          path, id, strlen (body), body);
+                          "X-Foxtailgrade-Token-Usage: 100,30\r\n%sContent-Length: %zu\r\n\r\n%s",
+                          path, id, fields, strlen (body), body);
   g_hash_table_replace (fleet->senders, g_strdup (id),
                         GUINT_TO_POINTER (entry->ip - fleet->entries[0].ip + 1));
   send_to (fleet, (SockAddr){ entry->ip, FLEET_CALLER_PORT }, request, answer);
   g_string_free (request, TRUE);
 }
 
+void
+fleet_send_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                 const char *body, Answer *answer)
+{
+  send_with_fields (fleet, entry, path, id, "", body, answer);
+}
+
+void
+fleet_resume (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+              unsigned last_event, const char *resumes, Answer *answer)
+{
+  char *fields
+      = g_strdup_printf ("Last-Event-Id: %u\r\n%s%s%s", last_event, resumes ? "Resumes: " : "",
+                         resumes ? resumes : "", resumes ? "\r\n" : "");
+
+  send_with_fields (fleet, entry, path, id, fields, "body", answer);
+  g_free (fields);
+}
+
 void
 fleet_send (Fleet *fleet, const FleetNode *entry, const char *path, const char *id, Answer *answer)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -107,6 +107,7 @@
   GArray *arrivals;           /* Arrival at servers; its server is number x 1000 + restarts */
   unsigned crash_count;       /* of all servers so far */
   unsigned event_ms;          /* time between a stream's events */
+  bool marks_events;          /* events name the version of the server that sent them */
   unsigned pause_ms;          /* silence in a stream of a SERVER_PAUSING */
   unsigned plain_ms;          /* time that a plain call takes */
   unsigned slots;             /* of each server, as listed */
@@ -183,6 +184,10 @@
                       const char *body, Answer *answer);
 void fleet_call_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
                       const char *body, Answer *answer);
+/* Takes a stream up again after an event. resumes: id of the attempt that brought its first event;
+ * NULL: not named. */
+void fleet_resume (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                   unsigned last_event, const char *resumes, Answer *answer);
 void fleet_answer_clear (Answer *answer);
 /* Puts a catalogue of the next version, at one voter after another, until one accepts it. */
 void fleet_put_catalogue (Fleet *fleet);
--- /dev/null
+++ b/test/origins.c
@@ -0,0 +1,363 @@
+/* origins.c - tests, with real processes on loopback and servers of two software versions, that a
+ * stream goes on only at the version that began it. */
+#include "fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STREAM_EVENTS 8
+#define OLD           "v1"
+#define NEW           "v2"
+
+static bool
+is_done (void *data)
+{
+  return ((const Answer *) data)->done;
+}
+
+static bool
+has_restarted (void *data)
+{
+  const FleetServer *server = data;
+
+  return server->srv != NULL;
+}
+
+/* Replaces the server by one of the new version, which starts under another id. */
+static void
+replace_server (Fleet *fleet, unsigned number)
+{
+  FleetServer *server = &fleet->servers[number];
+
+  fleet_crash_server (server);
+  g_strlcpy (server->version, NEW, sizeof server->version);
+  fleet_run_until (fleet, has_restarted, server, "the server restarts");
+}
+
+static void
+wait_until_ready (Fleet *fleet, const FleetNode *entry)
+{
+  while (!fleet_is_ready (fleet, entry))
+    fleet_run_for (fleet, 20 * FT_MS);
+}
+
+/* Starts everything while all servers have the old version, which is then in use, and replaces all
+ * but the first olds of them. */
+static Fleet *
+new_fleet (unsigned olds)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet->marks_events = true;
+  fleet->event_ms = 150;
+  fleet_add_proxies (fleet);
+  fleet_start_all (fleet);
+  for (unsigned i = olds; i < FLEET_SERVERS; i++)
+    replace_server (fleet, i);
+  fleet_run_for (fleet, 1500 * FT_MS); /* the list is read */
+  return fleet;
+}
+
+/* ---- What callers have ---- */
+
+typedef struct
+{
+  const Answer *answer;
+  unsigned wanted;
+} EventWait;
+
+static unsigned
+count_events (const char *body)
+{
+  unsigned count = 0;
+
+  while ((body = strstr (body, "\n\n")) != NULL)
+    {
+      count++;
+      body += 2;
+    }
+  return count;
+}
+
+static bool
+has_events (void *data)
+{
+  const EventWait *wait = data;
+
+  return wait->answer->done || count_events (wait->answer->body->str) >= wait->wanted;
+}
+
+static void
+wait_for_events (Fleet *fleet, const Answer *answer, unsigned wanted)
+{
+  EventWait wait = { answer, wanted };
+
+  fleet_run_until (fleet, has_events, &wait, "events of a stream");
+  g_assert_false (answer->done);
+}
+
+static bool
+is_of (const Answer *answer, const char *version)
+{
+  char *other = g_strdup_printf (" of %s\n", strcmp (version, OLD) == 0 ? NEW : OLD);
+  bool same = strstr (answer->body->str, other) == NULL;
+
+  g_free (other);
+  return same;
+}
+
+/* Starts a stream at the first entry and waits until the caller has two events, which must be of
+ * the old version. */
+static void
+begin_stream (Fleet *fleet, const char *id, Answer *stream)
+{
+  fleet_send (fleet, &fleet->entries[0], "/stream/a", id, stream);
+  wait_for_events (fleet, stream, 2);
+  g_assert_true (is_of (stream, OLD));
+}
+
+/* The caller takes the stream up again at an entry until it is not refused, at most a few times.
+ * True: it got events. */
+static bool
+take_up (Fleet *fleet, const FleetNode *entry, const char *resumes, unsigned last_event,
+         Answer *answer)
+{
+  static unsigned tries;
+  char id[16];
+
+  for (unsigned i = 0; i < 20; i++)
+    {
+      g_snprintf (id, sizeof id, "again%u", ++tries);
+      fleet_resume (fleet, entry, "/stream/a", id, last_event, resumes, answer);
+      fleet_run_until (fleet, is_done, answer, "a stream that was taken up");
+      g_assert_true (is_of (answer, OLD));
+      if (answer->status == 200 && answer->body->len > 0)
+        return true;
+      fleet_answer_clear (answer);
+      fleet_run_for (fleet, 100 * FT_MS);
+    }
+  return false;
+}
+
+/* The entry dies; its caller has the events that came, and takes the stream up at the second one.
+ */
+static void
+lose_first_entry (Fleet *fleet, Answer *stream, unsigned *last_event)
+{
+  fleet_kill (&fleet->entries[0]);
+  fleet_run_until (fleet, is_done, stream, "the end of the stream");
+  *last_event = count_events (stream->body->str);
+  g_assert_cmpuint (*last_event, <, STREAM_EVENTS);
+}
+
+static void
+check_goes_on (Fleet *fleet, const char *resumes, unsigned last_event)
+{
+  Answer again;
+
+  if (!take_up (fleet, &fleet->entries[1], resumes, last_event, &again))
+    g_error ("the stream does not go on (logs in %s)", fleet->base);
+  g_assert_false (again.broken);
+  g_assert_cmpuint (last_event + count_events (again.body->str), ==, STREAM_EVENTS);
+  fleet_answer_clear (&again);
+}
+
+/* ---- Faults ---- */
+
+static void
+set_links (Fleet *fleet, ProxyMode mode)
+{
+  for (unsigned i = 0; i < FLEET_VOTERS; i++)
+    proxy_set_mode (fleet->voters[i].proxy, mode);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    proxy_set_mode (fleet->entries[i].proxy, mode);
+}
+
+/* Guards against an entry that is alone and resumes a stream at the version of most servers: it
+ * started after a release, and all its links are reset as the caller comes back. */
+static void
+entry_alone (void)
+{
+  Fleet *fleet = new_fleet (1);
+  Answer stream;
+  unsigned last_event;
+
+  fleet_kill (&fleet->entries[1]);
+  fleet_start (fleet, &fleet->entries[1], false);
+  wait_until_ready (fleet, &fleet->entries[1]);
+  fleet_run_for (fleet, 300 * FT_MS);
+  begin_stream (fleet, "s", &stream);
+  set_links (fleet, PROXY_REFUSE);
+  lose_first_entry (fleet, &stream, &last_event);
+  Answer again;
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "first", last_event, "s", &again);
+  fleet_run_for (fleet, 300 * FT_MS);
+  set_links (fleet, PROXY_PASS);
+  fleet_run_until (fleet, is_done, &again, "the stream that was taken up");
+  g_assert_true (is_of (&again, OLD));
+  g_assert_cmpuint (again.status, ==, 200);
+  g_assert_cmpuint (last_event + count_events (again.body->str), ==, STREAM_EVENTS);
+  fleet_answer_clear (&again);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against moving begun streams to another version when no server of their own is listed, and
+ * against refusing them once there is one again. */
+static void
+version_in_use_changes (void)
+{
+  Fleet *fleet = new_fleet (2);
+  Answer stream, again;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  lose_first_entry (fleet, &stream, &last_event);
+  fleet->servers[0].listed = fleet->servers[1].listed = false;
+  fleet_run_for (fleet, 1500 * FT_MS);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "gone", last_event, "s", &again);
+  fleet_run_until (fleet, is_done, &again, "a refusal");
+  g_assert_cmpuint (again.status, ==, 503);
+  g_assert_true (again.retry_after);
+  fleet_answer_clear (&again);
+  fleet->servers[0].listed = fleet->servers[1].listed = true;
+  check_goes_on (fleet, "s", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* The other voters start after the release, so that the version of most servers is in use there. */
+static void
+restart_others (Fleet *fleet, const FleetNode *leader)
+{
+  for (unsigned i = 0; i < 3; i++)
+    {
+      if (&fleet->voters[i] == leader)
+        continue;
+      fleet_kill (&fleet->voters[i]);
+      fleet_start (fleet, &fleet->voters[i], false);
+      fleet_run_for (fleet, 1500 * FT_MS); /* it has caught up and has the list */
+    }
+}
+
+/* Guards against losing the version of a stream with the entry that passed it on and the voter in
+ * charge that granted its place. */
+static void
+entry_and_leader_lost (void)
+{
+  Fleet *fleet = new_fleet (1);
+  FleetNode *leader = fleet_leader (fleet);
+  Answer stream;
+  unsigned last_event;
+
+  restart_others (fleet, leader);
+  begin_stream (fleet, "s", &stream);
+  fleet_kill (leader);
+  lose_first_entry (fleet, &stream, &last_event);
+  while (fleet_leader (fleet) == NULL)
+    fleet_run_for (fleet, 100 * FT_MS);
+  fleet_run_for (fleet, 300 * FT_MS); /* entries ask it */
+  check_goes_on (fleet, "s", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against joining two versions within one answer: the only server of the old version crashes
+ * for good while others are idle. */
+static void
+one_answer (void)
+{
+  Fleet *fleet = new_fleet (1);
+  Answer stream;
+
+  fleet->restart_ms = 60000;
+  begin_stream (fleet, "s", &stream);
+  fleet_crash_server (&fleet->servers[0]);
+  fleet->servers[0].listed = false;
+  fleet_run_until (fleet, is_done, &stream, "the end of the stream");
+  g_assert_true (is_of (&stream, OLD));
+  g_assert_true (stream.broken);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against breaking an answer off although another server of its version has a place. */
+static void
+one_answer_goes_on (void)
+{
+  Fleet *fleet = new_fleet (2);
+  Answer stream;
+
+  begin_stream (fleet, "s", &stream);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    if (fleet->servers[i].streams->len > 0)
+      fleet->servers[i].mode = SERVER_CUT_STREAM;
+  fleet_run_until (fleet, is_done, &stream, "the end of the stream");
+  g_assert_true (is_of (&stream, OLD));
+  g_assert_false (stream.broken);
+  g_assert_cmpuint (count_events (stream.body->str), ==, STREAM_EVENTS);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against guessing a version after everything has lost what it knew. */
+static void
+everything_killed (void)
+{
+  Fleet *fleet = new_fleet (1);
+  Answer stream, again;
+
+  begin_stream (fleet, "s", &stream);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_kill (&fleet->entries[i]);
+  fleet_run_until (fleet, is_done, &stream, "the end of the stream");
+  for (unsigned i = 0; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_start (fleet, &fleet->entries[i], false);
+  wait_until_ready (fleet, &fleet->entries[1]);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "again", 2, "s", &again);
+  fleet_run_until (fleet, is_done, &again, "a refusal");
+  g_assert_cmpuint (again.status, ==, 503);
+  g_assert_true (again.retry_after);
+  fleet_answer_clear (&again);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "nameless", 2, NULL, &again);
+  fleet_run_until (fleet, is_done, &again, "a refusal");
+  g_assert_cmpuint (again.status, ==, 503);
+  fleet_answer_clear (&again);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against refusing or delaying streams where all servers have one version: an entry without
+ * any link resumes a stream that nobody knows. */
+static void
+one_version (void)
+{
+  Fleet *fleet = new_fleet (FLEET_SERVERS);
+  Answer stream;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  lose_first_entry (fleet, &stream, &last_event);
+  set_links (fleet, PROXY_REFUSE);
+  check_goes_on (fleet, "never-seen", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/origins/entry_alone", entry_alone);
+  g_test_add_func ("/origins/version_in_use_changes", version_in_use_changes);
+  g_test_add_func ("/origins/entry_and_leader_lost", entry_and_leader_lost);
+  g_test_add_func ("/origins/one_answer", one_answer);
+  g_test_add_func ("/origins/one_answer_goes_on", one_answer_goes_on);
+  g_test_add_func ("/origins/everything_killed", everything_killed);
+  g_test_add_func ("/origins/one_version", one_version);
+  return g_test_run ();
+}
