scheduler: an ask may be bound to a software version

What two versions of a service write does not fit together, so a stream may go on only at the version that began it; an ask could not say so, and the scheduler gave it whichever server was best. SchedAsk.version restricts it now. Servers of a version that is not in use get such requests only; they wait apart from the queues, since nothing in those goes before them, and are refused with version-gone as soon as no server of theirs is live. A version on trial gets its streams back from the scheduler that counts the trial, within what is reserved; the previous version while its servers still run; one that was rolled back does not. A bound request is never due to a trial.

--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -55,6 +55,7 @@
   if (strcmp (rollout->before, rollout->target) == 0)
     versions.other = "";
   versions.watched = roll_is_active (rollout);
+  versions.keeps = roll_is_active (rollout) && phase != MSG_ROLLOUT_ROLLED_BACK;
   return versions;
 }
 
--- a/src/admit.c
+++ b/src/admit.c
@@ -212,6 +212,8 @@
     return true;
   if (refuse_early (sched, job, now))
     return false;
+  if (ver_waits_apart (job))
+    return true; /* nothing in the queues goes before it */
   bool timely = can_be_timely (sched, job, ahead->timely_us, now);
   bool timely_by_due = sched->fair ? is_timely_by_due (sched, job, now) : timely;
 
@@ -246,17 +248,20 @@
   cds_list_for_each_entry_safe (job, next, queue, link)
   {
     double first = est_first_us (sched, service, &job->ask);
-    int64_t opens_at = boff_earliest_end (service, job->key.owner, now);
-    double wait = MAX (est_wait_us (sched, service, tier->tier, job->late, *ahead, now),
+    int64_t opens_at = boff_earliest_end (job, now);
+    bool apart = ver_waits_apart (job);
+    double wait = MAX (apart ? 0 : est_wait_us (sched, service, tier->tier, job->late, *ahead, now),
                        (double) (opens_at - now));
     bool over = (double) opens_at + first > (double) job->ask.limit_at;
     bool too_late = (double) now + wait > (double) job->ask.limit_at + (HOPELESS_FACTOR - 1) * wait;
-    if (over)
+    if (job->version && sched->listed && !sched_any_usable (job, now, NULL))
+      admit_refuse (sched, job, FT_REASON_VERSION_GONE, 1e6, now);
+    else if (over)
       admit_refuse (sched, job, FT_REASON_SHORTAGE, wait, now);
     else if (too_late && sched->listed
              && (service->open_servers == 0 || !boff_any_place (sched, job, now)))
       refuse_for_shortage (sched, job, wait, now);
-    else
+    else if (!apart)
       *ahead += job->work_us;
   }
 }
--- a/src/backoff.c
+++ b/src/backoff.c
@@ -70,8 +70,9 @@
 }
 
 int64_t
-boff_earliest_end (const Service *service, uint64_t owner, int64_t now)
+boff_earliest_end (const Job *job, int64_t now)
 {
+  const Service *service = job->service;
   const Server *server;
   int64_t soonest = INT64_MAX;
 
@@ -79,8 +80,8 @@
     return now;
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->listed && !server->leaving && server->use == USE_ALL)
-      soonest = MIN (soonest, MAX (backoff_end (server, owner), now));
+    if (server->listed && !server->leaving && ver_permits (job, server))
+      soonest = MIN (soonest, MAX (backoff_end (server, job->key.owner), now));
   }
   return soonest == INT64_MAX ? now : soonest;
 }
@@ -92,7 +93,7 @@
 
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (est_has_place (sched, server, now) && boff_permits (server, job->key.owner, now))
+    if (est_has_place_for (sched, job, server, now) && boff_permits (server, job->key.owner, now))
       return true;
   }
   return false;
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -213,21 +213,45 @@
   return service->running + 1 <= most && server->running < places_of (sched, server, part);
 }
 
+static bool
+is_live (const Server *server, int64_t now)
+{
+  return server->listed && !server->leaving && now >= server->out_until;
+}
+
 bool
 est_usable (const Server *server, int64_t now)
 {
-  return server->listed && !server->leaving && server->use == USE_ALL && now >= server->out_until;
+  return is_live (server, now) && server->use == USE_ALL;
 }
 
-bool
-est_has_place (const Sched *sched, const Server *server, int64_t now)
+static bool
+has_free_place (const Sched *sched, const Server *server, int64_t now)
 {
   unsigned most = server->probing ? 1 : est_places (sched, server);
 
-  return est_usable (server, now) && server->running < most && is_within_grant_share (sched, server)
+  return server->running < most && is_within_grant_share (sched, server)
          && pace_has_token (sched, server, now) && brit_permits (sched, server, now);
 }
 
+bool
+est_has_place (const Sched *sched, const Server *server, int64_t now)
+{
+  return est_usable (server, now) && has_free_place (sched, server, now);
+}
+
+static bool
+is_usable_for (const Job *job, const Server *server, int64_t now)
+{
+  return is_live (server, now) && ver_permits (job, server);
+}
+
+bool
+est_has_place_for (const Sched *sched, const Job *job, const Server *server, int64_t now)
+{
+  return is_usable_for (job, server, now) && has_free_place (sched, server, now);
+}
+
 /* ---- Estimates ---- */
 
 typedef struct
@@ -302,7 +326,7 @@
     {
       const Server *server
           = g_hash_table_lookup (sched->by_digest, GUINT_TO_POINTER (job->connected[i]));
-      if (server && server->service == job->service && est_has_place (sched, server, now)
+      if (server && server->service == job->service && est_has_place_for (sched, job, server, now)
           && boff_permits (server, job->key.owner, now))
         return true;
     }
@@ -417,9 +441,9 @@
 
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!est_usable (server, now) || server->probing || server->pace.rate > 0
+    if (!is_usable_for (job, server, now) || server->probing || server->pace.rate > 0
         || !brit_permits (sched, server, now) || !boff_permits (server, job->key.owner, now)
-        || est_has_place (sched, server, now)
+        || est_has_place_for (sched, job, server, now)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
     Estimate here = estimate (server, &job->ask, now);
@@ -439,7 +463,7 @@
   mark_connected (sched, job);
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (!est_has_place (sched, server, now) || !est_fits_memory (sched, server, &job->ask)
+    if (!est_has_place_for (sched, job, server, now) || !est_fits_memory (sched, server, &job->ask)
         || !boff_permits (server, job->key.owner, now)
         || (job->avoid && strcmp (job->avoid, server->id) == 0))
       continue;
--- a/src/handover.c
+++ b/src/handover.c
@@ -29,7 +29,7 @@
 {
   struct cds_list_head link;
   SchedAsk ask;
-  char *service, *org, *avoid;
+  char *service, *org, *avoid, *version;
   uint32_t *kept;
   int64_t until; /* decided at the latest then */
 } Held;
@@ -67,6 +67,7 @@
   g_free (held->service);
   g_free (held->org);
   g_free (held->avoid);
+  g_free (held->version);
   g_free (held->kept);
   g_free (held);
 }
@@ -211,6 +212,7 @@
   held->ask.service = held->service = g_strdup (ask->service);
   held->ask.org = held->org = g_strdup (ask->org);
   held->ask.avoid = held->avoid = g_strdup (ask->avoid);
+  held->ask.version = held->version = g_strdup (ask->version);
   held->ask.kept = held->kept = g_memdup2 (ask->kept, ask->kept_count * sizeof *ask->kept);
   held->until = ft_clock_now (hand->clock) + MIN (HOLD_MAX, hand->max_wait_us);
   cds_list_add_tail (&held->link, &hand->held);
--- a/src/reason.c
+++ b/src/reason.c
@@ -71,6 +71,9 @@
   = { "quarantined",
       "Backend servers crashed while running this request, so it is not sent to any.", 503,
       FT_RAN_NO, false },
+  [FT_REASON_VERSION_GONE]
+  = { "version-gone", "No backend server of the version that began the stream is live.", 503,
+      FT_RAN_NO, false },
 };
 
 const FtReasonInfo *
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -36,9 +36,12 @@
   SchedKey key;
   Service *service;
   Server *server; /* NULL while the job waits */
-  /* avoid, org and kept are NULL here and copied to the next fields; service is NULL too */
+  /* avoid, org, version and kept are NULL here and copied to the next fields; service is NULL too
+   */
   SchedAsk ask;
-  char *avoid, *org;
+  char *avoid, *org, *version;
+  /* in Service.bound while it waits for a server of its version */
+  struct cds_list_head bound_link;
   uint32_t *connected;
   int64_t granted_at;
   double prompt_us; /* predicted prefill time on its server */
@@ -184,7 +187,7 @@
   char *in_use, *other, *ordered;
   double share;
   unsigned left;
-  bool follows, watched;
+  bool follows, watched, keeps;
   /* by route: fraction of a request that is due to the other version; it accumulates */
   GHashTable *credit;
   /* requests placed so far, and how many of them on servers of the ordered version */
@@ -206,7 +209,10 @@
   SchedServiceConf conf;
   struct cds_list_head servers;
   GPtrArray *tiers; /* Tier, highest first */
-  Curve curve;      /* prefill time by prompt length */
+  /* waiting jobs that only one version may run, by tier and due time; each is in a queue of its
+   * tier, too */
+  struct cds_list_head bound;
+  Curve curve; /* prefill time by prompt length */
   Summary summary;
   int64_t idle_broke_at;     /* when idle connections last broke at several servers; 0: never */
   int64_t new_conn_broke_at; /* when a new connection last broke; 0: never */
@@ -264,9 +270,11 @@
 void est_learn (double *value, double sample);
 /* How many requests this scheduler may run on the server at once. */
 unsigned est_places (const Sched *sched, const Server *server);
-/* True if the server may get requests, free places or not. */
+/* True if the server may get requests of any caller, free places or not. */
 bool est_usable (const Server *server, int64_t now);
 bool est_has_place (const Sched *sched, const Server *server, int64_t now);
+/* The same for one job, which its version may bind to other servers. */
+bool est_has_place_for (const Sched *sched, const Job *job, const Server *server, int64_t now);
 /* True if the server has KV cache left for the request besides what it runs. */
 bool est_fits_memory (const Sched *sched, const Server *server, const SchedAsk *ask);
 /* True if the request fits into the KV cache of an idle server of the service. */
@@ -324,6 +332,10 @@
 /* Removes the job from its server or its queue, and frees it. */
 void sched_remove_job (Sched *sched, Job *job, int64_t now);
 
+/* True if a server that may run the job is live or may soon be back. avoid: not this one; NULL:
+ * any. */
+bool sched_any_usable (const Job *job, int64_t now, const char *avoid);
+
 /* True if the job runs on the server and was granted, by this scheduler, after the given time. */
 bool sched_granted_after (const Server *server, const Job *job, int64_t at);
 
@@ -382,9 +394,9 @@
 }
 /* Drops all backoffs of an owner that is gone. */
 void boff_drop_owner (Sched *sched, uint64_t owner);
-/* When the owner's first backoff at a server of the service ends; now if some server accepts its
- * requests already. */
-int64_t boff_earliest_end (const Service *service, uint64_t owner, int64_t now);
+/* When the first backoff of the job's owner at a server that may run it ends; now if some server
+ * accepts its requests already. */
+int64_t boff_earliest_end (const Job *job, int64_t now);
 /* True if a place is free at a server from which the job's owner need not back off. */
 bool boff_any_place (const Sched *sched, const Job *job, int64_t now);
 
@@ -423,6 +435,10 @@
 void ver_clear (Versions *versions);
 /* Recomputes which servers get requests, after a change of the server list or of the versions. */
 void ver_assign (const Sched *sched, Service *service);
+/* True if servers of this version may run the job. */
+bool ver_permits (const Job *job, const Server *server);
+/* True if the job is bound to a version that is not in use, whose servers get nothing else. */
+bool ver_waits_apart (const Job *job);
 /* Marks a new request if it is due to the version on trial. */
 void ver_mark_request (Job *job);
 /* Chooses a server of the version on trial for a marked job; NULL: none has a place. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -72,6 +72,7 @@
 
   g_free (job->avoid);
   g_free (job->org);
+  g_free (job->version);
   g_free (job->connected);
   g_free (job);
 }
@@ -122,6 +123,7 @@
   ver_init (&service->versions);
   service->tiers = g_ptr_array_new_with_free_func (wait_tier_free);
   CDS_INIT_LIST_HEAD (&service->servers);
+  CDS_INIT_LIST_HEAD (&service->bound);
   g_hash_table_insert (sched->services, service->name, service);
   return service;
 }
@@ -164,6 +166,7 @@
   versions->left = from->left;
   versions->follows = from->follows;
   versions->watched = from->watched;
+  versions->keeps = from->keeps;
   ver_assign (sched, service);
   service->summary.until = 0;
 }
@@ -230,6 +233,7 @@
 start_job (Job *job, Server *server, int64_t now)
 {
   ver_note_grant (job, server, now);
+  cds_list_del_init (&job->bound_link);
   job->server = server;
   job->granted_at = now;
   job->prompt_us = est_prompt_us (server, job->ask.prompt_tokens);
@@ -276,6 +280,7 @@
 void
 sched_remove_job (Sched *sched, Job *job, int64_t now)
 {
+  cds_list_del_init (&job->bound_link);
   if (job->server)
     leave_server (job, now);
   else
@@ -296,7 +301,8 @@
   admit_note_grant (sched, job);
   start_job (job, server, now);
   pace_take (sched, server, now);
-  if (!est_has_place (sched, server, now) && job->service->open_servers > 0)
+  if (server->use == USE_ALL && !est_has_place (sched, server, now)
+      && job->service->open_servers > 0)
     job->service->open_servers--;
   sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id,
                      est_max_idle_us (server, now));
@@ -401,6 +407,23 @@
   dispatch_queue (sched, service, &tier->late, now);
 }
 
+/* Servers of a version that is not in use do not count as open, so the queues are not searched for
+ * them. */
+static void
+dispatch_bound (Sched *sched, Service *service, int64_t now)
+{
+  Job *job, *next;
+  unsigned scanned = 0;
+
+  cds_list_for_each_entry_safe (job, next, &service->bound, bound_link)
+  {
+    if (scanned++ >= SCAN_MAX)
+      return;
+    if (ver_waits_apart (job))
+      place (sched, job, now);
+  }
+}
+
 static unsigned
 count_waiting (const Service *service)
 {
@@ -419,6 +442,7 @@
   if (waiting == 0)
     return;
   est_summary (sched, service);
+  dispatch_bound (sched, service, now);
   if (waiting == 1)
     service->open_servers = 1; /* est_choose itself finds out whether a place is free */
   else
@@ -441,25 +465,45 @@
   job->key = (SchedKey){ ask->owner, ask->request };
   job->service = get_service (sched, ask->service);
   job->ask = *ask;
-  job->ask.service = job->ask.org = job->ask.avoid = NULL;
+  job->ask.service = job->ask.org = job->ask.avoid = job->ask.version = NULL;
   job->ask.kept = NULL;
   job->ask.kept_count = MIN (ask->kept_count, SCHED_CONNECTED_MAX);
   job->connected = g_memdup2 (ask->kept, job->ask.kept_count * sizeof *ask->kept);
   job->org = g_strdup (ask->org ? ask->org : "");
   job->avoid = ask->avoid && *ask->avoid ? g_strdup (ask->avoid) : NULL;
+  job->version = ask->version && *ask->version ? g_strdup (ask->version) : NULL;
+  CDS_INIT_LIST_HEAD (&job->bound_link);
   job->work_us = est_work_us (sched, job->service, ask);
   g_hash_table_insert (sched->jobs, &job->key, job);
   return job;
 }
 
-static bool
-any_usable (const Service *service, int64_t now, const char *avoid)
+/* Inserts the job in order of tier and due time, if only one version may run it. */
+static void
+add_bound (Job *job)
+{
+  struct cds_list_head *head = &job->service->bound, *at = head->prev;
+
+  if (job->version == NULL)
+    return;
+  for (; at != head; at = at->prev)
+    {
+      const Job *before = cds_list_entry (at, Job, bound_link);
+      if (before->ask.tier < job->ask.tier
+          || (before->ask.tier == job->ask.tier && before->ask.aim_at <= job->ask.aim_at))
+        break;
+    }
+  cds_list_add (&job->bound_link, at);
+}
+
+bool
+sched_any_usable (const Job *job, int64_t now, const char *avoid)
 {
   const Server *server;
 
-  cds_list_for_each_entry (server, &service->servers, link)
+  cds_list_for_each_entry (server, &job->service->servers, link)
   {
-    if (server->listed && !server->leaving && server->use == USE_ALL
+    if (server->listed && !server->leaving && ver_permits (job, server)
         && now + OUT_MAX > server->out_until && (avoid == NULL || strcmp (avoid, server->id) != 0))
       return true;
   }
@@ -480,6 +524,7 @@
   wait_note_arrival (job, now);
   admit_note_return (sched, job);
   wait_add (job, now);
+  add_bound (job);
   if (!est_can_fit (service, ask))
     {
       admit_refuse (sched, job, FT_REASON_TOO_LARGE, INFINITY, now);
@@ -493,7 +538,7 @@
       wait_note_timely (job, true);
       return false;
     }
-  if (job->avoid && !any_usable (service, now, job->avoid))
+  if (job->avoid && !sched_any_usable (job, now, job->avoid))
     {
       /* A server that has failed the request once is better than none. */
       g_clear_pointer (&job->avoid, g_free);
@@ -504,12 +549,13 @@
    * instead of being refused for lack of a server. */
   if (!sched->listed)
     return true;
-  int64_t opens_at = boff_earliest_end (service, job->key.owner, now);
+  int64_t opens_at = boff_earliest_end (job, now);
   if (opens_at > now)
     return admit_in_backoff (sched, job, opens_at, now);
-  if (!any_usable (service, now, NULL))
+  if (!sched_any_usable (job, now, NULL))
     {
-      admit_refuse (sched, job, FT_REASON_NO_SERVER, 1e6, now);
+      admit_refuse (sched, job, job->version ? FT_REASON_VERSION_GONE : FT_REASON_NO_SERVER, 1e6,
+                    now);
       return false;
     }
   return admit_new (sched, job, &ahead, now);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -49,7 +49,10 @@
   const uint32_t *kept;
   unsigned kept_count;
   const char *avoid; /* server that has already failed this request; NULL or "": none */
-  double cost;       /* what it was charged against the organisation's limit; see SchedOps.unused */
+  /* only servers of this software version may run it, since one of them began its stream; NULL or
+   * "": any that are in use */
+  const char *version;
+  double cost; /* what it was charged against the organisation's limit; see SchedOps.unused */
 } SchedAsk;
 
 typedef struct
@@ -158,7 +161,8 @@
 void sched_set_servers (Sched *sched, const SchedServer *servers, unsigned count);
 
 /* Which versions of a service's servers get requests. By default one version is in use, and servers
- * of other versions get nothing as long as servers of that one are listed. */
+ * of other versions get only requests with their SchedAsk.version as long as servers of that one
+ * are listed. */
 typedef struct
 {
   const char *in_use;  /* "": the version of most servers, the other one excluded */
@@ -168,6 +172,7 @@
   unsigned left;       /* at most so many requests go there from now on */
   bool follows;        /* the other version is put in use when no server of another one is listed */
   bool watched;        /* answers are judged and reported to SchedOps.judged */
+  bool keeps;          /* streams that servers of the other version began may go on there */
 } SchedVersions;
 
 void sched_set_versions (Sched *sched, const char *service, const SchedVersions *versions);
--- a/src/versions.c
+++ b/src/versions.c
@@ -1,11 +1,15 @@
 /* versions.c - which versions of a service's servers get requests, and verdicts on their answers.
  *
- * One version is in use. Another version gets nothing, although its servers are listed, until a
+ * One version is in use. Another version gets nothing new, although its servers are listed, until a
  * roll-out orders it and gives it a share. It is then on trial and gets that share of each route's
  * requests. They are concentrated on few servers, but more than one, so that these are as loaded as
  * all servers will be later: a version that fails under load shows it while few callers are
  * affected.
  *
+ * What two versions write does not fit together, so a stream goes on only at the version that began
+ * it, in use or not (ver_permits). Only a version that was rolled back, or whose servers are about
+ * to stop, does not get its streams back.
+ *
  * Each answer gets one verdict, by the same rule for both versions. It is bad if it failed or took
  * more than SLOW_FACTOR the time expected of the previous version. That expectation uses the mean
  * speeds of the previous version's servers, and allows for the length of the prompt and the work
@@ -149,6 +153,28 @@
   }
 }
 
+/* ---- Streams that go on ---- */
+
+bool
+ver_permits (const Job *job, const Server *server)
+{
+  const Versions *versions = &job->service->versions;
+
+  if (job->version == NULL)
+    return server->use == USE_ALL;
+  if (strcmp (job->version, server->version) != 0)
+    return false;
+  if (server->use == USE_ON_TRIAL)
+    return versions->left > 0;
+  return server->use == USE_ALL || versions->keeps || !is_other (versions, server->version);
+}
+
+bool
+ver_waits_apart (const Job *job)
+{
+  return job->version && strcmp (job->version, job->service->versions.in_use) != 0;
+}
+
 /* ---- Requests for the version on trial ---- */
 
 void
@@ -157,7 +183,7 @@
   Versions *versions = &job->service->versions;
   gpointer route = GUINT_TO_POINTER (job->ask.route);
 
-  if (versions->share <= 0 || versions->left == 0 || job->avoid)
+  if (versions->share <= 0 || versions->left == 0 || job->avoid || job->version)
     return;
   double *credit = g_hash_table_lookup (versions->credit, route);
   if (credit == NULL)
@@ -295,6 +321,8 @@
 
   versions->placed++;
   versions->granted += is_ordered (versions, server);
+  if (job->version && server->use == USE_ON_TRIAL && versions->left > 0)
+    versions->left--;
   job->expected_us = job->adjusted_us = job->service->conf.engine
                                             ? expect_engine_us (job, server, now)
                                             : expect_plain_us (versions, job->ask.route);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -603,7 +603,7 @@
 trial_gets_its_share (void)
 {
   SchedFixture *fixture = sched_fixture_new (15);
-  SchedVersions trial = { "v1", "v2", "v2", 0.1, 1000, false, true };
+  SchedVersions trial = { "v1", "v2", "v2", 0.1, 1000, false, true, false };
 
   sched_set_versions (fixture->sched, "s", &trial);
   run_requests (fixture, 400, 20 * FT_MS);
@@ -628,11 +628,11 @@
   SchedFixture *fixture = sched_fixture_new (15);
 
   sched_set_versions (fixture->sched, "s",
-                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, false });
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, false, false });
   run_requests (fixture, 20, 20 * FT_MS);
   g_assert_cmpuint (granted_target (fixture), ==, 20);
   sched_set_versions (fixture->sched, "s",
-                      &(SchedVersions){ "v1", "v2", "v2", 0, 0, false, false });
+                      &(SchedVersions){ "v1", "v2", "v2", 0, 0, false, false, false });
   run_requests (fixture, 20, 20 * FT_MS);
   g_assert_cmpuint (granted_target (fixture), ==, 0);
   list_servers (fixture, 12);
@@ -648,7 +648,8 @@
 {
   SchedFixture *fixture = sched_fixture_new (15);
 
-  sched_set_versions (fixture->sched, "s", &(SchedVersions){ "v1", "v2", "v2", 0, 0, true, false });
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v1", "v2", "v2", 0, 0, true, false, false });
   run_requests (fixture, 20, 20 * FT_MS);
   g_assert_cmpuint (granted_target (fixture), ==, 0);
   list_servers (fixture, 12);
@@ -665,10 +666,11 @@
   SchedFixture *fixture = sched_fixture_new (15);
 
   sched_set_versions (fixture->sched, "s",
-                      &(SchedVersions){ "v1", "v2", "v2", 0.1, 0, false, true });
+                      &(SchedVersions){ "v1", "v2", "v2", 0.1, 0, false, true, false });
   run_requests (fixture, 100, 40 * FT_MS);
   g_assert_cmpuint (fixture->judged_bad, ==, 0);
-  sched_set_versions (fixture->sched, "s", &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true });
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true, false });
   run_requests (fixture, 10, 200 * FT_MS);
   g_assert_cmpuint (fixture->judged_bad, ==, 10);
   submit_one (fixture, 9000);
@@ -691,7 +693,8 @@
   SchedAsk old = { .owner = 1, .request = 50, .service = "s", .org = "o" };
 
   sched_set_service (fixture->sched, "s", &(SchedServiceConf){ .engine = true, .stride = 1 });
-  sched_set_versions (fixture->sched, "s", &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true });
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true, false });
   sched_adopt (fixture->sched, &old, "s0");
   sched_tick (fixture->sched);
   for (uint64_t number = 1; number <= 10; number++)
@@ -731,7 +734,7 @@
   uint64_t number = 0;
 
   sched_set_versions (fixture->sched, "s",
-                      &(SchedVersions){ "v1", "v2", "v2", 0.1, 100, false, true });
+                      &(SchedVersions){ "v1", "v2", "v2", 0.1, 100, false, true, false });
   while (number < 50 * ROUTES)
     {
       number++;
@@ -740,7 +743,8 @@
   for (unsigned i = 0; i < 10; i++)
     answer_after (fixture, ++number * ROUTES + 1, 20 * FT_MS);
   unsigned bad = fixture->judged_bad;
-  sched_set_versions (fixture->sched, "s", &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true });
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true, false });
   for (unsigned i = 0; i < 10; i++)
     answer_after (fixture, ++number * ROUTES, 160 * FT_MS);
   g_assert_cmpuint (fixture->judged_bad, ==, bad);
@@ -848,7 +852,7 @@
   sched_set_service (fixture->sched, "s",
                      &(SchedServiceConf){ .engine = trial_case->engine, .stride = 1 });
   list_servers (fixture, 15);
-  SchedVersions trial = { "v1", "v2", "v2", 0, 10000, false, true };
+  SchedVersions trial = { "v1", "v2", "v2", 0, 10000, false, true, false };
   sched_set_versions (fixture->sched, "s", &trial);
   fixture->judge = judge_new (&fixture->clock.base, JUDGE_CUSUM);
   judge_set_servers (fixture->judge, 2);
