entries: a stream goes on only at the software version that began it

Cause: nothing marked a stream with the version that it must go on at. The caller's Resumes was not read, an ask named a service only, and any scheduler, whatever version it had in use, could grant any server; the same within one answer when the last server of its version went.

A caller's return is looked up there before it asks for a place, and asks for that service and version only; so does a begun answer that is resumed. Where nobody knows the stream, it goes on only if a single version was listed for as long as a stream lasts, and is refused with 503 otherwise. A grant of an older scheduler at another version is given back. A returned stream has the rank of a begun answer. Older programs ignore the new fields, and get none of the new messages; a message that lacks the fields added at its end is read with zeros there.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -24,6 +24,7 @@
 #define CONNECT_MAX         (200 * FT_MS)   /* the kernel retransmits a lost SYN only after 1 s */
 #define FRAME_MAX           (16u << 20)
 #define UNSENT_MAX          (32u << 20) /* bounds the memory for a peer that reads nothing */
+#define ADDED_FIELDS_SIZE   8 /* bytes that newer programs have added to one message, at most */
 #define LAST_FRAGMENT       0x80000000u /* bit of a record mark (RFC 5531, section 11) */
 
 typedef struct
@@ -43,7 +44,7 @@
   bool once; /* not dialled again when the connection is lost */
 } Dial;
 
-#define KIND_COUNT (MESH_RELAYS + 1)
+#define KIND_COUNT (MESH_ORIGIN_REPLY + 1)
 
 typedef struct
 {
@@ -227,6 +228,7 @@
   peer->base.role = hello->role;
   peer->base.leaving = hello->leaving;
   peer->base.cut_off = hello->cut_off;
+  peer->base.knows_origins = hello->origins;
   peer->base.document = hello->document;
   g_strlcpy (peer->base.domain, hello->domain, sizeof peer->base.domain);
   if (peer->up)
@@ -240,12 +242,28 @@
   mesh->ops->up (mesh->host, &peer->base);
 }
 
+/* A message of an older program lacks the fields that were added at its end since then; they are
+ * taken as zero. */
+static bool
+unpack (const void *data, size_t size, MeshMsg *msg)
+{
+  if (codec_unpack (CODEC (MeshMsg), data, size, msg, NULL) == FT_OK)
+    return true;
+  codec_clear (CODEC (MeshMsg), msg);
+  memset (msg, 0, sizeof *msg);
+  uint8_t *padded = g_malloc0 (size + ADDED_FIELDS_SIZE);
+  memcpy (padded, data, size);
+  bool valid = codec_unpack (CODEC (MeshMsg), padded, size + ADDED_FIELDS_SIZE, msg, NULL) == FT_OK;
+  g_free (padded);
+  return valid;
+}
+
 static void
 handle_message (Peer *peer, const void *data, size_t size)
 {
   MeshMsg msg = { 0 };
 
-  bool valid = codec_unpack (CODEC (MeshMsg), data, size, &msg, NULL) == FT_OK;
+  bool valid = unpack (data, size, &msg);
   if (valid)
     count_message (peer->base.mesh->received, msg.kind, size + sizeof (uint32_t));
   if (!valid)
@@ -530,7 +548,10 @@
                                                  [MESH_ROLLOUTS] = "rollouts",
                                                  [MESH_NOTICE] = "notice",
                                                  [MESH_REPORT_END] = "report_end",
-                                                 [MESH_RELAYS] = "relays" };
+                                                 [MESH_RELAYS] = "relays",
+                                                 [MESH_ORIGINS] = "origins",
+                                                 [MESH_ORIGIN_ASK] = "origin-ask",
+                                                 [MESH_ORIGIN_REPLY] = "origin-reply" };
 
   for (unsigned i = MESH_HELLO; i < KIND_COUNT; i++)
     g_string_append_printf (
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -18,6 +18,7 @@
   char domain[64];
   bool leaving;        /* the peer shuts down */
   bool cut_off;        /* the peer reaches no backend server */
+  bool knows_origins;  /* the peer knows the messages about the origins of streams */
   bool dialled;        /* this instance opened the connection */
   uint64_t document;   /* version of the catalogue in force at the peer */
   int64_t received_at; /* when data was last received */
--- a/node/broker.c
+++ b/node/broker.c
@@ -80,11 +80,13 @@
   static char none[] = "";
   const AdapterServer *server = find_server (broker, id);
 
-  *grant = (MeshGrant){ .request = request, .server = (char *) id, .name = none };
+  *grant = (MeshGrant){ .request = request, .server = (char *) id, .name = none, .software = none };
   if (server == NULL)
     return;
   if (strcmp (server->name, id) != 0)
     grant->name = server->name;
+  if (server->version)
+    grant->software = server->version;
   grant->ip = server->addr.ip;
   grant->port = server->addr.port;
   grant->list_age_ms
--- a/node/broker.h
+++ b/node/broker.h
@@ -13,11 +13,12 @@
 /* A place for a request on a server of the granting scheduler's list. */
 typedef struct
 {
-  AdapterServer server; /* borrowed; only id, name, addr and leaving are valid. A server that has
-                        gone from the list counts as leaving. */
-  int64_t listed_at;    /* when the list was requested from the platform */
-  int64_t max_idle_us;  /* connections idle for longer are not reused for requests that are not
-                         repeatable */
+  AdapterServer
+      server;          /* borrowed; only id, name, version, addr and leaving are valid; version NULL
+                          or "": unknown. A server that has gone from the list counts as leaving. */
+  int64_t listed_at;   /* when the list was requested from the platform */
+  int64_t max_idle_us; /* connections idle for longer are not reused for requests that are not
+                        repeatable */
 } Grant;
 
 /* Decisions on requests of the own instance. Never called from within broker_ask. */
--- a/node/brokerlink.c
+++ b/node/brokerlink.c
@@ -106,6 +106,7 @@
                    .kept = from->kept.kept_val,
                    .kept_count = from->kept.kept_len,
                    .avoid = from->avoid,
+                   .version = from->software,
                    .cost = from->cost_tokens };
 
   MeshAccount account
--- a/node/control.c
+++ b/node/control.c
@@ -12,6 +12,7 @@
 #include "instance.h"
 #include "jlog.h"
 #include "operators.h"
+#include "origdir.h"
 #include "publish.h"
 #include "reader.h"
 #include "relays.h"
@@ -26,6 +27,7 @@
 
 #define TICK              (20 * FT_MS)
 #define NO_LEADER_TIMEOUT (900 * FT_MS) /* without a leader; longer than a usual election */
+#define ORIGINS_MAX       262144        /* 4,200 streams a second for a minute; 120 bytes each */
 #define LEAVE_MIN         (400 * FT_MS) /* the time in which a successor is elected */
 #define LEAVE_MAX         (2 * FT_SECOND)
 
@@ -48,6 +50,7 @@
   Suspects *suspects;
   Rollouts *rollouts;
   Relays *relays;
+  OriginDir *origins;
   GHashTable *readers; /* set: ip of the other voters that hold or read the list of servers */
   unsigned entry_links_up, entry_links_down; /* changes since they were logged last */
   int64_t entries_logged_at;
@@ -204,7 +207,8 @@
       broker_message (control->broker, peer, msg);
       break;
     default:
-      if (!suspects_message (control->suspects, peer, msg))
+      if (!suspects_message (control->suspects, peer, msg)
+          && !origdir_message (control->origins, peer, msg))
         broker_message (control->broker, peer, msg);
       break;
     }
@@ -482,6 +486,7 @@
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
   suspects_describe (control->suspects, out);
   rollouts_describe (control->rollouts, out);
+  origdir_describe (control->origins, out);
   mesh_append_metrics (control->mesh, out);
   g_string_append (out, "# servers as this voter sees them\n");
   g_string_append (out, servers);
@@ -500,6 +505,7 @@
   mesh_free (control->mesh); /* calls on_down for each link, which uses the modules below */
   greet_free (control->greet);
   relays_free (control->relays);
+  origdir_free (control->origins);
   suspects_free (control->suspects);
   rollouts_free (control->rollouts);
   publish_free (control->publish);
@@ -539,6 +545,7 @@
   if (control->mesh == NULL)
     return FT_IO;
   control->relays = relays_new (control->loop, control->mesh);
+  control->origins = origdir_new (control->loop, control->mesh, ORIGINS_MAX);
   control->greet = greet_new (control->loop, control->mesh, s->ip, s->data_folder);
   OperatorsConf conf = { control->loop,     control->adapter_ops, control->voter,
                          control->suspects, control->rollouts,    s->control };
--- a/node/count.c
+++ b/node/count.c
@@ -19,7 +19,8 @@
         "server_notices", "grants_returned", "returns_promised",
         "returns_kept",   "returns_lapsed",  "returns_lost",
         "fair_queued",    "fair_refused",    "greetings",
-        "handovers",      "held_asks" };
+        "handovers",      "held_asks",       "streams_returned",
+        "origins_unknown" };
 static const char *const timed_names[TIMED] = { "wait", "first", "whole", "turn", "timer_late" };
 
 void
--- a/node/count.h
+++ b/node/count.h
@@ -36,6 +36,8 @@
   COUNT_GREETINGS,        /* greetings of voters that have started, sent or received */
   COUNT_HANDOVERS,        /* handovers to this instance as a scheduler that have ended */
   COUNT_HELD_ASKS,        /* asks held until the end of a handover */
+  COUNT_STREAMS_RETURNED, /* streams that their callers took up again */
+  COUNT_ORIGINS_UNKNOWN,  /* ... and that were refused, since their version is not known */
   COUNTERS
 } Counter;
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -25,6 +25,7 @@
 #define UNSENT_MAX  16384           /* bytes queued on a link above which no server list is added */
 #define LEAVE_MIN                                                                                  \
   (2600 * FT_MS) /* the balancer checks every second and removes an entry after two failures */
+#define ORIGINS_MAX       16384         /* streams begun here whose callers may still come back */
 #define RELAY_TUNNELS_MAX 256           /* two connections of up to 64 KB of buffers each */
 #define LEAVE_MARGIN      (700 * FT_MS) /* time left between stopping and the kill */
 
@@ -43,6 +44,7 @@
   RetryBudget *budget;
   Servers *servers;
   EntryVersions *versions;
+  OriginDir *origins;
   Reader *reader;
   Requests *requests;
   CrashReporter *crash_reporter;
@@ -178,6 +180,7 @@
   count_inc (COUNT_LISTS);
   if (relay && broker_asker_count (place_own_broker (entry->place)) > 0)
     mesh_for_each_peer (entry->mesh, push_list, entry);
+  origdir_note_list (entry->origins, entry->servers);
   if (!servers_poll_changed (entry->servers))
     return;
   broker_set_servers (place_own_broker (entry->place), entry->servers);
@@ -272,7 +275,10 @@
 static void
 on_up (void *host, MeshPeer *peer)
 {
-  place_link_up (((Entry *) host)->place, peer);
+  Entry *entry = host;
+
+  place_link_up (entry->place, peer);
+  origdir_link_up (entry->origins, peer);
   jlog (JLOG_INFO, "link-up", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain));
 }
 
@@ -331,7 +337,8 @@
       versions_update (entry->versions, &msg->MeshMsg_u.rollouts);
       break;
     default:
-      if (!crashrep_message (entry->crash_reporter, peer, msg))
+      if (!crashrep_message (entry->crash_reporter, peer, msg)
+          && !origdir_message (entry->origins, peer, msg))
         place_message (entry->place, peer, msg);
       break;
     }
@@ -347,6 +354,7 @@
   if (entry->newest_from == peer)
     entry->newest_version = 0;
   crashrep_peer_down (entry->crash_reporter, peer);
+  origdir_link_down (entry->origins, peer);
   place_link_down (entry->place, peer);
 }
 
@@ -572,6 +580,7 @@
                             relay_tunnel_count (entry->relay), relay_opened_count (entry->relay),
                             relay_refused_count (entry->relay));
   crashrep_describe (entry->crash_reporter, out);
+  origdir_describe (entry->origins, out);
   mesh_append_metrics (entry->mesh, out);
   g_string_append (out, "# servers as this entry sees them\n");
   g_string_append (out, servers);
@@ -592,6 +601,7 @@
   reader_free (entry->reader);
   requests_free (entry->requests);
   crashrep_free (entry->crash_reporter);
+  origdir_free (entry->origins);
   versions_free (entry->versions);
   place_free (entry->place);
   egress_free (entry->egress);
@@ -650,9 +660,10 @@
   entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
                                         on_verdicts_changed, entry);
   entry->versions = versions_new (place_own_broker (entry->place));
+  entry->origins = origdir_new (entry->loop, entry->mesh, ORIGINS_MAX);
   RequestsConf conf
-      = { entry->loop,    entry->adapter_ops,    entry->cli,      entry->place, entry->budget,
-          entry->servers, entry->crash_reporter, entry->versions, entry->egress };
+      = { entry->loop,    entry->adapter_ops,    entry->cli,      entry->place,  entry->budget,
+          entry->servers, entry->crash_reporter, entry->versions, entry->egress, entry->origins };
   entry->requests = requests_new (&conf);
   entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
   if (entry->callers == NULL)
--- a/node/instance.c
+++ b/node/instance.c
@@ -23,7 +23,8 @@
   MeshHello hello = { .address = settings->ip,
                       .lifetime = instance_random (),
                       .role = role,
-                      .domain = settings->domain };
+                      .domain = settings->domain,
+                      .origins = true };
   Mesh *mesh = mesh_new (loop, listen, (uint16_t) settings->link_port, &hello, ops, host);
 
   if (mesh == NULL)
--- a/node/place.c
+++ b/node/place.c
@@ -57,6 +57,7 @@
   g_free (req->service);
   g_free (req->org);
   g_free (req->avoid);
+  g_free (req->version);
   g_free (req->server);
   g_free (req->kept);
   g_free (req);
@@ -436,6 +437,7 @@
   broker_adopt (place->own, &req->ask, from->server, req->cost);
   Grant grant = { .server = { .id = from->server,
                               .name = *from->name ? from->name : from->server,
+                              .version = from->software,
                               .addr = { from->ip, (uint16_t) from->port },
                               .leaving = from->ip == 0 },
                   .listed_at = loop_now (place->loop) - from->list_age_ms * FT_MS,
@@ -542,6 +544,7 @@
   req->ask.service = req->service = g_strdup (ask->service);
   req->ask.org = req->org = g_strdup (ask->org ? ask->org : "");
   req->ask.avoid = req->avoid = g_strdup (ask->avoid);
+  req->ask.version = req->version = g_strdup (ask->version);
   req->ask.kept_count = MIN (ask->kept_count, MESH_CONNECTED_MAX);
   req->ask.kept = req->kept = g_memdup2 (ask->kept, req->ask.kept_count * sizeof *ask->kept);
   req->cost = cost;
--- a/node/placeint.h
+++ b/node/placeint.h
@@ -14,7 +14,7 @@
 {
   uint64_t number;
   SchedAsk ask;
-  char *service, *org, *avoid, *server;
+  char *service, *org, *avoid, *version, *server;
   uint32_t *kept;
   double cost;
   MeshPeer *scheduler;              /* asked for a place; NULL: the own scheduler */
--- a/node/placemsg.c
+++ b/node/placemsg.c
@@ -74,7 +74,8 @@
                                  .kept = { req->running ? 0 : ask->kept_count, req->kept },
                                  .avoid = req->avoid ? req->avoid : none,
                                  .running = req->running,
-                                 .server = req->server ? req->server : none };
+                                 .server = req->server ? req->server : none,
+                                 .software = req->version ? req->version : none };
   MeshAccount account = known_account (place, peer, req->org);
   msg.MeshMsg_u.ask.spent_tokens = account.spent_tokens;
   msg.MeshMsg_u.ask.spent_ms = account.spent_ms;
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -88,12 +88,14 @@
   out.route = g_str_hash (req->route->name);
   out.gap_us = req->route->gap_us;
   out.limit_at = caller_patience_end (req);
-  /* With the aim of its first event, which has passed, a begun answer would queue behind all
-   * requests that can still be on time. */
-  out.aim_at = req->begun ? now + MAX (req->route->gap_us, RESUME_AIM)
-                          : req->arrived + req->route->target_us - req->waited_before;
+  /* With the aim of its first event, which has passed, an answer of which the caller has a part
+   * would queue behind all requests that can still be on time. */
+  out.aim_at = req->begun || req_is_return (req)
+                   ? now + MAX (req->route->gap_us, RESUME_AIM)
+                   : req->arrived + req->route->target_us - req->waited_before;
   out.end_at = req->deadline;
   out.avoid = avoid;
+  out.version = req->version;
   out.kept = kept;
   out.kept_count = list_idle_connections (req->requests, kept);
   place_ask (req->requests->conf.place, &out, req->was_granted ? 0 : limit_cost (req));
@@ -140,13 +142,22 @@
     req_answer_error (req, 503, MAX (50 * FT_MS, (req->deadline - req_now (req)) / 3), why);
 }
 
+/* A begun stream whose first server's version was never known goes on nowhere. */
+static bool
+lacks_version (const Req *req)
+{
+  return req->begun_stream && req->version == NULL;
+}
+
 void
 req_ask (Req *req)
 {
   QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
 
   loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
-  if (verdict.state == QUAR_BLOCKED)
+  if (lacks_version (req))
+    req_break_off (req, "origin-unknown");
+  else if (verdict.state == QUAR_BLOCKED)
     end_as_quarantined (req, &verdict);
   else if (verdict.state == QUAR_RECHECK)
     loop_timer_set (req->requests->conf.loop, &req->verdict_wait, verdict.recheck_at);
@@ -170,7 +181,7 @@
 {
   QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
 
-  if (req->next_number)
+  if (req->next_number || lacks_version (req))
     return;
   if (verdict.state == QUAR_RECHECK)
     loop_timer_set (req->requests->conf.loop, &req->ask_pause, verdict.recheck_at);
@@ -247,16 +258,31 @@
 
 /* ---- Decisions of the scheduler ---- */
 
-/* True if this entry's server list shows the server as leaving or with a version that gets no
+static void
+end_without_place (Req *req, int64_t retry_after_us, FtReason reason)
+{
+  const FtReasonInfo *info = ft_reason_info (reason);
+
+  if (req->begun)
+    req_break_off (req, info->code);
+  else if (req->may_have_run)
+    req_answer_error (req, 502, 0, "outcome-unknown");
+  else
+    req_answer_error (req, info->http_status == 429 ? 429 : 503, retry_after_us, info->code);
+}
+
+/* True if this entry's server list shows the server as leaving or with a version that gets no such
  * requests, or lacks it and is newer than the list by which the scheduler granted it. */
 static bool
-is_known_unusable (const Requests *requests, const char *id, int64_t listed_at)
+is_known_unusable (const Req *req, const char *id, int64_t listed_at)
 {
+  const Requests *requests = req->requests;
   const AdapterServer *held = servers_find (requests->conf.servers, id);
+  bool kept = req->version && place_uses_voter (requests->conf.place);
 
   if (held)
     return held->leaving
-           || versions_is_blocked (requests->conf.versions, held->service, held->version);
+           || versions_is_blocked (requests->conf.versions, held->service, held->version, kept);
   return servers_asked_at (requests->conf.servers) > listed_at;
 }
 
@@ -309,6 +335,43 @@
     }
 }
 
+/* NULL: unknown. */
+static const char *
+software_of (const Requests *requests, const AdapterServer *server)
+{
+  const AdapterServer *held = servers_find (requests->conf.servers, server->id);
+
+  return server->version && *server->version ? server->version : held ? held->version : NULL;
+}
+
+/* True for a place at a server that did not begin the stream: the scheduler is an older program,
+ * which does not know that a request may be bound to a version. */
+static bool
+is_other_version (const Req *req, const AdapterServer *server)
+{
+  const char *software = software_of (req->requests, server);
+
+  return req->version && (software == NULL || strcmp (software, req->version) != 0);
+}
+
+/* Gives the place back and asks again after a pause, since the same scheduler may decide likewise.
+ */
+static void
+return_grant (Req *req)
+{
+  count_inc (COUNT_GRANTS_RETURNED);
+  jlog (JLOG_INFO, "grant-returned", req->id, JL_TEXT ("server", req->server),
+        JL_TEXT ("why", "version"), JL_TEXT ("software", req->software),
+        JL_TEXT ("wanted", req->version),
+        JL_TEXT ("by", place_scheduler_name (req->requests->conf.place)));
+  place_end (req->requests->conf.place, req->number, &withdrawn);
+  req_clear_number (req);
+  g_free (req->avoid_server);
+  req->avoid_server = g_strdup (req->server);
+  if (!req_ask_later (req, ASK_PAUSE_MAX))
+    end_without_place (req, 0, FT_REASON_VERSION_GONE);
+}
+
 /* Another server has a place for a request whose current try is silent. The try ends now, unless
  * the place cannot be used or the retry budget is used up. */
 static bool
@@ -318,7 +381,7 @@
   const AdapterServer *server = &grant->server;
 
   if (strcmp (server->id, req->server) == 0 || server->leaving
-      || is_known_unusable (requests, server->id, grant->listed_at)
+      || is_known_unusable (req, server->id, grant->listed_at) || is_other_version (req, server)
       || place_block_reason (requests->conf.place, server->id, &(int64_t){ 0 })
       || is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
     {
@@ -336,15 +399,6 @@
   return true;
 }
 
-static void
-set_software (Req *req, const char *server)
-{
-  const AdapterServer *held = servers_find (req->requests->conf.servers, server);
-
-  g_free (req->software);
-  req->software = g_strdup (held ? held->version : NULL);
-}
-
 void
 requests_grant (Requests *requests, uint64_t number, const Grant *grant)
 {
@@ -357,13 +411,16 @@
   count_observe (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
   req->server = g_strdup (server->id);
-  set_software (req, server->id);
+  g_free (req->software);
+  req->software = g_strdup (software_of (req->requests, server));
   jlog (JLOG_DEBUG, "send", req->id, JL_TEXT ("server", server->id),
         JL_TEXT ("software", req->software), JL_MS ("waited_ms", req_now (req) - req->arrived),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)),
         JL_MS ("list_age_ms", req_now (req) - grant->listed_at));
-  if (server->leaving || is_known_unusable (requests, server->id, grant->listed_at)
-      || is_withheld (req))
+  if (is_other_version (req, server))
+    return_grant (req);
+  else if (server->leaving || is_known_unusable (req, server->id, grant->listed_at)
+           || is_withheld (req))
     {
       g_free (req->avoid_server);
       req->avoid_server = g_strdup (server->id);
@@ -390,15 +447,10 @@
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)));
-  if ((req->begun || req->xfer) && req_ask_later (req, refusal->retry_after_us))
+  bool waits = req->xfer || (req->begun && refusal->reason != FT_REASON_VERSION_GONE);
+  if (waits && req_ask_later (req, refusal->retry_after_us))
     return;
   if (req->xfer)
     return; /* the current try is all that is left */
-  if (req->begun)
-    req_break_off (req, info->code);
-  else if (req->may_have_run)
-    req_answer_error (req, 502, 0, "outcome-unknown");
-  else
-    req_answer_error (req, info->http_status == 429 ? 429 : 503, refusal->retry_after_us,
-                      info->code);
+  end_without_place (req, refusal->retry_after_us, refusal->reason);
 }
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -19,6 +19,7 @@
 {
   Loop *loop = req->requests->conf.loop;
 
+  origdir_cancel (&req->lookup);
   req_withdraw_replacement (req);
   req_clear_number (req);
   g_ptr_array_remove_fast (req->requests->awaiting_catalogue, req);
@@ -33,6 +34,7 @@
   g_free (req->avoid_server);
   g_free (req->server);
   g_free (req->software);
+  g_free (req->version);
   g_free (req->server_name);
   rt_cat_unref (req->cat);
   loop_free_later (loop, req);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -1,4 +1,5 @@
-/* reqint.h - the state of a request; private to requests.c, reqask.c, try.c and reqend.c. */
+/* reqint.h - the state of a request; private to requests.c, reqask.c, reqorigin.c,
+ * try.c and reqend.c. */
 #ifndef REQINT_H
 #define REQINT_H
 
@@ -7,6 +8,7 @@
 #include "patience.h"
 #include "requests.h"
 #include "retry.h"
+#include "origdir.h"
 #include "crashrep.h"
 
 #define EVENT_TIMEOUT                                                                              \
@@ -26,6 +28,8 @@
   char id[ADAPTER_ID_MAX];
   uint64_t content; /* content_id of the request; 0: not computed yet */
   const char *service;
+  char *version;       /* that began the stream, and at which alone it goes on; NULL: none yet */
+  OriginLookup lookup; /* for a stream that the caller takes up again */
   int64_t arrived;
   int64_t deadline;         /* deadline of the whole answer */
   int64_t first_deadline;   /* deadline of the first byte of the answer */
@@ -116,6 +120,15 @@
 /* Timer: quarantine verdicts have changed. */
 void req_on_recheck (LoopTimer *timer);
 
+/* ---- The version that began a stream (reqorigin.c) ---- */
+
+/* True if the caller takes up a stream of which it has the first events. */
+bool req_is_return (const Req *req);
+/* Finds out which version began it, and then asks for a place or refuses the request. */
+void req_find_origin (Req *req);
+/* The first event of a stream is about to be passed on. */
+void req_record_origin (Req *req);
+
 /* ---- Ending requests and tries (reqend.c) ---- */
 
 int64_t req_now (const Req *req);
--- /dev/null
+++ b/node/reqorigin.c
@@ -0,0 +1,131 @@
+/* reqorigin.c - finds the version that began a stream which its caller takes up again, since the
+ * stream may go on only at servers of that version. */
+#include "reqint.h"
+#include "count.h"
+#include "jlog.h"
+
+#include <string.h>
+
+#define ANSWER_WAIT (300 * FT_MS) /* for voters and deputies that are linked */
+/* A caller that comes back when all links were reset finds none; they are up again after a few
+ * hundred milliseconds. */
+#define LINK_WAIT_DIVISOR 2 /* at most this part of the time for which the caller waits */
+#define LIST_AGE_MAX                                                                               \
+  (3 * FT_SECOND) /* of a list by which an entry without links decides at once                     \
+                   */
+
+/* The route's own name of the service; NULL: the route does not lead there any more. */
+static const char *
+find_target (const RtRoute *route, const char *service)
+{
+  for (unsigned i = 0; i < route->targets->len; i++)
+    {
+      const RtTarget *target = &g_array_index (route->targets, RtTarget, i);
+      if (target->weight > 0 && strcmp (target->service, service) == 0)
+        return target->service;
+    }
+  return NULL;
+}
+
+static void
+refuse (Req *req, const char *why)
+{
+  int64_t wait = MAX (50 * FT_MS, MIN (300 * FT_MS, (req->deadline - req_now (req)) / 3));
+
+  count_inc (COUNT_ORIGINS_UNKNOWN);
+  req_answer_error (req, 503, wait, why);
+}
+
+/* origin NULL: nobody knows the stream. Then it goes on only if a single version can have begun it.
+ */
+static void
+settle (Req *req, const Origin *origin)
+{
+  OriginDir *dir = req->requests->conf.origins;
+  const char *service = origin ? find_target (req->route, origin->service) : req->service;
+  const char *version = origin    ? origin->version
+                        : service ? origdir_only_version (dir, service)
+                                  : NULL;
+
+  jlog (JLOG_INFO, "origin", req->id, JL_TEXT ("resumes", req->facts.resumes),
+        JL_INT ("known", origin != NULL), JL_TEXT ("service", service),
+        JL_TEXT ("software", version), JL_MS ("waited_ms", req_now (req) - req->arrived));
+  if (service == NULL)
+    refuse (req, "service-changed");
+  else if (version == NULL)
+    refuse (req, "origin-unknown");
+  else
+    {
+      req->service = service;
+      req->version = g_strdup (version);
+      budget_count_request (req->requests->conf.budget, req->service);
+      req_ask (req);
+    }
+}
+
+static void
+on_found (OriginLookup *lookup, const Origin *origin)
+{
+  settle ((Req *) ((char *) lookup - offsetof (Req, lookup)), origin);
+}
+
+static bool
+can_decide_alone (const Req *req)
+{
+  const RequestsConf *conf = &req->requests->conf;
+
+  return origdir_only_version (conf->origins, req->service)
+         && req_now (req) - servers_asked_at (conf->servers) < LIST_AGE_MAX;
+}
+
+bool
+req_is_return (const Req *req)
+{
+  return req->facts.last_event && req->route->kind == RT_STREAM && req->route->resumable;
+}
+
+void
+req_find_origin (Req *req)
+{
+  OriginDir *dir = req->requests->conf.origins;
+  const char *resumes = req->facts.resumes;
+
+  count_inc (COUNT_STREAMS_RETURNED);
+  if (resumes == NULL)
+    {
+      settle (req, NULL);
+      return;
+    }
+  uint64_t stream = origins_stream_id (req->org ? req->org->name : NULL, resumes);
+  const Origin *origin = origdir_find (dir, stream);
+  if (origin)
+    {
+      settle (req, origin);
+      return;
+    }
+  int64_t link_wait = (req->first_deadline - req_now (req)) / LINK_WAIT_DIVISOR;
+  if (origdir_ask (dir, &req->lookup, stream, link_wait, on_found) > 0)
+    loop_timer_set (req->requests->conf.loop, &req->lookup.timer,
+                    req_now (req) + MIN (link_wait, ANSWER_WAIT));
+  else if (can_decide_alone (req))
+    {
+      origdir_cancel (&req->lookup);
+      settle (req, NULL);
+    }
+}
+
+void
+req_record_origin (Req *req)
+{
+  int64_t limit = MAX (req->facts.caller_wait_us, req->deadline - req->arrived);
+
+  if (req->version == NULL)
+    req->version = g_strdup (req->software);
+  if (req->version == NULL || !req->route->resumable || *req->id == '\0' || req_is_return (req))
+    return;
+  Origin origin = { .stream = origins_stream_id (req->org ? req->org->name : NULL, req->id),
+                    .service = req->service,
+                    .version = req->version,
+                    .until = req->arrived + limit };
+  origdir_record (req->requests->conf.origins, &origin);
+}
--- a/node/requests.c
+++ b/node/requests.c
@@ -245,8 +245,13 @@
                                   + requests->conf.adapter_ops->first_event_timeout (
                                       req->route->target_us, req->route->gap_us));
   req->service = rt_route_target (req->route, g_random_int ());
-  budget_count_request (requests->conf.budget, req->service);
   loop_timer_set (requests->conf.loop, &req->deadline_timer, req->deadline);
+  if (req_is_return (req))
+    {
+      req_find_origin (req);
+      return;
+    }
+  budget_count_request (requests->conf.budget, req->service);
   req_ask (req);
 }
 
--- a/node/requests.h
+++ b/node/requests.h
@@ -5,6 +5,7 @@
 
 #include "budget.h"
 #include "egress.h"
+#include "origdir.h"
 #include "hcli.h"
 #include "hsrv.h"
 #include "place.h"
@@ -25,6 +26,7 @@
   CrashReporter *crash_reporter;
   const EntryVersions *versions;
   Egress *egress;
+  OriginDir *origins;
 } RequestsConf;
 
 Requests *requests_new (const RequestsConf *conf);
--- a/node/servers.c
+++ b/node/servers.c
@@ -398,6 +398,12 @@
   return at ? &g_array_index (servers->list, AdapterServer, at - 1) : NULL;
 }
 
+const AdapterServer *
+servers_at (const Servers *servers, unsigned index)
+{
+  return &g_array_index (servers->list, AdapterServer, index);
+}
+
 unsigned
 servers_count (const Servers *servers)
 {
--- a/node/servers.h
+++ b/node/servers.h
@@ -35,6 +35,7 @@
 /* NULL: not on the list. */
 const AdapterServer *servers_find (const Servers *servers, const char *id);
 unsigned servers_count (const Servers *servers);
+const AdapterServer *servers_at (const Servers *servers, unsigned index);
 /* Passes the list to a scheduler. */
 void servers_give_to (const Servers *servers, Sched *sched);
 
--- a/node/try.c
+++ b/node/try.c
@@ -170,6 +170,8 @@
 {
   req->begun = true;
   req->begun_stream = req->is_stream;
+  if (req->is_stream)
+    req_record_origin (req);
   hcall_begin (req->call, req->status, req->fields);
 }
 
--- a/node/versions.c
+++ b/node/versions.c
@@ -84,13 +84,14 @@
 }
 
 bool
-versions_is_blocked (const EntryVersions *versions, const char *service, const char *version)
+versions_is_blocked (const EntryVersions *versions, const char *service, const char *version,
+                     bool kept)
 {
   const MeshVersions *current = g_hash_table_lookup (versions->services, service);
 
   if (current == NULL || version == NULL || strcmp (current->before, current->target) == 0)
     return false;
   if (current->phase == MESH_VERSIONS_MOVED)
-    return strcmp (version, current->before) == 0;
+    return !kept && strcmp (version, current->before) == 0;
   return current->phase == MESH_VERSIONS_ROLLED_BACK && strcmp (version, current->target) == 0;
 }
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -38,6 +38,7 @@
 	bool_t leaving;
 	u_quad_t document;
 	bool_t cut_off;
+	bool_t origins;
 };
 typedef struct MeshHello MeshHello;
 
@@ -160,6 +161,7 @@
 	char *avoid;
 	bool_t running;
 	char *server;
+	char *software;
 };
 typedef struct MeshAsk MeshAsk;
 
@@ -191,6 +193,7 @@
 	u_int list_age_ms;
 	u_int org_fill;
 	bool_t paced;
+	char *software;
 };
 typedef struct MeshGrant MeshGrant;
 
@@ -310,6 +313,33 @@
 	} services;
 };
 typedef struct MeshRollouts MeshRollouts;
+#define MESH_ORIGINS_MAX 64
+
+struct MeshOrigin {
+	u_quad_t stream;
+	char *service;
+	char *software;
+	u_int left_ms;
+};
+typedef struct MeshOrigin MeshOrigin;
+
+struct MeshOrigins {
+	struct {
+		u_int streams_len;
+		MeshOrigin *streams_val;
+	} streams;
+};
+typedef struct MeshOrigins MeshOrigins;
+
+struct MeshOriginAsk {
+	u_quad_t stream;
+};
+typedef struct MeshOriginAsk MeshOriginAsk;
+
+struct MeshOriginReply {
+	MeshOrigin origin;
+};
+typedef struct MeshOriginReply MeshOriginReply;
 
 enum MeshKind {
 	MESH_HELLO = 1,
@@ -335,6 +365,9 @@
 	MESH_NOTICE = 1 + 20,
 	MESH_REPORT_END = 1 + 21,
 	MESH_RELAYS = 1 + 22,
+	MESH_ORIGINS = 1 + 23,
+	MESH_ORIGIN_ASK = 1 + 24,
+	MESH_ORIGIN_REPLY = 1 + 25,
 };
 typedef enum MeshKind MeshKind;
 
@@ -361,6 +394,9 @@
 		MeshNotice notice;
 		MeshReportEnd reported;
 		MeshRelays relays;
+		MeshOrigins origins;
+		MeshOriginAsk origin_ask;
+		MeshOriginReply origin_reply;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -401,6 +437,10 @@
 extern  bool_t xdr_MeshVersionsPhase (XDR *, MeshVersionsPhase*);
 extern  bool_t xdr_MeshVersions (XDR *, MeshVersions*);
 extern  bool_t xdr_MeshRollouts (XDR *, MeshRollouts*);
+extern  bool_t xdr_MeshOrigin (XDR *, MeshOrigin*);
+extern  bool_t xdr_MeshOrigins (XDR *, MeshOrigins*);
+extern  bool_t xdr_MeshOriginAsk (XDR *, MeshOriginAsk*);
+extern  bool_t xdr_MeshOriginReply (XDR *, MeshOriginReply*);
 extern  bool_t xdr_MeshKind (XDR *, MeshKind*);
 extern  bool_t xdr_MeshMsg (XDR *, MeshMsg*);
 
@@ -434,6 +474,10 @@
 extern bool_t xdr_MeshVersionsPhase ();
 extern bool_t xdr_MeshVersions ();
 extern bool_t xdr_MeshRollouts ();
+extern bool_t xdr_MeshOrigin ();
+extern bool_t xdr_MeshOrigins ();
+extern bool_t xdr_MeshOriginAsk ();
+extern bool_t xdr_MeshOriginReply ();
 extern bool_t xdr_MeshKind ();
 extern bool_t xdr_MeshMsg ();
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -1,7 +1,11 @@
 /* meshmsg.x - messages between the instances of a deployment that discovers its members, as XDR
  * (RFC 4506). Each message is sent one way over TCP, with the record marking of ONC RPC (RFC 5531,
  * section 11). The files meshmsg.h and meshmsg_xdr.c are generated from this one by `make generate`
- * and committed. */
+ * and committed.
+ *
+ * Programs of two versions run side by side while a deployment is upgraded. New fields are added at
+ * the end of a message: an older program ignores them, and a newer one takes them as zero if they
+ * are missing. New kinds are sent only to peers whose hello says that they know them. */
 
 const MESH_NAME_MAX = 127;
 const MESH_TEXT_MAX = 8388608; /* enough for a voter's snapshot */
@@ -25,6 +29,7 @@
   bool leaving;
   unsigned hyper document;  /* version of the catalogue in force at the sender; 0: none */
   bool cut_off;             /* reaches no backend server, so it cannot relay for others */
+  bool origins;             /* knows the messages about the origins of streams */
 };
 
 /* From the voter in charge to an entry: other entries that relay its connections to servers that it
@@ -124,6 +129,7 @@
   string avoid<MESH_NAME_MAX>; /* server on which this request failed; "": none */
   bool running;               /* already granted by another scheduler: only to be accounted for */
   string server<MESH_NAME_MAX>; /* on which it runs */
+  string software<MESH_NAME_MAX>; /* only servers of this version may run it; "": any */
 };
 
 /* What an entry knows of an organisation's use of its limit at other schedulers. */
@@ -154,6 +160,7 @@
   unsigned int org_fill;     /* per mille of the organisation's limit that can be used now */
   bool paced;                /* the scheduler limits the server's rate or takes it for brittle: the
                                 entry reports by MeshNotice also that an answer names neither */
+  string software<MESH_NAME_MAX>; /* version of the server's software; "": unknown */
 };
 
 struct MeshRefuse {
@@ -261,12 +268,40 @@
   MeshVersions services<MESH_VERSIONS_MAX>;
 };
 
+/* ---- Origins of streams ---- */
+
+const MESH_ORIGINS_MAX = 64;
+
+/* The servers that began a stream: only servers of that version may go on with it. */
+struct MeshOrigin {
+  unsigned hyper stream;          /* see origins_stream_id */
+  string service<MESH_NAME_MAX>;
+  string software<MESH_NAME_MAX>; /* version */
+  unsigned int left_ms;           /* until the caller gives the stream up */
+};
+
+/* From an entry to voters: streams of which it has passed on the first event. */
+struct MeshOrigins {
+  MeshOrigin streams<MESH_ORIGINS_MAX>;
+};
+
+/* From an entry: which servers began this stream? */
+struct MeshOriginAsk {
+  unsigned hyper stream;
+};
+
+/* The answer to it. */
+struct MeshOriginReply {
+  MeshOrigin origin; /* service "": not known */
+};
+
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST_EVENT, MESH_SILENCE, MESH_DONE, MESH_RAFT,
   MESH_LIST_REQUEST, MESH_PACKED_LIST, MESH_ALIVE,
   MESH_CRASH, MESH_CRASH_ACK, MESH_ANSWERED, MESH_CRASH_RETRACTED, MESH_CRASH_TABLE,
-  MESH_ROLLOUTS, MESH_NOTICE, MESH_REPORT_END, MESH_RELAYS
+  MESH_ROLLOUTS, MESH_NOTICE, MESH_REPORT_END, MESH_RELAYS,
+  MESH_ORIGINS, MESH_ORIGIN_ASK, MESH_ORIGIN_REPLY
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -292,5 +327,8 @@
 case MESH_NOTICE: MeshNotice notice;
 case MESH_REPORT_END: MeshReportEnd reported;
 case MESH_RELAYS: MeshRelays relays;
+case MESH_ORIGINS: MeshOrigins origins;
+case MESH_ORIGIN_ASK: MeshOriginAsk origin_ask;
+case MESH_ORIGIN_REPLY: MeshOriginReply origin_reply;
 case MESH_RAFT: opaque raft<MESH_TEXT_MAX>; /* a packed Msg (msg.x), between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -34,6 +34,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cut_off))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->origins))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -321,6 +323,8 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->request))
@@ -388,6 +392,8 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -440,6 +446,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->server, MESH_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -544,14 +552,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->paced))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->ip);
-			IXDR_PUT_U_LONG(buf, objp->port);
-			IXDR_PUT_U_LONG(buf, objp->max_idle_ms);
-			IXDR_PUT_U_LONG(buf, objp->list_age_ms);
-			IXDR_PUT_U_LONG(buf, objp->org_fill);
-			IXDR_PUT_BOOL(buf, objp->paced);
+		IXDR_PUT_U_LONG(buf, objp->ip);
+		IXDR_PUT_U_LONG(buf, objp->port);
+		IXDR_PUT_U_LONG(buf, objp->max_idle_ms);
+		IXDR_PUT_U_LONG(buf, objp->list_age_ms);
+		IXDR_PUT_U_LONG(buf, objp->org_fill);
+		IXDR_PUT_BOOL(buf, objp->paced);
 		}
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->request))
@@ -574,14 +585,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->paced))
 				 return FALSE;
+
 		} else {
-			objp->ip = IXDR_GET_U_LONG(buf);
-			objp->port = IXDR_GET_U_LONG(buf);
-			objp->max_idle_ms = IXDR_GET_U_LONG(buf);
-			objp->list_age_ms = IXDR_GET_U_LONG(buf);
-			objp->org_fill = IXDR_GET_U_LONG(buf);
-			objp->paced = IXDR_GET_BOOL(buf);
+		objp->ip = IXDR_GET_U_LONG(buf);
+		objp->port = IXDR_GET_U_LONG(buf);
+		objp->max_idle_ms = IXDR_GET_U_LONG(buf);
+		objp->list_age_ms = IXDR_GET_U_LONG(buf);
+		objp->org_fill = IXDR_GET_U_LONG(buf);
+		objp->paced = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -603,6 +617,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->paced))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -854,6 +870,53 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshOrigin (XDR *xdrs, MeshOrigin *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshOrigins (XDR *xdrs, MeshOrigins *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->streams.streams_val, (u_int *) &objp->streams.streams_len, MESH_ORIGINS_MAX,
+		sizeof (MeshOrigin), (xdrproc_t) xdr_MeshOrigin))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshOriginAsk (XDR *xdrs, MeshOriginAsk *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshOriginReply (XDR *xdrs, MeshOriginReply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MeshOrigin (xdrs, &objp->origin))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshKind (XDR *xdrs, MeshKind *objp)
 {
@@ -956,6 +1019,18 @@
 		 if (!xdr_MeshRelays (xdrs, &objp->MeshMsg_u.relays))
 			 return FALSE;
 		break;
+	case MESH_ORIGINS:
+		 if (!xdr_MeshOrigins (xdrs, &objp->MeshMsg_u.origins))
+			 return FALSE;
+		break;
+	case MESH_ORIGIN_ASK:
+		 if (!xdr_MeshOriginAsk (xdrs, &objp->MeshMsg_u.origin_ask))
+			 return FALSE;
+		break;
+	case MESH_ORIGIN_REPLY:
+		 if (!xdr_MeshOriginReply (xdrs, &objp->MeshMsg_u.origin_reply))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MAX))
 			 return FALSE;
