--- a/test/backend.c
+++ b/test/backend.c
@@ -94,6 +94,62 @@
       }
 }
 
+/* ---- Answers without end ---- */
+
+typedef struct
+{
+  LoopTimer timer;
+  HCall *call;
+  FleetServer *server;
+} Flood;
+
+static void
+flood_free (void *data)
+{
+  Flood *flood = data;
+
+  loop_timer_stop (flood->server->fleet->loop, &flood->timer);
+  g_free (flood);
+}
+
+static void
+on_flood_timer (LoopTimer *timer)
+{
+  Flood *flood = (Flood *) timer;
+  Fleet *fleet = flood->server->fleet;
+  char *bytes = g_malloc (fleet->flood_bytes);
+
+  memset (bytes, 'x', fleet->flood_bytes);
+  hcall_write (flood->call, bytes, fleet->flood_bytes);
+  g_free (bytes);
+  loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + fleet->flood_ms * FT_MS);
+}
+
+/* The head of the answer has been sent. */
+static void
+start_flood (FleetServer *server, HCall *call)
+{
+  Flood *flood = g_new0 (Flood, 1);
+
+  flood->timer.fire = on_flood_timer;
+  flood->call = call;
+  flood->server = server;
+  hcall_set_user (call, NULL);
+  g_ptr_array_add (server->floods, flood);
+  loop_timer_set (server->fleet->loop, &flood->timer, loop_now (server->fleet->loop));
+}
+
+static void
+cancel_flood (FleetServer *server, const HCall *call)
+{
+  for (unsigned i = 0; i < server->floods->len; i++)
+    if (((const Flood *) server->floods->pdata[i])->call == call)
+      {
+        g_ptr_array_remove_index_fast (server->floods, i);
+        return;
+      }
+}
+
 /* ---- Streams ---- */
 
 static void
@@ -116,6 +172,14 @@
       remove_stream (stream);
       return;
     }
+  if (stream->server->mode == SERVER_FLOOD_EVENT && stream->next > fleet->flood_after)
+    {
+      hcall_write (stream->call, "data: ", 6);
+      increment (fleet->lost_counts, stream->id);
+      start_flood (stream->server, stream->call);
+      remove_stream (stream);
+      return;
+    }
   g_snprintf (event, sizeof event, "id: %u\ndata: event %u%s%s\n\n", stream->next, stream->next,
               fleet->marks_events ? " of " : "", fleet->marks_events ? stream->version : "");
   if (stream->server->mode == SERVER_CUT_STREAM && stream->next == 3)
@@ -245,6 +309,13 @@
       increment (server->fleet->lost_counts, id);
       hcall_abort (call);
     }
+  else if (server->mode == SERVER_FLOOD_PLAIN
+           && !g_str_has_prefix (hmsg_target (hcall_msg (call)), "/stream/"))
+    {
+      increment (server->fleet->lost_counts, id);
+      hcall_begin (call, 200, fields);
+      start_flood (server, call);
+    }
   else if (server->mode == SERVER_NO_ANSWER)
     {
       increment (server->fleet->lost_counts, id);
@@ -343,6 +414,13 @@
                   "1"); /* the notice of a server other than the one addressed */
   if (!addressed)
     hcall_reply (call, 421, fields, "", 0);
+  else if (server->mode == SERVER_FLOOD_REFUSE)
+    {
+      increment (server->fleet->lost_counts, id);
+      hwrite_field (fields, "X-Foxtailgrade-Not-Executed", "1");
+      hcall_begin (call, 503, fields);
+      start_flood (server, call);
+    }
   else if (full)
     {
       increment (server->fleet->lost_counts, id);
@@ -365,6 +443,7 @@
   if (server->crash_call == call)
     server->crash_call = NULL;
   cancel_delayed (server, call);
+  cancel_flood (server, call);
   if (stream)
     remove_stream (stream);
 }
@@ -384,6 +463,7 @@
     }
   g_ptr_array_set_size (server->streams, 0);
   g_ptr_array_set_size (server->delayed, 0);
+  g_ptr_array_set_size (server->floods, 0);
   g_array_set_size (server->rejected_at, 0);
   loop_timer_stop (server->fleet->loop, &server->fall_timer);
   hsrv_free (server->srv);
@@ -465,6 +545,7 @@
   server->listed = true;
   server->streams = g_ptr_array_new_with_free_func (g_free);
   server->delayed = g_ptr_array_new_with_free_func (delayed_free);
+  server->floods = g_ptr_array_new_with_free_func (flood_free);
   g_strlcpy (server->version, "v1", sizeof server->version);
   server->rejected_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
   server->fall_timer.fire = on_fall_timer;
@@ -482,5 +563,6 @@
   stop_server (server);
   g_ptr_array_unref (server->streams);
   g_ptr_array_unref (server->delayed);
+  g_ptr_array_unref (server->floods);
   g_array_unref (server->rejected_at);
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -222,6 +222,8 @@
   fleet->loop = loop_new ();
   fleet->cli = hcli_new (fleet->loop);
   fleet->event_ms = 20;
+  fleet->flood_bytes = 1024;
+  fleet->flood_ms = 20;
   fleet->slots = 4;
   fleet->plain_ms = 0;
   fleet->slow_ms = 300;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -29,7 +29,12 @@
   SERVER_SLOW_CRASH, /* crashes in two steps: listener and one call first, the rest later */
   SERVER_FAILING,    /* fails four in ten of the requests that it runs */
   SERVER_SLOW,       /* answers plain calls after Fleet.slow_ms */
-  SERVER_SILENT      /* sends nothing more after a stream's second event */
+  SERVER_SILENT,     /* sends nothing more after a stream's second event */
+  /* The next three send bytes without end, until the connection closes: Fleet.flood_bytes every
+   * Fleet.flood_ms. */
+  SERVER_FLOOD_EVENT,  /* of one event, after Fleet.flood_after whole ones of a stream */
+  SERVER_FLOOD_REFUSE, /* in the body of an answer 503 that states that nothing was run */
+  SERVER_FLOOD_PLAIN   /* in the body of the answer to a plain call */
 } ServerMode;
 
 typedef struct Fleet Fleet;
@@ -60,6 +65,7 @@
   GArray *rejected_at; /* when it rejected requests for want of room, this incarnation */
   LoopTimer fall_timer;
   GPtrArray *streams; /* running streams */
+  GPtrArray *floods;  /* answers that never end */
   GPtrArray *delayed; /* plain calls to be answered later */
   HCall *crash_call;  /* a running call with a crash body; NULL: none */
   LoopTimer crash_timer, restart_timer;
@@ -103,14 +109,15 @@
   GHashTable *lost_counts;      /* request id: how often a server lost it, see fleet_lost_count */
   GHashTable *crash_run_counts; /* crash body: how often a server started to run it */
   GArray *crash_events;         /* FleetCrashEvent, in order */
-  GHashTable *senders;        /* request id: number of the entry it was sent to, 1 for the first */
-  GArray *arrivals;           /* Arrival at servers; its server is number x 1000 + restarts */
-  unsigned crash_count;       /* of all servers so far */
-  unsigned event_ms;          /* time between a stream's events */
-  bool marks_events;          /* events name the version of the server that sent them */
-  unsigned pause_ms;          /* silence in a stream of a SERVER_PAUSING */
-  unsigned plain_ms;          /* time that a plain call takes */
-  unsigned slots;             /* of each server, as listed */
+  GHashTable *senders;  /* request id: number of the entry it was sent to, 1 for the first */
+  GArray *arrivals;     /* Arrival at servers; its server is number x 1000 + restarts */
+  unsigned crash_count; /* of all servers so far */
+  unsigned event_ms;    /* time between a stream's events */
+  bool marks_events;    /* events name the version of the server that sent them */
+  unsigned pause_ms;    /* silence in a stream of a SERVER_PAUSING */
+  unsigned flood_bytes, flood_ms, flood_after; /* see SERVER_FLOOD_EVENT */
+  unsigned plain_ms;                           /* time that a plain call takes */
+  unsigned slots;                              /* of each server, as listed */
   unsigned plain_bytes;       /* length of a plain answer; 0: its body is the request's id */
   unsigned slow_ms;           /* time that a plain call takes at a SERVER_SLOW */
   unsigned budget_slack;      /* the entries' setting of that name */
