hmsg: informational responses are bounded in number

A server that sent informational responses (1xx) without end was read for ever: each of them begins a new message, so the parser's bound of 80 KB for a head never applied, and no byte of a body came whose end anybody waits for. The request stayed until its time limit. After 64 the response counts as malformed now, and the connection is closed at once. /endless/reader/informational and informational_bytewise failed before and pass, the other 11 cases of the reader and test-wire too.

--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -33,9 +33,14 @@
   HMsg *msg;
   size_t head_max, body_max, head_bytes, body_bytes;
   bool requests, in_value, in_message, head_done, ended, no_body;
+  unsigned interim_count; /* interim responses before the final one */
   HReadFault fault;
 };
 
+/* Many more than any server has a use for. Each begins anew for the parser, which bounds a single
+ * head only. */
+#define INTERIM_MAX 64
+
 /* ---- Messages ---- */
 
 HMsg *
@@ -286,7 +291,9 @@
       && parser->content_length > reader->body_max)
     return fail (reader, HREAD_BODY_TOO_LARGE);
   if (!reader->requests && msg->status / 100 == 1)
-    return 0; /* an interim response; the final one follows */
+    /* an interim response; the final one follows */
+    return ++reader->interim_count > INTERIM_MAX ? fail (reader, HREAD_HEAD_TOO_LARGE) : 0;
+  reader->interim_count = 0;
   reader->ops->head (reader->user, msg);
   return reader->no_body ? 1 : 0;
 }
