try: only whole events are a sign of life, and one over 1 MiB ends its try

A server that sent bytes of an event without ever ending it, fast or as a trickle, passed for a server that goes on: each byte reset the silence timer, so its stream ended at the caller's time limit (504, or broken off) while other servers were idle. And each part was searched from the start of the event, which takes a time that grows with the square of its length.

--- a/node/try.c
+++ b/node/try.c
@@ -203,6 +203,7 @@
     try_arm_silence_timer (req, MAX (EVENT_TIMEOUT, 4 * req->route->gap_us));
 }
 
+/* Only a whole event is a sign of life, since bytes of one that never ends are of no use. */
 static void
 relay_events (Req *req, const char *data, size_t size)
 {
@@ -212,6 +213,7 @@
 
   if (count > 0)
     {
+      record_received (req);
       record_first_byte (req);
       if (req->event_at)
         {
@@ -228,6 +230,8 @@
       pause_if_full (req);
     }
   g_string_free (out, TRUE);
+  if (events_is_too_long (req->stream))
+    req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
 }
 
 /* Buffers a plain answer until it is complete, unless it is too long for that. */
@@ -259,12 +263,12 @@
 
   if (req->xfer == NULL || req->rejected)
     return; /* on_head has ended the try */
-  record_received (req);
   if (req->is_stream)
     {
       relay_events (req, data, size);
       return;
     }
+  record_received (req);
   record_first_byte (req);
   buffer_plain (req, data, size);
 }
--- a/src/events.c
+++ b/src/events.c
@@ -9,11 +9,13 @@
 
 #include <string.h>
 
-#define MAX_EVENT_BYTES (1u << 20) /* a longer partial event is dropped, to bound the memory */
+#define MAX_EVENT_BYTES (1u << 20) /* bounds the memory of a partial event */
 
 struct Events
 {
-  GString *partial; /* the incomplete event at the end of the data so far */
+  GString *partial;   /* the incomplete event at the end of the data so far */
+  size_t examined;    /* bytes of partial that hold no end of an event */
+  bool line_is_empty; /* the line at that place is empty so far */
   char *last_id;
   uint64_t last_number;
   bool has_number; /* last_id is a number: last_number */
@@ -38,20 +40,26 @@
   g_free (events);
 }
 
-/* Length of the first event of text, including the blank line that ends it; 0: none is complete. */
+/* Where the first event that is complete ends in partial, after the blank line that ends it; 0:
+ * none is complete. Goes on after the last byte examined, since an event may come in many small
+ * parts. */
 static size_t
-complete_event_length (const char *text, size_t size)
+find_event_end (Events *events)
 {
-  bool blank = false; /* the current line is empty so far */
+  const GString *text = events->partial;
 
-  for (size_t i = 0; i < size; i++)
+  while (events->examined < text->len)
     {
-      if (text[i] == '\n' && blank)
-        return i + 1;
-      if (text[i] == '\n')
-        blank = true;
-      else if (text[i] != '\r')
-        blank = false;
+      char byte = text->str[events->examined++];
+      if (byte == '\n' && events->line_is_empty)
+        {
+          events->line_is_empty = false;
+          return events->examined;
+        }
+      if (byte == '\n')
+        events->line_is_empty = true;
+      else if (byte != '\r')
+        events->line_is_empty = false;
     }
   return 0;
 }
@@ -109,29 +117,35 @@
 events_feed (Events *events, const char *data, size_t size, GString *out)
 {
   unsigned count = 0;
-  size_t at = 0, length;
+  size_t at = 0, end;
 
   g_string_append_len (events->partial, data, (gssize) size);
-  while ((length = complete_event_length (events->partial->str + at, events->partial->len - at))
-         > 0)
+  while ((end = find_event_end (events)) > 0)
     {
-      if (record_event (events, events->partial->str + at, length))
+      if (record_event (events, events->partial->str + at, end - at))
         {
-          g_string_append_len (out, events->partial->str + at, (gssize) length);
+          g_string_append_len (out, events->partial->str + at, (gssize) (end - at));
           count++;
         }
-      at += length;
+      at = end;
     }
   g_string_erase (events->partial, 0, (gssize) at);
-  if (events->partial->len > MAX_EVENT_BYTES)
-    g_string_truncate (events->partial, 0);
+  events->examined -= at;
   return count;
 }
 
+bool
+events_is_too_long (const Events *events)
+{
+  return events->partial->len > MAX_EVENT_BYTES;
+}
+
 void
 events_drop_partial (Events *events)
 {
   g_string_truncate (events->partial, 0);
+  events->examined = 0;
+  events->line_is_empty = false;
 }
 
 const char *
--- a/src/events.h
+++ b/src/events.h
@@ -12,6 +12,8 @@
 /* Processes bytes of the stream. Appends the events that are complete now to out, except those
  * whose id is a number not above that of the event before. Returns how many were appended. */
 unsigned events_feed (Events *events, const char *data, size_t size, GString *out);
+/* True if the partial event is longer than any event may be, 1 MiB: the stream is not read on. */
+bool events_is_too_long (const Events *events);
 /* Drops a partial event, because another server continues the stream. */
 void events_drop_partial (Events *events);
 /* Id of the last event with an id that was appended; NULL: there was none. */
--- a/test/decide.c
+++ b/test/decide.c
@@ -308,6 +308,47 @@
   events_free (events);
 }
 
+/* Guards against taking the rest of an event that is too long for an event of its own. */
+static void
+event_without_end (void)
+{
+  Events *events = events_new ();
+  GString *out = g_string_new (NULL);
+  char part[4096];
+
+  memset (part, 'x', sizeof part);
+  feed (events, "id: 1\ndata: a\n\nid: 2\ndata: ", 1, "id: 1\ndata: a\n\n");
+  for (unsigned i = 0; i < 1024; i++)
+    {
+      g_assert_cmpuint (events_feed (events, part, sizeof part, out), ==, 0);
+      g_assert_true (events_is_too_long (events) == (i >= 255));
+    }
+  events_drop_partial (events);
+  g_assert_false (events_is_too_long (events));
+  feed (events, "id: 2\ndata: b\n", 0, "");
+  feed (events, "\n", 1, "id: 2\ndata: b\n\n");
+  g_string_free (out, TRUE);
+  events_free (events);
+}
+
+/* An event that comes byte by byte ends where it would in one part. */
+static void
+events_bytewise (void)
+{
+  static const char text[] = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\nid: 3\ndata:";
+  Events *events = events_new ();
+  GString *out = g_string_new (NULL);
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < strlen (text); i++)
+    count += events_feed (events, &text[i], 1, out);
+  g_assert_cmpuint (count, ==, 3);
+  g_assert_cmpstr (out->str, ==, "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\n");
+  g_assert_true (events_has_partial (events));
+  g_string_free (out, TRUE);
+  events_free (events);
+}
+
 /* ---- Limits ---- */
 
 static double
@@ -716,6 +757,8 @@
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
   g_test_add_func ("/events/half", partial_event_is_dropped);
+  g_test_add_func ("/events/without_end", event_without_end);
+  g_test_add_func ("/events/bytewise", events_bytewise);
   g_test_add_func ("/quota/window", limit_holds_in_window);
   g_test_add_func ("/quota/new_accountant", successor_grants_no_second_burst);
   g_test_add_func ("/quota/start", start_without_report);
