try: the rest of a refusal is waited for 50 ms and 64 KB at most

A server that stated in the head of its answer that it did not run the request, and then never ended the body, held the request until its time limit: the rejection was handled at the end of the body only, and bytes of it were neither counted nor timed. What the head says is final, so after 50 ms or 64 KB the connection is closed and the request goes to another server; a shorter rest is still read, so that the connection can be used again. /endless/refusal and /endless/fast_refusal failed before (503 at the time limit) and pass; run without the change they fail.

--- a/node/reqint.h
+++ b/node/reqint.h
@@ -68,12 +68,13 @@
   HXferFault fault; /* why the connection failed; valid if has_fault */
   bool has_fault;
   bool head_seen, is_stream, rejected;
-  bool wrong_server;    /* rejected by a server other than the addressed one */
-  bool close_delimited; /* the end of the connection ends the answer, so a truncated one looks
-                           complete */
-  bool read_paused;     /* the caller reads too slowly, so reading from the server is paused */
-  GString *fields;      /* header fields of the answer */
-  GString *buffered;    /* body of a plain answer that is not complete yet */
+  size_t rejection_bytes; /* of the body of the rejection */
+  bool wrong_server;      /* rejected by a server other than the addressed one */
+  bool close_delimited;   /* the end of the connection ends the answer, so a truncated one looks
+                             complete */
+  bool read_paused;       /* the caller reads too slowly, so reading from the server is paused */
+  GString *fields;        /* header fields of the answer */
+  GString *buffered;      /* body of a plain answer that is not complete yet */
   /* The answer to the caller. */
   Events *stream;
   bool begun;             /* its head has been sent */
--- a/node/try.c
+++ b/node/try.c
@@ -22,7 +22,11 @@
 #define STALE_RESET_MAX                                                                            \
   (25 * FT_MS) /* the reset of a connection that the server has dropped arrives within a round     \
                   trip, some 2 ms between failure domains; answers take longer */
-#define BUFFER_MAX (1u << 20) /* bytes; a longer plain answer is relayed as it arrives ... */
+#define REJECTION_TIME                                                                             \
+  (50 * FT_MS)                    /* for the rest of an answer whose head states "not run" ...     \
+                                   */
+#define REJECTION_MAX (64u << 10) /* ... bytes of it; after that its connection is closed */
+#define BUFFER_MAX    (1u << 20)  /* bytes; a longer plain answer is relayed as it arrives ... */
 #define BUFFER_MAX_PRESSED                                                                         \
   (16u << 10)                     /* ... this limit applies while slow callers fill the memory */
 #define PLAIN_TIMEOUT_FACTOR  2.0 /* times the route's aim, without any of a plain answer */
@@ -137,6 +141,8 @@
       req->may_have_run = req->may_have_run_before;
       req->rejected = true;
       req->wrong_server = answer.elsewhere;
+      req->rejection_bytes = 0;
+      try_arm_silence_timer (req, REJECTION_TIME);
       return true;
     }
   bool claims_not_run
@@ -261,8 +267,15 @@
 {
   Req *req = user;
 
-  if (req->xfer == NULL || req->rejected)
+  if (req->xfer == NULL)
     return; /* on_head has ended the try */
+  if (req->rejected)
+    {
+      req->rejection_bytes += size;
+      if (req->rejection_bytes > REJECTION_MAX)
+        handle_rejection (req);
+      return;
+    }
   if (req->is_stream)
     {
       relay_events (req, data, size);
@@ -481,6 +494,11 @@
 
   if (req->xfer == NULL)
     return;
+  if (req->rejected)
+    {
+      handle_rejection (req); /* ends the try, and so closes the connection */
+      return;
+    }
   int64_t left = MAX (req->sent_at, req->received_at) + req->silence_limit - req_now (req);
   if (left > 0)
     {
