try: one try of a begun answer that breaks before a byte of its head does not count

Such a try has brought nothing, a server that has ended does not count against the route's attempts, and nobody else can get the rest of the answer. One is left out of the count now, and one crash does not stop it; two do, and a second such try ends the answer as before. The retry budget is taken for each.

/begun/next_server_breaks failed before and passes; /begun/all_servers_break holds the bound of three servers.

--- a/node/reqint.h
+++ b/node/reqint.h
@@ -28,7 +28,8 @@
   char id[ADAPTER_ID_MAX];
   uint64_t content; /* content_id of the request; 0: not computed yet */
   const char *service;
-  char *version;       /* that began the stream, and at which alone it goes on; NULL: none yet */
+  char *version;      /* that began the stream, and at which alone it goes on; NULL: none yet */
+  int64_t gone_since; /* when no server of that version was listed first; 0: there was always one */
   OriginLookup lookup; /* for a stream that the caller takes up again */
   int64_t arrived;
   int64_t deadline;         /* deadline of the whole answer */
@@ -42,6 +43,7 @@
   bool was_granted; /* a place was granted before: the organisation's limit has been charged */
   /* The tries. */
   unsigned sends, unreached;
+  bool spared_attempt; /* a try of the begun answer that broke at once was left out of sends */
   bool may_have_run;
   bool may_have_run_before; /* in a try before the current one */
   char *avoid_server;       /* server of the last failed try; the next one goes to another */
--- a/node/requests.c
+++ b/node/requests.c
@@ -65,22 +65,32 @@
     events_drop_partial (req->stream);
 }
 
+/* True if servers crashed while they ran this content. A begun answer whose next server broke at
+ * once is given a further one after a single crash, which is mostly another content's: its caller
+ * has no other way to the rest. */
+static bool
+is_suspect (const Req *req)
+{
+  unsigned ends = crashrep_check (req->requests->conf.crash_reporter, req->content).ends;
+
+  return ends > (req->spared_attempt ? 1 : 0);
+}
+
 void
 req_after_try (Req *req, RetryEvent event)
 {
   Requests *requests = req->requests;
-  RetryFacts facts
-      = { .kind = req->route->kind,
-          .resumable = req->route->resumable,
-          .begun = req->begun,
-          .is_stream = req->begun_stream,
-          .may_have_run = req->may_have_run,
-          .sends = req->sends,
-          .most_sends = req->route->attempts,
-          .unreached = req->unreached,
-          .left_us = req->deadline - req_now (req),
-          .suspect = crashrep_check (requests->conf.crash_reporter, req->content).ends > 0,
-          .budget = true };
+  RetryFacts facts = { .kind = req->route->kind,
+                       .resumable = req->route->resumable,
+                       .begun = req->begun,
+                       .is_stream = req->begun_stream,
+                       .may_have_run = req->may_have_run,
+                       .sends = req->sends,
+                       .most_sends = req->route->attempts,
+                       .unreached = req->unreached,
+                       .left_us = req->deadline - req_now (req),
+                       .suspect = is_suspect (req),
+                       .budget = true };
   RetryStep step = retry_next (event, &facts);
 
   req->last_event = retry_event_name (event);
--- a/node/try.c
+++ b/node/try.c
@@ -390,6 +390,17 @@
   req_after_try (req, RETRY_NOT_CONNECTED);
 }
 
+/* Leaves one try of a begun answer out of the count if it broke before a byte of its head, as when
+ * its server crashes: it has brought nothing, and nobody else can get the rest of the answer. */
+static void
+spare_attempt (Req *req)
+{
+  if (!req->begun || req->head_seen || req->spared_attempt)
+    return;
+  req->spared_attempt = true;
+  req->sends--;
+}
+
 static void
 on_failed (void *user, HXferFault fault)
 {
@@ -411,6 +422,7 @@
       return;
     }
   req->broke_on_send = !req->head_seen && req_now (req) - req->sent_at < STALE_RESET_MAX;
+  spare_attempt (req);
   if (req->rejected)
     handle_rejection (req);
   else
--- a/test/backend.c
+++ b/test/backend.c
@@ -8,6 +8,7 @@
 #define CRASH_DELAY      (20 * FT_MS)  /* from the start of a crash body to the crash */
 #define BIND_RETRY       (20 * FT_MS)  /* until a restarted server tries again to bind its port */
 #define BRITTLE_WINDOW   FT_SECOND     /* in which a brittle server counts its rejections */
+#define END_ON_THE_WAY   (50 * FT_MS)  /* a crash may discard the end of an answer sent before */
 #define SLOW_CRASH_DELAY (600 * FT_MS) /* more than an entry waits for a quarantine verdict */
 
 typedef struct
@@ -168,6 +169,8 @@
 
   if (stream->next > STREAM_EVENTS)
     {
+      g_strlcpy (stream->server->ended_id, stream->id, sizeof stream->server->ended_id);
+      stream->server->ended_at = loop_now (fleet->loop);
       hcall_end (stream->call);
       remove_stream (stream);
       return;
@@ -294,6 +297,14 @@
   g_free (body);
 }
 
+static void
+heal_resetting (Fleet *fleet)
+{
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    if (fleet->servers[i].mode == SERVER_RESET)
+      fleet->servers[i].mode = SERVER_HEALTHY;
+}
+
 static void
 run_request (FleetServer *server, HCall *call, const char *id, GString *fields)
 {
@@ -307,6 +318,8 @@
   else if (server->mode == SERVER_RESET)
     {
       increment (server->fleet->lost_counts, id);
+      if (server->fleet->resets > 0 && --server->fleet->resets == 0)
+        heal_resetting (server->fleet);
       hcall_abort (call);
     }
   else if (server->mode == SERVER_FLOOD_PLAIN
@@ -461,6 +474,8 @@
       loop_timer_stop (server->fleet->loop, &stream->timer);
       increment (server->fleet->lost_counts, stream->id);
     }
+  if (server->ended_at + END_ON_THE_WAY > loop_now (server->fleet->loop))
+    increment (server->fleet->lost_counts, server->ended_id);
   g_ptr_array_set_size (server->streams, 0);
   g_ptr_array_set_size (server->delayed, 0);
   g_ptr_array_set_size (server->floods, 0);
--- a/test/begun.c
+++ b/test/begun.c
@@ -73,6 +73,51 @@
   fleet_free (fleet);
 }
 
+/* Starts a stream whose server breaks it off; the next ones, resets of them, reset it as it
+ * arrives. */
+static void
+run_broken_stream (unsigned resets, Answer *stream)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet->event_ms = 300;
+  fleet_start_all (fleet);
+  fleet_send (fleet, &fleet->entries[0], "/stream/a", "s", stream);
+  fleet_run_for (fleet, 150 * FT_MS);
+  fleet->resets = resets;
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    fleet->servers[i].mode = fleet->servers[i].streams->len > 0 ? SERVER_CUT_STREAM : SERVER_RESET;
+  fleet_run_until (fleet, is_done, stream, "the stream ends");
+  if (resets == 1)
+    check_stream (fleet, stream);
+  else
+    {
+      g_assert_true (stream->broken);
+      g_assert_cmpuint (fleet_run_count (fleet, "s"), <=, 3); /* MaxAttempts is 2 */
+      fleet_answer_clear (stream);
+    }
+  fleet_free (fleet);
+}
+
+/* Guards against losing an answer whose next server breaks off before a byte of its head: the route
+ * allows two tries, and that one has brought nothing. */
+static void
+next_server_breaks (void)
+{
+  Answer stream;
+
+  run_broken_stream (1, &stream);
+}
+
+/* Guards against trying on and on: only one such try is left out of the count. */
+static void
+all_servers_break (void)
+{
+  Answer stream;
+
+  run_broken_stream (0, &stream);
+}
+
 /* Guards against ending a silent try for another place at the same server. */
 static void
 no_other_server (void)
@@ -413,6 +458,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/begun/replacement_is_rejected", replacement_is_rejected);
+  g_test_add_func ("/begun/next_server_breaks", next_server_breaks);
+  g_test_add_func ("/begun/all_servers_break", all_servers_break);
   g_test_add_func ("/begun/no_other_server", no_other_server);
   g_test_add_func ("/begun/resumed_beside_a_queue", resumed_beside_a_queue);
   g_test_add_func ("/begun/unread_answer_at_sigterm", unread_answer_at_sigterm);
