reqask: a stream waits up to 1.5 s for a server of its version to be listed again

A server that crashes starts again at its version within a second, under another id, and the list shows it later.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -8,8 +8,10 @@
 
 #define OUTPUT_GUESS_DIVISOR                                                                       \
   2 /* expected output without an estimate: half of the caller's maximum */
-#define RESUME_AIM    (600 * FT_MS) /* for the next event; enough to read a usual prompt again */
-#define ASK_PAUSE_MIN (50 * FT_MS)  /* between a refusal and the next ask of a begun answer */
+#define RESUME_AIM (600 * FT_MS) /* for the next event; enough to read a usual prompt again */
+#define VERSION_GONE_WAIT                                                                          \
+  (1500 * FT_MS) /* for a server of the version that began a stream: two readings of the list */
+#define ASK_PAUSE_MIN (50 * FT_MS) /* between a refusal and the next ask of a begun answer */
 #define ASK_PAUSE_MAX (300 * FT_MS)
 
 /* ---- Asking for a place ---- */
@@ -408,6 +410,7 @@
   if (req == NULL || (number == req->next_number && !end_silent_try (req, grant)))
     return;
   req->was_granted = true;
+  req->gone_since = 0;
   count_observe (TIMED_WAIT, req_now (req) - req->arrived);
   g_free (req->server);
   req->server = g_strdup (server->id);
@@ -432,6 +435,18 @@
     try_send (req, grant);
 }
 
+/* No server of the version is listed. One that has crashed starts again at its version, and the
+ * list shows it later. */
+static bool
+may_come_back (Req *req)
+{
+  int64_t now = req_now (req);
+
+  if (req->gone_since == 0)
+    req->gone_since = now;
+  return now - req->gone_since < VERSION_GONE_WAIT;
+}
+
 void
 requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal)
 {
@@ -447,8 +462,8 @@
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", info->code),
         JL_TEXT ("rule", refusal->rule), JL_MS ("retry_ms", refusal->retry_after_us),
         JL_TEXT ("by", place_scheduler_name (requests->conf.place)));
-  bool waits = req->xfer || (req->begun && refusal->reason != FT_REASON_VERSION_GONE);
-  if (waits && req_ask_later (req, refusal->retry_after_us))
+  bool waits = refusal->reason == FT_REASON_VERSION_GONE ? may_come_back (req) : req->begun;
+  if ((req->xfer || waits) && req_ask_later (req, refusal->retry_after_us))
     return;
   if (req->xfer)
     return; /* the current try is all that is left */
