--- a/test/soakroll.c
+++ b/test/soakroll.c
@@ -51,6 +51,12 @@
     }
 }
 
+bool
+soakroll_is_planned (void)
+{
+  return has_rollout;
+}
+
 ServerMode
 soakroll_usual (const FleetServer *server)
 {
--- a/test/soakroll.h
+++ b/test/soakroll.h
@@ -9,6 +9,8 @@
  * generator of its own, so that a seed keeps its sequence of faults. Call it before
  * fleet_start_all. */
 void soakroll_begin (Fleet *fleet, unsigned seed);
+/* True if the seed has a roll-out. */
+bool soakroll_is_planned (void);
 /* The mode of a server that no fault affects. */
 ServerMode soakroll_usual (const FleetServer *server);
 /* Orders the roll-out at the voter or, once it is acknowledged, reads its state there. */
