scheduler: servers of all versions get requests where none is moved by order

A version that nobody ordered is not bad by that alone; one that an order names is on trial. A service with an ordered version keeps one in use all the same. Streams go on at their own version either way.

--- a/node/broker.c
+++ b/node/broker.c
@@ -427,6 +427,7 @@
   ret_set_share (broker->returns, conf->return_part);
   sched_set_return_share (broker->sched, conf->return_place_part);
   sched_set_fair (broker->sched, conf->fair_shares);
+  sched_set_all_versions (broker->sched, conf->all_versions);
 }
 
 static void
--- a/node/broker.h
+++ b/node/broker.h
@@ -49,6 +49,7 @@
   double return_part;  /* part of the limits that may be reserved for refused callers that return */
   double return_place_part; /* the same for places */
   bool fair_shares;         /* scarce places are divided between organisations by their shares */
+  bool all_versions;        /* see sched_set_all_versions */
 } BrokerConf;
 
 void broker_configure (Broker *broker, const BrokerConf *conf);
--- a/node/instance.c
+++ b/node/instance.c
@@ -36,7 +36,7 @@
 instance_configure_broker (const Settings *settings, Broker *broker, bool alone)
 {
   BrokerConf conf = { settings->handover_wait_ms * FT_MS, settings->return_part,
-                      settings->return_place_part, settings->fair_shares };
+                      settings->return_place_part, settings->fair_shares, settings->all_versions };
 
   broker_set_margin (broker, settings->limit_overage, (double) settings->limit_slack,
                      (double) settings->limit_window_s, alone);
--- a/node/settings.c
+++ b/node/settings.c
@@ -73,6 +73,9 @@
     "share of limits, 0 to 1, that may be reserved for refused callers that retry; 0: none" },
   { "return_place_part", FT_FIELD_STRING, false, 0, 20, "0", AT (return_place_part_text),
     "share of places, 0 to 1, that may be reserved for them; 0: none" },
+  { "all_versions", FT_FIELD_BOOL, false, 0, 0, "false", AT (all_versions),
+    "servers of all software versions get requests, except where a roll-out was ordered; false: of "
+    "one version only" },
   { "fair_shares", FT_FIELD_BOOL, false, 0, 0, "false", AT (fair_shares),
     "when places are short, share them out in proportion to organisations' limits" },
   { 0 },
--- a/node/settings.h
+++ b/node/settings.h
@@ -20,7 +20,7 @@
   int64_t losses, grace_s, drain_ms;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
   int64_t rollout_slack, order_repeat_ms, handover_wait_ms;
-  bool fair_shares;
+  bool fair_shares, all_versions;
   char *list_rate_text, *budget_ratio_text, *limit_overage_text, *rollout_share_text;
   char *return_part_text, *return_place_part_text;
   /* Parsed from the texts above. */
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -188,6 +188,7 @@
   double share;
   unsigned left;
   bool follows, watched, keeps;
+  bool all_in_use; /* no version was ordered, and all get requests */
   /* by route: fraction of a request that is due to the other version; it accumulates */
   GHashTable *credit;
   /* requests placed so far, and how many of them on servers of the ordered version */
@@ -239,6 +240,7 @@
   uint64_t salt;
   bool others_unknown; /* see sched_set_grant_share */
   bool listed;         /* a list of servers has come */
+  bool all_versions;   /* see sched_set_all_versions */
   bool fair;
   ShrWeights *weights; /* of the organisations, for fair shares */
   SchedFair counts;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -171,6 +171,18 @@
   service->summary.until = 0;
 }
 
+void
+sched_set_all_versions (Sched *sched, bool on)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  sched->all_versions = on;
+  g_hash_table_iter_init (&iter, sched->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ver_assign (sched, value);
+}
+
 void
 sched_set_share (Sched *sched, double share, uint64_t salt)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -176,6 +176,9 @@
 } SchedVersions;
 
 void sched_set_versions (Sched *sched, const char *service, const SchedVersions *versions);
+/* Takes servers of all versions into use, except of services with an ordered version. Default: off.
+ */
+void sched_set_all_versions (Sched *sched, bool on);
 
 typedef struct
 {
--- a/src/versions.c
+++ b/src/versions.c
@@ -1,10 +1,11 @@
 /* versions.c - which versions of a service's servers get requests, and verdicts on their answers.
  *
- * One version is in use. Another version gets nothing new, although its servers are listed, until a
- * roll-out orders it and gives it a share. It is then on trial and gets that share of each route's
- * requests. They are concentrated on few servers, but more than one, so that these are as loaded as
- * all servers will be later: a version that fails under load shows it while few callers are
- * affected.
+ * Where versions are moved by order, one version is in use (elsewhere all are,
+ * sched_set_all_versions). Another version gets nothing new, although its servers are listed, until
+ * a roll-out orders it and gives it a share. It is then on trial and gets that share of each
+ * route's requests. They are concentrated on few servers, but more than one, so that these are as
+ * loaded as all servers will be later: a version that fails under load shows it while few callers
+ * are affected.
  *
  * What two versions write does not fit together, so a stream goes on only at the version that began
  * it, in use or not (ver_permits). Only a version that was rolled back, or whose servers are about
@@ -144,9 +145,10 @@
   Server *server;
 
   choose_in_use (sched, service);
+  versions->all_in_use = sched->all_versions && *versions->ordered == '\0';
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (strcmp (server->version, versions->in_use) == 0)
+    if (versions->all_in_use || strcmp (server->version, versions->in_use) == 0)
       server->use = USE_ALL;
     else
       server->use = trial && is_other (versions, server->version) ? USE_ON_TRIAL : USE_NONE;
@@ -172,7 +174,9 @@
 bool
 ver_waits_apart (const Job *job)
 {
-  return job->version && strcmp (job->version, job->service->versions.in_use) != 0;
+  const Versions *versions = &job->service->versions;
+
+  return job->version && !versions->all_in_use && strcmp (job->version, versions->in_use) != 0;
 }
 
 /* ---- Requests for the version on trial ---- */
--- a/test/bound.c
+++ b/test/bound.c
@@ -302,6 +302,51 @@
   fixture_free (fixture);
 }
 
+/* Guards against idle servers where versions serve side by side with no order, and against streams
+ * that change between them. */
+static void
+all_versions (void)
+{
+  Fixture *fixture = fixture_new (2, 2);
+  unsigned olds = 0, news = 0;
+
+  sched_set_all_versions (fixture->sched, true);
+  for (unsigned i = 0; i < 4 * SLOTS; i++)
+    {
+      char server = *ask (fixture, i, NULL)->server;
+      olds += server == 'o';
+      news += server == 'n';
+    }
+  g_assert_cmpuint (olds, ==, 2 * SLOTS);
+  g_assert_cmpuint (news, ==, 2 * SLOTS);
+  const Outcome *old = ask (fixture, 20, "v1"), *new = ask (fixture, 21, "v2");
+  for (unsigned i = 0; i < 4 * SLOTS; i++)
+    end (fixture, i);
+  g_assert_cmpint (*old->server, ==, 'o');
+  g_assert_cmpint (*new->server, ==, 'n');
+  list_servers (fixture, 0, 2);
+  g_assert_cmpint (ask (fixture, 22, "v1")->reason, ==, FT_REASON_VERSION_GONE);
+  fixture_free (fixture);
+}
+
+/* Guards against giving a version that an order names what nobody has reserved for it. */
+static void
+all_versions_but_ordered_ones (void)
+{
+  Fixture *fixture = fixture_new (2, 2);
+  SchedVersions trial
+      = { .in_use = "v1", .other = "v2", .ordered = "v2", .share = 0.01, .left = 10 };
+
+  sched_set_all_versions (fixture->sched, true);
+  sched_set_versions (fixture->sched, "s", &trial);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      g_assert_cmpint (*ask (fixture, i, NULL)->server, ==, 'o');
+      end (fixture, i);
+    }
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -330,6 +375,8 @@
   g_test_add_func ("/bound/on_trial", on_trial);
   g_test_add_func ("/bound/trial_of_another_scheduler", trial_of_another_scheduler);
   g_test_add_func ("/bound/after_the_move", after_the_move);
+  g_test_add_func ("/bound/all_versions", all_versions);
+  g_test_add_func ("/bound/all_versions_but_ordered_ones", all_versions_but_ordered_ones);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -116,6 +116,7 @@
   GArray *arrivals;     /* Arrival at servers; its server is number x 1000 + restarts */
   unsigned crash_count; /* of all servers so far */
   unsigned event_ms;    /* time between a stream's events */
+  bool all_versions;    /* the setting of that name */
   bool marks_events;    /* events name the version of the server that sent them */
   unsigned pause_ms;    /* silence in a stream of a SERVER_PAUSING */
   unsigned resets;      /* of all SERVER_RESET, after which they are healthy; 0: no bound */
--- a/test/origins.c
+++ b/test/origins.c
@@ -348,6 +348,57 @@
   fleet_free (fleet);
 }
 
+/* Guards against streams that change their version, get lost or leave servers idle where two
+ * versions serve side by side: streams of all versions break off with their entry, and each goes
+ * on. */
+static void
+side_by_side (void)
+{
+  enum
+  {
+    STREAMS = 8
+  };
+  Fleet *fleet = fleet_new ();
+  Answer streams[STREAMS], again;
+  unsigned news = 0;
+  char id[16], back[16];
+
+  fleet->marks_events = fleet->all_versions = true;
+  fleet->event_ms = 150;
+  for (unsigned i = 2; i < FLEET_SERVERS; i++)
+    g_strlcpy (fleet->servers[i].version, NEW, sizeof fleet->servers[i].version);
+  fleet_start_all (fleet);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      g_snprintf (id, sizeof id, "s%u", i);
+      fleet_send (fleet, &fleet->entries[0], "/stream/a", id, &streams[i]);
+    }
+  for (unsigned i = 0; i < STREAMS; i++)
+    wait_for_events (fleet, &streams[i], 2);
+  fleet_kill (&fleet->entries[0]);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      fleet_run_until (fleet, is_done, &streams[i], "the end of a stream");
+      bool new = is_of (&streams[i], NEW);
+      unsigned last_event = count_events (streams[i].body->str);
+      g_assert_true (new || is_of (&streams[i], OLD));
+      news += new;
+      g_snprintf (id, sizeof id, "s%u", i);
+      g_snprintf (back, sizeof back, "b%u", i);
+      fleet_resume (fleet, &fleet->entries[1 + i % 2], "/stream/a", back, last_event, id, "body",
+                    &again);
+      fleet_run_until (fleet, is_done, &again, "a stream that was taken up");
+      g_assert_cmpuint (again.status, ==, 200);
+      g_assert_true (is_of (&again, new ? NEW : OLD));
+      g_assert_cmpuint (last_event + count_events (again.body->str), ==, STREAM_EVENTS);
+      fleet_answer_clear (&again);
+      fleet_answer_clear (&streams[i]);
+    }
+  g_assert_cmpuint (news, >, 0);
+  g_assert_cmpuint (news, <, STREAMS);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -359,5 +410,6 @@
   g_test_add_func ("/origins/one_answer_goes_on", one_answer_goes_on);
   g_test_add_func ("/origins/everything_killed", everything_killed);
   g_test_add_func ("/origins/one_version", one_version);
+  g_test_add_func ("/origins/side_by_side", side_by_side);
   return g_test_run ();
 }
--- a/test/soakver.c
+++ b/test/soakver.c
@@ -21,6 +21,7 @@
 {
   fleet = new_fleet;
   fleet->marks_events = true;
+  fleet->all_versions = is_mixed;
   if (source)
     g_rand_free (source);
   source = g_rand_new_with_seed (seed ^ 0x76657273u);
--- a/test/soakver.h
+++ b/test/soakver.h
@@ -14,8 +14,8 @@
   unsigned returns;    /* how often the caller has taken it up */
 } SoakStream;
 
-/* Has a random generator of its own, so that a seed keeps its sequence of faults. mixed: servers
- * that crash may come back with another version. */
+/* Has a random generator of its own, so that a seed keeps its sequence of faults. mixed: all
+ * versions get requests, and servers that crash may come back with another one. */
 void soakver_begin (Fleet *fleet, unsigned seed, bool mixed);
 /* Call in each round. */
 void soakver_turn (void);
