back: a connection that carries no events is closed once it is outdated

The own interface opens another connection when an engine sends no event for a while, and drops what the first one still brings when its next event comes. If bytes came without end but no event, none came: the first connection stayed open, with its thread, until the time limit of its call.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -194,11 +194,25 @@
   return current;
 }
 
+/* False: another connection carries the call, or it has ended. */
+static bool
+is_current (const Reader *reader)
+{
+  Call *call = reader->call;
+
+  pthread_mutex_lock (&call->lock);
+  bool current = reader->attempt == call->attempt && !call->finished;
+  pthread_mutex_unlock (&call->lock);
+  return current;
+}
+
 static size_t
 on_stream_bytes (void *contents, size_t size, size_t count, void *user)
 {
   Reader *reader = user;
 
+  if (!is_current (reader)) /* on_event does not notice if no event comes */
+    return 0;
   return sse_feed (&reader->sse, contents, size * count, on_event, reader) ? size * count : 0;
 }
 
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -5,15 +5,16 @@
  *   POST /v1/streams/ID/pause           pauses the stream and keeps its state
  *   GET  /load?after=N                  running, waiting, age_ms, cache events after number N
  *   POST /v1/orders?order=O&fencing=N   accepts an order; --fencing refuses old numbers
- *   GET  /stats                         dispatches, doubled, finished, turned_away, held, unknown
+ *   GET  /stats                         dispatches, doubled, finished, turned_away, held, unknown,
+ *                                       noisy (connections that send comments now)
  *   POST /control?FAULT=VALUE           injects a fault
  *
  * A stream that is started again under the same name counts as doubled. The faults are slow=F
- * (steps take F times as long), mute=0|1 (the connections open now send nothing), gray=0|1 (no
- * connection sends anything), cut=0|1 (each connection ends after one token), backoff=S (each new
- * request and resumption gets 503 with Retry-After: S; 0 ends it) and hold=N (the next N requests
- * and resumptions are not read; 0 releases them: a request then starts, a resumption fails with
- * 500).
+ * (steps take F times as long), mute=0|1 (the connections open now send nothing), noise=0|1
+ * (instead of nothing they send comments without end), gray=0|1 (no connection sends anything),
+ * cut=0|1 (each connection ends after one token), backoff=S (each new request and resumption gets
+ * 503 with Retry-After: S; 0 ends it) and hold=N (the next N requests and resumptions are not read;
+ * 0 releases them: a request then starts, a resumption fails with 500).
  *
  * Batching is continuous. One thread runs the steps; a step takes step_ms, plus stream_ms for each
  * stream, plus the time of a chunk of prefill, and produces one token for each stream whose prefill
@@ -26,7 +27,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#define CHUNK          64 /* prompt tokens prefilled in one step */
+#define CHUNK          64          /* prompt tokens prefilled in one step */
+#define NOISE_INTERVAL (20 * 1000) /* microseconds */
 #define DEFAULT_TOKENS 32
 #define EVENTS_MAX     4096
 
@@ -69,6 +71,8 @@
   double slow_factor;     /* on the duration of a step */
   unsigned silent_before; /* connections with a lower number send nothing */
   unsigned connections;   /* number of the latest one */
+  bool noise;             /* silent ones send comments */
+  unsigned noisy;         /* number of these */
   bool gray;              /* no connection sends anything */
   bool cut;               /* connections end after one token */
 } engine;
@@ -197,6 +201,7 @@
   GString *buffer;
   gsize sent; /* of the buffer */
   bool ended; /* the buffer holds the last bytes: [DONE], or a token if connections are cut */
+  bool noisy; /* counted in engine.noisy */
 } StreamReader;
 
 static bool
@@ -205,6 +210,18 @@
   return engine.gray || reader->connection < engine.silent_before;
 }
 
+/* Under the lock. */
+static void
+make_noise (StreamReader *reader)
+{
+  engine.noisy += !reader->noisy;
+  reader->noisy = true;
+  g_string_append (reader->buffer, ":\n");
+  g_mutex_unlock (&engine.lock);
+  g_usleep (NOISE_INTERVAL);
+  g_mutex_lock (&engine.lock);
+}
+
 /* Waits for tokens and puts them into the buffer. Returns false when the response ends. */
 static bool
 fill_buffer (StreamReader *reader)
@@ -216,7 +233,15 @@
   g_mutex_lock (&engine.lock);
   while (is_silent (reader)
          || (reader->at >= stream->produced && stream->produced < stream->total && !stream->paused))
-    g_cond_wait (&engine.cond, &engine.lock);
+    {
+      if (engine.noise && is_silent (reader))
+        {
+          make_noise (reader);
+          g_mutex_unlock (&engine.lock);
+          return true;
+        }
+      g_cond_wait (&engine.cond, &engine.lock);
+    }
   bool paused = stream->paused;
   while (!paused && reader->at < stream->produced)
     {
@@ -259,6 +284,9 @@
 {
   StreamReader *reader = user;
 
+  g_mutex_lock (&engine.lock);
+  engine.noisy -= reader->noisy;
+  g_mutex_unlock (&engine.lock);
   g_string_free (reader->buffer, TRUE);
   g_free (reader);
 }
@@ -449,9 +477,9 @@
   g_mutex_lock (&engine.lock);
   g_snprintf (text, sizeof text,
               "{\"dispatches\":%u,\"doubled\":%u,\"finished\":%u,"
-              "\"turned_away\":%u,\"held\":%u,\"unknown\":%u}",
+              "\"turned_away\":%u,\"held\":%u,\"unknown\":%u,\"noisy\":%u}",
               engine.dispatches, engine.duplicates, engine.finished, engine.turned_away,
-              engine.held, engine.unknown);
+              engine.held, engine.unknown, engine.noisy);
   g_mutex_unlock (&engine.lock);
   http_set_json (response, 200, text);
   return U_CALLBACK_COMPLETE;
@@ -462,6 +490,7 @@
 {
   const char *slow = u_map_get (request->map_url, "slow");
   const char *mute = u_map_get (request->map_url, "mute");
+  const char *noise = u_map_get (request->map_url, "noise");
   const char *gray = u_map_get (request->map_url, "gray");
   const char *backoff = u_map_get (request->map_url, "backoff"); /* seconds; 0: off */
   const char *cut = u_map_get (request->map_url, "cut");
@@ -473,6 +502,8 @@
     engine.slow_factor = MAX (0.1, g_ascii_strtod (slow, NULL));
   if (mute)
     engine.silent_before = *mute == '1' ? engine.connections + 1 : 0;
+  if (noise)
+    engine.noise = *noise == '1';
   if (gray)
     engine.gray = *gray == '1';
   if (cut)
--- a/test/resume.sh
+++ b/test/resume.sh
@@ -66,7 +66,7 @@
   return 1
 }
 
-echo "1..4"
+echo "1..5"
 cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
@@ -105,6 +105,17 @@
 control hold=0
 is_whole unread
 ok $? "an engine that has not read the request yet is not taken for restarted"
+# A connection on which comments come without end carries no stream: another one does, and the first is
+# closed, which would otherwise hold a thread until the time limit of its call.
+ask noisy
+wait_begun noisy
+control noise=1 mute=1
+wait_stat noisy 1
+is_whole noisy && for _ in $(seq 1 50); do [ "$(stat_sum noisy)" = 0 ] && break; sleep 0.1; done
+[ "$(stat_sum noisy)" = 0 ]
+ok $? "a connection that carries nothing but comments is closed once another one carries the stream"
+control noise=0 mute=0
+
 # More connections in all than may fail one after another. Each brings a piece.
 control slow=1 cut=1
 PIECES=230
