reqorigin: the origin of a stream is kept for as long as its caller may come back

A record lived until the time limit of the attempt that made it. A record is renewed by each attempt that takes the stream up, and kept for two seconds beyond its limit. /origins/taken_up_again fails without the renewal (503 at the third attempt) and passes; the other eight cases of test-origins pass.

--- a/node/reqorigin.c
+++ b/node/reqorigin.c
@@ -10,6 +10,7 @@
 /* A caller that comes back when all links were reset finds none; they are up again after a few
  * hundred milliseconds. */
 #define LINK_WAIT_DIVISOR 2 /* at most this part of the time for which the caller waits */
+#define RETURN_TIME       (2 * FT_SECOND) /* for a caller to come back after its attempt has ended */
 #define LIST_AGE_MAX                                                                               \
   (3 * FT_SECOND) /* of a list by which an entry without links decides at once                     \
                    */
@@ -36,6 +37,26 @@
   req_answer_error (req, 503, wait, why);
 }
 
+/* stream: see origins_stream_id. Each attempt of a caller states a time limit of its own, so a
+ * record is renewed with each. */
+static void
+record (const Req *req, uint64_t stream)
+{
+  int64_t limit = MAX (req->facts.caller_wait_us, req->deadline - req->arrived);
+  Origin origin = { .stream = stream,
+                    .service = req->service,
+                    .version = req->version,
+                    .until = req->arrived + limit + RETURN_TIME };
+
+  origdir_record (req->requests->conf.origins, &origin);
+}
+
+static uint64_t
+stream_id (const Req *req, const char *attempt)
+{
+  return origins_stream_id (req->org ? req->org->name : NULL, attempt);
+}
+
 /* origin NULL: nobody knows the stream. Then it goes on only if a single version can have begun it.
  */
 static void
@@ -58,6 +79,8 @@
     {
       req->service = service;
       req->version = g_strdup (version);
+      if (origin)
+        record (req, origin->stream);
       budget_count_request (req->requests->conf.budget, req->service);
       req_ask (req);
     }
@@ -96,7 +119,7 @@
       settle (req, NULL);
       return;
     }
-  uint64_t stream = origins_stream_id (req->org ? req->org->name : NULL, resumes);
+  uint64_t stream = stream_id (req, resumes);
   const Origin *origin = origdir_find (dir, stream);
   if (origin)
     {
@@ -117,15 +140,8 @@
 void
 req_record_origin (Req *req)
 {
-  int64_t limit = MAX (req->facts.caller_wait_us, req->deadline - req->arrived);
-
   if (req->version == NULL)
     req->version = g_strdup (req->software);
-  if (req->version == NULL || !req->route->resumable || *req->id == '\0' || req_is_return (req))
-    return;
-  Origin origin = { .stream = origins_stream_id (req->org ? req->org->name : NULL, req->id),
-                    .service = req->service,
-                    .version = req->version,
-                    .until = req->arrived + limit };
-  origdir_record (req->requests->conf.origins, &origin);
+  if (req->version && req->route->resumable && *req->id && !req_is_return (req))
+    record (req, stream_id (req, req->id));
 }
--- a/test/origins.c
+++ b/test/origins.c
@@ -300,6 +300,36 @@
   fleet_free (fleet);
 }
 
+/* Guards against forgetting a stream when the time of its first attempt is over, while its caller
+ * takes it up for the second time: each attempt has eight seconds. */
+static void
+taken_up_again (void)
+{
+  Fleet *fleet = new_fleet (2);
+  Answer stream, second;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  lose_first_entry (fleet, &stream, &last_event);
+  fleet_run_for (fleet, 6 * FT_SECOND);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "second", last_event, "s", "body", &second);
+  wait_for_events (fleet, &second, 1);
+  fleet_kill (&fleet->entries[1]);
+  fleet_run_until (fleet, is_done, &second, "the end of the second attempt");
+  g_assert_true (is_of (&second, OLD));
+  last_event += count_events (second.body->str);
+  fleet_run_for (fleet, 5 * FT_SECOND);
+  fleet_answer_clear (&second);
+  fleet_resume (fleet, &fleet->entries[2], "/stream/a", "third", last_event, "s", "body", &second);
+  fleet_run_until (fleet, is_done, &second, "the third attempt");
+  g_assert_cmpuint (second.status, ==, 200);
+  g_assert_true (is_of (&second, OLD));
+  g_assert_cmpuint (last_event + count_events (second.body->str), ==, STREAM_EVENTS);
+  fleet_answer_clear (&second);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
 /* Guards against guessing a version after everything has lost what it knew. */
 static void
 everything_killed (void)
@@ -408,6 +438,7 @@
   g_test_add_func ("/origins/entry_and_leader_lost", entry_and_leader_lost);
   g_test_add_func ("/origins/one_answer", one_answer);
   g_test_add_func ("/origins/one_answer_goes_on", one_answer_goes_on);
+  g_test_add_func ("/origins/taken_up_again", taken_up_again);
   g_test_add_func ("/origins/everything_killed", everything_killed);
   g_test_add_func ("/origins/one_version", one_version);
   g_test_add_func ("/origins/side_by_side", side_by_side);
