test: an older scheduler, and the safeguards of streams' versions as mutants

An entry that gets a place at another version, since its scheduler is an older program and ignores the field, gives it back: /origins/older_scheduler plays such voters.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -353,7 +353,7 @@
 {
   const char *software = software_of (req->requests, server);
 
-  return req->version && (software == NULL || strcmp (software, req->version) != 0);
+  return req->version && strcmp (software ? software : "", req->version) != 0;
 }
 
 /* Gives the place back and asks again after a pause, since the same scheduler may decide likewise.
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -126,6 +126,8 @@
   for (int fd = 3; fd < 1024; fd++)
     close (fd);
   setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
+  if (node->older)
+    setenv ("FOXTAILNODE_OLDER", "1", 1);
   execl (program ? program : FOXTAILNODE, "foxtailnode", node->settings, NULL);
   _exit (127);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -88,6 +88,7 @@
   char name[16], folder[256], settings[256];
   uint32_t ip;
   bool voter;
+  bool older;   /* schedules as an older program (olderwrap.c); set it before the start */
   pid_t pid;    /* 0: not running */
   int status;   /* wait status of its last exit that was no fleet_kill */
   Proxy *proxy; /* before its port for links to other instances; NULL: none */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -74,7 +74,7 @@
 # Answers that have begun.
 try "a silence ends a try" src/retry.c 's/RETRY_REPLACE : RETRY_WAIT/RETRY_RESUME : RETRY_WAIT/' test-silence &
 try "a server that goes on is replaced all the same" node/try.c 's/^  req_withdraw_replacement \(req\);//' test-silence &
-try "a refusal ends a begun answer" node/reqask.c 's/^  if \(\(req->begun \|\| req->xfer\)/  if ((req->xfer)/; s/^  out.limit_at = .*/  out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;/' test-silence &
+try "a refusal ends a begun answer" node/reqask.c 's/may_come_back \(req\) : req->begun;/may_come_back (req) : false;/; s/^  out.limit_at = .*/  out.limit_at = req->begun ? req_now (req) + EVENT_TIMEOUT : req->first_deadline;/' test-silence &
 try "the kernel ends paused callers" net/hsrv.c 's/^  sock_set_user_timeout .*//' test-slow &
 # Entries that reach no server.
 try "path: one server is the path" src/paths.c 's/(LOST_SERVERS +)2/\11/' test-paths &
@@ -103,5 +103,33 @@
 try "relays: an entry for itself" node/relays.c 's/other->ip != peer->ip \&\& //' test-relays &
 try "relays: one that is cut off" node/relays.c 's/ \|\| peer->cut_off//' test-relays &
 try "relays: sent though unchanged" node/relays.c 's/^  if \(!changed\)/  if (false)/' test-relays &
+# Streams go on at the version that began them.
+try "version: any server may go on with a stream" src/versions.c 's/^  if \(strcmp \(job->version, server->version\) != 0\)$/  if (false)/' test-bound &
+try "version: servers not in use are not looked at" src/scheduler.c 's/^    if \(ver_waits_apart \(job\)\)$/    if (false)/' test-bound &
+try "version: one that is gone is waited for" src/admit.c 's/ \&\& !sched_any_usable \(job, now, NULL\)/ \&\& false/' test-bound &
+try "version: a stream waits behind the queue of another" src/admit.c 's/^  if \(ver_waits_apart \(job\)\)$/  if (false)/; s/apart = ver_waits_apart \(job\)/apart = false/' test-bound &
+try "version: returns to a trial are not counted" src/versions.c 's/^    versions->left--;$/    ;/' test-bound &
+try "version: any scheduler continues a trial" src/versions.c 's/ \|\| versions->keeps \|\| !is_other \(versions, server->version\)/ || true/' test-bound &
+try "version: nothing goes back to the one before" src/scheduler.c 's/versions->keeps = from->keeps/versions->keeps = false/' test-bound &
+try "version: a return is due to the trial" src/versions.c 's/ \|\| job->version\)$/)/' test-bound &
+try "version: all are used though one was ordered" src/versions.c "s/ && \*versions->ordered == '.0'//" test-bound &
+try "origin: one holder" node/origdir.c 's/(HOLDERS +)3/\11/' test-origdir &
+try "origin: a new link gets no records" node/origdir.c 's/^      origins_for_each .*//' test-origdir &
+try "origin: one denial is enough" node/origdir.c 's/(DENIALS +)2/\11/; s/(DENIAL_GRACE) .*/\1 0/; s/^  \(100 \* FT_MS\).*//' test-origdir &
+try "origin: older peers are asked" node/origdir.c 's/!peer->dialled \|\| !peer->knows_origins/!peer->dialled/; s/peer->role == MESH_VOTER \&\& peer->knows_origins/peer->role == MESH_VOTER/' test-origdir &
+try "origin: links that come up are not asked" node/origdir.c 's/^  cds_list_for_each_entry_safe .*ask_peer \(peer, lookup\);$/  (void) lookup; (void) next;/' test-origdir &
+try "origin: records of any organisation" src/origins.c 's/XXH3_64bits \(org \? org : "", org \? strlen \(org\) : 0\)/0 * strlen (org ? org : "")/' test-origdir &
+try "origin: the versions listed before are forgotten" src/origins.c 's/newest->listed_at - listed->listed_at < ORIGINS_TIME_MAX/newest->listed_at == listed->listed_at/' test-origdir &
+try "origin: none is recorded" node/try.c 's/^    req_record_origin \(req\);$/    (void) req;/' test-origins &
+try "origin: one that nobody knows is guessed" node/reqorigin.c 's/origdir_only_version \(dir, service\)/(origdir_only_version (dir, service) ? origdir_only_version (dir, service) : "v2")/' test-origins &
+try "origin: an older scheduler is believed" node/reqask.c 's/^  return req->version \&\& strcmp .*/  return req->version \&\& software == NULL;/' test-origins &
+try "origin: it is not renewed" node/reqorigin.c 's/^        record \(req, origin->stream\);/        ;/' test-origins &
+try "origin: a begun answer goes on anywhere" node/reqask.c 's/^  out.version = req->version;/  out.version = req->begun ? NULL : req->version;/; s/^  return req->version \&\& strcmp/  return !req->begun \&\& req->version \&\& strcmp/' test-origins &
+# Bytes that are no answer and do not end.
+try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
+try "endless: any byte is a sign of life" node/try.c 's/^  if \(req->is_stream\)$/  record_received (req);\n  if (req->is_stream)/' test-endless &
+try "endless: a refusal is read to its end" node/try.c 's/^      try_arm_silence_timer \(req, REJECTION_TIME\);//; s/req->rejection_bytes > REJECTION_MAX/false/' test-endless &
+try "endless: an event may have any length" src/events.c 's/events->partial->len > MAX_EVENT_BYTES/false/' test-decide &
+try "a try that breaks at once counts" node/try.c 's/^  req->sends--;\n\}/}/; s/req->spared_attempt = true;/req->spared_attempt = true; return;/' test-begun &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/origins.c
+++ b/test/origins.c
@@ -429,6 +429,40 @@
   fleet_free (fleet);
 }
 
+/* Guards against an older voter in charge, which ignores that a stream may go on at one version
+ * only: the entry does not use its grants. */
+static void
+older_scheduler (void)
+{
+  Fleet *fleet = fleet_new ();
+  Answer stream, again;
+  unsigned last_event;
+
+  fleet->marks_events = true;
+  fleet->event_ms = 150;
+  for (unsigned i = 0; i < 3; i++)
+    fleet->voters[i].older = true;
+  fleet_add_proxies (fleet);
+  fleet_start_all (fleet);
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    replace_server (fleet, i);
+  fleet_run_for (fleet, 1500 * FT_MS); /* the list is read */
+  begin_stream (fleet, "s", &stream);
+  lose_first_entry (fleet, &stream, &last_event);
+  fleet->servers[0].listed = false;
+  fleet_run_for (fleet, 1500 * FT_MS); /* the new version comes in use */
+  fleet->servers[0].listed = true;
+  fleet_run_for (fleet, 1500 * FT_MS);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "again", last_event, "s", "body", &again);
+  fleet_run_until (fleet, is_done, &again, "a refusal");
+  g_assert_true (is_of (&again, OLD));
+  g_assert_cmpuint (again.status, ==, 503);
+  g_assert_cmpuint (fleet_run_count (fleet, "again"), ==, 0);
+  fleet_answer_clear (&again);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -442,5 +476,6 @@
   g_test_add_func ("/origins/everything_killed", everything_killed);
   g_test_add_func ("/origins/one_version", one_version);
   g_test_add_func ("/origins/side_by_side", side_by_side);
+  g_test_add_func ("/origins/older_scheduler", older_scheduler);
   return g_test_run ();
 }
