test/bound: more requests than the version in use has places

The mutant 'all are used though one was ordered' was not found: requests came one at a time, and the first server took each.

--- a/test/bound.c
+++ b/test/bound.c
@@ -339,11 +339,8 @@
 
   sched_set_all_versions (fixture->sched, true);
   sched_set_versions (fixture->sched, "s", &trial);
-  for (unsigned i = 0; i < 20; i++)
-    {
-      g_assert_cmpint (*ask (fixture, i, NULL)->server, ==, 'o');
-      end (fixture, i);
-    }
+  for (unsigned i = 0; i < 3 * SLOTS; i++) /* more than the old ones have places */
+    g_assert_true (*ask (fixture, i, NULL)->server != 'n');
   fixture_free (fixture);
 }
 
