reqorigin: a single version decides only by a list that is 3 s old at most

Where nobody knows a stream, an entry let it go on at the only version of its list, however old that list was: cut off for ten seconds, it would have taken a stream that began at a version it had never seen for one of the listed. Found by reading the change again from the start.

--- a/node/reqorigin.c
+++ b/node/reqorigin.c
@@ -11,9 +11,7 @@
  * hundred milliseconds. */
 #define LINK_WAIT_DIVISOR 2 /* at most this part of the time for which the caller waits */
 #define RETURN_TIME       (2 * FT_SECOND) /* for a caller to come back after its attempt has ended */
-#define LIST_AGE_MAX                                                                               \
-  (3 * FT_SECOND) /* of a list by which an entry without links decides at once                     \
-                   */
+#define LIST_AGE_MAX      (3 * FT_SECOND) /* of a list that shows a single version */
 
 /* The route's own name of the service; NULL: the route does not lead there any more. */
 static const char *
@@ -57,16 +55,24 @@
   return origins_stream_id (req->org ? req->org->name : NULL, attempt);
 }
 
-/* origin NULL: nobody knows the stream. Then it goes on only if a single version can have begun it.
- */
+/* The version that alone can have begun a stream of the service; NULL: there are several, or the
+ * list is so old that another one may have come. */
+static const char *
+only_version (const Req *req, const char *service)
+{
+  const RequestsConf *conf = &req->requests->conf;
+
+  if (req_now (req) - servers_asked_at (conf->servers) > LIST_AGE_MAX)
+    return NULL;
+  return origdir_only_version (conf->origins, service);
+}
+
+/* origin NULL: nobody knows the stream. */
 static void
 settle (Req *req, const Origin *origin)
 {
-  OriginDir *dir = req->requests->conf.origins;
   const char *service = origin ? find_target (req->route, origin->service) : req->service;
-  const char *version = origin    ? origin->version
-                        : service ? origdir_only_version (dir, service)
-                                  : NULL;
+  const char *version = origin ? origin->version : only_version (req, service);
 
   jlog (JLOG_INFO, "origin", req->id, JL_TEXT ("resumes", req->facts.resumes),
         JL_INT ("known", origin != NULL), JL_TEXT ("service", service),
@@ -92,15 +98,6 @@
   settle ((Req *) ((char *) lookup - offsetof (Req, lookup)), origin);
 }
 
-static bool
-can_decide_alone (const Req *req)
-{
-  const RequestsConf *conf = &req->requests->conf;
-
-  return origdir_only_version (conf->origins, req->service)
-         && req_now (req) - servers_asked_at (conf->servers) < LIST_AGE_MAX;
-}
-
 bool
 req_is_return (const Req *req)
 {
@@ -130,7 +127,7 @@
   if (origdir_ask (dir, &req->lookup, stream, link_wait, on_found) > 0)
     loop_timer_set (req->requests->conf.loop, &req->lookup.timer,
                     req_now (req) + MIN (link_wait, ANSWER_WAIT));
-  else if (can_decide_alone (req))
+  else if (only_version (req, req->service))
     {
       origdir_cancel (&req->lookup);
       settle (req, NULL);
--- a/src/origins.c
+++ b/src/origins.c
@@ -154,6 +154,18 @@
 
 /* ---- Versions of the listed servers ---- */
 
+/* Drops versions of the service that do not count any more. */
+static void
+drop_old_versions (Origins *origins, const char *service, int64_t now)
+{
+  for (unsigned i = origins->listed->len; i-- > 0;)
+    {
+      const Listed *listed = origins->listed->pdata[i];
+      if (strcmp (listed->service, service) == 0 && now - listed->listed_at > ORIGINS_TIME_MAX)
+        g_ptr_array_remove_index_fast (origins->listed, i);
+    }
+}
+
 void
 origins_note_listed (Origins *origins, const char *service, const char *version)
 {
@@ -167,6 +179,7 @@
       listed->listed_at = now;
       return;
     }
+  drop_old_versions (origins, service, now);
   Listed *listed = g_new0 (Listed, 1);
   listed->service = g_strdup (service);
   listed->version = g_strdup (version);
--- a/test/origins.c
+++ b/test/origins.c
@@ -378,6 +378,30 @@
   fleet_free (fleet);
 }
 
+/* Guards against deciding by a list that may lack a version which has come since: no voter is up,
+ * and the platform's list cannot be read. */
+static void
+old_list (void)
+{
+  Fleet *fleet = new_fleet (FLEET_SERVERS);
+  Answer stream, again;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  lose_first_entry (fleet, &stream, &last_event);
+  hsrv_stop_accepting (fleet->list);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  fleet_run_for (fleet, 4 * FT_SECOND);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "again", last_event, "never-seen", "body",
+                &again);
+  fleet_run_until (fleet, is_done, &again, "a refusal");
+  g_assert_cmpuint (again.status, ==, 503);
+  fleet_answer_clear (&again);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
 /* Guards against streams that change their version, get lost or leave servers idle where two
  * versions serve side by side: streams of all versions break off with their entry, and each goes
  * on. */
@@ -475,6 +499,7 @@
   g_test_add_func ("/origins/taken_up_again", taken_up_again);
   g_test_add_func ("/origins/everything_killed", everything_killed);
   g_test_add_func ("/origins/one_version", one_version);
+  g_test_add_func ("/origins/old_list", old_list);
   g_test_add_func ("/origins/side_by_side", side_by_side);
   g_test_add_func ("/origins/older_scheduler", older_scheduler);
   return g_test_run ();
