--- a/src/estimate.c
+++ b/src/estimate.c
@@ -243,7 +243,9 @@
 static bool
 is_usable_for (const Job *job, const Server *server, int64_t now)
 {
-  return is_live (server, now) && ver_permits (job, server);
+  bool permitted = job->version ? ver_permits (job, server) : server->use == USE_ALL;
+
+  return permitted && is_live (server, now);
 }
 
 bool
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -123,6 +123,7 @@
 try "origin: none is recorded" node/try.c 's/^    req_record_origin \(req\);$/    (void) req;/' test-origins &
 try "origin: one that nobody knows is guessed" node/reqorigin.c 's/origdir_only_version \(dir, service\)/(origdir_only_version (dir, service) ? origdir_only_version (dir, service) : "v2")/' test-origins &
 try "origin: a list of any age decides" node/reqorigin.c 's/^  if \(req_now \(req\) - servers_asked_at .*/  if (false)/' test-origins &
+try "origin: fields that are missing close the link" net/mesh.c 's/^  return valid;$/  return false \&\& valid;/' test-older &
 try "origin: an older scheduler is believed" node/reqask.c 's/^  return req->version \&\& strcmp .*/  return req->version \&\& software == NULL;/' test-origins &
 try "origin: it is not renewed" node/reqorigin.c 's/^        record \(req, origin->stream\);/        ;/' test-origins &
 try "origin: a begun answer goes on anywhere" node/reqask.c 's/^  out.version = req->version;/  out.version = req->begun ? NULL : req->version;/; s/^  return req->version \&\& strcmp/  return !req->begun \&\& req->version \&\& strcmp/' test-origins &
--- a/test/origins.c
+++ b/test/origins.c
@@ -139,8 +139,7 @@
   return false;
 }
 
-/* The entry dies; its caller has the events that came, and takes the stream up at the second one.
- */
+/* The first entry dies. last_event: the last one that its caller has. */
 static void
 lose_first_entry (Fleet *fleet, Answer *stream, unsigned *last_event)
 {
