--- a/test/soak.c
+++ b/test/soak.c
@@ -502,22 +502,31 @@
     fault->server->leaving = false;
 }
 
+static void
+note_strike (const Fault *fault)
+{
+  if (!fault->active || fault->node == NULL)
+    return;
+  note_disturbed (fault->node);
+  if (!fault->node->voter && fault->kind != FAULT_TERM)
+    struck[fault->node - fleet->entries] = loop_now (fleet->loop);
+}
+
 static void
 step_faults (bool more)
 {
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     {
-      if (faults[i].active && faults[i].node)
-        note_disturbed (faults[i].node);
-      if (faults[i].active && faults[i].node && !faults[i].node->voter
-          && faults[i].kind != FAULT_TERM)
-        struck[faults[i].node - fleet->entries] = loop_now (fleet->loop);
+      note_strike (&faults[i]);
       if (faults[i].active && faults[i].kind == FAULT_SERVER_PATH)
         soaknote_disturbed (0);
       if (faults[i].active && loop_now (fleet->loop) >= faults[i].until)
         end_fault (&faults[i]);
       else if (!faults[i].active && more && draw (40) == 0)
-        begin_fault (&faults[i]);
+        {
+          begin_fault (&faults[i]);
+          note_strike (&faults[i]); /* callers may notice before the next round */
+        }
     }
   for (unsigned i = 0; i < 3 + fleet->entry_count; i++)
     {
