node: the lines of a server's crash name the parts of prompts that ran there

The line ran-at-end now has events, part_count and parts, the keys of the prompt's parts but the last (src/fingerprint.c); the adapter reads them. Nothing decides by them yet.

--- a/node/adapter.h
+++ b/node/adapter.h
@@ -96,6 +96,9 @@
 {
   /* ---- callers and servers ---- */
   void (*read_request) (const HMsg *msg, AdapterRequest *out);
+  /* Stores the hashes of those parts of the prompt that other requests may share, at most max, in
+   * the order of the prompt, and returns their number. */
+  unsigned (*read_parts) (const HMsg *msg, uint64_t *parts, unsigned max);
   /* Appends the complete message for the server: head and body. */
   void (*write_request) (GString *out, const HMsg *msg, const AdapterForward *forward);
   /* How long callers wait for the first event of a stream before they give up; target_us: target
--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -14,7 +14,8 @@
 /* Two syncs of a slow disk, and the round trip. */
 #define RESEND_INTERVAL (400 * FT_MS)
 /* Unacknowledged reports, about 200 bytes each. */
-#define REPORTS_MAX 256
+#define REPORTS_MAX      256
+#define LOGGED_PARTS_MAX 12 /* keys of parts in a line of the log */
 
 typedef struct
 {
@@ -73,12 +74,26 @@
   report->sent_at = now;
 }
 
+static void
+log_run (const CrashReporter *reporter, const char *server, const CrashRun *run, uint64_t report)
+{
+  GString *parts = g_string_new (NULL);
+  char content[CONTENT_ID_SIZE];
+
+  fingerprint_append_parts (run->print, LOGGED_PARTS_MAX, parts);
+  jlog (JLOG_INFO, "ran-at-end", run->request, JL_TEXT ("server", server),
+        JL_TEXT ("content", content_format (run->print->keys[0], content)),
+        JL_INT ("ends", quar_check (reporter->quar, run->print->keys[0]).ends),
+        JL_INT ("events", run->events), JL_INT ("part_count", run->print->count - 1),
+        JL_TEXT ("parts", parts->str), JL_INT ("report", report));
+  g_string_free (parts, TRUE);
+}
+
 static void
 on_crash (void *host, const char *server, int64_t at, const CrashRun *runs, unsigned count)
 {
   CrashReporter *reporter = host;
   Report *report = g_new0 (Report, 1);
-  char content[CONTENT_ID_SIZE];
 
   count_inc (COUNT_SERVER_ENDS);
   report->number = ++reporter->next_number;
@@ -86,12 +101,9 @@
   report->crashed_at = at;
   for (unsigned i = 0; i < count && report->count < MESH_CONTENTS_MAX; i++)
     {
-      quar_add_crash (reporter->quar, runs[i].content, server, true);
-      report->contents[report->count++] = runs[i].content;
-      jlog (JLOG_INFO, "ran-at-end", runs[i].request, JL_TEXT ("server", server),
-            JL_TEXT ("content", content_format (runs[i].content, content)),
-            JL_INT ("ends", quar_check (reporter->quar, runs[i].content).ends),
-            JL_INT ("report", report->number));
+      quar_add_crash (reporter->quar, runs[i].print->keys[0], server, true);
+      report->contents[report->count++] = runs[i].print->keys[0];
+      log_run (reporter, server, &runs[i], report->number);
     }
   if (reporter->reports->len >= REPORTS_MAX)
     {
@@ -264,16 +276,15 @@
 
 void
 crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
-                          uint64_t content, const char *request)
+                          const CrashRun *run)
 {
-  crashdet_connection_lost (reporter->detector, server, addr, content, request);
+  crashdet_connection_lost (reporter->detector, server, addr, run);
 }
 
 void
-crashrep_abandoned (CrashReporter *reporter, const char *server, uint64_t content,
-                    const char *request)
+crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run)
 {
-  crashdet_abandoned (reporter->detector, server, content, request);
+  crashdet_abandoned (reporter->detector, server, run);
 }
 
 void
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -22,10 +22,9 @@
 
 /* The connection on which the server at addr was running the request was lost. */
 void crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
-                               uint64_t content, const char *request);
+                               const CrashRun *run);
 /* The request was abandoned while the server was running it. */
-void crashrep_abandoned (CrashReporter *reporter, const char *server, uint64_t content,
-                         const char *request);
+void crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
 void crashrep_refused (CrashReporter *reporter, const char *server);
 /* The server has completely answered a request of this content, which was sent at sent_at. */
--- a/node/ends.c
+++ b/node/ends.c
@@ -57,7 +57,7 @@
 typedef struct
 {
   char server[128];
-  CrashRun run;
+  CrashRun run; /* print NULL: unused */
   int64_t at;
 } Abandoned;
 
@@ -73,6 +73,21 @@
   unsigned next_abandoned;
 };
 
+static CrashRun
+run_copy (const CrashRun *from)
+{
+  return (CrashRun){ fingerprint_ref (from->print), g_strdup (from->request), from->events };
+}
+
+static void
+run_clear (void *data)
+{
+  CrashRun *run = data;
+
+  fingerprint_unref (run->print);
+  g_free ((char *) run->request);
+}
+
 static void
 check_free (ServerCheck *check)
 {
@@ -93,14 +108,14 @@
 }
 
 static void
-add_run (GArray *runs, uint64_t content, const char *request)
+add_run (GArray *runs, const CrashRun *run)
 {
-  CrashRun run = { .content = content };
+  CrashRun copy;
 
   if (runs->len >= RUNS_MAX)
     return;
-  g_strlcpy (run.request, request, sizeof run.request);
-  g_array_append_val (runs, run);
+  copy = run_copy (run);
+  g_array_append_val (runs, copy);
 }
 
 /* ---- Results ---- */
@@ -109,7 +124,7 @@
 static bool
 abandoned_recently (const CrashDetector *detector, const Abandoned *abandoned, const char *server)
 {
-  return abandoned->at > loop_now (detector->loop) - ABANDONED_KEPT
+  return abandoned->run.print && abandoned->at > loop_now (detector->loop) - ABANDONED_KEPT
          && strcmp (abandoned->server, server) == 0;
 }
 
@@ -120,7 +135,7 @@
     {
       const Abandoned *abandoned = &detector->abandoned[i];
       if (abandoned_recently (detector, abandoned, check->server))
-        add_run (check->runs, abandoned->run.content, abandoned->run.request);
+        add_run (check->runs, &abandoned->run);
     }
 }
 
@@ -291,6 +306,7 @@
   check->server = g_strdup (server);
   check->addr = addr;
   check->runs = g_array_new (FALSE, FALSE, sizeof (CrashRun));
+  g_array_set_clear_func (check->runs, run_clear);
   g_hash_table_insert (detector->checks, check->server, check);
   return check;
 }
@@ -317,17 +333,19 @@
   if (detector == NULL)
     return;
   g_hash_table_unref (detector->checks);
+  for (unsigned i = 0; i < ABANDONED_MAX; i++)
+    run_clear (&detector->abandoned[i].run);
   g_free (detector);
 }
 
 void
 crashdet_connection_lost (CrashDetector *detector, const char *server, SockAddr addr,
-                          uint64_t content, const char *request)
+                          const CrashRun *run)
 {
   bool known = g_hash_table_contains (detector->checks, server);
   ServerCheck *check = find_or_add_check (detector, server, addr);
 
-  add_run (check->runs, content, request);
+  add_run (check->runs, run);
   if (check->state == STATE_CRASHED)
     report_runs (check);
   else if (!known)
@@ -335,14 +353,13 @@
 }
 
 void
-crashdet_abandoned (CrashDetector *detector, const char *server, uint64_t content,
-                    const char *request)
+crashdet_abandoned (CrashDetector *detector, const char *server, const CrashRun *run)
 {
   Abandoned *abandoned = &detector->abandoned[detector->next_abandoned++ % ABANDONED_MAX];
 
   g_strlcpy (abandoned->server, server, sizeof abandoned->server);
-  abandoned->run.content = content;
-  g_strlcpy (abandoned->run.request, request, sizeof abandoned->run.request);
+  run_clear (&abandoned->run);
+  abandoned->run = run_copy (run);
   abandoned->at = loop_now (detector->loop);
 }
 
--- a/node/ends.h
+++ b/node/ends.h
@@ -6,14 +6,16 @@
 #include "egress.h"
 #include "hcli.h"
 #include "adapter.h"
+#include "fingerprint.h"
 
 typedef struct CrashDetector CrashDetector;
 
 /* A request that was running on a crashed server. */
 typedef struct
 {
-  uint64_t content;
-  char request[ADAPTER_ID_MAX];
+  Fingerprint *print;
+  const char *request; /* its id */
+  unsigned events;     /* of its answer that the server had sent */
 } CrashRun;
 
 /* Called when the server process has crashed. at: the time of detection; runs: the requests that
@@ -26,10 +28,9 @@
 void crashdet_free (CrashDetector *detector);
 /* The connection on which the server at addr was running the request was lost. */
 void crashdet_connection_lost (CrashDetector *detector, const char *server, SockAddr addr,
-                               uint64_t content, const char *request);
+                               const CrashRun *run);
 /* The request was abandoned while the server was running it. */
-void crashdet_abandoned (CrashDetector *detector, const char *server, uint64_t content,
-                         const char *request);
+void crashdet_abandoned (CrashDetector *detector, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
 void crashdet_refused (CrashDetector *detector, const char *server);
 
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -86,7 +86,7 @@
   out.prompt_tokens = req->facts.prompt_tokens;
   out.output_tokens = expected_tokens (&req->facts);
   out.shared_part = req->facts.shared_part;
-  out.content = req->begun ? 0 : req->content; /* no caller has come back */
+  out.content = req->begun ? 0 : req->print->keys[0]; /* no caller has come back */
   out.route = g_str_hash (req->route->name);
   out.gap_us = req->route->gap_us;
   out.limit_at = caller_patience_end (req);
@@ -134,8 +134,9 @@
 
   count_inc (COUNT_QUARANTINED);
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", why),
-        JL_TEXT ("content", content_format (req->content, content)), JL_INT ("ends", verdict->ends),
-        JL_MS ("known_ms", verdict->blocked_for_us), JL_TEXT ("by", "entry"));
+        JL_TEXT ("content", content_format (req->print->keys[0], content)),
+        JL_INT ("ends", verdict->ends), JL_MS ("known_ms", verdict->blocked_for_us),
+        JL_TEXT ("by", "entry"));
   if (req->begun)
     req_break_off (req, why);
   else if (req->may_have_run)
@@ -154,7 +155,7 @@
 void
 req_ask (Req *req)
 {
-  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]);
 
   loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
   if (lacks_version (req))
@@ -181,7 +182,7 @@
 void
 req_ask_replacement (Req *req)
 {
-  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->content);
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]);
 
   if (req->next_number || lacks_version (req))
     return;
@@ -220,7 +221,8 @@
 static bool
 is_quarantined (const Req *req)
 {
-  return crashrep_check (req->requests->conf.crash_reporter, req->content).state >= QUAR_RECHECK;
+  return crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]).state
+         >= QUAR_RECHECK;
 }
 
 /* Withdraws the open ask, with the place if one was granted, and asks again. */
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -36,6 +36,7 @@
   g_free (req->software);
   g_free (req->version);
   g_free (req->server_name);
+  fingerprint_unref (req->print);
   rt_cat_unref (req->cat);
   loop_free_later (loop, req);
 }
@@ -46,11 +47,17 @@
   return loop_now (req->requests->conf.loop);
 }
 
+CrashRun
+req_crash_run (const Req *req)
+{
+  return (CrashRun){ req->print, req->id, req->events };
+}
+
 void
 req_log_end (const Req *req, const char *event, unsigned status, const char *why)
 {
   char buffer[CONTENT_ID_SIZE];
-  const char *content = req->content ? content_format (req->content, buffer) : "";
+  const char *content = req->print ? content_format (req->print->keys[0], buffer) : "";
   jlog (JLOG_INFO, event, req->id, JL_INT ("status", status), JL_TEXT ("why", why),
         JL_TEXT ("route", req->route ? req->route->name : ""),
         JL_TEXT ("org", req->org ? req->org->name : ""), JL_TEXT ("content", content),
@@ -83,7 +90,8 @@
   req->xfer = NULL;
   if (xfer)
     {
-      crashrep_abandoned (req->requests->conf.crash_reporter, req->server, req->content, req->id);
+      CrashRun run = req_crash_run (req);
+      crashrep_abandoned (req->requests->conf.crash_reporter, req->server, &run);
       hxfer_cancel (xfer);
     }
   if (req->number == 0)
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -26,7 +26,7 @@
   const RtOrg *org;
   AdapterRequest facts;
   char id[ADAPTER_ID_MAX];
-  uint64_t content; /* content_id of the request; 0: not computed yet */
+  Fingerprint *print; /* NULL: no route was found yet */
   const char *service;
   char *version;      /* that began the stream, and at which alone it goes on; NULL: none yet */
   int64_t gone_since; /* when no server of that version was listed first; 0: there was always one */
@@ -135,6 +135,8 @@
 /* ---- Ending requests and tries (reqend.c) ---- */
 
 int64_t req_now (const Req *req);
+/* The current try, as its server's crash would be charged to it. Borrows from req. */
+CrashRun req_crash_run (const Req *req);
 /* Closes the open ask: a decision on it that still arrives is ignored. */
 void req_clear_number (Req *req);
 /* Logs the end of the request with everything that decided it. */
--- a/node/requests.c
+++ b/node/requests.c
@@ -71,7 +71,7 @@
 static bool
 is_suspect (const Req *req)
 {
-  unsigned ends = crashrep_check (req->requests->conf.crash_reporter, req->content).ends;
+  unsigned ends = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]).ends;
 
   return ends > (req->spared_attempt ? 1 : 0);
 }
@@ -233,6 +233,16 @@
   return content_id (&content);
 }
 
+static Fingerprint *
+fingerprint_of (const Req *req)
+{
+  uint64_t parts[FINGERPRINT_PARTS_MAX];
+  unsigned count = req->requests->conf.adapter_ops->read_parts (hcall_msg (req->call), parts,
+                                                                FINGERPRINT_PARTS_MAX);
+
+  return fingerprint_new (content_of (req), req->service, parts, count);
+}
+
 static void
 process (Req *req)
 {
@@ -240,7 +250,6 @@
 
   if (!resolve_route (req))
     return;
-  req->content = content_of (req);
   int64_t patience = req->facts.caller_wait_us
                          ? MIN (req->facts.caller_wait_us, req->route->timeout_us)
                          : req->route->timeout_us;
@@ -255,6 +264,7 @@
                                   + requests->conf.adapter_ops->first_event_timeout (
                                       req->route->target_us, req->route->gap_us));
   req->service = rt_route_target (req->route, g_random_int ());
+  req->print = fingerprint_of (req);
   loop_timer_set (requests->conf.loop, &req->deadline_timer, req->deadline);
   if (req_is_return (req))
     {
--- a/node/try.c
+++ b/node/try.c
@@ -298,8 +298,10 @@
 report_break (const Req *req)
 {
   if (!req->rejected)
-    crashrep_connection_lost (req->requests->conf.crash_reporter, req->server, req->addr,
-                              req->content, req->id);
+    {
+      CrashRun run = req_crash_run (req);
+      crashrep_connection_lost (req->requests->conf.crash_reporter, req->server, req->addr, &run);
+    }
 }
 
 static void
@@ -317,7 +319,8 @@
   if (req->close_delimited)
     report_break (req);
   else if (proves_survival (req))
-    crashrep_answered (req->requests->conf.crash_reporter, req->server, req->content, req->sent_at);
+    crashrep_answered (req->requests->conf.crash_reporter, req->server, req->print->keys[0],
+                       req->sent_at);
   if (req->is_stream && events_has_partial (req->stream))
     req_after_try (req, RETRY_STREAM_CUT);
   else if (req->is_stream)
--- a/src/content.c
+++ b/src/content.c
@@ -10,6 +10,7 @@
  * 370,000. It does not protect against somebody who searches for a collision.
  */
 #include "content.h"
+#include "fingerprint.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -44,6 +45,8 @@
   add_text (&state, content->org);
   add_part (&state, content->body, content->size);
   uint64_t id = XXH64_digest (&state);
+  if (fingerprint_is_part (id))
+    id = ~id;
   return id ? id : 1;
 }
 
--- a/test/witness.c
+++ b/test/witness.c
@@ -133,6 +133,16 @@
   return (SockAddr){ 0x7f000001, ntohs (address.sin_port) };
 }
 
+/* A request of this content, without parts, of whose answer nothing came, loses its connection. */
+static void
+lose_connection (const char *server, uint64_t content)
+{
+  CrashRun run = { fingerprint_new (content, "s", NULL, 0), "r1", 0 };
+
+  crashrep_connection_lost (reporter, server, unused_address (), &run);
+  fingerprint_unref (run.print);
+}
+
 static bool
 is_changed (void)
 {
@@ -155,7 +165,7 @@
 {
   set_up_entry ();
   crashrep_set_voter (reporter, &voter_peer.peer);
-  crashrep_connection_lost (reporter, "s1", unused_address (), CONTENT, "r1");
+  lose_connection ("s1", CONTENT);
   run_until (voter_got_crash);
   uint64_t number = last_msg.MeshMsg_u.ended.number;
   g_assert_cmpstr (last_msg.MeshMsg_u.ended.server, ==, "s1");
@@ -179,7 +189,7 @@
 report_waits_for_voter (void)
 {
   set_up_entry ();
-  crashrep_connection_lost (reporter, "s1", unused_address (), CONTENT, "r1");
+  lose_connection ("s1", CONTENT);
   run_until (is_changed);
   g_assert_false (voter_got_crash ());
   crashrep_set_voter (reporter, &voter_peer.peer);
