--- a/test/backend.c
+++ b/test/backend.c
@@ -259,24 +259,48 @@
   g_hash_table_unref (bodies);
 }
 
-/* True: the request has a crash body; the server crashes soon and never answers it. */
-static bool
-start_crash_run (FleetServer *server, HCall *call)
+/* The id of the first crash part of the prompt; NULL: it has none. */
+static char *
+find_crash_part (HCall *call)
+{
+  const char *value = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Prefix-Hash");
+  char **parts = g_strsplit (value ? value : "", ",", -1), *found = NULL;
+
+  for (unsigned i = 0; found == NULL && parts[i] && parts[i + 1]; i++)
+    if (g_str_has_prefix (parts[i], FLEET_CRASH_PART))
+      found = g_strndup (parts[i], strcspn (parts[i], ":"));
+  g_strfreev (parts);
+  return found;
+}
+
+/* What makes the server crash on this request: its body or a part of its prompt; NULL: nothing. */
+static char *
+find_crash_cause (HCall *call)
 {
   const GByteArray *bytes = hcall_body (call);
   char *body = g_strndup ((const char *) bytes->data, bytes->len);
-  bool is_crash_body = g_str_has_prefix (body, FLEET_CRASH_PREFIX);
-  Loop *loop = server->fleet->loop;
 
-  if (is_crash_body)
-    {
-      increment (server->fleet->crash_run_counts, body);
-      add_crash_event (server, body, request_id (call), false);
-      if (!server->crash_timer.armed)
-        loop_timer_set (loop, &server->crash_timer, loop_now (loop) + CRASH_DELAY);
-    }
+  if (g_str_has_prefix (body, FLEET_CRASH_PREFIX))
+    return body;
   g_free (body);
-  return is_crash_body;
+  return find_crash_part (call);
+}
+
+/* True: the server crashes soon, as it begins to answer the request. */
+static bool
+start_crash_run (FleetServer *server, HCall *call)
+{
+  char *cause = find_crash_cause (call);
+  Loop *loop = server->fleet->loop;
+
+  if (cause == NULL)
+    return false;
+  increment (server->fleet->crash_run_counts, cause);
+  add_crash_event (server, cause, request_id (call), false);
+  if (!server->crash_timer.armed)
+    loop_timer_set (loop, &server->crash_timer, loop_now (loop) + CRASH_DELAY);
+  g_free (cause);
+  return true;
 }
 
 /* Four in ten, spread so that each kind of call is hit. */
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -507,6 +507,16 @@
   send_with_fields (fleet, entry, path, id, "", body, answer);
 }
 
+void
+fleet_send_parts (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                  const char *parts, const char *body, Answer *answer)
+{
+  char *fields = g_strdup_printf ("X-Foxtailgrade-Prefix-Hash: %s\r\n", parts);
+
+  send_with_fields (fleet, entry, path, id, fields, body, answer);
+  g_free (fields);
+}
+
 void
 fleet_resume (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
               unsigned last_event, const char *resumes, const char *body, Answer *answer)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -16,6 +16,8 @@
 #define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
 #define FLEET_SERVERS      4
 #define FLEET_CRASH_PREFIX "ends-servers" /* a body with it crashes its server */
+#define FLEET_CRASH_PART                                                                           \
+  "dead" /* so does a part of the prompt whose id begins so, if not the last */
 
 typedef enum
 {
@@ -197,6 +199,9 @@
                       const char *body, Answer *answer);
 void fleet_call_body (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
                       const char *body, Answer *answer);
+/* Like fleet_send_body, with the parts of a prompt: "ID:TOKENS,ID:TOKENS". */
+void fleet_send_parts (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
+                       const char *parts, const char *body, Answer *answer);
 /* Takes a stream up again after an event. resumes: id of the attempt that brought its first event;
  * NULL: not named. */
 void fleet_resume (Fleet *fleet, const FleetNode *entry, const char *path, const char *id,
@@ -221,7 +226,7 @@
 /* How often a server that got the request refused it, failed it, reset it, broke it off or fell
  * silent for good. */
 unsigned fleet_lost_count (const Fleet *fleet, const char *id);
-/* How often a server started to run the crash body. */
+/* How often a server started to run the crash body, or a prompt with that crash part. */
 unsigned fleet_crash_run_count (const Fleet *fleet, const char *body);
 /* Everything that a node has logged so far; free with g_free. */
 char *fleet_read_log (const FleetNode *node);
