Crashes are charged to the parts of prompts as well, and held against those that explain them

A crash is now also charged to each shared part of the requests of whose answer nothing had come; the first event of any answer clears a part. src/attribution.c decides which requests are the cause: one that has all suspects that ran on three crashed servers, or a part with three crashes that no other suspect explains. Keys of parts share the table, its messages and its log operations with contents, so older voters carry them too.

--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -15,7 +15,8 @@
 #define RESEND_INTERVAL (400 * FT_MS)
 /* Unacknowledged reports, about 200 bytes each. */
 #define REPORTS_MAX      256
-#define LOGGED_PARTS_MAX 12 /* keys of parts in a line of the log */
+#define LOGGED_PARTS_MAX 12  /* keys of parts in a line of the log */
+#define KEYS_MAX         256 /* to which this instance charges one crash */
 
 typedef struct
 {
@@ -89,22 +90,55 @@
   g_string_free (parts, TRUE);
 }
 
+/* ---- Reports ---- */
+
 static void
-on_crash (void *host, const char *server, int64_t at, const CrashRun *runs, unsigned count)
+add_key (GArray *keys, GHashTable *added, uint64_t key)
+{
+  if (keys->len < KEYS_MAX && g_hash_table_add (added, g_memdup2 (&key, sizeof key)))
+    g_array_append_val (keys, key);
+}
+
+/* Appends the parts that have crashes already, or those that have none. */
+static void
+add_parts (const CrashReporter *reporter, const CrashRun *run, bool suspect, GArray *keys,
+           GHashTable *added)
+{
+  for (unsigned i = 1; i < run->print->count; i++)
+    if ((quar_check (reporter->quar, run->print->keys[i]).ends > 0) == suspect)
+      add_key (keys, added, run->print->keys[i]);
+}
+
+/* The keys to which a crash is charged: the contents of all runs, and the parts of those of whose
+ * answer nothing had come, since a part that crashes servers does so before. Parts that have
+ * crashes already come first, so that one request with very many parts cannot leave them out. */
+static GArray *
+charged_keys (const CrashReporter *reporter, const CrashRun *runs, unsigned count)
+{
+  GArray *keys = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTable *added = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+
+  for (unsigned i = 0; i < count; i++)
+    add_key (keys, added, runs[i].print->keys[0]);
+  for (unsigned pass = 0; pass < 2; pass++)
+    for (unsigned i = 0; i < count; i++)
+      if (runs[i].events == 0)
+        add_parts (reporter, &runs[i], pass == 0, keys, added);
+  g_hash_table_unref (added);
+  return keys;
+}
+
+static void
+queue_report (CrashReporter *reporter, const char *server, int64_t at, const uint64_t *keys,
+              unsigned count)
 {
-  CrashReporter *reporter = host;
   Report *report = g_new0 (Report, 1);
 
-  count_inc (COUNT_SERVER_ENDS);
   report->number = ++reporter->next_number;
   report->server = g_strdup (server);
   report->crashed_at = at;
-  for (unsigned i = 0; i < count && report->count < MESH_CONTENTS_MAX; i++)
-    {
-      quar_add_crash (reporter->quar, runs[i].print->keys[0], server, true);
-      report->contents[report->count++] = runs[i].print->keys[0];
-      log_run (reporter, server, &runs[i], report->number);
-    }
+  report->count = count;
+  memcpy (report->contents, keys, count * sizeof *keys);
   if (reporter->reports->len >= REPORTS_MAX)
     {
       jlog (JLOG_WARN, "report-dropped", NULL,
@@ -113,10 +147,27 @@
     }
   g_ptr_array_add (reporter->reports, report);
   send_report (reporter, report);
+}
+
+static void
+on_crash (void *host, const char *server, int64_t at, const CrashRun *runs, unsigned count)
+{
+  CrashReporter *reporter = host;
+  GArray *keys = charged_keys (reporter, runs, count);
+
+  count_inc (COUNT_SERVER_ENDS);
+  for (unsigned i = 0; i < keys->len; i++)
+    quar_add_crash (reporter->quar, g_array_index (keys, uint64_t, i), server, true);
+  for (unsigned i = 0; i < count; i++)
+    log_run (reporter, server, &runs[i], reporter->next_number + 1);
+  for (unsigned i = 0; i < keys->len; i += MESH_CONTENTS_MAX)
+    queue_report (reporter, server, at, &g_array_index (keys, uint64_t, i),
+                  MIN (keys->len - i, MESH_CONTENTS_MAX));
+  g_array_unref (keys);
   reporter->changed (reporter->host);
 }
 
-/* Tells the voter which contents of the crash table were answered completely here. */
+/* Tells the voter which keys of the crash table were answered here. */
 static void
 send_recent_answers (const CrashReporter *reporter)
 {
@@ -168,7 +219,7 @@
   for (unsigned i = 0; i < count; i++)
     {
       const MeshSuspect *from = &blamed->suspects.suspects_val[i];
-      records[i] = (QuarRecord){ .content = from->content,
+      records[i] = (QuarRecord){ .key = from->content,
                                  .ends = from->ends,
                                  .servers = from->servers.servers_val,
                                  .server_count = from->servers.servers_len };
@@ -269,9 +320,9 @@
 /* ---- Results of requests ---- */
 
 QuarVerdict
-crashrep_check (const CrashReporter *reporter, uint64_t content)
+crashrep_check (const CrashReporter *reporter, const Fingerprint *print)
 {
-  return quar_check (reporter->quar, content);
+  return quar_check_keys (reporter->quar, print->keys, print->count);
 }
 
 void
@@ -293,19 +344,38 @@
   crashdet_refused (reporter->detector, server);
 }
 
-void
-crashrep_answered (CrashReporter *reporter, const char *server, uint64_t content, int64_t sent_at)
+/* The server has sent something after sent_at, which disproves a crash that was reported before. */
+static void
+retract_crash (const CrashReporter *reporter, const char *server, int64_t sent_at)
 {
   MeshMsg msg = { .kind = MESH_CRASH_RETRACTED };
 
-  if (quar_answered (reporter->quar, content))
-    send_recent_answers (reporter);
   if (reporter->voter == NULL || !quar_crash_disproved (reporter->quar, server, sent_at))
     return;
   msg.MeshMsg_u.survived.server = (char *) server;
   mesh_send (reporter->voter, &msg);
 }
 
+void
+crashrep_began (CrashReporter *reporter, const Fingerprint *print)
+{
+  bool charged = false;
+
+  for (unsigned i = 1; i < print->count; i++)
+    charged |= quar_answered (reporter->quar, print->keys[i]);
+  if (charged)
+    send_recent_answers (reporter);
+}
+
+void
+crashrep_answered (CrashReporter *reporter, const char *server, const Fingerprint *print,
+                   int64_t sent_at)
+{
+  if (quar_answered (reporter->quar, print->keys[0]))
+    send_recent_answers (reporter);
+  retract_crash (reporter, server, sent_at);
+}
+
 /* ---- Construction ---- */
 
 void
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -1,6 +1,6 @@
-/* crashrep.h - an entry's part in finding contents that crash servers: reports the crashes that it
- * detects to the voters, receives the table of all crashes, and decides which contents may still
- * be sent. */
+/* crashrep.h - an entry's part in finding contents and parts of prompts that crash servers: reports
+ * the crashes that it detects to the voters, receives the table of all crashes, and decides which
+ * requests may still be sent. */
 #ifndef CRASHREP_H
 #define CRASHREP_H
 
@@ -15,8 +15,8 @@
                              void (*changed) (void *host), void *host);
 void crashrep_free (CrashReporter *reporter);
 
-/* Whether a request of this content may be sent. */
-QuarVerdict crashrep_check (const CrashReporter *reporter, uint64_t content);
+/* Whether a request with these keys may be sent. */
+QuarVerdict crashrep_check (const CrashReporter *reporter, const Fingerprint *print);
 
 /* ---- Results of requests ---- */
 
@@ -27,8 +27,11 @@
 void crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
 void crashrep_refused (CrashReporter *reporter, const char *server);
+/* An answer has begun to a request with these parts: the first event of a stream, or the complete
+ * answer to a plain call. */
+void crashrep_began (CrashReporter *reporter, const Fingerprint *print);
 /* The server has completely answered a request of this content, which was sent at sent_at. */
-void crashrep_answered (CrashReporter *reporter, const char *server, uint64_t content,
+void crashrep_answered (CrashReporter *reporter, const char *server, const Fingerprint *print,
                         int64_t sent_at);
 
 /* ---- Other instances ---- */
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -1,5 +1,5 @@
 /* reqask.c - asks a scheduler for a place for a request and acts on its grant or refusal; stops
- * requests whose content is quarantined, that is, has ended several servers. */
+ * quarantined requests, whose content or parts have crashed several servers. */
 #include "reqint.h"
 #include "count.h"
 #include "jlog.h"
@@ -124,24 +124,24 @@
   open_ask (req, &req->number, req->avoid_server);
 }
 
-/* ---- Quarantined contents ---- */
+/* ---- Quarantined requests ---- */
 
 static void
 end_as_quarantined (Req *req, const QuarVerdict *verdict)
 {
-  char content[CONTENT_ID_SIZE];
+  char content[CONTENT_ID_SIZE], key[CONTENT_ID_SIZE];
   const char *why = ft_reason_info (FT_REASON_QUARANTINED)->code;
 
   count_inc (COUNT_QUARANTINED);
   jlog (JLOG_INFO, "decision", req->id, JL_TEXT ("reason", why),
         JL_TEXT ("content", content_format (req->print->keys[0], content)),
-        JL_INT ("ends", verdict->ends), JL_MS ("known_ms", verdict->blocked_for_us),
-        JL_TEXT ("by", "entry"));
+        JL_TEXT ("key", content_format (verdict->key, key)), JL_INT ("ends", verdict->ends),
+        JL_MS ("known_ms", verdict->blocked_for_us), JL_TEXT ("by", "entry"));
   if (req->begun)
     req_break_off (req, why);
   else if (req->may_have_run)
     req_answer_error (req, 502, 0, why);
-  else /* a long Retry-After: the content stays quarantined beyond the caller's deadline */
+  else /* a long Retry-After: it stays quarantined beyond the caller's deadline */
     req_answer_error (req, 503, MAX (50 * FT_MS, (req->deadline - req_now (req)) / 3), why);
 }
 
@@ -155,7 +155,7 @@
 void
 req_ask (Req *req)
 {
-  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]);
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print);
 
   loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
   if (lacks_version (req))
@@ -182,7 +182,7 @@
 void
 req_ask_replacement (Req *req)
 {
-  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]);
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print);
 
   if (req->next_number || lacks_version (req))
     return;
@@ -221,8 +221,7 @@
 static bool
 is_quarantined (const Req *req)
 {
-  return crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]).state
-         >= QUAR_RECHECK;
+  return crashrep_check (req->requests->conf.crash_reporter, req->print).state >= QUAR_RECHECK;
 }
 
 /* Withdraws the open ask, with the place if one was granted, and asks again. */
--- a/node/requests.c
+++ b/node/requests.c
@@ -65,15 +65,15 @@
     events_drop_partial (req->stream);
 }
 
-/* True if servers crashed while they ran this content. A begun answer whose next server broke at
- * once is given a further one after a single crash, which is mostly another content's: its caller
- * has no other way to the rest. */
+/* True if servers crashed while they ran this content, or if a part of its prompt recurs in
+ * crashes. A begun answer whose next server broke at once is given a further one after a single
+ * crash of its content, which is mostly another one's: its caller has no other way to the rest. */
 static bool
 is_suspect (const Req *req)
 {
-  unsigned ends = crashrep_check (req->requests->conf.crash_reporter, req->print->keys[0]).ends;
+  QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print);
 
-  return ends > (req->spared_attempt ? 1 : 0);
+  return verdict.content_ends > (req->spared_attempt ? 1 : 0) || verdict.part_ends > 0;
 }
 
 void
--- a/node/try.c
+++ b/node/try.c
@@ -228,6 +228,8 @@
         }
       req->event_at = now;
       req->events += count;
+      if (req->events == count)
+        crashrep_began (req->requests->conf.crash_reporter, req->print);
       if (!req->begun)
         begin_answer (req);
       req->delivered_at = now;
@@ -319,8 +321,12 @@
   if (req->close_delimited)
     report_break (req);
   else if (proves_survival (req))
-    crashrep_answered (req->requests->conf.crash_reporter, req->server, req->print->keys[0],
-                       req->sent_at);
+    {
+      CrashReporter *reporter = req->requests->conf.crash_reporter;
+      crashrep_answered (reporter, req->server, req->print, req->sent_at);
+      if (!req->is_stream && req->status / 100 == 2)
+        crashrep_began (reporter, req->print);
+    }
   if (req->is_stream && events_has_partial (req->stream))
     req_after_try (req, RETRY_STREAM_CUT);
   else if (req->is_stream)
--- a/src/crashes.c
+++ b/src/crashes.c
@@ -17,6 +17,7 @@
  */
 #include "crashes.h"
 #include "content.h"
+#include "fingerprint.h"
 
 #include <string.h>
 
@@ -282,10 +283,11 @@
   char content[CONTENT_ID_SIZE];
 
   g_string_append_printf (out,
-                          "{\"content\":\"%s\",\"quarantined\":%s,\"ends\":%u,"
+                          "{\"content\":\"%s\",\"quarantined\":%s,\"ends\":%u,\"kind\":\"%s\","
                           "\"first_s_ago\":%.1f,\"last_s_ago\":%.1f,\"servers\":[",
                           content_format (suspect->content, content),
                           suspect->ends >= CRASHES_QUARANTINE ? "true" : "false", suspect->ends,
+                          fingerprint_is_part (suspect->content) ? "part" : "content",
                           (double) (wall_ms - suspect->first_ms) / 1e3,
                           (double) (wall_ms - last_ms) / 1e3);
   for (unsigned i = 0; i < count; i++)
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -1,17 +1,21 @@
-/* quarantine.c - decides whether a request content may be sent to a server.
+/* quarantine.c - decides whether a request may be sent to a server.
  *
  * There are two sources: the crash table that the voters replicate (crashes.c), of which they
- * publish all contents with two or more crashes, and local evidence that is not in the table yet.
+ * publish all keys with two or more crashes, and local evidence that is not in the table yet.
  * Evidence counts here at once, so an instance without a reachable voter still stops sending such
- * a content.
+ * a request. attribution.c decides from both together.
  *
- * When a failure domain loses power while a content that half of all callers request is running on
- * each of its servers, this innocent content reaches the limit at once. Unlike a
- * content that crashes servers, it was answered completely elsewhere moments ago. Each instance
- * therefore remembers its recent complete answers and tells the voters when one contradicts the
- * table. Requests of the content wait RECHECK_DELAY for such a report before they are refused.
+ * When a failure domain loses power while a content or part that half of all callers request is
+ * running on each of its servers, this innocent key reaches the limit at once. Unlike one that
+ * crashes servers, it was answered elsewhere moments ago. Each instance therefore remembers its
+ * recent answers and tells the voters when one contradicts the table. Requests wait RECHECK_DELAY
+ * for such a report before they are refused.
+ *
+ * A content is cleared by a complete answer. A part is cleared by the first event of an answer, as
+ * a part that crashes servers does so before that.
  */
 #include "quarantine.h"
+#include "attribution.h"
 
 #include <string.h>
 
@@ -21,29 +25,33 @@
 /* How long an answer clears its content: longer than a complete answer takes. A new release of the
  * servers may change how they handle the content. */
 #define ANSWER_VALID (10 * FT_SECOND)
+/* How long the beginning of an answer clears a part: longer than the crashes of one cause take,
+ * such as a failure domain's, and no longer, as a part may begin to crash servers at any time. */
+#define BEGINNING_VALID (2 * FT_SECOND)
 /* An answer this soon after a reported crash shows that the server is alive; later it may come
  * from a restarted server of the same name. */
 #define ALIVE_WINDOW (1 * FT_SECOND)
-/* 24 bytes each; the crash of a server adds about ten, one for each content it ran. */
+/* 24 bytes each; the crash of a server adds about ten for the contents it ran, and those of the
+ * parts of requests of whose answer nothing had come. */
 #define EVIDENCE_MAX 1024
-/* Remembered answers, a power of two: 10 s at 100 per second. */
+/* Remembered answers, powers of two: 10 s at 100 per second, and 2 s of parts at five a request. */
 #define ANSWERED_MAX 1024
+#define BEGUN_MAX    1024
 /* By then the instance that detected the crash has reported it to the voters. */
 #define REMOTE_EVIDENCE_KEPT (2 * FT_SECOND)
 
 /* An entry of the voters' crash table. */
 typedef struct
 {
-  uint64_t content;
+  uint64_t key;
   unsigned ends, server_count;
   uint32_t servers[FT_SUSPECT_CRASHES_MAX];
   int64_t received_at[FT_SUSPECT_CRASHES_MAX]; /* when each of them was first received here */
-  int64_t limit_reached_at; /* when CRASHES_QUARANTINE was reached; 0 if it was not */
 } TableEntry;
 
 typedef struct
 {
-  uint64_t content;
+  uint64_t key;
   uint32_t server;
   bool own;
   int64_t at;
@@ -51,7 +59,7 @@
 
 typedef struct
 {
-  uint64_t content;
+  uint64_t key;
   int64_t at;
 } Answered;
 
@@ -59,11 +67,15 @@
 {
   FtClock *clock;
   uint64_t index;
-  GHashTable *table; /* content -> TableEntry */
+  GHashTable *table; /* key -> TableEntry */
   GArray *evidence;  /* Evidence, oldest first */
-  Answered answered[ANSWERED_MAX];
+  Answered answered[ANSWERED_MAX], begun[BEGUN_MAX];
   int64_t reachable_since; /* since when a leading voter has been reachable without interruption; 0
                               if none is */
+  /* Of table and evidence together, brought up to date before a decision. */
+  bool outdated;
+  Attribution *attr;
+  GHashTable *ends; /* key -> crashes */
 };
 
 Quarantine *
@@ -74,6 +86,8 @@
   quar->clock = clock;
   quar->table = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   quar->evidence = g_array_new (FALSE, FALSE, sizeof (Evidence));
+  quar->attr = attr_new ();
+  quar->ends = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   return quar;
 }
 
@@ -84,6 +98,8 @@
     return;
   g_hash_table_unref (quar->table);
   g_array_unref (quar->evidence);
+  attr_free (quar->attr);
+  g_hash_table_unref (quar->ends);
   g_free (quar);
 }
 
@@ -95,57 +111,139 @@
 
 /* ---- Decision ---- */
 
-static bool
-contains_server (const uint32_t *servers, unsigned count, uint32_t server)
+static void
+add_server (AttrSuspect *suspect, uint32_t server, int64_t seen_at)
 {
-  for (unsigned i = 0; i < count; i++)
-    if (servers[i] == server)
-      return true;
-  return false;
+  for (unsigned i = 0; i < suspect->server_count; i++)
+    if (suspect->servers[i] == server)
+      return;
+  if (suspect->server_count == ATTR_SERVERS_MAX)
+    return;
+  suspect->servers[suspect->server_count] = server;
+  suspect->seen_at[suspect->server_count++] = seen_at;
+  suspect->ends++;
 }
 
-/* Counts the crashed servers in the evidence that the table entry does not list; *last is set to
- * the time of the latest of them. */
-static unsigned
-count_evidence (const Quarantine *quar, uint64_t content, const TableEntry *entry, int64_t *last)
+static AttrSuspect *
+suspect_from_table (const TableEntry *entry)
 {
-  uint32_t servers[FT_SUSPECT_CRASHES_MAX];
-  unsigned count = 0;
+  AttrSuspect *suspect = g_new0 (AttrSuspect, 1);
+
+  suspect->key = entry->key;
+  for (unsigned i = 0; i < entry->server_count; i++)
+    add_server (suspect, entry->servers[i], entry->received_at[i]);
+  suspect->ends = entry->ends; /* the table lists only the latest servers */
+  return suspect;
+}
+
+/* The suspects of table and evidence: key -> AttrSuspect. */
+static GHashTable *
+merge_sources (const Quarantine *quar)
+{
+  GHashTable *merged = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
 
-  for (unsigned i = 0; i < quar->evidence->len && count < FT_SUSPECT_CRASHES_MAX; i++)
+  g_hash_table_iter_init (&iter, quar->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      AttrSuspect *suspect = suspect_from_table (value);
+      g_hash_table_insert (merged, &suspect->key, suspect);
+    }
+  for (unsigned i = 0; i < quar->evidence->len; i++)
     {
       const Evidence *evidence = &g_array_index (quar->evidence, Evidence, i);
-      if (evidence->content != content || contains_server (servers, count, evidence->server)
-          || (entry && contains_server (entry->servers, entry->server_count, evidence->server)))
-        continue;
-      servers[count++] = evidence->server;
-      *last = evidence->at;
+      AttrSuspect *suspect = g_hash_table_lookup (merged, &evidence->key);
+      if (suspect == NULL)
+        {
+          suspect = g_new0 (AttrSuspect, 1);
+          suspect->key = evidence->key;
+          g_hash_table_insert (merged, &suspect->key, suspect);
+        }
+      add_server (suspect, evidence->server, evidence->at);
+    }
+  return merged;
+}
+
+static void
+update_attribution (Quarantine *quar)
+{
+  GHashTable *merged = merge_sources (quar);
+  GArray *suspects = g_array_new (FALSE, FALSE, sizeof (AttrSuspect));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_remove_all (quar->ends);
+  g_hash_table_iter_init (&iter, merged);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const AttrSuspect *suspect = value;
+      g_array_append_vals (suspects, suspect, 1);
+      g_hash_table_insert (quar->ends, g_memdup2 (&suspect->key, sizeof suspect->key),
+                           GUINT_TO_POINTER (suspect->ends));
+    }
+  attr_set (quar->attr, (const AttrSuspect *) (void *) suspects->data, suspects->len);
+  g_array_unref (suspects);
+  g_hash_table_unref (merged);
+  quar->outdated = false;
+}
+
+static unsigned
+ends_of (const Quarantine *quar, uint64_t key)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (quar->ends, &key));
+}
+
+/* Fills in the numbers of crashes. */
+static void
+count_ends (const Quarantine *quar, const uint64_t *keys, unsigned count, QuarVerdict *verdict)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      unsigned ends = ends_of (quar, keys[i]);
+      if (ends > verdict->ends)
+        {
+          verdict->ends = ends;
+          verdict->key = keys[i];
+        }
+      if (i == 0)
+        verdict->content_ends = ends;
+      else if (ends >= CRASHES_PUBLISH_MIN)
+        verdict->part_ends = MAX (verdict->part_ends, ends);
     }
-  return count;
 }
 
 QuarVerdict
-quar_check (const Quarantine *quar, uint64_t content)
+quar_check_keys (Quarantine *quar, const uint64_t *keys, unsigned count)
 {
-  const TableEntry *entry = g_hash_table_lookup (quar->table, &content);
   QuarVerdict verdict = { QUAR_NO_CRASHES };
-  int64_t now = ft_clock_now (quar->clock), last = 0;
+  int64_t now = ft_clock_now (quar->clock), since;
+  uint64_t key;
 
-  verdict.ends = entry ? entry->ends : 0;
-  if (quar->evidence->len > 0)
-    verdict.ends += count_evidence (quar, content, entry, &last);
+  if (quar->outdated)
+    update_attribution (quar);
+  if (g_hash_table_size (quar->ends) == 0)
+    return verdict;
+  count_ends (quar, keys, count, &verdict);
   if (verdict.ends == 0)
     return verdict;
   verdict.state = QUAR_SUSPECT;
-  if (verdict.ends < CRASHES_QUARANTINE)
+  if (!attr_is_cause (quar->attr, keys, count, &since, &key))
     return verdict;
-  int64_t limit_reached_at = entry && entry->limit_reached_at ? entry->limit_reached_at : last;
-  verdict.blocked_for_us = now - limit_reached_at;
-  verdict.recheck_at = limit_reached_at + RECHECK_DELAY;
+  verdict.key = key;
+  verdict.ends = ends_of (quar, key);
+  verdict.blocked_for_us = now - since;
+  verdict.recheck_at = since + RECHECK_DELAY;
   verdict.state = now < verdict.recheck_at ? QUAR_RECHECK : QUAR_BLOCKED;
   return verdict;
 }
 
+QuarVerdict
+quar_check (Quarantine *quar, uint64_t content)
+{
+  return quar_check_keys (quar, &content, 1);
+}
+
 /* ---- Local evidence ---- */
 
 static void
@@ -154,13 +252,16 @@
 {
   for (unsigned i = quar->evidence->len; i-- > 0;)
     if (matches (&g_array_index (quar->evidence, Evidence, i), key))
-      g_array_remove_index (quar->evidence, i);
+      {
+        g_array_remove_index (quar->evidence, i);
+        quar->outdated = true;
+      }
 }
 
 static bool
-is_of_content (const Evidence *evidence, uint64_t content)
+is_of_key (const Evidence *evidence, uint64_t key)
 {
-  return evidence->content == content;
+  return evidence->key == key;
 }
 
 static bool
@@ -177,18 +278,18 @@
 }
 
 static bool
-is_only_of_content (const Quarantine *quar, unsigned position)
+is_only_of_key (const Quarantine *quar, unsigned position)
 {
-  uint64_t content = g_array_index (quar->evidence, Evidence, position).content;
+  uint64_t key = g_array_index (quar->evidence, Evidence, position).key;
   unsigned count = 0;
 
   for (unsigned i = 0; i < quar->evidence->len; i++)
-    count += g_array_index (quar->evidence, Evidence, i).content == content;
+    count += g_array_index (quar->evidence, Evidence, i).key == key;
   return count == 1;
 }
 
-/* Evicts the oldest evidence that is the only one of its content, so that many contents with one
- * crash each cannot evict one that has more. */
+/* Evicts the oldest evidence that is the only one of its key, so that many keys with one crash each
+ * cannot evict one that has more. */
 static void
 evict_evidence_if_full (Quarantine *quar)
 {
@@ -196,26 +297,27 @@
 
   if (quar->evidence->len < EVIDENCE_MAX)
     return;
-  while (position + 1 < quar->evidence->len && !is_only_of_content (quar, position))
+  while (position + 1 < quar->evidence->len && !is_only_of_key (quar, position))
     position++;
   g_array_remove_index (quar->evidence, position);
 }
 
 void
-quar_add_crash (Quarantine *quar, uint64_t content, const char *server, bool own)
+quar_add_crash (Quarantine *quar, uint64_t key, const char *server, bool own)
 {
-  Evidence evidence = { content, quar_server_digest (server), own, ft_clock_now (quar->clock) };
+  Evidence evidence = { key, quar_server_digest (server), own, ft_clock_now (quar->clock) };
 
   for (unsigned i = 0; i < quar->evidence->len; i++)
     {
       Evidence *before = &g_array_index (quar->evidence, Evidence, i);
-      if (before->content != content || before->server != evidence.server)
+      if (before->key != key || before->server != evidence.server)
         continue;
       before->own = before->own || own;
       return;
     }
   evict_evidence_if_full (quar);
   g_array_append_val (quar->evidence, evidence);
+  quar->outdated = true;
 }
 
 void
@@ -224,15 +326,32 @@
   remove_evidence (quar, is_own_of_server, quar_server_digest (server));
 }
 
+/* Where the latest answer for the key is remembered. */
+static const Answered *
+answered_slot (const Quarantine *quar, uint64_t key)
+{
+  return fingerprint_is_part (key) ? &quar->begun[key & (BEGUN_MAX - 1)]
+                                   : &quar->answered[key & (ANSWERED_MAX - 1)];
+}
+
+static bool
+was_answered_recently (const Quarantine *quar, uint64_t key)
+{
+  const Answered *slot = answered_slot (quar, key);
+  int64_t valid = fingerprint_is_part (key) ? BEGINNING_VALID : ANSWER_VALID;
+
+  return slot->key == key && ft_clock_now (quar->clock) - slot->at < valid;
+}
+
 bool
-quar_answered (Quarantine *quar, uint64_t content)
+quar_answered (Quarantine *quar, uint64_t key)
 {
-  Answered *slot = &quar->answered[content & (ANSWERED_MAX - 1)];
+  Answered *slot = (Answered *) answered_slot (quar, key);
 
-  *slot = (Answered){ content, ft_clock_now (quar->clock) };
+  *slot = (Answered){ key, ft_clock_now (quar->clock) };
   if (quar->evidence->len > 0)
-    remove_evidence (quar, is_of_content, content);
-  return g_hash_table_contains (quar->table, &content);
+    remove_evidence (quar, is_of_key, key);
+  return g_hash_table_contains (quar->table, &key);
 }
 
 bool
@@ -271,7 +390,7 @@
 {
   TableEntry *entry = g_new0 (TableEntry, 1);
 
-  entry->content = record->content;
+  entry->key = record->key;
   entry->ends = record->ends;
   entry->server_count = MIN (record->server_count, FT_SUSPECT_CRASHES_MAX);
   for (unsigned i = 0; i < entry->server_count; i++)
@@ -279,8 +398,6 @@
       entry->servers[i] = record->servers[i];
       entry->received_at[i] = first_received_at (before, record->servers[i], now);
     }
-  if (entry->ends >= CRASHES_QUARANTINE)
-    entry->limit_reached_at = before && before->limit_reached_at ? before->limit_reached_at : now;
   return entry;
 }
 
@@ -294,20 +411,20 @@
   GHashTable *table = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (unsigned i = 0; i < count; i++)
     {
-      const TableEntry *before = g_hash_table_lookup (quar->table, &records[i].content);
+      const TableEntry *before = g_hash_table_lookup (quar->table, &records[i].key);
       TableEntry *entry = table_entry_new (&records[i], before, now);
-      g_hash_table_replace (table, &entry->content, entry);
+      g_hash_table_replace (table, &entry->key, entry);
     }
   g_hash_table_unref (quar->table);
   quar->table = table;
   quar->index = index;
+  quar->outdated = true;
   return true;
 }
 
 unsigned
-quar_recently_answered (const Quarantine *quar, uint64_t *contents, unsigned max)
+quar_recently_answered (const Quarantine *quar, uint64_t *keys, unsigned max)
 {
-  int64_t now = ft_clock_now (quar->clock);
   GHashTableIter iter;
   gpointer value;
   unsigned count = 0;
@@ -315,10 +432,9 @@
   g_hash_table_iter_init (&iter, quar->table);
   while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
     {
-      uint64_t content = ((const TableEntry *) value)->content;
-      const Answered *slot = &quar->answered[content & (ANSWERED_MAX - 1)];
-      if (slot->content == content && now - slot->at < ANSWER_VALID)
-        contents[count++] = content;
+      uint64_t key = ((const TableEntry *) value)->key;
+      if (was_answered_recently (quar, key))
+        keys[count++] = key;
     }
   return count;
 }
@@ -345,6 +461,6 @@
 
   g_hash_table_iter_init (&iter, quar->table);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += ((const TableEntry *) value)->limit_reached_at != 0;
+    count += ((const TableEntry *) value)->ends >= CRASHES_QUARANTINE;
   return count;
 }
--- a/test/witness.c
+++ b/test/witness.c
@@ -75,6 +75,25 @@
   crashrep_tick (reporter);
 }
 
+static QuarState
+state_of (uint64_t content)
+{
+  Fingerprint *print = fingerprint_new (content, "s", NULL, 0);
+  QuarState state = crashrep_check (reporter, print).state;
+
+  fingerprint_unref (print);
+  return state;
+}
+
+static void
+answer_content (const char *server, uint64_t content)
+{
+  Fingerprint *print = fingerprint_new (content, "s", NULL, 0);
+
+  crashrep_answered (reporter, server, print, loop_now (loop));
+  fingerprint_unref (print);
+}
+
 static void
 set_up_entry (void)
 {
@@ -171,12 +190,11 @@
   g_assert_cmpstr (last_msg.MeshMsg_u.ended.server, ==, "s1");
   g_assert_cmpuint (last_msg.MeshMsg_u.ended.contents.contents_len, ==, 1);
   g_assert_cmphex (last_msg.MeshMsg_u.ended.contents.contents_val[0], ==, CONTENT);
-  g_assert_cmpint (crashrep_check (reporter, CONTENT).state, ==, QUAR_SUSPECT);
+  g_assert_cmpint (state_of (CONTENT), ==, QUAR_SUSPECT);
   run_until (voter_got_crash);
   g_assert_cmpuint (last_msg.MeshMsg_u.ended.number, ==, number);
   acknowledge (number);
-  g_assert_cmpint (crashrep_check (reporter, CONTENT).state, ==,
-                   QUAR_NO_CRASHES); /* now counted by voters */
+  g_assert_cmpint (state_of (CONTENT), ==, QUAR_NO_CRASHES); /* now counted by voters */
   GString *metrics = g_string_new (NULL);
   crashrep_describe (reporter, metrics);
   g_assert_nonnull (strstr (metrics->str, "foxtail_reports_untold 0"));
@@ -217,7 +235,7 @@
 answered_content_is_reported (void)
 {
   set_up_entry ();
-  crashrep_answered (reporter, "s9", CONTENT, loop_now (loop));
+  answer_content ("s9", CONTENT);
   receive_crash_table (2);
   g_assert_false (received (&voter_peer, MESH_ANSWERED));
   crashrep_set_voter (reporter, &voter_peer.peer);
@@ -234,7 +252,7 @@
   set_up_entry ();
   crashrep_set_voter (reporter, &voter_peer.peer);
   receive_crash_table (2);
-  crashrep_answered (reporter, "s2", 1, loop_now (loop));
+  answer_content ("s2", 1);
   g_assert_true (received (&voter_peer, MESH_CRASH_RETRACTED));
   g_assert_cmpstr (last_msg.MeshMsg_u.survived.server, ==, "s2");
   tear_down_entry ();
