crashrep: what a voter has not acknowledged goes to the deputies once it loses charge

Found while a run of /parts/unlike_requests that ended 6 servers was traced: the voter in charge stalled on its disk, crashes were reported to it alone, and as it lost charge only later ones went to the deputies, so that entries knew some of them each.

--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -1,8 +1,9 @@
 /* crashrep.c - reports the server crashes that an entry detects to all other instances.
  *
  * A report is sent to the voter in charge, and resent to it or its successor until it is in the
- * log. While no voter is in charge, deputies forward reports to the entries that have connected to
- * them. This is not stored, and the voters still receive the reports later.
+ * log. While no voter is in charge, deputies forward reports, also those that the last voter has
+ * not acknowledged, to the entries that have connected to them. This is not stored, and the voters
+ * still receive the reports later.
  */
 #include "crashrep.h"
 #include "content.h"
@@ -22,7 +23,8 @@
 {
   uint64_t number;
   char *server;
-  int64_t crashed_at, sent_at; /* sent_at 0: not sent yet */
+  int64_t crashed_at, sent_at; /* sent_at 0: not sent to a voter yet */
+  bool forwarded;              /* sent to the deputies, while no voter was in charge */
   uint64_t contents[MESH_CONTENTS_MAX];
   unsigned count;
 } Report;
@@ -69,10 +71,25 @@
                                      .age_ms = (u_int) ((now - report->crashed_at) / FT_MS),
                                      .contents = { report->count, report->contents } };
   if (reporter->voter)
-    mesh_send (reporter->voter, &msg);
-  else if (report->sent_at == 0)
-    mesh_for_each_peer (reporter->mesh, send_to_deputy, &msg);
-  report->sent_at = now;
+    {
+      mesh_send (reporter->voter, &msg);
+      report->sent_at = now;
+    }
+  else
+    {
+      mesh_for_each_peer (reporter->mesh, send_to_deputy, &msg);
+      report->forwarded = true;
+    }
+}
+
+/* Whether the report is to be sent again to the voter, or still to the deputies. A voter that loses
+ * charge may have stalled before, so what it has not acknowledged goes to the deputies too. */
+static bool
+is_due (const CrashReporter *reporter, const Report *report)
+{
+  if (reporter->voter == NULL)
+    return !report->forwarded;
+  return report->sent_at < loop_now (reporter->loop) - RESEND_INTERVAL;
 }
 
 static void
@@ -306,15 +323,10 @@
 void
 crashrep_tick (CrashReporter *reporter)
 {
-  int64_t since = loop_now (reporter->loop) - RESEND_INTERVAL;
-
   quar_tick (reporter->quar, reporter->voter != NULL);
-  for (unsigned i = 0; reporter->voter && i < reporter->reports->len; i++)
-    {
-      Report *report = reporter->reports->pdata[i];
-      if (report->sent_at < since)
-        send_report (reporter, report);
-    }
+  for (unsigned i = 0; i < reporter->reports->len; i++)
+    if (is_due (reporter, reporter->reports->pdata[i]))
+      send_report (reporter, reporter->reports->pdata[i]);
 }
 
 /* ---- Results of requests ---- */
--- a/test/parts.c
+++ b/test/parts.c
@@ -274,6 +274,27 @@
   fleet_free (fleet);
 }
 
+/* All voters stop answering, as on disks that stall, and three crashes are reported to them before
+ * entries notice. The reports must reach the other entries by the deputies then. */
+static void
+voters_frozen (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_start_all (fleet);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_signal (&fleet->voters[i], SIGSTOP);
+  for (unsigned i = 0; i < 3; i++)
+    send_parts (fleet, i, "/once/a", CRASHES);
+  fleet_run_for (fleet, 4 * FT_SECOND);
+  unsigned before = fleet_crash_run_count (fleet, CRASH_PART);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    g_assert_true (send_parts (fleet, i, "/once/a", CRASHES).quarantined);
+  g_assert_cmpuint (before, ==, 3);
+  g_assert_cmpuint (fleet_crash_run_count (fleet, CRASH_PART), ==, 3);
+  fleet_free (fleet);
+}
+
 /* All processes are killed and restarted once the part is quarantined. */
 static void
 all_restarted (void)
@@ -359,6 +380,7 @@
   g_test_add_func ("/parts/two", two_crash_parts);
   g_test_add_func ("/parts/leader_killed", leader_killed);
   g_test_add_func ("/parts/without_voters", without_voters);
+  g_test_add_func ("/parts/voters_frozen", voters_frozen);
   g_test_add_func ("/parts/restarted", all_restarted);
   g_test_add_func ("/parts/spellings", other_spellings);
   g_test_add_func ("/parts/released", released_by_operator);
