crashes: parts have room of their own in the table, and are forgotten after half an hour

A request with very many parts could have evicted contents with one crash, and those of other parts. Parts now have 1,024 entries beside the contents'. A quarantined part can get no answer that clears it, so one that was held wrongly stayed so until an operator released it: the voter in charge now clears parts whose last crash is 30 minutes old.

--- a/node/suspects.c
+++ b/node/suspects.c
@@ -1,5 +1,5 @@
 /* suspects.c - turns crash reports of entries into log entries, and publishes the crash table to
- * all entries.
+ * all entries. Its keys are those of contents and of parts of prompts (fingerprint.h).
  *
  * The voter in charge proposes each reported crash to the log. Once it is committed on a majority,
  * the reporting entry is acknowledged and stops resending it. Contents with two or more crashes
@@ -7,7 +7,7 @@
  * catalogue without which an entry accepts no callers. So an instance that is new, was frozen or
  * was cut off knows them before it sends a request.
  *
- * Contents with one crash are not published (CRASHES_PUBLISH_MIN).
+ * Keys with one crash are not published (CRASHES_PUBLISH_MIN).
  */
 #include "suspects.h"
 #include "content.h"
@@ -21,7 +21,9 @@
 /* Pending proposals; an entry resends a report that was dropped because of this limit. */
 #define PENDING_MAX 1024
 /* A proposal gets no result if this voter stops being in charge. */
-#define RESULT_TIMEOUT (3 * FT_SECOND)
+#define RESULT_TIMEOUT  (3 * FT_SECOND)
+#define EXPIRY_INTERVAL (5 * FT_SECOND)
+#define EXPIRED_MAX     64 /* keys forgotten in each */
 
 /* A pending proposal. */
 typedef struct
@@ -40,6 +42,7 @@
   Broadcast *broadcast;
   GPtrArray *proposals;
   GBytes *packed; /* the published message, with index 0 */
+  int64_t expiry_at;
 };
 
 static void
@@ -137,7 +140,8 @@
       = now->ends >= CRASHES_QUARANTINE && (before == NULL || before->ends < CRASHES_QUARANTINE);
   char content[CONTENT_ID_SIZE];
 
-  if (now->latest.latest_len == 0 || (before && now->ends <= before->ends))
+  if (now->latest.latest_len == 0 || (before && now->ends <= before->ends)
+      || (fingerprint_is_part (now->content) && now->ends < CRASHES_PUBLISH_MIN))
     return;
   jlog (quarantined ? JLOG_WARN : JLOG_INFO, quarantined ? "quarantined" : "suspect", NULL,
         JL_TEXT ("content", content_format (now->content, content)), JL_INT ("ends", now->ends),
@@ -369,11 +373,34 @@
   bcast_link_down (suspects->broadcast, peer);
 }
 
+/* Forgets parts whose latest crash was long ago. */
+static void
+expire_parts (Suspects *suspects)
+{
+  uint64_t keys[EXPIRED_MAX];
+  char text[CONTENT_ID_SIZE];
+  unsigned count;
+
+  suspects->expiry_at = loop_now (suspects->loop) + EXPIRY_INTERVAL;
+  count = crashes_expired (suspects->table, g_get_real_time () / 1000, keys, EXPIRED_MAX);
+  for (unsigned i = 0; i < count && suspects->proposals->len < PENDING_MAX; i++)
+    {
+      if (has_pending_clear (suspects, keys[i]))
+        continue;
+      jlog (JLOG_INFO, "suspect-expired", NULL,
+            JL_TEXT ("content", content_format (keys[i], text)));
+      propose_clear (suspects, keys[i]);
+    }
+}
+
 void
 suspects_tick (Suspects *suspects)
 {
   int64_t since = loop_now (suspects->loop) - RESULT_TIMEOUT;
 
+  if (loop_now (suspects->loop) >= suspects->expiry_at && is_in_charge (suspects))
+    expire_parts (suspects);
+
   while (suspects->proposals->len > 0
          && ((const Proposal *) suspects->proposals->pdata[0])->at < since)
     g_ptr_array_remove_index (suspects->proposals, 0);
--- a/src/crashes.c
+++ b/src/crashes.c
@@ -11,9 +11,12 @@
  * completely. If a server still answers after a reported crash, only the connection to it had
  * failed, and that crash is subtracted again.
  *
- * The table is bounded. When it is full, the entry with the fewest crashes is evicted, the one
- * whose last crash is oldest first among equals, so a flood of contents with one crash each cannot
- * evict those with more.
+ * The same table counts crashes of parts of prompts (fingerprint.h), which are cleared as soon as
+ * an answer to any request with them begins.
+ *
+ * The table is bounded, for contents and for parts. When it is full, the entry with the fewest
+ * crashes is evicted, the one whose last crash is oldest first among equals, so a flood of keys
+ * with one crash each cannot evict those with more.
  */
 #include "crashes.h"
 #include "content.h"
@@ -67,20 +70,28 @@
   return one->content < other->content;
 }
 
+/* Makes room for another key of that kind. */
 static void
-evict_if_full (CrashTable *table)
+evict_if_full (CrashTable *table, bool is_part)
 {
+  unsigned max = is_part ? CRASHES_MAX_PARTS : CRASHES_MAX_CONTENTS, count = 0;
   GHashTableIter iter;
   gpointer value;
   const MsgSuspect *victim = NULL;
 
-  if (g_hash_table_size (table->suspects) < CRASHES_MAX_CONTENTS)
+  if (g_hash_table_size (table->suspects) < max)
     return;
   g_hash_table_iter_init (&iter, table->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (victim == NULL || evicted_before (value, victim))
-      victim = value;
-  if (victim)
+    {
+      const MsgSuspect *suspect = value;
+      if (fingerprint_is_part (suspect->content) != is_part)
+        continue;
+      count++;
+      if (victim == NULL || evicted_before (suspect, victim))
+        victim = suspect;
+    }
+  if (count >= max)
     g_hash_table_remove (table->suspects, &victim->content);
 }
 
@@ -97,7 +108,7 @@
 
   if (suspect)
     return suspect;
-  evict_if_full (table);
+  evict_if_full (table, fingerprint_is_part (content));
   suspect = g_new0 (MsgSuspect, 1);
   suspect->content = content;
   suspect->first_ms = wall_ms;
@@ -214,6 +225,32 @@
   return record_change (table, index, changed);
 }
 
+static int64_t
+last_crash_ms (const MsgSuspect *suspect)
+{
+  unsigned count = suspect->latest.latest_len;
+
+  return count ? suspect->latest.latest_val[count - 1].wall_ms : suspect->first_ms;
+}
+
+unsigned
+crashes_expired (const CrashTable *table, int64_t wall_ms, uint64_t *keys, unsigned max)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, table->suspects);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const MsgSuspect *suspect = value;
+      if (fingerprint_is_part (suspect->content)
+          && wall_ms - last_crash_ms (suspect) > CRASHES_PART_KEPT_MS)
+        keys[count++] = suspect->content;
+    }
+  return count;
+}
+
 const MsgSuspect *
 crashes_find (const CrashTable *table, uint64_t content)
 {
@@ -279,7 +316,6 @@
 {
   const MsgServerCrash *ends = suspect->latest.latest_val;
   unsigned count = suspect->latest.latest_len;
-  int64_t last_ms = count ? ends[count - 1].wall_ms : suspect->first_ms;
   char content[CONTENT_ID_SIZE];
 
   g_string_append_printf (out,
@@ -289,7 +325,7 @@
                           suspect->ends >= CRASHES_QUARANTINE ? "true" : "false", suspect->ends,
                           fingerprint_is_part (suspect->content) ? "part" : "content",
                           (double) (wall_ms - suspect->first_ms) / 1e3,
-                          (double) (wall_ms - last_ms) / 1e3);
+                          (double) (wall_ms - last_crash_ms (suspect)) / 1e3);
   for (unsigned i = 0; i < count; i++)
     {
       char *server = g_strescape (ends[i].server, NULL);
--- a/src/crashes.h
+++ b/src/crashes.h
@@ -1,4 +1,5 @@
-/* crashes.h - counts server crashes per request content; private to the library and its shells. */
+/* crashes.h - counts server crashes per request content and per part of prompts; private to the
+ * library and its shells. */
 #ifndef CRASHES_H
 #define CRASHES_H
 
@@ -10,6 +11,11 @@
  * server and makes a coincidence unlikely. */
 #define CRASHES_QUARANTINE   3
 #define CRASHES_MAX_CONTENTS 1024 /* entries in the table, about 150 bytes each */
+#define CRASHES_MAX_PARTS    1024 /* further entries, for parts */
+/* A part whose latest crash is older than this is forgotten, since one that is quarantined can get
+ * no answer that clears it: if it is still requested, it crashes servers again, at most
+ * CRASHES_QUARANTINE in this time. */
+#define CRASHES_PART_KEPT_MS (30 * 60 * 1000)
 /* Contents with at least this many crashes are published to all instances, because one more crash
  * quarantines them. Contents with fewer are nearly all innocent, and every crash adds several. */
 #define CRASHES_PUBLISH_MIN 2
@@ -25,6 +31,8 @@
 bool crashes_clear (CrashTable *table, uint64_t index, const MsgCleared *cleared);
 /* Whether crashes_add would change nothing. */
 bool crashes_is_recorded (const CrashTable *table, const MsgCrash *ended);
+/* Stores up to max keys of parts that are to be forgotten at wall_ms, and returns their number. */
+unsigned crashes_expired (const CrashTable *table, int64_t wall_ms, uint64_t *keys, unsigned max);
 /* Returns a borrowed entry, or NULL if no crash is recorded for the content. */
 const MsgSuspect *crashes_find (const CrashTable *table, uint64_t content);
 /* Log index of the latest change; 0 if there was none. */
--- a/test/blame.c
+++ b/test/blame.c
@@ -125,6 +125,47 @@
   crashes_free (table);
 }
 
+/* A flood of parts, as one request with very many can bring, evicts no content, and none of them
+ * that has two crashes. */
+static void
+flood_of_parts_evicts_no_content (void)
+{
+  CrashTable *table = crashes_new ();
+  uint64_t part = fingerprint_part_key ("s", 0);
+  unsigned quarantined;
+  char server[16];
+
+  add_crash (table, "k0", HARMFUL);
+  add_crash (table, "k0", part);
+  add_crash (table, "k1", part);
+  for (unsigned i = 1; i < 10 * CRASHES_MAX_PARTS; i++)
+    {
+      snprintf (server, sizeof server, "s%u", i);
+      add_crash (table, server, fingerprint_part_key ("s", i));
+    }
+  g_assert_cmpuint (crash_count (table, HARMFUL), ==, 1);
+  g_assert_cmpuint (crash_count (table, part), ==, 2);
+  g_assert_cmpuint (crashes_count (table, &quarantined), ==, CRASHES_MAX_PARTS + 1);
+  crashes_free (table);
+}
+
+/* A part that is quarantined can get no answer that clears it. It is forgotten half an hour after
+ * its last crash, a content is not. */
+static void
+old_parts_expire (void)
+{
+  CrashTable *table = crashes_new ();
+  uint64_t part = fingerprint_part_key ("s", 1), keys[4];
+
+  add_crash_at (table, "a", 0, part);
+  add_crash_at (table, "a", 0, HARMFUL);
+  add_crash_at (table, "b", 1000, part);
+  g_assert_cmpuint (crashes_expired (table, CRASHES_PART_KEPT_MS + 500, keys, 4), ==, 0);
+  g_assert_cmpuint (crashes_expired (table, CRASHES_PART_KEPT_MS + 2000, keys, 4), ==, 1);
+  g_assert_cmpuint (keys[0], ==, part);
+  crashes_free (table);
+}
+
 /* A content crashes many servers: all are counted, but only the latest are listed. */
 static void
 many_crashes_are_counted (void)
@@ -396,6 +437,8 @@
   g_test_add_func ("/blame/cleared", answered_content_is_cleared);
   g_test_add_func ("/blame/survived", disproved_crash_is_retracted);
   g_test_add_func ("/blame/flood", flood_evicts_single_crashes_only);
+  g_test_add_func ("/blame/flood_of_parts", flood_of_parts_evicts_no_content);
+  g_test_add_func ("/blame/expiry", old_parts_expire);
   g_test_add_func ("/blame/many", many_crashes_are_counted);
   g_test_add_func ("/blame/snapshot", table_survives_snapshot);
   g_test_add_func ("/blame/older_snapshot", older_snapshot_has_no_table);
--- a/test/witness.c
+++ b/test/witness.c
@@ -352,15 +352,21 @@
 }
 
 static void
-report_crash (uint64_t number, const char *server)
+report_crash_of (uint64_t number, const char *server, uint64_t key, unsigned age_ms)
 {
   MeshMsg msg = { .kind = MESH_CRASH };
-  u_quad_t contents[] = { CONTENT };
+  u_quad_t contents[] = { key };
 
-  msg.MeshMsg_u.ended = (MeshCrash){ number, (char *) server, 0, { 1, contents } };
+  msg.MeshMsg_u.ended = (MeshCrash){ number, (char *) server, age_ms, { 1, contents } };
   g_assert_true (suspects_message (suspects, &entry_peer.peer, &msg));
 }
 
+static void
+report_crash (uint64_t number, const char *server)
+{
+  report_crash_of (number, server, CONTENT, 0);
+}
+
 static bool
 entry_got_ack (void)
 {
@@ -426,6 +432,24 @@
   tear_down_voter ();
 }
 
+/* The last crash of a part was long ago: all entries are told that it is forgotten. */
+static void
+old_part_is_forgotten (void)
+{
+  uint64_t part = fingerprint_part_key ("s", 1);
+
+  set_up_voter ();
+  suspects_up (suspects, &other_peer.peer);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      char server[] = { 's', (char) ('0' + i), 0 };
+      report_crash_of (i, server, part, CRASHES_PART_KEPT_MS + 1000);
+    }
+  run_until (other_got_crash_table);
+  run_until (crash_table_is_empty);
+  tear_down_voter ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -436,5 +460,6 @@
   g_test_add_func ("/witness/lives", crash_is_retracted);
   g_test_add_func ("/suspects/told", crash_table_is_sent);
   g_test_add_func ("/suspects/cleared", answer_clears_suspicion);
+  g_test_add_func ("/suspects/forgotten", old_part_is_forgotten);
   return g_test_run ();
 }
