susp: the own interface charges crashes to the leading blocks of prompts

A request's blocks (prefix.c) are now keys beside its content: charged while no token has come, cleared by the first token. Engines restart under their names there, so that a crash is identified by server and time.

--- a/src/attribution.c
+++ b/src/attribution.c
@@ -36,7 +36,7 @@
 {
   GArray *suspects;    /* Suspect, of at least CRASHES_PUBLISH_MIN crashes */
   GHashTable *by_key;  /* key -> index of a suspect + 1 */
-  GHashTable *crashes; /* digest of a server -> Crash */
+  GHashTable *crashes; /* identifier -> Crash */
 };
 
 static void
@@ -95,23 +95,23 @@
   return times[MIN (count, CRASHES_QUARANTINE) - 1];
 }
 
-/* For each suspect, on how many of these servers it ran; the caller frees the array. */
+/* For each suspect, in how many of these crashes it was running; the caller frees the array. */
 static unsigned *
 count_shared (const Attribution *attr, const AttrSuspect *from)
 {
   unsigned *counts = g_new0 (unsigned, attr->suspects->len);
 
-  for (unsigned i = 0; i < from->server_count; i++)
+  for (unsigned i = 0; i < from->crash_count; i++)
     {
-      const Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (from->servers[i]));
+      const Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (from->crashes[i]));
       for (unsigned j = 0; j < crash->suspects->len; j++)
         counts[g_array_index (crash->suspects, unsigned, j)]++;
     }
   return counts;
 }
 
-/* Index of the other suspect that ran on most of these servers, or -1 if none did; *shared is the
- * number of these servers. */
+/* Index of the other suspect that was running in most of these crashes, or -1 if none was; *shared
+ * is their number. */
 static int
 best_companion (const Attribution *attr, unsigned index, const AttrSuspect *from, unsigned *shared)
 {
@@ -129,7 +129,7 @@
   return best;
 }
 
-/* Whether a part ran on all these servers and on more. */
+/* Whether a part was running in all these crashes and in more. */
 static bool
 part_explains (const Attribution *attr, const AttrSuspect *from)
 {
@@ -140,16 +140,16 @@
     {
       const Suspect *other = &g_array_index (attr->suspects, Suspect, i);
       explains = fingerprint_is_part (other->key) && other->ends > from->ends
-                 && counts[i] == from->server_count;
+                 && counts[i] == from->crash_count;
     }
   g_free (counts);
   return explains;
 }
 
 static bool
-ran_on (const Attribution *attr, int index, uint32_t server)
+ran_in (const Attribution *attr, int index, uint32_t id)
 {
-  const Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (server));
+  const Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (id));
 
   for (unsigned i = 0; i < crash->suspects->len; i++)
     if ((int) g_array_index (crash->suspects, unsigned, i) == index)
@@ -161,14 +161,14 @@
 decide_alone (const Attribution *attr, unsigned index, const AttrSuspect *from)
 {
   Suspect *suspect = &g_array_index (attr->suspects, Suspect, index);
-  int64_t times[ATTR_SERVERS_MAX];
+  int64_t times[ATTR_CRASHES_MAX];
   unsigned shared = 0, count = 0;
   int companion
       = fingerprint_is_part (from->key) ? best_companion (attr, index, from, &shared) : -1;
 
   suspect->alone = from->ends >= shared + CRASHES_QUARANTINE;
-  for (unsigned i = 0; suspect->alone && i < from->server_count; i++)
-    if (companion < 0 || !ran_on (attr, companion, from->servers[i]))
+  for (unsigned i = 0; suspect->alone && i < from->crash_count; i++)
+    if (companion < 0 || !ran_in (attr, companion, from->crashes[i]))
       times[count++] = from->seen_at[i];
   if (count > 0)
     suspect->alone_since = time_of_limit (times, count);
@@ -177,16 +177,16 @@
 /* ---- Suspects ---- */
 
 static void
-add_to_crash (Attribution *attr, unsigned index, uint32_t server, int64_t seen_at)
+add_to_crash (Attribution *attr, unsigned index, uint32_t id, int64_t seen_at)
 {
-  Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (server));
+  Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (id));
 
   if (crash == NULL)
     {
       crash = g_new0 (Crash, 1);
       crash->seen_at = seen_at;
       crash->suspects = g_array_new (FALSE, FALSE, sizeof (unsigned));
-      g_hash_table_insert (attr->crashes, GUINT_TO_POINTER (server), crash);
+      g_hash_table_insert (attr->crashes, GUINT_TO_POINTER (id), crash);
     }
   crash->seen_at = MIN (crash->seen_at, seen_at);
   g_array_append_val (crash->suspects, index);
@@ -198,9 +198,9 @@
 {
   if (fingerprint_is_part (from->key) || !part_explains (attr, from))
     return;
-  for (unsigned i = 0; i < from->server_count; i++)
+  for (unsigned i = 0; i < from->crash_count; i++)
     {
-      Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (from->servers[i]));
+      Crash *crash = g_hash_table_lookup (attr->crashes, GUINT_TO_POINTER (from->crashes[i]));
       for (unsigned j = crash->suspects->len; j-- > 0;)
         if (g_array_index (crash->suspects, unsigned, j) == index)
           g_array_remove_index (crash->suspects, j);
@@ -217,8 +217,8 @@
   g_array_append_val (attr->suspects, suspect);
   g_hash_table_insert (attr->by_key, g_memdup2 (&from->key, sizeof from->key),
                        GINT_TO_POINTER ((int) index + 1));
-  for (unsigned i = 0; i < from->server_count; i++)
-    add_to_crash (attr, index, from->servers[i], from->seen_at[i]);
+  for (unsigned i = 0; i < from->crash_count; i++)
+    add_to_crash (attr, index, from->crashes[i], from->seen_at[i]);
 }
 
 void
--- a/src/attribution.h
+++ b/src/attribution.h
@@ -5,16 +5,16 @@
 
 #include "foxtail.h"
 
-#define ATTR_SERVERS_MAX 16 /* of one suspect, the latest */
+#define ATTR_CRASHES_MAX 16 /* of one suspect, the latest */
 
 /* A key (fingerprint.h) of requests that were running on crashed servers. */
 typedef struct
 {
   uint64_t key;
   unsigned ends; /* crashes of servers that ran it */
-  unsigned server_count;
-  uint32_t servers[ATTR_SERVERS_MAX]; /* digests of the ids of the latest of them */
-  int64_t seen_at[ATTR_SERVERS_MAX];  /* when this instance learned of each */
+  unsigned crash_count;
+  uint32_t crashes[ATTR_CRASHES_MAX]; /* identifiers of the latest of them */
+  int64_t seen_at[ATTR_CRASHES_MAX];  /* when this instance learned of each */
 } AttrSuspect;
 
 typedef struct Attribution Attribution;
--- a/src/crashes.c
+++ b/src/crashes.c
@@ -24,10 +24,6 @@
 
 #include <string.h>
 
-/* Reports of the same server within this time are one crash: instances detect it within 1 s of
- * each other, and no server restarts and crashes again faster. */
-#define SAME_CRASH_MS 2000
-
 struct CrashTable
 {
   uint64_t index;
@@ -148,7 +144,7 @@
   int position = index_of_crash (suspect, ended->server);
 
   return position >= 0
-         && ended->wall_ms - suspect->latest.latest_val[position].wall_ms < SAME_CRASH_MS;
+         && ended->wall_ms - suspect->latest.latest_val[position].wall_ms < CRASHES_SAME_MS;
 }
 
 static bool
--- a/src/crashes.h
+++ b/src/crashes.h
@@ -20,6 +20,10 @@
  * quarantines them. Contents with fewer are nearly all innocent, and every crash adds several. */
 #define CRASHES_PUBLISH_MIN 2
 
+/* Reports of the same server within this time are one crash: instances detect it within 1 s of
+ * each other, and no server restarts and crashes again faster. */
+#define CRASHES_SAME_MS 2000
+
 typedef struct CrashTable CrashTable;
 
 CrashTable *crashes_new (void);
--- a/src/ent.c
+++ b/src/ent.c
@@ -27,8 +27,8 @@
   unsigned prompt_tokens, most_tokens, tokens;
   int64_t first_token_due, answer_due; /* monotonic time */
   MsgAskState state;
-  uint64_t content; /* 0: not known */
-  bool withheld;    /* not sent to the scheduler until the content is found safe or quarantined */
+  Fingerprint *print; /* NULL: the content is not known */
+  bool withheld;      /* not sent to the scheduler until it is found safe or quarantined */
   unsigned block_count;
   uint64_t blocks[];
 } EntReq;
@@ -55,6 +55,7 @@
   g_free (req->org);
   g_free (req->class_name);
   g_free (req->server);
+  fingerprint_unref (req->print);
   g_free (req);
 }
 
@@ -139,7 +140,9 @@
 static bool
 must_withhold (const EntTable *ent, const EntReq *req)
 {
-  return req->content && quar_check (ent->node->quar, req->content).state >= QUAR_RECHECK;
+  return req->print
+         && quar_check_keys (ent->node->quar, req->print->keys, req->print->count).state
+                >= QUAR_RECHECK;
 }
 
 /* Sends a request to the scheduler unless too many servers have crashed while running its content.
@@ -204,7 +207,8 @@
   req->class_name = g_strdup (ask->class_name);
   req->prompt_tokens = ask->prompt_tokens;
   req->most_tokens = ask->most_tokens;
-  req->content = ask->content;
+  if (ask->content)
+    req->print = fingerprint_new (ask->content, ask->pool, ask->blocks, blocks);
   req->first_token_due = now + ask->first_token_in_us;
   req->answer_due = now + ask->deadline_in_us;
   req->block_count = blocks;
@@ -234,6 +238,8 @@
 
   if (req == NULL)
     return;
+  if (req->print && req->tokens == 0 && tokens > 0)
+    susp_on_answer (node, req->print->keys + 1, req->print->count - 1);
   req->tokens = tokens;
   out->pool = req->pool->name;
   out->request = request;
@@ -270,8 +276,8 @@
   /* Removed first: sending the message may bring decisions on other requests at once. */
   g_hash_table_remove (node->ent->requests, &req->request);
   cds_list_del (&req->link);
-  if (how == FT_OUTCOME_COMPLETE && req->content)
-    susp_on_answer (node, req->content);
+  if (how == FT_OUTCOME_COMPLETE && req->print)
+    susp_on_answer (node, req->print->keys, req->print->count);
   send_done (node, req, how, tokens);
   request_free (req);
 }
@@ -281,8 +287,10 @@
 {
   const EntReq *req = find_request (node->ent, request);
 
-  if (req && req->server && req->content)
-    susp_propose_crash (node, req->pool->name, req->server, req->content, wall_ms);
+  /* A part that crashes servers does so before the first token. */
+  if (req && req->server && req->print)
+    susp_propose_crash (node, req->pool->name, req->server, req->print->keys,
+                        req->tokens == 0 ? req->print->count : 1, wall_ms);
 }
 
 static void
@@ -417,19 +425,19 @@
           "no decision came before the first token was due");
 }
 
-/* Submits a withheld request once its content is cleared, and refuses any waiting request whose
- * content is quarantined; if the scheduler already has it, it is cancelled there. */
+/* Submits a withheld request once it is cleared, and refuses any waiting request that is
+ * quarantined; if the scheduler already has it, it is cancelled there. */
 static void
 check_quarantine (EntTable *ent, EntReq *req)
 {
-  QuarVerdict verdict = quar_check (ent->node->quar, req->content);
+  QuarVerdict verdict = quar_check_keys (ent->node->quar, req->print->keys, req->print->count);
   char rule[128];
 
   if (verdict.state == QUAR_BLOCKED)
     {
       g_snprintf (rule, sizeof rule,
-                  "%u servers crashed while running content %016" G_GINT64_MODIFIER "x",
-                  verdict.ends, req->content);
+                  "%u servers crashed while running %s %016" G_GINT64_MODIFIER "x", verdict.ends,
+                  fingerprint_is_part (verdict.key) ? "part" : "content", verdict.key);
       if (!req->withheld)
         send_done (ent->node, req, FT_OUTCOME_CANCELLED, 0);
       refuse (ent, req, FT_REASON_QUARANTINED, 0, 0, rule);
@@ -476,7 +484,7 @@
     {
       uint64_t number = g_array_index (numbers, uint64_t, i);
       EntReq *req = find_waiting (ent, number);
-      if (req && req->content)
+      if (req && req->print)
         check_quarantine (ent, req);
       req = find_waiting (ent, number);
       if (req)
--- a/src/node.h
+++ b/src/node.h
@@ -143,11 +143,11 @@
 /* susp.c */
 /* Applies the voters' crash table. */
 void susp_update_table (FtNode *node, const MsgCrashTable *table);
-/* The server crashed while it ran a request of this instance that has the content. */
-void susp_propose_crash (FtNode *node, const char *pool, const char *server, uint64_t content,
-                         int64_t wall_ms);
-/* A request with this content was answered completely by a server. */
-void susp_on_answer (FtNode *node, uint64_t content);
+/* The server crashed while it ran a request of this instance that has these keys. */
+void susp_propose_crash (FtNode *node, const char *pool, const char *server, const uint64_t *keys,
+                         unsigned count, int64_t wall_ms);
+/* A request with these keys was answered: a content completely, a part by its first token. */
+void susp_on_answer (FtNode *node, const uint64_t *keys, unsigned count);
 uint64_t susp_propose_clear (FtNode *node, const uint64_t *contents, unsigned count, bool silent);
 
 /* lead.c */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -34,9 +34,9 @@
 /* 24 bytes each; the crash of a server adds about ten for the contents it ran, and those of the
  * parts of requests of whose answer nothing had come. */
 #define EVIDENCE_MAX 1024
-/* Remembered answers, powers of two: 10 s at 100 per second, and 2 s of parts at five a request. */
+/* Remembered answers, powers of two: 10 s at 100 per second, and 2 s of 20 parts each. */
 #define ANSWERED_MAX 1024
-#define BEGUN_MAX    1024
+#define BEGUN_MAX    4096
 /* By then the instance that detected the crash has reported it to the voters. */
 #define REMOTE_EVIDENCE_KEPT (2 * FT_SECOND)
 
@@ -45,7 +45,7 @@
 {
   uint64_t key;
   unsigned ends, server_count;
-  uint32_t servers[FT_SUSPECT_CRASHES_MAX];
+  uint32_t servers[FT_SUSPECT_CRASHES_MAX], crashes[FT_SUSPECT_CRASHES_MAX];
   int64_t received_at[FT_SUSPECT_CRASHES_MAX]; /* when each of them was first received here */
 } TableEntry;
 
@@ -111,16 +111,25 @@
 
 /* ---- Decision ---- */
 
+static bool
+contains_server (const uint32_t *servers, unsigned count, uint32_t server)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (servers[i] == server)
+      return true;
+  return false;
+}
+
 static void
-add_server (AttrSuspect *suspect, uint32_t server, int64_t seen_at)
+add_crash (AttrSuspect *suspect, uint32_t id, int64_t seen_at)
 {
-  for (unsigned i = 0; i < suspect->server_count; i++)
-    if (suspect->servers[i] == server)
+  for (unsigned i = 0; i < suspect->crash_count; i++)
+    if (suspect->crashes[i] == id)
       return;
-  if (suspect->server_count == ATTR_SERVERS_MAX)
+  if (suspect->crash_count == ATTR_CRASHES_MAX)
     return;
-  suspect->servers[suspect->server_count] = server;
-  suspect->seen_at[suspect->server_count++] = seen_at;
+  suspect->crashes[suspect->crash_count] = id;
+  suspect->seen_at[suspect->crash_count++] = seen_at;
   suspect->ends++;
 }
 
@@ -131,7 +140,7 @@
 
   suspect->key = entry->key;
   for (unsigned i = 0; i < entry->server_count; i++)
-    add_server (suspect, entry->servers[i], entry->received_at[i]);
+    add_crash (suspect, entry->crashes[i], entry->received_at[i]);
   suspect->ends = entry->ends; /* the table lists only the latest servers */
   return suspect;
 }
@@ -153,14 +162,17 @@
   for (unsigned i = 0; i < quar->evidence->len; i++)
     {
       const Evidence *evidence = &g_array_index (quar->evidence, Evidence, i);
+      const TableEntry *entry = g_hash_table_lookup (quar->table, &evidence->key);
       AttrSuspect *suspect = g_hash_table_lookup (merged, &evidence->key);
+      if (entry && contains_server (entry->servers, entry->server_count, evidence->server))
+        continue;
       if (suspect == NULL)
         {
           suspect = g_new0 (AttrSuspect, 1);
           suspect->key = evidence->key;
           g_hash_table_insert (merged, &suspect->key, suspect);
         }
-      add_server (suspect, evidence->server, evidence->at);
+      add_crash (suspect, evidence->server, evidence->at);
     }
   return merged;
 }
@@ -377,10 +389,10 @@
 /* ---- The voters' crash table ---- */
 
 static int64_t
-first_received_at (const TableEntry *before, uint32_t server, int64_t now)
+first_received_at (const TableEntry *before, uint32_t crash, int64_t now)
 {
   for (unsigned i = 0; before && i < before->server_count; i++)
-    if (before->servers[i] == server)
+    if (before->crashes[i] == crash)
       return before->received_at[i];
   return now;
 }
@@ -396,7 +408,8 @@
   for (unsigned i = 0; i < entry->server_count; i++)
     {
       entry->servers[i] = record->servers[i];
-      entry->received_at[i] = first_received_at (before, record->servers[i], now);
+      entry->crashes[i] = record->crashes ? record->crashes[i] : record->servers[i];
+      entry->received_at[i] = first_received_at (before, entry->crashes[i], now);
     }
   return entry;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -35,6 +35,8 @@
   unsigned ends;
   const uint32_t *servers; /* digests of the ids of the servers that crashed last */
   unsigned server_count;
+  const uint32_t *crashes; /* identifiers of these crashes, the same for all keys; NULL: a server's
+                              id is never used again, so that its digest identifies its crash */
 } QuarRecord;
 
 Quarantine *quar_new (FtClock *clock);
--- a/test/attribution.c
+++ b/test/attribution.c
@@ -50,10 +50,10 @@
     {
       AttrSuspect *suspect = suspect_of (history, keys[i]);
       suspect->ends++;
-      if (suspect->server_count == ATTR_SERVERS_MAX)
+      if (suspect->crash_count == ATTR_CRASHES_MAX)
         continue;
-      suspect->servers[suspect->server_count] = history->servers;
-      suspect->seen_at[suspect->server_count++] = at;
+      suspect->crashes[suspect->crash_count] = history->servers;
+      suspect->seen_at[suspect->crash_count++] = at;
     }
   attr_set (history->attr, history->suspects, history->count);
 }
@@ -222,7 +222,7 @@
   TestClock clock = test_clock ();
   Quarantine *quar = quar_new (&clock.base);
   uint32_t servers[] = { 1, 2, 3 };
-  QuarRecord records[] = { { part (1), 3, servers, 3 }, { part (2), 3, servers, 3 } };
+  QuarRecord records[] = { { part (1), 3, servers, 3, NULL }, { part (2), 3, servers, 3, NULL } };
   uint64_t keys[4];
 
   quar_answered (quar, part (2));
--- a/test/blame.c
+++ b/test/blame.c
@@ -272,7 +272,7 @@
 
   for (unsigned i = 0; i < ends; i++)
     digests[i] = quar_server_digest (servers[i]);
-  QuarRecord record = { content, ends, digests, ends };
+  QuarRecord record = { content, ends, digests, ends, NULL };
   return quar_update_table (quar, index, &record, ends > 0);
 }
 
--- a/test/ends.sh
+++ b/test/ends.sh
@@ -34,13 +34,15 @@
   cat "$dir"/*.starts | wc -l
 }
 
-ask () { # INSTANCE PROMPT
+ask () { # INSTANCE PROMPT [SYSTEM_PROMPT]
+  local system=""
+  [ -z "${3:-}" ] || system="{\"role\":\"system\",\"content\":\"$3\"},"
   curl -s -m 20 -w ' %{http_code}' -H 'Authorization: Bearer kalkhaus-key' -H 'X-Class: dealer-question' \
-    -d "{\"model\":\"standin\",\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"$2\"}]}" \
+    -d "{\"model\":\"standin\",\"max_tokens\":3,\"messages\":[$system{\"role\":\"user\",\"content\":\"$2\"}]}" \
     "http://127.0.0.1:$((BASE + $1))/v1/chat/completions"
 }
 
-echo "1..5"
+echo "1..8"
 cluster_start "$dir" 3 3 || exit 1
 kill -KILL "$FAST_PID" "$SLOW_PID"
 sleep 0.2
@@ -88,6 +90,33 @@
 done
 [ "$(starts)" -gt "$before" ]
 ok $? "once it is let go it is sent again"
+
+# Prompts that share a section which crashes engines, and are not alike otherwise. Each prompt was
+# another content, so that engine after engine crashed.
+common=$(printf 'common %.0s' $(seq 1 50))
+section=$(printf 'MARKED %.0s' $(seq 1 50) | tr A-Z a-z)
+other=$(printf 'others %.0s' $(seq 1 50))
+before=$(starts)
+quarantined=0
+for i in $(seq 1 $ATTEMPTS); do
+  ask $(((i - 1) % 3 + 1)) "question $i" "$common$section" >"$dir/answer"
+  if grep -q '"quarantined"' "$dir/answer"; then quarantined=$((quarantined + 1)); fi
+  ask $((i % 3 + 1)) "question $i" "$common$other" >/dev/null
+  sleep 1.2
+done
+crashes=$(($(starts) - before))
+echo "# $crashes engine crashes, $quarantined of $ATTEMPTS requests with the section were refused"
+[ "$crashes" -ge 3 ] && [ "$crashes" -le $CRASHES_MAX ]
+ok $? "a section of prompts ends no more than $CRASHES_MAX engines"
+grep -q ' 503$' "$dir/answer" && grep -q '"ran": *"no"' "$dir/answer"
+ok $? "then prompts with it are refused, as not run"
+for _ in $(seq 1 50); do
+  ask 3 "question" "$common$other" >"$dir/answer"
+  grep -q ' 200$' "$dir/answer" && break
+  sleep 0.2
+done
+grep -q ' 200$' "$dir/answer"
+ok $? "prompts with the same beginning are answered"
 touch "$dir/over"
 kill -KILL $(cat "$dir"/*.pid) 2>/dev/null
 exit $failed
