callers: an entry bounds its connections, and refuses new ones while its loop is loaded

Most new connections of a zone may come to one entry. Half of the descriptors are now for callers, the longest idle connection makes room for a new one, a new one is refused unread when none is idle or while the loop is busy 9 parts of 10, and without a descriptor it is refused as well.

--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -30,6 +30,7 @@
 typedef struct
 {
   struct cds_list_head link;
+  struct cds_list_head idle_link; /* in HSrv.idle; empty while it is not idle */
   HSrv *srv;
   Sock *sock;
   HReader *read;
@@ -58,7 +59,9 @@
   void *owner;
   HSrvLimits limits;
   struct cds_list_head conns;
+  struct cds_list_head idle; /* connections without a request, longest idle first */
   unsigned conn_count, active_calls;
+  HSrvRefused refused;
   size_t unsent;         /* bytes of responses in the sockets' buffers */
   size_t owner_buffered; /* bytes of responses that the owners of calls buffer */
   HSrvMemory memory;     /* all but answers */
@@ -88,6 +91,7 @@
   HSrv *srv = conn->srv;
 
   free_call (conn);
+  cds_list_del_init (&conn->idle_link);
   loop_timer_stop (srv->loop, &conn->timer);
   sock_close (conn->sock, reset);
   hread_free (conn->read);
@@ -136,6 +140,7 @@
       conn->state = CONN_LINGERING; /* on_drained continues when all is sent */
       return;
     }
+  cds_list_add_tail (&conn->idle_link, &conn->srv->idle);
   sock_pause (conn->sock, false);
   read_requests (conn);
 }
@@ -230,6 +235,7 @@
   call->arrived = loop_now (conn->srv->loop);
   conn->call = call;
   conn->srv->active_calls++;
+  cds_list_del_init (&conn->idle_link);
   loop_timer_set (conn->srv->loop, &conn->timer, call->arrived + conn->srv->limits.head_us);
 }
 
@@ -333,13 +339,52 @@
 
 /* ---- The server ---- */
 
+/* Closes the longest idle connection of which all output is sent. Returns false if there is none.
+ */
+static bool
+evict_idle (HSrv *srv)
+{
+  Conn *conn;
+
+  cds_list_for_each_entry (conn, &srv->idle, idle_link)
+  {
+    if (sock_unsent (conn->sock) > 0)
+      continue;
+    close_conn (conn, false);
+    srv->refused.evicted++;
+    return true;
+  }
+  return false;
+}
+
+/* Whether a new connection must be refused. Its caller goes on at another instance at once, while
+ * it would wait here for its turn, and others with it. */
+static bool
+must_refuse (HSrv *srv)
+{
+  if (srv->limits.load > 0 && loop_load (srv->loop) > srv->limits.load)
+    {
+      srv->refused.loaded++;
+      return true;
+    }
+  if (srv->limits.connections == 0 || srv->conn_count < srv->limits.connections || evict_idle (srv))
+    return false;
+  srv->refused.full++;
+  return true;
+}
+
 static void
 on_accept (void *owner, int fd, SockAddr peer)
 {
   HSrv *srv = owner;
-  Conn *conn = g_new0 (Conn, 1);
   int buffer = SEND_BUFFER_SIZE;
 
+  if (must_refuse (srv))
+    {
+      sock_refuse (fd);
+      return;
+    }
+  Conn *conn = g_new0 (Conn, 1);
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
   conn->srv = srv;
   conn->sock = sock_accepted (srv->loop, fd, peer, &sock_ops, conn);
@@ -355,6 +400,7 @@
   conn->read = hread_new (true, &read_ops, conn);
   conn->timer.fire = on_timer;
   cds_list_add_tail (&conn->link, &srv->conns);
+  cds_list_add_tail (&conn->idle_link, &srv->idle);
   srv->conn_count++;
   loop_timer_set (srv->loop, &conn->timer, loop_now (srv->loop) + srv->limits.idle_us);
 }
@@ -367,8 +413,9 @@
   srv->loop = loop;
   srv->ops = ops;
   srv->owner = owner;
-  srv->limits = (HSrvLimits){ 16384, 1 << 20, 5 * FT_SECOND, 30 * FT_SECOND };
+  srv->limits = (HSrvLimits){ 16384, 1 << 20, 5 * FT_SECOND, 30 * FT_SECOND, 0, 0 };
   CDS_INIT_LIST_HEAD (&srv->conns);
+  CDS_INIT_LIST_HEAD (&srv->idle);
   srv->listener = sock_listen (loop, addr, on_accept, srv);
   if (srv->listener == NULL)
     {
@@ -427,6 +474,12 @@
   return srv->active_calls;
 }
 
+const HSrvRefused *
+hsrv_refused (const HSrv *srv)
+{
+  return &srv->refused;
+}
+
 unsigned
 hsrv_connection_count (const HSrv *srv)
 {
--- a/net/hsrv.h
+++ b/net/hsrv.h
@@ -30,6 +30,10 @@
   size_t head_bytes, body_bytes; /* larger requests get status 431 or 413; 0: no limit */
   int64_t head_us;               /* time to receive a request with its body, else status 408 */
   int64_t idle_us;               /* an idle connection is closed after this time */
+  /* With as many connections open, the longest idle one is closed for a new one, and if none is
+   * idle, the new one is refused; 0: no limit. */
+  unsigned connections;
+  double load; /* while loop_load is higher, new connections are refused; 0: no limit */
 } HSrvLimits;
 
 /* Returns NULL with errno set if the address cannot be bound. */
@@ -43,6 +47,14 @@
 void hsrv_stop_accepting (HSrv *srv);
 unsigned hsrv_active_calls (const HSrv *srv); /* requests being received or answered */
 unsigned hsrv_connection_count (const HSrv *srv);
+/* Connections refused so far, before anything of a request was read. */
+typedef struct
+{
+  uint64_t full;    /* because all connections were in use */
+  uint64_t loaded;  /* because of the load */
+  uint64_t evicted; /* idle ones that were closed for new ones; not refused */
+} HSrvRefused;
+const HSrvRefused *hsrv_refused (const HSrv *srv);
 /* Memory used for callers now and at its peak. */
 typedef struct
 {
--- a/net/loop.c
+++ b/net/loop.c
@@ -11,8 +11,10 @@
 #include <time.h>
 #include <unistd.h>
 
-#define EVENTS_MAX 128 /* events handled per iteration; bounds the delay of timers */
-#define POSTED_MAX 32  /* posted calls run per iteration, for the same reason */
+#define EVENTS_MAX         128 /* events handled per iteration; bounds the delay of timers */
+#define POSTED_MAX         32  /* posted calls run per iteration, for the same reason */
+#define LOAD_WINDOW        (100 * FT_MS) /* time constant of the average load */
+#define LOAD_ITERATION_MAX (300 * FT_MS) /* for which one iteration counts at most */
 
 typedef struct
 {
@@ -36,6 +38,8 @@
   void *iteration_data;
   LoopIteration iteration;
   int64_t work_start; /* start of the current piece of work */
+  int64_t wait_start; /* when the loop last began to wait */
+  double load;
   pthread_mutex_t lock;
   GArray *posted; /* Call, oldest first; protected by lock */
 };
@@ -151,6 +155,12 @@
   return loop->now;
 }
 
+double
+loop_load (const Loop *loop)
+{
+  return loop->load;
+}
+
 bool
 loop_add (Loop *loop, LoopFd *fd, uint32_t events)
 {
@@ -242,10 +252,27 @@
   loop->work_start = now;
 }
 
+/* Adds the iteration from start, which waited since wait_start, to the average. A single one counts
+ * for LOAD_ITERATION_MAX at most, since a process that was suspended is not loaded. */
+static void
+update_load (Loop *loop, int64_t start)
+{
+  double took = (double) (loop->now - start);
+  double weight = MIN (took, (double) LOAD_ITERATION_MAX);
+
+  if (took <= 0)
+    return;
+  double busy = (double) (loop->wait_start - start) / took;
+  loop->load += weight / (weight + (double) LOAD_WINDOW) * (busy - loop->load);
+}
+
 static void
 begin_iteration (Loop *loop)
 {
+  int64_t start = loop->now;
+
   loop->now = loop->work_start = read_clock ();
+  update_load (loop, start);
   loop->iteration = (LoopIteration){ .late_us = -1, .longest = "" };
 }
 
@@ -278,9 +305,10 @@
 {
   FtHeapNode *top = ft_heap_top (&loop->timers);
 
+  loop->wait_start = read_clock ();
   if (top == NULL)
     return -1;
-  int64_t left = (int64_t) top->key - read_clock ();
+  int64_t left = (int64_t) top->key - loop->wait_start;
   return left <= 0 ? 0 : (int) MIN (left / 1000 + 1, 60000);
 }
 
--- a/net/loop.h
+++ b/net/loop.h
@@ -38,6 +38,10 @@
 FtClock *loop_clock (Loop *loop);
 int64_t loop_now (Loop *loop);
 
+/* The share of time in which the loop did not wait for events lately, 0 to 1. */
+double loop_load (const Loop *loop);
+#define LOOP_LOAD_HIGH 0.9 /* above it work waits */
+
 /* Starts watching fd->fd. Returns false with errno set if epoll_ctl fails. */
 bool loop_add (Loop *loop, LoopFd *fd, uint32_t events);
 void loop_change (Loop *loop, LoopFd *fd, uint32_t events);
--- a/net/sock.c
+++ b/net/sock.c
@@ -20,6 +20,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 
 #define KEEPALIVE_IDLE_S     1    /* until the first probe: half of the 2 s to detect a loss */
@@ -508,27 +509,64 @@
 struct SockListener
 {
   LoopFd fd;
+  int spare; /* a descriptor that is given up to refuse a connection if there is no other; -1: none
+              */
   Loop *loop;
   SockAccept accept;
   void *owner;
 };
 
+void
+sock_refuse (int fd)
+{
+  struct linger reset = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+}
+
+/* Refuses the first waiting connection although there is no descriptor for it. It would keep the
+ * listener ready otherwise, and the loop busy, until a descriptor is free. Returns false if none
+ * waits. */
+static bool
+refuse_without_descriptor (SockListener *listener)
+{
+  if (listener->spare >= 0)
+    close (listener->spare);
+  int fd = accept4 (listener->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd >= 0)
+    sock_refuse (fd);
+  listener->spare = eventfd (0, EFD_CLOEXEC);
+  return fd >= 0;
+}
+
+/* Accepts the first waiting connection. Returns false if there is none. */
+static bool
+accept_one (SockListener *listener)
+{
+  struct sockaddr_in from = { 0 };
+  socklen_t size = sizeof from;
+  int fd
+      = accept4 (listener->fd.fd, (struct sockaddr *) &from, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd < 0 && (errno == EMFILE || errno == ENFILE))
+    return refuse_without_descriptor (listener);
+  if (fd < 0)
+    return errno == ECONNABORTED || errno == EINTR;
+  listener->accept (listener->owner, fd,
+                    (SockAddr){ ntohl (from.sin_addr.s_addr), ntohs (from.sin_port) });
+  return true;
+}
+
 static void
 on_accept (LoopFd *base, uint32_t bits)
 {
   SockListener *listener = (SockListener *) base;
-  struct sockaddr_in from = { 0 };
-  socklen_t size = sizeof from;
-  int fd;
+  unsigned count = 0;
 
   (void) bits;
-  while ((fd = accept4 (base->fd, (struct sockaddr *) &from, &size, SOCK_NONBLOCK | SOCK_CLOEXEC))
-         >= 0)
-    {
-      SockAddr peer = { ntohl (from.sin_addr.s_addr), ntohs (from.sin_port) };
-      listener->accept (listener->owner, fd, peer);
-      size = sizeof from;
-    }
+  while (count < BACKLOG && accept_one (listener))
+    count++;
 }
 
 SockListener *
@@ -542,12 +580,17 @@
     return NULL;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   SockListener *listener = g_new0 (SockListener, 1);
-  *listener = (SockListener){ { .fd = fd, .ready = on_accept }, loop, accept, owner };
+  *listener = (SockListener){ .fd = { .fd = fd, .ready = on_accept },
+                              .spare = eventfd (0, EFD_CLOEXEC),
+                              .loop = loop,
+                              .accept = accept,
+                              .owner = owner };
   if (bind (fd, (struct sockaddr *) &at, sizeof at) != 0 || listen (fd, BACKLOG) != 0
       || !loop_add (loop, &listener->fd, EPOLLIN))
     {
       int error = errno;
       close (fd);
+      close (listener->spare);
       g_free (listener);
       errno = error;
       return NULL;
@@ -562,5 +605,7 @@
     return;
   loop_remove (listener->loop, &listener->fd);
   close (listener->fd.fd);
+  if (listener->spare >= 0)
+    close (listener->spare);
   g_free (listener);
 }
--- a/net/sock.h
+++ b/net/sock.h
@@ -94,6 +94,8 @@
 typedef void (*SockAccept) (void *owner, int fd, SockAddr peer);
 /* Returns NULL with errno set if the address cannot be bound. */
 SockListener *sock_listen (Loop *loop, SockAddr addr, SockAccept accept, void *owner);
+/* Resets an accepted connection of which nothing was read. */
+void sock_refuse (int fd);
 void sock_listener_free (SockListener *listener);
 
 #endif
--- a/node/entry.c
+++ b/node/entry.c
@@ -5,6 +5,7 @@
  * returns to an older catalogue, and after a start it becomes ready only when the voter in charge
  * has confirmed its catalogue as the newest, or no voter has been heard for CONFIRM_MAX.
  */
+#include "callers.h"
 #include "count.h"
 #include "delta.h"
 #include "egress.h"
@@ -39,7 +40,8 @@
   HCli *cli, *list_cli; /* for servers, for the platform's list */
   Egress *egress;
   Relay *relay; /* carries other entries' connections; NULL: no relay_port is set */
-  HSrv *callers, *ready;
+  Callers *callers;
+  HSrv *ready;
   Place *place;
   RetryBudget *budget;
   Servers *servers;
@@ -73,15 +75,6 @@
 
 /* ---- Catalogue and server list ---- */
 
-static void
-apply_limits (Entry *entry, const RtCat *cat)
-{
-  const RtLimits *from = rt_cat_limits (cat);
-  HSrvLimits limits = { from->head_bytes, from->body_bytes, from->head_us, from->idle_us };
-
-  hsrv_set_limits (entry->callers, &limits);
-}
-
 /* Marks the catalogue as confirmed once it is as new as the one that the voter in charge
  * announced. */
 static void
@@ -148,7 +141,7 @@
   entry->cat = cat;
   g_clear_pointer (&entry->text, g_bytes_unref);
   entry->text = text;
-  apply_limits (entry, cat);
+  callers_apply_limits (entry->callers, rt_cat_limits (cat));
   requests_set_catalogue (entry->requests, cat);
   broker_set_catalogue (place_own_broker (entry->place), cat);
   update_hello (entry);
@@ -445,8 +438,8 @@
     return;
   entry->closed = true;
   jlog (JLOG_INFO, "close", NULL, JL_INT ("open", requests_open_count (entry->requests)),
-        JL_INT ("connections", hsrv_connection_count (entry->callers)));
-  hsrv_stop_accepting (entry->callers);
+        JL_INT ("connections", hsrv_connection_count (callers_server (entry->callers))));
+  hsrv_stop_accepting (callers_server (entry->callers));
 }
 
 /* True if the balancer has noticed and all requests have ended, or the process is about to be
@@ -458,10 +451,10 @@
   int64_t limit = entry->settings->grace_s * FT_SECOND - LEAVE_MARGIN;
   HSrvMemory held;
 
-  hsrv_get_memory (entry->callers, &held);
+  hsrv_get_memory (callers_server (entry->callers), &held);
   return since > limit
          || (since > LEAVE_MIN && requests_open_count (entry->requests) == 0
-             && hsrv_active_calls (entry->callers) == 0 && held.answers == 0
+             && hsrv_active_calls (callers_server (entry->callers)) == 0 && held.answers == 0
              && (entry->relay == NULL || relay_tunnel_count (entry->relay) == 0));
 }
 
@@ -495,6 +488,7 @@
   entry->was_ready = ready;
   read_list_if_old (entry, now);
   crashrep_tick (entry->crash_reporter);
+  callers_tick (entry->callers);
   mesh_for_each_peer (entry->mesh, send_keep_alive, entry);
   close_idle_when_leaving (entry, now);
   if (entry->leaving_since && may_stop (entry, now))
@@ -514,12 +508,12 @@
   if (entry->leaving_since)
     return;
   entry->leaving_since = loop_now (entry->loop);
-  hsrv_disable_keep_alive (entry->callers);
+  hsrv_disable_keep_alive (callers_server (entry->callers));
   if (entry->relay)
     relay_stop (entry->relay);
   update_hello (entry);
   jlog (JLOG_INFO, "leave", NULL, JL_INT ("open", requests_open_count (entry->requests)),
-        JL_INT ("connections", hsrv_connection_count (entry->callers)));
+        JL_INT ("connections", hsrv_connection_count (callers_server (entry->callers))));
 }
 
 static void
@@ -535,23 +529,6 @@
   dial_seeds ((Entry *) base, settings);
 }
 
-static void
-describe_memory (const Entry *entry, GString *out)
-{
-  HSrvMemory held;
-
-  hsrv_get_memory (entry->callers, &held);
-  g_string_append_printf (
-      out,
-      "foxtail_held_bytes{for=\"callers\"} %zu\nfoxtail_held_bytes{for=\"servers\"} %zu\n"
-      "foxtail_held_bytes{for=\"bodies\"} %zu\nfoxtail_held_bytes_peak{for=\"callers\"} %zu\n"
-      "foxtail_held_bytes_peak{for=\"bodies\"} %zu\n"
-      "foxtail_slow_callers_total %" G_GUINT64_FORMAT
-      "\nfoxtail_bodies_refused_total %" G_GUINT64_FORMAT "\n",
-      held.answers, hcli_unsent (entry->cli), held.bodies, held.answers_peak, held.bodies_peak,
-      held.full, held.refused);
-}
-
 static char *
 describe (Instance *base)
 {
@@ -559,18 +536,19 @@
   char *servers = broker_describe (place_own_broker (entry->place));
   GString *out = g_string_new (NULL);
 
-  g_string_append_printf (
-      out,
-      "foxtail_ready %d\nfoxtail_catalogue_version %" G_GUINT64_FORMAT
-      "\nfoxtail_requests_open %u\nfoxtail_requests_waiting %u\nfoxtail_caller_connections %u\n"
-      "foxtail_server_connections_opened_total %" G_GUINT64_FORMAT
-      "\nfoxtail_scheduler{by=\"%s\"} 1\nfoxtail_list_age_seconds %g\n",
-      is_ready (entry), entry->cat ? rt_cat_version (entry->cat) : 0,
-      requests_open_count (entry->requests), place_waiting_count (entry->place),
-      hsrv_connection_count (entry->callers), hcli_opened_count (entry->cli),
-      place_scheduler_name (entry->place),
-      (double) (loop_now (entry->loop) - servers_asked_at (entry->servers)) / 1e6);
-  describe_memory (entry, out);
+  g_string_append_printf (out,
+                          "foxtail_ready %d\nfoxtail_catalogue_version %" G_GUINT64_FORMAT
+                          "\nfoxtail_requests_open %u\nfoxtail_requests_waiting %u\n"
+                          "foxtail_server_connections_opened_total %" G_GUINT64_FORMAT
+                          "\nfoxtail_scheduler{by=\"%s\"} 1\nfoxtail_list_age_seconds %g\n",
+                          is_ready (entry), entry->cat ? rt_cat_version (entry->cat) : 0,
+                          requests_open_count (entry->requests), place_waiting_count (entry->place),
+                          hcli_opened_count (entry->cli), place_scheduler_name (entry->place),
+                          (double) (loop_now (entry->loop) - servers_asked_at (entry->servers))
+                              / 1e6);
+  g_string_append_printf (out, "foxtail_held_bytes{for=\"servers\"} %zu\n",
+                          hcli_unsent (entry->cli));
+  callers_describe (entry->callers, out);
   egress_describe (entry->egress, out);
   if (entry->relay)
     g_string_append_printf (out,
@@ -594,7 +572,7 @@
   Entry *entry = (Entry *) base;
 
   loop_timer_stop (entry->loop, &entry->tick);
-  hsrv_free (entry->callers);
+  callers_free (entry->callers);
   hsrv_free (entry->ready);
   relay_free (entry->relay);
   mesh_free (entry->mesh);
@@ -665,7 +643,7 @@
       = { entry->loop,    entry->adapter_ops,    entry->cli,      entry->place,  entry->budget,
           entry->servers, entry->crash_reporter, entry->versions, entry->egress, entry->origins };
   entry->requests = requests_new (&conf);
-  entry->callers = hsrv_new (entry->loop, s->callers, &callers_ops, entry);
+  entry->callers = callers_new (entry->loop, s->callers, &callers_ops, entry, (unsigned) s->files);
   if (entry->callers == NULL)
     return ft_error_set (error, FT_IO, 0, "callers", "%s: %s", s->callers_text, g_strerror (errno));
   if (!open_relay (entry))
--- a/node/operators.c
+++ b/node/operators.c
@@ -347,7 +347,7 @@
 operators_new (const OperatorsConf *conf)
 {
   Operators *operators = g_new0 (Operators, 1);
-  HSrvLimits limits = { 65536, FT_TEXT_MAX, 10 * FT_SECOND, 30 * FT_SECOND };
+  HSrvLimits limits = { 65536, FT_TEXT_MAX, 10 * FT_SECOND, 30 * FT_SECOND, 0, 0 };
 
   operators->loop = conf->loop;
   operators->adapter_ops = conf->adapter_ops;
--- a/node/settings.c
+++ b/node/settings.c
@@ -38,6 +38,9 @@
     "local IPv4 of connections to servers; empty: the system chooses it" },
   { "metrics_port", FT_FIELD_INTEGER, false, 0, 65535, "0", AT (metrics_port),
     "port for metrics; 0: none" },
+  { "files", FT_FIELD_TRUNCATED, false, 0, 10000000, "0", AT (files),
+    "descriptors that the process may have open, of which callers get half; 0: the system's "
+    "limit" },
   { "first_start", FT_FIELD_BOOL, false, 0, 0, "false", AT (first_start),
     "first start of the whole deployment: the seeds may form the first set of voters" },
   { "losses", FT_FIELD_TRUNCATED, false, 0, 3, "1", AT (losses),
--- a/node/settings.h
+++ b/node/settings.h
@@ -15,7 +15,7 @@
   char *name, *role_text, *ip_text, *domain, *region, *log_level;
   char *callers_text, *ready_text, *control_text, *list_text, *data_folder, *source_text;
   GPtrArray *seed_texts;
-  int64_t link_port, link_listen_port, relay_port, metrics_port;
+  int64_t link_port, link_listen_port, relay_port, metrics_port, files;
   bool first_start;
   int64_t losses, grace_s, drain_ms;
   int64_t budget_window_s, budget_slack, limit_window_s, limit_slack;
--- a/test/backend.c
+++ b/test/backend.c
@@ -280,7 +280,7 @@
   const GByteArray *bytes = hcall_body (call);
   char *body = g_strndup ((const char *) bytes->data, bytes->len);
 
-  if (g_str_has_prefix (body, FLEET_CRASH_PREFIX))
+  if (body && g_str_has_prefix (body, FLEET_CRASH_PREFIX))
     return body;
   g_free (body);
   return find_crash_part (call);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -125,6 +126,8 @@
   sigprocmask (SIG_SETMASK, &none, NULL);
   for (int fd = 3; fd < 1024; fd++)
     close (fd);
+  if (node->files)
+    setrlimit (RLIMIT_NOFILE, &(struct rlimit){ node->files, node->files });
   setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
   if (node->older)
     setenv ("FOXTAILNODE_OLDER", "1", 1);
--- a/test/slow.c
+++ b/test/slow.c
@@ -167,7 +167,7 @@
 static void
 set_unread_timeout (Fleet *fleet, int64_t us)
 {
-  HSrvLimits limits = { 16384, 1 << 20, 5 * FT_SECOND, us };
+  HSrvLimits limits = { 16384, 1 << 20, 5 * FT_SECOND, us, 0, 0 };
 
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     hsrv_set_limits (fleet->servers[i].srv, &limits);
--- a/test/wire.c
+++ b/test/wire.c
@@ -414,7 +414,7 @@
 static Sock *
 connect_and_send (FrontServer *front, const char *bytes)
 {
-  static const HSrvLimits limits = { 2048, 64, 20 * FT_SECOND, 20 * FT_SECOND };
+  static const HSrvLimits limits = { 2048, 64, 20 * FT_SECOND, 20 * FT_SECOND, 0, 0 };
 
   begin ();
   for (uint16_t port = 21400; port < 21800 && front->srv == NULL; port++)
