try: an answer that ends with its connection is complete only if its server has not crashed

An answer with neither a length nor chunks ends with its connection, and so does one whose server crashes between two events: its sockets close in order too. The caller got a truncated stream or plain answer as a complete one (/unframed/stream/crash and /unframed/plain/crash failed). The end now waits for the check of the server that was made before anyway (node/ends.c): if it has crashed, a stream is resumed and a plain answer is 502.

--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -339,9 +339,9 @@
 
 void
 crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
-                          const CrashRun *run)
+                          const CrashRun *run, CrashWait *wait)
 {
-  crashdet_connection_lost (reporter->detector, server, addr, run);
+  crashdet_connection_lost (reporter->detector, server, addr, run, wait);
 }
 
 void
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -20,9 +20,10 @@
 
 /* ---- Results of requests ---- */
 
-/* The connection on which the server at addr was running the request was lost. */
+/* The connection on which the server at addr was running the request was lost. wait: as for
+ * crashdet_connection_lost. */
 void crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
-                               const CrashRun *run);
+                               const CrashRun *run, CrashWait *wait);
 /* The request was abandoned while the server was running it. */
 void crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -20,6 +20,7 @@
   Loop *loop = req->requests->conf.loop;
 
   origdir_cancel (&req->lookup);
+  cds_list_del_init (&req->end_wait.link);
   req_withdraw_replacement (req);
   req_clear_number (req);
   g_ptr_array_remove_fast (req->requests->awaiting_catalogue, req);
@@ -87,6 +88,7 @@
   HXfer *xfer = req->xfer;
 
   loop_timer_stop (req->requests->conf.loop, &req->silence);
+  cds_list_del_init (&req->end_wait.link);
   req->xfer = NULL;
   if (xfer)
     {
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -74,6 +74,7 @@
   bool wrong_server;      /* rejected by a server other than the addressed one */
   bool close_delimited;   /* the end of the connection ends the answer, so a truncated one looks
                              complete */
+  CrashWait end_wait;     /* waits, after such an end, for whether the server has crashed */
   bool read_paused;       /* the caller reads too slowly, so reading from the server is paused */
   GString *fields;        /* header fields of the answer */
   GString *buffered;      /* body of a plain answer that is not complete yet */
@@ -162,5 +163,9 @@
 void try_caller_drained (Req *req);
 /* Timer: the server has sent nothing for too long. */
 void try_on_silence (LoopTimer *timer);
+/* The check of the server after the end of its connection has a result. */
+void try_on_end_decided (CrashWait *wait, bool crashed);
+/* True while that is awaited; the try has no transfer then. */
+bool try_awaits_end (const Req *req);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -66,14 +66,16 @@
 }
 
 /* True if servers crashed while they ran this content, or if a part of its prompt recurs in
- * crashes. A begun answer whose next server broke at once is given a further one after a single
- * crash of its content, which is mostly another one's: its caller has no other way to the rest. */
+ * crashes. A single crash of its content is mostly another one's if this try had brought a part of
+ * the answer, or if the next server of a begun answer broke at once: the caller has no other way to
+ * the rest. */
 static bool
 is_suspect (const Req *req)
 {
   QuarVerdict verdict = crashrep_check (req->requests->conf.crash_reporter, req->print);
+  bool has_part = req->spared_attempt || req->events > 0;
 
-  return verdict.content_ends > (req->spared_attempt ? 1 : 0) || verdict.part_ends > 0;
+  return verdict.content_ends > (has_part ? 1 : 0) || verdict.part_ends > 0;
 }
 
 void
@@ -187,6 +189,8 @@
   req->silence.fire = try_on_silence;
   req->verdict_wait.fire = req_on_verdict_wait_over;
   req->ask_pause.fire = req_on_ask_pause_over;
+  req->end_wait.decided = try_on_end_decided;
+  CDS_INIT_LIST_HEAD (&req->end_wait.link);
   req->arrived = req->deadline = hcall_arrival_time (call);
   requests->conf.adapter_ops->read_request (hcall_msg (call), &req->facts);
   if (req->facts.id)
--- a/node/try.c
+++ b/node/try.c
@@ -292,18 +292,34 @@
 static bool
 proves_survival (const Req *req)
 {
-  return !req->close_delimited && req->status < 500 && (!req->is_stream || req->events > 0);
+  return req->status < 500 && (!req->is_stream || req->events > 0);
 }
 
-/* The server may have ended; the crash reporter finds out whether it did and what it ran. */
+/* The server may have crashed; the crash reporter finds out whether it did and what it ran. */
 static void
-report_break (const Req *req)
+report_break (Req *req, CrashWait *wait)
 {
+  CrashRun run = req_crash_run (req);
+
   if (!req->rejected)
+    crashrep_connection_lost (req->requests->conf.crash_reporter, req->server, req->addr, &run,
+                              wait);
+}
+
+static void
+finish_answer (Req *req)
+{
+  CrashReporter *reporter = req->requests->conf.crash_reporter;
+
+  if (proves_survival (req))
     {
-      CrashRun run = req_crash_run (req);
-      crashrep_connection_lost (req->requests->conf.crash_reporter, req->server, req->addr, &run);
+      crashrep_answered (reporter, req->server, req->print, req->sent_at);
+      if (!req->is_stream && req->status / 100 == 2)
+        crashrep_began (reporter, req->print);
     }
+  if (req->is_stream && !req->begun)
+    begin_answer (req);
+  req_after_try (req, req->status >= 500 && !req->is_stream ? RETRY_FAILURE : RETRY_ANSWERED);
 }
 
 static void
@@ -318,25 +334,33 @@
       return;
     }
   record_first_byte (req);
-  if (req->close_delimited)
-    report_break (req);
-  else if (proves_survival (req))
-    {
-      CrashReporter *reporter = req->requests->conf.crash_reporter;
-      crashrep_answered (reporter, req->server, req->print, req->sent_at);
-      if (!req->is_stream && req->status / 100 == 2)
-        crashrep_began (reporter, req->print);
-    }
   if (req->is_stream && events_has_partial (req->stream))
-    req_after_try (req, RETRY_STREAM_CUT);
-  else if (req->is_stream)
     {
-      if (!req->begun)
-        begin_answer (req);
-      req_after_try (req, RETRY_ANSWERED);
+      if (req->close_delimited)
+        report_break (req, NULL);
+      req_after_try (req, RETRY_STREAM_CUT);
     }
+  else if (req->close_delimited) /* the sockets of a process that crashes may close in order too */
+    report_break (req, &req->end_wait);
   else
-    req_after_try (req, req->status >= 500 ? RETRY_FAILURE : RETRY_ANSWERED);
+    finish_answer (req);
+}
+
+bool
+try_awaits_end (const Req *req)
+{
+  return req->end_wait.link.next != &req->end_wait.link;
+}
+
+void
+try_on_end_decided (CrashWait *wait, bool crashed)
+{
+  Req *req = (Req *) ((char *) wait - offsetof (Req, end_wait));
+
+  if (!crashed)
+    finish_answer (req);
+  else
+    req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
 }
 
 /* ---- Tries that reached no server ---- */
@@ -419,7 +443,7 @@
   req->fault = fault;
   req->has_fault = true;
   if (fault == HXFER_BROKEN)
-    report_break (req);
+    report_break (req, NULL);
   if (fault == HXFER_RELAY_FAILED)
     {
       on_relay_failed (req);
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -592,6 +592,46 @@
     }
 }
 
+/* Parts are the same however a caller spells them, a spoilt entry does not hide the others, and the
+ * last part, which is the request's own, is no shared one. */
+static void
+parts_of_prompt (void)
+{
+  static const struct
+  {
+    const char *fields;
+    unsigned count;
+    uint64_t parts[4];
+  } cases[] = {
+    { "", 0, { 0 } },
+    { "X-Foxtailgrade-Prefix-Hash: \r\n", 0, { 0 } },
+    { "X-Foxtailgrade-Prefix-Hash: 5c1e07a2:800\r\n", 0, { 0 } },
+    { "X-Foxtailgrade-Prefix-Hash: 5c1e07a2:800,91bd3f06:410\r\n", 1, { 0x5c1e07a2 } },
+    { "X-Foxtailgrade-Prefix-Hash: 005C1E07A2:1, 91bd3f06:2,1:1\r\n",
+      2,
+      { 0x5c1e07a2, 0x91bd3f06 } },
+    { "X-Foxtailgrade-Prefix-Hash: zz:1,7:x,8x:3,,9:1,a\r\n", 2, { 7, 9 } },
+    { "X-Foxtailgrade-Prefix-Hash: 7:1\r\nX-Foxtailgrade-Prefix-Hash: 8:1,9:1\r\n", 2, { 7, 8 } },
+    { "X-Foxtailgrade-Prefix-Hash: 1:1,2:1,3:1,4:1,5:1,6:1\r\n", 4, { 1, 2, 3, 4 } },
+  };
+  const AdapterOps *adapter_ops = platform_adapter_ops ();
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf ("GET /x HTTP/1.1\r\nHost: h\r\n%s\r\n", cases[i].fields);
+      GString *body = g_string_new (NULL);
+      HReader *read = read_message (true, text, body);
+      uint64_t parts[4];
+      g_assert_cmpuint (adapter_ops->read_parts (last_head, parts, G_N_ELEMENTS (parts)), ==,
+                        cases[i].count);
+      for (unsigned j = 0; j < cases[i].count; j++)
+        g_assert_cmphex (parts[j], ==, cases[i].parts[j]);
+      hread_free (read);
+      g_string_free (body, TRUE);
+      g_free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -600,6 +640,7 @@
   g_test_add_func ("/adapter/truncated", truncated_catalogues);
   g_test_add_func ("/adapter/good", valid_catalogue);
   g_test_add_func ("/adapter/forward", forwarded_request);
+  g_test_add_func ("/adapter/parts", parts_of_prompt);
   g_test_add_func ("/adapter/answers", answers);
   g_test_add_func ("/adapter/notices", notices);
   g_test_add_func ("/adapter/brittleness", brittleness);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,16 +1,25 @@
 #!/usr/bin/env bash
-# mutants.sh [PART OF A NAME] - checks that the randomized tests detect faults: removes one safeguard at a time from a
+# mutants.sh [PART OF A NAME] - checks that the tests detect faults: removes one safeguard at a time from a
 # copy of the tree and runs a test program, which must fail. Takes some minutes; not part of make check.
+# mutants.sh --match - only checks that each safeguard is still found in the source.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 missed=0
 only=${1:-}
+match=no
+[ "$only" != --match ] || { match=yes; only=; }
 
 try () { # NAME FILES SED-EXPRESSION PROGRAM
   local mine file program=${4:-torture}
   [[ $1 == *"$only"* ]] || return 0
+  if [ $match = yes ]; then
+    for file in $2; do
+      if sed -E "$3" "$file" | cmp -s - "$file"; then echo "$1: no line of $file matches"; return 1; fi
+    done
+    return 0
+  fi
   mine=$(mktemp -d -p "$copy")
   cp -r CMakeLists.txt src net node platform daemon cli standin bench test "$mine"
   for file in $2; do
@@ -29,7 +38,7 @@
 
 try "votes are not written down" src/raft.c 's/check_disk \(raft, wal_vote \(raft->wal, term, voted_for\)\);//' &
 try "messages leave before the sync" src/raft.c 's/check_disk \(raft, wal_sync \(raft->wal\)\);//' &
-try "a voter counts under any incarnation" "src/raft.c src/raftvote.c" 's/peer->granted && peer->incarnation == config->voters\[i\].incarnation/peer->granted/; s/peer && peer->incarnation == voter->incarnation/peer != NULL/' &
+try "a voter counts under any incarnation" "src/raftvote.c src/raftlead.c" 's/peer && peer->incarnation == voter->incarnation/peer != NULL/' &
 try "an old log may lead" src/raftvote.c 's/^  return vote->last_term > last_term/  return true || vote->last_term > last_term/' &
 try "a lease moves at once" src/lead.c 's/bool grace_over = .*LEASE_TAKEOVER_DELAY;/bool grace_over = true;/; s/now - instance->last_hello_at < LEASE_TAKEOVER_DELAY/now - instance->last_hello_at < LEASE_TAKEOVER_DELAY \/ 4/' &
 try "freshness counts from the answer" src/node.c 's/node->fresh_at = MAX \(node->fresh_at, node->hello_sent_at\[reply->number % kept\]\);/node->fresh_at = node->answered_at;/' &
@@ -39,7 +48,7 @@
 # only when it has caught up: without it the log may stop after a second loss, but keeps its content.
 try "found: votes are not written down" src/raft.c 's/check_disk \(raft, wal_vote \(raft->wal, term, voted_for\)\);//' test-found &
 try "found: messages leave before the sync" src/raft.c 's/check_disk \(raft, wal_sync \(raft->wal\)\);//' test-found &
-try "found: a voter counts under any incarnation" "src/raft.c src/raftvote.c" 's/peer->granted && peer->incarnation == config->voters\[i\].incarnation/peer->granted/; s/peer && peer->incarnation == voter->incarnation/peer != NULL/' test-found &
+try "found: a voter counts under any incarnation" "src/raftvote.c src/raftlead.c" 's/peer && peer->incarnation == voter->incarnation/peer != NULL/' test-found &
 try "found: an old log may lead" src/raftvote.c 's/^  return vote->last_term > last_term/  return true || vote->last_term > last_term/' test-found &
 # Notices in servers' answers: rate limit, back-off, leaving.
 try "a grant takes no token" src/pace.c 's/pace.tokens -= 1/pace.tokens -= 0/' test-pace &
@@ -121,7 +130,7 @@
 try "origin: records of any organisation" src/origins.c 's/XXH3_64bits \(org \? org : "", org \? strlen \(org\) : 0\)/0 * strlen (org ? org : "")/' test-origdir &
 try "origin: the versions listed before are forgotten" src/origins.c 's/newest->listed_at - listed->listed_at < ORIGINS_TIME_MAX/newest->listed_at == listed->listed_at/' test-origdir &
 try "origin: none is recorded" node/try.c 's/^    req_record_origin \(req\);$/    (void) req;/' test-origins &
-try "origin: one that nobody knows is guessed" node/reqorigin.c 's/origdir_only_version \(dir, service\)/(origdir_only_version (dir, service) ? origdir_only_version (dir, service) : "v2")/' test-origins &
+try "origin: one that nobody knows is guessed" node/reqorigin.c 's/return origdir_only_version \(conf->origins, service\);/return origdir_only_version (conf->origins, service) ? origdir_only_version (conf->origins, service) : "v2";/' test-origins &
 try "origin: a list of any age decides" node/reqorigin.c 's/^  if \(req_now \(req\) - servers_asked_at .*/  if (false)/' test-origins &
 try "origin: fields that are missing close the link" net/mesh.c 's/^  return valid;$/  return false \&\& valid;/' test-older &
 try "origin: an older scheduler is believed" node/reqask.c 's/^  return req->version \&\& strcmp .*/  return req->version \&\& software == NULL;/' test-origins &
@@ -133,5 +142,29 @@
 try "endless: a refusal is read to its end" node/try.c '/^try_on_silence/,/^}/ s/if \(req->rejected\)/if (false)/; s/req->rejection_bytes > REJECTION_MAX/false/' test-endless &
 try "endless: an event may have any length" src/events.c 's/events->partial->len > MAX_EVENT_BYTES/false/' test-decide &
 try "a try that breaks at once counts" node/try.c 's/^  req->sends--;\n\}/}/; s/req->spared_attempt = true;/req->spared_attempt = true; return;/' test-begun &
+# Parts of prompts that crash servers.
+try "parts: none is charged" node/crashrep.c 's/if \(runs\[i\].events == 0\)/if (false)/' test-parts &
+try "parts: runs that brought events are charged" node/crashrep.c 's/if \(runs\[i\].events == 0\)/if (true)/' test-witness &
+try "parts: no answer clears one" node/crashrep.c 's/charged \|= quar_answered \(reporter->quar, print->keys\[i\]\);/(void) reporter;/' test-parts &
+try "parts: the last one counts" platform/platform.c 's/^              if \(has_last \&\& count < max\)$/              if (count < max)/; s/parts\[count\+\+\] = last;/parts[count++] = part;/' test-adapter &
+try "parts: repeated though they recur" node/requests.c 's/ \|\| verdict.part_ends > 0//' test-parts &
+try "parts: a deputy is not told what the voter lost" node/crashrep.c 's/^    return !report->forwarded;/    return false;/' test-parts &
+try "parts: a flood evicts contents" src/crashes.c 's/^      if \(fingerprint_is_part \(suspect->content\) != is_part\)$/      if (false)/' test-blame &
+try "parts: none expires" src/crashes.c 's/^      if \(fingerprint_is_part \(suspect->content\)$/      if (false/' test-blame &
+try "parts: expiry is not proposed" node/suspects.c 's/^    expire_parts \(suspects\);/    ;/' test-witness &
+try "parts: an old beginning clears" src/quarantine.c 's/(BEGINNING_VALID) \(2 /\1 (60 /' test-attribution &
+try "parts: waits that are granted are not checked again" node/reqask.c 's/^  else if \(is_quarantined \(req\)\)$/  else if (false)/' test-parts &
+try "attribution: each key is a cause" src/attribution.c 's/from->ends >= shared \+ CRASHES_QUARANTINE/from->ends >= CRASHES_QUARANTINE/' test-attribution &
+try "attribution: none is a cause by itself" src/attribution.c 's/from->ends >= shared \+ CRASHES_QUARANTINE/false/' test-attribution &
+try "attribution: one suspect of a crash is enough" src/attribution.c 's/^    if \(!marked\[g_array_index.*/    if (marked[g_array_index (crash->suspects, unsigned, i)]) return true; else if (i + 1 == crash->suspects->len)/' test-attribution &
+try "attribution: no part explains a content" src/attribution.c 's/explains = fingerprint_is_part \(other->key\)/explains = false \&\& fingerprint_is_part (other->key)/' test-attribution &
+# Most new connections at one entry.
+try "skew: idle connections stay" net/hsrv.c 's/ \|\| evict_idle \(srv\)/ || false/' test-skew &
+try "skew: any number is taken" node/callers.c 's/^                     .connections = .*/                     .connections = 0,/' test-skew &
+try "skew: taken at any load" node/callers.c 's/.load = LOOP_LOAD_HIGH/.load = 0/' test-skew &
+# Answers that end with their connection.
+try "unframed: an orderly close is complete" node/try.c 's/^  else if \(req->close_delimited\) .*$/  else if (false)/' test-unframed &
+try "unframed: a part of an event is complete" node/try.c 's/req->is_stream \&\& events_has_partial \(req->stream\)/false/' test-unframed &
+try "unframed: a crash ends a stream" node/requests.c 's/req->spared_attempt \|\| req->events > 0/req->spared_attempt/' test-unframed &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- /dev/null
+++ b/test/unframed.c
@@ -0,0 +1,285 @@
+/* unframed.c - tests, with real processes on loopback, of answers that have neither a length nor
+ * chunks and end with their connection: which of them are complete, and what the caller gets. */
+#include "fleet.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#define RAW_PORT  8742
+#define EVENTS    4 /* of a whole stream */
+#define SERVERS   2
+#define PLAIN     "a plain answer"
+#define EVENT_GAP (20 * FT_MS)
+
+typedef enum
+{
+  END_COMPLETE,     /* closes after the last event */
+  END_INSIDE_EVENT, /* closes in the middle of the third event */
+  END_RESET,        /* resets after the second event */
+  END_CRASH,        /* the process ends after the second event: all its sockets close in order */
+  END_RESET_LATE    /* resets after the last event */
+} EndMode;
+
+/* A backend server that speaks plain TCP. */
+typedef struct
+{
+  Fleet *fleet;
+  FleetServer *listed;
+  SockListener *listener;
+} RawServer;
+
+typedef struct
+{
+  LoopTimer timer;
+  RawServer *server;
+  Sock *sock;
+  EndMode mode;
+  unsigned next;
+  bool stream, started;
+} RawConn;
+
+static RawServer servers[SERVERS];
+static EndMode first_mode; /* of the first answer; all others are complete */
+static unsigned runs;
+
+static void
+close_raw (RawConn *conn, bool reset)
+{
+  loop_timer_stop (conn->server->fleet->loop, &conn->timer);
+  sock_close (conn->sock, reset);
+  loop_free_later (conn->server->fleet->loop, conn);
+}
+
+static void
+write_text (const RawConn *conn, const char *text)
+{
+  sock_write (conn->sock, text, strlen (text));
+}
+
+/* True: the answer ends here, and conn is closed. */
+static bool
+end_answer (RawConn *conn)
+{
+  RawServer *server = conn->server;
+  bool midway = conn->next == 3 || !conn->stream;
+
+  if (conn->mode == END_INSIDE_EVENT && midway)
+    {
+      write_text (conn, conn->stream ? "id: 3\ndata: ev" : "");
+      sock_close_when_sent (conn->sock);
+      loop_free_later (server->fleet->loop, conn);
+      return true;
+    }
+  if ((conn->mode == END_RESET && midway) || (conn->mode == END_RESET_LATE && conn->next > EVENTS))
+    {
+      close_raw (conn, true);
+      return true;
+    }
+  if (conn->mode == END_CRASH && midway)
+    {
+      sock_listener_free (server->listener);
+      server->listener = NULL;
+      close_raw (conn, false);
+      return true;
+    }
+  if (conn->stream && conn->next <= EVENTS)
+    return false;
+  sock_close_when_sent (conn->sock);
+  loop_free_later (server->fleet->loop, conn);
+  return true;
+}
+
+static void
+on_event_timer (LoopTimer *timer)
+{
+  RawConn *conn = (RawConn *) timer;
+  char event[64];
+
+  if (end_answer (conn))
+    return;
+  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", conn->next, conn->next);
+  write_text (conn, event);
+  conn->next++;
+  loop_timer_set (conn->server->fleet->loop, timer,
+                  loop_now (conn->server->fleet->loop) + EVENT_GAP);
+}
+
+static char *
+field_of (const char *head, const char *name)
+{
+  const char *at = strcasestr (head, name);
+
+  if (at == NULL)
+    return g_strdup ("");
+  at += strlen (name) + 2;
+  return g_strndup (at, strcspn (at, "\r"));
+}
+
+static void
+start_answer (RawConn *conn, const char *head)
+{
+  char *id = field_of (head, "X-Foxtailgrade-Request-Id"), *last = field_of (head, "Last-Event-Id");
+
+  conn->started = true;
+  conn->mode = runs++ == 0 ? first_mode : END_COMPLETE;
+  conn->stream = strncmp (head, "POST /stream", 12) == 0;
+  conn->next = (unsigned) atoi (last) + 1;
+  char *reply = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Foxtailgrade-Request-Id: %s\r\n"
+      "X-Foxtailgrade-Server-Signature: %s\r\nContent-Type: %s\r\n\r\n%s",
+      id, conn->server->listed->id, conn->stream ? "text/event-stream" : "text/plain",
+      conn->stream ? "" : PLAIN);
+  write_text (conn, reply);
+  g_free (reply);
+  g_free (id);
+  g_free (last);
+  loop_timer_set (conn->server->fleet->loop, &conn->timer,
+                  loop_now (conn->server->fleet->loop) + EVENT_GAP);
+}
+
+static void
+on_data (Sock *sock)
+{
+  RawConn *conn = sock->owner;
+  size_t size;
+  const char *data = (const char *) sock_peek (sock, &size);
+  char *text = g_strndup (data, size);
+
+  if (!conn->started && strstr (text, "\r\n\r\n"))
+    start_answer (conn, text);
+  g_free (text);
+}
+
+static void
+on_ended (Sock *sock, SockEnd how)
+{
+  (void) how;
+  close_raw (sock->owner, false);
+}
+
+static const SockOps raw_ops = { NULL, on_data, NULL, on_ended };
+
+static void
+on_accept (void *owner, int fd, SockAddr peer)
+{
+  RawServer *server = owner;
+  RawConn *conn = g_new0 (RawConn, 1);
+
+  conn->server = server;
+  conn->timer.fire = on_event_timer;
+  conn->sock = sock_accepted (server->fleet->loop, fd, peer, &raw_ops, conn);
+}
+
+/* The first answer ends so, whichever server begins it. */
+static Fleet *
+start_fleet (EndMode mode)
+{
+  Fleet *fleet = fleet_new ();
+
+  first_mode = mode;
+  runs = 0;
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      RawServer *server = &servers[i];
+      fleet->servers[i].listed = i < SERVERS;
+      if (i >= SERVERS)
+        continue;
+      fleet->servers[i].addr.port = RAW_PORT;
+      *server = (RawServer){ .fleet = fleet, .listed = &fleet->servers[i] };
+      server->listener = sock_listen (fleet->loop, server->listed->addr, on_accept, server);
+      g_assert_nonnull (server->listener);
+    }
+  fleet_start_all (fleet);
+  return fleet;
+}
+
+static void
+end_fleet (Fleet *fleet)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    sock_listener_free (servers[i].listener);
+  fleet_free (fleet);
+}
+
+static bool
+is_done (void *data)
+{
+  return ((Answer *) data)->done;
+}
+
+static void
+call (Fleet *fleet, const char *path, Answer *answer)
+{
+  fleet_send (fleet, &fleet->entries[0], path, "u1", answer);
+  fleet_run_until (fleet, is_done, answer, "an answer that ends with its connection");
+}
+
+static void
+assert_whole_stream (const Answer *answer)
+{
+  g_assert_false (answer->broken);
+  g_assert_cmpuint (answer->status, ==, 200);
+  g_assert_cmpstr (answer->body->str, ==,
+                   "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
+                   "id: 4\ndata: event 4\n\n");
+}
+
+/* The caller of a resumable stream gets it whole, however its first server's connection ended. */
+static void
+stream_is_whole (gconstpointer mode)
+{
+  Fleet *fleet = start_fleet ((EndMode) GPOINTER_TO_UINT (mode));
+  Answer answer;
+
+  call (fleet, "/stream/a", &answer);
+  assert_whole_stream (&answer);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+/* A plain answer whose server ends or resets its connection midway is not passed on as complete. */
+static void
+plain_is_not_complete (gconstpointer mode)
+{
+  Fleet *fleet = start_fleet ((EndMode) GPOINTER_TO_UINT (mode));
+  Answer answer;
+
+  call (fleet, "/once/a", &answer);
+  g_assert_true (answer.broken || answer.status == 502);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+static void
+plain_is_complete (void)
+{
+  Fleet *fleet = start_fleet (END_COMPLETE);
+  Answer answer;
+
+  call (fleet, "/once/a", &answer);
+  g_assert_false (answer.broken);
+  g_assert_cmpuint (answer.status, ==, 200);
+  g_assert_cmpstr (answer.body->str, ==, PLAIN);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+#define ADD_STREAM(name, mode)                                                                     \
+  g_test_add_data_func ("/unframed/stream/" name, GUINT_TO_POINTER (mode), stream_is_whole)
+#define ADD_PLAIN(name, mode)                                                                      \
+  g_test_add_data_func ("/unframed/plain/" name, GUINT_TO_POINTER (mode), plain_is_not_complete)
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ADD_STREAM ("complete", END_COMPLETE);
+  ADD_STREAM ("inside_event", END_INSIDE_EVENT);
+  ADD_STREAM ("reset", END_RESET);
+  ADD_STREAM ("crash", END_CRASH);
+  ADD_STREAM ("reset_late", END_RESET_LATE);
+  ADD_PLAIN ("reset", END_RESET);
+  ADD_PLAIN ("crash", END_CRASH);
+  g_test_add_func ("/unframed/plain/complete", plain_is_complete);
+  return g_test_run ();
+}
--- a/test/witness.c
+++ b/test/witness.c
@@ -158,7 +158,7 @@
 {
   CrashRun run = { fingerprint_new (content, "s", NULL, 0), "r1", 0 };
 
-  crashrep_connection_lost (reporter, server, unused_address (), &run);
+  crashrep_connection_lost (reporter, server, unused_address (), &run, NULL);
   fingerprint_unref (run.print);
 }
 
@@ -202,6 +202,34 @@
   tear_down_entry ();
 }
 
+/* A server crashes while it runs two requests. Both contents are charged, but only the parts of the
+ * one of whose answer nothing had come: a part that crashes servers does so before the first event.
+ */
+static void
+begun_answer_charges_no_parts (void)
+{
+  static const uint64_t parts[] = { 1, 2 };
+  SockAddr address = unused_address ();
+
+  set_up_entry ();
+  crashrep_set_voter (reporter, &voter_peer.peer);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      CrashRun run = { fingerprint_new (CONTENT + i, "s", &parts[i], 1), "r", i };
+      crashrep_connection_lost (reporter, "s1", address, &run, NULL);
+      fingerprint_unref (run.print);
+    }
+  run_until (voter_got_crash);
+  const MeshCrash *ended = &last_msg.MeshMsg_u.ended;
+  if (ended->contents.contents_len < 3) /* the second connection was lost after the report */
+    run_until (voter_got_crash);
+  for (unsigned i = 0; i < ended->contents.contents_len; i++)
+    g_assert_cmphex (ended->contents.contents_val[i], !=, fingerprint_part_key ("s", parts[1]));
+  g_assert_cmpint (state_of (CONTENT), ==, QUAR_SUSPECT);
+  g_assert_cmpint (state_of (CONTENT + 1), ==, QUAR_SUSPECT);
+  tear_down_entry ();
+}
+
 /* No voter is in charge when the server crashes; the next one gets the report at once. */
 static void
 report_waits_for_voter (void)
@@ -455,6 +483,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/witness/until_known", report_is_repeated_until_acknowledged);
+  g_test_add_func ("/witness/begun", begun_answer_charges_no_parts);
   g_test_add_func ("/witness/waits", report_waits_for_voter);
   g_test_add_func ("/witness/answered", answered_content_is_reported);
   g_test_add_func ("/witness/lives", crash_is_retracted);
