--- a/src/schedint.h
+++ b/src/schedint.h
@@ -333,6 +333,8 @@
 
 /* Removes the job from its server or its queue, and frees it. */
 void sched_remove_job (Sched *sched, Job *job, int64_t now);
+/* Notes that the job runs on the server from now on. */
+void sched_start_job (Job *job, Server *server, int64_t now);
 
 /* True if a server that may run the job is live or may soon be back. avoid: not this one; NULL:
  * any. */
@@ -402,6 +404,20 @@
 /* True if a place is free at a server from which the job's owner need not back off. */
 bool boff_any_place (const Sched *sched, const Job *job, int64_t now);
 
+/* ---- Dispatch (dispatch.c) ---- */
+
+/* Grants the job a place at the best server. Returns false if none has one. */
+bool disp_place (Sched *sched, Job *job, int64_t now);
+/* The same for a job that is due to the version on trial, at that version. Returns false if it has
+ * no free place: the job is then treated like any other one, and gets no precedence. */
+bool disp_place_on_trial (Sched *sched, Job *job, int64_t now);
+/* Grants free places of the service to its waiting requests. */
+void disp_queues (Sched *sched, Service *service, int64_t now);
+/* Number of requests of the service that wait. */
+unsigned disp_count_waiting (const Service *service);
+/* Counts the servers that have a free place, in service->open_servers. */
+void disp_count_open (const Sched *sched, Service *service, int64_t now);
+
 /* ---- Brittle servers (brittle.c) ---- */
 
 /* An answer announced how many rejections a second the server bears; 0: it is not brittle. job: the
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -1,4 +1,4 @@
-/* scheduler.c - records of requests and servers, and dispatch of waiting requests.
+/* scheduler.c - records of requests and servers.
  *
  * An engine runs `slots` requests at once and admits the rest in order of arrival, so a request
  * that waits inside an engine has lost its tier. A server therefore never gets more requests than
@@ -6,8 +6,8 @@
  * time go before those that cannot.
  *
  * This file holds the life of a request, from sched_ask to sched_done. The order of the queues is
- * in waiting.c, refusal in admit.c, estimates and the choice of a server in estimate.c, the health
- * of servers in health.c, and the view for operators in schedview.c.
+ * in waiting.c, dispatch in dispatch.c, refusal in admit.c, estimates and the choice of a server in
+ * estimate.c, the health of servers in health.c, and the view for operators in schedview.c.
  */
 #include "schedint.h"
 
@@ -15,10 +15,6 @@
 #include <string.h>
 
 /* Tuning constants. */
-#define SCAN_MAX 48 /* waiting requests of a queue examined in one dispatch */
-/* requests of connected owners that may overtake one that is due earlier; this costs it a few ms at
- * the load that makes requests wait */
-#define OVERTAKEN_MAX 8
 /* tokens; the prefill time of shorter prompts is lost in network jitter */
 #define LEARN_TOKENS_MIN 500
 
@@ -241,8 +237,8 @@
 
 /* ---- State changes of a job ---- */
 
-static void
-start_job (Job *job, Server *server, int64_t now)
+void
+sched_start_job (Job *job, Server *server, int64_t now)
 {
   ver_note_grant (job, server, now);
   cds_list_del_init (&job->bound_link);
@@ -304,169 +300,6 @@
   g_hash_table_remove (sched->jobs, &job->key);
 }
 
-/* ---- Dispatch ---- */
-
-static void
-grant (Sched *sched, Job *job, Server *server, int64_t now)
-{
-  wait_serve (job, now);
-  admit_note_grant (sched, job);
-  start_job (job, server, now);
-  pace_take (sched, server, now);
-  if (server->use == USE_ALL && !est_has_place (sched, server, now)
-      && job->service->open_servers > 0)
-    job->service->open_servers--;
-  sched->ops->grant (sched->host, job->key.owner, job->key.request, job->org, server->id,
-                     est_max_idle_us (server, now));
-}
-
-static bool
-place (Sched *sched, Job *job, int64_t now)
-{
-  Server *server = est_choose (sched, job, now);
-
-  if (server)
-    grant (sched, job, server, now);
-  return server != NULL;
-}
-
-/* A request that is due to the version on trial goes there only if a place is free now. Otherwise
- * it is treated like any other request for the version in use and gets no precedence there. */
-static bool
-place_on_trial (Sched *sched, Job *job, int64_t now)
-{
-  Server *server = job->for_trial ? ver_choose (sched, job, now) : NULL;
-
-  job->for_trial = false;
-  if (server)
-    grant (sched, job, server, now);
-  return server != NULL;
-}
-
-static void
-count_open_servers (const Sched *sched, Service *service, int64_t now)
-{
-  const Server *server;
-
-  service->open_servers = 0;
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    service->open_servers += est_has_place (sched, server, now);
-  }
-}
-
-static void
-count_overtaken (struct cds_list_head *queue, const Job *by)
-{
-  Job *job;
-
-  cds_list_for_each_entry (job, queue, link)
-  {
-    if (job == by)
-      return;
-    job->overtaken++;
-  }
-}
-
-/* Grants free places first to waiting requests whose owner has a connection to the server. By due
- * time alone hardly any would have one when places are short, and each new connection occupies its
- * place while it is set up. No request is overtaken by more than OVERTAKEN_MAX of them. The average
- * wait does not grow, since the place is in use either way. */
-static void
-dispatch_connected (Sched *sched, Service *service, struct cds_list_head *queue, int64_t now)
-{
-  Job *job, *next;
-  unsigned scanned = 0;
-
-  if (queue->next == queue->prev) /* empty or a single request */
-    return;
-  cds_list_for_each_entry_safe (job, next, queue, link)
-  {
-    if (scanned++ >= SCAN_MAX || service->open_servers == 0 || job->overtaken >= OVERTAKEN_MAX)
-      return;
-    if (!est_connected_place (sched, job, now))
-      continue;
-    Server *server = est_choose (sched, job, now);
-    if (server == NULL || server->connected_choice != sched->choices)
-      continue;
-    count_overtaken (queue, job);
-    grant (sched, job, server, now);
-  }
-}
-
-static void
-dispatch_queue (Sched *sched, Service *service, struct cds_list_head *queue, int64_t now)
-{
-  Job *job, *next;
-  unsigned scanned = 0;
-
-  dispatch_connected (sched, service, queue, now);
-  cds_list_for_each_entry_safe (job, next, queue, link)
-  {
-    if (scanned++ >= SCAN_MAX || service->open_servers == 0)
-      break;
-    place (sched, job, now);
-  }
-}
-
-/* Requests that can be on time go first, since a late answer is worth less. */
-static void
-dispatch_tier (Sched *sched, Service *service, Tier *tier, int64_t now)
-{
-  wait_move_late (sched, service, tier, now);
-  dispatch_queue (sched, service, &tier->reserved, now);
-  dispatch_queue (sched, service, &tier->timely, now);
-  dispatch_queue (sched, service, &tier->late, now);
-}
-
-/* Servers of a version that is not in use do not count as open, so the queues are not searched for
- * them. */
-static void
-dispatch_bound (Sched *sched, Service *service, int64_t now)
-{
-  Job *job, *next;
-  unsigned scanned = 0;
-
-  cds_list_for_each_entry_safe (job, next, &service->bound, bound_link)
-  {
-    if (scanned++ >= SCAN_MAX)
-      return;
-    if (ver_waits_apart (job))
-      place (sched, job, now);
-  }
-}
-
-static unsigned
-count_waiting (const Service *service)
-{
-  unsigned count = 0;
-
-  for (unsigned i = 0; i < service->tiers->len; i++)
-    count += ((Tier *) service->tiers->pdata[i])->count;
-  return count;
-}
-
-static void
-dispatch (Sched *sched, Service *service, int64_t now)
-{
-  unsigned waiting = count_waiting (service);
-
-  if (waiting == 0)
-    return;
-  est_summary (sched, service);
-  dispatch_bound (sched, service, now);
-  if (waiting == 1)
-    service->open_servers = 1; /* est_choose itself finds out whether a place is free */
-  else
-    count_open_servers (sched, service, now);
-  for (unsigned i = 0; i < service->tiers->len; i++)
-    {
-      Tier *tier = service->tiers->pdata[i];
-      if (tier->count > 0 && service->open_servers > 0)
-        dispatch_tier (sched, service, tier, now);
-    }
-}
-
 /* ---- New requests ---- */
 
 static Job *
@@ -543,8 +376,8 @@
       return false;
     }
   ver_mark_request (job);
-  if (!place_on_trial (sched, job, now))
-    dispatch (sched, service, now);
+  if (!disp_place_on_trial (sched, job, now))
+    disp_queues (sched, service, now);
   if (job->server)
     {
       wait_note_timely (job, true);
@@ -554,7 +387,7 @@
     {
       /* A server that has failed the request once is better than none. */
       g_clear_pointer (&job->avoid, g_free);
-      if (place (sched, job, now))
+      if (disp_place (sched, job, now))
         return false;
     }
   /* After a start of the whole system, requests arrive before the first list of servers. They wait
@@ -587,7 +420,7 @@
     wait_serve (job, now);
   else
     job = job_new (sched, ask);
-  start_job (job, server, now);
+  sched_start_job (job, server, now);
   job->adopted = true;
   note_first_event (job, now);
   brit_note_adopted (server, now);
@@ -698,7 +531,7 @@
     health_update (sched, server, result, granted_at, now);
   if (server && result->outcome == SCHED_REJECTED)
     brit_note_rejection (sched, server, now);
-  dispatch (sched, service, now);
+  disp_queues (sched, service, now);
 }
 
 void
@@ -817,10 +650,10 @@
       Service *service = value;
       ver_check_overdue (sched, service, now);
       brit_tick (sched, service, now);
-      if (count_waiting (service) == 0) /* spares idle services the count over all servers */
+      if (disp_count_waiting (service) == 0) /* spares idle services the count over all servers */
         continue;
-      dispatch (sched, service, now);
-      count_open_servers (sched, service, now);
+      disp_queues (sched, service, now);
+      disp_count_open (sched, service, now);
       admit_review (sched, service, now);
     }
   if (sched->returns)
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -114,7 +114,7 @@
 try "relays: sent though unchanged" node/relays.c 's/^  if \(!changed\)/  if (false)/' test-relays &
 # Streams go on at the version that began them.
 try "version: any server may go on with a stream" src/versions.c 's/^  if \(strcmp \(job->version, server->version\) != 0\)$/  if (false)/' test-bound &
-try "version: servers not in use are not looked at" src/scheduler.c 's/^    if \(ver_waits_apart \(job\)\)$/    if (false)/' test-bound &
+try "version: servers not in use are not looked at" src/dispatch.c 's/^    if \(ver_waits_apart \(job\)\)$/    if (false)/' test-bound &
 try "version: one that is gone is waited for" src/admit.c 's/ \&\& !sched_any_usable \(job, now, NULL\)/ \&\& false/' test-bound &
 try "version: a stream waits behind the queue of another" src/admit.c 's/^  if \(ver_waits_apart \(job\)\)$/  if (false)/; s/apart = ver_waits_apart \(job\)/apart = false/' test-bound &
 try "version: returns to a trial are not counted" src/versions.c 's/^    versions->left--;$/    ;/' test-bound &
