try: a request that is quarantined after its grant is not sent through a relay

Read in the review: of all call sites that send, only the further sendings of one place, through a relay after a failed connect, did not look at the quarantine again.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -218,8 +218,8 @@
   req_ask ((Req *) ((char *) timer - offsetof (Req, verdict_wait)));
 }
 
-static bool
-is_quarantined (const Req *req)
+bool
+req_is_quarantined (const Req *req)
 {
   return crashrep_check (req->requests->conf.crash_reporter, req->print).state >= QUAR_RECHECK;
 }
@@ -243,7 +243,7 @@
 
   g_hash_table_iter_init (&iter, requests->by_number);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Req *) value)->xfer == NULL && !try_awaits_end (value) && is_quarantined (value))
+    if (((Req *) value)->xfer == NULL && !try_awaits_end (value) && req_is_quarantined (value))
       g_ptr_array_add (quarantined, value);
   for (unsigned i = 0; i < quarantined->len; i++)
     ask_again (quarantined->pdata[i]);
@@ -386,7 +386,7 @@
   if (strcmp (server->id, req->server) == 0 || server->leaving
       || is_known_unusable (req, server->id, grant->listed_at) || is_other_version (req, server)
       || place_block_reason (requests->conf.place, server->id, &(int64_t){ 0 })
-      || is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
+      || req_is_quarantined (req) || !budget_take (requests->conf.budget, req->service))
     {
       req_withdraw_replacement (req);
       req_ask_later (req, ASK_PAUSE_MAX);
@@ -430,7 +430,7 @@
       req->avoid_server = g_strdup (server->id);
       ask_again (req);
     }
-  else if (is_quarantined (req))
+  else if (req_is_quarantined (req))
     ask_again (req);
   else
     try_send (req, grant);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -110,6 +110,8 @@
 void req_ask (Req *req);
 /* Asks for a place at another server while the current try goes on. */
 void req_ask_replacement (Req *req);
+/* Whether the request must not be sent to a server now, because of crashes that it would cause. */
+bool req_is_quarantined (const Req *req);
 /* Withdraws that ask, if there is one. */
 void req_withdraw_replacement (Req *req);
 /* Makes that ask the request's own, since its try has ended. */
--- a/node/try.c
+++ b/node/try.c
@@ -376,11 +376,11 @@
 }
 
 /* Sends the request to the same place through a relay that was not tried yet. Returns false if
- * there is none. */
+ * there is none, or if the request was quarantined since it was granted. */
 static bool
 send_through_relay (Req *req)
 {
-  if (req->relays_tried >= RELAYS_MAX
+  if (req->relays_tried >= RELAYS_MAX || req_is_quarantined (req)
       || !egress_pick_relay (req->requests->conf.egress, req->relay.ip, &req->relay))
     return false;
   req->relays_tried++;
@@ -396,7 +396,7 @@
   undo_send (req);
   if (send_through_relay (req))
     return;
-  if (!req->direct_tried)
+  if (!req->direct_tried && !req_is_quarantined (req))
     {
       req->relay = (SockAddr){ 0 };
       send_try (req);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -153,7 +153,7 @@
 try "parts: none expires" src/crashes.c 's/^      if \(fingerprint_is_part \(suspect->content\)$/      if (false/' test-blame &
 try "parts: expiry is not proposed" node/suspects.c 's/^    expire_parts \(suspects\);/    ;/' test-witness &
 try "parts: an old beginning clears" src/quarantine.c 's/(BEGINNING_VALID) \(2 /\1 (60 /' test-attribution &
-try "parts: waits that are granted are not checked again" node/reqask.c 's/^  else if \(is_quarantined \(req\)\)$/  else if (false)/' test-parts &
+try "parts: waits that are granted are not checked again" node/reqask.c 's/^  else if \(req_is_quarantined \(req\)\)$/  else if (false)/' test-parts &
 try "attribution: each key is a cause" src/attribution.c 's/from->ends >= shared \+ CRASHES_QUARANTINE/from->ends >= CRASHES_QUARANTINE/' test-attribution &
 try "attribution: none is a cause by itself" src/attribution.c 's/from->ends >= shared \+ CRASHES_QUARANTINE/false/' test-attribution &
 try "attribution: one suspect of a crash is enough" src/attribution.c 's/^    if \(!marked\[g_array_index.*/    if (marked[g_array_index (crash->suspects, unsigned, i)]) return true; else if (i + 1 == crash->suspects->len)/' test-attribution &
--- a/test/skew.c
+++ b/test/skew.c
@@ -236,7 +236,7 @@
 /* Most new connections go to an entry that has a fraction of a core. It read all requests, and was
  * late with all of them. */
 static void
-new_connections_exceed_processor (void)
+new_connections_exceed_processor (gconstpointer entries)
 {
   Fleet *fleet = fleet_new ();
   Skew skew = { .fleet = fleet, .running = true, .per_ms = 3, .most = CALLERS_MAX };
@@ -244,6 +244,7 @@
   count = (Count){ 0 };
   skew.callers = g_new0 (Caller, CALLERS_MAX);
   fleet->slots = 500;
+  fleet->entry_count = GPOINTER_TO_UINT (entries);
   skew.slow.fire = on_slow;
   skew.arrival.fire = on_arrival;
   fleet_start_all (fleet);
@@ -264,6 +265,9 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/skew/descriptors", idle_connections_fill_descriptors);
-  g_test_add_func ("/skew/processor", new_connections_exceed_processor);
+  g_test_add_data_func ("/skew/processor/2", GUINT_TO_POINTER (2),
+                        new_connections_exceed_processor);
+  g_test_add_data_func ("/skew/processor/7", GUINT_TO_POINTER (7),
+                        new_connections_exceed_processor);
   return g_test_run ();
 }
