soak: parts that crash servers, and requests that share their other parts

Every second request that crashes a server does so by a part of its prompt; no two are alike, and all others share their first part. After the fifth crash of a part at most 3 more may run, at entries that no fault touched. The draws are the same, so that seeds keep their plans.

--- a/test/soak.c
+++ b/test/soak.c
@@ -7,9 +7,10 @@
  * seed that failed many times; its logs are kept, and their folder is printed. Seeds that ever
  * failed are in test/soak-seeds.txt, each with its cause.
  *
- * Some requests have a crash body, which crashes each server that runs it. Once REPORT_TIME has
- * passed since the third crash that such a body caused, it may run at most LATE_RUNS_MAX times
- * more. A run counts only if no fault touched its entry or a voter for REPORT_TIME before it.
+ * Some requests have a crash body, or a part of a prompt, which crashes each server that runs it.
+ * Once REPORT_TIME has passed since the third crash that such a body caused, or the fifth of a
+ * part, it may run at most LATE_RUNS_MAX times more. A run counts only if no fault touched its
+ * entry or a voter for REPORT_TIME before it.
  *
  * Planned work goes on beside the faults: SIGHUP to one process after another, SIGTERM to one entry
  * after another, new catalogues. By its number a seed has planned work and servers' silences alone
@@ -38,8 +39,10 @@
 #define FAULTS_MAX         3
 #define CRASH_ONE_IN       12 /* one request in so many has a crash body */
 #define CRASH_BODIES       2  /* different ones */
-#define CRASHES_QUARANTINE 3  /* crashes until a body is quarantined */
-#define LATE_RUNS_MAX      3  /* runs of a quarantined body, at most */
+#define PART_CRASHES       5 /* of servers by one part, after which no more requests with it may run */
+#define SOUND_PARTS        "f1:9,aa:9" /* of prompts */
+#define CRASHES_QUARANTINE 3           /* crashes until a body is quarantined */
+#define LATE_RUNS_MAX      3           /* runs of a quarantined body, at most */
 #define REPORT_TIME        (3 * FT_SECOND)
 #define CALM_TIMEOUT       (25 * FT_SECOND) /* by then all that is open must have ended */
 #define NOTICES_TIME       (9 * FT_SECOND) /* a rate must be kept after 3 s, and is checked over 4 s */
@@ -126,9 +129,10 @@
 static int64_t struck[FLEET_ENTRIES_MAX]; /* when an unplanned fault last touched each entry */
 /* Answers that began; that ended at their time limit; that ended early without a reason. */
 static unsigned begun, late, early;
-static unsigned late_runs[CRASH_BODIES];
-static unsigned events_checked;      /* of fleet->crash_events */
-static GHashTable *entry_of_request; /* request id: index of the entry it was sent to */
+static unsigned late_runs[2 * CRASH_BODIES]; /* of bodies, then of parts */
+static unsigned sound_quarantined;           /* requests refused for what others did */
+static unsigned events_checked;              /* of fleet->crash_events */
+static GHashTable *entry_of_request;         /* request id: index of the entry it was sent to */
 static GRand *generator;
 static unsigned sent, answered, refused, unknown, broken;
 
@@ -229,6 +233,8 @@
   if (caller->kind == 2)
     soakver_take (&caller->stream, caller->id, &caller->answer);
   check_whole (caller);
+  if (caller->kind != 3 && strstr (caller->answer.body->str, "\"quarantined\""))
+    sound_quarantined++;
   if (caller->kind == 1 || caller->kind == 3)
     {
       OnceOutcome outcome = { .status = caller->answer.status, .broken = caller->answer.broken };
@@ -241,13 +247,29 @@
   caller->open = false;
 }
 
+/* Every second cause is a part of the prompt, in requests that are never alike and share their
+ * other parts with sound ones. */
+static void
+set_crash_cause (unsigned number, char *body, size_t body_size, char *parts, size_t parts_size)
+{
+  if (sent % 2)
+    {
+      g_snprintf (body, body_size, "unlike %u", sent);
+      g_snprintf (parts, parts_size, "f1:9," FLEET_CRASH_PART "%u:9,aa:9,%x:9", number,
+                  0xe000000 + sent);
+      return;
+    }
+  g_snprintf (body, body_size, FLEET_CRASH_PREFIX " %u", number);
+  g_snprintf (parts, parts_size, SOUND_PARTS ",%x:9", 0xe000000 + sent);
+}
+
 static void
 send_request (Caller *caller)
 {
   static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a", "/once/a" };
   unsigned number = draw (fleet->entry_count);
   FleetNode *entry = &fleet->entries[number];
-  char body[32];
+  char body[32], parts[64];
 
   if (entry->pid == 0)
     return;
@@ -265,8 +287,9 @@
   caller->path_breaks = 0;
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     caller->path_breaks += faults[i].active && faults[i].breaks_path;
+  g_snprintf (parts, sizeof parts, SOUND_PARTS ",%x:9", 0xe000000 + sent);
   if (caller->kind == 3)
-    g_snprintf (body, sizeof body, FLEET_CRASH_PREFIX " %u", draw (CRASH_BODIES));
+    set_crash_cause (draw (CRASH_BODIES), body, sizeof body, parts, sizeof parts);
   else if (caller->kind == 2) /* with the same body it would be suspected after any crash */
     g_snprintf (body, sizeof body, "body of %s", caller->id);
   else
@@ -275,7 +298,7 @@
   if (returns)
     soakver_send (&caller->stream, entry, caller->id, body, &caller->answer);
   else
-    fleet_send_body (fleet, entry, paths[caller->kind], caller->id, body, &caller->answer);
+    fleet_send_parts (fleet, entry, paths[caller->kind], caller->id, parts, body, &caller->answer);
   caller->open = true;
 }
 
@@ -320,16 +343,31 @@
   return at - disturbed[3 + entry] >= REPORT_TIME;
 }
 
-/* When the body caused its third crash; 0: not yet. */
+static bool
+is_part (const char *cause)
+{
+  return g_str_has_prefix (cause, FLEET_CRASH_PART);
+}
+
+static unsigned
+cause_number (const char *cause)
+{
+  if (is_part (cause))
+    return CRASH_BODIES + (unsigned) atoi (cause + strlen (FLEET_CRASH_PART));
+  return (unsigned) atoi (cause + strlen (FLEET_CRASH_PREFIX));
+}
+
+/* When the cause had so many crashes that no more requests with it may reach servers: three of a
+ * body, five of a part, which other parts of the same requests hide at first; 0: not yet. */
 static int64_t
-third_crash (const char *body)
+last_allowed_crash (const char *cause)
 {
-  unsigned count = 0;
+  unsigned count = 0, most = is_part (cause) ? PART_CRASHES : CRASHES_QUARANTINE;
 
   for (unsigned i = 0; i < fleet->crash_events->len; i++)
     {
       const FleetCrashEvent *event = &g_array_index (fleet->crash_events, FleetCrashEvent, i);
-      if (event->crashed && strcmp (event->body, body) == 0 && ++count == CRASHES_QUARANTINE)
+      if (event->crashed && strcmp (event->body, cause) == 0 && ++count == most)
         return event->at;
     }
   return 0;
@@ -342,14 +380,14 @@
     {
       const FleetCrashEvent *event
           = &g_array_index (fleet->crash_events, FleetCrashEvent, events_checked);
-      unsigned crash_body = (unsigned) atoi (event->body + strlen (FLEET_CRASH_PREFIX));
+      unsigned cause = cause_number (event->body);
       unsigned entry = GPOINTER_TO_UINT (g_hash_table_lookup (entry_of_request, event->request));
-      int64_t third_at = third_crash (event->body);
-      if (event->crashed || third_at == 0 || event->at - third_at < REPORT_TIME
+      int64_t last_at = last_allowed_crash (event->body);
+      if (event->crashed || last_at == 0 || event->at - last_at < REPORT_TIME
           || !was_undisturbed (entry, event->at))
         continue;
-      if (++late_runs[crash_body] > LATE_RUNS_MAX)
-        fail ("runs although its body crashed servers before", event->request);
+      if (++late_runs[cause] > LATE_RUNS_MAX)
+        fail ("runs although it is known to crash servers", event->request);
     }
 }
 
@@ -646,21 +684,29 @@
   soaknote_end ();
 }
 
-/* Sends the crash bodies again while there are no faults. */
+static bool
+is_answered (void *data)
+{
+  return ((Answer *) data)->done;
+}
+
+/* Sends the causes of crashes again while there are no faults. */
 static void
-send_crash_bodies (void)
+send_crash_causes (void)
 {
   fleet_run_for (fleet, REPORT_TIME);
-  for (unsigned i = 0; i < 8 * CRASH_BODIES; i++)
+  for (unsigned i = 0; i < 16 * CRASH_BODIES; i++)
     {
-      char id[24], body[32];
+      char id[24], body[32], parts[64];
       Answer answer;
       g_snprintf (id, sizeof id, "m%u", i);
-      g_snprintf (body, sizeof body, FLEET_CRASH_PREFIX " %u", i % CRASH_BODIES);
+      sent++;
+      set_crash_cause (i / 2 % CRASH_BODIES, body, sizeof body, parts, sizeof parts);
       g_hash_table_insert (entry_of_request, g_strdup (id),
                            GUINT_TO_POINTER (i % fleet->entry_count));
-      fleet_call_body (fleet, &fleet->entries[i % fleet->entry_count], "/once/a", id, body,
-                       &answer);
+      fleet_send_parts (fleet, &fleet->entries[i % fleet->entry_count], "/once/a", id, parts, body,
+                        &answer);
+      fleet_run_until (fleet, is_answered, &answer, id);
       fleet_answer_clear (&answer);
       fleet_run_for (fleet, 100 * FT_MS);
       check_crash_events ();
@@ -674,7 +720,7 @@
   if (fleet_get_version (fleet) < fleet->version)
     fail ("what was acknowledged is lost", "catalogue");
   fleet_put_catalogue (fleet);
-  send_crash_bodies ();
+  send_crash_causes ();
   for (unsigned i = 0; i < fleet->entry_count; i++)
     {
       unsigned served = 0;
@@ -726,6 +772,7 @@
   memset (struck, 0, sizeof struck);
   plan = (Plan){ .source = g_rand_new_with_seed (seed ^ 0x706c616e) };
   memset (late_runs, 0, sizeof late_runs);
+  sound_quarantined = 0;
   events_checked = 0;
   entry_of_request = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sent = answered = refused = unknown = broken = begun = late = early = 0;
@@ -762,9 +809,11 @@
   soakver_end ();
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, %u begun, "
           "%u over time, catalogue %u, "
-          "%u server crashes, late runs of crash bodies: %u and %u\n",
+          "%u server crashes, late runs of crash bodies: %u and %u, of crash parts: %u and %u, "
+          "sound ones quarantined: %u\n",
           seed, sent, answered, refused, unknown, broken, begun, late, (unsigned) fleet->version,
-          fleet->crash_count, late_runs[0], late_runs[1]);
+          fleet->crash_count, late_runs[0], late_runs[1], late_runs[2], late_runs[3],
+          sound_quarantined);
   fleet_free (fleet);
   g_hash_table_unref (entry_of_request);
   g_array_unref (once);
