test/slow: stand-ins abort unread answers when the test says so

KNOWN-RED: /slow/answers depended on wall time, as the stand-ins aborted what was unread for a second, so that a caller that reads steadily was cut off on a loaded machine (3 of 3 under the address sanitizer at load 11 to 15).

--- a/test/backend.c
+++ b/test/backend.c
@@ -310,6 +310,47 @@
   return server->mode == SERVER_FAILING && server->arrived * 7 % 10 < 4;
 }
 
+/* Ends the answer only once it is read. */
+static void
+write_unread (const FleetServer *server, HCall *call, const GString *fields, const char *body,
+              size_t size)
+{
+  hcall_set_user (call, NULL);
+  hcall_begin (call, 200, fields);
+  hcall_write (call, body, size);
+  if (hcall_is_full (call))
+    g_ptr_array_add (server->unread, call);
+  else
+    hcall_end (call);
+}
+
+static void
+on_call_drained (void *owner, HCall *call)
+{
+  FleetServer *server = owner;
+
+  if (g_ptr_array_remove_fast (server->unread, call))
+    hcall_end (call);
+}
+
+unsigned
+fleet_abort_unread (Fleet *fleet, unsigned below)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    for (unsigned j = fleet->servers[i].unread->len; j-- > 0;)
+      {
+        HCall *call = fleet->servers[i].unread->pdata[j];
+        if ((unsigned) atoi (request_id (call) + 1) >= below)
+          continue;
+        g_ptr_array_remove_index_fast (fleet->servers[i].unread, j);
+        hcall_abort (call);
+        count++;
+      }
+  return count;
+}
+
 static void
 reply_filler (const FleetServer *server, HCall *call, const GString *fields)
 {
@@ -317,7 +358,10 @@
   char *body = g_malloc (size);
 
   memset (body, 'x', size);
-  hcall_reply (call, 200, fields, body, size);
+  if (!server->fleet->keeps_unread)
+    hcall_reply (call, 200, fields, body, size);
+  else
+    write_unread (server, call, fields, body, size);
   g_free (body);
 }
 
@@ -481,11 +525,12 @@
     server->crash_call = NULL;
   cancel_delayed (server, call);
   cancel_flood (server, call);
+  g_ptr_array_remove_fast (server->unread, call);
   if (stream)
     remove_stream (stream);
 }
 
-static const HSrvOps server_ops = { on_server_request, on_call_gone, NULL };
+static const HSrvOps server_ops = { on_server_request, on_call_gone, on_call_drained };
 
 /* ---- Crashes and restarts ---- */
 
@@ -502,6 +547,7 @@
     increment (server->fleet->lost_counts, server->ended_id);
   g_ptr_array_set_size (server->streams, 0);
   g_ptr_array_set_size (server->delayed, 0);
+  g_ptr_array_set_size (server->unread, 0);
   g_ptr_array_set_size (server->floods, 0);
   g_array_set_size (server->rejected_at, 0);
   loop_timer_stop (server->fleet->loop, &server->fall_timer);
@@ -584,6 +630,7 @@
   server->listed = true;
   server->streams = g_ptr_array_new_with_free_func (g_free);
   server->delayed = g_ptr_array_new_with_free_func (delayed_free);
+  server->unread = g_ptr_array_new ();
   server->floods = g_ptr_array_new_with_free_func (flood_free);
   g_strlcpy (server->version, "v1", sizeof server->version);
   server->rejected_at = g_array_new (FALSE, FALSE, sizeof (int64_t));
@@ -602,6 +649,7 @@
   stop_server (server);
   g_ptr_array_unref (server->streams);
   g_ptr_array_unref (server->delayed);
+  g_ptr_array_unref (server->unread);
   g_ptr_array_unref (server->floods);
   g_array_unref (server->rejected_at);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -69,6 +69,7 @@
   GPtrArray *streams; /* running streams */
   GPtrArray *floods;  /* answers that never end */
   GPtrArray *delayed; /* plain calls to be answered later */
+  GPtrArray *unread;  /* HCall, whose answers are not read yet; see Fleet.keeps_unread */
   /* the stream that ended last, whose end a crash may still take from its caller */
   char ended_id[64];
   int64_t ended_at;
@@ -127,10 +128,11 @@
   unsigned flood_bytes, flood_ms, flood_after; /* see SERVER_FLOOD_EVENT */
   unsigned plain_ms;                           /* time that a plain call takes */
   unsigned slots;                              /* of each server, as listed */
-  unsigned plain_bytes;       /* length of a plain answer; 0: its body is the request's id */
-  unsigned slow_ms;           /* time that a plain call takes at a SERVER_SLOW */
-  unsigned budget_slack;      /* the entries' setting of that name */
-  unsigned entry_seeds;       /* how many of the first voters the entries have as seeds */
+  unsigned plain_bytes;  /* length of a plain answer; 0: its body is the request's id */
+  bool keeps_unread;     /* such answers can be aborted until they are read: fleet_abort_unread */
+  unsigned slow_ms;      /* time that a plain call takes at a SERVER_SLOW */
+  unsigned budget_slack; /* the entries' setting of that name */
+  unsigned entry_seeds;  /* how many of the first voters the entries have as seeds */
   unsigned header_timeout_ms; /* the catalogue's HeaderTimeoutMs; 0: not set */
   unsigned grace_s;           /* the setting of that name */
   unsigned restart_ms;        /* from a server's crash to its restart */
@@ -229,6 +231,9 @@
 unsigned fleet_lost_count (const Fleet *fleet, const char *id);
 /* How often a server started to run the crash body, or a prompt with that crash part. */
 unsigned fleet_crash_run_count (const Fleet *fleet, const char *body);
+/* Aborts those answers of servers that are not read yet and whose request ids are s0 to s(below -
+ * 1). Returns their number. */
+unsigned fleet_abort_unread (Fleet *fleet, unsigned below);
 /* Everything that a node has logged so far; free with g_free. */
 char *fleet_read_log (const FleetNode *node);
 
--- a/test/slow.c
+++ b/test/slow.c
@@ -163,16 +163,6 @@
   return true;
 }
 
-/* Makes servers abort an answer that is not read for the given time. */
-static void
-set_unread_timeout (Fleet *fleet, int64_t us)
-{
-  HSrvLimits limits = { 16384, 1 << 20, 5 * FT_SECOND, us, 0, 0 };
-
-  for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    hsrv_set_limits (fleet->servers[i].srv, &limits);
-}
-
 static void
 run_steadily (Fleet *fleet, SlowCaller *steady, int64_t us)
 {
@@ -198,7 +188,7 @@
 
   fleet->slots = SLOW_COUNT;
   fleet_start_all (fleet);
-  set_unread_timeout (fleet, FT_SECOND);
+  fleet->keeps_unread = true;
   fleet->plain_bytes = ANSWER_SIZE;
   for (unsigned i = 0; i < STEADY_COUNT; i++)
     {
@@ -213,6 +203,7 @@
         run_steadily (fleet, steady, STEP_US);
     }
   run_steadily (fleet, steady, STALL_US);
+  g_assert_cmpuint (fleet_abort_unread (fleet, SLOW_COUNT), >, 0);
   fleet->plain_bytes = 0;
   for (unsigned i = 0; i < FAST_COUNT; i++)
     {
