--- a/test/skew.c
+++ b/test/skew.c
@@ -153,7 +153,8 @@
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   g_assert_cmpint (fd, >=, 0);
-  connect (fd, (struct sockaddr *) &addr, sizeof addr); /* refused: the entry is full */
+  if (connect (fd, (struct sockaddr *) &addr, sizeof addr) != 0)
+    g_test_message ("the entry is full");
   return fd;
 }
 
