--- a/review/standin/deployment.c
+++ b/review/standin/deployment.c
@@ -24,6 +24,7 @@
 #define RESTART_DELAY    (500 * FT_MS) /* of a process that has ended */
 #define OPERATOR_TIMEOUT (1 * FT_SECOND)
 #define SEEDS            3
+#define FAILURE_MS       50 /* from the start of a run that fails to its answer */
 
 typedef struct
 {
@@ -31,8 +32,8 @@
   Replica *replica;
   HCall *call;
   char id[64];
-  bool running;
-  unsigned next_event;
+  bool running, fails;
+  unsigned next_event, events;
 } Run;
 
 /* ---- Time and record ---- */
@@ -88,6 +89,16 @@
 
 /* ---- Processes ---- */
 
+static const char *
+version_settings (const Deployment *deployment, const Node *node)
+{
+  if (!deployment->conf.moves_versions)
+    return "  \"all_versions\": true,\n";
+  return node->voter ? "  \"rollout_share\": \"0.1\",\n  \"rollout_slack\": 50,\n"
+                       "  \"order_repeat_ms\": 5000,\n"
+                     : "";
+}
+
 static void
 write_settings (const Deployment *deployment, const Node *node)
 {
@@ -110,14 +121,16 @@
                             "  \"relay_port\": %d,\n  \"files\": 4100,\n",
                             node->ip, FRONTEND_PORT, node->ip, READY_PORT, RELAY_PORT);
   g_string_append_printf (out,
-                          "  \"link_port\": %d,\n  \"metrics_port\": %d,\n  \"losses\": 1,\n"
+                          "  \"link_port\": %d,\n  \"metrics_port\": %d,\n  \"losses\": %u,\n"
                           "  \"grace_s\": 8,\n  \"budget_ratio\": \"0.2\",\n"
                           "  \"budget_slack\": 54,\n  \"budget_window_s\": 10,\n"
                           "  \"limit_window_s\": 8,\n  \"limit_overage\": \"0.1\",\n"
                           "  \"limit_slack\": 190000,\n  \"list_rate\": \"40\",\n"
-                          "  \"all_versions\": true,\n  \"fair_shares\": true,\n"
+                          "%s  \"fair_shares\": true,\n"
                           "  \"list\": \"%s:%d\",\n  \"seeds\": [",
-                          LINK_PORT, METRICS_PORT, ip_text (deployment->net + 1, list), LIST_PORT);
+                          LINK_PORT, METRICS_PORT, MAX (deployment->conf.losses, 1),
+                          version_settings (deployment, node), ip_text (deployment->net + 1, list),
+                          LIST_PORT);
   for (unsigned i = 0; i < SEEDS; i++)
     g_string_append_printf (out, "%s\"%s:%d\"", i ? ", " : "", deployment->nodes[i].ip,
                             CONTROL_PORT);
@@ -168,10 +181,23 @@
                      WEXITSTATUS (status));
 }
 
+void
+deployment_kill (Deployment *deployment, Node *node, unsigned down_ms)
+{
+  deployment_note (deployment, "process %s gets SIGKILL", node->name);
+  if (node->pid)
+    {
+      kill (node->pid, SIGKILL);
+      waitpid (node->pid, NULL, 0);
+    }
+  node->pid = 0;
+  node->restart_at = loop_now (deployment->loop) + down_ms * FT_MS;
+}
+
 /* ---- Replicas ---- */
 
-static unsigned
-running_count (const Replica *replica)
+unsigned
+replica_running (const Replica *replica)
 {
   unsigned count = 0;
 
@@ -184,7 +210,7 @@
 answer_fields (const Replica *replica, const char *id, bool event_stream)
 {
   GString *fields = g_string_new (NULL);
-  unsigned running = running_count (replica);
+  unsigned running = replica_running (replica);
 
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", id);
   g_string_append_printf (fields, "X-Foxtailgrade-Instance-Load: %u,%u,%u\r\n", running,
@@ -211,7 +237,7 @@
 start_runs (Replica *replica)
 {
   Deployment *deployment = replica->deployment;
-  unsigned running = running_count (replica);
+  unsigned running = replica_running (replica);
 
   for (unsigned i = 0; i < replica->calls->len && running < deployment->conf.slots; i++)
     {
@@ -222,8 +248,10 @@
       running++;
       int before = GPOINTER_TO_INT (g_hash_table_lookup (deployment->runs, run->id));
       g_hash_table_replace (deployment->runs, g_strdup (run->id), GINT_TO_POINTER (before + 1));
+      run->fails = deployment->conf.fails && deployment->conf.fails (replica);
       loop_timer_set (deployment->loop, &run->timer,
-                      loop_now (deployment->loop) + deployment->conf.prefill_ms * FT_MS);
+                      loop_now (deployment->loop)
+                          + (run->fails ? FAILURE_MS : deployment->conf.prefill_ms) * FT_MS);
     }
 }
 
@@ -235,13 +263,23 @@
   Deployment *deployment = replica->deployment;
   char event[64];
 
+  if (run->fails)
+    {
+      HCall *call = run->call;
+      GString *fields = answer_fields (replica, run->id, true);
+      run_free (run);
+      hcall_reply (call, 500, fields, "failed", 6);
+      g_string_free (fields, TRUE);
+      start_runs (replica);
+      return;
+    }
   if (run->next_event == 0)
     {
       GString *fields = answer_fields (replica, run->id, true);
       hcall_begin (run->call, 200, fields);
       g_string_free (fields, TRUE);
     }
-  if (run->next_event < deployment->conf.events)
+  if (run->next_event < run->events)
     {
       run->next_event++;
       g_snprintf (event, sizeof event, "id: %u\ndata: token-%u\n\n", run->next_event,
@@ -296,9 +334,14 @@
       run->replica = replica;
       run->call = call;
       run->next_event = last ? (unsigned) atoi (last) : 0;
+      run->events = g_str_has_prefix (hmsg_target (msg), "/long/")
+                        ? replica->deployment->conf.long_events
+                        : replica->deployment->conf.events;
       g_strlcpy (run->id, id, sizeof run->id);
       hcall_set_user (call, run);
       g_ptr_array_add (replica->calls, run);
+      if (replica->deployment->conf.arrived)
+        replica->deployment->conf.arrived (replica, id);
       start_runs (replica);
     }
 }
@@ -347,6 +390,25 @@
   replica->up_at = loop_now (deployment->loop) + down_ms * FT_MS;
 }
 
+void
+deployment_start_replica (Deployment *deployment, Replica *replica, const char *version)
+{
+  g_strlcpy (replica->version, version, sizeof replica->version);
+  start_replica (replica);
+  if (replica->srv == NULL)
+    cannot_run ("no free address for a replica");
+  replica->listed = true;
+  deployment_note (deployment, "replica %s of version %s starts", replica->id, version);
+}
+
+void
+deployment_stop_replica (Deployment *deployment, Replica *replica)
+{
+  deployment_crash (deployment, replica, 0);
+  replica->up_at = 0;
+  replica->listed = false;
+}
+
 /* ---- The platform's list ---- */
 
 static void
@@ -355,17 +417,21 @@
   const Deployment *deployment = owner;
   GString *body = g_string_new ("{\"Instances\":[");
   char addr[SOCK_ADDR_TEXT_SIZE];
+  bool any = false;
 
   for (unsigned i = 0; i < deployment->conf.replicas; i++)
     {
       const Replica *replica = &deployment->replicas[i];
+      if (!replica->listed)
+        continue;
       g_string_append_printf (
           body,
-          "%s{\"Service\":\"model\",\"Address\":\"%s\",\"Zone\":\"%s\",\"Version\":\"v1\","
-          "\"Slots\":%u,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Stage\":\"both\","
+          "%s{\"Service\":\"model\",\"Address\":\"%s\",\"Zone\":\"%s\",\"Version\":\"%s\","
+          "\"Slots\":%u,\"State\":\"%s\",\"ColdRemainingMs\":0,\"Stage\":\"both\","
           "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],\"Id\":\"%s\"}",
-          i ? "," : "", sock_addr_format (replica->addr, addr), replica->zone,
-          deployment->conf.slots, replica->id);
+          any ? "," : "", sock_addr_format (replica->addr, addr), replica->zone, replica->version,
+          deployment->conf.slots, replica->draining ? "draining" : "ready", replica->id);
+      any = true;
     }
   g_string_append (body, "],\"Next\":null}");
   GString *fields = g_string_new (NULL);
@@ -467,6 +533,35 @@
     }
 }
 
+void
+deployment_metrics (Deployment *deployment, const Node *node, Reply *reply)
+{
+  GString *request = g_string_new (NULL);
+
+  hwrite_request_line (request, "GET", "/metrics");
+  hwrite_field (request, "Host", node->ip);
+  hwrite_head_end (request);
+  deployment_send (deployment, node->ip, METRICS_PORT, request, reply);
+  await_reply (deployment, reply, FT_SECOND);
+  g_string_free (request, TRUE);
+}
+
+Node *
+deployment_leader (Deployment *deployment)
+{
+  Node *leader = NULL;
+
+  for (unsigned i = 0; i < deployment->conf.voters; i++)
+    {
+      Reply reply;
+      deployment_metrics (deployment, &deployment->nodes[i], &reply);
+      if (reply.status == 200 && strstr (reply.body->str, "foxtail_in_charge 1"))
+        leader = &deployment->nodes[i];
+      reply_clear (&reply);
+    }
+  return leader;
+}
+
 /* ---- The operator ---- */
 
 /* One call at one node, following 307 twice. */
@@ -507,7 +602,11 @@
       "{\"Version\":%u,\"Routes\":[{\"Name\":\"r-chat\",\"Host\":\"caller.example\","
       "\"PathPrefix\":\"/chat/\",\"RouteType\":\"streaming\",\"TimeoutMs\":10000,"
       "\"TargetLatencyMs\":1000,\"Priority\":0,\"Service\":\"model\",\"MaxAttempts\":2,"
-      "\"Public\":false,\"Sticky\":true,\"Resumable\":true,\"GapAimMs\":300}],"
+      "\"Public\":false,\"Sticky\":true,\"Resumable\":true,\"GapAimMs\":300},"
+      "{\"Name\":\"r-long\",\"Host\":\"caller.example\",\"PathPrefix\":\"/long/\","
+      "\"RouteType\":\"streaming\",\"TimeoutMs\":15000,\"TargetLatencyMs\":1000,"
+      "\"Priority\":1,\"Service\":\"model\",\"MaxAttempts\":1,\"Public\":false,"
+      "\"Sticky\":true,\"Resumable\":false,\"GapAimMs\":300}],"
       "\"Services\":[{\"Name\":\"model\",\"HealthPath\":\"/health\",\"MaxConnections\":360,"
       "\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{\"Slots\":5,\"KvCapacityTokens\":563854,"
       "\"KvBytes\":327680,\"LinkMbps\":1100000.0,\"Moves\":true,\"Backups\":true,\"Stride\":4,"
@@ -553,6 +652,25 @@
   return status == 200;
 }
 
+void
+deployment_operate (Deployment *deployment, const char *method, const char *path, const char *body,
+                    unsigned limit_ms, Reply *reply)
+{
+  int64_t until = loop_now (deployment->loop) + limit_ms * FT_MS;
+  GString *text = body ? g_string_new (body) : NULL;
+
+  for (;;)
+    {
+      operator_call (deployment, next_control_node (deployment), method, path, text, reply);
+      if (reply->status == 200 || loop_now (deployment->loop) >= until)
+        break;
+      reply_clear (reply);
+      deployment_run_for (deployment, 100);
+    }
+  if (text)
+    g_string_free (text, TRUE);
+}
+
 unsigned
 deployment_read_back (Deployment *deployment, unsigned limit_ms)
 {
@@ -631,9 +749,13 @@
       replica->calls = g_ptr_array_new ();
       replica->addr = (SockAddr){ deployment->net + 100 + i, REPLICA_PORT };
       g_snprintf (replica->zone, sizeof replica->zone, "zone-%c", 'a' + i % ZONES);
+      if (i >= deployment->conf.replicas - deployment->conf.later)
+        continue;
+      g_strlcpy (replica->version, "v1", sizeof replica->version);
       start_replica (replica);
       if (replica->srv == NULL)
         return false;
+      replica->listed = true;
     }
   return true;
 }
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -15,6 +15,7 @@
 #define ZONES        3
 
 typedef struct Deployment Deployment;
+typedef struct Replica Replica;
 
 /* A foxtailnode process. */
 typedef struct
@@ -28,21 +29,29 @@
 } Node;
 
 /* A replica of the model service. Each start is a new lifetime with a new id. */
-typedef struct
+struct Replica
 {
   Deployment *deployment;
-  char zone[16], id[32];
+  char zone[16], id[32], version[8]; /* version: of its software */
+  bool listed, draining;
   SockAddr addr;
   HSrv *srv;        /* NULL: it is down */
   GPtrArray *calls; /* Run: running, then waiting, in order of arrival */
   unsigned lifetimes;
   int64_t up_at; /* when it starts again; 0: not planned */
-} Replica;
+};
 
 typedef struct
 {
   unsigned entries, voters, replicas, slots;
+  unsigned losses;                       /* FaultTolerance; 0: 1 */
   unsigned prefill_ms, events, event_ms; /* of a run: until its first event, and its events */
+  unsigned long_events;                  /* of a run on the route /long/ */
+  unsigned later;                        /* of the replicas, started by deployment_start_replica */
+  bool moves_versions;                   /* versions are moved by order, with bounds of exposure */
+  bool (*fails) (
+      Replica *replica); /* whether the replica answers a request with 500; NULL: never */
+  void (*arrived) (Replica *replica, const char *id); /* a request has arrived; may be NULL */
 } DeploymentConf;
 
 struct Deployment
@@ -95,6 +104,23 @@
  * later it starts again. */
 void deployment_crash (Deployment *deployment, Replica *replica, unsigned down_ms);
 
+/* Starts a replica of this version; it is listed from then on. */
+void deployment_start_replica (Deployment *deployment, Replica *replica, const char *version);
+/* The platform stops the replica at once, for good. */
+void deployment_stop_replica (Deployment *deployment, Replica *replica);
+unsigned replica_running (const Replica *replica);
+/* A call of the operator, at one node after another until one answers 200, for at most limit_ms.
+ * Release reply with reply_clear. */
+void deployment_operate (Deployment *deployment, const char *method, const char *path,
+                         const char *body, unsigned limit_ms, Reply *reply);
+/* Kills the process; the platform starts it again down_ms later, with its disk. */
+void deployment_kill (Deployment *deployment, Node *node, unsigned down_ms);
+/* The voter in charge by the metrics; NULL: none is. */
+Node *deployment_leader (Deployment *deployment);
+
+/* The metrics of a process; release with reply_clear. */
+void deployment_metrics (Deployment *deployment, const Node *node, Reply *reply);
+
 /* Sends a request over a new connection; release reply with reply_clear. */
 void deployment_send (Deployment *deployment, const char *ip, unsigned port, const GString *request,
                       Reply *reply);
