--- a/review/2/case.c
+++ b/review/2/case.c
@@ -21,6 +21,7 @@
 #define EXPOSURE_SLACK  50
 #define BAD_ANSWERS     50
 #define MOVED_OF_LAST   12 /* so many requests in a row at the new version: the service has moved */
+#define DRAIN_AFTER     (3 * FT_SECOND) /* after rolled_back the new replicas drain */
 #define TICK            (5 * FT_MS)
 
 typedef struct
@@ -42,7 +43,7 @@
   LoopTimer timer;
   Request requests[REQUESTS_MAX];
   unsigned sent, answered, failed, cut;
-  int64_t traffic_from, ordered_at, killed_at, bad_limit_at;
+  int64_t traffic_from, ordered_at, killed_at, rolled_back_at, bad_limit_at;
   unsigned in_a_row, bad_answers, runs_cut;
   GArray *arrivals; /* Arrival */
   bool trouble;
@@ -176,12 +177,15 @@
     deployment_start_replica (test.deployment, &test.deployment->replicas[i], "v2");
 }
 
-/* At completed the old replicas stop at once; at rolled_back the new ones drain. */
+/* At completed the old replicas stop at once; some seconds after rolled_back the new ones drain. */
 static void
 follow_state (const char *state)
 {
   Deployment *deployment = test.deployment;
+  int64_t now = loop_now (deployment->loop);
 
+  if (test.rolled_back_at == 0 && strcmp (state, "rolled_back") == 0)
+    test.rolled_back_at = now;
   for (unsigned i = 0; i < deployment->conf.replicas; i++)
     {
       Replica *replica = &deployment->replicas[i];
@@ -190,7 +194,7 @@
           test.runs_cut += replica->calls->len;
           deployment_stop_replica (deployment, replica);
         }
-      if (is_target (replica) && strcmp (state, "rolled_back") == 0)
+      if (is_target (replica) && test.rolled_back_at && now > test.rolled_back_at + DRAIN_AFTER)
         replica->draining = true;
     }
 }
