A request that runs on a server which is not listed yet is kept in the ledger

A scheduler that has just started gets the entries' reports before the list of servers. sched_adopt dropped each report whose server it did not know, so these requests ran without being counted: their places looked free, and a roll-out looked finished while they ran on the previous version.

Such a server is now added without being listed, with an unknown version, which counts as not the ordered one; the list fills in the version and the places.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -235,6 +235,33 @@
   sched->others_unknown = guessed;
 }
 
+/* ---- Servers ---- */
+
+uint32_t
+sched_server_digest (const char *id)
+{
+  return g_str_hash (id);
+}
+
+static Server *
+server_new (Sched *sched, const SchedServer *from, int64_t now)
+{
+  Server *server = g_new0 (Server, 1);
+
+  server->id = g_strdup (from->id);
+  server->domain = g_strdup (from->domain);
+  server->version = g_strdup (from->version ? from->version : "");
+  server->slots = MAX (from->slots, 1);
+  server->service = get_service (sched, from->service);
+  CDS_INIT_LIST_HEAD (&server->runs);
+  cds_list_add_tail (&server->link, &server->service->servers);
+  g_hash_table_insert (sched->servers, server->id, server);
+  g_hash_table_replace (sched->by_digest, GUINT_TO_POINTER (sched_server_digest (server->id)),
+                        server);
+  brit_init_server (server, now);
+  return server;
+}
+
 /* ---- State changes of a job ---- */
 
 void
@@ -414,8 +441,11 @@
   Server *server = g_hash_table_lookup (sched->servers, id);
   Job *job = g_hash_table_lookup (sched->jobs, &key);
 
-  if (server == NULL || (job && job->server))
+  if (job && job->server)
     return;
+  if (server == NULL)
+    server = server_new (sched, &(SchedServer){ .id = id, .service = ask->service, .domain = "" },
+                         now);
   if (job)
     wait_serve (job, now);
   else
@@ -554,29 +584,6 @@
 
 /* ---- Server list ---- */
 
-uint32_t
-sched_server_digest (const char *id)
-{
-  return g_str_hash (id);
-}
-
-static Server *
-server_new (Sched *sched, const SchedServer *from)
-{
-  Server *server = g_new0 (Server, 1);
-
-  server->id = g_strdup (from->id);
-  server->domain = g_strdup (from->domain);
-  server->version = g_strdup (from->version ? from->version : "");
-  server->service = get_service (sched, from->service);
-  CDS_INIT_LIST_HEAD (&server->runs);
-  cds_list_add_tail (&server->link, &server->service->servers);
-  g_hash_table_insert (sched->servers, server->id, server);
-  g_hash_table_replace (sched->by_digest, GUINT_TO_POINTER (sched_server_digest (server->id)),
-                        server);
-  return server;
-}
-
 static gboolean
 drop_unlisted (gpointer key, gpointer value, gpointer data)
 {
@@ -617,10 +624,9 @@
     {
       Server *server = g_hash_table_lookup (sched->servers, servers[i].id);
       if (server == NULL)
-        {
-          server = server_new (sched, &servers[i]);
-          brit_init_server (server, now);
-        }
+        server = server_new (sched, &servers[i], now);
+      else if (*server->version == '\0' && servers[i].version)
+        replace_string (&server->version, servers[i].version);
       server->listed = true;
       server->leaving = servers[i].leaving || server->announced_leaving;
       server->slots = MAX (servers[i].slots, 1);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -202,7 +202,8 @@
 /* Places, queues or refuses the request. Returns true if it is queued. A request that is known
  * already is left as it is, and the result is true. */
 bool sched_ask (Sched *sched, const SchedAsk *ask);
-/* Records a request that runs on the server by another scheduler's grant. */
+/* Records a request that runs on the server by another scheduler's grant. A server that is not
+ * listed yet is added with an unknown version. */
 void sched_adopt (Sched *sched, const SchedAsk *ask, const char *server);
 /* Reports the first event of the answer, after_us after the request was sent. */
 void sched_first_event (Sched *sched, uint64_t owner, uint64_t request, int64_t after_us);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -713,6 +713,36 @@
   sched_fixture_free (fixture);
 }
 
+/* Guards against losing requests that run on servers which the list has not shown yet: entries
+ * report them to a voter that has just started. */
+static void
+unlisted_server_keeps_its_requests (void)
+{
+  SchedFixture *fixture = sched_fixture_new (0);
+  SchedResult usual = { .outcome = SCHED_OK };
+  SchedAsk old = { .owner = 1, .request = 50, .service = "s", .org = "o" };
+  SchedServiceStats stats;
+
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true, false });
+  sched_adopt (fixture->sched, &old, "s0");
+  old.request = 51;
+  sched_adopt (fixture->sched, &old, "s2");
+  sched_service_stats (fixture->sched, "s", &stats);
+  g_assert_cmpuint (stats.running_before, ==, 2);
+  g_assert_cmpuint (stats.ordered.servers, ==, 0);
+  list_servers (fixture, 15);
+  sched_service_stats (fixture->sched, "s", &stats);
+  g_assert_cmpuint (stats.running_before, ==, 1);
+  g_assert_cmpuint (stats.once_before, ==, 1);
+  g_assert_cmpuint (stats.ordered.running, ==, 1);
+  g_assert_cmpuint (stats.ordered.places, ==, 8);
+  sched_done (fixture->sched, 1, 50, &usual);
+  sched_service_stats (fixture->sched, "s", &stats);
+  g_assert_cmpuint (stats.running_before, ==, 0);
+  sched_fixture_free (fixture);
+}
+
 static void
 answer_after (SchedFixture *fixture, uint64_t number, int64_t took_us)
 {
@@ -959,6 +989,7 @@
   g_test_add_func ("/versions/cut_off", reconnected_entry_follows);
   g_test_add_func ("/versions/slow", slow_answers_are_bad);
   g_test_add_func ("/versions/unknown", unknown_latency_is_no_evidence);
+  g_test_add_func ("/versions/unlisted", unlisted_server_keeps_its_requests);
   g_test_add_func ("/versions/long_route", long_route_is_not_slow);
   g_test_add_func ("/versions/busy", busy_machine_is_not_blamed);
   g_test_add_func ("/versions/slower", slow_version_is_detected);
