A late grant of the former scheduler is told to the new one

Where handovers are off, an entry uses a grant that arrives after it has turned to another scheduler. It withdrew the request from the new one and told it nothing else, so the new scheduler's ledger lacked a request that runs: its place looked free, and a roll-out looked finished while the request ran on the previous version.

The entry now tells the new scheduler on which server the request runs.

/place/late_grant failed before ("wd" instead of "wdr") and passes.

--- a/node/place.c
+++ b/node/place.c
@@ -428,9 +428,12 @@
     }
   if (is_withdrawn_from (place, req, peer))
     return;
-  if (req->scheduler != peer)
+  MeshPeer *asked = req->scheduler;
+  if (asked != peer)
     withdraw (place, req);
   mark_running (place, req, from->server);
+  if (asked && asked != peer)
+    pmsg_ask (place, asked, req); /* its ledger must show what runs */
   req->paced = from->paced;
   spent_record_grant (place->spent, peer, req->org, req->cost);
   record_report (place, peer, req->org, from->org_fill);
--- a/test/place.c
+++ b/test/place.c
@@ -524,6 +524,38 @@
   tear_down ();
 }
 
+/* Guards against a request that the new scheduler does not know of, where handovers are off: the
+ * grant of the former one comes after the change and is used. */
+static void
+late_grant_is_reported (void)
+{
+  MeshMsg msg;
+  GString *order = g_string_new (NULL);
+
+  set_up ();
+  Scheduler a = scheduler (11), b = scheduler (12);
+  set_leader (&a, 1);
+  ask (1, 10);
+  set_leader (&b, 2);
+  grant (&a, 1);
+  g_assert_cmpuint (grants, ==, 1);
+  while (test_peer_next (&b, &msg))
+    {
+      if (msg.kind == MESH_ASK)
+        g_string_append_c (order, msg.MeshMsg_u.ask.running ? 'r' : 'w');
+      else if (msg.kind == MESH_REPORT_END)
+        g_string_append_printf (order, "%u", msg.MeshMsg_u.reported.running);
+      else if (msg.kind == MESH_DONE)
+        g_string_append_c (order, 'd');
+      codec_clear (CODEC (MeshMsg), &msg);
+    }
+  g_assert_cmpstr (order->str, ==, "wdr");
+  g_string_free (order, TRUE);
+  test_peer_free (&a);
+  test_peer_free (&b);
+  tear_down ();
+}
+
 /* Guards against the loss of the accounts of limits when a scheduler crashes. Entries pass on what
  * the former scheduler last reported; a scheduler is not told its own reports. */
 static void
@@ -1022,6 +1054,7 @@
   g_test_add_func ("/place/waits", request_waits_for_reports);
   g_test_add_func ("/place/part", deputy_grants_only_its_share);
   g_test_add_func ("/place/crossed", crossing_grant_is_ignored);
+  g_test_add_func ("/place/late_grant", late_grant_is_reported);
   g_test_add_func ("/place/handover", account_survives_handovers);
   g_test_add_func ("/place/report", account_report_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
