Roll-outs: a successor waits for the entries' reports and the list of servers

Cause: the successor decides from counts that start at zero when it takes charge. running_before and once_before count what entries have reported to this scheduler, 'unheard' only entries whose link it saw break, and phase_us counts from the commit of the move. Zero requests, zero servers and zero bad answers were read as facts. The same holds for 'all servers of the version are gone' before the list is read, and for a service that seems idle.

Change: entries end their report with MESH_REPORT_END also where handovers are off, and tell how many entries they know of. The broker keeps which linked entries have reported, have turned away since, or were not heard lately. Entries that the last leader counted and that are not linked count as missing for 12 s. The plan neither completes nor rolls back for want of servers before the list is read after the take-over and entries have had 1.5 s to link; it completes only when all have reported. Past the limit an entry that never reports is waited for 12 s at most. Evidence against the version rolls it back at any time. A move waits for the list and 400 ms, an idle service for the reports.

test/place.c account_report_is_passed_on read every message as an ask; it now looks at asks only, since a report comes before them.

--- a/node/broker.h
+++ b/node/broker.h
@@ -91,6 +91,12 @@
 bool broker_is_taking_over (const Broker *broker);
 /* Number of other instances that have asked within the last three seconds. */
 unsigned broker_asker_count (const Broker *broker);
+/* Number of linked entries of which this scheduler does not know all requests that they run: those
+ * that have not reported them, that ask another scheduler now, or that were not heard since then.
+ */
+unsigned broker_unreported_count (const Broker *broker, int64_t since);
+/* The largest number of entries that a linked instance reported; 0: none did. */
+unsigned broker_told_entries (const Broker *broker);
 /* Number of linked instances that have told that they ask another scheduler now. */
 unsigned broker_away_count (const Broker *broker);
 
--- a/node/brokerint.h
+++ b/node/brokerint.h
@@ -14,7 +14,9 @@
   uint64_t owner; /* lifetime of the peer's process, which identifies it */
   unsigned waiting;
   int64_t asked_at;
-  bool away; /* it has told that it asks another scheduler now */
+  bool away;             /* it has told that it asks another scheduler now */
+  bool reported;         /* it has told what it runs, and asks this scheduler since then */
+  unsigned told_entries; /* number of entries that its report told of; 0: not known */
 } Asker;
 
 struct Broker
--- a/node/brokerlink.c
+++ b/node/brokerlink.c
@@ -75,6 +75,10 @@
 static void
 handle_report (Broker *broker, Asker *asker, const MeshReportEnd *from)
 {
+  asker->reported = true;
+  asker->told_entries = from->entries;
+  if (!broker_handover_enabled (broker))
+    return;
   note_returned (broker, asker);
   for (unsigned i = 0; i < from->accounts.accounts_len; i++)
     apply_account (broker, &from->accounts.accounts_val[i]);
@@ -182,6 +186,7 @@
     return;
   hand_owner_gone (broker->hand, asker->owner);
   asker->away = true;
+  asker->reported = false;
   asker->asked_at = -ASKER_TIMEOUT;
 }
 
@@ -199,7 +204,7 @@
         handle_ask (broker, asker, &msg->MeshMsg_u.ask);
       return true;
     case MESH_REPORT_END:
-      if (asker && broker_handover_enabled (broker))
+      if (asker)
         handle_report (broker, asker, &msg->MeshMsg_u.reported);
       return true;
     case MESH_FIRST_EVENT:
@@ -260,6 +265,36 @@
   return count;
 }
 
+unsigned
+broker_unreported_count (const Broker *broker, int64_t since)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, broker->askers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Asker *asker = value;
+      count += asker->peer->role == MESH_ENTRY
+               && (!asker->reported || asker->peer->received_at < since);
+    }
+  return count;
+}
+
+unsigned
+broker_told_entries (const Broker *broker)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned most = 0;
+
+  g_hash_table_iter_init (&iter, broker->askers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    most = MAX (most, ((const Asker *) value)->told_entries);
+  return most;
+}
+
 unsigned
 broker_away_count (const Broker *broker)
 {
--- a/node/control.c
+++ b/node/control.c
@@ -52,6 +52,8 @@
   Relays *relays;
   OriginDir *origins;
   GHashTable *readers; /* set: ip of the other voters that hold or read the list of servers */
+  unsigned
+      told_entries; /* number of entries that the last view of a leader told of; 0: none came */
   unsigned entry_links_up, entry_links_down; /* changes since they were logged last */
   int64_t entries_logged_at;
   LoopTimer tick;
@@ -159,6 +161,8 @@
 {
   for (unsigned i = 0; i < view->voters.voters_len; i++)
     mesh_dial (control->mesh, view->voters.voters_val[i]);
+  if (view->proved)
+    control->told_entries = view->entries;
   if (view->reading)
     g_hash_table_add (control->readers, GUINT_TO_POINTER (peer->ip));
   else
@@ -404,12 +408,35 @@
     }
 }
 
+/* Entries that the last leader or the linked entries counted, and of which this voter has seen no
+ * link: it may have started after they were linked to others. One, if nobody has told how many
+ * there are. */
+static unsigned
+count_missing_entries (const Control *control, unsigned seen)
+{
+  unsigned told = MAX (control->told_entries, broker_told_entries (control->broker));
+
+  if (told == 0)
+    return 1;
+  return told > seen ? told - seen : 0;
+}
+
+static void
+control_rollouts (Control *control)
+{
+  unsigned lost, linked = publish_count_entries (control->publish, &lost);
+  RolloutsPeers peers = { .lost_entries = lost,
+                          .missing_entries = count_missing_entries (control, linked + lost),
+                          .list_asked_at = servers_asked_at (control->servers) };
+
+  rollouts_tick (control->rollouts, &peers);
+}
+
 static void
 on_tick (LoopTimer *timer)
 {
   Control *control = (Control *) ((char *) timer - offsetof (Control, tick));
   int64_t now = loop_now (control->loop);
-  unsigned lost;
 
   note_leadership (control);
   update_limit_shares (control);
@@ -418,8 +445,7 @@
   if (control->status.proved)
     relays_tick (control->relays);
   suspects_tick (control->suspects);
-  publish_count_entries (control->publish, &lost);
-  rollouts_tick (control->rollouts, lost);
+  control_rollouts (control);
   read_list_if_due (control, now);
   log_entry_links (control, now);
   greet_tick (control->greet, control->status.voters, control->status.count);
--- a/node/place.c
+++ b/node/place.c
@@ -179,7 +179,7 @@
   while (next && g_hash_table_iter_next (&iter, NULL, &value))
     if (((PlaceReq *) value)->running)
       pmsg_ask (place, next, value);
-  if (next && broker_handover_enabled (place->own))
+  if (next)
     pmsg_report_end (place, next);
   g_hash_table_iter_init (&iter, place->reqs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/node/placemsg.c
+++ b/node/placemsg.c
@@ -98,7 +98,9 @@
   MeshReportEnd *out = &msg.MeshMsg_u.reported;
   GPtrArray *orgs = g_ptr_array_new ();
 
-  spent_orgs (place->spent, peer, orgs);
+  /* Accounts are not sent where the receiver would ignore them, since they count as told then. */
+  if (broker_handover_enabled (place->own))
+    spent_orgs (place->spent, peer, orgs);
   MeshAccount *accounts = g_new (MeshAccount, MAX (orgs->len, 1));
   for (unsigned i = 0; i < orgs->len && i < MESH_ORGS_MAX; i++)
     {
@@ -108,6 +110,7 @@
     }
   out->running = count_running (place);
   out->accounts.accounts_val = accounts;
+  out->entries = place->entries;
   mesh_send (peer, &msg);
   g_free (accounts);
   g_ptr_array_unref (orgs);
--- a/node/rollctl.c
+++ b/node/rollctl.c
@@ -15,6 +15,11 @@
 #define RESERVE_MIN 10
 /* Multiple of what the target gets between two steps at the present rate. */
 #define RESERVE_FACTOR 2.0
+/* An entry that was heard this recently has told what it runs: its keep-alives come every 400 ms.
+ */
+#define HEARD_WITHIN FT_SECOND
+/* Time since the take-over for which entries that are not linked yet are waited for. */
+#define MISSING_WAIT (12 * FT_SECOND)
 
 void
 rollctl_active_free (void *data)
@@ -91,6 +96,18 @@
         JL_INT ("after_permille", judged->after * 1000));
 }
 
+/* Entries whose running requests this voter may not know. An entry counts also if it has not been
+ * heard lately, or since it could know of the phase: it may have turned to another scheduler. */
+static unsigned
+count_unreported (const Rollouts *rollouts, const Progress *progress, int64_t now)
+{
+  int64_t since = MAX (now - HEARD_WITHIN, progress->phase_at + PLAN_PROPAGATION_TIME);
+  bool may_link = now - rollouts->charged_at < MISSING_WAIT;
+
+  return broker_unreported_count (rollouts->broker, since)
+         + (may_link ? rollouts->peers.missing_entries : 0);
+}
+
 static void
 collect_state (Rollouts *rollouts, const MsgRollout *rollout, const ActiveRollout *active,
                JudgeResult *judged, PlanInput *facts)
@@ -113,7 +130,10 @@
                         .places_before = stats.used.places,
                         .running_before = stats.running_before,
                         .once_before = stats.once_before,
-                        .unheard = rollouts->lost_entries,
+                        .unheard = rollouts->peers.lost_entries,
+                        .unreported = count_unreported (rollouts, progress, now),
+                        .charge_us = now - rollouts->charged_at,
+                        .listed = rollouts->peers.list_asked_at >= rollouts->charged_at,
                         .longest_us = stats.longest_us,
                         .answers = judged->answers,
                         .in_use = strcmp (rollout->before, rollout->target) == 0,
@@ -210,13 +230,24 @@
     judge_add_answer (active->judge, &answer);
 }
 
+static void
+note_charge (Rollouts *rollouts)
+{
+  bool in_charge = rollouts_in_charge (rollouts);
+
+  if (in_charge && !rollouts->in_charge)
+    rollouts->charged_at = loop_now (rollouts->loop);
+  rollouts->in_charge = in_charge;
+}
+
 void
-rollouts_tick (Rollouts *rollouts, unsigned lost_entries)
+rollouts_tick (Rollouts *rollouts, const RolloutsPeers *peers)
 {
-  rollouts->lost_entries = lost_entries;
+  rollouts->peers = *peers;
+  note_charge (rollouts);
   if (roll_index (rollouts->table) == 0)
     return;
-  if (!rollouts_in_charge (rollouts))
+  if (!rollouts->in_charge)
     {
       /* A stop that was not committed is dropped; the next voter in charge decides anew. */
       if (rollouts->active->len > 0)
--- a/node/rollouts.h
+++ b/node/rollouts.h
@@ -26,8 +26,16 @@
 void rollouts_committed (Rollouts *rollouts);
 /* Result of a proposal, as reported by VoterOps.verdict. */
 void rollouts_verdict (Rollouts *rollouts, uint64_t ticket, FtStatus status);
-/* To be called about every 20 ms. lost_entries: number of entries lost recently. */
-void rollouts_tick (Rollouts *rollouts, unsigned lost_entries);
+/* What this voter knows of the deployment. */
+typedef struct
+{
+  unsigned lost_entries;    /* entries whose links were lost recently */
+  unsigned missing_entries; /* entries that others know of but that are neither linked nor lost */
+  int64_t list_asked_at;    /* when the newest list of servers was requested */
+} RolloutsPeers;
+
+/* To be called about every 20 ms. */
+void rollouts_tick (Rollouts *rollouts, const RolloutsPeers *peers);
 
 /* ---- Operators, at the voter in charge only ---- */
 
--- a/node/rollpriv.h
+++ b/node/rollpriv.h
@@ -37,10 +37,12 @@
   Voter *voter;
   Broker *broker;
   RolloutsConf conf;
-  RolloutTable *table;   /* the committed table */
-  GHashTable *progress;  /* service name -> Progress */
-  GPtrArray *active;     /* ActiveRollout */
-  unsigned lost_entries; /* entries lost recently */
+  RolloutTable *table;  /* the committed table */
+  GHashTable *progress; /* service name -> Progress */
+  GPtrArray *active;    /* ActiveRollout */
+  RolloutsPeers peers;
+  bool in_charge;     /* as of the last tick */
+  int64_t charged_at; /* when this voter took charge; valid if in_charge */
   Broadcast *broadcast;
   uint64_t published_digest; /* digest of the phases that schedulers and entries were last told */
 };
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -180,6 +180,7 @@
 		u_int accounts_len;
 		MeshAccount *accounts_val;
 	} accounts;
+	u_int entries;
 };
 typedef struct MeshReportEnd MeshReportEnd;
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -145,6 +145,7 @@
 struct MeshReportEnd {
   unsigned int running; /* number of these requests */
   MeshAccount accounts<MESH_ORGS_MAX>;
+  unsigned int entries; /* number of entries that the last leader told of; 0: not known */
 };
 
 struct MeshGrant {
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -522,6 +522,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, MESH_ORGS_MAX,
 		sizeof (MeshAccount), (xdrproc_t) xdr_MeshAccount))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rollplan.c
+++ b/src/rollplan.c
@@ -18,6 +18,12 @@
  * during the move as well. Running requests that must not be sent twice are never interrupted; the
  * limit is exceeded instead. If the target has hardly been tried or lacks capacity, nothing moves,
  * and it is rolled back at the limit.
+ *
+ * A voter that takes charge knows the order and its phase from the log, but not what runs and which
+ * servers exist. Its counts start at zero, and zero requests on the previous version look like the
+ * end of the move. So nothing moves, completes or is rolled back for want of servers before it has
+ * had time, has read the list of servers, and, for the end, all entries have reported what they
+ * run.
  */
 #include "rollplan.h"
 
@@ -49,9 +55,22 @@
 #define BAD_SHARE_MAX 0.15
 /* Part of the request slots of the previous version that the target must have. */
 #define CAPACITY_MIN 0.7
-/* Time for entries to learn of the move and for the requests that they had already sent to be
- * known. */
-#define PROPAGATION_TIME (400 * FT_MS)
+/* Time for entries to link to a voter that took charge, two attempts included. */
+#define TAKEOVER_TIME (1500 * FT_MS)
+/* The same as a part of the limit, if that is less. */
+#define TAKEOVER_PART 0.15
+/* Longest wait, beyond the limit, for entries that have not reported since this voter took charge.
+ */
+#define REPORT_WAIT (12 * FT_SECOND)
+
+/* Whether a voter that took charge has had time to hear the entries, and knows the servers. */
+static bool
+knows_state (const PlanInput *input)
+{
+  int64_t time = MIN (TAKEOVER_TIME, (int64_t) (TAKEOVER_PART * (double) input->limit_us));
+
+  return input->listed && input->charge_us >= time;
+}
 
 static int64_t
 end_margin (const PlanInput *input)
@@ -65,7 +84,7 @@
 {
   int64_t drain_max = (int64_t) (DRAIN_MAX_PART * (double) input->limit_us);
   int64_t drain
-      = CLAMP (input->longest_us + PROPAGATION_TIME, DRAIN_MIN, MAX (drain_max, DRAIN_MIN));
+      = CLAMP (input->longest_us + PLAN_PROPAGATION_TIME, DRAIN_MIN, MAX (drain_max, DRAIN_MIN));
 
   return MAX (0, input->limit_us - end_margin (input) - drain);
 }
@@ -132,10 +151,14 @@
   int64_t move = planned_move_time (input);
   bool proven_sound = input->answers >= ANSWERS_MIN && appears_sound (input);
   bool already_moved = input->in_use && input->servers > 0;
-  bool idle = input->placed < ANSWERS_MIN; /* without requests no caller can be affected */
-
-  if (already_moved
-      || (input->elapsed_us >= move && (proven_sound || idle) && has_capacity (input)))
+  /* Without requests no caller can be affected. */
+  bool idle = input->placed < ANSWERS_MIN && input->unreported == 0;
+  /* A voter that took charge has seen no answer of either version at first. */
+  bool may_compare = input->listed && input->charge_us >= PLAN_PROPAGATION_TIME;
+
+  if (may_compare
+      && (already_moved
+          || (input->elapsed_us >= move && (proven_sound || idle) && has_capacity (input))))
     {
       step->phase = MSG_ROLLOUT_MOVING;
       step->why = "tried";
@@ -156,13 +179,14 @@
  * requests there. It is waited for only until the limit, because it may have been killed together
  * with its requests. A long stream that can continue on another server after its last event does
  * not delay the roll-out beyond the limit either. Requests that must not be sent twice are always
- * waited for. */
+ * waited for, so an entry that is linked but has not reported is waited for beyond the limit. */
 static bool
 may_stop_previous (const PlanInput *input, bool past_limit)
 {
   if (past_limit)
-    return input->once_before == 0;
-  return input->running_before == 0 && input->unheard == 0 && input->suspicion < SUSPICION_MAX;
+    return input->once_before == 0 && (input->unreported == 0 || input->charge_us >= REPORT_WAIT);
+  return input->running_before == 0 && input->unheard == 0 && input->unreported == 0
+         && input->suspicion < SUSPICION_MAX;
 }
 
 static void
@@ -170,12 +194,14 @@
 {
   bool past_limit = input->elapsed_us >= input->limit_us - end_margin (input) / 2;
 
+  if (!knows_state (input))
+    return;
   if (input->servers == 0)
     {
       step->phase = MSG_ROLLOUT_ROLLED_BACK;
       step->why = "all servers of the version are gone";
     }
-  else if (input->phase_us >= PROPAGATION_TIME && may_stop_previous (input, past_limit))
+  else if (input->phase_us >= PLAN_PROPAGATION_TIME && may_stop_previous (input, past_limit))
     {
       step->phase = MSG_ROLLOUT_COMPLETED;
       step->why
--- a/src/rollplan.h
+++ b/src/rollplan.h
@@ -23,6 +23,9 @@
   unsigned running_before;  /* requests running on servers of any other version */
   unsigned once_before;     /* those of them that must not be sent a second time */
   unsigned unheard;         /* recently lost entries, which may run requests on other versions */
+  unsigned unreported;      /* entries whose running requests this voter does not know yet */
+  int64_t charge_us;        /* time since this voter took charge */
+  bool listed;              /* the list of servers was read since then */
   int64_t longest_us;       /* longest recent duration of an answer */
   unsigned answers;         /* judged answers of the target */
   double suspicion;         /* evidence against the target; from 1 on it is bad */
@@ -38,6 +41,10 @@
   const char *why; /* reason for a change of phase; NULL: the phase stays */
 } PlanStep;
 
+/* Time for entries to learn of a phase and for the requests that they had already sent to be known.
+ */
+#define PLAN_PROPAGATION_TIME (400 * FT_MS)
+
 void plan_next (const PlanLimits *limits, const PlanInput *input, PlanStep *step);
 
 #endif
--- a/test/place.c
+++ b/test/place.c
@@ -549,13 +549,53 @@
         g_string_append_c (order, 'd');
       codec_clear (CODEC (MeshMsg), &msg);
     }
-  g_assert_cmpstr (order->str, ==, "wdr");
+  g_assert_cmpstr (order->str, ==, "0wdr");
   g_string_free (order, TRUE);
   test_peer_free (&a);
   test_peer_free (&b);
   tear_down ();
 }
 
+/* Guards against taking an entry's silence for nothing: what it runs is known once it has reported,
+ * until it turns to another scheduler or is not heard any more. Handovers are off. */
+static void
+unreported_entries_are_counted (void)
+{
+  MeshMsg turns = { .kind = MESH_DONE }, report = { .kind = MESH_REPORT_END };
+
+  set_up ();
+  Broker *broker = place_own_broker (place);
+  Scheduler a = scheduler (31), b = scheduler (32), voter = scheduler (11);
+  a.peer.role = b.peer.role = MESH_ENTRY;
+  broker_link_up (broker, &voter.peer);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 0);
+  broker_link_up (broker, &a.peer);
+  broker_link_up (broker, &b.peer);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 2);
+  g_assert_cmpuint (broker_told_entries (broker), ==, 0);
+  send_report_end (broker, &a);
+  report.MeshMsg_u.reported.entries = 7;
+  broker_message (broker, &b.peer, &report);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 0);
+  g_assert_cmpuint (broker_told_entries (broker), ==, 7);
+  g_assert_cmpuint (broker_unreported_count (broker, loop_now (loop) + 1), ==, 2);
+  broker_message (broker, &a.peer, &turns);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 1);
+  send_report_end (broker, &a);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 0);
+  broker_link_down (broker, &b.peer);
+  broker_link_up (broker, &b.peer);
+  g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 1);
+  g_assert_cmpuint (broker_told_entries (broker), ==, 0);
+  broker_link_down (broker, &a.peer);
+  broker_link_down (broker, &b.peer);
+  broker_link_down (broker, &voter.peer);
+  test_peer_free (&a);
+  test_peer_free (&b);
+  test_peer_free (&voter);
+  tear_down ();
+}
+
 /* Guards against the loss of the accounts of limits when a scheduler crashes. Entries pass on what
  * the former scheduler last reported; a scheduler is not told its own reports. */
 static void
@@ -571,7 +611,8 @@
   ask (2, 100);
   while (test_peer_next (&a, &msg))
     {
-      g_assert_cmpuint (msg.MeshMsg_u.ask.org_fill_ms, ==, MESH_FILL_UNKNOWN);
+      if (msg.kind == MESH_ASK)
+        g_assert_cmpuint (msg.MeshMsg_u.ask.org_fill_ms, ==, MESH_FILL_UNKNOWN);
       codec_clear (CODEC (MeshMsg), &msg);
     }
   set_leader (&b, 2);
@@ -579,7 +620,8 @@
   unsigned reported = 0;
   while (test_peer_next (&b, &msg))
     {
-      reported += msg.MeshMsg_u.ask.org_fill == 600 && msg.MeshMsg_u.ask.org_fill_ms < 1000;
+      reported += msg.kind == MESH_ASK && msg.MeshMsg_u.ask.org_fill == 600
+                  && msg.MeshMsg_u.ask.org_fill_ms < 1000;
       codec_clear (CODEC (MeshMsg), &msg);
     }
   g_assert_cmpuint (reported, >=, 1);
@@ -1055,6 +1097,7 @@
   g_test_add_func ("/place/part", deputy_grants_only_its_share);
   g_test_add_func ("/place/crossed", crossing_grant_is_ignored);
   g_test_add_func ("/place/late_grant", late_grant_is_reported);
+  g_test_add_func ("/place/unreported", unreported_entries_are_counted);
   g_test_add_func ("/place/handover", account_survives_handovers);
   g_test_add_func ("/place/report", account_report_is_passed_on);
   g_test_add_func ("/place/first_asker", first_asker_of_a_deputy_is_served);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -152,6 +152,8 @@
                       .places = 450,
                       .places_before = 450,
                       .longest_us = 3 * FT_SECOND,
+                      .charge_us = elapsed_us,
+                      .listed = true,
                       .answers = placed / 20 };
 }
 
@@ -248,6 +250,70 @@
   g_assert_cmpstr (step.why, ==, "it was not shown to be sound in time");
 }
 
+static MsgRolloutPhase
+next_phase (const PlanInput *input)
+{
+  PlanStep step;
+
+  plan_next (&limits, input, &step);
+  return step.phase;
+}
+
+/* Guards against a voter in charge that takes what it has not heard yet for nothing: after a
+ * take-over in the move it neither completes nor rolls back before it knows what runs and which
+ * servers there are. */
+static void
+successor_waits_for_reports (void)
+{
+  PlanInput known = plan_input_at (9 * FT_SECOND);
+
+  known.phase = MSG_ROLLOUT_MOVING;
+  known.phase_us = 2 * FT_SECOND;
+  g_assert_cmpint (next_phase (&known), ==, MSG_ROLLOUT_COMPLETED);
+  for (unsigned past_limit = 0; past_limit < 2; past_limit++)
+    {
+      PlanInput input = known;
+      input.elapsed_us = past_limit ? 13 * FT_SECOND : known.elapsed_us;
+      input.charge_us = 20 * FT_MS;
+      g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+      input.charge_us = 3 * FT_SECOND;
+      g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_COMPLETED);
+      input.unreported = 1;
+      g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+      input.charge_us = 13 * FT_SECOND; /* an entry that never reports */
+      g_assert_cmpint (next_phase (&input), ==,
+                       past_limit ? MSG_ROLLOUT_COMPLETED : MSG_ROLLOUT_MOVING);
+      input.once_before = input.running_before = 1;
+      g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+    }
+  known.servers = 0;
+  g_assert_cmpint (next_phase (&known), ==, MSG_ROLLOUT_ROLLED_BACK);
+  known.listed = false;
+  g_assert_cmpint (next_phase (&known), ==, MSG_ROLLOUT_MOVING);
+  known.suspicion = 1; /* evidence needs no list */
+  g_assert_cmpint (next_phase (&known), ==, MSG_ROLLOUT_ROLLED_BACK);
+}
+
+/* Guards against a successor that moves all requests without a comparison of its own, or because a
+ * service seems idle whose requests it has not heard of. */
+static void
+successor_does_not_move_at_once (void)
+{
+  PlanInput input = plan_input_at (8 * FT_SECOND);
+
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+  input.charge_us = 20 * FT_MS;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_TRYING);
+  input.charge_us = 3 * FT_SECOND;
+  input.listed = false;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_TRYING);
+  input.listed = true;
+  input.placed = input.granted = input.answers = 0;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+  input.unreported = 1;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_TRYING);
+}
+
 /* A service without requests moves without evidence, since a bad version would fail nobody. */
 static void
 idle_service_moves (void)
@@ -978,6 +1044,8 @@
   g_test_add_func ("/rollout/completes", completes_when_nothing_runs);
   g_test_add_func ("/rollout/cannot_move", rolls_back_if_it_cannot_move);
   g_test_add_func ("/rollout/idle", idle_service_moves);
+  g_test_add_func ("/rollout/successor_waits", successor_waits_for_reports);
+  g_test_add_func ("/rollout/successor_moves", successor_does_not_move_at_once);
   g_test_add_func ("/judge/bad", bad_version_is_detected);
   g_test_add_func ("/judge/turns_bad", later_fault_is_detected);
   g_test_add_func ("/judge/sound", good_version_is_not_rejected);
--- a/test/rolls.c
+++ b/test/rolls.c
@@ -24,13 +24,24 @@
   Fleet *fleet;
   Answer answers[REQUESTS_MAX];
   unsigned sent;
+  int64_t interval;      /* between two requests */
+  unsigned stream_every; /* one in so many is a stream; 0: one in three */
   bool stopped;
 } Load;
 
+static const char *
+next_path (const Load *load)
+{
+  static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a" };
+
+  if (load->stream_every == 0)
+    return paths[load->sent / 3 % 3];
+  return paths[load->sent % load->stream_every == 0 ? 2 : load->sent / 3 % 2];
+}
+
 static void
 on_load_timer (LoopTimer *timer)
 {
-  static const char *const paths[] = { "/plain/a", "/once/a", "/stream/a" };
   Load *load = (Load *) timer;
   Fleet *fleet = load->fleet;
   char id[16];
@@ -38,10 +49,10 @@
   if (load->stopped || load->sent >= REQUESTS_MAX)
     return;
   g_snprintf (id, sizeof id, "q%u", load->sent);
-  fleet_send (fleet, &fleet->entries[load->sent % FLEET_ENTRIES], paths[load->sent / 3 % 3], id,
+  fleet_send (fleet, &fleet->entries[load->sent % FLEET_ENTRIES], next_path (load), id,
               &load->answers[load->sent]);
   load->sent++;
-  loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + REQUEST_INTERVAL);
+  loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + load->interval);
 }
 
 static Load *
@@ -51,6 +62,7 @@
 
   load->timer.fire = on_load_timer;
   load->fleet = fleet;
+  load->interval = REQUEST_INTERVAL;
   loop_timer_set (fleet->loop, &load->timer, loop_now (fleet->loop));
   return load;
 }
@@ -127,10 +139,10 @@
 }
 
 static void
-order_rollout (Fleet *fleet, const char *target)
+order_rollout_within (Fleet *fleet, const char *target, unsigned limit_s)
 {
   char *body
-      = g_strdup_printf ("{\"Service\":\"s\",\"Target\":\"%s\",\"DurationS\":%d}", target, LIMIT_S);
+      = g_strdup_printf ("{\"Service\":\"s\",\"Target\":\"%s\",\"DurationS\":%u}", target, limit_s);
   Answer answer;
 
   fleet_operator_call_body (fleet, "POST", START_PATH, body, &answer);
@@ -141,6 +153,12 @@
   g_free (body);
 }
 
+static void
+order_rollout (Fleet *fleet, const char *target)
+{
+  order_rollout_within (fleet, target, LIMIT_S);
+}
+
 static unsigned
 order_status (Fleet *fleet, const char *body)
 {
@@ -155,7 +173,7 @@
 typedef struct
 {
   Fleet *fleet;
-  const char *wanted;
+  const char *path, *wanted;
   unsigned running_on_old_at_end; /* calls that old servers ran when the state was seen */
 } StateWait;
 
@@ -172,7 +190,7 @@
     {
       if (fleet->voters[i].pid == 0)
         continue;
-      fleet_try_operator_call (fleet, &fleet->voters[i], "GET", STATE_PATH, "", &answer);
+      fleet_try_operator_call (fleet, &fleet->voters[i], "GET", wait->path, "", &answer);
       found = answer.status == 200 && strstr (answer.body->str, wait->wanted);
       fleet_answer_clear (&answer);
     }
@@ -192,22 +210,30 @@
 }
 
 static unsigned
-wait_state (Fleet *fleet, const char *state)
+wait_text (Fleet *fleet, const char *path, const char *wanted)
 {
-  char *wanted = g_strdup_printf ("\"State\":\"%s\"", state);
-  StateWait wait = { fleet, wanted, 0 };
+  StateWait wait = { fleet, path, wanted, 0 };
   int64_t until = loop_now (fleet->loop) + 30 * FT_SECOND;
 
   while (!has_state (&wait))
     {
       if (loop_now (fleet->loop) > until)
-        g_error ("the roll-out does not become %s (logs in %s)", state, fleet->base);
+        g_error ("the roll-out does not get %s (logs in %s)", wanted, fleet->base);
       fleet_run_for (fleet, 30 * FT_MS);
     }
-  g_free (wanted);
   return wait.running_on_old_at_end;
 }
 
+static unsigned
+wait_state (Fleet *fleet, const char *state)
+{
+  char *wanted = g_strdup_printf ("\"State\":\"%s\"", state);
+  unsigned running = wait_text (fleet, STATE_PATH, wanted);
+
+  g_free (wanted);
+  return running;
+}
+
 /* ---- Tests ---- */
 
 /* Servers of another version are listed, but nobody has ordered it: no entry may send requests to
@@ -436,6 +462,85 @@
   fleet_free (fleet);
 }
 
+/* ---- Loss of voters during the move ---- */
+
+#define LONG_LIMIT_S 14
+#define LONG_EVENT   500 /* ms between events: streams of 4 s */
+
+/* Starts a roll-out to a good version and returns when all requests have just moved to it, while
+ * streams run on the old version that end well before the limit. */
+static Fleet *
+start_move (Load **load)
+{
+  Fleet *fleet = start_fleet ();
+
+  fleet->event_ms = LONG_EVENT;
+  *load = start_load (fleet);
+  (*load)->interval = 2 * REQUEST_INTERVAL;
+  (*load)->stream_every = 48;
+  fleet_run_for (fleet, FT_SECOND);
+  list_target_servers (fleet, SERVER_HEALTHY);
+  order_rollout_within (fleet, "v2", LONG_LIMIT_S);
+  wait_text (fleet, "/v1/rollouts/s", "\"phase\":\"moving\"");
+  g_assert_cmpuint (running_on_old (fleet), >, 0);
+  return fleet;
+}
+
+/* Guards against a successor that ends a roll-out before entries have told it what still runs on
+ * the previous version: the voter in charge is killed soon after the move. */
+static void
+successor_hears_entries (void)
+{
+  Load *load;
+  Fleet *fleet = start_move (&load);
+
+  fleet_run_for (fleet, 700 * FT_MS); /* the other voters know of the move */
+  FleetNode *leader = fleet_leader (fleet);
+  g_assert_nonnull (leader);
+  fleet_kill (leader);
+  g_assert_cmpuint (wait_state (fleet, "completed"), ==, 0);
+  g_assert_cmpuint (stop_load (load), ==, 0);
+  fleet_free (fleet);
+}
+
+/* Guards against the same after a loss of all voters: the new ones have never been linked to any
+ * entry. */
+static void
+restarted_voters_hear_entries (void)
+{
+  Load *load;
+  Fleet *fleet = start_move (&load);
+
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  g_assert_cmpuint (wait_state (fleet, "completed"), ==, 0);
+  g_assert_cmpuint (stop_load (load), ==, 0);
+  fleet_free (fleet);
+}
+
+/* Guards against a roll-back because voters that have not read the list of servers take the
+ * version's servers for gone. */
+static void
+servers_not_listed_yet (void)
+{
+  Load *load;
+  Fleet *fleet = start_move (&load);
+
+  hsrv_stop_accepting (fleet->list);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  while (fleet_leader (fleet) == NULL)
+    fleet_run_for (fleet, 50 * FT_MS);
+  fleet_run_for (fleet, 3 * FT_SECOND);
+  wait_state (fleet, "active");
+  stop_load (load);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -449,5 +554,8 @@
   g_test_add_func ("/rolls/all_killed", all_restarted);
   g_test_add_func ("/rolls/disk_lost", disk_lost_after_order);
   g_test_add_func ("/rolls/orders", orders_are_checked);
+  g_test_add_func ("/rolls/successor_hears_entries", successor_hears_entries);
+  g_test_add_func ("/rolls/restarted_voters_hear_entries", restarted_voters_hear_entries);
+  g_test_add_func ("/rolls/servers_not_listed_yet", servers_not_listed_yet);
   return g_test_run ();
 }
