--- a/net/mesh.c
+++ b/net/mesh.c
@@ -24,7 +24,7 @@
 #define CONNECT_MAX         (200 * FT_MS)   /* the kernel retransmits a lost SYN only after 1 s */
 #define FRAME_MAX           (16u << 20)
 #define UNSENT_MAX          (32u << 20) /* bounds the memory for a peer that reads nothing */
-#define ADDED_FIELDS_SIZE   8 /* bytes that newer programs have added to one message, at most */
+#define ADDED_FIELDS_SIZE   12 /* bytes that newer programs have added to one message, at most */
 #define LAST_FRAGMENT       0x80000000u /* bit of a record mark (RFC 5531, section 11) */
 
 typedef struct
@@ -44,7 +44,7 @@
   bool once; /* not dialled again when the connection is lost */
 } Dial;
 
-#define KIND_COUNT (MESH_ORIGIN_REPLY + 1)
+#define KIND_COUNT (MESH_LISTED + 1)
 
 typedef struct
 {
@@ -229,6 +229,7 @@
   peer->base.leaving = hello->leaving;
   peer->base.cut_off = hello->cut_off;
   peer->base.knows_origins = hello->origins;
+  peer->base.knows_listed = hello->listed;
   peer->base.document = hello->document;
   g_strlcpy (peer->base.domain, hello->domain, sizeof peer->base.domain);
   if (peer->up)
@@ -551,7 +552,8 @@
                                                  [MESH_RELAYS] = "relays",
                                                  [MESH_ORIGINS] = "origins",
                                                  [MESH_ORIGIN_ASK] = "origin-ask",
-                                                 [MESH_ORIGIN_REPLY] = "origin-reply" };
+                                                 [MESH_ORIGIN_REPLY] = "origin-reply",
+                                                 [MESH_LISTED] = "listed" };
 
   for (unsigned i = MESH_HELLO; i < KIND_COUNT; i++)
     g_string_append_printf (
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -19,6 +19,7 @@
   bool leaving;        /* the peer shuts down */
   bool cut_off;        /* the peer reaches no backend server */
   bool knows_origins;  /* the peer knows the messages about the origins of streams */
+  bool knows_listed;   /* the peer knows the messages about the versions that were listed lately */
   bool dialled;        /* this instance opened the connection */
   uint64_t document;   /* version of the catalogue in force at the peer */
   int64_t received_at; /* when data was last received */
--- a/node/control.c
+++ b/node/control.c
@@ -11,6 +11,7 @@
 #include "greet.h"
 #include "instance.h"
 #include "jlog.h"
+#include "listing.h"
 #include "operators.h"
 #include "origdir.h"
 #include "publish.h"
@@ -51,6 +52,7 @@
   Rollouts *rollouts;
   Relays *relays;
   OriginDir *origins;
+  Listing *listing;
   GHashTable *readers; /* set: ip of the other voters that hold or read the list of servers */
   unsigned
       told_entries; /* number of entries that the last view of a leader told of; 0: none came */
@@ -123,6 +125,7 @@
   /* Before the catalogue, after which an entry forwards requests. */
   suspects_up (control->suspects, peer);
   rollouts_up (control->rollouts, peer);
+  listing_up (control->listing, peer);
   publish_link_up (control->publish, peer);
 }
 
@@ -140,6 +143,7 @@
     broker_link_down (control->broker, peer);
   suspects_down (control->suspects, peer);
   rollouts_down (control->rollouts, peer);
+  listing_down (control->listing, peer);
   publish_link_down (control->publish, peer);
   relays_link_down (control->relays, peer);
 }
@@ -149,6 +153,8 @@
 {
   MeshMsg want = { .kind = MESH_LIST_REQUEST };
 
+  if (result == SERVERS_APPLIED)
+    origdir_note_list (control->origins, control->servers);
   if (result == SERVERS_APPLIED && servers_poll_changed (control->servers))
     broker_set_servers (control->broker, control->servers);
   else if (result == SERVERS_UNKNOWN_BASE
@@ -302,18 +308,26 @@
   rollouts_committed (((Control *) host)->rollouts);
 }
 
+static void
+on_listed_changed (void *host)
+{
+  listing_committed (((Control *) host)->listing);
+}
+
 static void
 on_verdict (void *host, uint64_t ticket, FtStatus status)
 {
   Control *control = host;
 
   rollouts_verdict (control->rollouts, ticket, status);
+  listing_verdict (control->listing, ticket);
   operators_on_verdict (control->operators, ticket, status);
   suspects_verdict (control->suspects, ticket, status);
 }
 
 static const VoterOps voter_ops
-    = { on_parse, on_send, on_committed, on_crashes_changed, on_rollouts_changed, on_verdict };
+    = { on_parse,          on_send,   on_committed, on_crashes_changed, on_rollouts_changed,
+        on_listed_changed, on_verdict };
 
 /* ---- Time ---- */
 
@@ -333,6 +347,7 @@
   if (!servers_apply_read (control->servers, list, asked_at))
     return;
   count_inc (COUNT_LISTS);
+  origdir_note_list (control->origins, control->servers);
   if (servers_poll_changed (control->servers))
     {
       broker_set_servers (control->broker, control->servers);
@@ -446,6 +461,7 @@
     relays_tick (control->relays);
   suspects_tick (control->suspects);
   control_rollouts (control);
+  listing_tick (control->listing);
   read_list_if_due (control, now);
   log_entry_links (control, now);
   greet_tick (control->greet, control->status.voters, control->status.count);
@@ -531,6 +547,7 @@
   mesh_free (control->mesh); /* calls on_down for each link, which uses the modules below */
   greet_free (control->greet);
   relays_free (control->relays);
+  listing_free (control->listing);
   origdir_free (control->origins);
   suspects_free (control->suspects);
   rollouts_free (control->rollouts);
@@ -572,6 +589,8 @@
     return FT_IO;
   control->relays = relays_new (control->loop, control->mesh);
   control->origins = origdir_new (control->loop, control->mesh, ORIGINS_MAX);
+  control->listing = listing_new (control->loop, control->mesh, control->voter,
+                                  origdir_origins (control->origins));
   control->greet = greet_new (control->loop, control->mesh, s->ip, s->data_folder);
   OperatorsConf conf = { control->loop,     control->adapter_ops, control->voter,
                          control->suspects, control->rollouts,    s->control };
@@ -618,6 +637,7 @@
   on_committed (control); /* the document loaded from disk */
   suspects_committed (control->suspects);
   rollouts_committed (control->rollouts);
+  listing_committed (control->listing);
   new_settings (&control->base, settings);
   loop_timer_set (loop, &control->tick, loop_now (loop) + TICK);
   *out = &control->base;
--- a/node/instance.c
+++ b/node/instance.c
@@ -24,7 +24,8 @@
                       .lifetime = instance_random (),
                       .role = role,
                       .domain = settings->domain,
-                      .origins = true };
+                      .origins = true,
+                      .listed = true };
   Mesh *mesh = mesh_new (loop, listen, (uint16_t) settings->link_port, &hello, ops, host);
 
   if (mesh == NULL)
--- /dev/null
+++ b/node/listing.c
@@ -0,0 +1,284 @@
+/* listing.c - keeps the versions of servers that were listed lately in the log, and tells them to
+ * the entries.
+ *
+ * An entry that has just started cannot tell which versions may have begun the streams that callers
+ * take up. The voter in charge can: it has the table of its predecessor from the log, and watches
+ * the lists since then. Versions are proposed when they appear and when they have not been listed
+ * for ORIGINS_TIME_MAX, so the log grows by a few entries with each release.
+ */
+#include "listing.h"
+#include "bcast.h"
+#include "codec.h"
+#include "jlog.h"
+
+#include <string.h>
+
+#define TELL_INTERVAL (5 * FT_SECOND) /* an entry forgets when it has missed lists */
+/* A proposal without a result after this time was lost. */
+#define PROPOSAL_TIMEOUT (1500 * FT_MS)
+
+struct Listing
+{
+  Loop *loop;
+  Mesh *mesh;
+  Voter *voter;
+  Origins *origins;
+  MsgListedTable table; /* the committed one */
+  bool taken_over;      /* the committed table was taken into origins since this voter leads */
+  bool complete;        /* as of the last tick */
+  uint64_t ticket;      /* of the pending proposal; 0: none */
+  int64_t proposed_at, told_at;
+  Broadcast *broadcast;
+};
+
+/* ---- What entries are told ---- */
+
+static void
+add_version (const char *service, const char *version, int64_t age, void *data)
+{
+  GArray *versions = data;
+  MeshListedVersion one = { (char *) service, (char *) version, (u_int) (age / FT_MS) };
+
+  g_array_append_val (versions, one);
+}
+
+static GBytes *
+pack_for_entries (void *host)
+{
+  const Listing *listing = host;
+  GArray *versions = g_array_new (FALSE, FALSE, sizeof (MeshListedVersion));
+  MeshMsg msg = { .kind = MESH_LISTED };
+
+  origins_for_each_listed (listing->origins, add_version, versions);
+  msg.MeshMsg_u.listed.versions.versions_val = (MeshListedVersion *) (void *) versions->data;
+  msg.MeshMsg_u.listed.versions.versions_len = MIN (versions->len, MESH_LISTED_MAX);
+  GBytes *packed = mesh_pack (&msg);
+  g_array_unref (versions);
+  return packed;
+}
+
+static void
+tell_entries (Listing *listing, int64_t now)
+{
+  if (now - listing->told_at >= TELL_INTERVAL)
+    {
+      bcast_changed (listing->broadcast);
+      listing->told_at = now;
+    }
+  bcast_send_all (listing->broadcast);
+}
+
+/* ---- The log ---- */
+
+void
+listing_committed (Listing *listing)
+{
+  GBytes *bytes = voter_listed (listing->voter);
+  gsize size;
+
+  if (bytes == NULL)
+    return;
+  const void *data = g_bytes_get_data (bytes, &size);
+  codec_clear (CODEC (MsgListedTable), &listing->table);
+  memset (&listing->table, 0, sizeof listing->table);
+  if (codec_unpack (CODEC (MsgListedTable), data, size, &listing->table, NULL) != FT_OK)
+    g_error ("cannot unpack the committed table of listed versions");
+  g_bytes_unref (bytes);
+}
+
+/* A voter of an older program cannot apply the operation, and proposes none while it leads. */
+static bool
+all_voters_know (const Listing *listing, const VoterStatus *status)
+{
+  for (unsigned i = 0; i < status->count; i++)
+    {
+      const MeshPeer *peer = mesh_find_dialled (listing->mesh, status->voters[i]);
+      if (peer && !peer->knows_listed)
+        return false;
+    }
+  return true;
+}
+
+typedef struct
+{
+  const char *service;
+  MsgListedService listed; /* its strings are borrowed */
+  MsgServerName versions[FT_LISTED_VERSIONS_MAX];
+} Wanted;
+
+/* Collects the versions of each service; data: Wanted by service name. */
+static void
+collect_version (const char *service, const char *version, int64_t age, void *data)
+{
+  GHashTable *services = data;
+  Wanted *wanted = g_hash_table_lookup (services, service);
+
+  (void) age;
+  if (wanted == NULL)
+    {
+      wanted = g_new0 (Wanted, 1);
+      wanted->service = service;
+      g_hash_table_insert (services, (char *) service, wanted);
+    }
+  /* More versions than fit are several all the same. */
+  if (wanted->listed.versions.versions_len < FT_LISTED_VERSIONS_MAX)
+    wanted->versions[wanted->listed.versions.versions_len++] = (char *) version;
+}
+
+static bool
+contains (const MsgListedService *listed, const char *version)
+{
+  for (unsigned i = 0; i < listed->versions.versions_len; i++)
+    if (strcmp (listed->versions.versions_val[i], version) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_committed (const Listing *listing, const MsgListedService *wanted)
+{
+  for (unsigned i = 0; i < listing->table.services.services_len; i++)
+    {
+      const MsgListedService *known = &listing->table.services.services_val[i];
+      if (strcmp (known->service, wanted->service) != 0)
+        continue;
+      for (unsigned j = 0; j < wanted->versions.versions_len; j++)
+        if (!contains (known, wanted->versions.versions_val[j]))
+          return false;
+      return known->versions.versions_len == wanted->versions.versions_len;
+    }
+  return false;
+}
+
+static void
+propose (Listing *listing, const MsgListedService *listed, int64_t now)
+{
+  MsgOp op = { .kind = MSG_OP_LISTED };
+  GString *names = g_string_new (NULL);
+
+  for (unsigned i = 0; i < listed->versions.versions_len; i++)
+    g_string_append_printf (names, "%s%s", i ? " " : "", listed->versions.versions_val[i]);
+  jlog (JLOG_INFO, "versions-listed", NULL, JL_TEXT ("service", listed->service),
+        JL_TEXT ("versions", names->str));
+  g_string_free (names, TRUE);
+  op.MsgOp_u.listed = *listed;
+  listing->ticket = voter_propose_op (listing->voter, &op);
+  listing->proposed_at = now;
+}
+
+/* Proposes the versions of one service that differ from the committed ones. */
+static void
+propose_change (Listing *listing, int64_t now)
+{
+  GHashTable *services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  origins_for_each_listed (listing->origins, collect_version, services);
+  g_hash_table_iter_init (&iter, services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Wanted *wanted = value;
+      wanted->listed.service = (char *) wanted->service;
+      wanted->listed.versions.versions_val = wanted->versions;
+      if (is_committed (listing, &wanted->listed))
+        continue;
+      propose (listing, &wanted->listed, now);
+      break;
+    }
+  g_hash_table_unref (services);
+}
+
+void
+listing_verdict (Listing *listing, uint64_t ticket)
+{
+  if (listing->ticket == ticket)
+    listing->ticket = 0;
+}
+
+/* ---- The voter in charge ---- */
+
+/* Takes over what the predecessor knew. Its ages are not in the log, so all count as listed now. */
+static void
+take_over (Listing *listing)
+{
+  listing_committed (listing); /* a report of the newest change may still be queued */
+  /* A full table may lack a service. */
+  if (listing->table.index == 0 || listing->table.services.services_len >= FT_LISTED_SERVICES_MAX)
+    return;
+  for (unsigned i = 0; i < listing->table.services.services_len; i++)
+    {
+      const MsgListedService *listed = &listing->table.services.services_val[i];
+      for (unsigned j = 0; j < listed->versions.versions_len; j++)
+        origins_note_listed (listing->origins, listed->service, listed->versions.versions_val[j],
+                             0);
+    }
+  origins_set_complete (listing->origins);
+  listing->taken_over = true;
+}
+
+void
+listing_tick (Listing *listing)
+{
+  int64_t now = loop_now (listing->loop);
+  VoterStatus status;
+
+  voter_status (listing->voter, &status);
+  if (!status.proved)
+    {
+      listing->taken_over = listing->complete = false;
+      listing->ticket = 0;
+      return;
+    }
+  bool all_know = all_voters_know (listing, &status);
+  if (!listing->taken_over && all_know)
+    take_over (listing);
+  bool before = listing->complete;
+  listing->complete = origins_is_complete (listing->origins);
+  if (!listing->complete)
+    return;
+  if (!before)
+    listing->told_at = -TELL_INTERVAL;
+  bool pending = listing->ticket && now - listing->proposed_at < PROPOSAL_TIMEOUT;
+  if (!pending && all_know)
+    propose_change (listing, now);
+  tell_entries (listing, now);
+}
+
+/* ---- Interface ---- */
+
+Listing *
+listing_new (Loop *loop, Mesh *mesh, Voter *voter, Origins *origins)
+{
+  Listing *listing = g_new0 (Listing, 1);
+
+  listing->loop = loop;
+  listing->mesh = mesh;
+  listing->voter = voter;
+  listing->origins = origins;
+  listing->broadcast = bcast_new (pack_for_entries, listing);
+  return listing;
+}
+
+void
+listing_free (Listing *listing)
+{
+  if (listing == NULL)
+    return;
+  bcast_free (listing->broadcast);
+  codec_clear (CODEC (MsgListedTable), &listing->table);
+  g_free (listing);
+}
+
+void
+listing_up (Listing *listing, MeshPeer *peer)
+{
+  if (peer->knows_listed)
+    bcast_link_up (listing->broadcast, peer, listing->complete);
+}
+
+void
+listing_down (Listing *listing, const MeshPeer *peer)
+{
+  bcast_link_down (listing->broadcast, peer);
+}
--- a/node/origdir.c
+++ b/node/origdir.c
@@ -56,8 +56,28 @@
   for (unsigned i = 0; i < servers_count (servers); i++)
     {
       const AdapterServer *server = servers_at (servers, i);
-      origins_note_listed (dir->origins, server->service, server->version ? server->version : "");
+      origins_note_listed (dir->origins, server->service, server->version ? server->version : "",
+                           0);
     }
+  origins_note_list (dir->origins);
+}
+
+Origins *
+origdir_origins (OriginDir *dir)
+{
+  return dir->origins;
+}
+
+static void
+apply_listed (OriginDir *dir, const MeshListed *from)
+{
+  for (unsigned i = 0; i < from->versions.versions_len; i++)
+    {
+      const MeshListedVersion *version = &from->versions.versions_val[i];
+      origins_note_listed (dir->origins, version->service, version->software,
+                           version->age_ms * FT_MS);
+    }
+  origins_set_complete (dir->origins);
 }
 
 const char *
@@ -342,6 +362,10 @@
     case MESH_ORIGIN_ASK:
       handle_ask (dir, peer, msg->MeshMsg_u.origin_ask.stream);
       return true;
+    case MESH_LISTED:
+      if (peer->dialled && peer->role == MESH_VOTER)
+        apply_listed (dir, &msg->MeshMsg_u.listed);
+      return true;
     case MESH_ORIGIN_REPLY:
       handle_reply (dir, peer, &msg->MeshMsg_u.origin_reply.origin);
       return true;
--- a/node/origdir.h
+++ b/node/origdir.h
@@ -16,6 +16,8 @@
 void origdir_free (OriginDir *dir);
 /* Call with each list of servers, also an unchanged one. */
 void origdir_note_list (OriginDir *dir, const Servers *servers);
+/* The table of records and versions; owned by the directory. */
+Origins *origdir_origins (OriginDir *dir);
 /* See origins_only_version. */
 const char *origdir_only_version (OriginDir *dir, const char *service);
 
--- a/node/voter.c
+++ b/node/voter.c
@@ -42,7 +42,8 @@
   REPORT_VERDICT,
   REPORT_DOCUMENT,
   REPORT_CRASHES,
-  REPORT_ROLLOUTS
+  REPORT_ROLLOUTS,
+  REPORT_LISTED
 } ReportKind;
 
 typedef struct
@@ -94,7 +95,7 @@
   GBytes *text;         /* unpacked; NULL: it cannot be unpacked */
   RtCat *cat;           /* parsed; NULL: it is invalid */
   FtError error;        /* why cat is NULL */
-  TableCopy crashes, rollouts;
+  TableCopy crashes, rollouts, listed;
   uint64_t next_ticket; /* used by the loop's thread only */
 };
 
@@ -158,6 +159,10 @@
       clear_reported (voter, &voter->rollouts);
       voter->ops->rollouts_changed (voter->host);
       break;
+    case REPORT_LISTED:
+      clear_reported (voter, &voter->listed);
+      voter->ops->listed_changed (voter->host);
+      break;
     }
   g_free (report);
 }
@@ -300,6 +305,20 @@
   g_free (captured.rollouts.rollouts_val);
 }
 
+static void
+store_listed (Voter *voter)
+{
+  const ListedTable *table = state_listed (voter->state);
+  MsgListedTable captured = { 0 };
+
+  if (listed_index (table) == voter->listed.index)
+    return;
+  listed_capture (table, &captured);
+  store_table (voter, &voter->listed, listed_index (table),
+               codec_pack (CODEC (MsgListedTable), &captured), REPORT_LISTED);
+  g_free (captured.services.services_val);
+}
+
 /* Updates all copies that the loop's thread reads. */
 static void
 store_all (Voter *voter)
@@ -307,6 +326,7 @@
   store_document (voter);
   store_crashes (voter);
   store_rollouts (voter);
+  store_listed (voter);
 }
 
 static void
@@ -574,6 +594,8 @@
     g_bytes_unref (voter->crashes.packed);
   if (voter->rollouts.packed)
     g_bytes_unref (voter->rollouts.packed);
+  if (voter->listed.packed)
+    g_bytes_unref (voter->listed.packed);
   pthread_mutex_destroy (&voter->lock);
   pthread_cond_destroy (&voter->wake);
   g_free (voter);
@@ -684,6 +706,12 @@
   return ref_table (voter, &voter->rollouts);
 }
 
+GBytes *
+voter_listed (Voter *voter)
+{
+  return ref_table (voter, &voter->listed);
+}
+
 uint64_t
 voter_newest_number (Voter *voter)
 {
--- a/node/voter.h
+++ b/node/voter.h
@@ -24,6 +24,8 @@
   void (*crashes_changed) (void *host);
   /* The table of roll-outs has changed; read it with voter_rollouts. */
   void (*rollouts_changed) (void *host);
+  /* The table of listed versions has changed; read it with voter_listed. */
+  void (*listed_changed) (void *host);
   /* The outcome of a proposal. FT_OK: committed. */
   void (*verdict) (void *host, uint64_t ticket, FtStatus status);
 } VoterOps;
@@ -47,7 +49,7 @@
 void voter_receive (Voter *voter, uint32_t from, GByteArray *bytes);
 /* Tells the log about another instance that is, or wants to become, a voter. */
 void voter_add_peer (Voter *voter, uint32_t id);
-/* Proposes a new document with this number, or an operation on server crashes or roll-outs. Returns
+/* Proposes a new document with this number, or an operation on one of the tables. Returns
  * a ticket that the later verdict callback refers to. */
 uint64_t voter_propose (Voter *voter, uint64_t number, GBytes *document);
 uint64_t voter_propose_op (Voter *voter, const MsgOp *op);
@@ -81,5 +83,7 @@
 GBytes *voter_crash_table (Voter *voter);
 /* The same for roll-outs, a packed MsgRollouts. */
 GBytes *voter_rollouts (Voter *voter);
+/* The same for listed versions, a packed MsgListedTable. */
+GBytes *voter_listed (Voter *voter);
 
 #endif
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -39,6 +39,7 @@
 	u_quad_t document;
 	bool_t cut_off;
 	bool_t origins;
+	bool_t listed;
 };
 typedef struct MeshHello MeshHello;
 
@@ -341,6 +342,22 @@
 	MeshOrigin origin;
 };
 typedef struct MeshOriginReply MeshOriginReply;
+#define MESH_LISTED_MAX 4096
+
+struct MeshListedVersion {
+	char *service;
+	char *software;
+	u_int age_ms;
+};
+typedef struct MeshListedVersion MeshListedVersion;
+
+struct MeshListed {
+	struct {
+		u_int versions_len;
+		MeshListedVersion *versions_val;
+	} versions;
+};
+typedef struct MeshListed MeshListed;
 
 enum MeshKind {
 	MESH_HELLO = 1,
@@ -369,6 +386,7 @@
 	MESH_ORIGINS = 1 + 23,
 	MESH_ORIGIN_ASK = 1 + 24,
 	MESH_ORIGIN_REPLY = 1 + 25,
+	MESH_LISTED = 1 + 26,
 };
 typedef enum MeshKind MeshKind;
 
@@ -398,6 +416,7 @@
 		MeshOrigins origins;
 		MeshOriginAsk origin_ask;
 		MeshOriginReply origin_reply;
+		MeshListed listed;
 		struct {
 			u_int raft_len;
 			char *raft_val;
@@ -442,6 +461,8 @@
 extern  bool_t xdr_MeshOrigins (XDR *, MeshOrigins*);
 extern  bool_t xdr_MeshOriginAsk (XDR *, MeshOriginAsk*);
 extern  bool_t xdr_MeshOriginReply (XDR *, MeshOriginReply*);
+extern  bool_t xdr_MeshListedVersion (XDR *, MeshListedVersion*);
+extern  bool_t xdr_MeshListed (XDR *, MeshListed*);
 extern  bool_t xdr_MeshKind (XDR *, MeshKind*);
 extern  bool_t xdr_MeshMsg (XDR *, MeshMsg*);
 
@@ -479,6 +500,8 @@
 extern bool_t xdr_MeshOrigins ();
 extern bool_t xdr_MeshOriginAsk ();
 extern bool_t xdr_MeshOriginReply ();
+extern bool_t xdr_MeshListedVersion ();
+extern bool_t xdr_MeshListed ();
 extern bool_t xdr_MeshKind ();
 extern bool_t xdr_MeshMsg ();
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -30,6 +30,7 @@
   unsigned hyper document;  /* version of the catalogue in force at the sender; 0: none */
   bool cut_off;             /* reaches no backend server, so it cannot relay for others */
   bool origins;             /* knows the messages about the origins of streams */
+  bool listed;              /* knows MeshListed, and MSG_OP_LISTED in the log */
 };
 
 /* From the voter in charge to an entry: other entries that relay its connections to servers that it
@@ -296,13 +297,26 @@
   MeshOrigin origin; /* service "": not known */
 };
 
+const MESH_LISTED_MAX = 4096;
+
+struct MeshListedVersion {
+  string service<MESH_NAME_MAX>;
+  string software<MESH_NAME_MAX>; /* version */
+  unsigned int age_ms;            /* since it was listed last */
+};
+
+/* From the leader to entries: all versions whose servers were listed lately. */
+struct MeshListed {
+  MeshListedVersion versions<MESH_LISTED_MAX>;
+};
+
 enum MeshKind {
   MESH_HELLO = 1, MESH_VIEW, MESH_DOCUMENT, MESH_LIST, MESH_ASK, MESH_GRANT, MESH_REFUSE,
   MESH_FIRST_EVENT, MESH_SILENCE, MESH_DONE, MESH_RAFT,
   MESH_LIST_REQUEST, MESH_PACKED_LIST, MESH_ALIVE,
   MESH_CRASH, MESH_CRASH_ACK, MESH_ANSWERED, MESH_CRASH_RETRACTED, MESH_CRASH_TABLE,
   MESH_ROLLOUTS, MESH_NOTICE, MESH_REPORT_END, MESH_RELAYS,
-  MESH_ORIGINS, MESH_ORIGIN_ASK, MESH_ORIGIN_REPLY
+  MESH_ORIGINS, MESH_ORIGIN_ASK, MESH_ORIGIN_REPLY, MESH_LISTED
 };
 
 union MeshMsg switch (MeshKind kind) {
@@ -331,5 +345,6 @@
 case MESH_ORIGINS: MeshOrigins origins;
 case MESH_ORIGIN_ASK: MeshOriginAsk origin_ask;
 case MESH_ORIGIN_REPLY: MeshOriginReply origin_reply;
+case MESH_LISTED: MeshListed listed;
 case MESH_RAFT: opaque raft<MESH_TEXT_MAX>; /* a packed Msg (msg.x), between voters */
 };
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -36,6 +36,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->origins))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->listed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -919,6 +921,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MeshListedVersion (XDR *xdrs, MeshListedVersion *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->software, MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MeshListed (XDR *xdrs, MeshListed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->versions.versions_val, (u_int *) &objp->versions.versions_len, MESH_LISTED_MAX,
+		sizeof (MeshListedVersion), (xdrproc_t) xdr_MeshListedVersion))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MeshKind (XDR *xdrs, MeshKind *objp)
 {
@@ -1033,6 +1060,10 @@
 		 if (!xdr_MeshOriginReply (xdrs, &objp->MeshMsg_u.origin_reply))
 			 return FALSE;
 		break;
+	case MESH_LISTED:
+		 if (!xdr_MeshListed (xdrs, &objp->MeshMsg_u.listed))
+			 return FALSE;
+		break;
 	case MESH_RAFT:
 		 if (!xdr_bytes (xdrs, (char **)&objp->MeshMsg_u.raft.raft_val, (u_int *) &objp->MeshMsg_u.raft.raft_len, MESH_TEXT_MAX))
 			 return FALSE;
--- a/src/msg.h
+++ b/src/msg.h
@@ -161,6 +161,26 @@
 	} rollouts;
 };
 typedef struct MsgRollouts MsgRollouts;
+#define FT_LISTED_SERVICES_MAX 256
+#define FT_LISTED_VERSIONS_MAX 16
+
+struct MsgListedService {
+	MsgServerName service;
+	struct {
+		u_int versions_len;
+		MsgServerName *versions_val;
+	} versions;
+};
+typedef struct MsgListedService MsgListedService;
+
+struct MsgListedTable {
+	u_quad_t index;
+	struct {
+		u_int services_len;
+		MsgListedService *services_val;
+	} services;
+};
+typedef struct MsgListedTable MsgListedTable;
 
 struct MsgHello {
 	u_quad_t number;
@@ -220,6 +240,7 @@
 	MSG_OP_CLEARED = 10,
 	MSG_OP_ROLLOUT_START = 11,
 	MSG_OP_ROLLOUT_STEP = 12,
+	MSG_OP_LISTED = 13,
 };
 typedef enum MsgOpKind MsgOpKind;
 
@@ -358,6 +379,7 @@
 		MsgCleared cleared;
 		MsgRolloutStart rollout_start;
 		MsgRolloutStep rollout_step;
+		MsgListedService listed;
 	} MsgOp_u;
 };
 typedef struct MsgOp MsgOp;
@@ -499,6 +521,7 @@
 	MsgDocument document;
 	MsgCrashTable blame;
 	MsgRollouts rollouts;
+	MsgListedTable listed;
 };
 typedef struct MsgState MsgState;
 
@@ -646,6 +669,8 @@
 extern  bool_t xdr_MsgTrial (XDR *, MsgTrial*);
 extern  bool_t xdr_MsgRollout (XDR *, MsgRollout*);
 extern  bool_t xdr_MsgRollouts (XDR *, MsgRollouts*);
+extern  bool_t xdr_MsgListedService (XDR *, MsgListedService*);
+extern  bool_t xdr_MsgListedTable (XDR *, MsgListedTable*);
 extern  bool_t xdr_MsgHello (XDR *, MsgHello*);
 extern  bool_t xdr_MsgLease (XDR *, MsgLease*);
 extern  bool_t xdr_MsgHelloReply (XDR *, MsgHelloReply*);
@@ -702,6 +727,8 @@
 extern bool_t xdr_MsgTrial ();
 extern bool_t xdr_MsgRollout ();
 extern bool_t xdr_MsgRollouts ();
+extern bool_t xdr_MsgListedService ();
+extern bool_t xdr_MsgListedTable ();
 extern bool_t xdr_MsgHello ();
 extern bool_t xdr_MsgLease ();
 extern bool_t xdr_MsgHelloReply ();
--- a/src/msg.x
+++ b/src/msg.x
@@ -137,6 +137,22 @@
   MsgRollout rollouts<FT_ROLLOUTS_MAX>;
 };
 
+/* ---- Versions of the listed servers ---- */
+
+const FT_LISTED_SERVICES_MAX = 256;
+const FT_LISTED_VERSIONS_MAX = 16;
+
+/* The versions whose servers may have begun a stream of the service that still goes on. */
+struct MsgListedService {
+  MsgServerName service;
+  MsgServerName versions<FT_LISTED_VERSIONS_MAX>;
+};
+
+struct MsgListedTable {
+  unsigned hyper index; /* in the log, of the latest change; 0: the table is not complete */
+  MsgListedService services<FT_LISTED_SERVICES_MAX>;
+};
+
 /* ---- Freshness, membership and leases ---- */
 
 /* Sent by an instance to the leader to prove its freshness and its leases. */
@@ -187,7 +203,8 @@
   MSG_OP_CRASH_RETRACTED = 9,
   MSG_OP_CLEARED = 10,
   MSG_OP_ROLLOUT_START = 11,
-  MSG_OP_ROLLOUT_STEP = 12
+  MSG_OP_ROLLOUT_STEP = 12,
+  MSG_OP_LISTED = 13 /* only proposed where all voters that are linked know it */
 };
 
 struct MsgChange {
@@ -297,6 +314,7 @@
 case MSG_OP_CLEARED: MsgCleared cleared;
 case MSG_OP_ROLLOUT_START: MsgRolloutStart rollout_start;
 case MSG_OP_ROLLOUT_STEP: MsgRolloutStep rollout_step;
+case MSG_OP_LISTED: MsgListedService listed;
 };
 
 struct MsgEntry {
@@ -398,6 +416,7 @@
   MsgDocument document;
   MsgCrashTable blame;
   MsgRollouts rollouts;
+  MsgListedTable listed;
 };
 
 /* ---- Queries to other instances ---- */
--- a/src/msg_xdr.c
+++ b/src/msg_xdr.c
@@ -310,6 +310,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_MsgListedService (XDR *xdrs, MsgListedService *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_MsgServerName (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->versions.versions_val, (u_int *) &objp->versions.versions_len, FT_LISTED_VERSIONS_MAX,
+		sizeof (MsgServerName), (xdrproc_t) xdr_MsgServerName))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_MsgListedTable (XDR *xdrs, MsgListedTable *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FT_LISTED_SERVICES_MAX,
+		sizeof (MsgListedService), (xdrproc_t) xdr_MsgListedService))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_MsgHello (XDR *xdrs, MsgHello *objp)
 {
@@ -661,6 +687,10 @@
 		 if (!xdr_MsgRolloutStep (xdrs, &objp->MsgOp_u.rollout_step))
 			 return FALSE;
 		break;
+	case MSG_OP_LISTED:
+		 if (!xdr_MsgListedService (xdrs, &objp->MsgOp_u.listed))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -891,6 +921,8 @@
 		 return FALSE;
 	 if (!xdr_MsgRollouts (xdrs, &objp->rollouts))
 		 return FALSE;
+	 if (!xdr_MsgListedTable (xdrs, &objp->listed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/origins.c
+++ b/src/origins.c
@@ -4,6 +4,10 @@
  * go on only at the version that began them, and neither the id nor a server tells which one that
  * was. A record is made when the first event is passed on, so that each stream has exactly one.
  *
+ * A stream without a record may go on where one version alone can have begun it. An instance that
+ * has just started has seen one list, which proves nothing: it must have watched the lists for as
+ * long as a stream may last, or have been told by an instance that has.
+ *
  * Records are kept until the caller's own time is over. They expire in nearly the order in which
  * they were made, so the list is only examined at its head.
  */
@@ -13,6 +17,9 @@
 #include <urcu/list.h>
 #include <xxhash.h>
 
+/* Longest pause between two lists in which no version can have come and gone unseen. */
+#define LIST_PAUSE_MAX (5 * FT_SECOND)
+
 typedef struct
 {
   struct cds_list_head link; /* in Origins.order */
@@ -32,6 +39,8 @@
   GHashTable *records;        /* Origin.stream: Record */
   struct cds_list_head order; /* oldest first */
   GPtrArray *listed;          /* Listed; a few for each service */
+  int64_t watched_from;       /* all versions that were listed since then are known */
+  int64_t list_at;            /* when a list was noted last; 0: never */
 };
 
 uint64_t
@@ -167,7 +176,7 @@
 }
 
 void
-origins_note_listed (Origins *origins, const char *service, const char *version)
+origins_note_listed (Origins *origins, const char *service, const char *version, int64_t age)
 {
   int64_t now = ft_clock_now (origins->clock);
 
@@ -176,22 +185,68 @@
       Listed *listed = origins->listed->pdata[i];
       if (strcmp (listed->service, service) != 0 || strcmp (listed->version, version) != 0)
         continue;
-      listed->listed_at = now;
+      listed->listed_at = MAX (listed->listed_at, now - age);
       return;
     }
   drop_old_versions (origins, service, now);
   Listed *listed = g_new0 (Listed, 1);
   listed->service = g_strdup (service);
   listed->version = g_strdup (version);
-  listed->listed_at = now;
+  listed->listed_at = now - age;
   g_ptr_array_add (origins->listed, listed);
 }
 
+void
+origins_note_list (Origins *origins)
+{
+  int64_t now = ft_clock_now (origins->clock);
+
+  if (origins->list_at == 0 || now - origins->list_at > LIST_PAUSE_MAX)
+    origins->watched_from = now;
+  origins->list_at = now;
+}
+
+void
+origins_set_complete (Origins *origins)
+{
+  int64_t now = ft_clock_now (origins->clock);
+
+  origins->watched_from = MIN (origins->watched_from, now - ORIGINS_TIME_MAX);
+  origins->list_at = now;
+}
+
+bool
+origins_is_complete (const Origins *origins)
+{
+  int64_t now = ft_clock_now (origins->clock);
+
+  return origins->list_at > 0 && now - origins->list_at <= LIST_PAUSE_MAX
+         && now - origins->watched_from >= ORIGINS_TIME_MAX;
+}
+
+void
+origins_for_each_listed (const Origins *origins,
+                         void (*fn) (const char *service, const char *version, int64_t age,
+                                     void *data),
+                         void *data)
+{
+  int64_t now = ft_clock_now (origins->clock);
+
+  for (unsigned i = 0; i < origins->listed->len; i++)
+    {
+      const Listed *listed = origins->listed->pdata[i];
+      if (now - listed->listed_at <= ORIGINS_TIME_MAX)
+        fn (listed->service, listed->version, now - listed->listed_at, data);
+    }
+}
+
 const char *
-origins_only_version (Origins *origins, const char *service)
+origins_only_version (const Origins *origins, const char *service)
 {
   const Listed *newest = NULL;
 
+  if (!origins_is_complete (origins))
+    return NULL;
   for (unsigned i = 0; i < origins->listed->len; i++)
     {
       const Listed *listed = origins->listed->pdata[i];
--- a/src/origins.h
+++ b/src/origins.h
@@ -31,14 +31,27 @@
 
 /* ---- Versions of the listed servers ---- */
 
-/* A server of this version is listed, or its crash has not been noticed yet. */
-void origins_note_listed (Origins *origins, const char *service, const char *version);
-/* The only version that may have begun a stream that is still taken up: no other was listed within
- * ORIGINS_TIME_MAX. NULL: there are several, or none was ever listed. */
-const char *origins_only_version (Origins *origins, const char *service);
-
 /* Longest time for which a record is kept, and for which a version counts after it was last listed.
  */
 #define ORIGINS_TIME_MAX (60 * FT_SECOND)
 
+/* A server of this version was listed age ago, or its crash has not been noticed yet. */
+void origins_note_listed (Origins *origins, const char *service, const char *version, int64_t age);
+/* A whole list has been noted. Between two lists versions may come and go unseen, so after a pause
+ * the watch starts anew. */
+void origins_note_list (Origins *origins);
+/* All versions of the last ORIGINS_TIME_MAX have been noted, as an instance that watched for so
+ * long told. */
+void origins_set_complete (Origins *origins);
+/* True if all versions of the last ORIGINS_TIME_MAX are known. */
+bool origins_is_complete (const Origins *origins);
+/* Calls fn for each version that was listed within ORIGINS_TIME_MAX. */
+void origins_for_each_listed (const Origins *origins,
+                              void (*fn) (const char *service, const char *version, int64_t age,
+                                          void *data),
+                              void *data);
+/* The only version that may have begun a stream that is still taken up: no other was listed within
+ * ORIGINS_TIME_MAX. NULL: there are several, none was ever listed, or they are not all known. */
+const char *origins_only_version (const Origins *origins, const char *service);
+
 #endif
--- a/src/state.c
+++ b/src/state.c
@@ -10,8 +10,8 @@
  * running ones for RUNNING_CLAIM_TTL_MS. These ages are computed from the wall times in the
  * operations, so that all voters drop the same claims.
  *
- * Contents that ran on servers that ended, and ordered versions of servers, have their own modules
- * (crashes.c, rollout.c).
+ * Contents that ran on servers that ended, and ordered and listed versions of servers, have their
+ * own modules (crashes.c, rollout.c, listed.c).
  */
 #include "state.h"
 
@@ -22,6 +22,7 @@
 #define ENDED_CLAIM_TTL_MS                                                                         \
   (G_GINT64_CONSTANT (86400000)) /* a day, longer than any caller retries */
 #define RUNNING_CLAIM_TTL_MS (7 * ENDED_CLAIM_TTL_MS)
+#define ADDED_SECTIONS       3 /* last sections of a snapshot that older programs do not write */
 #define EMPTY_SECTION_BYTES                                                                        \
   12 /* of an empty section in a snapshot: its index and its number of records */
 
@@ -41,6 +42,7 @@
   MsgDocument document;
   CrashTable *crashes;
   RolloutTable *rollouts;
+  ListedTable *listed;
 };
 
 #define FREE_FUNC(type, name)                                                                      \
@@ -73,6 +75,7 @@
   memset (&state->document, 0, sizeof state->document);
   crashes_restore (state->crashes, &(MsgCrashTable){ 0 });
   roll_restore (state->rollouts, &(MsgRollouts){ 0 });
+  listed_restore (state->listed, &(MsgListedTable){ 0 });
 }
 
 State *
@@ -89,6 +92,7 @@
   g_queue_init (&state->refusals);
   state->crashes = crashes_new ();
   state->rollouts = roll_new ();
+  state->listed = listed_new ();
   return state;
 }
 
@@ -105,6 +109,7 @@
   g_hash_table_unref (state->refusals_by_id);
   crashes_free (state->crashes);
   roll_free (state->rollouts);
+  listed_free (state->listed);
   g_free (state);
 }
 
@@ -406,6 +411,8 @@
         break;
       }
     case MSG_OP_DOCUMENT:
+      if (state->document.number == 0)
+        listed_begin (state->listed, index); /* without a document nothing was served */
       apply_document (state, &op->MsgOp_u.document, result);
       break;
     case MSG_OP_REFUSALS:
@@ -427,6 +434,9 @@
     case MSG_OP_ROLLOUT_STEP:
       roll_apply_step (state->rollouts, index, &op->MsgOp_u.rollout_step);
       break;
+    case MSG_OP_LISTED:
+      listed_apply (state->listed, index, &op->MsgOp_u.listed);
+      break;
     default:
       break;
     }
@@ -472,9 +482,11 @@
   out.document = state->document;
   crashes_capture (state->crashes, 0, &out.blame);
   roll_capture (state->rollouts, &out.rollouts);
+  listed_capture (state->listed, &out.listed);
   GByteArray *bytes = codec_pack (CODEC (MsgState), &out);
   g_free (out.blame.suspects.suspects_val);
   g_free (out.rollouts.rollouts.rollouts_val);
+  g_free (out.listed.services.services_val);
   g_array_unref (history);
   g_array_unref (leases);
   g_array_unref (claims);
@@ -517,6 +529,7 @@
   state->document = in->document;
   crashes_restore (state->crashes, &in->blame);
   roll_restore (state->rollouts, &in->rollouts);
+  listed_restore (state->listed, &in->listed);
 }
 
 /* Unpacks a snapshot of an older version, which lacks the last sections: zeros appended in their
@@ -524,7 +537,7 @@
 static FtStatus
 unpack_with_empty_sections (const void *data, size_t size, unsigned missing, MsgState *in)
 {
-  static const guint8 zeros[2 * EMPTY_SECTION_BYTES];
+  static const guint8 zeros[ADDED_SECTIONS * EMPTY_SECTION_BYTES];
   GByteArray *bytes = g_byte_array_sized_new ((guint) (size + sizeof zeros));
 
   g_byte_array_append (bytes, data, (guint) size);
@@ -540,7 +553,7 @@
 {
   FtStatus status = codec_unpack (CODEC (MsgState), data, size, in, NULL);
 
-  for (unsigned missing = 1; status != FT_OK && missing <= 2; missing++)
+  for (unsigned missing = 1; status != FT_OK && missing <= ADDED_SECTIONS; missing++)
     {
       codec_clear (CODEC (MsgState), in);
       memset (in, 0, sizeof *in);
@@ -576,6 +589,7 @@
   free (in.refusals.refusals_val);
   codec_clear (CODEC (MsgCrashTable), &in.blame);
   codec_clear (CODEC (MsgRollouts), &in.rollouts);
+  codec_clear (CODEC (MsgListedTable), &in.listed);
   return FT_OK;
 }
 
@@ -640,6 +654,12 @@
   return state->rollouts;
 }
 
+const ListedTable *
+state_listed (const State *state)
+{
+  return state->listed;
+}
+
 const MsgVoters *
 state_voters (const State *state)
 {
--- a/src/state.h
+++ b/src/state.h
@@ -4,6 +4,7 @@
 #define STATE_H
 
 #include "crashes.h"
+#include "listed.h"
 #include "rollout.h"
 
 typedef struct State State;
@@ -43,6 +44,7 @@
 const CrashTable *state_crashes (const State *state);
 /* The ordered versions of servers; borrowed. */
 const RolloutTable *state_rollouts (const State *state);
+const ListedTable *state_listed (const State *state);
 const MsgVoters *state_voters (const State *state);
 /* Borrowed; NULL: there is no claim of that key. */
 const MsgClaimState *state_claim (const State *state, const char *key);
--- a/test/older.c
+++ b/test/older.c
@@ -11,7 +11,7 @@
 static Loop *loop;
 static Sock *older; /* NULL: closed */
 static unsigned ups, downs, asks;
-static bool knew_origins;
+static bool knew_origins, knew_listed;
 static char software[32], server[32];
 
 static void
@@ -20,6 +20,7 @@
   (void) host;
   ups++;
   knew_origins = peer->knows_origins;
+  knew_listed = peer->knows_listed;
 }
 
 static void
@@ -124,8 +125,12 @@
 {
   run_link (sizeof (uint32_t), sizeof (uint32_t));
   g_assert_cmpuint (ups, ==, 1);
+  g_assert_false (knew_listed);
+  run_link (3 * sizeof (uint32_t), sizeof (uint32_t));
+  g_assert_cmpuint (ups, ==, 1);
   g_assert_cmpuint (asks, ==, 1);
   g_assert_false (knew_origins);
+  g_assert_false (knew_listed);
   g_assert_cmpstr (software, ==, "");
   g_assert_cmpstr (server, ==, "i-1");
 }
--- a/test/origdir.c
+++ b/test/origdir.c
@@ -301,6 +301,20 @@
   origins_free (origins);
 }
 
+/* Lists the versions once a second for some time. */
+static void
+watch (Origins *origins, TestClock *clock, int64_t us, const char *version, const char *other)
+{
+  for (int64_t end = clock->now + us; clock->now < end;)
+    {
+      clock->now += FT_SECOND;
+      origins_note_listed (origins, SERVICE, version, 0);
+      if (other)
+        origins_note_listed (origins, SERVICE, other, 0);
+      origins_note_list (origins);
+    }
+}
+
 /* Guards against taking the only listed version for a stream that an earlier one may have begun. */
 static void
 only_version (void)
@@ -309,24 +323,70 @@
   Origins *origins = origins_new (&clock.base, 10);
 
   g_assert_null (origins_only_version (origins, SERVICE));
-  origins_note_listed (origins, SERVICE, "v1");
-  origins_note_listed (origins, "other", "v7");
+  origins_note_listed (origins, "other", "v7", 0);
+  watch (origins, &clock, ORIGINS_TIME_MAX + FT_SECOND, "v1", NULL);
   g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v1");
-  clock.now += FT_SECOND;
-  origins_note_listed (origins, SERVICE, "v2");
+  g_assert_null (origins_only_version (origins, "none"));
+  watch (origins, &clock, FT_SECOND, "v2", NULL);
   g_assert_null (origins_only_version (origins, SERVICE));
-  clock.now += ORIGINS_TIME_MAX - FT_SECOND;
-  origins_note_listed (origins, SERVICE, "v1"); /* listed until now */
-  origins_note_listed (origins, SERVICE, "v2");
-  clock.now += ORIGINS_TIME_MAX / 2;
-  origins_note_listed (origins, SERVICE, "v2");
+  watch (origins, &clock, ORIGINS_TIME_MAX - FT_SECOND, "v1", "v2"); /* v1 is listed until now */
+  watch (origins, &clock, ORIGINS_TIME_MAX / 2, "v2", NULL);
   g_assert_null (origins_only_version (origins, SERVICE));
-  clock.now += ORIGINS_TIME_MAX / 2;
-  origins_note_listed (origins, SERVICE, "v2");
+  watch (origins, &clock, ORIGINS_TIME_MAX / 2, "v2", NULL);
   g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
   origins_free (origins);
 }
 
+/* Guards against taking the first list, or the first one after a pause, for all versions that were
+ * listed lately. */
+static void
+watched_too_short (void)
+{
+  TestClock clock = test_clock ();
+  Origins *origins = origins_new (&clock.base, 10);
+
+  watch (origins, &clock, ORIGINS_TIME_MAX - FT_SECOND, "v2", NULL);
+  g_assert_null (origins_only_version (origins, SERVICE));
+  watch (origins, &clock, 2 * FT_SECOND, "v2", NULL);
+  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  clock.now += 6 * FT_SECOND;
+  g_assert_null (origins_only_version (origins, SERVICE));
+  watch (origins, &clock, FT_SECOND, "v2", NULL);
+  g_assert_null (origins_only_version (origins, SERVICE));
+  origins_set_complete (origins);
+  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  origins_note_listed (origins, SERVICE, "v1", 50 * FT_SECOND);
+  g_assert_null (origins_only_version (origins, SERVICE));
+  watch (origins, &clock, 11 * FT_SECOND, "v2", NULL);
+  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  origins_free (origins);
+}
+
+/* Guards against believing anyone but a voter on which versions were listed, and against an entry
+ * that does not use what the voter in charge tells it. */
+static void
+versions_are_told (void)
+{
+  char service[] = SERVICE, old[] = "v1", new[] = "v2";
+  MeshListedVersion versions[] = { { service, new, 0 }, { service, old, 70000 } };
+  MeshMsg msg = { .kind = MESH_LISTED };
+
+  start (1);
+  MeshPeer *voter = &mesh.ends[0].peer;
+  msg.MeshMsg_u.listed.versions.versions_val = versions;
+  msg.MeshMsg_u.listed.versions.versions_len = 2;
+  voter->dialled = false;
+  g_assert_true (origdir_message (entry, voter, &msg));
+  g_assert_null (origdir_only_version (entry, SERVICE));
+  voter->dialled = true;
+  g_assert_true (origdir_message (entry, voter, &msg));
+  g_assert_cmpstr (origdir_only_version (entry, SERVICE), ==, "v2");
+  versions[1].age_ms = 30000;
+  g_assert_true (origdir_message (entry, voter, &msg));
+  g_assert_null (origdir_only_version (entry, SERVICE));
+  stop ();
+}
+
 /* ---- The directory ---- */
 
 /* Guards against losing an origin with the entry and two voters. */
@@ -499,6 +559,8 @@
   g_test_add_func ("/origdir/stream_ids", stream_ids);
   g_test_add_func ("/origdir/random_records", random_records);
   g_test_add_func ("/origdir/only_version", only_version);
+  g_test_add_func ("/origdir/watched_too_short", watched_too_short);
+  g_test_add_func ("/origdir/versions_are_told", versions_are_told);
   g_test_add_func ("/origdir/three_holders", three_holders);
   g_test_add_func ("/origdir/sent_on_new_links", sent_on_new_links);
   g_test_add_func ("/origdir/one_denial", one_denial);
--- a/test/origins.c
+++ b/test/origins.c
@@ -23,17 +23,23 @@
   return server->srv != NULL;
 }
 
-/* Replaces the server by one of the new version, which starts under another id. */
+/* Replaces the server by one of this version, which starts under another id. */
 static void
-replace_server (Fleet *fleet, unsigned number)
+replace_server_by (Fleet *fleet, unsigned number, const char *version)
 {
   FleetServer *server = &fleet->servers[number];
 
   fleet_crash_server (server);
-  g_strlcpy (server->version, NEW, sizeof server->version);
+  g_strlcpy (server->version, version, sizeof server->version);
   fleet_run_until (fleet, has_restarted, server, "the server restarts");
 }
 
+static void
+replace_server (Fleet *fleet, unsigned number)
+{
+  replace_server_by (fleet, number, NEW);
+}
+
 static void
 wait_until_ready (Fleet *fleet, const FleetNode *entry)
 {
@@ -360,6 +366,106 @@
   fleet_free (fleet);
 }
 
+static void
+kill_entries (Fleet *fleet, Answer *stream, unsigned *last_event)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_kill (&fleet->entries[i]);
+  fleet_run_until (fleet, is_done, stream, "the end of the stream");
+  *last_event = count_events (stream->body->str);
+  g_assert_cmpuint (*last_event, <, STREAM_EVENTS);
+}
+
+static void
+start_entries (Fleet *fleet)
+{
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    fleet_start (fleet, &fleet->entries[i], false);
+  for (unsigned i = 0; i < fleet->entry_count; i++)
+    wait_until_ready (fleet, &fleet->entries[i]);
+}
+
+/* Kills voters, the third one too if all is set, and starts them again. */
+static void
+restart_voters (Fleet *fleet, bool all)
+{
+  unsigned count = all ? 3 : 2;
+
+  for (unsigned i = 0; i < count; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < count; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+}
+
+static void
+check_is_refused (Fleet *fleet, const char *resumes, unsigned last_event)
+{
+  Answer again;
+
+  if (take_up (fleet, &fleet->entries[1], resumes, last_event, &again))
+    g_error ("a stream of no listed version goes on (logs in %s)", fleet->base);
+}
+
+/* Guards against joining two versions where instances have started since: all entries are killed,
+ * the last server of the old version leaves, and of the voters that hold the record two have
+ * started anew and one is out of reach. The list shows one version. */
+static void
+holders_lost (void)
+{
+  Fleet *fleet = new_fleet (1);
+  Answer stream;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  kill_entries (fleet, &stream, &last_event);
+  replace_server (fleet, 0);
+  restart_voters (fleet, false);
+  proxy_set_mode (fleet->voters[2].proxy, PROXY_REFUSE);
+  start_entries (fleet);
+  check_is_refused (fleet, "s", last_event);
+  proxy_set_mode (fleet->voters[2].proxy, PROXY_PASS);
+  replace_server_by (fleet, 0, OLD);
+  check_goes_on (fleet, "s", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against the same after a loss of everything, when nobody has the record. */
+static void
+everything_killed_at_release (void)
+{
+  Fleet *fleet = new_fleet (1);
+  Answer stream;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  kill_entries (fleet, &stream, &last_event);
+  replace_server (fleet, 0);
+  restart_voters (fleet, true);
+  start_entries (fleet);
+  check_is_refused (fleet, "s", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
+/* Guards against refusing streams after a loss of everything where there was one version all the
+ * time. */
+static void
+everything_killed_with_one_version (void)
+{
+  Fleet *fleet = new_fleet (FLEET_SERVERS);
+  Answer stream;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  kill_entries (fleet, &stream, &last_event);
+  restart_voters (fleet, true);
+  start_entries (fleet);
+  check_goes_on (fleet, "s", last_event);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
 /* Guards against refusing or delaying streams where all servers have one version: an entry without
  * any link resumes a stream that nobody knows. */
 static void
@@ -497,6 +603,10 @@
   g_test_add_func ("/origins/one_answer_goes_on", one_answer_goes_on);
   g_test_add_func ("/origins/taken_up_again", taken_up_again);
   g_test_add_func ("/origins/everything_killed", everything_killed);
+  g_test_add_func ("/origins/holders_lost", holders_lost);
+  g_test_add_func ("/origins/everything_killed_at_release", everything_killed_at_release);
+  g_test_add_func ("/origins/everything_killed_with_one_version",
+                   everything_killed_with_one_version);
   g_test_add_func ("/origins/one_version", one_version);
   g_test_add_func ("/origins/old_list", old_list);
   g_test_add_func ("/origins/side_by_side", side_by_side);
--- a/test/publish.c
+++ b/test/publish.c
@@ -69,8 +69,8 @@
   return NULL;
 }
 
-static const VoterOps voter_ops
-    = { read_document, ignore_send, ignore_commit, on_crash_table, ignore_commit, ignore_verdict };
+static const VoterOps voter_ops = { read_document, ignore_send,   ignore_commit, on_crash_table,
+                                    ignore_commit, ignore_commit, ignore_verdict };
 
 static void
 read_list (void)
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -123,7 +123,7 @@
   op.MsgOp_u.ended.contents.contents_val = &content;
   state_apply (state, 1, &op, &verdict);
   GByteArray *bytes = state_capture (state);
-  g_byte_array_set_size (bytes, bytes->len - 12); /* the older program did not write this part */
+  g_byte_array_set_size (bytes, bytes->len - 24); /* the older program did not write these parts */
   g_assert_cmpint (state_restore (later, bytes->data, bytes->len), ==, FT_OK);
   g_assert_nonnull (crashes_find (state_crashes (later), content));
   g_assert_cmpuint (roll_index (state_rollouts (later)), ==, 0);
--- a/test/witness.c
+++ b/test/witness.c
@@ -321,8 +321,8 @@
   suspects_verdict (suspects, ticket, status);
 }
 
-static const VoterOps voter_ops
-    = { NULL, ignore_send, ignore_commit, on_crash_table, ignore_commit, on_verdict };
+static const VoterOps voter_ops = { NULL,          ignore_send,   ignore_commit, on_crash_table,
+                                    ignore_commit, ignore_commit, on_verdict };
 
 static bool
 in_charge (void)
