Roll-outs: an entry that was lost counts until the limit, not for 12 s

An entry whose link broke may be cut off and not dead. It does not hear of the move and goes on sending to the previous version. It was waited for only while publish.c counts it for the limits of organisations, 12 s, so a roll-out could end before its limit while such an entry still sent to servers that stop then.

The voters keep the entries that were lost during an active roll-out until they are linked again or it has ended. Past the limit none is waited for, as before.

/rolls/lost_entry_counts_until_the_limit: an entry is stopped at the order.

--- a/node/control.c
+++ b/node/control.c
@@ -440,8 +440,7 @@
 control_rollouts (Control *control)
 {
   unsigned lost, linked = publish_count_entries (control->publish, &lost);
-  RolloutsPeers peers = { .lost_entries = lost,
-                          .missing_entries = count_missing_entries (control, linked + lost),
+  RolloutsPeers peers = { .missing_entries = count_missing_entries (control, linked + lost),
                           .list_asked_at = servers_asked_at (control->servers) };
 
   rollouts_tick (control->rollouts, &peers);
--- a/node/rollctl.c
+++ b/node/rollctl.c
@@ -130,7 +130,7 @@
                         .places_before = stats.used.places,
                         .running_before = stats.running_before,
                         .once_before = stats.once_before,
-                        .unheard = rollouts->peers.lost_entries,
+                        .unheard = g_hash_table_size (rollouts->lost),
                         .unreported = count_unreported (rollouts, progress, now),
                         .charge_us = now - rollouts->charged_at,
                         .listed = rollouts->peers.list_asked_at >= rollouts->charged_at,
@@ -201,6 +201,22 @@
   g_ptr_array_add (rollouts->active, active);
 }
 
+/* An entry that is cut off may send requests to the previous version until it hears of the move, so
+ * it is kept for the whole roll-out. */
+static void
+forget_lost_entries (Rollouts *rollouts)
+{
+  MsgRollouts all;
+  bool active = false;
+
+  roll_capture (rollouts->table, &all);
+  for (unsigned i = 0; i < all.rollouts.rollouts_len && !active; i++)
+    active = roll_is_active (&all.rollouts.rollouts_val[i]);
+  g_free (all.rollouts.rollouts_val);
+  if (!active)
+    g_hash_table_remove_all (rollouts->lost);
+}
+
 static void
 control_or_drop (Rollouts *rollouts, const MsgRollout *rollout)
 {
@@ -245,6 +261,7 @@
 {
   rollouts->peers = *peers;
   note_charge (rollouts);
+  forget_lost_entries (rollouts);
   if (roll_index (rollouts->table) == 0)
     return;
   if (!rollouts->in_charge)
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -215,12 +215,15 @@
 void
 rollouts_up (Rollouts *rollouts, MeshPeer *peer)
 {
+  g_hash_table_remove (rollouts->lost, GUINT_TO_POINTER (peer->ip));
   bcast_link_up (rollouts->broadcast, peer, roll_index (rollouts->table) > 0);
 }
 
 void
 rollouts_down (Rollouts *rollouts, const MeshPeer *peer)
 {
+  if (!peer->dialled && peer->role == MESH_ENTRY && !peer->leaving)
+    g_hash_table_add (rollouts->lost, GUINT_TO_POINTER (peer->ip));
   bcast_link_down (rollouts->broadcast, peer);
 }
 
@@ -322,6 +325,7 @@
   rollouts->conf = *conf;
   rollouts->table = roll_new ();
   rollouts->progress = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  rollouts->lost = g_hash_table_new (NULL, NULL);
   rollouts->active = g_ptr_array_new_with_free_func (rollctl_active_free);
   rollouts->broadcast = bcast_new (pack_for_entries, rollouts);
   broker_set_judged_callback (broker, rollctl_on_answer, rollouts);
@@ -336,6 +340,7 @@
   bcast_free (rollouts->broadcast);
   g_ptr_array_unref (rollouts->active);
   g_hash_table_unref (rollouts->progress);
+  g_hash_table_unref (rollouts->lost);
   roll_free (rollouts->table);
   g_free (rollouts);
 }
--- a/node/rollouts.h
+++ b/node/rollouts.h
@@ -29,7 +29,6 @@
 /* What this voter knows of the deployment. */
 typedef struct
 {
-  unsigned lost_entries;    /* entries whose links were lost recently */
   unsigned missing_entries; /* entries that others know of but that are neither linked nor lost */
   int64_t list_asked_at;    /* when the newest list of servers was requested */
 } RolloutsPeers;
--- a/node/rollpriv.h
+++ b/node/rollpriv.h
@@ -41,6 +41,7 @@
   GHashTable *progress; /* service name -> Progress */
   GPtrArray *active;    /* ActiveRollout */
   RolloutsPeers peers;
+  GHashTable *lost;   /* set: ip of entries whose links broke during an active roll-out */
   bool in_charge;     /* as of the last tick */
   int64_t charged_at; /* when this voter took charge; valid if in_charge */
   Broadcast *broadcast;
--- a/src/rollplan.c
+++ b/src/rollplan.c
@@ -175,11 +175,12 @@
     }
 }
 
-/* Whether the servers of the previous version may be stopped. A recently lost entry may still run
- * requests there. It is waited for only until the limit, because it may have been killed together
- * with its requests. A long stream that can continue on another server after its last event does
- * not delay the roll-out beyond the limit either. Requests that must not be sent twice are always
- * waited for, so an entry that is linked but has not reported is waited for beyond the limit. */
+/* Whether the servers of the previous version may be stopped. An entry that was lost may still
+ * run requests there. It is waited for only until the limit, because it may have been killed
+ * together with its requests. A long stream that can continue on another server after its last
+ * event does not delay the roll-out beyond the limit either. Requests that must not be sent twice
+ * are always waited for, so an entry that is linked but has not reported is waited for beyond the
+ * limit. */
 static bool
 may_stop_previous (const PlanInput *input, bool past_limit)
 {
--- a/src/rollplan.h
+++ b/src/rollplan.h
@@ -22,7 +22,7 @@
   unsigned places_before;   /* request slots of the live servers of the previous version */
   unsigned running_before;  /* requests running on servers of any other version */
   unsigned once_before;     /* those of them that must not be sent a second time */
-  unsigned unheard;         /* recently lost entries, which may run requests on other versions */
+  unsigned unheard;         /* entries lost since the order, which may run requests on them */
   unsigned unreported;      /* entries whose running requests this voter does not know yet */
   int64_t charge_us;        /* time since this voter took charge */
   bool listed;              /* the list of servers was read since then */
--- a/test/rolls.c
+++ b/test/rolls.c
@@ -97,17 +97,23 @@
 
 /* ---- Server list, orders and state ---- */
 
-static Fleet *
-start_fleet (void)
+static void
+prepare_target_servers (Fleet *fleet)
 {
-  Fleet *fleet = fleet_new ();
-
-  fleet->plain_ms = 20;
   for (unsigned i = 2; i < FLEET_SERVERS; i++)
     {
       g_strlcpy (fleet->servers[i].version, "v2", sizeof fleet->servers[i].version);
       fleet->servers[i].listed = false;
     }
+}
+
+static Fleet *
+start_fleet (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet->plain_ms = 20;
+  prepare_target_servers (fleet);
   fleet_start_all (fleet);
   return fleet;
 }
@@ -541,6 +547,40 @@
   fleet_free (fleet);
 }
 
+static unsigned
+committed_elapsed_ms (Fleet *fleet)
+{
+  static const char field[] = "\"elapsed_ms\":";
+  Answer answer;
+
+  fleet_operator_call (fleet, "GET", "/v1/rollouts/s", &answer);
+  const char *elapsed = strstr (answer.body->str, field);
+  g_assert_nonnull (elapsed);
+  unsigned ms = (unsigned) g_ascii_strtoull (elapsed + strlen (field), NULL, 10);
+  fleet_answer_clear (&answer);
+  return ms;
+}
+
+/* Guards against ending a roll-out early while an entry that was lost before the move may still
+ * send to the previous version: it counts until the limit, however long it has been lost. */
+static void
+lost_entry_counts_until_the_limit (void)
+{
+  const unsigned limit_s = 16, margin_ms = 600; /* margin: for the last step to be read */
+  Fleet *fleet = start_fleet ();
+  Load *load = start_load (fleet);
+
+  fleet_run_for (fleet, FT_SECOND);
+  list_target_servers (fleet, SERVER_HEALTHY);
+  order_rollout_within (fleet, "v2", limit_s);
+  fleet_signal (&fleet->entries[0], SIGSTOP);
+  wait_state (fleet, "completed");
+  g_assert_cmpuint (committed_elapsed_ms (fleet), >=, limit_s * 1000 - margin_ms);
+  fleet_signal (&fleet->entries[0], SIGCONT);
+  stop_load (load);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -557,5 +597,6 @@
   g_test_add_func ("/rolls/successor_hears_entries", successor_hears_entries);
   g_test_add_func ("/rolls/restarted_voters_hear_entries", restarted_voters_hear_entries);
   g_test_add_func ("/rolls/servers_not_listed_yet", servers_not_listed_yet);
+  g_test_add_func ("/rolls/lost_entry_counts_until_the_limit", lost_entry_counts_until_the_limit);
   return g_test_run ();
 }
