--- a/node/origdir.c
+++ b/node/origdir.c
@@ -377,5 +377,6 @@
 void
 origdir_describe (const OriginDir *dir, GString *out)
 {
-  g_string_append_printf (out, "foxtail_stream_origins %u\n", origins_count (dir->origins));
+  g_string_append_printf (out, "foxtail_stream_origins %u\nfoxtail_versions_known %d\n",
+                          origins_count (dir->origins), origins_is_complete (dir->origins));
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -136,6 +136,25 @@
 try "origin: an older scheduler is believed" node/reqask.c 's/^  return req->version \&\& strcmp .*/  return req->version \&\& software == NULL;/' test-origins &
 try "origin: it is not renewed" node/reqorigin.c 's/^        record \(req, origin->stream\);/        ;/' test-origins &
 try "origin: a begun answer goes on anywhere" node/reqask.c 's/^  out.version = req->version;/  out.version = req->begun ? NULL : req->version;/; s/^  return req->version \&\& strcmp/  return !req->begun \&\& req->version \&\& strcmp/' test-origins &
+# Which versions were listed lately.
+try "listed: the first list is proof" src/origins.c 's/^  if \(!origins_is_complete \(origins\)\)$/  if (false)/' test-origdir &
+try "listed: versions may pass unseen" src/origins.c 's/now - origins->list_at > LIST_PAUSE_MAX\)/false)/' test-origdir &
+try "listed: anyone is believed" node/origdir.c 's/^      if \(peer->dialled \&\& peer->role == MESH_VOTER\)$/      if (true)/' test-origdir &
+try "listed: the log of an older program is complete" src/state.c 's/^      if \(state->document.number == 0\)$/      if (true)/' test-listed &
+try "listed: a snapshot lacks the table" src/state.c 's/listed_restore \(state->listed, \&in->listed\)/(void) in/' test-listed &
+try "listed: a successor begins anew" node/listing.c 's/^  for \(unsigned i = 0; i < listing->table.services.services_len; i\+\+\)$/  for (unsigned i = 0; false; i++)/' test-origins &
+try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-origins &
+# A scheduler that takes over.
+try "takeover: reports are not awaited" src/rollplan.c 's/ \&\& input->unreported == 0//' test-rollout &
+try "takeover: reports are not awaited past the limit" src/rollplan.c 's/ \&\& \(input->unreported == 0 \|\| input->charge_us >= REPORT_WAIT\)//' test-rollout &
+try "takeover: entries get no time to link" src/rollplan.c 's/input->charge_us >= time/true/' test-rollout &
+try "takeover: servers are gone before the list is read" src/rollplan.c 's/input->listed \&\& //' test-rollout &
+try "takeover: silence is a report" node/brokerlink.c 's/!asker->reported \|\| //' test-place &
+try "takeover: one that turned away has reported" node/brokerlink.c 's/^  asker->reported = false;//' test-place &
+try "takeover: no report without handovers" node/place.c 's/^  if \(next\)$/  if (next \&\& broker_handover_enabled (place->own))/' test-place &
+try "takeover: a late grant is not told" node/place.c 's/^    pmsg_ask \(place, asked, req\);.*/    ;/' test-place &
+try "takeover: requests on unlisted servers are dropped" src/scheduler.c 's/^  if \(job \&\& job->server\)$/  if ((job \&\& job->server) || server == NULL)/' test-rollout &
+try "takeover: lost entries are forgotten" node/rollctl.c 's/g_hash_table_size \(rollouts->lost\)/0/' test-rolls &
 # Bytes that are no answer and do not end.
 try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
 try "endless: any byte is a sign of life" node/try.c 's/^  if \(req->is_stream\)$/  record_received (req);\n  if (req->is_stream)/' test-endless &
