--- a/node/broker.h
+++ b/node/broker.h
@@ -96,7 +96,7 @@
  */
 unsigned broker_unreported_count (const Broker *broker, int64_t since);
 /* The largest number of entries that a linked instance reported; 0: none did. */
-unsigned broker_told_entries (const Broker *broker);
+unsigned broker_reported_entry_count (const Broker *broker);
 /* Number of linked instances that have told that they ask another scheduler now. */
 unsigned broker_away_count (const Broker *broker);
 
--- a/node/brokerint.h
+++ b/node/brokerint.h
@@ -14,9 +14,9 @@
   uint64_t owner; /* lifetime of the peer's process, which identifies it */
   unsigned waiting;
   int64_t asked_at;
-  bool away;             /* it has told that it asks another scheduler now */
-  bool reported;         /* it has told what it runs, and asks this scheduler since then */
-  unsigned told_entries; /* number of entries that its report told of; 0: not known */
+  bool away;            /* it has told that it asks another scheduler now */
+  bool reported;        /* it has reported what it runs, and has used this scheduler since then */
+  unsigned entry_count; /* number of entries in its report; 0: unknown */
 } Asker;
 
 struct Broker
--- a/node/brokerlink.c
+++ b/node/brokerlink.c
@@ -76,7 +76,7 @@
 handle_report (Broker *broker, Asker *asker, const MeshReportEnd *from)
 {
   asker->reported = true;
-  asker->told_entries = from->entries;
+  asker->entry_count = from->entries;
   if (!broker_handover_enabled (broker))
     return;
   note_returned (broker, asker);
@@ -283,7 +283,7 @@
 }
 
 unsigned
-broker_told_entries (const Broker *broker)
+broker_reported_entry_count (const Broker *broker)
 {
   GHashTableIter iter;
   gpointer value;
@@ -291,7 +291,7 @@
 
   g_hash_table_iter_init (&iter, broker->askers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    most = MAX (most, ((const Asker *) value)->told_entries);
+    most = MAX (most, ((const Asker *) value)->entry_count);
   return most;
 }
 
--- a/node/control.c
+++ b/node/control.c
@@ -54,8 +54,7 @@
   OriginDir *origins;
   Listing *listing;
   GHashTable *readers; /* set: ip of the other voters that hold or read the list of servers */
-  unsigned
-      told_entries; /* number of entries that the last view of a leader told of; 0: none came */
+  unsigned leader_entry_count;               /* in the last view of a leader; 0: none has come */
   unsigned entry_links_up, entry_links_down; /* changes since they were logged last */
   int64_t entries_logged_at;
   LoopTimer tick;
@@ -168,7 +167,7 @@
   for (unsigned i = 0; i < view->voters.voters_len; i++)
     mesh_dial (control->mesh, view->voters.voters_val[i]);
   if (view->proved)
-    control->told_entries = view->entries;
+    control->leader_entry_count = view->entries;
   if (view->reading)
     g_hash_table_add (control->readers, GUINT_TO_POINTER (peer->ip));
   else
@@ -423,17 +422,16 @@
     }
 }
 
-/* Entries that the last leader or the linked entries counted, and of which this voter has seen no
- * link: it may have started after they were linked to others. One, if nobody has told how many
- * there are. */
+/* Entries that the last leader or the linked entries counted and that have not been linked to this
+ * voter, which may have just started. One, if their number is unknown. */
 static unsigned
 count_missing_entries (const Control *control, unsigned seen)
 {
-  unsigned told = MAX (control->told_entries, broker_told_entries (control->broker));
+  unsigned known = MAX (control->leader_entry_count, broker_reported_entry_count (control->broker));
 
-  if (told == 0)
+  if (known == 0)
     return 1;
-  return told > seen ? told - seen : 0;
+  return known > seen ? known - seen : 0;
 }
 
 static void
--- a/node/listing.c
+++ b/node/listing.c
@@ -1,4 +1,4 @@
-/* listing.c - keeps the versions of servers that were listed lately in the log, and tells them to
+/* listing.c - keeps the versions of servers that were listed lately in the log, and sends them to
  * the entries.
  *
  * An entry that has just started cannot tell which versions may have begun the streams that callers
@@ -13,7 +13,7 @@
 
 #include <string.h>
 
-#define TELL_INTERVAL (5 * FT_SECOND) /* an entry forgets when it has missed lists */
+#define NOTIFY_INTERVAL (5 * FT_SECOND) /* for entries that missed lists */
 /* A proposal without a result after this time was lost. */
 #define PROPOSAL_TIMEOUT (1500 * FT_MS)
 
@@ -27,11 +27,11 @@
   bool taken_over;      /* the committed table was taken into origins since this voter leads */
   bool complete;        /* as of the last tick */
   uint64_t ticket;      /* of the pending proposal; 0: none */
-  int64_t proposed_at, told_at;
+  int64_t proposed_at, notified_at;
   Broadcast *broadcast;
 };
 
-/* ---- What entries are told ---- */
+/* ---- Messages to entries ---- */
 
 static void
 add_version (const char *service, const char *version, int64_t age, void *data)
@@ -58,12 +58,12 @@
 }
 
 static void
-tell_entries (Listing *listing, int64_t now)
+notify_entries (Listing *listing, int64_t now)
 {
-  if (now - listing->told_at >= TELL_INTERVAL)
+  if (now - listing->notified_at >= NOTIFY_INTERVAL)
     {
       bcast_changed (listing->broadcast);
-      listing->told_at = now;
+      listing->notified_at = now;
     }
   bcast_send_all (listing->broadcast);
 }
@@ -198,7 +198,8 @@
 
 /* ---- The voter in charge ---- */
 
-/* Takes over what the predecessor knew. Its ages are not in the log, so all count as listed now. */
+/* Takes over what the predecessor knew. The log has no ages, so all versions count as listed now.
+ */
 static void
 take_over (Listing *listing)
 {
@@ -238,11 +239,11 @@
   if (!listing->complete)
     return;
   if (!before)
-    listing->told_at = -TELL_INTERVAL;
+    listing->notified_at = -NOTIFY_INTERVAL;
   bool pending = listing->ticket && now - listing->proposed_at < PROPOSAL_TIMEOUT;
   if (!pending && all_know)
     propose_change (listing, now);
-  tell_entries (listing, now);
+  notify_entries (listing, now);
 }
 
 /* ---- Interface ---- */
--- a/node/listing.h
+++ b/node/listing.h
@@ -1,5 +1,5 @@
 /* listing.h - a voter's part in knowing which versions of servers were listed lately: the voter in
- * charge keeps them in the log and tells the entries. */
+ * charge keeps them in the log and sends them to the entries. */
 #ifndef LISTING_H
 #define LISTING_H
 
--- a/node/rollctl.c
+++ b/node/rollctl.c
@@ -15,8 +15,7 @@
 #define RESERVE_MIN 10
 /* Multiple of what the target gets between two steps at the present rate. */
 #define RESERVE_FACTOR 2.0
-/* An entry that was heard this recently has told what it runs: its keep-alives come every 400 ms.
- */
+/* Keep-alives come every 400 ms; what an entry runs is known while it is heard this recently. */
 #define HEARD_WITHIN FT_SECOND
 /* Time since the take-over for which entries that are not linked yet are waited for. */
 #define MISSING_WAIT (12 * FT_SECOND)
@@ -96,8 +95,8 @@
         JL_INT ("after_permille", judged->after * 1000));
 }
 
-/* Entries whose running requests this voter may not know. An entry counts also if it has not been
- * heard lately, or since it could know of the phase: it may have turned to another scheduler. */
+/* Entries whose running requests this voter may not know, including those not heard lately or since
+ * the phase was published: they may use another scheduler. */
 static unsigned
 count_unreported (const Rollouts *rollouts, const Progress *progress, int64_t now)
 {
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -146,7 +146,7 @@
 struct MeshReportEnd {
   unsigned int running; /* number of these requests */
   MeshAccount accounts<MESH_ORGS_MAX>;
-  unsigned int entries; /* number of entries that the last leader told of; 0: not known */
+  unsigned int entries; /* number of entries in the last view of a leader; 0: unknown */
 };
 
 struct MeshGrant {
@@ -305,7 +305,7 @@
   unsigned int age_ms;            /* since it was listed last */
 };
 
-/* From the leader to entries: all versions whose servers were listed lately. */
+/* From the leader to entries: all versions whose servers were listed within the last minute. */
 struct MeshListed {
   MeshListedVersion versions<MESH_LISTED_MAX>;
 };
--- a/src/origins.c
+++ b/src/origins.c
@@ -6,7 +6,7 @@
  *
  * A stream without a record may go on where one version alone can have begun it. An instance that
  * has just started has seen one list, which proves nothing: it must have watched the lists for as
- * long as a stream may last, or have been told by an instance that has.
+ * long as a stream may last, or have learned the versions from an instance that has.
  *
  * Records are kept until the caller's own time is over. They expire in nearly the order in which
  * they were made, so the list is only examined at its head.
--- a/src/origins.h
+++ b/src/origins.h
@@ -40,8 +40,7 @@
 /* A whole list has been noted. Between two lists versions may come and go unseen, so after a pause
  * the watch starts anew. */
 void origins_note_list (Origins *origins);
-/* All versions of the last ORIGINS_TIME_MAX have been noted, as an instance that watched for so
- * long told. */
+/* All versions of the last ORIGINS_TIME_MAX have been noted, as learned from another instance. */
 void origins_set_complete (Origins *origins);
 /* True if all versions of the last ORIGINS_TIME_MAX are known. */
 bool origins_is_complete (const Origins *origins);
--- a/test/place.c
+++ b/test/place.c
@@ -572,12 +572,12 @@
   broker_link_up (broker, &a.peer);
   broker_link_up (broker, &b.peer);
   g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 2);
-  g_assert_cmpuint (broker_told_entries (broker), ==, 0);
+  g_assert_cmpuint (broker_reported_entry_count (broker), ==, 0);
   send_report_end (broker, &a);
   report.MeshMsg_u.reported.entries = 7;
   broker_message (broker, &b.peer, &report);
   g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 0);
-  g_assert_cmpuint (broker_told_entries (broker), ==, 7);
+  g_assert_cmpuint (broker_reported_entry_count (broker), ==, 7);
   g_assert_cmpuint (broker_unreported_count (broker, loop_now (loop) + 1), ==, 2);
   broker_message (broker, &a.peer, &turns);
   g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 1);
@@ -586,7 +586,7 @@
   broker_link_down (broker, &b.peer);
   broker_link_up (broker, &b.peer);
   g_assert_cmpuint (broker_unreported_count (broker, 0), ==, 1);
-  g_assert_cmpuint (broker_told_entries (broker), ==, 0);
+  g_assert_cmpuint (broker_reported_entry_count (broker), ==, 0);
   broker_link_down (broker, &a.peer);
   broker_link_down (broker, &b.peer);
   broker_link_down (broker, &voter.peer);
