Roll-outs: a voter that takes charge near the limit decides once it can compare

With the wait of 0.4 s before a move, a successor that took charge less than that before the limit rolled a sound version back, and one without a list did so for want of servers. /rolls/leader_lost failed so once, under the address sanitizer at load 13: the third voter took charge 6.45 s after the order, the roll-back of a limit of 7 s comes at 6.475 s.

--- a/src/rollplan.c
+++ b/src/rollplan.c
@@ -59,8 +59,7 @@
 #define TAKEOVER_TIME (1500 * FT_MS)
 /* The same as a part of the limit, if that is less. */
 #define TAKEOVER_PART 0.15
-/* Longest wait, beyond the limit, for entries that have not reported since this voter took charge.
- */
+/* Longest wait, beyond the limit, for what a voter that took charge does not know yet. */
 #define REPORT_WAIT (12 * FT_SECOND)
 
 /* Whether a voter that took charge has had time to hear the entries, and knows the servers. */
@@ -163,7 +162,8 @@
       step->phase = MSG_ROLLOUT_MOVING;
       step->why = "tried";
     }
-  else if (input->elapsed_us >= input->limit_us - end_margin (input) / 2)
+  else if (input->elapsed_us >= input->limit_us - end_margin (input) / 2
+           && (may_compare || input->charge_us >= REPORT_WAIT))
     {
       step->phase = MSG_ROLLOUT_ROLLED_BACK;
       step->why = reason_not_moved (input);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -294,6 +294,28 @@
   g_assert_cmpint (next_phase (&known), ==, MSG_ROLLOUT_ROLLED_BACK);
 }
 
+/* Guards against a successor that rolls back at the limit because it knows no server yet, or has
+ * had no time to compare: it took charge just before. */
+static void
+successor_decides_after_the_limit (void)
+{
+  PlanInput input = plan_input_at (12 * FT_SECOND);
+
+  input.charge_us = 20 * FT_MS;
+  input.servers = input.places = 0;
+  input.listed = false;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_TRYING);
+  input.charge_us = 13 * FT_SECOND; /* the list cannot be read */
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_ROLLED_BACK);
+  input = plan_input_at (12 * FT_SECOND);
+  input.charge_us = 20 * FT_MS;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_TRYING);
+  input.charge_us = 500 * FT_MS;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_MOVING);
+  input.answers = 3;
+  g_assert_cmpint (next_phase (&input), ==, MSG_ROLLOUT_ROLLED_BACK);
+}
+
 /* Guards against a successor that moves all requests without a comparison of its own, or because a
  * service seems idle whose requests it has not heard of. */
 static void
@@ -1046,6 +1068,7 @@
   g_test_add_func ("/rollout/idle", idle_service_moves);
   g_test_add_func ("/rollout/successor_waits", successor_waits_for_reports);
   g_test_add_func ("/rollout/successor_moves", successor_does_not_move_at_once);
+  g_test_add_func ("/rollout/successor_at_the_limit", successor_decides_after_the_limit);
   g_test_add_func ("/judge/bad", bad_version_is_detected);
   g_test_add_func ("/judge/turns_bad", later_fault_is_detected);
   g_test_add_func ("/judge/sound", good_version_is_not_rejected);
