test: streams over nine losses, at three and nine voters, with and without a release

Cause: /origins covered two losses at three voters. Rolling restarts, lost disks, links that are refused, nine voters and a deployment without voters were read, not run.

--- a/test/fleet.h
+++ b/test/fleet.h
@@ -10,7 +10,7 @@
 
 #include <sys/types.h>
 
-#define FLEET_VOTERS       4     /* three found the cluster; the fourth can replace one */
+#define FLEET_VOTERS       9     /* the first voter_count found the cluster; others can join it */
 #define FLEET_CALLER_PORT  18080 /* on which an entry serves callers */
 #define FLEET_ENTRIES      3     /* usually */
 #define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
@@ -108,6 +108,8 @@
   char base[128];
   FleetNode voters[FLEET_VOTERS], entries[FLEET_ENTRIES_MAX];
   unsigned entry_count; /* set it before fleet_add_proxies and fleet_start_all */
+  unsigned voter_count; /* the same */
+  unsigned losses;      /* the setting of that name */
   FleetNode spare;      /* no deputy; not started by fleet_start_all */
   FleetServer servers[FLEET_SERVERS];
   int silent_fd;                /* listens where connects of cut entries hang; 0: none */
