Streams that come back before there is a voter in charge wait for what it knows

Cause: all instances are killed at 34 s. The entries are back 1.1 s before there is a voter in charge, and only that one tells which versions were listed lately. Until then a stream that nobody knows was refused at once; the callers' retries were used up.

Change: while the versions are not known at all, the entry looks again every 20 ms, for as long as it waits for links: half of the time to the first event. Where two versions are known the refusal comes at once, as before.

--- a/node/origdir.c
+++ b/node/origdir.c
@@ -80,6 +80,12 @@
   origins_set_complete (dir->origins);
 }
 
+bool
+origdir_knows_versions (const OriginDir *dir)
+{
+  return origins_is_complete (dir->origins);
+}
+
 const char *
 origdir_only_version (OriginDir *dir, const char *service)
 {
--- a/node/origdir.h
+++ b/node/origdir.h
@@ -18,6 +18,8 @@
 void origdir_note_list (OriginDir *dir, const Servers *servers);
 /* The table of records and versions; owned by the directory. */
 Origins *origdir_origins (OriginDir *dir);
+/* See origins_is_complete. */
+bool origdir_knows_versions (const OriginDir *dir);
 /* See origins_only_version. */
 const char *origdir_only_version (OriginDir *dir, const char *service);
 
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -20,6 +20,7 @@
   Loop *loop = req->requests->conf.loop;
 
   origdir_cancel (&req->lookup);
+  loop_timer_stop (loop, &req->versions_wait);
   cds_list_del_init (&req->end_wait.link);
   req_withdraw_replacement (req);
   req_clear_number (req);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -30,7 +30,8 @@
   const char *service;
   char *version;      /* that began the stream, and at which alone it goes on; NULL: none yet */
   int64_t gone_since; /* when no server of that version was listed first; 0: there was always one */
-  OriginLookup lookup; /* for a stream that the caller takes up again */
+  OriginLookup lookup;     /* for a stream that the caller takes up again */
+  LoopTimer versions_wait; /* until it is known which versions were listed lately */
   int64_t arrived;
   int64_t deadline;         /* deadline of the whole answer */
   int64_t first_deadline;   /* deadline of the first byte of the answer */
--- a/node/reqorigin.c
+++ b/node/reqorigin.c
@@ -10,6 +10,7 @@
 /* A caller that comes back when all links were reset finds none; they are up again after a few
  * hundred milliseconds. */
 #define LINK_WAIT_DIVISOR 2 /* at most this part of the time for which the caller waits */
+#define VERSIONS_CHECK    (20 * FT_MS) /* between two looks at which versions were listed lately */
 #define RETURN_TIME       (2 * FT_SECOND) /* for a caller to come back after its attempt has ended */
 #define LIST_AGE_MAX      (3 * FT_SECOND) /* of a list that shows a single version */
 
@@ -67,6 +68,33 @@
   return origdir_only_version (conf->origins, service);
 }
 
+static void settle (Req *req, const Origin *origin);
+
+static void
+on_versions_wait (LoopTimer *timer)
+{
+  settle ((Req *) ((char *) timer - offsetof (Req, versions_wait)), NULL);
+}
+
+static int64_t
+link_wait (const Req *req)
+{
+  return (req->first_deadline - req->arrived) / LINK_WAIT_DIVISOR;
+}
+
+/* True if the versions that were listed lately are not known yet, and a voter in charge may still
+ * tell them in time: after a loss of everything the callers are back before there is one. */
+static bool
+await_versions (Req *req)
+{
+  if (origdir_knows_versions (req->requests->conf.origins)
+      || req_now (req) >= req->arrived + link_wait (req))
+    return false;
+  req->versions_wait.fire = on_versions_wait;
+  loop_timer_set (req->requests->conf.loop, &req->versions_wait, req_now (req) + VERSIONS_CHECK);
+  return true;
+}
+
 /* origin NULL: nobody knows the stream. */
 static void
 settle (Req *req, const Origin *origin)
@@ -74,6 +102,8 @@
   const char *service = origin ? find_target (req->route, origin->service) : req->service;
   const char *version = origin ? origin->version : only_version (req, service);
 
+  if (origin == NULL && version == NULL && await_versions (req))
+    return;
   jlog (JLOG_INFO, "origin", req->id, JL_TEXT ("resumes", req->facts.resumes),
         JL_INT ("known", origin != NULL), JL_TEXT ("service", service),
         JL_TEXT ("software", version), JL_MS ("waited_ms", req_now (req) - req->arrived));
@@ -123,10 +153,10 @@
       settle (req, origin);
       return;
     }
-  int64_t link_wait = (req->first_deadline - req_now (req)) / LINK_WAIT_DIVISOR;
-  if (origdir_ask (dir, &req->lookup, stream, link_wait, on_found) > 0)
+  int64_t wait = (req->first_deadline - req_now (req)) / LINK_WAIT_DIVISOR;
+  if (origdir_ask (dir, &req->lookup, stream, wait, on_found) > 0)
     loop_timer_set (req->requests->conf.loop, &req->lookup.timer,
-                    req_now (req) + MIN (link_wait, ANSWER_WAIT));
+                    req_now (req) + MIN (wait, ANSWER_WAIT));
   else if (only_version (req, req->service))
     {
       origdir_cancel (&req->lookup);
--- a/test/joined.c
+++ b/test/joined.c
@@ -166,6 +166,33 @@
   fleet_free (fleet);
 }
 
+/* Guards against refusing streams that come back after a loss of everything before there is a voter
+ * in charge again, which tells that there was one version all the time. */
+static void
+back_before_the_election (void)
+{
+  Fleet *fleet = new_fleet (FLEET_SERVERS);
+  Answer stream, again;
+  unsigned last_event;
+
+  begin_stream (fleet, "s", &stream);
+  kill_entries (fleet, &stream, &last_event);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  fleet_start (fleet, &fleet->voters[0], false);
+  start_entries (fleet);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "again", last_event, "s", "body", &again);
+  fleet_run_for (fleet, 300 * FT_MS);
+  for (unsigned i = 1; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  fleet_run_until (fleet, is_done, &again, "the stream that was taken up");
+  g_assert_cmpuint (again.status, ==, 200);
+  g_assert_cmpuint (last_event + count_events (again.body->str), ==, STREAM_EVENTS);
+  fleet_answer_clear (&again);
+  fleet_answer_clear (&stream);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -179,5 +206,6 @@
       g_test_add_data_func (path, &cases[i], one_version);
     }
   g_test_add_func ("/joined/voters_gone", voters_gone);
+  g_test_add_func ("/joined/back_before_the_election", back_before_the_election);
   return g_test_run ();
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -144,6 +144,7 @@
 try "listed: a snapshot lacks the table" src/state.c 's/listed_restore \(state->listed, \&in->listed\)/(void) in/' test-listed &
 try "listed: a successor begins anew" node/listing.c 's/^  for \(unsigned i = 0; i < listing->table.services.services_len; i\+\+\)$/  for (unsigned i = 0; false; i++)/' test-joined &
 try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-joined &
+try "listed: callers are refused before the election" node/reqorigin.c 's/^  if \(origin == NULL && version == NULL && await_versions \(req\)\)$/  if (false \&\& await_versions (req))/' test-joined &
 # A scheduler that takes over.
 try "takeover: reports are not awaited" src/rollplan.c 's/ \&\& input->unreported == 0//' test-rollout &
 try "takeover: reports are not awaited past the limit" src/rollplan.c 's/ \&\& \(input->unreported == 0 \|\| input->charge_us >= REPORT_WAIT\)//' test-rollout &
