An instance that starts takes over the version in use

What operators see: servers of a version stand ready for an order and are more than those in use. All instances are restarted; from then on the new version gets every request, and an order for it finds it in use and moves at once, without a trial.

Cause: where no order was ever given, each scheduler puts the version of most servers of its first list in use.

Change: the table of listed versions in the log has the one in use first, and MESH_LISTED says which it is. A voter that is not in charge, or just was put in charge, and entries take it over, unless a version was ordered or only others are listed.

--- a/node/broker.c
+++ b/node/broker.c
@@ -472,6 +472,18 @@
   sched_set_versions (broker->sched, service, versions);
 }
 
+void
+broker_set_in_use (Broker *broker, const char *service, const char *version)
+{
+  sched_set_in_use (broker->sched, service, version);
+}
+
+const char *
+broker_get_in_use (const Broker *broker, const char *service)
+{
+  return sched_get_in_use (broker->sched, service);
+}
+
 void
 broker_set_judged_callback (Broker *broker, void (*judged) (void *host, const SchedVerdict *judged),
                             void *host)
--- a/node/control.c
+++ b/node/control.c
@@ -586,7 +586,7 @@
     return FT_IO;
   control->relays = relays_new (control->loop, control->mesh);
   control->origins = origdir_new (control->loop, control->mesh, ORIGINS_MAX);
-  control->listing = listing_new (control->loop, control->mesh, control->voter,
+  control->listing = listing_new (control->loop, control->mesh, control->voter, control->broker,
                                   origdir_origins (control->origins));
   control->greet = greet_new (control->loop, control->mesh, s->ip, s->data_folder);
   OperatorsConf conf = { control->loop,     control->adapter_ops, control->voter,
--- a/node/entry.c
+++ b/node/entry.c
@@ -296,6 +296,18 @@
   peer->user = GUINT_TO_POINTER (servers_digest (entry->servers));
 }
 
+/* While this entry schedules itself, it uses the same versions as the last leader. */
+static void
+use_leader_versions (Entry *entry, const MeshListed *from)
+{
+  for (unsigned i = 0; i < from->versions.versions_len; i++)
+    {
+      const MeshListedVersion *version = &from->versions.versions_val[i];
+      if (version->in_use)
+        broker_set_in_use (place_own_broker (entry->place), version->service, version->software);
+    }
+}
+
 static void
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
@@ -326,6 +338,11 @@
       if (peer->dialled)
         egress_set_relays (entry->egress, &msg->MeshMsg_u.relays);
       break;
+    case MESH_LISTED:
+      origdir_message (entry->origins, peer, msg);
+      if (peer->dialled && peer->role == MESH_VOTER)
+        use_leader_versions (entry, &msg->MeshMsg_u.listed);
+      break;
     case MESH_ROLLOUTS:
       versions_update (entry->versions, &msg->MeshMsg_u.rollouts);
       break;
--- a/node/listing.c
+++ b/node/listing.c
@@ -22,6 +22,7 @@
   Loop *loop;
   Mesh *mesh;
   Voter *voter;
+  Broker *broker;
   Origins *origins;
   MsgListedTable table; /* the committed one */
   bool taken_over;      /* the committed table was taken into origins since this voter leads */
@@ -33,13 +34,28 @@
 
 /* ---- Messages to entries ---- */
 
+static bool
+is_in_use (const Listing *listing, const char *service, const char *version)
+{
+  return strcmp (broker_get_in_use (listing->broker, service), version) == 0;
+}
+
+typedef struct
+{
+  const Listing *listing;
+  GArray *versions; /* MeshListedVersion */
+} Packing;
+
 static void
 add_version (const char *service, const char *version, int64_t age, void *data)
 {
-  GArray *versions = data;
-  MeshListedVersion one = { (char *) service, (char *) version, (u_int) (age / FT_MS) };
+  Packing *packing = data;
+  MeshListedVersion one = { .service = (char *) service,
+                            .software = (char *) version,
+                            .age_ms = (u_int) (age / FT_MS),
+                            .in_use = is_in_use (packing->listing, service, version) };
 
-  g_array_append_val (versions, one);
+  g_array_append_val (packing->versions, one);
 }
 
 static GBytes *
@@ -47,9 +63,10 @@
 {
   const Listing *listing = host;
   GArray *versions = g_array_new (FALSE, FALSE, sizeof (MeshListedVersion));
+  Packing packing = { listing, versions };
   MeshMsg msg = { .kind = MESH_LISTED };
 
-  origins_for_each_listed (listing->origins, add_version, versions);
+  origins_for_each_listed (listing->origins, add_version, &packing);
   msg.MeshMsg_u.listed.versions.versions_val = (MeshListedVersion *) (void *) versions->data;
   msg.MeshMsg_u.listed.versions.versions_len = MIN (versions->len, MESH_LISTED_MAX);
   GBytes *packed = mesh_pack (&msg);
@@ -70,6 +87,19 @@
 
 /* ---- The log ---- */
 
+/* A scheduler that has just started would put the version of most listed servers in use, which may
+ * be one that stands ready for an order. */
+static void
+use_committed_versions (Listing *listing)
+{
+  for (unsigned i = 0; i < listing->table.services.services_len; i++)
+    {
+      const MsgListedService *listed = &listing->table.services.services_val[i];
+      if (listed->versions.versions_len > 0)
+        broker_set_in_use (listing->broker, listed->service, listed->versions.versions_val[0]);
+    }
+}
+
 void
 listing_committed (Listing *listing)
 {
@@ -84,6 +114,8 @@
   if (codec_unpack (CODEC (MsgListedTable), data, size, &listing->table, NULL) != FT_OK)
     g_error ("cannot unpack the committed table of listed versions");
   g_bytes_unref (bytes);
+  if (!listing->taken_over)
+    use_committed_versions (listing);
 }
 
 /* A voter of an older program cannot apply the operation, and proposes none while it leads. */
@@ -106,11 +138,17 @@
   MsgServerName versions[FT_LISTED_VERSIONS_MAX];
 } Wanted;
 
-/* Collects the versions of each service; data: Wanted by service name. */
+typedef struct
+{
+  const Listing *listing;
+  GHashTable *services; /* name -> Wanted */
+} Collection;
+
 static void
 collect_version (const char *service, const char *version, int64_t age, void *data)
 {
-  GHashTable *services = data;
+  const Collection *collection = data;
+  GHashTable *services = collection->services;
   Wanted *wanted = g_hash_table_lookup (services, service);
 
   (void) age;
@@ -121,8 +159,15 @@
       g_hash_table_insert (services, (char *) service, wanted);
     }
   /* More versions than fit are several all the same. */
-  if (wanted->listed.versions.versions_len < FT_LISTED_VERSIONS_MAX)
-    wanted->versions[wanted->listed.versions.versions_len++] = (char *) version;
+  u_int *count = &wanted->listed.versions.versions_len;
+  if (*count == FT_LISTED_VERSIONS_MAX)
+    return;
+  wanted->versions[(*count)++] = (char *) version;
+  if (is_in_use (collection->listing, service, version))
+    {
+      wanted->versions[*count - 1] = wanted->versions[0];
+      wanted->versions[0] = (char *) version;
+    }
 }
 
 static bool
@@ -145,7 +190,8 @@
       for (unsigned j = 0; j < wanted->versions.versions_len; j++)
         if (!contains (known, wanted->versions.versions_val[j]))
           return false;
-      return known->versions.versions_len == wanted->versions.versions_len;
+      return known->versions.versions_len == wanted->versions.versions_len
+             && strcmp (known->versions.versions_val[0], wanted->versions.versions_val[0]) == 0;
     }
   return false;
 }
@@ -171,10 +217,11 @@
 propose_change (Listing *listing, int64_t now)
 {
   GHashTable *services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  Collection collection = { listing, services };
   GHashTableIter iter;
   gpointer value;
 
-  origins_for_each_listed (listing->origins, collect_version, services);
+  origins_for_each_listed (listing->origins, collect_version, &collection);
   g_hash_table_iter_init (&iter, services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -249,13 +296,14 @@
 /* ---- Interface ---- */
 
 Listing *
-listing_new (Loop *loop, Mesh *mesh, Voter *voter, Origins *origins)
+listing_new (Loop *loop, Mesh *mesh, Voter *voter, Broker *broker, Origins *origins)
 {
   Listing *listing = g_new0 (Listing, 1);
 
   listing->loop = loop;
   listing->mesh = mesh;
   listing->voter = voter;
+  listing->broker = broker;
   listing->origins = origins;
   listing->broadcast = bcast_new (pack_for_entries, listing);
   return listing;
--- a/node/listing.h
+++ b/node/listing.h
@@ -3,13 +3,14 @@
 #ifndef LISTING_H
 #define LISTING_H
 
+#include "broker.h"
 #include "origdir.h"
 #include "voter.h"
 
 typedef struct Listing Listing;
 
 /* The arguments must outlive the object. */
-Listing *listing_new (Loop *loop, Mesh *mesh, Voter *voter, Origins *origins);
+Listing *listing_new (Loop *loop, Mesh *mesh, Voter *voter, Broker *broker, Origins *origins);
 void listing_free (Listing *listing);
 /* The link to a peer has been established or is about to close. */
 void listing_up (Listing *listing, MeshPeer *peer);
--- a/src/meshmsg.h
+++ b/src/meshmsg.h
@@ -348,6 +348,7 @@
 	char *service;
 	char *software;
 	u_int age_ms;
+	bool_t in_use;
 };
 typedef struct MeshListedVersion MeshListedVersion;
 
--- a/src/meshmsg.x
+++ b/src/meshmsg.x
@@ -303,6 +303,7 @@
   string service<MESH_NAME_MAX>;
   string software<MESH_NAME_MAX>; /* version */
   unsigned int age_ms;            /* since it was listed last */
+  bool in_use;                    /* gets requests without an order */
 };
 
 /* From the leader to entries: all versions whose servers were listed within the last minute. */
--- a/src/meshmsg_xdr.c
+++ b/src/meshmsg_xdr.c
@@ -932,6 +932,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->in_use))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/msg.x
+++ b/src/msg.x
@@ -145,7 +145,7 @@
 /* The versions whose servers may have begun a stream of the service that still goes on. */
 struct MsgListedService {
   MsgServerName service;
-  MsgServerName versions<FT_LISTED_VERSIONS_MAX>;
+  MsgServerName versions<FT_LISTED_VERSIONS_MAX>; /* the one in use at the leader comes first */
 };
 
 struct MsgListedTable {
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -453,6 +453,8 @@
 void ver_clear (Versions *versions);
 /* Recomputes which servers get requests, after a change of the server list or of the versions. */
 void ver_assign (const Sched *sched, Service *service);
+/* Puts the version in use, see sched_set_in_use. */
+void ver_set_in_use (const Sched *sched, Service *service, const char *version);
 /* True if servers of this version may run the job. */
 bool ver_permits (const Job *job, const Server *server);
 /* True if the job is bound to a version that is not in use, whose servers get nothing else. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -167,6 +167,20 @@
   service->summary.until = 0;
 }
 
+void
+sched_set_in_use (Sched *sched, const char *name, const char *version)
+{
+  ver_set_in_use (sched, get_service (sched, name), version);
+}
+
+const char *
+sched_get_in_use (const Sched *sched, const char *name)
+{
+  const Service *service = g_hash_table_lookup (sched->services, name);
+
+  return service ? service->versions.in_use : "";
+}
+
 void
 sched_set_all_versions (Sched *sched, bool on)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -176,6 +176,11 @@
 } SchedVersions;
 
 void sched_set_versions (Sched *sched, const char *service, const SchedVersions *versions);
+/* Sets the version in use at another scheduler, which has watched the lists for longer. Ignored for
+ * a service with an ordered version, and while only other versions are listed. */
+void sched_set_in_use (Sched *sched, const char *service, const char *version);
+/* The version in use; "": none yet. Valid until the next call. */
+const char *sched_get_in_use (const Sched *sched, const char *service);
 /* Takes servers of all versions into use, except of services with an ordered version. Default: off.
  */
 void sched_set_all_versions (Sched *sched, bool on);
--- a/src/versions.c
+++ b/src/versions.c
@@ -115,6 +115,18 @@
   return NULL;
 }
 
+static void
+change_in_use (const Sched *sched, Service *service, const char *version)
+{
+  Versions *versions = &service->versions;
+  char *copy = g_strdup (version);
+
+  if (sched->ops->version_changed)
+    sched->ops->version_changed (sched->host, service->name, versions->in_use, copy);
+  g_free (versions->in_use);
+  versions->in_use = copy;
+}
+
 /* Keeps the version in use as long as a server of it is listed. The list may show servers of a
  * version that nobody ordered, or whose order has not arrived yet. If these got requests, a bad
  * version could reach hundreds of callers. */
@@ -128,13 +140,8 @@
   const char *next = most_listed_version (service);
   if (next == NULL && versions->follows)
     next = listed_other (service);
-  if (next == NULL)
-    return;
-  char *copy = g_strdup (next);
-  if (sched->ops->version_changed)
-    sched->ops->version_changed (sched->host, service->name, versions->in_use, copy);
-  g_free (versions->in_use);
-  versions->in_use = copy;
+  if (next)
+    change_in_use (sched, service, next);
 }
 
 void
@@ -155,6 +162,18 @@
   }
 }
 
+void
+ver_set_in_use (const Sched *sched, Service *service, const char *version)
+{
+  const Versions *versions = &service->versions;
+
+  if (*versions->ordered || strcmp (versions->in_use, version) == 0
+      || (most_listed_version (service) && !is_listed (service, version)))
+    return;
+  change_in_use (sched, service, version);
+  ver_assign (sched, service);
+}
+
 /* ---- Streams that go on ---- */
 
 bool
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -146,6 +146,8 @@
 try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-joined &
 try "listed: callers are refused before the election" node/reqorigin.c 's/^  if \(origin == NULL && version == NULL && await_versions \(req\)\)$/  if (false \&\& await_versions (req))/' test-joined &
 # A scheduler that takes over.
+try "takeover: the version of most servers is in use" node/listing.c 's/^    use_committed_versions \(listing\);/    (void) use_committed_versions;/' test-rolls &
+try "takeover: another version is in use at entries" src/versions.c 's/^  if \(\*versions->ordered \|\| strcmp.*/  if (true || *versions->ordered/' test-rollout &
 try "takeover: reports are not awaited" src/rollplan.c 's/ \&\& input->unreported == 0//' test-rollout &
 try "takeover: reports are not awaited past the limit" src/rollplan.c 's/ \&\& \(input->unreported == 0 \|\| input->charge_us >= REPORT_WAIT\)//' test-rollout &
 try "takeover: entries get no time to link" src/rollplan.c 's/input->charge_us >= time/true/' test-rollout &
--- a/test/origdir.c
+++ b/test/origdir.c
@@ -368,7 +368,7 @@
 versions_are_told (void)
 {
   char service[] = SERVICE, old[] = "v1", new[] = "v2";
-  MeshListedVersion versions[] = { { service, new, 0 }, { service, old, 70000 } };
+  MeshListedVersion versions[] = { { service, new, 0, false }, { service, old, 70000, false } };
   MeshMsg msg = { .kind = MESH_LISTED };
 
   start (1);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -801,6 +801,31 @@
   sched_fixture_free (fixture);
 }
 
+/* Guards against a scheduler that starts with the version of most servers although another one is
+ * in use elsewhere, and against one that follows others into a version without servers or an order.
+ */
+static void
+version_in_use_is_taken_over (void)
+{
+  SchedFixture *fixture = sched_fixture_new (0);
+
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "none"), ==, "");
+  sched_set_in_use (fixture->sched, "s", "v1");
+  list_servers (fixture, 1 | 4 | 8);
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v1");
+  run_requests (fixture, 20, 20 * FT_MS);
+  g_assert_cmpuint (granted_target (fixture), ==, 0);
+  sched_set_in_use (fixture->sched, "s", "v3");
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v1");
+  sched_set_in_use (fixture->sched, "s", "v2");
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v2");
+  sched_set_versions (fixture->sched, "s",
+                      &(SchedVersions){ "v2", "v1", "v2", 0, 0, false, true, false });
+  sched_set_in_use (fixture->sched, "s", "v1");
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v2");
+  sched_fixture_free (fixture);
+}
+
 /* Guards against losing requests that run on servers which the list has not shown yet: entries
  * report them to a voter that has just started. */
 static void
@@ -1080,6 +1105,7 @@
   g_test_add_func ("/versions/cut_off", reconnected_entry_follows);
   g_test_add_func ("/versions/slow", slow_answers_are_bad);
   g_test_add_func ("/versions/unknown", unknown_latency_is_no_evidence);
+  g_test_add_func ("/versions/taken_over", version_in_use_is_taken_over);
   g_test_add_func ("/versions/unlisted", unlisted_server_keeps_its_requests);
   g_test_add_func ("/versions/long_route", long_route_is_not_slow);
   g_test_add_func ("/versions/busy", busy_machine_is_not_blamed);
--- a/test/rolls.c
+++ b/test/rolls.c
@@ -258,6 +258,43 @@
   fleet_free (fleet);
 }
 
+/* Guards against instances that start while servers of another version stand ready for an order,
+ * and are more than those in use: they put the version of most servers in use. */
+static void
+unordered_version_after_restart (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  prepare_target_servers (fleet);
+  fleet->servers[1].listed = false;
+  g_strlcpy (fleet->servers[1].version, "v2", sizeof fleet->servers[1].version);
+  fleet_start_all (fleet);
+  fleet_run_for (fleet, FT_SECOND); /* the list is read */
+  for (unsigned i = 1; i < FLEET_SERVERS; i++)
+    fleet->servers[i].listed = true;
+  fleet_run_for (fleet, 1500 * FT_MS);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_kill (&fleet->entries[i]);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    fleet_start (fleet, &fleet->entries[i], false);
+  for (unsigned i = 0; i < FLEET_ENTRIES; i++)
+    while (!fleet_is_ready (fleet, &fleet->entries[i]))
+      fleet_run_for (fleet, 20 * FT_MS);
+  Load *load = start_load (fleet);
+  fleet_run_for (fleet, 2 * FT_SECOND);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_kill (&fleet->voters[i]);
+  fleet_run_for (fleet, FT_SECOND); /* entries schedule without voters */
+  stop_load (load);
+  g_assert_cmpuint (requests_received (fleet, 2) + fleet->servers[1].arrived, ==, 0);
+  g_assert_cmpuint (fleet->servers[0].arrived, >, 0);
+  fleet_free (fleet);
+}
+
 /* An operator orders a good version. It gets a few requests on trial, then all. The roll-out
  * completes only when the old servers run nothing, because these stop at once then: no caller loses
  * an answer, and they get no more requests. */
@@ -587,6 +624,7 @@
   signal (SIGPIPE, SIG_IGN);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rolls/unordered", unordered_version_gets_nothing);
+  g_test_add_func ("/rolls/unordered_after_restart", unordered_version_after_restart);
   g_test_add_func ("/rolls/sound", good_version_completes);
   g_test_add_func ("/rolls/bad", bad_version_is_rolled_back);
   g_test_add_func ("/rolls/slow", slow_version_is_rolled_back);
