A version whose servers all leave is not in use while another one has live servers

Cause: the version in use was kept while a server of it is listed, and a server that leaves is listed until it has gone. The lines version-in-use show it: v1 from the start to 15.35 s, though its servers left from 10 s on.

Change: a version is kept while it has a live server, or no other has one; the next one is that of most live servers. A version that was rolled back or is on trial is still left out.

Measured: /versions/leaving failed before (v1 instead of v2).

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -177,7 +177,7 @@
 
 void sched_set_versions (Sched *sched, const char *service, const SchedVersions *versions);
 /* Sets the version in use at another scheduler, which has watched the lists for longer. Ignored for
- * a service with an ordered version, and while only other versions are listed. */
+ * a service with an ordered version, and while only other versions have live servers. */
 void sched_set_in_use (Sched *sched, const char *service, const char *version);
 /* The version in use; "": none yet. Valid until the next call. */
 const char *sched_get_in_use (const Sched *sched, const char *service);
--- a/src/versions.c
+++ b/src/versions.c
@@ -61,24 +61,31 @@
   return *versions->other && strcmp (versions->other, version) == 0;
 }
 
+/* A leaving server is listed until it has gone, but gets nothing new. */
 static bool
-is_listed (const Service *service, const char *version)
+is_live (const Server *server)
+{
+  return server->listed && !server->leaving;
+}
+
+static bool
+has_live_server (const Service *service, const char *version)
 {
   const Server *server;
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->listed && strcmp (server->version, version) == 0)
+    if (is_live (server) && strcmp (server->version, version) == 0)
       return true;
   }
   return false;
 }
 
-/* The version of most listed servers, except the other one. Of two equally frequent versions the
- * lower name is taken, which is the older one where names count up. Runs in one pass, since a list
- * may hold thousands of servers. */
+/* The version of most live servers, except the other one; NULL: there is none. Of two equally
+ * frequent versions the lower name is taken, which is the older one where names count up. Runs in
+ * one pass, since a list may hold thousands of servers. */
 static const char *
-most_listed_version (const Service *service)
+most_live_version (const Service *service)
 {
   GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
   const Server *server, *best = NULL;
@@ -86,7 +93,7 @@
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (!server->listed || is_other (&service->versions, server->version))
+    if (!is_live (server) || is_other (&service->versions, server->version))
       continue;
     unsigned count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, server->version)) + 1;
     g_hash_table_insert (counts, server->version, GUINT_TO_POINTER (count));
@@ -101,15 +108,15 @@
   return best ? best->version : NULL;
 }
 
-/* The other version if a server of it is listed; otherwise NULL. */
+/* The other version if it has a live server; otherwise NULL. */
 static const char *
-listed_other (const Service *service)
+live_other (const Service *service)
 {
   const Server *server;
 
   cds_list_for_each_entry (server, &service->servers, link)
   {
-    if (server->listed && is_other (&service->versions, server->version))
+    if (is_live (server) && is_other (&service->versions, server->version))
       return server->version;
   }
   return NULL;
@@ -127,19 +134,19 @@
   versions->in_use = copy;
 }
 
-/* Keeps the version in use as long as a server of it is listed. The list may show servers of a
- * version that nobody ordered, or whose order has not arrived yet. If these got requests, a bad
- * version could reach hundreds of callers. */
+/* Keeps the version in use as long as it has a live server, or no other has one. The list may show
+ * servers of a version that nobody ordered, or whose order has not arrived yet. If these got
+ * requests, a bad version could reach hundreds of callers. */
 static void
 choose_in_use (const Sched *sched, Service *service)
 {
   Versions *versions = &service->versions;
 
-  if (*versions->in_use && is_listed (service, versions->in_use))
+  if (*versions->in_use && has_live_server (service, versions->in_use))
     return;
-  const char *next = most_listed_version (service);
+  const char *next = most_live_version (service);
   if (next == NULL && versions->follows)
-    next = listed_other (service);
+    next = live_other (service);
   if (next)
     change_in_use (sched, service, next);
 }
@@ -168,7 +175,7 @@
   const Versions *versions = &service->versions;
 
   if (*versions->ordered || strcmp (versions->in_use, version) == 0
-      || (most_listed_version (service) && !is_listed (service, version)))
+      || (most_live_version (service) && !has_live_server (service, version)))
     return;
   change_in_use (sched, service, version);
   ver_assign (sched, service);
--- a/test/rollout.c
+++ b/test/rollout.c
@@ -826,6 +826,31 @@
   sched_fixture_free (fixture);
 }
 
+/* Guards against refusing all requests while the servers of the version in use leave: they are
+ * listed until they have gone, and those of the next version stand idle. */
+static void
+leaving_version_is_replaced (void)
+{
+  SchedServer list[] = { { "s0", "s", "d", 4, false, 0, "v1" },
+                         { "s1", "s", "d", 4, false, 0, "v1" },
+                         { "s2", "s", "d", 4, false, 0, "v2" } };
+  SchedFixture *fixture = sched_fixture_new (3);
+
+  list[0].leaving = true;
+  sched_set_servers (fixture->sched, list, 3);
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v1");
+  list[1].leaving = true;
+  sched_set_servers (fixture->sched, list, 2);
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v1");
+  sched_set_servers (fixture->sched, list, 3);
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v2");
+  sched_set_in_use (fixture->sched, "s", "v1");
+  g_assert_cmpstr (sched_get_in_use (fixture->sched, "s"), ==, "v2");
+  run_requests (fixture, 5, 20 * FT_MS);
+  g_assert_cmpuint (granted_target (fixture), ==, 5);
+  sched_fixture_free (fixture);
+}
+
 /* Guards against losing requests that run on servers which the list has not shown yet: entries
  * report them to a voter that has just started. */
 static void
@@ -1106,6 +1131,7 @@
   g_test_add_func ("/versions/slow", slow_answers_are_bad);
   g_test_add_func ("/versions/unknown", unknown_latency_is_no_evidence);
   g_test_add_func ("/versions/taken_over", version_in_use_is_taken_over);
+  g_test_add_func ("/versions/leaving", leaving_version_is_replaced);
   g_test_add_func ("/versions/unlisted", unlisted_server_keeps_its_requests);
   g_test_add_func ("/versions/long_route", long_route_is_not_slow);
   g_test_add_func ("/versions/busy", busy_machine_is_not_blamed);
