test: a leader that freezes in a move and takes over once more

Change: /rolls/frozen_leader_hears_entries stops the voter in charge for 1.3 s after the move, resumes it, and kills the one that has replaced it.

--- a/test/rolls.c
+++ b/test/rolls.c
@@ -546,6 +546,28 @@
   fleet_free (fleet);
 }
 
+/* Guards against the same at a leader that freezes, is replaced, resumes, and takes over once more
+ * while streams still run on the previous version. */
+static void
+frozen_leader_hears_entries (void)
+{
+  Load *load;
+  Fleet *fleet = start_move (&load);
+
+  fleet_run_for (fleet, 700 * FT_MS);
+  FleetNode *frozen = fleet_leader (fleet);
+  g_assert_nonnull (frozen);
+  fleet_signal (frozen, SIGSTOP);
+  fleet_run_for (fleet, 1300 * FT_MS);
+  fleet_signal (frozen, SIGCONT);
+  for (unsigned i = 0; i < 3; i++)
+    if (&fleet->voters[i] != frozen && fleet_leader (fleet) == &fleet->voters[i])
+      fleet_kill (&fleet->voters[i]);
+  g_assert_cmpuint (wait_state (fleet, "completed"), ==, 0);
+  g_assert_cmpuint (stop_load (load), ==, 0);
+  fleet_free (fleet);
+}
+
 /* Guards against the same after a loss of all voters: the new ones have never been linked to any
  * entry. */
 static void
@@ -633,6 +655,7 @@
   g_test_add_func ("/rolls/disk_lost", disk_lost_after_order);
   g_test_add_func ("/rolls/orders", orders_are_checked);
   g_test_add_func ("/rolls/successor_hears_entries", successor_hears_entries);
+  g_test_add_func ("/rolls/frozen_leader_hears_entries", frozen_leader_hears_entries);
   g_test_add_func ("/rolls/restarted_voters_hear_entries", restarted_voters_hear_entries);
   g_test_add_func ("/rolls/servers_not_listed_yet", servers_not_listed_yet);
   g_test_add_func ("/rolls/lost_entry_counts_until_the_limit", lost_entry_counts_until_the_limit);
