Logs and metrics: what a return was decided on, ends without framing, dropped and skipped event numbers

`origin` now has how many instances were asked and denied the stream, the age of the list of servers, and how long ago the iteration of the loop before this one began; `end-unframed` is written for each answer without a length or chunks that ended in order with its connection; the end of a request says how many events were dropped, how many numbers were skipped and whether the answer had no framing. Counters: ends_unframed, events_dropped, events_skipped.

--- a/net/loop.c
+++ b/net/loop.c
@@ -28,7 +28,7 @@
   int epoll;
   LoopFd wakeup;
   FtHeap timers;
-  int64_t now;
+  int64_t now, previous; /* start of this iteration, and of the one before */
   bool stopped;
   struct epoll_event events[EVENTS_MAX];
   int event_count;
@@ -112,7 +112,7 @@
   Loop *loop = g_new0 (Loop, 1);
 
   loop->clock.ops = &clock_ops;
-  loop->now = read_clock ();
+  loop->now = loop->previous = read_clock ();
   loop->deferred_frees = g_ptr_array_new_with_free_func (g_free);
   loop->before_wait = g_array_new (FALSE, FALSE, sizeof (Call));
   loop->posted = g_array_new (FALSE, FALSE, sizeof (Call));
@@ -155,6 +155,12 @@
   return loop->now;
 }
 
+int64_t
+loop_previous (const Loop *loop)
+{
+  return loop->previous;
+}
+
 double
 loop_load (const Loop *loop)
 {
@@ -285,6 +291,7 @@
 {
   int64_t start = loop->now;
 
+  loop->previous = start;
   loop->now = loop->work_start = read_clock ();
   update_load (loop, start);
   loop->iteration = (LoopIteration){ .late_us = -1, .longest = "" };
--- a/net/loop.h
+++ b/net/loop.h
@@ -37,6 +37,9 @@
  * suspended. It is read once per iteration. */
 FtClock *loop_clock (Loop *loop);
 int64_t loop_now (Loop *loop);
+/* When the iteration before this one began, on the clock; much earlier than now if the process did
+ * not run. */
+int64_t loop_previous (const Loop *loop);
 
 /* The share of time in which the loop did not wait for events lately, 0 to 1. */
 double loop_load (const Loop *loop);
--- a/node/count.c
+++ b/node/count.c
@@ -10,17 +10,18 @@
 static int64_t sums[TIMED];
 
 static const char *const counter_names[COUNTERS]
-    = { "requests",       "answered",        "refused",
-        "unknown",        "broken_off",      "left",
-        "sends",          "repeats",         "resumes",
-        "unreached",      "silent",          "fall_backs",
-        "catalogues",     "lists",           "list_failures",
-        "grants",         "server_ends",     "quarantined_requests",
-        "server_notices", "grants_returned", "returns_promised",
-        "returns_kept",   "returns_lapsed",  "returns_lost",
-        "fair_queued",    "fair_refused",    "greetings",
-        "handovers",      "held_asks",       "streams_returned",
-        "origins_unknown" };
+    = { "requests",        "answered",        "refused",
+        "unknown",         "broken_off",      "left",
+        "sends",           "repeats",         "resumes",
+        "unreached",       "silent",          "fall_backs",
+        "catalogues",      "lists",           "list_failures",
+        "grants",          "server_ends",     "quarantined_requests",
+        "server_notices",  "grants_returned", "returns_promised",
+        "returns_kept",    "returns_lapsed",  "returns_lost",
+        "fair_queued",     "fair_refused",    "greetings",
+        "handovers",       "held_asks",       "streams_returned",
+        "origins_unknown", "ends_unframed",   "events_dropped",
+        "events_skipped" };
 static const char *const timed_names[TIMED] = { "wait", "first", "whole", "turn", "timer_late" };
 
 void
--- a/node/count.h
+++ b/node/count.h
@@ -38,6 +38,9 @@
   COUNT_HELD_ASKS,        /* asks held until the end of a handover */
   COUNT_STREAMS_RETURNED, /* streams that their callers took up again */
   COUNT_ORIGINS_UNKNOWN,  /* ... and that were refused, since their version is not known */
+  COUNT_ENDS_UNFRAMED,  /* tries whose answer ended in order with its connection, without framing */
+  COUNT_EVENTS_DROPPED, /* events of streams whose number was not above the one before */
+  COUNT_EVENTS_SKIPPED, /* numbers that no event had, between two events of a stream */
   COUNTERS
 } Counter;
 
--- a/node/origdir.c
+++ b/node/origdir.c
@@ -248,7 +248,10 @@
     return;
   msg.MeshMsg_u.origin_ask.stream = lookup->stream;
   if (mesh_send (peer, &msg))
-    lookup->asked[lookup->asked_count++] = peer;
+    {
+      lookup->asked[lookup->asked_count++] = peer;
+      lookup->sent_count++;
+    }
 }
 
 unsigned
@@ -257,7 +260,7 @@
 {
   lookup->dir = dir;
   lookup->stream = stream;
-  lookup->asked_count = lookup->denied_count = 0;
+  lookup->asked_count = lookup->denied_count = lookup->sent_count = 0;
   lookup->done = done;
   lookup->until = loop_now (dir->loop) + wait_us;
   lookup->timer.fire = on_lookup_timer;
--- a/node/origdir.h
+++ b/node/origdir.h
@@ -43,6 +43,7 @@
   uint64_t stream;
   const MeshPeer *asked[ORIGDIR_ASKED_MAX]; /* have not answered yet */
   unsigned asked_count, denied_count;       /* denied: answered that they do not know it */
+  unsigned sent_count;                      /* asked so far */
   int64_t until;
   /* Called once, not from within origdir_ask. origin NULL: nobody reached knows it. */
   void (*done) (OriginLookup *lookup, const Origin *origin);
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -30,6 +30,11 @@
   loop_timer_stop (loop, &req->verdict_wait);
   loop_timer_stop (loop, &req->ask_pause);
   req->requests->open_count--;
+  if (req->stream)
+    {
+      count_add (COUNT_EVENTS_DROPPED, events_dropped (req->stream));
+      count_add (COUNT_EVENTS_SKIPPED, events_skipped (req->stream));
+    }
   events_free (req->stream);
   g_string_free (req->fields, TRUE);
   g_string_free (req->buffered, TRUE);
@@ -69,6 +74,9 @@
         JL_INT ("sends", req->sends), JL_TEXT ("last_try", req->last_event),
         JL_INT ("begun", req->begun), JL_INT ("may_have_run", req->may_have_run),
         JL_INT ("events", req->events),
+        JL_INT ("dropped", req->stream ? events_dropped (req->stream) : 0),
+        JL_INT ("skipped", req->stream ? events_skipped (req->stream) : 0),
+        JL_INT ("unframed", req->close_delimited),
         JL_MS ("first_ms", req->first_at ? req->first_at - req->arrived : -1),
         JL_MS ("aim_ms", req->route ? req->route->target_us : 0),
         JL_MS ("sent_ms", req->sent_at ? req->sent_at - req->arrived : -1),
--- a/node/reqorigin.c
+++ b/node/reqorigin.c
@@ -106,7 +106,10 @@
     return;
   jlog (JLOG_INFO, "origin", req->id, JL_TEXT ("resumes", req->facts.resumes),
         JL_INT ("known", origin != NULL), JL_TEXT ("service", service),
-        JL_TEXT ("software", version), JL_MS ("waited_ms", req_now (req) - req->arrived));
+        JL_TEXT ("software", version), JL_MS ("waited_ms", req_now (req) - req->arrived),
+        JL_INT ("asked", req->lookup.sent_count), JL_INT ("denied", req->lookup.denied_count),
+        JL_MS ("list_age_ms", req_now (req) - servers_asked_at (req->requests->conf.servers)),
+        JL_MS ("turn_ms", req_now (req) - loop_previous (req->requests->conf.loop)));
   if (service == NULL)
     refuse (req, "service-changed");
   else if (version == NULL)
--- a/node/try.c
+++ b/node/try.c
@@ -334,6 +334,13 @@
       return;
     }
   record_first_byte (req);
+  if (req->close_delimited)
+    {
+      count_inc (COUNT_ENDS_UNFRAMED);
+      jlog (JLOG_INFO, "end-unframed", req->id, JL_TEXT ("server", req->server),
+            JL_INT ("status", req->status), JL_INT ("stream", req->is_stream),
+            JL_INT ("events", req->events), JL_INT ("bytes", req->buffered->len));
+    }
   if (req->is_stream && events_has_partial (req->stream))
     {
       if (req->close_delimited)
--- a/src/events.c
+++ b/src/events.c
@@ -19,6 +19,8 @@
   char *last_id;
   uint64_t last_number;
   bool has_number; /* last_id is a number: last_number */
+  unsigned dropped;
+  uint64_t skipped;
 };
 
 Events *
@@ -103,9 +105,12 @@
   bool is_number = end != copy && *end == '\0';
   if (is_number && events->has_number && number <= events->last_number)
     {
+      events->dropped++;
       g_free (copy);
       return false;
     }
+  if (is_number && events->has_number)
+    events->skipped += number - events->last_number - 1;
   events->has_number = is_number;
   events->last_number = number;
   g_free (events->last_id);
@@ -154,6 +159,18 @@
   return events->last_id;
 }
 
+unsigned
+events_dropped (const Events *events)
+{
+  return events->dropped;
+}
+
+uint64_t
+events_skipped (const Events *events)
+{
+  return events->skipped;
+}
+
 bool
 events_has_partial (const Events *events)
 {
--- a/src/events.h
+++ b/src/events.h
@@ -18,6 +18,10 @@
 void events_drop_partial (Events *events);
 /* Id of the last event with an id that was appended; NULL: there was none. */
 const char *events_last_id (const Events *events);
+/* Events that were not appended since their number was not above the one before, so far. */
+unsigned events_dropped (const Events *events);
+/* Numbers that were left out between an event and the one before, summed up so far. */
+uint64_t events_skipped (const Events *events);
 /* Is a partial event buffered? */
 bool events_has_partial (const Events *events);
 
