scheduler: a service that is not configured yet has a stride of 1

Cause: a service that the scheduler knows from the list of servers alone had a stride of 0; health_update divides by it, so the learned time of a token became infinite, and with it the expected time of a prompt. Converting that to an integer saturates on arm64 and wraps to the smallest number on x86-64, where nothing was seen.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -114,6 +114,7 @@
     return service;
   service = g_new0 (Service, 1);
   service->name = g_strdup (name);
+  service->conf.stride = 1; /* until sched_set_service */
   service->weights = sched->fair ? sched->weights : NULL;
   curve_init (&service->curve);
   ver_init (&service->versions);
