Streams begin at a version only once no list without it decides any more

What callers saw: streams of v2 that came back to an entry which had not seen v2 join went on at v1 (200), joined from two versions: 6 of 15 cases of test-outofstep. Cause: an entry that nobody answers, or that finds nobody to ask, goes on where a single version was listed, by a list of up to 3 s of age, while streams begin at a version as soon as the scheduler lists it. What the entry had not seen yet was taken for what did not exist; a denial proves as little.

Change: each scheduler withholds resumable streams from a version until it has been listed beside others for 6 s (src/fresh.c), longer than any list decides; returns, other requests, and a version that is listed alone are not withheld. Found while the bound was proved: the age of a list was counted from when its message was handled, so one that had waited in the socket while the process was suspended looked new, and so did the table of versions that the voter in charge tells. A message counts from when its link was last read empty; the decision reads the clock itself; watched_from is no longer moved across a gap by an old table.

--- a/net/loop.c
+++ b/net/loop.c
@@ -155,6 +155,13 @@
   return loop->now;
 }
 
+int64_t
+loop_read_clock (Loop *loop)
+{
+  (void) loop;
+  return read_clock ();
+}
+
 int64_t
 loop_previous (const Loop *loop)
 {
--- a/net/loop.h
+++ b/net/loop.h
@@ -37,6 +37,8 @@
  * suspended. It is read once per iteration. */
 FtClock *loop_clock (Loop *loop);
 int64_t loop_now (Loop *loop);
+/* Reads the clock itself; loop_now is the start of the iteration. */
+int64_t loop_read_clock (Loop *loop);
 /* When the iteration before this one began, on the clock; much earlier than now if the process did
  * not run. */
 int64_t loop_previous (const Loop *loop);
--- a/net/mesh.c
+++ b/net/mesh.c
@@ -22,10 +22,12 @@
 #define STARTUP_REDIAL      (20 * FT_MS)    /* REDIAL_DELAY within STARTUP_TIME */
 #define STARTUP_CONNECT_MAX (50 * FT_MS)    /* at startup; connecting between domains takes 2 ms */
 #define CONNECT_MAX         (200 * FT_MS)   /* the kernel retransmits a lost SYN only after 1 s */
-#define FRAME_MAX           (16u << 20)
-#define UNSENT_MAX          (32u << 20) /* bounds the memory for a peer that reads nothing */
-#define ADDED_FIELDS_SIZE   12 /* bytes that newer programs have added to one message, at most */
-#define LAST_FRAGMENT       0x80000000u /* bit of a record mark (RFC 5531, section 11) */
+#define READ_PAUSE_MAX                                                                             \
+  (500 * FT_MS) /* both ends send more often; a longer pause is this process's own */
+#define FRAME_MAX         (16u << 20)
+#define UNSENT_MAX        (32u << 20) /* bounds the memory for a peer that reads nothing */
+#define ADDED_FIELDS_SIZE 12 /* bytes that newer programs have added to one message, at most */
+#define LAST_FRAGMENT     0x80000000u /* bit of a record mark (RFC 5531, section 11) */
 
 typedef struct
 {
@@ -276,13 +278,19 @@
   codec_clear (CODEC (MeshMsg), &msg);
 }
 
+int64_t
+mesh_arrived_at (const MeshPeer *peer)
+{
+  int64_t now = loop_now (peer->mesh->loop);
+
+  return now - peer->drained_at > READ_PAUSE_MAX ? peer->drained_at : now;
+}
+
 static void
-on_data (Sock *sock)
+read_messages (Peer *peer, Sock *sock)
 {
-  Peer *peer = sock->owner;
   size_t size;
 
-  peer->base.received_at = loop_now (peer->base.mesh->loop);
   while (!sock->ended)
     {
       const uint8_t *data = sock_peek (sock, &size);
@@ -306,11 +314,22 @@
 }
 
 static void
-on_connected (Sock *sock)
+on_data (Sock *sock)
 {
   Peer *peer = sock->owner;
 
   peer->base.received_at = loop_now (peer->base.mesh->loop);
+  read_messages (peer, sock);
+  if (sock->drained)
+    peer->base.drained_at = loop_now (peer->base.mesh->loop);
+}
+
+static void
+on_connected (Sock *sock)
+{
+  Peer *peer = sock->owner;
+
+  peer->base.received_at = peer->base.drained_at = loop_now (peer->base.mesh->loop);
   send_hello (peer);
 }
 
@@ -330,7 +349,7 @@
 
   peer->base.mesh = mesh;
   peer->base.dialled = dialled;
-  peer->base.received_at = peer->dialled_at = loop_now (mesh->loop);
+  peer->base.received_at = peer->base.drained_at = peer->dialled_at = loop_now (mesh->loop);
   return peer;
 }
 
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -23,6 +23,7 @@
   bool dialled;        /* this instance opened the connection */
   uint64_t document;   /* version of the catalogue in force at the peer */
   int64_t received_at; /* when data was last received */
+  int64_t drained_at;  /* all that was received before then has been read */
   int64_t sent_at;     /* when a message was last sent */
   void *user;
 } MeshPeer;
@@ -60,6 +61,10 @@
 /* Packs a message to send to several peers. Returns NULL if a field exceeds its limit. */
 GBytes *mesh_pack (const MeshMsg *msg);
 bool mesh_send_packed (MeshPeer *peer, GBytes *packed);
+/* The earliest time at which the message that is handled now may have been received: the loop's
+ * time, but after a pause in which this process read nothing, as while it was suspended, that of
+ * its beginning. */
+int64_t mesh_arrived_at (const MeshPeer *peer);
 /* Bytes not yet passed to the kernel, because the peer reads slowly. */
 size_t mesh_unsent (const MeshPeer *peer);
 /* Calls fn for each peer whose hello was received. */
--- a/net/sock.c
+++ b/net/sock.c
@@ -220,6 +220,7 @@
   /* Shared by all connections of the thread, so that idle ones need no read buffer. */
   static __thread uint8_t buffer[READ_SIZE];
 
+  sock->drained = false;
   for (size_t sum = 0; sum < max_bytes; sum += READ_SIZE)
     {
       ssize_t done = recv (sock->fd.fd, buffer, sizeof buffer, MSG_DONTWAIT);
@@ -228,11 +229,17 @@
       if (done < 0 && errno == EINTR)
         continue;
       if (done < 0)
-        return errno == EAGAIN ? 1 : -1;
+        {
+          sock->drained = errno == EAGAIN;
+          return errno == EAGAIN ? 1 : -1;
+        }
       g_byte_array_append (sock->in, buffer, (guint) done);
       *got = true;
       if (done < READ_SIZE)
-        return 1;
+        {
+          sock->drained = true;
+          return 1;
+        }
     }
   return 1;
 }
--- a/net/sock.h
+++ b/net/sock.h
@@ -51,7 +51,8 @@
   size_t *unsent_total;  /* sum of the unsent bytes of all sockets that share it; may be NULL */
   size_t unsent_counted; /* unsent bytes of this socket that are included in *unsent_total */
   bool connecting, ended, paused, all_paused, closing;
-  bool failed; /* a write has failed, and has taken the kernel's report of the reason */
+  bool drained; /* the last read took all that had been received */
+  bool failed;  /* a write has failed, and has taken the kernel's report of the reason */
   SockAddr peer;
 };
 
--- a/node/broker.c
+++ b/node/broker.c
@@ -478,6 +478,12 @@
   sched_set_in_use (broker->sched, service, version);
 }
 
+void
+broker_settle_version (Broker *broker, const char *service, const char *version)
+{
+  sched_settle_version (broker->sched, service, version);
+}
+
 const char *
 broker_get_in_use (const Broker *broker, const char *service)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -100,9 +100,11 @@
 /* Number of linked instances that have told that they ask another scheduler now. */
 unsigned broker_away_count (const Broker *broker);
 
-/* See sched_set_versions, sched_set_in_use, sched_get_in_use and SchedOps.judged. */
+/* See sched_set_versions, sched_set_in_use, sched_settle_version, sched_get_in_use and
+ * SchedOps.judged. */
 void broker_set_versions (Broker *broker, const char *service, const SchedVersions *versions);
 void broker_set_in_use (Broker *broker, const char *service, const char *version);
+void broker_settle_version (Broker *broker, const char *service, const char *version);
 const char *broker_get_in_use (const Broker *broker, const char *service);
 void broker_set_judged_callback (Broker *broker,
                                  void (*judged) (void *host, const SchedVerdict *judged),
--- a/node/control.c
+++ b/node/control.c
@@ -178,7 +178,6 @@
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
   Control *control = host;
-  int64_t now = loop_now (control->loop);
   const MeshView *view = &msg->MeshMsg_u.view;
   GByteArray *bytes;
 
@@ -196,15 +195,17 @@
       apply_view (control, peer, view);
       break;
     case MESH_LIST:
-      on_list_result (control, peer,
-                      servers_apply_message (control->servers, &msg->MeshMsg_u.list, now));
+      on_list_result (
+          control, peer,
+          servers_apply_message (control->servers, &msg->MeshMsg_u.list, mesh_arrived_at (peer)));
       break;
     case MESH_LIST_REQUEST:
       publish_request_list (peer);
       break;
     case MESH_PACKED_LIST:
-      on_list_result (control, peer,
-                      servers_apply_packed (control->servers, &msg->MeshMsg_u.packed, now));
+      on_list_result (
+          control, peer,
+          servers_apply_packed (control->servers, &msg->MeshMsg_u.packed, mesh_arrived_at (peer)));
       break;
     case MESH_ASK:
       if (control->leaving_since)
--- a/node/entry.c
+++ b/node/entry.c
@@ -312,7 +312,6 @@
 on_message (void *host, MeshPeer *peer, const MeshMsg *msg)
 {
   Entry *entry = host;
-  int64_t now = loop_now (entry->loop);
 
   switch (msg->kind)
     {
@@ -327,12 +326,14 @@
         send_whole_list (entry, peer);
       break;
     case MESH_PACKED_LIST:
-      handle_list_result (entry, peer,
-                          servers_apply_packed (entry->servers, &msg->MeshMsg_u.packed, now));
+      handle_list_result (
+          entry, peer,
+          servers_apply_packed (entry->servers, &msg->MeshMsg_u.packed, mesh_arrived_at (peer)));
       break;
     case MESH_LIST:
-      handle_list_result (entry, peer,
-                          servers_apply_message (entry->servers, &msg->MeshMsg_u.list, now));
+      handle_list_result (
+          entry, peer,
+          servers_apply_message (entry->servers, &msg->MeshMsg_u.list, mesh_arrived_at (peer)));
       break;
     case MESH_RELAYS:
       if (peer->dialled)
--- a/node/listing.c
+++ b/node/listing.c
@@ -245,7 +245,17 @@
 
 /* ---- The voter in charge ---- */
 
+static void
+settle_version (const char *service, const char *version, int64_t age, void *data)
+{
+  const Listing *listing = data;
+
+  (void) age;
+  broker_settle_version (listing->broker, service, version);
+}
+
 /* Takes over what the predecessor knew. The log has no ages, so all versions count as listed now.
+ * Without a predecessor no server has been used yet, so those listed now are not new to anyone.
  */
 static void
 take_over (Listing *listing)
@@ -258,10 +268,15 @@
     {
       const MsgListedService *listed = &listing->table.services.services_val[i];
       for (unsigned j = 0; j < listed->versions.versions_len; j++)
-        origins_note_listed (listing->origins, listed->service, listed->versions.versions_val[j],
-                             0);
+        {
+          const char *version = listed->versions.versions_val[j];
+          origins_note_listed (listing->origins, listed->service, version, 0);
+          settle_version (listed->service, version, 0, listing);
+        }
     }
-  origins_set_complete (listing->origins);
+  if (listing->table.services.services_len == 0)
+    origins_for_each_listed (listing->origins, settle_version, listing);
+  origins_set_complete (listing->origins, loop_now (listing->loop));
   listing->taken_over = true;
 }
 
--- a/node/origdir.c
+++ b/node/origdir.c
@@ -59,7 +59,7 @@
       origins_note_listed (dir->origins, server->service, server->version ? server->version : "",
                            0);
     }
-  origins_note_list (dir->origins);
+  origins_note_list (dir->origins, servers_asked_at (servers));
 }
 
 Origins *
@@ -69,15 +69,17 @@
 }
 
 static void
-apply_listed (OriginDir *dir, const MeshListed *from)
+apply_listed (OriginDir *dir, const MeshListed *from, int64_t at)
 {
+  int64_t since = loop_now (dir->loop) - at;
+
   for (unsigned i = 0; i < from->versions.versions_len; i++)
     {
       const MeshListedVersion *version = &from->versions.versions_val[i];
       origins_note_listed (dir->origins, version->service, version->software,
-                           version->age_ms * FT_MS);
+                           since + version->age_ms * FT_MS);
     }
-  origins_set_complete (dir->origins);
+  origins_set_complete (dir->origins, at);
 }
 
 bool
@@ -89,7 +91,7 @@
 const char *
 origdir_only_version (OriginDir *dir, const char *service)
 {
-  return origins_only_version (dir->origins, service);
+  return origins_only_version (dir->origins, service, loop_read_clock (dir->loop));
 }
 
 /* ---- Records ---- */
@@ -373,7 +375,7 @@
       return true;
     case MESH_LISTED:
       if (peer->dialled && peer->role == MESH_VOTER)
-        apply_listed (dir, &msg->MeshMsg_u.listed);
+        apply_listed (dir, &msg->MeshMsg_u.listed, mesh_arrived_at (peer));
       return true;
     case MESH_ORIGIN_REPLY:
       handle_reply (dir, peer, &msg->MeshMsg_u.origin_reply.origin);
--- a/node/reqorigin.c
+++ b/node/reqorigin.c
@@ -12,7 +12,6 @@
 #define LINK_WAIT_DIVISOR 2 /* at most this part of the time for which the caller waits */
 #define VERSIONS_CHECK    (20 * FT_MS) /* between two looks at which versions were listed lately */
 #define RETURN_TIME       (2 * FT_SECOND) /* for a caller to come back after its attempt has ended */
-#define LIST_AGE_MAX      (3 * FT_SECOND) /* of a list that shows a single version */
 
 /* The route's own name of the service; NULL: the route does not lead there any more. */
 static const char *
@@ -56,16 +55,10 @@
   return origins_stream_id (req->org ? req->org->name : NULL, attempt);
 }
 
-/* The version that alone can have begun a stream of the service; NULL: there are several, or the
- * list is so old that another one may have come. */
 static const char *
 only_version (const Req *req, const char *service)
 {
-  const RequestsConf *conf = &req->requests->conf;
-
-  if (req_now (req) - servers_asked_at (conf->servers) > LIST_AGE_MAX)
-    return NULL;
-  return origdir_only_version (conf->origins, service);
+  return origdir_only_version (req->requests->conf.origins, service);
 }
 
 static void settle (Req *req, const Origin *origin);
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -243,7 +243,8 @@
 static bool
 is_usable_for (const Job *job, const Server *server, int64_t now)
 {
-  bool permitted = job->version ? ver_permits (job, server) : server->use == USE_ALL;
+  bool permitted = job->version ? ver_permits (job, server)
+                                : server->use == USE_ALL && !fresh_is_withheld (job, server, now);
 
   return permitted && is_live (server, now);
 }
--- a/src/origins.c
+++ b/src/origins.c
@@ -6,7 +6,8 @@
  *
  * A stream without a record may go on where one version alone can have begun it. An instance that
  * has just started has seen one list, which proves nothing: it must have watched the lists for as
- * long as a stream may last, or have learned the versions from an instance that has.
+ * long as a stream may last, or have learned the versions from an instance that has. A version that
+ * has joined since the newest list has begun no stream yet (fresh.c).
  *
  * Records are kept until the caller's own time is over. They expire in nearly the order in which
  * they were made, so the list is only examined at its head.
@@ -40,7 +41,8 @@
   struct cds_list_head order; /* oldest first */
   GPtrArray *listed;          /* Listed; a few for each service */
   int64_t watched_from;       /* all versions that were listed since then are known */
-  int64_t list_at;            /* when a list was noted last; 0: never */
+  int64_t list_at;            /* when the newest list was asked for; 0: none was noted */
+  int64_t told_at;            /* up to then another instance has told them; 0: never */
 };
 
 uint64_t
@@ -196,32 +198,43 @@
   g_ptr_array_add (origins->listed, listed);
 }
 
-void
-origins_note_list (Origins *origins)
+/* All versions listed between watched_from and then are known. */
+static int64_t
+watched_until (const Origins *origins)
 {
-  int64_t now = ft_clock_now (origins->clock);
+  return MAX (origins->list_at, origins->told_at);
+}
 
-  if (origins->list_at == 0 || now - origins->list_at > LIST_PAUSE_MAX)
-    origins->watched_from = now;
-  origins->list_at = now;
+void
+origins_note_list (Origins *origins, int64_t asked_at)
+{
+  if (asked_at - watched_until (origins) > LIST_PAUSE_MAX || watched_until (origins) == 0)
+    origins->watched_from = asked_at;
+  origins->list_at = MAX (origins->list_at, asked_at);
 }
 
 void
-origins_set_complete (Origins *origins)
+origins_set_complete (Origins *origins, int64_t at)
 {
-  int64_t now = ft_clock_now (origins->clock);
+  if (watched_until (origins) > 0 && origins->watched_from - at > LIST_PAUSE_MAX)
+    return;
+  origins->watched_from = MIN (origins->watched_from, at - ORIGINS_TIME_MAX);
+  origins->told_at = MAX (origins->told_at, at);
+}
+
+static bool
+is_complete_at (const Origins *origins, int64_t now)
+{
+  int64_t until = watched_until (origins);
 
-  origins->watched_from = MIN (origins->watched_from, now - ORIGINS_TIME_MAX);
-  origins->list_at = now;
+  return until > 0 && now - until <= LIST_PAUSE_MAX
+         && now - origins->watched_from >= ORIGINS_TIME_MAX;
 }
 
 bool
 origins_is_complete (const Origins *origins)
 {
-  int64_t now = ft_clock_now (origins->clock);
-
-  return origins->list_at > 0 && now - origins->list_at <= LIST_PAUSE_MAX
-         && now - origins->watched_from >= ORIGINS_TIME_MAX;
+  return is_complete_at (origins, ft_clock_now (origins->clock));
 }
 
 void
@@ -241,11 +254,11 @@
 }
 
 const char *
-origins_only_version (const Origins *origins, const char *service)
+origins_only_version (const Origins *origins, const char *service, int64_t now)
 {
   const Listed *newest = NULL;
 
-  if (!origins_is_complete (origins))
+  if (!is_complete_at (origins, now) || now - origins->list_at > ORIGINS_LIST_AGE_MAX)
     return NULL;
   for (unsigned i = 0; i < origins->listed->len; i++)
     {
--- a/src/origins.h
+++ b/src/origins.h
@@ -34,14 +34,21 @@
 /* Longest time for which a record is kept, and for which a version counts after it was last listed.
  */
 #define ORIGINS_TIME_MAX (60 * FT_SECOND)
+/* Age of the newest list up to which a single version decides. */
+#define ORIGINS_LIST_AGE_MAX (3 * FT_SECOND)
+/* How long schedulers see a version listed beside others before streams that may be resumed begin
+ * at it. Exceeds ORIGINS_LIST_AGE_MAX by what the platform's list lags, and by what a message
+ * between instances may be late before its link counts as lost. */
+#define ORIGINS_JOIN_TIME (6 * FT_SECOND)
 
 /* A server of this version was listed age ago, or its crash has not been noticed yet. */
 void origins_note_listed (Origins *origins, const char *service, const char *version, int64_t age);
-/* A whole list has been noted. Between two lists versions may come and go unseen, so after a pause
- * the watch starts anew. */
-void origins_note_list (Origins *origins);
-/* All versions of the last ORIGINS_TIME_MAX have been noted, as learned from another instance. */
-void origins_set_complete (Origins *origins);
+/* A whole list has been noted, which the platform was asked for at this time. Between two lists
+ * versions may come and go unseen, so after a pause the watch starts anew. */
+void origins_note_list (Origins *origins, int64_t asked_at);
+/* All versions of the ORIGINS_TIME_MAX before this time have been noted, as learned from another
+ * instance. Ignored if that leaves a gap before what was watched here. */
+void origins_set_complete (Origins *origins, int64_t at);
 /* True if all versions of the last ORIGINS_TIME_MAX are known. */
 bool origins_is_complete (const Origins *origins);
 /* Calls fn for each version that was listed within ORIGINS_TIME_MAX. */
@@ -49,8 +56,10 @@
                               void (*fn) (const char *service, const char *version, int64_t age,
                                           void *data),
                               void *data);
-/* The only version that may have begun a stream that is still taken up: no other was listed within
- * ORIGINS_TIME_MAX. NULL: there are several, none was ever listed, or they are not all known. */
-const char *origins_only_version (const Origins *origins, const char *service);
+/* The only version that may have begun a stream that is still taken up at now: no other was listed
+ * within ORIGINS_TIME_MAX. now is the time itself, since that of the clock passed in may be from
+ * before a pause of the process. NULL: there are several, none was ever listed, they are not all
+ * known, or the newest list is older than ORIGINS_LIST_AGE_MAX. */
+const char *origins_only_version (const Origins *origins, const char *service, int64_t now);
 
 #endif
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -1,6 +1,6 @@
 /* schedint.h - records and functions shared by the scheduler's files; private to scheduler.c,
- * waiting.c, admit.c, estimate.c, health.c, pace.c, backoff.c, brittle.c, versions.c and
- * schedview.c. */
+ * waiting.c, admit.c, estimate.c, health.c, pace.c, backoff.c, brittle.c, versions.c, fresh.c
+ * and schedview.c. */
 #ifndef SCHEDINT_H
 #define SCHEDINT_H
 
@@ -107,6 +107,7 @@
   VersionUse use;
   unsigned slots, running, pending; /* pending: runs that have had no first event yet */
   bool listed, leaving;
+  int64_t streams_from; /* resumable streams begin there from then on (fresh.c) */
   /* the server itself announced that it leaves; later server lists do not revoke it */
   bool announced_leaving;
   /* by owner, the backoffs that the server asked for; NULL until the first one */
@@ -207,6 +208,8 @@
 {
   char *name;
   Versions versions;
+  GHashTable *presences; /* of the listed versions (fresh.c) */
+  bool was_listed;       /* a list with servers of it has come */
   SchedServiceConf conf;
   struct cds_list_head servers;
   GPtrArray *tiers; /* Tier, highest first */
@@ -471,6 +474,16 @@
 void ver_note_end (const Sched *sched, Job *job, const SchedResult *result, int64_t now);
 void ver_check_overdue (const Sched *sched, Service *service, int64_t now);
 
+/* ---- Versions that have joined lately (fresh.c) ---- */
+
+GHashTable *fresh_presences_new (void);
+/* Notes which versions of the service are listed. Call with each change of the list. */
+void fresh_note_list (Service *service, int64_t now);
+/* The version joined long ago, if this scheduler's first list has it; see sched_settle_version. */
+void fresh_settle_initial (Service *service, const char *version, int64_t now);
+/* True if the job is a resumable stream and the server's version has just joined. */
+bool fresh_is_withheld (const Job *job, const Server *server, int64_t now);
+
 /* ---- Health of servers (health.c) ---- */
 
 /* Updates the health and the speeds of a server with the result of a request. */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -43,6 +43,7 @@
 
   g_ptr_array_unref (service->tiers);
   ver_clear (&service->versions);
+  g_hash_table_unref (service->presences);
   g_free (service->name);
   g_free (service);
 }
@@ -118,6 +119,7 @@
   service->weights = sched->fair ? sched->weights : NULL;
   curve_init (&service->curve);
   ver_init (&service->versions);
+  service->presences = fresh_presences_new ();
   service->tiers = g_ptr_array_new_with_free_func (wait_tier_free);
   CDS_INIT_LIST_HEAD (&service->servers);
   CDS_INIT_LIST_HEAD (&service->bound);
@@ -182,6 +184,15 @@
   return service ? service->versions.in_use : "";
 }
 
+void
+sched_settle_version (Sched *sched, const char *name, const char *version)
+{
+  Service *service = g_hash_table_lookup (sched->services, name);
+
+  if (service)
+    fresh_settle_initial (service, version, ft_clock_now (sched->clock));
+}
+
 void
 sched_set_all_versions (Sched *sched, bool on)
 {
@@ -650,7 +661,10 @@
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, sched);
   g_hash_table_iter_init (&iter, sched->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ver_assign (sched, value);
+    {
+      fresh_note_list (value, now);
+      ver_assign (sched, value);
+    }
   invalidate_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -181,6 +181,10 @@
 void sched_set_in_use (Sched *sched, const char *service, const char *version);
 /* The version in use; "": none yet. Valid until the next call. */
 const char *sched_get_in_use (const Sched *sched, const char *service);
+/* A version that was in this scheduler's first list has been listed for long, as others know:
+ * resumable streams may begin at its servers. They do at any other version once it has been listed
+ * beside others for ORIGINS_JOIN_TIME. */
+void sched_settle_version (Sched *sched, const char *service, const char *version);
 /* Takes servers of all versions into use, except of services with an ordered version. Default: off.
  */
 void sched_set_all_versions (Sched *sched, bool on);
--- a/test/bound.c
+++ b/test/bound.c
@@ -1,5 +1,6 @@
 /* bound.c - tests of requests that only servers of one software version may run. */
 #include "clock.h"
+#include "origins.h"
 #include "scheduler.h"
 
 #include <string.h>
@@ -90,6 +91,7 @@
   fixture->sched = sched_new (&fixture->clock.base, &ops, fixture);
   sched_set_service (fixture->sched, "s", &(SchedServiceConf){ .engine = true, .stride = 1 });
   list_servers (fixture, olds, news);
+  fixture->clock.now += ORIGINS_JOIN_TIME;
   return fixture;
 }
 
@@ -344,6 +346,75 @@
   fixture_free (fixture);
 }
 
+/* Guards against streams that begin at a version before every instance has a list with it: an
+ * instance that lacks it lets streams go on at the one that it knows. */
+static void
+has_just_joined (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 1, 1);
+  for (unsigned i = 0; i < 2 * SLOTS; i++)
+    g_assert_true (*ask (fixture, i, NULL)->server != 'n');
+  g_assert_cmpstr (ask (fixture, 10, "v2")->server, ==, "n0"); /* it began there already */
+  fixture->clock.now += ORIGINS_JOIN_TIME - 1;
+  const Outcome *last = ask (fixture, 11, NULL);
+  g_assert_true (is_waiting (last));
+  fixture->clock.now++;
+  sched_tick (fixture->sched);
+  g_assert_cmpstr (last->server, ==, "n0");
+  fixture_free (fixture);
+}
+
+/* Guards against withholding streams from a version where no other one has a server. */
+static void
+joined_alone (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 0, 1);
+  g_assert_cmpstr (ask (fixture, 0, NULL)->server, ==, "n0");
+  list_servers (fixture, 1, 1); /* the version before comes back */
+  g_assert_cmpstr (ask (fixture, 1, NULL)->server, !=, "");
+  fixture_free (fixture);
+}
+
+/* Guards against streams that begin at once at a version that is listed again, after it had been
+ * listed too shortly for others to see it. */
+static void
+joins_again (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 1, 1);
+  fixture->clock.now += ORIGINS_JOIN_TIME - 1;
+  list_servers (fixture, 1, 0);
+  fixture->clock.now += FT_SECOND;
+  list_servers (fixture, 1, 1);
+  for (unsigned i = 0; i < 2 * SLOTS; i++)
+    g_assert_true (*ask (fixture, i, NULL)->server != 'n');
+  fixture_free (fixture);
+}
+
+/* Guards against refusing streams for a while after a start, where the log tells that the versions
+ * joined long ago. */
+static void
+settled_at_start (void)
+{
+  Fixture *fixture = fixture_new (0, 0);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 1, 1);
+  sched_settle_version (fixture->sched, "s", "v1");
+  sched_settle_version (fixture->sched, "s", "v2");
+  for (unsigned i = 0; i < 2 * SLOTS; i++)
+    g_assert_cmpstr (ask (fixture, i, NULL)->server, !=, "");
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -374,6 +445,10 @@
   g_test_add_func ("/bound/after_the_move", after_the_move);
   g_test_add_func ("/bound/all_versions", all_versions);
   g_test_add_func ("/bound/all_versions_but_ordered_ones", all_versions_but_ordered_ones);
+  g_test_add_func ("/bound/has_just_joined", has_just_joined);
+  g_test_add_func ("/bound/joined_alone", joined_alone);
+  g_test_add_func ("/bound/joins_again", joins_again);
+  g_test_add_func ("/bound/settled_at_start", settled_at_start);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -130,21 +130,30 @@
 try "origin: records of any organisation" src/origins.c 's/XXH3_64bits \(org \? org : "", org \? strlen \(org\) : 0\)/0 * strlen (org ? org : "")/' test-origdir &
 try "origin: the versions listed before are forgotten" src/origins.c 's/newest->listed_at - listed->listed_at < ORIGINS_TIME_MAX/newest->listed_at == listed->listed_at/' test-origdir &
 try "origin: none is recorded" node/try.c 's/^    req_record_origin \(req\);$/    (void) req;/' test-origins &
-try "origin: one that nobody knows is guessed" node/reqorigin.c 's/return origdir_only_version \(conf->origins, service\);/return origdir_only_version (conf->origins, service) ? origdir_only_version (conf->origins, service) : "v2";/' test-origins &
-try "origin: a list of any age decides" node/reqorigin.c 's/^  if \(req_now \(req\) - servers_asked_at .*/  if (false)/' test-origins &
+try "origin: one that nobody knows is guessed" node/reqorigin.c 's/return origdir_only_version \(req->requests->conf.origins, service\);/return origdir_only_version (req->requests->conf.origins, service) ? origdir_only_version (req->requests->conf.origins, service) : "v2";/' test-origins &
+try "origin: a list of any age decides" src/origins.c 's/ \|\| now - origins->list_at > ORIGINS_LIST_AGE_MAX\)/)/' test-origdir &
+try "origin: the time before a pause decides" node/origdir.c 's/loop_read_clock \(dir->loop\)/loop_now (dir->loop) - 4 * FT_SECOND/' test-origdir &
+try "origin: what waited while suspended is new" node/origdir.c 's/mesh_arrived_at \(peer\)/loop_now (dir->loop)/' test-origdir &
 try "origin: fields that are missing close the link" net/mesh.c 's/^  return valid;$/  return false \&\& valid;/' test-older &
 try "origin: an older scheduler is believed" node/reqask.c 's/^  return req->version \&\& strcmp .*/  return req->version \&\& software == NULL;/' test-origins &
 try "origin: it is not renewed" node/reqorigin.c 's/^        record \(req, origin->stream\);/        ;/' test-origins &
 try "origin: a begun answer goes on anywhere" node/reqask.c 's/^  out.version = req->version;/  out.version = req->begun ? NULL : req->version;/; s/^  return req->version \&\& strcmp/  return !req->begun \&\& req->version \&\& strcmp/' test-origins &
 # Which versions were listed lately.
-try "listed: the first list is proof" src/origins.c 's/^  if \(!origins_is_complete \(origins\)\)$/  if (false)/' test-origdir &
-try "listed: versions may pass unseen" src/origins.c 's/now - origins->list_at > LIST_PAUSE_MAX\)/false)/' test-origdir &
+try "listed: the first list is proof" src/origins.c 's/^  if \(!is_complete_at \(origins, now\) \|\| /  if (/' test-origdir &
+try "listed: versions may pass unseen" src/origins.c 's/asked_at - watched_until \(origins\) > LIST_PAUSE_MAX \|\| //' test-origdir &
 try "listed: anyone is believed" node/origdir.c 's/^      if \(peer->dialled \&\& peer->role == MESH_VOTER\)$/      if (true)/' test-origdir &
 try "listed: the log of an older program is complete" src/state.c 's/^      if \(state->document.number == 0\)$/      if (true)/' test-listed &
 try "listed: a snapshot lacks the table" src/state.c 's/listed_restore \(state->listed, \&in->listed\)/(void) in/' test-listed &
 try "listed: a successor begins anew" node/listing.c 's/^  for \(unsigned i = 0; i < listing->table.services.services_len; i\+\+\)$/  for (unsigned i = 0; false; i++)/' test-joined &
 try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-joined &
 try "listed: callers are refused before the election" node/reqorigin.c 's/^  if \(origin == NULL && version == NULL && await_versions \(req\)\)$/  if (false \&\& await_versions (req))/' test-joined &
+try "listed: what was told before a gap counts" src/origins.c 's/^  if \(watched_until \(origins\) > 0 \&\& .*/  if (false)/' test-origdir &
+# Versions that have just joined.
+try "fresh: streams begin at once" src/fresh.c 's/^  return now < server->streams_from/  return false \&\& now < server->streams_from/' test-bound &
+try "fresh: streams begin at once, out of step" src/fresh.c 's/^  return now < server->streams_from/  return false \&\& now < server->streams_from/' test-outofstep &
+try "fresh: a version alone is withheld" src/fresh.c 's/^  if \(first \&\& alone\)$/  if (false)/' test-bound &
+try "fresh: one that left early has settled" src/fresh.c 's/!has_settled \(presence, presence->absent_from\)/false/' test-bound &
+try "fresh: nothing settles at the start" src/fresh.c 's/!presence->initial/true/' test-bound &
 # A scheduler that takes over.
 try "takeover: the version of most servers is in use" node/listing.c 's/^    use_committed_versions \(listing\);/    (void) use_committed_versions;/' test-rolls &
 try "takeover: another version is in use at entries" src/versions.c 's/^  if \(\*versions->ordered \|\| strcmp.*/  if (true || *versions->ordered/' test-rollout &
--- a/test/origdir.c
+++ b/test/origdir.c
@@ -89,6 +89,29 @@
       fn (&of->ends[i].peer, data);
 }
 
+static int64_t suspended_for; /* since the iteration began */
+
+int64_t
+loop_read_clock (Loop *of)
+{
+  return of->clock.now + suspended_for;
+}
+
+int64_t
+mesh_arrived_at (const MeshPeer *peer)
+{
+  return peer->drained_at ? peer->drained_at : loop.clock.now;
+}
+
+static int64_t list_asked_at;
+
+int64_t
+servers_asked_at (const Servers *servers)
+{
+  (void) servers;
+  return list_asked_at;
+}
+
 unsigned
 servers_count (const Servers *servers)
 {
@@ -311,7 +334,7 @@
       origins_note_listed (origins, SERVICE, version, 0);
       if (other)
         origins_note_listed (origins, SERVICE, other, 0);
-      origins_note_list (origins);
+      origins_note_list (origins, clock->now);
     }
 }
 
@@ -322,18 +345,18 @@
   TestClock clock = test_clock ();
   Origins *origins = origins_new (&clock.base, 10);
 
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   origins_note_listed (origins, "other", "v7", 0);
   watch (origins, &clock, ORIGINS_TIME_MAX + FT_SECOND, "v1", NULL);
-  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v1");
-  g_assert_null (origins_only_version (origins, "none"));
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v1");
+  g_assert_null (origins_only_version (origins, "none", clock.now));
   watch (origins, &clock, FT_SECOND, "v2", NULL);
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   watch (origins, &clock, ORIGINS_TIME_MAX - FT_SECOND, "v1", "v2"); /* v1 is listed until now */
   watch (origins, &clock, ORIGINS_TIME_MAX / 2, "v2", NULL);
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   watch (origins, &clock, ORIGINS_TIME_MAX / 2, "v2", NULL);
-  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v2");
   origins_free (origins);
 }
 
@@ -346,19 +369,19 @@
   Origins *origins = origins_new (&clock.base, 10);
 
   watch (origins, &clock, ORIGINS_TIME_MAX - FT_SECOND, "v2", NULL);
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   watch (origins, &clock, 2 * FT_SECOND, "v2", NULL);
-  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v2");
   clock.now += 6 * FT_SECOND;
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   watch (origins, &clock, FT_SECOND, "v2", NULL);
-  g_assert_null (origins_only_version (origins, SERVICE));
-  origins_set_complete (origins);
-  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
+  origins_set_complete (origins, clock.now);
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v2");
   origins_note_listed (origins, SERVICE, "v1", 50 * FT_SECOND);
-  g_assert_null (origins_only_version (origins, SERVICE));
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
   watch (origins, &clock, 11 * FT_SECOND, "v2", NULL);
-  g_assert_cmpstr (origins_only_version (origins, SERVICE), ==, "v2");
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v2");
   origins_free (origins);
 }
 
@@ -380,11 +403,65 @@
   g_assert_null (origdir_only_version (entry, SERVICE));
   voter->dialled = true;
   g_assert_true (origdir_message (entry, voter, &msg));
+  g_assert_null (origdir_only_version (entry, SERVICE)); /* without a list of its own */
+  list_asked_at = loop.clock.now;
+  origdir_note_list (entry, NULL);
   g_assert_cmpstr (origdir_only_version (entry, SERVICE), ==, "v2");
+  suspended_for = 4 * FT_SECOND;
+  g_assert_null (origdir_only_version (entry, SERVICE)); /* by the clock itself */
+  suspended_for = 0;
   versions[1].age_ms = 30000;
   g_assert_true (origdir_message (entry, voter, &msg));
   g_assert_null (origdir_only_version (entry, SERVICE));
   stop ();
+  list_asked_at = 0;
+}
+
+/* Guards against taking for new what the voter in charge told before this entry was suspended. */
+static void
+versions_were_told (void)
+{
+  char service[] = SERVICE, new[] = "v2";
+  MeshListedVersion version = { service, new, 0, false };
+  MeshMsg msg = { .kind = MESH_LISTED };
+
+  start (1);
+  MeshPeer *voter = &mesh.ends[0].peer;
+  msg.MeshMsg_u.listed.versions.versions_val = &version;
+  msg.MeshMsg_u.listed.versions.versions_len = 1;
+  voter->drained_at = loop.clock.now;
+  pass_time (8 * FT_SECOND);
+  list_asked_at = loop.clock.now;
+  origdir_note_list (entry, NULL);
+  g_assert_true (origdir_message (entry, voter, &msg));
+  g_assert_null (origdir_only_version (entry, SERVICE));
+  stop ();
+  list_asked_at = 0;
+}
+
+/* Guards against believing an old list, and against taking for new what an instance that was
+ * suspended had received before. */
+static void
+old_knowledge (void)
+{
+  TestClock clock = test_clock ();
+  Origins *origins = origins_new (&clock.base, 10);
+
+  watch (origins, &clock, ORIGINS_TIME_MAX + FT_SECOND, "v1", NULL);
+  int64_t before = clock.now;
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, before + ORIGINS_LIST_AGE_MAX), ==,
+                   "v1");
+  g_assert_null (origins_only_version (origins, SERVICE, before + ORIGINS_LIST_AGE_MAX + 1));
+  clock.now += 20 * FT_SECOND;
+  origins_note_list (origins, before + FT_SECOND / 2);
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
+  origins_note_list (origins, clock.now);
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
+  origins_set_complete (origins, before + FT_SECOND);
+  g_assert_null (origins_only_version (origins, SERVICE, clock.now));
+  origins_set_complete (origins, clock.now - FT_SECOND);
+  g_assert_cmpstr (origins_only_version (origins, SERVICE, clock.now), ==, "v1");
+  origins_free (origins);
 }
 
 /* ---- The directory ---- */
@@ -561,6 +638,8 @@
   g_test_add_func ("/origdir/only_version", only_version);
   g_test_add_func ("/origdir/watched_too_short", watched_too_short);
   g_test_add_func ("/origdir/versions_are_told", versions_are_told);
+  g_test_add_func ("/origdir/versions_were_told", versions_were_told);
+  g_test_add_func ("/origins/old_knowledge", old_knowledge);
   g_test_add_func ("/origdir/three_holders", three_holders);
   g_test_add_func ("/origdir/sent_on_new_links", sent_on_new_links);
   g_test_add_func ("/origdir/one_denial", one_denial);
