Ends of connections: an answer without framing is confirmed, or passed on without framing

What callers saw: 200 with Content-Length 0, or with a part of the body, and streams told as complete with none or two of four events, where the server closed an answer without a length or chunks early, in order, and lived on. Cause: try.c took such an end for complete as soon as the server still took a connection; hsrv then framed what had come, so that the caller could not doubt it. A success without its server's receipt was passed on, too.

Change: a success of which no part of the body came counts as broken; a resumable stream is resumed after its last event, and has ended once a server ends it with nothing further (CONFIRMATION_TIMEOUT bounds that); what cannot be confirmed goes to the caller without framing, its connection closed, and reset unless the end is in order; where the caller's answer had begun in chunks it is broken off. A 2xx without a receipt counts as broken.

--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -37,6 +37,7 @@
   ConnState state;
   LoopTimer timer;
   size_t unsent_at_timer; /* unsent bytes when the timer was set */
+  bool unframed;          /* the end of the connection ends the response */
   HCall *call;
 } Conn;
 
@@ -107,6 +108,8 @@
 {
   conn->state = CONN_LINGERING;
   sock_pause (conn->sock, false);
+  if (conn->unframed)
+    sock_set_reset_on_close (conn->sock, false);
   shutdown (conn->sock->fd.fd, SHUT_WR);
   loop_timer_set (conn->srv->loop, &conn->timer, loop_now (conn->srv->loop) + LINGER_US);
 }
@@ -601,17 +604,40 @@
   end_call (conn);
 }
 
+static void
+send_head (Conn *conn, GString *head)
+{
+  hwrite_head_end (head);
+  conn->state = CONN_ANSWERING;
+  sock_write (conn->sock, head->str, head->len);
+  g_string_free (head, TRUE);
+}
+
 void
 hcall_begin (HCall *call, unsigned status, const GString *fields)
 {
-  Conn *conn = call->conn;
   GString *out = start_head (call, status, fields);
 
   hwrite_field (out, "Transfer-Encoding", "chunked");
-  hwrite_head_end (out);
-  conn->state = CONN_ANSWERING;
-  sock_write (conn->sock, out->str, out->len);
-  g_string_free (out, TRUE);
+  send_head (call->conn, out);
+}
+
+void
+hcall_begin_unframed (HCall *call, unsigned status, const GString *fields)
+{
+  Conn *conn = call->conn;
+
+  conn->unframed = true;
+  call->keep_alive = false;
+  /* Otherwise the end of this process would look like that of the response. */
+  sock_set_reset_on_close (conn->sock, true);
+  send_head (conn, start_head (call, status, fields));
+}
+
+bool
+hcall_is_unframed (const HCall *call)
+{
+  return call->conn->unframed;
 }
 
 void
@@ -627,6 +653,12 @@
       shutdown (conn->sock->fd.fd, SHUT_RDWR); /* on_ended then reports that the caller left */
       return;
     }
+  if (conn->unframed)
+    {
+      sock_write (conn->sock, data, size);
+      update_peak (conn->srv);
+      return;
+    }
   out = g_string_sized_new (size + 16);
   hwrite_chunk (out, data, size);
   sock_write (conn->sock, out->str, out->len);
@@ -640,7 +672,7 @@
   Conn *conn = call->conn;
   static const char last[] = "0\r\n\r\n";
 
-  if (!call->no_body)
+  if (!call->no_body && !conn->unframed)
     sock_write (conn->sock, last, sizeof last - 1);
   end_call (conn);
 }
--- a/net/hsrv.h
+++ b/net/hsrv.h
@@ -78,6 +78,11 @@
                   size_t size);
 /* Sends the head of a chunked response, whose length is not yet known. */
 void hcall_begin (HCall *call, unsigned status, const GString *fields);
+/* Sends the head of a response without framing: the end of the connection ends it, in order after
+ * hcall_end, and by a reset in any other case. */
+void hcall_begin_unframed (HCall *call, unsigned status, const GString *fields);
+/* Whether hcall_begin_unframed was called. */
+bool hcall_is_unframed (const HCall *call);
 void hcall_write (HCall *call, const void *data, size_t size);
 /* True if the caller reads more slowly than the response is written: nothing more should be written
  * until the callback drained. */
@@ -87,7 +92,7 @@
 /* Sets how many bytes of the response the owner buffers itself; they count as buffered for the
  * caller. */
 void hcall_set_buffered (HCall *call, size_t size);
-/* Completes a chunked response. */
+/* Completes a response that has begun. */
 void hcall_end (HCall *call);
 /* Resets the connection, so that the caller does not take the response for complete. */
 void hcall_abort (HCall *call);
--- a/node/adapter.h
+++ b/node/adapter.h
@@ -42,9 +42,10 @@
 /* What a server's answer states besides its status. */
 typedef struct
 {
-  const char *id; /* of the answered request; NULL: none */
-  bool not_run;   /* the server states that it did not run the request */
-  bool elsewhere; /* a different server answers at the address of the expected one */
+  const char *id;   /* of the answered request; NULL: none */
+  bool has_receipt; /* its server's receipt, without which a success does not count */
+  bool not_run;     /* the server states that it did not run the request */
+  bool elsewhere;   /* a different server answers at the address of the expected one */
   bool event_stream;
   bool has_load;
   unsigned running, waiting, slots;
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -29,6 +29,7 @@
   loop_timer_stop (loop, &req->silence);
   loop_timer_stop (loop, &req->verdict_wait);
   loop_timer_stop (loop, &req->ask_pause);
+  loop_timer_stop (loop, &req->confirmation);
   req->requests->open_count--;
   if (req->stream)
     {
@@ -138,6 +139,11 @@
 void
 req_break_off (Req *req, const char *why)
 {
+  if (req->confirmation.armed && hcall_is_unframed (req->call))
+    {
+      req_finish (req);
+      return;
+    }
   count_inc (COUNT_BROKEN_OFF);
   req_log_end (req, "break-off", req->status, why);
   hcall_abort (req->call);
@@ -150,7 +156,13 @@
   count_inc (COUNT_ANSWERED);
   count_observe (TIMED_WHOLE, req_now (req) - req->arrived);
   req_log_end (req, "answer", req->status, "");
-  if (req->begun)
+  if (!req->begun && req->close_delimited)
+    {
+      hcall_begin_unframed (req->call, req->status, req->fields);
+      hcall_write (req->call, req->buffered->str, req->buffered->len);
+      hcall_end (req->call);
+    }
+  else if (req->begun)
     hcall_end (req->call);
   else
     hcall_reply (req->call, req->status, req->fields, req->buffered->str, req->buffered->len);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -40,6 +40,7 @@
   LoopTimer silence;        /* fires when the server has sent nothing for too long */
   LoopTimer verdict_wait;   /* armed while the quarantine verdict on its content is awaited */
   LoopTimer ask_pause;      /* armed between a refusal and the next ask of a begun answer */
+  LoopTimer confirmation;   /* armed while it is found out whether a stream has ended */
   bool needs_budget;        /* the next ask, after ask_pause, needs the retry budget */
   bool was_granted; /* a place was granted before: the organisation's limit has been charged */
   /* The tries. */
@@ -168,6 +169,8 @@
 void try_on_silence (LoopTimer *timer);
 /* The check of the server after the end of its connection has a result. */
 void try_on_end_decided (CrashWait *wait, bool crashed);
+/* Timer: nobody has confirmed in time that the stream has ended. */
+void try_on_confirmation_over (LoopTimer *timer);
 /* True while that is awaited; the try has no transfer then. */
 bool try_awaits_end (const Req *req);
 
--- a/node/requests.c
+++ b/node/requests.c
@@ -50,6 +50,7 @@
     case RETRY_OTHER_SERVER:
       return SCHED_GONE;
     case RETRY_ANSWERED:
+    case RETRY_UNCONFIRMED:
       return SCHED_OK;
     default:
       return SCHED_FAILED;
@@ -86,6 +87,7 @@
                        .resumable = req->route->resumable,
                        .begun = req->begun,
                        .is_stream = req->begun_stream,
+                       .unframed = req->begun && hcall_is_unframed (req->call),
                        .may_have_run = req->may_have_run,
                        .sends = req->sends,
                        .most_sends = req->route->attempts,
@@ -189,6 +191,7 @@
   req->silence.fire = try_on_silence;
   req->verdict_wait.fire = req_on_verdict_wait_over;
   req->ask_pause.fire = req_on_ask_pause_over;
+  req->confirmation.fire = try_on_confirmation_over;
   req->end_wait.decided = try_on_end_decided;
   CDS_INIT_LIST_HEAD (&req->end_wait.link);
   req->arrived = req->deadline = hcall_arrival_time (call);
--- a/node/try.c
+++ b/node/try.c
@@ -34,6 +34,8 @@
 #define PREFILL_TIMEOUT_TOKEN_US                                                                   \
   60 /* ... and this for each token of the prompt: the slowest prefill seen */
 #define STREAM_TIMEOUT_MIN (600 * FT_MS)
+/* For another server to say whether a stream has ended; callers wait for the end for longer. */
+#define CONFIRMATION_TIMEOUT (1500 * FT_MS)
 
 /* True unless the answer names another request. */
 static bool
@@ -147,10 +149,12 @@
     }
   bool claims_not_run
       = req->status == 503 || req->status == 429 || req->status == 408 || req->status == 421;
-  if (claims_not_run || (answer.id == NULL && *req->id))
+  bool lacks_receipt = req->status / 100 == 2 && !answer.has_receipt;
+  if (claims_not_run || lacks_receipt || (answer.id == NULL && *req->id))
     {
       /* A status that implies that the request did not run, without the server's statement of
-       * it, or an answer that does not name our request: neither proves anything. */
+       * it, a success without its receipt, or an answer that does not name our request: none of
+       * them proves anything. */
       req_after_try (req, RETRY_BROKEN);
       return true;
     }
@@ -178,7 +182,10 @@
   req->begun_stream = req->is_stream;
   if (req->is_stream)
     req_record_origin (req);
-  hcall_begin (req->call, req->status, req->fields);
+  if (req->close_delimited)
+    hcall_begin_unframed (req->call, req->status, req->fields);
+  else
+    hcall_begin (req->call, req->status, req->fields);
 }
 
 /* Stops reading from the server while the caller does not keep up: unread output of slow callers
@@ -219,6 +226,7 @@
 
   if (count > 0)
     {
+      loop_timer_stop (req->requests->conf.loop, &req->confirmation);
       record_received (req);
       record_first_byte (req);
       if (req->event_at)
@@ -353,6 +361,40 @@
     finish_answer (req);
 }
 
+/* Nothing but the end of its connection says that the answer is whole: a server that gives it up
+ * may end it so, too. A stream may go on at another server, and one that was resumed after its last
+ * event has ended if nothing follows. */
+static void
+finish_unframed (Req *req)
+{
+  bool has_body = req->begun || req->buffered->len > 0;
+
+  if (req->status / 100 == 2 && !has_body)
+    req_after_try (req, RETRY_BROKEN);
+  else if (req->is_stream && req->events > 0 && rt_route_is_repeatable (req->route))
+    {
+      loop_timer_set (req->requests->conf.loop, &req->confirmation,
+                      req_now (req) + CONFIRMATION_TIMEOUT);
+      req_after_try (req, RETRY_UNCONFIRMED);
+    }
+  else if (req->begun && !hcall_is_unframed (req->call))
+    req_after_try (req, RETRY_STREAM_CUT); /* the caller would be told that it is whole */
+  else
+    finish_answer (req);
+}
+
+void
+try_on_confirmation_over (LoopTimer *timer)
+{
+  Req *req = (Req *) ((char *) timer - offsetof (Req, confirmation));
+
+  req_end_try (req, SCHED_LEFT);
+  if (hcall_is_unframed (req->call))
+    req_finish (req);
+  else
+    req_break_off (req, "unconfirmed");
+}
+
 bool
 try_awaits_end (const Req *req)
 {
@@ -365,7 +407,7 @@
   Req *req = (Req *) ((char *) wait - offsetof (Req, end_wait));
 
   if (!crashed)
-    finish_answer (req);
+    finish_unframed (req);
   else
     req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
 }
--- a/src/retry.c
+++ b/src/retry.c
@@ -63,6 +63,16 @@
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
 
+/* A server that is asked to resume the stream knows whether there is more of it. Without one the
+ * caller is shown as much as this instance was: the end of a connection. */
+static RetryStep
+after_unconfirmed_end (const RetryFacts *facts)
+{
+  if (is_repeatable (facts) && may_send_again (facts) && !facts->suspect)
+    return RETRY_RESUME;
+  return facts->unframed ? RETRY_DELIVER : RETRY_ABORT;
+}
+
 /* Only streams can be resumed. When the connection breaks during any other long answer of which the
  * caller has the first part, there is no position to resume from; requesting it again as if it were
  * a stream made the process end. */
@@ -104,6 +114,8 @@
     case RETRY_BROKEN:
     case RETRY_STREAM_CUT:
       return after_break (facts);
+    case RETRY_UNCONFIRMED:
+      return after_unconfirmed_end (facts);
     case RETRY_SILENT:
       return is_repeatable (facts) && may_send_again (facts) ? RETRY_REPLACE : RETRY_WAIT;
     }
@@ -120,8 +132,8 @@
 const char *
 retry_event_name (RetryEvent event)
 {
-  static const char *const names[]
-      = { "unreached", "rejected", "broken", "failure", "answered", "cut", "silent", "gone" };
+  static const char *const names[] = { "unreached", "rejected", "broken", "failure",    "answered",
+                                       "cut",       "silent",   "gone",   "unconfirmed" };
 
   return names[event];
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -14,7 +14,8 @@
   RETRY_ANSWERED,      /* any other complete answer */
   RETRY_STREAM_CUT,    /* a stream broke after its head was sent to the caller */
   RETRY_SILENT,        /* sent; no data for longer than expected */
-  RETRY_OTHER_SERVER   /* another server answered at the address and did not run the request */
+  RETRY_OTHER_SERVER,  /* another server answered at the address and did not run the request */
+  RETRY_UNCONFIRMED    /* a stream without framing ended in order, so it may lack its last events */
 } RetryEvent;
 
 typedef struct
@@ -23,6 +24,7 @@
   bool resumable;      /* streams of the route can be resumed on another server */
   bool begun;          /* the head of the answer was sent to the caller */
   bool is_stream;      /* the begun answer is a stream of events */
+  bool unframed;       /* the caller sees the begun answer end with its connection */
   bool may_have_run;   /* a try was sent and its server did not state that it did not run it */
   unsigned sends;      /* servers to which the request was sent so far */
   unsigned most_sends; /* the route's limit for sends */
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -427,6 +427,7 @@
   answer->status = hmsg_status (msg);
   answer->has_signature = hmsg_field (msg, "X-Foxtailgrade-Server-Signature") != NULL;
   answer->retry_after = hmsg_field (msg, "Retry-After") != NULL;
+  answer->unframed = hmsg_body_until_close (msg);
   g_strlcpy (answer->location, location ? location : "", sizeof answer->location);
   g_strlcpy (answer->connection, connection ? connection : "", sizeof answer->connection);
   return true;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -150,6 +150,7 @@
   char location[128], connection[32];
   bool has_signature; /* it names the server that answered */
   bool retry_after;   /* it has a Retry-After field */
+  bool unframed;      /* it has neither a length nor chunks: the end of its connection ends it */
   Fleet *fleet;
   int64_t sent_at, done_at; /* done_at: valid if done */
   HXfer *xfer;
--- a/test/unframed.c
+++ b/test/unframed.c
@@ -17,7 +17,9 @@
   END_INSIDE_EVENT, /* closes in the middle of the third event */
   END_RESET,        /* resets after the second event */
   END_CRASH,        /* the process ends after the second event: all its sockets close in order */
-  END_RESET_LATE    /* resets after the last event */
+  END_RESET_LATE,   /* resets after the last event */
+  END_EARLY,        /* closes after the second event, or before a plain body, and lives on */
+  END_NO_EVENTS     /* closes after the head, and lives on */
 } EndMode;
 
 /* A backend server that speaks plain TCP. */
@@ -39,8 +41,9 @@
 } RawConn;
 
 static RawServer servers[SERVERS];
-static EndMode first_mode; /* of the first answer; all others are complete */
-static unsigned runs;
+static EndMode first_mode; /* of the first answers; all others are complete */
+static unsigned first_count, runs;
+static bool omits_receipt; /* the first answers have none */
 
 static void
 close_raw (RawConn *conn, bool reset)
@@ -75,6 +78,12 @@
       close_raw (conn, true);
       return true;
     }
+  if ((conn->mode == END_EARLY && midway) || conn->mode == END_NO_EVENTS)
+    {
+      sock_close_when_sent (conn->sock);
+      loop_free_later (server->fleet->loop, conn);
+      return true;
+    }
   if (conn->mode == END_CRASH && midway)
     {
       sock_listener_free (server->listener);
@@ -121,14 +130,16 @@
   char *id = field_of (head, "X-Foxtailgrade-Request-Id"), *last = field_of (head, "Last-Event-Id");
 
   conn->started = true;
-  conn->mode = runs++ == 0 ? first_mode : END_COMPLETE;
+  bool first = runs++ < first_count;
+  conn->mode = first ? first_mode : END_COMPLETE;
   conn->stream = strncmp (head, "POST /stream", 12) == 0;
   conn->next = (unsigned) atoi (last) + 1;
   char *reply = g_strdup_printf (
       "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Foxtailgrade-Request-Id: %s\r\n"
-      "X-Foxtailgrade-Server-Signature: %s\r\nContent-Type: %s\r\n\r\n%s",
-      id, conn->server->listed->id, conn->stream ? "text/event-stream" : "text/plain",
-      conn->stream ? "" : PLAIN);
+      "%s: %s\r\nContent-Type: %s\r\n\r\n%s",
+      id, first && omits_receipt ? "X-Other" : "X-Foxtailgrade-Server-Signature",
+      conn->server->listed->id, conn->stream ? "text/event-stream" : "text/plain",
+      conn->stream || conn->mode >= END_EARLY ? "" : PLAIN);
   write_text (conn, reply);
   g_free (reply);
   g_free (id);
@@ -177,6 +188,8 @@
   Fleet *fleet = fleet_new ();
 
   first_mode = mode;
+  first_count = 1;
+  omits_receipt = false;
   runs = 0;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
@@ -260,6 +273,56 @@
   g_assert_false (answer.broken);
   g_assert_cmpuint (answer.status, ==, 200);
   g_assert_cmpstr (answer.body->str, ==, PLAIN);
+  g_assert_true (answer.unframed);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+/* Guards against vouching for a stream whose servers all end it in order before its last event: its
+ * caller has to see that nothing but the connection's end says that it is whole. */
+static void
+all_end_early (void)
+{
+  Fleet *fleet = start_fleet (END_EARLY);
+  Answer answer;
+
+  first_count = G_MAXUINT;
+  call (fleet, "/stream/a", &answer);
+  g_assert_cmpuint (answer.status, ==, 200);
+  g_assert_true (answer.broken || answer.unframed);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+/* Guards against an answer 200 without a body: all that came of it was its head. */
+static void
+plain_is_repeated (void)
+{
+  Fleet *fleet = start_fleet (END_EARLY);
+  Answer answer;
+
+  call (fleet, "/plain/a", &answer);
+  g_assert_false (answer.broken);
+  g_assert_cmpuint (answer.status, ==, 200);
+  g_assert_cmpstr (answer.body->str, ==, PLAIN);
+  g_assert_cmpuint (runs, ==, 2);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
+/* Guards against a success without its server's receipt. */
+static void
+no_receipt (gconstpointer path)
+{
+  Fleet *fleet = start_fleet (END_COMPLETE);
+  Answer answer;
+
+  omits_receipt = true;
+  call (fleet, path, &answer);
+  if (answer.status == 200)
+    g_assert_true (answer.has_signature);
+  else
+    g_assert_cmpuint (answer.status, ==, 502);
   fleet_answer_clear (&answer);
   end_fleet (fleet);
 }
@@ -280,6 +343,14 @@
   ADD_STREAM ("reset_late", END_RESET_LATE);
   ADD_PLAIN ("reset", END_RESET);
   ADD_PLAIN ("crash", END_CRASH);
+  ADD_PLAIN ("early", END_EARLY);
+  ADD_STREAM ("early", END_EARLY);
+  ADD_STREAM ("no_events", END_NO_EVENTS);
+  g_test_add_func ("/unframed/stream/all_end_early", all_end_early);
+  g_test_add_func ("/unframed/plain/repeated", plain_is_repeated);
+  g_test_add_data_func ("/unframed/no_receipt/plain", "/plain/a", no_receipt);
+  g_test_add_data_func ("/unframed/no_receipt/once", "/once/a", no_receipt);
+  g_test_add_data_func ("/unframed/no_receipt/stream", "/stream/a", no_receipt);
   g_test_add_func ("/unframed/plain/complete", plain_is_complete);
   return g_test_run ();
 }
