Streams at a new version: count lists, not time; the log proves no age

And callers lost more than they had to: withheld places counted as free, so streams were queued for them and refused late; a failed server was avoided where only withheld ones were left; a version waited beside one whose servers were all leaving; where the voter in charge had no list yet the versions of the log were never applied.

Change: each list is noted with the time at which it had been received, by the clock itself, also an unchanged one; a version has settled once 6 s lie between two lists that have it. It is used sooner where no other one has had a ready server for 4 s, or none is known. Nothing is taken from the log any more (sched_settle_version is gone). Estimates and sched_any_usable leave withheld places out. The age of a grant's list counts from when its message can have come, and a table of versions that does not fit its message is not told at all.

--- a/node/broker.c
+++ b/node/broker.c
@@ -391,9 +391,17 @@
 broker_set_servers (Broker *broker, const Servers *servers)
 {
   broker->servers = servers;
+  sched_set_list_time (broker->sched, loop_read_clock (broker->loop));
   servers_give_to (servers, broker->sched);
 }
 
+void
+broker_keep_servers (Broker *broker)
+{
+  sched_set_list_time (broker->sched, loop_read_clock (broker->loop));
+  sched_keep_servers (broker->sched);
+}
+
 void
 broker_set_shares (Broker *broker, double places, double limits, uint64_t salt)
 {
@@ -478,12 +486,6 @@
   sched_set_in_use (broker->sched, service, version);
 }
 
-void
-broker_settle_version (Broker *broker, const char *service, const char *version)
-{
-  sched_settle_version (broker->sched, service, version);
-}
-
 const char *
 broker_get_in_use (const Broker *broker, const char *service)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -33,6 +33,8 @@
 void broker_free (Broker *broker);
 void broker_set_catalogue (Broker *broker, const RtCat *cat);
 /* Call when the server list has changed. servers must outlive the broker. */
+/* The newest list is the same as the one before; see sched_keep_servers. */
+void broker_keep_servers (Broker *broker);
 void broker_set_servers (Broker *broker, const Servers *servers);
 /* Sets which parts of the places and of the limits, of organisations and servers, this scheduler
  * may give away; salt as in sched_set_share. The parts depend on which instances ask: set them
@@ -100,11 +102,9 @@
 /* Number of linked instances that have told that they ask another scheduler now. */
 unsigned broker_away_count (const Broker *broker);
 
-/* See sched_set_versions, sched_set_in_use, sched_settle_version, sched_get_in_use and
- * SchedOps.judged. */
+/* See sched_set_versions, sched_set_in_use, sched_get_in_use and SchedOps.judged. */
 void broker_set_versions (Broker *broker, const char *service, const SchedVersions *versions);
 void broker_set_in_use (Broker *broker, const char *service, const char *version);
-void broker_settle_version (Broker *broker, const char *service, const char *version);
 const char *broker_get_in_use (const Broker *broker, const char *service);
 void broker_set_judged_callback (Broker *broker,
                                  void (*judged) (void *host, const SchedVerdict *judged),
--- a/node/control.c
+++ b/node/control.c
@@ -147,15 +147,27 @@
   relays_link_down (control->relays, peer);
 }
 
+/* True: the list has changed. */
+static bool
+use_list (Control *control)
+{
+  bool changed = servers_poll_changed (control->servers);
+
+  origdir_note_list (control->origins, control->servers);
+  if (changed)
+    broker_set_servers (control->broker, control->servers);
+  else
+    broker_keep_servers (control->broker);
+  return changed;
+}
+
 static void
 on_list_result (Control *control, MeshPeer *peer, ServersResult result)
 {
   MeshMsg want = { .kind = MESH_LIST_REQUEST };
 
   if (result == SERVERS_APPLIED)
-    origdir_note_list (control->origins, control->servers);
-  if (result == SERVERS_APPLIED && servers_poll_changed (control->servers))
-    broker_set_servers (control->broker, control->servers);
+    use_list (control);
   else if (result == SERVERS_UNKNOWN_BASE
            && servers_may_request (control->servers, loop_now (control->loop)))
     mesh_send (peer, &want);
@@ -347,13 +359,9 @@
   if (!servers_apply_read (control->servers, list, asked_at))
     return;
   count_inc (COUNT_LISTS);
-  origdir_note_list (control->origins, control->servers);
-  if (servers_poll_changed (control->servers))
-    {
-      broker_set_servers (control->broker, control->servers);
-      jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (control->servers)),
-            JL_MS ("took_ms", now - asked_at));
-    }
+  if (use_list (control))
+    jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (control->servers)),
+          JL_MS ("took_ms", now - asked_at));
   publish_lists (control->publish);
 }
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -175,7 +175,10 @@
     mesh_for_each_peer (entry->mesh, push_list, entry);
   origdir_note_list (entry->origins, entry->servers);
   if (!servers_poll_changed (entry->servers))
-    return;
+    {
+      broker_keep_servers (place_own_broker (entry->place));
+      return;
+    }
   broker_set_servers (place_own_broker (entry->place), entry->servers);
   jlog (JLOG_INFO, "list", NULL, JL_INT ("servers", servers_count (entry->servers)),
         JL_TEXT ("from", from),
--- a/node/listing.c
+++ b/node/listing.c
@@ -245,17 +245,7 @@
 
 /* ---- The voter in charge ---- */
 
-static void
-settle_version (const char *service, const char *version, int64_t age, void *data)
-{
-  const Listing *listing = data;
-
-  (void) age;
-  broker_settle_version (listing->broker, service, version);
-}
-
 /* Takes over what the predecessor knew. The log has no ages, so all versions count as listed now.
- * Without a predecessor no server has been used yet, so those listed now are not new to anyone.
  */
 static void
 take_over (Listing *listing)
@@ -268,18 +258,32 @@
     {
       const MsgListedService *listed = &listing->table.services.services_val[i];
       for (unsigned j = 0; j < listed->versions.versions_len; j++)
-        {
-          const char *version = listed->versions.versions_val[j];
-          origins_note_listed (listing->origins, listed->service, version, 0);
-          settle_version (listed->service, version, 0, listing);
-        }
+        origins_note_listed (listing->origins, listed->service, listed->versions.versions_val[j],
+                             0);
     }
-  if (listing->table.services.services_len == 0)
-    origins_for_each_listed (listing->origins, settle_version, listing);
   origins_set_complete (listing->origins, loop_now (listing->loop));
   listing->taken_over = true;
 }
 
+static void
+count_version (const char *service, const char *version, int64_t age, void *data)
+{
+  (void) service;
+  (void) version;
+  (void) age;
+  ++*(unsigned *) data;
+}
+
+/* False: entries would be told a part of the versions. */
+static bool
+fits_message (const Listing *listing)
+{
+  unsigned count = 0;
+
+  origins_for_each_listed (listing->origins, count_version, &count);
+  return count <= MESH_LISTED_MAX;
+}
+
 void
 listing_tick (Listing *listing)
 {
@@ -297,7 +301,7 @@
   if (!listing->taken_over && all_know)
     take_over (listing);
   bool before = listing->complete;
-  listing->complete = origins_is_complete (listing->origins);
+  listing->complete = origins_is_complete (listing->origins) && fits_message (listing);
   if (!listing->complete)
     return;
   if (!before)
--- a/node/place.c
+++ b/node/place.c
@@ -443,7 +443,7 @@
                               .version = from->software,
                               .addr = { from->ip, (uint16_t) from->port },
                               .leaving = from->ip == 0 },
-                  .listed_at = loop_now (place->loop) - from->list_age_ms * FT_MS,
+                  .listed_at = mesh_arrived_at (peer) - from->list_age_ms * FT_MS,
                   .max_idle_us = from->max_idle_ms * FT_MS };
   place->ops->grant (place->host, from->request, &grant);
 }
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -222,7 +222,10 @@
 bool
 est_usable (const Server *server, int64_t now)
 {
-  return is_live (server, now) && server->use == USE_ALL;
+  /* Most requests of engines are resumable streams. */
+  bool withheld = server->withheld && server->service->conf.engine;
+
+  return is_live (server, now) && server->use == USE_ALL && !withheld;
 }
 
 static bool
@@ -244,7 +247,7 @@
 is_usable_for (const Job *job, const Server *server, int64_t now)
 {
   bool permitted = job->version ? ver_permits (job, server)
-                                : server->use == USE_ALL && !fresh_is_withheld (job, server, now);
+                                : server->use == USE_ALL && !fresh_is_withheld (job, server);
 
   return permitted && is_live (server, now);
 }
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -2,28 +2,29 @@
  *
  * An instance that knows nothing of a stream lets it go on if its list shows a single version. That
  * list may be up to ORIGINS_LIST_AGE_MAX old, so a version that it lacks must have begun no stream
- * yet. Each scheduler ensures that by itself: streams begin at a version only once it has been
- * listed for ORIGINS_JOIN_TIME. This needs no message, and so holds for instances that reach no
- * other one.
+ * yet. Each scheduler ensures that by itself: streams begin at a version only once it has been in
+ * the lists for ORIGINS_JOIN_TIME. This needs no message, and so holds for instances that reach no
+ * other one. Times are those at which a list had been received, and no time without lists counts.
  *
- * A version that is listed alone is not withheld: no server of another one is left at which a
- * stream could go on.
+ * A version is not withheld if no other one has had a ready server for OTHERS_GONE_TIME: where a
+ * list still shows another one alone, its servers get nothing new any more. The only version that
+ * is known counts as settled.
  */
 #include "schedint.h"
 #include "origins.h"
 
-#include <string.h>
-
 /* A version that was absent for longer joins anew. Instances remember it for ORIGINS_TIME_MAX after
  * they saw it last, which may be earlier than this scheduler did. */
 #define ABSENCE_MAX (ORIGINS_TIME_MAX / 2)
+/* ORIGINS_LIST_AGE_MAX, and what the platform's list lags. */
+#define OTHERS_GONE_TIME (4 * FT_SECOND)
 
 typedef struct
 {
   int64_t joined_at;
-  int64_t absent_from; /* valid unless listed */
-  bool listed;
-  bool initial; /* it was in this scheduler's first list, so it may have joined long before */
+  int64_t listed_at; /* in the newest list that has it */
+  int64_t ready_at;  /* when it last had a server that was not leaving; 0: never */
+  bool withheld;
 } Presence;
 
 GHashTable *
@@ -33,109 +34,93 @@
 }
 
 static bool
-has_settled (const Presence *presence, int64_t now)
+has_settled (const Presence *presence)
 {
-  return now - presence->joined_at >= ORIGINS_JOIN_TIME;
+  return presence->listed_at - presence->joined_at >= ORIGINS_JOIN_TIME;
 }
 
-static void
-settle (Presence *presence, int64_t now)
+static bool
+joins_anew (const Service *service, const Presence *presence, int64_t at)
 {
-  presence->joined_at = MIN (presence->joined_at, now - ORIGINS_JOIN_TIME);
+  bool was_absent = presence->listed_at < service->list_at;
+
+  return (was_absent && !has_settled (presence)) || at - presence->listed_at > ABSENCE_MAX;
 }
 
-static Presence *
-note_listed (Service *service, const char *version, int64_t now)
+static void
+note_server (Service *service, const Server *server, int64_t at)
 {
-  Presence *presence = g_hash_table_lookup (service->presences, version);
+  Presence *presence = g_hash_table_lookup (service->presences, server->version);
 
   if (presence == NULL)
     {
       presence = g_new0 (Presence, 1);
-      presence->joined_at = now;
-      presence->initial = !service->was_listed;
-      g_hash_table_insert (service->presences, g_strdup (version), presence);
+      presence->joined_at = at;
+      g_hash_table_insert (service->presences, g_strdup (server->version), presence);
     }
-  else if (presence->absent_from
-           && (!has_settled (presence, presence->absent_from)
-               || now - presence->absent_from > ABSENCE_MAX))
-    {
-      presence->joined_at = now;
-      presence->initial = false;
-    }
-  presence->absent_from = 0;
-  presence->listed = true;
-  return presence;
+  else if (presence->listed_at < at && joins_anew (service, presence, at))
+    presence->joined_at = at;
+  presence->listed_at = at;
+  if (!server->leaving)
+    presence->ready_at = at;
 }
 
-/* Notes the absence of versions that are not listed any more, and drops old ones. */
 static gboolean
-note_absent (gpointer key, gpointer value, gpointer data)
+is_forgotten (gpointer key, gpointer value, gpointer data)
 {
-  Presence *presence = value;
-  int64_t now = *(const int64_t *) data;
-
   (void) key;
-  if (presence->listed)
-    return FALSE;
-  if (presence->absent_from == 0)
-    presence->absent_from = now;
-  return now - presence->absent_from > ABSENCE_MAX;
+  return *(const int64_t *) data - ((const Presence *) value)->listed_at > ABSENCE_MAX;
 }
 
 static void
-update_servers (Service *service)
-{
-  Server *server;
-
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    const Presence *presence = g_hash_table_lookup (service->presences, server->version);
-    server->streams_from = presence ? presence->joined_at + ORIGINS_JOIN_TIME : 0;
-  }
-}
-
-void
-fresh_note_list (Service *service, int64_t now)
+decide (Service *service, int64_t at)
 {
   GHashTableIter iter;
   gpointer value;
-  Server *server;
-  Presence *first = NULL;
-  bool alone = true;
+  Presence *ready = NULL; /* a version that was ready lately */
+  bool several = false;
 
   g_hash_table_iter_init (&iter, service->presences);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Presence *) value)->listed = false;
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    if (!server->listed)
-      continue;
-    Presence *presence = note_listed (service, server->version, now);
-    alone = alone && (first == NULL || presence == first);
-    first = presence;
-  }
-  if (first && alone)
-    settle (first, now);
-  service->was_listed |= first != NULL;
-  g_hash_table_foreach_remove (service->presences, note_absent, &now);
-  update_servers (service);
+    {
+      Presence *presence = value;
+      if (presence->ready_at == 0 || at - presence->ready_at >= OTHERS_GONE_TIME)
+        continue;
+      several = several || ready != NULL;
+      ready = presence;
+    }
+  if (g_hash_table_size (service->presences) == 1 && ready)
+    ready->joined_at = MIN (ready->joined_at, at - ORIGINS_JOIN_TIME);
+  g_hash_table_iter_init (&iter, service->presences);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Presence *presence = value;
+      presence->withheld = !has_settled (presence) && (several || (ready && ready != presence));
+    }
 }
 
 void
-fresh_settle_initial (Service *service, const char *version, int64_t now)
+fresh_note_list (Service *service, int64_t at)
 {
-  Presence *presence = g_hash_table_lookup (service->presences, version);
+  Server *server;
 
-  if (presence == NULL || !presence->initial)
-    return;
-  settle (presence, now);
-  update_servers (service);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    if (server->listed)
+      note_server (service, server, at);
+  }
+  g_hash_table_foreach_remove (service->presences, is_forgotten, &at);
+  service->list_at = at;
+  decide (service, at);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    const Presence *presence = g_hash_table_lookup (service->presences, server->version);
+    server->withheld = presence && presence->withheld;
+  }
 }
 
 bool
-fresh_is_withheld (const Job *job, const Server *server, int64_t now)
+fresh_is_withheld (const Job *job, const Server *server)
 {
-  return now < server->streams_from && job->version == NULL && job->ask.stream
-         && job->ask.repeatable;
+  return server->withheld && job->version == NULL && job->ask.stream && job->ask.repeatable;
 }
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -107,7 +107,7 @@
   VersionUse use;
   unsigned slots, running, pending; /* pending: runs that have had no first event yet */
   bool listed, leaving;
-  int64_t streams_from; /* resumable streams begin there from then on (fresh.c) */
+  bool withheld; /* no resumable stream begins there (fresh.c) */
   /* the server itself announced that it leaves; later server lists do not revoke it */
   bool announced_leaving;
   /* by owner, the backoffs that the server asked for; NULL until the first one */
@@ -209,7 +209,7 @@
   char *name;
   Versions versions;
   GHashTable *presences; /* of the listed versions (fresh.c) */
-  bool was_listed;       /* a list with servers of it has come */
+  int64_t list_at;       /* when the newest list had been received; 0: none has come */
   SchedServiceConf conf;
   struct cds_list_head servers;
   GPtrArray *tiers; /* Tier, highest first */
@@ -243,6 +243,7 @@
   uint64_t salt;
   bool others_unknown; /* see sched_set_grant_share */
   bool listed;         /* a list of servers has come */
+  int64_t received_at; /* see sched_set_list_time */
   bool all_versions;   /* see sched_set_all_versions */
   bool fair;
   ShrWeights *weights; /* of the organisations, for fair shares */
@@ -477,12 +478,11 @@
 /* ---- Versions that have joined lately (fresh.c) ---- */
 
 GHashTable *fresh_presences_new (void);
-/* Notes which versions of the service are listed. Call with each change of the list. */
-void fresh_note_list (Service *service, int64_t now);
-/* The version joined long ago, if this scheduler's first list has it; see sched_settle_version. */
-void fresh_settle_initial (Service *service, const char *version, int64_t now);
+/* Notes which versions of the service are in the list that had been received at this time. Call
+ * with each list. */
+void fresh_note_list (Service *service, int64_t at);
 /* True if the job is a resumable stream and the server's version has just joined. */
-bool fresh_is_withheld (const Job *job, const Server *server, int64_t now);
+bool fresh_is_withheld (const Job *job, const Server *server);
 
 /* ---- Health of servers (health.c) ---- */
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -184,15 +184,6 @@
   return service ? service->versions.in_use : "";
 }
 
-void
-sched_settle_version (Sched *sched, const char *name, const char *version)
-{
-  Service *service = g_hash_table_lookup (sched->services, name);
-
-  if (service)
-    fresh_settle_initial (service, version, ft_clock_now (sched->clock));
-}
-
 void
 sched_set_all_versions (Sched *sched, bool on)
 {
@@ -402,7 +393,8 @@
   cds_list_for_each_entry (server, &job->service->servers, link)
   {
     if (server->listed && !server->leaving && ver_permits (job, server)
-        && now + OUT_MAX > server->out_until && (avoid == NULL || strcmp (avoid, server->id) != 0))
+        && !fresh_is_withheld (job, server) && now + OUT_MAX > server->out_until
+        && (avoid == NULL || strcmp (avoid, server->id) != 0))
       return true;
   }
   return false;
@@ -636,6 +628,24 @@
     ((Service *) value)->summary.until = 0;
 }
 
+void
+sched_set_list_time (Sched *sched, int64_t received_at)
+{
+  sched->received_at = received_at;
+}
+
+void
+sched_keep_servers (Sched *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t at = MAX (sched->received_at, ft_clock_now (sched->clock));
+
+  g_hash_table_iter_init (&iter, sched->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    fresh_note_list (value, at);
+}
+
 void
 sched_set_servers (Sched *sched, const SchedServer *servers, unsigned count)
 {
@@ -661,10 +671,8 @@
   g_hash_table_foreach_remove (sched->servers, drop_unlisted, sched);
   g_hash_table_iter_init (&iter, sched->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      fresh_note_list (value, now);
-      ver_assign (sched, value);
-    }
+    ver_assign (sched, value);
+  sched_keep_servers (sched);
   invalidate_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -157,8 +157,14 @@
 uint32_t sched_server_digest (const char *id);
 
 /* Sets the complete list of servers. A server that is not listed gets no more requests and is
- * dropped once it runs none. */
+ * dropped once it runs none. Resumable streams begin at a version only once lists have shown it for
+ * ORIGINS_JOIN_TIME, unless no other version has servers. */
 void sched_set_servers (Sched *sched, const SchedServer *servers, unsigned count);
+/* The newest list is the same as the one before. Call one of these two with each list. */
+void sched_keep_servers (Sched *sched);
+/* When the list that is set or kept next had been received. Without it, or if it is earlier, the
+ * clock's time counts, which may be from before a pause of the process. */
+void sched_set_list_time (Sched *sched, int64_t received_at);
 
 /* Which versions of a service's servers get requests. By default one version is in use, and servers
  * of other versions get only requests with their SchedAsk.version as long as servers of that one
@@ -181,10 +187,6 @@
 void sched_set_in_use (Sched *sched, const char *service, const char *version);
 /* The version in use; "": none yet. Valid until the next call. */
 const char *sched_get_in_use (const Sched *sched, const char *service);
-/* A version that was in this scheduler's first list has been listed for long, as others know:
- * resumable streams may begin at its servers. They do at any other version once it has been listed
- * beside others for ORIGINS_JOIN_TIME. */
-void sched_settle_version (Sched *sched, const char *service, const char *version);
 /* Takes servers of all versions into use, except of services with an ordered version. Default: off.
  */
 void sched_set_all_versions (Sched *sched, bool on);
--- a/src/versions.c
+++ b/src/versions.c
@@ -265,7 +265,7 @@
     if (server->use != USE_ON_TRIAL || !server->listed || server->leaving || now < server->out_until
         || server->running >= most || !pace_has_token (sched, server, now)
         || !brit_permits (sched, server, now) || !boff_permits (server, job->key.owner, now)
-        || !est_fits_memory (sched, server, &job->ask) || fresh_is_withheld (job, server, now))
+        || !est_fits_memory (sched, server, &job->ask) || fresh_is_withheld (job, server))
       continue;
     if (is_preferred (server, best, in_turn))
       best = server;
--- a/test/bound.c
+++ b/test/bound.c
@@ -92,6 +92,7 @@
   sched_set_service (fixture->sched, "s", &(SchedServiceConf){ .engine = true, .stride = 1 });
   list_servers (fixture, olds, news);
   fixture->clock.now += ORIGINS_JOIN_TIME;
+  sched_keep_servers (fixture->sched);
   return fixture;
 }
 
@@ -346,6 +347,27 @@
   fixture_free (fixture);
 }
 
+static void
+keep_listing (Fixture *fixture, int64_t us)
+{
+  fixture->clock.now += us;
+  sched_keep_servers (fixture->sched);
+  sched_tick (fixture->sched);
+}
+
+/* Asks for more than the old servers have places for. False: none of it was placed on a new one. */
+static bool
+begins_at_new (Fixture *fixture, unsigned first)
+{
+  bool begins = false;
+
+  for (unsigned i = first; i < first + 4 * SLOTS; i++)
+    begins |= *ask (fixture, i, NULL)->server == 'n';
+  for (unsigned i = first; i < first + 4 * SLOTS; i++)
+    end (fixture, i);
+  return begins;
+}
+
 /* Guards against streams that begin at a version before every instance has a list with it: an
  * instance that lacks it lets streams go on at the one that it knows. */
 static void
@@ -355,29 +377,35 @@
 
   sched_set_all_versions (fixture->sched, true);
   list_servers (fixture, 1, 1);
-  for (unsigned i = 0; i < 2 * SLOTS; i++)
-    g_assert_true (*ask (fixture, i, NULL)->server != 'n');
+  g_assert_false (begins_at_new (fixture, 0));
   g_assert_cmpstr (ask (fixture, 10, "v2")->server, ==, "n0"); /* it began there already */
-  fixture->clock.now += ORIGINS_JOIN_TIME - 1;
-  const Outcome *last = ask (fixture, 11, NULL);
-  g_assert_true (is_waiting (last));
-  fixture->clock.now++;
-  sched_tick (fixture->sched);
-  g_assert_cmpstr (last->server, ==, "n0");
+  keep_listing (fixture, ORIGINS_JOIN_TIME - 1);
+  g_assert_false (begins_at_new (fixture, 20));
+  keep_listing (fixture, 1);
+  g_assert_true (begins_at_new (fixture, 40));
   fixture_free (fixture);
 }
 
-/* Guards against withholding streams from a version where no other one has a server. */
+/* Guards against withholding streams from a version while no other one has servers, and against
+ * taking one list that lacks the others for their end. */
 static void
 joined_alone (void)
 {
   Fixture *fixture = fixture_new (1, 0);
 
   sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 1, 1);
+  fixture->clock.now += FT_SECOND;
+  list_servers (fixture, 0, 1);
+  g_assert_false (begins_at_new (fixture, 0));
+  fixture->clock.now += FT_SECOND;
+  list_servers (fixture, 1, 1);
+  g_assert_false (begins_at_new (fixture, 20));
   list_servers (fixture, 0, 1);
-  g_assert_cmpstr (ask (fixture, 0, NULL)->server, ==, "n0");
-  list_servers (fixture, 1, 1); /* the version before comes back */
-  g_assert_cmpstr (ask (fixture, 1, NULL)->server, !=, "");
+  keep_listing (fixture, 3 * FT_SECOND);
+  g_assert_false (begins_at_new (fixture, 40));
+  keep_listing (fixture, FT_SECOND);
+  g_assert_true (begins_at_new (fixture, 60));
   fixture_free (fixture);
 }
 
@@ -390,28 +418,42 @@
 
   sched_set_all_versions (fixture->sched, true);
   list_servers (fixture, 1, 1);
-  fixture->clock.now += ORIGINS_JOIN_TIME - 1;
+  keep_listing (fixture, ORIGINS_JOIN_TIME - 1);
   list_servers (fixture, 1, 0);
-  fixture->clock.now += FT_SECOND;
+  keep_listing (fixture, FT_SECOND);
   list_servers (fixture, 1, 1);
-  for (unsigned i = 0; i < 2 * SLOTS; i++)
-    g_assert_true (*ask (fixture, i, NULL)->server != 'n');
+  g_assert_false (begins_at_new (fixture, 0));
   fixture_free (fixture);
 }
 
-/* Guards against refusing streams for a while after a start, where the log tells that the versions
- * joined long ago. */
+/* Guards against counting the time in which a scheduler got no list, and that of a pause before the
+ * list was read. */
 static void
-settled_at_start (void)
+joined_unseen (void)
 {
-  Fixture *fixture = fixture_new (0, 0);
+  Fixture *fixture = fixture_new (1, 0);
 
   sched_set_all_versions (fixture->sched, true);
+  sched_set_list_time (fixture->sched, fixture->clock.now + ORIGINS_JOIN_TIME);
   list_servers (fixture, 1, 1);
-  sched_settle_version (fixture->sched, "s", "v1");
-  sched_settle_version (fixture->sched, "s", "v2");
-  for (unsigned i = 0; i < 2 * SLOTS; i++)
-    g_assert_cmpstr (ask (fixture, i, NULL)->server, !=, "");
+  fixture->clock.now += ORIGINS_JOIN_TIME + FT_SECOND; /* a second after that list */
+  g_assert_false (begins_at_new (fixture, 0));
+  sched_keep_servers (fixture->sched);
+  g_assert_false (begins_at_new (fixture, 20));
+  keep_listing (fixture, ORIGINS_JOIN_TIME);
+  g_assert_true (begins_at_new (fixture, 40));
+  fixture_free (fixture);
+}
+
+/* Guards against queueing streams for places that they do not get. */
+static void
+withheld_places_do_not_count (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 0, 1);
+  g_assert_cmpint (ask (fixture, 0, NULL)->reason, ==, FT_REASON_NO_SERVER);
   fixture_free (fixture);
 }
 
@@ -448,7 +490,8 @@
   g_test_add_func ("/bound/has_just_joined", has_just_joined);
   g_test_add_func ("/bound/joined_alone", joined_alone);
   g_test_add_func ("/bound/joins_again", joins_again);
-  g_test_add_func ("/bound/settled_at_start", settled_at_start);
+  g_test_add_func ("/bound/joined_unseen", joined_unseen);
+  g_test_add_func ("/bound/withheld_places_do_not_count", withheld_places_do_not_count);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
--- a/test/handover.c
+++ b/test/handover.c
@@ -130,6 +130,12 @@
   return of->clock.now;
 }
 
+int64_t
+loop_read_clock (Loop *of)
+{
+  return of->clock.now;
+}
+
 FtClock *
 loop_clock (Loop *of)
 {
@@ -167,6 +173,13 @@
   schedule_event ((Event){ .kind = EVENT_DOWN, .at = at, .to = end->other });
 }
 
+int64_t
+mesh_arrived_at (const MeshPeer *peer)
+{
+  (void) peer;
+  return loop.clock.now;
+}
+
 bool
 mesh_send (MeshPeer *peer, const MeshMsg *msg)
 {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -149,11 +149,14 @@
 try "listed: callers are refused before the election" node/reqorigin.c 's/^  if \(origin == NULL && version == NULL && await_versions \(req\)\)$/  if (false \&\& await_versions (req))/' test-joined &
 try "listed: what was told before a gap counts" src/origins.c 's/^  if \(watched_until \(origins\) > 0 \&\& .*/  if (false)/' test-origdir &
 # Versions that have just joined.
-try "fresh: streams begin at once" src/fresh.c 's/^  return now < server->streams_from/  return false \&\& now < server->streams_from/' test-bound &
-try "fresh: streams begin at once, out of step" src/fresh.c 's/^  return now < server->streams_from/  return false \&\& now < server->streams_from/' test-outofstep &
-try "fresh: a version alone is withheld" src/fresh.c 's/^  if \(first \&\& alone\)$/  if (false)/' test-bound &
-try "fresh: one that left early has settled" src/fresh.c 's/!has_settled \(presence, presence->absent_from\)/false/' test-bound &
-try "fresh: nothing settles at the start" src/fresh.c 's/!presence->initial/true/' test-bound &
+try "fresh: streams begin at once" src/fresh.c 's/^  return server->withheld/  return false \&\& server->withheld/' test-bound &
+try "fresh: streams begin at once, out of step" src/fresh.c 's/^  return server->withheld/  return false \&\& server->withheld/' test-outofstep &
+try "fresh: a version alone is withheld" src/fresh.c 's/ \&\& \(several \|\| \(ready \&\& ready != presence\)\)//' test-bound &
+try "fresh: one list ends the others" src/fresh.c 's/(OTHERS_GONE_TIME) \(4/\1 (0/' test-bound &
+try "fresh: one that left early has settled" src/fresh.c 's/\(was_absent \&\& !has_settled \(presence\)\) \|\| //' test-bound &
+try "fresh: time without lists counts" src/fresh.c 's/presence->listed_at - presence->joined_at >= ORIGINS_JOIN_TIME/presence->joined_at > 0/' test-bound &
+try "fresh: the time of a pause counts" src/scheduler.c 's/MAX \(sched->received_at, ft_clock_now \(sched->clock\)\)/ft_clock_now (sched->clock)/' test-bound &
+try "fresh: withheld places count" src/scheduler.c 's/ \&\& !fresh_is_withheld \(job, server\)//' test-bound &
 # A scheduler that takes over.
 try "takeover: the version of most servers is in use" node/listing.c 's/^    use_committed_versions \(listing\);/    (void) use_committed_versions;/' test-rolls &
 try "takeover: another version is in use at entries" src/versions.c 's/^  if \(\*versions->ordered \|\| strcmp.*/  if (true || *versions->ordered/' test-rollout &
--- a/test/origins.c
+++ b/test/origins.c
@@ -1,5 +1,6 @@
 /* origins.c - tests, with real processes on loopback and servers of two software versions, that a
  * stream goes on only at the version that began it. */
+#include "origins.h"
 #include "streams.h"
 
 /* ---- Faults ---- */
@@ -262,6 +263,7 @@
   for (unsigned i = 2; i < FLEET_SERVERS; i++)
     g_strlcpy (fleet->servers[i].version, NEW, sizeof fleet->servers[i].version);
   fleet_start_all (fleet);
+  fleet_run_for (fleet, ORIGINS_JOIN_TIME + FT_SECOND); /* no version has just joined */
   for (unsigned i = 0; i < STREAMS; i++)
     {
       g_snprintf (id, sizeof id, "s%u", i);
