events: a returning caller's Last-Event-Id is the first known number

What callers saw: a caller that came back with Last-Event-Id 2 got events 1 and 2 again from a server that repeats an event or ignores the field and begins at its first event. Cause: numbers were compared within one attempt alone; the first event of an attempt was passed on whatever its number.

Change: events_new takes the id that the caller has, where the route's streams can be taken up again; events up to that number are dropped and counted, a gap above it counts as skipped. events_last_id of a stream of which nothing has come yet is that id. On other routes the field is handed on and changes nothing, as before. A number is digits alone now: a sign or blanks, which strtoull takes, made '-1' the highest number of all.

--- a/node/try.c
+++ b/node/try.c
@@ -167,7 +167,7 @@
       req->requests->conf.adapter_ops->write_answer (req->fields, msg);
     }
   if (req->is_stream && req->stream == NULL)
-    req->stream = events_new ();
+    req->stream = events_new (req_is_return (req) ? req->facts.last_event : NULL);
   return true;
 }
 
--- a/src/events.c
+++ b/src/events.c
@@ -3,7 +3,8 @@
  * When a server stops in the middle of an event, another server continues after the last complete
  * one. The caller must not receive the first half of one event joined to another, or an event
  * twice. So a partial event is buffered until it is complete, and dropped when the stream continues
- * on another server. An event whose number is not above that of the last one is dropped too.
+ * on another server. An event whose number is not above that of the last one is dropped too; the
+ * last one may be of an earlier attempt of the caller.
  */
 #include "events.h"
 
@@ -23,12 +24,26 @@
   uint64_t skipped;
 };
 
+/* Sign, blanks and numbers that do not fit make it no number. */
+static bool
+parse_number (const char *id, uint64_t *number)
+{
+  guint64 value;
+
+  if (!g_ascii_string_to_unsigned (id, 10, 0, G_MAXUINT64, &value, NULL))
+    return false;
+  *number = value;
+  return true;
+}
+
 Events *
-events_new (void)
+events_new (const char *last_id)
 {
   Events *events = g_new0 (Events, 1);
 
   events->partial = g_string_new (NULL);
+  events->last_id = g_strdup (last_id);
+  events->has_number = last_id && parse_number (last_id, &events->last_number);
   return events;
 }
 
@@ -96,13 +111,12 @@
 {
   size_t length;
   const char *id = find_id (event, size, &length);
-  char *end;
+  uint64_t number = 0;
 
   if (id == NULL)
     return true;
   char *copy = g_strndup (id, length);
-  uint64_t number = g_ascii_strtoull (copy, &end, 10);
-  bool is_number = end != copy && *end == '\0';
+  bool is_number = parse_number (copy, &number);
   if (is_number && events->has_number && number <= events->last_number)
     {
       events->dropped++;
--- a/src/events.h
+++ b/src/events.h
@@ -7,7 +7,8 @@
 
 typedef struct Events Events;
 
-Events *events_new (void);
+/* last_id: of the last event that the caller has from an earlier attempt; NULL: none. */
+Events *events_new (const char *last_id);
 void events_free (Events *events);
 /* Processes bytes of the stream. Appends the events that are complete now to out, except those
  * whose id is a number not above that of the event before. Returns how many were appended. */
@@ -16,7 +17,7 @@
 bool events_is_too_long (const Events *events);
 /* Drops a partial event, because another server continues the stream. */
 void events_drop_partial (Events *events);
-/* Id of the last event with an id that was appended; NULL: there was none. */
+/* Id of the last event with an id that was appended, or the id given at the start; NULL: none. */
 const char *events_last_id (const Events *events);
 /* Events that were not appended since their number was not above the one before, so far. */
 unsigned events_dropped (const Events *events);
--- a/test/decide.c
+++ b/test/decide.c
@@ -294,7 +294,7 @@
 static void
 partial_event_is_dropped (void)
 {
-  Events *events = events_new ();
+  Events *events = events_new (NULL);
 
   feed (events, "id: 1\ndata: a\n\nid: 2\ndata", 1, "id: 1\ndata: a\n\n");
   feed (events, ": b\n\nid: 3\nda", 1, "id: 2\ndata: b\n\n");
@@ -312,7 +312,7 @@
 static void
 event_without_end (void)
 {
-  Events *events = events_new ();
+  Events *events = events_new (NULL);
   GString *out = g_string_new (NULL);
   char part[4096];
 
@@ -336,7 +336,7 @@
 events_bytewise (void)
 {
   static const char text[] = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\nid: 3\ndata:";
-  Events *events = events_new ();
+  Events *events = events_new (NULL);
   GString *out = g_string_new (NULL);
   unsigned count = 0;
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -197,5 +197,10 @@
 try "unframed: an orderly close is complete" node/try.c 's/^  else if \(req->close_delimited\) .*$/  else if (false)/' test-unframed &
 try "unframed: a part of an event is complete" node/try.c 's/req->is_stream \&\& events_has_partial \(req->stream\)/false/' test-unframed &
 try "unframed: a crash ends a stream" node/requests.c 's/req->spared_attempt \|\| req->events > 0/req->spared_attempt/' test-unframed &
+# Events that a server repeats.
+try "repeats: the caller's own event is not known" src/events.c 's/^  events->has_number = last_id .*/  (void) parse_number;/' test-events &
+try "repeats: the caller's own event is not named" node/try.c 's/events_new \(req_is_return.*/events_new (NULL);/' test-repeats &
+try "repeats: any route can be taken up" node/try.c 's/req_is_return \(req\) \? req->facts.last_event : NULL/req->facts.last_event/' test-repeats &
+try "repeats: a sign is part of a number" src/events.c 's/!g_ascii_string_to_unsigned .*/(value = g_ascii_strtoull (id, NULL, 10)) == 0)/' test-events &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
