events: an id that is no number does not forget the numbers before it

What callers saw: after an event whose id is no number, events that the next server repeats were passed on a second time. Cause: such an id reset the check, so the next number was compared with nothing. Numbers only increase within a stream, so none goes back by right. Change: the check continues with the last number seen; the gap from it counts as skipped.

The mutant is found.

--- a/src/events.c
+++ b/src/events.c
@@ -18,8 +18,8 @@
   size_t examined;    /* bytes of partial that hold no end of an event */
   bool line_is_empty; /* the line at that place is empty so far */
   char *last_id;
-  uint64_t last_number;
-  bool has_number; /* last_id is a number: last_number */
+  uint64_t last_number; /* of the last id that is a number */
+  bool has_number;      /* there was one */
   unsigned dropped;
   uint64_t skipped;
 };
@@ -125,8 +125,11 @@
     }
   if (is_number && events->has_number)
     events->skipped += number - events->last_number - 1;
-  events->has_number = is_number;
-  events->last_number = number;
+  if (is_number)
+    {
+      events->has_number = true;
+      events->last_number = number;
+    }
   g_free (events->last_id);
   events->last_id = copy;
   return true;
--- a/test/events.c
+++ b/test/events.c
@@ -58,6 +58,22 @@
     }
 }
 
+/* An id that is no number comes between numbers; then the next server repeats them. */
+static void
+number_after_name (void)
+{
+  Events *events = events_new (NULL);
+
+  feed (events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: x\ndata: c\n\n", 3,
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: x\ndata: c\n\n");
+  g_assert_cmpstr (events_last_id (events), ==, "x");
+  feed (events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 5\ndata: d\n\n", 1, "id: 5\ndata: d\n\n");
+  g_assert_cmpstr (events_last_id (events), ==, "5");
+  g_assert_cmpuint (events_dropped (events), ==, 2);
+  g_assert_cmpuint (events_skipped (events), ==, 2);
+  events_free (events);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -65,5 +81,6 @@
   g_test_add_func ("/events/repeated_after_return", repeated_after_return);
   g_test_add_func ("/events/skipped_after_return", skipped_after_return);
   g_test_add_func ("/events/return_without_number", return_without_number);
+  g_test_add_func ("/events/number_after_name", number_after_name);
   return g_test_run ();
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -202,5 +202,6 @@
 try "repeats: the caller's own event is not named" node/try.c 's/events_new \(req_is_return.*/events_new (NULL);/' test-repeats &
 try "repeats: any route can be taken up" node/try.c 's/req_is_return \(req\) \? req->facts.last_event : NULL/req->facts.last_event/' test-repeats &
 try "repeats: a sign is part of a number" src/events.c 's/!g_ascii_string_to_unsigned .*/(value = g_ascii_strtoull (id, NULL, 10)) == 0)/' test-events &
+try "repeats: a name forgets the numbers" src/events.c 's/^  if \(is_number\)$/  events->has_number = false;\n  if (is_number)/' test-events &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
