--- a/node/try.c
+++ b/node/try.c
@@ -237,6 +237,8 @@
       hcall_write (req->call, out->str, out->len);
       pause_if_full (req);
     }
+  else if (out->len > 0)
+    hcall_write (req->call, out->str, out->len); /* the rest of a line end */
   g_string_free (out, TRUE);
   if (events_is_too_long (req->stream))
     req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
--- a/src/events.h
+++ b/src/events.h
@@ -11,7 +11,8 @@
 Events *events_new (const char *last_id);
 void events_free (Events *events);
 /* Processes bytes of the stream. Appends the events that are complete now to out, except those
- * whose id is a number not above the last one before. Returns how many were appended. */
+ * whose id is a number not above the last one before. Returns how many were appended; the LF that
+ * follows the CR of an event appended before is appended too, and is none. */
 unsigned events_feed (Events *events, const char *data, size_t size, GString *out);
 /* True if the partial event is longer than any event may be, 1 MiB: the stream is not read on. */
 bool events_is_too_long (const Events *events);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -203,5 +203,13 @@
 try "repeats: any route can be taken up" node/try.c 's/req_is_return \(req\) \? req->facts.last_event : NULL/req->facts.last_event/' test-repeats &
 try "repeats: a sign is part of a number" src/events.c 's/!g_ascii_string_to_unsigned .*/(value = g_ascii_strtoull (id, NULL, 10)) == 0)/' test-events &
 try "repeats: a name forgets the numbers" src/events.c 's/^  if \(is_number\)$/  events->has_number = false;\n  if (is_number)/' test-events &
+try "format: a CR ends no line" src/events.c "s/byte == '.r' \|\| byte == /byte == /" test-events &
+try "format: the LF after a CR is a line" src/events.c 's/events->after_cr && byte/false \&\& byte/' test-events &
+try "format: a mark is part of a field" src/events.c 's/^  if \(events->at_start\)$/  if (false)/' test-events &
+try "format: the next server's mark is passed on" src/events.c 's/^  if \(events->has_appended\)$/  if (false)/' test-events &
+try "format: a NUL is part of an id" src/events.c 's/^  if \(memchr \(line \+ value, .*/  if (false)/' test-events &
+try "format: an empty id is one" src/events.c 's/events->id = size > value \? /events->id = size >= value ? /' test-events &
+try "format: the id of a partial event counts" src/events.c 's/^  g_clear_pointer \(&events->id, g_free\);$//' test-events &
+try "format: the rest of a line end is lost" node/try.c 's/^  else if \(out->len > 0\)$/  else if (false)/' test-repeats &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/repeats.c
+++ b/test/repeats.c
@@ -11,14 +11,15 @@
 typedef struct
 {
   const char *text;
-  bool cut; /* the connection breaks after it */
+  bool cut;         /* the connection breaks after it */
+  const char *rest; /* sent apart, before the end; NULL: nothing */
 } Run;
 
 typedef struct
 {
   LoopTimer timer;
   HCall *call;
-  bool cut;
+  const Run *run;
 } Stream;
 
 static Run runs[RUNS_MAX];
@@ -31,7 +32,9 @@
 {
   const Stream *stream = (Stream *) timer;
 
-  if (stream->cut)
+  if (stream->run->rest)
+    hcall_write (stream->call, stream->run->rest, strlen (stream->run->rest));
+  if (stream->run->cut)
     hcall_abort (stream->call);
   else
     hcall_end (stream->call);
@@ -60,7 +63,7 @@
   const Run *run = &runs[run_count];
   g_ptr_array_add (streams, stream);
   last_ids[run_count++] = received_ids (msg);
-  *stream = (Stream){ .timer.fire = on_stream_end, .call = call, .cut = run->cut };
+  *stream = (Stream){ .timer.fire = on_stream_end, .call = call, .run = run };
   hcall_set_user (call, stream);
   hwrite_field (fields, "X-Foxtailgrade-Request-Id", hmsg_field (msg, "X-Foxtailgrade-Request-Id"));
   hwrite_field (fields, "X-Foxtailgrade-Server-Signature",
@@ -140,8 +143,9 @@
 return_at_first_event (void)
 {
   static const Run list[]
-      = { { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", true },
-          { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", false } };
+      = { { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", true, NULL },
+          { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", false,
+            NULL } };
   Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
   Answer answer;
 
@@ -158,8 +162,8 @@
 static void
 return_repeats_event (void)
 {
-  static const Run list[] = { { "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", true },
-                              { "id: 3\ndata: c\n\nid: 4\ndata: d\n\n", false } };
+  static const Run list[] = { { "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", true, NULL },
+                              { "id: 3\ndata: c\n\nid: 4\ndata: d\n\n", false, NULL } };
   Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
   Answer answer;
 
@@ -175,7 +179,7 @@
 static void
 route_without_returns (void)
 {
-  static const Run list[] = { { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false } };
+  static const Run list[] = { { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, NULL } };
   Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
   Answer answer;
 
@@ -185,6 +189,19 @@
   end_fleet (fleet);
 }
 
+/* The LF of the line end that completes an event comes apart from its CR. */
+static void
+line_end_in_two_parts (void)
+{
+  static const Run list[] = { { "id: 1\r\ndata: a\r\n\r", false, "\n" } };
+  Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
+  Answer answer;
+
+  play (fleet, "/stream/a", 0, &answer);
+  check (fleet, &answer, false, "id: 1\r\ndata: a\r\n\r\n");
+  end_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -192,6 +209,7 @@
   g_test_add_func ("/repeats/return_at_first_event", return_at_first_event);
   g_test_add_func ("/repeats/return_repeats_event", return_repeats_event);
   g_test_add_func ("/repeats/route_without_returns", route_without_returns);
+  g_test_add_func ("/repeats/line_end_in_two_parts", line_end_in_two_parts);
   streams = g_ptr_array_new_with_free_func (g_free);
   int status = g_test_run ();
   g_ptr_array_unref (streams);
