--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -205,5 +205,19 @@
 try "unframed: no receipt is needed" node/try.c 's/ \&\& !answer.has_receipt/ \&\& false/' test-unframed &
 try "unframed: a part of an event is complete" node/try.c 's/req->is_stream \&\& events_has_partial \(req->stream\)/false/' test-unframed &
 try "unframed: a crash ends a stream" node/requests.c 's/req->spared_attempt \|\| req->events > 0/req->spared_attempt/' test-unframed &
+# Events that a server repeats.
+try "repeats: the caller's own event is not known" src/events.c 's/^  events->has_number = last_id .*/  (void) parse_number;/' test-events &
+try "repeats: the caller's own event is not named" node/try.c 's/events_new \(req_is_return.*/events_new (NULL);/' test-repeats &
+try "repeats: any route can be taken up" node/try.c 's/req_is_return \(req\) \? req->facts.last_event : NULL/req->facts.last_event/' test-repeats &
+try "repeats: a sign is part of a number" src/events.c 's/!g_ascii_string_to_unsigned .*/(value = g_ascii_strtoull (id, NULL, 10)) == 0)/' test-events &
+try "repeats: a name forgets the numbers" src/events.c 's/^  if \(is_number\)$/  events->has_number = false;\n  if (is_number)/' test-events &
+try "format: a CR ends no line" src/events.c "s/byte == '.r' \|\| byte == /byte == /" test-events &
+try "format: the LF after a CR is a line" src/events.c 's/events->after_cr && byte/false \&\& byte/' test-events &
+try "format: a mark is part of a field" src/events.c 's/^  if \(events->at_start\)$/  if (false)/' test-events &
+try "format: the next server's mark is passed on" src/events.c 's/^  if \(events->has_appended\)$/  if (false)/' test-events &
+try "format: a NUL is part of an id" src/events.c 's/^  if \(memchr \(line \+ value, .*/  if (false)/' test-events &
+try "format: an empty id is one" src/events.c 's/events->id = size > value \? /events->id = size >= value ? /' test-events &
+try "format: the id of a partial event counts" src/events.c 's/^  g_clear_pointer \(&events->id, g_free\);$//' test-events &
+try "format: the rest of a line end is lost" node/try.c 's/^  else if \(out->len > 0\)$/  else if (false)/' test-repeats &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
