--- a/test/fleet.c
+++ b/test/fleet.c
@@ -425,6 +425,7 @@
   const char *connection = hmsg_field (msg, "Connection");
 
   answer->status = hmsg_status (msg);
+  answer->framed = !hmsg_body_until_close (msg);
   answer->has_signature = hmsg_field (msg, "X-Foxtailgrade-Server-Signature") != NULL;
   answer->retry_after = hmsg_field (msg, "Retry-After") != NULL;
   g_strlcpy (answer->location, location ? location : "", sizeof answer->location);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -149,6 +149,7 @@
   GString *body;
   char location[128], connection[32];
   bool has_signature; /* it names the server that answered */
+  bool framed;        /* it has a length or chunks; else its connection's end ends it */
   bool retry_after;   /* it has a Retry-After field */
   Fleet *fleet;
   int64_t sent_at, done_at; /* done_at: valid if done */
