test: servers that stop behind a relay

What became of a stop on the second hop was not played byte by byte. An entry that is cut off from the servers sends through another one, while the server resets, or ends with its listener, or both entries that relay are killed, at every third byte of a plain answer with a length, one without framing and a stream without framing. The test checks that the requests went through relays.

--- a/test/stops.c
+++ b/test/stops.c
@@ -10,6 +10,8 @@
 #define SLOTS      512 /* of a server: the requests of one batch run at the same time */
 #define POSITIONS  512 /* more bytes than any answer has */
 #define ID_SIZE    8
+#define RELAY_STEP 3 /* bytes between the places of a stop behind a relay */
+#define SETTLED    3 /* requests that went through relays: the entry knows that it is cut off */
 #define STOP_DELAY (10 * FT_MS)  /* from the last byte to the stop, which so arrives apart */
 #define GONE_TIME  (400 * FT_MS) /* until a server that is gone starts again */
 
@@ -27,13 +29,14 @@
   STOP_CLOSE,       /* closes in order with the last byte, and lives on */
   STOP_CLOSE_LATER, /* the same, some ms after the last byte */
   STOP_RESET,
-  STOP_GONE, /* all its connections close in order, and so does its listener */
-  STOP_COUNT
+  STOP_GONE,  /* all its connections close in order, and so does its listener */
+  STOP_RELAYS /* the server stands still, and the entries that relay its answers are killed */
 } Stop;
 
 static const char *const kind_names[]
     = { "plain_length", "plain_chunked", "plain_unframed", "stream_chunked", "stream_unframed" };
-static const char *const stop_names[] = { "close", "close_later", "reset", "gone" };
+static const char *const stop_names[]
+    = { "close", "close_later", "reset", "gone", "relays_killed" };
 
 typedef struct
 {
@@ -228,11 +231,11 @@
   first_runs += run == 0;
   if (stops && play.stop == STOP_CLOSE)
     close_when_sent (conn);
-  else if (stops && play.stop != STOP_GONE)
+  else if (stops && (play.stop == STOP_CLOSE_LATER || play.stop == STOP_RESET))
     stop_later (conn, STOP_DELAY);
   else if (!stops && is_unframed (play.kind))
     close_when_sent (conn);
-  else
+  else if (!stops)
     write_left_behind (conn, id, run);
   g_string_free (text, TRUE);
   g_free (id);
@@ -320,7 +323,10 @@
   fleet->slots = SLOTS;
   fleet->budget_slack = 100000;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    fleet->servers[i].listed = i < server_count;
+    {
+      fleet->servers[i].listed = i < server_count;
+      fleet->servers[i].addr.port = RAW_PORT;
+    }
   return fleet;
 }
 
@@ -331,8 +337,6 @@
     {
       servers[i] = (RawServer){ .fleet = fleet, .listed = &fleet->servers[i] };
       servers[i].conns = g_ptr_array_new ();
-      if (servers[i].listed->proxy == NULL)
-        servers[i].listed->addr.port = RAW_PORT;
       listen_raw (&servers[i]);
     }
   fleet_start_all (fleet);
@@ -404,7 +408,7 @@
 static bool
 must_be_whole (void)
 {
-  return play.stop != STOP_GONE && play.kind != PLAIN_UNFRAMED && !play.no_receipt && !left_at_next;
+  return play.stop < STOP_GONE && play.kind != PLAIN_UNFRAMED && !play.no_receipt && !left_at_next;
 }
 
 /* Checks what the caller of one request got, and how often it ran. */
@@ -457,6 +461,15 @@
     g_test_fail ();
 }
 
+/* Ends all that relay for an entry that is cut off from the servers, and its cut. */
+static void
+kill_relays (Fleet *fleet)
+{
+  for (unsigned i = 1; i < FLEET_ENTRIES; i++)
+    fleet_kill (&fleet->entries[i]);
+  fleet_heal (fleet, &fleet->entries[0]);
+}
+
 /* One request for each place of a stop and each kind of route; step: between the places. */
 static void
 run_positions (Fleet *fleet, unsigned entries, unsigned step, Batch *batch)
@@ -474,12 +487,15 @@
         send_one (fleet, entry, "/once/a", id, batch);
     }
   g_string_free (text, TRUE);
-  if (play.stop == STOP_GONE)
+  if (play.stop >= STOP_GONE)
     {
       fleet_run_until (fleet, all_run_or_done, batch, "all requests run");
       fleet_run_for (fleet, STOP_DELAY);
-      crash_all (fleet);
     }
+  if (play.stop == STOP_GONE)
+    crash_all (fleet);
+  if (play.stop == STOP_RELAYS)
+    kill_relays (fleet);
   finish_batch (fleet, batch);
 }
 
@@ -497,6 +513,67 @@
   g_free (batch);
 }
 
+/* ---- Behind a relay ---- */
+
+/* Requests that an entry has sent through relays. */
+static uint64_t
+relayed_count (Fleet *fleet, const FleetNode *entry)
+{
+  static const char name[] = "\nfoxtail_relayed_requests_total ";
+  Answer metrics;
+
+  fleet_get_metrics (fleet, entry, &metrics);
+  const char *at = strstr (metrics.body->str, name);
+  g_assert_nonnull (at);
+  uint64_t count = g_ascii_strtoull (at + strlen (name), NULL, 10);
+  fleet_answer_clear (&metrics);
+  return count;
+}
+
+/* Cuts the first entry off from the servers and waits until it sends through relays. */
+static void
+cut_off (Fleet *fleet)
+{
+  FleetNode *entry = &fleet->entries[0];
+  char id[ID_SIZE];
+
+  fleet_cut_from_servers (fleet, entry, PROXY_CUT_SILENT);
+  for (unsigned i = 0; relayed_count (fleet, entry) < SETTLED; i++)
+    {
+      Batch *batch = g_new0 (Batch, 1);
+
+      g_snprintf (id, sizeof id, "w9%03u", i);
+      send_one (fleet, entry, "/plain/a", id, batch);
+      fleet_run_until (fleet, all_are_done, batch, "the way through a relay");
+      fleet_answer_clear (&batch->answers[0]);
+      g_free (batch);
+    }
+}
+
+/* Guards against a reset or an end behind a relay, or of the relay, that arrives as an orderly end
+ * of a whole answer. */
+static void
+relay_hides_a_stop (gconstpointer data)
+{
+  Fleet *fleet = new_fleet (*(const Play *) data, SERVERS);
+  Batch *batch = g_new0 (Batch, 1);
+
+  fleet_add_proxies (fleet);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      proxy_free (fleet->servers[i].proxy); /* the servers listen there themselves */
+      fleet->servers[i].proxy = NULL;
+    }
+  start_fleet (fleet);
+  cut_off (fleet);
+  first_runs = 0;
+  uint64_t before = relayed_count (fleet, &fleet->entries[0]);
+  run_positions (fleet, 1, RELAY_STEP, batch);
+  g_assert_cmpuint (relayed_count (fleet, &fleet->entries[0]), >=, before + batch->count);
+  end_fleet (fleet);
+  g_free (batch);
+}
+
 /* ---- Connections that are out of step ---- */
 
 /* What follows the first answer on its connection; %s: the id of its request. */
@@ -519,7 +596,7 @@
 leave_behind (Fleet *fleet, unsigned number, const char *path, char letter, Batch *batch)
 {
   char first[ID_SIZE], next[ID_SIZE], bytes[256];
-  const char *format = leftovers[number % G_N_ELEMENTS (leftovers)];
+  const char *format = leftovers[number / 2 % G_N_ELEMENTS (leftovers)];
   const char *at = strstr (format, "%s");
   int before = at ? (int) (at - format) : (int) strlen (format);
 
@@ -548,10 +625,11 @@
   for (unsigned i = 0; i < (left_at_next ? 1 : G_N_ELEMENTS (left_after_us)); i++)
     {
       left_after = left_after_us[i];
-      for (unsigned j = 0; j < G_N_ELEMENTS (leftovers); j++)
-        leave_behind (fleet, number++, "/plain/a", 's', batch);
-      for (unsigned j = 0; j < G_N_ELEMENTS (leftovers); j++)
-        leave_behind (fleet, number++, "/once/a", 'u', batch);
+      for (unsigned j = 0; j < 2 * G_N_ELEMENTS (leftovers); j++)
+        {
+          bool once = number % 2 == 1;
+          leave_behind (fleet, number++, once ? "/once/a" : "/plain/a", once ? 'u' : 's', batch);
+        }
     }
   finish_batch (fleet, batch);
   end_fleet (fleet);
@@ -588,13 +666,13 @@
 int
 main (int argc, char **argv)
 {
-  static Play plays[32];
+  static Play plays[40];
   unsigned count = 0;
 
   g_test_init (&argc, &argv, NULL);
   for (Kind kind = PLAIN_LENGTH; kind <= STREAM_UNFRAMED; kind++)
     {
-      for (Stop stop = STOP_CLOSE; stop < STOP_COUNT; stop++)
+      for (Stop stop = STOP_CLOSE; stop <= STOP_GONE; stop++)
         {
           plays[count] = (Play){ .kind = kind, .stop = stop };
           add ("part", kind_names[kind], stop_names[stop], part_is_told_as_whole, &plays[count++]);
@@ -606,6 +684,12 @@
       plays[count] = (Play){ .kind = kind, .stop = STOP_CLOSE, .interim = true };
       add ("interim", kind_names[kind], "", part_is_told_as_whole, &plays[count++]);
     }
+  for (Kind kind = PLAIN_LENGTH; kind <= STREAM_UNFRAMED; kind += 2)
+    for (Stop stop = STOP_RESET; stop <= STOP_RELAYS; stop++)
+      {
+        plays[count] = (Play){ .kind = kind, .stop = stop };
+        add ("relay", kind_names[kind], stop_names[stop], relay_hides_a_stop, &plays[count++]);
+      }
   add ("leftover", "behind_answer", "", leftover_answers_next_request, GINT_TO_POINTER (false));
   add ("leftover", "at_next_request", "", leftover_answers_next_request, GINT_TO_POINTER (true));
   return g_test_run ();
