--- a/test/connectwrap.c
+++ b/test/connectwrap.c
@@ -2,7 +2,10 @@
  * make connects hang or fail on the way, which a listener alone cannot do for some clients only.
  *
  * The file named by FOXTAILNODE_DETOUR holds a port, and the address and port (in decimal) to which
- * connects to that port go instead. No file, or an empty one: none do. */
+ * connects to that port go instead. No file, or an empty one: none do.
+ *
+ * FOXTAILNODE_SOURCE is the address (in decimal) that connections come from, so that a proxy can
+ * tell the instances apart. Unset: the kernel chooses. */
 #include <arpa/inet.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -12,6 +15,22 @@
 int __real_connect (int fd, const struct sockaddr *addr, socklen_t size);
 int __wrap_connect (int fd, const struct sockaddr *addr, socklen_t size);
 
+static void
+bind_source (int fd)
+{
+  const char *text = getenv ("FOXTAILNODE_SOURCE");
+  struct sockaddr_in from = { 0 };
+  socklen_t size = sizeof from;
+  int on = 1;
+
+  if (text == NULL || getsockname (fd, (struct sockaddr *) &from, &size) != 0
+      || from.sin_family != AF_INET || from.sin_addr.s_addr != 0)
+    return;
+  from.sin_addr.s_addr = htonl ((uint32_t) strtoul (text, NULL, 10));
+  setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+  bind (fd, (const struct sockaddr *) &from, sizeof from);
+}
+
 int
 __wrap_connect (int fd, const struct sockaddr *addr, socklen_t size)
 {
@@ -23,6 +42,7 @@
 
   if (file)
     fclose (file);
+  bind_source (fd);
   if (!listed || addr->sa_family != AF_INET || ntohs (to.sin_port) != port)
     return __real_connect (fd, addr, size);
   to.sin_addr.s_addr = htonl (ip);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -129,6 +129,12 @@
   if (node->files)
     setrlimit (RLIMIT_NOFILE, &(struct rlimit){ node->files, node->files });
   setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
+  if (fleet->own_sources)
+    {
+      char text[16];
+      g_snprintf (text, sizeof text, "%u", node->ip);
+      setenv ("FOXTAILNODE_SOURCE", text, 1);
+    }
   if (node->older)
     setenv ("FOXTAILNODE_OLDER", "1", 1);
   execl (program ? program : FOXTAILNODE, "foxtailnode", node->settings, NULL);
@@ -350,6 +356,27 @@
   fleet_cut_from_servers (fleet, entry, PROXY_CUT_NONE);
 }
 
+void
+fleet_cut_link (const FleetNode *node, FleetNode *to, ProxyCut how)
+{
+  proxy_cut (to->proxy, node->ip, how);
+}
+
+void
+fleet_cut_from_list (const Fleet *fleet, const FleetNode *node)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "%d %u %u\n", LIST_PORT, fleet->voters[0].ip - 1, SILENT_PORT);
+  g_assert_true (g_file_set_contents (node->detour, text, -1, NULL));
+}
+
+void
+fleet_heal_list (const FleetNode *node)
+{
+  g_assert_true (g_file_set_contents (node->detour, "", -1, NULL));
+}
+
 static void
 free_proxies (Fleet *fleet)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -124,9 +124,10 @@
   unsigned crash_count; /* of all servers so far */
   unsigned event_ms;    /* time between a stream's events */
   bool all_versions;    /* the setting of that name */
-  bool marks_events;    /* events name the version of the server that sent them */
-  unsigned pause_ms;    /* silence in a stream of a SERVER_PAUSING */
-  unsigned resets;      /* of all SERVER_RESET, after which they are healthy; 0: no bound */
+  bool own_sources;  /* connections of nodes come from their addresses; set it before the start */
+  bool marks_events; /* events name the version of the server that sent them */
+  unsigned pause_ms; /* silence in a stream of a SERVER_PAUSING */
+  unsigned resets;   /* of all SERVER_RESET, after which they are healthy; 0: no bound */
   unsigned flood_bytes, flood_ms, flood_after; /* see SERVER_FLOOD_EVENT */
   unsigned plain_ms;                           /* time that a plain call takes */
   unsigned slots;                              /* of each server, as listed */
@@ -184,6 +185,12 @@
  * are not concerned. Needs the proxies. */
 void fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how);
 void fleet_heal (Fleet *fleet, FleetNode *entry);
+/* Cuts the links that the node has dialled to another one, or heals that. Needs the proxies and
+ * Fleet.own_sources. */
+void fleet_cut_link (const FleetNode *node, FleetNode *to, ProxyCut how);
+/* The node's new connections to the platform's list hang. Not beside fleet_cut_from_servers. */
+void fleet_cut_from_list (const Fleet *fleet, const FleetNode *node);
+void fleet_heal_list (const FleetNode *node);
 /* Starts three voters and all entries, puts a first catalogue and waits until entries are ready. */
 void fleet_start_all (Fleet *fleet);
 
--- a/test/proxy.c
+++ b/test/proxy.c
@@ -62,6 +62,23 @@
   loop_free_later (pair->proxy->loop, pair);
 }
 
+static ProxyCut
+cut_of (const Proxy *proxy, uint32_t client)
+{
+  for (unsigned i = 0; i < proxy->cut_count; i++)
+    if (proxy->cuts[i].client == client)
+      return proxy->cuts[i].how;
+  return PROXY_CUT_NONE;
+}
+
+/* True if bytes to the client are held back. */
+static bool
+is_one_way (const Pair *pair)
+{
+  return pair->proxy->mode == PROXY_ONE_WAY
+         || cut_of (pair->proxy, pair->peer.ip) == PROXY_CUT_ONE_WAY;
+}
+
 static void
 forward (Side *from, Side *to)
 {
@@ -78,7 +95,7 @@
 forward_both (Pair *pair)
 {
   forward (&pair->client, &pair->server);
-  if (pair->proxy->mode != PROXY_ONE_WAY)
+  if (!is_one_way (pair))
     forward (&pair->server, &pair->client);
 }
 
@@ -98,7 +115,7 @@
   Pair *pair = side->pair;
   ProxyMode mode = pair->proxy->mode;
 
-  if (pair->blackholed || pair->held || (mode == PROXY_ONE_WAY && side->to_client))
+  if (pair->blackholed || pair->held || (is_one_way (pair) && side->to_client))
     return;
   if (mode != PROXY_DELAY)
     forward_both (pair);
@@ -152,15 +169,6 @@
   return how == PROXY_CUT_RESET_ACCEPT || how == PROXY_CUT_REFUSE;
 }
 
-static ProxyCut
-cut_of (const Proxy *proxy, uint32_t client)
-{
-  for (unsigned i = 0; i < proxy->cut_count; i++)
-    if (proxy->cuts[i].client == client)
-      return proxy->cuts[i].how;
-  return PROXY_CUT_NONE;
-}
-
 static void
 attach_filter (int fd, struct sock_filter *code, unsigned count)
 {
@@ -186,7 +194,7 @@
   unsigned count = 1;
 
   for (unsigned i = 0; i < proxy->cut_count; i++)
-    if (!resets_accepted (proxy->cuts[i].how))
+    if (!resets_accepted (proxy->cuts[i].how) && proxy->cuts[i].how != PROXY_CUT_ONE_WAY)
       {
         code[count++] = (struct sock_filter) BPF_JUMP (BPF_JMP | BPF_JEQ | BPF_K,
                                                        proxy->cuts[i].client, 0, 1);
@@ -265,6 +273,8 @@
       hold (pair);
     else if (how != PROXY_CUT_SILENT && pair->held)
       release (pair);
+    else if (how == PROXY_CUT_NONE && !pair->blackholed && pair->client.sock && pair->server.sock)
+      forward_both (pair);
   }
 }
 
--- a/test/proxy.h
+++ b/test/proxy.h
@@ -23,7 +23,8 @@
   PROXY_CUT_RESET,  /* resets open connections; new ones hang */
   PROXY_CUT_RESET_ACCEPT, /* resets open connections, and new ones once they are accepted */
   PROXY_CUT_REFUSE,       /* the same, where the client's connects are not refused on the way */
-  PROXY_CUT_NEW           /* open connections live on; new ones hang */
+  PROXY_CUT_NEW,          /* open connections live on; new ones hang */
+  PROXY_CUT_ONE_WAY       /* holds back bytes to the client; new ones work */
 } ProxyCut;
 
 typedef struct Proxy Proxy;
