--- a/test/fleet.c
+++ b/test/fleet.c
@@ -34,6 +34,7 @@
   char addr[SOCK_ADDR_TEXT_SIZE];
   bool any = false;
 
+  fleet->list_readings++;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     {
       const FleetServer *server = &fleet->servers[i];
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -114,6 +114,7 @@
   FleetServer servers[FLEET_SERVERS];
   int silent_fd;                /* listens where connects of cut entries hang; 0: none */
   HSrv *list;                   /* serves the platform's server list */
+  unsigned list_readings;       /* of the server list, by all instances */
   uint64_t version;             /* of the newest acknowledged catalogue */
   GHashTable *run_counts;       /* request id: how often a server started to run it */
   GHashTable *lost_counts;      /* request id: how often a server lost it, see fleet_lost_count */
