test: a connect whose source cannot be bound ends the program

Cause: the linter refuses a result that is not used, and a link from another address would not be cut.

--- a/test/connectwrap.c
+++ b/test/connectwrap.c
@@ -28,7 +28,8 @@
     return;
   from.sin_addr.s_addr = htonl ((uint32_t) strtoul (text, NULL, 10));
   setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-  bind (fd, (const struct sockaddr *) &from, sizeof from);
+  if (bind (fd, (const struct sockaddr *) &from, sizeof from) != 0)
+    abort ();
 }
 
 int
