soak: streams are checked by streamcheck

The scan of soakver stopped in silence at the first event that it couldn't read, and the end of a stream was looked for by a search for its last event's text. All attempts of a stream now go through streamcheck, whose checks include both: numbers without a gap over all attempts, one version, and no complete end before the last event.

--- a/test/soak.c
+++ b/test/soak.c
@@ -61,7 +61,6 @@
 #define HUP_MS_MAX       150 /* between two SIGHUPs */
 #define CATALOGUE_MS_MAX 400 /* between two catalogues */
 #define TERM_MS_MAX      800 /* from an entry's restart to the next one's SIGTERM */
-#define STREAM_END       "id: 8\ndata: event 8 of v" /* and the number of the version */
 
 typedef struct
 {
@@ -162,8 +161,6 @@
         fail ("a success without a server's signature", caller->id);
       if (caller->kind < 2 && strcmp (answer->body->str, caller->id) != 0)
         fail ("another request's answer", caller->id);
-      if (caller->kind == 2 && strstr (answer->body->str, STREAM_END) == NULL)
-        fail ("an incomplete stream that looks complete", caller->id);
     }
   else if (answer->broken)
     broken++;
@@ -781,7 +778,10 @@
   fleet_add_proxies (fleet);
   soakroll_begin (fleet, seed);
   soaknote_begin (fleet, seed);
-  soakver_begin (fleet, seed, !soakroll_is_planned () && seed % 2 == 1);
+  bool mixed = !soakroll_is_planned () && seed % 2 == 1;
+  soakver_begin (fleet, seed, mixed);
+  if (mixed)
+    soakver_mix ();
   fleet_start_all (fleet);
   int64_t until = loop_now (fleet->loop) + seconds * FT_SECOND;
   unsigned round = 0;
@@ -807,6 +807,8 @@
   soakroll_end ();
   check_recovery ();
   soakver_end ();
+  for (unsigned i = 0; i < caller_count; i++)
+    soakver_reset (&callers[i].stream);
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, %u begun, "
           "%u over time, catalogue %u, "
           "%u server crashes, late runs of crash bodies: %u and %u, of crash parts: %u and %u, "
--- a/test/soakver.c
+++ b/test/soakver.c
@@ -17,20 +17,26 @@
 static unsigned taken_up, went_on, refused;
 
 void
-soakver_begin (Fleet *new_fleet, unsigned seed, bool is_mixed)
+soakver_begin (Fleet *new_fleet, unsigned seed, bool side_by_side)
 {
   fleet = new_fleet;
   fleet->marks_events = true;
-  fleet->all_versions = is_mixed;
+  fleet->all_versions = side_by_side;
   if (source)
     g_rand_free (source);
   source = g_rand_new_with_seed (seed ^ 0x76657273u);
-  mixed = is_mixed;
+  mixed = false;
   memset (changed, 0, sizeof changed);
   memset (gone_at, 0, sizeof gone_at);
   taken_up = went_on = refused = 0;
 }
 
+void
+soakver_mix (void)
+{
+  mixed = true;
+}
+
 static unsigned
 number_of (const char *version)
 {
@@ -69,44 +75,47 @@
 void
 soakver_reset (SoakStream *stream)
 {
+  sc_free (stream->check);
   *stream = (SoakStream){ 0 };
 }
 
+unsigned
+soakver_last_event (const SoakStream *stream)
+{
+  return stream->check ? sc_last_event (stream->check) : 0;
+}
+
+const char *
+soakver_version (const SoakStream *stream)
+{
+  return stream->check ? sc_version (stream->check) : "";
+}
+
 void
 soakver_take (SoakStream *stream, const char *id, const Answer *answer)
 {
-  const char *at = answer->body->str;
-  char version[8];
-  unsigned number, event, before = stream->last_event;
+  unsigned before = soakver_last_event (stream);
 
   if (answer->status != 200)
     {
       refused += stream->returns > 0;
       return;
     }
-  while (sscanf (at, "id: %u\ndata: event %u of %7s", &number, &event, version) == 3
-         && (at = strstr (at, "\n\n")) != NULL)
-    {
-      at += 2;
-      if (number != stream->last_event + 1 || event != number)
-        g_error ("events missing, repeated or out of order: %s (logs in %s)", id, fleet->base);
-      if (*stream->first == '\0')
-        {
-          g_strlcpy (stream->first, id, sizeof stream->first);
-          g_strlcpy (stream->version, version, sizeof stream->version);
-        }
-      if (strcmp (version, stream->version) != 0)
-        g_error ("events of two versions: %s, which began as %s (logs in %s)", id, stream->first,
-                 fleet->base);
-      stream->last_event = number;
-    }
-  went_on += stream->returns > 0 && stream->last_event > before;
+  if (stream->check == NULL)
+    stream->check = sc_new (STREAM_EVENTS);
+  sc_begin (stream->check, id, before);
+  sc_feed (stream->check, answer->body->str, answer->body->len);
+  sc_end (stream->check, !answer->broken);
+  if (sc_report (stream->check))
+    g_error ("%s (logs in %s)", sc_report (stream->check), fleet->base);
+  went_on += stream->returns > 0 && soakver_last_event (stream) > before;
 }
 
 bool
 soakver_returns (const SoakStream *stream)
 {
-  return *stream->first && stream->last_event < STREAM_EVENTS && stream->returns < RETURNS_MAX;
+  return soakver_last_event (stream) > 0 && soakver_last_event (stream) < STREAM_EVENTS
+         && stream->returns < RETURNS_MAX;
 }
 
 void
@@ -115,13 +124,16 @@
 {
   stream->returns++;
   taken_up++;
-  fleet_resume (fleet, entry, "/stream/a", id, stream->last_event, stream->first, body, answer);
+  fleet_resume (fleet, entry, "/stream/a", id, soakver_last_event (stream),
+                sc_first (stream->check), body, answer);
 }
 
 bool
 soakver_was_gone (const SoakStream *stream, int64_t since)
 {
-  return *stream->version && gone_at[number_of (stream->version)] >= since;
+  const char *version = soakver_version (stream);
+
+  return *version && gone_at[number_of (version)] >= since;
 }
 
 void
--- a/test/soakver.h
+++ b/test/soakver.h
@@ -4,19 +4,20 @@
 #define SOAKVER_H
 
 #include "fleet.h"
+#include "streamcheck.h"
 
 /* A stream over all attempts of its caller. */
 typedef struct
 {
-  char first[24];      /* id of the attempt that brought its first event; "": there is none */
-  char version[8];     /* of the server that sent that event */
-  unsigned last_event; /* the caller has the events up to it */
-  unsigned returns;    /* how often the caller has taken it up */
+  StreamCheck *check; /* NULL: no attempt had an answer yet */
+  unsigned returns;   /* how often the caller has taken it up */
 } SoakStream;
 
-/* Has a random generator of its own, so that a seed keeps its sequence of faults. mixed: all
- * versions get requests, and servers that crash may come back with another one. */
-void soakver_begin (Fleet *fleet, unsigned seed, bool mixed);
+/* Has a random generator of its own, so that a seed keeps its sequence of faults. side_by_side: all
+ * versions get requests. */
+void soakver_begin (Fleet *fleet, unsigned seed, bool side_by_side);
+/* From now on servers that crash may come back with another version. */
+void soakver_mix (void);
 /* Call in each round. */
 void soakver_turn (void);
 /* Forgets an earlier stream. */
@@ -29,6 +30,10 @@
 /* Sends that attempt. */
 void soakver_send (SoakStream *stream, const FleetNode *entry, const char *id, const char *body,
                    Answer *answer);
+/* Number of the last event that the caller has; 0: none. */
+unsigned soakver_last_event (const SoakStream *stream);
+/* Version of the first event; "": there is none. */
+const char *soakver_version (const SoakStream *stream);
 /* True if at some time since then no server of the stream's version could be used. */
 bool soakver_was_gone (const SoakStream *stream, int64_t since);
 /* Prints how many streams were taken up and what came of it. */
--- a/test/streamcheck.c
+++ b/test/streamcheck.c
@@ -15,8 +15,8 @@
   GString *line;
   bool after_cr; /* a LF now belongs to the CR before it */
   /* The event whose lines are being read. */
-  bool is_open, has_number, has_data;
-  unsigned number;
+  bool is_open, has_data;
+  unsigned number; /* 0: none, or it is no number */
   GString *data;
   unsigned counts[SC_FAULTS];
   char *report;
@@ -78,7 +78,7 @@
 static void
 start_event (StreamCheck *check)
 {
-  check->is_open = check->has_number = check->has_data = false;
+  check->is_open = check->has_data = false;
   check->number = 0;
   g_string_truncate (check->data, 0);
 }
@@ -136,8 +136,7 @@
 {
   char version[32] = "";
 
-  if (!check->has_number || check->number == 0 || !check->has_data
-      || !read_data (check, version, sizeof version))
+  if (check->number == 0 || !check->has_data || !read_data (check, version, sizeof version))
     {
       note (check, SC_MALFORMED, check->number, version);
       return;
@@ -156,9 +155,9 @@
 read_number (StreamCheck *check, const char *value)
 {
   guint64 number;
+  bool is_number = g_ascii_string_to_unsigned (value, 10, 0, G_MAXUINT, &number, NULL);
 
-  check->has_number = g_ascii_string_to_unsigned (value, 10, 0, G_MAXUINT, &number, NULL);
-  check->number = check->has_number ? (unsigned) number : 0;
+  check->number = is_number ? (unsigned) number : 0;
 }
 
 static void
