listing: a version is logged only shortly before streams begin at it

Cause: the log names a version as soon as the voter in charge lists it, and has no ages, while take_over takes what the log names for a version that joined long ago. One voter that starts anew and then takes charge is enough.

Change: a version that has just joined is proposed 1 s before streams begin at it, that is 5 s after it joined, when no list without it decides any more; a version that left before is not proposed at all. What the log has already stays there as before. After a restart within these 5 s the version joins anew.

Ruled out: settling only the version in use, which an order may change at any time; ages in the log, which older voters could not apply.

The mutant that logs versions as they join is found by voters_restart. test/mutants.sh leaves out what KNOWN-RED.txt lists, since a case that fails anyway finds nothing.

--- a/node/broker.c
+++ b/node/broker.c
@@ -484,6 +484,13 @@
   sched_settle_version (broker->sched, service, version);
 }
 
+bool
+broker_streams_begin_within (const Broker *broker, const char *service, const char *version,
+                             int64_t within_us)
+{
+  return sched_streams_begin_within (broker->sched, service, version, within_us);
+}
+
 const char *
 broker_get_in_use (const Broker *broker, const char *service)
 {
--- a/node/broker.h
+++ b/node/broker.h
@@ -105,6 +105,8 @@
 void broker_set_versions (Broker *broker, const char *service, const SchedVersions *versions);
 void broker_set_in_use (Broker *broker, const char *service, const char *version);
 void broker_settle_version (Broker *broker, const char *service, const char *version);
+bool broker_streams_begin_within (const Broker *broker, const char *service, const char *version,
+                                  int64_t within_us);
 const char *broker_get_in_use (const Broker *broker, const char *service);
 void broker_set_judged_callback (Broker *broker,
                                  void (*judged) (void *host, const SchedVerdict *judged),
--- a/node/listing.c
+++ b/node/listing.c
@@ -3,8 +3,10 @@
  *
  * An entry that has just started cannot tell which versions may have begun the streams that callers
  * take up. The voter in charge can: it has the table of its predecessor from the log, and watches
- * the lists since then. Versions are proposed when they appear and when they have not been listed
- * for ORIGINS_TIME_MAX, so the log grows by a few entries with each release.
+ * the lists since then. Versions are proposed shortly before streams begin at them and when they
+ * have not been listed for ORIGINS_TIME_MAX, so the log grows by a few entries with each release.
+ * A successor takes a version that the log names for one that joined long ago, so none is proposed
+ * while it has just joined.
  */
 #include "listing.h"
 #include "bcast.h"
@@ -16,6 +18,9 @@
 #define NOTIFY_INTERVAL (5 * FT_SECOND) /* for entries that missed lists */
 /* A proposal without a result after this time was lost. */
 #define PROPOSAL_TIMEOUT (1500 * FT_MS)
+/* Before streams begin at a version. Less than ORIGINS_JOIN_TIME - ORIGINS_LIST_AGE_MAX, so that no
+ * list without the version decides any more. */
+#define COMMIT_TIME FT_SECOND
 
 struct Listing
 {
@@ -131,6 +136,37 @@
   return true;
 }
 
+static bool
+contains (const MsgListedService *listed, const char *version)
+{
+  for (unsigned i = 0; i < listed->versions.versions_len; i++)
+    if (strcmp (listed->versions.versions_val[i], version) == 0)
+      return true;
+  return false;
+}
+
+static const MsgListedService *
+find_committed (const Listing *listing, const char *service)
+{
+  for (unsigned i = 0; i < listing->table.services.services_len; i++)
+    {
+      const MsgListedService *known = &listing->table.services.services_val[i];
+      if (strcmp (known->service, service) == 0)
+        return known;
+    }
+  return NULL;
+}
+
+/* False: the version has just joined, and has begun no stream. */
+static bool
+is_to_be_logged (const Listing *listing, const char *service, const char *version)
+{
+  const MsgListedService *known = find_committed (listing, service);
+
+  return (known && contains (known, version))
+         || broker_streams_begin_within (listing->broker, service, version, COMMIT_TIME);
+}
+
 typedef struct
 {
   const char *service;
@@ -152,6 +188,8 @@
   Wanted *wanted = g_hash_table_lookup (services, service);
 
   (void) age;
+  if (!is_to_be_logged (collection->listing, service, version))
+    return;
   if (wanted == NULL)
     {
       wanted = g_new0 (Wanted, 1);
@@ -170,30 +208,18 @@
     }
 }
 
-static bool
-contains (const MsgListedService *listed, const char *version)
-{
-  for (unsigned i = 0; i < listed->versions.versions_len; i++)
-    if (strcmp (listed->versions.versions_val[i], version) == 0)
-      return true;
-  return false;
-}
-
 static bool
 is_committed (const Listing *listing, const MsgListedService *wanted)
 {
-  for (unsigned i = 0; i < listing->table.services.services_len; i++)
-    {
-      const MsgListedService *known = &listing->table.services.services_val[i];
-      if (strcmp (known->service, wanted->service) != 0)
-        continue;
-      for (unsigned j = 0; j < wanted->versions.versions_len; j++)
-        if (!contains (known, wanted->versions.versions_val[j]))
-          return false;
-      return known->versions.versions_len == wanted->versions.versions_len
-             && strcmp (known->versions.versions_val[0], wanted->versions.versions_val[0]) == 0;
-    }
-  return false;
+  const MsgListedService *known = find_committed (listing, wanted->service);
+
+  if (known == NULL)
+    return false;
+  for (unsigned i = 0; i < wanted->versions.versions_len; i++)
+    if (!contains (known, wanted->versions.versions_val[i]))
+      return false;
+  return known->versions.versions_len == wanted->versions.versions_len
+         && strcmp (known->versions.versions_val[0], wanted->versions.versions_val[0]) == 0;
 }
 
 static void
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -133,6 +133,15 @@
   update_servers (service);
 }
 
+bool
+fresh_begins_within (const Service *service, const char *version, int64_t within, int64_t now)
+{
+  const Presence *presence = g_hash_table_lookup (service->presences, version);
+
+  return presence
+         && has_settled (presence, presence->absent_from ? presence->absent_from : now + within);
+}
+
 bool
 fresh_is_withheld (const Job *job, const Server *server, int64_t now)
 {
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -481,6 +481,8 @@
 void fresh_note_list (Service *service, int64_t now);
 /* The version joined long ago, if this scheduler's first list has it; see sched_settle_version. */
 void fresh_settle_initial (Service *service, const char *version, int64_t now);
+/* True if resumable streams have begun at the version, or begin before this time has passed. */
+bool fresh_begins_within (const Service *service, const char *version, int64_t within, int64_t now);
 /* True if the job is a resumable stream and the server's version has just joined. */
 bool fresh_is_withheld (const Job *job, const Server *server, int64_t now);
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -193,6 +193,15 @@
     fresh_settle_initial (service, version, ft_clock_now (sched->clock));
 }
 
+bool
+sched_streams_begin_within (const Sched *sched, const char *name, const char *version,
+                            int64_t within_us)
+{
+  const Service *service = g_hash_table_lookup (sched->services, name);
+
+  return service && fresh_begins_within (service, version, within_us, ft_clock_now (sched->clock));
+}
+
 void
 sched_set_all_versions (Sched *sched, bool on)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -185,6 +185,10 @@
  * resumable streams may begin at its servers. They do at any other version once it has been listed
  * beside others for ORIGINS_JOIN_TIME. */
 void sched_settle_version (Sched *sched, const char *service, const char *version);
+/* True if resumable streams have begun at servers of the version, or begin before this time has
+ * passed. */
+bool sched_streams_begin_within (const Sched *sched, const char *service, const char *version,
+                                 int64_t within_us);
 /* Takes servers of all versions into use, except of services with an ordered version. Default: off.
  */
 void sched_set_all_versions (Sched *sched, bool on);
--- a/test/bound.c
+++ b/test/bound.c
@@ -415,6 +415,29 @@
   fixture_free (fixture);
 }
 
+/* Guards against logging a version before streams are about to begin at it, from which a successor
+ * would take that it joined long ago, and against logging one that left before. */
+static void
+begins_soon (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+  const Sched *sched = fixture->sched;
+
+  list_servers (fixture, 1, 1);
+  g_assert_true (sched_streams_begin_within (sched, "s", "v1", 0));
+  g_assert_false (sched_streams_begin_within (sched, "s", "v2", FT_SECOND));
+  g_assert_false (sched_streams_begin_within (sched, "s", "v3", FT_SECOND));
+  fixture->clock.now += ORIGINS_JOIN_TIME - FT_SECOND - 1;
+  g_assert_false (sched_streams_begin_within (sched, "s", "v2", FT_SECOND));
+  fixture->clock.now++;
+  g_assert_true (sched_streams_begin_within (sched, "s", "v2", FT_SECOND));
+  list_servers (fixture, 1, 0);
+  fixture->clock.now += ORIGINS_JOIN_TIME;
+  g_assert_false (sched_streams_begin_within (sched, "s", "v2", FT_SECOND));
+  g_assert_true (sched_streams_begin_within (sched, "s", "v1", 0));
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -449,6 +472,7 @@
   g_test_add_func ("/bound/joined_alone", joined_alone);
   g_test_add_func ("/bound/joins_again", joins_again);
   g_test_add_func ("/bound/settled_at_start", settled_at_start);
+  g_test_add_func ("/bound/begins_soon", begins_soon);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
--- a/test/cutaway.c
+++ b/test/cutaway.c
@@ -289,6 +289,8 @@
 }
 
 static const Case cases[] = {
+  { "leader_killed", leader_killed, 1700 },
+  { "voters_restart", voters_restart, 1500 },
   { "cut_off_from_voters", cut_off_from_voters, 2900 },
   { "cut_off_from_voters", cut_off_from_voters, LATE },
   { "cut_off_from_all", cut_off_from_all, LATE },
@@ -298,8 +300,6 @@
   { "frozen_leader", frozen_leader, LATE + 1000 },
   { "frozen_voter", frozen_voter, LATE },
   { "frozen_deputy", frozen_deputy, LATE },
-  { "leader_killed", leader_killed, 1700 },
-  { "voters_restart", voters_restart, 1500 },
   { "swapped", swapped, 1500 },
 };
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # mutants.sh [PART OF A NAME] - checks that the tests detect faults: removes one safeguard at a time from a
-# copy of the tree and runs a test program, which must fail. Takes some minutes; not part of make check.
+# copy of the tree and runs a test program, which must fail in a case that KNOWN-RED.txt lacks. Takes some
+# minutes; not part of make check.
 # mutants.sh --match - only checks that each safeguard is still found in the source.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -28,7 +29,7 @@
   done
   cmake -S "$mine" -B "$mine/build" >/dev/null && make -C "$mine/build" "$program" >/dev/null 2>&1 \
     || { echo "$1: does not build"; return 1; }
-  if result=$(ulimit -v 4000000; timeout 200 "$mine/build/$program" "${SCHEDULES:-3000}" 1 2>&1); then
+  if result=$(ulimit -v 4000000; timeout 200 scripts/run-test.sh "$mine/build/$program" "${SCHEDULES:-3000}" 1 2>&1); then
     echo "$1: NOT FOUND in ${SCHEDULES:-3000} schedules"
     return 1
   else
@@ -145,6 +146,8 @@
 try "listed: the log of an older program is complete" src/state.c 's/^      if \(state->document.number == 0\)$/      if (true)/' test-listed &
 try "listed: a snapshot lacks the table" src/state.c 's/listed_restore \(state->listed, \&in->listed\)/(void) in/' test-listed &
 try "listed: a successor begins anew" node/listing.c 's/^  for \(unsigned i = 0; i < listing->table.services.services_len; i\+\+\)$/  for (unsigned i = 0; false; i++)/' test-joined &
+try "listed: one that has just joined is logged" node/listing.c 's/^         \|\| broker_streams_begin_within .*/         || true;/' test-cutaway &
+try "listed: one that left early is logged" src/fresh.c 's/presence->absent_from \? presence->absent_from : now/now/' test-bound &
 try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-joined &
 try "listed: callers are refused before the election" node/reqorigin.c 's/^  if \(origin == NULL && version == NULL && await_versions \(req\)\)$/  if (false \&\& await_versions (req))/' test-joined &
 try "listed: what was told before a gap counts" src/origins.c 's/^  if \(watched_until \(origins\) > 0 \&\& .*/  if (false)/' test-origdir &
