Merge: a version is logged only shortly before streams begin at it

Since the log names a version only once no list without it decides, what it names is settled again, also where it is read before the first list. A version that streams begin at sooner, as no other one is left, is logged then.

--- a/node/broker.c
+++ b/node/broker.c
@@ -486,6 +486,18 @@
   sched_set_in_use (broker->sched, service, version);
 }
 
+void
+broker_settle_version (Broker *broker, const char *service, const char *version)
+{
+  sched_settle_version (broker->sched, service, version);
+}
+
+bool
+broker_streams_begin_soon (const Broker *broker, const char *service, const char *version)
+{
+  return sched_streams_begin_soon (broker->sched, service, version);
+}
+
 const char *
 broker_get_in_use (const Broker *broker, const char *service)
 {
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -18,12 +18,16 @@
 #define ABSENCE_MAX (ORIGINS_TIME_MAX / 2)
 /* ORIGINS_LIST_AGE_MAX, and what the platform's list lags. */
 #define OTHERS_GONE_TIME (4 * FT_SECOND)
+/* Enough to commit that streams begin at a version. Less than ORIGINS_JOIN_TIME -
+ * ORIGINS_LIST_AGE_MAX, so that no list without the version decides any more. */
+#define SOON FT_SECOND
 
 typedef struct
 {
   int64_t joined_at;
   int64_t listed_at; /* in the newest list that has it */
   int64_t ready_at;  /* when it last had a server that was not leaving; 0: never */
+  bool initial;      /* it was in this scheduler's first list, so it may have joined before */
   bool withheld;
 } Presence;
 
@@ -39,6 +43,12 @@
   return presence->listed_at - presence->joined_at >= ORIGINS_JOIN_TIME;
 }
 
+static void
+settle (Presence *presence, int64_t at)
+{
+  presence->joined_at = MIN (presence->joined_at, at - ORIGINS_JOIN_TIME);
+}
+
 static bool
 joins_anew (const Service *service, const Presence *presence, int64_t at)
 {
@@ -56,10 +66,16 @@
     {
       presence = g_new0 (Presence, 1);
       presence->joined_at = at;
+      presence->initial = service->list_at == 0;
+      if (presence->initial && g_hash_table_contains (service->settled, server->version))
+        settle (presence, at);
       g_hash_table_insert (service->presences, g_strdup (server->version), presence);
     }
   else if (presence->listed_at < at && joins_anew (service, presence, at))
-    presence->joined_at = at;
+    {
+      presence->joined_at = at;
+      presence->initial = false;
+    }
   presence->listed_at = at;
   if (!server->leaving)
     presence->ready_at = at;
@@ -90,7 +106,7 @@
       ready = presence;
     }
   if (g_hash_table_size (service->presences) == 1 && ready)
-    ready->joined_at = MIN (ready->joined_at, at - ORIGINS_JOIN_TIME);
+    settle (ready, at);
   g_hash_table_iter_init (&iter, service->presences);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -99,6 +115,20 @@
     }
 }
 
+/* Decides by the newest list. */
+static void
+apply (Service *service)
+{
+  Server *server;
+
+  decide (service, service->list_at);
+  cds_list_for_each_entry (server, &service->servers, link)
+  {
+    const Presence *presence = g_hash_table_lookup (service->presences, server->version);
+    server->withheld = presence && presence->withheld;
+  }
+}
+
 void
 fresh_note_list (Service *service, int64_t at)
 {
@@ -111,12 +141,28 @@
   }
   g_hash_table_foreach_remove (service->presences, is_forgotten, &at);
   service->list_at = at;
-  decide (service, at);
-  cds_list_for_each_entry (server, &service->servers, link)
-  {
-    const Presence *presence = g_hash_table_lookup (service->presences, server->version);
-    server->withheld = presence && presence->withheld;
-  }
+  apply (service);
+}
+
+void
+fresh_settle (Service *service, const char *version)
+{
+  Presence *presence = g_hash_table_lookup (service->presences, version);
+
+  if (service->list_at == 0)
+    g_hash_table_add (service->settled, g_strdup (version));
+  if (presence == NULL || !presence->initial)
+    return;
+  settle (presence, presence->listed_at);
+  apply (service);
+}
+
+bool
+fresh_begins_soon (const Service *service, const char *version, int64_t now)
+{
+  const Presence *presence = g_hash_table_lookup (service->presences, version);
+
+  return presence && (!presence->withheld || now - presence->joined_at >= ORIGINS_JOIN_TIME - SOON);
 }
 
 bool
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -209,6 +209,7 @@
   char *name;
   Versions versions;
   GHashTable *presences; /* of the listed versions (fresh.c) */
+  GHashTable *settled;   /* versions that settle with the first list (fresh.c) */
   int64_t list_at;       /* when the newest list had been received; 0: none has come */
   SchedServiceConf conf;
   struct cds_list_head servers;
@@ -481,6 +482,11 @@
 /* Notes which versions of the service are in the list that had been received at this time. Call
  * with each list. */
 void fresh_note_list (Service *service, int64_t at);
+/* The version joined long ago if it is in this scheduler's first list, also if that is yet to come;
+ * see sched_settle_version. */
+void fresh_settle (Service *service, const char *version);
+/* See sched_streams_begin_soon. */
+bool fresh_begins_soon (const Service *service, const char *version, int64_t now);
 /* True if the job is a resumable stream and the server's version has just joined. */
 bool fresh_is_withheld (const Job *job, const Server *server);
 
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -44,6 +44,7 @@
   g_ptr_array_unref (service->tiers);
   ver_clear (&service->versions);
   g_hash_table_unref (service->presences);
+  g_hash_table_unref (service->settled);
   g_free (service->name);
   g_free (service);
 }
@@ -120,6 +121,7 @@
   curve_init (&service->curve);
   ver_init (&service->versions);
   service->presences = fresh_presences_new ();
+  service->settled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   service->tiers = g_ptr_array_new_with_free_func (wait_tier_free);
   CDS_INIT_LIST_HEAD (&service->servers);
   CDS_INIT_LIST_HEAD (&service->bound);
@@ -184,6 +186,20 @@
   return service ? service->versions.in_use : "";
 }
 
+void
+sched_settle_version (Sched *sched, const char *name, const char *version)
+{
+  fresh_settle (get_service (sched, name), version);
+}
+
+bool
+sched_streams_begin_soon (const Sched *sched, const char *name, const char *version)
+{
+  const Service *service = g_hash_table_lookup (sched->services, name);
+
+  return service && fresh_begins_soon (service, version, ft_clock_now (sched->clock));
+}
+
 void
 sched_set_all_versions (Sched *sched, bool on)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -187,6 +187,10 @@
 void sched_set_in_use (Sched *sched, const char *service, const char *version);
 /* The version in use; "": none yet. Valid until the next call. */
 const char *sched_get_in_use (const Sched *sched, const char *service);
+/* The version has been listed for long, as others know, if this scheduler's first list has it. */
+void sched_settle_version (Sched *sched, const char *service, const char *version);
+/* True if resumable streams have begun at servers of the version, or begin within a second. */
+bool sched_streams_begin_soon (const Sched *sched, const char *service, const char *version);
 /* Takes servers of all versions into use, except of services with an ordered version. Default: off.
  */
 void sched_set_all_versions (Sched *sched, bool on);
--- a/test/bound.c
+++ b/test/bound.c
@@ -457,6 +457,52 @@
   fixture_free (fixture);
 }
 
+/* Guards against a log that names a version before no list without it decides any more, and against
+ * one that does not when streams begin. */
+static void
+begins_soon (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+  Sched *sched = fixture->sched;
+
+  g_assert_true (sched_streams_begin_soon (sched, "s", "v1"));
+  list_servers (fixture, 1, 1);
+  g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
+  g_assert_false (sched_streams_begin_soon (sched, "s", "v3"));
+  keep_listing (fixture, ORIGINS_JOIN_TIME - FT_SECOND - 1);
+  g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
+  keep_listing (fixture, 1);
+  g_assert_true (sched_streams_begin_soon (sched, "s", "v2"));
+  fixture_free (fixture);
+}
+
+/* Guards against refusing streams for a while after a start, where the log tells that the versions
+ * joined long ago, also if it does so before the first list. */
+static void
+settled_at_start (gconstpointer data)
+{
+  bool list_first = GPOINTER_TO_INT (data);
+  Fixture *fixture = g_new0 (Fixture, 1);
+
+  fixture->clock = test_clock ();
+  fixture->sched = sched_new (&fixture->clock.base, &ops, fixture);
+  sched_set_service (fixture->sched, "s", &(SchedServiceConf){ .engine = true, .stride = 1 });
+  sched_set_all_versions (fixture->sched, true);
+  if (list_first)
+    list_servers (fixture, 1, 1);
+  sched_settle_version (fixture->sched, "s", "v1");
+  sched_settle_version (fixture->sched, "s", "v2");
+  if (!list_first)
+    list_servers (fixture, 1, 1);
+  g_assert_true (begins_at_new (fixture, 0));
+  list_servers (fixture, 1, 0);
+  keep_listing (fixture, ORIGINS_TIME_MAX);
+  list_servers (fixture, 1, 1);
+  sched_settle_version (fixture->sched, "s", "v2"); /* it has joined anew */
+  g_assert_false (begins_at_new (fixture, 20));
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -492,6 +538,11 @@
   g_test_add_func ("/bound/joins_again", joins_again);
   g_test_add_func ("/bound/joined_unseen", joined_unseen);
   g_test_add_func ("/bound/withheld_places_do_not_count", withheld_places_do_not_count);
+  g_test_add_data_func ("/bound/settled_at_start/list_first", GINT_TO_POINTER (true),
+                        settled_at_start);
+  g_test_add_data_func ("/bound/settled_at_start/log_first", GINT_TO_POINTER (false),
+                        settled_at_start);
+  g_test_add_func ("/bound/begins_soon", begins_soon);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
