--- a/src/fresh.c
+++ b/src/fresh.c
@@ -162,7 +162,11 @@
 {
   const Presence *presence = g_hash_table_lookup (service->presences, version);
 
-  return presence && (!presence->withheld || now - presence->joined_at >= ORIGINS_JOIN_TIME - SOON);
+  if (presence == NULL)
+    return false;
+  bool listed = presence->listed_at == service->list_at;
+  bool soon = now - presence->joined_at >= ORIGINS_JOIN_TIME - SOON;
+  return has_settled (presence) || (listed && (soon || !presence->withheld));
 }
 
 bool
--- a/test/bound.c
+++ b/test/bound.c
@@ -473,6 +473,12 @@
   g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
   keep_listing (fixture, 1);
   g_assert_true (sched_streams_begin_soon (sched, "s", "v2"));
+  fixture->clock.now++;
+  list_servers (fixture, 1, 0); /* it leaves before any began */
+  g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
+  keep_listing (fixture, ORIGINS_JOIN_TIME);
+  g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
+  g_assert_true (sched_streams_begin_soon (sched, "s", "v1"));
   fixture_free (fixture);
 }
 
