test-bound: a version that rejoins after a start, and one left alone before it settles

Two mutants of fresh.c were not found: joined_alone gave the new version the 6 s in which it settles anyway, and no case met a version that joins anew within the time in which it is remembered.

--- a/test/bound.c
+++ b/test/bound.c
@@ -395,10 +395,10 @@
 
   sched_set_all_versions (fixture->sched, true);
   list_servers (fixture, 1, 1);
-  fixture->clock.now += FT_SECOND;
+  fixture->clock.now += FT_SECOND / 2;
   list_servers (fixture, 0, 1);
   g_assert_false (begins_at_new (fixture, 0));
-  fixture->clock.now += FT_SECOND;
+  fixture->clock.now += FT_SECOND / 2;
   list_servers (fixture, 1, 1);
   g_assert_false (begins_at_new (fixture, 20));
   list_servers (fixture, 0, 1);
@@ -509,6 +509,24 @@
   fixture_free (fixture);
 }
 
+/* Guards against taking a version that the log names for an old one where it has joined anew since
+ * this scheduler started. */
+static void
+rejoined_after_start (void)
+{
+  Fixture *fixture = fixture_new (1, 1);
+
+  sched_set_all_versions (fixture->sched, true);
+  list_servers (fixture, 1, 1);
+  fixture->clock.now += FT_SECOND;
+  list_servers (fixture, 1, 0);
+  fixture->clock.now += ORIGINS_TIME_MAX / 2;
+  list_servers (fixture, 1, 1);
+  sched_settle_version (fixture->sched, "s", "v2");
+  g_assert_false (begins_at_new (fixture, 0));
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -549,6 +567,7 @@
   g_test_add_data_func ("/bound/settled_at_start/log_first", GINT_TO_POINTER (false),
                         settled_at_start);
   g_test_add_func ("/bound/begins_soon", begins_soon);
+  g_test_add_func ("/bound/rejoined_after_start", rejoined_after_start);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
