own interface: the end of a connection is not the end of a service's answer

What a caller saw, of a service that stopped in the middle of its answer's head and closed in order: 200 with an empty body. libcurl takes the end of the connection for the end of the response, also within the head, unless it has read a length or that chunks follow; run_service passed that on. Resets were not, nor were streams of engines, which end with [DONE] only and are resumed.

Change: a service's answer counts if it has a length or chunks, whose end libcurl checks, or is one without a body; otherwise the outcome is unknown (502) and a line 'incomplete' is logged. A service that gives neither is never answered with success any more.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -305,6 +305,22 @@
   return blocked;
 }
 
+/* Whether the response of a service is complete, after libcurl has found no fault in it. libcurl
+ * takes the end of the connection for the end of the response, also within the head, unless it has
+ * read a length or that chunks follow. */
+static bool
+is_complete (const char *method, const struct _u_response *response)
+{
+  const char *coding = u_map_get_case (response->map_header, "Transfer-Encoding");
+
+  if (response->status < 200)
+    return false;
+  if (response->status == 204 || response->status == 304 || strcmp (method, "HEAD") == 0)
+    return true;
+  return u_map_get_case (response->map_header, "Content-Length") != NULL
+         || (coding != NULL && g_ascii_strcasecmp (coding, "chunked") == 0);
+}
+
 /* Sends one HTTP request and reads the response. Returns the HTTP status, 0 if the response is not
  * complete. Frees url. */
 static int
@@ -325,7 +341,10 @@
     ulfius_set_binary_body_request (&request, body, size);
   int done = ulfius_send_http_streaming_request (
       &request, &response, reader->plain ? on_plain_bytes : on_stream_bytes, reader);
-  if (done == U_OK)
+  if (done == U_OK && reader->plain && !is_complete (method, &response))
+    dlog (DLOG_WARN, call->id, "incomplete", "server %s of %s: status %d, %d bytes without an end",
+          call->server, call->pool, (int) response.status, (int) reader->plain->len);
+  else if (done == U_OK)
     {
       status = (int) response.status;
       reader->backoff_us = record_backoff (back, call, status, response.map_header);
--- /dev/null
+++ b/test/rawback.c
@@ -0,0 +1,163 @@
+/* rawback.c - test-rawback PORT: a backend server of raw bytes for test/stops.sh. It stops behind
+ * any byte of an answer.
+ *
+ * A request names how in its target (a service) or body (an engine), as KIND/HOW/AT; KIND: length,
+ * interim (the same after interim responses), chunked or unframed; HOW: close or reset, or whole to
+ * send all; AT: the bytes sent before. An engine's stream that is resumed is sent whole.
+ */
+#include "sock.h"
+#include "hmsg.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PIECES     3
+#define INTERIM    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+#define STOP_DELAY (5 * FT_MS) /* so that a reset does not overtake the bytes */
+
+typedef struct
+{
+  LoopTimer timer;
+  Sock *sock;
+} RawConn;
+
+static Loop *loop;
+
+static void
+close_raw (RawConn *conn, bool reset)
+{
+  loop_timer_stop (loop, &conn->timer);
+  sock_close (conn->sock, reset);
+  loop_free_later (loop, conn);
+}
+
+static void
+on_reset_timer (LoopTimer *timer)
+{
+  close_raw ((RawConn *) timer, true);
+}
+
+static void
+append_piece (GString *out, bool chunked, const char *piece)
+{
+  if (chunked)
+    hwrite_chunk (out, piece, strlen (piece));
+  else
+    g_string_append (out, piece);
+}
+
+static void
+append_stream (GString *out, bool chunked, unsigned first)
+{
+  char piece[128];
+
+  for (unsigned i = first; i < PIECES; i++)
+    {
+      g_snprintf (piece, sizeof piece,
+                  "id: %u\ndata: {\"choices\":[{\"delta\":{\"content\":\"w%u \"}}]}\n\n", i, i);
+      append_piece (out, chunked, piece);
+    }
+  g_snprintf (piece, sizeof piece, "id: %d\ndata: [DONE]\n\n", PIECES);
+  append_piece (out, chunked, piece);
+}
+
+static GString *
+whole_answer (const char *kind, bool stream, unsigned first)
+{
+  bool chunked = strcmp (kind, "chunked") == 0;
+  bool interim = strcmp (kind, "interim") == 0;
+  GString *out = g_string_new (interim ? INTERIM : ""), *body = g_string_new (NULL);
+
+  hwrite_status_line (out, 200);
+  if (stream)
+    append_stream (body, chunked, first);
+  else
+    append_piece (body, chunked, "the whole answer");
+  if (chunked)
+    g_string_append (body, "0\r\n\r\n");
+  hwrite_field (out, "Content-Type", stream ? "text/event-stream" : "text/plain");
+  if (chunked)
+    hwrite_field (out, "Transfer-Encoding", "chunked");
+  else if (interim || strcmp (kind, "length") == 0)
+    hwrite_number_field (out, "Content-Length", (int64_t) body->len);
+  hwrite_head_end (out);
+  g_string_append_len (out, body->str, (gssize) body->len);
+  g_string_free (body, TRUE);
+  return out;
+}
+
+static void
+answer (RawConn *conn, const char *text)
+{
+  const char *resumed = strstr (text, "?offset="), *slash = strstr (text, "stop/");
+  bool stream = resumed || strncmp (text, "POST /v1/", 9) == 0;
+  char kind[16] = "length", how[16] = "whole";
+  unsigned at = 0;
+
+  if (slash)
+    sscanf (slash, "stop/%15[^/]/%15[^/]/%u", kind, how, &at);
+  GString *out = whole_answer (kind, stream, resumed ? (unsigned) atoi (resumed + 8) : 0);
+  size_t size = strcmp (how, "whole") == 0 ? out->len : MIN (at, out->len);
+  sock_write (conn->sock, out->str, size);
+  g_string_free (out, TRUE);
+  if (strcmp (how, "reset") == 0)
+    {
+      loop_timer_set (loop, &conn->timer, loop_now (loop) + STOP_DELAY);
+      return;
+    }
+  sock_close_when_sent (conn->sock);
+  loop_free_later (loop, conn);
+}
+
+static void
+on_data (Sock *sock)
+{
+  size_t size;
+  const char *data = (const char *) sock_peek (sock, &size);
+  char *text = g_strndup (data, size);
+  const char *end = strstr (text, "\r\n\r\n"), *length = strcasestr (text, "Content-Length: ");
+
+  if (end && size >= (size_t) (end + 4 - text) + (length ? (size_t) atoi (length + 16) : 0))
+    {
+      sock_consume (sock, size);
+      answer (sock->owner, text);
+    }
+  g_free (text);
+}
+
+static void
+on_ended (Sock *sock, SockEnd how)
+{
+  (void) how;
+  close_raw (sock->owner, false);
+}
+
+static const SockOps raw_ops = { NULL, on_data, NULL, on_ended };
+
+static void
+on_accept (void *owner, int fd, SockAddr peer)
+{
+  RawConn *conn = g_new0 (RawConn, 1);
+
+  (void) owner;
+  conn->timer.fire = on_reset_timer;
+  conn->sock = sock_accepted (loop, fd, peer, &raw_ops, conn);
+  if (conn->sock == NULL)
+    g_free (conn);
+}
+
+int
+main (int argc, char **argv)
+{
+  SockAddr addr = { INADDR_LOOPBACK, argc == 2 ? (uint16_t) atoi (argv[1]) : 0 };
+
+  loop = loop_new ();
+  if (addr.port == 0 || loop == NULL || sock_listen (loop, addr, on_accept, NULL) == NULL)
+    {
+      fprintf (stderr, "usage: test-rawback PORT (of the loopback interface, not in use)\n");
+      return 1;
+    }
+  loop_run (loop);
+  return 0;
+}
--- /dev/null
+++ b/test/stops.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# stops.sh - foxtailgraded with backend servers that stop at each byte of an answer: no caller is
+# told that a part of an answer is the whole. TAP.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/cluster.sh
+dir=$(mktemp -d)
+trap 'cluster_stop; rm -rf "$dir"' EXIT
+trap 'exit 1' TERM INT
+EXTRA_SETTINGS='"silence_ms": 500,'
+WHOLE='the whole answer'
+count=0
+failed=0
+
+ok () { # STATUS NAME
+  count=$((count + 1))
+  if [ "$1" = 0 ]; then echo "ok $count - $2"; else echo "not ok $count - $2"; failed=1; fi
+}
+
+# The only server of the chat engines and of the records service is the one of raw bytes.
+use_raw_server () {
+  cluster_spawn "$DIR/raw.log" "$BUILD/test-rawback" $((BASE + 60))
+  cat >"$DIR/platform.json" <<JSON
+{ "instances": [
+  { "pool": "chat", "name": "raw", "address": "127.0.0.1:$((BASE + 60))", "state": "live", "incarnation": 1, "failure_domain": "fd1" },
+  { "pool": "records", "name": "raws", "address": "127.0.0.1:$((BASE + 60))", "state": "live", "incarnation": 1, "failure_domain": "fd3" }
+] }
+JSON
+  for _ in $(seq 1 100); do
+    sleep 0.1
+    [ "$(ask_service length/whole/0)" = "200 0 $WHOLE" ] && return 0
+  done
+  return 1
+}
+
+ask_service () { # KIND/HOW/AT: prints the status, the result of curl and the body
+  local code result body=$dir/body.$BASHPID
+  : >"$body"
+  code=$(curl -s -m 20 -o "$body" -w '%{http_code}' -H 'Authorization: Bearer kalkhaus-key' \
+    "http://127.0.0.1:$((BASE + 1))/records/stop/$1")
+  result=$?
+  echo "$code $result $(cat "$body" 2>/dev/null)"
+  rm -f "$body"
+}
+
+ask_engine () { # KIND/HOW/AT: prints the same of a stream, its content only
+  local code result body=$dir/body.$BASHPID
+  : >"$body"
+  code=$(curl -sN -m 20 -o "$body" -w '%{http_code}' -H 'Authorization: Bearer kalkhaus-key' \
+    -d "{\"model\":\"standin\",\"stream\":true,\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"stop/$1\"}]}" \
+    "http://127.0.0.1:$((BASE + 1))/v1/chat/completions")
+  result=$?
+  echo "$code $result $(grep -o '"content":"[^"]*"\|\[DONE\]\|^event: error' "$body" | cut -d: -f2 | tr -d '"\n')"
+  rm -f "$body"
+}
+
+# Plays each place of a stop, some at the same time, and prints what a caller must not get.
+play () { # ask_service|ask_engine KIND HOW LAST
+  local at
+  for at in $(seq 0 "$4"); do
+    (printf '%s: %s\n' "$at" "$("$1" "$2/$3/$at")") &
+    [ $((at % 12)) = 11 ] && wait_asked
+  done >"$dir/played"
+  wait_asked
+  awk '{ seen[$2 " " $3]++ } END { for (s in seen) printf "# %s %s: %d times status and curl %s\n", kind, how, seen[s], s }' \
+    kind="$2" how="$3" "$dir/played"
+}
+
+wait_asked () {
+  local pid
+  for pid in $(jobs -p); do wait "$pid"; done
+}
+
+echo "1..21"
+cluster_start "$dir" 1 1 || exit 1
+for _ in $(seq 1 100); do
+  cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
+  sleep 0.2
+done
+cluster_ready 30
+use_raw_server
+ok $? "the server of raw bytes is used"
+for kind in length interim chunked unframed; do
+  for how in close reset; do
+    play ask_service $kind $how 160
+    grep ': 200 0 ' "$dir/played" | grep -v ": 200 0 $WHOLE\$" >"$dir/wrong"
+    sort -n "$dir/wrong" | sed -n '1p;$p' | sed 's/^/# wrong: /'
+    [ ! -s "$dir/wrong" ] && [ "$(wc -l <"$dir/played")" = 161 ]
+    ok $? "a service's answer ($kind) that stops with a $how is not told as whole"
+    [ $kind = unframed ] && continue
+    grep -q "^160: 200 0 $WHOLE\$" "$dir/played"
+    ok $? "a service's whole answer ($kind) arrives before a $how"
+  done
+done
+for kind in length chunked unframed; do
+  for how in close reset; do
+    play ask_engine $kind $how 260
+    grep -v ': 200 0 w0 w1 w2 \[DONE\]$' "$dir/played" >"$dir/wrong"
+    sort -n "$dir/wrong" | sed -n '1p;$p' | sed 's/^/# wrong: /'
+    [ ! -s "$dir/wrong" ] && [ "$(wc -l <"$dir/played")" = 261 ]
+    ok $? "an engine's stream ($kind) that stops with a $how is completed"
+  done
+done
+exit $failed
