--- a/test/unframed.c
+++ b/test/unframed.c
@@ -9,6 +9,7 @@
 #define EVENTS    4 /* of a whole stream */
 #define SERVERS   2
 #define PLAIN     "a plain answer"
+#define LONG_SIZE (3u << 19) /* bytes of a plain answer, more than an entry holds */
 #define EVENT_GAP (20 * FT_MS)
 
 typedef enum
@@ -131,6 +132,12 @@
       conn->stream ? "" : PLAIN);
   write_text (conn, reply);
   g_free (reply);
+  if (strncmp (head, "POST /once/long", 15) == 0)
+    {
+      char *bytes = g_strnfill (LONG_SIZE, 'x');
+      write_text (conn, bytes);
+      g_free (bytes);
+    }
   g_free (id);
   g_free (last);
   loop_timer_set (conn->server->fleet->loop, &conn->timer,
@@ -264,6 +271,20 @@
   end_fleet (fleet);
 }
 
+/* Guards against a long answer, passed on as it comes, that is told as whole at an end which does
+ * not show whether all of it came. */
+static void
+long_plain_is_told_as_whole (void)
+{
+  Fleet *fleet = start_fleet (END_COMPLETE);
+  Answer answer;
+
+  call (fleet, "/once/long", &answer);
+  g_assert_true (answer.status != 200 || answer.broken || !answer.framed);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
 #define ADD_STREAM(name, mode)                                                                     \
   g_test_add_data_func ("/unframed/stream/" name, GUINT_TO_POINTER (mode), stream_is_whole)
 #define ADD_PLAIN(name, mode)                                                                      \
@@ -281,5 +302,6 @@
   ADD_PLAIN ("reset", END_RESET);
   ADD_PLAIN ("crash", END_CRASH);
   g_test_add_func ("/unframed/plain/complete", plain_is_complete);
+  g_test_add_func ("/unframed/plain/long", long_plain_is_told_as_whole);
   return g_test_run ();
 }
