retry: a begun stream whose last events have no id is not resumed

What callers saw: of a resumable stream whose server broke off after an event with data but no id, that event came twice, and a stream without any ids came again from its first event (the first with 'id: 1, b': 'a, b, b'), ended as complete. Cause: a begun stream was resumed after its last id, or from the start without one, whatever had been passed on since.

Change: events_can_resume is false once data without an id has been passed on after the last id, until the next id; RetryFacts has past_last_id, with which a begun stream goes on at its server alone: a break ends it, a silence waits. Comments and events without data need no id. The line `try` names it. Such a stream was rare: the protocol has increasing ids on each event.

--- a/node/requests.c
+++ b/node/requests.c
@@ -86,6 +86,7 @@
                        .resumable = req->route->resumable,
                        .begun = req->begun,
                        .is_stream = req->begun_stream,
+                       .past_last_id = req->stream && !events_can_resume (req->stream),
                        .may_have_run = req->may_have_run,
                        .sends = req->sends,
                        .most_sends = req->route->attempts,
@@ -110,6 +111,7 @@
           JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0),
           JL_MS ("silent_ms", req_now (req) - MAX (req->sent_at, req->received_at)),
           JL_MS ("limit_ms", req->silence_limit), JL_INT ("begun", req->begun),
+          JL_INT ("past_last_id", facts.past_last_id),
           JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""),
           JL_INT ("relay", req->relay.ip));
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
--- a/src/events.c
+++ b/src/events.c
@@ -23,12 +23,14 @@
   size_t examined;   /* bytes of partial */
   size_t line;       /* where the current line begins in it */
   size_t event;      /* where the current event begins in it */
+  bool has_data;     /* of the current event */
   char *id;          /* of the current event; NULL: none so far */
   bool after_cr;     /* the last byte was a CR, so an LF belongs to the same line end */
   bool at_start;     /* no line of this server's answer has ended */
   bool appends;      /* the last event was appended */
   bool has_appended; /* one was, of any server */
   char *last_id;
+  bool is_past_id;      /* data without an id was appended after it */
   uint64_t last_number; /* of the last id that is a number */
   bool has_number;      /* there was one */
   unsigned dropped;
@@ -72,7 +74,8 @@
   g_free (events);
 }
 
-/* Takes the id from a line of the event. An id with a NUL in it is ignored. */
+/* Takes the id, and whether there is data, from a line of the event. An id with a NUL in it is
+ * ignored. */
 static void
 read_field (Events *events, const char *line, size_t size)
 {
@@ -80,6 +83,8 @@
   size_t name = colon ? (size_t) (colon - line) : size;
   size_t value = MIN (size, name + 1);
 
+  if (name == 4 && memcmp (line, "data", 4) == 0)
+    events->has_data = true;
   if (name != 2 || memcmp (line, "id", 2) != 0)
     return;
   if (value < size && line[value] == ' ')
@@ -96,10 +101,15 @@
 record_event (Events *events)
 {
   char *id = g_steal_pointer (&events->id);
+  bool has_data = events->has_data;
   uint64_t number = 0;
 
+  events->has_data = false;
   if (id == NULL)
-    return true;
+    {
+      events->is_past_id |= has_data;
+      return true;
+    }
   bool is_number = parse_number (id, &number);
   if (is_number && events->has_number && number <= events->last_number)
     {
@@ -114,6 +124,7 @@
       events->has_number = true;
       events->last_number = number;
     }
+  events->is_past_id = false;
   g_free (events->last_id);
   events->last_id = id;
   return true;
@@ -217,7 +228,7 @@
   g_string_truncate (events->partial, 0);
   events->examined = events->line = events->event = 0;
   g_clear_pointer (&events->id, g_free);
-  events->after_cr = events->appends = false;
+  events->has_data = events->after_cr = events->appends = false;
   events->at_start = true;
 }
 
@@ -227,6 +238,12 @@
   return events->last_id;
 }
 
+bool
+events_can_resume (const Events *events)
+{
+  return !events->is_past_id;
+}
+
 unsigned
 events_dropped (const Events *events)
 {
--- a/src/events.h
+++ b/src/events.h
@@ -20,6 +20,9 @@
 void events_drop_partial (Events *events);
 /* Id of the last event with an id that was appended, or the id given at the start; NULL: none. */
 const char *events_last_id (const Events *events);
+/* False: events with data but no id were appended after that one. A server that goes on after it
+ * would send them again. */
+bool events_can_resume (const Events *events);
 /* Events that were not appended since their number was not above the one before, so far. */
 unsigned events_dropped (const Events *events);
 /* Numbers that were left out between an event and the one before, summed up so far. */
--- a/src/retry.c
+++ b/src/retry.c
@@ -63,9 +63,9 @@
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
 
-/* Only streams can be resumed. When the connection breaks during any other long answer of which the
- * caller has the first part, there is no position to resume from; requesting it again as if it were
- * a stream made the process end. */
+/* Only streams can be resumed, and only after an event with an id. When the connection breaks
+ * during any other long answer of which the caller has the first part, there is no position to
+ * resume from; requesting it again as if it were a stream made the process end. */
 static RetryStep
 after_partial_answer (RetryEvent event)
 {
@@ -83,7 +83,7 @@
 RetryStep
 retry_next (RetryEvent event, const RetryFacts *facts)
 {
-  if (facts->begun && !facts->is_stream)
+  if (facts->begun && (!facts->is_stream || facts->past_last_id))
     return after_partial_answer (event);
   switch (event)
     {
--- a/src/retry.h
+++ b/src/retry.h
@@ -23,6 +23,7 @@
   bool resumable;      /* streams of the route can be resumed on another server */
   bool begun;          /* the head of the answer was sent to the caller */
   bool is_stream;      /* the begun answer is a stream of events */
+  bool past_last_id;   /* the caller has events of it that no id names: it cannot be resumed */
   bool may_have_run;   /* a try was sent and its server did not state that it did not run it */
   unsigned sends;      /* servers to which the request was sent so far */
   unsigned most_sends; /* the route's limit for sends */
--- a/test/decide.c
+++ b/test/decide.c
@@ -228,6 +228,20 @@
   g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
 }
 
+/* Guards against resuming a stream whose last events have no id: the caller would get them again.
+ */
+static void
+events_without_id_are_not_resumed (void)
+{
+  RetryFacts f = facts (RT_STREAM);
+
+  f.resumable = f.begun = f.past_last_id = true;
+  g_assert_cmpint (retry_next (RETRY_STREAM_CUT, &f), ==, RETRY_ABORT);
+  g_assert_cmpint (retry_next (RETRY_FAILURE, &f), ==, RETRY_ABORT);
+  g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
+  g_assert_cmpint (retry_next (RETRY_ANSWERED, &f), ==, RETRY_DELIVER);
+}
+
 static void
 resumable_stream_is_resumed (void)
 {
@@ -753,6 +767,7 @@
   g_test_add_func ("/retry/looks_further", begun_answer_looks_further);
   g_test_add_func ("/retry/begun_waits", begun_answer_waits);
   g_test_add_func ("/retry/begun_without_events", begun_answer_without_events_is_not_resumed);
+  g_test_add_func ("/retry/events_without_id", events_without_id_are_not_resumed);
   g_test_add_func ("/retry/resume", resumable_stream_is_resumed);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
--- a/test/events.c
+++ b/test/events.c
@@ -214,6 +214,43 @@
   events_free (events);
 }
 
+/* Where a stream can go on: only events with data need an id. */
+static void
+resumes_after_ids (void)
+{
+  Events *events = events_new (NULL);
+  GString *out = g_string_new (NULL);
+  static const struct
+  {
+    const char *text;
+    bool can;
+  } steps[] = {
+    { ": a\n\nevent: e\n\ndatax: a\n\n", true }, /* nothing has data */
+    { "data: a\n\n", false },
+    { "id:\n\n: b\n\n", false },
+    { "id: 1\n\n", true },
+    { "id: 2\ndata: b\n\n", true },
+    { "data: c\n", true }, /* not passed on yet */
+    { "\n", false },
+    { "id: 1\ndata: a\n\n", false }, /* dropped */
+    { "id: x\ndata: d\n\n", true },
+    { "data\n\n", false },
+    { "id: 3\ndata: e\n\ndata: f", true },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      events_feed (events, steps[i].text, strlen (steps[i].text), out);
+      if (events_can_resume (events) != steps[i].can)
+        g_error ("step %u: %d", i, !steps[i].can);
+    }
+  events_drop_partial (events);
+  events_feed (events, ": a\n\n", 5, out);
+  g_assert_true (events_can_resume (events));
+  g_string_free (out, TRUE);
+  events_free (events);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -234,5 +271,6 @@
   g_test_add_func ("/events/ends_with_cr", event_ends_with_cr);
   g_test_add_func ("/events/mark_of_next_server", mark_of_next_server);
   g_test_add_func ("/events/partial_id", partial_id_is_dropped);
+  g_test_add_func ("/events/resumes_after_ids", resumes_after_ids);
   return g_test_run ();
 }
--- a/test/repeats.c
+++ b/test/repeats.c
@@ -202,6 +202,37 @@
   end_fleet (fleet);
 }
 
+/* Guards against sending events again, or from the start, that have no id by which the next server
+ * could go on after them. */
+static void
+cut_after_event_without_id (gconstpointer text)
+{
+  const Run list[] = { { text, true, NULL }, { text, false, NULL } };
+  Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
+  Answer answer;
+
+  play (fleet, "/stream/a", 0, &answer);
+  check (fleet, &answer, true, text);
+  g_assert_cmpuint (run_count, ==, 1);
+  end_fleet (fleet);
+}
+
+/* Comments, and events without data, need no id. */
+static void
+cut_after_comment (void)
+{
+  static const Run list[] = { { "id: 1\ndata: a\n\n: ping\n\nevent: e\n\n", true, NULL },
+                              { "id: 2\ndata: b\n\n", false, NULL } };
+  Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
+  Answer answer;
+
+  play (fleet, "/stream/a", 0, &answer);
+  check (fleet, &answer, false, "id: 1\ndata: a\n\n: ping\n\nevent: e\n\nid: 2\ndata: b\n\n");
+  g_assert_cmpuint (run_count, ==, 2);
+  g_assert_cmpstr (last_ids[1], ==, "1");
+  end_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -210,6 +241,13 @@
   g_test_add_func ("/repeats/return_repeats_event", return_repeats_event);
   g_test_add_func ("/repeats/route_without_returns", route_without_returns);
   g_test_add_func ("/repeats/line_end_in_two_parts", line_end_in_two_parts);
+  g_test_add_data_func ("/repeats/cut/no_ids", "data: a\n\ndata: b\n\n",
+                        cut_after_event_without_id);
+  g_test_add_data_func ("/repeats/cut/last_without_id", "id: 1\ndata: a\n\ndata: b\n\n",
+                        cut_after_event_without_id);
+  g_test_add_data_func ("/repeats/cut/empty_id", "id: 1\ndata: a\n\nid:\ndata\n\n",
+                        cut_after_event_without_id);
+  g_test_add_func ("/repeats/cut/comment", cut_after_comment);
   streams = g_ptr_array_new_with_free_func (g_free);
   int status = g_test_run ();
   g_ptr_array_unref (streams);
