retry: events of a route whose streams cannot be resumed are not joined from two runs

What callers saw: on a safe route whose server answers with events and breaks off after event 1, the caller got event 1 of that run and event 2 of another one ('a', 'B'), ended as complete. Cause: a begun answer of events was resumed wherever the request may be repeated; only on streaming routes was Resumable asked for. Change: a begun answer is resumed only if it is a stream of events on a streaming route with Resumable, and no data without an id has been passed on; else a break ends it and a silence waits.

--- a/src/retry.c
+++ b/src/retry.c
@@ -19,6 +19,13 @@
   return facts->kind == RT_IDEMPOTENT || (facts->kind == RT_STREAM && facts->resumable);
 }
 
+/* Only the streams of some routes can be resumed, and only after an event with an id. */
+static bool
+is_resumable (const RetryFacts *facts)
+{
+  return facts->is_stream && facts->kind == RT_STREAM && facts->resumable && !facts->past_last_id;
+}
+
 static bool
 has_attempts (const RetryFacts *facts)
 {
@@ -63,7 +70,7 @@
   return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
 }
 
-/* Only streams can be resumed, and only after an event with an id. When the connection breaks
+/* When the connection breaks
  * during any other long answer of which the caller has the first part, there is no position to
  * resume from; requesting it again as if it were a stream made the process end. */
 static RetryStep
@@ -83,7 +90,7 @@
 RetryStep
 retry_next (RetryEvent event, const RetryFacts *facts)
 {
-  if (facts->begun && (!facts->is_stream || facts->past_last_id))
+  if (facts->begun && !is_resumable (facts))
     return after_partial_answer (event);
   switch (event)
     {
--- a/test/decide.c
+++ b/test/decide.c
@@ -242,6 +242,22 @@
   g_assert_cmpint (retry_next (RETRY_ANSWERED, &f), ==, RETRY_DELIVER);
 }
 
+/* Guards against joining two runs of a request that is no resumable stream, though its server
+ * answers with events. */
+static void
+events_of_other_routes_are_not_resumed (void)
+{
+  static const RtKind kinds[] = { RT_IDEMPOTENT, RT_AT_MOST_ONCE, RT_STREAM };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      RetryFacts f = facts (kinds[i]);
+      f.begun = f.is_stream = true;
+      g_assert_cmpint (retry_next (RETRY_STREAM_CUT, &f), ==, RETRY_ABORT);
+      g_assert_cmpint (retry_next (RETRY_SILENT, &f), ==, RETRY_WAIT);
+    }
+}
+
 static void
 resumable_stream_is_resumed (void)
 {
@@ -768,6 +784,7 @@
   g_test_add_func ("/retry/begun_waits", begun_answer_waits);
   g_test_add_func ("/retry/begun_without_events", begun_answer_without_events_is_not_resumed);
   g_test_add_func ("/retry/events_without_id", events_without_id_are_not_resumed);
+  g_test_add_func ("/retry/events_of_other_routes", events_of_other_routes_are_not_resumed);
   g_test_add_func ("/retry/resume", resumable_stream_is_resumed);
   g_test_add_func ("/retry/failed_stream", failed_stream_is_retried);
   g_test_add_func ("/retry/suspect", suspect_is_not_resumed);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -211,8 +211,9 @@
 try "format: an empty id is one" src/events.c 's/events->id = size > value \? /events->id = size >= value ? /' test-events &
 try "format: the id of a partial event counts" src/events.c 's/^  g_clear_pointer \(&events->id, g_free\);$//' test-events &
 try "format: the rest of a line end is lost" node/try.c 's/^  else if \(out->len > 0\)$/  else if (false)/' test-repeats &
-try "no id: a begun stream is resumed" src/retry.c 's/ \|\| facts->past_last_id//' test-decide &
+try "no id: a begun stream is resumed" src/retry.c 's/ \&\& !facts->past_last_id//' test-decide &
 try "no id: the entry does not tell" node/requests.c 's/req->stream \&\& !events_can_resume \(req->stream\)/false/' test-repeats &
 try "no id: comments need one" src/events.c 's/events->is_past_id \|= has_data;/events->is_past_id = true || has_data;/' test-events &
+try "no resume: streams of any route are resumed" src/retry.c 's/ \&\& facts->kind == RT_STREAM \&\& facts->resumable//' test-decide &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/repeats.c
+++ b/test/repeats.c
@@ -233,6 +233,21 @@
   end_fleet (fleet);
 }
 
+/* The route's requests may run again, but its streams may not be resumed: pieces of two runs must
+ * not be joined. */
+static void
+cut_on_repeatable_route (void)
+{
+  static const Run list[] = { { "id: 1\ndata: a\n\n", true, NULL },
+                              { "id: 1\ndata: A\n\nid: 2\ndata: B\n\n", false, NULL } };
+  Fleet *fleet = start_fleet (list, G_N_ELEMENTS (list));
+  Answer answer;
+
+  play (fleet, "/plain/a", 0, &answer);
+  check (fleet, &answer, true, "id: 1\ndata: a\n\n");
+  end_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -248,6 +263,7 @@
   g_test_add_data_func ("/repeats/cut/empty_id", "id: 1\ndata: a\n\nid:\ndata\n\n",
                         cut_after_event_without_id);
   g_test_add_func ("/repeats/cut/comment", cut_after_comment);
+  g_test_add_func ("/repeats/cut/repeatable_route", cut_on_repeatable_route);
   streams = g_ptr_array_new_with_free_func (g_free);
   int status = g_test_run ();
   g_ptr_array_unref (streams);
