sse: an id that is no number is not taken for piece 0

What callers of the own interface would have seen: an event with an id like 'x', or an empty one, was taken for piece 0 (the real piece 0 was then dropped as a repeat), '3x' for piece 3, and '[DONE]' with such an id set the number of pieces to 0. Lines that end with a lone CR were joined, and a byte order mark hid the first id, so that piece 0 was missing on each connection. Cause: strtoll with no look at where it stopped; CRs were left out wherever they stood. Found by reading, not seen in a run of the daemon.

Change: an id is digits alone, else the event has none, is no piece and ends nothing, and the stream is resumed at the first missing piece; a CR ends a line, with the LF behind it; a mark at the start is skipped.

--- a/daemon/sse.c
+++ b/daemon/sse.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-#define LINE_MAX_SIZE (1u << 20)
+#define LINE_MAX_SIZE   (1u << 20)
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
 
 void
 sse_init (Sse *sse)
@@ -12,6 +13,7 @@
   sse->data = g_string_new (NULL);
   sse->event = NULL;
   sse->id = -1;
+  sse->after_cr = sse->started = false;
 }
 
 void
@@ -46,15 +48,27 @@
   return go_on;
 }
 
+/* -1: no number. */
+static gint64
+parse_id (const char *text)
+{
+  guint64 number;
+
+  return g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &number, NULL) ? (gint64) number : -1;
+}
+
 static bool
 parse_line (Sse *sse, SseEventFunc fn, void *user)
 {
   const char *line = sse->line->str, *value;
 
+  if (!sse->started && g_str_has_prefix (line, BYTE_ORDER_MARK))
+    line += strlen (BYTE_ORDER_MARK);
+  sse->started = true;
   if (*line == '\0')
     return end_event (sse, fn, user);
   if ((value = field_value (line, "id")) != NULL)
-    sse->id = g_ascii_strtoll (value, NULL, 10);
+    sse->id = parse_id (value);
   else if ((value = field_value (line, "event")) != NULL)
     {
       g_free (sse->event);
@@ -74,9 +88,12 @@
 {
   for (gsize i = 0; i < size; i++)
     {
-      if (bytes[i] == '\r')
+      bool in_line_end = sse->after_cr && bytes[i] == '\n';
+
+      sse->after_cr = bytes[i] == '\r';
+      if (in_line_end)
         continue;
-      if (bytes[i] != '\n')
+      if (bytes[i] != '\n' && bytes[i] != '\r')
         {
           g_string_append_c (sse->line, bytes[i]);
           if (sse->line->len > LINE_MAX_SIZE)
--- a/daemon/sse.h
+++ b/daemon/sse.h
@@ -9,7 +9,9 @@
 {
   GString *line, *data;
   char *event;
-  gint64 id; /* -1: the event had none */
+  gint64 id;     /* -1: the event had none that is a number */
+  bool after_cr; /* the last byte was a CR, so an LF belongs to the same line end */
+  bool started;  /* a line has ended */
 } Sse;
 
 /* Called for each event that has data; event: its type or NULL. False stops the parser. */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -215,5 +215,6 @@
 try "no id: the entry does not tell" node/requests.c 's/req->stream \&\& !events_can_resume \(req->stream\)/false/' test-repeats &
 try "no id: comments need one" src/events.c 's/events->is_past_id \|= has_data;/events->is_past_id = true || has_data;/' test-events &
 try "no resume: streams of any route are resumed" src/retry.c 's/ \&\& facts->kind == RT_STREAM \&\& facts->resumable//' test-decide &
+try "engine events: any id is a number" daemon/sse.c 's/^  return g_ascii_string_to_unsigned .*/  (void) number;\n  return g_ascii_strtoll (text, NULL, 10);/' test-text &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/text.c
+++ b/test/text.c
@@ -224,6 +224,43 @@
   g_rand_free (random);
 }
 
+static bool
+note_event (void *user, gint64 id, const char *event, const char *data)
+{
+  (void) event;
+  g_string_append_printf (user, "%" G_GINT64_FORMAT "=%s;", id, data);
+  return true;
+}
+
+/* An id that is no number must not stand for piece 0: it would replace that piece, or end the
+ * answer with no pieces. Parts of any size give the same. */
+static void
+test_engine_events (void)
+{
+  static const char *const cases[][2] = {
+    { "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n\r\n", "0=a;1=b;" },
+    { "id: x\ndata: a\n\nid:\ndata: b\n\nid: 3x\ndata: c\n\nid\ndata: d\n\n",
+      "-1=a;-1=b;-1=c;-1=d;" },
+    { "id: -1\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n", "-1=a;-1=b;" },
+    { "id: 4\nid:\ndata: [DONE]\n\n", "-1=[DONE];" },
+    { "id: 0\rdata: a\r\rid: 1\rdata: b\r\r", "0=a;1=b;" },
+    { "\xef\xbb\xbfid: 0\ndata: a\n\n", "0=a;" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (gsize cut = 0, size = strlen (cases[i][0]); cut <= size; cut++)
+      {
+        GString *seen = g_string_new (NULL);
+        Sse sse;
+        sse_init (&sse);
+        g_assert_true (sse_feed (&sse, cases[i][0], cut, note_event, seen));
+        g_assert_true (sse_feed (&sse, cases[i][0] + cut, size - cut, note_event, seen));
+        g_assert_cmpstr (seen->str, ==, cases[i][1]);
+        sse_clear (&sse);
+        g_string_free (seen, TRUE);
+      }
+}
+
 static bool
 ignore_event (void *user, gint64 id, const char *event, const char *data)
 {
@@ -272,6 +309,7 @@
   g_test_add_func ("/text/request-life", test_request_states);
   g_test_add_func ("/text/pieces", test_pieces);
   g_test_add_func ("/text/book", test_call_table);
+  g_test_add_func ("/text/engine-events", test_engine_events);
   g_test_add_func ("/text/malformed-text", test_malformed_text);
   g_test_add_func ("/text/malformed-bytes", test_malformed_bytes);
   return g_test_run ();
