sse: a piece whose data has several lines is passed on whole

What callers of the own interface would have seen: of an event with several data lines the first alone, since the others were written without the name of the field. Found by reading; the engines of our stand-in send one line. Cause: on_event wrote the joined data behind one 'data:'. Change: sse_format writes a data line for each.

Measured, one run each: with the line as on_event wrote it, /text/engine-event-lines fails ('7=a' instead of 'a', 'b', '', 'c'); after, 9 of 9 cases of test-text and 5 of 5 of test/resume.sh pass. The mutant is found.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -176,7 +176,7 @@
     }
   else if (current && id >= 0 && id <= G_MAXINT)
     {
-      char *line = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %s\n\n", id, data);
+      char *line = sse_format (id, data);
       unsigned before = ft_req_next_piece (call->req);
       if (ft_req_add_piece (call->req, (unsigned) id, line, strlen (line)) == FT_OK)
         {
--- a/daemon/sse.c
+++ b/daemon/sse.c
@@ -107,3 +107,17 @@
     }
   return true;
 }
+
+char *
+sse_format (gint64 id, const char *data)
+{
+  GString *event = g_string_new (NULL);
+  char **lines = g_strsplit (data, "\n", -1);
+
+  g_string_append_printf (event, "id: %" G_GINT64_FORMAT "\n", id);
+  for (unsigned i = 0; lines[i]; i++)
+    g_string_append_printf (event, "data: %s\n", lines[i]);
+  g_string_append_c (event, '\n');
+  g_strfreev (lines);
+  return g_string_free (event, FALSE);
+}
--- a/daemon/sse.h
+++ b/daemon/sse.h
@@ -22,5 +22,7 @@
 /* Parses the next bytes and calls fn for each event that they complete. False: fn returned false,
  * or a line or an event's data is longer than 1 MiB. */
 bool sse_feed (Sse *sse, const char *bytes, gsize size, SseEventFunc fn, void *user);
+/* An event of an id and data, which may have several lines. */
+char *sse_format (gint64 id, const char *data);
 
 #endif
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -216,5 +216,6 @@
 try "no id: comments need one" src/events.c 's/events->is_past_id \|= has_data;/events->is_past_id = true || has_data;/' test-events &
 try "no resume: streams of any route are resumed" src/retry.c 's/ \&\& facts->kind == RT_STREAM \&\& facts->resumable//' test-decide &
 try "engine events: any id is a number" daemon/sse.c 's/^  return g_ascii_string_to_unsigned .*/  (void) number;\n  return g_ascii_strtoll (text, NULL, 10);/' test-text &
+try "engine events: data has one line" daemon/sse.c 's/g_strsplit \(data, ".n", -1\)/g_strsplit (data, "\\n", 1)/' test-text &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/text.c
+++ b/test/text.c
@@ -261,6 +261,24 @@
       }
 }
 
+/* Guards against losing all but the first line of a piece's data. */
+static void
+test_engine_event_lines (void)
+{
+  static const char text[] = "id: 7\ndata: a\ndata: b\ndata:\ndata: c\n\n";
+  GString *seen = g_string_new (NULL);
+  Sse sse;
+
+  char *event = sse_format (7, "a\nb\n\nc");
+  sse_init (&sse);
+  g_assert_true (sse_feed (&sse, text, strlen (text), note_event, seen));
+  g_assert_true (sse_feed (&sse, event, strlen (event), note_event, seen));
+  g_assert_cmpstr (seen->str, ==, "7=a\nb\n\nc;7=a\nb\n\nc;");
+  sse_clear (&sse);
+  g_free (event);
+  g_string_free (seen, TRUE);
+}
+
 static bool
 ignore_event (void *user, gint64 id, const char *event, const char *data)
 {
@@ -310,6 +328,7 @@
   g_test_add_func ("/text/pieces", test_pieces);
   g_test_add_func ("/text/book", test_call_table);
   g_test_add_func ("/text/engine-events", test_engine_events);
+  g_test_add_func ("/text/engine-event-lines", test_engine_event_lines);
   g_test_add_func ("/text/malformed-text", test_malformed_text);
   g_test_add_func ("/text/malformed-bytes", test_malformed_bytes);
   return g_test_run ();
