--- a/daemon/sse.h
+++ b/daemon/sse.h
@@ -9,7 +9,9 @@
 {
   GString *line, *data;
   char *event;
-  gint64 id; /* -1: the event had none */
+  gint64 id;     /* -1: the event had none that is a number */
+  bool after_cr; /* the last byte was a CR, so an LF belongs to the same line end */
+  bool started;  /* a line has ended */
 } Sse;
 
 /* Called for each event that has data; event: its type or NULL. False stops the parser. */
@@ -20,5 +22,7 @@
 /* Parses the next bytes and calls fn for each event that they complete. False: fn returned false,
  * or a line or an event's data is longer than 1 MiB. */
 bool sse_feed (Sse *sse, const char *bytes, gsize size, SseEventFunc fn, void *user);
+/* An event of an id and data, which may have several lines. */
+char *sse_format (gint64 id, const char *data);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -88,6 +88,7 @@
                        .begun = req->begun,
                        .is_stream = req->begun_stream,
                        .unframed = req->begun && hcall_is_unframed (req->call),
+                       .past_last_id = req->stream && !events_can_resume (req->stream),
                        .may_have_run = req->may_have_run,
                        .sends = req->sends,
                        .most_sends = req->route->attempts,
@@ -112,6 +113,7 @@
           JL_MS ("after_ms", req->sent_at ? req_now (req) - req->sent_at : 0),
           JL_MS ("silent_ms", req_now (req) - MAX (req->sent_at, req->received_at)),
           JL_MS ("limit_ms", req->silence_limit), JL_INT ("begun", req->begun),
+          JL_INT ("past_last_id", facts.past_last_id),
           JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""),
           JL_INT ("relay", req->relay.ip));
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
--- a/src/retry.c
+++ b/src/retry.c
@@ -19,6 +19,13 @@
   return facts->kind == RT_IDEMPOTENT || (facts->kind == RT_STREAM && facts->resumable);
 }
 
+/* Only the streams of some routes can be resumed, and only after an event with an id. */
+static bool
+is_resumable (const RetryFacts *facts)
+{
+  return facts->is_stream && facts->kind == RT_STREAM && facts->resumable && !facts->past_last_id;
+}
+
 static bool
 has_attempts (const RetryFacts *facts)
 {
@@ -73,11 +80,10 @@
   return facts->unframed ? RETRY_DELIVER : RETRY_ABORT;
 }
 
-/* Only streams can be resumed. When the connection breaks during any other long answer of which the
- * caller has the first part, there is no position to resume from; requesting it again as if it were
- * a stream made the process end. */
+/* When the connection breaks during a long answer that cannot be resumed, there is no position to
+ * resume from; requesting it again as if it were a stream made the process end. */
 static RetryStep
-after_partial_answer (RetryEvent event)
+after_partial_answer (RetryEvent event, const RetryFacts *facts)
 {
   switch (event)
     {
@@ -85,6 +91,8 @@
       return RETRY_DELIVER;
     case RETRY_SILENT:
       return RETRY_WAIT;
+    case RETRY_UNCONFIRMED:
+      return facts->unframed ? RETRY_DELIVER : RETRY_ABORT;
     default:
       return RETRY_ABORT;
     }
@@ -93,8 +101,8 @@
 RetryStep
 retry_next (RetryEvent event, const RetryFacts *facts)
 {
-  if (facts->begun && !facts->is_stream)
-    return after_partial_answer (event);
+  if (facts->begun && !is_resumable (facts))
+    return after_partial_answer (event, facts);
   switch (event)
     {
     case RETRY_ANSWERED:
