soak: a release during which one instance after another is out of step

No run had a version join while an instance was stopped or cut off. Seeds from 10000 on have it, beside all other faults: two servers of v2 are listed beside v1 (or by a roll-out's order), and one entry or voter after another is stopped by SIGSTOP for 0.5 to 8 s, has its links refused or silent, or both; the first shortly before v2 joins. Ten callers begin streams at other entries, hang up as it goes on, and come back at just that entry, or at any after a voter. The run is lengthened to 18 s, so that streams begin at v2 after the 6 s, and prints how many came back, at which version, and what came of it. Draws of other seeds are unchanged.

--- a/test/soak.c
+++ b/test/soak.c
@@ -22,10 +22,14 @@
  * refused, failed or broken off, its time limit was reached, or no server of the version that began
  * the stream could be used for a moment. That a server is silent and goes on is no reason.
  *
+ * Seeds from SOAKJOIN_SEED on have a release of a new version, during which one instance after
+ * another is stopped or its links are cut, and callers come back as it goes on (soakjoin.c).
+ *
  * Callers take up streams that broke off, at any entry. All events of a stream come from servers of
  * one version: of two, in seeds with a roll-out and in half of the others, where servers that crash
  * come back with either.
  */
+#include "soakjoin.h"
 #include "soaknote.h"
 #include "soakroll.h"
 #include "soakver.h"
@@ -442,7 +446,13 @@
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     if (faults[i].active && faults[i].node == node)
       return true;
-  return plan.leaving == node;
+  return plan.leaving == node || soakjoin_touches (node);
+}
+
+static bool
+is_untouched (const FleetNode *node)
+{
+  return !has_fault (node);
 }
 
 static FaultKind
@@ -547,9 +557,24 @@
     struck[fault->node - fleet->entries] = loop_now (fleet->loop);
 }
 
+static void
+note_release_strikes (void)
+{
+  for (unsigned i = 0; i < 3 + fleet->entry_count; i++)
+    {
+      const FleetNode *node = i < 3 ? &fleet->voters[i] : &fleet->entries[i - 3];
+      if (!soakjoin_touches (node))
+        continue;
+      note_disturbed (node);
+      if (!node->voter)
+        struck[node - fleet->entries] = loop_now (fleet->loop);
+    }
+}
+
 static void
 step_faults (bool more)
 {
+  note_release_strikes ();
   for (unsigned i = 0; i < FAULTS_MAX; i++)
     {
       note_strike (&faults[i]);
@@ -642,7 +667,7 @@
   for (unsigned i = 0; i < caller_count; i++)
     if (callers[i].open)
       return true;
-  return false;
+  return soakjoin_is_open ();
 }
 
 /* ---- One seed ---- */
@@ -656,6 +681,7 @@
     {
       step_faults (false);
       step_planned (false);
+      soakjoin_turn (false);
       soakver_turn ();
       step_callers (false);
       fleet_run_for (fleet, 20 * FT_MS);
@@ -745,7 +771,7 @@
   fleet->grace_s = GRACE_S;
   fleet->budget_slack = BUDGET_SLACK;
   planned_only = seed % 3 == 0;
-  has_notices = !planned_only && seed % 4 != 2;
+  has_notices = !planned_only && (seed < SOAKJOIN_SEED ? seed % 4 != 2 : seed % 4 == 1);
   retry_ms = full_load ? FULL_RETRY_MS : 0;
   caller_count = full_load ? CALLERS_FULL : CALLERS;
   if (full_load)
@@ -776,19 +802,22 @@
   fleet = fleet_new ();
   configure (seed);
   fleet_add_proxies (fleet);
-  soakroll_begin (fleet, seed);
+  soakroll_begin (fleet, seed, seed < SOAKJOIN_SEED || seed % 4 == 3);
   soaknote_begin (fleet, seed);
-  bool mixed = !soakroll_is_planned () && seed % 2 == 1;
-  soakver_begin (fleet, seed, mixed);
+  soakjoin_begin (fleet, seed, is_untouched);
+  bool mixed = !soakroll_is_planned () && !soakjoin_is_planned () && seed % 2 == 1;
+  soakver_begin (fleet, seed, mixed || (soakjoin_is_planned () && !soakroll_is_planned ()));
   if (mixed)
     soakver_mix ();
   fleet_start_all (fleet);
-  int64_t until = loop_now (fleet->loop) + seconds * FT_SECOND;
+  int64_t until = loop_now (fleet->loop) + soakjoin_seconds (seconds) * FT_SECOND;
   unsigned round = 0;
   while (loop_now (fleet->loop) < until)
     {
       step_faults (true);
       step_planned (true);
+      soakjoin_turn (true);
+      note_release_strikes (); /* callers may notice before the next round */
       soakver_turn ();
       step_callers (true);
       check_crash_events ();
@@ -807,6 +836,7 @@
   soakroll_end ();
   check_recovery ();
   soakver_end ();
+  soakjoin_end ();
   for (unsigned i = 0; i < caller_count; i++)
     soakver_reset (&callers[i].stream);
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, %u begun, "
--- a/test/soak.sh
+++ b/test/soak.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # soak.sh [-s SEED].. - a short run of test-soak for CI: all seeds that ever failed, and some that together have planned
-# work alone, full load and many processes; -s leaves one out. JOBS of them run at a time.
+# work alone, full load, many processes, and releases with instances out of step; -s leaves one out. JOBS of
+# them run at a time.
 set -u
 skip=()
 while getopts s: _; do skip+=("$OPTARG"); done
-seeds=$( (grep -v '^#' test/soak-seeds.txt | cut -d' ' -f1; printf '%s\n' 2 3 5 6) | sort -nu)
+seeds=$( (grep -v '^#' test/soak-seeds.txt | cut -d' ' -f1; printf '%s\n' 2 3 5 6 10001 10004) | sort -nu)
 for seed in "${skip[@]}"; do seeds=$(grep -vx "$seed" <<<"$seeds"); done
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
--- a/test/soakroll.c
+++ b/test/soakroll.c
@@ -33,13 +33,13 @@
 }
 
 void
-soakroll_begin (Fleet *new_fleet, unsigned seed)
+soakroll_begin (Fleet *new_fleet, unsigned seed, bool allowed)
 {
   fleet = new_fleet;
   if (source)
     g_rand_free (source);
   source = g_rand_new_with_seed (seed ^ 0x5eedu);
-  has_rollout = g_rand_boolean (source);
+  has_rollout = g_rand_boolean (source) && allowed;
   bad = g_rand_boolean (source);
   acknowledged = false;
   *end_state = '\0';
--- a/test/soakroll.h
+++ b/test/soakroll.h
@@ -5,10 +5,10 @@
 
 #include "fleet.h"
 
-/* Half of the seeds have a roll-out; in the others this part does nothing. It has a random
- * generator of its own, so that a seed keeps its sequence of faults. Call it before
+/* Half of the seeds have a roll-out, if it is allowed; in the others this part does nothing. It has
+ * a random generator of its own, so that a seed keeps its sequence of faults. Call it before
  * fleet_start_all. */
-void soakroll_begin (Fleet *fleet, unsigned seed);
+void soakroll_begin (Fleet *fleet, unsigned seed, bool allowed);
 /* True if the seed has a roll-out. */
 bool soakroll_is_planned (void);
 /* The mode of a server that no fault affects. */
