test-unframed: a stream that all servers end inside an event

The mutant that takes a part of an event for the end was not found any more, as the stream is resumed in any case. With this case it is; test-unframed passes.

--- a/test/unframed.c
+++ b/test/unframed.c
@@ -301,6 +301,21 @@
   end_fleet (fleet);
 }
 
+/* Guards against ending a stream in order, framed or not, whose servers all end it inside an event.
+ */
+static void
+all_end_inside_event (void)
+{
+  Fleet *fleet = start_fleet (END_INSIDE_EVENT);
+  Answer answer;
+
+  first_count = G_MAXUINT;
+  call (fleet, "/stream/a", &answer);
+  g_assert_true (answer.broken);
+  fleet_answer_clear (&answer);
+  end_fleet (fleet);
+}
+
 /* Guards against an answer 200 without a body: all that came of it was its head. */
 static void
 plain_is_repeated (void)
@@ -368,6 +383,7 @@
   ADD_STREAM ("early", END_EARLY);
   ADD_STREAM ("no_events", END_NO_EVENTS);
   g_test_add_func ("/unframed/stream/all_end_early", all_end_early);
+  g_test_add_func ("/unframed/stream/all_end_inside_event", all_end_inside_event);
   g_test_add_func ("/unframed/plain/repeated", plain_is_repeated);
   g_test_add_data_func ("/unframed/no_receipt/plain", "/plain/a", no_receipt);
   g_test_add_data_func ("/unframed/no_receipt/once", "/once/a", no_receipt);
