Ends without framing: what a server was asked for is waited for, or the stream is broken off

Change: bytes of an event, or events that are dropped, end the confirmation, and the stream goes on as any resumed one; the caller's connection ends in order only where no server could be asked, and is reset otherwise. An end in order stops the pause and withdraws the replacement. A caller that reads nothing of an answer without framing is not sent an orderly end. Versions are remembered for 50 s, so that a list that was out of reach for half a minute withholds none.

--- a/net/hsrv.c
+++ b/net/hsrv.c
@@ -650,7 +650,9 @@
     return;
   if (sock_unsent (conn->sock) > UNSENT_MAX)
     {
-      shutdown (conn->sock->fd.fd, SHUT_RDWR); /* on_ended then reports that the caller left */
+      /* on_ended then reports that the caller left. The end must not look like that of the
+       * response. */
+      shutdown (conn->sock->fd.fd, conn->unframed ? SHUT_RD : SHUT_RDWR);
       return;
     }
   if (conn->unframed)
--- a/node/broker.h
+++ b/node/broker.h
@@ -33,9 +33,9 @@
 void broker_free (Broker *broker);
 void broker_set_catalogue (Broker *broker, const RtCat *cat);
 /* Call when the server list has changed. servers must outlive the broker. */
+void broker_set_servers (Broker *broker, const Servers *servers);
 /* The newest list is the same as the one before; see sched_keep_servers. */
 void broker_keep_servers (Broker *broker);
-void broker_set_servers (Broker *broker, const Servers *servers);
 /* Sets which parts of the places and of the limits, of organisations and servers, this scheduler
  * may give away; salt as in sched_set_share. The parts depend on which instances ask: set them
  * after broker_note_asker. */
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -139,7 +139,7 @@
 void
 req_break_off (Req *req, const char *why)
 {
-  if (req->confirmation.armed && hcall_is_unframed (req->call))
+  if (req->unconfirmed && !req->asked_for_more && hcall_is_unframed (req->call))
     {
       req_finish (req);
       return;
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -41,6 +41,8 @@
   LoopTimer verdict_wait;   /* armed while the quarantine verdict on its content is awaited */
   LoopTimer ask_pause;      /* armed between a refusal and the next ask of a begun answer */
   LoopTimer confirmation;   /* armed while it is found out whether a stream has ended */
+  bool unconfirmed;         /* ... which no server has said */
+  bool asked_for_more;      /* a server was sent the request since it ended */
   bool needs_budget;        /* the next ask, after ask_pause, needs the retry budget */
   bool was_granted; /* a place was granted before: the organisation's limit has been charged */
   /* The tries. */
@@ -151,7 +153,9 @@
 /* The three ways to end a request; each frees req. Answers with an error of this instance's own,
  * without a server's identifier in it; retry_us: when the caller should retry, 0: not stated. */
 void req_answer_error (Req *req, unsigned status, int64_t retry_us, const char *why);
-/* Aborts the caller's connection, so that the partial answer cannot be taken for a complete one. */
+/* Aborts the caller's connection, so that the partial answer cannot be taken for a complete one. A
+ * stream without framing that has ended in order, and about which no server could be asked, ends so
+ * for the caller, too. */
 void req_break_off (Req *req, const char *why);
 /* Delivers or ends the server's complete answer. */
 void req_finish (Req *req);
--- a/node/try.c
+++ b/node/try.c
@@ -34,7 +34,7 @@
 #define PREFILL_TIMEOUT_TOKEN_US                                                                   \
   60 /* ... and this for each token of the prompt: the slowest prefill seen */
 #define STREAM_TIMEOUT_MIN (600 * FT_MS)
-/* For another server to say whether a stream has ended; callers wait for the end for longer. */
+/* For another server to begin to say whether a stream has ended; callers wait for longer. */
 #define CONFIRMATION_TIMEOUT (1500 * FT_MS)
 
 /* True unless the answer names another request. */
@@ -221,12 +221,17 @@
 relay_events (Req *req, const char *data, size_t size)
 {
   GString *out = g_string_sized_new (size);
+  unsigned dropped = events_dropped (req->stream);
   unsigned count = events_feed (req->stream, data, size, out);
   int64_t now = req_now (req);
 
-  if (count > 0)
+  if (count > 0 || events_has_partial (req->stream) || events_dropped (req->stream) > dropped)
     {
+      req->unconfirmed = false; /* the server goes on with the stream */
       loop_timer_stop (req->requests->conf.loop, &req->confirmation);
+    }
+  if (count > 0)
+    {
       record_received (req);
       record_first_byte (req);
       if (req->event_at)
@@ -358,7 +363,12 @@
       req_after_try (req, RETRY_STREAM_CUT);
     }
   else if (req->close_delimited) /* the sockets of a process that crashes may close in order too */
-    report_break (req, &req->end_wait);
+    {
+      /* The server is not silent any more, and the try has no transfer that a replacement ends. */
+      loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
+      req_withdraw_replacement (req);
+      report_break (req, &req->end_wait);
+    }
   else
     finish_answer (req);
 }
@@ -375,6 +385,8 @@
     req_after_try (req, RETRY_BROKEN);
   else if (req->is_stream && req->events > 0 && rt_route_is_repeatable (req->route))
     {
+      req->unconfirmed = true;
+      req->asked_for_more = false;
       loop_timer_set (req->requests->conf.loop, &req->confirmation,
                       req_now (req) + CONFIRMATION_TIMEOUT);
       req_after_try (req, RETRY_UNCONFIRMED);
@@ -391,10 +403,7 @@
   Req *req = (Req *) ((char *) timer - offsetof (Req, confirmation));
 
   req_end_try (req, SCHED_LEFT);
-  if (hcall_is_unframed (req->call))
-    req_finish (req);
-  else
-    req_break_off (req, "unconfirmed");
+  req_break_off (req, "unconfirmed");
 }
 
 bool
@@ -549,6 +558,7 @@
 
   requests->conf.adapter_ops->write_request (message, hcall_msg (req->call), &forward);
   req->sends++;
+  req->asked_for_more = true;
   req->direct_tried |= !relayed;
   req->read_paused = false;
   req->may_have_run_before = req->may_have_run;
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -15,7 +15,7 @@
 
 /* A version that was absent for longer joins anew. Instances remember it for ORIGINS_TIME_MAX after
  * they saw it last, which may be earlier than this scheduler did. */
-#define ABSENCE_MAX (ORIGINS_TIME_MAX / 2)
+#define ABSENCE_MAX (ORIGINS_TIME_MAX - 10 * FT_SECOND)
 /* ORIGINS_LIST_AGE_MAX, and what the platform's list lags. */
 #define OTHERS_GONE_TIME (4 * FT_SECOND)
 /* Enough to commit that streams begin at a version. Less than ORIGINS_JOIN_TIME -
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -107,7 +107,7 @@
   VersionUse use;
   unsigned slots, running, pending; /* pending: runs that have had no first event yet */
   bool listed, leaving;
-  bool withheld; /* no resumable stream begins there (fresh.c) */
+  bool withheld; /* no resumable stream begins there, and engines' places do not count (fresh.c) */
   /* the server itself announced that it leaves; later server lists do not revoke it */
   bool announced_leaving;
   /* by owner, the backoffs that the server asked for; NULL until the first one */
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -660,6 +660,7 @@
   g_hash_table_iter_init (&iter, sched->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     fresh_note_list (value, at);
+  invalidate_summaries (sched);
 }
 
 void
@@ -689,7 +690,6 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ver_assign (sched, value);
   sched_keep_servers (sched);
-  invalidate_summaries (sched);
   sched->listed = true;
   sched_tick (sched);
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -205,6 +205,7 @@
 try "unframed: an orderly close is complete" node/try.c 's/^  else if \(req->close_delimited\) .*$/  else if (false)/' test-unframed &
 try "unframed: an early end is the end" node/try.c 's/^  else if \(req->is_stream \&\& req->events > 0 .*/  else if (false)/' test-unframed &
 try "unframed: a head is an answer" node/try.c 's/req->status \/ 100 == 2 \&\& !has_body/false \&\& has_body/' test-unframed &
+try "unframed: more is the end" node/reqend.c 's/req->unconfirmed \&\& !req->asked_for_more/req->unconfirmed/' test-unframed &
 try "unframed: it is framed for the caller" node/reqend.c 's/!req->begun \&\& req->close_delimited/false/' test-unframed &
 try "unframed: the stream is framed for the caller" node/try.c 's/^  if \(req->close_delimited\)$/  if (false)/' test-unframed &
 try "unframed: no receipt is needed" node/try.c 's/ \&\& !answer.has_receipt/ \&\& false/' test-unframed &
