Streams at a new version: where versions are moved by order, the order decides

Cause: the withholding of versions that have just joined did not look at orders.

Change: it applies only where all versions are used. Where versions are moved by order, streams begin as ordered, and such a version is logged at once.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -223,7 +223,7 @@
 est_usable (const Server *server, int64_t now)
 {
   /* Most requests of engines are resumable streams. */
-  bool withheld = server->withheld && server->service->conf.engine;
+  bool withheld = fresh_has_just_joined (server) && server->service->conf.engine;
 
   return is_live (server, now) && server->use == USE_ALL && !withheld;
 }
--- a/src/fresh.c
+++ b/src/fresh.c
@@ -8,7 +8,7 @@
  *
  * A version is not withheld if no other one has had a ready server for OTHERS_GONE_TIME: where a
  * list still shows another one alone, its servers get nothing new any more. The only version that
- * is known counts as settled.
+ * is known counts as settled. Where versions are moved by order, the order decides alone.
  */
 #include "schedint.h"
 #include "origins.h"
@@ -166,11 +166,19 @@
     return false;
   bool listed = presence->listed_at == service->list_at;
   bool soon = now - presence->joined_at >= ORIGINS_JOIN_TIME - SOON;
-  return has_settled (presence) || (listed && (soon || !presence->withheld));
+  return has_settled (presence)
+         || (listed && (soon || !presence->withheld || !service->versions.all_in_use));
+}
+
+bool
+fresh_has_just_joined (const Server *server)
+{
+  return server->withheld && server->service->versions.all_in_use;
 }
 
 bool
 fresh_is_withheld (const Job *job, const Server *server)
 {
-  return server->withheld && job->version == NULL && job->ask.stream && job->ask.repeatable;
+  return fresh_has_just_joined (server) && job->version == NULL && job->ask.stream
+         && job->ask.repeatable;
 }
--- a/src/schedint.h
+++ b/src/schedint.h
@@ -107,7 +107,7 @@
   VersionUse use;
   unsigned slots, running, pending; /* pending: runs that have had no first event yet */
   bool listed, leaving;
-  bool withheld; /* no resumable stream begins there, and engines' places do not count (fresh.c) */
+  bool withheld; /* see fresh_has_just_joined */
   /* the server itself announced that it leaves; later server lists do not revoke it */
   bool announced_leaving;
   /* by owner, the backoffs that the server asked for; NULL until the first one */
@@ -487,7 +487,9 @@
 void fresh_settle (Service *service, const char *version);
 /* See sched_streams_begin_soon. */
 bool fresh_begins_soon (const Service *service, const char *version, int64_t now);
-/* True if the job is a resumable stream and the server's version has just joined. */
+/* True if the server's version has just joined, where all versions are used. */
+bool fresh_has_just_joined (const Server *server);
+/* True if the job is a resumable stream, and the server's version has just joined. */
 bool fresh_is_withheld (const Job *job, const Server *server);
 
 /* ---- Health of servers (health.c) ---- */
--- a/test/bound.c
+++ b/test/bound.c
@@ -465,6 +465,7 @@
   Fixture *fixture = fixture_new (1, 0);
   Sched *sched = fixture->sched;
 
+  sched_set_all_versions (sched, true);
   g_assert_true (sched_streams_begin_soon (sched, "s", "v1"));
   list_servers (fixture, 1, 1);
   g_assert_false (sched_streams_begin_soon (sched, "s", "v2"));
@@ -530,6 +531,23 @@
   fixture_free (fixture);
 }
 
+/* Guards against a roll-out whose trial gets no streams, and whose move leaves all of them without
+ * a server, as the version that is ordered has just joined. */
+static void
+ordered_is_not_withheld (void)
+{
+  Fixture *fixture = fixture_new (1, 0);
+  SchedVersions trial = { .in_use = "v1", .other = "v2", .ordered = "v2", .share = 1, .left = 10 };
+  SchedVersions moved = { .in_use = "v2", .other = "v1", .ordered = "v2" };
+
+  list_servers (fixture, 1, 1);
+  sched_set_versions (fixture->sched, "s", &trial);
+  g_assert_true (begins_at_new (fixture, 0));
+  sched_set_versions (fixture->sched, "s", &moved);
+  g_assert_true (begins_at_new (fixture, 20));
+  fixture_free (fixture);
+}
+
 /* Guards against a lower tier that gets a place of such a version before a higher one. */
 static void
 higher_tier_first (void)
@@ -571,6 +589,7 @@
                         settled_at_start);
   g_test_add_func ("/bound/begins_soon", begins_soon);
   g_test_add_func ("/bound/rejoined_after_start", rejoined_after_start);
+  g_test_add_func ("/bound/ordered_is_not_withheld", ordered_is_not_withheld);
   g_test_add_func ("/bound/higher_tier_first", higher_tier_first);
   return g_test_run ();
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -147,7 +147,8 @@
 try "listed: a snapshot lacks the table" src/state.c 's/listed_restore \(state->listed, \&in->listed\)/(void) in/' test-listed &
 try "listed: a successor begins anew" node/listing.c 's/^  for \(unsigned i = 0; i < listing->table.services.services_len; i\+\+\)$/  for (unsigned i = 0; false; i++)/' test-joined &
 try "listed: one that has just joined is logged" node/listing.c 's/^         \|\| broker_streams_begin_soon .*/         || true;/' test-cutaway &
-try "listed: one that left early is logged" src/fresh.c 's/\(listed \&\& \(soon \|\| !presence->withheld\)\)/soon || !presence->withheld/' test-bound &
+try "listed: one that left early is logged" src/fresh.c 's/\|\| \(listed$/|| (true/; s/\(listed \&\& /(true \&\& /' test-bound &
+try "fresh: ordered ones are withheld" src/fresh.c 's/return server->withheld \&\& server->service->versions.all_in_use;/return server->withheld;/' test-bound &
 try "fresh: nothing settles at the start" src/fresh.c 's/presence == NULL \|\| !presence->initial/true/; s/g_hash_table_contains \(service->settled, server->version\)/false/' test-bound &
 try "fresh: what joined anew settles" src/fresh.c 's/^      presence->initial = false;$/      ;/' test-bound &
 try "listed: entries are not told" node/listing.c 's/^  bcast_send_all .*//' test-joined &
