--- a/test/rolls.c
+++ b/test/rolls.c
@@ -86,6 +86,7 @@
 
   load->stopped = true;
   fleet_run_until (load->fleet, all_done, load, "all callers have their answers");
+  loop_timer_stop (load->fleet->loop, &load->timer);
   for (unsigned i = 0; i < load->sent; i++)
     {
       failed += load->answers[i].broken || load->answers[i].status != 200;
