hmsg: a response needs a status of three digits from 100 to 599 and a version HTTP/1

What callers saw: an answer of status 000 from a server in trouble arrived as an answer, in each framing and on each route; so did 0, 00, 20, 099, 600, 999, 0200 (as 200), HTTP/2.0 and HTTP/9.9. It ran once and was not tried again.

Cause: libhttp-parser takes one to four digits for a status and any version, and nothing behind it looked at the range. What follows goes by the hundreds: status 0 is neither a failure nor a success, so it counted as proof that the server had survived.

Change: hread_feed matches the start of each response, interim ones too, with the form of a status line before the parser gets the bytes; status 101 is refused, since no other protocol is asked for. The one reader serves servers' answers, the list's, relays' and the tests' callers, so each of them refuses such a head as it does other bytes that are not HTTP.

Handled before, the tests stay: names of fields with blanks, control bytes, DEL, CR or bytes over 127, a blank before the name or the colon, no colon, an empty name, control bytes in values, two lengths, a length beside chunks, also in interim answers.

--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -4,6 +4,9 @@
  * colon of a field and control characters. Another program on the path may then see a different end
  * of the body and run a request that is hidden in it (request smuggling). So a message is also
  * rejected unless its field names are tokens (RFC 9110, 5.6.2) and its values are printable.
+ *
+ * The parser takes one to four digits for a status and any version. A response is rejected unless
+ * its status has three digits and is from 100 to 599 (RFC 9110, 15), and its version is HTTP/1.
  */
 #include "hmsg.h"
 
@@ -33,6 +36,8 @@
   HMsg *msg;
   size_t head_max, body_max, head_bytes, body_bytes;
   bool requests, in_value, in_message, head_done, ended, no_body;
+  bool interim_ended;     /* an interim response has ended in this call of the parser */
+  unsigned line_at;       /* bytes of status_line_form that the response has matched */
   unsigned interim_count; /* interim responses before the final one */
   HReadFault fault;
 };
@@ -41,6 +46,10 @@
  * head only. */
 #define INTERIM_MAX 64
 
+/* How a status line starts; d: a digit, s: the first digit of a status. The byte after it ends the
+ * status. */
+static const char status_line_form[] = "HTTP/1.d sdd";
+
 /* ---- Messages ---- */
 
 HMsg *
@@ -281,6 +290,8 @@
     return fail (reader, HREAD_BAD_SYNTAX);
   reader->head_done = true;
   msg->status = parser->status_code;
+  if (!reader->requests && msg->status == 101)
+    return fail (reader, HREAD_BAD_SYNTAX); /* no other protocol was asked for */
   msg->method = reader->requests ? http_method_str ((enum http_method) parser->method) : "";
   msg->keep_alive = http_should_keep_alive (parser);
   bool bodiless
@@ -316,10 +327,14 @@
   HReader *reader = parser->data;
 
   reader->in_message = false;
+  reader->line_at = 0;
+  http_parser_pause (parser, 1);
   if (!reader->requests && reader->msg->status / 100 == 1)
-    return 0;
+    {
+      reader->interim_ended = true;
+      return 0;
+    }
   reader->ended = true;
-  http_parser_pause (parser, 1);
   reader->ops->end (reader->user);
   return 0;
 }
@@ -367,10 +382,37 @@
   reader->no_body = no_body;
 }
 
-size_t
-hread_feed (HReader *reader, const void *data, size_t size, HReadFault *fault)
+/* Matches bytes of a response with the form of a status line, as far as they belong to it. */
+static bool
+match_status_line (HReader *reader, const char *data, size_t size)
 {
-  *fault = 0;
+  for (size_t i = 0; i < size && reader->line_at < sizeof status_line_form; i++)
+    {
+      char form = status_line_form[reader->line_at];
+      bool blank_line = reader->line_at == 0 && (data[i] == '\r' || data[i] == '\n');
+
+      if (blank_line)
+        continue;
+      if (form == 'd'   ? !g_ascii_isdigit (data[i])
+          : form == 's' ? data[i] < '1' || data[i] > '5'
+          : form        ? data[i] != form
+                        : strchr (" \r\n", data[i]) == NULL || data[i] == '\0')
+        return false;
+      reader->line_at++;
+    }
+  return true;
+}
+
+/* Feeds bytes of one message to the parser. */
+static size_t
+parse (HReader *reader, const char *data, size_t size, HReadFault *fault)
+{
+  reader->interim_ended = false;
+  if (!reader->requests && !match_status_line (reader, data, size))
+    {
+      *fault = HREAD_BAD_SYNTAX;
+      return 0;
+    }
   if (HTTP_PARSER_ERRNO (&reader->parser) == HPE_PAUSED)
     http_parser_pause (&reader->parser, 0);
   size_t used = http_parser_execute (&reader->parser, &settings, data, size);
@@ -386,6 +428,18 @@
   return used;
 }
 
+size_t
+hread_feed (HReader *reader, const void *data, size_t size, HReadFault *fault)
+{
+  size_t used = 0;
+
+  *fault = 0;
+  do
+    used += parse (reader, (const char *) data + used, size - used, fault);
+  while (!*fault && reader->interim_ended && used < size);
+  return used;
+}
+
 bool
 hread_finish (HReader *reader)
 {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -177,6 +177,9 @@
 try "takeover: requests on unlisted servers are dropped" src/scheduler.c 's/^  if \(server == NULL\)$/  if (server == NULL)\n    return;\n  if (server == NULL)/' test-rollout &
 try "takeover: lost entries are forgotten" node/rollctl.c 's/g_hash_table_size \(rollouts->lost\)/0/' test-rolls &
 # Bytes that are no answer and do not end.
+try "broken: any first digit makes a status" net/hmsg.c "s/data\\[i\\] < '1' \\|\\| data\\[i\\] > '5'/!g_ascii_isdigit (data[i])/" test-broken &
+try "broken: only the first status line is checked" net/hmsg.c 's/^  reader->line_at = 0;/  (void) reader->line_at;/' test-broken &
+try "broken: interim responses are not checked apart" net/hmsg.c 's/^      reader->interim_ended = true;/      http_parser_pause (parser, 0);/' test-broken &
 try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
 try "endless: any byte is a sign of life" node/try.c 's/^  if \(req->is_stream\)$/  record_received (req);\n  if (req->is_stream)/' test-endless &
 try "endless: a refusal is read to its end" node/try.c '/^try_on_silence/,/^}/ s/if \(req->rejected\)/if (false)/; s/req->rejection_bytes > REJECTION_MAX/false/' test-endless &
