hmsg: a response in a transfer coding other than chunked is no answer

What callers saw: with "Transfer-Encoding: chunked, gzip" the framing of the chunks arrived as the body, told as whole; with gzip alone, an unknown coding, a second field before chunked or after it, a coded body arrived without the field that names its coding.

Cause: the parser passes on a body whose last coding it does not know as one that ends with its connection, and the field Transfer-Encoding is never forwarded.

Change: on_head refuses a response that names a coding which is not decoded: anything but chunked alone, or identity. Requests are read as before.

--- a/net/hmsg.c
+++ b/net/hmsg.c
@@ -6,7 +6,8 @@
  * rejected unless its field names are tokens (RFC 9110, 5.6.2) and its values are printable.
  *
  * The parser takes one to four digits for a status and any version. A response is rejected unless
- * its status has three digits and is from 100 to 599 (RFC 9110, 15), and its version is HTTP/1.
+ * its status has three digits and is from 100 to 599 (RFC 9110, 15), its version is HTTP/1, and its
+ * body in no transfer coding but chunked.
  */
 #include "hmsg.h"
 
@@ -280,13 +281,37 @@
   return is_printable (msg->target->str);
 }
 
+/* True if value is the coding, with blanks at most behind it. */
+static bool
+is_coding (const char *value, const char *coding)
+{
+  size_t length = strlen (coding);
+
+  return g_ascii_strncasecmp (value, coding, length) == 0
+         && value[length + strspn (value + length, " \t")] == '\0';
+}
+
+/* True if the body is in a transfer coding that is not decoded here. */
+static bool
+has_other_coding (const http_parser *parser, const HMsg *msg)
+{
+  const char *decoded = parser->flags & F_CHUNKED ? "chunked" : "identity";
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < msg->fields->len; i++)
+    if (g_ascii_strcasecmp (hmsg_field_name (msg, i), "Transfer-Encoding") == 0
+        && (++count > 1 || !is_coding (hmsg_field_value (msg, i), decoded)))
+      return true;
+  return false;
+}
+
 static int
 on_head (http_parser *parser)
 {
   HReader *reader = parser->data;
   HMsg *msg = reader->msg;
 
-  if (!fields_are_valid (msg))
+  if (!fields_are_valid (msg) || (!reader->requests && has_other_coding (parser, msg)))
     return fail (reader, HREAD_BAD_SYNTAX);
   reader->head_done = true;
   msg->status = parser->status_code;
--- a/test/broken.c
+++ b/test/broken.c
@@ -168,7 +168,9 @@
     return (answer->status == 502 || (answer->status == 504 && !route->once))
            && strstr (answer->body->str, "\"ran\":\"unknown\"")
            && runs[index] <= (route->once ? 1 : 2);
-  return answer->status == head->status && runs[index] == 1
+  /* a stream that ends with its connection is resumed to see whether more follows */
+  return answer->status == head->status
+         && runs[index] == (route->stream && head->framing == HEAD_CLOSE ? 2 : 1)
          && strcmp (answer->body->str, !has_body       ? ""
                                        : route->stream ? EVENTS
                                                        : PLAIN)
--- a/test/heads.h
+++ b/test/heads.h
@@ -8,11 +8,12 @@
 
 typedef enum
 {
-  HEAD_LENGTH,  /* the body's length is stated */
-  HEAD_CHUNKED, /* the body comes in chunks */
-  HEAD_CLOSE,   /* the connection's end ends the body */
-  HEAD_EMPTY,   /* there is no body, and its length is stated as 0 */
-  HEAD_BARE     /* neither body nor framing */
+  HEAD_LENGTH,      /* the body's length is stated */
+  HEAD_CHUNKED,     /* the body comes in chunks */
+  HEAD_CHUNKED_ODD, /* the same, with capitals and blanks in the name of the coding */
+  HEAD_CLOSE,       /* the connection's end ends the body */
+  HEAD_EMPTY,       /* there is no body, and its length is stated as 0 */
+  HEAD_BARE         /* neither body nor framing */
 } HeadFraming;
 
 typedef struct
@@ -85,6 +86,11 @@
   HEAD_CODING ("blank_before_colon", "Transfer-Encoding : chunked\r\n", HEAD_LENGTH),
   HEAD_CODING ("blank_before_colon_close", "Transfer-Encoding : chunked\r\n", HEAD_CLOSE),
   HEAD_CODING ("control_in_name", "Transfer-Encoding\001: chunked\r\n", HEAD_LENGTH),
+  HEAD_CODING ("gzip", "Transfer-Encoding: gzip\r\n", HEAD_CLOSE),
+  HEAD_CODING ("chunked_gzip", "Transfer-Encoding: chunked, gzip\r\n", HEAD_CLOSE),
+  HEAD_CODING ("gzip_chunked", "Transfer-Encoding: gzip\r\n", HEAD_CHUNKED),
+  HEAD_CODING ("chunked_twice", "Transfer-Encoding: chunked\r\n", HEAD_CHUNKED),
+  HEAD_CODING ("unknown", "Transfer-Encoding: x-chunked\r\n", HEAD_CLOSE),
   HEAD_INTERIM ("blank_in_name", "HTTP/1.1 103 Early Hints", "X Name: value\r\n"),
   HEAD_INTERIM ("control_in_name", "HTTP/1.1 103 Early Hints", "X\001Name: value\r\n"),
   HEAD_INTERIM ("status_1", "HTTP/1.1 1 Continue", NULL),
@@ -94,6 +100,8 @@
   HEAD_INTERIM ("version_2", "HTTP/2.0 100 Continue", NULL),
   HEAD_VALID ("usual", "HTTP/1.1 200 OK", NULL, HEAD_LENGTH, 200),
   HEAD_VALID ("chunked", "HTTP/1.1 200 OK", NULL, HEAD_CHUNKED, 200),
+  HEAD_VALID ("chunked_upper_case", "HTTP/1.1 200 OK", NULL, HEAD_CHUNKED_ODD, 200),
+  HEAD_VALID ("identity", "HTTP/1.1 200 OK", "Transfer-Encoding: identity\r\n", HEAD_CLOSE, 200),
   HEAD_VALID ("no_reason", "HTTP/1.1 200", NULL, HEAD_LENGTH, 200),
   HEAD_VALID ("empty_reason", "HTTP/1.1 200 ", NULL, HEAD_LENGTH, 200),
   HEAD_VALID ("version_1_0", "HTTP/1.0 200 OK", NULL, HEAD_LENGTH, 200),
@@ -121,9 +129,10 @@
   g_string_append (out, more);
   if (head->framing == HEAD_LENGTH || head->framing == HEAD_EMPTY)
     g_string_append_printf (out, "Content-Length: %zu\r\n", bodiless ? 0 : strlen (body));
-  if (head->framing == HEAD_CHUNKED)
-    g_string_append_printf (out, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
-                            strlen (body), body);
+  if (head->framing == HEAD_CHUNKED || head->framing == HEAD_CHUNKED_ODD)
+    g_string_append_printf (out, "Transfer-Encoding: %s\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
+                            head->framing == HEAD_CHUNKED ? "chunked" : " CHUNKED ", strlen (body),
+                            body);
   else
     g_string_append_printf (out, "\r\n%s", bodiless ? "" : body);
   return out;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -180,6 +180,8 @@
 try "broken: any first digit makes a status" net/hmsg.c "s/data\\[i\\] < '1' \\|\\| data\\[i\\] > '5'/!g_ascii_isdigit (data[i])/" test-broken &
 try "broken: only the first status line is checked" net/hmsg.c 's/^  reader->line_at = 0;/  (void) reader->line_at;/' test-broken &
 try "broken: interim responses are not checked apart" net/hmsg.c 's/^      reader->interim_ended = true;/      http_parser_pause (parser, 0);/' test-broken &
+try "broken: a second coding is overlooked" net/hmsg.c 's/\+\+count > 1 \|\| //' test-broken &
+try "broken: any coding is the body" net/hmsg.c 's/!is_coding \(hmsg_field_value \(msg, i\), decoded\)/false/' test-broken &
 try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
 try "endless: any byte is a sign of life" node/try.c 's/^  if \(req->is_stream\)$/  record_received (req);\n  if (req->is_stream)/' test-endless &
 try "endless: a refusal is read to its end" node/try.c '/^try_on_silence/,/^}/ s/if \(req->rejected\)/if (false)/; s/req->rejection_bytes > REJECTION_MAX/false/' test-endless &
