client: the own interface reads answers with foxtailnode's reader

With "Transfer-Encoding : chunked" beside a length the body was the first bytes of the framing, without a length all of it; of two lengths the later one counted. A service's 600 and 999 were passed on; an engine's stream behind such a head was passed on.

Cause: answers were read by libcurl, by way of ulfius, which takes such names and statuses; what it does not take for a length or a coding does not frame the body. Nothing behind it sees the head's bytes.

Change: client.c, a blocking client on the reader of hmsg.h, so that one rule decides on both fronts. It reads while it sends, and refuses a request line or field that would not be one line. Backend servers, their reports and the platform's list are read by it; a list or report is 8 MiB at most. A list at an https URL is still read by the library, with the same bound on its size. The operators' client and foxtailload read instances only, by the library.

test/rawback.c has the same heads as test/broken.c; what test/stops.sh shares with the new test moved to scripts/rawback.sh. Left out of it until their fixes: statuses of answers without a body, and engines' statuses.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -11,6 +11,7 @@
  */
 #include "back.h"
 #include "body.h"
+#include "client.h"
 #include "dlog.h"
 #include "notices.h"
 #include "span.h"
@@ -22,7 +23,6 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <ulfius.h>
 #include <unistd.h>
 
 #define WATCH_INTERVAL    (100 * FT_MS)
@@ -32,7 +32,9 @@
 #define RECONNECTS_MAX    200             /* one after another without a piece */
 /* A call past its deadline is given up after this many times silence_ms without data. */
 #define LATE_SILENCE_FACTOR 3
+#define LATE_MAX            (60 * FT_SECOND) /* past its deadline, for one connection */
 #define ANSWER_MAX          (16u << 20)
+#define PAUSE_TIMEOUT       (2 * FT_SECOND)
 
 struct Back
 {
@@ -67,6 +69,8 @@
   unsigned attempt;
   Sse sse;
   GString *plain;     /* services: the body received so far; NULL for streams */
+  char *type;         /* Content-Type of the response; NULL: none */
+  bool unframed;      /* the end of the connection ends the response */
   int64_t backoff_us; /* Retry-After of the response; 0: none */
 } Reader;
 
@@ -206,48 +210,48 @@
   return current;
 }
 
-static size_t
-on_stream_bytes (void *contents, size_t size, size_t count, void *user)
+static bool
+on_stream_bytes (void *user, const char *data, size_t size)
 {
   Reader *reader = user;
 
   if (!is_current (reader)) /* on_event does not notice if no event comes */
-    return 0;
-  return sse_feed (&reader->sse, contents, size * count, on_event, reader) ? size * count : 0;
+    return false;
+  return sse_feed (&reader->sse, data, size, on_event, reader);
 }
 
-static size_t
-on_plain_bytes (void *contents, size_t size, size_t count, void *user)
+static bool
+on_plain_bytes (void *user, const char *data, size_t size)
 {
   Reader *reader = user;
 
-  if (reader->plain->len + size * count > ANSWER_MAX)
-    return 0;
-  g_string_append_len (reader->plain, contents, (gssize) (size * count));
-  return size * count;
+  if (reader->plain->len + size > ANSWER_MAX)
+    return false;
+  g_string_append_len (reader->plain, data, (gssize) size);
+  return true;
 }
 
 /* ---- Sending ---- */
 
-static void
-set_headers (Back *back, const Call *call, struct _u_request *request)
+static GString *
+format_fields (const Call *call)
 {
+  GString *fields = g_string_new (NULL);
   char traceparent[56];
 
-  (void) back;
   span_traceparent (call, traceparent);
-  u_map_put (request->map_header, "X-Request-Id", call->id);
-  u_map_put (request->map_header, "traceparent", traceparent);
+  hwrite_field (fields, "X-Request-Id", call->id);
+  hwrite_field (fields, "traceparent", traceparent);
   if (call->content_type)
-    u_map_put (request->map_header, "Content-Type", call->content_type);
+    hwrite_field (fields, "Content-Type", call->content_type);
+  return fields;
 }
 
-static unsigned long
-seconds_left (Back *back, const Call *call)
+/* A call may take longer than its deadline, but not for ever. */
+static int64_t
+time_limit (Back *back, const Call *call)
 {
-  int64_t left = call->deadline - core_now (back->core);
-
-  return (unsigned long) (MAX (0, left) / FT_SECOND + 60);
+  return MAX (0, call->deadline - core_now (back->core)) + LATE_MAX;
 }
 
 static bool
@@ -266,9 +270,10 @@
 /* Records the Retry-After of a 429 or 503 response and returns it in microseconds, 0 if there is
  * none. */
 static int64_t
-record_backoff (Back *back, const Call *call, int status, const struct _u_map *fields)
+record_backoff (Back *back, const Call *call, const HMsg *msg)
 {
-  const char *text = u_map_get_case (fields, "Retry-After");
+  const char *text = hmsg_field (msg, "Retry-After");
+  unsigned status = hmsg_status (msg);
   char lifetime[192];
   Notice notice = { 0 };
 
@@ -305,54 +310,43 @@
   return blocked;
 }
 
-/* Whether the response of a service is complete, after libcurl has found no fault in it. libcurl
- * takes the end of the connection for the end of the response, also within the head, unless it has
- * read a length or that chunks follow. */
 static bool
-is_complete (const char *method, const struct _u_response *response)
+on_head (void *user, const HMsg *msg)
 {
-  const char *coding = u_map_get_case (response->map_header, "Transfer-Encoding");
+  Reader *reader = user;
 
-  if (response->status < 200)
-    return false;
-  if (response->status == 204 || response->status == 304 || strcmp (method, "HEAD") == 0)
-    return true;
-  return u_map_get_case (response->map_header, "Content-Length") != NULL
-         || (coding != NULL && g_ascii_strcasecmp (coding, "chunked") == 0);
+  reader->type = g_strdup (hmsg_field (msg, "Content-Type"));
+  reader->unframed = hmsg_body_until_close (msg);
+  reader->backoff_us = record_backoff (reader->back, reader->call, msg);
+  return true;
 }
 
+static const ClientOps stream_ops = { on_head, on_stream_bytes };
+static const ClientOps plain_ops = { on_head, on_plain_bytes };
+
 /* Sends one HTTP request and reads the response. Returns the HTTP status, 0 if the response is not
  * complete. Frees url. */
-static int
+static unsigned
 exchange (Back *back, const Call *call, const char *method, char *url, const char *body,
-          size_t size, Reader *reader, char **type)
-{
-  struct _u_request request;
-  struct _u_response response;
-  int status = 0;
-
-  ulfius_init_request (&request);
-  ulfius_init_response (&response);
-  request.http_verb = o_strdup (method);
-  request.http_url = o_strdup (url);
-  request.timeout = seconds_left (back, call);
-  set_headers (back, call, &request);
-  if (size > 0)
-    ulfius_set_binary_body_request (&request, body, size);
-  int done = ulfius_send_http_streaming_request (
-      &request, &response, reader->plain ? on_plain_bytes : on_stream_bytes, reader);
-  if (done == U_OK && reader->plain && !is_complete (method, &response))
-    dlog (DLOG_WARN, call->id, "incomplete", "server %s of %s: status %d, %d bytes without an end",
-          call->server, call->pool, (int) response.status, (int) reader->plain->len);
-  else if (done == U_OK)
+          size_t size, Reader *reader)
+{
+  GString *fields = format_fields (call);
+  ClientRequest request = { .method = method,
+                            .url = url,
+                            .fields = fields->str,
+                            .body = body,
+                            .size = size,
+                            .timeout_us = time_limit (back, call) };
+  unsigned status = client_exchange (&request, reader->plain ? &plain_ops : &stream_ops, reader);
+
+  if (status && reader->plain && reader->unframed)
     {
-      status = (int) response.status;
-      reader->backoff_us = record_backoff (back, call, status, response.map_header);
+      dlog (DLOG_WARN, call->id, "incomplete",
+            "server %s of %s: status %u, %d bytes without an end", call->server, call->pool, status,
+            (int) reader->plain->len);
+      status = 0;
     }
-  if (done == U_OK && type)
-    *type = g_strdup (u_map_get_case (response.map_header, "Content-Type"));
-  ulfius_clean_request (&request);
-  ulfius_clean_response (&response);
+  g_string_free (fields, TRUE);
   g_free (url);
   return status;
 }
@@ -464,16 +458,16 @@
 } StreamEnd;
 
 static bool
-is_transient (int status)
+is_transient (unsigned status)
 {
   return status >= 500 || status == 408 || status == 429;
 }
 
 /* status: of the HTTP response, 0 if it was not complete. */
 static StreamEnd
-judge_end (Call *call, const Work *work, int status)
+judge_end (Call *call, const Work *work, unsigned status)
 {
-  bool failed = status >= 400 && status < 600;
+  bool failed = status >= 400;
   StreamEnd end = ENDED_BROKEN;
 
   pthread_mutex_lock (&call->lock);
@@ -497,7 +491,7 @@
 }
 
 static void
-end_connection (Back *back, Call *call, const Work *work, int status, int64_t backoff_us)
+end_connection (Back *back, Call *call, const Work *work, unsigned status, int64_t backoff_us)
 {
   int64_t silence = core_conf (back->core)->silence_ms * FT_MS;
 
@@ -531,9 +525,9 @@
 static void
 run_stream (Back *back, Call *call, const Work *work)
 {
-  Reader reader = { back, call, work->attempt, { 0 }, NULL, 0 };
+  Reader reader = { .back = back, .call = call, .attempt = work->attempt };
   char *url = NULL, *body = NULL, *path;
-  int status = 0;
+  unsigned status = 0;
 
   sse_init (&reader.sse);
   pthread_mutex_lock (&call->lock);
@@ -548,8 +542,9 @@
     path = g_strdup_printf ("/v1/streams/%s?offset=%u", call->id, next);
   if (server_url (back, call, path, &url))
     status = exchange (back, call, work->kind == WORK_SEND ? "POST" : "GET", url, body,
-                       body ? strlen (body) : 0, &reader, NULL);
+                       body ? strlen (body) : 0, &reader);
   sse_clear (&reader.sse);
+  g_free (reader.type);
   g_free (path);
   g_free (body);
   end_connection (back, call, work, status, reader.backoff_us);
@@ -558,12 +553,13 @@
 static void
 run_service (Back *back, Call *call, const Work *work)
 {
-  Reader reader = { back, call, work->attempt, { 0 }, g_string_new (NULL), 0 };
-  char *url = NULL, *type = NULL;
-  int status = 0;
+  Reader reader
+      = { .back = back, .call = call, .attempt = work->attempt, .plain = g_string_new (NULL) };
+  char *url = NULL;
+  unsigned status = 0;
 
   if (server_url (back, call, call->path, &url))
-    status = exchange (back, call, call->method, url, call->body, call->body_size, &reader, &type);
+    status = exchange (back, call, call->method, url, call->body, call->body_size, &reader);
   if (status == 0)
     {
       report_crash (back, call, work->attempt, false);
@@ -573,36 +569,38 @@
     {
       int64_t now = core_now (back->core);
       pthread_mutex_lock (&call->lock);
-      call->answer_status = status;
-      call->answer_content_type = g_steal_pointer (&type);
+      call->answer_status = (int) status;
+      call->answer_content_type = g_steal_pointer (&reader.type);
       ft_req_add_piece (call->req, 0, reader.plain->str, reader.plain->len);
       ft_req_set_piece_count (call->req, 1);
       on_piece (&reader, now);
       pthread_mutex_unlock (&call->lock);
       finish (back, call, FT_REASON_NONE);
     }
-  g_free (type);
+  g_free (reader.type);
   g_string_free (reader.plain, TRUE);
 }
 
+static bool
+on_pause_head (void *user, const HMsg *msg)
+{
+  (void) user;
+  (void) msg;
+  return false;
+}
+
+static const ClientOps pause_ops = { on_pause_head, NULL };
+
 static void
 run_pause (Back *back, Call *call)
 {
-  struct _u_request request;
-  struct _u_response response;
   char *url = NULL, *path = g_strdup_printf ("/v1/streams/%s/pause", call->id);
 
   if (server_url (back, call, path, &url))
     {
-      ulfius_init_request (&request);
-      ulfius_init_response (&response);
-      request.http_verb = o_strdup ("POST");
-      request.http_url = o_strdup (url);
-      request.timeout = 2;
+      ClientRequest request = { .method = "POST", .url = url, .timeout_us = PAUSE_TIMEOUT };
       /* If this is lost, the server goes on and its data is dropped. */
-      ulfius_send_http_request (&request, &response);
-      ulfius_clean_request (&request);
-      ulfius_clean_response (&response);
+      client_exchange (&request, &pause_ops, NULL);
     }
   g_free (url);
   g_free (path);
--- a/daemon/plat.c
+++ b/daemon/plat.c
@@ -6,6 +6,7 @@
  * fetched changes nothing.
  */
 #include "plat.h"
+#include "client.h"
 #include "dlog.h"
 
 #include <json-c/json.h>
@@ -20,6 +21,7 @@
 #define POLL_INTERVAL    (500 * FT_MS)
 #define POLLS_PER_REPORT 2 /* polls between two rounds of load reports */
 #define FETCH_TIMEOUT_S  1
+#define FETCH_MAX        (8u << 20) /* bytes of the list or of a report */
 
 typedef struct
 {
@@ -47,23 +49,66 @@
   g_free (server);
 }
 
-static char *
-http_get (const char *url)
+/* ---- Fetching ---- */
+
+static bool
+on_fetch_head (void *user, const HMsg *msg)
+{
+  (void) user;
+  return hmsg_status (msg) == 200;
+}
+
+static bool
+on_fetch_body (void *user, const char *data, size_t size)
+{
+  GString *text = user;
+
+  if (text->len + size > FETCH_MAX)
+    return false;
+  g_string_append_len (text, data, (gssize) size);
+  return true;
+}
+
+static const ClientOps fetch_ops = { on_fetch_head, on_fetch_body };
+
+static size_t
+on_secure_bytes (void *contents, size_t size, size_t count, void *user)
+{
+  return on_fetch_body (user, contents, size * count) ? size * count : 0;
+}
+
+/* The client does not speak TLS. */
+static bool
+fetch_secure (const char *url, GString *text)
 {
   struct _u_request request;
   struct _u_response response;
-  char *text = NULL;
 
   ulfius_init_request (&request);
   ulfius_init_response (&response);
   request.http_verb = o_strdup ("GET");
   request.http_url = o_strdup (url);
   request.timeout = FETCH_TIMEOUT_S;
-  if (ulfius_send_http_request (&request, &response) == U_OK && response.status == 200)
-    text = g_strndup (response.binary_body, response.binary_body_length);
+  bool fetched
+      = ulfius_send_http_streaming_request (&request, &response, on_secure_bytes, text) == U_OK
+        && response.status == 200;
   ulfius_clean_request (&request);
   ulfius_clean_response (&response);
-  return text;
+  return fetched;
+}
+
+/* NULL: there is no complete response with status 200, or its body is too large. */
+static char *
+http_get (const char *url)
+{
+  ClientRequest request
+      = { .method = "GET", .url = url, .timeout_us = FETCH_TIMEOUT_S * FT_SECOND };
+  GString *text = g_string_new (NULL);
+  bool fetched = g_str_has_prefix (url, "https://")
+                     ? fetch_secure (url, text)
+                     : client_exchange (&request, &fetch_ops, text) == 200;
+
+  return g_string_free (text, !fetched);
 }
 
 static const char *
--- a/test/rawback.c
+++ b/test/rawback.c
@@ -4,9 +4,14 @@
  * A request names how in its target (a service) or body (an engine), as KIND/HOW/AT; KIND: length,
  * interim (the same after interim responses), chunked or unframed; HOW: close or reset, or whole to
  * send all; AT: the bytes sent before. An engine's stream that is resumed is sent whole.
+ *
+ * Or it names one of the heads of heads.h as head/NUMBER/TYPE, TYPE being that of an engine's
+ * answer: event, other or none. The answer is whole, and its text differs from that of all others.
+ * test-rawback heads prints for each head its number, name, status, and whether it is framed.
  */
-#include "sock.h"
+#include "heads.h"
 #include "hmsg.h"
+#include "sock.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,15 +52,17 @@
     g_string_append (out, piece);
 }
 
+/* letter: of the pieces' text. */
 static void
-append_stream (GString *out, bool chunked, unsigned first)
+append_stream (GString *out, bool chunked, unsigned first, char letter)
 {
   char piece[128];
 
   for (unsigned i = first; i < PIECES; i++)
     {
       g_snprintf (piece, sizeof piece,
-                  "id: %u\ndata: {\"choices\":[{\"delta\":{\"content\":\"w%u \"}}]}\n\n", i, i);
+                  "id: %u\ndata: {\"choices\":[{\"delta\":{\"content\":\"%c%u \"}}]}\n\n", i,
+                  letter, i);
       append_piece (out, chunked, piece);
     }
   g_snprintf (piece, sizeof piece, "id: %d\ndata: [DONE]\n\n", PIECES);
@@ -71,7 +78,7 @@
 
   hwrite_status_line (out, 200);
   if (stream)
-    append_stream (body, chunked, first);
+    append_stream (body, chunked, first, 'w');
   else
     append_piece (body, chunked, "the whole answer");
   if (chunked)
@@ -87,17 +94,53 @@
   return out;
 }
 
+/* What follows word and a slash, which may be escaped, in text; NULL: word is not there. */
+static const char *
+find_word (const char *text, const char *word)
+{
+  char *plain = g_strconcat (word, "/", NULL), *escaped = g_strconcat (word, "\\/", NULL);
+  const char *at = strstr (text, plain), *at_escaped = strstr (text, escaped);
+  const char *found = at ? at + strlen (plain) : at_escaped ? at_escaped + strlen (escaped) : NULL;
+
+  g_free (plain);
+  g_free (escaped);
+  return found;
+}
+
+static GString *
+odd_answer (const char *how, bool stream)
+{
+  unsigned number = MIN ((unsigned) atoi (how), (unsigned) G_N_ELEMENTS (heads) - 1);
+  const char *type = how + strspn (how, "0123456789/\\");
+  GString *body = g_string_new (NULL);
+
+  if (stream)
+    append_stream (body, false, 0, 'x');
+  else
+    g_string_append (body, "the odd answer");
+  GString *out = head_write_answer (&heads[number],
+                                    g_str_has_prefix (type, "none") ? ""
+                                    : g_str_has_prefix (type, "event")
+                                        ? "Content-Type: text/event-stream\r\n"
+                                        : "Content-Type: text/plain\r\n",
+                                    body->str);
+  g_string_free (body, TRUE);
+  return out;
+}
+
 static void
 answer (RawConn *conn, const char *text)
 {
-  const char *resumed = strstr (text, "?offset="), *slash = strstr (text, "stop/");
+  const char *resumed = strstr (text, "?offset="), *stop = find_word (text, "stop");
+  const char *odd = find_word (text, "head");
   bool stream = resumed || strncmp (text, "POST /v1/", 9) == 0;
   char kind[16] = "length", how[16] = "whole";
   unsigned at = 0;
 
-  if (slash)
-    sscanf (slash, "stop/%15[^/]/%15[^/]/%u", kind, how, &at);
-  GString *out = whole_answer (kind, stream, resumed ? (unsigned) atoi (resumed + 8) : 0);
+  if (stop)
+    sscanf (stop, "%15[^/]/%15[^/]/%u", kind, how, &at);
+  GString *out = odd ? odd_answer (odd, stream)
+                     : whole_answer (kind, stream, resumed ? (unsigned) atoi (resumed + 8) : 0);
   size_t size = strcmp (how, "whole") == 0 ? out->len : MIN (at, out->len);
   sock_write (conn->sock, out->str, size);
   g_string_free (out, TRUE);
@@ -147,11 +190,26 @@
     g_free (conn);
 }
 
+static void
+print_heads (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (heads); i++)
+    printf ("%u %s %u %s\n", i, heads[i].name, heads[i].status,
+            heads[i].framing == HEAD_CLOSE  ? "unframed"
+            : heads[i].framing > HEAD_CLOSE ? "empty"
+                                            : "framed");
+}
+
 int
 main (int argc, char **argv)
 {
   SockAddr addr = { INADDR_LOOPBACK, argc == 2 ? (uint16_t) atoi (argv[1]) : 0 };
 
+  if (argc == 2 && strcmp (argv[1], "heads") == 0)
+    {
+      print_heads ();
+      return 0;
+    }
   loop = loop_new ();
   if (addr.port == 0 || loop == NULL || sock_listen (loop, addr, on_accept, NULL) == NULL)
     {
--- a/test/stops.sh
+++ b/test/stops.sh
@@ -4,61 +4,16 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
+. scripts/rawback.sh
 dir=$(mktemp -d)
 trap 'cluster_stop; rm -rf "$dir"' EXIT
 trap 'exit 1' TERM INT
 EXTRA_SETTINGS='"silence_ms": 500,'
-WHOLE='the whole answer'
-count=0
-failed=0
-
-ok () { # STATUS NAME
-  count=$((count + 1))
-  if [ "$1" = 0 ]; then echo "ok $count - $2"; else echo "not ok $count - $2"; failed=1; fi
-}
-
-# The only server of the chat engines and of the records service is the one of raw bytes.
-use_raw_server () {
-  cluster_spawn "$DIR/raw.log" "$BUILD/test-rawback" $((BASE + 60))
-  cat >"$DIR/platform.json" <<JSON
-{ "instances": [
-  { "pool": "chat", "name": "raw", "address": "127.0.0.1:$((BASE + 60))", "state": "live", "incarnation": 1, "failure_domain": "fd1" },
-  { "pool": "records", "name": "raws", "address": "127.0.0.1:$((BASE + 60))", "state": "live", "incarnation": 1, "failure_domain": "fd3" }
-] }
-JSON
-  for _ in $(seq 1 100); do
-    sleep 0.1
-    [ "$(ask_service length/whole/0)" = "200 0 $WHOLE" ] && return 0
-  done
-  return 1
-}
-
-ask_service () { # KIND/HOW/AT: prints the status, the result of curl and the body
-  local code result body=$dir/body.$BASHPID
-  : >"$body"
-  code=$(curl -s -m 20 -o "$body" -w '%{http_code}' -H 'Authorization: Bearer kalkhaus-key' \
-    "http://127.0.0.1:$((BASE + 1))/records/stop/$1")
-  result=$?
-  echo "$code $result $(cat "$body" 2>/dev/null)"
-  rm -f "$body"
-}
-
-ask_engine () { # KIND/HOW/AT: prints the same of a stream, its content only
-  local code result body=$dir/body.$BASHPID
-  : >"$body"
-  code=$(curl -sN -m 20 -o "$body" -w '%{http_code}' -H 'Authorization: Bearer kalkhaus-key' \
-    -d "{\"model\":\"standin\",\"stream\":true,\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":\"stop/$1\"}]}" \
-    "http://127.0.0.1:$((BASE + 1))/v1/chat/completions")
-  result=$?
-  echo "$code $result $(grep -o '"content":"[^"]*"\|\[DONE\]\|^event: error' "$body" | cut -d: -f2 | tr -d '"\n')"
-  rm -f "$body"
-}
-
 # Plays each place of a stop, some at the same time, and prints what a caller must not get.
 play () { # ask_service|ask_engine KIND HOW LAST
   local at
   for at in $(seq 0 "$4"); do
-    (printf '%s: %s\n' "$at" "$("$1" "$2/$3/$at")") &
+    (printf '%s: %s\n' "$at" "$("$1" "stop/$2/$3/$at")") &
     [ $((at % 12)) = 11 ] && wait_asked
   done >"$dir/played"
   wait_asked
@@ -66,11 +21,6 @@
     kind="$2" how="$3" "$dir/played"
 }
 
-wait_asked () {
-  local pid
-  for pid in $(jobs -p); do wait "$pid"; done
-}
-
 echo "1..21"
 cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
