Own interface: a service's answer without a body keeps its status

What callers saw: a service's 204, 304 or 404 without a body arrived as status 200; so did any other status without one.

Cause: ulfius_set_binary_body_response refuses an empty body and sets no status then; the response kept its 200. Found by test/broken.sh, which plays valid heads of a rare form beside the invalid ones.

Change: an answer without a body is set by the call that takes a status only, also where a kept answer is asked for by its id.

--- a/daemon/answer.c
+++ b/daemon/answer.c
@@ -134,6 +134,16 @@
   http_set_problem (response, &problem);
 }
 
+/* The HTTP library sets no status with a body that is empty. */
+static void
+set_answer (struct _u_response *response, int status, const char *bytes, size_t size)
+{
+  if (size > 0)
+    ulfius_set_binary_body_response (response, (unsigned) status, bytes, size);
+  else
+    ulfius_set_empty_body_response (response, (unsigned) status);
+}
+
 void
 answer_complete (Call *call, struct _u_response *response)
 {
@@ -145,7 +155,7 @@
   else if (call->service)
     {
       const char *bytes = ft_req_bytes (call->req, &size);
-      ulfius_set_binary_body_response (response, (unsigned) call->answer_status, bytes, size);
+      set_answer (response, call->answer_status, bytes, size);
       if (call->answer_content_type)
         u_map_put (response->map_header, "Content-Type", call->answer_content_type);
       u_map_put (response->map_header, "X-Request-Id", call->id);
@@ -250,7 +260,7 @@
       && body_unpack_answer (body, &http_status, &type, &owner, &text, &size)
       && strcmp (owner, org) == 0)
     {
-      ulfius_set_binary_body_response (response, (unsigned) http_status, text, size);
+      set_answer (response, http_status, text, size);
       u_map_put (response->map_header, "Content-Type", type);
       u_map_put (response->map_header, "X-Request-Id", id);
     }
--- a/test/broken.sh
+++ b/test/broken.sh
@@ -35,7 +35,7 @@
 }
 
 echo "1..5"
-"$BUILD/test-rawback" heads | grep -Ev 'valid/no(_content|t_modified)' >"$dir/heads"
+"$BUILD/test-rawback" heads >"$dir/heads"
 cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
   cluster_cli 1 apply etc/catalogue.json --id first --wait >"$dir/apply.out" 2>&1 && break
--- a/test/heads.h
+++ b/test/heads.h
@@ -110,6 +110,7 @@
   HEAD_VALID ("no_content", "HTTP/1.1 204 No Content", NULL, HEAD_BARE, 204),
   HEAD_VALID ("not_modified", "HTTP/1.1 304 Not Modified", NULL, HEAD_BARE, 304),
   HEAD_VALID ("not_found", "HTTP/1.1 404 Not Found", NULL, HEAD_CHUNKED, 404),
+  HEAD_VALID ("not_found_empty", "HTTP/1.1 404 Not Found", NULL, HEAD_EMPTY, 404),
   HEAD_VALID ("status_499", "HTTP/1.1 499 Odd", NULL, HEAD_LENGTH, 499),
   HEAD_VALID ("lower_case", "HTTP/1.1 200 OK", "x-name:value\r\nx-empty:\r\n", HEAD_LENGTH, 200),
   HEAD_VALID ("high_byte_in_value", "HTTP/1.1 200 OK", "X-Name: caf\351\r\n", HEAD_LENGTH, 200),
