hcli, relay: an unframed answer to a request that was not read is no answer

What callers saw: a server read 64 KiB of an upload, answered 200 without a length and a part of its body, ended its side in order and then reset the connection; the caller got the part as a complete answer, on plain and once routes, and a stream's part as one without framing.

Cause: the end of the connection ended the answer. That the server had not read the request was not looked at, and a reset that comes after the end of its side reached nobody, since the connection was closed at that end.

Change: at the end of such an answer bytes of the request that the server's kernel has not acknowledged make it broken, since the end of its side acknowledges what it has received. After a long request the connection is kept for 250 ms for a reset that says the same of bytes that the kernel took and the server did not read. A relay holds the end of its server likewise, and resets the tunnel instead of passing on an orderly end; what came before has been passed on by then. Framed answers are not concerned: an early 413 arrives, also behind a relay (/upload/refusal/relay failed once in 12 before). Answers to requests of up to 8 KiB that are acknowledged are believed as before; a reset later than 250 ms after the end is not seen.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -20,8 +20,6 @@
 #define SWEEP_INTERVAL_US (1 * FT_SECOND)
 /* for each key; more slots than any server has had so far */
 #define IDLE_CONNS_MAX 64
-/* bytes; a receiver has more room than this when a connection is new */
-#define LONG_REQUEST 8192
 
 typedef struct Conn Conn;
 
@@ -262,7 +260,7 @@
   xfer->sent = true;
   if (conn->long_request)
     sock_set_user_timeout (conn->sock, true);
-  conn->long_request = xfer->request->len > LONG_REQUEST;
+  conn->long_request = xfer->request->len > SOCK_OUTPUT_LONG;
   hread_set_no_body (conn->reader, xfer->no_body);
   sock_write (conn->sock, xfer->request->str, xfer->request->len);
   g_string_free (xfer->request, TRUE);
@@ -456,6 +454,34 @@
   return names[fault];
 }
 
+static void
+on_reset_wait_over (LoopTimer *timer)
+{
+  Conn *conn = (Conn *) ((char *) timer - offsetof (Conn, timer));
+
+  if (sock_is_reset (conn->sock))
+    fail_conn (conn, HXFER_BROKEN);
+  else
+    complete_transfer (conn);
+}
+
+/* The end of the connection has ended the response, which is complete only if the server has read
+ * the request: one that gives up an upload may end its side before it resets the connection. */
+static void
+complete_unframed (Conn *conn)
+{
+  conn->not_reusable = true;
+  if (sock_has_unacknowledged (conn->sock))
+    fail_conn (conn, HXFER_BROKEN);
+  else if (conn->long_request)
+    {
+      conn->timer.fire = on_reset_wait_over;
+      loop_timer_set (conn->cli->loop, &conn->timer, loop_now (conn->cli->loop) + SOCK_RESET_WAIT);
+    }
+  else
+    complete_transfer (conn);
+}
+
 static void
 on_ended (Sock *sock, SockEnd reason)
 {
@@ -477,8 +503,7 @@
   if (conn->xfer && reason == SOCK_END_EOF && !conn->skipping && hread_finish (conn->reader)
       && conn->message_complete)
     {
-      conn->not_reusable = true;
-      complete_transfer (conn);
+      complete_unframed (conn);
       return;
     }
   fail_conn (conn, fault_from_sock_end (reason));
--- a/net/relay.c
+++ b/net/relay.c
@@ -7,7 +7,8 @@
  *
  * Each side is read only as fast as the other one takes the bytes. When one side ends, what it sent
  * is passed on, and then the other side is closed. Anything else resets both, even the end of this
- * process: an answer whose end is that of its connection must not look complete.
+ * process: an answer whose end is that of its connection must not look complete. So does the end of
+ * a server that has not read all that was passed on to it.
  */
 #include "relay.h"
 #include "hmsg.h"
@@ -35,7 +36,9 @@
   Side peer, server;
   HReader *reader; /* of the peer's request; NULL: the request is complete */
   SockAddr addr;   /* of the server */
-  LoopTimer timer; /* limit of the request, then of the connection to the server */
+  LoopTimer timer; /* limit of the request, then of the connection to the server, then of ending */
+  Sock *ending;    /* the server's, which has ended in order and may still be reset; NULL: none */
+  size_t passed;   /* bytes passed on to the server */
   bool requested;  /* the request is complete */
   bool valid;      /* ... and names an address */
   bool open;       /* bytes are passed on */
@@ -64,7 +67,9 @@
     sock_close (tunnel->peer.sock, reset);
   if (tunnel->server.sock)
     sock_close (tunnel->server.sock, reset);
-  tunnel->peer.sock = tunnel->server.sock = NULL;
+  if (tunnel->ending)
+    sock_close (tunnel->ending, true);
+  tunnel->peer.sock = tunnel->server.sock = tunnel->ending = NULL;
   hread_free (tunnel->reader);
   tunnel->reader = NULL;
   cds_list_del (&tunnel->link);
@@ -103,6 +108,8 @@
       sock_consume (from->sock, size);
       return;
     }
+  if (from == &from->tunnel->peer)
+    from->tunnel->passed += size;
   sock_write (to->sock, data, size);
   sock_consume (from->sock, size);
   if (sock_unsent (to->sock) > UNSENT_MAX)
@@ -168,7 +175,7 @@
 static void
 close_if_sent (Side *last)
 {
-  if (sock_unsent (last->sock) > 0)
+  if (sock_unsent (last->sock) > 0 || last->tunnel->ending)
     return;
   sock_close_when_sent (last->sock);
   last->sock = NULL;
@@ -188,6 +195,43 @@
     close_if_sent (side);
 }
 
+static bool
+may_have_unread (const Side *side)
+{
+  const Tunnel *tunnel = side->tunnel;
+
+  return side == &tunnel->server
+         && (tunnel->passed > SOCK_OUTPUT_LONG || sock_has_unacknowledged (side->sock));
+}
+
+static void
+on_reset_wait_over (LoopTimer *timer)
+{
+  Tunnel *tunnel = (Tunnel *) ((char *) timer - offsetof (Tunnel, timer));
+
+  if (sock_is_reset (tunnel->ending) || sock_has_unacknowledged (tunnel->ending))
+    {
+      close_tunnel (tunnel, true);
+      return;
+    }
+  sock_close (tunnel->ending, true);
+  tunnel->ending = NULL;
+  close_if_sent (&tunnel->peer);
+}
+
+/* Keeps the server's connection, which has ended in order, until a reset would have come. The peer
+ * has got the server's bytes by then, and if they are a whole answer, has closed the tunnel. */
+static void
+await_reset (Side *side)
+{
+  Tunnel *tunnel = side->tunnel;
+  Loop *loop = tunnel->relay->loop;
+
+  tunnel->ending = side->sock;
+  tunnel->timer.fire = on_reset_wait_over;
+  loop_timer_set (loop, &tunnel->timer, loop_now (loop) + SOCK_RESET_WAIT);
+}
+
 static void
 end_open_tunnel (Side *side, SockEnd how)
 {
@@ -199,7 +243,10 @@
       return;
     }
   forward (side, other);
-  sock_close (side->sock, true);
+  if (may_have_unread (side))
+    await_reset (side);
+  else
+    sock_close (side->sock, true);
   side->sock = NULL;
   sock_pause (other->sock, true);
   close_if_sent (other);
--- a/net/sock.c
+++ b/net/sock.c
@@ -17,10 +17,13 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <linux/sockios.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define KEEPALIVE_IDLE_S     1    /* until the first probe: half of the 2 s to detect a loss */
@@ -425,6 +428,22 @@
   return sock->out->len - sock->out_at;
 }
 
+bool
+sock_has_unacknowledged (const Sock *sock)
+{
+  int queued = 0;
+
+  return sock_unsent (sock) > 0 || (ioctl (sock->fd.fd, SIOCOUTQ, &queued) == 0 && queued > 0);
+}
+
+bool
+sock_is_reset (const Sock *sock)
+{
+  struct pollfd poller = { .fd = sock->fd.fd };
+
+  return poll (&poller, 1, 0) == 1 && poller.revents & (POLLERR | POLLHUP);
+}
+
 const uint8_t *
 sock_peek (const Sock *sock, size_t *size)
 {
--- a/net/sock.h
+++ b/net/sock.h
@@ -68,6 +68,12 @@
 void sock_write (Sock *sock, const void *data, size_t size);
 /* Number of bytes written but not yet passed to the kernel. */
 size_t sock_unsent (const Sock *sock);
+/* True if bytes were written that the peer's kernel has not acknowledged: after the peer's end of
+ * the connection, bytes that the peer has not read. */
+bool sock_has_unacknowledged (const Sock *sock);
+/* True if the connection was reset, also if its orderly end was reported before, or if another call
+ * has taken the kernel's report of the reset. */
+bool sock_is_reset (const Sock *sock);
 /* Received bytes that are not yet consumed. */
 const uint8_t *sock_peek (const Sock *sock, size_t *size);
 void sock_consume (Sock *sock, size_t size);
@@ -91,6 +97,12 @@
  * then. No callback runs any more. */
 void sock_close_when_sent (Sock *sock);
 
+/* A peer that has ended its side in order may still have unread bytes, which the peer's kernel has
+ * acknowledged. When such a peer closes the connection, a reset follows. */
+#define SOCK_RESET_WAIT (250 * FT_MS) /* for that reset */
+#define SOCK_OUTPUT_LONG                                                                           \
+  8192 /* bytes; a receiver has more room than this when a connection is new */
+
 typedef struct SockListener SockListener;
 typedef void (*SockAccept) (void *owner, int fd, SockAddr peer);
 /* Returns NULL with errno set if the address cannot be bound. */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -182,6 +182,9 @@
 try "broken: interim responses are not checked apart" net/hmsg.c 's/^      reader->interim_ended = true;/      http_parser_pause (parser, 0);/' test-broken &
 try "broken: a second coding is overlooked" net/hmsg.c 's/\+\+count > 1 \|\| //' test-broken &
 try "broken: any coding is the body" net/hmsg.c 's/!is_coding \(hmsg_field_value \(msg, i\), decoded\)/false/' test-broken &
+try "upload: no reset is awaited" net/hcli.c 's/^  else if \(conn->long_request\)$/  else if (false)/' test-upload &
+try "upload: a reset that follows is not looked at" net/hcli.c 's/^  if \(sock_is_reset \(conn->sock\)\)$/  if (false)/' test-upload &
+try "upload: a relay ends in order" net/relay.c 's/^  if \(may_have_unread \(side\)\)$/  if (false \&\& may_have_unread (side))/' test-upload &
 try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
 try "endless: any byte is a sign of life" node/try.c 's/^  if \(req->is_stream\)$/  record_received (req);\n  if (req->is_stream)/' test-endless &
 try "endless: a refusal is read to its end" node/try.c '/^try_on_silence/,/^}/ s/if \(req->rejected\)/if (false)/; s/req->rejection_bytes > REJECTION_MAX/false/' test-endless &
