hcli: a check of a connection takes no report of its reset

What callers would see: a part of an unframed answer as the whole, where another request's check of its server comes between the reset and the read of it.

Cause: the kernel reports a pending error once. hcli_is_connected peeks by recv on connections that carry a transfer; the read that follows finds an orderly end.

Evidence: /upload/check_takes_reset with the code before: the answer ends in order instead of failing.

Change: the check asks poll and FIONREAD, which take nothing, and an orderly end is a reset where the connection no longer stands.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -9,8 +9,9 @@
 #include "relay.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <sys/ioctl.h>
 #include <urcu/list.h>
 
 /* used if the response has no Keep-Alive field; some servers then close within a second */
@@ -520,16 +521,19 @@
   CONN_QUIET
 } ConnState;
 
-/* Checks for input or a close that the loop has not reported yet. */
+/* Checks for input or a close that the loop has not reported yet. Takes no report of an error from
+ * the kernel, since a read that follows would see an orderly end. */
 static ConnState
 conn_state (const Conn *conn)
 {
-  char byte;
-  ssize_t got = recv (conn->sock->fd.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  struct pollfd poller = { .fd = conn->sock->fd.fd, .events = POLLIN | POLLRDHUP };
+  int size = 0;
 
-  if (got > 0)
+  if (poll (&poller, 1, 0) == 0)
+    return CONN_QUIET;
+  if (ioctl (conn->sock->fd.fd, FIONREAD, &size) == 0 && size > 0)
     return CONN_HAS_DATA;
-  return got < 0 && errno == EAGAIN ? CONN_QUIET : CONN_ENDED;
+  return CONN_ENDED;
 }
 
 static Conn *
--- a/net/sock.c
+++ b/net/sock.c
@@ -119,7 +119,7 @@
     return;
   sock->ended = true;
   loop_remove (sock->loop, &sock->fd);
-  if (sock->failed && reason == SOCK_END_EOF)
+  if (reason == SOCK_END_EOF && (sock->failed || sock_is_reset (sock)))
     reason = SOCK_END_RESET;
   if (sock->closing)
     sock_close (sock, false);
--- a/test/upload.c
+++ b/test/upload.c
@@ -1,17 +1,23 @@
-/* upload.c - tests, with real processes on loopback, of servers that answer a long request before
- * they have read it: what of such an answer a caller gets as a whole one. */
+/* upload.c - tests, with real processes on loopback, of servers that answer a
+ * long request before they have read it: what of such an answer a caller gets
+ * as a whole one. */
 #include "fleet.h"
 #include "rawsrv.h"
 
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#define RAW_PORT  8742
-#define SERVERS   2
-#define READ_SIZE (16u << 10) /* bytes of a request after which a server answers ... */
-#define READ_MAX  (40u << 10) /* ... having read fewer than these */
-#define PLAYS     6           /* of each case */
-#define RELAYED   3           /* requests through relays, after which all go through one */
+#define RAW_PORT   8742
+#define CHECK_PORT 8743
+#define SERVERS    2
+#define READ_SIZE  (16u << 10) /* bytes of a request after which a server answers ... */
+#define READ_MAX   (40u << 10) /* ... having read fewer than these */
+#define PLAYS      6           /* of each case */
+#define RELAYED                                                                                    \
+  3 /* requests through relays, after which all go through one                                     \
+     */
 
 typedef enum
 {
@@ -20,8 +26,10 @@
   END_CLOSE,      /* closes it with the rest of the request unread */
   END_HALF,       /* ends its side in order, and resets the connection at once */
   END_HALF_LATE,  /* the same, and resets it some time later */
-  END_HALF_CLOSE, /* the same, and closes it with the rest of the request unread */
-  END_IN_ORDER    /* reads the whole request before it answers, and closes in order */
+  END_HALF_CLOSE, /* the same, and closes it with the rest of the request unread
+                   */
+  END_IN_ORDER    /* reads the whole request before it answers, and closes in order
+                   */
 } EndMode;
 
 typedef enum
@@ -39,7 +47,8 @@
   bool relayed; /* the entry is cut off and sends through another one */
 } Case;
 
-/* The second one fits into the buffers on the way, so that a server's kernel takes all of it. */
+/* The second one fits into the buffers on the way, so that a server's kernel
+ * takes all of it. */
 static const unsigned sizes[] = { 20u << 10, 60u << 10, 200u << 10, 1000u << 10 };
 
 static const Case *played;
@@ -192,8 +201,9 @@
   return answer->broken || answer->status == 502 || answer->status == 504;
 }
 
-/* Guards against a part of an answer that is told as the whole, since its server had stopped
- * reading the request; and against a whole answer that is not passed on. */
+/* Guards against a part of an answer that is told as the whole, since its
+ * server had stopped reading the request; and against a whole answer that is
+ * not passed on. */
 static void
 early_answer (gconstpointer data)
 {
@@ -235,6 +245,102 @@
   end_fleet (fleet, servers);
 }
 
+/* ---- A reset that something else sees first ---- */
+
+typedef struct
+{
+  Loop *loop;
+  HCli *cli;
+  RawConn *conn; /* the server's side */
+  GString *body;
+  bool ended, failed, checked;
+  LoopTimer timer;
+} Client;
+
+static bool
+on_client_head (void *user, const HMsg *msg)
+{
+  (void) user;
+  (void) msg;
+  return true;
+}
+
+/* The server resets the connection, and then somebody asks whether it still
+ * stands. */
+static void
+on_client_timer (LoopTimer *timer)
+{
+  Client *client = (Client *) ((char *) timer - offsetof (Client, timer));
+
+  if (client->checked)
+    {
+      loop_stop (client->loop);
+      return;
+    }
+  rawconn_close (client->conn, true);
+  g_assert_false (hcli_is_connected (client->cli, "server"));
+  client->checked = true;
+  loop_timer_set (client->loop, timer, loop_now (client->loop) + SOCK_RESET_WAIT);
+}
+
+static void
+on_client_body (void *user, const char *data, size_t size)
+{
+  Client *client = user;
+
+  g_string_append_len (client->body, data, (gssize) size);
+  loop_timer_set (client->loop, &client->timer, loop_now (client->loop));
+}
+
+static void
+on_client_end (void *user)
+{
+  ((Client *) user)->ended = true;
+}
+
+static void
+on_client_failed (void *user, HXferFault fault)
+{
+  g_assert_cmpint (fault, ==, HXFER_BROKEN);
+  ((Client *) user)->failed = true;
+}
+
+static const HXferOps client_ops
+    = { on_client_head, on_client_body, on_client_end, on_client_failed };
+
+static void
+on_client_request (RawConn *conn, const char *head)
+{
+  (void) head;
+  ((Client *) rawsrv_user (conn->srv))->conn = conn;
+  rawconn_write (conn, "HTTP/1.1 200 OK\r\n\r\npart");
+}
+
+/* Guards against a check of a connection that takes the kernel's report of its
+ * reset, after which the end of an answer reads as an orderly one. */
+static void
+check_takes_reset (void)
+{
+  SockAddr addr = { INADDR_LOOPBACK + ((uint32_t) getpid () & 0xffff), CHECK_PORT };
+  Client client
+      = { .loop = loop_new (), .body = g_string_new (NULL), .timer.fire = on_client_timer };
+  RawSrv *server = rawsrv_new (client.loop, addr, 0, on_client_request, &client);
+  HCliTarget target = { .addr = addr, .key = "server", .connect_us = FT_SECOND };
+  GString *request = g_string_new ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+
+  client.cli = hcli_new (client.loop);
+  g_assert_nonnull (server);
+  g_assert_nonnull (hcli_send (client.cli, &target, request, &client_ops, &client));
+  loop_run (client.loop);
+  g_assert_cmpstr (client.body->str, ==, "part");
+  g_assert_true (client.failed && !client.ended);
+  rawsrv_free (server);
+  hcli_free (client.cli);
+  loop_free (client.loop);
+  g_string_free (client.body, TRUE);
+  g_string_free (request, TRUE);
+}
+
 static const Case cases[] = {
   { "plain/reset", "/plain/a", END_RESET, ANSWER_UNFRAMED, false },
   { "plain/reset_late", "/plain/a", END_RESET_LATE, ANSWER_UNFRAMED, false },
@@ -268,5 +374,6 @@
       g_test_add_data_func (path, &cases[i], early_answer);
       g_free (path);
     }
+  g_test_add_func ("/upload/check_takes_reset", check_takes_reset);
   return g_test_run ();
 }
