entry: requests taken after SIGTERM are answered by the end of the grace

What callers saw: in a planned stop of one entry, in calm, requests that came late in the grace were taken and passed on; at its end they were cut without an answer, among them requests that may run once only.

Cause: the loop stopped 0.7 s before the kill, whatever was open. A request's time limit was its caller's own, beyond that end, so nothing answered it before.

Change: SIGTERM sets the time limit of all open requests, and of those that still arrive, to 1 s before the kill at the latest. So the scheduler and the server know how much time is left, and who is not answered by then gets 504, ran "unknown", or 503 where nothing was sent; what arrives after is refused with reason leaving.

--- a/node/entry.c
+++ b/node/entry.c
@@ -29,6 +29,7 @@
 #define ORIGINS_MAX       16384         /* streams begun here whose callers may still come back */
 #define RELAY_TUNNELS_MAX 256           /* two connections of up to 64 KB of buffers each */
 #define LEAVE_MARGIN      (700 * FT_MS) /* time left between stopping and the kill */
+#define LAST_ANSWERS_TIME (300 * FT_MS) /* for the answers to requests that stopping would cut */
 
 typedef struct
 {
@@ -463,17 +464,23 @@
   hsrv_stop_accepting (callers_server (entry->callers));
 }
 
+/* Time from SIGTERM until the process stops, whatever is open. */
+static int64_t
+leave_limit (const Entry *entry)
+{
+  return entry->settings->grace_s * FT_SECOND - LEAVE_MARGIN;
+}
+
 /* True if the balancer has noticed and all requests have ended, or the process is about to be
  * killed. */
 static bool
 may_stop (const Entry *entry, int64_t now)
 {
   int64_t since = now - entry->leaving_since;
-  int64_t limit = entry->settings->grace_s * FT_SECOND - LEAVE_MARGIN;
   HSrvMemory held;
 
   hsrv_get_memory (callers_server (entry->callers), &held);
-  return since > limit
+  return since > leave_limit (entry)
          || (since > LEAVE_MIN && requests_open_count (entry->requests) == 0
              && hsrv_active_calls (callers_server (entry->callers)) == 0 && held.answers == 0
              && (entry->relay == NULL || relay_tunnel_count (entry->relay) == 0));
@@ -532,6 +539,7 @@
   hsrv_disable_keep_alive (callers_server (entry->callers));
   if (entry->relay)
     relay_stop (entry->relay);
+  requests_leave (entry->requests, entry->leaving_since + leave_limit (entry) - LAST_ANSWERS_TIME);
   update_hello (entry);
   jlog (JLOG_INFO, "leave", NULL, JL_INT ("open", requests_open_count (entry->requests)),
         JL_INT ("connections", hsrv_connection_count (callers_server (entry->callers))));
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -30,6 +30,7 @@
   loop_timer_stop (loop, &req->verdict_wait);
   loop_timer_stop (loop, &req->ask_pause);
   loop_timer_stop (loop, &req->confirmation);
+  cds_list_del (&req->link);
   req->requests->open_count--;
   if (req->stream)
     {
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -17,6 +17,7 @@
 
 typedef struct
 {
+  struct cds_list_head link; /* in Requests.all */
   Requests *requests;
   uint64_t number;      /* of the open ask, a new one for each try; 0: none is open */
   uint64_t next_number; /* of an ask for another place while the current try goes on; 0: none */
@@ -98,6 +99,8 @@
   GHashTable *by_number;         /* number -> Req */
   GPtrArray *awaiting_catalogue; /* Req, waiting for the first catalogue */
   LoopTimer recheck;             /* armed when quarantine verdicts have changed */
+  struct cds_list_head all;      /* Req */
+  int64_t ends_at;               /* when the process ends, by which all are answered; 0: it stays */
   uint64_t next_number;
   unsigned open_count;
 };
--- a/node/requests.c
+++ b/node/requests.c
@@ -200,6 +200,7 @@
   requests->conf.adapter_ops->read_request (hcall_msg (call), &req->facts);
   if (req->facts.id)
     g_strlcpy (req->id, req->facts.id, sizeof req->id);
+  cds_list_add_tail (&req->link, &requests->all);
   requests->open_count++;
   count_inc (COUNT_REQUESTS);
   hcall_set_user (call, req);
@@ -263,6 +264,8 @@
                          ? MIN (req->facts.caller_wait_us, req->route->timeout_us)
                          : req->route->timeout_us;
   req->deadline = req->arrived + patience;
+  if (requests->ends_at)
+    req->deadline = MIN (req->deadline, requests->ends_at);
   if (req->facts.caller_wait_us)
     req->waited_before
         = patience_record (requests->patience, req->route->name, req->facts.caller_wait_us);
@@ -274,6 +277,11 @@
                                       req->route->target_us, req->route->gap_us));
   req->service = rt_route_target (req->route, g_random_int ());
   req->print = fingerprint_of (req);
+  if (requests->ends_at && req_now (req) >= req->deadline)
+    {
+      req_answer_error (req, 503, retry_after (req), "leaving");
+      return;
+    }
   loop_timer_set (requests->conf.loop, &req->deadline_timer, req->deadline);
   if (req_is_return (req))
     {
@@ -344,6 +352,7 @@
   requests->recheck.fire = req_on_recheck;
   requests->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
   requests->awaiting_catalogue = g_ptr_array_new ();
+  CDS_INIT_LIST_HEAD (&requests->all);
   return requests;
 }
 
@@ -374,6 +383,22 @@
     }
 }
 
+void
+requests_leave (Requests *requests, int64_t ends_at)
+{
+  Req *req;
+
+  requests->ends_at = ends_at;
+  cds_list_for_each_entry (req, &requests->all, link)
+  {
+    if (req->deadline <= ends_at || req->route == NULL)
+      continue; /* without a route it waits for the catalogue, for a shorter time */
+    req->deadline = ends_at;
+    req->first_deadline = MIN (req->first_deadline, ends_at);
+    loop_timer_set (requests->conf.loop, &req->deadline_timer, ends_at);
+  }
+}
+
 unsigned
 requests_open_count (const Requests *requests)
 {
--- a/node/requests.h
+++ b/node/requests.h
@@ -45,6 +45,9 @@
 void requests_refuse (Requests *requests, uint64_t number, const SchedRefusal *refusal);
 /* Quarantine verdicts may have changed: checks again the requests that wait for a place. */
 void requests_recheck (Requests *requests);
+/* The process is about to end: all requests, also those that arrive from now on, are answered by
+ * ends_at. */
+void requests_leave (Requests *requests, int64_t ends_at);
 unsigned requests_open_count (const Requests *requests);
 
 #endif
