Own interface: the memory of answers that are being received is bounded over all calls

What operators saw: a faulty replica sent bytes without end, the machine that called it kept them all and ran out of memory, and the requests of its other clients ended with it. Here: eight calls to an engine whose events do not end took an instance from 14 to 274 MB in seconds; the callers' connections broke or were never answered.

Cause: a stream's pieces are kept for resumes, 16 MiB a call and again as text, and pieces that arrive after a gap were bounded by their number, 4,096 of up to 1 MiB each. A piece that did not fit was dropped, and the connection went on. Nothing bounded all calls together; a plain body took up to 16 MiB, twice. Blocks that were freed stayed in the library's arenas.

Change: membound.c counts what answers take while they are received, and until their callers have them. A call may hold as much as all together leave free of 64 MiB, so the largest come to their limit first and short ones do not; over it the call ends with outcome-unknown, a stream with an error event. Of pieces after a gap 1 MiB is kept; more end the connection, and the resume begins at the gap. Blocks of 128 KiB or more are returned when they are freed.

--- a/daemon/answer.c
+++ b/daemon/answer.c
@@ -104,6 +104,7 @@
   StreamCursor *cursor = user;
 
   g_atomic_int_add (&cursor->edge->busy, -1);
+  back_sent (cursor->call);
   call_unref (cursor->call);
   g_free (cursor->tail);
   g_free (cursor);
--- a/daemon/back.c
+++ b/daemon/back.c
@@ -13,6 +13,7 @@
 #include "body.h"
 #include "client.h"
 #include "dlog.h"
+#include "membound.h"
 #include "notices.h"
 #include "span.h"
 #include "sse.h"
@@ -34,6 +35,7 @@
 #define LATE_SILENCE_FACTOR 3
 #define LATE_MAX            (60 * FT_SECOND) /* past its deadline, for one connection */
 #define ANSWER_MAX          (16u << 20)
+#define ANSWERS_MAX         (64u << 20) /* of all calls that have not ended */
 #define PAUSE_TIMEOUT       (2 * FT_SECOND)
 
 struct Back
@@ -41,6 +43,7 @@
   Core *core;
   Plat *plat;
   CallTable *calls;
+  MemBound *bound; /* of the memory of answers that have not ended */
   GThreadPool *workers;
   char *instance;
   pthread_mutex_t notices_lock;
@@ -71,6 +74,7 @@
   GString *plain;     /* services: the body received so far; NULL for streams */
   char *type;         /* Content-Type of the response; NULL: none */
   bool unframed;      /* the end of the connection ends the response */
+  bool too_large;     /* streams: a piece does not fit into the answer any more */
   unsigned rejection; /* streams: status of a response that is an error; 0: none */
   int64_t backoff_us; /* Retry-After of the response; 0: none */
 } Reader;
@@ -105,6 +109,16 @@
     }
 }
 
+/* Until its caller has it, the answer of a finished call is not freed, whatever is kept. */
+static void
+release_memory (Back *back, Call *call)
+{
+  pthread_mutex_lock (&call->lock);
+  if (call->finished && call->sent)
+    membound_resize (back->bound, &call->held, 0);
+  pthread_mutex_unlock (&call->lock);
+}
+
 /* Ends the call unless it has ended. failure: FT_REASON_NONE if its answer is complete. */
 static void
 finish (Back *back, Call *call, FtReason failure)
@@ -133,6 +147,18 @@
   dlog (complete ? DLOG_DEBUG : DLOG_WARN, call->id, complete ? "answered" : "unknown",
         "server %s, %u pieces, %u reconnects", call->server, tokens, call->reconnects);
   calls_finish (back->calls, call, now);
+  release_memory (back, call);
+}
+
+void
+back_sent (Call *call)
+{
+  pthread_mutex_lock (&call->lock);
+  Back *back = call->back;
+  call->sent = true;
+  pthread_mutex_unlock (&call->lock);
+  if (back)
+    release_memory (back, call);
 }
 
 /* ---- Reading ---- */
@@ -183,7 +209,10 @@
     {
       char *line = sse_format (id, data);
       unsigned before = ft_req_next_piece (call->req);
-      if (ft_req_add_piece (call->req, (unsigned) id, line, strlen (line)) == FT_OK)
+      FtStatus added = ft_req_add_piece (call->req, (unsigned) id, line, strlen (line));
+      reader->too_large = added == FT_FULL;
+      current = added != FT_FULL && added != FT_STALE; /* a resume begins at the gap */
+      if (added == FT_OK)
         {
           /* Engines send pieces in order on a connection; one more means that none is missing. */
           if (ft_req_next_piece (call->req) == before + 1)
@@ -211,6 +240,39 @@
   return current;
 }
 
+/* Counts the memory of the call's answer as it will be with size more bytes. False: it is too much,
+ * and the call is to be ended. */
+static bool
+count_memory (Reader *reader, size_t size)
+{
+  Call *call = reader->call;
+  const Sse *sse = &reader->sse;
+  size_t wanted = 0, event = size;
+
+  if (reader->plain)
+    wanted = 2 * ft_grown_size (reader->plain, size); /* it is copied at its end */
+  else
+    {
+      event += sse->line->len + sse->data->len;
+      wanted = ft_grown_size (sse->line, size) + ft_grown_size (sse->data, event);
+    }
+  bool granted = true;
+
+  pthread_mutex_lock (&call->lock);
+  if (!call->finished)
+    {
+      if (reader->plain == NULL)
+        wanted += ft_req_memory (call->req, event) + ft_grown_size (call->content, event);
+      granted = membound_resize (reader->back->bound, &call->held, wanted);
+    }
+  pthread_mutex_unlock (&call->lock);
+  if (!granted)
+    dlog (DLOG_WARN, call->id, "too-large", "server %s of %s: %u KiB, %u KiB held for all calls",
+          call->server, call->pool, (unsigned) (wanted >> 10),
+          (unsigned) (membound_used (reader->back->bound) >> 10));
+  return granted;
+}
+
 static bool
 on_stream_bytes (void *user, const char *data, size_t size)
 {
@@ -218,7 +280,14 @@
 
   if (!is_current (reader)) /* on_event does not notice if no event comes */
     return false;
-  return sse_feed (&reader->sse, data, size, on_event, reader);
+  if (count_memory (reader, size))
+    {
+      bool wanted = sse_feed (&reader->sse, data, size, on_event, reader);
+      if (!reader->too_large)
+        return wanted;
+    }
+  finish (reader->back, reader->call, FT_REASON_OUTCOME_UNKNOWN);
+  return false;
 }
 
 static bool
@@ -226,7 +295,7 @@
 {
   Reader *reader = user;
 
-  if (reader->plain->len + size > ANSWER_MAX)
+  if (reader->plain->len + size > ANSWER_MAX || !count_memory (reader, size))
     return false;
   g_string_append_len (reader->plain, data, (gssize) size);
   return true;
@@ -809,6 +878,7 @@
 
   back->core = core;
   back->plat = plat;
+  back->bound = membound_new (ANSWERS_MAX);
   back->calls = calls_new (conf->answer_keep_s * FT_SECOND, conf->answer_keep_bytes);
   pthread_mutex_init (&back->notices_lock, NULL);
   back->notices = notices_new (core_clock (core));
--- a/daemon/back.h
+++ b/daemon/back.h
@@ -21,4 +21,8 @@
  * FT_CONFLICT: the call still runs; FT_STALE: its outcome is unknown. */
 FtStatus back_kept_answer (Back *back, const char *id, GBytes **body);
 
+/* The caller has its whole answer, or has left: a finished call is only kept from now on, and its
+ * memory counts as that of kept answers. */
+void back_sent (Call *call);
+
 #endif
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -41,6 +41,8 @@
   char server[64];
   FtRefusal refusal;
   GString *content; /* models: text of all pieces received in order */
+  size_t held;      /* bytes of its answer that count in Back.bound */
+  bool sent;        /* the caller needs nothing more of it */
   unsigned attempt; /* number of the connection in use; data from older ones is dropped */
   unsigned reconnects;
   unsigned failed_reconnects; /* after broken connections, since the latest piece */
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -299,6 +299,7 @@
     }
   answer_wait_end (call);
   answer_complete (call, response);
+  back_sent (call);
 }
 
 static bool
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,10 +7,12 @@
 #include "span.h"
 
 #include <argtable2.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
+#define MAP_BYTES         (128 << 10)
 #define READY_NOTICE_TIME (500 * FT_MS) /* for load balancers to see that /readyz fails */
 #define POLL_INTERVAL     (50 * FT_MS)
 #define HANDOVER_TIMEOUT  (4 * FT_SECOND) /* leases that were not taken over expire after 3 s */
@@ -73,6 +75,9 @@
   Oper *oper = NULL;
   int result = 1;
 
+  /* Large answers are mapped apart, so that their memory is returned once they are freed. A
+   * constant keeps the library from raising it to the largest block that was freed. */
+  mallopt (M_MMAP_THRESHOLD, MAP_BYTES);
   ulfius_global_init ();
   if (!dlog_init (conf->log_level, (unsigned) conf->id))
     {
--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -478,11 +478,16 @@
 bool ft_req_was_dispatched (const FtReq *req);
 
 /* Adds piece number offset (from 0) of the answer. A piece that arrives early is buffered.
- * FT_CONFLICT: a duplicate, dropped; FT_FULL: the answer or the buffer is too large. */
+ * FT_CONFLICT: a duplicate, dropped; FT_STALE: the buffer is full, so that the piece was dropped
+ * and is to be got again once the gap is closed; FT_FULL: the answer is too large. */
 FtStatus ft_req_add_piece (FtReq *req, unsigned offset, const char *data, size_t length);
 /* Number of the first missing piece, and all bytes before it. */
 unsigned ft_req_next_piece (const FtReq *req);
 const char *ft_req_bytes (const FtReq *req, size_t *length);
+/* Bytes of memory that all pieces, early ones too, will take with more bytes of them. */
+size_t ft_req_memory (const FtReq *req, size_t more);
+/* Bytes of memory that a string will take once more bytes are appended. */
+size_t ft_grown_size (const GString *string, size_t more);
 /* The backend server ended the answer after this total number of pieces. */
 void ft_req_set_piece_count (FtReq *req, unsigned pieces);
 /* True once the number of pieces is known and all have arrived. */
--- a/src/req.c
+++ b/src/req.c
@@ -16,7 +16,8 @@
 #include <string.h>
 
 #define ANSWER_BYTES_MAX (16u << 20) /* larger than any answer an engine's context allows */
-#define EARLY_PIECES_MAX 4096        /* buffered pieces after a gap */
+#define EARLY_PIECES_MAX 4096        /* buffered pieces after a gap ... */
+#define EARLY_BYTES_MAX  (1u << 20)  /* ... and bytes of them */
 
 struct FtReq
 {
@@ -30,7 +31,8 @@
   unsigned next;   /* number of the first missing piece */
   unsigned pieces; /* total number of pieces, once ended is set */
   bool ended;
-  GHashTable *early; /* piece number -> GBytes, pieces after a gap */
+  GHashTable *early;  /* piece number -> GBytes, pieces after a gap */
+  size_t early_bytes; /* of all of them */
 };
 
 static const char *const state_names[] = {
@@ -149,6 +151,7 @@
       gsize length;
       const char *data = g_bytes_get_data (piece, &length);
       g_string_append_len (req->bytes, data, (gssize) length);
+      req->early_bytes -= length;
       g_hash_table_remove (req->early, GUINT_TO_POINTER (req->next));
       req->next++;
     }
@@ -159,12 +162,15 @@
 {
   if (offset < req->next || g_hash_table_contains (req->early, GUINT_TO_POINTER (offset)))
     return FT_CONFLICT;
-  if (req->bytes->len + length > ANSWER_BYTES_MAX
-      || g_hash_table_size (req->early) >= EARLY_PIECES_MAX)
+  if (req->bytes->len + req->early_bytes + length > ANSWER_BYTES_MAX)
     return FT_FULL;
   if (offset > req->next)
     {
+      if (g_hash_table_size (req->early) >= EARLY_PIECES_MAX
+          || req->early_bytes + length > EARLY_BYTES_MAX)
+        return FT_STALE;
       g_hash_table_insert (req->early, GUINT_TO_POINTER (offset), g_bytes_new (data, length));
+      req->early_bytes += length;
       return FT_OK;
     }
   g_string_append_len (req->bytes, data, (gssize) length);
@@ -186,6 +192,23 @@
   return req->bytes->str;
 }
 
+/* GLib rounds the size of a string up to a power of two. */
+size_t
+ft_grown_size (const GString *string, size_t more)
+{
+  size_t size = string->allocated_len;
+
+  while (size <= string->len + more)
+    size *= 2;
+  return size;
+}
+
+size_t
+ft_req_memory (const FtReq *req, size_t more)
+{
+  return ft_grown_size (req->bytes, more) + req->early_bytes + more;
+}
+
 void
 ft_req_set_piece_count (FtReq *req, unsigned pieces)
 {
--- a/test/rawback.c
+++ b/test/rawback.c
@@ -9,6 +9,8 @@
  *
  * Or it names one of the heads of heads.h as head/NUMBER/TYPE, TYPE being that of an engine's
  * answer: event, other or none. The answer is whole, and its text differs from that of all others.
+ * Or it names bytes that do not end as flood/KIND; KIND: see floods below.
+ *
  * test-rawback heads prints for each head its number, name, status, and whether it is framed.
  */
 #include "heads.h"
@@ -23,14 +25,76 @@
 #define INTERIM    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
 #define STOP_DELAY (5 * FT_MS) /* so that a reset does not overtake the bytes */
 
+#define FLOOD_SIZE (16u << 10) /* bytes of one part of what does not end */
+
+/* What does not end, and what comes before it. */
+typedef struct
+{
+  const char *kind, *start;
+  void (*append) (GString *out, unsigned number);
+} Flood;
+
 typedef struct
 {
   LoopTimer timer;
   Sock *sock;
+  const Flood *flood; /* NULL: the answer ends */
+  unsigned flooded;   /* parts of it that were written */
 } RawConn;
 
 static Loop *loop;
 
+static void
+append_flood_event (GString *out, unsigned number)
+{
+  char *text = g_strnfill (FLOOD_SIZE, 'x');
+
+  g_string_append_printf (out, "id: %u\ndata: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n",
+                          number, text);
+  g_free (text);
+}
+
+/* The first pieces never come. */
+static void
+append_flood_early (GString *out, unsigned number)
+{
+  append_flood_event (out, number + 100);
+}
+
+static void
+append_flood_chunk (GString *out, unsigned number)
+{
+  char *text = g_strnfill (FLOOD_SIZE, 'x');
+
+  (void) number;
+  hwrite_chunk (out, text, FLOOD_SIZE);
+  g_free (text);
+}
+
+static void
+append_flood_trailer (GString *out, unsigned number)
+{
+  (void) number;
+  g_string_append (out, "Name: value\r\n");
+}
+
+static void
+append_flood_comment (GString *out, unsigned number)
+{
+  (void) number;
+  g_string_append (out, ": nothing\n");
+}
+
+#define EVENTS_HEAD "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+#define CHUNKS_HEAD                                                                                \
+  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static const Flood floods[] = { { "events", EVENTS_HEAD, append_flood_event },
+                                { "early", EVENTS_HEAD, append_flood_early },
+                                { "comments", EVENTS_HEAD, append_flood_comment },
+                                { "body", CHUNKS_HEAD, append_flood_chunk },
+                                { "trailers", CHUNKS_HEAD "0\r\n", append_flood_trailer } };
+
 static void
 close_raw (RawConn *conn, bool reset)
 {
@@ -45,6 +109,40 @@
   close_raw ((RawConn *) timer, true);
 }
 
+/* Writes until the kernel takes no more. */
+static void
+write_flood (RawConn *conn)
+{
+  GString *out = g_string_new (NULL);
+
+  while (sock_unsent (conn->sock) == 0 && !conn->sock->failed)
+    {
+      g_string_truncate (out, 0);
+      while (out->len < FLOOD_SIZE)
+        conn->flood->append (out, conn->flooded++);
+      sock_write (conn->sock, out->str, out->len);
+    }
+  g_string_free (out, TRUE);
+}
+
+/* True: the request names a flood, which has begun. */
+static bool
+start_flood (RawConn *conn, const char *text)
+{
+  const char *kind = strstr (text, "flood/");
+
+  if (kind == NULL || strstr (text, "?offset="))
+    return false;
+  for (unsigned i = 0; i < G_N_ELEMENTS (floods); i++)
+    if (g_str_has_prefix (kind + strlen ("flood/"), floods[i].kind))
+      conn->flood = &floods[i];
+  if (conn->flood == NULL)
+    return false;
+  sock_write (conn->sock, conn->flood->start, strlen (conn->flood->start));
+  write_flood (conn);
+  return true;
+}
+
 static void
 append_piece (GString *out, bool chunked, const char *piece)
 {
@@ -161,7 +259,8 @@
       GString *request = g_string_new (text);
       sock_consume (sock, size);
       g_string_replace (request, "\\/", "/", 0);
-      answer (sock->owner, request->str);
+      if (!start_flood (sock->owner, request->str))
+        answer (sock->owner, request->str);
       g_string_free (request, TRUE);
     }
   g_free (text);
@@ -174,7 +273,16 @@
   close_raw (sock->owner, false);
 }
 
-static const SockOps raw_ops = { NULL, on_data, NULL, on_ended };
+static void
+on_drained (Sock *sock)
+{
+  RawConn *conn = sock->owner;
+
+  if (conn->flood)
+    write_flood (conn);
+}
+
+static const SockOps raw_ops = { NULL, on_data, on_drained, on_ended };
 
 static void
 on_accept (void *owner, int fd, SockAddr peer)
