Own interface: requests without an answer are answered before the instance ends

What callers would see: a request that a backend server has not answered when shutdown_s have passed is cut without an answer.

Cause: the shutdown waited for running requests and then closed the port.

Evidence: test/stop.sh, case 6, with the former program: no status, the connection was closed (curl 52).

Change: 0.5 s before shutdown_s requests that were dispatched end as the loss of their server does, with outcome-unknown.

--- a/daemon/back.c
+++ b/daemon/back.c
@@ -819,6 +819,23 @@
     finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
 }
 
+void
+back_give_up (Back *back)
+{
+  GPtrArray *calls = calls_unfinished (back->calls);
+
+  for (unsigned i = 0; i < calls->len; i++)
+    {
+      Call *call = calls->pdata[i];
+      pthread_mutex_lock (&call->lock);
+      bool dispatched = ft_req_was_dispatched (call->req);
+      pthread_mutex_unlock (&call->lock);
+      if (dispatched)
+        finish (back, call, FT_REASON_OUTCOME_UNKNOWN);
+    }
+  g_ptr_array_unref (calls);
+}
+
 static void *
 watch_thread (void *data)
 {
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -513,6 +513,12 @@
   return (unsigned) g_atomic_int_get (&edge->busy) + calls_running (back_calls (edge->back));
 }
 
+void
+edge_give_up (Edge *edge)
+{
+  back_give_up (edge->back);
+}
+
 void
 edge_stop (Edge *edge)
 {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -15,7 +15,9 @@
 #define MAP_BYTES         (128 << 10)
 #define READY_NOTICE_TIME (500 * FT_MS) /* for load balancers to see that /readyz fails */
 #define POLL_INTERVAL     (50 * FT_MS)
-#define HANDOVER_TIMEOUT  (4 * FT_SECOND) /* leases that were not taken over expire after 3 s */
+#define LAST_ANSWERS_TIME                                                                          \
+  (1 * FT_SECOND / 2)                    /* for callers to get answers before the port closes */
+#define HANDOVER_TIMEOUT (4 * FT_SECOND) /* leases that were not taken over expire after 3 s */
 
 typedef struct
 {
@@ -45,7 +47,7 @@
 }
 
 /* Makes readiness fail, hands over the leases and waits for running requests, for shutdown_s at
- * most. */
+ * most. Those that have no answer shortly before are answered that their outcome is unknown. */
 static void
 shut_down (Core *core, Edge *edge)
 {
@@ -60,6 +62,8 @@
     {
       g_usleep (POLL_INTERVAL);
       left = core_leave (core);
+      if (core_now (core) > until - LAST_ANSWERS_TIME)
+        edge_give_up (edge);
     }
   if (edge_open_count (edge) > 0)
     dlog (DLOG_ERROR, NULL, "shutdown", "%u requests were cut off after shutdown_s",
--- a/test/rawback.c
+++ b/test/rawback.c
@@ -27,7 +27,7 @@
 
 #define FLOOD_SIZE (16u << 10) /* bytes of one part of what does not end */
 
-/* What does not end, and what comes before it. */
+/* What does not end, and what comes before it; without append nothing comes. */
 typedef struct
 {
   const char *kind, *start;
@@ -93,6 +93,7 @@
                                 { "early", EVENTS_HEAD, append_flood_early },
                                 { "comments", EVENTS_HEAD, append_flood_comment },
                                 { "body", CHUNKS_HEAD, append_flood_chunk },
+                                { "silence", "", NULL },
                                 { "trailers", CHUNKS_HEAD "0\r\n", append_flood_trailer } };
 
 static void
@@ -138,8 +139,11 @@
       conn->flood = &floods[i];
   if (conn->flood == NULL)
     return false;
+  printf ("%s\n", conn->flood->kind);
+  fflush (stdout);
   sock_write (conn->sock, conn->flood->start, strlen (conn->flood->start));
-  write_flood (conn);
+  if (conn->flood->append)
+    write_flood (conn);
   return true;
 }
 
@@ -278,7 +282,7 @@
 {
   RawConn *conn = sock->owner;
 
-  if (conn->flood)
+  if (conn->flood && conn->flood->append)
     write_flood (conn);
 }
 
