reader: a page of the platform's list is bounded

What operators would see: a list whose page does not end fills the memory of each instance that reads it, voters first, until the process ends and with it the requests of its clients.

Cause: a pass is bounded by 2.2 s and 64 pages; nothing bounded a page.

Evidence: /list/page_without_end with the former node/reader.c: 2,501,509,120 bytes in two passes (one play on loopback).

Change: a page over 8 MiB ends the pass, as a page that cannot be read does; 1,300 servers take some 300 KB over all pages.

Measured after: each pass ends after more than 4 and fewer than 32 MiB were written, and another one can start; 13 cases pass.

--- a/node/reader.c
+++ b/node/reader.c
@@ -9,7 +9,8 @@
   (80 * FT_MS) /* delay before a page that was refused with 429 is requested again: a few calls */
 #define CONNECT_TIMEOUT (300 * FT_MS)
 #define IDLE_MAX        (5 * FT_SECOND)
-#define PAGES_MAX       64 /* guards against a list that never ends */
+#define PAGES_MAX       64         /* guards against a list that never ends */
+#define PAGE_BYTES_MAX  (8u << 20) /* ... and this against a page that does not */
 
 /* For instances that read the list themselves, because no voter supplies it. */
 #define FALLBACK_AGE                                                                               \
@@ -75,7 +76,18 @@
 static void
 on_body (void *user, const char *data, size_t size)
 {
-  g_string_append_len (((Reader *) user)->body, data, (gssize) size);
+  Reader *reader = user;
+  HXfer *xfer = reader->xfer;
+
+  if (xfer == NULL)
+    return; /* the page was too large */
+  if (reader->body->len + size <= PAGE_BYTES_MAX)
+    {
+      g_string_append_len (reader->body, data, (gssize) size);
+      return;
+    }
+  finish (reader, "page too large");
+  hxfer_cancel (xfer);
 }
 
 /* Logged only when their number has grown, since the list is read every second. */
--- a/test/list.c
+++ b/test/list.c
@@ -401,6 +401,72 @@
   loop_free (loop);
 }
 
+/* ---- A page without end ---- */
+
+#define ENDLESS_PIECE (64u << 10) /* bytes written at once */
+
+static size_t endless_written;
+
+static void
+write_endless (HCall *call)
+{
+  char *piece = g_strnfill (ENDLESS_PIECE, ' ');
+
+  while (!hcall_is_full (call))
+    {
+      hcall_write (call, piece, ENDLESS_PIECE);
+      endless_written += ENDLESS_PIECE;
+    }
+  g_free (piece);
+}
+
+static void
+on_endless_call (void *owner, HCall *call)
+{
+  (void) owner;
+  hcall_begin (call, 200, NULL);
+  write_endless (call);
+}
+
+static void
+on_endless_drained (void *owner, HCall *call)
+{
+  (void) owner;
+  write_endless (call);
+}
+
+static const HSrvOps endless_ops = { on_endless_call, on_gone, on_endless_drained };
+
+/* Guards against a page of the list that never ends and fills the memory of its reader. */
+static void
+page_without_end (void)
+{
+  LoopTimer guard = { .fire = on_guard };
+
+  loop = loop_new ();
+  HCli *cli = hcli_new (loop);
+  SockAddr addr = { 0x7f000001u + ((unsigned) getpid () % 60000 << 8), PORT };
+  HSrv *list = hsrv_new (loop, addr, &endless_ops, NULL);
+  g_assert_nonnull (list);
+  Reader *reader = reader_new (loop, cli, platform_adapter_ops (), addr, on_read, NULL);
+  loop_timer_set (loop, &guard, loop_now (loop) + GUARD);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      endless_written = 0;
+      reader_start (reader);
+      loop_run (loop);
+      g_assert_true (failed);
+      g_assert_cmpuint (endless_written, >, 4u << 20);
+      g_assert_cmpuint (endless_written, <, 32u << 20);
+      g_assert_false (reader_busy (reader));
+    }
+  loop_timer_stop (loop, &guard);
+  reader_free (reader);
+  hsrv_free (list);
+  hcli_free (cli);
+  loop_free (loop);
+}
+
 /* Guards against entries exceeding the platform's rate limit. The voter's pass over a list of 60
  * pages takes a second, so hundreds of entries found their list too old and read it themselves;
  * their calls and the voter's were then over the rate, and no change was seen any more. Together
@@ -483,5 +549,6 @@
   g_test_add_func ("/list/left_alone", first_reads_are_spread);
   g_test_add_func ("/list/fewer_calls", long_list_is_read_less_often);
   g_test_add_func ("/list/over_the_rate", refused_call_is_repeated);
+  g_test_add_func ("/list/page_without_end", page_without_end);
   return g_test_run ();
 }
