--- a/test/backend.c
+++ b/test/backend.c
@@ -118,9 +118,11 @@
 {
   Flood *flood = (Flood *) timer;
   Fleet *fleet = flood->server->fleet;
+  static const char comment[] = ": none\n";
   char *bytes = g_malloc (fleet->flood_bytes);
 
-  memset (bytes, 'x', fleet->flood_bytes);
+  for (unsigned i = 0; i < fleet->flood_bytes; i++)
+    bytes[i] = fleet->flood_comments ? comment[i % (sizeof comment - 1)] : 'x';
   hcall_write (flood->call, bytes, fleet->flood_bytes);
   g_free (bytes);
   loop_timer_set (fleet->loop, timer, loop_now (fleet->loop) + fleet->flood_ms * FT_MS);
@@ -177,7 +179,8 @@
     }
   if (stream->server->mode == SERVER_FLOOD_EVENT && stream->next > fleet->flood_after)
     {
-      hcall_write (stream->call, "data: ", 6);
+      if (!fleet->flood_comments)
+        hcall_write (stream->call, "data: ", 6);
       increment (fleet->lost_counts, stream->id);
       start_flood (stream->server, stream->call);
       remove_stream (stream);
--- a/test/endless.c
+++ b/test/endless.c
@@ -174,12 +174,13 @@
 }
 
 static void
-stream_is_had_elsewhere (unsigned bytes, unsigned ms, unsigned after)
+stream_is_had_elsewhere (unsigned bytes, unsigned ms, unsigned after, bool comments)
 {
   Fleet *fleet = new_fleet (SERVER_FLOOD_EVENT, bytes, ms);
   Answer stream;
 
   fleet->flood_after = after;
+  fleet->flood_comments = comments;
   send_to_flood (fleet, "/stream/a", &stream);
   fleet_run_until (fleet, is_done, &stream, "the stream ends");
   check_stream (fleet, &stream);
@@ -192,21 +193,36 @@
 static void
 first_event_trickles (void)
 {
-  stream_is_had_elsewhere (1, 50, 0);
+  stream_is_had_elsewhere (1, 50, 0, false);
 }
 
 /* Guards against the same in the middle of a stream. */
 static void
 later_event_trickles (void)
 {
-  stream_is_had_elsewhere (1, 50, 2);
+  stream_is_had_elsewhere (1, 50, 2, false);
 }
 
 /* Guards against dropping a part of an event that is too long and taking its rest for an event. */
 static void
 event_too_long (void)
 {
-  stream_is_had_elsewhere (65536, 1, 2);
+  stream_is_had_elsewhere (65536, 1, 2, false);
+}
+
+/* Guards against taking comments that do not end for a sign of life, at the start of a stream and
+ * in the middle. */
+static void
+comments_without_end (gconstpointer after)
+{
+  stream_is_had_elsewhere (7, 50, GPOINTER_TO_UINT (after), true);
+}
+
+/* Guards against keeping comments that come fast. */
+static void
+many_comments (void)
+{
+  stream_is_had_elsewhere (65536 / 7 * 7, 1, 2, true);
 }
 
 /* Guards against waiting for the end of a refusal, whose head says all: the request can run
@@ -268,6 +284,9 @@
   g_test_add_func ("/endless/first_event_trickles", first_event_trickles);
   g_test_add_func ("/endless/later_event_trickles", later_event_trickles);
   g_test_add_func ("/endless/event_too_long", event_too_long);
+  g_test_add_data_func ("/endless/comments/first", GUINT_TO_POINTER (0), comments_without_end);
+  g_test_add_data_func ("/endless/comments/later", GUINT_TO_POINTER (2), comments_without_end);
+  g_test_add_func ("/endless/comments/many", many_comments);
   g_test_add_func ("/endless/refusal", refusal);
   g_test_add_func ("/endless/fast_refusal", fast_refusal);
   g_test_add_func ("/endless/plain_until_caller_leaves", plain_until_caller_leaves);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -130,8 +130,9 @@
   unsigned pause_ms; /* silence in a stream of a SERVER_PAUSING */
   unsigned resets;   /* of all SERVER_RESET, after which they are healthy; 0: no bound */
   unsigned flood_bytes, flood_ms, flood_after; /* see SERVER_FLOOD_EVENT */
-  unsigned plain_ms;                           /* time that a plain call takes */
-  unsigned slots;                              /* of each server, as listed */
+  bool flood_comments;   /* a SERVER_FLOOD_EVENT sends comments instead of an event */
+  unsigned plain_ms;     /* time that a plain call takes */
+  unsigned slots;        /* of each server, as listed */
   unsigned plain_bytes;  /* length of a plain answer; 0: its body is the request's id */
   bool keeps_unread;     /* such answers can be aborted until they are read: fleet_abort_unread */
   unsigned slow_ms;      /* time that a plain call takes at a SERVER_SLOW */
