cli: the operators' client reads replies with the same reader

What operators saw: of replies whose heads are not valid the client printed the text and ended with status 0: a status of 200x, HTTP/2.0, names of fields with blanks or control bytes, two lengths, a coding after a blank before the colon.

Cause: replies were read by libcurl, as servers' answers were (see client.c).

Evidence: test/broken.sh, case 6, with the former cli/access.c: 20 heads that name fields or codings so were printed with status 0.

--- a/daemon/client.c
+++ b/daemon/client.c
@@ -214,9 +214,10 @@
 {
   Exchange exchange
       = { .ops = ops, .user = user, .until = g_get_monotonic_time () + request->timeout_us };
-  const char *start = request->url + strlen (SCHEME);
+  bool has_scheme = g_str_has_prefix (request->url, SCHEME);
+  const char *start = request->url + (has_scheme ? strlen (SCHEME) : 0);
 
-  if (!g_str_has_prefix (request->url, SCHEME) || !is_visible (request->url)
+  if ((!has_scheme && strstr (request->url, "://")) || !is_visible (request->url)
       || !is_visible (request->method) || (request->fields && !are_lines (request->fields)))
     return 0;
   size_t length = strcspn (start, "/");
--- a/daemon/client.h
+++ b/daemon/client.h
@@ -9,7 +9,7 @@
 
 typedef struct
 {
-  const char *method, *url; /* http://HOST:PORT/PATH */
+  const char *method, *url; /* http://HOST:PORT/PATH; http:// may be missing */
   const char *fields;       /* complete lines, each ended by CR LF; may be NULL */
   const void *body;
   size_t size;
--- a/test/broken.sh
+++ b/test/broken.sh
@@ -34,7 +34,7 @@
   ok $? "$1"
 }
 
-echo "1..5"
+echo "1..6"
 "$BUILD/test-rawback" heads >"$dir/heads"
 cluster_start "$dir" 1 1 || exit 1
 for _ in $(seq 1 100); do
@@ -75,4 +75,20 @@
 wanted_of_engine 'w0 w1 w2 [DONE]'
 play_heads ask_engine other
 check_heads "an engine's answer of another type is not passed on"
+
+# The operators' client prints an answer of status 200 and fails on any other.
+ask_client () { # WHAT: prints the exit status and the output
+  local out
+  out=$("$BUILD/foxtailgrade" --server "http://127.0.0.1:$((BASE + 60))/$1" --key-file "$DIR/operator.key" status 2>/dev/null)
+  echo "$? $out"
+}
+while read -r number _ status framing; do
+  case "$status $framing" in
+    200*) echo "$number: 0 $ODD" ;;
+    0*|*empty) echo "$number: 1" ;;
+    *) echo "$number: 1 $ODD" ;;
+  esac
+done <"$dir/heads" >"$dir/wanted"
+play_heads ask_client other
+check_heads "an answer whose head is not valid is not printed by the operators' client"
 exit $failed
