--- a/daemon/back.h
+++ b/daemon/back.h
@@ -25,7 +25,8 @@
  * memory counts as that of kept answers. */
 void back_sent (Call *call);
 
-/* Ends all calls that were dispatched and have no complete answer, as the process is about to end. */
+/* Ends all calls that were dispatched and have no complete answer, as the process is about to end.
+ */
 void back_give_up (Back *back);
 
 #endif
