--- a/net/hcli.c
+++ b/net/hcli.c
@@ -529,7 +529,7 @@
   struct pollfd poller = { .fd = conn->sock->fd.fd, .events = POLLIN | POLLRDHUP };
   int size = 0;
 
-  if (poll (&poller, 1, 0) == 0)
+  if (poll (&poller, 1, 0) <= 0)
     return CONN_QUIET;
   if (ioctl (conn->sock->fd.fd, FIONREAD, &size) == 0 && size > 0)
     return CONN_HAS_DATA;
