client: addresses of IPv6 in brackets

http://[::1]:PORT could not be reached by the operators' client or as the list's address since client.c reads them: the brackets were part of the name. Seen in a run of the client against a server on ::1: not reached before, status 200 and its text after.

--- a/daemon/client.c
+++ b/daemon/client.c
@@ -69,13 +69,16 @@
   return -1;
 }
 
-/* host: "NAME:PORT" or "NAME". */
+/* host: "NAME:PORT" or "NAME"; an IPv6 address stands in brackets. */
 static int
 connect_host (const char *host, int64_t until)
 {
   struct addrinfo hints = { .ai_socktype = SOCK_STREAM }, *found = NULL;
-  const char *colon = strrchr (host, ':');
-  char *name = colon ? g_strndup (host, (gsize) (colon - host)) : g_strdup (host);
+  const char *bracket = *host == '[' ? strchr (host, ']') : NULL;
+  const char *colon = strrchr (bracket ? bracket : host, ':');
+  const char *end = bracket ? bracket : colon ? colon : host + strlen (host);
+  const char *start = bracket ? host + 1 : host;
+  char *name = g_strndup (start, (gsize) (end - start));
   int fd = -1;
 
   if (getaddrinfo (name, colon ? colon + 1 : "80", &hints, &found) == 0)
