requests: a silent try is kept only where the end of the process limits it

A grace may be long. A request whose own time limit comes before the end of the process has as much time as ever, so its silent try is replaced as ever; the first form kept it.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -179,12 +179,12 @@
   req->next_number = 0;
 }
 
-/* Before the process ends there may be no time for a run that starts over, while the silent one may
- * still end. The connection to a server that is gone fails by itself. */
+/* Where the end of the process is the time limit, there may be no time for a run that starts over,
+ * while the silent one may still end. The connection to a server that is gone fails by itself. */
 static bool
 must_keep_try (const Req *req)
 {
-  return req->requests->ends_at && !req->begun;
+  return req->requests->ends_at && req->deadline >= req->requests->ends_at && !req->begun;
 }
 
 void
--- a/node/requests.c
+++ b/node/requests.c
@@ -391,10 +391,10 @@
   requests->ends_at = ends_at;
   cds_list_for_each_entry (req, &requests->all, link)
   {
-    if (!req->begun)
-      req_withdraw_replacement (req);
     if (req->deadline <= ends_at || req->route == NULL)
       continue; /* without a route it waits for the catalogue, for a shorter time */
+    if (!req->begun)
+      req_withdraw_replacement (req);
     req->deadline = ends_at;
     req->first_deadline = MIN (req->first_deadline, ends_at);
     loop_timer_set (requests->conf.loop, &req->deadline_timer, ends_at);
--- a/node/requests.h
+++ b/node/requests.h
@@ -46,7 +46,7 @@
 /* Quarantine verdicts may have changed: checks again the requests that wait for a place. */
 void requests_recheck (Requests *requests);
 /* The process is about to end: all requests, also those that arrive from now on, are answered by
- * ends_at, and no try is given up for one that starts over. */
+ * ends_at, and no try of one that this limits is given up for a run that starts over. */
 void requests_leave (Requests *requests, int64_t ends_at);
 unsigned requests_open_count (const Requests *requests);
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -188,7 +188,7 @@
 try "upload: a relay ends in order" net/relay.c 's/^  if \(may_have_unread \(side\)\)$/  if (false \&\& may_have_unread (side))/' test-upload &
 try "grace: open requests keep their time limit" node/requests.c 's/req->deadline <= ends_at \|\| /true || /' test-grace &
 try "grace: late requests have their own time limit" node/requests.c 's/^    req->deadline = MIN \(req->deadline, requests->ends_at\);/    req->deadline += 0;/' test-grace &
-try "grace: a try starts over" node/reqask.c 's/return req->requests->ends_at \&\& !req->begun;/return false \&\& req;/' test-grace &
+try "grace: a try starts over" node/reqask.c 's/return req->requests->ends_at \&\& req->deadline .*;/return false \&\& req;/' test-grace &
 try "membound: one call may take all" daemon/membound.c 's/wanted <= bound->total - others - wanted/wanted > 0/' test-membound &
 try "membound: what others hold does not count" daemon/membound.c 's/size_t others = bound->used - \*held;/size_t others = 0;/' test-membound &
 try "endless: informational responses are not counted" net/hmsg.c 's/\+\+reader->interim_count > INTERIM_MAX/reader->interim_count > INTERIM_MAX/' test-endless &
