Logs: who was asked about an end without framing, and what decided it

end-unframed names the attempts used and the caller's last event; end-decided names the request, the verdict and its evidence, which server-lives could not attribute; end-unasked says that a stream was passed on unasked, and why. No decision changes.

--- a/node/ends.c
+++ b/node/ends.c
@@ -151,13 +151,13 @@
 
 /* Tells those that waited for the result. They may start further checks. */
 static void
-tell_result (struct cds_list_head *waits, bool crashed)
+tell_result (struct cds_list_head *waits, bool crashed, const char *evidence)
 {
   while (!cds_list_empty (waits))
     {
       CrashWait *wait = cds_list_first_entry (waits, CrashWait, link);
       cds_list_del_init (&wait->link);
-      wait->decided (wait, crashed);
+      wait->decided (wait, crashed, evidence);
     }
 }
 
@@ -179,7 +179,7 @@
   log_result (check, "server-ended", evidence);
   loop_timer_set (loop, &check->timer, check->crashed_at + CRASH_KEPT);
   report_runs (check);
-  tell_result (&check->waits, true);
+  tell_result (&check->waits, true, evidence);
 }
 
 /* The requests of the server do not become suspects. */
@@ -192,7 +192,7 @@
   cds_list_splice (&check->waits, &waits);
   CDS_INIT_LIST_HEAD (&check->waits);
   g_hash_table_remove (check->detector->checks, check->server);
-  tell_result (&waits, false);
+  tell_result (&waits, false, evidence);
 }
 
 /* ---- Probes ---- */
@@ -371,7 +371,7 @@
   if (check->state == STATE_CRASHED)
     {
       report_runs (check);
-      tell_result (&check->waits, true);
+      tell_result (&check->waits, true, "it crashed a moment ago");
     }
   else if (!known)
     probe (check);
--- a/node/ends.h
+++ b/node/ends.h
@@ -18,12 +18,12 @@
   unsigned events;     /* of its answer that the server had sent */
 } CrashRun;
 
-/* Waits for the result of a check; embedded in a struct of its owner. */
+/* Waits for the result of a check; embedded in a struct of its owner. evidence: for logs. */
 typedef struct CrashWait CrashWait;
 struct CrashWait
 {
   struct cds_list_head link; /* empty while it does not wait */
-  void (*decided) (CrashWait *wait, bool crashed);
+  void (*decided) (CrashWait *wait, bool crashed, const char *evidence);
 };
 
 /* Called when the server process has crashed. at: the time of detection; runs: the requests that
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -142,6 +142,8 @@
 {
   if (req->unconfirmed && !req->asked_for_more && hcall_is_unframed (req->call))
     {
+      jlog (JLOG_INFO, "end-unasked", req->id, JL_TEXT ("server", req->server),
+            JL_TEXT ("why", why));
       req_finish (req);
       return;
     }
--- a/node/try.c
+++ b/node/try.c
@@ -352,9 +352,14 @@
   if (req->close_delimited)
     {
       count_inc (COUNT_ENDS_UNFRAMED);
+      req->ended_at = req_now (req);
       jlog (JLOG_INFO, "end-unframed", req->id, JL_TEXT ("server", req->server),
             JL_INT ("status", req->status), JL_INT ("stream", req->is_stream),
-            JL_INT ("events", req->events), JL_INT ("bytes", req->buffered->len));
+            JL_INT ("repeatable", rt_route_is_repeatable (req->route)),
+            JL_INT ("sends", req->sends), JL_INT ("most", req->route->attempts),
+            JL_INT ("events", req->events), JL_INT ("bytes", req->buffered->len),
+            JL_TEXT ("after_event", req->stream ? events_last_id (req->stream) : ""),
+            JL_INT ("relay", req->relay.ip));
     }
   if (req->is_stream && events_has_partial (req->stream))
     {
@@ -413,10 +418,13 @@
 }
 
 void
-try_on_end_decided (CrashWait *wait, bool crashed)
+try_on_end_decided (CrashWait *wait, bool crashed, const char *evidence)
 {
   Req *req = (Req *) ((char *) wait - offsetof (Req, end_wait));
 
+  jlog (JLOG_INFO, "end-decided", req->id, JL_TEXT ("server", req->server),
+        JL_INT ("crashed", crashed), JL_TEXT ("evidence", evidence),
+        JL_MS ("after_ms", req_now (req) - req->ended_at));
   if (!crashed)
     finish_unframed (req);
   else
