test-lostends: ends without framing whose server's process is lost, or resets them late

Callers of 40 answers without framing see up to 40 of them end as complete before their last event where the killed process has a successor or a sibling at its address, or where a reset follows an orderly end by 0, 20 or 45 ms. Sound answers, a shut address and bare resets pass.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -641,8 +641,15 @@
       "\"unsafe\",\"TimeoutMs\":8000,\"TargetLatencyMs\":1000,\"Service\":\"s\",\"MaxAttempts\":2},"
       "{\"Name\":\"stream\",\"Host\":\"h.example\",\"PathPrefix\":\"/stream/\",\"RouteType\":"
       "\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,\"Service\":\"s\","
-      "\"MaxAttempts\":2,\"Resumable\":true,\"GapAimMs\":500}],"
-      "\"Services\":[{\"Name\":\"s\"}],\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]}",
+      "\"MaxAttempts\":2,\"Resumable\":true,\"GapAimMs\":500},"
+      "{\"Name\":\"single\",\"Host\":\"h.example\",\"PathPrefix\":\"/single/\",\"RouteType\":"
+      "\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,\"Service\":\"s\","
+      "\"MaxAttempts\":1,\"Resumable\":false,\"GapAimMs\":500},"
+      "{\"Name\":\"again\",\"Host\":\"h.example\",\"PathPrefix\":\"/again/\",\"RouteType\":"
+      "\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,\"Service\":\"s\","
+      "\"MaxAttempts\":1,\"Resumable\":true,\"GapAimMs\":500}],"
+      "\"Services\":[{\"Name\":\"s\",\"HealthPath\":\"/"
+      "health\"}],\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]}",
       version, limits);
 }
 
--- /dev/null
+++ b/test/lostserver.h
@@ -0,0 +1,43 @@
+/* lostserver.h - a backend server in a process of its own, which can be killed. It sends each
+ * stream without framing, so that only the end of the connection ends it. */
+#ifndef LOSTSERVER_H
+#define LOSTSERVER_H
+
+#include "sock.h"
+
+#include <sys/types.h>
+
+#define LOSTSERVER_EVENTS 12 /* of a whole answer */
+#define LOSTSERVER_GAP_MS 60 /* between two events */
+#define LOSTSERVER_HEALTH "/health"
+/* Signals. */
+#define LOSTSERVER_GIVE_UP   SIGUSR1 /* ends the answers that it is sending, as the mode says */
+#define LOSTSERVER_RESET_ONE SIGUSR2 /* resets one of them */
+
+typedef enum
+{
+  GIVE_UP_IN_ORDER,
+  GIVE_UP_RESET,
+  GIVE_UP_THEN_RESET /* ends its side in order, and resets the connection later */
+} LostServerMode;
+
+typedef struct
+{
+  SockAddr addr;
+  const char *id; /* of this lifetime */
+  LostServerMode mode;
+  unsigned reset_after_ms;  /* GIVE_UP_THEN_RESET */
+  unsigned processes;       /* that serve the same listener */
+  size_t memory;            /* bytes that each process holds, which take time to be freed */
+  bool silent_health;       /* does not answer status checks */
+  bool listens_only;        /* accepts connections and never answers */
+  unsigned answer_delay_ms; /* before the head of a status check's answer */
+} LostServerConf;
+
+/* Starts the processes and stores their ids; they end with the calling process. They listen once
+ * the address is free. */
+void lostserver_start (const LostServerConf *conf, pid_t *pids);
+/* Ends one of them by SIGKILL, and waits for it. */
+void lostserver_kill (pid_t pid);
+
+#endif
