hcli, relay: an answer that ends with its connection is held for a reset

Callers saw answers without a length or chunks end as complete after a part where the server ended its side in order and reset the connection some milliseconds later: 32 to 40 of 40 after 0, 20 and 45 ms on each route (test-lostends reset_after_*, listed before).

Cause: complete_unframed gave up the connection of a request of up to 8 KiB at once, so nobody saw the reset; a relay did the same. Only long requests were held for one.

Now each such answer is held: for SOCK_RESET_WAIT on routes of streams, and for 60 ms, the time that the check of the server took anyway, if it is plain; a relay holds each end of a server. A reset after longer than that is still not seen.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -61,6 +61,7 @@
   void *probe_user;
   LoopTimer timer;
   int64_t idle_since, idle_until, keep_alive_us;
+  int64_t reset_wait_us; /* of its transfer; see HCliTarget */
   bool message_complete;
   bool long_request; /* may not fit into the buffers on the way */
   bool skipping;     /* the response belongs to an earlier request */
@@ -466,21 +467,21 @@
     complete_transfer (conn);
 }
 
-/* The end of the connection has ended the response, which is complete only if the server has read
- * the request: one that gives up an upload may end its side before it resets the connection. */
+/* The end of the connection has ended the response, which is complete only if no reset follows: a
+ * server that gives it up, or the request, may end its side before it resets the connection. */
 static void
 complete_unframed (Conn *conn)
 {
+  int64_t wait = conn->long_request ? SOCK_RESET_WAIT : conn->reset_wait_us;
+
   conn->not_reusable = true;
   if (sock_has_unacknowledged (conn->sock))
-    fail_conn (conn, HXFER_BROKEN);
-  else if (conn->long_request)
     {
-      conn->timer.fire = on_reset_wait_over;
-      loop_timer_set (conn->cli->loop, &conn->timer, loop_now (conn->cli->loop) + SOCK_RESET_WAIT);
+      fail_conn (conn, HXFER_BROKEN);
+      return;
     }
-  else
-    complete_transfer (conn);
+  conn->timer.fire = on_reset_wait_over;
+  loop_timer_set (conn->cli->loop, &conn->timer, loop_now (conn->cli->loop) + wait);
 }
 
 static void
@@ -631,6 +632,7 @@
                    .no_body = target->no_body,
                    .conn_idle_us = reused ? MAX (1, loop_now (cli->loop) - conn->idle_since) : 0 };
   conn->xfer = xfer;
+  conn->reset_wait_us = target->reset_wait_us;
   conn->skipping = conn->not_reusable = conn->message_complete = false;
   if (reused)
     start_sending (conn);
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -43,7 +43,9 @@
   int64_t connect_us;  /* time limit of a connect */
   int64_t max_idle_us; /* connections that were idle for longer are not reused */
   bool no_body;        /* a HEAD request */
-  SockAddr relay;      /* opens a new connection through this relay (relay.h); port 0: directly */
+  int64_t reset_wait_us; /* how long a response that ends with its connection is held for a reset
+                            that makes it incomplete; SOCK_RESET_WAIT after a long request */
+  SockAddr relay;        /* opens a new connection through this relay (relay.h); port 0: directly */
 } HCliTarget;
 
 /* What a new connection shows of the path to the server at addr, whose target has this key.
--- a/net/relay.c
+++ b/net/relay.c
@@ -7,8 +7,9 @@
  *
  * Each side is read only as fast as the other one takes the bytes. When one side ends, what it sent
  * is passed on, and then the other side is closed. Anything else resets both, even the end of this
- * process: an answer whose end is that of its connection must not look complete. So does the end of
- * a server that has not read all that was passed on to it.
+ * process: an answer whose end is that of its connection must not look complete. So does a reset
+ * that follows the orderly end of a server, which has not read all that was passed on to it, or has
+ * given up its answer.
  */
 #include "relay.h"
 #include "hmsg.h"
@@ -38,7 +39,6 @@
   SockAddr addr;   /* of the server */
   LoopTimer timer; /* limit of the request, then of the connection to the server, then of ending */
   Sock *ending;    /* the server's, which has ended in order and may still be reset; NULL: none */
-  size_t passed;   /* bytes passed on to the server */
   bool requested;  /* the request is complete */
   bool valid;      /* ... and names an address */
   bool open;       /* bytes are passed on */
@@ -108,8 +108,6 @@
       sock_consume (from->sock, size);
       return;
     }
-  if (from == &from->tunnel->peer)
-    from->tunnel->passed += size;
   sock_write (to->sock, data, size);
   sock_consume (from->sock, size);
   if (sock_unsent (to->sock) > UNSENT_MAX)
@@ -195,15 +193,6 @@
     close_if_sent (side);
 }
 
-static bool
-may_have_unread (const Side *side)
-{
-  const Tunnel *tunnel = side->tunnel;
-
-  return side == &tunnel->server
-         && (tunnel->passed > SOCK_OUTPUT_LONG || sock_has_unacknowledged (side->sock));
-}
-
 static void
 on_reset_wait_over (LoopTimer *timer)
 {
@@ -243,7 +232,7 @@
       return;
     }
   forward (side, other);
-  if (may_have_unread (side))
+  if (side == &side->tunnel->server)
     await_reset (side);
   else
     sock_close (side->sock, true);
--- a/node/try.c
+++ b/node/try.c
@@ -34,6 +34,8 @@
 #define PREFILL_TIMEOUT_TOKEN_US                                                                   \
   60 /* ... and this for each token of the prompt: the slowest prefill seen */
 #define STREAM_TIMEOUT_MIN (600 * FT_MS)
+/* For a reset after the orderly end of a plain answer, for which its caller waits. */
+#define RESET_WAIT_PLAIN (60 * FT_MS)
 /* For another server to begin to say whether a stream has ended; callers wait for longer. */
 #define CONFIRMATION_TIMEOUT (1500 * FT_MS)
 
@@ -550,12 +552,14 @@
   Requests *requests = req->requests;
   const GByteArray *body = hcall_body (req->call);
   bool relayed = req->relay.port != 0;
-  HCliTarget target = { .addr = req->addr,
-                        .key = req->server,
-                        .connect_us = CONNECT_TIMEOUT,
-                        .max_idle_us = req->max_idle_us,
-                        .no_body = strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0,
-                        .relay = req->relay };
+  HCliTarget target
+      = { .addr = req->addr,
+          .key = req->server,
+          .connect_us = CONNECT_TIMEOUT,
+          .max_idle_us = req->max_idle_us,
+          .no_body = strcmp (hmsg_method (hcall_msg (req->call)), "HEAD") == 0,
+          .reset_wait_us = req->route->kind == RT_STREAM ? SOCK_RESET_WAIT : RESET_WAIT_PLAIN,
+          .relay = req->relay };
   AdapterForward forward = { .server = req->server_name,
                              .org = req->org ? req->org->name : NULL,
                              .left_us = req->deadline - req_now (req),
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -15,11 +15,12 @@
 #define SERVER_PORT       18090
 #define LIST_PORT         18099
 #define METRICS_PORT      18084
-#define RELAY_PORT        18085          /* on which entries relay for each other */
-#define SILENT_PORT       18071          /* where connects hang */
-#define CLOSED_PORT       18072          /* where connects are refused */
-#define LINK_LISTEN_PORT  18073          /* where a node behind a proxy accepts links */
-#define SERVER_PROXY_PORT 18095          /* of the proxies before servers */
+#define RELAY_PORT        18085 /* on which entries relay for each other */
+#define SILENT_PORT       18071 /* where connects hang */
+#define CLOSED_PORT       18072 /* where connects are refused */
+#define LINK_LISTEN_PORT  18073 /* where a node behind a proxy accepts links */
+#define RELAYED           4     /* requests after which an entry that is cut off relays at once */
+#define SERVER_PROXY_PORT 18095 /* of the proxies before servers */
 #define OPERATOR_TIMEOUT  (1500 * FT_MS) /* then operators try another voter */
 #define WAIT_TIMEOUT                                                                               \
   (60 * FT_SECOND) /* a test that hangs fails; no test checks durations otherwise */
@@ -328,6 +329,17 @@
   fleet->silent_fd = proxy_listen_silently ((SockAddr){ fleet->voters[0].ip - 1, SILENT_PORT });
 }
 
+void
+fleet_add_detours (Fleet *fleet)
+{
+  fleet_add_proxies (fleet);
+  for (unsigned i = 0; i < FLEET_SERVERS; i++)
+    {
+      proxy_free (fleet->servers[i].proxy);
+      fleet->servers[i].proxy = NULL;
+    }
+}
+
 /* Also connects to a server that is down do not reach its machine. */
 static void
 write_detour (const Fleet *fleet, const FleetNode *entry)
@@ -829,3 +841,32 @@
     while (!fleet_is_ready (fleet, &fleet->entries[i]))
       fleet_run_for (fleet, 20 * FT_MS);
 }
+
+uint64_t
+fleet_relayed_count (Fleet *fleet, const FleetNode *entry)
+{
+  static const char name[] = "\nfoxtail_relayed_requests_total ";
+  Answer metrics;
+
+  fleet_get_metrics (fleet, entry, &metrics);
+  const char *at = strstr (metrics.body->str, name);
+  g_assert_nonnull (at);
+  uint64_t count = g_ascii_strtoull (at + strlen (name), NULL, 10);
+  fleet_answer_clear (&metrics);
+  return count;
+}
+
+void
+fleet_relay_all (Fleet *fleet, FleetNode *entry)
+{
+  char id[16];
+
+  fleet_cut_from_servers (fleet, entry, PROXY_CUT_SILENT);
+  for (unsigned i = 0; fleet_relayed_count (fleet, entry) < RELAYED; i++)
+    {
+      Answer answer;
+      g_snprintf (id, sizeof id, "w%u", i);
+      fleet_call (fleet, entry, "/plain/a", id, &answer);
+      fleet_answer_clear (&answer);
+    }
+}
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -188,6 +188,12 @@
  * are not concerned. Needs the proxies. */
 void fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how);
 void fleet_heal (Fleet *fleet, FleetNode *entry);
+/* Like fleet_add_proxies, but the servers listen at their listed addresses themselves. */
+void fleet_add_detours (Fleet *fleet);
+/* Cuts the entry off from all servers, and sends it plain calls until it relays at once. */
+void fleet_relay_all (Fleet *fleet, FleetNode *entry);
+/* Requests that the entry has sent through relays. */
+uint64_t fleet_relayed_count (Fleet *fleet, const FleetNode *entry);
 /* Cuts the links that the node has dialled to another one, or heals that. Needs the proxies and
  * Fleet.own_sources. */
 void fleet_cut_link (const FleetNode *node, FleetNode *to, ProxyCut how);
--- a/test/lostends.c
+++ b/test/lostends.c
@@ -35,12 +35,14 @@
   unsigned reset_after_ms;
   size_t memory;
   unsigned streams; /* 0: STREAMS */
+  bool relayed;     /* the entry is cut off and sends through another one */
 } Case;
 
 typedef struct
 {
   Fleet *fleet;
   unsigned count;
+  uint64_t relayed; /* requests before the play */
   Answer answers[STREAMS_MANY];
   LostServerConf conf;
   pid_t pids[2], successor[2];
@@ -87,7 +89,10 @@
   fleet->budget_slack = BUDGET_SLACK;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     fleet->servers[i].listed = i == 0;
-  server->addr.port = SERVER_PORT;
+  if (on->relayed)
+    fleet_add_detours (fleet);
+  else
+    server->addr.port = SERVER_PORT;
   play->conf = (LostServerConf){ .addr = server->addr,
                                  .id = server->id,
                                  .mode = on->mode,
@@ -96,6 +101,9 @@
                                  .memory = on->memory };
   lostserver_start (&play->conf, play->pids);
   fleet_start_all (fleet);
+  if (on->relayed)
+    fleet_relay_all (fleet, &fleet->entries[0]);
+  play->relayed = fleet_relayed_count (fleet, &fleet->entries[0]);
 }
 
 static void
@@ -224,6 +232,9 @@
     fleet_run_until (play.fleet, all_begun, &play, "events of all streams");
   make_fault (&play, on->fault);
   fleet_run_until (play.fleet, all_done, &play, "ends of all answers");
+  if (on->relayed)
+    g_assert_cmpuint (fleet_relayed_count (play.fleet, &play.fleet->entries[0]), >=,
+                      play.relayed + play.count);
   result = count_results (&play);
   g_test_message ("%u answers: %u begun, %u whole, %u broken off, %u ended early, %u refused",
                   result.count, result.parts, result.whole, result.broken, result.early,
@@ -301,5 +312,9 @@
        .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20);
   ADD ("reset_after_45", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
        .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 45);
+  ADD ("relay_sound", ROUTES, all_are_whole, .fault = FAULT_NONE, .relayed = true);
+  ADD ("relay_swap", STREAM_ROUTES, none_ends_early, .fault = FAULT_SWAP, .relayed = true);
+  ADD ("relay_reset_after_20", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
+       .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20, .relayed = true);
   return g_test_run ();
 }
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -182,10 +182,12 @@
 try "broken: interim responses are not checked apart" net/hmsg.c 's/^      reader->interim_ended = true;/      http_parser_pause (parser, 0);/' test-broken &
 try "broken: a second coding is overlooked" net/hmsg.c 's/\+\+count > 1 \|\| //' test-broken &
 try "broken: any coding is the body" net/hmsg.c 's/!is_coding \(hmsg_field_value \(msg, i\), decoded\)/false/' test-broken &
-try "upload: no reset is awaited" net/hcli.c 's/^  else if \(conn->long_request\)$/  else if (false)/' test-upload &
+try "upload: no reset is awaited" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? 0 : conn->reset_wait_us;/' test-upload &
+try "lostends: no reset is awaited after a short request" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? SOCK_RESET_WAIT : 0;/' test-lostends &
+try "lostends: a relay awaits no reset" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (side == \&side->tunnel->server \&\& sock_has_unacknowledged (side->sock))/' test-lostends &
 try "upload: a reset that follows is not looked at" net/hcli.c 's/^  if \(sock_is_reset \(conn->sock\)\)$/  if (false)/' test-upload &
 try "upload: a check takes the reset" "net/hcli.c net/sock.c" 's/ \|\| sock_is_reset \(sock\)\)/)/; s/^  if \(poll \(&poller, 1, 0\) <= 0\)$/  (void) recv (conn->sock->fd.fd, \&size, 1, MSG_PEEK | MSG_DONTWAIT);\n  if (poll (\&poller, 1, 0) <= 0)/; s/^#include <poll.h>$/#include <poll.h>\n#include <sys\/socket.h>/' test-upload &
-try "upload: a relay ends in order" net/relay.c 's/^  if \(may_have_unread \(side\)\)$/  if (false \&\& may_have_unread (side))/' test-upload &
+try "upload: a relay ends in order" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (false \&\& side)/' test-upload &
 try "grace: open requests keep their time limit" node/requests.c 's/req->deadline <= ends_at \|\| /true || /' test-grace &
 try "grace: late requests have their own time limit" node/requests.c 's/^    req->deadline = MIN \(req->deadline, requests->ends_at\);/    req->deadline += 0;/' test-grace &
 try "grace: a try starts over" node/reqask.c 's/return req->requests->ends_at \&\& req->deadline .*;/return false \&\& req;/' test-grace &
--- a/test/stops.c
+++ b/test/stops.c
@@ -521,21 +521,6 @@
 
 /* ---- Behind a relay ---- */
 
-/* Requests that an entry has sent through relays. */
-static uint64_t
-relayed_count (Fleet *fleet, const FleetNode *entry)
-{
-  static const char name[] = "\nfoxtail_relayed_requests_total ";
-  Answer metrics;
-
-  fleet_get_metrics (fleet, entry, &metrics);
-  const char *at = strstr (metrics.body->str, name);
-  g_assert_nonnull (at);
-  uint64_t count = g_ascii_strtoull (at + strlen (name), NULL, 10);
-  fleet_answer_clear (&metrics);
-  return count;
-}
-
 /* Cuts the first entry off from the servers and waits until it sends through relays. */
 static void
 cut_off (Fleet *fleet)
@@ -544,7 +529,7 @@
   char id[ID_SIZE];
 
   fleet_cut_from_servers (fleet, entry, PROXY_CUT_SILENT);
-  for (unsigned i = 0; relayed_count (fleet, entry) < SETTLED; i++)
+  for (unsigned i = 0; fleet_relayed_count (fleet, entry) < SETTLED; i++)
     {
       Batch *batch = g_new0 (Batch, 1);
 
@@ -564,18 +549,13 @@
   Fleet *fleet = new_fleet (*(const Play *) data, SERVERS);
   Batch *batch = g_new0 (Batch, 1);
 
-  fleet_add_proxies (fleet);
-  for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    {
-      proxy_free (fleet->servers[i].proxy); /* the servers listen there themselves */
-      fleet->servers[i].proxy = NULL;
-    }
+  fleet_add_detours (fleet);
   start_fleet (fleet);
   cut_off (fleet);
   first_runs = 0;
-  uint64_t before = relayed_count (fleet, &fleet->entries[0]);
+  uint64_t before = fleet_relayed_count (fleet, &fleet->entries[0]);
   run_positions (fleet, 1, RELAY_STEP, batch);
-  g_assert_cmpuint (relayed_count (fleet, &fleet->entries[0]), >=, before + batch->count);
+  g_assert_cmpuint (fleet_relayed_count (fleet, &fleet->entries[0]), >=, before + batch->count);
   end_fleet (fleet);
   g_free (batch);
 }
--- a/test/upload.c
+++ b/test/upload.c
@@ -15,9 +15,6 @@
 #define READ_SIZE  (16u << 10) /* bytes of a request after which a server answers ... */
 #define READ_MAX   (40u << 10) /* ... having read fewer than these */
 #define PLAYS      6           /* of each case */
-#define RELAYED                                                                                    \
-  3 /* requests through relays, after which all go through one                                     \
-     */
 
 typedef enum
 {
@@ -117,36 +114,6 @@
   return ((const Answer *) data)->done;
 }
 
-/* Requests that an entry has sent through relays. */
-static uint64_t
-relayed_count (Fleet *fleet)
-{
-  static const char name[] = "\nfoxtail_relayed_requests_total ";
-  Answer metrics;
-
-  fleet_get_metrics (fleet, &fleet->entries[0], &metrics);
-  const char *at = strstr (metrics.body->str, name);
-  g_assert_nonnull (at);
-  uint64_t count = g_ascii_strtoull (at + strlen (name), NULL, 10);
-  fleet_answer_clear (&metrics);
-  return count;
-}
-
-static void
-cut_off (Fleet *fleet)
-{
-  char id[16];
-
-  fleet_cut_from_servers (fleet, &fleet->entries[0], PROXY_CUT_SILENT);
-  for (unsigned i = 0; relayed_count (fleet) < RELAYED; i++)
-    {
-      Answer answer;
-      g_snprintf (id, sizeof id, "w%u", i);
-      fleet_call (fleet, &fleet->entries[0], "/plain/a", id, &answer);
-      fleet_answer_clear (&answer);
-    }
-}
-
 static Fleet *
 start_fleet (const Case *play, RawSrv **servers)
 {
@@ -162,12 +129,7 @@
       fleet->servers[i].addr.port = RAW_PORT;
     }
   if (play->relayed)
-    fleet_add_proxies (fleet);
-  for (unsigned i = 0; i < FLEET_SERVERS && play->relayed; i++)
-    {
-      proxy_free (fleet->servers[i].proxy); /* the servers listen there themselves */
-      fleet->servers[i].proxy = NULL;
-    }
+    fleet_add_detours (fleet);
   for (unsigned i = 0; i < SERVERS; i++)
     {
       servers[i] = rawsrv_new (fleet->loop, fleet->servers[i].addr,
@@ -176,7 +138,7 @@
     }
   fleet_start_all (fleet);
   if (play->relayed)
-    cut_off (fleet);
+    fleet_relay_all (fleet, &fleet->entries[0]);
   played = play;
   return fleet;
 }
@@ -210,7 +172,7 @@
   const Case *play = data;
   RawSrv *servers[SERVERS];
   Fleet *fleet = start_fleet (play, servers);
-  uint64_t relayed = play->relayed ? relayed_count (fleet) : 0;
+  uint64_t relayed = play->relayed ? fleet_relayed_count (fleet, &fleet->entries[0]) : 0;
   unsigned sent = 0;
 
   for (unsigned i = 0; i < G_N_ELEMENTS (sizes) * PLAYS; i++)
@@ -241,7 +203,7 @@
   g_test_message ("%s: %u requests, %u run", play->name, sent, runs);
   g_assert_cmpuint (runs, >=, sent);
   if (play->relayed)
-    g_assert_cmpuint (relayed_count (fleet), >=, relayed + sent);
+    g_assert_cmpuint (fleet_relayed_count (fleet, &fleet->entries[0]), >=, relayed + sent);
   end_fleet (fleet, servers);
 }
 
