ends: a server whose address accepts connections is asked whether its run goes on

The crash detector took an established connection as proof that the process lives, so nobody was charged with the crash.

Now it asks the server as an answer without framing does. A run that has ended counts as crashed; one that goes on, or does not answer in time, does not, as before. One status check for each server whose connections were lost.

--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -338,10 +338,10 @@
 }
 
 void
-crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
+crashrep_connection_lost (CrashReporter *reporter, const LifetimeTarget *server,
                           const CrashRun *run)
 {
-  crashdet_connection_lost (reporter->detector, server, addr, run);
+  crashdet_connection_lost (reporter->detector, server, run);
 }
 
 void
@@ -404,8 +404,8 @@
 }
 
 CrashReporter *
-crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, Egress *egress, void (*changed) (void *host),
-              void *host)
+crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, Egress *egress, Lifetimes *lifetimes,
+              void (*changed) (void *host), void *host)
 {
   CrashReporter *reporter = g_new0 (CrashReporter, 1);
 
@@ -414,7 +414,7 @@
   reporter->changed = changed;
   reporter->host = host;
   reporter->quar = quar_new (loop_clock (loop));
-  reporter->detector = crashdet_new (loop, cli, egress, on_crash, reporter);
+  reporter->detector = crashdet_new (loop, cli, egress, lifetimes, on_crash, reporter);
   reporter->reports = g_ptr_array_new_with_free_func (report_free);
   return reporter;
 }
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -10,9 +10,10 @@
 
 typedef struct CrashReporter CrashReporter;
 
-/* changed is called when the decision about some content may have changed. */
+/* egress, lifetimes: as for crashdet_new. changed is called when the decision about some content
+ * may have changed. */
 CrashReporter *crashrep_new (Loop *loop, Mesh *mesh, HCli *cli, Egress *egress,
-                             void (*changed) (void *host), void *host);
+                             Lifetimes *lifetimes, void (*changed) (void *host), void *host);
 void crashrep_free (CrashReporter *reporter);
 
 /* Whether a request with these keys may be sent. */
@@ -20,8 +21,8 @@
 
 /* ---- Results of requests ---- */
 
-/* The connection on which the server at addr was running the request was lost. */
-void crashrep_connection_lost (CrashReporter *reporter, const char *server, SockAddr addr,
+/* The connection on which the server was running the request was lost. */
+void crashrep_connection_lost (CrashReporter *reporter, const LifetimeTarget *server,
                                const CrashRun *run);
 /* The request was abandoned while the server was running it. */
 void crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run);
--- a/node/ends.c
+++ b/node/ends.c
@@ -5,7 +5,8 @@
  * gone, its port refuses connections while its machine still answers. So when a connection is lost
  * during a request, another one is opened. If it is refused, the server has crashed. If it is
  * established, the server is alive, or its listening socket is just about to close, which a second
- * probe SECOND_PROBE later detects. If there is no reply at all, the network path has failed, and
+ * probe SECOND_PROBE later detects, or a successor listens there, which the server is asked
+ * (lifetime.h). If there is no reply at all, the network path has failed, and
  * no request is suspected. A failed path may refuse connections, too, so a refusal counts only if
  * another entry is refused as well (relay.h), or none can be asked.
  *
@@ -41,9 +42,11 @@
 {
   LoopTimer timer; /* next probe, or the end of CRASH_KEPT */
   CrashDetector *detector;
-  char *server;
+  char *server, *name, *check_path;
   SockAddr addr;
   CheckState state;
+  LifetimeWait asked;  /* the server itself, whether it goes on */
+  const char *accepts; /* what showed before that its address accepts connections */
   unsigned probes;
   int64_t crashed_at;
   SockAddr relay; /* through which the last probe went; port 0: none */
@@ -66,6 +69,7 @@
   Loop *loop;
   HCli *cli;
   Egress *egress;
+  Lifetimes *lifetimes;
   CrashFunc on_crash;
   void *user;
   GHashTable *checks; /* server -> ServerCheck */
@@ -93,6 +97,8 @@
 {
   g_array_unref (check->runs);
   g_free (check->server);
+  g_free (check->name);
+  g_free (check->check_path);
   g_free (check);
 }
 
@@ -102,6 +108,7 @@
   ServerCheck *check = data;
 
   loop_timer_stop (check->detector->loop, &check->timer);
+  cds_list_del_init (&check->asked.link);
   check->dropped = true;
   if (!check->probing)
     check_free (check);
@@ -160,6 +167,7 @@
 {
   Loop *loop = check->detector->loop;
 
+  cds_list_del_init (&check->asked.link);
   check->state = STATE_CRASHED;
   check->crashed_at = loop_now (loop);
   add_abandoned_runs (check->detector, check);
@@ -176,6 +184,32 @@
   g_hash_table_remove (check->detector->checks, check->server);
 }
 
+static void
+on_lifetime (LifetimeWait *wait, LifetimeState state, const char *evidence)
+{
+  ServerCheck *check = (ServerCheck *) ((char *) wait - offsetof (ServerCheck, asked));
+
+  if (state == LIFETIME_ENDED)
+    set_crashed (check, evidence);
+  else
+    set_alive (check, state == LIFETIME_GOES_ON ? evidence : check->accepts);
+}
+
+/* The address accepts connections, which a successor of the server would do as well. */
+static void
+ask_server (ServerCheck *check, const char *evidence)
+{
+  LifetimeTarget target = { check->server, check->name, check->addr, check->check_path };
+
+  if (check->detector->lifetimes == NULL || check->check_path == NULL)
+    {
+      set_alive (check, evidence);
+      return;
+    }
+  check->accepts = evidence;
+  lifetimes_ask (check->detector->lifetimes, &target, &check->asked);
+}
+
 /* ---- Probes ---- */
 
 static void on_probed (void *user, bool connected, HXferFault fault);
@@ -216,7 +250,7 @@
   Egress *egress = check->detector->egress;
 
   if (connected && check->relayed_connects++ > 0)
-    set_alive (check, "another entry reaches it");
+    ask_server (check, "another entry reaches it");
   else if (connected)
     probe_later (check);
   else if (fault == HXFER_REFUSED)
@@ -286,7 +320,7 @@
   if (check->state == STATE_CRASHED)
     g_hash_table_remove (detector->checks, check->server);
   else if (!check->relayed && hcli_is_connected (detector->cli, check->server))
-    set_alive (check, "it accepts connections");
+    ask_server (check, "it accepts connections");
   else if (check->probes < PROBES_MAX)
     probe (check);
   else
@@ -294,17 +328,21 @@
 }
 
 static ServerCheck *
-find_or_add_check (CrashDetector *detector, const char *server, SockAddr addr)
+find_or_add_check (CrashDetector *detector, const LifetimeTarget *server)
 {
-  ServerCheck *check = g_hash_table_lookup (detector->checks, server);
+  ServerCheck *check = g_hash_table_lookup (detector->checks, server->server);
 
   if (check)
     return check;
   check = g_new0 (ServerCheck, 1);
   check->timer.fire = on_timer;
   check->detector = detector;
-  check->server = g_strdup (server);
-  check->addr = addr;
+  check->server = g_strdup (server->server);
+  check->name = g_strdup (server->name);
+  check->check_path = g_strdup (server->check_path);
+  check->addr = server->addr;
+  check->asked.decided = on_lifetime;
+  CDS_INIT_LIST_HEAD (&check->asked.link);
   check->runs = g_array_new (FALSE, FALSE, sizeof (CrashRun));
   g_array_set_clear_func (check->runs, run_clear);
   g_hash_table_insert (detector->checks, check->server, check);
@@ -314,13 +352,15 @@
 /* ---- Interface ---- */
 
 CrashDetector *
-crashdet_new (Loop *loop, HCli *cli, Egress *egress, CrashFunc on_crash, void *user)
+crashdet_new (Loop *loop, HCli *cli, Egress *egress, Lifetimes *lifetimes, CrashFunc on_crash,
+              void *user)
 {
   CrashDetector *detector = g_new0 (CrashDetector, 1);
 
   detector->loop = loop;
   detector->cli = cli;
   detector->egress = egress;
+  detector->lifetimes = lifetimes;
   detector->on_crash = on_crash;
   detector->user = user;
   detector->checks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, drop_check);
@@ -339,11 +379,11 @@
 }
 
 void
-crashdet_connection_lost (CrashDetector *detector, const char *server, SockAddr addr,
+crashdet_connection_lost (CrashDetector *detector, const LifetimeTarget *server,
                           const CrashRun *run)
 {
-  bool known = g_hash_table_contains (detector->checks, server);
-  ServerCheck *check = find_or_add_check (detector, server, addr);
+  bool known = g_hash_table_contains (detector->checks, server->server);
+  ServerCheck *check = find_or_add_check (detector, server);
 
   add_run (check->runs, run);
   if (check->state == STATE_CRASHED)
@@ -378,7 +418,7 @@
   ServerCheck *check = g_hash_table_lookup (detector->checks, server);
 
   if (check == NULL && has_abandoned (detector, server))
-    check = find_or_add_check (detector, server, (SockAddr){ 0, 0 });
+    check = find_or_add_check (detector, &(LifetimeTarget){ .server = server });
   if (check && check->state == STATE_PROBING)
     set_crashed (check, evidence);
 }
--- a/node/ends.h
+++ b/node/ends.h
@@ -3,10 +3,8 @@
 #ifndef ENDS_H
 #define ENDS_H
 
-#include "egress.h"
-#include "hcli.h"
-#include "adapter.h"
 #include "fingerprint.h"
+#include "lifetime.h"
 
 typedef struct CrashDetector CrashDetector;
 
@@ -23,11 +21,13 @@
 typedef void (*CrashFunc) (void *user, const char *server, int64_t at, const CrashRun *runs,
                            unsigned count);
 
-/* egress: finds another entry that checks a refusal; NULL: a refusal here is enough. */
-CrashDetector *crashdet_new (Loop *loop, HCli *cli, Egress *egress, CrashFunc on_crash, void *user);
+/* egress: finds another entry that checks a refusal; NULL: a refusal here is enough. lifetimes:
+ * asks servers that accept connections; NULL: to accept one is enough. */
+CrashDetector *crashdet_new (Loop *loop, HCli *cli, Egress *egress, Lifetimes *lifetimes,
+                             CrashFunc on_crash, void *user);
 void crashdet_free (CrashDetector *detector);
-/* The connection on which the server at addr was running the request was lost. */
-void crashdet_connection_lost (CrashDetector *detector, const char *server, SockAddr addr,
+/* The connection on which the server was running the request was lost. */
+void crashdet_connection_lost (CrashDetector *detector, const LifetimeTarget *server,
                                const CrashRun *run);
 /* The request was abandoned while the server was running it. */
 void crashdet_abandoned (CrashDetector *detector, const char *server, const CrashRun *run);
--- a/node/entry.c
+++ b/node/entry.c
@@ -608,8 +608,8 @@
   mesh_free (entry->mesh);
   reader_free (entry->reader);
   requests_free (entry->requests);
-  lifetimes_free (entry->lifetimes);
   crashrep_free (entry->crash_reporter);
+  lifetimes_free (entry->lifetimes);
   origdir_free (entry->origins);
   versions_free (entry->versions);
   place_free (entry->place);
@@ -672,10 +672,10 @@
     return FT_IO;
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
   instance_configure_broker (s, place_own_broker (entry->place), false);
-  entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
-                                        on_verdicts_changed, entry);
   entry->lifetimes = lifetimes_new (entry->loop, entry->cli, entry->egress, entry->adapter_ops,
                                     entry->servers, on_server_replaced, entry);
+  entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
+                                        entry->lifetimes, on_verdicts_changed, entry);
   entry->versions = versions_new (place_own_broker (entry->place));
   entry->origins = origdir_new (entry->loop, entry->mesh, ORIGINS_MAX);
   RequestsConf conf
--- a/node/lifetime.c
+++ b/node/lifetime.c
@@ -324,10 +324,9 @@
 }
 
 void
-lifetimes_ask (Lifetimes *lifetimes, const char *server, const char *name, SockAddr addr,
-               const char *check_path, LifetimeWait *wait)
+lifetimes_ask (Lifetimes *lifetimes, const LifetimeTarget *target, LifetimeWait *wait)
 {
-  Check *check = g_hash_table_lookup (lifetimes->checks, server);
+  Check *check = g_hash_table_lookup (lifetimes->checks, target->server);
 
   if (check)
     {
@@ -339,10 +338,10 @@
   check->timer.fire = on_timer;
   check->limit.fire = on_limit;
   check->lifetimes = lifetimes;
-  check->server = g_strdup (server);
-  check->name = g_strdup (name);
-  check->path = is_usable_path (check_path) ? g_strdup (check_path) : NULL;
-  check->addr = addr;
+  check->server = g_strdup (target->server);
+  check->name = g_strdup (target->name);
+  check->path = is_usable_path (target->check_path) ? g_strdup (target->check_path) : NULL;
+  check->addr = target->addr;
   CDS_INIT_LIST_HEAD (&check->waits);
   CDS_INIT_LIST_HEAD (&check->later);
   g_hash_table_insert (lifetimes->checks, check->server, check);
--- a/node/lifetime.h
+++ b/node/lifetime.h
@@ -24,16 +24,23 @@
   void (*decided) (LifetimeWait *wait, LifetimeState state, const char *evidence);
 };
 
+/* The run of a server that is asked about. */
+typedef struct
+{
+  const char *server; /* its id */
+  const char *name;   /* by which the server is addressed */
+  SockAddr addr;
+  const char *check_path; /* of its status check; NULL: it has none */
+} LifetimeTarget;
+
 /* Called when another run of the server, or another server, answers at its address. */
 typedef void (*LifetimeReplaced) (void *user, const char *server);
 
 Lifetimes *lifetimes_new (Loop *loop, HCli *cli, Egress *egress, const AdapterOps *adapter_ops,
                           const Servers *servers, LifetimeReplaced replaced, void *user);
 void lifetimes_free (Lifetimes *lifetimes);
-/* Asks whether the run of the server that has this id still exists now. check_path: of its status
- * check; NULL: it has none, and the platform's list decides. wait is told later, within 1.5 s, and
- * may be removed from its list before. */
-void lifetimes_ask (Lifetimes *lifetimes, const char *server, const char *name, SockAddr addr,
-                    const char *check_path, LifetimeWait *wait);
+/* Asks whether that run still exists now. Without a status check the platform's list decides. wait
+ * is told later, within 1.5 s, and may be removed from its list before. */
+void lifetimes_ask (Lifetimes *lifetimes, const LifetimeTarget *target, LifetimeWait *wait);
 
 #endif
--- a/node/try.c
+++ b/node/try.c
@@ -312,14 +312,24 @@
   return req->status < 500 && (!req->is_stream || req->events > 0);
 }
 
+static LifetimeTarget
+lifetime_target (const Req *req)
+{
+  const RtService *service = rt_cat_service (req->cat, req->service);
+
+  return (LifetimeTarget){ req->server, req->server_name, req->addr,
+                           service ? service->health_path : NULL };
+}
+
 /* The server may have crashed; the crash reporter finds out whether it did and what it ran. */
 static void
 report_break (Req *req)
 {
   CrashRun run = req_crash_run (req);
+  LifetimeTarget target = lifetime_target (req);
 
   if (!req->rejected)
-    crashrep_connection_lost (req->requests->conf.crash_reporter, req->server, req->addr, &run);
+    crashrep_connection_lost (req->requests->conf.crash_reporter, &target, &run);
 }
 
 static void
@@ -342,10 +352,9 @@
 static void
 check_lifetime (Req *req)
 {
-  const RtService *service = rt_cat_service (req->cat, req->service);
+  LifetimeTarget target = lifetime_target (req);
 
-  lifetimes_ask (req->requests->conf.lifetimes, req->server, req->server_name, req->addr,
-                 service ? service->health_path : NULL, &req->end_wait);
+  lifetimes_ask (req->requests->conf.lifetimes, &target, &req->end_wait);
 }
 
 static void
--- a/test/ends.c
+++ b/test/ends.c
@@ -8,6 +8,7 @@
 #define CRASH_BODY        FLEET_CRASH_PREFIX " 1"
 #define ATTEMPTS          24 /* far more than the crashes that the body may cause */
 #define CRASHES_MAX       6  /* three until it is quarantined, and three more ever */
+#define REPLACED_MS       0  /* from a crash to the restart of the server */
 #define QUARANTINE_REASON "quarantined"
 
 typedef struct
@@ -415,11 +416,28 @@
   fleet_free (fleet);
 }
 
+/* Guards against a crash that nobody is charged with, since a successor of the server listens at
+ * its address at once. */
+static void
+replaced_at_once (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet->restart_ms = REPLACED_MS;
+  fleet_start_all (fleet);
+  send_crash_body_repeatedly (fleet, "/once/a");
+  g_test_message ("the body ran %u times", fleet_crash_run_count (fleet, CRASH_BODY));
+  g_assert_cmpuint (fleet_crash_run_count (fleet, CRASH_BODY), >=, 3);
+  g_assert_cmpuint (fleet_crash_run_count (fleet, CRASH_BODY), <=, CRASHES_MAX);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ends/comes_again", crash_body_resent);
+  g_test_add_func ("/ends/replaced_at_once", replaced_at_once);
   g_test_add_func ("/ends/repeated_inside", retried_by_entry);
   g_test_add_func ("/ends/resumed_inside", resumed_by_entry);
   g_test_add_func ("/ends/copies", copies_at_once);
--- a/test/witness.c
+++ b/test/witness.c
@@ -99,7 +99,7 @@
 {
   set_up_loop (MESH_ENTRY);
   cli = hcli_new (loop);
-  reporter = crashrep_new (loop, mesh, cli, NULL, on_changed, NULL);
+  reporter = crashrep_new (loop, mesh, cli, NULL, NULL, on_changed, NULL);
   voter_peer = test_peer_new (loop, mesh, 9, MESH_VOTER, true);
   changes = 0;
   tick_function = tick_reporter;
@@ -158,7 +158,8 @@
 {
   CrashRun run = { fingerprint_new (content, "s", NULL, 0), "r1", 0 };
 
-  crashrep_connection_lost (reporter, server, unused_address (), &run);
+  LifetimeTarget target = { .server = server, .name = server, .addr = unused_address () };
+  crashrep_connection_lost (reporter, &target, &run);
   fingerprint_unref (run.print);
 }
 
@@ -216,7 +217,8 @@
   for (unsigned i = 0; i < 2; i++)
     {
       CrashRun run = { fingerprint_new (CONTENT + i, "s", &parts[i], 1), "r", i };
-      crashrep_connection_lost (reporter, "s1", address, &run);
+      LifetimeTarget target = { .server = "s1", .name = "s1", .addr = address };
+      crashrep_connection_lost (reporter, &target, &run);
       fingerprint_unref (run.print);
     }
   run_until (voter_got_crash);
