--- a/test/fleet.c
+++ b/test/fleet.c
@@ -660,9 +660,8 @@
       "{\"Name\":\"again\",\"Host\":\"h.example\",\"PathPrefix\":\"/again/\",\"RouteType\":"
       "\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,\"Service\":\"s\","
       "\"MaxAttempts\":1,\"Resumable\":true,\"GapAimMs\":500}],"
-      "\"Services\":[{\"Name\":\"s\",\"HealthPath\":\"/"
-      "health\"}],\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]}",
-      version, limits);
+      "\"Services\":[{\"Name\":\"s\"%s}],\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]}",
+      version, limits, fleet->unchecked ? "" : ",\"HealthPath\":\"/health\"");
 }
 
 bool
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -140,6 +140,7 @@
   unsigned entry_seeds;  /* how many of the first voters the entries have as seeds */
   unsigned header_timeout_ms; /* the catalogue's HeaderTimeoutMs; 0: not set */
   unsigned grace_s;           /* the setting of that name */
+  bool unchecked;             /* the catalogue names no status check of the servers */
   unsigned restart_ms;        /* from a server's crash to its restart */
   uint64_t next_id;
 };
--- a/test/lostends.c
+++ b/test/lostends.c
@@ -35,6 +35,7 @@
   unsigned reset_after_ms;
   size_t memory;
   unsigned streams; /* 0: STREAMS */
+  bool unchecked;   /* the service has no status check */
   bool relayed;     /* the entry is cut off and sends through another one */
 } Case;
 
@@ -87,6 +88,7 @@
   *play = (Play){ .fleet = fleet, .count = on->streams ? on->streams : STREAMS };
   fleet->slots = 2 * play->count;
   fleet->budget_slack = BUDGET_SLACK;
+  fleet->unchecked = on->unchecked;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     fleet->servers[i].listed = i == 0;
   if (on->relayed)
@@ -312,6 +314,8 @@
        .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20);
   ADD ("reset_after_45", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
        .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 45);
+  ADD ("unchecked_sound", ROUTES, all_are_whole, .fault = FAULT_NONE, .unchecked = true);
+  ADD ("unchecked_swap", ROUTES, none_ends_early, .fault = FAULT_SWAP, .unchecked = true);
   ADD ("relay_sound", ROUTES, all_are_whole, .fault = FAULT_NONE, .relayed = true);
   ADD ("relay_swap", STREAM_ROUTES, none_ends_early, .fault = FAULT_SWAP, .relayed = true);
   ADD ("relay_reset_after_20", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
