lifetime: an immediate refusal ends the check

A status check whose connect is refused at once, as on the same machine, was repeated until its time limit: callers of /lostends/shut saw the end of their answers 1.5 s later than they could. test-lostends keeps its cases in a static array; skipped ones leaked under the address sanitizer.

--- a/node/lifetime.c
+++ b/node/lifetime.c
@@ -14,6 +14,7 @@
 #include "lifetime.h"
 #include "jlog.h"
 
+#include <errno.h>
 #include <string.h>
 
 #define CHECK_TIMEOUT   (1500 * FT_MS) /* callers wait longer than this for the end of an answer */
@@ -229,8 +230,11 @@
 
   lifetimes->adapter_ops->write_check (request, check->addr, check->path, check->name);
   check->xfer = hcli_send (lifetimes->cli, &target, request, &ops, check);
+  bool refused = check->xfer == NULL && errno == ECONNREFUSED && check->relay.port == 0;
   g_string_free (request, TRUE);
-  if (check->xfer == NULL)
+  if (refused) /* on the same machine the refusal is immediate */
+    finish_check (check, LIFETIME_ENDED, "its address refuses connections");
+  else if (check->xfer == NULL)
     retry_later (check);
 }
 
--- a/test/lostends.c
+++ b/test/lostends.c
@@ -269,9 +269,13 @@
   g_assert_cmpuint (result.whole, ==, result.count);
 }
 
+#define CASES_MAX     100
 #define STREAM_ROUTES 3
 #define ROUTES        5
 
+static Case cases[CASES_MAX];
+static unsigned case_count;
+
 /* name: of the fault; routes: how many of the routes it is played on. */
 static void
 add_cases (const char *name, Case on, unsigned routes, GTestDataFunc run)
@@ -285,10 +289,12 @@
 
   for (unsigned i = 0; i < routes; i++)
     {
-      Case *added = g_memdup2 (&on, sizeof on);
+      g_assert_cmpuint (case_count, <, CASES_MAX);
+      Case *added = &cases[case_count++];
       char *path = g_strdup_printf ("/lostends/%s/%s", name, known[i][0]);
+      *added = on;
       added->path = known[i][1];
-      g_test_add_data_func_full (path, added, run, g_free);
+      g_test_add_data_func (path, added, run);
       g_free (path);
     }
 }
