lifetime: the server is asked as soon as its answer ends, and a refusal is confirmed

The server was asked 60 or 250 ms after its answer had ended, once no reset could come: a server that leaves after its last answer would have had that answer broken off and its content charged with a crash; the silence timer and the wait for a confirmation went on meanwhile; and an answer that states that nothing was run would have been held and then counted as abandoned.

HXferOps gets ending, which is called when the connection ends. The request asks the server there, and goes on once both the hold and the check are over. An answer's time ends there, too. A refused status check is repeated through a relay, where there is one, before it counts; a rejection without the server's name counts with status 503 or 429 only; checks that are dropped unlink those who wait.

test-broken: its servers close after each answer and now say so. The mutant of an orderly close follows the code.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -482,6 +482,8 @@
     }
   conn->timer.fire = on_reset_wait_over;
   loop_timer_set (conn->cli->loop, &conn->timer, loop_now (conn->cli->loop) + wait);
+  if (conn->xfer->ops->ending)
+    conn->xfer->ops->ending (conn->xfer->user);
 }
 
 static void
--- a/net/hcli.h
+++ b/net/hcli.h
@@ -34,6 +34,9 @@
   void (*body) (void *user, const char *data, size_t size);
   void (*end) (void *user); /* the response is complete */
   void (*failed) (void *user, HXferFault fault);
+  /* The response has ended in order with its connection, which is held for a reset now: end or
+   * failed follows. NULL: nothing is to be done then. */
+  void (*ending) (void *user);
 } HXferOps;
 
 typedef struct
@@ -44,7 +47,8 @@
   int64_t max_idle_us; /* connections that were idle for longer are not reused */
   bool no_body;        /* a HEAD request */
   int64_t reset_wait_us; /* how long a response that ends with its connection is held for a reset
-                            that makes it incomplete; SOCK_RESET_WAIT after a long request */
+                            that makes it incomplete; 0: it is not held, but SOCK_RESET_WAIT after
+                            a long request */
   SockAddr relay;        /* opens a new connection through this relay (relay.h); port 0: directly */
 } HCliTarget;
 
--- a/node/ends.c
+++ b/node/ends.c
@@ -5,9 +5,9 @@
  * gone, its port refuses connections while its machine still answers. So when a connection is lost
  * during a request, another one is opened. If it is refused, the server has crashed. If it is
  * established, the server is alive, or its listening socket is just about to close, which a second
- * probe SECOND_PROBE later detects, or a successor listens there, which the server is asked
- * (lifetime.h). If there is no reply at all, the network path has failed, and
- * no request is suspected. A failed path may refuse connections, too, so a refusal counts only if
+ * probe SECOND_PROBE later detects, or a successor listens there, which the server itself is asked
+ * about (lifetime.h). If there is no reply at all, the network path has failed, and no request is
+ * suspected. A failed path may refuse connections, too, so a refusal counts only if
  * another entry is refused as well (relay.h), or none can be asked.
  *
  * Requests that were abandoned shortly before, because the caller left or the server was silent,
@@ -45,8 +45,7 @@
   char *server, *name, *check_path;
   SockAddr addr;
   CheckState state;
-  LifetimeWait asked;  /* the server itself, whether it goes on */
-  const char *accepts; /* what showed before that its address accepts connections */
+  LifetimeWait asked; /* the server itself, whether it goes on */
   unsigned probes;
   int64_t crashed_at;
   SockAddr relay; /* through which the last probe went; port 0: none */
@@ -192,7 +191,7 @@
   if (state == LIFETIME_ENDED)
     set_crashed (check, evidence);
   else
-    set_alive (check, state == LIFETIME_GOES_ON ? evidence : check->accepts);
+    set_alive (check, evidence);
 }
 
 /* The address accepts connections, which a successor of the server would do as well. */
@@ -206,7 +205,6 @@
       set_alive (check, evidence);
       return;
     }
-  check->accepts = evidence;
   lifetimes_ask (check->detector->lifetimes, &target, &check->asked);
 }
 
--- a/node/lifetime.c
+++ b/node/lifetime.c
@@ -17,7 +17,7 @@
 #include <errno.h>
 #include <string.h>
 
-#define CHECK_TIMEOUT   (1500 * FT_MS) /* callers wait longer than this for the end of an answer */
+#define CHECK_TIMEOUT   (1500 * FT_MS) /* callers wait longer than this for the next event */
 #define CONNECT_TIMEOUT (250 * FT_MS)
 #define CHECK_PAUSE     (100 * FT_MS) /* between two attempts */
 #define LIST_PAUSE      (50 * FT_MS)  /* between two looks at the list */
@@ -35,6 +35,8 @@
   const char *evidence; /* of the answer's head; NULL: it shows nothing */
   int64_t asked_at;
   int64_t probed_at;
+  unsigned attempts; /* of this check */
+  bool confirms;     /* the next attempt goes through relay, since a direct one was refused */
   bool probing, accepts, dropped;    /* dropped: freed once the pending probe has ended */
   struct cds_list_head waits, later; /* LifetimeWait; later: for the next check */
 } Check;
@@ -60,6 +62,13 @@
   g_free (check);
 }
 
+static void
+unlink_waits (struct cds_list_head *waits)
+{
+  while (!cds_list_empty (waits))
+    cds_list_del_init (waits->next);
+}
+
 static void
 drop_check (void *data)
 {
@@ -68,6 +77,8 @@
 
   loop_timer_stop (loop, &check->timer);
   loop_timer_stop (loop, &check->limit);
+  unlink_waits (&check->waits);
+  unlink_waits (&check->later);
   if (check->xfer)
     hxfer_cancel (check->xfer);
   check->xfer = NULL;
@@ -84,7 +95,8 @@
   Loop *loop = check->lifetimes->loop;
 
   check->asked_at = loop_now (loop);
-  check->accepts = false;
+  check->accepts = check->confirms = false;
+  check->attempts = 0;
   check->evidence = NULL;
   loop_timer_set (loop, &check->timer, check->asked_at); /* serves all that ask in this iteration */
   loop_timer_set (loop, &check->limit, check->asked_at + CHECK_TIMEOUT);
@@ -140,6 +152,22 @@
                 check->path ? "no answer to a status check" : "no list that is new enough");
 }
 
+/* A failed path may refuse connections, too, so a refusal counts if a relay is refused as well, or
+ * none can be asked. */
+static void
+handle_refusal (Check *check)
+{
+  Loop *loop = check->lifetimes->loop;
+
+  if (check->relay.port == 0 && egress_pick_relay (check->lifetimes->egress, 0, &check->relay))
+    {
+      check->confirms = true;
+      loop_timer_set (loop, &check->timer, loop_now (loop));
+    }
+  else
+    finish_check (check, LIFETIME_ENDED, "its address refuses connections");
+}
+
 /* ---- Status checks ---- */
 
 static bool
@@ -157,7 +185,7 @@
     }
   else if (answer.server)
     check->evidence = "it answers a status check";
-  else if (answer.not_run) /* another server would have said so */
+  else if (answer.not_run && (hmsg_status (msg) == 503 || hmsg_status (msg) == 429))
     check->evidence = "it rejects a status check";
   else
     check->evidence = NULL;
@@ -198,21 +226,26 @@
   if (fault == HXFER_RELAY_FAILED)
     egress_note_relay_failed (check->lifetimes->egress, check->relay);
   if (fault == HXFER_REFUSED)
-    finish_check (check, LIFETIME_ENDED, "its address refuses connections");
+    handle_refusal (check);
   else
     retry_later (check);
 }
 
-static const HXferOps ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps ops = { on_head, on_body, on_end, on_failed, NULL };
 
 /* The first attempt goes the way on which requests are sent now; a later one the other way. */
 static void
 choose_way (Check *check)
 {
   Egress *egress = check->lifetimes->egress;
-  bool first = loop_now (check->lifetimes->loop) < check->asked_at + CHECK_PAUSE;
+  bool first = check->attempts++ == 0;
   bool relayed = first ? egress_is_doubtful (egress, check->server) : check->relay.port == 0;
 
+  if (check->confirms)
+    {
+      check->confirms = false;
+      return;
+    }
   if (!relayed || !egress_pick_relay (egress, 0, &check->relay))
     check->relay = (SockAddr){ 0 };
 }
@@ -233,7 +266,7 @@
   bool refused = check->xfer == NULL && errno == ECONNREFUSED && check->relay.port == 0;
   g_string_free (request, TRUE);
   if (refused) /* on the same machine the refusal is immediate */
-    finish_check (check, LIFETIME_ENDED, "its address refuses connections");
+    handle_refusal (check);
   else if (check->xfer == NULL)
     retry_later (check);
 }
@@ -249,9 +282,11 @@
   if (check->dropped)
     check_free (check);
   else if (!connected && fault == HXFER_REFUSED)
-    finish_check (check, LIFETIME_ENDED, "its address refuses connections");
+    handle_refusal (check);
   else
     {
+      if (!connected && fault == HXFER_RELAY_FAILED)
+        egress_note_relay_failed (check->lifetimes->egress, check->relay);
       check->accepts = connected && check->probed_at >= check->asked_at;
       retry_later (check);
     }
@@ -285,7 +320,7 @@
   Check *check = (Check *) timer;
 
   if (check->probing)
-    return; /* of an earlier check; its end goes on */
+    return; /* a probe of the check before is pending; on_probed sets the timer again */
   choose_way (check);
   if (check->path)
     send_check (check);
--- a/node/lifetime.h
+++ b/node/lifetime.h
@@ -40,7 +40,7 @@
                           const Servers *servers, LifetimeReplaced replaced, void *user);
 void lifetimes_free (Lifetimes *lifetimes);
 /* Asks whether that run still exists now. Without a status check the platform's list decides. wait
- * is told later, within 1.5 s, and may be removed from its list before. */
+ * is told later, within 3 s, and may be removed from its list before. */
 void lifetimes_ask (Lifetimes *lifetimes, const LifetimeTarget *target, LifetimeWait *wait);
 
 #endif
--- a/node/reader.c
+++ b/node/reader.c
@@ -148,7 +148,7 @@
   finish (user, hxfer_fault_name (fault));
 }
 
-static const HXferOps ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps ops = { on_head, on_body, on_end, on_failed, NULL };
 
 static void
 request_page (Reader *reader)
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -108,7 +108,8 @@
 {
   req->silence_reported = false;
   req->head_seen = req->is_stream = req->rejected = req->wrong_server = req->has_fault = false;
-  req->close_delimited = false;
+  req->close_delimited = req->end_decided = req->run_goes_on = false;
+  req->ended_at = 0;
   req->sent_at = req->first_at = req->event_at = req->event_gap_sum = req->received_at = 0;
   req->events = 0;
   req->conn_idle = 0;
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -104,7 +104,8 @@
   if (xfer)
     {
       CrashRun run = req_crash_run (req);
-      crashrep_abandoned (req->requests->conf.crash_reporter, req->server, &run);
+      if (!req->rejected && !req->ended_at)
+        crashrep_abandoned (req->requests->conf.crash_reporter, req->server, &run);
       hxfer_cancel (xfer);
     }
   if (req->number == 0)
@@ -112,7 +113,7 @@
   if (req->events > 4)
     result.event_us = req->event_gap_sum / (req->events - 1);
   if (req->sent_at)
-    result.answer_us = now - req->sent_at;
+    result.answer_us = (req->ended_at ? req->ended_at : now) - req->sent_at;
   result.broke = req->broke_on_send;
   result.conn_idle_us = req->conn_idle;
   place_end (req->requests->conf.place, req->number, &result);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -80,10 +80,12 @@
   bool close_delimited;   /* the end of the connection ends the answer, so a truncated one looks
                              complete */
   LifetimeWait end_wait;  /* waits, after such an end, for whether the server's run goes on */
-  int64_t ended_at;       /* when it ended so */
-  bool read_paused;       /* the caller reads too slowly, so reading from the server is paused */
-  GString *fields;        /* header fields of the answer */
-  GString *buffered;      /* body of a plain answer that is not complete yet */
+  int64_t ended_at;       /* when it ended so; 0: it has not */
+  bool end_decided;       /* ... and the check of the server has a result: */
+  bool run_goes_on;
+  bool read_paused;  /* the caller reads too slowly, so reading from the server is paused */
+  GString *fields;   /* header fields of the answer */
+  GString *buffered; /* body of a plain answer that is not complete yet */
   /* The answer to the caller. */
   Events *stream;
   bool begun;             /* its head has been sent */
--- a/node/try.c
+++ b/node/try.c
@@ -357,47 +357,61 @@
   lifetimes_ask (req->requests->conf.lifetimes, &target, &req->end_wait);
 }
 
+/* The answer has ended in order with its connection. The server is asked at once, since it may
+ * leave after its last answer. */
 static void
-on_end (void *user)
+on_ending (void *user)
 {
   Req *req = user;
+  Loop *loop = req->requests->conf.loop;
 
-  req->xfer = NULL;
   if (req->rejected)
     {
-      handle_rejection (req);
+      handle_rejection (req); /* ends the try, and so closes the connection */
       return;
     }
   record_first_byte (req);
-  if (req->close_delimited)
-    {
-      count_inc (COUNT_ENDS_UNFRAMED);
-      req->ended_at = req_now (req);
-      jlog (JLOG_INFO, "end-unframed", req->id, JL_TEXT ("server", req->server),
-            JL_INT ("status", req->status), JL_INT ("stream", req->is_stream),
-            JL_INT ("repeatable", rt_route_is_repeatable (req->route)),
-            JL_INT ("sends", req->sends), JL_INT ("most", req->route->attempts),
-            JL_INT ("events", req->events), JL_INT ("bytes", req->buffered->len),
-            JL_TEXT ("after_event", req->stream ? events_last_id (req->stream) : ""),
-            JL_INT ("relay", req->relay.ip));
-    }
+  req->ended_at = req_now (req);
+  /* The server is not silent any more, and the try gives its place to no replacement. */
+  loop_timer_stop (loop, &req->silence);
+  loop_timer_stop (loop, &req->ask_pause);
+  loop_timer_stop (loop, &req->confirmation);
+  req_withdraw_replacement (req);
+  count_inc (COUNT_ENDS_UNFRAMED);
+  jlog (JLOG_INFO, "end-unframed", req->id, JL_TEXT ("server", req->server),
+        JL_INT ("status", req->status), JL_INT ("stream", req->is_stream),
+        JL_INT ("repeatable", rt_route_is_repeatable (req->route)), JL_INT ("sends", req->sends),
+        JL_INT ("most", req->route->attempts), JL_INT ("events", req->events),
+        JL_INT ("bytes", req->buffered->len),
+        JL_TEXT ("after_event", req->stream ? events_last_id (req->stream) : ""),
+        JL_INT ("relay", req->relay.ip));
+  report_break (req);
   if (req->is_stream && events_has_partial (req->stream))
+    req_after_try (req, RETRY_STREAM_CUT);
+  else
+    check_lifetime (req);
+}
+
+static void finish_ended (Req *req);
+
+static void
+on_end (void *user)
+{
+  Req *req = user;
+
+  req->xfer = NULL;
+  if (req->rejected)
+    handle_rejection (req);
+  else if (req->ended_at)
+    finish_ended (req);
+  else
     {
-      if (req->close_delimited)
-        report_break (req);
-      req_after_try (req, RETRY_STREAM_CUT);
-    }
-  else if (req->close_delimited) /* the sockets of a process that crashes may close in order too */
-    {
-      /* The server is not silent any more, and the try has no transfer that a replacement ends. */
-      loop_timer_stop (req->requests->conf.loop, &req->ask_pause);
-      loop_timer_stop (req->requests->conf.loop, &req->confirmation);
-      req_withdraw_replacement (req);
-      report_break (req);
-      check_lifetime (req);
+      record_first_byte (req);
+      if (req->is_stream && events_has_partial (req->stream))
+        req_after_try (req, RETRY_STREAM_CUT);
+      else
+        finish_answer (req);
     }
-  else
-    finish_answer (req);
 }
 
 /* Nothing but the end of its connection says that the answer is whole: a server that gives it up
@@ -439,6 +453,18 @@
   return req->end_wait.link.next != &req->end_wait.link;
 }
 
+/* Goes on once no reset has come and the server's run is known to go on or not. */
+static void
+finish_ended (Req *req)
+{
+  if (req->xfer || !req->end_decided)
+    return;
+  if (req->run_goes_on)
+    finish_unframed (req);
+  else
+    req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
+}
+
 void
 try_on_end_decided (LifetimeWait *wait, LifetimeState state, const char *evidence)
 {
@@ -447,10 +473,9 @@
   jlog (JLOG_INFO, "end-decided", req->id, JL_TEXT ("server", req->server),
         JL_INT ("goes_on", state == LIFETIME_GOES_ON), JL_TEXT ("evidence", evidence),
         JL_MS ("after_ms", req_now (req) - req->ended_at));
-  if (state == LIFETIME_GOES_ON)
-    finish_unframed (req);
-  else
-    req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
+  req->end_decided = true;
+  req->run_goes_on = state == LIFETIME_GOES_ON;
+  finish_ended (req);
 }
 
 /* ---- Tries that reached no server ---- */
@@ -532,7 +557,7 @@
   req->xfer = NULL;
   req->fault = fault;
   req->has_fault = true;
-  if (fault == HXFER_BROKEN)
+  if (fault == HXFER_BROKEN && !req->ended_at)
     report_break (req);
   if (fault == HXFER_RELAY_FAILED)
     {
@@ -552,7 +577,7 @@
     req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
 }
 
-static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed, on_ending };
 
 static int64_t
 silence_timeout (const Req *req)
--- a/test/broken.c
+++ b/test/broken.c
@@ -130,7 +130,7 @@
 {
   char *id = rawsrv_field (text, "X-Foxtailgrade-Request-Id");
   unsigned index = (unsigned) atoi (id + 1);
-  char *fields = g_strdup_printf ("X-Foxtailgrade-Request-Id: %s\r\n"
+  char *fields = g_strdup_printf ("Connection: close\r\nX-Foxtailgrade-Request-Id: %s\r\n"
                                   "X-Foxtailgrade-Server-Signature: sig\r\nContent-Type: %s\r\n",
                                   id, route->stream ? "text/event-stream" : "text/plain");
   GString *out = head_write_answer (&heads[index], fields, route->stream ? EVENTS : PLAIN);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -500,7 +500,7 @@
   set_done (user, true);
 }
 
-static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed, NULL };
 
 static void
 send_to (Fleet *fleet, SockAddr addr, const GString *request, Answer *answer)
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -187,7 +187,7 @@
 try "lifetime: another run at the address counts as the same" node/lifetime.c 's/^  if \(answer.elsewhere \|\| .*$/  if (false \&\& answer.elsewhere)/' test-lostends &
 try "lifetime: no answer counts as a yes" node/lifetime.c 's/^  finish_check \(check, LIFETIME_UNKNOWN,$/  finish_check (check, LIFETIME_GOES_ON,/' test-lostends &
 try "lifetime: an older list is enough" node/lifetime.c 's/servers_asked_at \(lifetimes->servers\) > check->asked_at/servers_asked_at (lifetimes->servers) > 0/' test-lostends &
-try "lifetime: nobody is asked" node/try.c 's/^  if \(state == LIFETIME_GOES_ON\)$/  if (state != 9)/' test-lostends &
+try "lifetime: nobody is asked" node/try.c 's/^  req->run_goes_on = state == LIFETIME_GOES_ON;/  req->run_goes_on = state != 9;/' test-lostends &
 try "lifetime: a replaced run counts as alive" node/ends.c 's/^  if \(state == LIFETIME_ENDED\)$/  if (false \&\& state)/' test-ends &
 try "lostends: a relay awaits no reset" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (side == \&side->tunnel->server \&\& sock_has_unacknowledged (side->sock))/' test-lostends &
 try "upload: a reset that follows is not looked at" net/hcli.c 's/^  if \(sock_is_reset \(conn->sock\)\)$/  if (false)/' test-upload &
@@ -224,7 +224,7 @@
 try "skew: any number is taken" node/callers.c 's/^                     .connections = .*/                     .connections = 0,/' test-skew &
 try "skew: taken at any load" node/callers.c 's/.load = LOOP_LOAD_HIGH/.load = 0/' test-skew &
 # Answers that end with their connection.
-try "unframed: an orderly close is complete" node/try.c 's/^  else if \(req->close_delimited\) .*$/  else if (false)/' test-unframed &
+try "unframed: an orderly close is complete" node/try.c 's/on_failed, on_ending \};/on_failed, NULL };/; s/^  else if \(req->ended_at\)$/  else if (false \&\& on_ending)/' test-unframed &
 try "unframed: an early end is the end" node/try.c 's/^  else if \(req->is_stream \&\& req->events > 0 .*/  else if (false)/' test-unframed &
 try "unframed: a head is an answer" node/try.c 's/req->status \/ 100 == 2 \&\& !has_body/false \&\& has_body/' test-unframed &
 try "unframed: more is the end" node/reqend.c 's/req->unconfirmed \&\& !req->asked_for_more/req->unconfirmed/' test-unframed &
--- a/test/relay.c
+++ b/test/relay.c
@@ -432,7 +432,7 @@
 }
 
 static const HXferOps client_ops
-    = { client_on_head, client_on_body, client_on_end, client_on_failed };
+    = { client_on_head, client_on_body, client_on_end, client_on_failed, NULL };
 
 static void
 client_on_path (void *user, const char *key, SockAddr addr, bool relayed, bool reached)
--- a/test/skew.c
+++ b/test/skew.c
@@ -86,7 +86,7 @@
   send_once (caller);
 }
 
-static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed, NULL };
 
 /* Sends the request on a connection of its own. */
 static void
--- a/test/upload.c
+++ b/test/upload.c
@@ -268,7 +268,7 @@
 }
 
 static const HXferOps client_ops
-    = { on_client_head, on_client_body, on_client_end, on_client_failed };
+    = { on_client_head, on_client_body, on_client_end, on_client_failed, NULL };
 
 static void
 on_client_request (RawConn *conn, const char *head)
--- a/test/wire.c
+++ b/test/wire.c
@@ -173,7 +173,7 @@
   start_next (caller);
 }
 
-static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed };
+static const HXferOps xfer_ops = { on_head, on_body, on_end, on_failed, NULL };
 
 static void
 start_transfer (Caller *caller)
