Stand-ins of test-begun and test-repeats answer status checks

Since the crash detector asks the server whether its run goes on, these two programs got a status check where they expect a request of a caller, and put its missing id into an answer. What they check is unchanged.

--- a/test/backend.c
+++ b/test/backend.c
@@ -479,27 +479,35 @@
   fleet_crash_server ((FleetServer *) ((char *) timer - offsetof (FleetServer, fall_timer)));
 }
 
-/* A status check is answered by the server that is addressed, whatever it runs. */
+/* Answers a status check as the server with this id, whatever it runs. */
 static bool
-answer_check (const FleetServer *server, HCall *call)
+answer_check (HCall *call, const char *id)
 {
   const char *wanted = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Expect-Instance");
 
   if (strcmp (hmsg_target (hcall_msg (call)), "/health") != 0)
     return false;
   GString *fields = g_string_new (NULL);
-  hwrite_field (fields, "X-Foxtailgrade-Instance-Id", server->id);
-  hcall_reply (call, wanted && strcmp (wanted, server->id) != 0 ? 421 : 200, fields, "", 0);
+  hwrite_field (fields, "X-Foxtailgrade-Instance-Id", id);
+  hcall_reply (call, wanted && strcmp (wanted, id) != 0 ? 421 : 200, fields, "", 0);
   g_string_free (fields, TRUE);
   return true;
 }
 
+bool
+fleet_answer_check (HCall *call)
+{
+  const char *wanted = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Expect-Instance");
+
+  return answer_check (call, wanted ? wanted : "");
+}
+
 static void
 on_server_request (void *owner, HCall *call)
 {
   FleetServer *server = owner;
 
-  if (answer_check (server, call))
+  if (answer_check (call, server->id))
     return;
   const char *wanted = hmsg_field (hcall_msg (call), "X-Foxtailgrade-Expect-Instance");
   char *id = g_strdup (request_id (call));
--- a/test/begun.c
+++ b/test/begun.c
@@ -273,14 +273,16 @@
 static void
 on_part_request (void *owner, HCall *call)
 {
-  odd_begin (owner, call, false);
+  if (!fleet_answer_check (call))
+    odd_begin (owner, call, false);
 }
 
 static void
 on_long_request (void *owner, HCall *call)
 {
+  if (fleet_answer_check (call))
+    return;
   char *body = g_malloc (LONG_ANSWER);
-
   odd_begin (owner, call, true);
   memset (body, 'x', LONG_ANSWER);
   hcall_write (call, body, LONG_ANSWER);
@@ -292,7 +294,8 @@
 {
   Odd *odd = hcall_user (call);
 
-  loop_timer_stop (((Fleet *) owner)->loop, &odd->timer);
+  if (odd)
+    loop_timer_stop (((Fleet *) owner)->loop, &odd->timer);
 }
 
 static const HSrvOps part_ops = { on_part_request, on_odd_gone, NULL };
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -253,6 +253,8 @@
 /* Aborts those answers of servers that are not read yet and whose request ids are s0 to s(below -
  * 1). Returns their number. */
 unsigned fleet_abort_unread (Fleet *fleet, unsigned below);
+/* Answers the call if it is a status check, for the server that it names. */
+bool fleet_answer_check (HCall *call);
 /* Everything that a node has logged so far; free with g_free. */
 char *fleet_read_log (const FleetNode *node);
 
--- a/test/repeats.c
+++ b/test/repeats.c
@@ -55,6 +55,9 @@
 on_request (void *owner, HCall *call)
 {
   Fleet *fleet = owner;
+
+  if (fleet_answer_check (call))
+    return;
   Stream *stream = g_new0 (Stream, 1);
   GString *fields = g_string_new (NULL);
   const HMsg *msg = hcall_msg (call);
@@ -80,7 +83,8 @@
 {
   Stream *stream = hcall_user (call);
 
-  loop_timer_stop (((Fleet *) owner)->loop, &stream->timer);
+  if (stream)
+    loop_timer_stop (((Fleet *) owner)->loop, &stream->timer);
 }
 
 static const HSrvOps stream_ops = { on_request, on_gone, NULL };
