lifetime: one status check for an end, and one report of a run that was replaced

Cause: the crash detector learned twice that another run answers at a server's address, from its own question and from a callback of lifetime.c, so that the mutant which removed one of them was not found; and an answer without framing that had ended in order was reported as a lost connection too, which cost each sound end a second status check, and two connects.

Change: the callback is gone. A lost connection is reported only if the run does not go on, or the answer ends inside an event.

--- a/node/crashrep.c
+++ b/node/crashrep.c
@@ -356,12 +356,6 @@
   crashdet_refused (reporter->detector, server);
 }
 
-void
-crashrep_replaced (CrashReporter *reporter, const char *server)
-{
-  crashdet_replaced (reporter->detector, server);
-}
-
 /* The server has sent something after sent_at, which disproves a crash that was reported before. */
 static void
 retract_crash (const CrashReporter *reporter, const char *server, int64_t sent_at)
--- a/node/crashrep.h
+++ b/node/crashrep.h
@@ -28,8 +28,6 @@
 void crashrep_abandoned (CrashReporter *reporter, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
 void crashrep_refused (CrashReporter *reporter, const char *server);
-/* Another run of it, or another server, has answered at its address. */
-void crashrep_replaced (CrashReporter *reporter, const char *server);
 /* An answer has begun to a request with these parts: the first event of a stream, or the complete
  * answer to a plain call. */
 void crashrep_began (CrashReporter *reporter, const Fingerprint *print);
--- a/node/ends.c
+++ b/node/ends.c
@@ -410,25 +410,13 @@
   return false;
 }
 
-static void
-end_by_evidence (CrashDetector *detector, const char *server, const char *evidence)
+void
+crashdet_refused (CrashDetector *detector, const char *server)
 {
   ServerCheck *check = g_hash_table_lookup (detector->checks, server);
 
   if (check == NULL && has_abandoned (detector, server))
     check = find_or_add_check (detector, &(LifetimeTarget){ .server = server });
   if (check && check->state == STATE_PROBING)
-    set_crashed (check, evidence);
-}
-
-void
-crashdet_refused (CrashDetector *detector, const char *server)
-{
-  end_by_evidence (detector, server, "it refused a connection of a request");
-}
-
-void
-crashdet_replaced (CrashDetector *detector, const char *server)
-{
-  end_by_evidence (detector, server, "another run answers at its address");
+    set_crashed (check, "it refused a connection of a request");
 }
--- a/node/ends.h
+++ b/node/ends.h
@@ -33,7 +33,5 @@
 void crashdet_abandoned (CrashDetector *detector, const char *server, const CrashRun *run);
 /* A connection to the server's address was refused. */
 void crashdet_refused (CrashDetector *detector, const char *server);
-/* Another run of it, or another server, has answered at its address. */
-void crashdet_replaced (CrashDetector *detector, const char *server);
 
 #endif
--- a/node/entry.c
+++ b/node/entry.c
@@ -656,12 +656,6 @@
   return entry->relay != NULL;
 }
 
-static void
-on_server_replaced (void *user, const char *server)
-{
-  crashrep_replaced (((Entry *) user)->crash_reporter, server);
-}
-
 static FtStatus
 open_addresses (Entry *entry, FtError *error)
 {
@@ -672,8 +666,8 @@
     return FT_IO;
   entry->place = place_new (entry->loop, entry->mesh, s->ip, &place_ops, entry);
   instance_configure_broker (s, place_own_broker (entry->place), false);
-  entry->lifetimes = lifetimes_new (entry->loop, entry->cli, entry->egress, entry->adapter_ops,
-                                    entry->servers, on_server_replaced, entry);
+  entry->lifetimes
+      = lifetimes_new (entry->loop, entry->cli, entry->egress, entry->adapter_ops, entry->servers);
   entry->crash_reporter = crashrep_new (entry->loop, entry->mesh, entry->cli, entry->egress,
                                         entry->lifetimes, on_verdicts_changed, entry);
   entry->versions = versions_new (place_own_broker (entry->place));
--- a/node/lifetime.c
+++ b/node/lifetime.c
@@ -48,8 +48,6 @@
   Egress *egress;
   const AdapterOps *adapter_ops;
   const Servers *servers;
-  LifetimeReplaced replaced;
-  void *user;
   GHashTable *checks; /* server -> Check */
 };
 
@@ -204,17 +202,12 @@
 on_end (void *user)
 {
   Check *check = user;
-  Lifetimes *lifetimes = check->lifetimes;
 
   check->xfer = NULL;
-  if (check->evidence == NULL)
-    {
-      retry_later (check);
-      return;
-    }
-  if (check->state == LIFETIME_ENDED)
-    lifetimes->replaced (lifetimes->user, check->server);
-  finish_check (check, check->state, check->evidence);
+  if (check->evidence)
+    finish_check (check, check->state, check->evidence);
+  else
+    retry_later (check);
 }
 
 static void
@@ -344,11 +337,11 @@
 
 Lifetimes *
 lifetimes_new (Loop *loop, HCli *cli, Egress *egress, const AdapterOps *adapter_ops,
-               const Servers *servers, LifetimeReplaced replaced, void *user)
+               const Servers *servers)
 {
   Lifetimes *lifetimes = g_new0 (Lifetimes, 1);
 
-  *lifetimes = (Lifetimes){ loop, cli, egress, adapter_ops, servers, replaced, user, NULL };
+  *lifetimes = (Lifetimes){ loop, cli, egress, adapter_ops, servers, NULL };
   lifetimes->checks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, drop_check);
   return lifetimes;
 }
--- a/node/lifetime.h
+++ b/node/lifetime.h
@@ -33,11 +33,8 @@
   const char *check_path; /* of its status check; NULL: it has none */
 } LifetimeTarget;
 
-/* Called when another run of the server, or another server, answers at its address. */
-typedef void (*LifetimeReplaced) (void *user, const char *server);
-
 Lifetimes *lifetimes_new (Loop *loop, HCli *cli, Egress *egress, const AdapterOps *adapter_ops,
-                          const Servers *servers, LifetimeReplaced replaced, void *user);
+                          const Servers *servers);
 void lifetimes_free (Lifetimes *lifetimes);
 /* Asks whether that run still exists now. Without a status check the platform's list decides. wait
  * is told later, within 3 s, and may be removed from its list before. */
--- a/node/try.c
+++ b/node/try.c
@@ -385,9 +385,11 @@
         JL_INT ("bytes", req->buffered->len),
         JL_TEXT ("after_event", req->stream ? events_last_id (req->stream) : ""),
         JL_INT ("relay", req->relay.ip));
-  report_break (req);
   if (req->is_stream && events_has_partial (req->stream))
-    req_after_try (req, RETRY_STREAM_CUT);
+    {
+      report_break (req);
+      req_after_try (req, RETRY_STREAM_CUT);
+    }
   else
     check_lifetime (req);
 }
@@ -460,9 +462,12 @@
   if (req->xfer || !req->end_decided)
     return;
   if (req->run_goes_on)
-    finish_unframed (req);
-  else
-    req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
+    {
+      finish_unframed (req);
+      return;
+    }
+  report_break (req);
+  req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
 }
 
 void
@@ -557,7 +562,7 @@
   req->xfer = NULL;
   req->fault = fault;
   req->has_fault = true;
-  if (fault == HXFER_BROKEN && !req->ended_at)
+  if (fault == HXFER_BROKEN)
     report_break (req);
   if (fault == HXFER_RELAY_FAILED)
     {
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -188,7 +188,7 @@
 try "lifetime: no answer counts as a yes" node/lifetime.c 's/^  finish_check \(check, LIFETIME_UNKNOWN,$/  finish_check (check, LIFETIME_GOES_ON,/' test-lostends &
 try "lifetime: an older list is enough" node/lifetime.c 's/servers_asked_at \(lifetimes->servers\) > check->asked_at/servers_asked_at (lifetimes->servers) > 0/' test-lostends &
 try "lifetime: nobody is asked" node/try.c 's/^  req->run_goes_on = state == LIFETIME_GOES_ON;/  req->run_goes_on = state != 9;/' test-lostends &
-try "lifetime: a replaced run counts as alive" "node/ends.c node/lifetime.c" 's/^  if \(state == LIFETIME_ENDED\)$/  if (false \&\& state)/; s/^    lifetimes->replaced \(.*$/    ;/' test-ends &
+try "lifetime: a replaced run counts as alive" node/ends.c 's/^  if \(state == LIFETIME_ENDED\)$/  if (false \&\& state)/' test-ends &
 try "lostends: a relay awaits no reset" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (side == \&side->tunnel->server \&\& sock_has_unacknowledged (side->sock))/' test-lostends &
 try "upload: a reset that follows is not looked at" net/hcli.c 's/^  if \(sock_is_reset \(conn->sock\)\)$/  if (false)/' test-upload &
 try "upload: a check takes the reset" "net/hcli.c net/sock.c" 's/ \|\| sock_is_reset \(sock\)\)/)/; s/^  if \(poll \(&poller, 1, 0\) <= 0\)$/  (void) recv (conn->sock->fd.fd, \&size, 1, MSG_PEEK | MSG_DONTWAIT);\n  if (poll (\&poller, 1, 0) <= 0)/; s/^#include <poll.h>$/#include <poll.h>\n#include <sys\/socket.h>/' test-upload &
