test-lostends: counts what was resumed, and asserts that the fault took effect

Cause: none_ends_early did not say how many answers the fault had reached.

Change: a process of two accepts 28 connections at most, so that at least 12 of 40 answers are cut; broken, refused and repeated answers have to cover all that the fault reaches; the message names how many were resumed or sent again. New case sibling_budget: with budget for all, streams that can be resumed go on at the process that is left. lostserver.c shares the text of a whole answer and the reader of fields.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -842,19 +842,26 @@
 }
 
 uint64_t
-fleet_relayed_count (Fleet *fleet, const FleetNode *entry)
+fleet_counter (Fleet *fleet, const FleetNode *node, const char *name)
 {
-  static const char name[] = "\nfoxtail_relayed_requests_total ";
+  char *line = g_strdup_printf ("\n%s ", name);
   Answer metrics;
 
-  fleet_get_metrics (fleet, entry, &metrics);
-  const char *at = strstr (metrics.body->str, name);
+  fleet_get_metrics (fleet, node, &metrics);
+  const char *at = strstr (metrics.body->str, line);
   g_assert_nonnull (at);
-  uint64_t count = g_ascii_strtoull (at + strlen (name), NULL, 10);
+  uint64_t count = g_ascii_strtoull (at + strlen (line), NULL, 10);
   fleet_answer_clear (&metrics);
+  g_free (line);
   return count;
 }
 
+uint64_t
+fleet_relayed_count (Fleet *fleet, const FleetNode *entry)
+{
+  return fleet_counter (fleet, entry, "foxtail_relayed_requests_total");
+}
+
 void
 fleet_relay_all (Fleet *fleet, FleetNode *entry)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -193,6 +193,8 @@
 void fleet_add_detours (Fleet *fleet);
 /* Cuts the entry off from all servers, and sends it plain calls until it relays at once. */
 void fleet_relay_all (Fleet *fleet, FleetNode *entry);
+/* Value of a counter of the node's metrics: "NAME". */
+uint64_t fleet_counter (Fleet *fleet, const FleetNode *node, const char *name);
 /* Requests that the entry has sent through relays. */
 uint64_t fleet_relayed_count (Fleet *fleet, const FleetNode *entry);
 /* Cuts the links that the node has dialled to another one, or heals that. Needs the proxies and
--- a/test/lostends.c
+++ b/test/lostends.c
@@ -14,6 +14,7 @@
 #define CHECK_STARTED (30 * FT_MS)
 #define STANDSTILL    (100 * FT_MS)
 #define BUDGET_SLACK  8            /* fewer repeats than streams that break at once */
+#define SIBLING_CONNS 28           /* of STREAMS, and some for checks */
 #define HEAVY_PROCESS (512u << 20) /* bytes */
 
 typedef enum
@@ -35,6 +36,7 @@
   unsigned reset_after_ms;
   size_t memory;
   unsigned streams; /* 0: STREAMS */
+  unsigned budget;  /* slack of the retry budget of all entries; 0: BUDGET_SLACK */
   bool unchecked;   /* the service has no status check */
   bool relayed;     /* the entry is cut off and sends through another one */
 } Case;
@@ -43,7 +45,7 @@
 {
   Fleet *fleet;
   unsigned count;
-  uint64_t relayed; /* requests before the play */
+  uint64_t relayed, repeated; /* requests before the play */
   Answer answers[STREAMS_MANY];
   LostServerConf conf;
   pid_t pids[2], successor[2];
@@ -54,6 +56,7 @@
 {
   unsigned count, parts; /* parts: callers that got an event */
   unsigned whole, broken, early, refused;
+  unsigned repeated; /* resumed after a part, or sent again */
 } Result;
 
 static bool
@@ -79,6 +82,15 @@
   return true;
 }
 
+static uint64_t
+repeated_count (const Play *play)
+{
+  const FleetNode *entry = &play->fleet->entries[0];
+
+  return fleet_counter (play->fleet, entry, "foxtail_resumes_total")
+         + fleet_counter (play->fleet, entry, "foxtail_repeats_total");
+}
+
 static void
 start_play (Play *play, const Case *on)
 {
@@ -87,7 +99,7 @@
 
   *play = (Play){ .fleet = fleet, .count = on->streams ? on->streams : STREAMS };
   fleet->slots = 2 * play->count;
-  fleet->budget_slack = BUDGET_SLACK;
+  fleet->budget_slack = on->budget ? on->budget : BUDGET_SLACK;
   fleet->unchecked = on->unchecked;
   for (unsigned i = 0; i < FLEET_SERVERS; i++)
     fleet->servers[i].listed = i == 0;
@@ -100,12 +112,14 @@
                                  .mode = on->mode,
                                  .reset_after_ms = on->reset_after_ms,
                                  .processes = on->fault == FAULT_SIBLING ? 2 : 1,
+                                 .conns_max = on->fault == FAULT_SIBLING ? SIBLING_CONNS : 0,
                                  .memory = on->memory };
   lostserver_start (&play->conf, play->pids);
   fleet_start_all (fleet);
   if (on->relayed)
     fleet_relay_all (fleet, &fleet->entries[0]);
   play->relayed = fleet_relayed_count (fleet, &fleet->entries[0]);
+  play->repeated = repeated_count (play);
 }
 
 static void
@@ -184,21 +198,11 @@
     }
 }
 
-static char *
-whole_stream (void)
-{
-  GString *text = g_string_new (NULL);
-
-  for (unsigned i = 1; i <= LOSTSERVER_EVENTS; i++)
-    g_string_append_printf (text, "id: %u\ndata: event %u\n\n", i, i);
-  return g_string_free (text, FALSE);
-}
-
 static Result
 count_results (const Play *play)
 {
   Result result = { .count = play->count };
-  char *whole = whole_stream ();
+  char *whole = lostserver_whole_answer ();
 
   for (unsigned i = 0; i < play->count; i++)
     {
@@ -238,9 +242,11 @@
     g_assert_cmpuint (fleet_relayed_count (play.fleet, &play.fleet->entries[0]), >=,
                       play.relayed + play.count);
   result = count_results (&play);
-  g_test_message ("%u answers: %u begun, %u whole, %u broken off, %u ended early, %u refused",
+  result.repeated = (unsigned) (repeated_count (&play) - play.repeated);
+  g_test_message ("%u answers: %u begun, %u whole, %u broken off, %u ended early, %u refused; "
+                  "%u resumed or sent again",
                   result.count, result.parts, result.whole, result.broken, result.early,
-                  result.refused);
+                  result.refused, result.repeated);
   end_play (&play);
   return result;
 }
@@ -250,12 +256,16 @@
 static void
 none_ends_early (gconstpointer data)
 {
-  Result result = run_play (data);
+  const Case *on = data;
+  Result result = run_play (on);
 
-  if (!is_plain (data))
+  if (!is_plain (on))
     g_assert_cmpuint (result.parts, ==, result.count);
   g_assert_cmpuint (result.early, ==, 0);
   g_assert_cmpuint (result.whole + result.broken + result.refused, ==, result.count);
+  /* What the fault took effect on: all answers, or those of one of two processes. */
+  g_assert_cmpuint (result.broken + result.refused + result.repeated, >=,
+                    on->fault == FAULT_SIBLING ? result.count - SIBLING_CONNS : result.count);
 }
 
 /* Guards against breaking off sound answers that all end at once, more than the retry budget allows
@@ -276,9 +286,22 @@
 static Case cases[CASES_MAX];
 static unsigned case_count;
 
+static void
+add_case (const char *name, const char *route, const char *target, const Case *on,
+          GTestDataFunc run)
+{
+  char *path = g_strdup_printf ("/lostends/%s/%s", name, route);
+
+  g_assert_cmpuint (case_count, <, CASES_MAX);
+  cases[case_count] = *on;
+  cases[case_count].path = target;
+  g_test_add_data_func (path, &cases[case_count++], run);
+  g_free (path);
+}
+
 /* name: of the fault; routes: how many of the routes it is played on. */
 static void
-add_cases (const char *name, Case on, unsigned routes, GTestDataFunc run)
+add_cases (const char *name, const Case *on, unsigned routes, GTestDataFunc run)
 {
   static const char *const known[ROUTES][2]
       = { { "single", "/single/a" }, /* a stream that cannot be resumed */
@@ -288,18 +311,10 @@
           { "plain", "/plain/a" } };
 
   for (unsigned i = 0; i < routes; i++)
-    {
-      g_assert_cmpuint (case_count, <, CASES_MAX);
-      Case *added = &cases[case_count++];
-      char *path = g_strdup_printf ("/lostends/%s/%s", name, known[i][0]);
-      *added = on;
-      added->path = known[i][1];
-      g_test_add_data_func (path, added, run);
-      g_free (path);
-    }
+    add_case (name, known[i][0], known[i][1], on, run);
 }
 
-#define ADD(name, routes, run, ...) add_cases (name, (Case){ __VA_ARGS__ }, routes, run)
+#define ADD(name, routes, run, ...) add_cases (name, &(Case){ __VA_ARGS__ }, routes, run)
 
 int
 main (int argc, char **argv)
@@ -311,6 +326,8 @@
   ADD ("swap_heavy", ROUTES, none_ends_early, .fault = FAULT_SWAP, .memory = HEAVY_PROCESS);
   ADD ("swap_hung", STREAM_ROUTES, none_ends_early, .fault = FAULT_HUNG);
   ADD ("sibling", ROUTES, none_ends_early, .fault = FAULT_SIBLING);
+  add_case ("sibling_budget", "resumable_two", "/stream/a",
+            &(Case){ .fault = FAULT_SIBLING, .budget = 10 * STREAMS }, none_ends_early);
   ADD ("reset", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP, .mode = GIVE_UP_RESET);
   ADD ("reset_at_check", STREAM_ROUTES, none_ends_early, .fault = FAULT_AT_CHECK,
        .mode = GIVE_UP_RESET, .streams = STREAMS_MANY);
--- a/test/lostserver.c
+++ b/test/lostserver.c
@@ -1,6 +1,7 @@
 /* lostserver.c - see lostserver.h. One thread and poll(): a process without state that survives it.
  */
 #include "lostserver.h"
+#include "rawsrv.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -15,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#define EVENT_FORMAT "id: %u\ndata: event %u\n\n"
 #define CONNS_MAX    256
 #define REQUEST_MAX  4096
 #define BIND_PAUSE   500 /* microseconds between two attempts to bind the address */
@@ -61,17 +63,6 @@
     return; /* the next read sees the end of the connection */
 }
 
-static char *
-field_of (const char *head, const char *name)
-{
-  const char *at = strcasestr (head, name);
-
-  if (at == NULL)
-    return g_strdup ("");
-  at += strlen (name) + 2;
-  return g_strndup (at, strcspn (at, "\r"));
-}
-
 static void
 answer_check (const LostServerConf *conf, Peer *peer)
 {
@@ -87,9 +78,9 @@
 static void
 start_answer (const LostServerConf *conf, Peer *peer)
 {
-  char *id = field_of (peer->request, "X-Foxtailgrade-Request-Id");
-  char *wanted = field_of (peer->request, "X-Foxtailgrade-Expect-Instance");
-  char *last = field_of (peer->request, "Last-Event-Id");
+  char *id = rawsrv_field (peer->request, "X-Foxtailgrade-Request-Id");
+  char *wanted = rawsrv_field (peer->request, "X-Foxtailgrade-Expect-Instance");
+  char *last = rawsrv_field (peer->request, "Last-Event-Id");
   bool stream
       = strstr (peer->request, "/once/") == NULL && strstr (peer->request, "/plain/") == NULL;
   char *reply;
@@ -161,7 +152,7 @@
       close_peer (peer, false);
       return;
     }
-  g_snprintf (event, sizeof event, "id: %u\ndata: event %u\n\n", peer->next, peer->next);
+  g_snprintf (event, sizeof event, EVENT_FORMAT, peer->next, peer->next);
   write_text (peer, event);
   peer->next++;
   peer->next_at += LOSTSERVER_GAP_MS * FT_MS;
@@ -232,7 +223,11 @@
   signal (LOSTSERVER_RESET_ONE, on_signal);
   for (;;)
     {
-      fds[0] = (struct pollfd){ .fd = listener, .events = POLLIN };
+      unsigned open = 0;
+      for (unsigned i = 0; i < CONNS_MAX; i++)
+        open += peers[i].fd > 0;
+      bool full = conf->conns_max && open >= conf->conns_max;
+      fds[0] = (struct pollfd){ .fd = full ? -1 : listener, .events = POLLIN };
       for (unsigned i = 0; i < CONNS_MAX; i++)
         fds[i + 1] = (struct pollfd){ .fd = peers[i].fd ? peers[i].fd : -1, .events = POLLIN };
       if (poll (fds, CONNS_MAX + 1, POLL_TIMEOUT) < 0)
@@ -341,3 +336,13 @@
   kill (pid, SIGKILL);
   waitpid (pid, NULL, 0); /* of a child of another process nothing is waited for */
 }
+
+char *
+lostserver_whole_answer (void)
+{
+  GString *text = g_string_new (NULL);
+
+  for (unsigned i = 1; i <= LOSTSERVER_EVENTS; i++)
+    g_string_append_printf (text, EVENT_FORMAT, i, i);
+  return g_string_free (text, FALSE);
+}
--- a/test/lostserver.h
+++ b/test/lostserver.h
@@ -28,6 +28,7 @@
   LostServerMode mode;
   unsigned reset_after_ms;  /* GIVE_UP_THEN_RESET */
   unsigned processes;       /* that serve the same listener */
+  unsigned conns_max;       /* of each process, which accepts no more; 0: no bound */
   size_t memory;            /* bytes that each process holds, which take time to be freed */
   bool silent_health;       /* does not answer status checks */
   bool listens_only;        /* accepts connections and never answers */
@@ -37,6 +38,8 @@
 /* Starts the processes and stores their ids; they end with the calling process. They listen once
  * the address is free. */
 void lostserver_start (const LostServerConf *conf, pid_t *pids);
+/* The body of a whole answer; g_free. */
+char *lostserver_whole_answer (void);
 /* Ends one of them by SIGKILL, and waits for it. */
 void lostserver_kill (pid_t pid);
 
--- a/test/lostsoak.c
+++ b/test/lostsoak.c
@@ -169,22 +169,11 @@
   return true;
 }
 
-static bool
-is_whole (const Answer *answer)
-{
-  GString *text = g_string_new (NULL);
-
-  for (unsigned i = 1; i <= LOSTSERVER_EVENTS; i++)
-    g_string_append_printf (text, "id: %u\ndata: event %u\n\n", i, i);
-  bool whole = strcmp (answer->body->str, text->str) == 0;
-  g_string_free (text, TRUE);
-  return whole;
-}
-
 static unsigned
 judge (const Soak *soak)
 {
   unsigned whole = 0, broken = 0, refused = 0, early = 0;
+  char *text = lostserver_whole_answer ();
 
   for (unsigned i = 0; i < soak->calls; i++)
     {
@@ -193,7 +182,7 @@
         broken++;
       else if (answer->status != 200)
         refused++;
-      else if (is_whole (answer))
+      else if (strcmp (answer->body->str, text) == 0)
         whole++;
       else
         {
@@ -202,6 +191,7 @@
                           soak->fleet->base);
         }
     }
+  g_free (text);
   g_test_message ("%u answers: %u whole, %u broken off, %u refused, %u ended early; servers: %u "
                   "killed, %u replaced at once, %u reset all; %u entries killed or stopped",
                   soak->calls, whole, broken, refused, early, soak->kills, soak->swaps,
@@ -257,6 +247,7 @@
   if (argc == 3)
     {
       play ((unsigned) atoi (argv[1]), (unsigned) atoi (argv[2]));
+      g_print ("ok 1 seed %s\n", argv[2]);
       return 0;
     }
   for (unsigned seed = 1; seed <= 4; seed++)
