test-lostends: with budget for all, streams whose server is lost go on and arrive whole

Cause: the cases of a lost process asserted only that no stream ends early, and with a budget of 8 none of 40 went on at the successor, so nothing showed that they can. Change: swap_budget, and sibling_budget asserts whole streams.

--- a/test/lostends.c
+++ b/test/lostends.c
@@ -13,7 +13,8 @@
 #define FAULT_AFTER   (300 * FT_MS) /* for a plain answer to begin */
 #define CHECK_STARTED (30 * FT_MS)
 #define STANDSTILL    (100 * FT_MS)
-#define BUDGET_SLACK  8            /* fewer repeats than streams that break at once */
+#define BUDGET_SLACK  8 /* fewer repeats than streams that break at once */
+#define AMPLE_BUDGET  (10 * STREAMS)
 #define SIBLING_CONNS 28           /* of STREAMS, and some for checks */
 #define HEAVY_PROCESS (512u << 20) /* bytes */
 
@@ -268,8 +269,8 @@
                     on->fault == FAULT_SIBLING ? result.count - SIBLING_CONNS : result.count);
 }
 
-/* Guards against breaking off sound answers that all end at once, more than the retry budget allows
- * to ask for again. */
+/* Guards against breaking off answers that are sound and all end at once, more than the retry
+ * budget allows to ask for again, or that another process could complete. */
 static void
 all_are_whole (gconstpointer data)
 {
@@ -326,8 +327,10 @@
   ADD ("swap_heavy", ROUTES, none_ends_early, .fault = FAULT_SWAP, .memory = HEAVY_PROCESS);
   ADD ("swap_hung", STREAM_ROUTES, none_ends_early, .fault = FAULT_HUNG);
   ADD ("sibling", ROUTES, none_ends_early, .fault = FAULT_SIBLING);
+  add_case ("swap_budget", "resumable_two", "/stream/a",
+            &(Case){ .fault = FAULT_SWAP, .budget = AMPLE_BUDGET }, all_are_whole);
   add_case ("sibling_budget", "resumable_two", "/stream/a",
-            &(Case){ .fault = FAULT_SIBLING, .budget = 10 * STREAMS }, none_ends_early);
+            &(Case){ .fault = FAULT_SIBLING, .budget = AMPLE_BUDGET }, all_are_whole);
   ADD ("reset", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP, .mode = GIVE_UP_RESET);
   ADD ("reset_at_check", STREAM_ROUTES, none_ends_early, .fault = FAULT_AT_CHECK,
        .mode = GIVE_UP_RESET, .streams = STREAMS_MANY);
