--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# run.sh - plays case 8 on loopback; TROUBLE=0 leaves out the disruption. See claim.txt.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/foxtailnode ] || [ ! -x target/review-2/case-8 ]; then
+  echo "build by deploy/system.toml and review/build-2.sh first"
+  exit 2
+fi
+exec target/review-2/case-8 review/8
