--- a/review/standin-2/case-5.c
+++ b/review/standin-2/case-5.c
@@ -7,7 +7,8 @@
 
 #define REPLICAS     4
 #define GARBLING     2    /* of them */
-#define COPIES_SHARE 0.03 /* of a garbling replica's answers */
+#define COPIES_SHARE 0.03 /* of a garbling replica's answers while it garbles */
+#define GARBLE_S     5.0  /* how long the replicas garble */
 #define REQUESTS     240
 #define NO_ID_EVERY  8
 #define FDS          4096
@@ -26,13 +27,27 @@
 
 static bool late[FDS]; /* a copy of the rejection is still to be sent, by descriptor */
 static unsigned runs[REQUESTS + 1];
-static gint answers[REPLICAS], copies[REPLICAS];
+static gint answers[REPLICAS], copies[REPLICAS]; /* while it garbles */
+static double garble_from = 1e9;                 /* see now_s */
+
+/* A copy goes to the connection of its rejection, or to none. */
+static void
+forget_copy (int fd)
+{
+  late[fd] = false;
+}
+
+static bool
+is_garbling (unsigned replica)
+{
+  return kit_trouble () && replica < GARBLING && now_s () >= garble_from
+         && now_s () < garble_from + GARBLE_S;
+}
 
 static bool
 may_copy (unsigned replica)
 {
-  return kit_trouble () && replica < GARBLING
-         && copies[replica] + 1 <= COPIES_SHARE * (answers[replica] + 1);
+  return is_garbling (replica) && copies[replica] + 1 <= COPIES_SHARE * answers[replica];
 }
 
 /* Rejects a request without an id. */
@@ -53,8 +68,8 @@
 
   msg_field (request, "X-Foxtailgrade-Request-Id", id, sizeof id);
   unsigned number = (unsigned) strtoul (id, NULL, 16);
-  answers[replica->number]++;
-  if (late[fd])
+  answers[replica->number] += !kit_trouble () || is_garbling (replica->number);
+  if (late[fd] && is_garbling (replica->number))
     {
       note ("replica %u: the late copy is sent as %s arrives", replica->number, id);
       write_all (fd, REJECTION, strlen (REJECTION));
@@ -98,16 +113,17 @@
   kit_open (argc > 1 ? argv[1] : ".");
   kit_start ();
   for (unsigned i = 0; i < REPLICAS; i++)
-    replica_new ("desk", run_request);
+    replica_new ("desk", run_request)->closing = forget_copy;
   if (operator_put (STATE, 15000) != 200)
     kit_finish (2, "the desired state was not taken");
   sleep_ms (4000);
+  garble_from = now_s ();
+  note ("two replicas garble for %.1f s", GARBLE_S);
   for (unsigned i = 1; i <= REQUESTS; i++)
     {
       if (i % NO_ID_EVERY == 0)
         note ("requester: without an id: %d", send_order (0));
       int status = send_order (i);
-      sleep_ms (40);
       served += status == 200;
       if (status == 200 && runs[i] == 1)
         continue;
--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -689,6 +689,8 @@
   msg_clear (&request);
   g_string_free (reader.ahead, TRUE);
   leave (replica, reader.fd);
+  if (replica->closing)
+    replica->closing (reader.fd);
   close (reader.fd);
   g_free (connection);
   return NULL;
--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -48,6 +48,7 @@
   int listener;      /* -1: none */
   GList *open;       /* descriptors of connections, as pointers */
   ReplicaHandler handler;
+  void (*closing) (int fd); /* called before a connection is closed; may be NULL */
 };
 
 /* Opens DIR/record.txt, makes a temporary folder and chooses addresses; exits with 2 if it cannot.
