--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -644,12 +644,18 @@
 }
 
 static bool
-answer_report (int fd)
-{
-  send_json (fd, 200,
-             "{\"Stage\":\"both\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],"
-             "\"Busy\":false,\"Seq\":0,\"Queued\":0,\"Running\":0,\"KvUsed\":0,"
-             "\"KvTotal\":563854,\"Handles\":0,\"Pinned\":0,\"held\":0,\"Runs\":[]}");
+answer_report (const Replica *replica, int fd)
+{
+  GString *out = g_string_new (
+      "{\"Stage\":\"both\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],"
+      "\"Busy\":false,\"Seq\":0,\"Queued\":0,\"Running\":0,\"KvUsed\":0,"
+      "\"KvTotal\":563854,\"Handles\":0,\"Pinned\":0,\"held\":0,\"Runs\":[]");
+
+  if (replica->born)
+    g_string_append_printf (out, ",\"born\":%" G_GINT64_FORMAT, replica->born);
+  g_string_append_c (out, '}');
+  send_json (fd, 200, out->str);
+  g_string_free (out, TRUE);
   return true;
 }
 
@@ -679,7 +685,7 @@
       if (strstr (request.start, " /health"))
         go_on = answer_health (replica, reader.fd);
       else if (strstr (request.start, " /api/report"))
-        go_on = answer_report (reader.fd);
+        go_on = answer_report (replica, reader.fd);
       else if (strstr (request.start, " /api/"))
         go_on = answer_other (reader.fd, request.start);
       else
