CONFIG: versions above 2^53 are exact or refused

Cause: the reader of catalogues took each number as a double and cast it. The version was rounded there; operators' calls, the log and the links carry 64 bits. Log lines printed it signed.

Change: the version is read as an integer, also where it is written with a fraction or an exponent, and refused with 400 and the field's name if it is not one from 1 to 2^64 - 2 (json-c takes all larger numbers for 2^64 - 1). Logs that earlier programs wrote hold rounded numbers beside true texts. A committed text is therefore read in any case; instances compare the log's numbers, and operators' versions are compared with the text's. A version that follows one whose number was rounded up keeps the distance, so that its number is above it at each voter, of whichever program.

--- a/node/adapter.h
+++ b/node/adapter.h
@@ -126,8 +126,10 @@
   /* Appends the answer to an ADAPTER_CALL_ROLLOUT_STATE. */
   void (*write_rollout) (GString *out, AdapterRolloutState state, const char *target);
   /* ---- documents ---- */
-  /* Parses and checks a complete catalogue; the caller owns *out. Errors name the field. */
-  FtStatus (*read_catalogue) (const char *text, size_t size, RtCat **out, FtError *error);
+  /* Parses and checks a complete catalogue; the caller owns *out. number: by which the log knows
+   * it, 0: it was submitted and is not in the log. Errors name the field. */
+  FtStatus (*read_catalogue) (const char *text, size_t size, uint64_t number, RtCat **out,
+                              FtError *error);
   /* The request for one page of the list of servers; page NULL: the first. */
   void (*write_list_request) (GString *out, SockAddr host, const char *page);
   /* Appends an AdapterServer to servers for each entry of a page; *next is the token of the next
--- a/node/control.c
+++ b/node/control.c
@@ -260,7 +260,7 @@
 
 /* Called in the log's thread. */
 static RtCat *
-on_parse (void *host, GBytes *document, GBytes **text, FtError *error)
+on_parse (void *host, GBytes *document, uint64_t number, GBytes **text, FtError *error)
 {
   const Control *control = host;
   RtCat *cat = NULL;
@@ -272,7 +272,7 @@
     ft_error_set (error, FT_INVALID, 0, "", "the document cannot be unpacked");
   else
     control->adapter_ops->read_catalogue (g_bytes_get_data (*text, NULL), g_bytes_get_size (*text),
-                                          &cat, error);
+                                          number, &cat, error);
   return cat;
 }
 
@@ -284,14 +284,14 @@
   uint64_t number;
   RtCat *cat = voter_catalogue (control->voter, &number, &error);
 
-  if (number == 0 || (control->cat && rt_cat_version (control->cat) >= number))
+  if (number == 0 || (control->cat && rt_cat_number (control->cat) >= number))
     {
       rt_cat_unref (cat);
       return;
     }
   if (cat == NULL)
     {
-      jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", number),
+      jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_UINT ("number", number),
             JL_TEXT ("why", error.text));
       return;
     }
@@ -299,9 +299,9 @@
   control->cat = cat;
   count_inc (COUNT_CATALOGUES);
   voter_status (control->voter, &control->status);
-  jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", number),
-        JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("proved", control->status.proved),
-        JL_INT ("term", control->status.term));
+  jlog (JLOG_INFO, "catalogue", NULL, JL_UINT ("version", rt_cat_version (cat)),
+        JL_UINT ("number", number), JL_INT ("routes", rt_cat_route_count (cat)),
+        JL_INT ("proved", control->status.proved), JL_INT ("term", control->status.term));
   broker_set_catalogue (control->broker, cat);
   if (control->operators)
     operators_set_catalogue (control->operators, cat);
@@ -529,7 +529,7 @@
       "\nfoxtail_entries %u\nfoxtail_waiting %u\nfoxtail_running %u\nfoxtail_servers %u\n"
       "foxtail_servers_out %u\nfoxtail_places %u\nfoxtail_list_age_seconds %g\n",
       control->status.term, control->status.proved, control->status.count,
-      voter_newest_number (control->voter), linked + lost, stats.waiting, stats.running,
+      control->cat ? rt_cat_version (control->cat) : 0, linked + lost, stats.waiting, stats.running,
       stats.servers, stats.out, stats.slots,
       (double) (loop_now (control->loop) - servers_asked_at (control->servers)) / 1e6);
   suspects_describe (control->suspects, out);
--- a/node/entry.c
+++ b/node/entry.c
@@ -57,7 +57,7 @@
   LoopTimer tick;
   int64_t started, leaving_since, next_read_at;
   unsigned entries;
-  uint64_t newest_version;     /* catalogue version announced by the voter in charge; 0: none */
+  uint64_t newest_number;      /* of the catalogue announced by the voter in charge; 0: none */
   const MeshPeer *newest_from; /* the voter that announced it */
   bool confirmed, was_ready, closed;
 } Entry;
@@ -66,7 +66,7 @@
 update_hello (Entry *entry)
 {
   mesh_update_hello (entry->mesh, entry->leaving_since != 0, egress_is_lost (entry->egress),
-                     entry->cat ? rt_cat_version (entry->cat) : 0);
+                     entry->cat ? rt_cat_number (entry->cat) : 0);
 }
 
 static void
@@ -82,12 +82,12 @@
 static void
 confirm_catalogue (Entry *entry)
 {
-  if (entry->confirmed || entry->newest_version == 0 || entry->cat == NULL
-      || rt_cat_version (entry->cat) < entry->newest_version)
+  if (entry->confirmed || entry->newest_number == 0 || entry->cat == NULL
+      || rt_cat_number (entry->cat) < entry->newest_number)
     return;
   entry->confirmed = true;
-  jlog (JLOG_INFO, "confirmed", NULL, JL_INT ("version", rt_cat_version (entry->cat)),
-        JL_INT ("newest", entry->newest_version));
+  jlog (JLOG_INFO, "confirmed", NULL, JL_UINT ("version", rt_cat_version (entry->cat)),
+        JL_UINT ("newest", entry->newest_number));
 }
 
 /* Returns the document's catalogue text. NULL: it cannot be decompressed, or is a delta to a
@@ -101,7 +101,7 @@
 
   if (document->base == 0)
     return compress_unpack (data, size);
-  if (entry->cat == NULL || rt_cat_version (entry->cat) != document->base)
+  if (entry->cat == NULL || rt_cat_number (entry->cat) != document->base)
     return NULL;
   return delta_apply (entry->text, data, size, FT_DOCUMENT_MAX);
 }
@@ -112,21 +112,21 @@
   FtError error = { 0 };
   RtCat *cat = NULL;
 
-  if (entry->cat && document->number <= rt_cat_version (entry->cat))
+  if (entry->cat && document->number <= rt_cat_number (entry->cat))
     return;
   GBytes *text = document_text (entry, document);
   if (text == NULL && document->base != 0)
     {
-      jlog (JLOG_INFO, "catalogue-base", NULL, JL_INT ("version", document->number),
-            JL_INT ("base", document->base),
-            JL_INT ("held", entry->cat ? rt_cat_version (entry->cat) : 0));
+      jlog (JLOG_INFO, "catalogue-base", NULL, JL_UINT ("number", document->number),
+            JL_UINT ("base", document->base),
+            JL_UINT ("held", entry->cat ? rt_cat_number (entry->cat) : 0));
       return;
     }
   if (text == NULL
       || entry->adapter_ops->read_catalogue (g_bytes_get_data (text, NULL), g_bytes_get_size (text),
-                                             &cat, &error)
+                                             document->number, &cat, &error)
              != FT_OK)
-    jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_INT ("version", document->number),
+    jlog (JLOG_ERROR, "catalogue-bad", NULL, JL_UINT ("number", document->number),
           JL_TEXT ("field", error.field),
           JL_TEXT ("why", text ? error.text : "cannot be decompressed"));
   if (cat == NULL)
@@ -134,8 +134,9 @@
       g_clear_pointer (&text, g_bytes_unref);
       return;
     }
-  jlog (JLOG_INFO, "catalogue", NULL, JL_INT ("version", document->number),
-        JL_INT ("before", entry->cat ? rt_cat_version (entry->cat) : 0),
+  jlog (JLOG_INFO, "catalogue", NULL, JL_UINT ("version", rt_cat_version (cat)),
+        JL_UINT ("number", document->number),
+        JL_UINT ("before", entry->cat ? rt_cat_version (entry->cat) : 0),
         JL_INT ("bytes", document->text.text_len), JL_INT ("changes", document->base != 0),
         JL_INT ("routes", rt_cat_route_count (cat)), JL_INT ("from_voter", peer->ip));
   count_inc (COUNT_CATALOGUES);
@@ -254,13 +255,13 @@
     mesh_dial (entry->mesh, view->voters.voters_val[i]);
   if (view->proved)
     {
-      entry->newest_version = view->document;
+      entry->newest_number = view->document;
       entry->newest_from = peer;
       confirm_catalogue (entry);
     }
   else if (entry->newest_from == peer)
-    entry->newest_version = 0;
-  if (view->proved || entry->newest_version == 0)
+    entry->newest_number = 0;
+  if (view->proved || entry->newest_number == 0)
     crashrep_set_voter (entry->crash_reporter, view->proved ? peer : NULL);
   if (view->proved && view->entries > 0)
     {
@@ -368,7 +369,7 @@
   jlog (JLOG_WARN, "link-down", NULL, JL_INT ("peer", peer->ip), JL_TEXT ("domain", peer->domain),
         JL_MS ("silent_ms", loop_now (entry->loop) - peer->received_at));
   if (entry->newest_from == peer)
-    entry->newest_version = 0;
+    entry->newest_number = 0;
   crashrep_peer_down (entry->crash_reporter, peer);
   origdir_link_down (entry->origins, peer);
   place_link_down (entry->place, peer);
@@ -511,7 +512,7 @@
 
   if (ready != entry->was_ready)
     jlog (JLOG_INFO, ready ? "ready" : "not-ready", NULL,
-          JL_INT ("version", entry->cat ? rt_cat_version (entry->cat) : 0),
+          JL_UINT ("version", entry->cat ? rt_cat_version (entry->cat) : 0),
           JL_INT ("confirmed", entry->confirmed),
           JL_MS ("list_age_ms", now - servers_asked_at (entry->servers)));
   entry->was_ready = ready;
--- a/node/jlog.c
+++ b/node/jlog.c
@@ -114,6 +114,8 @@
       g_string_append_printf (buffer, ",\"%s\":", fields->name);
       if (fields->text)
         append_json_string (buffer, fields->text);
+      else if (fields->is_unsigned)
+        g_string_append_printf (buffer, "%" G_GUINT64_FORMAT, (uint64_t) fields->number);
       else
         g_string_append_printf (buffer, "%lld", (long long) fields->number);
     }
@@ -145,7 +147,7 @@
   flush_at = now + FLUSH_INTERVAL;
   if (dropped > dropped_logged && buffer->len < BUFFER_MAX)
     {
-      JlogField fields[] = { JL_INT ("lines", dropped - dropped_logged), { NULL, NULL, 0 } };
+      JlogField fields[] = { JL_INT ("lines", dropped - dropped_logged), { NULL, NULL, 0, false } };
       append_line (JLOG_WARN, "log-dropped", NULL, fields);
       dropped_logged = dropped;
     }
--- a/node/operators.c
+++ b/node/operators.c
@@ -24,7 +24,7 @@
 typedef struct
 {
   uint64_t ticket;
-  uint64_t number;      /* version of a catalogue; 0: not a catalogue */
+  uint64_t version;     /* of a catalogue; 0: not a catalogue */
   RollApiReply rollout; /* service is NULL: not a roll-out */
   HCall *call;
   int64_t deadline;
@@ -90,6 +90,27 @@
   return operators->status.proved && !operators->leaving;
 }
 
+/* The number under which this version is logged; 0: it is not above the newest one. */
+static uint64_t
+number_after_newest (const Operators *operators, uint64_t version)
+{
+  FtError error;
+  uint64_t newest_number;
+  RtCat *newest = voter_catalogue (operators->voter, &newest_number, &error);
+  uint64_t newest_version = newest ? rt_cat_version (newest) : newest_number;
+  uint64_t number = rt_number_after (newest_version, newest_number, version);
+
+  rt_cat_unref (newest);
+  if (number == 0)
+    jlog (JLOG_INFO, "change-known", NULL, JL_UINT ("version", version),
+          JL_UINT ("newest", newest_version));
+  else if (number != version)
+    jlog (JLOG_INFO, "change-number", NULL, JL_UINT ("version", version),
+          JL_UINT ("number", number), JL_UINT ("newest", newest_version),
+          JL_UINT ("newest_number", newest_number));
+  return number;
+}
+
 static void
 put_catalogue (Operators *operators, HCall *call)
 {
@@ -97,8 +118,9 @@
   FtError error = { 0 };
   RtCat *cat = NULL;
   Change change = { 0 };
+  uint64_t number;
 
-  if (operators->adapter_ops->read_catalogue ((const char *) body->data, body->len, &cat, &error)
+  if (operators->adapter_ops->read_catalogue ((const char *) body->data, body->len, 0, &cat, &error)
       != FT_OK)
     {
       jlog (JLOG_WARN, "change-invalid", NULL, JL_TEXT ("field", error.field),
@@ -106,20 +128,24 @@
       reply_error (call, 400, error.field, error.text);
       return;
     }
-  change.number = rt_cat_version (cat);
+  change.version = rt_cat_version (cat);
   rt_cat_unref (cat);
   if (!in_charge (operators))
     {
       redirect_to_leader (operators, call);
       return;
     }
-  if (change.number <= voter_newest_number (operators->voter))
+  number = number_after_newest (operators, change.version);
+  if (number == 0)
     {
-      jlog (JLOG_INFO, "change-known", NULL, JL_INT ("version", change.number),
-            JL_INT ("newest", voter_newest_number (operators->voter)));
       reply_text (call, 200, g_string_new (NULL), "{}\n", 3);
       return;
     }
+  if (number == G_MAXUINT64)
+    {
+      reply_error (call, 400, "Version", "is too high");
+      return;
+    }
   change.call = call;
   change.deadline = loop_now (operators->loop) + CHANGE_TIMEOUT;
   GBytes *packed = compress_pack (body->data, body->len);
@@ -128,7 +154,7 @@
       reply_error (call, 503, "", "not enough memory for the change");
       return;
     }
-  change.ticket = voter_propose (operators->voter, change.number, packed);
+  change.ticket = voter_propose (operators->voter, number, packed);
   g_array_append_val (operators->changes, change);
   g_bytes_unref (packed);
 }
@@ -306,8 +332,8 @@
       if (change.ticket != ticket)
         continue;
       remove_change (operators, i);
-      if (change.number)
-        jlog (JLOG_INFO, "change", NULL, JL_INT ("version", change.number),
+      if (change.version)
+        jlog (JLOG_INFO, "change", NULL, JL_UINT ("version", change.version),
               JL_TEXT ("verdict", status == FT_OK ? "committed" : ft_strerror (status)),
               JL_INT ("term", operators->status.term));
       if (status == FT_OK && change.rollout.service)
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -70,7 +70,7 @@
   jlog (JLOG_INFO, event, req->id, JL_INT ("status", status), JL_TEXT ("why", why),
         JL_TEXT ("route", req->route ? req->route->name : ""),
         JL_TEXT ("org", req->org ? req->org->name : ""), JL_TEXT ("content", content),
-        JL_INT ("catalogue", req->cat ? rt_cat_version (req->cat) : 0),
+        JL_UINT ("catalogue", req->cat ? rt_cat_version (req->cat) : 0),
         JL_TEXT ("server", req->server), JL_TEXT ("software", req->software),
         JL_TEXT ("resumes", req->facts.resumes), JL_TEXT ("after_event", req->facts.last_event),
         JL_INT ("sends", req->sends), JL_TEXT ("last_try", req->last_event),
--- a/node/voter.c
+++ b/node/voter.c
@@ -240,7 +240,7 @@
     return;
   GBytes *bytes = g_bytes_new (document->text.text_val, document->text.text_len);
   if (voter->ops->parse)
-    cat = voter->ops->parse (voter->host, bytes, &text, &error);
+    cat = voter->ops->parse (voter->host, bytes, document->number, &text, &error);
   pthread_mutex_lock (&voter->lock);
   GBytes *old = voter->document, *old_text = voter->text;
   RtCat *old_cat = voter->cat;
--- a/node/voter.h
+++ b/node/voter.h
@@ -15,7 +15,7 @@
   /* Called in the log's thread, once for each newer document. Returns the parsed catalogue; NULL:
    * it is invalid, error says why. *text: the unpacked text, NULL if it cannot be unpacked. The
    * callback itself may be NULL. */
-  RtCat *(*parse) (void *host, GBytes *document, GBytes **text, FtError *error);
+  RtCat *(*parse) (void *host, GBytes *document, uint64_t number, GBytes **text, FtError *error);
   /* bytes: a packed Msg for the voter at address to; the callback unrefs it. */
   void (*send) (void *host, uint32_t to, GByteArray *bytes);
   /* A newer document was committed; read it with voter_document. */
--- a/src/route.c
+++ b/src/route.c
@@ -6,7 +6,7 @@
 struct RtCat
 {
   gint refs;
-  uint64_t version;
+  uint64_t version, number;
   RtLimits limits;
   GPtrArray *services, *routes, *orgs;
   GHashTable *by_service; /* name -> RtService */
@@ -59,12 +59,13 @@
 }
 
 RtCat *
-rt_cat_new (uint64_t version, const RtLimits *limits)
+rt_cat_new (uint64_t version, uint64_t number, const RtLimits *limits)
 {
   RtCat *cat = g_new0 (RtCat, 1);
 
   cat->refs = 1;
   cat->version = version;
+  cat->number = number;
   cat->limits = *limits;
   cat->services = g_ptr_array_new_with_free_func (service_free);
   cat->routes = g_ptr_array_new_with_free_func (route_free);
@@ -226,6 +227,25 @@
   return cat->version;
 }
 
+uint64_t
+rt_cat_number (const RtCat *cat)
+{
+  return cat->number;
+}
+
+/* Earlier programs rounded versions above 2^53 to the number under which they logged them. One that
+ * was rounded up is above the versions that follow; these keep its distance. So numbers are in the
+ * order of their versions, whichever instance proposes them. */
+uint64_t
+rt_number_after (uint64_t newest_version, uint64_t newest_number, uint64_t version)
+{
+  uint64_t distance = newest_number > newest_version ? newest_number - newest_version : 0;
+
+  if (version <= newest_version)
+    return 0;
+  return version < G_MAXUINT64 - distance ? version + distance : G_MAXUINT64;
+}
+
 const RtLimits *
 rt_cat_limits (const RtCat *cat)
 {
--- a/src/route.h
+++ b/src/route.h
@@ -63,7 +63,7 @@
 
 /* Creates an empty catalogue; the caller owns the reference. Add records, which are copied, and
  * then seal it. After that it is immutable. */
-RtCat *rt_cat_new (uint64_t version, const RtLimits *limits);
+RtCat *rt_cat_new (uint64_t version, uint64_t number, const RtLimits *limits);
 FtStatus rt_cat_add_service (RtCat *cat, const RtService *service, FtError *error);
 FtStatus rt_cat_add_route (RtCat *cat, const RtRoute *route, FtError *error);
 FtStatus rt_cat_add_org (RtCat *cat, const RtOrg *org, FtError *error);
@@ -72,7 +72,14 @@
 RtCat *rt_cat_ref (RtCat *cat);
 void rt_cat_unref (RtCat *cat);
 
+/* The operator's version. */
 uint64_t rt_cat_version (const RtCat *cat);
+/* Its place in the order of all catalogues, by which instances compare them. It is the version,
+ * unless an earlier program logged this catalogue or one before it (rt_number_after). */
+uint64_t rt_cat_number (const RtCat *cat);
+/* The number for a catalogue of this version that follows newest. 0: the version is not above the
+ * newest one; G_MAXUINT64: there is no such number. */
+uint64_t rt_number_after (uint64_t newest_version, uint64_t newest_number, uint64_t version);
 const RtLimits *rt_cat_limits (const RtCat *cat);
 /* The route of host with the longest prefix that matches path, or NULL. The host's port and case
  * are ignored. */
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -55,7 +55,7 @@
 parse (const char *text, RtCat **cat, FtError *error)
 {
   memset (error, 0, sizeof *error);
-  return platform_read_catalogue (text, strlen (text), cat, error);
+  return platform_read_catalogue (text, strlen (text), 0, cat, error);
 }
 
 /* Each catalogue with one fault is rejected with a message that names the fault. */
@@ -109,6 +109,72 @@
     }
 }
 
+/* Guards against versions that are rounded to another one. */
+static void
+versions (void)
+{
+  static const struct
+  {
+    const char *text;
+    uint64_t value; /* 0: it is refused */
+  } cases[] = { { "1", 1 },
+                { "9007199254740992", 9007199254740992u },
+                { "9007199254740993", 9007199254740993u },
+                { "20261207000000001", 20261207000000001u },
+                { "9223372036854775807", 9223372036854775807u },
+                { "9223372036854775808", 9223372036854775808u },
+                { "18446744073709551614", 18446744073709551614u },
+                { "8.0", 8 },
+                { "1e3", 1000 },
+                { "1.5E+1", 15 },
+                { "9007199254740993.0", 9007199254740993u },
+                { "90071992547409930e-1", 9007199254740993u },
+                { "18446744073709551615", 0 },
+                { "18446744073709551616", 0 },
+                { "1e30", 0 },
+                { "1e300", 0 },
+                { "1e999999999999999999999", 0 },
+                { "7.5", 0 },
+                { "1.00000000000000000001", 0 },
+                { "1e-1", 0 },
+                { "0", 0 },
+                { "0.0", 0 },
+                { "-3", 0 },
+                { "-3.0", 0 },
+                { "-9223372036854775809", 0 },
+                { "NaN", 0 },
+                { "Infinity", 0 },
+                { "\"8\"", 0 },
+                { "null", 0 },
+                { "true", 0 },
+                { "[8]", 0 } };
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text
+          = g_strdup_printf ("{\"Version\":%s,\"Routes\":[" ROUTE "]," SERVICES "}", cases[i].text);
+      FtError error;
+      RtCat *cat;
+      FtStatus status = parse (text, &cat, &error);
+      if ((status == FT_OK) != (cases[i].value != 0))
+        g_error ("version %s: %s", cases[i].text, status == FT_OK ? "accepted" : error.text);
+      if (status == FT_OK)
+        g_assert_cmpuint (rt_cat_version (cat), ==, cases[i].value);
+      else
+        g_assert_cmpstr (error.field, ==, "Version");
+      refused += status != FT_OK;
+      rt_cat_unref (cat);
+      /* A committed text is read in any case. */
+      g_assert_cmpint (platform_read_catalogue (text, strlen (text), 42, &cat, &error), ==, FT_OK);
+      g_assert_cmpuint (rt_cat_number (cat), ==, 42);
+      g_assert_cmpuint (rt_cat_version (cat), ==, cases[i].value ? cases[i].value : 42);
+      rt_cat_unref (cat);
+      g_free (text);
+    }
+  g_assert_cmpuint (refused, ==, 19);
+}
+
 /* Every truncation of a valid catalogue is rejected, and none crashes the process. */
 static void
 truncated_catalogues (void)
@@ -119,7 +185,7 @@
 
   for (size_t size = 0; size < strlen (valid); size++)
     {
-      g_assert_cmpint (platform_read_catalogue (valid, size, &cat, &error), ==, FT_INVALID);
+      g_assert_cmpint (platform_read_catalogue (valid, size, 0, &cat, &error), ==, FT_INVALID);
       g_assert_null (cat);
     }
   g_assert_cmpint (parse (valid, &cat, &error), ==, FT_OK);
@@ -637,6 +703,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/adapter/invalid", invalid_catalogues);
+  g_test_add_func ("/adapter/versions", versions);
   g_test_add_func ("/adapter/truncated", truncated_catalogues);
   g_test_add_func ("/adapter/good", valid_catalogue);
   g_test_add_func ("/adapter/forward", forwarded_request);
--- a/test/decide.c
+++ b/test/decide.c
@@ -724,7 +724,7 @@
 new_catalogue (void)
 {
   RtLimits limits = { 1, 1, 1, 1 };
-  RtCat *cat = rt_cat_new (7, &limits);
+  RtCat *cat = rt_cat_new (7, 7, &limits);
   RtService service = { .name = (char *) "s" };
   RtTarget target = { (char *) "s", 1 };
   RtRoute route = { .name = (char *) "r", .host = (char *) "A.example", .timeout_us = 1 };
@@ -747,6 +747,33 @@
   return cat;
 }
 
+/* Guards against losing the versions after one that an earlier program logged rounded up. */
+static void
+numbers_of_versions (void)
+{
+  const uint64_t first = 9007199254740995u, rounded = 9007199254740996u;
+  uint64_t before = rounded;
+
+  g_assert_cmpuint (rt_number_after (0, 0, 1), ==, 1);
+  g_assert_cmpuint (rt_number_after (7, 7, 7), ==, 0);
+  g_assert_cmpuint (rt_number_after (7, 7, 6), ==, 0);
+  g_assert_cmpuint (rt_number_after (7, 7, 8), ==, 8);
+  g_assert_cmpuint (rt_number_after (first, rounded, first), ==, 0);
+  for (uint64_t version = first + 1; version < first + 10; version++)
+    {
+      uint64_t number = rt_number_after (first, rounded, version);
+      g_assert_cmpuint (number, >, before);
+      /* The same from any document between them. */
+      g_assert_cmpuint (rt_number_after (version, number, version + 1), ==,
+                        rt_number_after (first, rounded, version + 1));
+      before = number;
+    }
+  /* Rounded down. */
+  g_assert_cmpuint (rt_number_after (rounded, first, rounded), ==, 0);
+  g_assert_cmpuint (rt_number_after (rounded, first, rounded + 1), ==, rounded + 1);
+  g_assert_cmpuint (rt_number_after (first, rounded, G_MAXUINT64 - 1), ==, G_MAXUINT64);
+}
+
 static void
 longest_prefix_wins (void)
 {
@@ -804,5 +831,6 @@
   g_test_add_func ("/curve/learned", prefill_time_is_learned);
   g_test_add_func ("/budget/bounds", budget_limits_retries);
   g_test_add_func ("/route/prefix", longest_prefix_wins);
+  g_test_add_func ("/decide/numbers_of_versions", numbers_of_versions);
   return g_test_run ();
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -636,8 +636,8 @@
   answer->status = 0;
 }
 
-static char *
-catalogue_text (const Fleet *fleet, uint64_t version)
+char *
+fleet_catalogue_text (const Fleet *fleet, uint64_t version)
 {
   char limits[64] = "";
 
@@ -667,7 +667,7 @@
 bool
 fleet_try_put_catalogue (Fleet *fleet, const FleetNode *voter)
 {
-  char *text = catalogue_text (fleet, fleet->version + 1);
+  char *text = fleet_catalogue_text (fleet, fleet->version + 1);
   Answer answer;
 
   ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
@@ -684,7 +684,7 @@
 unsigned
 fleet_resend_catalogue (Fleet *fleet, const FleetNode *voter)
 {
-  char *text = catalogue_text (fleet, fleet->version);
+  char *text = fleet_catalogue_text (fleet, fleet->version);
   Answer answer;
 
   ask_voter (fleet, voter, "POST", "/api/Config.Put", text, &answer);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -91,7 +91,7 @@
   char name[16], folder[256], settings[256];
   uint32_t ip;
   bool voter;
-  bool older;     /* schedules as an older program (olderwrap.c); set it before the start */
+  bool older;     /* works as an older program (olderwrap.c); set it before the start */
   unsigned files; /* descriptors that it may have open; 0: as many as the test */
   pid_t pid;      /* 0: not running */
   int status;     /* wait status of its last exit that was no fleet_kill */
@@ -175,6 +175,8 @@
 void fleet_crash_server (FleetServer *server);
 /* An operator's call to the voter in charge; retries until one answers. */
 void fleet_operator_call (Fleet *fleet, const char *method, const char *path, Answer *answer);
+/* The text of the catalogue as fleet_put_catalogue puts it, with this version; g_free. */
+char *fleet_catalogue_text (const Fleet *fleet, uint64_t version);
 /* Like fleet_operator_call, with a body. */
 void fleet_operator_call_body (Fleet *fleet, const char *method, const char *path, const char *body,
                                Answer *answer);
--- a/test/handover.c
+++ b/test/handover.c
@@ -575,7 +575,7 @@
 catalogue (double rate)
 {
   RtLimits http_limits = { 1, 1, 1, 1 };
-  RtCat *cat = rt_cat_new (1, &http_limits);
+  RtCat *cat = rt_cat_new (1, 1, &http_limits);
   RtService service = { .name = (char *) "s" };
 
   rt_cat_add_service (cat, &service, NULL);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -253,5 +253,13 @@
 try "no resume: streams of any route are resumed" src/retry.c 's/ \&\& facts->kind == RT_STREAM \&\& facts->resumable//' test-decide &
 try "engine events: any id is a number" daemon/sse.c 's/^  return g_ascii_string_to_unsigned .*/  (void) number;\n  return g_ascii_strtoll (text, NULL, 10);/' test-text &
 try "engine events: data has one line" daemon/sse.c 's/g_strsplit \(data, ".n", -1\)/g_strsplit (data, "\\n", 1)/' test-text &
+# Versions of catalogues above 2^53.
+try "versions: read as doubles" platform/catalogue.c 's/\*out = json_object_get_uint64 \(value\);.*/*out = (uint64_t) json_object_get_double (value);/' test-versions &
+try "versions: a fraction is dropped" platform/catalogue.c 's/ \&\& dropped == 0/ || dropped/' test-adapter &
+try "versions: any number is taken" platform/catalogue.c 's/ \&\& \*out <= VERSION_MAX//' test-adapter &
+try "versions: a committed one is refused" platform/catalogue.c 's/^    version = number; .*/    version = 0;/' test-adapter &
+try "versions: numbers are versions" src/route.c 's/newest_number > newest_version \? newest_number - newest_version : 0/0 * newest_number/' test-versions &
+try "versions: compared with numbers" node/operators.c 's/newest \? rt_cat_version \(newest\) : newest_number/newest_number/' test-versions &
+try "versions: entries compare versions" node/entry.c 's/document->number <= rt_cat_number/document->number <= rt_cat_version/; s/rt_cat_number \(entry->cat\) != document->base/rt_cat_version (entry->cat) != document->base/; s/rt_cat_number \(entry->cat\) < entry->newest/rt_cat_version (entry->cat) < entry->newest/' test-versions &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/place.c
+++ b/test/place.c
@@ -103,7 +103,7 @@
 set_up (void)
 {
   RtLimits limits = { 1, 1, 1, 1 };
-  RtCat *cat = rt_cat_new (1, &limits);
+  RtCat *cat = rt_cat_new (1, 1, &limits);
   RtService service = { .name = (char *) "s" };
   RtOrg org = { .name = (char *) "o", .rate = 1000, .burst = 1000, .keys = g_ptr_array_new () };
   AdapterServer server = { .id = (char *) "i",
--- a/test/publish.c
+++ b/test/publish.c
@@ -56,12 +56,13 @@
 static gint read_count;
 
 static RtCat *
-read_document (void *host, GBytes *document, GBytes **text, FtError *error)
+read_document (void *host, GBytes *document, uint64_t number, GBytes **text, FtError *error)
 {
   gsize size;
   const void *data = g_bytes_get_data (document, &size);
 
   (void) host;
+  (void) number;
   (void) error;
   g_assert_true (g_thread_self () != loop_thread);
   g_atomic_int_inc (&read_count);
--- a/test/shares.c
+++ b/test/shares.c
@@ -569,7 +569,7 @@
   RtOrg large = { .name = (char *) "large", .rate = 3000, .burst = 1e6, .by_tokens = true },
         hot = { .name = (char *) "hot", .rate = 1000, .burst = 1e6, .by_tokens = true },
         calls = { .name = (char *) "calls", .rate = 5, .burst = 5 };
-  RtCat *cat = rt_cat_new (1, &limits);
+  RtCat *cat = rt_cat_new (1, 1, &limits);
   FtError error = { 0 };
 
   large.keys = g_ptr_array_new ();
