Catalogues: members that are no numbers, texts or booleans are refused

Members of a wrong type were taken for omitted ones: a cap of "100" or null members meant no cap, and "Public":"false" opened the route.

Cause: one reader of numbers for members of all types, without bounds, and json-c's conversion of any value to a boolean.

Values beyond what a field holds stand for its bound. Only true opens a route or makes it resumable. A committed text is read as before, but for what would open it.

--- a/test/adapter.c
+++ b/test/adapter.c
@@ -175,6 +175,89 @@
   g_assert_cmpuint (refused, ==, 19);
 }
 
+/* Guards against members whose values are taken for others: a cap, a key or a restriction that
+ * cannot be read would be none. In committed texts nothing opens what a readable value closes. */
+static void
+members (void)
+{
+#define ROUTE_AND(member)                                                                          \
+  "\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\",\"PathPrefix\":\"/x/\",\"RouteType\":\"safe\","      \
+  "\"Service\":\"s\"," member "}]," SERVICES
+#define SERVICE_AND(member) "\"Routes\":[" ROUTE "],\"Services\":[{\"Name\":\"s\"," member "}]"
+#define LIMITS(limits)      "\"Routes\":[" ROUTE "]," SERVICES ",\"Limits\":" limits
+#define ORG_AND(member)                                                                            \
+  "\"Routes\":[" ROUTE "]," SERVICES ",\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"k\"]," member   \
+  "}]"
+  static const struct
+  {
+    const char *text, *field; /* field: that is refused; NULL: none */
+  } cases[] = { { ROUTE_AND ("\"TimeoutMs\":\"9\""), "TimeoutMs" },
+                { ROUTE_AND ("\"TimeoutMs\":-1"), "TimeoutMs" },
+                { ROUTE_AND ("\"TimeoutMs\":NaN"), "TimeoutMs" },
+                { ROUTE_AND ("\"TimeoutMs\":1e999"), "TimeoutMs" },
+                { ROUTE_AND ("\"TimeoutMs\":1e300"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9.5"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Priority\":-1"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Priority\":1e300"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Priority\":\"0\""), "Priority" },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"MaxAttempts\":-2"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"MaxAttempts\":[]"), "MaxAttempts" },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Public\":\"false\""), "Public" },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Public\":1"), "Public" },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Public\":null"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Resumable\":\"no\""), "Resumable" },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"GapAimMs\":null"), NULL },
+                { ROUTE_AND ("\"TimeoutMs\":9,\"Backends\":{}"), "Backends" },
+                { SERVICE_AND ("\"MaxConnections\":-1"), "MaxConnections" },
+                { SERVICE_AND ("\"MaxConnections\":1e10"), NULL },
+                { SERVICE_AND ("\"HealthPath\":7"), "HealthPath" },
+                { SERVICE_AND ("\"Engine\":true"), "Engine" },
+                { SERVICE_AND ("\"Engine\":null"), NULL },
+                { SERVICE_AND ("\"Engine\":{\"KvCapacityTokens\":1e30,\"Stride\":1e30}"), NULL },
+                { SERVICE_AND ("\"Engine\":{\"Stride\":-1}"), "Stride" },
+                { LIMITS ("[]"), "Limits" },
+                { LIMITS ("{\"MaxBodyBytes\":-1}"), "MaxBodyBytes" },
+                { LIMITS ("{\"MaxBodyBytes\":1e30,\"IdleTimeoutMs\":1e30}"), NULL },
+                { LIMITS ("{\"HeaderTimeoutMs\":\"3000\"}"), "HeaderTimeoutMs" },
+                { ORG_AND ("\"RatePerS\":\"100\""), "RatePerS" },
+                { ORG_AND ("\"RatePerS\":-100"), "RatePerS" },
+                { ORG_AND ("\"RatePerS\":0"), NULL },
+                { ORG_AND ("\"Burst\":{}"), "Burst" },
+                { ORG_AND ("\"Unit\":3"), "Unit" },
+                { ORG_AND ("\"PlainTokens\":1e10"), NULL } };
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf ("{\"Version\":1,%s}", cases[i].text);
+      FtError error;
+      RtCat *cat;
+      FtStatus status = parse (text, &cat, &error);
+      if ((status == FT_OK) != (cases[i].field == NULL)
+          || (cases[i].field && strstr (error.text, cases[i].field) == NULL))
+        g_error ("%s: %s", text, status == FT_OK ? "accepted" : error.text);
+      refused += status != FT_OK;
+      rt_cat_unref (cat);
+      if (platform_read_catalogue (text, strlen (text), 1, &cat, &error) == FT_OK)
+        {
+          const RtRoute *route = rt_cat_route (cat, "a", "/x/");
+          g_assert_false (route->open || route->resumable);
+          g_assert_cmpint (route->timeout_us, >, 0);
+          g_assert_cmpint (rt_cat_limits (cat)->idle_us, >, 0);
+          g_assert_cmpuint (rt_cat_limits (cat)->body_bytes, <, G_MAXINT64);
+          rt_cat_unref (cat);
+        }
+      else
+        g_assert_true (strstr (text, "TimeoutMs\"") || strstr (text, "Backends\""));
+      g_free (text);
+    }
+  g_assert_cmpuint (refused, ==, 21);
+#undef ROUTE_AND
+#undef SERVICE_AND
+#undef LIMITS
+#undef ORG_AND
+}
+
 /* Every truncation of a valid catalogue is rejected, and none crashes the process. */
 static void
 truncated_catalogues (void)
@@ -704,6 +787,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/adapter/invalid", invalid_catalogues);
   g_test_add_func ("/adapter/versions", versions);
+  g_test_add_func ("/adapter/members", members);
   g_test_add_func ("/adapter/truncated", truncated_catalogues);
   g_test_add_func ("/adapter/good", valid_catalogue);
   g_test_add_func ("/adapter/forward", forwarded_request);
