Callers' numbers: sizes and time limits do not overflow

Seen: X-Foxtailgrade-Token-Usage: 4294967296,1 was a request of one token, and 4294967295,1 cost a tenant's cap nothing; X-Foxtailgrade-Deadline-Ms from on overflowed, which is undefined.

--- a/net/hcli.c
+++ b/net/hcli.c
@@ -18,6 +18,7 @@
 #define IDLE_DEFAULT_US (300 * FT_MS)
 /* subtracted from the server's timeout, so that a request arrives before it expires */
 #define IDLE_MARGIN_US    (400 * FT_MS)
+#define IDLE_MAX_S        86400 /* of the server's timeout */
 #define SWEEP_INTERVAL_US (1 * FT_SECOND)
 /* for each key; more slots than any server has had so far */
 #define IDLE_CONNS_MAX 64
@@ -150,7 +151,7 @@
   if (timeout == NULL)
     return IDLE_DEFAULT_US;
   int64_t seconds = g_ascii_strtoll (timeout + strlen ("timeout="), NULL, 10);
-  return MAX (IDLE_DEFAULT_US, seconds * FT_SECOND - IDLE_MARGIN_US);
+  return MAX (IDLE_DEFAULT_US, CLAMP (seconds, 0, IDLE_MAX_S) * FT_SECOND - IDLE_MARGIN_US);
 }
 
 static void
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -317,6 +317,47 @@
 
 /* A caller sets fields that only the scheduler may set, and hop-by-hop fields. None of them reaches
  * the server, nor does the key of the caller; the scheduler's own values do. */
+/* Guards against numbers of callers that become others, such as a size of 2^32 tokens that costs
+ * nothing of a cap. */
+static void
+numbers_of_callers (void)
+{
+  static const struct
+  {
+    const char *tokens, *wait;
+    bool stated;
+    unsigned prompt, output;
+    int64_t wait_ms;
+  } cases[] = { { "1460,80", "1500", true, 1460, 80, 1500 },
+                { " 1460, 80", " 1500", true, 1460, 80, 1500 },
+                { "4294967296,1", "9223372036854775807", true, 1000000000, 1, 86400000 },
+                { "4294967295,1", "18446744073709551616", true, 1000000000, 1, 86400000 },
+                { "99999999999999999999999,99999999999999999999999", "9223372036854776", true,
+                  1000000000, 1000000000, 86400000 },
+                { "-1,5", "-1", false, 0, 0, 0 },
+                { "1,-5", "x", true, 1, 0, 0 },
+                { "1", "", false, 1, 0, 0 } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf ("GET / HTTP/1.1\r\nX-Foxtailgrade-Token-Usage: %s\r\n"
+                                    "X-Foxtailgrade-Deadline-Ms: %s\r\n\r\n",
+                                    cases[i].tokens, cases[i].wait);
+      GString *body = g_string_new (NULL);
+      HReader *read = read_message (true, text, body);
+      AdapterRequest facts;
+      platform_adapter_ops ()->read_request (last_head, &facts);
+      g_assert_cmpint (facts.has_tokens, ==, cases[i].stated);
+      g_assert_cmpuint (facts.prompt_tokens, ==, cases[i].prompt);
+      g_assert_cmpuint (facts.output_max, ==, cases[i].output);
+      g_assert_cmpint (facts.caller_wait_us, ==, cases[i].wait_ms * FT_MS);
+      g_assert_cmpuint (facts.prompt_tokens + facts.output_max, >=, facts.prompt_tokens);
+      hread_free (read);
+      g_string_free (body, TRUE);
+      g_free (text);
+    }
+}
+
 static void
 forwarded_request (void)
 {
@@ -790,6 +831,7 @@
   g_test_add_func ("/adapter/members", members);
   g_test_add_func ("/adapter/truncated", truncated_catalogues);
   g_test_add_func ("/adapter/good", valid_catalogue);
+  g_test_add_func ("/adapter/numbers_of_callers", numbers_of_callers);
   g_test_add_func ("/adapter/forward", forwarded_request);
   g_test_add_func ("/adapter/parts", parts_of_prompt);
   g_test_add_func ("/adapter/answers", answers);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -264,5 +264,6 @@
 try "numbers: text is a number" platform/catalogue.c 's/!is_number \|\| //' test-adapter &
 try "numbers: a negative cap is none" platform/catalogue.c 's/ \|\| number < 0\)/)/' test-adapter &
 try "numbers: any text opens a route" platform/catalogue.c 's/json_type_boolean, "true or false"/json_object_get_type (member (object, name)), ""/' test-adapter &
+try "numbers: large sizes cost nothing" platform/platform.c 's/return MIN \(count, max\);/return count + 0 * max;/' test-adapter &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
