LOST: a status check that is not answered decides nothing

On the other side, halves of a killed server were told as whole if its successor rejected the check with a 503 that names nobody.

Cause: node/lifetime.c had three results, and whoever asked made two of them: "unknown" after CHECK_TIMEOUT counted as "ended" for answers and as "alive" for crash charges; a rejection without a name counted as "goes on".

Change: a check has two results and lasts as long as somebody waits for one. A server goes on if it answers a status check by its name, or has run a request that was sent to it after the end; it has ended if another one answers or its address refuses. Resets, silence and unnamed rejections say nothing and are followed by another attempt, after pauses that grow, on a kept connection if there is one. An attempt stays open in the server's queue; at most three are. What the caller waits for bounds it: its time limit, the route's, the end of the grace. Meanwhile the answer holds no place. A request that may run again is sent to another server after 1.5 s, if attempts and budget are left. The crash detector charges nobody while nothing is known, and says so (server-undecided).

--- a/node/count.c
+++ b/node/count.c
@@ -20,8 +20,8 @@
         "returns_kept",    "returns_lapsed",  "returns_lost",
         "fair_queued",     "fair_refused",    "greetings",
         "handovers",       "held_asks",       "streams_returned",
-        "origins_unknown", "ends_unframed",   "events_dropped",
-        "events_skipped" };
+        "origins_unknown", "ends_unframed",   "ends_undecided",
+        "status_checks",   "events_dropped",  "events_skipped" };
 static const char *const timed_names[TIMED] = { "wait", "first", "whole", "turn", "timer_late" };
 
 void
--- a/node/count.h
+++ b/node/count.h
@@ -39,6 +39,8 @@
   COUNT_STREAMS_RETURNED, /* streams that their callers took up again */
   COUNT_ORIGINS_UNKNOWN,  /* ... and that were refused, since their version is not known */
   COUNT_ENDS_UNFRAMED,  /* tries whose answer ended in order with its connection, without framing */
+  COUNT_ENDS_UNDECIDED, /* ... and about which nothing was known when its connection was given up */
+  COUNT_STATUS_CHECKS,  /* sent to find out whether a server's run goes on */
   COUNT_EVENTS_DROPPED, /* events of streams whose number was not above the one before */
   COUNT_EVENTS_SKIPPED, /* numbers that no event had, between two events of a stream */
   COUNTERS
--- a/node/ends.c
+++ b/node/ends.c
@@ -29,6 +29,8 @@
 /* Time after abandoning a request within which a crash may be caused by it. */
 #define ABANDONED_KEPT (1 * FT_SECOND)
 #define ABANDONED_MAX  64
+/* For the server itself to say whether it goes on. */
+#define ANSWER_TIMEOUT (1500 * FT_MS)
 /* Of one server; more than the request slots of any server seen so far. */
 #define RUNS_MAX 64
 
@@ -183,6 +185,14 @@
   g_hash_table_remove (check->detector->checks, check->server);
 }
 
+/* Nothing is known, so no request is charged with a crash. */
+static void
+set_undecided (ServerCheck *check, const char *evidence)
+{
+  log_result (check, "server-undecided", evidence);
+  g_hash_table_remove (check->detector->checks, check->server);
+}
+
 static void
 on_lifetime (LifetimeWait *wait, LifetimeState state, const char *evidence)
 {
@@ -206,6 +216,8 @@
       return;
     }
   lifetimes_ask (check->detector->lifetimes, &target, &check->asked);
+  loop_timer_set (check->detector->loop, &check->timer,
+                  loop_now (check->detector->loop) + ANSWER_TIMEOUT);
 }
 
 /* ---- Probes ---- */
@@ -306,7 +318,7 @@
   if (check->refused)
     set_crashed (check, "its address refuses connections");
   else
-    set_alive (check, "no connection can be opened from here");
+    set_undecided (check, "no connection can be opened from here");
 }
 
 static void
@@ -317,12 +329,14 @@
 
   if (check->state == STATE_CRASHED)
     g_hash_table_remove (detector->checks, check->server);
+  else if (!cds_list_empty (&check->asked.link))
+    set_undecided (check, "it does not answer whether it goes on");
   else if (!check->relayed && hcli_is_connected (detector->cli, check->server))
     ask_server (check, "it accepts connections");
   else if (check->probes < PROBES_MAX)
     probe (check);
   else
-    set_alive (check, "no reply, and no refusal");
+    set_undecided (check, "no reply, and no refusal");
 }
 
 static ServerCheck *
--- a/node/lifetime.h
+++ b/node/lifetime.h
@@ -12,8 +12,7 @@
 typedef enum
 {
   LIFETIME_GOES_ON,
-  LIFETIME_ENDED,
-  LIFETIME_UNKNOWN /* nobody could be asked, or nobody has answered in time */
+  LIFETIME_ENDED
 } LifetimeState;
 
 /* Waits for the result of a check; embedded in a struct of its owner. evidence: for logs. */
@@ -22,6 +21,8 @@
 {
   struct cds_list_head link; /* empty while it does not wait */
   void (*decided) (LifetimeWait *wait, LifetimeState state, const char *evidence);
+  uint64_t turn; /* private */
+  int64_t asked_at;
 };
 
 /* The run of a server that is asked about. */
@@ -37,7 +38,9 @@
                           const Servers *servers);
 void lifetimes_free (Lifetimes *lifetimes);
 /* Asks whether that run still exists now. Without a status check the platform's list decides. wait
- * is told later, within 3 s, and may be removed from its list before. */
+ * is told once that is known, which may be never; its owner removes it from its list to give up. */
 void lifetimes_ask (Lifetimes *lifetimes, const LifetimeTarget *target, LifetimeWait *wait);
+/* The server has run a request for that run alone, which was sent to it at this time. */
+void lifetimes_note_answer (Lifetimes *lifetimes, const char *server, int64_t sent_at);
 
 #endif
--- a/node/reqend.c
+++ b/node/reqend.c
@@ -30,6 +30,7 @@
   loop_timer_stop (loop, &req->verdict_wait);
   loop_timer_stop (loop, &req->ask_pause);
   loop_timer_stop (loop, &req->confirmation);
+  loop_timer_stop (loop, &req->end_undecided);
   cds_list_del (&req->link);
   req->requests->open_count--;
   if (req->stream)
@@ -92,13 +93,30 @@
 }
 
 void
-req_end_try (Req *req, SchedOutcome outcome)
+req_give_place_back (Req *req, SchedOutcome outcome)
 {
   SchedResult result = { .outcome = outcome };
-  int64_t now = req_now (req);
+
+  if (req->number == 0)
+    return;
+  if (req->events > 4)
+    result.event_us = req->event_gap_sum / (req->events - 1);
+  if (req->sent_at)
+    result.answer_us = (req->ended_at ? req->ended_at : req_now (req)) - req->sent_at;
+  result.broke = req->broke_on_send;
+  result.conn_idle_us = req->conn_idle;
+  place_end (req->requests->conf.place, req->number, &result);
+  req_clear_number (req);
+}
+
+void
+req_end_try (Req *req, SchedOutcome outcome)
+{
+  Loop *loop = req->requests->conf.loop;
   HXfer *xfer = req->xfer;
 
-  loop_timer_stop (req->requests->conf.loop, &req->silence);
+  loop_timer_stop (loop, &req->silence);
+  loop_timer_stop (loop, &req->end_undecided);
   cds_list_del_init (&req->end_wait.link);
   req->xfer = NULL;
   if (xfer)
@@ -108,16 +126,7 @@
         crashrep_abandoned (req->requests->conf.crash_reporter, req->server, &run);
       hxfer_cancel (xfer);
     }
-  if (req->number == 0)
-    return;
-  if (req->events > 4)
-    result.event_us = req->event_gap_sum / (req->events - 1);
-  if (req->sent_at)
-    result.answer_us = (req->ended_at ? req->ended_at : now) - req->sent_at;
-  result.broke = req->broke_on_send;
-  result.conn_idle_us = req->conn_idle;
-  place_end (req->requests->conf.place, req->number, &result);
-  req_clear_number (req);
+  req_give_place_back (req, outcome);
 }
 
 void
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -75,13 +75,14 @@
   HXferFault fault; /* why the connection failed; valid if has_fault */
   bool has_fault;
   bool head_seen, is_stream, rejected;
-  size_t rejection_bytes; /* of the body of the rejection */
-  bool wrong_server;      /* rejected by a server other than the addressed one */
-  bool close_delimited;   /* the end of the connection ends the answer, so a truncated one looks
-                             complete */
-  LifetimeWait end_wait;  /* waits, after such an end, for whether the server's run goes on */
-  int64_t ended_at;       /* when it ended so; 0: it has not */
-  bool end_decided;       /* ... and the check of the server has a result: */
+  size_t rejection_bytes;  /* of the body of the rejection */
+  bool wrong_server;       /* rejected by a server other than the addressed one */
+  bool close_delimited;    /* the end of the connection ends the answer, so a truncated one looks
+                              complete */
+  LifetimeWait end_wait;   /* waits, after such an end, for whether the server's run goes on */
+  int64_t ended_at;        /* when it ended so; 0: it has not */
+  LoopTimer end_undecided; /* armed while only that is waited for */
+  bool end_decided;        /* ... and the check of the server has a result: */
   bool run_goes_on;
   bool read_paused;  /* the caller reads too slowly, so reading from the server is paused */
   GString *fields;   /* header fields of the answer */
@@ -156,6 +157,8 @@
 void req_log_end (const Req *req, const char *event, unsigned status, const char *why);
 /* Ends the current try, if there is one, and tells the scheduler its outcome. */
 void req_end_try (Req *req, SchedOutcome outcome);
+/* Gives the place back, if one is held, with the outcome of the try at it. */
+void req_give_place_back (Req *req, SchedOutcome outcome);
 /* The three ways to end a request; each frees req. Answers with an error of this instance's own,
  * without a server's identifier in it; retry_us: when the caller should retry, 0: not stated. */
 void req_answer_error (Req *req, unsigned status, int64_t retry_us, const char *why);
@@ -179,6 +182,11 @@
 void try_on_silence (LoopTimer *timer);
 /* The check of the server after the end of its connection has a result. */
 void try_on_end_decided (LifetimeWait *wait, LifetimeState state, const char *evidence);
+/* The connection is gone, and whether the server's run goes on is not known: waits for that, or
+ * until the request is to be sent to another server. */
+void try_await_decision (Req *req);
+/* Timer: that has lasted for some time. */
+void try_on_end_undecided (LoopTimer *timer);
 /* Timer: nobody has confirmed in time that the stream has ended. */
 void try_on_confirmation_over (LoopTimer *timer);
 /* True while that is awaited; the try has no transfer then. */
--- a/node/requests.c
+++ b/node/requests.c
@@ -52,6 +52,8 @@
     case RETRY_ANSWERED:
     case RETRY_UNCONFIRMED:
       return SCHED_OK;
+    case RETRY_UNDECIDED:
+      return SCHED_LEFT;
     default:
       return SCHED_FAILED;
     }
@@ -116,6 +118,11 @@
           JL_INT ("past_last_id", facts.past_last_id),
           JL_TEXT ("fault", req->has_fault ? hxfer_fault_name (req->fault) : ""),
           JL_INT ("relay", req->relay.ip));
+  if (event == RETRY_UNDECIDED && step == RETRY_WAIT)
+    {
+      try_await_decision (req);
+      return;
+    }
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
     {
       if (!req->silence_reported)
@@ -195,6 +202,7 @@
   req->ask_pause.fire = req_on_ask_pause_over;
   req->confirmation.fire = try_on_confirmation_over;
   req->end_wait.decided = try_on_end_decided;
+  req->end_undecided.fire = try_on_end_undecided;
   CDS_INIT_LIST_HEAD (&req->end_wait.link);
   req->arrived = req->deadline = hcall_arrival_time (call);
   requests->conf.adapter_ops->read_request (hcall_msg (call), &req->facts);
--- a/node/try.c
+++ b/node/try.c
@@ -38,6 +38,9 @@
 #define RESET_WAIT_PLAIN (60 * FT_MS)
 /* For another server to begin to say whether a stream has ended; callers wait for longer. */
 #define CONFIRMATION_TIMEOUT (1500 * FT_MS)
+/* After which a request that may run again is sent to another server, if attempts and budget are
+ * left, although its server may still show that its run goes on. */
+#define UNDECIDED_INTERVAL (1500 * FT_MS)
 
 /* True unless the answer names another request. */
 static bool
@@ -139,6 +142,8 @@
   req->status = hmsg_status (msg);
   req->slowness = answer.slowness;
   take_notice (req, &answer);
+  if (answer.has_receipt && answer.id)
+    lifetimes_note_answer (req->requests->conf.lifetimes, req->server, req->sent_at);
   if (answer.not_run && (answer.id || req->status == 400))
     {
       /* The server states that this try did not run; earlier tries may still have. */
@@ -449,18 +454,42 @@
   req_break_off (req, "unconfirmed");
 }
 
+void
+try_await_decision (Req *req)
+{
+  Loop *loop = req->requests->conf.loop;
+
+  loop_timer_set (loop, &req->end_undecided, loop_now (loop) + UNDECIDED_INTERVAL);
+}
+
+void
+try_on_end_undecided (LoopTimer *timer)
+{
+  req_after_try ((Req *) ((char *) timer - offsetof (Req, end_undecided)), RETRY_UNDECIDED);
+}
+
 bool
 try_awaits_end (const Req *req)
 {
   return req->end_wait.link.next != &req->end_wait.link;
 }
 
-/* Goes on once no reset has come and the server's run is known to go on or not. */
+/* Goes on once no reset has come and the server's run is known to go on or not. Until then nothing
+ * is said of it: the caller's connection stays open, while the place is given back, as the server
+ * serves another request at it. */
 static void
 finish_ended (Req *req)
 {
-  if (req->xfer || !req->end_decided)
+  if (req->xfer)
     return;
+  if (!req->end_decided)
+    {
+      count_inc (COUNT_ENDS_UNDECIDED);
+      req_give_place_back (req, SCHED_LEFT);
+      try_await_decision (req);
+      return;
+    }
+  loop_timer_stop (req->requests->conf.loop, &req->end_undecided);
   if (req->run_goes_on)
     {
       finish_unframed (req);
--- a/src/retry.c
+++ b/src/retry.c
@@ -80,6 +80,16 @@
   return facts->unframed ? RETRY_DELIVER : RETRY_ABORT;
 }
 
+/* Another server's answer is as good if the request may run again. Nothing else is lost by waiting
+ * until the caller's time is over. */
+static RetryStep
+after_undecided_end (const RetryFacts *facts)
+{
+  if (!is_repeatable (facts) || !may_send_again (facts) || facts->suspect)
+    return RETRY_WAIT;
+  return facts->begun ? RETRY_RESUME : RETRY_AGAIN;
+}
+
 /* When the connection breaks during a long answer that cannot be resumed, there is no position to
  * resume from; requesting it again as if it were a stream made the process end. */
 static RetryStep
@@ -90,6 +100,7 @@
     case RETRY_ANSWERED:
       return RETRY_DELIVER;
     case RETRY_SILENT:
+    case RETRY_UNDECIDED:
       return RETRY_WAIT;
     case RETRY_UNCONFIRMED:
       return facts->unframed ? RETRY_DELIVER : RETRY_ABORT;
@@ -124,6 +135,8 @@
       return after_break (facts);
     case RETRY_UNCONFIRMED:
       return after_unconfirmed_end (facts);
+    case RETRY_UNDECIDED:
+      return after_undecided_end (facts);
     case RETRY_SILENT:
       return is_repeatable (facts) && may_send_again (facts) ? RETRY_REPLACE : RETRY_WAIT;
     }
@@ -140,8 +153,9 @@
 const char *
 retry_event_name (RetryEvent event)
 {
-  static const char *const names[] = { "unreached", "rejected", "broken", "failure",    "answered",
-                                       "cut",       "silent",   "gone",   "unconfirmed" };
+  static const char *const names[]
+      = { "unreached", "rejected", "broken", "failure",     "answered",
+          "cut",       "silent",   "gone",   "unconfirmed", "undecided" };
 
   return names[event];
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -15,7 +15,9 @@
   RETRY_STREAM_CUT,    /* a stream broke after its head was sent to the caller */
   RETRY_SILENT,        /* sent; no data for longer than expected */
   RETRY_OTHER_SERVER,  /* another server answered at the address and did not run the request */
-  RETRY_UNCONFIRMED    /* a stream without framing ended in order, so it may lack its last events */
+  RETRY_UNCONFIRMED,   /* a stream without framing ended in order, so it may lack its last events */
+  RETRY_UNDECIDED      /* an answer without framing ended in order, and it is not known yet whether
+                          its server's run goes on */
 } RetryEvent;
 
 typedef struct
--- a/test/lostends.c
+++ b/test/lostends.c
@@ -1,350 +1,51 @@
 /* lostends.c - tests, with real processes on loopback, of answers without framing whose server's
  * process is lost or gives them up: none of them may end as complete before its last event, and
  * sound ones arrive whole. A plain answer is the text of the events. */
-#include "fleet.h"
-#include "lostserver.h"
+#include "lostplay.h"
 
-#include <signal.h>
-#include <string.h>
-
-#define SERVER_PORT   8743
-#define STREAMS       40
-#define STREAMS_MANY  200           /* more than a loop takes reports of in one iteration */
-#define FAULT_AFTER   (300 * FT_MS) /* for a plain answer to begin */
-#define CHECK_STARTED (30 * FT_MS)
-#define STANDSTILL    (100 * FT_MS)
-#define BUDGET_SLACK  8 /* fewer repeats than streams that break at once */
-#define AMPLE_BUDGET  (10 * STREAMS)
-#define SIBLING_CONNS 28           /* of STREAMS, and some for checks */
 #define HEAVY_PROCESS (512u << 20) /* bytes */
-
-typedef enum
-{
-  FAULT_NONE,
-  FAULT_SHUT,    /* the process is killed, and its address stays shut */
-  FAULT_SWAP,    /* it is killed, and another lifetime listens at its address at once */
-  FAULT_HUNG,    /* the same, and that one accepts connections and says nothing */
-  FAULT_SIBLING, /* one of two processes that share a listener is killed */
-  FAULT_GIVE_UP, /* the process ends the answers as its mode says, and lives on */
-  FAULT_AT_CHECK /* the same while the entry stands still, just before a check of the process */
-} Fault;
-
-typedef struct
-{
-  const char *path;
-  Fault fault;
-  LostServerMode mode;
-  unsigned reset_after_ms;
-  size_t memory;
-  unsigned streams; /* 0: STREAMS */
-  unsigned budget;  /* slack of the retry budget of all entries; 0: BUDGET_SLACK */
-  bool unchecked;   /* the service has no status check */
-  bool relayed;     /* the entry is cut off and sends through another one */
-} Case;
-
-typedef struct
-{
-  Fleet *fleet;
-  unsigned count;
-  uint64_t relayed, repeated; /* requests before the play */
-  Answer answers[STREAMS_MANY];
-  LostServerConf conf;
-  pid_t pids[2], successor[2];
-} Play;
-
-/* What the callers of a play saw. */
-typedef struct
-{
-  unsigned count, parts; /* parts: callers that got an event */
-  unsigned whole, broken, early, refused;
-  unsigned repeated; /* resumed after a part, or sent again */
-} Result;
-
-static bool
-all_done (void *data)
-{
-  const Play *play = data;
-
-  for (unsigned i = 0; i < play->count; i++)
-    if (!play->answers[i].done)
-      return false;
-  return true;
-}
-
-/* Waits for the second event of all; a plain answer shows nothing until it is complete. */
-static bool
-all_begun (void *data)
-{
-  const Play *play = data;
-
-  for (unsigned i = 0; i < play->count; i++)
-    if (!play->answers[i].done && strstr (play->answers[i].body->str, "id: 2\n") == NULL)
-      return false;
-  return true;
-}
-
-static uint64_t
-repeated_count (const Play *play)
-{
-  const FleetNode *entry = &play->fleet->entries[0];
-
-  return fleet_counter (play->fleet, entry, "foxtail_resumes_total")
-         + fleet_counter (play->fleet, entry, "foxtail_repeats_total");
-}
-
-static void
-start_play (Play *play, const Case *on)
-{
-  Fleet *fleet = fleet_new ();
-  FleetServer *server = &fleet->servers[0];
-
-  *play = (Play){ .fleet = fleet, .count = on->streams ? on->streams : STREAMS };
-  fleet->slots = 2 * play->count;
-  fleet->budget_slack = on->budget ? on->budget : BUDGET_SLACK;
-  fleet->unchecked = on->unchecked;
-  for (unsigned i = 0; i < FLEET_SERVERS; i++)
-    fleet->servers[i].listed = i == 0;
-  if (on->relayed)
-    fleet_add_detours (fleet);
-  else
-    server->addr.port = SERVER_PORT;
-  play->conf = (LostServerConf){ .addr = server->addr,
-                                 .id = server->id,
-                                 .mode = on->mode,
-                                 .reset_after_ms = on->reset_after_ms,
-                                 .processes = on->fault == FAULT_SIBLING ? 2 : 1,
-                                 .conns_max = on->fault == FAULT_SIBLING ? SIBLING_CONNS : 0,
-                                 .memory = on->memory };
-  lostserver_start (&play->conf, play->pids);
-  fleet_start_all (fleet);
-  if (on->relayed)
-    fleet_relay_all (fleet, &fleet->entries[0]);
-  play->relayed = fleet_relayed_count (fleet, &fleet->entries[0]);
-  play->repeated = repeated_count (play);
-}
-
-static void
-end_play (Play *play)
-{
-  for (unsigned i = 0; i < play->count; i++)
-    fleet_answer_clear (&play->answers[i]);
-  lostserver_kill (play->pids[0]);
-  lostserver_kill (play->successor[0]);
-  fleet_free (play->fleet);
-}
-
-static void
-send_all (Play *play, const char *path)
-{
-  char id[16];
-
-  for (unsigned i = 0; i < play->count; i++)
-    {
-      g_snprintf (id, sizeof id, "u%u", i);
-      fleet_send (play->fleet, &play->fleet->entries[0], path, id, &play->answers[i]);
-    }
-}
-
-static void
-replace_server (Play *play, bool hung)
-{
-  FleetServer *server = &play->fleet->servers[0];
-
-  lostserver_kill (play->pids[0]);
-  play->pids[0] = 0;
-  g_snprintf (server->id, sizeof server->id, "successor");
-  play->conf.listens_only = hung;
-  lostserver_start (&play->conf, play->successor);
-}
-
-/* One reset makes the entry check the process. The others come while it stands still, so that the
- * check and reports of resets are due in the same iteration of its loop. */
-static void
-give_up_at_check (Play *play)
-{
-  FleetNode *entry = &play->fleet->entries[0];
-
-  kill (play->pids[0], LOSTSERVER_RESET_ONE);
-  fleet_run_for (play->fleet, CHECK_STARTED);
-  fleet_signal (entry, SIGSTOP);
-  kill (play->pids[0], LOSTSERVER_GIVE_UP);
-  fleet_run_for (play->fleet, STANDSTILL);
-  fleet_signal (entry, SIGCONT);
-}
-
-static void
-make_fault (Play *play, Fault fault)
-{
-  switch (fault)
-    {
-    case FAULT_SHUT:
-      lostserver_kill (play->pids[0]);
-      play->pids[0] = 0;
-      break;
-    case FAULT_SWAP:
-    case FAULT_HUNG:
-      replace_server (play, fault == FAULT_HUNG);
-      break;
-    case FAULT_SIBLING:
-      kill (play->pids[1], SIGKILL); /* a child of the other one */
-      break;
-    case FAULT_GIVE_UP:
-      kill (play->pids[0], LOSTSERVER_GIVE_UP);
-      break;
-    case FAULT_AT_CHECK:
-      give_up_at_check (play);
-      break;
-    default:
-      break;
-    }
-}
-
-static Result
-count_results (const Play *play)
-{
-  Result result = { .count = play->count };
-  char *whole = lostserver_whole_answer ();
-
-  for (unsigned i = 0; i < play->count; i++)
-    {
-      const Answer *answer = &play->answers[i];
-      bool part = answer->status == 200 && answer->body->len > 0;
-      result.parts += part;
-      result.refused += answer->status != 200;
-      result.broken += answer->broken;
-      result.whole += !answer->broken && strcmp (answer->body->str, whole) == 0;
-      result.early += part && !answer->broken && strcmp (answer->body->str, whole) != 0;
-    }
-  g_free (whole);
-  return result;
-}
-
-static bool
-is_plain (const Case *on)
-{
-  return strncmp (on->path, "/once", 5) == 0 || strncmp (on->path, "/plain", 6) == 0;
-}
-
-static Result
-run_play (const Case *on)
-{
-  Play play;
-  Result result;
-
-  start_play (&play, on);
-  send_all (&play, on->path);
-  if (is_plain (on))
-    fleet_run_for (play.fleet, FAULT_AFTER);
-  else
-    fleet_run_until (play.fleet, all_begun, &play, "events of all streams");
-  make_fault (&play, on->fault);
-  fleet_run_until (play.fleet, all_done, &play, "ends of all answers");
-  if (on->relayed)
-    g_assert_cmpuint (fleet_relayed_count (play.fleet, &play.fleet->entries[0]), >=,
-                      play.relayed + play.count);
-  result = count_results (&play);
-  result.repeated = (unsigned) (repeated_count (&play) - play.repeated);
-  g_test_message ("%u answers: %u begun, %u whole, %u broken off, %u ended early, %u refused; "
-                  "%u resumed or sent again",
-                  result.count, result.parts, result.whole, result.broken, result.early,
-                  result.refused, result.repeated);
-  end_play (&play);
-  return result;
-}
-
-/* Guards against an answer that ends as complete although its server's process was lost, or reset
- * it. */
-static void
-none_ends_early (gconstpointer data)
-{
-  const Case *on = data;
-  Result result = run_play (on);
-
-  if (!is_plain (on))
-    g_assert_cmpuint (result.parts, ==, result.count);
-  g_assert_cmpuint (result.early, ==, 0);
-  g_assert_cmpuint (result.whole + result.broken + result.refused, ==, result.count);
-  /* What the fault took effect on: all answers, or those of one of two processes. */
-  g_assert_cmpuint (result.broken + result.refused + result.repeated, >=,
-                    on->fault == FAULT_SIBLING ? result.count - SIBLING_CONNS : result.count);
-}
-
-/* Guards against breaking off answers that are sound and all end at once, more than the retry
- * budget allows to ask for again, or that another process could complete. */
-static void
-all_are_whole (gconstpointer data)
-{
-  Result result = run_play (data);
-
-  g_assert_cmpuint (result.parts, ==, result.count);
-  g_assert_cmpuint (result.whole, ==, result.count);
-}
-
-#define CASES_MAX     100
-#define STREAM_ROUTES 3
-#define ROUTES        5
-
-static Case cases[CASES_MAX];
-static unsigned case_count;
-
-static void
-add_case (const char *name, const char *route, const char *target, const Case *on,
-          GTestDataFunc run)
-{
-  char *path = g_strdup_printf ("/lostends/%s/%s", name, route);
-
-  g_assert_cmpuint (case_count, <, CASES_MAX);
-  cases[case_count] = *on;
-  cases[case_count].path = target;
-  g_test_add_data_func (path, &cases[case_count++], run);
-  g_free (path);
-}
-
-/* name: of the fault; routes: how many of the routes it is played on. */
-static void
-add_cases (const char *name, const Case *on, unsigned routes, GTestDataFunc run)
-{
-  static const char *const known[ROUTES][2]
-      = { { "single", "/single/a" }, /* a stream that cannot be resumed */
-          { "resumable_one", "/again/a" },
-          { "resumable_two", "/stream/a" }, /* with two attempts */
-          { "once", "/once/a" },
-          { "plain", "/plain/a" } };
-
-  for (unsigned i = 0; i < routes; i++)
-    add_case (name, known[i][0], known[i][1], on, run);
-}
-
-#define ADD(name, routes, run, ...) add_cases (name, &(Case){ __VA_ARGS__ }, routes, run)
+#define AMPLE_BUDGET  (10 * LOSTPLAY_STREAMS)
 
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  ADD ("sound", ROUTES, all_are_whole, .fault = FAULT_NONE);
-  ADD ("shut", STREAM_ROUTES, none_ends_early, .fault = FAULT_SHUT);
-  ADD ("swap", ROUTES, none_ends_early, .fault = FAULT_SWAP);
-  ADD ("swap_heavy", ROUTES, none_ends_early, .fault = FAULT_SWAP, .memory = HEAVY_PROCESS);
-  ADD ("swap_hung", STREAM_ROUTES, none_ends_early, .fault = FAULT_HUNG);
-  ADD ("sibling", ROUTES, none_ends_early, .fault = FAULT_SIBLING);
-  add_case ("swap_budget", "resumable_two", "/stream/a",
-            &(Case){ .fault = FAULT_SWAP, .budget = AMPLE_BUDGET }, all_are_whole);
-  add_case ("sibling_budget", "resumable_two", "/stream/a",
-            &(Case){ .fault = FAULT_SIBLING, .budget = AMPLE_BUDGET }, all_are_whole);
-  ADD ("reset", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP, .mode = GIVE_UP_RESET);
-  ADD ("reset_at_check", STREAM_ROUTES, none_ends_early, .fault = FAULT_AT_CHECK,
-       .mode = GIVE_UP_RESET, .streams = STREAMS_MANY);
-  ADD ("reset_after_0", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
-       .mode = GIVE_UP_THEN_RESET);
-  ADD ("reset_after_20", ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
-       .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20);
-  ADD ("reset_after_45", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
-       .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 45);
-  ADD ("unchecked_sound", ROUTES, all_are_whole, .fault = FAULT_NONE, .unchecked = true);
-  ADD ("unchecked_swap", ROUTES, none_ends_early, .fault = FAULT_SWAP, .unchecked = true);
-  ADD ("relay_sound", ROUTES, all_are_whole, .fault = FAULT_NONE, .relayed = true);
-  ADD ("relay_swap", STREAM_ROUTES, none_ends_early, .fault = FAULT_SWAP, .relayed = true);
-  ADD ("relay_reset_after_20", STREAM_ROUTES, none_ends_early, .fault = FAULT_GIVE_UP,
-       .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20, .relayed = true);
+  LOSTPLAY_ADD ("lostends/sound", LOSTPLAY_ROUTES, lostplay_all_are_whole, .fault = FAULT_NONE);
+  LOSTPLAY_ADD ("lostends/shut", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_SHUT);
+  LOSTPLAY_ADD ("lostends/swap", LOSTPLAY_ROUTES, lostplay_none_ends_early, .fault = FAULT_SWAP);
+  LOSTPLAY_ADD ("lostends/swap_heavy", LOSTPLAY_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_SWAP, .memory = HEAVY_PROCESS);
+  LOSTPLAY_ADD ("lostends/swap_hung", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_HUNG);
+  LOSTPLAY_ADD ("lostends/sibling", LOSTPLAY_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_SIBLING);
+  lostplay_add_case ("lostends/swap_budget", "resumable_two", "/stream/a",
+                     &(Case){ .fault = FAULT_SWAP, .budget = AMPLE_BUDGET },
+                     lostplay_all_are_whole);
+  lostplay_add_case ("lostends/sibling_budget", "resumable_two", "/stream/a",
+                     &(Case){ .fault = FAULT_SIBLING, .budget = AMPLE_BUDGET },
+                     lostplay_all_are_whole);
+  LOSTPLAY_ADD ("lostends/reset", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_GIVE_UP, .mode = GIVE_UP_RESET);
+  LOSTPLAY_ADD ("lostends/reset_at_check", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_AT_CHECK, .mode = GIVE_UP_RESET, .streams = LOSTPLAY_STREAMS_MANY);
+  LOSTPLAY_ADD ("lostends/reset_after_0", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_GIVE_UP, .mode = GIVE_UP_THEN_RESET);
+  LOSTPLAY_ADD ("lostends/reset_after_20", LOSTPLAY_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_GIVE_UP, .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20);
+  LOSTPLAY_ADD ("lostends/reset_after_45", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_GIVE_UP, .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 45);
+  LOSTPLAY_ADD ("lostends/unchecked_sound", LOSTPLAY_ROUTES, lostplay_all_are_whole,
+                .fault = FAULT_NONE, .unchecked = true);
+  LOSTPLAY_ADD ("lostends/unchecked_swap", LOSTPLAY_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_SWAP, .unchecked = true);
+  LOSTPLAY_ADD ("lostends/relay_sound", LOSTPLAY_ROUTES, lostplay_all_are_whole,
+                .fault = FAULT_NONE, .relayed = true);
+  LOSTPLAY_ADD ("lostends/relay_swap", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_SWAP, .relayed = true);
+  LOSTPLAY_ADD ("lostends/relay_reset_after_20", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
+                .fault = FAULT_GIVE_UP, .mode = GIVE_UP_THEN_RESET, .reset_after_ms = 20,
+                .relayed = true);
   return g_test_run ();
 }
--- a/test/lostserver.c
+++ b/test/lostserver.c
@@ -63,11 +63,30 @@
     return; /* the next read sees the end of the connection */
 }
 
+/* How it treats a status check now. */
+static LostServerCheck
+check_mode (const LostServerConf *conf)
+{
+  static int64_t first_at;
+  int64_t now = g_get_monotonic_time ();
+
+  first_at = first_at ? first_at : now;
+  return conf->check_ms && now >= first_at + conf->check_ms * FT_MS ? CHECK_ANSWERED : conf->check;
+}
+
 static void
 answer_check (const LostServerConf *conf, Peer *peer)
 {
-  char *reply = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\nX-Foxtailgrade-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", conf->id);
+  LostServerCheck mode = check_mode (conf);
+  char *reply = NULL;
+
+  if (mode == CHECK_REJECTED)
+    reply = g_strdup ("HTTP/1.1 503 Service Unavailable\r\nX-Foxtailgrade-Not-Executed: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+  else
+    reply = g_strdup_printf (
+        "HTTP/1.1 %s\r\nX-Foxtailgrade-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
+        mode == CHECK_FAILING ? "503 Service Unavailable" : "200 OK", conf->id);
 
   write_text (peer, reply);
   g_free (reply);
@@ -114,7 +133,9 @@
   peer->size = 0;
   if (!check)
     start_answer (conf, peer);
-  else if (!conf->silent_health)
+  else if (check_mode (conf) == CHECK_RESET)
+    close_peer (peer, true);
+  else if (check_mode (conf) != CHECK_SILENT)
     peer->next_at = g_get_monotonic_time () + conf->answer_delay_ms * FT_MS;
 }
 
--- a/test/lostserver.h
+++ b/test/lostserver.h
@@ -21,16 +21,27 @@
   GIVE_UP_THEN_RESET /* ends its side in order, and resets the connection later */
 } LostServerMode;
 
+/* What it does with a status check. */
+typedef enum
+{
+  CHECK_ANSWERED,
+  CHECK_SILENT,
+  CHECK_RESET,    /* as a server does with connections beyond its limit */
+  CHECK_REJECTED, /* 503, not executed; it names nobody */
+  CHECK_FAILING   /* 503, named: the server lives and is not healthy */
+} LostServerCheck;
+
 typedef struct
 {
   SockAddr addr;
   const char *id; /* of this lifetime */
   LostServerMode mode;
-  unsigned reset_after_ms;  /* GIVE_UP_THEN_RESET */
-  unsigned processes;       /* that serve the same listener */
-  unsigned conns_max;       /* of each process, which accepts no more; 0: no bound */
-  size_t memory;            /* bytes that each process holds, which take time to be freed */
-  bool silent_health;       /* does not answer status checks */
+  unsigned reset_after_ms; /* GIVE_UP_THEN_RESET */
+  unsigned processes;      /* that serve the same listener */
+  unsigned conns_max;      /* of each process, which accepts no more; 0: no bound */
+  size_t memory;           /* bytes that each process holds, which take time to be freed */
+  LostServerCheck check;
+  unsigned check_ms;        /* from the first one; later ones are answered. 0: all are treated so */
   bool listens_only;        /* accepts connections and never answers */
   unsigned answer_delay_ms; /* before the head of a status check's answer */
 } LostServerConf;
--- a/test/lostsoak.c
+++ b/test/lostsoak.c
@@ -10,15 +10,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVER_PORT  8744
-#define SERVERS      FLEET_SERVERS
-#define CALLS_MAX    4096
-#define CALL_GAP     (12 * FT_MS)
-#define FAULT_MIN_MS 80 /* between two faults */
-#define FAULT_MAX_MS 400
-#define DOWN_MAX_MS  600 /* for which a server's address stays shut, or an entry is down */
-#define STOPPED_MS   300
-#define CI_SECONDS   6
+#define SERVER_PORT          8744
+#define SERVERS              FLEET_SERVERS
+#define CALLS_MAX            4096
+#define CALL_GAP             (12 * FT_MS)
+#define FAULT_MIN_MS         80 /* between two faults */
+#define FAULT_MAX_MS         400
+#define DOWN_MAX_MS          600  /* for which a server's address stays shut, or an entry is down */
+#define CHECK_TROUBLE_MAX_MS 2000 /* for which a server resets, rejects or ignores status checks   \
+                                   */
+#define STOPPED_MS 300
+#define CI_SECONDS 6
 
 typedef struct
 {
@@ -40,7 +42,7 @@
 start_server (Soak *soak, unsigned i)
 {
   FleetServer *server = &soak->fleet->servers[i];
-  static const unsigned gaps[] = { 0, 1, 20, 45 };
+  static const unsigned gaps[] = { 0, 1, 20, 45 }, delays[] = { 0, 0, 300, 1600, 2500 };
 
   g_snprintf (soak->ids[i], sizeof soak->ids[i], "s%u-%u", i, ++soak->lifetimes);
   g_strlcpy (server->id, soak->ids[i], sizeof server->id);
@@ -50,6 +52,9 @@
     .mode = g_rand_boolean (soak->rand) ? GIVE_UP_RESET : GIVE_UP_THEN_RESET,
     .reset_after_ms = gaps[g_rand_int_range (soak->rand, 0, G_N_ELEMENTS (gaps))],
     .processes = 1,
+    .check = (LostServerCheck) g_rand_int_range (soak->rand, 0, CHECK_FAILING + 1),
+    .check_ms = (unsigned) g_rand_int_range (soak->rand, 1, CHECK_TROUBLE_MAX_MS),
+    .answer_delay_ms = delays[g_rand_int_range (soak->rand, 0, G_N_ELEMENTS (delays))],
   };
   lostserver_start (&soak->conf[i], &soak->pids[i]);
   soak->server_back[i] = 0;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -29,7 +29,7 @@
   done
   cmake -S "$mine" -B "$mine/build" >/dev/null && make -C "$mine/build" "$program" >/dev/null 2>&1 \
     || { echo "$1: does not build"; return 1; }
-  if result=$(ulimit -v 4000000; timeout 200 scripts/run-test.sh "$mine/build/$program" "${SCHEDULES:-3000}" 1 2>&1); then
+  if result=$(ulimit -v 4000000; timeout 400 scripts/run-test.sh "$mine/build/$program" "${SCHEDULES:-3000}" 1 2>&1); then
     echo "$1: NOT FOUND in ${SCHEDULES:-3000} schedules"
     return 1
   else
@@ -184,9 +184,15 @@
 try "broken: any coding is the body" net/hmsg.c 's/!is_coding \(hmsg_field_value \(msg, i\), decoded\)/false/' test-broken &
 try "upload: no reset is awaited" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? 0 : conn->reset_wait_us;/' test-upload &
 try "lostends: no reset is awaited after a short request" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? SOCK_RESET_WAIT : 0;/' test-lostends &
-try "lifetime: another run at the address counts as the same" node/lifetime.c 's/^  if \(answer.elsewhere \|\| .*$/  if (false \&\& answer.elsewhere)/' test-lostends &
-try "lifetime: no answer counts as a yes" node/lifetime.c 's/^  finish_check \(check, LIFETIME_UNKNOWN,$/  finish_check (check, LIFETIME_GOES_ON,/' test-lostends &
-try "lifetime: an older list is enough" node/lifetime.c 's/servers_asked_at \(lifetimes->servers\) > check->asked_at/servers_asked_at (lifetimes->servers) > 0/' test-lostends &
+try "lifetime: another run at the address counts as the same" node/lifetime.c 's/^  else if \(named \|\| .*$/  else if (false \&\& is_new)/; s/ \&\& strcmp \(answer->server, attempt->check->name\) == 0//' test-lostends &
+try "lifetime: no answer counts as a yes" node/try.c 's/^  if \(!req->end_decided\)$/  req->run_goes_on |= !req->end_decided;\n  if (false)/' test-lostends &
+try "lifetime: no answer counts as a no" node/try.c 's/^  if \(!req->end_decided\)$/  if (false)/' test-latechecks &
+try "lifetime: a rejection that names nobody is proof" node/lifetime.c 's/^  else if \(named \|\| /  else if (answer->not_run \&\& !answer->elsewhere)\n    attempt->evidence = "x";\n  else if (named || /' test-latechecks &
+try "lifetime: no pause between checks" node/lifetime.c 's/check->not_before = check_now \(check\) \+ check->pause;/check->not_before = 0;/' test-latechecks &
+try "lifetime: later answers are no proof" node/try.c 's/^    lifetimes_note_answer .*/    (void) answer;/' test-latechecks &
+try "lifetime: undecided ends hold places" node/try.c 's/^      req_give_place_back \(req, SCHED_LEFT\);//' test-latechecks &
+try "lifetime: one attempt at a time" node/lifetime.c 's/ATTEMPTS_OPEN   3/ATTEMPTS_OPEN   1/' test-latechecks &
+try "lifetime: an older list is enough" node/lifetime.c 's/Scope read = \{ G_MAXUINT64, servers_asked_at \(servers\) \};/Scope read = { G_MAXUINT64, G_MAXINT64 };/' test-lostends &
 try "lifetime: nobody is asked" node/try.c 's/^  req->run_goes_on = state == LIFETIME_GOES_ON;/  req->run_goes_on = state != 9;/' test-lostends &
 try "lifetime: a replaced run counts as alive" node/ends.c 's/^  if \(state == LIFETIME_ENDED\)$/  if (false \&\& state)/' test-ends &
 try "lostends: a relay awaits no reset" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (side == \&side->tunnel->server \&\& sock_has_unacknowledged (side->sock))/' test-lostends &
