ROUTE: an empty list of organisations admits no key

Cause: whether keys are needed was read off the number of organisations; "none left" and "no list" were the same. Lists and values of other types were taken for none, and keys were read without a look at their type.

--- a/src/route.c
+++ b/src/route.c
@@ -8,6 +8,7 @@
   gint refs;
   uint64_t version, number;
   RtLimits limits;
+  bool has_orgs; /* it has a list of them, which may be empty */
   GPtrArray *services, *routes, *orgs;
   GHashTable *by_service; /* name -> RtService */
   GHashTable *by_host;    /* lower-case host -> GPtrArray of RtRoute */
@@ -299,10 +300,16 @@
   return cat->routes->len;
 }
 
+void
+rt_cat_declare_orgs (RtCat *cat)
+{
+  cat->has_orgs = true;
+}
+
 bool
 rt_cat_has_orgs (const RtCat *cat)
 {
-  return cat->orgs->len > 0;
+  return cat->has_orgs;
 }
 
 unsigned
@@ -320,7 +327,7 @@
 const RtOrg *
 rt_cat_org_by_key (const RtCat *cat, const char *key)
 {
-  return key ? g_hash_table_lookup (cat->by_key, key) : NULL;
+  return key && *key ? g_hash_table_lookup (cat->by_key, key) : NULL;
 }
 
 const char *
--- a/src/route.h
+++ b/src/route.h
@@ -88,10 +88,13 @@
 unsigned rt_cat_service_count (const RtCat *cat);
 const RtService *rt_cat_service_at (const RtCat *cat, unsigned index);
 unsigned rt_cat_route_count (const RtCat *cat);
-/* False if the catalogue has no organisations; then no request needs a key. */
+/* States that the catalogue has a list of organisations, be it an empty one. */
+void rt_cat_declare_orgs (RtCat *cat);
+/* True if it has one; then requests need the key of an organisation, unless their route is open. */
 bool rt_cat_has_orgs (const RtCat *cat);
 unsigned rt_cat_org_count (const RtCat *cat);
 const RtOrg *rt_cat_org_at (const RtCat *cat, unsigned index);
+/* NULL for an empty key, too. */
 const RtOrg *rt_cat_org_by_key (const RtCat *cat, const char *key);
 /* Chooses one of the route's services at random by weight; draw: random bits. */
 const char *rt_route_target (const RtRoute *route, uint64_t draw);
--- a/test/decide.c
+++ b/test/decide.c
@@ -740,6 +740,7 @@
     }
   org.keys = g_ptr_array_new ();
   g_ptr_array_add (org.keys, (char *) "key");
+  g_ptr_array_add (org.keys, (char *) "");
   g_assert_cmpint (rt_cat_add_org (cat, &org, NULL), ==, FT_OK);
   g_assert_cmpint (rt_cat_seal (cat, NULL), ==, FT_OK);
   g_ptr_array_unref (org.keys);
@@ -788,6 +789,7 @@
   g_assert_nonnull (org);
   g_assert_null (rt_cat_org_by_key (cat, "kex"));
   g_assert_null (rt_cat_org_by_key (cat, NULL));
+  g_assert_null (rt_cat_org_by_key (cat, ""));
   RtRoute low = { .tier = 2 }, high = { .tier = 0 };
   RtOrg first = { .has_tier = true, .tier = 0 };
   g_assert_cmpuint (rt_priority (&low, &first), <, rt_priority (&high, org));
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -534,12 +534,15 @@
                   const char *fields, const char *body, Answer *answer)
 {
   GString *request = g_string_new (NULL);
+  const char *key = fleet->key ? fleet->key : "key";
 
+  g_string_append_printf (request, "POST %s HTTP/1.1\r\nHost: h.example\r\n", path);
+  if (*key)
+    g_string_append_printf (request, "Authorization: Token %s\r\n", key);
   g_string_append_printf (request,
-                          "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key\r\n"
                           "X-Foxtailgrade-Request-Id: %s\r\nX-Foxtailgrade-Deadline-Ms: 8000\r\n"
                           "X-Foxtailgrade-Token-Usage: 100,30\r\n%sContent-Length: %zu\r\n\r\n%s",
-                          path, id, fields, strlen (body), body);
+                          id, fields, strlen (body), body);
   g_hash_table_replace (fleet->senders, g_strdup (id),
                         GUINT_TO_POINTER (entry->ip - fleet->entries[0].ip + 1));
   send_to (fleet, (SockAddr){ entry->ip, FLEET_CALLER_PORT }, request, answer);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -142,6 +142,7 @@
   unsigned grace_s;           /* the setting of that name */
   bool unchecked;             /* the catalogue names no status check of the servers */
   unsigned restart_ms;        /* from a server's crash to its restart */
+  const char *key;            /* of the callers; NULL: "key", "": none */
   uint64_t next_id;
 };
 
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -271,5 +271,11 @@
 try "numbers: a negative cap is none" platform/catalogue.c 's/ \|\| number < 0\)/)/' test-adapter &
 try "numbers: any text opens a route" platform/catalogue.c 's/json_type_boolean, "true or false"/json_object_get_type (member (object, name)), ""/' test-adapter &
 try "numbers: large sizes cost nothing" platform/platform.c 's/return MIN \(count, max\);/return count + 0 * max;/' test-adapter &
+# Lists of organisations.
+try "tenants: an empty list is none" src/route.c 's/^  return cat->has_orgs;/  return cat->orgs->len > 0;/' test-tenants &
+try "tenants: null is no list" platform/catalogue.c 's/^  if \(!has_member \(root, "Tenants"\)\)/  if (member (root, "Tenants") == NULL)/' test-tenants &
+try "tenants: an empty key is one" src/route.c 's/return key \&\& \*key \? /return key ? /; s/^  if \(\*text\)$/  if (true)/' test-decide &
+try "tenants: any value is a key" platform/catalogue.c 's/json_object_is_type \(key, json_type_string\) \? /key ? /' test-tenants &
+try "tenants: a cap of null is none" platform/catalogue.c 's/has_member \(object, name\) \&\& member \(object, name\) == NULL/false/' test-tenants &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
--- a/test/olderwrap.c
+++ b/test/olderwrap.c
@@ -43,7 +43,7 @@
   uint64_t rounded = (uint64_t) g_ascii_strtod (digits, &end);
   *digits = '\0';
   char *older = g_strdup_printf ("%s%" G_GUINT64_FORMAT "%s", copy, rounded, end);
-  FtStatus status = __real_platform_read_catalogue (older, strlen (older), 0, out, error);
+  FtStatus status = __real_platform_read_catalogue (older, strlen (older), rounded, out, error);
   g_free (older);
   g_free (copy);
   return status;
