--- a/test/lostsoak.c
+++ b/test/lostsoak.c
@@ -17,10 +17,9 @@
 #define FAULT_MIN_MS         80 /* between two faults */
 #define FAULT_MAX_MS         400
 #define DOWN_MAX_MS          600  /* for which a server's address stays shut, or an entry is down */
-#define CHECK_TROUBLE_MAX_MS 2000 /* for which a server resets, rejects or ignores status checks   \
-                                   */
-#define STOPPED_MS 300
-#define CI_SECONDS 6
+#define CHECK_TROUBLE_MAX_MS 2000 /* for which status checks of a server are not answered */
+#define STOPPED_MS           300
+#define CI_SECONDS           6
 
 typedef struct
 {
--- a/test/soak.c
+++ b/test/soak.c
@@ -766,6 +766,10 @@
 static void
 configure (unsigned seed)
 {
+  /* Before the first catalogue: also where doubles round, or that are no signed numbers. */
+  static const uint64_t versions[]
+      = { 0, (G_GUINT64_CONSTANT (1) << 53) - 4, 20261207000000000u, G_MAXINT64 - 4 };
+
   bool full_load = seed % 2 == 0;
 
   fleet->grace_s = GRACE_S;
@@ -782,6 +786,7 @@
     }
   if (seed % 8 == 5)
     fleet->entry_count = FLEET_ENTRIES_MAX;
+  fleet->version = versions[seed / 8 % G_N_ELEMENTS (versions)];
 }
 
 static void
@@ -840,10 +845,10 @@
   for (unsigned i = 0; i < caller_count; i++)
     soakver_reset (&callers[i].stream);
   printf ("# seed %u: %u sent, %u answered, %u refused, %u unknown, %u broken, %u begun, "
-          "%u over time, catalogue %u, "
+          "%u over time, catalogue %" G_GUINT64_FORMAT ", "
           "%u server crashes, late runs of crash bodies: %u and %u, of crash parts: %u and %u, "
           "sound ones quarantined: %u\n",
-          seed, sent, answered, refused, unknown, broken, begun, late, (unsigned) fleet->version,
+          seed, sent, answered, refused, unknown, broken, begun, late, fleet->version,
           fleet->crash_count, late_runs[0], late_runs[1], late_runs[2], late_runs[3],
           sound_quarantined);
   fleet_free (fleet);
