--- a/test/fleet.c
+++ b/test/fleet.c
@@ -21,6 +21,8 @@
 #define LINK_LISTEN_PORT  18073 /* where a node behind a proxy accepts links */
 #define RELAYED           4     /* requests after which an entry that is cut off relays at once */
 #define SERVER_PROXY_PORT 18095 /* of the proxies before servers */
+#define VERSION_PAUSE     (20 * FT_MS)   /* between two looks at an entry ... */
+#define VERSION_LOOKS     1500           /* ... and their number at most */
 #define OPERATOR_TIMEOUT  (1500 * FT_MS) /* then operators try another voter */
 #define WAIT_TIMEOUT                                                                               \
   (60 * FT_SECOND) /* a test that hangs fails; no test checks durations otherwise */
@@ -758,6 +760,20 @@
   g_error ("no voter reports a catalogue version (logs in %s)", fleet->base);
 }
 
+void
+fleet_await_version (Fleet *fleet, const FleetNode *entry, uint64_t version)
+{
+  for (unsigned i = 0; i < VERSION_LOOKS; i++)
+    {
+      if (fleet_is_ready (fleet, entry)
+          && fleet_counter (fleet, entry, "foxtail_catalogue_version") == version)
+        return;
+      fleet_run_for (fleet, VERSION_PAUSE);
+    }
+  g_error ("%s does not use version %" G_GUINT64_FORMAT " (logs in %s)", entry->name, version,
+           fleet->base);
+}
+
 void
 fleet_try_operator_call (Fleet *fleet, const FleetNode *voter, const char *method, const char *path,
                          const char *body, Answer *answer)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -244,6 +244,8 @@
 uint64_t fleet_try_get_version (Fleet *fleet, const FleetNode *voter);
 /* The catalogue version from any voter that answers; retries until one does. */
 uint64_t fleet_get_version (Fleet *fleet);
+/* Waits until the entry is ready and has that version in force. */
+void fleet_await_version (Fleet *fleet, const FleetNode *entry, uint64_t version);
 /* The voter in charge: the one that answers operators without redirecting; NULL: none does. */
 FleetNode *fleet_leader (Fleet *fleet);
 void fleet_get_metrics (Fleet *fleet, const FleetNode *node, Answer *answer);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -267,7 +267,7 @@
 try "versions: numbers are versions" src/route.c 's/newest_number > newest_version \? newest_number - newest_version : 0/0 * newest_number/' test-versions &
 try "versions: compared with numbers" node/operators.c 's/newest \? rt_cat_version \(newest\) : newest_number/newest_number/' test-versions &
 try "versions: entries compare versions" node/entry.c 's/document->number <= rt_cat_number/document->number <= rt_cat_version/; s/rt_cat_number \(entry->cat\) != document->base/rt_cat_version (entry->cat) != document->base/; s/rt_cat_number \(entry->cat\) < entry->newest/rt_cat_version (entry->cat) < entry->newest/' test-versions &
-try "numbers: text is a number" platform/catalogue.c 's/!is_number \|\| //' test-adapter &
+try "numbers: text is a number" platform/catalogue.c 's/!is_number \(value\) \|\| //' test-adapter &
 try "numbers: a negative cap is none" platform/catalogue.c 's/ \|\| number < 0\)/)/' test-adapter &
 try "numbers: any text opens a route" platform/catalogue.c 's/json_type_boolean, "true or false"/json_object_get_type (member (object, name)), ""/' test-adapter &
 try "numbers: large sizes cost nothing" platform/platform.c 's/return MIN \(count, max\);/return count + 0 * max;/' test-adapter &
--- a/test/tenants.c
+++ b/test/tenants.c
@@ -4,26 +4,9 @@
 
 #include <string.h>
 
-#define PUT_PATH   "/api/Config.Put"
-#define POLL_PAUSE (20 * FT_MS)
-#define POLLS_MAX  1500
-#define ORGS       "\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]"
-#define OPEN       "\"Name\":\"plain\","
-
-/* Waits until a ready entry has it in force. */
-static void
-await_in_force (Fleet *fleet, const FleetNode *entry, uint64_t version)
-{
-  for (unsigned i = 0; i < POLLS_MAX; i++)
-    {
-      if (fleet_is_ready (fleet, entry)
-          && fleet_counter (fleet, entry, "foxtail_catalogue_version") == version)
-        return;
-      fleet_run_for (fleet, POLL_PAUSE);
-    }
-  g_error ("%s does not use version %" G_GUINT64_FORMAT " (logs in %s)", entry->name, version,
-           fleet->base);
-}
+#define PUT_PATH "/api/Config.Put"
+#define ORGS     "\"Tenants\":[{\"Name\":\"o\",\"ApiKeys\":[\"key\"]}]"
+#define OPEN     "\"Name\":\"plain\","
 
 /* The next version, with orgs in place of the list of organisations; without it if orgs is empty.
  * The route /plain/ is open. */
@@ -59,7 +42,7 @@
 await_version (Fleet *fleet)
 {
   for (unsigned i = 0; i < fleet->entry_count; i++)
-    await_in_force (fleet, &fleet->entries[i], fleet->version);
+    fleet_await_version (fleet, &fleet->entries[i], fleet->version);
 }
 
 /* Calls each entry with this key, and expects this status of all. */
--- a/test/versions.c
+++ b/test/versions.c
@@ -5,9 +5,7 @@
 
 #include <string.h>
 
-#define PUT_PATH   "/api/Config.Put"
-#define POLL_PAUSE (20 * FT_MS)
-#define POLLS_MAX  1500
+#define PUT_PATH "/api/Config.Put"
 /* Of two neighbours of an odd number, an earlier program took the one that is a multiple of 4. */
 #define ROUNDED_UP   G_GUINT64_CONSTANT (9007199254740995) /* to ...996 */
 #define ROUNDED_DOWN G_GUINT64_CONSTANT (9007199254740993) /* to ...992 */
@@ -25,28 +23,13 @@
   return status;
 }
 
-/* Waits until a ready entry has it in force. */
-static void
-await_in_force (Fleet *fleet, const FleetNode *entry, uint64_t version)
-{
-  for (unsigned i = 0; i < POLLS_MAX; i++)
-    {
-      if (fleet_is_ready (fleet, entry)
-          && fleet_counter (fleet, entry, "foxtail_catalogue_version") == version)
-        return;
-      fleet_run_for (fleet, POLL_PAUSE);
-    }
-  g_error ("%s does not use version %" G_GUINT64_FORMAT " (logs in %s)", entry->name, version,
-           fleet->base);
-}
-
 static void
 assert_in_force (Fleet *fleet, uint64_t version)
 {
   g_assert_cmpuint (fleet_get_version (fleet), ==, version);
   for (unsigned i = 0; i < fleet->entry_count; i++)
     if (!fleet->entries[i].older)
-      await_in_force (fleet, &fleet->entries[i], version);
+      fleet_await_version (fleet, &fleet->entries[i], version);
 }
 
 static void
