--- a/test/latechecks.c
+++ b/test/latechecks.c
@@ -7,6 +7,8 @@
 
 #define UNDECIDED_AFTER (600 * FT_MS) /* longer than answers are held for a reset */
 #define CHECKS_FOR_ALL  8
+#define REJECTED_MS     2000
+#define CHECKS_REJECTED 15 /* pauses that grow from 0.1 to 0.8 s leave room for 5, of 3 at once */
 #define LAST_EVENT      "data: event 12\n\n" /* LOSTSERVER_EVENTS */
 
 /* Guards against status checks that take the slots of sound requests, one for each end. */
@@ -20,6 +22,17 @@
   g_assert_cmpuint (result.checks, <=, CHECKS_FOR_ALL);
 }
 
+/* Guards against asking a server without a pause while it rejects status checks. */
+static void
+pauses_while_rejected (gconstpointer data)
+{
+  Result result = lostplay_run (data);
+
+  g_assert_cmpuint (result.whole, ==, result.count);
+  g_assert_cmpuint (result.checks, >, 1);
+  g_assert_cmpuint (result.checks, <=, CHECKS_REJECTED);
+}
+
 static bool
 all_received (void *data)
 {
@@ -86,6 +99,8 @@
                 .check = CHECK_RESET, .check_ms = 2000);
   LOSTPLAY_ADD ("latechecks/check_rejected", LOSTPLAY_ROUTES, lostplay_all_are_whole,
                 .check = CHECK_REJECTED, .check_ms = 2000);
+  LOSTPLAY_ADD ("latechecks/check_rejected_pauses", 1, pauses_while_rejected,
+                .check = CHECK_REJECTED, .check_ms = REJECTED_MS);
   LOSTPLAY_ADD ("latechecks/check_silent", 1, lostplay_all_are_whole, .check = CHECK_SILENT,
                 .check_ms = 1000);
   LOSTPLAY_ADD ("latechecks/check_failing", 1, lostplay_all_are_whole, .check = CHECK_FAILING);
