test-latechecks: successors at an address that never refuses

Change: the listener of such plays outlives the processes, and the test asserts that more checks were sent than a refusal takes.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -252,7 +252,7 @@
 
   g_hash_table_iter_init (&iter, requests->by_number);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Req *) value)->xfer == NULL && !try_awaits_end (value) && req_is_quarantined (value))
+    if (((Req *) value)->xfer == NULL && !tryend_is_awaited (value) && req_is_quarantined (value))
       g_ptr_array_add (quarantined, value);
   for (unsigned i = 0; i < quarantined->len; i++)
     ask_again (quarantined->pdata[i]);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -1,5 +1,5 @@
 /* reqint.h - the state of a request; private to requests.c, reqask.c, reqorigin.c,
- * try.c and reqend.c. */
+ * try.c, tryend.c and reqend.c. */
 #ifndef REQINT_H
 #define REQINT_H
 
@@ -180,16 +180,26 @@
 void try_caller_drained (Req *req);
 /* Timer: the server has sent nothing for too long. */
 void try_on_silence (LoopTimer *timer);
-/* The check of the server after the end of its connection has a result. */
-void try_on_end_decided (LifetimeWait *wait, LifetimeState state, const char *evidence);
-/* The connection is gone, and whether the server's run goes on is not known: waits for that, or
- * until the request is to be sent to another server. */
-void try_await_decision (Req *req);
+/* Delivers a complete answer, or what it leads to. */
+void try_finish_answer (Req *req);
+
+/* ---- The end of an answer without framing (tryend.c) ---- */
+
+/* The answer has ended in order with its connection, which is held for a reset. */
+void tryend_begin (Req *req);
+/* The connection is gone, or the check of the server has a result: goes on once both are so. */
+void tryend_finish (Req *req);
+/* The check has a result. */
+void tryend_on_decided (LifetimeWait *wait, LifetimeState state, const char *evidence);
+/* Waits for the result, or until the request is to be sent to another server. */
+void tryend_await_decision (Req *req);
 /* Timer: that has lasted for some time. */
-void try_on_end_undecided (LoopTimer *timer);
+void tryend_on_undecided (LoopTimer *timer);
 /* Timer: nobody has confirmed in time that the stream has ended. */
-void try_on_confirmation_over (LoopTimer *timer);
-/* True while that is awaited; the try has no transfer then. */
-bool try_awaits_end (const Req *req);
+void tryend_on_confirmation_over (LoopTimer *timer);
+/* True while the result is awaited; the try may have no transfer then. */
+bool tryend_is_awaited (const Req *req);
+/* The server may have crashed; the crash reporter finds out whether it did and what it ran. */
+void tryend_report_break (Req *req);
 
 #endif
--- a/node/requests.c
+++ b/node/requests.c
@@ -120,7 +120,7 @@
           JL_INT ("relay", req->relay.ip));
   if (event == RETRY_UNDECIDED && step == RETRY_WAIT)
     {
-      try_await_decision (req);
+      tryend_await_decision (req);
       return;
     }
   if (step == RETRY_WAIT || step == RETRY_REPLACE)
@@ -200,9 +200,9 @@
   req->silence.fire = try_on_silence;
   req->verdict_wait.fire = req_on_verdict_wait_over;
   req->ask_pause.fire = req_on_ask_pause_over;
-  req->confirmation.fire = try_on_confirmation_over;
-  req->end_wait.decided = try_on_end_decided;
-  req->end_undecided.fire = try_on_end_undecided;
+  req->confirmation.fire = tryend_on_confirmation_over;
+  req->end_wait.decided = tryend_on_decided;
+  req->end_undecided.fire = tryend_on_undecided;
   CDS_INIT_LIST_HEAD (&req->end_wait.link);
   req->arrived = req->deadline = hcall_arrival_time (call);
   requests->conf.adapter_ops->read_request (hcall_msg (call), &req->facts);
--- a/node/try.c
+++ b/node/try.c
@@ -36,11 +36,6 @@
 #define STREAM_TIMEOUT_MIN (600 * FT_MS)
 /* For a reset after the orderly end of a plain answer, for which its caller waits. */
 #define RESET_WAIT_PLAIN (60 * FT_MS)
-/* For another server to begin to say whether a stream has ended; callers wait for longer. */
-#define CONFIRMATION_TIMEOUT (1500 * FT_MS)
-/* After which a request that may run again is sent to another server, if attempts and budget are
- * left, although its server may still show that its run goes on. */
-#define UNDECIDED_INTERVAL (1500 * FT_MS)
 
 /* True unless the answer names another request. */
 static bool
@@ -317,28 +312,8 @@
   return req->status < 500 && (!req->is_stream || req->events > 0);
 }
 
-static LifetimeTarget
-lifetime_target (const Req *req)
-{
-  const RtService *service = rt_cat_service (req->cat, req->service);
-
-  return (LifetimeTarget){ req->server, req->server_name, req->addr,
-                           service ? service->health_path : NULL };
-}
-
-/* The server may have crashed; the crash reporter finds out whether it did and what it ran. */
-static void
-report_break (Req *req)
-{
-  CrashRun run = req_crash_run (req);
-  LifetimeTarget target = lifetime_target (req);
-
-  if (!req->rejected)
-    crashrep_connection_lost (req->requests->conf.crash_reporter, &target, &run);
-}
-
-static void
-finish_answer (Req *req)
+void
+try_finish_answer (Req *req)
 {
   CrashReporter *reporter = req->requests->conf.crash_reporter;
 
@@ -353,22 +328,11 @@
   req_after_try (req, req->status >= 500 && !req->is_stream ? RETRY_FAILURE : RETRY_ANSWERED);
 }
 
-/* An orderly end is the server's own, and the answer whole, only if its run goes on. */
-static void
-check_lifetime (Req *req)
-{
-  LifetimeTarget target = lifetime_target (req);
-
-  lifetimes_ask (req->requests->conf.lifetimes, &target, &req->end_wait);
-}
-
-/* The answer has ended in order with its connection. The server is asked at once, since it may
- * leave after its last answer. */
+/* The answer has ended in order with its connection, which is held for a reset. */
 static void
 on_ending (void *user)
 {
   Req *req = user;
-  Loop *loop = req->requests->conf.loop;
 
   if (req->rejected)
     {
@@ -376,31 +340,9 @@
       return;
     }
   record_first_byte (req);
-  req->ended_at = req_now (req);
-  /* The server is not silent any more, and the try gives its place to no replacement. */
-  loop_timer_stop (loop, &req->silence);
-  loop_timer_stop (loop, &req->ask_pause);
-  loop_timer_stop (loop, &req->confirmation);
-  req_withdraw_replacement (req);
-  count_inc (COUNT_ENDS_UNFRAMED);
-  jlog (JLOG_INFO, "end-unframed", req->id, JL_TEXT ("server", req->server),
-        JL_INT ("status", req->status), JL_INT ("stream", req->is_stream),
-        JL_INT ("repeatable", rt_route_is_repeatable (req->route)), JL_INT ("sends", req->sends),
-        JL_INT ("most", req->route->attempts), JL_INT ("events", req->events),
-        JL_INT ("bytes", req->buffered->len),
-        JL_TEXT ("after_event", req->stream ? events_last_id (req->stream) : ""),
-        JL_INT ("relay", req->relay.ip));
-  if (req->is_stream && events_has_partial (req->stream))
-    {
-      report_break (req);
-      req_after_try (req, RETRY_STREAM_CUT);
-    }
-  else
-    check_lifetime (req);
+  tryend_begin (req);
 }
 
-static void finish_ended (Req *req);
-
 static void
 on_end (void *user)
 {
@@ -410,106 +352,15 @@
   if (req->rejected)
     handle_rejection (req);
   else if (req->ended_at)
-    finish_ended (req);
+    tryend_finish (req);
   else
     {
       record_first_byte (req);
       if (req->is_stream && events_has_partial (req->stream))
         req_after_try (req, RETRY_STREAM_CUT);
       else
-        finish_answer (req);
-    }
-}
-
-/* Nothing but the end of its connection says that the answer is whole: a server that gives it up
- * may end it so, too. A stream may go on at another server, and one that was resumed after its last
- * event has ended if nothing follows. */
-static void
-finish_unframed (Req *req)
-{
-  bool has_body = req->begun || req->buffered->len > 0;
-
-  if (req->status / 100 == 2 && !has_body)
-    req_after_try (req, RETRY_BROKEN);
-  else if (req->is_stream && req->events > 0 && rt_route_is_repeatable (req->route))
-    {
-      req->unconfirmed = true;
-      req->asked_for_more = false;
-      loop_timer_set (req->requests->conf.loop, &req->confirmation,
-                      req_now (req) + CONFIRMATION_TIMEOUT);
-      req_after_try (req, RETRY_UNCONFIRMED);
-    }
-  else if (req->begun && !hcall_is_unframed (req->call))
-    req_after_try (req, RETRY_STREAM_CUT); /* the caller would be told that it is whole */
-  else
-    finish_answer (req);
-}
-
-void
-try_on_confirmation_over (LoopTimer *timer)
-{
-  Req *req = (Req *) ((char *) timer - offsetof (Req, confirmation));
-
-  req_end_try (req, SCHED_LEFT);
-  req_break_off (req, "unconfirmed");
-}
-
-void
-try_await_decision (Req *req)
-{
-  Loop *loop = req->requests->conf.loop;
-
-  loop_timer_set (loop, &req->end_undecided, loop_now (loop) + UNDECIDED_INTERVAL);
-}
-
-void
-try_on_end_undecided (LoopTimer *timer)
-{
-  req_after_try ((Req *) ((char *) timer - offsetof (Req, end_undecided)), RETRY_UNDECIDED);
-}
-
-bool
-try_awaits_end (const Req *req)
-{
-  return req->end_wait.link.next != &req->end_wait.link;
-}
-
-/* Goes on once no reset has come and the server's run is known to go on or not. Until then nothing
- * is said of it: the caller's connection stays open, while the place is given back, as the server
- * serves another request at it. */
-static void
-finish_ended (Req *req)
-{
-  if (req->xfer)
-    return;
-  if (!req->end_decided)
-    {
-      count_inc (COUNT_ENDS_UNDECIDED);
-      req_give_place_back (req, SCHED_LEFT);
-      try_await_decision (req);
-      return;
+        try_finish_answer (req);
     }
-  loop_timer_stop (req->requests->conf.loop, &req->end_undecided);
-  if (req->run_goes_on)
-    {
-      finish_unframed (req);
-      return;
-    }
-  report_break (req);
-  req_after_try (req, req->begun ? RETRY_STREAM_CUT : RETRY_BROKEN);
-}
-
-void
-try_on_end_decided (LifetimeWait *wait, LifetimeState state, const char *evidence)
-{
-  Req *req = (Req *) ((char *) wait - offsetof (Req, end_wait));
-
-  jlog (JLOG_INFO, "end-decided", req->id, JL_TEXT ("server", req->server),
-        JL_INT ("goes_on", state == LIFETIME_GOES_ON), JL_TEXT ("evidence", evidence),
-        JL_MS ("after_ms", req_now (req) - req->ended_at));
-  req->end_decided = true;
-  req->run_goes_on = state == LIFETIME_GOES_ON;
-  finish_ended (req);
 }
 
 /* ---- Tries that reached no server ---- */
@@ -592,7 +443,7 @@
   req->fault = fault;
   req->has_fault = true;
   if (fault == HXFER_BROKEN)
-    report_break (req);
+    tryend_report_break (req);
   if (fault == HXFER_RELAY_FAILED)
     {
       on_relay_failed (req);
--- a/test/latechecks.c
+++ b/test/latechecks.c
@@ -5,32 +5,46 @@
 
 #include <string.h>
 
-#define UNDECIDED_AFTER (600 * FT_MS) /* longer than answers are held for a reset */
-#define CHECKS_FOR_ALL  8
-#define REJECTED_MS     2000
-#define CHECKS_REJECTED 15 /* pauses that grow from 0.1 to 0.8 s leave room for 5, of 3 at once */
-#define LAST_EVENT      "data: event 12\n\n" /* LOSTSERVER_EVENTS */
+#define UNDECIDED_AFTER     (600 * FT_MS) /* longer than answers are held for a reset */
+#define CHECKS_FOR_ALL      8
+#define CHECKS_OF_SUCCESSOR 4 /* more than a refusal takes */
+#define REJECTED_MS         2000
+#define CHECKS_REJECTED     15 /* pauses that grow from 0.1 to 0.8 s leave room for 5, of 3 at once */
+#define LAST_EVENT          "data: event 12\n\n" /* LOSTSERVER_EVENTS */
 
-/* Guards against status checks that take the slots of sound requests, one for each end. */
+/* All answers are whole, and it took at most so many status checks. */
 static void
-one_check_serves_all (gconstpointer data)
+expect_checks (const Case *on, unsigned most)
 {
-  Result result = lostplay_run (data);
+  Result result = lostplay_run (on);
 
   g_assert_cmpuint (result.whole, ==, result.count);
   g_assert_cmpuint (result.checks, >, 0);
-  g_assert_cmpuint (result.checks, <=, CHECKS_FOR_ALL);
+  g_assert_cmpuint (result.checks, <=, most);
+}
+
+/* Guards against status checks that take the slots of sound requests, one for each end. */
+static void
+one_check_serves_all (gconstpointer data)
+{
+  expect_checks (data, CHECKS_FOR_ALL);
 }
 
 /* Guards against asking a server without a pause while it rejects status checks. */
 static void
 pauses_while_rejected (gconstpointer data)
 {
-  Result result = lostplay_run (data);
+  expect_checks (data, CHECKS_REJECTED);
+}
 
-  g_assert_cmpuint (result.whole, ==, result.count);
-  g_assert_cmpuint (result.checks, >, 1);
-  g_assert_cmpuint (result.checks, <=, CHECKS_REJECTED);
+/* Guards against a killed server's answers that end as complete because its successor, at an
+ * address that never refuses, turns status checks away. */
+static void
+successor_is_asked (gconstpointer data)
+{
+  Result result = lostplay_none_early (data);
+
+  g_assert_cmpuint (result.checks, >=, CHECKS_OF_SUCCESSOR);
 }
 
 static bool
@@ -120,11 +134,11 @@
                 .slots = LOSTPLAY_STREAMS);
   LOSTPLAY_ADD ("latechecks/swap_check_late", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
                 .fault = FAULT_SWAP, .delay_ms = 2000);
-  LOSTPLAY_ADD ("latechecks/swap_check_reset", 1, lostplay_none_ends_early, .fault = FAULT_SWAP,
-                .check = CHECK_RESET);
-  LOSTPLAY_ADD ("latechecks/swap_check_rejected", LOSTPLAY_STREAM_ROUTES, lostplay_none_ends_early,
-                .fault = FAULT_SWAP, .check = CHECK_REJECTED);
-  LOSTPLAY_ADD ("latechecks/relay_swap_check_rejected", 1, lostplay_none_ends_early,
-                .fault = FAULT_SWAP, .check = CHECK_REJECTED, .relayed = true);
+  LOSTPLAY_ADD ("latechecks/swap_check_reset", 1, successor_is_asked, .fault = FAULT_SWAP,
+                .check = CHECK_RESET, .held = true);
+  LOSTPLAY_ADD ("latechecks/swap_check_rejected", LOSTPLAY_STREAM_ROUTES, successor_is_asked,
+                .fault = FAULT_SWAP, .check = CHECK_REJECTED, .held = true);
+  LOSTPLAY_ADD ("latechecks/relay_swap_check_rejected", 1, successor_is_asked, .fault = FAULT_SWAP,
+                .check = CHECK_REJECTED, .held = true, .relayed = true);
   return g_test_run ();
 }
--- a/test/lostplay.c
+++ b/test/lostplay.c
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #define SERVER_PORT   8743
 #define FAULT_AFTER   (300 * FT_MS) /* for a plain answer to begin */
@@ -76,6 +77,8 @@
                           .check = on->check,
                           .check_ms = on->check_ms,
                           .answer_delay_ms = on->delay_ms };
+  if (on->held)
+    play->conf.listener = lostserver_listen (server->addr);
   lostserver_start (&play->conf, play->pids);
   fleet_start_all (fleet);
   if (on->relayed)
@@ -91,6 +94,8 @@
     fleet_answer_clear (&play->answers[i]);
   lostserver_kill (play->pids[0]);
   lostserver_kill (play->successor[0]);
+  if (play->conf.listener)
+    close (play->conf.listener);
   fleet_free (play->fleet);
 }
 
@@ -225,10 +230,9 @@
 
 /* Guards against an answer that ends as complete although its server's process was lost, or reset
  * it. */
-void
-lostplay_none_ends_early (gconstpointer data)
+Result
+lostplay_none_early (const Case *on)
 {
-  const Case *on = data;
   Result result = lostplay_run (on);
 
   if (!is_plain (on))
@@ -239,6 +243,13 @@
   g_assert_cmpuint (result.broken + result.refused + result.repeated, >=,
                     on->fault == FAULT_SIBLING ? result.count - LOSTPLAY_CONNS_SIBLING
                                                : result.count);
+  return result;
+}
+
+void
+lostplay_none_ends_early (gconstpointer data)
+{
+  lostplay_none_early (data);
 }
 
 /* Guards against breaking off answers that are sound and all end at once, more than the retry
--- a/test/lostplay.h
+++ b/test/lostplay.h
@@ -36,6 +36,7 @@
   unsigned streams;      /* 0: LOSTPLAY_STREAMS */
   unsigned slots;        /* of the server; 0: twice the streams */
   unsigned budget;       /* slack of the retry budget of all entries; 0: BUDGET_SLACK */
+  bool held;             /* the address of the server listens without a pause, whoever has it */
   bool unchecked;        /* the service has no status check */
   LostServerCheck check; /* what the servers do with status checks, */
   unsigned check_ms;     /* for how long, 0: always, */
@@ -75,6 +76,8 @@
 void lostplay_add_cases (const char *name, const Case *on, unsigned routes, GTestDataFunc run);
 void lostplay_add_case (const char *name, const char *route, const char *target, const Case *on,
                         GTestDataFunc run);
+/* Plays it, and fails if an answer ends as complete too soon or the fault took no effect on one. */
+Result lostplay_none_early (const Case *on);
 /* Tests. */
 void lostplay_none_ends_early (gconstpointer data);
 void lostplay_all_are_whole (gconstpointer data);
--- a/test/lostserver.c
+++ b/test/lostserver.c
@@ -267,8 +267,8 @@
 }
 
 /* The address may still be taken by an earlier process. */
-static int
-listen_at (SockAddr addr)
+int
+lostserver_listen (SockAddr addr)
 {
   struct sockaddr_in at = { .sin_family = AF_INET,
                             .sin_addr.s_addr = htonl (addr.ip),
@@ -294,9 +294,9 @@
     _exit (1);
 }
 
-/* In the new process: nothing of the test stays open. */
+/* In the new process: nothing of the test stays open but its listener, if it has one. */
 static void
-enter_process (void)
+enter_process (int listener)
 {
   sigset_t none;
 
@@ -304,7 +304,8 @@
   sigemptyset (&none);
   sigprocmask (SIG_SETMASK, &none, NULL);
   for (int fd = 3; fd < 1024; fd++)
-    close (fd);
+    if (fd != listener)
+      close (fd);
 }
 
 void
@@ -321,8 +322,8 @@
   if (pids[0] == 0)
     {
       int report = dup2 (ready[1], 2);
-      enter_process ();
-      int listener = listen_at (conf->addr);
+      enter_process (conf->listener);
+      int listener = conf->listener ? conf->listener : lostserver_listen (conf->addr);
       hold_memory (conf->memory);
       /* The others serve the same listener; their ids are told to the test. */
       for (unsigned i = 1; i < conf->processes; i++)
--- a/test/lostserver.h
+++ b/test/lostserver.h
@@ -38,8 +38,9 @@
   LostServerMode mode;
   unsigned reset_after_ms; /* GIVE_UP_THEN_RESET */
   unsigned processes;      /* that serve the same listener */
-  unsigned conns_max;      /* of each process, which accepts no more; 0: no bound */
-  size_t memory;           /* bytes that each process holds, which take time to be freed */
+  int listener; /* a socket that listens at addr and outlives the processes; 0: they open one */
+  unsigned conns_max; /* of each process, which accepts no more; 0: no bound */
+  size_t memory;      /* bytes that each process holds, which take time to be freed */
   LostServerCheck check;
   unsigned check_ms;        /* from the first one; later ones are answered. 0: all are treated so */
   bool listens_only;        /* accepts connections and never answers */
@@ -49,6 +50,8 @@
 /* Starts the processes and stores their ids; they end with the calling process. They listen once
  * the address is free. */
 void lostserver_start (const LostServerConf *conf, pid_t *pids);
+/* A socket that listens at the address, once that is free; the caller closes it. */
+int lostserver_listen (SockAddr addr);
 /* The body of a whole answer; g_free. */
 char *lostserver_whole_answer (void);
 /* Ends one of them by SIGKILL, and waits for it. */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -185,15 +185,15 @@
 try "upload: no reset is awaited" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? 0 : conn->reset_wait_us;/' test-upload &
 try "lostends: no reset is awaited after a short request" net/hcli.c 's/^  int64_t wait = conn->long_request \? SOCK_RESET_WAIT : conn->reset_wait_us;/  int64_t wait = conn->long_request ? SOCK_RESET_WAIT : 0;/' test-lostends &
 try "lifetime: another run at the address counts as the same" node/lifetime.c 's/^  else if \(named \|\| .*$/  else if (false \&\& is_new)/; s/ \&\& strcmp \(answer->server, attempt->check->name\) == 0//' test-lostends &
-try "lifetime: no answer counts as a yes" node/try.c 's/^  if \(!req->end_decided\)$/  req->run_goes_on |= !req->end_decided;\n  if (false)/' test-lostends &
-try "lifetime: no answer counts as a no" node/try.c 's/^  if \(!req->end_decided\)$/  if (false)/' test-latechecks &
+try "lifetime: no answer counts as a yes" node/tryend.c 's/^  if \(!req->end_decided\)$/  req->run_goes_on |= !req->end_decided;\n  if (false)/' test-lostends &
+try "lifetime: no answer counts as a no" node/tryend.c 's/^  if \(!req->end_decided\)$/  if (false)/' test-latechecks &
 try "lifetime: a rejection that names nobody is proof" node/lifetime.c 's/^  else if \(named \|\| /  else if (answer->not_run \&\& !answer->elsewhere)\n    attempt->evidence = "x";\n  else if (named || /' test-latechecks &
 try "lifetime: no pause between checks" node/lifetime.c 's/check->not_before = check_now \(check\) \+ check->pause;/check->not_before = 0;/' test-latechecks &
 try "lifetime: later answers are no proof" node/try.c 's/^    lifetimes_note_answer .*/    (void) answer;/' test-latechecks &
-try "lifetime: undecided ends hold places" node/try.c 's/^      req_give_place_back \(req, SCHED_LEFT\);//' test-latechecks &
+try "lifetime: undecided ends hold places" node/tryend.c 's/^      req_give_place_back \(req, SCHED_LEFT\);//' test-latechecks &
 try "lifetime: one attempt at a time" node/lifetime.c 's/ATTEMPTS_OPEN   3/ATTEMPTS_OPEN   1/' test-latechecks &
 try "lifetime: an older list is enough" node/lifetime.c 's/Scope read = \{ G_MAXUINT64, servers_asked_at \(servers\) \};/Scope read = { G_MAXUINT64, G_MAXINT64 };/' test-lostends &
-try "lifetime: nobody is asked" node/try.c 's/^  req->run_goes_on = state == LIFETIME_GOES_ON;/  req->run_goes_on = state != 9;/' test-lostends &
+try "lifetime: nobody is asked" node/tryend.c 's/^  req->run_goes_on = state == LIFETIME_GOES_ON;/  req->run_goes_on = state != 9;/' test-lostends &
 try "lifetime: a replaced run counts as alive" node/ends.c 's/^  if \(state == LIFETIME_ENDED\)$/  if (false \&\& state)/' test-ends &
 try "lostends: a relay awaits no reset" net/relay.c 's/^  if \(side == &side->tunnel->server\)$/  if (side == \&side->tunnel->server \&\& sock_has_unacknowledged (side->sock))/' test-lostends &
 try "upload: a reset that follows is not looked at" net/hcli.c 's/^  if \(sock_is_reset \(conn->sock\)\)$/  if (false)/' test-upload &
@@ -231,13 +231,13 @@
 try "skew: taken at any load" node/callers.c 's/.load = LOOP_LOAD_HIGH/.load = 0/' test-skew &
 # Answers that end with their connection.
 try "unframed: an orderly close is complete" node/try.c 's/on_failed, on_ending \};/on_failed, NULL };/; s/^  else if \(req->ended_at\)$/  else if (false \&\& on_ending)/' test-unframed &
-try "unframed: an early end is the end" node/try.c 's/^  else if \(req->is_stream \&\& req->events > 0 .*/  else if (false)/' test-unframed &
-try "unframed: a head is an answer" node/try.c 's/req->status \/ 100 == 2 \&\& !has_body/false \&\& has_body/' test-unframed &
+try "unframed: an early end is the end" node/tryend.c 's/^  else if \(req->is_stream \&\& req->events > 0 .*/  else if (false)/' test-unframed &
+try "unframed: a head is an answer" node/tryend.c 's/req->status \/ 100 == 2 \&\& !has_body/false \&\& has_body/' test-unframed &
 try "unframed: more is the end" node/reqend.c 's/req->unconfirmed \&\& !req->asked_for_more/req->unconfirmed/' test-unframed &
 try "unframed: it is framed for the caller" node/reqend.c 's/!req->begun \&\& req->close_delimited/false/' test-unframed &
 try "unframed: the stream is framed for the caller" node/try.c 's/^  if \(req->close_delimited\)$/  if (false)/' test-unframed &
 try "unframed: no receipt is needed" node/try.c 's/ \&\& !answer.has_receipt/ \&\& false/' test-unframed &
-try "unframed: a part of an event is complete" node/try.c 's/req->is_stream \&\& events_has_partial \(req->stream\)/false/' test-unframed &
+try "unframed: a part of an event is complete" "node/try.c node/tryend.c" 's/req->is_stream \&\& events_has_partial \(req->stream\)/false/' test-unframed &
 try "unframed: a crash ends a stream" node/requests.c 's/req->spared_attempt \|\| req->events > 0/req->spared_attempt/' test-unframed &
 # Events that a server repeats.
 try "repeats: the caller's own event is not known" src/events.c 's/^  events->has_number = last_id .*/  (void) parse_number;/' test-events &
