test-tenants: open requests and the second hop; a tenant's name without a tenant

Cause: that a stream goes on to its end while the last organisation goes, that taking it up again needs a key, and that an entry which sends through another one asks for keys, had been read and not played; nor that the field with the tenant's name is dropped where there is no tenant.

Change: /tenants/open_requests, /tenants/second_hop, a part of /adapter/forward.

--- a/test/adapter.c
+++ b/test/adapter.c
@@ -417,6 +417,11 @@
        *sent; sent++)
     if (strstr (out->str, *sent) == NULL)
       g_error ("%s does not reach the server: %s", *sent, out->str);
+  /* Without an organisation the caller's word for it is dropped all the same. */
+  forward.org = NULL;
+  g_string_truncate (out, 0);
+  adapter_ops->write_request (out, last_head, &forward);
+  g_assert_null (strstr (out->str, "X-Foxtailgrade-Tenant"));
   hread_free (read);
   g_string_free (body, TRUE);
   g_string_free (out, TRUE);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -192,7 +192,7 @@
  * are not concerned. Needs the proxies. */
 void fleet_cut_from_servers (Fleet *fleet, FleetNode *entry, ProxyCut how);
 void fleet_heal (Fleet *fleet, FleetNode *entry);
-/* Like fleet_add_proxies, but the servers listen at their listed addresses themselves. */
+/* Like fleet_add_proxies, for servers of the test's own, which listen at the listed addresses. */
 void fleet_add_detours (Fleet *fleet);
 /* Cuts the entry off from all servers, and sends it plain calls until it relays at once. */
 void fleet_relay_all (Fleet *fleet, FleetNode *entry);
--- a/test/tenants.c
+++ b/test/tenants.c
@@ -111,6 +111,64 @@
   fleet_free (fleet);
 }
 
+static bool
+is_begun (void *data)
+{
+  const Answer *answer = data;
+
+  return answer->done || answer->body->len > 0;
+}
+
+static bool
+is_done (void *data)
+{
+  return ((const Answer *) data)->done;
+}
+
+/* Guards against requests that the change reaches on their way: those that were accepted before
+ * keep their organisation, those that come later, to take a stream up again too, have none. */
+static void
+open_requests (void)
+{
+  Fleet *fleet = fleet_new ();
+  Answer begun, later;
+
+  fleet->event_ms = 100;
+  fleet_start_all (fleet);
+  fleet_send (fleet, &fleet->entries[0], "/stream/a", "begun", &begun);
+  fleet_run_until (fleet, is_begun, &begun, "the first event");
+  g_assert_cmpuint (put (fleet, "\"Tenants\":[]"), ==, 200);
+  await_version (fleet);
+  g_assert_false (begun.done);
+  fleet_resume (fleet, &fleet->entries[1], "/stream/a", "return", 1, "begun", "body", &later);
+  fleet_run_until (fleet, is_done, &later, "an answer to a return");
+  g_assert_cmpuint (later.status, ==, 401);
+  g_assert_cmpuint (fleet_run_count (fleet, "return"), ==, 0);
+  fleet_answer_clear (&later);
+  fleet_run_until (fleet, is_done, &begun, "the end of the stream");
+  g_assert_cmpuint (begun.status, ==, 200);
+  g_assert_false (begun.broken);
+  fleet_answer_clear (&begun);
+  fleet_free (fleet);
+}
+
+/* Guards against an entry that sends through another one and asks for no key. */
+static void
+second_hop (void)
+{
+  Fleet *fleet = fleet_new ();
+
+  fleet_add_proxies (fleet);
+  fleet_start_all (fleet);
+  fleet_relay_all (fleet, &fleet->entries[0]);
+  g_assert_cmpuint (put (fleet, "\"Tenants\":[]"), ==, 200);
+  await_version (fleet);
+  uint64_t relayed = fleet_relayed_count (fleet, &fleet->entries[0]);
+  expect_closed (fleet);
+  g_assert_cmpuint (fleet_relayed_count (fleet, &fleet->entries[0]), >, relayed);
+  fleet_free (fleet);
+}
+
 /* Guards against taking lists of organisations, keys or caps that cannot be read for none, and
  * against voters that end on them. */
 static void
@@ -179,6 +237,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/tenants/none_left", none_left);
+  g_test_add_func ("/tenants/open_requests", open_requests);
+  g_test_add_func ("/tenants/second_hop", second_hop);
   g_test_add_func ("/tenants/unreadable", unreadable);
   g_test_add_func ("/tenants/earlier_log", earlier_log);
   return g_test_run ();
