Last lines of processes, starts and use of memory and disk are logged

Callers saw processes that ended by themselves, and the logs told nothing: after signal 11 or a kill for memory there is a second start line and nothing between.

- fatal: one line by async-signal-safe calls, with signal, address and GLib's text
- runs: a voter's starts on its data folder and how the run before ended
- usage: resident memory and bytes of the data folder each time they grow by a quarter; the same as metrics

--- a/node/jlog.c
+++ b/node/jlog.c
@@ -160,6 +160,15 @@
     g_string_truncate (buffer, 0); /* the reader has closed the pipe */
 }
 
+void
+jlog_write_pending (void)
+{
+  if (buffer == NULL || buffer->len == 0)
+    return;
+  ssize_t done = write (STDOUT_FILENO, buffer->str, buffer->len);
+  (void) done; /* the process ends */
+}
+
 uint64_t
 jlog_written (void)
 {
--- a/node/jlog.h
+++ b/node/jlog.h
@@ -36,6 +36,8 @@
 /* Writes as much of the buffer as standard output accepts. Unless all is set, only when enough has
  * collected or some time has passed. Cheap; call in each iteration of the loop. */
 void jlog_flush (bool all);
+/* Writes the buffer without changing it; async-signal-safe. */
+void jlog_write_pending (void);
 /* Lines written and lines dropped so far. */
 uint64_t jlog_written (void);
 uint64_t jlog_dropped (void);
--- a/node/main.c
+++ b/node/main.c
@@ -1,9 +1,12 @@
 /* main.c - foxtailnode: one instance of a deployment whose members discover each other. */
 #include "count.h"
+#include "fatal.h"
 #include "hsrv.h"
 #include "instance.h"
 #include "jlog.h"
 #include "platform.h"
+#include "runs.h"
+#include "usage.h"
 
 #include <argtable2.h>
 #include <errno.h>
@@ -80,6 +83,7 @@
 
   if (now.tv_sec != process->modified_at.tv_sec || now.tv_nsec != process->modified_at.tv_nsec)
     reload (process, "the file has changed");
+  usage_log_growth (process->settings->data_folder);
   loop_timer_set (process->loop, timer, loop_now (process->loop) + SETTINGS_CHECK_INTERVAL);
 }
 
@@ -105,15 +109,18 @@
 on_metrics (void *owner, HCall *call)
 {
   Process *process = owner;
-  char *extra = process->instance->ops->describe (process->instance);
-  char *text = count_format (extra);
+  char *state = process->instance->ops->describe (process->instance);
+  GString *extra = g_string_new (state);
+  usage_append_metrics (process->settings->data_folder, extra);
+  char *text = count_format (extra->str);
   GString *fields = g_string_new (NULL);
 
   hwrite_field (fields, "Content-Type", "text/plain; version=0.0.4");
   hcall_reply (call, 200, fields, text, strlen (text));
   g_string_free (fields, TRUE);
   g_free (text);
-  g_free (extra);
+  g_free (state);
+  g_string_free (extra, TRUE);
 }
 
 static void
@@ -175,6 +182,7 @@
   if (process->loop == NULL || !open_signals (process))
     return ft_error_set (error, FT_IO, 0, "", "%s", g_strerror (errno));
   jlog_init (s->name, s->log_level, loop_clock (process->loop));
+  fatal_init (s->name);
   jlog (JLOG_INFO, "start", NULL, JL_TEXT ("version", ft_version ()),
         JL_TEXT ("role", s->role_text), JL_TEXT ("ip", s->ip_text), JL_TEXT ("domain", s->domain),
         JL_INT ("first_start", s->first_start), JL_INT ("seeds", s->seeds->len),
@@ -208,6 +216,8 @@
     }
   if (open_instance (&process, &error) != FT_OK)
     goto out;
+  if (*process.settings->data_folder)
+    runs_begin (process.settings->data_folder);
   process.modified_at = modification_time (file);
   process.settings_timer.fire = on_settings_timer;
   loop_timer_set (process.loop, &process.settings_timer,
@@ -217,6 +227,7 @@
   loop_run (process.loop);
   jlog (JLOG_INFO, "stopped", NULL, JL_INT ("lines", jlog_written ()),
         JL_INT ("lines_dropped", jlog_dropped ()));
+  runs_end ();
   result = 0;
 out:
   if (result != 0)
--- a/node/voter.c
+++ b/node/voter.c
@@ -7,6 +7,7 @@
  */
 #include "voter.h"
 #include "disk.h"
+#include "fatal.h"
 #include "raft.h"
 
 #include <errno.h>
@@ -84,6 +85,7 @@
   uint32_t seeds[FT_VOTERS_MAX];
   int64_t reopen_at;
   pthread_t thread;
+  char fatal_stack[FATAL_STACK_SIZE];
   pthread_mutex_t lock;
   pthread_cond_t wake;
   GQueue queue; /* Work; under lock */
@@ -490,6 +492,7 @@
 {
   Voter *voter = data;
 
+  fatal_init_thread (voter->fatal_stack);
   pthread_mutex_lock (&voter->lock);
   while (!voter->stopped)
     {
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -815,6 +815,20 @@
   g_string_free (request, TRUE);
 }
 
+void
+fleet_await_metrics (Fleet *fleet, const FleetNode *node)
+{
+  for (bool answered = false; !answered;)
+    {
+      Answer answer;
+      fleet_get_metrics (fleet, node, &answer);
+      answered = answer.status == 200 && !answer.broken;
+      fleet_answer_clear (&answer);
+      if (!answered)
+        fleet_run_for (fleet, 20 * FT_MS);
+    }
+}
+
 bool
 fleet_is_ready (Fleet *fleet, const FleetNode *entry)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -249,6 +249,8 @@
 /* The voter in charge: the one that answers operators without redirecting; NULL: none does. */
 FleetNode *fleet_leader (Fleet *fleet);
 void fleet_get_metrics (Fleet *fleet, const FleetNode *node, Answer *answer);
+/* Waits until the node's start is done, so that it answers on its metrics port. */
+void fleet_await_metrics (Fleet *fleet, const FleetNode *node);
 bool fleet_is_ready (Fleet *fleet, const FleetNode *entry);
 /* How often a server started to run the request. */
 unsigned fleet_run_count (const Fleet *fleet, const char *id);
