--- a/test/blame.c
+++ b/test/blame.c
@@ -125,6 +125,50 @@
   crashes_free (table);
 }
 
+/* One crash of a server that ran all these. */
+static void
+crash_with (CrashTable *table, const char *server, int64_t wall_ms, uint64_t killer, uint64_t first)
+{
+  u_quad_t keys[FT_CONTENTS_MAX] = { killer };
+  bool is_part = fingerprint_is_part (killer);
+  MsgCrash crash = { (char *) server, wall_ms, { FT_CONTENTS_MAX, keys } };
+
+  for (unsigned i = 1; i < FT_CONTENTS_MAX; i++)
+    keys[i] = is_part ? fingerprint_part_key ("s", first + i) : first + i;
+  crashes_add (table, ++log_index, &crash);
+}
+
+/* Guards against a killer that is never quarantined since a table full of older suspects forgets it
+ * at each next key. A suspect of the same minute and what is quarantined stay. */
+static void
+full_table_takes_killer (gconstpointer data)
+{
+  uint64_t killer = data ? fingerprint_part_key ("s", 1) : HARMFUL;
+  CrashTable *table = crashes_new ();
+  uint64_t known = data ? fingerprint_part_key ("s", 2) : HARMLESS;
+  char server[16];
+
+  for (unsigned i = 0; i < 3; i++)
+    {
+      snprintf (server, sizeof server, "q%u", i);
+      add_crash_at (table, server, 0, known);
+    }
+  for (unsigned i = 0; i < 2 * CRASHES_MAX_CONTENTS; i++)
+    {
+      uint64_t key = 1000 + i / 2;
+      snprintf (server, sizeof server, "s%u", i);
+      add_crash_at (table, server, 0, data ? fingerprint_part_key ("s", key) : key);
+    }
+  for (unsigned i = 0; i < 3; i++)
+    {
+      snprintf (server, sizeof server, "k%u", i);
+      crash_with (table, server, 120000 + 3000 * i, killer, 100000 + 1000 * i);
+    }
+  g_assert_cmpuint (crash_count (table, killer), ==, 3);
+  g_assert_cmpuint (crash_count (table, known), ==, 3);
+  crashes_free (table);
+}
+
 /* A flood of parts, as one request with very many can bring, evicts no content, and none of them
  * that has two crashes. */
 static void
@@ -439,6 +483,8 @@
   g_test_add_func ("/blame/flood", flood_evicts_single_crashes_only);
   g_test_add_func ("/blame/flood_of_parts", flood_of_parts_evicts_no_content);
   g_test_add_func ("/blame/expiry", old_parts_expire);
+  g_test_add_data_func ("/blame/full/content", NULL, full_table_takes_killer);
+  g_test_add_data_func ("/blame/full/part", "part", full_table_takes_killer);
   g_test_add_func ("/blame/many", many_crashes_are_counted);
   g_test_add_func ("/blame/snapshot", table_survives_snapshot);
   g_test_add_func ("/blame/older_snapshot", older_snapshot_has_no_table);
--- a/test/exits.c
+++ b/test/exits.c
@@ -1,10 +1,15 @@
 /* exits.c - tests, with real processes on loopback, of processes that end by themselves or do not
  * start. */
 #include "fleet.h"
+#include "fingerprint.h"
+#include "crashes.h"
+#include "mesh.h"
 
+#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 static bool
 has_exited (void *data)
@@ -88,10 +93,374 @@
   fleet_free (fleet);
 }
 
+/* ---- The crash table ---- */
+
+#define LINK_PORT 18083
+#define KILLER    G_GUINT64_CONSTANT (77)
+
+/* The test's own entry, which reports crashes of servers to the voter in charge. */
+typedef struct
+{
+  Mesh *mesh;
+  MeshPeer *voter; /* NULL: not linked */
+  uint64_t sent, acknowledged;
+  unsigned published, killer_ends; /* suspects in the newest table, crashes of KILLER there */
+  unsigned most_published;
+} Reporter;
+
+static void
+on_link_up (void *host, MeshPeer *peer)
+{
+  ((Reporter *) host)->voter = peer;
+}
+
+static void
+on_link_down (void *host, MeshPeer *peer)
+{
+  Reporter *reporter = host;
+
+  if (reporter->voter == peer)
+    reporter->voter = NULL;
+}
+
+static void
+on_link_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+{
+  Reporter *reporter = host;
+  const MeshCrashTable *table = &msg->MeshMsg_u.blamed;
+
+  (void) peer;
+  if (msg->kind == MESH_CRASH_ACK)
+    reporter->acknowledged++;
+  if (msg->kind != MESH_CRASH_TABLE)
+    return;
+  reporter->published = table->suspects.suspects_len;
+  reporter->most_published = MAX (reporter->most_published, reporter->published);
+  reporter->killer_ends = 0;
+  for (unsigned i = 0; i < reporter->published; i++)
+    if (table->suspects.suspects_val[i].content == KILLER)
+      reporter->killer_ends = table->suspects.suspects_val[i].ends;
+}
+
+static const MeshOps reporter_ops = { on_link_up, on_link_message, on_link_down };
+
+static bool
+is_linked (void *data)
+{
+  return ((Reporter *) data)->voter != NULL;
+}
+
+static void
+reporter_open (Fleet *fleet, Reporter *reporter)
+{
+  uint32_t ip = fleet->voters[0].ip + 70;
+  MeshHello hello = {
+    .address = ip, .lifetime = 1, .role = MESH_ENTRY, .domain = (char *) "z", .listed = true
+  };
+
+  *reporter = (Reporter){ 0 };
+  reporter->mesh = mesh_new (fleet->loop, (SockAddr){ ip, LINK_PORT }, LINK_PORT, &hello,
+                             &reporter_ops, reporter);
+  g_assert_nonnull (reporter->mesh);
+  mesh_dial (reporter->mesh, fleet_leader (fleet)->ip);
+  fleet_run_until (fleet, is_linked, reporter, "a link to the voter in charge");
+}
+
+static bool
+all_acknowledged (void *data)
+{
+  const Reporter *reporter = data;
+
+  return reporter->acknowledged >= reporter->sent || reporter->voter == NULL;
+}
+
+static void
+assert_voters_run (Fleet *fleet)
+{
+  for (unsigned i = 0; i < fleet->voter_count; i++)
+    if (fleet_has_exited (&fleet->voters[i]))
+      g_error ("%s ended by itself, wait status %d (logs in %s)", fleet->voters[i].name,
+               fleet->voters[i].status, fleet->base);
+}
+
+/* A server crashed while it ran these. */
+static void
+report_crash (Reporter *reporter, const char *server, uint64_t *keys, unsigned count)
+{
+  MeshMsg msg = { .kind = MESH_CRASH };
+
+  msg.MeshMsg_u.ended = (MeshCrash){ .number = ++reporter->sent,
+                                     .server = (char *) server,
+                                     .contents = { count, (u_quad_t *) keys } };
+  g_assert_true (mesh_send (reporter->voter, &msg));
+}
+
+static void
+await_acknowledged (Fleet *fleet, Reporter *reporter)
+{
+  fleet_run_until (fleet, all_acknowledged, reporter, "the crashes are in the log");
+  if (reporter->voter)
+    return;
+  fleet_run_for (fleet, 200 * FT_MS);
+  assert_voters_run (fleet);
+  g_error ("the link to the voter is lost (logs in %s)", fleet->base);
+}
+
+/* Two crashes of servers that ran these contents and parts, in reports as large as they may be. */
+static void
+report_many (Fleet *fleet, Reporter *reporter, const char *servers[2], uint64_t first,
+             unsigned count)
+{
+  uint64_t keys[MESH_CONTENTS_MAX];
+
+  for (unsigned at = 0; at < count; at += MESH_CONTENTS_MAX / 2)
+    {
+      for (unsigned i = 0; i < MESH_CONTENTS_MAX / 2; i++)
+        {
+          keys[2 * i] = first + at + i;
+          keys[2 * i + 1] = fingerprint_part_key ("s", first + at + i);
+        }
+      for (unsigned i = 0; i < 2; i++)
+        report_crash (reporter, servers[i], keys, MESH_CONTENTS_MAX);
+    }
+  await_acknowledged (fleet, reporter);
+}
+
+/* Guards against voters that end, again at each start, once the crash table has more keys than its
+ * message to entries holds. */
+static void
+crash_table_full (void)
+{
+  static const char *servers[2] = { "a", "b" };
+  Fleet *fleet = fleet_new ();
+  Reporter reporter;
+
+  fleet_start_all (fleet);
+  reporter_open (fleet, &reporter);
+  report_many (fleet, &reporter, servers, 1000, CRASHES_MAX_CONTENTS);
+  fleet_run_for (fleet, 200 * FT_MS);
+  assert_voters_run (fleet);
+  mesh_free (reporter.mesh);
+  for (unsigned i = 0; i < fleet->voter_count; i++)
+    fleet_kill (&fleet->voters[i]);
+  for (unsigned i = 0; i < fleet->voter_count; i++)
+    fleet_start (fleet, &fleet->voters[i], false);
+  g_assert_cmpuint (fleet_get_version (fleet), ==, fleet->version);
+  fleet_put_catalogue (fleet);
+  fleet_await_version (fleet, &fleet->entries[0], fleet->version);
+  fleet_run_for (fleet, 500 * FT_MS);
+  assert_voters_run (fleet);
+  g_test_message ("%u suspects published at the most", reporter.most_published);
+  g_assert_cmpuint (reporter.most_published, >=, MESH_SUSPECTS_MAX);
+  fleet_free (fleet);
+}
+
+/* ---- Addresses in use ---- */
+
+/* As test/fleet.c writes them into settings. */
+#define READY_PORT   18081
+#define CONTROL_PORT 18082
+#define RELAY_PORT   18085
+#define HELD_TIME    (700 * FT_MS) /* some tries of a start */
+
+static void
+refuse_connection (void *owner, int fd, SockAddr from)
+{
+  (void) owner;
+  (void) from;
+  close (fd);
+}
+
+static bool
+accepts (SockAddr addr)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (addr.port),
+                            .sin_addr = { .s_addr = htonl (addr.ip) } };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool accepted = connect (fd, (struct sockaddr *) &to, sizeof to) == 0;
+
+  close (fd);
+  return accepted;
+}
+
+static void
+await_line (Fleet *fleet, FleetNode *node, const char *event)
+{
+  for (bool found = false; !found;)
+    {
+      char *line = last_line (node, event);
+      found = *line != '\0';
+      g_free (line);
+      if (fleet_has_exited (node))
+        g_error ("%s ended, wait status %d (logs in %s)", node->name, node->status, fleet->base);
+      if (!found)
+        fleet_run_for (fleet, 20 * FT_MS);
+    }
+}
+
+static void
+await_start (Fleet *fleet, FleetNode *node)
+{
+  fleet_run_for (fleet, 50 * FT_MS);
+  for (bool ready = false; !ready;)
+    {
+      if (fleet_has_exited (node))
+        g_error ("%s ended, wait status %d (logs in %s)", node->name, node->status, fleet->base);
+      ready = node->voter ? fleet_try_get_version (fleet, node) > 0 : fleet_is_ready (fleet, node);
+      if (!ready)
+        fleet_run_for (fleet, 20 * FT_MS);
+    }
+}
+
+/* Guards against a process that ends because an address is still held as it starts. */
+static void
+address_held (gconstpointer data)
+{
+  unsigned port = GPOINTER_TO_UINT (data);
+  Fleet *fleet = fleet_new ();
+
+  fleet->voter_count = 1;
+  fleet->entry_count = 1;
+  fleet_start_all (fleet);
+  FleetNode *node = port == CONTROL_PORT ? &fleet->voters[0] : &fleet->entries[0];
+  fleet_kill (node);
+  SockListener *holder
+      = sock_listen (fleet->loop, (SockAddr){ node->ip, (uint16_t) port }, refuse_connection, NULL);
+  g_assert_nonnull (holder);
+  fleet_start (fleet, node, false);
+  await_line (fleet, node, "start-waits");
+  /* Callers are not accepted before all else is there. */
+  if (!node->voter && port != FLEET_CALLER_PORT)
+    g_assert_false (accepts ((SockAddr){ node->ip, FLEET_CALLER_PORT }));
+  fleet_run_for (fleet, HELD_TIME);
+  sock_listener_free (holder);
+  await_start (fleet, node);
+  fleet_free (fleet);
+}
+
+/* Guards against an entry that ends because a connection that somebody made from the port of its
+ * callers still exists. */
+static void
+address_of_connection (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *node = &fleet->entries[0];
+  struct linger reset = { 1, 0 };
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (FLEET_CALLER_PORT) },
+                     to = { .sin_family = AF_INET, .sin_port = htons (CONTROL_PORT) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  fleet->entry_count = 1;
+  fleet_start_all (fleet);
+  fleet_kill (node);
+  at.sin_addr.s_addr = htonl (node->ip);
+  to.sin_addr.s_addr = htonl (fleet->voters[0].ip);
+  g_assert_cmpint (bind (fd, (struct sockaddr *) &at, sizeof at), ==, 0);
+  g_assert_cmpint (connect (fd, (struct sockaddr *) &to, sizeof to), ==, 0);
+  fleet_start (fleet, node, false);
+  await_line (fleet, node, "start-waits");
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+  await_start (fleet, node);
+  fleet_free (fleet);
+}
+
+/* Guards against processes that end because the one before them has not left yet, as where a
+ * supervisor does not wait for it. */
+static void
+started_beside_leaving (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *entry = &fleet->entries[0], *voter = &fleet->voters[0], leaving;
+  Answer answer;
+
+  fleet->event_ms = 200;
+  fleet_start_all (fleet);
+  fleet_send (fleet, entry, "/stream/a", "s1", &answer);
+  fleet_run_for (fleet, 300 * FT_MS);
+  leaving = *entry;
+  fleet_signal (entry, SIGTERM);
+  entry->pid = 0;
+  fleet_start (fleet, entry, false);
+  await_start (fleet, entry);
+  g_assert_true (answer.done && !answer.broken);
+  g_assert_true (g_str_has_suffix (answer.body->str, "id: 8\ndata: event 8\n\n"));
+  fleet_answer_clear (&answer);
+  fleet_run_until (fleet, has_exited, &leaving, "the entry before has left");
+  leaving = *voter;
+  fleet_signal (voter, SIGTERM);
+  voter->pid = 0;
+  fleet_start (fleet, voter, false);
+  fleet_run_until (fleet, has_exited, &leaving, "the voter before has left");
+  fleet_await_metrics (fleet, voter);
+  g_assert_false (fleet_has_exited (voter));
+  g_assert_cmpuint (fleet_get_version (fleet), ==, fleet->version);
+  fleet_free (fleet);
+}
+
+/* Guards against a start that waits for ever for an address, or ignores the signal to stop. */
+static void
+waiting_start_ends (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *node = &fleet->entries[0];
+
+  fleet->start_wait_s = 1;
+  SockListener *holder
+      = sock_listen (fleet->loop, (SockAddr){ node->ip, READY_PORT }, refuse_connection, NULL);
+  fleet_start (fleet, node, false);
+  fleet_run_until (fleet, has_exited, node, "the start gives up");
+  g_assert_true (WIFEXITED (node->status) && WEXITSTATUS (node->status) == 1);
+  char *line = last_line (node, "start-failed");
+  g_assert_nonnull (strstr (line, "\"field\":\"ready\""));
+  g_free (line);
+  fleet->start_wait_s = 70;
+  fleet_start (fleet, node, false);
+  await_line (fleet, node, "start-waits");
+  end_by (fleet, node, SIGTERM);
+  g_assert_true (WIFEXITED (node->status) && WEXITSTATUS (node->status) == 0);
+  sock_listener_free (holder);
+  fleet_free (fleet);
+}
+
+/* Guards against SIGHUP that ends a process before it handles signals, and one while it waits. */
+static void
+reloaded_while_starting (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *node = &fleet->entries[0];
+
+  fleet->entry_count = 1;
+  fleet_start_all (fleet);
+  fleet_kill (node);
+  SockListener *holder
+      = sock_listen (fleet->loop, (SockAddr){ node->ip, READY_PORT }, refuse_connection, NULL);
+  fleet_start (fleet, node, false);
+  await_line (fleet, node, "start-waits");
+  fleet_signal (node, SIGHUP);
+  fleet_run_for (fleet, HELD_TIME);
+  sock_listener_free (holder);
+  await_start (fleet, node);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/exits/told", ends_are_told);
+  g_test_add_func ("/exits/crash_table_full", crash_table_full);
+  g_test_add_data_func ("/exits/address_held/link", GUINT_TO_POINTER (LINK_PORT), address_held);
+  g_test_add_data_func ("/exits/address_held/callers", GUINT_TO_POINTER (FLEET_CALLER_PORT),
+                        address_held);
+  g_test_add_data_func ("/exits/address_held/ready", GUINT_TO_POINTER (READY_PORT), address_held);
+  g_test_add_data_func ("/exits/address_held/relay", GUINT_TO_POINTER (RELAY_PORT), address_held);
+  g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (CONTROL_PORT),
+                        address_held);
+  g_test_add_func ("/exits/address_of_connection", address_of_connection);
+  g_test_add_func ("/exits/beside_leaving", started_beside_leaving);
+  g_test_add_func ("/exits/waiting_ends", waiting_start_ends);
+  g_test_add_func ("/exits/reloaded", reloaded_while_starting);
   return g_test_run ();
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -251,6 +251,7 @@
   fleet->restart_ms = 300;
   fleet->budget_slack = 20;
   fleet->entry_seeds = 3;
+  fleet->start_wait_s = 70;
   fleet->voter_count = 3;
   fleet->losses = 1;
   fleet->grace_s = 8;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -137,6 +137,7 @@
   bool keeps_unread;     /* such answers can be aborted until they are read: fleet_abort_unread */
   unsigned slow_ms;      /* time that a plain call takes at a SERVER_SLOW */
   unsigned budget_slack; /* the entries' setting of that name */
+  unsigned start_wait_s; /* the setting of that name */
   unsigned entry_seeds;  /* how many of the first voters the entries have as seeds */
   unsigned header_timeout_ms; /* the catalogue's HeaderTimeoutMs; 0: not set */
   unsigned grace_s;           /* the setting of that name */
