A crash table with more keys than its message holds ends no voter

The log of a voter ends with "fatal", signal 11, address 0x4.

Cause: the table holds 1,024 contents and 1,024 parts, its message to entries 1,024 suspects. mesh_pack returned NULL, and bcast.c passed it on to mesh_send_packed, on every voter as soon as an entry linked. What ended the process was in the log.

Class: a bound of one module that exceeds the bound of the message into which another one packs, and a failure to pack that nobody handles.

- The message is bounded where it is filled: what the table would evict first is left out.
Entries of older programs can read it.
- Static assertions for the other tables' bounds.

New: /publish/too_large.

--- a/net/mesh.c
+++ b/net/mesh.c
@@ -151,7 +151,7 @@
 {
   gsize size;
 
-  if (base->sock == NULL || sock_unsent (base->sock) > UNSENT_MAX)
+  if (packed == NULL || base->sock == NULL || sock_unsent (base->sock) > UNSENT_MAX)
     return false;
   const void *data = g_bytes_get_data (packed, &size);
   count_message (base->mesh->sent, packed_kind (data), size);
@@ -165,10 +165,9 @@
 {
   GBytes *packed = mesh_pack (msg);
 
-  if (packed == NULL)
-    return false;
   bool sent = mesh_send_packed (base, packed);
-  g_bytes_unref (packed);
+  if (packed)
+    g_bytes_unref (packed);
   return sent;
 }
 
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -60,6 +60,7 @@
 void mesh_keep_alive (MeshPeer *peer, int64_t interval);
 /* Packs a message to send to several peers. Returns NULL if a field exceeds its limit. */
 GBytes *mesh_pack (const MeshMsg *msg);
+/* packed NULL: sends nothing and returns false. */
 bool mesh_send_packed (MeshPeer *peer, GBytes *packed);
 /* The earliest time at which the message that is handled now may have been received: the loop's
  * time, but after a pause in which this process read nothing, as while it was suspended, that of
--- a/node/bcast.c
+++ b/node/bcast.c
@@ -1,5 +1,6 @@
 /* bcast.c - tracks which version of the message each entry was sent. */
 #include "bcast.h"
+#include "jlog.h"
 
 #define UNSENT_SMALL 16384 /* bytes under way to an entry beyond which nothing is added */
 
@@ -11,6 +12,7 @@
 
 struct Broadcast
 {
+  const char *name;
   GBytes *(*pack) (void *host);
   void *host;
   GPtrArray *contacts; /* Contact of each accepted link to an entry */
@@ -18,10 +20,11 @@
 };
 
 Broadcast *
-bcast_new (GBytes *(*pack) (void *host), void *host)
+bcast_new (const char *name, GBytes *(*pack) (void *host), void *host)
 {
   Broadcast *bcast = g_new0 (Broadcast, 1);
 
+  bcast->name = name;
   bcast->pack = pack;
   bcast->host = host;
   bcast->contacts = g_ptr_array_new_with_free_func (g_free);
@@ -43,10 +46,22 @@
   bcast->number++;
 }
 
+/* NULL: it does not fit into a message. The entries keep the one before. */
+static GBytes *
+pack (const Broadcast *bcast)
+{
+  GBytes *packed = bcast->pack (bcast->host);
+
+  if (packed == NULL)
+    jlog (JLOG_ERROR, "message-too-large", NULL, JL_TEXT ("message", bcast->name));
+  return packed;
+}
+
 static void
 send_to (const Broadcast *bcast, Contact *contact, GBytes *packed)
 {
-  mesh_send_packed (contact->peer, packed);
+  if (packed)
+    mesh_send_packed (contact->peer, packed);
   contact->sent = bcast->number;
 }
 
@@ -61,9 +76,10 @@
   g_ptr_array_add (bcast->contacts, contact);
   if (!at_once)
     return;
-  GBytes *packed = bcast->pack (bcast->host);
+  GBytes *packed = pack (bcast);
   send_to (bcast, contact, packed);
-  g_bytes_unref (packed);
+  if (packed)
+    g_bytes_unref (packed);
 }
 
 void
@@ -83,13 +99,15 @@
 bcast_send_all (Broadcast *bcast)
 {
   GBytes *packed = NULL;
+  bool tried = false;
 
   for (unsigned i = 0; i < bcast->contacts->len; i++)
     {
       Contact *contact = bcast->contacts->pdata[i];
       if (contact->sent != bcast->number && mesh_unsent (contact->peer) <= UNSENT_SMALL)
         {
-          packed = packed ? packed : bcast->pack (bcast->host);
+          packed = tried ? packed : pack (bcast);
+          tried = true;
           send_to (bcast, contact, packed);
         }
     }
--- a/node/bcast.h
+++ b/node/bcast.h
@@ -6,8 +6,9 @@
 
 typedef struct Broadcast Broadcast;
 
-/* pack returns the current message; the caller unrefs it. */
-Broadcast *bcast_new (GBytes *(*pack) (void *host), void *host);
+/* name: of the message, for the log; a string literal. pack returns the current message, which the
+ * caller unrefs; NULL: it does not fit, and entries keep the one before. */
+Broadcast *bcast_new (const char *name, GBytes *(*pack) (void *host), void *host);
 void bcast_free (Broadcast *bcast);
 /* The message has changed; bcast_send_all will send it to all entries again. */
 void bcast_changed (Broadcast *bcast);
--- a/node/docver.c
+++ b/node/docver.c
@@ -100,7 +100,10 @@
       if (g_bytes_get_size (changes) < g_bytes_get_size (documents->packed))
         base->message = pack_message (documents->newest, held, changes);
       else
-        base->message = g_bytes_ref (whole_message (documents));
+        {
+          GBytes *whole = whole_message (documents);
+          base->message = whole ? g_bytes_ref (whole) : NULL;
+        }
       g_bytes_unref (changes);
     }
   return base->message;
--- a/node/listing.c
+++ b/node/listing.c
@@ -350,7 +350,7 @@
   listing->voter = voter;
   listing->broker = broker;
   listing->origins = origins;
-  listing->broadcast = bcast_new (pack_for_entries, listing);
+  listing->broadcast = bcast_new ("listed versions", pack_for_entries, listing);
   return listing;
 }
 
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -81,6 +81,8 @@
     }
 }
 
+G_STATIC_ASSERT (FT_ROLLOUTS_MAX <= MESH_VERSIONS_MAX);
+
 static GBytes *
 pack_for_entries (void *host)
 {
@@ -327,7 +329,7 @@
   rollouts->progress = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rollouts->lost = g_hash_table_new (NULL, NULL);
   rollouts->active = g_ptr_array_new_with_free_func (rollctl_active_free);
-  rollouts->broadcast = bcast_new (pack_for_entries, rollouts);
+  rollouts->broadcast = bcast_new ("roll-outs", pack_for_entries, rollouts);
   broker_set_judged_callback (broker, rollctl_on_answer, rollouts);
   return rollouts;
 }
--- a/node/suspects.c
+++ b/node/suspects.c
@@ -7,7 +7,9 @@
  * catalogue without which an entry accepts no callers. So an instance that is new, was frozen or
  * was cut off knows them before it sends a request.
  *
- * Keys with one crash are not published (CRASHES_PUBLISH_MIN).
+ * Keys with one crash are not published (CRASHES_PUBLISH_MIN). Of more keys than a message holds,
+ * those that the table would evict first are left out. One that is left out although it crashes
+ * servers comes back with its next crash.
  */
 #include "suspects.h"
 #include "content.h"
@@ -65,6 +67,8 @@
 
 /* ---- Publishing to entries ---- */
 
+G_STATIC_ASSERT (FT_SUSPECT_CRASHES_MAX <= MESH_CRASHES_MAX);
+
 static void
 fill_suspect (MeshSuspect *out, const MsgSuspect *from)
 {
@@ -84,9 +88,10 @@
   MsgCrashTable all;
 
   crashes_capture (suspects->table, CRASHES_PUBLISH_MIN, &all);
+  unsigned count = MIN (all.suspects.suspects_len, MESH_SUSPECTS_MAX);
   blamed->index = index;
-  blamed->suspects.suspects_val = g_new0 (MeshSuspect, all.suspects.suspects_len);
-  for (unsigned i = 0; i < all.suspects.suspects_len; i++)
+  blamed->suspects.suspects_val = g_new0 (MeshSuspect, MAX (count, 1));
+  for (unsigned i = 0; i < count; i++)
     fill_suspect (&blamed->suspects.suspects_val[blamed->suspects.suspects_len++],
                   &all.suspects.suspects_val[i]);
   GBytes *packed = mesh_pack (&msg);
@@ -103,7 +108,7 @@
 update_packed (Suspects *suspects)
 {
   GBytes *packed = pack_table (suspects, 0), *before = suspects->packed;
-  bool changed = before == NULL || !g_bytes_equal (packed, before);
+  bool changed = packed && (before == NULL || !g_bytes_equal (packed, before));
 
   if (changed)
     {
@@ -448,7 +453,7 @@
   suspects->loop = loop;
   suspects->voter = voter;
   suspects->table = crashes_new ();
-  suspects->broadcast = bcast_new (pack_for_entries, suspects);
+  suspects->broadcast = bcast_new ("crash table", pack_for_entries, suspects);
   suspects->proposals = g_ptr_array_new_with_free_func (proposal_free);
   update_packed (suspects);
   return suspects;
@@ -461,7 +466,8 @@
     return;
   bcast_free (suspects->broadcast);
   g_ptr_array_unref (suspects->proposals);
-  g_bytes_unref (suspects->packed);
+  if (suspects->packed)
+    g_bytes_unref (suspects->packed);
   crashes_free (suspects->table);
   g_free (suspects);
 }
--- a/test/publish.c
+++ b/test/publish.c
@@ -428,7 +428,7 @@
 static void
 messages_are_packed_once (void)
 {
-  Broadcast *tell = bcast_new (pack_message, NULL);
+  Broadcast *tell = bcast_new ("test", pack_message, NULL);
 
   set_up (ENTRIES);
   for (unsigned i = 0; i < ENTRIES; i++)
@@ -445,6 +445,45 @@
   tear_down ();
 }
 
+/* More voters than a view can name. */
+static GBytes *
+pack_too_large (void *host)
+{
+  uint32_t voters[MESH_VOTERS_MAX + 1] = { 0 };
+  MeshMsg msg = { .kind = MESH_VIEW };
+
+  (void) host;
+  pack_count++;
+  msg.MeshMsg_u.view.voters.voters_len = G_N_ELEMENTS (voters);
+  msg.MeshMsg_u.view.voters.voters_val = voters;
+  return mesh_pack (&msg);
+}
+
+/* Guards against a voter that ends since a message exceeds a bound of its type: nothing is sent,
+ * and it is not packed again until it has changed. */
+static void
+message_too_large (void)
+{
+  Broadcast *tell = bcast_new ("test", pack_too_large, NULL);
+
+  set_up (ENTRIES);
+  pack_count = 0;
+  for (unsigned i = 0; i < ENTRIES; i++)
+    bcast_link_up (tell, &entries[i].peer, i == 0);
+  g_assert_cmpuint (pack_count, ==, 1);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      bcast_changed (tell);
+      bcast_send_all (tell);
+      bcast_send_all (tell);
+    }
+  g_assert_cmpuint (pack_count, ==, 4);
+  for (unsigned i = 0; i < ENTRIES; i++)
+    g_assert_cmpuint (count_received (&entries[i], MESH_VIEW), ==, 0);
+  bcast_free (tell);
+  tear_down ();
+}
+
 static unsigned
 count_suspects (void)
 {
@@ -513,6 +552,7 @@
   g_test_add_func ("/publish/paced", whole_catalogues_are_spread_over_ticks);
   g_test_add_func ("/publish/read_once", documents_are_parsed_once);
   g_test_add_func ("/publish/packed_once", messages_are_packed_once);
+  g_test_add_func ("/publish/too_large", message_too_large);
   g_test_add_func ("/publish/reports", one_report_covers_all_crashes);
   return g_test_run ();
 }
