A full crash table makes room for what crashes servers now

Callers would see server after server crash under one content or part that is never quarantined, once a table has filled with older suspects: contents that nobody answers later are never forgotten.

Cause: the suspect with the fewest crashes was evicted, so a new key, which has one, went first, at the next key already.

- Suspects whose last crash is a minute old, quarantined ones half an hour, make room first, and are published last.
- Keys with one crash have a quarter of the table also while all others are recent.

The flood tests pass as before.

--- a/src/crashes.c
+++ b/src/crashes.c
@@ -14,9 +14,12 @@
  * The same table counts crashes of parts of prompts (fingerprint.h), which are cleared as soon as
  * an answer to any request with them begins.
  *
- * The table is bounded, for contents and for parts. When it is full, the entry with the fewest
- * crashes is evicted, the one whose last crash is oldest first among equals, so a flood of keys
- * with one crash each cannot evict those with more.
+ * The table is bounded, for contents and for parts. When it is full, stale entries are evicted
+ * first, so that what crashes servers now can be counted beside any number of older suspects. Among
+ * stale ones and among the others the entry with the fewest crashes is evicted, the one whose last
+ * crash is oldest first among equals, so a flood of keys with one crash each cannot evict those of
+ * the same time with more. Nor can those with more keep out new keys, which have a share of the
+ * table.
  */
 #include "crashes.h"
 #include "content.h"
@@ -55,10 +58,30 @@
   g_free (table);
 }
 
-/* Whether `one` is evicted before `other` when the table is full. */
+static int64_t
+last_crash_ms (const MsgSuspect *suspect)
+{
+  unsigned count = suspect->latest.latest_len;
+
+  return count ? suspect->latest.latest_val[count - 1].wall_ms : suspect->first_ms;
+}
+
 static bool
-evicted_before (const MsgSuspect *one, const MsgSuspect *other)
+is_stale (const MsgSuspect *suspect, int64_t wall_ms)
 {
+  int64_t kept = suspect->ends >= CRASHES_QUARANTINE ? CRASHES_PART_KEPT_MS : CRASHES_STALE_MS;
+
+  return wall_ms - last_crash_ms (suspect) > kept;
+}
+
+/* Whether `one` is evicted before `other` when the table is full at wall_ms. */
+static bool
+evicted_before (const MsgSuspect *one, const MsgSuspect *other, int64_t wall_ms)
+{
+  bool one_stale = is_stale (one, wall_ms);
+
+  if (one_stale != is_stale (other, wall_ms))
+    return one_stale;
   if (one->ends != other->ends)
     return one->ends < other->ends;
   if (one->index != other->index)
@@ -66,29 +89,58 @@
   return one->content < other->content;
 }
 
-/* Makes room for another key of that kind. */
-static void
-evict_if_full (CrashTable *table, bool is_part)
+/* The entries of one kind that would make room for another key. */
+typedef struct
 {
-  unsigned max = is_part ? CRASHES_MAX_PARTS : CRASHES_MAX_CONTENTS, count = 0;
+  unsigned count, single_count;     /* single: with fewer than CRASHES_PUBLISH_MIN crashes */
+  const MsgSuspect *single, *other; /* first to be evicted of these; NULL: there is none */
+} Victims;
+
+static Victims
+find_victims (const CrashTable *table, bool is_part, int64_t wall_ms)
+{
+  Victims found = { 0 };
   GHashTableIter iter;
   gpointer value;
-  const MsgSuspect *victim = NULL;
 
-  if (g_hash_table_size (table->suspects) < max)
-    return;
   g_hash_table_iter_init (&iter, table->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const MsgSuspect *suspect = value;
+      bool is_single = suspect->ends < CRASHES_PUBLISH_MIN;
+      const MsgSuspect **victim = is_single ? &found.single : &found.other;
       if (fingerprint_is_part (suspect->content) != is_part)
         continue;
-      count++;
-      if (victim == NULL || evicted_before (suspect, victim))
-        victim = suspect;
+      found.count++;
+      found.single_count += is_single;
+      if (*victim == NULL || evicted_before (suspect, *victim, wall_ms))
+        *victim = suspect;
     }
-  if (count >= max)
-    g_hash_table_remove (table->suspects, &victim->content);
+  return found;
+}
+
+static const MsgSuspect *
+choose_victim (const Victims *found, unsigned max, int64_t wall_ms)
+{
+  if (found->single == NULL || found->other == NULL)
+    return found->single ? found->single : found->other;
+  bool enough_singles = found->single_count >= max / CRASHES_SINGLE_PART;
+  if (enough_singles || is_stale (found->other, wall_ms) || is_stale (found->single, wall_ms))
+    return evicted_before (found->single, found->other, wall_ms) ? found->single : found->other;
+  return found->other;
+}
+
+/* Makes room for another key of that kind. */
+static void
+evict_if_full (CrashTable *table, bool is_part, int64_t wall_ms)
+{
+  unsigned max = is_part ? CRASHES_MAX_PARTS : CRASHES_MAX_CONTENTS;
+
+  if (g_hash_table_size (table->suspects) < max)
+    return;
+  Victims found = find_victims (table, is_part, wall_ms);
+  if (found.count >= max)
+    g_hash_table_remove (table->suspects, &choose_victim (&found, max, wall_ms)->content);
 }
 
 static void
@@ -104,7 +156,7 @@
 
   if (suspect)
     return suspect;
-  evict_if_full (table, fingerprint_is_part (content));
+  evict_if_full (table, fingerprint_is_part (content), wall_ms);
   suspect = g_new0 (MsgSuspect, 1);
   suspect->content = content;
   suspect->first_ms = wall_ms;
@@ -221,14 +273,6 @@
   return record_change (table, index, changed);
 }
 
-static int64_t
-last_crash_ms (const MsgSuspect *suspect)
-{
-  unsigned count = suspect->latest.latest_len;
-
-  return count ? suspect->latest.latest_val[count - 1].wall_ms : suspect->first_ms;
-}
-
 unsigned
 crashes_expired (const CrashTable *table, int64_t wall_ms, uint64_t *keys, unsigned max)
 {
@@ -285,9 +329,9 @@
 }
 
 static int
-compare_eviction (const void *a, const void *b)
+compare_eviction (const void *a, const void *b, void *wall_ms)
 {
-  return evicted_before (a, b) ? 1 : -1;
+  return evicted_before (a, b, *(const int64_t *) wall_ms) ? 1 : -1;
 }
 
 void
@@ -296,12 +340,17 @@
   GArray *all = g_array_new (FALSE, FALSE, sizeof (MsgSuspect));
   GHashTableIter iter;
   gpointer value;
+  int64_t wall_ms = G_MININT64; /* of the latest crash */
 
   g_hash_table_iter_init (&iter, table->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const MsgSuspect *) value)->ends >= min_crashes)
-      g_array_append_vals (all, value, 1);
-  g_array_sort (all, compare_eviction); /* equal tables must give identical bytes */
+    {
+      wall_ms = MAX (wall_ms, last_crash_ms (value));
+      if (((const MsgSuspect *) value)->ends >= min_crashes)
+        g_array_append_vals (all, value, 1);
+    }
+  /* Equal tables must give identical bytes. */
+  g_array_sort_with_data (all, compare_eviction, &wall_ms);
   out->index = table->index;
   out->suspects.suspects_len = all->len;
   out->suspects.suspects_val = (MsgSuspect *) (void *) g_array_free (all, FALSE);
--- a/src/crashes.h
+++ b/src/crashes.h
@@ -16,6 +16,12 @@
  * no answer that clears it: if it is still requested, it crashes servers again, at most
  * CRASHES_QUARANTINE in this time. */
 #define CRASHES_PART_KEPT_MS (30 * 60 * 1000)
+/* When the table is full, suspects that are not quarantined and whose latest crash is older than
+ * this make room first, quarantined ones after CRASHES_PART_KEPT_MS. */
+#define CRASHES_STALE_MS (60 * 1000)
+/* Keys with fewer than CRASHES_PUBLISH_MIN crashes have this part of the table, 1 / N, also while
+ * all others are recent. */
+#define CRASHES_SINGLE_PART 4
 /* Contents with at least this many crashes are published to all instances, because one more crash
  * quarantines them. Contents with fewer are nearly all innocent, and every crash adds several. */
 #define CRASHES_PUBLISH_MIN 2
@@ -43,8 +49,9 @@
 uint64_t crashes_index (const CrashTable *table);
 /* Returns the number of entries; *quarantined gets how many of them are quarantined. */
 unsigned crashes_count (const CrashTable *table, unsigned *quarantined);
-/* Copies the entries with at least min_crashes crashes. The caller frees the array suspects_val
- * with g_free; what its records point to remains owned by the table. */
+/* Copies the entries with at least min_crashes crashes, those that are evicted last first. The
+ * caller frees the array suspects_val with g_free; what its records point to remains owned by the
+ * table. */
 void crashes_capture (const CrashTable *table, unsigned min_crashes, MsgCrashTable *out);
 /* Appends all entries as a JSON array, most crashes first. wall_ms is the current time, from which
  * ages are computed. */
