raft: an operation that no entry can hold is refused

Before: /logbytes/too_large gets FT_IO and the storage counts as failed; after: FT_INVALID, and 64 bytes less are committed at all three voters.

--- a/src/raft.c
+++ b/src/raft.c
@@ -143,8 +143,13 @@
 {
   GByteArray *bytes = codec_pack (CODEC (MsgOp), op);
 
-  if (bytes == NULL)
-    return FT_INVALID;
+  /* A longer operation does not fit into an entry: the log could not store or send it. */
+  if (bytes == NULL || bytes->len > FT_TEXT_MAX)
+    {
+      if (bytes)
+        g_byte_array_unref (bytes);
+      return FT_INVALID;
+    }
   MsgEntry *entry = g_new0 (MsgEntry, 1);
   entry->index = rlog_last (&raft->log) + 1;
   entry->term = term;
--- a/test/logbytes.c
+++ b/test/logbytes.c
@@ -238,21 +238,27 @@
 }
 
 static FtStatus
-propose (const Voter *leader)
+propose_size (const Voter *leader, u_int size)
 {
   MsgOp op = { .kind = MSG_OP_DOCUMENT };
-  char *text = g_malloc0 (DOCUMENT_SIZE);
+  char *text = g_malloc0 (size);
   uint64_t index;
 
   op.MsgOp_u.document.number = proposed + 1;
   op.MsgOp_u.document.text.text_val = text;
-  op.MsgOp_u.document.text.text_len = DOCUMENT_SIZE;
+  op.MsgOp_u.document.text.text_len = size;
   FtStatus status = raft_propose (leader->raft, &op, &index);
   proposed += status == FT_OK;
   g_free (text);
   return status;
 }
 
+static FtStatus
+propose (const Voter *leader)
+{
+  return propose_size (leader, DOCUMENT_SIZE);
+}
+
 static uint64_t
 document_number (const Voter *voter)
 {
@@ -349,6 +355,24 @@
   tear_down ();
 }
 
+/* Guards against a leader that takes its storage for failed since an operation is larger than an
+ * entry of the log may be. */
+static void
+too_large_is_refused (void)
+{
+  set_up ();
+  const Voter *leader = await_leader ();
+  g_assert_cmpint (propose_size (leader, FT_TEXT_MAX), ==, FT_INVALID);
+  g_assert_cmpint (propose_size (leader, FT_TEXT_MAX - 64), ==, FT_OK);
+  run_for (500 * FT_MS);
+  for (unsigned i = 0; i < VOTERS; i++)
+    {
+      g_assert_false (raft_storage_failed (voters[i].raft));
+      g_assert_cmpuint (document_number (&voters[i]), ==, 1);
+    }
+  tear_down ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -356,5 +380,6 @@
   g_test_add_func ("/logbytes/cut", log_is_cut_by_bytes);
   g_test_add_func ("/logbytes/silent_voter", silent_voter_gets_little);
   g_test_add_func ("/logbytes/uncommitted", uncommitted_changes_are_bounded);
+  g_test_add_func ("/logbytes/too_large", too_large_is_refused);
   return g_test_run ();
 }
