The log's leader bounds in bytes what it sends, takes and queues

With changes of 3 MB each of them passes the memory of a voter (256 MB) in seconds.

- raft_propose: FT_FULL at 16 MB uncommitted. voter_propose: 0 while 16 MB are queued.
- the own interface's log is cut at 32 MB, too.

--- a/node/operators.c
+++ b/node/operators.c
@@ -155,8 +155,15 @@
       return;
     }
   change.ticket = voter_propose (operators->voter, number, packed);
-  g_array_append_val (operators->changes, change);
   g_bytes_unref (packed);
+  if (change.ticket)
+    g_array_append_val (operators->changes, change);
+  else
+    {
+      jlog (JLOG_WARN, "change-refused", NULL, JL_UINT ("version", change.version),
+            JL_TEXT ("why", "too many bytes wait for the disk"));
+      reply_error (call, 503, "", "too many changes wait for the disk");
+    }
 }
 
 static void
--- a/node/voter.c
+++ b/node/voter.c
@@ -18,8 +18,8 @@
 #define TICK_US         (20 * 1000)   /* a fifth of the log's heartbeat interval */
 #define REOPEN_INTERVAL (500 * FT_MS) /* after a write error: space may have been freed */
 #define SNAPSHOT_AFTER  48            /* entries, usually packed documents of 10 to 100 KB each */
-#define SNAPSHOT_BYTES  (8u << 20) /* a sixteenth of the disk: log, snapshot and their successors  \
-                                    */
+#define QUEUED_MAX      (16u << 20) /* bytes of documents that the log's thread has not taken yet */
+#define SNAPSHOT_BYTES  (8u << 20)  /* of entries; a sixteenth of the smallest disk */
 
 typedef enum
 {
@@ -90,7 +90,8 @@
   char fatal_stack[FATAL_STACK_SIZE];
   pthread_mutex_t lock;
   pthread_cond_t wake;
-  GQueue queue; /* Work; under lock */
+  GQueue queue;        /* Work; under lock */
+  size_t queued_bytes; /* of documents in queue; under lock */
   bool stopped;
   VoterStatus status;   /* under lock */
   int64_t proved_until; /* under lock */
@@ -508,6 +509,7 @@
         ;
       GQueue work = voter->queue;
       g_queue_init (&voter->queue);
+      voter->queued_bytes = 0;
       pthread_mutex_unlock (&voter->lock);
       iterate (voter, &work);
       pthread_mutex_lock (&voter->lock);
@@ -622,11 +624,18 @@
 uint64_t
 voter_propose (Voter *voter, uint64_t number, GBytes *document)
 {
-  GByteArray *bytes = g_byte_array_new ();
-  uint64_t ticket = ++voter->next_ticket;
+  gsize size = g_bytes_get_size (document);
+  GByteArray *bytes;
 
-  g_byte_array_append (bytes, g_bytes_get_data (document, NULL),
-                       (guint) g_bytes_get_size (document));
+  pthread_mutex_lock (&voter->lock);
+  bool fits = voter->queued_bytes == 0 || voter->queued_bytes + size <= QUEUED_MAX;
+  voter->queued_bytes += fits ? size : 0;
+  pthread_mutex_unlock (&voter->lock);
+  if (!fits)
+    return 0;
+  bytes = g_byte_array_sized_new ((guint) size);
+  g_byte_array_append (bytes, g_bytes_get_data (document, NULL), (guint) size);
+  uint64_t ticket = ++voter->next_ticket;
   queue_work (voter,
               (Work){ .kind = WORK_PROPOSE, .ticket = ticket, .number = number, .bytes = bytes });
   return ticket;
--- a/node/voter.h
+++ b/node/voter.h
@@ -50,7 +50,8 @@
 /* Tells the log about another instance that is, or wants to become, a voter. */
 void voter_add_peer (Voter *voter, uint32_t id);
 /* Proposes a new document with this number, or an operation on one of the tables. Returns
- * a ticket that the later verdict callback refers to. */
+ * a ticket that the later verdict callback refers to. voter_propose: 0 while too many bytes are
+ * queued for a disk that is busy. */
 uint64_t voter_propose (Voter *voter, uint64_t number, GBytes *document);
 uint64_t voter_propose_op (Voter *voter, const MsgOp *op);
 /* If this voter leads, asks another one to take over. */
--- a/src/node.c
+++ b/src/node.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+#define SNAPSHOT_BYTES (32u << 20) /* of log entries; eight of the largest catalogues */
+
 static void
 server_free (void *data)
 {
@@ -79,7 +81,8 @@
 {
   RaftConf conf = { .self = node->conf.id,
                     .voters = (const uint32_t *) (void *) node->voters->data,
-                    .count = node->voters->len };
+                    .count = node->voters->len,
+                    .snapshot_bytes = SNAPSHOT_BYTES };
 
   if (disk == NULL)
     return ft_error_set (error, FT_INVALID, 0, "data_folder", "a voter needs a data folder");
--- a/src/raft.c
+++ b/src/raft.c
@@ -22,11 +22,12 @@
 #include <string.h>
 
 /* Tuning. */
-#define RECENT_MAX_WINDOW (20 * FT_SECOND) /* how long the largest disk time counts */
-#define MAX_UNCOMMITTED   4096             /* entries; above it raft_propose returns FT_FULL */
-#define SNAPSHOT_TAIL     256 /* entries kept before a snapshot, for followers that lag a little */
-#define START_TIMEOUT_MIN (520 * FT_MS) /* LEASE_TIME plus 4 % for clock rate errors */
-#define START_JITTER      (100 * FT_MS) /* keeps voters from starting elections together */
+#define RECENT_MAX_WINDOW     (20 * FT_SECOND) /* how long the largest disk time counts */
+#define MAX_UNCOMMITTED       4096             /* entries; above it raft_propose returns FT_FULL */
+#define MAX_UNCOMMITTED_BYTES (16u << 20)      /* of their operations, likewise */
+#define SNAPSHOT_TAIL         256 /* entries kept before a snapshot, for followers that lag a little */
+#define START_TIMEOUT_MIN     (520 * FT_MS) /* LEASE_TIME plus 4 % for clock rate errors */
+#define START_JITTER          (100 * FT_MS) /* keeps voters from starting elections together */
 
 /* ---- Helpers ---- */
 
@@ -510,7 +511,8 @@
 {
   if (!raft_leading (raft))
     return FT_NOT_LEADER;
-  if (rlog_last (&raft->log) - raft->commit > MAX_UNCOMMITTED)
+  if (rlog_last (&raft->log) - raft->commit > MAX_UNCOMMITTED
+      || rlog_bytes (&raft->log, raft->commit + 1, rlog_last (&raft->log)) >= MAX_UNCOMMITTED_BYTES)
     return FT_FULL;
   FtStatus status = raft_append_op (raft, raft->term, op);
   *index = rlog_last (&raft->log);
--- a/src/raftint.h
+++ b/src/raftint.h
@@ -28,6 +28,7 @@
   uint32_t id;
   uint64_t incarnation;       /* from its last reply; 0: unknown */
   uint64_t next, match;       /* Raft's nextIndex and matchIndex */
+  size_t unanswered_bytes;    /* of entries and snapshots sent since its last reply */
   int64_t heard_at;           /* when its last message arrived */
   int64_t acked_sent_at;      /* when the newest round that it acknowledged was sent */
   bool prevote_granted;       /* in the current pre-vote */
--- a/src/raftlead.c
+++ b/src/raftlead.c
@@ -10,6 +10,7 @@
 #define QUORUM_TIMEOUT     (1500 * FT_MS) /* without a majority for so long, a leader steps down */
 #define MAX_APPEND_ENTRIES 256            /* bound in msg.x */
 #define MAX_APPEND_BYTES   (1u << 20)     /* a larger message would delay heartbeats */
+#define MAX_UNANSWERED     (8u << 20)     /* bytes; then only heartbeats follow until a reply */
 
 static void
 send_snapshot (Raft *raft, Peer *peer)
@@ -27,6 +28,7 @@
   out->state.state_len = state->len;
   out->state.state_val = (char *) state->data;
   raft_queue_before_sync (raft, peer->id, &msg);
+  peer->unanswered_bytes += state->len;
   g_byte_array_unref (state);
   peer->next = raft->applied + 1;
 }
@@ -39,18 +41,19 @@
   MsgEntry entries[MAX_APPEND_ENTRIES];
   unsigned count = 0;
   size_t bytes = 0;
-
-  if (peer->next <= raft->log.base)
+  bool may_send = peer->unanswered_bytes < MAX_UNANSWERED;
+  if (may_send && peer->next <= raft->log.base)
     {
       send_snapshot (raft, peer);
       return;
     }
   out->term = raft->term;
   out->round = raft->round;
-  out->prev_index = peer->next - 1;
+  out->prev_index = MAX (peer->next - 1, raft->log.base);
   out->prev_term = rlog_term (&raft->log, out->prev_index);
   out->commit = raft->commit;
-  for (uint64_t i = peer->next; i <= rlog_last (&raft->log) && count < MAX_APPEND_ENTRIES; i++)
+  for (uint64_t i = peer->next;
+       may_send && i <= rlog_last (&raft->log) && count < MAX_APPEND_ENTRIES; i++)
     {
       const MsgEntry *entry = rlog_entry (&raft->log, i);
       if (count > 0 && bytes + entry->op.op_len > MAX_APPEND_BYTES)
@@ -61,6 +64,7 @@
   out->entries.entries_len = count;
   out->entries.entries_val = entries;
   raft_queue_before_sync (raft, peer->id, &msg);
+  peer->unanswered_bytes += bytes;
   peer->next += count; /* reset if the peer replies that it lacks earlier entries */
 }
 
@@ -143,6 +147,7 @@
     {
       raft->peers[i].next = rlog_last (&raft->log) + 1;
       raft->peers[i].match = 0;
+      raft->peers[i].unanswered_bytes = 0;
       raft->peers[i].acked_sent_at = now; /* assumed, since a majority has just voted */
     }
   raft_append_op (raft, raft->term, &noop);
@@ -159,6 +164,7 @@
     }
   if (raft->role != ROLE_LEADER || appended->term != raft->term)
     return;
+  peer->unanswered_bytes = 0;
   if (peer->incarnation != appended->incarnation)
     {
       peer->incarnation = appended->incarnation;
--- a/src/raftset.c
+++ b/src/raftset.c
@@ -200,6 +200,7 @@
     {
       peer->incarnation = blank->incarnation;
       peer->match = 0;
+      peer->unanswered_bytes = 0;
       peer->next = rlog_last (&raft->log) + 1;
     }
   if (!log_empty || !blank->formed)
--- a/src/rlog.c
+++ b/src/rlog.c
@@ -110,6 +110,16 @@
   return log->entries->pdata[index - log->base - 1];
 }
 
+size_t
+rlog_bytes (const Rlog *log, uint64_t first, uint64_t last)
+{
+  size_t bytes = 0;
+
+  for (uint64_t i = MAX (first, log->base + 1); i <= MIN (last, rlog_last (log)); i++)
+    bytes += rlog_entry (log, i)->op.op_len;
+  return bytes;
+}
+
 const RlogConfig *
 rlog_config (const Rlog *log)
 {
--- a/src/rlog.h
+++ b/src/rlog.h
@@ -36,6 +36,8 @@
 uint64_t rlog_term (const Rlog *log, uint64_t index);
 /* NULL: the log does not hold it. */
 MsgEntry *rlog_entry (const Rlog *log, uint64_t index);
+/* Bytes of the operations of the entries from first to last, as far as the log holds them. */
+size_t rlog_bytes (const Rlog *log, uint64_t first, uint64_t last);
 /* The newest voter set, committed or not. Never NULL; its count is 0 before the first
  * voter set is known. */
 const RlogConfig *rlog_config (const Rlog *log);
--- a/test/publish.c
+++ b/test/publish.c
@@ -54,6 +54,7 @@
 
 static GThread *loop_thread;
 static gint read_count;
+static GMutex read_gate; /* held by a test: the log's thread stands still */
 
 static RtCat *
 read_document (void *host, GBytes *document, uint64_t number, GBytes **text, FtError *error)
@@ -66,6 +67,8 @@
   (void) error;
   g_assert_true (g_thread_self () != loop_thread);
   g_atomic_int_inc (&read_count);
+  g_mutex_lock (&read_gate);
+  g_mutex_unlock (&read_gate);
   *text = compress_unpack (data, size);
   return NULL;
 }
@@ -414,6 +417,33 @@
   tear_down ();
 }
 
+/* Guards against changes that pile up in memory while the disk stands still. */
+static void
+queued_changes_are_bounded (void)
+{
+  char *text = g_malloc0 (3u << 20);
+  GBytes *large = g_bytes_new_take (text, 3u << 20);
+  unsigned taken = 0;
+
+  set_up (0);
+  commit (1);
+  g_mutex_lock (&read_gate);
+  voter_propose (voter, 2, large);
+  while (g_atomic_int_get (&read_count) < 2)
+    run_for (20 * FT_MS);
+  for (unsigned i = 0; i < 20; i++)
+    taken += voter_propose (voter, 3, large) != 0;
+  g_assert_cmpuint (taken, ==, 5); /* 16 MB */
+  g_mutex_unlock (&read_gate);
+  while (voter_newest_number (voter) < 3)
+    run_for (20 * FT_MS);
+  g_assert_cmpuint (voter_propose (voter, 4, large), >, 0);
+  while (voter_newest_number (voter) < 4)
+    run_for (20 * FT_MS);
+  g_bytes_unref (large);
+  tear_down ();
+}
+
 static GBytes *
 pack_message (void *host)
 {
@@ -553,6 +583,7 @@
   g_test_add_func ("/publish/read_once", documents_are_parsed_once);
   g_test_add_func ("/publish/packed_once", messages_are_packed_once);
   g_test_add_func ("/publish/too_large", message_too_large);
+  g_test_add_func ("/publish/queued_changes", queued_changes_are_bounded);
   g_test_add_func ("/publish/reports", one_report_covers_all_crashes);
   return g_test_run ();
 }
