A voter reads its log in pieces and copies no entry

Cause: the log was read whole into one array that grows by doubling, each entry was decoded from it and copied once more.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -152,13 +152,15 @@
 }
 
 static FtStatus
-disk_read (FtDisk *base, const char *name, GByteArray *out)
+disk_read (FtDisk *base, const char *name, size_t offset, size_t max, GByteArray *out)
 {
   File *file = find_file ((SimDisk *) base, name, false);
 
   if (file == NULL)
     return FT_NOT_FOUND;
-  g_byte_array_append (out, file->data->data, file->data->len);
+  if (offset < file->data->len)
+    g_byte_array_append (out, file->data->data + offset,
+                         (guint) MIN (max, file->data->len - offset));
   return FT_OK;
 }
 
--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -37,17 +37,21 @@
 }
 
 static FtStatus
-disk_read (FtDisk *base, const char *name, GByteArray *out)
+disk_read (FtDisk *base, const char *name, size_t offset, size_t max, GByteArray *out)
 {
   Disk *disk = (Disk *) base;
   char buffer[65536];
-  ssize_t got;
+  ssize_t got = 0;
   int file = openat (disk->folder, name, O_RDONLY | O_CLOEXEC);
 
   if (file < 0)
     return errno == ENOENT ? FT_NOT_FOUND : FT_IO;
-  while ((got = read (file, buffer, sizeof buffer)) > 0)
-    g_byte_array_append (out, (const guint8 *) buffer, (guint) got);
+  while (max > 0 && (got = pread (file, buffer, MIN (max, sizeof buffer), (off_t) offset)) > 0)
+    {
+      g_byte_array_append (out, (const guint8 *) buffer, (guint) got);
+      offset += (size_t) got;
+      max -= (size_t) got;
+    }
   close (file);
   return got < 0 ? FT_IO : FT_OK;
 }
--- a/src/foxtail.h
+++ b/src/foxtail.h
@@ -103,7 +103,8 @@
 typedef struct FtDisk FtDisk;
 typedef struct
 {
-  FtStatus (*read) (FtDisk *disk, const char *name, GByteArray *out);
+  /* Appends what the file holds from offset on, at most max bytes. */
+  FtStatus (*read) (FtDisk *disk, const char *name, size_t offset, size_t max, GByteArray *out);
   FtStatus (*append) (FtDisk *disk, const char *name, const void *data, size_t size);
   FtStatus (*sync) (FtDisk *disk, const char *name); /* makes appended bytes durable */
   FtStatus (*replace) (FtDisk *disk, const char *name, const void *data,
--- a/src/raft.c
+++ b/src/raft.c
@@ -366,8 +366,11 @@
                   state_voters (raft->state));
       raft->commit = raft->applied = saved->snapshot_index;
     }
-  for (unsigned i = 0; i < saved->entries->len; i++)
-    rlog_append (&raft->log, wal_entry_copy (saved->entries->pdata[i]));
+  gsize count;
+  gpointer *entries = g_ptr_array_steal (saved->entries, &count);
+  for (gsize i = 0; i < count; i++)
+    rlog_append (&raft->log, entries[i]);
+  g_free (entries);
   raft->synced = rlog_last (&raft->log);
   raft->commit = raft->commit_logged
       = MAX (raft->commit, MIN (saved->commit, rlog_last (&raft->log)));
--- a/src/wal.c
+++ b/src/wal.c
@@ -19,6 +19,7 @@
 #define MAGIC           0x4c415746u
 #define HEADER_SIZE     20u
 #define RECORD_MAX_SIZE (64u << 20)
+#define PIECE_SIZE      (1u << 20) /* in which the log is read; larger records are read whole */
 
 enum
 {
@@ -185,41 +186,94 @@
   return FT_OK;
 }
 
+/* A part of the log, so that a log as large as the disk is read with little memory. */
+typedef struct
+{
+  FtDisk *disk;
+  GByteArray *window;
+  size_t start; /* offset of the window in the file */
+  size_t at;    /* of the next record, in the window */
+  bool at_end;  /* the window ends where the file does */
+} LogReader;
+
+/* Extends the window until it holds that many bytes from `at` on, or the rest of the file. */
+static FtStatus
+ensure_bytes (LogReader *reader, size_t bytes)
+{
+  FtStatus status = FT_OK;
+
+  while (status == FT_OK && !reader->at_end && reader->window->len - reader->at < bytes)
+    {
+      size_t before;
+      g_byte_array_remove_range (reader->window, 0, (guint) reader->at);
+      reader->start += reader->at;
+      reader->at = 0;
+      before = reader->window->len;
+      status = reader->disk->ops->read (reader->disk, "log", reader->start + before, PIECE_SIZE,
+                                        reader->window);
+      reader->at_end = reader->window->len < before + PIECE_SIZE;
+    }
+  return status;
+}
+
+/* Extends the window to the whole next record, if one begins at `at`. */
+static FtStatus
+ensure_record (LogReader *reader)
+{
+  FtStatus status = ensure_bytes (reader, HEADER_SIZE);
+  const guint8 *head = reader->window->data + reader->at;
+
+  if (status != FT_OK || reader->window->len - reader->at < HEADER_SIZE || get_u32 (head) != MAGIC
+      || get_u32 (head + 4) > RECORD_MAX_SIZE)
+    return status;
+  return ensure_bytes (reader, HEADER_SIZE + get_u32 (head + 4));
+}
+
+/* What is no valid record is the incomplete last batch, unless a valid batch follows. */
+static FtStatus
+cut_incomplete_batch (LogReader *reader, WalState *state, FtError *error)
+{
+  FtStatus status = ensure_bytes (reader, G_MAXSIZE);
+
+  if (status != FT_OK)
+    return status;
+  if (has_valid_batch_after (reader->window, reader->at))
+    return ft_error_set (error, FT_CORRUPT, 0, "log",
+                         "damaged record at offset %zu, followed by valid records; replace this "
+                         "voter's data folder with an empty one",
+                         reader->start + reader->at);
+  state->truncated = reader->window->len - reader->at;
+  return reader->disk->ops->truncate (reader->disk, "log", reader->start + reader->at);
+}
+
 static FtStatus
 read_log (FtDisk *disk, WalState *state, FtError *error)
 {
-  GByteArray *file = g_byte_array_new ();
-  FtStatus status = disk->ops->read (disk, "log", file);
-  size_t offset = 0;
+  LogReader reader = { .disk = disk, .window = g_byte_array_new () };
+  FtStatus status = ensure_record (&reader);
 
-  while (status == FT_OK && offset < file->len)
+  while (status == FT_OK && reader.at < reader.window->len)
     {
       uint32_t type;
       const guint8 *payload;
-      size_t size, step = parse_record (file, offset, &type, &payload, &size);
-      if (step == 0 && has_valid_batch_after (file, offset))
-        {
-          status = ft_error_set (error, FT_CORRUPT, 0, "log",
-                                 "damaged record at offset %zu, followed by valid records; replace "
-                                 "this voter's data folder with an empty one",
-                                 offset);
-          break;
-        }
+      size_t size, step = parse_record (reader.window, reader.at, &type, &payload, &size);
       if (step == 0)
         {
-          state->truncated = file->len - offset;
-          status = disk->ops->truncate (disk, "log", offset);
+          status = cut_incomplete_batch (&reader, state, error);
           break;
         }
       status = replay_record (state, type, payload, size);
       if (status != FT_OK)
         ft_error_set (error, status, 0, "log",
-                      "record at offset %zu does not follow from the records before it", offset);
-      offset += step;
+                      "record at offset %zu does not follow from the records before it",
+                      reader.start + reader.at);
+      reader.at += step;
+      if (status == FT_OK)
+        status = ensure_record (&reader);
     }
   if (status == FT_NOT_FOUND)
     status = FT_OK;
-  g_byte_array_unref (file);
+  g_byte_array_unref (reader.window);
   return status;
 }
 
@@ -232,7 +286,7 @@
   uint32_t type = 0;
   const guint8 *payload = NULL;
   size_t size = 0;
-  FtStatus status = disk->ops->read (disk, name, file);
+  FtStatus status = disk->ops->read (disk, name, 0, G_MAXSIZE, file);
 
   if (status == FT_OK
       && (parse_record (file, 0, &type, &payload, &size) != file->len || type != expected_type
--- a/test/logbytes.c
+++ b/test/logbytes.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "raft.h"
 #include "seeded.h"
+#include "wal.h"
 
 #include <string.h>
 
@@ -60,11 +61,12 @@
 }
 
 static FtStatus
-disk_read (FtDisk *base, const char *name, GByteArray *out)
+disk_read (FtDisk *base, const char *name, size_t offset, size_t max, GByteArray *out)
 {
   const GByteArray *file = find_file (base, name);
 
-  g_byte_array_append (out, file->data, file->len);
+  if (offset < file->len)
+    g_byte_array_append (out, file->data + offset, (guint) MIN (max, file->len - offset));
   return file->len ? FT_OK : FT_NOT_FOUND;
 }
 
@@ -373,6 +375,88 @@
   tear_down ();
 }
 
+/* ---- Reading the log ---- */
+
+#define ENTRY_SIZE 700000 /* several in one piece that is read, and across its ends */
+#define ENTRIES    12
+
+static void
+write_entries (MemoryDisk *disk)
+{
+  char *bytes = g_malloc0 (ENTRY_SIZE);
+  WalState state;
+  Wal *wal;
+
+  *disk = (MemoryDisk){ .base = { &disk_ops } };
+  for (unsigned i = 0; i < FILES; i++)
+    disk->files[i] = g_byte_array_new ();
+  g_assert_cmpint (wal_open (&disk->base, &wal, &state, NULL), ==, FT_OK);
+  for (unsigned i = 1; i <= ENTRIES; i++)
+    {
+      MsgEntry entry = { .index = i, .term = 1, .op = { ENTRY_SIZE, bytes } };
+      g_assert_cmpint (wal_entry (wal, &entry), ==, FT_OK);
+      g_assert_cmpint (wal_sync (wal), ==, FT_OK);
+    }
+  wal_state_clear (&state);
+  wal_free (wal);
+  g_free (bytes);
+}
+
+/* Opens the log. Returns the number of entries; *truncated gets the number of bytes cut off. */
+static unsigned
+count_entries (MemoryDisk *disk, FtStatus expected, size_t *truncated)
+{
+  FtError error = { 0 };
+  WalState state;
+  Wal *wal;
+
+  g_assert_cmpint (wal_open (&disk->base, &wal, &state, &error), ==, expected);
+  unsigned count = state.entries->len;
+  *truncated = state.truncated;
+  wal_state_clear (&state);
+  wal_free (wal);
+  return count;
+}
+
+static void
+free_files (MemoryDisk *disk)
+{
+  for (unsigned i = 0; i < FILES; i++)
+    g_byte_array_unref (disk->files[i]);
+}
+
+/* Guards against entries lost, or damage not seen, where records lie across the pieces in which the
+ * log is read. */
+static void
+log_in_pieces (void)
+{
+  static const size_t cuts[] = { 1, 19, 20, 21, ENTRY_SIZE / 2, ENTRY_SIZE, ENTRY_SIZE + 200 };
+  MemoryDisk disk;
+  size_t truncated;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cuts); i++)
+    {
+      write_entries (&disk);
+      GByteArray *log = find_file (&disk.base, "log");
+      size_t whole = log->len, kept = whole - cuts[i];
+      g_byte_array_set_size (log, (guint) kept);
+      unsigned lost = cuts[i] > ENTRY_SIZE + 80 ? 2 : 1;
+      g_assert_cmpuint (count_entries (&disk, FT_OK, &truncated), ==, ENTRIES - lost);
+      g_assert_cmpuint (log->len + truncated, ==, kept);
+      g_assert_cmpuint (count_entries (&disk, FT_OK, &truncated), ==, ENTRIES - lost);
+      g_assert_cmpuint (truncated, ==, 0);
+      free_files (&disk);
+    }
+  for (unsigned i = 0; i < ENTRIES - 1; i++)
+    {
+      write_entries (&disk);
+      GByteArray *log = find_file (&disk.base, "log");
+      log->data[log->len / ENTRIES * i + ENTRY_SIZE / 2] ^= 1;
+      count_entries (&disk, FT_CORRUPT, &truncated);
+      free_files (&disk);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -381,5 +465,6 @@
   g_test_add_func ("/logbytes/silent_voter", silent_voter_gets_little);
   g_test_add_func ("/logbytes/uncommitted", uncommitted_changes_are_bounded);
   g_test_add_func ("/logbytes/too_large", too_large_is_refused);
+  g_test_add_func ("/logbytes/pieces", log_in_pieces);
   return g_test_run ();
 }
--- a/test/stall.c
+++ b/test/stall.c
@@ -75,13 +75,14 @@
 }
 
 static FtStatus
-disk_read (FtDisk *base, const char *name, GByteArray *out)
+disk_read (FtDisk *base, const char *name, size_t offset, size_t max, GByteArray *out)
 {
   GByteArray *file = *find_file (base, name);
 
   if (file == NULL)
     return FT_NOT_FOUND;
-  g_byte_array_append (out, file->data, file->len);
+  if (offset < file->len)
+    g_byte_array_append (out, file->data + offset, (guint) MIN (max, file->len - offset));
   return FT_OK;
 }
 
