A file that may not grow is an error of the write, not the end of the process

SIGXFSZ (ulimit -f) ended a voter. It is ignored now, so the write fails with EFBIG, which the log handles as a failed disk: no change is acknowledged, and the log is read again once writes succeed.

--- a/node/main.c
+++ b/node/main.c
@@ -181,6 +181,7 @@
   sigaddset (set, SIGHUP);
   pthread_sigmask (SIG_BLOCK, set, NULL);
   signal (SIGPIPE, SIG_IGN);
+  signal (SIGXFSZ, SIG_IGN); /* a file that may not grow is an error of that write */
 }
 
 static bool
--- a/test/exits.c
+++ b/test/exits.c
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -448,6 +449,32 @@
   fleet_free (fleet);
 }
 
+/* Guards against a voter that ends by SIGXFSZ when a file may not grow: it takes no change until
+ * files may grow again. */
+static void
+file_size_limited (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *voter = &fleet->voters[0];
+  struct rlimit none = { RLIM_INFINITY, RLIM_INFINITY };
+  unsigned refused = 0;
+
+  fleet->voter_count = 1;
+  fleet->entry_count = 0;
+  voter->file_size = 16384;
+  fleet_start_all (fleet);
+  for (unsigned i = 0; i < 100 && refused == 0; i++)
+    refused += !fleet_try_put_catalogue (fleet, voter);
+  g_assert_cmpuint (refused, ==, 1);
+  fleet_run_for (fleet, 500 * FT_MS);
+  if (fleet_has_exited (voter))
+    g_error ("%s ended, wait status %d (logs in %s)", voter->name, voter->status, fleet->base);
+  g_assert_cmpint (prlimit (voter->pid, RLIMIT_FSIZE, &none, NULL), ==, 0);
+  fleet_put_catalogue (fleet);
+  g_assert_cmpuint (fleet_get_version (fleet), ==, fleet->version);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -465,5 +492,6 @@
   g_test_add_func ("/exits/beside_leaving", started_beside_leaving);
   g_test_add_func ("/exits/waiting_ends", waiting_start_ends);
   g_test_add_func ("/exits/reloaded", reloaded_while_starting);
+  g_test_add_func ("/exits/file_size", file_size_limited);
   return g_test_run ();
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -133,6 +133,8 @@
     close (fd);
   if (node->files)
     setrlimit (RLIMIT_NOFILE, &(struct rlimit){ node->files, node->files });
+  if (node->file_size)
+    setrlimit (RLIMIT_FSIZE, &(struct rlimit){ node->file_size, RLIM_INFINITY });
   setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
   if (fleet->own_sources)
     {
