What cannot be packed or read in a voter is logged and refused

Same class as the crash table: a proposed operation, a committed table or its copy that exceeds a bound of its message ended the voter by g_error (signal 5), in five places. No input that reaches them is known; the bounds of src/rollout.c, src/listed.c and platform/list.c keep them out today.

An operation gets the verdict FT_INVALID; a table keeps its last copy. Events op-not-packed, table-not-packed, table-not-read. state.c still ends where the copy of a decoded message fails, which only a lack of memory does: a voter that leaves out an operation must not go on.

/publish/unpackable: before, the process ended by g_error ("a proposed operation cannot be packed"); after, the verdict comes and the next document is committed.

--- a/node/listing.c
+++ b/node/listing.c
@@ -106,15 +106,21 @@
 listing_committed (Listing *listing)
 {
   GBytes *bytes = voter_listed (listing->voter);
+  MsgListedTable table = { 0 };
   gsize size;
 
   if (bytes == NULL)
     return;
   const void *data = g_bytes_get_data (bytes, &size);
+  if (codec_unpack (CODEC (MsgListedTable), data, size, &table, NULL) != FT_OK)
+    {
+      jlog (JLOG_ERROR, "table-not-read", NULL, JL_TEXT ("table", "listed versions"));
+      codec_clear (CODEC (MsgListedTable), &table);
+      g_bytes_unref (bytes);
+      return;
+    }
   codec_clear (CODEC (MsgListedTable), &listing->table);
-  memset (&listing->table, 0, sizeof listing->table);
-  if (codec_unpack (CODEC (MsgListedTable), data, size, &listing->table, NULL) != FT_OK)
-    g_error ("cannot unpack the committed table of listed versions");
+  listing->table = table;
   g_bytes_unref (bytes);
   if (!listing->taken_over)
     use_committed_versions (listing);
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -197,7 +197,12 @@
     return;
   const void *data = g_bytes_get_data (bytes, &size);
   if (codec_unpack (CODEC (MsgRollouts), data, size, &captured, NULL) != FT_OK)
-    g_error ("cannot unpack the committed table of roll-outs");
+    {
+      jlog (JLOG_ERROR, "table-not-read", NULL, JL_TEXT ("table", "roll-outs"));
+      codec_clear (CODEC (MsgRollouts), &captured);
+      g_bytes_unref (bytes);
+      return;
+    }
   roll_restore (rollouts->table, &captured);
   codec_clear (CODEC (MsgRollouts), &captured);
   g_bytes_unref (bytes);
--- a/node/suspects.c
+++ b/node/suspects.c
@@ -186,7 +186,12 @@
     return;
   const void *data = g_bytes_get_data (bytes, &size);
   if (codec_unpack (CODEC (MsgCrashTable), data, size, &captured, NULL) != FT_OK)
-    g_error ("cannot unpack the committed crash table");
+    {
+      jlog (JLOG_ERROR, "table-not-read", NULL, JL_TEXT ("table", "crash table"));
+      codec_clear (CODEC (MsgCrashTable), &captured);
+      g_bytes_unref (bytes);
+      return;
+    }
   table = crashes_new ();
   crashes_restore (table, &captured);
   codec_clear (CODEC (MsgCrashTable), &captured);
--- a/node/voter.c
+++ b/node/voter.c
@@ -8,6 +8,7 @@
 #include "voter.h"
 #include "disk.h"
 #include "fatal.h"
+#include "jlog.h"
 #include "raft.h"
 
 #include <errno.h>
@@ -46,7 +47,8 @@
   REPORT_DOCUMENT,
   REPORT_CRASHES,
   REPORT_ROLLOUTS,
-  REPORT_LISTED
+  REPORT_LISTED,
+  REPORT_NOT_PACKED
 } ReportKind;
 
 typedef struct
@@ -168,6 +170,9 @@
       clear_reported (voter, &voter->listed);
       voter->ops->listed_changed (voter->host);
       break;
+    case REPORT_NOT_PACKED:
+      jlog (JLOG_ERROR, "table-not-packed", NULL, JL_TEXT ("kept", "the one before"));
+      break;
     }
   g_free (report);
 }
@@ -260,16 +265,19 @@
 }
 
 /* Stores a table for the loop's thread, also before the verdict of the change is reported. Takes
- * ownership of bytes.
+ * ownership of bytes. NULL: it exceeds a bound, and the copy before is kept.
  *
  * At most one report is queued at a time. If many changes are committed while the loop waits for
  * the CPU, it would otherwise read the whole newest table once for each of them. */
 static void
 store_table (Voter *voter, TableCopy *table, uint64_t index, GByteArray *bytes, ReportKind kind)
 {
-  if (bytes == NULL)
-    g_error ("a table of the replicated state cannot be packed");
   table->index = index;
+  if (bytes == NULL)
+    {
+      report (voter, (Report){ .kind = REPORT_NOT_PACKED });
+      return;
+    }
   pthread_mutex_lock (&voter->lock);
   GBytes *old = table->packed;
   table->packed = g_byte_array_free_to_bytes (bytes);
@@ -380,8 +388,12 @@
 {
   MsgOp op = { 0 };
 
-  if (codec_unpack (CODEC (MsgOp), work->bytes->data, work->bytes->len, &op, NULL) == FT_OK)
+  if (work->bytes
+      && codec_unpack (CODEC (MsgOp), work->bytes->data, work->bytes->len, &op, NULL) == FT_OK)
     propose (voter, work->ticket, &op);
+  else
+    report (voter,
+            (Report){ .kind = REPORT_VERDICT, .ticket = work->ticket, .status = FT_INVALID });
   codec_clear (CODEC (MsgOp), &op);
 }
 
@@ -651,7 +663,7 @@
   uint64_t ticket = ++voter->next_ticket;
 
   if (bytes == NULL)
-    g_error ("a proposed operation cannot be packed");
+    jlog (JLOG_ERROR, "op-not-packed", NULL, JL_INT ("kind", op->kind));
   queue_work (voter, (Work){ .kind = WORK_PROPOSE_OP, .ticket = ticket, .bytes = bytes });
   return ticket;
 }
--- a/test/publish.c
+++ b/test/publish.c
@@ -35,12 +35,15 @@
   (void) host;
 }
 
+static uint64_t last_ticket;
+static FtStatus last_status;
+
 static void
-ignore_verdict (void *host, uint64_t ticket, FtStatus status)
+note_verdict (void *host, uint64_t ticket, FtStatus status)
 {
   (void) host;
-  (void) ticket;
-  (void) status;
+  last_ticket = ticket;
+  last_status = status;
 }
 
 static unsigned pack_count, crash_reports;
@@ -74,7 +77,7 @@
 }
 
 static const VoterOps voter_ops = { read_document, ignore_send,   ignore_commit, on_crash_table,
-                                    ignore_commit, ignore_commit, ignore_verdict };
+                                    ignore_commit, ignore_commit, note_verdict };
 
 static void
 read_list (void)
@@ -444,6 +447,24 @@
   tear_down ();
 }
 
+/* Guards against a voter that ends since an operation exceeds a bound of the log's messages. */
+static void
+unpackable_operation (void)
+{
+  char name[200] = "";
+  MsgOp op = { .kind = MSG_OP_CRASH_RETRACTED, .MsgOp_u.survived = { name } };
+
+  memset (name, 'n', sizeof name - 1);
+  set_up (0);
+  commit (1);
+  uint64_t ticket = voter_propose_op (voter, &op);
+  while (last_ticket != ticket)
+    run_for (20 * FT_MS);
+  g_assert_cmpint (last_status, ==, FT_INVALID);
+  commit (2);
+  tear_down ();
+}
+
 static GBytes *
 pack_message (void *host)
 {
@@ -583,6 +604,7 @@
   g_test_add_func ("/publish/read_once", documents_are_parsed_once);
   g_test_add_func ("/publish/packed_once", messages_are_packed_once);
   g_test_add_func ("/publish/too_large", message_too_large);
+  g_test_add_func ("/publish/unpackable", unpackable_operation);
   g_test_add_func ("/publish/queued_changes", queued_changes_are_bounded);
   g_test_add_func ("/publish/reports", one_report_covers_all_crashes);
   return g_test_run ();
