sock: data that is being read outlives the close of its connection

sock_close keeps the input until the end of the loop's iteration, for all readers.

Before: /wire/data_outlives_close reads 0 of 4,000 bytes intact (freed memory is overwritten in the test); after: 4,000. test-wire and test-relay pass.

--- a/net/sock.c
+++ b/net/sock.c
@@ -510,7 +510,8 @@
     sock_set_reset_on_close (sock, true);
   close (sock->fd.fd);
   sock->fd.fd = -1;
-  g_byte_array_unref (sock->in);
+  /* A reader that called this may still be within the data of sock_peek. */
+  loop_free_later (sock->loop, g_byte_array_free (sock->in, FALSE));
   g_byte_array_unref (sock->out);
   sock->in = sock->out = NULL;
   count_unsent (sock);
--- a/test/wire.c
+++ b/test/wire.c
@@ -3,6 +3,7 @@
 #include "hcli.h"
 #include "hsrv.h"
 
+#include <malloc.h>
 #include <string.h>
 
 #define TEST_TIMEOUT (20 * FT_SECOND) /* only ends a test that hangs */
@@ -601,6 +602,90 @@
   end ();
 }
 
+/* ---- Data of a connection that is closed while it is read ---- */
+
+typedef struct
+{
+  unsigned read, intact; /* bytes after the close */
+} ClosedRead;
+
+/* Closes the connection, as the end of a request does from within a reader's callback, and goes on
+ * reading as that reader does. */
+static void
+on_read_and_close (Sock *sock)
+{
+  ClosedRead *closed = sock->owner;
+  size_t size;
+  const uint8_t *data = sock_peek (sock, &size);
+
+  sock_close (sock, false);
+  for (size_t i = 0; i < size; i++)
+    {
+      closed->read++;
+      closed->intact += data[i] == 'd';
+    }
+  loop_stop (loop);
+}
+
+static void
+on_closed_read_end (Sock *sock, SockEnd how)
+{
+  (void) sock;
+  (void) how;
+  g_assert_not_reached ();
+}
+
+static void
+accept_closed_read (void *owner, int fd, SockAddr peer)
+{
+  static const SockOps ops = { NULL, on_read_and_close, NULL, on_closed_read_end };
+
+  g_assert_nonnull (sock_accepted (loop, fd, peer, &ops, owner));
+}
+
+static void
+ignore_sock (Sock *sock)
+{
+  (void) sock;
+}
+
+static void
+ignore_end (Sock *sock, SockEnd how)
+{
+  (void) sock;
+  (void) how;
+}
+
+/* Guards against reading memory that was freed when the connection was closed from within the
+ * reader: freed bytes are overwritten here. */
+static void
+data_outlives_close (void)
+{
+  static const SockOps ops = { ignore_sock, ignore_sock, NULL, ignore_end };
+  ClosedRead closed = { 0 };
+  SockListener *listener = NULL;
+  SockAddr addr = { 0x7f000001, 23900 };
+  char data[4000];
+
+  begin ();
+  mallopt (M_PERTURB, 0x5a);
+  for (; listener == NULL && addr.port < 24300; addr.port++)
+    listener = sock_listen (loop, addr, accept_closed_read, &closed);
+  g_assert_nonnull (listener);
+  addr.port--;
+  Sock *sender = sock_connect (loop, addr, &ops, NULL);
+  g_assert_nonnull (sender);
+  memset (data, 'd', sizeof data);
+  sock_write (sender, data, sizeof data);
+  loop_run (loop);
+  g_assert_cmpuint (closed.read, >, 0);
+  g_assert_cmpuint (closed.intact, ==, closed.read);
+  mallopt (M_PERTURB, 0);
+  sock_close (sender, false);
+  sock_listener_free (listener);
+  end ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -618,5 +703,6 @@
   g_test_add_func ("/wire/server/leaves", caller_disconnect_is_reported);
   g_test_add_func ("/wire/server/closed", stopped_server_closes_connection);
   g_test_add_func ("/wire/loop/posted", posted_calls_do_not_delay_timers);
+  g_test_add_func ("/wire/data_outlives_close", data_outlives_close);
   return g_test_run ();
 }
