A start looks for its settings for a second before it ends

Same class as the start that waits: a settings file that is being replaced in that instant (missing, empty or half written) ended the process with status 1. Settings change at any time, also as processes are started again.

An invalid file ends the process with the same error as before.

Before: /exits/settings_late wait status 256; after: the entry starts 0.2 s later with the file, and one whose file does not come ends with status 1 and names it.

--- a/node/main.c
+++ b/node/main.c
@@ -20,7 +20,9 @@
 
 #define SETTINGS_VARIABLE       "FOXTAILGRADE_CONFIG"
 #define SETTINGS_CHECK_INTERVAL (1 * FT_SECOND) /* for a change without a signal */
-#define START_RETRY_INTERVAL    (100 * FT_MS)   /* while something that it needs is in use */
+#define SETTINGS_TRIES          10              /* at the start: the file may be being written */
+#define SETTINGS_PAUSE_US       100000
+#define START_RETRY_INTERVAL    (100 * FT_MS) /* while something that it needs is in use */
 #define START_LOG_INTERVAL      (5 * FT_SECOND)
 #define SLOW_ITERATION          (50 * FT_MS) /* longer ones are logged: grants are awaited for 120 ms */
 
@@ -284,13 +286,26 @@
   return FT_OK;
 }
 
+static FtStatus
+read_settings (const char *file, bool once, Settings **out, FtError *error)
+{
+  FtStatus status = settings_read (file, out, error);
+
+  for (unsigned i = 1; status != FT_OK && !once && i < SETTINGS_TRIES; i++)
+    {
+      g_usleep (SETTINGS_PAUSE_US);
+      status = settings_read (file, out, error);
+    }
+  return status;
+}
+
 static int
 run (const char *file, bool check_only)
 {
   Process process = { .file = file };
   int result = 1;
 
-  if (settings_read (file, &process.settings, &process.error) != FT_OK)
+  if (read_settings (file, check_only, &process.settings, &process.error) != FT_OK)
     goto out;
   if (check_only)
     {
--- a/test/exits.c
+++ b/test/exits.c
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -475,6 +476,41 @@
   fleet_free (fleet);
 }
 
+static bool
+is_hidden (void *data)
+{
+  return g_file_test (data, G_FILE_TEST_EXISTS);
+}
+
+/* Guards against a process that ends since its settings file is being replaced as it starts. One
+ * that does not come is told. */
+static void
+settings_come_late (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *node = &fleet->entries[0];
+  char *hidden = g_strconcat (node->settings, FLEET_HIDDEN, NULL);
+
+  fleet->entry_count = 1;
+  fleet_start_all (fleet);
+  fleet_kill (node);
+  node->starts_without = true;
+  fleet_start (fleet, node, false);
+  fleet_run_until (fleet, is_hidden, hidden, "the settings file is gone");
+  fleet_run_for (fleet, 200 * FT_MS);
+  g_assert_cmpint (rename (hidden, node->settings), ==, 0);
+  await_start (fleet, node);
+  fleet_kill (node);
+  fleet_start (fleet, node, false);
+  fleet_run_until (fleet, has_exited, node, "the start gives up");
+  g_assert_true (WIFEXITED (node->status) && WEXITSTATUS (node->status) == 1);
+  char *log = fleet_read_log (node);
+  g_assert_nonnull (strstr (log, node->settings));
+  g_free (log);
+  g_free (hidden);
+  fleet_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -493,5 +529,6 @@
   g_test_add_func ("/exits/waiting_ends", waiting_start_ends);
   g_test_add_func ("/exits/reloaded", reloaded_while_starting);
   g_test_add_func ("/exits/file_size", file_size_limited);
+  g_test_add_func ("/exits/settings_late", settings_come_late);
   return g_test_run ();
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -133,6 +134,11 @@
     close (fd);
   if (node->files)
     setrlimit (RLIMIT_NOFILE, &(struct rlimit){ node->files, node->files });
+  if (node->starts_without)
+    {
+      char *hidden = g_strconcat (node->settings, FLEET_HIDDEN, NULL);
+      rename (node->settings, hidden);
+    }
   if (node->file_size)
     setrlimit (RLIMIT_FSIZE, &(struct rlimit){ node->file_size, RLIM_INFINITY });
   setenv ("FOXTAILNODE_DETOUR", node->detour, 1);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -15,6 +15,7 @@
 #define FLEET_ENTRIES      3     /* usually */
 #define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
 #define FLEET_SERVERS      4
+#define FLEET_HIDDEN       ".hidden"      /* added to the name of its settings file */
 #define FLEET_CRASH_PREFIX "ends-servers" /* a body with it crashes its server */
 #define FLEET_CRASH_PART                                                                           \
   "dead" /* so does a part of the prompt whose id begins so, if not the last */
@@ -91,13 +92,14 @@
   char name[16], folder[256], settings[256];
   uint32_t ip;
   bool voter;
-  bool older;       /* works as an older program (olderwrap.c); set it before the start */
-  unsigned files;   /* descriptors that it may have open; 0: as many as the test */
-  size_t file_size; /* bytes that a file of it may have at first; 0: no bound */
-  pid_t pid;        /* 0: not running */
-  int status;       /* wait status of its last exit that was no fleet_kill */
-  Proxy *proxy;     /* before its port for links to other instances; NULL: none */
-  ProxyCut cut;     /* whether its connections to servers are cut off */
+  bool older;          /* works as an older program (olderwrap.c); set it before the start */
+  unsigned files;      /* descriptors that it may have open; 0: as many as the test */
+  size_t file_size;    /* bytes that a file of it may have at first; 0: no bound */
+  bool starts_without; /* its start finds the settings file renamed: FLEET_HIDDEN */
+  pid_t pid;           /* 0: not running */
+  int status;          /* wait status of its last exit that was no fleet_kill */
+  Proxy *proxy;        /* before its port for links to other instances; NULL: none */
+  ProxyCut cut;        /* whether its connections to servers are cut off */
   char log[256];
   char detour[256]; /* file that says where its connects to servers end up (connectwrap.c) */
 } FleetNode;
