--- a/test/exits.c
+++ b/test/exits.c
@@ -3,7 +3,7 @@
 #include "fleet.h"
 #include "fingerprint.h"
 #include "crashes.h"
-#include "mesh.h"
+#include "reporter.h"
 
 #include <arpa/inet.h>
 #include <signal.h>
@@ -99,75 +99,19 @@
 
 /* ---- The crash table ---- */
 
-#define LINK_PORT 18083
-#define KILLER    G_GUINT64_CONSTANT (77)
-
-/* The test's own entry, which reports crashes of servers to the voter in charge. */
-typedef struct
-{
-  Mesh *mesh;
-  MeshPeer *voter; /* NULL: not linked */
-  uint64_t sent, acknowledged;
-  unsigned published, killer_ends; /* suspects in the newest table, crashes of KILLER there */
-  unsigned most_published;
-} Reporter;
-
-static void
-on_link_up (void *host, MeshPeer *peer)
-{
-  ((Reporter *) host)->voter = peer;
-}
-
-static void
-on_link_down (void *host, MeshPeer *peer)
-{
-  Reporter *reporter = host;
-
-  if (reporter->voter == peer)
-    reporter->voter = NULL;
-}
-
 static void
-on_link_message (void *host, MeshPeer *peer, const MeshMsg *msg)
+assert_voters_run (Fleet *fleet)
 {
-  Reporter *reporter = host;
-  const MeshCrashTable *table = &msg->MeshMsg_u.blamed;
-
-  (void) peer;
-  if (msg->kind == MESH_CRASH_ACK)
-    reporter->acknowledged++;
-  if (msg->kind != MESH_CRASH_TABLE)
-    return;
-  reporter->published = table->suspects.suspects_len;
-  reporter->most_published = MAX (reporter->most_published, reporter->published);
-  reporter->killer_ends = 0;
-  for (unsigned i = 0; i < reporter->published; i++)
-    if (table->suspects.suspects_val[i].content == KILLER)
-      reporter->killer_ends = table->suspects.suspects_val[i].ends;
+  for (unsigned i = 0; i < fleet->voter_count; i++)
+    if (fleet_has_exited (&fleet->voters[i]))
+      g_error ("%s ended by itself, wait status %d (logs in %s)", fleet->voters[i].name,
+               fleet->voters[i].status, fleet->base);
 }
 
-static const MeshOps reporter_ops = { on_link_up, on_link_message, on_link_down };
-
 static bool
 is_linked (void *data)
 {
-  return ((Reporter *) data)->voter != NULL;
-}
-
-static void
-reporter_open (Fleet *fleet, Reporter *reporter)
-{
-  uint32_t ip = fleet->voters[0].ip + 70;
-  MeshHello hello = {
-    .address = ip, .lifetime = 1, .role = MESH_ENTRY, .domain = (char *) "z", .listed = true
-  };
-
-  *reporter = (Reporter){ 0 };
-  reporter->mesh = mesh_new (fleet->loop, (SockAddr){ ip, LINK_PORT }, LINK_PORT, &hello,
-                             &reporter_ops, reporter);
-  g_assert_nonnull (reporter->mesh);
-  mesh_dial (reporter->mesh, fleet_leader (fleet)->ip);
-  fleet_run_until (fleet, is_linked, reporter, "a link to the voter in charge");
+  return ((Reporter *) data)->voter_count == 3;
 }
 
 static bool
@@ -175,39 +119,18 @@
 {
   const Reporter *reporter = data;
 
-  return reporter->acknowledged >= reporter->sent || reporter->voter == NULL;
-}
-
-static void
-assert_voters_run (Fleet *fleet)
-{
-  for (unsigned i = 0; i < fleet->voter_count; i++)
-    if (fleet_has_exited (&fleet->voters[i]))
-      g_error ("%s ended by itself, wait status %d (logs in %s)", fleet->voters[i].name,
-               fleet->voters[i].status, fleet->base);
-}
-
-/* A server crashed while it ran these. */
-static void
-report_crash (Reporter *reporter, const char *server, uint64_t *keys, unsigned count)
-{
-  MeshMsg msg = { .kind = MESH_CRASH };
-
-  msg.MeshMsg_u.ended = (MeshCrash){ .number = ++reporter->sent,
-                                     .server = (char *) server,
-                                     .contents = { count, (u_quad_t *) keys } };
-  g_assert_true (mesh_send (reporter->voter, &msg));
+  return reporter->acknowledged >= reporter->sent || reporter->voter_count == 0;
 }
 
 static void
 await_acknowledged (Fleet *fleet, Reporter *reporter)
 {
   fleet_run_until (fleet, all_acknowledged, reporter, "the crashes are in the log");
-  if (reporter->voter)
+  if (reporter->voter_count > 0)
     return;
   fleet_run_for (fleet, 200 * FT_MS);
   assert_voters_run (fleet);
-  g_error ("the link to the voter is lost (logs in %s)", fleet->base);
+  g_error ("the links to the voters are lost (logs in %s)", fleet->base);
 }
 
 /* Two crashes of servers that ran these contents and parts, in reports as large as they may be. */
@@ -225,7 +148,7 @@
           keys[2 * i + 1] = fingerprint_part_key ("s", first + at + i);
         }
       for (unsigned i = 0; i < 2; i++)
-        report_crash (reporter, servers[i], keys, MESH_CONTENTS_MAX);
+        reporter_send_crash (reporter, servers[i], keys, MESH_CONTENTS_MAX);
     }
   await_acknowledged (fleet, reporter);
 }
@@ -241,10 +164,11 @@
 
   fleet_start_all (fleet);
   reporter_open (fleet, &reporter);
+  fleet_run_until (fleet, is_linked, &reporter, "links to the voters");
   report_many (fleet, &reporter, servers, 1000, CRASHES_MAX_CONTENTS);
   fleet_run_for (fleet, 200 * FT_MS);
   assert_voters_run (fleet);
-  mesh_free (reporter.mesh);
+  reporter_close (&reporter);
   for (unsigned i = 0; i < fleet->voter_count; i++)
     fleet_kill (&fleet->voters[i]);
   for (unsigned i = 0; i < fleet->voter_count; i++)
@@ -261,11 +185,7 @@
 
 /* ---- Addresses in use ---- */
 
-/* As test/fleet.c writes them into settings. */
-#define READY_PORT   18081
-#define CONTROL_PORT 18082
-#define RELAY_PORT   18085
-#define HELD_TIME    (700 * FT_MS) /* some tries of a start */
+#define HELD_TIME (700 * FT_MS) /* some tries of a start */
 
 static void
 refuse_connection (void *owner, int fd, SockAddr from)
@@ -327,7 +247,7 @@
   fleet->voter_count = 1;
   fleet->entry_count = 1;
   fleet_start_all (fleet);
-  FleetNode *node = port == CONTROL_PORT ? &fleet->voters[0] : &fleet->entries[0];
+  FleetNode *node = port == FLEET_CONTROL_PORT ? &fleet->voters[0] : &fleet->entries[0];
   fleet_kill (node);
   SockListener *holder
       = sock_listen (fleet->loop, (SockAddr){ node->ip, (uint16_t) port }, refuse_connection, NULL);
@@ -352,7 +272,7 @@
   FleetNode *node = &fleet->entries[0];
   struct linger reset = { 1, 0 };
   struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (FLEET_CALLER_PORT) },
-                     to = { .sin_family = AF_INET, .sin_port = htons (CONTROL_PORT) };
+                     to = { .sin_family = AF_INET, .sin_port = htons (FLEET_CONTROL_PORT) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   fleet->entry_count = 1;
@@ -411,8 +331,8 @@
   FleetNode *node = &fleet->entries[0];
 
   fleet->start_wait_s = 1;
-  SockListener *holder
-      = sock_listen (fleet->loop, (SockAddr){ node->ip, READY_PORT }, refuse_connection, NULL);
+  SockListener *holder = sock_listen (fleet->loop, (SockAddr){ node->ip, FLEET_READY_PORT },
+                                      refuse_connection, NULL);
   fleet_start (fleet, node, false);
   fleet_run_until (fleet, has_exited, node, "the start gives up");
   g_assert_true (WIFEXITED (node->status) && WEXITSTATUS (node->status) == 1);
@@ -439,8 +359,8 @@
   fleet->entry_count = 1;
   fleet_start_all (fleet);
   fleet_kill (node);
-  SockListener *holder
-      = sock_listen (fleet->loop, (SockAddr){ node->ip, READY_PORT }, refuse_connection, NULL);
+  SockListener *holder = sock_listen (fleet->loop, (SockAddr){ node->ip, FLEET_READY_PORT },
+                                      refuse_connection, NULL);
   fleet_start (fleet, node, false);
   await_line (fleet, node, "start-waits");
   fleet_signal (node, SIGHUP);
@@ -517,12 +437,15 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/exits/told", ends_are_told);
   g_test_add_func ("/exits/crash_table_full", crash_table_full);
-  g_test_add_data_func ("/exits/address_held/link", GUINT_TO_POINTER (LINK_PORT), address_held);
+  g_test_add_data_func ("/exits/address_held/link", GUINT_TO_POINTER (FLEET_LINK_PORT),
+                        address_held);
   g_test_add_data_func ("/exits/address_held/callers", GUINT_TO_POINTER (FLEET_CALLER_PORT),
                         address_held);
-  g_test_add_data_func ("/exits/address_held/ready", GUINT_TO_POINTER (READY_PORT), address_held);
-  g_test_add_data_func ("/exits/address_held/relay", GUINT_TO_POINTER (RELAY_PORT), address_held);
-  g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (CONTROL_PORT),
+  g_test_add_data_func ("/exits/address_held/ready", GUINT_TO_POINTER (FLEET_READY_PORT),
+                        address_held);
+  g_test_add_data_func ("/exits/address_held/relay", GUINT_TO_POINTER (FLEET_RELAY_PORT),
+                        address_held);
+  g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (FLEET_CONTROL_PORT),
                         address_held);
   g_test_add_func ("/exits/address_of_connection", address_of_connection);
   g_test_add_func ("/exits/beside_leaving", started_beside_leaving);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -10,13 +10,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define READY_PORT        18081
-#define CONTROL_PORT      18082
-#define LINK_PORT         18083
 #define SERVER_PORT       18090
 #define LIST_PORT         18099
 #define METRICS_PORT      18084
-#define RELAY_PORT        18085 /* on which entries relay for each other */
 #define SILENT_PORT       18071 /* where connects hang */
 #define CLOSED_PORT       18072 /* where connects are refused */
 #define LINK_LISTEN_PORT  18073 /* where a node behind a proxy accepts links */
@@ -90,21 +86,21 @@
       "\"link_port\":%d,\"link_listen_port\":%d,\"list\":\"%s\",\"log_level\":\"debug\","
       "\"first_start\":%s,\"start_wait_s\":%u,\"grace_s\":%u,\"metrics_port\":%d,"
       "\"budget_slack\":%u,\"all_versions\":%s,\"losses\":%u,",
-      node->name, node->voter ? "voter" : "entry", ip, LINK_PORT,
+      node->name, node->voter ? "voter" : "entry", ip, FLEET_LINK_PORT,
       node->proxy ? LINK_LISTEN_PORT : 0, list, first_start ? "true" : "false", fleet->start_wait_s,
       fleet->grace_s, METRICS_PORT, fleet->budget_slack, fleet->all_versions ? "true" : "false",
       fleet->losses);
   if (node->voter)
-    g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip, CONTROL_PORT,
-                            node->folder);
+    g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip,
+                            FLEET_CONTROL_PORT, node->folder);
   else
     g_string_append_printf (
         out, "\"callers\":\"%s:%d\",\"ready\":\"%s:%d\",\"source_ip\":\"%s\",\"relay_port\":%d,",
-        ip, FLEET_CALLER_PORT, ip, READY_PORT, ip, RELAY_PORT);
+        ip, FLEET_CALLER_PORT, ip, FLEET_READY_PORT, ip, FLEET_RELAY_PORT);
   g_string_append (out, "\"seeds\":[");
   for (unsigned i = 0; i < (node->voter ? fleet->voter_count : fleet->entry_seeds); i++)
     g_string_append_printf (out, "%s\"%s:%d\"", i ? "," : "", ip_text (fleet->voters[i].ip, seed),
-                            CONTROL_PORT);
+                            FLEET_CONTROL_PORT);
   g_string_append (out, "]}\n");
   /* Not synced: on a busy disk that would stop the servers and proxies of the test for seconds. */
   g_assert_true (g_file_set_contents_full (node->settings, out->str, (gssize) out->len,
@@ -321,7 +317,7 @@
 static void
 add_node_proxy (Fleet *fleet, FleetNode *node)
 {
-  node->proxy = proxy_new (fleet->loop, (SockAddr){ node->ip, LINK_PORT },
+  node->proxy = proxy_new (fleet->loop, (SockAddr){ node->ip, FLEET_LINK_PORT },
                            (SockAddr){ node->ip, LINK_LISTEN_PORT });
 }
 
@@ -641,7 +637,7 @@
 
   g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: v\r\nContent-Length: %zu\r\n\r\n%s",
                           method, path, strlen (body), body);
-  send_to (fleet, (SockAddr){ voter->ip, CONTROL_PORT }, request, answer);
+  send_to (fleet, (SockAddr){ voter->ip, FLEET_CONTROL_PORT }, request, answer);
   g_string_free (request, TRUE);
   fleet_run_until (fleet, is_done_or_late, &wait, path);
   if (answer->done)
@@ -679,6 +675,24 @@
       version, limits, fleet->unchecked ? "" : ",\"HealthPath\":\"/health\"");
 }
 
+char *
+fleet_large_catalogue (const Fleet *fleet, uint64_t version, size_t size)
+{
+  static const char letters[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  GRand *random = g_rand_new_with_seed ((guint32) version);
+  char *text = fleet_catalogue_text (fleet, version);
+  GString *out = g_string_new ("{\"Padding\":\"");
+  size_t rest = strlen (text);
+
+  while (out->len + rest < size)
+    g_string_append_c (out, letters[g_rand_int (random) % 64]);
+  g_string_append (out, "\",");
+  g_string_append (out, strchr (text, '{') + 1);
+  g_rand_free (random);
+  g_free (text);
+  return g_string_free (out, FALSE);
+}
+
 bool
 fleet_try_put_catalogue (Fleet *fleet, const FleetNode *voter)
 {
@@ -845,7 +859,7 @@
   GString *request = g_string_new ("GET /api/readyz HTTP/1.1\r\nHost: e\r\n\r\n");
   Answer answer;
 
-  send_to (fleet, (SockAddr){ entry->ip, READY_PORT }, request, &answer);
+  send_to (fleet, (SockAddr){ entry->ip, FLEET_READY_PORT }, request, &answer);
   fleet_run_until (fleet, is_done, &answer, "an answer on readiness");
   bool ready = !answer.broken && answer.status == 200;
   fleet_answer_clear (&answer);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -12,6 +12,10 @@
 
 #define FLEET_VOTERS       9     /* the first voter_count found the cluster; others can join it */
 #define FLEET_CALLER_PORT  18080 /* on which an entry serves callers */
+#define FLEET_READY_PORT   18081
+#define FLEET_CONTROL_PORT 18082
+#define FLEET_LINK_PORT    18083
+#define FLEET_RELAY_PORT   18085 /* on which entries relay for each other */
 #define FLEET_ENTRIES      3     /* usually */
 #define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
 #define FLEET_SERVERS      4
@@ -182,6 +186,8 @@
 void fleet_operator_call (Fleet *fleet, const char *method, const char *path, Answer *answer);
 /* The text of the catalogue as fleet_put_catalogue puts it, with this version; g_free. */
 char *fleet_catalogue_text (const Fleet *fleet, uint64_t version);
+/* The same with about so many bytes, which hardly compress; g_free. */
+char *fleet_large_catalogue (const Fleet *fleet, uint64_t version, size_t size);
 /* Like fleet_operator_call, with a body. */
 void fleet_operator_call_body (Fleet *fleet, const char *method, const char *path, const char *body,
                                Answer *answer);
--- a/test/limits.c
+++ b/test/limits.c
@@ -15,38 +15,10 @@
 #define CHANGES        80             /* their bytes are over twice the disk */
 #define LOGGED_CHANGES 42 /* in a log as earlier programs left it; they nearly fill the disk */
 
-/* Random letters, so that compression gains little. */
-static char *
-random_text (size_t size, guint32 seed)
-{
-  static const char letters[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  GRand *random = g_rand_new_with_seed (seed);
-  char *text = g_malloc (size + 1);
-
-  for (size_t i = 0; i < size; i++)
-    text[i] = letters[g_rand_int (random) % 64];
-  text[size] = '\0';
-  g_rand_free (random);
-  return text;
-}
-
-/* A catalogue of TEXT_SIZE bytes; g_free. */
-static char *
-large_catalogue (const Fleet *fleet, uint64_t version)
-{
-  char *text = fleet_catalogue_text (fleet, version);
-  char *padding = random_text (TEXT_SIZE - strlen (text) - 16, (guint32) version);
-  char *large = g_strdup_printf ("{\"Padding\":\"%s\",%s", padding, strchr (text, '{') + 1);
-
-  g_free (padding);
-  g_free (text);
-  return large;
-}
-
 static void
 put_large (Fleet *fleet, uint64_t version)
 {
-  char *text = large_catalogue (fleet, version);
+  char *text = fleet_large_catalogue (fleet, version, TEXT_SIZE);
   Answer answer;
 
   fleet_operator_call_body (fleet, "POST", "/api/Config.Put", text, &answer);
@@ -123,7 +95,7 @@
   log_op (wal, 1, &op);
   for (unsigned i = 1; i <= LOGGED_CHANGES; i++)
     {
-      char *text = large_catalogue (fleet, i);
+      char *text = fleet_large_catalogue (fleet, i, TEXT_SIZE);
       GBytes *packed = compress_pack (text, strlen (text));
       gsize size;
       op = (MsgOp){ .kind = MSG_OP_DOCUMENT };
