--- a/test/exits.c
+++ b/test/exits.c
@@ -6,9 +6,11 @@
 #include "reporter.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -263,6 +265,29 @@
   fleet_free (fleet);
 }
 
+/* Guards against a voter that ends because another process still has its data folder. */
+static void
+folder_held (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *voter = &fleet->voters[0];
+
+  fleet->voter_count = 1;
+  fleet->entry_count = 0;
+  fleet_start_all (fleet);
+  fleet_kill (voter);
+  char *path = g_build_filename (voter->folder, "lock", NULL);
+  int lock = open (path, O_RDWR | O_CLOEXEC);
+  g_assert_cmpint (flock (lock, LOCK_EX | LOCK_NB), ==, 0);
+  fleet_start (fleet, voter, false);
+  await_line (fleet, voter, "start-waits");
+  fleet_run_for (fleet, HELD_TIME);
+  close (lock);
+  await_start (fleet, voter);
+  g_free (path);
+  fleet_free (fleet);
+}
+
 /* Guards against an entry that ends because a connection that somebody made from the port of its
  * callers still exists. */
 static void
@@ -447,6 +472,7 @@
                         address_held);
   g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (FLEET_CONTROL_PORT),
                         address_held);
+  g_test_add_func ("/exits/folder_held", folder_held);
   g_test_add_func ("/exits/address_of_connection", address_of_connection);
   g_test_add_func ("/exits/beside_leaving", started_beside_leaving);
   g_test_add_func ("/exits/waiting_ends", waiting_start_ends);
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -277,5 +277,26 @@
 try "tenants: an empty key is one" src/route.c 's/return key \&\& \*key \? /return key ? /; s/^  if \(\*text\)$/  if (true)/' test-decide &
 try "tenants: any value is a key" platform/catalogue.c 's/json_object_is_type \(key, json_type_string\) \? /key ? /' test-tenants &
 try "tenants: a cap of null is none" platform/catalogue.c 's/has_member \(object, name\) \&\& member \(object, name\) == NULL/false/' test-tenants &
+# Processes that end by themselves, or do not start.
+try "crash table: its message has no bound" node/suspects.c 's/MIN \(all\.suspects\.suspects_len, MESH_SUSPECTS_MAX\)/all.suspects.suspects_len/' test-exits &
+try "crash table: packed again and again" node/bcast.c 's/tried = true;/tried = false;/' test-publish &
+try "crash table: old suspects stay" src/crashes.c 's/wall_ms - last_crash_ms \(suspect\) > kept/false \&\& wall_ms > kept/' test-blame &
+try "crash table: new keys have no share" src/crashes.c 's/found->single_count >= max \/ CRASHES_SINGLE_PART/max > 0/' test-blame &
+try "bytes: the log is cut by number alone" src/raft.c 's/raft->applied_bytes > raft->conf\.snapshot_bytes/false/' test-logbytes &
+try "bytes: all is sent to a silent voter" src/raftlead.c 's/peer->unanswered_bytes < MAX_UNANSWERED/true/' test-logbytes &
+try "bytes: no reply counts" src/raftlead.c 's/^  peer->unanswered_bytes = 0;$//' test-logbytes &
+try "bytes: the uncommitted have no bound" src/raft.c 's/>= MAX_UNCOMMITTED_BYTES/== G_MAXSIZE/' test-logbytes &
+try "bytes: the queue has no bound" node/voter.c 's/voter->queued_bytes \+ size <= QUEUED_MAX/true/' test-publish &
+try "bytes: an operation above the bound" src/raft.c 's/ \|\| bytes->len > FT_TEXT_MAX//' test-logbytes &
+try "bytes: pieces are read at the wrong place" src/wal.c 's/reader->start \+= reader->at;//' test-logbytes &
+try "bytes: half a record is the end" src/wal.c 's/return ensure_bytes \(reader, HEADER_SIZE \+ get_u32 \(head \+ 4\)\);/return status;/' test-logbytes &
+try "start: not tried again" node/main.c 's/\(status == FT_IO \|\| status == FT_CONFLICT\) \&\& now/false \&\& now/' test-exits &
+try "start: a folder in use is final" node/main.c 's/ \|\| status == FT_CONFLICT//' test-exits &
+try "start: it never gives up" node/main.c 's/now < process->start_until/now > 0/' test-exits &
+try "start: settings are read once" node/main.c 's/!once \&\& i < SETTINGS_TRIES/!once \&\& i < 1/' test-exits &
+try "start: SIGXFSZ" node/main.c 's/signal \(SIGXFSZ, SIG_IGN\);//' test-exits &
+try "start: the last end is not noted" node/runs.c 's/fatal_set_hook \(on_fatal\);//' test-exits &
+try "start: no last line" node/fatal.c 's/^      write_line \(\);$//' test-exits &
+try "close: frees what is read" net/sock.c 's/loop_free_later \(sock->loop, g_byte_array_free \(sock->in, FALSE\)\)/g_byte_array_unref (sock->in)/' test-wire &
 for job in $(jobs -p); do wait "$job" || missed=1; done
 exit $missed
