--- a/test/exitsoak.c
+++ b/test/exitsoak.c
@@ -49,7 +49,7 @@
   FleetNode *node;
   int64_t until;
   SockListener *holder; /* of one of its addresses; NULL: none */
-  bool hidden, stopped, limited;
+  bool stopped, limited;
 } Hold;
 
 typedef struct
@@ -105,19 +105,15 @@
 end_hold (Hold *hold)
 {
   struct rlimit none = { RLIM_INFINITY, RLIM_INFINITY };
-  char *hidden = g_strconcat (hold->node->settings, FLEET_HIDDEN, NULL);
 
   sock_listener_free (hold->holder);
   hold->holder = NULL;
-  if (hold->hidden)
-    rename (hidden, hold->node->settings);
   if (hold->stopped)
     fleet_signal (hold->node, SIGCONT);
   if (hold->limited)
     prlimit (hold->node->pid, RLIMIT_FSIZE, &none, NULL);
-  hold->hidden = hold->stopped = hold->limited = false;
+  hold->stopped = hold->limited = false;
   hold->until = 0;
-  g_free (hidden);
 }
 
 static bool
@@ -164,8 +160,8 @@
   hold->node->starts_without = false;
   while (!g_file_test (hidden, G_FILE_TEST_EXISTS))
     g_usleep (1000);
-  hold->hidden = true;
-  hold->until = loop_now (soak->fleet->loop) + draw (soak, 300) * FT_MS;
+  fleet_run_for (soak->fleet, draw (soak, 300) * FT_MS);
+  g_assert_cmpint (rename (hidden, hold->node->settings), ==, 0);
   g_free (hidden);
   return true;
 }
