--- a/node/fatal.c
+++ b/node/fatal.c
@@ -147,9 +147,10 @@
 void
 fatal_init_thread (void *stack)
 {
-  stack_t alternate = { .ss_sp = stack, .ss_size = FATAL_STACK_SIZE };
+  stack_t alternate = { .ss_sp = stack, .ss_size = FATAL_STACK_SIZE }, before;
 
-  sigaltstack (&alternate, NULL);
+  if (sigaltstack (NULL, &before) == 0 && (before.ss_flags & SS_DISABLE))
+    sigaltstack (&alternate, NULL);
 }
 
 void
