--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -115,6 +115,8 @@
   close (file);
   if (status == FT_OK && renameat (disk->folder, temporary, disk->folder, name) != 0)
     status = FT_IO;
+  if (status != FT_OK)
+    unlinkat (disk->folder, temporary, 0); /* it may be what fills the disk */
   if (status == FT_OK && fsync (disk->folder) != 0)
     status = FT_IO;
   if (disk->append_name && strcmp (disk->append_name, name) == 0)
--- a/src/raft.c
+++ b/src/raft.c
@@ -25,6 +25,7 @@
 #define RECENT_MAX_WINDOW     (20 * FT_SECOND) /* how long the largest disk time counts */
 #define MAX_UNCOMMITTED       4096             /* entries; above it raft_propose returns FT_FULL */
 #define MAX_UNCOMMITTED_BYTES (16u << 20)      /* of their operations, likewise */
+#define SNAPSHOT_RETRY        (5 * FT_SECOND)  /* after one that could not be written */
 #define SNAPSHOT_TAIL         256 /* entries kept before a snapshot, for followers that lag a little */
 #define START_TIMEOUT_MIN     (520 * FT_MS) /* LEASE_TIME plus 4 % for clock rate errors */
 #define START_JITTER          (100 * FT_MS) /* keeps voters from starting elections together */
@@ -178,7 +179,8 @@
   bool many = raft->applied - raft->log.base >= threshold + MIN (SNAPSHOT_TAIL, threshold);
   bool large = raft->conf.snapshot_bytes && raft->applied_bytes > raft->conf.snapshot_bytes;
 
-  return (many || large) && !raft->storage_failed;
+  return (many || large) && !raft->storage_failed
+         && ft_clock_now (raft->clock) >= raft->snapshot_at;
 }
 
 /* Index of the first entry that is kept beside a snapshot of all that is applied. */
@@ -208,11 +210,18 @@
     return;
   uint64_t term = rlog_term (&raft->log, raft->applied);
   unsigned applied_count = (unsigned) (raft->applied - raft->log.base);
-  check_disk (raft,
-              wal_snapshot (raft->wal, raft->applied, term, state, raft->term, raft->voted_for,
-                            (MsgEntry *const *) raft->log.entries->pdata + applied_count,
-                            raft->log.entries->len - applied_count));
+  FtStatus status
+      = wal_snapshot (raft->wal, raft->applied, term, state, raft->term, raft->voted_for,
+                      (MsgEntry *const *) raft->log.entries->pdata + applied_count,
+                      raft->log.entries->len - applied_count);
   g_byte_array_unref (state);
+  /* A disk too full for a snapshot may still take entries, which keep this voter useful. */
+  if (status == FT_FULL)
+    {
+      raft->snapshot_at = ft_clock_now (raft->clock) + SNAPSHOT_RETRY;
+      return;
+    }
+  check_disk (raft, status);
   raft->synced = rlog_last (&raft->log);
   raft->applied_bytes = 0;
   uint64_t first = first_kept (raft);
--- a/src/raftint.h
+++ b/src/raftint.h
@@ -69,6 +69,7 @@
   bool vote_synced;  /* term and voted_for are on disk */
   bool just_started; /* has followed no leader and cast no vote since it started */
   uint64_t commit, applied, synced;
+  int64_t snapshot_at;    /* no snapshot is taken before, as the last could not be written */
   size_t applied_bytes;   /* of entries applied since the last snapshot */
   uint64_t commit_logged; /* commit index last written to the log file */
   uint64_t term_start;    /* index of the first entry of the term that this voter leads */
--- a/src/wal.c
+++ b/src/wal.c
@@ -502,8 +502,14 @@
   put_u64 (payload, term);
   g_byte_array_append (payload, state->data, state->len);
   put_record (file, RECORD_SNAPSHOT, payload->data, payload->len);
-  if (status == FT_OK)
-    status = wal->disk->ops->replace (wal->disk, "snap", file->data, file->len);
+  if (status == FT_OK
+      && wal->disk->ops->replace (wal->disk, "snap", file->data, file->len) != FT_OK)
+    {
+      /* The log still holds everything, whether or not the snapshot has taken its name. */
+      g_byte_array_unref (payload);
+      g_byte_array_unref (file);
+      return FT_FULL;
+    }
   g_byte_array_set_size (file, 0);
   put_vote (file, vote_term, voted_for);
   for (unsigned i = 0; i < count && status == FT_OK; i++)
--- a/src/wal.h
+++ b/src/wal.h
@@ -38,7 +38,7 @@
 FtStatus wal_commit (Wal *wal, uint64_t index);
 FtStatus wal_sync (Wal *wal);
 /* Replaces the snapshot, and the log by one that holds only the vote and the given entries; durable
- * on return. */
+ * on return. FT_FULL: the snapshot could not be written, and the log is as it was. */
 FtStatus wal_snapshot (Wal *wal, uint64_t index, uint64_t term, const GByteArray *state,
                        uint64_t vote_term, uint32_t voted_for, MsgEntry *const *entries,
                        unsigned count);
--- a/test/logbytes.c
+++ b/test/logbytes.c
@@ -22,6 +22,8 @@
   FtDisk base;
   GByteArray *files[FILES];
   size_t log_peak; /* largest size of the log */
+  bool refuses_snapshots;
+  unsigned refused;
 } MemoryDisk;
 
 typedef struct
@@ -93,6 +95,13 @@
 static FtStatus
 disk_replace (FtDisk *base, const char *name, const void *data, size_t size)
 {
+  MemoryDisk *disk = (MemoryDisk *) base;
+
+  if (disk->refuses_snapshots && strcmp (name, "snap") == 0)
+    {
+      disk->refused++;
+      return FT_IO;
+    }
   g_byte_array_set_size (find_file (base, name), 0);
   return disk_append (base, name, data, size);
 }
@@ -357,6 +366,47 @@
   tear_down ();
 }
 
+/* Guards against a voter that takes no part since its disk has no room for a snapshot, whereas the
+ * log still takes entries; also one that starts so. The log is cut once there is room. */
+static void
+snapshot_refused (void)
+{
+  RaftConf conf = { .self = 1, .count = 1, .snapshot_after = 48, .snapshot_bytes = SNAPSHOT_BYTES };
+  uint32_t id = 1;
+
+  set_up ();
+  for (unsigned i = 0; i < VOTERS; i++)
+    voters[i].disk.refuses_snapshots = true;
+  Voter *leader = await_leader ();
+  propose_all (leader);
+  run_for (500 * FT_MS);
+  for (unsigned i = 0; i < VOTERS; i++)
+    {
+      g_test_message ("voter %u: %u snapshots refused, a log of %u bytes", voters[i].id,
+                      voters[i].disk.refused, voters[i].disk.files[2]->len);
+      g_assert_cmpuint (voters[i].disk.refused, >, 0);
+      g_assert_false (raft_storage_failed (voters[i].raft));
+      g_assert_cmpuint (document_number (&voters[i]), ==, DOCUMENTS);
+      g_assert_cmpuint (voters[i].disk.files[2]->len, >, LOG_MAX);
+    }
+  conf.voters = &id;
+  raft_free (voters[0].raft);
+  state_free (voters[0].state);
+  voters[0].state = state_new ();
+  g_assert_cmpint (raft_new (&conf, &now.base, &random_source.base, &voters[0].disk.base,
+                             voters[0].state, &raft_ops, &voters[0], &voters[0].raft, NULL),
+                   ==, FT_OK);
+  g_assert_false (raft_storage_failed (voters[0].raft));
+  for (unsigned i = 0; i < VOTERS; i++)
+    voters[i].disk.refuses_snapshots = false;
+  run_for (6 * FT_SECOND);
+  leader = await_leader ();
+  g_assert_cmpint (propose (leader), ==, FT_OK);
+  run_for (500 * FT_MS);
+  g_assert_cmpuint (leader->disk.files[2]->len, <=, LOG_MAX);
+  tear_down ();
+}
+
 /* Guards against a leader that takes its storage for failed since an operation is larger than an
  * entry of the log may be. */
 static void
@@ -464,6 +514,7 @@
   g_test_add_func ("/logbytes/cut", log_is_cut_by_bytes);
   g_test_add_func ("/logbytes/silent_voter", silent_voter_gets_little);
   g_test_add_func ("/logbytes/uncommitted", uncommitted_changes_are_bounded);
+  g_test_add_func ("/logbytes/snapshot_refused", snapshot_refused);
   g_test_add_func ("/logbytes/too_large", too_large_is_refused);
   g_test_add_func ("/logbytes/pieces", log_in_pieces);
   return g_test_run ();
