--- a/node/fatal.c
+++ b/node/fatal.c
@@ -114,7 +114,6 @@
 static void
 on_signal (int number, siginfo_t *info, void *context)
 {
-  signal (number, SIG_DFL);
   if (entered == 0)
     {
       entered = 1;
@@ -130,8 +129,8 @@
       if (hook)
         hook (first_number);
     }
-  /* GLib goes on after the trap by which it ends a process. */
-  raise (number);
+  signal (number, SIG_DFL);
+  raise (number); /* GLib would go on after the trap by which it ends a process */
 }
 
 /* Keeps the text of a fatal message for the handler of the signal that follows it. */
