--- a/node/usage.c
+++ b/node/usage.c
@@ -6,6 +6,7 @@
 #include "jlog.h"
 
 #include <fcntl.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
@@ -67,11 +68,13 @@
                             folder_bytes (folder));
 }
 
-/* Whether the value has grown by a quarter since *logged. */
+/* Whether the value has grown by a quarter since *logged, or since it fell to half of that. */
 static bool
-has_grown (uint64_t value, uint64_t logged)
+has_grown (uint64_t value, uint64_t *logged)
 {
-  return value >= LOGGED_MIN && value > logged + logged / 4;
+  if (value < *logged / 2)
+    *logged = value;
+  return value >= LOGGED_MIN && value > *logged + *logged / 4;
 }
 
 void
@@ -80,7 +83,8 @@
   static uint64_t logged_resident, logged_data;
   uint64_t resident = resident_bytes (), data = folder_bytes (folder);
 
-  if (!has_grown (resident, logged_resident) && !has_grown (data, logged_data))
+  bool more_memory = has_grown (resident, &logged_resident);
+  if (!has_grown (data, &logged_data) && !more_memory)
     return;
   logged_resident = resident;
   logged_data = data;
