--- a/src/msg.x
+++ b/src/msg.x
@@ -268,7 +268,7 @@
 /* A backend server crashed while it ran these contents. */
 struct MsgCrash {
   MsgServerName server; /* id of the server's lifetime */
-  hyper wall_ms;        /* Unix time when it was noticed; shown to operators only */
+  hyper wall_ms;        /* Unix time when it was noticed; the same crash, and stale ones, go by it */
   unsigned hyper contents<FT_CONTENTS_MAX>;
 };
 
