--- a/node/main.c
+++ b/node/main.c
@@ -172,8 +172,7 @@
           JL_MS ("longest_ms", iteration->longest_us));
 }
 
-/* Blocks the signals that open_signals reads later, so that none of them ends the process before.
- */
+/* Blocks the signals that open_signals reads later: until then none of them may end the process. */
 static void
 block_signals (sigset_t *set)
 {
