An entry that schedules for itself pauses where no place can be used

What callers see: an entry that stands still, with its connections open, for as long as it reaches no voter; SIGTERM and new links are not seen. FAULT: it does not hand back the processor.

The backtrace: on_deliver, deliver_grant, requests_grant, ask_again, sched_ask, within fire_timers. The entry's own scheduler decides in the same iteration and grants a place of the version that began the stream; the entry takes that version for blocked, since only a voter's grants keep it (is_known_unusable), gives the place back and asks again, without end.

Grants of other instances come in other iterations and are handled as before.

--- a/node/reqask.c
+++ b/node/reqask.c
@@ -384,6 +384,25 @@
     end_without_place (req, 0, FT_REASON_VERSION_GONE);
 }
 
+/* This instance's own scheduler answers within the iteration of the loop. If it grants one place
+ * after another that cannot be used, asking again at once would never end. */
+static void
+ask_after_unusable (Req *req)
+{
+  bool again = req->unusable_at != req_now (req);
+
+  req->unusable_at = req_now (req);
+  if (again)
+    {
+      ask_again (req);
+      return;
+    }
+  place_end (req->requests->conf.place, req->number, &withdrawn);
+  req_clear_number (req);
+  if (!req_ask_later (req, ASK_PAUSE_MIN))
+    end_without_place (req, 0, FT_REASON_SHORTAGE);
+}
+
 /* Another server has a place for a request whose current try is silent. The try ends now, unless
  * the place cannot be used or the retry budget is used up. */
 static bool
@@ -437,7 +456,7 @@
     {
       g_free (req->avoid_server);
       req->avoid_server = g_strdup (server->id);
-      ask_again (req);
+      ask_after_unusable (req);
     }
   else if (req_is_quarantined (req))
     ask_again (req);
--- a/node/reqint.h
+++ b/node/reqint.h
@@ -31,6 +31,7 @@
   const char *service;
   char *version;      /* that began the stream, and at which alone it goes on; NULL: none yet */
   int64_t gone_since; /* when no server of that version was listed first; 0: there was always one */
+  int64_t unusable_at;     /* when a place was granted last that could not be used; 0: never */
   OriginLookup lookup;     /* for a stream that the caller takes up again */
   LoopTimer versions_wait; /* until it is known which versions were listed lately */
   int64_t arrived;
