loop: timers that arm each other leave the loop to its descriptors

No descriptor, signal, posted call or clock was seen any more.

A timer that is armed while timers fire is due in the next iteration at the earliest, which looks at the descriptors first. Work in a loop costs processor time then, and no longer the process.

Before: /wire/timers_always_due is ended by its alarm after 20 s; after: it returns at once. test-wire passes.

--- a/net/loop.c
+++ b/net/loop.c
@@ -30,6 +30,7 @@
   FtHeap timers;
   int64_t now, previous; /* start of this iteration, and of the one before */
   bool stopped;
+  bool firing; /* the due timers are being fired */
   struct epoll_event events[EVENTS_MAX];
   int event_count;
   GPtrArray *deferred_frees;
@@ -208,6 +209,10 @@
 {
   loop_timer_stop (loop, timer);
   timer->armed = true;
+  /* What becomes due while timers fire waits for the next iteration, so that timers that arm each
+   * other cannot keep the loop from its descriptors and its clock. */
+  if (loop->firing)
+    at = MAX (at, loop->now + 1);
   ft_heap_push (&loop->timers, &timer->node, (double) at);
 }
 
@@ -319,6 +324,7 @@
 {
   FtHeapNode *top;
 
+  loop->firing = true;
   while ((top = ft_heap_top (&loop->timers)) != NULL && top->key <= (double) loop->now)
     {
       LoopTimer *timer = (LoopTimer *) top; /* node is the first member */
@@ -326,6 +332,7 @@
       loop_timer_stop (loop, timer);
       timer->fire (timer);
     }
+  loop->firing = false;
 }
 
 static int
--- a/net/loop.h
+++ b/net/loop.h
@@ -54,7 +54,8 @@
  * close fd->fd. */
 void loop_remove (Loop *loop, LoopFd *fd);
 
-/* Arms the timer for the time at of the loop's clock, in microseconds. Re-arms an armed timer. */
+/* Arms the timer for the time at of the loop's clock, in microseconds. Re-arms an armed timer. From
+ * within a timer's function: it fires in the next iteration at the earliest. */
 void loop_timer_set (Loop *loop, LoopTimer *timer, int64_t at);
 void loop_timer_stop (Loop *loop, LoopTimer *timer);
 
--- a/test/wire.c
+++ b/test/wire.c
@@ -5,6 +5,7 @@
 
 #include <malloc.h>
 #include <string.h>
+#include <unistd.h>
 
 #define TEST_TIMEOUT (20 * FT_SECOND) /* only ends a test that hangs */
 
@@ -686,6 +687,49 @@
   end ();
 }
 
+/* ---- Timers that are always due ---- */
+
+#define ALARM_S 20 /* ends a loop that does not return from its timers */
+
+static unsigned fire_count;
+
+static void
+fire_again (LoopTimer *timer)
+{
+  fire_count++;
+  loop_timer_set (loop, timer, loop_now (loop));
+}
+
+static void
+stop_loop (void *data)
+{
+  *(unsigned *) data = fire_count;
+  loop_stop (loop);
+}
+
+/* Guards against a loop that sees neither descriptors nor calls any more since timers arm each
+ * other for the present. */
+static void
+timers_always_due (void)
+{
+  LoopTimer timers[2] = { { .fire = fire_again }, { .fire = fire_again } };
+  unsigned fired = 0;
+
+  begin ();
+  alarm (ALARM_S);
+  for (unsigned i = 0; i < 2; i++)
+    loop_timer_set (loop, &timers[i], loop_now (loop));
+  loop_post (loop, stop_loop, &fired);
+  loop_run (loop);
+  loop_post (loop, stop_loop, &fired);
+  loop_run (loop);
+  alarm (0);
+  g_assert_cmpuint (fired, >=, 2);
+  for (unsigned i = 0; i < 2; i++)
+    loop_timer_stop (loop, &timers[i]);
+  end ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -704,5 +748,6 @@
   g_test_add_func ("/wire/server/closed", stopped_server_closes_connection);
   g_test_add_func ("/wire/loop/posted", posted_calls_do_not_delay_timers);
   g_test_add_func ("/wire/data_outlives_close", data_outlives_close);
+  g_test_add_func ("/wire/timers_always_due", timers_always_due);
   return g_test_run ();
 }
