A voter with a damaged data folder starts over instead of ending at each start

Callers saw FAULT: a voter whose ident, snap or log is damaged (a file of 0 bytes after a loss of power on a disk that loses renames) ended with status 1 at each start, with the file's name.

Cause: the message told the operator to replace the folder with an empty one, and nothing else was done. That step needs nobody: a new identity joins as after the loss of a disk.

The files are kept as *.damaged, the event folder-damaged names file and reason, and the voter takes a new identity, which the others add. It never forms a voter set by itself, also on a first start, since what is damaged may have been acknowledged.

Before: /exits/damaged (4 cases) wait status 256; after: the voter is added, holds the newest catalogue, and another one may be lost (3 files); alone it stays without a voter set and takes no change. 4 of 4.

--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -176,6 +176,19 @@
   return status;
 }
 
+FtStatus
+disk_set_aside (FtDisk *base, const char *name)
+{
+  Disk *disk = (Disk *) base;
+  char *kept = g_strconcat (name, ".damaged", NULL);
+  bool done = renameat (disk->folder, name, disk->folder, kept) == 0 || errno == ENOENT;
+
+  g_free (kept);
+  if (disk->append_name && strcmp (disk->append_name, name) == 0)
+    close_append_file (disk); /* it is the file with the new name */
+  return done && fsync (disk->folder) == 0 ? FT_OK : FT_IO;
+}
+
 void
 disk_free (FtDisk *base)
 {
--- a/node/voter.c
+++ b/node/voter.c
@@ -470,6 +470,25 @@
   return status;
 }
 
+/* A damaged folder counts as a lost one: its files are kept under other names, and the voter takes
+ * a new identity, which the other voters add as after the loss of a disk. It forms no voter set by
+ * itself, since what is damaged may have been acknowledged. */
+static FtStatus
+start_over (Voter *voter, FtError *error)
+{
+  static const char *const names[] = { "log", "snap", "ident" };
+  FtStatus status = FT_OK;
+
+  jlog (JLOG_ERROR, "folder-damaged", NULL, JL_TEXT ("file", error->field),
+        JL_TEXT ("why", error->text), JL_TEXT ("kept", "as *.damaged"));
+  for (unsigned i = 0; i < G_N_ELEMENTS (names) && status == FT_OK; i++)
+    status = disk_set_aside (voter->disk, names[i]);
+  if (status != FT_OK)
+    return ft_error_set (error, status, 0, "data_folder", "the damaged files cannot be renamed");
+  voter->conf.may_bootstrap = false;
+  return open_log (voter, error);
+}
+
 /* Reloads the log after a storage failure, once a sync has succeeded and so shown that the content
  * of the files is durable. Without this a voter whose disk rejected writes for a while would stay
  * out until it is restarted, and the loss of a second voter could stop the log. */
@@ -604,6 +623,8 @@
   FtStatus status = disk_new (conf->folder, &voter->disk, error);
   if (status == FT_OK)
     status = open_log (voter, error);
+  if (status == FT_CORRUPT)
+    status = start_over (voter, error);
   if (status == FT_OK)
     {
       store_all (voter);
--- a/test/exits.c
+++ b/test/exits.c
@@ -295,6 +295,73 @@
   fleet_free (fleet);
 }
 
+/* Damages the file: empties it, or spoils a byte of its first record. */
+static void
+damage (const FleetNode *voter, const char *name, bool emptied)
+{
+  char *path = g_build_filename (voter->folder, name, NULL), *text = NULL;
+  gsize size = 0;
+
+  if (!emptied)
+    {
+      g_assert_true (g_file_get_contents (path, &text, &size, NULL));
+      g_assert_cmpuint (size, >, 64);
+      text[40] ^= 1;
+    }
+  g_assert_true (g_file_set_contents (path, text ? text : "", (gssize) size, NULL));
+  g_free (text);
+  g_free (path);
+}
+
+/* Guards against a voter that ends at each start since a file of its folder is damaged. It becomes
+ * a voter again, so that another one may be lost then. */
+static void
+file_damaged (gconstpointer data)
+{
+  const char *name = data;
+  Fleet *fleet = fleet_new ();
+  FleetNode *voter = &fleet->voters[2];
+
+  fleet_start_all (fleet);
+  for (unsigned i = 0; i < 3; i++)
+    fleet_put_catalogue (fleet);
+  fleet_kill (voter);
+  damage (voter, name, strcmp (name, "log") != 0);
+  fleet_start (fleet, voter, false);
+  await_line (fleet, voter, "folder-damaged");
+  while (fleet_counter (fleet, voter, "foxtail_catalogue_version") != fleet->version
+         || fleet_counter (fleet, voter, "foxtail_voters") != 3)
+    fleet_run_for (fleet, 50 * FT_MS);
+  fleet_run_for (fleet, 1500 * FT_MS);
+  fleet_kill (&fleet->voters[0]);
+  fleet_put_catalogue (fleet);
+  g_assert_cmpuint (fleet_get_version (fleet), ==, fleet->version);
+  g_assert_false (fleet_has_exited (voter));
+  fleet_free (fleet);
+}
+
+/* Guards against a voter alone that forms a new voter set, and takes what was acknowledged for
+ * nothing, since its folder is damaged as the whole deployment is started anew. */
+static void
+damaged_alone (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *voter = &fleet->voters[0];
+
+  fleet->voter_count = 1;
+  fleet->entry_count = 0;
+  fleet_start_all (fleet);
+  fleet_kill (voter);
+  damage (voter, "ident", true);
+  fleet_start (fleet, voter, true);
+  await_line (fleet, voter, "folder-damaged");
+  fleet_run_for (fleet, 2 * FT_SECOND);
+  g_assert_false (fleet_has_exited (voter));
+  g_assert_cmpuint (fleet_try_get_version (fleet, voter), ==, 0);
+  g_assert_false (fleet_try_put_catalogue (fleet, voter));
+  fleet_free (fleet);
+}
+
 /* Guards against an entry that ends because a connection that somebody made from the port of its
  * callers still exists. */
 static void
@@ -480,6 +547,10 @@
   g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (FLEET_CONTROL_PORT),
                         address_held);
   g_test_add_func ("/exits/folder_held", folder_held);
+  g_test_add_data_func ("/exits/damaged/ident", "ident", file_damaged);
+  g_test_add_data_func ("/exits/damaged/snap", "snap", file_damaged);
+  g_test_add_data_func ("/exits/damaged/log", "log", file_damaged);
+  g_test_add_func ("/exits/damaged/alone", damaged_alone);
   g_test_add_func ("/exits/address_of_connection", address_of_connection);
   g_test_add_func ("/exits/beside_leaving", started_beside_leaving);
   g_test_add_func ("/exits/waiting_ends", waiting_start_ends);
