A metrics port that was in use at the start is tried again

It is tried again with each look at the settings, once a second, and logged once. In reqask.c a local variable says what it means.

--- a/node/main.c
+++ b/node/main.c
@@ -36,7 +36,7 @@
   LoopFd signals;
   LoopTimer settings_timer, start_timer;
   int64_t start_until, start_logged_at;
-  bool start_failed;
+  bool start_failed, lacks_metrics;
   FtError error; /* why the last try of the start failed */
   struct timespec modified_at;
 } Process;
@@ -52,6 +52,8 @@
   fprintf (stderr, ": %s\n", error->text);
 }
 
+static void open_metrics (Process *process);
+
 /* ---- Settings that change ---- */
 
 static struct timespec
@@ -98,6 +100,8 @@
   if (now.tv_sec != process->modified_at.tv_sec || now.tv_nsec != process->modified_at.tv_nsec)
     reload (process, "the file has changed");
   usage_log_growth (process->settings->data_folder);
+  if (process->instance && process->metrics == NULL)
+    open_metrics (process);
   loop_timer_set (process->loop, timer, loop_now (process->loop) + SETTINGS_CHECK_INTERVAL);
 }
 
@@ -196,6 +200,7 @@
   return process->signals.fd >= 0 && loop_add (process->loop, &process->signals, EPOLLIN);
 }
 
+/* Tried again with each look at the settings, as the port may be in use for a while. */
 static void
 open_metrics (Process *process)
 {
@@ -205,9 +210,10 @@
     return;
   process->metrics = hsrv_new (process->loop, (SockAddr){ s->ip, (uint16_t) s->metrics_port },
                                &metrics_ops, process);
-  if (process->metrics == NULL)
+  if (process->metrics == NULL && !process->lacks_metrics)
     jlog (JLOG_WARN, "no-metrics", NULL, JL_INT ("port", s->metrics_port),
           JL_TEXT ("why", g_strerror (errno)));
+  process->lacks_metrics = process->metrics == NULL;
 }
 
 static FtStatus
--- a/node/reqask.c
+++ b/node/reqask.c
@@ -389,10 +389,10 @@
 static void
 ask_after_unusable (Req *req)
 {
-  bool again = req->unusable_at != req_now (req);
+  bool first = req->unusable_at != req_now (req); /* of this iteration */
 
   req->unusable_at = req_now (req);
-  if (again)
+  if (first)
     {
       ask_again (req);
       return;
--- a/test/exits.c
+++ b/test/exits.c
@@ -194,7 +194,8 @@
 
 /* ---- Addresses in use ---- */
 
-#define HELD_TIME (700 * FT_MS) /* some tries of a start */
+#define METRICS_LOOKS 200           /* some seconds; they are tried again once a second */
+#define HELD_TIME     (700 * FT_MS) /* some tries of a start */
 
 static void
 refuse_connection (void *owner, int fd, SockAddr from)
@@ -272,6 +273,36 @@
   fleet_free (fleet);
 }
 
+/* Guards against a process without metrics for ever since their port was in use as it started. */
+static void
+metrics_held (void)
+{
+  Fleet *fleet = fleet_new ();
+  FleetNode *node = &fleet->entries[0];
+  bool answered = false;
+
+  fleet->voter_count = 1;
+  fleet->entry_count = 1;
+  fleet_start_all (fleet);
+  fleet_kill (node);
+  SockListener *holder = sock_listen (fleet->loop, (SockAddr){ node->ip, FLEET_METRICS_PORT },
+                                      refuse_connection, NULL);
+  g_assert_nonnull (holder);
+  fleet_start (fleet, node, false);
+  await_start (fleet, node);
+  sock_listener_free (holder);
+  for (unsigned i = 0; i < METRICS_LOOKS && !answered; i++)
+    {
+      Answer answer;
+      fleet_run_for (fleet, 50 * FT_MS);
+      fleet_get_metrics (fleet, node, &answer);
+      answered = answer.status == 200 && !answer.broken;
+      fleet_answer_clear (&answer);
+    }
+  g_assert_true (answered);
+  fleet_free (fleet);
+}
+
 /* Guards against a voter that ends because another process still has its data folder. */
 static void
 folder_held (void)
@@ -546,6 +577,7 @@
                         address_held);
   g_test_add_data_func ("/exits/address_held/control", GUINT_TO_POINTER (FLEET_CONTROL_PORT),
                         address_held);
+  g_test_add_func ("/exits/metrics_held", metrics_held);
   g_test_add_func ("/exits/folder_held", folder_held);
   g_test_add_data_func ("/exits/damaged/ident", "ident", file_damaged);
   g_test_add_data_func ("/exits/damaged/snap", "snap", file_damaged);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -12,7 +12,6 @@
 
 #define SERVER_PORT       18090
 #define LIST_PORT         18099
-#define METRICS_PORT      18084
 #define SILENT_PORT       18071 /* where connects hang */
 #define CLOSED_PORT       18072 /* where connects are refused */
 #define LINK_LISTEN_PORT  18073 /* where a node behind a proxy accepts links */
@@ -88,8 +87,8 @@
       "\"budget_slack\":%u,\"all_versions\":%s,\"losses\":%u,",
       node->name, node->voter ? "voter" : "entry", ip, FLEET_LINK_PORT,
       node->proxy ? LINK_LISTEN_PORT : 0, list, first_start ? "true" : "false", fleet->start_wait_s,
-      fleet->grace_s, METRICS_PORT, fleet->budget_slack, fleet->all_versions ? "true" : "false",
-      fleet->losses);
+      fleet->grace_s, FLEET_METRICS_PORT, fleet->budget_slack,
+      fleet->all_versions ? "true" : "false", fleet->losses);
   if (node->voter)
     g_string_append_printf (out, "\"control\":\"%s:%d\",\"data_folder\":\"%s\",", ip,
                             FLEET_CONTROL_PORT, node->folder);
@@ -834,7 +833,7 @@
 {
   GString *request = g_string_new ("GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n");
 
-  send_to (fleet, (SockAddr){ node->ip, METRICS_PORT }, request, answer);
+  send_to (fleet, (SockAddr){ node->ip, FLEET_METRICS_PORT }, request, answer);
   fleet_run_until (fleet, is_done, answer, "metrics");
   g_string_free (request, TRUE);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -15,6 +15,7 @@
 #define FLEET_READY_PORT   18081
 #define FLEET_CONTROL_PORT 18082
 #define FLEET_LINK_PORT    18083
+#define FLEET_METRICS_PORT 18084
 #define FLEET_RELAY_PORT   18085 /* on which entries relay for each other */
 #define FLEET_ENTRIES      3     /* usually */
 #define FLEET_ENTRIES_MAX  12    /* Fleet.entry_count at most */
